--- /dev/null
+++ b/fireflyfork/adapters/_http_client.py
@@ -0,0 +1,210 @@
+"""The client side of HTTP/1.1: one connection, and a one-shot helper for small calls."""
+
+from __future__ import annotations
+
+import select
+import socket
+from collections.abc import AsyncIterator
+
+import h11
+import trio
+
+from .._links import Address
+from ._http import (
+    LONGEST_HEAD_BYTES,
+    RECEIVE_BYTES,
+    Header,
+    HttpError,
+    HttpEvent,
+    RequestHead,
+    ResponseHead,
+    collect,
+)
+
+_UNACKNOWLEDGED_MILLISECONDS = 10_000
+
+
+class HttpClientConnection:
+    """One connection to a server. It carries one request at a time."""
+
+    def __init__(self, stream: trio.SocketStream) -> None:
+        """Use ``open``; this takes over a connected stream."""
+        self._stream = stream
+        self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=LONGEST_HEAD_BYTES)
+        self._sent_anything = False
+
+    @property
+    def sent_anything(self) -> bool:
+        """Whether any byte of the current request may have left this process."""
+        return self._sent_anything
+
+    @property
+    def reusable(self) -> bool:
+        """Whether the last exchange ended cleanly and the server has not hung up since."""
+        idle = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
+        unused = self._http.our_state is h11.IDLE and self._http.their_state is h11.IDLE
+        return (idle or unused) and not self._readable()
+
+    @classmethod
+    async def open(cls, address: Address, timeout: float) -> HttpClientConnection:
+        """Connect within ``timeout`` seconds. Raises HttpError."""
+        try:
+            with trio.fail_after(timeout):
+                stream = await trio.open_tcp_stream(address.host, address.port)
+        except (OSError, trio.TooSlowError) as error:
+            raise HttpError(f"can't connect to {address}: {error!r}") from error
+        # A peer that vanished without a word is noticed only through data that stays
+        # unacknowledged. Without this limit the kernel goes on resending for a quarter of an hour.
+        stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_MILLISECONDS)
+        return cls(stream)
+
+    async def send_head(self, head: RequestHead) -> None:
+        """Send the head of a request. Raises HttpError."""
+        if self._http.our_state is h11.DONE:
+            self._http.start_next_cycle()
+        self._sent_anything = False
+        await self._send(
+            h11.Request(method=head.method, target=head.target, headers=list(head.headers))
+        )
+
+    async def send_body(self, data: bytes) -> None:
+        """Send a part of the request's body. Raises HttpError."""
+        await self._send(h11.Data(data=data))
+
+    async def send_end(self) -> None:
+        """End the request. Raises HttpError."""
+        await self._send(h11.EndOfMessage())
+
+    async def receive_head(self) -> ResponseHead:
+        """The head of the final response. Raises HttpError."""
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            if not isinstance(event, h11.Response):
+                raise HttpError("the connection ended before a response")
+            return ResponseHead(event.status_code, tuple(event.headers))
+
+    async def receive_body(self) -> AsyncIterator[bytes]:
+        """The response's body in parts. Raises HttpError when it breaks off before its end."""
+        while True:
+            event = await self._next_event()
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return
+            else:
+                raise HttpError("the connection ended inside a response")
+
+    async def request(
+        self, head: RequestHead, body: bytes, longest_answer: int
+    ) -> tuple[ResponseHead, bytes]:
+        """Send a small request and read its whole response. Raises HttpError."""
+        await self.send_head(head)
+        if body:
+            await self.send_body(body)
+        await self.send_end()
+        response = await self.receive_head()
+        return response, await collect(self.receive_body(), longest_answer)
+
+    def close(self) -> None:
+        """Close at once."""
+        self._stream.socket.close()
+
+    async def _send(self, event: h11.Event) -> None:
+        try:
+            data = self._http.send(event)
+            if data:
+                self._sent_anything = True
+                await self._stream.send_all(data)
+        except (h11.ProtocolError, trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise HttpError(f"sending failed: {error!r}") from error
+
+    async def _next_event(self) -> HttpEvent:
+        try:
+            while True:
+                event = self._http.next_event()
+                if event is not h11.NEED_DATA:
+                    return event
+                self._http.receive_data(await self._stream.receive_some(RECEIVE_BYTES))
+        except (h11.ProtocolError, trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise HttpError(f"receiving failed: {error!r}") from error
+
+    def _readable(self) -> bool:
+        # An idle connection becomes readable only when the server has closed it. Sending a
+        # booking into it would end in "may have run" for a request that no executor ever saw.
+        descriptor = self._stream.socket.fileno()
+        if descriptor < 0:
+            return True
+        poll = select.poll()
+        poll.register(descriptor, select.POLLIN)
+        return bool(poll.poll(0))
+
+
+class HttpClient:
+    """Small calls to one server over one kept connection, reopened when it breaks."""
+
+    def __init__(self, address: Address, timeout: float, longest_answer: int = 1 << 24) -> None:
+        """``timeout`` is in seconds for a whole call; ``longest_answer`` in bytes."""
+        self._address = address
+        self._timeout = timeout
+        self._longest_answer = longest_answer
+        self._idle: list[HttpClientConnection] = []
+
+    async def call(
+        self,
+        method: str,
+        target: str,
+        headers: tuple[Header, ...] = (),
+        body: bytes = b"",
+        extra_seconds: float = 0.0,
+    ) -> tuple[ResponseHead, bytes]:
+        """One call, within the timeout plus ``extra_seconds``. Raises HttpError.
+
+        After an error the call may have taken effect.
+        """
+        connection: HttpClientConnection | None = None
+        try:
+            with trio.fail_after(self._timeout + extra_seconds):
+                connection = await self._connection()
+                return await self._exchange(connection, method, target, headers, body)
+        except trio.TooSlowError as error:
+            raise HttpError(f"no answer from {self._address} in time") from error
+        finally:
+            if connection is not None:
+                self._keep(connection)
+
+    def close(self) -> None:
+        """Close the kept connections."""
+        while self._idle:
+            self._idle.pop().close()
+
+    async def _connection(self) -> HttpClientConnection:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.reusable:
+                return connection
+            connection.close()
+        return await HttpClientConnection.open(self._address, self._timeout)
+
+    async def _exchange(
+        self,
+        connection: HttpClientConnection,
+        method: str,
+        target: str,
+        headers: tuple[Header, ...],
+        body: bytes,
+    ) -> tuple[ResponseHead, bytes]:
+        all_headers = (
+            (b"host", str(self._address).encode("ascii")),
+            (b"content-length", str(len(body)).encode("ascii")),
+            *headers,
+        )
+        head = RequestHead(method, target, all_headers)
+        return await connection.request(head, body, self._longest_answer)
+
+    def _keep(self, connection: HttpClientConnection) -> None:
+        if connection.reusable:
+            self._idle.append(connection)
+        else:
+            connection.close()
--- /dev/null
+++ b/fireflyfork/adapters/_http_server.py
@@ -0,0 +1,270 @@
+"""The server side of HTTP/1.1: one task per connection, one exchange at a time on it."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from collections.abc import AsyncIterator, Iterable
+from dataclasses import dataclass
+
+import h11
+import msgspec
+import trio
+
+from ._http import (
+    LONGEST_HEAD_BYTES,
+    RECEIVE_BYTES,
+    Header,
+    HttpError,
+    HttpEvent,
+    RequestHead,
+    abort,
+)
+
+JSON_HEADER: Header = (b"content-type", b"application/json")
+
+
+@dataclass(frozen=True, slots=True)
+class ServerLimits:
+    """How long a server waits for a client, in seconds."""
+
+    head: float = 10.0
+    """For the rest of a head once it has begun, and for each further part of a body."""
+    idle: float = 75.0
+    """For the next request on a kept connection."""
+    send: float = 10.0
+    """For the client to take each part of an answer."""
+
+
+class Exchange:
+    """One request and the answer to it."""
+
+    def __init__(self, connection: ServerConnection, head: RequestHead) -> None:
+        """The connection makes one for each request."""
+        self._connection = connection
+        self._head = head
+        self._started = False
+
+    @property
+    def head(self) -> RequestHead:
+        """The request's head."""
+        return self._head
+
+    @property
+    def answer_started(self) -> bool:
+        """Whether a final status has been sent."""
+        return self._started
+
+    def body(self) -> AsyncIterator[bytes]:
+        """The request's body in parts. Raises HttpError when it breaks off."""
+        return self._connection.receive_body()
+
+    async def start(self, status: int, headers: Iterable[Header]) -> None:
+        """Send the head of the answer. Raises HttpError."""
+        self._started = True
+        await self._connection.send(h11.Response(status_code=status, headers=list(headers)))
+
+    async def send(self, data: bytes) -> None:
+        """Send a part of the answer's body. Raises HttpError."""
+        await self._connection.send(h11.Data(data=data))
+
+    async def end(self) -> None:
+        """End the answer. Raises HttpError."""
+        await self._connection.send(h11.EndOfMessage())
+
+    async def answer(self, status: int, body: bytes, headers: Iterable[Header] = ()) -> None:
+        """Send a whole small answer. Raises HttpError."""
+        length = (b"content-length", str(len(body)).encode("ascii"))
+        await self.start(status, (length, *headers))
+        if body and self._head.method != "HEAD":
+            await self.send(body)
+        await self.end()
+
+    async def answer_json(self, status: int, value: object, headers: Iterable[Header] = ()) -> None:
+        """Send ``value`` as JSON. Raises HttpError."""
+        await self.answer(status, msgspec.json.encode(value), (JSON_HEADER, *headers))
+
+    def abort(self) -> None:
+        """Break the answer off so that the client can't take it for whole."""
+        self._connection.abort()
+
+
+class HttpHandler(ABC):
+    """What a server does with requests."""
+
+    @abstractmethod
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one request."""
+
+    async def malformed(self, exchange: Exchange, status: int, reason: str) -> None:
+        """Answer something that is not a request."""
+        await exchange.answer_json(status, {"error": reason})
+
+
+class ServerConnection:
+    """One accepted connection."""
+
+    def __init__(
+        self, stream: trio.SocketStream, handler: HttpHandler, limits: ServerLimits
+    ) -> None:
+        """Take over a connected stream."""
+        self._stream = stream
+        self._handler = handler
+        self._limits = limits
+        self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=LONGEST_HEAD_BYTES)
+        self._closing = False
+        self._idle_scope: trio.CancelScope | None = None
+
+    async def run(self) -> None:
+        """Serve requests until either side ends the connection."""
+        try:
+            while not self._closing and await self._serve_one():
+                self._http.start_next_cycle()
+        except (HttpError, h11.ProtocolError):
+            abort(self._stream)
+        finally:
+            self._stream.socket.close()
+
+    def finish(self) -> None:
+        """Close after the exchange under way; at once when there is none."""
+        self._closing = True
+        if self._idle_scope is not None:
+            self._idle_scope.cancel()
+
+    def abort(self) -> None:
+        """Reset the connection."""
+        self._closing = True
+        abort(self._stream)
+
+    async def send(self, event: h11.Event) -> None:
+        """Send one event of an answer. Raises HttpError."""
+        if self._closing and isinstance(event, h11.Response):
+            headers = [*event.headers, (b"connection", b"close")]
+            event = h11.Response(status_code=event.status_code, headers=headers)
+        try:
+            data = self._http.send(event)
+            if data:
+                with trio.fail_after(self._limits.send):
+                    await self._stream.send_all(data)
+        except (
+            h11.ProtocolError,
+            trio.BrokenResourceError,
+            trio.ClosedResourceError,
+            trio.TooSlowError,
+        ) as error:
+            raise HttpError(f"sending failed: {error!r}") from error
+
+    async def receive_body(self) -> AsyncIterator[bytes]:
+        """The body of the request under way. Raises HttpError when it breaks off."""
+        if self._http.they_are_waiting_for_100_continue:
+            await self.send(h11.InformationalResponse(status_code=100, headers=[]))
+        while True:
+            event = await self._next_event(self._limits.head)
+            if isinstance(event, h11.Data):
+                yield bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                return
+            else:
+                raise HttpError("the connection ended inside a request")
+
+    async def _serve_one(self) -> bool:
+        try:
+            event = await self._first_event()
+        except h11.RemoteProtocolError as error:
+            await self._refuse_malformed(error)
+            return False
+        if not isinstance(event, h11.Request):
+            return False
+        exchange = Exchange(self, self._head(event))
+        await self._handler.handle(exchange)
+        return await self._finish_cycle()
+
+    async def _finish_cycle(self) -> bool:
+        # What is left of an unread request body is dropped for a while, so that the next request
+        # on the connection isn't read from the middle of it; a long rest costs the connection.
+        if self._http.our_state is not h11.DONE:
+            return False
+        if self._http.their_state is h11.SEND_BODY:
+            with trio.move_on_after(1.0):
+                async for _ in self.receive_body():
+                    pass
+        return self._http.their_state is h11.DONE
+
+    async def _first_event(self) -> HttpEvent | None:
+        if not self._http.trailing_data[0] and not await self._wait_for_request():
+            return None
+        return await self._next_event(self._limits.head)
+
+    async def _wait_for_request(self) -> bool:
+        with trio.move_on_after(self._limits.idle) as scope:
+            self._idle_scope = scope
+            try:
+                await trio.lowlevel.wait_readable(self._stream.socket)
+            finally:
+                self._idle_scope = None
+        return not scope.cancelled_caught
+
+    async def _next_event(self, seconds: float) -> HttpEvent:
+        try:
+            with trio.fail_after(seconds):
+                while True:
+                    event = self._http.next_event()
+                    if event is not h11.NEED_DATA:
+                        return event
+                    self._http.receive_data(await self._stream.receive_some(RECEIVE_BYTES))
+        except (trio.BrokenResourceError, trio.ClosedResourceError, trio.TooSlowError) as error:
+            raise HttpError(f"receiving failed: {error!r}") from error
+
+    async def _refuse_malformed(self, error: h11.RemoteProtocolError) -> None:
+        if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        self._closing = True
+        exchange = Exchange(self, RequestHead("GET", "/", ()))
+        await self._handler.malformed(exchange, error.error_status_hint, str(error))
+
+    @staticmethod
+    def _head(event: h11.Request) -> RequestHead:
+        return RequestHead(
+            event.method.decode("ascii"), event.target.decode("latin-1"), tuple(event.headers)
+        )
+
+
+class HttpServer:
+    """Accepts connections and ends them gracefully."""
+
+    def __init__(self, handler: HttpHandler, limits: ServerLimits | None = None) -> None:
+        """``limits`` defaults to those of ServerLimits."""
+        self._handler = handler
+        self._limits = limits or ServerLimits()
+        self._connections: set[ServerConnection] = set()
+        self._accepting = trio.CancelScope()
+        self._all_ended = trio.Event()
+
+    @property
+    def connection_count(self) -> int:
+        """Connections open now."""
+        return len(self._connections)
+
+    async def run(self, listeners: list[trio.SocketListener]) -> None:
+        """Serve until ``stop``; returns when the last exchange has ended."""
+        async with trio.open_nursery() as nursery:
+            with self._accepting:
+                await trio.serve_listeners(self._serve, listeners, handler_nursery=nursery)
+
+    def stop(self) -> None:
+        """Accept nothing new; exchanges under way go on to their end."""
+        self._accepting.cancel()
+        for connection in self._connections:
+            connection.finish()
+
+    async def _serve(self, stream: trio.SocketStream) -> None:
+        connection = ServerConnection(stream, self._handler, self._limits)
+        self._connections.add(connection)
+        try:
+            await connection.run()
+        finally:
+            self._connections.discard(connection)
+
+
+async def listen(host: str, port: int) -> list[trio.SocketListener]:
+    """Open listeners on one IP number. Raises OSError."""
+    return await trio.open_tcp_listeners(port, host=host)
--- /dev/null
+++ b/fireflyfork/programs/_logs.py
@@ -0,0 +1,43 @@
+"""Logs as JSON lines on stderr, with the trace that a line belongs to."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Mapping
+from contextvars import ContextVar
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from loguru import logger
+
+if TYPE_CHECKING:
+    from loguru import Message
+
+trace_of_task: ContextVar[str] = ContextVar("trace_of_task", default="")
+"""The trace id of the request that the running trio task works for."""
+
+
+def configure_logs(level: str, context: Mapping[str, str]) -> None:
+    """Log lines of ``level`` and above as JSON objects, each with the fields of ``context``.
+
+    Written by the loop's own thread: loguru's queue would start a second one.
+    """
+    logger.remove()
+    logger.configure(extra=dict(context))
+    logger.add(_write, level=level, format="{message}", enqueue=False, catch=False)
+
+
+def _write(message: Message) -> None:
+    record = message.record
+    line: dict[str, Any] = {
+        "time": record["time"].isoformat(),
+        "level": record["level"].name,
+        "message": record["message"],
+        **record["extra"],
+    }
+    trace = trace_of_task.get()
+    if trace:
+        line["trace_id"] = trace
+    if record["exception"] is not None:
+        line["exception"] = repr(record["exception"].value)
+    sys.stderr.write(msgspec.json.encode(line, enc_hook=str).decode("utf-8") + "\n")
--- /dev/null
+++ b/fireflyfork/programs/_settings.py
@@ -0,0 +1,62 @@
+"""Settings files: JSON with comments, decoded to typed dataclasses."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+from typing import TypeVar
+
+import jsonc
+import msgspec
+
+from .._errors import SettingsError
+
+EXIT_BAD_SETTINGS = 2
+
+SettingsType = TypeVar("SettingsType")
+
+
+def decode_settings(text: str, settings_type: type[SettingsType], source: str) -> SettingsType:
+    """Decode ``text``. Raises SettingsError with the path, the value and what was expected."""
+    try:
+        raw = jsonc.loads(text)
+    except ValueError as error:
+        raise SettingsError(f"{source}: not JSON with comments: {error}") from error
+    try:
+        return msgspec.convert(raw, settings_type)
+    except msgspec.ValidationError as error:
+        raise SettingsError(f"{source}: {_explain(str(error), raw)}") from error
+
+
+def load_settings(path: Path, settings_type: type[SettingsType]) -> SettingsType:
+    """Read and decode a file. Raises SettingsError."""
+    try:
+        text = path.read_text("utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(f"{path}: can't be read: {error}") from error
+    return decode_settings(text, settings_type, str(path))
+
+
+def load_settings_or_exit(path: Path, settings_type: type[SettingsType]) -> SettingsType:
+    """As ``load_settings``, but a bad file ends the process with status 2 and a message."""
+    try:
+        return load_settings(path, settings_type)
+    except SettingsError as error:
+        print(f"settings: {error}", file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTINGS)
+
+
+def _explain(message: str, raw: object) -> str:
+    expectation, separator, place = message.partition(" - at `")
+    path = place.rstrip("`") if separator else "$"
+    return f"{path}: value {_value_at(raw, path)!r}: {expectation}"
+
+
+def _value_at(raw: object, path: str) -> object:
+    value = raw
+    for step in path.removeprefix("$").replace("[", ".[").split("."):
+        if step.startswith("[") and step[1:-1].isdigit() and isinstance(value, list):
+            value = value[int(step[1:-1])]
+        elif step and isinstance(value, dict):
+            value = value.get(step)
+    return value
--- /dev/null
+++ b/fireflyfork_standins/_program.py
@@ -0,0 +1,27 @@
+"""What every stand-in program does: listen, serve, and end on a signal."""
+
+from __future__ import annotations
+
+import signal
+
+import trio
+
+from fireflyfork import Address
+from fireflyfork.adapters import HttpHandler, HttpServer, listen
+
+
+async def serve_until_stopped(handler: HttpHandler, address: Address) -> None:
+    """Serve ``handler`` at ``address`` until SIGTERM or SIGINT; exchanges under way end first."""
+    server = HttpServer(handler)
+    listeners = await listen(address.host, address.port)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_stop_on_signal, server)
+        await server.run(listeners)
+        nursery.cancel_scope.cancel()
+
+
+async def _stop_on_signal(server: HttpServer) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            server.stop()
+            return
