--- /dev/null
+++ b/fireflyfork/decisions/tests/test_connections.py
@@ -0,0 +1,186 @@
+"""Connections that go silent for good."""
+
+import unittest
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from .. import ConnectionChoice, ConnectionId, ConnectionPool, ConnectionTerms, PathState
+
+TERMS = ConnectionTerms()
+FIRST, SECOND, THIRD = ConnectionId(1), ConnectionId(2), ConnectionId(3)
+
+
+class ConnectionPoolTest(unittest.TestCase):
+    """Single decisions."""
+
+    def setUp(self) -> None:
+        """Two idle connections, the second proved last."""
+        pool, _ = ConnectionPool(TERMS).answered(FIRST, 0.0)
+        self.pool, _ = pool.answered(SECOND, 1.0)
+
+    def test_only_a_lately_proved_connection_is_trusted(self) -> None:
+        """A pooled connection has gone silent in the night.
+
+        A booking sent on it would neither arrive nor fail; its caller would wait until the
+        deadline, hear that it may have run, and could not safely repeat it.
+        """
+        cases = [
+            (False, 1.0 + TERMS.proof_lasts, ConnectionChoice.REUSE, SECOND, ()),
+            (False, 1.1 + TERMS.proof_lasts, ConnectionChoice.OPEN, None, ()),
+            (True, 1.1 + TERMS.proof_lasts, ConnectionChoice.REUSE, SECOND, ()),
+            (True, 0.5 + TERMS.longest_idle, ConnectionChoice.REUSE, SECOND, (FIRST,)),
+            (True, 1.1 + TERMS.longest_idle, ConnectionChoice.OPEN, None, (FIRST, SECOND)),
+        ]
+        for idempotent, now, choice, connection, close in cases:
+            with self.subTest(idempotent=idempotent, now=now):
+                _, decision = self.pool.choose(idempotent, now)
+                self.assertIs(decision.choice, choice)
+                self.assertEqual((decision.connection_id, decision.close), (connection, close))
+
+    def test_a_silence_accuses_its_neighbours(self) -> None:
+        """What lost track of one connection lost track of all; the next caller must not wait."""
+        pool, close = self.pool.silent(THIRD, newest=THIRD, now=1.5)
+        self.assertEqual(close, (FIRST, SECOND))
+        self.assertIs(pool.choose(True, 1.5)[1].choice, ConnectionChoice.OPEN)
+        same, close = pool.silent(SECOND, newest=THIRD, now=1.6)
+        self.assertEqual((same, close), (pool, ()))
+        self.assertEqual(pool.answered(FIRST, 1.7), (pool, (FIRST,)))
+
+    def test_a_path_whose_new_connections_are_silent_is_left_alone(self) -> None:
+        """Handshakes succeed and nothing else does, so only a few callers may find it out."""
+        pool, _ = self.pool.silent(SECOND, newest=SECOND, now=10.0)
+        pool, _ = pool.opened().silent(THIRD, newest=THIRD, now=15.0)
+        self.assertIs(pool.state, PathState.SILENT)
+        _, refused = pool.choose(False, 15.1)
+        self.assertIs(refused.choice, ConnectionChoice.QUARANTINED)
+        self.assertAlmostEqual(refused.retry_after, TERMS.shortest_quarantine - 0.1)
+        trial, decision = pool.choose(False, 15.5)
+        self.assertIs(decision.choice, ConnectionChoice.OPEN)
+        during, refused = trial.opened().choose(False, 15.6)
+        self.assertIs(refused.choice, ConnectionChoice.QUARANTINED)
+        healed, _ = during.answered(ConnectionId(4), 15.7)
+        self.assertIs(healed.choose(False, 15.8)[1].choice, ConnectionChoice.REUSE)
+
+    def test_a_path_that_can_not_be_opened_is_tried_less_and_less(self) -> None:
+        """A target is gone; nothing of a request left, so callers are refused or sent elsewhere."""
+        pool = ConnectionPool(TERMS)
+        waits = []
+        for _ in range(8):
+            pool = pool.open_failed(100.0)
+            waits.append(pool.choose(False, 100.0)[1].retry_after)
+        self.assertEqual(waits, [0.25, 0.5, 1.0, 2.0, 4.0, 8.0, 8.0, 8.0])
+        self.assertIs(pool.opened().choose(False, 100.0)[1].choice, ConnectionChoice.OPEN)
+
+    def test_the_pool_is_bounded(self) -> None:
+        """Idle connections count against the target's contract."""
+        pool = ConnectionPool(TERMS)
+        for number in range(1, TERMS.most_idle + 1):
+            pool, close = pool.answered(ConnectionId(number), 0.0)
+            self.assertEqual(close, ())
+        pool, close = pool.answered(ConnectionId(99), 0.0)
+        self.assertEqual((len(pool.idle), close), (TERMS.most_idle, (FIRST,)))
+        self.assertEqual(len(pool.closed(SECOND).idle), TERMS.most_idle - 1)
+
+
+class SilentPath(RuleBasedStateMachine):
+    """Any history of one path on which all traffic may be swallowed at any moment.
+
+    A bounded number of requests meets one silence: those already under way, as many on new
+    connections, and afterwards one for each quarantine.
+    """
+
+    SLOTS = 3
+
+    def __init__(self) -> None:
+        """A working path with nothing on it."""
+        super().__init__()
+        self.pool = ConnectionPool(TERMS)
+        self.now = 0.0
+        self.newest = 0
+        self.waiting: dict[ConnectionId, float] = {}
+        self.silent_ids: set[ConnectionId] = set()
+        self.swallows = False
+        self.lost = 0
+        self.allowed_to_lose = 0.0
+
+    @precondition(lambda self: len(self.waiting) < self.SLOTS)
+    @rule(idempotent=st.booleans())
+    def request(self, idempotent: bool) -> None:
+        """A request picks a connection and is sent."""
+        self.pool, decision = self.pool.choose(idempotent, self.now)
+        if decision.choice is ConnectionChoice.QUARANTINED:
+            assert 0 < decision.retry_after <= max(TERMS.longest_quarantine, TERMS.silence_seconds)
+            return
+        connection = decision.connection_id
+        if connection is None:
+            self.newest += 1
+            connection = ConnectionId(self.newest)
+            self.pool = self.pool.opened()
+        assert connection not in self.waiting
+        self.waiting[connection] = self.now
+        if self.swallows:
+            self.silent_ids.add(connection)
+        if connection in self.silent_ids:
+            self.lost += 1
+
+    @precondition(lambda self: set(self.waiting) - self.silent_ids)
+    @rule(data=st.data())
+    def answer(self, data: st.DataObject) -> None:
+        """Answers come in any order."""
+        connection = data.draw(st.sampled_from(sorted(set(self.waiting) - self.silent_ids)))
+        del self.waiting[connection]
+        self.pool, _ = self.pool.answered(connection, self.now)
+        if not self.swallows:
+            assert connection <= self.pool.suspected_up_to or self.pool.failures == 0
+
+    @rule(seconds=st.sampled_from([0.1, 0.5, TERMS.proof_lasts, TERMS.silence_seconds, 30.0]))
+    def time_passes(self, seconds: float) -> None:
+        """Requests that wait too long are reported, the oldest first."""
+        end = self.now + seconds
+        for connection, sent_at in sorted(self.waiting.items(), key=lambda item: item[1]):
+            if sent_at + TERMS.silence_seconds <= end and connection in self.silent_ids:
+                self.now = max(self.now, sent_at + TERMS.silence_seconds)
+                del self.waiting[connection]
+                newest = ConnectionId(self.newest)
+                self.pool, _ = self.pool.silent(connection, newest, self.now)
+        self.now = end
+        if self.swallows:
+            self.allowed_to_lose += seconds / TERMS.silence_seconds
+
+    @precondition(lambda self: not self.swallows)
+    @rule()
+    def go_silent(self) -> None:
+        """From now on the path swallows everything, handshakes excepted."""
+        self.swallows = True
+        self.silent_ids = {ConnectionId(number) for number in range(1, self.newest + 1)}
+        self.lost = len(self.waiting)
+        self.allowed_to_lose = 2.0 * self.SLOTS + 1
+
+    @precondition(lambda self: self.swallows)
+    @rule()
+    def new_ones_work(self) -> None:
+        """Connections opened from now on work; those open now stay silent for good."""
+        self.swallows = False
+
+    @rule()
+    def steady_load(self) -> None:
+        """Callers come all the time, whatever becomes of the others."""
+        for _ in range(40):
+            if len(self.waiting) < self.SLOTS:
+                self.request(idempotent=False)
+            self.time_passes(0.5)
+            for connection in set(self.waiting) - self.silent_ids:
+                del self.waiting[connection]
+                self.pool, _ = self.pool.answered(connection, self.now)
+
+    @invariant()
+    def few_met_the_dead_path(self) -> None:
+        """The bound, at any moment of a silence."""
+        if self.swallows:
+            assert self.lost <= self.allowed_to_lose, (self.lost, self.allowed_to_lose)
+
+
+SilentPath.TestCase.settings = settings(max_examples=60, stateful_step_count=20)
+SilentPathTest = SilentPath.TestCase
--- /dev/null
+++ b/fireflyfork/decisions/tests/test_routing.py
@@ -0,0 +1,174 @@
+"""Where a request goes."""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule
+
+from ..._ids import MemberId, TargetId
+from .. import LeavingMark, LeavingTargets, LinkBudget, RouteKind, partition_of, route
+from .._routing import LEAVING_SECONDS, RENEWAL_SECONDS
+from .builders_requests import VANUA, VITI, figures, question
+
+NOW = 100.0
+LINKS = {VANUA: LinkBudget(10_000.0)}
+
+
+class RouteTest(unittest.TestCase):
+    """Single decisions."""
+
+    def test_order_of_choices(self) -> None:
+        """Own slots, then the peers of the region, then the shortest queue, then the link."""
+        near, far = figures("near", measured_at=NOW), figures("far", measured_at=NOW, region=VANUA)
+        full = figures("near", free=0, queued=3, measured_at=NOW)
+        stale = figures("near", measured_at=NOW - 5)
+        stale_far = figures("far", measured_at=NOW - 5, region=VANUA)
+        jam = figures("near", free=0, queued=90, measured_at=NOW)
+        cases = [
+            ("own slot", question({"a": 1, "b": 2}, (near,)), RouteKind.OWN_TARGET),
+            ("peer with room", question({"a": 0}, (near, far)), RouteKind.FORWARD),
+            ("no own targets", question({}, (near,)), RouteKind.FORWARD),
+            ("own queue shorter", question({"a": 0}, (full,), queued=1), RouteKind.QUEUE),
+            ("peer's queue shorter", question({"a": 0}, (full,), queued=8), RouteKind.FORWARD),
+            ("silent peer", question({"a": 0}, (stale,)), RouteKind.QUEUE),
+            ("silent peer, own jam", question({"a": 0}, (stale,), queued=90), RouteKind.FORWARD),
+            ("all jammed", question({"a": 0}, (jam, far), queued=95), RouteKind.SPILL),
+            ("only far targets", question({}, (far,)), RouteKind.SPILL),
+            ("stale far targets", question({}, (stale_far,)), RouteKind.REFUSE),
+            ("nothing anywhere", question({}, ()), RouteKind.REFUSE),
+            ("jam", question({"a": 0}, (jam,), queued=95), RouteKind.REFUSE),
+            ("forwarded", question({"a": 0}, (near,), forwarded=True), RouteKind.QUEUE),
+            ("forwarded, jam", question({"a": 0}, (near,), 90, forwarded=True), RouteKind.REFUSE),
+            ("deadline near", question({"a": 0}, (), 0, time_left=0.05), RouteKind.REFUSE),
+        ]
+        for name, asked, expected in cases:
+            with self.subTest(name):
+                self.assertIs(route(asked, LINKS, NOW).kind, expected)
+        self.assertEqual(route(cases[0][1], LINKS, NOW).target_id, TargetId("b"))
+
+    def test_the_herd_does_not_follow_one_figure(self) -> None:
+        """Ten requests come between two messages of a peer with one free slot.
+
+        If each saw the free slot, all ten would go there and nine would wait.
+        """
+        tempting = figures("a", free=1, measured_at=NOW, sent_since=1)
+        other = figures("b", free=1, measured_at=NOW)
+        for draw in [(0.0, 0.0), (0.9, 0.9)]:
+            chosen = route(question({}, (tempting, other), draw=draw), LINKS, NOW)
+            self.assertEqual(chosen.member_id, MemberId("b"))
+        roomy = figures("c", free=3, measured_at=NOW)
+        chosen = route(question({}, (other, roomy)), LINKS, NOW)
+        self.assertEqual(chosen.member_id, MemberId("c"))
+
+    def test_the_link_is_metered(self) -> None:
+        """A region without room would otherwise send all its traffic over the paid link."""
+        far = figures("far", free=99, measured_at=NOW, region=VANUA)
+        links = dict(LINKS)
+        kinds = []
+        for _ in range(12):
+            kinds.append(route(question({}, (far,)), links, NOW).kind)
+            links[VANUA] = links[VANUA].spend(1000, NOW)
+        self.assertEqual(kinds.count(RouteKind.SPILL), 10)
+        self.assertIs(kinds[-1], RouteKind.REFUSE)
+        self.assertIs(route(question({}, (far,)), links, NOW + 1).kind, RouteKind.SPILL)
+        self.assertIs(route(question({}, (far,)), {}, NOW + 1).kind, RouteKind.REFUSE)
+
+    def test_a_refusal_says_when_to_come_back(self) -> None:
+        """The queue is expected to be short enough for the same deadline by then."""
+        refused = route(question({"a": 0}, (), queued=29, time_left=1.0), {}, NOW)
+        self.assertAlmostEqual(refused.retry_after, 2.0)
+
+    @given(st.text(), st.integers(1, 64))
+    @settings(max_examples=50)
+    def test_partitions(self, key: str, partitions: int) -> None:
+        """Every key has one partition of its region."""
+        region, number = partition_of(key, VITI, partitions).split("/")
+        self.assertEqual(region, VITI)
+        self.assertLess(int(number), partitions)
+
+    @given(
+        st.lists(st.tuples(st.integers(0, 3), st.integers(0, 9), st.floats(0, 3)), max_size=4),
+        st.tuples(st.floats(0, 1, exclude_max=True), st.floats(0, 1, exclude_max=True)),
+        st.booleans(),
+    )
+    @settings(max_examples=150)
+    def test_any_figures_give_a_usable_route(
+        self, peers: list[tuple[int, int, float]], draw: tuple[float, float], forwarded: bool
+    ) -> None:
+        """Each kind names what it needs, and a forwarded request stays."""
+        said = tuple(
+            figures(str(number), free, queued, NOW - age, VANUA if number % 2 else VITI)
+            for number, (free, queued, age) in enumerate(peers)
+        )
+        chosen = route(question({"a": 0}, said, 20, 1.0, forwarded, draw), LINKS, NOW)
+        goes = chosen.kind in (RouteKind.FORWARD, RouteKind.SPILL)
+        self.assertEqual(goes, chosen.member_id is not None)
+        self.assertFalse(goes and forwarded)
+        self.assertGreaterEqual(chosen.retry_after, 0.0)
+
+
+class LeavingGossip(RuleBasedStateMachine):
+    """Three members tell each other which targets leave, over messages that repeat and reorder."""
+
+    TARGET = TargetId("t")
+    LONGEST_DELAY = 5.0
+
+    def __init__(self) -> None:
+        """Nobody knows anything."""
+        super().__init__()
+        self.members = [LeavingTargets() for _ in range(3)]
+        self.mail: list[tuple[float, tuple[LeavingMark, ...]]] = []
+        self.now = 0.0
+        self.last_seen = float("-inf")
+
+    @rule(member=st.integers(0, 2))
+    def see(self, member: int) -> None:
+        """One member reads it in the instance list: nothing new from it at once."""
+        self.last_seen = self.now
+        self.members[member] = self.members[member].seen([self.TARGET], self.now)
+        assert self.members[member].includes(self.TARGET, self.now)
+
+    @rule(member=st.integers(0, 2))
+    def tell(self, member: int) -> None:
+        """A message is sent."""
+        self.mail.append((self.now, self.members[member].marks(self.now)))
+
+    @rule(data=st.data(), member=st.integers(0, 2), again=st.booleans())
+    def hear(self, data: st.DataObject, member: int, again: bool) -> None:
+        """Some message arrives, perhaps for the second time."""
+        if not self.mail:
+            return
+        index = data.draw(st.integers(0, len(self.mail) - 1))
+        sent_at, marks = self.mail[index] if again else self.mail.pop(index)
+        if self.now - sent_at > self.LONGEST_DELAY:
+            return
+        self.members[member] = self.members[member].heard(marks, self.now)
+        if marks and marks[0].age_seconds + RENEWAL_SECONDS < LEAVING_SECONDS:
+            assert self.members[member].includes(self.TARGET, self.now)
+
+    @rule()
+    def keep_talking(self) -> None:
+        """Slow messages cross each other all the time."""
+        for _ in range(40):
+            said = [member.marks(self.now) for member in self.members]
+            self.time_passes(self.LONGEST_DELAY)
+            for marks in said:
+                self.members = [member.heard(marks, self.now) for member in self.members]
+
+    @rule(seconds=st.sampled_from([5.0, 50.0, LEAVING_SECONDS - 5.0]))
+    def time_passes(self, seconds: float) -> None:
+        """Messages on their way grow old without knowing it."""
+        self.now += seconds
+        self.members = [member.without_expired(self.now) for member in self.members]
+
+    @invariant()
+    def a_target_that_is_back_is_used_again(self) -> None:
+        """Members don't keep a mark alive among themselves."""
+        hops = len(self.members) - 1
+        if self.now > self.last_seen + LEAVING_SECONDS + hops * self.LONGEST_DELAY:
+            assert not any(m.includes(self.TARGET, self.now) for m in self.members)
+
+
+LeavingGossip.TestCase.settings = settings(max_examples=80, stateful_step_count=30)
+LeavingGossipTest = LeavingGossip.TestCase
--- /dev/null
+++ b/fireflyfork/decisions/tests/test_slots.py
@@ -0,0 +1,208 @@
+"""The slots and connections of one target."""
+
+import unittest
+from dataclasses import dataclass
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from ..._ids import RequestId
+from .. import SlotLedger, SlotRefusal
+from .._slots import START_WITHIN_SECONDS
+from .builders_requests import LONGEST_RUN, slot_terms
+
+HOLD = slot_terms().hold_seconds
+STILL_RUNNING = (START_WITHIN_SECONDS + LONGEST_RUN) * 0.995
+"""So long after it was sent a request may still run."""
+FAST, SLOW = 1.0095, 0.9905
+"""Seconds that drifting clocks show for each that passes."""
+
+
+def _acquired(ledger: SlotLedger, attempt: str, now: float) -> SlotLedger:
+    outcome = ledger.acquire(RequestId(attempt), now)
+    assert isinstance(outcome, SlotLedger), outcome
+    return outcome
+
+
+class SlotLedgerTest(unittest.TestCase):
+    """Single decisions."""
+
+    def setUp(self) -> None:
+        """A target with both of its slots taken at time 0."""
+        self.full = _acquired(_acquired(SlotLedger(slot_terms()), "a", 0.0), "b", 0.0)
+
+    def test_a_late_answer_still_holds_its_slot(self) -> None:
+        """The caller of a slow request gives up, and the executor is still at work on it.
+
+        If the slot were given away then, the executor would have more than it can run, and all
+        its callers would wait longer.
+        """
+        self.assertIs(self.full.acquire(RequestId("c"), HOLD - 0.01), SlotRefusal.FULL)
+        self.assertEqual(self.full.next_free_at(1.0), HOLD)
+        self.assertEqual(self.full.release(RequestId("a")).free(1.0), 1)
+        self.assertEqual(_acquired(self.full, "c", HOLD).busy(HOLD), 1)
+
+    def test_an_answer_that_comes_twice_frees_one_slot(self) -> None:
+        """A message is repeated after its slot went to another request, which would lose it."""
+        ledger = _acquired(self.full.release(RequestId("a")), "c", 1.0)
+        self.assertIs(ledger.release(RequestId("a")), ledger)
+        self.assertIs(
+            self.full.release(RequestId("a")).acquire(RequestId("b"), 1.0), SlotRefusal.DUPLICATE
+        )
+
+    def test_a_leaving_target_gets_nothing_new(self) -> None:
+        """An executor stops in a few seconds; a booking sent to it now would be cut off."""
+        leaving = self.full.release(RequestId("a")).leave()
+        self.assertIs(leaving.acquire(RequestId("c"), 1.0), SlotRefusal.LEAVING)
+        self.assertEqual((leaving.busy(1.0), leaving.free(1.0)), (1, 0))
+        _, handover = leaving.hand_over(1.0)
+        successor = SlotLedger.after_handover(slot_terms(), handover, 50.0)
+        self.assertIs(successor.acquire(RequestId("c"), 50.0), SlotRefusal.LEAVING)
+        self.assertEqual(leaving.rejoin().free(1.0), 1)
+
+    def test_handover_passes_occupied_slots_on(self) -> None:
+        """An entry stops as planned while its requests run; the next owner must count them."""
+        stopped, handover = self.full.release(RequestId("a")).hand_over(1.0)
+        self.assertIs(stopped.acquire(RequestId("c"), 1.0), SlotRefusal.HANDED_OVER)
+        self.assertIs(stopped.open_connection(1.0), SlotRefusal.HANDED_OVER)
+        successor = SlotLedger.after_handover(slot_terms(), handover, 50.0)
+        self.assertEqual((successor.busy(50.0), successor.free(50.0)), (1, 1))
+        self.assertEqual(successor.release(RequestId("b")).free(50.0), 2)
+        self.assertEqual(successor.busy(50.0 + HOLD - 1.0 - 0.01), 1)
+        self.assertEqual(successor.busy(50.0 + HOLD - 1.0), 0)
+        self.assertEqual(stopped.take_back().free(1.0), 1)
+
+    def test_after_a_fence_every_slot_may_be_busy(self) -> None:
+        """An owner dies with requests under way that nobody else knows of."""
+        cases = [(None, 0), (2, 0), (1, 1), (5, 0)]
+        for ceiling, free in cases:
+            with self.subTest(ceiling=ceiling):
+                ledger = SlotLedger.after_fence(slot_terms(), 100.0, ceiling)
+                self.assertEqual(ledger.free(100.0 + HOLD - 0.01), free)
+                self.assertEqual(ledger.free(100.0 + HOLD), 2)
+
+    def test_connections_leave_room_for_a_successor(self) -> None:
+        """The dead owner's connections stay open at the target, which accepts eight in all.
+
+        If the dead owner had opened all eight, the next one could reach the target only after
+        the longest run time, and its capacity would be lost until then.
+        """
+        ledger = SlotLedger.after_fence(slot_terms(), 0.0)
+        for _ in range(4):
+            opened = ledger.open_connection(0.0)
+            assert isinstance(opened, SlotLedger)
+            ledger = opened
+        self.assertIs(ledger.open_connection(HOLD), SlotRefusal.FULL)
+        self.assertIsInstance(ledger.close_connection().open_connection(0.0), SlotLedger)
+        second = SlotLedger.after_handover(slot_terms(), ledger.hand_over(1.0)[1], 1.0)
+        self.assertIs(second.open_connection(1.0), SlotRefusal.FULL)
+
+    def test_a_smaller_contract_lets_running_requests_end(self) -> None:
+        """Operators lower the slots while requests run."""
+        smaller = self.full.with_terms(slot_terms(slots=1))
+        self.assertEqual(smaller.free(1.0), 0)
+        self.assertIs(
+            smaller.release(RequestId("a")).acquire(RequestId("c"), 1.0), SlotRefusal.FULL
+        )
+
+
+@dataclass
+class _Sent:
+    """A request on its way to the target or running on it."""
+
+    owner: int
+    sent_at: float
+    started_at: float | None = None
+
+
+class SlotHistory(RuleBasedStateMachine):
+    """Any history of one target, its owners and their clocks."""
+
+    def __init__(self) -> None:
+        """One owner, an idle target."""
+        super().__init__()
+        self.time = 1000.0
+        self.rates = [FAST]
+        self.ledger = SlotLedger(slot_terms())
+        self.at_target: dict[RequestId, _Sent] = {}
+        self.answers: list[tuple[RequestId, int]] = []
+        self.heard_from = {0}
+        self.count = 0
+
+    def _now(self) -> float:
+        """What the present owner's clock shows: offset and rate are its own."""
+        return 7.0 * len(self.rates) + self.time * self.rates[-1]
+
+    @rule(burst=st.integers(1, 3))
+    def dispatch(self, burst: int) -> None:
+        """The owner sends requests while the ledger lets it."""
+        for _ in range(burst):
+            self.count += 1
+            attempt = RequestId(str(self.count))
+            outcome = self.ledger.acquire(attempt, self._now())
+            if isinstance(outcome, SlotLedger):
+                self.ledger = outcome
+                self.at_target[attempt] = _Sent(len(self.rates), self.time)
+
+    @precondition(lambda self: self.at_target)
+    @rule(data=st.data(), repeats=st.integers(1, 2))
+    def end_or_start(self, data: st.DataObject, repeats: int) -> None:
+        """A request reaches the target late, or ends; its answer may come twice."""
+        attempt = data.draw(st.sampled_from(sorted(self.at_target)))
+        sent = self.at_target[attempt]
+        if sent.started_at is None:
+            sent.started_at = self.time
+            return
+        del self.at_target[attempt]
+        self.answers += [(attempt, sent.owner)] * repeats
+
+    @precondition(lambda self: self.answers)
+    @rule(data=st.data())
+    def hear_an_answer(self, data: st.DataObject) -> None:
+        """Answers come in any order; those to a dead owner are lost."""
+        index = data.draw(st.integers(0, len(self.answers) - 1))
+        attempt, owner = self.answers.pop(index)
+        if owner in self.heard_from or owner == len(self.rates):
+            self.ledger = self.ledger.release(attempt)
+
+    @rule(
+        seconds=st.sampled_from([0.1, STILL_RUNNING / 2, STILL_RUNNING, START_WITHIN_SECONDS, HOLD])
+    )
+    def pause(self, seconds: float) -> None:
+        """Time passes without a word; what has to have ended by contract has ended."""
+        self.time += seconds
+        for attempt, sent in list(self.at_target.items()):
+            began = sent.started_at
+            latest = sent.sent_at + START_WITHIN_SECONDS if began is None else began
+            if latest + (0.0 if began is None else LONGEST_RUN) < self.time:
+                if began is None and latest + LONGEST_RUN >= self.time:
+                    sent.started_at = latest
+                else:
+                    del self.at_target[attempt]
+
+    @rule(rate=st.sampled_from([FAST, SLOW]), delay=st.sampled_from([0.0, 0.5, 5.0]))
+    def hand_over(self, rate: float, delay: float) -> None:
+        """A planned change of owner."""
+        self.ledger, handover = self.ledger.hand_over(self._now())
+        assert self.ledger.acquire(RequestId("x"), self._now()) is SlotRefusal.HANDED_OVER
+        self.heard_from.add(len(self.rates))
+        self.pause(delay)
+        self.rates.append(rate)
+        self.ledger = SlotLedger.after_handover(slot_terms(), handover, self._now())
+
+    @rule(rate=st.sampled_from([FAST, SLOW]))
+    def fence(self, rate: float) -> None:
+        """The owner dies or is cut off, and its right to send has ended."""
+        self.heard_from.clear()
+        self.rates.append(rate)
+        self.ledger = SlotLedger.after_fence(slot_terms(), self._now())
+
+    @invariant()
+    def never_more_than_slots(self) -> None:
+        """Requests at the target or still on their way fit in its slots."""
+        assert len(self.at_target) <= slot_terms().slots
+
+
+SlotHistory.TestCase.settings = settings(max_examples=120, stateful_step_count=40)
+SlotHistoryTest = SlotHistory.TestCase
