Fleet record, right to dispatch and the member's state machine

The fleet record with its permitted changes, the rule of the right to dispatch and one member's pure state machine: join, guard, fence, takeover, planned move, leave, lost answers. Beyond the rule as first proposed: every write is preceded by a fresh read, so that none is sent into a store that is down; a write without an answer is settled only by a higher revision, since a read of the old value leaves it on its way; two members that guard each other may renew each other's right; a process that joins at a dead predecessor's address replaces it.

--- /dev/null
+++ b/fireflyfork/decisions/_fleet_changes.py
@@ -0,0 +1,286 @@
+"""The permitted changes of the fleet record.
+
+Each function returns the changed record, or None when the change does not apply to the record any
+more. Three rules keep them safe, and each is there because a random search broke the fleet without
+it (``docs/design/ownership.md``):
+
+- only the guard fences, and nobody takes a partition from an owner that is not fenced;
+- a member's guard is changed by the member itself, by the guard when it leaves, or by whoever
+  removes the fenced guard - never by a bystander, since the old guard would go on acknowledging;
+- a member that has no guard may be given one by anybody.
+"""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Collection, Iterable, Mapping
+from dataclasses import replace
+
+from .._ids import ChangeId, Epoch, MemberId, PartitionId, RegionName
+from ._fleet import (
+    Acquisition,
+    FencedMember,
+    FleetRecord,
+    Member,
+    OccupiedSlots,
+    Ownership,
+    partition_id,
+    region_of,
+)
+
+Occupied = Mapping[PartitionId, tuple[OccupiedSlots, ...]]
+"""What may still be busy in each partition that is handed over."""
+
+_SAME_REGION, _SAME_FAILURE_DOMAIN, _OTHER_REGION = range(3)
+
+
+def guard_rank(member: Member, guard: Member) -> int:
+    """How badly a guard's place suits: the lower, the better."""
+    if guard.zone.region != member.zone.region:
+        return _OTHER_REGION
+    if guard.zone.failure_domain == member.zone.failure_domain:
+        return _SAME_FAILURE_DOMAIN
+    return _SAME_REGION
+
+
+def choose_guard(
+    members: Mapping[MemberId, Member], member: Member, avoid: Collection[MemberId] = ()
+) -> MemberId | None:
+    """The best guard for a member, or None when there is no other member.
+
+    Among guards in equally good places, one that this member guards goes first: such a pair can
+    renew each other's right after a pause during a store outage, which longer rings cannot always.
+    """
+    wards = Counter(other.guard for other in members.values())
+
+    def preference(candidate: Member) -> tuple[int, bool, int, MemberId]:
+        return (
+            guard_rank(member, candidate),
+            candidate.guard != member.member_id,
+            wards[candidate.member_id],
+            candidate.member_id,
+        )
+
+    candidates = (
+        other for name, other in members.items() if name != member.member_id and name not in avoid
+    )
+    best = min(candidates, key=preference, default=None)
+    return best.member_id if best is not None else None
+
+
+def join(record: FleetRecord, newcomer: Member, change_id: ChangeId) -> FleetRecord | None:
+    """Add a member. It owns only what nobody owns; the rest comes to it by planned moves.
+
+    A predecessor at the newcomer's address is dead, since two processes can't listen at one
+    address, so its partitions find new owners at once. Without this, two processes that guard each
+    other and die together would stay owners until an operator steps in.
+    """
+    name = newcomer.member_id
+    if name in record.members or name in record.fenced:
+        return None
+    members = {**record.members, name: newcomer}
+    changed = replace(record, members=members)
+    for predecessor in _at_address_of(record, newcomer):
+        changed = _without(changed, predecessor, newcomer)
+    members = dict(changed.members)
+    for other in list(members.values()):
+        if other.guard is None and other.member_id != name:
+            members[other.member_id] = replace(other, guard=name)
+    members[name] = replace(newcomer, guard=choose_guard(members, newcomer))
+    fenced = {
+        member_id: replace(entry, taker=name) if entry.taker is None else entry
+        for member_id, entry in changed.fenced.items()
+    }
+    owners = dict(changed.owners)
+    epoch = Epoch(record.epoch + 1)
+    region = newcomer.zone.region
+    for number in range(record.partitions_per_region):
+        owners.setdefault(partition_id(region, number), Ownership(None, epoch))
+    for partition, ownership in owners.items():
+        if ownership.owner is None:
+            owners[partition] = replace(ownership, owner=name, since=epoch)
+    return _next(replace(changed, members=members, fenced=fenced, owners=owners), change_id)
+
+
+def fence(
+    record: FleetRecord, ward: MemberId, by: MemberId, change_id: ChangeId
+) -> FleetRecord | None:
+    """Mark a member as fenced. Only its guard may."""
+    if by not in record.members or record.guard_of(ward) != by:
+        return None
+    return _next(_fenced(record, ward, by), change_id)
+
+
+def fence_gone(
+    record: FleetRecord, gone: MemberId, by: MemberId, change_id: ChangeId
+) -> FleetRecord | None:
+    """Mark a member as fenced that is surely gone, whoever guards it.
+
+    Safe only if the instance was really terminated and its member id is never used again: an
+    operator says so, or an instance list that never drops a living instance.
+    """
+    if by not in record.members or gone not in record.members or gone == by:
+        return None
+    return _next(_fenced(record, gone, by), change_id)
+
+
+def take_over(
+    record: FleetRecord, fenced: MemberId, by: MemberId, change_id: ChangeId
+) -> FleetRecord | None:
+    """Give a fenced member's partitions to living ones. The taker waits the takeover wait first."""
+    entry = record.fenced.get(fenced)
+    taker = record.members.get(by)
+    if entry is None or taker is None or entry.taker != by:
+        return None
+    return _next(_without(record, fenced, taker), change_id)
+
+
+def change_guard(
+    record: FleetRecord, member_id: MemberId, guard: MemberId | None, change_id: ChangeId
+) -> FleetRecord | None:
+    """A member takes another guard. Only the member itself may do this."""
+    member = record.members.get(member_id)
+    if member is None or member.guard == guard:
+        return None
+    members = {**record.members, member_id: replace(member, guard=guard)}
+    return _next(replace(record, members=members), change_id)
+
+
+def move(
+    record: FleetRecord,
+    giver: MemberId,
+    receivers: Mapping[PartitionId, MemberId],
+    occupied: Occupied,
+    change_id: ChangeId,
+) -> FleetRecord | None:
+    """The present owner hands partitions over, with the slots that its requests still hold."""
+    epoch = Epoch(record.epoch + 1)
+    owners = dict(record.owners)
+    for partition, receiver in receivers.items():
+        if record.owner_of(partition) != giver or receiver not in record.members:
+            return None
+        busy = occupied.get(partition, ())
+        owners[partition] = Ownership(receiver, epoch, Acquisition.MOVED, busy)
+    if giver not in record.members or not receivers:
+        return None
+    return _next(replace(record, owners=owners), change_id)
+
+
+def leave(
+    record: FleetRecord, leaver: MemberId, occupied: Occupied, change_id: ChangeId
+) -> FleetRecord | None:
+    """A member hands everything over and is no member any more."""
+    member = record.members.get(leaver)
+    if member is None:
+        return None
+    members = {name: other for name, other in record.members.items() if name != leaver}
+    guard = members.get(member.guard) if member.guard is not None else None
+    heir = guard or next(iter(members.values()), None)
+    changed = _reassigned(replace(record, members=members), leaver, heir)
+    owners = dict(changed.owners)
+    epoch = Epoch(record.epoch + 1)
+    for partition, receiver in _spread(changed, record.owned_by(leaver), heir).items():
+        busy = occupied.get(partition, ())
+        owners[partition] = Ownership(receiver, epoch, Acquisition.MOVED, busy)
+    return _next(replace(changed, owners=owners), change_id)
+
+
+def planned_moves(record: FleetRecord, giver: MemberId) -> dict[PartitionId, MemberId]:
+    """What an owner has beyond its even share, and who should get it.
+
+    Partitions belong to members of their own region. A region without a member is served by
+    another until one joins there, which then gets all of it.
+    """
+    moves: dict[PartitionId, MemberId] = {}
+    by_region: dict[RegionName, list[PartitionId]] = {}
+    for partition in record.owned_by(giver):
+        by_region.setdefault(region_of(partition), []).append(partition)
+    for region, owned in by_region.items():
+        moves.update(_surplus_moves(record, giver, region, owned))
+    return moves
+
+
+def _surplus_moves(
+    record: FleetRecord, giver: MemberId, region: RegionName, owned: list[PartitionId]
+) -> Iterable[tuple[PartitionId, MemberId]]:
+    home = _home_members(record, region)
+    if not home:
+        return
+    counts = Counter(
+        ownership.owner
+        for partition, ownership in record.owners.items()
+        if region_of(partition) == region
+    )
+    base, extra = divmod(counts.total(), len(home))
+    largest_first = sorted(home, key=lambda name: (-counts[name], name))
+    shares = {name: base + (rank < extra) for rank, name in enumerate(largest_first)}
+    surplus = max(0, len(owned) - shares.get(giver, 0))
+    room = {name: shares[name] - counts[name] for name in home if name != giver}
+    for partition in owned[len(owned) - surplus :]:
+        receiver = max(room, key=lambda name: (room[name], name), default=None)
+        if receiver is None or room[receiver] <= 0:
+            return
+        room[receiver] -= 1
+        yield partition, receiver
+
+
+def _home_members(record: FleetRecord, region: RegionName) -> list[MemberId]:
+    return sorted(name for name, member in record.members.items() if member.zone.region == region)
+
+
+def _at_address_of(record: FleetRecord, newcomer: Member) -> list[MemberId]:
+    present = [*record.members.values(), *(entry.member for entry in record.fenced.values())]
+    return [member.member_id for member in present if member.address == newcomer.address]
+
+
+def _fenced(record: FleetRecord, ward: MemberId, by: MemberId) -> FleetRecord:
+    members = dict(record.members)
+    member = members.pop(ward)
+    fenced = {**record.fenced, ward: FencedMember(member, by)}
+    return replace(record, members=members, fenced=fenced)
+
+
+def _without(record: FleetRecord, removed: MemberId, heir: Member) -> FleetRecord:
+    """Remove a member that holds no right any more, and give what it had to living ones."""
+    members = {name: member for name, member in record.members.items() if name != removed}
+    fenced = {name: entry for name, entry in record.fenced.items() if name != removed}
+    changed = _reassigned(replace(record, members=members, fenced=fenced), removed, heir)
+    owners = dict(changed.owners)
+    epoch = Epoch(record.epoch + 1)
+    for partition, receiver in _spread(changed, record.owned_by(removed), heir).items():
+        owners[partition] = Ownership(receiver, epoch, Acquisition.TAKEN_OVER)
+    return replace(changed, owners=owners)
+
+
+def _reassigned(record: FleetRecord, removed: MemberId, heir: Member | None) -> FleetRecord:
+    """Find new guards for a removed member's wards, and a new taker for those that it fenced."""
+    members = dict(record.members)
+    for name, member in record.members.items():
+        if member.guard == removed:
+            members[name] = replace(member, guard=choose_guard(members, member, (removed,)))
+    taker = heir.member_id if heir is not None else None
+    fenced = {
+        name: replace(entry, taker=taker) if entry.taker == removed else entry
+        for name, entry in record.fenced.items()
+    }
+    return replace(record, members=members, fenced=fenced)
+
+
+def _spread(
+    record: FleetRecord, partitions: Iterable[PartitionId], heir: Member | None
+) -> dict[PartitionId, MemberId | None]:
+    """New owners, evenly: members of the partition's region, else of the heir's."""
+    counts = Counter(ownership.owner for ownership in record.owners.values())
+    receivers: dict[PartitionId, MemberId | None] = {}
+    for partition in partitions:
+        home = _home_members(record, region_of(partition))
+        if not home and heir is not None:
+            home = _home_members(record, heir.zone.region)
+        receiver = min(home, key=lambda name: (counts[name], name), default=None)
+        counts[receiver] += 1
+        receivers[partition] = receiver
+    return receivers
+
+
+def _next(record: FleetRecord, change_id: ChangeId) -> FleetRecord:
+    return replace(record, epoch=Epoch(record.epoch + 1), change_id=change_id)
--- /dev/null
+++ b/fireflyfork/decisions/tests/test_fleet.py
@@ -0,0 +1,216 @@
+"""The permitted changes of the fleet record, and its stored form."""
+
+import unittest
+from collections import Counter
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ..._errors import SettingsError
+from ..._ids import ChangeId, MemberId, RegionName, TargetId
+from .. import _fleet_changes as changes
+from .._fleet import (
+    Acquisition,
+    FleetRecord,
+    Member,
+    OccupiedSlots,
+    decode_fleet,
+    encode_fleet,
+    partition_id,
+    partition_of,
+    region_of,
+)
+from .builders_fleet import NAIDU, VANUA, VITI, evened_out, fleet, member
+
+A, B, C, D = (one.member_id for one in NAIDU)
+CHANGE = ChangeId("change")
+
+
+class FleetRecordTest(unittest.TestCase):
+    """Joining, guards, moves, leaving, fencing and taking over."""
+
+    def test_first_member_owns_its_region(self) -> None:
+        """Nobody is asked for partitions that nobody owns."""
+        record = fleet([member("a")])
+        self.assertEqual(len(record.owned_by(A)), 6)
+        self.assertIsNone(record.guard_of(A))
+        self.assertIsNone(record.owner_of(partition_id(VANUA, 0)))
+
+    def test_join_takes_nothing_from_an_owner(self) -> None:
+        """A newcomer that took partitions by itself would dispatch beside their present owner.
+
+        Users would see two requests in one slot.
+        """
+        record = fleet([member("a"), member("b", "viti/nadi")])
+        self.assertEqual(len(record.owned_by(A)), 6)
+        self.assertEqual((record.guard_of(A), record.guard_of(B)), (B, A))
+
+    def test_guards_stand_in_the_best_place(self) -> None:
+        """A guard behind the same switch or across the metered link fails with its ward."""
+        cases = [
+            ("viti/nadi", ("viti/suva", "viti/nadi", "vanua/labasa"), "m0"),
+            ("viti/nadi", ("viti/nadi", "vanua/labasa"), "m0"),
+            ("viti/nadi", ("vanua/labasa",), "m0"),
+            ("viti/nadi", ("vanua/labasa", "viti/nadi", "viti/suva"), "m2"),
+            ("viti/nadi", (), None),
+        ]
+        for place, others, expected in cases:
+            with self.subTest(place=place, others=others):
+                present = [member(f"m{number}", where) for number, where in enumerate(others)]
+                members = {one.member_id: one for one in present}
+                self.assertEqual(changes.choose_guard(members, member("x", place)), expected)
+
+    def test_planned_moves_even_out_and_stay_home(self) -> None:
+        """After a join everyone in the region owns an even share, and nothing moves again."""
+        record = evened_out(fleet(NAIDU))
+        counts = Counter(ownership.owner for ownership in record.owners.values())
+        self.assertEqual(set(counts.values()), {3})
+        for partition, ownership in record.owners.items():
+            assert ownership.owner is not None
+            self.assertEqual(record.members[ownership.owner].zone.region, region_of(partition))
+        self.assertEqual([changes.planned_moves(record, name) for name in record.members], [{}] * 4)
+
+    def test_region_without_members_is_served_from_another(self) -> None:
+        """The last member of a region leaves, and its targets would be nobody's.
+
+        Callers would be refused though the targets live. The next member to join there gets them.
+        """
+        record = evened_out(fleet(NAIDU))
+        for leaver in (C, D):
+            left = changes.leave(record, leaver, {}, CHANGE)
+            assert left is not None
+            record = left
+        owners = {record.owner_of(partition_id(VANUA, number)) for number in range(6)}
+        self.assertEqual(owners, {A, B})
+        joined = changes.join(record, member("e", "vanua/labasa"), CHANGE)
+        assert joined is not None
+        self.assertEqual(len(evened_out(joined).owned_by(MemberId("e"))), 6)
+
+    def test_leaving_hands_over_occupied_slots(self) -> None:
+        """Requests in flight outlive the hand-over; the new owner must count their slots.
+
+        Otherwise it sends a ninth request to a target with eight slots.
+        """
+        record = evened_out(fleet(NAIDU[:2]))
+        partition = record.owned_by(A)[0]
+        busy = (OccupiedSlots(TargetId("executor-1"), 3, 1.5),)
+        left = changes.leave(record, A, {partition: busy}, CHANGE)
+        assert left is not None
+        self.assertEqual(left.owners[partition].owner, B)
+        self.assertEqual(left.owners[partition].occupied, busy)
+        self.assertIs(left.owners[partition].acquired, Acquisition.MOVED)
+        self.assertIsNone(left.guard_of(B))
+
+    def test_last_member_leaves_partitions_to_the_next(self) -> None:
+        """A fleet that was stopped and started again must find its record usable."""
+        left = changes.leave(fleet([member("a")]), A, {}, CHANGE)
+        assert left is not None
+        joined = changes.join(left, member("b"), CHANGE)
+        assert joined is not None
+        self.assertEqual(len(joined.owned_by(B)), 6)
+
+    def test_only_the_guard_fences_and_only_the_taker_takes_over(self) -> None:
+        """Anyone else could fence a member whose guard goes on acknowledging it."""
+        record = fleet(NAIDU)
+        self.assertEqual(record.guard_of(A), B)
+        self.assertIsNone(changes.fence(record, A, C, CHANGE))
+        fenced = changes.fence(record, A, B, CHANGE)
+        assert fenced is not None
+        self.assertEqual(len(fenced.owned_by(A)), 6)
+        self.assertIsNone(changes.fence(fenced, B, A, CHANGE))
+        self.assertIsNone(changes.take_over(fenced, A, C, CHANGE))
+        taken = changes.take_over(fenced, A, B, CHANGE)
+        assert taken is not None
+        self.assertEqual(taken.owned_by(A), ())
+        self.assertIs(taken.owners[partition_id(VITI, 0)].acquired, Acquisition.TAKEN_OVER)
+
+    def test_removed_taker_passes_the_takeover_on(self) -> None:
+        """The guard leaves between fence and takeover; its ward would own partitions for ever."""
+        fenced = changes.fence(fleet(NAIDU), A, B, CHANGE)
+        assert fenced is not None
+        left = changes.leave(fenced, B, {}, CHANGE)
+        assert left is not None
+        self.assertIn(left.fenced[A].taker, (C, D))
+
+    def test_restart_at_the_same_address_replaces_the_predecessor(self) -> None:
+        """Two members that guard each other die together, and nobody is left who may fence them.
+
+        Their targets would be refused until an operator steps in.
+        """
+        record = evened_out(fleet([member("a", port=1), member("b", "viti/nadi", port=2)]))
+        for newcomer in (member("e", port=1), member("f", "viti/nadi", port=2)):
+            joined = changes.join(record, newcomer, CHANGE)
+            assert joined is not None
+            record = joined
+        self.assertEqual(set(record.members), {"e", "f"})
+        self.assertEqual(record.owned_by(A) + record.owned_by(B), ())
+
+    def test_member_id_is_not_used_twice(self) -> None:
+        """A fenced member must not come back as if nothing had happened."""
+        fenced = changes.fence(fleet(NAIDU), A, B, CHANGE)
+        assert fenced is not None
+        self.assertIsNone(changes.join(fenced, member("a"), CHANGE))
+
+    def test_unreadable_record(self) -> None:
+        """A damaged value must be reported as such, not crash the reader with a stray error."""
+        for value in (b"", b"\xc1", b"\x93\x01\x02\x03", encode_fleet(fleet(NAIDU))[:-1]):
+            with self.subTest(value=value[:4]), self.assertRaises(SettingsError):
+                decode_fleet(value)
+
+    @settings(max_examples=60)
+    @given(st.lists(st.tuples(st.sampled_from("jflt"), st.integers(0, 5)), max_size=25))
+    def test_every_change_keeps_the_record_sound(self, moves: list[tuple[str, int]]) -> None:
+        """Whatever changes follow each other, each partition has one owner that is known.
+
+        An owner that is neither member nor fenced could never be replaced.
+        """
+        record = FleetRecord(partitions_per_region=4)
+        joined = 0
+        for kind, pick in moves:
+            names = sorted(record.members)
+            one = names[pick % len(names)] if names else None
+            changed: FleetRecord | None = None
+            if kind == "j":
+                joined += 1
+                changed = changes.join(record, _newcomer(joined, pick), CHANGE)
+            elif kind == "l" and one is not None:
+                changed = changes.leave(record, one, {}, CHANGE)
+            elif kind == "f" and one is not None and (guard := record.guard_of(one)) is not None:
+                changed = changes.fence(record, one, guard, CHANGE)
+            elif kind == "t" and record.fenced:
+                fenced, entry = sorted(record.fenced.items())[0]
+                changed = changes.take_over(record, fenced, entry.taker or fenced, CHANGE)
+            if changed is None:
+                continue
+            self.assertEqual(changed.epoch, record.epoch + 1)
+            record = changed
+            self._check_sound(record)
+
+    def _check_sound(self, record: FleetRecord) -> None:
+        known = {*record.members, *record.fenced}
+        for ownership in record.owners.values():
+            if ownership.owner is not None or record.members:
+                self.assertIn(ownership.owner, known)
+        for one in record.members.values():
+            if one.guard is not None:
+                self.assertIn(one.guard, known - {one.member_id})
+        for entry in record.fenced.values():
+            if record.members:
+                self.assertIsNotNone(entry.taker)
+        self.assertEqual(decode_fleet(encode_fleet(record)), record)
+
+
+def _newcomer(number: int, pick: int) -> Member:
+    places = ("viti/suva", "viti/nadi", "vanua/labasa")
+    return member(f"m{number:02}", places[pick % 3], port=100 + number)
+
+
+class PartitionTest(unittest.TestCase):
+    """Hashing targets into partitions."""
+
+    def test_spread_and_stability(self) -> None:
+        """Two processes that disagree on a target's partition would both dispatch to it."""
+        self.assertEqual(partition_of(VITI, "executor-1", 32), partition_of(VITI, "executor-1", 32))
+        found = {partition_of(RegionName("a/b"), f"executor-{n}", 32) for n in range(1000)}
+        self.assertEqual(len(found), 32)
+        self.assertEqual({region_of(one) for one in found}, {"a/b"})
--- /dev/null
+++ b/fireflyfork/decisions/tests/test_membership.py
@@ -0,0 +1,263 @@
+"""One member's state machine, event by event."""
+
+import unittest
+
+from ..._ids import MemberId, Revision
+from .._fleet import FleetRecord
+from .._fleet_changes import change_guard, fence, leave
+from .._membership import (
+    AnswerAsker,
+    AskGuard,
+    ChangeKind,
+    CollectOccupied,
+    Command,
+    Event,
+    GuardAnswered,
+    GuardAsked,
+    LeaveRequested,
+    MemberPhase,
+    MembershipState,
+    OccupiedCollected,
+    ReadFailed,
+    ReadRecord,
+    RecordHeard,
+    RecordRead,
+    Tick,
+    WriteEnded,
+    WriteOutcome,
+    WriteRecord,
+    begin_membership,
+    holds_right,
+    may_dispatch,
+    step,
+)
+from .._rights import GuardAnswer, MembershipTiming
+from .builders_fleet import NAIDU, evened_out, fleet
+from .test_fleet import CHANGE, A, B, C
+
+TIMING = MembershipTiming()
+
+
+class _Driver:
+    """Feeds events to one member and keeps its last commands."""
+
+    def __init__(self, state: MembershipState) -> None:
+        self.state = state
+        self.now = 100.0
+        self.commands: tuple[Command, ...] = ()
+
+    def feed(self, event: Event, after: float = 0.0) -> tuple[Command, ...]:
+        self.now += after
+        self.state, self.commands = step(self.state, event, self.now)
+        return self.commands
+
+    def pass_time(self, seconds: float, heard: tuple[MemberId, ...], guard: bool = True) -> None:
+        """Let time pass; these wards ask, and the guard acknowledges if it is to."""
+        end = self.now + seconds
+        while self.now < end:
+            for ward in heard:
+                self.feed(GuardAsked(ward, 1, self.state.revision))
+            self.feed(Tick(), after=0.25)
+            asked = [one for one in self.commands if isinstance(one, AskGuard)]
+            ticked = self.commands
+            if guard and asked:
+                answer = GuardAnswered(asked[0].nonce, GuardAnswer(True), self.state.revision)
+                self.feed(answer)
+            self.commands = ticked
+
+    def sent(self, kind: type[Command]) -> bool:
+        return any(isinstance(command, kind) for command in self.commands)
+
+
+def _active(name_index: int = 0, record: FleetRecord | None = None) -> _Driver:
+    """Member ``a`` of the four (or another), which just read the record at revision 5."""
+    driver = _Driver(begin_membership(NAIDU[name_index], TIMING))
+    driver.feed(Tick())
+    driver.feed(RecordRead(record or evened_out(fleet(NAIDU, 4)), Revision(5)))
+    return driver
+
+
+class RightTest(unittest.TestCase):
+    """When a member may dispatch."""
+
+    def test_right_dates_from_the_question(self) -> None:
+        """The guard's answer is late: it was true when given, and the fence may have followed.
+
+        Dated from its arrival the right would outlive the takeover, and two entries would fill the
+        same slots.
+        """
+        driver = _active()
+        driver.feed(Tick(), after=0.6)
+        driver.feed(GuardAnswered(1, GuardAnswer(True), Revision(5)), after=1.9)
+        self.assertTrue(holds_right(driver.state, driver.now + 0.05))
+        self.assertFalse(holds_right(driver.state, driver.now + 0.15))
+
+    def test_right_is_lost_without_proof(self) -> None:
+        """Store and guard are both silent: the member stops by its own clock."""
+        driver = _active()
+        partition = driver.state.record.owned_by(A)[0]
+        self.assertTrue(may_dispatch(driver.state, partition, driver.now + 1.99))
+        self.assertFalse(may_dispatch(driver.state, partition, driver.now + 2.0))
+
+    def test_record_from_a_peer_proves_nothing(self) -> None:
+        """A record that was passed on may be old, and its reader fenced since."""
+        driver = _Driver(begin_membership(NAIDU[0], TIMING))
+        driver.feed(RecordHeard(fleet(NAIDU, 4), Revision(5)))
+        self.assertIs(driver.state.phase, MemberPhase.ACTIVE)
+        self.assertFalse(holds_right(driver.state, driver.now))
+
+    def test_fenced_member_stops_at_once(self) -> None:
+        """A member that hears of its own fence need not wait for its right to run out."""
+        driver = _active()
+        fenced = fence(driver.state.record, A, B, CHANGE)
+        assert fenced is not None
+        driver.feed(RecordHeard(fenced, Revision(6)))
+        self.assertIs(driver.state.phase, MemberPhase.FENCED)
+        self.assertFalse(holds_right(driver.state, driver.now))
+
+    def test_old_guard_counts_no_more(self) -> None:
+        """A member replaces its guard, and the answer that does it is lost.
+
+        The new guard may already be there and fence it, while the old one goes on acknowledging.
+        """
+        driver = _active()
+        driver.pass_time(1.5, (B, C), guard=False)
+        driver.feed(RecordRead(driver.state.record, Revision(5)))
+        self.assertTrue(driver.sent(WriteRecord))
+        driver.feed(WriteEnded(WriteOutcome.UNKNOWN))
+        proved_at = driver.state.right_dated
+        driver.pass_time(0.6, (B, C))
+        self.assertEqual(driver.state.right_dated, proved_at)
+
+
+class GuardTest(unittest.TestCase):
+    """Acknowledging and fencing."""
+
+    def _answer(self, driver: _Driver, asker_index: int) -> GuardAnswer:
+        asker = NAIDU[asker_index].member_id
+        driver.feed(GuardAsked(asker, 7, Revision(5)))
+        answers = [one for one in driver.commands if isinstance(one, AnswerAsker)]
+        return answers[0].answer
+
+    def test_guard_without_right_does_not_acknowledge(self) -> None:
+        """A guard that was paused and fenced meanwhile does not know that it was replaced."""
+        driver = _active()
+        wards = driver.state.record.wards_of(A)
+        self.assertEqual(wards, (B, C))
+        self.assertTrue(self._answer(driver, 2).acknowledged)
+        driver.now += TIMING.right_seconds
+        self.assertEqual(self._answer(driver, 2), GuardAnswer(False, False))
+
+    def test_pair_renews_each_other(self) -> None:
+        """Two guards of each other were paused during a store outage, and neither has the right.
+
+        Only each other could have fenced them, so both can know that nobody did. Otherwise the
+        region would stand still until the store returns.
+        """
+        first, second = _active(0), _active(1)
+        for driver in (first, second):
+            driver.feed(Tick(), after=5.0)
+            self.assertFalse(holds_right(driver.state, driver.now))
+        asked = next(one for one in first.commands if isinstance(one, AskGuard))
+        answer = self._answer(second, 0)
+        self.assertEqual(answer, GuardAnswer(False, if_you_guard_me=True))
+        first.feed(GuardAnswered(asked.nonce, answer, Revision(5)))
+        self.assertTrue(holds_right(first.state, first.now))
+
+    def test_not_the_guard(self) -> None:
+        """An asker whose record is old asks somebody who may not know of its fence."""
+        self.assertFalse(self._answer(_active(), 3).acknowledged)
+
+    def test_silent_ward_is_fenced_after_a_read(self) -> None:
+        """The store is down as well: a fence sent into it could take effect when it returns.
+
+        Until then the guard could not acknowledge the ward, which may only have been paused.
+        """
+        driver = _active()
+        driver.pass_time(2.3, (C,))
+        self.assertIsNotNone(driver.state.reading_since)
+        driver.feed(ReadFailed())
+        self.assertFalse(driver.sent(WriteRecord))
+        self.assertTrue(self._answer(driver, 1).acknowledged)
+
+    def test_fence_without_answer_blocks_the_ward(self) -> None:
+        """The fence may have taken effect, so its ward must not be acknowledged meanwhile."""
+        driver = _active()
+        driver.pass_time(2.3, (C,))
+        driver.feed(RecordRead(driver.state.record, Revision(5)))
+        written = [one for one in driver.commands if isinstance(one, WriteRecord)]
+        self.assertEqual([one.kind for one in written], [ChangeKind.FENCE])
+        driver.feed(WriteEnded(WriteOutcome.UNKNOWN))
+        self.assertEqual(self._answer(driver, 1), GuardAnswer(False))
+
+    def test_guard_forgives_after_its_own_pause(self) -> None:
+        """A paused guard wakes to wards that it did not hear, though they asked all the time."""
+        driver = _active()
+        driver.feed(Tick())
+        driver.feed(Tick(), after=10.0)
+        driver.feed(RecordRead(driver.state.record, Revision(5)))
+        self.assertFalse(driver.sent(WriteRecord))
+
+
+class WriteTest(unittest.TestCase):
+    """Changes of the record whose answer is lost."""
+
+    def _handing_over(self) -> _Driver:
+        driver = _active(0, fleet(NAIDU, 4))
+        self.assertTrue(driver.sent(CollectOccupied))
+        driver.feed(OccupiedCollected({}))
+        self.assertTrue(driver.sent(WriteRecord))
+        return driver
+
+    def test_old_value_settles_nothing(self) -> None:
+        """A hand-over's answer is lost and the read shows the old record.
+
+        The write may still be on its way. An owner that went on would share the partition with the
+        new owner once the write arrives.
+        """
+        driver = self._handing_over()
+        given = next(iter(driver.state.write.partitions)) if driver.state.write else None
+        assert given is not None
+        driver.feed(WriteEnded(WriteOutcome.UNKNOWN))
+        driver.feed(Tick(), after=0.7)
+        self.assertTrue(driver.sent(ReadRecord))
+        driver.feed(RecordRead(driver.state.record, Revision(5)))
+        self.assertTrue(driver.sent(WriteRecord))
+        self.assertFalse(may_dispatch(driver.state, given, driver.now))
+        other = change_guard(driver.state.record, C, B, CHANGE)
+        assert other is not None
+        driver.feed(WriteEnded(WriteOutcome.LOST))
+        driver.feed(RecordHeard(other, Revision(6)))
+        self.assertTrue(may_dispatch(driver.state, given, driver.now))
+
+    def test_lost_repetition_may_have_lost_to_itself(self) -> None:
+        """The first try took effect unseen, so its repetition finds a newer revision."""
+        driver = self._handing_over()
+        write = driver.state.write
+        assert write is not None
+        driver.feed(WriteEnded(WriteOutcome.UNKNOWN))
+        driver.feed(Tick(), after=0.7)
+        driver.feed(RecordRead(driver.state.record, Revision(5)))
+        driver.feed(WriteEnded(WriteOutcome.LOST))
+        driver.feed(Tick())
+        driver.feed(RecordRead(write.record, Revision(6)))
+        self.assertIsNone(driver.state.write)
+        for partition in write.partitions:
+            self.assertFalse(may_dispatch(driver.state, partition, driver.now))
+
+    def test_leaving_goes_on_serving_while_the_store_is_down(self) -> None:
+        """A planned stop during an outage must not end the service before it can hand over."""
+        driver = _active(1)
+        driver.feed(LeaveRequested())
+        driver.feed(Tick(), after=1.2)
+        driver.feed(ReadFailed())
+        driver.feed(GuardAnswered(1, GuardAnswer(True), Revision(5)))
+        self.assertTrue(holds_right(driver.state, driver.now))
+        driver.feed(Tick(), after=0.6)
+        driver.feed(RecordRead(driver.state.record, Revision(5)))
+        driver.feed(OccupiedCollected({}))
+        left = leave(driver.state.record, B, {}, CHANGE)
+        assert left is not None
+        driver.feed(WriteEnded(WriteOutcome.WON, Revision(6)))
+        self.assertIs(driver.state.phase, MemberPhase.LEFT)
+        self.assertFalse(holds_right(driver.state, driver.now))
