--- a/fireflyfork/adapters/__init__.py
+++ b/fireflyfork/adapters/__init__.py
@@ -3,6 +3,16 @@
 from ._http import Header, HttpError, RequestHead, ResponseHead, collect, end_to_end, find_header
 from ._http_client import HttpClient, HttpClientConnection
 from ._http_server import Exchange, HttpHandler, HttpServer, ServerLimits, listen
+from ._instances import (
+    HttpInstanceList,
+    InstanceChange,
+    InstanceChanges,
+    InstanceList,
+    InstanceState,
+)
+from ._peer_connection import Call, IncomingCall, OutgoingCall, PeerConnection, PeerHandler, refused
+from ._peer_messages import AnswerHead, Chunk, Control, Forward, Pong, Refusal, Role, ServiceFigures
+from ._peers import Peers
 from ._platform import (
     PlatformReport,
     RunReport,
@@ -14,20 +24,39 @@
 from ._store_http import HttpStore
 
 __all__ = [
+    "AnswerHead",
+    "Call",
+    "Chunk",
+    "Control",
     "Exchange",
+    "Forward",
     "Header",
     "HttpClient",
     "HttpClientConnection",
     "HttpError",
     "HttpHandler",
+    "HttpInstanceList",
     "HttpServer",
     "HttpStore",
+    "IncomingCall",
+    "InstanceChange",
+    "InstanceChanges",
+    "InstanceList",
+    "InstanceState",
+    "OutgoingCall",
+    "PeerConnection",
+    "PeerHandler",
+    "Peers",
     "PlatformReport",
+    "Pong",
+    "Refusal",
     "RequestHead",
     "ResponseHead",
+    "Role",
     "RunReport",
     "RunState",
     "ServerLimits",
+    "ServiceFigures",
     "StartOrder",
     "Store",
     "StoredValue",
@@ -36,4 +65,5 @@
     "end_to_end",
     "find_header",
     "listen",
+    "refused",
 ]
--- a/fireflyfork/adapters/_http_server.py
+++ b/fireflyfork/adapters/_http_server.py
@@ -20,6 +20,8 @@
     abort,
 )
 
+_HEAD_TOO_LARGE = 431
+
 JSON_HEADER: Header = (b"content-type", b"application/json")
 
 
@@ -170,10 +172,13 @@
         try:
             event = await self._first_event()
         except h11.RemoteProtocolError as error:
-            await self._refuse_malformed(error)
+            await self._refuse(error.error_status_hint, str(error))
             return False
         if not isinstance(event, h11.Request):
             return False
+        if _head_bytes(event) > LONGEST_HEAD_BYTES:
+            await self._refuse(_HEAD_TOO_LARGE, "the head of the request is too large")
+            return False
         exchange = Exchange(self, self._head(event))
         await self._handler.handle(exchange)
         return await self._finish_cycle()
@@ -214,12 +219,12 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError, trio.TooSlowError) as error:
             raise HttpError(f"receiving failed: {error!r}") from error
 
-    async def _refuse_malformed(self, error: h11.RemoteProtocolError) -> None:
+    async def _refuse(self, status: int, reason: str) -> None:
         if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
         self._closing = True
         exchange = Exchange(self, RequestHead("GET", "/", ()))
-        await self._handler.malformed(exchange, error.error_status_hint, str(error))
+        await self._handler.malformed(exchange, status, reason)
 
     @staticmethod
     def _head(event: h11.Request) -> RequestHead:
@@ -228,6 +233,12 @@
         )
 
 
+def _head_bytes(event: h11.Request) -> int:
+    # The parser's own limit counts only heads that come in several reads.
+    headers = sum(len(name) + len(value) for name, value in event.headers)
+    return headers + len(event.target)
+
+
 class HttpServer:
     """Accepts connections and ends them gracefully."""
 
@@ -249,6 +260,11 @@
         async with trio.open_nursery() as nursery:
             with self._accepting:
                 await trio.serve_listeners(self._serve, listeners, handler_nursery=nursery)
+        self._all_ended.set()
+
+    async def wait_ended(self) -> None:
+        """Wait, after ``stop``, until the last exchange has ended."""
+        await self._all_ended.wait()
 
     def stop(self) -> None:
         """Accept nothing new; exchanges under way go on to their end."""
--- /dev/null
+++ b/fireflyfork/adapters/_peer_connection.py
@@ -0,0 +1,412 @@
+"""One authenticated stream between two entries, with many calls multiplexed on it."""
+
+from __future__ import annotations
+
+import hmac
+import math
+import secrets
+import socket
+from abc import ABC, abstractmethod
+from collections.abc import AsyncIterator
+
+import trio
+
+from .._errors import PeerError, RequestError
+from .._ids import MemberId
+from .._verdict import Verdict
+from ._http import Header
+from ._peer_messages import (
+    AnswerHead,
+    Cancel,
+    Challenge,
+    Chunk,
+    Control,
+    Credit,
+    Forward,
+    Hello,
+    Message,
+    MessageDecoder,
+    PeerMessage,
+    Ping,
+    Pong,
+    Refusal,
+    ServiceFigures,
+    Welcome,
+    encode_message,
+)
+
+WINDOW_BYTES = 256 * 1024
+CHUNK_BYTES = 32 * 1024
+HANDSHAKE_SECONDS = 2.0
+HEARTBEAT_SECONDS = 0.5
+SILENCE_SECONDS = 2.0
+_RECEIVE_BYTES = 65536
+_NONCE_BYTES = 16
+
+CallEvent = Chunk | AnswerHead | Refusal
+
+
+class PeerHandler(ABC):
+    """What an entry does with what its peers send."""
+
+    @abstractmethod
+    async def handle_call(self, call: IncomingCall) -> None:
+        """Serve one forwarded request."""
+
+    @abstractmethod
+    def pong(self, nonce: int) -> Pong:
+        """The answer to a ping, with present figures."""
+
+    @abstractmethod
+    def handle_pong(self, member: MemberId, pong: Pong) -> None:
+        """Take note of a peer's figures."""
+
+    @abstractmethod
+    def handle_control(self, member: MemberId, control: Control) -> Control | None:
+        """Take a membership message, and return the reply to it if there is one."""
+
+
+class Call:
+    """One request on a stream, with a window of bytes that may be under way each way."""
+
+    def __init__(self, connection: PeerConnection, number: int) -> None:
+        """The connection makes these."""
+        self._connection = connection
+        self._number = number
+        self._window = WINDOW_BYTES
+        self._window_grew = trio.Event()
+        self._closed = False
+        self._sender, self._receiver = trio.open_memory_channel[CallEvent](math.inf)
+
+    @property
+    def member(self) -> MemberId:
+        """The peer at the other end."""
+        return self._connection.member
+
+    def deliver(self, event: CallEvent) -> None:
+        """Queue an event for the reader. The window bounds how much can wait."""
+        try:
+            self._sender.send_nowait(event)
+        except trio.BrokenResourceError:
+            return
+
+    def grant(self, size: int) -> None:
+        """Allow ``size`` more bytes to be sent."""
+        self._window += size
+        self._window_grew.set()
+        self._window_grew = trio.Event()
+
+    def lose(self) -> None:
+        """Wake reader and writer: the call or its stream is gone."""
+        self._closed = True
+        self._sender.close()
+        self._window_grew.set()
+
+    async def send(self, data: bytes, end: bool) -> None:
+        """Send a part of the body. Raises PeerError when the stream is gone."""
+        pieces = range(0, len(data), CHUNK_BYTES) if data else range(1)
+        last = pieces[-1]
+        for start in pieces:
+            piece = data[start : start + CHUNK_BYTES]
+            await self._wait_for_window()
+            if self._closed:
+                raise PeerError("the call was given up")
+            self._window -= len(piece)
+            self._connection.send(Chunk(self._number, piece, end and start == last))
+
+    async def receive(self) -> CallEvent:
+        """The next event. Raises PeerError when the stream is gone."""
+        try:
+            event = await self._receiver.receive()
+        except trio.EndOfChannel as error:
+            raise PeerError("the peer stream was lost") from error
+        if isinstance(event, Chunk) and event.data:
+            self._connection.send_if_open(Credit(self._number, len(event.data)))
+        return event
+
+    async def body(self) -> AsyncIterator[bytes]:
+        """The parts of the body from here to its end. Raises PeerError, RequestError."""
+        while True:
+            event = await self.receive()
+            if isinstance(event, Refusal):
+                raise refused(event)
+            if not isinstance(event, Chunk):
+                raise PeerError(f"{type(event).__name__} inside a body")
+            if event.data:
+                yield event.data
+            if event.end:
+                return
+
+    async def _wait_for_window(self) -> None:
+        while self._window <= 0 and not self._closed:
+            await self._window_grew.wait()
+
+
+class OutgoingCall(Call):
+    """The initiator's end of a call."""
+
+    def close(self, finished: bool) -> None:
+        """Forget the call; when it has not ``finished``, tell the peer to give it up."""
+        self._connection.forget(self._number)
+        if not finished:
+            self._connection.send_if_open(Cancel(self._number))
+
+
+class IncomingCall(Call):
+    """The acceptor's end of a call."""
+
+    def __init__(self, connection: PeerConnection, forward: Forward) -> None:
+        """The connection makes these."""
+        super().__init__(connection, forward.call)
+        self._forward = forward
+        self._scope = trio.CancelScope()
+
+    @property
+    def forward(self) -> Forward:
+        """The request's head."""
+        return self._forward
+
+    @property
+    def scope(self) -> trio.CancelScope:
+        """Cancelled when the initiator gives the call up or the stream is lost."""
+        return self._scope
+
+    def lose(self) -> None:
+        """The stream is gone, so nobody waits for the answer any more."""
+        super().lose()
+        self._scope.cancel()
+
+    def start(self, status: int, headers: tuple[Header, ...], figures: ServiceFigures) -> None:
+        """Send the head of the answer. Raises PeerError."""
+        self._connection.send(AnswerHead(self._number, status, list(headers), figures))
+
+    def refuse(self, error: RequestError) -> None:
+        """End the call without a whole answer."""
+        refusal = Refusal(
+            self._number, error.status, error.reason, error.verdict, error.retry_after
+        )
+        self._connection.send_if_open(refusal)
+
+
+class PeerConnection:
+    """One stream to one peer."""
+
+    def __init__(self, stream: trio.SocketStream, member: MemberId, handler: PeerHandler) -> None:
+        """Use ``connect_peer`` or ``accept_peer``; ``member`` is the proved name of the peer."""
+        self._stream = stream
+        self._member = member
+        self._handler = handler
+        self._calls: dict[int, Call] = {}
+        self._next_number = 1
+        self._outgoing: list[bytes] = []
+        self._outgoing_added = trio.Event()
+        self._lost = False
+        self._heard = trio.current_time()
+        self._sent_bytes = 0
+
+    @property
+    def member(self) -> MemberId:
+        """The peer."""
+        return self._member
+
+    @property
+    def lost(self) -> bool:
+        """Whether the stream has ended."""
+        return self._lost
+
+    @property
+    def sent_bytes(self) -> int:
+        """Bytes sent so far."""
+        return self._sent_bytes
+
+    def open_call(self) -> tuple[int, OutgoingCall]:
+        """Start a call; the caller sends the Forward that bears its number."""
+        number = self._next_number
+        self._next_number += 1
+        call = OutgoingCall(self, number)
+        self._calls[number] = call
+        return number, call
+
+    def forget(self, number: int) -> None:
+        """Drop a call; what still arrives for it is ignored."""
+        call = self._calls.pop(number, None)
+        if call is not None:
+            call.lose()
+
+    def send(self, message: Message) -> None:
+        """Queue a message. Raises PeerError when the stream is gone."""
+        if self._lost:
+            raise PeerError(f"the stream to {self._member} was lost")
+        self._outgoing.append(encode_message(message))
+        self._outgoing_added.set()
+
+    def send_if_open(self, message: Message) -> None:
+        """Queue a message that nobody needs once the stream is gone."""
+        if not self._lost:
+            self.send(message)
+
+    async def run(self) -> None:
+        """Carry messages until the stream breaks or falls silent; never raises for that."""
+        try:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(self._write, nursery.cancel_scope)
+                nursery.start_soon(self._watch, nursery.cancel_scope)
+                await self._read(nursery)
+                nursery.cancel_scope.cancel()
+        finally:
+            self.close()
+
+    def close(self) -> None:
+        """End the stream and wake all that wait on it."""
+        self._lost = True
+        self._stream.socket.close()
+        calls, self._calls = self._calls, {}
+        for call in calls.values():
+            call.lose()
+
+    async def _read(self, nursery: trio.Nursery) -> None:
+        decoder = MessageDecoder()
+        try:
+            while data := await self._stream.receive_some(_RECEIVE_BYTES):
+                self._heard = trio.current_time()
+                for message in decoder.feed(data):
+                    self._take(message, nursery)
+        except (PeerError, trio.BrokenResourceError, trio.ClosedResourceError):
+            return
+
+    def _take(self, message: PeerMessage, nursery: trio.Nursery) -> None:
+        match message:
+            case Forward():
+                self._accept_call(message, nursery)
+            case Chunk() | AnswerHead() | Refusal():
+                if (call := self._calls.get(message.call)) is not None:
+                    call.deliver(message)
+            case Credit():
+                if (call := self._calls.get(message.call)) is not None:
+                    call.grant(message.size)
+            case Cancel():
+                if isinstance(call := self._calls.get(message.call), IncomingCall):
+                    call.scope.cancel()
+            case Ping():
+                self.send_if_open(self._handler.pong(message.nonce))
+            case Pong():
+                self._handler.handle_pong(self._member, message)
+            case Control():
+                reply = self._handler.handle_control(self._member, message)
+                if reply is not None:
+                    self.send_if_open(reply)
+            case _:
+                raise PeerError(f"unexpected {type(message).__name__}")
+
+    def _accept_call(self, forward: Forward, nursery: trio.Nursery) -> None:
+        if forward.call in self._calls:
+            raise PeerError(f"call {forward.call} is open already")
+        call = IncomingCall(self, forward)
+        self._calls[forward.call] = call
+        nursery.start_soon(self._serve_call, call)
+
+    async def _serve_call(self, call: IncomingCall) -> None:
+        try:
+            with call.scope:
+                await self._handler.handle_call(call)
+        finally:
+            self.forget(call.forward.call)
+
+    async def _write(self, scope: trio.CancelScope) -> None:
+        try:
+            while True:
+                await self._outgoing_added.wait()
+                self._outgoing_added = trio.Event()
+                batch, self._outgoing = b"".join(self._outgoing), []
+                await self._stream.send_all(batch)
+                self._sent_bytes += len(batch)
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            scope.cancel()
+
+    async def _watch(self, scope: trio.CancelScope) -> None:
+        # Something between the two ends may lose track of the connection: nothing is refused and
+        # nothing arrives. Requests on it would wait until their deadlines. The heartbeat makes
+        # silence mean something, and the stream is given up so that a new one can take its place.
+        nonce = 0
+        while trio.current_time() - self._heard < SILENCE_SECONDS:
+            nonce += 1
+            self.send_if_open(Ping(nonce))
+            await trio.sleep(HEARTBEAT_SECONDS)
+        scope.cancel()
+
+
+async def connect_peer(
+    stream: trio.SocketStream, own: MemberId, peer: MemberId, key: bytes, handler: PeerHandler
+) -> PeerConnection:
+    """Prove both names over a connected stream to ``peer``. Raises PeerError."""
+    messages = _HandshakeMessages(stream)
+    challenge = await messages.receive()
+    if not isinstance(challenge, Challenge) or challenge.member != peer:
+        raise PeerError(f"the process there is not {peer}")
+    nonce = secrets.token_bytes(_NONCE_BYTES)
+    digest = _digest(key, b"hello", challenge.nonce, own, peer)
+    await messages.send(Hello(own, digest, nonce))
+    welcome = await messages.receive()
+    expected = _digest(key, b"welcome", nonce, peer, own)
+    if not isinstance(welcome, Welcome) or not hmac.compare_digest(welcome.digest, expected):
+        raise PeerError(f"{peer} does not know the peer key")
+    return PeerConnection(stream, peer, handler)
+
+
+async def accept_peer(
+    stream: trio.SocketStream, own: MemberId, key: bytes, handler: PeerHandler
+) -> PeerConnection:
+    """Prove both names over an accepted stream. Raises PeerError."""
+    messages = _HandshakeMessages(stream)
+    nonce = secrets.token_bytes(_NONCE_BYTES)
+    await messages.send(Challenge(own, nonce))
+    hello = await messages.receive()
+    if not isinstance(hello, Hello):
+        raise PeerError("no hello")
+    expected = _digest(key, b"hello", nonce, hello.member, own)
+    if not hmac.compare_digest(hello.digest, expected):
+        raise PeerError(f"{hello.member!r} does not know the peer key")
+    await messages.send(Welcome(_digest(key, b"welcome", hello.nonce, own, hello.member)))
+    return PeerConnection(stream, MemberId(hello.member), handler)
+
+
+class _HandshakeMessages:
+    """Single messages on a stream, each within the time of the whole handshake."""
+
+    def __init__(self, stream: trio.SocketStream) -> None:
+        self._stream = stream
+        self._decoder = MessageDecoder()
+        self._deadline = trio.current_time() + HANDSHAKE_SECONDS
+        stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    async def send(self, message: Message) -> None:
+        try:
+            with trio.fail_at(self._deadline):
+                await self._stream.send_all(encode_message(message))
+        except (trio.BrokenResourceError, trio.ClosedResourceError, trio.TooSlowError) as error:
+            raise PeerError(f"handshake: {error!r}") from error
+
+    async def receive(self) -> PeerMessage:
+        try:
+            with trio.fail_at(self._deadline):
+                while data := await self._stream.receive_some(_RECEIVE_BYTES):
+                    for message in self._decoder.feed(data):
+                        return message
+        except (trio.BrokenResourceError, trio.ClosedResourceError, trio.TooSlowError) as error:
+            raise PeerError(f"handshake: {error!r}") from error
+        raise PeerError("handshake: the stream ended")
+
+
+def refused(refusal: Refusal) -> RequestError:
+    """The error that a refusal stands for."""
+    return RequestError(refusal.status, refusal.reason, refusal.verdict, refusal.retry_after)
+
+
+def lost_call(reason: str) -> RequestError:
+    """The error of a call whose stream was lost after its head had been sent."""
+    return RequestError(502, reason, Verdict.MAY_HAVE_RUN)
+
+
+def _digest(key: bytes, purpose: bytes, nonce: bytes, sender: str, receiver: str) -> bytes:
+    content = b"\0".join((purpose, nonce, sender.encode(), receiver.encode()))
+    return hmac.digest(key, content, "sha256")
--- /dev/null
+++ b/fireflyfork/adapters/_peers.py
@@ -0,0 +1,124 @@
+"""The streams to all peers: one outgoing stream for each, opened when needed and replaced."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import trio
+
+from .._errors import PeerError
+from .._ids import MemberId
+from .._links import Address
+from ._peer_connection import (
+    PeerConnection,
+    PeerHandler,
+    accept_peer,
+    connect_peer,
+)
+
+CONNECT_SECONDS = 2.0
+
+AddressOf = Callable[[MemberId], Address | None]
+
+
+class Peers:
+    """Outgoing streams to peers, and the server for theirs."""
+
+    def __init__(
+        self, own: Callable[[], MemberId], key: bytes, handler: PeerHandler, address_of: AddressOf
+    ) -> None:
+        """``own`` tells this member's present id.
+
+        ``address_of`` tells the peer address of a member, or None when it is unknown.
+        """
+        self._own = own
+        self._key = key
+        self._handler = handler
+        self._address_of = address_of
+        self._streams: dict[MemberId, PeerConnection] = {}
+        self._opening: dict[MemberId, trio.Event] = {}
+        self._nursery: trio.Nursery | None = None
+        self._stopped = trio.Event()
+
+    @property
+    def sent_bytes(self) -> int:
+        """Bytes sent on the streams that are open now."""
+        return sum(stream.sent_bytes for stream in self._streams.values())
+
+    async def run(self, listeners: list[trio.SocketListener]) -> None:
+        """Accept streams from peers and carry outgoing ones, until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            await trio.serve_listeners(self._accept, listeners)
+
+    async def stream(self, member: MemberId) -> PeerConnection:
+        """A live stream to ``member``. Raises PeerError; nothing has then been sent."""
+        while True:
+            stream = self._streams.get(member)
+            if stream is not None and not stream.lost:
+                return stream
+            if member in self._opening:
+                await self._opening[member].wait()
+                if member not in self._streams:
+                    raise PeerError(f"{member} can't be reached")
+                continue
+            return await self._open(member)
+
+    def keep_open(self, members: tuple[MemberId, ...]) -> None:
+        """Open streams to these peers in the background, so that a first request needn't wait."""
+        for member in members:
+            if self._nursery is not None and member != self._own() and member not in self._streams:
+                self._nursery.start_soon(self._try_open, member)
+
+    def close_all(self) -> None:
+        """End all outgoing streams; this member has a new id, which the others must learn."""
+        for stream in tuple(self._streams.values()):
+            stream.close()
+
+    async def _try_open(self, member: MemberId) -> None:
+        try:
+            await self.stream(member)
+        except PeerError:
+            return
+
+    async def _open(self, member: MemberId) -> PeerConnection:
+        opened = self._opening[member] = trio.Event()
+        try:
+            stream = await self._connect(member)
+            self._streams[member] = stream
+            if self._nursery is None:
+                raise PeerError("not running")
+            self._nursery.start_soon(self._carry, stream)
+            return stream
+        finally:
+            del self._opening[member]
+            opened.set()
+
+    async def _connect(self, member: MemberId) -> PeerConnection:
+        address = self._address_of(member)
+        if address is None:
+            raise PeerError(f"{member} is not a member")
+        try:
+            with trio.fail_after(CONNECT_SECONDS):
+                socket_stream = await trio.open_tcp_stream(address.host, address.port)
+        except (OSError, trio.TooSlowError) as error:
+            raise PeerError(f"{member} can't be reached at {address}: {error!r}") from error
+        try:
+            return await connect_peer(socket_stream, self._own(), member, self._key, self._handler)
+        except BaseException:
+            socket_stream.socket.close()
+            raise
+
+    async def _carry(self, stream: PeerConnection) -> None:
+        try:
+            await stream.run()
+        finally:
+            if self._streams.get(stream.member) is stream:
+                del self._streams[stream.member]
+
+    async def _accept(self, socket_stream: trio.SocketStream) -> None:
+        try:
+            stream = await accept_peer(socket_stream, self._own(), self._key, self._handler)
+        except PeerError:
+            return
+        await stream.run()
--- a/fireflyfork/decisions/tests/test_routing.py
+++ b/fireflyfork/decisions/tests/test_routing.py
@@ -83,7 +83,7 @@
     @settings(max_examples=50)
     def test_partitions(self, key: str, partitions: int) -> None:
         """Every key has one partition of its region."""
-        region, number = partition_of(key, VITI, partitions).split("/")
+        region, number = partition_of(VITI, key, partitions).split("/")
         self.assertEqual(region, VITI)
         self.assertLess(int(number), partitions)
 
--- /dev/null
+++ b/fireflyfork/programs/_caller_service.py
@@ -0,0 +1,112 @@
+"""Serves callers: checks each request, runs it, and always says what became of it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import replace
+
+import trio
+from loguru import logger
+
+from .._contracts import Configuration, ServiceContract
+from .._errors import BadRequestError, FireflyforkError, RequestError
+from .._requests import ServiceRequest
+from .._verdict import Verdict
+from ..adapters import Exchange, HttpError, HttpHandler
+from ._bodies import RequestBody
+from ._caller_requests import read_request
+from ._keyed_requests import KeyedRequests
+from ._metrics import Metrics
+from ._request_flow import RequestFlow
+from ._sinks import CallerSink
+from ._span_writer import SpanWriter
+
+
+class CallerService(HttpHandler):
+    """What this entry does for callers."""
+
+    def __init__(
+        self,
+        flow: RequestFlow,
+        keyed: KeyedRequests,
+        configuration: Callable[[], Configuration | None],
+        spans: SpanWriter,
+        metrics: Metrics,
+    ) -> None:
+        """``configuration`` tells the one in force."""
+        self._flow = flow
+        self._keyed = keyed
+        self._configuration = configuration
+        self._spans = spans
+        self._metrics = metrics
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one caller."""
+        begun = trio.current_time()
+        sink = CallerSink(exchange)
+        try:
+            await self._serve(exchange, sink, begun)
+        except RequestError as error:
+            await sink.fail(error)
+            self._count(sink, error.verdict, error.status)
+        except HttpError:
+            # The caller broke off or fell silent; there is nobody left to tell.
+            exchange.abort()
+            self._metrics.count("fireflyfork_callers_lost_total")
+        except Exception as error:
+            # A fault in the handling of one request must not end the process, which would take
+            # all other requests with it; the log line is how anyone would notice.
+            logger.opt(exception=error).error("request failed")
+            await sink.fail(RequestError(500, "internal error", Verdict.MAY_HAVE_RUN))
+
+    async def malformed(self, exchange: Exchange, status: int, reason: str) -> None:
+        """Answer something that is not HTTP."""
+        self._metrics.count("fireflyfork_malformed_total")
+        await CallerSink(exchange).fail(BadRequestError(reason, status))
+
+    async def _serve(self, exchange: Exchange, sink: CallerSink, begun: float) -> None:
+        request, contract = read_request(exchange.head, self._configuration(), begun)
+        if not request.idempotent:
+            request = self._keyed.with_key(request)
+        sink.request = request
+        with self._spans.span(
+            "request", request.trace, service=request.service, request_id=request.request_id
+        ) as span:
+            await self._run(exchange, sink, replace(request, trace=span.context), contract)
+            span.attributes["status"] = "answered"
+        self._count(sink, Verdict.ANSWERED, 200)
+        elapsed = trio.current_time() - begun
+        self._metrics.observe("fireflyfork_request_seconds", elapsed, service=request.service)
+
+    async def _run(
+        self,
+        exchange: Exchange,
+        sink: CallerSink,
+        request: ServiceRequest,
+        contract: ServiceContract,
+    ) -> None:
+        body = RequestBody(exchange.body(), contract.longest_body_bytes)
+        with trio.move_on_at(request.deadline):
+            await body.fill()
+        if trio.current_time() >= request.deadline:
+            raise RequestError(408, "the body did not come in time", Verdict.NOT_RUN)
+        try:
+            if request.idempotent:
+                await self._flow.dispatch(request, body, sink)
+            else:
+                await self._keyed.run(request, body, sink)
+        except HttpError:
+            raise
+        except RequestError:
+            raise
+        except FireflyforkError as error:
+            raise RequestError(502, str(error), Verdict.MAY_HAVE_RUN, 1.0) from error
+
+    def _count(self, sink: CallerSink, verdict: Verdict, status: int) -> None:
+        service = sink.request.service if sink.request is not None else ""
+        self._metrics.count(
+            "fireflyfork_requests_total",
+            service=service,
+            verdict=verdict.value,
+            status=str(status),
+        )
--- /dev/null
+++ b/fireflyfork/programs/_configuration_keeper.py
@@ -0,0 +1,156 @@
+"""Keeps the configuration in force: watches the store, and passes it on between entries.
+
+One entry of each failure domain waits for changes in the store and passes them on to the others
+there. Each question to a guard also says which version the asker holds, so that whoever holds the
+lower one is sent the higher one even while the store is down.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from functools import partial
+
+import trio
+from loguru import logger
+
+from .._contracts import Configuration
+from .._errors import FireflyforkError, PeerError, SettingsError, StoreError
+from .._ids import ConfigurationVersion, MemberId, Revision
+from ..adapters import Store, StoredValue
+from ..decisions import (
+    CONFIGURATION_KEY,
+    ConfigurationOffer,
+    FleetRecord,
+    Member,
+    OfferOutcome,
+    OfferSource,
+    begin_register,
+    consider,
+    decode_configuration,
+    peer_done,
+    store_is_empty,
+)
+from ._guard_channel import GuardChannel
+
+WATCH_SECONDS = 60.0
+RETRY_SECONDS = 0.5
+LONGEST_RETRY_SECONDS = 5.0
+
+Decode = Callable[[bytes], Configuration]
+InForce = Callable[[Configuration], None]
+
+
+class ConfigurationKeeper:
+    """The configuration at one entry."""
+
+    def __init__(self, store: Store, decode: Decode, in_force: InForce) -> None:
+        """``in_force`` is called with each configuration that comes into force."""
+        self._store = store
+        self._decode = decode
+        self._in_force = in_force
+        self._state = begin_register(())
+        self._revision = Revision(0)
+        self._version_in_force = ConfigurationVersion(0)
+        self._channel: GuardChannel | None = None
+        self._record: Callable[[], FleetRecord] | None = None
+        self._mates: Callable[[], tuple[Member, ...]] = tuple
+        self._nursery: trio.Nursery | None = None
+
+    @property
+    def version(self) -> ConfigurationVersion:
+        """The version held."""
+        return self._state.version
+
+    def attach(
+        self,
+        channel: GuardChannel,
+        record: Callable[[], FleetRecord],
+        mates: Callable[[], tuple[Member, ...]],
+    ) -> None:
+        """``mates`` are the members that this one passes news from the store on to."""
+        self._channel = channel
+        self._record = record
+        self._mates = mates
+
+    def offered(self, member: MemberId, offer: ConfigurationOffer) -> None:
+        """A peer passed a configuration on."""
+        self._state = peer_done(self._state, member)
+        self._consider(offer, OfferSource.PEER)
+
+    def peer_holds(self, member: MemberId, version: ConfigurationVersion) -> None:
+        """A peer told its version; send it ours when that is higher."""
+        held = self._state.held
+        if held is not None and version < held.version:
+            self._pass_on(member, held)
+
+    async def run(self, is_watcher: Callable[[], bool]) -> None:
+        """Follow the store until cancelled."""
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            await self._read_first()
+            while True:
+                if is_watcher():
+                    await self._watch()
+                else:
+                    await trio.sleep(RETRY_SECONDS)
+
+    async def _read_first(self) -> None:
+        # Until the store has answered once, what peers offer is held but may be outdated.
+        wait = RETRY_SECONDS
+        while not self._state.store_answered:
+            try:
+                self._stored(await self._store.read(CONFIGURATION_KEY))
+            except (StoreError, SettingsError) as error:
+                logger.info("configuration not read", error=str(error))
+                await trio.sleep(wait)
+                wait = min(2 * wait, LONGEST_RETRY_SECONDS)
+
+    async def _watch(self) -> None:
+        try:
+            stored = await self._store.wait(CONFIGURATION_KEY, self._revision, WATCH_SECONDS)
+        except StoreError as error:
+            logger.info("configuration watch failed", error=str(error))
+            await trio.sleep(LONGEST_RETRY_SECONDS)
+            return
+        if stored is not None:
+            self._stored(stored)
+
+    def _stored(self, stored: StoredValue | None) -> None:
+        if stored is None:
+            self._state = store_is_empty(self._state)
+            return
+        self._revision = stored.revision
+        offer = decode_configuration(stored.value)
+        self._consider(offer, OfferSource.STORE)
+        for mate in self._mates():
+            self._pass_on(mate.member_id, offer)
+
+    def _consider(self, offer: ConfigurationOffer, source: OfferSource) -> None:
+        self._state, outcome = consider(self._state, offer, source)
+        if outcome is OfferOutcome.CONFLICT:
+            logger.error("two changes under one version", version=offer.version)
+        if outcome is OfferOutcome.OLDER and source is OfferSource.STORE:
+            logger.error("the store was set back", version=offer.version, held=self.version)
+        held = self._state.held
+        if held is None or not self._state.ready or held.version <= self._version_in_force:
+            return
+        try:
+            configuration = self._decode(held.value)
+        except FireflyforkError as error:
+            logger.error("configuration unreadable", version=held.version, error=str(error))
+            return
+        self._version_in_force = held.version
+        logger.info("configuration in force", version=held.version)
+        self._in_force(configuration)
+
+    def _pass_on(self, member: MemberId, offer: ConfigurationOffer) -> None:
+        peer = self._record().members.get(member) if self._record is not None else None
+        if peer is not None and self._nursery is not None:
+            self._nursery.start_soon(partial(self._offer, peer, offer))
+
+    async def _offer(self, peer: Member, offer: ConfigurationOffer) -> None:
+        assert self._channel is not None
+        try:
+            await self._channel.offer_configuration(peer, offer)
+        except PeerError as error:
+            logger.debug("configuration not passed on", peer=peer.member_id, error=str(error))
--- /dev/null
+++ b/fireflyfork/programs/_entry.py
@@ -0,0 +1,166 @@
+"""One entry, wired: callers and peers on one side, targets and peers on the other."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from random import Random
+
+import trio
+
+from .._contracts import Configuration
+from .._ids import PartitionId, RegionName
+from ..adapters import HttpServer, InstanceChange, InstanceState, Peers
+from ..decisions import LinkBudget, OccupiedSlots
+from ._caller_service import CallerService
+from ._forwarding import Forwarder
+from ._keyed_requests import KeyedRequests
+from ._metrics import Metrics
+from ._operator_service import OperatorService
+from ._ownership import OwnershipView
+from ._peer_figures import PeerFigures
+from ._peer_service import PeerService
+from ._request_flow import RequestFlow
+from ._span_writer import SpanWriter
+from ._target_attempts import TargetAttempts
+from ._target_groups import TargetGroups
+
+
+@dataclass(frozen=True, slots=True)
+class EntryListeners:
+    """The sockets that an entry accepts on."""
+
+    callers: list[trio.SocketListener]
+    peers: list[trio.SocketListener]
+    operators: list[trio.SocketListener]
+
+
+class Entry:
+    """An entry without its settings, its membership and its clients of the platform."""
+
+    def __init__(
+        self, ownership: OwnershipView, peer_key: bytes, spans: SpanWriter, random: Random
+    ) -> None:
+        """``random`` draws the members that routing compares."""
+        self._ownership = ownership
+        self._configuration: Configuration | None = None
+        self._stopping = ""
+        self.metrics = Metrics()
+        self._targets = TargetGroups(ownership)
+        self._figures = PeerFigures()
+        self.peer_service = PeerService(ownership, self._targets, self._figures, spans)
+        self.peers = Peers(lambda: ownership.own, peer_key, self.peer_service, ownership.address_of)
+        self._attempts = TargetAttempts(ownership, spans)
+        forwarder = Forwarder(ownership, self.peers, self._figures, spans)
+        self._flow = RequestFlow(
+            ownership, self._targets, self._attempts, forwarder, self._figures, random
+        )
+        keyed = KeyedRequests(ownership, self._flow, forwarder, self._in_force)
+        self.peer_service.attach(self._flow, keyed)
+        callers = CallerService(self._flow, keyed, self._in_force, spans, self.metrics)
+        self._callers = HttpServer(callers)
+        self._operators = HttpServer(OperatorService(self.metrics, self._unready, self.status))
+        self._add_gauges()
+
+    @property
+    def configuration(self) -> Configuration | None:
+        """The configuration in force here."""
+        return self._configuration
+
+    @property
+    def targets(self) -> TargetGroups:
+        """The targets owned here."""
+        return self._targets
+
+    def configure(self, configuration: Configuration) -> None:
+        """Put a configuration in force."""
+        self._configuration = configuration
+        region = self._ownership.region_of(self._ownership.own)
+        self._flow.set_links(dict(_link_budgets(configuration, region)))
+        self.refresh()
+
+    def refresh(self) -> None:
+        """Follow a change of ownership."""
+        if self._configuration is not None:
+            self._targets.refresh(self._configuration)
+        members = self._ownership.other_members()
+        self._figures.keep_only(frozenset(members))
+        self.peers.keep_open(members)
+
+    def note_instances(self, changes: Iterable[InstanceChange]) -> None:
+        """Follow the platform's list of instances."""
+        leaving = self._targets.leaving
+        changes = tuple(changes)
+        going = [c.target_id for c in changes if c.state is not InstanceState.LIVE]
+        self._targets.note_leaving(leaving.seen(going, trio.current_time()))
+
+    def occupied(
+        self, partitions: tuple[PartitionId, ...]
+    ) -> dict[PartitionId, tuple[OccupiedSlots, ...]]:
+        """What may still be busy at the targets of these partitions, for their next owner."""
+        return self._targets.occupied(frozenset(partitions))
+
+    async def run(self, listeners: EntryListeners) -> None:
+        """Serve until ``stop`` has ended everything in flight."""
+        async with trio.open_nursery() as nursery:
+            self._attempts.attach(nursery)
+            nursery.start_soon(self.peers.run, listeners.peers)
+            nursery.start_soon(self._operators.run, listeners.operators)
+            nursery.start_soon(self._keep_streams_open)
+            await self._callers.run(listeners.callers)
+            await trio.sleep_forever()
+
+    async def stop_callers(self, notice_seconds: float) -> None:
+        """Ask the balancer to send callers elsewhere, then end after those in flight."""
+        self._stopping = "stopping"
+        await trio.sleep(notice_seconds)
+        self._callers.stop()
+        await self._callers.wait_ended()
+
+    async def wait_for_calls(self) -> None:
+        """Wait until no forwarded request is in flight here."""
+        await self.peer_service.wait_idle()
+
+    def status(self) -> dict[str, object]:
+        """What operators are shown."""
+        configuration = self._configuration
+        members = self._ownership.other_members()
+        return {
+            "member": self._ownership.own,
+            "configuration_version": configuration.version if configuration else 0,
+            "other_members": members,
+            "services": {
+                group.contract.name: {
+                    "own_targets": sorted(group.targets),
+                    "free_slots": group.figures().free_slots,
+                    "queued": group.queued,
+                }
+                for group in self._targets.groups()
+            },
+        }
+
+    async def _keep_streams_open(self) -> None:
+        while True:
+            self.peers.keep_open(self._ownership.other_members())
+            await trio.sleep(1.0)
+
+    def _in_force(self) -> Configuration | None:
+        return self._configuration
+
+    def _unready(self) -> str:
+        if self._stopping:
+            return self._stopping
+        return "" if self._configuration is not None else "no configuration yet"
+
+    def _add_gauges(self) -> None:
+        self.metrics.gauge("fireflyfork_peer_sent_bytes", lambda: self.peers.sent_bytes)
+        self.metrics.gauge("fireflyfork_caller_connections", lambda: self._callers.connection_count)
+
+
+def _link_budgets(
+    configuration: Configuration, region: RegionName | None
+) -> Iterator[tuple[RegionName, LinkBudget]]:
+    for link in configuration.links:
+        if region in link.regions:
+            far = link.regions[0] if link.regions[1] == region else link.regions[1]
+            yield far, LinkBudget(link.bytes_per_second * link.spill_share)
--- /dev/null
+++ b/fireflyfork/programs/_entry_settings.py
@@ -0,0 +1,64 @@
+"""Settings of an entry process."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from .._errors import SettingsError
+from .._ids import FailureDomainName, RegionName
+from .._links import Address
+
+SHORTEST_PEER_KEY = 16
+
+
+@dataclass(frozen=True, slots=True)
+class EntrySettings:
+    """What one entry process needs to know."""
+
+    name: str
+    """The instance's name; the member id adds what makes this run of the process unique."""
+    region: RegionName
+    failure_domain: FailureDomainName
+    caller_address: str
+    """IP number and port where callers are served."""
+    peer_address: str
+    """IP number and port where peers reach this entry."""
+    operator_address: str
+    """IP number and port of health, readiness, status and metrics."""
+    store_address: str
+    """IP number and port of the platform's store."""
+    instance_list_address: str
+    """IP number and port of the platform's instance list."""
+    peer_key: str
+    """The secret that proves an entry to its peers; the same for all."""
+    log_level: str = "INFO"
+    trace_share: float = 1.0
+    """The share of requests whose spans are written, when callers don't decide it."""
+    drain_notice_seconds: float = 2.0
+    """After SIGTERM: how long the entry says that it isn't ready before it takes no more."""
+
+    def check(self) -> None:
+        """Check what the types don't. Raises SettingsError."""
+        for field in (
+            "caller_address",
+            "peer_address",
+            "operator_address",
+            "store_address",
+            "instance_list_address",
+        ):
+            _check_address(field, getattr(self, field))
+        if len(self.peer_key) < SHORTEST_PEER_KEY:
+            raise SettingsError(f"$.peer_key: expected {SHORTEST_PEER_KEY} characters or more")
+        if not 0.0 <= self.trace_share <= 1.0:
+            raise SettingsError(f"$.trace_share: value {self.trace_share}: expected 0 to 1")
+        if not self.drain_notice_seconds >= 0.0:
+            raise SettingsError(
+                f"$.drain_notice_seconds: value {self.drain_notice_seconds}: expected 0 or more"
+            )
+
+
+def _check_address(field: str, text: str) -> None:
+    try:
+        Address.parse(text)
+    except SettingsError as error:
+        raise SettingsError(f"$.{field}: {error}") from error
--- /dev/null
+++ b/fireflyfork/programs/_guard_messages.py
@@ -0,0 +1,140 @@
+"""The membership protocol on peer streams."""
+
+from __future__ import annotations
+
+from typing import TypeVar
+
+import msgpack
+import msgspec
+import trio
+from loguru import logger
+
+from .._errors import FireflyforkError, PeerError
+from .._ids import MemberId
+from ..adapters import Control, Peers
+from ..decisions import ConfigurationOffer, Member
+from ._configuration_keeper import ConfigurationKeeper
+from ._guard_channel import FleetOffer, GuardChannel, GuardQuestion, GuardReply
+from ._membership import Membership
+from ._peer_service import ControlHandler
+
+ASK_SECONDS = 0.5
+"""A question that takes longer proves too little to be worth waiting for."""
+
+QUESTION = "guard-question"
+REPLY = "guard-reply"
+FLEET = "fleet"
+CONFIGURATION = "configuration"
+
+Content = TypeVar("Content")
+
+
+class PeerGuardChannel(GuardChannel, ControlHandler):
+    """Sends the protocol's messages, and takes the replies to questions."""
+
+    def __init__(self, peers: Peers) -> None:
+        """Call ``attach`` before use, and subscribe it to ``REPLY``."""
+        self._peers = peers
+        self._keeper: ConfigurationKeeper | None = None
+        self._waiting: dict[tuple[MemberId, int], trio.Event] = {}
+        self._replies: dict[tuple[MemberId, int], GuardReply] = {}
+
+    def attach(self, keeper: ConfigurationKeeper) -> None:
+        """Compare the configuration versions of guards with that of ``keeper``."""
+        self._keeper = keeper
+
+    async def ask(self, peer: Member, question: GuardQuestion) -> GuardReply:
+        """See GuardChannel."""
+        key = (peer.member_id, question.nonce)
+        arrived = self._waiting[key] = trio.Event()
+        try:
+            with trio.fail_after(ASK_SECONDS):
+                await self._send(peer, QUESTION, question)
+                await arrived.wait()
+            return self._replies.pop(key)
+        except trio.TooSlowError as error:
+            raise PeerError(f"{peer.member_id} did not reply in time") from error
+        finally:
+            del self._waiting[key]
+
+    async def offer_fleet(self, peer: Member, offer: FleetOffer) -> None:
+        """See GuardChannel."""
+        await self._send(peer, FLEET, offer)
+
+    async def offer_configuration(self, peer: Member, offer: ConfigurationOffer) -> None:
+        """See GuardChannel."""
+        await self._send(peer, CONFIGURATION, offer)
+
+    def handle(self, member: MemberId, content: bytes) -> Control | None:
+        """Take a reply; one that nobody waits for any more is dropped."""
+        reply = _decode(content, GuardReply)
+        key = (member, reply.nonce)
+        if key in self._waiting:
+            if self._keeper is not None:
+                self._keeper.peer_holds(member, reply.configuration_version)
+            self._replies[key] = reply
+            self._waiting[key].set()
+        return None
+
+    async def _send(self, peer: Member, topic: str, content: object) -> None:
+        stream = await self._peers.stream(peer.member_id)
+        stream.send(Control(topic, _encode(content)))
+
+
+class QuestionHandler(ControlHandler):
+    """Answers the questions of members that take this one for their guard."""
+
+    def __init__(self, membership: Membership, keeper: ConfigurationKeeper) -> None:
+        """The asker's configuration version is compared with that of ``keeper``."""
+        self._membership = membership
+        self._keeper = keeper
+
+    def handle(self, member: MemberId, content: bytes) -> Control | None:
+        """See ControlHandler."""
+        question = _decode(content, GuardQuestion)
+        if question.asker != member:
+            logger.warning("question in another member's name", member=member)
+            return None
+        self._keeper.peer_holds(member, question.configuration_version)
+        return Control(REPLY, _encode(self._membership.asked(question)))
+
+
+class FleetHandler(ControlHandler):
+    """Takes fleet records that peers pass on."""
+
+    def __init__(self, membership: Membership) -> None:
+        """Pass them to ``membership``."""
+        self._membership = membership
+
+    def handle(self, member: MemberId, content: bytes) -> Control | None:
+        """See ControlHandler."""
+        try:
+            self._membership.offered(_decode(content, FleetOffer))
+        except FireflyforkError as error:
+            logger.warning("bad fleet record", member=member, error=str(error))
+        return None
+
+
+class ConfigurationHandler(ControlHandler):
+    """Takes configurations that peers pass on."""
+
+    def __init__(self, keeper: ConfigurationKeeper) -> None:
+        """Pass them to ``keeper``."""
+        self._keeper = keeper
+
+    def handle(self, member: MemberId, content: bytes) -> Control | None:
+        """See ControlHandler."""
+        self._keeper.offered(member, _decode(content, ConfigurationOffer))
+        return None
+
+
+def _encode(content: object) -> bytes:
+    return bytes(msgpack.packb(msgspec.to_builtins(content, builtin_types=(bytes,))))
+
+
+def _decode(content: bytes, content_type: type[Content]) -> Content:
+    try:
+        plain = msgpack.unpackb(content)
+        return msgspec.convert(plain, content_type, builtin_types=(bytes,))
+    except (ValueError, msgspec.ValidationError, msgpack.UnpackException) as error:
+        raise PeerError(f"bad {content_type.__name__}: {error}") from error
--- /dev/null
+++ b/fireflyfork/programs/_keyed_requests.py
@@ -0,0 +1,106 @@
+"""Requests that must run at most once, kept apart by their idempotency keys.
+
+A key has a home: the member that owns the partition the key hashes into. All repeats of a key meet
+there, at whichever entry they arrive, so that one process can tell a repeat from a new request.
+"""
+
+from __future__ import annotations
+
+import secrets
+import time
+from collections.abc import Callable
+from dataclasses import replace
+
+from .._contracts import Configuration
+from .._errors import RequestError
+from .._ids import IdempotencyKey, PartitionId, RegionName
+from .._requests import ServiceRequest
+from .._verdict import Verdict
+from ..adapters import Role
+from ..decisions import partition_of
+from ._bodies import RequestBody
+from ._forwarding import Forwarder
+from ._ownership import OwnershipView
+from ._request_flow import RequestFlow
+from ._sinks import AnswerSink
+
+_MOST_MINTED = 1000
+_SEPARATOR = "."
+
+ConfigurationInForce = Callable[[], Configuration | None]
+
+
+class KeyedRequests:
+    """Sends each keyed request through the home of its key."""
+
+    def __init__(
+        self,
+        ownership: OwnershipView,
+        flow: RequestFlow,
+        forwarder: Forwarder,
+        configuration: ConfigurationInForce,
+    ) -> None:
+        """``configuration`` tells the one in force."""
+        self._ownership = ownership
+        self._flow = flow
+        self._forwarder = forwarder
+        self._configuration = configuration
+
+    def with_key(self, request: ServiceRequest) -> ServiceRequest:
+        """The request with a key: a minted one when the caller sent none.
+
+        A minted key is drawn until its home is this entry, which saves the hop to another. It
+        names the region, so that a repeat finds the same home from any region.
+        """
+        if request.key:
+            return request
+        region = self._ownership.region_of(self._ownership.own) or RegionName("")
+        key = _mint(region)
+        for _ in range(_MOST_MINTED):
+            if self._ownership.owner_of(self.partition(key)) == self._ownership.own:
+                break
+            key = _mint(region)
+        return replace(request, key=key)
+
+    def partition(self, key: IdempotencyKey) -> PartitionId:
+        """The partition whose owner is the key's home."""
+        count = self._ownership.partitions_per_region
+        return partition_of(self._home_region(key), key, count)
+
+    async def run(self, request: ServiceRequest, body: RequestBody, sink: AnswerSink) -> None:
+        """Run a keyed request through its home. Raises RequestError, HttpError."""
+        assert request.key
+        home = self._ownership.owner_of(self.partition(request.key))
+        if home is None:
+            raise RequestError(503, "the key has no home now", Verdict.NOT_RUN, retry_after=1.0)
+        if home == self._ownership.own:
+            await self.run_as_home(request, body, sink)
+        else:
+            await self._forwarder.forward(home, Role.HOME, request, body, sink)
+
+    async def run_as_home(
+        self, request: ServiceRequest, body: RequestBody, sink: AnswerSink
+    ) -> None:
+        """Run a keyed request whose home is here. Raises RequestError, HttpError."""
+        assert request.key
+        if not self._ownership.may_dispatch(self.partition(request.key)):
+            raise RequestError(503, "not the home of the key", Verdict.NOT_RUN, retry_after=1.0)
+        await self._flow.dispatch(request, body, sink)
+
+    def _home_region(self, key: IdempotencyKey) -> RegionName:
+        configuration = self._configuration()
+        regions = [region.name for region in configuration.regions] if configuration else []
+        named = RegionName(key.partition(_SEPARATOR)[0])
+        if named in regions:
+            return named
+        return regions[0] if regions else named
+
+
+def _mint(region: RegionName) -> IdempotencyKey:
+    """A key with the region and a UUIDv7, whose first 48 bits are the time in milliseconds."""
+    milliseconds = time.time_ns() // 1_000_000
+    random = secrets.randbits(74)
+    value = milliseconds << 80 | 0x7 << 76 | (random >> 62) << 64 | 0b10 << 62 | random % (1 << 62)
+    digits = f"{value:032x}"
+    groups = (digits[:8], digits[8:12], digits[12:16], digits[16:20], digits[20:])
+    return IdempotencyKey(f"{region}{_SEPARATOR}{'-'.join(groups)}")
--- /dev/null
+++ b/fireflyfork/programs/_membership_view.py
@@ -0,0 +1,65 @@
+"""The ownership view of a running membership."""
+
+from __future__ import annotations
+
+from .._ids import MemberId, PartitionId, RegionName
+from .._links import Address
+from .._zones import Zone
+from ..decisions import Member, Ownership
+from ._membership import Membership
+from ._ownership import OwnershipView
+
+
+class MembershipView(OwnershipView):
+    """What the request path sees of the membership."""
+
+    def __init__(self, zone: Zone) -> None:
+        """``zone`` is this process's own; call ``attach`` before use."""
+        self._zone = zone
+        self._membership: Membership | None = None
+
+    def attach(self, membership: Membership) -> None:
+        """Give it the membership."""
+        self._membership = membership
+
+    @property
+    def own(self) -> MemberId:
+        """See OwnershipView."""
+        return self._running.member_id
+
+    @property
+    def partitions_per_region(self) -> int:
+        """See OwnershipView."""
+        return self._running.record.partitions_per_region
+
+    def ownership_of(self, partition: PartitionId) -> Ownership | None:
+        """See OwnershipView."""
+        return self._running.record.owners.get(partition)
+
+    def may_dispatch(self, partition: PartitionId) -> bool:
+        """See OwnershipView."""
+        return self._running.may_dispatch(partition)
+
+    def region_of(self, member: MemberId) -> RegionName | None:
+        """See OwnershipView."""
+        if member == self.own:
+            return self._zone.region
+        known = self._member(member)
+        return known.zone.region if known is not None else None
+
+    def address_of(self, member: MemberId) -> Address | None:
+        """See OwnershipView."""
+        known = self._member(member)
+        return known.address if known is not None else None
+
+    def other_members(self) -> tuple[MemberId, ...]:
+        """See OwnershipView."""
+        return tuple(member for member in self._running.record.members if member != self.own)
+
+    def _member(self, member: MemberId) -> Member | None:
+        return self._running.record.members.get(member)
+
+    @property
+    def _running(self) -> Membership:
+        assert self._membership is not None
+        return self._membership
--- /dev/null
+++ b/fireflyfork/programs/_ownership.py
@@ -0,0 +1,48 @@
+"""Who owns what, as the request path sees it."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+
+from .._ids import MemberId, PartitionId, RegionName
+from .._links import Address
+from ..decisions import Ownership
+
+
+class OwnershipView(ABC):
+    """The fleet record, and this member's right to act on it."""
+
+    @property
+    @abstractmethod
+    def own(self) -> MemberId:
+        """This member."""
+
+    @property
+    @abstractmethod
+    def partitions_per_region(self) -> int:
+        """Into how many partitions each region's targets and keys are hashed."""
+
+    @abstractmethod
+    def ownership_of(self, partition: PartitionId) -> Ownership | None:
+        """Who owns the partition by the latest record known here, and how that came about."""
+
+    @abstractmethod
+    def may_dispatch(self, partition: PartitionId) -> bool:
+        """Whether this member may act as its owner now. Ask right before each dispatch."""
+
+    @abstractmethod
+    def region_of(self, member: MemberId) -> RegionName | None:
+        """The region of a member, or None when it is unknown."""
+
+    @abstractmethod
+    def address_of(self, member: MemberId) -> Address | None:
+        """Where peers reach a member, or None when it is unknown."""
+
+    @abstractmethod
+    def other_members(self) -> tuple[MemberId, ...]:
+        """All members but this one."""
+
+    def owner_of(self, partition: PartitionId) -> MemberId | None:
+        """The owner of the partition, or None when there is none."""
+        ownership = self.ownership_of(partition)
+        return ownership.owner if ownership is not None else None
--- a/fireflyfork/programs/_settings.py
+++ b/fireflyfork/programs/_settings.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import sys
+from collections.abc import Callable
 from pathlib import Path
 from typing import TypeVar
 
@@ -37,10 +38,20 @@
     return decode_settings(text, settings_type, str(path))
 
 
-def load_settings_or_exit(path: Path, settings_type: type[SettingsType]) -> SettingsType:
-    """As ``load_settings``, but a bad file ends the process with status 2 and a message."""
+def load_settings_or_exit(
+    path: Path,
+    settings_type: type[SettingsType],
+    check: Callable[[SettingsType], None] | None = None,
+) -> SettingsType:
+    """As ``load_settings``, but a bad file ends the process with status 2 and a message.
+
+    ``check`` raises SettingsError for what the types allow all the same.
+    """
     try:
-        return load_settings(path, settings_type)
+        settings = load_settings(path, settings_type)
+        if check is not None:
+            check(settings)
+        return settings
     except SettingsError as error:
         print(f"settings: {error}", file=sys.stderr)
         sys.exit(EXIT_BAD_SETTINGS)
--- /dev/null
+++ b/fireflyfork/programs/_sinks.py
@@ -0,0 +1,168 @@
+"""Where an answer goes: to a caller, to the peer that forwarded the request, or nowhere."""
+
+from __future__ import annotations
+
+import math
+from abc import ABC, abstractmethod
+from collections.abc import Awaitable, Callable
+
+from .._errors import PeerError, RequestError, TargetLostError
+from .._requests import ServiceRequest
+from .._verdict import Verdict
+from ..adapters import (
+    Exchange,
+    Header,
+    HttpError,
+    IncomingCall,
+    ResponseHead,
+    ServiceFigures,
+    end_to_end,
+)
+from ._caller_requests import KEY_HEADER, REQUEST_ID_HEADER, VERDICT_HEADER
+
+
+class AnswerSink(ABC):
+    """Takes one answer."""
+
+    def __init__(self) -> None:
+        """Nothing taken yet."""
+        self._started = False
+        self._ended = False
+
+    @property
+    def started(self) -> bool:
+        """Whether the head was taken, after which nothing else can be said."""
+        return self._started
+
+    @property
+    def ended(self) -> bool:
+        """Whether the whole answer was taken."""
+        return self._ended
+
+    async def start(self, head: ResponseHead) -> None:
+        """Take the head of the answer."""
+        self._started = True
+        await self._start(head)
+
+    async def send(self, data: bytes) -> None:
+        """Take a part of the body."""
+        await self._send(data)
+
+    async def end(self) -> None:
+        """Take the end of the body."""
+        await self._end()
+        self._ended = True
+
+    @abstractmethod
+    async def _start(self, head: ResponseHead) -> None: ...
+
+    @abstractmethod
+    async def _send(self, data: bytes) -> None: ...
+
+    @abstractmethod
+    async def _end(self) -> None: ...
+
+
+class CallerSink(AnswerSink):
+    """Answers a caller."""
+
+    def __init__(self, exchange: Exchange) -> None:
+        """Set ``request`` as soon as it is known, so that answers can carry its ids."""
+        super().__init__()
+        self._exchange = exchange
+        self.request: ServiceRequest | None = None
+
+    async def fail(self, error: RequestError) -> None:
+        """Say that there is no answer; when one has begun, break it off."""
+        if self._started:
+            self._exchange.abort()
+            return
+        self._started = True
+        body = {
+            "error": error.reason,
+            "verdict": error.verdict.value,
+            "retry_after_seconds": error.retry_after,
+        }
+        headers = [*self._own_headers(error.verdict)]
+        if error.retry_after is not None:
+            seconds = max(1, math.ceil(error.retry_after))
+            headers.append((b"retry-after", str(seconds).encode("ascii")))
+        await self._exchange.answer_json(error.status, body, headers)
+
+    async def _start(self, head: ResponseHead) -> None:
+        headers = (*end_to_end(head.headers), *self._own_headers(Verdict.ANSWERED))
+        await self._exchange.start(head.status, headers)
+
+    async def _send(self, data: bytes) -> None:
+        await self._exchange.send(data)
+
+    async def _end(self) -> None:
+        await self._exchange.end()
+
+    def _own_headers(self, verdict: Verdict) -> tuple[Header, ...]:
+        headers = [(VERDICT_HEADER, verdict.value.encode("ascii"))]
+        if self.request is not None:
+            headers.append((REQUEST_ID_HEADER, self.request.request_id.encode("ascii")))
+            headers.append((b"trace-id", self.request.trace.trace_id.encode("ascii")))
+            if self.request.key:
+                headers.append((KEY_HEADER, self.request.key.encode("latin-1")))
+        return tuple(headers)
+
+
+class PeerSink(AnswerSink):
+    """Answers the peer that forwarded the request."""
+
+    def __init__(self, call: IncomingCall, figures: Callable[[], ServiceFigures]) -> None:
+        """``figures`` of the service are reported with the answer."""
+        super().__init__()
+        self._call = call
+        self._figures = figures
+
+    async def _start(self, head: ResponseHead) -> None:
+        self._call.start(head.status, head.headers, self._figures())
+
+    async def _send(self, data: bytes) -> None:
+        await self._call.send(data, end=False)
+
+    async def _end(self) -> None:
+        await self._call.send(b"", end=True)
+
+
+class RelaySink(AnswerSink):
+    """Passes an answer on until the one who waits for it has gone, and drops the rest.
+
+    An executor's answer is read to its end even when nobody wants it any more, since its slot is
+    busy until then.
+    """
+
+    def __init__(self, waiting: AnswerSink) -> None:
+        """Pass on to ``waiting``."""
+        super().__init__()
+        self._waiting: AnswerSink | None = waiting
+
+    def detach(self) -> None:
+        """Drop all that follows."""
+        self._waiting = None
+
+    async def _start(self, head: ResponseHead) -> None:
+        if self._waiting is not None:
+            await self._pass(self._waiting.start(head))
+
+    async def _send(self, data: bytes) -> None:
+        if self._waiting is not None:
+            await self._pass(self._waiting.send(data))
+
+    async def _end(self) -> None:
+        if self._waiting is not None:
+            await self._pass(self._waiting.end())
+
+    async def _pass(self, taking: Awaitable[None]) -> None:
+        try:
+            await taking
+        except (HttpError, PeerError):
+            self.detach()
+
+
+def answer_broke_off(reason: str) -> TargetLostError:
+    """The error of an answer that ended before its end."""
+    return TargetLostError(502, reason, Verdict.MAY_HAVE_RUN, None)
--- /dev/null
+++ b/fireflyfork/programs/_target_groups.py
@@ -0,0 +1,158 @@
+"""All targets that this entry owns, kept in step with configuration, ownership and instance list."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterator
+
+import trio
+
+from .._contracts import Configuration, TargetContract
+from .._ids import MemberId, PartitionId, ServiceName, TargetId
+from ..decisions import (
+    Acquisition,
+    HandedSlot,
+    LeavingTargets,
+    OccupiedSlots,
+    Ownership,
+    SlotHandover,
+    SlotLedger,
+    SlotTerms,
+    partition_of,
+)
+from ._ownership import OwnershipView
+from ._target_group import OwnedTarget, TargetGroup
+
+
+class TargetGroups:
+    """The groups by service, and which members own targets of each service."""
+
+    def __init__(self, ownership: OwnershipView) -> None:
+        """No configuration yet."""
+        self._ownership = ownership
+        self._groups: dict[ServiceName, TargetGroup] = {}
+        self._owners: dict[ServiceName, tuple[MemberId, ...]] = {}
+        self._leaving = LeavingTargets()
+        self._partition_of: dict[TargetId, PartitionId] = {}
+
+    @property
+    def leaving(self) -> LeavingTargets:
+        """The targets that get nothing new."""
+        return self._leaving
+
+    def group(self, service: ServiceName) -> TargetGroup | None:
+        """The group of a service, or None when the configuration has no such service."""
+        return self._groups.get(service)
+
+    def groups(self) -> Iterator[TargetGroup]:
+        """All groups."""
+        yield from self._groups.values()
+
+    def other_owners(self, service: ServiceName) -> tuple[MemberId, ...]:
+        """The other members that own targets of the service."""
+        return self._owners.get(service, ())
+
+    def note_leaving(self, leaving: LeavingTargets) -> None:
+        """Give nothing new to these targets from now on."""
+        self._leaving = leaving
+        now = trio.current_time()
+        for group in self._groups.values():
+            for target_id, target in group.targets.items():
+                self._mark(target, leaving.includes(target_id, now))
+            group.wake()
+
+    def refresh(self, configuration: Configuration) -> None:
+        """Follow a change of the configuration or of ownership."""
+        wanted = self._wanted(configuration)
+        for contract in configuration.services:
+            group = self._groups.setdefault(contract.name, TargetGroup(contract))
+            group.update_contract(contract)
+            self._refresh_group(group, wanted[contract.name])
+        for name in self._groups.keys() - {contract.name for contract in configuration.services}:
+            del self._groups[name]
+        self.note_leaving(self._leaving)
+
+    def occupied(
+        self, partitions: frozenset[PartitionId]
+    ) -> dict[PartitionId, tuple[OccupiedSlots, ...]]:
+        """The slots of owned targets in ``partitions`` that may still be busy."""
+        now = trio.current_time()
+        found: dict[PartitionId, list[OccupiedSlots]] = defaultdict(list)
+        for group in self._groups.values():
+            for target in group.targets.values():
+                if target.partition in partitions and target.ledger.busy(now):
+                    found[target.partition].append(_occupied(target, now))
+        return {partition: tuple(slots) for partition, slots in found.items()}
+
+    def _wanted(self, configuration: Configuration) -> dict[ServiceName, list[TargetContract]]:
+        wanted: dict[ServiceName, list[TargetContract]] = defaultdict(list)
+        others: dict[ServiceName, set[MemberId]] = defaultdict(set)
+        for target in configuration.targets:
+            partition = self._partition(target)
+            owner = self._ownership.owner_of(partition)
+            if owner == self._ownership.own:
+                wanted[target.service].append(target)
+            elif owner is not None:
+                others[target.service].add(owner)
+        self._owners = {service: tuple(sorted(members)) for service, members in others.items()}
+        return wanted
+
+    def _partition(self, target: TargetContract) -> PartitionId:
+        count = self._ownership.partitions_per_region
+        partition = partition_of(target.region, target.target_id, count)
+        self._partition_of[target.target_id] = partition
+        return partition
+
+    def _refresh_group(self, group: TargetGroup, wanted: list[TargetContract]) -> None:
+        by_id = {target.target_id: target for target in wanted}
+        for target_id in group.targets.keys() - by_id.keys():
+            group.remove(target_id)
+        for target_id, contract in by_id.items():
+            owned = group.targets.get(target_id)
+            partition = self._partition_of[target_id]
+            ownership = self._ownership.ownership_of(partition)
+            assert ownership is not None
+            if owned is not None and owned.since != ownership.since:
+                group.remove(target_id)
+                owned = None
+            if owned is None:
+                ledger = _first_ledger(group, contract, ownership)
+                group.add(contract, partition, ownership.since, ledger)
+            elif owned.contract != contract:
+                owned.contract = contract
+                terms = SlotTerms.from_contracts(contract, group.contract)
+                owned.ledger = owned.ledger.with_terms(terms)
+
+    @staticmethod
+    def _mark(target: OwnedTarget, leaving: bool) -> None:
+        if leaving != target.ledger.leaving:
+            target.ledger = target.ledger.leave() if leaving else target.ledger.rejoin()
+
+
+def _first_ledger(group: TargetGroup, contract: TargetContract, ownership: Ownership) -> SlotLedger:
+    terms = SlotTerms.from_contracts(contract, group.contract)
+    now = trio.current_time()
+    if ownership.acquired is Acquisition.FIRST:
+        return SlotLedger(terms)
+    if ownership.acquired is Acquisition.MOVED:
+        handover = _handover(ownership.occupied, contract.target_id, terms)
+        return SlotLedger.after_handover(terms, handover, now)
+    return SlotLedger.after_fence(terms, now)
+
+
+def _handover(
+    occupied: tuple[OccupiedSlots, ...], target_id: TargetId, terms: SlotTerms
+) -> SlotHandover:
+    handed = tuple(
+        HandedSlot(None, slots.seconds)
+        for slots in occupied
+        if slots.target_id == target_id
+        for _ in range(slots.slots)
+    )
+    return SlotHandover(handed, terms.own_connections, leaving=False)
+
+
+def _occupied(target: OwnedTarget, now: float) -> OccupiedSlots:
+    ledger = target.ledger
+    last = max(slot.until for slot in ledger.occupied)
+    return OccupiedSlots(target.contract.target_id, ledger.busy(now), last - now)
--- /dev/null
+++ b/fireflyfork/programs/tests/builders_entries.py
@@ -0,0 +1,233 @@
+"""Builds whole entries and executors in one event loop, on real sockets of the loopback."""
+
+from __future__ import annotations
+
+import io
+from collections.abc import AsyncIterator, Mapping
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field, replace
+from random import Random
+
+import msgspec
+import trio
+
+from fireflyfork_standins.executor import ExecutorHandler
+
+from ... import (
+    Address,
+    ChangeId,
+    Configuration,
+    ConfigurationVersion,
+    Epoch,
+    FailureDomainName,
+    MemberId,
+    PartitionId,
+    Region,
+    RegionName,
+    ServiceContract,
+    ServiceName,
+    TargetContract,
+    TargetId,
+    TeamName,
+)
+from ..._traces import Span
+from ...adapters import HttpClient, HttpServer, ResponseHead, listen
+from ...decisions import Acquisition, Ownership
+from .._entry import Entry, EntryListeners
+from .._ownership import OwnershipView
+from .._span_writer import SpanWriter
+
+REGION = RegionName("viti")
+SERVICE = ServiceName("desk")
+PEER_KEY = b"0123456789abcdef"
+PARTITIONS = 4
+
+
+@dataclass(slots=True)
+class FleetOfTest:
+    """What all entries of a test believe; tests change it."""
+
+    owners: dict[PartitionId, MemberId] = field(default_factory=dict)
+    addresses: dict[MemberId, Address] = field(default_factory=dict)
+    without_right: set[MemberId] = field(default_factory=set)
+
+
+class FixedOwnership(OwnershipView):
+    """An ownership view over the fleet of a test."""
+
+    def __init__(self, own: MemberId, fleet: FleetOfTest) -> None:
+        self._own = own
+        self._fleet = fleet
+
+    @property
+    def own(self) -> MemberId:
+        return self._own
+
+    @property
+    def partitions_per_region(self) -> int:
+        return PARTITIONS
+
+    def ownership_of(self, partition: PartitionId) -> Ownership | None:
+        owner = self._fleet.owners.get(partition)
+        return Ownership(owner, Epoch(1), Acquisition.FIRST) if owner else None
+
+    def may_dispatch(self, partition: PartitionId) -> bool:
+        return self.owner_of(partition) == self._own and self._own not in self._fleet.without_right
+
+    def region_of(self, member: MemberId) -> RegionName | None:
+        return REGION if member in self._fleet.addresses else None
+
+    def address_of(self, member: MemberId) -> Address | None:
+        return self._fleet.addresses.get(member)
+
+    def other_members(self) -> tuple[MemberId, ...]:
+        return tuple(member for member in self._fleet.addresses if member != self._own)
+
+
+@dataclass(slots=True)
+class RunningEntry:
+    """An entry under test and how to call it."""
+
+    entry: Entry
+    caller_address: Address
+    written: io.StringIO
+
+    async def call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        timeout_ms: str | None = "5000",
+        headers: tuple[tuple[bytes, bytes], ...] = (),
+    ) -> tuple[ResponseHead, bytes]:
+        """One request of a caller, on a connection of its own."""
+        client = HttpClient(self.caller_address, timeout=20.0)
+        if timeout_ms is not None:
+            headers = (*headers, (b"request-timeout-ms", timeout_ms.encode()))
+        try:
+            return await client.call(method, path, headers, body)
+        finally:
+            client.close()
+
+    def spans(self) -> list[Span]:
+        """The spans written so far."""
+        lines = self.written.getvalue().splitlines()
+        return [msgspec.json.decode(line, type=Span) for line in lines]
+
+
+@dataclass(slots=True)
+class RunningFleet:
+    """Entries and executors under test."""
+
+    fleet: FleetOfTest
+    entries: list[RunningEntry]
+    executors: dict[TargetId, ExecutorHandler]
+    configuration: Configuration
+
+    def runs(self) -> list[str]:
+        """The idempotency keys, or request ids where there is none, of all that executors ran."""
+        return [
+            run.key or run.request_id
+            for executor in self.executors.values()
+            for run in executor.history
+        ]
+
+    async def spans_when(self, names: set[str]) -> list[Span]:
+        """All spans, once those of ``names`` are written; a span is written after its answer."""
+        while True:
+            spans = [span for running in self.entries for span in running.spans()]
+            if names <= {span.name for span in spans}:
+                return spans
+            await trio.sleep(0.01)
+
+    def reconfigure(self, **changes: object) -> None:
+        """Change the service's contract at all entries."""
+        service = replace(self.configuration.services[0], **changes)  # type: ignore[arg-type]
+        self.configuration = replace(self.configuration, services=(service,))
+        for running in self.entries:
+            running.entry.configure(self.configuration)
+
+
+def a_service(**changes: object) -> ServiceContract:
+    """A service that answers within a second."""
+    service = ServiceContract(
+        name=SERVICE,
+        team=TeamName("desk-team"),
+        longest_run_seconds=2.0,
+        longest_timeout_seconds=10.0,
+    )
+    return replace(service, **changes)  # type: ignore[arg-type]
+
+
+@asynccontextmanager
+async def running_fleet(
+    entries: int = 3,
+    executors: int = 2,
+    slots: int = 2,
+    run_seconds: float = 0.02,
+    owned_by: Mapping[int, int] | None = None,
+) -> AsyncIterator[RunningFleet]:
+    """Start everything. ``owned_by`` maps partition numbers to entries; entry 0 owns the rest."""
+    async with trio.open_nursery() as nursery:
+        handlers, targets = await _start_executors(nursery, executors, slots, run_seconds)
+        configuration = Configuration(
+            version=ConfigurationVersion(1),
+            change_id=ChangeId("test"),
+            regions=(Region(REGION, (FailureDomainName("suva"),)),),
+            services=(a_service(),),
+            targets=targets,
+        )
+        fleet = FleetOfTest()
+        members = [MemberId(f"entry-{number}") for number in range(entries)]
+        for number in range(PARTITIONS):
+            owner = members[(owned_by or {}).get(number, 0)]
+            fleet.owners[PartitionId(f"{REGION}/{number}")] = owner
+        running = [await _start_entry(nursery, member, fleet) for member in members]
+        for one in running:
+            one.entry.configure(configuration)
+        yield RunningFleet(fleet, running, handlers, configuration)
+        nursery.cancel_scope.cancel()
+
+
+async def _start_executors(
+    nursery: trio.Nursery, count: int, slots: int, run_seconds: float
+) -> tuple[dict[TargetId, ExecutorHandler], tuple[TargetContract, ...]]:
+    handlers: dict[TargetId, ExecutorHandler] = {}
+    targets: list[TargetContract] = []
+    for number in range(count):
+        handler = ExecutorHandler(slots, run_seconds, Random(number))
+        address = await _serve(nursery, HttpServer(handler))
+        target_id = TargetId(f"desk-{number}")
+        handlers[target_id] = handler
+        targets.append(
+            TargetContract(
+                target_id, SERVICE, str(address), REGION, FailureDomainName("suva"), slots, 64
+            )
+        )
+    return handlers, tuple(targets)
+
+
+async def _serve(nursery: trio.Nursery, server: HttpServer) -> Address:
+    listeners = await listen("127.0.0.1", 0)
+    nursery.start_soon(server.run, listeners)
+    return _address(listeners)
+
+
+async def _start_entry(nursery: trio.Nursery, member: MemberId, fleet: FleetOfTest) -> RunningEntry:
+    listeners = EntryListeners(
+        callers=await listen("127.0.0.1", 0),
+        peers=await listen("127.0.0.1", 0),
+        operators=await listen("127.0.0.1", 0),
+    )
+    fleet.addresses[member] = _address(listeners.peers)
+    written = io.StringIO()
+    entry = Entry(
+        FixedOwnership(member, fleet), PEER_KEY, SpanWriter(member, written), Random(member)
+    )
+    nursery.start_soon(entry.run, listeners)
+    return RunningEntry(entry, _address(listeners.callers), written)
+
+
+def _address(listeners: list[trio.SocketListener]) -> Address:
+    host, port = listeners[0].socket.getsockname()
+    return Address(host, port)
--- /dev/null
+++ b/fireflyfork/programs/tests/test_request_path.py
@@ -0,0 +1,193 @@
+"""The whole way of requests through entries, on real sockets."""
+
+import unittest
+from collections.abc import Awaitable, Callable
+
+import msgspec
+import trio
+
+from fireflyfork_standins import Switches
+
+from ... import MemberId
+from .builders_entries import RunningFleet, running_fleet
+
+Body = Callable[[RunningFleet], Awaitable[None]]
+GENEROUS_SECONDS = 60.0
+
+
+def run_fleet(body: Body, **arrangement: object) -> None:
+    """Run ``body`` with a fleet of that arrangement."""
+
+    async def main() -> None:
+        with trio.fail_after(GENEROUS_SECONDS):
+            async with running_fleet(**arrangement) as fleet:  # type: ignore[arg-type]
+                await body(fleet)
+
+    trio.run(main)
+
+
+class RequestPathTest(unittest.TestCase):
+    """Requests that go well, and bad input at the door."""
+
+    def test_a_booking_through_an_entry_that_owns_nothing(self) -> None:
+        """It is answered whole, runs once, and leaves a span for every hop of one trace."""
+
+        async def body(fleet: RunningFleet) -> None:
+            caller = fleet.entries[2]
+            head, answer = await caller.call("POST", "/desk/holds?room=1", b"clerk")
+            self.assertEqual(head.status, 200, answer)
+            self.assertEqual(msgspec.json.decode(answer)["path"], "/holds?room=1")
+            self.assertEqual(msgspec.json.decode(answer)["body"], "clerk")
+            self.assertEqual(head.header(b"fireflyfork-verdict"), "answered")
+            self.assertEqual(fleet.runs(), [head.header(b"idempotency-key")])
+            spans = await fleet.spans_when({"request", "forward", "peer-request", "target"})
+            self.assertEqual(len({span.trace_id for span in spans}), 1)
+
+        run_fleet(body)
+
+    def test_bodies_stream_whole_through_two_hops(self) -> None:
+        """A body far larger than any buffer on the way comes back unchanged."""
+
+        async def body(fleet: RunningFleet) -> None:
+            sent = b"0123456789abcdef" * 50_000
+            head, answer = await fleet.entries[1].call("POST", "/desk/upload", sent)
+            self.assertEqual(head.status, 200)
+            self.assertEqual(msgspec.json.decode(answer)["body"].encode(), sent)
+
+        run_fleet(body)
+
+    def test_many_callers_each_get_their_own_answer(self) -> None:
+        """Answers come back in another order than requests went out, on the same peer stream."""
+
+        async def body(fleet: RunningFleet) -> None:
+            async def one(number: int) -> None:
+                entry = fleet.entries[number % 3]
+                head, answer = await entry.call("POST", f"/desk/{number}", str(number).encode())
+                self.assertEqual(head.status, 200, answer)
+                self.assertEqual(msgspec.json.decode(answer)["body"], str(number))
+
+            async with trio.open_nursery() as nursery:
+                for number in range(60):
+                    nursery.start_soon(one, number)
+            self.assertEqual(len(set(fleet.runs())), 60)
+            self.assertEqual(len(fleet.runs()), 60)
+            for executor in fleet.executors.values():
+                self.assertLessEqual(executor.most_busy, 2)
+
+        run_fleet(body, owned_by={0: 0, 1: 1, 2: 2, 3: 1})
+
+    def test_bad_input_is_refused_with_a_reason(self) -> None:
+        """Each mistake gets a clear status and the verdict, nothing runs, and the entry lives on."""
+        key = b"idempotency-key"
+        cases = [
+            ("GET", "/nothing/x", "100", (), 404, "no service"),
+            ("GET", "/", "100", (), 400, "/SERVICE/PATH"),
+            ("GET", "/desk/x", None, (), 400, "Request-Timeout-Ms"),
+            ("GET", "/desk/x", "-5", (), 400, "Request-Timeout-Ms"),
+            ("GET", "/desk/x", "soon", (), 400, "Request-Timeout-Ms"),
+            ("GET", "/desk/x", "nan", (), 400, "Request-Timeout-Ms"),
+            ("GET", "/desk/x", "99999999", (), 400, "Request-Timeout-Ms"),
+            ("BREW", "/desk/x", "100", (), 405, "BREW"),
+            ("POST", "/desk/x", "100", ((key, b"a b"),), 400, "Idempotency-Key"),
+            ("POST", "/desk/x", "100", ((key, b""),), 400, "Idempotency-Key"),
+            ("POST", "/desk/x", "100", ((key, b"a"), (key, b"b")), 400, "more than one"),
+            ("GET", "/desk/x", "100", ((b"large", b"x" * 40_000),), 431, ""),
+        ]
+
+        async def body(fleet: RunningFleet) -> None:
+            for method, path, timeout, headers, status, reason in cases:
+                with self.subTest(method=method, path=path, timeout=timeout):
+                    head, answer = await fleet.entries[0].call(
+                        method, path, timeout_ms=timeout, headers=headers
+                    )
+                    self.assertEqual(head.status, status, answer)
+                    self.assertIn(reason, msgspec.json.decode(answer)["error"])
+                    self.assertEqual(msgspec.json.decode(answer)["verdict"], "not-run")
+            self.assertEqual(fleet.runs(), [])
+
+        run_fleet(body)
+
+    def test_an_oversized_body_is_refused(self) -> None:
+        """A caller sends more than the service takes; it is told so and nothing runs."""
+
+        async def body(fleet: RunningFleet) -> None:
+            fleet.reconfigure(longest_body_bytes=1000)
+            head, _ = await fleet.entries[1].call("POST", "/desk/x", b"x" * 2000)
+            self.assertEqual(head.status, 413)
+            self.assertEqual(fleet.runs(), [])
+
+        run_fleet(body)
+
+
+class VerdictOfFailureTest(unittest.TestCase):
+    """What callers are told when something fails."""
+
+    def test_an_answer_lost_after_the_run(self) -> None:
+        """The executor runs a booking and the connection breaks before the answer.
+
+        The caller must hear that it may have run, at once, and it must not run again elsewhere.
+        """
+
+        async def body(fleet: RunningFleet) -> None:
+            for executor in fleet.executors.values():
+                executor.switch(_switches(lose_answers=1))
+            head, answer = await fleet.entries[1].call("POST", "/desk/x")
+            self.assertEqual(head.status, 502)
+            self.assertEqual(msgspec.json.decode(answer)["verdict"], "may-have-run")
+            self.assertIsNotNone(head.header(b"retry-after"))
+            self.assertEqual(len(fleet.runs()), 1)
+
+        run_fleet(body)
+
+    def test_a_silent_executor_costs_no_more_than_the_deadline(self) -> None:
+        """The executor never answers. The caller hears so at the deadline, not later."""
+
+        async def body(fleet: RunningFleet) -> None:
+            for executor in fleet.executors.values():
+                executor.switch(_switches(silent=True))
+            head, answer = await fleet.entries[1].call("POST", "/desk/x", timeout_ms="300")
+            self.assertEqual(head.status, 504)
+            self.assertEqual(msgspec.json.decode(answer)["verdict"], "may-have-run")
+
+        run_fleet(body)
+
+    def test_an_owner_without_the_right_runs_nothing(self) -> None:
+        """The owner was paused and can't know whether it was replaced; callers hear "not run"."""
+
+        async def body(fleet: RunningFleet) -> None:
+            fleet.fleet.without_right.add(MemberId("entry-0"))
+            for entry in fleet.entries[:2]:
+                head, answer = await entry.call("GET", "/desk/x", timeout_ms="2000")
+                self.assertEqual(head.status, 503, answer)
+                self.assertEqual(msgspec.json.decode(answer)["verdict"], "not-run")
+            self.assertEqual(fleet.runs(), [])
+
+        run_fleet(body)
+
+    def test_overload_is_refused_at_once(self) -> None:
+        """Far more callers come than there is room for; the surplus hears when to come back."""
+
+        async def body(fleet: RunningFleet) -> None:
+            statuses: list[int] = []
+
+            async def one() -> None:
+                head, answer = await fleet.entries[0].call("POST", "/desk/x", timeout_ms="400")
+                statuses.append(head.status)
+                if head.status != 200:
+                    self.assertIsNotNone(head.header(b"retry-after"), answer)
+                    verdict = msgspec.json.decode(answer)["verdict"]
+                    self.assertEqual(verdict == "not-run", head.status == 503, answer)
+
+            async with trio.open_nursery() as nursery:
+                for _ in range(40):
+                    nursery.start_soon(one)
+            self.assertGreater(statuses.count(200), 0)
+            self.assertGreater(statuses.count(503), 0)
+            for executor in fleet.executors.values():
+                self.assertLessEqual(executor.most_busy, 2)
+
+        run_fleet(body, run_seconds=0.1)
+
+
+def _switches(**changes: object) -> Switches:
+    return Switches(**changes)  # type: ignore[arg-type]
--- a/fireflyfork_standins/_program.py
+++ b/fireflyfork_standins/_program.py
@@ -15,13 +15,15 @@
     server = HttpServer(handler)
     listeners = await listen(address.host, address.port)
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_stop_on_signal, server)
+        nursery.start_soon(stop_on_signal, [server])
         await server.run(listeners)
         nursery.cancel_scope.cancel()
 
 
-async def _stop_on_signal(server: HttpServer) -> None:
+async def stop_on_signal(servers: list[HttpServer]) -> None:
+    """Stop all ``servers`` at the first SIGTERM or SIGINT."""
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for _ in signals:
-            server.stop()
+            for server in servers:
+                server.stop()
             return
