Questionnaire, checks and the stored configuration's history behind fireflyfork-ctl

A new team had no way from its answers to a configuration in force. The answers file (JSON with comments, quantities with units) now generates the Configuration; each value's comment names its answer. Rules are stated over domains with wildcards and report every violation at once. `apply` writes by compare-and-swap after archiving the version it replaces, so a lost answer is settled from the change id, also when a second operator has replaced the change since; a wiped store continues above the file's version, because entries never go back.

Ruled out: settling by the current value alone (a test shows that the first operator would be told "lost" and apply twice). The configuration gains `workers` and `note`, for the checks and the history.

--- a/fireflyfork/__init__.py
+++ b/fireflyfork/__init__.py
@@ -12,6 +12,7 @@
     TeamContract,
     Tolerance,
     Weights,
+    WorkerGroup,
 )
 from ._errors import (
     BadRequestError,
@@ -92,6 +93,7 @@
     "Verdict",
     "Weights",
     "Worker",
+    "WorkerGroup",
     "WorkerId",
     "Zone",
 ]
--- a/fireflyfork/_contracts.py
+++ b/fireflyfork/_contracts.py
@@ -82,6 +82,20 @@
     """Whether the team may submit urgent work."""
 
 
+@dataclass(frozen=True, slots=True)
+class WorkerGroup:
+    """Workers of one size in one failure domain, as the operators expect them.
+
+    The platform says which workers there are; this is what the checks of a configuration use.
+    """
+
+    failure_domain: FailureDomainName
+    count: int
+    workers_per_rack: int
+    capacity: Resources
+    """Of one worker."""
+
+
 @dataclass(frozen=True, slots=True)
 class Weights:
     """How much a unit of each measure counts when placement must choose."""
@@ -107,6 +121,9 @@
     weights: Weights = field(default_factory=Weights)
     partitions_per_region: int = 32
     """Shares into which each region's targets are hashed; it can't change while entries run."""
+    workers: tuple[WorkerGroup, ...] = ()
+    note: str = ""
+    """What the operator said of this change; the history shows it."""
 
     def service(self, name: ServiceName) -> ServiceContract | None:
         """The service of that name, if there is one."""
--- /dev/null
+++ b/fireflyfork/operations/__init__.py
@@ -0,0 +1,92 @@
+"""What operators do, without terminal or sockets: answers, generation, checks, differences."""
+
+from ._answers import (
+    Answers,
+    ExecutorAnswer,
+    JobAnswer,
+    LinkAnswer,
+    Measure,
+    Question,
+    RegionAnswer,
+    ServiceAnswer,
+    TeamAnswer,
+    WorkerAnswer,
+)
+from ._changes import (
+    CONFIGURATION_KEY,
+    HISTORY_PREFIX,
+    RETAINED_VERSIONS,
+    Settlement,
+    history_key,
+    mint_change_id,
+    next_version,
+    same_decisions,
+    settle,
+    time_of_change,
+    version_of_history_key,
+)
+from ._checks import RULES, check, check_change
+from ._decoding import Decoded, decode
+from ._differences import Difference, differences
+from ._documents import (
+    decode_configuration,
+    decode_document,
+    encode_configuration,
+    parse_document,
+    render_answers,
+    render_configuration,
+    render_generated,
+    with_version,
+)
+from ._generator import Generated, generate, unusable_addresses
+from ._quantities import ByteCount, ByteRate, Cores, Duration, Quantity, Share
+from ._violations import Violation
+
+__all__ = [
+    "CONFIGURATION_KEY",
+    "HISTORY_PREFIX",
+    "RETAINED_VERSIONS",
+    "RULES",
+    "Answers",
+    "ByteCount",
+    "ByteRate",
+    "Cores",
+    "Decoded",
+    "Difference",
+    "Duration",
+    "ExecutorAnswer",
+    "Generated",
+    "JobAnswer",
+    "LinkAnswer",
+    "Measure",
+    "Quantity",
+    "Question",
+    "RegionAnswer",
+    "ServiceAnswer",
+    "Settlement",
+    "Share",
+    "TeamAnswer",
+    "Violation",
+    "WorkerAnswer",
+    "check",
+    "check_change",
+    "decode",
+    "decode_configuration",
+    "decode_document",
+    "differences",
+    "encode_configuration",
+    "generate",
+    "history_key",
+    "mint_change_id",
+    "next_version",
+    "parse_document",
+    "render_answers",
+    "render_configuration",
+    "render_generated",
+    "same_decisions",
+    "settle",
+    "time_of_change",
+    "unusable_addresses",
+    "version_of_history_key",
+    "with_version",
+]
--- /dev/null
+++ b/fireflyfork/operations/_differences.py
@@ -0,0 +1,98 @@
+"""What differs between two configurations, by the names of things and not by their places."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+import msgspec
+
+from .._contracts import Configuration
+from ._decoding import joined
+from ._violations import shown
+
+_BOOKKEEPING = frozenset({"version", "change_id", "note"})
+_NAMES = ("target_id", "name", "regions", "failure_domain")
+"""The fields that name an element of a list, the first that it has."""
+
+
+@dataclass(frozen=True, slots=True)
+class Difference:
+    """One value that was added, removed or changed."""
+
+    path: str
+    before: object | None
+    after: object | None
+
+    def __str__(self) -> str:
+        """One line, marked as in a diff."""
+        if self.before is None:
+            return f"+ {self.path}: {_shown(self.after)}"
+        if self.after is None:
+            return f"- {self.path}: {_shown(self.before)}"
+        return f"~ {self.path}: {shown(self.before)} -> {shown(self.after)}"
+
+
+def differences(
+    before: Configuration | None, after: Configuration | None
+) -> tuple[Difference, ...]:
+    """What changed from ``before`` to ``after``; version, change id and note don't count."""
+    return tuple(_compare("", _plain(before), _plain(after)))
+
+
+def _plain(configuration: Configuration | None) -> object:
+    if configuration is None:
+        return {}
+    plain = msgspec.to_builtins(configuration)
+    # Nothing tells an absent list from an empty one, so neither counts as a difference.
+    return {
+        name: value for name, value in plain.items() if name not in _BOOKKEEPING and value != ()
+    }
+
+
+def _compare(path: str, before: object, after: object) -> Iterator[Difference]:
+    if before == after:
+        return
+    if isinstance(before, dict) and isinstance(after, dict):
+        yield from _compare_named(path, before, after, "{path}.{name}")
+    elif _is_list_of_objects(before) and _is_list_of_objects(after):
+        yield from _compare_named(path, _by_name(before), _by_name(after), "{path}[{name}]")
+    else:
+        yield Difference(path, before, after)
+
+
+def _compare_named(
+    path: str, before: dict[str, object], after: dict[str, object], pattern: str
+) -> Iterator[Difference]:
+    for name in {**before, **after}:
+        where = pattern.format(path=path, name=name) if path else joined(path, name)
+        yield from _compare(where, before.get(name), after.get(name))
+
+
+def _is_list_of_objects(value: object) -> bool:
+    return isinstance(value, tuple) and all(isinstance(item, dict) for item in value)
+
+
+def _by_name(items: object) -> dict[str, object]:
+    """Objects by their names; a repeated name gets a number, so that nothing is dropped."""
+    assert isinstance(items, tuple)
+    counts: Counter[str] = Counter()
+    named: dict[str, object] = {}
+    for item in items:
+        name = _name(item)
+        counts[name] += 1
+        named[name if counts[name] == 1 else f"{name}#{counts[name]}"] = item
+    return named
+
+
+def _shown(value: object) -> str:
+    """What was added or removed; of many things only how many."""
+    if isinstance(value, tuple) and len(value) > 1 and _is_list_of_objects(value):
+        return f"{len(value)} entries"
+    return shown(value, 120)
+
+
+def _name(item: dict[str, object]) -> str:
+    value = next((item[field] for field in _NAMES if field in item), "?")
+    return "-".join(value) if isinstance(value, tuple) else str(value)
--- /dev/null
+++ b/fireflyfork/operations/_relations.py
@@ -0,0 +1,308 @@
+"""Relations between values of a configuration; each generator finds what breaks one of them."""
+
+from __future__ import annotations
+
+import ipaddress
+from collections import Counter
+from collections.abc import Iterator
+from typing import Any
+
+import msgspec
+
+from .._contracts import Configuration, ServiceContract, WorkerGroup
+from .._errors import SettingsError
+from .._ids import FailureDomainName, RegionName
+from .._links import Address
+from .._machines import Resources
+from ._rules import Located
+
+LONGEST_STORED_BYTES = 1_000_000
+"""The store holds values up to a megabyte."""
+
+Found = Iterator[Located[Any]]
+
+
+def unusable_addresses(configuration: Configuration) -> Found:
+    """Targets whose address no entry can connect to."""
+    for index, target in enumerate(configuration.targets):
+        if not _is_usable(target.address):
+            yield Located(f"targets[{index}].address", target.address)
+
+
+def misplaced_targets(configuration: Configuration) -> Found:
+    """Targets whose failure domain is not one of their region."""
+    domains = {region.name: region.failure_domains for region in configuration.regions}
+    for index, target in enumerate(configuration.targets):
+        if target.failure_domain not in domains.get(target.region, ()):
+            place = f"{target.failure_domain} in {target.region or 'no region'}"
+            yield Located(f"targets[{index}].failure_domain", place)
+
+
+def too_few_connections(configuration: Configuration) -> Found:
+    """Targets with fewer connections than slots, where slots could never be filled."""
+    for index, target in enumerate(configuration.targets):
+        if target.connections < target.slots:
+            yield Located(f"targets[{index}].connections", target.connections)
+
+
+def services_without_targets(configuration: Configuration) -> Found:
+    """Services that can answer nothing: neither targets nor placed replicas."""
+    served = {target.service for target in configuration.targets}
+    for index, service in enumerate(configuration.services):
+        if service.name not in served and not service.replicas:
+            yield Located(f"services[{index}].name", service.name)
+
+
+def services_in_one_domain(configuration: Configuration) -> Found:
+    """Services that one failing failure domain takes away, though there are others."""
+    if sum(len(region.failure_domains) for region in configuration.regions) < 2:
+        return
+    for index, service in enumerate(configuration.services):
+        targets = [each for each in configuration.targets if each.service == service.name]
+        domains = {target.failure_domain for target in targets}
+        if len(targets) > 1 and len(domains) == 1:
+            yield Located(f"services[{index}].name", f"{service.name} only in {min(domains)}")
+
+
+def default_above_longest(configuration: Configuration) -> Found:
+    """Services whose default timeout is above the longest permitted."""
+    for index, service in enumerate(configuration.services):
+        default = service.default_timeout_seconds
+        if default is not None and default > service.longest_timeout_seconds:
+            yield Located(f"services[{index}].default_timeout_seconds", default)
+
+
+def objective_above_timeout(configuration: Configuration) -> Found:
+    """Services that may miss their objective because callers give up earlier."""
+    for index, service in enumerate(configuration.services):
+        if service.latency_objective_milliseconds > _shortest_wait(service) * 1000:
+            path = f"services[{index}].latency_objective_milliseconds"
+            yield Located(path, service.latency_objective_milliseconds)
+
+
+def run_above_longest_timeout(configuration: Configuration) -> Found:
+    """Services whose executors may run on after every caller must have given up."""
+    for index, service in enumerate(configuration.services):
+        if service.longest_run_seconds > service.longest_timeout_seconds:
+            yield Located(f"services[{index}].longest_run_seconds", service.longest_run_seconds)
+
+
+def run_below_objective(configuration: Configuration) -> Found:
+    """Services whose slots count as free before the objective says the answer is due.
+
+    The slot of a request that is merely slow would be given away while its executor is still
+    busy, and the executor would be given more work than it can hold.
+    """
+    for index, service in enumerate(configuration.services):
+        if service.longest_run_seconds * 1000 < service.latency_objective_milliseconds:
+            yield Located(f"services[{index}].longest_run_seconds", service.longest_run_seconds)
+
+
+def timeout_within_round_trip(configuration: Configuration) -> Found:
+    """Services whose default timeout passes before an answer can cross the slowest link."""
+    round_trip = max((2 * link.one_way_milliseconds for link in configuration.links), default=0.0)
+    for index, service in enumerate(configuration.services):
+        needed = round_trip + service.latency_objective_milliseconds
+        if round_trip and _shortest_wait(service) * 1000 < needed:
+            path = f"services[{index}].default_timeout_seconds"
+            yield Located(path, _shortest_wait(service))
+
+
+def objective_within_round_trip(configuration: Configuration) -> Found:
+    """Services that a region can reach only over a link slower than their objective."""
+    for index, service in enumerate(configuration.services):
+        nearest = _farthest_region_round_trip(configuration, service)
+        if nearest >= service.latency_objective_milliseconds:
+            path = f"services[{index}].latency_objective_milliseconds"
+            yield Located(path, service.latency_objective_milliseconds)
+
+
+def links_of_one_region(configuration: Configuration) -> Found:
+    """Links that join a region with itself."""
+    for index, link in enumerate(configuration.links):
+        if link.regions[0] == link.regions[1]:
+            yield Located(f"links[{index}].regions", link.regions)
+
+
+def repeated_links(configuration: Configuration) -> Found:
+    """Links that join two regions a second time."""
+    seen: set[frozenset[RegionName]] = set()
+    for index, link in enumerate(configuration.links):
+        ends = frozenset(link.regions)
+        if ends in seen:
+            yield Located(f"links[{index}].regions", link.regions)
+        seen.add(ends)
+
+
+def unlinked_regions(configuration: Configuration) -> Found:
+    """Regions that no link joins to any other."""
+    linked = {name for link in configuration.links for name in link.regions}
+    for index, region in enumerate(configuration.regions):
+        if len(configuration.regions) > 1 and region.name not in linked:
+            yield Located(f"regions[{index}].name", region.name)
+
+
+def sizeless_replicas(configuration: Configuration) -> Found:
+    """Services that the planner places though they declare no processors or no memory."""
+    for index, service in enumerate(configuration.services):
+        size = service.resources
+        if service.replicas and not (size.millicores and size.memory):
+            yield Located(f"services[{index}].resources", size)
+
+
+def replicas_that_fit_nowhere(configuration: Configuration) -> Found:
+    """Services of which not even one replica fits in any worker."""
+    for index, service in enumerate(configuration.services):
+        if service.replicas and configuration.workers and not _domains_for(configuration, service):
+            yield Located(f"services[{index}].resources", service.resources)
+
+
+def replicas_without_spread(configuration: Configuration) -> Found:
+    """Services with several replicas whose workers are all in one failure domain of several."""
+    all_domains = {group.failure_domain for group in configuration.workers}
+    for index, service in enumerate(configuration.services):
+        domains = _domains_for(configuration, service)
+        if service.replicas > 1 and len(domains) == 1 and len(all_domains) > 1:
+            yield Located(f"services[{index}].replicas", service.replicas)
+
+
+def replicas_beyond_a_lost_domain(configuration: Configuration) -> Found:
+    """All placed services together, when they don't fit once the largest domain has failed."""
+    capacities = _capacity_by_domain(configuration)
+    if len(capacities) < 2:
+        return
+    reserved = _reserved_by_services(configuration)
+    total = sum(capacities.values(), start=Resources())
+    if not all(reserved.fits_in(total - capacity) for capacity in capacities.values()):
+        yield Located("services", reserved)
+
+
+def quotas_beyond_workers(configuration: Configuration) -> Found:
+    """Quotas and placed services that together exceed what the workers hold."""
+    if not configuration.workers:
+        return
+    total = sum(_capacity_by_domain(configuration).values(), start=Resources())
+    quotas = sum((team.quota for team in configuration.teams), start=Resources())
+    if not (quotas + _reserved_by_services(configuration)).fits_in(total):
+        yield Located("teams", quotas)
+
+
+def lopsided_quotas(configuration: Configuration) -> Found:
+    """Quotas with processors but no memory, or the reverse, under which nothing can run."""
+    for index, team in enumerate(configuration.teams):
+        if bool(team.quota.millicores) != bool(team.quota.memory):
+            yield Located(f"teams[{index}].quota", team.quota)
+
+
+def racks_beyond_the_group(configuration: Configuration) -> Found:
+    """Groups of workers that are said to share a rack with more workers than there are."""
+    for index, group in enumerate(configuration.workers):
+        if group.workers_per_rack > group.count:
+            yield Located(f"workers[{index}].workers_per_rack", group.workers_per_rack)
+
+
+def weights_all_zero(configuration: Configuration) -> Found:
+    """Weights under which no placement is better than another."""
+    weights = configuration.weights
+    if not (weights.tail_latency or weights.evictions or weights.throughput):
+        yield Located("weights", weights)
+
+
+def more_than_a_stored_value(configuration: Configuration) -> Found:
+    """A configuration that the store can't hold."""
+    size = len(msgspec.json.encode(configuration))
+    if size > LONGEST_STORED_BYTES:
+        yield Located("file", f"{size} bytes")
+
+
+def queue_beyond_timeout(configuration: Configuration) -> Found:
+    """Queues whose last request would wait longer than any caller does.
+
+    Were each request to take as long as the objective, the queue at one entry of a region that
+    has all slots of that region would drain in objective times length over slots.
+    """
+    for index, service in enumerate(configuration.services):
+        slots = _fewest_slots_of_a_region(configuration, service)
+        drain = service.longest_queue * service.latency_objective_milliseconds / max(slots, 1)
+        if slots and drain > service.longest_timeout_seconds * 1000:
+            yield Located(f"services[{index}].longest_queue", service.longest_queue)
+
+
+def _is_usable(address: str) -> bool:
+    try:
+        number = ipaddress.ip_address(Address.parse(address).host)
+    except SettingsError:
+        return False
+    return not (number.is_unspecified or number.is_multicast)
+
+
+def _shortest_wait(service: ServiceContract) -> float:
+    """How long a caller that names no timeout waits, or else the longest permitted; seconds."""
+    if service.default_timeout_seconds is None:
+        return service.longest_timeout_seconds
+    return min(service.default_timeout_seconds, service.longest_timeout_seconds)
+
+
+def _farthest_region_round_trip(configuration: Configuration, service: ServiceContract) -> float:
+    """The longest round trip, in milliseconds, that a region needs to reach the service."""
+    homes = {each.region for each in configuration.targets if each.service == service.name}
+    if not homes:
+        return 0.0
+    return max(
+        (
+            _round_trip(configuration, region.name, homes)
+            for region in configuration.regions
+            if region.name not in homes
+        ),
+        default=0.0,
+    )
+
+
+def _round_trip(configuration: Configuration, region: RegionName, homes: set[RegionName]) -> float:
+    """The shortest round trip over one link from a region to any of ``homes``."""
+    return min(
+        (
+            2 * link.one_way_milliseconds
+            for link in configuration.links
+            if region in link.regions and homes.intersection(link.regions)
+        ),
+        default=0.0,
+    )
+
+
+def _domains_for(configuration: Configuration, service: ServiceContract) -> set[FailureDomainName]:
+    """The failure domains with a worker that can hold a replica."""
+    return {
+        group.failure_domain
+        for group in configuration.workers
+        if group.count and service.resources.fits_in(group.capacity)
+    }
+
+
+def _capacity_by_domain(configuration: Configuration) -> dict[FailureDomainName, Resources]:
+    capacities: dict[FailureDomainName, Resources] = {}
+    for group in configuration.workers:
+        known = capacities.get(group.failure_domain, Resources())
+        capacities[group.failure_domain] = known + _total(group)
+    return capacities
+
+
+def _total(group: WorkerGroup) -> Resources:
+    return _times(group.capacity, group.count)
+
+
+def _reserved_by_services(configuration: Configuration) -> Resources:
+    sizes = (_times(service.resources, service.replicas) for service in configuration.services)
+    return sum(sizes, start=Resources())
+
+
+def _times(size: Resources, count: int) -> Resources:
+    return Resources(size.millicores * count, size.memory * count, size.accelerators * count)
+
+
+def _fewest_slots_of_a_region(configuration: Configuration, service: ServiceContract) -> int:
+    slots: Counter[RegionName] = Counter()
+    for target in configuration.targets:
+        if target.service == service.name:
+            slots[target.region] += target.slots
+    return min(slots.values(), default=0)
--- /dev/null
+++ b/fireflyfork/operations/_sources.py
@@ -0,0 +1,90 @@
+"""Which answer each generated value came from.
+
+Answers are called by their names, never by their place in a list, so that adding one doesn't
+change the comments on the others.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Iterator
+from enum import Enum
+
+from ._answers import Answers, ServiceAnswer
+
+_SERVICE_SOURCES = {
+    "longest_run_seconds": "longest_run",
+    "default_timeout_seconds": "timeout",
+    "longest_timeout_seconds": "longest_timeout",
+    "latency_objective_milliseconds": "objective",
+    "longest_queue": "queue",
+    "longest_body_bytes": "largest_request",
+    "replicas": "replicas",
+    "tolerance": "when_disturbed",
+}
+"""From the field of a service's contract to the answer behind it."""
+
+
+def sources_of(answers: Answers) -> Iterator[tuple[str, str]]:
+    """Pairs of the path of a generated value or record and the answer that it came from."""
+    yield "version", "The version in the store that this file was made to replace; 0 for none."
+    yield "partitions_per_region", f"partitions: {answers.partitions}"
+    yield "weights", f"matters_most: {', '.join(each.value for each in answers.matters_most)}"
+    yield from _place_sources(answers)
+    yield from _team_sources(answers)
+    for number, service in enumerate(answers.services):
+        yield from _service_sources(f"services[{number}]", service)
+    yield from _target_sources(answers)
+
+
+def _place_sources(answers: Answers) -> Iterator[tuple[str, str]]:
+    for number, region in enumerate(answers.regions):
+        yield f"regions[{number}]", f"regions, {region.name}"
+    for number, link in enumerate(answers.links):
+        told = f"{link.one_way} one way, {link.capacity}, spill {link.spill}"
+        yield f"links[{number}]", f"links, {' to '.join(link.between)}: {told}"
+    for number, group in enumerate(answers.workers):
+        told = f"{group.count} of {group.cores} and {group.memory}, {group.per_rack} to a rack"
+        yield f"workers[{number}]", f"workers, {group.failure_domain}: {told}"
+
+
+def _team_sources(answers: Answers) -> Iterator[tuple[str, str]]:
+    for number, team in enumerate(answers.teams):
+        yield f"teams[{number}]", f"teams, {team.name}"
+        jobs = (
+            f"{job.name} ({job.tasks_at_once} of {job.cores} and {job.memory})"
+            for job in answers.jobs
+            if job.team == team.name
+        )
+        yield f"teams[{number}].quota", f"the sum of its jobs: {', '.join(jobs) or 'none'}"
+
+
+def _service_sources(path: str, service: ServiceAnswer) -> Iterator[tuple[str, str]]:
+    for name, answer in _SERVICE_SOURCES.items():
+        yield f"{path}.{name}", f"{answer}: {_told(service, answer)}"
+    size = f"cores: {service.cores}, memory: {service.memory}"
+    yield f"{path}.resources", f"{size}, accelerators: {service.accelerators}"
+
+
+def _told(service: ServiceAnswer, answer: str) -> str:
+    """The answer as written, and whether it is what stands for no answer."""
+    value = getattr(service, answer)
+    text = str(value.value if isinstance(value, Enum) else value)
+    return f"{text} (not answered)" if value == _default(answer) else text
+
+
+def _default(answer: str) -> object:
+    field = next(each for each in dataclasses.fields(ServiceAnswer) if each.name == answer)
+    if field.default_factory is not dataclasses.MISSING:
+        return field.default_factory()
+    return field.default
+
+
+def _target_sources(answers: Answers) -> Iterator[tuple[str, str]]:
+    index = 0
+    for service in answers.services:
+        for executors in service.executors:
+            for _ in range(executors.count):
+                told = f"services, {service.name}, executors in {executors.failure_domain}"
+                yield f"targets[{index}]", told
+                index += 1
--- /dev/null
+++ b/fireflyfork/programs/_ctl_files.py
@@ -0,0 +1,35 @@
+"""Reading and writing the operator's files."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from .._contracts import Configuration
+from ..operations import decode_document
+from ._ctl_output import CommandError, ExitCode, Output
+
+
+def read_configuration(file: Path, output: Output) -> Configuration:
+    """The configuration in a file. Raises CommandError after every fault was reported."""
+    decoded = decode_document(Configuration, read_text(file))
+    if decoded.value is None:
+        output.violations(str(file), decoded.violations)
+        raise CommandError(ExitCode.USAGE, f"{file} can't be used")
+    return decoded.value
+
+
+def read_text(file: Path) -> str:
+    """The text of a file. Raises CommandError."""
+    try:
+        return file.read_text("utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise CommandError(ExitCode.USAGE, f"{file} can't be read: {error}") from error
+
+
+def write_text(file: Path, text: str) -> None:
+    """Write a file, making its directory. Raises CommandError."""
+    try:
+        file.parent.mkdir(parents=True, exist_ok=True)
+        file.write_text(text, "utf-8")
+    except OSError as error:
+        raise CommandError(ExitCode.FAILED, f"{file} can't be written: {error}") from error
--- /dev/null
+++ b/fireflyfork/programs/_ctl_questionnaire.py
@@ -0,0 +1,82 @@
+"""The questionnaire: answers from a file or a terminal, and the configuration made of them."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from .._contracts import Configuration
+from .._ids import ConfigurationVersion
+from ..operations import (
+    Answers,
+    check,
+    decode_document,
+    generate,
+    render_generated,
+    unusable_addresses,
+)
+from ._ctl_files import read_text, write_text
+from ._ctl_output import CommandError, ExitCode, Output, finish
+
+
+def questionnaire(*, output: Path, answers: Path | None = None, json: bool = False) -> ExitCode:
+    """Make a configuration from answers about services, batch jobs and tolerances.
+
+    Without ``--answers`` it asks at the terminal. Generating again from the same answers gives
+    the same file; a changed answer changes only what it decides. The file keeps the version that
+    it was made from. Exit status: 0 written and valid, 3 written but some rules are broken, 2 the
+    answers can't be used and nothing was written.
+
+    Examples::
+
+        fireflyfork-ctl questionnaire --output ours.jsonc
+        fireflyfork-ctl questionnaire --answers answers.jsonc --output ours.jsonc
+
+    :param output: configuration file to write
+    :param answers: file of answers, JSON with comments
+    :param json: print the result as JSON
+    """
+    printer = Output(json)
+
+    def command() -> ExitCode:
+        if answers is None:
+            raise CommandError(ExitCode.USAGE, "give --answers FILE")
+        return _generate(_read_answers(answers, printer), answers.name, output, printer)
+
+    return finish(printer, command)
+
+
+def _read_answers(file: Path, output: Output) -> Answers:
+    decoded = decode_document(Answers, read_text(file))
+    violations = decoded.violations
+    if decoded.value is not None:
+        violations = tuple(unusable_addresses(decoded.value))
+    if decoded.value is None or violations:
+        output.violations(str(file), violations)
+        raise CommandError(ExitCode.USAGE, f"{file} can't be used; nothing was written")
+    return decoded.value
+
+
+def _generate(answers: Answers, source: str, file: Path, output: Output) -> ExitCode:
+    generated = generate(answers, _version_in(file))
+    title = (
+        f"{answers.organisation}: made by fireflyfork-ctl questionnaire from {source}.\n"
+        "A comment names the answer that the value below it came from; change it there."
+    )
+    write_text(file, render_generated(generated, title))
+    violations = check(generated.configuration)
+    if violations:
+        output.violations(str(file), violations)
+        return ExitCode.INVALID
+    services = len(generated.configuration.services)
+    targets = len(generated.configuration.targets)
+    line = f"{file}: {services} service(s) with {targets} targets; all rules hold"
+    output.result({"file": str(file), "violations": []}, [line])
+    return ExitCode.DONE
+
+
+def _version_in(file: Path) -> ConfigurationVersion:
+    """The version that an earlier generation of the file was made from."""
+    if not file.exists():
+        return ConfigurationVersion(0)
+    decoded = decode_document(Configuration, read_text(file))
+    return decoded.value.version if decoded.value is not None else ConfigurationVersion(0)
