--- a/fireflyfork/adapters/__init__.py
+++ b/fireflyfork/adapters/__init__.py
@@ -13,13 +13,8 @@
 from ._peer_connection import Call, IncomingCall, OutgoingCall, PeerConnection, PeerHandler, refused
 from ._peer_messages import AnswerHead, Chunk, Control, Forward, Pong, Refusal, Role, ServiceFigures
 from ._peers import Peers
-from ._platform import (
-    PlatformReport,
-    RunReport,
-    RunState,
-    StartOrder,
-    WorkerPlatform,
-)
+from ._platform import PlatformReport, RunReport, RunState, StartOrder, WorkerPlatform
+from ._platform_http import HttpPlatform, RenewCall, StopCall, ThrottleCall
 from ._store import Store, StoredValue
 from ._store_http import HttpStore
 
@@ -36,6 +31,7 @@
     "HttpError",
     "HttpHandler",
     "HttpInstanceList",
+    "HttpPlatform",
     "HttpServer",
     "HttpStore",
     "IncomingCall",
@@ -50,6 +46,7 @@
     "PlatformReport",
     "Pong",
     "Refusal",
+    "RenewCall",
     "RequestHead",
     "ResponseHead",
     "Role",
@@ -58,8 +55,10 @@
     "ServerLimits",
     "ServiceFigures",
     "StartOrder",
+    "StopCall",
     "Store",
     "StoredValue",
+    "ThrottleCall",
     "WorkerPlatform",
     "collect",
     "end_to_end",
--- a/fireflyfork/adapters/_platform.py
+++ b/fireflyfork/adapters/_platform.py
@@ -4,53 +4,12 @@
 
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
-from enum import Enum
 
-from .._ids import AttemptNumber, TaskId, WorkerId
-from .._machines import Resources, Worker
+from .._ids import AttemptNumber, RegionName, TaskId
+from .._machines import Worker
+from ..decisions import RunReport, RunState, StartOrder
 
-
-class RunState(Enum):
-    """What the platform says of one attempt of a task."""
-
-    RUNNING = "running"
-    FINISHED = "finished"
-    FAILED = "failed"
-    STOPPED = "stopped"
-    """Stopped on request or because its lease lapsed; ``progress`` holds its checkpoint."""
-
-
-@dataclass(frozen=True, slots=True)
-class StartOrder:
-    """The order to run one attempt of a task on one worker."""
-
-    task_id: TaskId
-    attempt: AttemptNumber
-    worker_id: WorkerId
-    resources: Resources
-    """The reservation, which the platform enforces."""
-    run_seconds: float
-    """How long the whole task takes when nothing disturbs it. Stand-ins use it."""
-    progress: float
-    """The checkpoint to resume from: the share of the work already done, 0 to 1."""
-    lease_seconds: float
-    """The platform stops the attempt when its lease is not renewed for so long."""
-
-
-@dataclass(frozen=True, slots=True)
-class RunReport:
-    """The lagging report on one attempt."""
-
-    task_id: TaskId
-    attempt: AttemptNumber
-    worker_id: WorkerId
-    state: RunState
-    progress: float
-    """The share of the work that the last checkpoint holds."""
-    used: Resources
-    """Usage, averaged over the reporting interval."""
-    reason: str = ""
-    """Why it failed or was stopped."""
+__all__ = ["PlatformReport", "RunReport", "RunState", "StartOrder", "WorkerPlatform"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,31 +21,45 @@
 
 
 class WorkerPlatform(ABC):
-    """Orders to workers. A higher attempt number fences a lower one of the same task."""
+    """Orders to workers. Every call raises PlatformError when no answer came.
+
+    Attempt numbers fence: once an attempt of a task was stopped, or a higher one started, no order
+    starts that attempt or a lower one, however late the order arrives. The platform remembers how
+    an attempt ended for a day.
+    """
 
     @abstractmethod
-    async def workers(self) -> tuple[Worker, ...]:
-        """The workers there are. Raises PlatformError."""
+    async def workers(self, region: RegionName) -> tuple[Worker, ...]:
+        """The workers of a region."""
 
     @abstractmethod
     async def start(self, orders: tuple[StartOrder, ...]) -> tuple[RunReport, ...]:
-        """Start attempts; idempotent by task and attempt. A refused one comes back FAILED.
+        """Start attempts; idempotent by task and attempt. A refused one comes back REFUSED
+        and is fenced.
 
-        Raises PlatformError when no answer came: each may then have started.
+        Without an answer, each may have started.
         """
 
     @abstractmethod
     async def stop(self, task_id: TaskId, attempt: AttemptNumber, checkpoint: bool) -> RunReport:
-        """Stop one attempt, after a checkpoint if asked; idempotent. Raises PlatformError."""
+        """Stop one attempt, after a checkpoint if asked; idempotent.
+
+        An attempt that never started is thereby fenced and comes back STOPPED.
+        """
 
     @abstractmethod
     async def throttle(self, task_id: TaskId, attempt: AttemptNumber, millicores: int) -> None:
-        """Limit the processor time of an attempt. Raises PlatformError."""
+        """Limit the processor time of an attempt."""
 
     @abstractmethod
-    async def renew(self, runs: tuple[tuple[TaskId, AttemptNumber], ...], seconds: float) -> None:
-        """Renew the leases of many attempts in one call. Raises PlatformError."""
+    async def renew(
+        self, runs: tuple[tuple[TaskId, AttemptNumber], ...], seconds: float
+    ) -> tuple[RunReport, ...]:
+        """Renew the leases of many attempts in one call; the answer holds those that are over."""
 
     @abstractmethod
-    async def report(self, cursor: int, wait_seconds: float) -> PlatformReport:
-        """What changed since ``cursor``; waits for a change up to ``wait_seconds``."""
+    async def report(self, region: RegionName, cursor: int, wait_seconds: float) -> PlatformReport:
+        """What changed in a region since ``cursor``; waits for a change up to ``wait_seconds``.
+
+        From cursor 0 it holds the latest state of every attempt that the platform remembers.
+        """
--- /dev/null
+++ b/fireflyfork/decisions/_task_table.py
@@ -0,0 +1,359 @@
+"""All jobs and open tasks of one partition, as an immutable value, and how changes apply to it."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, replace
+
+from .._errors import FireflyforkError
+from .._ids import AttemptNumber, JobId, TaskId, TeamName, WorkerId
+from .._machines import Resources
+from ._task_changes import (
+    AttemptEnded,
+    AttemptOutcome,
+    CancelRequested,
+    JobAccepted,
+    JobForgotten,
+    StartIntended,
+    StateObserved,
+    TableChange,
+    TaskGivenUp,
+    ThrottleOrdered,
+)
+from ._tasks import NO_RESOURCES, Job, JobNumber, Task, TaskEnd, TaskState, task_id_of
+
+FAILURES_KEPT = 5
+"""Final failures of a job that are kept with their reasons."""
+
+
+class ImpossibleChangeError(FireflyforkError):
+    """A change does not follow from the table's state: a fault of the caller or of the journal."""
+
+
+@dataclass(frozen=True, slots=True)
+class TaskTable:
+    """One partition's jobs and open tasks. The mappings are never changed in place."""
+
+    jobs: Mapping[JobId, Job]
+    job_ids: Mapping[JobNumber, JobId]
+    tasks: Mapping[TaskId, Task]
+    """Every task that has not ended."""
+    waiting: Mapping[TaskId, Task]
+    """Ordinary tasks to place, in order of arrival."""
+    urgent: Mapping[TaskId, Task]
+    """Urgent tasks to place, in order of arrival."""
+    on_worker: Mapping[WorkerId, Mapping[TaskId, Task]]
+    """The attempts that may run, by worker."""
+    reserved: Mapping[WorkerId, Resources]
+    """The sum of their reservations."""
+    team_reserved: Mapping[TeamName, Resources]
+    """The sum of the reservations of each team's batch tasks."""
+    next_number: JobNumber
+    """The number of the next accepted job."""
+
+    @classmethod
+    def empty(cls) -> TaskTable:
+        """A table without jobs."""
+        return cls({}, {}, {}, {}, {}, {}, {}, {}, JobNumber(1))
+
+    def apply(self, changes: Iterable[TableChange]) -> TaskTable:
+        """The table after ``changes``. Raises ImpossibleChangeError."""
+        draft = _Draft(self)
+        for change in changes:
+            draft.take(change)
+        return draft.freeze()
+
+    def task_at(self, number: JobNumber, index: int) -> Task | None:
+        """The open task at ``index`` of the job with that number."""
+        job_id = self.job_ids.get(number)
+        return None if job_id is None else self.tasks.get(task_id_of(job_id, index))
+
+    def holding(self) -> Iterable[Task]:
+        """Every task of which an attempt may run."""
+        for tasks in self.on_worker.values():
+            yield from tasks.values()
+
+
+def build_table(jobs: Iterable[Job], tasks: Iterable[Task], next_number: JobNumber) -> TaskTable:
+    """A table from its parts, as a snapshot holds them. The order of ``tasks`` is the queue's."""
+    draft = _Draft(TaskTable.empty())
+    for job in jobs:
+        draft.put_job(job)
+    for task in tasks:
+        draft.put_task(task)
+    draft.next_number = next_number
+    return draft.freeze()
+
+
+class _Draft:
+    """A mutable copy, for the length of one ``apply``.
+
+    One copy for each batch of changes keeps a single change O(1): a wave of ten thousand
+    cancellations would otherwise copy the whole table ten thousand times.
+    """
+
+    def __init__(self, table: TaskTable) -> None:
+        self._jobs = dict(table.jobs)
+        self._job_ids = dict(table.job_ids)
+        self._tasks = dict(table.tasks)
+        self._waiting = dict(table.waiting)
+        self._urgent = dict(table.urgent)
+        self._on_worker = dict(table.on_worker)
+        self._reserved = dict(table.reserved)
+        self._team_reserved = dict(table.team_reserved)
+        self._own_inner: dict[WorkerId, dict[TaskId, Task]] = {}
+        self.next_number = table.next_number
+
+    def freeze(self) -> TaskTable:
+        return TaskTable(
+            self._jobs,
+            self._job_ids,
+            self._tasks,
+            self._waiting,
+            self._urgent,
+            self._on_worker,
+            self._reserved,
+            self._team_reserved,
+            self.next_number,
+        )
+
+    def take(self, change: TableChange) -> None:
+        match change:
+            case StartIntended():
+                self._start(change)
+            case AttemptEnded():
+                self._end_attempt(change)
+            case StateObserved():
+                self._observe(change)
+            case JobAccepted():
+                self._accept(change)
+            case TaskGivenUp():
+                self._give_up(change)
+            case CancelRequested():
+                self._cancel(change)
+            case ThrottleOrdered():
+                self._throttle(change)
+            case JobForgotten():
+                self._forget(change)
+
+    def put_job(self, job: Job) -> None:
+        self._jobs[job.job_id] = job
+        self._job_ids[job.number] = job.job_id
+
+    def put_task(self, task: Task) -> None:
+        self._tasks[task.task_id] = task
+        worker_id = task.worker_id
+        if not task.holds_reservation or worker_id is None:
+            queue = self._urgent if task.shape.urgent else self._waiting
+            queue[task.task_id] = task
+            return
+        self._inner(worker_id)[task.task_id] = task
+        self._reserve(task, worker_id, self._reserved.get(worker_id, NO_RESOURCES))
+
+    def _accept(self, change: JobAccepted) -> None:
+        if change.job_id in self._jobs or change.number != self.next_number:
+            raise ImpossibleChangeError(f"job {change.job_id} is accepted twice")
+        self.next_number = JobNumber(change.number + 1)
+        job = Job(change.job_id, change.number, change.shape, change.task_count, change.time)
+        self.put_job(job)
+        for index in range(change.task_count):
+            self.put_task(new_task(job, index))
+
+    def _start(self, change: StartIntended) -> None:
+        task = self._open_task(change.number, change.index)
+        if task.holds_reservation or change.attempt != task.attempt + 1:
+            raise ImpossibleChangeError(
+                f"attempt {change.attempt} of {task.task_id} while {task.state.value} "
+                f"at attempt {task.attempt}"
+            )
+        self._drop(task)
+        declared = task.shape.resources
+        reservation = declared if change.reservation is None else Resources(*change.reservation)
+        self.put_task(
+            replace(
+                task,
+                state=TaskState.STARTING,
+                attempt=change.attempt,
+                worker_id=change.worker_id,
+                reservation=reservation,
+                since=change.time,
+                millicores_limit=None,
+                reason="",
+            )
+        )
+
+    def _end_attempt(self, change: AttemptEnded) -> None:
+        task = self._open_task(change.number, change.index)
+        if not task.holds_reservation or change.attempt != task.attempt:
+            raise ImpossibleChangeError(f"attempt {change.attempt} of {task.task_id} is not open")
+        self._drop(task)
+        if change.outcome is AttemptOutcome.FINISHED:
+            self._end_task(task, TaskState.FINISHED, change.time, change.reason)
+        elif task.state is TaskState.CANCELLING:
+            self._end_task(task, TaskState.CANCELLED, change.time, change.reason)
+        else:
+            self.put_task(_after_attempt(task, change))
+
+    def _give_up(self, change: TaskGivenUp) -> None:
+        task = self._open_task(change.number, change.index)
+        if task.holds_reservation:
+            raise ImpossibleChangeError(f"{task.task_id} can't be given up while it may run")
+        self._drop(task)
+        self._end_task(task, TaskState.FAILED, change.time, change.reason)
+
+    def _cancel(self, change: CancelRequested) -> None:
+        job = self._job(change.number)
+        indexes: Iterable[int] = range(job.task_count)
+        if change.index is None:
+            self.put_job(replace(job, cancelled=True))
+        else:
+            indexes = (change.index,)
+        for index in indexes:
+            task = self._tasks.get(task_id_of(job.job_id, index))
+            if task is not None:
+                self._cancel_task(task, change.time)
+
+    def _cancel_task(self, task: Task, time: float) -> None:
+        if task.state is TaskState.CANCELLING:
+            return
+        if task.holds_reservation:
+            cancelling = replace(
+                task, state=TaskState.CANCELLING, since=time, reason="cancelled by an operator"
+            )
+            self._replace_holding(cancelling)
+            return
+        self._drop(task)
+        self._end_task(task, TaskState.CANCELLED, time, "cancelled by an operator")
+
+    def _observe(self, change: StateObserved) -> None:
+        task = self._tasks.get(change.task_id)
+        if task is None or not task.holds_reservation or task.attempt != change.attempt:
+            return
+        progress = max(task.progress, change.progress)
+        if task.state is TaskState.CANCELLING or (
+            task.state is TaskState.EVICTING and change.state is TaskState.RUNNING
+        ):
+            self._replace_holding(replace(task, progress=progress))
+            return
+        since = task.since if task.state is change.state else change.time
+        reason = change.reason or task.reason
+        self._replace_holding(
+            replace(task, state=change.state, progress=progress, since=since, reason=reason)
+        )
+
+    def _throttle(self, change: ThrottleOrdered) -> None:
+        task = self._tasks.get(change.task_id)
+        if task is not None and task.holds_reservation and task.attempt == change.attempt:
+            limit = change.millicores
+            self._replace_holding(replace(task, millicores_limit=limit, reason=change.reason))
+
+    def _forget(self, change: JobForgotten) -> None:
+        job = self._job(change.number)
+        if job.open_count:
+            raise ImpossibleChangeError(f"job {job.job_id} still has open tasks")
+        del self._jobs[job.job_id]
+        del self._job_ids[job.number]
+
+    def _job(self, number: JobNumber) -> Job:
+        job_id = self._job_ids.get(number)
+        if job_id is None:
+            raise ImpossibleChangeError(f"there is no job number {number}")
+        return self._jobs[job_id]
+
+    def _open_task(self, number: JobNumber, index: int) -> Task:
+        task = self._tasks.get(task_id_of(self._job(number).job_id, index))
+        if task is None:
+            raise ImpossibleChangeError(f"task {index} of job number {number} is not open")
+        return task
+
+    def _inner(self, worker_id: WorkerId) -> dict[TaskId, Task]:
+        inner = self._own_inner.get(worker_id)
+        if inner is None:
+            inner = dict(self._on_worker.get(worker_id, {}))
+            self._own_inner[worker_id] = inner
+            self._on_worker[worker_id] = inner
+        return inner
+
+    def _replace_holding(self, task: Task) -> None:
+        self._tasks[task.task_id] = task
+        if task.worker_id is not None:
+            self._inner(task.worker_id)[task.task_id] = task
+
+    def _reserve(self, task: Task, worker_id: WorkerId, before: Resources) -> None:
+        self._reserved[worker_id] = before + task.reservation
+        if task.shape.service is None:
+            team = task.shape.team
+            held = self._team_reserved.get(team, NO_RESOURCES)
+            self._team_reserved[team] = held + task.reservation
+
+    def _drop(self, task: Task) -> None:
+        del self._tasks[task.task_id]
+        worker_id = task.worker_id
+        if not task.holds_reservation or worker_id is None:
+            queue = self._urgent if task.shape.urgent else self._waiting
+            del queue[task.task_id]
+            return
+        inner = self._inner(worker_id)
+        del inner[task.task_id]
+        if inner:
+            self._reserved[worker_id] = self._reserved[worker_id] - task.reservation
+        else:
+            del self._on_worker[worker_id]
+            del self._own_inner[worker_id]
+            del self._reserved[worker_id]
+        if task.shape.service is None:
+            team = task.shape.team
+            self._team_reserved[team] = self._team_reserved[team] - task.reservation
+
+    def _end_task(self, task: Task, state: TaskState, time: float, reason: str) -> None:
+        job = self._jobs[task.job_id]
+        failures = job.failures
+        if state is TaskState.FAILED and len(failures) < FAILURES_KEPT:
+            failures = (*failures, TaskEnd(task.index, state, reason))
+        job = replace(
+            job,
+            finished_count=job.finished_count + (state is TaskState.FINISHED),
+            failed_count=job.failed_count + (state is TaskState.FAILED),
+            cancelled_count=job.cancelled_count + (state is TaskState.CANCELLED),
+            failures=failures,
+        )
+        self.put_job(replace(job, ended=None if job.open_count else time))
+
+
+def new_task(job: Job, index: int) -> Task:
+    """The task at ``index`` of a job, as it is when the job is accepted."""
+    return Task(
+        task_id_of(job.job_id, index),
+        job.job_id,
+        job.number,
+        index,
+        job.shape,
+        TaskState.WAITING,
+        submitted=job.submitted,
+        since=job.submitted,
+    )
+
+
+def _after_attempt(task: Task, change: AttemptEnded) -> Task:
+    failed = change.outcome is AttemptOutcome.FAILED
+    evicted = change.outcome in (AttemptOutcome.STOPPED, AttemptOutcome.LAPSED)
+    failed_on = task.failed_on
+    if failed and task.worker_id is not None:
+        failed_on = (*failed_on, task.worker_id)
+    return replace(
+        task,
+        state=TaskState.EVICTED if evicted else TaskState.WAITING,
+        since=change.time,
+        worker_id=None,
+        reservation=NO_RESOURCES,
+        progress=max(task.progress, change.progress),
+        failed_on=failed_on,
+        evictions=task.evictions + evicted,
+        millicores_limit=None,
+        reason=change.reason,
+    )
+
+
+def attempt_after(task: Task) -> AttemptNumber:
+    """The number of the attempt that would come next."""
+    return AttemptNumber(task.attempt + 1)
--- /dev/null
+++ b/fireflyfork/programs/_batch_client.py
@@ -0,0 +1,118 @@
+"""Calls of the command line to the planners: submit, cancel, status and explain."""
+
+from __future__ import annotations
+
+from typing import TypeVar
+from urllib.parse import urlsplit
+
+import msgspec
+
+from .._errors import FireflyforkError
+from .._ids import JobId
+from .._links import Address
+from ..adapters import HttpClient, HttpError, ResponseHead
+from ._batch_messages import (
+    BatchProblem,
+    JobRequest,
+    JobStatus,
+    PlannerMetrics,
+    TaskExplanation,
+)
+
+Answer = TypeVar("Answer")
+
+_MOST_REDIRECTS = 3
+_TIMEOUT_SECONDS = 15.0
+
+
+class BatchCallError(FireflyforkError):
+    """The planner did not do as asked, or no planner answered."""
+
+    def __init__(self, problem: BatchProblem, status: int | None) -> None:
+        """``status`` is the HTTP status; None when no planner answered."""
+        super().__init__(problem.error)
+        self.problem = problem
+        self.status = status
+
+
+class BatchClient:
+    """Asks the planners in turn until one answers, and follows it to the owner.
+
+    Every call may be repeated safely: a job is known by the id that its submitter chose.
+    """
+
+    def __init__(self, planners: tuple[Address, ...], timeout: float = _TIMEOUT_SECONDS) -> None:
+        """``timeout`` is in seconds for each planner asked."""
+        self._planners = planners
+        self._timeout = timeout
+
+    async def submit(self, job: JobRequest) -> JobStatus:
+        """Submit a job; returns once it is stored. Raises BatchCallError."""
+        return await self._call("POST", "/v1/jobs", JobStatus, msgspec.json.encode(job))
+
+    async def cancel(self, job_id: JobId, index: int | None = None) -> JobStatus:
+        """Cancel a job or one task of it; returns once that is stored. Raises BatchCallError."""
+        path = f"/v1/jobs/{job_id}" if index is None else f"/v1/tasks/{job_id}/{index}"
+        return await self._call("POST", f"{path}/cancel", JobStatus)
+
+    async def status(self, job_id: JobId) -> JobStatus:
+        """Where a job stands. Raises BatchCallError."""
+        return await self._call("GET", f"/v1/jobs/{job_id}", JobStatus)
+
+    async def jobs(self) -> tuple[JobStatus, ...]:
+        """The jobs of the partitions that the first planner to answer owns. Raises BatchCallError."""
+        return await self._call("GET", "/v1/jobs", tuple[JobStatus, ...])
+
+    async def explain(self, job_id: JobId, index: int) -> TaskExplanation:
+        """What a task is doing and why. Raises BatchCallError."""
+        return await self._call("GET", f"/v1/tasks/{job_id}/{index}", TaskExplanation)
+
+    async def metrics(self) -> PlannerMetrics:
+        """The figures of the first planner to answer. Raises BatchCallError."""
+        return await self._call("GET", "/metrics", PlannerMetrics)
+
+    async def _call(
+        self, method: str, target: str, answer_type: type[Answer], body: bytes = b""
+    ) -> Answer:
+        problem = BatchCallError(BatchProblem("no planner is known"), None)
+        accepted = "no"
+        for planner in self._planners:
+            try:
+                head, answer = await self._follow(planner, method, target, body)
+            except HttpError as error:
+                accepted = "unknown" if method == "POST" else accepted
+                problem = BatchCallError(BatchProblem(str(error), accepted), None)
+                continue
+            if head.status == 200:
+                return _decode(answer, answer_type)
+            found = _decode(answer, BatchProblem)
+            # One planner may have stored the change before it fell silent. Another's "no" is about
+            # its own attempt and must not hide that.
+            accepted = "unknown" if "unknown" in (accepted, found.accepted) else "no"
+            problem = BatchCallError(BatchProblem(found.error, accepted), head.status)
+            if head.status != 503:
+                break
+        raise problem
+
+    async def _follow(
+        self, planner: Address, method: str, target: str, body: bytes
+    ) -> tuple[ResponseHead, bytes]:
+        for _ in range(_MOST_REDIRECTS):
+            client = HttpClient(planner, self._timeout)
+            try:
+                head, answer = await client.call(method, target, (), body)
+            finally:
+                client.close()
+            location = head.header(b"location")
+            if head.status != 307 or location is None:
+                return head, answer
+            planner = Address.parse(urlsplit(location).netloc)
+        raise HttpError(f"more than {_MOST_REDIRECTS} redirects")
+
+
+def _decode(answer: bytes, answer_type: type[Answer]) -> Answer:
+    try:
+        return msgspec.json.decode(answer, type=answer_type)
+    except msgspec.DecodeError as error:
+        problem = BatchProblem(f"the planner's answer can't be read: {error}", "unknown")
+        raise BatchCallError(problem, None) from error
--- /dev/null
+++ b/fireflyfork/programs/_batch_views.py
@@ -0,0 +1,96 @@
+"""Tells operators about jobs and tasks, from the task table."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+from ..decisions import Job, Partition, Task, TaskState, task_id_of
+from ._batch_messages import JobStatus, TaskExplanation, TaskFailure
+
+
+def job_status(partition: Partition, job: Job) -> JobStatus:
+    """Where a job stands."""
+    states = Counter(
+        {
+            TaskState.FINISHED.value: job.finished_count,
+            TaskState.FAILED.value: job.failed_count,
+            TaskState.CANCELLED.value: job.cancelled_count,
+        }
+    )
+    if job.open_count:
+        tasks = partition.table.tasks
+        for index in range(job.task_count):
+            task = tasks.get(task_id_of(job.job_id, index))
+            if task is not None:
+                states[task.state.value] += 1
+    failures = tuple(
+        TaskFailure(task_id_of(job.job_id, end.index), end.reason) for end in job.failures
+    )
+    counts = {state: count for state, count in states.items() if count}
+    return JobStatus(job.job_id, _job_state(job), job.task_count, counts, job.submitted, failures)
+
+
+def explain_task(partition: Partition, job: Job, index: int) -> TaskExplanation | None:
+    """What a task is doing and why; None when the job has no such task."""
+    if not 0 <= index < job.task_count:
+        return None
+    task = partition.table.tasks.get(task_id_of(job.job_id, index))
+    if task is None:
+        return _explain_ended(job, index)
+    return TaskExplanation(
+        task.task_id,
+        task.state.value,
+        _words(partition, task),
+        task.attempt,
+        task.worker_id,
+        task.progress,
+        task.evictions,
+        task.failed_on,
+        task.reason,
+    )
+
+
+def _job_state(job: Job) -> str:
+    if job.open_count:
+        return "open"
+    if job.failed_count:
+        return "failed"
+    return "cancelled" if job.cancelled_count else "finished"
+
+
+def _explain_ended(job: Job, index: int) -> TaskExplanation:
+    task_id = task_id_of(job.job_id, index)
+    for end in job.failures:
+        if end.index == index:
+            return TaskExplanation(
+                task_id, end.state.value, f"failed: {end.reason}", reason=end.reason
+            )
+    possible = [
+        state.value
+        for state, count in (
+            (TaskState.FINISHED, job.finished_count),
+            (TaskState.FAILED, job.failed_count - len(job.failures)),
+            (TaskState.CANCELLED, job.cancelled_count),
+        )
+        if count
+    ]
+    state = possible[0] if len(possible) == 1 else "ended"
+    return TaskExplanation(task_id, state, f"it has ended ({' or '.join(possible)})")
+
+
+def _words(partition: Partition, task: Task) -> str:
+    if task.holds_reservation:
+        reason = f": {task.reason}" if task.reason else ""
+        return f"attempt {task.attempt} is {task.state.value} on {task.worker_id}{reason}"
+    size = task.shape.resources
+    room = sum(
+        size.fits_in(worker.capacity - partition.table.reserved.get(worker_id, size - size))
+        for worker_id, worker in partition.workers.items()
+    )
+    before = f"{task.state.value} after attempt {task.attempt} ({task.reason})"
+    first = before if task.attempt else "accepted and not started yet"
+    if not room:
+        return f"{first}; no worker has room for its declared size now"
+    return (
+        f"{first}; {room} workers have room for its declared size, so a quota or a turn is awaited"
+    )
--- /dev/null
+++ b/fireflyfork/programs/_planner_endpoint.py
@@ -0,0 +1,256 @@
+"""The planner's HTTP endpoint for operators.
+
+``POST /v1/jobs`` submits, ``GET /v1/jobs`` lists, ``GET /v1/jobs/JOB`` is a job's status,
+``POST /v1/jobs/JOB/cancel`` cancels it, ``GET /v1/tasks/JOB/INDEX`` explains a task and
+``POST /v1/tasks/JOB/INDEX/cancel`` cancels one; ``/health``, ``/ready`` and ``/metrics`` are about
+the process. A planner that does not own a job's partition redirects to the one that does.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Awaitable, Mapping
+from typing import TypeVar
+
+import msgspec
+import trio
+import xxhash
+
+from .._errors import FireflyforkError
+from .._ids import JobId, PartitionId
+from ..adapters import Exchange, HttpError, HttpHandler, collect
+from ..decisions import Job, Partition, Refusal, Submission, TaskShape
+from ._batch_messages import (
+    BatchProblem,
+    JobRequest,
+    PartitionMetrics,
+    PlannerMetrics,
+)
+from ._batch_views import explain_task, job_status
+from ._planner_partition import NotReadyError, OutcomeUnknownError, PartitionRunner
+from ._planner_rights import PartitionRights
+
+_LONGEST_REQUEST_BYTES = 65_536
+_LONGEST_COMMIT_SECONDS = 10.0
+"""How long a submitter waits for the store before being told that the outcome is unknown."""
+_RETRY_AFTER = (b"retry-after", b"2")
+_ID = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}")
+_LONGEST_RUN_SECONDS = 30 * 86_400.0
+
+
+Outcome = TypeVar("Outcome")
+
+
+class _ProblemError(FireflyforkError):
+    """Ends a request with a problem."""
+
+    def __init__(self, status: int, error: str, accepted: str = "no") -> None:
+        super().__init__(error)
+        self.status = status
+        self.problem = BatchProblem(error, accepted)
+
+
+class _RedirectError(FireflyforkError):
+    """Another planner owns the job's partition."""
+
+    def __init__(self, location: str) -> None:
+        super().__init__(location)
+        self.location = location
+
+
+class PlannerEndpoint(HttpHandler):
+    """Answers operators."""
+
+    def __init__(
+        self, runners: Mapping[PartitionId, PartitionRunner], rights: PartitionRights
+    ) -> None:
+        """``runners`` has one for every partition, whether owned or not, in a settled order."""
+        self._runners = runners
+        self._partitions = tuple(sorted(runners))
+        self._rights = rights
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one request."""
+        try:
+            await self._route(exchange)
+        except _ProblemError as answer:
+            headers = (_RETRY_AFTER,) if answer.status == 503 else ()
+            await exchange.answer_json(answer.status, answer.problem, headers)
+        except _RedirectError as redirect:
+            location = (b"location", redirect.location.encode("latin-1"))
+            problem = BatchProblem("another planner owns this job's partition")
+            await exchange.answer_json(307, problem, (location,))
+
+    async def _route(self, exchange: Exchange) -> None:
+        path = exchange.head.target.partition("?")[0]
+        match (exchange.head.method, path.strip("/").split("/")):
+            case "GET", ["health"]:
+                await exchange.answer_json(200, {"alive": True})
+            case "GET", ["ready"]:
+                await self._ready(exchange)
+            case "GET", ["metrics"]:
+                await exchange.answer_json(200, self._metrics())
+            case "POST", ["v1", "jobs"]:
+                await self._submit(exchange)
+            case "GET", ["v1", "jobs"]:
+                await self._list(exchange)
+            case "GET", ["v1", "jobs", job]:
+                await self._status(exchange, job)
+            case "POST", ["v1", "jobs", job, "cancel"]:
+                await self._cancel(exchange, job, None)
+            case "GET", ["v1", "tasks", job, index]:
+                await self._explain(exchange, job, _index(index))
+            case "POST", ["v1", "tasks", job, index, "cancel"]:
+                await self._cancel(exchange, job, _index(index))
+            case _:
+                raise _ProblemError(404, f"there is no {exchange.head.method} {path}")
+
+    async def _ready(self, exchange: Exchange) -> None:
+        owned = self._rights.owned()
+        waiting = [name for name in owned if self._runners[name].state is None]
+        status = 503 if waiting else 200
+        await exchange.answer_json(status, {"ready": not waiting, "recovering": sorted(waiting)})
+
+    async def _submit(self, exchange: Exchange) -> None:
+        request = await _read_job(exchange)
+        runner = self._owned_runner(request.job_id, exchange)
+        submission = Submission(request.job_id, _shape(request), request.tasks)
+        refusal = await _settled(runner.submit(submission))
+        if isinstance(refusal, Refusal):
+            raise _ProblemError(409 if refusal.permanent else 503, refusal.reason)
+        await self._status(exchange, request.job_id)
+
+    async def _cancel(self, exchange: Exchange, job_id: str, index: int | None) -> None:
+        runner = self._owned_runner(JobId(job_id), exchange)
+        if not await _settled(runner.cancel(JobId(job_id), index)):
+            raise _unknown_job(job_id)
+        await self._status(exchange, job_id)
+
+    async def _status(self, exchange: Exchange, job_id: str) -> None:
+        state, job = self._find(JobId(job_id), exchange)
+        await exchange.answer_json(200, job_status(state, job))
+
+    async def _explain(self, exchange: Exchange, job_id: str, index: int) -> None:
+        state, job = self._find(JobId(job_id), exchange)
+        explanation = explain_task(state, job, index)
+        if explanation is None:
+            raise _ProblemError(404, f"job {job_id} has tasks 0 to {job.task_count - 1}")
+        await exchange.answer_json(200, explanation)
+
+    async def _list(self, exchange: Exchange) -> None:
+        statuses = [
+            job_status(runner.state, job)
+            for runner in self._runners.values()
+            if runner.state is not None
+            for job in runner.state.table.jobs.values()
+        ]
+        await exchange.answer_json(200, statuses)
+
+    def _find(self, job_id: JobId, exchange: Exchange) -> tuple[Partition, Job]:
+        state = self._owned_runner(job_id, exchange).state
+        if state is None:
+            raise _ProblemError(503, "the partition is being taken over")
+        job = state.table.jobs.get(job_id)
+        if job is None:
+            raise _unknown_job(job_id)
+        return state, job
+
+    def _owned_runner(self, job_id: JobId, exchange: Exchange) -> PartitionRunner:
+        place = xxhash.xxh64_intdigest(job_id.encode()) % len(self._partitions)
+        partition = self._partitions[place]
+        if partition in self._rights.owned():
+            return self._runners[partition]
+        address = self._rights.owner_address(partition)
+        if address is None:
+            raise _ProblemError(503, "the partition has no owner at present")
+        raise _RedirectError(f"http://{address}{exchange.head.target}")
+
+    def _metrics(self) -> PlannerMetrics:
+        partitions = tuple(
+            _partition_metrics(name, runner) for name, runner in self._runners.items()
+        )
+        return PlannerMetrics(self._rights.member, partitions)
+
+
+async def _settled(call: Awaitable[Outcome]) -> Outcome:
+    """The outcome of a change, or the problem that says what is known of it."""
+    try:
+        with trio.fail_after(_LONGEST_COMMIT_SECONDS):
+            return await call
+    except NotReadyError as error:
+        raise _ProblemError(503, str(error)) from error
+    except OutcomeUnknownError as error:
+        raise _ProblemError(503, str(error), "unknown") from error
+    except trio.TooSlowError as error:
+        problem = "the store does not answer; the change is stored as soon as it does"
+        raise _ProblemError(503, problem, "unknown") from error
+
+
+async def _read_job(exchange: Exchange) -> JobRequest:
+    try:
+        body = await collect(exchange.body(), _LONGEST_REQUEST_BYTES)
+    except HttpError as error:
+        raise _ProblemError(413, str(error)) from error
+    try:
+        request = msgspec.json.decode(body, type=JobRequest)
+    except msgspec.DecodeError as error:
+        raise _ProblemError(400, str(error)) from error
+    problem = _problem_of(request)
+    if problem:
+        raise _ProblemError(400, problem)
+    return request
+
+
+def _problem_of(request: JobRequest) -> str:
+    for name, value in (("job_id", request.job_id), ("task_class", request.task_class)):
+        if not _ID.fullmatch(value):
+            return f"{name} {value!r} must match {_ID.pattern}"
+    if not 0 < request.run_seconds <= _LONGEST_RUN_SECONDS:
+        return f"run_seconds must be above 0 and at most {_LONGEST_RUN_SECONDS:.0f}"
+    size = request.resources
+    if min(size.millicores, size.memory, size.accelerators) < 0 or size.millicores == 0:
+        return "resources must not be negative, and a task needs processor time"
+    return ""
+
+
+def _shape(request: JobRequest) -> TaskShape:
+    return TaskShape(
+        request.team,
+        request.task_class,
+        request.resources,
+        request.run_seconds,
+        request.urgent,
+        tolerance=request.tolerance,
+    )
+
+
+def _index(text: str) -> int:
+    if not text.isascii() or not text.isdigit() or len(text) > 9:
+        raise _ProblemError(400, f"{text!r} is not the number of a task")
+    return int(text)
+
+
+def _unknown_job(job_id: str) -> _ProblemError:
+    return _ProblemError(404, f"there is no job {job_id}, or it ended long ago")
+
+
+def _partition_metrics(name: PartitionId, runner: PartitionRunner) -> PartitionMetrics:
+    state = runner.state
+    counts = runner.journal.counts
+    if state is None:
+        return PartitionMetrics(name, owned=False)
+    table = state.table
+    waiting = len(table.waiting) + len(table.urgent)
+    return PartitionMetrics(
+        name,
+        True,
+        len(table.tasks),
+        len(table.tasks) - waiting,
+        waiting,
+        counts.commits,
+        counts.changes,
+        counts.segment_bytes,
+        counts.snapshots,
+        counts.snapshot_bytes,
+        state.dropped_commands,
+    )
--- /dev/null
+++ b/fireflyfork/programs/_planner_journal.py
@@ -0,0 +1,256 @@
+"""Reads and writes one partition's journal in the store."""
+
+from __future__ import annotations
+
+import uuid
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+import trio
+
+from .._errors import FireflyforkError, StoreConflictError, StoreUnavailableError
+from .._ids import ChangeId, MemberId, PartitionId, Revision
+from ..adapters import Store, StoredValue
+from ..decisions import (
+    LONGEST_VALUE_BYTES,
+    DurableChange,
+    JournalError,
+    JournalPosition,
+    Segment,
+    Settlement,
+    TaskTable,
+    decode_segment,
+    decode_snapshot,
+    encode_segment,
+    encode_snapshot,
+    segment_key,
+    settle,
+    slot_of,
+    snapshot_key,
+    table_of,
+)
+
+_RETRY_SECONDS = 0.5
+
+
+class PartitionLostError(FireflyforkError):
+    """Another planner has taken the partition over."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Write:
+    """A compare-and-swap that is repeated until its outcome is known."""
+
+    key: str
+    value: bytes
+    change_id: ChangeId
+    expected: Revision
+
+
+@dataclass(slots=True)
+class JournalCounts:
+    """What the journal has cost so far."""
+
+    commits: int = 0
+    changes: int = 0
+    segment_bytes: int = 0
+    snapshots: int = 0
+    snapshot_bytes: int = 0
+
+
+def random_change_id() -> ChangeId:
+    """An id that no other write has."""
+    return ChangeId(uuid.uuid4().hex)
+
+
+class PartitionJournal:
+    """The writer of one partition's journal. One call at a time."""
+
+    def __init__(
+        self,
+        store: Store,
+        partition: PartitionId,
+        owner: MemberId,
+        new_change_id: Callable[[], ChangeId] = random_change_id,
+    ) -> None:
+        """Call ``recover`` before anything else."""
+        self._store = store
+        self._partition = partition
+        self._owner = owner
+        self._new_change_id = new_change_id
+        self._position = JournalPosition(partition, 0, {}, 0, Revision(0), 0, 0)
+        self.counts = JournalCounts()
+
+    @property
+    def position(self) -> JournalPosition:
+        """What is known of the stored keys."""
+        return self._position
+
+    async def recover(self) -> TaskTable:
+        """Read everything, then take the partition over by storing an empty segment.
+
+        From then on, whatever an earlier owner still tries to store fails. Raises
+        StoreUnavailableError and JournalError; it may then be called again.
+        """
+        table = await self._read_snapshot()
+        while True:
+            table = await self._read_segments(table)
+            await self._make_room(table)
+            try:
+                await self._store_segment(())
+            except PartitionLostError:
+                continue
+            return table
+
+    async def commit(self, changes: tuple[DurableChange, ...]) -> None:
+        """Store ``changes`` and return once they are durable, however long the store is away.
+
+        Raises PartitionLostError.
+        """
+        await self._store_segment(changes)
+        self.counts.commits += 1
+        self.counts.changes += len(changes)
+
+    async def snapshot(self, value: bytes, change_id: ChangeId, sequence: int) -> None:
+        """Store a snapshot that covers ``sequence``. Raises PartitionLostError."""
+        key = snapshot_key(self._partition)
+        write = _Write(key, value, change_id, self._position.snapshot_revision)
+        while (revision := await self._settled(write, _snapshot_change_id)) is None:
+            found = await self._read_patiently(key)
+            if found is not None and decode_snapshot(found.value).sequence > sequence:
+                raise PartitionLostError(f"{self._partition} has a newer snapshot")
+            # An earlier owner's snapshot arrived late. It covers less than this one.
+            write = replace(write, expected=found.revision if found else Revision(0))
+        self._position = self._position.after_snapshot(sequence, revision, len(value))
+        self.counts.snapshots += 1
+        self.counts.snapshot_bytes += len(value)
+
+    def encode_snapshot(self, table: TaskTable, sequence: int) -> tuple[bytes, ChangeId] | None:
+        """The snapshot of ``table``, or None when it would be too long to store."""
+        change_id = self._new_change_id()
+        value = encode_snapshot(table, sequence, change_id, self._owner)
+        return (value, change_id) if len(value) <= LONGEST_VALUE_BYTES else None
+
+    async def _make_room(self, table: TaskTable) -> None:
+        # Owners that follow each other quickly, each dying before its first snapshot, would fill
+        # the ring with their takeovers, and the next could not even store its own.
+        if not self._position.ring_nearly_full:
+            return
+        sequence = self._position.sequence
+        encoded = self.encode_snapshot(table, sequence)
+        if encoded is not None:
+            await self.snapshot(*encoded, sequence)
+
+    async def _read_snapshot(self) -> TaskTable:
+        found = await self._store.read(snapshot_key(self._partition))
+        if found is None:
+            self._position = JournalPosition(self._partition, 0, {}, 0, Revision(0), 0, 0)
+            return TaskTable.empty()
+        snapshot = decode_snapshot(found.value)
+        self._position = JournalPosition(
+            self._partition,
+            snapshot.sequence,
+            {},
+            snapshot.sequence,
+            found.revision,
+            len(found.value),
+            0,
+        )
+        return table_of(snapshot)
+
+    async def _read_segments(self, table: TaskTable) -> TaskTable:
+        while True:
+            sequence = self._position.sequence + 1
+            found = await self._store.read(segment_key(self._partition, sequence))
+            if found is None:
+                self._note_slot(sequence, Revision(0))
+                return table
+            segment = decode_segment(found.value)
+            if segment.sequence < sequence:
+                self._note_slot(sequence, found.revision)
+                return table
+            if segment.sequence > sequence:
+                # The owner went on for a whole ring while this was reading.
+                table = await self._read_snapshot()
+                continue
+            table = table.apply(segment.changes)
+            self._position = self._position.after_segment(found.revision, len(found.value))
+
+    def _note_slot(self, sequence: int, revision: Revision) -> None:
+        revisions = {**self._position.slot_revisions, slot_of(sequence): revision}
+        self._position = replace(self._position, slot_revisions=revisions)
+
+    async def _store_segment(self, changes: tuple[DurableChange, ...]) -> None:
+        position = self._position
+        if position.ring_is_full:
+            raise JournalError(f"{self._partition} has no free slot; a snapshot must come first")
+        segment = Segment(position.sequence + 1, self._new_change_id(), self._owner, changes)
+        value = encode_segment(segment)
+        expected = await self._expected_revision(segment.sequence)
+        write = _Write(position.next_key, value, segment.change_id, expected)
+        revision = await self._settled(write, _segment_change_id)
+        if revision is None:
+            self._forget_slot(segment.sequence)
+            raise PartitionLostError(f"{self._partition} has another owner")
+        self._position = position.after_segment(revision, len(value))
+        self.counts.segment_bytes += len(value)
+
+    async def _expected_revision(self, sequence: int) -> Revision:
+        known = self._position.slot_revisions.get(slot_of(sequence))
+        if known is not None:
+            return known
+        # The slot was last written before this owner's time. What it holds must be from the round
+        # before; anything newer was written by an owner that came later than this one.
+        found = await self._read_patiently(segment_key(self._partition, sequence))
+        if found is None:
+            return Revision(0)
+        if decode_segment(found.value).sequence >= sequence:
+            raise PartitionLostError(f"{self._partition} has another owner")
+        return found.revision
+
+    def _forget_slot(self, sequence: int) -> None:
+        revisions = dict(self._position.slot_revisions)
+        revisions.pop(slot_of(sequence), None)
+        self._position = replace(self._position, slot_revisions=revisions)
+
+    async def _settled(
+        self, write: _Write, change_id_of: Callable[[bytes], ChangeId]
+    ) -> Revision | None:
+        """Write until the outcome is known: the new revision, or None when another has the place.
+
+        The store's answers get lost after the change took effect. If such a write were repeated
+        blindly, its own effect would look like another owner's, and a healthy planner would give
+        its partition up; so each write carries a unique id that is read back.
+        """
+        while True:
+            try:
+                return await self._store.write(write.key, write.value, write.expected)
+            except StoreUnavailableError:
+                await trio.sleep(_RETRY_SECONDS)
+            except StoreConflictError:
+                pass
+            found = await self._read_patiently(write.key)
+            found_id = change_id_of(found.value) if found else None
+            revision = found.revision if found else Revision(0)
+            match settle(write.change_id, write.expected, found_id, revision):
+                case Settlement.STORED:
+                    return revision
+                case Settlement.LOST:
+                    return None
+                case Settlement.NOT_YET:
+                    continue
+
+    async def _read_patiently(self, key: str) -> StoredValue | None:
+        while True:
+            try:
+                return await self._store.read(key)
+            except StoreUnavailableError:
+                await trio.sleep(_RETRY_SECONDS)
+
+
+def _segment_change_id(value: bytes) -> ChangeId:
+    return decode_segment(value).change_id
+
+
+def _snapshot_change_id(value: bytes) -> ChangeId:
+    return decode_snapshot(value).change_id
--- /dev/null
+++ b/fireflyfork/programs/_planner_partition.py
@@ -0,0 +1,387 @@
+"""Runs one owned partition: recover, then commit, start, renew, report and place until it is lost."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Awaitable, Callable, Iterable
+from dataclasses import dataclass, field, replace
+from functools import partial
+
+import trio
+from loguru import logger
+
+from .._contracts import TeamContract, Weights
+from .._errors import FireflyforkError, PlatformError, StoreUnavailableError
+from .._ids import AttemptNumber, JobId, PartitionId, RegionName, TaskId
+from ..adapters import RunReport, Store, WorkerPlatform
+from ..decisions import (
+    DurableChange,
+    Partition,
+    PlacementPolicy,
+    PlanningRules,
+    Refusal,
+    StaleRun,
+    Step,
+    Submission,
+    Task,
+    TaskState,
+    ThrottleOrdered,
+    WholeReport,
+    cancel,
+    place,
+    stored,
+    submit,
+    take_report,
+    take_starts,
+    take_time,
+    to_renew,
+    to_stop,
+)
+from ._planner_journal import PartitionJournal, PartitionLostError
+from ._planner_rights import PartitionRights
+
+_MOST_CHANGES_IN_A_COMMIT = 4000
+_MOST_UNSTORED_CHANGES = 8000
+"""Nothing is placed while more changes than these wait for the store."""
+_MOST_STARTS_IN_A_CALL = 200
+_MOST_STOPS_AT_A_TIME = 8
+_RETRY_SECONDS = 1.0
+
+
+class NotReadyError(FireflyforkError):
+    """The partition is still being recovered, or was just lost. Nothing was done."""
+
+
+class OutcomeUnknownError(FireflyforkError):
+    """The change may or may not have been stored; asking again with the same id is safe."""
+
+
+@dataclass(frozen=True, slots=True)
+class PlannerPace:
+    """How often the planner does what, in seconds."""
+
+    commit: float = 0.25
+    """Between two commits: what comes in meanwhile is stored together."""
+    tick: float = 0.25
+    """Between two rounds of placement."""
+    renew: float = 10.0
+    """Between two renewals of all leases."""
+    stop_retry: float = 1.0
+    """Between two attempts to have an evicted or cancelled attempt stopped."""
+    report_wait: float = 5.0
+    """How long the platform may wait for news before it answers."""
+    workers: float = 10.0
+    """Between two looks at the list of workers."""
+
+
+@dataclass(frozen=True, slots=True)
+class PartitionPlan:
+    """What a partition consists of and how it is run."""
+
+    partition: PartitionId
+    regions: tuple[RegionName, ...]
+    """The regions whose workers belong to it."""
+    policy: PlacementPolicy
+    teams: tuple[TeamContract, ...] = ()
+    weights: Weights = field(default_factory=Weights)
+    rules: PlanningRules = field(default_factory=PlanningRules)
+    pace: PlannerPace = field(default_factory=PlannerPace)
+
+
+class PlannerClock:
+    """Seconds since 1970 that never jump: the wall clock at the start plus the loop's own clock."""
+
+    def __init__(self) -> None:
+        """Start now."""
+        self._offset = time.time() - trio.current_time()
+
+    def now(self) -> float:
+        """Seconds since 1970."""
+        return trio.current_time() + self._offset
+
+
+class PartitionRunner:
+    """One partition at its owner."""
+
+    def __init__(
+        self,
+        plan: PartitionPlan,
+        store: Store,
+        platform: WorkerPlatform,
+        rights: PartitionRights,
+        clock: PlannerClock,
+    ) -> None:
+        """Nothing happens before ``run``."""
+        self._plan = plan
+        self._platform = platform
+        self._rights = rights
+        self._clock = clock
+        self._journal = PartitionJournal(store, plan.partition, rights.member)
+        self._state: Partition | None = None
+        self._unstored: list[DurableChange] = []
+        self._appended = 0
+        self._stored = 0
+        self._progressed = trio.Event()
+        self._has_changes = trio.Event()
+        self._has_starts = trio.Event()
+        self._throttles: dict[TaskId, ThrottleOrdered] = {}
+        self._stopping = False
+        self._term = 0
+
+    @property
+    def state(self) -> Partition | None:
+        """The state at this moment, some of it not stored yet; None while not owner."""
+        return self._state
+
+    @property
+    def journal(self) -> PartitionJournal:
+        """The journal, for its counts."""
+        return self._journal
+
+    async def run(self) -> None:
+        """Own the partition until another planner takes it or ``stop`` was called."""
+        self._term += 1
+        self._unstored.clear()
+        self._appended = self._stored
+        try:
+            await self._recover()
+            async with trio.open_nursery() as nursery:
+                for loop in self._loops():
+                    nursery.start_soon(loop)
+                await self._commit_loop()
+                nursery.cancel_scope.cancel()
+        except* PartitionLostError as lost:
+            logger.warning("partition lost: {}", lost.exceptions[0])
+        finally:
+            self._state = None
+            self._wake_waiters()
+
+    def stop(self) -> None:
+        """Begin nothing new; ``run`` returns when everything so far is stored."""
+        self._stopping = True
+        self._has_changes.set()
+
+    async def submit(self, submission: Submission) -> Refusal | None:
+        """Accept a job, and return once that is durable. Raises as ``_durable``."""
+        outcome = submit(self._ready_state(), submission, self._clock.now())
+        if isinstance(outcome, Refusal):
+            return outcome
+        await self._durable(self._take(outcome))
+        return None
+
+    async def cancel(self, job_id: JobId, index: int | None) -> bool:
+        """Cancel a job or one task of it; False when there is no such job. Raises as ``_durable``."""
+        step = cancel(self._ready_state(), job_id, index, self._clock.now())
+        if step is None:
+            return False
+        await self._durable(self._take(step))
+        return True
+
+    def _ready_state(self) -> Partition:
+        if self._state is None or self._stopping:
+            raise NotReadyError(f"{self._plan.partition} is being taken over; ask again")
+        return self._state
+
+    def _loops(self) -> Iterable[Callable[[], Awaitable[None]]]:
+        yield self._tick_loop
+        yield self._start_loop
+        yield self._stop_loop
+        yield self._renew_loop
+        yield self._workers_loop
+        for region in self._plan.regions:
+            yield partial(self._follow_reports, region)
+
+    async def _recover(self) -> None:
+        while True:
+            try:
+                table = await self._journal.recover()
+                break
+            except StoreUnavailableError as error:
+                logger.warning("recovery of {} waits: {}", self._plan.partition, error)
+                await trio.sleep(_RETRY_SECONDS)
+        state = Partition.at_takeover(table, self._clock.now(), self._plan.rules)
+        self._state = replace(
+            state,
+            policy=self._plan.policy,
+            teams={team.name: team for team in self._plan.teams},
+            weights=self._plan.weights,
+        )
+        logger.info(
+            "partition {} taken over with {} open tasks", self._plan.partition, len(table.tasks)
+        )
+
+    def _take(self, step: Step) -> int:
+        """Adopt a step; returns the count that ``_stored`` reaches when its changes are durable."""
+        self._state = step.partition
+        if step.changes:
+            self._unstored.extend(step.changes)
+            self._appended += len(step.changes)
+            self._has_changes.set()
+        return self._appended
+
+    async def _durable(self, count: int) -> None:
+        """Wait until so many changes are stored. Raises OutcomeUnknownError."""
+        term = self._term
+        while self._stored < count:
+            # After a loss and another takeover the count goes on with other changes. Waiting for
+            # those would tell a submitter that a job is stored which nobody ever stored.
+            if self._state is None or self._term != term:
+                raise OutcomeUnknownError(f"{self._plan.partition} was lost meanwhile")
+            await self._progressed.wait()
+
+    def _wake_waiters(self) -> None:
+        self._progressed.set()
+        self._progressed = trio.Event()
+
+    async def _commit_loop(self) -> None:
+        while not (self._stopping and not self._unstored):
+            await self._has_changes.wait()
+            self._has_changes = trio.Event()
+            if self._unstored:
+                await self._commit()
+            if self._unstored or self._stopping:
+                self._has_changes.set()
+            if not self._stopping:
+                await trio.sleep(self._plan.pace.commit)
+
+    async def _commit(self) -> None:
+        changes = tuple(self._unstored[:_MOST_CHANGES_IN_A_COMMIT])
+        del self._unstored[: len(changes)]
+        sequence = self._journal.position.sequence + 1
+        snapshot = None
+        if not self._unstored and self._state and self._journal.position.snapshot_due:
+            # Right now the table is what it will be after this commit, and never again.
+            snapshot = self._journal.encode_snapshot(self._state.table, sequence)
+        await self._journal.commit(changes)
+        self._stored += len(changes)
+        if self._state is not None:
+            self._state = stored(self._state, changes, self._clock.now())
+        self._wake_waiters()
+        self._has_starts.set()
+        if snapshot is not None:
+            await self._journal.snapshot(*snapshot, sequence)
+
+    async def _tick_loop(self) -> None:
+        while True:
+            if self._state is not None and not self._stopping:
+                now = self._clock.now()
+                self._take(take_time(self._state, now))
+                if self._may_act() and len(self._unstored) < _MOST_UNSTORED_CHANGES:
+                    step = place(self._state, now)
+                    self._take(step)
+                    self._throttles.update((order.task_id, order) for order in step.throttles)
+            await trio.sleep(self._plan.pace.tick)
+
+    def _may_act(self) -> bool:
+        return self._state is not None and self._rights.holds(self._plan.partition)
+
+    async def _start_loop(self) -> None:
+        while True:
+            with trio.move_on_after(1.0):
+                await self._has_starts.wait()
+            self._has_starts = trio.Event()
+            if self._state is None or not self._may_act():
+                continue
+            self._state, orders = take_starts(self._state, self._clock.now())
+            for first in range(0, len(orders), _MOST_STARTS_IN_A_CALL):
+                if self._may_act():
+                    chunk = orders[first : first + _MOST_STARTS_IN_A_CALL]
+                    await self._order(partial(self._platform.start, chunk))
+
+    async def _order(self, call: Callable[[], Awaitable[tuple[RunReport, ...]]]) -> None:
+        """Give an order and take in its answer; without an answer it is given again later."""
+        try:
+            reports = await call()
+        except PlatformError as error:
+            logger.warning("order to the platform: {}", error)
+            return
+        self._take_reports(reports, None)
+
+    def _take_reports(
+        self, reports: tuple[RunReport, ...], whole: WholeReport | None
+    ) -> tuple[StaleRun, ...]:
+        if self._state is None:
+            return ()
+        step = take_report(self._state, reports, self._clock.now(), whole)
+        self._take(step)
+        return step.stale
+
+    async def _stop_loop(self) -> None:
+        while True:
+            if self._state is not None and self._may_act():
+                await self._stop_all(tuple(to_stop(self._state)))
+                await self._throttle_all()
+            await trio.sleep(self._plan.pace.stop_retry)
+
+    async def _stop_all(self, tasks: tuple[Task, ...]) -> None:
+        limit = trio.CapacityLimiter(_MOST_STOPS_AT_A_TIME)
+
+        async def stop_one(task: Task) -> None:
+            async with limit:
+                checkpoint = task.state is TaskState.EVICTING
+                await self._stop_attempt(task.task_id, task.attempt, checkpoint)
+
+        async with trio.open_nursery() as nursery:
+            for task in tasks:
+                nursery.start_soon(stop_one, task)
+
+    async def _throttle_all(self) -> None:
+        while self._throttles and self._may_act():
+            task_id, order = next(iter(self._throttles.items()))
+            try:
+                await self._platform.throttle(task_id, order.attempt, order.millicores)
+            except PlatformError as error:
+                logger.warning("throttle: {}", error)
+                return
+            if self._throttles.get(task_id) is order:
+                del self._throttles[task_id]
+
+    async def _stop_attempt(
+        self, task_id: TaskId, attempt: AttemptNumber, checkpoint: bool
+    ) -> None:
+        async def call() -> tuple[RunReport, ...]:
+            return (await self._platform.stop(task_id, attempt, checkpoint),)
+
+        if self._may_act():
+            await self._order(call)
+
+    async def _renew_loop(self) -> None:
+        while True:
+            if self._state is not None and self._may_act():
+                runs = to_renew(self._state.table, self._state.leases)
+                lease = self._plan.rules.leases.lease
+                if runs:
+                    await self._order(partial(self._platform.renew, runs, lease))
+            await trio.sleep(self._plan.pace.renew)
+
+    async def _workers_loop(self) -> None:
+        while True:
+            try:
+                workers = [
+                    worker
+                    for region in self._plan.regions
+                    for worker in await self._platform.workers(region)
+                ]
+            except PlatformError as error:
+                logger.warning("list of workers: {}", error)
+                await trio.sleep(_RETRY_SECONDS)
+                continue
+            if self._state is not None:
+                known = {worker.worker_id: worker for worker in workers}
+                self._state = replace(self._state, workers=known)
+            await trio.sleep(self._plan.pace.workers)
+
+    async def _follow_reports(self, region: RegionName) -> None:
+        """Take in the platform's reports on one region, for ever."""
+        cursor = 0
+        while True:
+            asked = self._clock.now()
+            try:
+                report = await self._platform.report(region, cursor, self._plan.pace.report_wait)
+            except PlatformError as error:
+                logger.warning("report from the platform: {}", error)
+                await trio.sleep(_RETRY_SECONDS)
+                continue
+            cursor = report.cursor
+            for run in self._take_reports(report.runs, WholeReport(region, asked)):
+                await self._stop_attempt(run.task_id, run.attempt, checkpoint=False)
--- /dev/null
+++ b/fireflyfork/programs/tests/builders_planner.py
@@ -0,0 +1,214 @@
+"""A planner's surroundings in memory: the store, the platform, and settings to run one with."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import trio
+import trio.testing
+
+from fireflyfork_standins import SimulatedWorkers
+
+from ... import (
+    AttemptNumber,
+    FailureDomainName,
+    JobId,
+    MemberId,
+    PartitionId,
+    PlatformError,
+    RackName,
+    RegionName,
+    Resources,
+    Revision,
+    StoreConflictError,
+    StoreUnavailableError,
+    TaskId,
+    TeamContract,
+    TeamName,
+    Worker,
+    WorkerId,
+)
+from ...adapters import (
+    PlatformReport,
+    RenewCall,
+    RunReport,
+    StartOrder,
+    StopCall,
+    Store,
+    StoredValue,
+    ThrottleCall,
+    WorkerPlatform,
+)
+from ...decisions import FirstFitPolicy, PlacementPolicy, Submission, TaskShape
+from .._planner_partition import PartitionPlan, PartitionRunner, PlannerClock
+from .._planner_rights import PartitionRights, SettledRights
+
+VITI = RegionName("viti")
+PARTITION = PartitionId("all/0")
+TEAM = TeamName("letters")
+GIB = 1 << 30
+SMALL = Resources(1000, GIB)
+
+
+class MemoryStore(Store):
+    """The store, with an outage and lost answers to switch on."""
+
+    def __init__(self) -> None:
+        self.values: dict[str, StoredValue] = {}
+        self.down = False
+        self.lose_answers = 0
+        self.calls = 0
+        self._revision = 0
+
+    async def read(self, key: str) -> StoredValue | None:
+        await self._enter()
+        return self.values.get(key)
+
+    async def write(self, key: str, value: bytes, expected: Revision) -> Revision:
+        await self._enter()
+        stored = self.values.get(key)
+        if (stored.revision if stored else 0) != expected:
+            raise StoreConflictError(key)
+        self._revision += 1
+        self.values[key] = StoredValue(value, Revision(self._revision))
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise StoreUnavailableError("the answer was lost")
+        return Revision(self._revision)
+
+    async def delete(self, key: str, expected: Revision) -> None:
+        raise NotImplementedError
+
+    async def keys(self, prefix: str) -> tuple[str, ...]:
+        await self._enter()
+        return tuple(sorted(key for key in self.values if key.startswith(prefix)))
+
+    async def wait(self, key: str, after: Revision, seconds: float) -> StoredValue | None:
+        raise NotImplementedError
+
+    async def _enter(self) -> None:
+        self.calls += 1
+        await trio.sleep(0.002)
+        if self.down:
+            raise StoreUnavailableError("down")
+
+
+class SimulatedPlatform(WorkerPlatform):
+    """The platform, with an outage and lost answers to switch on."""
+
+    def __init__(self, workers: SimulatedWorkers) -> None:
+        self.workers_behind = workers
+        self.down = False
+        self.lose_answers = 0
+
+    async def workers(self, region: RegionName) -> tuple[Worker, ...]:
+        await self._enter()
+        return self.workers_behind.in_region(region)
+
+    async def start(self, orders: tuple[StartOrder, ...]) -> tuple[RunReport, ...]:
+        await self._enter()
+        now = trio.current_time()
+        answer = tuple(self.workers_behind.start(order, now) for order in orders)
+        self._leave()
+        return answer
+
+    async def stop(self, task_id: TaskId, attempt: AttemptNumber, checkpoint: bool) -> RunReport:
+        await self._enter()
+        call = StopCall(task_id, attempt, checkpoint)
+        answer = self.workers_behind.stop(call, trio.current_time())
+        self._leave()
+        return answer
+
+    async def throttle(self, task_id: TaskId, attempt: AttemptNumber, millicores: int) -> None:
+        await self._enter()
+        self.workers_behind.throttle(ThrottleCall(task_id, attempt, millicores))
+        self._leave()
+
+    async def renew(
+        self, runs: tuple[tuple[TaskId, AttemptNumber], ...], seconds: float
+    ) -> tuple[RunReport, ...]:
+        await self._enter()
+        return tuple(self.workers_behind.renew(RenewCall(runs, seconds), trio.current_time()))
+
+    async def report(self, region: RegionName, cursor: int, wait_seconds: float) -> PlatformReport:
+        await self._enter()
+        deadline = trio.current_time() + wait_seconds
+        while True:
+            self.workers_behind.advance(trio.current_time())
+            report = self.workers_behind.report(region, cursor)
+            if report.runs or trio.current_time() >= deadline:
+                return report
+            await trio.sleep(0.25)
+
+    async def _enter(self) -> None:
+        await trio.sleep(0.002)
+        if self.down:
+            raise PlatformError("down")
+        self.workers_behind.advance(trio.current_time())
+
+    def _leave(self) -> None:
+        if self.lose_answers:
+            self.lose_answers -= 1
+            raise PlatformError("the answer was lost")
+
+
+def make_workers(count: int, cores: int = 4) -> tuple[Worker, ...]:
+    """Equal workers in one rack of viti."""
+    return tuple(
+        Worker(
+            WorkerId(f"w{index}"),
+            VITI,
+            FailureDomainName("suva"),
+            RackName("suva-1"),
+            Resources(cores * 1000, cores * 4 * GIB),
+        )
+        for index in range(count)
+    )
+
+
+def make_submission(
+    name: str = "night", tasks: int = 1, run_seconds: float = 20.0, resources: Resources = SMALL
+) -> Submission:
+    """A job of confirmation letters."""
+    shape = TaskShape(TEAM, "letter", resources, run_seconds)
+    return Submission(JobId(name), shape, tasks)
+
+
+def make_team(cores: int = 1000) -> TeamContract:
+    """A team with a quota."""
+    return TeamContract(TEAM, Resources(cores * 1000, cores * 4 * GIB), urgent=True)
+
+
+def make_plan(policy: PlacementPolicy | None = None, cores: int = 1000) -> PartitionPlan:
+    """One partition of all workers of viti."""
+    return PartitionPlan(PARTITION, (VITI,), policy or FirstFitPolicy(), (make_team(cores),))
+
+
+def make_rights(member: str = "planner-1") -> PartitionRights:
+    """The right to the one partition."""
+    return SettledRights(MemberId(member), frozenset({PARTITION}), {})
+
+
+def make_runner(
+    store: Store,
+    platform: WorkerPlatform,
+    rights: PartitionRights | None = None,
+    plan: PartitionPlan | None = None,
+) -> PartitionRunner:
+    """A planner's partition. Needs a running trio loop."""
+    return PartitionRunner(
+        plan or make_plan(), store, platform, rights or make_rights(), PlannerClock()
+    )
+
+
+async def until(condition: Callable[[], bool], seconds: float = 600.0) -> None:
+    """Wait until ``condition`` holds. Raises trio.TooSlowError."""
+    with trio.fail_after(seconds):
+        while not condition():
+            await trio.sleep(0.05)
+
+
+def run_simulated(body: Callable[[], Awaitable[None]]) -> None:
+    """Run ``body`` in simulated time, which jumps ahead whenever nothing is left to do."""
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    trio.run(body, clock=clock)
