The demo: the whole path as separate processes

Cause: a newcomer needs one command that shows requests and batch work going through. Stand-ins waited for their own watches for up to a minute; they now end half a second after the signal.

--- a/fireflyfork/programs/_configuration_keeper.py
+++ b/fireflyfork/programs/_configuration_keeper.py
@@ -13,6 +13,7 @@
 import trio
 from loguru import logger
 
+from .._contract_codec import decode_contracts
 from .._contracts import Configuration
 from .._errors import FireflyforkError, PeerError, SettingsError, StoreError
 from .._ids import ConfigurationVersion, MemberId, Revision
@@ -26,7 +27,6 @@
     OfferSource,
     begin_register,
     consider,
-    decode_configuration,
     peer_done,
     store_is_empty,
 )
@@ -36,17 +36,15 @@
 RETRY_SECONDS = 0.5
 LONGEST_RETRY_SECONDS = 5.0
 
-Decode = Callable[[bytes], Configuration]
 InForce = Callable[[Configuration], None]
 
 
 class ConfigurationKeeper:
     """The configuration at one entry."""
 
-    def __init__(self, store: Store, decode: Decode, in_force: InForce) -> None:
+    def __init__(self, store: Store, in_force: InForce) -> None:
         """``in_force`` is called with each configuration that comes into force."""
         self._store = store
-        self._decode = decode
         self._in_force = in_force
         self._state = begin_register(())
         self._revision = Revision(0)
@@ -120,7 +118,8 @@
             self._state = store_is_empty(self._state)
             return
         self._revision = stored.revision
-        offer = decode_configuration(stored.value)
+        configuration = decode_contracts(stored.value)
+        offer = ConfigurationOffer(configuration.version, configuration.change_id, stored.value)
         self._consider(offer, OfferSource.STORE)
         for mate in self._mates():
             self._pass_on(mate.member_id, offer)
@@ -135,7 +134,7 @@
         if held is None or not self._state.ready or held.version <= self._version_in_force:
             return
         try:
-            configuration = self._decode(held.value)
+            configuration = decode_contracts(held.value)
         except FireflyforkError as error:
             logger.error("configuration unreadable", version=held.version, error=str(error))
             return
--- a/fireflyfork/programs/_target_attempts.py
+++ b/fireflyfork/programs/_target_attempts.py
@@ -23,6 +23,8 @@
 from ._target_group import OwnedTarget, TargetGroup
 
 CONNECT_SECONDS = 1.0
+SEND_SECONDS = 4.0
+"""With the time to connect it stays below half of ``START_WITHIN_SECONDS``."""
 
 
 @dataclass(slots=True, eq=False)
@@ -134,10 +136,7 @@
 
     async def _exchange(self, connection: HttpClientConnection, attempt: _Attempt) -> None:
         attempt.left = True
-        await connection.send_head(_head(attempt))
-        async for chunk in attempt.body.chunks():
-            await connection.send_body(chunk)
-        await connection.send_end()
+        await self._send(connection, attempt)
         head = await connection.receive_head()
         await attempt.relay.start(head)
         async for chunk in connection.receive_body():
@@ -145,6 +144,19 @@
         attempt.answered = True
         await attempt.relay.end()
 
+    @staticmethod
+    async def _send(connection: HttpClientConnection, attempt: _Attempt) -> None:
+        # The slot's hold counts on the request having left by then. One that left later could
+        # still run after its slot was given to the next.
+        try:
+            with trio.fail_after(SEND_SECONDS):
+                await connection.send_head(_head(attempt))
+                async for chunk in attempt.body.chunks():
+                    await connection.send_body(chunk)
+                await connection.send_end()
+        except trio.TooSlowError as error:
+            raise HttpError("the request did not leave in time") from error
+
     async def _connection(
         self, target: OwnedTarget, idempotent: bool
     ) -> tuple[ConnectionId, HttpClientConnection]:
--- a/fireflyfork/programs/entry.py
+++ b/fireflyfork/programs/entry.py
@@ -11,7 +11,6 @@
 import trio
 from loguru import logger
 
-from .._contract_codec import decode_contracts
 from .._errors import PlatformError
 from .._ids import MemberId
 from .._links import Address
@@ -60,7 +59,7 @@
             me, self._store, channel, self._new_id, self._entry.occupied, self._fleet_changed
         )
         view.attach(self._membership)
-        self._keeper = ConfigurationKeeper(self._store, decode_contracts, self._entry.configure)
+        self._keeper = ConfigurationKeeper(self._store, self._entry.configure)
         self._attach(channel)
 
     async def run(self) -> None:
--- a/fireflyfork_standins/_program.py
+++ b/fireflyfork_standins/_program.py
@@ -10,20 +10,28 @@
 from fireflyfork.adapters import HttpHandler, HttpServer, listen
 
 
+STOP_SECONDS = 0.5
+
+
 async def serve_until_stopped(handler: HttpHandler, address: Address) -> None:
-    """Serve ``handler`` at ``address`` until SIGTERM or SIGINT; exchanges under way end first."""
+    """Serve ``handler`` at ``address`` until SIGTERM or SIGINT."""
     server = HttpServer(handler)
     listeners = await listen(address.host, address.port)
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(stop_on_signal, [server])
+        nursery.start_soon(stop_on_signal, [server], nursery.cancel_scope)
         await server.run(listeners)
         nursery.cancel_scope.cancel()
 
 
-async def stop_on_signal(servers: list[HttpServer]) -> None:
-    """Stop all ``servers`` at the first SIGTERM or SIGINT."""
+async def stop_on_signal(servers: list[HttpServer], scope: trio.CancelScope) -> None:
+    """Stop all ``servers`` at the first SIGTERM or SIGINT, and soon after cancel ``scope``.
+
+    Waiting watches would otherwise keep a stand-in alive for as long as they were told to wait.
+    """
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for _ in signals:
-            for server in servers:
-                server.stop()
-            return
+            break
+    for server in servers:
+        server.stop()
+    await trio.sleep(STOP_SECONDS)
+    scope.cancel()
--- /dev/null
+++ b/fireflyfork_standins/demo_settings.py
@@ -0,0 +1,103 @@
+"""Writes the settings files of the demo: ``python -m fireflyfork_standins.demo_settings FOLDER``."""
+
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path
+
+STORE = "127.0.0.1:9001"
+INSTANCES = "127.0.0.1:9002"
+PLATFORM = "127.0.0.1:9003"
+
+ENTRIES = (
+    ("suva-1", "viti", "suva", 9011),
+    ("nadi-1", "viti", "nadi", 9021),
+    ("labasa-1", "vanua", "labasa", 9031),
+    ("labasa-2", "vanua", "labasa", 9041),
+)
+"""Name, region, failure domain and first port: callers, then peers, then operators."""
+
+PLANNERS = (("suva-1", "viti", "suva", 9051), ("nadi-1", "viti", "nadi", 9052))
+
+RACKS = (("viti", "suva", 9101), ("viti", "nadi", 9111), ("vanua", "labasa", 9121))
+"""Region, failure domain and first executor port; eight executors, each on a worker, to a rack."""
+
+EXECUTORS_PER_RACK = 8
+GIB = 1 << 30
+
+
+def entry_settings(name: str, region: str, failure_domain: str, port: int) -> dict[str, object]:
+    """The settings of one entry."""
+    return {
+        "name": f"entry-{name}",
+        "region": region,
+        "failure_domain": failure_domain,
+        "caller_address": f"127.0.0.1:{port}",
+        "peer_address": f"127.0.0.1:{port + 1}",
+        "operator_address": f"127.0.0.1:{port + 2}",
+        "store_address": STORE,
+        "instance_list_address": INSTANCES,
+        "peer_key": "only-for-the-demo-on-loopback",
+        "drain_notice_seconds": 0.2,
+    }
+
+
+def planner_settings(name: str, region: str, failure_domain: str, port: int) -> dict[str, object]:
+    """The settings of one planner."""
+    owner = f"127.0.0.1:{PLANNERS[0][3]}"
+    return {
+        "name": f"planner-{name}",
+        "region": region,
+        "failure_domain": failure_domain,
+        "listen": f"127.0.0.1:{port}",
+        "store": STORE,
+        "platform": PLATFORM,
+        "partitions": [{"partition": "all/0", "regions": ["viti", "vanua"], "owner": owner}],
+        "teams": [
+            {"name": "letters", "quota": {"millicores": 64_000, "memory": 256 * GIB}},
+        ],
+    }
+
+
+def executor_settings() -> dict[str, object]:
+    """The settings of the process that stands in for all executors."""
+    ports = (first + i for _, _, first in RACKS for i in range(EXECUTORS_PER_RACK))
+    return {
+        "addresses": [f"127.0.0.1:{port}" for port in ports],
+        "slots": 8,
+        "run_seconds": 0.03,
+    }
+
+
+def platform_settings() -> dict[str, object]:
+    """The settings of the stand-in for the worker platform."""
+    groups = [
+        {
+            "rack": f"{failure_domain}-rack",
+            "region": region,
+            "failure_domain": failure_domain,
+            "count": EXECUTORS_PER_RACK,
+            "capacity": {"millicores": 16_000, "memory": 60 * GIB},
+        }
+        for region, failure_domain, _ in RACKS
+    ]
+    return {"listen": PLATFORM, "groups": groups, "report_interval_seconds": 0.5}
+
+
+def main() -> None:
+    """Write all files into the folder named on the command line."""
+    folder = Path(sys.argv[1])
+    files = {
+        "executors": executor_settings(),
+        "platform": platform_settings(),
+        **{f"entry-{entry[0]}": entry_settings(*entry) for entry in ENTRIES},
+        **{f"planner-{planner[0]}": planner_settings(*planner) for planner in PLANNERS},
+    }
+    for name, content in files.items():
+        text = f"// Settings of {name}, made for the demo.\n{json.dumps(content, indent=2)}\n"
+        (folder / f"{name}.jsonc").write_text(text, "utf-8")
+
+
+if __name__ == "__main__":
+    main()
--- a/fireflyfork_standins/executor.py
+++ b/fireflyfork_standins/executor.py
@@ -110,7 +110,7 @@
     random = Random(settings.seed)
     servers: list[HttpServer] = []
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(stop_on_signal, servers)
+        nursery.start_soon(stop_on_signal, servers, nursery.cancel_scope)
         async with trio.open_nursery() as serving:
             for text in settings.addresses:
                 address = Address.parse(text)
