--- a/fireflyfork_standins/_program.py
+++ b/fireflyfork_standins/_program.py
@@ -9,7 +9,6 @@
 from fireflyfork import Address
 from fireflyfork.adapters import HttpHandler, HttpServer, listen
 
-
 STOP_SECONDS = 0.5
 
 
