--- /dev/null
+++ b/fireflyfork/programs/tests/test_membership.py
@@ -0,0 +1,173 @@
+"""Several memberships against one store in memory, on a clock that jumps."""
+
+import unittest
+from collections.abc import Awaitable, Callable
+
+import trio
+import trio.testing
+
+from ..._links import Address
+from ...decisions import Acquisition, MemberPhase
+from .._membership import Membership, boot_time
+from .builders_membership import Fleet
+
+_PLACES = (("a", "viti/suva", 1), ("b", "viti/nadi", 2), ("c", "viti/suva", 3))
+
+
+def _with_fleet(scenario: Callable[[Fleet, list[Membership]], Awaitable[None]]) -> None:
+    """Run a scenario with three members that have settled."""
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            fleet = Fleet(nursery)
+            members = [fleet.start(*place) for place in _PLACES]
+            await trio.sleep(10)
+            await scenario(fleet, members)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+class MembershipTest(unittest.TestCase):
+    """Joining, serving through an outage, taking over and leaving."""
+
+    def test_members_share_evenly_and_agree(self) -> None:
+        """After the start each partition has one owner who may dispatch."""
+
+        async def scenario(fleet: Fleet, members: list[Membership]) -> None:
+            self.assertEqual(sorted(len(one.owned_partitions) for one in members), [10, 11, 11])
+            self.assertEqual({one.revision for one in members}, {members[0].revision})
+            for partition in members[0].record.owners:
+                self.assertEqual(sum(one.may_dispatch(partition) for one in members), 1)
+
+        _with_fleet(scenario)
+
+    def test_idle_fleet_leaves_the_store_alone(self) -> None:
+        """A fleet that wrote heartbeats would use up the store's calls as it grows."""
+
+        async def scenario(fleet: Fleet, members: list[Membership]) -> None:
+            fleet.store.calls.clear()
+            await trio.sleep(900)
+            self.assertEqual(set(fleet.store.calls), {"watch"})
+            self.assertLessEqual(fleet.store.calls["watch"], 2 * 4)
+
+        _with_fleet(scenario)
+
+    def test_store_outage_stops_nobody(self) -> None:
+        """The store is away for ten minutes, and requests go on being served by all."""
+
+        async def scenario(fleet: Fleet, members: list[Membership]) -> None:
+            fleet.store.down = True
+            fleet.store.calls.clear()
+            for _ in range(600):
+                await trio.sleep(1)
+                self.assertTrue(all(one.holds_right for one in members))
+            self.assertLess(fleet.store.calls.total(), 2 * 600 / 5 + 2)
+
+        _with_fleet(scenario)
+
+    def test_dead_member_is_replaced(self) -> None:
+        """An instance dies. Its targets would be refused until others own them."""
+
+        async def scenario(fleet: Fleet, members: list[Membership]) -> None:
+            lost = members[1].owned_partitions
+            fleet.kill("b", 2)
+            await trio.sleep(6)
+            living = [members[0], members[2]]
+            for partition in lost:
+                self.assertEqual(sum(one.may_dispatch(partition) for one in living), 1)
+            taken = members[0].record.owners[lost[0]]
+            self.assertIs(taken.acquired, Acquisition.TAKEN_OVER)
+
+        _with_fleet(scenario)
+
+    def test_cut_member_stops_and_joins_anew(self) -> None:
+        """A member loses its peers and the store, is taken over, and finds both again.
+
+        Had it gone on, its targets would have had two owners. It comes back under another id.
+        """
+
+        async def scenario(fleet: Fleet, members: list[Membership]) -> None:
+            cut = members[1]
+            fleet.network.cut.add(Address("127.0.0.1", 2))
+            fleet.store.down = True
+            await trio.sleep(2.5)
+            self.assertFalse(cut.holds_right)
+            fleet.store.down = False
+            await trio.sleep(0.5)
+            fleet.network.cut.clear()
+            await trio.sleep(15)
+            self.assertTrue(all(one.holds_right for one in members))
+            self.assertEqual(sum(len(one.owned_partitions) for one in members), 32)
+
+        _with_fleet(scenario)
+
+    def test_fenced_member_joins_anew(self) -> None:
+        """A process was frozen for longer than its right lasts, and wakes as a stranger."""
+
+        async def scenario(fleet: Fleet, members: list[Membership]) -> None:
+            members[0].declare_gone(members[1].member_id)
+            await trio.sleep(15)
+            self.assertEqual(members[1].member_id, "b-2")
+            self.assertIs(members[1].phase, MemberPhase.ACTIVE)
+            self.assertEqual(len(members[1].owned_partitions), 10)
+            phases = [view.phase for view in fleet.views["b"]]
+            self.assertIn(MemberPhase.FENCED, phases)
+
+        _with_fleet(scenario)
+
+    def test_planned_stop_hands_over_occupied_slots(self) -> None:
+        """An entry is replaced. Its requests in flight still hold slots that the next must count."""
+
+        async def scenario(fleet: Fleet, members: list[Membership]) -> None:
+            given = members[0].owned_partitions
+            self.assertTrue(await members[0].leave(5))
+            self.assertFalse(any(members[0].may_dispatch(partition) for partition in given))
+            await trio.sleep(1)
+            owners = members[1].record.owners
+            self.assertTrue(all(owners[partition].occupied for partition in given))
+            for partition in given:
+                self.assertEqual(sum(one.may_dispatch(partition) for one in members[1:]), 1)
+
+        _with_fleet(scenario)
+
+    def test_planned_stop_during_an_outage(self) -> None:
+        """The hand-over can't be written, so the entry goes on serving until its time is up."""
+
+        async def scenario(fleet: Fleet, members: list[Membership]) -> None:
+            fleet.store.down = True
+            self.assertFalse(await members[0].leave(20))
+            self.assertTrue(members[0].may_dispatch(members[0].owned_partitions[0]))
+
+        _with_fleet(scenario)
+
+    def test_lost_answers_change_nothing(self) -> None:
+        """Every write takes effect without an answer while a fourth entry joins."""
+
+        async def scenario(fleet: Fleet, members: list[Membership]) -> None:
+            fleet.store.answers_to_lose = 4
+            members.append(fleet.start("d", "viti/nadi", 4))
+            await trio.sleep(20)
+            self.assertEqual(fleet.store.answers_to_lose, 0)
+            self.assertEqual(sorted(len(one.owned_partitions) for one in members), [8] * 4)
+            for partition in members[0].record.owners:
+                self.assertEqual(sum(one.may_dispatch(partition) for one in members), 1)
+
+        _with_fleet(scenario)
+
+    def test_changes_can_be_followed(self) -> None:
+        """The request path must learn of a new owner, or it would forward to the old one."""
+
+        async def scenario(fleet: Fleet, members: list[Membership]) -> None:
+            async for view in members[0].changes():
+                if view.record.owned_by(members[1].member_id) == ():
+                    break
+                if view.revision == members[0].revision and "b" in fleet.scopes:
+                    fleet.kill("b", 2)
+                    del fleet.scopes["b"]
+
+        _with_fleet(scenario)
+
+    def test_clock_goes_on_in_suspension(self) -> None:
+        """The default clock is one that counts the time that a machine was suspended."""
+        self.assertGreater(boot_time(), 0)
