--- a/fireflyfork/programs/_membership.py
+++ b/fireflyfork/programs/_membership.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+import random
 import time
-from collections.abc import AsyncIterator, Callable, Mapping
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from dataclasses import dataclass, field, replace
 from functools import partial
 
@@ -12,7 +13,7 @@
 
 from .._errors import PeerError, SettingsError, StoreConflictError, StoreError
 from .._ids import ConfigurationVersion, MemberId, PartitionId, Revision
-from ..adapters._store import Store, StoredValue
+from ..adapters import Store, StoredValue
 from ..decisions import (
     FLEET_KEY,
     AnswerAsker,
@@ -121,6 +122,7 @@
         self._nursery: trio.Nursery | None = None
         self._change_event = trio.Event()
         self._leaving = False
+        self._random = random.Random(me.member_id)
 
     @property
     def member_id(self) -> MemberId:
@@ -219,10 +221,13 @@
 
     async def run(self) -> None:
         """Take part until cancelled. Call ``leave`` first when the stop is planned."""
-        async with trio.open_nursery() as nursery:
-            self._nursery = nursery
-            nursery.start_soon(self._keep_ticking)
-            nursery.start_soon(self._keep_watching)
+        try:
+            async with trio.open_nursery() as nursery:
+                self._nursery = nursery
+                nursery.start_soon(self._keep_ticking)
+                nursery.start_soon(self._keep_watching)
+        finally:
+            self._nursery = None
 
     async def leave(self, seconds: float) -> bool:
         """Hand everything over. False when that was not possible in time; dispatch goes on then."""
@@ -243,12 +248,13 @@
         if self.phase is not MemberPhase.FENCED or self._leaving:
             return
         logger.warning("fenced; joining anew", member=self.member_id)
-        self._state = self._begin(replace(self._state.me, member_id=self._new_member_id()))
+        before = self._state
+        anew = self._begin(replace(before.me, member_id=self._new_member_id(), guard=None))
+        self._state = replace(anew, record=before.record, revision=before.revision)
         self._announce()
 
     def _begin(self, me: Member) -> MembershipState:
         settings = self._settings
-        me = replace(me, guard=None)
         return begin_membership(me, settings.timing, settings.partitions_per_region)
 
     async def _keep_watching(self) -> None:
@@ -260,8 +266,12 @@
             try:
                 await self._watch_once()
             except (StoreError, SettingsError) as error:
-                logger.info("watch failed", error=str(error))
-                await trio.sleep(self._settings.timing.longest_store_retry_seconds)
+                logger.debug("watch failed", error=str(error))
+                await trio.sleep(self._watch_retry_seconds())
+
+    def _watch_retry_seconds(self) -> float:
+        """Differently long for each member, so that not all call when the store returns."""
+        return self._settings.timing.longest_store_retry_seconds * self._random.uniform(0.5, 1.0)
 
     async def _watch_once(self) -> None:
         settings = self._settings
@@ -311,18 +321,24 @@
             case AnswerAsker():
                 pass
 
-    def _start(self, task: Callable[[], object]) -> None:
-        if self._nursery is None:
-            raise RuntimeError("the membership is not running")
-        self._nursery.start_soon(task)  # type: ignore[arg-type]
+    def _start(self, task: Callable[[], Awaitable[None]]) -> None:
+        # A peer may ask just before the start or after the end; what that brings up can wait.
+        if self._nursery is not None:
+            self._nursery.start_soon(task)
 
     def _offer_to(self, command: OfferRecord) -> None:
         offer = FleetOffer(encode_fleet(command.record), command.revision)
         for name in command.members:
-            peer = self._state.record.members.get(name)
+            peer = self._peer(name)
             if peer is not None:
                 self._start(partial(self._offer, peer, offer))
 
+    def _peer(self, name: MemberId) -> Member | None:
+        """A member, or a fenced one, which wants to know of its fence."""
+        record = self._state.record
+        fenced = record.fenced.get(name)
+        return fenced.member if fenced is not None else record.members.get(name)
+
     async def _offer(self, peer: Member, offer: FleetOffer) -> None:
         try:
             await self._channel.offer_fleet(peer, offer)
@@ -352,7 +368,7 @@
             try:
                 event = _as_read(await self._store.read(self._settings.key))
             except (StoreError, SettingsError) as error:
-                logger.info("fleet record not read", error=str(error))
+                logger.debug("fleet record not read", error=str(error))
         if asker == self.member_id:
             self._feed(event)
 
@@ -367,7 +383,7 @@
             except StoreConflictError:
                 event = WriteEnded(WriteOutcome.LOST)
             except StoreError as error:
-                logger.info("fleet record not written", error=str(error))
+                logger.debug("fleet record not written", error=str(error))
         if asker == self.member_id:
             self._feed(event)
 
