--- a/fireflyfork/operations/__init__.py
+++ b/fireflyfork/operations/__init__.py
@@ -29,9 +29,7 @@
 from ._decoding import Decoded, decode
 from ._differences import Difference, differences
 from ._documents import (
-    decode_configuration,
     decode_document,
-    encode_configuration,
     parse_document,
     render_answers,
     render_configuration,
@@ -40,6 +38,7 @@
 )
 from ._generator import Generated, generate, unusable_addresses
 from ._quantities import ByteCount, ByteRate, Cores, Duration, Quantity, Share
+from ._stored import decode_configuration, encode_configuration
 from ._violations import Violation
 
 __all__ = [
--- a/fireflyfork/operations/_documents.py
+++ b/fireflyfork/operations/_documents.py
@@ -1,4 +1,4 @@
-"""Files of answers and configurations: JSON with comments, and the stored form."""
+"""Files of answers and configurations: JSON with comments."""
 
 from __future__ import annotations
 
@@ -51,19 +51,6 @@
     return decode(expected, raw)
 
 
-def encode_configuration(configuration: Configuration) -> bytes:
-    """The form in which the store holds a configuration."""
-    return msgspec.json.encode(configuration)
-
-
-def decode_configuration(value: bytes) -> Configuration:
-    """Decode a stored configuration. Raises SettingsError when it is malformed."""
-    try:
-        return msgspec.json.decode(value, type=Configuration)
-    except (msgspec.ValidationError, msgspec.DecodeError) as error:
-        raise SettingsError(f"the stored configuration is malformed: {error}") from error
-
-
 def render_generated(generated: Generated, title: str) -> str:
     """The file of a generated configuration; comments say which answer each value came from."""
     return _render(msgspec.to_builtins(generated.configuration), generated.sources, title)
--- a/fireflyfork/operations/_relations.py
+++ b/fireflyfork/operations/_relations.py
@@ -7,17 +7,13 @@
 from collections.abc import Iterator
 from typing import Any
 
-import msgspec
-
 from .._contracts import Configuration, ServiceContract, WorkerGroup
 from .._errors import SettingsError
 from .._ids import FailureDomainName, RegionName
 from .._links import Address
 from .._machines import Resources
 from ._rules import Located
-
-LONGEST_STORED_BYTES = 1_000_000
-"""The store holds values up to a megabyte."""
+from ._stored import LONGEST_STORED_BYTES, encode_configuration
 
 Found = Iterator[Located[Any]]
 
@@ -210,7 +206,7 @@
 
 def more_than_a_stored_value(configuration: Configuration) -> Found:
     """A configuration that the store can't hold."""
-    size = len(msgspec.json.encode(configuration))
+    size = len(encode_configuration(configuration))
     if size > LONGEST_STORED_BYTES:
         yield Located("file", f"{size} bytes")
 
