--- a/fireflyfork/operations/__init__.py
+++ b/fireflyfork/operations/__init__.py
@@ -37,6 +37,7 @@
     with_version,
 )
 from ._generator import Generated, generate, unusable_addresses
+from ._interview import Prompt, interview
 from ._quantities import ByteCount, ByteRate, Cores, Duration, Quantity, Share
 from ._stored import decode_configuration, encode_configuration
 from ._violations import Violation
@@ -58,6 +59,7 @@
     "JobAnswer",
     "LinkAnswer",
     "Measure",
+    "Prompt",
     "Quantity",
     "Question",
     "RegionAnswer",
@@ -76,6 +78,7 @@
     "encode_configuration",
     "generate",
     "history_key",
+    "interview",
     "mint_change_id",
     "next_version",
     "parse_document",
--- a/fireflyfork/operations/_decoding.py
+++ b/fireflyfork/operations/_decoding.py
@@ -38,12 +38,12 @@
 
 
 def _convert(expected: Any, raw: object, path: str, found: list[Violation]) -> Any:
-    if dataclasses.is_dataclass(expected) and not _is_quantity(expected):
+    if dataclasses.is_dataclass(expected) and not is_quantity(expected):
         return _convert_object(expected, raw, path, found)
     if typing.get_origin(expected) is tuple and typing.get_args(expected)[-1] is Ellipsis:
         return _convert_list(typing.get_args(expected)[0], raw, path, found)
-    if _is_optional(expected):
-        return None if raw is None else _convert(_inner(expected), raw, path, found)
+    if is_optional(expected):
+        return None if raw is None else _convert(inner_type(expected), raw, path, found)
     return _convert_leaf(expected, raw, path, found)
 
 
@@ -51,7 +51,7 @@
     if not isinstance(raw, dict):
         found.append(Violation(path or "file", shown(raw), "must be an object", "write {...} here"))
         return None
-    hints = _hints(expected)
+    hints = type_hints(expected)
     for name in raw:
         if name not in hints:
             found.append(_unknown_field(name, raw[name], list(hints), path))
@@ -77,7 +77,7 @@
 
 def _convert_leaf(expected: Any, raw: object, path: str, found: list[Violation]) -> Any:
     try:
-        if _is_quantity(expected):
+        if is_quantity(expected):
             return expected.parse(raw)
         return msgspec.convert(raw, expected)
     except (ValueError, msgspec.ValidationError) as error:
@@ -96,20 +96,24 @@
 
 
 @functools.cache
-def _hints(expected: Any) -> dict[str, Any]:
+def type_hints(expected: Any) -> dict[str, Any]:
+    """The types of a dataclass's fields."""
     return typing.get_type_hints(expected)
 
 
-def _is_quantity(expected: Any) -> bool:
+def is_quantity(expected: Any) -> bool:
+    """Whether a type is a number with a unit."""
     return isinstance(expected, type) and issubclass(expected, Quantity)
 
 
-def _is_optional(expected: Any) -> bool:
+def is_optional(expected: Any) -> bool:
+    """Whether a type admits None."""
     union = typing.get_origin(expected) in (typing.Union, types.UnionType)
     return union and type(None) in typing.get_args(expected)
 
 
-def _inner(expected: Any) -> Any:
+def inner_type(expected: Any) -> Any:
+    """The type that an optional type admits besides None."""
     return next(option for option in typing.get_args(expected) if option is not type(None))
 
 
@@ -119,9 +123,9 @@
 
 
 def _example(expected: Any) -> str:
-    if _is_optional(expected):
-        return _example(_inner(expected))
-    if _is_quantity(expected):
+    if is_optional(expected):
+        return _example(inner_type(expected))
+    if is_quantity(expected):
         return f'"{expected.example()}"'
     if dataclasses.is_dataclass(expected):
         return "{...}"
--- /dev/null
+++ b/fireflyfork/operations/_interview.py
@@ -0,0 +1,166 @@
+"""The interactive questionnaire, without a terminal: it asks for texts and returns answers.
+
+The questions stand beside the fields of the answers, so this module knows none of them; it walks
+the fields and reads each text by its field's type.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+from collections.abc import Generator
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+from ._answers import Answers, question_of
+from ._decoding import inner_type, is_optional, is_quantity, type_hints
+
+_YES = frozenset({"y", "yes", "true"})
+_NO = frozenset({"n", "no", "false", ""})
+
+
+@dataclass(frozen=True, slots=True)
+class Prompt:
+    """One question to put to a person."""
+
+    path: str
+    """The answer that it is for, such as ``services[0].timeout``."""
+    text: str
+    why: str
+    """What the answer changes."""
+    default: str | None
+    """What an empty reply means; None when a reply is required."""
+    complaint: str = ""
+    """Why the reply before this one was not understood."""
+
+
+Interview = Generator[Prompt, str, Any]
+"""Yields prompts, is sent replies, and returns what they say."""
+
+
+def interview() -> Generator[Prompt, str, Answers]:
+    """Ask for everything. Each prompt yielded expects the reply to be sent."""
+    answers = yield from _ask_object(Answers, "")
+    assert isinstance(answers, Answers)
+    return answers
+
+
+def _ask_object(kind: Any, path: str) -> Interview:
+    hints = type_hints(kind)
+    values: dict[str, Any] = {}
+    for field in dataclasses.fields(kind):
+        where = f"{path}.{field.name}" if path else field.name
+        values[field.name] = yield from _ask_field(field, hints[field.name], where)
+    return kind(**values)
+
+
+def _ask_field(field: dataclasses.Field[Any], kind: Any, path: str) -> Interview:
+    question = question_of(field)
+    element = _element(kind)
+    if element is not None and dataclasses.is_dataclass(element):
+        return (yield from _ask_list(element, path, question.prompt, question.why))
+    default = _default(field)
+    prompt = Prompt(path, question.prompt, question.why, _written(default))
+    while True:
+        reply = (yield prompt).strip()
+        if not reply and prompt.default is not None:
+            return default
+        try:
+            return _read(kind, reply)
+        except ValueError as error:
+            prompt = dataclasses.replace(prompt, complaint=f"{reply!r}: {error}")
+
+
+def _ask_list(element: Any, path: str, text: str, why: str) -> Interview:
+    """Ask for one object after the other until there are no more."""
+    items: list[Any] = []
+    while True:
+        prompt = f"{text}: add {'another' if items else 'one'}? yes or no"
+        more = Prompt(f"{path}[{len(items)}]", prompt, why, "no")
+        if not (yield from _ask_yes(more)):
+            return tuple(items)
+        items.append((yield from _ask_object(element, more.path)))
+
+
+def _ask_yes(prompt: Prompt) -> Generator[Prompt, str, bool]:
+    while True:
+        reply = (yield prompt).strip()
+        try:
+            return _read_yes(reply)
+        except ValueError as error:
+            prompt = dataclasses.replace(prompt, complaint=f"{reply!r}: {error}")
+
+
+def _read(kind: Any, reply: str) -> Any:
+    """Read a reply as a value of ``kind``. Raises ValueError with what was expected."""
+    if is_optional(kind):
+        return _read(inner_type(kind), reply) if reply else None
+    if typing.get_origin(kind) is tuple:
+        return _read_words(kind, reply.replace(",", " ").split())
+    if is_quantity(kind):
+        return kind.parse(reply)
+    if kind is bool:
+        return _read_yes(reply)
+    if kind is int:
+        return _read_whole(reply)
+    if isinstance(kind, type) and issubclass(kind, Enum):
+        return _read_member(kind, reply)
+    if not reply:
+        raise ValueError("an answer is needed")
+    return reply
+
+
+def _read_words(kind: Any, words: list[str]) -> tuple[Any, ...]:
+    arguments = typing.get_args(kind)
+    if arguments[-1] is not Ellipsis and len(words) != len(arguments):
+        raise ValueError(f"expected {len(arguments)} words")
+    return tuple(_read(arguments[0], word) for word in words)
+
+
+def _read_yes(reply: str) -> bool:
+    if reply.lower() not in _YES | _NO:
+        raise ValueError("expected yes or no")
+    return reply.lower() in _YES
+
+
+def _read_whole(reply: str) -> int:
+    if not reply.isascii() or not reply.isdigit():
+        raise ValueError("expected a whole number")
+    return int(reply)
+
+
+def _read_member(kind: type[Enum], reply: str) -> Enum:
+    try:
+        return kind(reply)
+    except ValueError:
+        names = ", ".join(str(member.value) for member in kind)
+        raise ValueError(f"expected one of {names}") from None
+
+
+def _element(kind: Any) -> Any:
+    """The type of the elements of a list of any length, or None."""
+    arguments = typing.get_args(kind)
+    is_list = typing.get_origin(kind) is tuple and arguments[-1] is Ellipsis
+    return arguments[0] if is_list else None
+
+
+def _default(field: dataclasses.Field[Any]) -> Any:
+    if field.default_factory is not dataclasses.MISSING:
+        return field.default_factory()
+    return field.default
+
+
+def _written(default: Any) -> str | None:
+    """How a default is shown in a prompt."""
+    if default is dataclasses.MISSING:
+        return None
+    if default is None:
+        return ""
+    if isinstance(default, bool):
+        return "yes" if default else "no"
+    if isinstance(default, Enum):
+        return str(default.value)
+    if isinstance(default, tuple):
+        return " ".join(_written(item) or "" for item in default)
+    return str(default)
--- /dev/null
+++ b/fireflyfork/operations/tests/test_interview.py
@@ -0,0 +1,70 @@
+"""The interactive questionnaire."""
+
+import unittest
+from collections.abc import Iterable
+
+from hypothesis import given, settings
+
+from .. import Answers, Prompt, interview
+from .builders_answers import example_answers, valid_answers
+from .builders_replies import replies_for
+
+
+def hold(replies: Iterable[str]) -> tuple[Answers, list[Prompt]]:
+    """Answer an interview with ``replies``; returns what it made of them, and its prompts."""
+    conversation = interview()
+    prompts = [next(conversation)]
+    for reply in replies:
+        try:
+            prompts.append(conversation.send(reply))
+        except StopIteration as end:
+            answers = end.value
+            assert isinstance(answers, Answers)
+            return answers, prompts
+    raise AssertionError(f"still asking {prompts[-1]}")
+
+
+class InterviewTest(unittest.TestCase):
+    """Prompts and replies."""
+
+    @settings(max_examples=30)
+    @given(valid_answers())
+    def test_replies_become_the_answers(self, answers: Answers) -> None:
+        """What a team types is what the generator gets, whatever they typed."""
+        # A reply is one line without surrounding blanks, and an empty one is asked again.
+        if answers.organisation.strip() != answers.organisation or not answers.organisation:
+            return
+        given_back, _ = hold(replies_for(answers))
+        self.assertEqual(given_back, answers)
+
+    def test_every_question_says_why(self) -> None:
+        """A team that doesn't know the system can still answer."""
+        _, prompts = hold(replies_for(example_answers("naidu")))
+        for prompt in prompts:
+            self.assertTrue(prompt.text and prompt.why, prompt)
+
+    def test_misunderstood_replies_are_asked_again(self) -> None:
+        """A typing error costs one more reply, not the whole interview."""
+        replies = list(replies_for(example_answers("naidu")))
+        cases = [
+            ("20ms", "20", "with one of the units"),
+            ("15Mbit/s", "fast", "with one of the units"),
+            ("8", "eight", "whole number"),
+            ("viti vanua", "viti", "2 words"),
+            ("tail_latency evictions throughput", "speed", "one of tail_latency"),
+            ("yes", "perhaps", "yes or no"),
+        ]
+        for good, bad, complaint in cases:
+            with self.subTest(bad=bad):
+                place = replies.index(good)
+                answers, prompts = hold([*replies[:place], bad, *replies[place:]])
+                self.assertEqual(answers, example_answers("naidu"))
+                (asked_again,) = [prompt for prompt in prompts if prompt.complaint]
+                self.assertIn(complaint, asked_again.complaint)
+
+    def test_empty_replies_take_the_default(self) -> None:
+        """Whoever has no opinion gets the value that the prompt shows."""
+        replies = list(replies_for(example_answers("naidu")))
+        place = replies.index("tail_latency evictions throughput")
+        answers, _ = hold([*replies[:place], "", *replies[place + 1 :]])
+        self.assertEqual(answers, example_answers("naidu"))
--- a/fireflyfork/programs/_ctl_output.py
+++ b/fireflyfork/programs/_ctl_output.py
@@ -69,6 +69,10 @@
         """Something that takes a while has come this far."""
         print(text, file=self._error, flush=True)
 
+    def ask(self, text: str) -> None:
+        """Put a question to the person at the terminal; the reply is read by the caller."""
+        print(text, end="", file=self._error, flush=True)
+
     def violations(self, source: str, violations: tuple[Violation, ...]) -> None:
         """Everything that is wrong with a file."""
         count = f"{len(violations)} violation{'s' if len(violations) != 1 else ''}"
--- a/fireflyfork/programs/_ctl_questionnaire.py
+++ b/fireflyfork/programs/_ctl_questionnaire.py
@@ -2,15 +2,19 @@
 
 from __future__ import annotations
 
+import sys
 from pathlib import Path
 
 from .._contracts import Configuration
 from .._ids import ConfigurationVersion
 from ..operations import (
     Answers,
+    Prompt,
     check,
     decode_document,
     generate,
+    interview,
+    render_answers,
     render_generated,
     unusable_addresses,
 )
@@ -21,7 +25,8 @@
 def questionnaire(*, output: Path, answers: Path | None = None, json: bool = False) -> ExitCode:
     """Make a configuration from answers about services, batch jobs and tolerances.
 
-    Without ``--answers`` it asks at the terminal. Generating again from the same answers gives
+    Without ``--answers`` it asks at the terminal and saves what you answer beside the output, as
+    a file that ``--answers`` takes. Generating again from the same answers gives
     the same file; a changed answer changes only what it decides. The file keeps the version that
     it was made from. Exit status: 0 written and valid, 3 written but some rules are broken, 2 the
     answers can't be used and nothing was written.
@@ -38,13 +43,57 @@
     printer = Output(json)
 
     def command() -> ExitCode:
+        source = answers or _saved_answers_file(output)
         if answers is None:
-            raise CommandError(ExitCode.USAGE, "give --answers FILE")
-        return _generate(_read_answers(answers, printer), answers.name, output, printer)
+            _interview_and_save(source, printer)
+        return _generate(_read_answers(source, printer), source.name, output, printer)
 
     return finish(printer, command)
 
 
+def _saved_answers_file(output: Path) -> Path:
+    return output.with_name(f"{output.stem}.answers.jsonc")
+
+
+def _interview_and_save(file: Path, output: Output) -> None:
+    """Ask everything, and keep the answers before anything is made of them."""
+    try:
+        given = _ask_at_terminal(output)
+    except EOFError:
+        raise CommandError(
+            ExitCode.USAGE,
+            "the input ended before all questions were answered; nothing was written",
+            "give --answers FILE to answer from a file; examples/naidu/answers.jsonc shows one",
+        ) from None
+    write_text(file, render_answers(given, f"Answers of {given.organisation}."))
+    output.progress(f"your answers are in {file}; change them there and run with --answers")
+
+
+def _ask_at_terminal(output: Output) -> Answers:
+    conversation = interview()
+    prompt = next(conversation)
+    while True:
+        try:
+            prompt = conversation.send(_reply(prompt, output))
+        except StopIteration as end:
+            answers = end.value
+            assert isinstance(answers, Answers)
+            return answers
+
+
+def _reply(prompt: Prompt, output: Output) -> str:
+    if prompt.complaint:
+        output.progress(f"  not understood: {prompt.complaint}")
+    else:
+        output.progress(f"\n{prompt.text}\n  {prompt.why}")
+    default = f" [{prompt.default}]" if prompt.default else ""
+    output.ask(f"{prompt.path}{default}: ")
+    line = sys.stdin.readline()
+    if not line:
+        raise EOFError
+    return line
+
+
 def _read_answers(file: Path, output: Output) -> Answers:
     decoded = decode_document(Answers, read_text(file))
     violations = decoded.violations
