fireflyfork-ctl writes the configuration in the form that entries read

Cause: the command line stored bare JSON while the register of the entries reads an envelope with the ids of earlier changes, so an entry would have called an applied configuration unreadable. Both also decided what a lost answer means. The command line now drives the register's apply states, and its own settling is gone; the history of versions stays. Large configurations are compressed by the shared codec.

--- a/fireflyfork/operations/__init__.py
+++ b/fireflyfork/operations/__init__.py
@@ -13,15 +13,11 @@
     WorkerAnswer,
 )
 from ._changes import (
-    CONFIGURATION_KEY,
     HISTORY_PREFIX,
     RETAINED_VERSIONS,
-    Settlement,
     history_key,
     mint_change_id,
-    next_version,
     same_decisions,
-    settle,
     time_of_change,
     version_of_history_key,
 )
@@ -39,11 +35,9 @@
 from ._generator import Generated, generate, unusable_addresses
 from ._interview import Prompt, interview
 from ._quantities import ByteCount, ByteRate, Cores, Duration, Quantity, Share
-from ._stored import decode_configuration, encode_configuration
 from ._violations import Violation
 
 __all__ = [
-    "CONFIGURATION_KEY",
     "HISTORY_PREFIX",
     "RETAINED_VERSIONS",
     "RULES",
@@ -64,7 +58,6 @@
     "Question",
     "RegionAnswer",
     "ServiceAnswer",
-    "Settlement",
     "Share",
     "TeamAnswer",
     "Violation",
@@ -72,21 +65,17 @@
     "check",
     "check_change",
     "decode",
-    "decode_configuration",
     "decode_document",
     "differences",
-    "encode_configuration",
     "generate",
     "history_key",
     "interview",
     "mint_change_id",
-    "next_version",
     "parse_document",
     "render_answers",
     "render_configuration",
     "render_generated",
     "same_decisions",
-    "settle",
     "time_of_change",
     "unusable_addresses",
     "version_of_history_key",
--- a/fireflyfork/operations/_checks.py
+++ b/fireflyfork/operations/_checks.py
@@ -7,7 +7,6 @@
 from .._contracts import Configuration
 from . import _relations as relations
 from ._rules import PatternRule, RangeRule, ReferenceRule, RelationRule, Rule, UniqueRule
-from ._stored import LONGEST_STORED_BYTES
 from ._violations import Violation, shown
 
 _NAME = r"[a-z0-9]([a-z0-9-]{0,61}[a-z0-9])?"
@@ -210,7 +209,7 @@
         ),
         (
             relations.more_than_a_stored_value,
-            f"must be at most {LONGEST_STORED_BYTES} bytes when stored",
+            f"must be at most {relations.LONGEST_STORED_BYTES} bytes when stored",
             "remove targets that are no longer used",
         ),
     )
--- a/fireflyfork/operations/_relations.py
+++ b/fireflyfork/operations/_relations.py
@@ -7,13 +7,16 @@
 from collections.abc import Iterator
 from typing import Any
 
+from .._contract_codec import encode_contracts
 from .._contracts import Configuration, ServiceContract, WorkerGroup
 from .._errors import SettingsError
 from .._ids import FailureDomainName, RegionName
 from .._links import Address
 from .._machines import Resources
 from ._rules import Located
-from ._stored import LONGEST_STORED_BYTES, encode_configuration
+
+LONGEST_STORED_BYTES = 990_000
+"""The store holds values up to a megabyte; the rest is for the versions' bookkeeping."""
 
 Found = Iterator[Located[Any]]
 
@@ -206,7 +209,7 @@
 
 def more_than_a_stored_value(configuration: Configuration) -> Found:
     """A configuration that the store can't hold."""
-    size = len(encode_configuration(configuration))
+    size = len(encode_contracts(configuration))
     if size > LONGEST_STORED_BYTES:
         yield Located("file", f"{size} bytes")
 
--- a/fireflyfork/operations/tests/test_generator.py
+++ b/fireflyfork/operations/tests/test_generator.py
@@ -7,13 +7,12 @@
 from hypothesis import given, settings
 
 from ... import Configuration, ConfigurationVersion, Resources, SettingsError
+from ..._contract_codec import decode_contracts, encode_contracts
 from .. import (
     Answers,
     Duration,
     check,
-    decode_configuration,
     decode_document,
-    encode_configuration,
     generate,
     render_answers,
     render_generated,
@@ -72,8 +71,8 @@
         decoded = decode_document(Configuration, render_generated(generated, "title"))
         self.assertEqual(decoded.violations, ())
         self.assertEqual(decoded.value, generated.configuration)
-        stored = encode_configuration(generated.configuration)
-        self.assertEqual(decode_configuration(stored), generated.configuration)
+        stored = encode_contracts(generated.configuration)
+        self.assertEqual(decode_contracts(stored), generated.configuration)
 
     @settings(max_examples=30)
     @given(valid_answers())
--- a/fireflyfork/programs/_ctl_configuration.py
+++ b/fireflyfork/programs/_ctl_configuration.py
@@ -14,7 +14,6 @@
     check,
     check_change,
     differences,
-    next_version,
     render_configuration,
     same_decisions,
     time_of_change,
@@ -226,7 +225,7 @@
         if violations:
             reasons = "; ".join(str(violation) for violation in violations)
             raise CommandError(ExitCode.INVALID, reasons)
-        written = next_version(proposed, present, stored.mint_change_id(), self._note)
+        written = stored.prepare(proposed, current, self._note)
         if self._dry_run:
             self._result("would change", present, written)
             return None
--- a/fireflyfork/programs/_ctl_store.py
+++ b/fireflyfork/programs/_ctl_store.py
@@ -6,24 +6,32 @@
 import time
 from collections.abc import Callable
 from contextlib import suppress
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import trio
 
+from .._contract_codec import decode_contracts, encode_contracts
 from .._contracts import Configuration
 from .._errors import FireflyforkError, StoreConflictError, StoreError, StoreUnavailableError
 from .._ids import ChangeId, ConfigurationVersion, Revision
 from ..adapters import Store
-from ..operations import (
+from ..decisions import (
     CONFIGURATION_KEY,
-    HISTORY_PREFIX,
-    RETAINED_VERSIONS,
-    Settlement,
+    NO_VERSION,
+    ApplyPhase,
+    ApplyState,
+    ConfigurationOffer,
+    WriteOutcome,
+    apply_read,
+    apply_written,
     decode_configuration,
     encode_configuration,
+)
+from ..operations import (
+    HISTORY_PREFIX,
+    RETAINED_VERSIONS,
     history_key,
     mint_change_id,
-    settle,
     version_of_history_key,
 )
 
@@ -52,18 +60,27 @@
 
 @dataclass(frozen=True, slots=True)
 class Current:
-    """The configuration in force and the revision of its key; None and 0 in an empty store."""
+    """What is in force, and the revision of its key; None and 0 in an empty store."""
 
-    configuration: Configuration | None
+    offer: ConfigurationOffer | None
     revision: Revision
 
+    @property
+    def version(self) -> ConfigurationVersion:
+        """The version in force; 0 in an empty store."""
+        return self.offer.version if self.offer is not None else NO_VERSION
+
+    @property
+    def configuration(self) -> Configuration | None:
+        """The configuration in force. Raises SettingsError."""
+        return decode_contracts(self.offer.value) if self.offer is not None else None
+
 
 class ConfigurationStore:
     """Reads and changes the stored configuration.
 
-    A change first archives the version that it replaces and then writes by compare-and-swap. In
-    this order every version that was ever replaced stands in the history, which is what settles
-    the fate of a write whose answer was lost.
+    A change first archives the version that it replaces and then writes by compare-and-swap, so
+    every version that was ever replaced can be shown and rolled back to.
     """
 
     def __init__(
@@ -79,10 +96,6 @@
         self._progress = progress
         self._randomness = randomness or random.SystemRandom()
 
-    def mint_change_id(self) -> ChangeId:
-        """A change id that no other change has."""
-        return mint_change_id(time.time(), self._randomness)
-
     async def current(self) -> Current:
         """What is in force. Raises StoreUnavailableError and SettingsError."""
         stored = await self._store.read(CONFIGURATION_KEY)
@@ -92,16 +105,28 @@
 
     async def version(self, version: ConfigurationVersion) -> Configuration | None:
         """One version, in force or archived. Raises as ``current`` does."""
-        present = (await self.current()).configuration
-        if present is not None and present.version == version:
-            return present
-        return await self._archived(version)
+        current = await self.current()
+        if current.version == version:
+            return current.configuration
+        stored = await self._store.read(history_key(version))
+        return decode_contracts(stored.value) if stored is not None else None
 
     async def versions(self) -> tuple[ConfigurationVersion, ...]:
         """The archived versions, oldest first."""
         keys = await self._store.keys(HISTORY_PREFIX)
         return tuple(version_of_history_key(key) for key in keys)
 
+    def prepare(self, proposed: Configuration, current: Current, note: str) -> Configuration:
+        """``proposed`` as the version to write after ``current``, with a new change id.
+
+        It is above both the stored version and the one that the file was made from. A store that
+        lost its contents would otherwise start at 1 again, and entries, which never go back to a
+        lower version, would ignore every change until it passed the one they hold.
+        """
+        version = ConfigurationVersion(max(proposed.version, current.version) + 1)
+        change_id = mint_change_id(time.time(), self._randomness)
+        return replace(proposed, version=version, change_id=change_id, note=note)
+
     async def replace(self, current: Current, written: Configuration) -> None:
         """Put ``written`` in the place of ``current``.
 
@@ -109,19 +134,55 @@
         failed before anything was changed.
         """
         await self._archive(current.configuration)
+        state = ApplyState(
+            base=current.version,
+            change_id=written.change_id,
+            value=encode_contracts(written),
+            highest_seen=ConfigurationVersion(written.version - 1),
+        )
+        state = apply_read(state, current.offer, current.revision)
+        await self._follow(state)
+        await self._prune(written.version)
+
+    async def _follow(self, state: ApplyState) -> None:
+        """Write, and read back until it is known what became of the write.
+
+        The answer is lost after the store took the change, or the request on its way there. Taken
+        for a failure, the operator would apply a second time and replace what somebody else has
+        changed since.
+        """
+        pause = _FIRST_PAUSE_SECONDS
+        deadline = trio.current_time() + self._patience
+        while state.phase not in (ApplyPhase.ACCEPTED, ApplyPhase.REFUSED):
+            if trio.current_time() > deadline:
+                raise ChangeUnknownError(state.change_id)
+            try:
+                state = await self._step(state)
+            except StoreUnavailableError:
+                self._progress(f"no answer from the store; reading back change {state.change_id}")
+                await trio.sleep(pause)
+                pause = min(2 * pause, _LONGEST_PAUSE_SECONDS)
+        if state.phase is ApplyPhase.REFUSED:
+            current = Current(state.current, state.expected)
+            raise ChangeLostError(current.configuration)
+
+    async def _step(self, state: ApplyState) -> ApplyState:
+        """One read or write. A read that fails raises StoreUnavailableError."""
+        if state.phase is ApplyPhase.READING:
+            current = await self.current()
+            return apply_read(state, current.offer, current.revision)
+        return apply_written(state, await self._write(state))
+
+    async def _write(self, state: ApplyState) -> WriteOutcome:
+        assert state.proposal is not None
+        value = encode_configuration(state.proposal)
         try:
-            await self._store.write(
-                CONFIGURATION_KEY, encode_configuration(written), current.revision
-            )
+            await self._store.write(CONFIGURATION_KEY, value, state.expected)
         except StoreConflictError:
-            raise ChangeLostError((await self.current()).configuration) from None
+            return WriteOutcome.LOST
         except StoreUnavailableError:
-            await self._settle(current, written)
-        await self._prune(written.version)
-
-    async def _archived(self, version: ConfigurationVersion) -> Configuration | None:
-        stored = await self._store.read(history_key(version))
-        return decode_configuration(stored.value) if stored is not None else None
+            return WriteOutcome.UNKNOWN
+        return WriteOutcome.WON
 
     async def _archive(self, configuration: Configuration | None) -> None:
         if configuration is None:
@@ -136,47 +197,12 @@
         await self._create_archived(configuration)
 
     async def _create_archived(self, configuration: Configuration) -> None:
-        value = encode_configuration(configuration)
+        value = encode_contracts(configuration)
         # Two operators may archive the same version at once, or a lost answer be repeated; the
         # copy that is already there is as good.
         with suppress(StoreConflictError):
             await self._store.write(history_key(configuration.version), value, Revision(0))
 
-    async def _settle(self, current: Current, written: Configuration) -> None:
-        """Find out what became of a write without an answer; repeat it while that is safe.
-
-        The answer is lost after the store took the change, or the request on its way there. Taken
-        for a failure, the operator would apply a second time and replace what somebody else has
-        changed since. The repeat carries the same revision and change id, so at most one of the
-        two takes effect, and reading back tells which.
-        """
-        pause = _FIRST_PAUSE_SECONDS
-        deadline = trio.current_time() + self._patience
-        while trio.current_time() < deadline:
-            self._progress(f"no answer from the store; reading back change {written.change_id}")
-            await trio.sleep(pause)
-            pause = min(2 * pause, _LONGEST_PAUSE_SECONDS)
-            with suppress(StoreUnavailableError):
-                if await self._is_settled(current, written):
-                    return
-        raise ChangeUnknownError(written.change_id)
-
-    async def _is_settled(self, current: Current, written: Configuration) -> bool:
-        found = await self.current()
-        archived = await self._archived(written.version)
-        settlement = settle(written, found.configuration, archived)
-        if settlement is Settlement.LOST:
-            raise ChangeLostError(found.configuration)
-        if settlement is Settlement.UNKNOWN:
-            raise ChangeUnknownError(written.change_id)
-        if settlement is not Settlement.OPEN:
-            return True
-        with suppress(StoreConflictError):
-            value = encode_configuration(written)
-            await self._store.write(CONFIGURATION_KEY, value, current.revision)
-            return True
-        return False
-
     async def _prune(self, version: ConfigurationVersion) -> None:
         """Delete the version that falls out of the history; a failure leaves it, harmlessly."""
         oldest = ConfigurationVersion(version - RETAINED_VERSIONS - 1)
--- a/fireflyfork/programs/tests/test_ctl_store.py
+++ b/fireflyfork/programs/tests/test_ctl_store.py
@@ -11,9 +11,9 @@
 from hypothesis import strategies as st
 
 from ... import ChangeId, Configuration, ConfigurationVersion, StoreUnavailableError
-from ...operations import RETAINED_VERSIONS, next_version
+from ...operations import RETAINED_VERSIONS
 from ...operations.tests.builders_answers import example_configuration
-from .._ctl_store import ChangeLostError, ChangeUnknownError, ConfigurationStore
+from .._ctl_store import ChangeLostError, ChangeUnknownError, ConfigurationStore, Current
 from .builders_store import Fault, MemoryStore
 
 BASE = example_configuration()
@@ -34,11 +34,18 @@
     return ConfigurationStore(store, randomness=random.Random(seed))
 
 
+def prepared(
+    stored: ConfigurationStore, proposed: Configuration, current: Current, name: str
+) -> Configuration:
+    """What to write, with a change id that a test can name."""
+    return replace(stored.prepare(proposed, current, ""), change_id=ChangeId(name))
+
+
 async def change(stored: ConfigurationStore, partitions: int, name: str) -> Configuration:
     """Read what is in force and replace it, as one operator does; returns what was written."""
     current = await stored.current()
     proposed = replace(BASE, partitions_per_region=partitions)
-    written = next_version(proposed, current.configuration, ChangeId(name), "")
+    written = prepared(stored, proposed, current, name)
     await stored.replace(current, written)
     return written
 
@@ -100,7 +107,7 @@
             store = MemoryStore()
             first, second = configuration_store(store), configuration_store(store)
             current = await first.current()
-            written = next_version(BASE, current.configuration, ChangeId("first"), "")
+            written = prepared(first, BASE, current, "first")
             store.faults.append(Fault.ANSWER_LOST)
 
             async def interfere() -> None:
@@ -123,7 +130,7 @@
             first, second = configuration_store(store), configuration_store(store)
             current = await first.current()
             winner = await change(second, 7, "second")
-            loser = next_version(BASE, current.configuration, ChangeId("first"), "")
+            loser = prepared(first, BASE, current, "first")
             with self.assertRaises(ChangeLostError) as caught:
                 await first.replace(current, loser)
             self.assertEqual(caught.exception.current, winner)
@@ -174,7 +181,7 @@
             stored = configuration_store(MemoryStore())
             current = await stored.current()
             file = replace(BASE, version=ConfigurationVersion(5))
-            written = next_version(file, current.configuration, ChangeId("again"), "")
+            written = prepared(stored, file, current, "again")
             await stored.replace(current, written)
             self.assertEqual(written.version, 6)
 
--- a/fireflyfork/operations/tests/test_stored.py
+++ b/fireflyfork/tests/test_contract_codec.py
@@ -1,15 +1,15 @@
-"""The stored form of a configuration."""
+"""The configuration as bytes."""
 
 import unittest
 import zlib
 from dataclasses import replace
 
-from ... import SettingsError, TargetId
-from .. import decode_configuration, encode_configuration
-from .builders_answers import example_configuration
+from .. import SettingsError, TargetId
+from .._contract_codec import decode_contracts, encode_contracts
+from ..operations.tests.builders_answers import example_configuration
 
 
-class StoredTest(unittest.TestCase):
+class ContractCodecTest(unittest.TestCase):
     """Plain while small, compressed once large."""
 
     def test_both_forms_come_back(self) -> None:
@@ -23,9 +23,9 @@
         large = replace(small, targets=targets)
         for configuration, is_plain in ((small, True), (large, False)):
             with self.subTest(is_plain=is_plain):
-                value = encode_configuration(configuration)
+                value = encode_contracts(configuration)
                 self.assertEqual(value.startswith(b"{"), is_plain)
-                self.assertEqual(decode_configuration(value), configuration)
+                self.assertEqual(decode_contracts(value), configuration)
 
     def test_damaged_values(self) -> None:
         """A value that is cut off, of another kind or a decompression bomb is refused by name.
@@ -36,4 +36,4 @@
         bomb = zlib.compress(b" " * (65 << 20))
         for value in (b"", b"{", b"{}", b"\x00", whole[:-3], bomb, b'{"version": "x"}'):
             with self.subTest(value=value[:20]), self.assertRaises(SettingsError):
-                decode_configuration(value)
+                decode_contracts(value)
