fireflyfork-ctl: status, submit, cancel, explain, drain, metrics and trace

An operator sees entries, jobs and the hops of a request without reading code; every command has human and JSON output, progress on long waits, help with examples, and exit codes that tell 'nothing was changed' from 'may have taken effect'.

--- a/fireflyfork/operations/__init__.py
+++ b/fireflyfork/operations/__init__.py
@@ -32,9 +32,11 @@
     render_generated,
     with_version,
 )
+from ._exposition import Sample, read_samples
 from ._generator import Generated, generate, unusable_addresses
 from ._interview import Prompt, interview
 from ._quantities import ByteCount, ByteRate, Cores, Duration, Quantity, Share
+from ._span_tree import SpanNode, draw, find_trace, read_spans, span_trees
 from ._violations import Violation
 
 __all__ = [
@@ -57,8 +59,10 @@
     "Quantity",
     "Question",
     "RegionAnswer",
+    "Sample",
     "ServiceAnswer",
     "Share",
+    "SpanNode",
     "TeamAnswer",
     "Violation",
     "WorkerAnswer",
@@ -67,15 +71,20 @@
     "decode",
     "decode_document",
     "differences",
+    "draw",
+    "find_trace",
     "generate",
     "history_key",
     "interview",
     "mint_change_id",
     "parse_document",
+    "read_samples",
+    "read_spans",
     "render_answers",
     "render_configuration",
     "render_generated",
     "same_decisions",
+    "span_trees",
     "time_of_change",
     "unusable_addresses",
     "version_of_history_key",
--- /dev/null
+++ b/fireflyfork/operations/_exposition.py
@@ -0,0 +1,37 @@
+"""Reads metrics in the Prometheus text format, as entries write them."""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Iterator
+from dataclasses import dataclass
+
+_SAMPLE = re.compile(r"([a-zA-Z_:][a-zA-Z0-9_:]*)(?:\{(.*)\})?\s+(\S+)")
+_LABEL = re.compile(r'([a-zA-Z_][a-zA-Z0-9_]*)="((?:[^"\\]|\\.)*)"')
+_ESCAPED = re.compile(r"\\(.)")
+
+
+@dataclass(frozen=True, slots=True)
+class Sample:
+    """One value of one metric."""
+
+    name: str
+    labels: dict[str, str]
+    value: float
+
+
+def read_samples(text: str) -> Iterator[Sample]:
+    """The samples of a page of metrics; comments and unreadable lines are passed over."""
+    for line in text.splitlines():
+        match = _SAMPLE.fullmatch(line.strip())
+        if match is None or line.startswith("#"):
+            continue
+        labels = {name: _unescaped(value) for name, value in _LABEL.findall(match[2] or "")}
+        try:
+            yield Sample(match[1], labels, float(match[3]))
+        except ValueError:
+            continue
+
+
+def _unescaped(value: str) -> str:
+    return _ESCAPED.sub(lambda match: "\n" if match[1] == "n" else match[1], value)
--- a/fireflyfork/operations/_quantities.py
+++ b/fireflyfork/operations/_quantities.py
@@ -141,8 +141,8 @@
 
     @classmethod
     def units(cls) -> Mapping[str, float]:
-        """Cores, or thousandths of one."""
-        return {"cores": 1.0, "core": 1.0, "m": 0.001}
+        """Cores, also bare, or thousandths of one."""
+        return {"": 1.0, "cores": 1.0, "core": 1.0, "m": 0.001}
 
     @classmethod
     def example(cls) -> str:
--- /dev/null
+++ b/fireflyfork/operations/_span_tree.py
@@ -0,0 +1,92 @@
+"""The hops of one request as a tree, from the span lines that all processes wrote."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+
+import msgspec
+
+from .._traces import Span
+
+_MILLISECONDS = 1000.0
+
+
+@dataclass(frozen=True, slots=True)
+class SpanNode:
+    """A span and the spans below it, in the order in which they began."""
+
+    span: Span
+    children: tuple[SpanNode, ...]
+
+
+def read_spans(lines: Iterable[str]) -> Iterator[Span]:
+    """The spans among lines; whatever else a log holds is passed over."""
+    for line in lines:
+        try:
+            yield msgspec.json.decode(line, type=Span)
+        except (msgspec.DecodeError, UnicodeEncodeError):
+            continue
+
+
+def find_trace(spans: Iterable[Span], wanted: str) -> tuple[Span, ...]:
+    """The spans of the trace that ``wanted`` names: a trace id, or an attribute's whole value.
+
+    A caller knows the id of the request or the idempotency key, which spans carry as attributes.
+    """
+    known = tuple(spans)
+    traces = {span.trace_id for span in known if _is_named(span, wanted)}
+    return tuple(span for span in known if span.trace_id in traces)
+
+
+def span_trees(spans: Iterable[Span]) -> tuple[SpanNode, ...]:
+    """The trees that the spans form. A span whose parent was not written is a root.
+
+    A line may be there twice when log files overlap; it counts once.
+    """
+    by_id = {span.span_id: span for span in spans}
+    children: dict[str, list[Span]] = {}
+    roots: list[Span] = []
+    for span in sorted(by_id.values(), key=lambda each: each.start):
+        if span.parent_id in by_id and span.parent_id != span.span_id:
+            children.setdefault(span.parent_id, []).append(span)
+        else:
+            roots.append(span)
+    return tuple(_node(root, children) for root in roots)
+
+
+def draw(trees: Iterable[SpanNode]) -> Iterator[str]:
+    """Lines that show the trees; times are in milliseconds since the first span began.
+
+    Each process dates its spans by its own clock, so a child may seem to begin before its parent.
+    """
+    roots = tuple(trees)
+    begun = min((root.span.start for root in roots), default=0.0)
+    for root in roots:
+        yield _line(root.span, begun)
+        yield from _below(root, begun, "")
+
+
+def _below(node: SpanNode, begun: float, indent: str) -> Iterator[str]:
+    for child in node.children:
+        is_last = child is node.children[-1]
+        yield f"{indent}{'└─ ' if is_last else '├─ '}{_line(child.span, begun)}"
+        yield from _below(child, begun, indent + ("   " if is_last else "│  "))
+
+
+def _line(span: Span, begun: float) -> str:
+    offset = (span.start - begun) * _MILLISECONDS
+    duration = span.duration * _MILLISECONDS
+    attributes = " ".join(f"{name}={value}" for name, value in span.attributes.items())
+    return (
+        f"{span.name} at {span.process}: +{offset:.1f} ms, {duration:.1f} ms  {attributes}".rstrip()
+    )
+
+
+def _node(span: Span, children: dict[str, list[Span]]) -> SpanNode:
+    below = children.pop(span.span_id, [])
+    return SpanNode(span, tuple(_node(child, children) for child in below))
+
+
+def _is_named(span: Span, wanted: str) -> bool:
+    return span.trace_id == wanted or wanted in map(str, span.attributes.values())
--- a/fireflyfork/operations/tests/test_quantities.py
+++ b/fireflyfork/operations/tests/test_quantities.py
@@ -21,6 +21,7 @@
             (Share, "20%", 0.2),
             (Cores, "0.5cores", 0.5),
             (Cores, "250m", 0.25),
+            (Cores, "3", 3.0),
         ]
         for kind, text, amount in cases:
             with self.subTest(text):
--- /dev/null
+++ b/fireflyfork/programs/_ctl_addresses.py
@@ -0,0 +1,55 @@
+"""Where the commands find the store, the entries and the planners."""
+
+from __future__ import annotations
+
+import os
+
+from .._errors import SettingsError
+from .._links import Address
+from ._ctl_output import CommandError, ExitCode
+
+STORE_VARIABLE = "FIREFLYFORK_STORE"
+ENTRIES_VARIABLE = "FIREFLYFORK_ENTRIES"
+PLANNERS_VARIABLE = "FIREFLYFORK_PLANNERS"
+"""The environment variables that name them when the command line does not."""
+
+
+def store_address(given: Address | None) -> Address:
+    """The store's address. Raises CommandError."""
+    found = _addresses([given] if given is not None else None, STORE_VARIABLE)
+    if not found:
+        raise _unnamed("no store is named", "--store", STORE_VARIABLE)
+    return found[0]
+
+
+def entry_addresses(given: list[Address] | None, *, required: bool = True) -> tuple[Address, ...]:
+    """The operator addresses of entries. Raises CommandError."""
+    found = _addresses(given, ENTRIES_VARIABLE)
+    if required and not found:
+        raise _unnamed("no entry is named", "--entries", ENTRIES_VARIABLE)
+    return found
+
+
+def planner_addresses(given: list[Address] | None, *, required: bool = True) -> tuple[Address, ...]:
+    """The addresses of planners. Raises CommandError."""
+    found = _addresses(given, PLANNERS_VARIABLE)
+    if required and not found:
+        raise _unnamed("no planner is named", "--planners", PLANNERS_VARIABLE)
+    return found
+
+
+def _addresses(given: list[Address] | None, variable: str) -> tuple[Address, ...]:
+    """What the command line names, or else the variable, where blanks or commas separate."""
+    if given:
+        return tuple(given)
+    words = os.environ.get(variable, "").replace(",", " ").split()
+    try:
+        return tuple(Address.parse(word) for word in words)
+    except SettingsError as error:
+        raise CommandError(ExitCode.USAGE, f"{variable}: {error}") from error
+
+
+def _unnamed(message: str, option: str, variable: str) -> CommandError:
+    return CommandError(
+        ExitCode.USAGE, message, f"give {option} IP:PORT or set the variable {variable}"
+    )
--- a/fireflyfork/programs/_ctl_configuration.py
+++ b/fireflyfork/programs/_ctl_configuration.py
@@ -19,9 +19,10 @@
     time_of_change,
     with_version,
 )
+from ._ctl_addresses import store_address
 from ._ctl_files import read_configuration, read_text
 from ._ctl_output import CommandError, ExitCode, Output, finish, table
-from ._ctl_run import run_command, store_address
+from ._ctl_run import run_command
 from ._ctl_store import ChangeLostError, ConfigurationStore, Current
 
 _LONGEST_DIFFERENCE_LINES = 60
--- /dev/null
+++ b/fireflyfork/programs/_ctl_entries.py
@@ -0,0 +1,220 @@
+"""The commands on entries: drain, metrics, and the entries' part of status."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from typing import Any, TypeVar
+
+import msgspec
+import trio
+
+from .._links import Address
+from ..adapters import HttpClient, HttpError
+from ..operations import Sample, read_samples
+from ._batch_client import BatchCallError, BatchClient
+from ._batch_messages import PlannerMetrics
+from ._ctl_addresses import entry_addresses, planner_addresses
+from ._ctl_output import CommandError, ExitCode, Output, finish, table
+
+_TIMEOUT_SECONDS = 5.0
+
+Answer = TypeVar("Answer")
+
+
+@dataclass(frozen=True, slots=True)
+class ServiceStatus:
+    """A service at one entry."""
+
+    own_targets: tuple[str, ...] = ()
+    free_slots: int = 0
+    queued: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class EntryStatus:
+    """What an entry says of itself."""
+
+    member: str
+    configuration_version: int
+    other_members: tuple[str, ...] = ()
+    services: Mapping[str, ServiceStatus] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class EntryReport:
+    """An entry as an operator sees it from outside."""
+
+    address: str
+    ready: bool
+    status: EntryStatus | None = None
+    problem: str = ""
+    """Why it is not ready, or did not answer."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Readiness:
+    ready: bool
+    reason: str = ""
+
+
+def drain(entry: Address, *, json: bool = False) -> ExitCode:
+    """Take an entry out of service gracefully.
+
+    It tells the balancer that it isn't ready, ends what is in flight, hands what it owns to other
+    entries and stops. Exit status: 0 it has begun, 5 it doesn't answer, 8 it refuses.
+
+    Examples::
+
+        fireflyfork-ctl drain 10.0.0.7:8003
+
+    :param entry: operator address of the entry
+    :param json: print the result as JSON
+    """
+    output = Output(json)
+
+    def command() -> ExitCode:
+        status, body = trio.run(_call, entry, "POST", "/drain")
+        if status == 404:
+            raise CommandError(
+                ExitCode.REFUSED,
+                f"the entry at {entry} can't be drained over its operator address",
+                "send its process SIGTERM, which stops it in the same graceful way",
+            )
+        if status >= 300:
+            text = body.decode("utf-8", "replace")
+            raise CommandError(ExitCode.REFUSED, f"the entry at {entry} answered {status}: {text}")
+        plain = {"entry": str(entry), "outcome": "draining"}
+        output.result(plain, [f"{entry} is draining; its process ends when nothing is in flight"])
+        return ExitCode.DONE
+
+    return finish(output, command)
+
+
+def metrics(
+    *,
+    entries: list[Address] | None = None,
+    planners: list[Address] | None = None,
+    raw: bool = False,
+    json: bool = False,
+) -> ExitCode:
+    """Show the metrics of entries and planners.
+
+    Examples::
+
+        fireflyfork-ctl metrics --entries 10.0.0.7:8003 10.0.0.8:8003
+        fireflyfork-ctl metrics --entries 10.0.0.7:8003 --raw
+        fireflyfork-ctl metrics --planners 10.0.0.7:8010 --json
+
+    :param entries: operator addresses of entries; else the variable FIREFLYFORK_ENTRIES
+    :param planners: addresses of planners; else the variable FIREFLYFORK_PLANNERS
+    :param raw: print the entries' pages as they are, in the Prometheus text format
+    :param json: print the values as JSON
+    """
+    output = Output(json)
+
+    def command() -> ExitCode:
+        wanted = entry_addresses(entries, required=False)
+        asked = planner_addresses(planners, required=False)
+        if not wanted and not asked:
+            entry_addresses(None)
+        pages = [(address, trio.run(_page, address)) for address in wanted]
+        if raw:
+            output.result({str(address): page for address, page in pages}, [p for _, p in pages])
+            return ExitCode.DONE
+        samples = {str(address): tuple(read_samples(page)) for address, page in pages}
+        figures = [planner_metrics(address) for address in asked]
+        lines = [line for address, found in samples.items() for line in _lines(address, found)]
+        lines += [line for each in figures for line in _planner_lines(each)]
+        output.result({"entries": samples, "planners": figures}, lines)
+        return ExitCode.DONE
+
+    return finish(output, command)
+
+
+async def entry_report(address: Address) -> EntryReport:
+    """Ask an entry how it is; one that doesn't answer is reported so."""
+    try:
+        _, readiness_body = await _call(address, "GET", "/readyz")
+        _, status_body = await _call(address, "GET", "/status")
+        readiness = _decoded(readiness_body, _Readiness)
+        status = _decoded(status_body, EntryStatus)
+    except CommandError as error:
+        problem = "no answer" if error.code is ExitCode.UNAVAILABLE else error.message
+        return EntryReport(str(address), False, None, problem)
+    return EntryReport(str(address), readiness.ready, status, readiness.reason)
+
+
+def entry_lines(reports: tuple[EntryReport, ...]) -> list[str]:
+    """A table of entries."""
+    header = ("entry", "member", "ready", "configuration", "targets", "free slots", "queued")
+    return table(header, (_entry_row(report) for report in reports))
+
+
+def planner_metrics(address: Address) -> PlannerMetrics:
+    """The figures of one planner. Raises CommandError."""
+    try:
+        return trio.run(BatchClient((address,), _TIMEOUT_SECONDS).metrics)
+    except BatchCallError as error:
+        raise CommandError(
+            ExitCode.UNAVAILABLE, f"the planner at {address} can't be asked: {error}"
+        ) from error
+
+
+async def _call(address: Address, method: str, target: str) -> tuple[int, bytes]:
+    client = HttpClient(address, _TIMEOUT_SECONDS)
+    try:
+        head, body = await client.call(method, target)
+    except HttpError as error:
+        raise CommandError(
+            ExitCode.UNAVAILABLE,
+            f"the entry at {address} can't be reached: {error}",
+            "is this its operator address, and is the process running?",
+        ) from error
+    finally:
+        client.close()
+    return head.status, body
+
+
+async def _page(address: Address) -> str:
+    _, body = await _call(address, "GET", "/metrics")
+    return body.decode("utf-8", "replace")
+
+
+def _decoded(body: bytes, kind: type[Answer]) -> Answer:
+    try:
+        return msgspec.json.decode(body, type=kind)
+    except msgspec.DecodeError as error:
+        raise CommandError(ExitCode.FAILED, f"its answer can't be read: {error}") from error
+
+
+def _entry_row(report: EntryReport) -> tuple[object, ...]:
+    status = report.status
+    if status is None:
+        return (report.address, "-", f"no: {report.problem}", "-", "-", "-", "-")
+    services = status.services.values()
+    return (
+        report.address,
+        status.member,
+        "yes" if report.ready else f"no: {report.problem}",
+        status.configuration_version,
+        sum(len(service.own_targets) for service in services),
+        sum(service.free_slots for service in services),
+        sum(service.queued for service in services),
+    )
+
+
+def _lines(address: str, samples: tuple[Sample, ...]) -> list[str]:
+    rows = ((sample.name, _labels(sample.labels), f"{sample.value:g}") for sample in samples)
+    return [address, *(f"  {line}" for line in table(("metric", "labels", "value"), rows))]
+
+
+def _labels(labels: Mapping[str, str]) -> str:
+    return " ".join(f"{name}={value}" for name, value in labels.items())
+
+
+def _planner_lines(figures: PlannerMetrics) -> list[str]:
+    plain: list[dict[str, Any]] = [msgspec.to_builtins(each) for each in figures.partitions]
+    header = tuple(plain[0]) if plain else ("partition",)
+    rows = (tuple(row.values()) for row in plain)
+    return [figures.member, *(f"  {line}" for line in table(header, rows))]
--- /dev/null
+++ b/fireflyfork/programs/_ctl_jobs.py
@@ -0,0 +1,308 @@
+"""The commands on batch work: submit, cancel, explain, and status with its wait."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from typing import Literal, TypeVar
+
+import trio
+
+from .._contracts import Tolerance
+from .._ids import JobId, TeamName
+from .._links import Address
+from .._machines import Resources
+from ..operations import ByteCount, Cores, Duration
+from ._batch_client import BatchCallError, BatchClient
+from ._batch_messages import JobRequest, JobStatus, TaskExplanation
+from ._ctl_addresses import entry_addresses, planner_addresses
+from ._ctl_entries import EntryReport, entry_lines, entry_report
+from ._ctl_output import CommandError, ExitCode, Output, finish, table
+
+_POLL_SECONDS = 1.0
+_REFUSED = frozenset({400, 409, 413})
+_NOT_FOUND = 404
+
+T = TypeVar("T")
+
+
+def submit(
+    job: str,
+    *,
+    team: str,
+    run_time: Duration,
+    cores: Cores,
+    memory: ByteCount,
+    accelerators: int = 0,
+    tasks: int = 1,
+    task_class: str = "",
+    urgent: bool = False,
+    tolerance: Literal["none", "throttle", "evict"] = "evict",
+    planners: list[Address] | None = None,
+    wait: float = 0.0,
+    json: bool = False,
+) -> ExitCode:
+    """Submit a batch job; returns once it is stored.
+
+    Submitting again under the same id changes nothing, so a submission without an answer is
+    simply repeated. Exit status: 0 stored (with ``--wait``: finished), 8 refused with a reason,
+    5 no planner answered and nothing was stored, 6 it may have been stored.
+
+    Examples::
+
+        fireflyfork-ctl submit letters-2026-12-02 --team letters --tasks 200 --cores 2cores --memory 4GB --run-time 30s --planners 10.0.0.7:8010
+        fireflyfork-ctl submit audit --team rates --urgent --cores 1core --memory 1GB --run-time 5min --wait 600
+
+    :param job: the job's id, which you choose
+    :param team: team whose quota it uses
+    :param run_time: how long one task takes, such as 30s
+    :param cores: processors of one task, such as 2cores; a first guess
+    :param memory: memory of one task, such as 4GB; a first guess
+    :param accelerators: accelerators of one task
+    :param tasks: how many tasks
+    :param task_class: tasks of one class are alike, and their true sizes are learned together; else the team's name
+    :param urgent: start before other work
+    :param tolerance: what may happen to it when it disturbs a service
+    :param planners: addresses of planners; else the variable FIREFLYFORK_PLANNERS
+    :param wait: seconds to wait for its end, with progress
+    :param json: print the job's state as JSON
+    """
+    output = Output(json)
+    request = JobRequest(
+        job_id=JobId(job),
+        team=TeamName(team),
+        task_class=task_class or team,
+        resources=Resources(cores.millicores, memory.whole, accelerators),
+        run_seconds=run_time.seconds,
+        tasks=tasks,
+        urgent=urgent,
+        tolerance=Tolerance(tolerance),
+    )
+
+    def command() -> ExitCode:
+        client = BatchClient(planner_addresses(planners))
+        _ask(lambda: client.submit(request))
+        status = _ask(lambda: _job_after(client, JobId(job), wait, output))
+        output.result(status, job_lines((status,)))
+        return _ended(status) if wait else ExitCode.DONE
+
+    return finish(output, command)
+
+
+def cancel(
+    job: str,
+    *,
+    task: int | None = None,
+    planners: list[Address] | None = None,
+    json: bool = False,
+) -> ExitCode:
+    """Cancel a job or one task of it; returns once that is stored.
+
+    Tasks that run are stopped; what is finished stays finished. Repeating it is safe.
+
+    Examples::
+
+        fireflyfork-ctl cancel letters-2026-12-02
+        fireflyfork-ctl cancel letters-2026-12-02 --task 17
+
+    :param job: the job's id
+    :param task: the number of one task, from 0
+    :param planners: addresses of planners; else the variable FIREFLYFORK_PLANNERS
+    :param json: print the job's state as JSON
+    """
+    output = Output(json)
+
+    def command() -> ExitCode:
+        client = BatchClient(planner_addresses(planners))
+        status = _ask(lambda: client.cancel(JobId(job), task))
+        output.result(status, job_lines((status,)))
+        return ExitCode.DONE
+
+    return finish(output, command)
+
+
+def explain(
+    job: str, task: int = 0, *, planners: list[Address] | None = None, json: bool = False
+) -> ExitCode:
+    """Say what a task is doing and why.
+
+    Examples::
+
+        fireflyfork-ctl explain letters-2026-12-02 17
+
+    :param job: the job's id
+    :param task: the number of the task, from 0
+    :param planners: addresses of planners; else the variable FIREFLYFORK_PLANNERS
+    :param json: print the explanation as JSON
+    """
+    output = Output(json)
+
+    def command() -> ExitCode:
+        client = BatchClient(planner_addresses(planners))
+        explanation = _ask(lambda: client.explain(JobId(job), task))
+        output.result(explanation, _explanation_lines(explanation))
+        return ExitCode.DONE
+
+    return finish(output, command)
+
+
+def status(
+    job: str | None = None,
+    *,
+    entries: list[Address] | None = None,
+    planners: list[Address] | None = None,
+    version: int = 0,
+    wait: float = 0.0,
+    json: bool = False,
+) -> ExitCode:
+    """Show a job, or else the entries and the jobs.
+
+    With ``--wait`` it waits until the job has ended or every entry has the configuration
+    ``--version`` in force. Exit status: 0 as wished, 1 not as wished (the job failed, or the time
+    is over), 5 nobody answered, 7 no such job.
+
+    Examples::
+
+        fireflyfork-ctl status --entries 10.0.0.7:8003 10.0.0.8:8003 --planners 10.0.0.7:8010
+        fireflyfork-ctl status --entries 10.0.0.7:8003 10.0.0.8:8003 --version 4 --wait 10
+        fireflyfork-ctl status letters-2026-12-02 --wait 600
+
+    :param job: the job's id
+    :param entries: operator addresses of entries; else the variable FIREFLYFORK_ENTRIES
+    :param planners: addresses of planners; else the variable FIREFLYFORK_PLANNERS
+    :param version: a version of the configuration that every entry should have in force
+    :param wait: seconds to wait, with progress
+    :param json: print the states as JSON
+    """
+    output = Output(json)
+
+    def command() -> ExitCode:
+        if job is not None:
+            return _show_job(JobId(job), planners, wait, output)
+        return _show_all(entries, planners, version, wait, output)
+
+    return finish(output, command)
+
+
+def job_lines(statuses: tuple[JobStatus, ...]) -> list[str]:
+    """A table of jobs, and the reasons of final failures."""
+    rows = ((each.job_id, each.state, each.tasks, _counts(each)) for each in statuses)
+    lines = table(("job", "state", "tasks", "of them"), rows)
+    for each in statuses:
+        lines += [f"  task {failure.task_id}: {failure.reason}" for failure in each.failures]
+    return lines
+
+
+def _show_job(job: JobId, planners: list[Address] | None, wait: float, output: Output) -> ExitCode:
+    client = BatchClient(planner_addresses(planners))
+    status = _ask(lambda: _job_after(client, job, wait, output))
+    output.result(status, job_lines((status,)))
+    return _ended(status) if wait else ExitCode.DONE
+
+
+def _show_all(
+    entries: list[Address] | None,
+    planners: list[Address] | None,
+    version: int,
+    wait: float,
+    output: Output,
+) -> ExitCode:
+    wanted = entry_addresses(entries, required=False)
+    asked = planner_addresses(planners, required=False)
+    if not wanted and not asked:
+        entry_addresses(None)
+    reports = trio.run(_reports_after, wanted, version, wait, output)
+    jobs = _ask(lambda: _all_jobs(asked)) if asked else ()
+    lines = entry_lines(reports) if reports else []
+    lines += [*([""] if lines else []), *job_lines(jobs)] if asked else []
+    output.result({"entries": reports, "jobs": jobs}, lines)
+    if wanted and all(report.status is None for report in reports):
+        raise CommandError(ExitCode.UNAVAILABLE, "no entry answered")
+    return ExitCode.DONE if _has_version(reports, version) else ExitCode.FAILED
+
+
+async def _reports_after(
+    addresses: tuple[Address, ...], version: int, wait: float, output: Output
+) -> tuple[EntryReport, ...]:
+    """The entries, once each has ``version`` in force or the time is over."""
+    deadline = trio.current_time() + wait
+    while True:
+        reports = [await entry_report(address) for address in addresses]
+        found = tuple(reports)
+        if _has_version(found, version) or trio.current_time() >= deadline:
+            return found
+        behind = [report.address for report in found if not _has_version((report,), version)]
+        output.progress(f"version {version} is not yet in force at {', '.join(behind)}")
+        await trio.sleep(_POLL_SECONDS)
+
+
+async def _job_after(client: BatchClient, job: JobId, wait: float, output: Output) -> JobStatus:
+    """The job, once it has ended or the time is over."""
+    deadline = trio.current_time() + wait
+    while True:
+        status = await client.status(job)
+        if status.state != "open" or trio.current_time() >= deadline:
+            return status
+        output.progress(f"{job}: {_counts(status)}")
+        await trio.sleep(_POLL_SECONDS)
+
+
+async def _all_jobs(planners: tuple[Address, ...]) -> tuple[JobStatus, ...]:
+    """The jobs that the planners know, each once, the latest first."""
+    known: dict[JobId, JobStatus] = {}
+    for planner in planners:
+        for status in await BatchClient((planner,)).jobs():
+            known.setdefault(status.job_id, status)
+    return tuple(sorted(known.values(), key=lambda each: -each.submitted))
+
+
+def _ask(call: Callable[[], Awaitable[T]]) -> T:
+    """Run a call to the planners; what they refuse becomes a CommandError."""
+
+    async def main() -> T:
+        return await call()
+
+    try:
+        return trio.run(main)
+    except BatchCallError as error:
+        raise _command_error(error) from error
+
+
+def _command_error(error: BatchCallError) -> CommandError:
+    if error.problem.accepted == "unknown":
+        hint = "repeat the command: the same id is never taken twice"
+        return CommandError(ExitCode.UNKNOWN, f"it may have been stored: {error}", hint)
+    if error.status == _NOT_FOUND:
+        return CommandError(ExitCode.NOT_FOUND, str(error))
+    if error.status in _REFUSED:
+        return CommandError(ExitCode.REFUSED, f"refused, nothing was stored: {error}")
+    hint = "running tasks go on meanwhile; try again, or name other planners"
+    return CommandError(ExitCode.UNAVAILABLE, f"nothing was changed: {error}", hint)
+
+
+def _ended(status: JobStatus) -> ExitCode:
+    return ExitCode.DONE if status.state == "finished" else ExitCode.FAILED
+
+
+def _has_version(reports: tuple[EntryReport, ...], version: int) -> bool:
+    held = (each.status.configuration_version if each.status else -1 for each in reports)
+    return not version or all(number >= version for number in held)
+
+
+def _counts(status: JobStatus) -> str:
+    return ", ".join(f"{count} {state}" for state, count in status.states.items())
+
+
+def _explanation_lines(explanation: TaskExplanation) -> list[str]:
+    lines = [f"{explanation.task_id}: {explanation.state}", f"  {explanation.words}"]
+    if explanation.worker_id is not None:
+        lines.append(
+            f"  attempt {explanation.attempt} at worker {explanation.worker_id}, "
+            f"{explanation.progress:.0%} done"
+        )
+    if explanation.evictions:
+        lines.append(f"  evicted {explanation.evictions} times")
+    if explanation.failed_on:
+        lines.append(f"  failed on {', '.join(explanation.failed_on)}")
+    if explanation.reason:
+        lines.append(f"  {explanation.reason}")
+    return lines
--- a/fireflyfork/programs/_ctl_run.py
+++ b/fireflyfork/programs/_ctl_run.py
@@ -1,23 +1,18 @@
-"""Running a command that talks to the store: its address, and what its errors mean."""
+"""Running a command that talks to the store, and what its errors mean."""
 
 from __future__ import annotations
 
-import os
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
 import trio
 
 from .._errors import SettingsError, StoreUnavailableError
-from .._links import Address
 from ._ctl_output import CommandError, ExitCode
 from ._ctl_store import ChangeUnknownError
 
 T = TypeVar("T")
 
-STORE_VARIABLE = "FIREFLYFORK_STORE"
-"""The environment variable that names the store when the command line does not."""
-
 
 def run_command(call: Callable[[], Awaitable[T]]) -> T:
     """Run an asynchronous command; what may go wrong with the store becomes a CommandError."""
@@ -42,17 +37,3 @@
         ) from error
     except SettingsError as error:
         raise CommandError(ExitCode.FAILED, str(error)) from error
-
-
-def store_address(given: Address | None) -> Address:
-    """The store's address from the command line or the environment. Raises CommandError."""
-    text = os.environ.get(STORE_VARIABLE)
-    if given is not None:
-        return given
-    if not text:
-        hint = f"give --store IP:PORT or set the variable {STORE_VARIABLE}"
-        raise CommandError(ExitCode.USAGE, "no store is named", hint)
-    try:
-        return Address.parse(text)
-    except SettingsError as error:
-        raise CommandError(ExitCode.USAGE, f"{STORE_VARIABLE}: {error}") from error
--- /dev/null
+++ b/fireflyfork/programs/_ctl_trace.py
@@ -0,0 +1,53 @@
+"""The command ``trace``: the hops of one request."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Iterator
+from itertools import chain
+from pathlib import Path
+
+from ..operations import draw, find_trace, read_spans, span_trees
+from ._ctl_output import CommandError, ExitCode, Output, finish
+
+
+def trace(wanted: str, *files: Path, json: bool = False) -> ExitCode:
+    """Draw the hops of a request as a tree, from the span lines that the processes wrote.
+
+    Each process writes its spans to standard output. Give the files that hold them, or a
+    directory of such files, or pipe them in. Exit status: 7 when no span belongs to it.
+
+    Examples::
+
+        fireflyfork-ctl trace 4bf92f3577b34da6a3ce929d0e0e4736 run/spans/
+        cat entry-*.jsonl | fireflyfork-ctl trace 0198f3c2-7c1e-7d3f-9a60-0242ac120002
+
+    :param wanted: trace id, request id or idempotency key
+    :param files: files of JSON lines, or directories of them; standard input when none is given
+    :param json: print the spans as JSON
+    """
+    output = Output(json)
+
+    def command() -> ExitCode:
+        lines = chain.from_iterable(map(_lines, files)) if files else sys.stdin
+        spans = find_trace(read_spans(lines), wanted)
+        if not spans:
+            raise CommandError(
+                ExitCode.NOT_FOUND,
+                f"no span belongs to {wanted}",
+                "a request is traced when its traceparent header says so or it came without one; "
+                "look in the files of every process that it passed",
+            )
+        output.result(spans, [f"trace {spans[0].trace_id}", *draw(span_trees(spans))])
+        return ExitCode.DONE
+
+    return finish(output, command)
+
+
+def _lines(file: Path) -> Iterator[str]:
+    try:
+        for path in sorted(file.iterdir()) if file.is_dir() else [file]:
+            with path.open(encoding="utf-8", errors="replace") as opened:
+                yield from opened
+    except OSError as error:
+        raise CommandError(ExitCode.USAGE, f"{file} can't be read: {error}") from error
--- a/fireflyfork/programs/ctl.py
+++ b/fireflyfork/programs/ctl.py
@@ -13,7 +13,13 @@
 
 def commands() -> dict[str, Callable[..., Any]]:
     """Each command by its name. Imported only here, so that tests may take single ones."""
-    from . import _ctl_configuration, _ctl_questionnaire
+    from . import (
+        _ctl_configuration,
+        _ctl_entries,
+        _ctl_jobs,
+        _ctl_questionnaire,
+        _ctl_trace,
+    )
 
     return {
         "questionnaire": _ctl_questionnaire.questionnaire,
@@ -22,6 +28,13 @@
         "show": _ctl_configuration.show,
         "history": _ctl_configuration.history,
         "rollback": _ctl_configuration.rollback,
+        "status": _ctl_jobs.status,
+        "submit": _ctl_jobs.submit,
+        "cancel": _ctl_jobs.cancel,
+        "explain": _ctl_jobs.explain,
+        "drain": _ctl_entries.drain,
+        "metrics": _ctl_entries.metrics,
+        "trace": _ctl_trace.trace,
     }
 
 
@@ -32,7 +45,7 @@
     code = defopt.run(
         commands(),
         argv=arguments,
-        parsers={Address: _address},
+        parsers=_parsers(),
         no_negated_flags=True,
         short={},
         argparse_kwargs={
@@ -44,17 +57,36 @@
     return code
 
 
+def _parsers() -> dict[Any, Callable[[str], Any]]:
+    """How words of the command line are read, by the type of the parameter."""
+    from ..operations import ByteCount, Cores, Duration
+
+    address = _explained(Address.parse)
+    return {
+        Address: address,
+        Address | None: address,
+        ByteCount: _explained(ByteCount.parse),
+        Cores: _explained(Cores.parse),
+        Duration: _explained(Duration.parse),
+    }
+
+
 def main() -> None:
     """Run the program."""
     sys.exit(run(sys.argv[1:]))
 
 
-def _address(text: str) -> Address:
-    """An address on the command line, with the kind of error that argparse reports."""
-    try:
-        return Address.parse(text)
-    except SettingsError as error:
-        raise ValueError(str(error)) from error
+def _explained(parse: Callable[[str], Any]) -> Callable[[str], Any]:
+    """A reader whose errors say on the command line what was expected, not only what was found."""
+    import argparse
+
+    def read(text: str) -> Any:
+        try:
+            return parse(text)
+        except (SettingsError, ValueError) as error:
+            raise argparse.ArgumentTypeError(f"{text!r}: {error}") from error
+
+    return read
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/fireflyfork/programs/tests/test_ctl.py
@@ -0,0 +1,444 @@
+"""The command line, as an operator types it."""
+
+import contextlib
+import io
+import json
+import tempfile
+import unittest
+from collections.abc import Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+from unittest import mock
+
+from ..._ids import JobId, TaskId
+from ...operations.tests.builders_answers import EXAMPLES, example_answers, example_text
+from ...operations.tests.builders_replies import replies_for
+from .. import _ctl_configuration, _ctl_entries, _ctl_jobs
+from .._batch_client import BatchCallError
+from .._batch_messages import BatchProblem, JobStatus, TaskExplanation, TaskFailure
+from .._ctl_output import CommandError, ExitCode
+from ..ctl import commands, run
+from .builders_store import Fault, MemoryStore
+
+STORE = ["--store", "127.0.0.1:1"]
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """What a command printed and returned."""
+
+    code: int
+    out: str
+    error: str
+
+    @property
+    def plain(self) -> Any:
+        """Its JSON output."""
+        return json.loads(self.out)
+
+
+def ctl(*words: str, standard_input: str = "") -> Ended:
+    """Run one command line."""
+    out, error = io.StringIO(), io.StringIO()
+    with (
+        contextlib.redirect_stdout(out),
+        contextlib.redirect_stderr(error),
+        mock.patch("sys.stdin", io.StringIO(standard_input)),
+    ):
+        try:
+            code = int(run(list(words)))
+        except SystemExit as ended:
+            code = int(ended.code or 0)
+    return Ended(code, out.getvalue(), error.getvalue())
+
+
+@contextlib.contextmanager
+def in_store(store: MemoryStore) -> Iterator[None]:
+    """Let the commands find ``store`` at every address."""
+    with mock.patch.object(_ctl_configuration, "HttpStore", return_value=store):
+        yield
+
+
+class CtlTest(unittest.TestCase):
+    """A directory to work in, with the generated Naidu configuration."""
+
+    def setUp(self) -> None:
+        """Generate the file."""
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.directory = Path(directory.name)
+        self.file = self.directory / "naidu.jsonc"
+        self.answers = str(EXAMPLES / "naidu" / "answers.jsonc")
+        self.generate()
+
+    def generate(self) -> Ended:
+        """Generate the file from the example's answers."""
+        words = ["--answers", self.answers, "--output", str(self.file)]
+        return ctl("questionnaire", *words)
+
+    def edit(self, old: str, new: str) -> None:
+        """Change the file as an operator does."""
+        text = self.file.read_text("utf-8")
+        self.assertIn(old, text)
+        self.file.write_text(text.replace(old, new, 1), "utf-8")
+
+
+class HelpTest(unittest.TestCase):
+    """What a newcomer sees first."""
+
+    def test_every_command_has_help_with_an_example(self) -> None:
+        """Each shows how it is called."""
+        for name in commands():
+            with self.subTest(name):
+                ended = ctl(name, "--help")
+                self.assertEqual(ended.code, 0)
+                self.assertIn(f"    fireflyfork-ctl {name}", ended.out)
+
+    def test_bad_command_lines(self) -> None:
+        """What is wrong, and status 2."""
+        cases = [
+            (["apply"], "required: file"),
+            (["nonsense"], "invalid choice"),
+            (["apply", "f", "--store", "desk:1"], "IP-number:port"),
+            (["submit", "j", "--team", "t", "--cores", "1 horse"], "one of the units"),
+            (["show"], "FIREFLYFORK_STORE"),
+            (["status"], "FIREFLYFORK_ENTRIES"),
+            (["explain", "j"], "FIREFLYFORK_PLANNERS"),
+        ]
+        with mock.patch.dict("os.environ", clear=True):
+            for words, message in cases:
+                with self.subTest(words=words):
+                    ended = ctl(*words)
+                    self.assertEqual(ended.code, ExitCode.USAGE)
+                    self.assertIn(message, ended.error)
+
+
+class QuestionnaireTest(CtlTest):
+    """From answers to a file."""
+
+    def test_generating_again_changes_nothing(self) -> None:
+        """The file is the same, also the version that it was made from."""
+        self.edit('"version": 0', '"version": 7')
+        before = self.file.read_text("utf-8")
+        self.assertEqual(self.generate().code, 0)
+        self.assertEqual(self.file.read_text("utf-8"), before)
+
+    def test_at_the_terminal(self) -> None:
+        """Typed answers give the same configuration as the example's file, and are saved."""
+        typed = "\n".join(replies_for(example_answers("naidu"))) + "\n"
+        output = self.directory / "typed.jsonc"
+        ended = ctl("questionnaire", "--output", str(output), standard_input=typed)
+        self.assertEqual(ended.code, 0, ended.error)
+        body = output.read_text("utf-8").split("{", 1)[1]
+        self.assertEqual(body, self.file.read_text("utf-8").split("{", 1)[1])
+        self.assertTrue((self.directory / "typed.answers.jsonc").exists())
+
+    def test_the_terminal_is_closed(self) -> None:
+        """The connection to the terminal breaks half way; nothing half-made is left behind."""
+        output = self.directory / "typed.jsonc"
+        ended = ctl("questionnaire", "--output", str(output), standard_input="Naidu\nyes\n")
+        self.assertEqual(ended.code, ExitCode.USAGE)
+        self.assertEqual([path.name for path in self.directory.iterdir()], ["naidu.jsonc"])
+
+    def test_unusable_answers(self) -> None:
+        """Every fault is named, and no file is written."""
+        bad = self.directory / "bad.jsonc"
+        text = example_text("naidu").replace('"127.0.0.1:9101"', '"desk:1"')
+        bad.write_text(text, "utf-8")
+        output = self.directory / "out.jsonc"
+        ended = ctl("questionnaire", "--answers", str(bad), "--output", str(output))
+        self.assertEqual(ended.code, ExitCode.USAGE)
+        self.assertIn("services[0].executors[0]", ended.out)
+        self.assertFalse(output.exists())
+
+
+class ConfigurationTest(CtlTest):
+    """Checks, changes and their history."""
+
+    def test_check(self) -> None:
+        """A valid file, one with two broken rules, and one that can't be decoded."""
+        self.assertEqual(ctl("check", str(self.file)).code, ExitCode.DONE)
+        self.edit('"longest_queue": 64', '"longest_queue": -1')
+        self.edit('"spill_share": 0.2', '"spill_share": 20')
+        ended = ctl("check", str(self.file), "--json")
+        self.assertEqual(ended.code, ExitCode.INVALID)
+        paths = [violation["path"] for violation in ended.plain["violations"]]
+        self.assertEqual(paths, ["services[0].longest_queue", "links[0].spill_share"])
+        self.edit('"longest_queue": -1', '"longest_queue": "no"')
+        self.assertEqual(ctl("check", str(self.file)).code, ExitCode.USAGE)
+        self.assertEqual(ctl("check", "absent.jsonc").code, ExitCode.USAGE)
+
+    def test_apply_history_rollback(self) -> None:
+        """An operator applies, changes, looks back and takes the change back."""
+        store = MemoryStore()
+        with in_store(store):
+            dry = ctl("apply", str(self.file), *STORE, "--dry-run")
+            self.assertEqual((dry.code, store.values), (ExitCode.DONE, {}))
+            self.assertEqual(ctl("apply", str(self.file), *STORE).code, ExitCode.DONE)
+            self.assertIn('"version": 1', self.file.read_text("utf-8"))
+            again = ctl("apply", str(self.file), *STORE, "--json").plain
+            self.assertEqual((again["outcome"], again["version"]), ("unchanged", 1))
+            self.edit('"longest_queue": 64', '"longest_queue": 32')
+            changed = ctl("apply", str(self.file), *STORE, "--note", "shorter", "--json").plain
+            self.assertEqual(changed["version"], 2)
+            (difference,) = changed["differences"]
+            self.assertEqual(difference["path"], "services[booking-desk].longest_queue")
+            back = ctl("rollback", "1", *STORE, "--json").plain
+            self.assertEqual(back["version"], 3)
+            rows = ctl("history", *STORE, "--json").plain
+            self.assertEqual([row["version"] for row in rows], [1, 2, 3])
+            self.assertEqual(rows[1]["note"], "shorter")
+            shown = ctl("show", *STORE, "--version", "2", "--json").plain
+            self.assertEqual(shown["services"][0]["longest_queue"], 32)
+            self.assertEqual(ctl("rollback", "9", *STORE).code, ExitCode.NOT_FOUND)
+
+    def test_two_operators(self) -> None:
+        """Two operators start from version 1; the second to apply is told what the first changed.
+
+        Without this, the first one's change would vanish, and both would believe in theirs.
+        """
+        store = MemoryStore()
+        with in_store(store):
+            ctl("apply", str(self.file), *STORE)
+            own = self.file.read_text("utf-8")
+            self.edit('"longest_queue": 64', '"longest_queue": 32')
+            ctl("apply", str(self.file), *STORE)
+            self.file.write_text(own, "utf-8")
+            self.edit('"spill_share": 0.2', '"spill_share": 0.5')
+            ended = ctl("apply", str(self.file), *STORE)
+            self.assertEqual(ended.code, ExitCode.CONFLICT)
+            self.assertIn("~ services[booking-desk].longest_queue: 64 -> 32", ended.error)
+            self.assertIn("--base 2", ended.error)
+            self.assertEqual(ctl("history", *STORE, "--json").plain[-1]["version"], 2)
+            self.assertEqual(ctl("apply", str(self.file), *STORE, "--base", "2").code, 0)
+
+    def test_invalid_and_forbidden_changes(self) -> None:
+        """What breaks a rule, or may not change while entries run, never reaches the store."""
+        store = MemoryStore()
+        with in_store(store):
+            ctl("apply", str(self.file), *STORE)
+            self.edit('"partitions_per_region": 32', '"partitions_per_region": 64')
+            ended = ctl("apply", str(self.file), *STORE)
+            self.assertEqual(ended.code, ExitCode.INVALID)
+            self.assertIn("partitions_per_region", ended.error)
+            self.edit('"partitions_per_region": 64', '"partitions_per_region": 0')
+            self.assertEqual(ctl("apply", str(self.file), *STORE).code, ExitCode.INVALID)
+            self.assertEqual(ctl("history", *STORE, "--json").plain[-1]["version"], 1)
+
+    def test_store_down(self) -> None:
+        """Each command says that the store is down and whether anything was changed."""
+        down = [Fault.REFUSED] * 50
+        for words in (["apply", str(self.file)], ["show"], ["history"], ["rollback", "1"]):
+            with self.subTest(words=words), in_store(MemoryStore(down)):
+                ended = ctl(*words, *STORE)
+                self.assertEqual(ended.code, ExitCode.UNAVAILABLE)
+                self.assertIn("nothing was changed", ended.error)
+
+    def test_store_down_in_the_middle(self) -> None:
+        """The store takes the change and goes down; the operator learns that it may be in force."""
+        store = MemoryStore([Fault.NONE, Fault.ANSWER_LOST, *[Fault.REFUSED] * 50])
+        with in_store(store):
+            ended = ctl("apply", str(self.file), *STORE, "--patience", "0.1", "--json")
+        self.assertEqual(ended.code, ExitCode.UNKNOWN)
+        error = json.loads(ended.error.splitlines()[-1])
+        self.assertIn("may have taken effect", error["error"])
+        self.assertIn("applying the same file again is safe", error["hint"])
+        with in_store(store):
+            store.faults.clear()
+            again = ctl("apply", str(self.file), *STORE, "--json").plain
+        self.assertEqual((again["outcome"], again["version"]), ("unchanged", 1))
+
+
+class TraceTest(CtlTest):
+    """The command ``trace``."""
+
+    def test_from_files_and_standard_input(self) -> None:
+        """A trace is drawn from a directory, a file or a pipe; an unknown one is not found."""
+        line = json.dumps(
+            {
+                "name": "request",
+                "trace_id": "f" * 32,
+                "span_id": "a" * 16,
+                "parent_id": "",
+                "process": "entry-1",
+                "start": 1.0,
+                "duration": 0.5,
+            }
+        )
+        spans = self.directory / "spans"
+        spans.mkdir()
+        (spans / "entry-1.jsonl").write_text(f"log line\n{line}\n", "utf-8")
+        for words, piped in (([str(spans)], ""), ([str(spans / "entry-1.jsonl")], ""), ([], line)):
+            with self.subTest(words=words):
+                ended = ctl("trace", "f" * 32, *words, standard_input=piped)
+                self.assertIn("request at entry-1: +0.0 ms, 500.0 ms", ended.out)
+        self.assertEqual(ctl("trace", "0" * 32, str(spans)).code, ExitCode.NOT_FOUND)
+        self.assertEqual(ctl("trace", "0" * 32, "absent").code, ExitCode.USAGE)
+
+
+class FakeEntries:
+    """Entries that answer from a dictionary."""
+
+    def __init__(self, answers: dict[tuple[str, str], tuple[int, bytes]]) -> None:
+        self._answers = answers
+
+    async def call(self, address: object, method: str, target: str) -> tuple[int, bytes]:
+        """Stands for the call over HTTP."""
+        answer = self._answers.get((str(address), f"{method} {target}"))
+        if answer is None:
+            raise CommandError(ExitCode.UNAVAILABLE, f"the entry at {address} can't be reached")
+        return answer
+
+
+class EntriesTest(unittest.TestCase):
+    """Status, metrics and drain of entries."""
+
+    def setUp(self) -> None:
+        """Two entries; the second one is dead."""
+        desk = {"own_targets": ["desk-1", "desk-2"], "free_slots": 16, "queued": 3}
+        status = {"member": "entry-1-ab", "configuration_version": 4, "services": {"desk": desk}}
+        first = "127.0.0.1:1"
+        answers = {
+            (first, "GET /readyz"): (200, b'{"ready": true, "reason": ""}'),
+            (first, "GET /status"): (200, json.dumps(status).encode()),
+            (first, "GET /metrics"): (200, b'calls_total{service="desk"} 3\n'),
+            (first, "POST /drain"): (202, b"{}"),
+            ("127.0.0.1:3", "POST /drain"): (404, b"{}"),
+        }
+        patch = mock.patch.object(_ctl_entries, "_call", FakeEntries(answers).call)
+        patch.start()
+        self.addCleanup(patch.stop)
+
+    def test_status(self) -> None:
+        """A dead entry is shown as such beside a living one."""
+        ended = ctl("status", "--entries", "127.0.0.1:1", "127.0.0.1:2")
+        self.assertEqual(ended.code, ExitCode.DONE)
+        first, second = ended.out.splitlines()[1:]
+        self.assertEqual(first.split(), ["127.0.0.1:1", "entry-1-ab", "yes", "4", "2", "16", "3"])
+        self.assertIn("no: no answer", second)
+        self.assertEqual(ctl("status", "--entries", "127.0.0.1:2").code, ExitCode.UNAVAILABLE)
+
+    def test_version_in_force(self) -> None:
+        """After an apply, the operator asks whether it is in force everywhere."""
+        cases = [
+            (["127.0.0.1:1"], "4", ExitCode.DONE),
+            (["127.0.0.1:1"], "5", ExitCode.FAILED),
+            (["127.0.0.1:1", "127.0.0.1:2"], "4", ExitCode.FAILED),
+        ]
+        for entries, version, code in cases:
+            with self.subTest(entries=entries, version=version):
+                ended = ctl("status", "--entries", *entries, "--version", version)
+                self.assertEqual(ended.code, code)
+
+    def test_metrics(self) -> None:
+        """For people, as JSON and as they are."""
+        entries = ["--entries", "127.0.0.1:1"]
+        self.assertIn("calls_total", ctl("metrics", *entries).out)
+        (sample,) = ctl("metrics", *entries, "--json").plain["entries"]["127.0.0.1:1"]
+        self.assertEqual(sample["value"], 3.0)
+        raw = ctl("metrics", *entries, "--raw").out
+        self.assertEqual(raw.strip(), 'calls_total{service="desk"} 3')
+
+    def test_drain(self) -> None:
+        """An entry that drains, one that can't be asked to, and a dead one."""
+        cases = [
+            ("127.0.0.1:1", ExitCode.DONE),
+            ("127.0.0.1:3", ExitCode.REFUSED),
+            ("127.0.0.1:2", ExitCode.UNAVAILABLE),
+        ]
+        for address, code in cases:
+            with self.subTest(address):
+                self.assertEqual(ctl("drain", address).code, code)
+
+
+class FakePlanners:
+    """A planner with one job that is finished at the third look, or one that fails every call."""
+
+    def __init__(self, error: BatchCallError | None = None, state: str = "finished") -> None:
+        self._error = error
+        self._looks = 0
+        self._state = state
+
+    def _job(self, state: str) -> JobStatus:
+        if self._error is not None:
+            raise self._error
+        failures = (TaskFailure(TaskId("letters/1"), "too large"),) if state == "failed" else ()
+        return JobStatus(JobId("letters"), state, 2, {"running": 2}, 1.0, failures)
+
+    async def submit(self, job: object) -> JobStatus:
+        """Stored."""
+        return self._job("open")
+
+    async def cancel(self, job_id: str, index: int | None = None) -> JobStatus:
+        """Cancelled."""
+        return self._job("cancelled")
+
+    async def status(self, job_id: str) -> JobStatus:
+        """Open at the first two looks."""
+        self._looks += 1
+        return self._job(self._state if self._looks > 2 else "open")
+
+    async def jobs(self) -> tuple[JobStatus, ...]:
+        """The one job."""
+        return (self._job("open"),)
+
+    async def explain(self, job_id: str, index: int) -> TaskExplanation:
+        """Why its task waits."""
+        self._job("open")
+        return TaskExplanation(TaskId("letters/0"), "waiting", "waits for memory", evictions=2)
+
+
+class JobsTest(unittest.TestCase):
+    """Batch work."""
+
+    PLANNERS = ("--planners", "127.0.0.1:1")
+    SUBMIT = ("submit", "letters", "--team", "letters", "--cores", "2", "--memory", "4GB",
+              "--run-time", "3s", *PLANNERS)  # fmt: skip
+
+    def run_with(self, planners: FakePlanners, *words: str) -> Ended:
+        """Run a command against a fake planner, without pauses."""
+        with (
+            mock.patch.object(_ctl_jobs, "BatchClient", return_value=planners),
+            mock.patch.object(_ctl_jobs, "_POLL_SECONDS", 0.0),
+        ):
+            return ctl(*words)
+
+    def test_submit_and_wait(self) -> None:
+        """Progress on the way, and the outcome in the exit status."""
+        ended = self.run_with(FakePlanners(), *self.SUBMIT, "--wait", "60")
+        self.assertEqual(ended.code, ExitCode.DONE)
+        self.assertEqual(ended.error.count("letters: 2 running"), 2)
+        failed = self.run_with(FakePlanners(state="failed"), *self.SUBMIT, "--wait", "60")
+        self.assertEqual(failed.code, ExitCode.FAILED)
+        self.assertIn("task letters/1: too large", failed.out)
+
+    def test_other_commands(self) -> None:
+        """Status, cancel and explain."""
+        planners = FakePlanners()
+        self.assertIn("open", self.run_with(planners, "status", "letters", *self.PLANNERS).out)
+        listed = self.run_with(planners, "status", *self.PLANNERS, "--json").plain
+        self.assertEqual(listed["jobs"][0]["job_id"], "letters")
+        self.assertIn("cancelled", self.run_with(planners, "cancel", "letters", *self.PLANNERS).out)
+        told = self.run_with(planners, "explain", "letters", *self.PLANNERS).out
+        self.assertIn("waits for memory", told)
+        self.assertIn("evicted 2 times", told)
+
+    def test_what_planners_refuse(self) -> None:
+        """A refusal, an unknown job, silence, and silence after the request was sent.
+
+        The last two look alike at the terminal. Told "not stored", the operator would submit
+        under another id, and the letters would go out twice.
+        """
+        cases = [
+            (BatchProblem("no worker can hold it"), 409, ExitCode.REFUSED, "no worker"),
+            (BatchProblem("there is no job"), 404, ExitCode.NOT_FOUND, "no job"),
+            (BatchProblem("no planner answered"), None, ExitCode.UNAVAILABLE, "nothing was"),
+            (BatchProblem("silent", "unknown"), None, ExitCode.UNKNOWN, "may have been stored"),
+        ]
+        for problem, http_status, code, message in cases:
+            with self.subTest(problem.error):
+                planners = FakePlanners(BatchCallError(problem, http_status))
+                ended = self.run_with(planners, *self.SUBMIT)
+                self.assertEqual(ended.code, code)
+                self.assertIn(message, ended.error)
