--- a/fireflyfork/operations/__init__.py
+++ b/fireflyfork/operations/__init__.py
@@ -13,15 +13,11 @@
     WorkerAnswer,
 )
 from ._changes import (
-    CONFIGURATION_KEY,
     HISTORY_PREFIX,
     RETAINED_VERSIONS,
-    Settlement,
     history_key,
     mint_change_id,
-    next_version,
     same_decisions,
-    settle,
     time_of_change,
     version_of_history_key,
 )
@@ -29,21 +25,21 @@
 from ._decoding import Decoded, decode
 from ._differences import Difference, differences
 from ._documents import (
-    decode_configuration,
     decode_document,
-    encode_configuration,
     parse_document,
     render_answers,
     render_configuration,
     render_generated,
     with_version,
 )
+from ._exposition import Sample, read_samples
 from ._generator import Generated, generate, unusable_addresses
+from ._interview import Prompt, interview
 from ._quantities import ByteCount, ByteRate, Cores, Duration, Quantity, Share
+from ._span_tree import SpanNode, draw, find_trace, read_spans, span_trees
 from ._violations import Violation
 
 __all__ = [
-    "CONFIGURATION_KEY",
     "HISTORY_PREFIX",
     "RETAINED_VERSIONS",
     "RULES",
@@ -59,32 +55,36 @@
     "JobAnswer",
     "LinkAnswer",
     "Measure",
+    "Prompt",
     "Quantity",
     "Question",
     "RegionAnswer",
+    "Sample",
     "ServiceAnswer",
-    "Settlement",
     "Share",
+    "SpanNode",
     "TeamAnswer",
     "Violation",
     "WorkerAnswer",
     "check",
     "check_change",
     "decode",
-    "decode_configuration",
     "decode_document",
     "differences",
-    "encode_configuration",
+    "draw",
+    "find_trace",
     "generate",
     "history_key",
+    "interview",
     "mint_change_id",
-    "next_version",
     "parse_document",
+    "read_samples",
+    "read_spans",
     "render_answers",
     "render_configuration",
     "render_generated",
     "same_decisions",
-    "settle",
+    "span_trees",
     "time_of_change",
     "unusable_addresses",
     "version_of_history_key",
--- a/fireflyfork/operations/_relations.py
+++ b/fireflyfork/operations/_relations.py
@@ -7,8 +7,7 @@
 from collections.abc import Iterator
 from typing import Any
 
-import msgspec
-
+from .._contract_codec import encode_contracts
 from .._contracts import Configuration, ServiceContract, WorkerGroup
 from .._errors import SettingsError
 from .._ids import FailureDomainName, RegionName
@@ -16,8 +15,8 @@
 from .._machines import Resources
 from ._rules import Located
 
-LONGEST_STORED_BYTES = 1_000_000
-"""The store holds values up to a megabyte."""
+LONGEST_STORED_BYTES = 990_000
+"""The store holds values up to a megabyte; the rest is for the versions' bookkeeping."""
 
 Found = Iterator[Located[Any]]
 
@@ -210,7 +209,7 @@
 
 def more_than_a_stored_value(configuration: Configuration) -> Found:
     """A configuration that the store can't hold."""
-    size = len(msgspec.json.encode(configuration))
+    size = len(encode_contracts(configuration))
     if size > LONGEST_STORED_BYTES:
         yield Located("file", f"{size} bytes")
 
--- a/fireflyfork/programs/_ctl_configuration.py
+++ b/fireflyfork/programs/_ctl_configuration.py
@@ -14,15 +14,15 @@
     check,
     check_change,
     differences,
-    next_version,
     render_configuration,
     same_decisions,
     time_of_change,
     with_version,
 )
+from ._ctl_addresses import store_address
 from ._ctl_files import read_configuration, read_text
 from ._ctl_output import CommandError, ExitCode, Output, finish, table
-from ._ctl_run import run_command, store_address
+from ._ctl_run import run_command
 from ._ctl_store import ChangeLostError, ConfigurationStore, Current
 
 _LONGEST_DIFFERENCE_LINES = 60
@@ -226,7 +226,7 @@
         if violations:
             reasons = "; ".join(str(violation) for violation in violations)
             raise CommandError(ExitCode.INVALID, reasons)
-        written = next_version(proposed, present, stored.mint_change_id(), self._note)
+        written = stored.prepare(proposed, current, self._note)
         if self._dry_run:
             self._result("would change", present, written)
             return None
