Planners under generated faults, judged by the history of what ran

Cause: a planner that was paused during recovery woke and took the partition back from its rightful owner, after which nobody ran it (found by the generated faults; kept as a test of its own). Ruled out: the new owner retrying alone, which leaves the two taking turns. Change: the right is asked anew right before a takeover is stored; an attempt on a silent worker counts as over only after the platform has answered an order to stop it, since an earlier owner's late renewal could prolong it.

--- a/fireflyfork/adapters/_platform.py
+++ b/fireflyfork/adapters/_platform.py
@@ -25,7 +25,8 @@
 
     Attempt numbers fence: once an attempt of a task was stopped, or a higher one started, no order
     starts that attempt or a lower one, however late the order arrives. The platform remembers how
-    an attempt ended for a day.
+    an attempt ended for a day. Once it has answered an order to stop an attempt, it passes no
+    renewal of that attempt on either, even when the worker could not be reached to stop it.
     """
 
     @abstractmethod
@@ -44,7 +45,8 @@
     async def stop(self, task_id: TaskId, attempt: AttemptNumber, checkpoint: bool) -> RunReport:
         """Stop one attempt, after a checkpoint if asked; idempotent.
 
-        An attempt that never started is thereby fenced and comes back STOPPED.
+        An attempt that never started is thereby fenced and comes back STOPPED. One whose worker
+        can't be reached comes back RUNNING; its worker stops it when the lease lapses.
         """
 
     @abstractmethod
--- a/fireflyfork/decisions/_attempts.py
+++ b/fireflyfork/decisions/_attempts.py
@@ -20,6 +20,9 @@
 }
 
 
+AttemptKey = tuple[TaskId, AttemptNumber]
+
+
 @dataclass(frozen=True, slots=True)
 class LeaseRules:
     """How long leases last and how long silence is borne, in seconds."""
@@ -31,7 +34,8 @@
     margin: float = 15.0
     """Added to the lease before an attempt counts as over.
 
-    It covers the longest time that a renewal may be under way, and the drift of two clocks.
+    It covers the longest time that a renewal may be under way from the platform to a worker, and
+    the drift of two clocks.
     """
 
 
@@ -45,8 +49,8 @@
     """When the last report on each region that arrived was asked for."""
     heard: Mapping[WorkerId, float]
     """When each worker was last heard of; a worker that is absent, at the takeover."""
-    released: Mapping[tuple[TaskId, AttemptNumber], float]
-    """The attempts that are not renewed any more, and since when."""
+    fenced: Mapping[AttemptKey, float]
+    """The attempts that the platform was told to stop, and when its answer came."""
 
     @classmethod
     def at_takeover(cls, now: float) -> LeaseState:
@@ -77,11 +81,20 @@
     task = table.tasks.get(run.task_id)
     if task is not None and task.holds_reservation and task.attempt == run.attempt:
         return _change_of(task, run, now)
+    if task is not None and _finished_after_all(task, run):
+        return end_of(task, AttemptOutcome.FINISHED, now, 1.0, run.reason)
     if run.state is RunState.RUNNING and _is_fenced(table, task, run):
         return StaleRun(run.task_id, run.attempt)
     return None
 
 
+def _finished_after_all(task: Task, run: RunReport) -> bool:
+    # A worker that fell silent may have finished the task before its lease lapsed, and say so once
+    # it is heard of again. If no further attempt began, starting one would only do it all twice.
+    waiting = not task.holds_reservation and task.attempt == run.attempt
+    return waiting and run.state is RunState.FINISHED
+
+
 def _change_of(task: Task, run: RunReport, now: float) -> TableChange:
     if run.state is RunState.RUNNING:
         return StateObserved(run.task_id, run.attempt, TaskState.RUNNING, now, run.progress)
@@ -138,40 +151,59 @@
     return tuple(
         (task.task_id, task.attempt)
         for task in table.holding()
-        if (task.task_id, task.attempt) not in leases.released
+        if (task.task_id, task.attempt) not in leases.fenced
     )
 
 
-def release_silent(
+def silent_attempts(
     table: TaskTable,
     leases: LeaseState,
     workers: Mapping[WorkerId, Worker],
-    now: float,
     rules: LeaseRules,
-) -> LeaseState:
-    """Stop renewing the attempts on silent workers; go on with those heard of again."""
-    released = {
-        (task.task_id, task.attempt): leases.released.get((task.task_id, task.attempt), now)
-        for worker_id, tasks in table.on_worker.items()
-        if is_silent(leases, worker_id, workers.get(worker_id), rules)
-        for task in tasks.values()
+) -> Iterator[Task]:
+    """The tasks whose attempts are on silent workers."""
+    for worker_id, tasks in table.on_worker.items():
+        if is_silent(leases, worker_id, workers.get(worker_id), rules):
+            yield from tasks.values()
+
+
+def fence(leases: LeaseState, key: AttemptKey, now: float) -> LeaseState:
+    """The state once the platform has answered an order to stop an attempt."""
+    if key in leases.fenced:
+        return leases
+    return replace(leases, fenced={**leases.fenced, key: now})
+
+
+def forget_ended(table: TaskTable, leases: LeaseState) -> LeaseState:
+    """The state without the fences of attempts that are over."""
+    kept = {
+        (task_id, attempt): since
+        for (task_id, attempt), since in leases.fenced.items()
+        if _is_open(table, task_id, attempt)
     }
-    return replace(leases, released=released)
+    return leases if len(kept) == len(leases.fenced) else replace(leases, fenced=kept)
 
 
 def lapsed(
     table: TaskTable, leases: LeaseState, now: float, rules: LeaseRules
 ) -> Iterator[EndRecorded]:
-    """The attempts that are surely over because nobody could have renewed their leases.
+    """The attempts that are surely over because nobody can have renewed their leases.
 
     If an attempt counted as over while its worker still ran it, the next one would run the same
-    task a second time elsewhere, and two letters would go out. So the wait starts when this owner
-    stopped sending renewals, and the margin covers what the last may have spent under way.
+    task a second time elsewhere, and two letters would go out. It is not enough that this owner
+    stopped renewing: an earlier owner, paused right before it sent a renewal or a start, may wake
+    and send it. After it has answered an order to stop, the platform passes neither on, so the
+    wait starts there.
     """
-    for (task_id, attempt), since in leases.released.items():
-        task = table.tasks.get(task_id)
-        if task is None or task.attempt != attempt or not task.holds_reservation:
+    for (task_id, attempt), since in leases.fenced.items():
+        if not _is_open(table, task_id, attempt):
             continue
         if now >= since + rules.lease + rules.margin:
+            task = table.tasks[task_id]
             reason = f"worker {task.worker_id} fell silent and the lease has lapsed"
             yield end_of(task, AttemptOutcome.LAPSED, now, task.progress, reason)
+
+
+def _is_open(table: TaskTable, task_id: TaskId, attempt: AttemptNumber) -> bool:
+    task = table.tasks.get(task_id)
+    return task is not None and task.attempt == attempt and task.holds_reservation
--- a/fireflyfork/decisions/_partition.py
+++ b/fireflyfork/decisions/_partition.py
@@ -11,18 +11,21 @@
 from dataclasses import dataclass, field, replace
 
 from .._contracts import ServiceContract, TeamContract, Weights
-from .._ids import AttemptNumber, JobId, RegionName, ServiceName, TaskId, TeamName, WorkerId
+from .._ids import JobId, RegionName, ServiceName, TaskId, TeamName, WorkerId
 from .._machines import Resources, Worker
 from ._attempts import (
+    AttemptKey,
     LeaseRules,
     LeaseState,
     StaleRun,
+    fence,
+    forget_ended,
     hear,
     hear_region,
     judge_report,
     lapsed,
     latest_reports,
-    release_silent,
+    silent_attempts,
 )
 from ._placement_policy import (
     AttemptEnded,
@@ -108,7 +111,7 @@
     services: Mapping[ServiceName, ServiceContract] = field(default_factory=dict)
     weights: Weights = field(default_factory=Weights)
     rules: PlanningRules = field(default_factory=PlanningRules)
-    ready: Mapping[tuple[TaskId, AttemptNumber], float] = field(default_factory=dict)
+    ready: Mapping[AttemptKey, float] = field(default_factory=dict)
     """Starts with a stored intent that the platform has not confirmed, and when to send each."""
     dropped_commands: int = 0
     """Commands of the policy that no longer held when the table checked them."""
@@ -175,12 +178,19 @@
     return _applied(partition, [CancelRequested(job.number, index, now)])
 
 
+def evict(partition: Partition, task_ids: Iterable[TaskId], reason: str, now: float) -> Step:
+    """Checkpoint and evict running tasks on an operator's word; others are left alone."""
+    commands = tuple(CheckpointAndEvict(task_id, reason) for task_id in task_ids)
+    return _applied(partition, _CommandChecker(partition, now).changes(commands))
+
+
 def take_report(
     partition: Partition, runs: Iterable[RunReport], now: float, whole: WholeReport | None = None
 ) -> Step:
     """Take in what the platform says.
 
-    Answers to single orders come without ``whole``: they don't show that other workers are silent.
+    Answers to single orders come without ``whole``. They don't show that a worker is alive, since
+    the platform may give them in its stead, nor that others are silent.
     """
     latest = tuple(latest_reports(runs))
     verdicts = [judge_report(partition.table, run, now) for run in latest]
@@ -188,22 +198,20 @@
     changes = [
         verdict for verdict in verdicts if verdict is not None and not isinstance(verdict, StaleRun)
     ]
-    heard = hear(partition.leases, latest, now)
+    leases = partition.leases
     if whole is not None:
-        heard = hear_region(heard, whole.region, whole.asked)
+        leases = hear_region(hear(leases, latest, now), whole.region, whole.asked)
     samples = tuple(_samples(partition, latest, now))
     policy = partition.policy
     if samples:
         policy = policy.observe(SamplesTaken(now, samples))
-    step = _applied(replace(partition, leases=heard, policy=policy), changes)
+    step = _applied(replace(partition, leases=leases, policy=policy), changes)
     return replace(step, stale=stale)
 
 
 def take_time(partition: Partition, now: float) -> Step:
     """Judge silent workers, lapsed leases and failures, and forget old jobs."""
-    leases = release_silent(
-        partition.table, partition.leases, partition.workers, now, partition.rules.leases
-    )
+    leases = forget_ended(partition.table, partition.leases)
     partition = replace(partition, leases=leases)
     first = _applied(partition, tuple(lapsed(partition.table, leases, now, partition.rules.leases)))
     second = _applied(first.partition, tuple(_old_jobs(first.partition, now)))
@@ -248,22 +256,35 @@
 def take_starts(partition: Partition, now: float) -> tuple[Partition, tuple[StartOrder, ...]]:
     """The starts to send now. Each comes again later until the platform has confirmed it."""
     orders: list[StartOrder] = []
-    ready: dict[tuple[TaskId, AttemptNumber], float] = {}
+    ready: dict[AttemptKey, float] = {}
     for key, due in partition.ready.items():
         if not _awaits_start(partition, key):
             continue
         ready[key] = due
-        if due <= now and key not in partition.leases.released:
+        if due <= now and key not in partition.leases.fenced:
             ready[key] = now + partition.rules.start_retry_seconds
             orders.append(_start_order(partition, partition.table.tasks[key[0]]))
     return replace(partition, ready=ready), tuple(orders)
 
 
 def to_stop(partition: Partition) -> Iterator[Task]:
-    """The attempts to stop: evicted ones and cancelled ones."""
+    """The attempts to stop: evicted and cancelled ones, and those on silent workers."""
     for task in partition.table.holding():
         if task.state in (TaskState.EVICTING, TaskState.CANCELLING):
             yield task
+    fenced = partition.leases.fenced
+    silent = silent_attempts(
+        partition.table, partition.leases, partition.workers, partition.rules.leases
+    )
+    for task in silent:
+        stopping = task.state in (TaskState.EVICTING, TaskState.CANCELLING)
+        if not stopping and (task.task_id, task.attempt) not in fenced:
+            yield task
+
+
+def stop_answered(partition: Partition, key: AttemptKey, now: float) -> Partition:
+    """The state once the platform has answered an order to stop an attempt."""
+    return replace(partition, leases=fence(partition.leases, key, now))
 
 
 def _refusal(partition: Partition, submission: Submission) -> Refusal | None:
@@ -322,7 +343,7 @@
     return job.ended is not None and job.ended < ended_before
 
 
-def _awaits_start(partition: Partition, key: tuple[TaskId, AttemptNumber]) -> bool:
+def _awaits_start(partition: Partition, key: AttemptKey) -> bool:
     task = partition.table.tasks.get(key[0])
     return task is not None and task.state is TaskState.STARTING and task.attempt == key[1]
 
--- a/fireflyfork/decisions/_task_table.py
+++ b/fireflyfork/decisions/_task_table.py
@@ -220,7 +220,8 @@
 
     def _end_attempt(self, change: EndRecorded) -> None:
         task = self._open_task(change.number, change.index)
-        if not task.holds_reservation or change.attempt != task.attempt:
+        may_end = task.holds_reservation or change.outcome is AttemptOutcome.FINISHED
+        if not may_end or change.attempt != task.attempt:
             raise ImpossibleChangeError(f"attempt {change.attempt} of {task.task_id} is not open")
         self._drop(task)
         if change.outcome is AttemptOutcome.FINISHED:
--- a/fireflyfork/programs/_planner_journal.py
+++ b/fireflyfork/programs/_planner_journal.py
@@ -86,16 +86,21 @@
         """What is known of the stored keys."""
         return self._position
 
-    async def recover(self) -> TaskTable:
+    async def recover(self, may_take: Callable[[], bool]) -> TaskTable:
         """Read everything, then take the partition over by storing an empty segment.
 
-        From then on, whatever an earlier owner still tries to store fails. Raises
-        StoreUnavailableError and JournalError; it may then be called again.
+        From then on, whatever an earlier owner still tries to store fails. ``may_take`` is asked
+        right before that. Raises StoreUnavailableError and JournalError, after which it may be
+        called again, and PartitionLostError when ``may_take`` says no.
         """
         table = await self._read_snapshot()
         while True:
             table = await self._read_segments(table)
             await self._make_room(table)
+            # A planner that was paused while it recovered would otherwise wake long after another
+            # took the partition over, and take it back from the rightful owner.
+            if not may_take():
+                raise PartitionLostError(f"{self._partition} is not this planner's any more")
             try:
                 await self._store_segment(())
             except PartitionLostError:
--- a/fireflyfork/programs/_planner_partition.py
+++ b/fireflyfork/programs/_planner_partition.py
@@ -28,7 +28,9 @@
     ThrottleOrdered,
     WholeReport,
     cancel,
+    evict,
     place,
+    stop_answered,
     stored,
     submit,
     take_report,
@@ -177,6 +179,10 @@
         await self._durable(self._take(step))
         return True
 
+    def evict(self, task_ids: tuple[TaskId, ...], reason: str) -> None:
+        """Checkpoint and evict running tasks. Raises NotReadyError."""
+        self._take(evict(self._ready_state(), task_ids, reason, self._clock.now()))
+
     def _ready_state(self) -> Partition:
         if self._state is None or self._stopping:
             raise NotReadyError(f"{self._plan.partition} is being taken over; ask again")
@@ -188,13 +194,22 @@
         yield self._stop_loop
         yield self._renew_loop
         yield self._workers_loop
+        yield self._watch_ownership
         for region in self._plan.regions:
             yield partial(self._follow_reports, region)
 
+    def _is_owner(self) -> bool:
+        return self._plan.partition in self._rights.owned()
+
+    async def _watch_ownership(self) -> None:
+        while self._is_owner():
+            await self._rights.changed()
+        raise PartitionLostError(f"{self._plan.partition} is not this planner's any more")
+
     async def _recover(self) -> None:
         while True:
             try:
-                table = await self._journal.recover()
+                table = await self._journal.recover(self._is_owner)
                 break
             except StoreUnavailableError as error:
                 logger.warning("recovery of {} waits: {}", self._plan.partition, error)
@@ -317,7 +332,7 @@
 
         async def stop_one(task: Task) -> None:
             async with limit:
-                checkpoint = task.state is TaskState.EVICTING
+                checkpoint = task.state is not TaskState.CANCELLING
                 await self._stop_attempt(task.task_id, task.attempt, checkpoint)
 
         async with trio.open_nursery() as nursery:
@@ -339,7 +354,10 @@
         self, task_id: TaskId, attempt: AttemptNumber, checkpoint: bool
     ) -> None:
         async def call() -> tuple[RunReport, ...]:
-            return (await self._platform.stop(task_id, attempt, checkpoint),)
+            report = await self._platform.stop(task_id, attempt, checkpoint)
+            if self._state is not None:
+                self._state = stop_answered(self._state, (task_id, attempt), self._clock.now())
+            return (report,)
 
         if self._may_act():
             await self._order(call)
--- /dev/null
+++ b/fireflyfork/programs/tests/builders_faults.py
@@ -0,0 +1,310 @@
+"""Two planners that take one partition from each other, and faults to let loose on them."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, replace
+from enum import Enum
+from typing import TypeVar
+
+import trio
+
+from fireflyfork_standins import SimulatedWorkers
+
+from ... import (
+    AttemptNumber,
+    JobId,
+    MemberId,
+    PartitionId,
+    RegionName,
+    Revision,
+    TaskId,
+    Worker,
+    WorkerId,
+)
+from ..._links import Address
+from ...adapters import (
+    PlatformReport,
+    RunReport,
+    StartOrder,
+    Store,
+    StoredValue,
+    WorkerPlatform,
+)
+from ...decisions import LeaseRules, PlanningRules, Submission
+from .._planner_partition import (
+    NotReadyError,
+    OutcomeUnknownError,
+    PartitionPlan,
+    PartitionRunner,
+    PlannerPace,
+)
+from .._planner_rights import PartitionRights
+from .builders_planner import (
+    PARTITION,
+    MemoryStore,
+    SimulatedPlatform,
+    make_plan,
+    make_runner,
+    make_workers,
+)
+
+Answer = TypeVar("Answer")
+
+FAST_RULES = PlanningRules(LeaseRules(lease=10.0, silence=8.0, margin=3.0), start_retry_seconds=2.0)
+FAST_PACE = PlannerPace(renew=3.0, report_wait=2.0, workers=5.0)
+
+
+class Gate:
+    """Holds the calls of one planner back, as if the process were stopped right before them."""
+
+    def __init__(self) -> None:
+        self._open = trio.Event()
+        self._open.set()
+
+    def close(self) -> None:
+        """Hold calls back."""
+        self._open = trio.Event()
+
+    def open(self) -> None:
+        """Let the calls through that wait."""
+        self._open.set()
+
+    async def passing(self, call: Callable[[], Awaitable[Answer]]) -> Answer:
+        """Make a call once the gate is open."""
+        await self._open.wait()
+        return await call()
+
+
+class GatedStore(Store):
+    """A store behind a gate."""
+
+    def __init__(self, store: Store, gate: Gate) -> None:
+        self._store = store
+        self._gate = gate
+
+    async def read(self, key: str) -> StoredValue | None:
+        return await self._gate.passing(lambda: self._store.read(key))
+
+    async def write(self, key: str, value: bytes, expected: Revision) -> Revision:
+        return await self._gate.passing(lambda: self._store.write(key, value, expected))
+
+    async def delete(self, key: str, expected: Revision) -> None:
+        raise NotImplementedError
+
+    async def keys(self, prefix: str) -> tuple[str, ...]:
+        raise NotImplementedError
+
+    async def wait(self, key: str, after: Revision, seconds: float) -> StoredValue | None:
+        raise NotImplementedError
+
+
+class GatedPlatform(WorkerPlatform):
+    """A platform behind a gate."""
+
+    def __init__(self, platform: WorkerPlatform, gate: Gate) -> None:
+        self._platform = platform
+        self._gate = gate
+
+    async def workers(self, region: RegionName) -> tuple[Worker, ...]:
+        return await self._gate.passing(lambda: self._platform.workers(region))
+
+    async def start(self, orders: tuple[StartOrder, ...]) -> tuple[RunReport, ...]:
+        return await self._gate.passing(lambda: self._platform.start(orders))
+
+    async def stop(self, task_id: TaskId, attempt: AttemptNumber, checkpoint: bool) -> RunReport:
+        return await self._gate.passing(lambda: self._platform.stop(task_id, attempt, checkpoint))
+
+    async def throttle(
+        self, task_id: TaskId, attempt: AttemptNumber, millicores: int | None
+    ) -> None:
+        await self._gate.passing(lambda: self._platform.throttle(task_id, attempt, millicores))
+
+    async def renew(
+        self, runs: tuple[tuple[TaskId, AttemptNumber], ...], seconds: float
+    ) -> tuple[RunReport, ...]:
+        return await self._gate.passing(lambda: self._platform.renew(runs, seconds))
+
+    async def report(self, region: RegionName, cursor: int, wait_seconds: float) -> PlatformReport:
+        return await self._gate.passing(lambda: self._platform.report(region, cursor, wait_seconds))
+
+
+class SharedRights(PartitionRights):
+    """One of several planners' view of who owns the partition."""
+
+    def __init__(self, planners: Planners, member: MemberId) -> None:
+        self._planners = planners
+        self._member = member
+
+    @property
+    def member(self) -> MemberId:
+        return self._member
+
+    def owned(self) -> frozenset[PartitionId]:
+        mine = self._planners.owner == self._member
+        return frozenset({PARTITION}) if mine else frozenset()
+
+    def holds(self, partition: PartitionId) -> bool:
+        return partition in self.owned()
+
+    def owner_address(self, partition: PartitionId) -> Address | None:
+        return None
+
+    async def changed(self) -> None:
+        await self._planners.moved.wait()
+
+
+class FaultKind(Enum):
+    """What goes wrong."""
+
+    STORE_DOWN = "store-down"
+    STORE_LOSES = "store-loses"
+    PLATFORM_DOWN = "platform-down"
+    PLATFORM_LOSES = "platform-loses"
+    WORKER_UNREACHABLE = "worker-unreachable"
+    WORKER_FAILS = "worker-fails"
+    PLANNER_KILLED = "planner-killed"
+    PLANNER_PAUSED = "planner-paused"
+    CANCEL_TASK = "cancel-task"
+    EVICT_ALL = "evict-all"
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """One fault, when it begins after the one before, and for how long it lasts, in seconds."""
+
+    kind: FaultKind
+    after: float
+    lasts: float
+    index: int
+    """Which worker or task; how many answers are lost."""
+
+
+class Planners:
+    """A series of planners, each taking the partition over from the one before."""
+
+    def __init__(self, nursery: trio.Nursery, worker_count: int = 3) -> None:
+        self.store = MemoryStore()
+        self.workers = SimulatedWorkers(make_workers(worker_count))
+        self.platform = SimulatedPlatform(self.workers)
+        self.owner = MemberId("")
+        self.moved = trio.Event()
+        self.cancelled: set[tuple[JobId, int]] = set()
+        self._nursery = nursery
+        self._count = 0
+        self._gate = Gate()
+        self._scope = trio.CancelScope()
+        self._runner: PartitionRunner | None = None
+        self.take_over()
+
+    @property
+    def runner(self) -> PartitionRunner:
+        """The present owner's."""
+        assert self._runner is not None
+        return self._runner
+
+    def take_over(self) -> None:
+        """Begin a new planner and give it the partition; the one before goes on until it notices."""
+        self._count += 1
+        member = MemberId(f"planner-{self._count}")
+        self._gate = Gate()
+        self._scope = trio.CancelScope()
+        self._runner = make_runner(
+            GatedStore(self.store, self._gate),
+            GatedPlatform(self.platform, self._gate),
+            SharedRights(self, member),
+            self._plan(),
+        )
+        self.owner = member
+        self.moved.set()
+        self.moved = trio.Event()
+        self._nursery.start_soon(self._run, self._runner, self._scope, member)
+
+    async def apply(self, fault: Fault) -> None:
+        """Let one fault begin, and end it later."""
+        await trio.sleep(fault.after)
+        match fault.kind:
+            case FaultKind.STORE_LOSES:
+                self.store.lose_answers += 1 + fault.index
+            case FaultKind.PLATFORM_LOSES:
+                self.platform.lose_answers += 1 + fault.index
+            case FaultKind.PLANNER_KILLED:
+                self._scope.cancel()
+                self.take_over()
+            case FaultKind.PLANNER_PAUSED:
+                gate = self._gate
+                gate.close()
+                self.take_over()
+                self._nursery.start_soon(self._later, fault.lasts, gate.open)
+            case FaultKind.CANCEL_TASK:
+                self._nursery.start_soon(self._cancel_task, fault.index)
+            case FaultKind.EVICT_ALL:
+                self._evict_all()
+            case _:
+                self._set(fault, True)
+                self._nursery.start_soon(self._later, fault.lasts, lambda: self._set(fault, False))
+
+    async def submit(self, submission: Submission) -> None:
+        """Submit until it is accepted, as a client would."""
+        while True:
+            try:
+                with trio.move_on_after(5.0):
+                    refusal = await self.runner.submit(submission)
+                    assert refusal is None, refusal
+                    return
+            except (NotReadyError, OutcomeUnknownError):
+                await trio.sleep(0.5)
+
+    def is_over(self, job_id: JobId) -> bool:
+        """Whether the present owner says that no task of a job is open."""
+        state = self.runner.state
+        job = state.table.jobs.get(job_id) if state is not None else None
+        return job is not None and job.open_count == 0
+
+    def _plan(self) -> PartitionPlan:
+        return replace(make_plan(), rules=FAST_RULES, pace=FAST_PACE)
+
+    async def _run(
+        self, runner: PartitionRunner, scope: trio.CancelScope, member: MemberId
+    ) -> None:
+        with scope:
+            while self.owner == member:
+                await runner.run()
+                await trio.sleep(0.5)
+
+    async def _later(self, seconds: float, action: Callable[[], None]) -> None:
+        await trio.sleep(seconds)
+        action()
+
+    async def _cancel_task(self, index: int) -> None:
+        job_id = JobId("night")
+        while True:
+            try:
+                if await self.runner.cancel(job_id, index):
+                    self.cancelled.add((job_id, index))
+                return
+            except (NotReadyError, OutcomeUnknownError):
+                await trio.sleep(0.5)
+
+    def _evict_all(self) -> None:
+        state = self.runner.state
+        if state is not None:
+            self.runner.evict(tuple(task.task_id for task in state.table.holding()), "a test")
+
+    def _set(self, fault: Fault, on: bool) -> None:
+        worker = WorkerId(f"w{fault.index}")
+        if fault.kind is FaultKind.STORE_DOWN:
+            self.store.down = on
+        elif fault.kind is FaultKind.PLATFORM_DOWN:
+            self.platform.down = on
+        elif fault.kind is FaultKind.WORKER_UNREACHABLE:
+            unreachable = _with(self.workers.faults.unreachable, worker, on)
+            self.workers.faults = replace(self.workers.faults, unreachable=unreachable)
+        else:
+            fail_all = _with(self.workers.faults.fail_all, worker, on)
+            self.workers.faults = replace(self.workers.faults, fail_all=fail_all)
+
+
+def _with(workers: tuple[WorkerId, ...], worker: WorkerId, on: bool) -> tuple[WorkerId, ...]:
+    others = tuple(other for other in workers if other != worker)
+    return (*others, worker) if on else others
--- /dev/null
+++ b/fireflyfork/programs/tests/test_planner_faults.py
@@ -0,0 +1,77 @@
+"""Planners under faults: whatever happens, the history of what ran stays right."""
+
+import unittest
+
+import trio
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from fireflyfork_standins import history_problems
+
+from ... import JobId, Resources
+from .builders_faults import Fault, FaultKind, Planners
+from .builders_planner import TEAM, make_submission, run_simulated, until
+
+NO_RESOURCES = Resources()
+TASKS = 16
+
+FAULTS = st.lists(
+    st.builds(
+        Fault,
+        st.sampled_from(FaultKind),
+        st.floats(0.0, 6.0),
+        st.floats(0.5, 40.0),
+        st.integers(0, 2),
+    ),
+    max_size=8,
+)
+
+
+def problems_after(faults: list[Fault]) -> list[str]:
+    """Run a job of letters under ``faults`` and say what went wrong."""
+    problems: list[str] = []
+
+    async def body() -> None:
+        async with trio.open_nursery() as nursery:
+            planners = Planners(nursery)
+            nursery.start_soon(planners.submit, make_submission(tasks=TASKS, run_seconds=6.0))
+            for fault in faults:
+                await planners.apply(fault)
+            await trio.sleep(45.0)
+            await until(lambda: planners.is_over(JobId("night")), 900.0)
+            state = planners.runner.state
+            assert state is not None
+            job = state.table.jobs[JobId("night")]
+            workers = planners.workers
+            problems.extend(history_problems(workers.history, workers.in_region("viti")))
+            if job.failed_count and not any(f.kind is FaultKind.WORKER_FAILS for f in faults):
+                problems.append(f"failed for no reason: {job.failures}")
+            if job.cancelled_count > len(planners.cancelled):
+                problems.append("more tasks are cancelled than anybody asked for")
+            if state.table.reserved or state.table.team_reserved != {TEAM: NO_RESOURCES}:
+                problems.append(f"reservations are left: {state.table.reserved}")
+            nursery.cancel_scope.cancel()
+
+    run_simulated(body)
+    return problems
+
+
+class FaultsTest(unittest.TestCase):
+    """Generated faults, several at a time."""
+
+    @settings(max_examples=40)
+    @given(FAULTS)
+    def test_history_stays_right(self, faults: list[Fault]) -> None:
+        """Planners die or are paused, the store and the platform fail, and workers vanish.
+
+        A letter that ran in two places would go out twice; one that was lost would never go out.
+        """
+        self.assertEqual(problems_after(faults), [])
+
+    def test_planner_paused_while_it_recovers(self) -> None:
+        """A planner stops for a second while it reads the journal; another takes the partition.
+
+        The first wakes and stores its own takeover over the second's, which then gives up: nobody
+        runs the partition any more, and letters stay unsent for good.
+        """
+        self.assertEqual(problems_after([Fault(FaultKind.PLANNER_PAUSED, 0.0, 1.0, 0)]), [])
--- a/fireflyfork_standins/__init__.py
+++ b/fireflyfork_standins/__init__.py
@@ -1,5 +1,6 @@
 """Small stand-ins for what the platform gives. The product never imports this package."""
 
+from ._history_checks import history_problems
 from ._simulated_workers import EventKind, Faults, HistoryEvent, SimulatedWorkers
 from ._switches import Switches
 
@@ -9,4 +10,5 @@
     "HistoryEvent",
     "SimulatedWorkers",
     "Switches",
+    "history_problems",
 ]
--- a/fireflyfork_standins/_simulated_workers.py
+++ b/fireflyfork_standins/_simulated_workers.py
@@ -17,6 +17,7 @@
     ThrottleCall,
 )
 
+STOPPED_ON_REQUEST = "stopped on request"
 _CHECKPOINT_SHARE = 0.05
 """A run that ends without being asked keeps its work in steps of this share."""
 
@@ -54,6 +55,7 @@
     resources: Resources
     progress: float
     state: RunState
+    reason: str = ""
 
 
 @dataclass(slots=True)
@@ -69,6 +71,7 @@
     region: str
     millicores: int
     reason: str = ""
+    stop_ordered: bool = False
     version: int = 0
     """The report number of the last change."""
     visible: float = 0.0
@@ -140,8 +143,6 @@
     def stop(self, call: StopCall, now: float) -> RunReport:
         """Stop an attempt and fence it, whether it ever started or not."""
         run = self._runs.get((call.task_id, call.attempt))
-        if run is not None and run.order.worker_id in self.faults.unreachable:
-            return self._report(run)
         fence = self._fences.get(call.task_id, AttemptNumber(0))
         self._fences[call.task_id] = max(fence, call.attempt)
         if run is None:
@@ -154,11 +155,12 @@
                 Resources(),
                 "it never started",
             )
-        if run.state is RunState.RUNNING:
+        run.stop_ordered = True
+        if run.state is RunState.RUNNING and not self._is_unreachable(run):
             self._progress(run, now)
             if not call.checkpoint:
                 run.progress = _last_checkpoint(run)
-            self._end(run, RunState.STOPPED, now, "stopped on request")
+            self._end(run, RunState.STOPPED, now, STOPPED_ON_REQUEST)
         return self._report(run)
 
     def throttle(self, call: ThrottleCall) -> None:
@@ -181,7 +183,7 @@
             if run.region == region
             and run.version > cursor
             and run.visible <= self._now
-            and run.order.worker_id not in self.faults.unreachable
+            and not self._is_unreachable(run)
         ]
         newest = max((run.version for run in fresh), default=cursor)
         return PlatformReport(newest, tuple(self._report(run) for run in fresh))
@@ -206,12 +208,15 @@
     def _renewed(self, call: RenewCall, now: float) -> Iterator[RunReport]:
         for task_id, attempt in call.runs:
             run = self._runs.get((task_id, attempt))
-            if run is not None and run.order.worker_id in self.faults.unreachable:
+            if run is None or self._is_unreachable(run):
                 continue
-            if run is not None and run.state is RunState.RUNNING:
-                run.lease_end = now + call.seconds
-            elif run is not None:
+            if run.state is not RunState.RUNNING:
                 yield self._report(run)
+            elif not run.stop_ordered:
+                run.lease_end = now + call.seconds
+
+    def _is_unreachable(self, run: _Run) -> bool:
+        return run.order.worker_id in self.faults.unreachable
 
     def _refusal(self, order: StartOrder, worker: Worker | None) -> str:
         if worker is None:
@@ -257,6 +262,7 @@
                 order.resources,
                 run.progress,
                 run.state,
+                run.reason,
             )
         )
 
