--- a/fireflyfork/decisions/_partition.py
+++ b/fireflyfork/decisions/_partition.py
@@ -10,23 +10,26 @@
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field, replace
 
-from .._contracts import TeamContract, Weights
-from .._ids import AttemptNumber, JobId, RegionName, TaskId, TeamName, WorkerId
+from .._contracts import ServiceContract, TeamContract, Weights
+from .._ids import JobId, RegionName, ServiceName, TaskId, TeamName, WorkerId
 from .._machines import Resources, Worker
 from ._attempts import (
+    AttemptKey,
     LeaseRules,
     LeaseState,
     StaleRun,
+    fence,
+    forget_ended,
     hear,
     hear_region,
     judge_report,
     lapsed,
     latest_reports,
-    release_silent,
+    silent_attempts,
 )
 from ._placement_policy import (
-    AttemptFailedOn,
-    AttemptSucceededOn,
+    AttemptEnded,
+    AttemptStarted,
     CheckpointAndEvict,
     FirstFitPolicy,
     PlacementCommand,
@@ -40,10 +43,10 @@
 )
 from ._runs import RunReport, RunState, StartOrder
 from ._task_changes import (
-    AttemptEnded,
     AttemptOutcome,
     CancelRequested,
     DurableChange,
+    EndRecorded,
     JobAccepted,
     JobForgotten,
     StartIntended,
@@ -105,22 +108,27 @@
     policy: PlacementPolicy = field(default_factory=FirstFitPolicy)
     workers: Mapping[WorkerId, Worker] = field(default_factory=dict)
     teams: Mapping[TeamName, TeamContract] = field(default_factory=dict)
+    services: Mapping[ServiceName, ServiceContract] = field(default_factory=dict)
     weights: Weights = field(default_factory=Weights)
     rules: PlanningRules = field(default_factory=PlanningRules)
-    ready: Mapping[tuple[TaskId, AttemptNumber], float] = field(default_factory=dict)
+    ready: Mapping[AttemptKey, float] = field(default_factory=dict)
     """Starts with a stored intent that the platform has not confirmed, and when to send each."""
     dropped_commands: int = 0
     """Commands of the policy that no longer held when the table checked them."""
 
     @classmethod
-    def at_takeover(cls, table: TaskTable, now: float, rules: PlanningRules) -> Partition:
+    def at_takeover(
+        cls, table: TaskTable, policy: PlacementPolicy, now: float, rules: PlanningRules
+    ) -> Partition:
         """The state right after recovery: every stored attempt may be running."""
+        for task in table.holding():
+            policy = policy.observe(AttemptStarted(now, task))
         ready = {
             (task.task_id, task.attempt): now
             for task in table.holding()
             if task.state is TaskState.STARTING
         }
-        return cls(table, LeaseState.at_takeover(now), rules=rules, ready=ready)
+        return cls(table, LeaseState.at_takeover(now), policy, rules=rules, ready=ready)
 
 
 @dataclass(frozen=True, slots=True)
@@ -170,12 +178,19 @@
     return _applied(partition, [CancelRequested(job.number, index, now)])
 
 
+def evict(partition: Partition, task_ids: Iterable[TaskId], reason: str, now: float) -> Step:
+    """Checkpoint and evict running tasks on an operator's word; others are left alone."""
+    commands = tuple(CheckpointAndEvict(task_id, reason) for task_id in task_ids)
+    return _applied(partition, _CommandChecker(partition, now).changes(commands))
+
+
 def take_report(
     partition: Partition, runs: Iterable[RunReport], now: float, whole: WholeReport | None = None
 ) -> Step:
     """Take in what the platform says.
 
-    Answers to single orders come without ``whole``: they don't show that other workers are silent.
+    Answers to single orders come without ``whole``. They don't show that a worker is alive, since
+    the platform may give them in its stead, nor that others are silent.
     """
     latest = tuple(latest_reports(runs))
     verdicts = [judge_report(partition.table, run, now) for run in latest]
@@ -183,19 +198,20 @@
     changes = [
         verdict for verdict in verdicts if verdict is not None and not isinstance(verdict, StaleRun)
     ]
-    heard = hear(partition.leases, latest, now)
+    leases = partition.leases
     if whole is not None:
-        heard = hear_region(heard, whole.region, whole.asked)
-    policy = _learned(partition, latest, changes, now)
-    step = _applied(replace(partition, leases=heard, policy=policy), changes)
+        leases = hear_region(hear(leases, latest, now), whole.region, whole.asked)
+    samples = tuple(_samples(partition, latest, now))
+    policy = partition.policy
+    if samples:
+        policy = policy.observe(SamplesTaken(now, samples))
+    step = _applied(replace(partition, leases=leases, policy=policy), changes)
     return replace(step, stale=stale)
 
 
 def take_time(partition: Partition, now: float) -> Step:
     """Judge silent workers, lapsed leases and failures, and forget old jobs."""
-    leases = release_silent(
-        partition.table, partition.leases, partition.workers, now, partition.rules.leases
-    )
+    leases = forget_ended(partition.table, partition.leases)
     partition = replace(partition, leases=leases)
     first = _applied(partition, tuple(lapsed(partition.table, leases, now, partition.rules.leases)))
     second = _applied(first.partition, tuple(_old_jobs(first.partition, now)))
@@ -213,6 +229,7 @@
         partition.table.urgent,
         partition.table.team_reserved,
         partition.teams,
+        partition.services,
         partition.weights,
         partition.rules.most_starts,
     )
@@ -239,22 +256,35 @@
 def take_starts(partition: Partition, now: float) -> tuple[Partition, tuple[StartOrder, ...]]:
     """The starts to send now. Each comes again later until the platform has confirmed it."""
     orders: list[StartOrder] = []
-    ready: dict[tuple[TaskId, AttemptNumber], float] = {}
+    ready: dict[AttemptKey, float] = {}
     for key, due in partition.ready.items():
         if not _awaits_start(partition, key):
             continue
         ready[key] = due
-        if due <= now and key not in partition.leases.released:
+        if due <= now and key not in partition.leases.fenced:
             ready[key] = now + partition.rules.start_retry_seconds
             orders.append(_start_order(partition, partition.table.tasks[key[0]]))
     return replace(partition, ready=ready), tuple(orders)
 
 
 def to_stop(partition: Partition) -> Iterator[Task]:
-    """The attempts to stop: evicted ones and cancelled ones."""
+    """The attempts to stop: evicted and cancelled ones, and those on silent workers."""
     for task in partition.table.holding():
         if task.state in (TaskState.EVICTING, TaskState.CANCELLING):
             yield task
+    fenced = partition.leases.fenced
+    silent = silent_attempts(
+        partition.table, partition.leases, partition.workers, partition.rules.leases
+    )
+    for task in silent:
+        stopping = task.state in (TaskState.EVICTING, TaskState.CANCELLING)
+        if not stopping and (task.task_id, task.attempt) not in fenced:
+            yield task
+
+
+def stop_answered(partition: Partition, key: AttemptKey, now: float) -> Partition:
+    """The state once the platform has answered an order to stop an attempt."""
+    return replace(partition, leases=fence(partition.leases, key, now))
 
 
 def _refusal(partition: Partition, submission: Submission) -> Refusal | None:
@@ -273,20 +303,21 @@
     if not changes:
         return Step(partition)
     table = partition.table.apply(changes)
+    policy = _learned(partition, table, changes)
     given_up = tuple(_given_up(table, changes, len(partition.workers)))
     if given_up:
         table = table.apply(given_up)
     durable = tuple(
         change for change in changes if not isinstance(change, StateObserved | ThrottleOrdered)
     )
-    return Step(replace(partition, table=table), durable + given_up)
+    return Step(replace(partition, table=table, policy=policy), durable + given_up)
 
 
 def _given_up(
     table: TaskTable, changes: Iterable[TableChange], worker_count: int
 ) -> Iterator[TaskGivenUp]:
     for change in changes:
-        if not isinstance(change, AttemptEnded) or change.outcome is not AttemptOutcome.FAILED:
+        if not isinstance(change, EndRecorded) or change.outcome is not AttemptOutcome.FAILED:
             continue
         task = table.task_at(change.number, change.index)
         if task is not None and _is_hopeless(task, worker_count):
@@ -312,7 +343,7 @@
     return job.ended is not None and job.ended < ended_before
 
 
-def _awaits_start(partition: Partition, key: tuple[TaskId, AttemptNumber]) -> bool:
+def _awaits_start(partition: Partition, key: AttemptKey) -> bool:
     task = partition.table.tasks.get(key[0])
     return task is not None and task.state is TaskState.STARTING and task.attempt == key[1]
 
@@ -330,48 +361,29 @@
     )
 
 
-def _learned(
-    partition: Partition,
-    runs: tuple[RunReport, ...],
-    changes: Iterable[TableChange],
-    now: float,
-) -> PlacementPolicy:
-    tasks = partition.table.tasks
-    samples = tuple(
-        RunSample(
-            run.task_id,
-            tasks[run.task_id].shape,
-            run.worker_id,
-            run.used,
-            run.progress,
-            run.tail_milliseconds,
-            run.load,
-        )
-        for run in runs
-        if run.state is RunState.RUNNING and run.task_id in tasks
-    )
-    policy = partition.policy
-    if samples:
-        policy = policy.observe(SamplesTaken(now, samples))
-    for change in changes:
-        if isinstance(change, AttemptEnded):
-            policy = _learned_from_end(policy, partition.table, change)
-    return policy
+def _samples(partition: Partition, runs: Iterable[RunReport], now: float) -> Iterator[RunSample]:
+    for run in runs:
+        task = partition.table.tasks.get(run.task_id)
+        if task is None or run.state is not RunState.RUNNING or task.attempt != run.attempt:
+            continue
+        measured_at = now - run.age_seconds
+        yield RunSample(task, measured_at, run.used, run.progress, run.tail_milliseconds)
 
 
-def _learned_from_end(
-    policy: PlacementPolicy, table: TaskTable, change: AttemptEnded
+def _learned(
+    before: Partition, table: TaskTable, changes: Iterable[TableChange]
 ) -> PlacementPolicy:
-    task = table.task_at(change.number, change.index)
-    if task is None or task.worker_id is None:
-        return policy
-    if change.outcome in (AttemptOutcome.FAILED, AttemptOutcome.REFUSED):
-        refused = change.outcome is AttemptOutcome.REFUSED
-        return policy.observe(
-            AttemptFailedOn(change.time, task, task.worker_id, change.reason, refused)
-        )
-    if change.outcome is AttemptOutcome.FINISHED:
-        return policy.observe(AttemptSucceededOn(change.time, task, task.worker_id))
+    policy = before.policy
+    for change in changes:
+        if isinstance(change, StartIntended):
+            task = table.task_at(change.number, change.index)
+            if task is not None:
+                policy = policy.observe(AttemptStarted(change.time, task))
+        elif isinstance(change, EndRecorded):
+            task = before.table.task_at(change.number, change.index)
+            if task is not None:
+                ended = AttemptEnded(change.time, task, change.outcome, change.reason)
+                policy = policy.observe(ended)
     return policy
 
 
