The seam to the placement policy: starts and ends of attempts, tasks grouped by job

Cause: a policy that skips a job whose size doesn't fit must not walk its tasks. Change: waiting tasks are grouped by job; the policy hears of each attempt's start and end, after a takeover of those that may run. Ruled out: separate events for failures only, from which a policy would have to rescan all workers.

--- a/fireflyfork/adapters/_platform.py
+++ b/fireflyfork/adapters/_platform.py
@@ -48,8 +48,10 @@
         """
 
     @abstractmethod
-    async def throttle(self, task_id: TaskId, attempt: AttemptNumber, millicores: int) -> None:
-        """Limit the processor time of an attempt."""
+    async def throttle(
+        self, task_id: TaskId, attempt: AttemptNumber, millicores: int | None
+    ) -> None:
+        """Limit the processor time of an attempt; None lifts the limit."""
 
     @abstractmethod
     async def renew(
--- a/fireflyfork/adapters/_platform_http.py
+++ b/fireflyfork/adapters/_platform_http.py
@@ -32,7 +32,7 @@
 
     task_id: TaskId
     attempt: AttemptNumber
-    millicores: int
+    millicores: int | None
 
 
 class RenewCall(msgspec.Struct, frozen=True):
@@ -69,7 +69,9 @@
         call = StopCall(task_id, attempt, checkpoint)
         return await self._call("POST", "/v1/stop", call, RunReport)
 
-    async def throttle(self, task_id: TaskId, attempt: AttemptNumber, millicores: int) -> None:
+    async def throttle(
+        self, task_id: TaskId, attempt: AttemptNumber, millicores: int | None
+    ) -> None:
         """See WorkerPlatform."""
         call = ThrottleCall(task_id, attempt, millicores)
         await self._call("POST", "/v1/throttle", call, dict[str, str])
--- a/fireflyfork/decisions/_attempts.py
+++ b/fireflyfork/decisions/_attempts.py
@@ -8,7 +8,7 @@
 from .._ids import AttemptNumber, RegionName, TaskId, WorkerId
 from .._machines import Worker
 from ._runs import RunReport, RunState
-from ._task_changes import AttemptEnded, AttemptOutcome, StateObserved, TableChange
+from ._task_changes import AttemptOutcome, EndRecorded, StateObserved, TableChange
 from ._task_table import TaskTable
 from ._tasks import Task, TaskState, job_of_task
 
@@ -91,11 +91,11 @@
 
 def end_of(
     task: Task, outcome: AttemptOutcome, now: float, progress: float, reason: str
-) -> AttemptEnded:
+) -> EndRecorded:
     """The record that the task's present attempt is over."""
     if task.state is TaskState.EVICTING and outcome is AttemptOutcome.STOPPED:
         reason = task.reason
-    return AttemptEnded(
+    return EndRecorded(
         task.number, task.index, task.attempt, outcome, now, round(progress, 4), reason
     )
 
@@ -161,7 +161,7 @@
 
 def lapsed(
     table: TaskTable, leases: LeaseState, now: float, rules: LeaseRules
-) -> Iterator[AttemptEnded]:
+) -> Iterator[EndRecorded]:
     """The attempts that are surely over because nobody could have renewed their leases.
 
     If an attempt counted as over while its worker still ran it, the next one would run the same
--- a/fireflyfork/decisions/_partition.py
+++ b/fireflyfork/decisions/_partition.py
@@ -10,8 +10,8 @@
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field, replace
 
-from .._contracts import TeamContract, Weights
-from .._ids import AttemptNumber, JobId, RegionName, TaskId, TeamName, WorkerId
+from .._contracts import ServiceContract, TeamContract, Weights
+from .._ids import AttemptNumber, JobId, RegionName, ServiceName, TaskId, TeamName, WorkerId
 from .._machines import Resources, Worker
 from ._attempts import (
     LeaseRules,
@@ -25,8 +25,8 @@
     release_silent,
 )
 from ._placement_policy import (
-    AttemptFailedOn,
-    AttemptSucceededOn,
+    AttemptEnded,
+    AttemptStarted,
     CheckpointAndEvict,
     FirstFitPolicy,
     PlacementCommand,
@@ -40,10 +40,10 @@
 )
 from ._runs import RunReport, RunState, StartOrder
 from ._task_changes import (
-    AttemptEnded,
     AttemptOutcome,
     CancelRequested,
     DurableChange,
+    EndRecorded,
     JobAccepted,
     JobForgotten,
     StartIntended,
@@ -105,6 +105,7 @@
     policy: PlacementPolicy = field(default_factory=FirstFitPolicy)
     workers: Mapping[WorkerId, Worker] = field(default_factory=dict)
     teams: Mapping[TeamName, TeamContract] = field(default_factory=dict)
+    services: Mapping[ServiceName, ServiceContract] = field(default_factory=dict)
     weights: Weights = field(default_factory=Weights)
     rules: PlanningRules = field(default_factory=PlanningRules)
     ready: Mapping[tuple[TaskId, AttemptNumber], float] = field(default_factory=dict)
@@ -113,14 +114,18 @@
     """Commands of the policy that no longer held when the table checked them."""
 
     @classmethod
-    def at_takeover(cls, table: TaskTable, now: float, rules: PlanningRules) -> Partition:
+    def at_takeover(
+        cls, table: TaskTable, policy: PlacementPolicy, now: float, rules: PlanningRules
+    ) -> Partition:
         """The state right after recovery: every stored attempt may be running."""
+        for task in table.holding():
+            policy = policy.observe(AttemptStarted(now, task))
         ready = {
             (task.task_id, task.attempt): now
             for task in table.holding()
             if task.state is TaskState.STARTING
         }
-        return cls(table, LeaseState.at_takeover(now), rules=rules, ready=ready)
+        return cls(table, LeaseState.at_takeover(now), policy, rules=rules, ready=ready)
 
 
 @dataclass(frozen=True, slots=True)
@@ -186,7 +191,10 @@
     heard = hear(partition.leases, latest, now)
     if whole is not None:
         heard = hear_region(heard, whole.region, whole.asked)
-    policy = _learned(partition, latest, changes, now)
+    samples = tuple(_samples(partition, latest, now))
+    policy = partition.policy
+    if samples:
+        policy = policy.observe(SamplesTaken(now, samples))
     step = _applied(replace(partition, leases=heard, policy=policy), changes)
     return replace(step, stale=stale)
 
@@ -213,6 +221,7 @@
         partition.table.urgent,
         partition.table.team_reserved,
         partition.teams,
+        partition.services,
         partition.weights,
         partition.rules.most_starts,
     )
@@ -273,20 +282,21 @@
     if not changes:
         return Step(partition)
     table = partition.table.apply(changes)
+    policy = _learned(partition, table, changes)
     given_up = tuple(_given_up(table, changes, len(partition.workers)))
     if given_up:
         table = table.apply(given_up)
     durable = tuple(
         change for change in changes if not isinstance(change, StateObserved | ThrottleOrdered)
     )
-    return Step(replace(partition, table=table), durable + given_up)
+    return Step(replace(partition, table=table, policy=policy), durable + given_up)
 
 
 def _given_up(
     table: TaskTable, changes: Iterable[TableChange], worker_count: int
 ) -> Iterator[TaskGivenUp]:
     for change in changes:
-        if not isinstance(change, AttemptEnded) or change.outcome is not AttemptOutcome.FAILED:
+        if not isinstance(change, EndRecorded) or change.outcome is not AttemptOutcome.FAILED:
             continue
         task = table.task_at(change.number, change.index)
         if task is not None and _is_hopeless(task, worker_count):
@@ -330,48 +340,29 @@
     )
 
 
-def _learned(
-    partition: Partition,
-    runs: tuple[RunReport, ...],
-    changes: Iterable[TableChange],
-    now: float,
-) -> PlacementPolicy:
-    tasks = partition.table.tasks
-    samples = tuple(
-        RunSample(
-            run.task_id,
-            tasks[run.task_id].shape,
-            run.worker_id,
-            run.used,
-            run.progress,
-            run.tail_milliseconds,
-            run.load,
-        )
-        for run in runs
-        if run.state is RunState.RUNNING and run.task_id in tasks
-    )
-    policy = partition.policy
-    if samples:
-        policy = policy.observe(SamplesTaken(now, samples))
-    for change in changes:
-        if isinstance(change, AttemptEnded):
-            policy = _learned_from_end(policy, partition.table, change)
-    return policy
+def _samples(partition: Partition, runs: Iterable[RunReport], now: float) -> Iterator[RunSample]:
+    for run in runs:
+        task = partition.table.tasks.get(run.task_id)
+        if task is None or run.state is not RunState.RUNNING or task.attempt != run.attempt:
+            continue
+        measured_at = now - run.age_seconds
+        yield RunSample(task, measured_at, run.used, run.progress, run.tail_milliseconds)
 
 
-def _learned_from_end(
-    policy: PlacementPolicy, table: TaskTable, change: AttemptEnded
+def _learned(
+    before: Partition, table: TaskTable, changes: Iterable[TableChange]
 ) -> PlacementPolicy:
-    task = table.task_at(change.number, change.index)
-    if task is None or task.worker_id is None:
-        return policy
-    if change.outcome in (AttemptOutcome.FAILED, AttemptOutcome.REFUSED):
-        refused = change.outcome is AttemptOutcome.REFUSED
-        return policy.observe(
-            AttemptFailedOn(change.time, task, task.worker_id, change.reason, refused)
-        )
-    if change.outcome is AttemptOutcome.FINISHED:
-        return policy.observe(AttemptSucceededOn(change.time, task, task.worker_id))
+    policy = before.policy
+    for change in changes:
+        if isinstance(change, StartIntended):
+            task = table.task_at(change.number, change.index)
+            if task is not None:
+                policy = policy.observe(AttemptStarted(change.time, task))
+        elif isinstance(change, EndRecorded):
+            task = before.table.task_at(change.number, change.index)
+            if task is not None:
+                ended = AttemptEnded(change.time, task, change.outcome, change.reason)
+                policy = policy.observe(ended)
     return policy
 
 
--- a/fireflyfork/decisions/_placement_policy.py
+++ b/fireflyfork/decisions/_placement_policy.py
@@ -11,9 +11,10 @@
 from dataclasses import dataclass, field
 from itertools import chain
 
-from .._contracts import TeamContract, Weights
-from .._ids import TaskId, TeamName, WorkerId
+from .._contracts import ServiceContract, TeamContract, Weights
+from .._ids import JobId, ServiceName, TaskId, TeamName, WorkerId
 from .._machines import Resources, Worker
+from ._task_changes import AttemptOutcome
 from ._tasks import NO_RESOURCES, Task, TaskShape
 
 
@@ -28,12 +29,13 @@
     """The reservations of all attempts that may run; a worker without any is absent."""
     on_worker: Mapping[WorkerId, Mapping[TaskId, Task]]
     """Those attempts."""
-    waiting: Mapping[TaskId, Task]
-    """Ordinary tasks to place, in order of arrival."""
-    urgent: Mapping[TaskId, Task]
-    """Urgent tasks to place, in order of arrival."""
+    waiting: Mapping[JobId, Mapping[TaskId, Task]]
+    """Ordinary tasks to place, by job, in order of arrival; no job is empty."""
+    urgent: Mapping[JobId, Mapping[TaskId, Task]]
+    """Urgent tasks to place, likewise."""
     team_reserved: Mapping[TeamName, Resources]
     teams: Mapping[TeamName, TeamContract]
+    services: Mapping[ServiceName, ServiceContract] = field(default_factory=dict)
     weights: Weights = field(default_factory=Weights)
     most_starts: int = 500
     """Starts beyond this number are dropped; they come in the next round."""
@@ -54,7 +56,8 @@
     """Limit the processor time of a running attempt."""
 
     task_id: TaskId
-    millicores: int
+    millicores: int | None
+    """None lifts the limit."""
     reason: str
 
 
@@ -81,15 +84,13 @@
 class RunSample:
     """What one attempt used in one reporting interval; it comes with a lag."""
 
-    task_id: TaskId
-    shape: TaskShape
-    worker_id: WorkerId
+    task: Task
+    measured_at: float
+    """The end of the interval, in seconds since 1970."""
     used: Resources
     progress: float
     tail_milliseconds: float | None = None
     """The p99 of a service's replica over the interval."""
-    load: float | None = None
-    """The requests a second that the replica served."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,31 +102,44 @@
 
 
 @dataclass(frozen=True, slots=True)
-class AttemptFailedOn:
-    """An attempt failed or was refused; the task is as it was while it ran."""
+class AttemptStarted:
+    """An attempt holds its reservation from now on; after a takeover, it did already."""
 
     now: float
     task: Task
-    worker_id: WorkerId
-    reason: str
-    refused: bool = False
-    """Whether the platform would not even start it."""
 
 
 @dataclass(frozen=True, slots=True)
-class AttemptSucceededOn:
-    """An attempt finished its task; the task is as it was while it ran."""
+class AttemptEnded:
+    """An attempt is over; the task is as it was while the attempt might run."""
 
     now: float
     task: Task
-    worker_id: WorkerId
+    outcome: AttemptOutcome
+    reason: str = ""
 
 
-Observation = SamplesTaken | AttemptFailedOn | AttemptSucceededOn
+Observation = SamplesTaken | AttemptStarted | AttemptEnded
+
+
+class Reason(ABC):
+    """Why a policy decided as it did, for operators."""
+
+    @abstractmethod
+    def sentence(self) -> str:
+        """In words."""
+
+    @abstractmethod
+    def as_json(self) -> Mapping[str, object]:
+        """As values for a program."""
 
 
 class PlacementPolicy(ABC):
-    """Decides which worker runs what. Immutable."""
+    """Decides which worker runs what.
+
+    What it decides follows from the observations so far and the view alone. The caller goes on with
+    the policy that ``observe`` returns and drops the one before, which may share its memory.
+    """
 
     @abstractmethod
     def observe(self, observation: Observation) -> PlacementPolicy:
@@ -135,6 +149,10 @@
     def decide(self, view: PlacementView) -> tuple[PlacementCommand, ...]:
         """What to do now."""
 
+    def why_waiting(self, task: Task, view: PlacementView) -> Reason | None:
+        """Why a waiting task was not started; None when the policy can't tell."""
+        return None
+
     def infeasible(
         self,
         shape: TaskShape,
@@ -183,7 +201,7 @@
     }
     misfits = 0
     starts = 0
-    for task in chain(view.urgent.values(), view.waiting.values()):
+    for task in _in_turn(view):
         if misfits >= _MOST_MISFITS or starts >= view.most_starts:
             return
         size = task.shape.resources
@@ -199,6 +217,11 @@
         yield Start(task.task_id, worker_id, size, "first worker with room")
 
 
+def _in_turn(view: PlacementView) -> Iterable[Task]:
+    for tasks in chain(view.urgent.values(), view.waiting.values()):
+        yield from tasks.values()
+
+
 def _first_worker(task: Task, room: Mapping[WorkerId, Resources]) -> WorkerId | None:
     size = task.shape.resources
     return next(
--- a/fireflyfork/decisions/_runs.py
+++ b/fireflyfork/decisions/_runs.py
@@ -54,5 +54,5 @@
     """Why it failed or was stopped."""
     tail_milliseconds: float | None = None
     """The p99 of a service's replica over the interval."""
-    load: float | None = None
-    """The requests a second that the replica served."""
+    age_seconds: float = 0.0
+    """How long ago the interval ended."""
--- a/fireflyfork/decisions/_snapshot.py
+++ b/fireflyfork/decisions/_snapshot.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
+from itertools import chain
 
 import msgspec
 
-from .._ids import AttemptNumber, ChangeId, JobId, MemberId, WorkerId
+from .._ids import AttemptNumber, ChangeId, JobId, MemberId, TaskId, WorkerId
 from .._machines import Resources
 from ._journal import JournalError
 from ._task_changes import ResourceTriple, to_triple
@@ -152,9 +153,11 @@
     )
 
 
-def _store_queue(tasks: Iterable[Task]) -> Iterator[_StoredTask | _NewTasks]:
+def _store_queue(
+    groups: Iterable[Mapping[TaskId, Task]],
+) -> Iterator[_StoredTask | _NewTasks]:
     run: _NewTasks | None = None
-    for task in tasks:
+    for task in chain.from_iterable(group.values() for group in groups):
         if task.attempt == 0:
             if run is not None and run.number == task.number and run.last + 1 == task.index:
                 run = _NewTasks(run.number, run.first, task.index)
--- a/fireflyfork/decisions/_task_changes.py
+++ b/fireflyfork/decisions/_task_changes.py
@@ -52,8 +52,8 @@
     """Millicores, bytes, devices; None for the declared size."""
 
 
-class AttemptEnded(msgspec.Struct, frozen=True, array_like=True, tag=3):
-    """An attempt is over and holds nothing any more."""
+class EndRecorded(msgspec.Struct, frozen=True, array_like=True, tag=3):
+    """An attempt is known to be over; it holds nothing any more."""
 
     number: JobNumber
     index: int
@@ -88,7 +88,7 @@
 
 
 DurableChange = (
-    JobAccepted | StartIntended | AttemptEnded | TaskGivenUp | CancelRequested | JobForgotten
+    JobAccepted | StartIntended | EndRecorded | TaskGivenUp | CancelRequested | JobForgotten
 )
 
 
@@ -111,7 +111,8 @@
 
     task_id: TaskId
     attempt: AttemptNumber
-    millicores: int
+    millicores: int | None
+    """None lifts the limit."""
     reason: str
 
 
--- a/fireflyfork/decisions/_task_table.py
+++ b/fireflyfork/decisions/_task_table.py
@@ -4,14 +4,15 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, replace
+from typing import Generic, TypeVar
 
 from .._errors import FireflyforkError
 from .._ids import AttemptNumber, JobId, TaskId, TeamName, WorkerId
 from .._machines import Resources
 from ._task_changes import (
-    AttemptEnded,
     AttemptOutcome,
     CancelRequested,
+    EndRecorded,
     JobAccepted,
     JobForgotten,
     StartIntended,
@@ -38,10 +39,10 @@
     job_ids: Mapping[JobNumber, JobId]
     tasks: Mapping[TaskId, Task]
     """Every task that has not ended."""
-    waiting: Mapping[TaskId, Task]
-    """Ordinary tasks to place, in order of arrival."""
-    urgent: Mapping[TaskId, Task]
-    """Urgent tasks to place, in order of arrival."""
+    waiting: Mapping[JobId, Mapping[TaskId, Task]]
+    """Ordinary tasks to place, by job, in order of arrival; no job is empty."""
+    urgent: Mapping[JobId, Mapping[TaskId, Task]]
+    """Urgent tasks to place, likewise."""
     on_worker: Mapping[WorkerId, Mapping[TaskId, Task]]
     """The attempts that may run, by worker."""
     reserved: Mapping[WorkerId, Resources]
@@ -85,6 +86,42 @@
     return draft.freeze()
 
 
+GroupKey = TypeVar("GroupKey", JobId, WorkerId)
+
+
+class _Groups(Generic[GroupKey]):
+    """Tasks grouped by a key; a group is copied when it is first changed."""
+
+    def __init__(self, groups: Mapping[GroupKey, Mapping[TaskId, Task]]) -> None:
+        self._groups: dict[GroupKey, Mapping[TaskId, Task]] = dict(groups)
+        self._copied: dict[GroupKey, dict[TaskId, Task]] = {}
+
+    def __contains__(self, key: GroupKey) -> bool:
+        return key in self._groups
+
+    def put(self, key: GroupKey, task: Task) -> None:
+        self._own(key)[task.task_id] = task
+
+    def drop(self, key: GroupKey, task: Task) -> None:
+        group = self._own(key)
+        del group[task.task_id]
+        if not group:
+            del self._groups[key]
+            del self._copied[key]
+
+    def freeze(self) -> Mapping[GroupKey, Mapping[TaskId, Task]]:
+        self._copied = {}
+        return self._groups
+
+    def _own(self, key: GroupKey) -> dict[TaskId, Task]:
+        group = self._copied.get(key)
+        if group is None:
+            group = dict(self._groups.get(key, {}))
+            self._copied[key] = group
+            self._groups[key] = group
+        return group
+
+
 class _Draft:
     """A mutable copy, for the length of one ``apply``.
 
@@ -96,12 +133,11 @@
         self._jobs = dict(table.jobs)
         self._job_ids = dict(table.job_ids)
         self._tasks = dict(table.tasks)
-        self._waiting = dict(table.waiting)
-        self._urgent = dict(table.urgent)
-        self._on_worker = dict(table.on_worker)
+        self._waiting = _Groups(table.waiting)
+        self._urgent = _Groups(table.urgent)
+        self._on_worker = _Groups(table.on_worker)
         self._reserved = dict(table.reserved)
         self._team_reserved = dict(table.team_reserved)
-        self._own_inner: dict[WorkerId, dict[TaskId, Task]] = {}
         self.next_number = table.next_number
 
     def freeze(self) -> TaskTable:
@@ -109,9 +145,9 @@
             self._jobs,
             self._job_ids,
             self._tasks,
-            self._waiting,
-            self._urgent,
-            self._on_worker,
+            self._waiting.freeze(),
+            self._urgent.freeze(),
+            self._on_worker.freeze(),
             self._reserved,
             self._team_reserved,
             self.next_number,
@@ -121,7 +157,7 @@
         match change:
             case StartIntended():
                 self._start(change)
-            case AttemptEnded():
+            case EndRecorded():
                 self._end_attempt(change)
             case StateObserved():
                 self._observe(change)
@@ -145,9 +181,9 @@
         worker_id = task.worker_id
         if not task.holds_reservation or worker_id is None:
             queue = self._urgent if task.shape.urgent else self._waiting
-            queue[task.task_id] = task
+            queue.put(task.job_id, task)
             return
-        self._inner(worker_id)[task.task_id] = task
+        self._on_worker.put(worker_id, task)
         self._reserve(task, worker_id, self._reserved.get(worker_id, NO_RESOURCES))
 
     def _accept(self, change: JobAccepted) -> None:
@@ -182,7 +218,7 @@
             )
         )
 
-    def _end_attempt(self, change: AttemptEnded) -> None:
+    def _end_attempt(self, change: EndRecorded) -> None:
         task = self._open_task(change.number, change.index)
         if not task.holds_reservation or change.attempt != task.attempt:
             raise ImpossibleChangeError(f"attempt {change.attempt} of {task.task_id} is not open")
@@ -266,18 +302,10 @@
             raise ImpossibleChangeError(f"task {index} of job number {number} is not open")
         return task
 
-    def _inner(self, worker_id: WorkerId) -> dict[TaskId, Task]:
-        inner = self._own_inner.get(worker_id)
-        if inner is None:
-            inner = dict(self._on_worker.get(worker_id, {}))
-            self._own_inner[worker_id] = inner
-            self._on_worker[worker_id] = inner
-        return inner
-
     def _replace_holding(self, task: Task) -> None:
         self._tasks[task.task_id] = task
         if task.worker_id is not None:
-            self._inner(task.worker_id)[task.task_id] = task
+            self._on_worker.put(task.worker_id, task)
 
     def _reserve(self, task: Task, worker_id: WorkerId, before: Resources) -> None:
         self._reserved[worker_id] = before + task.reservation
@@ -291,15 +319,12 @@
         worker_id = task.worker_id
         if not task.holds_reservation or worker_id is None:
             queue = self._urgent if task.shape.urgent else self._waiting
-            del queue[task.task_id]
+            queue.drop(task.job_id, task)
             return
-        inner = self._inner(worker_id)
-        del inner[task.task_id]
-        if inner:
+        self._on_worker.drop(worker_id, task)
+        if worker_id in self._on_worker:
             self._reserved[worker_id] = self._reserved[worker_id] - task.reservation
         else:
-            del self._on_worker[worker_id]
-            del self._own_inner[worker_id]
             del self._reserved[worker_id]
         if task.shape.service is None:
             team = task.shape.team
@@ -334,7 +359,7 @@
     )
 
 
-def _after_attempt(task: Task, change: AttemptEnded) -> Task:
+def _after_attempt(task: Task, change: EndRecorded) -> Task:
     failed = change.outcome is AttemptOutcome.FAILED
     evicted = change.outcome in (AttemptOutcome.STOPPED, AttemptOutcome.LAPSED)
     failed_on = task.failed_on
--- a/fireflyfork/programs/_planner_endpoint.py
+++ b/fireflyfork/programs/_planner_endpoint.py
@@ -240,13 +240,13 @@
     if state is None:
         return PartitionMetrics(name, owned=False)
     table = state.table
-    waiting = len(table.waiting) + len(table.urgent)
+    holding = sum(map(len, table.on_worker.values()))
     return PartitionMetrics(
         name,
         True,
         len(table.tasks),
-        len(table.tasks) - waiting,
-        waiting,
+        holding,
+        len(table.tasks) - holding,
         counts.commits,
         counts.changes,
         counts.segment_bytes,
--- a/fireflyfork/programs/_planner_partition.py
+++ b/fireflyfork/programs/_planner_partition.py
@@ -199,10 +199,9 @@
             except StoreUnavailableError as error:
                 logger.warning("recovery of {} waits: {}", self._plan.partition, error)
                 await trio.sleep(_RETRY_SECONDS)
-        state = Partition.at_takeover(table, self._clock.now(), self._plan.rules)
+        state = Partition.at_takeover(table, self._plan.policy, self._clock.now(), self._plan.rules)
         self._state = replace(
             state,
-            policy=self._plan.policy,
             teams={team.name: team for team in self._plan.teams},
             weights=self._plan.weights,
         )
--- a/fireflyfork/programs/tests/builders_planner.py
+++ b/fireflyfork/programs/tests/builders_planner.py
@@ -119,7 +119,9 @@
         self._leave()
         return answer
 
-    async def throttle(self, task_id: TaskId, attempt: AttemptNumber, millicores: int) -> None:
+    async def throttle(
+        self, task_id: TaskId, attempt: AttemptNumber, millicores: int | None
+    ) -> None:
         await self._enter()
         self.workers_behind.throttle(ThrottleCall(task_id, attempt, millicores))
         self._leave()
--- a/fireflyfork_standins/_simulated_workers.py
+++ b/fireflyfork_standins/_simulated_workers.py
@@ -166,7 +166,8 @@
         run = self._running.get((call.task_id, call.attempt))
         if run is not None:
             self._progress(run, self._now)
-            run.millicores = max(1, call.millicores)
+            full = run.order.resources.millicores
+            run.millicores = full if call.millicores is None else max(1, call.millicores)
 
     def renew(self, call: RenewCall, now: float) -> list[RunReport]:
         """Renew leases; the answer holds the attempts that are over or unknown."""
@@ -274,6 +275,7 @@
             _last_checkpoint(run) if run.state is RunState.RUNNING else run.progress,
             used,
             run.reason,
+            age_seconds=max(0.0, self._now - run.visible + self._report_lag),
         )
 
 
