--- /dev/null
+++ b/bench/_worker_model.py
@@ -0,0 +1,536 @@
+"""A small seeded model of workers under services and batch tasks, for measuring a policy.
+
+Time goes in steps; nothing here is concurrent and nothing is sent anywhere. Usage and latency are
+reported with a lag, declared sizes and run times are off the truth, and each pair of a service and
+a batch class has its own hidden slow-down that grows with the worker's load.
+"""
+
+from __future__ import annotations
+
+import math
+import random
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass, field, replace
+
+from hdrh.histogram import HdrHistogram
+
+from fireflyfork import (
+    AttemptNumber,
+    FailureDomainName,
+    JobId,
+    RackName,
+    RegionName,
+    Resources,
+    ServiceContract,
+    ServiceName,
+    TaskId,
+    TeamContract,
+    TeamName,
+    Tolerance,
+    Weights,
+    Worker,
+    WorkerId,
+)
+from fireflyfork.decisions._placement_policy import (
+    AttemptEnded,
+    AttemptStarted,
+    CheckpointAndEvict,
+    PlacementCommand,
+    PlacementPolicy,
+    PlacementView,
+    Refuse,
+    RunSample,
+    SamplesTaken,
+    Start,
+)
+from fireflyfork.decisions._task_changes import AttemptOutcome
+from fireflyfork.decisions._tasks import JobNumber, Task, TaskShape, TaskState
+
+STEP_SECONDS = 1.0
+DECISIONS_PER_STEP = 2
+_REPORT_SECONDS = 5
+_LAG_SECONDS = 10
+_START_SECONDS = 0.5
+_STOP_SECONDS = 2.0
+_CHECKPOINT_SECONDS = 60.0
+_CHECKPOINT_FAILS = 0.1
+"""The share of checkpoints on eviction that fail, so that the last periodic one counts."""
+_BATCH_CLASSES = 8
+_SERVICES = 4
+_TEAMS = 6
+_NOISY_PAIRS = 0.25
+_OBJECTIVE = 200.0
+_RATIO_UNIT = 1000
+
+
+@dataclass(frozen=True, slots=True)
+class Site:
+    """One user's fleet and weights."""
+
+    name: str
+    workers: int
+    cores: int
+    gigabytes: int
+    workers_per_rack: int
+    domains: int
+    weights: Weights
+
+
+NAIDU = Site("naidu", 24, 16, 60, 8, 3, Weights(tail_latency=5.0, evictions=1.0, throughput=1.0))
+KASTINGS = Site(
+    "kastings", 33, 64, 250, 11, 3, Weights(tail_latency=2.0, evictions=5.0, throughput=3.0)
+)
+
+
+@dataclass(frozen=True, slots=True)
+class _BatchClass:
+    """The truth about one class of batch work, which the policy never sees."""
+
+    shape: TaskShape
+    processor_ratio: float
+    """What it needs of what it declares."""
+    memory_ratio: float
+    memory_spread: float
+    run_ratio: float
+    slopes: tuple[tuple[float, ...], ...]
+    """Per service and band of load: how a worker full of it raises the logarithm of the tail."""
+
+
+@dataclass(frozen=True, slots=True)
+class _ServiceTruth:
+    """The truth about one service."""
+
+    shape: TaskShape
+    base: float
+    """Its p99 over the objective, alone at half load."""
+
+
+@dataclass(slots=True)
+class _Run:
+    """One attempt as the worker has it."""
+
+    task: Task
+    begins: float
+    need: float
+    """Millicores that it could use."""
+    memory: int
+    seconds: float
+    """The true run time at full speed."""
+    progress: float
+    truth: _BatchClass | _ServiceTruth
+    used: float = 0.0
+    ends: float | None = None
+    """When a stop that was ordered takes effect."""
+    checkpoint: float = 0.0
+    checkpoint_at: float = 0.0
+    fails: bool = False
+
+
+@dataclass(slots=True)
+class Outcome:
+    """What one run measured."""
+
+    tail: HdrHistogram = field(default_factory=lambda: HdrHistogram(1, 1_000_000, 3))
+    urgent: HdrHistogram = field(default_factory=lambda: HdrHistogram(1, 10_000_000, 3))
+    over_objective: int = 0
+    intervals: int = 0
+    core_seconds: float = 0.0
+    finished: int = 0
+    evictions: int = 0
+    lost_core_seconds: float = 0.0
+    throttles: int = 0
+    out_of_memory: int = 0
+    failures: int = 0
+    refused: int = 0
+
+    def tail_ratio(self, percentile: float) -> float:
+        """A percentile, over replicas and intervals, of p99 over the objective."""
+        return float(self.tail.get_value_at_percentile(percentile)) / _RATIO_UNIT
+
+    def urgent_seconds(self, percentile: float) -> float:
+        """A percentile of the time from submission of an urgent task to its start."""
+        return float(self.urgent.get_value_at_percentile(percentile)) / 1000.0
+
+
+class WorkerModel:
+    """Runs one policy on one site with one seed."""
+
+    def __init__(self, site: Site, policy: PlacementPolicy, seed: int) -> None:
+        """The seed alone decides the truth and the arrivals, whatever the policy does."""
+        self._site = site
+        self._policy = policy
+        self._arrivals = random.Random(seed)
+        self._luck = random.Random(seed + 1)
+        self._now = 0.0
+        self.outcome = Outcome()
+        self._workers = {item.worker_id: item for item in _workers(site)}
+        self._services = tuple(
+            _service(number, self._arrivals, site) for number in range(_SERVICES)
+        )
+        self._classes = tuple(
+            _batch_class(number, self._arrivals, site) for number in range(_BATCH_CLASSES)
+        )
+        truths: tuple[_BatchClass | _ServiceTruth, ...] = (*self._services, *self._classes)
+        self._truth = {item.shape.task_class: item for item in truths}
+        self._tasks: dict[TaskId, Task] = {}
+        self._waiting: dict[JobId, dict[TaskId, Task]] = {}
+        self._urgent: dict[JobId, dict[TaskId, Task]] = {}
+        self._on_worker: dict[WorkerId, dict[TaskId, Task]] = {}
+        self._reserved: dict[WorkerId, Resources] = {}
+        self._team_reserved: dict[TeamName, Resources] = {}
+        self._runs: dict[TaskId, _Run] = {}
+        self._reports: deque[SamplesTaken] = deque()
+        self._teams = _teams(site)
+        self._contracts = {
+            ServiceName(f"service-{number}"): ServiceContract(
+                ServiceName(f"service-{number}"),
+                TeamName("team-0"),
+                10.0,
+                latency_objective_milliseconds=_OBJECTIVE,
+            )
+            for number in range(_SERVICES)
+        }
+        self._load = 0.5
+        self._job_count = 0
+        self._broken: WorkerId | None = None
+        self._wave: tuple[float, _BatchClass] | None = None
+
+    def run(self, seconds: int) -> Outcome:
+        """Run for so many modelled seconds."""
+        replicas = 2 * self._site.workers
+        for service in self._services:
+            self._submit(service.shape, replicas // _SERVICES)
+        while self._now < seconds:
+            self._arrive()
+            for _ in range(DECISIONS_PER_STEP):
+                self._now += STEP_SECONDS / DECISIONS_PER_STEP
+                for command in self._policy.decide(self._view()):
+                    self._apply(command)
+            self._work()
+            if int(self._now) % _REPORT_SECONDS == 0:
+                self._measure()
+            while self._reports and self._reports[0].now <= self._now:
+                self._policy.observe(self._reports.popleft())
+        return self.outcome
+
+    # Arrivals
+
+    def _arrive(self) -> None:
+        chance = self._arrivals
+        if int(self._now) % 300 == 0:
+            self._load = chance.uniform(0.35, 0.95)
+            wave = chance.choice(self._classes) if chance.random() < 0.4 else None
+            self._wave = None if wave is None else (self._now + 60.0, wave)
+            is_broken = chance.random() < 0.3
+            chosen = chance.choice(sorted(self._workers))
+            self._broken = chosen if is_broken else None
+        offered = 1.15 * self._site.workers * self._site.cores * 1000.0
+        for item in self._classes:
+            need = item.shape.resources.millicores * item.processor_ratio
+            run_seconds = item.shape.run_seconds * item.run_ratio
+            rate = offered / (_BATCH_CLASSES * need * run_seconds)
+            in_wave = self._wave is not None and self._wave[1] is item
+            if self._wave is not None and in_wave and self._now <= self._wave[0]:
+                rate *= 6.0
+            count = _poisson(rate * 0.55, chance)
+            team = TeamName(f"team-{chance.randrange(_TEAMS)}")
+            urgent = chance.random() < 0.02
+            if count:
+                self._submit(replace(item.shape, team=team, urgent=urgent), count)
+
+    def _submit(self, shape: TaskShape, count: int) -> None:
+        self._job_count += 1
+        job_id = JobId(f"job-{self._job_count}")
+        group = self._urgent if shape.urgent else self._waiting
+        for index in range(count):
+            task_id = TaskId(f"{job_id}/{index}")
+            task = Task(
+                task_id,
+                job_id,
+                JobNumber(self._job_count),
+                index,
+                shape,
+                TaskState.WAITING,
+                self._now,
+                self._now,
+            )
+            self._tasks[task_id] = task
+            group.setdefault(job_id, {})[task_id] = task
+
+    # The table
+
+    def _view(self) -> PlacementView:
+        return PlacementView(
+            self._now,
+            self._workers,
+            self._reserved,
+            self._on_worker,
+            self._waiting,
+            self._urgent,
+            self._team_reserved,
+            self._teams,
+            self._contracts,
+            self._site.weights,
+            500,
+        )
+
+    def _apply(self, command: PlacementCommand) -> None:
+        task = self._tasks[command.task_id]
+        if isinstance(command, Start):
+            self._start(task, command)
+        elif isinstance(command, Refuse):
+            self.outcome.refused += 1
+            self._unqueue(task)
+            del self._tasks[task.task_id]
+        elif isinstance(command, CheckpointAndEvict):
+            self._evict(task)
+        elif task.state is TaskState.RUNNING:
+            self.outcome.throttles += command.millicores is not None
+            self._replace(replace(task, millicores_limit=command.millicores))
+
+    def _start(self, task: Task, command: Start) -> None:
+        self._unqueue(task)
+        held = self._reserved.get(command.worker_id, Resources()) + command.reservation
+        if not held.fits_in(self._workers[command.worker_id].capacity):
+            raise AssertionError(f"{command.worker_id} would be given more than it holds")
+        started = replace(
+            task,
+            state=TaskState.RUNNING,
+            worker_id=command.worker_id,
+            reservation=command.reservation,
+            attempt=AttemptNumber(task.attempt + 1),
+            since=self._now,
+        )
+        self._reserved[command.worker_id] = held
+        self._count_quota(started, 1)
+        self._replace(started)
+        self._runs[task.task_id] = self._new_run(started)
+        if task.shape.urgent and task.attempt == 0:
+            waited = self._now + _START_SECONDS - task.submitted
+            self.outcome.urgent.record_value(int(1000 * waited))
+        self._policy.observe(AttemptStarted(self._now, started))
+
+    def _new_run(self, task: Task) -> _Run:
+        truth = self._truth[task.shape.task_class]
+        luck = random.Random(task.task_id)
+        begins = self._now + _START_SECONDS
+        declared = task.shape.resources
+        if isinstance(truth, _ServiceTruth):
+            memory = int(0.7 * declared.memory)
+            return _Run(task, begins, 0.0, memory, math.inf, 0.0, truth)
+        need = declared.millicores * truth.processor_ratio * luck.uniform(0.85, 1.15)
+        spread = luck.gauss(0.0, truth.memory_spread)
+        memory = int(declared.memory * truth.memory_ratio * math.exp(spread))
+        seconds = task.shape.run_seconds * truth.run_ratio * luck.uniform(0.6, 1.4)
+        run = _Run(task, begins, need, memory, seconds, task.progress, truth)
+        run.checkpoint = task.progress
+        run.checkpoint_at = begins
+        run.fails = luck.random() < 0.004
+        return run
+
+    def _evict(self, task: Task) -> None:
+        if task.state is not TaskState.RUNNING:
+            return
+        self.outcome.evictions += 1
+        self._replace(replace(task, state=TaskState.EVICTING))
+        self._runs[task.task_id].ends = self._now + _STOP_SECONDS
+
+    def _replace(self, task: Task) -> None:
+        self._tasks[task.task_id] = task
+        if task.worker_id is not None:
+            self._on_worker.setdefault(task.worker_id, {})[task.task_id] = task
+        if task.task_id in self._runs:
+            self._runs[task.task_id].task = task
+
+    def _unqueue(self, task: Task) -> None:
+        group = self._urgent if task.shape.urgent else self._waiting
+        tasks = group[task.job_id]
+        del tasks[task.task_id]
+        if not tasks:
+            del group[task.job_id]
+
+    def _count_quota(self, task: Task, sign: int) -> None:
+        if task.shape.service is not None:
+            return
+        held = self._team_reserved.get(task.shape.team, Resources())
+        amount = task.reservation
+        self._team_reserved[task.shape.team] = held + amount if sign > 0 else held - amount
+
+    def _end(self, run: _Run, outcome: AttemptOutcome, reason: str = "") -> None:
+        task = run.task
+        assert task.worker_id is not None
+        del self._runs[task.task_id]
+        del self._on_worker[task.worker_id][task.task_id]
+        self._reserved[task.worker_id] -= task.reservation
+        self._count_quota(task, -1)
+        if outcome is AttemptOutcome.FINISHED:
+            del self._tasks[task.task_id]
+        else:
+            failed = outcome is AttemptOutcome.FAILED
+            waiting = replace(
+                task,
+                state=TaskState.WAITING if failed else TaskState.EVICTED,
+                worker_id=None,
+                reservation=Resources(),
+                millicores_limit=None,
+                progress=run.checkpoint,
+                failed_on=(*task.failed_on, task.worker_id) if failed else task.failed_on,
+            )
+            self._tasks[task.task_id] = waiting
+            group = self._urgent if task.shape.urgent else self._waiting
+            group.setdefault(task.job_id, {})[task.task_id] = waiting
+        self._policy.observe(AttemptEnded(self._now, task, outcome, reason))
+
+    # The workers
+
+    def _work(self) -> None:
+        for run in list(self._runs.values()):
+            if run.begins > self._now:
+                continue
+            if isinstance(run.truth, _ServiceTruth):
+                run.need = self._load * run.task.shape.resources.millicores
+                run.used = min(run.need, run.task.reservation.millicores)
+            else:
+                self._work_batch(run)
+
+    def _work_batch(self, run: _Run) -> None:
+        task = run.task
+        if task.worker_id == self._broken or (run.fails and run.progress > 0.3):
+            self.outcome.failures += 1
+            self._lose(run)
+            self._end(run, AttemptOutcome.FAILED, "exit status 1")
+            return
+        if run.ends is not None and run.ends <= self._now:
+            self._stop(run)
+            return
+        if run.progress > 0.4 and run.memory > task.reservation.memory:
+            self.outcome.out_of_memory += 1
+            self._lose(run)
+            self._end(run, AttemptOutcome.FAILED, "out of memory")
+            return
+        limit = task.millicores_limit
+        allowed = task.reservation.millicores if limit is None else limit
+        run.used = min(run.need, allowed, task.reservation.millicores)
+        run.progress += STEP_SECONDS * run.used / run.need / run.seconds
+        if self._now - run.checkpoint_at >= _CHECKPOINT_SECONDS:
+            run.checkpoint = run.progress
+            run.checkpoint_at = self._now
+        if run.progress >= 1.0:
+            self.outcome.finished += 1
+            self.outcome.core_seconds += run.need * run.seconds / 1000.0
+            self._end(run, AttemptOutcome.FINISHED)
+
+    def _stop(self, run: _Run) -> None:
+        if self._luck.random() < _CHECKPOINT_FAILS:
+            self._lose(run)
+        else:
+            run.checkpoint = run.progress
+        self._end(run, AttemptOutcome.STOPPED)
+
+    def _lose(self, run: _Run) -> None:
+        lost = (run.progress - run.checkpoint) * run.seconds * run.need / 1000.0
+        self.outcome.lost_core_seconds += lost
+
+    def _measure(self) -> None:
+        due = self._now + _LAG_SECONDS
+        samples = []
+        for worker_id, tasks in self._on_worker.items():
+            runs = [self._runs[task_id] for task_id in tasks]
+            runs = [run for run in runs if run.begins <= self._now]
+            capacity = self._workers[worker_id].capacity.millicores
+            load = sum(run.used for run in runs) / capacity
+            samples += [self._sample(run, runs, load, capacity) for run in runs]
+        self._reports.append(SamplesTaken(due, tuple(samples)))
+
+    def _sample(self, run: _Run, runs: list[_Run], load: float, capacity: int) -> RunSample:
+        tail = None
+        memory = run.memory
+        if isinstance(run.truth, _ServiceTruth):
+            ratio = self._tail_ratio(run, run.truth, runs, load, capacity)
+            tail = ratio * _OBJECTIVE
+            self.outcome.intervals += 1
+            self.outcome.over_objective += ratio > 1.0
+            self.outcome.tail.record_value(int(ratio * _RATIO_UNIT))
+        elif run.progress <= 0.4:
+            memory = int(memory * 0.6)
+        used = Resources(int(run.used), min(memory, run.task.reservation.memory))
+        return RunSample(run.task, self._now, used, run.checkpoint, tail)
+
+    def _tail_ratio(
+        self, run: _Run, truth: _ServiceTruth, runs: list[_Run], load: float, capacity: int
+    ) -> float:
+        number = int(truth.shape.task_class.removeprefix("service-"))
+        band = min(int(load * 4), 3)
+        exponent = 0.8 * max(load - 0.5, 0.0) + 0.5 * (self._load - 0.5)
+        for other in runs:
+            if isinstance(other.truth, _BatchClass):
+                exponent += other.truth.slopes[number][band] * other.used / capacity
+        starved = max(run.need / max(run.task.reservation.millicores, 1), 1.0)
+        noise = self._luck.gauss(0.0, 0.12)
+        return truth.base * starved**2 * math.exp(exponent + noise)
+
+
+def _workers(site: Site) -> Iterator[Worker]:
+    capacity = Resources(site.cores * 1000, site.gigabytes * 10**9)
+    for number in range(site.workers):
+        rack = number // site.workers_per_rack
+        yield Worker(
+            WorkerId(f"worker-{number:04}"),
+            RegionName("region"),
+            FailureDomainName(f"domain-{rack % site.domains}"),
+            RackName(f"rack-{rack}"),
+            capacity,
+        )
+
+
+def _service(number: int, chance: random.Random, site: Site) -> _ServiceTruth:
+    name = f"service-{number}"
+    cores = site.cores / 8
+    resources = Resources(int(1000 * cores), int(site.gigabytes / 12 * 10**9))
+    shape = TaskShape(
+        TeamName("team-0"), name, resources, 0.0, False, ServiceName(name), Tolerance.NONE
+    )
+    return _ServiceTruth(shape, chance.uniform(0.35, 0.6))
+
+
+def _batch_class(number: int, chance: random.Random, site: Site) -> _BatchClass:
+    cores = chance.choice((0.5, 1.0, 2.0, 4.0)) * site.cores / 16
+    gigabytes = cores * chance.choice((1.0, 2.0, 4.0))
+    shape = TaskShape(
+        TeamName("team-0"),
+        f"batch-{number}",
+        Resources(int(cores * 1000), int(gigabytes * 10**9)),
+        chance.choice((60.0, 120.0, 300.0, 600.0)),
+        tolerance=Tolerance.EVICT if chance.random() < 0.8 else Tolerance.THROTTLE,
+    )
+    slopes = []
+    for _ in range(_SERVICES):
+        is_noisy = chance.random() < _NOISY_PAIRS
+        slope = chance.uniform(2.0, 6.0) if is_noisy else chance.uniform(0.0, 0.3)
+        slopes.append(tuple(slope * factor for factor in (0.5, 0.8, 1.0, 1.3)))
+    return _BatchClass(
+        shape,
+        processor_ratio=chance.uniform(0.25, 1.3),
+        memory_ratio=chance.uniform(0.2, 1.1),
+        memory_spread=chance.uniform(0.03, 0.15),
+        run_ratio=chance.uniform(0.4, 2.5),
+        slopes=tuple(slopes),
+    )
+
+
+def _teams(site: Site) -> dict[TeamName, TeamContract]:
+    total = Resources(site.workers * site.cores * 1000, site.workers * site.gigabytes * 10**9)
+    quota = Resources(total.millicores // 2, total.memory // 2)
+    names = [TeamName(f"team-{number}") for number in range(_TEAMS)]
+    return {name: TeamContract(name, quota, urgent=True) for name in names}
+
+
+def _poisson(mean: float, chance: random.Random) -> int:
+    limit = math.exp(-mean)
+    count = 0
+    product = chance.random()
+    while product > limit:
+        count += 1
+        product *= chance.random()
+    return count
--- /dev/null
+++ b/fireflyfork/decisions/placement/_choice.py
@@ -0,0 +1,111 @@
+"""Chooses a worker for a task among a few with room, by what it would do to services there."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from itertools import islice
+
+from ..._machines import Resources
+from ._classes import TaskClass
+from ._fleet import Fleet, WorkerEntry
+from ._interference import InterferenceModel
+
+_CANDIDATES = 6
+_CANDIDATES_WHEN_SLOWED = 24
+"""How many are looked at when none of the first is good enough."""
+_HARMLESS_COST = 0.002
+"""A candidate this cheap is taken at once, without looking for a better one."""
+_PENALTY_FROM_RATIO = 0.6
+_NEGLIGIBLE_SLOWDOWN = 1.01
+
+
+@dataclass(frozen=True, slots=True)
+class Candidate:
+    """A worker with room, and what the task would do to the services on it."""
+
+    entry: WorkerEntry
+    cost: float
+    """Replicas times the growth of the penalty on their predicted latency."""
+    slowdown: float
+    """The largest factor by which a service's tail is expected to grow."""
+    ratio: float
+    """The largest p99 over the objective that is expected of a service it slows; 0 for none."""
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """The outcome of a search."""
+
+    best: Candidate | None
+    compared: int
+    """How many workers with room were seen; with none best, whether there was room at all."""
+
+
+class WorkerChoice:
+    """Compares workers for one task."""
+
+    def __init__(self, fleet: Fleet, interference: InterferenceModel) -> None:
+        """Shares the policy's index and model."""
+        self._fleet = fleet
+        self._interference = interference
+
+    def choose(
+        self,
+        need: Resources,
+        task_class: TaskClass,
+        accepts: Callable[[WorkerEntry], bool],
+        highest_ratio: float,
+        now: float,
+    ) -> Choice:
+        """The best of a few workers on which no service is pushed above ``highest_ratio``."""
+        best: Candidate | None = None
+        compared = 0
+        for candidate in self._candidates(need, task_class, accepts, now):
+            compared += 1
+            if candidate.ratio <= highest_ratio and (best is None or candidate.cost < best.cost):
+                best = candidate
+            if best is not None and (best.cost <= _HARMLESS_COST or compared >= _CANDIDATES):
+                break
+        return Choice(best, compared)
+
+    def _candidates(
+        self,
+        need: Resources,
+        task_class: TaskClass,
+        accepts: Callable[[WorkerEntry], bool],
+        now: float,
+    ) -> Iterator[Candidate]:
+        accepted = filter(accepts, self._fleet.with_room(need))
+        for entry in islice(accepted, _CANDIDATES_WHEN_SLOWED):
+            yield self.rate(entry, need, task_class, now)
+
+    def rate(
+        self, entry: WorkerEntry, need: Resources, task_class: TaskClass, now: float
+    ) -> Candidate:
+        """What a task would do to the services on a worker."""
+        if not entry.replicas:
+            return Candidate(entry, 0.0, 1.0, 0.0)
+        model = self._interference
+        share = need.millicores / max(entry.worker.capacity.millicores, 1)
+        load_before = entry.load_with(0)
+        load_after = entry.load_with(need.millicores)
+        shares = entry.expected_shares()
+        cost = 0.0
+        slowdown = 1.0
+        worst = 0.0
+        for service, count in entry.replicas.items():
+            before = model.predicted_ratio(service, load_before, shares, now)
+            after = model.predicted_ratio(service, load_after, shares, now)
+            after *= math.exp(model.added(service, load_after, task_class, share, now))
+            if before <= 0.0 or after <= before * _NEGLIGIBLE_SLOWDOWN:
+                continue
+            slowdown = max(slowdown, after / before)
+            worst = max(worst, after)
+            cost += count * (_penalty(after) - _penalty(before))
+        return Candidate(entry, cost, slowdown, worst)
+
+
+def _penalty(ratio: float) -> float:
+    return max(ratio - _PENALTY_FROM_RATIO, 0.0) ** 2
--- /dev/null
+++ b/fireflyfork/decisions/placement/_feasibility.py
@@ -0,0 +1,59 @@
+"""Whether a task can ever run, and how much to reserve for it at most."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Mapping
+
+from ..._contracts import TeamContract
+from ..._ids import TeamName
+from ..._machines import Resources
+from .._placement_policy import Reason
+from .._tasks import TaskShape
+from ._reasons import LargerThanAnyWorker, LargerThanQuota, UnknownTeam, UrgentNotAllowed
+
+
+def why_infeasible(
+    shape: TaskShape,
+    capacities: Iterable[Resources],
+    worker_count: int,
+    teams: Mapping[TeamName, TeamContract],
+) -> Reason | None:
+    """Why a task of this shape could never run; None when it could."""
+    team = teams.get(shape.team)
+    if team is None:
+        return UnknownTeam(shape.team)
+    if shape.urgent and not team.urgent:
+        return UrgentNotAllowed(shape.team)
+    if shape.service is None and not shape.resources.fits_in(team.quota):
+        return LargerThanQuota(shape.team, shape.resources, team.quota)
+    if worker_count and not any(shape.resources.fits_in(item) for item in capacities):
+        return LargerThanAnyWorker(shape.resources, worker_count)
+    return None
+
+
+def cut_to_worker(
+    learned: Resources, declared: Resources, capacities: Iterable[Resources]
+) -> Resources:
+    """The learned size, or as much of it as a worker that holds the declared size can give.
+
+    A class measured above its declared size could otherwise outgrow every worker, and its tasks
+    would wait forever, although they were accepted.
+    """
+    holding = [capacity for capacity in capacities if declared.fits_in(capacity)]
+    if not holding or any(learned.fits_in(capacity) for capacity in holding):
+        return learned
+    largest = max(holding, key=lambda item: (item.memory, item.millicores))
+    return _smaller(learned, largest)
+
+
+def cut_to_quota(need: Resources, declared: Resources, quota: Resources) -> Resources:
+    """The size, cut to the whole quota when the declared size alone was within it."""
+    return _smaller(need, quota) if declared.fits_in(quota) else need
+
+
+def _smaller(one: Resources, other: Resources) -> Resources:
+    return Resources(
+        min(one.millicores, other.millicores),
+        min(one.memory, other.memory),
+        min(one.accelerators, other.accelerators),
+    )
--- /dev/null
+++ b/fireflyfork/decisions/placement/_fleet.py
@@ -0,0 +1,375 @@
+"""The policy's compact index of workers and attempts, kept up from observations and views."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterator, Mapping
+from itertools import chain
+
+from ..._ids import FailureDomainName, RackName, ServiceName, TaskId, WorkerId
+from ..._machines import Resources, Worker
+from .._placement_policy import PlacementView
+from .._tasks import Task
+from ._classes import TaskClass
+from ._free_index import FreeIndex
+from ._pressure import Pressure
+
+_NOTHING = Resources()
+_MOST_GONE = 256
+
+
+class WorkerEntry:
+    """What the policy keeps of one worker. Plain numbers, since they change with each start."""
+
+    __slots__ = (
+        "departed",
+        "free_accelerators",
+        "free_memory",
+        "free_millicores",
+        "held",
+        "number",
+        "pending_by_class",
+        "pressure",
+        "replicas",
+        "reserved",
+        "throttled",
+        "used_by_class",
+        "used_millicores",
+        "worker",
+    )
+
+    def __init__(self, worker: Worker) -> None:
+        """Start with an empty worker."""
+        self.number = -1
+        """Its place in the index while it is listed."""
+        self.worker = worker
+        self.reserved: Resources | None = None
+        """The table's value that ``free_*`` was last computed from; None forces a new look."""
+        self.held = _NOTHING
+        """Room kept for urgent tasks for which others were evicted."""
+        self.free_millicores = 0
+        self.free_memory = 0
+        self.free_accelerators = 0
+        self.used_millicores = 0
+        self.used_by_class: dict[TaskClass, int] = {}
+        self.pending_by_class: dict[TaskClass, int] = {}
+        """Reservations of attempts that no report has covered yet."""
+        self.replicas: dict[ServiceName, int] = {}
+        self.departed: deque[tuple[float, TaskClass, int]] = deque()
+        """Usage of attempts that ended after the moment that reports have reached so far."""
+        self.pressure = Pressure()
+        self.throttled: set[TaskId] = set()
+
+    def has_room(self, need: Resources) -> bool:
+        """Whether the worker holds ``need`` besides everything reserved and held."""
+        return (
+            need.memory <= self.free_memory
+            and need.millicores <= self.free_millicores
+            and need.accelerators <= self.free_accelerators
+        )
+
+    def take(self, need: Resources) -> None:
+        """Subtract a start of this round."""
+        self.free_millicores -= need.millicores
+        self.free_memory -= need.memory
+        self.free_accelerators -= need.accelerators
+
+    def refresh(self, reserved: Resources) -> None:
+        """Compute the free room from what the table has reserved."""
+        self.reserved = reserved
+        capacity = self.worker.capacity
+        self.free_millicores = capacity.millicores - reserved.millicores - self.held.millicores
+        self.free_memory = capacity.memory - reserved.memory - self.held.memory
+        self.free_accelerators = (
+            capacity.accelerators - reserved.accelerators - self.held.accelerators
+        )
+
+    def load_with(self, extra_millicores: int) -> float:
+        """The processor load to expect with so much more, as a share of the worker."""
+        expected = self.used_millicores + sum(self.pending_by_class.values()) + extra_millicores
+        return expected / max(self.worker.capacity.millicores, 1)
+
+    def reported_load(self) -> float:
+        """The processor load that the last reports give, as a share of the worker."""
+        return self.used_millicores / max(self.worker.capacity.millicores, 1)
+
+    def reported_shares(self, without: TaskClass) -> dict[TaskClass, float]:
+        """The share of the worker that each class used, but for the class asked about."""
+        capacity = max(self.worker.capacity.millicores, 1)
+        return {
+            name: millicores / capacity
+            for name, millicores in self.used_by_class.items()
+            if name != without
+        }
+
+    def expected_shares(self) -> dict[TaskClass, float]:
+        """The same for all classes, with what started since counted by its reservation."""
+        capacity = max(self.worker.capacity.millicores, 1)
+        shares = {name: used / capacity for name, used in self.used_by_class.items()}
+        for name, reserved in self.pending_by_class.items():
+            shares[name] = shares.get(name, 0.0) + reserved / capacity
+        return shares
+
+    def settle_departed(self, measured_at: float) -> None:
+        """Drop the usage of attempts that had ended before a measurement began.
+
+        Reports lag, so the first after an eviction still describes the time before it. With the
+        evicted work gone from the books, the service itself would seem to be the cause.
+        """
+        departed = self.departed
+        while departed and departed[0][0] <= measured_at:
+            _, task_class, millicores = departed.popleft()
+            self.add_used(task_class, -millicores)
+
+    def add_used(self, task_class: TaskClass, millicores: int) -> None:
+        """Change the reported usage of a class."""
+        self.used_millicores += millicores
+        _add(self.used_by_class, task_class, millicores)
+
+    def add_pending(self, task_class: TaskClass, millicores: int) -> None:
+        """Change the reservations that no report has covered yet."""
+        _add(self.pending_by_class, task_class, millicores)
+
+
+class AttemptEntry:
+    """What the policy keeps of one attempt that may run."""
+
+    __slots__ = ("entry", "memory_peak", "progress", "progress_at", "reported", "task", "used")
+
+    def __init__(self, task: Task, entry: WorkerEntry, now: float) -> None:
+        """Start with an attempt that no report has covered."""
+        self.task = task
+        self.entry = entry
+        self.reported = False
+        self.used = 0
+        self.memory_peak = 0
+        self.progress = task.progress
+        self.progress_at = now
+
+
+class Fleet:
+    """All workers, by name and by free room, and all attempts, by task."""
+
+    def __init__(self) -> None:
+        """Start without workers."""
+        self._entries: dict[WorkerId, WorkerEntry] = {}
+        self._numbers: list[WorkerEntry | None] = []
+        self._plain = FreeIndex()
+        self._accelerated = FreeIndex()
+        self._free_numbers: list[int] = []
+        self._gone: dict[WorkerId, WorkerEntry] = {}
+        """Workers that left the list lately. It lags, and one that comes back still runs its work."""
+        self._tentative: list[tuple[WorkerEntry, TaskClass, int]] = []
+        self._attempts: dict[TaskId, AttemptEntry] = {}
+        self._early: dict[WorkerId, list[tuple[float, Task]]] = {}
+        self._racks: dict[FailureDomainName, dict[RackName, list[WorkerEntry]]] = {}
+        self._capacities: dict[Resources, int] = {}
+        self._batch_count = 0
+
+    @property
+    def entries(self) -> Mapping[WorkerId, WorkerEntry]:
+        """The workers by name."""
+        return self._entries
+
+    @property
+    def numbered(self) -> list[WorkerEntry | None]:
+        """The workers by number, None where one has gone."""
+        return self._numbers
+
+    @property
+    def capacities(self) -> Mapping[Resources, int]:
+        """How many workers there are of each capacity."""
+        return self._capacities
+
+    @property
+    def racks(self) -> Mapping[FailureDomainName, Mapping[RackName, list[WorkerEntry]]]:
+        """The workers by failure domain and rack."""
+        return self._racks
+
+    @property
+    def batch_count(self) -> int:
+        """Batch attempts that may run."""
+        return self._batch_count
+
+    def attempt(self, task_id: TaskId) -> AttemptEntry | None:
+        """The attempt of a task, if one may run."""
+        return self._attempts.get(task_id)
+
+    def sync(self, view: PlacementView) -> list[WorkerId]:
+        """Take over what the table has reserved; returns the workers that have gone.
+
+        The table's values are immutable, so an identical object means an unchanged worker.
+        """
+        self._undo_tentative()
+        reserved = view.reserved
+        entries = self._entries
+        for worker_id, worker in view.workers.items():
+            entry = entries.get(worker_id)
+            if entry is None or entry.worker is not worker:
+                entry = self._add_worker(worker)
+            now_reserved = reserved.get(worker_id, _NOTHING)
+            if entry.reserved is not now_reserved:
+                entry.refresh(now_reserved)
+                self.reindex(entry)
+        if len(entries) == len(view.workers):
+            return []
+        gone = [worker_id for worker_id in entries if worker_id not in view.workers]
+        for worker_id in gone:
+            self._remove_worker(worker_id)
+        return gone
+
+    def with_room(self, need: Resources) -> Iterator[WorkerEntry]:
+        """Workers that hold ``need``, the fullest first; with accelerators only when needed."""
+        plain = () if need.accelerators else self._plain.candidates(need.millicores)
+        numbers = self._numbers
+        for number in chain(plain, self._accelerated.candidates(need.millicores)):
+            entry = numbers[number]
+            if entry is not None and entry.has_room(need):
+                yield entry
+
+    def take(self, entry: WorkerEntry, need: Resources, task_class: TaskClass) -> None:
+        """Count a start of this round; the next ``sync`` replaces it by what the table holds."""
+        entry.take(need)
+        entry.add_pending(task_class, need.millicores)
+        entry.reserved = None
+        self._tentative.append((entry, task_class, need.millicores))
+        self.reindex(entry)
+
+    def hold(self, entry: WorkerEntry, amount: Resources) -> None:
+        """Keep room on a worker from everyone but the task it is held for."""
+        entry.held = entry.held + amount
+        entry.take(amount)
+        self.reindex(entry)
+
+    def release(self, entry: WorkerEntry, amount: Resources) -> None:
+        """Give held room back."""
+        entry.held = entry.held - amount
+        entry.take(_NOTHING - amount)
+        self.reindex(entry)
+
+    def started(self, task: Task, now: float) -> None:
+        """Note an attempt that may run from now on."""
+        if task.worker_id is None or task.task_id in self._attempts:
+            return
+        entry = self._entries.get(task.worker_id)
+        if entry is None:
+            self._early.setdefault(task.worker_id, []).append((now, task))
+            return
+        self._attempts[task.task_id] = AttemptEntry(task, entry, now)
+        entry.add_pending(TaskClass(task.shape.task_class), task.reservation.millicores)
+        if task.millicores_limit is not None:
+            entry.throttled.add(task.task_id)
+        service = task.shape.service
+        if service is None:
+            self._batch_count += 1
+        else:
+            entry.replicas[service] = entry.replicas.get(service, 0) + 1
+
+    def ended(self, task: Task, now: float) -> AttemptEntry | None:
+        """Note that an attempt can't run any more; returns what was kept of it."""
+        attempt = self._attempts.pop(task.task_id, None)
+        if attempt is None:
+            self._forget_early(task)
+            return None
+        entry = attempt.entry
+        entry.throttled.discard(task.task_id)
+        task_class = TaskClass(task.shape.task_class)
+        if attempt.reported:
+            entry.departed.append((now, task_class, attempt.used))
+        else:
+            entry.add_pending(task_class, -attempt.task.reservation.millicores)
+        self._drop_replica(attempt)
+        return attempt
+
+    def reported(self, attempt: AttemptEntry, millicores: int) -> None:
+        """Note the processor time that a report gives for an attempt."""
+        entry = attempt.entry
+        task_class = TaskClass(attempt.task.shape.task_class)
+        if not attempt.reported:
+            attempt.reported = True
+            entry.add_pending(task_class, -attempt.task.reservation.millicores)
+        if millicores != attempt.used:
+            entry.add_used(task_class, millicores - attempt.used)
+            attempt.used = millicores
+
+    def reindex(self, entry: WorkerEntry) -> None:
+        """Put a worker where its free processor time belongs."""
+        has_accelerators = entry.worker.capacity.accelerators > 0
+        index = self._accelerated if has_accelerators else self._plain
+        index.put(entry.number, entry.free_millicores)
+
+    def _undo_tentative(self) -> None:
+        for entry, task_class, millicores in self._tentative:
+            entry.add_pending(task_class, -millicores)
+        self._tentative.clear()
+
+    def _add_worker(self, worker: Worker) -> WorkerEntry:
+        known = self._entries.get(worker.worker_id)
+        if known is not None:
+            self._leave_place(known)
+        entry = known or self._gone.pop(worker.worker_id, None) or WorkerEntry(worker)
+        entry.worker = worker
+        entry.reserved = None
+        if known is None:
+            self._number(entry)
+            self._entries[worker.worker_id] = entry
+        racks = self._racks.setdefault(worker.failure_domain, {})
+        racks.setdefault(worker.rack, []).append(entry)
+        self._capacities[worker.capacity] = self._capacities.get(worker.capacity, 0) + 1
+        for now, task in self._early.pop(worker.worker_id, ()):
+            self.started(task, now)
+        return entry
+
+    def _remove_worker(self, worker_id: WorkerId) -> None:
+        entry = self._entries.pop(worker_id)
+        self._leave_place(entry)
+        self._numbers[entry.number] = None
+        self._free_numbers.append(entry.number)
+        self._gone[worker_id] = entry
+        if len(self._gone) > _MOST_GONE:
+            del self._gone[next(iter(self._gone))]
+
+    def _number(self, entry: WorkerEntry) -> None:
+        if self._free_numbers:
+            entry.number = self._free_numbers.pop()
+            self._numbers[entry.number] = entry
+            return
+        entry.number = len(self._numbers)
+        self._numbers.append(entry)
+
+    def _leave_place(self, entry: WorkerEntry) -> None:
+        self._plain.remove(entry.number)
+        self._accelerated.remove(entry.number)
+        capacity = entry.worker.capacity
+        self._capacities[capacity] -= 1
+        if not self._capacities[capacity]:
+            del self._capacities[capacity]
+        racks = self._racks[entry.worker.failure_domain]
+        racks[entry.worker.rack].remove(entry)
+        if not racks[entry.worker.rack]:
+            del racks[entry.worker.rack]
+
+    def _drop_replica(self, attempt: AttemptEntry) -> None:
+        service = attempt.task.shape.service
+        if service is None:
+            self._batch_count -= 1
+            return
+        replicas = attempt.entry.replicas
+        left = replicas.get(service, 0) - 1
+        if left > 0:
+            replicas[service] = left
+            return
+        replicas.pop(service, None)
+        attempt.entry.pressure.forget(service)
+
+    def _forget_early(self, task: Task) -> None:
+        for waiting in self._early.values():
+            waiting[:] = [item for item in waiting if item[1].task_id != task.task_id]
+
+
+def _add(amounts: dict[TaskClass, int], task_class: TaskClass, millicores: int) -> None:
+    total = amounts.get(task_class, 0) + millicores
+    if total > 0:
+        amounts[task_class] = total
+    else:
+        amounts.pop(task_class, None)
--- /dev/null
+++ b/fireflyfork/decisions/placement/_policy.py
@@ -0,0 +1,454 @@
+"""The placement policy: learned sizes and interference, quotas, spread, relief and quarantine."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator, Mapping
+
+from ..._contracts import ServiceContract, TeamContract
+from ..._ids import ServiceName, TeamName, WorkerId
+from ..._machines import Resources, Worker
+from .._placement_policy import (
+    AttemptEnded,
+    AttemptStarted,
+    Observation,
+    PlacementCommand,
+    PlacementPolicy,
+    PlacementView,
+    Reason,
+    Refuse,
+    RunSample,
+    SamplesTaken,
+    Start,
+)
+from .._task_changes import AttemptOutcome
+from .._tasks import Task, TaskShape
+from ._choice import WorkerChoice
+from ._classes import TaskClass
+from ._fair_queue import FairQueue, QuotaLedger, WaitingJob
+from ._feasibility import cut_to_quota, cut_to_worker, why_infeasible
+from ._fleet import AttemptEntry, Fleet, WorkerEntry
+from ._headroom import UrgentHeadroom
+from ._health import WorkerHealth, is_to_blame
+from ._interference import InterferenceModel
+from ._misfits import Misfits
+from ._policy_settings import PolicySettings, Relief
+from ._reasons import (
+    FailedOnManyWorkers,
+    PlacedBatch,
+    PlacedReplica,
+    PlacedUrgent,
+    WaitsForEvicted,
+    WaitsForQuietWorker,
+    WaitsForQuota,
+    WaitsForRoom,
+    WaitsForTurn,
+)
+from ._relief import ReliefPlanner
+from ._room import RoomMaker
+from ._sizes import LearnedSizes
+from ._spread import ReplicaCounts, replica_places
+from ._waiting import split, tasks_of
+
+_MOST_MISFITS = 24
+"""Jobs without a place that one round may look at, so that a full fleet costs little."""
+_MOST_URGENT_MISFITS = 64
+_HIGHEST_RATIO = 0.9
+"""To this share of its objective a new batch task may push a service's p99."""
+_PATIENCE_SECONDS = 1200.0
+
+
+class InterferenceAwarePolicy(PlacementPolicy):
+    """Places by learned size and interference. Deterministic in what it was told.
+
+    The learned state and the index of workers change in place, since a copy for each report
+    would cost more than the decisions; ``observe`` returns the same object.
+    """
+
+    def __init__(self, settings: PolicySettings | None = None) -> None:
+        """Start without any knowledge of workers or work."""
+        self._settings = settings or PolicySettings()
+        self._fleet = Fleet()
+        self._sizes = LearnedSizes()
+        self._interference = InterferenceModel()
+        self._health = WorkerHealth()
+        self._replicas = ReplicaCounts()
+        self._relief = ReliefPlanner(self._fleet, self._interference, self._settings.relief)
+        self._room = RoomMaker(self._fleet)
+        self._headroom = UrgentHeadroom(self._fleet)
+        self._tentative_replicas: list[tuple[ServiceName, WorkerEntry]] = []
+        """Replicas started this round, which the table hasn't confirmed yet."""
+        self._choice = WorkerChoice(self._fleet, self._interference)
+        self._services: Mapping[ServiceName, ServiceContract] = {}
+        self._measured: dict[WorkerId, WorkerEntry] = {}
+        """Workers about whose services there is something new since the last round."""
+
+    @property
+    def health(self) -> WorkerHealth:
+        """Which workers are quarantined."""
+        return self._health
+
+    @property
+    def sizes(self) -> LearnedSizes:
+        """What each class uses."""
+        return self._sizes
+
+    @property
+    def relief(self) -> ReliefPlanner:
+        """What is done for slowed services, with its budget."""
+        return self._relief
+
+    @property
+    def room(self) -> RoomMaker:
+        """What is done for urgent work, with its budget."""
+        return self._room
+
+    # Learning
+
+    def observe(self, observation: Observation) -> InterferenceAwarePolicy:
+        """See PlacementPolicy. Returns this object, changed."""
+        if isinstance(observation, SamplesTaken):
+            for sample in observation.samples:
+                self._sample(sample, observation.now)
+        elif isinstance(observation, AttemptStarted):
+            self._attempt_started(observation.task, observation.now)
+        else:
+            self._attempt_ended(observation)
+        return self
+
+    def _attempt_started(self, task: Task, now: float) -> None:
+        self._fleet.started(task, now)
+        self._room.release(task.task_id)
+        attempt = self._fleet.attempt(task.task_id)
+        if attempt is None:
+            return
+        self._health.started(attempt.entry.worker.worker_id, task.task_id)
+        if task.shape.service is not None:
+            self._replicas.add(task.shape.service, attempt.entry, 1)
+
+    def _attempt_ended(self, ended: AttemptEnded) -> None:
+        task = ended.task
+        attempt = self._fleet.ended(task, ended.now)
+        self._room.forget_victim(task.task_id)
+        worker_id = task.worker_id
+        if worker_id is None:
+            return
+        if attempt is not None:
+            self._learn_from_end(attempt, ended)
+            if task.shape.service is not None:
+                self._replicas.add(task.shape.service, attempt.entry, -1)
+        if ended.outcome is AttemptOutcome.FINISHED:
+            self._health.succeeded(worker_id)
+        elif _accuses_worker(ended):
+            self._health.failed(worker_id, task.task_id, task.job_id, ended.now)
+        else:
+            self._health.stopped(worker_id, task.task_id)
+
+    def _learn_from_end(self, attempt: AttemptEntry, ended: AttemptEnded) -> None:
+        shape = ended.task.shape
+        task_class = TaskClass(shape.task_class)
+        if _exhausted_memory(ended):
+            reserved = attempt.task.reservation
+            self._sizes.observe_memory_exhausted(task_class, shape.resources, reserved)
+        elif attempt.reported and ended.outcome is AttemptOutcome.FINISHED:
+            peak = attempt.memory_peak
+            self._sizes.observe_memory_peak(task_class, shape.resources, peak)
+
+    def _sample(self, sample: RunSample, now: float) -> None:
+        attempt = self._fleet.attempt(sample.task.task_id)
+        if attempt is None or attempt.task.attempt != sample.task.attempt:
+            return
+        shape = sample.task.shape
+        entry = attempt.entry
+        self._fleet.reported(attempt, sample.used.millicores)
+        attempt.memory_peak = max(attempt.memory_peak, sample.used.memory)
+        if sample.progress > attempt.progress:
+            attempt.progress = sample.progress
+            attempt.progress_at = now
+        if sample.task.millicores_limit is None:
+            self._sizes.observe_processor(
+                TaskClass(shape.task_class),
+                shape.resources,
+                sample.task.reservation,
+                sample.used.millicores,
+            )
+        if shape.service is not None and sample.tail_milliseconds is not None:
+            self._latency(sample, entry, shape.service, sample.tail_milliseconds, now)
+
+    def _latency(
+        self,
+        sample: RunSample,
+        entry: WorkerEntry,
+        service: ServiceName,
+        tail_milliseconds: float,
+        now: float,
+    ) -> None:
+        contract = self._services.get(service)
+        if contract is None:
+            return
+        ratio = tail_milliseconds / contract.latency_objective_milliseconds
+        entry.settle_departed(sample.measured_at)
+        entry.pressure.report(service, ratio, sample.measured_at)
+        self._measured[entry.worker.worker_id] = entry
+        if self._settings.learns_interference:
+            shares = entry.reported_shares(TaskClass(sample.task.shape.task_class))
+            self._interference.learn(service, entry.reported_load(), shares, ratio, now)
+
+    # Deciding
+
+    def decide(self, view: PlacementView) -> tuple[PlacementCommand, ...]:
+        """See PlacementPolicy."""
+        self._services = view.services
+        for worker_id in self._fleet.sync(view):
+            self._health.forget(worker_id)
+        self._health.set_worker_count(len(view.workers))
+        self._health.drop_trials(lambda task_id: self._fleet.attempt(task_id) is not None)
+        self._room.begin_round(view.now)
+        for service, entry in self._tentative_replicas:
+            self._replicas.add(service, entry, -1)
+        self._tentative_replicas.clear()
+        return tuple(self._commands(view))
+
+    def _commands(self, view: PlacementView) -> Iterator[PlacementCommand]:
+        measured = list(self._measured.values())
+        self._measured.clear()
+        yield from self._relief.plan(measured, view.on_worker, view.weights, view.now)
+        quotas = QuotaLedger(view.teams, view.team_reserved)
+        starts = 0
+        for command in self._placements(view, quotas):
+            yield command
+            starts += isinstance(command, Start)
+            if starts >= view.most_starts:
+                return
+
+    def _placements(self, view: PlacementView, quotas: QuotaLedger) -> Iterator[PlacementCommand]:
+        waiting = split(view)
+        yield from self._replica_starts(waiting.replicas, view)
+        yield from self._urgent_starts(waiting.urgent, view, quotas)
+        if self._settings.keeps_urgent_headroom:
+            self._headroom.replenish(view.now)
+        yield from self._batch_starts(FairQueue(waiting.batch, quotas), view, quotas)
+
+    def _replica_starts(
+        self, jobs: list[WaitingJob], view: PlacementView
+    ) -> Iterator[PlacementCommand]:
+        misfits = 0
+        for task in tasks_of(jobs):
+            if misfits >= _MOST_URGENT_MISFITS:
+                return
+            if is_to_blame(task.failed_on, self._health):
+                yield Refuse(task.task_id, FailedOnManyWorkers(task.failed_on).sentence())
+                continue
+            need = self._need(task.shape)
+            start = self._replica_start(task, need, view)
+            if start is not None:
+                yield start
+                continue
+            misfits += 1
+            yield from self._make_room(task, need, view)
+
+    def _replica_start(self, task: Task, need: Resources, view: PlacementView) -> Start | None:
+        service = task.shape.service
+        if service is None:
+            return None
+        accepts = self._acceptance(task, view.now)
+        places = replica_places(self._fleet, self._replicas, service, need, accepts)
+        place = next(places, None)
+        if place is None:
+            claimed = self._room.claim(task.task_id, need)
+            if claimed is None:
+                return None
+            place = self._replicas.place(service, claimed)
+        worker = place.entry.worker
+        self._replicas.add(service, place.entry, 1)
+        self._tentative_replicas.append((service, place.entry))
+        reason = PlacedReplica(
+            service,
+            worker.worker_id,
+            worker.failure_domain,
+            place.others_in_failure_domain,
+            place.others_in_rack,
+        )
+        return self._start(task, place.entry, need, reason)
+
+    def _urgent_starts(
+        self, jobs: list[WaitingJob], view: PlacementView, quotas: QuotaLedger
+    ) -> Iterator[PlacementCommand]:
+        misfits = 0
+        for task in tasks_of(jobs):
+            if misfits >= _MOST_URGENT_MISFITS:
+                return
+            if is_to_blame(task.failed_on, self._health):
+                yield Refuse(task.task_id, FailedOnManyWorkers(task.failed_on).sentence())
+                continue
+            need = self._need_within_quota(task.shape, quotas)
+            if not quotas.allows(task.shape.team, need):
+                misfits += 1
+                continue
+            entry = self._urgent_worker(task, need, view.now)
+            if entry is None:
+                misfits += 1
+                yield from self._make_room(task, need, view)
+                continue
+            quotas.take(task.shape.team, need)
+            self._headroom.note_arrival(need, view.now)
+            waited = view.now - task.submitted
+            yield self._start(task, entry, need, PlacedUrgent(entry.worker.worker_id, waited))
+
+    def _urgent_worker(self, task: Task, need: Resources, now: float) -> WorkerEntry | None:
+        claimed = self._room.claim(task.task_id, need)
+        if claimed is not None:
+            return claimed
+        accepts = self._acceptance(task, now)
+        task_class = TaskClass(task.shape.task_class)
+        choice = self._choice.choose(need, task_class, accepts, float("inf"), now)
+        if choice.best is not None:
+            return choice.best.entry
+        return self._headroom.take(need, accepts)
+
+    def _batch_starts(
+        self, queue: FairQueue, view: PlacementView, quotas: QuotaLedger
+    ) -> Iterator[PlacementCommand]:
+        misfits = Misfits()
+        for task in queue.tasks():
+            if is_to_blame(task.failed_on, self._health):
+                queue.skip_task()
+                yield Refuse(task.task_id, FailedOnManyWorkers(task.failed_on).sentence())
+                continue
+            shape = task.shape
+            need = self._need_within_quota(shape, quotas)
+            task_class = TaskClass(shape.task_class)
+            if misfits.cover(need, task_class) or not quotas.allows(shape.team, need):
+                queue.skip_job()
+                continue
+            start = self._batch_start(task, need, view, misfits)
+            if start is not None:
+                quotas.take(shape.team, need)
+                queue.started()
+                yield start
+                continue
+            queue.skip_job()
+            if misfits.count >= _MOST_MISFITS:
+                return
+
+    def _batch_start(
+        self, task: Task, need: Resources, view: PlacementView, misfits: Misfits
+    ) -> Start | None:
+        """A start, or None; what found no place is noted in ``misfits``."""
+        highest = _highest_ratio(view, view.now - task.submitted)
+        accepts = self._batch_acceptance(task, view.now)
+        task_class = TaskClass(task.shape.task_class)
+        choice = self._choice.choose(need, task_class, accepts, highest, view.now)
+        best = choice.best
+        if best is None:
+            if not task.failed_on:
+                misfits.add(need, task_class if choice.compared else None)
+            return None
+        reason = PlacedBatch(
+            best.entry.worker.worker_id,
+            task.shape.resources,
+            need,
+            choice.compared,
+            best.slowdown - 1.0,
+        )
+        return self._start(task, best.entry, need, reason)
+
+    def _start(self, task: Task, entry: WorkerEntry, need: Resources, reason: Reason) -> Start:
+        self._fleet.take(entry, need, TaskClass(task.shape.task_class))
+        self._health.started(entry.worker.worker_id, task.task_id)
+        return Start(task.task_id, entry.worker.worker_id, need, reason.sentence())
+
+    def _make_room(
+        self, task: Task, need: Resources, view: PlacementView
+    ) -> Iterator[PlacementCommand]:
+        accepts = self._acceptance(task, view.now)
+        return self._room.make_room(task.task_id, need, view.on_worker, accepts, view.now)
+
+    def _acceptance(self, task: Task, now: float) -> Callable[[WorkerEntry], bool]:
+        """Whether a worker may get the task at all."""
+        health = self._health
+        failed_on = task.failed_on
+
+        def accepts(entry: WorkerEntry) -> bool:
+            worker_id = entry.worker.worker_id
+            return worker_id not in failed_on and health.may_start(worker_id, now)
+
+        return accepts
+
+    def _batch_acceptance(self, task: Task, now: float) -> Callable[[WorkerEntry], bool]:
+        """The same for batch work, which also stays away from services that are slowed now."""
+        may_start = self._acceptance(task, now)
+        if self._settings.relief is not Relief.THROTTLE_FIRST:
+            return may_start
+
+        def accepts(entry: WorkerEntry) -> bool:
+            return not (entry.replicas and entry.pressure.is_high) and may_start(entry)
+
+        return accepts
+
+    def _need(self, shape: TaskShape) -> Resources:
+        """What to reserve for a task."""
+        if not self._settings.learns_sizes:
+            return shape.resources
+        is_service = shape.service is not None
+        task_class = TaskClass(shape.task_class)
+        learned = self._sizes.reservation(task_class, shape.resources, is_service)
+        return cut_to_worker(learned, shape.resources, self._fleet.capacities)
+
+    def _need_within_quota(self, shape: TaskShape, quotas: QuotaLedger) -> Resources:
+        return cut_to_quota(self._need(shape), shape.resources, quotas.quota(shape.team))
+
+    # Explaining
+
+    def infeasible(
+        self,
+        shape: TaskShape,
+        workers: Mapping[WorkerId, Worker],
+        teams: Mapping[TeamName, TeamContract],
+    ) -> str:
+        """See PlacementPolicy."""
+        capacities = {worker.capacity for worker in workers.values()}
+        reason = why_infeasible(shape, capacities, len(workers), teams)
+        return "" if reason is None else reason.sentence()
+
+    def why_waiting(self, task: Task, view: PlacementView) -> Reason:
+        """See PlacementPolicy. Computed when asked, so that waiting costs nothing."""
+        held_on = self._room.held_on(task.task_id)
+        if held_on is not None:
+            return WaitsForEvicted(held_on)
+        quotas = QuotaLedger(view.teams, view.team_reserved)
+        team = task.shape.team
+        need = self._need(task.shape)
+        if task.shape.service is None:
+            need = self._need_within_quota(task.shape, quotas)
+            if not quotas.allows(team, need):
+                return WaitsForQuota(team, need, quotas.reserved(team), quotas.quota(team))
+        accepts = self._acceptance(task, view.now)
+        if not any(map(accepts, self._fleet.with_room(need))):
+            return WaitsForRoom(need, self._health.quarantined_count)
+        if task.shape.service is None and not task.shape.urgent:
+            task_class = TaskClass(task.shape.task_class)
+            highest = _highest_ratio(view, view.now - task.submitted)
+            quiet = self._batch_acceptance(task, view.now)
+            if self._choice.choose(need, task_class, quiet, highest, view.now).best is None:
+                return WaitsForQuietWorker(need)
+        return WaitsForTurn()
+
+
+def _highest_ratio(view: PlacementView, waited: float) -> float:
+    """How far a start may push a service's tail; it grows with the wait, so that none starves."""
+    weights = view.weights
+    total = weights.throughput + weights.tail_latency
+    impatience = weights.throughput / total if total > 0.0 else 0.0
+    patience = min(waited / _PATIENCE_SECONDS, 1.0)
+    return _HIGHEST_RATIO + impatience * patience
+
+
+def _accuses_worker(ended: AttemptEnded) -> bool:
+    """Whether the end may be the worker's fault; a refusal is, since it would draw in all work."""
+    if ended.outcome is AttemptOutcome.REFUSED:
+        return True
+    return ended.outcome is AttemptOutcome.FAILED and not _exhausted_memory(ended)
+
+
+def _exhausted_memory(ended: AttemptEnded) -> bool:
+    return ended.outcome is AttemptOutcome.FAILED and "memory" in ended.reason
--- /dev/null
+++ b/fireflyfork/decisions/placement/_ratio_histogram.py
@@ -0,0 +1,71 @@
+"""A forgetting histogram of ratios, small enough to keep one for each class of work."""
+
+from __future__ import annotations
+
+import math
+from array import array
+
+_BINS_PER_OCTAVE = 8
+_OCTAVES_BELOW_ONE = 5
+_OCTAVES_ABOVE_ONE = 5
+_BIN_COUNT = _BINS_PER_OCTAVE * (_OCTAVES_BELOW_ONE + _OCTAVES_ABOVE_ONE)
+_FIRST_BIN_EXPONENT = -_OCTAVES_BELOW_ONE * _BINS_PER_OCTAVE
+_LARGEST_TOTAL = 1024.0
+"""Beyond this weight all counts are halved, so that an old regime of usage fades."""
+
+
+class RatioHistogram:
+    """Counts of ratios between 1/32 and 32 in bins an eighth of an octave wide (9%).
+
+    hdrhistogram can't forget and takes kilobytes each; there is one of these per class.
+    """
+
+    __slots__ = ("_counts", "_total")
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self._counts = array("f", bytes(4 * _BIN_COUNT))
+        self._total = 0.0
+
+    @property
+    def total(self) -> float:
+        """The weight of what was added and not yet forgotten."""
+        return self._total
+
+    def add(self, ratio: float) -> None:
+        """Count one ratio; what lies outside the range counts in the nearest bin."""
+        self._counts[_bin_of(ratio)] += 1.0
+        self._total += 1.0
+        if self._total > _LARGEST_TOTAL:
+            self._halve()
+
+    def quantile(self, share: float) -> float:
+        """The upper edge of the bin that holds the quantile, so never below it; 0 when empty."""
+        if not self._total:
+            return 0.0
+        wanted = share * self._total
+        seen = 0.0
+        last = 0
+        for index, count in enumerate(self._counts):
+            if count <= 0.0:
+                continue
+            seen += count
+            last = index
+            if seen >= wanted:
+                break
+        return _upper_edge(last)
+
+    def _halve(self) -> None:
+        self._counts = array("f", (count / 2 for count in self._counts))
+        self._total = math.fsum(self._counts)
+
+
+def _bin_of(ratio: float) -> int:
+    if ratio <= 0.0:
+        return 0
+    index = math.ceil(math.log2(ratio) * _BINS_PER_OCTAVE) - 1 - _FIRST_BIN_EXPONENT
+    return min(max(index, 0), _BIN_COUNT - 1)
+
+
+def _upper_edge(index: int) -> float:
+    return float(2.0 ** ((index + 1 + _FIRST_BIN_EXPONENT) / _BINS_PER_OCTAVE))
--- /dev/null
+++ b/fireflyfork/decisions/placement/_reasons.py
@@ -0,0 +1,302 @@
+"""Why the policy did, or did not do, something: a sentence for operators and JSON for programs."""
+
+from __future__ import annotations
+
+import dataclasses
+from dataclasses import dataclass
+from enum import Enum
+
+from ..._ids import FailureDomainName, ServiceName, TaskId, TeamName, WorkerId
+from ..._machines import Resources
+from .._placement_policy import Reason
+
+
+def describe(amount: Resources) -> str:
+    """Resources in words, such as ``1.5 cores, 2.0 GB, 1 accelerator``; zero parts left out."""
+    parts = []
+    if amount.millicores:
+        parts.append(f"{amount.millicores / 1000:g} cores")
+    if amount.memory:
+        parts.append(f"{amount.memory / 1e9:.2f} GB")
+    if amount.accelerators:
+        plural = "" if amount.accelerators == 1 else "s"
+        parts.append(f"{amount.accelerators} accelerator{plural}")
+    return ", ".join(parts) or "nothing"
+
+
+class PlacementReason(Reason):
+    """A reason whose JSON form is its class name and its fields."""
+
+    __slots__ = ()
+
+    def as_json(self) -> dict[str, object]:
+        """``kind`` and the fields, amounts as objects."""
+        fields = {
+            field.name: _plain(getattr(self, field.name))
+            for field in dataclasses.fields(self)  # type: ignore[arg-type]
+        }
+        return {"kind": type(self).__name__, **fields}
+
+
+def _plain(value: object) -> object:
+    if isinstance(value, Resources):
+        return dataclasses.asdict(value)
+    if isinstance(value, Enum):
+        return value.value
+    if isinstance(value, tuple):
+        return [_plain(item) for item in value]
+    return value
+
+
+@dataclass(frozen=True, slots=True)
+class PlacedBatch(PlacementReason):
+    """A batch task starts where it fits and disturbs services least."""
+
+    worker: WorkerId
+    declared: Resources
+    reserved: Resources
+    candidates: int
+    """How many workers with room were compared."""
+    added_latency: float
+    """By what share the worst service beside it is expected to slow down."""
+
+    def sentence(self) -> str:
+        """In words."""
+        return (
+            f"Placed on {self.worker}, the best of {self.candidates} with room: reserves"
+            f" {describe(self.reserved)} (declared {describe(self.declared)}) and is expected to"
+            f" slow the services there by {self.added_latency:.0%}."
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class PlacedUrgent(PlacementReason):
+    """An urgent task starts before everything but replicas of services."""
+
+    worker: WorkerId
+    waited_seconds: float
+
+    def sentence(self) -> str:
+        """In words."""
+        return f"Urgent: placed on {self.worker} after waiting {self.waited_seconds:.2f} s."
+
+
+@dataclass(frozen=True, slots=True)
+class PlacedReplica(PlacementReason):
+    """A replica starts where the fewest others of its service are."""
+
+    service: ServiceName
+    worker: WorkerId
+    failure_domain: FailureDomainName
+    others_in_failure_domain: int
+    others_in_rack: int
+
+    def sentence(self) -> str:
+        """In words."""
+        return (
+            f"Replica of {self.service} placed on {self.worker}: {self.others_in_failure_domain}"
+            f" others are in {self.failure_domain} and {self.others_in_rack} in its rack."
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class WaitsForRoom(PlacementReason):
+    """No worker that may take the task has room now."""
+
+    needed: Resources
+    quarantined_workers: int
+
+    def sentence(self) -> str:
+        """In words."""
+        without = (
+            f" ({self.quarantined_workers} workers are quarantined)"
+            if self.quarantined_workers
+            else ""
+        )
+        return f"Waits: no worker has {describe(self.needed)} free{without}."
+
+
+@dataclass(frozen=True, slots=True)
+class WaitsForQuota(PlacementReason):
+    """The team's running tasks hold too much of its quota."""
+
+    team: TeamName
+    needed: Resources
+    reserved: Resources
+    quota: Resources
+
+    def sentence(self) -> str:
+        """In words."""
+        return (
+            f"Waits: {self.team} has reserved {describe(self.reserved)} of its quota"
+            f" {describe(self.quota)}, and the task needs {describe(self.needed)}."
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class WaitsForQuietWorker(PlacementReason):
+    """Every worker with room runs a service that the task would slow too much."""
+
+    needed: Resources
+
+    def sentence(self) -> str:
+        """In words."""
+        return (
+            f"Waits: each worker with {describe(self.needed)} free runs a service that the task"
+            " would push over its latency objective."
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class WaitsForTurn(PlacementReason):
+    """Others go first this round: nothing hinders the task but the number of starts."""
+
+    def sentence(self) -> str:
+        """In words."""
+        return "Waits for its turn: there is room, and tasks of other teams or jobs start first."
+
+
+@dataclass(frozen=True, slots=True)
+class WaitsForEvicted(PlacementReason):
+    """Room was ordered on a worker, and what held it is still stopping."""
+
+    worker: WorkerId
+
+    def sentence(self) -> str:
+        """In words."""
+        return f"Waits for batch tasks on {self.worker} that were told to make room for it."
+
+
+@dataclass(frozen=True, slots=True)
+class ThrottledForLatency(PlacementReason):
+    """A batch task is slowed because a service beside it is over its objective."""
+
+    service: ServiceName
+    worker: WorkerId
+    latency_ratio: float
+    """Smoothed p99 over the objective."""
+    millicores: int
+
+    def sentence(self) -> str:
+        """In words."""
+        return (
+            f"Throttled to {self.millicores / 1000:g} cores: {self.service} on {self.worker} has a"
+            f" p99 of {self.latency_ratio:.2f} times its objective."
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class ThrottleLifted(PlacementReason):
+    """The services of the worker have been well within their objectives for long enough."""
+
+    worker: WorkerId
+    latency_ratio: float
+
+    def sentence(self) -> str:
+        """In words."""
+        return (
+            f"No longer throttled: the services on {self.worker} have a p99 of at most"
+            f" {self.latency_ratio:.2f} times their objective."
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class EvictedForLatency(PlacementReason):
+    """Throttling did not help, and what the service gains outweighs the work lost."""
+
+    service: ServiceName
+    worker: WorkerId
+    latency_ratio: float
+    lost_seconds: float
+    gain: float
+    """Weighted benefit to the service, in the unit of ``cost``."""
+    cost: float
+    """Weighted cost of the eviction and of the work lost."""
+
+    def sentence(self) -> str:
+        """In words."""
+        return (
+            f"Evicted: {self.service} on {self.worker} stayed at {self.latency_ratio:.2f} times its"
+            f" latency objective although batch work was throttled; about {self.lost_seconds:.0f} s"
+            f" of work are lost (gain {self.gain:.1f}, cost {self.cost:.1f})."
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class EvictedForUrgent(PlacementReason):
+    """The task made room for urgent work or for a replica of a service."""
+
+    task: TaskId
+    worker: WorkerId
+    lost_seconds: float
+
+    def sentence(self) -> str:
+        """In words."""
+        return (
+            f"Evicted from {self.worker} to make room for {self.task}, which must start at once;"
+            f" about {self.lost_seconds:.0f} s of work are lost."
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class LargerThanAnyWorker(PlacementReason):
+    """No worker could hold the task even if it were empty."""
+
+    needed: Resources
+    workers: int
+
+    def sentence(self) -> str:
+        """In words."""
+        return f"Refused: none of {self.workers} workers can ever hold {describe(self.needed)}."
+
+
+@dataclass(frozen=True, slots=True)
+class LargerThanQuota(PlacementReason):
+    """One task alone exceeds the team's whole quota."""
+
+    team: TeamName
+    needed: Resources
+    quota: Resources
+
+    def sentence(self) -> str:
+        """In words."""
+        return (
+            f"Refused: the task needs {describe(self.needed)}, more than the whole quota of"
+            f" {self.team}, {describe(self.quota)}."
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class UnknownTeam(PlacementReason):
+    """The configuration names no such team."""
+
+    team: TeamName
+
+    def sentence(self) -> str:
+        """In words."""
+        return f"Refused: no team {self.team} in the configuration."
+
+
+@dataclass(frozen=True, slots=True)
+class UrgentNotAllowed(PlacementReason):
+    """The team's contract does not allow urgent work."""
+
+    team: TeamName
+
+    def sentence(self) -> str:
+        """In words."""
+        return f"Refused: {self.team} may not submit urgent work."
+
+
+@dataclass(frozen=True, slots=True)
+class FailedOnManyWorkers(PlacementReason):
+    """The task failed wherever it ran, so the fault is its own."""
+
+    workers: tuple[WorkerId, ...]
+
+    def sentence(self) -> str:
+        """In words."""
+        return (
+            f"Given up: it failed on {len(self.workers)} different workers"
+            f" ({', '.join(self.workers)})."
+        )
--- /dev/null
+++ b/fireflyfork/decisions/placement/_relief.py
@@ -0,0 +1,309 @@
+"""Relief for slowed services: throttle first, then evict what pays for itself, then relax."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass
+
+from ..._contracts import Tolerance, Weights
+from ..._ids import ServiceName, TaskId, WorkerId
+from .._placement_policy import CheckpointAndEvict, PlacementCommand, Throttle
+from .._tasks import Task, TaskState
+from ._classes import TaskClass
+from ._eviction_budget import EvictionBudget, latency_share_per_hour
+from ._fleet import AttemptEntry, Fleet, WorkerEntry
+from ._interference import InterferenceModel
+from ._policy_settings import Relief
+from ._pressure import PressureAction
+from ._reasons import EvictedForLatency, ThrottledForLatency, ThrottleLifted
+
+_WANTED_RATIO = 0.85
+"""Relief aims below the objective, or the next report would ask for more."""
+_THROTTLE_SHARE = 0.5
+_LEAST_SHARE_OF_RESERVATION = 0.25
+_LEAST_MILLICORES = 50
+_MATERIAL_SHARE = 0.25
+"""Only work that adds at least so much of what the worst neighbour adds has to yield."""
+_HARMLESS = 0.01
+"""A limit that holds back no more than this (natural logarithm) helps nobody."""
+_LEAST_EXPLAINED = 0.05
+"""Below it neighbours don't explain the latency, and slowing them would not help."""
+_REPORTS_TO_ACQUIT = 12
+_HORIZON_MINUTES = 10.0
+"""Load shifts, so the benefit of an eviction is not counted beyond this."""
+_RESTART_MINUTES = 0.5
+"""What a restart costs besides the lost work."""
+_SHORTEST_REMAINING_MINUTES = 0.5
+_CORE_MINUTE = 0.05
+"""The worth of a lost core-minute in the unit of one eviction, before weights."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Neighbour:
+    """A batch task beside a slowed service."""
+
+    task: Task
+    attempt: AttemptEntry
+    blame: float
+    """What it adds to the logarithm of the service's tail, or its share of use when unknown."""
+    limit: int
+    """Millicores to which the next throttle would take it."""
+
+    @property
+    def can_be_throttled(self) -> bool:
+        current = self.task.millicores_limit
+        if current is None:
+            return self.limit < max(self.attempt.used, 1)
+        return self.limit < current
+
+
+class ReliefPlanner:
+    """Decides what is done on each worker whose services are slowed, or no longer are."""
+
+    def __init__(self, fleet: Fleet, interference: InterferenceModel, relief: Relief) -> None:
+        """Shares the policy's index and model."""
+        self._fleet = fleet
+        self._interference = interference
+        self._relief = relief
+        self._budget = EvictionBudget()
+
+    @property
+    def budget(self) -> EvictionBudget:
+        """What may still be evicted."""
+        return self._budget
+
+    def plan(
+        self,
+        touched: Iterable[WorkerEntry],
+        on_worker: Mapping[WorkerId, Mapping[TaskId, Task]],
+        weights: Weights,
+        now: float,
+    ) -> Iterator[PlacementCommand]:
+        """Commands for the workers about which there were new measurements."""
+        self._budget.refill(now, self._fleet.batch_count, latency_share_per_hour(weights))
+        for entry in touched:
+            tasks = on_worker.get(entry.worker.worker_id, {})
+            yield from self._plan_worker(entry, tasks, weights, now)
+
+    def _plan_worker(
+        self, entry: WorkerEntry, tasks: Mapping[TaskId, Task], weights: Weights, now: float
+    ) -> Iterator[PlacementCommand]:
+        action = entry.pressure.action()
+        service, ratio = entry.pressure.worst()
+        if self._relief is Relief.NONE or service is None:
+            return
+        if self._relief is Relief.EVICT_AT_ONCE:
+            if entry.pressure.is_high:
+                yield from self._evict_largest(entry, tasks, service, ratio, now)
+            return
+        if action is PressureAction.RELAX and entry.throttled:
+            lifted = tuple(self._relax(entry, tasks, service, ratio, now))
+            if lifted:
+                entry.pressure.relaxed(now)
+            yield from lifted
+        elif action is PressureAction.RELIEVE:
+            commands = tuple(self._relieve(entry, tasks, service, ratio, weights, now))
+            if commands:
+                entry.pressure.relieved(now)
+            yield from commands
+
+    def _relieve(
+        self,
+        entry: WorkerEntry,
+        tasks: Mapping[TaskId, Task],
+        service: ServiceName,
+        ratio: float,
+        weights: Weights,
+        now: float,
+    ) -> Iterator[PlacementCommand]:
+        neighbours = self._neighbours(entry, tasks, service, now)
+        if not neighbours:
+            return
+        throttled = tuple(self._throttle(entry, neighbours, service, ratio))
+        if throttled:
+            yield from throttled
+            return
+        yield from self._evict(entry, neighbours, service, ratio, weights, now)
+
+    def _neighbours(
+        self, entry: WorkerEntry, tasks: Mapping[TaskId, Task], service: ServiceName, now: float
+    ) -> list[_Neighbour]:
+        """The batch tasks that may be slowed, worst first; none when they are not at fault."""
+        capacity = max(entry.worker.capacity.millicores, 1)
+        load = entry.load_with(0)
+        found = []
+        for task, attempt in self._yielding(tasks):
+            share = attempt.used / capacity
+            task_class = TaskClass(task.shape.task_class)
+            blame = self._interference.added(service, load, task_class, share, now)
+            found.append(_Neighbour(task, attempt, blame, _next_limit(task, attempt)))
+        if sum(neighbour.blame for neighbour in found) < _LEAST_EXPLAINED:
+            if self._interference.reports(service, load) >= _REPORTS_TO_ACQUIT:
+                return []
+            found = [
+                _Neighbour(item.task, item.attempt, item.attempt.used / capacity, item.limit)
+                for item in found
+            ]
+        return sorted(found, key=lambda item: (-item.blame, item.task.task_id))
+
+    def _yielding(self, tasks: Mapping[TaskId, Task]) -> Iterator[tuple[Task, AttemptEntry]]:
+        for task in tasks.values():
+            attempt = self._fleet.attempt(task.task_id)
+            if attempt is not None and attempt.reported and _may_be_slowed(task):
+                yield task, attempt
+
+    def _throttle(
+        self, entry: WorkerEntry, neighbours: list[_Neighbour], service: ServiceName, ratio: float
+    ) -> Iterator[Throttle]:
+        excess = math.log(ratio / _WANTED_RATIO)
+        least_blame = _MATERIAL_SHARE * neighbours[0].blame
+        for neighbour in neighbours:
+            if excess <= 0.0 or neighbour.blame < least_blame:
+                return
+            if not neighbour.can_be_throttled:
+                continue
+            used = max(neighbour.attempt.used, 1)
+            excess -= neighbour.blame * max(1.0 - neighbour.limit / used, 0.0)
+            entry.throttled.add(neighbour.task.task_id)
+            worker_id = entry.worker.worker_id
+            reason = ThrottledForLatency(service, worker_id, ratio, neighbour.limit)
+            yield Throttle(neighbour.task.task_id, neighbour.limit, reason.sentence())
+
+    def _evict(
+        self,
+        entry: WorkerEntry,
+        neighbours: list[_Neighbour],
+        service: ServiceName,
+        ratio: float,
+        weights: Weights,
+        now: float,
+    ) -> Iterator[CheckpointAndEvict]:
+        """One eviction at most: the least lost work among the neighbours that matter."""
+        least_blame = _MATERIAL_SHARE * neighbours[0].blame
+        material = [
+            item
+            for item in neighbours
+            if item.blame >= least_blame and item.task.shape.tolerance is Tolerance.EVICT
+        ]
+        if not material:
+            return
+        victim = min(material, key=lambda item: lost_core_seconds(item.attempt, now))
+        gain = self._gain(entry, victim, ratio, weights, now)
+        cost = eviction_cost(victim.attempt, weights, now)
+        if gain <= cost or not self._budget.take():
+            return
+        lost = lost_seconds(victim.attempt, now)
+        worker_id = entry.worker.worker_id
+        reason = EvictedForLatency(service, worker_id, ratio, lost, gain, cost)
+        yield CheckpointAndEvict(victim.task.task_id, reason.sentence())
+
+    def _gain(
+        self, entry: WorkerEntry, victim: _Neighbour, ratio: float, weights: Weights, now: float
+    ) -> float:
+        """Minutes of replicas at a doubled tail that the eviction saves, times the weight."""
+        after = max(ratio * math.exp(-victim.blame), _WANTED_RATIO)
+        minutes = min(remaining_minutes(victim.attempt, now), _HORIZON_MINUTES)
+        replicas = sum(entry.replicas.values())
+        return weights.tail_latency * replicas * max(ratio - after, 0.0) * minutes
+
+    def _relax(
+        self,
+        entry: WorkerEntry,
+        tasks: Mapping[TaskId, Task],
+        service: ServiceName,
+        ratio: float,
+        now: float,
+    ) -> Iterator[Throttle]:
+        """Raise the limits that harm least, as many as keep the service where it is wanted."""
+        slack = math.log(_WANTED_RATIO / ratio)
+        for harm, task in self._limited(entry, tasks, service, now):
+            slack -= harm
+            if slack < 0.0 and harm > _HARMLESS:
+                return
+            raised: int | None = int((task.millicores_limit or 0) / _THROTTLE_SHARE)
+            if raised is not None and raised >= task.reservation.millicores:
+                raised = None
+                entry.throttled.discard(task.task_id)
+            reason = ThrottleLifted(entry.worker.worker_id, ratio)
+            yield Throttle(task.task_id, raised, reason.sentence())
+
+    def _limited(
+        self, entry: WorkerEntry, tasks: Mapping[TaskId, Task], service: ServiceName, now: float
+    ) -> list[tuple[float, Task]]:
+        """The throttled tasks, each with what a raised limit would add, least harm first."""
+        capacity = max(entry.worker.capacity.millicores, 1)
+        load = entry.load_with(0)
+        limited = []
+        for task_id in tuple(entry.throttled):
+            task = tasks.get(task_id)
+            if task is None or task.millicores_limit is None:
+                entry.throttled.discard(task_id)
+                continue
+            share = task.millicores_limit / capacity
+            task_class = TaskClass(task.shape.task_class)
+            harm = self._interference.added(service, load, task_class, share, now)
+            limited.append((harm, task))
+        return sorted(limited, key=lambda item: (item[0], item[1].task_id))
+
+    def _evict_largest(
+        self,
+        entry: WorkerEntry,
+        tasks: Mapping[TaskId, Task],
+        service: ServiceName,
+        ratio: float,
+        now: float,
+    ) -> Iterator[CheckpointAndEvict]:
+        """The baseline: no hysteresis, no cost, no budget."""
+        attempts = [
+            attempt
+            for task, attempt in self._yielding(tasks)
+            if task.shape.tolerance is Tolerance.EVICT
+        ]
+        if not attempts:
+            return
+        victim = max(attempts, key=lambda item: (item.used, item.task.task_id))
+        lost = lost_seconds(victim, now)
+        reason = EvictedForLatency(service, entry.worker.worker_id, ratio, lost, 0.0, 0.0)
+        entry.pressure.relieved(now)
+        yield CheckpointAndEvict(victim.task.task_id, reason.sentence())
+
+
+def lost_seconds(attempt: AttemptEntry, now: float) -> float:
+    """How long ago the last progress was reported, which a failed checkpoint would lose."""
+    return max(now - attempt.progress_at, 0.0)
+
+
+def lost_core_seconds(attempt: AttemptEntry, now: float) -> float:
+    """The same, times the processors reserved."""
+    return lost_seconds(attempt, now) * attempt.task.reservation.millicores / 1000.0
+
+
+def remaining_minutes(attempt: AttemptEntry, now: float) -> float:
+    """What is left of the declared run time, never taken as nothing: declarations are wrong."""
+    shape = attempt.task.shape
+    left = (1.0 - attempt.progress) * shape.run_seconds / 60.0
+    return max(left, _SHORTEST_REMAINING_MINUTES)
+
+
+def eviction_cost(attempt: AttemptEntry, weights: Weights, now: float) -> float:
+    """What an eviction costs: itself, the work lost and the restart, weighted."""
+    cores = attempt.task.reservation.millicores / 1000.0
+    lost_core_minutes = lost_core_seconds(attempt, now) / 60.0 + cores * _RESTART_MINUTES
+    return weights.evictions + weights.throughput * lost_core_minutes * _CORE_MINUTE
+
+
+def _may_be_slowed(task: Task) -> bool:
+    return (
+        task.state is TaskState.RUNNING
+        and task.shape.service is None
+        and not task.shape.urgent
+        and task.shape.tolerance is not Tolerance.NONE
+    )
+
+
+def _next_limit(task: Task, attempt: AttemptEntry) -> int:
+    current = task.millicores_limit
+    base = attempt.used if current is None else current
+    floor = int(_LEAST_SHARE_OF_RESERVATION * task.reservation.millicores)
+    return max(int(base * _THROTTLE_SHARE), floor, _LEAST_MILLICORES)
--- /dev/null
+++ b/fireflyfork/decisions/placement/_room.py
@@ -0,0 +1,190 @@
+"""Room for work that must start at once: batch tasks are evicted, and what they leave is held."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator, Mapping
+from dataclasses import dataclass
+from itertools import islice
+
+from ..._contracts import Tolerance
+from ..._ids import TaskId, WorkerId
+from ..._machines import Resources
+from .._placement_policy import CheckpointAndEvict
+from .._tasks import Task, TaskState
+from ._eviction_budget import EvictionBudget
+from ._fleet import Fleet, WorkerEntry
+from ._reasons import EvictedForUrgent
+from ._relief import lost_core_seconds, lost_seconds
+
+_SHARE_PER_HOUR = 1.0
+_LEAST_BURST = 16.0
+_MOST_VICTIMS = 4
+_WORKERS_EXAMINED = 48
+_PLANS_COMPARED = 8
+_HOLD_SECONDS = 15.0
+"""After it the room is given back: the victims never stopped or the worker is gone."""
+
+Victims = list[Task]
+
+
+@dataclass(frozen=True, slots=True)
+class Hold:
+    """Room kept on one worker for one task."""
+
+    entry: WorkerEntry
+    amount: Resources
+    expires: float
+
+
+class RoomMaker:
+    """Evicts for urgent tasks and replicas, under a budget of its own."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        """Shares the policy's index."""
+        self._fleet = fleet
+        self._holds: dict[TaskId, Hold] = {}
+        self._budget = EvictionBudget(_LEAST_BURST)
+        self._next_worker = 0
+        self._victims: set[TaskId] = set()
+
+    @property
+    def budget(self) -> EvictionBudget:
+        """What may still be evicted."""
+        return self._budget
+
+    def begin_round(self, now: float) -> None:
+        """Refill the budget and give back what was held for too long."""
+        self._budget.refill(now, self._fleet.batch_count, _SHARE_PER_HOUR)
+        for task_id in [key for key, hold in self._holds.items() if hold.expires <= now]:
+            self.release(task_id)
+
+    def held_on(self, task_id: TaskId) -> WorkerId | None:
+        """The worker on which room is held for the task."""
+        hold = self._holds.get(task_id)
+        return None if hold is None else hold.entry.worker.worker_id
+
+    def release(self, task_id: TaskId) -> None:
+        """Give back what is held for a task that ended or is no longer urgent to place."""
+        hold = self._holds.pop(task_id, None)
+        if hold is not None:
+            self._fleet.release(hold.entry, hold.amount)
+
+    def forget_victim(self, task_id: TaskId) -> None:
+        """A victim's attempt is over."""
+        self._victims.discard(task_id)
+
+    def claim(self, task_id: TaskId, need: Resources) -> WorkerEntry | None:
+        """The worker whose held room the task can now use; the hold ends with it."""
+        hold = self._holds.get(task_id)
+        if hold is None:
+            return None
+        self._fleet.release(hold.entry, hold.amount)
+        listed = self._fleet.entries.get(hold.entry.worker.worker_id) is hold.entry
+        if listed and hold.entry.has_room(need):
+            del self._holds[task_id]
+            return hold.entry
+        self._fleet.hold(hold.entry, hold.amount)
+        return None
+
+    def make_room(
+        self,
+        task_id: TaskId,
+        need: Resources,
+        on_worker: Mapping[WorkerId, Mapping[TaskId, Task]],
+        accepts: Callable[[WorkerEntry], bool],
+        now: float,
+    ) -> Iterator[CheckpointAndEvict]:
+        """Evict what costs least among a few workers, and hold the room it leaves."""
+        if task_id in self._holds or self._budget.tokens < 1.0:
+            return
+        plans = islice(self._plans(need, on_worker, accepts, now), _PLANS_COMPARED)
+        best = min(plans, key=lambda plan: plan[0], default=None)
+        if best is None or len(best[2]) > self._budget.tokens:
+            return
+        _, entry, victims = best
+        self._fleet.hold(entry, need)
+        self._holds[task_id] = Hold(entry, need, now + _HOLD_SECONDS)
+        for victim in victims:
+            self._budget.take()
+            self._victims.add(victim.task_id)
+            reason = self._reason(task_id, victim, entry, now)
+            yield CheckpointAndEvict(victim.task_id, reason.sentence())
+
+    def _reason(
+        self, task_id: TaskId, victim: Task, entry: WorkerEntry, now: float
+    ) -> EvictedForUrgent:
+        attempt = self._fleet.attempt(victim.task_id)
+        lost = 0.0 if attempt is None else lost_seconds(attempt, now)
+        return EvictedForUrgent(task_id, entry.worker.worker_id, lost)
+
+    def _plans(
+        self,
+        need: Resources,
+        on_worker: Mapping[WorkerId, Mapping[TaskId, Task]],
+        accepts: Callable[[WorkerEntry], bool],
+        now: float,
+    ) -> Iterator[tuple[tuple[int, float], WorkerEntry, Victims]]:
+        for entry in self._next_workers():
+            if not need.fits_in(entry.worker.capacity) or not accepts(entry):
+                continue
+            victims = self._victims_on(entry, need, on_worker, now)
+            if victims:
+                lost = sum(self._lost(task, now) for task in victims)
+                yield (len(victims), lost), entry, victims
+
+    def _next_workers(self) -> Iterator[WorkerEntry]:
+        """Each call goes on where the last one ended, so that evictions are spread."""
+        entries = self._fleet.numbered
+        for _ in range(min(_WORKERS_EXAMINED, len(entries))):
+            self._next_worker = (self._next_worker + 1) % len(entries)
+            entry = entries[self._next_worker]
+            if entry is not None:
+                yield entry
+
+    def _victims_on(
+        self,
+        entry: WorkerEntry,
+        need: Resources,
+        on_worker: Mapping[WorkerId, Mapping[TaskId, Task]],
+        now: float,
+    ) -> Victims:
+        """The fewest and cheapest tasks whose room suffices; empty when there are none."""
+        free = Resources(entry.free_millicores, entry.free_memory, entry.free_accelerators)
+        tasks = on_worker.get(entry.worker.worker_id, {})
+        evictable = [task for task in tasks.values() if self._may_be_evicted(task)]
+        evictable.sort(key=lambda task: (self._lost(task, now), task.task_id))
+        victims: Victims = []
+        for task in evictable:
+            if need.fits_in(free):
+                break
+            free = free + task.reservation
+            victims.append(task)
+        if not need.fits_in(free):
+            return []
+        victims = _without_needless(victims, free, need)
+        return victims if len(victims) <= _MOST_VICTIMS else []
+
+    def _may_be_evicted(self, task: Task) -> bool:
+        return (
+            task.state is TaskState.RUNNING
+            and task.shape.service is None
+            and not task.shape.urgent
+            and task.shape.tolerance is Tolerance.EVICT
+            and task.task_id not in self._victims
+        )
+
+    def _lost(self, task: Task, now: float) -> float:
+        attempt = self._fleet.attempt(task.task_id)
+        return 0.0 if attempt is None else lost_core_seconds(attempt, now)
+
+
+def _without_needless(victims: Victims, free: Resources, need: Resources) -> Victims:
+    """Spare those, dearest first, without whom the room still suffices."""
+    kept = []
+    for task in reversed(victims):
+        without = free - task.reservation
+        if need.fits_in(without):
+            free = without
+        else:
+            kept.append(task)
+    return kept
--- /dev/null
+++ b/fireflyfork/decisions/placement/_spread.py
@@ -0,0 +1,80 @@
+"""Spreads the replicas of a service over failure domains, racks and workers."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+
+from ..._ids import FailureDomainName, RackName, ServiceName
+from ..._machines import Resources
+from ._fleet import Fleet, WorkerEntry
+
+
+@dataclass(frozen=True, slots=True)
+class ReplicaPlace:
+    """A worker for a replica, and how many others of the service are near it."""
+
+    entry: WorkerEntry
+    others_in_failure_domain: int
+    others_in_rack: int
+
+
+class ReplicaCounts:
+    """How many replicas of each service each failure domain and rack holds."""
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self._domains: dict[ServiceName, Counter[FailureDomainName]] = {}
+        self._racks: dict[ServiceName, Counter[RackName]] = {}
+
+    def add(self, service: ServiceName, entry: WorkerEntry, change: int) -> None:
+        """Count a replica on a worker (``change`` 1), or one that ended (-1)."""
+        worker = entry.worker
+        self._domains.setdefault(service, Counter())[worker.failure_domain] += change
+        self._racks.setdefault(service, Counter())[worker.rack] += change
+
+    def place(self, service: ServiceName, entry: WorkerEntry) -> ReplicaPlace:
+        """A worker as a place for one more replica."""
+        worker = entry.worker
+        return ReplicaPlace(
+            entry,
+            self.in_failure_domain(service, worker.failure_domain),
+            self.in_rack(service, worker.rack),
+        )
+
+    def in_failure_domain(self, service: ServiceName, name: FailureDomainName) -> int:
+        """Replicas of the service in a failure domain."""
+        return self._domains.get(service, Counter())[name]
+
+    def in_rack(self, service: ServiceName, name: RackName) -> int:
+        """Replicas of the service in a rack."""
+        return self._racks.get(service, Counter())[name]
+
+
+def replica_places(
+    fleet: Fleet,
+    counts: ReplicaCounts,
+    service: ServiceName,
+    need: Resources,
+    accepts: Callable[[WorkerEntry], bool],
+) -> Iterator[ReplicaPlace]:
+    """One place per rack, from the emptiest failure domain and rack on."""
+    ranked = sorted(
+        (counts.in_failure_domain(service, domain), counts.in_rack(service, rack), domain, rack)
+        for domain, racks in fleet.racks.items()
+        for rack in racks
+    )
+    for in_domain, in_rack, domain, rack in ranked:
+        members = [
+            entry for entry in fleet.racks[domain][rack] if entry.has_room(need) and accepts(entry)
+        ]
+        if members:
+            entry = min(members, key=lambda item: _crowding(item, service))
+            yield ReplicaPlace(entry, in_domain, in_rack)
+
+
+def _crowding(entry: WorkerEntry, service: ServiceName) -> tuple[int, int, int]:
+    """Fewest of the same service first, then fewest of any, then the emptiest worker."""
+    same = entry.replicas.get(service, 0)
+    return same, sum(entry.replicas.values()), -entry.free_millicores
--- /dev/null
+++ b/fireflyfork/decisions/placement/_waiting.py
@@ -0,0 +1,44 @@
+"""Splits what waits by how it is placed."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from itertools import chain
+
+from ..._ids import TeamName
+from .._placement_policy import PlacementView
+from .._tasks import Task
+from ._fair_queue import WaitingJob
+
+
+@dataclass(frozen=True, slots=True)
+class WaitingWork:
+    """The waiting jobs of one round, in order of arrival."""
+
+    replicas: list[WaitingJob]
+    urgent: list[WaitingJob]
+    batch: Mapping[TeamName, list[WaitingJob]]
+
+
+def split(view: PlacementView) -> WaitingWork:
+    """Look at the first task of each waiting job; the others are equal."""
+    replicas: list[WaitingJob] = []
+    urgent: list[WaitingJob] = []
+    batch: dict[TeamName, list[WaitingJob]] = {}
+    for tasks in chain(view.urgent.values(), view.waiting.values()):
+        first = next(iter(tasks.values()), None)
+        if first is None:
+            continue
+        if first.shape.service is not None:
+            replicas.append(tasks)
+        elif first.shape.urgent:
+            urgent.append(tasks)
+        else:
+            batch.setdefault(first.shape.team, []).append(tasks)
+    return WaitingWork(replicas, urgent, batch)
+
+
+def tasks_of(jobs: list[WaitingJob]) -> Iterator[Task]:
+    """All tasks of some jobs, one after another."""
+    return chain.from_iterable(tasks.values() for tasks in jobs)
--- /dev/null
+++ b/fireflyfork/decisions/placement/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the package above."""
--- /dev/null
+++ b/fireflyfork/decisions/placement/tests/test_interference.py
@@ -0,0 +1,50 @@
+"""What the model of interference learns from noisy reports of mixed neighbours."""
+
+import math
+import random
+import unittest
+
+from ...._ids import ServiceName
+from .._classes import TaskClass
+from .._interference import InterferenceModel
+
+_DESK = ServiceName("desk")
+_NOISY = TaskClass("noisy")
+_QUIET = TaskClass("quiet")
+
+
+def _learned(reports: int) -> InterferenceModel:
+    """A model after reports beside a noisy class (slope 3) and a quiet one (slope 0)."""
+    chance = random.Random(7)
+    model = InterferenceModel()
+    for number in range(reports):
+        shares = {_NOISY: chance.uniform(0.0, 0.4), _QUIET: chance.uniform(0.0, 0.4)}
+        noise = chance.gauss(0.0, 0.15)
+        ratio = 0.4 * math.exp(3.0 * shares[_NOISY] + noise)
+        model.learn(_DESK, 0.5, shares, ratio, float(number))
+    return model
+
+
+class InterferenceTest(unittest.TestCase):
+    """Estimates per pair of classes and band of load."""
+
+    def test_the_noisy_class_is_told_from_the_quiet_one(self) -> None:
+        """Each report mixes both; blaming both would slow work that harms nobody."""
+        model = _learned(400)
+        noisy = model.added(_DESK, 0.5, _NOISY, 1.0, 400.0)
+        quiet = model.added(_DESK, 0.5, _QUIET, 1.0, 400.0)
+        self.assertAlmostEqual(noisy, 3.0, delta=0.6)
+        self.assertLess(quiet, 0.5)
+
+    def test_estimates_fade(self) -> None:
+        """A class was mended, but is kept from all services, so no report can acquit it."""
+        model = _learned(400)
+        fresh = model.added(_DESK, 0.5, _NOISY, 1.0, 400.0)
+        later = model.added(_DESK, 0.5, _NOISY, 1.0, 400.0 + 24 * 3600.0)
+        self.assertLess(later, fresh / 8)
+
+    def test_an_unmeasured_band_borrows_from_the_nearest(self) -> None:
+        """Load rises for the first time; without a guess all lessons would start anew."""
+        model = _learned(400)
+        high = model.added(_DESK, 0.9, _NOISY, 1.0, 400.0)
+        self.assertEqual(high, model.added(_DESK, 0.5, _NOISY, 1.0, 400.0))
--- /dev/null
+++ b/fireflyfork/decisions/placement/tests/test_pressure.py
@@ -0,0 +1,78 @@
+"""Hysteresis: whatever the latency does, throttling does not flap."""
+
+import unittest
+from collections.abc import Sequence
+from itertools import pairwise
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ...._ids import ServiceName
+from .._pressure import Pressure, PressureAction
+
+_DESK = ServiceName("desk")
+_REPORT_SECONDS = 3.0
+
+
+def _actions(ratios: Sequence[float]) -> list[PressureAction]:
+    """What a worker asks for as these ratios are reported, and does at once."""
+    pressure = Pressure()
+    done: list[PressureAction] = []
+    for number, ratio in enumerate(ratios):
+        now = number * _REPORT_SECONDS
+        pressure.report(_DESK, ratio, now)
+        action = pressure.action()
+        if action is PressureAction.RELIEVE:
+            pressure.relieved(now)
+        elif action is PressureAction.RELAX:
+            pressure.relaxed(now)
+        if action is not PressureAction.NONE:
+            done.append(action)
+    return done
+
+
+class PressureTest(unittest.TestCase):
+    """The state of one worker under reports."""
+
+    @settings(max_examples=300)
+    @given(st.lists(st.sampled_from([0.2, 0.7, 0.9, 1.1, 3.0]), min_size=100, max_size=300))
+    def test_direction_rarely_changes(self, ratios: list[float]) -> None:
+        """Load swings in the worst rhythm for a quarter of an hour.
+
+        Each change of direction slows batch work or the service for nothing; undamped there
+        would be one every few reports.
+        """
+        actions = _actions(ratios)
+        changes = sum(one is not other for one, other in pairwise(actions))
+        self.assertLessEqual(changes, 14)
+
+    def test_worst_rhythm(self) -> None:
+        """Every limit that is lifted brings the slowness back at once, for two hours."""
+        pressure = Pressure()
+        throttled = False
+        changes = 0
+        for number in range(2400):
+            now = number * _REPORT_SECONDS
+            pressure.report(_DESK, 0.3 if throttled else 2.0, now)
+            action = pressure.action()
+            if action is PressureAction.RELIEVE:
+                pressure.relieved(now)
+                changes += 1
+                throttled = True
+            elif action is PressureAction.RELAX and throttled:
+                pressure.relaxed(now)
+                changes += 1
+                throttled = False
+        self.assertLessEqual(changes, 80)
+
+    def test_old_measurements_do_not_count(self) -> None:
+        """After a throttle, reports still describe the time before it; they ask for nothing."""
+        pressure = Pressure()
+        for second in (0.0, 1.0):
+            pressure.report(_DESK, 2.0, second)
+            action = pressure.action()
+        self.assertIs(action, PressureAction.RELIEVE)
+        pressure.relieved(10.0)
+        for second in range(2, 12):
+            pressure.report(_DESK, 2.0, float(second))
+        self.assertIs(pressure.action(), PressureAction.NONE)
