--- a/fireflyfork/programs/_configuration_keeper.py
+++ b/fireflyfork/programs/_configuration_keeper.py
@@ -27,6 +27,7 @@
     OfferSource,
     begin_register,
     consider,
+    decode_configuration,
     peer_done,
     store_is_empty,
 )
@@ -118,8 +119,7 @@
             self._state = store_is_empty(self._state)
             return
         self._revision = stored.revision
-        configuration = decode_contracts(stored.value)
-        offer = ConfigurationOffer(configuration.version, configuration.change_id, stored.value)
+        offer = decode_configuration(stored.value)
         self._consider(offer, OfferSource.STORE)
         for mate in self._mates():
             self._pass_on(mate.member_id, offer)
