Draining over HTTP, and minted keys cost at most 32 draws

Cause: a POST through an entry that owns nothing cost 16 ms of processor time against 2.8 ms for a GET (profile of 500 requests, caller, entries and executor in one process): the key was drawn 1000 times in vain. Now one draw each up to 32.

--- a/fireflyfork/programs/_entry.py
+++ b/fireflyfork/programs/_entry.py
@@ -46,6 +46,7 @@
         self._configuration: Configuration | None = None
         self._stopping = ""
         self.metrics = Metrics()
+        self.drain_requested = trio.Event()
         self._targets = TargetGroups(ownership)
         self._figures = PeerFigures()
         self.peer_service = PeerService(ownership, self._targets, self._figures, spans)
@@ -59,7 +60,9 @@
         self.peer_service.attach(self._flow, keyed)
         callers = CallerService(self._flow, keyed, self._in_force, spans, self.metrics)
         self._callers = HttpServer(callers)
-        self._operators = HttpServer(OperatorService(self.metrics, self._unready, self.status))
+        self._operators = HttpServer(
+            OperatorService(self.metrics, self._unready, self.status, self.drain_requested.set)
+        )
         self._add_gauges()
 
     @property
@@ -127,6 +130,9 @@
         members = self._ownership.other_members()
         return {
             "member": self._ownership.own,
+            "region": self._ownership.region_of(self._ownership.own),
+            "draining": bool(self._stopping),
+            "in_flight": self._callers.connection_count + self.peer_service.in_flight,
             "configuration_version": configuration.version if configuration else 0,
             "other_members": members,
             "services": {
--- a/fireflyfork/programs/_keyed_requests.py
+++ b/fireflyfork/programs/_keyed_requests.py
@@ -24,7 +24,8 @@
 from ._request_flow import RequestFlow
 from ._sinks import AnswerSink
 
-_MOST_MINTED = 1000
+_MOST_DRAWN = 32
+"""An entry that owns a tenth of its region's partitions misses with one key in thirty."""
 _SEPARATOR = "."
 
 ConfigurationInForce = Callable[[], Configuration | None]
@@ -55,11 +56,12 @@
         if request.key:
             return request
         region = self._ownership.region_of(self._ownership.own) or RegionName("")
-        key = _mint(region)
-        for _ in range(_MOST_MINTED):
+        draws = (_mint(region) for _ in range(_MOST_DRAWN))
+        key = next(draws)
+        for drawn in draws:
             if self._ownership.owner_of(self.partition(key)) == self._ownership.own:
                 break
-            key = _mint(region)
+            key = drawn
         return replace(request, key=key)
 
     def partition(self, key: IdempotencyKey) -> PartitionId:
--- a/fireflyfork/programs/_operator_service.py
+++ b/fireflyfork/programs/_operator_service.py
@@ -1,4 +1,4 @@
-"""Health, readiness, status and metrics of an entry, for the balancer and for operators."""
+"""Health, readiness, status, metrics and draining, for the balancer and for operators."""
 
 from __future__ import annotations
 
@@ -12,16 +12,29 @@
 
 
 class OperatorService(HttpHandler):
-    """Answers ``/healthz``, ``/readyz``, ``/status`` and ``/metrics``."""
-
-    def __init__(self, metrics: Metrics, ready: Callable[[], str], status: StatusOf) -> None:
-        """``ready`` returns an empty string, or the reason why callers should go elsewhere."""
+    """Answers ``/healthz``, ``/readyz``, ``/status``, ``/metrics`` and ``POST /drain``."""
+
+    def __init__(
+        self,
+        metrics: Metrics,
+        ready: Callable[[], str],
+        status: StatusOf,
+        drain: Callable[[], None],
+    ) -> None:
+        """``ready`` returns an empty string, or the reason why callers should go elsewhere.
+
+        ``drain`` begins the same graceful stop as SIGTERM.
+        """
         self._metrics = metrics
         self._ready = ready
         self._status = status
+        self._drain = drain
 
     async def handle(self, exchange: Exchange) -> None:
         """Answer one call."""
+        if exchange.head.target == "/drain":
+            await self._handle_drain(exchange)
+            return
         match exchange.head.target:
             case "/healthz":
                 await exchange.answer_json(200, {"alive": True})
@@ -35,3 +48,10 @@
                 await exchange.answer(200, self._metrics.text().encode("utf-8"), (_TEXT,))
             case _:
                 await exchange.answer_json(404, {"error": "no such path"})
+
+    async def _handle_drain(self, exchange: Exchange) -> None:
+        if exchange.head.method != "POST":
+            await exchange.answer_json(405, {"error": "use POST"})
+            return
+        self._drain()
+        await exchange.answer_json(202, {"draining": True})
--- a/fireflyfork/programs/_peer_service.py
+++ b/fireflyfork/programs/_peer_service.py
@@ -54,6 +54,11 @@
         self._in_flight = 0
         self._idle = trio.Event()
 
+    @property
+    def in_flight(self) -> int:
+        """Forwarded requests in flight here."""
+        return self._in_flight
+
     def attach(self, flow: RequestFlow, keyed: KeyedRequests) -> None:
         """Give it what runs requests."""
         self._flow = flow
--- a/fireflyfork/programs/entry.py
+++ b/fireflyfork/programs/entry.py
@@ -76,10 +76,16 @@
             nursery.cancel_scope.cancel()
 
     async def _wait_for_stop(self) -> None:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._drain_on_signal)
+            await self._entry.drain_requested.wait()
+            nursery.cancel_scope.cancel()
+        logger.info("stopping")
+
+    async def _drain_on_signal(self) -> None:
         with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async for number in signals:
-                logger.info("stopping", signal=number)
-                return
+            async for _ in signals:
+                self._entry.drain_requested.set()
 
     async def _stop(self) -> None:
         await self._entry.stop_callers(self._settings.drain_notice_seconds)
--- a/fireflyfork/tests/nose2_counts.py
+++ b/fireflyfork/tests/nose2_counts.py
@@ -1,9 +1,10 @@
-"""A nose2 plugin: seeded Hypothesis for every run, and one closing line of counts."""
+"""A nose2 plugin: seeded Hypothesis, no logs, and one closing line of counts."""
 
 from collections import Counter
 from typing import Any
 
 from hypothesis import HealthCheck, settings
+from loguru import logger
 from nose2.events import Plugin
 
 settings.register_profile(
@@ -14,6 +15,7 @@
     suppress_health_check=[HealthCheck.too_slow],
 )
 settings.load_profile("repeatable")
+logger.remove()
 
 
 class CountsPlugin(Plugin):  # type: ignore[misc]
