Admission, concurrency, retries and the home of idempotency keys as pure decisions

Admission: a request is let in only if it and those behind it can end by their deadlines at the rate at which answers come. Keys: one floor in time tells which UUIDv7 keys may have been forgotten; it rises with retention, a full table and a lost home, and never falls, so a clock that jumps can't run a key twice. The home refuses keys from the future, so nothing is assumed of callers' clocks.

The state machines were tried against broken copies: floor without the clock margin, floor not raised when a generation is dropped, keys from the future accepted, deadlines of others ignored.

--- a/fireflyfork/decisions/__init__.py
+++ b/fireflyfork/decisions/__init__.py
@@ -1,6 +1,22 @@
 """Pure decisions: immutable state, an event and the time in; new state and commands out."""
 
-from ._attempts import LeaseRules, LeaseState, StaleRun, to_renew
+from ._admission import (
+    AdmissionDecision,
+    AdmissionKind,
+    AdmissionQueue,
+    RefusedRequest,
+    ServiceTime,
+    WaitingRequest,
+)
+from ._attempts import (
+    LeaseRules,
+    LeaseState,
+    StaleRun,
+    to_renew,
+)
+from ._concurrency import (
+    ConcurrencyLimit,
+)
 from ._configuration_register import (
     CONFIGURATION_KEY,
     NO_VERSION,
@@ -42,6 +58,15 @@
     partition_of,
     region_of,
 )
+from ._idempotency import (
+    KeyDecision,
+    KeyDecisionKind,
+    KeyRecord,
+    KeyState,
+    KeyTable,
+    KeyTerms,
+    minted_at,
+)
 from ._journal import (
     LONGEST_VALUE_BYTES,
     SLOTS,
@@ -116,7 +141,17 @@
     Start,
     Throttle,
 )
-from ._rights import GuardAnswer, MembershipTiming, RightRules
+from ._retries import (
+    FailedAttempt,
+    RetryBudget,
+    RetryDecision,
+    RetryTerms,
+)
+from ._rights import (
+    GuardAnswer,
+    MembershipTiming,
+    RightRules,
+)
 from ._routing import (
     LeavingMark,
     LeavingTargets,
@@ -128,9 +163,25 @@
     RouteQuestion,
     route,
 )
-from ._runs import RunReport, RunState, StartOrder
-from ._slots import HandedSlot, OccupiedSlot, SlotHandover, SlotLedger, SlotRefusal, SlotTerms
-from ._snapshot import Snapshot, decode_snapshot, encode_snapshot, table_of
+from ._runs import (
+    RunReport,
+    RunState,
+    StartOrder,
+)
+from ._slots import (
+    HandedSlot,
+    OccupiedSlot,
+    SlotHandover,
+    SlotLedger,
+    SlotRefusal,
+    SlotTerms,
+)
+from ._snapshot import (
+    Snapshot,
+    decode_snapshot,
+    encode_snapshot,
+    table_of,
+)
 from ._task_changes import (
     AttemptEnded,
     AttemptOutcome,
@@ -144,7 +195,10 @@
     TaskGivenUp,
     ThrottleOrdered,
 )
-from ._task_table import ImpossibleChangeError, TaskTable
+from ._task_table import (
+    ImpossibleChangeError,
+    TaskTable,
+)
 from ._tasks import (
     ENDED_STATES,
     HOLDING_STATES,
@@ -167,6 +221,9 @@
     "NO_VERSION",
     "SLOTS",
     "Acquisition",
+    "AdmissionDecision",
+    "AdmissionKind",
+    "AdmissionQueue",
     "AnswerAsker",
     "ApplyPhase",
     "ApplyState",
@@ -179,6 +236,7 @@
     "ChangeKind",
     "CheckpointAndEvict",
     "CollectOccupied",
+    "ConcurrencyLimit",
     "ConfigurationOffer",
     "ConnectionChoice",
     "ConnectionDecision",
@@ -186,6 +244,7 @@
     "ConnectionPool",
     "ConnectionTerms",
     "DurableChange",
+    "FailedAttempt",
     "FencedMember",
     "FirstFitPolicy",
     "FleetRecord",
@@ -201,6 +260,12 @@
     "JobNumber",
     "JournalError",
     "JournalPosition",
+    "KeyDecision",
+    "KeyDecisionKind",
+    "KeyRecord",
+    "KeyState",
+    "KeyTable",
+    "KeyTerms",
     "LeaseRules",
     "LeaseState",
     "LeaveRequested",
@@ -234,7 +299,11 @@
     "RecordRead",
     "Refusal",
     "Refuse",
+    "RefusedRequest",
     "RegisterState",
+    "RetryBudget",
+    "RetryDecision",
+    "RetryTerms",
     "RightRules",
     "Route",
     "RouteKind",
@@ -244,6 +313,7 @@
     "RunState",
     "SamplesTaken",
     "Segment",
+    "ServiceTime",
     "Settlement",
     "SlotHandover",
     "SlotLedger",
@@ -267,6 +337,7 @@
     "Throttle",
     "ThrottleOrdered",
     "Tick",
+    "WaitingRequest",
     "WholeReport",
     "WriteEnded",
     "WriteOutcome",
@@ -290,6 +361,7 @@
     "is_watcher",
     "job_of_task",
     "may_dispatch",
+    "minted_at",
     "partition_id",
     "partition_of",
     "peer_done",
--- a/fireflyfork/decisions/tests/builders_requests.py
+++ b/fireflyfork/decisions/tests/builders_requests.py
@@ -1,8 +1,27 @@
 """Test data for the decisions on the request path."""
 
+from uuid import UUID
+
 from ... import ServiceContract, TargetContract
-from ..._ids import FailureDomainName, MemberId, RegionName, ServiceName, TargetId, TeamName
-from .. import MemberFigures, OwnTarget, RouteQuestion, SlotTerms
+from ..._ids import (
+    FailureDomainName,
+    IdempotencyKey,
+    MemberId,
+    RegionName,
+    RequestId,
+    ServiceName,
+    TargetId,
+    TeamName,
+)
+from .. import (
+    AdmissionQueue,
+    MemberFigures,
+    OwnTarget,
+    RouteQuestion,
+    ServiceTime,
+    SlotTerms,
+    WaitingRequest,
+)
 
 VITI = RegionName("viti")
 VANUA = RegionName("vanua")
@@ -60,3 +79,19 @@
     return RouteQuestion(
         VITI, targets, queued, drain, peers, time_left, 1000, forwarded=forwarded, draw=draw
     )
+
+
+def waiting(name: str, deadline: float = 1.0, entry: str = "e1") -> WaitingRequest:
+    """A request that asks for a slot."""
+    return WaitingRequest(RequestId(name), MemberId(entry), deadline)
+
+
+def queue(mean: float = 0.1, longest: int = 10) -> AdmissionQueue:
+    """An empty queue of a service whose requests all take ``mean`` seconds."""
+    return AdmissionQueue(longest, ServiceTime(mean, 0.0))
+
+
+def timed_key(minted: float, serial: int = 0) -> IdempotencyKey:
+    """A UUIDv7 made at that Unix time."""
+    milliseconds = int(minted * 1000)
+    return IdempotencyKey(str(UUID(int=milliseconds << 80 | 7 << 76 | 2 << 62 | serial)))
