--- a/fireflyfork/decisions/__init__.py
+++ b/fireflyfork/decisions/__init__.py
@@ -1,6 +1,15 @@
 """Pure decisions: immutable state, an event and the time in; new state and commands out."""
 
+from ._admission import (
+    AdmissionDecision,
+    AdmissionKind,
+    AdmissionQueue,
+    RefusedRequest,
+    ServiceTime,
+    WaitingRequest,
+)
 from ._attempts import LeaseRules, LeaseState, StaleRun, to_renew
+from ._concurrency import ConcurrencyLimit
 from ._configuration_register import (
     CONFIGURATION_KEY,
     NO_VERSION,
@@ -42,6 +51,15 @@
     partition_of,
     region_of,
 )
+from ._idempotency import (
+    KeyDecision,
+    KeyDecisionKind,
+    KeyRecord,
+    KeyState,
+    KeyTable,
+    KeyTerms,
+    minted_at,
+)
 from ._journal import (
     LONGEST_VALUE_BYTES,
     SLOTS,
@@ -119,6 +137,7 @@
     Start,
     Throttle,
 )
+from ._retries import FailedAttempt, RetryBudget, RetryDecision, RetryTerms
 from ._rights import GuardAnswer, MembershipTiming, RightRules
 from ._routing import (
     LeavingMark,
@@ -170,6 +189,9 @@
     "NO_VERSION",
     "SLOTS",
     "Acquisition",
+    "AdmissionDecision",
+    "AdmissionKind",
+    "AdmissionQueue",
     "AnswerAsker",
     "ApplyPhase",
     "ApplyState",
@@ -181,6 +203,7 @@
     "ChangeKind",
     "CheckpointAndEvict",
     "CollectOccupied",
+    "ConcurrencyLimit",
     "ConfigurationOffer",
     "ConnectionChoice",
     "ConnectionDecision",
@@ -189,6 +212,7 @@
     "ConnectionTerms",
     "DurableChange",
     "EndRecorded",
+    "FailedAttempt",
     "FencedMember",
     "FirstFitPolicy",
     "FleetRecord",
@@ -204,6 +228,12 @@
     "JobNumber",
     "JournalError",
     "JournalPosition",
+    "KeyDecision",
+    "KeyDecisionKind",
+    "KeyRecord",
+    "KeyState",
+    "KeyTable",
+    "KeyTerms",
     "LeaseRules",
     "LeaseState",
     "LeaveRequested",
@@ -238,7 +268,11 @@
     "RecordRead",
     "Refusal",
     "Refuse",
+    "RefusedRequest",
     "RegisterState",
+    "RetryBudget",
+    "RetryDecision",
+    "RetryTerms",
     "RightRules",
     "Route",
     "RouteKind",
@@ -248,6 +282,7 @@
     "RunState",
     "SamplesTaken",
     "Segment",
+    "ServiceTime",
     "Settlement",
     "SlotHandover",
     "SlotLedger",
@@ -271,6 +306,7 @@
     "Throttle",
     "ThrottleOrdered",
     "Tick",
+    "WaitingRequest",
     "WholeReport",
     "WriteEnded",
     "WriteOutcome",
@@ -295,6 +331,7 @@
     "is_watcher",
     "job_of_task",
     "may_dispatch",
+    "minted_at",
     "partition_id",
     "partition_of",
     "peer_done",
