Idempotency keys have homes that remember them; admission, concurrency and retries wired in

Cause: a repeat of a booking at another entry ran a second time, retries had no budget, and the queue in front of an owner knew no deadlines. The first request of a key runs in a task of its own, so that a caller who goes away doesn't leave it half known. The queue is the AdmissionQueue of the decisions; retries are paid from a budget for each service. Found by the tests: a move right after an answer handed over the key as still running (the table was copied when the partition left, not when it was fetched); after a lost owner callers were let into a queue that could not move for 12 s, now they are refused at once and told when to come back. Ruled out: journaling keys in the store (a write for each booking, and none during an outage). Conclusion: repeats get the first answer, also after a planned move.

--- a/fireflyfork/_errors.py
+++ b/fireflyfork/_errors.py
@@ -2,6 +2,9 @@
 
 from ._verdict import Verdict
 
+HOME_MOVED_STATUS = 421
+"""Between entries only: the receiver is not the home of the key, or no longer."""
+
 
 class FireflyforkError(Exception):
     """Base of all errors of this package."""
--- a/fireflyfork/_requests.py
+++ b/fireflyfork/_requests.py
@@ -28,6 +28,8 @@
     """The context of the span that the next hop hangs below."""
     key: IdempotencyKey | None = None
     """Set exactly when the request must run at most once."""
+    key_is_new: bool = False
+    """Whether the key was made here for this request, so that it can't have been used before."""
 
     @property
     def idempotent(self) -> bool:
--- a/fireflyfork/adapters/__init__.py
+++ b/fireflyfork/adapters/__init__.py
@@ -1,5 +1,6 @@
 """What touches sockets, each kind behind an abstract base class."""
 
+from ._control_content import decode_content, encode_content
 from ._http import Header, HttpError, RequestHead, ResponseHead, collect, end_to_end, find_header
 from ._http_client import HttpClient, HttpClientConnection
 from ._http_server import Exchange, HttpHandler, HttpServer, ServerLimits, listen
@@ -61,6 +62,8 @@
     "ThrottleCall",
     "WorkerPlatform",
     "collect",
+    "decode_content",
+    "encode_content",
     "end_to_end",
     "find_header",
     "listen",
--- a/fireflyfork/decisions/_idempotency.py
+++ b/fireflyfork/decisions/_idempotency.py
@@ -146,6 +146,13 @@
             self.number, self.timed, shards, self.keys + change, self.answer_bytes + size
         )
 
+    def handed_over(self) -> Generation:
+        """Remember of the keys that were started here that they may have run."""
+        shards = tuple(
+            {key: _out_of_sight(record) for key, record in shard.items()} for shard in self.shards
+        )
+        return replace(self, shards=shards)
+
     def without_answers(self) -> Generation:
         """Remember that the keys were answered, and no longer what."""
         shards = tuple(
@@ -216,6 +223,10 @@
             return self
         return self._replace(key, None)
 
+    def handed_over(self) -> KeyTable:
+        """The table as the next home gets it: what still runs here is out of its sight."""
+        return self._with_generations(gen.handed_over() for gen in self.generations)
+
     def expire(self, now: float) -> KeyTable:
         """Forget generations that ended before the retention time, and raise the floor to match."""
         oldest = int((now - self.terms.retention) // self.terms.generation)
@@ -321,6 +332,12 @@
     return KeyRecord(KeyState.ANSWER_DROPPED, record.fingerprint)
 
 
+def _out_of_sight(record: KeyRecord) -> KeyRecord:
+    if record.state is not KeyState.STARTED:
+        return record
+    return KeyRecord(KeyState.MAY_HAVE_RUN, record.fingerprint)
+
+
 def _decision_on(record: KeyRecord, fingerprint: int) -> KeyDecision:
     if record.fingerprint != fingerprint:
         return KeyDecision(KeyDecisionKind.MISMATCH)
--- a/fireflyfork/programs/_bodies.py
+++ b/fireflyfork/programs/_bodies.py
@@ -35,6 +35,11 @@
         """Whether all of it is in the buffer."""
         return self._whole
 
+    @property
+    def buffered(self) -> tuple[bytes, ...]:
+        """The parts in the buffer."""
+        return tuple(self._head)
+
     @property
     def length(self) -> int:
         """Bytes read so far."""
--- a/fireflyfork/programs/_entry.py
+++ b/fireflyfork/programs/_entry.py
@@ -9,11 +9,13 @@
 import trio
 
 from .._contracts import Configuration
-from .._ids import PartitionId, RegionName
+from .._ids import MemberId, PartitionId, RegionName
 from ..adapters import HttpServer, InstanceChange, InstanceState, Peers
 from ..decisions import LinkBudget, OccupiedSlots
 from ._caller_service import CallerService
 from ._forwarding import Forwarder
+from ._key_home import KeyHome
+from ._key_tables import KEY_TABLE, KEY_TABLE_REQUEST, KeyTableFetcher, KeyTableGiver
 from ._keyed_requests import KeyedRequests
 from ._metrics import Metrics
 from ._operator_service import OperatorService
@@ -45,6 +47,7 @@
         self._ownership = ownership
         self._configuration: Configuration | None = None
         self._stopping = ""
+        self._last_owners: dict[PartitionId, MemberId] = {}
         self.metrics = Metrics()
         self.drain_requested = trio.Event()
         self._targets = TargetGroups(ownership)
@@ -54,10 +57,14 @@
         self._attempts = TargetAttempts(ownership, spans)
         forwarder = Forwarder(ownership, self.peers, self._figures, spans)
         self._flow = RequestFlow(
-            ownership, self._targets, self._attempts, forwarder, self._figures, random
+            ownership, self._targets, self._attempts, forwarder, self._figures, self.metrics, random
         )
-        keyed = KeyedRequests(ownership, self._flow, forwarder, self._in_force)
+        self._key_home = KeyHome(ownership, self._flow.dispatch)
+        keyed = KeyedRequests(ownership, self._key_home, forwarder, self._in_force)
         self.peer_service.attach(self._flow, keyed)
+        self.peer_service.subscribe(KEY_TABLE_REQUEST, KeyTableGiver(self._key_home))
+        self._key_fetcher = KeyTableFetcher(self.peers, self._key_home)
+        self.peer_service.subscribe(KEY_TABLE, self._key_fetcher)
         callers = CallerService(self._flow, keyed, self._in_force, spans, self.metrics)
         self._callers = HttpServer(callers)
         self._operators = HttpServer(
@@ -86,6 +93,9 @@
         """Follow a change of ownership."""
         if self._configuration is not None:
             self._targets.refresh(self._configuration)
+        to_fetch = self._key_home.own(self._ownership.owned_partitions())
+        self._key_fetcher.fetch({one: self._last_owners.get(one) for one in to_fetch})
+        self._last_owners = self._ownership.owners()
         members = self._ownership.other_members()
         self._figures.keep_only(frozenset(members))
         self.peers.keep_open(members)
@@ -107,6 +117,8 @@
         """Serve until ``stop`` has ended everything in flight."""
         async with trio.open_nursery() as nursery:
             self._attempts.attach(nursery)
+            self._key_home.attach(nursery)
+            self._key_fetcher.attach(nursery)
             nursery.start_soon(self.peers.run, listeners.peers)
             nursery.start_soon(self._operators.run, listeners.operators)
             nursery.start_soon(self._keep_streams_open)
--- a/fireflyfork/programs/_guard_messages.py
+++ b/fireflyfork/programs/_guard_messages.py
@@ -2,16 +2,12 @@
 
 from __future__ import annotations
 
-from typing import TypeVar
-
-import msgpack
-import msgspec
 import trio
 from loguru import logger
 
 from .._errors import FireflyforkError, PeerError
 from .._ids import MemberId
-from ..adapters import Control, Peers
+from ..adapters import Control, Peers, decode_content, encode_content
 from ..decisions import ConfigurationOffer, Member
 from ._configuration_keeper import ConfigurationKeeper
 from ._guard_channel import FleetOffer, GuardChannel, GuardQuestion, GuardReply
@@ -26,8 +22,6 @@
 FLEET = "fleet"
 CONFIGURATION = "configuration"
 
-Content = TypeVar("Content")
-
 
 class PeerGuardChannel(GuardChannel, ControlHandler):
     """Sends the protocol's messages, and takes the replies to questions."""
@@ -67,7 +61,7 @@
 
     def handle(self, member: MemberId, content: bytes) -> Control | None:
         """Take a reply; one that nobody waits for any more is dropped."""
-        reply = _decode(content, GuardReply)
+        reply = decode_content(content, GuardReply)
         key = (member, reply.nonce)
         if key in self._waiting:
             if self._keeper is not None:
@@ -78,7 +72,7 @@
 
     async def _send(self, peer: Member, topic: str, content: object) -> None:
         stream = await self._peers.stream(peer.member_id)
-        stream.send(Control(topic, _encode(content)))
+        stream.send(Control(topic, encode_content(content)))
 
 
 class QuestionHandler(ControlHandler):
@@ -91,12 +85,12 @@
 
     def handle(self, member: MemberId, content: bytes) -> Control | None:
         """See ControlHandler."""
-        question = _decode(content, GuardQuestion)
+        question = decode_content(content, GuardQuestion)
         if question.asker != member:
             logger.warning("question in another member's name", member=member)
             return None
         self._keeper.peer_holds(member, question.configuration_version)
-        return Control(REPLY, _encode(self._membership.asked(question)))
+        return Control(REPLY, encode_content(self._membership.asked(question)))
 
 
 class FleetHandler(ControlHandler):
@@ -109,7 +103,7 @@
     def handle(self, member: MemberId, content: bytes) -> Control | None:
         """See ControlHandler."""
         try:
-            self._membership.offered(_decode(content, FleetOffer))
+            self._membership.offered(decode_content(content, FleetOffer))
         except FireflyforkError as error:
             logger.warning("bad fleet record", member=member, error=str(error))
         return None
@@ -124,17 +118,5 @@
 
     def handle(self, member: MemberId, content: bytes) -> Control | None:
         """See ControlHandler."""
-        self._keeper.offered(member, _decode(content, ConfigurationOffer))
+        self._keeper.offered(member, decode_content(content, ConfigurationOffer))
         return None
-
-
-def _encode(content: object) -> bytes:
-    return bytes(msgpack.packb(msgspec.to_builtins(content, builtin_types=(bytes,))))
-
-
-def _decode(content: bytes, content_type: type[Content]) -> Content:
-    try:
-        plain = msgpack.unpackb(content)
-        return msgspec.convert(plain, content_type, builtin_types=(bytes,))
-    except (ValueError, msgspec.ValidationError, msgpack.UnpackException) as error:
-        raise PeerError(f"bad {content_type.__name__}: {error}") from error
--- /dev/null
+++ b/fireflyfork/programs/_key_home.py
@@ -0,0 +1,304 @@
+"""The keys whose home is this entry: each request runs once, and repeats get the same answer."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Awaitable, Callable, Iterable, Mapping
+from dataclasses import dataclass, field
+
+import msgpack
+import trio
+import xxhash
+
+from .._errors import HOME_MOVED_STATUS, FireflyforkError, PeerError, RequestError
+from .._ids import Epoch, IdempotencyKey, PartitionId
+from .._requests import ServiceRequest
+from .._verdict import Verdict
+from ..adapters import Header, HttpError, ResponseHead
+from ..decisions import Acquisition, KeyDecision, KeyDecisionKind, KeyTable, KeyTerms, Ownership
+from ._bodies import RequestBody
+from ._ownership import OwnershipView
+from ._sinks import AnswerSink
+
+TERMS = KeyTerms(most_keys=4_000, most_answer_bytes=256 * 1024, longest_answer_bytes=16 * 1024)
+"""For each partition; an entry owns a few."""
+
+KEPT_AFTER_MOVE_SECONDS = 10.0
+"""How long a table is kept for the next home to fetch."""
+
+Dispatch = Callable[[ServiceRequest, RequestBody, AnswerSink], Awaitable[None]]
+
+_REFUSALS = {
+    KeyDecisionKind.MAY_HAVE_RUN: (409, "a request with this key may have run", "may-have-run"),
+    KeyDecisionKind.ANSWER_DROPPED: (
+        409,
+        "the request with this key was answered; the answer is no longer kept",
+        "answered",
+    ),
+    KeyDecisionKind.MISMATCH: (422, "another request came with this key", "not-run"),
+    KeyDecisionKind.FROM_THE_FUTURE: (400, "the key's time is in the future", "not-run"),
+}
+
+
+@dataclass(slots=True)
+class _First:
+    """The first request with a key, while it runs."""
+
+    ended: trio.Event = field(default_factory=trio.Event)
+    error: RequestError | None = None
+
+
+@dataclass(slots=True)
+class _Home:
+    """One partition of keys."""
+
+    since: Epoch
+    """When the partition was acquired. If it was lost and regained, the table lacks keys."""
+    table: KeyTable
+    ready: trio.Event = field(default_factory=trio.Event)
+    """Set once no table from the last owner is waited for any more."""
+    running: dict[IdempotencyKey, _First] = field(default_factory=dict)
+
+
+class KeyHome:
+    """The tables of the partitions owned here."""
+
+    def __init__(self, ownership: OwnershipView, dispatch: Dispatch) -> None:
+        """``dispatch`` runs a request on a target. Call ``attach`` before the first request."""
+        self._ownership = ownership
+        self._dispatch = dispatch
+        self._homes: dict[PartitionId, _Home] = {}
+        self._moved: dict[PartitionId, tuple[float, _Home]] = {}
+        self._nursery: trio.Nursery | None = None
+
+    def attach(self, nursery: trio.Nursery) -> None:
+        """Run requests in ``nursery``, so that they outlive those who wait for them."""
+        self._nursery = nursery
+
+    @property
+    def keys(self) -> int:
+        """Keys remembered."""
+        return sum(home.table.keys for home in self._homes.values())
+
+    def own(self, partitions: Iterable[PartitionId]) -> tuple[PartitionId, ...]:
+        """Follow a change of ownership; returns the partitions whose tables are to be fetched.
+
+        Requests to these wait until ``adopt`` or ``go_on_without``.
+        """
+        acquired = {one: self._ownership.ownership_of(one) for one in partitions}
+        owned = {one: ownership for one, ownership in acquired.items() if ownership is not None}
+        self._drop_lost(owned)
+        added = sorted(owned.keys() - self._homes.keys())
+        for partition in added:
+            self._homes[partition] = _first_home(owned[partition])
+        return tuple(one for one in added if not self._homes[one].ready.is_set())
+
+    def _drop_lost(self, owned: Mapping[PartitionId, Ownership]) -> None:
+        now = time.time()
+        for partition, home in tuple(self._homes.items()):
+            if partition not in owned or owned[partition].since != home.since:
+                self._moved[partition] = (now, self._homes.pop(partition))
+        self._moved = {
+            partition: kept
+            for partition, kept in self._moved.items()
+            if now - kept[0] < KEPT_AFTER_MOVE_SECONDS
+        }
+
+    def hand_out(self, partition: PartitionId) -> KeyTable | None:
+        """The table of a partition that was owned here until lately."""
+        moved = self._moved.get(partition)
+        return moved[1].table.handed_over() if moved is not None else None
+
+    def adopt(self, partition: PartitionId, table: KeyTable) -> None:
+        """Go on with the last home's table, unless it comes too late."""
+        home = self._homes.get(partition)
+        if home is not None and not home.ready.is_set():
+            home.table = table
+            home.ready.set()
+
+    def go_on_without(self, partition: PartitionId) -> None:
+        """Nothing is to be had of the last home, so its keys may have run."""
+        home = self._homes.get(partition)
+        if home is not None:
+            home.ready.set()
+
+    async def wait_ready(self, partition: PartitionId) -> None:
+        """Wait until the partition's table is settled."""
+        home = self._homes.get(partition)
+        if home is not None:
+            await home.ready.wait()
+
+    async def run(
+        self,
+        partition: PartitionId,
+        request: ServiceRequest,
+        body: RequestBody,
+        sink: AnswerSink,
+    ) -> None:
+        """Run the request, or give it the answer of the first one with its key.
+
+        Raises RequestError, HttpError.
+        """
+        fingerprint = _fingerprint(request, body)
+        await self._wait_for_table(partition, request)
+        while True:
+            home = self._home(partition)
+            assert request.key
+            home.table, decision = home.table.begin(
+                request.key, fingerprint, time.time(), request.key_is_new
+            )
+            if decision.kind is KeyDecisionKind.RUN:
+                await self._run_first(home, request, body, sink)
+                return
+            if decision.kind is not KeyDecisionKind.JOIN:
+                await _settle(decision, sink)
+                return
+            await _wait(home.running[request.key], request)
+
+    async def _wait_for_table(self, partition: PartitionId, request: ServiceRequest) -> None:
+        home = self._homes.get(partition)
+        if home is not None and not home.ready.is_set():
+            with trio.move_on_at(request.deadline):
+                await home.ready.wait()
+
+    def _home(self, partition: PartitionId) -> _Home:
+        # The right is checked in the same step as the table. A home that lost it without noticing
+        # could otherwise run a key that its successor has already run.
+        home = self._homes.get(partition)
+        if home is None or not home.ready.is_set() or not self._ownership.may_dispatch(partition):
+            raise RequestError(
+                HOME_MOVED_STATUS, "the key's home is elsewhere", Verdict.NOT_RUN, 1.0
+            )
+        return home
+
+    async def _run_first(
+        self, home: _Home, request: ServiceRequest, body: RequestBody, sink: AnswerSink
+    ) -> None:
+        assert request.key and self._nursery is not None
+        first = home.running[request.key] = _First()
+        self._nursery.start_soon(self._carry_out, home, first, request, body, sink)
+        await _wait(first, request)
+        if first.error is not None:
+            raise first.error
+
+    async def _carry_out(
+        self,
+        home: _Home,
+        first: _First,
+        request: ServiceRequest,
+        body: RequestBody,
+        sink: AnswerSink,
+    ) -> None:
+        assert request.key
+        recording = _RecordingSink(sink, home.table.terms.longest_answer_bytes)
+        try:
+            await self._dispatch(request, body, recording)
+        except RequestError as error:
+            first.error = error
+        except FireflyforkError as error:
+            first.error = RequestError(502, str(error), Verdict.MAY_HAVE_RUN, 1.0)
+        finally:
+            home.table = _settled(home.table, request.key, first.error, recording)
+            del home.running[request.key]
+            first.ended.set()
+
+
+class _RecordingSink(AnswerSink):
+    """Passes an answer on and keeps a copy of it, also when nobody takes it any more."""
+
+    def __init__(self, waiting: AnswerSink, longest: int) -> None:
+        """``longest`` is in bytes; of a longer answer nothing is kept."""
+        super().__init__()
+        self._waiting: AnswerSink | None = waiting
+        self._longest = longest
+        self._head: ResponseHead | None = None
+        self._body = b""
+        self._too_long = False
+
+    @property
+    def answer(self) -> bytes | None:
+        """The encoded answer; None when it was not whole or too long."""
+        if self._head is None or self._too_long or not self._ended:
+            return None
+        return bytes(msgpack.packb([self._head.status, list(self._head.headers), self._body]))
+
+    async def _start(self, head: ResponseHead) -> None:
+        self._head = head
+        if self._waiting is not None:
+            await self._pass(self._waiting.start(head))
+
+    async def _send(self, data: bytes) -> None:
+        if len(self._body) + len(data) > self._longest:
+            self._too_long = True
+            self._body = b""
+        elif not self._too_long:
+            self._body += data
+        if self._waiting is not None:
+            await self._pass(self._waiting.send(data))
+
+    async def _end(self) -> None:
+        if self._waiting is not None:
+            await self._pass(self._waiting.end())
+
+    async def _pass(self, taking: Awaitable[None]) -> None:
+        try:
+            await taking
+        except (HttpError, PeerError):
+            self._waiting = None
+
+
+def _first_home(ownership: Ownership) -> _Home:
+    if ownership.acquired is Acquisition.FIRST:
+        home = _Home(ownership.since, KeyTable(TERMS))
+    else:
+        home = _Home(ownership.since, KeyTable.after_lost_home(TERMS, time.time()))
+    if ownership.acquired is not Acquisition.MOVED:
+        home.ready.set()
+    return home
+
+
+async def _wait(first: _First, request: ServiceRequest) -> None:
+    with trio.move_on_at(request.deadline):
+        await first.ended.wait()
+    if not first.ended.is_set():
+        raise RequestError(504, "the deadline passed", Verdict.MAY_HAVE_RUN, 1.0)
+
+
+async def _settle(decision: KeyDecision, sink: AnswerSink) -> None:
+    if decision.kind is KeyDecisionKind.REPLAY:
+        await _replay(decision.answer, sink)
+        return
+    if decision.kind is KeyDecisionKind.TABLE_FULL:
+        raise RequestError(503, "too many keys are in use", Verdict.NOT_RUN, 1.0)
+    status, reason, verdict = _REFUSALS[decision.kind]
+    raise RequestError(status, reason, Verdict(verdict))
+
+
+async def _replay(answer: bytes, sink: AnswerSink) -> None:
+    status, headers, body = msgpack.unpackb(answer)
+    kept: list[Header] = [(name, value) for name, value in headers]
+    await sink.start(ResponseHead(status, tuple(kept)))
+    if body:
+        await sink.send(body)
+    await sink.end()
+
+
+def _settled(
+    table: KeyTable, key: IdempotencyKey, error: RequestError | None, recording: _RecordingSink
+) -> KeyTable:
+    if error is None and recording.ended:
+        answer = recording.answer
+        too_long = b"\0" * (table.terms.longest_answer_bytes + 1)
+        return table.answered(key, answer if answer is not None else too_long)
+    if error is not None and error.verdict is Verdict.NOT_RUN:
+        return table.not_run(key)
+    return table.lost(key)
+
+
+def _fingerprint(request: ServiceRequest, body: RequestBody) -> int:
+    digest = xxhash.xxh3_64()
+    for part in (request.service, request.method, request.path):
+        digest.update(part.encode("utf-8") + b"\0")
+    for chunk in body.buffered:
+        digest.update(chunk)
+    return digest.intdigest()
--- a/fireflyfork/programs/_keyed_requests.py
+++ b/fireflyfork/programs/_keyed_requests.py
@@ -1,4 +1,4 @@
-"""Requests that must run at most once, kept apart by their idempotency keys.
+"""Requests that must run at most once, sent through the homes of their idempotency keys.
 
 A key has a home: the member that owns the partition the key hashes into. All repeats of a key meet
 there, at whichever entry they arrive, so that one process can tell a repeat from a new request.
@@ -11,8 +11,10 @@
 from collections.abc import Callable
 from dataclasses import replace
 
+import trio
+
 from .._contracts import Configuration
-from .._errors import RequestError
+from .._errors import HOME_MOVED_STATUS, RequestError
 from .._ids import IdempotencyKey, PartitionId, RegionName
 from .._requests import ServiceRequest
 from .._verdict import Verdict
@@ -20,14 +22,18 @@
 from ..decisions import partition_of
 from ._bodies import RequestBody
 from ._forwarding import Forwarder
+from ._key_home import KeyHome
 from ._ownership import OwnershipView
-from ._request_flow import RequestFlow
 from ._sinks import AnswerSink
 
 _MOST_DRAWN = 32
 """An entry that owns a tenth of its region's partitions misses with one key in thirty."""
+
 _SEPARATOR = "."
 
+_MOST_HOMES_TRIED = 4
+_FIRST_PAUSE_SECONDS = 0.02
+
 ConfigurationInForce = Callable[[], Configuration | None]
 
 
@@ -37,21 +43,45 @@
     def __init__(
         self,
         ownership: OwnershipView,
-        flow: RequestFlow,
+        home: KeyHome,
         forwarder: Forwarder,
         configuration: ConfigurationInForce,
     ) -> None:
         """``configuration`` tells the one in force."""
         self._ownership = ownership
-        self._flow = flow
+        self._home = home
         self._forwarder = forwarder
         self._configuration = configuration
 
+    async def run(self, request: ServiceRequest, body: RequestBody, sink: AnswerSink) -> None:
+        """Run a request of a caller through its key's home. Raises RequestError, HttpError.
+
+        Give a request without a key one by ``with_key`` first.
+        """
+        for tried in range(1, _MOST_HOMES_TRIED + 1):
+            try:
+                await self._run_once(request, body, sink)
+                return
+            except RequestError as error:
+                if error.status != HOME_MOVED_STATUS:
+                    raise
+                if tried == _MOST_HOMES_TRIED or not body.replayable:
+                    raise RequestError(503, error.reason, error.verdict, 1.0) from error
+            with trio.move_on_at(request.deadline):
+                await trio.sleep(_FIRST_PAUSE_SECONDS * 4**tried)
+
+    async def run_as_home(
+        self, request: ServiceRequest, body: RequestBody, sink: AnswerSink
+    ) -> None:
+        """Run a request that a peer forwarded to its key's home. Raises RequestError, HttpError."""
+        assert request.key
+        await self._home.run(self.partition(request.key), request, body, sink)
+
     def with_key(self, request: ServiceRequest) -> ServiceRequest:
-        """The request with a key: a minted one when the caller sent none.
+        """The request with a new key whose home is here, if one was drawn.
 
-        A minted key is drawn until its home is this entry, which saves the hop to another. It
-        names the region, so that a repeat finds the same home from any region.
+        That saves the hop to another entry. The key names the region, so that a repeat finds the
+        same home from any region.
         """
         if request.key:
             return request
@@ -62,33 +92,24 @@
             if self._ownership.owner_of(self.partition(key)) == self._ownership.own:
                 break
             key = drawn
-        return replace(request, key=key)
+        return replace(request, key=key, key_is_new=True)
 
     def partition(self, key: IdempotencyKey) -> PartitionId:
         """The partition whose owner is the key's home."""
         count = self._ownership.partitions_per_region
         return partition_of(self._home_region(key), key, count)
 
-    async def run(self, request: ServiceRequest, body: RequestBody, sink: AnswerSink) -> None:
-        """Run a keyed request through its home. Raises RequestError, HttpError."""
+    async def _run_once(self, request: ServiceRequest, body: RequestBody, sink: AnswerSink) -> None:
         assert request.key
-        home = self._ownership.owner_of(self.partition(request.key))
+        partition = self.partition(request.key)
+        home = self._ownership.owner_of(partition)
         if home is None:
             raise RequestError(503, "the key has no home now", Verdict.NOT_RUN, retry_after=1.0)
         if home == self._ownership.own:
-            await self.run_as_home(request, body, sink)
+            await self._home.run(partition, request, body, sink)
         else:
             await self._forwarder.forward(home, Role.HOME, request, body, sink)
 
-    async def run_as_home(
-        self, request: ServiceRequest, body: RequestBody, sink: AnswerSink
-    ) -> None:
-        """Run a keyed request whose home is here. Raises RequestError, HttpError."""
-        assert request.key
-        if not self._ownership.may_dispatch(self.partition(request.key)):
-            raise RequestError(503, "not the home of the key", Verdict.NOT_RUN, retry_after=1.0)
-        await self._flow.dispatch(request, body, sink)
-
     def _home_region(self, key: IdempotencyKey) -> RegionName:
         configuration = self._configuration()
         regions = [region.name for region in configuration.regions] if configuration else []
--- a/fireflyfork/programs/_membership_view.py
+++ b/fireflyfork/programs/_membership_view.py
@@ -56,6 +56,11 @@
         """See OwnershipView."""
         return tuple(member for member in self._running.record.members if member != self.own)
 
+    def owners(self) -> dict[PartitionId, MemberId]:
+        """See OwnershipView."""
+        owners = self._running.record.owners.items()
+        return {one: ownership.owner for one, ownership in owners if ownership.owner is not None}
+
     def _member(self, member: MemberId) -> Member | None:
         return self._running.record.members.get(member)
 
--- a/fireflyfork/programs/_ownership.py
+++ b/fireflyfork/programs/_ownership.py
@@ -42,6 +42,15 @@
     def other_members(self) -> tuple[MemberId, ...]:
         """All members but this one."""
 
+    @abstractmethod
+    def owners(self) -> dict[PartitionId, MemberId]:
+        """The owners of all partitions that have one."""
+
+    def owned_partitions(self) -> tuple[PartitionId, ...]:
+        """The partitions that this member owns."""
+        own = self.own
+        return tuple(one for one, owner in self.owners().items() if owner == own)
+
     def owner_of(self, partition: PartitionId) -> MemberId | None:
         """The owner of the partition, or None when there is none."""
         ownership = self.ownership_of(partition)
--- a/fireflyfork/programs/_peer_service.py
+++ b/fireflyfork/programs/_peer_service.py
@@ -131,7 +131,7 @@
             if call.forward.role is Role.HOME:
                 await self._keyed.run_as_home(request, body, sink)
             else:
-                await self._flow.run_here(request, body, sink)
+                await self._flow.run_here(request, body, sink, call.member)
 
 
 def _request(forward: Forward) -> ServiceRequest:
--- a/fireflyfork/programs/_request_flow.py
+++ b/fireflyfork/programs/_request_flow.py
@@ -3,18 +3,30 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from itertools import count
 from random import Random
 
 import trio
 
 from .._errors import OverloadedError, RequestError
-from .._ids import RegionName
+from .._ids import MemberId, RegionName, ServiceName
 from .._requests import ServiceRequest
 from .._verdict import Verdict
 from ..adapters import Role
-from ..decisions import LinkBudget, Route, RouteKind, RouteQuestion, route
+from ..decisions import (
+    FailedAttempt,
+    LinkBudget,
+    RetryBudget,
+    RetryDecision,
+    RetryTerms,
+    Route,
+    RouteKind,
+    RouteQuestion,
+    route,
+)
 from ._bodies import RequestBody
 from ._forwarding import Forwarder
+from ._metrics import Metrics
 from ._ownership import OwnershipView
 from ._peer_figures import PeerFigures
 from ._sinks import AnswerSink
@@ -22,7 +34,6 @@
 from ._target_group import TargetGroup
 from ._target_groups import TargetGroups
 
-MOST_ATTEMPTS = 3
 _TYPICAL_ANSWER_BYTES = 4096
 
 
@@ -36,6 +47,7 @@
         attempts: TargetAttempts,
         forwarder: Forwarder,
         figures: PeerFigures,
+        metrics: Metrics,
         random: Random,
     ) -> None:
         """``random`` draws the members to compare."""
@@ -45,7 +57,9 @@
         self._forwarder = forwarder
         self._figures = figures
         self._random = random
+        self._metrics = metrics
         self._links: dict[RegionName, LinkBudget] = {}
+        self._budgets: dict[ServiceName, RetryBudget] = {}
 
     def set_links(self, links: Mapping[RegionName, LinkBudget]) -> None:
         """Put the byte budgets of the links to other regions in force."""
@@ -53,37 +67,61 @@
 
     async def dispatch(self, request: ServiceRequest, body: RequestBody, sink: AnswerSink) -> None:
         """Run the request on a target, here or at a peer. Raises RequestError, HttpError."""
+        group = self._group(request)
+        self._budgets[request.service] = self._budget(request.service).request()
         verdict = Verdict.NOT_RUN
-        for attempt in range(1, MOST_ATTEMPTS + 1):
+        for attempts in count(1):
             try:
-                await self._dispatch_once(request, body, sink)
+                await self._dispatch_once(group, request, body, sink)
                 return
             except OverloadedError:
                 raise
             except RequestError as error:
                 verdict = error.verdict.after(verdict)
-                if attempt == MOST_ATTEMPTS or not _may_retry(request, body, sink, error):
+                failed = FailedAttempt(
+                    verdict,
+                    request.idempotent,
+                    attempts,
+                    request.deadline,
+                    group.expected_run_seconds,
+                )
+                if sink.started or not body.replayable or not self._pay_for_retry(request, failed):
                     raise RequestError(
                         error.status, error.reason, verdict, error.retry_after
                     ) from error
 
-    async def run_here(self, request: ServiceRequest, body: RequestBody, sink: AnswerSink) -> None:
-        """Run a forwarded request on a target owned here. Raises RequestError, HttpError."""
-        await self._attempts.run(self._group(request), request, body, sink)
+    async def run_here(
+        self, request: ServiceRequest, body: RequestBody, sink: AnswerSink, entry: MemberId
+    ) -> None:
+        """Run what ``entry`` forwarded on a target owned here. Raises RequestError, HttpError."""
+        await self._attempts.run(self._group(request), request, body, sink, entry)
+
+    def _budget(self, service: ServiceName) -> RetryBudget:
+        return self._budgets.get(service) or RetryBudget.full(RetryTerms())
+
+    def _pay_for_retry(self, request: ServiceRequest, failed: FailedAttempt) -> bool:
+        budget = self._budget(request.service)
+        self._budgets[request.service], decision = budget.decide(failed, trio.current_time())
+        self._metrics.count(
+            "fireflyfork_failed_attempts_total",
+            service=request.service,
+            then=decision.value,
+        )
+        return decision is RetryDecision.RETRY
 
     async def _dispatch_once(
-        self, request: ServiceRequest, body: RequestBody, sink: AnswerSink
+        self, group: TargetGroup, request: ServiceRequest, body: RequestBody, sink: AnswerSink
     ) -> None:
-        group = self._group(request)
         chosen = self._route(group, request, body)
         match chosen.kind:
             case RouteKind.OWN_TARGET | RouteKind.QUEUE:
-                await self._attempts.run(group, request, body, sink)
+                await self._attempts.run(group, request, body, sink, self._ownership.own)
             case RouteKind.FORWARD | RouteKind.SPILL:
                 assert chosen.member_id is not None
                 await self._forwarder.forward(chosen.member_id, Role.OWNER, request, body, sink)
             case RouteKind.REFUSE:
-                raise OverloadedError(503, "no room in time", Verdict.NOT_RUN, chosen.retry_after)
+                wait = max(chosen.retry_after, group.seconds_to_first_slot())
+                raise OverloadedError(503, "no room in time", Verdict.NOT_RUN, wait)
 
     def _route(self, group: TargetGroup, request: ServiceRequest, body: RequestBody) -> Route:
         now = trio.current_time()
@@ -118,11 +156,3 @@
         if group is None:
             raise RequestError(404, f"no service {request.service!r}", Verdict.NOT_RUN)
         return group
-
-
-def _may_retry(
-    request: ServiceRequest, body: RequestBody, sink: AnswerSink, error: RequestError
-) -> bool:
-    if sink.started or not body.replayable or trio.current_time() >= request.deadline:
-        return False
-    return request.idempotent or error.verdict.permits_retry_of_non_idempotent
--- a/fireflyfork/programs/_target_attempts.py
+++ b/fireflyfork/programs/_target_attempts.py
@@ -8,7 +8,7 @@
 import trio
 
 from .._errors import PeerError, RequestError
-from .._ids import RequestId
+from .._ids import MemberId, RequestId
 from .._links import Address
 from .._requests import ServiceRequest
 from .._traces import TraceContext
@@ -64,15 +64,22 @@
         self._nursery = nursery
 
     async def run(
-        self, group: TargetGroup, request: ServiceRequest, body: RequestBody, sink: AnswerSink
+        self,
+        group: TargetGroup,
+        request: ServiceRequest,
+        body: RequestBody,
+        sink: AnswerSink,
+        entry: MemberId,
     ) -> None:
         """Wait for a slot, run the request and pass the answer to ``sink``.
 
+        ``entry`` is where the caller is.
+
         Raises RequestError, at the latest at the request's deadline.
         """
         self._count += 1
         attempt_id = RequestId(f"{request.request_id}.{self._count}")
-        target = await group.acquire(request, attempt_id)
+        target = await group.acquire(request, attempt_id, entry)
         with self._spans.span(
             "target", request.trace, target=target.contract.target_id, attempt=attempt_id
         ) as span:
@@ -107,7 +114,7 @@
             if not attempt.answered and attempt.error is None:
                 attempt.error = answer_broke_off("no answer within the longest run time")
             if attempt.answered:
-                group.ran(trio.current_time() - started)
+                group.ran(target, trio.current_time() - started)
             if attempt.answered or not attempt.left:
                 group.release(target, attempt.attempt_id)
             attempt.ended.set()
--- a/fireflyfork/programs/_target_group.py
+++ b/fireflyfork/programs/_target_group.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
@@ -10,23 +9,33 @@
 
 from .._contracts import ServiceContract, TargetContract
 from .._errors import OverloadedError, RequestError
-from .._ids import Epoch, PartitionId, RequestId, TargetId
+from .._ids import Epoch, MemberId, PartitionId, RequestId, TargetId
 from .._requests import ServiceRequest
 from .._verdict import Verdict
 from ..adapters import HttpClientConnection, ServiceFigures
 from ..decisions import (
+    AdmissionKind,
+    AdmissionQueue,
+    ConcurrencyLimit,
     ConnectionId,
     ConnectionPool,
     ConnectionTerms,
     OwnTarget,
+    RefusedRequest,
+    ServiceTime,
     SlotLedger,
     SlotRefusal,
     SlotTerms,
+    WaitingRequest,
 )
 
-_FIRST_GUESS_SECONDS = 0.05
-_LEARNING_RATE = 0.1
-_BUSY_STATUS = 503
+FIRST_GUESS = ServiceTime(0.05, 0.02)
+"""Of an executor's time, before anything is learned."""
+
+LONGEST_NAP_SECONDS = 1.0
+"""A waiting request looks again at least so often for what frees slots without a word."""
+
+SHORTEST_RETRY_SECONDS = 0.1
 
 
 @dataclass(slots=True)
@@ -38,12 +47,29 @@
     since: Epoch
     """When this member acquired the partition. If it lost and regained it, the ledger is stale."""
     ledger: SlotLedger
+    limit: ConcurrencyLimit
     pool: ConnectionPool
     newest: ConnectionId
     """The number of the connection opened last."""
     connections: dict[ConnectionId, HttpClientConnection] = field(default_factory=dict)
     """Idle connections by number."""
 
+    def free(self, now: float) -> int:
+        """Slots that are free and worth using."""
+        used = self.contract.slots - self.ledger.free(now)
+        return max(0, self.limit.limit - used) if not self.ledger.leaving else 0
+
+    def usable(self, now: float) -> int:
+        """Slots whose requests end with an answer, so that others can count on getting them.
+
+        What a lost owner left is held for the longest run time whatever happens. If it counted as
+        moving, callers would be let into a queue that stands still past their deadlines.
+        """
+        if self.ledger.leaving:
+            return 0
+        blocked = sum(s.attempt is None and s.until > now for s in self.ledger.occupied)
+        return max(0, min(self.limit.limit, self.contract.slots - blocked))
+
     def close_connections(self, numbers: tuple[ConnectionId, ...]) -> None:
         """Close these idle connections."""
         for number in numbers:
@@ -54,6 +80,15 @@
                 self.ledger = self.ledger.close_connection()
 
 
+@dataclass(slots=True, eq=False)
+class _Waiter:
+    """A request in the queue, and what became of it."""
+
+    settled: trio.Event = field(default_factory=trio.Event)
+    target: OwnedTarget | None = None
+    retry_after: float | None = None
+
+
 class TargetGroup:
     """The owned targets of one service, and a bounded queue in front of them."""
 
@@ -61,8 +96,8 @@
         """No targets yet."""
         self._contract = contract
         self._targets: dict[TargetId, OwnedTarget] = {}
-        self._waiting: deque[trio.Event] = deque()
-        self._run_seconds = _FIRST_GUESS_SECONDS
+        self._queue = AdmissionQueue(contract.longest_queue, FIRST_GUESS)
+        self._waiters: dict[RequestId, _Waiter] = {}
 
     @property
     def contract(self) -> ServiceContract:
@@ -77,18 +112,17 @@
     @property
     def queued(self) -> int:
         """Requests waiting for a slot."""
-        return len(self._waiting)
+        return len(self._queue.waiting)
 
     @property
     def drain_per_second(self) -> float:
         """Requests that the owned targets end in a second when all slots are busy."""
-        slots = sum(target.contract.slots for target in self._targets.values())
-        return slots / self._run_seconds
+        return self._queue.drain_per_second(self._usable(), trio.current_time())
 
     @property
     def expected_run_seconds(self) -> float:
         """How long a request has lately taken at an executor."""
-        return self._run_seconds
+        return self._queue.service_time.expected
 
     def figures(self) -> ServiceFigures:
         """What peers are told."""
@@ -100,14 +134,20 @@
         now = trio.current_time()
         for target_id, target in self._targets.items():
             if not target.ledger.leaving:
-                yield OwnTarget(target_id, target.ledger.free(now))
+                yield OwnTarget(target_id, target.free(now))
 
     def update_contract(self, contract: ServiceContract) -> None:
         """Put a changed contract in force for what comes next."""
+        if contract == self._contract:
+            return
         self._contract = contract
+        self._queue = AdmissionQueue(
+            contract.longest_queue, self._queue.service_time, self._queue.waiting
+        )
         for target in self._targets.values():
-            terms = SlotTerms.from_contracts(target.contract, contract)
-            target.ledger = target.ledger.with_terms(terms)
+            target.ledger = target.ledger.with_terms(
+                SlotTerms.from_contracts(target.contract, contract)
+            )
 
     def add(
         self, contract: TargetContract, partition: PartitionId, since: Epoch, ledger: SlotLedger
@@ -115,81 +155,127 @@
         """Begin to own a target."""
         terms = ConnectionTerms(silence_seconds=self._contract.longest_run_seconds)
         self._targets[contract.target_id] = OwnedTarget(
-            contract, partition, since, ledger, ConnectionPool(terms), ConnectionId(0)
+            contract,
+            partition,
+            since,
+            ledger,
+            ConcurrencyLimit.initial(contract.slots),
+            ConnectionPool(terms),
+            ConnectionId(0),
         )
         self.wake()
 
-    def remove(self, target_id: TargetId) -> OwnedTarget:
+    def remove(self, target_id: TargetId) -> None:
         """Stop owning a target; what runs on it goes on."""
         target = self._targets.pop(target_id)
         target.close_connections(tuple(target.connections))
-        return target
 
-    async def acquire(self, request: ServiceRequest, attempt: RequestId) -> OwnedTarget:
-        """Take a slot of the target with most free ones, waiting for it until the deadline.
+    async def acquire(
+        self, request: ServiceRequest, attempt: RequestId, entry: MemberId
+    ) -> OwnedTarget:
+        """Take a slot of the target with most free ones, waiting for it if that is worth while.
 
-        Raises OverloadedError at once when too many wait already or the deadline can't be made.
+        ``entry`` is where the caller is. Raises OverloadedError as soon as the deadline can't be
+        expected to be made, and RequestError when no target of the service is owned here.
         """
-        target = self._try_acquire(attempt)
-        if target is not None:
+        if not self._targets:
+            raise RequestError(503, "no target of the service is here", Verdict.NOT_RUN, 1.0)
+        now = trio.current_time()
+        waiting = WaitingRequest(attempt, entry, request.deadline)
+        self._queue, decision = self._queue.offer(waiting, self._free(now), self._usable(), now)
+        if decision.kind is AdmissionKind.RUN:
+            target = self._try_acquire(attempt)
+            if target is None:
+                raise RequestError(503, "the free slot can't be used", Verdict.NOT_RUN, 1.0)
             return target
-        self._refuse_if_hopeless(request)
-        with trio.move_on_at(request.deadline - self._run_seconds):
-            while True:
-                await self._wait_turn()
-                target = self._try_acquire(attempt)
-                if target is not None:
-                    return target
-        raise self._overloaded("no slot became free in time")
+        waiter = self._waiters[attempt] = _Waiter()
+        self._settle_refused(decision.refused)
+        try:
+            return await self._wait(attempt, waiter)
+        finally:
+            del self._waiters[attempt]
+            self._queue = self._queue.withdraw(attempt)
 
     def release(self, target: OwnedTarget, attempt: RequestId) -> None:
-        """Free the slot of an attempt that has surely ended, and let the next request try."""
+        """Free the slot of an attempt that has surely ended, and let the next request have it."""
         target.ledger = target.ledger.release(attempt)
         self.wake()
 
-    def ran(self, seconds: float) -> None:
+    def ran(self, target: OwnedTarget, seconds: float) -> None:
         """Learn how long an executor took."""
-        self._run_seconds += _LEARNING_RATE * (seconds - self._run_seconds)
+        self._queue = self._queue.answered(seconds, trio.current_time())
+        target.limit = target.limit.answered(seconds)
 
     def wake(self) -> None:
-        """Let the first waiting request try again."""
-        if self._waiting:
-            self._waiting[0].set()
-
-    def _try_acquire(self, attempt: RequestId) -> OwnedTarget | None:
+        """Give free slots to those who wait, and refuse those who can't be served in time."""
         now = trio.current_time()
-        usable = [target for target in self._targets.values() if target.ledger.free(now) > 0]
-        for target in sorted(usable, key=lambda target: -target.ledger.free(now)):
-            taken = target.ledger.acquire(attempt, now)
-            if not isinstance(taken, SlotRefusal):
-                target.ledger = taken
-                return target
-        return None
-
-    async def _wait_turn(self) -> None:
-        turn = trio.Event()
-        self._waiting.append(turn)
+        self._queue, refused = self._queue.expire(now)
+        self._settle_refused(refused)
+        while self._queue.waiting and self._free(now) > 0:
+            target = self._try_acquire(self._queue.waiting[0].request_id)
+            if target is None:
+                return
+            self._queue, taken = self._queue.take(now)
+            assert taken is not None
+            waiter = self._waiters[taken.request_id]
+            waiter.target = target
+            waiter.settled.set()
+
+    async def _wait(self, attempt: RequestId, waiter: _Waiter) -> OwnedTarget:
         try:
-            with trio.move_on_after(self._seconds_to_next_expiry()):
-                await turn.wait()
-        finally:
-            self._waiting.remove(turn)
+            while not waiter.settled.is_set():
+                with trio.move_on_after(self._nap_seconds()):
+                    await waiter.settled.wait()
+                if not waiter.settled.is_set():
+                    self.wake()
+        except trio.Cancelled:
+            # The slot may have been given to this request just when its caller went away.
+            if waiter.target is not None:
+                self.release(waiter.target, attempt)
+            raise
+        if waiter.target is None:
+            retry_after = max(waiter.retry_after or 0.0, SHORTEST_RETRY_SECONDS)
+            raise OverloadedError(503, "no room in time", Verdict.NOT_RUN, retry_after)
+        return waiter.target
+
+    def _nap_seconds(self) -> float:
+        # A slot can become free by time alone and a deadline can pass, and neither wakes anybody.
+        now = trio.current_time()
+        moments = [target.ledger.next_free_at(now) for target in self._targets.values()]
+        expiry = self._queue.next_expiry()
+        if expiry is not None:
+            moments.append(expiry)
+        return min(max(min(moments, default=now) - now, 0.01), LONGEST_NAP_SECONDS)
+
+    def _settle_refused(self, refused: tuple[RefusedRequest, ...]) -> None:
+        for one in refused:
+            waiter = self._waiters.get(one.request.request_id)
+            if waiter is not None:
+                waiter.retry_after = max(one.retry_after, self.seconds_to_first_slot())
+                waiter.settled.set()
+
+    def seconds_to_first_slot(self) -> float:
+        """Until a slot is surely free, when none can be counted on before; 0 otherwise."""
+        if self._usable() > 0:
+            return 0.0
+        now = trio.current_time()
+        ends = (one.ledger.next_free_at(now) for one in self._targets.values())
+        return min(ends, default=now) - now
 
-    def _seconds_to_next_expiry(self) -> float:
-        # A slot can also become free by time alone, which wakes nobody.
+    def _try_acquire(self, attempt: RequestId) -> OwnedTarget | None:
         now = trio.current_time()
-        ends = [target.ledger.next_free_at(now) for target in self._targets.values()]
-        return max(0.01, min(ends, default=now + 1.0) - now)
+        target = max(self._targets.values(), key=lambda one: one.free(now), default=None)
+        if target is None or target.free(now) <= 0:
+            return None
+        taken = target.ledger.acquire(attempt, now)
+        if isinstance(taken, SlotRefusal):
+            return None
+        target.ledger = taken
+        return target
 
-    def _refuse_if_hopeless(self, request: ServiceRequest) -> None:
-        if not self._targets:
-            raise RequestError(503, "no target of the service is here", Verdict.NOT_RUN, 1.0)
-        if self.queued >= self._contract.longest_queue:
-            raise self._overloaded("the queue is full")
-        wait = (self.queued + 1) / self.drain_per_second
-        if trio.current_time() + wait + self._run_seconds > request.deadline:
-            raise self._overloaded("the deadline can't be made")
-
-    def _overloaded(self, reason: str) -> OverloadedError:
-        wait = (self.queued + 1) / self.drain_per_second if self._targets else 1.0
-        return OverloadedError(_BUSY_STATUS, reason, Verdict.NOT_RUN, retry_after=max(wait, 0.1))
+    def _free(self, now: float) -> int:
+        return sum(target.free(now) for target in self._targets.values())
+
+    def _usable(self) -> int:
+        now = trio.current_time()
+        return sum(target.usable(now) for target in self._targets.values())
--- a/fireflyfork/programs/entry.py
+++ b/fireflyfork/programs/entry.py
@@ -30,6 +30,7 @@
     PeerGuardChannel,
     QuestionHandler,
 )
+from ._key_tables import FETCH_SECONDS
 from ._logs import configure_logs
 from ._membership import FleetView, Membership
 from ._membership_view import MembershipView
@@ -91,6 +92,7 @@
         await self._entry.stop_callers(self._settings.drain_notice_seconds)
         left = await self._membership.leave(LONGEST_LEAVE_SECONDS)
         await self._entry.wait_for_calls()
+        await trio.sleep(FETCH_SECONDS)
         logger.info("stopped", handed_over=left)
 
     async def _follow_instances(self) -> None:
--- a/fireflyfork/programs/tests/builders_entries.py
+++ b/fireflyfork/programs/tests/builders_entries.py
@@ -47,10 +47,16 @@
 class FleetOfTest:
     """What all entries of a test believe; tests change it."""
 
-    owners: dict[PartitionId, MemberId] = field(default_factory=dict)
+    ownerships: dict[PartitionId, Ownership] = field(default_factory=dict)
     addresses: dict[MemberId, Address] = field(default_factory=dict)
     without_right: set[MemberId] = field(default_factory=set)
 
+    def give(self, partition: PartitionId, owner: MemberId, acquired: Acquisition) -> None:
+        """Change the owner of a partition."""
+        before = self.ownerships.get(partition)
+        since = Epoch(before.since + 1 if before else 1)
+        self.ownerships[partition] = Ownership(owner, since, acquired)
+
 
 class FixedOwnership(OwnershipView):
     """An ownership view over the fleet of a test."""
@@ -68,8 +74,7 @@
         return PARTITIONS
 
     def ownership_of(self, partition: PartitionId) -> Ownership | None:
-        owner = self._fleet.owners.get(partition)
-        return Ownership(owner, Epoch(1), Acquisition.FIRST) if owner else None
+        return self._fleet.ownerships.get(partition)
 
     def may_dispatch(self, partition: PartitionId) -> bool:
         return self.owner_of(partition) == self._own and self._own not in self._fleet.without_right
@@ -80,6 +85,10 @@
     def address_of(self, member: MemberId) -> Address | None:
         return self._fleet.addresses.get(member)
 
+    def owners(self) -> dict[PartitionId, MemberId]:
+        ownerships = self._fleet.ownerships.items()
+        return {one: owned.owner for one, owned in ownerships if owned.owner is not None}
+
     def other_members(self) -> tuple[MemberId, ...]:
         return tuple(member for member in self._fleet.addresses if member != self._own)
 
@@ -140,6 +149,13 @@
                 return spans
             await trio.sleep(0.01)
 
+    def move_all(self, to: int, acquired: Acquisition) -> None:
+        """Make one entry the owner of all partitions; all others hear of it first."""
+        for partition in tuple(self.fleet.ownerships):
+            self.fleet.give(partition, MemberId(f"entry-{to}"), acquired)
+        for running in sorted(self.entries, key=lambda one: one is self.entries[to]):
+            running.entry.refresh()
+
     def reconfigure(self, **changes: object) -> None:
         """Change the service's contract at all entries."""
         service = replace(self.configuration.services[0], **changes)  # type: ignore[arg-type]
@@ -181,7 +197,7 @@
         members = [MemberId(f"entry-{number}") for number in range(entries)]
         for number in range(PARTITIONS):
             owner = members[(owned_by or {}).get(number, 0)]
-            fleet.owners[PartitionId(f"{REGION}/{number}")] = owner
+            fleet.give(PartitionId(f"{REGION}/{number}"), owner, Acquisition.FIRST)
         running = [await _start_entry(nursery, member, fleet) for member in members]
         for one in running:
             one.entry.configure(configuration)
--- a/fireflyfork/tests/nose2_counts.py
+++ b/fireflyfork/tests/nose2_counts.py
@@ -24,16 +24,19 @@
     configSection = "counts"  # noqa: N815  (the name that nose2 reads)
 
     def __init__(self) -> None:
-        """Start all counts at zero."""
-        self._outcomes: Counter[str] = Counter()
+        """No outcomes yet."""
+        self._outcomes: dict[str, str] = {}
 
     def testOutcome(self, event: Any) -> None:  # noqa: N802  (nose2's hook)
-        """Count one outcome; errors count as failures."""
-        self._outcomes["failed" if event.outcome == "error" else event.outcome] += 1
+        """Note one outcome; a test failed if it, or one of its subtests, failed or broke."""
+        test = getattr(event.test, "test_case", event.test).id()
+        failed = event.exc_info is not None and event.outcome != "skipped"
+        if failed or self._outcomes.get(test) != "failed":
+            self._outcomes[test] = "failed" if failed else event.outcome
 
     def afterSummaryReport(self, event: Any) -> None:  # noqa: N802  (nose2's hook)
         """Print the closing line."""
-        counts = self._outcomes
+        counts = Counter(self._outcomes.values())
         print(
             f"\n{counts['passed']} passed, {counts['failed']} failed, {counts['skipped']} skipped",
             flush=True,
