Search for two owners of one partition; comparing revisions with other members

Change: each member compares revisions with one other member every 2 s. Also mended: a member whose own read showed its fence went on to plan and ended with a KeyError.

--- /dev/null
+++ b/bench/ownership_search.py
@@ -0,0 +1,216 @@
+"""Search for two owners of one partition: ``python -m bench.ownership_search [--runs N]``.
+
+Each run is a fleet under random faults, given by its seed. The chosen rules and weaker ones get the
+same seeds. Printed for each: runs with two owners, takeovers, and partitions still unserved after
+everything healed.
+"""
+
+from __future__ import annotations
+
+import time
+from collections import Counter
+from collections.abc import Callable, Iterator
+from concurrent.futures import ProcessPoolExecutor
+from contextlib import AbstractContextManager, contextmanager, nullcontext
+from dataclasses import dataclass, field, replace
+from functools import partial
+from unittest import mock
+
+import defopt  # type: ignore[import-untyped]
+
+from fireflyfork import ChangeId, MemberId, Revision
+from fireflyfork.decisions import (
+    ChangeKind,
+    FleetRecord,
+    GuardAnswer,
+    Member,
+    MembershipState,
+    MembershipTiming,
+    RightRules,
+)
+from fireflyfork.decisions import _fleet_changes as changes
+from fireflyfork.decisions import _membership as machine
+from fireflyfork.decisions.tests.builders_ownership import NAIDU_PLACES, FleetSimulation
+
+_SETTLE_SECONDS = 8.0
+_FAULT_SECONDS = 40.0
+_HEAL_SECONDS = 25.0
+
+
+class _AcknowledgesWithoutRight(RightRules):
+    def answer(self, holds_right: bool, own_guard: MemberId | None, asker: MemberId) -> GuardAnswer:
+        return GuardAnswer(True)
+
+
+class _DatedFromReceipt(RightRules):
+    def dated(self, sent_at: float, received_at: float) -> float:
+        return received_at
+
+
+class _NoWait(RightRules):
+    def takeover_wait(self, timing: MembershipTiming) -> float:
+        return 0.0
+
+
+class _WaitWithoutDrift(RightRules):
+    def takeover_wait(self, timing: MembershipTiming) -> float:
+        return timing.right_seconds
+
+
+class _OldValueSettles(RightRules):
+    def settled(self, expected: Revision, seen: Revision) -> bool:
+        return seen >= expected
+
+
+class _NoPairs(RightRules):
+    def answer(self, holds_right: bool, own_guard: MemberId | None, asker: MemberId) -> GuardAnswer:
+        return GuardAnswer(holds_right)
+
+
+class _DoubleWait(RightRules):
+    def takeover_wait(self, timing: MembershipTiming) -> float:
+        return 2 * super().takeover_wait(timing)
+
+
+@contextmanager
+def _joiner_changes_guards() -> Iterator[None]:
+    """A newcomer gives members a better guard, though their present one does not know."""
+    join = changes.join
+
+    def careless(record: FleetRecord, newcomer: Member, change_id: ChangeId) -> FleetRecord | None:
+        joined = join(record, newcomer, change_id)
+        if joined is None:
+            return None
+        name = newcomer.member_id
+        members = dict(joined.members)
+        for other, member in joined.members.items():
+            if other != name and member.zone.region == newcomer.zone.region:
+                members[other] = replace(member, guard=name)
+        return replace(joined, members=members)
+
+    with mock.patch.object(changes, "join", careless):
+        yield
+
+
+@contextmanager
+def _fence_changes_guards() -> Iterator[None]:
+    """The fence, not the takeover, gives the fenced member's wards new guards."""
+    fence = changes.fence
+
+    def early(
+        record: FleetRecord, ward: MemberId, by: MemberId, change_id: ChangeId
+    ) -> FleetRecord | None:
+        fenced = fence(record, ward, by, change_id)
+        if fenced is None:
+            return None
+        members = dict(fenced.members)
+        for name, member in fenced.members.items():
+            if member.guard == ward:
+                members[name] = replace(member, guard=changes.choose_guard(members, member))
+        return replace(fenced, members=members)
+
+    with mock.patch.object(changes, "fence", early):
+        yield
+
+
+@contextmanager
+def _old_guard_counts() -> Iterator[None]:
+    """A member still counts its old guard's word while it replaces it."""
+    writes = machine._writes
+
+    def forgetful(state: MembershipState, kind: ChangeKind) -> bool:
+        return kind is not ChangeKind.CHANGE_GUARD and writes(state, kind)
+
+    with mock.patch.object(machine, "_writes", forgetful):
+        yield
+
+
+@dataclass(frozen=True)
+class Variant:
+    """One set of rules."""
+
+    name: str
+    rules: RightRules = field(default_factory=RightRules)
+    patch: Callable[[], AbstractContextManager[None]] = nullcontext
+
+
+VARIANTS = (
+    Variant("chosen"),
+    Variant("chosen without renewing pairs", _NoPairs()),
+    Variant("chosen, every wait doubled", _DoubleWait()),
+    Variant("guard acknowledges without own right", _AcknowledgesWithoutRight()),
+    Variant("right dated from receipt", _DatedFromReceipt()),
+    Variant("no wait between fence and takeover", _NoWait()),
+    Variant("wait without drift margin", _WaitWithoutDrift()),
+    Variant("read of the old value settles a write", _OldValueSettles()),
+    Variant("newcomer changes others' guards", patch=_joiner_changes_guards),
+    Variant("newcomer changes guards, waits doubled", _DoubleWait(), _joiner_changes_guards),
+    Variant("fence changes the wards' guards", patch=_fence_changes_guards),
+    Variant("fence changes guards, waits doubled", _DoubleWait(), _fence_changes_guards),
+    Variant("old guard counts while replaced", patch=_old_guard_counts),
+)
+
+
+@dataclass(frozen=True)
+class Outcome:
+    """What one run showed."""
+
+    seed: int
+    two_owners: bool
+    unserved: int
+    dead_cycle: bool
+    counts: Counter[str]
+
+
+def run_one(number: int, seed: int) -> Outcome:
+    """One run of one variant."""
+    variant = VARIANTS[number]
+    with variant.patch():
+        simulation = FleetSimulation(seed, NAIDU_PLACES, variant.rules)
+        simulation.run(_SETTLE_SECONDS)
+        simulation.run_with_faults(_FAULT_SECONDS)
+        simulation.heal()
+        simulation.run(_HEAL_SECONDS)
+    return Outcome(
+        seed,
+        bool(simulation.violations),
+        len(simulation.unserved()),
+        simulation.dead_cycle(),
+        simulation.counts,
+    )
+
+
+def main(*, runs: int = 600, chosen_runs: int = 6000, processes: int = 8) -> None:
+    """Run all variants.
+
+    :param runs: Runs of each weaker variant.
+    :param chosen_runs: Runs of the chosen rules.
+    :param processes: Processes to spread the runs over.
+    """
+    with ProcessPoolExecutor(processes) as pool:
+        for number, variant in enumerate(VARIANTS):
+            seeds = range(chosen_runs if number == 0 else runs)
+            began = time.perf_counter()
+            outcomes = list(pool.map(partial(run_one, number), seeds, chunksize=10))
+            _print(variant, outcomes, time.perf_counter() - began)
+
+
+def _print(variant: Variant, outcomes: list[Outcome], seconds: float) -> None:
+    total: Counter[str] = Counter()
+    for outcome in outcomes:
+        total += outcome.counts
+    broken = [outcome.seed for outcome in outcomes if outcome.two_owners]
+    cycles = sum(1 for one in outcomes if one.unserved and one.dead_cycle)
+    stuck = [one.seed for one in outcomes if one.unserved and not one.dead_cycle]
+    print(
+        f"{variant.name}: two owners in {len(broken)} of {len(outcomes)} runs"
+        f" (first seeds {broken[:3]}); {total['take-over']} takeovers, {total['fenced']} fenced"
+        f" alive, {total['move']} moves, {total['leave']} planned stops, {total['join']} joins;"
+        f" unserved after healing: {len(stuck)} (seeds {stuck[:3]}), behind dead members that"
+        f" guard each other: {cycles}; {seconds:.0f} s",
+        flush=True,
+    )
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- a/fireflyfork/decisions/_membership.py
+++ b/fireflyfork/decisions/_membership.py
@@ -19,8 +19,8 @@
 
 _NEVER = float("-inf")
 _NO_REVISION = Revision(0)
-_MOST_QUESTIONS = 8
-"""Questions to the guard that are kept open; with the usual timing those of the last 4 s."""
+_MOST_QUESTIONS = 12
+"""Questions that are kept open; with the usual timing those of the last 4 s."""
 
 
 class MemberPhase(Enum):
@@ -37,6 +37,9 @@
     """Lost its membership. The process joins again under a new member id."""
 
 
+_OUTSIDE = (MemberPhase.LEFT, MemberPhase.FENCED)
+
+
 class ChangeKind(Enum):
     """What a write of the record is for."""
 
@@ -152,9 +155,9 @@
 
 @dataclass(frozen=True, slots=True)
 class AskGuard:
-    """Ask the guard; what it answers comes back as ``GuardAnswered``."""
+    """Ask the guard, or another peer; what it answers comes back as ``GuardAnswered``."""
 
-    guard: MemberId
+    peer: MemberId
     nonce: int
     revision: Revision
 
@@ -207,10 +210,10 @@
 
 @dataclass(frozen=True, slots=True)
 class OpenQuestion:
-    """A question to the guard that may still be answered."""
+    """A question that may still be answered."""
 
     nonce: int
-    guard: MemberId
+    peer: MemberId
     sent_at: float
 
 
@@ -256,6 +259,7 @@
     questions: tuple[OpenQuestion, ...] = ()
     next_nonce: int = 1
     next_ask_at: float = _NEVER
+    next_compare_at: float = _NEVER
     guard_good_at: float = _NEVER
     """When the present guard last acknowledged, or became the guard."""
     guard_changes: int = 0
@@ -340,7 +344,7 @@
 
 def step(state: MembershipState, event: Event, now: float) -> tuple[MembershipState, Commands]:
     """One event."""
-    if state.phase in (MemberPhase.LEFT, MemberPhase.FENCED):
+    if state.phase in _OUTSIDE:
         return _step_outside(state, event)
     match event:
         case Tick():
@@ -386,8 +390,9 @@
 def _tick(state: MembershipState, now: float) -> tuple[MembershipState, Commands]:
     state = _forgive_after_pause(state, now)
     state, asked = _ask_if_due(state, now)
+    state, compared = _compare_if_due(state, now)
     state, planned = _plan(state, now)
-    return state, asked + planned
+    return state, asked + compared + planned
 
 
 def _forgive_after_pause(state: MembershipState, now: float) -> MembershipState:
@@ -406,20 +411,40 @@
     guard = state.record.guard_of(state.me.member_id)
     if guard is None or now < state.next_ask_at:
         return state, ()
-    question = OpenQuestion(state.next_nonce, guard, now)
+    return _ask(replace(state, next_ask_at=now + state.timing.ask_seconds), guard, now)
+
+
+def _compare_if_due(state: MembershipState, now: float) -> tuple[MembershipState, Commands]:
+    """Compare revisions with one other member after the other, by the same question.
+
+    Watches go silent for good without an error, and those who knew the news die. Then members that
+    guard each other would keep their right and never hear of partitions that were moved to them.
+    """
+    if now < state.next_compare_at:
+        return state, ()
+    state = replace(state, next_compare_at=now + state.timing.compare_seconds)
+    own = state.me.member_id
+    others = [name for name in sorted(state.record.members) if name != own]
+    if own not in state.record.members or not others:
+        return state, ()
+    pick = xxhash.xxh32_intdigest(f"{own}/{state.next_nonce}".encode())
+    return _ask(state, others[pick % len(others)], now)
+
+
+def _ask(state: MembershipState, peer: MemberId, now: float) -> tuple[MembershipState, Commands]:
+    question = OpenQuestion(state.next_nonce, peer, now)
     asked = replace(
         state,
         questions=(*state.questions, question)[-_MOST_QUESTIONS:],
         next_nonce=state.next_nonce + 1,
-        next_ask_at=now + state.timing.ask_seconds,
     )
-    return asked, (AskGuard(guard, question.nonce, state.revision),)
+    return asked, (AskGuard(peer, question.nonce, state.revision),)
 
 
 def _plan(state: MembershipState, now: float) -> tuple[MembershipState, Commands]:
     """At most one call to the store at a time; none while all is well and the guard answers."""
     waiting = state.reading_since is not None or now < state.store_retry_at
-    if waiting or state.collecting is not None:
+    if waiting or state.collecting is not None or state.phase in _OUTSIDE:
         return state, ()
     if state.write is not None:
         return (state, ()) if state.write.in_flight else _read(state, now)
@@ -724,10 +749,10 @@
     question = next((open_ for open_ in state.questions if open_.nonce == event.nonce), None)
     if question is None:
         return state, ()
-    later = tuple(open_ for open_ in state.questions if open_.nonce > event.nonce)
-    state = replace(state, questions=later)
-    offers = _offer_if_behind(state, question.guard, event.revision)
-    if not _counts(state, question.guard, event.answer):
+    others = tuple(open_ for open_ in state.questions if open_.nonce != event.nonce)
+    state = replace(state, questions=others)
+    offers = _offer_if_behind(state, question.peer, event.revision)
+    if not _counts(state, question.peer, event.answer):
         return state, offers
     state = _prove(state, state.rules.dated(question.sent_at, now))
     return replace(state, guard_good_at=now, guard_changes=0), offers
--- a/fireflyfork/decisions/_rights.py
+++ b/fireflyfork/decisions/_rights.py
@@ -20,6 +20,8 @@
     """How long one proof of not being fenced gives the right to dispatch."""
     ask_seconds: float = 0.5
     """Between two questions to the guard."""
+    compare_seconds: float = 2.0
+    """Between two questions to any other member, which only compare what both know."""
     suspect_seconds: float = 2.0
     """A guard fences a member that it did not hear for so long."""
     replace_guard_seconds: float = 1.0
--- a/fireflyfork/decisions/tests/test_membership.py
+++ b/fireflyfork/decisions/tests/test_membership.py
@@ -115,6 +115,18 @@
         self.assertIs(driver.state.phase, MemberPhase.FENCED)
         self.assertFalse(holds_right(driver.state, driver.now))
 
+    def test_read_that_shows_the_own_fence(self) -> None:
+        """A member learns of its fence by its own read, and wants nothing of the record any more.
+
+        It once went on to look for a better guard, and the process ended with a KeyError.
+        """
+        driver = _active()
+        fenced = fence(driver.state.record, A, B, CHANGE)
+        driver.pass_time(1.5, (B, C), guard=False)
+        driver.feed(RecordRead(fenced, Revision(6)))
+        self.assertIs(driver.state.phase, MemberPhase.FENCED)
+        self.assertEqual(driver.commands, ())
+
     def test_old_guard_counts_no_more(self) -> None:
         """A member replaces its guard, and the answer that does it is lost.
 
--- a/fireflyfork/programs/_membership.py
+++ b/fireflyfork/programs/_membership.py
@@ -198,7 +198,7 @@
     # What peers say
 
     def asked(self, question: GuardQuestion) -> GuardReply:
-        """Answer a peer that takes this process for its guard."""
+        """Answer a peer that takes this process for its guard, or compares what both know."""
         asked = GuardAsked(question.asker, question.nonce, question.revision)
         answers = [one for one in self._feed(asked) if isinstance(one, AnswerAsker)]
         return GuardReply(
@@ -346,17 +346,17 @@
             logger.debug("record not passed on", peer=peer.member_id, error=str(error))
 
     async def _ask(self, command: AskGuard) -> None:
-        guard = self._state.record.members.get(command.guard)
-        if guard is None:
+        peer = self._state.record.members.get(command.peer)
+        if peer is None:
             return
         asker = self.member_id
         question = GuardQuestion(
             asker, command.nonce, command.revision, self._configuration_version
         )
         try:
-            reply = await self._channel.ask(guard, question)
+            reply = await self._channel.ask(peer, question)
         except PeerError as error:
-            logger.debug("guard not reached", guard=guard.member_id, error=str(error))
+            logger.debug("peer not reached", peer=peer.member_id, error=str(error))
             return
         if asker == self.member_id:
             self._feed(GuardAnswered(reply.nonce, reply.answer, reply.revision))
