--- a/bench/ownership_search.py
+++ b/bench/ownership_search.py
@@ -16,7 +16,7 @@
 from functools import partial
 from unittest import mock
 
-import defopt  # type: ignore[import-untyped]
+import defopt
 
 from fireflyfork import ChangeId, MemberId, Revision
 from fireflyfork.decisions import (
