--- /dev/null
+++ b/bench/overload_model.py
@@ -0,0 +1,380 @@
+"""A seeded discrete-event model of one region: callers, entries, owners and executors.
+
+The decisions are those of the product; only time, the network and the executors are modelled.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field, replace
+from random import Random
+
+from fireflyfork import (
+    FailureDomainName,
+    MemberId,
+    RegionName,
+    RequestId,
+    ServiceContract,
+    ServiceName,
+    TargetContract,
+    TargetId,
+    TeamName,
+    Verdict,
+)
+from fireflyfork.decisions import (
+    AdmissionKind,
+    AdmissionQueue,
+    FailedAttempt,
+    MemberFigures,
+    OwnTarget,
+    RetryBudget,
+    RetryDecision,
+    RetryTerms,
+    RouteKind,
+    RouteQuestion,
+    ServiceTime,
+    SlotLedger,
+    SlotTerms,
+    WaitingRequest,
+    route,
+)
+
+REGION = RegionName("viti")
+ENTRIES = 6
+TARGETS = 8
+SLOTS = 8
+MEAN_SECONDS = 0.1
+SIGMA = 0.5
+"""Of the lognormal service time."""
+TIMEOUT = 0.5
+HOP = 0.0005
+FIGURES_EVERY = 0.25
+FAULTY = 0.02
+"""The share of attempts whose connection is refused, so that they are proved not to have run."""
+WARM_UP = 1.0
+MEASURED = 4.0
+MOST_ATTEMPTS = 3
+CAPACITY = TARGETS * SLOTS / MEAN_SECONDS
+"""Requests per second."""
+ENTRY_WEIGHTS = (4.0, 2.0, 1.0, 1.0, 1.0, 1.0)
+"""How unevenly callers' connections are spread over the entries."""
+
+
+@dataclass(frozen=True, slots=True)
+class Variant:
+    """What is done the naive way."""
+
+    name: str
+    fixed_share: bool = False
+    """Each entry uses its own share of every target's slots and forwards nothing."""
+    round_robin: bool = False
+    """Each entry sends to the owners in turn."""
+    no_shedding: bool = False
+    """Requests wait in order of arrival, however long."""
+    plain_retry: bool = False
+    """Every failure is tried again, up to three attempts, without a budget."""
+
+
+@dataclass(slots=True)
+class ModelRequest:
+    """A request and what became of it."""
+
+    serial: int
+    entry: int
+    arrived: float
+    deadline: float
+    attempts: int = 1
+    ended: bool = False
+
+
+@dataclass(slots=True)
+class Outcomes:
+    """What callers saw of the requests that arrived in the measured time."""
+
+    arrived: int = 0
+    answer_seconds: list[float] = field(default_factory=list)
+    refusal_seconds: list[float] = field(default_factory=list)
+    timed_out: int = 0
+    failed: int = 0
+    """Connection refused, and not tried again."""
+    retries: int = 0
+    runs: int = 0
+
+
+@dataclass(slots=True)
+class ModelOwner:
+    """What one entry does for the targets it owns."""
+
+    ledgers: dict[TargetId, SlotLedger]
+    admission: AdmissionQueue
+    fifo: deque[ModelRequest] = field(default_factory=deque)
+    requests: dict[RequestId, ModelRequest] = field(default_factory=dict)
+
+
+class OverloadModel:
+    """One run of one variant."""
+
+    def __init__(self, variant: Variant, load: float, seed: int) -> None:
+        """``load`` is the arrival rate as a multiple of the capacity."""
+        self.outcomes = Outcomes()
+        self._variant = variant
+        self._load = load
+        self._random = Random(seed)
+        self._now = 0.0
+        self._serial = 0
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._owners = self._build_owners()
+        self._budgets = [RetryBudget.full(RetryTerms()) for _ in range(ENTRIES)]
+        self._figures: list[dict[int, MemberFigures]] = [{} for _ in range(ENTRIES)]
+        self._turns = [0] * ENTRIES
+
+    def run(self) -> Outcomes:
+        """Run to the end of the measured time and until the last deadline has passed."""
+        self._after(0.0, self._tell_figures)
+        self._after(0.0, self._arrive)
+        end = WARM_UP + MEASURED + TIMEOUT
+        while self._events and self._events[0][0] <= end:
+            self._now, _, happen = heapq.heappop(self._events)
+            happen()
+        return self.outcomes
+
+    def _build_owners(self) -> list[ModelOwner]:
+        shares: list[dict[TargetId, int]] = [{} for _ in range(ENTRIES)]
+        for number in range(TARGETS * SLOTS):
+            target = TargetId(f"t{number // SLOTS}")
+            holder = number % ENTRIES if self._variant.fixed_share else number // SLOTS % ENTRIES
+            shares[holder][target] = shares[holder].get(target, 0) + 1
+        return [self._build_owner(share) for share in shares]
+
+    def _build_owner(self, share: dict[TargetId, int]) -> ModelOwner:
+        service = ServiceContract(ServiceName("desk"), TeamName("desk"), 5.0)
+        ledgers = {}
+        for target_id, slots in share.items():
+            contract = TargetContract(
+                target_id, service.name, "", REGION, FailureDomainName("suva"), slots, 64
+            )
+            ledgers[target_id] = SlotLedger(SlotTerms.from_contracts(contract, service))
+        admission = AdmissionQueue(service.longest_queue, ServiceTime(MEAN_SECONDS, 0.0))
+        return ModelOwner(ledgers, admission)
+
+    def _after(self, seconds: float, happen: Callable[[], None]) -> None:
+        self._serial += 1
+        heapq.heappush(self._events, (self._now + seconds, self._serial, happen))
+
+    def _arrive(self) -> None:
+        self._after(self._random.expovariate(self._load * CAPACITY), self._arrive)
+        entry = self._random.choices(range(ENTRIES), ENTRY_WEIGHTS)[0]
+        request = ModelRequest(self._serial, entry, self._now, self._now + TIMEOUT)
+        if self._is_measured(request):
+            self.outcomes.arrived += 1
+        self._budgets[entry] = self._budgets[entry].request()
+        self._after(TIMEOUT, lambda: self._time_out(request))
+        self._dispatch(request)
+
+    def _is_measured(self, request: ModelRequest) -> bool:
+        return WARM_UP <= request.arrived < WARM_UP + MEASURED
+
+    def _dispatch(self, request: ModelRequest) -> None:
+        owner, retry_after = self._choose_owner(request)
+        if owner is None:
+            self._refused(request, retry_after)
+        elif owner == request.entry:
+            self._offer(owner, request)
+        else:
+            self._note_sent(request.entry, owner)
+            self._after(HOP, lambda: self._offer(owner, request))
+
+    def _choose_owner(self, request: ModelRequest) -> tuple[int | None, float]:
+        if self._variant.fixed_share:
+            return request.entry, 0.0
+        if self._variant.round_robin:
+            self._turns[request.entry] += 1
+            return self._turns[request.entry] % TARGETS % ENTRIES, 0.0
+        chosen = route(self._question(request), {}, self._now)
+        if chosen.kind is RouteKind.REFUSE:
+            return None, chosen.retry_after
+        member = chosen.member_id
+        return (request.entry if member is None else int(member)), 0.0
+
+    def _question(self, request: ModelRequest) -> RouteQuestion:
+        own = self._owners[request.entry]
+        time_left = request.deadline - self._now - own.admission.service_time.expected
+        return RouteQuestion(
+            region=REGION,
+            own=[OwnTarget(name, ledger.free(self._now)) for name, ledger in own.ledgers.items()],
+            queued=self._queued(own),
+            drain_per_second=own.admission.drain_per_second(_slots(own), self._now),
+            peers=tuple(self._figures[request.entry].values()),
+            time_left=1e9 if self._variant.no_shedding else time_left,
+            request_bytes=1000,
+            forwarded=False,
+            draw=(self._random.random(), self._random.random()),
+        )
+
+    def _queued(self, owner: ModelOwner) -> int:
+        return len(owner.fifo) + len(owner.admission.waiting)
+
+    def _note_sent(self, entry: int, owner: int) -> None:
+        known = self._figures[entry].get(owner)
+        if known is not None:
+            self._figures[entry][owner] = replace(known, sent_since=known.sent_since + 1)
+
+    def _tell_figures(self) -> None:
+        self._after(FIGURES_EVERY, self._tell_figures)
+        for owner in range(ENTRIES):
+            for entry in range(ENTRIES):
+                self._hear_figures(entry, owner)
+
+    def _hear_figures(self, entry: int, owner: int) -> None:
+        if entry == owner:
+            return
+        state = self._owners[owner]
+        free = sum(ledger.free(self._now) for ledger in state.ledgers.values())
+        drain = state.admission.drain_per_second(_slots(state), self._now)
+        self._figures[entry][owner] = MemberFigures(
+            MemberId(str(owner)), REGION, free, self._queued(state), drain, self._now
+        )
+
+    def _offer(self, owner: int, request: ModelRequest) -> None:
+        state = self._owners[owner]
+        free = sum(ledger.free(self._now) for ledger in state.ledgers.values())
+        if self._variant.no_shedding:
+            state.fifo.append(request)
+            if free:
+                self._start(owner, state.fifo.popleft())
+            return
+        waiting = WaitingRequest(
+            RequestId(f"{request.serial}.{request.attempts}"),
+            MemberId(str(request.entry)),
+            request.deadline,
+        )
+        state.requests[waiting.request_id] = request
+        state.admission, decision = state.admission.offer(waiting, free, _slots(state), self._now)
+        for refused in decision.refused:
+            self._tell_refusal(owner, refused.request.request_id, refused.retry_after)
+        if decision.kind is AdmissionKind.RUN:
+            del state.requests[waiting.request_id]
+            self._start(owner, request)
+
+    def _tell_refusal(self, owner: int, name: RequestId, retry_after: float) -> None:
+        request = self._owners[owner].requests.pop(name)
+        hop = 0.0 if owner == request.entry else HOP
+        self._hear_figures(request.entry, owner)
+        self._after(hop, lambda: self._refused(request, retry_after))
+
+    def _start(self, owner: int, request: ModelRequest) -> None:
+        state = self._owners[owner]
+        attempt = RequestId(f"{request.serial}.{request.attempts}")
+        target = max(state.ledgers, key=lambda name: state.ledgers[name].free(self._now))
+        taken = state.ledgers[target].acquire(attempt, self._now)
+        assert isinstance(taken, SlotLedger), taken
+        state.ledgers[target] = taken
+        if self._random.random() < FAULTY:
+            self._after(HOP, lambda: self._fail(owner, target, attempt, request))
+            return
+        self.outcomes.runs += 1
+        seconds = self._random.lognormvariate(0.0, SIGMA) * MEAN_SECONDS / _LOGNORMAL_MEAN
+        self._after(seconds, lambda: self._end(owner, target, attempt, request, seconds))
+
+    def _end(
+        self, owner: int, target: TargetId, attempt: RequestId, request: ModelRequest, took: float
+    ) -> None:
+        state = self._owners[owner]
+        state.ledgers[target] = state.ledgers[target].release(attempt)
+        state.admission = state.admission.answered(took, self._now)
+        hop = 0.0 if owner == request.entry else HOP
+        self._after(hop, lambda: self._answered(owner, request))
+        self._start_next(owner)
+
+    def _fail(
+        self, owner: int, target: TargetId, attempt: RequestId, request: ModelRequest
+    ) -> None:
+        state = self._owners[owner]
+        state.ledgers[target] = state.ledgers[target].release(attempt)
+        hop = 0.0 if owner == request.entry else HOP
+        self._after(hop, lambda: self._not_run(request))
+        self._start_next(owner)
+
+    def _start_next(self, owner: int) -> None:
+        state = self._owners[owner]
+        if state.fifo:
+            self._start(owner, state.fifo.popleft())
+            return
+        state.admission, overdue = state.admission.expire(self._now)
+        for refused in overdue:
+            self._tell_refusal(owner, refused.request.request_id, refused.retry_after)
+        state.admission, following = state.admission.take(self._now)
+        if following is not None:
+            self._start(owner, state.requests.pop(following.request_id))
+
+    def _answered(self, owner: int, request: ModelRequest) -> None:
+        self._hear_figures(request.entry, owner)
+        if not request.ended:
+            request.ended = True
+            if self._is_measured(request):
+                self.outcomes.answer_seconds.append(self._now - request.arrived)
+
+    def _refused(self, request: ModelRequest, retry_after: float) -> None:
+        """There was no room; as built, such a request is not tried again by the entry."""
+        if request.ended:
+            return
+        if self._variant.plain_retry and request.attempts < MOST_ATTEMPTS:
+            self._again(request)
+            return
+        request.ended = True
+        if self._is_measured(request):
+            assert retry_after > 0
+            self.outcomes.refusal_seconds.append(self._now - request.arrived)
+
+    def _not_run(self, request: ModelRequest) -> None:
+        """A connection was refused."""
+        if request.ended:
+            return
+        if self._may_retry(request):
+            self._again(request)
+            return
+        request.ended = True
+        self.outcomes.failed += self._is_measured(request)
+
+    def _again(self, request: ModelRequest) -> None:
+        request.attempts += 1
+        self.outcomes.retries += self._is_measured(request)
+        self._dispatch(request)
+
+    def _may_retry(self, request: ModelRequest) -> bool:
+        if self._variant.plain_retry:
+            return request.attempts < MOST_ATTEMPTS
+        failed = FailedAttempt(
+            Verdict.NOT_RUN, False, request.attempts, request.deadline, MEAN_SECONDS
+        )
+        budget, decision = self._budgets[request.entry].decide(failed, self._now)
+        self._budgets[request.entry] = budget
+        return decision is RetryDecision.RETRY
+
+    def _time_out(self, request: ModelRequest) -> None:
+        if request.ended:
+            return
+        request.ended = True
+        again = self._variant.plain_retry and request.attempts < MOST_ATTEMPTS
+        if self._is_measured(request) and not again:
+            self.outcomes.timed_out += 1
+        if again:
+            self.outcomes.retries += self._is_measured(request)
+            second = replace(
+                request,
+                arrived=self._now,
+                deadline=self._now + TIMEOUT,
+                attempts=request.attempts + 1,
+                ended=False,
+            )
+            self._after(TIMEOUT, lambda: self._time_out(second))
+            self._dispatch(second)
+
+
+_LOGNORMAL_MEAN = 2.718281828459045 ** (SIGMA * SIGMA / 2)
+
+
+def _slots(owner: ModelOwner) -> int:
+    return sum(ledger.terms.slots for ledger in owner.ledgers.values())
--- a/fireflyfork/decisions/_admission.py
+++ b/fireflyfork/decisions/_admission.py
@@ -21,6 +21,16 @@
 STALL_FACTOR = 4.0
 """Longer silence than so many expected gaps between answers counts as a stall."""
 
+PERSISTENT_SECONDS = 0.5
+"""A queue that has not been empty for so long is not a burst but an overload."""
+
+OVERLOAD_WAIT = 0.5
+"""In an overload a request waits at most so many mean service times.
+
+There is always a next request then, so a longer queue serves no more of them; it only makes all of
+them wait.
+"""
+
 
 @dataclass(frozen=True, slots=True)
 class ServiceTime:
@@ -91,6 +101,8 @@
     waiting: tuple[WaitingRequest, ...] = ()
     last_answer_at: float = 0.0
     """When an executor last answered, or when the queue last began to fill."""
+    filling_since: float = 0.0
+    """When the queue was last empty."""
 
     def offer(
         self, request: WaitingRequest, free: int, usable: int, now: float
@@ -139,7 +151,7 @@
     def answered(self, seconds: float, now: float) -> AdmissionQueue:
         """An executor took so long for an answer."""
         learned = self.service_time.learn(seconds)
-        return AdmissionQueue(self.longest, learned, self.waiting, now)
+        return AdmissionQueue(self.longest, learned, self.waiting, now, self.filling_since)
 
     def drain_per_second(self, usable: int, now: float) -> float:
         """Requests that end per second while others wait.
@@ -213,6 +225,8 @@
             return False
         gap = 1.0 / drain
         place = self.waiting.index(request)
+        if gap * (place + 1) > self._longest_wait(now):
+            return False
         ends = now + self.service_time.expected + gap * (place + 1)
         if ends > request.deadline:
             return False
@@ -223,5 +237,10 @@
                 return False
         return True
 
+    def _longest_wait(self, now: float) -> float:
+        if now - self.filling_since < PERSISTENT_SECONDS:
+            return float("inf")
+        return OVERLOAD_WAIT * self.service_time.mean
+
     def _started_filling(self, now: float) -> AdmissionQueue:
-        return AdmissionQueue(self.longest, self.service_time, (), now)
+        return AdmissionQueue(self.longest, self.service_time, (), now, now)
--- a/fireflyfork/decisions/tests/test_admission.py
+++ b/fireflyfork/decisions/tests/test_admission.py
@@ -90,6 +90,19 @@
         _, decision = moving.offer(waiting("new", 1.5), 0, 2, now=1.0)
         self.assertIs(decision.kind, AdmissionKind.QUEUE)
 
+    def test_a_lasting_queue_is_kept_short(self) -> None:
+        """More callers come than there is room for, for minutes.
+
+        With a queue as long as the deadlines allow, every booking would take as long as its
+        caller's patience, and not one more would be served.
+        """
+        filling = _filled(3).answered(0.1, 0.4)
+        _, decision = filling.offer(waiting("burst", 60.0), 0, 2, now=0.4)
+        self.assertIs(decision.kind, AdmissionKind.QUEUE)
+        lasting = filling.answered(0.1, 0.6)
+        _, decision = lasting.offer(waiting("surplus", 60.0), 0, 2, now=0.6)
+        self.assertIs(decision.kind, AdmissionKind.REFUSE)
+
     def test_nobody_waits_past_hope(self) -> None:
         """A request that can't end in time any more is refused then, not at its deadline."""
         one, _ = queue().offer(waiting("w", 1.0), 0, 2, 0.0)
