--- /dev/null
+++ b/bench/_inferred_rules.py
@@ -0,0 +1,193 @@
+"""Rules inferred from accepted configurations, of the kinds that ConfValley infers.
+
+Data types, non-emptiness, value ranges, enumerations, equality between parameters, uniqueness and
+consistency, with the heuristics that the paper gives (section 4.3): an enumeration needs
+``ln(values) >= distinct values``, and equality ignores short values and rare parameters.
+"""
+
+from __future__ import annotations
+
+import ipaddress
+import math
+import re
+from abc import ABC, abstractmethod
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass
+from itertools import combinations
+
+from fireflyfork.operations import leaves
+
+Plain = dict[str, object]
+Values = Mapping[str, tuple[object, ...]]
+"""The values of each parameter of one configuration; its path has ``[*]`` for places in lists."""
+
+_INDEX = re.compile(r"\[\d+\]")
+_MOST_ENUMERATED = 10
+_SHORTEST_EQUAL = 6
+_FEWEST_EQUAL_INSTANCES = 20
+_BOOKKEEPING = frozenset({"version", "change_id", "note"})
+
+
+def values_of(configuration: Plain) -> Values:
+    """Group the values of a configuration by parameter."""
+    grouped: dict[str, list[object]] = {}
+    for path, value in leaves(configuration):
+        name = _INDEX.sub("[*]", path)
+        if name not in _BOOKKEEPING:
+            grouped.setdefault(name, []).append(value)
+    return {name: tuple(values) for name, values in grouped.items()}
+
+
+@dataclass(frozen=True, slots=True)
+class InferredRule(ABC):
+    """One rule about one parameter."""
+
+    parameter: str
+
+    @abstractmethod
+    def is_broken_by(self, values: Values) -> bool:
+        """Whether a configuration breaks it."""
+
+    def of(self, values: Values) -> tuple[object, ...]:
+        """The parameter's values."""
+        return values.get(self.parameter, ())
+
+
+@dataclass(frozen=True, slots=True)
+class TypeRule(InferredRule):
+    """Each value is of the kind that all accepted ones were."""
+
+    kind: str
+
+    def is_broken_by(self, values: Values) -> bool:
+        """See InferredRule."""
+        return any(_kind(value) != self.kind for value in self.of(values))
+
+
+@dataclass(frozen=True, slots=True)
+class NonEmptyRule(InferredRule):
+    """No value is empty."""
+
+    def is_broken_by(self, values: Values) -> bool:
+        """See InferredRule."""
+        return any(value in ("", None) for value in self.of(values))
+
+
+@dataclass(frozen=True, slots=True)
+class InferredRangeRule(InferredRule):
+    """Each number lies between the least and the largest accepted one."""
+
+    least: float
+    most: float
+
+    def is_broken_by(self, values: Values) -> bool:
+        """See InferredRule."""
+        numbers = (value for value in self.of(values) if _is_number(value))
+        return any(not self.least <= float(str(number)) <= self.most for number in numbers)
+
+
+@dataclass(frozen=True, slots=True)
+class EnumerationRule(InferredRule):
+    """Each value is one of the few accepted ones."""
+
+    known: frozenset[object]
+
+    def is_broken_by(self, values: Values) -> bool:
+        """See InferredRule."""
+        return any(value not in self.known for value in self.of(values))
+
+
+@dataclass(frozen=True, slots=True)
+class UniquenessRule(InferredRule):
+    """No value occurs twice in a configuration."""
+
+    def is_broken_by(self, values: Values) -> bool:
+        """See InferredRule."""
+        return len(set(self.of(values))) < len(self.of(values))
+
+
+@dataclass(frozen=True, slots=True)
+class ConsistencyRule(InferredRule):
+    """All values in a configuration are the same."""
+
+    def is_broken_by(self, values: Values) -> bool:
+        """See InferredRule."""
+        return len(set(self.of(values))) > 1
+
+
+@dataclass(frozen=True, slots=True)
+class EqualityRule(InferredRule):
+    """The values of two parameters are the same, one by one."""
+
+    other: str
+
+    def is_broken_by(self, values: Values) -> bool:
+        """See InferredRule."""
+        return self.of(values) != values.get(self.other, ())
+
+
+def infer(history: Iterable[Values]) -> tuple[InferredRule, ...]:
+    """All rules that every configuration of ``history`` keeps."""
+    accepted = tuple(history)
+    names = sorted(set().union(*accepted))
+    rules = [rule for name in names for rule in _about_one(name, accepted)]
+    rules += _about_two(names, accepted)
+    return tuple(rules)
+
+
+def _about_one(name: str, accepted: tuple[Values, ...]) -> Iterator[InferredRule]:
+    instances = tuple(values.get(name, ()) for values in accepted)
+    pooled = tuple(value for values in instances for value in values)
+    kinds = {_kind(value) for value in pooled}
+    if len(kinds) == 1:
+        yield TypeRule(name, min(kinds))
+    if all(value not in ("", None) for value in pooled):
+        yield NonEmptyRule(name)
+    if all(_is_number(value) for value in pooled):
+        numbers = [float(str(value)) for value in pooled]
+        yield InferredRangeRule(name, min(numbers), max(numbers))
+    distinct = frozenset(pooled)
+    if math.log(len(pooled)) >= len(distinct) and len(distinct) <= _MOST_ENUMERATED:
+        yield EnumerationRule(name, distinct)
+    yield from _about_places(name, tuple(values for values in instances if len(values) > 1))
+
+
+def _about_places(name: str, instances: tuple[tuple[object, ...], ...]) -> Iterator[InferredRule]:
+    if instances and all(len(set(values)) == len(values) for values in instances):
+        yield UniquenessRule(name)
+    if instances and all(len(set(values)) == 1 for values in instances):
+        yield ConsistencyRule(name)
+
+
+def _about_two(names: list[str], accepted: tuple[Values, ...]) -> Iterator[InferredRule]:
+    for one, other in combinations(names, 2):
+        pairs = [(values.get(one, ()), values.get(other, ())) for values in accepted]
+        if all(first == second for first, second in pairs) and _is_telling(pairs):
+            yield EqualityRule(one, other)
+
+
+def _is_telling(pairs: list[tuple[tuple[object, ...], tuple[object, ...]]]) -> bool:
+    pooled = [value for first, _ in pairs for value in first]
+    long_enough = all(len(str(value)) >= _SHORTEST_EQUAL for value in pooled)
+    return long_enough and len(pooled) >= _FEWEST_EQUAL_INSTANCES
+
+
+def _is_number(value: object) -> bool:
+    return isinstance(value, int | float) and not isinstance(value, bool)
+
+
+def _kind(value: object) -> str:
+    if isinstance(value, str) and _is_address(value):
+        return "address"
+    if isinstance(value, int | float) and not isinstance(value, bool):
+        return "number"
+    return type(value).__name__
+
+
+def _is_address(text: str) -> bool:
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+    except ValueError:
+        return False
+    return port.isdigit()
--- /dev/null
+++ b/bench/configuration_checks.py
@@ -0,0 +1,176 @@
+"""Which checks catch which mistakes in configurations, and how often each raises a false alarm.
+
+``python -m bench.configuration_checks [MISTAKES_OF_EACH_KIND]``. Both users' configurations are
+changed by seeded ordinary changes; rules are inferred from the first ones and tried on later ones.
+"""
+
+from __future__ import annotations
+
+import sys
+from collections import Counter
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from pathlib import Path
+from random import Random
+
+import msgspec
+
+from fireflyfork import Configuration
+from fireflyfork.operations import Answers, check, decode, decode_document, generate, unusual
+
+from ._configuration_changes import MISTAKES, ORDINARY
+from ._inferred_rules import InferredRule, Plain, infer, values_of
+
+SEED = 20260211
+LEARNED_CHANGES = 200
+TRIED_CHANGES = 400
+EXAMPLES = Path(__file__).parents[1] / "examples"
+
+Check = Callable[[Plain, Plain], bool]
+"""Whether a configuration is rejected when it is to replace another."""
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """A configuration, and the accepted one that it is to replace."""
+
+    before: Plain
+    after: Plain
+    kind: str
+
+
+@dataclass(frozen=True, slots=True)
+class Learned:
+    """A user's accepted changes, and the rules inferred from the first of them."""
+
+    accepted: tuple[Change, ...]
+    rules: tuple[InferredRule, ...]
+
+
+def main() -> None:
+    """Run the comparison and print it."""
+    each = int(sys.argv[1]) if len(sys.argv) > 1 else 100
+    caught: Counter[tuple[str, str]] = Counter()
+    alarms: Counter[tuple[str, str]] = Counter()
+    made: Counter[str] = Counter()
+    for number, name in enumerate(("naidu", "kastings")):
+        random = Random(SEED + number)
+        learned = learn(first_configuration(name), random)
+        checks = checks_of(learned)
+        print(f"{name}: {len(learned.rules)} rules inferred from {LEARNED_CHANGES} versions, of")
+        print(f"  which later versions break {broken_later(learned)}")
+        for later in learned.accepted[LEARNED_CHANGES:]:
+            made[later.kind] += 1
+            alarms.update((later.kind, label) for label in rejecting(checks, later))
+        for mistake in mistakes(learned, each, random):
+            caught.update((mistake.kind, label) for label in rejecting(checks, mistake))
+        labels = list(checks)
+    tried = Counter({kind.name: 2 * each for kind in MISTAKES})
+    report("caught, of mistakes", labels, caught, tried)
+    report("false alarms, of ordinary changes", labels, alarms, made)
+
+
+def first_configuration(name: str) -> Plain:
+    """The plain form of an example."""
+    text = (EXAMPLES / name / "answers.jsonc").read_text("utf-8")
+    answers = decode_document(Answers, text).value
+    assert answers is not None
+    encoded = msgspec.json.encode(generate(answers).configuration)
+    plain: Plain = msgspec.json.decode(encoded)
+    return plain
+
+
+def learn(first: Plain, random: Random) -> Learned:
+    """Change a configuration again and again as operators do, and infer rules from the start."""
+    accepted: list[Change] = []
+    while len(accepted) < LEARNED_CHANGES + TRIED_CHANGES:
+        # Half of the changes start again from the first, so that no value drifts away for good.
+        latest = accepted[-1].after if accepted else first
+        base = random.choice([latest, first])
+        kind = random.choice(ORDINARY)
+        changed = kind.applied(base, random)
+        # What the rules that are written down reject would never have been accepted.
+        if not _breaks_types(changed) and not _breaks_relations(changed):
+            accepted.append(Change(base, changed, kind.name))
+    rules = infer(values_of(change.after) for change in accepted[:LEARNED_CHANGES])
+    return Learned(tuple(accepted), rules)
+
+
+def checks_of(learned: Learned) -> dict[str, Check]:
+    """The checks to compare."""
+
+    def written(plain: Plain) -> bool:
+        return _breaks_types(plain) or _breaks_relations(plain)
+
+    def inferred(plain: Plain) -> bool:
+        return breaks_inferred(plain, learned.rules)
+
+    return {
+        "types": lambda before, after: _breaks_types(after),
+        "types+relations": lambda before, after: written(after),
+        "inferred": lambda before, after: inferred(after),
+        "types+inferred": lambda before, after: _breaks_types(after) or inferred(after),
+        "types+rel.+inferred": lambda before, after: written(after) or inferred(after),
+        "types+rel.+unusual": lambda before, after: written(after) or _is_unusual(before, after),
+    }
+
+
+def rejecting(checks: dict[str, Check], change: Change) -> Iterator[str]:
+    """The checks that reject a change."""
+    return (
+        label for label, is_rejected in checks.items() if is_rejected(change.before, change.after)
+    )
+
+
+def mistakes(learned: Learned, each: int, random: Random) -> Iterator[Change]:
+    """Changes that add one mistake to an accepted configuration."""
+    for kind in MISTAKES:
+        for _ in range(each):
+            base = random.choice(learned.accepted[LEARNED_CHANGES:]).after
+            yield Change(base, kind.applied(base, random), kind.name)
+
+
+def breaks_inferred(plain: Plain, rules: tuple[InferredRule, ...]) -> bool:
+    """Whether any of the inferred rules is broken."""
+    values = values_of(plain)
+    return any(rule.is_broken_by(values) for rule in rules)
+
+
+def broken_later(learned: Learned) -> int:
+    """How many inferred rules some later accepted configuration breaks: they were wrong."""
+    later = [values_of(change.after) for change in learned.accepted[LEARNED_CHANGES:]]
+    return sum(any(rule.is_broken_by(values) for values in later) for rule in learned.rules)
+
+
+def report(
+    title: str,
+    labels: list[str],
+    rejected: Counter[tuple[str, str]],
+    tried: Counter[str],
+) -> None:
+    """Print the shares that each check rejected, by kind and of all."""
+    print(f"\n{title:32}" + "".join(f"{label:>21}" for label in labels))
+    for kind, count in tried.items():
+        shares = (f"{rejected[kind, label] / count:>21.0%}" for label in labels)
+        print(f"{kind:32}" + "".join(shares))
+    totals = (sum(rejected[kind, label] for kind in tried) for label in labels)
+    shares = (f"{total / tried.total():>21.1%}" for total in totals)
+    print(f"{f'all {tried.total()}':32}" + "".join(shares))
+
+
+def _breaks_types(plain: Plain) -> bool:
+    return bool(decode(Configuration, plain).violations)
+
+
+def _breaks_relations(plain: Plain) -> bool:
+    configuration = decode(Configuration, plain).value
+    return configuration is not None and bool(check(configuration))
+
+
+def _is_unusual(before: Plain, after: Plain) -> bool:
+    current, proposed = (decode(Configuration, plain).value for plain in (before, after))
+    return proposed is not None and bool(unusual(current, proposed))
+
+
+if __name__ == "__main__":
+    main()
--- a/fireflyfork/operations/__init__.py
+++ b/fireflyfork/operations/__init__.py
@@ -22,7 +22,7 @@
     version_of_history_key,
 )
 from ._checks import RULES, check, check_change
-from ._decoding import Decoded, decode
+from ._decoding import Decoded, decode, leaves
 from ._differences import Difference, differences
 from ._documents import (
     decode_document,
@@ -37,6 +37,7 @@
 from ._interview import Prompt, interview
 from ._quantities import ByteCount, ByteRate, Cores, Duration, Quantity, Share
 from ._span_tree import SpanNode, draw, find_trace, read_spans, span_trees
+from ._unusual import unusual
 from ._violations import Violation
 
 __all__ = [
@@ -76,6 +77,7 @@
     "generate",
     "history_key",
     "interview",
+    "leaves",
     "mint_change_id",
     "parse_document",
     "read_samples",
@@ -87,6 +89,7 @@
     "span_trees",
     "time_of_change",
     "unusable_addresses",
+    "unusual",
     "version_of_history_key",
     "with_version",
 ]
--- a/fireflyfork/operations/_checks.py
+++ b/fireflyfork/operations/_checks.py
@@ -197,6 +197,11 @@
             "must have both processors and memory, or neither",
             "give both; nothing runs without one of them",
         ),
+        (
+            relations.memory_in_another_unit,
+            "must have at least 1 MiB of memory for each core",
+            "give memory in bytes: 60 GB are 60000000000",
+        ),
         (
             relations.racks_beyond_the_group,
             "must be at most the group's count",
--- a/fireflyfork/operations/_relations.py
+++ b/fireflyfork/operations/_relations.py
@@ -18,6 +18,9 @@
 LONGEST_STORED_BYTES = 990_000
 """The store holds values up to a megabyte; the rest is for the versions' bookkeeping."""
 
+_MILLICORES = 1000
+_LEAST_BYTES_PER_CORE = 1 << 20
+
 Found = Iterator[Located[Any]]
 
 
@@ -193,6 +196,13 @@
             yield Located(f"teams[{index}].quota", team.quota)
 
 
+def memory_in_another_unit(configuration: Configuration) -> Found:
+    """Sizes with so little memory for their cores that it was surely given in another unit."""
+    for path, size in _sizes(configuration):
+        if size.memory and size.memory * _MILLICORES < size.millicores * _LEAST_BYTES_PER_CORE:
+            yield Located(path, size)
+
+
 def racks_beyond_the_group(configuration: Configuration) -> Found:
     """Groups of workers that are said to share a rack with more workers than there are."""
     for index, group in enumerate(configuration.workers):
@@ -227,6 +237,16 @@
             yield Located(f"services[{index}].longest_queue", service.longest_queue)
 
 
+def _sizes(configuration: Configuration) -> Iterator[tuple[str, Resources]]:
+    """Every amount of resources and its path."""
+    for index, service in enumerate(configuration.services):
+        yield f"services[{index}].resources", service.resources
+    for index, team in enumerate(configuration.teams):
+        yield f"teams[{index}].quota", team.quota
+    for index, group in enumerate(configuration.workers):
+        yield f"workers[{index}].capacity", group.capacity
+
+
 def _is_usable(address: str) -> bool:
     try:
         number = ipaddress.ip_address(Address.parse(address).host)
--- /dev/null
+++ b/fireflyfork/operations/_unusual.py
@@ -0,0 +1,66 @@
+"""What is allowed but unlike the configuration in force, and so perhaps a slip."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from .._contracts import Configuration, TargetContract
+from .._ids import ServiceName
+from ._differences import differences
+from ._violations import Violation, shown
+
+LARGE_STEP = 8.0
+"""Bits for bytes are a factor of 8; the other usual slips of units are larger."""
+
+_STEP_RULE = "changes by a factor of {factor:.0f} against the version in force"
+_ODD_RULE = "differs from all other targets of the service, which had one value so far"
+
+
+def unusual(current: Configuration | None, proposed: Configuration) -> tuple[Violation, ...]:
+    """Values that no rule forbids, but that a slip of a unit or a digit would produce."""
+    if current is None:
+        return ()
+    return (*_large_steps(current, proposed), *_odd_targets(current, proposed))
+
+
+def _large_steps(current: Configuration, proposed: Configuration) -> Iterator[Violation]:
+    for difference in differences(current, proposed):
+        factor = _factor(difference.before, difference.after)
+        if factor >= LARGE_STEP:
+            value = f"{shown(difference.before)} -> {shown(difference.after)}"
+            rule = _STEP_RULE.format(factor=factor)
+            yield Violation(difference.path, value, rule, "check the unit and the digits")
+
+
+def _factor(before: object, after: object) -> float:
+    """By how much a positive number grew or shrank; 1 for anything else."""
+    if isinstance(before, bool) or isinstance(after, bool):
+        return 1.0
+    if not isinstance(before, int | float) or not isinstance(after, int | float):
+        return 1.0
+    if before <= 0 or after <= 0:
+        return 1.0
+    return max(after / before, before / after)
+
+
+def _odd_targets(current: Configuration, proposed: Configuration) -> Iterator[Violation]:
+    for service in proposed.services:
+        before = _targets(current, service.name)
+        after = _targets(proposed, service.name)
+        for name in ("slots", "connections"):
+            yield from _odd_ones(name, before, after)
+
+
+def _odd_ones(
+    name: str, before: tuple[TargetContract, ...], after: tuple[TargetContract, ...]
+) -> Iterator[Violation]:
+    """The one target whose value differs, when all had the same value before."""
+    common = {getattr(target, name) for target in before}
+    odd = [target for target in after if getattr(target, name) not in common]
+    if len(common) == 1 and len(odd) == 1 and len(after) > 2:
+        path = f"targets[{odd[0].target_id}].{name}"
+        yield Violation(path, shown(getattr(odd[0], name)), _ODD_RULE, f"keep {min(common)}")
+
+
+def _targets(configuration: Configuration, service: ServiceName) -> tuple[TargetContract, ...]:
+    return tuple(target for target in configuration.targets if target.service == service)
--- /dev/null
+++ b/fireflyfork/operations/tests/test_unusual.py
@@ -0,0 +1,51 @@
+"""Allowed values that a slip would produce."""
+
+import unittest
+from dataclasses import replace
+
+from ... import Configuration
+from .. import unusual
+from .builders_answers import example_configuration
+
+BASE = example_configuration()
+
+
+def with_slots(*slots: int) -> Configuration:
+    """The Naidu configuration whose first targets have these slots."""
+    changed = (
+        replace(target, slots=number) for target, number in zip(BASE.targets, slots, strict=False)
+    )
+    return replace(BASE, targets=(*changed, *BASE.targets[len(slots) :]))
+
+
+class UnusualTest(unittest.TestCase):
+    """Against the version in force."""
+
+    def test_large_steps(self) -> None:
+        """A factor of eight or more in one number; smaller steps and new things are ordinary."""
+        service = BASE.services[0]
+        link = BASE.links[0]
+        cases = [
+            (replace(BASE, services=(replace(service, longest_queue=512),)), 1),
+            (replace(BASE, services=(replace(service, longest_queue=8),)), 1),
+            (replace(BASE, services=(replace(service, longest_queue=511),)), 0),
+            (replace(BASE, services=(replace(service, longest_queue=0),)), 0),
+            (replace(BASE, links=(replace(link, bytes_per_second=15_000_000),)), 1),
+            (replace(BASE, services=(replace(service, replicas=4),)), 0),
+            (replace(BASE, targets=BASE.targets[:2]), 0),
+        ]
+        for proposed, count in cases:
+            with self.subTest(proposed=proposed.services, links=proposed.links):
+                self.assertEqual(len(unusual(BASE, proposed)), count)
+                self.assertEqual(unusual(None, proposed), ())
+
+    def test_odd_targets(self) -> None:
+        """One target that differs from all others; several or all at once are meant."""
+        cases = [((9,), 1), ((9, 9), 0), ((16,) * 24, 0), ((8, 8), 0)]
+        for slots, count in cases:
+            with self.subTest(slots=slots):
+                self.assertEqual(len(unusual(BASE, with_slots(*slots))), count)
+
+    def test_mixed_already(self) -> None:
+        """Where targets differ in force, one more that differs is ordinary."""
+        self.assertEqual(unusual(with_slots(16), with_slots(16, 9)), ())
--- a/fireflyfork/programs/_ctl_configuration.py
+++ b/fireflyfork/programs/_ctl_configuration.py
@@ -11,12 +11,14 @@
 from .._links import Address
 from ..adapters import HttpStore
 from ..operations import (
+    Violation,
     check,
     check_change,
     differences,
     render_configuration,
     same_decisions,
     time_of_change,
+    unusual,
     with_version,
 )
 from ._ctl_addresses import store_address
@@ -53,6 +55,7 @@
     dry_run: bool = False,
     note: str = "",
     base: int | None = None,
+    accept_unusual: bool = False,
     patience: float = 30.0,
     json: bool = False,
 ) -> ExitCode:
@@ -60,9 +63,10 @@
 
     The file says which version it was made from; when another operator's change has come since,
     nothing is changed and the differences are shown. A write whose answer is lost is settled by
-    reading back its change id. The accepted version number is written into the file. Exit status:
-    0 in force, 3 invalid, 4 another change came first, 5 store down and nothing changed, 6 may
-    have taken effect.
+    reading back its change id. The accepted version number is written into the file. Values that
+    no rule forbids, but that a slip of a unit would produce, must be accepted knowingly. Exit
+    status: 0 in force, 3 invalid or unusual, 4 another change came first, 5 store down and nothing
+    changed, 6 may have taken effect.
 
     Examples::
 
@@ -73,6 +77,7 @@
     :param store: the store's IP:port; else the variable FIREFLYFORK_STORE
     :param dry_run: show what would change, and change nothing
     :param note: why; the history shows it
+    :param accept_unusual: apply also when a value takes a large step or one target differs from the rest
     :param base: version to replace instead of the one that the file names
     :param patience: seconds to search for the fate of a write that got no answer
     :param json: print the result as JSON
@@ -85,7 +90,7 @@
             return ExitCode.INVALID
         if base is not None:
             proposed = _with_base(proposed, ConfigurationVersion(base))
-        change = _Change(output, dry_run, note)
+        change = _Change(output, dry_run, note, accept_unusual)
         stored = _stored(store, output, patience)
         version = run_command(lambda: change.apply(stored, proposed))
         if version is not None:
@@ -124,7 +129,7 @@
 
     def command() -> ExitCode:
         reason = note or f"rollback to version {version}"
-        change = _Change(output, dry_run, reason)
+        change = _Change(output, dry_run, reason, accept_unusual=True)
         stored = _stored(store, output, patience)
         run_command(lambda: change.roll_back(stored, ConfigurationVersion(version)))
         return ExitCode.DONE
@@ -188,8 +193,9 @@
 class _Change:
     """One attempt to change the stored configuration."""
 
-    def __init__(self, output: Output, dry_run: bool, note: str) -> None:
+    def __init__(self, output: Output, dry_run: bool, note: str, accept_unusual: bool) -> None:
         self._output = output
+        self._accept_unusual = accept_unusual
         self._dry_run = dry_run
         self._note = note
 
@@ -226,6 +232,7 @@
         if violations:
             reasons = "; ".join(str(violation) for violation in violations)
             raise CommandError(ExitCode.INVALID, reasons)
+        self._confirm(unusual(present, proposed))
         written = stored.prepare(proposed, current, self._note)
         if self._dry_run:
             self._result("would change", present, written)
@@ -237,6 +244,18 @@
         self._result("in force", present, written)
         return written.version
 
+    def _confirm(self, found: tuple[Violation, ...]) -> None:
+        """Name unusual values, and end the command unless they are accepted or only shown."""
+        told = "\n".join(f"  {violation}" for violation in found)
+        if found and not (self._accept_unusual or self._dry_run):
+            raise CommandError(
+                ExitCode.INVALID,
+                f"unusual, and so nothing was changed:\n{told}",
+                "if it is meant, give --accept-unusual",
+            )
+        if found:
+            self._output.progress(f"unusual:\n{told}")
+
     async def _lost(
         self,
         stored: ConfigurationStore,
--- a/fireflyfork/programs/tests/test_ctl.py
+++ b/fireflyfork/programs/tests/test_ctl.py
@@ -226,6 +226,27 @@
             self.assertEqual(ctl("apply", str(self.file), *STORE).code, ExitCode.INVALID)
             self.assertEqual(ctl("history", *STORE, "--json").plain[-1]["version"], 1)
 
+    def test_unusual_values(self) -> None:
+        """An operator types milliseconds where seconds belong, and no rule forbids the value.
+
+        Without a question back, the first caller of the phone line would be the one to notice.
+        """
+        store = MemoryStore()
+        with in_store(store):
+            ctl("apply", str(self.file), *STORE)
+            self.edit('"longest_body_bytes": 1048576', '"longest_body_bytes": 1024')
+            self.edit('"slots": 8', '"slots": 9')
+            ended = ctl("apply", str(self.file), *STORE)
+            self.assertEqual(ended.code, ExitCode.INVALID)
+            self.assertIn("services[booking-desk].longest_body_bytes", ended.error)
+            self.assertIn("targets[booking-desk-suva-1].slots", ended.error)
+            dry = ctl("apply", str(self.file), *STORE, "--dry-run")
+            self.assertEqual(dry.code, ExitCode.DONE)
+            self.assertIn("unusual", dry.error)
+            accepted = ctl("apply", str(self.file), *STORE, "--accept-unusual")
+            self.assertEqual(accepted.code, ExitCode.DONE)
+            self.assertEqual(ctl("rollback", "1", *STORE).code, ExitCode.DONE)
+
     def test_store_down(self) -> None:
         """Each command says that the store is down and whether anything was changed."""
         down = [Fault.REFUSED] * 50
