--- /dev/null
+++ b/scripts/playground.sh
@@ -0,0 +1,14 @@
+#!/usr/bin/env bash
+# Set up, start every program and stand-in as a process of its own, and leave them running, without a
+# configuration, until this script is interrupted. The tutorial is followed in another terminal.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+bash scripts/setup.sh
+run=run
+rm -rf "$run"
+. scripts/processes.sh
+start_all
+trap 'exit 0' INT TERM
+
+echo "everything runs; settings, traces and logs are in $run/; interrupt to stop"
+while true; do sleep 1; done
--- /dev/null
+++ b/scripts/tutorial.sh
@@ -0,0 +1,11 @@
+#!/usr/bin/env bash
+# Follow docs/tutorial.md on this machine and put the real output of every command in its place.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+bash scripts/setup.sh
+run=run
+rm -rf "$run"
+. scripts/processes.sh
+start_all
+sleep 2
+PATH="$PWD/$bin:$PATH" $bin/python scripts/rewrite_tutorial.py docs/tutorial.md
