--- a/fireflyfork/operations/__init__.py
+++ b/fireflyfork/operations/__init__.py
@@ -36,6 +36,7 @@
 from ._generator import Generated, generate, unusable_addresses
 from ._interview import Prompt, interview
 from ._quantities import ByteCount, ByteRate, Cores, Duration, Quantity, Share
+from ._reference import configuration_reference
 from ._span_tree import SpanNode, draw, find_trace, read_spans, span_trees
 from ._unusual import unusual
 from ._violations import Violation
@@ -69,6 +70,7 @@
     "WorkerAnswer",
     "check",
     "check_change",
+    "configuration_reference",
     "decode",
     "decode_document",
     "differences",
--- a/fireflyfork/operations/_checks.py
+++ b/fireflyfork/operations/_checks.py
@@ -28,7 +28,7 @@
 )
 
 RANGE_RULES: tuple[Rule, ...] = tuple(
-    RangeRule(f"must be between {least:g} and {most:g}", fix, domain, least, most)
+    RangeRule(f"must be between {least:.15g} and {most:.15g}", fix, domain, least, most)
     for domain, least, most, fix in (
         ("version", 0, 1e12, "leave the version that the questionnaire or apply wrote"),
         ("partitions_per_region", 1, 1024, "several times the entries of a region, such as 32"),
@@ -94,126 +94,155 @@
 )
 
 RELATION_RULES: tuple[Rule, ...] = tuple(
-    RelationRule(text, fix, find)
-    for find, text, fix in (
+    RelationRule(text, fix, domain, find)
+    for find, domain, text, fix in (
         (
             relations.unusable_addresses,
+            "targets[*].address",
             "must be an IP number and port that a process can listen on",
             "write it as 10.0.0.1:8080 or [fd00::1]:8080; names are not resolved",
         ),
         (
             relations.misplaced_targets,
+            "targets[*].failure_domain",
             "must be one of the failure domains of the target's region",
             "correct the region or the failure domain",
         ),
         (
             relations.too_few_connections,
+            "targets[*].connections",
             "must be at least the target's slots",
             "raise connections or lower slots",
         ),
         (
             relations.services_without_targets,
+            "services[*]",
             "must have targets or replicas",
             "add its executors, or remove the service",
         ),
         (
             relations.services_in_one_domain,
+            "services[*]",
             "must have targets in two failure domains, or one failure takes it away",
             "move some executors to another failure domain",
         ),
         (
             relations.default_above_longest,
+            "services[*].default_timeout_seconds",
             "must be at most longest_timeout_seconds",
             "raise longest_timeout_seconds or lower the default",
         ),
         (
             relations.objective_above_timeout,
+            "services[*].latency_objective_milliseconds",
             "must be at most the default timeout",
             "raise the timeout or lower the objective",
         ),
         (
             relations.run_above_longest_timeout,
+            "services[*].longest_run_seconds",
             "must be at most longest_timeout_seconds",
             "raise longest_timeout_seconds, or have executors end their requests sooner",
         ),
         (
             relations.run_below_objective,
+            "services[*].longest_run_seconds",
             "must be at least the latency objective",
             "raise longest_run_seconds to the time when executors surely ended a request",
         ),
         (
             relations.timeout_within_round_trip,
+            "services[*].default_timeout_seconds",
             "must leave room for the slowest link's round trip and the latency objective",
             "raise the timeout",
         ),
         (
             relations.objective_within_round_trip,
+            "services[*].latency_objective_milliseconds",
             "must be above the round trip to the nearest region that has targets",
             "add executors in each region, or raise the objective",
         ),
         (
             relations.queue_beyond_timeout,
+            "services[*].longest_queue",
             "must drain within longest_timeout_seconds when each request takes the objective",
             "shorten the queue: its last requests would be answered too late",
         ),
         (
             relations.links_of_one_region,
+            "links[*].regions",
             "must join two different regions",
             "name the other region",
         ),
-        (relations.repeated_links, "must join two regions once", "remove one of the two links"),
+        (
+            relations.repeated_links,
+            "links[*].regions",
+            "must join two regions once",
+            "remove one of the two links",
+        ),
         (
             relations.unlinked_regions,
+            "regions[*]",
             "must be joined to another region by a link",
             "add the link with its latency and capacity",
         ),
         (
             relations.sizeless_replicas,
+            "services[*].resources",
             "must declare processors and memory when replicas are placed",
             "give the size of one replica",
         ),
         (
             relations.replicas_that_fit_nowhere,
+            "services[*].resources",
             "must fit in a worker",
             "lower the size of a replica or add larger workers",
         ),
         (
             relations.replicas_without_spread,
+            "services[*].replicas",
             "must be able to spread over two failure domains",
             "lower the size of a replica or add workers in another failure domain",
         ),
         (
             relations.replicas_beyond_a_lost_domain,
+            "services",
             "must fit together in the workers that are left when the largest domain fails",
             "lower replicas or sizes, or add workers",
         ),
         (
             relations.quotas_beyond_workers,
+            "teams",
             "must fit in the workers together, next to the services' replicas",
             "lower quotas (tasks_at_once of the jobs) or add workers",
         ),
         (
             relations.lopsided_quotas,
+            "teams[*].quota",
             "must have both processors and memory, or neither",
             "give both; nothing runs without one of them",
         ),
         (
             relations.memory_in_another_unit,
+            "resources, quota, capacity",
             "must have at least 1 MiB of memory for each core",
             "give memory in bytes: 60 GB are 60000000000",
         ),
         (
             relations.racks_beyond_the_group,
+            "workers[*].workers_per_rack",
             "must be at most the group's count",
             "correct workers_per_rack",
         ),
         (
             relations.weights_all_zero,
+            "weights",
             "must not all be zero",
             "give at least one measure a weight above 0",
         ),
         (
             relations.more_than_a_stored_value,
+            "file",
             f"must be at most {relations.LONGEST_STORED_BYTES} bytes when stored",
             "remove targets that are no longer used",
         ),
--- a/fireflyfork/operations/_rules.py
+++ b/fireflyfork/operations/_rules.py
@@ -131,6 +131,8 @@
 class RelationRule(Rule):
     """Whatever needs more than one value: a generator finds what breaks the rule."""
 
+    domain: str
+    """The values that are wrong when it is broken; for the reference only."""
     find: Callable[[Configuration], Iterator[Located[Any]]]
 
     def broken_by(self, configuration: Configuration) -> Iterator[Violation]:
--- a/fireflyfork/programs/_ctl_jobs.py
+++ b/fireflyfork/programs/_ctl_jobs.py
@@ -185,6 +185,8 @@
 
 def job_lines(statuses: tuple[JobStatus, ...]) -> list[str]:
     """A table of jobs, and the reasons of final failures."""
+    if not statuses:
+        return ["no jobs"]
     rows = ((each.job_id, each.state, each.tasks, _counts(each)) for each in statuses)
     lines = table(("job", "state", "tasks", "of them"), rows)
     for each in statuses:
--- a/fireflyfork/programs/_ctl_store.py
+++ b/fireflyfork/programs/_ctl_store.py
@@ -181,6 +181,7 @@
         except StoreConflictError:
             return WriteOutcome.LOST
         except StoreUnavailableError:
+            self._progress(f"no answer from the store; reading back change {state.change_id}")
             return WriteOutcome.UNKNOWN
         return WriteOutcome.WON
 
