--- a/fireflyfork/programs/_caller_service.py
+++ b/fireflyfork/programs/_caller_service.py
@@ -69,9 +69,7 @@
         if not request.idempotent:
             request = self._keyed.with_key(request)
         sink.request = request
-        with self._spans.span(
-            "request", request.trace, service=request.service, request_id=request.request_id
-        ) as span:
+        with self._spans.span("request", request.trace, **_described(request)) as span:
             await self._run(exchange, sink, replace(request, trace=span.context), contract)
             span.attributes["status"] = "answered"
         self._count(sink, Verdict.ANSWERED, 200)
@@ -110,3 +108,8 @@
             verdict=verdict.value,
             status=str(status),
         )
+
+
+def _described(request: ServiceRequest) -> dict[str, str]:
+    described = {"service": request.service, "request_id": request.request_id}
+    return {**described, "key": request.key} if request.key else {**described}
