Planned moves and stops lose nothing, and paused peers cost no waiting

Also: a peer that accepts connections and says nothing is quarantined, so that requests for it don't each wait 2 s for a handshake; heartbeats carry the figures of services in use only. Ruled out: freeing handed-over slots early by a shorter hold, which a late executor would break.

--- a/fireflyfork/_errors.py
+++ b/fireflyfork/_errors.py
@@ -2,8 +2,8 @@
 
 from ._verdict import Verdict
 
-HOME_MOVED_STATUS = 421
-"""Between entries only: the receiver is not the home of the key, or no longer."""
+MISDIRECTED_STATUS = 421
+"""Between entries only: the receiver does not own what the request needs, or no longer."""
 
 
 class FireflyforkError(Exception):
@@ -56,6 +56,14 @@
         super().__init__(status, reason, Verdict.NOT_RUN)
 
 
+class MisdirectedError(RequestError):
+    """The member does not own what the request needs, or can't be sure of it; it was not run."""
+
+    def __init__(self, reason: str) -> None:
+        """``reason`` is shown when no owner was found in time."""
+        super().__init__(MISDIRECTED_STATUS, reason, Verdict.NOT_RUN, retry_after=1.0)
+
+
 class OverloadedError(RequestError):
     """The request was refused at once, before running, because there is no room for it in time."""
 
--- a/fireflyfork/adapters/_http_server.py
+++ b/fireflyfork/adapters/_http_server.py
@@ -114,21 +114,29 @@
         self._limits = limits
         self._http = h11.Connection(h11.SERVER, max_incomplete_event_size=LONGEST_HEAD_BYTES)
         self._closing = False
+        self._announced = False
+        self._finishing = False
         self._idle_scope: trio.CancelScope | None = None
 
     async def run(self) -> None:
         """Serve requests until either side ends the connection."""
         try:
-            while not self._closing and await self._serve_one():
+            # An answer that did not announce the end promises that one more request is read.
+            while await self._serve_one() and not self._announced:
                 self._http.start_next_cycle()
         except (HttpError, h11.ProtocolError):
             abort(self._stream)
         finally:
             self._stream.socket.close()
 
+    def announce_end(self) -> None:
+        """Close after the next answer, which says so."""
+        self._closing = True
+
     def finish(self) -> None:
         """Close after the exchange under way; at once when there is none."""
         self._closing = True
+        self._finishing = True
         if self._idle_scope is not None:
             self._idle_scope.cancel()
 
@@ -140,6 +148,7 @@
     async def send(self, event: h11.Event) -> None:
         """Send one event of an answer. Raises HttpError."""
         if self._closing and isinstance(event, h11.Response):
+            self._announced = True
             headers = [*event.headers, (b"connection", b"close")]
             event = h11.Response(status_code=event.status_code, headers=headers)
         try:
@@ -200,6 +209,8 @@
         return await self._next_event(self._limits.head)
 
     async def _wait_for_request(self) -> bool:
+        if self._finishing:
+            return False
         with trio.move_on_after(self._limits.idle) as scope:
             self._idle_scope = scope
             try:
@@ -248,6 +259,7 @@
         self._limits = limits or ServerLimits()
         self._connections: set[ServerConnection] = set()
         self._accepting = trio.CancelScope()
+        self._stopping = False
         self._all_ended = trio.Event()
 
     @property
@@ -266,6 +278,16 @@
         """Wait, after ``stop``, until the last exchange has ended."""
         await self._all_ended.wait()
 
+    def announce_stop(self) -> None:
+        """Go on accepting, but let each answer from now on be the last of its connection.
+
+        A connection that is closed while it idles may be closed just as its client sends the next
+        request, which the client would have to take for lost.
+        """
+        self._stopping = True
+        for connection in self._connections:
+            connection.announce_end()
+
     def stop(self) -> None:
         """Accept nothing new; exchanges under way go on to their end."""
         self._accepting.cancel()
@@ -275,6 +297,8 @@
     async def _serve(self, stream: trio.SocketStream) -> None:
         connection = ServerConnection(stream, self._handler, self._limits)
         self._connections.add(connection)
+        if self._stopping:
+            connection.announce_end()
         try:
             await connection.run()
         finally:
--- a/fireflyfork/adapters/_peer_connection.py
+++ b/fireflyfork/adapters/_peer_connection.py
@@ -54,8 +54,8 @@
         """Serve one forwarded request."""
 
     @abstractmethod
-    def pong(self, nonce: int) -> Pong:
-        """The answer to a ping, with present figures."""
+    def pong(self, member: MemberId, nonce: int) -> Pong:
+        """The answer to a ping of ``member``, with figures that it can use."""
 
     @abstractmethod
     def handle_pong(self, member: MemberId, pong: Pong) -> None:
@@ -191,9 +191,12 @@
 class PeerConnection:
     """One stream to one peer."""
 
-    def __init__(self, stream: trio.SocketStream, member: MemberId, handler: PeerHandler) -> None:
+    def __init__(
+        self, stream: trio.SocketStream, member: MemberId, handler: PeerHandler, initiator: bool
+    ) -> None:
         """Use ``connect_peer`` or ``accept_peer``; ``member`` is the proved name of the peer."""
         self._stream = stream
+        self._initiator = initiator
         self._member = member
         self._handler = handler
         self._calls: dict[int, Call] = {}
@@ -288,7 +291,7 @@
                 if isinstance(call := self._calls.get(message.call), IncomingCall):
                     call.scope.cancel()
             case Ping():
-                self.send_if_open(self._handler.pong(message.nonce))
+                self.send_if_open(self._handler.pong(self._member, message.nonce))
             case Pong():
                 self._handler.handle_pong(self._member, message)
             case Control():
@@ -329,8 +332,9 @@
         # silence mean something, and the stream is given up so that a new one can take its place.
         nonce = 0
         while trio.current_time() - self._heard < SILENCE_SECONDS:
-            nonce += 1
-            self.send_if_open(Ping(nonce))
+            if self._initiator:
+                nonce += 1
+                self.send_if_open(Ping(nonce))
             await trio.sleep(HEARTBEAT_SECONDS)
         scope.cancel()
 
@@ -350,7 +354,7 @@
     expected = _digest(key, b"welcome", nonce, peer, own)
     if not isinstance(welcome, Welcome) or not hmac.compare_digest(welcome.digest, expected):
         raise PeerError(f"{peer} does not know the peer key")
-    return PeerConnection(stream, peer, handler)
+    return PeerConnection(stream, peer, handler, initiator=True)
 
 
 async def accept_peer(
@@ -367,7 +371,7 @@
     if not hmac.compare_digest(hello.digest, expected):
         raise PeerError(f"{hello.member!r} does not know the peer key")
     await messages.send(Welcome(_digest(key, b"welcome", hello.nonce, own, hello.member)))
-    return PeerConnection(stream, MemberId(hello.member), handler)
+    return PeerConnection(stream, MemberId(hello.member), handler, initiator=False)
 
 
 class _HandshakeMessages:
--- a/fireflyfork/adapters/_peers.py
+++ b/fireflyfork/adapters/_peers.py
@@ -9,7 +9,9 @@
 from .._errors import PeerError
 from .._ids import MemberId
 from .._links import Address
+from ..decisions import ConnectionChoice, ConnectionPool, ConnectionTerms
 from ._peer_connection import (
+    HANDSHAKE_SECONDS,
     PeerConnection,
     PeerHandler,
     accept_peer,
@@ -18,6 +20,8 @@
 
 CONNECT_SECONDS = 2.0
 
+PATH_TERMS = ConnectionTerms(silence_seconds=CONNECT_SECONDS + HANDSHAKE_SECONDS)
+
 AddressOf = Callable[[MemberId], Address | None]
 
 
@@ -36,6 +40,7 @@
         self._handler = handler
         self._address_of = address_of
         self._streams: dict[MemberId, PeerConnection] = {}
+        self._paths: dict[MemberId, ConnectionPool] = {}
         self._opening: dict[MemberId, trio.Event] = {}
         self._nursery: trio.Nursery | None = None
         self._stopped = trio.Event()
@@ -57,6 +62,7 @@
             stream = self._streams.get(member)
             if stream is not None and not stream.lost:
                 return stream
+            self._refuse_in_quarantine(member)
             if member in self._opening:
                 await self._opening[member].wait()
                 if member not in self._streams:
@@ -81,10 +87,20 @@
         except PeerError:
             return
 
+    def _refuse_in_quarantine(self, member: MemberId) -> None:
+        # A paused peer accepts connections and says nothing. Each request for it would otherwise
+        # wait for a handshake that doesn't come, when it could be refused or go elsewhere at once.
+        if member in self._opening:
+            return
+        now = trio.current_time()
+        self._paths[member], decision = self._path(member).choose(True, now)
+        if decision.choice is ConnectionChoice.QUARANTINED:
+            raise PeerError(f"{member} did not answer lately")
+
     async def _open(self, member: MemberId) -> PeerConnection:
         opened = self._opening[member] = trio.Event()
         try:
-            stream = await self._connect(member)
+            stream = await self._try_connect(member)
             self._streams[member] = stream
             if self._nursery is None:
                 raise PeerError("not running")
@@ -94,6 +110,18 @@
             del self._opening[member]
             opened.set()
 
+    async def _try_connect(self, member: MemberId) -> PeerConnection:
+        try:
+            stream = await self._connect(member)
+        except PeerError:
+            self._paths[member] = self._path(member).open_failed(trio.current_time())
+            raise
+        self._paths[member] = self._path(member).opened()
+        return stream
+
+    def _path(self, member: MemberId) -> ConnectionPool:
+        return self._paths.get(member) or ConnectionPool(PATH_TERMS)
+
     async def _connect(self, member: MemberId) -> PeerConnection:
         address = self._address_of(member)
         if address is None:
@@ -109,6 +137,10 @@
             socket_stream.socket.close()
             raise
 
+    def forget_all_but(self, members: frozenset[MemberId]) -> None:
+        """Forget paths to members that are gone."""
+        self._paths = {one: path for one, path in self._paths.items() if one in members}
+
     async def _carry(self, stream: PeerConnection) -> None:
         try:
             await stream.run()
--- a/fireflyfork/decisions/_slots.py
+++ b/fireflyfork/decisions/_slots.py
@@ -175,6 +175,17 @@
         kept = tuple(slot for slot in self.occupied if slot.attempt != attempt)
         return self if len(kept) == len(self.occupied) else self._with_occupied(kept)
 
+    def release_inherited(self) -> SlotLedger:
+        """Free one slot of the previous owner, which says that its request has ended."""
+        for index, slot in enumerate(self.occupied):
+            if slot.attempt is None:
+                return self._with_occupied((*self.occupied[:index], *self.occupied[index + 1 :]))
+        return self
+
+    def attempts(self) -> tuple[RequestId, ...]:
+        """The attempts of this owner that hold slots."""
+        return tuple(slot.attempt for slot in self.occupied if slot.attempt is not None)
+
     def busy(self, now: float) -> int:
         """How many slots may be occupied."""
         return sum(slot.until > now for slot in self.occupied)
--- a/fireflyfork/programs/_entry.py
+++ b/fireflyfork/programs/_entry.py
@@ -21,8 +21,9 @@
 from ._operator_service import OperatorService
 from ._ownership import OwnershipView
 from ._peer_figures import PeerFigures
-from ._peer_service import PeerService
+from ._peer_service import PeerParts, PeerService
 from ._request_flow import RequestFlow
+from ._slot_releases import SLOTS_RELEASED, SlotReleases
 from ._span_writer import SpanWriter
 from ._target_attempts import TargetAttempts
 from ._target_groups import TargetGroups
@@ -50,10 +51,11 @@
         self._last_owners: dict[PartitionId, MemberId] = {}
         self.metrics = Metrics()
         self.drain_requested = trio.Event()
-        self._targets = TargetGroups(ownership)
         self._figures = PeerFigures()
-        self.peer_service = PeerService(ownership, self._targets, self._figures, spans)
+        self.peer_service = PeerService(ownership, self._figures, spans)
         self.peers = Peers(lambda: ownership.own, peer_key, self.peer_service, ownership.address_of)
+        self._releases = SlotReleases(ownership, self.peers)
+        self._targets = TargetGroups(ownership, self._releases)
         self._attempts = TargetAttempts(ownership, spans)
         forwarder = Forwarder(ownership, self.peers, self._figures, spans)
         self._flow = RequestFlow(
@@ -61,7 +63,8 @@
         )
         self._key_home = KeyHome(ownership, self._flow.dispatch)
         keyed = KeyedRequests(ownership, self._key_home, forwarder, self._in_force)
-        self.peer_service.attach(self._flow, keyed)
+        self.peer_service.attach(PeerParts(self._targets, self._flow, keyed))
+        self.peer_service.subscribe(SLOTS_RELEASED, self._releases)
         self.peer_service.subscribe(KEY_TABLE_REQUEST, KeyTableGiver(self._key_home))
         self._key_fetcher = KeyTableFetcher(self.peers, self._key_home)
         self.peer_service.subscribe(KEY_TABLE, self._key_fetcher)
@@ -98,6 +101,7 @@
         self._last_owners = self._ownership.owners()
         members = self._ownership.other_members()
         self._figures.keep_only(frozenset(members))
+        self.peers.forget_all_but(frozenset(members))
         self.peers.keep_open(members)
 
     def note_instances(self, changes: Iterable[InstanceChange]) -> None:
@@ -117,6 +121,7 @@
         """Serve until ``stop`` has ended everything in flight."""
         async with trio.open_nursery() as nursery:
             self._attempts.attach(nursery)
+            self._releases.attach(nursery, self._targets.inherited_released)
             self._key_home.attach(nursery)
             self._key_fetcher.attach(nursery)
             nursery.start_soon(self.peers.run, listeners.peers)
@@ -128,6 +133,7 @@
     async def stop_callers(self, notice_seconds: float) -> None:
         """Ask the balancer to send callers elsewhere, then end after those in flight."""
         self._stopping = "stopping"
+        self._callers.announce_stop()
         await trio.sleep(notice_seconds)
         self._callers.stop()
         await self._callers.wait_ended()
--- a/fireflyfork/programs/_guard_messages.py
+++ b/fireflyfork/programs/_guard_messages.py
@@ -10,9 +10,9 @@
 from ..adapters import Control, Peers, decode_content, encode_content
 from ..decisions import ConfigurationOffer, Member
 from ._configuration_keeper import ConfigurationKeeper
+from ._control_handler import ControlHandler
 from ._guard_channel import FleetOffer, GuardChannel, GuardQuestion, GuardReply
 from ._membership import Membership
-from ._peer_service import ControlHandler
 
 ASK_SECONDS = 0.5
 """A question that takes longer proves too little to be worth waiting for."""
--- a/fireflyfork/programs/_key_home.py
+++ b/fireflyfork/programs/_key_home.py
@@ -10,7 +10,7 @@
 import trio
 import xxhash
 
-from .._errors import HOME_MOVED_STATUS, FireflyforkError, PeerError, RequestError
+from .._errors import FireflyforkError, MisdirectedError, PeerError, RequestError
 from .._ids import Epoch, IdempotencyKey, PartitionId
 from .._requests import ServiceRequest
 from .._verdict import Verdict
@@ -166,9 +166,7 @@
         # could otherwise run a key that its successor has already run.
         home = self._homes.get(partition)
         if home is None or not home.ready.is_set() or not self._ownership.may_dispatch(partition):
-            raise RequestError(
-                HOME_MOVED_STATUS, "the key's home is elsewhere", Verdict.NOT_RUN, 1.0
-            )
+            raise MisdirectedError("the key's home is elsewhere")
         return home
 
     async def _run_first(
--- a/fireflyfork/programs/_key_tables.py
+++ b/fireflyfork/programs/_key_tables.py
@@ -11,8 +11,8 @@
 from .._ids import MemberId, PartitionId
 from ..adapters import Control, Peers, decode_content, encode_content
 from ..decisions import KeyTable
+from ._control_handler import ControlHandler
 from ._key_home import KeyHome
-from ._peer_service import ControlHandler
 
 KEY_TABLE_REQUEST = "key-table-request"
 KEY_TABLE = "key-table"
--- a/fireflyfork/programs/_keyed_requests.py
+++ b/fireflyfork/programs/_keyed_requests.py
@@ -11,10 +11,8 @@
 from collections.abc import Callable
 from dataclasses import replace
 
-import trio
-
 from .._contracts import Configuration
-from .._errors import HOME_MOVED_STATUS, RequestError
+from .._errors import RequestError
 from .._ids import IdempotencyKey, PartitionId, RegionName
 from .._requests import ServiceRequest
 from .._verdict import Verdict
@@ -24,6 +22,7 @@
 from ._forwarding import Forwarder
 from ._key_home import KeyHome
 from ._ownership import OwnershipView
+from ._redirects import Redirects
 from ._sinks import AnswerSink
 
 _MOST_DRAWN = 32
@@ -31,9 +30,6 @@
 
 _SEPARATOR = "."
 
-_MOST_HOMES_TRIED = 4
-_FIRST_PAUSE_SECONDS = 0.02
-
 ConfigurationInForce = Callable[[], Configuration | None]
 
 
@@ -58,17 +54,14 @@
 
         Give a request without a key one by ``with_key`` first.
         """
-        for tried in range(1, _MOST_HOMES_TRIED + 1):
+        redirects = Redirects(request.deadline)
+        while True:
             try:
                 await self._run_once(request, body, sink)
                 return
             except RequestError as error:
-                if error.status != HOME_MOVED_STATUS:
-                    raise
-                if tried == _MOST_HOMES_TRIED or not body.replayable:
-                    raise RequestError(503, error.reason, error.verdict, 1.0) from error
-            with trio.move_on_at(request.deadline):
-                await trio.sleep(_FIRST_PAUSE_SECONDS * 4**tried)
+                if not body.replayable or not await redirects.follow(error):
+                    raise redirects.final(error) from error
 
     async def run_as_home(
         self, request: ServiceRequest, body: RequestBody, sink: AnswerSink
--- a/fireflyfork/programs/_peer_service.py
+++ b/fireflyfork/programs/_peer_service.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from abc import ABC, abstractmethod
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 import trio
 from loguru import logger
@@ -16,6 +15,7 @@
 from ..adapters import Control, Forward, IncomingCall, PeerHandler, Pong, Role
 from ..decisions import LeavingMark
 from ._bodies import RequestBody
+from ._control_handler import ControlHandler
 from ._keyed_requests import KeyedRequests
 from ._ownership import OwnershipView
 from ._peer_figures import PeerFigures
@@ -24,13 +24,17 @@
 from ._span_writer import SpanWriter
 from ._target_groups import TargetGroups
 
+USED_SECONDS = 5.0
+"""A peer that forwarded nothing to a service for so long is no longer told its figures."""
 
-class ControlHandler(ABC):
-    """Takes the messages of one topic."""
 
-    @abstractmethod
-    def handle(self, member: MemberId, content: bytes) -> Control | None:
-        """Take a message, and return the reply if there is one. Raises PeerError."""
+@dataclass(frozen=True, slots=True)
+class PeerParts:
+    """What serves the requests of peers."""
+
+    targets: TargetGroups
+    flow: RequestFlow
+    keyed: KeyedRequests
 
 
 class PeerService(PeerHandler):
@@ -39,18 +43,16 @@
     def __init__(
         self,
         ownership: OwnershipView,
-        targets: TargetGroups,
         figures: PeerFigures,
         spans: SpanWriter,
     ) -> None:
         """Call ``attach`` before the first peer connects."""
         self._ownership = ownership
-        self._targets = targets
         self._figures = figures
         self._spans = spans
         self._topics: dict[str, ControlHandler] = {}
-        self._flow: RequestFlow | None = None
-        self._keyed: KeyedRequests | None = None
+        self._attached: PeerParts | None = None
+        self._used: dict[tuple[MemberId, ServiceName], float] = {}
         self._in_flight = 0
         self._idle = trio.Event()
 
@@ -59,10 +61,9 @@
         """Forwarded requests in flight here."""
         return self._in_flight
 
-    def attach(self, flow: RequestFlow, keyed: KeyedRequests) -> None:
-        """Give it what runs requests."""
-        self._flow = flow
-        self._keyed = keyed
+    def attach(self, parts: PeerParts) -> None:
+        """Give it what serves requests."""
+        self._attached = parts
 
     def subscribe(self, topic: str, handler: ControlHandler) -> None:
         """Send messages of ``topic`` to ``handler``."""
@@ -93,13 +94,20 @@
         while self._in_flight:
             await self._idle.wait()
 
-    def pong(self, nonce: int) -> Pong:
-        """See PeerHandler."""
-        marks = self._targets.leaving.marks(trio.current_time())
+    def pong(self, member: MemberId, nonce: int) -> Pong:
+        """See PeerHandler. Only services that the member forwards to are told of.
+
+        With hundreds of services, the figures of all would cost more than the heartbeat itself.
+        """
+        now = trio.current_time()
+        self._used = {key: at for key, at in self._used.items() if now - at < USED_SECONDS}
+        used = (service for by, service in self._used if by == member)
+        targets = self._parts.targets
+        groups = (targets.group(service) for service in used)
         return Pong(
             nonce,
-            {group.contract.name: group.figures() for group in self._targets.groups()},
-            {mark.target_id: mark.age_seconds for mark in marks},
+            {group.contract.name: group.figures() for group in groups if group is not None},
+            {mark.target_id: mark.age_seconds for mark in targets.leaving.marks(now)},
         )
 
     def handle_pong(self, member: MemberId, pong: Pong) -> None:
@@ -109,19 +117,26 @@
             for service, figures in pong.figures.items():
                 self._figures.heard(member, region, ServiceName(service), figures)
         marks = [LeavingMark(TargetId(name), age) for name, age in pong.leaving.items()]
-        leaving = self._targets.leaving.heard(marks, trio.current_time())
-        if leaving is not self._targets.leaving:
-            self._targets.note_leaving(leaving)
+        targets = self._parts.targets
+        leaving = targets.leaving.heard(marks, trio.current_time())
+        if leaving is not targets.leaving:
+            targets.note_leaving(leaving)
 
     def handle_control(self, member: MemberId, control: Control) -> Control | None:
         """See PeerHandler."""
         handler = self._topics.get(control.topic)
         return handler.handle(member, control.content) if handler is not None else None
 
+    @property
+    def _parts(self) -> PeerParts:
+        assert self._attached is not None
+        return self._attached
+
     async def _serve(self, call: IncomingCall) -> None:
         request = _request(call.forward)
-        group = self._targets.group(request.service)
-        if group is None or self._flow is None or self._keyed is None:
+        self._used[call.member, request.service] = trio.current_time()
+        group = self._parts.targets.group(request.service)
+        if group is None:
             raise RequestError(503, "the service is not known here yet", Verdict.NOT_RUN, 1.0)
         body = RequestBody(call.body(), group.contract.longest_body_bytes)
         with self._spans.span("peer-request", request.trace, origin=call.member) as span:
@@ -129,9 +144,9 @@
             await body.fill()
             sink = PeerSink(call, group.figures)
             if call.forward.role is Role.HOME:
-                await self._keyed.run_as_home(request, body, sink)
+                await self._parts.keyed.run_as_home(request, body, sink)
             else:
-                await self._flow.run_here(request, body, sink, call.member)
+                await self._parts.flow.run_here(request, body, sink, call.member)
 
 
 def _request(forward: Forward) -> ServiceRequest:
--- a/fireflyfork/programs/_request_flow.py
+++ b/fireflyfork/programs/_request_flow.py
@@ -29,6 +29,7 @@
 from ._metrics import Metrics
 from ._ownership import OwnershipView
 from ._peer_figures import PeerFigures
+from ._redirects import Redirects
 from ._sinks import AnswerSink
 from ._target_attempts import TargetAttempts
 from ._target_group import TargetGroup
@@ -70,6 +71,7 @@
         group = self._group(request)
         self._budgets[request.service] = self._budget(request.service).request()
         verdict = Verdict.NOT_RUN
+        redirects = Redirects(request.deadline)
         for attempts in count(1):
             try:
                 await self._dispatch_once(group, request, body, sink)
@@ -77,6 +79,9 @@
             except OverloadedError:
                 raise
             except RequestError as error:
+                if not sink.started and body.replayable and await redirects.follow(error):
+                    continue
+                error = redirects.final(error)
                 verdict = error.verdict.after(verdict)
                 failed = FailedAttempt(
                     verdict,
--- /dev/null
+++ b/fireflyfork/programs/_slot_releases.py
@@ -0,0 +1,110 @@
+"""Tells the new owner of a target when requests of its last owner have ended.
+
+After a planned move the new owner counts the slots that the last one occupied until the longest
+run time has passed. Without a word from the last owner, each planned restart under load would
+block these slots for many seconds after the requests in them had been answered.
+
+A notice that gets lost costs only the wait. One that is counted twice, or for a request that was
+not among those handed over, would free a slot that is still busy; so each attempt is announced
+once, over an ordered stream, and only if it was in the list that was handed over.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import trio
+
+from .._errors import PeerError
+from .._ids import Epoch, MemberId, PartitionId, RequestId, TargetId
+from ..adapters import Control, Peers, decode_content, encode_content
+from ._control_handler import ControlHandler
+from ._ownership import OwnershipView
+
+SLOTS_RELEASED = "slots-released"
+
+KEPT_SECONDS = 10.0
+"""How long a notice waits for the record that makes this member the owner."""
+
+
+@dataclass(frozen=True, slots=True)
+class SlotsReleased:
+    """So many of the occupied slots that were handed over are free."""
+
+    target_id: TargetId
+    partition: PartitionId
+    since: Epoch
+    """The epoch in which the receiver acquired the partition."""
+    count: int
+
+
+class SlotReleases(ControlHandler):
+    """Sends notices for targets that were handed over, and takes those of other members."""
+
+    def __init__(self, ownership: OwnershipView, peers: Peers) -> None:
+        """Call ``attach`` before use."""
+        self._ownership = ownership
+        self._peers = peers
+        self._handed: dict[RequestId, tuple[TargetId, PartitionId]] = {}
+        self._unsent: dict[tuple[TargetId, PartitionId], int] = {}
+        self._early: list[tuple[float, SlotsReleased]] = []
+        self._apply: Callable[[SlotsReleased], bool] | None = None
+        self._nursery: trio.Nursery | None = None
+
+    def attach(self, nursery: trio.Nursery, apply: Callable[[SlotsReleased], bool]) -> None:
+        """``apply`` frees the slots, or returns False when the target is not owned here yet."""
+        self._nursery = nursery
+        self._apply = apply
+
+    def handed(
+        self, target_id: TargetId, partition: PartitionId, attempts: tuple[RequestId, ...]
+    ) -> None:
+        """These attempts are in the list that goes to the next owner of the target."""
+        key = (target_id, partition)
+        self._handed = {one: at for one, at in self._handed.items() if at != key}
+        self._handed.update(dict.fromkeys(attempts, key))
+        self._unsent.pop(key, None)
+
+    def released(self, attempt: RequestId) -> None:
+        """An attempt has surely ended."""
+        key = self._handed.pop(attempt, None)
+        if key is not None:
+            self._unsent[key] = self._unsent.get(key, 0) + 1
+            self.send()
+
+    def send(self) -> None:
+        """Send the notices whose targets have a new owner by now."""
+        for key, count in tuple(self._unsent.items()):
+            target_id, partition = key
+            ownership = self._ownership.ownership_of(partition)
+            if ownership is None or ownership.owner in (None, self._ownership.own):
+                continue
+            del self._unsent[key]
+            if ownership.owner is not None and self._nursery is not None:
+                notice = SlotsReleased(target_id, partition, ownership.since, count)
+                self._nursery.start_soon(self._send, ownership.owner, notice)
+
+    def apply_early(self) -> None:
+        """Ownership has changed: apply the notices that came before that was known."""
+        now = trio.current_time()
+        early, self._early = self._early, []
+        for came, notice in early:
+            if now - came < KEPT_SECONDS:
+                self._take(notice, came)
+
+    def handle(self, member: MemberId, content: bytes) -> Control | None:
+        """See ControlHandler."""
+        self._take(decode_content(content, SlotsReleased), trio.current_time())
+        return None
+
+    def _take(self, notice: SlotsReleased, came: float) -> None:
+        if self._apply is not None and not self._apply(notice):
+            self._early.append((came, notice))
+
+    async def _send(self, owner: MemberId, notice: SlotsReleased) -> None:
+        try:
+            stream = await self._peers.stream(owner)
+            stream.send(Control(SLOTS_RELEASED, encode_content(notice)))
+        except PeerError:
+            return
--- a/fireflyfork/programs/_target_attempts.py
+++ b/fireflyfork/programs/_target_attempts.py
@@ -7,7 +7,7 @@
 
 import trio
 
-from .._errors import PeerError, RequestError
+from .._errors import MisdirectedError, PeerError, RequestError
 from .._ids import MemberId, RequestId
 from .._links import Address
 from .._requests import ServiceRequest
@@ -137,7 +137,7 @@
         # another member owns the target now and counts its slots afresh. Sending all the same
         # would give the executor more than its slots.
         if not self._ownership.may_dispatch(target.partition):
-            raise RequestError(503, "ownership of the target is in doubt", Verdict.NOT_RUN, 1.0)
+            raise MisdirectedError("ownership of the target is in doubt")
         if attempt.given_up or trio.current_time() >= attempt.request.deadline:
             raise RequestError(504, "the deadline passed before sending", Verdict.NOT_RUN, 1.0)
 
--- a/fireflyfork/programs/_target_group.py
+++ b/fireflyfork/programs/_target_group.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
-from dataclasses import dataclass, field
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field, replace
 
 import trio
 
 from .._contracts import ServiceContract, TargetContract
-from .._errors import OverloadedError, RequestError
+from .._errors import MisdirectedError, OverloadedError
 from .._ids import Epoch, MemberId, PartitionId, RequestId, TargetId
 from .._requests import ServiceRequest
 from .._verdict import Verdict
@@ -92,9 +92,10 @@
 class TargetGroup:
     """The owned targets of one service, and a bounded queue in front of them."""
 
-    def __init__(self, contract: ServiceContract) -> None:
-        """No targets yet."""
+    def __init__(self, contract: ServiceContract, released: Callable[[RequestId], None]) -> None:
+        """No targets yet. ``released`` hears of each attempt that has surely ended."""
         self._contract = contract
+        self._released = released
         self._targets: dict[TargetId, OwnedTarget] = {}
         self._queue = AdmissionQueue(contract.longest_queue, FIRST_GUESS)
         self._waiters: dict[RequestId, _Waiter] = {}
@@ -169,6 +170,8 @@
         """Stop owning a target; what runs on it goes on."""
         target = self._targets.pop(target_id)
         target.close_connections(tuple(target.connections))
+        if not self._targets:
+            self._send_elsewhere()
 
     async def acquire(
         self, request: ServiceRequest, attempt: RequestId, entry: MemberId
@@ -179,14 +182,14 @@
         expected to be made, and RequestError when no target of the service is owned here.
         """
         if not self._targets:
-            raise RequestError(503, "no target of the service is here", Verdict.NOT_RUN, 1.0)
+            raise MisdirectedError("no target of the service is here")
         now = trio.current_time()
         waiting = WaitingRequest(attempt, entry, request.deadline)
         self._queue, decision = self._queue.offer(waiting, self._free(now), self._usable(), now)
         if decision.kind is AdmissionKind.RUN:
             target = self._try_acquire(attempt)
             if target is None:
-                raise RequestError(503, "the free slot can't be used", Verdict.NOT_RUN, 1.0)
+                raise MisdirectedError("the free slot can't be used")
             return target
         waiter = self._waiters[attempt] = _Waiter()
         self._settle_refused(decision.refused)
@@ -199,6 +202,7 @@
     def release(self, target: OwnedTarget, attempt: RequestId) -> None:
         """Free the slot of an attempt that has surely ended, and let the next request have it."""
         target.ledger = target.ledger.release(attempt)
+        self._released(attempt)
         self.wake()
 
     def ran(self, target: OwnedTarget, seconds: float) -> None:
@@ -233,6 +237,8 @@
             if waiter.target is not None:
                 self.release(waiter.target, attempt)
             raise
+        if waiter.target is None and waiter.retry_after is None:
+            raise MisdirectedError("the targets have moved")
         if waiter.target is None:
             retry_after = max(waiter.retry_after or 0.0, SHORTEST_RETRY_SECONDS)
             raise OverloadedError(503, "no room in time", Verdict.NOT_RUN, retry_after)
@@ -254,6 +260,13 @@
                 waiter.retry_after = max(one.retry_after, self.seconds_to_first_slot())
                 waiter.settled.set()
 
+    def _send_elsewhere(self) -> None:
+        # Nothing here will ever wake those who wait, and another member owns the targets now.
+        self._queue = replace(self._queue, waiting=())
+        for waiter in self._waiters.values():
+            if waiter.target is None:
+                waiter.settled.set()
+
     def seconds_to_first_slot(self) -> float:
         """Until a slot is surely free, when none can be counted on before; 0 otherwise."""
         if self._usable() > 0:
--- a/fireflyfork/programs/_target_groups.py
+++ b/fireflyfork/programs/_target_groups.py
@@ -21,15 +21,17 @@
     partition_of,
 )
 from ._ownership import OwnershipView
+from ._slot_releases import SlotReleases, SlotsReleased
 from ._target_group import OwnedTarget, TargetGroup
 
 
 class TargetGroups:
     """The groups by service, and which members own targets of each service."""
 
-    def __init__(self, ownership: OwnershipView) -> None:
-        """No configuration yet."""
+    def __init__(self, ownership: OwnershipView, releases: SlotReleases) -> None:
+        """No configuration yet. ``releases`` tells other owners of slots that were handed over."""
         self._ownership = ownership
+        self._releases = releases
         self._groups: dict[ServiceName, TargetGroup] = {}
         self._owners: dict[ServiceName, tuple[MemberId, ...]] = {}
         self._leaving = LeavingTargets()
@@ -65,12 +67,16 @@
         """Follow a change of the configuration or of ownership."""
         wanted = self._wanted(configuration)
         for contract in configuration.services:
-            group = self._groups.setdefault(contract.name, TargetGroup(contract))
+            if contract.name not in self._groups:
+                self._groups[contract.name] = TargetGroup(contract, self._releases.released)
+            group = self._groups[contract.name]
             group.update_contract(contract)
             self._refresh_group(group, wanted[contract.name])
         for name in self._groups.keys() - {contract.name for contract in configuration.services}:
             del self._groups[name]
         self.note_leaving(self._leaving)
+        self._releases.send()
+        self._releases.apply_early()
 
     def occupied(
         self, partitions: frozenset[PartitionId]
@@ -82,8 +88,21 @@
             for target in group.targets.values():
                 if target.partition in partitions and target.ledger.busy(now):
                     found[target.partition].append(_occupied(target, now))
+                    attempts = target.ledger.attempts()
+                    self._releases.handed(target.contract.target_id, target.partition, attempts)
         return {partition: tuple(slots) for partition, slots in found.items()}
 
+    def inherited_released(self, notice: SlotsReleased) -> bool:
+        """Free slots of a last owner; False when the target is not owned here yet."""
+        for group in self._groups.values():
+            target = group.targets.get(notice.target_id)
+            if target is not None and target.since == notice.since:
+                for _ in range(notice.count):
+                    target.ledger = target.ledger.release_inherited()
+                group.wake()
+                return True
+        return False
+
     def _wanted(self, configuration: Configuration) -> dict[ServiceName, list[TargetContract]]:
         wanted: dict[ServiceName, list[TargetContract]] = defaultdict(list)
         others: dict[ServiceName, set[MemberId]] = defaultdict(set)
--- a/fireflyfork/programs/tests/builders_entries.py
+++ b/fireflyfork/programs/tests/builders_entries.py
@@ -32,7 +32,7 @@
 )
 from ..._traces import Span
 from ...adapters import HttpClient, HttpServer, ResponseHead, listen
-from ...decisions import Acquisition, Ownership
+from ...decisions import Acquisition, OccupiedSlots, Ownership
 from .._entry import Entry, EntryListeners
 from .._ownership import OwnershipView
 from .._span_writer import SpanWriter
@@ -51,11 +51,17 @@
     addresses: dict[MemberId, Address] = field(default_factory=dict)
     without_right: set[MemberId] = field(default_factory=set)
 
-    def give(self, partition: PartitionId, owner: MemberId, acquired: Acquisition) -> None:
+    def give(
+        self,
+        partition: PartitionId,
+        owner: MemberId,
+        acquired: Acquisition,
+        occupied: tuple[OccupiedSlots, ...] = (),
+    ) -> None:
         """Change the owner of a partition."""
         before = self.ownerships.get(partition)
         since = Epoch(before.since + 1 if before else 1)
-        self.ownerships[partition] = Ownership(owner, since, acquired)
+        self.ownerships[partition] = Ownership(owner, since, acquired, occupied)
 
 
 class FixedOwnership(OwnershipView):
@@ -151,8 +157,14 @@
 
     def move_all(self, to: int, acquired: Acquisition) -> None:
         """Make one entry the owner of all partitions; all others hear of it first."""
-        for partition in tuple(self.fleet.ownerships):
-            self.fleet.give(partition, MemberId(f"entry-{to}"), acquired)
+        partitions = tuple(self.fleet.ownerships)
+        occupied: dict[PartitionId, tuple[OccupiedSlots, ...]] = {}
+        if acquired is Acquisition.MOVED:
+            for running in self.entries:
+                occupied.update(running.entry.occupied(partitions))
+        for partition in partitions:
+            owner = MemberId(f"entry-{to}")
+            self.fleet.give(partition, owner, acquired, occupied.get(partition, ()))
         for running in sorted(self.entries, key=lambda one: one is self.entries[to]):
             running.entry.refresh()
 
--- /dev/null
+++ b/fireflyfork/programs/tests/test_leaving.py
@@ -0,0 +1,143 @@
+"""Targets and entries that leave as planned."""
+
+import unittest
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from ... import TargetId
+from ...adapters import HttpClientConnection, InstanceChange, InstanceState, RequestHead
+from ...decisions import Acquisition
+from .builders_entries import RunningFleet, running_fleet
+
+GENEROUS_SECONDS = 60.0
+SEVERAL_HEARTBEATS = 3.0
+
+
+def run_fleet(body: Callable[[RunningFleet], Awaitable[None]], **arrangement: object) -> None:
+    """Run ``body`` with a fleet of that arrangement."""
+
+    async def main() -> None:
+        with trio.fail_after(GENEROUS_SECONDS):
+            async with running_fleet(**arrangement) as fleet:  # type: ignore[arg-type]
+                await body(fleet)
+
+    trio.run(main)
+
+
+class LeavingTargetTest(unittest.TestCase):
+    """A target that the platform takes away."""
+
+    def test_it_gets_nothing_new_once_a_peer_has_told_the_owner(self) -> None:
+        """Only one entry has seen the new list; the owner's copy of it lags.
+
+        If the owner went on sending, bookings would be cut off when the instance stops.
+        """
+
+        async def body(fleet: RunningFleet) -> None:
+            gone = TargetId("desk-0")
+            change = InstanceChange(gone, InstanceState.LEAVING)
+            fleet.entries[2].entry.note_instances((change,))
+            await trio.sleep(SEVERAL_HEARTBEATS)
+            before = len(fleet.executors[gone].history)
+            for number in range(12):
+                head, answer = await fleet.entries[number % 3].call("POST", "/desk/x")
+                self.assertEqual(head.status, 200, answer)
+            self.assertEqual(len(fleet.executors[gone].history), before)
+
+        run_fleet(body)
+
+    def test_what_runs_on_it_is_not_cut_off(self) -> None:
+        """The news comes while bookings run on the target; they are answered all the same."""
+
+        async def body(fleet: RunningFleet) -> None:
+            statuses: list[int] = []
+
+            async def one() -> None:
+                head, _ = await fleet.entries[1].call("POST", "/desk/x")
+                statuses.append(head.status)
+
+            async with trio.open_nursery() as nursery:
+                for _ in range(4):
+                    nursery.start_soon(one)
+                await trio.sleep(0.1)
+                changes = [InstanceChange(one, InstanceState.LEAVING) for one in fleet.executors]
+                fleet.entries[0].entry.note_instances(changes)
+            self.assertEqual(statuses, [200] * 4)
+
+        run_fleet(body, run_seconds=0.4)
+
+
+class LeavingEntryTest(unittest.TestCase):
+    """An entry that is restarted as planned."""
+
+    def test_requests_in_flight_are_answered(self) -> None:
+        """The entry is told to stop while clerks wait for their answers from it."""
+
+        async def body(fleet: RunningFleet) -> None:
+            statuses: list[int] = []
+
+            async def one() -> None:
+                head, _ = await fleet.entries[1].call("POST", "/desk/x")
+                statuses.append(head.status)
+
+            async with trio.open_nursery() as nursery:
+                for _ in range(4):
+                    nursery.start_soon(one)
+                await trio.sleep(0.1)
+                await fleet.entries[1].entry.stop_callers(0.0)
+            self.assertEqual(statuses, [200] * 4)
+
+        run_fleet(body, run_seconds=0.4)
+
+    def test_a_kept_connection_is_told_before_it_is_closed(self) -> None:
+        """A caller sends one request after another on one connection while the entry stops.
+
+        A connection closed without notice could meet a request on its way, and the caller would
+        not know whether it ran.
+        """
+
+        async def body(fleet: RunningFleet) -> None:
+            running = fleet.entries[1]
+            connection = await HttpClientConnection.open(running.caller_address, 5.0)
+            head = RequestHead(
+                "GET", "/desk/x", ((b"host", b"desk"), (b"request-timeout-ms", b"5000"))
+            )
+            async with trio.open_nursery() as nursery:
+                first, _ = await connection.request(head, b"", 10_000)
+                self.assertIsNone(first.header(b"connection"))
+                nursery.start_soon(running.entry.stop_callers, 1.0)
+                await trio.sleep(0.1)
+                last, _ = await connection.request(head, b"", 10_000)
+                self.assertEqual(last.status, 200)
+                self.assertEqual(last.header(b"connection"), "close")
+            connection.close()
+
+        run_fleet(body)
+
+    def test_a_planned_move_under_load_loses_and_doubles_nothing(self) -> None:
+        """Ownership of all targets moves while bookings run and wait at the old owner.
+
+        Those that wait go to the new owner; what runs is counted there as busy.
+        """
+
+        async def body(fleet: RunningFleet) -> None:
+            answers: list[tuple[int, bytes]] = []
+
+            async def one(number: int) -> None:
+                entry = fleet.entries[number % 3]
+                head, answer = await entry.call("POST", f"/desk/{number}", timeout_ms="9000")
+                answers.append((head.status, answer))
+
+            async with trio.open_nursery() as nursery:
+                for number in range(24):
+                    nursery.start_soon(one, number)
+                await trio.sleep(0.3)
+                fleet.move_all(2, Acquisition.MOVED)
+            self.assertEqual([status for status, _ in answers], [200] * 24, answers)
+            self.assertEqual(len(fleet.runs()), 24)
+            self.assertEqual(len(set(fleet.runs())), 24)
+            for executor in fleet.executors.values():
+                self.assertLessEqual(executor.most_busy, 2)
+
+        run_fleet(body, run_seconds=0.2)
