Entries are ready once owners are known, and slots are held 5 s less

Readiness now waits for owners in the own region, and up to 5 s for the others. A request leaves within 5 s (connect 0.5, send 2.5, unacknowledged 2) instead of 10, so that a fenced owner's slots are blocked 5 s less. Ruled out: waiting for all regions for ever, since a lost region would keep the others from being ready.

--- a/fireflyfork/adapters/_http_client.py
+++ b/fireflyfork/adapters/_http_client.py
@@ -21,7 +21,7 @@
     collect,
 )
 
-_UNACKNOWLEDGED_MILLISECONDS = 5_000
+_UNACKNOWLEDGED_MILLISECONDS = 2_000
 
 
 class HttpClientConnection:
--- a/fireflyfork/decisions/_slots.py
+++ b/fireflyfork/decisions/_slots.py
@@ -21,7 +21,7 @@
 from .._contracts import ServiceContract, TargetContract
 from .._ids import RequestId
 
-START_WITHIN_SECONDS = 10.0
+START_WITHIN_SECONDS = 5.0
 """From taking a slot until the request can no longer start: writing it and delivering it."""
 
 CLOCK_DRIFT = 0.02
--- a/fireflyfork/programs/_entry.py
+++ b/fireflyfork/programs/_entry.py
@@ -11,7 +11,7 @@
 from .._contracts import Configuration
 from .._ids import MemberId, PartitionId, RegionName
 from ..adapters import HttpServer, InstanceChange, InstanceState, Peers
-from ..decisions import LinkBudget, OccupiedSlots
+from ..decisions import LinkBudget, OccupiedSlots, region_of
 from ._caller_service import CallerService
 from ._forwarding import Forwarder
 from ._key_home import KeyHome
@@ -28,6 +28,9 @@
 from ._target_attempts import TargetAttempts
 from ._target_groups import TargetGroups
 
+START_SECONDS = 5.0
+"""For so long a starting entry waits for members of all regions."""
+
 
 @dataclass(frozen=True, slots=True)
 class EntryListeners:
@@ -47,6 +50,7 @@
         """``random`` draws the members that routing compares."""
         self._ownership = ownership
         self._configuration: Configuration | None = None
+        self._configured_at = float("inf")
         self._stopping = ""
         self._last_owners: dict[PartitionId, MemberId] = {}
         self.metrics = Metrics()
@@ -95,6 +99,7 @@
     def refresh(self) -> None:
         """Follow a change of ownership."""
         if self._configuration is not None:
+            self._configured_at = min(self._configured_at, trio.current_time())
             self._targets.refresh(self._configuration)
         to_fetch = self._key_home.own(self._ownership.owned_partitions())
         self._key_fetcher.fetch({one: self._last_owners.get(one) for one in to_fetch})
@@ -174,7 +179,18 @@
     def _unready(self) -> str:
         if self._stopping:
             return self._stopping
-        return "" if self._configuration is not None else "no configuration yet"
+        if self._configuration is None:
+            return "no configuration yet"
+        known = {region_of(partition) for partition in self._ownership.owners()}
+        if self._ownership.region_of(self._ownership.own) not in known:
+            return "no owners known in the own region"
+        # Callers' keys may have their homes in any region. An entry that called itself ready before
+        # it knew these homes would refuse its first callers. A region that is lost as a whole must
+        # not keep the others from being ready, so this is only waited for at the start.
+        missing = [one.name for one in self._configuration.regions if one.name not in known]
+        if missing and trio.current_time() - self._configured_at < START_SECONDS:
+            return f"no owners known in {', '.join(missing)}"
+        return ""
 
     def _add_gauges(self) -> None:
         self.metrics.gauge("fireflyfork_peer_sent_bytes", lambda: self.peers.sent_bytes)
--- a/fireflyfork/programs/_target_attempts.py
+++ b/fireflyfork/programs/_target_attempts.py
@@ -22,9 +22,9 @@
 from ._span_writer import SpanWriter
 from ._target_group import OwnedTarget, TargetGroup
 
-CONNECT_SECONDS = 1.0
-SEND_SECONDS = 4.0
-"""With the time to connect it stays below half of ``START_WITHIN_SECONDS``."""
+CONNECT_SECONDS = 0.5
+SEND_SECONDS = 2.5
+"""With the time to connect and that of unacknowledged bytes it makes ``START_WITHIN_SECONDS``."""
 
 
 @dataclass(slots=True, eq=False)
