A connection is accused as soon as the executor must have ended the request

Now it is noticed at the longest run time of the contract and 0.25 s. Ruled out: accusing at the caller's deadline, which a slow executor would meet too.

--- a/fireflyfork/programs/_target_attempts.py
+++ b/fireflyfork/programs/_target_attempts.py
@@ -27,6 +27,14 @@
 """With the time to connect and that of unacknowledged bytes it makes ``START_WITHIN_SECONDS``."""
 
 
+SILENCE_MARGIN_SECONDS = 0.25
+"""For the network and a busy loop, on top of the contract's longest run time."""
+
+
+class _SilentConnectionError(HttpError):
+    """An executor must have ended the request, and nothing came."""
+
+
 @dataclass(slots=True, eq=False)
 class _Attempt:
     """One try to run a request on one target."""
@@ -104,7 +112,7 @@
         started = trio.current_time()
         try:
             with trio.move_on_after(target.ledger.terms.hold_seconds):
-                await self._use_connection(target, attempt)
+                await self._use_connection(target, attempt, group.contract.longest_run_seconds)
         except (HttpError, PeerError) as error:
             attempt.error = RequestError(502, str(error), attempt.verdict, retry_after=1.0)
         except RequestError as error:
@@ -119,17 +127,18 @@
                 group.release(target, attempt.attempt_id)
             attempt.ended.set()
 
-    async def _use_connection(self, target: OwnedTarget, attempt: _Attempt) -> None:
+    async def _use_connection(
+        self, target: OwnedTarget, attempt: _Attempt, longest_run: float
+    ) -> None:
         number, connection = await self._connection(target, attempt.request.idempotent)
-        broken = False
+        silent = False
         try:
             self._check_permission(target, attempt)
-            await self._exchange(connection, attempt)
-        except (HttpError, PeerError, RequestError):
-            broken = True
+            await self._exchange(connection, attempt, longest_run)
+        except _SilentConnectionError:
+            silent = True
             raise
         finally:
-            silent = attempt.left and not attempt.answered and not broken
             self._put_back(target, number, connection, silent)
 
     def _check_permission(self, target: OwnedTarget, attempt: _Attempt) -> None:
@@ -141,10 +150,18 @@
         if attempt.given_up or trio.current_time() >= attempt.request.deadline:
             raise RequestError(504, "the deadline passed before sending", Verdict.NOT_RUN, 1.0)
 
-    async def _exchange(self, connection: HttpClientConnection, attempt: _Attempt) -> None:
+    async def _exchange(
+        self, connection: HttpClientConnection, attempt: _Attempt, longest_run: float
+    ) -> None:
         attempt.left = True
         await self._send(connection, attempt)
-        head = await connection.receive_head()
+        # An executor has ended each request by then, so an answer that has not begun won't come on
+        # this connection. Waiting on would let more requests meet the same dead path.
+        try:
+            with trio.fail_after(longest_run + SILENCE_MARGIN_SECONDS):
+                head = await connection.receive_head()
+        except trio.TooSlowError as error:
+            raise _SilentConnectionError("no answer within the longest run time") from error
         await attempt.relay.start(head)
         async for chunk in connection.receive_body():
             await attempt.relay.send(chunk)
