The last home sends its key table, and handed-over slots count as moving

Now the last owner sends the table (it knows the move for sure), requests wait for it up to 3 s, and early tables are kept. Ruled out: pulling with retries, which needs the last owner's name.

--- a/fireflyfork/programs/_entry.py
+++ b/fireflyfork/programs/_entry.py
@@ -9,13 +9,13 @@
 import trio
 
 from .._contracts import Configuration
-from .._ids import MemberId, PartitionId, RegionName
+from .._ids import PartitionId, RegionName
 from ..adapters import HttpServer, InstanceChange, InstanceState, Peers
 from ..decisions import LinkBudget, OccupiedSlots, region_of
 from ._caller_service import CallerService
 from ._forwarding import Forwarder
 from ._key_home import KeyHome
-from ._key_tables import KEY_TABLE, KEY_TABLE_REQUEST, KeyTableFetcher, KeyTableGiver
+from ._key_tables import KEY_TABLE, KeyTables
 from ._keyed_requests import KeyedRequests
 from ._metrics import Metrics
 from ._operator_service import OperatorService
@@ -52,7 +52,6 @@
         self._configuration: Configuration | None = None
         self._configured_at = float("inf")
         self._stopping = ""
-        self._last_owners: dict[PartitionId, MemberId] = {}
         self.metrics = Metrics()
         self.drain_requested = trio.Event()
         self._figures = PeerFigures()
@@ -69,9 +68,8 @@
         keyed = KeyedRequests(ownership, self._key_home, forwarder, self._in_force)
         self.peer_service.attach(PeerParts(self._targets, self._flow, keyed))
         self.peer_service.subscribe(SLOTS_RELEASED, self._releases)
-        self.peer_service.subscribe(KEY_TABLE_REQUEST, KeyTableGiver(self._key_home))
-        self._key_fetcher = KeyTableFetcher(self.peers, self._key_home)
-        self.peer_service.subscribe(KEY_TABLE, self._key_fetcher)
+        self._key_tables = KeyTables(ownership, self.peers, self._key_home)
+        self.peer_service.subscribe(KEY_TABLE, self._key_tables)
         callers = CallerService(self._flow, keyed, self._in_force, spans, self.metrics)
         self._callers = HttpServer(callers)
         self._operators = HttpServer(
@@ -101,9 +99,7 @@
         if self._configuration is not None:
             self._configured_at = min(self._configured_at, trio.current_time())
             self._targets.refresh(self._configuration)
-        to_fetch = self._key_home.own(self._ownership.owned_partitions())
-        self._key_fetcher.fetch({one: self._last_owners.get(one) for one in to_fetch})
-        self._last_owners = self._ownership.owners()
+        self._key_tables.follow()
         members = self._ownership.other_members()
         self._figures.keep_only(frozenset(members))
         self.peers.forget_all_but(frozenset(members))
@@ -128,7 +124,7 @@
             self._attempts.attach(nursery)
             self._releases.attach(nursery, self._targets.inherited_released)
             self._key_home.attach(nursery)
-            self._key_fetcher.attach(nursery)
+            self._key_tables.attach(nursery)
             nursery.start_soon(self.peers.run, listeners.peers)
             nursery.start_soon(self._operators.run, listeners.operators)
             nursery.start_soon(self._keep_streams_open)
@@ -144,8 +140,9 @@
         await self._callers.wait_ended()
 
     async def wait_for_calls(self) -> None:
-        """Wait until no forwarded request is in flight here."""
+        """Wait until no forwarded request is in flight here, and all tables are handed over."""
         await self.peer_service.wait_idle()
+        await self._key_tables.wait_sent()
 
     def status(self) -> dict[str, object]:
         """What operators are shown."""
--- a/fireflyfork/programs/_key_home.py
+++ b/fireflyfork/programs/_key_home.py
@@ -60,6 +60,16 @@
     running: dict[IdempotencyKey, _First] = field(default_factory=dict)
 
 
+@dataclass(frozen=True, slots=True)
+class HomeChange:
+    """What a change of ownership means for the tables."""
+
+    lost: tuple[PartitionId, ...]
+    """Partitions whose tables the next owners need."""
+    awaited: tuple[PartitionId, ...]
+    """Partitions whose tables come from the last owners."""
+
+
 class KeyHome:
     """The tables of the partitions owned here."""
 
@@ -80,47 +90,50 @@
         """Keys remembered."""
         return sum(home.table.keys for home in self._homes.values())
 
-    def own(self, partitions: Iterable[PartitionId]) -> tuple[PartitionId, ...]:
-        """Follow a change of ownership; returns the partitions whose tables are to be fetched.
+    def own(self, partitions: Iterable[PartitionId]) -> HomeChange:
+        """Follow a change of ownership.
 
-        Requests to these wait until ``adopt`` or ``go_on_without``.
+        Requests to the awaited partitions wait until ``adopt`` or ``go_on_without``.
         """
         acquired = {one: self._ownership.ownership_of(one) for one in partitions}
         owned = {one: ownership for one, ownership in acquired.items() if ownership is not None}
-        self._drop_lost(owned)
+        lost = self._drop_lost(owned)
         added = sorted(owned.keys() - self._homes.keys())
         for partition in added:
             self._homes[partition] = _first_home(owned[partition])
-        return tuple(one for one in added if not self._homes[one].ready.is_set())
-
-    def _drop_lost(self, owned: Mapping[PartitionId, Ownership]) -> None:
-        now = time.time()
-        for partition, home in tuple(self._homes.items()):
-            if partition not in owned or owned[partition].since != home.since:
-                self._moved[partition] = (now, self._homes.pop(partition))
-        self._moved = {
-            partition: kept
-            for partition, kept in self._moved.items()
-            if now - kept[0] < KEPT_AFTER_MOVE_SECONDS
-        }
+        return HomeChange(lost, tuple(one for one in added if not self._homes[one].ready.is_set()))
 
     def hand_out(self, partition: PartitionId) -> KeyTable | None:
         """The table of a partition that was owned here until lately."""
         moved = self._moved.get(partition)
         return moved[1].table.handed_over() if moved is not None else None
 
-    def adopt(self, partition: PartitionId, table: KeyTable) -> None:
-        """Go on with the last home's table, unless it comes too late."""
+    async def wait_settled(self, partition: PartitionId) -> None:
+        """Wait until nothing runs any more of a partition that was owned here until lately."""
+        moved = self._moved.get(partition)
+        while moved is not None and moved[1].running:
+            await next(iter(moved[1].running.values())).ended.wait()
+
+    def adopt(self, partition: PartitionId, since: Epoch, table: KeyTable) -> bool:
+        """Go on with the last home's table, unless it comes too late.
+
+        Returns False when the partition is not owned here since that epoch.
+        """
         home = self._homes.get(partition)
-        if home is not None and not home.ready.is_set():
+        if home is None or home.since != since:
+            return False
+        if not home.ready.is_set():
             home.table = table
             home.ready.set()
+        return True
 
-    def go_on_without(self, partition: PartitionId) -> None:
-        """Nothing is to be had of the last home, so its keys may have run."""
+    def go_on_without(self, partition: PartitionId) -> bool:
+        """Nothing came from the last home, so its keys may have run; whether that was news."""
         home = self._homes.get(partition)
-        if home is not None:
-            home.ready.set()
+        if home is None or home.ready.is_set():
+            return False
+        home.ready.set()
+        return True
 
     async def wait_ready(self, partition: PartitionId) -> None:
         """Wait until the partition's table is settled."""
@@ -155,6 +168,22 @@
                 return
             await _wait(home.running[request.key], request)
 
+    def _drop_lost(self, owned: Mapping[PartitionId, Ownership]) -> tuple[PartitionId, ...]:
+        now = time.time()
+        lost = tuple(
+            one
+            for one, home in self._homes.items()
+            if one not in owned or owned[one].since != home.since
+        )
+        for partition in lost:
+            self._moved[partition] = (now, self._homes.pop(partition))
+        self._moved = {
+            partition: kept
+            for partition, kept in self._moved.items()
+            if now - kept[0] < KEPT_AFTER_MOVE_SECONDS
+        }
+        return lost
+
     async def _wait_for_table(self, partition: PartitionId, request: ServiceRequest) -> None:
         home = self._homes.get(partition)
         if home is not None and not home.ready.is_set():
--- a/fireflyfork/programs/_key_tables.py
+++ b/fireflyfork/programs/_key_tables.py
@@ -1,4 +1,8 @@
-"""Hands the table of idempotency keys from a partition's last owner to its next."""
+"""Hands the table of idempotency keys from a partition's last owner to its next.
+
+The last owner sends it: it is the one that knows for sure when it has stopped, while the next may
+have missed the records in between and not know whom to ask.
+"""
 
 from __future__ import annotations
 
@@ -8,81 +12,116 @@
 from loguru import logger
 
 from .._errors import PeerError
-from .._ids import MemberId, PartitionId
+from .._ids import Epoch, MemberId, PartitionId
 from ..adapters import Control, Peers, decode_content, encode_content
-from ..decisions import KeyTable
+from ..decisions import Acquisition, KeyTable
 from ._control_handler import ControlHandler
 from ._key_home import KeyHome
+from ._ownership import OwnershipView
 
-KEY_TABLE_REQUEST = "key-table-request"
 KEY_TABLE = "key-table"
 
-FETCH_SECONDS = 0.5
+WAIT_SECONDS = 3.0
 """A table that comes later is not waited for: its partition goes on as after a lost home."""
 
+SETTLE_SECONDS = 0.25
+"""So long the last owner waits for requests under way, whose outcome the table then tells."""
 
-@dataclass(frozen=True, slots=True)
-class _Request:
-    partition: PartitionId
-
-
-@dataclass(frozen=True, slots=True)
-class _Handed:
-    partition: PartitionId
-    table: KeyTable | None
+SEND_ATTEMPTS = 8
+SEND_PAUSE_SECONDS = 0.25
 
+KEPT_SECONDS = 10.0
+"""How long an early table waits for the record that makes this member the owner."""
 
-class KeyTableGiver(ControlHandler):
-    """Answers the next owner of a partition that was owned here."""
 
-    def __init__(self, home: KeyHome) -> None:
-        """Take the tables from ``home``."""
-        self._home = home
+@dataclass(frozen=True, slots=True)
+class HandedTable:
+    """The table of one partition."""
 
-    def handle(self, member: MemberId, content: bytes) -> Control | None:
-        """See ControlHandler."""
-        partition = decode_content(content, _Request).partition
-        return Control(
-            KEY_TABLE, encode_content(_Handed(partition, self._home.hand_out(partition)))
-        )
+    partition: PartitionId
+    since: Epoch
+    """The epoch in which the receiver acquired the partition."""
+    table: KeyTable
 
 
-class KeyTableFetcher(ControlHandler):
-    """Asks the last owners of partitions that were handed over to this entry."""
+class KeyTables(ControlHandler):
+    """Sends the tables of partitions that have moved away, and takes those that come."""
 
-    def __init__(self, peers: Peers, home: KeyHome) -> None:
-        """Give the tables to ``home``. Call ``attach`` before the first fetch."""
+    def __init__(self, ownership: OwnershipView, peers: Peers, home: KeyHome) -> None:
+        """Call ``attach`` before the first change of ownership."""
+        self._ownership = ownership
         self._peers = peers
         self._home = home
+        self._early: dict[PartitionId, tuple[float, HandedTable]] = {}
+        self._sending = 0
+        self._sent = trio.Event()
         self._nursery: trio.Nursery | None = None
 
     def attach(self, nursery: trio.Nursery) -> None:
-        """Fetch in ``nursery``."""
+        """Send and wait in ``nursery``."""
         self._nursery = nursery
 
-    def fetch(self, last_owners: dict[PartitionId, MemberId | None]) -> None:
-        """Fetch the tables of these partitions from their last owners, as far as known."""
-        for partition, owner in last_owners.items():
-            if owner is None or self._nursery is None:
-                self._home.go_on_without(partition)
-            else:
-                self._nursery.start_soon(self._fetch, partition, owner)
+    def follow(self) -> None:
+        """Follow a change of ownership."""
+        change = self._home.own(self._ownership.owned_partitions())
+        for partition in change.lost:
+            self._hand_over(partition)
+        for partition in change.awaited:
+            self._await(partition)
+
+    async def wait_sent(self) -> None:
+        """Wait until no table is on its way out."""
+        while self._sending:
+            await self._sent.wait()
 
     def handle(self, member: MemberId, content: bytes) -> Control | None:
         """See ControlHandler."""
-        handed = decode_content(content, _Handed)
-        if handed.table is not None:
-            self._home.adopt(handed.partition, handed.table)
-        else:
-            self._home.go_on_without(handed.partition)
+        handed = decode_content(content, HandedTable)
+        if not self._home.adopt(handed.partition, handed.since, handed.table):
+            self._early[handed.partition] = (trio.current_time(), handed)
         return None
 
-    async def _fetch(self, partition: PartitionId, owner: MemberId) -> None:
+    def _hand_over(self, partition: PartitionId) -> None:
+        ownership = self._ownership.ownership_of(partition)
+        if ownership is None or ownership.owner in (None, self._ownership.own):
+            return
+        if ownership.acquired is Acquisition.MOVED and self._nursery is not None:
+            assert ownership.owner is not None
+            self._sending += 1
+            self._nursery.start_soon(self._send, partition, ownership.since, ownership.owner)
+
+    def _await(self, partition: PartitionId) -> None:
+        came, handed = self._early.pop(partition, (0.0, None))
+        if handed is not None and trio.current_time() - came < KEPT_SECONDS:
+            self._home.adopt(partition, handed.since, handed.table)
+        if self._nursery is not None:
+            self._nursery.start_soon(self._give_up_later, partition)
+
+    async def _give_up_later(self, partition: PartitionId) -> None:
+        with trio.move_on_after(WAIT_SECONDS):
+            await self._home.wait_ready(partition)
+        if self._home.go_on_without(partition):
+            logger.warning("no key table came with the move", partition=partition)
+
+    async def _send(self, partition: PartitionId, since: Epoch, owner: MemberId) -> None:
         try:
-            with trio.move_on_after(FETCH_SECONDS):
+            with trio.move_on_after(SETTLE_SECONDS):
+                await self._home.wait_settled(partition)
+            table = self._home.hand_out(partition)
+            if table is not None:
+                await self._try_to_send(owner, HandedTable(partition, since, table))
+        finally:
+            self._sending -= 1
+            self._sent.set()
+            self._sent = trio.Event()
+
+    async def _try_to_send(self, owner: MemberId, handed: HandedTable) -> None:
+        control = Control(KEY_TABLE, encode_content(handed))
+        for _ in range(SEND_ATTEMPTS):
+            try:
                 stream = await self._peers.stream(owner)
-                stream.send(Control(KEY_TABLE_REQUEST, encode_content(_Request(partition))))
-                await self._home.wait_ready(partition)
-        except PeerError as error:
-            logger.info("key table not fetched", partition=partition, error=str(error))
-        self._home.go_on_without(partition)
+                stream.send(control)
+                return
+            except PeerError as error:
+                logger.info("key table not sent yet", peer=owner, error=str(error))
+                await trio.sleep(SEND_PAUSE_SECONDS)
--- a/fireflyfork/programs/_target_group.py
+++ b/fireflyfork/programs/_target_group.py
@@ -14,12 +14,14 @@
 from .._verdict import Verdict
 from ..adapters import HttpClientConnection, ServiceFigures
 from ..decisions import (
+    Acquisition,
     AdmissionKind,
     AdmissionQueue,
     ConcurrencyLimit,
     ConnectionId,
     ConnectionPool,
     ConnectionTerms,
+    Ownership,
     OwnTarget,
     RefusedRequest,
     ServiceTime,
@@ -46,6 +48,8 @@
     partition: PartitionId
     since: Epoch
     """When this member acquired the partition. If it lost and regained it, the ledger is stale."""
+    after_fence: bool
+    """Whether the last owner was lost, so that nobody tells when its requests end."""
     ledger: SlotLedger
     limit: ConcurrencyLimit
     pool: ConnectionPool
@@ -67,6 +71,8 @@
         """
         if self.ledger.leaving:
             return 0
+        if not self.after_fence:
+            return self.limit.limit
         blocked = sum(s.attempt is None and s.until > now for s in self.ledger.occupied)
         return max(0, min(self.limit.limit, self.contract.slots - blocked))
 
@@ -151,14 +157,19 @@
             )
 
     def add(
-        self, contract: TargetContract, partition: PartitionId, since: Epoch, ledger: SlotLedger
+        self,
+        contract: TargetContract,
+        partition: PartitionId,
+        ownership: Ownership,
+        ledger: SlotLedger,
     ) -> None:
         """Begin to own a target."""
         terms = ConnectionTerms(silence_seconds=self._contract.longest_run_seconds)
         self._targets[contract.target_id] = OwnedTarget(
             contract,
             partition,
-            since,
+            ownership.since,
+            ownership.acquired is Acquisition.TAKEN_OVER,
             ledger,
             ConcurrencyLimit.initial(contract.slots),
             ConnectionPool(terms),
--- a/fireflyfork/programs/_target_groups.py
+++ b/fireflyfork/programs/_target_groups.py
@@ -136,7 +136,7 @@
                 owned = None
             if owned is None:
                 ledger = _first_ledger(group, contract, ownership)
-                group.add(contract, partition, ownership.since, ledger)
+                group.add(contract, partition, ownership, ledger)
             elif owned.contract != contract:
                 owned.contract = contract
                 terms = SlotTerms.from_contracts(contract, group.contract)
--- a/fireflyfork/programs/entry.py
+++ b/fireflyfork/programs/entry.py
@@ -30,7 +30,6 @@
     PeerGuardChannel,
     QuestionHandler,
 )
-from ._key_tables import FETCH_SECONDS
 from ._logs import configure_logs
 from ._membership import FleetView, Membership
 from ._membership_view import MembershipView
@@ -40,6 +39,8 @@
 LONGEST_LEAVE_SECONDS = 20.0
 INSTANCE_WAIT_SECONDS = 20.0
 RETRY_SECONDS = 1.0
+FLUSH_SECONDS = 0.2
+"""For what was queued to peers last to leave."""
 
 
 class EntryProgram:
@@ -92,7 +93,7 @@
         await self._entry.stop_callers(self._settings.drain_notice_seconds)
         left = await self._membership.leave(LONGEST_LEAVE_SECONDS)
         await self._entry.wait_for_calls()
-        await trio.sleep(FETCH_SECONDS)
+        await trio.sleep(FLUSH_SECONDS)
         logger.info("stopped", handed_over=left)
 
     async def _follow_instances(self) -> None:
