Placement: a diagonal Kalman filter for interference, and targets below the objective

The intercept of the normalized least mean squares learned faster than the slopes and took the blame for single workers (slope 0.9 learned for a true 3.9). And starts were allowed up to a predicted 0.9 of the objective, with measurement noise of 12%: one interval in eight was over. Aims are now 0.75, relief begins at a smoothed 0.9. Throttling takes the most harmful per core first.

--- a/fireflyfork/decisions/placement/_interference.py
+++ b/fireflyfork/decisions/placement/_interference.py
@@ -11,13 +11,20 @@
 
 LOAD_BAND_EDGES = (0.4, 0.6, 0.8)
 """Processor load, as a share of the worker, at which one band ends and the next begins."""
-_LEARNING_RATE = 0.25
-_INTERCEPT_INPUT = 0.3
-"""The fixed input of the latency without neighbours; small, so that neighbours explain first."""
-_SMALLEST_NORM = 0.02
-"""Keeps a tiny neighbour from taking the whole blame for a noisy report."""
+_NOISE_VARIANCE = 0.04
+"""Of the logarithm of one reported p99: it is measured over few requests."""
+_INTERCEPT_VARIANCE = 0.25
+_SLOPE_VARIANCE = 4.0
+"""Of a pair never measured."""
+_BORROWED_VARIANCE = 1.0
+"""Of a pair measured in another band of load only."""
+_LEAST_INTERCEPT_VARIANCE = 0.0005
+_LEAST_SLOPE_VARIANCE = 0.05
+"""Floors, since a filter that keeps no covariances believes itself too soon."""
+_VARIANCE_PER_SECOND = 2e-6
+"""What was learned is trusted less as time passes, since work and load change."""
 _LARGEST_ERROR = 1.0
-"""One report, however bad, moves an estimate by no more than this (natural logarithm)."""
+"""One report, however bad, moves estimates as if it were off by no more than this."""
 _HALF_LIFE_SECONDS = 6 * 3600.0
 """An estimate that nothing refreshes fades, so that a class that was mended gets a new trial."""
 _SMALLEST_LATENCY_RATIO = 0.01
@@ -33,6 +40,7 @@
     """By how much a worker full of the class raises the logarithm of the service's tail."""
 
     slope: float
+    variance: float
     learned_at: float
 
 
@@ -41,6 +49,7 @@
     """What is known of one service in one band of load."""
 
     intercept: float
+    intercept_variance: float = _INTERCEPT_VARIANCE
     reports: int = 0
     pairs: dict[TaskClass, _PairEstimate] = field(default_factory=dict)
 
@@ -49,9 +58,10 @@
     """Predicts a service's p99 over its objective from the classes beside it.
 
     The logarithm of the ratio is taken as an intercept plus, for each neighbouring class, a
-    non-negative slope times the share of the worker's processors it holds. One report corrects
-    all of them at once by normalized least mean squares, in proportion to their shares, so no
-    report needs to tell which neighbour was at fault; reports of differing mixes do.
+    non-negative slope times the share of the worker's processors it holds. Each estimate has a
+    variance, and one report corrects all of them at once, in proportion to share and variance (a
+    Kalman filter that keeps only the diagonal). No report needs to tell which neighbour was at
+    fault; reports of differing mixes do, and what is well known stays put.
     """
 
     def __init__(self) -> None:
@@ -70,13 +80,20 @@
         measured = math.log(max(latency_ratio, _SMALLEST_LATENCY_RATIO))
         band = self._band(service, load_band(load), measured)
         band.reports += 1
-        error = measured - self._explain(band, shares, now)
-        error = min(max(error, -_LARGEST_ERROR), _LARGEST_ERROR)
-        norm = _INTERCEPT_INPUT**2 + sum(share * share for share in shares.values())
-        step = _LEARNING_RATE * error / (norm + _SMALLEST_NORM)
-        band.intercept += step * _INTERCEPT_INPUT
-        for task_class, share in shares.items():
-            self._correct(band, task_class, step * share, now)
+        neighbours = [(self._pair(band, name, now), share) for name, share in shares.items()]
+        expected = band.intercept + sum(pair.slope * share for pair, share in neighbours)
+        error = min(max(measured - expected, -_LARGEST_ERROR), _LARGEST_ERROR)
+        spread = band.intercept_variance + _NOISE_VARIANCE
+        spread += sum(pair.variance * share * share for pair, share in neighbours)
+        gain = band.intercept_variance / spread
+        band.intercept += gain * error
+        band.intercept_variance = max(
+            (1.0 - gain) * band.intercept_variance, _LEAST_INTERCEPT_VARIANCE
+        )
+        for pair, share in neighbours:
+            gain = pair.variance * share / spread
+            pair.slope = max(pair.slope + gain * error, 0.0)
+            pair.variance = max((1.0 - gain * share) * pair.variance, _LEAST_SLOPE_VARIANCE)
 
     def added(
         self, service: ServiceName, load: float, task_class: TaskClass, share: float, now: float
@@ -109,16 +126,15 @@
                 total += share * _faded(pair, now)
         return total
 
-    def _correct(
-        self, band: _BandEstimate, task_class: TaskClass, change: float, now: float
-    ) -> None:
+    def _pair(self, band: _BandEstimate, task_class: TaskClass, now: float) -> _PairEstimate:
         pair = band.pairs.get(task_class)
         if pair is None:
-            if change > 0.0:
-                band.pairs[task_class] = _PairEstimate(change, now)
-            return
-        pair.slope = max(_faded(pair, now) + change, 0.0)
+            pair = band.pairs[task_class] = _PairEstimate(0.0, _SLOPE_VARIANCE, now)
+            return pair
+        pair.slope = _faded(pair, now)
+        pair.variance += (now - pair.learned_at) * _VARIANCE_PER_SECOND
         pair.learned_at = now
+        return pair
 
     def _band(self, service: ServiceName, band: int, measured: float) -> _BandEstimate:
         found = self._bands.get((service, band))
@@ -129,7 +145,9 @@
         if neighbour is not None:
             created.intercept = neighbour.intercept
             created.pairs = {
-                name: _PairEstimate(pair.slope, pair.learned_at)
+                name: _PairEstimate(
+                    pair.slope, max(pair.variance, _BORROWED_VARIANCE), pair.learned_at
+                )
                 for name, pair in neighbour.pairs.items()
             }
         self._bands[(service, band)] = created
--- a/fireflyfork/decisions/placement/_policy.py
+++ b/fireflyfork/decisions/placement/_policy.py
@@ -52,7 +52,7 @@
 _MOST_MISFITS = 24
 """Jobs without a place that one round may look at, so that a full fleet costs little."""
 _MOST_URGENT_MISFITS = 64
-_HIGHEST_RATIO = 0.9
+_HIGHEST_RATIO = 0.75
 """To this share of its objective a new batch task may push a service's p99."""
 _PATIENCE_SECONDS = 1200.0
 
--- a/fireflyfork/decisions/placement/_pressure.py
+++ b/fireflyfork/decisions/placement/_pressure.py
@@ -6,9 +6,9 @@
 
 from ..._ids import ServiceName
 
-_HIGH_RATIO = 1.0
+_HIGH_RATIO = 0.9
 """Smoothed p99 over the objective from which on a service counts as slowed."""
-_LOW_RATIO = 0.88
+_LOW_RATIO = 0.8
 """Below it a service may have room to give; between the two nothing changes."""
 _SMOOTHING = 0.4
 _HIGH_REPORTS = 2
--- a/fireflyfork/decisions/placement/_relief.py
+++ b/fireflyfork/decisions/placement/_relief.py
@@ -18,7 +18,7 @@
 from ._pressure import PressureAction
 from ._reasons import EvictedForLatency, ThrottledForLatency, ThrottleLifted
 
-_WANTED_RATIO = 0.85
+_WANTED_RATIO = 0.75
 """Relief aims below the objective, or the next report would ask for more."""
 _THROTTLE_SHARE = 0.5
 _LEAST_SHARE_OF_RESERVATION = 0.25
@@ -50,6 +50,11 @@
     limit: int
     """Millicores to which the next throttle would take it."""
 
+    @property
+    def blame_per_use(self) -> float:
+        """Blame by processor time used: slowing such work first costs the least throughput."""
+        return self.blame / max(self.attempt.used, 1)
+
     @property
     def can_be_throttled(self) -> bool:
         current = self.task.millicores_limit
@@ -145,7 +150,7 @@
                 _Neighbour(item.task, item.attempt, item.attempt.used / capacity, item.limit)
                 for item in found
             ]
-        return sorted(found, key=lambda item: (-item.blame, item.task.task_id))
+        return sorted(found, key=lambda item: (-item.blame_per_use, item.task.task_id))
 
     def _yielding(self, tasks: Mapping[TaskId, Task]) -> Iterator[tuple[Task, AttemptEntry]]:
         for task in tasks.values():
@@ -157,9 +162,9 @@
         self, entry: WorkerEntry, neighbours: list[_Neighbour], service: ServiceName, ratio: float
     ) -> Iterator[Throttle]:
         excess = math.log(ratio / _WANTED_RATIO)
-        least_blame = _MATERIAL_SHARE * neighbours[0].blame
+        least_blame = _MATERIAL_SHARE * neighbours[0].blame_per_use
         for neighbour in neighbours:
-            if excess <= 0.0 or neighbour.blame < least_blame:
+            if excess <= 0.0 or neighbour.blame_per_use < least_blame:
                 return
             if not neighbour.can_be_throttled:
                 continue
@@ -180,7 +185,7 @@
         now: float,
     ) -> Iterator[CheckpointAndEvict]:
         """One eviction at most: the least lost work among the neighbours that matter."""
-        least_blame = _MATERIAL_SHARE * neighbours[0].blame
+        least_blame = _MATERIAL_SHARE * max(neighbour.blame for neighbour in neighbours)
         material = [
             item
             for item in neighbours
