Placement: room beside a service goes first to work that leaves it alone

With a backlog, a start that slows a service uses up room that harmless work could have had. New work waits for a worker where its class is harmless; the limit grows over twenty minutes, so that nothing starves.

--- a/fireflyfork/decisions/placement/_choice.py
+++ b/fireflyfork/decisions/placement/_choice.py
@@ -32,6 +32,21 @@
     """The largest factor by which a service's tail is expected to grow."""
     ratio: float
     """The largest p99 over the objective that is expected of a service it slows; 0 for none."""
+    harm: float
+    """How much a worker full of the class would slow the service it harms most (logarithm)."""
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """What a start may do to services."""
+
+    ratio: float
+    """The highest p99 over the objective to which it may push one."""
+    harm: float = float("inf")
+    """The highest ``Candidate.harm``."""
+
+
+NO_LIMITS = Limits(float("inf"))
 
 
 @dataclass(frozen=True, slots=True)
@@ -56,17 +71,19 @@
         need: Resources,
         task_class: TaskClass,
         accepts: Callable[[WorkerEntry], bool],
-        highest_ratio: float,
+        limits: Limits,
         now: float,
     ) -> Choice:
-        """The best of a few workers on which no service is pushed above ``highest_ratio``."""
+        """The best of a few workers within the limits."""
         best: Candidate | None = None
         compared = 0
         for candidate in self._candidates(need, task_class, accepts, now):
             compared += 1
-            if candidate.ratio <= highest_ratio and (best is None or candidate.cost < best.cost):
+            if candidate.ratio > limits.ratio or candidate.harm > limits.harm:
+                continue
+            if best is None or candidate.cost < best.cost:
                 best = candidate
-            if best is not None and (best.cost <= _HARMLESS_COST or compared >= _CANDIDATES):
+            if best.cost <= _HARMLESS_COST or compared >= _CANDIDATES:
                 break
         return Choice(best, compared)
 
@@ -86,25 +103,28 @@
     ) -> Candidate:
         """What a task would do to the services on a worker."""
         if not entry.replicas:
-            return Candidate(entry, 0.0, 1.0, 0.0)
+            return Candidate(entry, 0.0, 1.0, 0.0, 0.0)
         model = self._interference
-        share = need.millicores / max(entry.worker.capacity.millicores, 1)
+        share = max(need.millicores, 1) / max(entry.worker.capacity.millicores, 1)
         load_before = entry.load_with(0)
         load_after = entry.load_with(need.millicores)
         shares = entry.expected_shares()
         cost = 0.0
         slowdown = 1.0
         worst = 0.0
+        harm = 0.0
         for service, count in entry.replicas.items():
             before = model.predicted_ratio(service, load_before, shares, now)
             after = model.predicted_ratio(service, load_after, shares, now)
-            after *= math.exp(model.added(service, load_after, task_class, share, now))
+            added = model.added(service, load_after, task_class, share, now)
+            harm = max(harm, added / share)
+            after *= math.exp(added)
             if before <= 0.0 or after <= before * _NEGLIGIBLE_SLOWDOWN:
                 continue
             slowdown = max(slowdown, after / before)
             worst = max(worst, after)
             cost += count * (_penalty(after) - _penalty(before))
-        return Candidate(entry, cost, slowdown, worst)
+        return Candidate(entry, cost, slowdown, worst, harm)
 
 
 def _penalty(ratio: float) -> float:
--- a/fireflyfork/decisions/placement/_policy.py
+++ b/fireflyfork/decisions/placement/_policy.py
@@ -22,7 +22,7 @@
 )
 from .._task_changes import AttemptOutcome
 from .._tasks import Task, TaskShape
-from ._choice import WorkerChoice
+from ._choice import NO_LIMITS, Limits, WorkerChoice
 from ._classes import TaskClass
 from ._fair_queue import FairQueue, QuotaLedger, WaitingJob
 from ._feasibility import cut_to_quota, cut_to_worker, why_infeasible
@@ -55,6 +55,8 @@
 _HIGHEST_RATIO = 0.75
 """To this share of its objective a new batch task may push a service's p99."""
 _PATIENCE_SECONDS = 1200.0
+_HARM_AT_FIRST = 0.8
+_HARM_AT_LAST = 5.0
 
 
 class InterferenceAwarePolicy(PlacementPolicy):
@@ -300,7 +302,7 @@
             return claimed
         accepts = self._acceptance(task, now)
         task_class = TaskClass(task.shape.task_class)
-        choice = self._choice.choose(need, task_class, accepts, float("inf"), now)
+        choice = self._choice.choose(need, task_class, accepts, NO_LIMITS, now)
         if choice.best is not None:
             return choice.best.entry
         return self._headroom.take(need, accepts)
@@ -334,10 +336,10 @@
         self, task: Task, need: Resources, view: PlacementView, misfits: Misfits
     ) -> Start | None:
         """A start, or None; what found no place is noted in ``misfits``."""
-        highest = _highest_ratio(view, view.now - task.submitted)
+        limits = _limits(view, view.now - task.submitted)
         accepts = self._batch_acceptance(task, view.now)
         task_class = TaskClass(task.shape.task_class)
-        choice = self._choice.choose(need, task_class, accepts, highest, view.now)
+        choice = self._choice.choose(need, task_class, accepts, limits, view.now)
         best = choice.best
         if best is None:
             if not task.failed_on:
@@ -427,20 +429,24 @@
             return WaitsForRoom(need, self._health.quarantined_count)
         if task.shape.service is None and not task.shape.urgent:
             task_class = TaskClass(task.shape.task_class)
-            highest = _highest_ratio(view, view.now - task.submitted)
+            limits = _limits(view, view.now - task.submitted)
             quiet = self._batch_acceptance(task, view.now)
-            if self._choice.choose(need, task_class, quiet, highest, view.now).best is None:
+            if self._choice.choose(need, task_class, quiet, limits, view.now).best is None:
                 return WaitsForQuietWorker(need)
         return WaitsForTurn()
 
 
-def _highest_ratio(view: PlacementView, waited: float) -> float:
-    """How far a start may push a service's tail; it grows with the wait, so that none starves."""
+def _limits(view: PlacementView, waited: float) -> Limits:
+    """How far a start may slow services; it grows with the wait, so that none starves.
+
+    With other work waiting, the room beside a service is better used by work that leaves it alone.
+    """
     weights = view.weights
     total = weights.throughput + weights.tail_latency
     impatience = weights.throughput / total if total > 0.0 else 0.0
     patience = min(waited / _PATIENCE_SECONDS, 1.0)
-    return _HIGHEST_RATIO + impatience * patience
+    ratio = _HIGHEST_RATIO + impatience * patience
+    return Limits(ratio, _HARM_AT_FIRST + _HARM_AT_LAST * patience)
 
 
 def _accuses_worker(ended: AttemptEnded) -> bool:
