Placement: replicas gather beside other services, within their spread over racks

Cause of the low throughput: two replicas on every worker made every worker one on which batch work must mind a service.

--- a/bench/_worker_model.py
+++ b/bench/_worker_model.py
@@ -9,7 +9,7 @@
 
 import math
 import random
-from collections import deque
+from collections import Counter, deque
 from collections.abc import Iterator
 from dataclasses import dataclass, field, replace
 
@@ -143,6 +143,8 @@
     out_of_memory: int = 0
     failures: int = 0
     refused: int = 0
+    worst_rack_share: float = 0.0
+    """The largest share of one service's replicas in one rack at the end."""
 
     def tail_ratio(self, percentile: float) -> float:
         """A percentile, over replicas and intervals, of p99 over the objective."""
@@ -212,8 +214,18 @@
                 self._measure()
             while self._reports and self._reports[0].now <= self._now:
                 self._policy.observe(self._reports.popleft())
+        self._measure_spread()
         return self.outcome
 
+    def _measure_spread(self) -> None:
+        for service in self._services:
+            runs = [run for run in self._runs.values() if run.truth is service]
+            racks = Counter(
+                self._workers[run.task.worker_id].rack for run in runs if run.task.worker_id
+            )
+            share = max(racks.values(), default=0) / max(len(runs), 1)
+            self.outcome.worst_rack_share = max(self.outcome.worst_rack_share, share)
+
     # Arrivals
 
     def _arrive(self) -> None:
--- a/bench/placement_policy.py
+++ b/bench/placement_policy.py
@@ -20,6 +20,9 @@
 _SITES = (NAIDU, KASTINGS)
 _POLICIES: Mapping[str, Callable[[], PlacementPolicy]] = {
     "first fit, declared": FirstFitPolicy,
+    "declared, spread": lambda: InterferenceAwarePolicy(
+        PolicySettings(learns_sizes=False, learns_interference=False, relief=Relief.NONE)
+    ),
     "evict at once": lambda: InterferenceAwarePolicy(
         PolicySettings(learns_interference=False, relief=Relief.EVICT_AT_ONCE)
     ),
@@ -41,6 +44,7 @@
     "urg p50",
     "urg p99",
     "urg max",
+    "one rack %",
 )
 
 
@@ -58,6 +62,7 @@
         outcome.urgent_seconds(50),
         outcome.urgent_seconds(99),
         outcome.urgent_seconds(100),
+        100.0 * outcome.worst_rack_share,
     )
 
 
--- a/fireflyfork/decisions/placement/_fleet.py
+++ b/fireflyfork/decisions/placement/_fleet.py
@@ -32,6 +32,7 @@
         "pressure",
         "replicas",
         "reserved",
+        "service_millicores",
         "throttled",
         "used_by_class",
         "used_millicores",
@@ -55,6 +56,8 @@
         self.pending_by_class: dict[TaskClass, int] = {}
         """Reservations of attempts that no report has covered yet."""
         self.replicas: dict[ServiceName, int] = {}
+        self.service_millicores = 0
+        """Reservations of the replicas."""
         self.departed: deque[tuple[float, TaskClass, int]] = deque()
         """Usage of attempts that ended after the moment that reports have reached so far."""
         self.pressure = Pressure()
@@ -84,6 +87,20 @@
             capacity.accelerators - reserved.accelerators - self.held.accelerators
         )
 
+    def add_replica(self, service: ServiceName, millicores: int) -> None:
+        """Count a replica."""
+        self.replicas[service] = self.replicas.get(service, 0) + 1
+        self.service_millicores += millicores
+
+    def drop_replica(self, service: ServiceName, millicores: int) -> None:
+        """Count a replica no more."""
+        self.service_millicores -= millicores
+        left = self.replicas[service] - 1
+        if left:
+            self.replicas[service] = left
+        else:
+            del self.replicas[service]
+
     def load_with(self, extra_millicores: int) -> float:
         """The processor load to expect with so much more, as a share of the worker."""
         expected = self.used_millicores + sum(self.pending_by_class.values()) + extra_millicores
@@ -259,11 +276,10 @@
         entry.add_pending(TaskClass(task.shape.task_class), task.reservation.millicores)
         if task.millicores_limit is not None:
             entry.throttled.add(task.task_id)
-        service = task.shape.service
-        if service is None:
+        if task.shape.service is None:
             self._batch_count += 1
         else:
-            entry.replicas[service] = entry.replicas.get(service, 0) + 1
+            entry.add_replica(task.shape.service, task.reservation.millicores)
 
     def ended(self, task: Task, now: float) -> AttemptEntry | None:
         """Note that an attempt can't run any more; returns what was kept of it."""
@@ -354,13 +370,9 @@
         if service is None:
             self._batch_count -= 1
             return
-        replicas = attempt.entry.replicas
-        left = replicas.get(service, 0) - 1
-        if left > 0:
-            replicas[service] = left
-            return
-        replicas.pop(service, None)
-        attempt.entry.pressure.forget(service)
+        attempt.entry.drop_replica(service, attempt.task.reservation.millicores)
+        if service not in attempt.entry.replicas:
+            attempt.entry.pressure.forget(service)
 
     def _forget_early(self, task: Task) -> None:
         for waiting in self._early.values():
--- a/fireflyfork/decisions/placement/_policy.py
+++ b/fireflyfork/decisions/placement/_policy.py
@@ -77,7 +77,7 @@
         self._relief = ReliefPlanner(self._fleet, self._interference, self._settings.relief)
         self._room = RoomMaker(self._fleet)
         self._headroom = UrgentHeadroom(self._fleet)
-        self._tentative_replicas: list[tuple[ServiceName, WorkerEntry]] = []
+        self._tentative_replicas: list[tuple[ServiceName, WorkerEntry, int]] = []
         """Replicas started this round, which the table hasn't confirmed yet."""
         self._choice = WorkerChoice(self._fleet, self._interference)
         self._services: Mapping[ServiceName, ServiceContract] = {}
@@ -205,8 +205,9 @@
         self._health.set_worker_count(len(view.workers))
         self._health.drop_trials(lambda task_id: self._fleet.attempt(task_id) is not None)
         self._room.begin_round(view.now)
-        for service, entry in self._tentative_replicas:
+        for service, entry, millicores in self._tentative_replicas:
             self._replicas.add(service, entry, -1)
+            entry.drop_replica(service, millicores)
         self._tentative_replicas.clear()
         return tuple(self._commands(view))
 
@@ -262,7 +263,8 @@
             place = self._replicas.place(service, claimed)
         worker = place.entry.worker
         self._replicas.add(service, place.entry, 1)
-        self._tentative_replicas.append((service, place.entry))
+        place.entry.add_replica(service, need.millicores)
+        self._tentative_replicas.append((service, place.entry, need.millicores))
         reason = PlacedReplica(
             service,
             worker.worker_id,
--- a/fireflyfork/decisions/placement/_spread.py
+++ b/fireflyfork/decisions/placement/_spread.py
@@ -10,6 +10,9 @@
 from ..._machines import Resources
 from ._fleet import Fleet, WorkerEntry
 
+_SERVICE_SHARE = 0.6
+"""Beyond this share of a worker's processors, replicas slow each other when load rises."""
+
 
 @dataclass(frozen=True, slots=True)
 class ReplicaPlace:
@@ -70,11 +73,17 @@
             entry for entry in fleet.racks[domain][rack] if entry.has_room(need) and accepts(entry)
         ]
         if members:
-            entry = min(members, key=lambda item: _crowding(item, service))
+            entry = min(members, key=lambda item: _crowding(item, service, need))
             yield ReplicaPlace(entry, in_domain, in_rack)
 
 
-def _crowding(entry: WorkerEntry, service: ServiceName) -> tuple[int, int, int]:
-    """Fewest of the same service first, then fewest of any, then the emptiest worker."""
+def _crowding(entry: WorkerEntry, service: ServiceName, need: Resources) -> tuple[int, bool, int]:
+    """Fewest of the same service, then the most of other services up to a share of the worker.
+
+    Each worker with a service is one where batch work must mind it. Gathering services leaves
+    more workers on which batch work harms nobody.
+    """
     same = entry.replicas.get(service, 0)
-    return same, sum(entry.replicas.values()), -entry.free_millicores
+    together = entry.service_millicores + need.millicores
+    is_too_full = together > _SERVICE_SHARE * entry.worker.capacity.millicores
+    return same, is_too_full, together if is_too_full else -together
