--- a/fireflyfork/decisions/placement/_policy.py
+++ b/fireflyfork/decisions/placement/_policy.py
@@ -22,7 +22,7 @@
 )
 from .._task_changes import AttemptOutcome
 from .._tasks import Task, TaskShape
-from ._choice import WorkerChoice
+from ._choice import NO_LIMITS, Limits, WorkerChoice
 from ._classes import TaskClass
 from ._fair_queue import FairQueue, QuotaLedger, WaitingJob
 from ._feasibility import cut_to_quota, cut_to_worker, why_infeasible
@@ -52,9 +52,11 @@
 _MOST_MISFITS = 24
 """Jobs without a place that one round may look at, so that a full fleet costs little."""
 _MOST_URGENT_MISFITS = 64
-_HIGHEST_RATIO = 0.9
+_HIGHEST_RATIO = 0.75
 """To this share of its objective a new batch task may push a service's p99."""
 _PATIENCE_SECONDS = 1200.0
+_HARM_AT_FIRST = 0.8
+_HARM_AT_LAST = 5.0
 
 
 class InterferenceAwarePolicy(PlacementPolicy):
@@ -75,7 +77,7 @@
         self._relief = ReliefPlanner(self._fleet, self._interference, self._settings.relief)
         self._room = RoomMaker(self._fleet)
         self._headroom = UrgentHeadroom(self._fleet)
-        self._tentative_replicas: list[tuple[ServiceName, WorkerEntry]] = []
+        self._tentative_replicas: list[tuple[ServiceName, WorkerEntry, int]] = []
         """Replicas started this round, which the table hasn't confirmed yet."""
         self._choice = WorkerChoice(self._fleet, self._interference)
         self._services: Mapping[ServiceName, ServiceContract] = {}
@@ -203,8 +205,9 @@
         self._health.set_worker_count(len(view.workers))
         self._health.drop_trials(lambda task_id: self._fleet.attempt(task_id) is not None)
         self._room.begin_round(view.now)
-        for service, entry in self._tentative_replicas:
+        for service, entry, millicores in self._tentative_replicas:
             self._replicas.add(service, entry, -1)
+            entry.drop_replica(service, millicores)
         self._tentative_replicas.clear()
         return tuple(self._commands(view))
 
@@ -260,7 +263,8 @@
             place = self._replicas.place(service, claimed)
         worker = place.entry.worker
         self._replicas.add(service, place.entry, 1)
-        self._tentative_replicas.append((service, place.entry))
+        place.entry.add_replica(service, need.millicores)
+        self._tentative_replicas.append((service, place.entry, need.millicores))
         reason = PlacedReplica(
             service,
             worker.worker_id,
@@ -300,7 +304,7 @@
             return claimed
         accepts = self._acceptance(task, now)
         task_class = TaskClass(task.shape.task_class)
-        choice = self._choice.choose(need, task_class, accepts, float("inf"), now)
+        choice = self._choice.choose(need, task_class, accepts, NO_LIMITS, now)
         if choice.best is not None:
             return choice.best.entry
         return self._headroom.take(need, accepts)
@@ -334,10 +338,10 @@
         self, task: Task, need: Resources, view: PlacementView, misfits: Misfits
     ) -> Start | None:
         """A start, or None; what found no place is noted in ``misfits``."""
-        highest = _highest_ratio(view, view.now - task.submitted)
+        limits = _limits(view, view.now - task.submitted)
         accepts = self._batch_acceptance(task, view.now)
         task_class = TaskClass(task.shape.task_class)
-        choice = self._choice.choose(need, task_class, accepts, highest, view.now)
+        choice = self._choice.choose(need, task_class, accepts, limits, view.now)
         best = choice.best
         if best is None:
             if not task.failed_on:
@@ -427,20 +431,24 @@
             return WaitsForRoom(need, self._health.quarantined_count)
         if task.shape.service is None and not task.shape.urgent:
             task_class = TaskClass(task.shape.task_class)
-            highest = _highest_ratio(view, view.now - task.submitted)
+            limits = _limits(view, view.now - task.submitted)
             quiet = self._batch_acceptance(task, view.now)
-            if self._choice.choose(need, task_class, quiet, highest, view.now).best is None:
+            if self._choice.choose(need, task_class, quiet, limits, view.now).best is None:
                 return WaitsForQuietWorker(need)
         return WaitsForTurn()
 
 
-def _highest_ratio(view: PlacementView, waited: float) -> float:
-    """How far a start may push a service's tail; it grows with the wait, so that none starves."""
+def _limits(view: PlacementView, waited: float) -> Limits:
+    """How far a start may slow services; it grows with the wait, so that none starves.
+
+    With other work waiting, the room beside a service is better used by work that leaves it alone.
+    """
     weights = view.weights
     total = weights.throughput + weights.tail_latency
     impatience = weights.throughput / total if total > 0.0 else 0.0
     patience = min(waited / _PATIENCE_SECONDS, 1.0)
-    return _HIGHEST_RATIO + impatience * patience
+    ratio = _HIGHEST_RATIO + impatience * patience
+    return Limits(ratio, _HARM_AT_FIRST + _HARM_AT_LAST * patience)
 
 
 def _accuses_worker(ended: AttemptEnded) -> bool:
