Guards hold copies of started keys, so that a lost home leaves no false doubt

Cause (seen on real processes): after kill -9 of an entry about half of all bookings with keys that carry no time got 409 'may have run' until the retention was over, and v7 keys for 2 s. Ways weighed: refusing such keys at the door (breaks callers), accepting them at their peril (a second run), journaling in the store (a write for each booking, nothing in an outage), copies at the guard (a round trip in the region). Chosen: copies, made before the dispatch, valid only under the epoch in which the guard was chosen (Member.guarded_since); every owned partition has a copy, also without keys, and none is made while the last home's table is awaited.

--- a/fireflyfork/decisions/_fleet.py
+++ b/fireflyfork/decisions/_fleet.py
@@ -34,6 +34,9 @@
 _NO_CHANGE = ChangeId("")
 
 
+_NEVER = Epoch(0)
+
+
 @dataclass(frozen=True, slots=True)
 class Member:
     """One run of a process that may own partitions."""
@@ -44,6 +47,8 @@
     zone: Zone
     guard: MemberId | None = None
     """The only member that may fence this one; None while it is alone."""
+    guarded_since: Epoch = _NEVER
+    """The epoch in which the guard was chosen. What the guard was told under another one is stale."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -156,6 +161,7 @@
     region: str
     failure_domain: str
     guard: str | None
+    guarded_since: int
 
 
 class _StoredRecord(msgspec.Struct, array_like=True):
@@ -242,6 +248,7 @@
         member.zone.region,
         member.zone.failure_domain,
         member.guard,
+        member.guarded_since,
     )
 
 
@@ -251,4 +258,5 @@
         Address(stored.host, stored.port),
         Zone(RegionName(stored.region), FailureDomainName(stored.failure_domain)),
         MemberId(stored.guard) if stored.guard is not None else None,
+        Epoch(stored.guarded_since),
     )
--- a/fireflyfork/decisions/_fleet_changes.py
+++ b/fireflyfork/decisions/_fleet_changes.py
@@ -85,8 +85,8 @@
     members = dict(changed.members)
     for other in list(members.values()):
         if other.guard is None and other.member_id != name:
-            members[other.member_id] = replace(other, guard=name)
-    members[name] = replace(newcomer, guard=choose_guard(members, newcomer))
+            members[other.member_id] = _guarded(record, other, name)
+    members[name] = _guarded(record, newcomer, choose_guard(members, newcomer))
     fenced = {
         member_id: replace(entry, taker=name) if entry.taker is None else entry
         for member_id, entry in changed.fenced.items()
@@ -142,7 +142,7 @@
     member = record.members.get(member_id)
     if member is None or member.guard == guard:
         return None
-    members = {**record.members, member_id: replace(member, guard=guard)}
+    members = {**record.members, member_id: _guarded(record, member, guard)}
     return _next(replace(record, members=members), change_id)
 
 
@@ -257,7 +257,8 @@
     members = dict(record.members)
     for name, member in record.members.items():
         if member.guard == removed:
-            members[name] = replace(member, guard=choose_guard(members, member, (removed,)))
+            guard = choose_guard(members, member, (removed,))
+            members[name] = _guarded(record, member, guard)
     taker = heir.member_id if heir is not None else None
     fenced = {
         name: replace(entry, taker=taker) if entry.taker == removed else entry
@@ -266,6 +267,11 @@
     return replace(record, members=members, fenced=fenced)
 
 
+def _guarded(record: FleetRecord, member: Member, guard: MemberId | None) -> Member:
+    """The member with a guard that is chosen in the next epoch."""
+    return replace(member, guard=guard, guarded_since=Epoch(record.epoch + 1))
+
+
 def _spread(
     record: FleetRecord, partitions: Iterable[PartitionId], heir: Member | None
 ) -> dict[PartitionId, MemberId | None]:
--- a/fireflyfork/decisions/_idempotency.py
+++ b/fireflyfork/decisions/_idempotency.py
@@ -206,6 +206,30 @@
         started = KeyRecord(KeyState.STARTED, fingerprint)
         return table._put(key, minted, now, started), KeyDecision(KeyDecisionKind.RUN)
 
+    def copied(self, key: IdempotencyKey, fingerprint: int, now: float) -> KeyTable | None:
+        """The table of a copy once the original's request has started; None when it is full."""
+        table = self.expire(now)
+        minted = minted_at(key)
+        if table.find(key, minted) is not None:
+            return table
+        table = table._with_room(now)
+        if table.keys >= self.terms.most_keys:
+            return None
+        return table._put(key, minted, now, KeyRecord(KeyState.STARTED, fingerprint))
+
+    def without_answers(self) -> KeyTable:
+        """The table as its copy needs it."""
+        return self._with_generations(gen.without_answers() for gen in self.generations)
+
+    def with_keys_of(self, other: KeyTable, now: float) -> KeyTable:
+        """The table with the keys that were begun here before it came."""
+        table = self
+        for generation in other.generations:
+            for shard in generation.shards:
+                for key, record in shard.items():
+                    table = table._put(key, minted_at(key), now, record)
+        return table
+
     def answered(self, key: IdempotencyKey, answer: bytes) -> KeyTable:
         """The whole answer came, perhaps after the request was given up."""
         if len(answer) > self.terms.longest_answer_bytes:
--- a/fireflyfork/programs/_entry.py
+++ b/fireflyfork/programs/_entry.py
@@ -11,9 +11,10 @@
 from .._contracts import Configuration
 from .._ids import PartitionId, RegionName
 from ..adapters import HttpServer, InstanceChange, InstanceState, Peers
-from ..decisions import LinkBudget, OccupiedSlots, region_of
+from ..decisions import FleetRecord, LinkBudget, OccupiedSlots, region_of
 from ._caller_service import CallerService
 from ._forwarding import Forwarder
+from ._key_copies import KEY_COPIED, KeyCopyHolder, KeyCopySender
 from ._key_home import KeyHome
 from ._key_tables import KEY_TABLE, KeyTables
 from ._keyed_requests import KeyedRequests
@@ -64,7 +65,12 @@
         self._flow = RequestFlow(
             ownership, self._targets, self._attempts, forwarder, self._figures, self.metrics, random
         )
-        self._key_home = KeyHome(ownership, self._flow.dispatch)
+        self._copies = copies = KeyCopySender(ownership, self.peers)
+        self.peer_service.subscribe(KEY_COPIED, copies)
+        self._copy_holder = KeyCopyHolder(ownership)
+        for topic, handler in self._copy_holder.handlers().items():
+            self.peer_service.subscribe(topic, handler)
+        self._key_home = KeyHome(ownership, self._flow.dispatch, copies)
         keyed = KeyedRequests(ownership, self._key_home, forwarder, self._in_force)
         self.peer_service.attach(PeerParts(self._targets, self._flow, keyed))
         self.peer_service.subscribe(SLOTS_RELEASED, self._releases)
@@ -105,6 +111,12 @@
         self.peers.forget_all_but(frozenset(members))
         self.peers.keep_open(members)
 
+    def follow_fleet(self, record: FleetRecord) -> None:
+        """Follow a change of the fleet record."""
+        lost = self._copy_holder.follow(record)
+        self.refresh()
+        self._key_tables.send_lost(lost)
+
     def note_instances(self, changes: Iterable[InstanceChange]) -> None:
         """Follow the platform's list of instances."""
         leaving = self._targets.leaving
@@ -128,6 +140,7 @@
             nursery.start_soon(self.peers.run, listeners.peers)
             nursery.start_soon(self._operators.run, listeners.operators)
             nursery.start_soon(self._keep_streams_open)
+            nursery.start_soon(self._copies.keep, self._ownership.owned_partitions)
             await self._callers.run(listeners.callers)
             await trio.sleep_forever()
 
--- a/fireflyfork/programs/_key_home.py
+++ b/fireflyfork/programs/_key_home.py
@@ -17,12 +17,16 @@
 from ..adapters import Header, HttpError, ResponseHead
 from ..decisions import Acquisition, KeyDecision, KeyDecisionKind, KeyTable, KeyTerms, Ownership
 from ._bodies import RequestBody
+from ._key_copies import HomeTable, KeyCopySender
 from ._ownership import OwnershipView
 from ._sinks import AnswerSink
 
 TERMS = KeyTerms(most_keys=4_000, most_answer_bytes=256 * 1024, longest_answer_bytes=16 * 1024)
 """For each partition; an entry owns a few."""
 
+COPY_MARGIN_SECONDS = 0.05
+"""A request that its guard did not hear of so long before its deadline is refused as not run."""
+
 KEPT_AFTER_MOVE_SECONDS = 10.0
 """How long a table is kept for the next home to fetch."""
 
@@ -44,6 +48,8 @@
 class _First:
     """The first request with a key, while it runs."""
 
+    partition: PartitionId
+    fingerprint: int
     ended: trio.Event = field(default_factory=trio.Event)
     error: RequestError | None = None
 
@@ -73,10 +79,12 @@
 class KeyHome:
     """The tables of the partitions owned here."""
 
-    def __init__(self, ownership: OwnershipView, dispatch: Dispatch) -> None:
+    def __init__(self, ownership: OwnershipView, dispatch: Dispatch, copies: KeyCopySender) -> None:
         """``dispatch`` runs a request on a target. Call ``attach`` before the first request."""
         self._ownership = ownership
         self._dispatch = dispatch
+        self._copies = copies
+        copies.attach(self._home_table)
         self._homes: dict[PartitionId, _Home] = {}
         self._moved: dict[PartitionId, tuple[float, _Home]] = {}
         self._nursery: trio.Nursery | None = None
@@ -114,8 +122,8 @@
         while moved is not None and moved[1].running:
             await next(iter(moved[1].running.values())).ended.wait()
 
-    def adopt(self, partition: PartitionId, since: Epoch, table: KeyTable) -> bool:
-        """Go on with the last home's table, unless it comes too late.
+    def adopt(self, partition: PartitionId, since: Epoch, table: KeyTable | None) -> bool:
+        """Go on with the last home's table, or without one if it is None; unless too late.
 
         Returns False when the partition is not owned here since that epoch.
         """
@@ -123,7 +131,8 @@
         if home is None or home.since != since:
             return False
         if not home.ready.is_set():
-            home.table = table
+            if table is not None:
+                home.table = table.with_keys_of(home.table, time.time())
             home.ready.set()
         return True
 
@@ -153,15 +162,16 @@
         Raises RequestError, HttpError.
         """
         fingerprint = _fingerprint(request, body)
-        await self._wait_for_table(partition, request)
+        if not request.key_is_new:
+            await self._wait_for_table(partition, request)
         while True:
-            home = self._home(partition)
+            home = self._home(partition, request)
             assert request.key
             home.table, decision = home.table.begin(
                 request.key, fingerprint, time.time(), request.key_is_new
             )
             if decision.kind is KeyDecisionKind.RUN:
-                await self._run_first(home, request, body, sink)
+                await self._run_first(home, partition, fingerprint, request, body, sink)
                 return
             if decision.kind is not KeyDecisionKind.JOIN:
                 await _settle(decision, sink)
@@ -190,19 +200,34 @@
             with trio.move_on_at(request.deadline):
                 await home.ready.wait()
 
-    def _home(self, partition: PartitionId) -> _Home:
+    def _home(self, partition: PartitionId, request: ServiceRequest) -> _Home:
         # The right is checked in the same step as the table. A home that lost it without noticing
         # could otherwise run a key that its successor has already run.
         home = self._homes.get(partition)
-        if home is None or not home.ready.is_set() or not self._ownership.may_dispatch(partition):
+        known = home is not None and (request.key_is_new or home.ready.is_set())
+        if home is None or not known or not self._ownership.may_dispatch(partition):
             raise MisdirectedError("the key's home is elsewhere")
         return home
 
+    def _home_table(self, partition: PartitionId) -> HomeTable | None:
+        # A table that is still awaited would make a copy that lacks the last home's keys, and count
+        # as whole when this home is lost in its turn.
+        home = self._homes.get(partition)
+        if home is None or not home.ready.is_set():
+            return None
+        return HomeTable(home.since, home.table)
+
     async def _run_first(
-        self, home: _Home, request: ServiceRequest, body: RequestBody, sink: AnswerSink
+        self,
+        home: _Home,
+        partition: PartitionId,
+        fingerprint: int,
+        request: ServiceRequest,
+        body: RequestBody,
+        sink: AnswerSink,
     ) -> None:
         assert request.key and self._nursery is not None
-        first = home.running[request.key] = _First()
+        first = home.running[request.key] = _First(partition, fingerprint)
         self._nursery.start_soon(self._carry_out, home, first, request, body, sink)
         await _wait(first, request)
         if first.error is not None:
@@ -219,6 +244,12 @@
         assert request.key
         recording = _RecordingSink(sink, home.table.terms.longest_answer_bytes)
         try:
+            await self._copies.started(
+                first.partition,
+                request.key,
+                first.fingerprint,
+                request.deadline - COPY_MARGIN_SECONDS,
+            )
             await self._dispatch(request, body, recording)
         except RequestError as error:
             first.error = error
@@ -228,6 +259,8 @@
             home.table = _settled(home.table, request.key, first.error, recording)
             del home.running[request.key]
             first.ended.set()
+        if first.error is not None and first.error.verdict is Verdict.NOT_RUN:
+            await self._copies.not_run(first.partition, request.key)
 
 
 class _RecordingSink(AnswerSink):
@@ -279,7 +312,7 @@
         home = _Home(ownership.since, KeyTable(TERMS))
     else:
         home = _Home(ownership.since, KeyTable.after_lost_home(TERMS, time.time()))
-    if ownership.acquired is not Acquisition.MOVED:
+    if ownership.acquired is Acquisition.FIRST:
         home.ready.set()
     return home
 
--- a/fireflyfork/programs/_key_tables.py
+++ b/fireflyfork/programs/_key_tables.py
@@ -16,6 +16,7 @@
 from ..adapters import Control, Peers, decode_content, encode_content
 from ..decisions import Acquisition, KeyTable
 from ._control_handler import ControlHandler
+from ._key_copies import LostTable
 from ._key_home import KeyHome
 from ._ownership import OwnershipView
 
@@ -41,7 +42,8 @@
     partition: PartitionId
     since: Epoch
     """The epoch in which the receiver acquired the partition."""
-    table: KeyTable
+    table: KeyTable | None
+    """None when the sender knows nothing reliable: the partition goes on as after a lost home."""
 
 
 class KeyTables(ControlHandler):
@@ -76,10 +78,21 @@
 
     def handle(self, member: MemberId, content: bytes) -> Control | None:
         """See ControlHandler."""
-        handed = decode_content(content, HandedTable)
+        self._take(decode_content(content, HandedTable))
+        return None
+
+    def send_lost(self, lost: tuple[LostTable, ...]) -> None:
+        """Tell new owners what this member, as the guard, knows of a lost home's keys."""
+        for one in lost:
+            handed = HandedTable(one.partition, one.since, one.table)
+            if one.owner == self._ownership.own:
+                self._take(handed)
+            elif self._nursery is not None:
+                self._nursery.start_soon(self._try_to_send, one.owner, handed)
+
+    def _take(self, handed: HandedTable) -> None:
         if not self._home.adopt(handed.partition, handed.since, handed.table):
             self._early[handed.partition] = (trio.current_time(), handed)
-        return None
 
     def _hand_over(self, partition: PartitionId) -> None:
         ownership = self._ownership.ownership_of(partition)
@@ -101,7 +114,7 @@
         with trio.move_on_after(WAIT_SECONDS):
             await self._home.wait_ready(partition)
         if self._home.go_on_without(partition):
-            logger.warning("no key table came with the move", partition=partition)
+            logger.warning("no key table came", partition=partition)
 
     async def _send(self, partition: PartitionId, since: Epoch, owner: MemberId) -> None:
         try:
--- a/fireflyfork/programs/_membership_view.py
+++ b/fireflyfork/programs/_membership_view.py
@@ -7,7 +7,7 @@
 from .._zones import Zone
 from ..decisions import Member, Ownership
 from ._membership import Membership
-from ._ownership import OwnershipView
+from ._ownership import Guard, OwnershipView
 
 
 class MembershipView(OwnershipView):
@@ -61,6 +61,13 @@
         owners = self._running.record.owners.items()
         return {one: ownership.owner for one, ownership in owners if ownership.owner is not None}
 
+    def guard(self) -> Guard | None:
+        """See OwnershipView."""
+        own = self._member(self.own)
+        if own is None or own.guard is None:
+            return None
+        return Guard(own.guard, own.guarded_since)
+
     def _member(self, member: MemberId) -> Member | None:
         return self._running.record.members.get(member)
 
--- a/fireflyfork/programs/_ownership.py
+++ b/fireflyfork/programs/_ownership.py
@@ -3,12 +3,22 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from dataclasses import dataclass
 
-from .._ids import MemberId, PartitionId, RegionName
+from .._ids import Epoch, MemberId, PartitionId, RegionName
 from .._links import Address
 from ..decisions import Ownership
 
 
+@dataclass(frozen=True, slots=True)
+class Guard:
+    """The member that guards this one."""
+
+    member_id: MemberId
+    since: Epoch
+    """The epoch in which it was chosen."""
+
+
 class OwnershipView(ABC):
     """The fleet record, and this member's right to act on it."""
 
@@ -51,6 +61,10 @@
         own = self.own
         return tuple(one for one, owner in self.owners().items() if owner == own)
 
+    @abstractmethod
+    def guard(self) -> Guard | None:
+        """The guard of this member; None while it is alone."""
+
     def owner_of(self, partition: PartitionId) -> MemberId | None:
         """The owner of the partition, or None when there is none."""
         ownership = self.ownership_of(partition)
--- a/fireflyfork/programs/entry.py
+++ b/fireflyfork/programs/entry.py
@@ -112,7 +112,7 @@
             self._entry.note_instances(answer.changes)
 
     def _fleet_changed(self, view: FleetView) -> None:
-        self._entry.refresh()
+        self._entry.follow_fleet(view.record)
 
     def _attach(self, channel: PeerGuardChannel) -> None:
         membership, keeper = self._membership, self._keeper
--- a/fireflyfork/programs/tests/builders_entries.py
+++ b/fireflyfork/programs/tests/builders_entries.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import io
+import uuid
 from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field, replace
@@ -29,12 +30,20 @@
     TargetContract,
     TargetId,
     TeamName,
+    Zone,
 )
 from ..._traces import Span
 from ...adapters import HttpClient, HttpServer, ResponseHead, listen
-from ...decisions import Acquisition, OccupiedSlots, Ownership
+from ...decisions import (
+    Acquisition,
+    FleetRecord,
+    Member,
+    OccupiedSlots,
+    Ownership,
+    partition_of,
+)
 from .._entry import Entry, EntryListeners
-from .._ownership import OwnershipView
+from .._ownership import Guard, OwnershipView
 from .._span_writer import SpanWriter
 
 REGION = RegionName("viti")
@@ -49,6 +58,8 @@
 
     ownerships: dict[PartitionId, Ownership] = field(default_factory=dict)
     addresses: dict[MemberId, Address] = field(default_factory=dict)
+    guards: dict[MemberId, MemberId] = field(default_factory=dict)
+    guarded_since: dict[MemberId, Epoch] = field(default_factory=dict)
     without_right: set[MemberId] = field(default_factory=set)
 
     def give(
@@ -95,6 +106,11 @@
         ownerships = self._fleet.ownerships.items()
         return {one: owned.owner for one, owned in ownerships if owned.owner is not None}
 
+    def guard(self) -> Guard | None:
+        member = self._fleet.guards.get(self._own)
+        since = self._fleet.guarded_since.get(self._own, Epoch(1))
+        return Guard(member, since) if member is not None else None
+
     def other_members(self) -> tuple[MemberId, ...]:
         return tuple(member for member in self._fleet.addresses if member != self._own)
 
@@ -168,6 +184,49 @@
         for running in sorted(self.entries, key=lambda one: one is self.entries[to]):
             running.entry.refresh()
 
+    def lose(self, lost: int, to: int, epoch: int = 1) -> None:
+        """Entry ``lost`` is fenced by its guard, and ``to`` gets what it owned."""
+        known = [one for one in self.fleet.addresses if one not in self.fleet.without_right]
+        before = self._record(epoch=epoch, members=tuple(known))
+        for running in self.entries:
+            running.entry.follow_fleet(before)
+        gone = MemberId(f"entry-{lost}")
+        for partition, ownership in tuple(self.fleet.ownerships.items()):
+            if ownership.owner == gone:
+                self.fleet.give(partition, MemberId(f"entry-{to}"), Acquisition.TAKEN_OVER)
+        self.fleet.without_right.add(gone)
+        living = tuple(member for member in known if member != gone)
+        after = self._record(epoch=epoch + 1, members=living)
+        for running in self.entries:
+            if running is not self.entries[lost]:
+                running.entry.follow_fleet(after)
+
+    def _record(self, epoch: int, members: tuple[MemberId, ...]) -> FleetRecord:
+        zone = Zone(REGION, FailureDomainName("suva"))
+        return FleetRecord(
+            epoch=Epoch(epoch),
+            partitions_per_region=PARTITIONS,
+            members={
+                one: Member(
+                    one,
+                    self.fleet.addresses[one],
+                    zone,
+                    self.fleet.guards.get(one),
+                    self.fleet.guarded_since.get(one, Epoch(1)),
+                )
+                for one in members
+            },
+            owners=dict(self.fleet.ownerships),
+        )
+
+    def a_key_at(self, entry: int) -> str:
+        """A key without a time whose home is that entry."""
+        while True:
+            key = str(uuid.uuid4())
+            home = self.fleet.ownerships[partition_of(REGION, key, PARTITIONS)].owner
+            if home == f"entry-{entry}":
+                return key
+
     def reconfigure(self, **changes: object) -> None:
         """Change the service's contract at all entries."""
         service = replace(self.configuration.services[0], **changes)  # type: ignore[arg-type]
--- a/fireflyfork/programs/tests/test_keyed_requests.py
+++ b/fireflyfork/programs/tests/test_keyed_requests.py
@@ -10,8 +10,10 @@
 
 from fireflyfork_standins import Switches
 
-from ...decisions import Acquisition
-from .builders_entries import RunningFleet, running_fleet
+from ... import Epoch, MemberId
+from ...decisions import Acquisition, partition_of
+from .._key_copies import KEEP_SECONDS
+from .builders_entries import PARTITIONS, REGION, RunningFleet, running_fleet
 
 GENEROUS_SECONDS = 60.0
 CLOCK_LEAD_SECONDS = 5.0
@@ -28,6 +30,19 @@
     trio.run(main)
 
 
+def run_fleet_with_targets_at_entry_1(body: Callable[[RunningFleet], Awaitable[None]]) -> None:
+    """Run ``body`` with three entries; the second owns the targets and the first the rest."""
+    targets = (partition_of(REGION, f"desk-{n}", PARTITIONS) for n in range(2))
+    owned_by = {int(partition.rpartition("/")[2]): 1 for partition in targets}
+
+    async def main() -> None:
+        with trio.fail_after(GENEROUS_SECONDS):
+            async with running_fleet(owned_by=owned_by) as fleet:
+                await body(fleet)
+
+    trio.run(main)
+
+
 def a_key(age_seconds: float = 0.0) -> str:
     """A UUIDv7 made so long ago."""
     milliseconds = int((time.time() - age_seconds) * 1000)
@@ -117,6 +132,84 @@
         run_fleet(body)
 
 
+class LostHomeTest(unittest.TestCase):
+    """Repeats after the home was lost, which its guard has copies for."""
+
+    def test_a_key_that_never_started_runs_at_the_new_home(self) -> None:
+        """A clerk books just after the home died, with a key that tells nothing of its age.
+
+        Without a copy of the started keys the booking would be refused for minutes, as one that
+        may have run.
+        """
+
+        async def body(fleet: RunningFleet) -> None:
+            fleet.fleet.guards[MemberId("entry-0")] = MemberId("entry-1")
+            used, unused = fleet.a_key_at(0), fleet.a_key_at(0)
+            self.assertEqual((await book(fleet, 2, used))[0], 200)
+            await trio.sleep(2 * KEEP_SECONDS)
+            fleet.lose(0, to=2)
+            self.assertEqual((await book(fleet, 1, unused))[:2], (200, "answered"))
+            self.assertEqual((await book(fleet, 1, used))[:2], (409, "may-have-run"))
+            self.assertEqual(sorted(fleet.runs()), sorted([used, unused]))
+
+        run_fleet_with_targets_at_entry_1(body)
+
+    def test_two_homes_lost_one_after_the_other(self) -> None:
+        """The second home dies soon after it took over from the first, with the first's keys."""
+
+        async def body(fleet: RunningFleet) -> None:
+            fleet.fleet.guards[MemberId("entry-0")] = MemberId("entry-1")
+            fleet.fleet.guards[MemberId("entry-2")] = MemberId("entry-1")
+            key = fleet.a_key_at(0)
+            await book(fleet, 1, key)
+            await trio.sleep(2 * KEEP_SECONDS)
+            fleet.lose(0, to=2)
+            await trio.sleep(2 * KEEP_SECONDS)
+            fleet.lose(2, to=1, epoch=2)
+            unused = fleet.a_key_at(1)
+            self.assertEqual((await book(fleet, 1, key))[:2], (409, "may-have-run"))
+            self.assertEqual((await book(fleet, 1, unused))[:2], (200, "answered"))
+            self.assertEqual(sorted(fleet.runs()), sorted([key, unused]))
+
+        run_fleet_with_targets_at_entry_1(body)
+
+    def test_a_copy_of_another_term_is_not_trusted(self) -> None:
+        """The home had left its guard for another, started a key there, and came back.
+
+        The guard's copy is stale; taking it for whole would let the booking run a second time.
+        """
+
+        async def body(fleet: RunningFleet) -> None:
+            home, guard, other = (MemberId(f"entry-{n}") for n in range(3))
+            fleet.fleet.guards[home] = guard
+            await book(fleet, 2, fleet.a_key_at(0))
+            fleet.fleet.guards[home] = other
+            key = fleet.a_key_at(0)
+            await book(fleet, 2, key)
+            fleet.fleet.guards[home] = guard
+            fleet.fleet.guarded_since[home] = Epoch(2)
+            fleet.lose(0, to=2)
+            self.assertEqual((await book(fleet, 1, key))[:2], (409, "may-have-run"))
+            self.assertEqual(fleet.runs().count(key), 1)
+
+        run_fleet_with_targets_at_entry_1(body)
+
+    def test_nothing_runs_that_the_guard_does_not_know(self) -> None:
+        """The guard is gone and not replaced yet; the booking waits, and is then refused."""
+
+        async def body(fleet: RunningFleet) -> None:
+            fleet.fleet.guards[MemberId("entry-0")] = MemberId("nobody")
+            headers = ((b"idempotency-key", fleet.a_key_at(0).encode()),)
+            head, answer = await fleet.entries[2].call(
+                "POST", "/desk/holds", timeout_ms="700", headers=headers
+            )
+            self.assertEqual(head.status, 503, answer)
+            self.assertEqual(head.header(b"fireflyfork-verdict"), "not-run")
+            self.assertEqual(fleet.runs(), [])
+
+        run_fleet_with_targets_at_entry_1(body)
+
+
 class MovedHomeTest(unittest.TestCase):
     """Repeats after the home has changed."""
 
