A member that is fenced again and again waits longer before it joins anew

Change: no delay at first, then doubled with each fence within 120 s of joining, up to 63 s. Question numbers go on over a rejoin, so that no late reply is taken for one to the new id.

--- a/fireflyfork/programs/_membership.py
+++ b/fireflyfork/programs/_membership.py
@@ -57,6 +57,11 @@
 """How much longer than it was told to a watch call may take before it counts as silent."""
 
 
+_STABLE_SECONDS = 120.0
+"""A fence later than this after joining is not taken for a repetition of the last."""
+_LONGEST_REJOIN_SECONDS = 63.0
+
+
 def boot_time() -> float:
     """Seconds that go on while the machine is suspended, unlike the monotonic clock's.
 
@@ -122,6 +127,9 @@
         self._nursery: trio.Nursery | None = None
         self._change_event = trio.Event()
         self._leaving = False
+        self._rejoin_at: float | None = None
+        self._joined_at = float("-inf")
+        self._soon_fenced = 0
         self._random = random.Random(me.member_id)
 
     @property
@@ -247,12 +255,35 @@
     def _rejoin_if_fenced(self) -> None:
         if self.phase is not MemberPhase.FENCED or self._leaving:
             return
-        logger.warning("fenced; joining anew", member=self.member_id)
+        now = self._clock()
+        if self._rejoin_at is None:
+            self._rejoin_at = now + self._rejoin_delay(now)
+            logger.warning("fenced", member=self.member_id, joins_in=self._rejoin_at - now)
+        if now < self._rejoin_at:
+            return
         before = self._state
         anew = self._begin(replace(before.me, member_id=self._new_member_id(), guard=None))
-        self._state = replace(anew, record=before.record, revision=before.revision)
+        self._state = replace(
+            anew,
+            record=before.record,
+            revision=before.revision,
+            # A reply to the old id's question must not be taken for one to the new id's.
+            next_nonce=before.next_nonce,
+        )
+        self._rejoin_at = None
+        self._joined_at = now
         self._announce()
 
+    def _rejoin_delay(self, now: float) -> float:
+        """None at first, then longer with each fence that soon follows the last.
+
+        A member that reaches the store but not its peers is fenced again and again. Each time its
+        partitions change owners twice, and their callers meet refusals.
+        """
+        soon = now - self._joined_at < _STABLE_SECONDS
+        self._soon_fenced = self._soon_fenced + 1 if soon else 0
+        return min(_LONGEST_REJOIN_SECONDS, float(2**self._soon_fenced - 1))
+
     def _begin(self, me: Member) -> MembershipState:
         settings = self._settings
         return begin_membership(me, settings.timing, settings.partitions_per_region)
--- a/fireflyfork/programs/tests/test_membership.py
+++ b/fireflyfork/programs/tests/test_membership.py
@@ -121,6 +121,23 @@
 
         _with_fleet(scenario)
 
+    def test_unreachable_member_does_not_come_back_every_few_seconds(self) -> None:
+        """A member reaches the store but none of its peers, and is fenced soon after each joining.
+
+        Each time its targets change owners twice. It once joined anew every five seconds.
+        """
+
+        async def scenario(fleet: Fleet, members: list[Membership]) -> None:
+            fleet.network.cut.add(Address("127.0.0.1", 2))
+            await trio.sleep(300)
+            joins = int(members[1].member_id.removeprefix("b-"))
+            self.assertLessEqual(joins, 10)
+            fleet.network.cut.clear()
+            await trio.sleep(80)
+            self.assertTrue(all(one.holds_right for one in members))
+
+        _with_fleet(scenario)
+
     def test_planned_stop_hands_over_occupied_slots(self) -> None:
         """An entry is replaced. Its requests in flight still hold slots that the next must count."""
 
