Planners own partitions under the fleet's fencing rule, and follow the stored configuration

Cause: the owner of the batch partition was a line in a settings file; if it died, batch work stood still, and quotas set by operators were not in force. Ruled out: a second rule for planners; they are a fleet of their own under the same membership code, with a record of their own. Change: planners join under the key 'planners', announce their endpoint to each other for redirects, take teams, services and weights from the configuration, and place with the interference-aware policy. Conclusion: nothing in the settings names an owner any more.

--- a/fireflyfork/programs/_planner_endpoint.py
+++ b/fireflyfork/programs/_planner_endpoint.py
@@ -2,7 +2,7 @@
 
 ``POST /v1/jobs`` submits, ``GET /v1/jobs`` lists, ``GET /v1/jobs/JOB`` is a job's status,
 ``POST /v1/jobs/JOB/cancel`` cancels it, ``GET /v1/tasks/JOB/INDEX`` explains a task and
-``POST /v1/tasks/JOB/INDEX/cancel`` cancels one; ``/health``, ``/ready`` and ``/metrics`` are about
+``POST /v1/tasks/JOB/INDEX/cancel`` cancels one; ``/healthz``, ``/readyz`` and ``/metrics`` are about
 the process. A planner that does not own a job's partition redirects to the one that does.
 """
 
@@ -84,9 +84,9 @@
     async def _route(self, exchange: Exchange) -> None:
         path = exchange.head.target.partition("?")[0]
         match (exchange.head.method, path.strip("/").split("/")):
-            case "GET", ["health"]:
+            case "GET", ["healthz"]:
                 await exchange.answer_json(200, {"alive": True})
-            case "GET", ["ready"]:
+            case "GET", ["readyz"]:
                 await self._ready(exchange)
             case "GET", ["metrics"]:
                 await exchange.answer_json(200, self._metrics())
@@ -107,9 +107,11 @@
 
     async def _ready(self, exchange: Exchange) -> None:
         owned = self._rights.owned()
-        waiting = [name for name in owned if self._runners[name].state is None]
+        ownerless = {name for name in self._partitions if not self._has_owner(name)}
+        unready = {name for name in owned if not self._runners[name].is_ready}
+        waiting = ownerless | unready
         status = 503 if waiting else 200
-        await exchange.answer_json(status, {"ready": not waiting, "recovering": sorted(waiting)})
+        await exchange.answer_json(status, {"ready": not waiting, "waiting_for": sorted(waiting)})
 
     async def _submit(self, exchange: Exchange) -> None:
         request = await _read_job(exchange)
@@ -165,6 +167,9 @@
             raise _ProblemError(503, "the partition has no owner at present")
         raise _RedirectError(f"http://{address}{exchange.head.target}")
 
+    def _has_owner(self, partition: PartitionId) -> bool:
+        return partition in self._rights.owned() or bool(self._rights.owner_address(partition))
+
     def _metrics(self) -> PlannerMetrics:
         partitions = tuple(
             _partition_metrics(name, runner) for name, runner in self._runners.items()
--- a/fireflyfork/programs/_planner_journal.py
+++ b/fireflyfork/programs/_planner_journal.py
@@ -70,13 +70,12 @@
         self,
         store: Store,
         partition: PartitionId,
-        owner: MemberId,
         new_change_id: Callable[[], ChangeId] = random_change_id,
     ) -> None:
         """Call ``recover`` before anything else."""
         self._store = store
         self._partition = partition
-        self._owner = owner
+        self._owner = MemberId("")
         self._new_change_id = new_change_id
         self._position = JournalPosition(partition, 0, {}, 0, Revision(0), 0, 0)
         self.counts = JournalCounts()
@@ -86,13 +85,14 @@
         """What is known of the stored keys."""
         return self._position
 
-    async def recover(self, may_take: Callable[[], bool]) -> TaskTable:
+    async def recover(self, owner: MemberId, may_take: Callable[[], bool]) -> TaskTable:
         """Read everything, then take the partition over by storing an empty segment.
 
         From then on, whatever an earlier owner still tries to store fails. ``may_take`` is asked
         right before that. Raises StoreUnavailableError and JournalError, after which it may be
         called again, and PartitionLostError when ``may_take`` says no.
         """
+        self._owner = owner
         table = await self._read_snapshot()
         while True:
             table = await self._read_segments(table)
--- a/fireflyfork/programs/_planner_partition.py
+++ b/fireflyfork/programs/_planner_partition.py
@@ -8,11 +8,13 @@
 from functools import partial
 
 import trio
+import xxhash
 from loguru import logger
 
-from .._contracts import TeamContract, Weights
+from .._contracts import Configuration, TeamContract
 from .._errors import FireflyforkError, PlatformError, StoreUnavailableError
 from .._ids import AttemptNumber, JobId, PartitionId, RegionName, TaskId
+from .._machines import Resources, Worker
 from ..adapters import RunReport, Store, WorkerPlatform
 from ..decisions import (
     DurableChange,
@@ -83,9 +85,11 @@
     partition: PartitionId
     regions: tuple[RegionName, ...]
     """The regions whose workers belong to it."""
-    policy: PlacementPolicy
-    teams: tuple[TeamContract, ...] = ()
-    weights: Weights = field(default_factory=Weights)
+    new_policy: Callable[[], PlacementPolicy]
+    """Makes the policy that each term of ownership begins with."""
+    number: int = 0
+    """This share of the workers, of ``count`` shares."""
+    count: int = 1
     rules: PlanningRules = field(default_factory=PlanningRules)
     pace: PlannerPace = field(default_factory=PlannerPace)
 
@@ -118,7 +122,8 @@
         self._platform = platform
         self._rights = rights
         self._clock = clock
-        self._journal = PartitionJournal(store, plan.partition, rights.member)
+        self._configuration: Configuration | None = None
+        self._journal = PartitionJournal(store, plan.partition)
         self._state: Partition | None = None
         self._unstored: list[DurableChange] = []
         self._appended = 0
@@ -135,6 +140,11 @@
         """The state at this moment, some of it not stored yet; None while not owner."""
         return self._state
 
+    @property
+    def is_ready(self) -> bool:
+        """Whether jobs can be judged: owned, recovered, configured, and the workers are known."""
+        return self._state is not None and bool(self._state.workers and self._state.teams)
+
     @property
     def journal(self) -> PartitionJournal:
         """The journal, for its counts."""
@@ -158,6 +168,12 @@
             self._state = None
             self._wake_waiters()
 
+    def configure(self, configuration: Configuration) -> None:
+        """Put a configuration in force: teams with their quotas, services and weights."""
+        self._configuration = configuration
+        if self._state is not None:
+            self._state = self._configured(self._state)
+
     def stop(self) -> None:
         """Begin nothing new; ``run`` returns when everything so far is stored."""
         self._stopping = True
@@ -186,8 +202,35 @@
     def _ready_state(self) -> Partition:
         if self._state is None or self._stopping:
             raise NotReadyError(f"{self._plan.partition} is being taken over; ask again")
+        if not self.is_ready:
+            raise NotReadyError("the configuration and the workers are not known yet; ask again")
         return self._state
 
+    def _configured(self, state: Partition) -> Partition:
+        configuration = self._configuration
+        if configuration is None:
+            return state
+        return replace(
+            state,
+            teams={team.name: self._share_of(team) for team in configuration.teams},
+            services={service.name: service for service in configuration.services},
+            weights=configuration.weights,
+        )
+
+    def _share_of(self, team: TeamContract) -> TeamContract:
+        # Each partition counts only what it reserves itself. If each allowed a team its whole
+        # quota, the team would get it as often as there are partitions.
+        count = self._plan.count
+        quota = team.quota
+        share = Resources(
+            quota.millicores // count, quota.memory // count, quota.accelerators // count
+        )
+        return replace(team, quota=share)
+
+    def _has(self, worker: Worker) -> bool:
+        place = xxhash.xxh64_intdigest(worker.worker_id.encode()) % self._plan.count
+        return place == self._plan.number
+
     def _loops(self) -> Iterable[Callable[[], Awaitable[None]]]:
         yield self._tick_loop
         yield self._start_loop
@@ -209,17 +252,14 @@
     async def _recover(self) -> None:
         while True:
             try:
-                table = await self._journal.recover(self._is_owner)
+                table = await self._journal.recover(self._rights.member, self._is_owner)
                 break
             except StoreUnavailableError as error:
                 logger.warning("recovery of {} waits: {}", self._plan.partition, error)
                 await trio.sleep(_RETRY_SECONDS)
-        state = Partition.at_takeover(table, self._plan.policy, self._clock.now(), self._plan.rules)
-        self._state = replace(
-            state,
-            teams={team.name: team for team in self._plan.teams},
-            weights=self._plan.weights,
-        )
+        policy = self._plan.new_policy()
+        state = Partition.at_takeover(table, policy, self._clock.now(), self._plan.rules)
+        self._state = self._configured(state)
         logger.info(
             "partition {} taken over with {} open tasks", self._plan.partition, len(table.tasks)
         )
@@ -378,6 +418,7 @@
                     worker
                     for region in self._plan.regions
                     for worker in await self._platform.workers(region)
+                    if self._has(worker)
                 ]
             except PlatformError as error:
                 logger.warning("list of workers: {}", error)
--- a/fireflyfork/programs/_planner_rights.py
+++ b/fireflyfork/programs/_planner_rights.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from collections.abc import Mapping
 
 import trio
 
 from .._ids import MemberId, PartitionId
 from .._links import Address
+from ._membership import FleetView, Membership
+from ._planner_peers import PlannerDirectory
 
 
 class PartitionRights(ABC):
@@ -39,37 +40,47 @@
         """Return when ``owned`` may have changed."""
 
 
-class SettledRights(PartitionRights):
-    """Owners that the settings name, once and for all."""
+class MembershipRights(PartitionRights):
+    """The rights of a member of the planners' fleet."""
 
-    def __init__(
-        self,
-        member: MemberId,
-        owned: frozenset[PartitionId],
-        others: Mapping[PartitionId, Address],
-    ) -> None:
-        """``others`` are the owners of the partitions that are not this member's."""
-        self._member = member
-        self._owned = owned
-        self._others = others
+    def __init__(self, directory: PlannerDirectory) -> None:
+        """Call ``attach`` before use."""
+        self._directory = directory
+        self._membership: Membership | None = None
+        self._change = trio.Event()
+
+    def attach(self, membership: Membership) -> None:
+        """Give it the membership, whose changes go to ``note_change``."""
+        self._membership = membership
+
+    def note_change(self, view: FleetView) -> None:
+        """The fleet record or this member's phase changed."""
+        self._change.set()
+        self._change = trio.Event()
 
     @property
     def member(self) -> MemberId:
         """See PartitionRights."""
-        return self._member
+        return self._running.member_id
 
     def owned(self) -> frozenset[PartitionId]:
         """See PartitionRights."""
-        return self._owned
+        return frozenset(self._running.owned_partitions)
 
     def holds(self, partition: PartitionId) -> bool:
         """See PartitionRights."""
-        return partition in self._owned
+        return self._running.may_dispatch(partition)
 
     def owner_address(self, partition: PartitionId) -> Address | None:
         """See PartitionRights."""
-        return self._others.get(partition)
+        owner = self._running.owner_of(partition)
+        return None if owner is None else self._directory.address_of(owner.member_id)
 
     async def changed(self) -> None:
-        """See PartitionRights; it never returns."""
-        await trio.sleep_forever()
+        """See PartitionRights."""
+        await self._change.wait()
+
+    @property
+    def _running(self) -> Membership:
+        assert self._membership is not None
+        return self._membership
--- a/fireflyfork/programs/_planner_settings.py
+++ b/fireflyfork/programs/_planner_settings.py
@@ -3,24 +3,24 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from enum import Enum
 
-from .._contracts import TeamContract, Weights
 from .._errors import SettingsError
-from .._ids import FailureDomainName, PartitionId, RegionName
+from .._ids import FailureDomainName, RegionName
 from .._links import Address
 from ..decisions import PlanningRules
+from ._entry_settings import SHORTEST_PEER_KEY
 from ._planner_partition import PlannerPace
 
+MOST_PARTITIONS = 64
 
-@dataclass(frozen=True, slots=True)
-class PartitionSettings:
-    """A share of the workers, and the planner that owns it."""
 
-    partition: PartitionId
-    regions: tuple[RegionName, ...]
-    """The regions whose workers belong to it."""
-    owner: str
-    """IP number and port of the owner's endpoint."""
+class PolicyName(Enum):
+    """The placement policies there are."""
+
+    INTERFERENCE_AWARE = "interference-aware"
+    FIRST_FIT = "first-fit"
+    """By declared size; for comparison."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -28,53 +28,51 @@
     """The settings file, in JSON with comments."""
 
     name: str
+    """The instance's name; the member id adds what makes this run of the process unique."""
     region: RegionName
     failure_domain: FailureDomainName
-    listen: str
+    operator_address: str
     """IP number and port of the endpoint for operators."""
-    store: str
-    platform: str
-    partitions: tuple[PartitionSettings, ...]
-    teams: tuple[TeamContract, ...] = ()
-    weights: Weights = field(default_factory=Weights)
+    peer_address: str
+    """IP number and port where other planners reach this one."""
+    store_address: str
+    platform_address: str
+    regions: tuple[RegionName, ...]
+    """All regions whose workers the planners place work on; the same for all planners."""
+    peer_key: str
+    """The secret that proves a planner to its peers; the same for all."""
+    partitions: int = 1
+    """Into how many shares the workers are divided. Counts only for the first planner ever."""
+    policy: PolicyName = PolicyName.INTERFERENCE_AWARE
     rules: PlanningRules = field(default_factory=PlanningRules)
     pace: PlannerPace = field(default_factory=PlannerPace)
     log_level: str = "INFO"
 
-    def check(self, source: str) -> None:
-        """Check what the types can't say. Raises SettingsError with path, value and rule."""
-        for path, text in self._addresses():
-            try:
-                Address.parse(text)
-            except SettingsError as error:
-                raise SettingsError(f"{source}: {path}: value {text!r}: {error}") from error
-        names = [partition.partition for partition in self.partitions]
-        if not names or len(set(names)) < len(names):
+    def check(self) -> None:
+        """Check what the types don't. Raises SettingsError with path, value and rule."""
+        for name in ("operator_address", "peer_address", "store_address", "platform_address"):
+            _check_address(name, getattr(self, name))
+        if len(self.peer_key) < SHORTEST_PEER_KEY:
+            raise SettingsError(f"$.peer_key: expected {SHORTEST_PEER_KEY} characters or more")
+        if not self.regions or len(set(self.regions)) < len(self.regions):
+            raise SettingsError(f"$.regions: value {self.regions}: expected one or more, each once")
+        if not 1 <= self.partitions <= MOST_PARTITIONS:
             raise SettingsError(
-                f"{source}: $.partitions: value {names!r}: expected one or more, each once"
+                f"$.partitions: value {self.partitions}: expected 1 to {MOST_PARTITIONS}"
             )
         for path, seconds in self._durations():
             if not seconds > 0:
-                raise SettingsError(f"{source}: {path}: value {seconds!r}: expected above 0")
-        leases = self.rules.leases
-        if self.pace.renew * 3 > leases.lease:
+                raise SettingsError(f"{path}: value {seconds}: expected above 0")
+        self._check_renewals()
+
+    def _check_renewals(self) -> None:
+        lease = self.rules.leases.lease
+        if self.pace.renew * 3 > lease:
             raise SettingsError(
-                f"{source}: $.pace.renew: value {self.pace.renew!r}: expected at most a third "
-                f"of $.rules.leases.lease, {leases.lease!r}"
+                f"$.pace.renew: value {self.pace.renew}: expected at most a third of "
+                f"$.rules.leases.lease, {lease}, so that one lost renewal ends no work"
             )
 
-    def _addresses(self) -> list[tuple[str, str]]:
-        owners = [
-            (f"$.partitions[{index}].owner", partition.owner)
-            for index, partition in enumerate(self.partitions)
-        ]
-        return [
-            ("$.listen", self.listen),
-            ("$.store", self.store),
-            ("$.platform", self.platform),
-            *owners,
-        ]
-
     def _durations(self) -> list[tuple[str, float]]:
         pace = self.pace
         leases = self.rules.leases
@@ -90,3 +88,10 @@
             ("$.rules.leases.margin", leases.margin),
             ("$.rules.start_retry_seconds", self.rules.start_retry_seconds),
         ]
+
+
+def _check_address(name: str, text: str) -> None:
+    try:
+        Address.parse(text)
+    except SettingsError as error:
+        raise SettingsError(f"$.{name}: {error}") from error
--- a/fireflyfork/programs/planner.py
+++ b/fireflyfork/programs/planner.py
@@ -2,152 +2,145 @@
 
 from __future__ import annotations
 
+import secrets
 import signal
 import sys
-import uuid
 from pathlib import Path
 
 import trio
 from loguru import logger
 
-from .._errors import SettingsError
 from .._ids import MemberId, PartitionId
 from .._links import Address
-from ..adapters import HttpPlatform, HttpServer, HttpStore, Store, WorkerPlatform, listen
-from ..decisions import FirstFitPolicy
+from .._zones import Zone
+from ..adapters import HttpPlatform, HttpStore, Peers, listen
+from ..decisions import Member, OccupiedSlots
+from ._configuration_keeper import ConfigurationKeeper
+from ._guard_messages import (
+    CONFIGURATION,
+    FLEET,
+    QUESTION,
+    REPLY,
+    ConfigurationHandler,
+    FleetHandler,
+    PeerGuardChannel,
+    QuestionHandler,
+)
 from ._logs import configure_logs
-from ._planner_endpoint import PlannerEndpoint
-from ._planner_partition import PartitionPlan, PartitionRunner, PlannerClock
-from ._planner_rights import PartitionRights, SettledRights
+from ._membership import Membership, MembershipSettings
+from ._membership_view import MembershipView
+from ._planner import BATCH_REGION, Planner
+from ._planner_peers import ENDPOINT, PlannerDirectory, PlannerPeerService
+from ._planner_rights import MembershipRights
 from ._planner_settings import PlannerSettings
 from ._settings import EXIT_BAD_SETTINGS, load_settings_or_exit
 
-
-class Planner:
-    """All partitions that this process may own, and its endpoint."""
-
-    def __init__(
-        self,
-        settings: PlannerSettings,
-        store: Store,
-        platform: WorkerPlatform,
-        rights: PartitionRights,
-    ) -> None:
-        """Nothing happens before ``run``. Needs a running trio loop."""
-        clock = PlannerClock()
-        self._rights = rights
-        self._runners = {
-            plan.partition: PartitionRunner(plan, store, platform, rights, clock)
-            for plan in _plans(settings)
-        }
-        self._endpoint = PlannerEndpoint(self._runners, rights)
-        self._server = HttpServer(self._endpoint)
-        self._stopping = False
-
-    @property
-    def endpoint(self) -> PlannerEndpoint:
-        """What answers operators."""
-        return self._endpoint
-
-    @property
-    def runners(self) -> dict[PartitionId, PartitionRunner]:
-        """The runner of each partition."""
-        return self._runners
-
-    async def run(self, listeners: list[trio.SocketListener]) -> None:
-        """Serve until ``stop``; what is under way is stored and answered first."""
-        async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._server.run, listeners)
-            for partition in self._runners:
-                nursery.start_soon(self._run_while_owned, partition)
-
-    def stop(self) -> None:
-        """End gracefully."""
-        self._stopping = True
-        for runner in self._runners.values():
-            runner.stop()
-        self._server.stop()
-
-    async def _run_while_owned(self, partition: PartitionId) -> None:
-        runner = self._runners[partition]
-        while not self._stopping:
-            if partition in self._rights.owned():
-                await runner.run()
-            if not self._stopping:
-                with trio.move_on_after(1.0):
-                    await self._rights.changed()
-
-
-def _plans(settings: PlannerSettings) -> list[PartitionPlan]:
-    return [
-        PartitionPlan(
-            partition.partition,
-            partition.regions,
-            FirstFitPolicy(),
-            settings.teams,
-            settings.weights,
-            settings.rules,
-            settings.pace,
+PLANNERS_KEY = "planners"
+"""The store key of the planners' fleet record."""
+LONGEST_STOP_SECONDS = 20.0
+LONGEST_LEAVE_SECONDS = 20.0
+
+
+class PlannerProgram:
+    """One planner process."""
+
+    def __init__(self, settings: PlannerSettings) -> None:
+        """Wire everything; nothing runs yet. Needs a running trio loop."""
+        self._settings = settings
+        zone = Zone(BATCH_REGION, settings.failure_domain)
+        self._view = MembershipView(zone)
+        service = PlannerPeerService()
+        key = settings.peer_key.encode("utf-8")
+        self._peers = Peers(lambda: self._view.own, key, service, self._view.address_of)
+        self._directory = PlannerDirectory(Address.parse(settings.operator_address))
+        rights = MembershipRights(self._directory)
+        store = HttpStore(Address.parse(settings.store_address))
+        channel = PeerGuardChannel(self._peers)
+        self._membership = Membership(
+            Member(self._new_id(), Address.parse(settings.peer_address), zone),
+            store,
+            channel,
+            self._new_id,
+            _nothing_occupied,
+            rights.note_change,
+            MembershipSettings(key=PLANNERS_KEY, partitions_per_region=settings.partitions),
         )
-        for partition in settings.partitions
-    ]
-
-
-def settled_rights(settings: PlannerSettings) -> SettledRights:
-    """The rights that the settings give to this process."""
-    owners = {
-        partition.partition: Address.parse(partition.owner) for partition in settings.partitions
-    }
-    own = Address.parse(settings.listen)
-    owned = frozenset(partition for partition, owner in owners.items() if owner == own)
-    member = MemberId(f"{settings.name}-{uuid.uuid4().hex[:12]}")
-    return SettledRights(member, owned, owners)
-
-
-async def run(settings: PlannerSettings) -> None:
-    """Run until SIGTERM or SIGINT."""
-    address = Address.parse(settings.listen)
-    store = HttpStore(Address.parse(settings.store))
-    platform = HttpPlatform(Address.parse(settings.platform))
-    planner = Planner(settings, store, platform, settled_rights(settings))
-    listeners = await listen(address.host, address.port)
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(_stop_on_signal, planner)
-        logger.info("listening on {}", address)
-        await planner.run(listeners)
-        nursery.cancel_scope.cancel()
-
-
-async def _stop_on_signal(planner: Planner) -> None:
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            logger.info("stopping")
-            planner.stop()
-            return
+        self._view.attach(self._membership)
+        rights.attach(self._membership)
+        platform = HttpPlatform(Address.parse(settings.platform_address))
+        self._planner = Planner(settings, store, platform, rights)
+        self._keeper = ConfigurationKeeper(store, self._planner.configure)
+        self._attach(channel, service)
+
+    async def run(self) -> None:
+        """Serve until a signal asks for a graceful stop."""
+        operators = await _listen(self._settings.operator_address)
+        peers = await _listen(self._settings.peer_address)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._peers.run, peers)
+            nursery.start_soon(self._membership.run)
+            nursery.start_soon(self._keeper.run, lambda: self._membership.is_watcher)
+            nursery.start_soon(self._directory.announce, self._peers, self._view)
+            async with trio.open_nursery() as serving:
+                serving.start_soon(self._stop_on_signal, serving.cancel_scope)
+                logger.info("serving", address=self._settings.operator_address)
+                await self._planner.run(operators)
+                serving.cancel_scope.cancel()
+            left = await self._membership.leave(LONGEST_LEAVE_SECONDS)
+            logger.info("stopped", handed_over=left)
+            nursery.cancel_scope.cancel()
+
+    async def _stop_on_signal(self, serving: trio.CancelScope) -> None:
+        with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                logger.info("stopping")
+                self._planner.stop()
+                # Without the store, what was not stored can't be; its submitters have been told
+                # that the outcome is unknown by the time this ends.
+                serving.deadline = trio.current_time() + LONGEST_STOP_SECONDS
+
+    def _attach(self, channel: PeerGuardChannel, service: PlannerPeerService) -> None:
+        membership, keeper = self._membership, self._keeper
+        keeper.attach(channel, lambda: membership.record, lambda: membership.zone_mates)
+        channel.attach(keeper)
+        service.subscribe(REPLY, channel)
+        service.subscribe(QUESTION, QuestionHandler(membership, keeper))
+        service.subscribe(FLEET, FleetHandler(membership))
+        service.subscribe(CONFIGURATION, ConfigurationHandler(keeper))
+        service.subscribe(ENDPOINT, self._directory)
+
+    def _new_id(self) -> MemberId:
+        return MemberId(f"{self._settings.name}-{secrets.token_hex(4)}")
+
+
+def _nothing_occupied(
+    partitions: tuple[PartitionId, ...],
+) -> dict[PartitionId, tuple[OccupiedSlots, ...]]:
+    # What may run on the workers is in the partition's journal, where the next owner reads it.
+    return {}
+
+
+async def _listen(address: str) -> list[trio.SocketListener]:
+    parsed = Address.parse(address)
+    return await listen(parsed.host, parsed.port)
+
+
+async def _run(settings: PlannerSettings) -> None:
+    await PlannerProgram(settings).run()
 
 
 def main() -> None:
-    """Run the program; exit status 2 for unusable settings."""
-    if len(sys.argv) != 2:
-        print("usage: fireflyfork-planner SETTINGS", file=sys.stderr)
-        sys.exit(EXIT_BAD_SETTINGS)
-    path = Path(sys.argv[1])
-    settings = load_settings_or_exit(path, PlannerSettings)
+    """Read the settings file named on the command line and serve."""
+    if len(sys.argv) != 2 or sys.argv[1] in ("-h", "--help"):
+        print("usage: fireflyfork-planner SETTINGS.jsonc", file=sys.stderr)
+        sys.exit(0 if "--help" in sys.argv or "-h" in sys.argv else EXIT_BAD_SETTINGS)
+    settings = load_settings_or_exit(Path(sys.argv[1]), PlannerSettings, PlannerSettings.check)
+    configure_logs(settings.log_level, {"process": settings.name, "program": "planner"})
     try:
-        settings.check(str(path))
-    except SettingsError as error:
-        print(f"settings: {error}", file=sys.stderr)
-        sys.exit(EXIT_BAD_SETTINGS)
-    configure_logs(
-        settings.log_level,
-        {
-            "program": "planner",
-            "name": settings.name,
-            "region": settings.region,
-            "failure_domain": settings.failure_domain,
-        },
-    )
-    trio.run(run, settings)
+        trio.run(_run, settings)
+    except* OSError as group:
+        logger.error("can't serve: {}", "; ".join(map(str, group.exceptions)))
+        sys.exit(1)
 
 
 if __name__ == "__main__":
--- a/fireflyfork/programs/tests/builders_planner.py
+++ b/fireflyfork/programs/tests/builders_planner.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from typing import TypeVar
 
 import trio
@@ -12,7 +12,11 @@
 from fireflyfork_standins import SimulatedWorkers
 
 from ... import (
+    Address,
     AttemptNumber,
+    ChangeId,
+    Configuration,
+    ConfigurationVersion,
     FailureDomainName,
     JobId,
     MemberId,
@@ -43,7 +47,7 @@
 )
 from ...decisions import FirstFitPolicy, PlacementPolicy, Submission, TaskShape
 from .._planner_partition import PartitionPlan, PartitionRunner, PlannerClock
-from .._planner_rights import PartitionRights, SettledRights
+from .._planner_rights import PartitionRights
 
 Answer = TypeVar("Answer")
 
@@ -203,14 +207,44 @@
     return TeamContract(TEAM, Resources(cores * 1000, cores * 4 * GIB), urgent=True)
 
 
-def make_plan(policy: PlacementPolicy | None = None, cores: int = 1000) -> PartitionPlan:
+def make_configuration(cores: int = 1000) -> Configuration:
+    """One team."""
+    return Configuration(
+        ConfigurationVersion(1), ChangeId("first"), (), (), (), (make_team(cores),)
+    )
+
+
+def make_plan(new_policy: Callable[[], PlacementPolicy] = FirstFitPolicy) -> PartitionPlan:
     """One partition of all workers of viti."""
-    return PartitionPlan(PARTITION, (VITI,), policy or FirstFitPolicy(), (make_team(cores),))
+    return PartitionPlan(PARTITION, (VITI,), new_policy)
+
+
+class SettledRights(PartitionRights):
+    """Owners that never change."""
+
+    def __init__(
+        self,
+        owned: frozenset[PartitionId] = frozenset({PARTITION}),
+        others: Mapping[PartitionId, Address] | None = None,
+    ) -> None:
+        self._owned = owned
+        self._others = others or {}
+
+    @property
+    def member(self) -> MemberId:
+        return MemberId("planner-1")
+
+    def owned(self) -> frozenset[PartitionId]:
+        return self._owned
+
+    def holds(self, partition: PartitionId) -> bool:
+        return partition in self._owned
 
+    def owner_address(self, partition: PartitionId) -> Address | None:
+        return self._others.get(partition)
 
-def make_rights(member: str = "planner-1") -> PartitionRights:
-    """The right to the one partition."""
-    return SettledRights(MemberId(member), frozenset({PARTITION}), {})
+    async def changed(self) -> None:
+        await trio.sleep_forever()
 
 
 def make_runner(
@@ -220,9 +254,11 @@
     plan: PartitionPlan | None = None,
 ) -> PartitionRunner:
     """A planner's partition. Needs a running trio loop."""
-    return PartitionRunner(
-        plan or make_plan(), store, platform, rights or make_rights(), PlannerClock()
+    runner = PartitionRunner(
+        plan or make_plan(), store, platform, rights or SettledRights(), PlannerClock()
     )
+    runner.configure(make_configuration())
+    return runner
 
 
 async def until(condition: Callable[[], bool], seconds: float = 600.0) -> None:
--- a/fireflyfork/programs/tests/test_planner_endpoint.py
+++ b/fireflyfork/programs/tests/test_planner_endpoint.py
@@ -8,17 +8,17 @@
 
 from fireflyfork_standins import SimulatedWorkers
 
-from ... import Address, JobId, MemberId, Resources, TeamName
+from ... import Address, JobId, Resources, TeamName
 from ...adapters import HttpClient, HttpServer, listen
 from ...decisions import TaskState
 from .._batch_client import BatchCallError, BatchClient
 from .._batch_messages import JobRequest
 from .._planner_endpoint import PlannerEndpoint
 from .._planner_partition import PartitionRunner
-from .._planner_rights import SettledRights
 from .builders_planner import (
     PARTITION,
     MemoryStore,
+    SettledRights,
     SimulatedPlatform,
     make_runner,
     make_workers,
@@ -45,7 +45,7 @@
     async def main() -> None:
         store = MemoryStore()
         runner = make_runner(store, SimulatedPlatform(SimulatedWorkers(make_workers(2))))
-        rights = SettledRights(MemberId("planner-1"), frozenset({PARTITION}), {})
+        rights = SettledRights()
         server = HttpServer(PlannerEndpoint({PARTITION: runner}, rights))
         listeners = await listen("127.0.0.1", 0)
         port = listeners[0].socket.getsockname()[1]
@@ -173,8 +173,8 @@
             ("GET", "/v1/tasks/night/first", b"", 400),
             ("GET", "/nowhere", b"", 404),
             ("DELETE", "/v1/jobs/night", b"", 404),
-            ("GET", "/health", b"", 200),
-            ("GET", "/ready", b"", 200),
+            ("GET", "/healthz", b"", 200),
+            ("GET", "/readyz", b"", 200),
         ]
 
         async def body(served: Served) -> None:
@@ -190,7 +190,7 @@
         """An operator asks a planner that does not own the job's partition."""
 
         async def body(served: Served) -> None:
-            rights = SettledRights(MemberId("planner-2"), frozenset(), {PARTITION: served.address})
+            rights = SettledRights(frozenset(), {PARTITION: served.address})
             idle = make_runner(served.store, SimulatedPlatform(SimulatedWorkers(())), rights)
             server = HttpServer(PlannerEndpoint({PARTITION: idle}, rights))
             listeners = await listen("127.0.0.1", 0)
--- a/fireflyfork/programs/tests/test_planner_journal.py
+++ b/fireflyfork/programs/tests/test_planner_journal.py
@@ -14,6 +14,8 @@
     run_simulated,
 )
 
+ME = MemberId("planner-1")
+
 
 def always() -> bool:
     """The right to take the partition."""
@@ -26,9 +28,9 @@
     return JobAccepted(JobNumber(number), JobId(f"job-{number}"), submission.shape, tasks, 1.0)
 
 
-def make_journal(store: MemoryStore, member: str) -> PartitionJournal:
+def make_journal(store: MemoryStore) -> PartitionJournal:
     """A journal that has not recovered yet."""
-    return PartitionJournal(store, PARTITION, MemberId(member))
+    return PartitionJournal(store, PARTITION)
 
 
 class JournalTest(unittest.TestCase):
@@ -43,9 +45,9 @@
 
         async def body() -> None:
             store = MemoryStore()
-            journal = make_journal(store, "a")
+            journal = make_journal(store)
             store.lose_answers = 1
-            await journal.recover(always)
+            await journal.recover(ME, always)
             store.lose_answers = 1
             await journal.commit((accepted(1),))
             store.lose_answers = 1
@@ -54,7 +56,7 @@
             assert encoded is not None
             await journal.snapshot(*encoded, journal.position.sequence)
             await journal.commit((accepted(2),))
-            found = await make_journal(store, "b").recover(always)
+            found = await make_journal(store).recover(ME, always)
             self.assertEqual(set(found.jobs), {"job-1", "job-2"})
 
         run_simulated(body)
@@ -67,14 +69,14 @@
 
         async def body() -> None:
             store = MemoryStore()
-            earlier, later = make_journal(store, "a"), make_journal(store, "b")
-            await earlier.recover(always)
+            earlier, later = make_journal(store), make_journal(store)
+            await earlier.recover(ME, always)
             await earlier.commit((accepted(1),))
-            await later.recover(always)
+            await later.recover(ME, always)
             with self.assertRaises(PartitionLostError):
                 await earlier.commit((accepted(2),))
             await later.commit((accepted(2, tasks=7),))
-            found = await make_journal(store, "c").recover(always)
+            found = await make_journal(store).recover(ME, always)
             self.assertEqual(found.jobs[JobId("job-2")].task_count, 7)
 
         run_simulated(body)
@@ -84,8 +86,8 @@
 
         async def body() -> None:
             store = MemoryStore()
-            earlier, later = make_journal(store, "a"), make_journal(store, "b")
-            await earlier.recover(always)
+            earlier, later = make_journal(store), make_journal(store)
+            await earlier.recover(ME, always)
             outcomes: list[bool] = []
             tables: list[TaskTable] = []
 
@@ -97,7 +99,7 @@
                     outcomes.append(False)
 
             async def take_over() -> None:
-                tables.append(await later.recover(always))
+                tables.append(await later.recover(ME, always))
 
             for delay in (0.0, 0.001, 0.003, 0.005, 0.007):
                 async with trio.open_nursery() as nursery:
@@ -107,8 +109,8 @@
                 stored = JobId("job-1") in tables[-1].jobs
                 self.assertEqual(outcomes[-1], stored)
                 store = MemoryStore()
-                earlier, later = make_journal(store, "a"), make_journal(store, "b")
-                await earlier.recover(always)
+                earlier, later = make_journal(store), make_journal(store)
+                await earlier.recover(ME, always)
 
         run_simulated(body)
 
@@ -121,8 +123,8 @@
         async def body() -> None:
             store = MemoryStore()
             table = TaskTable.empty()
-            journal = make_journal(store, "a")
-            await journal.recover(always)
+            journal = make_journal(store)
+            await journal.recover(ME, always)
             for number in range(1, 3 * SLOTS):
                 changes = (accepted(number), TaskGivenUp(JobNumber(number), 0, 1.0, "no"))
                 table = table.apply(changes)
@@ -134,9 +136,9 @@
                     assert encoded is not None
                     await journal.snapshot(*encoded, sequence)
                 if number % 100 == 0:
-                    journal = make_journal(store, f"planner-{number}")
-                    self.assertEqual(await journal.recover(always), table)
-            self.assertEqual(await make_journal(store, "last").recover(always), table)
+                    journal = make_journal(store)
+                    self.assertEqual(await journal.recover(ME, always), table)
+            self.assertEqual(await make_journal(store).recover(ME, always), table)
             self.assertLessEqual(len(store.values), SLOTS + 1)
 
         run_simulated(body)
@@ -149,20 +151,20 @@
 
         async def body() -> None:
             store = MemoryStore()
-            earlier, later = make_journal(store, "a"), make_journal(store, "b")
-            await earlier.recover(always)
+            earlier, later = make_journal(store), make_journal(store)
+            await earlier.recover(ME, always)
             await earlier.commit((accepted(1),))
             table = TaskTable.empty().apply((accepted(1),))
             late = earlier.encode_snapshot(table, earlier.position.sequence)
             assert late is not None
-            await later.recover(always)
+            await later.recover(ME, always)
             await earlier.snapshot(*late, earlier.position.sequence)
             await later.commit((accepted(2),))
             table = table.apply((accepted(2),))
             newer = later.encode_snapshot(table, later.position.sequence)
             assert newer is not None
             await later.snapshot(*newer, later.position.sequence)
-            self.assertEqual(await make_journal(store, "c").recover(always), table)
+            self.assertEqual(await make_journal(store).recover(ME, always), table)
             with self.assertRaises(PartitionLostError):
                 await earlier.snapshot(*late, 1)
 
@@ -173,8 +175,8 @@
 
         async def body() -> None:
             store = MemoryStore()
-            for number in range(SLOTS + 50):
-                await make_journal(store, f"planner-{number}").recover(always)
-            await make_journal(store, "last").recover(always)
+            for _ in range(SLOTS + 50):
+                await make_journal(store).recover(ME, always)
+            await make_journal(store).recover(ME, always)
 
         run_simulated(body)
--- a/fireflyfork_standins/demo.py
+++ b/fireflyfork_standins/demo.py
@@ -42,6 +42,8 @@
         with trio.fail_after(READY_SECONDS):
             for entry in ENTRIES:
                 await _wait_ready(Address("127.0.0.1", entry[3] + 2))
+            for planner in PLANNERS:
+                await _wait_ready(Address("127.0.0.1", planner[3]))
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._send_letters)
             for number in range(CALLERS):
--- a/fireflyfork_standins/demo_settings.py
+++ b/fireflyfork_standins/demo_settings.py
@@ -45,18 +45,16 @@
 
 def planner_settings(name: str, region: str, failure_domain: str, port: int) -> dict[str, object]:
     """The settings of one planner."""
-    owner = f"127.0.0.1:{PLANNERS[0][3]}"
     return {
         "name": f"planner-{name}",
         "region": region,
         "failure_domain": failure_domain,
-        "listen": f"127.0.0.1:{port}",
-        "store": STORE,
-        "platform": PLATFORM,
-        "partitions": [{"partition": "all/0", "regions": ["viti", "vanua"], "owner": owner}],
-        "teams": [
-            {"name": "letters", "quota": {"millicores": 64_000, "memory": 256 * GIB}},
-        ],
+        "operator_address": f"127.0.0.1:{port}",
+        "peer_address": f"127.0.0.1:{port + 10}",
+        "store_address": STORE,
+        "platform_address": PLATFORM,
+        "regions": ["viti", "vanua"],
+        "peer_key": "only-for-the-demo-on-loopback",
     }
 
 
