--- /dev/null
+++ b/bench/journal.py
@@ -0,0 +1,231 @@
+"""What the batch journal costs: ``python -m bench.journal``.
+
+Bytes, store calls and processor time per start, for partitions of several sizes in steady state:
+each commit holds as many submissions, starts and ends as a rate brings in a commit interval. No
+network and no clock: the time is that of this process alone, without placement and reports.
+"""
+
+from __future__ import annotations
+
+import time
+import tracemalloc
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from functools import partial
+from random import Random
+
+from fireflyfork import (
+    AttemptNumber,
+    ChangeId,
+    JobId,
+    MemberId,
+    PartitionId,
+    Resources,
+    Revision,
+    TeamName,
+    WorkerId,
+)
+from fireflyfork.decisions import (
+    SLOTS,
+    AttemptOutcome,
+    CancelRequested,
+    DurableChange,
+    EndRecorded,
+    JobAccepted,
+    JobForgotten,
+    JobNumber,
+    JournalPosition,
+    Segment,
+    StartIntended,
+    TaskShape,
+    TaskTable,
+    decode_segment,
+    decode_snapshot,
+    encode_segment,
+    encode_snapshot,
+    table_of,
+)
+
+COMMIT_SECONDS = 0.25
+TASKS_OF_A_JOB = 50
+COMMITS = 400
+OWNER = MemberId("planner-suva-1-0a1b2c3d")
+CHANGE = ChangeId("0123456789abcdef0123456789abcdef")
+SHAPE = TaskShape(TeamName("letters"), "letter", Resources(1000, 1 << 30), 25.0)
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """A partition and its load."""
+
+    name: str
+    running: int
+    workers: int
+    starts_per_second: int
+
+
+LOADS = (
+    Load("24 workers, today", 300, 24, 10),
+    Load("229 workers, 1 of 7 partitions of the plan", 4_286, 229, 229),
+    Load("400 workers", 10_250, 400, 400),
+    Load("1,600 workers, the whole plan in one", 41_000, 1_600, 1_600),
+)
+
+
+class Partition:
+    """A partition whose tasks start and end at a steady rate, in random order and places."""
+
+    def __init__(self, load: Load) -> None:
+        """Fill it with running tasks."""
+        self._load = load
+        self._random = Random(load.workers)
+        self._time = 1.7e9
+        self._number = 0
+        self._index = 0
+        self._running: list[tuple[JobNumber, int]] = []
+        self._open: dict[JobNumber, int] = {}
+        self.table = TaskTable.empty()
+        while len(self._running) < load.running:
+            self.table = self.table.apply(self._starts(min(1000, load.running)))
+
+    def next_commit(self, starts: int) -> tuple[DurableChange, ...]:
+        """The changes of one commit."""
+        return (*self._ends(starts), *self._starts(starts))
+
+    def _now(self) -> float:
+        self._time += self._random.expovariate(self._load.starts_per_second)
+        return self._time
+
+    def _starts(self, count: int) -> tuple[DurableChange, ...]:
+        changes: list[DurableChange] = []
+        for _ in range(count):
+            if self._index % TASKS_OF_A_JOB == 0:
+                self._number += 1
+                self._index = 0
+                number = JobNumber(self._number)
+                job_id = JobId(f"letters-{number:08d}")
+                changes.append(JobAccepted(number, job_id, SHAPE, TASKS_OF_A_JOB, 1.7e9))
+                self._open[number] = TASKS_OF_A_JOB
+            number = JobNumber(self._number)
+            worker = WorkerId(f"suva-rack-{self._random.randrange(self._load.workers)}")
+            attempt = AttemptNumber(1)
+            size = (self._random.randrange(500, 1000), self._random.randrange(1 << 30), 0)
+            start = StartIntended(number, self._index, attempt, worker, self._now(), size)
+            changes.append(start)
+            self._running.append((number, self._index))
+            self._index += 1
+        return tuple(changes)
+
+    def _ends(self, count: int) -> Iterator[DurableChange]:
+        for _ in range(count):
+            place = self._random.randrange(len(self._running))
+            self._running[place], self._running[-1] = self._running[-1], self._running[place]
+            number, index = self._running.pop()
+            outcome = AttemptOutcome.FINISHED
+            yield EndRecorded(number, index, AttemptNumber(1), outcome, self._now(), 1.0)
+            self._open[number] -= 1
+            if not self._open[number]:
+                yield JobForgotten(number)
+
+
+def measure(load: Load) -> None:
+    """Print the figures of one load."""
+    partition = Partition(load)
+    starts = max(1, round(load.starts_per_second * COMMIT_SECONDS))
+    position = JournalPosition(PartitionId("batch/0"), 0, {}, 0, Revision(0), 0, 0)
+    segment_bytes = snapshot_bytes = snapshots = 0
+    apply_seconds = encode_seconds = snapshot_seconds = 0.0
+    longest = 0
+    recent: list[bytes] = []
+    snapshot = b""
+    for _ in range(COMMITS):
+        changes = partition.next_commit(starts)
+        due = position.snapshot_due or not snapshot
+        apply_seconds += _timed(partial(_advance, partition, changes))
+        begun = time.process_time()
+        sequence = position.sequence + 1
+        value = encode_segment(Segment(sequence, CHANGE, OWNER, changes))
+        encode_seconds += time.process_time() - begun
+        position = position.after_segment(Revision(sequence), len(value))
+        segment_bytes += len(value)
+        longest = max(longest, len(value))
+        recent.append(value)
+        if due:
+            begun = time.process_time()
+            snapshot = encode_snapshot(partition.table, sequence, CHANGE, OWNER)
+            snapshot_seconds += time.process_time() - begun
+            position = position.after_snapshot(sequence, Revision(sequence), len(snapshot))
+            snapshots += 1
+            snapshot_bytes += len(snapshot)
+            recent.clear()
+    total = COMMITS * starts
+    seconds = COMMITS * COMMIT_SECONDS
+    recovery = _timed(lambda: _recover(snapshot, recent))
+    print(f"{load.name}: {load.running} running, {load.starts_per_second} starts/s")
+    print(
+        f"  bytes per start {(segment_bytes + snapshot_bytes) / total:.0f} "
+        f"(segments {segment_bytes / total:.0f}, snapshots {snapshot_bytes / total:.0f}); "
+        f"{(segment_bytes + snapshot_bytes) / seconds / 1000:.1f} kB/s"
+    )
+    print(
+        f"  store writes/s {(COMMITS + snapshots) / seconds:.2f}, per start "
+        f"{(COMMITS + snapshots) / total:.4f}; longest segment {longest / 1000:.0f} kB, "
+        f"snapshot {len(snapshot) / 1000:.0f} kB"
+    )
+    print(
+        f"  processor per start {1e6 * (apply_seconds + encode_seconds) / total:.1f} us, "
+        f"snapshots {1e6 * snapshot_seconds / total:.1f} us; "
+        f"{(apply_seconds + encode_seconds + snapshot_seconds) / seconds:.2%} of a core"
+    )
+    print(
+        f"  recovery: 1 + {len(recent)} reads (at most {SLOTS + 1}), "
+        f"{1000 * recovery:.0f} ms of processor time"
+    )
+
+
+def memory_per_task(running: int) -> float:
+    """Bytes of memory per running task."""
+    tracemalloc.start()
+    partition = Partition(Load("memory", running, 400, 1))
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    return held / len(partition.table.tasks)
+
+
+def cancel_wave(tasks: int) -> float:
+    """Microseconds of processor time per task of a wave of cancellations of waiting tasks."""
+    number = JobNumber(1)
+    table = TaskTable.empty().apply(
+        [JobAccepted(number, JobId("wave"), SHAPE, tasks, 1.7e9)],
+    )
+    wave = [CancelRequested(number, index, 1.7e9) for index in range(tasks)]
+    return 1e6 * _timed(lambda: table.apply(wave)) / tasks
+
+
+def _advance(partition: Partition, changes: tuple[DurableChange, ...]) -> None:
+    partition.table = partition.table.apply(changes)
+
+
+def _recover(snapshot: bytes, segments: list[bytes]) -> None:
+    table = table_of(decode_snapshot(snapshot))
+    for value in segments:
+        table = table.apply(decode_segment(value).changes)
+
+
+def _timed(action: Callable[[], object]) -> float:
+    begun = time.process_time()
+    action()
+    return time.process_time() - begun
+
+
+def main() -> None:
+    """Print everything."""
+    for load in LOADS:
+        measure(load)
+    for tasks in (1_000, 10_000, 40_000):
+        print(f"wave of {tasks} cancellations: {cancel_wave(tasks):.1f} us each")
+    print(f"memory: {memory_per_task(10_000):.0f} bytes per running task")
+
+
+if __name__ == "__main__":
+    main()
--- a/fireflyfork/decisions/_journal.py
+++ b/fireflyfork/decisions/_journal.py
@@ -16,6 +16,7 @@
 
 from .._errors import FireflyforkError
 from .._ids import ChangeId, MemberId, PartitionId, Revision
+from ._stored_bytes import StoredBytesError, pack, unpack
 from ._task_changes import DurableChange
 
 SLOTS = 256
@@ -148,12 +149,12 @@
 
 def encode_segment(segment: Segment) -> bytes:
     """The stored form."""
-    return msgspec.msgpack.encode(segment)
+    return pack(msgspec.msgpack.encode(segment))
 
 
 def decode_segment(value: bytes) -> Segment:
     """Read the stored form. Raises JournalError."""
     try:
-        return msgspec.msgpack.decode(value, type=Segment)
-    except msgspec.DecodeError as error:
+        return msgspec.msgpack.decode(unpack(value), type=Segment)
+    except (msgspec.DecodeError, StoredBytesError) as error:
         raise JournalError(f"a segment can't be read: {error}") from error
--- a/fireflyfork/decisions/_snapshot.py
+++ b/fireflyfork/decisions/_snapshot.py
@@ -10,6 +10,7 @@
 from .._ids import AttemptNumber, ChangeId, JobId, MemberId, TaskId, WorkerId
 from .._machines import Resources
 from ._journal import JournalError
+from ._stored_bytes import StoredBytesError, pack, unpack
 from ._task_changes import ResourceTriple, to_triple
 from ._task_table import TaskTable, build_table, new_task
 from ._tasks import Job, JobNumber, Task, TaskEnd, TaskShape, TaskState, task_id_of
@@ -82,14 +83,14 @@
             *_store_queue(table.urgent.values()),
         ),
     )
-    return msgspec.msgpack.encode(snapshot)
+    return pack(msgspec.msgpack.encode(snapshot))
 
 
 def decode_snapshot(value: bytes) -> Snapshot:
     """Read the stored form. Raises JournalError."""
     try:
-        return msgspec.msgpack.decode(value, type=Snapshot)
-    except msgspec.DecodeError as error:
+        return msgspec.msgpack.decode(unpack(value), type=Snapshot)
+    except (msgspec.DecodeError, StoredBytesError) as error:
         raise JournalError(f"a snapshot can't be read: {error}") from error
 
 
--- a/fireflyfork/programs/_planner_partition.py
+++ b/fireflyfork/programs/_planner_partition.py
@@ -133,6 +133,8 @@
         self._has_starts = trio.Event()
         self._throttles: dict[TaskId, ThrottleOrdered] = {}
         self._stopping = False
+        self._overfull = False
+        """Whether a snapshot no longer fits into one value of the store."""
         self._term = 0
 
     @property
@@ -181,6 +183,8 @@
 
     async def submit(self, submission: Submission) -> Refusal | None:
         """Accept a job, and return once that is durable. Raises as ``_durable``."""
+        if self._overfull:
+            return Refusal("the partition's state has outgrown the store's values", permanent=False)
         outcome = submit(self._ready_state(), submission, self._clock.now())
         if isinstance(outcome, Refusal):
             return outcome
@@ -306,6 +310,7 @@
         if not self._unstored and self._state and self._journal.position.snapshot_due:
             # Right now the table is what it will be after this commit, and never again.
             snapshot = self._journal.encode_snapshot(self._state.table, sequence)
+            self._overfull = snapshot is None
         await self._journal.commit(changes)
         self._stored += len(changes)
         if self._state is not None:
