Placement: doubt about pairs never measured, and one trial of a class at a time

Most of what was left over the objective came in the first minutes, when every pair was held harmless. Work now counts half a standard deviation of doubt when workers are compared, and beside a service only one attempt of a class that no report has covered yet is started.

--- a/fireflyfork/decisions/placement/_choice.py
+++ b/fireflyfork/decisions/placement/_choice.py
@@ -112,12 +112,18 @@
         cost = 0.0
         slowdown = 1.0
         worst = 0.0
+        # The first of a class beside a service shows what it does there; until reports tell, more
+        # of it would only make the harm larger.
+        is_first = task_class not in entry.pending_by_class
         harm = 0.0
         for service, count in entry.replicas.items():
             before = model.predicted_ratio(service, load_before, shares, now)
             after = model.predicted_ratio(service, load_after, shares, now)
-            added = model.added(service, load_after, task_class, share, now)
-            harm = max(harm, added / share)
+            added = model.feared(service, load_after, task_class, share, now)
+            if is_first:
+                harm = max(harm, model.added(service, load_after, task_class, 1.0, now))
+            else:
+                harm = max(harm, added / share)
             after *= math.exp(added)
             if before <= 0.0 or after <= before * _NEGLIGIBLE_SLOWDOWN:
                 continue
--- a/fireflyfork/decisions/placement/_interference.py
+++ b/fireflyfork/decisions/placement/_interference.py
@@ -25,6 +25,8 @@
 """What was learned is trusted less as time passes, since work and load change."""
 _LARGEST_ERROR = 1.0
 """One report, however bad, moves estimates as if it were off by no more than this."""
+_DOUBT = 0.5
+"""Standard deviations added before work is started beside a service it may harm."""
 _HALF_LIFE_SECONDS = 6 * 3600.0
 """An estimate that nothing refreshes fades, so that a class that was mended gets a new trial."""
 _SMALLEST_LATENCY_RATIO = 0.01
@@ -105,6 +107,16 @@
         pair = band.pairs.get(task_class)
         return 0.0 if pair is None else share * _faded(pair, now)
 
+    def feared(
+        self, service: ServiceName, load: float, task_class: TaskClass, share: float, now: float
+    ) -> float:
+        """What to expect when in doubt: ``added`` and a part of its standard deviation."""
+        band = self._nearest(service, load_band(load))
+        pair = None if band is None else band.pairs.get(task_class)
+        if pair is None:
+            return share * _DOUBT * math.sqrt(_SLOPE_VARIANCE)
+        return share * (_faded(pair, now) + _DOUBT * math.sqrt(pair.variance))
+
     def reports(self, service: ServiceName, load: float) -> int:
         """How many reports there were about the service in this band of load."""
         band = self._bands.get((service, load_band(load)))
