--- /dev/null
+++ b/fireflyfork/tests/test_documents.py
@@ -0,0 +1,33 @@
+"""The pages for people."""
+
+import re
+import unittest
+from pathlib import Path
+
+ROOT = Path(__file__).parents[2]
+_LINK = re.compile(r"\]\(([^)#:]+)(?:#[^)]*)?\)")
+
+
+class DocumentsTest(unittest.TestCase):
+    """What a reader clicks or types."""
+
+    def test_links_lead_somewhere(self) -> None:
+        """A page was moved or renamed, and a newcomer's first click fails."""
+        pages = [*ROOT.glob("*.md"), *ROOT.glob("docs/**/*.md")]
+        self.assertGreater(len(pages), 5)
+        for page in pages:
+            for link in _LINK.findall(page.read_text("utf-8")):
+                with self.subTest(page=page.name, link=link):
+                    self.assertTrue((page.parent / link).exists())
+
+    def test_commands_of_the_pages_exist(self) -> None:
+        """A command was renamed, and the guide still tells operators the old name."""
+        from ..programs.ctl import commands
+
+        known = set(commands())
+        pages = [ROOT / "README.md", *ROOT.glob("docs/*.md")]
+        for page in pages:
+            text = page.read_text("utf-8")
+            for name in re.findall(r"(?:\$ |`)fireflyfork-ctl ([a-z]+)", text):
+                with self.subTest(page=page.name, command=name):
+                    self.assertIn(name, known)
--- a/scripts/processes.sh
+++ b/scripts/processes.sh
@@ -1,7 +1,7 @@
 # Sourced by the scripts that run everything on this machine: starts the stand-ins and the programs,
 # each as a process of its own, with settings, traces and logs in the folder "$run"; stops them on exit.
 bin=.venv/bin
-mkdir -p "$run/traces" "$run/logs"
+mkdir -p "$run/traces" "$run/logs" "$run/pids"
 standins=()
 programs=()
 
@@ -21,6 +21,7 @@
     local name="$1"
     shift
     "$@" >"$run/traces/$name.jsonl" 2>"$run/logs/$name.log" &
+    echo "$!" >"$run/pids/$name"
 }
 standin() {
     launch "$@"
