--- a/bench/failures_seen.py
+++ b/bench/failures_seen.py
@@ -29,6 +29,8 @@
 RATE = 60.0
 """Bookings a second, over all entries."""
 TIMEOUT_MILLISECONDS = 3000
+TIMED_SHARE = 0.9
+"""The share of idempotency keys that are UUIDs of version 7; the others are of version 4."""
 STORE = Address("127.0.0.1", 9001)
 INSTANCES = Address("127.0.0.1", 9002)
 READY_SECONDS = 30.0
@@ -41,6 +43,8 @@
     """One request that an executor ran."""
 
     key: IdempotencyKey
+    started: float
+    """Seconds since the Unix epoch."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -84,6 +88,10 @@
         self._balanced = [entry[3] for entry in ENTRIES]
         """The ports of the entries that a balancer would use."""
         self._random = Random(7)
+        self.leaving = STORE
+        self.leaving_id = ""
+        self.leaving_since = 0.0
+        """When the list said of one executor that it leaves; seconds since the Unix epoch."""
 
     async def run(self) -> None:
         """All phases and the judgement."""
@@ -120,7 +128,8 @@
     async def _book(self, address: Address) -> None:
         phase = self._phase
         assert phase is not None
-        key = IdempotencyKey(str(uuid.uuid4()))
+        is_timed = self._random.random() < TIMED_SHARE
+        key = IdempotencyKey(str(_timed_key() if is_timed else uuid.uuid4()))
         headers = (
             (b"request-timeout-ms", str(TIMEOUT_MILLISECONDS).encode("ascii")),
             (b"idempotency-key", key.encode("ascii")),
@@ -131,6 +140,8 @@
             head, _ = await client.call("POST", "/booking-desk/holds", headers, b"room 4")
             verdict = head.header(b"fireflyfork-verdict") or "none"
             outcome = f"{head.status} {verdict}"
+            if head.status != 200 and not is_timed:
+                outcome = f"{outcome} for a key without a time"
         except HttpError:
             verdict, outcome = "broken", "connection broken"
         finally:
@@ -162,6 +173,9 @@
         )
         print(f"\nbookings by verdict: {dict(verdicts)}")
         print(f"ran twice: {twice}; 'not run' but ran: {lied}; answered without a run: {lost}")
+        leaving = await _history(self.leaving)
+        last = max((run.started - self.leaving_since for run in leaving.runs), default=0.0)
+        print(f"the leaving executor's last request came {last:.1f} s after the list said so")
         print(f"most slots of 8 in use at any executor: {most_busy}")
 
 
@@ -176,6 +190,13 @@
     client.close()
 
 
+def _timed_key() -> uuid.UUID:
+    """A UUID of version 7."""
+    milliseconds = time.time_ns() // 1_000_000
+    value = milliseconds << 80 | uuid.uuid4().int & ((1 << 80) - 1)
+    return uuid.UUID(int=value & ~(0xF << 76) | 0x7 << 76)
+
+
 async def _is_ready(address: Address) -> bool:
     client = HttpClient(address, 1.0)
     try:
@@ -229,7 +250,17 @@
 
 
 async def _executor_leaves(trial: Trial) -> None:
-    await _put(INSTANCES, "/v1/instances/booking-desk-nadi-1", b"leaving")
+    """The executor that ran the latest request leaves."""
+    latest = 0.0
+    for _, domain, first in RACKS:
+        for number in range(EXECUTORS_PER_RACK):
+            address = Address("127.0.0.1", first + number)
+            started = max((run.started for run in (await _history(address)).runs), default=0.0)
+            if started > latest:
+                latest = started
+                trial.leaving, trial.leaving_id = address, f"booking-desk-{domain}-{number + 1}"
+    await _put(INSTANCES, f"/v1/instances/{trial.leaving_id}", b"leaving")
+    trial.leaving_since = time.time()
 
 
 async def _entry_paused(trial: Trial) -> None:
