--- a/fireflyfork/operations/_interview.py
+++ b/fireflyfork/operations/_interview.py
@@ -61,7 +61,7 @@
     if element is not None and dataclasses.is_dataclass(element):
         return (yield from _ask_list(element, path, question.prompt, question.why))
     default = _default(field)
-    prompt = Prompt(path, question.prompt, question.why, _written(default))
+    prompt = Prompt(path, question.prompt + _such_as(kind), question.why, _written(default))
     while True:
         reply = (yield prompt).strip()
         if not reply and prompt.default is not None:
@@ -92,6 +92,12 @@
             prompt = dataclasses.replace(prompt, complaint=f"{reply!r}: {error}")
 
 
+def _such_as(kind: Any) -> str:
+    """An example of a number with a unit, for its prompt."""
+    wanted = inner_type(kind) if is_optional(kind) else kind
+    return f", such as {wanted.example()}" if is_quantity(wanted) else ""
+
+
 def _read(kind: Any, reply: str) -> Any:
     """Read a reply as a value of ``kind``. Raises ValueError with what was expected."""
     if is_optional(kind):
--- /dev/null
+++ b/fireflyfork/programs/_ctl_change.py
@@ -0,0 +1,136 @@
+"""One change of the stored configuration, as an operator asks for it and is told of it."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from .._contracts import Configuration
+from .._ids import ConfigurationVersion
+from ..operations import Violation, check_change, differences, same_decisions, unusual
+from ._ctl_output import CommandError, ExitCode, Output
+from ._ctl_store import ChangeLostError, ConfigurationStore, Current
+
+_LONGEST_DIFFERENCE_LINES = 60
+
+
+class Change:
+    """One attempt to change the stored configuration."""
+
+    def __init__(self, output: Output, dry_run: bool, note: str, accept_unusual: bool) -> None:
+        """A dry run shows what would change; ``note`` is for the history."""
+        self._output = output
+        self._accept_unusual = accept_unusual
+        self._dry_run = dry_run
+        self._note = note
+
+    async def apply(
+        self, stored: ConfigurationStore, proposed: Configuration
+    ) -> ConfigurationVersion | None:
+        """The version now in force with these contents, or None after a dry run."""
+        current = await stored.current()
+        present = current.configuration
+        if present is not None and same_decisions(present, proposed):
+            self._result("unchanged", present, present)
+            return present.version
+        if present is not None and present.version != proposed.version:
+            await self._lost(stored, proposed.version, present)
+        return await self._write(stored, current, proposed)
+
+    async def roll_back(
+        self, stored: ConfigurationStore, version: ConfigurationVersion
+    ) -> ConfigurationVersion | None:
+        """As ``apply``, with the contents of an earlier version."""
+        earlier = await find_version(stored, version)
+        current = await stored.current()
+        present = current.configuration
+        if present is not None and same_decisions(present, earlier):
+            self._result("unchanged", present, present)
+            return present.version
+        return await self._write(stored, current, earlier)
+
+    async def _write(
+        self, stored: ConfigurationStore, current: Current, proposed: Configuration
+    ) -> ConfigurationVersion | None:
+        present = current.configuration
+        violations = check_change(present, proposed)
+        if violations:
+            reasons = "; ".join(str(violation) for violation in violations)
+            raise CommandError(ExitCode.INVALID, reasons)
+        self._confirm(unusual(present, proposed))
+        written = stored.prepare(proposed, current, self._note)
+        if self._dry_run:
+            self._result("would change", present, written)
+            return None
+        try:
+            await stored.replace(current, written)
+        except ChangeLostError as error:
+            await self._lost(stored, present.version if present else None, error.current)
+        self._result("accepted", present, written)
+        return written.version
+
+    def _confirm(self, found: tuple[Violation, ...]) -> None:
+        """Name unusual values, and end the command unless they are accepted or only shown."""
+        told = "\n".join(f"  {violation}" for violation in found)
+        if found and not (self._accept_unusual or self._dry_run):
+            raise CommandError(
+                ExitCode.INVALID,
+                f"unusual, and so nothing was changed:\n{told}",
+                "if it is meant, give --accept-unusual",
+            )
+        if found:
+            self._output.progress(f"unusual:\n{told}")
+
+    async def _lost(
+        self,
+        stored: ConfigurationStore,
+        base: ConfigurationVersion | None,
+        current: Configuration | None,
+    ) -> None:
+        """Tell the loser of a race what the winner changed, and end the command."""
+        before = await stored.version(base) if base else None
+        found = differences(before, current)
+        since = f"version {base}" if base else "an empty store"
+        version = current.version if current is not None else "none"
+        told = "\n".join(_difference_lines(found))
+        told = told if before is not None or not base else f"(version {base} is no longer kept)"
+        raise CommandError(
+            ExitCode.CONFLICT,
+            f"this change was made from {since}, but version {version} is in force. Nothing was "
+            f"changed. Since then:\n{told}",
+            f"put your change on top of version {version} (fireflyfork-ctl show), or give "
+            f"--base {version} to replace it knowingly",
+        )
+
+    def _result(self, outcome: str, before: Configuration | None, after: Configuration) -> None:
+        found = differences(before, after)
+        plain: dict[str, Any] = {
+            "outcome": outcome,
+            "version": after.version,
+            "change_id": after.change_id,
+            "differences": found,
+        }
+        lines = _difference_lines(found)
+        lines.append(f"{outcome}: version {after.version}, change {after.change_id or '(none)'}")
+        self._output.result(plain, lines)
+
+
+async def find_version(stored: ConfigurationStore, version: int | None) -> Configuration:
+    """A version, or with None the one in force. Raises CommandError."""
+    if version is None:
+        found = (await stored.current()).configuration
+        missing = "the store holds no configuration yet"
+        hint = "fireflyfork-ctl questionnaire makes one, fireflyfork-ctl apply puts it in force"
+    else:
+        found = await stored.version(ConfigurationVersion(version))
+        missing = f"version {version} is not in the store"
+        hint = "fireflyfork-ctl history lists the versions"
+    if found is None:
+        raise CommandError(ExitCode.NOT_FOUND, missing, hint)
+    return found
+
+
+def _difference_lines(found: tuple[Any, ...]) -> list[str]:
+    lines = [f"  {difference}" for difference in found[:_LONGEST_DIFFERENCE_LINES]]
+    if len(found) > _LONGEST_DIFFERENCE_LINES:
+        lines.append(f"  and {len(found) - _LONGEST_DIFFERENCE_LINES} more")
+    return lines or ["  no differences"]
--- a/fireflyfork/programs/_ctl_entries.py
+++ b/fireflyfork/programs/_ctl_entries.py
@@ -18,6 +18,7 @@
 from ._ctl_output import CommandError, ExitCode, Output, finish, table
 
 _TIMEOUT_SECONDS = 5.0
+_POLL_SECONDS = 0.5
 
 Answer = TypeVar("Answer")
 
@@ -145,6 +146,27 @@
     return EntryReport(str(address), readiness.ready, status, readiness.reason)
 
 
+async def reports_once_in_force(
+    addresses: tuple[Address, ...], version: int, wait: float, output: Output
+) -> tuple[EntryReport, ...]:
+    """The entries, once each has ``version`` in force or ``wait`` seconds are over."""
+    deadline = trio.current_time() + wait
+    while True:
+        reports = [await entry_report(address) for address in addresses]
+        found = tuple(reports)
+        if has_version(found, version) or trio.current_time() >= deadline:
+            return found
+        behind = [report.address for report in found if not has_version((report,), version)]
+        output.progress(f"version {version} is not yet in force at {', '.join(behind)}")
+        await trio.sleep(_POLL_SECONDS)
+
+
+def has_version(reports: tuple[EntryReport, ...], version: int) -> bool:
+    """Whether every entry has ``version`` or a later one in force; 0 asks for nothing."""
+    held = (each.status.configuration_version if each.status else -1 for each in reports)
+    return not version or all(number >= version for number in held)
+
+
 def entry_lines(reports: tuple[EntryReport, ...]) -> list[str]:
     """A table of entries."""
     header = ("entry", "member", "ready", "configuration", "targets", "free slots", "queued")
--- a/fireflyfork/programs/_ctl_jobs.py
+++ b/fireflyfork/programs/_ctl_jobs.py
@@ -15,7 +15,7 @@
 from ._batch_client import BatchCallError, BatchClient
 from ._batch_messages import JobRequest, JobStatus, TaskExplanation
 from ._ctl_addresses import entry_addresses, planner_addresses
-from ._ctl_entries import EntryReport, entry_lines, entry_report
+from ._ctl_entries import entry_lines, has_version, reports_once_in_force
 from ._ctl_output import CommandError, ExitCode, Output, finish, table
 
 _POLL_SECONDS = 1.0
@@ -212,29 +212,14 @@
     asked = planner_addresses(planners, required=False)
     if not wanted and not asked:
         entry_addresses(None)
-    reports = trio.run(_reports_after, wanted, version, wait, output)
+    reports = trio.run(reports_once_in_force, wanted, version, wait, output)
     jobs = _ask(lambda: _all_jobs(asked)) if asked else ()
     lines = entry_lines(reports) if reports else []
     lines += [*([""] if lines else []), *job_lines(jobs)] if asked else []
     output.result({"entries": reports, "jobs": jobs}, lines)
     if wanted and all(report.status is None for report in reports):
         raise CommandError(ExitCode.UNAVAILABLE, "no entry answered")
-    return ExitCode.DONE if _has_version(reports, version) else ExitCode.FAILED
-
-
-async def _reports_after(
-    addresses: tuple[Address, ...], version: int, wait: float, output: Output
-) -> tuple[EntryReport, ...]:
-    """The entries, once each has ``version`` in force or the time is over."""
-    deadline = trio.current_time() + wait
-    while True:
-        reports = [await entry_report(address) for address in addresses]
-        found = tuple(reports)
-        if _has_version(found, version) or trio.current_time() >= deadline:
-            return found
-        behind = [report.address for report in found if not _has_version((report,), version)]
-        output.progress(f"version {version} is not yet in force at {', '.join(behind)}")
-        await trio.sleep(_POLL_SECONDS)
+    return ExitCode.DONE if has_version(reports, version) else ExitCode.FAILED
 
 
 async def _job_after(client: BatchClient, job: JobId, wait: float, output: Output) -> JobStatus:
@@ -285,11 +270,6 @@
     return ExitCode.DONE if status.state == "finished" else ExitCode.FAILED
 
 
-def _has_version(reports: tuple[EntryReport, ...], version: int) -> bool:
-    held = (each.status.configuration_version if each.status else -1 for each in reports)
-    return not version or all(number >= version for number in held)
-
-
 def _counts(status: JobStatus) -> str:
     return ", ".join(f"{count} {state}" for state, count in status.states.items())
 
--- a/fireflyfork/programs/ctl.py
+++ b/fireflyfork/programs/ctl.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import sys
 from collections.abc import Callable
 from typing import Any
@@ -43,7 +44,7 @@
     import defopt
 
     code = defopt.run(
-        commands(),
+        _named(arguments),
         argv=arguments,
         parsers=_parsers(),
         no_negated_flags=True,
@@ -57,6 +58,17 @@
     return code
 
 
+def _named(arguments: list[str]) -> dict[str, Callable[..., Any]]:
+    """The command that is called, or all of them for the overview.
+
+    The help of each command is made from its docstring when the command line is read, which takes
+    longer than most commands; so only what is called is handed over.
+    """
+    known = commands()
+    name = arguments[0] if arguments else ""
+    return {name: known[name]} if name in known else known
+
+
 def _parsers() -> dict[Any, Callable[[str], Any]]:
     """How words of the command line are read, by the type of the parameter."""
     from ..operations import ByteCount, Cores, Duration
@@ -73,7 +85,18 @@
 
 def main() -> None:
     """Run the program."""
-    sys.exit(run(sys.argv[1:]))
+    try:
+        code = run(sys.argv[1:])
+        sys.stdout.flush()
+    except KeyboardInterrupt:
+        print("interrupted; what was sent may have taken effect", file=sys.stderr)
+        code = ExitCode.UNKNOWN
+    except BrokenPipeError:
+        # The reader of a pipe has seen enough. The interpreter would complain once more while it
+        # closes standard output, so that is pointed elsewhere first.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        code = ExitCode.DONE
+    sys.exit(code)
 
 
 def _explained(parse: Callable[[str], Any]) -> Callable[[str], Any]:
--- a/fireflyfork/programs/tests/test_ctl.py
+++ b/fireflyfork/programs/tests/test_ctl.py
@@ -45,6 +45,7 @@
         contextlib.redirect_stdout(out),
         contextlib.redirect_stderr(error),
         mock.patch("sys.stdin", io.StringIO(standard_input)),
+        mock.patch.dict("os.environ", clear=True),
     ):
         try:
             code = int(run(list(words)))
@@ -106,12 +107,11 @@
             (["status"], "FIREFLYFORK_ENTRIES"),
             (["explain", "j"], "FIREFLYFORK_PLANNERS"),
         ]
-        with mock.patch.dict("os.environ", clear=True):
-            for words, message in cases:
-                with self.subTest(words=words):
-                    ended = ctl(*words)
-                    self.assertEqual(ended.code, ExitCode.USAGE)
-                    self.assertIn(message, ended.error)
+        for words, message in cases:
+            with self.subTest(words=words):
+                ended = ctl(*words)
+                self.assertEqual(ended.code, ExitCode.USAGE)
+                self.assertIn(message, ended.error)
 
 
 class QuestionnaireTest(CtlTest):
@@ -352,6 +352,25 @@
                 ended = ctl("status", "--entries", *entries, "--version", version)
                 self.assertEqual(ended.code, code)
 
+    def test_apply_waits_until_it_is_in_force(self) -> None:
+        """The store has the change; one entry holds it, another is dead.
+
+        Told only "accepted", the operator would leave while a part of the fleet serves the old one.
+        """
+        cases = [(["127.0.0.1:1"], ExitCode.DONE), (["127.0.0.1:2"], ExitCode.FAILED)]
+        for entries, code in cases:
+            with self.subTest(entries=entries), tempfile.TemporaryDirectory() as directory:
+                file = str(Path(directory) / "naidu.jsonc")
+                answers = str(EXAMPLES / "naidu" / "answers.jsonc")
+                ctl("questionnaire", "--answers", answers, "--output", file)
+                with (
+                    in_store(MemoryStore()),
+                    mock.patch.object(_ctl_configuration, "_IN_FORCE_SECONDS", 0.0),
+                ):
+                    ended = ctl("apply", file, *STORE, "--entries", *entries)
+                self.assertEqual(ended.code, code)
+                self.assertIn("accepted: version 1", ended.out)
+
     def test_metrics(self) -> None:
         """For people, as JSON and as they are."""
         entries = ["--entries", "127.0.0.1:1"]
