--- a/fireflyfork/operations/_differences.py
+++ b/fireflyfork/operations/_differences.py
@@ -13,6 +13,8 @@
 from ._violations import shown
 
 _BOOKKEEPING = frozenset({"version", "change_id", "note"})
+_MOST_NAMED = 4
+_LONGEST_VALUE = 120
 _NAMES = ("target_id", "name", "regions", "failure_domain")
 """The fields that name an element of a list, the first that it has."""
 
@@ -87,10 +89,11 @@
 
 
 def _shown(value: object) -> str:
-    """What was added or removed; of many things only how many."""
-    if isinstance(value, tuple) and len(value) > 1 and _is_list_of_objects(value):
-        return f"{len(value)} entries"
-    return shown(value, 120)
+    """What was added or removed: few things by their names, of many only how many."""
+    if not isinstance(value, tuple) or not _is_list_of_objects(value):
+        return shown(value, _LONGEST_VALUE)
+    names = tuple(_by_name(value))
+    return ", ".join(names) if len(names) <= _MOST_NAMED else f"{len(names)} entries"
 
 
 def _name(item: dict[str, object]) -> str:
--- a/fireflyfork/programs/_ctl_jobs.py
+++ b/fireflyfork/programs/_ctl_jobs.py
@@ -1,4 +1,4 @@
-"""The commands on batch work: submit, cancel, explain, and status with its wait."""
+"""The commands on batch work: submit, cancel and explain."""
 
 from __future__ import annotations
 
@@ -14,13 +14,14 @@
 from ..operations import ByteCount, Cores, Duration
 from ._batch_client import BatchCallError, BatchClient
 from ._batch_messages import JobRequest, JobStatus, TaskExplanation
-from ._ctl_addresses import entry_addresses, planner_addresses
-from ._ctl_entries import entry_lines, has_version, reports_once_in_force
+from ._ctl_addresses import planner_addresses
 from ._ctl_output import CommandError, ExitCode, Output, finish, table
 
 _POLL_SECONDS = 1.0
 _REFUSED = frozenset({400, 409, 413})
 _NOT_FOUND = 404
+_PASSING = frozenset({None, 503})
+"""No answer, or a partition that is being taken over."""
 
 T = TypeVar("T")
 
@@ -80,10 +81,10 @@
 
     def command() -> ExitCode:
         client = BatchClient(planner_addresses(planners))
-        _ask(lambda: client.submit(request))
-        status = _ask(lambda: _job_after(client, JobId(job), wait, output))
+        ask(lambda: client.submit(request))
+        status = ask(lambda: job_after(client, JobId(job), wait, output))
         output.result(status, job_lines((status,)))
-        return _ended(status) if wait else ExitCode.DONE
+        return job_exit_code(status) if wait else ExitCode.DONE
 
     return finish(output, command)
 
@@ -113,7 +114,7 @@
 
     def command() -> ExitCode:
         client = BatchClient(planner_addresses(planners))
-        status = _ask(lambda: client.cancel(JobId(job), task))
+        status = ask(lambda: client.cancel(JobId(job), task))
         output.result(status, job_lines((status,)))
         return ExitCode.DONE
 
@@ -138,51 +139,13 @@
 
     def command() -> ExitCode:
         client = BatchClient(planner_addresses(planners))
-        explanation = _ask(lambda: client.explain(JobId(job), task))
+        explanation = ask(lambda: client.explain(JobId(job), task))
         output.result(explanation, _explanation_lines(explanation))
         return ExitCode.DONE
 
     return finish(output, command)
 
 
-def status(
-    job: str | None = None,
-    *,
-    entries: list[Address] | None = None,
-    planners: list[Address] | None = None,
-    version: int = 0,
-    wait: float = 0.0,
-    json: bool = False,
-) -> ExitCode:
-    """Show a job, or else the entries and the jobs.
-
-    With ``--wait`` it waits until the job has ended or every entry has the configuration
-    ``--version`` in force. Exit status: 0 as wished, 1 not as wished (the job failed, or the time
-    is over), 5 nobody answered, 7 no such job.
-
-    Examples::
-
-        fireflyfork-ctl status --entries 10.0.0.7:8003 10.0.0.8:8003 --planners 10.0.0.7:8010
-        fireflyfork-ctl status --entries 10.0.0.7:8003 10.0.0.8:8003 --version 4 --wait 10
-        fireflyfork-ctl status letters-2026-12-02 --wait 600
-
-    :param job: the job's id
-    :param entries: operator addresses of entries; else the variable FIREFLYFORK_ENTRIES
-    :param planners: addresses of planners; else the variable FIREFLYFORK_PLANNERS
-    :param version: a version of the configuration that every entry should have in force
-    :param wait: seconds to wait, with progress
-    :param json: print the states as JSON
-    """
-    output = Output(json)
-
-    def command() -> ExitCode:
-        if job is not None:
-            return _show_job(JobId(job), planners, wait, output)
-        return _show_all(entries, planners, version, wait, output)
-
-    return finish(output, command)
-
-
 def job_lines(statuses: tuple[JobStatus, ...]) -> list[str]:
     """A table of jobs, and the reasons of final failures."""
     if not statuses:
@@ -194,55 +157,27 @@
     return lines
 
 
-def _show_job(job: JobId, planners: list[Address] | None, wait: float, output: Output) -> ExitCode:
-    client = BatchClient(planner_addresses(planners))
-    status = _ask(lambda: _job_after(client, job, wait, output))
-    output.result(status, job_lines((status,)))
-    return _ended(status) if wait else ExitCode.DONE
-
+async def job_after(client: BatchClient, job: JobId, wait: float, output: Output) -> JobStatus:
+    """The job, once it has ended or ``wait`` seconds are over. Raises BatchCallError.
 
-def _show_all(
-    entries: list[Address] | None,
-    planners: list[Address] | None,
-    version: int,
-    wait: float,
-    output: Output,
-) -> ExitCode:
-    wanted = entry_addresses(entries, required=False)
-    asked = planner_addresses(planners, required=False)
-    if not wanted and not asked:
-        entry_addresses(None)
-    reports = trio.run(reports_once_in_force, wanted, version, wait, output)
-    jobs = _ask(lambda: _all_jobs(asked)) if asked else ()
-    lines = entry_lines(reports) if reports else []
-    lines += [*([""] if lines else []), *job_lines(jobs)] if asked else []
-    output.result({"entries": reports, "jobs": jobs}, lines)
-    if wanted and all(report.status is None for report in reports):
-        raise CommandError(ExitCode.UNAVAILABLE, "no entry answered")
-    return ExitCode.DONE if has_version(reports, version) else ExitCode.FAILED
-
-
-async def _job_after(client: BatchClient, job: JobId, wait: float, output: Output) -> JobStatus:
-    """The job, once it has ended or the time is over."""
+    A planner that is restarted meanwhile ends the wait no sooner.
+    """
     deadline = trio.current_time() + wait
     while True:
-        status = await client.status(job)
-        if status.state != "open" or trio.current_time() >= deadline:
-            return status
-        output.progress(f"{job}: {_counts(status)}")
+        is_over = trio.current_time() >= deadline
+        try:
+            status = await client.status(job)
+            if status.state != "open" or is_over:
+                return status
+            output.progress(f"{job}: {_counts(status)}")
+        except BatchCallError as error:
+            if is_over or error.status not in _PASSING:
+                raise
+            output.progress(f"{job}: no answer from a planner: {error}")
         await trio.sleep(_POLL_SECONDS)
 
 
-async def _all_jobs(planners: tuple[Address, ...]) -> tuple[JobStatus, ...]:
-    """The jobs that the planners know, each once, the latest first."""
-    known: dict[JobId, JobStatus] = {}
-    for planner in planners:
-        for status in await BatchClient((planner,)).jobs():
-            known.setdefault(status.job_id, status)
-    return tuple(sorted(known.values(), key=lambda each: -each.submitted))
-
-
-def _ask(call: Callable[[], Awaitable[T]]) -> T:
+def ask(call: Callable[[], Awaitable[T]]) -> T:
     """Run a call to the planners; what they refuse becomes a CommandError."""
 
     async def main() -> T:
@@ -266,7 +201,8 @@
     return CommandError(ExitCode.UNAVAILABLE, f"nothing was changed: {error}", hint)
 
 
-def _ended(status: JobStatus) -> ExitCode:
+def job_exit_code(status: JobStatus) -> ExitCode:
+    """Whether a job that was waited for ended well."""
     return ExitCode.DONE if status.state == "finished" else ExitCode.FAILED
 
 
--- /dev/null
+++ b/fireflyfork/programs/_ctl_status.py
@@ -0,0 +1,117 @@
+"""The command ``status``: a job, or the entries and the jobs."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+import trio
+
+from .._ids import JobId
+from .._links import Address
+from ._batch_client import BatchCallError, BatchClient
+from ._batch_messages import JobStatus
+from ._ctl_addresses import entry_addresses, planner_addresses
+from ._ctl_entries import entry_lines, has_version, reports_once_in_force
+from ._ctl_jobs import ask, job_after, job_exit_code, job_lines
+from ._ctl_output import CommandError, ExitCode, Output, finish
+
+
+@dataclass(frozen=True, slots=True)
+class PlannerView:
+    """A planner as an operator sees it from outside."""
+
+    planner: str
+    jobs: tuple[JobStatus, ...]
+    problem: str = ""
+    """Why it did not answer."""
+
+
+def status(
+    job: str | None = None,
+    *,
+    entries: list[Address] | None = None,
+    planners: list[Address] | None = None,
+    version: int = 0,
+    wait: float = 0.0,
+    json: bool = False,
+) -> ExitCode:
+    """Show a job, or else the entries and the jobs.
+
+    With ``--wait`` it waits until the job has ended or every entry has the configuration
+    ``--version`` in force. Exit status: 0 as wished, 1 not as wished (the job failed, or the time
+    is over), 5 nobody answered, 7 no such job.
+
+    Examples::
+
+        fireflyfork-ctl status --entries 10.0.0.7:8003 10.0.0.8:8003 --planners 10.0.0.7:8010
+        fireflyfork-ctl status --entries 10.0.0.7:8003 10.0.0.8:8003 --version 4 --wait 10
+        fireflyfork-ctl status letters-2026-12-02 --wait 600
+
+    :param job: the job's id
+    :param entries: operator addresses of entries; else the variable FIREFLYFORK_ENTRIES
+    :param planners: addresses of planners; else the variable FIREFLYFORK_PLANNERS
+    :param version: a version of the configuration that every entry should have in force
+    :param wait: seconds to wait, with progress
+    :param json: print the states as JSON
+    """
+    output = Output(json)
+
+    def command() -> ExitCode:
+        if job is not None:
+            return _show_job(JobId(job), planners, wait, output)
+        return _show_all(entries, planners, version, wait, output)
+
+    return finish(output, command)
+
+
+def _show_job(job: JobId, planners: list[Address] | None, wait: float, output: Output) -> ExitCode:
+    client = BatchClient(planner_addresses(planners))
+    status = ask(lambda: job_after(client, job, wait, output))
+    output.result(status, job_lines((status,)))
+    return job_exit_code(status) if wait else ExitCode.DONE
+
+
+def _show_all(
+    entries: list[Address] | None,
+    planners: list[Address] | None,
+    version: int,
+    wait: float,
+    output: Output,
+) -> ExitCode:
+    wanted = entry_addresses(entries, required=False)
+    asked = planner_addresses(planners, required=False)
+    if not wanted and not asked:
+        entry_addresses(None)
+    reports = trio.run(reports_once_in_force, wanted, version, wait, output)
+    views = trio.run(_planner_views, asked)
+    lines = [*(entry_lines(reports) if reports else []), *_planner_lines(views)]
+    output.result({"entries": reports, "planners": views, "jobs": _jobs(views)}, lines)
+    answered = [report.status is not None for report in reports]
+    answered += [not view.problem for view in views]
+    if not any(answered):
+        raise CommandError(ExitCode.UNAVAILABLE, "nobody answered")
+    return ExitCode.DONE if has_version(reports, version) else ExitCode.FAILED
+
+
+async def _planner_views(planners: tuple[Address, ...]) -> tuple[PlannerView, ...]:
+    return tuple([await _planner_view(planner) for planner in planners])
+
+
+async def _planner_view(planner: Address) -> PlannerView:
+    try:
+        return PlannerView(str(planner), await BatchClient((planner,)).jobs())
+    except BatchCallError as error:
+        return PlannerView(str(planner), (), str(error))
+
+
+def _jobs(views: tuple[PlannerView, ...]) -> tuple[JobStatus, ...]:
+    """The jobs that the planners know, each once, the latest first."""
+    known = {status.job_id: status for view in reversed(views) for status in view.jobs}
+    return tuple(sorted(known.values(), key=lambda each: -each.submitted))
+
+
+def _planner_lines(views: tuple[PlannerView, ...]) -> list[str]:
+    if not views:
+        return []
+    silent = [f"planner {view.planner}: {view.problem}" for view in views if view.problem]
+    return ["", *silent, *job_lines(_jobs(views))]
--- a/fireflyfork/programs/_ctl_trace.py
+++ b/fireflyfork/programs/_ctl_trace.py
@@ -7,6 +7,7 @@
 from itertools import chain
 from pathlib import Path
 
+from .._traces import Span
 from ..operations import draw, find_trace, read_spans, span_trees
 from ._ctl_output import CommandError, ExitCode, Output, finish
 
@@ -38,12 +39,19 @@
                 "a request is traced when its traceparent header says so or it came without one; "
                 "look in the files of every process that it passed",
             )
-        output.result(spans, [f"trace {spans[0].trace_id}", *draw(span_trees(spans))])
+        output.result(spans, _drawn(spans))
         return ExitCode.DONE
 
     return finish(output, command)
 
 
+def _drawn(spans: tuple[Span, ...]) -> Iterator[str]:
+    """The traces one below the other; a key that was repeated names several."""
+    for trace_id in dict.fromkeys(span.trace_id for span in spans):
+        yield f"trace {trace_id}"
+        yield from draw(span_trees(span for span in spans if span.trace_id == trace_id))
+
+
 def _lines(file: Path) -> Iterator[str]:
     try:
         for path in sorted(file.iterdir()) if file.is_dir() else [file]:
--- a/fireflyfork/programs/ctl.py
+++ b/fireflyfork/programs/ctl.py
@@ -19,6 +19,7 @@
         _ctl_entries,
         _ctl_jobs,
         _ctl_questionnaire,
+        _ctl_status,
         _ctl_trace,
     )
 
@@ -29,7 +30,7 @@
         "show": _ctl_configuration.show,
         "history": _ctl_configuration.history,
         "rollback": _ctl_configuration.rollback,
-        "status": _ctl_jobs.status,
+        "status": _ctl_status.status,
         "submit": _ctl_jobs.submit,
         "cancel": _ctl_jobs.cancel,
         "explain": _ctl_jobs.explain,
--- a/fireflyfork/programs/tests/test_ctl.py
+++ b/fireflyfork/programs/tests/test_ctl.py
@@ -14,7 +14,7 @@
 from ..._ids import JobId, TaskId
 from ...operations.tests.builders_answers import EXAMPLES, example_answers, example_text
 from ...operations.tests.builders_replies import replies_for
-from .. import _ctl_configuration, _ctl_entries, _ctl_jobs
+from .. import _ctl_configuration, _ctl_entries, _ctl_jobs, _ctl_status
 from .._batch_client import BatchCallError
 from .._batch_messages import BatchProblem, JobStatus, TaskExplanation, TaskFailure
 from .._ctl_output import CommandError, ExitCode
@@ -395,8 +395,14 @@
 class FakePlanners:
     """A planner with one job that is finished at the third look, or one that fails every call."""
 
-    def __init__(self, error: BatchCallError | None = None, state: str = "finished") -> None:
+    def __init__(
+        self,
+        error: BatchCallError | None = None,
+        state: str = "finished",
+        silent_looks: int = 0,
+    ) -> None:
         self._error = error
+        self._silent_looks = silent_looks
         self._looks = 0
         self._state = state
 
@@ -417,6 +423,8 @@
     async def status(self, job_id: str) -> JobStatus:
         """Open at the first two looks."""
         self._looks += 1
+        if self._looks <= self._silent_looks:
+            raise BatchCallError(BatchProblem("connection refused"), None)
         return self._job(self._state if self._looks > 2 else "open")
 
     async def jobs(self) -> tuple[JobStatus, ...]:
@@ -440,6 +448,7 @@
         """Run a command against a fake planner, without pauses."""
         with (
             mock.patch.object(_ctl_jobs, "BatchClient", return_value=planners),
+            mock.patch.object(_ctl_status, "BatchClient", return_value=planners),
             mock.patch.object(_ctl_jobs, "_POLL_SECONDS", 0.0),
         ):
             return ctl(*words)
@@ -464,6 +473,20 @@
         self.assertIn("waits for memory", told)
         self.assertIn("evicted 2 times", told)
 
+    def test_a_planner_restarts_during_the_wait(self) -> None:
+        """The planner is replaced while an operator waits for a long job; the wait goes on."""
+        planners = FakePlanners(silent_looks=2)
+        ended = self.run_with(planners, "status", "letters", *self.PLANNERS, "--wait", "60")
+        self.assertEqual(ended.code, ExitCode.DONE, ended.error)
+        self.assertEqual(ended.error.count("no answer from a planner"), 2)
+
+    def test_a_dead_planner_hides_nothing(self) -> None:
+        """Status says which planner is silent; alone, that is what the exit status says."""
+        error = BatchCallError(BatchProblem("connection refused"), None)
+        ended = self.run_with(FakePlanners(error), "status", *self.PLANNERS)
+        self.assertIn("planner 127.0.0.1:1: connection refused", ended.out)
+        self.assertEqual(ended.code, ExitCode.UNAVAILABLE)
+
     def test_what_planners_refuse(self) -> None:
         """A refusal, an unknown job, silence, and silence after the request was sent.
 
