--- a/fireflyfork/programs/_ctl_entries.py
+++ b/fireflyfork/programs/_ctl_entries.py
@@ -19,6 +19,10 @@
 
 _TIMEOUT_SECONDS = 5.0
 _POLL_SECONDS = 0.5
+_DRAIN_OUTCOMES = {
+    "draining": "draining; its process ends when nothing is in flight",
+    "ended": "ended; nothing was in flight any more",
+}
 
 Answer = TypeVar("Answer")
 
@@ -59,17 +63,19 @@
     reason: str = ""
 
 
-def drain(entry: Address, *, json: bool = False) -> ExitCode:
+def drain(entry: Address, *, wait: float = 0.0, json: bool = False) -> ExitCode:
     """Take an entry out of service gracefully.
 
     It tells the balancer that it isn't ready, ends what is in flight, hands what it owns to other
-    entries and stops. Exit status: 0 it has begun, 5 it doesn't answer, 8 it refuses.
+    entries and stops. Exit status: 0 it has begun (with ``--wait``: has ended), 1 it has not ended
+    in time, 5 it doesn't answer, 8 it refuses.
 
     Examples::
 
-        fireflyfork-ctl drain 10.0.0.7:8003
+        fireflyfork-ctl drain 10.0.0.7:8003 --wait 60
 
     :param entry: operator address of the entry
+    :param wait: seconds to wait until its process has ended
     :param json: print the result as JSON
     """
     output = Output(json)
@@ -85,9 +91,11 @@
         if status >= 300:
             text = body.decode("utf-8", "replace")
             raise CommandError(ExitCode.REFUSED, f"the entry at {entry} answered {status}: {text}")
-        plain = {"entry": str(entry), "outcome": "draining"}
-        output.result(plain, [f"{entry} is draining; its process ends when nothing is in flight"])
-        return ExitCode.DONE
+        has_ended = wait > 0 and trio.run(_has_ended, entry, wait, output)
+        outcome = "ended" if has_ended else "draining"
+        plain = {"entry": str(entry), "outcome": outcome}
+        output.result(plain, [f"{entry}: {_DRAIN_OUTCOMES[outcome]}"])
+        return ExitCode.DONE if has_ended or not wait else ExitCode.FAILED
 
     return finish(output, command)
 
@@ -203,6 +211,19 @@
     return body.decode("utf-8", "replace")
 
 
+async def _has_ended(entry: Address, wait: float, output: Output) -> bool:
+    """Whether an entry stopped answering within ``wait`` seconds."""
+    deadline = trio.current_time() + wait
+    while trio.current_time() < deadline:
+        report = await entry_report(entry)
+        if report.status is None:
+            return True
+        targets = sum(len(each.own_targets) for each in report.status.services.values())
+        output.progress(f"{entry}: draining, still owns {targets} targets")
+        await trio.sleep(_POLL_SECONDS)
+    return False
+
+
 def _decoded(body: bytes, kind: type[Answer]) -> Answer:
     try:
         return msgspec.json.decode(body, type=kind)
--- a/fireflyfork/programs/tests/test_ctl.py
+++ b/fireflyfork/programs/tests/test_ctl.py
@@ -391,6 +391,17 @@
             with self.subTest(address):
                 self.assertEqual(ctl("drain", address).code, code)
 
+    def test_drain_and_wait(self) -> None:
+        """An entry that ends once it was asked to, and one that hangs on."""
+        drained = "127.0.0.1:4"
+        answers = {(drained, "POST /drain"): (202, b"{}")}
+        with mock.patch.object(_ctl_entries, "_call", FakeEntries(answers).call):
+            ended = ctl("drain", drained, "--wait", "5")
+        self.assertEqual((ended.code, "ended" in ended.out), (ExitCode.DONE, True))
+        hanging = ctl("drain", "127.0.0.1:1", "--wait", "0.01")
+        self.assertEqual(hanging.code, ExitCode.FAILED)
+        self.assertIn("still owns 2 targets", hanging.error)
+
 
 class FakePlanners:
     """A planner with one job that is finished at the third look, or one that fails every call."""
