--- a/bench/batch_failures_seen.py
+++ b/bench/batch_failures_seen.py
@@ -2,11 +2,12 @@
 
 Jobs are submitted through the planners while workers, the store and the platform fail. At the end
 the platform's own history tells whether a task ran twice at a time, ran again after it had finished,
-or a worker was given more than it holds.
+or a worker was given more than it holds. With the argument ``judge`` it does only that.
 """
 
 from __future__ import annotations
 
+import sys
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
@@ -44,9 +45,10 @@
 
 async def main() -> None:
     """Run all phases and judge the history."""
-    client = BatchClient(tuple(Address("127.0.0.1", planner[3]) for planner in PLANNERS))
-    for phase in PHASES:
-        await _run(client, phase)
+    if "judge" not in sys.argv:
+        client = BatchClient(tuple(Address("127.0.0.1", planner[3]) for planner in PLANNERS))
+        for phase in PHASES:
+            await _run(client, phase)
     await _judge()
 
 
--- a/fireflyfork/operations/__init__.py
+++ b/fireflyfork/operations/__init__.py
@@ -33,7 +33,7 @@
     with_version,
 )
 from ._exposition import Sample, read_samples
-from ._generator import Generated, generate, unusable_addresses
+from ._generator import UNAPPLIED, Generated, generate, unusable_addresses
 from ._interview import Prompt, interview
 from ._quantities import ByteCount, ByteRate, Cores, Duration, Quantity, Share
 from ._reference import configuration_reference
@@ -45,6 +45,7 @@
     "HISTORY_PREFIX",
     "RETAINED_VERSIONS",
     "RULES",
+    "UNAPPLIED",
     "Answers",
     "ByteCount",
     "ByteRate",
--- a/fireflyfork/programs/_ctl_questionnaire.py
+++ b/fireflyfork/programs/_ctl_questionnaire.py
@@ -6,12 +6,13 @@
 from pathlib import Path
 
 from .._contracts import Configuration
-from .._ids import ConfigurationVersion
 from ..operations import (
+    UNAPPLIED,
     Answers,
     Prompt,
     check,
     decode_document,
+    differences,
     generate,
     interview,
     render_answers,
@@ -106,7 +107,9 @@
 
 
 def _generate(answers: Answers, source: str, file: Path, output: Output) -> ExitCode:
-    generated = generate(answers, _version_in(file))
+    before = _present(file)
+    version = before.version if before is not None else UNAPPLIED
+    generated = generate(answers, version)
     title = (
         f"{answers.organisation}: made by fireflyfork-ctl questionnaire from {source}.\n"
         "A comment names the answer that the value below it came from; change it there."
@@ -116,16 +119,24 @@
     if violations:
         output.violations(str(file), violations)
         return ExitCode.INVALID
-    services = len(generated.configuration.services)
-    targets = len(generated.configuration.targets)
-    line = f"{file}: {services} service(s) with {targets} targets; all rules hold"
-    output.result({"file": str(file), "violations": []}, [line])
+    _tell(file, before, generated.configuration, output)
     return ExitCode.DONE
 
 
-def _version_in(file: Path) -> ConfigurationVersion:
-    """The version that an earlier generation of the file was made from."""
+def _tell(file: Path, before: Configuration | None, after: Configuration, output: Output) -> None:
+    """Say what was written, and what became of a file that was there before."""
+    found = differences(before, after) if before is not None else ()
+    lines = [
+        f"{file}: {len(after.services)} service(s) with {len(after.targets)} targets; "
+        "all rules hold",
+        *(["against the file before:"] if found else []),
+        *(f"  {difference}" for difference in found),
+    ]
+    output.result({"file": str(file), "violations": [], "differences": found}, lines)
+
+
+def _present(file: Path) -> Configuration | None:
+    """The configuration that the file holds already, if it is one."""
     if not file.exists():
-        return ConfigurationVersion(0)
-    decoded = decode_document(Configuration, read_text(file))
-    return decoded.value.version if decoded.value is not None else ConfigurationVersion(0)
+        return None
+    return decode_document(Configuration, read_text(file)).value
--- a/fireflyfork/programs/tests/test_ctl.py
+++ b/fireflyfork/programs/tests/test_ctl.py
@@ -124,6 +124,12 @@
         self.assertEqual(self.generate().code, 0)
         self.assertEqual(self.file.read_text("utf-8"), before)
 
+    def test_what_becomes_of_the_file_before(self) -> None:
+        """Somebody edited the generated file by hand; generating again would undo it unseen."""
+        self.edit('"longest_queue": 64', '"longest_queue": 16')
+        self.assertIn("~ services[booking-desk].longest_queue: 16 -> 64", self.generate().out)
+        self.assertNotIn("~", self.generate().out)
+
     def test_at_the_terminal(self) -> None:
         """Typed answers give the same configuration as the example's file, and are saved."""
         typed = "\n".join(replies_for(example_answers("naidu"))) + "\n"
--- a/scripts/failures.sh
+++ b/scripts/failures.sh
@@ -12,3 +12,16 @@
 $bin/fireflyfork-ctl apply "$run/naidu.jsonc" --store 127.0.0.1:9001 >"$run/applied"
 $bin/python -m bench.failures_seen "$run"
 $bin/python -m bench.batch_failures_seen
+
+# A planner is killed while a job runs, and the platform restarts it ten seconds later.
+export FIREFLYFORK_PLANNERS="127.0.0.1:9051 127.0.0.1:9052"
+begun="$SECONDS"
+$bin/fireflyfork-ctl submit planner-killed --team letters --tasks 48 --cores 500m --memory 1GB \
+    --run-time 5s >"$run/submitted"
+sleep 2
+kill -KILL "$(cat "$run/pids/planner-suva-1")"
+sleep 10
+program planner-suva-1 $bin/fireflyfork-planner "$run/planner-suva-1.jsonc"
+$bin/fireflyfork-ctl status planner-killed --wait 180 2>"$run/waited"
+echo "planner killed for 10 s: after $((SECONDS - begun)) s"
+$bin/python -m bench.batch_failures_seen judge
