--- a/fireflyfork/programs/tests/test_ctl.py
+++ b/fireflyfork/programs/tests/test_ctl.py
@@ -14,7 +14,7 @@
 from ..._ids import JobId, TaskId
 from ...operations.tests.builders_answers import EXAMPLES, example_answers, example_text
 from ...operations.tests.builders_replies import replies_for
-from .. import _ctl_configuration, _ctl_entries, _ctl_jobs
+from .. import _ctl_configuration, _ctl_entries, _ctl_jobs, _ctl_status
 from .._batch_client import BatchCallError
 from .._batch_messages import BatchProblem, JobStatus, TaskExplanation, TaskFailure
 from .._ctl_output import CommandError, ExitCode
@@ -45,6 +45,7 @@
         contextlib.redirect_stdout(out),
         contextlib.redirect_stderr(error),
         mock.patch("sys.stdin", io.StringIO(standard_input)),
+        mock.patch.dict("os.environ", clear=True),
     ):
         try:
             code = int(run(list(words)))
@@ -106,12 +107,11 @@
             (["status"], "FIREFLYFORK_ENTRIES"),
             (["explain", "j"], "FIREFLYFORK_PLANNERS"),
         ]
-        with mock.patch.dict("os.environ", clear=True):
-            for words, message in cases:
-                with self.subTest(words=words):
-                    ended = ctl(*words)
-                    self.assertEqual(ended.code, ExitCode.USAGE)
-                    self.assertIn(message, ended.error)
+        for words, message in cases:
+            with self.subTest(words=words):
+                ended = ctl(*words)
+                self.assertEqual(ended.code, ExitCode.USAGE)
+                self.assertIn(message, ended.error)
 
 
 class QuestionnaireTest(CtlTest):
@@ -124,6 +124,12 @@
         self.assertEqual(self.generate().code, 0)
         self.assertEqual(self.file.read_text("utf-8"), before)
 
+    def test_what_becomes_of_the_file_before(self) -> None:
+        """Somebody edited the generated file by hand; generating again would undo it unseen."""
+        self.edit('"longest_queue": 64', '"longest_queue": 16')
+        self.assertIn("~ services[booking-desk].longest_queue: 16 -> 64", self.generate().out)
+        self.assertNotIn("~", self.generate().out)
+
     def test_at_the_terminal(self) -> None:
         """Typed answers give the same configuration as the example's file, and are saved."""
         typed = "\n".join(replies_for(example_answers("naidu"))) + "\n"
@@ -352,6 +358,25 @@
                 ended = ctl("status", "--entries", *entries, "--version", version)
                 self.assertEqual(ended.code, code)
 
+    def test_apply_waits_until_it_is_in_force(self) -> None:
+        """The store has the change; one entry holds it, another is dead.
+
+        Told only "accepted", the operator would leave while a part of the fleet serves the old one.
+        """
+        cases = [(["127.0.0.1:1"], ExitCode.DONE), (["127.0.0.1:2"], ExitCode.FAILED)]
+        for entries, code in cases:
+            with self.subTest(entries=entries), tempfile.TemporaryDirectory() as directory:
+                file = str(Path(directory) / "naidu.jsonc")
+                answers = str(EXAMPLES / "naidu" / "answers.jsonc")
+                ctl("questionnaire", "--answers", answers, "--output", file)
+                with (
+                    in_store(MemoryStore()),
+                    mock.patch.object(_ctl_configuration, "_IN_FORCE_SECONDS", 0.0),
+                ):
+                    ended = ctl("apply", file, *STORE, "--entries", *entries)
+                self.assertEqual(ended.code, code)
+                self.assertIn("accepted: version 1", ended.out)
+
     def test_metrics(self) -> None:
         """For people, as JSON and as they are."""
         entries = ["--entries", "127.0.0.1:1"]
@@ -372,12 +397,29 @@
             with self.subTest(address):
                 self.assertEqual(ctl("drain", address).code, code)
 
+    def test_drain_and_wait(self) -> None:
+        """An entry that ends once it was asked to, and one that hangs on."""
+        drained = "127.0.0.1:4"
+        answers = {(drained, "POST /drain"): (202, b"{}")}
+        with mock.patch.object(_ctl_entries, "_call", FakeEntries(answers).call):
+            ended = ctl("drain", drained, "--wait", "5")
+        self.assertEqual((ended.code, "ended" in ended.out), (ExitCode.DONE, True))
+        hanging = ctl("drain", "127.0.0.1:1", "--wait", "0.01")
+        self.assertEqual(hanging.code, ExitCode.FAILED)
+        self.assertIn("still owns 2 targets", hanging.error)
+
 
 class FakePlanners:
     """A planner with one job that is finished at the third look, or one that fails every call."""
 
-    def __init__(self, error: BatchCallError | None = None, state: str = "finished") -> None:
+    def __init__(
+        self,
+        error: BatchCallError | None = None,
+        state: str = "finished",
+        silent_looks: int = 0,
+    ) -> None:
         self._error = error
+        self._silent_looks = silent_looks
         self._looks = 0
         self._state = state
 
@@ -398,6 +440,8 @@
     async def status(self, job_id: str) -> JobStatus:
         """Open at the first two looks."""
         self._looks += 1
+        if self._looks <= self._silent_looks:
+            raise BatchCallError(BatchProblem("connection refused"), None)
         return self._job(self._state if self._looks > 2 else "open")
 
     async def jobs(self) -> tuple[JobStatus, ...]:
@@ -421,6 +465,7 @@
         """Run a command against a fake planner, without pauses."""
         with (
             mock.patch.object(_ctl_jobs, "BatchClient", return_value=planners),
+            mock.patch.object(_ctl_status, "BatchClient", return_value=planners),
             mock.patch.object(_ctl_jobs, "_POLL_SECONDS", 0.0),
         ):
             return ctl(*words)
@@ -445,6 +490,20 @@
         self.assertIn("waits for memory", told)
         self.assertIn("evicted 2 times", told)
 
+    def test_a_planner_restarts_during_the_wait(self) -> None:
+        """The planner is replaced while an operator waits for a long job; the wait goes on."""
+        planners = FakePlanners(silent_looks=2)
+        ended = self.run_with(planners, "status", "letters", *self.PLANNERS, "--wait", "60")
+        self.assertEqual(ended.code, ExitCode.DONE, ended.error)
+        self.assertEqual(ended.error.count("no answer from a planner"), 2)
+
+    def test_a_dead_planner_hides_nothing(self) -> None:
+        """Status says which planner is silent; alone, that is what the exit status says."""
+        error = BatchCallError(BatchProblem("connection refused"), None)
+        ended = self.run_with(FakePlanners(error), "status", *self.PLANNERS)
+        self.assertIn("planner 127.0.0.1:1: connection refused", ended.out)
+        self.assertEqual(ended.code, ExitCode.UNAVAILABLE)
+
     def test_what_planners_refuse(self) -> None:
         """A refusal, an unknown job, silence, and silence after the request was sent.
 
