--- a/fireflyfork/programs/_logs.py
+++ b/fireflyfork/programs/_logs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import sys
+import traceback
 from collections.abc import Mapping
 from contextvars import ContextVar
 from typing import TYPE_CHECKING, Any
@@ -40,4 +41,6 @@
         line["trace_id"] = trace
     if record["exception"] is not None:
         line["exception"] = repr(record["exception"].value)
+        frames = traceback.extract_tb(record["exception"].traceback)
+        line["raised_at"] = [f"{frame.filename}:{frame.lineno}" for frame in frames[-3:]]
     sys.stderr.write(msgspec.json.encode(line, enc_hook=str).decode("utf-8") + "\n")
