--- a/fireflyfork/decisions/tests/test_membership.py
+++ b/fireflyfork/decisions/tests/test_membership.py
@@ -31,7 +31,7 @@
     may_dispatch,
     step,
 )
-from .._rights import GuardAnswer, MembershipTiming
+from .._rights import GuardAnswer, MembershipTiming, RightRules
 from .builders_fleet import NAIDU, evened_out, fleet
 from .test_fleet import CHANGE, A, B, C
 
@@ -142,6 +142,29 @@
         self.assertEqual(driver.state.right_dated, proved_at)
 
 
+class TakeoverWaitTest(unittest.TestCase):
+    """How long a taker waits after the fence."""
+
+    def test_wait_outlasts_the_right_on_unequal_clocks(self) -> None:
+        """The fenced member's clock is slow and the taker's fast, each as far as is allowed.
+
+        A wait of just the right's length would end first, and both would dispatch for a moment.
+        """
+        for drift in (0.0, 0.001, 0.01, 0.05):
+            with self.subTest(drift=drift):
+                timing = MembershipTiming(drift=drift)
+                right_ends = timing.right_seconds / (1 - drift)
+                taken_over = RightRules().takeover_wait(timing) / (1 + drift)
+                self.assertGreater(taken_over, right_ends)
+
+    def test_guard_is_not_quicker_than_the_old_guards_word(self) -> None:
+        """A new guard could fence at once while its ward still counts its old guard's word.
+
+        That it must first hear nothing for as long as a right lasts makes a further wait needless.
+        """
+        self.assertGreaterEqual(TIMING.suspect_seconds, TIMING.right_seconds)
+
+
 class GuardTest(unittest.TestCase):
     """Acknowledging and fencing."""
 
--- a/fireflyfork/decisions/tests/test_ownership.py
+++ b/fireflyfork/decisions/tests/test_ownership.py
@@ -7,8 +7,9 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
 
-from .._rights import MembershipTiming
+from .._rights import MembershipTiming, RightRules
 from .builders_ownership import NO_FAULTS, Faults, FleetSimulation, Process
+from .builders_rights import AcknowledgesWithoutRight, DatedFromReceipt, NoWait, OldValueSettles
 
 _ONE = st.integers(0, 9)
 _SHORT = st.floats(0.1, 4.0)
@@ -164,6 +165,28 @@
     return process.state.me.zone.region
 
 
+class WeakerRulesTest(unittest.TestCase):
+    """The same faults with one rule weakened: the seeds are the first that the search found."""
+
+    def test_each_rule_is_needed(self) -> None:
+        """If these went unnoticed, finding nothing with the chosen rules would mean nothing."""
+        cases: list[tuple[RightRules, int]] = [
+            (AcknowledgesWithoutRight(), 199),
+            (DatedFromReceipt(), 3),
+            (NoWait(), 31),
+            (OldValueSettles(), 20),
+        ]
+        for rules, seed in cases:
+            for tried, breaks in ((rules, True), (RightRules(), False)):
+                with self.subTest(rules=type(tried).__name__, seed=seed):
+                    simulation = FleetSimulation(seed, rules=tried)
+                    simulation.run(8)
+                    simulation.run_with_faults(40)
+                    simulation.heal()
+                    simulation.run(25)
+                    self.assertEqual(bool(simulation.violations), breaks)
+
+
 class LetterSizeTest(unittest.TestCase):
     """A fleet over seven regions."""
 
