Replicas of services, why a task waits, and planners that stop in time

Change: a job per replica, shared among partitions; the policy's reason in words and as JSON; 5 s for storing and 4 s for handing over at a stop; connecting is apart from asking. Ruled out: one job for all replicas of a service, since a replica that was given up could not come back. Conclusion: a stop is bounded, at the cost of changes that were never stored, whose submitters know.

--- a/fireflyfork/decisions/_partition.py
+++ b/fireflyfork/decisions/_partition.py
@@ -41,6 +41,7 @@
     Start,
     Throttle,
 )
+from ._replicas import replica_changes
 from ._runs import RunReport, RunState, StartOrder
 from ._task_changes import (
     AttemptOutcome,
@@ -221,7 +222,19 @@
 
 def place(partition: Partition, now: float) -> Step:
     """Ask the policy what to do, and do of it what still holds."""
-    view = PlacementView(
+    view = placement_view(partition, now)
+    checker = _CommandChecker(partition, now)
+    changes = list(checker.changes(partition.policy.decide(view)))
+    step = _applied(partition, changes)
+    dropped = partition.dropped_commands + checker.dropped
+    throttles = tuple(change for change in changes if isinstance(change, ThrottleOrdered))
+    after = replace(step.partition, dropped_commands=dropped)
+    return replace(step, partition=after, throttles=throttles)
+
+
+def placement_view(partition: Partition, now: float) -> PlacementView:
+    """What the policy may look at."""
+    return PlacementView(
         now,
         partition.workers,
         partition.table.reserved,
@@ -234,13 +247,15 @@
         partition.weights,
         partition.rules.most_starts,
     )
-    checker = _CommandChecker(partition, now)
-    changes = list(checker.changes(partition.policy.decide(view)))
-    step = _applied(partition, changes)
-    dropped = partition.dropped_commands + checker.dropped
-    throttles = tuple(change for change in changes if isinstance(change, ThrottleOrdered))
-    after = replace(step.partition, dropped_commands=dropped)
-    return replace(step, partition=after, throttles=throttles)
+
+
+def keep_replicas(partition: Partition, number: int, count: int, now: float) -> Step:
+    """Accept and cancel replicas of services until they are as many as contracts ask for.
+
+    This is partition ``number`` of ``count``, which share the replicas of each service.
+    """
+    services = partition.services
+    return _applied(partition, replica_changes(partition.table, services, number, count, now))
 
 
 def stored(partition: Partition, changes: Iterable[DurableChange], now: float) -> Partition:
--- a/fireflyfork/programs/_batch_client.py
+++ b/fireflyfork/programs/_batch_client.py
@@ -6,11 +6,12 @@
 from urllib.parse import urlsplit
 
 import msgspec
+import trio
 
 from .._errors import FireflyforkError
 from .._ids import JobId
 from .._links import Address
-from ..adapters import HttpClient, HttpError, ResponseHead
+from ..adapters import HttpClientConnection, HttpError, RequestHead, ResponseHead
 from ._batch_messages import (
     BatchProblem,
     JobRequest,
@@ -23,6 +24,7 @@
 
 _MOST_REDIRECTS = 3
 _TIMEOUT_SECONDS = 15.0
+_LONGEST_ANSWER_BYTES = 1 << 26
 
 
 class BatchCallError(FireflyforkError):
@@ -35,6 +37,10 @@
         self.status = status
 
 
+class _NotConnectedError(HttpError):
+    """Nothing was sent, so nothing can have been accepted."""
+
+
 class BatchClient:
     """Asks the planners in turn until one answers, and follows it to the owner.
 
@@ -79,6 +85,9 @@
         for planner in self._planners:
             try:
                 head, answer = await self._follow(planner, method, target, body)
+            except _NotConnectedError as error:
+                problem = BatchCallError(BatchProblem(str(error), accepted), None)
+                continue
             except HttpError as error:
                 accepted = "unknown" if method == "POST" else accepted
                 problem = BatchCallError(BatchProblem(str(error), accepted), None)
@@ -98,16 +107,32 @@
         self, planner: Address, method: str, target: str, body: bytes
     ) -> tuple[ResponseHead, bytes]:
         for _ in range(_MOST_REDIRECTS):
-            client = HttpClient(planner, self._timeout)
-            try:
-                head, answer = await client.call(method, target, (), body)
-            finally:
-                client.close()
+            head, answer = await self._ask(planner, method, target, body)
             location = head.header(b"location")
             if head.status != 307 or location is None:
                 return head, answer
             planner = Address.parse(urlsplit(location).netloc)
-        raise HttpError(f"more than {_MOST_REDIRECTS} redirects")
+        raise _NotConnectedError(f"more than {_MOST_REDIRECTS} redirects")
+
+    async def _ask(
+        self, planner: Address, method: str, target: str, body: bytes
+    ) -> tuple[ResponseHead, bytes]:
+        try:
+            connection = await HttpClientConnection.open(planner, self._timeout)
+        except HttpError as error:
+            raise _NotConnectedError(str(error)) from error
+        headers = (
+            (b"host", str(planner).encode("ascii")),
+            (b"content-length", str(len(body)).encode("ascii")),
+        )
+        head = RequestHead(method, target, headers)
+        try:
+            with trio.fail_after(self._timeout):
+                return await connection.request(head, body, _LONGEST_ANSWER_BYTES)
+        except trio.TooSlowError as error:
+            raise HttpError(f"no answer from {planner} in time") from error
+        finally:
+            connection.close()
 
 
 def _decode(answer: bytes, answer_type: type[Answer]) -> Answer:
--- a/fireflyfork/programs/_batch_messages.py
+++ b/fireflyfork/programs/_batch_messages.py
@@ -64,6 +64,8 @@
     evictions: int = 0
     failed_on: tuple[WorkerId, ...] = ()
     reason: str = ""
+    why: dict[str, object] | None = None
+    """Why it waits, as values, when the placement policy can tell."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/fireflyfork/programs/_batch_views.py
+++ b/fireflyfork/programs/_batch_views.py
@@ -4,7 +4,7 @@
 
 from collections import Counter
 
-from ..decisions import Job, Partition, Task, TaskState, task_id_of
+from ..decisions import Job, Partition, Reason, Task, TaskState, placement_view, task_id_of
 from ._batch_messages import JobStatus, TaskExplanation, TaskFailure
 
 
@@ -30,23 +30,27 @@
     return JobStatus(job.job_id, _job_state(job), job.task_count, counts, job.submitted, failures)
 
 
-def explain_task(partition: Partition, job: Job, index: int) -> TaskExplanation | None:
+def explain_task(partition: Partition, job: Job, index: int, now: float) -> TaskExplanation | None:
     """What a task is doing and why; None when the job has no such task."""
     if not 0 <= index < job.task_count:
         return None
     task = partition.table.tasks.get(task_id_of(job.job_id, index))
     if task is None:
         return _explain_ended(job, index)
+    why = None
+    if not task.holds_reservation:
+        why = partition.policy.why_waiting(task, placement_view(partition, now))
     return TaskExplanation(
         task.task_id,
         task.state.value,
-        _words(partition, task),
+        _words(partition, task, why),
         task.attempt,
         task.worker_id,
         task.progress,
         task.evictions,
         task.failed_on,
         task.reason,
+        None if why is None else dict(why.as_json()),
     )
 
 
@@ -78,17 +82,19 @@
     return TaskExplanation(task_id, state, f"it has ended ({' or '.join(possible)})")
 
 
-def _words(partition: Partition, task: Task) -> str:
+def _words(partition: Partition, task: Task, why: Reason | None) -> str:
     if task.holds_reservation:
         reason = f": {task.reason}" if task.reason else ""
         return f"attempt {task.attempt} is {task.state.value} on {task.worker_id}{reason}"
+    before = f"{task.state.value} after attempt {task.attempt} ({task.reason})"
+    first = before if task.attempt else "accepted and not started yet"
+    if why is not None:
+        return f"{first}: {why.sentence()}"
     size = task.shape.resources
     room = sum(
         size.fits_in(worker.capacity - partition.table.reserved.get(worker_id, size - size))
         for worker_id, worker in partition.workers.items()
     )
-    before = f"{task.state.value} after attempt {task.attempt} ({task.reason})"
-    first = before if task.attempt else "accepted and not started yet"
     if not room:
         return f"{first}; no worker has room for its declared size now"
     return (
--- a/fireflyfork/programs/_planner_endpoint.py
+++ b/fireflyfork/programs/_planner_endpoint.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import re
+import time
 from collections.abc import Awaitable, Mapping
 from typing import TypeVar
 
@@ -134,7 +135,7 @@
 
     async def _explain(self, exchange: Exchange, job_id: str, index: int) -> None:
         state, job = self._find(JobId(job_id), exchange)
-        explanation = explain_task(state, job, index)
+        explanation = explain_task(state, job, index, time.time())
         if explanation is None:
             raise _ProblemError(404, f"job {job_id} has tasks 0 to {job.task_count - 1}")
         await exchange.answer_json(200, explanation)
--- a/fireflyfork/programs/_planner_partition.py
+++ b/fireflyfork/programs/_planner_partition.py
@@ -31,6 +31,7 @@
     WholeReport,
     cancel,
     evict,
+    keep_replicas,
     place,
     stop_answered,
     stored,
@@ -416,6 +417,10 @@
                     await self._order(partial(self._platform.renew, runs, lease))
             await trio.sleep(self._plan.pace.renew)
 
+    def _keep_replicas(self, state: Partition) -> None:
+        plan = self._plan
+        self._take(keep_replicas(state, plan.number, plan.count, self._clock.now()))
+
     async def _workers_loop(self) -> None:
         while True:
             try:
@@ -432,6 +437,8 @@
             if self._state is not None:
                 known = {worker.worker_id: worker for worker in workers}
                 self._state = replace(self._state, workers=known)
+                if self._configuration is not None and not self._stopping:
+                    self._keep_replicas(self._state)
             await trio.sleep(self._plan.pace.workers)
 
     async def _follow_reports(self, region: RegionName) -> None:
--- a/fireflyfork/programs/planner.py
+++ b/fireflyfork/programs/planner.py
@@ -37,8 +37,8 @@
 
 PLANNERS_KEY = "planners"
 """The store key of the planners' fleet record."""
-LONGEST_STOP_SECONDS = 20.0
-LONGEST_LEAVE_SECONDS = 20.0
+LONGEST_STOP_SECONDS = 5.0
+LONGEST_LEAVE_SECONDS = 4.0
 
 
 class PlannerProgram:
--- a/fireflyfork/programs/tests/test_planner_endpoint.py
+++ b/fireflyfork/programs/tests/test_planner_endpoint.py
@@ -186,6 +186,21 @@
 
         run_served(body)
 
+    def test_a_refused_connection_proves_that_nothing_was_accepted(self) -> None:
+        """No planner listens; an operator told "unknown" would have to look before going on."""
+
+        async def body(served: Served) -> None:
+            listeners = await listen("127.0.0.1", 0)
+            gone = Address("127.0.0.1", listeners[0].socket.getsockname()[1])
+            await listeners[0].aclose()
+            with self.assertRaises(BatchCallError) as raised:
+                await BatchClient((gone,)).submit(make_request())
+            self.assertEqual(raised.exception.problem.accepted, "no")
+            status = await BatchClient((gone, served.address)).submit(make_request())
+            self.assertEqual(status.tasks, 2)
+
+        run_served(body)
+
     def test_another_planner_redirects_to_the_owner(self) -> None:
         """An operator asks a planner that does not own the job's partition."""
 
