--- a/fireflyfork/programs/_configuration_keeper.py
+++ b/fireflyfork/programs/_configuration_keeper.py
@@ -21,7 +21,6 @@
 from ..decisions import (
     CONFIGURATION_KEY,
     ConfigurationOffer,
-    FleetRecord,
     Member,
     OfferOutcome,
     OfferSource,
@@ -32,6 +31,7 @@
     store_is_empty,
 )
 from ._guard_channel import GuardChannel
+from ._membership import Membership
 
 WATCH_SECONDS = 60.0
 RETRY_SECONDS = 0.5
@@ -51,8 +51,7 @@
         self._revision = Revision(0)
         self._version_in_force = ConfigurationVersion(0)
         self._channel: GuardChannel | None = None
-        self._record: Callable[[], FleetRecord] | None = None
-        self._mates: Callable[[], tuple[Member, ...]] = tuple
+        self._membership: Membership | None = None
         self._nursery: trio.Nursery | None = None
 
     @property
@@ -63,13 +62,11 @@
     def attach(
         self,
         channel: GuardChannel,
-        record: Callable[[], FleetRecord],
-        mates: Callable[[], tuple[Member, ...]],
+        membership: Membership,
     ) -> None:
-        """``mates`` are the members that this one passes news from the store on to."""
+        """Speak to the members that ``membership`` knows, and let it tell them the version."""
         self._channel = channel
-        self._record = record
-        self._mates = mates
+        self._membership = membership
 
     def offered(self, member: MemberId, offer: ConfigurationOffer) -> None:
         """A peer passed a configuration on."""
@@ -121,8 +118,9 @@
         self._revision = stored.revision
         offer = decode_configuration(stored.value)
         self._consider(offer, OfferSource.STORE)
-        for mate in self._mates():
-            self._pass_on(mate.member_id, offer)
+        if self._membership is not None:
+            for mate in self._membership.zone_mates:
+                self._pass_on(mate.member_id, offer)
 
     def _consider(self, offer: ConfigurationOffer, source: OfferSource) -> None:
         self._state, outcome = consider(self._state, offer, source)
@@ -130,6 +128,9 @@
             logger.error("two changes under one version", version=offer.version)
         if outcome is OfferOutcome.OLDER and source is OfferSource.STORE:
             logger.error("the store was set back", version=offer.version, held=self.version)
+        if self._membership is not None:
+            # A peer that is told too low a version sends the whole configuration in reply.
+            self._membership.configuration_version = self.version
         held = self._state.held
         if held is None or not self._state.ready or held.version <= self._version_in_force:
             return
@@ -143,8 +144,10 @@
         self._in_force(configuration)
 
     def _pass_on(self, member: MemberId, offer: ConfigurationOffer) -> None:
-        peer = self._record().members.get(member) if self._record is not None else None
-        if peer is not None and self._nursery is not None:
+        if self._membership is None or self._nursery is None:
+            return
+        peer = self._membership.record.members.get(member)
+        if peer is not None:
             self._nursery.start_soon(partial(self._offer, peer, offer))
 
     async def _offer(self, peer: Member, offer: ConfigurationOffer) -> None:
--- a/fireflyfork/programs/entry.py
+++ b/fireflyfork/programs/entry.py
@@ -116,7 +116,7 @@
 
     def _attach(self, channel: PeerGuardChannel) -> None:
         membership, keeper = self._membership, self._keeper
-        keeper.attach(channel, lambda: membership.record, lambda: membership.zone_mates)
+        keeper.attach(channel, membership)
         channel.attach(keeper)
         service = self._entry.peer_service
         service.subscribe(REPLY, channel)
--- a/fireflyfork/programs/planner.py
+++ b/fireflyfork/programs/planner.py
@@ -101,7 +101,7 @@
 
     def _attach(self, channel: PeerGuardChannel, service: PlannerPeerService) -> None:
         membership, keeper = self._membership, self._keeper
-        keeper.attach(channel, lambda: membership.record, lambda: membership.zone_mates)
+        keeper.attach(channel, membership)
         channel.attach(keeper)
         service.subscribe(REPLY, channel)
         service.subscribe(QUESTION, QuestionHandler(membership, keeper))
--- /dev/null
+++ b/fireflyfork/programs/tests/builders_keepers.py
@@ -0,0 +1,104 @@
+"""Builds members with configuration keepers on the in-memory fleet of the membership tests."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+import trio
+
+from ... import Address, ChangeId, Configuration, ConfigurationVersion, Region, RegionName
+from ..._contract_codec import encode_contracts
+from ...adapters import StoredValue
+from ...decisions import (
+    CONFIGURATION_KEY,
+    ConfigurationOffer,
+    Member,
+    decode_configuration,
+    encode_configuration,
+)
+from .._configuration_keeper import ConfigurationKeeper
+from .._guard_channel import GuardQuestion, GuardReply
+from .._membership import Membership
+from .builders_membership import DirectChannel, Fleet, Network
+
+
+@dataclass
+class KeeperFleet:
+    """Members, their keepers, and what each put in force."""
+
+    fleet: Fleet
+    keepers: dict[Address, ConfigurationKeeper] = field(default_factory=dict)
+    in_force: dict[Address, list[int]] = field(default_factory=dict)
+    passed_on: int = 0
+    """Configurations that members sent to each other."""
+
+    def keep(self, membership: Membership, address: Address) -> ConfigurationKeeper:
+        """Start a keeper for a member, anew if it had one."""
+        versions = self.in_force.setdefault(address, [])
+
+        def note(configuration: Configuration) -> None:
+            versions.append(configuration.version)
+
+        keeper = ConfigurationKeeper(self.fleet.store, note)
+        keeper.attach(KeeperChannel(self, self.fleet.network, address), membership)
+        self.keepers[address] = keeper
+        self.fleet.nursery.start_soon(keeper.run, lambda: membership.is_watcher)
+        return keeper
+
+    async def keep_asking(self, membership: Membership, address: Address) -> None:
+        """Compare versions with the guard as often as the membership asks it."""
+        while True:
+            guard_name = membership.record.guard_of(membership.member_id)
+            guard = membership.record.members.get(guard_name) if guard_name else None
+            if guard is not None and not self._cut(address, guard):
+                keeper, other = self.keepers[address], self.keepers[guard.address]
+                other.peer_holds(membership.member_id, membership.configuration_version)
+                keeper.peer_holds(guard.member_id, other.version)
+            await trio.sleep(0.5)
+
+    def _cut(self, address: Address, guard: Member) -> bool:
+        cut = self.fleet.network.cut
+        return (address in cut) != (guard.address in cut)
+
+    async def accept(self, version: int) -> None:
+        """What an accepted change leaves in the store."""
+        stored: StoredValue | None = await self.fleet.store.read(CONFIGURATION_KEY)
+        expected = stored.revision if stored is not None else 0
+        value = encode_configuration(an_offer(version))
+        await self.fleet.store.write(CONFIGURATION_KEY, value, expected)  # type: ignore[arg-type]
+
+
+class KeeperChannel(DirectChannel):
+    """Passes configurations on to the keepers of a test."""
+
+    def __init__(self, keepers: KeeperFleet, network: Network, sender: Address) -> None:
+        super().__init__(network, sender)
+        self._keepers = keepers
+        self._own = sender
+
+    async def ask(self, peer: Member, question: GuardQuestion) -> GuardReply:
+        """Not used by keepers."""
+        raise NotImplementedError
+
+    async def offer_configuration(self, peer: Member, offer: ConfigurationOffer) -> None:
+        """See ``GuardChannel``."""
+        await self._reach("configuration", peer)
+        self._keepers.passed_on += 1
+        sender = self._keepers.fleet.network.members[self._own].member_id
+        self._keepers.keepers[peer.address].offered(sender, offer)
+
+
+def an_offer(version: int) -> ConfigurationOffer:
+    """A small configuration of that version, encoded as stored."""
+    configuration = Configuration(
+        ConfigurationVersion(version),
+        ChangeId(f"change-{version}"),
+        (Region(RegionName("viti"), ()),),
+        (),
+        (),
+    )
+    offer = ConfigurationOffer(
+        configuration.version, configuration.change_id, encode_contracts(configuration)
+    )
+    assert decode_configuration(encode_configuration(offer)) == offer
+    return offer
--- /dev/null
+++ b/fireflyfork/programs/tests/test_configuration_keeper.py
@@ -0,0 +1,97 @@
+"""An accepted configuration is in force at all entries within seconds and never reverts."""
+
+import unittest
+from collections.abc import Awaitable, Callable
+
+import trio
+import trio.testing
+
+from ... import Address
+from .builders_keepers import KeeperFleet, an_offer
+from .builders_membership import Fleet
+
+_PLACES = (("a", "viti/suva", 1), ("b", "viti/nadi", 2), ("c", "viti/suva", 3))
+_ADDRESSES = [Address("127.0.0.1", port) for _, _, port in _PLACES]
+_SETTLED_SECONDS = 25.0
+_IN_FORCE_SECONDS = 7.0
+
+Scenario = Callable[[KeeperFleet], Awaitable[None]]
+
+
+def run_keepers(scenario: Scenario) -> None:
+    """Run a scenario with three members that have settled on version 1."""
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            keepers = KeeperFleet(Fleet(nursery))
+            await keepers.accept(1)
+            for place, address in zip(_PLACES, _ADDRESSES, strict=True):
+                membership = keepers.fleet.start(*place)
+                keepers.keep(membership, address)
+                nursery.start_soon(keepers.keep_asking, membership, address)
+            await trio.sleep(_SETTLED_SECONDS)
+            await scenario(keepers)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+class ConfigurationKeeperTest(unittest.TestCase):
+    """Keepers of three entries in two failure domains."""
+
+    def test_an_accepted_configuration_is_in_force_everywhere(self) -> None:
+        """Each entry puts each version in force once, in order."""
+
+        async def scenario(keepers: KeeperFleet) -> None:
+            for version in (2, 3):
+                await keepers.accept(version)
+                await trio.sleep(_IN_FORCE_SECONDS)
+            for address in _ADDRESSES:
+                self.assertEqual(keepers.in_force[address], [1, 2, 3])
+
+        run_keepers(scenario)
+
+    def test_nothing_is_sent_while_all_hold_the_same(self) -> None:
+        """Members that were told too low a version sent each other the whole configuration.
+
+        It cost 7 KB/s for each entry at rest, and would grow with the number of targets.
+        """
+
+        async def scenario(keepers: KeeperFleet) -> None:
+            before = keepers.passed_on
+            await trio.sleep(60.0)
+            self.assertEqual(keepers.passed_on, before)
+
+        run_keepers(scenario)
+
+    def test_the_store_fails_right_after_the_acceptance(self) -> None:
+        """Only one entry has heard of the change when the store goes down for long.
+
+        The operator was told that it was accepted, so the others must get it from that entry.
+        """
+
+        async def scenario(keepers: KeeperFleet) -> None:
+            keepers.fleet.store.down = True
+            first = keepers.fleet.network.members[_ADDRESSES[0]].member_id
+            keepers.keepers[_ADDRESSES[1]].offered(first, an_offer(2))
+            await trio.sleep(_IN_FORCE_SECONDS)
+            for address in _ADDRESSES:
+                self.assertEqual(keepers.in_force[address], [1, 2])
+
+        run_keepers(scenario)
+
+    def test_a_lower_version_is_never_put_in_force(self) -> None:
+        """A peer that was cut off passes on what it holds, and an operator's tool sets the store
+        back. Targets that were taken away would get bookings again."""
+
+        async def scenario(keepers: KeeperFleet) -> None:
+            await keepers.accept(5)
+            await trio.sleep(_IN_FORCE_SECONDS)
+            sender = keepers.fleet.network.members[_ADDRESSES[1]].member_id
+            keepers.keepers[_ADDRESSES[0]].offered(sender, an_offer(4))
+            await keepers.accept(3)
+            await trio.sleep(_IN_FORCE_SECONDS)
+            for address in _ADDRESSES:
+                self.assertEqual(keepers.in_force[address], [1, 5])
+
+        run_keepers(scenario)
