The member's state machine in modules of one job each; rows on capacity

Events and commands, the state and what follows from it, and the choice of the next change stand apart from the machine, which had grown to 800 lines.

--- a/bench/ownership_costs.py
+++ b/bench/ownership_costs.py
@@ -14,10 +14,10 @@
 from statistics import mean, quantiles
 
 import defopt
-import msgpack
 
-from fireflyfork import MemberId
-from fireflyfork.decisions import FleetRecord, Member, encode_fleet
+from fireflyfork import ConfigurationVersion, MemberId, Revision
+from fireflyfork.adapters import encode_content
+from fireflyfork.decisions import FleetRecord, GuardAnswer, Member, encode_fleet
 from fireflyfork.decisions.tests.builders_fleet import evened_out, fleet, member
 from fireflyfork.decisions.tests.builders_ownership import (
     NAIDU_PLACES,
@@ -25,6 +25,7 @@
     FleetSimulation,
     Process,
 )
+from fireflyfork.programs._guard_channel import GuardQuestion, GuardReply
 
 _SETTLE_SECONDS = 20.0
 _LONGEST_TAKEOVER_SECONDS = 30.0
@@ -183,9 +184,12 @@
         f"record: {empty} bytes empty, {per_member_bytes:.0f} per member,"
         f" {per_partition:.1f} per partition, {letter} at 18 entries and 224 partitions"
     )
-    question = msgpack.packb([_long_id(1), 123456, 98765, 4321])
-    answer = msgpack.packb([123456, True, False, 98765, 4321])
-    print(f"question {len(question)} bytes, answer {len(answer)} bytes before framing")
+    question = GuardQuestion(_long_id(1), 123456, Revision(98765), ConfigurationVersion(4321))
+    reply = GuardReply(123456, GuardAnswer(True), Revision(98765), ConfigurationVersion(4321))
+    print(
+        f"question {len(encode_content(question))} bytes, reply {len(encode_content(reply))} bytes"
+        " before framing"
+    )
 
 
 if __name__ == "__main__":
--- a/fireflyfork/decisions/__init__.py
+++ b/fireflyfork/decisions/__init__.py
@@ -74,17 +74,18 @@
     slot_of,
     snapshot_key,
 )
-from ._membership import (
+from ._membership import step
+from ._membership_events import (
     AnswerAsker,
     AskGuard,
     ChangeKind,
     CollectOccupied,
+    Command,
+    Event,
     GuardAnswered,
     GuardAsked,
     LeaveRequested,
     MemberGone,
-    MemberPhase,
-    MembershipState,
     OccupiedCollected,
     OfferRecord,
     ReadFailed,
@@ -95,12 +96,15 @@
     WriteEnded,
     WriteOutcome,
     WriteRecord,
+)
+from ._membership_state import (
+    MemberPhase,
+    MembershipState,
     begin_membership,
     handing_over,
     holds_right,
     is_watcher,
     may_dispatch,
-    step,
     zone_mates,
 )
 from ._partition import (
@@ -205,6 +209,7 @@
     "ChangeKind",
     "CheckpointAndEvict",
     "CollectOccupied",
+    "Command",
     "ConcurrencyLimit",
     "ConfigurationOffer",
     "ConnectionChoice",
@@ -214,6 +219,7 @@
     "ConnectionTerms",
     "DurableChange",
     "EndRecorded",
+    "Event",
     "FailedAttempt",
     "FencedMember",
     "FirstFitPolicy",
--- a/fireflyfork/decisions/_configuration_register.py
+++ b/fireflyfork/decisions/_configuration_register.py
@@ -15,7 +15,7 @@
 
 from .._errors import SettingsError
 from .._ids import ChangeId, ConfigurationVersion, MemberId, Revision
-from ._membership import WriteOutcome
+from ._membership_events import WriteOutcome
 
 CONFIGURATION_KEY = "configuration"
 """The store key of the configuration."""
--- a/fireflyfork/decisions/_membership.py
+++ b/fireflyfork/decisions/_membership.py
@@ -6,346 +6,55 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping
-from dataclasses import dataclass, field, replace
-from enum import Enum
+from dataclasses import replace
 
 import xxhash
 
-from .._ids import ChangeId, MemberId, PartitionId, Revision
+from .._ids import MemberId, Revision
 from . import _fleet_changes as changes
-from ._fleet import FleetRecord, Member, OccupiedSlots
-from ._rights import GuardAnswer, MembershipTiming, RightRules
+from ._fleet import FleetRecord
+from ._membership_events import (
+    AnswerAsker,
+    AskGuard,
+    ChangeKind,
+    CollectOccupied,
+    Commands,
+    Event,
+    GuardAnswered,
+    GuardAsked,
+    LeaveRequested,
+    MemberGone,
+    OccupiedCollected,
+    OfferRecord,
+    ReadFailed,
+    ReadRecord,
+    RecordHeard,
+    RecordRead,
+    Tick,
+    WriteEnded,
+    WriteOutcome,
+    WriteRecord,
+)
+from ._membership_state import (
+    NEVER,
+    OUTSIDE,
+    MemberPhase,
+    MembershipState,
+    OpenQuestion,
+    PendingWrite,
+    Wanted,
+    holds_right,
+)
+from ._membership_wants import changed_record, wanted_change
+from ._rights import GuardAnswer
 
-_NEVER = float("-inf")
-_NO_REVISION = Revision(0)
 _MOST_QUESTIONS = 12
 """Questions that are kept open; with the usual timing those of the last 4 s."""
 
 
-class MemberPhase(Enum):
-    """Where a member stands."""
-
-    JOINING = "joining"
-    """Not yet in the record."""
-    ACTIVE = "active"
-    LEAVING = "leaving"
-    """Wants to hand over; it dispatches until the hand-over is about to be written."""
-    LEFT = "left"
-    """Handed everything over; requests in flight end, then the process."""
-    FENCED = "fenced"
-    """Lost its membership. The process joins again under a new member id."""
-
-
-_OUTSIDE = (MemberPhase.LEFT, MemberPhase.FENCED)
-
-
-class ChangeKind(Enum):
-    """What a write of the record is for."""
-
-    JOIN = "join"
-    FENCE = "fence"
-    TAKE_OVER = "take-over"
-    CHANGE_GUARD = "change-guard"
-    MOVE = "move"
-    LEAVE = "leave"
-
-
-class WriteOutcome(Enum):
-    """What is known of a compare-and-swap."""
-
-    WON = "won"
-    LOST = "lost"
-    UNKNOWN = "unknown"
-    """No answer came: it took effect, will yet, or never will."""
-
-
-# Events
-
-
-@dataclass(frozen=True, slots=True)
-class Tick:
-    """Time went on. Expected several times a second."""
-
-
-@dataclass(frozen=True, slots=True)
-class RecordRead:
-    """The store answered a read."""
-
-    record: FleetRecord | None
-    revision: Revision
-
-
-@dataclass(frozen=True, slots=True)
-class ReadFailed:
-    """The store did not answer a read in time."""
-
-
-@dataclass(frozen=True, slots=True)
-class RecordHeard:
-    """A watch or a peer brought a record. It proves no right, only what has changed."""
-
-    record: FleetRecord
-    revision: Revision
-
-
-@dataclass(frozen=True, slots=True)
-class GuardAsked:
-    """A member asks this one, as its guard."""
-
-    asker: MemberId
-    nonce: int
-    revision: Revision
-    """The asker's."""
-
-
-@dataclass(frozen=True, slots=True)
-class GuardAnswered:
-    """The guard answered the question with this nonce."""
-
-    nonce: int
-    answer: GuardAnswer
-    revision: Revision
-    """The guard's."""
-
-
-@dataclass(frozen=True, slots=True)
-class WriteEnded:
-    """The store answered a write, or did not."""
-
-    outcome: WriteOutcome
-    revision: Revision = _NO_REVISION
-    """The new one, if won."""
-
-
-@dataclass(frozen=True, slots=True)
-class OccupiedCollected:
-    """What may still be busy in the partitions about to be handed over."""
-
-    occupied: Mapping[PartitionId, tuple[OccupiedSlots, ...]]
-
-
-@dataclass(frozen=True, slots=True)
-class LeaveRequested:
-    """The process is to stop."""
-
-
-@dataclass(frozen=True, slots=True)
-class MemberGone:
-    """A member's instance is known to be terminated for good; see ``fence_gone``."""
-
-    member_id: MemberId
-
-
-Event = (
-    Tick
-    | RecordRead
-    | ReadFailed
-    | RecordHeard
-    | GuardAsked
-    | GuardAnswered
-    | WriteEnded
-    | OccupiedCollected
-    | LeaveRequested
-    | MemberGone
-)
-
-# Commands
-
-
-@dataclass(frozen=True, slots=True)
-class AskGuard:
-    """Ask the guard, or another peer; what it answers comes back as ``GuardAnswered``."""
-
-    peer: MemberId
-    nonce: int
-    revision: Revision
-
-
-@dataclass(frozen=True, slots=True)
-class AnswerAsker:
-    """Answer a member's question."""
-
-    asker: MemberId
-    nonce: int
-    answer: GuardAnswer
-    revision: Revision
-
-
-@dataclass(frozen=True, slots=True)
-class ReadRecord:
-    """Read the record from the store; ends in ``RecordRead`` or ``ReadFailed``."""
-
-
-@dataclass(frozen=True, slots=True)
-class WriteRecord:
-    """Compare-and-swap the record; ends in ``WriteEnded``."""
-
-    record: FleetRecord
-    expected: Revision
-    kind: ChangeKind
-
-
-@dataclass(frozen=True, slots=True)
-class CollectOccupied:
-    """Dispatch for these partitions has stopped: answer with ``OccupiedCollected``."""
-
-    partitions: tuple[PartitionId, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class OfferRecord:
-    """Send the record to these members."""
-
-    members: tuple[MemberId, ...]
-    record: FleetRecord
-    revision: Revision
-
-
-Command = AskGuard | AnswerAsker | ReadRecord | WriteRecord | CollectOccupied | OfferRecord
-Commands = tuple[Command, ...]
-
-# State
-
-
-@dataclass(frozen=True, slots=True)
-class OpenQuestion:
-    """A question that may still be answered."""
-
-    nonce: int
-    peer: MemberId
-    sent_at: float
-
-
-@dataclass(frozen=True, slots=True)
-class PendingWrite:
-    """A write whose effect is not known yet."""
-
-    record: FleetRecord
-    expected: Revision
-    kind: ChangeKind
-    subject: MemberId | None
-    """The member that is fenced or taken over."""
-    partitions: frozenset[PartitionId]
-    """What is handed over."""
-    sent_at: float
-    in_flight: bool = True
-    """The store may yet answer this very call."""
-    was_unknown: bool = False
-    """An answer was missing at least once."""
-
-
-@dataclass(frozen=True, slots=True)
-class Wanted:
-    """A change that the record needs from this member."""
-
-    kind: ChangeKind
-    subject: MemberId | None = None
-    receivers: Mapping[PartitionId, MemberId] = field(default_factory=dict)
-
-
-@dataclass(frozen=True, slots=True)
-class MembershipState:
-    """All that a member knows."""
-
-    me: Member
-    timing: MembershipTiming = field(default_factory=MembershipTiming)
-    rules: RightRules = field(default_factory=RightRules)
-    phase: MemberPhase = MemberPhase.JOINING
-    record: FleetRecord = field(default_factory=FleetRecord)
-    revision: Revision = _NO_REVISION
-    right_dated: float = _NEVER
-    """When the question was sent that last proved the right."""
-    questions: tuple[OpenQuestion, ...] = ()
-    next_nonce: int = 1
-    next_ask_at: float = _NEVER
-    next_compare_at: float = _NEVER
-    guard_good_at: float = _NEVER
-    """When the present guard last acknowledged, or became the guard."""
-    guard_since: float = _NEVER
-    guard_changes: int = 0
-    """Guards tried since one acknowledged."""
-    heard: Mapping[MemberId, float] = field(default_factory=dict)
-    """When each ward was last heard."""
-    fence_known: Mapping[MemberId, float] = field(default_factory=dict)
-    """Since when this member knows of each fence whose taker it is."""
-    gone: frozenset[MemberId] = frozenset()
-    """Members said to be terminated."""
-    write: PendingWrite | None = None
-    collecting: Wanted | None = None
-    """A hand-over that waits for what is occupied."""
-    next_change: int = 1
-    reading_since: float | None = None
-    read_sent_at: float = _NEVER
-    """When the last answered read was sent."""
-    store_failures: int = 0
-    store_retry_at: float = _NEVER
-    ticked_at: float | None = None
-
-
-def begin_membership(
-    me: Member,
-    timing: MembershipTiming,
-    partitions_per_region: int = 32,
-    rules: RightRules | None = None,
-) -> MembershipState:
-    """The state of a process that wants to join. Its member id was never used before.
-
-    The number of partitions counts only if it is the first to join.
-    """
-    empty = FleetRecord(partitions_per_region=partitions_per_region)
-    return MembershipState(me, timing, rules or RightRules(), record=empty)
-
-
-def holds_right(state: MembershipState, now: float) -> bool:
-    """Whether the member may dispatch at all, for what it owns."""
-    if state.phase not in (MemberPhase.ACTIVE, MemberPhase.LEAVING):
-        return False
-    return now - state.right_dated < state.timing.right_seconds
-
-
-def may_dispatch(state: MembershipState, partition: PartitionId, now: float) -> bool:
-    """Whether the member may dispatch for a partition now.
-
-    Ask right before each dispatch, and again after anything that lets time pass.
-    """
-    if state.record.owner_of(partition) != state.me.member_id:
-        return False
-    return holds_right(state, now) and partition not in handing_over(state)
-
-
-def handing_over(state: MembershipState) -> frozenset[PartitionId]:
-    """Partitions whose hand-over is being written: their next owner may already dispatch."""
-    if state.collecting is not None:
-        return frozenset(state.collecting.receivers)
-    if state.write is not None:
-        return state.write.partitions
-    return frozenset()
-
-
-def is_watcher(state: MembershipState) -> bool:
-    """Whether this member keeps the store's watch for its failure domain.
-
-    The member with the least id does, and passes on what it hears.
-    """
-    zone = state.me.zone
-    names = [name for name, other in state.record.members.items() if other.zone == zone]
-    return state.me.member_id == min(names, default=None)
-
-
-def zone_mates(state: MembershipState) -> tuple[MemberId, ...]:
-    """The other members of this member's failure domain."""
-    zone = state.me.zone
-    return tuple(
-        name
-        for name, other in state.record.members.items()
-        if other.zone == zone and name != state.me.member_id
-    )
-
-
 def step(state: MembershipState, event: Event, now: float) -> tuple[MembershipState, Commands]:
     """One event."""
-    if state.phase in _OUTSIDE:
+    if state.phase in OUTSIDE:
         return _step_outside(state, event)
     match event:
         case Tick():
@@ -445,11 +154,11 @@
 def _plan(state: MembershipState, now: float) -> tuple[MembershipState, Commands]:
     """At most one call to the store at a time; none while all is well and the guard answers."""
     waiting = state.reading_since is not None or now < state.store_retry_at
-    if waiting or state.collecting is not None or state.phase in _OUTSIDE:
+    if waiting or state.collecting is not None or state.phase in OUTSIDE:
         return state, ()
     if state.write is not None:
         return (state, ()) if state.write.in_flight else _read(state, now)
-    wanted = _wanted(state, now)
+    wanted = wanted_change(state, now)
     if wanted is None:
         stale = now - state.right_dated > state.timing.right_seconds / 2
         return _read(state, now) if stale else (state, ())
@@ -467,102 +176,16 @@
     return replace(state, reading_since=now), (ReadRecord(),)
 
 
-# What the record needs from this member
-
-
-def _wanted(state: MembershipState, now: float) -> Wanted | None:
-    name = state.me.member_id
-    if state.phase is MemberPhase.JOINING:
-        return Wanted(ChangeKind.JOIN)
-    if state.phase is MemberPhase.LEAVING:
-        receivers = dict.fromkeys(state.record.owned_by(name), name)
-        return Wanted(ChangeKind.LEAVE, receivers=receivers)
-    return (
-        _wanted_take_over(state, now)
-        or _wanted_fence(state, now)
-        or _wanted_guard(state, now)
-        or _wanted_move(state)
-    )
-
-
-def _wanted_take_over(state: MembershipState, now: float) -> Wanted | None:
-    wait = state.rules.takeover_wait(state.timing)
-    ready = (name for name, known in state.fence_known.items() if now - known >= wait)
-    fenced = min(ready, default=None)
-    return Wanted(ChangeKind.TAKE_OVER, fenced) if fenced is not None else None
-
-
-def _wanted_fence(state: MembershipState, now: float) -> Wanted | None:
-    silent = (
-        ward for ward, heard in state.heard.items() if now - heard > state.timing.suspect_seconds
-    )
-    gone = (name for name in state.gone if name in state.record.members)
-    subject = min((*silent, *gone), default=None)
-    return Wanted(ChangeKind.FENCE, subject) if subject is not None else None
-
-
-def _wanted_guard(state: MembershipState, now: float) -> Wanted | None:
-    """Another guard, when the present one is silent, fenced, or in a worse place than need be."""
-    members = state.record.members
-    me = members[state.me.member_id]
-    present = members.get(me.guard) if me.guard is not None else None
-    patience = state.timing.replace_guard_seconds * 2**state.guard_changes
-    silent = me.guard is not None and now - state.guard_good_at > patience
-    avoid = (me.guard,) if silent and me.guard is not None else ()
-    best = changes.choose_guard(members, me, avoid)
-    if best is None:
-        lost = me.guard is not None and present is None
-        return Wanted(ChangeKind.CHANGE_GUARD) if lost else None
-    if present is None or silent:
-        return Wanted(ChangeKind.CHANGE_GUARD, best)
-    if now - state.guard_since < state.timing.improve_guard_seconds:
-        # Otherwise a member that was cut off from its best guard would take it back at once, and
-        # change the record several times a second for as long as the cut lasts.
-        return None
-    if changes.guard_rank(me, members[best]) >= changes.guard_rank(me, present):
-        best = changes.choose_partner(members, me)
-    return Wanted(ChangeKind.CHANGE_GUARD, best) if best is not None else None
-
-
-def _wanted_move(state: MembershipState) -> Wanted | None:
-    receivers = changes.planned_moves(state.record, state.me.member_id)
-    return Wanted(ChangeKind.MOVE, receivers=receivers) if receivers else None
-
-
-def _changed(
-    state: MembershipState, wanted: Wanted, occupied: changes.Occupied
-) -> FleetRecord | None:
-    record = state.record
-    name = state.me.member_id
-    change_id = ChangeId(f"{name}:{state.next_change}")
-    subject = wanted.subject
-    match wanted.kind:
-        case ChangeKind.JOIN:
-            return changes.join(record, state.me, change_id)
-        case ChangeKind.CHANGE_GUARD:
-            return changes.change_guard(record, name, subject, change_id)
-        case ChangeKind.MOVE:
-            return changes.move(record, name, wanted.receivers, occupied, change_id)
-        case ChangeKind.LEAVE:
-            return changes.leave(record, name, occupied, change_id)
-        case ChangeKind.FENCE if subject is not None:
-            change = changes.fence_gone if subject in state.gone else changes.fence
-            return change(record, subject, name, change_id)
-        case ChangeKind.TAKE_OVER if subject is not None:
-            return changes.take_over(record, subject, name, change_id)
-    return None
-
-
 # Calls to the store
 
 
 def _write(
     state: MembershipState, wanted: Wanted, occupied: changes.Occupied, now: float
 ) -> tuple[MembershipState, Commands]:
-    changed = _changed(state, wanted, occupied)
+    changed = changed_record(state, wanted, occupied)
     state = replace(state, collecting=None, next_change=state.next_change + 1)
     if changed is None:
-        return replace(state, read_sent_at=_NEVER), ()
+        return replace(state, read_sent_at=NEVER), ()
     pending = PendingWrite(
         record=changed,
         expected=state.revision,
@@ -591,7 +214,7 @@
     if write is None:
         return state, ()
     if event.outcome is WriteOutcome.WON:
-        state = replace(state, write=None, store_failures=0, store_retry_at=_NEVER)
+        state = replace(state, write=None, store_failures=0, store_retry_at=NEVER)
         state = _adopt(state, write.record, event.revision, now)
         state = _prove(state, state.rules.dated(write.sent_at, now))
         return state, _offer_to_region(state)
@@ -608,7 +231,7 @@
 def _settle(state: MembershipState, now: float) -> MembershipState:
     """The record shows what became of the pending write."""
     write = state.write
-    state = replace(state, write=None, read_sent_at=_NEVER)
+    state = replace(state, write=None, read_sent_at=NEVER)
     joined = state.me.member_id in state.record.members
     if write is not None and write.kind is ChangeKind.JOIN and write.was_unknown and not joined:
         # It may have joined and been removed unawares, and a member id is never used twice.
@@ -623,7 +246,7 @@
     if sent_at is None:
         return state, ()
     state = replace(
-        state, reading_since=None, read_sent_at=sent_at, store_failures=0, store_retry_at=_NEVER
+        state, reading_since=None, read_sent_at=sent_at, store_failures=0, store_retry_at=NEVER
     )
     if event.record is not None:
         state = _adopt(state, event.record, event.revision, now)
@@ -695,7 +318,7 @@
         guard_good_at=now if new_guard else state.guard_good_at,
         guard_since=now if new_guard else state.guard_since,
         guard_changes=state.guard_changes + replaced,
-        next_ask_at=_NEVER if new_guard else state.next_ask_at,
+        next_ask_at=NEVER if new_guard else state.next_ask_at,
         heard={ward: state.heard.get(ward, now) for ward in record.wards_of(name)},
         fence_known={
             fenced: state.fence_known.get(fenced, now)
@@ -709,7 +332,7 @@
     return replace(
         state,
         phase=phase,
-        right_dated=_NEVER,
+        right_dated=NEVER,
         questions=(),
         heard={},
         fence_known={},
--- a/fireflyfork/decisions/tests/builders_ownership.py
+++ b/fireflyfork/decisions/tests/builders_ownership.py
@@ -16,7 +16,8 @@
 from ..._ids import MemberId, PartitionId, Revision
 from ..._zones import Zone
 from .._fleet import FleetRecord
-from .._membership import (
+from .._membership import step
+from .._membership_events import (
     AnswerAsker,
     AskGuard,
     CollectOccupied,
@@ -25,8 +26,6 @@
     GuardAnswered,
     GuardAsked,
     LeaveRequested,
-    MemberPhase,
-    MembershipState,
     OccupiedCollected,
     OfferRecord,
     ReadFailed,
@@ -37,10 +36,13 @@
     WriteEnded,
     WriteOutcome,
     WriteRecord,
+)
+from .._membership_state import (
+    MemberPhase,
+    MembershipState,
     begin_membership,
     handing_over,
     is_watcher,
-    step,
     zone_mates,
 )
 from .._rights import MembershipTiming, RightRules
--- a/fireflyfork/decisions/tests/test_configuration_register.py
+++ b/fireflyfork/decisions/tests/test_configuration_register.py
@@ -25,7 +25,7 @@
     peer_done,
     store_is_empty,
 )
-from .._membership import WriteOutcome
+from .._membership_events import WriteOutcome
 
 PEER = MemberId("peer")
 
--- a/fireflyfork/decisions/tests/test_membership.py
+++ b/fireflyfork/decisions/tests/test_membership.py
@@ -5,7 +5,8 @@
 from ..._ids import MemberId, Revision
 from .._fleet import FleetRecord
 from .._fleet_changes import change_guard, fence, leave
-from .._membership import (
+from .._membership import step
+from .._membership_events import (
     AnswerAsker,
     AskGuard,
     ChangeKind,
@@ -15,8 +16,6 @@
     GuardAnswered,
     GuardAsked,
     LeaveRequested,
-    MemberPhase,
-    MembershipState,
     OccupiedCollected,
     ReadFailed,
     ReadRecord,
@@ -26,10 +25,13 @@
     WriteEnded,
     WriteOutcome,
     WriteRecord,
+)
+from .._membership_state import (
+    MemberPhase,
+    MembershipState,
     begin_membership,
     holds_right,
     may_dispatch,
-    step,
 )
 from .._rights import GuardAnswer, MembershipTiming, RightRules
 from .builders_fleet import NAIDU, evened_out, fleet
--- a/fireflyfork/programs/_membership.py
+++ b/fireflyfork/programs/_membership.py
@@ -19,6 +19,8 @@
     AnswerAsker,
     AskGuard,
     CollectOccupied,
+    Command,
+    Event,
     FleetRecord,
     GuardAnswered,
     GuardAsked,
@@ -48,7 +50,6 @@
     step,
     zone_mates,
 )
-from ..decisions._membership import Command, Event
 from ._guard_channel import FleetOffer, GuardChannel, GuardQuestion, GuardReply
 
 Occupied = Mapping[PartitionId, tuple[OccupiedSlots, ...]]
