Whole processes under failure, judged by what callers and executors saw

Real entries and stand-ins run as processes; callers book at random entries and repeat under the same key what was not answered; small pure checks judge the recorded history. Each check is shown to find its fault in test_history_checks.py.

--- /dev/null
+++ b/fireflyfork/programs/tests/test_history_checks.py
@@ -0,0 +1,77 @@
+"""The checks of histories find what they are for."""
+
+import unittest
+from collections.abc import Iterator
+from dataclasses import replace
+
+from ... import IdempotencyKey, TargetId
+from .history_checks import (
+    Call,
+    CallEnd,
+    ExecutorRun,
+    Freeze,
+    History,
+    cut_off,
+    runs_after,
+    violations,
+)
+
+KEY = IdempotencyKey("k")
+TARGET = TargetId("t")
+GOOD = Call(KEY, "e1", 0.0, 0.5, 1.0, CallEnd.ANSWERED, 200, "answered", None, "mine", "mine")
+REFUSED = replace(GOOD, status=503, verdict="not-run", retry_after="1", body="")
+LOST = replace(GOOD, status=502, verdict="may-have-run", retry_after="1", body="")
+RUN = ExecutorRun(TARGET, KEY, 0.1)
+
+
+def history(*calls: Call, runs: tuple[ExecutorRun, ...] = (RUN,), busy: int = 1) -> History:
+    """A history with one executor of one slot."""
+    return History(calls, runs, {TARGET: busy}, slots=1)
+
+
+def broken_histories() -> Iterator[tuple[str, History, str]]:
+    """Histories with one fault each, and what is said of them."""
+    yield "second run", history(GOOD, runs=(RUN, RUN)), "ran 2 times"
+    yield "false not run", history(REFUSED), "ran at"
+    yield "false not connected", history(replace(REFUSED, end=CallEnd.NOT_CONNECTED)), "ran at"
+    yield "answer out of nothing", history(GOOD, runs=()), "never ran"
+    yield "another's answer", history(replace(GOOD, body="yours")), "another's"
+    yield "truncated answer", history(replace(GOOD, body="mi")), "a part"
+    yield "no verdict", history(replace(GOOD, verdict="")), "no verdict"
+    yield "when to come back", history(replace(REFUSED, retry_after=None), runs=()), "come back"
+    yield "past the deadline", history(replace(GOOD, ended_at=9.0)), "took 9.0 s"
+    yield "over slots", history(GOOD, busy=2), "2 at a time"
+
+
+class HistoryChecksTest(unittest.TestCase):
+    """A check that finds nothing in a bad history would prove nothing about a good one."""
+
+    def test_faults_are_found(self) -> None:
+        """Each fault, and only it, is reported."""
+        for name, broken, said in broken_histories():
+            with self.subTest(name):
+                found = violations(broken)
+                self.assertEqual(len(found), 1, found)
+                self.assertIn(said, found[0])
+
+    def test_good_histories_pass(self) -> None:
+        """Refusals, and doubt that turned out either way, break no promise."""
+        late = replace(GOOD, ended_at=9.0)
+        frozen = replace(history(late), freezes=(Freeze("e1", 0.4, 8.0),))
+        for good in (
+            history(GOOD),
+            history(REFUSED, runs=()),
+            history(LOST),
+            history(LOST, runs=()),
+            history(LOST, REFUSED),
+            history(replace(LOST, end=CallEnd.BROKEN), REFUSED),
+            frozen,
+        ):
+            with self.subTest(good=good):
+                self.assertEqual(violations(good), [])
+
+    def test_leaving_and_planned_stops(self) -> None:
+        """Late work on a leaving target, and calls that were cut off."""
+        self.assertEqual(len(list(runs_after(history(GOOD), TARGET, 0.05))), 1)
+        self.assertEqual(list(runs_after(history(GOOD), TARGET, 0.2)), [])
+        self.assertEqual(len(list(cut_off([GOOD, replace(LOST, end=CallEnd.BROKEN)]))), 1)
--- /dev/null
+++ b/fireflyfork/programs/tests/test_process_history.py
@@ -0,0 +1,198 @@
+"""Failures of whole processes, judged by the history that callers and executors recorded."""
+
+import signal
+import time
+import unittest
+from collections import Counter
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from ... import TargetId
+from .builders_processes import Callers, EntryProcess, ProcessFleet, process_fleet
+from .history_checks import CallEnd, Freeze, cut_off, runs_after, unanswered, violations
+
+Scenario = Callable[[ProcessFleet], Awaitable[None]]
+LONGEST_SECONDS = 90.0
+CALLERS = 8
+
+
+def run_scenario(scenario: Scenario, relayed: bool = False, settled: bool = True) -> None:
+    """Run a scenario against a fleet of its own, by default once its joins are over."""
+
+    async def main() -> None:
+        with trio.fail_after(LONGEST_SECONDS):
+            async with process_fleet(relayed) as fleet:
+                if settled:
+                    await Callers(fleet, seed=0).settle()
+                    fleet.settled_calls = len(fleet.calls)
+                await scenario(fleet)
+
+    try:
+        trio.run(main)
+    except BaseExceptionGroup as group:
+        # A nursery wraps what a check raises, and the runner would report an error of its own.
+        if len(group.exceptions) == 1:
+            raise group.exceptions[0] from None
+        raise
+
+
+async def owner_of_most(fleet: ProcessFleet) -> EntryProcess:
+    """The entry that owns most targets."""
+    owned = [(len(await fleet.own_targets(entry)), entry.name, entry) for entry in fleet.entries]
+    return max(owned)[2]
+
+
+class ProcessHistoryTest(unittest.TestCase):
+    """Each promise that holds under every failure is checked after each scenario."""
+
+    async def _judge(self, fleet: ProcessFleet, least_answered: int) -> None:
+        history = await fleet.history()
+        self.assertEqual(violations(history), [])
+        counts = Counter((call.end.value, call.status, call.verdict) for call in history.calls)
+        self.assertGreater(
+            sum(call.status == 200 for call in history.calls), least_answered, counts
+        )
+
+    def test_nothing_fails(self) -> None:
+        """The harness itself: all bookings are answered."""
+
+        async def scenario(fleet: ProcessFleet) -> None:
+            await Callers(fleet, seed=1).run(CALLERS, 3.0)
+            await self._judge(fleet, least_answered=50)
+            self.assertEqual(list(unanswered(await fleet.history(), fleet.settled_calls)), [])
+
+        run_scenario(scenario)
+
+    def test_an_owner_dies_under_load(self) -> None:
+        """The instance that owns most executors is killed with bookings under way.
+
+        Their callers repeat them at other entries. A second run would book two rooms; a false
+        "not run" would make a clerk book once more.
+        """
+
+        async def scenario(fleet: ProcessFleet) -> None:
+            victim = await owner_of_most(fleet)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(Callers(fleet, seed=2).run, 4 * CALLERS, 9.0)
+                await trio.sleep(2.0)
+                fleet.signal_entry(victim, signal.SIGKILL)
+            await self._judge(fleet, least_answered=50)
+            late = [call for call in fleet.calls if call.sent_at > fleet.calls[-1].sent_at - 1.0]
+            self.assertTrue(any(call.status == 200 for call in late))
+
+        run_scenario(scenario)
+
+    def test_an_owner_is_paused_and_resumed(self) -> None:
+        """The instance stands still for five seconds, is replaced meanwhile, and goes on.
+
+        It still believes to own its executors; what it sent then would exceed their slots.
+        """
+
+        async def scenario(fleet: ProcessFleet) -> None:
+            victim = await owner_of_most(fleet)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(Callers(fleet, seed=3).run, 3 * CALLERS, 10.0)
+                await trio.sleep(1.5)
+                fleet.signal_entry(victim, signal.SIGSTOP)
+                stopped_at = time.time()
+                await trio.sleep(5.0)
+                fleet.signal_entry(victim, signal.SIGCONT)
+                fleet.freezes.append(Freeze(victim.name, stopped_at, time.time()))
+            await self._judge(fleet, least_answered=50)
+
+        run_scenario(scenario)
+
+    def test_the_store_is_down_under_load(self) -> None:
+        """The platform's store answers nothing for six seconds; no caller notices."""
+
+        async def scenario(fleet: ProcessFleet) -> None:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(Callers(fleet, seed=4).run, CALLERS, 9.0)
+                await trio.sleep(1.0)
+                await fleet.switch(fleet.store, down=True)
+                await trio.sleep(6.0)
+                await fleet.switch(fleet.store)
+            await self._judge(fleet, least_answered=100)
+            self.assertEqual(list(unanswered(await fleet.history(), fleet.settled_calls)), [])
+
+        run_scenario(scenario)
+
+    def test_store_answers_are_lost_while_an_entry_joins(self) -> None:
+        """An entry is killed and restarted, and the store's answers to its changes are lost."""
+
+        async def scenario(fleet: ProcessFleet) -> None:
+            victim = fleet.entries[1]
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(Callers(fleet, seed=5).run, CALLERS, 8.0)
+                await trio.sleep(1.0)
+                fleet.signal_entry(victim, signal.SIGKILL)
+                await fleet.ended(victim)
+                await fleet.switch(fleet.store, lose_answers=4)
+                fleet.start_entry(victim)
+            await fleet.ready(victim)
+            await self._judge(fleet, least_answered=50)
+
+        run_scenario(scenario)
+
+    def test_a_planned_restart_cuts_nothing_off(self) -> None:
+        """An owner is restarted for an update while clerks book; none of them may notice."""
+
+        async def scenario(fleet: ProcessFleet) -> None:
+            victim = await owner_of_most(fleet)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(Callers(fleet, seed=6).run, CALLERS, 9.0)
+                await trio.sleep(1.5)
+                fleet.signal_entry(victim, signal.SIGTERM)
+                self.assertEqual(await fleet.ended(victim), 0)
+                fleet.start_entry(victim)
+            await self._judge(fleet, least_answered=100)
+            self.assertEqual(list(cut_off(fleet.calls)), [])
+            calls = fleet.calls[fleet.settled_calls :]
+            doubtful = [call for call in calls if call.verdict == "may-have-run"]
+            keys = {call.key for call in doubtful}
+            seen = [call for call in fleet.calls if call.key in keys]
+            self.assertEqual(seen, [])
+
+        run_scenario(scenario)
+
+    def test_a_leaving_executor_gets_nothing_new(self) -> None:
+        """The lagging list says that an executor leaves; work sent to it later would be cut off."""
+
+        async def scenario(fleet: ProcessFleet) -> None:
+            leaving = TargetId("t0")
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(Callers(fleet, seed=7).run, CALLERS, 7.0)
+                await trio.sleep(2.0)
+                marked_at = time.time()
+                await fleet.mark(leaving, "leaving")
+            history = await fleet.history()
+            self.assertEqual(list(runs_after(history, leaving, marked_at + 3.0)), [])
+            self.assertTrue([run for run in history.runs if run.target_id == leaving])
+            await self._judge(fleet, least_answered=100)
+            self.assertEqual(list(unanswered(history, fleet.settled_calls)), [])
+
+        run_scenario(scenario)
+
+    def test_connections_go_silent_for_good(self) -> None:
+        """Something between entries and executors loses track of all open connections.
+
+        Bookings under way are lost and said to be; those that follow must use new connections.
+        """
+
+        async def scenario(fleet: ProcessFleet) -> None:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(Callers(fleet, seed=8).run, CALLERS, 8.0)
+                await trio.sleep(2.0)
+                silent_at = time.time()
+                for relay in fleet.relays.values():
+                    relay.lose_track()
+            await self._judge(fleet, least_answered=100)
+            calls = fleet.calls[fleet.settled_calls :]
+            met = {call.key for call in calls if call.verdict == "may-have-run"}
+            self.assertEqual([c for c in fleet.calls if c.end is CallEnd.BROKEN], [])
+            self.assertLessEqual(len(met), 2 * CALLERS)
+            late = [call for call in fleet.calls if call.sent_at > silent_at + 4.0]
+            self.assertEqual([call for call in late if call.status != 200], [])
+
+        run_scenario(scenario, relayed=True)
