--- a/bench/request_decisions.py
+++ b/bench/request_decisions.py
@@ -1,8 +1,9 @@
-"""Processor time of each decision on the way of a request: ``python -m bench.request_decisions``."""
+"""Processor time and memory of request decisions: ``python -m bench.request_decisions``."""
 
 from __future__ import annotations
 
 import time
+import tracemalloc
 from collections.abc import Callable, Iterator
 from uuid import UUID
 
@@ -142,6 +143,38 @@
     yield "key begun and answered (5000 keys)", _keys()
 
 
+def bytes_each(build: Callable[[int], object], count: int) -> float:
+    """Memory that ``build(count)`` holds, for each of the ``count``."""
+    tracemalloc.start()
+    held = build(count)
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del held
+    return size / count
+
+
+def _answered_keys(count: int) -> KeyTable:
+    table = KeyTable(KeyTerms())
+    for serial in range(count):
+        key = _key(serial)
+        table, _ = table.begin(key, 1, NOW)
+        table = table.answered(key, b"")
+    return table
+
+
+def _busy_ledgers(count: int) -> list[SlotLedger]:
+    terms = SlotTerms(8, 64, 32, 12.0)
+    ledgers = []
+    for target in range(count):
+        ledger = SlotLedger(terms)
+        for slot in range(8):
+            taken = ledger.acquire(RequestId(f"t{target}-{slot}"), NOW + slot)
+            assert isinstance(taken, SlotLedger)
+            ledger = taken
+        ledgers.append(ledger)
+    return ledgers
+
+
 _SAMPLE = _key(7)
 
 
@@ -151,6 +184,10 @@
     for name, decide in _cases():
         found = microseconds(decide)
         print(f"{name:45}{found[REPEATS // 2]:8.2f} ({found[0]:.2f}-{found[-1]:.2f})", flush=True)
+    print(
+        f"bytes for each answered key, without its answer {bytes_each(_answered_keys, 5000):9.0f}"
+    )
+    print(f"bytes for each target with 8 busy slots         {bytes_each(_busy_ledgers, 500):9.0f}")
 
 
 if __name__ == "__main__":
