--- a/bench/_worker_model.py
+++ b/bench/_worker_model.py
@@ -10,7 +10,7 @@
 import math
 import random
 from collections import Counter, deque
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field, replace
 
 from hdrh.histogram import HdrHistogram
@@ -56,10 +56,7 @@
 _CHECKPOINT_SECONDS = 60.0
 _CHECKPOINT_FAILS = 0.1
 """The share of checkpoints on eviction that fail, so that the last periodic one counts."""
-_BATCH_CLASSES = 8
-_SERVICES = 4
 _TEAMS = 6
-_NOISY_PAIRS = 0.25
 _OBJECTIVE = 200.0
 _RATIO_UNIT = 1000
 
@@ -75,6 +72,15 @@
     workers_per_rack: int
     domains: int
     weights: Weights
+    services: int = 4
+    batch_classes: int = 8
+    replicas_per_worker: int = 2
+    replica_share: float = 0.125
+    """Of a worker's processors, as declared."""
+    batch_scale: float = 1.0
+    """Makes batch tasks smaller than a sixteenth to a quarter of a worker."""
+    noisy_pairs: float = 0.25
+    """The share of pairs of a service and a batch class that interfere much."""
 
 
 NAIDU = Site("naidu", 24, 16, 60, 8, 3, Weights(tail_latency=5.0, evictions=1.0, throughput=1.0))
@@ -168,10 +174,10 @@
         self.outcome = Outcome()
         self._workers = {item.worker_id: item for item in _workers(site)}
         self._services = tuple(
-            _service(number, self._arrivals, site) for number in range(_SERVICES)
+            _service(number, self._arrivals, site) for number in range(site.services)
         )
         self._classes = tuple(
-            _batch_class(number, self._arrivals, site) for number in range(_BATCH_CLASSES)
+            _batch_class(number, self._arrivals, site) for number in range(site.batch_classes)
         )
         truths: tuple[_BatchClass | _ServiceTruth, ...] = (*self._services, *self._classes)
         self._truth = {item.shape.task_class: item for item in truths}
@@ -191,7 +197,7 @@
                 10.0,
                 latency_objective_milliseconds=_OBJECTIVE,
             )
-            for number in range(_SERVICES)
+            for number in range(site.services)
         }
         self._load = 0.5
         self._job_count = 0
@@ -200,23 +206,27 @@
 
     def run(self, seconds: int) -> Outcome:
         """Run for so many modelled seconds."""
-        replicas = 2 * self._site.workers
-        for service in self._services:
-            self._submit(service.shape, replicas // _SERVICES)
+        self.submit_replicas()
         while self._now < seconds:
             self._arrive()
             for _ in range(DECISIONS_PER_STEP):
                 self._now += STEP_SECONDS / DECISIONS_PER_STEP
-                for command in self._policy.decide(self._view()):
-                    self._apply(command)
+                for command in self._policy.decide(self.view()):
+                    self.apply(command)
             self._work()
             if int(self._now) % _REPORT_SECONDS == 0:
-                self._measure()
+                self.measure()
             while self._reports and self._reports[0].now <= self._now:
                 self._policy.observe(self._reports.popleft())
         self._measure_spread()
         return self.outcome
 
+    def submit_replicas(self) -> None:
+        """Ask for the replicas of all services."""
+        replicas = self._site.replicas_per_worker * self._site.workers
+        for service in self._services:
+            self.submit(service.shape, replicas // self._site.services)
+
     def _measure_spread(self) -> None:
         for service in self._services:
             runs = [run for run in self._runs.values() if run.truth is service]
@@ -226,6 +236,52 @@
             share = max(racks.values(), default=0) / max(len(runs), 1)
             self.outcome.worst_rack_share = max(self.outcome.worst_rack_share, share)
 
+    # For measuring cost, without the physics
+
+    @property
+    def running(self) -> Mapping[TaskId, _Run]:
+        """The attempts that may run."""
+        return self._runs
+
+    def submit_some(self, count: int, chance: random.Random) -> None:
+        """Submit so many tasks of classes drawn at random, four to a job."""
+        for _ in range(max(count // 4, 1)):
+            team = TeamName(f"team-{chance.randrange(_TEAMS)}")
+            self.submit(replace(chance.choice(self._classes).shape, team=team), min(count, 4))
+
+    def end_some(self, count: int, chance: random.Random, outcome: AttemptOutcome) -> None:
+        """End so many batch attempts drawn at random."""
+        batch = [run for run in self._runs.values() if run.task.shape.service is None]
+        for run in chance.sample(batch, min(count, len(batch))):
+            self.end(run, outcome)
+
+    def one_round(self, seconds: float) -> None:
+        """Let time pass and carry out what the policy decides."""
+        self._now += seconds
+        for command in self._policy.decide(self.view()):
+            self.apply(command)
+
+    def report_at_once(self) -> None:
+        """Hand over reports about all attempts, as if they had no lag."""
+        self._work_steadily()
+        self.measure()
+        self._policy.observe(self._reports.pop())
+
+    def drop_waiting(self) -> None:
+        """Forget what waits."""
+        for group in (self._waiting, self._urgent):
+            for tasks in group.values():
+                for task_id in tasks:
+                    del self._tasks[task_id]
+            group.clear()
+
+    def _work_steadily(self) -> None:
+        for run in self._runs.values():
+            run.begins = self._now
+            if isinstance(run.truth, _ServiceTruth):
+                run.need = self._load * run.task.shape.resources.millicores
+            run.used = min(run.need, run.task.reservation.millicores)
+
     # Arrivals
 
     def _arrive(self) -> None:
@@ -241,7 +297,7 @@
         for item in self._classes:
             need = item.shape.resources.millicores * item.processor_ratio
             run_seconds = item.shape.run_seconds * item.run_ratio
-            rate = offered / (_BATCH_CLASSES * need * run_seconds)
+            rate = offered / (len(self._classes) * need * run_seconds)
             in_wave = self._wave is not None and self._wave[1] is item
             if self._wave is not None and in_wave and self._now <= self._wave[0]:
                 rate *= 6.0
@@ -249,9 +305,10 @@
             team = TeamName(f"team-{chance.randrange(_TEAMS)}")
             urgent = chance.random() < 0.02
             if count:
-                self._submit(replace(item.shape, team=team, urgent=urgent), count)
+                self.submit(replace(item.shape, team=team, urgent=urgent), count)
 
-    def _submit(self, shape: TaskShape, count: int) -> None:
+    def submit(self, shape: TaskShape, count: int) -> None:
+        """Add a job of equal tasks."""
         self._job_count += 1
         job_id = JobId(f"job-{self._job_count}")
         group = self._urgent if shape.urgent else self._waiting
@@ -272,7 +329,8 @@
 
     # The table
 
-    def _view(self) -> PlacementView:
+    def view(self) -> PlacementView:
+        """What the policy sees."""
         return PlacementView(
             self._now,
             self._workers,
@@ -287,7 +345,8 @@
             500,
         )
 
-    def _apply(self, command: PlacementCommand) -> None:
+    def apply(self, command: PlacementCommand) -> None:
+        """Carry out one command."""
         task = self._tasks[command.task_id]
         if isinstance(command, Start):
             self._start(task, command)
@@ -369,7 +428,8 @@
         amount = task.reservation
         self._team_reserved[task.shape.team] = held + amount if sign > 0 else held - amount
 
-    def _end(self, run: _Run, outcome: AttemptOutcome, reason: str = "") -> None:
+    def end(self, run: _Run, outcome: AttemptOutcome, reason: str = "") -> None:
+        """End one attempt."""
         task = run.task
         assert task.worker_id is not None
         del self._runs[task.task_id]
@@ -411,7 +471,7 @@
         if task.worker_id == self._broken or (run.fails and run.progress > 0.3):
             self.outcome.failures += 1
             self._lose(run)
-            self._end(run, AttemptOutcome.FAILED, "exit status 1")
+            self.end(run, AttemptOutcome.FAILED, "exit status 1")
             return
         if run.ends is not None and run.ends <= self._now:
             self._stop(run)
@@ -419,7 +479,7 @@
         if run.progress > 0.4 and run.memory > task.reservation.memory:
             self.outcome.out_of_memory += 1
             self._lose(run)
-            self._end(run, AttemptOutcome.FAILED, "out of memory")
+            self.end(run, AttemptOutcome.FAILED, "out of memory")
             return
         limit = task.millicores_limit
         allowed = task.reservation.millicores if limit is None else limit
@@ -431,20 +491,21 @@
         if run.progress >= 1.0:
             self.outcome.finished += 1
             self.outcome.core_seconds += run.need * run.seconds / 1000.0
-            self._end(run, AttemptOutcome.FINISHED)
+            self.end(run, AttemptOutcome.FINISHED)
 
     def _stop(self, run: _Run) -> None:
         if self._luck.random() < _CHECKPOINT_FAILS:
             self._lose(run)
         else:
             run.checkpoint = run.progress
-        self._end(run, AttemptOutcome.STOPPED)
+        self.end(run, AttemptOutcome.STOPPED)
 
     def _lose(self, run: _Run) -> None:
         lost = (run.progress - run.checkpoint) * run.seconds * run.need / 1000.0
         self.outcome.lost_core_seconds += lost
 
-    def _measure(self) -> None:
+    def measure(self) -> None:
+        """Queue the reports about all attempts, which arrive after the lag."""
         due = self._now + _LAG_SECONDS
         samples = []
         for worker_id, tasks in self._on_worker.items():
@@ -498,8 +559,8 @@
 
 def _service(number: int, chance: random.Random, site: Site) -> _ServiceTruth:
     name = f"service-{number}"
-    cores = site.cores / 8
-    resources = Resources(int(1000 * cores), int(site.gigabytes / 12 * 10**9))
+    cores = site.cores * site.replica_share
+    resources = Resources(int(1000 * cores), int(site.gigabytes * site.replica_share * 0.7 * 10**9))
     shape = TaskShape(
         TeamName("team-0"), name, resources, 0.0, False, ServiceName(name), Tolerance.NONE
     )
@@ -507,7 +568,7 @@
 
 
 def _batch_class(number: int, chance: random.Random, site: Site) -> _BatchClass:
-    cores = chance.choice((0.5, 1.0, 2.0, 4.0)) * site.cores / 16
+    cores = chance.choice((0.5, 1.0, 2.0, 4.0)) * site.batch_scale * site.cores / 16
     gigabytes = cores * chance.choice((1.0, 2.0, 4.0))
     shape = TaskShape(
         TeamName("team-0"),
@@ -517,8 +578,8 @@
         tolerance=Tolerance.EVICT if chance.random() < 0.8 else Tolerance.THROTTLE,
     )
     slopes = []
-    for _ in range(_SERVICES):
-        is_noisy = chance.random() < _NOISY_PAIRS
+    for _ in range(site.services):
+        is_noisy = chance.random() < site.noisy_pairs
         slope = chance.uniform(2.0, 6.0) if is_noisy else chance.uniform(0.0, 0.3)
         slopes.append(tuple(slope * factor for factor in (0.5, 0.8, 1.0, 1.3)))
     return _BatchClass(
--- /dev/null
+++ b/bench/placement_cost.py
@@ -0,0 +1,199 @@
+"""What the policy costs as the fleet grows: processor time per start, report and round; memory.
+
+Run ``python -m bench.placement_cost``. Only calls of the policy are timed, in processor time.
+"""
+
+from __future__ import annotations
+
+import gc
+import random
+import time
+import tracemalloc
+from collections import Counter, defaultdict
+
+import defopt
+
+from fireflyfork import Weights
+from fireflyfork.decisions._placement_policy import (
+    Observation,
+    PlacementCommand,
+    PlacementPolicy,
+    PlacementView,
+    SamplesTaken,
+    Start,
+)
+from fireflyfork.decisions._task_changes import AttemptOutcome
+from fireflyfork.decisions.placement import InterferenceAwarePolicy
+
+from ._worker_model import Site, WorkerModel
+
+_SIZES = (24, 33, 400, 1600)
+_BATCH_PER_WORKER = 19
+_REPLICAS_PER_WORKER = 7
+_STARTS_PER_WORKER_AND_SECOND = 1.0
+_ROUND_SECONDS = 0.1
+_ROUNDS = 100
+_REPORT_ROUNDS = 50
+_MOST_FILL_ROUNDS = 60
+_SEED = 11
+
+
+class TimedPolicy(PlacementPolicy):
+    """Passes everything on and counts processor time by kind of call."""
+
+    def __init__(self, inner: PlacementPolicy) -> None:
+        """Times ``inner``."""
+        self._inner = inner
+        self.seconds: defaultdict[str, float] = defaultdict(float)
+        self.calls: Counter[str] = Counter()
+
+    def observe(self, observation: Observation) -> TimedPolicy:
+        """See PlacementPolicy."""
+        kind = type(observation).__name__
+        began = time.process_time()
+        self._inner = self._inner.observe(observation)
+        self.seconds[kind] += time.process_time() - began
+        self.calls[kind] += len(observation.samples) if isinstance(observation, SamplesTaken) else 1
+        return self
+
+    def decide(self, view: PlacementView) -> tuple[PlacementCommand, ...]:
+        """See PlacementPolicy."""
+        began = time.process_time()
+        commands = self._inner.decide(view)
+        self.seconds["decide"] += time.process_time() - began
+        self.calls["decide"] += 1
+        self.calls["starts"] += sum(isinstance(command, Start) for command in commands)
+        return commands
+
+    def microseconds(self, kind: str, per: str) -> float:
+        """Processor time of one kind of call, divided by a count."""
+        return 1e6 * self.seconds[kind] / max(self.calls[per], 1)
+
+    def reset(self) -> None:
+        """Count anew."""
+        self.seconds.clear()
+        self.calls.clear()
+
+
+def _site(workers: int) -> Site:
+    return Site(
+        f"{workers}",
+        workers,
+        32,
+        120,
+        10,
+        min(16, workers // 10 + 1),
+        Weights(),
+        services=max(4, workers // 20),
+        batch_classes=max(8, workers // 8),
+        replicas_per_worker=_REPLICAS_PER_WORKER,
+        replica_share=0.05,
+        batch_scale=0.2,
+        noisy_pairs=0.02,
+    )
+
+
+class _Bench:
+    """One fleet at its full number of tasks, with as many starts as ends."""
+
+    def __init__(self, workers: int) -> None:
+        self._chance = random.Random(_SEED)
+        self._site = _site(workers)
+        self.policy = TimedPolicy(InterferenceAwarePolicy())
+        self._model = WorkerModel(self._site, self.policy, _SEED)
+
+    def fill(self) -> None:
+        """Start all replicas and as many batch tasks as the fleet is to run."""
+        self._model.submit_replicas()
+        for _ in range(_MOST_FILL_ROUNDS):
+            missing = self._wanted() - len(self._model.running)
+            if missing <= 0:
+                return
+            self._model.submit_some(min(missing, self._site.workers), self._chance)
+            self._model.one_round(_ROUND_SECONDS)
+            self._model.report_at_once()
+        self._model.drop_waiting()
+
+    def churn(self, rounds: int) -> None:
+        """End and submit tasks at the peak rate, with reports every five seconds."""
+        each = round(_STARTS_PER_WORKER_AND_SECOND * _ROUND_SECONDS * self._site.workers)
+        for number in range(rounds):
+            self._model.end_some(max(each, 1), self._chance, AttemptOutcome.FINISHED)
+            self._model.submit_some(max(each, 1), self._chance)
+            self._model.one_round(_ROUND_SECONDS)
+            if number % _REPORT_ROUNDS == 0:
+                self._model.report_at_once()
+
+    def idle_round(self) -> float:
+        """Microseconds of one round in which nothing waits."""
+        self._model.drop_waiting()
+        self.policy.reset()
+        for _ in range(20):
+            self._model.one_round(_ROUND_SECONDS)
+        return self.policy.microseconds("decide", "decide")
+
+    def _wanted(self) -> int:
+        return self._site.workers * (_BATCH_PER_WORKER + _REPLICAS_PER_WORKER)
+
+    @property
+    def running(self) -> int:
+        """Attempts that run."""
+        return len(self._model.running)
+
+
+def _memory(workers: int) -> tuple[float, float]:
+    """Kilobytes of the policy per worker, and per running task, from two fills."""
+    gc.collect()
+    tracemalloc.start()
+    view_only = InterferenceAwarePolicy()
+    model = WorkerModel(_site(workers), view_only, _SEED)
+    filters = (tracemalloc.Filter(True, "*/decisions/placement/*"),)
+    view_only.decide(model.view())
+    empty = _traced(filters)
+    bench = _Bench(workers)
+    bench.fill()
+    full = _traced(filters) - empty
+    tracemalloc.stop()
+    return empty / workers / 1000, full / max(bench.running, 1) / 1000
+
+
+def _traced(filters: tuple[tracemalloc.Filter, ...]) -> float:
+    snapshot = tracemalloc.take_snapshot().filter_traces(filters)
+    return float(sum(item.size for item in snapshot.statistics("filename")))
+
+
+def main(*, memory: bool = True) -> None:
+    """Print one line per size of fleet.
+
+    :param memory: Measure memory too, which takes longer.
+    """
+    print(
+        "workers running starts  us/start  +us/started  us/sample  us/idle-round"
+        "  share-of-core-at-peak  kB/worker  kB/task"
+    )
+    for workers in _SIZES:
+        bench = _Bench(workers)
+        bench.fill()
+        bench.churn(20)
+        bench.policy.reset()
+        bench.churn(_ROUNDS)
+        policy = bench.policy
+        starts = policy.calls["starts"]
+        per_start = policy.microseconds("decide", "starts")
+        per_started = policy.microseconds("AttemptStarted", "AttemptStarted")
+        per_started += policy.microseconds("AttemptEnded", "AttemptEnded")
+        per_sample = policy.microseconds("SamplesTaken", "SamplesTaken")
+        share = sum(policy.seconds.values()) / (_ROUNDS * _ROUND_SECONDS)
+        running = bench.running
+        idle = bench.idle_round()
+        per_worker, per_task = _memory(workers) if memory else (0.0, 0.0)
+        print(
+            f"{workers:>7} {running:>7} {starts:>6} {per_start:>9.1f} {per_started:>12.1f}"
+            f" {per_sample:>10.1f} {idle:>14.1f} {share:>22.1%} {per_worker:>10.2f}"
+            f" {per_task:>8.2f}",
+            flush=True,
+        )
+
+
+if __name__ == "__main__":
+    defopt.run(main)
--- a/fireflyfork/decisions/placement/_choice.py
+++ b/fireflyfork/decisions/placement/_choice.py
@@ -9,8 +9,8 @@
 
 from ..._machines import Resources
 from ._classes import TaskClass
-from ._fleet import Fleet, WorkerEntry
-from ._interference import InterferenceModel
+from ._fleet import Fleet, ServiceForecast, WorkerEntry
+from ._interference import BandEstimate, InterferenceModel, load_band
 
 _CANDIDATES = 6
 _CANDIDATES_WHEN_SLOWED = 24
@@ -104,34 +104,47 @@
         """What a task would do to the services on a worker."""
         if not entry.replicas:
             return Candidate(entry, 0.0, 1.0, 0.0, 0.0)
-        model = self._interference
         share = max(need.millicores, 1) / max(entry.worker.capacity.millicores, 1)
-        load_before = entry.load_with(0)
-        load_after = entry.load_with(need.millicores)
-        shares = entry.expected_shares()
-        cost = 0.0
-        slowdown = 1.0
-        worst = 0.0
         # The first of a class beside a service shows what it does there; until reports tell, more
         # of it would only make the harm larger.
         is_first = task_class not in entry.pending_by_class
+        cost = 0.0
+        slowdown = 1.0
+        worst = 0.0
         harm = 0.0
-        for service, count in entry.replicas.items():
-            before = model.predicted_ratio(service, load_before, shares, now)
-            after = model.predicted_ratio(service, load_after, shares, now)
-            added = model.feared(service, load_after, task_class, share, now)
-            if is_first:
-                harm = max(harm, model.added(service, load_after, task_class, 1.0, now))
-            else:
-                harm = max(harm, added / share)
-            after *= math.exp(added)
-            if before <= 0.0 or after <= before * _NEGLIGIBLE_SLOWDOWN:
+        load = entry.expected_load()
+        now_there = self._forecasts(entry, load, now)
+        with_task = self._forecasts(entry, load + share, now)
+        for before, forecast in zip(now_there, with_task, strict=True):
+            estimate = forecast.estimate
+            feared = estimate.feared_slope(task_class, now)
+            harm = max(harm, estimate.slope(task_class, now) if is_first else feared)
+            after = forecast.ratio * math.exp(feared * share)
+            if after <= before.ratio * _NEGLIGIBLE_SLOWDOWN:
                 continue
-            slowdown = max(slowdown, after / before)
+            slowdown = max(slowdown, after / before.ratio)
             worst = max(worst, after)
-            cost += count * (_penalty(after) - _penalty(before))
+            cost += forecast.replicas * (_penalty(after) - _penalty(before.ratio))
         return Candidate(entry, cost, slowdown, worst, harm)
 
+    def _forecasts(self, entry: WorkerEntry, load: float, now: float) -> list[ServiceForecast]:
+        """What to expect of the services on a worker, computed again only after a change."""
+        band = load_band(load)
+        if band not in entry.forecasts:
+            entry.forecasts[band] = list(self._forecast(entry, load, now))
+        return entry.forecasts[band]
+
+    def _forecast(self, entry: WorkerEntry, load: float, now: float) -> Iterator[ServiceForecast]:
+        shares = entry.expected_shares()
+        for service, replicas in entry.replicas.items():
+            estimate = self._interference.estimate(service, load)
+            ratio = 0.0
+            if estimate is None:
+                estimate = BandEstimate(0.0)
+            else:
+                ratio = self._interference.predicted_ratio(service, load, shares, now)
+            yield ServiceForecast(replicas, ratio, estimate)
+
 
 def _penalty(ratio: float) -> float:
     return max(ratio - _PENALTY_FROM_RATIO, 0.0) ** 2
--- a/fireflyfork/decisions/placement/_fleet.py
+++ b/fireflyfork/decisions/placement/_fleet.py
@@ -4,6 +4,7 @@
 
 from collections import deque
 from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
 from itertools import chain
 
 from ..._ids import FailureDomainName, RackName, ServiceName, TaskId, WorkerId
@@ -12,17 +13,29 @@
 from .._tasks import Task
 from ._classes import TaskClass
 from ._free_index import FreeIndex
+from ._interference import BandEstimate
 from ._pressure import Pressure
 
 _NOTHING = Resources()
 _MOST_GONE = 256
 
 
+@dataclass(frozen=True, slots=True)
+class ServiceForecast:
+    """What to expect of one service on one worker as things are."""
+
+    replicas: int
+    ratio: float
+    """The predicted p99 over the objective."""
+    estimate: BandEstimate
+
+
 class WorkerEntry:
     """What the policy keeps of one worker. Plain numbers, since they change with each start."""
 
     __slots__ = (
         "departed",
+        "forecasts",
         "free_accelerators",
         "free_memory",
         "free_millicores",
@@ -60,6 +73,8 @@
         """Reservations of the replicas."""
         self.departed: deque[tuple[float, TaskClass, int]] = deque()
         """Usage of attempts that ended after the moment that reports have reached so far."""
+        self.forecasts: dict[int, list[ServiceForecast]] = {}
+        """By band of load; emptied by any change of what runs here or of what was reported of it."""
         self.pressure = Pressure()
         self.throttled: set[TaskId] = set()
 
@@ -89,11 +104,13 @@
 
     def add_replica(self, service: ServiceName, millicores: int) -> None:
         """Count a replica."""
+        self.forecasts.clear()
         self.replicas[service] = self.replicas.get(service, 0) + 1
         self.service_millicores += millicores
 
     def drop_replica(self, service: ServiceName, millicores: int) -> None:
         """Count a replica no more."""
+        self.forecasts.clear()
         self.service_millicores -= millicores
         left = self.replicas[service] - 1
         if left:
@@ -101,9 +118,9 @@
         else:
             del self.replicas[service]
 
-    def load_with(self, extra_millicores: int) -> float:
-        """The processor load to expect with so much more, as a share of the worker."""
-        expected = self.used_millicores + sum(self.pending_by_class.values()) + extra_millicores
+    def expected_load(self) -> float:
+        """The processor load to expect as things are, as a share of the worker."""
+        expected = self.used_millicores + sum(self.pending_by_class.values())
         return expected / max(self.worker.capacity.millicores, 1)
 
     def reported_load(self) -> float:
@@ -140,11 +157,13 @@
 
     def add_used(self, task_class: TaskClass, millicores: int) -> None:
         """Change the reported usage of a class."""
+        self.forecasts.clear()
         self.used_millicores += millicores
         _add(self.used_by_class, task_class, millicores)
 
     def add_pending(self, task_class: TaskClass, millicores: int) -> None:
         """Change the reservations that no report has covered yet."""
+        self.forecasts.clear()
         _add(self.pending_by_class, task_class, millicores)
 
 
--- a/fireflyfork/decisions/placement/_interference.py
+++ b/fireflyfork/decisions/placement/_interference.py
@@ -27,6 +27,7 @@
 """One report, however bad, moves estimates as if it were off by no more than this."""
 _DOUBT = 0.5
 """Standard deviations added before work is started beside a service it may harm."""
+_FEARED_WHEN_UNKNOWN = _DOUBT * math.sqrt(_SLOPE_VARIANCE)
 _HALF_LIFE_SECONDS = 6 * 3600.0
 """An estimate that nothing refreshes fades, so that a class that was mended gets a new trial."""
 _SMALLEST_LATENCY_RATIO = 0.01
@@ -38,7 +39,7 @@
 
 
 @dataclass(slots=True)
-class _PairEstimate:
+class PairEstimate:
     """By how much a worker full of the class raises the logarithm of the service's tail."""
 
     slope: float
@@ -47,13 +48,25 @@
 
 
 @dataclass(slots=True)
-class _BandEstimate:
+class BandEstimate:
     """What is known of one service in one band of load."""
 
     intercept: float
     intercept_variance: float = _INTERCEPT_VARIANCE
     reports: int = 0
-    pairs: dict[TaskClass, _PairEstimate] = field(default_factory=dict)
+    pairs: dict[TaskClass, PairEstimate] = field(default_factory=dict)
+
+    def slope(self, task_class: TaskClass, now: float) -> float:
+        """What a worker full of the class would add to the logarithm of the tail ratio."""
+        pair = self.pairs.get(task_class)
+        return 0.0 if pair is None else _faded(pair, now)
+
+    def feared_slope(self, task_class: TaskClass, now: float) -> float:
+        """The same in doubt, with a part of its standard deviation."""
+        pair = self.pairs.get(task_class)
+        if pair is None:
+            return _FEARED_WHEN_UNKNOWN
+        return _faded(pair, now) + _DOUBT * math.sqrt(pair.variance)
 
 
 class InterferenceModel:
@@ -68,7 +81,7 @@
 
     def __init__(self) -> None:
         """Start without any estimate: unknown pairs are held harmless until measured."""
-        self._bands: dict[tuple[ServiceName, int], _BandEstimate] = {}
+        self._bands: dict[tuple[ServiceName, int], BandEstimate] = {}
 
     def learn(
         self,
@@ -107,15 +120,9 @@
         pair = band.pairs.get(task_class)
         return 0.0 if pair is None else share * _faded(pair, now)
 
-    def feared(
-        self, service: ServiceName, load: float, task_class: TaskClass, share: float, now: float
-    ) -> float:
-        """What to expect when in doubt: ``added`` and a part of its standard deviation."""
-        band = self._nearest(service, load_band(load))
-        pair = None if band is None else band.pairs.get(task_class)
-        if pair is None:
-            return share * _DOUBT * math.sqrt(_SLOPE_VARIANCE)
-        return share * (_faded(pair, now) + _DOUBT * math.sqrt(pair.variance))
+    def estimate(self, service: ServiceName, load: float) -> BandEstimate | None:
+        """All that is known of a service at a load; None when nothing was measured."""
+        return self._nearest(service, load_band(load))
 
     def reports(self, service: ServiceName, load: float) -> int:
         """How many reports there were about the service in this band of load."""
@@ -129,7 +136,7 @@
         band = self._nearest(service, load_band(load))
         return 0.0 if band is None else math.exp(self._explain(band, shares, now))
 
-    def _explain(self, band: _BandEstimate, shares: Mapping[TaskClass, float], now: float) -> float:
+    def _explain(self, band: BandEstimate, shares: Mapping[TaskClass, float], now: float) -> float:
         pairs = band.pairs
         total = band.intercept
         for task_class, share in shares.items():
@@ -138,26 +145,26 @@
                 total += share * _faded(pair, now)
         return total
 
-    def _pair(self, band: _BandEstimate, task_class: TaskClass, now: float) -> _PairEstimate:
+    def _pair(self, band: BandEstimate, task_class: TaskClass, now: float) -> PairEstimate:
         pair = band.pairs.get(task_class)
         if pair is None:
-            pair = band.pairs[task_class] = _PairEstimate(0.0, _SLOPE_VARIANCE, now)
+            pair = band.pairs[task_class] = PairEstimate(0.0, _SLOPE_VARIANCE, now)
             return pair
         pair.slope = _faded(pair, now)
         pair.variance += (now - pair.learned_at) * _VARIANCE_PER_SECOND
         pair.learned_at = now
         return pair
 
-    def _band(self, service: ServiceName, band: int, measured: float) -> _BandEstimate:
+    def _band(self, service: ServiceName, band: int, measured: float) -> BandEstimate:
         found = self._bands.get((service, band))
         if found is not None:
             return found
         neighbour = self._nearest(service, band)
-        created = _BandEstimate(measured)
+        created = BandEstimate(measured)
         if neighbour is not None:
             created.intercept = neighbour.intercept
             created.pairs = {
-                name: _PairEstimate(
+                name: PairEstimate(
                     pair.slope, max(pair.variance, _BORROWED_VARIANCE), pair.learned_at
                 )
                 for name, pair in neighbour.pairs.items()
@@ -165,7 +172,7 @@
         self._bands[(service, band)] = created
         return created
 
-    def _nearest(self, service: ServiceName, band: int) -> _BandEstimate | None:
+    def _nearest(self, service: ServiceName, band: int) -> BandEstimate | None:
         """The estimate of the band itself or of the nearest one that was ever measured."""
         for distance in range(len(LOAD_BAND_EDGES) + 1):
             for candidate in (band - distance, band + distance):
@@ -175,7 +182,7 @@
         return None
 
 
-def _faded(pair: _PairEstimate, now: float) -> float:
+def _faded(pair: PairEstimate, now: float) -> float:
     age = now - pair.learned_at
     if age < 60.0:
         return pair.slope
--- a/fireflyfork/decisions/placement/_policy.py
+++ b/fireflyfork/decisions/placement/_policy.py
@@ -190,6 +190,7 @@
         ratio = tail_milliseconds / contract.latency_objective_milliseconds
         entry.settle_departed(sample.measured_at)
         entry.pressure.report(service, ratio, sample.measured_at)
+        entry.forecasts.clear()
         self._measured[entry.worker.worker_id] = entry
         if self._settings.learns_interference:
             shares = entry.reported_shares(TaskClass(sample.task.shape.task_class))
--- a/fireflyfork/decisions/placement/_relief.py
+++ b/fireflyfork/decisions/placement/_relief.py
@@ -136,7 +136,7 @@
     ) -> list[_Neighbour]:
         """The batch tasks that may be slowed, worst first; none when they are not at fault."""
         capacity = max(entry.worker.capacity.millicores, 1)
-        load = entry.load_with(0)
+        load = entry.expected_load()
         found = []
         for task, attempt in self._yielding(tasks):
             share = attempt.used / capacity
@@ -238,7 +238,7 @@
     ) -> list[tuple[float, Task]]:
         """The throttled tasks, each with what a raised limit would add, least harm first."""
         capacity = max(entry.worker.capacity.millicores, 1)
-        load = entry.load_with(0)
+        load = entry.expected_load()
         limited = []
         for task_id in tuple(entry.throttled):
             task = tasks.get(task_id)
