Placement: searches in vain are remembered for two seconds and cost less

A round may search in vain for 8 kinds of work (24 before) among 16 workers (24 before), and what found no place is not searched for again for 2 s unless it has waited longer than what failed.

--- a/bench/placement_cost.py
+++ b/bench/placement_cost.py
@@ -34,7 +34,8 @@
 _ROUND_SECONDS = 0.1
 _ROUNDS = 100
 _REPORT_ROUNDS = 50
-_MOST_FILL_ROUNDS = 60
+_MOST_FILL_ROUNDS = 80
+_FILL_ROUND_SECONDS = 5.0
 _SEED = 11
 
 
@@ -110,7 +111,7 @@
             if missing <= 0:
                 return
             self._model.submit_some(min(missing, self._site.workers), self._chance)
-            self._model.one_round(_ROUND_SECONDS)
+            self._model.one_round(_FILL_ROUND_SECONDS)
             self._model.report_at_once()
         self._model.drop_waiting()
 
--- a/fireflyfork/decisions/placement/_choice.py
+++ b/fireflyfork/decisions/placement/_choice.py
@@ -13,7 +13,7 @@
 from ._interference import BandEstimate, InterferenceModel, load_band
 
 _CANDIDATES = 6
-_CANDIDATES_WHEN_SLOWED = 24
+_CANDIDATES_WHEN_SLOWED = 16
 """How many are looked at when none of the first is good enough."""
 _HARMLESS_COST = 0.002
 """A candidate this cheap is taken at once, without looking for a better one."""
@@ -30,10 +30,6 @@
     """Replicas times the growth of the penalty on their predicted latency."""
     slowdown: float
     """The largest factor by which a service's tail is expected to grow."""
-    ratio: float
-    """The largest p99 over the objective that is expected of a service it slows; 0 for none."""
-    harm: float
-    """How much a worker full of the class would slow the service it harms most (logarithm)."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,7 +39,7 @@
     ratio: float
     """The highest p99 over the objective to which it may push one."""
     harm: float = float("inf")
-    """The highest ``Candidate.harm``."""
+    """How much, at most, a worker full of the class may slow a service there (logarithm)."""
 
 
 NO_LIMITS = Limits(float("inf"))
@@ -77,9 +73,10 @@
         """The best of a few workers within the limits."""
         best: Candidate | None = None
         compared = 0
-        for candidate in self._candidates(need, task_class, accepts, now):
+        for entry in self._candidates(need, accepts):
             compared += 1
-            if candidate.ratio > limits.ratio or candidate.harm > limits.harm:
+            candidate = self.rate(entry, need, task_class, limits, now)
+            if candidate is None:
                 continue
             if best is None or candidate.cost < best.cost:
                 best = candidate
@@ -88,44 +85,44 @@
         return Choice(best, compared)
 
     def _candidates(
+        self, need: Resources, accepts: Callable[[WorkerEntry], bool]
+    ) -> Iterator[WorkerEntry]:
+        accepted = filter(accepts, self._fleet.with_room(need))
+        return islice(accepted, _CANDIDATES_WHEN_SLOWED)
+
+    def rate(
         self,
+        entry: WorkerEntry,
         need: Resources,
         task_class: TaskClass,
-        accepts: Callable[[WorkerEntry], bool],
+        limits: Limits,
         now: float,
-    ) -> Iterator[Candidate]:
-        accepted = filter(accepts, self._fleet.with_room(need))
-        for entry in islice(accepted, _CANDIDATES_WHEN_SLOWED):
-            yield self.rate(entry, need, task_class, now)
-
-    def rate(
-        self, entry: WorkerEntry, need: Resources, task_class: TaskClass, now: float
-    ) -> Candidate:
-        """What a task would do to the services on a worker."""
+    ) -> Candidate | None:
+        """What a task would do to the services on a worker; None beyond the limits."""
         if not entry.replicas:
-            return Candidate(entry, 0.0, 1.0, 0.0, 0.0)
+            return Candidate(entry, 0.0, 1.0)
         share = max(need.millicores, 1) / max(entry.worker.capacity.millicores, 1)
         # The first of a class beside a service shows what it does there; until reports tell, more
         # of it would only make the harm larger.
         is_first = task_class not in entry.pending_by_class
         cost = 0.0
         slowdown = 1.0
-        worst = 0.0
-        harm = 0.0
         load = entry.expected_load()
         now_there = self._forecasts(entry, load, now)
         with_task = self._forecasts(entry, load + share, now)
         for before, forecast in zip(now_there, with_task, strict=True):
             estimate = forecast.estimate
             feared = estimate.feared_slope(task_class, now)
-            harm = max(harm, estimate.slope(task_class, now) if is_first else feared)
+            if (estimate.slope(task_class, now) if is_first else feared) > limits.harm:
+                return None
             after = forecast.ratio * math.exp(feared * share)
             if after <= before.ratio * _NEGLIGIBLE_SLOWDOWN:
                 continue
+            if after > limits.ratio:
+                return None
             slowdown = max(slowdown, after / before.ratio)
-            worst = max(worst, after)
             cost += forecast.replicas * (_penalty(after) - _penalty(before.ratio))
-        return Candidate(entry, cost, slowdown, worst, harm)
+        return Candidate(entry, cost, slowdown)
 
     def _forecasts(self, entry: WorkerEntry, load: float, now: float) -> list[ServiceForecast]:
         """What to expect of the services on a worker, computed again only after a change."""
--- a/fireflyfork/decisions/placement/_policy.py
+++ b/fireflyfork/decisions/placement/_policy.py
@@ -49,7 +49,7 @@
 from ._spread import ReplicaCounts, replica_places
 from ._waiting import split, tasks_of
 
-_MOST_MISFITS = 24
+_MOST_MISFITS = 8
 """Jobs without a place that one round may look at, so that a full fleet costs little."""
 _MOST_URGENT_MISFITS = 64
 _HIGHEST_RATIO = 0.75
@@ -77,6 +77,7 @@
         self._relief = ReliefPlanner(self._fleet, self._interference, self._settings.relief)
         self._room = RoomMaker(self._fleet)
         self._headroom = UrgentHeadroom(self._fleet)
+        self._misfits = Misfits()
         self._tentative_replicas: list[tuple[ServiceName, WorkerEntry, int]] = []
         """Replicas started this round, which the table hasn't confirmed yet."""
         self._choice = WorkerChoice(self._fleet, self._interference)
@@ -313,7 +314,8 @@
     def _batch_starts(
         self, queue: FairQueue, view: PlacementView, quotas: QuotaLedger
     ) -> Iterator[PlacementCommand]:
-        misfits = Misfits()
+        misfits = self._misfits
+        misfits.begin_round(view.now)
         for task in queue.tasks():
             if is_to_blame(task.failed_on, self._health):
                 queue.skip_task()
@@ -322,10 +324,11 @@
             shape = task.shape
             need = self._need_within_quota(shape, quotas)
             task_class = TaskClass(shape.task_class)
-            if misfits.cover(need, task_class) or not quotas.allows(shape.team, need):
+            limits = _limits(view, view.now - task.submitted)
+            if misfits.cover(need, task_class, limits) or not quotas.allows(shape.team, need):
                 queue.skip_job()
                 continue
-            start = self._batch_start(task, need, view, misfits)
+            start = self._batch_start(task, need, limits, view.now)
             if start is not None:
                 quotas.take(shape.team, need)
                 queue.started()
@@ -335,18 +338,16 @@
             if misfits.count >= _MOST_MISFITS:
                 return
 
-    def _batch_start(
-        self, task: Task, need: Resources, view: PlacementView, misfits: Misfits
-    ) -> Start | None:
-        """A start, or None; what found no place is noted in ``misfits``."""
-        limits = _limits(view, view.now - task.submitted)
-        accepts = self._batch_acceptance(task, view.now)
+    def _batch_start(self, task: Task, need: Resources, limits: Limits, now: float) -> Start | None:
+        """A start, or None; what found no place is noted as a misfit."""
+        accepts = self._batch_acceptance(task, now)
         task_class = TaskClass(task.shape.task_class)
-        choice = self._choice.choose(need, task_class, accepts, limits, view.now)
+        choice = self._choice.choose(need, task_class, accepts, limits, now)
         best = choice.best
         if best is None:
             if not task.failed_on:
-                misfits.add(need, task_class if choice.compared else None)
+                key = task_class if choice.compared else None
+                self._misfits.add(need, key, limits, now)
             return None
         reason = PlacedBatch(
             best.entry.worker.worker_id,
