--- a/fireflyfork/decisions/placement/_choice.py
+++ b/fireflyfork/decisions/placement/_choice.py
@@ -4,7 +4,7 @@
 
 import math
 from collections.abc import Callable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from itertools import islice
 
 from ..._machines import Resources
@@ -124,6 +124,18 @@
             cost += forecast.replicas * (_penalty(after) - _penalty(before.ratio))
         return Candidate(entry, cost, slowdown)
 
+    def note_start(
+        self, entry: WorkerEntry, need: Resources, task_class: TaskClass, now: float
+    ) -> None:
+        """Bring the forecasts up to date, which costs less than computing them anew."""
+        share = need.millicores / max(entry.worker.capacity.millicores, 1)
+        for band, forecasts in entry.forecasts.items():
+            entry.forecasts[band] = [
+                replace(item, ratio=item.ratio * math.exp(slope * share)) if slope else item
+                for item in forecasts
+                for slope in (item.estimate.slope(task_class, now),)
+            ]
+
     def _forecasts(self, entry: WorkerEntry, load: float, now: float) -> list[ServiceForecast]:
         """What to expect of the services on a worker, computed again only after a change."""
         band = load_band(load)
--- a/fireflyfork/decisions/placement/_fleet.py
+++ b/fireflyfork/decisions/placement/_fleet.py
@@ -74,7 +74,7 @@
         self.departed: deque[tuple[float, TaskClass, int]] = deque()
         """Usage of attempts that ended after the moment that reports have reached so far."""
         self.forecasts: dict[int, list[ServiceForecast]] = {}
-        """By band of load; emptied by any change of what runs here or of what was reported of it."""
+        """By band of load; emptied by reports, and brought up to date when a task starts."""
         self.pressure = Pressure()
         self.throttled: set[TaskId] = set()
 
@@ -163,7 +163,6 @@
 
     def add_pending(self, task_class: TaskClass, millicores: int) -> None:
         """Change the reservations that no report has covered yet."""
-        self.forecasts.clear()
         _add(self.pending_by_class, task_class, millicores)
 
 
--- a/fireflyfork/decisions/placement/_policy.py
+++ b/fireflyfork/decisions/placement/_policy.py
@@ -274,7 +274,7 @@
             place.others_in_failure_domain,
             place.others_in_rack,
         )
-        return self._start(task, place.entry, need, reason)
+        return self._start(task, place.entry, need, reason, view.now)
 
     def _urgent_starts(
         self, jobs: list[WaitingJob], view: PlacementView, quotas: QuotaLedger
@@ -298,7 +298,8 @@
             quotas.take(task.shape.team, need)
             self._headroom.note_arrival(need, view.now)
             waited = view.now - task.submitted
-            yield self._start(task, entry, need, PlacedUrgent(entry.worker.worker_id, waited))
+            reason = PlacedUrgent(entry.worker.worker_id, waited)
+            yield self._start(task, entry, need, reason, view.now)
 
     def _urgent_worker(self, task: Task, need: Resources, now: float) -> WorkerEntry | None:
         claimed = self._room.claim(task.task_id, need)
@@ -356,10 +357,14 @@
             choice.compared,
             best.slowdown - 1.0,
         )
-        return self._start(task, best.entry, need, reason)
+        return self._start(task, best.entry, need, reason, now)
 
-    def _start(self, task: Task, entry: WorkerEntry, need: Resources, reason: Reason) -> Start:
-        self._fleet.take(entry, need, TaskClass(task.shape.task_class))
+    def _start(
+        self, task: Task, entry: WorkerEntry, need: Resources, reason: Reason, now: float
+    ) -> Start:
+        task_class = TaskClass(task.shape.task_class)
+        self._choice.note_start(entry, need, task_class, now)
+        self._fleet.take(entry, need, task_class)
         self._health.started(entry.worker.worker_id, task.task_id)
         return Start(task.task_id, entry.worker.worker_id, need, reason.sentence())
 
