--- a/fireflyfork/decisions/placement/_headroom.py
+++ b/fireflyfork/decisions/placement/_headroom.py
@@ -11,6 +11,9 @@
 _HALF_LIFE_SECONDS = 1800.0
 _LARGEST_SHARE_OF_WORKERS = 0.1
 _LEAST_PEAK = 0.5
+_LEAST_KEPT = 2
+_GUESSED_PART_OF_WORKER = 8
+"""An urgent task is taken to need an eighth of a worker until one of them is larger."""
 
 
 class UrgentHeadroom:
@@ -51,18 +54,32 @@
             self._fleet.hold(entry, amount)
         return None
 
-    def replenish(self, now: float) -> None:
-        """Keep room on more workers, or on fewer, as the demand asks."""
+    def replenish(self, may_come: bool, now: float) -> None:
+        """Keep room on more workers, or on fewer, as the demand asks.
+
+        ``may_come`` says whether any team may submit urgent work; some room is then kept before
+        the first of it comes, which would otherwise wait for a checkpoint and a stop.
+        """
         self._drop_unlisted()
         peak = self._faded_peak(now)
         most = int(_LARGEST_SHARE_OF_WORKERS * len(self._fleet.entries))
-        wanted = 0 if peak < _LEAST_PEAK else min(round(peak) + 1, most)
+        wanted = round(peak) + 1 if peak >= _LEAST_PEAK else 0
+        if may_come:
+            wanted = max(wanted, _LEAST_KEPT)
+            self._size = _larger(self._size, self._first_guess())
+        wanted = min(wanted, most)
         while len(self._kept) > wanted:
             entry, amount = self._kept.popitem()
             self._fleet.release(entry, amount)
         if len(self._kept) < wanted:
             self._keep_more(wanted - len(self._kept))
 
+    def _first_guess(self) -> Resources:
+        capacities = self._fleet.capacities
+        largest = max(capacities, key=lambda item: item.millicores, default=Resources())
+        parts = _GUESSED_PART_OF_WORKER
+        return Resources(largest.millicores // parts, largest.memory // parts)
+
     def _keep_more(self, count: int) -> None:
         found = []
         for entry in self._fleet.with_room(self._size):
--- a/fireflyfork/decisions/placement/_policy.py
+++ b/fireflyfork/decisions/placement/_policy.py
@@ -230,7 +230,8 @@
         yield from self._replica_starts(waiting.replicas, view)
         yield from self._urgent_starts(waiting.urgent, view, quotas)
         if self._settings.keeps_urgent_headroom:
-            self._headroom.replenish(view.now)
+            may_come = any(team.urgent for team in view.teams.values())
+            self._headroom.replenish(may_come, view.now)
         yield from self._batch_starts(FairQueue(waiting.batch, quotas), view, quotas)
 
     def _replica_starts(
