--- a/fireflyfork/decisions/placement/_policy.py
+++ b/fireflyfork/decisions/placement/_policy.py
@@ -49,7 +49,7 @@
 from ._spread import ReplicaCounts, replica_places
 from ._waiting import split, tasks_of
 
-_MOST_MISFITS = 24
+_MOST_MISFITS = 8
 """Jobs without a place that one round may look at, so that a full fleet costs little."""
 _MOST_URGENT_MISFITS = 64
 _HIGHEST_RATIO = 0.75
@@ -77,6 +77,7 @@
         self._relief = ReliefPlanner(self._fleet, self._interference, self._settings.relief)
         self._room = RoomMaker(self._fleet)
         self._headroom = UrgentHeadroom(self._fleet)
+        self._misfits = Misfits()
         self._tentative_replicas: list[tuple[ServiceName, WorkerEntry, int]] = []
         """Replicas started this round, which the table hasn't confirmed yet."""
         self._choice = WorkerChoice(self._fleet, self._interference)
@@ -190,6 +191,7 @@
         ratio = tail_milliseconds / contract.latency_objective_milliseconds
         entry.settle_departed(sample.measured_at)
         entry.pressure.report(service, ratio, sample.measured_at)
+        entry.forecasts.clear()
         self._measured[entry.worker.worker_id] = entry
         if self._settings.learns_interference:
             shares = entry.reported_shares(TaskClass(sample.task.shape.task_class))
@@ -228,7 +230,8 @@
         yield from self._replica_starts(waiting.replicas, view)
         yield from self._urgent_starts(waiting.urgent, view, quotas)
         if self._settings.keeps_urgent_headroom:
-            self._headroom.replenish(view.now)
+            may_come = any(team.urgent for team in view.teams.values())
+            self._headroom.replenish(may_come, view.now)
         yield from self._batch_starts(FairQueue(waiting.batch, quotas), view, quotas)
 
     def _replica_starts(
@@ -272,7 +275,7 @@
             place.others_in_failure_domain,
             place.others_in_rack,
         )
-        return self._start(task, place.entry, need, reason)
+        return self._start(task, place.entry, need, reason, view.now)
 
     def _urgent_starts(
         self, jobs: list[WaitingJob], view: PlacementView, quotas: QuotaLedger
@@ -296,7 +299,8 @@
             quotas.take(task.shape.team, need)
             self._headroom.note_arrival(need, view.now)
             waited = view.now - task.submitted
-            yield self._start(task, entry, need, PlacedUrgent(entry.worker.worker_id, waited))
+            reason = PlacedUrgent(entry.worker.worker_id, waited)
+            yield self._start(task, entry, need, reason, view.now)
 
     def _urgent_worker(self, task: Task, need: Resources, now: float) -> WorkerEntry | None:
         claimed = self._room.claim(task.task_id, need)
@@ -312,7 +316,8 @@
     def _batch_starts(
         self, queue: FairQueue, view: PlacementView, quotas: QuotaLedger
     ) -> Iterator[PlacementCommand]:
-        misfits = Misfits()
+        misfits = self._misfits
+        misfits.begin_round(view.now)
         for task in queue.tasks():
             if is_to_blame(task.failed_on, self._health):
                 queue.skip_task()
@@ -321,10 +326,11 @@
             shape = task.shape
             need = self._need_within_quota(shape, quotas)
             task_class = TaskClass(shape.task_class)
-            if misfits.cover(need, task_class) or not quotas.allows(shape.team, need):
+            limits = _limits(view, view.now - task.submitted)
+            if misfits.cover(need, task_class, limits) or not quotas.allows(shape.team, need):
                 queue.skip_job()
                 continue
-            start = self._batch_start(task, need, view, misfits)
+            start = self._batch_start(task, need, limits, view.now)
             if start is not None:
                 quotas.take(shape.team, need)
                 queue.started()
@@ -334,18 +340,16 @@
             if misfits.count >= _MOST_MISFITS:
                 return
 
-    def _batch_start(
-        self, task: Task, need: Resources, view: PlacementView, misfits: Misfits
-    ) -> Start | None:
-        """A start, or None; what found no place is noted in ``misfits``."""
-        limits = _limits(view, view.now - task.submitted)
-        accepts = self._batch_acceptance(task, view.now)
+    def _batch_start(self, task: Task, need: Resources, limits: Limits, now: float) -> Start | None:
+        """A start, or None; what found no place is noted as a misfit."""
+        accepts = self._batch_acceptance(task, now)
         task_class = TaskClass(task.shape.task_class)
-        choice = self._choice.choose(need, task_class, accepts, limits, view.now)
+        choice = self._choice.choose(need, task_class, accepts, limits, now)
         best = choice.best
         if best is None:
             if not task.failed_on:
-                misfits.add(need, task_class if choice.compared else None)
+                key = task_class if choice.compared else None
+                self._misfits.add(need, key, limits, now)
             return None
         reason = PlacedBatch(
             best.entry.worker.worker_id,
@@ -354,10 +358,14 @@
             choice.compared,
             best.slowdown - 1.0,
         )
-        return self._start(task, best.entry, need, reason)
+        return self._start(task, best.entry, need, reason, now)
 
-    def _start(self, task: Task, entry: WorkerEntry, need: Resources, reason: Reason) -> Start:
-        self._fleet.take(entry, need, TaskClass(task.shape.task_class))
+    def _start(
+        self, task: Task, entry: WorkerEntry, need: Resources, reason: Reason, now: float
+    ) -> Start:
+        task_class = TaskClass(task.shape.task_class)
+        self._choice.note_start(entry, need, task_class, now)
+        self._fleet.take(entry, need, task_class)
         self._health.started(entry.worker.worker_id, task.task_id)
         return Start(task.task_id, entry.worker.worker_id, need, reason.sentence())
 
