--- a/fireflyfork/programs/_peer_service.py
+++ b/fireflyfork/programs/_peer_service.py
@@ -7,7 +7,7 @@
 import trio
 from loguru import logger
 
-from .._errors import FireflyforkError, RequestError
+from .._errors import FireflyforkError, PeerError, RequestError
 from .._ids import IdempotencyKey, MemberId, RequestId, ServiceName, TargetId
 from .._requests import ServiceRequest
 from .._traces import TraceContext
@@ -125,7 +125,16 @@
     def handle_control(self, member: MemberId, control: Control) -> Control | None:
         """See PeerHandler."""
         handler = self._topics.get(control.topic)
-        return handler.handle(member, control.content) if handler is not None else None
+        if handler is None:
+            return None
+        try:
+            return handler.handle(member, control.content)
+        except PeerError:
+            raise
+        except Exception as error:
+            # As with requests: a fault in the handling of one message must not end the process.
+            logger.opt(exception=error).error("control message failed", topic=control.topic)
+            return None
 
     @property
     def _parts(self) -> PeerParts:
