--- a/bench/ownership_costs.py
+++ b/bench/ownership_costs.py
@@ -24,6 +24,7 @@
     NO_FAULTS,
     FleetSimulation,
     Process,
+    letter_places,
 )
 from fireflyfork.programs._guard_channel import GuardQuestion, GuardReply
 
@@ -37,13 +38,6 @@
 _RESTARTS_A_DAY = 150
 
 
-def letter_places(entries: int) -> tuple[str, ...]:
-    """Entries spread evenly over 7 regions with 16 failure domains."""
-    domains = [f"r{number % 7}/d{number}" for number in range(16)]
-    by_region = sorted(domains, key=lambda place: int(place.partition("/d")[2]))
-    return tuple(by_region[number % 16] for number in range(entries))
-
-
 _FLEETS = {
     "6 entries, 2 regions": NAIDU_PLACES,
     "9 entries, 2 regions": (*NAIDU_PLACES, "viti/suva", "viti/nadi", "vanua/labasa"),
--- a/bench/ownership_search.py
+++ b/bench/ownership_search.py
@@ -30,7 +30,11 @@
 )
 from fireflyfork.decisions import _fleet_changes as changes
 from fireflyfork.decisions import _membership as machine
-from fireflyfork.decisions.tests.builders_ownership import NAIDU_PLACES, FleetSimulation
+from fireflyfork.decisions.tests.builders_ownership import (
+    NAIDU_PLACES,
+    FleetSimulation,
+    letter_places,
+)
 from fireflyfork.decisions.tests.builders_rights import (
     AcknowledgesWithoutRight,
     DatedFromReceipt,
@@ -144,11 +148,11 @@
     counts: Counter[str]
 
 
-def run_one(number: int, seed: int) -> Outcome:
+def run_one(number: int, places: tuple[str, ...], seed: int) -> Outcome:
     """One run of one variant."""
     variant = VARIANTS[number]
     with variant.patch():
-        simulation = FleetSimulation(seed, NAIDU_PLACES, variant.rules)
+        simulation = FleetSimulation(seed, places, variant.rules)
         simulation.run(_SETTLE_SECONDS)
         simulation.run_with_faults(_FAULT_SECONDS)
         simulation.heal()
@@ -162,22 +166,33 @@
     )
 
 
-def main(*, runs: int = 300, chosen_runs: int = 3000, processes: int = 4) -> None:
+def main(
+    *, runs: int = 300, chosen_runs: int = 3000, letter_runs: int = 200, processes: int = 4
+) -> None:
     """Run all variants.
 
     :param runs: Runs of each weaker variant.
     :param chosen_runs: Runs of the chosen rules.
+    :param letter_runs: Runs of the chosen rules with 18 members over 7 regions.
     :param processes: Processes to spread the runs over.
     """
     with ProcessPoolExecutor(processes) as pool:
         for number, variant in enumerate(VARIANTS):
             seeds = range(chosen_runs if number == 0 else runs)
             began = time.perf_counter()
-            outcomes = list(pool.map(partial(run_one, number), seeds, chunksize=10))
+            run = partial(run_one, number, NAIDU_PLACES)
+            outcomes = list(pool.map(run, seeds, chunksize=10))
             _print(variant, outcomes, time.perf_counter() - began)
+        began = time.perf_counter()
+        run = partial(run_one, 0, letter_places(18))
+        outcomes = list(pool.map(run, range(letter_runs), chunksize=5))
+        letter = replace(VARIANTS[0], name="chosen, 18 members over 7 regions")
+        _print(letter, outcomes, time.perf_counter() - began)
 
 
 def _print(variant: Variant, outcomes: list[Outcome], seconds: float) -> None:
+    if not outcomes:
+        return
     total: Counter[str] = Counter()
     for outcome in outcomes:
         total += outcome.counts
--- a/fireflyfork/decisions/tests/builders_ownership.py
+++ b/fireflyfork/decisions/tests/builders_ownership.py
@@ -55,6 +55,13 @@
 NAIDU_PLACES = ("viti/suva", "viti/nadi", "viti/suva", "viti/nadi", "vanua/labasa", "vanua/labasa")
 
 
+def letter_places(entries: int) -> tuple[str, ...]:
+    """Entries spread evenly over 7 regions with 16 failure domains."""
+    domains = [f"r{number % 7}/d{number}" for number in range(16)]
+    by_region = sorted(domains, key=lambda place: int(place.partition("/d")[2]))
+    return tuple(by_region[number % 16] for number in range(entries))
+
+
 @dataclass(frozen=True, slots=True)
 class Faults:
     """What goes wrong, in the mean number of times in ten seconds, and for how long at most."""
