Connections counted in the histories, and idle ones nobody trusts give way

Ruled out: a higher share for one owner, which would leave its successor none. Change: a new connection takes the place of the idle one unproved for the longest. The table test of the choice changes by that: it now expects the first connection to be closed where it expected none. The state machine's new invariant (idle and busy connections fit in the slots) needed a rule for bursts to find the fault; with it the old form fails.

Also: callers' keys name either region or none, since with keys that name none no booking reached the executors of the second region; and a scenario in which store, owner and another entry fail together.

--- a/fireflyfork/decisions/_connections.py
+++ b/fireflyfork/decisions/_connections.py
@@ -104,8 +104,12 @@
             wait = self.quarantined_until - now
             refused = ConnectionDecision(ConnectionChoice.QUARANTINED, None, expired, wait)
             return self._with_idle(kept), refused
-        opened = ConnectionDecision(ConnectionChoice.OPEN, None, expired)
-        return self._after_trial(now)._with_idle(kept), opened
+        # A new connection takes the place of the one unproved for the longest. If all were kept,
+        # idle ones that nobody trusts could use up what the contract allows, and requests would be
+        # refused for want of a connection while slots are free.
+        replaced = tuple(connection.connection_id for connection in kept[:1])
+        opened = ConnectionDecision(ConnectionChoice.OPEN, None, expired + replaced)
+        return self._after_trial(now)._with_idle(kept[1:]), opened
 
     def opened(self) -> ConnectionPool:
         """A new connection was set up.
--- a/fireflyfork/decisions/tests/test_connections.py
+++ b/fireflyfork/decisions/tests/test_connections.py
@@ -28,7 +28,7 @@
         """
         cases = [
             (False, 1.0 + TERMS.proof_lasts, ConnectionChoice.REUSE, SECOND, ()),
-            (False, 1.1 + TERMS.proof_lasts, ConnectionChoice.OPEN, None, ()),
+            (False, 1.1 + TERMS.proof_lasts, ConnectionChoice.OPEN, None, (FIRST,)),
             (True, 1.1 + TERMS.proof_lasts, ConnectionChoice.REUSE, SECOND, ()),
             (True, 0.5 + TERMS.longest_idle, ConnectionChoice.REUSE, SECOND, (FIRST,)),
             (True, 1.1 + TERMS.longest_idle, ConnectionChoice.OPEN, None, (FIRST, SECOND)),
@@ -164,6 +164,16 @@
         """Connections opened from now on work; those open now stay silent for good."""
         self.swallows = False
 
+    @precondition(lambda self: not self.waiting)
+    @rule()
+    def burst(self) -> None:
+        """Requests on all slots at the same time; those that are not lost are answered."""
+        for _ in range(self.SLOTS):
+            self.request(idempotent=False)
+        for connection in set(self.waiting) - self.silent_ids:
+            del self.waiting[connection]
+            self.pool, _ = self.pool.answered(connection, self.now)
+
     @rule()
     def steady_load(self) -> None:
         """Callers come all the time, whatever becomes of the others."""
@@ -175,6 +185,11 @@
                 del self.waiting[connection]
                 self.pool, _ = self.pool.answered(connection, self.now)
 
+    @invariant()
+    def as_many_connections_as_slots(self) -> None:
+        """An owner whose contract allows no more must still be able to use every slot."""
+        assert len(self.pool.idle) + len(self.waiting) <= self.SLOTS
+
     @invariant()
     def few_met_the_dead_path(self) -> None:
         """The bound, at any moment of a silence."""
--- a/fireflyfork/programs/tests/builders_processes.py
+++ b/fireflyfork/programs/tests/builders_processes.py
@@ -42,6 +42,8 @@
 from .history_checks import Call, CallEnd, ExecutorRun, Freeze, History
 
 SLOTS = 4
+CONNECTIONS = 2 * SLOTS
+"""As few as leave an owner and its successor enough for all slots."""
 RUN_SECONDS = 0.03
 LONGEST_RUN_SECONDS = 1.0
 START_SECONDS = 30.0
@@ -199,7 +201,15 @@
                 for run in listed
                 if run["method"] == "POST"
             ]
-        return History(tuple(self.calls), tuple(runs), most_busy, SLOTS, tuple(self.freezes))
+        return History(
+            tuple(self.calls),
+            tuple(runs),
+            most_busy,
+            SLOTS,
+            tuple(self.freezes),
+            {target_id: relay.most_open for target_id, relay in self.relays.items()},
+            CONNECTIONS,
+        )
 
 
 class Callers:
@@ -395,7 +405,9 @@
         ServiceName("desk"), TeamName("desk-team"), LONGEST_RUN_SECONDS, longest_timeout_seconds=10
     )
     targets = tuple(
-        TargetContract(target_id, service.name, str(at), region, domains[region], SLOTS, 64)
+        TargetContract(
+            target_id, service.name, str(at), region, domains[region], SLOTS, CONNECTIONS
+        )
         for (target_id, at), region in zip(reached.items(), EXECUTORS, strict=True)
     )
     return Configuration(ConfigurationVersion(0), ChangeId(""), regions, (service,), targets)
@@ -422,7 +434,8 @@
 
 def _mint(random: Random) -> IdempotencyKey:
     value = time.time_ns() // 1_000_000 << 80 | 7 << 76 | 2 << 62 | random.getrandbits(62)
-    return IdempotencyKey(str(uuid.UUID(int=value)))
+    region = random.choice(("", f"{VITI}.", f"{VANUA}."))
+    return IdempotencyKey(f"{region}{uuid.UUID(int=value)}")
 
 
 async def _put(address: Address, path: str, body: bytes) -> None:
--- a/fireflyfork/programs/tests/builders_relays.py
+++ b/fireflyfork/programs/tests/builders_relays.py
@@ -19,8 +19,8 @@
         """``behind`` is the executor."""
         self._behind = behind
         self._lost: list[trio.Event] = []
-        self.accepted = 0
-        """Connections so far."""
+        self.most_open = 0
+        """The most connections that were ever open at a time."""
 
     def lose_track(self) -> None:
         """Swallow everything on the connections that are open now, for good."""
@@ -32,9 +32,9 @@
         await trio.serve_listeners(self._serve, listeners)
 
     async def _serve(self, near: trio.SocketStream) -> None:
-        self.accepted += 1
         lost = trio.Event()
         self._lost.append(lost)
+        self.most_open = max(self.most_open, len(self._lost))
         try:
             far = await trio.open_tcp_stream(self._behind.host, self._behind.port)
             async with far, near, trio.open_nursery() as nursery:
--- a/fireflyfork/programs/tests/history_checks.py
+++ b/fireflyfork/programs/tests/history_checks.py
@@ -4,7 +4,7 @@
 
 from collections import Counter, defaultdict
 from collections.abc import Iterable, Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
 
 from ... import IdempotencyKey, TargetId
@@ -69,6 +69,10 @@
     most_busy: dict[TargetId, int]
     slots: int
     freezes: tuple[Freeze, ...] = ()
+    most_connections: dict[TargetId, int] = field(default_factory=dict)
+    """Of the targets that were reached through relays."""
+    connections: int = 0
+    """What the contract of a target allows."""
 
 
 def ran_twice(history: History) -> Iterator[str]:
@@ -138,6 +142,13 @@
             yield f"{target_id} ran {most} at a time and has {history.slots} slots"
 
 
+def over_connections(history: History) -> Iterator[str]:
+    """A target that ever had more connections open than its contract allows."""
+    for target_id, most in history.most_connections.items():
+        if most > history.connections:
+            yield f"{target_id} had {most} connections open and allows {history.connections}"
+
+
 def runs_after(history: History, target_id: TargetId, leaving_at: float) -> Iterator[str]:
     """Work that a leaving target began later than it should have been left out."""
     for run in history.runs:
@@ -162,6 +173,7 @@
         *silent_refusals(history),
         *waits_past_deadline(history, slack),
         *over_slots(history),
+        *over_connections(history),
     ]
 
 
--- a/fireflyfork/programs/tests/test_history_checks.py
+++ b/fireflyfork/programs/tests/test_history_checks.py
@@ -40,6 +40,8 @@
     yield "no verdict", history(replace(GOOD, verdict="")), "no verdict"
     yield "when to come back", history(replace(REFUSED, retry_after=None), runs=()), "come back"
     yield "past the deadline", history(replace(GOOD, ended_at=9.0)), "took 9.0 s"
+    crowded = replace(history(GOOD), most_connections={TARGET: 3}, connections=2)
+    yield "over connections", crowded, "3 connections open"
     yield "over slots", history(GOOD, busy=2), "2 at a time"
 
 
--- a/fireflyfork/programs/tests/test_process_history.py
+++ b/fireflyfork/programs/tests/test_process_history.py
@@ -81,7 +81,7 @@
             late = [call for call in fleet.calls if call.sent_at > fleet.calls[-1].sent_at - 1.0]
             self.assertTrue(any(call.status == 200 for call in late))
 
-        run_scenario(scenario)
+        run_scenario(scenario, relayed=True)
 
     def test_an_owner_is_paused_and_resumed(self) -> None:
         """The instance stands still for five seconds, is replaced meanwhile, and goes on.
@@ -101,7 +101,7 @@
                 fleet.freezes.append(Freeze(victim.name, stopped_at, time.time()))
             await self._judge(fleet, least_answered=50)
 
-        run_scenario(scenario)
+        run_scenario(scenario, relayed=True)
 
     def test_the_store_is_down_under_load(self) -> None:
         """The platform's store answers nothing for six seconds; no caller notices."""
@@ -135,6 +135,32 @@
 
         run_scenario(scenario)
 
+    def test_failures_come_together_and_twice(self) -> None:
+        """The store goes down, an owner dies during it, and another one stands still after it.
+
+        Nobody can be fenced while the store is down; what is told to callers must stay true.
+        """
+
+        async def scenario(fleet: ProcessFleet) -> None:
+            dies, pauses = fleet.entries[1], fleet.entries[2]
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(Callers(fleet, seed=9).run, 2 * CALLERS, 12.0)
+                await trio.sleep(0.5)
+                await fleet.switch(fleet.store, down=True)
+                await trio.sleep(0.5)
+                fleet.signal_entry(dies, signal.SIGKILL)
+                await trio.sleep(3.5)
+                await fleet.switch(fleet.store, lose_answers=2)
+                fleet.start_entry(dies)
+                fleet.signal_entry(pauses, signal.SIGSTOP)
+                stopped_at = time.time()
+                await trio.sleep(3.0)
+                fleet.signal_entry(pauses, signal.SIGCONT)
+                fleet.freezes.append(Freeze(pauses.name, stopped_at, time.time()))
+            await self._judge(fleet, least_answered=50)
+
+        run_scenario(scenario, relayed=True)
+
     def test_a_planned_restart_cuts_nothing_off(self) -> None:
         """An owner is restarted for an update while clerks book; none of them may notice."""
 
@@ -154,7 +180,7 @@
             seen = [call for call in fleet.calls if call.key in keys]
             self.assertEqual(seen, [])
 
-        run_scenario(scenario)
+        run_scenario(scenario, relayed=True)
 
     def test_a_leaving_executor_gets_nothing_new(self) -> None:
         """The lagging list says that an executor leaves; work sent to it later would be cut off."""
