--- a/fireflyfork/adapters/_http.py
+++ b/fireflyfork/adapters/_http.py
@@ -94,6 +94,18 @@
     stream.socket.close()
 
 
+async def read_event(http: h11.Connection, stream: trio.SocketStream) -> HttpEvent:
+    """The next event from the other side. Raises HttpError, and h11's error on what isn't HTTP."""
+    try:
+        while True:
+            event = http.next_event()
+            if event is not h11.NEED_DATA:
+                return event
+            http.receive_data(await stream.receive_some(RECEIVE_BYTES))
+    except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+        raise HttpError(f"receiving failed: {error!r}") from error
+
+
 async def collect(chunks: AsyncIterator[bytes], longest: int) -> bytes:
     """The whole body. Raises HttpError when it is longer than ``longest`` bytes."""
     parts: list[bytes] = []
--- a/fireflyfork/adapters/_http_client.py
+++ b/fireflyfork/adapters/_http_client.py
@@ -12,13 +12,13 @@
 from .._links import Address
 from ._http import (
     LONGEST_HEAD_BYTES,
-    RECEIVE_BYTES,
     Header,
     HttpError,
     HttpEvent,
     RequestHead,
     ResponseHead,
     collect,
+    read_event,
 )
 
 _UNACKNOWLEDGED_MILLISECONDS = 2_000
@@ -122,12 +122,8 @@
 
     async def _next_event(self) -> HttpEvent:
         try:
-            while True:
-                event = self._http.next_event()
-                if event is not h11.NEED_DATA:
-                    return event
-                self._http.receive_data(await self._stream.receive_some(RECEIVE_BYTES))
-        except (h11.ProtocolError, trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            return await read_event(self._http, self._stream)
+        except h11.ProtocolError as error:
             raise HttpError(f"receiving failed: {error!r}") from error
 
     def _readable(self) -> bool:
--- a/fireflyfork/adapters/_http_server.py
+++ b/fireflyfork/adapters/_http_server.py
@@ -12,12 +12,12 @@
 
 from ._http import (
     LONGEST_HEAD_BYTES,
-    RECEIVE_BYTES,
     Header,
     HttpError,
     HttpEvent,
     RequestHead,
     abort,
+    read_event,
 )
 
 _HEAD_TOO_LARGE = 431
@@ -222,13 +222,9 @@
     async def _next_event(self, seconds: float) -> HttpEvent:
         try:
             with trio.fail_after(seconds):
-                while True:
-                    event = self._http.next_event()
-                    if event is not h11.NEED_DATA:
-                        return event
-                    self._http.receive_data(await self._stream.receive_some(RECEIVE_BYTES))
-        except (trio.BrokenResourceError, trio.ClosedResourceError, trio.TooSlowError) as error:
-            raise HttpError(f"receiving failed: {error!r}") from error
+                return await read_event(self._http, self._stream)
+        except trio.TooSlowError as error:
+            raise HttpError("the client fell silent") from error
 
     async def _refuse(self, status: int, reason: str) -> None:
         if self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
--- a/fireflyfork/programs/_configuration_keeper.py
+++ b/fireflyfork/programs/_configuration_keeper.py
@@ -22,6 +22,7 @@
     CONFIGURATION_KEY,
     ConfigurationOffer,
     Member,
+    MemberPhase,
     OfferOutcome,
     OfferSource,
     begin_register,
@@ -40,6 +41,12 @@
 InForce = Callable[[Configuration], None]
 
 
+_PEERS_AT_THE_START = MemberId("peers at the start")
+
+TRUST_PEERS_SECONDS = 5.0
+"""After so long as a member, the guard and the wards have told of the highest version they hold."""
+
+
 class ConfigurationKeeper:
     """The configuration at one entry."""
 
@@ -47,7 +54,7 @@
         """``in_force`` is called with each configuration that comes into force."""
         self._store = store
         self._in_force = in_force
-        self._state = begin_register(())
+        self._state = begin_register((_PEERS_AT_THE_START,))
         self._revision = Revision(0)
         self._version_in_force = ConfigurationVersion(0)
         self._channel: GuardChannel | None = None
@@ -70,7 +77,6 @@
 
     def offered(self, member: MemberId, offer: ConfigurationOffer) -> None:
         """A peer passed a configuration on."""
-        self._state = peer_done(self._state, member)
         self._consider(offer, OfferSource.PEER)
 
     def peer_holds(self, member: MemberId, version: ConfigurationVersion) -> None:
@@ -83,6 +89,7 @@
         """Follow the store until cancelled."""
         async with trio.open_nursery() as nursery:
             self._nursery = nursery
+            nursery.start_soon(self._trust_peers_later)
             await self._read_first()
             while True:
                 if is_watcher():
@@ -90,6 +97,15 @@
                 else:
                     await trio.sleep(RETRY_SECONDS)
 
+    async def _trust_peers_later(self) -> None:
+        # A restarted entry that took the first peer's word could serve an older configuration than
+        # before. It waits for the store, or until it has compared versions as a member for a while.
+        while self._membership is None or self._membership.phase is not MemberPhase.ACTIVE:
+            await trio.sleep(RETRY_SECONDS)
+        await trio.sleep(TRUST_PEERS_SECONDS)
+        self._state = peer_done(self._state, _PEERS_AT_THE_START)
+        self._put_in_force()
+
     async def _read_first(self) -> None:
         # Until the store has answered once, what peers offer is held but may be outdated.
         wait = RETRY_SECONDS
@@ -131,6 +147,9 @@
         if self._membership is not None:
             # A peer that is told too low a version sends the whole configuration in reply.
             self._membership.configuration_version = self.version
+        self._put_in_force()
+
+    def _put_in_force(self) -> None:
         held = self._state.held
         if held is None or not self._state.ready or held.version <= self._version_in_force:
             return
--- a/fireflyfork/programs/tests/test_configuration_keeper.py
+++ b/fireflyfork/programs/tests/test_configuration_keeper.py
@@ -80,6 +80,22 @@
 
         run_keepers(scenario)
 
+    def test_a_restarted_entry_does_not_take_the_first_word(self) -> None:
+        """It comes back while the store is down; a peer that lags offers an old version first."""
+
+        async def scenario(keepers: KeeperFleet) -> None:
+            await keepers.accept(3)
+            await trio.sleep(_IN_FORCE_SECONDS)
+            keepers.fleet.store.down = True
+            address = _ADDRESSES[0]
+            membership = keepers.fleet.network.members[address]
+            keepers.in_force[address].clear()
+            keepers.keep(membership, address).offered(membership.member_id, an_offer(2))
+            await trio.sleep(_IN_FORCE_SECONDS)
+            self.assertEqual(keepers.in_force[address], [3])
+
+        run_keepers(scenario)
+
     def test_a_lower_version_is_never_put_in_force(self) -> None:
         """A peer that was cut off passes on what it holds, and an operator's tool sets the store
         back. Targets that were taken away would get bookings again."""
--- a/fireflyfork/programs/tests/test_leaving.py
+++ b/fireflyfork/programs/tests/test_leaving.py
@@ -25,6 +25,24 @@
     trio.run(main)
 
 
+async def book_all_at_entry_1(
+    fleet: RunningFleet, meanwhile: Callable[[], Awaitable[None]]
+) -> list[int]:
+    """The statuses of four bookings during which ``meanwhile`` happens."""
+    statuses: list[int] = []
+
+    async def one() -> None:
+        head, _ = await fleet.entries[1].call("POST", "/desk/x")
+        statuses.append(head.status)
+
+    async with trio.open_nursery() as nursery:
+        for _ in range(4):
+            nursery.start_soon(one)
+        await trio.sleep(0.1)
+        await meanwhile()
+    return statuses
+
+
 class LeavingTargetTest(unittest.TestCase):
     """A target that the platform takes away."""
 
@@ -51,18 +69,11 @@
         """The news comes while bookings run on the target; they are answered all the same."""
 
         async def body(fleet: RunningFleet) -> None:
-            statuses: list[int] = []
-
-            async def one() -> None:
-                head, _ = await fleet.entries[1].call("POST", "/desk/x")
-                statuses.append(head.status)
-
-            async with trio.open_nursery() as nursery:
-                for _ in range(4):
-                    nursery.start_soon(one)
-                await trio.sleep(0.1)
+            async def lose_all() -> None:
                 changes = [InstanceChange(one, InstanceState.LEAVING) for one in fleet.executors]
                 fleet.entries[0].entry.note_instances(changes)
+
+            statuses = await book_all_at_entry_1(fleet, lose_all)
             self.assertEqual(statuses, [200] * 4)
 
         run_fleet(body, run_seconds=0.4)
@@ -75,17 +86,10 @@
         """The entry is told to stop while clerks wait for their answers from it."""
 
         async def body(fleet: RunningFleet) -> None:
-            statuses: list[int] = []
-
-            async def one() -> None:
-                head, _ = await fleet.entries[1].call("POST", "/desk/x")
-                statuses.append(head.status)
-
-            async with trio.open_nursery() as nursery:
-                for _ in range(4):
-                    nursery.start_soon(one)
-                await trio.sleep(0.1)
+            async def stop() -> None:
                 await fleet.entries[1].entry.stop_callers(0.0)
+
+            statuses = await book_all_at_entry_1(fleet, stop)
             self.assertEqual(statuses, [200] * 4)
 
         run_fleet(body, run_seconds=0.4)
