Placement: a neighbour present from the first report is no longer taken for the service itself

A service whose every replica had the same noisy neighbour from the start was left at 90 times its objective for good: the first report became its own latency, and the neighbour was acquitted. The test of the eviction budget found it (0 evictions for an expected 2). A service is now first taken to keep its objective alone.

--- a/bench/_worker_model.py
+++ b/bench/_worker_model.py
@@ -243,6 +243,10 @@
         """The attempts that may run."""
         return self._runs
 
+    def waiting_count(self) -> int:
+        """Tasks that wait."""
+        return sum(len(tasks) for tasks in self._waiting.values())
+
     def submit_some(self, count: int, chance: random.Random) -> None:
         """Submit so many tasks of classes drawn at random, four to a job."""
         for _ in range(max(count // 4, 1)):
--- a/bench/placement_cost.py
+++ b/bench/placement_cost.py
@@ -109,8 +109,10 @@
         for _ in range(_MOST_FILL_ROUNDS):
             missing = self._wanted() - len(self._model.running)
             if missing <= 0:
-                return
-            self._model.submit_some(min(missing, self._site.workers), self._chance)
+                break
+            unplaced = missing - self._model.waiting_count()
+            if unplaced > 0:
+                self._model.submit_some(min(unplaced, 2 * self._site.workers), self._chance)
             self._model.one_round(_FILL_ROUND_SECONDS)
             self._model.report_at_once()
         self._model.drop_waiting()
--- a/fireflyfork/decisions/placement/_interference.py
+++ b/fireflyfork/decisions/placement/_interference.py
@@ -14,6 +14,7 @@
 _NOISE_VARIANCE = 0.04
 """Of the logarithm of one reported p99: it is measured over few requests."""
 _INTERCEPT_VARIANCE = 0.25
+_HIGHEST_FIRST_INTERCEPT = math.log(0.7)
 _SLOPE_VARIANCE = 4.0
 """Of a pair never measured."""
 _BORROWED_VARIANCE = 1.0
@@ -160,7 +161,9 @@
         if found is not None:
             return found
         neighbour = self._nearest(service, band)
-        created = BandEstimate(measured)
+        # A service is taken to keep its objective alone. Were the first report taken as it stands,
+        # a neighbour present from the first would pass for the service's own latency for good.
+        created = BandEstimate(min(measured, _HIGHEST_FIRST_INTERCEPT))
         if neighbour is not None:
             created.intercept = neighbour.intercept
             created.pairs = {
--- a/fireflyfork/decisions/placement/tests/test_policy.py
+++ b/fireflyfork/decisions/placement/tests/test_policy.py
@@ -1,9 +1,11 @@
 """The placement policy by example: what starts where, what waits and why, what is refused."""
 
 import unittest
+from math import exp
 
-from ...._contracts import TeamContract, Tolerance
+from ...._contracts import TeamContract, Tolerance, Weights
 from ...._ids import WorkerId
+from ...._machines import Resources
 from ..._placement_policy import (
     CheckpointAndEvict,
     Start,
@@ -148,6 +150,30 @@
         small.end(noisy, AttemptOutcome.STOPPED)
         small.tasks.pop(noisy)
 
+    def test_evictions_stop_at_the_budget(self) -> None:
+        """Every worker's service is slowed at once, and throttling does not help enough.
+
+        Evicting everywhere would hold back all quote batches for one shift of load.
+        """
+        small = table(InterferenceAwarePolicy(), workers=8)
+        small.weights = Weights(tail_latency=10.0)
+        desks = small.submit(replica_shape(), 8)
+        noisy = small.submit(shape(size(12, 12), task_class="noisy"), 8)
+        small.round()
+        for _ in range(60):
+            beside: dict[WorkerId | None, float] = {}
+            for task_id in noisy:
+                task = small.tasks[task_id]
+                limit = task.millicores_limit or task.reservation.millicores
+                beside[task.worker_id] = limit / 16_000
+                if task.worker_id is not None:
+                    small.report(task_id, Resources(limit, GIGABYTE))
+            for task_id in desks:
+                share = beside.get(small.tasks[task_id].worker_id, 0.0)
+                small.report(task_id, size(1, 1), tail=OBJECTIVE_MILLISECONDS * exp(6 * share))
+            small.round(3.0)
+        self.assertEqual(small.evictions, 2)
+
     def test_lagging_reports_of_one_cause_throttle_once(self) -> None:
         """Reports lag by ten seconds, so those after a throttle still show the time before it.
 
