--- a/fireflyfork/decisions/placement/_interference.py
+++ b/fireflyfork/decisions/placement/_interference.py
@@ -26,6 +26,8 @@
 """What was learned is trusted less as time passes, since work and load change."""
 _LARGEST_ERROR = 1.0
 """One report, however bad, moves estimates as if it were off by no more than this."""
+_MOST_PAIRS = 512
+"""Classes remembered for each service and band of load."""
 _DOUBT = 0.5
 """Standard deviations added before work is started beside a service it may harm."""
 _FEARED_WHEN_UNKNOWN = _DOUBT * math.sqrt(_SLOPE_VARIANCE)
@@ -149,6 +151,7 @@
     def _pair(self, band: BandEstimate, task_class: TaskClass, now: float) -> PairEstimate:
         pair = band.pairs.get(task_class)
         if pair is None:
+            _drop_oldest(band.pairs)
             pair = band.pairs[task_class] = PairEstimate(0.0, _SLOPE_VARIANCE, now)
             return pair
         pair.slope = _faded(pair, now)
@@ -185,6 +188,15 @@
         return None
 
 
+def _drop_oldest(pairs: dict[TaskClass, PairEstimate]) -> None:
+    """Keep memory bounded where classes don't recur: each job of a day could be one."""
+    if len(pairs) < _MOST_PAIRS:
+        return
+    by_age = sorted(pairs, key=lambda name: pairs[name].learned_at)
+    for name in by_age[: _MOST_PAIRS // 2]:
+        del pairs[name]
+
+
 def _faded(pair: PairEstimate, now: float) -> float:
     age = now - pair.learned_at
     if age < 60.0:
--- a/fireflyfork/decisions/placement/tests/test_interference.py
+++ b/fireflyfork/decisions/placement/tests/test_interference.py
@@ -48,3 +48,13 @@
         model = _learned(400)
         high = model.added(_DESK, 0.9, _NOISY, 1.0, 400.0)
         self.assertEqual(high, model.added(_DESK, 0.5, _NOISY, 1.0, 400.0))
+
+    def test_memory_is_bounded(self) -> None:
+        """Each job names a class of its own, 26,000 a day; an instance has no room for them all."""
+        model = InterferenceModel()
+        for number in range(2000):
+            model.learn(_DESK, 0.5, {TaskClass(f"job-{number}"): 0.1}, 0.5, float(number))
+        estimate = model.estimate(_DESK, 0.5)
+        assert estimate is not None
+        self.assertLessEqual(len(estimate.pairs), 512)
+        self.assertIn(TaskClass("job-1999"), estimate.pairs)
