--- a/fireflyfork/decisions/_attempts.py
+++ b/fireflyfork/decisions/_attempts.py
@@ -162,16 +162,6 @@
     )
 
 
-def silent_attempts(
-    table: TaskTable,
-    leases: LeaseState,
-    workers: Mapping[WorkerId, Worker],
-    rules: LeaseRules,
-) -> Iterator[Task]:
-    """The tasks whose attempts are on silent workers."""
-    return (task for task in table.holding() if is_silent(task, leases, workers, rules))
-
-
 def fence(leases: LeaseState, key: AttemptKey, now: float) -> LeaseState:
     """The state once the platform has answered an order to stop an attempt."""
     if key in leases.fenced:
--- a/fireflyfork/decisions/_partition.py
+++ b/fireflyfork/decisions/_partition.py
@@ -22,10 +22,10 @@
     forget_ended,
     hear,
     hear_region,
+    is_silent,
     judge_report,
     lapsed,
     latest_reports,
-    silent_attempts,
 )
 from ._placement_policy import (
     AttemptEnded,
@@ -284,17 +284,16 @@
 
 
 def to_stop(partition: Partition) -> Iterator[Task]:
-    """The attempts to stop: evicted and cancelled ones, and those on silent workers."""
+    """The attempts to stop: evicted and cancelled ones, and those that are or were on silent workers.
+
+    Once the platform was told to stop an attempt, its lease is not renewed any more. Should the
+    worker come back, being told again ends it sooner than the lease does.
+    """
+    leases = partition.leases
     for task in partition.table.holding():
-        if task.state in (TaskState.EVICTING, TaskState.CANCELLING):
-            yield task
-    fenced = partition.leases.fenced
-    silent = silent_attempts(
-        partition.table, partition.leases, partition.workers, partition.rules.leases
-    )
-    for task in silent:
         stopping = task.state in (TaskState.EVICTING, TaskState.CANCELLING)
-        if not stopping and (task.task_id, task.attempt) not in fenced:
+        fenced = (task.task_id, task.attempt) in leases.fenced
+        if stopping or fenced or is_silent(task, leases, partition.workers, partition.rules.leases):
             yield task
 
 
--- a/fireflyfork/programs/_planner_partition.py
+++ b/fireflyfork/programs/_planner_partition.py
@@ -184,9 +184,12 @@
 
     async def submit(self, submission: Submission) -> Refusal | None:
         """Accept a job, and return once that is durable. Raises as ``_durable``."""
+        state = self._running_state()
+        if not self.is_ready:
+            raise NotReadyError("the configuration and the workers are not known yet; ask again")
         if self._overfull:
             return Refusal("the partition's state has outgrown the store's values", permanent=False)
-        outcome = submit(self._ready_state(), submission, self._clock.now())
+        outcome = submit(state, submission, self._clock.now())
         if isinstance(outcome, Refusal):
             return outcome
         await self._durable(self._take(outcome))
@@ -194,7 +197,7 @@
 
     async def cancel(self, job_id: JobId, index: int | None) -> bool:
         """Cancel a job or one task of it; False when there is no such job. Raises as ``_durable``."""
-        step = cancel(self._ready_state(), job_id, index, self._clock.now())
+        step = cancel(self._running_state(), job_id, index, self._clock.now())
         if step is None:
             return False
         await self._durable(self._take(step))
@@ -202,13 +205,11 @@
 
     def evict(self, task_ids: tuple[TaskId, ...], reason: str) -> None:
         """Checkpoint and evict running tasks. Raises NotReadyError."""
-        self._take(evict(self._ready_state(), task_ids, reason, self._clock.now()))
+        self._take(evict(self._running_state(), task_ids, reason, self._clock.now()))
 
-    def _ready_state(self) -> Partition:
+    def _running_state(self) -> Partition:
         if self._state is None or self._stopping:
             raise NotReadyError(f"{self._plan.partition} is being taken over; ask again")
-        if not self.is_ready:
-            raise NotReadyError("the configuration and the workers are not known yet; ask again")
         return self._state
 
     def _configured(self, state: Partition) -> Partition:
--- a/fireflyfork/programs/tests/builders_faults.py
+++ b/fireflyfork/programs/tests/builders_faults.py
@@ -31,7 +31,7 @@
     StoredValue,
     WorkerPlatform,
 )
-from ...decisions import LeaseRules, PlanningRules, Submission
+from ...decisions import FirstFitPolicy, LeaseRules, PlacementPolicy, PlanningRules, Submission
 from .._planner_partition import (
     NotReadyError,
     OutcomeUnknownError,
@@ -184,9 +184,17 @@
 class Planners:
     """A series of planners, each taking the partition over from the one before."""
 
-    def __init__(self, nursery: trio.Nursery, worker_count: int = 3) -> None:
+    def __init__(
+        self,
+        nursery: trio.Nursery,
+        rules: PlanningRules = FAST_RULES,
+        report_lag: float = 0.5,
+        new_policy: Callable[[], PlacementPolicy] = FirstFitPolicy,
+    ) -> None:
         self.store = MemoryStore()
-        self.workers = SimulatedWorkers(make_workers(worker_count))
+        self.workers = SimulatedWorkers(make_workers(3), report_lag=report_lag)
+        self._rules = rules
+        self._new_policy = new_policy
         self.platform = SimulatedPlatform(self.workers)
         self.owner = MemberId("")
         self.moved = trio.Event()
@@ -205,6 +213,11 @@
         assert self._runner is not None
         return self._runner
 
+    @property
+    def gate(self) -> Gate:
+        """What holds the present owner's calls back."""
+        return self._gate
+
     def take_over(self) -> None:
         """Begin a new planner and give it the partition; the one before goes on until it notices."""
         self._count += 1
@@ -267,7 +280,7 @@
         return job is not None and job.open_count == 0
 
     def _plan(self) -> PartitionPlan:
-        return replace(make_plan(), rules=FAST_RULES, pace=FAST_PACE)
+        return replace(make_plan(self._new_policy), rules=self._rules, pace=FAST_PACE)
 
     async def _run(
         self, runner: PartitionRunner, scope: trio.CancelScope, member: MemberId
--- a/fireflyfork/programs/tests/test_planner_attempts.py
+++ b/fireflyfork/programs/tests/test_planner_attempts.py
@@ -5,15 +5,17 @@
 
 import trio
 
-from fireflyfork_standins import EventKind, Faults
+from fireflyfork_standins import EventKind, Faults, history_problems
 
 from ... import JobId, TaskId, WorkerId
-from ...decisions import TaskState
+from ...decisions import LeaseRules, PlanningRules, TaskState
 from .builders_faults import Fault, FaultKind, Planners
 from .builders_planner import make_submission, run_simulated, until
 
 JOB = JobId("night")
 FIRST = TaskId("night/0")
+LONG_LEASES = PlanningRules(LeaseRules(lease=30.0, silence=8.0, margin=3.0))
+"""A worker that falls silent runs on for a while after the planner has noticed."""
 
 
 def starts_of(planners: Planners, task_id: TaskId) -> list[tuple[int, WorkerId]]:
@@ -98,25 +100,31 @@
     def test_a_renewal_that_arrives_late(self) -> None:
         """A paused planner's renewal arrives after its successor has given the attempt up.
 
-        The worker would run on under the renewed lease while the task already runs elsewhere.
+        The worker comes back for a moment, takes the renewal, and would run on under it while the
+        task already runs elsewhere.
         """
 
         async def body() -> None:
             async with trio.open_nursery() as nursery:
-                planners = Planners(nursery)
-                await planners.submit(make_submission(tasks=1, run_seconds=120.0))
+                planners = Planners(nursery, LONG_LEASES)
+                await planners.submit(make_submission(tasks=1, run_seconds=200.0))
                 await until(lambda: state_of(planners, FIRST) is TaskState.RUNNING)
-                first_worker = starts_of(planners, FIRST)[0][1]
-                await planners.apply(Fault(FaultKind.PLANNER_PAUSED, 0.0, 29.0, 0))
-                await trio.sleep(12.0)
-                planners.workers.faults = Faults(unreachable=(first_worker,))
-                await until(lambda: state_of(planners, FIRST) is not TaskState.RUNNING)
+                unreachable = Faults(unreachable=(starts_of(planners, FIRST)[0][1],))
+                earlier = planners.gate
+                earlier.close()
+                await trio.sleep(4.0)
+                planners.take_over()
+                await trio.sleep(5.0)
+                planners.workers.faults = unreachable
+                await trio.sleep(20.2)
                 planners.workers.faults = Faults()
-                await until(lambda: planners.is_over(JOB))
-                ends = [e.time for e in planners.workers.history if e.kind is EventKind.ENDED]
-                begins = [e.time for e in planners.workers.history if e.kind is EventKind.STARTED]
-                self.assertEqual(len(begins), 2)
-                self.assertLess(ends[0], begins[1])
+                earlier.open()
+                await trio.sleep(0.05)
+                planners.workers.faults = unreachable
+                await until(lambda: len(starts_of(planners, FIRST)) == 2)
+                workers = planners.workers
+                problems = list(history_problems(workers.history, workers.in_region("viti")))
+                self.assertEqual(problems, [])
                 nursery.cancel_scope.cancel()
 
         run_simulated(body)
@@ -161,11 +169,11 @@
 
         async def body() -> None:
             async with trio.open_nursery() as nursery:
-                planners = Planners(nursery)
+                planners = Planners(nursery, report_lag=3.0)
                 await trio.sleep(100.0)
                 await planners.submit(make_submission(tasks=1, run_seconds=30.0))
                 await until(lambda: planners.is_over(JOB))
-                self.assertEqual(len(starts_of(planners, FIRST)), 1)
+                self.assertEqual(starts_of(planners, FIRST), [(1, WorkerId("w0"))])
                 nursery.cancel_scope.cancel()
 
         run_simulated(body)
@@ -214,8 +222,8 @@
 
         async def body() -> None:
             async with trio.open_nursery() as nursery:
-                planners = Planners(nursery)
-                await planners.submit(make_submission(tasks=4, run_seconds=60.0))
+                planners = Planners(nursery, LONG_LEASES)
+                await planners.submit(make_submission(tasks=4, run_seconds=200.0))
                 await until(lambda: state_of(planners, FIRST) is TaskState.RUNNING)
                 faults = planners.workers.faults
                 lost = starts_of(planners, FIRST)[0][1]
@@ -224,6 +232,9 @@
                 starts = starts_of(planners, FIRST)
                 self.assertEqual(len(starts), 2)
                 self.assertNotEqual(starts[1][1], lost)
+                workers = planners.workers
+                problems = list(history_problems(workers.history, workers.in_region("viti")))
+                self.assertEqual(problems, [])
                 nursery.cancel_scope.cancel()
 
         run_simulated(body)
--- a/fireflyfork/programs/tests/test_planner_faults.py
+++ b/fireflyfork/programs/tests/test_planner_faults.py
@@ -1,6 +1,7 @@
 """Planners under faults: whatever happens, the history of what ran stays right."""
 
 import unittest
+from collections.abc import Callable
 
 import trio
 from hypothesis import given, settings
@@ -9,6 +10,8 @@
 from fireflyfork_standins import history_problems
 
 from ... import JobId, Resources
+from ...decisions import FirstFitPolicy, PlacementPolicy
+from ...decisions.placement import InterferenceAwarePolicy
 from .builders_faults import Fault, FaultKind, Planners
 from .builders_planner import TEAM, make_submission, run_simulated, until
 
@@ -27,13 +30,15 @@
 )
 
 
-def problems_after(faults: list[Fault]) -> list[str]:
+def problems_after(
+    faults: list[Fault], new_policy: Callable[[], PlacementPolicy] = FirstFitPolicy
+) -> list[str]:
     """Run a job of letters under ``faults`` and say what went wrong."""
     problems: list[str] = []
 
     async def body() -> None:
         async with trio.open_nursery() as nursery:
-            planners = Planners(nursery)
+            planners = Planners(nursery, new_policy=new_policy)
             nursery.start_soon(planners.submit, make_submission(tasks=TASKS, run_seconds=6.0))
             for fault in faults:
                 await planners.apply(fault)
@@ -59,6 +64,12 @@
 class FaultsTest(unittest.TestCase):
     """Generated faults, several at a time."""
 
+    @settings(max_examples=25)
+    @given(FAULTS)
+    def test_history_stays_right_with_learned_placement(self, faults: list[Fault]) -> None:
+        """The same while sizes and interference are learned and bad workers are avoided."""
+        self.assertEqual(problems_after(faults, InterferenceAwarePolicy), [])
+
     @settings(max_examples=40)
     @given(FAULTS)
     def test_history_stays_right(self, faults: list[Fault]) -> None:
--- a/fireflyfork_standins/_simulated_workers.py
+++ b/fireflyfork_standins/_simulated_workers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Iterator
 from dataclasses import dataclass, replace
 from enum import Enum
@@ -76,8 +77,6 @@
     millicores: int
     reason: str = ""
     stop_ordered: bool = False
-    changed: float = 0.0
-    """When the worker last had something to report."""
     known: RunReport | None = None
     """What the platform knows of it."""
     known_at: float = 0.0
@@ -98,7 +97,8 @@
         self._report_interval = report_interval
         self._report_lag = report_lag
         self._runs: dict[tuple[TaskId, AttemptNumber], _Run] = {}
-        self._unreported: dict[tuple[TaskId, AttemptNumber], _Run] = {}
+        self._under_way: deque[tuple[float, _Run, RunReport]] = deque()
+        """Reports on their way to the platform, and when they were sent; oldest first."""
         self._reported: dict[tuple[TaskId, AttemptNumber], _Run] = {}
         """By the number of the last report, ascending."""
         self._fences: dict[TaskId, AttemptNumber] = {}
@@ -197,11 +197,14 @@
         self._now = max(self._now, now)
         for run in tuple(self._running.values()):
             self._advance_run(run, now)
-        for run in tuple(self._unreported.values()):
-            if run.changed + self._report_lag > self._now:
-                break
-            if not self._is_unreachable(run):
-                self._publish(run, run.changed)
+        waiting: list[tuple[float, _Run, RunReport]] = []
+        while self._under_way and self._under_way[0][0] + self._report_lag <= self._now:
+            sent, run, report = self._under_way.popleft()
+            if self._is_unreachable(run):
+                waiting.append((sent, run, report))
+            elif sent >= run.known_at:
+                self._publish(run, report, sent)
+        self._under_way.extendleft(reversed(waiting))
 
     def _advance_run(self, run: _Run, now: float) -> None:
         self._progress(run, min(now, run.lease_end))
@@ -258,28 +261,24 @@
         self._changed(run, now)
 
     def _changed(self, run: _Run, now: float) -> None:
-        key = (run.order.task_id, run.order.attempt)
-        run.changed = now
-        self._unreported.pop(key, None)
-        self._unreported[key] = run
+        self._under_way.append((now, run, self._report(run)))
 
     def _answer(self, run: _Run, now: float) -> RunReport:
         """What the platform says when asked about one attempt: it asks the worker, if it can."""
         if not self._is_unreachable(run):
-            self._publish(run, now)
+            self._publish(run, self._report(run), now)
         return self._aged(run)
 
-    def _publish(self, run: _Run, now: float) -> None:
+    def _publish(self, run: _Run, report: RunReport, sent: float) -> None:
         key = (run.order.task_id, run.order.attempt)
         over = run.known is not None and run.known.state is not RunState.RUNNING
-        run.known = self._report(run)
-        run.known_at = now
+        run.known = report
+        run.known_at = sent
         self._version += 1
         run.version = self._version
-        self._unreported.pop(key, None)
         self._reported.pop(key, None)
         self._reported[key] = run
-        if run.state is not RunState.RUNNING and not over:
+        if report.state is not RunState.RUNNING and not over:
             self._record(EventKind.END_REPORTED, run, self._now)
 
     def _aged(self, run: _Run) -> RunReport:
