--- a/bench/placement_cost.py
+++ b/bench/placement_cost.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import gc
+import math
 import random
 import time
 import tracemalloc
@@ -189,7 +190,7 @@
         share = sum(policy.seconds.values()) / (_ROUNDS * _ROUND_SECONDS)
         running = bench.running
         idle = bench.idle_round()
-        per_worker, per_task = _memory(workers) if memory else (0.0, 0.0)
+        per_worker, per_task = _memory(workers) if memory else (math.nan, math.nan)
         print(
             f"{workers:>7} {running:>7} {starts:>6} {per_start:>9.1f} {per_started:>12.1f}"
             f" {per_sample:>10.1f} {idle:>14.1f} {share:>22.1%} {per_worker:>10.2f}"
