Slots are not held back by learned concurrency: tried, and reverted

Cause: ConcurrencyLimit was wired into the entry without a measurement of mixed traffic. Ruled out: a faster ageing baseline, which then follows interference up and limits nothing.

--- a/fireflyfork/programs/_target_attempts.py
+++ b/fireflyfork/programs/_target_attempts.py
@@ -122,7 +122,7 @@
             if not attempt.answered and attempt.error is None:
                 attempt.error = answer_broke_off("no answer within the longest run time")
             if attempt.answered:
-                group.ran(target, trio.current_time() - started)
+                group.ran(trio.current_time() - started)
             if attempt.answered or not attempt.left:
                 group.release(target, attempt.attempt_id)
             attempt.ended.set()
--- a/fireflyfork/programs/_target_group.py
+++ b/fireflyfork/programs/_target_group.py
@@ -17,7 +17,6 @@
     Acquisition,
     AdmissionKind,
     AdmissionQueue,
-    ConcurrencyLimit,
     ConnectionId,
     ConnectionPool,
     ConnectionTerms,
@@ -51,7 +50,6 @@
     after_fence: bool
     """Whether the last owner was lost, so that nobody tells when its requests end."""
     ledger: SlotLedger
-    limit: ConcurrencyLimit
     pool: ConnectionPool
     newest: ConnectionId
     """The number of the connection opened last."""
@@ -59,9 +57,8 @@
     """Idle connections by number."""
 
     def free(self, now: float) -> int:
-        """Slots that are free and worth using."""
-        used = self.contract.slots - self.ledger.free(now)
-        return max(0, self.limit.limit - used) if not self.ledger.leaving else 0
+        """Slots that can be given away now."""
+        return self.ledger.free(now)
 
     def usable(self, now: float) -> int:
         """Slots whose requests end with an answer, so that others can count on getting them.
@@ -72,9 +69,9 @@
         if self.ledger.leaving:
             return 0
         if not self.after_fence:
-            return self.limit.limit
+            return self.contract.slots
         blocked = sum(s.attempt is None and s.until > now for s in self.ledger.occupied)
-        return max(0, min(self.limit.limit, self.contract.slots - blocked))
+        return max(0, self.contract.slots - blocked)
 
     def close_connections(self, numbers: tuple[ConnectionId, ...]) -> None:
         """Close these idle connections."""
@@ -171,7 +168,6 @@
             ownership.since,
             ownership.acquired is Acquisition.TAKEN_OVER,
             ledger,
-            ConcurrencyLimit.initial(contract.slots),
             ConnectionPool(terms),
             ConnectionId(0),
         )
@@ -216,10 +212,9 @@
         self._released(attempt)
         self.wake()
 
-    def ran(self, target: OwnedTarget, seconds: float) -> None:
+    def ran(self, seconds: float) -> None:
         """Learn how long an executor took."""
         self._queue = self._queue.answered(seconds, trio.current_time())
-        target.limit = target.limit.answered(seconds)
 
     def wake(self) -> None:
         """Give free slots to those who wait, and refuse those who can't be served in time."""
