Answers of entries are typed, and the recorder of answers has a module of its own

Cause: /status, /readyz and refusals were bare maps, and fireflyfork-ctl decoded /status with types of its own beside them. Now both sides share _entry_messages.py.

--- a/fireflyfork/programs/_ctl_entries.py
+++ b/fireflyfork/programs/_ctl_entries.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any, TypeVar
 
 import msgspec
@@ -16,6 +16,7 @@
 from ._batch_messages import PlannerMetrics
 from ._ctl_addresses import entry_addresses, planner_addresses
 from ._ctl_output import CommandError, ExitCode, Output, finish, table
+from ._entry_messages import EntryStatus
 
 _TIMEOUT_SECONDS = 5.0
 _POLL_SECONDS = 0.5
@@ -27,25 +28,6 @@
 Answer = TypeVar("Answer")
 
 
-@dataclass(frozen=True, slots=True)
-class ServiceStatus:
-    """A service at one entry."""
-
-    own_targets: tuple[str, ...] = ()
-    free_slots: int = 0
-    queued: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class EntryStatus:
-    """What an entry says of itself."""
-
-    member: str
-    configuration_version: int
-    other_members: tuple[str, ...] = ()
-    services: Mapping[str, ServiceStatus] = field(default_factory=dict)
-
-
 @dataclass(frozen=True, slots=True)
 class EntryReport:
     """An entry as an operator sees it from outside."""
--- a/fireflyfork/programs/_entry.py
+++ b/fireflyfork/programs/_entry.py
@@ -11,8 +11,9 @@
 from .._contracts import Configuration
 from .._ids import PartitionId, RegionName
 from ..adapters import HttpServer, InstanceChange, InstanceState, Peers
-from ..decisions import FleetRecord, LinkBudget, OccupiedSlots, region_of
+from ..decisions import NO_VERSION, FleetRecord, LinkBudget, OccupiedSlots, region_of
 from ._caller_service import CallerService
+from ._entry_messages import EntryStatus, ServiceStatus
 from ._forwarding import Forwarder
 from ._key_copies import KEY_COPIED, KeyCopyHolder, KeyCopySender
 from ._key_home import KeyHome
@@ -27,6 +28,7 @@
 from ._slot_releases import SLOTS_RELEASED, SlotReleases
 from ._span_writer import SpanWriter
 from ._target_attempts import TargetAttempts
+from ._target_group import TargetGroup
 from ._target_groups import TargetGroups
 
 START_SECONDS = 5.0
@@ -157,26 +159,18 @@
         await self.peer_service.wait_idle()
         await self._key_tables.wait_sent()
 
-    def status(self) -> dict[str, object]:
+    def status(self) -> EntryStatus:
         """What operators are shown."""
         configuration = self._configuration
-        members = self._ownership.other_members()
-        return {
-            "member": self._ownership.own,
-            "region": self._ownership.region_of(self._ownership.own),
-            "draining": bool(self._stopping),
-            "in_flight": self._callers.connection_count + self.peer_service.in_flight,
-            "configuration_version": configuration.version if configuration else 0,
-            "other_members": members,
-            "services": {
-                group.contract.name: {
-                    "own_targets": sorted(group.targets),
-                    "free_slots": group.figures().free_slots,
-                    "queued": group.queued,
-                }
-                for group in self._targets.groups()
-            },
-        }
+        return EntryStatus(
+            member=self._ownership.own,
+            region=self._ownership.region_of(self._ownership.own),
+            draining=bool(self._stopping),
+            in_flight=self._callers.connection_count + self.peer_service.in_flight,
+            configuration_version=configuration.version if configuration else NO_VERSION,
+            other_members=self._ownership.other_members(),
+            services={group.contract.name: _status(group) for group in self._targets.groups()},
+        )
 
     async def _keep_streams_open(self) -> None:
         while True:
@@ -207,6 +201,10 @@
         self.metrics.gauge("fireflyfork_caller_connections", lambda: self._callers.connection_count)
 
 
+def _status(group: TargetGroup) -> ServiceStatus:
+    return ServiceStatus(tuple(sorted(group.targets)), group.figures().free_slots, group.queued)
+
+
 def _link_budgets(
     configuration: Configuration, region: RegionName | None
 ) -> Iterator[tuple[RegionName, LinkBudget]]:
--- a/fireflyfork/programs/_key_home.py
+++ b/fireflyfork/programs/_key_home.py
@@ -10,15 +10,16 @@
 import trio
 import xxhash
 
-from .._errors import FireflyforkError, MisdirectedError, PeerError, RequestError
+from .._errors import FireflyforkError, MisdirectedError, RequestError
 from .._ids import Epoch, IdempotencyKey, PartitionId
 from .._requests import ServiceRequest
 from .._verdict import Verdict
-from ..adapters import Header, HttpError, ResponseHead
+from ..adapters import Header, ResponseHead
 from ..decisions import Acquisition, KeyDecision, KeyDecisionKind, KeyTable, KeyTerms, Ownership
 from ._bodies import RequestBody
 from ._key_copies import HomeTable, KeyCopySender
 from ._ownership import OwnershipView
+from ._recording_sink import RecordingSink
 from ._sinks import AnswerSink
 
 TERMS = KeyTerms(most_keys=4_000, most_answer_bytes=256 * 1024, longest_answer_bytes=16 * 1024)
@@ -32,15 +33,29 @@
 
 Dispatch = Callable[[ServiceRequest, RequestBody, AnswerSink], Awaitable[None]]
 
+
+@dataclass(frozen=True, slots=True)
+class _Refusal:
+    """What a caller is told whose request does not run."""
+
+    status: int
+    reason: str
+    verdict: Verdict
+
+
 _REFUSALS = {
-    KeyDecisionKind.MAY_HAVE_RUN: (409, "a request with this key may have run", "may-have-run"),
-    KeyDecisionKind.ANSWER_DROPPED: (
+    KeyDecisionKind.MAY_HAVE_RUN: _Refusal(
+        409, "a request with this key may have run", Verdict.MAY_HAVE_RUN
+    ),
+    KeyDecisionKind.ANSWER_DROPPED: _Refusal(
         409,
         "the request with this key was answered; the answer is no longer kept",
-        "answered",
+        Verdict.ANSWERED,
+    ),
+    KeyDecisionKind.MISMATCH: _Refusal(422, "another request came with this key", Verdict.NOT_RUN),
+    KeyDecisionKind.FROM_THE_FUTURE: _Refusal(
+        400, "the key's time is in the future", Verdict.NOT_RUN
     ),
-    KeyDecisionKind.MISMATCH: (422, "another request came with this key", "not-run"),
-    KeyDecisionKind.FROM_THE_FUTURE: (400, "the key's time is in the future", "not-run"),
 }
 
 
@@ -242,7 +257,7 @@
         sink: AnswerSink,
     ) -> None:
         assert request.key
-        recording = _RecordingSink(sink, home.table.terms.longest_answer_bytes)
+        recording = RecordingSink(sink, home.table.terms.longest_answer_bytes)
         try:
             await self._copies.started(
                 first.partition,
@@ -263,50 +278,6 @@
             await self._copies.not_run(first.partition, request.key)
 
 
-class _RecordingSink(AnswerSink):
-    """Passes an answer on and keeps a copy of it, also when nobody takes it any more."""
-
-    def __init__(self, waiting: AnswerSink, longest: int) -> None:
-        """``longest`` is in bytes; of a longer answer nothing is kept."""
-        super().__init__()
-        self._waiting: AnswerSink | None = waiting
-        self._longest = longest
-        self._head: ResponseHead | None = None
-        self._body = b""
-        self._too_long = False
-
-    @property
-    def answer(self) -> bytes | None:
-        """The encoded answer; None when it was not whole or too long."""
-        if self._head is None or self._too_long or not self._ended:
-            return None
-        return bytes(msgpack.packb([self._head.status, list(self._head.headers), self._body]))
-
-    async def _start(self, head: ResponseHead) -> None:
-        self._head = head
-        if self._waiting is not None:
-            await self._pass(self._waiting.start(head))
-
-    async def _send(self, data: bytes) -> None:
-        if len(self._body) + len(data) > self._longest:
-            self._too_long = True
-            self._body = b""
-        elif not self._too_long:
-            self._body += data
-        if self._waiting is not None:
-            await self._pass(self._waiting.send(data))
-
-    async def _end(self) -> None:
-        if self._waiting is not None:
-            await self._pass(self._waiting.end())
-
-    async def _pass(self, taking: Awaitable[None]) -> None:
-        try:
-            await taking
-        except (HttpError, PeerError):
-            self._waiting = None
-
-
 def _first_home(ownership: Ownership) -> _Home:
     if ownership.acquired is Acquisition.FIRST:
         home = _Home(ownership.since, KeyTable(TERMS))
@@ -330,8 +301,8 @@
         return
     if decision.kind is KeyDecisionKind.TABLE_FULL:
         raise RequestError(503, "too many keys are in use", Verdict.NOT_RUN, 1.0)
-    status, reason, verdict = _REFUSALS[decision.kind]
-    raise RequestError(status, reason, Verdict(verdict))
+    refusal = _REFUSALS[decision.kind]
+    raise RequestError(refusal.status, refusal.reason, refusal.verdict)
 
 
 async def _replay(answer: bytes, sink: AnswerSink) -> None:
@@ -344,7 +315,7 @@
 
 
 def _settled(
-    table: KeyTable, key: IdempotencyKey, error: RequestError | None, recording: _RecordingSink
+    table: KeyTable, key: IdempotencyKey, error: RequestError | None, recording: RecordingSink
 ) -> KeyTable:
     if error is None and recording.ended:
         answer = recording.answer
--- a/fireflyfork/programs/_operator_service.py
+++ b/fireflyfork/programs/_operator_service.py
@@ -5,9 +5,10 @@
 from collections.abc import Callable
 
 from ..adapters import Exchange, HttpHandler
+from ._entry_messages import EntryStatus, OperatorError, Readiness
 from ._metrics import Metrics
 
-StatusOf = Callable[[], dict[str, object]]
+StatusOf = Callable[[], EntryStatus]
 _TEXT = (b"content-type", b"text/plain; version=0.0.4")
 
 
@@ -40,18 +41,17 @@
                 await exchange.answer_json(200, {"alive": True})
             case "/readyz":
                 reason = self._ready()
-                answer = {"ready": not reason, "reason": reason}
-                await exchange.answer_json(503 if reason else 200, answer)
+                await exchange.answer_json(503 if reason else 200, Readiness(not reason, reason))
             case "/status":
                 await exchange.answer_json(200, self._status())
             case "/metrics":
                 await exchange.answer(200, self._metrics.text().encode("utf-8"), (_TEXT,))
             case _:
-                await exchange.answer_json(404, {"error": "no such path"})
+                await exchange.answer_json(404, OperatorError("no such path"))
 
     async def _handle_drain(self, exchange: Exchange) -> None:
         if exchange.head.method != "POST":
-            await exchange.answer_json(405, {"error": "use POST"})
+            await exchange.answer_json(405, OperatorError("use POST"))
             return
         self._drain()
         await exchange.answer_json(202, {"draining": True})
--- a/fireflyfork/programs/_sinks.py
+++ b/fireflyfork/programs/_sinks.py
@@ -19,6 +19,7 @@
     end_to_end,
 )
 from ._caller_requests import KEY_HEADER, REQUEST_ID_HEADER, VERDICT_HEADER
+from ._entry_messages import RefusedAnswer
 
 
 class AnswerSink(ABC):
@@ -78,11 +79,7 @@
             self._exchange.abort()
             return
         self._started = True
-        body = {
-            "error": error.reason,
-            "verdict": error.verdict.value,
-            "retry_after_seconds": error.retry_after,
-        }
+        body = RefusedAnswer(error.reason, error.verdict, error.retry_after)
         headers = [*self._own_headers(error.verdict)]
         if error.retry_after is not None:
             seconds = max(1, math.ceil(error.retry_after))
