An answer to what is not HTTP reaches its sender

Cause: a head of 70 KB was answered 431 and the connection closed while its client still sent, which reset the connection and lost the answer (test_what_is_not_http..., red before). The server now stops sending, reads on for a second at most, and then closes; the same after a body that was not read. Ruled out: reading the rest before answering, which a client could make last for ever.

--- a/fireflyfork/adapters/_http_server.py
+++ b/fireflyfork/adapters/_http_server.py
@@ -12,6 +12,7 @@
 
 from ._http import (
     LONGEST_HEAD_BYTES,
+    RECEIVE_BYTES,
     Header,
     HttpError,
     HttpEvent,
@@ -22,6 +23,9 @@
 
 _HEAD_TOO_LARGE = 431
 
+LINGER_SECONDS = 1.0
+"""For so long a client may go on sending what nobody reads any more."""
+
 JSON_HEADER: Header = (b"content-type", b"application/json")
 
 
@@ -193,15 +197,24 @@
         return await self._finish_cycle()
 
     async def _finish_cycle(self) -> bool:
-        # What is left of an unread request body is dropped for a while, so that the next request
-        # on the connection isn't read from the middle of it; a long rest costs the connection.
-        if self._http.our_state is not h11.DONE:
-            return False
-        if self._http.their_state is h11.SEND_BODY:
-            with trio.move_on_after(1.0):
-                async for _ in self.receive_body():
+        # A request that was answered before its body was read costs the connection: the next one
+        # would be read from the middle of the body.
+        while self._http.their_state is h11.SEND_BODY:
+            if self._http.next_event() is h11.NEED_DATA:
+                await self._linger()
+                return False
+        return self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
+
+    async def _linger(self) -> None:
+        # Closing while the client still sends would reset the connection, and the client would
+        # lose the answer that tells it what is wrong.
+        try:
+            with trio.move_on_after(LINGER_SECONDS):
+                await self._stream.send_eof()
+                while await self._stream.receive_some(RECEIVE_BYTES):
                     pass
-        return self._http.their_state is h11.DONE
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            return
 
     async def _first_event(self) -> HttpEvent | None:
         if not self._http.trailing_data[0] and not await self._wait_for_request():
@@ -232,6 +245,7 @@
         self._closing = True
         exchange = Exchange(self, RequestHead("GET", "/", ()))
         await self._handler.malformed(exchange, status, reason)
+        await self._linger()
 
     @staticmethod
     def _head(event: h11.Request) -> RequestHead:
--- a/fireflyfork/programs/tests/test_request_path.py
+++ b/fireflyfork/programs/tests/test_request_path.py
@@ -107,6 +107,49 @@
 
         run_fleet(body)
 
+    def test_what_is_not_http_is_refused_and_ends_only_its_connection(self) -> None:
+        """Scanners and broken clients send what no parser takes; clerks beside them book on."""
+        cases = [
+            (b"\x16\x03\x01\x02\x00\x01\x00", b"400"),
+            (b"GET /desk/x HTTP/1.1\r\nno colon\r\n\r\n", b"400"),
+            (b"GET /desk/x HTTP/1.1\r\n\r\n", b"400"),
+            (
+                b"POST /desk/x HTTP/1.1\r\nhost: a\r\ncontent-length: -1\r\n\r\n",
+                b"400",
+            ),
+            (b"GET /" + b"x" * 70_000, b"431"),
+        ]
+
+        async def body(fleet: RunningFleet) -> None:
+            address = fleet.entries[0].caller_address
+            for sent, status in cases:
+                with self.subTest(sent=sent[:40]):
+                    stream = await trio.open_tcp_stream(address.host, address.port)
+                    await stream.send_all(sent)
+                    answer = b""
+                    while part := await stream.receive_some(65_536):
+                        answer += part
+                    self.assertEqual(answer.split()[1], status, answer)
+                    self.assertIn(b'"verdict":"not-run"', answer)
+            head, _ = await fleet.entries[0].call("GET", "/desk/x")
+            self.assertEqual(head.status, 200)
+
+        run_fleet(body)
+
+    def test_a_caller_that_sends_half_a_head_and_stops(self) -> None:
+        """Its connection is ended after a while, and the entry serves others meanwhile."""
+
+        async def body(fleet: RunningFleet) -> None:
+            address = fleet.entries[0].caller_address
+            stream = await trio.open_tcp_stream(address.host, address.port)
+            await stream.send_all(b"GET /desk/x HT")
+            head, _ = await fleet.entries[0].call("GET", "/desk/x")
+            self.assertEqual(head.status, 200)
+            with self.assertRaises(trio.BrokenResourceError):
+                await stream.receive_some(1)
+
+        run_fleet(body)
+
     def test_an_oversized_body_is_refused(self) -> None:
         """A caller sends more than the service takes; it is told so and nothing runs."""
 
