A planner's metrics can be scraped, with how long tasks waited for their starts

Now /metrics is Prometheus text with an hdrhistogram of the waits by urgency; the JSON is at /v1/metrics, which fireflyfork-ctl uses.

--- a/fireflyfork/programs/_batch_client.py
+++ b/fireflyfork/programs/_batch_client.py
@@ -75,7 +75,7 @@
 
     async def metrics(self) -> PlannerMetrics:
         """The figures of the first planner to answer. Raises BatchCallError."""
-        return await self._call("GET", "/metrics", PlannerMetrics)
+        return await self._call("GET", "/v1/metrics", PlannerMetrics)
 
     async def _call(
         self, method: str, target: str, answer_type: type[Answer], body: bytes = b""
--- a/fireflyfork/programs/_metrics.py
+++ b/fireflyfork/programs/_metrics.py
@@ -12,6 +12,9 @@
 _SIGNIFICANT_DIGITS = 2
 _QUANTILES = (0.5, 0.9, 0.99, 0.999)
 
+METRICS_TEXT = (b"content-type", b"text/plain; version=0.0.4")
+"""The header of an answer in this format."""
+
 Labels = tuple[tuple[str, str], ...]
 Gauge = Callable[[], float]
 
--- a/fireflyfork/programs/_operator_service.py
+++ b/fireflyfork/programs/_operator_service.py
@@ -6,10 +6,9 @@
 
 from ..adapters import Exchange, HttpHandler
 from ._entry_messages import EntryStatus, OperatorError, Readiness
-from ._metrics import Metrics
+from ._metrics import METRICS_TEXT, Metrics
 
 StatusOf = Callable[[], EntryStatus]
-_TEXT = (b"content-type", b"text/plain; version=0.0.4")
 
 
 class OperatorService(HttpHandler):
@@ -45,7 +44,7 @@
             case "/status":
                 await exchange.answer_json(200, self._status())
             case "/metrics":
-                await exchange.answer(200, self._metrics.text().encode("utf-8"), (_TEXT,))
+                await exchange.answer(200, self._metrics.text().encode("utf-8"), (METRICS_TEXT,))
             case _:
                 await exchange.answer_json(404, OperatorError("no such path"))
 
--- a/fireflyfork/programs/_planner.py
+++ b/fireflyfork/programs/_planner.py
@@ -11,6 +11,7 @@
 from ..adapters import HttpServer, Store, WorkerPlatform
 from ..decisions import FirstFitPolicy, PlacementPolicy, partition_id
 from ..decisions.placement import InterferenceAwarePolicy
+from ._metrics import Metrics
 from ._planner_endpoint import PlannerEndpoint
 from ._planner_partition import PartitionPlan, PartitionRunner, PlannerClock
 from ._planner_rights import PartitionRights
@@ -39,9 +40,10 @@
     ) -> None:
         """Nothing happens before ``run``. Needs a running trio loop."""
         clock = PlannerClock()
+        metrics = Metrics()
         self._rights = rights
         self._runners = {
-            plan.partition: PartitionRunner(plan, store, platform, rights, clock)
+            plan.partition: PartitionRunner(plan, store, platform, rights, clock, metrics)
             for plan in _plans(settings)
         }
         self._server = HttpServer(PlannerEndpoint(self._runners, rights))
--- a/fireflyfork/programs/_planner_endpoint.py
+++ b/fireflyfork/programs/_planner_endpoint.py
@@ -28,6 +28,8 @@
     PlannerMetrics,
 )
 from ._batch_views import explain_task, job_status
+from ._metrics import METRICS_TEXT
+from ._planner_metrics import prometheus_text
 from ._planner_partition import NotReadyError, OutcomeUnknownError, PartitionRunner
 from ._planner_rights import PartitionRights
 
@@ -65,7 +67,10 @@
     def __init__(
         self, runners: Mapping[PartitionId, PartitionRunner], rights: PartitionRights
     ) -> None:
-        """``runners`` has one for every partition, whether owned or not, in a settled order."""
+        """``runners`` has one for every partition, whether owned or not, in a settled order.
+
+        All runners of a planner fill the same metrics.
+        """
         self._runners = runners
         self._partitions = tuple(sorted(runners))
         self._rights = rights
@@ -90,6 +95,12 @@
             case "GET", ["readyz"]:
                 await self._ready(exchange)
             case "GET", ["metrics"]:
+                text = (
+                    prometheus_text(self._metrics())
+                    + self._runners[self._partitions[0]].metrics.text()
+                )
+                await exchange.answer(200, text.encode("utf-8"), (METRICS_TEXT,))
+            case "GET", ["v1", "metrics"]:
                 await exchange.answer_json(200, self._metrics())
             case "POST", ["v1", "jobs"]:
                 await self._submit(exchange)
--- a/fireflyfork/programs/_planner_partition.py
+++ b/fireflyfork/programs/_planner_partition.py
@@ -15,7 +15,7 @@
 from .._errors import FireflyforkError, PlatformError, StoreUnavailableError
 from .._ids import AttemptNumber, JobId, PartitionId, RegionName, TaskId
 from .._machines import Resources, Worker
-from ..adapters import RunReport, Store, WorkerPlatform
+from ..adapters import RunReport, StartOrder, Store, WorkerPlatform
 from ..decisions import (
     DurableChange,
     Partition,
@@ -42,6 +42,7 @@
     to_renew,
     to_stop,
 )
+from ._metrics import Metrics
 from ._planner_journal import PartitionJournal, PartitionLostError
 from ._planner_rights import PartitionRights
 
@@ -117,9 +118,11 @@
         platform: WorkerPlatform,
         rights: PartitionRights,
         clock: PlannerClock,
+        metrics: Metrics | None = None,
     ) -> None:
-        """Nothing happens before ``run``."""
+        """Nothing happens before ``run``. ``metrics`` get the waits of tasks for their starts."""
         self._plan = plan
+        self._metrics = metrics or Metrics()
         self._platform = platform
         self._rights = rights
         self._clock = clock
@@ -138,6 +141,11 @@
         """Whether a snapshot no longer fits into one value of the store."""
         self._term = 0
 
+    @property
+    def metrics(self) -> Metrics:
+        """The waits of tasks for their starts."""
+        return self._metrics
+
     @property
     def state(self) -> Partition | None:
         """The state at this moment, some of it not stored yet; None while not owner."""
@@ -344,11 +352,25 @@
             if self._state is None or not self._may_act():
                 continue
             self._state, orders = take_starts(self._state, self._clock.now())
+            self._observe_waits(orders)
             for first in range(0, len(orders), _MOST_STARTS_IN_A_CALL):
                 if self._may_act():
                     chunk = orders[first : first + _MOST_STARTS_IN_A_CALL]
                     await self._order(partial(self._platform.start, chunk))
 
+    def _observe_waits(self, orders: tuple[StartOrder, ...]) -> None:
+        if self._state is None:
+            return
+        now = self._clock.now()
+        for order in orders:
+            task = self._state.table.tasks.get(order.task_id)
+            is_repeat = task is None or now - task.since >= self._state.rules.start_retry_seconds
+            if task is None or is_repeat or order.attempt != 1:
+                continue
+            urgency = "urgent" if task.shape.urgent else "ordinary"
+            wait = max(0.0, now - task.submitted)
+            self._metrics.observe("fireflyfork_start_wait_seconds", wait, urgency=urgency)
+
     async def _order(self, call: Callable[[], Awaitable[tuple[RunReport, ...]]]) -> None:
         """Give an order and take in its answer; without an answer it is given again later."""
         try:
--- a/fireflyfork/programs/tests/test_planner_endpoint.py
+++ b/fireflyfork/programs/tests/test_planner_endpoint.py
@@ -164,6 +164,21 @@
 
         run_served(body)
 
+    def test_metrics_for_a_scraper(self) -> None:
+        """The figures of each partition, and how long tasks waited for their starts."""
+
+        async def body(served: Served) -> None:
+            await served.client.submit(make_request(tasks=2))
+            job_id = JobId("night")
+            with trio.fail_after(30.0):
+                while (await served.client.status(job_id)).states.get("running", 0) < 2:
+                    await trio.sleep(0.1)
+            _, text = await served.http.call("GET", "/metrics")
+            self.assertIn(b'fireflyfork_partition_open_tasks{partition="', text)
+            self.assertIn(b'fireflyfork_start_wait_seconds_count{urgency="ordinary"} 2', text)
+
+        run_served(body)
+
     def test_malformed_calls(self) -> None:
         """Bad input gets a clear status and a reason as JSON, and the planner lives on."""
         cases = [
