The setting trace_share takes effect

Cause, found in review: the setting was checked and never used; every request was traced. Now callers that leave it open are sampled by it; a caller's own trace context is heeded at every hop (new test).

--- a/fireflyfork/programs/_caller_requests.py
+++ b/fireflyfork/programs/_caller_requests.py
@@ -27,11 +27,12 @@
 
 
 def read_request(
-    head: RequestHead, configuration: Configuration | None, now: float
+    head: RequestHead, configuration: Configuration | None, now: float, sampled: bool = True
 ) -> tuple[ServiceRequest, ServiceContract]:
     """The service request in ``head``, and the contract it falls under.
 
-    ``now`` is by the event loop's clock. A request with an unsafe method gets its key from the
+    ``now`` is by the event loop's clock. ``sampled`` says whether spans are written of a request
+    whose caller leaves that open. A request with an unsafe method gets its key from the
     caller's header; without one, ``key`` is empty and the entry mints one. Raises BadRequestError,
     or RequestError when the entry has no configuration yet.
     """
@@ -53,7 +54,7 @@
         path=match[2] if match[2].startswith("/") else f"/{match[2]}",
         headers=_passed_on(head),
         deadline=now + _timeout(head, contract),
-        trace=_trace(head),
+        trace=_trace(head, sampled),
         key=_key(head),
     )
     return request, contract
@@ -89,9 +90,9 @@
     return IdempotencyKey(text)
 
 
-def _trace(head: RequestHead) -> TraceContext:
+def _trace(head: RequestHead, sampled: bool) -> TraceContext:
     header = head.header(TRACE_HEADER)
-    return (TraceContext.parse(header) if header else None) or TraceContext.new()
+    return (TraceContext.parse(header) if header else None) or TraceContext.new(sampled)
 
 
 def _check_length(head: RequestHead, contract: ServiceContract) -> None:
--- a/fireflyfork/programs/_caller_service.py
+++ b/fireflyfork/programs/_caller_service.py
@@ -32,8 +32,13 @@
         configuration: Callable[[], Configuration | None],
         spans: SpanWriter,
         metrics: Metrics,
+        is_sampled: Callable[[], bool],
     ) -> None:
-        """``configuration`` tells the one in force."""
+        """``configuration`` tells the one in force.
+
+        ``is_sampled`` decides of each request whose caller leaves it open whether spans are written.
+        """
+        self._is_sampled = is_sampled
         self._flow = flow
         self._keyed = keyed
         self._configuration = configuration
@@ -65,7 +70,9 @@
         await CallerSink(exchange).fail(BadRequestError(reason, status))
 
     async def _serve(self, exchange: Exchange, sink: CallerSink, begun: float) -> None:
-        request, contract = read_request(exchange.head, self._configuration(), begun)
+        request, contract = read_request(
+            exchange.head, self._configuration(), begun, self._is_sampled()
+        )
         if not request.idempotent:
             request = self._keyed.with_key(request)
         sink.request = request
--- a/fireflyfork/programs/_entry.py
+++ b/fireflyfork/programs/_entry.py
@@ -48,9 +48,17 @@
     """An entry without its settings, its membership and its clients of the platform."""
 
     def __init__(
-        self, ownership: OwnershipView, peer_key: bytes, spans: SpanWriter, random: Random
+        self,
+        ownership: OwnershipView,
+        peer_key: bytes,
+        spans: SpanWriter,
+        random: Random,
+        trace_share: float = 1.0,
     ) -> None:
-        """``random`` draws the members that routing compares."""
+        """``random`` draws the members that routing compares.
+
+        ``trace_share`` of the requests are traced whose callers leave it open.
+        """
         self._ownership = ownership
         self._configuration: Configuration | None = None
         self._configured_at = float("inf")
@@ -78,7 +86,14 @@
         self.peer_service.subscribe(SLOTS_RELEASED, self._releases)
         self._key_tables = KeyTables(ownership, self.peers, self._key_home)
         self.peer_service.subscribe(KEY_TABLE, self._key_tables)
-        callers = CallerService(self._flow, keyed, self._in_force, spans, self.metrics)
+        callers = CallerService(
+            self._flow,
+            keyed,
+            self._in_force,
+            spans,
+            self.metrics,
+            lambda: random.random() < trace_share,
+        )
         self._callers = HttpServer(callers)
         self._operators = HttpServer(
             OperatorService(self.metrics, self._unready, self.status, self.drain_requested.set)
--- a/fireflyfork/programs/entry.py
+++ b/fireflyfork/programs/entry.py
@@ -53,7 +53,11 @@
         view = MembershipView(me.zone)
         spans = SpanWriter(settings.name)
         self._entry = Entry(
-            view, settings.peer_key.encode("utf-8"), spans, Random(secrets.randbits(64))
+            view,
+            settings.peer_key.encode("utf-8"),
+            spans,
+            Random(secrets.randbits(64)),
+            settings.trace_share,
         )
         channel = PeerGuardChannel(self._entry.peers)
         self._store = HttpStore(Address.parse(settings.store_address))
--- a/fireflyfork/programs/tests/test_request_path.py
+++ b/fireflyfork/programs/tests/test_request_path.py
@@ -45,6 +45,18 @@
 
         run_fleet(body)
 
+    def test_only_traces_that_were_sampled_are_written(self) -> None:
+        """A caller's trace context says so itself; every hop heeds it."""
+
+        async def body(fleet: RunningFleet) -> None:
+            trace = (b"traceparent", b"00-" + b"1" * 32 + b"-" + b"2" * 16 + b"-00")
+            await fleet.entries[2].call("POST", "/desk/x", headers=(trace,))
+            await fleet.entries[2].call("POST", "/desk/x")
+            spans = await fleet.spans_when({"request", "forward", "peer-request", "target"})
+            self.assertNotIn("1" * 32, {span.trace_id for span in spans})
+
+        run_fleet(body)
+
     def test_bodies_stream_whole_through_two_hops(self) -> None:
         """A body far larger than any buffer on the way comes back unchanged."""
 
