--- a/fireflyfork/decisions/_concurrency.py
+++ b/fireflyfork/decisions/_concurrency.py
@@ -3,6 +3,9 @@
 The contract's slots are the ceiling. Where a target shares its processors with other work, the
 last slots may add waiting inside the executor and no throughput; a request is better off in the
 owner's queue then, where it can still be refused or sent elsewhere.
+
+The entry does not use it yet: docs/design/overload.md tells what it gets wrong when the kinds of
+requests change.
 """
 
 from __future__ import annotations
