One function subscribes a process to the membership protocol

Cause, found in a reading of the whole change: three handler classes repeated what TypedHandler does, the entry and the planner listed the same four subscriptions, and lost_call was called by nobody.

--- a/fireflyfork/adapters/_peer_connection.py
+++ b/fireflyfork/adapters/_peer_connection.py
@@ -13,7 +13,6 @@
 
 from .._errors import PeerError, RequestError
 from .._ids import MemberId
-from .._verdict import Verdict
 from ._http import Header
 from ._peer_messages import (
     AnswerHead,
@@ -406,11 +405,6 @@
     return RequestError(refusal.status, refusal.reason, refusal.verdict, refusal.retry_after)
 
 
-def lost_call(reason: str) -> RequestError:
-    """The error of a call whose stream was lost after its head had been sent."""
-    return RequestError(502, reason, Verdict.MAY_HAVE_RUN)
-
-
 def _digest(key: bytes, purpose: bytes, nonce: bytes, sender: str, receiver: str) -> bytes:
     content = b"\0".join((purpose, nonce, sender.encode(), receiver.encode()))
     return hmac.digest(key, content, "sha256")
--- a/fireflyfork/programs/_guard_messages.py
+++ b/fireflyfork/programs/_guard_messages.py
@@ -10,7 +10,7 @@
 from ..adapters import Control, Peers, decode_content, encode_content
 from ..decisions import ConfigurationOffer, Member
 from ._configuration_keeper import ConfigurationKeeper
-from ._control_handler import ControlHandler
+from ._control_handler import ControlHandler, TypedHandler
 from ._guard_channel import FleetOffer, GuardChannel, GuardQuestion, GuardReply
 from ._membership import Membership
 
@@ -75,48 +75,27 @@
         stream.send(Control(topic, encode_content(content)))
 
 
-class QuestionHandler(ControlHandler):
-    """Answers the questions of members that take this one for their guard."""
+def membership_handlers(
+    channel: PeerGuardChannel, membership: Membership, keeper: ConfigurationKeeper
+) -> dict[str, ControlHandler]:
+    """What to subscribe, by topic, so that a process takes part in the protocol."""
 
-    def __init__(self, membership: Membership, keeper: ConfigurationKeeper) -> None:
-        """The asker's configuration version is compared with that of ``keeper``."""
-        self._membership = membership
-        self._keeper = keeper
-
-    def handle(self, member: MemberId, content: bytes) -> Control | None:
-        """See ControlHandler."""
-        question = decode_content(content, GuardQuestion)
+    def asked(member: MemberId, question: GuardQuestion) -> GuardReply | None:
         if question.asker != member:
             logger.warning("question in another member's name", member=member)
             return None
-        self._keeper.peer_holds(member, question.configuration_version)
-        return Control(REPLY, encode_content(self._membership.asked(question)))
-
+        keeper.peer_holds(member, question.configuration_version)
+        return membership.asked(question)
 
-class FleetHandler(ControlHandler):
-    """Takes fleet records that peers pass on."""
-
-    def __init__(self, membership: Membership) -> None:
-        """Pass them to ``membership``."""
-        self._membership = membership
-
-    def handle(self, member: MemberId, content: bytes) -> Control | None:
-        """See ControlHandler."""
+    def offered_fleet(member: MemberId, offer: FleetOffer) -> None:
         try:
-            self._membership.offered(decode_content(content, FleetOffer))
+            membership.offered(offer)
         except FireflyforkError as error:
             logger.warning("bad fleet record", member=member, error=str(error))
-        return None
-
 
-class ConfigurationHandler(ControlHandler):
-    """Takes configurations that peers pass on."""
-
-    def __init__(self, keeper: ConfigurationKeeper) -> None:
-        """Pass them to ``keeper``."""
-        self._keeper = keeper
-
-    def handle(self, member: MemberId, content: bytes) -> Control | None:
-        """See ControlHandler."""
-        self._keeper.offered(member, decode_content(content, ConfigurationOffer))
-        return None
+    return {
+        REPLY: channel,
+        QUESTION: TypedHandler(GuardQuestion, asked, REPLY),
+        FLEET: TypedHandler(FleetOffer, offered_fleet),
+        CONFIGURATION: TypedHandler(ConfigurationOffer, keeper.offered),
+    }
--- a/fireflyfork/programs/entry.py
+++ b/fireflyfork/programs/entry.py
@@ -20,16 +20,7 @@
 from ._configuration_keeper import ConfigurationKeeper
 from ._entry import Entry, EntryListeners
 from ._entry_settings import EntrySettings
-from ._guard_messages import (
-    CONFIGURATION,
-    FLEET,
-    QUESTION,
-    REPLY,
-    ConfigurationHandler,
-    FleetHandler,
-    PeerGuardChannel,
-    QuestionHandler,
-)
+from ._guard_messages import PeerGuardChannel, membership_handlers
 from ._logs import configure_logs
 from ._membership import FleetView, Membership
 from ._membership_view import MembershipView
@@ -123,10 +114,8 @@
         keeper.attach(channel, membership)
         channel.attach(keeper)
         service = self._entry.peer_service
-        service.subscribe(REPLY, channel)
-        service.subscribe(QUESTION, QuestionHandler(membership, keeper))
-        service.subscribe(FLEET, FleetHandler(membership))
-        service.subscribe(CONFIGURATION, ConfigurationHandler(keeper))
+        for topic, handler in membership_handlers(channel, membership, keeper).items():
+            service.subscribe(topic, handler)
 
     async def _listen(self) -> EntryListeners:
         settings = self._settings
--- a/fireflyfork/programs/planner.py
+++ b/fireflyfork/programs/planner.py
@@ -16,16 +16,7 @@
 from ..adapters import HttpPlatform, HttpStore, Peers, listen
 from ..decisions import Member, OccupiedSlots
 from ._configuration_keeper import ConfigurationKeeper
-from ._guard_messages import (
-    CONFIGURATION,
-    FLEET,
-    QUESTION,
-    REPLY,
-    ConfigurationHandler,
-    FleetHandler,
-    PeerGuardChannel,
-    QuestionHandler,
-)
+from ._guard_messages import PeerGuardChannel, membership_handlers
 from ._logs import configure_logs
 from ._membership import Membership, MembershipSettings
 from ._membership_view import MembershipView
@@ -103,10 +94,8 @@
         membership, keeper = self._membership, self._keeper
         keeper.attach(channel, membership)
         channel.attach(keeper)
-        service.subscribe(REPLY, channel)
-        service.subscribe(QUESTION, QuestionHandler(membership, keeper))
-        service.subscribe(FLEET, FleetHandler(membership))
-        service.subscribe(CONFIGURATION, ConfigurationHandler(keeper))
+        for topic, handler in membership_handlers(channel, membership, keeper).items():
+            service.subscribe(topic, handler)
         service.subscribe(ENDPOINT, self._directory)
 
     def _new_id(self) -> MemberId:
