--- a/fireflyfork/_errors.py
+++ b/fireflyfork/_errors.py
@@ -1,11 +1,24 @@
 """The exception tree. Everything this package raises on purpose is a ``FireflyforkError``."""
 
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from ._ids import Revision
 from ._verdict import Verdict
 
 MISDIRECTED_STATUS = 421
 """Between entries only: the receiver does not own what the request needs, or no longer."""
 
 
+@dataclass(frozen=True, slots=True)
+class StoredVersion:
+    """The state of a key that a transaction found."""
+
+    revision: Revision
+    value: bytes
+
+
 class FireflyforkError(Exception):
     """Base of all errors of this package."""
 
@@ -22,10 +35,31 @@
     """The store did not answer in time. A write may have taken effect all the same."""
 
 
+class StoreRefusedError(StoreUnavailableError):
+    """The store turned the call away; nothing was done."""
+
+
+class StoreHistoryLostError(StoreError):
+    """The store no longer has the changes that were asked for; list anew."""
+
+
+class LeaseEndedError(StoreError):
+    """There is no such lease, or no longer."""
+
+
 class StoreConflictError(StoreError):
     """A compare-and-swap lost: the key is at another revision."""
 
 
+class TransactionConflictError(StoreConflictError):
+    """A transaction lost; nothing was done."""
+
+    def __init__(self, found: dict[str, StoredVersion]) -> None:
+        """``found`` has the present state of the expected keys, without those that are absent."""
+        super().__init__(f"found {({key: one.revision for key, one in found.items()})}")
+        self.found = found
+
+
 class PlatformError(FireflyforkError):
     """A call to the worker platform failed. A start or stop may have taken effect all the same."""
 
--- a/fireflyfork/_ids.py
+++ b/fireflyfork/_ids.py
@@ -26,3 +26,12 @@
 IdempotencyKey = NewType("IdempotencyKey", str)
 Revision = NewType("Revision", int)
 """The store's version of one key; 0 means that the key is absent."""
+LeaseId = NewType("LeaseId", int)
+"""A lease of the store; its keys go when it ends."""
+ExecutorId = NewType("ExecutorId", str)
+TaskName = NewType("TaskName", str)
+"""Job, occurrence, step and index, joined by dots."""
+QueueName = NewType("QueueName", str)
+FencingToken = NewType("FencingToken", int)
+"""Rises with each change of owner; executors refuse lower ones than they have seen."""
+NodeName = NewType("NodeName", str)
--- a/fireflyfork/adapters/__init__.py
+++ b/fireflyfork/adapters/__init__.py
@@ -1,6 +1,15 @@
 """What touches sockets, each kind behind an abstract base class."""
 
 from ._control_content import decode_content, encode_content
+from ._coordination import (
+    CoordinationStore,
+    Put,
+    StoreChange,
+    StoreChanges,
+    StoredItem,
+    StoreListing,
+)
+from ._executor_calls import ExecutorCalls, ExecutorPlace
 from ._http import Header, HttpError, RequestHead, ResponseHead, collect, end_to_end, find_header
 from ._http_client import HttpClient, HttpClientConnection
 from ._http_server import Exchange, HttpHandler, HttpServer, ServerLimits, listen
@@ -24,7 +33,10 @@
     "Call",
     "Chunk",
     "Control",
+    "CoordinationStore",
     "Exchange",
+    "ExecutorCalls",
+    "ExecutorPlace",
     "Forward",
     "Header",
     "HttpClient",
@@ -46,6 +58,7 @@
     "Peers",
     "PlatformReport",
     "Pong",
+    "Put",
     "Refusal",
     "RenewCall",
     "RequestHead",
@@ -58,6 +71,10 @@
     "StartOrder",
     "StopCall",
     "Store",
+    "StoreChange",
+    "StoreChanges",
+    "StoreListing",
+    "StoredItem",
     "StoredValue",
     "ThrottleCall",
     "WorkerPlatform",
--- /dev/null
+++ b/fireflyfork/adapters/_executor_calls.py
@@ -0,0 +1,68 @@
+"""Calls to executors: start, stop, pace, and look with a renewal of the lease."""
+
+from __future__ import annotations
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+
+from .._ids import AttemptNumber, ExecutorId, FencingToken, TaskName
+from .._links import Address
+from ..decisions.jobs import LookAnswer, OrderAnswer, StartRequest
+
+
+@dataclass(frozen=True, slots=True)
+class ExecutorPlace:
+    """Which process a call is meant for."""
+
+    executor: ExecutorId
+    address: Address
+
+
+class ExecutorCalls(ABC):
+    """Calls to executors. None raises: what went wrong is the outcome."""
+
+    @abstractmethod
+    async def start(
+        self, place: ExecutorPlace, token: FencingToken, order: StartRequest
+    ) -> OrderAnswer:
+        """Start a run."""
+
+    @abstractmethod
+    async def stop(
+        self,
+        place: ExecutorPlace,
+        token: FencingToken,
+        task: TaskName,
+        attempt: AttemptNumber,
+    ) -> OrderAnswer:
+        """Stop a run; one that is not there yet is barred."""
+
+    @abstractmethod
+    async def pace(
+        self,
+        place: ExecutorPlace,
+        token: FencingToken,
+        task: TaskName,
+        attempt: AttemptNumber,
+        percent: int,
+    ) -> OrderAnswer:
+        """Let a run work at a share of its speed."""
+
+    @abstractmethod
+    async def look(
+        self,
+        place: ExecutorPlace,
+        token: FencingToken,
+        forget_ends_to: int,
+        lease_until_ms: int | None,
+        wait_seconds: float,
+    ) -> LookAnswer:
+        """Renew the lease of all that runs there (unless None) and list it.
+
+        The executor forgets ends up to ``forget_ends_to`` and answers when there is a later one,
+        or after ``wait_seconds``.
+        """
+
+    @abstractmethod
+    def forget(self, executor: ExecutorId) -> None:
+        """Close the connections to an executor that has left."""
--- /dev/null
+++ b/fireflyfork/decisions/jobs/__init__.py
@@ -0,0 +1,69 @@
+"""Jobs of steps of tasks: what the owner of a service decides about them."""
+
+from ._change_log import ChangeLog
+from ._commands import Command, PaceRun, StartRun, StopRun
+from ._executors import ExecutorRegistration, ExecutorRoom, ExecutorState
+from ._job_table import JobTable
+from ._progress import (
+    JobState,
+    StoredFormatError,
+    StoredProgress,
+    StoredTask,
+    decode_progress,
+    decode_stored_job,
+    encode_job,
+    encode_progress,
+)
+from ._queues import QueueTable, QueueTerms, queue_table
+from ._reports import (
+    CallOutcome,
+    EndedRow,
+    EndReason,
+    LookAnswer,
+    OrderAnswer,
+    RunningRow,
+    StartRequest,
+)
+from ._runs import Job, Run, RunPhase, Task
+from ._scheduler import Scheduler, SchedulerTerms
+from ._specs import JobSpec, StepSpec, TaskKey, parse_task_name
+
+__all__ = [
+    "CallOutcome",
+    "ChangeLog",
+    "Command",
+    "EndReason",
+    "EndedRow",
+    "ExecutorRegistration",
+    "ExecutorRoom",
+    "ExecutorState",
+    "Job",
+    "JobSpec",
+    "JobState",
+    "JobTable",
+    "LookAnswer",
+    "OrderAnswer",
+    "PaceRun",
+    "QueueTable",
+    "QueueTerms",
+    "Run",
+    "RunPhase",
+    "RunningRow",
+    "Scheduler",
+    "SchedulerTerms",
+    "StartRequest",
+    "StartRun",
+    "StepSpec",
+    "StopRun",
+    "StoredFormatError",
+    "StoredProgress",
+    "StoredTask",
+    "Task",
+    "TaskKey",
+    "decode_progress",
+    "decode_stored_job",
+    "encode_job",
+    "encode_progress",
+    "parse_task_name",
+    "queue_table",
+]
--- /dev/null
+++ b/fireflyfork/decisions/jobs/_executors.py
@@ -0,0 +1,159 @@
+"""Executors as the owner of a service knows them."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+from ..._ids import AttemptNumber, ExecutorId, FailureDomainName, ServiceName, TaskName
+from ..._links import Address
+from ._runs import Run
+
+SLOWEST_CLOCK = 0.98
+"""An executor's steady clock may run 2% slow, as the platform warns."""
+LAPSE_MARGIN_MS = 150
+"""On top, for what an executor takes to kill what it runs; its stops take up to 200 ms, of which
+the estimate of its clock, always behind by half a round trip or more, already covers a part."""
+
+
+@dataclass(frozen=True, slots=True)
+class ExecutorRoom:
+    """What an executor can hold."""
+
+    cpu_millis: int
+    memory_mb: int
+    accelerators: int
+
+
+@dataclass(frozen=True, slots=True)
+class ExecutorRegistration:
+    """What an executor says of itself in the store."""
+
+    executor: ExecutorId
+    service: ServiceName
+    address: Address
+    failure_domain: FailureDomainName
+    draining: bool
+    room: ExecutorRoom
+    labels: frozenset[str]
+    """Its kind and its rack."""
+    incarnation: int
+    """When this life of it began, in Unix milliseconds."""
+
+
+@dataclass(slots=True, eq=False)
+class ExecutorState:
+    """One executor, with what runs there."""
+
+    registration: ExecutorRegistration
+    known_since: float
+    """Seconds on the owner's clock."""
+    registered: bool = True
+    """False once its registration has gone: it has left, or can't reach the store."""
+    runs: dict[tuple[TaskName, AttemptNumber], Run] = field(default_factory=dict)
+    used_cpu_millis: int = 0
+    used_memory_mb: int = 0
+    used_accelerators: int = 0
+    looked_at: float | None = None
+    """When the last look that was answered had been sent; None before the first."""
+    failed_looks: int = 0
+    """Looks without an answer since the last answer."""
+    clock_ms: int = 0
+    clock_at: float = 0.0
+    """When ``clock_ms`` had been received: the executor's clock was at least there."""
+    lease_until_ms: int = 0
+    """On the executor's clock: the latest that any order of ours may have let it run to."""
+    seen_end: int = 0
+    """The last end that has been taken in."""
+    forgettable_end: int = 0
+    """The last end that is stored, with all before it."""
+    told_end: int = 0
+    """The executor has been told that it may forget ends up to here."""
+    unstored_ends: deque[tuple[int, int]] = field(default_factory=deque)
+    """Number of an end, and the change that has to be stored before it may be forgotten."""
+    avoided_until: float = 0.0
+    strikes: int = 0
+    """Failures in a row; a task that ends well takes them back."""
+    tail_ratio: float = 0.0
+    """The worst tail of a serving task here against its target, at the last look."""
+    leftover_share: float = 1.0
+    """How much of the processor time that others leave unused may be given away."""
+
+    @property
+    def executor(self) -> ExecutorId:
+        """Its id."""
+        return self.registration.executor
+
+    @property
+    def answers(self) -> bool:
+        """Whether it answered the last look."""
+        return self.looked_at is not None and self.failed_looks == 0
+
+    def usable(self, now: float) -> bool:
+        """Whether new runs may be sent there."""
+        return (
+            self.registered
+            and self.answers
+            and not self.registration.draining
+            and self.avoided_until <= now
+        )
+
+    def fits(self, cpu_millis: int, memory_mb: int, accelerators: int) -> bool:
+        """Whether so much is free."""
+        room = self.registration.room
+        return (
+            self.used_cpu_millis + cpu_millis <= room.cpu_millis
+            and self.used_memory_mb + memory_mb <= room.memory_mb
+            and self.used_accelerators + accelerators <= room.accelerators
+        )
+
+    def add(self, run: Run) -> None:
+        """Take room for a run."""
+        step = run.task.spec
+        self.runs[run.key] = run
+        self.used_cpu_millis += step.reserved_cpu_millis
+        self.used_memory_mb += step.memory_mb
+        self.used_accelerators += step.accelerators
+
+    def remove(self, run: Run) -> None:
+        """Give a run's room back, once it is certain that it has ended or never was."""
+        if self.runs.pop(run.key, None) is None:
+            return
+        step = run.task.spec
+        self.used_cpu_millis -= step.reserved_cpu_millis
+        self.used_memory_mb -= step.memory_mb
+        self.used_accelerators -= step.accelerators
+
+    def clock(self, now: float) -> int:
+        """At least so far is its steady clock, in milliseconds."""
+        return self.clock_ms + int((now - self.clock_at) * 1000 * SLOWEST_CLOCK)
+
+    def note_clock(self, clock_ms: int, now: float) -> None:
+        """Take in a clock that an answer carried; answers may overtake each other."""
+        if clock_ms >= self.clock(now):
+            self.clock_ms = clock_ms
+            self.clock_at = now
+
+    def lease_has_lapsed(self, now: float) -> bool:
+        """Whether everything that ran there under our leases has been killed by now."""
+        return self.clock(now) > self.lease_until_ms + LAPSE_MARGIN_MS
+
+    def working_runs(self) -> Iterator[Run]:
+        """Runs that are there and not being stopped."""
+        return (run for run in self.runs.values() if run.works)
+
+    def begin_incarnation(self, registration: ExecutorRegistration, now: float) -> None:
+        """The process started anew: it runs nothing and counts from the beginning."""
+        self.registration = registration
+        self.known_since = now
+        self.looked_at = None
+        self.failed_looks = 0
+        self.clock_ms = 0
+        self.clock_at = now
+        self.lease_until_ms = 0
+        self.seen_end = 0
+        self.forgettable_end = 0
+        self.told_end = 0
+        self.unstored_ends.clear()
+        self.tail_ratio = 0.0
--- /dev/null
+++ b/fireflyfork/decisions/jobs/_job_table.py
@@ -0,0 +1,206 @@
+"""The jobs of one service: which tasks may start, what has ended, what has to be stored."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+
+from ..._ids import JobId, QueueName, TaskName
+from ._change_log import ChangeLog
+from ._progress import JobState, StoredProgress
+from ._queues import QueueTable, QueueTerms
+from ._runs import Job, Task
+from ._specs import JobSpec, TaskKey, parse_task_name
+
+
+def terms_without_queue(spec: JobSpec) -> QueueTerms:
+    """Terms for a job whose queue is not configured any more: what was accepted is finished."""
+    return QueueTerms(spec.queue, "", "", spec.service, 9, 3, 2.0, 1000, 0)
+
+
+class JobTable:
+    """All jobs whose state is not final, and final ones until they are stored as such."""
+
+    def __init__(self) -> None:
+        """No jobs."""
+        self.changes = ChangeLog()
+        self._jobs: dict[JobId, Job] = {}
+        self._over: set[JobId] = set()
+        self._queues: QueueTable | None = None
+
+    def __len__(self) -> int:
+        """How many jobs are kept."""
+        return len(self._jobs)
+
+    def configure(self, queues: QueueTable) -> None:
+        """Use the queues of another version; jobs of dropped ones keep their terms."""
+        self._queues = queues
+        for job in self._jobs.values():
+            job.queue = queues.by_name(job.spec.queue) or job.queue
+
+    def get(self, job: JobId) -> Job | None:
+        """The job, or None."""
+        return self._jobs.get(job)
+
+    def task(self, name: TaskName) -> Task | None:
+        """The task that is not over yet, or None."""
+        parsed = parse_task_name(name)
+        job = self._jobs.get(parsed[0]) if parsed else None
+        if parsed is None or job is None or job.state.is_final:
+            return None
+        return job.tasks.get(parsed[1])
+
+    def accept(self, spec: JobSpec, progress: StoredProgress | None, now_ms: int) -> list[Task]:
+        """Take in a job. Returns the tasks that may start; none for one that is known or over."""
+        if progress is not None and progress.state.is_final:
+            self._over.add(spec.job)
+        # The store's changes are listed anew when its history was lost, so a job comes up again
+        # after it has ended; its tasks must not run a second time.
+        if spec.job in self._jobs or spec.job in self._over:
+            return []
+        queue = (self._queues and self._queues.by_name(spec.queue)) or terms_without_queue(spec)
+        job = Job(spec, queue)
+        self._jobs[spec.job] = job
+        if progress is not None:
+            job.state = progress.state
+            job.done = {TaskKey(*key) for key in progress.done}
+            job.done_occurrences = progress.done_occurrences
+            job.opened_occurrences = progress.done_occurrences
+        ready = self.open_due(job, now_ms)
+        for stored in progress.tasks if progress is not None else ():
+            task = job.tasks.get(TaskKey(stored.occurrence, stored.step, stored.index))
+            if task is not None:
+                task.attempt = max(task.attempt, stored.attempt)  # type: ignore[assignment]
+                task.last_executor = stored.executor
+                task.failed_attempts = list(stored.failed_attempts)
+                task.checkpoint = stored.checkpoint
+        return ready
+
+    def open_due(self, job: Job, now_ms: int) -> list[Task]:
+        """Open the occurrences that have become due. Returns the tasks that may start."""
+        ready: list[Task] = []
+        spec = job.spec
+        while (
+            not job.state.is_final
+            and job.opened_occurrences < spec.occurrence_count
+            and spec.due_ms(job.opened_occurrences) <= now_ms
+        ):
+            occurrence = job.opened_occurrences
+            job.opened_occurrences += 1
+            ready.extend(self._open(job, occurrence))
+        return ready
+
+    def next_due_ms(self) -> int | None:
+        """When the next occurrence of any job becomes due, or None."""
+        return min(
+            (
+                job.spec.due_ms(job.opened_occurrences)
+                for job in self._jobs.values()
+                if not job.state.is_final and job.opened_occurrences < job.spec.occurrence_count
+            ),
+            default=None,
+        )
+
+    def waiting_for_time(self) -> Iterator[Job]:
+        """Jobs with occurrences that are not due yet."""
+        return (
+            job
+            for job in self._jobs.values()
+            if not job.state.is_final and job.opened_occurrences < job.spec.occurrence_count
+        )
+
+    def live_tasks(self) -> Iterator[Task]:
+        """Tasks of jobs that are not over."""
+        live = (job for job in self._jobs.values() if not job.state.is_final)
+        return (task for job in live for task in job.tasks.values())
+
+    def note_started(self, job: Job) -> None:
+        """A task of it has been sent out."""
+        if job.state is JobState.QUEUED:
+            job.state = JobState.RUNNING
+        self.changes.note(job.spec.job)
+
+    def note_changed(self, job: Job) -> int:
+        """Something of it has to be stored. Returns the number of the change."""
+        return self.changes.note(job.spec.job)
+
+    def task_done(self, task: Task, now_ms: int) -> list[Task]:
+        """A task has ended well. Returns the tasks that may start now."""
+        job, key = task.job, task.key
+        if job.tasks.pop(key, None) is None:
+            return []
+        job.done.add(key)
+        job.left[key.occurrence, key.step] -= 1
+        self.changes.note(job.spec.job)
+        if job.left[key.occurrence, key.step]:
+            return []
+        if not any(job.left[key.occurrence, step] for step in range(len(job.spec.steps))):
+            self._occurrence_done(job, now_ms)
+            return []
+        return [
+            other
+            for number, step in enumerate(job.spec.steps)
+            if key.step in step.after and job.step_ready(key.occurrence, number)
+            for other in self._of_step(job, key.occurrence, number)
+        ]
+
+    def finish(self, job: Job, state: JobState, now_ms: int) -> None:
+        """Make a job's state final."""
+        job.state = state
+        job.final_ms = now_ms
+        self.changes.note(job.spec.job)
+
+    def drop_over(self) -> None:
+        """Forget jobs whose final state is stored and of which nothing runs any more."""
+        over = [
+            name
+            for name, job in self._jobs.items()
+            if job.state.is_final and name not in self.changes and not self._still_runs(job)
+        ]
+        for name in over:
+            del self._jobs[name]
+            self._over.add(name)
+
+    def pending(self) -> dict[QueueName, int]:
+        """Of each queue, how many accepted jobs have started nothing."""
+        counts: dict[QueueName, int] = {}
+        for job in self._jobs.values():
+            if job.state is JobState.QUEUED:
+                counts[job.spec.queue] = counts.get(job.spec.queue, 0) + 1
+        return counts
+
+    def _open(self, job: Job, occurrence: int) -> list[Task]:
+        for number, step in enumerate(job.spec.steps):
+            keys = [TaskKey(occurrence, number, index) for index in range(step.count)]
+            open_keys = [key for key in keys if key not in job.done]
+            job.left[occurrence, number] = len(open_keys)
+            for key in open_keys:
+                job.tasks[key] = Task(job, key, key.name(job.spec.job), step)
+        return [
+            task
+            for number in range(len(job.spec.steps))
+            if job.step_ready(occurrence, number)
+            for task in self._of_step(job, occurrence, number)
+        ]
+
+    @staticmethod
+    def _of_step(job: Job, occurrence: int, step: int) -> list[Task]:
+        keys = (TaskKey(occurrence, step, index) for index in range(job.spec.steps[step].count))
+        return [job.tasks[key] for key in keys if key in job.tasks]
+
+    def _occurrence_done(self, job: Job, now_ms: int) -> None:
+        while self._all_done(job, job.done_occurrences):
+            occurrence = job.done_occurrences
+            job.done = {key for key in job.done if key.occurrence != occurrence}
+            job.done_occurrences += 1
+        if job.done_occurrences == job.spec.occurrence_count:
+            self.finish(job, JobState.COMPLETED, now_ms)
+
+    @staticmethod
+    def _all_done(job: Job, occurrence: int) -> bool:
+        if occurrence >= job.opened_occurrences:
+            return False
+        return not any(job.left[occurrence, step] for step in range(len(job.spec.steps)))
+
+    @staticmethod
+    def _still_runs(job: Job) -> bool:
+        return any(task.runs for task in job.tasks.values())
--- /dev/null
+++ b/fireflyfork/decisions/jobs/_runs.py
@@ -0,0 +1,146 @@
+"""Tasks of jobs that are not over yet, and their runs."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from ..._ids import AttemptNumber, ExecutorId, TaskName
+from ._progress import JobState, StoredProgress, StoredTask
+from ._queues import QueueTerms
+from ._specs import JobSpec, StepSpec, TaskKey
+
+if TYPE_CHECKING:
+    from ._executors import ExecutorState
+
+
+_NONE_YET = AttemptNumber(0)
+
+
+class RunPhase(Enum):
+    """How far one run of a task is."""
+
+    STARTING = "starting"
+    """The order is on its way."""
+    UNSURE = "unsure"
+    """The order got no answer: it may run, or may be carried out later."""
+    RUNNING = "running"
+    STOPPING = "stopping"
+    """It holds its room until its end is listed."""
+
+
+@dataclass(slots=True, eq=False)
+class Run:
+    """One attempt at a task on one executor."""
+
+    task: Task
+    attempt: AttemptNumber
+    executor: ExecutorState
+    phase: RunPhase
+    ordered_at: float
+    """When its start was sent; for a run that was found there, when it was found."""
+    start_deadline_ms: int = 0
+    """On the executor's clock: its start is void afterwards."""
+    confirmed_at: float | None = None
+    """When it was known to be there."""
+    stop_sent_at: float = 0.0
+    barred_at: float | None = None
+    """When a stop was acknowledged: from then on the attempt can't begin there any more."""
+    checkpoint: str = ""
+    progress_percent: int = 0
+    progress_at: float = 0.0
+    """When the progress last changed."""
+    cpu_in_use: float = 0.0
+    """Thousandths of a core, as last reported."""
+    pace_percent: int = 100
+
+    @property
+    def key(self) -> tuple[TaskName, AttemptNumber]:
+        """What identifies it on its executor."""
+        return self.task.name, self.attempt
+
+    @property
+    def works(self) -> bool:
+        """Whether it is expected to end by itself."""
+        return self.phase in (RunPhase.STARTING, RunPhase.RUNNING)
+
+
+@dataclass(slots=True, eq=False)
+class Task:
+    """One task that has not ended well yet."""
+
+    job: Job
+    key: TaskKey
+    name: TaskName
+    spec: StepSpec
+    attempt: AttemptNumber = _NONE_YET
+    """The highest number used."""
+    last_executor: ExecutorId | None = None
+    failed_attempts: list[int] = field(default_factory=list)
+    failed_on: set[ExecutorId] = field(default_factory=set)
+    checkpoint: str = ""
+    runs: list[Run] = field(default_factory=list)
+    waiting: bool = False
+    """Whether it stands in the queue of tasks to place."""
+
+    def stored(self) -> StoredTask | None:
+        """What is worth storing, or None."""
+        if not self.attempt:
+            return None
+        return StoredTask(
+            self.key.occurrence,
+            self.key.step,
+            self.key.index,
+            self.attempt,
+            self.last_executor if self.runs else None,
+            tuple(self.failed_attempts),
+            self.checkpoint if self.spec.checkpointing else "",
+        )
+
+
+@dataclass(slots=True, eq=False)
+class Job:
+    """One accepted job whose state is not final yet, or was made final by this owner."""
+
+    spec: JobSpec
+    queue: QueueTerms
+    """The terms of its queue; those at its acceptance once the queue has been dropped."""
+    state: JobState = JobState.QUEUED
+    final_ms: int = 0
+    tasks: dict[TaskKey, Task] = field(default_factory=dict)
+    """Of the occurrences that are due, those that have not ended well."""
+    left: dict[tuple[int, int], int] = field(default_factory=dict)
+    """Of each occurrence and step that are due, how many tasks have not ended well."""
+    done: set[TaskKey] = field(default_factory=set)
+    done_occurrences: int = 0
+    opened_occurrences: int = 0
+    """So many occurrences have become due."""
+
+    @property
+    def begun(self) -> bool:
+        """Whether any task of it has been started."""
+        return self.state is not JobState.QUEUED
+
+    @property
+    def objective_ms(self) -> float:
+        """Until when it should have ended, Unix milliseconds."""
+        allowed = self.queue.stretch_factor * self.spec.chain_ms() + self.queue.target_latency_ms
+        return self.spec.accepted_ms + allowed
+
+    def step_ready(self, occurrence: int, step: int) -> bool:
+        """Whether all steps that it comes after have ended well."""
+        return all(
+            not self.left.get((occurrence, earlier)) for earlier in self.spec.steps[step].after
+        )
+
+    def stored(self) -> StoredProgress:
+        """The progress to store."""
+        tasks = () if self.state.is_final else self.tasks.values()
+        return StoredProgress(
+            self.state,
+            self.final_ms,
+            tuple((key.occurrence, key.step, key.index) for key in sorted(self.done)),
+            self.done_occurrences,
+            tuple(stored for task in tasks if (stored := task.stored()) is not None),
+        )
--- /dev/null
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -0,0 +1,488 @@
+"""What the owner of a service decides: starts, stops, and what each report of an executor means.
+
+State changes in place: one owner carries some hundred starts a second on a fraction of a core, and
+copying tables for each of them would cost more than the decision. Nothing here reads a clock or does
+I/O: time comes in, and commands go out through ``take_commands``.
+"""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+from itertools import count
+
+from ..._ids import AttemptNumber, ExecutorId, JobId, QueueName
+from ._commands import Command, PaceRun, StartRun, StopRun
+from ._executors import ExecutorRegistration, ExecutorState
+from ._job_table import JobTable, terms_without_queue
+from ._pacing import adjust_pace
+from ._placing import choose
+from ._progress import JobState, StoredProgress
+from ._queues import QueueTable
+from ._reports import CallOutcome, EndedRow, EndReason, LookAnswer, OrderAnswer, RunningRow
+from ._runs import Job, Run, RunPhase, Task
+from ._specs import JobSpec, StepSpec, TaskKey
+
+START_VALID_MS = 1_000
+"""An order that is carried out later than this is void. Answers take 1 to 45 ms; a start that comes
+seconds late would meet its successor."""
+STOP_RETRY_SECONDS = 0.4
+"""A stop that got no answer is sent again: above the slowest round trip of 45 ms by far."""
+STALL_SECONDS = 2.5
+"""A run whose progress has not moved for so long stands still. Progress is reported in hundredths of
+runs of one or two seconds, so a run at a tenth of its speed still moves within 0.2 s."""
+STRIKES_TO_AVOID = 2
+"""One failure in fifty is a task's own; two in a row on one executor are its own once in 2,500."""
+AVOID_SECONDS = 1.0
+LONGEST_AVOID_SECONDS = 8.0
+"""An avoided executor is tried again after 1 s, then 2 s and so on: troubled ones recover within
+seconds, and each try costs at most one task's attempt."""
+DRAIN_EVICT_SECONDS = 1.2
+"""Tasks that checkpoint are stopped so long after their executor began to leave: it goes on for at
+least 2.5 s, and what ends by itself before needn't move."""
+REFUSED_SHAPES = 24
+"""A placing round ends when so many different sizes found no room: more would find none either, and
+each costs a look at every executor."""
+
+
+@dataclass(frozen=True, slots=True)
+class SchedulerTerms:
+    """What the platform demands, in seconds."""
+
+    lease: float
+    """How long an executor goes on without hearing from its owner."""
+    unheard_lease: float
+    """How long an executor that this owner never reached may go on for an earlier one."""
+
+
+class Scheduler:
+    """The state of one service, as its owner knows it."""
+
+    def __init__(self, terms: SchedulerTerms) -> None:
+        """Empty; ``recover`` takes in what an earlier owner left."""
+        self._terms = terms
+        self.jobs = JobTable()
+        self.executors: dict[ExecutorId, ExecutorState] = {}
+        self._commands: list[Command] = []
+        self._ready: list[tuple[int, int, float, int, Task]] = []
+        self._sequence = count()
+        self._unreached: dict[ExecutorId, float] = {}
+        self._held: list[Task] = []
+
+    @property
+    def waiting_tasks(self) -> int:
+        """Tasks that may start and have no place."""
+        return len(self._ready)
+
+    @property
+    def held_tasks(self) -> int:
+        """Tasks that may run somewhere out of reach."""
+        return len(self._held)
+
+    def take_commands(self) -> list[Command]:
+        """What is to be done, once."""
+        commands, self._commands = self._commands, []
+        return commands
+
+    def configure(self, queues: QueueTable) -> None:
+        """Use another version of the queues."""
+        self.jobs.configure(queues)
+
+    # What the store tells.
+
+    def recover(
+        self,
+        jobs: Iterable[tuple[JobSpec, StoredProgress | None]],
+        registrations: Iterable[ExecutorRegistration],
+        now: float,
+        now_ms: int,
+    ) -> None:
+        """Take in what an earlier owner left.
+
+        It may have started any of these tasks on any executor just before it went, without having
+        stored that. A start from here while the other one runs would be the second run of a task,
+        so none of them starts until each executor has answered under the new token, or until all
+        that the earlier owner may have let it run has lapsed.
+        """
+        for registration in registrations:
+            self.register(registration, now)
+        for spec, progress in jobs:
+            self._held.extend(self.jobs.accept(spec, progress, now_ms))
+            for task in progress.tasks if progress is not None else ():
+                if task.executor is not None and task.executor not in self.executors:
+                    self._unreached[task.executor] = now + self._terms.unheard_lease
+        for executor in self.executors:
+            self._unreached[executor] = now + self._terms.unheard_lease
+        self._release_held(now)
+
+    def accept(self, spec: JobSpec, now_ms: int) -> None:
+        """Take in a job that was accepted while this owner was in office."""
+        for task in self.jobs.accept(spec, None, now_ms):
+            self._enqueue(task)
+
+    def cancel(self, name: JobId, now: float, now_ms: int) -> None:
+        """A caller has cancelled a job."""
+        job = self.jobs.get(name)
+        if job is not None and not job.state.is_final:
+            self._finish(job, JobState.CANCELLED, now, now_ms)
+
+    def register(self, registration: ExecutorRegistration, now: float) -> None:
+        """An executor has said something about itself."""
+        known = self.executors.get(registration.executor)
+        if known is None:
+            self.executors[registration.executor] = ExecutorState(registration, now)
+            return
+        known.registered = True
+        if registration.incarnation > known.registration.incarnation:
+            self._reborn(known, registration, now)
+            return
+        began_to_leave = registration.draining and not known.registration.draining
+        known.registration = registration
+        if began_to_leave:
+            known.avoided_until = now + DRAIN_EVICT_SECONDS
+            self._evacuate(known, now, lasting=True)
+
+    def unregister(self, executor: ExecutorId, now: float) -> None:
+        """An executor's registration has gone: it has left, or can't reach the store."""
+        known = self.executors.get(executor)
+        if known is not None:
+            known.registered = False
+            self._forget_if_over(known, now)
+
+    # What executors tell.
+
+    def start_answered(self, run: Run, answer: OrderAnswer, now: float) -> None:
+        """An executor answered the order to start, or didn't."""
+        executor = run.executor
+        if answer.clock_ms is not None:
+            executor.note_clock(answer.clock_ms, now)
+        if run.key not in executor.runs or run.phase is not RunPhase.STARTING:
+            return
+        outcome = answer.outcome
+        if outcome is CallOutcome.ACCEPTED:
+            run.phase = RunPhase.RUNNING
+            run.confirmed_at = now
+            run.progress_at = now
+        elif outcome is CallOutcome.UNKNOWN:
+            run.phase = RunPhase.UNSURE
+            self._stop(run, now)
+        else:
+            if outcome in (CallOutcome.UNHEALTHY, CallOutcome.NO_ROOM):
+                self._strike(executor, now)
+            self._gone(run, now)
+
+    def stop_answered(self, run: Run, answer: OrderAnswer, now: float) -> None:
+        """An executor answered the order to stop, or didn't."""
+        if answer.clock_ms is not None:
+            run.executor.note_clock(answer.clock_ms, now)
+        if answer.outcome is CallOutcome.ACCEPTED and run.barred_at is None:
+            run.barred_at = now
+
+    def look_failed(self, executor: ExecutorState, now: float) -> None:
+        """A look got no answer."""
+        executor.failed_looks += 1
+        self._forget_if_over(executor, now)
+
+    def look_answered(
+        self, executor: ExecutorState, sent_at: float, answer: LookAnswer, now: float, now_ms: int
+    ) -> None:
+        """An executor has listed what it runs and what has ended."""
+        if answer.incarnation is not None and executor.registration.incarnation:
+            if answer.incarnation < executor.registration.incarnation:
+                return
+            if answer.incarnation > executor.registration.incarnation:
+                self._reborn(executor, _reborn_as(executor, answer.incarnation), now)
+        if answer.clock_ms is not None:
+            executor.note_clock(answer.clock_ms, now)
+        executor.failed_looks = 0
+        executor.looked_at = max(executor.looked_at or sent_at, sent_at)
+        for row in answer.ended:
+            if row.number > executor.seen_end:
+                executor.seen_end = row.number
+                self._ended(executor, row, now, now_ms)
+                executor.unstored_ends.append((row.number, self.jobs.changes.last))
+        self._compare(executor, sent_at, answer.running, now)
+        if self._unreached.pop(executor.executor, None) is not None:
+            self._release_held(now)
+        self._commands.extend(
+            PaceRun(run, percent) for run, percent in adjust_pace(executor, answer.running)
+        )
+
+    def note_stored(self) -> None:
+        """Changes have been stored: what rests on them may be forgotten by the executors."""
+        stored = self.jobs.changes.stored_to
+        for executor in self.executors.values():
+            while executor.unstored_ends and executor.unstored_ends[0][1] <= stored:
+                executor.forgettable_end = executor.unstored_ends.popleft()[0]
+
+    # What time brings.
+
+    def check_time(self, now: float, now_ms: int) -> None:
+        """Lapsed leases, stops without an answer, runs that stand still, jobs that become due."""
+        for executor in tuple(self.executors.values()):
+            self._check_executor(executor, now)
+        for late in [one for one, until in self._unreached.items() if until <= now]:
+            del self._unreached[late]
+            self._release_held(now)
+        for job in tuple(self.jobs.waiting_for_time()):
+            for task in self.jobs.open_due(job, now_ms):
+                self._enqueue(task)
+        self.jobs.drop_over()
+
+    def place(self, now: float) -> None:
+        """Send tasks that may start to executors with room."""
+        usable = [one for one in self.executors.values() if one.usable(now)]
+        put_back = []
+        refused: set[tuple[object, ...]] = set()
+        while self._ready and usable and len(refused) < REFUSED_SHAPES:
+            entry = heapq.heappop(self._ready)
+            task = entry[-1]
+            if not self._wants_run(task):
+                task.waiting = False
+                continue
+            shape = _shape(task)
+            executor = None if shape in refused else choose(task, usable)
+            if executor is None:
+                refused.add(shape)
+                put_back.append(entry)
+                continue
+            task.waiting = False
+            self._start(task, executor, now)
+        for entry in put_back:
+            heapq.heappush(self._ready, entry)
+
+    # Inside.
+
+    def _start(self, task: Task, executor: ExecutorState, now: float) -> None:
+        task.attempt = AttemptNumber(task.attempt + 1)
+        run = Run(task, task.attempt, executor, RunPhase.STARTING, now)
+        run.start_deadline_ms = executor.clock(now) + START_VALID_MS
+        run.checkpoint = task.checkpoint
+        executor.lease_until_ms = max(executor.lease_until_ms, run.start_deadline_ms)
+        executor.add(run)
+        task.runs.append(run)
+        task.last_executor = executor.executor
+        self.jobs.note_started(task.job)
+        self._commands.append(StartRun(run))
+
+    def _stop(self, run: Run, now: float) -> None:
+        if run.phase is not RunPhase.UNSURE:
+            run.phase = RunPhase.STOPPING
+        run.stop_sent_at = now
+        self._commands.append(StopRun(run))
+
+    def _enqueue(self, task: Task) -> None:
+        if task.waiting or not self._wants_run(task):
+            return
+        task.waiting = True
+        job = task.job
+        entry = (
+            job.queue.priority,
+            0 if task.spec.long_running else 1,
+            job.objective_ms,
+            next(self._sequence),
+            task,
+        )
+        heapq.heappush(self._ready, entry)
+
+    @staticmethod
+    def _wants_run(task: Task) -> bool:
+        return not task.job.state.is_final and task.key in task.job.tasks and not task.runs
+
+    def _gone(self, run: Run, now: float) -> None:
+        """A run is certainly over, or never was; its task may start again."""
+        run.executor.remove(run)
+        if run in run.task.runs:
+            run.task.runs.remove(run)
+        self._enqueue(run.task)
+
+    def _finish(self, job: Job, state: JobState, now: float, now_ms: int) -> None:
+        self.jobs.finish(job, state, now_ms)
+        for task in job.tasks.values():
+            for run in tuple(task.runs):
+                if run.works:
+                    self._stop(run, now)
+
+    def _strike(self, executor: ExecutorState, now: float) -> None:
+        executor.strikes += 1
+        if executor.strikes >= STRIKES_TO_AVOID:
+            pause = AVOID_SECONDS * 2 ** (executor.strikes - STRIKES_TO_AVOID)
+            executor.avoided_until = now + min(pause, LONGEST_AVOID_SECONDS)
+
+    def _ended(self, executor: ExecutorState, row: EndedRow, now: float, now_ms: int) -> None:
+        run = executor.runs.get((row.task, row.attempt))
+        task = run.task if run is not None else self.jobs.task(row.task)
+        if task is None:
+            return
+        if row.checkpoint and task.spec.checkpointing:
+            task.checkpoint = row.checkpoint
+        if row.reason is EndReason.DONE and not task.spec.long_running:
+            self._task_done(task, executor, now, now_ms)
+        elif row.reason is EndReason.FAILED:
+            self._task_failed(task, row, executor, now, now_ms)
+        if run is not None:
+            self._gone(run, now)
+        task.attempt = max(task.attempt, row.attempt)
+        self.jobs.note_changed(task.job)
+
+    def _task_done(self, task: Task, executor: ExecutorState, now: float, now_ms: int) -> None:
+        executor.strikes = 0
+        if task.job.state.is_final:
+            return
+        for ready in self.jobs.task_done(task, now_ms):
+            self._enqueue(ready)
+        for other in tuple(task.runs):
+            if other.works and other.executor is not executor:
+                self._stop(other, now)
+
+    def _task_failed(
+        self, task: Task, row: EndedRow, executor: ExecutorState, now: float, now_ms: int
+    ) -> None:
+        if row.attempt in task.failed_attempts:
+            return
+        task.failed_attempts.append(row.attempt)
+        task.failed_on.add(executor.executor)
+        self._strike(executor, now)
+        job = task.job
+        exhausted = len(task.failed_attempts) >= job.queue.attempts
+        if exhausted and not task.spec.long_running and not job.state.is_final:
+            self._finish(job, JobState.FAILED, now, now_ms)
+
+    def _compare(
+        self,
+        executor: ExecutorState,
+        sent_at: float,
+        rows: tuple[RunningRow, ...],
+        now: float,
+    ) -> None:
+        listed = {(row.task, row.attempt): row for row in rows}
+        for key, run in tuple(executor.runs.items()):
+            row = listed.pop(key, None)
+            if row is not None:
+                self._still_there(run, row, now)
+            else:
+                self._not_listed(run, sent_at, now)
+        for row in listed.values():
+            self._found(executor, row, now)
+
+    def _still_there(self, run: Run, row: RunningRow, now: float) -> None:
+        if run.phase is RunPhase.STARTING:
+            run.phase = RunPhase.RUNNING
+        if run.confirmed_at is None:
+            run.confirmed_at = now
+        if row.progress_percent != run.progress_percent or not run.progress_at:
+            run.progress_percent = row.progress_percent
+            run.progress_at = now
+        if row.checkpoint and run.task.spec.checkpointing:
+            run.checkpoint = row.checkpoint
+            run.task.checkpoint = row.checkpoint
+        run.cpu_in_use = row.figure
+
+    def _not_listed(self, run: Run, sent_at: float, now: float) -> None:
+        """It has ended and is forgotten, never came, or came after the list was made."""
+        if run.barred_at is not None and run.barred_at <= sent_at:
+            self._gone(run, now)
+        elif run.phase is RunPhase.RUNNING and (run.confirmed_at or now) < sent_at:
+            # Nothing explains this but a list that was overtaken. Stopping it bars the attempt, so
+            # that it can't come back beside its successor.
+            run.phase = RunPhase.UNSURE
+            self._stop(run, now)
+
+    def _found(self, executor: ExecutorState, row: RunningRow, now: float) -> None:
+        """An earlier owner's run, or an order of ours that was given up and carried out late."""
+        task = self.jobs.task(row.task)
+        if task is None:
+            self._commands.append(StopRun(_stranger(executor, row, now)))
+            return
+        newest = all(row.attempt > other.attempt for other in task.runs)
+        run = Run(task, row.attempt, executor, RunPhase.RUNNING, now, confirmed_at=now)
+        self._still_there(run, row, now)
+        executor.add(run)
+        late = row.attempt < task.attempt and not self._recovering
+        task.attempt = max(task.attempt, row.attempt)
+        others = tuple(task.runs)
+        task.runs.append(run)
+        if late or not newest:
+            self._stop(run, now)
+            return
+        for other in others:
+            self._stop(other, now)
+        task.last_executor = executor.executor
+        self.jobs.note_started(task.job)
+
+    @property
+    def _recovering(self) -> bool:
+        return bool(self._unreached)
+
+    def _reborn(
+        self, executor: ExecutorState, registration: ExecutorRegistration, now: float
+    ) -> None:
+        """The executor started anew: what ran in its earlier life is over."""
+        runs = tuple(executor.runs.values())
+        executor.begin_incarnation(registration, now)
+        for run in runs:
+            self._gone(run, now)
+
+    def _release_held(self, now: float) -> None:
+        if self._unreached:
+            return
+        held, self._held = self._held, []
+        for task in held:
+            self._enqueue(task)
+
+    def _check_executor(self, executor: ExecutorState, now: float) -> None:
+        if not executor.answers:
+            self._forget_if_over(executor, now)
+            return
+        if executor.registration.draining and executor.avoided_until <= now:
+            self._evacuate(executor, now, lasting=False)
+        for run in tuple(executor.runs.values()):
+            if run.phase in (RunPhase.STOPPING, RunPhase.UNSURE):
+                if run.barred_at is None and now - run.stop_sent_at > STOP_RETRY_SECONDS:
+                    self._stop(run, now)
+            elif self._stands_still(run, now):
+                self._strike(executor, now)
+                self._stop(run, now)
+
+    @staticmethod
+    def _stands_still(run: Run, now: float) -> bool:
+        if run.phase is not RunPhase.RUNNING or run.progress_percent >= 100:
+            return False
+        return run.pace_percent > 0 and now - run.progress_at > STALL_SECONDS
+
+    def _evacuate(self, executor: ExecutorState, now: float, lasting: bool) -> None:
+        for run in tuple(executor.working_runs()):
+            step = run.task.spec
+            if step.long_running if lasting else step.checkpointing:
+                self._stop(run, now)
+
+    def _forget_if_over(self, executor: ExecutorState, now: float) -> None:
+        """What ran on an executor that doesn't answer is over once its lease has lapsed."""
+        reached = executor.looked_at is not None
+        if reached and not executor.answers and executor.lease_has_lapsed(now):
+            for run in tuple(executor.runs.values()):
+                self._gone(run, now)
+        over = not executor.runs and executor.executor not in self._unreached
+        if over and not executor.registered and not executor.answers:
+            self.executors.pop(executor.executor, None)
+
+
+def _shape(task: Task) -> tuple[object, ...]:
+    step = task.spec
+    limited = (task.job.spec.job, task.key.step) if step.per_executor_limit else None
+    size = (step.reserved_cpu_millis, step.memory_mb, step.accelerators)
+    return (*size, step.required_label, limited)
+
+
+def _reborn_as(executor: ExecutorState, incarnation: int) -> ExecutorRegistration:
+    return replace(executor.registration, incarnation=incarnation)
+
+
+def _stranger(executor: ExecutorState, row: RunningRow, now: float) -> Run:
+    """A run of a task that is over or unknown; it is only stopped."""
+    spec = JobSpec(JobId(row.task), QueueName(""), executor.registration.service, "", (), 0)
+    job = Job(spec, terms_without_queue(spec), JobState.CANCELLED)
+    nothing = StepSpec(1, 0, 0, 0, 0)
+    task = Task(job, TaskKey(0, 0, 0), row.task, nothing)
+    return Run(task, row.attempt, executor, RunPhase.STOPPING, now)
--- /dev/null
+++ b/fireflyfork/platform/_configuration.py
@@ -0,0 +1,58 @@
+"""The operator's configuration, decoded into queues."""
+
+from __future__ import annotations
+
+import msgspec
+
+from .._errors import SettingsError
+from .._ids import ConfigurationVersion, QueueName, ServiceName
+from ..decisions.jobs import QueueTable, QueueTerms, queue_table
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    path_prefix: str
+    service: str
+    priority: int = 0
+    attempts: int = 1
+    stretch_factor: float = 1.0
+    target_latency_ms: int = 0
+    timeout_ms: int = 0
+
+
+class _Service(msgspec.Struct):
+    name: str
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+
+
+def decode_configuration(value: bytes) -> QueueTable:
+    """The queues of a stored configuration. Raises SettingsError."""
+    try:
+        stored = msgspec.json.decode(value, type=_Configuration)
+    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        raise SettingsError(f"the stored configuration can't be read: {error}") from error
+    return queue_table(
+        ConfigurationVersion(stored.version),
+        tuple(map(_queue, stored.routes)),
+        frozenset(ServiceName(service.name) for service in stored.services),
+    )
+
+
+def _queue(route: _Route) -> QueueTerms:
+    return QueueTerms(
+        name=QueueName(route.name),
+        host=route.host,
+        path_prefix=route.path_prefix,
+        service=ServiceName(route.service),
+        priority=route.priority,
+        attempts=max(1, route.attempts),
+        stretch_factor=route.stretch_factor,
+        target_latency_ms=route.target_latency_ms,
+        timeout_ms=route.timeout_ms,
+    )
--- /dev/null
+++ b/fireflyfork/platform/_http_calls.py
@@ -0,0 +1,50 @@
+"""JSON calls over kept connections, shared by the clients of the store and of executors."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from .._links import Address
+from ..adapters import Header, HttpClient, HttpError
+
+_JSON: Header = (b"content-type", b"application/json")
+
+
+@dataclass(frozen=True, slots=True)
+class CallAnswer:
+    """A whole answer."""
+
+    status: int
+    body: bytes
+
+
+class JsonCalls:
+    """Calls to one server."""
+
+    def __init__(self, address: Address, timeout: float) -> None:
+        """``timeout`` is in seconds for each call."""
+        self._client = HttpClient(address, timeout)
+
+    async def call(
+        self,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        headers: tuple[Header, ...] = (),
+        extra_seconds: float = 0.0,
+    ) -> CallAnswer:
+        """One call. Raises HttpError; it may then have taken effect."""
+        try:
+            head, answer = await self._client.call(
+                method, target, (_JSON, *headers), body, extra_seconds
+            )
+        except HttpError:
+            # A firewall that forgets its connections makes all of them silent at once, and new
+            # ones work. Each kept one would cost a caller one more timeout.
+            self._client.close()
+            raise
+        return CallAnswer(head.status, answer)
+
+    def close(self) -> None:
+        """Close the kept connections."""
+        self._client.close()
--- /dev/null
+++ b/fireflyfork/platform/_jobs.py
@@ -0,0 +1,121 @@
+"""Bodies of callers' requests for jobs, and the answers to them."""
+
+from __future__ import annotations
+
+import re
+
+import msgspec
+
+from .._errors import BadRequestError
+from .._ids import JobId
+from ..decisions.jobs import JobSpec, JobState, QueueTerms, StepSpec
+
+_JOB_ID = re.compile(r"[0-9a-f]{16}")
+
+_STATE_WORDS = {
+    JobState.QUEUED: "queued",
+    JobState.RUNNING: "running",
+    JobState.COMPLETED: "completed",
+    JobState.FAILED: "failed",
+    JobState.CANCELLED: "cancelled",
+}
+
+
+class _Step(msgspec.Struct):
+    count: int
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+    estimate_ms: int = 0
+    after: list[int] = []
+    checkpointing: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    requirements: str = ""
+    affinity: str = ""
+    anti_affinity: int = 0
+    speculative: bool = False
+    long_running: bool = False
+    image: str = ""
+    target_ms: int = 0
+    fills: bool = False
+    may_miss: int = 0
+
+
+class _Job(msgspec.Struct):
+    steps: list[_Step]
+    spec: str = ""
+    repetitions: int = 0
+    initial_delay_ms: int = 0
+    interval_ms: int = 0
+
+
+def parse_job_id(text: str) -> JobId | None:
+    """The job id that the rest of a path holds, or None when it is none."""
+    return JobId(text) if _JOB_ID.fullmatch(text) else None
+
+
+def decode_job(body: bytes, job: JobId, queue: QueueTerms, now_ms: int) -> JobSpec:
+    """The job that a caller hands in. Raises BadRequestError."""
+    try:
+        request = msgspec.json.decode(body, type=_Job)
+    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        raise BadRequestError(f"the job can't be read: {error}") from error
+    steps = tuple(map(_step, request.steps))
+    _check(steps)
+    return JobSpec(
+        job=job,
+        queue=queue.name,
+        service=queue.service,
+        payload=request.spec,
+        steps=steps,
+        accepted_ms=now_ms,
+        repetitions=request.repetitions,
+        first_due_ms=request.initial_delay_ms,
+        interval_ms=request.interval_ms,
+    )
+
+
+def encode_state(state: JobState) -> bytes:
+    """The body that tells a job's state."""
+    return msgspec.json.encode({"state": _STATE_WORDS[state]})
+
+
+def encode_pending(pending: int) -> bytes:
+    """The body that tells how many jobs of a queue wait for their first start."""
+    return msgspec.json.encode({"pending": pending})
+
+
+def _step(step: _Step) -> StepSpec:
+    return StepSpec(
+        count=step.count,
+        cpu_millis=step.cpu,
+        memory_mb=step.mem_mb,
+        accelerators=step.gpu,
+        estimate_ms=step.estimate_ms,
+        after=tuple(step.after),
+        checkpointing=step.checkpointing,
+        gang=step.gang,
+        same_rack=step.same_rack,
+        required_label=step.requirements,
+        data_rack=step.affinity,
+        per_executor_limit=step.anti_affinity,
+        speculative=step.speculative,
+        long_running=step.long_running,
+        image=step.image,
+        tail_target_ms=step.target_ms,
+        uses_leftover_cpu=step.fills,
+        unavailable_budget=step.may_miss,
+    )
+
+
+def _check(steps: tuple[StepSpec, ...]) -> None:
+    if not steps:
+        raise BadRequestError("the job has no steps")
+    for number, step in enumerate(steps):
+        if step.count < 1:
+            raise BadRequestError(f"step {number} has no tasks")
+        if min(step.cpu_millis, step.memory_mb, step.accelerators, step.estimate_ms) < 0:
+            raise BadRequestError(f"step {number} has a negative size")
+        if any(not 0 <= earlier < number for earlier in step.after):
+            raise BadRequestError(f"step {number} comes after a step that is not an earlier one")
--- /dev/null
+++ b/fireflyfork/platform/_names.py
@@ -0,0 +1,23 @@
+"""The platform's names for paths, headers, keys and words."""
+
+EXPECTED_INCARNATION_HEADER = b"x-fireflyfork-expected-instance"
+
+CONFIGURATION_KEY = "op/config"
+OPERATOR_PREFIX = "op/"
+REGISTRATION_PREFIX = "servers/"
+
+START_PATH = "/run-start"
+STOP_PATH = "/run-stop"
+PACE_PATH = "/pace"
+LOOK_PATH = "/hold"
+
+KEY_PATH = "/kv-key"
+RANGE_PATH = "/kv-range"
+WATCH_PATH = "/kv-watch"
+TRANSACTION_PATH = "/kv-txn"
+LEASE_PATH = "/kv-lease"
+LEASE_KEEP_PATH = "/kv-keep/"
+LEASE_END_PATH = "/kv-lease-end/"
+
+READINESS_PATH = "/readyz"
+SETTINGS_VARIABLE = "FIREFLYFORK_SETTINGS"
--- /dev/null
+++ b/fireflyfork/platform/_registrations.py
@@ -0,0 +1,65 @@
+"""What executors write about themselves."""
+
+from __future__ import annotations
+
+import msgspec
+from loguru import logger
+
+from .._errors import SettingsError
+from .._ids import ExecutorId, FailureDomainName, ServiceName
+from .._links import Address
+from ..adapters import StoredItem
+from ..decisions.jobs import ExecutorRegistration, ExecutorRoom
+from ._names import REGISTRATION_PREFIX
+
+_READY = "ready"
+_DRAINING = "draining"
+
+
+class _Room(msgspec.Struct):
+    cpu: int
+    mem_mb: int
+    gpu: int = 0
+
+
+class _Registration(msgspec.Struct):
+    service: str
+    address: str
+    zone: str
+    state: str
+    room: _Room
+    labels: list[str] = []
+    born: int = 0
+
+
+def registered_executor(key: str) -> ExecutorId:
+    """The executor whose registration a key holds."""
+    return ExecutorId(key.removeprefix(REGISTRATION_PREFIX))
+
+
+def decode_registration(item: StoredItem) -> ExecutorRegistration | None:
+    """The registration, or None for one that names no executor to use.
+
+    Other writers leave entries there that can't be read; one of them must not keep the rest from
+    being used, so it is logged and passed over.
+    """
+    executor = registered_executor(item.key)
+    try:
+        entry = msgspec.json.decode(item.value, type=_Registration)
+        address = Address.parse(entry.address)
+    except (msgspec.DecodeError, msgspec.ValidationError, SettingsError) as error:
+        logger.warning("registration not readable", executor=executor, error=str(error)[:200])
+        return None
+    if entry.state not in (_READY, _DRAINING):
+        logger.warning("registration in unknown state", executor=executor, state=entry.state[:40])
+        return None
+    return ExecutorRegistration(
+        executor=executor,
+        service=ServiceName(entry.service),
+        address=address,
+        failure_domain=FailureDomainName(entry.zone),
+        draining=entry.state == _DRAINING,
+        room=ExecutorRoom(entry.room.cpu, entry.room.mem_mb, entry.room.gpu),
+        labels=frozenset(entry.labels),
+        incarnation=entry.born,
+    )
--- /dev/null
+++ b/fireflyfork/platform/_store_client.py
@@ -0,0 +1,236 @@
+"""The platform's store over HTTP."""
+
+from __future__ import annotations
+
+from base64 import b64decode, b64encode
+from typing import TypeVar
+from urllib.parse import quote
+
+import msgspec
+
+from .._errors import (
+    LeaseEndedError,
+    StoredVersion,
+    StoreHistoryLostError,
+    StoreRefusedError,
+    StoreUnavailableError,
+    TransactionConflictError,
+)
+from .._ids import LeaseId, Revision
+from .._links import Address
+from ..adapters import (
+    CoordinationStore,
+    HttpError,
+    Put,
+    StoreChange,
+    StoreChanges,
+    StoredItem,
+    StoreListing,
+)
+from ._http_calls import CallAnswer, JsonCalls
+from ._names import (
+    KEY_PATH,
+    LEASE_END_PATH,
+    LEASE_KEEP_PATH,
+    LEASE_PATH,
+    RANGE_PATH,
+    TRANSACTION_PATH,
+    WATCH_PATH,
+)
+
+CALL_TIMEOUT_SECONDS = 0.9
+"""An answer takes 4 ms, and some 50 ms from another region. A store that is sixty times slower
+than usual still answers within it; a connection that has gone silent costs no more than this."""
+
+
+_Body = TypeVar("_Body")
+
+
+class _Item(msgspec.Struct):
+    key: str
+    revision: int
+    value: str = ""
+    created: int = 0
+    deleted: bool = False
+
+
+class _Range(msgspec.Struct):
+    items: list[_Item]
+    has_more: bool
+    as_of: int
+
+
+class _Watch(msgspec.Struct):
+    events: list[_Item]
+    as_of: int
+
+
+class _Conflict(msgspec.Struct):
+    items: list[_Item]
+
+
+class _Committed(msgspec.Struct):
+    revision: int
+
+
+class _Granted(msgspec.Struct):
+    lease: int
+
+
+class _Expected(msgspec.Struct):
+    key: str
+    revision: int
+
+
+class _PutRow(msgspec.Struct):
+    key: str
+    value: str
+    lease: int
+
+
+class _Transaction(msgspec.Struct):
+    expected_revision: list[_Expected]
+    puts: list[_PutRow]
+    remove: list[str]
+
+
+class _LeaseRequest(msgspec.Struct):
+    ttl_ms: int
+
+
+class PlatformStore(CoordinationStore):
+    """A client of the store."""
+
+    def __init__(self, address: Address) -> None:
+        """Connect to ``address`` when first needed."""
+        self._calls = JsonCalls(address, CALL_TIMEOUT_SECONDS)
+        self._count = 0
+
+    @property
+    def call_count(self) -> int:
+        """Calls made so far; each is paid for."""
+        return self._count
+
+    async def read(self, key: str) -> StoredItem | None:
+        """See CoordinationStore."""
+        answer = await self._call("GET", f"{KEY_PATH}?key={quote(key, safe='')}")
+        if answer.status == 404:
+            return None
+        return _stored(_decoded(answer, _Item))
+
+    async def list(self, prefix: str) -> StoreListing:
+        """See CoordinationStore."""
+        items: list[StoredItem] = []
+        earliest: int | None = None
+        after = ""
+        while True:
+            target = f"{RANGE_PATH}?path_prefix={quote(prefix, safe='')}"
+            if after:
+                target += f"&after={quote(after, safe='')}"
+            page = _decoded(await self._call("GET", target), _Range)
+            earliest = page.as_of if earliest is None else min(earliest, page.as_of)
+            items.extend(map(_stored, page.items))
+            if not page.has_more or not page.items:
+                return StoreListing(tuple(items), Revision(earliest))
+            after = page.items[-1].key
+
+    async def changes(self, prefix: str, after: Revision, wait_seconds: float) -> StoreChanges:
+        """See CoordinationStore."""
+        target = (
+            f"{WATCH_PATH}?path_prefix={quote(prefix, safe='')}"
+            f"&after={after}&wait_ms={int(wait_seconds * 1000)}"
+        )
+        answer = await self._call("GET", target, extra_seconds=wait_seconds)
+        if answer.status == 410:
+            raise StoreHistoryLostError(f"the changes of {prefix} after {after} are gone")
+        watch = _decoded(answer, _Watch)
+        return StoreChanges(tuple(map(_change, watch.events)), Revision(watch.as_of))
+
+    async def commit(
+        self,
+        expected: dict[str, Revision],
+        puts: tuple[Put, ...] = (),
+        removals: tuple[str, ...] = (),
+    ) -> Revision:
+        """See CoordinationStore."""
+        transaction = _Transaction(
+            [_Expected(key, revision) for key, revision in expected.items()],
+            [
+                _PutRow(put.key, b64encode(put.value).decode("ascii"), put.lease or 0)
+                for put in puts
+            ],
+            list(removals),
+        )
+        answer = await self._call("POST", TRANSACTION_PATH, msgspec.json.encode(transaction))
+        if answer.status == 412:
+            found = _decoded(answer, _Conflict, 412).items
+            raise TransactionConflictError(
+                {
+                    item.key: StoredVersion(Revision(item.revision), _value(item))
+                    for item in found
+                    if item.revision and not item.deleted
+                }
+            )
+        if answer.status == 404:
+            raise LeaseEndedError("the lease of a transaction has ended")
+        return Revision(_decoded(answer, _Committed).revision)
+
+    async def grant_lease(self, seconds: float) -> LeaseId:
+        """See CoordinationStore."""
+        body = msgspec.json.encode(_LeaseRequest(int(seconds * 1000)))
+        answer = await self._call("POST", LEASE_PATH, body)
+        return LeaseId(_decoded(answer, _Granted).lease)
+
+    async def keep_lease(self, lease: LeaseId) -> None:
+        """See CoordinationStore."""
+        answer = await self._call("POST", f"{LEASE_KEEP_PATH}{lease}")
+        if answer.status == 404:
+            raise LeaseEndedError(f"lease {lease} has ended")
+        _require(answer, 200)
+
+    async def end_lease(self, lease: LeaseId) -> None:
+        """See CoordinationStore."""
+        answer = await self._call("DELETE", f"{LEASE_END_PATH}{lease}")
+        if answer.status != 404:
+            _require(answer, 200)
+
+    async def _call(
+        self, method: str, target: str, body: bytes = b"", extra_seconds: float = 0.0
+    ) -> CallAnswer:
+        self._count += 1
+        try:
+            answer = await self._calls.call(method, target, body, extra_seconds=extra_seconds)
+        except HttpError as error:
+            raise StoreUnavailableError(str(error)) from error
+        if answer.status in (429, 503):
+            raise StoreRefusedError(f"the store answered {answer.status}")
+        return answer
+
+
+def _require(answer: CallAnswer, status: int) -> None:
+    if answer.status != status:
+        raise StoreUnavailableError(f"the store answered {answer.status}: {answer.body[:200]!r}")
+
+
+def _decoded(answer: CallAnswer, shape: type[_Body], status: int = 200) -> _Body:
+    _require(answer, status)
+    try:
+        return msgspec.json.decode(answer.body, type=shape)
+    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        raise StoreUnavailableError(f"the store's answer can't be read: {error}") from error
+
+
+def _value(item: _Item) -> bytes:
+    try:
+        return b64decode(item.value, validate=True)
+    except ValueError as error:
+        raise StoreUnavailableError(f"the value of {item.key} is not base64") from error
+
+
+def _stored(item: _Item) -> StoredItem:
+    return StoredItem(item.key, _value(item), Revision(item.revision), Revision(item.created))
+
+
+def _change(item: _Item) -> StoreChange:
+    stored = None if item.deleted else _stored(item)
+    return StoreChange(item.key, Revision(item.revision), stored)
--- /dev/null
+++ b/fireflyfork/programs/_executor_looks.py
@@ -0,0 +1,139 @@
+"""One loop for each executor: look, renew the lease, look again."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import trio
+from loguru import logger
+
+from ..adapters import ExecutorCalls, ExecutorPlace
+from ..decisions.jobs import CallOutcome, ExecutorState, Scheduler
+from ._clocks import Clock
+from ._service_journal import OwnershipLostError, ServiceJournal
+from ._service_lease import Term
+
+LOOK_SECONDS = 1.0
+"""How long a look waits for an end. Each is paid for; the lease, five times longer, bears the loss of
+several."""
+DISTURBED_LOOK_SECONDS = 0.5
+"""Where tasks without a reservation run beside serving ones: tails are measured over half a second,
+and one over its target has to be noticed within the next."""
+STORE_WAIT_SECONDS = 0.15
+"""Ends are listed again until they are stored, so a look before that would return at once. When the
+store is away, looks go on at this pace."""
+FIRST_RETRY_SECONDS = 0.05
+LONGEST_RETRY_SECONDS = 0.8
+ORPHANED_LEASE_SECONDS = 2.5
+"""An owner that can't reach the store for so long stops renewing leases. If it went on, its successor
+could never tell when a task on an executor that only the old owner reaches is over."""
+
+
+class ExecutorLooks:
+    """The looks at all executors of a service."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        calls: ExecutorCalls,
+        journal: ServiceJournal,
+        term: Term,
+        clock: Clock,
+        lease_seconds: float,
+        store_contact: Callable[[], float],
+        kick: Callable[[], None],
+    ) -> None:
+        """``store_contact`` tells when the store was last reached; ``kick`` has tasks placed."""
+        self._scheduler = scheduler
+        self._calls = calls
+        self._journal = journal
+        self._term = term
+        self._clock = clock
+        self._lease_ms = int(lease_seconds * 1000)
+        self._store_contact = store_contact
+        self._kick = kick
+        self._wake: dict[ExecutorState, trio.Event] = {}
+
+    def wake(self, executor: ExecutorState) -> None:
+        """Something was sent to an executor that may be idle."""
+        event = self._wake.get(executor)
+        if event is not None:
+            event.set()
+
+    async def run(self, executor: ExecutorState) -> None:
+        """Look until the executor is gone for good. Raises OwnershipLostError."""
+        try:
+            while self._scheduler.executors.get(executor.executor) is executor:
+                await self._pause(executor)
+                await self._look(executor)
+        finally:
+            self._calls.forget(executor.executor)
+
+    async def _look(self, executor: ExecutorState) -> None:
+        sent_at = self._clock.now()
+        forget = executor.forgettable_end
+        place = ExecutorPlace(executor.executor, executor.registration.address)
+        answer = await self._calls.look(
+            place, self._term.token, forget, self._lease(executor, sent_at), self._wait(executor)
+        )
+        now = self._clock.now()
+        if answer.outcome is CallOutcome.FENCED:
+            raise OwnershipLostError(f"{executor.executor} has seen a higher token")
+        if answer.outcome is not CallOutcome.ACCEPTED:
+            if executor.failed_looks == 0:
+                logger.info(
+                    "executor doesn't answer",
+                    executor=executor.executor,
+                    outcome=answer.outcome.value,
+                    runs=len(executor.runs),
+                )
+            self._scheduler.look_failed(executor, now)
+            return
+        if executor.failed_looks:
+            logger.info("executor answers again", executor=executor.executor)
+        executor.told_end = max(executor.told_end, forget)
+        self._scheduler.look_answered(executor, sent_at, answer, now, self._clock.unix_ms())
+        if answer.ended:
+            self._journal.notify()
+        self._kick()
+
+    async def _pause(self, executor: ExecutorState) -> None:
+        if executor.failed_looks:
+            delay = FIRST_RETRY_SECONDS * 2 ** (executor.failed_looks - 1)
+            await trio.sleep(min(delay, LONGEST_RETRY_SECONDS))
+        elif executor.unstored_ends:
+            await self._journal.wait_stored(STORE_WAIT_SECONDS)
+        elif self._idle(executor):
+            event = trio.Event()
+            self._wake[executor] = event
+            await event.wait()
+            del self._wake[executor]
+
+    @staticmethod
+    def _idle(executor: ExecutorState) -> bool:
+        known = executor.looked_at is not None
+        quiet = not executor.runs and executor.told_end == executor.seen_end
+        return known and quiet and executor.registered
+
+    def _lease(self, executor: ExecutorState, now: float) -> int | None:
+        """Until when what runs there may go on, on its clock; None leaves that as it is.
+
+        An executor that doesn't answer gets no longer lease: the answer may be what is lost, and
+        each renewal would put off the moment from which its tasks may run elsewhere.
+        """
+        orphaned = now - self._store_contact() > ORPHANED_LEASE_SECONDS
+        if executor.looked_at is None or executor.failed_looks or orphaned:
+            return None
+        until = executor.clock(now) + self._lease_ms
+        executor.lease_until_ms = max(executor.lease_until_ms, until)
+        return until
+
+    @staticmethod
+    def _wait(executor: ExecutorState) -> float:
+        if executor.looked_at is None or executor.failed_looks or executor.unstored_ends:
+            return 0.0
+        serves = fills = False
+        for run in executor.runs.values():
+            serves = serves or bool(run.task.spec.tail_target_ms)
+            fills = fills or run.task.spec.uses_leftover_cpu
+        return DISTURBED_LOOK_SECONDS if serves and fills else LOOK_SECONDS
--- /dev/null
+++ b/fireflyfork/programs/_scheduler_node.py
@@ -0,0 +1,159 @@
+"""One instance of the scheduler: callers' requests, and the ownership of services it wins."""
+
+from __future__ import annotations
+
+from random import Random
+
+import trio
+from loguru import logger
+
+from .._ids import ServiceName
+from ..adapters import CoordinationStore, Exchange, ExecutorCalls, HttpHandler, HttpServer, listen
+from ..decisions.jobs import QueueTable
+from ..platform import READINESS_PATH, NodeSettings
+from ._clocks import Clock
+from ._job_service import JobService
+from ._metrics import METRICS_TEXT, Metrics
+from ._queue_keeper import QueueKeeper
+from ._service_lease import ServiceLease
+from ._service_owner import ServiceOwner
+
+HAND_OVER_SECONDS = 0.6
+"""To store what is left before a planned stop; some writes of 5 ms each."""
+NOTICE_SECONDS = 2.5
+"""After the load balancer has been told, it takes two misses, a second apart, until it sends no new
+connections."""
+CLOSE_MARGIN_SECONDS = 1.2
+"""Before the platform kills the process, the last exchanges end and connections close."""
+
+
+class _Readiness(HttpHandler):
+    def __init__(self, node: SchedulerNode) -> None:
+        self._node = node
+
+    async def handle(self, exchange: Exchange) -> None:
+        found = exchange.head.target.partition("?")[0] == READINESS_PATH
+        await exchange.answer((200 if self._node.ready else 503) if found else 404, b"")
+
+
+class _MetricsPage(HttpHandler):
+    def __init__(self, metrics: Metrics) -> None:
+        self._metrics = metrics
+
+    async def handle(self, exchange: Exchange) -> None:
+        await exchange.answer(200, self._metrics.text().encode("utf-8"), (METRICS_TEXT,))
+
+
+class SchedulerNode:
+    """Everything that runs on one instance."""
+
+    def __init__(
+        self,
+        settings: NodeSettings,
+        store: CoordinationStore,
+        calls: ExecutorCalls,
+        clock: Clock,
+        random: Random,
+    ) -> None:
+        """Wire everything; nothing runs yet."""
+        self._settings = settings
+        self._store = store
+        self._calls = calls
+        self._clock = clock
+        self._random = random
+        self._metrics = Metrics()
+        self._keeper = QueueKeeper(store, self._configured)
+        self._owners: dict[ServiceName, ServiceOwner] = {}
+        self._candidates: dict[ServiceName, trio.CancelScope] = {}
+        self._nursery: trio.Nursery | None = None
+        self._stopping = False
+        self._service = JobService(
+            store, clock, self._metrics, lambda: self._keeper.table, self._job_accepted
+        )
+        self._callers = HttpServer(self._service)
+        self._readiness = HttpServer(_Readiness(self))
+
+    @property
+    def ready(self) -> bool:
+        """Whether new connections should come here."""
+        return not self._stopping and self._keeper.table is not None
+
+    async def run(self, stop: trio.Event) -> None:
+        """Serve until ``stop`` is set, then end gracefully."""
+        caller, ready = self._settings.caller_address, self._settings.readiness_address
+        metrics = self._settings.metrics_address
+        async with trio.open_nursery() as nursery:
+            self._nursery = nursery
+            nursery.start_soon(self._callers.run, await listen(caller.host, caller.port))
+            nursery.start_soon(self._readiness.run, await listen(ready.host, ready.port))
+            page = HttpServer(_MetricsPage(self._metrics))
+            nursery.start_soon(page.run, await listen(metrics.host, metrics.port))
+            nursery.start_soon(self._keeper.run)
+            logger.info("serving", callers=str(caller))
+            await stop.wait()
+            await self._stop()
+            nursery.cancel_scope.cancel()
+
+    async def _stop(self) -> None:
+        begun = self._clock.now()
+        logger.info("stopping", owned=sorted(self._owners))
+        self._stopping = True
+        for service, scope in self._candidates.items():
+            if service not in self._owners:
+                scope.cancel()
+        for owner in tuple(self._owners.values()):
+            await owner.resign(HAND_OVER_SECONDS)
+        await trio.sleep(max(0.0, NOTICE_SECONDS - (self._clock.now() - begun)))
+        self._callers.announce_stop()
+        left = self._settings.bounds.termination_grace - CLOSE_MARGIN_SECONDS
+        await trio.sleep(max(0.0, left - (self._clock.now() - begun)))
+        self._callers.stop()
+        with trio.move_on_after(CLOSE_MARGIN_SECONDS / 2):
+            await self._callers.wait_ended()
+        logger.info("stopped", connections=self._callers.connection_count)
+
+    def _configured(self, table: QueueTable) -> None:
+        for owner in self._owners.values():
+            owner.configure(table)
+        if self._nursery is None or self._stopping:
+            return
+        for service in sorted(table.services):
+            if service not in self._candidates:
+                self._candidates[service] = trio.CancelScope()
+                self._nursery.start_soon(self._stand, service)
+
+    def _job_accepted(self) -> None:
+        for owner in self._owners.values():
+            owner.kick()
+
+    async def _stand(self, service: ServiceName) -> None:
+        """Be a candidate for the ownership of a service, and its owner whenever it is won."""
+        lease = ServiceLease(service, self._settings.node, self._store, self._clock, self._random)
+        with self._candidates[service]:
+            while not self._stopping:
+                term = await lease.win()
+                owner = ServiceOwner(
+                    term,
+                    self._store,
+                    self._calls,
+                    self._clock,
+                    self._settings.bounds,
+                    self._queues,
+                )
+                self._owners[service] = owner
+                try:
+                    async with trio.open_nursery() as nursery:
+                        nursery.start_soon(lease.keep, term)
+                        await owner.run()
+                        nursery.cancel_scope.cancel()
+                finally:
+                    del self._owners[service]
+                with trio.move_on_after(HAND_OVER_SECONDS) as scope:
+                    scope.shield = True
+                    await lease.resign(term)
+
+    def _queues(self) -> QueueTable:
+        table = self._keeper.table
+        if table is None:
+            raise RuntimeError("a service is owned only once the configuration is known")
+        return table
--- /dev/null
+++ b/fireflyfork/programs/_service_journal.py
@@ -0,0 +1,139 @@
+"""Stores what the owner of a service has learned and decided, in order."""
+
+from __future__ import annotations
+
+import msgspec
+import trio
+from loguru import logger
+
+from .._errors import StoreError, TransactionConflictError
+from .._ids import JobId, Revision
+from ..adapters import CoordinationStore, Put
+from ..decisions.jobs import Scheduler, encode_progress
+from ._scheduling_keys import journal_key, owner_key, pending_key, progress_key
+from ._service_lease import Term
+
+MOST_JOBS = 26
+"""A transaction takes 32 rows; two conditions, the journal's number and the pending counts take four
+of them, and two are spare."""
+GATHER_SECONDS = 0.01
+"""Changes within this go into one write: a store call takes 4 ms, and calls are paid for."""
+RETRY_SECONDS = 0.1
+PENDING_SECONDS = 0.5
+"""How often the counts of waiting jobs are stored at most; they may be 2 s old."""
+
+
+class OwnershipLostError(StoreError):
+    """Another owner is in office, or none."""
+
+
+class ServiceJournal:
+    """The owner's writes, one after the other.
+
+    A write without an answer may still be carried out seconds later. If nothing ordered the writes,
+    it would put older progress over newer: a caller would see a completed job run again, and the
+    next owner would run its tasks again. So each write is conditional on the one before.
+    """
+
+    def __init__(self, store: CoordinationStore, term: Term, scheduler: Scheduler) -> None:
+        """``open`` comes first."""
+        self._store = store
+        self._term = term
+        self._scheduler = scheduler
+        self._written = Revision(0)
+        self._number = 0
+        self._changed = trio.Event()
+        self._stored = trio.Event()
+        self._pending: dict[str, int] = {}
+        self._pending_at = 0.0
+        self._last_success = trio.current_time()
+
+    @property
+    def silent_seconds(self) -> float:
+        """Since when no write has succeeded while one was due."""
+        return trio.current_time() - self._last_success
+
+    async def open(self) -> None:
+        """Find the last write of earlier owners. Raises StoreError."""
+        item = await self._store.read(journal_key(self._term.service))
+        self._written = item.revision if item is not None else Revision(0)
+
+    def notify(self) -> None:
+        """There may be something to store."""
+        self._changed.set()
+
+    async def wait_stored(self, seconds: float) -> None:
+        """Wait for the next write to succeed, at most so long."""
+        with trio.move_on_after(seconds):
+            await self._stored.wait()
+
+    async def run(self) -> None:
+        """Store changes as they come. Raises OwnershipLostError."""
+        while True:
+            await self._changed.wait()
+            self._changed = trio.Event()
+            await trio.sleep(GATHER_SECONDS)
+            while self._has_work():
+                if not await self.flush():
+                    await trio.sleep(RETRY_SECONDS)
+
+    async def flush(self) -> bool:
+        """Store one portion; False when the store was not to be had. Raises OwnershipLostError."""
+        changes = self._scheduler.jobs.changes
+        jobs = changes.take(MOST_JOBS)
+        pending = self._pending_to_store()
+        try:
+            await self._write(jobs, pending)
+        except TransactionConflictError as error:
+            changes.put_back()
+            self._settle(error)
+            return False
+        except OwnershipLostError:
+            changes.put_back()
+            raise
+        except StoreError as error:
+            changes.put_back()
+            logger.debug("journal not written", service=self._term.service, error=str(error))
+            return False
+        changes.stored()
+        if pending is not None:
+            self._pending = pending
+            self._pending_at = trio.current_time()
+        self._scheduler.note_stored()
+        self._last_success = trio.current_time()
+        self._stored.set()
+        self._stored = trio.Event()
+        return True
+
+    def _has_work(self) -> bool:
+        return bool(len(self._scheduler.jobs.changes)) or self._pending_to_store() is not None
+
+    def _pending_to_store(self) -> dict[str, int] | None:
+        pending = {str(queue): n for queue, n in self._scheduler.jobs.pending().items()}
+        due = trio.current_time() - self._pending_at >= PENDING_SECONDS
+        return pending if due and pending != self._pending else None
+
+    async def _write(self, jobs: tuple[JobId, ...], pending: dict[str, int] | None) -> None:
+        service = self._term.service
+        self._number += 1
+        mark = f"{self._term.number}.{self._number}".encode("ascii")
+        puts = [Put(journal_key(service), mark)]
+        for name in jobs:
+            job = self._scheduler.jobs.get(name)
+            if job is not None:
+                puts.append(Put(progress_key(name), encode_progress(job.stored())))
+        if pending is not None:
+            puts.append(Put(pending_key(service), msgspec.json.encode(pending)))
+        expected = {
+            owner_key(service): self._term.owner_revision,
+            journal_key(service): self._written,
+        }
+        self._written = await self._store.commit(expected, tuple(puts))
+
+    def _settle(self, error: TransactionConflictError) -> None:
+        """Find out what the conflict means: a write of ours that got no answer, or a new owner."""
+        owner = error.found.get(owner_key(self._term.service))
+        if owner is None or owner.revision != self._term.owner_revision:
+            raise OwnershipLostError("another owner has taken over, or the lease has ended")
+        last = error.found.get(journal_key(self._term.service))
+        self._written = last.revision if last is not None else Revision(0)
--- /dev/null
+++ b/fireflyfork/programs/_service_owner.py
@@ -0,0 +1,371 @@
+"""The owner of one service at work: from recovery to the loss of its office."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import trio
+from loguru import logger
+
+from .._errors import StoreError, StoreHistoryLostError
+from .._ids import JobId, Revision, ServiceName
+from ..adapters import CoordinationStore, ExecutorCalls, ExecutorPlace, StoreChange, StoredItem
+from ..decisions.jobs import (
+    CallOutcome,
+    Command,
+    ExecutorRegistration,
+    ExecutorState,
+    JobSpec,
+    OrderAnswer,
+    PaceRun,
+    QueueTable,
+    Run,
+    Scheduler,
+    SchedulerTerms,
+    StartRequest,
+    StartRun,
+    StopRun,
+    StoredFormatError,
+    StoredProgress,
+    decode_progress,
+    decode_stored_job,
+)
+from ..platform import (
+    REGISTRATION_PREFIX,
+    PlatformBounds,
+    decode_registration,
+    registered_executor,
+)
+from ._clocks import Clock
+from ._executor_looks import ORPHANED_LEASE_SECONDS, ExecutorLooks
+from ._scheduling_keys import CANCEL_PREFIX, JOB_PREFIX, PROGRESS_PREFIX, WORK_PREFIX, owner_key
+from ._service_journal import OwnershipLostError, ServiceJournal
+from ._service_lease import Term
+
+LEASE_SECONDS = 5.0
+"""How long executors go on by themselves. It has to outlast a change of owner, some 2 s, and a store
+that is away for 4 or 5 s; tasks on an executor that is cut off wait for its end."""
+LEASE_SHARE = 0.95
+"""Of the longest lease that the platform grants, where that is shorter."""
+UNHEARD_MARGIN_SECONDS = 0.5
+"""For the clocks of executors, which may be 2% slow."""
+TICK_SECONDS = 0.1
+"""Lapses, retries and due times are looked at this often: a tenth of what a caller notices."""
+WATCH_SECONDS = 2.0
+"""How long one question for changes waits; a silent connection is noticed a second later."""
+RETRY_SECONDS = 0.1
+CALLS_AT_ONCE = 6
+"""To one executor, besides the look. It takes 64 connections from all, and starts come in groups of
+no more than a step's tasks."""
+
+
+class ServiceOwner:
+    """One term in office."""
+
+    def __init__(
+        self,
+        term: Term,
+        store: CoordinationStore,
+        calls: ExecutorCalls,
+        clock: Clock,
+        bounds: PlatformBounds,
+        queues: Callable[[], QueueTable],
+    ) -> None:
+        """``queues`` tells the queues of the configuration in force."""
+        self._term = term
+        self._service: ServiceName = term.service
+        self._store = store
+        self._calls = calls
+        self._clock = clock
+        self._queues = queues
+        lease = min(LEASE_SECONDS, bounds.longest_lease * LEASE_SHARE)
+        unheard = ORPHANED_LEASE_SECONDS + lease + UNHEARD_MARGIN_SECONDS
+        self._scheduler = Scheduler(SchedulerTerms(lease, unheard))
+        self._journal = ServiceJournal(store, term, self._scheduler)
+        self._looks = ExecutorLooks(
+            self._scheduler,
+            calls,
+            self._journal,
+            term,
+            clock,
+            lease,
+            lambda: self._contact,
+            self.kick,
+        )
+        self._contact = clock.now()
+        self._work = trio.Event()
+        self._resigning = False
+        self._looked_after: set[ExecutorState] = set()
+        self._limits: dict[ExecutorState, trio.CapacityLimiter] = {}
+
+    @property
+    def scheduler(self) -> Scheduler:
+        """For status and metrics."""
+        return self._scheduler
+
+    def kick(self) -> None:
+        """Something changed: place tasks and send orders."""
+        self._work.set()
+
+    def configure(self, queues: QueueTable) -> None:
+        """Another version of the configuration is in force."""
+        self._scheduler.configure(queues)
+        self.kick()
+
+    def note_store_contact(self) -> None:
+        """The store has answered this instance."""
+        self._contact = self._clock.now()
+
+    async def run(self) -> None:
+        """Work until the ownership is lost or ``resign`` was called."""
+        try:
+            async with trio.open_nursery() as nursery:
+                work_revision, servers_revision = await self._recover()
+                nursery.start_soon(self._journal.run)
+                nursery.start_soon(self._follow_work, work_revision)
+                nursery.start_soon(self._follow_registrations, servers_revision)
+                nursery.start_soon(self._tick)
+                await self._dispatch(nursery)
+                nursery.cancel_scope.cancel()
+        except* OwnershipLostError as errors:
+            logger.info("ownership lost", service=self._service, reason=str(errors.exceptions[0]))
+
+    async def resign(self, seconds: float) -> None:
+        """Start nothing more, store what is known, and end ``run``."""
+        self._resigning = True
+        with trio.move_on_after(seconds):
+            try:
+                while len(self._scheduler.jobs.changes):
+                    self._journal.notify()
+                    await self._journal.wait_stored(seconds)
+            except StoreError as error:
+                logger.info("handed over with changes left", error=str(error))
+        self.kick()
+
+    async def _recover(self) -> tuple[Revision, Revision]:
+        begun = self._clock.now()
+        while True:
+            try:
+                await self._journal.open()
+                work = await self._store.list(WORK_PREFIX)
+                progress = await self._store.list(PROGRESS_PREFIX)
+                servers = await self._store.list(REGISTRATION_PREFIX)
+                break
+            except StoreError as error:
+                logger.info("recovery waits for the store", error=str(error))
+                await trio.sleep(RETRY_SECONDS)
+        self.note_store_contact()
+        jobs = tuple(self._stored_jobs(work.items, progress.items))
+        now, now_ms = self._clock.now(), self._clock.unix_ms()
+        self._scheduler.configure(self._queues())
+        registrations = [one for item in servers.items if (one := self._registration(item))]
+        self._scheduler.recover(jobs, registrations, now, now_ms)
+        for item in work.items:
+            if item.key.startswith(CANCEL_PREFIX):
+                self._cancel(JobId(item.key.removeprefix(CANCEL_PREFIX)))
+        logger.info(
+            "took ownership",
+            service=self._service,
+            term=self._term.number,
+            token=self._term.token,
+            jobs=len(self._scheduler.jobs),
+            executors=len(registrations),
+            seconds=round(self._clock.now() - begun, 3),
+        )
+        self.kick()
+        return work.as_of, servers.as_of
+
+    def _stored_jobs(
+        self, work: tuple[StoredItem, ...], progress: tuple[StoredItem, ...]
+    ) -> list[tuple[JobSpec, StoredProgress | None]]:
+        known: dict[str, StoredProgress] = {}
+        for item in progress:
+            try:
+                known[item.key.removeprefix(PROGRESS_PREFIX)] = decode_progress(item.value)
+            except StoredFormatError as error:
+                logger.error("progress not readable", key=item.key, error=str(error))
+        jobs = (self._job(item) for item in work if item.key.startswith(JOB_PREFIX))
+        return [(spec, known.get(spec.job)) for spec in jobs if spec is not None]
+
+    def _job(self, item: StoredItem) -> JobSpec | None:
+        try:
+            spec = decode_stored_job(item.value)
+        except StoredFormatError as error:
+            logger.error("job not readable", key=item.key, error=str(error))
+            return None
+        return spec if spec.service == self._service else None
+
+    def _registration(self, item: StoredItem) -> ExecutorRegistration | None:
+        registration = decode_registration(item)
+        if registration is None or registration.service != self._service:
+            return None
+        return registration
+
+    async def _follow_work(self, after: Revision) -> None:
+        while True:
+            try:
+                answer = await self._store.changes(WORK_PREFIX, after, WATCH_SECONDS)
+            except StoreHistoryLostError:
+                after = await self._list_work_again()
+                continue
+            except StoreError as error:
+                logger.debug("jobs not followed", error=str(error))
+                await trio.sleep(RETRY_SECONDS)
+                continue
+            self.note_store_contact()
+            after = max(after, answer.as_of)
+            for change in answer.changes:
+                self._work_changed(change)
+            if answer.changes:
+                self.kick()
+
+    async def _list_work_again(self) -> Revision:
+        """The store dropped its history: list what was missed."""
+        while True:
+            try:
+                listing = await self._store.list(WORK_PREFIX)
+            except StoreError as error:
+                logger.info("jobs not listed", error=str(error))
+                await trio.sleep(RETRY_SECONDS)
+                continue
+            if not any(item.key == owner_key(self._service) for item in listing.items):
+                raise OwnershipLostError("the owner's key is gone")
+            jobs_first = sorted(listing.items, key=lambda item: item.key.startswith(CANCEL_PREFIX))
+            for item in jobs_first:
+                self._work_changed(StoreChange(item.key, item.revision, item))
+            self.kick()
+            return listing.as_of
+
+    def _work_changed(self, change: StoreChange) -> None:
+        if change.key == owner_key(self._service):
+            if change.item is None or change.revision != self._term.owner_revision:
+                raise OwnershipLostError("the owner's key has changed")
+        elif change.item is None:
+            return
+        elif change.key.startswith(JOB_PREFIX):
+            spec = self._job(change.item)
+            if spec is not None:
+                self._scheduler.accept(spec, self._clock.unix_ms())
+        elif change.key.startswith(CANCEL_PREFIX):
+            self._cancel(JobId(change.key.removeprefix(CANCEL_PREFIX)))
+
+    def _cancel(self, job: JobId) -> None:
+        self._scheduler.cancel(job, self._clock.now(), self._clock.unix_ms())
+        self._journal.notify()
+
+    async def _follow_registrations(self, after: Revision) -> None:
+        while True:
+            try:
+                answer = await self._store.changes(REGISTRATION_PREFIX, after, WATCH_SECONDS)
+            except StoreHistoryLostError:
+                after = await self._list_registrations_again()
+                continue
+            except StoreError as error:
+                logger.debug("registrations not followed", error=str(error))
+                await trio.sleep(RETRY_SECONDS)
+                continue
+            self.note_store_contact()
+            after = max(after, answer.as_of)
+            for change in answer.changes:
+                self._registration_changed(change)
+            if answer.changes:
+                self.kick()
+
+    async def _list_registrations_again(self) -> Revision:
+        while True:
+            try:
+                listing = await self._store.list(REGISTRATION_PREFIX)
+            except StoreError as error:
+                logger.info("registrations not listed", error=str(error))
+                await trio.sleep(RETRY_SECONDS)
+                continue
+            listed = {registered_executor(item.key) for item in listing.items}
+            for executor in set(self._scheduler.executors) - listed:
+                self._scheduler.unregister(executor, self._clock.now())
+            for item in listing.items:
+                self._registration_changed(StoreChange(item.key, item.revision, item))
+            self.kick()
+            return listing.as_of
+
+    def _registration_changed(self, change: StoreChange) -> None:
+        now = self._clock.now()
+        registration = self._registration(change.item) if change.item is not None else None
+        if registration is not None:
+            self._scheduler.register(registration, now)
+        else:
+            self._scheduler.unregister(registered_executor(change.key), now)
+
+    async def _tick(self) -> None:
+        while True:
+            await trio.sleep(TICK_SECONDS)
+            self._scheduler.check_time(self._clock.now(), self._clock.unix_ms())
+            self.kick()
+
+    async def _dispatch(self, nursery: trio.Nursery) -> None:
+        while not self._resigning:
+            await self._work.wait()
+            self._work = trio.Event()
+            for executor in tuple(self._scheduler.executors.values()):
+                if executor not in self._looked_after:
+                    self._looked_after.add(executor)
+                    nursery.start_soon(self._look_after, executor)
+            if not self._resigning:
+                self._scheduler.place(self._clock.now())
+            for command in self._scheduler.take_commands():
+                nursery.start_soon(self._carry_out, command)
+            self._journal.notify()
+
+    async def _look_after(self, executor: ExecutorState) -> None:
+        try:
+            await self._looks.run(executor)
+        finally:
+            self._looked_after.discard(executor)
+            self._limits.pop(executor, None)
+
+    async def _carry_out(self, command: Command) -> None:
+        executor = command.run.executor
+        limit = self._limits.setdefault(executor, trio.CapacityLimiter(CALLS_AT_ONCE))
+        async with limit:
+            answer = await self._order(command, executor)
+        if answer.outcome is CallOutcome.FENCED:
+            raise OwnershipLostError(f"{executor.executor} has seen a higher token")
+        now = self._clock.now()
+        match command:
+            case StartRun(run):
+                if answer.outcome is not CallOutcome.ACCEPTED:
+                    self._log_refused_start(run, answer)
+                self._scheduler.start_answered(run, answer, now)
+            case StopRun(run):
+                self._scheduler.stop_answered(run, answer, now)
+            case PaceRun():
+                return
+        self.kick()
+
+    async def _order(self, command: Command, executor: ExecutorState) -> OrderAnswer:
+        run = command.run
+        place = ExecutorPlace(executor.executor, executor.registration.address)
+        self._looks.wake(executor)
+        if isinstance(command, StopRun):
+            return await self._calls.stop(place, self._term.token, run.task.name, run.attempt)
+        if isinstance(command, PaceRun):
+            return await self._calls.pace(
+                place, self._term.token, run.task.name, run.attempt, command.percent
+            )
+        order = StartRequest(
+            run.task.name,
+            run.attempt,
+            run.task.job.spec.payload,
+            run.start_deadline_ms,
+            run.checkpoint,
+        )
+        return await self._calls.start(place, self._term.token, order)
+
+    @staticmethod
+    def _log_refused_start(run: Run, answer: OrderAnswer) -> None:
+        logger.info(
+            "start not accepted",
+            task=run.task.name,
+            attempt=run.attempt,
+            executor=run.executor.executor,
+            outcome=answer.outcome.value,
+        )
--- /dev/null
+++ b/fireflyfork/programs/scheduler.py
@@ -0,0 +1,62 @@
+"""``fireflyfork-scheduler``: schedules jobs on the executors of the platform.
+
+Settings come from the file that the platform names in the environment.
+"""
+
+from __future__ import annotations
+
+import secrets
+import signal
+import sys
+from random import Random
+
+import trio
+from loguru import logger
+
+from .._errors import SettingsError
+from ..platform import (
+    NodeSettings,
+    PlatformExecutors,
+    PlatformStore,
+    load_node_settings,
+    settings_path,
+)
+from ._clocks import SystemClock
+from ._logs import configure_logs
+from ._scheduler_node import SchedulerNode
+
+
+async def run(settings: NodeSettings) -> None:
+    """Serve until the platform asks for a stop."""
+    clock = SystemClock()
+    random = Random(secrets.randbits(64))
+    store = PlatformStore(settings.store_address)
+    node = SchedulerNode(settings, store, PlatformExecutors(), clock, random)
+    stop = trio.Event()
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_stop_on_signal, stop)
+        await node.run(stop)
+        nursery.cancel_scope.cancel()
+
+
+async def _stop_on_signal(stop: trio.Event) -> None:
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
+        async for number in signals:
+            if number == signal.SIGHUP:
+                logger.info("settings file may have changed; nothing in it changes while running")
+                continue
+            stop.set()
+
+
+def main() -> None:
+    """Start the program."""
+    try:
+        settings = load_node_settings(settings_path())
+    except SettingsError as error:
+        sys.exit(f"fireflyfork-scheduler: {error}")
+    configure_logs("INFO", {"node": settings.node})
+    trio.run(run, settings)
+
+
+if __name__ == "__main__":
+    main()
