A new owner waits for every executor that its predecessor may have used

The end of an earlier step, listed at the first look, made the next step's tasks ready at once, though the earlier owner had already started them elsewhere; registrations lapse while the store is away, so executors with work were not waited for; runs of jobs that were over took no room while they were being stopped. Ruled out: late orders of the old owner (executors refuse its token after the first look). Change: tasks of recovered jobs stay held until each executor of the stored list has answered or its longest lease is over; the owner stores that list; strangers get the room of their step.

--- a/fireflyfork/decisions/jobs/__init__.py
+++ b/fireflyfork/decisions/jobs/__init__.py
@@ -4,16 +4,7 @@
 from ._commands import Command, PaceRun, StartRun, StopRun
 from ._executors import ExecutorRegistration, ExecutorRoom, ExecutorState
 from ._job_table import JobTable
-from ._progress import (
-    JobState,
-    StoredFormatError,
-    StoredProgress,
-    StoredTask,
-    decode_progress,
-    decode_stored_job,
-    encode_job,
-    encode_progress,
-)
+from ._progress import JobState, StoredProgress, StoredTask
 from ._queues import QueueTable, QueueTerms, queue_table
 from ._reports import (
     CallOutcome,
@@ -27,6 +18,15 @@
 from ._runs import Job, Run, RunPhase, Task
 from ._scheduler import Scheduler, SchedulerTerms
 from ._specs import JobSpec, StepSpec, TaskKey, parse_task_name
+from ._stored_forms import (
+    StoredFormatError,
+    decode_progress,
+    decode_registrations,
+    decode_stored_job,
+    encode_job,
+    encode_progress,
+    encode_registrations,
+)
 
 __all__ = [
     "CallOutcome",
@@ -61,9 +61,11 @@
     "Task",
     "TaskKey",
     "decode_progress",
+    "decode_registrations",
     "decode_stored_job",
     "encode_job",
     "encode_progress",
+    "encode_registrations",
     "parse_task_name",
     "queue_table",
 ]
--- a/fireflyfork/decisions/jobs/_job_table.py
+++ b/fireflyfork/decisions/jobs/_job_table.py
@@ -9,7 +9,7 @@
 from ._progress import JobState, StoredProgress
 from ._queues import QueueTable, QueueTerms
 from ._runs import Job, Task
-from ._specs import JobSpec, TaskKey, parse_task_name
+from ._specs import JobSpec, StepSpec, TaskKey, parse_task_name
 
 
 def terms_without_queue(spec: JobSpec) -> QueueTerms:
@@ -24,7 +24,7 @@
         """No jobs."""
         self.changes = ChangeLog()
         self._jobs: dict[JobId, Job] = {}
-        self._over: set[JobId] = set()
+        self._over: dict[JobId, JobSpec] = {}
         self._queues: QueueTable | None = None
 
     def __len__(self) -> int:
@@ -49,10 +49,21 @@
             return None
         return job.tasks.get(parsed[1])
 
+    def step_of(self, name: TaskName) -> tuple[JobSpec, StepSpec] | None:
+        """Job and step of a task, also of one that is over, or None when it is unknown."""
+        parsed = parse_task_name(name)
+        if parsed is None:
+            return None
+        job = self._jobs.get(parsed[0])
+        spec = job.spec if job is not None else self._over.get(parsed[0])
+        if spec is None or parsed[1].step >= len(spec.steps):
+            return None
+        return spec, spec.steps[parsed[1].step]
+
     def accept(self, spec: JobSpec, progress: StoredProgress | None, now_ms: int) -> list[Task]:
         """Take in a job. Returns the tasks that may start; none for one that is known or over."""
         if progress is not None and progress.state.is_final:
-            self._over.add(spec.job)
+            self._over[spec.job] = spec
         # The store's changes are listed anew when its history was lost, so a job comes up again
         # after it has ended; its tasks must not run a second time.
         if spec.job in self._jobs or spec.job in self._over:
@@ -157,8 +168,7 @@
             if job.state.is_final and name not in self.changes and not self._still_runs(job)
         ]
         for name in over:
-            del self._jobs[name]
-            self._over.add(name)
+            self._over[name] = self._jobs.pop(name).spec
 
     def pending(self) -> dict[QueueName, int]:
         """Of each queue, how many accepted jobs have started nothing."""
--- a/fireflyfork/decisions/jobs/_progress.py
+++ b/fireflyfork/decisions/jobs/_progress.py
@@ -5,11 +5,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-import msgspec
-
-from ..._errors import FireflyforkError
 from ..._ids import ExecutorId
-from ._specs import JobSpec
 
 
 class JobState(Enum):
@@ -55,33 +51,3 @@
     done_occurrences: int = 0
     """All occurrences before this one have ended well; their tasks are not in ``done``."""
     tasks: tuple[StoredTask, ...] = field(default=())
-
-
-class StoredFormatError(FireflyforkError):
-    """Something in the store is not what this version writes."""
-
-
-def encode_progress(progress: StoredProgress) -> bytes:
-    """The stored form."""
-    return msgspec.msgpack.encode(progress)
-
-
-def decode_progress(data: bytes) -> StoredProgress:
-    """Read the stored form. Raises StoredFormatError."""
-    try:
-        return msgspec.msgpack.decode(data, type=StoredProgress)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
-        raise StoredFormatError(f"stored progress can't be read: {error}") from error
-
-
-def encode_job(job: JobSpec) -> bytes:
-    """The stored form."""
-    return msgspec.msgpack.encode(job)
-
-
-def decode_stored_job(data: bytes) -> JobSpec:
-    """Read the stored form. Raises StoredFormatError."""
-    try:
-        return msgspec.msgpack.decode(data, type=JobSpec)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
-        raise StoredFormatError(f"stored job can't be read: {error}") from error
--- a/fireflyfork/decisions/jobs/_runs.py
+++ b/fireflyfork/decisions/jobs/_runs.py
@@ -114,6 +114,8 @@
     """Of each occurrence and step that are due, how many tasks have not ended well."""
     done: set[TaskKey] = field(default_factory=set)
     done_occurrences: int = 0
+    recovered: bool = False
+    """Whether an earlier owner may have started tasks of it."""
     opened_occurrences: int = 0
     """So many occurrences have become due."""
 
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -73,6 +73,8 @@
         self._sequence = count()
         self._unreached: dict[ExecutorId, float] = {}
         self._held: list[Task] = []
+        self.known_executors_changed = False
+        """Whether the executors to store for a successor have changed."""
 
     @property
     def waiting_tasks(self) -> int:
@@ -99,26 +101,34 @@
         self,
         jobs: Iterable[tuple[JobSpec, StoredProgress | None]],
         registrations: Iterable[ExecutorRegistration],
+        last_known: Iterable[ExecutorRegistration],
         now: float,
         now_ms: int,
     ) -> None:
         """Take in what an earlier owner left.
 
+        ``last_known`` are the executors that it had stored as known to it. Registrations lapse while
+        the store is away, and what such an executor runs would otherwise be started again elsewhere.
+
         It may have started any of these tasks on any executor just before it went, without having
         stored that. A start from here while the other one runs would be the second run of a task,
         so none of them starts until each executor has answered under the new token, or until all
         that the earlier owner may have let it run has lapsed.
         """
+        for registration in last_known:
+            executor = ExecutorState(registration, now, registered=False)
+            self.executors[registration.executor] = executor
         for registration in registrations:
             self.register(registration, now)
+        self._unreached = dict.fromkeys(self.executors, now + self._terms.unheard_lease)
         for spec, progress in jobs:
-            self._held.extend(self.jobs.accept(spec, progress, now_ms))
-            for task in progress.tasks if progress is not None else ():
-                if task.executor is not None and task.executor not in self.executors:
-                    self._unreached[task.executor] = now + self._terms.unheard_lease
-        for executor in self.executors:
-            self._unreached[executor] = now + self._terms.unheard_lease
-        self._release_held(now)
+            ready = self.jobs.accept(spec, progress, now_ms)
+            job = self.jobs.get(spec.job)
+            if job is not None:
+                job.recovered = True
+            for task in ready:
+                self._enqueue(task)
+        self.known_executors_changed = True
 
     def accept(self, spec: JobSpec, now_ms: int) -> None:
         """Take in a job that was accepted while this owner was in office."""
@@ -136,6 +146,7 @@
         known = self.executors.get(registration.executor)
         if known is None:
             self.executors[registration.executor] = ExecutorState(registration, now)
+            self.known_executors_changed = True
             return
         known.registered = True
         if registration.incarnation > known.registration.incarnation:
@@ -281,6 +292,9 @@
         if task.waiting or not self._wants_run(task):
             return
         task.waiting = True
+        if task.job.recovered and self._unreached:
+            self._held.append(task)
+            return
         self._push(task, task.job.spec.accepted_ms)
 
     def _push(self, task: Task, now_ms: int) -> None:
@@ -393,13 +407,13 @@
         """An earlier owner's run, or an order of ours that was given up and carried out late."""
         task = self.jobs.task(row.task)
         if task is None:
-            self._commands.append(StopRun(_stranger(executor, row, now)))
+            self._stop_stranger(executor, row, now)
             return
         newest = all(row.attempt > other.attempt for other in task.runs)
         run = Run(task, row.attempt, executor, RunPhase.RUNNING, now, confirmed_at=now)
         self._still_there(run, row, now)
         executor.add(run)
-        late = row.attempt < task.attempt and not self._recovering
+        late = row.attempt < task.attempt
         task.attempt = max(task.attempt, row.attempt)
         others = tuple(task.runs)
         task.runs.append(run)
@@ -411,9 +425,17 @@
         task.last_executor = executor.executor
         self.jobs.note_started(task.job)
 
-    @property
-    def _recovering(self) -> bool:
-        return bool(self._unreached)
+    def _stop_stranger(self, executor: ExecutorState, row: RunningRow, now: float) -> None:
+        """Stop a run of a task that is over or unknown; it holds its room until its end is listed."""
+        known = self.jobs.step_of(row.task)
+        service = executor.registration.service
+        spec = known[0] if known else JobSpec(JobId(row.task), QueueName(""), service, "", (), 0)
+        step = known[1] if known else StepSpec(1, 0, 0, 0, 0)
+        job = Job(spec, terms_without_queue(spec), JobState.CANCELLED)
+        task = Task(job, TaskKey(0, 0, 0), row.task, step)
+        run = Run(task, row.attempt, executor, RunPhase.STOPPING, now, confirmed_at=now)
+        executor.add(run)
+        self._stop(run, now)
 
     def _reborn(
         self, executor: ExecutorState, registration: ExecutorRegistration, now: float
@@ -429,7 +451,7 @@
             return
         held, self._held = self._held, []
         for task in held:
-            self._enqueue(task)
+            self._push(task, task.job.spec.accepted_ms)
 
     def _check_executor(self, executor: ExecutorState, now: float) -> None:
         if not executor.answers:
@@ -466,6 +488,7 @@
         over = not executor.runs and executor.executor not in self._unreached
         if over and not executor.registered and not executor.answers:
             self.executors.pop(executor.executor, None)
+            self.known_executors_changed = True
 
 
 def _shape(task: Task) -> tuple[object, ...]:
@@ -478,12 +501,3 @@
 
 def _reborn_as(executor: ExecutorState, incarnation: int) -> ExecutorRegistration:
     return replace(executor.registration, incarnation=incarnation)
-
-
-def _stranger(executor: ExecutorState, row: RunningRow, now: float) -> Run:
-    """A run of a task that is over or unknown; it is only stopped."""
-    spec = JobSpec(JobId(row.task), QueueName(""), executor.registration.service, "", (), 0)
-    job = Job(spec, terms_without_queue(spec), JobState.CANCELLED)
-    nothing = StepSpec(1, 0, 0, 0, 0)
-    task = Task(job, TaskKey(0, 0, 0), row.task, nothing)
-    return Run(task, row.attempt, executor, RunPhase.STOPPING, now)
--- /dev/null
+++ b/fireflyfork/decisions/jobs/_stored_forms.py
@@ -0,0 +1,55 @@
+"""The bytes that are kept in the store: msgpack, checked against the types when read."""
+
+from __future__ import annotations
+
+from typing import TypeVar
+
+import msgspec
+
+from ..._errors import FireflyforkError
+from ._executors import ExecutorRegistration
+from ._progress import StoredProgress
+from ._specs import JobSpec
+
+_Stored = TypeVar("_Stored")
+
+
+class StoredFormatError(FireflyforkError):
+    """Something in the store is not what this version writes."""
+
+
+def encode_progress(progress: StoredProgress) -> bytes:
+    """The stored form."""
+    return msgspec.msgpack.encode(progress)
+
+
+def decode_progress(data: bytes) -> StoredProgress:
+    """Read the stored form. Raises StoredFormatError."""
+    return _decode(data, StoredProgress)
+
+
+def encode_job(job: JobSpec) -> bytes:
+    """The stored form."""
+    return msgspec.msgpack.encode(job)
+
+
+def decode_stored_job(data: bytes) -> JobSpec:
+    """Read the stored form. Raises StoredFormatError."""
+    return _decode(data, JobSpec)
+
+
+def encode_registrations(registrations: tuple[ExecutorRegistration, ...]) -> bytes:
+    """The stored form."""
+    return msgspec.msgpack.encode(registrations)
+
+
+def decode_registrations(data: bytes) -> tuple[ExecutorRegistration, ...]:
+    """Read the stored form. Raises StoredFormatError."""
+    return _decode(data, tuple[ExecutorRegistration, ...])
+
+
+def _decode(data: bytes, shape: type[_Stored]) -> _Stored:
+    try:
+        return msgspec.msgpack.decode(data, type=shape)
+    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        raise StoredFormatError(f"can't be read as {shape}: {error}") from error
--- a/fireflyfork/programs/_scheduling_keys.py
+++ b/fireflyfork/programs/_scheduling_keys.py
@@ -29,6 +29,11 @@
     return f"{_ROOT}journal/{service}"
 
 
+def executors_key(service: ServiceName) -> str:
+    """The executors that the owner knows, for its successor."""
+    return f"{_ROOT}executors/{service}"
+
+
 def pending_key(service: ServiceName) -> str:
     """How many jobs of each queue wait for their first start."""
     return f"{_ROOT}pending/{service}"
--- a/fireflyfork/programs/_service_journal.py
+++ b/fireflyfork/programs/_service_journal.py
@@ -9,13 +9,20 @@
 from .._errors import StoreError, TransactionConflictError
 from .._ids import JobId, Revision
 from ..adapters import CoordinationStore, Put
-from ..decisions.jobs import Scheduler, encode_progress
-from ._scheduling_keys import journal_key, owner_key, pending_key, progress_key
+from ..decisions.jobs import (
+    ExecutorRegistration,
+    Scheduler,
+    StoredFormatError,
+    decode_registrations,
+    encode_progress,
+    encode_registrations,
+)
+from ._scheduling_keys import executors_key, journal_key, owner_key, pending_key, progress_key
 from ._service_lease import Term
 
 MOST_JOBS = 26
-"""A transaction takes 32 rows; two conditions, the journal's number and the pending counts take four
-of them, and two are spare."""
+"""A transaction takes 32 rows; two conditions, the journal's number, the pending counts and the known
+executors take five of them, and one is spare."""
 GATHER_SECONDS = 0.01
 """Changes within this go into one write: a store call takes 4 ms, and calls are paid for."""
 RETRY_SECONDS = 0.1
@@ -58,6 +65,17 @@
         item = await self._store.read(journal_key(self._term.service))
         self._written = item.revision if item is not None else Revision(0)
 
+    async def last_known_executors(self) -> tuple[ExecutorRegistration, ...]:
+        """The executors that an earlier owner had stored as known to it. Raises StoreError."""
+        item = await self._store.read(executors_key(self._term.service))
+        if item is None:
+            return ()
+        try:
+            return decode_registrations(item.value)
+        except StoredFormatError as error:
+            logger.error("known executors not readable", error=str(error))
+            return ()
+
     def notify(self) -> None:
         """There may be something to store."""
         self._changed.set()
@@ -82,17 +100,19 @@
         changes = self._scheduler.jobs.changes
         jobs = changes.take(MOST_JOBS)
         pending = self._pending_to_store()
+        executors = self._scheduler.known_executors_changed
+        self._scheduler.known_executors_changed = False
         try:
-            await self._write(jobs, pending)
+            await self._write(jobs, pending, executors)
         except TransactionConflictError as error:
-            changes.put_back()
+            self._put_back(executors)
             self._settle(error)
             return False
         except OwnershipLostError:
-            changes.put_back()
+            self._put_back(executors)
             raise
         except StoreError as error:
-            changes.put_back()
+            self._put_back(executors)
             logger.debug("journal not written", service=self._term.service, error=str(error))
             return False
         changes.stored()
@@ -105,15 +125,24 @@
         self._stored = trio.Event()
         return True
 
+    def _put_back(self, executors: bool) -> None:
+        self._scheduler.jobs.changes.put_back()
+        if executors:
+            self._scheduler.known_executors_changed = True
+
     def _has_work(self) -> bool:
-        return bool(len(self._scheduler.jobs.changes)) or self._pending_to_store() is not None
+        if len(self._scheduler.jobs.changes) or self._scheduler.known_executors_changed:
+            return True
+        return self._pending_to_store() is not None
 
     def _pending_to_store(self) -> dict[str, int] | None:
         pending = {str(queue): n for queue, n in self._scheduler.jobs.pending().items()}
         due = trio.current_time() - self._pending_at >= PENDING_SECONDS
         return pending if due and pending != self._pending else None
 
-    async def _write(self, jobs: tuple[JobId, ...], pending: dict[str, int] | None) -> None:
+    async def _write(
+        self, jobs: tuple[JobId, ...], pending: dict[str, int] | None, executors: bool
+    ) -> None:
         service = self._term.service
         self._number += 1
         mark = f"{self._term.number}.{self._number}".encode("ascii")
@@ -124,6 +153,9 @@
                 puts.append(Put(progress_key(name), encode_progress(job.stored())))
         if pending is not None:
             puts.append(Put(pending_key(service), msgspec.json.encode(pending)))
+        if executors:
+            known = tuple(one.registration for one in self._scheduler.executors.values())
+            puts.append(Put(executors_key(service), encode_registrations(known)))
         expected = {
             owner_key(service): self._term.owner_revision,
             journal_key(service): self._written,
--- a/fireflyfork/programs/_service_owner.py
+++ b/fireflyfork/programs/_service_owner.py
@@ -147,6 +147,7 @@
         while True:
             try:
                 await self._journal.open()
+                last_known = await self._journal.last_known_executors()
                 work = await self._store.list(WORK_PREFIX)
                 progress = await self._store.list(PROGRESS_PREFIX)
                 servers = await self._store.list(REGISTRATION_PREFIX)
@@ -159,7 +160,7 @@
         now, now_ms = self._clock.now(), self._clock.unix_ms()
         self._scheduler.configure(self._queues())
         registrations = [one for item in servers.items if (one := self._registration(item))]
-        self._scheduler.recover(jobs, registrations, now, now_ms)
+        self._scheduler.recover(jobs, registrations, last_known, now, now_ms)
         for item in work.items:
             if item.key.startswith(CANCEL_PREFIX):
                 self._cancel(JobId(item.key.removeprefix(CANCEL_PREFIX)))
