--- a/fireflyfork/decisions/jobs/_placing.py
+++ b/fireflyfork/decisions/jobs/_placing.py
@@ -29,9 +29,19 @@
 PACKING_GAIN = 1.0
 """Of two executors with the same images the fuller one gets the next serving task, so that large
 tasks find whole executors free instead of a hole of a core in each."""
-MIXED_COST = 2.0
-"""A serving task among others of other images: tasks that disturb find an executor where they do
-little harm only if the images that they harm do not stand everywhere."""
+SPOILING_COST = 2.0
+"""A serving task joins one that stands alone with its image. Work that disturbs an image needs
+executors without it; the first stray takes one more away, whatever share it has of it."""
+STRAY_COST = 1.0
+"""It joins several images, none of them its own: the executor was spoiled before."""
+KIN_COST = 0.3
+"""It joins several images, its own among them."""
+OPENING_COST = 0.8
+"""It takes an executor without serving tasks, which is kept as long as others will do for work that
+fits nowhere else or would disturb."""
+MOST_FILLER_COST = 2.0
+"""Above this a task without a reservation waits. It would run at half its speed or less and slow
+those beside it, so that all end late; one after the other, the first ones end in time."""
 
 
 def leftover_millis(executor: ExecutorState) -> float:
@@ -104,17 +114,20 @@
     load = (executor.used_cpu_millis + step.reserved_cpu_millis) / max(1, room.cpu_millis)
     memory = (executor.used_memory_mb + step.memory_mb) / max(1, room.memory_mb)
     if step.tail_target_ms:
-        return MIXED_COST * _foreign_share(task, executor) - PACKING_GAIN * load
+        return _company_cost(task, executor) - PACKING_GAIN * load
     cost = load + 0.25 * memory
     return cost + _disturbance(task, executor, model)
 
 
-def _foreign_share(task: Task, executor: ExecutorState) -> float:
-    """Of the serving tasks there, the share that has another image."""
-    images = [run.task.spec.image for run in executor.runs.values() if run.task.spec.tail_target_ms]
+def _company_cost(task: Task, executor: ExecutorState) -> float:
+    """What it costs that the serving tasks there have other images."""
+    images = {run.task.spec.image for run in executor.runs.values() if run.task.spec.tail_target_ms}
     if not images:
-        return EMPTY_SHARE
-    return sum(image != task.spec.image for image in images) / len(images)
+        return OPENING_COST
+    kin = task.spec.image in images
+    if len(images) == 1:
+        return 0.0 if kin else SPOILING_COST
+    return KIN_COST if kin else STRAY_COST
 
 
 def _filler_cost(task: Task, executor: ExecutorState, model: InterferenceModel) -> float:
