Disturbing work is placed by the least headroom of some time past

Cause: 37 of 47 hundredths of the headroom that tasks over their target had lost went to pairs that hurt, though two thirds of the executors held none of the images such work hurts: while a load was low there seemed to be room for it, and two seconds later the load had swung. Ruled out: too few suitable executors; own load (4% over without any loss, half of it work that had just begun or ended).

--- a/fireflyfork/decisions/jobs/_executors.py
+++ b/fireflyfork/decisions/jobs/_executors.py
@@ -81,6 +81,9 @@
     undisturbed: dict[str, float] = field(default_factory=dict)
     """By serving image: the least headroom that its tasks here would have if nothing disturbed
     them, as far as the last sample tells."""
+    lasting_headroom: dict[str, float] = field(default_factory=dict)
+    """By serving image: the least undisturbed headroom of some time past. Work that is placed now is
+    still there when the load has swung."""
     samples: dict[TaskName, Sample] = field(default_factory=dict)
     """The last sample of each serving task here."""
     disturbing_cpu_millis: dict[str, int] = field(default_factory=dict)
@@ -175,4 +178,5 @@
         self.told_end = 0
         self.unstored_ends.clear()
         self.undisturbed = {}
+        self.lasting_headroom = {}
         self.samples = {}
--- a/fireflyfork/decisions/jobs/_pacing.py
+++ b/fireflyfork/decisions/jobs/_pacing.py
@@ -13,9 +13,12 @@
 SAMPLE_SECONDS = 0.45
 """Executors report over the last half second. Samples taken closer together tell the same again, and
 a pace set in between would not show in them."""
-WANTED_HEADROOM = 1.2
+WANTED_HEADROOM = 1.0
 """Target over tail that is kept: a load that swings by half within ten seconds moves it by this
 fifth in the second until the next report and the answer to it."""
+RECOVERY = 0.06
+"""Headroom that a low is forgotten by with each sample. Loads swing over some ten seconds, and a low
+of 1.5 below the usual is remembered that long."""
 LOWEST_PACE = 10
 """Percent. A run at a tenth goes on telling what it does to others; at nothing it would not."""
 PACE_STEP = 10
@@ -52,6 +55,10 @@
         known = executor.undisturbed.get(image, MOST_HEADROOM)
         executor.undisturbed[image] = min(known, undisturbed)
     executor.samples = samples
+    executor.lasting_headroom = {
+        image: min(now_there, executor.lasting_headroom.get(image, now_there) + RECOVERY)
+        for image, now_there in executor.undisturbed.items()
+    }
     yield from _new_paces(executor, model)
 
 
--- a/fireflyfork/decisions/jobs/_placing.py
+++ b/fireflyfork/decisions/jobs/_placing.py
@@ -29,6 +29,9 @@
 PACKING_GAIN = 1.0
 """Of two executors with the same images the fuller one gets the next serving task, so that large
 tasks find whole executors free instead of a hole of a core in each."""
+ADDED_COST = 2.0
+"""In the same unit, for each unit of headroom that the task itself takes, even where enough is left:
+loads swing, and what stands there now is not what will stand there in two seconds."""
 SPOILING_COST = 2.0
 """A serving task joins one that stands alone with its image. Work that disturbs an image needs
 executors without it; the first stray takes one more away, whatever share it has of it."""
@@ -138,14 +141,14 @@
 
 def _disturbance(task: Task, executor: ExecutorState, model: InterferenceModel) -> float:
     """How far below the headroom that is kept the task would bring the serving tasks there."""
-    if not executor.undisturbed:
+    if not executor.lasting_headroom:
         return 0.0
     image = task.spec.image
     shares = executor.disturbing_shares()
     share = task.spec.cpu_millis / max(1, executor.registration.room.cpu_millis)
     shares[image] = shares.get(image, 0.0) + share
-    missing = max(
-        WANTED_HEADROOM + model.lost_headroom(serving, shares) - undisturbed
-        for serving, undisturbed in executor.undisturbed.items()
-    )
-    return DISTURBANCE_COST * max(0.0, missing) + 0.1 * missing
+    added = missing = 0.0
+    for serving, headroom in executor.lasting_headroom.items():
+        added = max(added, share * model.effect(serving, image))
+        missing = max(missing, WANTED_HEADROOM + model.lost_headroom(serving, shares) - headroom)
+    return ADDED_COST * added + DISTURBANCE_COST * missing
