Lasting tasks leave a tenth of the processors to short ones

Ruled out: order of placing (quotes go first already); preemption (same priority, and evictions of lasting tasks are what Kastings wants least). Change: a lasting task that never ran starts only if a tenth of the processors stays free of such.

--- a/fireflyfork/decisions/jobs/_executors.py
+++ b/fireflyfork/decisions/jobs/_executors.py
@@ -54,6 +54,8 @@
     """False once its registration has gone: it has left, or can't reach the store."""
     runs: dict[tuple[TaskName, AttemptNumber], Run] = field(default_factory=dict)
     used_cpu_millis: int = 0
+    lasting_cpu_millis: int = 0
+    """Of what is used, the part of tasks that last."""
     used_memory_mb: int = 0
     used_accelerators: int = 0
     looked_at: float | None = None
@@ -122,6 +124,7 @@
         step = run.task.spec
         self.runs[run.key] = run
         self.used_cpu_millis += step.reserved_cpu_millis
+        self.lasting_cpu_millis += step.reserved_cpu_millis if step.long_running else 0
         self.used_memory_mb += step.memory_mb
         self.used_accelerators += step.accelerators
         if not step.tail_target_ms:
@@ -134,6 +137,7 @@
             return
         step = run.task.spec
         self.used_cpu_millis -= step.reserved_cpu_millis
+        self.lasting_cpu_millis -= step.reserved_cpu_millis if step.long_running else 0
         self.used_memory_mb -= step.memory_mb
         self.used_accelerators -= step.accelerators
         if not step.tail_target_ms:
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -48,6 +48,11 @@
 each costs a look at every executor."""
 
 
+SHORT_TASK_RESERVE = 0.10
+"""The share of all processors that lasting tasks leave free. Short ones come in waves of a twentieth
+on average; a core that they hold is worth four times one that a lasting task holds."""
+
+
 @dataclass(frozen=True, slots=True)
 class SchedulerTerms:
     """What the platform demands, in seconds."""
@@ -260,6 +265,7 @@
                 continue
             shape = _shape(task)
             crowded = shape in refused or len(refused) >= REFUSED_SHAPES
+            crowded = crowded or self._would_take_reserve(task, usable)
             executor = None if crowded else choose(task, usable, self._interference)
             if executor is None:
                 refused.add(shape)
@@ -270,6 +276,15 @@
 
     # Inside.
 
+    @staticmethod
+    def _would_take_reserve(task: Task, usable: list[ExecutorState]) -> bool:
+        """Whether a lasting task that never ran would take the room that is kept for short ones."""
+        if not task.spec.long_running or task.attempt:
+            return False
+        room = sum(one.registration.room.cpu_millis for one in usable)
+        used = sum(one.lasting_cpu_millis for one in usable)
+        return used + task.spec.reserved_cpu_millis > room * (1 - SHORT_TASK_RESERVE)
+
     def _start(self, task: Task, executor: ExecutorState, now: float) -> None:
         task.attempt = AttemptNumber(task.attempt + 1)
         run = Run(task, task.attempt, executor, RunPhase.STARTING, now)
