--- a/fireflyfork/decisions/jobs/_specs.py
+++ b/fireflyfork/decisions/jobs/_specs.py
@@ -72,6 +72,11 @@
         """How many times the steps run."""
         return self.repetitions or 1
 
+    @property
+    def task_count(self) -> int:
+        """How many tasks one occurrence has."""
+        return sum(step.count for step in self.steps)
+
     @property
     def lasts(self) -> bool:
         """Whether it runs until it is cancelled."""
--- /dev/null
+++ b/fireflyfork/programs/_job_requests.py
@@ -0,0 +1,100 @@
+"""What callers may ask about jobs, apart from HTTP: hand in, ask, cancel, count."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+from loguru import logger
+
+from .._errors import (
+    StoreConflictError,
+    StoreRefusedError,
+    StoreUnavailableError,
+)
+from .._ids import JobId, Revision
+from ..adapters import CoordinationStore, Put
+from ..decisions.jobs import (
+    JobSpec,
+    JobState,
+    QueueTerms,
+    StoredFormatError,
+    decode_progress,
+    decode_stored_job,
+    encode_job,
+)
+from ._scheduling_keys import cancel_key, job_key, pending_key, progress_key
+
+WRITE_TRIES = 2
+"""A write whose answer was lost is sent once more, which settles whether it was done. After that the
+caller is better served by another instance."""
+
+
+class JobRequests:
+    """Answers about jobs. Nothing is kept here: a job is in the store before its caller hears of it.
+
+    Every method raises StoreRefusedError when nothing was done, and StoreUnavailableError when that
+    can't be told.
+    """
+
+    def __init__(self, store: CoordinationStore, changed: Callable[[], None]) -> None:
+        """``changed`` is called after each job or cancellation."""
+        self._store = store
+        self._changed = changed
+
+    async def submit(self, spec: JobSpec) -> None:
+        """Accept a job. One that came before, here or anywhere, stays as it was."""
+        await self._store_new(job_key(spec.job), encode_job(spec))
+        logger.info("job accepted", job=spec.job, queue=spec.queue, tasks=spec.task_count)
+        self._changed()
+
+    async def state(self, job: JobId) -> JobState | None:
+        """The state as it is stored, or None when there is no such job."""
+        progress = await self._store.read(progress_key(job))
+        try:
+            if progress is not None:
+                return decode_progress(progress.value).state
+            stored = await self._store.read(job_key(job))
+            if stored is None:
+                return None
+            decode_stored_job(stored.value)
+        except StoredFormatError as error:
+            raise StoreUnavailableError(str(error)) from error
+        return JobState.QUEUED
+
+    async def cancel(self, job: JobId) -> bool:
+        """Cancel a job; False when there is none."""
+        if await self._store.read(job_key(job)) is None:
+            return False
+        await self._store_new(cancel_key(job), b"")
+        logger.info("job cancelled", job=job)
+        self._changed()
+        return True
+
+    async def pending(self, queue: QueueTerms) -> int:
+        """How many jobs of a queue wait for their first start; up to 2 s old."""
+        item = await self._store.read(pending_key(queue.service))
+        counts = msgspec.json.decode(item.value, type=dict[str, int]) if item is not None else {}
+        return counts.get(queue.name, 0)
+
+    async def _store_new(self, key: str, value: bytes) -> None:
+        """Write a key that must not exist yet; one that exists is as good.
+
+        Raises StoreRefusedError only if nothing can have been written by this call: a caller that is
+        told "not accepted" must be able to rely on it.
+        """
+        unsure: StoreUnavailableError | None = None
+        for _ in range(WRITE_TRIES):
+            try:
+                await self._store.commit({key: Revision(0)}, (Put(key, value),))
+                return
+            except StoreConflictError:
+                return
+            except StoreRefusedError as error:
+                if unsure is None:
+                    raise
+                raise unsure from error
+            except StoreUnavailableError as error:
+                unsure = error
+        if unsure is not None:
+            raise unsure
--- a/fireflyfork/programs/_scheduler_node.py
+++ b/fireflyfork/programs/_scheduler_node.py
@@ -12,14 +12,13 @@
 from ..decisions.jobs import QueueTable
 from ..platform import READINESS_PATH, NodeSettings
 from ._clocks import Clock
+from ._job_requests import JobRequests
 from ._job_service import JobService
 from ._metrics import METRICS_TEXT, Metrics
 from ._queue_keeper import QueueKeeper
-from ._service_lease import ServiceLease
+from ._service_candidate import ServiceCandidate
 from ._service_owner import ServiceOwner
 
-HAND_OVER_SECONDS = 0.6
-"""To store what is left before a planned stop; some writes of 5 ms each."""
 NOTICE_SECONDS = 2.5
 """After the load balancer has been told, it takes two misses, a second apart, until it sends no new
 connections."""
@@ -63,12 +62,14 @@
         self._random = random
         self._metrics = Metrics()
         self._keeper = QueueKeeper(store, self._configured)
-        self._owners: dict[ServiceName, ServiceOwner] = {}
-        self._candidates: dict[ServiceName, trio.CancelScope] = {}
+        self._candidates: dict[ServiceName, ServiceCandidate] = {}
         self._nursery: trio.Nursery | None = None
         self._stopping = False
         self._service = JobService(
-            store, clock, self._metrics, lambda: self._keeper.table, self._job_accepted
+            JobRequests(store, self._job_changed),
+            clock,
+            self._metrics,
+            lambda: self._keeper.table,
         )
         self._callers = HttpServer(self._service)
         self._readiness = HttpServer(_Readiness(self))
@@ -96,13 +97,13 @@
 
     async def _stop(self) -> None:
         begun = self._clock.now()
-        logger.info("stopping", owned=sorted(self._owners))
+        logger.info(
+            "stopping", owned=sorted(name for name, one in self._candidates.items() if one.owner)
+        )
         self._stopping = True
-        for service, scope in self._candidates.items():
-            if service not in self._owners:
-                scope.cancel()
-        for owner in tuple(self._owners.values()):
-            await owner.resign(HAND_OVER_SECONDS)
+        async with trio.open_nursery() as nursery:
+            for candidate in self._candidates.values():
+                nursery.start_soon(candidate.stop)
         await trio.sleep(max(0.0, NOTICE_SECONDS - (self._clock.now() - begun)))
         self._callers.announce_stop()
         left = self._settings.bounds.termination_grace - CLOSE_MARGIN_SECONDS
@@ -113,44 +114,35 @@
         logger.info("stopped", connections=self._callers.connection_count)
 
     def _configured(self, table: QueueTable) -> None:
-        for owner in self._owners.values():
+        for owner in self._owners():
             owner.configure(table)
         if self._nursery is None or self._stopping:
             return
         for service in sorted(table.services):
             if service not in self._candidates:
-                self._candidates[service] = trio.CancelScope()
-                self._nursery.start_soon(self._stand, service)
+                candidate = self._candidate(service)
+                self._candidates[service] = candidate
+                self._nursery.start_soon(candidate.run)
 
-    def _job_accepted(self) -> None:
-        for owner in self._owners.values():
+    def _job_changed(self) -> None:
+        for owner in self._owners():
             owner.kick()
 
-    async def _stand(self, service: ServiceName) -> None:
-        """Be a candidate for the ownership of a service, and its owner whenever it is won."""
-        lease = ServiceLease(service, self._settings.node, self._store, self._clock, self._random)
-        with self._candidates[service]:
-            while not self._stopping:
-                term = await lease.win()
-                owner = ServiceOwner(
-                    term,
-                    self._store,
-                    self._calls,
-                    self._clock,
-                    self._settings.bounds,
-                    self._queues,
-                )
-                self._owners[service] = owner
-                try:
-                    async with trio.open_nursery() as nursery:
-                        nursery.start_soon(lease.keep, term)
-                        await owner.run()
-                        nursery.cancel_scope.cancel()
-                finally:
-                    del self._owners[service]
-                with trio.move_on_after(HAND_OVER_SECONDS) as scope:
-                    scope.shield = True
-                    await lease.resign(term)
+    def _owners(self) -> list[ServiceOwner]:
+        candidates = self._candidates.values()
+        return [owner for one in candidates if (owner := one.owner) is not None]
+
+    def _candidate(self, service: ServiceName) -> ServiceCandidate:
+        return ServiceCandidate(
+            service,
+            self._settings.node,
+            self._store,
+            self._calls,
+            self._clock,
+            self._random,
+            self._settings.bounds,
+            self._queues,
+        )
 
     def _queues(self) -> QueueTable:
         table = self._keeper.table
--- /dev/null
+++ b/fireflyfork/programs/_service_candidate.py
@@ -0,0 +1,78 @@
+"""Stands for the ownership of one service, and is its owner whenever it wins."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from random import Random
+
+import trio
+
+from .._ids import NodeName, ServiceName
+from ..adapters import CoordinationStore, ExecutorCalls
+from ..decisions.jobs import QueueTable
+from ..platform import PlatformBounds
+from ._clocks import Clock
+from ._service_lease import ServiceLease
+from ._service_owner import ServiceOwner
+
+HAND_OVER_SECONDS = 0.6
+"""To store what is left before a planned stop; some writes of 5 ms each."""
+
+
+class ServiceCandidate:
+    """One instance's part in the ownership of one service."""
+
+    def __init__(
+        self,
+        service: ServiceName,
+        node: NodeName,
+        store: CoordinationStore,
+        calls: ExecutorCalls,
+        clock: Clock,
+        random: Random,
+        bounds: PlatformBounds,
+        queues: Callable[[], QueueTable],
+    ) -> None:
+        """``queues`` tells the queues of the configuration in force."""
+        self._service = service
+        self._store = store
+        self._calls = calls
+        self._clock = clock
+        self._bounds = bounds
+        self._queues = queues
+        self._lease = ServiceLease(service, node, store, clock, random)
+        self._owner: ServiceOwner | None = None
+        self._stopping = False
+        self._waiting = trio.CancelScope()
+
+    @property
+    def owner(self) -> ServiceOwner | None:
+        """The owner at work here, or None."""
+        return self._owner
+
+    async def run(self) -> None:
+        """Stand until ``stop``; a term in office ends with its hand-over."""
+        while not self._stopping:
+            with trio.CancelScope() as self._waiting:
+                term = await self._lease.win()
+            if self._waiting.cancelled_caught:
+                return
+            self._owner = ServiceOwner(
+                term, self._store, self._calls, self._clock, self._bounds, self._queues
+            )
+            try:
+                async with trio.open_nursery() as nursery:
+                    nursery.start_soon(self._lease.keep, term)
+                    await self._owner.run()
+                    nursery.cancel_scope.cancel()
+            finally:
+                self._owner = None
+            with trio.move_on_after(HAND_OVER_SECONDS):
+                await self._lease.resign(term)
+
+    async def stop(self) -> None:
+        """Leave the office to others at once, with all that is known stored."""
+        self._stopping = True
+        self._waiting.cancel()
+        if self._owner is not None:
+            await self._owner.resign(HAND_OVER_SECONDS)
