--- a/fireflyfork/decisions/jobs/_executors.py
+++ b/fireflyfork/decisions/jobs/_executors.py
@@ -63,7 +63,7 @@
     failed_looks: int = 0
     """Looks without an answer since the last answer."""
     clock_ms: int = 0
-    clock_at: float = 0.0
+    clock_at: float = field(init=False)
     """When ``clock_ms`` had been received: the executor's clock was at least there."""
     lease_until_ms: int = 0
     """On the executor's clock: the latest that any order of ours may have let it run to."""
@@ -91,6 +91,10 @@
     disturbing_cpu_millis: dict[str, int] = field(default_factory=dict)
     """By image: what the tasks here that serve nobody would use at their full pace."""
 
+    def __post_init__(self) -> None:
+        """Its clock is at 0 or later."""
+        self.clock_at = self.known_since
+
     @property
     def executor(self) -> ExecutorId:
         """Its id."""
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -208,6 +208,10 @@
         self, executor: ExecutorState, sent_at: float, answer: LookAnswer, now: float, now_ms: int
     ) -> None:
         """An executor has listed what it runs and what has ended."""
+        if self.executors.get(executor.executor) is not executor:
+            # It was given up and has come back under the same id while this look was out. What the
+            # answer lists belongs to its new life, which another state stands for.
+            return
         if answer.incarnation is not None and executor.registration.incarnation:
             if answer.incarnation < executor.registration.incarnation:
                 return
--- /dev/null
+++ b/fireflyfork_standins/scheduling/__init__.py
@@ -0,0 +1,19 @@
+"""The users' platform in one process: store, executors, callers, and trouble, on a virtual clock."""
+
+from ._executors import ExecutorTrouble, StandInExecutor, StandInExecutorCalls
+from ._history import History, Violation
+from ._store import StandInStore, StoreTrouble
+from ._world import Profile, Report, run_world
+
+__all__ = [
+    "ExecutorTrouble",
+    "History",
+    "Profile",
+    "Report",
+    "StandInExecutor",
+    "StandInExecutorCalls",
+    "StandInStore",
+    "StoreTrouble",
+    "Violation",
+    "run_world",
+]
--- /dev/null
+++ b/fireflyfork_standins/scheduling/_executors.py
@@ -0,0 +1,410 @@
+"""The platform's executors: runs under leases, fencing tokens, lists of ends, late orders."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+import msgspec
+import trio
+
+from fireflyfork._ids import (
+    AttemptNumber,
+    ExecutorId,
+    FencingToken,
+    NodeName,
+    ServiceName,
+    TaskName,
+)
+from fireflyfork.adapters import ExecutorCalls, ExecutorPlace
+from fireflyfork.decisions.jobs import (
+    CallOutcome,
+    EndedRow,
+    EndReason,
+    ExecutorRoom,
+    LookAnswer,
+    OrderAnswer,
+    RunningRow,
+    StartRequest,
+    StepSpec,
+    parse_task_name,
+)
+from fireflyfork.platform import REGISTRATION_PREFIX
+
+from ._history import History
+from ._store import StandInStore
+
+LATENCY_SECONDS = 0.002
+TIMEOUT_SECONDS = 0.6
+LATE_SECONDS = (1.0, 6.0)
+_NO_TOKEN = FencingToken(0)
+STEP_SECONDS = 0.01
+STOP_SECONDS = 0.05
+LONGEST_LEASE_MS = 6_000
+
+
+_Order = Callable[["StandInExecutor"], CallOutcome]
+
+
+@dataclass(slots=True)
+class ExecutorTrouble:
+    """What goes wrong at one executor at present."""
+
+    unreachable_from: set[NodeName] = field(default_factory=set)
+    late_share: float = 0.0
+    """This share of orders gets no answer and is carried out seconds later."""
+    lost_share: float = 0.0
+    """This share is carried out at once and not answered."""
+    fail_share: float = 0.0
+    stands_still: bool = False
+
+
+@dataclass(slots=True)
+class _Run:
+    task: TaskName
+    attempt: int
+    step: StepSpec
+    work_seconds: float
+    fails: bool
+    done_seconds: float = 0.0
+    pace: float = 1.0
+    stop_at: float | None = None
+
+    @property
+    def percent(self) -> int:
+        if self.step.long_running:
+            return 100 if self.done_seconds > 0.3 else 0
+        return min(99, int(100 * self.done_seconds / self.work_seconds))
+
+
+@dataclass(slots=True)
+class _Life:
+    """What one incarnation knows."""
+
+    began: float
+    runs: dict[tuple[TaskName, int], _Run] = field(default_factory=dict)
+    ends: list[EndedRow] = field(default_factory=list)
+    ended_at: dict[int, float] = field(default_factory=dict)
+    barred: dict[TaskName, int] = field(default_factory=dict)
+    number: int = 0
+    forgotten: int = 0
+    token: FencingToken = _NO_TOKEN
+    deadline_ms: int = 0
+    lapsed_at: float | None = None
+
+
+class StandInExecutor:
+    """One executor through all its lives."""
+
+    def __init__(
+        self,
+        executor: ExecutorId,
+        service: ServiceName,
+        room: ExecutorRoom,
+        store: StandInStore,
+        history: History,
+        random: Random,
+    ) -> None:
+        """Registers when ``run`` is called."""
+        self.executor = executor
+        self.trouble = ExecutorTrouble()
+        self.up = True
+        self._service = service
+        self._room = room
+        self._store = store
+        self._history = history
+        self._random = random
+        self._rate = random.uniform(0.98, 1.0)
+        self._draining = False
+        self._begin_life()
+
+    @property
+    def born(self) -> int:
+        """When this life began, in milliseconds."""
+        return int(self._life.began * 1000) + 1
+
+    @property
+    def clock_ms(self) -> int:
+        """Its steady clock."""
+        return int((trio.current_time() - self._life.began) * 1000 * self._rate)
+
+    async def run(self) -> None:
+        """Work, until cancelled."""
+        self._register()
+        while True:
+            await trio.sleep(STEP_SECONDS)
+            if self.up:
+                self._work()
+
+    def crash(self) -> None:
+        """Everything that runs is gone, without a word."""
+        self.up = False
+        for run in self._life.runs.values():
+            self._history.ended(run.task, run.attempt, self.executor, EndReason.LAPSED)
+        self._life.runs.clear()
+
+    def begin_again(self) -> None:
+        """Start under the same id; nothing of before is known."""
+        self.up = True
+        self._begin_life()
+        self._register()
+
+    def unregister(self) -> None:
+        """The registration lapses, as it does while the executor can't reach the store."""
+        self._store.remove(f"{REGISTRATION_PREFIX}{self.executor}")
+
+    def register(self) -> None:
+        """The registration is back."""
+        self._register()
+
+    def drain(self) -> None:
+        """Announce that it leaves."""
+        self._draining = True
+        self._register()
+
+    def start(self, token: FencingToken, order: StartRequest) -> CallOutcome:
+        """Carry a start out."""
+        refusal = self._refusal(token)
+        if refusal is not None:
+            return refusal
+        key = (order.task, order.attempt)
+        if key in self._life.runs:
+            return CallOutcome.ACCEPTED
+        if order.attempt <= self._life.barred.get(order.task, 0):
+            return CallOutcome.STALE_ATTEMPT
+        if order.deadline_ms <= self.clock_ms:
+            return CallOutcome.PAST_DEADLINE
+        parsed = parse_task_name(order.task)
+        spec = self._history.jobs.get(parsed[0]) if parsed is not None else None
+        if parsed is None or spec is None:
+            self._history.began(order.task, order.attempt, self.executor)
+            return CallOutcome.MALFORMED
+        step = spec.steps[parsed[1].step]
+        self._history.began(order.task, order.attempt, self.executor)
+        if not self._fits(step):
+            self._history.over_room(self.executor, order.task)
+        work = step.estimate_ms / 1000 * self._random.uniform(0.5, 1.6)
+        saved = float(order.checkpoint) if order.checkpoint else 0.0
+        fails = self._random.random() < max(self.trouble.fail_share, 0.02)
+        self._life.runs[key] = _Run(order.task, order.attempt, step, work, fails, saved)
+        self._life.deadline_ms = max(self._life.deadline_ms, self._limited(order.deadline_ms))
+        return CallOutcome.ACCEPTED
+
+    def stop(self, token: FencingToken, task: TaskName, attempt: int) -> CallOutcome:
+        """Carry a stop out."""
+        refusal = self._refusal(token)
+        if refusal is not None:
+            return refusal
+        self._life.barred[task] = max(self._life.barred.get(task, 0), attempt)
+        run = self._life.runs.get((task, attempt))
+        if run is not None and run.stop_at is None:
+            run.stop_at = trio.current_time() + STOP_SECONDS
+        return CallOutcome.ACCEPTED
+
+    def pace(self, token: FencingToken, task: TaskName, attempt: int, percent: int) -> CallOutcome:
+        """Carry a change of pace out."""
+        refusal = self._refusal(token)
+        run = self._life.runs.get((task, attempt))
+        if refusal is None and run is not None:
+            run.pace = percent / 100
+        return refusal or CallOutcome.ACCEPTED
+
+    def renew(self, token: FencingToken, forget_to: int, until_ms: int | None) -> CallOutcome:
+        """Take a renewal of the lease in, and forget ends."""
+        refusal = self._refusal(token)
+        if refusal is not None:
+            return refusal
+        for row in self._life.ends:
+            if row.number <= forget_to and row.number > self._life.forgotten:
+                lapsed = (
+                    self._life.lapsed_at is not None
+                    and self._life.ended_at[row.number] < self._life.lapsed_at
+                )
+                self._history.noted(row.task, row.attempt, self.executor, lapsed)
+        self._life.forgotten = max(self._life.forgotten, forget_to)
+        self._life.ends = [row for row in self._life.ends if row.number > self._life.forgotten]
+        if until_ms is not None:
+            self._life.deadline_ms = max(self._life.deadline_ms, self._limited(until_ms))
+        return CallOutcome.ACCEPTED
+
+    def listing(self) -> LookAnswer:
+        """What it says of itself."""
+        running = tuple(
+            RunningRow(run.task, AttemptNumber(run.attempt), self._saved(run), run.percent, 5.0)
+            for run in self._life.runs.values()
+        )
+        return LookAnswer(
+            CallOutcome.ACCEPTED, self.clock_ms, self.born, running, tuple(self._life.ends[:500])
+        )
+
+    def has_end_after(self, number: int) -> bool:
+        """Whether a later run has ended."""
+        return any(row.number > number for row in self._life.ends)
+
+    def _begin_life(self) -> None:
+        self._life = _Life(trio.current_time())
+
+    def _register(self) -> None:
+        entry = {
+            "service": self._service,
+            "address": "10.0.0.1:80",
+            "zone": "suva",
+            "state": "draining" if self._draining else "ready",
+            "room": {"cpu": self._room.cpu_millis, "mem_mb": self._room.memory_mb},
+            "labels": ["a"],
+            "born": self.born,
+        }
+        self._store.put(f"{REGISTRATION_PREFIX}{self.executor}", msgspec.json.encode(entry))
+
+    def _work(self) -> None:
+        now = trio.current_time()
+        if self.clock_ms > self._life.deadline_ms:
+            # A lease that ends with nothing running has lapsed all the same.
+            self._life.lapsed_at = now
+            for run in tuple(self._life.runs.values()):
+                self._end(run, EndReason.LAPSED)
+        for run in tuple(self._life.runs.values()):
+            if run.stop_at is not None and run.stop_at <= now:
+                self._end(run, EndReason.STOPPED)
+                continue
+            if not self.trouble.stands_still:
+                run.done_seconds += STEP_SECONDS * run.pace
+            if run.done_seconds >= run.work_seconds and not run.step.long_running:
+                self._end(run, EndReason.FAILED if run.fails else EndReason.DONE)
+
+    def _end(self, run: _Run, reason: EndReason) -> None:
+        del self._life.runs[run.task, run.attempt]
+        self._life.number += 1
+        self._life.ended_at[self._life.number] = trio.current_time()
+        self._life.barred[run.task] = max(self._life.barred.get(run.task, 0), run.attempt)
+        attempt = AttemptNumber(run.attempt)
+        self._life.ends.append(
+            EndedRow(self._life.number, run.task, attempt, reason, self._saved(run))
+        )
+        self._history.ended(run.task, run.attempt, self.executor, reason)
+
+    def _refusal(self, token: FencingToken) -> CallOutcome | None:
+        if token < self._life.token:
+            return CallOutcome.FENCED
+        self._life.token = token
+        return None
+
+    def _fits(self, step: StepSpec) -> bool:
+        cpu = sum(run.step.reserved_cpu_millis for run in self._life.runs.values())
+        memory = sum(run.step.memory_mb for run in self._life.runs.values())
+        return (
+            cpu + step.reserved_cpu_millis <= self._room.cpu_millis
+            and memory + step.memory_mb <= self._room.memory_mb
+        )
+
+    def _limited(self, until_ms: int) -> int:
+        return min(until_ms, self.clock_ms + LONGEST_LEASE_MS)
+
+    @staticmethod
+    def _saved(run: _Run) -> str:
+        return f"{int(run.done_seconds)}" if run.step.checkpointing else ""
+
+
+class StandInExecutorCalls(ExecutorCalls):
+    """All executors as one instance reaches them."""
+
+    def __init__(
+        self,
+        node: NodeName,
+        executors: dict[ExecutorId, StandInExecutor],
+        nursery: trio.Nursery,
+        random: Random,
+    ) -> None:
+        """Late orders are carried out in ``nursery``, also when the instance is gone."""
+        self._node = node
+        self._executors = executors
+        self._nursery = nursery
+        self._random = random
+
+    async def start(
+        self, place: ExecutorPlace, token: FencingToken, order: StartRequest
+    ) -> OrderAnswer:
+        """See ExecutorCalls."""
+        return await self._order(place, lambda one: one.start(token, order))
+
+    async def stop(
+        self, place: ExecutorPlace, token: FencingToken, task: TaskName, attempt: AttemptNumber
+    ) -> OrderAnswer:
+        """See ExecutorCalls."""
+        return await self._order(place, lambda one: one.stop(token, task, attempt))
+
+    async def pace(
+        self,
+        place: ExecutorPlace,
+        token: FencingToken,
+        task: TaskName,
+        attempt: AttemptNumber,
+        percent: int,
+    ) -> OrderAnswer:
+        """See ExecutorCalls."""
+        return await self._order(place, lambda one: one.pace(token, task, attempt, percent))
+
+    async def look(
+        self,
+        place: ExecutorPlace,
+        token: FencingToken,
+        forget_ends_to: int,
+        lease_until_ms: int | None,
+        wait_seconds: float,
+    ) -> LookAnswer:
+        """See ExecutorCalls."""
+        executor = self._reachable(place)
+        if executor is None:
+            await trio.sleep(TIMEOUT_SECONDS)
+            return LookAnswer(CallOutcome.UNKNOWN)
+        await trio.sleep(LATENCY_SECONDS)
+        if self._draws(executor.trouble.late_share):
+            renew = (token, forget_ends_to, lease_until_ms)
+            self._nursery.start_soon(self._late, executor, lambda: executor.renew(*renew))
+            await trio.sleep(TIMEOUT_SECONDS)
+            return LookAnswer(CallOutcome.UNKNOWN)
+        refusal = executor.renew(token, forget_ends_to, lease_until_ms)
+        if refusal is not CallOutcome.ACCEPTED:
+            return LookAnswer(refusal)
+        until = trio.current_time() + wait_seconds
+        while trio.current_time() < until and not executor.has_end_after(forget_ends_to):
+            await trio.sleep(STEP_SECONDS)
+        if self._reachable(place) is None or self._draws(executor.trouble.lost_share):
+            await trio.sleep(TIMEOUT_SECONDS)
+            return LookAnswer(CallOutcome.UNKNOWN)
+        return executor.listing()
+
+    def forget(self, executor: ExecutorId) -> None:
+        """See ExecutorCalls."""
+
+    async def _order(self, place: ExecutorPlace, carry_out: _Order) -> OrderAnswer:
+        executor = self._reachable(place)
+        if executor is None:
+            await trio.sleep(TIMEOUT_SECONDS)
+            return OrderAnswer(CallOutcome.UNKNOWN, None)
+        await trio.sleep(LATENCY_SECONDS)
+        if self._draws(executor.trouble.late_share):
+            self._nursery.start_soon(self._late, executor, lambda: carry_out(executor))
+        else:
+            outcome = carry_out(executor)
+            await trio.sleep(LATENCY_SECONDS)
+            if not self._draws(executor.trouble.lost_share):
+                return OrderAnswer(outcome, executor.clock_ms)
+        await trio.sleep(TIMEOUT_SECONDS)
+        return OrderAnswer(CallOutcome.UNKNOWN, None)
+
+    async def _late(self, executor: StandInExecutor, carry_out: Callable[[], object]) -> None:
+        life = executor.born
+        await trio.sleep(self._random.uniform(*LATE_SECONDS))
+        # What was on its way to a process dies with its connections.
+        if executor.up and executor.born == life:
+            carry_out()
+
+    def _reachable(self, place: ExecutorPlace) -> StandInExecutor | None:
+        executor = self._executors[place.executor]
+        cut = self._node in executor.trouble.unreachable_from
+        return executor if executor.up and not cut else None
+
+    def _draws(self, share: float) -> bool:
+        return share > 0 and self._random.random() < share
--- /dev/null
+++ b/fireflyfork_standins/scheduling/_history.py
@@ -0,0 +1,135 @@
+"""What happened at the executors, and which promises that breaks."""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+import trio
+
+from fireflyfork._ids import ExecutorId, JobId, TaskName
+from fireflyfork.decisions.jobs import EndReason, JobSpec, StepSpec, TaskKey, parse_task_name
+
+CANCEL_SECONDS = 3.0
+"""A task may start until so long after its job's cancelling was acknowledged."""
+NOTED_SECONDS = 1.0
+"""A start that was on its way when the end of another run was noted is no fault."""
+
+
+@dataclass(frozen=True, slots=True)
+class Violation:
+    """A broken promise."""
+
+    at: float
+    promise: str
+    what: str
+
+
+@dataclass(slots=True)
+class _Run:
+    task: TaskName
+    attempt: int
+    executor: ExecutorId
+    began: float
+    ended: float | None = None
+    reason: EndReason | None = None
+    noted_at: float | None = None
+    lapsed_before_noted: bool = False
+
+
+@dataclass(slots=True)
+class History:
+    """Everything that executors and callers saw."""
+
+    jobs: dict[JobId, JobSpec] = field(default_factory=dict)
+    acknowledged: dict[JobId, float] = field(default_factory=dict)
+    cancelled: dict[JobId, float] = field(default_factory=dict)
+    violations: list[Violation] = field(default_factory=list)
+    starts: int = 0
+    ends: dict[EndReason, int] = field(default_factory=lambda: defaultdict(int))
+    _runs: dict[TaskName, list[_Run]] = field(default_factory=lambda: defaultdict(list))
+
+    def began(self, task: TaskName, attempt: int, executor: ExecutorId) -> None:
+        """A run began. Checks the promises about starts."""
+        now = trio.current_time()
+        self.starts += 1
+        parsed = parse_task_name(task)
+        spec = self.jobs.get(parsed[0]) if parsed is not None else None
+        if parsed is None or spec is None:
+            self._broken("asked for", f"{task} belongs to no job")
+            return
+        key = parsed[1]
+        step = spec.steps[key.step]
+        self._check_others(task, step)
+        self._check_order(spec, key)
+        cancelled = self.cancelled.get(spec.job)
+        if cancelled is not None and now > cancelled + CANCEL_SECONDS:
+            self._broken("cancelled", f"{task} begins {now - cancelled:.1f} s after that")
+        self._runs[task].append(_Run(task, attempt, executor, now))
+
+    def ended(self, task: TaskName, attempt: int, executor: ExecutorId, reason: EndReason) -> None:
+        """A run ended, or vanished with its executor."""
+        self.ends[reason] += 1
+        for run in self._runs[task]:
+            if run.attempt == attempt and run.executor == executor and run.ended is None:
+                run.ended = trio.current_time()
+                run.reason = reason
+
+    def noted(self, task: TaskName, attempt: int, executor: ExecutorId, lapsed: bool) -> None:
+        """The scheduler let the executor forget an end; ``lapsed``: its lease ran out before."""
+        for run in self._runs[task]:
+            if run.attempt == attempt and run.executor == executor:
+                run.noted_at = trio.current_time()
+                run.lapsed_before_noted = lapsed
+                self._check_restarts(run)
+
+    def over_room(self, executor: ExecutorId, task: TaskName) -> None:
+        """A start brought an executor over its room."""
+        self._broken("room", f"{task} does not fit on {executor}")
+
+    def done_tasks(self, job: JobId) -> set[TaskKey]:
+        """Tasks of a job that have ended well somewhere."""
+        return {
+            parsed[1]
+            for task, runs in self._runs.items()
+            if (parsed := parse_task_name(task)) is not None
+            and parsed[0] == job
+            and any(run.reason is EndReason.DONE for run in runs)
+        }
+
+    def counted_failures(self, task: TaskName) -> int:
+        """Runs of a task that ended as failed and were noted."""
+        return sum(
+            run.reason is EndReason.FAILED and run.noted_at is not None for run in self._runs[task]
+        )
+
+    def _check_others(self, task: TaskName, step: StepSpec) -> None:
+        if step.speculative:
+            return
+        for run in self._runs[task]:
+            if run.ended is None:
+                self._broken("one at a time", f"{task} runs on {run.executor} already")
+                continue
+            noted = run.noted_at is not None and not run.lapsed_before_noted
+            if noted and run.reason is EndReason.DONE:
+                self._broken("once", f"{task} has ended well on {run.executor}")
+
+    def _check_restarts(self, run: _Run) -> None:
+        if run.reason is not EndReason.DONE or run.lapsed_before_noted or run.ended is None:
+            return
+        parsed = parse_task_name(run.task)
+        if parsed is None or self.jobs[parsed[0]].steps[parsed[1].step].speculative:
+            return
+        for other in self._runs[run.task]:
+            if other is not run and run.ended < other.began:
+                self._broken("once", f"{run.task} was started again on {other.executor}")
+
+    def _check_order(self, spec: JobSpec, key: TaskKey) -> None:
+        for earlier in spec.steps[key.step].after:
+            for index in range(spec.steps[earlier].count):
+                name = TaskKey(key.occurrence, earlier, index).name(spec.job)
+                if not any(run.reason is EndReason.DONE for run in self._runs[name]):
+                    self._broken("order", f"{key.name(spec.job)} begins before {name} is done")
+
+    def _broken(self, promise: str, what: str) -> None:
+        self.violations.append(Violation(trio.current_time(), promise, what))
--- /dev/null
+++ b/fireflyfork_standins/scheduling/_nodes.py
@@ -0,0 +1,242 @@
+"""Instances of the scheduler in one process, which can be killed, frozen and started again."""
+
+from __future__ import annotations
+
+from random import Random
+
+import trio
+
+from fireflyfork._ids import (
+    AttemptNumber,
+    ExecutorId,
+    FencingToken,
+    LeaseId,
+    NodeName,
+    Revision,
+    ServiceName,
+    TaskName,
+)
+from fireflyfork.adapters import (
+    CoordinationStore,
+    ExecutorCalls,
+    ExecutorPlace,
+    Put,
+    StoreChanges,
+    StoredItem,
+    StoreListing,
+)
+from fireflyfork.decisions.jobs import LookAnswer, OrderAnswer, QueueTable, StartRequest
+from fireflyfork.platform import PlatformBounds
+from fireflyfork.programs._clocks import Clock
+from fireflyfork.programs._job_requests import JobRequests
+from fireflyfork.programs._service_candidate import ServiceCandidate
+
+from ._executors import StandInExecutor, StandInExecutorCalls
+from ._store import StandInStore
+
+UPTIME_SECONDS = 12_000.0
+"""Instances have been up for hours when executors start, whose clocks begin at 0 with each of them."""
+UNIX_MS_AT_START = 1_700_000_000_000
+
+
+class VirtualClock(Clock):
+    """The clocks of all instances, which agree."""
+
+    def now(self) -> float:
+        """See Clock."""
+        return UPTIME_SECONDS + trio.current_time()
+
+    def unix_ms(self) -> int:
+        """See Clock."""
+        return UNIX_MS_AT_START + int(trio.current_time() * 1000)
+
+
+class _GatedStore(CoordinationStore):
+    """A store client whose instance may be frozen: calls go out and answers come in after it wakes."""
+
+    def __init__(self, inner: CoordinationStore, node: StandInNode) -> None:
+        self._inner = inner
+        self._node = node
+
+    async def read(self, key: str) -> StoredItem | None:
+        await self._node.awake()
+        item = await self._inner.read(key)
+        await self._node.awake()
+        return item
+
+    async def list(self, prefix: str) -> StoreListing:
+        await self._node.awake()
+        listing = await self._inner.list(prefix)
+        await self._node.awake()
+        return listing
+
+    async def changes(self, prefix: str, after: Revision, wait_seconds: float) -> StoreChanges:
+        await self._node.awake()
+        changes = await self._inner.changes(prefix, after, wait_seconds)
+        await self._node.awake()
+        return changes
+
+    async def commit(
+        self,
+        expected: dict[str, Revision],
+        puts: tuple[Put, ...] = (),
+        removals: tuple[str, ...] = (),
+    ) -> Revision:
+        await self._node.awake()
+        revision = await self._inner.commit(expected, puts, removals)
+        await self._node.awake()
+        return revision
+
+    async def grant_lease(self, seconds: float) -> LeaseId:
+        await self._node.awake()
+        lease = await self._inner.grant_lease(seconds)
+        await self._node.awake()
+        return lease
+
+    async def keep_lease(self, lease: LeaseId) -> None:
+        await self._node.awake()
+        await self._inner.keep_lease(lease)
+        await self._node.awake()
+
+    async def end_lease(self, lease: LeaseId) -> None:
+        await self._node.awake()
+        await self._inner.end_lease(lease)
+        await self._node.awake()
+
+
+class _GatedCalls(ExecutorCalls):
+    """Calls to executors of an instance that may be frozen."""
+
+    def __init__(self, inner: ExecutorCalls, node: StandInNode) -> None:
+        self._inner = inner
+        self._node = node
+
+    async def start(
+        self, place: ExecutorPlace, token: FencingToken, order: StartRequest
+    ) -> OrderAnswer:
+        await self._node.awake()
+        answer = await self._inner.start(place, token, order)
+        await self._node.awake()
+        return answer
+
+    async def stop(
+        self, place: ExecutorPlace, token: FencingToken, task: TaskName, attempt: AttemptNumber
+    ) -> OrderAnswer:
+        await self._node.awake()
+        answer = await self._inner.stop(place, token, task, attempt)
+        await self._node.awake()
+        return answer
+
+    async def pace(
+        self,
+        place: ExecutorPlace,
+        token: FencingToken,
+        task: TaskName,
+        attempt: AttemptNumber,
+        percent: int,
+    ) -> OrderAnswer:
+        await self._node.awake()
+        answer = await self._inner.pace(place, token, task, attempt, percent)
+        await self._node.awake()
+        return answer
+
+    async def look(
+        self,
+        place: ExecutorPlace,
+        token: FencingToken,
+        forget_ends_to: int,
+        lease_until_ms: int | None,
+        wait_seconds: float,
+    ) -> LookAnswer:
+        await self._node.awake()
+        answer = await self._inner.look(place, token, forget_ends_to, lease_until_ms, wait_seconds)
+        await self._node.awake()
+        return answer
+
+    def forget(self, executor: ExecutorId) -> None:
+        self._inner.forget(executor)
+
+
+class StandInNode:
+    """One instance."""
+
+    def __init__(
+        self,
+        name: NodeName,
+        service: ServiceName,
+        store: StandInStore,
+        executors: dict[ExecutorId, StandInExecutor],
+        random: Random,
+        bounds: PlatformBounds,
+        queues: QueueTable,
+    ) -> None:
+        """Not started."""
+        self.name = name
+        self._service = service
+        self._store = _GatedStore(store.client(name), self)
+        self._executors = executors
+        self._random = random
+        self._bounds = bounds
+        self._queues = queues
+        self._life: trio.CancelScope | None = None
+        self._candidate: ServiceCandidate | None = None
+        self._awake = trio.Event()
+        self._awake.set()
+        self.requests = JobRequests(self._store, self._changed)
+
+    @property
+    def up(self) -> bool:
+        """Whether its process runs."""
+        return self._life is not None
+
+    @property
+    def owns(self) -> bool:
+        """Whether it takes itself for the owner."""
+        return self._candidate is not None and self._candidate.owner is not None
+
+    async def awake(self) -> None:
+        """Wait until it is not frozen."""
+        await self._awake.wait()
+
+    async def live(self, nursery: trio.Nursery) -> None:
+        """One life of its process; late orders outlive it in ``nursery``."""
+        calls = StandInExecutorCalls(self.name, self._executors, nursery, self._random)
+        self._candidate = ServiceCandidate(
+            self._service,
+            self.name,
+            self._store,
+            _GatedCalls(calls, self),
+            VirtualClock(),
+            self._random,
+            self._bounds,
+            lambda: self._queues,
+        )
+        with trio.CancelScope() as self._life:
+            await self._candidate.run()
+        self._life = None
+        self._candidate = None
+
+    def kill(self) -> None:
+        """End its process at once."""
+        self.thaw()
+        if self._life is not None:
+            self._life.cancel()
+
+    async def stop(self) -> None:
+        """A planned stop."""
+        if self._candidate is not None:
+            await self._candidate.stop()
+
+    def freeze(self) -> None:
+        """Let it stand still."""
+        if self._awake.is_set():
+            self._awake = trio.Event()
+
+    def thaw(self) -> None:
+        """Let it go on."""
+        self._awake.set()
+
+    def _changed(self) -> None:
+        candidate = self._candidate
+        if candidate is not None and candidate.owner is not None:
+            candidate.owner.kick()
--- /dev/null
+++ b/fireflyfork_standins/scheduling/_world.py
@@ -0,0 +1,412 @@
+"""A day of the platform: instances, executors, callers and trouble, drawn from a seed."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+import trio
+from trio.testing import MockClock
+
+from fireflyfork._errors import StoreRefusedError, StoreUnavailableError
+from fireflyfork._ids import (
+    ConfigurationVersion,
+    ExecutorId,
+    JobId,
+    NodeName,
+    QueueName,
+    ServiceName,
+)
+from fireflyfork.decisions.jobs import (
+    EndReason,
+    ExecutorRoom,
+    JobSpec,
+    JobState,
+    QueueTerms,
+    StepSpec,
+    queue_table,
+)
+from fireflyfork.platform import PlatformBounds
+from fireflyfork.programs._scheduling_keys import owner_key
+
+from ._executors import StandInExecutor
+from ._history import History, Violation
+from ._nodes import UNIX_MS_AT_START, StandInNode
+from ._store import StandInStore
+
+SERVICE = ServiceName("desk")
+RESTART_SECONDS = 0.7
+SETTLE_SECONDS = 60.0
+"""After the last trouble everything that was accepted has to end within this: the longest wait for
+executors that nobody reached is 9 s, and some tasks have to run one after the other."""
+CALM_SECONDS = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class Profile:
+    """What a day consists of."""
+
+    instances: int = 3
+    executors: int = 6
+    seconds: float = 20.0
+    jobs_per_second: float = 2.0
+    cancel_share: float = 0.08
+    troubles: tuple[str, ...] = ()
+    """Which kinds of trouble may come; none: a calm day."""
+    trouble_gap_seconds: float = 3.0
+
+
+@dataclass(slots=True)
+class Report:
+    """What a day showed."""
+
+    violations: list[Violation]
+    accepted: int = 0
+    refused: int = 0
+    unsure: int = 0
+    starts: int = 0
+    store_calls: int = 0
+    states: dict[JobState, int] = field(default_factory=dict)
+    ends: dict[EndReason, int] = field(default_factory=dict)
+    troubles: list[str] = field(default_factory=list)
+
+
+def run_world(seed: int, profile: Profile) -> Report:
+    """Play a day on a virtual clock. The same seed plays the same day."""
+    # Trio shuffles the tasks that may run; without its own switch for that, a seed would not repeat.
+    trio_run = vars(trio._core._run)
+    trio_run["_ALLOW_DETERMINISTIC_SCHEDULING"] = True
+    trio_run["_r"].seed(seed)
+
+    async def play() -> Report:
+        return await _World(seed, profile).run()
+
+    return trio.run(play, clock=MockClock(autojump_threshold=0))
+
+
+class _World:
+    def __init__(self, seed: int, profile: Profile) -> None:
+        self._profile = profile
+        self._random = Random(seed)
+        self._history = History()
+        self._store = StandInStore(self._random)
+        self._executors = {
+            (name := ExecutorId(f"i-{number}")): StandInExecutor(
+                name,
+                SERVICE,
+                ExecutorRoom(8000, 16000, 0),
+                self._store,
+                self._history,
+                self._random,
+            )
+            for number in range(profile.executors)
+        }
+        queue = QueueTerms(QueueName("q"), "h", "/q/", SERVICE, 0, 3, 2.0, 1000, 3000)
+        table = queue_table(ConfigurationVersion(1), (queue,), frozenset({SERVICE}))
+        bounds = PlatformBounds(6.0, 0.2, 6.0, 120.0)
+        self._nodes = [
+            StandInNode(
+                NodeName(f"n-{number}"),
+                SERVICE,
+                self._store,
+                self._executors,
+                self._random,
+                bounds,
+                table,
+            )
+            for number in range(profile.instances)
+        ]
+        self._report = Report(self._history.violations)
+        self._refused_only: set[JobId] = set()
+
+    async def run(self) -> Report:
+        """Play the day."""
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._store.run)
+            for executor in self._executors.values():
+                nursery.start_soon(executor.run)
+            await trio.sleep(0.1)
+            for node in self._nodes:
+                nursery.start_soon(node.live, nursery)
+            await trio.sleep(1.0)
+            async with trio.open_nursery() as day:
+                day.start_soon(self._callers, nursery)
+                if self._profile.troubles:
+                    day.start_soon(self._troubles, nursery)
+            await self._settle()
+            nursery.cancel_scope.cancel()
+        self._report.starts = self._history.starts
+        self._report.store_calls = self._store.calls
+        self._report.ends = dict(self._history.ends)
+        return self._report
+
+    # Callers.
+
+    async def _callers(self, nursery: trio.Nursery) -> None:
+        end = trio.current_time() + self._profile.seconds
+        number = 0
+        while trio.current_time() < end:
+            await trio.sleep(self._random.expovariate(self._profile.jobs_per_second))
+            number += 1
+            nursery.start_soon(self._caller, JobId(f"{number:016x}"))
+
+    async def _caller(self, name: JobId) -> None:
+        spec = self._draw_job(name)
+        self._history.jobs[name] = spec
+        only_refused = True
+        for _ in range(5):
+            node = self._random.choice(self._nodes)
+            if not node.up:
+                await trio.sleep(0.3)
+                continue
+            try:
+                await node.requests.submit(spec)
+            except StoreRefusedError:
+                self._report.refused += 1
+                await trio.sleep(0.5)
+                continue
+            except StoreUnavailableError:
+                self._report.unsure += 1
+                only_refused = False
+                await trio.sleep(0.2)
+                continue
+            self._history.acknowledged[name] = trio.current_time()
+            self._report.accepted += 1
+            break
+        else:
+            if only_refused:
+                self._refused_only.add(name)
+            return
+        if spec.lasts or self._random.random() < self._profile.cancel_share:
+            await trio.sleep(self._random.uniform(0.0, 6.0))
+            await self._cancel(name)
+
+    async def _cancel(self, name: JobId) -> None:
+        for _ in range(60):
+            node = self._random.choice(self._nodes)
+            if node.up:
+                try:
+                    if await node.requests.cancel(name):
+                        self._history.cancelled[name] = trio.current_time()
+                        return
+                except StoreUnavailableError:
+                    continue  # Asked again at another instance, as callers do.
+            await trio.sleep(0.5)
+
+    def _draw_job(self, name: JobId) -> JobSpec:
+        random = self._random
+        lasts = random.random() < 0.15
+        steps = []
+        for number in range(1 if lasts else random.randint(1, 3)):
+            steps.append(
+                StepSpec(
+                    count=random.randint(1, 5),
+                    cpu_millis=random.choice((500, 1000, 2000, 4000)),
+                    memory_mb=random.choice((500, 1000, 3000)),
+                    accelerators=0,
+                    estimate_ms=random.randint(200, 1800),
+                    after=(number - 1,) if number else (),
+                    checkpointing=random.random() < 0.3 and not lasts,
+                    per_executor_limit=2 if random.random() < 0.2 else 0,
+                    long_running=lasts,
+                    uses_leftover_cpu=random.random() < 0.3 and not lasts,
+                )
+            )
+        now_ms = UNIX_MS_AT_START + int(trio.current_time() * 1000)
+        return JobSpec(name, QueueName("q"), SERVICE, "work", tuple(steps), now_ms)
+
+    # Trouble.
+
+    async def _troubles(self, nursery: trio.Nursery) -> None:
+        kinds: dict[str, Callable[[trio.Nursery], object]] = {
+            "kill": self._kill,
+            "kill_all": self._kill_all,
+            "freeze": self._freeze,
+            "stop": self._stop,
+            "store_down": self._store_down,
+            "store_refuses_owner": self._store_refuses_owner,
+            "store_lost": self._store_lost,
+            "store_forgets": self._store_forgets,
+            "executor_crash": self._executor_crash,
+            "executor_cut": self._executor_cut,
+            "executor_reborn": self._executor_reborn,
+            "late_orders": self._late_orders,
+            "lost_orders": self._lost_orders,
+            "executor_fails": self._executor_fails,
+            "executor_stalls": self._executor_stalls,
+            "unregistered": self._unregistered,
+        }
+        end = trio.current_time() + self._profile.seconds
+        while trio.current_time() < end:
+            await trio.sleep(self._random.expovariate(1 / self._profile.trouble_gap_seconds))
+            kind = self._random.choice(self._profile.troubles)
+            self._report.troubles.append(f"{trio.current_time():.2f} {kind}")
+            nursery.start_soon(kinds[kind], nursery)  # type: ignore[arg-type]
+
+    def _some_node(self) -> StandInNode:
+        """The owner, mostly: most can go wrong there."""
+        owners = [node for node in self._nodes if node.owns]
+        if owners and self._random.random() < 0.7:
+            return owners[0]
+        return self._random.choice(self._nodes)
+
+    def _some_executor(self) -> StandInExecutor:
+        return self._random.choice(list(self._executors.values()))
+
+    def _for_seconds(self) -> float:
+        return self._random.uniform(0.3, 8.0)
+
+    async def _kill(self, nursery: trio.Nursery) -> None:
+        await self._restart(self._some_node(), nursery, RESTART_SECONDS)
+
+    async def _kill_all(self, nursery: trio.Nursery) -> None:
+        for node in self._nodes:
+            nursery.start_soon(self._restart, node, nursery, self._random.uniform(0.5, 2.5))
+
+    async def _restart(self, node: StandInNode, nursery: trio.Nursery, after: float) -> None:
+        if not node.up:
+            return
+        node.kill()
+        await trio.sleep(after)
+        if not node.up:
+            nursery.start_soon(node.live, nursery)
+
+    async def _freeze(self, _: trio.Nursery) -> None:
+        node = self._some_node()
+        node.freeze()
+        await trio.sleep(self._for_seconds())
+        node.thaw()
+
+    async def _stop(self, nursery: trio.Nursery) -> None:
+        node = self._some_node()
+        await node.stop()
+        await self._restart(node, nursery, RESTART_SECONDS)
+        if not node.up:
+            await trio.sleep(RESTART_SECONDS)
+            if not node.up:
+                nursery.start_soon(node.live, nursery)
+
+    async def _store_down(self, _: trio.Nursery) -> None:
+        self._store.trouble.down = True
+        await trio.sleep(self._for_seconds())
+        self._store.trouble.down = False
+
+    async def _store_refuses_owner(self, _: trio.Nursery) -> None:
+        node = self._some_node()
+        group = self._random.choice((self._store.trouble.refused, self._store.trouble.silent))
+        group.add(node.name)
+        if self._random.random() < 0.5:
+            self._store.revoke(owner_key(SERVICE))
+        await trio.sleep(self._for_seconds())
+        group.discard(node.name)
+
+    async def _store_lost(self, _: trio.Nursery) -> None:
+        self._store.trouble.lost_share = 0.3
+        self._store.trouble.late_share = self._random.choice((0.0, 0.5))
+        await trio.sleep(self._for_seconds())
+        self._store.trouble.lost_share = 0.0
+
+    async def _store_forgets(self, _: trio.Nursery) -> None:
+        self._store.drop_history()
+
+    async def _executor_crash(self, _: trio.Nursery) -> None:
+        executor = self._some_executor()
+        if not executor.up:
+            return
+        executor.crash()
+        await trio.sleep(4.5)
+        executor.unregister()
+        await trio.sleep(self._for_seconds())
+        executor.begin_again()
+
+    async def _executor_reborn(self, _: trio.Nursery) -> None:
+        executor = self._some_executor()
+        if executor.up:
+            executor.crash()
+            await trio.sleep(self._random.uniform(0.05, 1.0))
+            executor.begin_again()
+
+    async def _executor_cut(self, _: trio.Nursery) -> None:
+        executor = self._some_executor()
+        cut = {node.name for node in self._nodes if self._random.random() < 0.7}
+        executor.trouble.unreachable_from |= cut
+        await trio.sleep(self._for_seconds())
+        executor.trouble.unreachable_from -= cut
+
+    async def _late_orders(self, _: trio.Nursery) -> None:
+        await self._share("late_share", 0.2)
+
+    async def _lost_orders(self, _: trio.Nursery) -> None:
+        await self._share("lost_share", 0.2)
+
+    async def _executor_fails(self, _: trio.Nursery) -> None:
+        await self._share("fail_share", 1.0)
+
+    async def _share(self, which: str, share: float) -> None:
+        executor = self._some_executor()
+        setattr(executor.trouble, which, share)
+        await trio.sleep(self._for_seconds())
+        setattr(executor.trouble, which, 0.0)
+
+    async def _executor_stalls(self, _: trio.Nursery) -> None:
+        executor = self._some_executor()
+        executor.trouble.stands_still = True
+        await trio.sleep(self._for_seconds())
+        executor.trouble.stands_still = False
+
+    async def _unregistered(self, _: trio.Nursery) -> None:
+        executor = self._some_executor()
+        if executor.up:
+            executor.unregister()
+            await trio.sleep(self._random.uniform(0.5, 2.0))
+            if executor.up:
+                executor.register()
+
+    # The end of the day.
+
+    async def _settle(self) -> None:
+        await trio.sleep(10.0)
+        end = trio.current_time() + SETTLE_SECONDS
+        left = set(self._history.acknowledged)
+        while left and trio.current_time() < end:
+            await trio.sleep(1.0)
+            left = {job for job in left if not await self._is_final(job)}
+        for job in sorted(left):
+            self._broken("finished", f"{job} has not ended")
+        for job in sorted(self._history.acknowledged):
+            await self._judge(job)
+        for job in sorted(self._refused_only):
+            if any(run for run in self._history.done_tasks(job)):
+                self._broken("not run", f"{job} was refused and ran")
+
+    async def _state(self, job: JobId) -> JobState | None:
+        while True:
+            node = self._random.choice(self._nodes)
+            if node.up:
+                try:
+                    return await node.requests.state(job)
+                except StoreUnavailableError:
+                    continue  # Asked again, as callers do.
+            await trio.sleep(0.2)
+
+    async def _is_final(self, job: JobId) -> bool:
+        state = await self._state(job)
+        return state is not None and state.is_final
+
+    async def _judge(self, job: JobId) -> None:
+        state = await self._state(job)
+        if state is None:
+            self._broken("kept", f"{job} is not known any more")
+            return
+        self._report.states[state] = self._report.states.get(state, 0) + 1
+        spec = self._history.jobs[job]
+        if state is JobState.COMPLETED:
+            done = len(self._history.done_tasks(job))
+            if done != spec.task_count:
+                self._broken("completed", f"{job}: {done} of {spec.task_count} tasks are done")
+        elif state is JobState.CANCELLED and job not in self._history.cancelled:
+            self._broken("cancelled", f"{job} was not cancelled by its caller")
+
+    def _broken(self, promise: str, what: str) -> None:
+        self._history.violations.append(Violation(trio.current_time(), promise, what))
