An executor that was given up and comes back is a new one for looks still out

Ruled out: missed registrations. Change: looks concern the state that they were sent for. Tasks that may have run on an executor that never answered get a fresh attempt number. The stand-in tells lives of an executor apart (seeds 1139 and 1182 had blamed the scheduler for runs that had never been).

--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -201,6 +201,8 @@
 
     def look_failed(self, executor: ExecutorState, now: float) -> None:
         """A look got no answer."""
+        if not self._is_current(executor):
+            return
         executor.failed_looks += 1
         self._forget_if_over(executor, now)
 
@@ -208,9 +210,7 @@
         self, executor: ExecutorState, sent_at: float, answer: LookAnswer, now: float, now_ms: int
     ) -> None:
         """An executor has listed what it runs and what has ended."""
-        if self.executors.get(executor.executor) is not executor:
-            # It was given up and has come back under the same id while this look was out. What the
-            # answer lists belongs to its new life, which another state stands for.
+        if not self._is_current(executor):
             return
         if answer.incarnation is not None and executor.registration.incarnation:
             if answer.incarnation < executor.registration.incarnation:
@@ -247,8 +247,13 @@
         """Lapsed leases, stops without an answer, runs that stand still, jobs that become due."""
         for executor in tuple(self.executors.values()):
             self._check_executor(executor, now)
-        for late in [one for one, until in self._unreached.items() if until <= now]:
-            del self._unreached[late]
+        given_up = [one for one, until in self._unreached.items() if until <= now]
+        for executor_id in given_up:
+            del self._unreached[executor_id]
+        if given_up:
+            # What ran there used attempt numbers that nobody knows.
+            for task in self._held:
+                task.attempt = AttemptNumber(task.attempt + 1)
             self._release_held(now)
         for job in tuple(self.jobs.waiting_for_time()):
             for task in self.jobs.open_due(job, now_ms):
@@ -289,6 +294,15 @@
         used = sum(one.lasting_cpu_millis for one in usable)
         return used + task.spec.reserved_cpu_millis > room * (1 - SHORT_TASK_RESERVE)
 
+    def _is_current(self, executor: ExecutorState) -> bool:
+        """Whether this state still stands for its executor.
+
+        An executor that was given up may come back under the same id while a look at it is out. What
+        the look tells then concerns its new life, which another state stands for: taken for the old
+        one, it would make the new one and its runs vanish, and their jobs would never end.
+        """
+        return self.executors.get(executor.executor) is executor
+
     def _start(self, task: Task, executor: ExecutorState, now: float) -> None:
         task.attempt = AttemptNumber(task.attempt + 1)
         run = Run(task, task.attempt, executor, RunPhase.STARTING, now)
--- a/fireflyfork_standins/scheduling/_executors.py
+++ b/fireflyfork_standins/scheduling/_executors.py
@@ -32,7 +32,7 @@
 )
 from fireflyfork.platform import REGISTRATION_PREFIX
 
-from ._history import History
+from ._history import History, RunId
 from ._store import StandInStore
 
 LATENCY_SECONDS = 0.002
@@ -141,7 +141,7 @@
         """Everything that runs is gone, without a word."""
         self.up = False
         for run in self._life.runs.values():
-            self._history.ended(run.task, run.attempt, self.executor, EndReason.LAPSED)
+            self._history.ended(self._id(run.task, run.attempt), EndReason.LAPSED)
         self._life.runs.clear()
 
     def begin_again(self) -> None:
@@ -178,10 +178,10 @@
         parsed = parse_task_name(order.task)
         spec = self._history.jobs.get(parsed[0]) if parsed is not None else None
         if parsed is None or spec is None:
-            self._history.began(order.task, order.attempt, self.executor)
+            self._history.began(self._id(order.task, order.attempt))
             return CallOutcome.MALFORMED
         step = spec.steps[parsed[1].step]
-        self._history.began(order.task, order.attempt, self.executor)
+        self._history.began(self._id(order.task, order.attempt))
         if not self._fits(step):
             self._history.over_room(self.executor, order.task)
         work = step.estimate_ms / 1000 * self._random.uniform(0.5, 1.6)
@@ -221,7 +221,7 @@
                     self._life.lapsed_at is not None
                     and self._life.ended_at[row.number] < self._life.lapsed_at
                 )
-                self._history.noted(row.task, row.attempt, self.executor, lapsed)
+                self._history.noted(self._id(row.task, row.attempt), lapsed)
         self._life.forgotten = max(self._life.forgotten, forget_to)
         self._life.ends = [row for row in self._life.ends if row.number > self._life.forgotten]
         if until_ms is not None:
@@ -242,6 +242,9 @@
         """Whether a later run has ended."""
         return any(row.number > number for row in self._life.ends)
 
+    def _id(self, task: TaskName, attempt: int) -> RunId:
+        return RunId(task, attempt, self.executor, self.born)
+
     def _begin_life(self) -> None:
         self._life = _Life(trio.current_time())
 
@@ -282,7 +285,7 @@
         self._life.ends.append(
             EndedRow(self._life.number, run.task, attempt, reason, self._saved(run))
         )
-        self._history.ended(run.task, run.attempt, self.executor, reason)
+        self._history.ended(self._id(run.task, run.attempt), reason)
 
     def _refusal(self, token: FencingToken) -> CallOutcome | None:
         if token < self._life.token:
@@ -359,9 +362,11 @@
             await trio.sleep(TIMEOUT_SECONDS)
             return LookAnswer(CallOutcome.UNKNOWN)
         await trio.sleep(LATENCY_SECONDS)
-        if self._draws(executor.trouble.late_share):
+        late = self._draws(executor.trouble.late_share)
+        if late:
             renew = (token, forget_ends_to, lease_until_ms)
             self._nursery.start_soon(self._late, executor, lambda: executor.renew(*renew))
+        if late or not executor.up:
             await trio.sleep(TIMEOUT_SECONDS)
             return LookAnswer(CallOutcome.UNKNOWN)
         refusal = executor.renew(token, forget_ends_to, lease_until_ms)
@@ -386,7 +391,7 @@
         await trio.sleep(LATENCY_SECONDS)
         if self._draws(executor.trouble.late_share):
             self._nursery.start_soon(self._late, executor, lambda: carry_out(executor))
-        else:
+        elif executor.up:
             outcome = carry_out(executor)
             await trio.sleep(LATENCY_SECONDS)
             if not self._draws(executor.trouble.lost_share):
