Accepted work does not wait for ever for a better place

Executors whose last service had left kept the headroom seen last, as nobody looks at an idle executor; and where every executor served something, the bar was never lowered. Ruled out: a new owner holding them (all executors had answered). Change: headroom goes with the service it was seen on; the bar falls with a job's age, after 8 s while executors are calm and 30 s while they are full.

--- a/fireflyfork/decisions/jobs/_executors.py
+++ b/fireflyfork/decisions/jobs/_executors.py
@@ -86,6 +86,8 @@
     lasting_headroom: dict[str, float] = field(default_factory=dict)
     """By serving image: the least undisturbed headroom of some time past. Work that is placed now is
     still there when the load has swung."""
+    serving: dict[str, int] = field(default_factory=dict)
+    """By image: how many tasks here serve users."""
     samples: dict[TaskName, Sample] = field(default_factory=dict)
     """The last sample of each serving task here."""
     disturbing_cpu_millis: dict[str, int] = field(default_factory=dict)
@@ -131,7 +133,9 @@
         self.lasting_cpu_millis += step.reserved_cpu_millis if step.long_running else 0
         self.used_memory_mb += step.memory_mb
         self.used_accelerators += step.accelerators
-        if not step.tail_target_ms:
+        if step.tail_target_ms:
+            self.serving[step.image] = self.serving.get(step.image, 0) + 1
+        else:
             demand = self.disturbing_cpu_millis.get(step.image, 0)
             self.disturbing_cpu_millis[step.image] = demand + step.cpu_millis
 
@@ -144,11 +148,21 @@
         self.lasting_cpu_millis -= step.reserved_cpu_millis if step.long_running else 0
         self.used_memory_mb -= step.memory_mb
         self.used_accelerators -= step.accelerators
-        if not step.tail_target_ms:
+        if step.tail_target_ms:
+            self._serves_less(step.image)
+        else:
             self.disturbing_cpu_millis[step.image] -= step.cpu_millis
             if not self.disturbing_cpu_millis[step.image]:
                 del self.disturbing_cpu_millis[step.image]
 
+    def _serves_less(self, image: str) -> None:
+        self.serving[image] -= 1
+        if not self.serving[image]:
+            # Nobody looks at an idle executor, so what was seen last would keep work away for good.
+            del self.serving[image]
+            self.undisturbed.pop(image, None)
+            self.lasting_headroom.pop(image, None)
+
     def clock(self, now: float) -> int:
         """At least so far is its steady clock, in milliseconds."""
         return self.clock_ms + int((now - self.clock_at) * 1000 * SLOWEST_CLOCK)
--- a/fireflyfork/decisions/jobs/_placing.py
+++ b/fireflyfork/decisions/jobs/_placing.py
@@ -20,12 +20,6 @@
 DISTURBANCE_COST = 3.0
 """In units of a whole executor's load, for each unit of headroom below what is kept: a task that has
 to be paced down takes longer than one on a crowded executor."""
-EMPTY_SHARE = 0.75
-"""An executor without serving tasks is kept for work that fits nowhere else or would disturb: it
-counts as if three quarters of its serving tasks were of other images."""
-MOST_FILLER_COST = 2.0
-"""Above this a task without a reservation waits. It would run at half its speed or less and slow
-those beside it, so that all end late; one after the other, the first ones end in time."""
 PACKING_GAIN = 1.0
 """Of two executors with the same images the fuller one gets the next serving task, so that large
 tasks find whole executors free instead of a hole of a core in each."""
@@ -45,6 +39,15 @@
 MOST_FILLER_COST = 2.0
 """Above this a task without a reservation waits. It would run at half its speed or less and slow
 those beside it, so that all end late; one after the other, the first ones end in time."""
+CALM_SHARE = 0.6
+CALM_PATIENCE_SECONDS = 8.0
+"""While less than this share of all processors is reserved, tasks of jobs older than this put up with
+more and more: there is room, and callers see a job that could run and doesn't."""
+FULL_PATIENCE_SECONDS = 30.0
+"""On full executors they wait longer. Jobs so old are late beyond use, and what they would slow is not;
+but what was accepted has to end, also where every executor serves something that it disturbs."""
+PATIENCE_COST = 0.5
+"""How much more they put up with, for each second."""
 
 
 def leftover_millis(executor: ExecutorState) -> float:
@@ -66,9 +69,12 @@
 
 
 def choose(
-    task: Task, executors: Iterable[ExecutorState], model: InterferenceModel
+    task: Task, executors: Iterable[ExecutorState], model: InterferenceModel, most_cost: float
 ) -> ExecutorState | None:
-    """The best of the usable executors that has room for the task, or None."""
+    """The best of the usable executors that has room for the task, or None.
+
+    A task without a reservation takes none that costs more than ``most_cost``.
+    """
     step = task.spec
     cpu, memory, accelerators = step.reserved_cpu_millis, step.memory_mb, step.accelerators
     best: ExecutorState | None = None
@@ -78,7 +84,7 @@
             continue
         if step.uses_leftover_cpu:
             cost = _filler_cost(task, executor, model)
-            if cost > MOST_FILLER_COST:
+            if cost > most_cost:
                 continue
         else:
             cost = _reserving_cost(task, executor, model)
@@ -88,6 +94,16 @@
     return best
 
 
+def most_cost(age_seconds: float, reserved_share: float) -> float:
+    """What a task without a reservation puts up with.
+
+    ``age_seconds`` is how long ago its job was accepted, by the clocks of two instances;
+    ``reserved_share`` is the share of all processors that is reserved.
+    """
+    patience = CALM_PATIENCE_SECONDS if reserved_share < CALM_SHARE else FULL_PATIENCE_SECONDS
+    return MOST_FILLER_COST + PATIENCE_COST * max(0.0, age_seconds - patience)
+
+
 def _allowed(task: Task, executor: ExecutorState) -> bool:
     step = task.spec
     if step.required_label and step.required_label not in executor.registration.labels:
@@ -124,7 +140,7 @@
 
 def _company_cost(task: Task, executor: ExecutorState) -> float:
     """What it costs that the serving tasks there have other images."""
-    images = {run.task.spec.image for run in executor.runs.values() if run.task.spec.tail_target_ms}
+    images = executor.serving
     if not images:
         return OPENING_COST
     kin = task.spec.image in images
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -18,7 +18,7 @@
 from ._interference import InterferenceModel
 from ._job_table import JobTable, terms_without_queue
 from ._pacing import adjust_pace
-from ._placing import choose
+from ._placing import choose, most_cost
 from ._progress import JobState, StoredProgress
 from ._queues import QueueTable
 from ._reports import CallOutcome, EndedRow, EndReason, LookAnswer, OrderAnswer, RunningRow
@@ -263,9 +263,10 @@
             self._push(task, now_ms)
         self.jobs.drop_over()
 
-    def place(self, now: float) -> None:
+    def place(self, now: float, now_ms: int) -> None:
         """Send tasks that may start to executors with room; others wait for the next tick."""
         usable = [one for one in self.executors.values() if one.usable(now)]
+        reserved = _reserved_share(usable)
         refused: set[tuple[object, ...]] = set()
         while self._ready and usable:
             task = heapq.heappop(self._ready)[-1]
@@ -275,7 +276,8 @@
             shape = _shape(task)
             crowded = shape in refused or len(refused) >= REFUSED_SHAPES
             crowded = crowded or self._would_take_reserve(task, usable)
-            executor = None if crowded else choose(task, usable, self._interference)
+            most = most_cost((now_ms - task.job.spec.accepted_ms) / 1000, reserved)
+            executor = None if crowded else choose(task, usable, self._interference, most)
             if executor is None:
                 refused.add(shape)
                 self._parked.append(task)
@@ -524,6 +526,11 @@
             self.known_executors_changed = True
 
 
+def _reserved_share(executors: list[ExecutorState]) -> float:
+    room = sum(one.registration.room.cpu_millis for one in executors)
+    return sum(one.used_cpu_millis for one in executors) / max(1, room)
+
+
 def _shape(task: Task) -> tuple[object, ...]:
     step = task.spec
     limited = (task.job.spec.job, task.key.step) if step.per_executor_limit else None
--- /dev/null
+++ b/fireflyfork/decisions/jobs/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of what the owner of a service decides."""
--- /dev/null
+++ b/fireflyfork/decisions/jobs/tests/test_interference.py
@@ -0,0 +1,169 @@
+"""Learning which images disturb which, and what is done about it."""
+
+import unittest
+from random import Random
+
+from .. import EndReason, Run, RunPhase
+from .._interference import PRIOR_EFFECT, InterferenceModel, Sample
+from .._pacing import LOWEST_PACE, WANTED_HEADROOM, adjust_pace
+from .._placing import choose
+from .builders_jobs import START_MS, OwnerUnderTest, job, row, step
+
+HEAVY, LIGHT = 5.0, 0.5
+
+
+def _trained(seed: int = 1) -> InterferenceModel:
+    """A model after half a minute of looks at tasks that "noisy" hurts and "quiet" does not."""
+    random, model = Random(seed), InterferenceModel()
+    before: Sample | None = None
+    for number in range(600):
+        uses = {"noisy": random.uniform(0, 0.3), "quiet": random.uniform(0, 0.3)}
+        load = random.gauss(0.0, 0.4)
+        headroom = 2.4 + load - HEAVY * uses["noisy"] - LIGHT * uses["quiet"]
+        sample = Sample(number * 0.5, headroom, uses)
+        model.observe("web", sample, before)
+        before = sample
+    return model
+
+
+class InterferenceModelTest(unittest.TestCase):
+    """The fit."""
+
+    def test_effects_are_found_behind_a_swinging_load(self) -> None:
+        model = _trained()
+        self.assertAlmostEqual(model.effect("web", "noisy"), HEAVY, delta=0.8)
+        self.assertAlmostEqual(model.effect("web", "quiet"), LIGHT, delta=0.5)
+
+    def test_a_pair_that_was_never_seen_is_average(self) -> None:
+        self.assertEqual(_trained().effect("web", "new"), PRIOR_EFFECT)
+        self.assertEqual(InterferenceModel().effect("web", "noisy"), PRIOR_EFFECT)
+
+    def test_nothing_is_learned_to_speed_a_neighbour_up(self) -> None:
+        model = InterferenceModel()
+        for number in range(100):
+            uses = {"odd": number % 2 * 0.3}
+            model.observe("web", Sample(number * 0.5, 2.0 + uses["odd"], uses), None)
+        self.assertEqual(model.effect("web", "odd"), 0.0)
+
+    def test_what_is_old_gives_way(self) -> None:
+        """Two tasks that got on begin to hurt each other. A model that remembered everything for ever
+        would go on putting them side by side while callers wait.
+        """
+        model = InterferenceModel()
+        for number in range(6000):
+            uses = {"other": number % 2 * 0.2}
+            effect = 0.5 if number < 3000 else 5.0
+            model.observe("web", Sample(number * 0.5, 2.0 - effect * uses["other"], uses), None)
+        # The newer half of the samples weighs two thirds: 0.5 / 3 + 5 * 2 / 3.
+        self.assertAlmostEqual(model.effect("web", "other"), 3.5, delta=0.2)
+
+
+class PlacingTest(unittest.TestCase):
+    """Where work without a reservation goes."""
+
+    def test_work_goes_where_nobody_near_minds_it(self) -> None:
+        """Two executors serve users with different services. Work that slows one of the two was put
+        beside it when its load happened to be low, and clerks waited when the load came back.
+        """
+        model = _trained()
+        owner = OwnerUnderTest("i-0", "i-1")
+        owner.executor("i-0").lasting_headroom = {"web": 1.8}
+        owner.executor("i-1").lasting_headroom = {"desk": 1.8}
+        for _ in range(200):
+            model.observe("desk", Sample(0.0, 2.0, {"noisy": 0.2}), None)
+            model.observe("desk", Sample(0.0, 2.0, {}), None)
+        filler = step(uses_leftover_cpu=True, image="noisy", cpu_millis=2000)
+        owner.scheduler.accept(job("00000000000000aa", filler), START_MS)
+        task = next(owner.scheduler.jobs.live_tasks())
+        chosen = choose(task, owner.scheduler.executors.values(), model, 2.0)
+        assert chosen is not None
+        self.assertEqual(chosen.executor, "i-1")
+
+    def test_work_waits_where_it_would_only_slow_everybody(self) -> None:
+        """Large jobs come at once. All started together they share what is left and all end late; one
+        after the other, the first ones end in time.
+        """
+        owner = OwnerUnderTest("i-0")
+        filler = step(count=30, uses_leftover_cpu=True, cpu_millis=2000)
+        owner.scheduler.accept(job("00000000000000aa", filler), START_MS)
+        started = len(owner.place())
+        self.assertGreater(started, 8)
+        self.assertLess(started, 30)
+        self.assertEqual(owner.scheduler.waiting_tasks, 30 - started)
+
+    def test_an_executor_whose_services_have_left_takes_work_again(self) -> None:
+        """The last service on an executor is cancelled while its tail is bad. Nobody looks at an idle
+        executor, so what was seen last kept all other work away from it for good: jobs that could
+        have run at once never ended.
+        """
+        owner = OwnerUnderTest("i-0")
+        serving = step(long_running=True, image="web", tail_target_ms=18, cpu_millis=3000)
+        owner.scheduler.accept(job("00000000000000aa", serving), START_MS)
+        (web,) = owner.place()
+        owner.now += 1.0
+        owner.look("i-0", row(web, 100, 90.0))
+        filler = step(uses_leftover_cpu=True, image="noisy", cpu_millis=8000)
+        owner.scheduler.accept(job("00000000000000bb", filler), START_MS)
+        self.assertEqual(owner.place(), [])
+        owner.scheduler.cancel(web.task.job.spec.job, owner.now, START_MS)
+        owner.stops()
+        owner.end("i-0", web.task.name, 1, EndReason.STOPPED)
+        owner.look("i-0")
+        owner.tick(0.1)
+        self.assertEqual(len(owner.place()), 1)
+
+    def test_work_does_not_wait_for_ever_for_a_better_place(self) -> None:
+        """Every executor serves something that a job disturbs. The job was accepted and has to end,
+        so after some seconds it starts where it does the least harm, and is paced there.
+        """
+        owner = OwnerUnderTest("i-0")
+        serving = step(long_running=True, image="web", tail_target_ms=18, cpu_millis=3000)
+        owner.scheduler.accept(job("00000000000000aa", serving), START_MS)
+        (web,) = owner.place()
+        filler = step(uses_leftover_cpu=True, image="noisy", cpu_millis=8000)
+        owner.scheduler.accept(job("00000000000000bb", filler), START_MS)
+        started = 0
+        for _ in range(30):
+            owner.now += 1.0
+            owner.look("i-0", row(web, 100, 15.0))
+            owner.tick(0.1)
+            started += len(owner.place())
+        self.assertEqual(started, 1)
+
+    def test_short_tasks_find_room_beside_lasting_ones(self) -> None:
+        """Services come in until every processor is reserved. A quote that needs a few cores for half
+        a second then found no room for as long as they ran.
+        """
+        owner = OwnerUnderTest("i-0")
+        lasting = step(count=40, long_running=True, cpu_millis=500, memory_mb=10)
+        owner.scheduler.accept(job("00000000000000aa", lasting), START_MS)
+        owner.place()
+        owner.scheduler.accept(job("00000000000000bb", step(cpu_millis=1500)), START_MS)
+        self.assertEqual([run.task.name for run in owner.place()], ["00000000000000bb.0.0.0"])
+
+
+class PacingTest(unittest.TestCase):
+    """How fast work without a reservation may go on."""
+
+    def _beside(self, tail_ms: float, model: InterferenceModel) -> list[tuple[Run, int]]:
+        owner = OwnerUnderTest("i-0")
+        serving = step(long_running=True, image="web", tail_target_ms=18, cpu_millis=3000)
+        owner.scheduler.accept(job("00000000000000aa", serving), START_MS)
+        (web,) = owner.place()
+        fillers = step(count=2, uses_leftover_cpu=True, image="noisy", cpu_millis=3000)
+        owner.scheduler.accept(job("00000000000000bb", fillers), START_MS)
+        noisy = owner.place()
+        assert all(run.phase is RunPhase.RUNNING for run in noisy)
+        rows = (row(web, 100, tail_ms), *(row(run, 20, 3000.0) for run in noisy))
+        return list(adjust_pace(owner.executor(), rows, model, owner.now + 1.0))
+
+    def test_a_tail_over_its_target_slows_the_work_beside_it(self) -> None:
+        paces = self._beside(40.0, _trained())
+        self.assertEqual(len(paces), 2)
+        for _, percent in paces:
+            left = 18 / 40 + HEAVY * 6 / 16 * (1 - percent / 100)
+            self.assertGreaterEqual(left, WANTED_HEADROOM - 0.1)
+            self.assertGreaterEqual(percent, LOWEST_PACE)
+
+    def test_a_calm_tail_leaves_the_work_alone(self) -> None:
+        self.assertEqual(self._beside(5.0, InterferenceModel()), [])
--- /dev/null
+++ b/fireflyfork/decisions/jobs/tests/test_scheduler.py
@@ -0,0 +1,377 @@
+"""What an owner does about starts, ends, and executors that fail."""
+
+import unittest
+
+from ...._ids import AttemptNumber, ExecutorId, TaskName
+from .. import CallOutcome, EndReason, JobState, RunningRow, RunPhase, StoredProgress, StoredTask
+from .builders_jobs import START_MS, OwnerUnderTest, job, registration, row, step
+
+A = "00000000000000aa"
+
+
+class StepsTest(unittest.TestCase):
+    """Which tasks may start."""
+
+    def test_a_step_starts_when_all_tasks_of_the_one_before_are_done(self) -> None:
+        owner = OwnerUnderTest("i-0")
+        owner.scheduler.accept(job(A, step(count=2), step(after=(0,))), START_MS)
+        first, second = owner.place()
+        owner.end("i-0", first.task.name, 1, EndReason.DONE)
+        owner.look("i-0", row(second))
+        self.assertEqual(owner.place(), [])
+        owner.end("i-0", second.task.name, 1, EndReason.DONE)
+        owner.look("i-0")
+        self.assertEqual([run.task.name for run in owner.place()], [f"{A}.0.1.0"])
+
+    def test_an_occurrence_waits_for_its_time(self) -> None:
+        owner = OwnerUnderTest("i-0")
+        spec = job(A, repetitions=2, first_due_ms=START_MS + 500, interval_ms=1000)
+        owner.scheduler.accept(spec, START_MS)
+        self.assertEqual(owner.place(), [])
+        owner.tick(0.6)
+        self.assertEqual([run.task.name for run in owner.place()], [f"{A}.0.0.0"])
+        owner.tick(1.0)
+        self.assertEqual([run.task.name for run in owner.place()], [f"{A}.1.0.0"])
+
+    def test_a_job_is_completed_by_its_last_task(self) -> None:
+        owner = OwnerUnderTest("i-0")
+        owner.scheduler.accept(job(A), START_MS)
+        (run,) = owner.place()
+        owner.end("i-0", run.task.name, 1, EndReason.DONE)
+        owner.look("i-0")
+        known = owner.scheduler.jobs.get(job(A).job)
+        assert known is not None
+        self.assertIs(known.state, JobState.COMPLETED)
+
+    def test_a_job_that_is_listed_again_after_its_end_does_not_run_again(self) -> None:
+        """The store drops its history, so the owner lists all jobs anew and meets one that ended
+        before. If it took it for a new one, a booking would be made twice.
+        """
+        owner = OwnerUnderTest("i-0")
+        owner.scheduler.accept(job(A), START_MS)
+        (run,) = owner.place()
+        owner.end("i-0", run.task.name, 1, EndReason.DONE)
+        owner.look("i-0")
+        owner.scheduler.jobs.changes.take(10)
+        owner.scheduler.jobs.changes.stored()
+        owner.tick(0.1)
+        self.assertEqual(len(owner.scheduler.jobs), 0)
+        owner.scheduler.accept(job(A), START_MS)
+        self.assertEqual(owner.place(), [])
+
+
+class RoomTest(unittest.TestCase):
+    """No executor gets more than it holds."""
+
+    def test_a_run_that_is_being_stopped_holds_its_room_until_its_end_is_listed(self) -> None:
+        """A cancelled task takes a moment to stop. If its room were given away at once, the executor
+        would hold more than it has processors for, and everything on it would slow down.
+        """
+        owner = OwnerUnderTest("i-0")
+        owner.scheduler.accept(job(A, step(cpu_millis=16000)), START_MS)
+        (first,) = owner.place()
+        owner.scheduler.cancel(first.task.job.spec.job, owner.now, START_MS)
+        owner.scheduler.accept(job("00000000000000bb", step(cpu_millis=1000)), START_MS)
+        self.assertEqual(owner.place(), [])
+        owner.answer_stop(first)
+        owner.end("i-0", first.task.name, 1, EndReason.STOPPED)
+        owner.look("i-0")
+        owner.tick(0.1)
+        self.assertEqual(len(owner.place()), 1)
+
+    def test_a_run_of_a_job_that_is_over_counts_while_it_is_stopped(self) -> None:
+        """An owner dies while tasks of a cancelled job are being stopped. Its successor knows that
+        the job is over; if it took the runs it finds for nothing, it would overfill the executor.
+        """
+        owner = OwnerUnderTest()
+        over = job(A, step(cpu_millis=16000))
+        owner.scheduler.recover(
+            [(over, StoredProgress(JobState.CANCELLED))], [registration("i-0")], [], owner.now, 0
+        )
+        found = RunningRow(TaskName(f"{A}.0.0.0"), AttemptNumber(1), "", 10, 0.0)
+        owner.look("i-0", found)
+        self.assertEqual(owner.executor().used_cpu_millis, 16000)
+        self.assertEqual([run.task.name for run in owner.stops()], [f"{A}.0.0.0"])
+
+
+class UnansweredOrdersTest(unittest.TestCase):
+    """An order without an answer may have been carried out, or may be later."""
+
+    def test_a_start_without_an_answer_is_barred_before_the_task_starts_elsewhere(self) -> None:
+        """The answer to a start is lost on the way. The task may run there, or begin there seconds
+        later; started elsewhere at once, it would run twice and a clerk would hold two rooms.
+        """
+        owner = OwnerUnderTest("i-0", "i-1")
+        owner.scheduler.accept(job(A), START_MS)
+        (lost,) = owner.send()
+        owner.answer_start(lost, CallOutcome.UNKNOWN)
+        self.assertIs(lost.phase, RunPhase.UNSURE)
+        self.assertEqual(owner.stops(), [lost])
+        owner.look(lost.executor.executor)
+        self.assertEqual(owner.place(), [])
+        owner.now += 0.1
+        owner.answer_stop(lost)
+        owner.now += 0.1
+        owner.look(lost.executor.executor)
+        self.assertEqual([run.attempt for run in owner.place()], [2])
+
+    def test_a_stop_without_an_answer_is_sent_again(self) -> None:
+        owner = OwnerUnderTest("i-0")
+        owner.scheduler.accept(job(A), START_MS)
+        (lost,) = owner.send()
+        owner.answer_start(lost, CallOutcome.UNKNOWN)
+        owner.stops()
+        owner.answer_stop(lost, CallOutcome.UNKNOWN)
+        owner.tick(0.5)
+        self.assertEqual(owner.stops(), [lost])
+
+    def test_a_list_that_was_made_before_the_start_proves_nothing(self) -> None:
+        """Answers on different connections overtake each other: a list made before a start arrives
+        after its answer. Taken for proof that the run is gone, it would start the task twice.
+        """
+        owner = OwnerUnderTest("i-0")
+        owner.scheduler.accept(job(A), START_MS)
+        sent_at = owner.now
+        owner.now += 0.1
+        (run,) = owner.place()
+        owner.look("i-0", sent_at=sent_at)
+        self.assertIs(run.phase, RunPhase.RUNNING)
+        self.assertEqual(owner.place(), [])
+
+
+class LostExecutorsTest(unittest.TestCase):
+    """Executors that don't answer, or start anew."""
+
+    def test_tasks_of_a_silent_executor_start_elsewhere_once_its_lease_has_lapsed(self) -> None:
+        """A cable is pulled. The executor runs on by itself until its lease is over, also on a clock
+        that is two in a hundred slow; a moment earlier its tasks would run twice.
+        """
+        owner = OwnerUnderTest("i-0", "i-1")
+        owner.scheduler.accept(job(A), START_MS)
+        (run,) = owner.place()
+        silent = run.executor
+        silent.lease_until_ms = owner.clock() + 5000
+        for _ in range(50):
+            owner.now += 0.1
+            owner.scheduler.look_failed(silent, owner.now)
+        self.assertEqual(owner.place(), [])
+        owner.tick(0.3)
+        again = owner.place()
+        self.assertEqual([(one.attempt, one.executor is silent) for one in again], [(2, False)])
+
+    def test_an_executor_that_starts_anew_under_its_id_runs_nothing_of_before(self) -> None:
+        owner = OwnerUnderTest("i-0")
+        owner.scheduler.accept(job(A), START_MS)
+        owner.place()
+        owner.scheduler.register(registration("i-0", incarnation=2), owner.now)
+        owner.look("i-0", incarnation=2)
+        self.assertEqual([run.attempt for run in owner.place()], [2])
+
+    def test_an_answer_of_an_earlier_life_is_not_mixed_in(self) -> None:
+        """An executor starts anew while the answer to a look is under way. Its old list would make
+        the owner wait for runs that are long gone.
+        """
+        owner = OwnerUnderTest("i-0")
+        owner.scheduler.accept(job(A), START_MS)
+        (run,) = owner.place()
+        owner.scheduler.register(registration("i-0", incarnation=2), owner.now)
+        owner.look("i-0", row(run), incarnation=1)
+        self.assertEqual(owner.executor().runs, {})
+
+    def test_a_failed_look_of_a_life_that_was_given_up_leaves_the_next_one_alone(self) -> None:
+        """An executor crashes, is given up and comes back under its id while a look of before is
+        out. When that look failed, the new life vanished from the tables, and jobs hung for ever.
+        """
+        owner = OwnerUnderTest("i-0")
+        given_up = owner.executor()
+        owner.scheduler.look_failed(given_up, owner.now)
+        owner.scheduler.unregister(ExecutorId("i-0"), owner.now)
+        self.assertEqual(owner.scheduler.executors, {})
+        owner.scheduler.register(registration("i-0", incarnation=2), owner.now)
+        owner.scheduler.look_failed(given_up, owner.now)
+        self.assertIn(ExecutorId("i-0"), owner.scheduler.executors)
+
+    def test_the_clock_of_an_executor_is_not_taken_for_that_of_the_instance(self) -> None:
+        """An instance has been up for hours when an executor starts, whose clock begins at 0. Taken
+        to be hours ahead, its leases were cut short and its tasks given away while they still ran.
+        """
+        owner = OwnerUnderTest("i-0", looked=False)
+        self.assertLess(owner.executor().clock(owner.now + 1.0), 1100)
+
+    def test_lasting_tasks_leave_an_executor_that_leaves(self) -> None:
+        owner = OwnerUnderTest("i-0")
+        owner.scheduler.accept(job(A, step(long_running=True)), START_MS)
+        (run,) = owner.place()
+        owner.scheduler.register(registration("i-0", draining=True), owner.now)
+        self.assertEqual(owner.stops(), [run])
+
+    def test_a_run_that_stands_still_is_stopped(self) -> None:
+        """A worker hangs: its task's progress stays where it is, and without this its caller would
+        wait for ever for an answer that never comes.
+        """
+        owner = OwnerUnderTest("i-0", "i-1")
+        owner.scheduler.accept(job(A), START_MS)
+        (run,) = owner.place()
+        for _ in range(3):
+            owner.look(run.executor.executor, row(run, percent=40))
+            owner.tick(1.0)
+        self.assertEqual(owner.stops(), [run])
+
+
+class FailuresTest(unittest.TestCase):
+    """Attempts are counted once, and blamed on the right one."""
+
+    def test_a_job_fails_when_a_task_has_used_its_attempts(self) -> None:
+        owner = OwnerUnderTest("i-0")
+        owner.scheduler.accept(job(A), START_MS)
+        for attempt in (1, 2):
+            (run,) = owner.place()
+            owner.end("i-0", run.task.name, attempt, EndReason.FAILED)
+            owner.look("i-0")
+            owner.tick(1.1)
+        known = owner.scheduler.jobs.get(job(A).job)
+        assert known is not None
+        self.assertIs(known.state, JobState.FAILED)
+        self.assertEqual(owner.place(), [])
+
+    def test_a_failure_that_was_stored_is_not_counted_again_by_the_next_owner(self) -> None:
+        """An owner stores a failed attempt and dies before the executor was told to forget it. Its
+        successor finds the end in the list again; counted twice, the job would be shown as failed
+        though it had another attempt.
+        """
+        owner = OwnerUnderTest()
+        stored = StoredTask(0, 0, 0, AttemptNumber(1), None, (1,))
+        progress = StoredProgress(JobState.RUNNING, tasks=(stored,))
+        owner.scheduler.recover(
+            [(job(A), progress)], [registration("i-0")], [], owner.now, START_MS
+        )
+        owner.end("i-0", TaskName(f"{A}.0.0.0"), 1, EndReason.FAILED)
+        owner.look("i-0")
+        self.assertEqual([run.attempt for run in owner.place()], [2])
+
+    def test_the_next_attempt_goes_to_another_executor(self) -> None:
+        owner = OwnerUnderTest("i-0", "i-1")
+        owner.scheduler.accept(job(A), START_MS)
+        (first,) = owner.place()
+        name = str(first.executor.executor)
+        owner.end(name, first.task.name, 1, EndReason.FAILED)
+        owner.look(name)
+        (second,) = owner.place()
+        self.assertIsNot(second.executor, first.executor)
+
+    def test_evicted_work_resumes_from_its_checkpoint(self) -> None:
+        owner = OwnerUnderTest("i-0")
+        owner.scheduler.accept(job(A, step(checkpointing=True)), START_MS)
+        (run,) = owner.place()
+        owner.end("i-0", run.task.name, 1, EndReason.STOPPED, "saved")
+        owner.look("i-0")
+        (again,) = owner.place()
+        self.assertEqual((again.checkpoint, again.attempt), ("saved", 2))
+
+
+class TakeoverTest(unittest.TestCase):
+    """What a new owner may start, and when."""
+
+    def setUp(self) -> None:
+        """A job of two steps that an earlier owner may have begun, and two executors."""
+        self.owner = OwnerUnderTest()
+        self.spec = job(A, step(), step(after=(0,)))
+        self.owner.scheduler.recover(
+            [(self.spec, None)],
+            [registration("i-0"), registration("i-1")],
+            [],
+            self.owner.now,
+            START_MS,
+        )
+
+    def test_a_task_waits_until_every_executor_has_answered(self) -> None:
+        """An owner is killed just after it started a task, before anything of that was stored. Its
+        successor finds the job without a trace of it; started at once, the task would run twice.
+        """
+        self.owner.look("i-0")
+        self.assertEqual(self.owner.place(), [])
+        self.owner.look("i-1")
+        self.assertEqual(len(self.owner.place()), 1)
+
+    def test_a_run_that_is_found_is_kept(self) -> None:
+        found = RunningRow(TaskName(f"{A}.0.0.0"), AttemptNumber(1), "", 40, 0.0)
+        self.owner.look("i-0", found)
+        self.owner.look("i-1")
+        self.assertEqual(self.owner.place(), [])
+        self.assertEqual(self.owner.stops(), [])
+        self.assertEqual(len(self.owner.executor("i-0").runs), 1)
+
+    def test_the_next_step_waits_too_when_the_end_of_the_one_before_comes_first(self) -> None:
+        """The first executor lists the end of the first step, and the second one runs the next step
+        already. Started on the strength of the end alone, that step would run twice.
+        """
+        self.owner.end("i-0", TaskName(f"{A}.0.0.0"), 1, EndReason.DONE)
+        self.owner.look("i-0")
+        self.assertEqual(self.owner.place(), [])
+        found = RunningRow(TaskName(f"{A}.0.1.0"), AttemptNumber(1), "", 40, 0.0)
+        self.owner.look("i-1", found)
+        self.assertEqual(self.owner.place(), [])
+
+    def test_an_executor_that_never_answers_is_waited_for_until_its_lease_is_over(self) -> None:
+        self.owner.look("i-0")
+        self.owner.tick(7.9)
+        self.assertEqual(self.owner.place(), [])
+        self.owner.tick(0.2)
+        self.assertEqual([run.attempt for run in self.owner.place()], [2])
+
+    def test_a_job_that_came_after_the_takeover_waits_for_nobody(self) -> None:
+        self.owner.look("i-0")
+        self.owner.scheduler.accept(job("00000000000000bb"), START_MS)
+        self.assertEqual([run.task.name for run in self.owner.place()], ["00000000000000bb.0.0.0"])
+
+    def test_executors_whose_registration_has_lapsed_are_waited_for(self) -> None:
+        """Registrations lapse while the store is away. An owner that is elected when it comes back
+        sees three executors of thirty; the others still run what their last owner had started.
+        """
+        owner = OwnerUnderTest()
+        owner.scheduler.recover(
+            [(self.spec, None)], [registration("i-0")], [registration("i-1")], owner.now, START_MS
+        )
+        owner.look("i-0")
+        self.assertEqual(owner.place(), [])
+        owner.look("i-1")
+        (run,) = owner.place()
+        self.assertEqual(run.executor.executor, "i-0")
+
+    def test_a_run_that_was_given_up_is_stopped_when_it_turns_up(self) -> None:
+        """A worker leaves an order unanswered and carries it out seconds later, when the task has
+        long been started elsewhere under a higher number.
+        """
+        self.owner.look("i-0")
+        self.owner.look("i-1")
+        (run,) = self.owner.place()
+        other = "i-1" if run.executor.executor == "i-0" else "i-0"
+        run.task.attempt = AttemptNumber(2)
+        late = RunningRow(run.task.name, AttemptNumber(1), "", 0, 0.0)
+        self.owner.look(other, late)
+        self.assertEqual(
+            [(one.attempt, one.phase) for one in self.owner.stops()], [(1, RunPhase.STOPPING)]
+        )
+
+
+class StoredEndsTest(unittest.TestCase):
+    """An executor may forget an end only when it is stored."""
+
+    def test_an_end_is_forgettable_once_its_change_is_stored(self) -> None:
+        """If an executor forgot an end that is not stored yet and the owner died, nobody would know
+        that the task is done, and it would run again.
+        """
+        owner = OwnerUnderTest("i-0")
+        owner.scheduler.accept(job(A), START_MS)
+        (run,) = owner.place()
+        owner.end("i-0", run.task.name, 1, EndReason.DONE)
+        owner.look("i-0")
+        owner.scheduler.note_stored()
+        self.assertEqual(owner.executor().forgettable_end, 0)
+        changes = owner.scheduler.jobs.changes
+        changes.take(10)
+        owner.scheduler.note_stored()
+        self.assertEqual(owner.executor().forgettable_end, 0)
+        changes.stored()
+        owner.scheduler.note_stored()
+        self.assertEqual(owner.executor().forgettable_end, 1)
--- /dev/null
+++ b/fireflyfork/platform/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the formats of the platform."""
--- /dev/null
+++ b/fireflyfork/platform/tests/test_formats.py
@@ -0,0 +1,139 @@
+"""What other programs wrote, decoded or refused."""
+
+import unittest
+
+import msgspec
+
+from ..._errors import BadRequestError, SettingsError
+from ..._ids import ConfigurationVersion, FailureDomainName, JobId, Revision
+from ..._links import Address
+from ...adapters import StoredItem
+from ...decisions.jobs.tests.builders_jobs import queue
+from .. import (
+    decode_configuration,
+    decode_job,
+    decode_registration,
+    parse_job_id,
+    parse_node_settings,
+)
+
+SETTINGS = """
+node_name=edge-suva-1
+zone=suva
+region=viti
+zones.suva=viti
+zones.labasa=vanua
+listen.front=10.1.0.13:8161
+listen.readiness=10.1.0.13:8167
+port_range=7720,7735
+bounds.max_hold_ms=6000
+bounds.stop_timeout_ms=200
+bounds.grace_s=6
+bounds.status_s=120
+platform.address=10.200.1.7:8169
+something.new=1
+"""
+
+ENTRY = {
+    "service": "desk",
+    "address": "10.128.0.9:8080",
+    "zone": "suva",
+    "version": "v1",
+    "state": "ready",
+    "room": {"cpu": 16000, "mem_mb": 32768, "gpu": 0},
+    "labels": ["a", "r1-3"],
+    "born": 1_700_000_000_000,
+    "seq": 4,
+}
+
+
+def _item(value: bytes) -> StoredItem:
+    return StoredItem("servers/i-1", value, Revision(3), Revision(2))
+
+
+class SettingsTest(unittest.TestCase):
+    """The settings file."""
+
+    def test_fields_are_read_and_unknown_ones_ignored(self) -> None:
+        settings = parse_node_settings(SETTINGS)
+        self.assertEqual(settings.caller_address, Address("10.1.0.13", 8161))
+        self.assertEqual(settings.metrics_address, Address("10.1.0.13", 7720))
+        self.assertEqual(settings.regions[FailureDomainName("labasa")], "vanua")
+        self.assertEqual(settings.bounds.longest_lease, 6.0)
+
+    def test_bad_settings_are_named(self) -> None:
+        for broken, word in (
+            (SETTINGS.replace("zone=suva", ""), "zone"),
+            (SETTINGS.replace("=6000", "=soon"), "max_hold_ms"),
+            (SETTINGS.replace("7720,7735", "x"), "port_range"),
+            (SETTINGS.replace("10.1.0.13:8161", "front:80"), "front:80"),
+        ):
+            with self.subTest(word), self.assertRaisesRegex(SettingsError, word):
+                parse_node_settings(broken)
+
+
+class RegistrationTest(unittest.TestCase):
+    """What stands in the store about executors."""
+
+    def test_an_entry_is_decoded(self) -> None:
+        found = decode_registration(_item(msgspec.json.encode(ENTRY)))
+        assert found is not None
+        self.assertEqual((found.executor, found.room.cpu_millis), ("i-1", 16000))
+        self.assertEqual(found.incarnation, 1_700_000_000_000)
+        self.assertFalse(found.draining)
+
+    def test_an_entry_that_can_not_be_read_names_no_executor(self) -> None:
+        """Another program writes where executors register. If one entry that can't be read stopped
+        the reading, nothing would be placed any more.
+        """
+        for name, value in (
+            ("bytes", b"\xff\x00"),
+            ("type", msgspec.json.encode({**ENTRY, "room": "large"})),
+            ("missing", msgspec.json.encode({"service": "desk"})),
+            ("state", msgspec.json.encode({**ENTRY, "state": "thinking"})),
+            ("address", msgspec.json.encode({**ENTRY, "address": "somewhere"})),
+        ):
+            with self.subTest(name):
+                self.assertIsNone(decode_registration(_item(value)))
+
+
+class ConfigurationTest(unittest.TestCase):
+    """The operator's configuration."""
+
+    def test_the_longest_prefix_wins(self) -> None:
+        route = {"name": "a", "host": "H.example", "path_prefix": "/x/", "service": "desk"}
+        longer = {**route, "name": "b", "path_prefix": "/x/y/"}
+        table = decode_configuration(
+            msgspec.json.encode({"version": 7, "routes": [route, longer], "services": []})
+        )
+        self.assertEqual(table.version, ConfigurationVersion(7))
+        for path, name in (("/x/1", "a"), ("/x/y/1", "b"), ("/z/1", None)):
+            with self.subTest(path):
+                found = table.find("h.example", path)
+                self.assertEqual(found.name if found else None, name)
+
+    def test_one_that_can_not_be_read_is_refused(self) -> None:
+        with self.assertRaises(SettingsError):
+            decode_configuration(b"{}")
+
+
+class JobTest(unittest.TestCase):
+    """What callers hand in."""
+
+    def test_an_id_is_sixteen_hexadecimal_digits(self) -> None:
+        self.assertEqual(parse_job_id("5c0e7a21d94b36f8"), "5c0e7a21d94b36f8")
+        for text in ("", "5c0e", "5C0E7A21D94B36F8", "5c0e7a21d94b36f8/x"):
+            with self.subTest(text):
+                self.assertIsNone(parse_job_id(text))
+
+    def test_bad_jobs_are_refused_with_the_reason(self) -> None:
+        step = {"count": 1, "cpu": 10, "mem_mb": 10, "estimate_ms": 10}
+        for body, word in (
+            ({"steps": []}, "no steps"),
+            ({"steps": [{**step, "count": 0}]}, "no tasks"),
+            ({"steps": [{**step, "cpu": -1}]}, "negative"),
+            ({"steps": [{**step, "after": [0]}]}, "earlier"),
+            ({"spec": 3, "steps": [step]}, "read"),
+        ):
+            with self.subTest(word), self.assertRaisesRegex(BadRequestError, word):
+                decode_job(msgspec.json.encode(body), JobId("5c0e7a21d94b36f8"), queue(), 0)
--- a/fireflyfork/programs/_service_owner.py
+++ b/fireflyfork/programs/_service_owner.py
@@ -311,7 +311,7 @@
                     self._looked_after.add(executor)
                     nursery.start_soon(self._look_after, executor)
             if not self._resigning:
-                self._scheduler.place(self._clock.now())
+                self._scheduler.place(self._clock.now(), self._clock.unix_ms())
             for command in self._scheduler.take_commands():
                 nursery.start_soon(self._carry_out, command)
             self._journal.notify()
