--- a/fireflyfork/decisions/jobs/_interference.py
+++ b/fireflyfork/decisions/jobs/_interference.py
@@ -73,6 +73,8 @@
     headroom: float
     uses: dict[str, float]
     """Shares of the room that were used beside it, by image."""
+    over_since: float | None = None
+    """Since when every sample of the task has been over its target."""
 
 
 class InterferenceModel:
--- a/fireflyfork/decisions/jobs/_pacing.py
+++ b/fireflyfork/decisions/jobs/_pacing.py
@@ -21,6 +21,10 @@
 of 1.5 below the usual is remembered that long."""
 LOWEST_PACE = 10
 """Percent. A run at a tenth goes on telling what it does to others; at nothing it would not."""
+LONGEST_OVER_SECONDS = 2.0
+"""When a task's tail has been over its target for so long, all work without a reservation beside it
+pauses, whatever is known of the pair. Four samples show that the paces chosen so far don't help, and
+users notice a service that stays slow after some four seconds; the pause shows in its tail after one."""
 PACE_STEP = 10
 """Percent: smaller changes of pace aren't worth a call."""
 RAISE_STEP = 30
@@ -48,8 +52,9 @@
         image = run.task.spec.image
         headroom = run.task.spec.tail_target_ms / max(LOWEST_TAIL_MS, row.figure)
         headroom = min(MOST_HEADROOM, headroom)
-        sample = Sample(now, headroom, uses)
-        model.observe(image, sample, executor.samples.get(row.task))
+        before = executor.samples.get(row.task)
+        sample = Sample(now, headroom, uses, _over_since(headroom, before, now))
+        model.observe(image, sample, before)
         samples[row.task] = sample
         undisturbed = headroom + model.lost_headroom(image, uses)
         known = executor.undisturbed.get(image, MOST_HEADROOM)
@@ -59,7 +64,7 @@
         image: min(now_there, executor.lasting_headroom.get(image, now_there) + RECOVERY)
         for image, now_there in executor.undisturbed.items()
     }
-    yield from _new_paces(executor, model)
+    yield from _new_paces(executor, model, now)
 
 
 def _uses(executor: ExecutorState, rows: tuple[RunningRow, ...]) -> dict[str, float]:
@@ -74,17 +79,28 @@
     return uses
 
 
-def _new_paces(executor: ExecutorState, model: InterferenceModel) -> Iterator[tuple[Run, int]]:
+def _over_since(headroom: float, before: Sample | None, now: float) -> float | None:
+    if headroom >= 1.0:
+        return None
+    return now if before is None or before.over_since is None else before.over_since
+
+
+def _new_paces(
+    executor: ExecutorState, model: InterferenceModel, now: float
+) -> Iterator[tuple[Run, int]]:
     fillers = [
         run
         for run in executor.runs.values()
         if run.task.spec.uses_leftover_cpu and run.phase is RunPhase.RUNNING
     ]
+    over = any(
+        sample.over_since is not None and now - sample.over_since >= LONGEST_OVER_SECONDS
+        for sample in executor.samples.values()
+    )
     paces = _allowed_paces(executor, fillers, model)
     for run in fillers:
-        wanted = paces[run.task.spec.image]
-        pace = min(wanted, run.pace_percent + RAISE_STEP)
-        pace = max(LOWEST_PACE, pace // PACE_STEP * PACE_STEP)
+        wanted = min(paces[run.task.spec.image], run.pace_percent + RAISE_STEP)
+        pace = 0 if over else max(LOWEST_PACE, wanted // PACE_STEP * PACE_STEP)
         if pace != run.pace_percent:
             run.pace_percent = pace
             yield run, pace
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -506,7 +506,9 @@
     def _stands_still(run: Run, now: float) -> bool:
         if run.phase is not RunPhase.RUNNING or run.progress_percent >= 100:
             return False
-        return now - run.progress_at > STALL_SECONDS * 100 / max(1, run.pace_percent)
+        if not run.pace_percent:
+            return False
+        return now - run.progress_at > STALL_SECONDS * 100 / run.pace_percent
 
     def _evacuate(self, executor: ExecutorState, now: float, lasting: bool) -> None:
         for run in tuple(executor.working_runs()):
--- a/fireflyfork/decisions/jobs/tests/test_interference.py
+++ b/fireflyfork/decisions/jobs/tests/test_interference.py
@@ -165,5 +165,29 @@
             self.assertGreaterEqual(left, WANTED_HEADROOM - 0.1)
             self.assertGreaterEqual(percent, LOWEST_PACE)
 
+    def test_a_tail_that_stays_over_its_target_stops_the_work_beside_it(self) -> None:
+        """What is known of a pair is wrong, or a pace does not arrive, and a service stays too slow
+        for its callers for seconds while the work beside it goes on.
+        """
+        owner = OwnerUnderTest("i-0")
+        serving = step(long_running=True, image="web", tail_target_ms=18, cpu_millis=3000)
+        owner.scheduler.accept(job("00000000000000aa", serving), START_MS)
+        (web,) = owner.place()
+        owner.scheduler.accept(job("00000000000000bb", step(uses_leftover_cpu=True)), START_MS)
+        (work,) = owner.place()
+        harmless = InterferenceModel()
+        for _ in range(200):
+            harmless.observe("web", Sample(0.0, 0.9, {"": 0.1}), None)
+            harmless.observe("web", Sample(0.0, 0.9, {}), None)
+        for _ in range(5):
+            owner.now += 0.5
+            rows = (row(web, 100, 20.0), row(work, 20, 1000.0))
+            list(adjust_pace(owner.executor(), rows, harmless, owner.now))
+        self.assertEqual(work.pace_percent, 0)
+        owner.now += 0.5
+        calm = (row(web, 100, 5.0), row(work, 20, 0.0))
+        list(adjust_pace(owner.executor(), calm, harmless, owner.now))
+        self.assertGreater(work.pace_percent, 0)
+
     def test_a_calm_tail_leaves_the_work_alone(self) -> None:
         self.assertEqual(self._beside(5.0, InterferenceModel()), [])
