Candidates follow the owner from the present

Candidates asked for changes since the owner had taken office; once the store had dropped that history each call was refused at once and sent again. Change: they list the owner's key and follow from there.

--- a/fireflyfork/programs/_service_lease.py
+++ b/fireflyfork/programs/_service_lease.py
@@ -17,7 +17,7 @@
     StoreUnavailableError,
 )
 from .._ids import FencingToken, LeaseId, NodeName, Revision, ServiceName
-from ..adapters import CoordinationStore, Put, StoredItem
+from ..adapters import CoordinationStore, Put
 from ._clocks import Clock
 from ._scheduling_keys import owner_key, term_key
 
@@ -125,28 +125,24 @@
     async def _wait_vacant(self) -> None:
         key = owner_key(self._service)
         while True:
-            item = await self._timed_read(key)
-            if item is None:
+            begun = self._clock.now()
+            listing = await self._store.list(key)
+            self._far = self._clock.now() - begun > FAR_STORE_SECONDS
+            if all(item.key != key for item in listing.items):
                 return
-            if await self._wait_removed(key, item.revision):
+            # Not since the owner took office: the store may have forgotten what was then.
+            if await self._wait_removed(key, listing.as_of):
                 return
 
-    async def _timed_read(self, key: str) -> StoredItem | None:
-        begun = self._clock.now()
-        item = await self._store.read(key)
-        self._far = self._clock.now() - begun > FAR_STORE_SECONDS
-        return item
-
     async def _wait_removed(self, key: str, after: Revision) -> bool:
         while True:
             try:
                 answer = await self._store.changes(key, after, FOLLOW_SECONDS)
             except StoreHistoryLostError:
                 return False
-            if answer.changes:
-                last = answer.changes[-1]
-                if last.item is None:
-                    return True
+            own = [change for change in answer.changes if change.key == key]
+            if own and own[-1].item is None:
+                return True
             after = max(after, answer.as_of)
 
     def _delay(self) -> float:
--- a/fireflyfork_standins/tests/test_scheduling_days.py
+++ b/fireflyfork_standins/tests/test_scheduling_days.py
@@ -69,6 +69,14 @@
             with self.subTest(seed):
                 self.assertEqual(_play(seed, KINDS).violations, [])
 
+    def test_a_store_that_forgets_its_history_is_not_asked_in_a_loop(self) -> None:
+        """The store drops its history. Candidates that go on asking for changes since the owner took
+        office, long before that, are told each time that they are gone, and ask again at once: the
+        store is busy with that, and its operators pay for every call.
+        """
+        calm, forgetful = _play(3), _play(3, ("store_forgets",))
+        self.assertLess(forgetful.store_calls, calm.store_calls * 1.3)
+
     def test_days_that_broke_a_promise_once(self) -> None:
         """Each of these days showed a fault, in the scheduler or in the stand-in."""
         for seed, troubles in FAILED_BEFORE:
