Gangs start, end and fail as one; a task's own failures are not blamed on executors

Gangs: members get room all at once or not at all, share one number and checkpoint, in one rack where they are slower across; a member that is lost or refused stops the rest, a partly started gang of a predecessor is stopped and started anew. Blame: many failures of one task put every executor that it came to out of use. Only its first failure counts as a strike, and strikes are forgotten after 12 s. Leaving executors have a time of their own instead of borrowing that of avoided ones.

--- a/fireflyfork/decisions/jobs/_executors.py
+++ b/fireflyfork/decisions/jobs/_executors.py
@@ -39,6 +39,8 @@
     room: ExecutorRoom
     labels: frozenset[str]
     """Its kind and its rack."""
+    rack: str
+    """Executors of one rack are near each other."""
     incarnation: int
     """When this life of it began, in Unix milliseconds."""
 
@@ -76,8 +78,12 @@
     unstored_ends: deque[tuple[int, int]] = field(default_factory=deque)
     """Number of an end, and the change that has to be stored before it may be forgotten."""
     avoided_until: float = 0.0
+    leaving_since: float | None = None
+    """Since when it has been known to leave."""
     strikes: int = 0
     """Failures in a row; a task that ends well takes them back."""
+    struck_at: float = 0.0
+    """When the last of them came."""
     sampled_at: float = 0.0
     """When tails were last taken in."""
     undisturbed: dict[str, float] = field(default_factory=dict)
--- /dev/null
+++ b/fireflyfork/decisions/jobs/_gangs.py
@@ -0,0 +1,93 @@
+"""Steps whose tasks work only together: they are placed, numbered and ended as one."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Iterator
+
+from ..._ids import AttemptNumber
+from ._executors import ExecutorState
+from ._runs import Run, RunPhase, Task
+
+Choice = Callable[[Task, list[ExecutorState]], ExecutorState | None]
+
+
+def members(task: Task) -> list[Task]:
+    """All tasks of the gang that a task belongs to, or the task alone."""
+    if not task.spec.gang:
+        return [task]
+    job, key = task.job, task.key
+    return [
+        other
+        for other_key, other in job.tasks.items()
+        if other_key.step == key.step and other_key.occurrence == key.occurrence
+    ]
+
+
+def is_free(task: Task) -> bool:
+    """Whether neither the task nor another member of its gang runs anywhere."""
+    return not any(member.runs for member in members(task))
+
+
+def next_attempt(task: Task) -> AttemptNumber:
+    """The number of the next run, which all members of a gang share."""
+    return AttemptNumber(max(member.attempt for member in members(task)) + 1)
+
+
+def failures(task: Task) -> int:
+    """How many attempts of the task, or of its gang, have failed."""
+    return len({attempt for member in members(task) for attempt in member.failed_attempts})
+
+
+def save(task: Task, checkpoint: str) -> None:
+    """Keep a checkpoint; any member's is valid for its gang, and all must start from the same."""
+    for member in members(task):
+        member.checkpoint = checkpoint
+
+
+def place_together(
+    task: Task, usable: list[ExecutorState], choice: Choice, attempt: AttemptNumber, now: float
+) -> list[Run]:
+    """Runs of all members that hold their room, or none if they don't all fit at once.
+
+    Members that wait for each other on executors hold room without working, and two gangs that each
+    got half of what they need would wait for good.
+    """
+    for group in _groups(task, usable):
+        runs = _try(members(task), group, choice, attempt, now)
+        if runs:
+            return runs
+    return []
+
+
+def _groups(task: Task, usable: list[ExecutorState]) -> Iterator[list[ExecutorState]]:
+    """Where to try: rack by rack if the tasks are slower across racks, then anywhere."""
+    if task.spec.same_rack:
+        racks: dict[str, list[ExecutorState]] = {}
+        for executor in usable:
+            racks.setdefault(executor.registration.rack, []).append(executor)
+        yield from sorted(racks.values(), key=_free_cpu, reverse=True)
+    yield usable
+
+
+def _free_cpu(executors: Iterable[ExecutorState]) -> int:
+    return sum(one.registration.room.cpu_millis - one.used_cpu_millis for one in executors)
+
+
+def _try(
+    tasks: list[Task],
+    executors: list[ExecutorState],
+    choice: Choice,
+    attempt: AttemptNumber,
+    now: float,
+) -> list[Run]:
+    runs: list[Run] = []
+    for task in tasks:
+        executor = choice(task, executors)
+        if executor is None:
+            for run in runs:
+                run.executor.remove(run)
+            return []
+        run = Run(task, attempt, executor, RunPhase.STARTING, now)
+        executor.add(run)
+        runs.append(run)
+    return runs
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -15,6 +15,7 @@
 from ..._ids import AttemptNumber, ExecutorId, JobId, QueueName
 from ._commands import Command, PaceRun, StartRun, StopRun
 from ._executors import ExecutorRegistration, ExecutorState
+from ._gangs import failures, is_free, members, next_attempt, place_together, save
 from ._interference import InterferenceModel
 from ._job_table import JobTable, terms_without_queue
 from ._pacing import adjust_pace
@@ -40,6 +41,9 @@
 LONGEST_AVOID_SECONDS = 8.0
 """An avoided executor is tried again after 1 s, then 2 s and so on: troubled ones recover within
 seconds, and each try costs at most one task's attempt."""
+FORGIVE_SECONDS = 12.0
+"""Strikes are forgotten after this: nothing is sent to a suspect while others have room, so it would
+never get the chance to end something well."""
 DRAIN_EVICT_SECONDS = 1.2
 """Tasks that checkpoint are stopped so long after their executor began to leave: it goes on for at
 least 2.5 s, and what ends by itself before needn't move."""
@@ -160,7 +164,7 @@
         began_to_leave = registration.draining and not known.registration.draining
         known.registration = registration
         if began_to_leave:
-            known.avoided_until = now + DRAIN_EVICT_SECONDS
+            known.leaving_since = now
             self._evacuate(known, now, lasting=True)
 
     def unregister(self, executor: ExecutorId, now: float) -> None:
@@ -277,13 +281,11 @@
             crowded = shape in refused or len(refused) >= REFUSED_SHAPES
             crowded = crowded or self._would_take_reserve(task, usable)
             most = most_cost((now_ms - task.job.spec.accepted_ms) / 1000, reserved)
-            executor = None if crowded else choose(task, usable, self._interference, most)
-            if executor is None:
+            if crowded or not self._start(task, usable, most, now):
                 refused.add(shape)
                 self._parked.append(task)
                 continue
             task.waiting = False
-            self._start(task, executor, now)
 
     # Inside.
 
@@ -305,17 +307,25 @@
         """
         return self.executors.get(executor.executor) is executor
 
-    def _start(self, task: Task, executor: ExecutorState, now: float) -> None:
-        task.attempt = AttemptNumber(task.attempt + 1)
-        run = Run(task, task.attempt, executor, RunPhase.STARTING, now)
-        run.start_deadline_ms = executor.clock(now) + START_VALID_MS
-        run.checkpoint = task.checkpoint
-        executor.lease_until_ms = max(executor.lease_until_ms, run.start_deadline_ms)
-        executor.add(run)
-        task.runs.append(run)
-        task.last_executor = executor.executor
-        self.jobs.note_started(task.job)
-        self._commands.append(StartRun(run))
+    def _start(self, task: Task, usable: list[ExecutorState], most: float, now: float) -> bool:
+        """Start a task, with its gang if it has one, where there is room for all."""
+
+        def choice(one: Task, executors: list[ExecutorState]) -> ExecutorState | None:
+            return choose(one, executors, self._interference, most)
+
+        runs = place_together(task, usable, choice, next_attempt(task), now)
+        for run in runs:
+            executor, started = run.executor, run.task
+            run.start_deadline_ms = executor.clock(now) + START_VALID_MS
+            run.checkpoint = started.checkpoint
+            executor.lease_until_ms = max(executor.lease_until_ms, run.start_deadline_ms)
+            started.attempt = run.attempt
+            started.runs.append(run)
+            started.last_executor = executor.executor
+            self._commands.append(StartRun(run))
+        if runs:
+            self.jobs.note_started(task.job)
+        return bool(runs)
 
     def _stop(self, run: Run, now: float) -> None:
         if run.phase is not RunPhase.UNSURE:
@@ -324,6 +334,8 @@
         self._commands.append(StopRun(run))
 
     def _enqueue(self, task: Task) -> None:
+        if task.spec.gang:
+            task = members(task)[0] if task.key in task.job.tasks else task
         if task.waiting or not self._wants_run(task):
             return
         task.waiting = True
@@ -337,14 +349,18 @@
 
     @staticmethod
     def _wants_run(task: Task) -> bool:
-        return not task.job.state.is_final and task.key in task.job.tasks and not task.runs
+        return not task.job.state.is_final and task.key in task.job.tasks and is_free(task)
 
     def _gone(self, run: Run, now: float) -> None:
         """A run is certainly over, or never was; its task may start again."""
         run.executor.remove(run)
-        if run in run.task.runs:
-            run.task.runs.remove(run)
-        self._enqueue(run.task)
+        task = run.task
+        if run in task.runs:
+            task.runs.remove(run)
+        if task.spec.gang and task.key in task.job.tasks:
+            # The others would hold their room and wait for a member that doesn't come back.
+            self._break_up(task, now)
+        self._enqueue(task)
 
     def _finish(self, job: Job, state: JobState, now: float, now_ms: int) -> None:
         self.jobs.finish(job, state, now_ms)
@@ -355,6 +371,7 @@
 
     def _strike(self, executor: ExecutorState, now: float) -> None:
         executor.strikes += 1
+        executor.struck_at = now
         if executor.strikes >= STRIKES_TO_AVOID:
             pause = AVOID_SECONDS * 2 ** (executor.strikes - STRIKES_TO_AVOID)
             executor.avoided_until = now + min(pause, LONGEST_AVOID_SECONDS)
@@ -365,7 +382,7 @@
         if task is None:
             return
         if row.checkpoint and task.spec.checkpointing:
-            task.checkpoint = row.checkpoint
+            save(task, row.checkpoint)
         if row.reason is EndReason.DONE and not task.spec.long_running:
             self._task_done(task, executor, now, now_ms)
         elif row.reason is EndReason.FAILED:
@@ -379,8 +396,9 @@
         executor.strikes = 0
         if task.job.state.is_final:
             return
-        for ready in self.jobs.task_done(task, now_ms):
-            self._enqueue(ready)
+        for member in members(task):
+            for ready in self.jobs.task_done(member, now_ms):
+                self._enqueue(ready)
         for other in tuple(task.runs):
             if other.works and other.executor is not executor:
                 self._stop(other, now)
@@ -390,11 +408,14 @@
     ) -> None:
         if row.attempt in task.failed_attempts:
             return
+        if not task.failed_on:
+            # A task that fails on a second executor too fails by itself. Blaming each executor that
+            # it comes to would put all of them out of use while many jobs come that can't be done.
+            self._strike(executor, now)
         task.failed_attempts.append(row.attempt)
         task.failed_on.add(executor.executor)
-        self._strike(executor, now)
         job = task.job
-        exhausted = len(task.failed_attempts) >= job.queue.attempts
+        exhausted = failures(task) >= job.queue.attempts
         if exhausted and not task.spec.long_running and not job.state.is_final:
             self._finish(job, JobState.FAILED, now, now_ms)
 
@@ -425,7 +446,7 @@
             run.progress_at = now
         if row.checkpoint and run.task.spec.checkpointing:
             run.checkpoint = row.checkpoint
-            run.task.checkpoint = row.checkpoint
+            save(run.task, row.checkpoint)
         run.cpu_in_use = row.figure
 
     def _not_listed(self, run: Run, sent_at: float, now: float) -> None:
@@ -486,14 +507,27 @@
             return
         held, self._held = self._held, []
         for task in held:
+            if task.spec.gang and not is_free(task):
+                # The earlier owner went while it started the gang.
+                self._break_up(task, now)
             self._push(task, task.job.spec.accepted_ms)
 
+    def _break_up(self, task: Task, now: float) -> None:
+        gang = members(task)
+        if all(member.runs for member in gang):
+            return
+        for run in (one for member in gang for one in member.runs if one.works):
+            self._stop(run, now)
+
     def _check_executor(self, executor: ExecutorState, now: float) -> None:
         if not executor.answers:
             self._forget_if_over(executor, now)
             return
-        if executor.registration.draining and executor.avoided_until <= now:
+        leaving = executor.leaving_since
+        if leaving is not None and now - leaving >= DRAIN_EVICT_SECONDS:
             self._evacuate(executor, now, lasting=False)
+        if executor.strikes and now - executor.struck_at > FORGIVE_SECONDS:
+            executor.strikes = 0
         for run in tuple(executor.runs.values()):
             if run.phase in (RunPhase.STOPPING, RunPhase.UNSURE):
                 if run.barred_at is None and now - run.stop_sent_at > STOP_RETRY_SECONDS:
--- a/fireflyfork/decisions/jobs/tests/builders_jobs.py
+++ b/fireflyfork/decisions/jobs/tests/builders_jobs.py
@@ -75,7 +75,8 @@
         FailureDomainName("suva"),
         False,
         ExecutorRoom(16000, 64000, 0),
-        frozenset({"a"}),
+        frozenset({"a", "r1"}),
+        "r1",
         1,
     )
     return replace(made, **changes)  # type: ignore[arg-type]
--- a/fireflyfork/decisions/jobs/tests/test_scheduler.py
+++ b/fireflyfork/decisions/jobs/tests/test_scheduler.py
@@ -4,7 +4,7 @@
 
 from ...._ids import AttemptNumber, ExecutorId, TaskName
 from .. import CallOutcome, EndReason, JobState, RunningRow, RunPhase, StoredProgress, StoredTask
-from .builders_jobs import START_MS, OwnerUnderTest, job, registration, row, step
+from .builders_jobs import START_MS, OwnerUnderTest, job, queue, registration, row, step, table
 
 A = "00000000000000aa"
 
@@ -375,3 +375,110 @@
         changes.stored()
         owner.scheduler.note_stored()
         self.assertEqual(owner.executor().forgettable_end, 1)
+
+
+class GangsTest(unittest.TestCase):
+    """Tasks that work only together."""
+
+    def setUp(self) -> None:
+        """Two executors that hold three members each."""
+        self.owner = OwnerUnderTest("i-0", "i-1")
+        self.gang = step(count=4, cpu_millis=5000, gang=True, checkpointing=True)
+
+    def test_all_members_start_at_once_or_none(self) -> None:
+        """Two gangs that each get half of the room would wait for each other for good."""
+        self.owner.scheduler.accept(job(A, self.gang), START_MS)
+        runs = self.owner.place()
+        self.assertEqual({run.attempt for run in runs}, {1})
+        self.assertEqual(len(runs), 4)
+        self.owner.scheduler.accept(job("00000000000000bb", self.gang), START_MS)
+        self.assertEqual(self.owner.place(), [])
+        self.assertEqual(
+            sum(one.used_cpu_millis for one in self.owner.scheduler.executors.values()), 20000
+        )
+
+    def test_one_end_stands_for_all(self) -> None:
+        self.owner.scheduler.accept(job(A, self.gang), START_MS)
+        first, *_ = self.owner.place()
+        name = str(first.executor.executor)
+        self.owner.end(name, first.task.name, 1, EndReason.DONE)
+        self.owner.look(name)
+        known = self.owner.scheduler.jobs.get(job(A).job)
+        assert known is not None
+        self.assertIs(known.state, JobState.COMPLETED)
+
+    def test_a_broken_gang_starts_again_together_from_one_checkpoint(self) -> None:
+        """An executor fails one member; the others end as broken. Started one by one, each would hold
+        its room and wait for the others.
+        """
+        self.owner.scheduler.accept(job(A, self.gang), START_MS)
+        runs = self.owner.place()
+        for number, run in enumerate(runs):
+            reason = EndReason.FAILED if number == 0 else EndReason.GANG_BROKEN
+            self.owner.end(str(run.executor.executor), run.task.name, 1, reason, "saved")
+        self.owner.look("i-0")
+        self.assertEqual(self.owner.place(), [])
+        self.owner.look("i-1")
+        again = self.owner.place()
+        self.assertEqual({(run.attempt, run.checkpoint) for run in again}, {(2, "saved")})
+        self.assertEqual(len(again), 4)
+
+    def test_a_gang_that_a_predecessor_began_in_part_is_stopped_and_started_anew(self) -> None:
+        """An owner is killed while it sends out the members of a gang. Those that were started wait
+        for the others, which nobody starts.
+        """
+        owner = OwnerUnderTest()
+        owner.scheduler.recover(
+            [(job(A, self.gang), None)],
+            [registration("i-0"), registration("i-1")],
+            [],
+            owner.now,
+            START_MS,
+        )
+        found = RunningRow(TaskName(f"{A}.0.0.2"), AttemptNumber(1), "", 0, 0.0)
+        owner.look("i-0", found)
+        owner.look("i-1")
+        (stopped,) = owner.stops()
+        owner.answer_stop(stopped)
+        owner.end("i-0", stopped.task.name, 1, EndReason.STOPPED)
+        owner.look("i-0")
+        self.assertEqual([run.attempt for run in owner.place()], [2, 2, 2, 2])
+
+    def test_a_gang_that_is_slower_across_racks_stays_in_one(self) -> None:
+        owner = OwnerUnderTest()
+        for name, rack in (("i-0", "r1"), ("i-1", "r2"), ("i-2", "r2")):
+            owner.scheduler.register(registration(name, rack=rack), owner.now)
+            owner.look(name)
+        owner.scheduler.accept(
+            job(A, step(count=4, cpu_millis=5000, gang=True, same_rack=True)), START_MS
+        )
+        self.assertEqual({run.executor.registration.rack for run in owner.place()}, {"r2"})
+
+
+class BlameTest(unittest.TestCase):
+    """Tasks that can't succeed are told from executors that fail everything."""
+
+    def test_a_task_that_fails_everywhere_does_not_put_executors_out_of_use(self) -> None:
+        """Many jobs come that can never be done. Blamed for each of their failures, all executors
+        would be avoided and sound jobs would find no place.
+        """
+        owner = OwnerUnderTest("i-0", "i-1")
+        owner.scheduler.configure(table(queue(attempts=9)))
+        owner.scheduler.accept(job(A), START_MS)
+        for attempt in range(1, 6):
+            (run,) = owner.place()
+            name = str(run.executor.executor)
+            owner.end(name, run.task.name, attempt, EndReason.FAILED)
+            owner.look(name)
+        self.assertEqual(sum(one.strikes for one in owner.scheduler.executors.values()), 1)
+
+    def test_an_executor_that_fails_all_it_gets_is_avoided(self) -> None:
+        owner = OwnerUnderTest("i-0")
+        for number in range(2):
+            owner.scheduler.accept(job(f"{number:016x}"), START_MS)
+            (run,) = owner.place()
+            owner.end("i-0", run.task.name, 1, EndReason.FAILED)
+            owner.look("i-0")
+            owner.scheduler.cancel(run.task.job.spec.job, owner.now, START_MS)
+        self.assertFalse(owner.executor().usable(owner.now))
+        self.assertTrue(owner.executor().usable(owner.now + 1.1))
--- a/fireflyfork/platform/_registrations.py
+++ b/fireflyfork/platform/_registrations.py
@@ -61,5 +61,7 @@
         draining=entry.state == _DRAINING,
         room=ExecutorRoom(entry.room.cpu, entry.room.mem_mb, entry.room.gpu),
         labels=frozenset(entry.labels),
+        # The list gives the kind first and then the rack.
+        rack=entry.labels[1] if len(entry.labels) > 1 else "",
         incarnation=entry.born,
     )
