Steps of queues with a policy start with the advisor's tickets

A question names up to thirty executors, best first, and its answer serves all tasks of the step until the tickets run out or the executor's life ends; a question without an answer is asked again after 250 ms, a ticket that is refused is dropped.

--- a/fireflyfork/adapters/__init__.py
+++ b/fireflyfork/adapters/__init__.py
@@ -1,5 +1,6 @@
 """What touches sockets, each kind behind an abstract base class."""
 
+from ._advisor import Advice, Advisor, NoAdvisor
 from ._control_content import decode_content, encode_content
 from ._coordination import (
     CoordinationStore,
@@ -29,6 +30,8 @@
 from ._store_http import HttpStore
 
 __all__ = [
+    "Advice",
+    "Advisor",
     "AnswerHead",
     "Call",
     "Chunk",
@@ -52,6 +55,7 @@
     "InstanceChanges",
     "InstanceList",
     "InstanceState",
+    "NoAdvisor",
     "OutgoingCall",
     "PeerConnection",
     "PeerHandler",
--- a/fireflyfork/decisions/jobs/__init__.py
+++ b/fireflyfork/decisions/jobs/__init__.py
@@ -1,7 +1,7 @@
 """Jobs of steps of tasks: what the owner of a service decides about them."""
 
 from ._change_log import ChangeLog
-from ._commands import Command, PaceRun, StartRun, StopRun
+from ._commands import AskAdvice, Command, PaceRun, RunCommand, StartRun, StopRun
 from ._executors import ExecutorRegistration, ExecutorRoom, ExecutorState
 from ._job_table import JobTable
 from ._progress import JobState, StoredProgress, StoredTask
@@ -17,7 +17,7 @@
 )
 from ._runs import Job, Run, RunPhase, Task
 from ._scheduler import Scheduler, SchedulerTerms
-from ._specs import JobSpec, StepSpec, TaskKey, parse_task_name
+from ._specs import JobSpec, StepSpec, TaskKey, parse_task_name, step_name
 from ._stored_forms import (
     StoredFormatError,
     decode_progress,
@@ -29,6 +29,7 @@
 )
 
 __all__ = [
+    "AskAdvice",
     "CallOutcome",
     "ChangeLog",
     "Command",
@@ -47,6 +48,7 @@
     "QueueTable",
     "QueueTerms",
     "Run",
+    "RunCommand",
     "RunPhase",
     "RunningRow",
     "Scheduler",
@@ -68,4 +70,5 @@
     "encode_registrations",
     "parse_task_name",
     "queue_table",
+    "step_name",
 ]
--- a/fireflyfork/decisions/jobs/_commands.py
+++ b/fireflyfork/decisions/jobs/_commands.py
@@ -4,7 +4,9 @@
 
 from dataclasses import dataclass
 
+from ..._ids import ExecutorId
 from ._runs import Run
+from ._tickets import StepId
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,4 +31,13 @@
     percent: int
 
 
-Command = StartRun | StopRun | PaceRun
+@dataclass(frozen=True, slots=True)
+class AskAdvice:
+    """Ask the advisor which of these executors may run a step."""
+
+    step: StepId
+    executors: tuple[ExecutorId, ...]
+
+
+RunCommand = StartRun | StopRun | PaceRun
+Command = RunCommand | AskAdvice
--- a/fireflyfork/decisions/jobs/_job_table.py
+++ b/fireflyfork/decisions/jobs/_job_table.py
@@ -160,7 +160,7 @@
         job.final_ms = now_ms
         self.changes.note(job.spec.job)
 
-    def drop_over(self) -> None:
+    def drop_over(self) -> list[JobId]:
         """Forget jobs whose final state is stored and of which nothing runs any more."""
         over = [
             name
@@ -169,6 +169,7 @@
         ]
         for name in over:
             self._over[name] = self._jobs.pop(name).spec
+        return over
 
     def pending(self) -> dict[QueueName, int]:
         """Of each queue, how many accepted jobs have started nothing."""
--- a/fireflyfork/decisions/jobs/_queues.py
+++ b/fireflyfork/decisions/jobs/_queues.py
@@ -26,6 +26,8 @@
     target_latency_ms: int
     """The objective allows this much besides."""
     timeout_ms: int
+    needs_tickets: bool = False
+    """An advisor tells which executors may run its steps; starts carry its tickets."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/fireflyfork/decisions/jobs/_runs.py
+++ b/fireflyfork/decisions/jobs/_runs.py
@@ -10,6 +10,7 @@
 from ._progress import JobState, StoredProgress, StoredTask
 from ._queues import QueueTerms
 from ._specs import JobSpec, StepSpec, TaskKey
+from ._tickets import StepId
 
 if TYPE_CHECKING:
     from ._executors import ExecutorState
@@ -54,6 +55,8 @@
     cpu_in_use: float = 0.0
     """Thousandths of a core, as last reported."""
     pace_percent: int = 100
+    ticket: str = ""
+    """The advisor's leave to run there, where the queue needs one."""
 
     @property
     def key(self) -> tuple[TaskName, AttemptNumber]:
@@ -84,6 +87,11 @@
     waiting: bool = False
     """Whether it stands in the queue of tasks to place."""
 
+    @property
+    def step_id(self) -> StepId:
+        """The step that it belongs to."""
+        return self.job.spec.job, self.key.occurrence, self.key.step
+
     def stored(self) -> StoredTask | None:
         """What is worth storing, or None."""
         if not self.attempt:
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -13,7 +13,7 @@
 from itertools import count
 
 from ..._ids import AttemptNumber, ExecutorId, JobId, QueueName
-from ._commands import Command, PaceRun, StartRun, StopRun
+from ._commands import AskAdvice, Command, PaceRun, StartRun, StopRun
 from ._executors import ExecutorRegistration, ExecutorState
 from ._gangs import failures, is_free, members, next_attempt, place_together, save
 from ._interference import InterferenceModel
@@ -25,6 +25,7 @@
 from ._reports import CallOutcome, EndedRow, EndReason, LookAnswer, OrderAnswer, RunningRow
 from ._runs import Job, Run, RunPhase, Task
 from ._specs import JobSpec, StepSpec, TaskKey
+from ._tickets import Ticket, TicketBook
 from ._urgency import Urgency, urgency
 
 START_VALID_MS = 1_000
@@ -76,6 +77,7 @@
         self.jobs = JobTable()
         self.executors: dict[ExecutorId, ExecutorState] = {}
         self._interference = InterferenceModel()
+        self._tickets = TicketBook()
         self._commands: list[Command] = []
         self._ready: list[tuple[Urgency, int, Task]] = []
         self._parked: list[Task] = []
@@ -194,6 +196,8 @@
         else:
             if outcome in (CallOutcome.UNHEALTHY, CallOutcome.NO_ROOM):
                 self._strike(executor, now)
+            elif outcome is CallOutcome.NO_TICKET:
+                self._tickets.rejected(run.task.step_id, executor.executor)
             self._gone(run, now)
 
     def stop_answered(self, run: Run, answer: OrderAnswer, now: float) -> None:
@@ -245,6 +249,26 @@
             while executor.unstored_ends and executor.unstored_ends[0][1] <= stored:
                 executor.forgettable_end = executor.unstored_ends.popleft()[0]
 
+    def advised(
+        self,
+        question: AskAdvice,
+        tickets: dict[ExecutorId, str] | None,
+        seconds: float,
+        now: float,
+        now_ms: int,
+    ) -> None:
+        """The advisor named the executors that may run a step, for so long; None: no answer."""
+        if tickets is None:
+            self._tickets.not_answered(question.step, now)
+            return
+        good = {
+            name: Ticket(text, now + seconds, self.executors[name].registration.incarnation)
+            for name, text in tickets.items()
+            if name in self.executors
+        }
+        self._tickets.answered(question.step, question.executors, good, now)
+        self._unpark(now_ms)
+
     # What time brings.
 
     def check_time(self, now: float, now_ms: int) -> None:
@@ -262,10 +286,9 @@
         for job in tuple(self.jobs.waiting_for_time()):
             for task in self.jobs.open_due(job, now_ms):
                 self._enqueue(task)
-        parked, self._parked = self._parked, []
-        for task in parked:
-            self._push(task, now_ms)
-        self.jobs.drop_over()
+        self._unpark(now_ms)
+        for over in self.jobs.drop_over():
+            self._tickets.forget_job(over)
 
     def place(self, now: float, now_ms: int) -> None:
         """Send tasks that may start to executors with room; others wait for the next tick."""
@@ -281,7 +304,8 @@
             crowded = shape in refused or len(refused) >= REFUSED_SHAPES
             crowded = crowded or self._would_take_reserve(task, usable)
             most = most_cost((now_ms - task.job.spec.accepted_ms) / 1000, reserved)
-            if crowded or not self._start(task, usable, most, now):
+            allowed = self._ticketed(task, usable, now)
+            if crowded or not self._start(task, allowed, most, now):
                 refused.add(shape)
                 self._parked.append(task)
                 continue
@@ -289,6 +313,32 @@
 
     # Inside.
 
+    def _unpark(self, now_ms: int) -> None:
+        parked, self._parked = self._parked, []
+        for task in parked:
+            self._push(task, now_ms)
+
+    def _ticketed(self, task: Task, usable: list[ExecutorState], now: float) -> list[ExecutorState]:
+        """The executors that may run a task; asks the advisor where none is known to."""
+        if not task.job.queue.needs_tickets:
+            return usable
+        step = task.step_id
+        allowed = [
+            one
+            for one in usable
+            if self._tickets.valid(step, one.executor, one.registration.incarnation, now)
+        ]
+        if len(allowed) < min(len(members(task)), len(usable)):
+            free = sorted(
+                usable, key=lambda one: one.used_cpu_millis - one.registration.room.cpu_millis
+            )
+            known = {one.executor for one in allowed}
+            names = [one.executor for one in free if one.executor not in known]
+            asked = self._tickets.to_ask(step, names, now)
+            if asked:
+                self._commands.append(AskAdvice(step, asked))
+        return allowed
+
     @staticmethod
     def _would_take_reserve(task: Task, usable: list[ExecutorState]) -> bool:
         """Whether a lasting task that never ran would take the room that is kept for short ones."""
@@ -318,6 +368,10 @@
             executor, started = run.executor, run.task
             run.start_deadline_ms = executor.clock(now) + START_VALID_MS
             run.checkpoint = started.checkpoint
+            if task.job.queue.needs_tickets:
+                life = executor.registration.incarnation
+                ticket = self._tickets.valid(task.step_id, executor.executor, life, now)
+                run.ticket = ticket or ""
             executor.lease_until_ms = max(executor.lease_until_ms, run.start_deadline_ms)
             started.attempt = run.attempt
             started.runs.append(run)
@@ -569,7 +623,8 @@
 
 def _shape(task: Task) -> tuple[object, ...]:
     step = task.spec
-    limited = (task.job.spec.job, task.key.step) if step.per_executor_limit else None
+    own = step.per_executor_limit or task.job.queue.needs_tickets or step.gang
+    limited = task.step_id if own else None
     size = (step.reserved_cpu_millis, step.memory_mb, step.accelerators)
     image = step.image if step.uses_leftover_cpu else ""
     return (*size, step.required_label, limited, image)
--- a/fireflyfork/decisions/jobs/_specs.py
+++ b/fireflyfork/decisions/jobs/_specs.py
@@ -109,6 +109,11 @@
         return TaskName(f"{job}.{self.occurrence}.{self.step}.{self.index}")
 
 
+def step_name(job: JobId, occurrence: int, step: int) -> str:
+    """The name that an advisor knows a step by."""
+    return f"{job}.{occurrence}.{step}"
+
+
 def parse_task_name(name: TaskName) -> tuple[JobId, TaskKey] | None:
     """Job and key of a task's name, or None when it isn't one."""
     parts = name.split(".")
--- a/fireflyfork/decisions/jobs/tests/test_scheduler.py
+++ b/fireflyfork/decisions/jobs/tests/test_scheduler.py
@@ -3,7 +3,16 @@
 import unittest
 
 from ...._ids import AttemptNumber, ExecutorId, TaskName
-from .. import CallOutcome, EndReason, JobState, RunningRow, RunPhase, StoredProgress, StoredTask
+from .. import (
+    AskAdvice,
+    CallOutcome,
+    EndReason,
+    JobState,
+    RunningRow,
+    RunPhase,
+    StoredProgress,
+    StoredTask,
+)
 from .builders_jobs import START_MS, OwnerUnderTest, job, queue, registration, row, step, table
 
 A = "00000000000000aa"
@@ -482,3 +491,53 @@
             owner.scheduler.cancel(run.task.job.spec.job, owner.now, START_MS)
         self.assertFalse(owner.executor().usable(owner.now))
         self.assertTrue(owner.executor().usable(owner.now + 1.1))
+
+
+class TicketsTest(unittest.TestCase):
+    """Queues whose policy lets only some executors run a step."""
+
+    def setUp(self) -> None:
+        """A queue that needs tickets, and two executors."""
+        self.owner = OwnerUnderTest("i-0", "i-1")
+        self.owner.scheduler.configure(table(queue(needs_tickets=True)))
+        self.owner.scheduler.accept(job(A), START_MS)
+
+    def _ask(self) -> AskAdvice:
+        self.owner.scheduler.place(self.owner.now, START_MS)
+        commands = self.owner.scheduler.take_commands()
+        (question,) = (one for one in commands if isinstance(one, AskAdvice))
+        self.assertEqual(len(commands), 1)
+        return question
+
+    def _answer(self, question: AskAdvice, tickets: dict[ExecutorId, str] | None) -> None:
+        self.owner.scheduler.advised(question, tickets, 3.0, self.owner.now, START_MS)
+
+    def test_a_start_waits_for_the_ticket_and_carries_it(self) -> None:
+        question = self._ask()
+        self.assertEqual(set(question.executors), {"i-0", "i-1"})
+        self._answer(question, {ExecutorId("i-1"): "t"})
+        (run,) = self.owner.place()
+        self.assertEqual((run.executor.executor, run.ticket), ("i-1", "t"))
+
+    def test_an_advisor_that_does_not_answer_is_asked_again(self) -> None:
+        """The advisor is busy and turns a question away. Asked again at once it would only be busier;
+        never asked again, the job would wait for good.
+        """
+        self._answer(self._ask(), None)
+        self.owner.scheduler.place(self.owner.now, START_MS)
+        self.assertEqual(self.owner.scheduler.take_commands(), [])
+        self.owner.tick(0.3)
+        self._ask()
+
+    def test_a_ticket_that_is_refused_is_not_used_again(self) -> None:
+        """A ticket runs out on its way. Sent again and again, the start would be refused each time."""
+        self._answer(self._ask(), {ExecutorId("i-1"): "old"})
+        (run,) = self.owner.send()
+        self.owner.answer_start(run, CallOutcome.NO_TICKET)
+        self.assertEqual(self._ask().executors[0], "i-1")
+
+    def test_a_ticket_does_not_outlive_the_executor(self) -> None:
+        self._answer(self._ask(), {ExecutorId("i-1"): "t"})
+        self.owner.scheduler.register(registration("i-1", incarnation=2), self.owner.now)
+        self.owner.look("i-1", incarnation=2)
+        self.assertEqual(self.owner.send(), [])
--- a/fireflyfork/platform/__init__.py
+++ b/fireflyfork/platform/__init__.py
@@ -3,6 +3,7 @@
 Nothing here decides anything, and nothing outside knows the platform's names.
 """
 
+from ._advisor_client import PlatformAdvisor
 from ._configuration import decode_configuration
 from ._executor_client import PlatformExecutors
 from ._jobs import decode_job, encode_pending, encode_state, parse_job_id
@@ -23,6 +24,7 @@
     "READINESS_PATH",
     "REGISTRATION_PREFIX",
     "NodeSettings",
+    "PlatformAdvisor",
     "PlatformBounds",
     "PlatformExecutors",
     "PlatformStore",
--- /dev/null
+++ b/fireflyfork/platform/_advisor_client.py
@@ -0,0 +1,48 @@
+"""The service that tells which executors may run a step."""
+
+from __future__ import annotations
+
+import msgspec
+from loguru import logger
+
+from .._ids import ExecutorId
+from .._links import Address
+from ..adapters import Advice, Advisor, HttpError
+from ._http_calls import JsonCalls
+from ._names import ADVICE_PATH
+
+CALL_TIMEOUT_SECONDS = 2.0
+"""It takes its time for each executor named, and serves one call of an instance after the other."""
+
+
+class _Question(msgspec.Struct):
+    step: str
+    workers: list[str]
+
+
+class _Answer(msgspec.Struct):
+    good: list[tuple[str, str]]
+    valid_ms: int
+
+
+class PlatformAdvisor(Advisor):
+    """A client of the advisor."""
+
+    def __init__(self, address: Address) -> None:
+        """Connect to ``address`` when first needed."""
+        self._calls = JsonCalls(address, CALL_TIMEOUT_SECONDS)
+
+    async def advise(self, step: str, executors: tuple[ExecutorId, ...]) -> Advice | None:
+        """See Advisor."""
+        body = msgspec.json.encode(_Question(step, list(executors)))
+        try:
+            answer = await self._calls.call("POST", ADVICE_PATH, body)
+            if answer.status != 200:
+                logger.info("no advice", step=step, status=answer.status)
+                return None
+            found = msgspec.json.decode(answer.body, type=_Answer)
+        except (HttpError, msgspec.DecodeError, msgspec.ValidationError) as error:
+            logger.info("no advice", step=step, error=str(error))
+            return None
+        tickets = {ExecutorId(name): ticket for name, ticket in found.good}
+        return Advice(tickets, found.valid_ms / 1000)
--- a/fireflyfork/platform/_configuration.py
+++ b/fireflyfork/platform/_configuration.py
@@ -9,6 +9,10 @@
 from ..decisions.jobs import QueueTable, QueueTerms, queue_table
 
 
+class _Advice(msgspec.Struct):
+    """Figures of the advisor; that there are some says that tickets are needed."""
+
+
 class _Route(msgspec.Struct):
     name: str
     host: str
@@ -19,6 +23,7 @@
     stretch_factor: float = 1.0
     target_latency_ms: int = 0
     timeout_ms: int = 0
+    advice: _Advice | None = None
 
 
 class _Service(msgspec.Struct):
@@ -55,4 +60,5 @@
         stretch_factor=route.stretch_factor,
         target_latency_ms=route.target_latency_ms,
         timeout_ms=route.timeout_ms,
+        needs_tickets=route.advice is not None,
     )
--- a/fireflyfork/platform/_names.py
+++ b/fireflyfork/platform/_names.py
@@ -11,6 +11,8 @@
 PACE_PATH = "/pace"
 LOOK_PATH = "/hold"
 
+ADVICE_PATH = "/advise"
+
 KEY_PATH = "/kv-key"
 RANGE_PATH = "/kv-range"
 WATCH_PATH = "/kv-watch"
--- a/fireflyfork/platform/_settings.py
+++ b/fireflyfork/platform/_settings.py
@@ -43,6 +43,8 @@
     """Where metrics are served: the first port that is free for the system's own use."""
     store_address: Address
     """The platform's store."""
+    advisor_address: Address | None
+    """The service that tells which executors may run a step, where there is one."""
     bounds: PlatformBounds
 
 
@@ -81,6 +83,7 @@
         readiness_address=Address.parse(_text(fields, "listen.readiness")),
         metrics_address=Address(caller.host, _first_port(fields)),
         store_address=Address.parse(_text(fields, "platform.address")),
+        advisor_address=_optional_address(fields, "advice"),
         bounds=PlatformBounds(
             longest_lease=_number(fields, "bounds.max_hold_ms") / 1000,
             stop_timeout=_number(fields, "bounds.stop_timeout_ms") / 1000,
@@ -103,6 +106,11 @@
     return value
 
 
+def _optional_address(fields: dict[str, str], name: str) -> Address | None:
+    value = fields.get(name, "")
+    return Address.parse(value) if value else None
+
+
 def _number(fields: dict[str, str], name: str) -> float:
     value = _text(fields, name)
     try:
--- a/fireflyfork/programs/_scheduler_node.py
+++ b/fireflyfork/programs/_scheduler_node.py
@@ -8,7 +8,15 @@
 from loguru import logger
 
 from .._ids import ServiceName
-from ..adapters import CoordinationStore, Exchange, ExecutorCalls, HttpHandler, HttpServer, listen
+from ..adapters import (
+    Advisor,
+    CoordinationStore,
+    Exchange,
+    ExecutorCalls,
+    HttpHandler,
+    HttpServer,
+    listen,
+)
 from ..decisions.jobs import QueueTable
 from ..platform import READINESS_PATH, NodeSettings
 from ._clocks import Clock
@@ -51,6 +59,7 @@
         settings: NodeSettings,
         store: CoordinationStore,
         calls: ExecutorCalls,
+        advisor: Advisor,
         clock: Clock,
         random: Random,
     ) -> None:
@@ -58,6 +67,7 @@
         self._settings = settings
         self._store = store
         self._calls = calls
+        self._advisor = advisor
         self._clock = clock
         self._random = random
         self._metrics = Metrics()
@@ -138,6 +148,7 @@
             self._settings.node,
             self._store,
             self._calls,
+            self._advisor,
             self._clock,
             self._random,
             self._settings.bounds,
--- a/fireflyfork/programs/_service_candidate.py
+++ b/fireflyfork/programs/_service_candidate.py
@@ -8,7 +8,7 @@
 import trio
 
 from .._ids import NodeName, ServiceName
-from ..adapters import CoordinationStore, ExecutorCalls
+from ..adapters import Advisor, CoordinationStore, ExecutorCalls
 from ..decisions.jobs import QueueTable
 from ..platform import PlatformBounds
 from ._clocks import Clock
@@ -28,6 +28,7 @@
         node: NodeName,
         store: CoordinationStore,
         calls: ExecutorCalls,
+        advisor: Advisor,
         clock: Clock,
         random: Random,
         bounds: PlatformBounds,
@@ -37,6 +38,7 @@
         self._service = service
         self._store = store
         self._calls = calls
+        self._advisor = advisor
         self._clock = clock
         self._bounds = bounds
         self._queues = queues
@@ -58,7 +60,13 @@
             if self._waiting.cancelled_caught:
                 return
             self._owner = ServiceOwner(
-                term, self._store, self._calls, self._clock, self._bounds, self._queues
+                term,
+                self._store,
+                self._calls,
+                self._clock,
+                self._advisor,
+                self._bounds,
+                self._queues,
             )
             try:
                 async with trio.open_nursery() as nursery:
--- a/fireflyfork/programs/_service_owner.py
+++ b/fireflyfork/programs/_service_owner.py
@@ -9,10 +9,17 @@
 
 from .._errors import StoreError, StoreHistoryLostError
 from .._ids import JobId, Revision, ServiceName
-from ..adapters import CoordinationStore, ExecutorCalls, ExecutorPlace, StoreChange, StoredItem
+from ..adapters import (
+    Advisor,
+    CoordinationStore,
+    ExecutorCalls,
+    ExecutorPlace,
+    StoreChange,
+    StoredItem,
+)
 from ..decisions.jobs import (
+    AskAdvice,
     CallOutcome,
-    Command,
     ExecutorRegistration,
     ExecutorState,
     JobSpec,
@@ -20,6 +27,7 @@
     PaceRun,
     QueueTable,
     Run,
+    RunCommand,
     Scheduler,
     SchedulerTerms,
     StartRequest,
@@ -29,6 +37,7 @@
     StoredProgress,
     decode_progress,
     decode_stored_job,
+    step_name,
 )
 from ..platform import (
     REGISTRATION_PREFIX,
@@ -68,6 +77,7 @@
         store: CoordinationStore,
         calls: ExecutorCalls,
         clock: Clock,
+        advisor: Advisor,
         bounds: PlatformBounds,
         queues: Callable[[], QueueTable],
     ) -> None:
@@ -76,6 +86,7 @@
         self._service: ServiceName = term.service
         self._store = store
         self._calls = calls
+        self._advisor = advisor
         self._clock = clock
         self._queues = queues
         lease = min(LEASE_SECONDS, bounds.longest_lease * LEASE_SHARE)
@@ -313,7 +324,10 @@
             if not self._resigning:
                 self._scheduler.place(self._clock.now(), self._clock.unix_ms())
             for command in self._scheduler.take_commands():
-                nursery.start_soon(self._carry_out, command)
+                if isinstance(command, AskAdvice):
+                    nursery.start_soon(self._ask_advice, command)
+                else:
+                    nursery.start_soon(self._carry_out, command)
             self._journal.notify()
 
     async def _look_after(self, executor: ExecutorState) -> None:
@@ -323,7 +337,17 @@
             self._looked_after.discard(executor)
             self._limits.pop(executor, None)
 
-    async def _carry_out(self, command: Command) -> None:
+    async def _ask_advice(self, question: AskAdvice) -> None:
+        advice = await self._advisor.advise(step_name(*question.step), question.executors)
+        now, now_ms = self._clock.now(), self._clock.unix_ms()
+        if advice is None:
+            self._scheduler.advised(question, None, 0.0, now, now_ms)
+        else:
+            seconds = advice.valid_seconds
+            self._scheduler.advised(question, advice.tickets, seconds, now, now_ms)
+        self.kick()
+
+    async def _carry_out(self, command: RunCommand) -> None:
         executor = command.run.executor
         limit = self._limits.setdefault(executor, trio.CapacityLimiter(CALLS_AT_ONCE))
         async with limit:
@@ -342,7 +366,7 @@
                 return
         self.kick()
 
-    async def _order(self, command: Command, executor: ExecutorState) -> OrderAnswer:
+    async def _order(self, command: RunCommand, executor: ExecutorState) -> OrderAnswer:
         run = command.run
         place = ExecutorPlace(executor.executor, executor.registration.address)
         self._looks.wake(executor)
@@ -358,6 +382,7 @@
             run.task.job.spec.payload,
             run.start_deadline_ms,
             run.checkpoint,
+            run.ticket,
         )
         return await self._calls.start(place, self._term.token, order)
 
--- a/fireflyfork/programs/scheduler.py
+++ b/fireflyfork/programs/scheduler.py
@@ -14,8 +14,10 @@
 from loguru import logger
 
 from .._errors import SettingsError
+from ..adapters import NoAdvisor
 from ..platform import (
     NodeSettings,
+    PlatformAdvisor,
     PlatformExecutors,
     PlatformStore,
     load_node_settings,
@@ -31,7 +33,9 @@
     clock = SystemClock()
     random = Random(secrets.randbits(64))
     store = PlatformStore(settings.store_address)
-    node = SchedulerNode(settings, store, PlatformExecutors(), clock, random)
+    address = settings.advisor_address
+    advisor = NoAdvisor() if address is None else PlatformAdvisor(address)
+    node = SchedulerNode(settings, store, PlatformExecutors(), advisor, clock, random)
     stop = trio.Event()
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_stop_on_signal, stop)
