--- a/fireflyfork/decisions/jobs/__init__.py
+++ b/fireflyfork/decisions/jobs/__init__.py
@@ -4,6 +4,7 @@
 from ._commands import AskAdvice, Command, PaceRun, RunCommand, StartRun, StopRun
 from ._executors import ExecutorRegistration, ExecutorRoom, ExecutorState
 from ._job_table import JobTable
+from ._notes import ExecutorGivenUp, JobOver, Note, RunEnded, TaskSent
 from ._progress import JobState, StoredProgress, StoredTask
 from ._queues import QueueTable, QueueTerms, queue_table
 from ._reports import (
@@ -35,20 +36,24 @@
     "Command",
     "EndReason",
     "EndedRow",
+    "ExecutorGivenUp",
     "ExecutorRegistration",
     "ExecutorRoom",
     "ExecutorState",
     "Job",
+    "JobOver",
     "JobSpec",
     "JobState",
     "JobTable",
     "LookAnswer",
+    "Note",
     "OrderAnswer",
     "PaceRun",
     "QueueTable",
     "QueueTerms",
     "Run",
     "RunCommand",
+    "RunEnded",
     "RunPhase",
     "RunningRow",
     "Scheduler",
@@ -62,6 +67,7 @@
     "StoredTask",
     "Task",
     "TaskKey",
+    "TaskSent",
     "decode_progress",
     "decode_registrations",
     "decode_stored_job",
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -18,6 +18,7 @@
 from ._gangs import failures, is_free, members, next_attempt, place_together, save
 from ._interference import InterferenceModel
 from ._job_table import JobTable, terms_without_queue
+from ._notes import ExecutorGivenUp, JobOver, Note, RunEnded, TaskSent
 from ._pacing import adjust_pace
 from ._placing import choose, most_cost
 from ._progress import JobState, StoredProgress
@@ -79,6 +80,7 @@
         self._interference = InterferenceModel()
         self._tickets = TicketBook()
         self._commands: list[Command] = []
+        self._notes: list[Note] = []
         self._ready: list[tuple[Urgency, int, Task]] = []
         self._parked: list[Task] = []
         self._sequence = count()
@@ -102,6 +104,11 @@
         commands, self._commands = self._commands, []
         return commands
 
+    def take_notes(self) -> list[Note]:
+        """What is to be logged, once."""
+        notes, self._notes = self._notes, []
+        return notes
+
     def configure(self, queues: QueueTable) -> None:
         """Use another version of the queues."""
         self.jobs.configure(queues)
@@ -305,7 +312,7 @@
             crowded = crowded or self._would_take_reserve(task, usable)
             most = most_cost((now_ms - task.job.spec.accepted_ms) / 1000, reserved)
             allowed = self._ticketed(task, usable, now)
-            if crowded or not self._start(task, allowed, most, now):
+            if crowded or not self._start(task, allowed, most, now, now_ms):
                 refused.add(shape)
                 self._parked.append(task)
                 continue
@@ -357,7 +364,9 @@
         """
         return self.executors.get(executor.executor) is executor
 
-    def _start(self, task: Task, usable: list[ExecutorState], most: float, now: float) -> bool:
+    def _start(
+        self, task: Task, usable: list[ExecutorState], most: float, now: float, now_ms: int
+    ) -> bool:
         """Start a task, with its gang if it has one, where there is room for all."""
 
         def choice(one: Task, executors: list[ExecutorState]) -> ExecutorState | None:
@@ -377,6 +386,7 @@
             started.runs.append(run)
             started.last_executor = executor.executor
             self._commands.append(StartRun(run))
+            self._notes.append(_sent(run, now, now_ms))
         if runs:
             self.jobs.note_started(task.job)
         return bool(runs)
@@ -418,6 +428,7 @@
 
     def _finish(self, job: Job, state: JobState, now: float, now_ms: int) -> None:
         self.jobs.finish(job, state, now_ms)
+        self._notes.append(_over(job, now_ms))
         for task in job.tasks.values():
             for run in tuple(task.runs):
                 if run.works:
@@ -435,6 +446,7 @@
         task = run.task if run is not None else self.jobs.task(row.task)
         if task is None:
             return
+        self._notes.append(RunEnded(row.task, row.attempt, executor.executor, row.reason))
         if row.checkpoint and task.spec.checkpointing:
             save(task, row.checkpoint)
         if row.reason is EndReason.DONE and not task.spec.long_running:
@@ -453,6 +465,8 @@
         for member in members(task):
             for ready in self.jobs.task_done(member, now_ms):
                 self._enqueue(ready)
+        if task.job.state.is_final:
+            self._notes.append(_over(task.job, now_ms))
         for other in tuple(task.runs):
             if other.works and other.executor is not executor:
                 self._stop(other, now)
@@ -552,6 +566,7 @@
     ) -> None:
         """The executor started anew: what ran in its earlier life is over."""
         runs = tuple(executor.runs.values())
+        self._notes.append(ExecutorGivenUp(executor.executor, len(runs), "it has started anew"))
         executor.begin_incarnation(registration, now)
         for run in runs:
             self._gone(run, now)
@@ -608,6 +623,9 @@
         """What ran on an executor that doesn't answer is over once its lease has lapsed."""
         reached = executor.looked_at is not None
         if reached and not executor.answers and executor.lease_has_lapsed(now):
+            if executor.runs:
+                lost = len(executor.runs)
+                self._notes.append(ExecutorGivenUp(executor.executor, lost, "its lease lapsed"))
             for run in tuple(executor.runs.values()):
                 self._gone(run, now)
         over = not executor.runs and executor.executor not in self._unreached
@@ -630,5 +648,23 @@
     return (*size, step.required_label, limited, image)
 
 
+def _sent(run: Run, now: float, now_ms: int) -> TaskSent:
+    executor = run.executor
+    looked_at = executor.looked_at if executor.looked_at is not None else now
+    return TaskSent(
+        run.task.name,
+        run.attempt,
+        executor.executor,
+        now_ms - run.task.job.spec.accepted_ms,
+        int((now - looked_at) * 1000),
+        executor.strikes,
+    )
+
+
+def _over(job: Job, now_ms: int) -> JobOver:
+    age = now_ms - job.spec.accepted_ms
+    return JobOver(job.spec.job, job.state, age, int(job.allowed_ms()))
+
+
 def _reborn_as(executor: ExecutorState, incarnation: int) -> ExecutorRegistration:
     return replace(executor.registration, incarnation=incarnation)
--- a/fireflyfork/programs/_logs.py
+++ b/fireflyfork/programs/_logs.py
@@ -1,4 +1,4 @@
-"""Logs as JSON lines on stderr, with the trace that a line belongs to."""
+"""Logs as JSON lines, with the trace that a line belongs to."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 import traceback
 from collections.abc import Mapping
 from contextvars import ContextVar
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, TextIO
 
 import msgspec
 from loguru import logger
@@ -18,17 +18,23 @@
 """The trace id of the request that the running trio task works for."""
 
 
-def configure_logs(level: str, context: Mapping[str, str]) -> None:
+def configure_logs(level: str, context: Mapping[str, str], stream: TextIO = sys.stderr) -> None:
     """Log lines of ``level`` and above as JSON objects, each with the fields of ``context``.
 
     Written by the loop's own thread: loguru's queue would start a second one.
     """
     logger.remove()
     logger.configure(extra=dict(context))
-    logger.add(_write, level=level, format="{message}", enqueue=False, catch=False)
+    logger.add(
+        lambda message: _write(message, stream),
+        level=level,
+        format="{message}",
+        enqueue=False,
+        catch=False,
+    )
 
 
-def _write(message: Message) -> None:
+def _write(message: Message, stream: TextIO) -> None:
     record = message.record
     line: dict[str, Any] = {
         "time": record["time"].isoformat(),
@@ -43,4 +49,5 @@
         line["exception"] = repr(record["exception"].value)
         frames = traceback.extract_tb(record["exception"].traceback)
         line["raised_at"] = [f"{frame.filename}:{frame.lineno}" for frame in frames[-3:]]
-    sys.stderr.write(msgspec.json.encode(line, enc_hook=str).decode("utf-8") + "\n")
+    stream.write(msgspec.json.encode(line, enc_hook=str).decode("utf-8") + "\n")
+    stream.flush()
--- a/fireflyfork/programs/_service_owner.py
+++ b/fireflyfork/programs/_service_owner.py
@@ -46,6 +46,7 @@
     registered_executor,
 )
 from ._clocks import Clock
+from ._decision_log import DecisionLog
 from ._executor_looks import ORPHANED_LEASE_SECONDS, ExecutorLooks
 from ._scheduling_keys import CANCEL_PREFIX, JOB_PREFIX, PROGRESS_PREFIX, WORK_PREFIX, owner_key
 from ._service_journal import OwnershipLostError, ServiceJournal
@@ -103,6 +104,7 @@
             lambda: self._contact,
             self.kick,
         )
+        self._log = DecisionLog(clock, self._service)
         self._contact = clock.now()
         self._work = trio.Event()
         self._resigning = False
@@ -328,6 +330,7 @@
                     nursery.start_soon(self._ask_advice, command)
                 else:
                     nursery.start_soon(self._carry_out, command)
+            self._log.write(self._scheduler.take_notes())
             self._journal.notify()
 
     async def _look_after(self, executor: ExecutorState) -> None:
--- a/fireflyfork/programs/scheduler.py
+++ b/fireflyfork/programs/scheduler.py
@@ -58,7 +58,7 @@
         settings = load_node_settings(settings_path())
     except SettingsError as error:
         sys.exit(f"fireflyfork-scheduler: {error}")
-    configure_logs("INFO", {"node": settings.node})
+    configure_logs("INFO", {"node": settings.node}, sys.stdout)
     trio.run(run, settings)
 
 
