--- /dev/null
+++ b/fireflyfork_standins/scheduling/__main__.py
@@ -0,0 +1,72 @@
+"""``python -m fireflyfork_standins.scheduling``: plays days of the platform and reports on them."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Iterator
+
+import defopt
+from loguru import logger
+
+from ._world import TROUBLES, Profile, Report, run_world
+
+
+def play(
+    *,
+    seed: int = 1,
+    days: int = 1,
+    seconds: float = 20.0,
+    instances: int = 3,
+    executors: int = 6,
+    jobs_per_second: float = 2.0,
+    troubles: tuple[str, ...] = (),
+    all_troubles: bool = False,
+    logs: bool = False,
+) -> None:
+    """Play days on a virtual clock, the scheduler's real code in one process.
+
+    :param seed: of the first day; each further day takes the next one
+    :param days: how many
+    :param seconds: of traffic a day
+    :param instances: of the scheduler
+    :param executors: of the platform
+    :param jobs_per_second: that callers hand in
+    :param troubles: kinds that may come, at any moment and together
+    :param all_troubles: every kind may come
+    :param logs: also print what the instances log
+    """
+    unknown = sorted(set(troubles) - set(TROUBLES))
+    if unknown:
+        print(f"unknown trouble {unknown[0]!r}; one of: {', '.join(TROUBLES)}", file=sys.stderr)
+        sys.exit(2)
+    if not logs:
+        logger.remove()
+    profile = Profile(
+        instances,
+        executors,
+        seconds,
+        jobs_per_second,
+        troubles=TROUBLES if all_troubles else troubles,
+    )
+    broken = 0
+    for day in range(seed, seed + days):
+        report = run_world(day, profile)
+        broken += len(report.violations)
+        print("\n".join(_lines(day, report)))
+    sys.exit(1 if broken else 0)
+
+
+def _lines(seed: int, report: Report) -> Iterator[str]:
+    states = ", ".join(f"{n} {state.value}" for state, n in report.states.items())
+    ends = ", ".join(f"{n} {reason.value}" for reason, n in report.ends.items())
+    yield f"seed {seed}: {report.accepted} jobs accepted ({states})"
+    yield f"  {report.refused} refusals, {report.unsure} answers that settled nothing"
+    yield f"  {report.starts} runs ({ends}), {report.store_calls} calls to the store"
+    for trouble in report.troubles:
+        yield f"  trouble at {trouble}"
+    for one in report.violations:
+        yield f"  BROKEN at {one.at:.2f}: {one.promise}: {one.what}"
+
+
+if __name__ == "__main__":
+    defopt.run(play)
--- a/fireflyfork_standins/scheduling/_world.py
+++ b/fireflyfork_standins/scheduling/_world.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
 
@@ -36,6 +35,25 @@
 from ._store import StandInStore
 
 SERVICE = ServiceName("desk")
+TROUBLES = (
+    "kill",
+    "kill_all",
+    "freeze",
+    "stop",
+    "store_down",
+    "store_refuses_owner",
+    "store_lost",
+    "store_forgets",
+    "executor_crash",
+    "executor_cut",
+    "executor_reborn",
+    "late_orders",
+    "lost_orders",
+    "executor_fails",
+    "executor_stalls",
+    "unregistered",
+)
+"""The kinds of trouble; each is a method of the world of the same name."""
 RESTART_SECONDS = 0.7
 SETTLE_SECONDS = 60.0
 """After the last trouble everything that was accepted has to end within this: the longest wait for
@@ -219,30 +237,12 @@
     # Trouble.
 
     async def _troubles(self, nursery: trio.Nursery) -> None:
-        kinds: dict[str, Callable[[trio.Nursery], object]] = {
-            "kill": self._kill,
-            "kill_all": self._kill_all,
-            "freeze": self._freeze,
-            "stop": self._stop,
-            "store_down": self._store_down,
-            "store_refuses_owner": self._store_refuses_owner,
-            "store_lost": self._store_lost,
-            "store_forgets": self._store_forgets,
-            "executor_crash": self._executor_crash,
-            "executor_cut": self._executor_cut,
-            "executor_reborn": self._executor_reborn,
-            "late_orders": self._late_orders,
-            "lost_orders": self._lost_orders,
-            "executor_fails": self._executor_fails,
-            "executor_stalls": self._executor_stalls,
-            "unregistered": self._unregistered,
-        }
         end = trio.current_time() + self._profile.seconds
         while trio.current_time() < end:
             await trio.sleep(self._random.expovariate(1 / self._profile.trouble_gap_seconds))
             kind = self._random.choice(self._profile.troubles)
             self._report.troubles.append(f"{trio.current_time():.2f} {kind}")
-            nursery.start_soon(kinds[kind], nursery)  # type: ignore[arg-type]
+            nursery.start_soon(getattr(self, f"_{kind}"), nursery)
 
     def _some_node(self) -> StandInNode:
         """The owner, mostly: most can go wrong there."""
--- a/fireflyfork_standins/tests/test_scheduling_days.py
+++ b/fireflyfork_standins/tests/test_scheduling_days.py
@@ -5,26 +5,7 @@
 
 from fireflyfork.decisions.jobs import ExecutorState, Scheduler
 from fireflyfork.programs._job_requests import JobRequests
-from fireflyfork_standins.scheduling import Profile, Report, run_world
-
-KINDS = (
-    "kill",
-    "kill_all",
-    "freeze",
-    "stop",
-    "store_down",
-    "store_refuses_owner",
-    "store_lost",
-    "store_forgets",
-    "executor_crash",
-    "executor_cut",
-    "executor_reborn",
-    "late_orders",
-    "lost_orders",
-    "executor_fails",
-    "executor_stalls",
-    "unregistered",
-)
+from fireflyfork_standins.scheduling import TROUBLES, Profile, Report, run_world
 
 FAILED_BEFORE = (
     # An executor's clock was taken to be hours ahead, so its tasks were given away too early.
@@ -35,8 +16,8 @@
     (6, ("executor_crash",)),
     (105, ("freeze", "executor_crash")),
     # The stand-in took runs of two lives for one, and carried an order out in a process that was gone.
-    (1139, KINDS),
-    (1182, KINDS),
+    (1139, TROUBLES),
+    (1182, TROUBLES),
 )
 
 
@@ -57,7 +38,7 @@
         """Processes are killed, frozen and stopped, the store fails in its ways, and executors crash,
         hang, vanish or answer late. Callers still get what they were promised.
         """
-        for kind in KINDS:
+        for kind in TROUBLES:
             with self.subTest(kind):
                 report = _play(11, (kind,))
                 self.assertEqual(report.violations, [])
@@ -67,7 +48,7 @@
         """Several things go wrong at once, and again while the first is being mended."""
         for seed in range(20, 26):
             with self.subTest(seed):
-                self.assertEqual(_play(seed, KINDS).violations, [])
+                self.assertEqual(_play(seed, TROUBLES).violations, [])
 
     def test_a_store_that_forgets_its_history_is_not_asked_in_a_loop(self) -> None:
         """The store drops its history. Candidates that go on asking for changes since the owner took
@@ -84,7 +65,7 @@
                 self.assertEqual(_play(seed, troubles).violations, [])
 
     def test_a_seed_plays_the_same_day_again(self) -> None:
-        self.assertEqual(_play(3, KINDS), _play(3, KINDS))
+        self.assertEqual(_play(3, TROUBLES), _play(3, TROUBLES))
 
 
 class ChecksTest(unittest.TestCase):
