The owner's decisions stand in modules of one job each; leaving executors are emptied after a takeover too

Behaviour as before but for one fault found in reading: an owner that met an executor as leaving already never moved its lasting tasks (a test failed first).

--- a/fireflyfork/decisions/jobs/_executors.py
+++ b/fireflyfork/decisions/jobs/_executors.py
@@ -198,6 +198,7 @@
         self.known_since = now
         self.looked_at = None
         self.failed_looks = 0
+        self.leaving_since = None
         self.clock_ms = 0
         self.clock_at = now
         self.lease_until_ms = 0
--- /dev/null
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -0,0 +1,136 @@
+"""Sending tasks that wait to executors with room."""
+
+from __future__ import annotations
+
+import heapq
+
+from ._commands import AskAdvice, StartRun
+from ._executors import ExecutorState
+from ._gangs import members, next_attempt, place_together
+from ._notes import TaskSent
+from ._placing import choose, most_cost
+from ._runs import Run, Task
+from ._work import Work
+
+START_VALID_MS = 1_000
+"""An order that is carried out later than this is void. Answers take 1 to 45 ms; a start that comes
+seconds late would meet its successor."""
+SHORT_TASK_RESERVE = 0.10
+"""The share of all processors that lasting tasks leave free. Short ones come in waves of a twentieth
+on average; a core that they hold is worth four times one that a lasting task holds."""
+REFUSED_SHAPES = 24
+"""A placing round ends when so many different sizes found no room: more would find none either, and
+each costs a look at every executor."""
+
+
+class Placement:
+    """Places tasks."""
+
+    def __init__(self, work: Work) -> None:
+        """Change ``work``."""
+        self._work = work
+
+    def place(self, now: float, now_ms: int) -> None:
+        """Send tasks that may start to executors with room; others wait for the next tick."""
+        usable = [one for one in self._work.executors.values() if one.usable(now)]
+        reserved = _reserved_share(usable)
+        refused: set[tuple[object, ...]] = set()
+        while self._work.ready and usable:
+            task = heapq.heappop(self._work.ready)[-1]
+            if not self._work.wants_run(task):
+                task.waiting = False
+                continue
+            shape = _shape(task)
+            crowded = shape in refused or len(refused) >= REFUSED_SHAPES
+            crowded = crowded or self._would_take_reserve(task, usable)
+            most = most_cost((now_ms - task.job.spec.accepted_ms) / 1000, reserved)
+            allowed = self._ticketed(task, usable, now)
+            if crowded or not self._start(task, allowed, most, now, now_ms):
+                refused.add(shape)
+                self._work.parked.append(task)
+                continue
+            task.waiting = False
+
+    def _ticketed(self, task: Task, usable: list[ExecutorState], now: float) -> list[ExecutorState]:
+        """The executors that may run a task; asks the advisor where none is known to."""
+        if not task.job.queue.needs_tickets:
+            return usable
+        step = task.step_id
+        allowed = [
+            one
+            for one in usable
+            if self._work.tickets.valid(step, one.executor, one.registration.incarnation, now)
+        ]
+        if len(allowed) < min(len(members(task)), len(usable)):
+            free = sorted(
+                usable, key=lambda one: one.used_cpu_millis - one.registration.room.cpu_millis
+            )
+            known = {one.executor for one in allowed}
+            names = [one.executor for one in free if one.executor not in known]
+            asked = self._work.tickets.to_ask(step, names, now)
+            if asked:
+                self._work.commands.append(AskAdvice(step, asked))
+        return allowed
+
+    @staticmethod
+    def _would_take_reserve(task: Task, usable: list[ExecutorState]) -> bool:
+        """Whether a lasting task that never ran would take the room that is kept for short ones."""
+        if not task.spec.long_running or task.attempt:
+            return False
+        room = sum(one.registration.room.cpu_millis for one in usable)
+        used = sum(one.lasting_cpu_millis for one in usable)
+        return used + task.spec.reserved_cpu_millis > room * (1 - SHORT_TASK_RESERVE)
+
+    def _start(
+        self, task: Task, usable: list[ExecutorState], most: float, now: float, now_ms: int
+    ) -> bool:
+        """Start a task, with its gang if it has one, where there is room for all."""
+
+        def choice(one: Task, executors: list[ExecutorState]) -> ExecutorState | None:
+            return choose(one, executors, self._work.interference, most)
+
+        runs = place_together(task, usable, choice, next_attempt(task), now)
+        for run in runs:
+            executor, started = run.executor, run.task
+            run.start_deadline_ms = executor.clock(now) + START_VALID_MS
+            run.checkpoint = started.checkpoint
+            if task.job.queue.needs_tickets:
+                life = executor.registration.incarnation
+                ticket = self._work.tickets.valid(task.step_id, executor.executor, life, now)
+                run.ticket = ticket or ""
+            executor.lease_until_ms = max(executor.lease_until_ms, run.start_deadline_ms)
+            started.attempt = run.attempt
+            started.runs.append(run)
+            started.last_executor = executor.executor
+            self._work.commands.append(StartRun(run))
+            self._work.notes.append(_sent(run, now, now_ms))
+        if runs:
+            self._work.jobs.note_started(task.job)
+        return bool(runs)
+
+
+def _reserved_share(executors: list[ExecutorState]) -> float:
+    room = sum(one.registration.room.cpu_millis for one in executors)
+    return sum(one.used_cpu_millis for one in executors) / max(1, room)
+
+
+def _shape(task: Task) -> tuple[object, ...]:
+    step = task.spec
+    own = step.per_executor_limit or task.job.queue.needs_tickets or step.gang
+    limited = task.step_id if own else None
+    size = (step.reserved_cpu_millis, step.memory_mb, step.accelerators)
+    image = step.image if step.uses_leftover_cpu else ""
+    return (*size, step.required_label, step.long_running, limited, image)
+
+
+def _sent(run: Run, now: float, now_ms: int) -> TaskSent:
+    executor = run.executor
+    looked_at = executor.looked_at if executor.looked_at is not None else now
+    return TaskSent(
+        run.task.name,
+        run.attempt,
+        executor.executor,
+        now_ms - run.task.job.spec.accepted_ms,
+        int((now - looked_at) * 1000),
+        executor.strikes,
+    )
--- /dev/null
+++ b/fireflyfork/decisions/jobs/_report_handling.py
@@ -0,0 +1,213 @@
+"""What the reports of executors mean for jobs and runs."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from ..._ids import JobId, QueueName
+from ._commands import PaceRun
+from ._executors import ExecutorRegistration, ExecutorState
+from ._gangs import failures, members, save
+from ._job_table import terms_without_queue
+from ._notes import RunEnded
+from ._pacing import adjust_pace
+from ._progress import JobState
+from ._reports import CallOutcome, EndedRow, EndReason, LookAnswer, OrderAnswer, RunningRow
+from ._runs import Job, Run, RunPhase, Task
+from ._specs import JobSpec, StepSpec, TaskKey
+from ._work import Work, job_over
+
+
+class Reports:
+    """Takes in answers to orders and looks."""
+
+    def __init__(self, work: Work) -> None:
+        """Change ``work``."""
+        self._work = work
+
+    def start_answered(self, run: Run, answer: OrderAnswer, now: float) -> None:
+        """An executor answered the order to start, or didn't."""
+        executor = run.executor
+        if answer.clock_ms is not None:
+            executor.note_clock(answer.clock_ms, now)
+        if run.key not in executor.runs or run.phase is not RunPhase.STARTING:
+            return
+        outcome = answer.outcome
+        if outcome is CallOutcome.ACCEPTED:
+            run.phase = RunPhase.RUNNING
+            run.confirmed_at = now
+            run.progress_at = now
+        elif outcome is CallOutcome.UNKNOWN:
+            run.phase = RunPhase.UNSURE
+            self._work.stop(run, now)
+        else:
+            if outcome in (CallOutcome.UNHEALTHY, CallOutcome.NO_ROOM):
+                self._work.strike(executor, now)
+            elif outcome is CallOutcome.NO_TICKET:
+                self._work.tickets.rejected(run.task.step_id, executor.executor)
+            self._work.gone(run, now)
+
+    def stop_answered(self, run: Run, answer: OrderAnswer, now: float) -> None:
+        """An executor answered the order to stop, or didn't."""
+        if answer.clock_ms is not None:
+            run.executor.note_clock(answer.clock_ms, now)
+        if answer.outcome is CallOutcome.ACCEPTED and run.barred_at is None:
+            run.barred_at = now
+
+    def look_failed(self, executor: ExecutorState, now: float) -> None:
+        """A look got no answer."""
+        if not self._work.is_current(executor):
+            return
+        executor.failed_looks += 1
+        self._work.forget_if_over(executor, now)
+
+    def look_answered(
+        self, executor: ExecutorState, sent_at: float, answer: LookAnswer, now: float, now_ms: int
+    ) -> None:
+        """An executor has listed what it runs and what has ended."""
+        if not self._work.is_current(executor):
+            return
+        if answer.incarnation is not None and executor.registration.incarnation:
+            if answer.incarnation < executor.registration.incarnation:
+                return
+            if answer.incarnation > executor.registration.incarnation:
+                self._work.reborn(executor, _reborn_as(executor, answer.incarnation), now)
+        if answer.clock_ms is not None:
+            executor.note_clock(answer.clock_ms, now)
+        executor.failed_looks = 0
+        executor.looked_at = max(executor.looked_at or sent_at, sent_at)
+        for row in answer.ended:
+            if row.number > executor.seen_end:
+                executor.seen_end = row.number
+                self._ended(executor, row, now, now_ms)
+                executor.unstored_ends.append((row.number, self._work.jobs.changes.last))
+        self._compare(executor, sent_at, answer.running, now)
+        self._work.reached(executor.executor, now)
+        self._work.commands.extend(
+            PaceRun(run, percent)
+            for run, percent in adjust_pace(executor, answer.running, self._work.interference, now)
+        )
+
+    def _ended(self, executor: ExecutorState, row: EndedRow, now: float, now_ms: int) -> None:
+        run = executor.runs.get((row.task, row.attempt))
+        task = run.task if run is not None else self._work.jobs.task(row.task)
+        if task is None:
+            return
+        self._work.notes.append(RunEnded(row.task, row.attempt, executor.executor, row.reason))
+        if row.checkpoint and task.spec.checkpointing:
+            save(task, row.checkpoint)
+        if row.reason is EndReason.DONE and not task.spec.long_running:
+            self._task_done(task, executor, now, now_ms)
+        elif row.reason is EndReason.FAILED:
+            self._task_failed(task, row, executor, now, now_ms)
+        if run is not None:
+            self._work.gone(run, now)
+        task.attempt = max(task.attempt, row.attempt)
+        self._work.jobs.note_changed(task.job)
+
+    def _task_done(self, task: Task, executor: ExecutorState, now: float, now_ms: int) -> None:
+        executor.strikes = 0
+        if task.job.state.is_final:
+            return
+        for member in members(task):
+            for ready in self._work.jobs.task_done(member, now_ms):
+                self._work.enqueue(ready)
+        if task.job.state.is_final:
+            self._work.notes.append(job_over(task.job, now_ms))
+        for other in tuple(task.runs):
+            if other.works and other.executor is not executor:
+                self._work.stop(other, now)
+
+    def _task_failed(
+        self, task: Task, row: EndedRow, executor: ExecutorState, now: float, now_ms: int
+    ) -> None:
+        if row.attempt in task.failed_attempts:
+            return
+        if not task.failed_on:
+            # A task that fails on a second executor too fails by itself. Blaming each executor that
+            # it comes to would put all of them out of use while many jobs come that can't be done.
+            self._work.strike(executor, now)
+        task.failed_attempts.append(row.attempt)
+        task.failed_on.add(executor.executor)
+        job = task.job
+        exhausted = failures(task) >= job.queue.attempts
+        if exhausted and not task.spec.long_running and not job.state.is_final:
+            self._work.finish(job, JobState.FAILED, now, now_ms)
+
+    def _compare(
+        self,
+        executor: ExecutorState,
+        sent_at: float,
+        rows: tuple[RunningRow, ...],
+        now: float,
+    ) -> None:
+        listed = {(row.task, row.attempt): row for row in rows}
+        for key, run in tuple(executor.runs.items()):
+            row = listed.pop(key, None)
+            if row is not None:
+                self._still_there(run, row, now)
+            else:
+                self._not_listed(run, sent_at, now)
+        for row in listed.values():
+            self._found(executor, row, now)
+
+    def _still_there(self, run: Run, row: RunningRow, now: float) -> None:
+        if run.phase is RunPhase.STARTING:
+            run.phase = RunPhase.RUNNING
+        if run.confirmed_at is None:
+            run.confirmed_at = now
+        if row.progress_percent != run.progress_percent or not run.progress_at:
+            run.progress_percent = row.progress_percent
+            run.progress_at = now
+        if row.checkpoint and run.task.spec.checkpointing:
+            run.checkpoint = row.checkpoint
+            save(run.task, row.checkpoint)
+        run.cpu_in_use = row.figure
+
+    def _not_listed(self, run: Run, sent_at: float, now: float) -> None:
+        """It has ended and is forgotten, never came, or came after the list was made."""
+        if run.barred_at is not None and run.barred_at <= sent_at:
+            self._work.gone(run, now)
+        elif run.phase is RunPhase.RUNNING and (run.confirmed_at or now) < sent_at:
+            # Nothing explains this but a list that was overtaken. Stopping it bars the attempt, so
+            # that it can't come back beside its successor.
+            run.phase = RunPhase.UNSURE
+            self._work.stop(run, now)
+
+    def _found(self, executor: ExecutorState, row: RunningRow, now: float) -> None:
+        """An earlier owner's run, or an order of ours that was given up and carried out late."""
+        task = self._work.jobs.task(row.task)
+        if task is None:
+            self._stop_stranger(executor, row, now)
+            return
+        newest = all(row.attempt > other.attempt for other in task.runs)
+        run = Run(task, row.attempt, executor, RunPhase.RUNNING, now, confirmed_at=now)
+        self._still_there(run, row, now)
+        executor.add(run)
+        late = row.attempt < task.attempt
+        task.attempt = max(task.attempt, row.attempt)
+        others = tuple(task.runs)
+        task.runs.append(run)
+        if late or not newest:
+            self._work.stop(run, now)
+            return
+        for other in others:
+            self._work.stop(other, now)
+        task.last_executor = executor.executor
+        self._work.jobs.note_started(task.job)
+
+    def _stop_stranger(self, executor: ExecutorState, row: RunningRow, now: float) -> None:
+        """Stop a run of a task that is over or unknown; it holds its room until its end is listed."""
+        known = self._work.jobs.step_of(row.task)
+        service = executor.registration.service
+        spec = known[0] if known else JobSpec(JobId(row.task), QueueName(""), service, "", (), 0)
+        step = known[1] if known else StepSpec(1, 0, 0, 0, 0)
+        job = Job(spec, terms_without_queue(spec), JobState.CANCELLED)
+        task = Task(job, TaskKey(0, 0, 0), row.task, step)
+        run = Run(task, row.attempt, executor, RunPhase.STOPPING, now, confirmed_at=now)
+        executor.add(run)
+        self._work.stop(run, now)
+
+
+def _reborn_as(executor: ExecutorState, incarnation: int) -> ExecutorRegistration:
+    return replace(executor.registration, incarnation=incarnation)
--- /dev/null
+++ b/fireflyfork/decisions/jobs/_work.py
@@ -0,0 +1,186 @@
+"""What is being worked on: jobs, executors, runs, and the tasks that wait for a place."""
+
+from __future__ import annotations
+
+import heapq
+from itertools import count
+
+from ..._ids import AttemptNumber, ExecutorId
+from ._commands import Command, StopRun
+from ._executors import ExecutorRegistration, ExecutorState
+from ._gangs import is_free, members
+from ._interference import InterferenceModel
+from ._job_table import JobTable
+from ._notes import ExecutorGivenUp, JobOver, Note
+from ._progress import JobState
+from ._runs import Job, Run, RunPhase, Task
+from ._tickets import TicketBook
+from ._urgency import Urgency, urgency
+
+STRIKES_TO_AVOID = 2
+"""One failure in fifty is a task's own; two in a row on one executor are its own once in 2,500."""
+AVOID_SECONDS = 1.0
+LONGEST_AVOID_SECONDS = 8.0
+"""An avoided executor is tried again after 1 s, then 2 s and so on: troubled ones recover within
+seconds, and each try costs at most one task's attempt."""
+
+
+class Work:
+    """The state of one service and its elementary changes, each of which keeps it consistent."""
+
+    def __init__(self) -> None:
+        """Nothing to do."""
+        self.jobs = JobTable()
+        self.executors: dict[ExecutorId, ExecutorState] = {}
+        self.known_executors_changed = False
+        """Whether the executors to store for a successor have changed."""
+        self.interference = InterferenceModel()
+        self.tickets = TicketBook()
+        self.commands: list[Command] = []
+        self.notes: list[Note] = []
+        self.ready: list[tuple[Urgency, int, Task]] = []
+        """Tasks that wait for a place, the most urgent first."""
+        self.parked: list[Task] = []
+        """Tasks that found none and are tried again at the next tick."""
+        self.unreached: dict[ExecutorId, float] = {}
+        """Executors that an earlier owner used and that haven't answered yet, each with the time when
+        all that it may run for that owner is over."""
+        self.held: list[Task] = []
+        """Tasks that may run on one of those."""
+        self._sequence = count()
+
+    @staticmethod
+    def wants_run(task: Task) -> bool:
+        """Whether a task, or its gang, should run and doesn't."""
+        return not task.job.state.is_final and task.key in task.job.tasks and is_free(task)
+
+    def enqueue(self, task: Task) -> None:
+        """A task may start; it waits for its place."""
+        if task.spec.gang:
+            task = members(task)[0] if task.key in task.job.tasks else task
+        if task.waiting or not self.wants_run(task):
+            return
+        task.waiting = True
+        if task.job.recovered and self.unreached:
+            self.held.append(task)
+            return
+        self.push(task, task.job.spec.accepted_ms)
+
+    def push(self, task: Task, now_ms: int) -> None:
+        """Put a waiting task in order."""
+        heapq.heappush(self.ready, (urgency(task, now_ms), next(self._sequence), task))
+
+    def unpark(self, now_ms: int) -> None:
+        """Try again to place what found no room."""
+        parked, self.parked = self.parked, []
+        for task in parked:
+            self.push(task, now_ms)
+
+    def stop(self, run: Run, now: float) -> None:
+        """Have a run stopped; it holds its room until that has shown."""
+        if run.phase is not RunPhase.UNSURE:
+            run.phase = RunPhase.STOPPING
+        run.stop_sent_at = now
+        self.commands.append(StopRun(run))
+
+    def gone(self, run: Run, now: float) -> None:
+        """A run is certainly over, or never was; its task may start again."""
+        run.executor.remove(run)
+        task = run.task
+        if run in task.runs:
+            task.runs.remove(run)
+        if task.spec.gang and task.key in task.job.tasks:
+            # The others would hold their room and wait for a member that doesn't come back.
+            self.break_up(task, now)
+        self.enqueue(task)
+
+    def break_up(self, task: Task, now: float) -> None:
+        """Stop the members of a gang that run while others don't."""
+        gang = members(task)
+        if all(member.runs for member in gang):
+            return
+        for run in (one for member in gang for one in member.runs if one.works):
+            self.stop(run, now)
+
+    def finish(self, job: Job, state: JobState, now: float, now_ms: int) -> None:
+        """Make a job's state final and stop what it runs."""
+        self.jobs.finish(job, state, now_ms)
+        self.notes.append(job_over(job, now_ms))
+        for task in job.tasks.values():
+            for run in tuple(task.runs):
+                if run.works:
+                    self.stop(run, now)
+
+    def strike(self, executor: ExecutorState, now: float) -> None:
+        """An executor failed something; after several times it is avoided for a while."""
+        executor.strikes += 1
+        executor.struck_at = now
+        if executor.strikes >= STRIKES_TO_AVOID:
+            pause = AVOID_SECONDS * 2 ** (executor.strikes - STRIKES_TO_AVOID)
+            executor.avoided_until = now + min(pause, LONGEST_AVOID_SECONDS)
+
+    def is_current(self, executor: ExecutorState) -> bool:
+        """Whether this state still stands for its executor.
+
+        An executor that was given up may come back under the same id while a look at it is out. What
+        the look tells then concerns its new life, which another state stands for: taken for the old
+        one, it would make the new one and its runs vanish, and their jobs would never end.
+        """
+        return self.executors.get(executor.executor) is executor
+
+    def reborn(
+        self, executor: ExecutorState, registration: ExecutorRegistration, now: float
+    ) -> None:
+        """The executor started anew: what ran in its earlier life is over."""
+        runs = tuple(executor.runs.values())
+        self.notes.append(ExecutorGivenUp(executor.executor, len(runs), "it has started anew"))
+        executor.begin_incarnation(registration, now)
+        for run in runs:
+            self.gone(run, now)
+
+    def forget_if_over(self, executor: ExecutorState, now: float) -> None:
+        """What ran on an executor that doesn't answer is over once its lease has lapsed."""
+        reached = executor.looked_at is not None
+        if reached and not executor.answers and executor.lease_has_lapsed(now):
+            if executor.runs:
+                lost = len(executor.runs)
+                self.notes.append(ExecutorGivenUp(executor.executor, lost, "its lease lapsed"))
+            for run in tuple(executor.runs.values()):
+                self.gone(run, now)
+        over = not executor.runs and executor.executor not in self.unreached
+        if over and not executor.registered and not executor.answers:
+            self.executors.pop(executor.executor, None)
+            self.known_executors_changed = True
+
+    def reached(self, executor: ExecutorId, now: float) -> None:
+        """An executor has listed what it runs."""
+        if self.unreached.pop(executor, None) is not None:
+            self.release_held(now)
+
+    def give_up_unreached(self, now: float) -> None:
+        """Executors that never answered run nothing of an earlier owner's any more."""
+        given_up = [one for one, until in self.unreached.items() if until <= now]
+        for executor in given_up:
+            del self.unreached[executor]
+        if given_up:
+            # What ran there used attempt numbers that nobody knows.
+            for task in self.held:
+                task.attempt = AttemptNumber(task.attempt + 1)
+            self.release_held(now)
+
+    def release_held(self, now: float) -> None:
+        """Let tasks go that waited for executors, once none is left to wait for."""
+        if self.unreached:
+            return
+        held, self.held = self.held, []
+        for task in held:
+            if task.spec.gang and not is_free(task):
+                # The earlier owner went while it started the gang.
+                self.break_up(task, now)
+            self.push(task, task.job.spec.accepted_ms)
+
+
+def job_over(job: Job, now_ms: int) -> JobOver:
+    """The note that a job's state is final."""
+    age = now_ms - job.spec.accepted_ms
+    return JobOver(job.spec.job, job.state, age, int(job.allowed_ms()))
--- a/fireflyfork/decisions/jobs/tests/test_scheduler.py
+++ b/fireflyfork/decisions/jobs/tests/test_scheduler.py
@@ -212,8 +212,22 @@
         owner.scheduler.accept(job(A, step(long_running=True)), START_MS)
         (run,) = owner.place()
         owner.scheduler.register(registration("i-0", draining=True), owner.now)
+        owner.tick(0.1)
         self.assertEqual(owner.stops(), [run])
 
+    def test_an_owner_that_finds_an_executor_leaving_moves_its_tasks_too(self) -> None:
+        """An executor announces that it leaves, and the owner dies. Its successor meets the executor
+        as one that leaves already; its lasting tasks were cut off when it exited.
+        """
+        owner = OwnerUnderTest()
+        leaving = registration("i-0", draining=True)
+        spec = job(A, step(long_running=True))
+        owner.scheduler.recover([(spec, None)], [leaving], [], owner.now, START_MS)
+        found = RunningRow(TaskName(f"{A}.0.0.0"), AttemptNumber(1), "", 100, 0.0)
+        owner.look("i-0", found)
+        owner.tick(0.1)
+        self.assertEqual([run.task.name for run in owner.stops()], [f"{A}.0.0.0"])
+
     def test_a_run_that_stands_still_is_stopped(self) -> None:
         """A worker hangs: its task's progress stays where it is, and without this its caller would
         wait for ever for an answer that never comes.
--- a/fireflyfork/programs/_service_journal.py
+++ b/fireflyfork/programs/_service_journal.py
@@ -100,8 +100,7 @@
         changes = self._scheduler.jobs.changes
         jobs = changes.take(MOST_JOBS)
         pending = self._pending_to_store()
-        executors = self._scheduler.known_executors_changed
-        self._scheduler.known_executors_changed = False
+        executors = self._scheduler.take_changed_executors()
         try:
             await self._write(jobs, pending, executors)
         except TransactionConflictError as error:
@@ -128,10 +127,10 @@
     def _put_back(self, executors: bool) -> None:
         self._scheduler.jobs.changes.put_back()
         if executors:
-            self._scheduler.known_executors_changed = True
+            self._scheduler.executors_not_stored()
 
     def _has_work(self) -> bool:
-        if len(self._scheduler.jobs.changes) or self._scheduler.known_executors_changed:
+        if len(self._scheduler.jobs.changes) or self._scheduler.executors_changed:
             return True
         return self._pending_to_store() is not None
 
--- a/fireflyfork_standins/tests/test_scheduling_days.py
+++ b/fireflyfork_standins/tests/test_scheduling_days.py
@@ -81,8 +81,8 @@
     def test_a_successor_that_waits_for_nobody_runs_tasks_twice(self) -> None:
         def recover(self: Scheduler, jobs, registrations, last_known, now, now_ms):  # type: ignore[no-untyped-def]
             real(self, jobs, registrations, last_known, now, now_ms)
-            self._unreached.clear()
-            self._release_held(now)
+            self._work.unreached.clear()
+            self._work.release_held(now)
 
         real = Scheduler.recover
         with patch.object(Scheduler, "recover", recover):
