--- a/fireflyfork/decisions/jobs/_pacing.py
+++ b/fireflyfork/decisions/jobs/_pacing.py
@@ -27,7 +27,7 @@
 users notice a service that stays slow after some four seconds; the pause shows in its tail after one."""
 PACE_STEP = 10
 """Percent: smaller changes of pace aren't worth a call."""
-RAISE_STEP = 30
+RAISE_STEP = 60
 """Percent by which a pace may rise at once; it falls as far as it has to."""
 LOWEST_TAIL_MS = 1.0
 """Tails are whole milliseconds; one of 0 is below one."""
