Executors are ranked once for the tasks of a step

Cause: each start asked every executor for its cost, 125 us among 24 and 2.6 ms among 400 of them. Ruled out: the fit of effects (a look takes 46 us at any size). Change: the costs are worked out once for a step and round, the cheapest is asked again before it is taken; what is reserved, served and left over is counted as runs come and go.

--- /dev/null
+++ b/bench/job_scheduler_cost.py
@@ -0,0 +1,175 @@
+"""What the owner of a service spends on a start, and how that grows with the executors.
+
+``python -m bench.job_scheduler_cost`` drives the scheduler's decisions alone: jobs of eight tasks come
+in, are placed beside serving tasks, run for some looks and end. Times are of this machine's processor.
+"""
+
+from __future__ import annotations
+
+import time
+from dataclasses import dataclass
+from random import Random
+
+from fireflyfork import Address
+from fireflyfork._ids import (
+    AttemptNumber,
+    ConfigurationVersion,
+    ExecutorId,
+    FailureDomainName,
+    JobId,
+    QueueName,
+    ServiceName,
+)
+from fireflyfork.decisions.jobs import (
+    CallOutcome,
+    EndedRow,
+    EndReason,
+    ExecutorRegistration,
+    ExecutorRoom,
+    JobSpec,
+    LookAnswer,
+    OrderAnswer,
+    QueueTerms,
+    Run,
+    RunningRow,
+    Scheduler,
+    SchedulerTerms,
+    StartRun,
+    StepSpec,
+    queue_table,
+)
+
+SIZES = (24, 48, 100, 200, 400)
+STARTS_PER_EXECUTOR = 40
+SERVING_PER_EXECUTOR = 4
+SERVICE = ServiceName("desk")
+IMAGES = tuple(f"image-{number}" for number in range(9))
+
+
+@dataclass(slots=True)
+class Cost:
+    """Seconds of processor time, and how often."""
+
+    placing: float = 0.0
+    looking: float = 0.0
+    starts: int = 0
+    looks: int = 0
+
+
+class Day:
+    """One owner with its executors, whose answers are made up."""
+
+    def __init__(self, executors: int) -> None:
+        """Register executors and start the serving tasks."""
+        self._random = Random(executors)
+        self._scheduler = Scheduler(SchedulerTerms(5.0, 8.0))
+        queue = QueueTerms(QueueName("q"), "h", "/q/", SERVICE, 0, 3, 2.0, 1000, 3000)
+        self._scheduler.configure(
+            queue_table(ConfigurationVersion(1), (queue,), frozenset({SERVICE}))
+        )
+        self._now = 1000.0
+        self._jobs = 0
+        self._numbers: dict[ExecutorId, int] = {}
+        self.cost = Cost()
+        for number in range(executors):
+            self._scheduler.register(_registration(number), self._now)
+        self._look_at_all(ends=False)
+        serving = StepSpec(
+            SERVING_PER_EXECUTOR * executors,
+            3000,
+            6000,
+            0,
+            1000,
+            long_running=True,
+            image="web",
+            tail_target_ms=18,
+        )
+        self._hand_in(serving)
+        self._place()
+        self.cost = Cost()
+
+    def play(self, starts: int) -> Cost:
+        """Hand jobs in until so many tasks have been started."""
+        while self.cost.starts < starts:
+            for _ in range(max(1, len(self._scheduler.executors) // 8)):
+                image = self._random.choice(IMAGES)
+                self._hand_in(StepSpec(8, 1500, 1500, 0, 2000, image=image, uses_leftover_cpu=True))
+            self._place()
+            self._look_at_all(ends=True)
+        return self.cost
+
+    def _hand_in(self, step: StepSpec) -> None:
+        self._jobs += 1
+        name = JobId(f"{self._jobs:016x}")
+        spec = JobSpec(name, QueueName("q"), SERVICE, "work", (step,), 0)
+        self._scheduler.accept(spec, 0)
+
+    def _place(self) -> None:
+        begun = time.process_time()
+        self._scheduler.place(self._now, 0)
+        commands = self._scheduler.take_commands()
+        self.cost.placing += time.process_time() - begun
+        for run in (one.run for one in commands if isinstance(one, StartRun)):
+            self.cost.starts += 1
+            self._scheduler.start_answered(run, OrderAnswer(CallOutcome.ACCEPTED, 1), self._now)
+
+    def _look_at_all(self, ends: bool) -> None:
+        self._now += 0.5
+        clock = int(self._now * 1000)
+        for name, executor in tuple(self._scheduler.executors.items()):
+            runs = list(executor.runs.values())
+            over = [run for run in runs if ends and not run.task.spec.long_running]
+            rows = tuple(_row(run) for run in runs if run not in over)
+            answer = LookAnswer(CallOutcome.ACCEPTED, clock, 1, rows, self._ended(name, over))
+            begun = time.process_time()
+            self._scheduler.look_answered(executor, self._now, answer, self._now, 0)
+            self.cost.looking += time.process_time() - begun
+            self.cost.looks += 1
+        self._scheduler.take_commands()
+        self._scheduler.take_notes()
+        self._scheduler.jobs.changes.take(10**6)
+        self._scheduler.jobs.changes.stored()
+        self._scheduler.note_stored()
+        self._scheduler.check_time(self._now, 0)
+
+    def _ended(self, name: ExecutorId, runs: list[Run]) -> tuple[EndedRow, ...]:
+        rows = []
+        for run in runs:
+            self._numbers[name] = self._numbers.get(name, 0) + 1
+            rows.append(
+                EndedRow(self._numbers[name], run.task.name, run.attempt, EndReason.DONE, "")
+            )
+        return tuple(rows)
+
+
+def _row(run: Run) -> RunningRow:
+    figure = 7.0 if run.task.spec.tail_target_ms else 1500.0
+    return RunningRow(run.task.name, AttemptNumber(run.attempt), "", 100, figure)
+
+
+def _registration(number: int) -> ExecutorRegistration:
+    return ExecutorRegistration(
+        ExecutorId(f"i-{number}"),
+        SERVICE,
+        Address("10.0.0.1", 80),
+        FailureDomainName("suva"),
+        False,
+        ExecutorRoom(16000, 64000, 0),
+        frozenset({"a", f"r{number // 8}"}),
+        f"r{number // 8}",
+        1,
+    )
+
+
+def main() -> None:
+    """Print a line for each number of executors."""
+    print("executors  us a start  us a look")
+    for size in SIZES:
+        cost = Day(size).play(STARTS_PER_EXECUTOR * size)
+        placing = cost.placing / cost.starts * 1e6
+        looking = cost.looking / cost.looks * 1e6
+        print(f"{size:9d}  {placing:10.0f}  {looking:9.0f}")
+
+
+if __name__ == "__main__":
+    main()
--- a/fireflyfork/decisions/jobs/_executors.py
+++ b/fireflyfork/decisions/jobs/_executors.py
@@ -58,6 +58,10 @@
     used_cpu_millis: int = 0
     lasting_cpu_millis: int = 0
     """Of what is used, the part of tasks that last."""
+    serving_cpu_millis: int = 0
+    """Of what is used, the part of tasks that serve users."""
+    filler_cpu_millis: int = 0
+    """What the tasks without a reservation here would use if they could."""
     used_memory_mb: int = 0
     used_accelerators: int = 0
     looked_at: float | None = None
@@ -139,7 +143,9 @@
         self.lasting_cpu_millis += step.reserved_cpu_millis if step.long_running else 0
         self.used_memory_mb += step.memory_mb
         self.used_accelerators += step.accelerators
+        self.filler_cpu_millis += step.cpu_millis if step.uses_leftover_cpu else 0
         if step.tail_target_ms:
+            self.serving_cpu_millis += step.reserved_cpu_millis
             self.serving[step.image] = self.serving.get(step.image, 0) + 1
         else:
             demand = self.disturbing_cpu_millis.get(step.image, 0)
@@ -154,7 +160,9 @@
         self.lasting_cpu_millis -= step.reserved_cpu_millis if step.long_running else 0
         self.used_memory_mb -= step.memory_mb
         self.used_accelerators -= step.accelerators
+        self.filler_cpu_millis -= step.cpu_millis if step.uses_leftover_cpu else 0
         if step.tail_target_ms:
+            self.serving_cpu_millis -= step.reserved_cpu_millis
             self._serves_less(step.image)
         else:
             self.disturbing_cpu_millis[step.image] -= step.cpu_millis
--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -4,12 +4,14 @@
 
 import heapq
 
+from ._candidates import Candidates
 from ._commands import AskAdvice, StartRun
 from ._executors import ExecutorState
 from ._gangs import members, next_attempt, place_together
 from ._notes import TaskSent
 from ._placing import choose, most_cost
 from ._runs import Run, Task
+from ._tickets import StepId
 from ._work import Work
 
 START_VALID_MS = 1_000
@@ -29,11 +31,13 @@
     def __init__(self, work: Work) -> None:
         """Change ``work``."""
         self._work = work
+        self._round: dict[StepId, Candidates] = {}
 
     def place(self, now: float, now_ms: int) -> None:
         """Send tasks that may start to executors with room; others wait for the next tick."""
         usable = [one for one in self._work.executors.values() if one.usable(now)]
         reserved = _reserved_share(usable)
+        self._round = {}
         refused: set[tuple[object, ...]] = set()
         while self._work.ready and usable:
             task = heapq.heappop(self._work.ready)[-1]
@@ -51,6 +55,13 @@
                 continue
             task.waiting = False
 
+    def _candidates_for(self, task: Task, usable: list[ExecutorState], most: float) -> Candidates:
+        known = self._round.get(task.step_id)
+        if known is None:
+            known = Candidates(task, usable, self._work.interference, most)
+            self._round[task.step_id] = known
+        return known
+
     def _ticketed(self, task: Task, usable: list[ExecutorState], now: float) -> list[ExecutorState]:
         """The executors that may run a task; asks the advisor where none is known to."""
         if not task.job.queue.needs_tickets:
@@ -87,7 +98,9 @@
         """Start a task, with its gang if it has one, where there is room for all."""
 
         def choice(one: Task, executors: list[ExecutorState]) -> ExecutorState | None:
-            return choose(one, executors, self._work.interference, most)
+            if one.failed_on or one.spec.gang or one.job.queue.needs_tickets:
+                return choose(one, executors, self._work.interference, most)
+            return self._candidates_for(one, executors, most).best(one)
 
         runs = place_together(task, usable, choice, next_attempt(task), now)
         for run in runs:
--- a/fireflyfork/decisions/jobs/_placing.py
+++ b/fireflyfork/decisions/jobs/_placing.py
@@ -50,24 +50,6 @@
 """How much more they put up with, for each second."""
 
 
-def leftover_millis(executor: ExecutorState) -> float:
-    """The processor time that the tasks there with a reservation leave unused."""
-    used = 0.0
-    for run in executor.runs.values():
-        step = run.task.spec
-        used += step.reserved_cpu_millis * (SERVING_LOAD if step.tail_target_ms else 1.0)
-    return executor.registration.room.cpu_millis - used
-
-
-def filler_demand_millis(executor: ExecutorState) -> int:
-    """What the tasks without a reservation there would use if they could."""
-    return sum(
-        run.task.spec.cpu_millis
-        for run in executor.runs.values()
-        if run.task.spec.uses_leftover_cpu
-    )
-
-
 def choose(
     task: Task, executors: Iterable[ExecutorState], model: InterferenceModel, most_cost: float
 ) -> ExecutorState | None:
@@ -75,25 +57,30 @@
 
     A task without a reservation takes none that costs more than ``most_cost``.
     """
-    step = task.spec
-    cpu, memory, accelerators = step.reserved_cpu_millis, step.memory_mb, step.accelerators
     best: ExecutorState | None = None
     lowest = float("inf")
     for executor in executors:
-        if not executor.fits(cpu, memory, accelerators) or not _allowed(task, executor):
-            continue
-        if step.uses_leftover_cpu:
-            cost = _filler_cost(task, executor, model)
-            if cost > most_cost:
-                continue
-        else:
-            cost = _reserving_cost(task, executor, model)
-        cost += _history_cost(task, executor)
-        if cost < lowest:
+        cost = cost_of(task, executor, model, most_cost)
+        if cost is not None and cost < lowest:
             best, lowest = executor, cost
     return best
 
 
+def cost_of(
+    task: Task, executor: ExecutorState, model: InterferenceModel, most_cost: float
+) -> float | None:
+    """What it costs to run a task there, in units of a whole executor's load; None: it can't."""
+    step = task.spec
+    if not executor.fits(step.reserved_cpu_millis, step.memory_mb, step.accelerators):
+        return None
+    if not _allowed(task, executor):
+        return None
+    if not step.uses_leftover_cpu:
+        return _reserving_cost(task, executor, model) + _history_cost(task, executor)
+    cost = _filler_cost(task, executor, model)
+    return cost + _history_cost(task, executor) if cost <= most_cost else None
+
+
 def most_cost(age_seconds: float, reserved_share: float) -> float:
     """What a task without a reservation puts up with.
 
@@ -150,9 +137,14 @@
 
 
 def _filler_cost(task: Task, executor: ExecutorState, model: InterferenceModel) -> float:
-    demand = filler_demand_millis(executor) + task.spec.cpu_millis
-    crowding = demand / max(1.0, leftover_millis(executor))
-    return crowding + _disturbance(task, executor, model)
+    demand = executor.filler_cpu_millis + task.spec.cpu_millis
+    return demand / max(1.0, _leftover_millis(executor)) + _disturbance(task, executor, model)
+
+
+def _leftover_millis(executor: ExecutorState) -> float:
+    """The processor time that the tasks there with a reservation leave unused."""
+    unused = (1 - SERVING_LOAD) * executor.serving_cpu_millis
+    return executor.registration.room.cpu_millis - executor.used_cpu_millis + unused
 
 
 def _disturbance(task: Task, executor: ExecutorState, model: InterferenceModel) -> float:
