Callers are refused at once, and truly, while the store does not answer an instance

Cause: an instance cut off from the store let each caller wait 0.9 s and answered 504, though a call for which no connection came about, or a question, can't have been carried out. Change: a failed connection counts as refused; after three failed calls in a row callers are turned away without a try, and the instance is not ready, until the store answers again; questions are answered 503.

--- a/fireflyfork/adapters/__init__.py
+++ b/fireflyfork/adapters/__init__.py
@@ -11,7 +11,16 @@
     StoreListing,
 )
 from ._executor_calls import ExecutorCalls, ExecutorPlace
-from ._http import Header, HttpError, RequestHead, ResponseHead, collect, end_to_end, find_header
+from ._http import (
+    ConnectError,
+    Header,
+    HttpError,
+    RequestHead,
+    ResponseHead,
+    collect,
+    end_to_end,
+    find_header,
+)
 from ._http_client import HttpClient, HttpClientConnection
 from ._http_server import Exchange, HttpHandler, HttpServer, ServerLimits, listen
 from ._instances import (
@@ -35,6 +44,7 @@
     "AnswerHead",
     "Call",
     "Chunk",
+    "ConnectError",
     "Control",
     "CoordinationStore",
     "Exchange",
--- a/fireflyfork/adapters/_coordination.py
+++ b/fireflyfork/adapters/_coordination.py
@@ -65,6 +65,11 @@
     answer came: a change may then have taken effect, or may still take effect seconds later.
     """
 
+    @property
+    @abstractmethod
+    def answers(self) -> bool:
+        """Whether the store has answered this instance lately."""
+
     @abstractmethod
     async def read(self, key: str) -> StoredItem | None:
         """The item, or None when the key is absent."""
--- a/fireflyfork/adapters/_http.py
+++ b/fireflyfork/adapters/_http.py
@@ -38,6 +38,10 @@
     """The other side broke off, fell silent, or sent something that is not HTTP."""
 
 
+class ConnectError(HttpError):
+    """No connection came about, so nothing of the call has reached the other side."""
+
+
 @dataclass(frozen=True, slots=True)
 class RequestHead:
     """The head of a request."""
--- a/fireflyfork/adapters/_http_client.py
+++ b/fireflyfork/adapters/_http_client.py
@@ -12,6 +12,7 @@
 from .._links import Address
 from ._http import (
     LONGEST_HEAD_BYTES,
+    ConnectError,
     Header,
     HttpError,
     HttpEvent,
@@ -52,7 +53,7 @@
             with trio.fail_after(timeout):
                 stream = await trio.open_tcp_stream(address.host, address.port)
         except (OSError, trio.TooSlowError) as error:
-            raise HttpError(f"can't connect to {address}: {error!r}") from error
+            raise ConnectError(f"can't connect to {address}: {error!r}") from error
         # A peer that vanished without a word is noticed only through data that stays
         # unacknowledged. Without this limit the kernel goes on resending for a quarter of an hour.
         stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_MILLISECONDS)
@@ -157,7 +158,7 @@
     ) -> tuple[ResponseHead, bytes]:
         """One call, within the timeout plus ``extra_seconds``. Raises HttpError.
 
-        After an error the call may have taken effect.
+        After an error the call may have taken effect, but for a ConnectError.
         """
         connection: HttpClientConnection | None = None
         try:
@@ -165,6 +166,8 @@
                 connection = await self._connection()
                 return await self._exchange(connection, method, target, headers, body)
         except trio.TooSlowError as error:
+            if connection is None:
+                raise ConnectError(f"can't connect to {self._address} in time") from error
             raise HttpError(f"no answer from {self._address} in time") from error
         finally:
             if connection is not None:
--- a/fireflyfork/platform/_store_client.py
+++ b/fireflyfork/platform/_store_client.py
@@ -19,6 +19,7 @@
 from .._ids import LeaseId, Revision
 from .._links import Address
 from ..adapters import (
+    ConnectError,
     CoordinationStore,
     HttpError,
     Put,
@@ -42,6 +43,9 @@
 """An answer takes 4 ms, and some 50 ms from another region. A store that is sixty times slower
 than usual still answers within it; a connection that has gone silent costs no more than this."""
 
+FAILURES_TO_DOUBT = 3
+"""One lost answer says nothing. After three in a row callers are better served elsewhere at once than
+after another timeout here; the watches go on asking, and one answer ends the doubt."""
 
 _Body = TypeVar("_Body")
 
@@ -105,6 +109,12 @@
         """Connect to ``address`` when first needed."""
         self._calls = JsonCalls(address, CALL_TIMEOUT_SECONDS)
         self._count = 0
+        self._failures = 0
+
+    @property
+    def answers(self) -> bool:
+        """Whether the store has answered lately: one of the last calls did."""
+        return self._failures < FAILURES_TO_DOUBT
 
     @property
     def call_count(self) -> int:
@@ -200,10 +210,17 @@
         self._count += 1
         try:
             answer = await self._calls.call(method, target, body, extra_seconds=extra_seconds)
+        except ConnectError as error:
+            self._failures += 1
+            raise StoreRefusedError(str(error)) from error
         except HttpError as error:
+            # Questions that wait are cut now and then, several at once, by a store that is well.
+            self._failures += not extra_seconds
             raise StoreUnavailableError(str(error)) from error
         if answer.status in (429, 503):
+            self._failures += 1
             raise StoreRefusedError(f"the store answered {answer.status}")
+        self._failures = 0
         return answer
 
 
--- a/fireflyfork/programs/_job_requests.py
+++ b/fireflyfork/programs/_job_requests.py
@@ -44,12 +44,14 @@
 
     async def submit(self, spec: JobSpec) -> None:
         """Accept a job. One that came before, here or anywhere, stays as it was."""
+        self._refuse_without_store()
         await self._store_new(job_key(spec.job), encode_job(spec))
         logger.info("job accepted", job=spec.job, queue=spec.queue, tasks=spec.task_count)
         self._changed()
 
     async def state(self, job: JobId) -> JobState | None:
         """The state as it is stored, or None when there is no such job."""
+        self._refuse_without_store()
         progress = await self._store.read(progress_key(job))
         try:
             if progress is not None:
@@ -64,6 +66,7 @@
 
     async def cancel(self, job: JobId) -> bool:
         """Cancel a job; False when there is none."""
+        self._refuse_without_store()
         if await self._store.read(job_key(job)) is None:
             return False
         await self._store_new(cancel_key(job), b"")
@@ -73,10 +76,20 @@
 
     async def pending(self, queue: QueueTerms) -> int:
         """How many jobs of a queue wait for their first start; up to 2 s old."""
+        self._refuse_without_store()
         item = await self._store.read(pending_key(queue.service))
         counts = msgspec.json.decode(item.value, type=dict[str, int]) if item is not None else {}
         return counts.get(queue.name, 0)
 
+    def _refuse_without_store(self) -> None:
+        """Turn callers away at once while the store does not answer this instance.
+
+        Their next try reaches another one, which the store may serve. Waiting for a timeout here would
+        use up a third of the time that they have.
+        """
+        if not self._store.answers:
+            raise StoreRefusedError("the store does not answer this instance")
+
     async def _store_new(self, key: str, value: bytes) -> None:
         """Write a key that must not exist yet; one that exists is as good.
 
--- a/fireflyfork/programs/_job_service.py
+++ b/fireflyfork/programs/_job_service.py
@@ -61,7 +61,9 @@
         except StoreRefusedError as error:
             await self._refuse(exchange, 503, str(error))
         except StoreError as error:
-            await self._refuse(exchange, 504, str(error))
+            # A question changes nothing, so it certainly has not been carried out.
+            status = 503 if exchange.head.method == "GET" else 504
+            await self._refuse(exchange, status, str(error))
 
     async def _of_queue(self, exchange: Exchange, queue: QueueTerms, rest: str) -> None:
         method = exchange.head.method
--- a/fireflyfork/programs/_scheduler_node.py
+++ b/fireflyfork/programs/_scheduler_node.py
@@ -87,7 +87,7 @@
     @property
     def ready(self) -> bool:
         """Whether new connections should come here."""
-        return not self._stopping and self._keeper.table is not None
+        return not self._stopping and self._keeper.table is not None and self._store.answers
 
     async def run(self, stop: trio.Event) -> None:
         """Serve until ``stop`` is set, then end gracefully."""
--- a/fireflyfork_standins/scheduling/_nodes.py
+++ b/fireflyfork_standins/scheduling/_nodes.py
@@ -59,6 +59,10 @@
         self._inner = inner
         self._node = node
 
+    @property
+    def answers(self) -> bool:
+        return self._inner.answers
+
     async def read(self, key: str) -> StoredItem | None:
         await self._node.awake()
         item = await self._inner.read(key)
--- a/fireflyfork_standins/scheduling/_store.py
+++ b/fireflyfork_standins/scheduling/_store.py
@@ -223,6 +223,13 @@
         self._store = store
         self._node = node
 
+    @property
+    def answers(self) -> bool:
+        """See CoordinationStore."""
+        trouble = self._store.trouble
+        away = self._node in trouble.refused or self._node in trouble.silent
+        return not (trouble.down or away)
+
     async def read(self, key: str) -> StoredItem | None:
         """See CoordinationStore."""
         await self._reach()
--- a/fireflyfork_standins/scheduling/_world.py
+++ b/fireflyfork_standins/scheduling/_world.py
@@ -209,7 +209,7 @@
                         self._history.cancelled[name] = trio.current_time()
                         return
                 except StoreUnavailableError:
-                    continue  # Asked again at another instance, as callers do.
+                    self._report.unsure += 1
             await trio.sleep(0.5)
 
     def _draw_job(self, name: JobId) -> JobSpec:
@@ -387,7 +387,7 @@
                 try:
                     return await node.requests.state(job)
                 except StoreUnavailableError:
-                    continue  # Asked again, as callers do.
+                    self._report.unsure += 1
             await trio.sleep(0.2)
 
     async def _is_final(self, job: JobId) -> bool:
