--- a/fireflyfork/decisions/jobs/_job_table.py
+++ b/fireflyfork/decisions/jobs/_job_table.py
@@ -81,7 +81,6 @@
             task = job.tasks.get(TaskKey(stored.occurrence, stored.step, stored.index))
             if task is not None:
                 task.attempt = max(task.attempt, stored.attempt)  # type: ignore[assignment]
-                task.last_executor = stored.executor
                 task.failed_attempts = list(stored.failed_attempts)
                 task.checkpoint = stored.checkpoint
         return ready
--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -114,7 +114,6 @@
             executor.lease_until_ms = max(executor.lease_until_ms, run.start_deadline_ms)
             started.attempt = run.attempt
             started.runs.append(run)
-            started.last_executor = executor.executor
             self._work.commands.append(StartRun(run))
             self._work.notes.append(_sent(run, now, now_ms))
         if runs:
--- a/fireflyfork/decisions/jobs/_progress.py
+++ b/fireflyfork/decisions/jobs/_progress.py
@@ -5,8 +5,6 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from ..._ids import ExecutorId
-
 
 class JobState(Enum):
     """What callers are told about a job."""
@@ -32,8 +30,6 @@
     index: int
     attempt: int = 0
     """The highest attempt number used."""
-    executor: ExecutorId | None = None
-    """Where that attempt was sent; None once it is known to be over."""
     failed_attempts: tuple[int, ...] = ()
     """Attempts whose failure has been counted."""
     checkpoint: str = ""
--- a/fireflyfork/decisions/jobs/_report_handling.py
+++ b/fireflyfork/decisions/jobs/_report_handling.py
@@ -162,7 +162,6 @@
         if row.checkpoint and run.task.spec.checkpointing:
             run.checkpoint = row.checkpoint
             save(run.task, row.checkpoint)
-        run.cpu_in_use = row.figure
 
     def _not_listed(self, run: Run, sent_at: float, now: float) -> None:
         """It has ended and is forgotten, never came, or came after the list was made."""
@@ -193,7 +192,6 @@
             return
         for other in others:
             self._work.stop(other, now)
-        task.last_executor = executor.executor
         self._work.jobs.note_started(task.job)
 
     def _stop_stranger(self, executor: ExecutorState, row: RunningRow, now: float) -> None:
--- a/fireflyfork/decisions/jobs/_runs.py
+++ b/fireflyfork/decisions/jobs/_runs.py
@@ -52,8 +52,6 @@
     progress_percent: int = 0
     progress_at: float = 0.0
     """When the progress last changed."""
-    cpu_in_use: float = 0.0
-    """Thousandths of a core, as last reported."""
     pace_percent: int = 100
     ticket: str = ""
     """The advisor's leave to run there, where the queue needs one."""
@@ -79,7 +77,6 @@
     spec: StepSpec
     attempt: AttemptNumber = _NONE_YET
     """The highest number used."""
-    last_executor: ExecutorId | None = None
     failed_attempts: list[int] = field(default_factory=list)
     failed_on: set[ExecutorId] = field(default_factory=set)
     checkpoint: str = ""
@@ -101,7 +98,6 @@
             self.key.step,
             self.key.index,
             self.attempt,
-            self.last_executor if self.runs else None,
             tuple(self.failed_attempts),
             self.checkpoint if self.spec.checkpointing else "",
         )
--- a/fireflyfork/decisions/jobs/tests/test_scheduler.py
+++ b/fireflyfork/decisions/jobs/tests/test_scheduler.py
@@ -263,7 +263,7 @@
         though it had another attempt.
         """
         owner = OwnerUnderTest()
-        stored = StoredTask(0, 0, 0, AttemptNumber(1), None, (1,))
+        stored = StoredTask(0, 0, 0, AttemptNumber(1), (1,))
         progress = StoredProgress(JobState.RUNNING, tasks=(stored,))
         owner.scheduler.recover(
             [(job(A), progress)], [registration("i-0")], [], owner.now, START_MS
--- /dev/null
+++ b/fireflyfork/programs/_prefix_watch.py
@@ -0,0 +1,78 @@
+"""Follows all keys under a prefix of the store, through outages and lost history."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import trio
+from loguru import logger
+
+from .._errors import StoreError, StoreHistoryLostError
+from .._ids import Revision
+from ..adapters import CoordinationStore, StoreChange, StoreListing
+
+RETRY_SECONDS = 0.1
+"""After a call that failed: what is missed meanwhile comes with the next answer."""
+
+
+class PrefixWatch:
+    """One follower of one prefix."""
+
+    def __init__(
+        self,
+        store: CoordinationStore,
+        prefix: str,
+        wait_seconds: float,
+        listed: Callable[[StoreListing], None],
+        changed: Callable[[StoreChange], None],
+        answered: Callable[[], None] = lambda: None,
+    ) -> None:
+        """``listed`` gets everything there is, at first and whenever the store has lost its history;
+        ``changed`` each change after that, in order; ``answered`` hears of every answer.
+
+        A question waits for ``wait_seconds``; a connection that has gone silent is noticed a call's
+        timeout later.
+        """
+        self._store = store
+        self._prefix = prefix
+        self._wait_seconds = wait_seconds
+        self._listed = listed
+        self._changed = changed
+        self._answered = answered
+
+    async def run(self, after: Revision | None = None) -> None:
+        """Follow until cancelled, from a listing that is known already or from one made now."""
+        while True:
+            if after is None:
+                after = await self._list()
+            await self._follow(after)
+            after = None
+
+    async def _list(self) -> Revision:
+        while True:
+            try:
+                listing = await self._store.list(self._prefix)
+            except StoreError as error:
+                logger.debug("not listed", prefix=self._prefix, error=str(error))
+                await trio.sleep(RETRY_SECONDS)
+                continue
+            self._answered()
+            self._listed(listing)
+            return listing.as_of
+
+    async def _follow(self, after: Revision) -> None:
+        """Take changes until the history is lost."""
+        while True:
+            try:
+                answer = await self._store.changes(self._prefix, after, self._wait_seconds)
+            except StoreHistoryLostError as error:
+                logger.info("listed anew", prefix=self._prefix, reason=str(error))
+                return
+            except StoreError as error:
+                logger.debug("not followed", prefix=self._prefix, error=str(error))
+                await trio.sleep(RETRY_SECONDS)
+                continue
+            self._answered()
+            after = max(after, answer.as_of)
+            for change in answer.changes:
+                self._changed(change)
--- a/fireflyfork/programs/_queue_keeper.py
+++ b/fireflyfork/programs/_queue_keeper.py
@@ -7,16 +7,15 @@
 import trio
 from loguru import logger
 
-from .._errors import SettingsError, StoreError, StoreHistoryLostError
-from .._ids import Revision
-from ..adapters import CoordinationStore, StoredItem
+from .._errors import SettingsError
+from ..adapters import CoordinationStore, StoreChange, StoredItem, StoreListing
 from ..decisions.jobs import QueueTable
 from ..platform import CONFIGURATION_KEY, OPERATOR_PREFIX, decode_configuration
+from ._prefix_watch import PrefixWatch
 
 WATCH_SECONDS = 1.5
 """A change has to be in force within 2.5 s. A connection that has gone silent is noticed this long
 plus a call's timeout after it did."""
-RETRY_SECONDS = 0.1
 
 
 class QueueKeeper:
@@ -36,32 +35,18 @@
 
     async def run(self) -> None:
         """Follow the configuration until cancelled."""
-        while True:
-            try:
-                listing = await self._store.list(OPERATOR_PREFIX)
-                for item in listing.items:
-                    self._take(item)
-                await self._follow(listing.as_of)
-            except StoreHistoryLostError as error:
-                logger.info("configuration is listed anew", reason=str(error))
-            except StoreError as error:
-                logger.debug("configuration not followed", error=str(error))
-                await trio.sleep(RETRY_SECONDS)
+        watch = PrefixWatch(
+            self._store, OPERATOR_PREFIX, WATCH_SECONDS, self._listed, self._followed
+        )
+        await watch.run()
 
-    async def _follow(self, after: Revision) -> None:
-        while True:
-            try:
-                answer = await self._store.changes(OPERATOR_PREFIX, after, WATCH_SECONDS)
-            except StoreHistoryLostError:
-                raise
-            except StoreError as error:
-                logger.debug("configuration not followed", error=str(error))
-                await trio.sleep(RETRY_SECONDS)
-                continue
-            after = max(after, answer.as_of)
-            for change in answer.changes:
-                if change.item is not None:
-                    self._take(change.item)
+    def _listed(self, listing: StoreListing) -> None:
+        for item in listing.items:
+            self._take(item)
+
+    def _followed(self, change: StoreChange) -> None:
+        if change.item is not None:
+            self._take(change.item)
 
     def _take(self, item: StoredItem) -> None:
         if item.key != CONFIGURATION_KEY:
--- a/fireflyfork/programs/_service_owner.py
+++ b/fireflyfork/programs/_service_owner.py
@@ -7,7 +7,7 @@
 import trio
 from loguru import logger
 
-from .._errors import StoreError, StoreHistoryLostError
+from .._errors import StoreError
 from .._ids import JobId, Revision, ServiceName
 from ..adapters import (
     Advisor,
@@ -16,6 +16,7 @@
     ExecutorPlace,
     StoreChange,
     StoredItem,
+    StoreListing,
 )
 from ..decisions.jobs import (
     AskAdvice,
@@ -48,6 +49,7 @@
 from ._clocks import Clock
 from ._decision_log import DecisionLog
 from ._executor_looks import ORPHANED_LEASE_SECONDS, ExecutorLooks
+from ._prefix_watch import PrefixWatch
 from ._scheduling_keys import CANCEL_PREFIX, JOB_PREFIX, PROGRESS_PREFIX, WORK_PREFIX, owner_key
 from ._service_journal import OwnershipLostError, ServiceJournal
 from ._service_lease import Term
@@ -135,8 +137,8 @@
             async with trio.open_nursery() as nursery:
                 work_revision, servers_revision = await self._recover()
                 nursery.start_soon(self._journal.run)
-                nursery.start_soon(self._follow_work, work_revision)
-                nursery.start_soon(self._follow_registrations, servers_revision)
+                nursery.start_soon(self._work_watch().run, work_revision)
+                nursery.start_soon(self._registration_watch().run, servers_revision)
                 nursery.start_soon(self._tick)
                 await self._dispatch(nursery)
                 nursery.cancel_scope.cancel()
@@ -215,40 +217,33 @@
             return None
         return registration
 
-    async def _follow_work(self, after: Revision) -> None:
-        while True:
-            try:
-                answer = await self._store.changes(WORK_PREFIX, after, WATCH_SECONDS)
-            except StoreHistoryLostError:
-                after = await self._list_work_again()
-                continue
-            except StoreError as error:
-                logger.debug("jobs not followed", error=str(error))
-                await trio.sleep(RETRY_SECONDS)
-                continue
-            self.note_store_contact()
-            after = max(after, answer.as_of)
-            for change in answer.changes:
-                self._work_changed(change)
-            if answer.changes:
-                self.kick()
+    def _work_watch(self) -> PrefixWatch:
+        return PrefixWatch(
+            self._store,
+            WORK_PREFIX,
+            WATCH_SECONDS,
+            self._work_listed,
+            self._work_changed,
+            self.note_store_contact,
+        )
 
-    async def _list_work_again(self) -> Revision:
-        """The store dropped its history: list what was missed."""
-        while True:
-            try:
-                listing = await self._store.list(WORK_PREFIX)
-            except StoreError as error:
-                logger.info("jobs not listed", error=str(error))
-                await trio.sleep(RETRY_SECONDS)
-                continue
-            if not any(item.key == owner_key(self._service) for item in listing.items):
-                raise OwnershipLostError("the owner's key is gone")
-            jobs_first = sorted(listing.items, key=lambda item: item.key.startswith(CANCEL_PREFIX))
-            for item in jobs_first:
-                self._work_changed(StoreChange(item.key, item.revision, item))
-            self.kick()
-            return listing.as_of
+    def _registration_watch(self) -> PrefixWatch:
+        return PrefixWatch(
+            self._store,
+            REGISTRATION_PREFIX,
+            WATCH_SECONDS,
+            self._registrations_listed,
+            self._registration_changed,
+            self.note_store_contact,
+        )
+
+    def _work_listed(self, listing: StoreListing) -> None:
+        """The store has lost its history: take in what was missed."""
+        if not any(item.key == owner_key(self._service) for item in listing.items):
+            raise OwnershipLostError("the owner's key is gone")
+        jobs_first = sorted(listing.items, key=lambda item: item.key.startswith(CANCEL_PREFIX))
+        for item in jobs_first:
+            self._work_changed(StoreChange(item.key, item.revision, item))
 
     def _work_changed(self, change: StoreChange) -> None:
         if change.key == owner_key(self._service):
@@ -260,46 +255,20 @@
             spec = self._job(change.item)
             if spec is not None:
                 self._scheduler.accept(spec, self._clock.unix_ms())
+                self.kick()
         elif change.key.startswith(CANCEL_PREFIX):
             self._cancel(JobId(change.key.removeprefix(CANCEL_PREFIX)))
 
     def _cancel(self, job: JobId) -> None:
         self._scheduler.cancel(job, self._clock.now(), self._clock.unix_ms())
-        self._journal.notify()
+        self.kick()
 
-    async def _follow_registrations(self, after: Revision) -> None:
-        while True:
-            try:
-                answer = await self._store.changes(REGISTRATION_PREFIX, after, WATCH_SECONDS)
-            except StoreHistoryLostError:
-                after = await self._list_registrations_again()
-                continue
-            except StoreError as error:
-                logger.debug("registrations not followed", error=str(error))
-                await trio.sleep(RETRY_SECONDS)
-                continue
-            self.note_store_contact()
-            after = max(after, answer.as_of)
-            for change in answer.changes:
-                self._registration_changed(change)
-            if answer.changes:
-                self.kick()
-
-    async def _list_registrations_again(self) -> Revision:
-        while True:
-            try:
-                listing = await self._store.list(REGISTRATION_PREFIX)
-            except StoreError as error:
-                logger.info("registrations not listed", error=str(error))
-                await trio.sleep(RETRY_SECONDS)
-                continue
-            listed = {registered_executor(item.key) for item in listing.items}
-            for executor in set(self._scheduler.executors) - listed:
-                self._scheduler.unregister(executor, self._clock.now())
-            for item in listing.items:
-                self._registration_changed(StoreChange(item.key, item.revision, item))
-            self.kick()
-            return listing.as_of
+    def _registrations_listed(self, listing: StoreListing) -> None:
+        listed = {registered_executor(item.key) for item in listing.items}
+        for executor in set(self._scheduler.executors) - listed:
+            self._scheduler.unregister(executor, self._clock.now())
+        for item in listing.items:
+            self._registration_changed(StoreChange(item.key, item.revision, item))
 
     def _registration_changed(self, change: StoreChange) -> None:
         now = self._clock.now()
@@ -308,6 +277,7 @@
             self._scheduler.register(registration, now)
         else:
             self._scheduler.unregister(registered_executor(change.key), now)
+        self.kick()
 
     async def _tick(self) -> None:
         while True:
