--- a/bench/job_scheduler_cost.py
+++ b/bench/job_scheduler_cost.py
@@ -1,7 +1,7 @@
 """What the owner of a service spends on a start, and how that grows with the executors.
 
 ``python -m bench.job_scheduler_cost`` drives the scheduler's decisions alone: jobs of eight tasks come
-in, are placed beside serving tasks, run for some looks and end. Times are of this machine's processor.
+in, are placed beside serving tasks, run for some polls and end. Times are of this machine's processor.
 """
 
 from __future__ import annotations
@@ -27,8 +27,8 @@
     ExecutorRegistration,
     ExecutorRoom,
     JobSpec,
-    LookAnswer,
     OrderAnswer,
+    PollAnswer,
     QueueTerms,
     Run,
     RunningRow,
@@ -51,9 +51,9 @@
     """Seconds of processor time, and how often."""
 
     placing: float = 0.0
-    looking: float = 0.0
+    polling: float = 0.0
     starts: int = 0
-    looks: int = 0
+    polls: int = 0
 
 
 class Day:
@@ -73,7 +73,7 @@
         self.cost = Cost()
         for number in range(executors):
             self._scheduler.register(_registration(number), self._now)
-        self._look_at_all(ends=False)
+        self._poll_all(ends=False)
         serving = StepSpec(
             SERVING_PER_EXECUTOR * executors,
             3000,
@@ -95,7 +95,7 @@
                 image = self._random.choice(IMAGES)
                 self._hand_in(StepSpec(8, 1500, 1500, 0, 2000, image=image, uses_leftover_cpu=True))
             self._place()
-            self._look_at_all(ends=True)
+            self._poll_all(ends=True)
         return self.cost
 
     def _hand_in(self, step: StepSpec) -> None:
@@ -113,18 +113,18 @@
             self.cost.starts += 1
             self._scheduler.start_answered(run, OrderAnswer(CallOutcome.ACCEPTED, 1), self._now)
 
-    def _look_at_all(self, ends: bool) -> None:
+    def _poll_all(self, ends: bool) -> None:
         self._now += 0.5
         clock = int(self._now * 1000)
         for name, executor in tuple(self._scheduler.executors.items()):
             runs = list(executor.runs.values())
             over = [run for run in runs if ends and not run.task.spec.long_running]
             rows = tuple(_row(run) for run in runs if run not in over)
-            answer = LookAnswer(CallOutcome.ACCEPTED, clock, 1, rows, self._ended(name, over))
+            answer = PollAnswer(CallOutcome.ACCEPTED, clock, 1, rows, self._ended(name, over))
             begun = time.process_time()
-            self._scheduler.look_answered(executor, self._now, answer, self._now, 0)
-            self.cost.looking += time.process_time() - begun
-            self.cost.looks += 1
+            self._scheduler.poll_answered(executor, self._now, answer, self._now, 0)
+            self.cost.polling += time.process_time() - begun
+            self.cost.polls += 1
         self._scheduler.take_commands()
         self._scheduler.take_notes()
         self._scheduler.jobs.changes.take(10**6)
@@ -163,12 +163,12 @@
 
 def main() -> None:
     """Print a line for each number of executors."""
-    print("executors  us a start  us a look")
+    print("executors  us a start  us a poll")
     for size in SIZES:
         cost = Day(size).play(STARTS_PER_EXECUTOR * size)
         placing = cost.placing / cost.starts * 1e6
-        looking = cost.looking / cost.looks * 1e6
-        print(f"{size:9d}  {placing:10.0f}  {looking:9.0f}")
+        polling = cost.polling / cost.polls * 1e6
+        print(f"{size:9d}  {placing:10.0f}  {polling:9.0f}")
 
 
 if __name__ == "__main__":
--- a/fireflyfork/adapters/_executor_calls.py
+++ b/fireflyfork/adapters/_executor_calls.py
@@ -1,4 +1,4 @@
-"""Calls to executors: start, stop, pace, and look with a renewal of the lease."""
+"""Calls to executors: start, stop, pace, and poll with a renewal of the lease."""
 
 from __future__ import annotations
 
@@ -7,7 +7,7 @@
 
 from .._ids import AttemptNumber, ExecutorId, FencingToken, TaskName
 from .._links import Address
-from ..decisions.jobs import LookAnswer, OrderAnswer, StartRequest
+from ..decisions.jobs import OrderAnswer, PollAnswer, StartRequest
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,14 +49,14 @@
         """Let a run work at a share of its speed."""
 
     @abstractmethod
-    async def look(
+    async def poll(
         self,
         place: ExecutorPlace,
         token: FencingToken,
         forget_ends_to: int,
         lease_until_ms: int | None,
         wait_seconds: float,
-    ) -> LookAnswer:
+    ) -> PollAnswer:
         """Renew the lease of all that runs there (unless None) and list it.
 
         The executor forgets ends up to ``forget_ends_to`` and answers when there is a later one,
--- a/fireflyfork/decisions/jobs/_executors.py
+++ b/fireflyfork/decisions/jobs/_executors.py
@@ -60,14 +60,14 @@
     """Of what is used, the part of tasks that last."""
     serving_cpu_millis: int = 0
     """Of what is used, the part of tasks that serve users."""
-    filler_cpu_millis: int = 0
+    best_effort_cpu_millis: int = 0
     """What the tasks without a reservation here would use if they could."""
     used_memory_mb: int = 0
     used_accelerators: int = 0
-    looked_at: float | None = None
-    """When the last look that was answered had been sent; None before the first."""
-    failed_looks: int = 0
-    """Looks without an answer since the last answer."""
+    polled_at: float | None = None
+    """When the last poll that was answered had been sent; None before the first."""
+    failed_polls: int = 0
+    """Polls without an answer since the last answer."""
     clock_ms: int = 0
     clock_at: float = field(init=False)
     """When ``clock_ms`` had been received: the executor's clock was at least there."""
@@ -114,8 +114,8 @@
 
     @property
     def answers(self) -> bool:
-        """Whether it answered the last look."""
-        return self.looked_at is not None and self.failed_looks == 0
+        """Whether it answered the last poll."""
+        return self.polled_at is not None and self.failed_polls == 0
 
     def usable(self, now: float) -> bool:
         """Whether new runs may be sent there."""
@@ -143,7 +143,7 @@
         self.lasting_cpu_millis += step.reserved_cpu_millis if step.long_running else 0
         self.used_memory_mb += step.memory_mb
         self.used_accelerators += step.accelerators
-        self.filler_cpu_millis += step.cpu_millis if step.uses_leftover_cpu else 0
+        self.best_effort_cpu_millis += step.cpu_millis if step.uses_leftover_cpu else 0
         if step.tail_target_ms:
             self.serving_cpu_millis += step.reserved_cpu_millis
             self.serving[step.image] = self.serving.get(step.image, 0) + 1
@@ -160,7 +160,7 @@
         self.lasting_cpu_millis -= step.reserved_cpu_millis if step.long_running else 0
         self.used_memory_mb -= step.memory_mb
         self.used_accelerators -= step.accelerators
-        self.filler_cpu_millis -= step.cpu_millis if step.uses_leftover_cpu else 0
+        self.best_effort_cpu_millis -= step.cpu_millis if step.uses_leftover_cpu else 0
         if step.tail_target_ms:
             self.serving_cpu_millis -= step.reserved_cpu_millis
             self._serves_less(step.image)
@@ -172,7 +172,7 @@
     def _serves_less(self, image: str) -> None:
         self.serving[image] -= 1
         if not self.serving[image]:
-            # Nobody looks at an idle executor, so what was seen last would keep work away for good.
+            # Nobody polls an idle executor, so what was seen last would keep work away for good.
             del self.serving[image]
             self.undisturbed.pop(image, None)
             self.lasting_headroom.pop(image, None)
@@ -204,8 +204,8 @@
         """The process started anew: it runs nothing and counts from the beginning."""
         self.registration = registration
         self.known_since = now
-        self.looked_at = None
-        self.failed_looks = 0
+        self.polled_at = None
+        self.failed_polls = 0
         self.leaving_since = None
         self.clock_ms = 0
         self.clock_at = now
--- a/fireflyfork/decisions/jobs/_interference.py
+++ b/fireflyfork/decisions/jobs/_interference.py
@@ -27,10 +27,10 @@
 LARGEST_WEIGHT = 1e6
 """Sums are scaled back beyond this, long before floats lose digits."""
 CHANGE_WEIGHT = 3.0
-"""Of a change between two looks, against a level. The load of a service swings by half within ten
+"""Of a change between two polls, against a level. The load of a service swings by half within ten
 seconds, so levels scatter by 0.8 of headroom around the fit and changes by 0.45."""
 LONGEST_CHANGE_SECONDS = 1.3
-"""Two looks that lie farther apart say little about each other: the load has swung."""
+"""Two polls that lie farther apart say little about each other: the load has swung."""
 SOLVE_EVERY = 20
 """Samples between two solutions, each of which costs some 0.3 ms for ten images."""
 
@@ -67,7 +67,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Sample:
-    """What a look tells about one serving task."""
+    """What a poll tells about one serving task."""
 
     at: float
     headroom: float
--- a/fireflyfork/decisions/jobs/_notes.py
+++ b/fireflyfork/decisions/jobs/_notes.py
@@ -18,7 +18,7 @@
     executor: ExecutorId
     job_age_ms: int
     """Since its job was accepted, by the clocks of two instances."""
-    looked_ms_ago: int
+    polled_ms_ago: int
     """How old what is known of the executor was."""
     strikes: int
     """Failures in a row that the executor was known for."""
--- a/fireflyfork/decisions/jobs/_pacing.py
+++ b/fireflyfork/decisions/jobs/_pacing.py
@@ -38,7 +38,7 @@
 def adjust_pace(
     executor: ExecutorState, rows: tuple[RunningRow, ...], model: InterferenceModel, now: float
 ) -> Iterator[tuple[Run, int]]:
-    """Learn from a look. Yields runs that have to work at another pace, in percent."""
+    """Learn from a poll. Yields runs that have to work at another pace, in percent."""
     if now - executor.sampled_at < SAMPLE_SECONDS:
         return
     executor.sampled_at = now
@@ -88,7 +88,7 @@
 def _new_paces(
     executor: ExecutorState, model: InterferenceModel, now: float
 ) -> Iterator[tuple[Run, int]]:
-    fillers = [
+    best_effort = [
         run
         for run in executor.runs.values()
         if run.task.spec.uses_leftover_cpu and run.phase is RunPhase.RUNNING
@@ -97,8 +97,8 @@
         sample.over_since is not None and now - sample.over_since >= LONGEST_OVER_SECONDS
         for sample in executor.samples.values()
     )
-    paces = _allowed_paces(executor, fillers, model)
-    for run in fillers:
+    paces = _allowed_paces(executor, best_effort, model)
+    for run in best_effort:
         wanted = min(paces[run.task.spec.image], run.pace_percent + RAISE_STEP)
         pace = 0 if over else max(LOWEST_PACE, wanted // PACE_STEP * PACE_STEP)
         if pace != run.pace_percent:
@@ -107,14 +107,14 @@
 
 
 def _allowed_paces(
-    executor: ExecutorState, fillers: list[Run], model: InterferenceModel
+    executor: ExecutorState, best_effort: list[Run], model: InterferenceModel
 ) -> dict[str, int]:
     """For each image, the pace at which every serving task keeps its headroom.
 
     Where a serving task would lose too much, the image that costs it most gives way first.
     """
     demand = executor.disturbing_shares()
-    paces = {run.task.spec.image: 100 for run in fillers}
+    paces = {run.task.spec.image: 100 for run in best_effort}
     for serving, undisturbed in executor.undisturbed.items():
         lost = {image: model.effect(serving, image) * use for image, use in demand.items()}
         excess = sum(loss * paces.get(image, 100) / 100 for image, loss in lost.items()) - (
--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -22,7 +22,7 @@
 on average; a core that they hold is worth four times one that a lasting task holds."""
 REFUSED_SHAPES = 24
 """A placing round ends when so many different sizes found no room: more would find none either, and
-each costs a look at every executor."""
+each costs a comparison of every executor."""
 
 
 class Placement:
@@ -137,12 +137,12 @@
 
 def _sent(run: Run, now: float, now_ms: int) -> TaskSent:
     executor = run.executor
-    looked_at = executor.looked_at if executor.looked_at is not None else now
+    polled_at = executor.polled_at if executor.polled_at is not None else now
     return TaskSent(
         run.task.name,
         run.attempt,
         executor.executor,
         now_ms - run.task.job.spec.accepted_ms,
-        int((now - looked_at) * 1000),
+        int((now - polled_at) * 1000),
         executor.strikes,
     )
--- a/fireflyfork/decisions/jobs/_placing.py
+++ b/fireflyfork/decisions/jobs/_placing.py
@@ -36,7 +36,7 @@
 OPENING_COST = 0.8
 """It takes an executor without serving tasks, which is kept as long as others will do for work that
 fits nowhere else or would disturb."""
-MOST_FILLER_COST = 2.0
+MOST_BEST_EFFORT_COST = 2.0
 """Above this a task without a reservation waits. It would run at half its speed or less and slow
 those beside it, so that all end late; one after the other, the first ones end in time."""
 CALM_SHARE = 0.6
@@ -77,7 +77,7 @@
         return None
     if not step.uses_leftover_cpu:
         return _reserving_cost(task, executor, model) + _history_cost(task, executor)
-    cost = _filler_cost(task, executor, model)
+    cost = _best_effort_cost(task, executor, model)
     return cost + _history_cost(task, executor) if cost <= most_cost else None
 
 
@@ -88,7 +88,7 @@
     ``reserved_share`` is the share of all processors that is reserved.
     """
     patience = CALM_PATIENCE_SECONDS if reserved_share < CALM_SHARE else FULL_PATIENCE_SECONDS
-    return MOST_FILLER_COST + PATIENCE_COST * max(0.0, age_seconds - patience)
+    return MOST_BEST_EFFORT_COST + PATIENCE_COST * max(0.0, age_seconds - patience)
 
 
 def _allowed(task: Task, executor: ExecutorState) -> bool:
@@ -136,8 +136,8 @@
     return KIN_COST if kin else STRAY_COST
 
 
-def _filler_cost(task: Task, executor: ExecutorState, model: InterferenceModel) -> float:
-    demand = executor.filler_cpu_millis + task.spec.cpu_millis
+def _best_effort_cost(task: Task, executor: ExecutorState, model: InterferenceModel) -> float:
+    demand = executor.best_effort_cpu_millis + task.spec.cpu_millis
     return demand / max(1.0, _leftover_millis(executor)) + _disturbance(task, executor, model)
 
 
--- a/fireflyfork/decisions/jobs/_report_handling.py
+++ b/fireflyfork/decisions/jobs/_report_handling.py
@@ -12,14 +12,14 @@
 from ._notes import RunEnded
 from ._pacing import adjust_pace
 from ._progress import JobState
-from ._reports import CallOutcome, EndedRow, EndReason, LookAnswer, OrderAnswer, RunningRow
+from ._reports import CallOutcome, EndedRow, EndReason, OrderAnswer, PollAnswer, RunningRow
 from ._runs import Job, Run, RunPhase, Task
 from ._specs import JobSpec, StepSpec, TaskKey
 from ._work import Work, job_over
 
 
 class Reports:
-    """Takes in answers to orders and looks."""
+    """Takes in answers to orders and polls."""
 
     def __init__(self, work: Work) -> None:
         """Change ``work``."""
@@ -54,15 +54,15 @@
         if answer.outcome is CallOutcome.ACCEPTED and run.barred_at is None:
             run.barred_at = now
 
-    def look_failed(self, executor: ExecutorState, now: float) -> None:
-        """A look got no answer."""
+    def poll_failed(self, executor: ExecutorState, now: float) -> None:
+        """A poll got no answer."""
         if not self._work.is_current(executor):
             return
-        executor.failed_looks += 1
+        executor.failed_polls += 1
         self._work.forget_if_over(executor, now)
 
-    def look_answered(
-        self, executor: ExecutorState, sent_at: float, answer: LookAnswer, now: float, now_ms: int
+    def poll_answered(
+        self, executor: ExecutorState, sent_at: float, answer: PollAnswer, now: float, now_ms: int
     ) -> None:
         """An executor has listed what it runs and what has ended."""
         if not self._work.is_current(executor):
@@ -74,8 +74,8 @@
                 self._work.reborn(executor, _reborn_as(executor, answer.incarnation), now)
         if answer.clock_ms is not None:
             executor.note_clock(answer.clock_ms, now)
-        executor.failed_looks = 0
-        executor.looked_at = max(executor.looked_at or sent_at, sent_at)
+        executor.failed_polls = 0
+        executor.polled_at = max(executor.polled_at or sent_at, sent_at)
         for row in answer.ended:
             if row.number > executor.seen_end:
                 executor.seen_end = row.number
--- a/fireflyfork/decisions/jobs/_reports.py
+++ b/fireflyfork/decisions/jobs/_reports.py
@@ -80,7 +80,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class LookAnswer:
+class PollAnswer:
     """What an executor has running and what has ended there."""
 
     outcome: CallOutcome
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -19,7 +19,7 @@
 from ._progress import JobState, StoredProgress
 from ._queues import QueueTable
 from ._report_handling import Reports
-from ._reports import LookAnswer, OrderAnswer
+from ._reports import OrderAnswer, PollAnswer
 from ._runs import Run
 from ._specs import JobSpec
 from ._tickets import Ticket
@@ -168,15 +168,15 @@
         """An executor answered the order to stop, or didn't."""
         self._reports.stop_answered(run, answer, now)
 
-    def look_failed(self, executor: ExecutorState, now: float) -> None:
-        """A look got no answer."""
-        self._reports.look_failed(executor, now)
+    def poll_failed(self, executor: ExecutorState, now: float) -> None:
+        """A poll got no answer."""
+        self._reports.poll_failed(executor, now)
 
-    def look_answered(
-        self, executor: ExecutorState, sent_at: float, answer: LookAnswer, now: float, now_ms: int
+    def poll_answered(
+        self, executor: ExecutorState, sent_at: float, answer: PollAnswer, now: float, now_ms: int
     ) -> None:
         """An executor has listed what it runs and what has ended."""
-        self._reports.look_answered(executor, sent_at, answer, now, now_ms)
+        self._reports.poll_answered(executor, sent_at, answer, now, now_ms)
 
     def note_stored(self) -> None:
         """Changes have been stored: what rests on them may be forgotten by the executors."""
--- a/fireflyfork/decisions/jobs/_time_checks.py
+++ b/fireflyfork/decisions/jobs/_time_checks.py
@@ -20,7 +20,7 @@
 
 
 class TimeChecks:
-    """Looks at executors and their runs at each tick."""
+    """Checks executors and their runs at each tick."""
 
     def __init__(self, work: Work) -> None:
         """Change ``work``."""
--- a/fireflyfork/decisions/jobs/_work.py
+++ b/fireflyfork/decisions/jobs/_work.py
@@ -122,8 +122,8 @@
     def is_current(self, executor: ExecutorState) -> bool:
         """Whether this state still stands for its executor.
 
-        An executor that was given up may come back under the same id while a look at it is out. What
-        the look tells then concerns its new life, which another state stands for: taken for the old
+        An executor that was given up may come back under the same id while a poll of it is out. What
+        the poll tells then concerns its new life, which another state stands for: taken for the old
         one, it would make the new one and its runs vanish, and their jobs would never end.
         """
         return self.executors.get(executor.executor) is executor
@@ -140,7 +140,7 @@
 
     def forget_if_over(self, executor: ExecutorState, now: float) -> None:
         """What ran on an executor that doesn't answer is over once its lease has lapsed."""
-        reached = executor.looked_at is not None
+        reached = executor.polled_at is not None
         if reached and not executor.answers and executor.lease_has_lapsed(now):
             if executor.runs:
                 lost = len(executor.runs)
--- a/fireflyfork/decisions/jobs/tests/builders_jobs.py
+++ b/fireflyfork/decisions/jobs/tests/builders_jobs.py
@@ -1,4 +1,4 @@
-"""Jobs, executors and looks for tests, and an owner that answers itself."""
+"""Jobs, executors and polls for tests, and an owner that answers itself."""
 
 from __future__ import annotations
 
@@ -23,8 +23,8 @@
     ExecutorRoom,
     ExecutorState,
     JobSpec,
-    LookAnswer,
     OrderAnswer,
+    PollAnswer,
     QueueTable,
     QueueTerms,
     Run,
@@ -85,16 +85,16 @@
 class OwnerUnderTest:
     """A scheduler whose orders are answered as the test says, at a time that the test moves."""
 
-    def __init__(self, *executors: str, looked: bool = True) -> None:
-        """``looked``: all executors have answered a first look."""
+    def __init__(self, *executors: str, polled: bool = True) -> None:
+        """``polled``: all executors have answered a first poll."""
         self.now = START
         self.scheduler = Scheduler(TERMS)
         self.scheduler.configure(table())
         self.ends: dict[str, list[EndedRow]] = {}
         for name in executors:
             self.scheduler.register(registration(name), self.now)
-            if looked:
-                self.look(name)
+            if polled:
+                self.poll(name)
 
     def executor(self, name: str = "i-0") -> ExecutorState:
         """The state of an executor."""
@@ -130,7 +130,7 @@
         """The clock of every executor."""
         return int((self.now - START) * 1000) + 10
 
-    def look(
+    def poll(
         self,
         name: str = "i-0",
         *rows: RunningRow,
@@ -138,7 +138,7 @@
         sent_at: float | None = None,
     ) -> None:
         """An executor lists these runs, and the ends noted by ``end``."""
-        answer = LookAnswer(
+        answer = PollAnswer(
             CallOutcome.ACCEPTED,
             self.clock(),
             incarnation,
@@ -146,14 +146,14 @@
             tuple(self.ends.get(name, ())),
         )
         sent = self.now if sent_at is None else sent_at
-        self.scheduler.look_answered(
+        self.scheduler.poll_answered(
             self.executor(name), sent, answer, self.now, START_MS + self.clock()
         )
 
     def end(
         self, name: str, task: TaskName, attempt: int, reason: EndReason, saved: str = ""
     ) -> None:
-        """A run ends; the next looks list it."""
+        """A run ends; the next polls list it."""
         rows = self.ends.setdefault(name, [])
         rows.append(EndedRow(len(rows) + 1, task, AttemptNumber(attempt), reason, saved))
 
--- a/fireflyfork/decisions/jobs/tests/test_interference.py
+++ b/fireflyfork/decisions/jobs/tests/test_interference.py
@@ -13,7 +13,7 @@
 
 
 def _trained(seed: int = 1) -> InterferenceModel:
-    """A model after half a minute of looks at tasks that "noisy" hurts and "quiet" does not."""
+    """A model after half a minute of polls at tasks that "noisy" hurts and "quiet" does not."""
     random, model = Random(seed), InterferenceModel()
     before: Sample | None = None
     for number in range(600):
@@ -72,8 +72,8 @@
         for _ in range(200):
             model.observe("desk", Sample(0.0, 2.0, {"noisy": 0.2}), None)
             model.observe("desk", Sample(0.0, 2.0, {}), None)
-        filler = step(uses_leftover_cpu=True, image="noisy", cpu_millis=2000)
-        owner.scheduler.accept(job("00000000000000aa", filler), START_MS)
+        best_effort = step(uses_leftover_cpu=True, image="noisy", cpu_millis=2000)
+        owner.scheduler.accept(job("00000000000000aa", best_effort), START_MS)
         task = next(owner.scheduler.jobs.live_tasks())
         chosen = choose(task, owner.scheduler.executors.values(), model, 2.0)
         assert chosen is not None
@@ -84,15 +84,15 @@
         after the other, the first ones end in time.
         """
         owner = OwnerUnderTest("i-0")
-        filler = step(count=30, uses_leftover_cpu=True, cpu_millis=2000)
-        owner.scheduler.accept(job("00000000000000aa", filler), START_MS)
+        best_effort = step(count=30, uses_leftover_cpu=True, cpu_millis=2000)
+        owner.scheduler.accept(job("00000000000000aa", best_effort), START_MS)
         started = len(owner.place())
         self.assertGreater(started, 8)
         self.assertLess(started, 30)
         self.assertEqual(owner.scheduler.waiting_tasks, 30 - started)
 
     def test_an_executor_whose_services_have_left_takes_work_again(self) -> None:
-        """The last service on an executor is cancelled while its tail is bad. Nobody looks at an idle
+        """The last service on an executor is cancelled while its tail is bad. Nobody polls an idle
         executor, so what was seen last kept all other work away from it for good: jobs that could
         have run at once never ended.
         """
@@ -101,14 +101,14 @@
         owner.scheduler.accept(job("00000000000000aa", serving), START_MS)
         (web,) = owner.place()
         owner.now += 1.0
-        owner.look("i-0", row(web, 100, 90.0))
-        filler = step(uses_leftover_cpu=True, image="noisy", cpu_millis=8000)
-        owner.scheduler.accept(job("00000000000000bb", filler), START_MS)
+        owner.poll("i-0", row(web, 100, 90.0))
+        best_effort = step(uses_leftover_cpu=True, image="noisy", cpu_millis=8000)
+        owner.scheduler.accept(job("00000000000000bb", best_effort), START_MS)
         self.assertEqual(owner.place(), [])
         owner.scheduler.cancel(web.task.job.spec.job, owner.now, START_MS)
         owner.stops()
         owner.end("i-0", web.task.name, 1, EndReason.STOPPED)
-        owner.look("i-0")
+        owner.poll("i-0")
         owner.tick(0.1)
         self.assertEqual(len(owner.place()), 1)
 
@@ -120,12 +120,12 @@
         serving = step(long_running=True, image="web", tail_target_ms=18, cpu_millis=3000)
         owner.scheduler.accept(job("00000000000000aa", serving), START_MS)
         (web,) = owner.place()
-        filler = step(uses_leftover_cpu=True, image="noisy", cpu_millis=8000)
-        owner.scheduler.accept(job("00000000000000bb", filler), START_MS)
+        best_effort = step(uses_leftover_cpu=True, image="noisy", cpu_millis=8000)
+        owner.scheduler.accept(job("00000000000000bb", best_effort), START_MS)
         started = 0
         for _ in range(30):
             owner.now += 1.0
-            owner.look("i-0", row(web, 100, 15.0))
+            owner.poll("i-0", row(web, 100, 15.0))
             owner.tick(0.1)
             started += len(owner.place())
         self.assertEqual(started, 1)
@@ -150,8 +150,8 @@
         serving = step(long_running=True, image="web", tail_target_ms=18, cpu_millis=3000)
         owner.scheduler.accept(job("00000000000000aa", serving), START_MS)
         (web,) = owner.place()
-        fillers = step(count=2, uses_leftover_cpu=True, image="noisy", cpu_millis=3000)
-        owner.scheduler.accept(job("00000000000000bb", fillers), START_MS)
+        best_effort = step(count=2, uses_leftover_cpu=True, image="noisy", cpu_millis=3000)
+        owner.scheduler.accept(job("00000000000000bb", best_effort), START_MS)
         noisy = owner.place()
         assert all(run.phase is RunPhase.RUNNING for run in noisy)
         rows = (row(web, 100, tail_ms), *(row(run, 20, 3000.0) for run in noisy))
--- a/fireflyfork/decisions/jobs/tests/test_scheduler.py
+++ b/fireflyfork/decisions/jobs/tests/test_scheduler.py
@@ -26,10 +26,10 @@
         owner.scheduler.accept(job(A, step(count=2), step(after=(0,))), START_MS)
         first, second = owner.place()
         owner.end("i-0", first.task.name, 1, EndReason.DONE)
-        owner.look("i-0", row(second))
+        owner.poll("i-0", row(second))
         self.assertEqual(owner.place(), [])
         owner.end("i-0", second.task.name, 1, EndReason.DONE)
-        owner.look("i-0")
+        owner.poll("i-0")
         self.assertEqual([run.task.name for run in owner.place()], [f"{A}.0.1.0"])
 
     def test_an_occurrence_waits_for_its_time(self) -> None:
@@ -47,7 +47,7 @@
         owner.scheduler.accept(job(A), START_MS)
         (run,) = owner.place()
         owner.end("i-0", run.task.name, 1, EndReason.DONE)
-        owner.look("i-0")
+        owner.poll("i-0")
         known = owner.scheduler.jobs.get(job(A).job)
         assert known is not None
         self.assertIs(known.state, JobState.COMPLETED)
@@ -60,7 +60,7 @@
         owner.scheduler.accept(job(A), START_MS)
         (run,) = owner.place()
         owner.end("i-0", run.task.name, 1, EndReason.DONE)
-        owner.look("i-0")
+        owner.poll("i-0")
         owner.scheduler.jobs.changes.take(10)
         owner.scheduler.jobs.changes.stored()
         owner.tick(0.1)
@@ -84,7 +84,7 @@
         self.assertEqual(owner.place(), [])
         owner.answer_stop(first)
         owner.end("i-0", first.task.name, 1, EndReason.STOPPED)
-        owner.look("i-0")
+        owner.poll("i-0")
         owner.tick(0.1)
         self.assertEqual(len(owner.place()), 1)
 
@@ -98,7 +98,7 @@
             [(over, StoredProgress(JobState.CANCELLED))], [registration("i-0")], [], owner.now, 0
         )
         found = RunningRow(TaskName(f"{A}.0.0.0"), AttemptNumber(1), "", 10, 0.0)
-        owner.look("i-0", found)
+        owner.poll("i-0", found)
         self.assertEqual(owner.executor().used_cpu_millis, 16000)
         self.assertEqual([run.task.name for run in owner.stops()], [f"{A}.0.0.0"])
 
@@ -116,12 +116,12 @@
         owner.answer_start(lost, CallOutcome.UNKNOWN)
         self.assertIs(lost.phase, RunPhase.UNSURE)
         self.assertEqual(owner.stops(), [lost])
-        owner.look(lost.executor.executor)
+        owner.poll(lost.executor.executor)
         self.assertEqual(owner.place(), [])
         owner.now += 0.1
         owner.answer_stop(lost)
         owner.now += 0.1
-        owner.look(lost.executor.executor)
+        owner.poll(lost.executor.executor)
         self.assertEqual([run.attempt for run in owner.place()], [2])
 
     def test_a_stop_without_an_answer_is_sent_again(self) -> None:
@@ -143,7 +143,7 @@
         sent_at = owner.now
         owner.now += 0.1
         (run,) = owner.place()
-        owner.look("i-0", sent_at=sent_at)
+        owner.poll("i-0", sent_at=sent_at)
         self.assertIs(run.phase, RunPhase.RUNNING)
         self.assertEqual(owner.place(), [])
 
@@ -162,7 +162,7 @@
         silent.lease_until_ms = owner.clock() + 5000
         for _ in range(50):
             owner.now += 0.1
-            owner.scheduler.look_failed(silent, owner.now)
+            owner.scheduler.poll_failed(silent, owner.now)
         self.assertEqual(owner.place(), [])
         owner.tick(0.3)
         again = owner.place()
@@ -173,38 +173,38 @@
         owner.scheduler.accept(job(A), START_MS)
         owner.place()
         owner.scheduler.register(registration("i-0", incarnation=2), owner.now)
-        owner.look("i-0", incarnation=2)
+        owner.poll("i-0", incarnation=2)
         self.assertEqual([run.attempt for run in owner.place()], [2])
 
     def test_an_answer_of_an_earlier_life_is_not_mixed_in(self) -> None:
-        """An executor starts anew while the answer to a look is under way. Its old list would make
+        """An executor starts anew while the answer to a poll is under way. Its old list would make
         the owner wait for runs that are long gone.
         """
         owner = OwnerUnderTest("i-0")
         owner.scheduler.accept(job(A), START_MS)
         (run,) = owner.place()
         owner.scheduler.register(registration("i-0", incarnation=2), owner.now)
-        owner.look("i-0", row(run), incarnation=1)
+        owner.poll("i-0", row(run), incarnation=1)
         self.assertEqual(owner.executor().runs, {})
 
     def test_a_failed_look_of_a_life_that_was_given_up_leaves_the_next_one_alone(self) -> None:
-        """An executor crashes, is given up and comes back under its id while a look of before is
-        out. When that look failed, the new life vanished from the tables, and jobs hung for ever.
+        """An executor crashes, is given up and comes back under its id while a poll of before is
+        out. When that poll failed, the new life vanished from the tables, and jobs hung for ever.
         """
         owner = OwnerUnderTest("i-0")
         given_up = owner.executor()
-        owner.scheduler.look_failed(given_up, owner.now)
+        owner.scheduler.poll_failed(given_up, owner.now)
         owner.scheduler.unregister(ExecutorId("i-0"), owner.now)
         self.assertEqual(owner.scheduler.executors, {})
         owner.scheduler.register(registration("i-0", incarnation=2), owner.now)
-        owner.scheduler.look_failed(given_up, owner.now)
+        owner.scheduler.poll_failed(given_up, owner.now)
         self.assertIn(ExecutorId("i-0"), owner.scheduler.executors)
 
     def test_the_clock_of_an_executor_is_not_taken_for_that_of_the_instance(self) -> None:
         """An instance has been up for hours when an executor starts, whose clock begins at 0. Taken
         to be hours ahead, its leases were cut short and its tasks given away while they still ran.
         """
-        owner = OwnerUnderTest("i-0", looked=False)
+        owner = OwnerUnderTest("i-0", polled=False)
         self.assertLess(owner.executor().clock(owner.now + 1.0), 1100)
 
     def test_lasting_tasks_leave_an_executor_that_leaves(self) -> None:
@@ -224,7 +224,7 @@
         spec = job(A, step(long_running=True))
         owner.scheduler.recover([(spec, None)], [leaving], [], owner.now, START_MS)
         found = RunningRow(TaskName(f"{A}.0.0.0"), AttemptNumber(1), "", 100, 0.0)
-        owner.look("i-0", found)
+        owner.poll("i-0", found)
         owner.tick(0.1)
         self.assertEqual([run.task.name for run in owner.stops()], [f"{A}.0.0.0"])
 
@@ -236,7 +236,7 @@
         owner.scheduler.accept(job(A), START_MS)
         (run,) = owner.place()
         for _ in range(3):
-            owner.look(run.executor.executor, row(run, percent=40))
+            owner.poll(run.executor.executor, row(run, percent=40))
             owner.tick(1.0)
         self.assertEqual(owner.stops(), [run])
 
@@ -250,7 +250,7 @@
         for attempt in (1, 2):
             (run,) = owner.place()
             owner.end("i-0", run.task.name, attempt, EndReason.FAILED)
-            owner.look("i-0")
+            owner.poll("i-0")
             owner.tick(1.1)
         known = owner.scheduler.jobs.get(job(A).job)
         assert known is not None
@@ -269,7 +269,7 @@
             [(job(A), progress)], [registration("i-0")], [], owner.now, START_MS
         )
         owner.end("i-0", TaskName(f"{A}.0.0.0"), 1, EndReason.FAILED)
-        owner.look("i-0")
+        owner.poll("i-0")
         self.assertEqual([run.attempt for run in owner.place()], [2])
 
     def test_the_next_attempt_goes_to_another_executor(self) -> None:
@@ -278,7 +278,7 @@
         (first,) = owner.place()
         name = str(first.executor.executor)
         owner.end(name, first.task.name, 1, EndReason.FAILED)
-        owner.look(name)
+        owner.poll(name)
         (second,) = owner.place()
         self.assertIsNot(second.executor, first.executor)
 
@@ -287,7 +287,7 @@
         owner.scheduler.accept(job(A, step(checkpointing=True)), START_MS)
         (run,) = owner.place()
         owner.end("i-0", run.task.name, 1, EndReason.STOPPED, "saved")
-        owner.look("i-0")
+        owner.poll("i-0")
         (again,) = owner.place()
         self.assertEqual((again.checkpoint, again.attempt), ("saved", 2))
 
@@ -311,15 +311,15 @@
         """An owner is killed just after it started a task, before anything of that was stored. Its
         successor finds the job without a trace of it; started at once, the task would run twice.
         """
-        self.owner.look("i-0")
+        self.owner.poll("i-0")
         self.assertEqual(self.owner.place(), [])
-        self.owner.look("i-1")
+        self.owner.poll("i-1")
         self.assertEqual(len(self.owner.place()), 1)
 
     def test_a_run_that_is_found_is_kept(self) -> None:
         found = RunningRow(TaskName(f"{A}.0.0.0"), AttemptNumber(1), "", 40, 0.0)
-        self.owner.look("i-0", found)
-        self.owner.look("i-1")
+        self.owner.poll("i-0", found)
+        self.owner.poll("i-1")
         self.assertEqual(self.owner.place(), [])
         self.assertEqual(self.owner.stops(), [])
         self.assertEqual(len(self.owner.executor("i-0").runs), 1)
@@ -329,21 +329,21 @@
         already. Started on the strength of the end alone, that step would run twice.
         """
         self.owner.end("i-0", TaskName(f"{A}.0.0.0"), 1, EndReason.DONE)
-        self.owner.look("i-0")
+        self.owner.poll("i-0")
         self.assertEqual(self.owner.place(), [])
         found = RunningRow(TaskName(f"{A}.0.1.0"), AttemptNumber(1), "", 40, 0.0)
-        self.owner.look("i-1", found)
+        self.owner.poll("i-1", found)
         self.assertEqual(self.owner.place(), [])
 
     def test_an_executor_that_never_answers_is_waited_for_until_its_lease_is_over(self) -> None:
-        self.owner.look("i-0")
+        self.owner.poll("i-0")
         self.owner.tick(7.9)
         self.assertEqual(self.owner.place(), [])
         self.owner.tick(0.2)
         self.assertEqual([run.attempt for run in self.owner.place()], [2])
 
     def test_a_job_that_came_after_the_takeover_waits_for_nobody(self) -> None:
-        self.owner.look("i-0")
+        self.owner.poll("i-0")
         self.owner.scheduler.accept(job("00000000000000bb"), START_MS)
         self.assertEqual([run.task.name for run in self.owner.place()], ["00000000000000bb.0.0.0"])
 
@@ -355,9 +355,9 @@
         owner.scheduler.recover(
             [(self.spec, None)], [registration("i-0")], [registration("i-1")], owner.now, START_MS
         )
-        owner.look("i-0")
+        owner.poll("i-0")
         self.assertEqual(owner.place(), [])
-        owner.look("i-1")
+        owner.poll("i-1")
         (run,) = owner.place()
         self.assertEqual(run.executor.executor, "i-0")
 
@@ -365,13 +365,13 @@
         """A worker leaves an order unanswered and carries it out seconds later, when the task has
         long been started elsewhere under a higher number.
         """
-        self.owner.look("i-0")
-        self.owner.look("i-1")
+        self.owner.poll("i-0")
+        self.owner.poll("i-1")
         (run,) = self.owner.place()
         other = "i-1" if run.executor.executor == "i-0" else "i-0"
         run.task.attempt = AttemptNumber(2)
         late = RunningRow(run.task.name, AttemptNumber(1), "", 0, 0.0)
-        self.owner.look(other, late)
+        self.owner.poll(other, late)
         self.assertEqual(
             [(one.attempt, one.phase) for one in self.owner.stops()], [(1, RunPhase.STOPPING)]
         )
@@ -388,7 +388,7 @@
         owner.scheduler.accept(job(A), START_MS)
         (run,) = owner.place()
         owner.end("i-0", run.task.name, 1, EndReason.DONE)
-        owner.look("i-0")
+        owner.poll("i-0")
         owner.scheduler.note_stored()
         self.assertEqual(owner.executor().forgettable_end, 0)
         changes = owner.scheduler.jobs.changes
@@ -425,7 +425,7 @@
         first, *_ = self.owner.place()
         name = str(first.executor.executor)
         self.owner.end(name, first.task.name, 1, EndReason.DONE)
-        self.owner.look(name)
+        self.owner.poll(name)
         known = self.owner.scheduler.jobs.get(job(A).job)
         assert known is not None
         self.assertIs(known.state, JobState.COMPLETED)
@@ -439,9 +439,9 @@
         for number, run in enumerate(runs):
             reason = EndReason.FAILED if number == 0 else EndReason.GANG_BROKEN
             self.owner.end(str(run.executor.executor), run.task.name, 1, reason, "saved")
-        self.owner.look("i-0")
+        self.owner.poll("i-0")
         self.assertEqual(self.owner.place(), [])
-        self.owner.look("i-1")
+        self.owner.poll("i-1")
         again = self.owner.place()
         self.assertEqual({(run.attempt, run.checkpoint) for run in again}, {(2, "saved")})
         self.assertEqual(len(again), 4)
@@ -459,19 +459,19 @@
             START_MS,
         )
         found = RunningRow(TaskName(f"{A}.0.0.2"), AttemptNumber(1), "", 0, 0.0)
-        owner.look("i-0", found)
-        owner.look("i-1")
+        owner.poll("i-0", found)
+        owner.poll("i-1")
         (stopped,) = owner.stops()
         owner.answer_stop(stopped)
         owner.end("i-0", stopped.task.name, 1, EndReason.STOPPED)
-        owner.look("i-0")
+        owner.poll("i-0")
         self.assertEqual([run.attempt for run in owner.place()], [2, 2, 2, 2])
 
     def test_a_gang_that_is_slower_across_racks_stays_in_one(self) -> None:
         owner = OwnerUnderTest()
         for name, rack in (("i-0", "r1"), ("i-1", "r2"), ("i-2", "r2")):
             owner.scheduler.register(registration(name, rack=rack), owner.now)
-            owner.look(name)
+            owner.poll(name)
         owner.scheduler.accept(
             job(A, step(count=4, cpu_millis=5000, gang=True, same_rack=True)), START_MS
         )
@@ -492,7 +492,7 @@
             (run,) = owner.place()
             name = str(run.executor.executor)
             owner.end(name, run.task.name, attempt, EndReason.FAILED)
-            owner.look(name)
+            owner.poll(name)
         self.assertEqual(sum(one.strikes for one in owner.scheduler.executors.values()), 1)
 
     def test_an_executor_that_fails_all_it_gets_is_avoided(self) -> None:
@@ -501,7 +501,7 @@
             owner.scheduler.accept(job(f"{number:016x}"), START_MS)
             (run,) = owner.place()
             owner.end("i-0", run.task.name, 1, EndReason.FAILED)
-            owner.look("i-0")
+            owner.poll("i-0")
             owner.scheduler.cancel(run.task.job.spec.job, owner.now, START_MS)
         self.assertFalse(owner.executor().usable(owner.now))
         self.assertTrue(owner.executor().usable(owner.now + 1.1))
@@ -553,5 +553,5 @@
     def test_a_ticket_does_not_outlive_the_executor(self) -> None:
         self._answer(self._ask(), {ExecutorId("i-1"): "t"})
         self.owner.scheduler.register(registration("i-1", incarnation=2), self.owner.now)
-        self.owner.look("i-1", incarnation=2)
+        self.owner.poll("i-1", incarnation=2)
         self.assertEqual(self.owner.send(), [])
--- a/fireflyfork/platform/_executor_client.py
+++ b/fireflyfork/platform/_executor_client.py
@@ -14,13 +14,13 @@
     CallOutcome,
     EndedRow,
     EndReason,
-    LookAnswer,
     OrderAnswer,
+    PollAnswer,
     RunningRow,
     StartRequest,
 )
 from ._http_calls import CallAnswer, JsonCalls
-from ._names import EXPECTED_INCARNATION_HEADER, LOOK_PATH, PACE_PATH, START_PATH, STOP_PATH
+from ._names import EXPECTED_INCARNATION_HEADER, PACE_PATH, POLL_PATH, START_PATH, STOP_PATH
 
 CALL_TIMEOUT_SECONDS = 0.6
 """An answer takes 1 ms, and some 45 ms from another region; an executor that hangs or is cut off
@@ -61,7 +61,7 @@
     percent: int | None = None
 
 
-class _Look(msgspec.Struct, omit_defaults=True):
+class _Poll(msgspec.Struct, omit_defaults=True):
     fencing_token: int
     last_seen: int
     deadline_ms: int | None = None
@@ -74,7 +74,7 @@
     born: int | None = None
 
 
-class _LookAnswer(msgspec.Struct):
+class _PollAnswer(msgspec.Struct):
     clock_ms: int
     running: list[tuple[Any, ...]] = []
     ended: list[tuple[int, str, int, str, str]] = []
@@ -127,31 +127,31 @@
         """See ExecutorCalls."""
         return await self._order(place, PACE_PATH, _Order(task, attempt, token, percent=percent))
 
-    async def look(
+    async def poll(
         self,
         place: ExecutorPlace,
         token: FencingToken,
         forget_ends_to: int,
         lease_until_ms: int | None,
         wait_seconds: float,
-    ) -> LookAnswer:
+    ) -> PollAnswer:
         """See ExecutorCalls."""
-        body = _Look(token, forget_ends_to, lease_until_ms, int(wait_seconds * 1000))
-        answer = await self._call(place, LOOK_PATH, msgspec.json.encode(body), wait_seconds)
+        body = _Poll(token, forget_ends_to, lease_until_ms, int(wait_seconds * 1000))
+        answer = await self._call(place, POLL_PATH, msgspec.json.encode(body), wait_seconds)
         if answer is None:
-            return LookAnswer(CallOutcome.UNKNOWN)
+            return PollAnswer(CallOutcome.UNKNOWN)
         if answer.status != 200:
             refusal = _decoded(answer, _OrderAnswer)
-            return LookAnswer(_outcome(answer, refusal))
-        look = _decoded(answer, _LookAnswer)
-        if look is None:
-            return LookAnswer(CallOutcome.UNKNOWN)
-        return LookAnswer(
+            return PollAnswer(_outcome(answer, refusal))
+        poll = _decoded(answer, _PollAnswer)
+        if poll is None:
+            return PollAnswer(CallOutcome.UNKNOWN)
+        return PollAnswer(
             CallOutcome.ACCEPTED,
-            look.clock_ms,
-            look.born,
-            tuple(map(_running_row, look.running)),
-            tuple(map(_ended_row, look.ended)),
+            poll.clock_ms,
+            poll.born,
+            tuple(map(_running_row, poll.running)),
+            tuple(map(_ended_row, poll.ended)),
         )
 
     def forget(self, executor: ExecutorId) -> None:
--- a/fireflyfork/platform/_names.py
+++ b/fireflyfork/platform/_names.py
@@ -9,7 +9,7 @@
 START_PATH = "/run-start"
 STOP_PATH = "/run-stop"
 PACE_PATH = "/pace"
-LOOK_PATH = "/hold"
+POLL_PATH = "/hold"
 
 ADVICE_PATH = "/advise"
 
--- a/fireflyfork/programs/_executor_looks.py
+++ b/fireflyfork/programs/_executor_polls.py
@@ -1,4 +1,4 @@
-"""One loop for each executor: look, renew the lease, look again."""
+"""One loop for each executor: poll, renew the lease, poll again."""
 
 from __future__ import annotations
 
@@ -13,15 +13,15 @@
 from ._service_journal import OwnershipLostError, ServiceJournal
 from ._service_lease import Term
 
-LOOK_SECONDS = 1.0
-"""How long a look waits for an end. Each is paid for; the lease, five times longer, bears the loss of
+POLL_SECONDS = 1.0
+"""How long a poll waits for an end. Each is paid for; the lease, five times longer, bears the loss of
 several."""
-DISTURBED_LOOK_SECONDS = 0.5
+DISTURBED_POLL_SECONDS = 0.5
 """Where tasks without a reservation run beside serving ones: tails are measured over half a second,
 and one over its target has to be noticed within the next."""
 STORE_WAIT_SECONDS = 0.15
-"""Ends are listed again until they are stored, so a look before that would return at once. When the
-store is away, looks go on at this pace."""
+"""Ends are listed again until they are stored, so a poll before that would return at once. When the
+store is away, polls go on at this pace."""
 FIRST_RETRY_SECONDS = 0.05
 LONGEST_RETRY_SECONDS = 0.8
 ORPHANED_LEASE_SECONDS = 2.5
@@ -29,8 +29,8 @@
 could never tell when a task on an executor that only the old owner reaches is over."""
 
 
-class ExecutorLooks:
-    """The looks at all executors of a service."""
+class ExecutorPolls:
+    """The polls at all executors of a service."""
 
     def __init__(
         self,
@@ -61,45 +61,45 @@
             event.set()
 
     async def run(self, executor: ExecutorState) -> None:
-        """Look until the executor is gone for good. Raises OwnershipLostError."""
+        """Poll until the executor is gone for good. Raises OwnershipLostError."""
         try:
             while self._scheduler.executors.get(executor.executor) is executor:
                 await self._pause(executor)
-                await self._look(executor)
+                await self._poll(executor)
         finally:
             self._calls.forget(executor.executor)
 
-    async def _look(self, executor: ExecutorState) -> None:
+    async def _poll(self, executor: ExecutorState) -> None:
         sent_at = self._clock.now()
         forget = executor.forgettable_end
         place = ExecutorPlace(executor.executor, executor.registration.address)
-        answer = await self._calls.look(
+        answer = await self._calls.poll(
             place, self._term.token, forget, self._lease(executor, sent_at), self._wait(executor)
         )
         now = self._clock.now()
         if answer.outcome is CallOutcome.FENCED:
             raise OwnershipLostError(f"{executor.executor} has seen a higher token")
         if answer.outcome is not CallOutcome.ACCEPTED:
-            if executor.failed_looks == 0:
+            if executor.failed_polls == 0:
                 logger.info(
                     "executor doesn't answer",
                     executor=executor.executor,
                     outcome=answer.outcome.value,
                     runs=len(executor.runs),
                 )
-            self._scheduler.look_failed(executor, now)
+            self._scheduler.poll_failed(executor, now)
             return
-        if executor.failed_looks:
+        if executor.failed_polls:
             logger.info("executor answers again", executor=executor.executor)
         executor.told_end = max(executor.told_end, forget)
-        self._scheduler.look_answered(executor, sent_at, answer, now, self._clock.unix_ms())
+        self._scheduler.poll_answered(executor, sent_at, answer, now, self._clock.unix_ms())
         if answer.ended:
             self._journal.notify()
         self._kick()
 
     async def _pause(self, executor: ExecutorState) -> None:
-        if executor.failed_looks:
-            delay = FIRST_RETRY_SECONDS * 2 ** (executor.failed_looks - 1)
+        if executor.failed_polls:
+            delay = FIRST_RETRY_SECONDS * 2 ** (executor.failed_polls - 1)
             await trio.sleep(min(delay, LONGEST_RETRY_SECONDS))
         elif executor.unstored_ends:
             await self._journal.wait_stored(STORE_WAIT_SECONDS)
@@ -111,7 +111,7 @@
 
     @staticmethod
     def _idle(executor: ExecutorState) -> bool:
-        known = executor.looked_at is not None
+        known = executor.polled_at is not None
         quiet = not executor.runs and executor.told_end == executor.seen_end
         return known and quiet and executor.registered
 
@@ -122,7 +122,7 @@
         each renewal would put off the moment from which its tasks may run elsewhere.
         """
         orphaned = now - self._store_contact() > ORPHANED_LEASE_SECONDS
-        if executor.looked_at is None or executor.failed_looks or orphaned:
+        if executor.polled_at is None or executor.failed_polls or orphaned:
             return None
         until = executor.clock(now) + self._lease_ms
         executor.lease_until_ms = max(executor.lease_until_ms, until)
@@ -130,10 +130,10 @@
 
     @staticmethod
     def _wait(executor: ExecutorState) -> float:
-        if executor.looked_at is None or executor.failed_looks or executor.unstored_ends:
+        if executor.polled_at is None or executor.failed_polls or executor.unstored_ends:
             return 0.0
         serves = fills = False
         for run in executor.runs.values():
             serves = serves or bool(run.task.spec.tail_target_ms)
             fills = fills or run.task.spec.uses_leftover_cpu
-        return DISTURBED_LOOK_SECONDS if serves and fills else LOOK_SECONDS
+        return DISTURBED_POLL_SECONDS if serves and fills else POLL_SECONDS
--- a/fireflyfork/programs/_service_owner.py
+++ b/fireflyfork/programs/_service_owner.py
@@ -48,7 +48,7 @@
 )
 from ._clocks import Clock
 from ._decision_log import DecisionLog
-from ._executor_looks import ORPHANED_LEASE_SECONDS, ExecutorLooks
+from ._executor_polls import ORPHANED_LEASE_SECONDS, ExecutorPolls
 from ._prefix_watch import PrefixWatch
 from ._scheduling_keys import CANCEL_PREFIX, JOB_PREFIX, PROGRESS_PREFIX, WORK_PREFIX, owner_key
 from ._service_journal import OwnershipLostError, ServiceJournal
@@ -62,12 +62,12 @@
 UNHEARD_MARGIN_SECONDS = 0.5
 """For the clocks of executors, which may be 2% slow."""
 TICK_SECONDS = 0.1
-"""Lapses, retries and due times are looked at this often: a tenth of what a caller notices."""
+"""Lapses, retries and due times are checked this often: a tenth of what a caller notices."""
 WATCH_SECONDS = 2.0
 """How long one question for changes waits; a silent connection is noticed a second later."""
 RETRY_SECONDS = 0.1
 CALLS_AT_ONCE = 6
-"""To one executor, besides the look. It takes 64 connections from all, and starts come in groups of
+"""To one executor, besides the poll. It takes 64 connections from all, and starts come in groups of
 no more than a step's tasks."""
 
 
@@ -96,7 +96,7 @@
         unheard = ORPHANED_LEASE_SECONDS + lease + UNHEARD_MARGIN_SECONDS
         self._scheduler = Scheduler(SchedulerTerms(lease, unheard))
         self._journal = ServiceJournal(store, term, self._scheduler)
-        self._looks = ExecutorLooks(
+        self._polls = ExecutorPolls(
             self._scheduler,
             calls,
             self._journal,
@@ -110,7 +110,7 @@
         self._contact = clock.now()
         self._work = trio.Event()
         self._resigning = False
-        self._looked_after: set[ExecutorState] = set()
+        self._polled: set[ExecutorState] = set()
         self._limits: dict[ExecutorState, trio.CapacityLimiter] = {}
 
     @property
@@ -290,9 +290,9 @@
             await self._work.wait()
             self._work = trio.Event()
             for executor in tuple(self._scheduler.executors.values()):
-                if executor not in self._looked_after:
-                    self._looked_after.add(executor)
-                    nursery.start_soon(self._look_after, executor)
+                if executor not in self._polled:
+                    self._polled.add(executor)
+                    nursery.start_soon(self._keep_polling, executor)
             if not self._resigning:
                 self._scheduler.place(self._clock.now(), self._clock.unix_ms())
             for command in self._scheduler.take_commands():
@@ -303,11 +303,11 @@
             self._log.write(self._scheduler.take_notes())
             self._journal.notify()
 
-    async def _look_after(self, executor: ExecutorState) -> None:
+    async def _keep_polling(self, executor: ExecutorState) -> None:
         try:
-            await self._looks.run(executor)
+            await self._polls.run(executor)
         finally:
-            self._looked_after.discard(executor)
+            self._polled.discard(executor)
             self._limits.pop(executor, None)
 
     async def _ask_advice(self, question: AskAdvice) -> None:
@@ -342,7 +342,7 @@
     async def _order(self, command: RunCommand, executor: ExecutorState) -> OrderAnswer:
         run = command.run
         place = ExecutorPlace(executor.executor, executor.registration.address)
-        self._looks.wake(executor)
+        self._polls.wake(executor)
         if isinstance(command, StopRun):
             return await self._calls.stop(place, self._term.token, run.task.name, run.attempt)
         if isinstance(command, PaceRun):
--- a/fireflyfork_standins/scheduling/_executors.py
+++ b/fireflyfork_standins/scheduling/_executors.py
@@ -23,8 +23,8 @@
     EndedRow,
     EndReason,
     ExecutorRoom,
-    LookAnswer,
     OrderAnswer,
+    PollAnswer,
     RunningRow,
     StartRequest,
     StepSpec,
@@ -228,13 +228,13 @@
             self._life.deadline_ms = max(self._life.deadline_ms, self._limited(until_ms))
         return CallOutcome.ACCEPTED
 
-    def listing(self) -> LookAnswer:
+    def listing(self) -> PollAnswer:
         """What it says of itself."""
         running = tuple(
             RunningRow(run.task, AttemptNumber(run.attempt), self._saved(run), run.percent, 5.0)
             for run in self._life.runs.values()
         )
-        return LookAnswer(
+        return PollAnswer(
             CallOutcome.ACCEPTED, self.clock_ms, self.born, running, tuple(self._life.ends[:500])
         )
 
@@ -348,19 +348,19 @@
         """See ExecutorCalls."""
         return await self._order(place, lambda one: one.pace(token, task, attempt, percent))
 
-    async def look(
+    async def poll(
         self,
         place: ExecutorPlace,
         token: FencingToken,
         forget_ends_to: int,
         lease_until_ms: int | None,
         wait_seconds: float,
-    ) -> LookAnswer:
+    ) -> PollAnswer:
         """See ExecutorCalls."""
         executor = self._reachable(place)
         if executor is None:
             await trio.sleep(TIMEOUT_SECONDS)
-            return LookAnswer(CallOutcome.UNKNOWN)
+            return PollAnswer(CallOutcome.UNKNOWN)
         await trio.sleep(LATENCY_SECONDS)
         late = self._draws(executor.trouble.late_share)
         if late:
@@ -368,16 +368,16 @@
             self._nursery.start_soon(self._late, executor, lambda: executor.renew(*renew))
         if late or not executor.up:
             await trio.sleep(TIMEOUT_SECONDS)
-            return LookAnswer(CallOutcome.UNKNOWN)
+            return PollAnswer(CallOutcome.UNKNOWN)
         refusal = executor.renew(token, forget_ends_to, lease_until_ms)
         if refusal is not CallOutcome.ACCEPTED:
-            return LookAnswer(refusal)
+            return PollAnswer(refusal)
         until = trio.current_time() + wait_seconds
         while trio.current_time() < until and not executor.has_end_after(forget_ends_to):
             await trio.sleep(STEP_SECONDS)
         if self._reachable(place) is None or self._draws(executor.trouble.lost_share):
             await trio.sleep(TIMEOUT_SECONDS)
-            return LookAnswer(CallOutcome.UNKNOWN)
+            return PollAnswer(CallOutcome.UNKNOWN)
         return executor.listing()
 
     def forget(self, executor: ExecutorId) -> None:
--- a/fireflyfork_standins/scheduling/_nodes.py
+++ b/fireflyfork_standins/scheduling/_nodes.py
@@ -26,7 +26,7 @@
     StoredItem,
     StoreListing,
 )
-from fireflyfork.decisions.jobs import LookAnswer, OrderAnswer, QueueTable, StartRequest
+from fireflyfork.decisions.jobs import OrderAnswer, PollAnswer, QueueTable, StartRequest
 from fireflyfork.platform import PlatformBounds
 from fireflyfork.programs._clocks import Clock
 from fireflyfork.programs._job_requests import JobRequests
@@ -145,16 +145,16 @@
         await self._node.awake()
         return answer
 
-    async def look(
+    async def poll(
         self,
         place: ExecutorPlace,
         token: FencingToken,
         forget_ends_to: int,
         lease_until_ms: int | None,
         wait_seconds: float,
-    ) -> LookAnswer:
+    ) -> PollAnswer:
         await self._node.awake()
-        answer = await self._inner.look(place, token, forget_ends_to, lease_until_ms, wait_seconds)
+        answer = await self._inner.poll(place, token, forget_ends_to, lease_until_ms, wait_seconds)
         await self._node.awake()
         return answer
 
--- a/fireflyfork_standins/tests/test_scheduling_days.py
+++ b/fireflyfork_standins/tests/test_scheduling_days.py
@@ -11,7 +11,7 @@
     # An executor's clock was taken to be hours ahead, so its tasks were given away too early.
     (4, ("executor_cut",)),
     (5, ("executor_cut",)),
-    # A look still out removed the next life of an executor that had been given up.
+    # A poll still out removed the next life of an executor that had been given up.
     (2, ("executor_crash",)),
     (6, ("executor_crash",)),
     (105, ("freeze", "executor_crash")),
@@ -102,12 +102,12 @@
                 executor.unstored_ends.clear()
                 executor.forgettable_end = executor.seen_end
 
-        def look(self, executor, sent_at, answer, now, now_ms):  # type: ignore[no-untyped-def]
+        def poll(self, executor, sent_at, answer, now, now_ms):  # type: ignore[no-untyped-def]
             real(self, executor, sent_at, answer, now, now_ms)
             forget(self)
 
-        real = Scheduler.look_answered
-        with patch.object(Scheduler, "look_answered", look):
+        real = Scheduler.poll_answered
+        with patch.object(Scheduler, "poll_answered", poll):
             broken = self._broken(range(1, 9), ("store_down", "kill"))
         self.assertIn("once", broken)
 
