Jobs that are long over leave the store

Cause: nothing removed them, so the store would fill up and each new owner read every job there ever was. Change: the owner removes a job's keys 180 s after its state may be forgotten, ten at a time, under the condition that it still owns the service; names of removed jobs are kept for ten seconds more, as a listing on its way may hold them.

--- a/fireflyfork/decisions/jobs/_job_table.py
+++ b/fireflyfork/decisions/jobs/_job_table.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from itertools import islice
 
 from ..._ids import JobId, QueueName, TaskName
 from ._change_log import ChangeLog
@@ -12,6 +14,14 @@
 from ._specs import JobSpec, StepSpec, TaskKey, parse_task_name
 
 
+@dataclass(frozen=True, slots=True)
+class _OverJob:
+    """What is kept of a job that is over."""
+
+    spec: JobSpec
+    final_ms: int
+
+
 def terms_without_queue(spec: JobSpec) -> QueueTerms:
     """Terms for a job whose queue is not configured any more: what was accepted is finished."""
     return QueueTerms(spec.queue, "", "", spec.service, 9, 3, 2.0, 1000, 0)
@@ -24,7 +34,9 @@
         """No jobs."""
         self.changes = ChangeLog()
         self._jobs: dict[JobId, Job] = {}
-        self._over: dict[JobId, JobSpec] = {}
+        self._over: dict[JobId, _OverJob] = {}
+        self._removed: set[JobId] = set()
+        self._removed_before: set[JobId] = set()
         self._queues: QueueTable | None = None
 
     def __len__(self) -> int:
@@ -55,7 +67,8 @@
         if parsed is None:
             return None
         job = self._jobs.get(parsed[0])
-        spec = job.spec if job is not None else self._over.get(parsed[0])
+        over = self._over.get(parsed[0])
+        spec = job.spec if job is not None else over.spec if over is not None else None
         if spec is None or parsed[1].step >= len(spec.steps):
             return None
         return spec, spec.steps[parsed[1].step]
@@ -63,10 +76,11 @@
     def accept(self, spec: JobSpec, progress: StoredProgress | None, now_ms: int) -> list[Task]:
         """Take in a job. Returns the tasks that may start; none for one that is known or over."""
         if progress is not None and progress.state.is_final:
-            self._over[spec.job] = spec
+            self._over[spec.job] = _OverJob(spec, progress.final_ms)
         # The store's changes are listed anew when its history was lost, so a job comes up again
         # after it has ended; its tasks must not run a second time.
-        if spec.job in self._jobs or spec.job in self._over:
+        known = spec.job in self._jobs or spec.job in self._over
+        if known or spec.job in self._removed or spec.job in self._removed_before:
             return []
         queue = (self._queues and self._queues.by_name(spec.queue)) or terms_without_queue(spec)
         job = Job(spec, queue)
@@ -167,9 +181,29 @@
             if job.state.is_final and name not in self.changes and not self._still_runs(job)
         ]
         for name in over:
-            self._over[name] = self._jobs.pop(name).spec
+            job = self._jobs.pop(name)
+            self._over[name] = _OverJob(job.spec, job.final_ms)
         return over
 
+    def expired(self, before_ms: int, most: int) -> tuple[JobId, ...]:
+        """Some jobs whose state became final before a time and is stored."""
+        old = (name for name, job in self._over.items() if job.final_ms < before_ms)
+        return tuple(islice(old, most))
+
+    def forget(self, jobs: Iterable[JobId]) -> None:
+        """These are gone from the store.
+
+        A listing that was on its way may still hold one of them, and taken for a new job it would run
+        again. So their names are kept until ``forget_removed`` has been called twice.
+        """
+        for name in jobs:
+            self._over.pop(name, None)
+            self._removed.add(name)
+
+    def forget_removed(self) -> None:
+        """What was removed some time ago is in no listing any more."""
+        self._removed_before, self._removed = self._removed, set()
+
     def pending(self) -> dict[QueueName, int]:
         """Of each queue, how many accepted jobs have started nothing."""
         counts: dict[QueueName, int] = {}
--- a/fireflyfork/decisions/jobs/tests/test_scheduler.py
+++ b/fireflyfork/decisions/jobs/tests/test_scheduler.py
@@ -68,6 +68,21 @@
         owner.scheduler.accept(job(A), START_MS)
         self.assertEqual(owner.place(), [])
 
+    def test_a_job_that_was_just_removed_does_not_run_again(self) -> None:
+        """An old job is removed from the store while a listing that still holds it is on its way. Taken
+        for a new job, a booking of some minutes ago would be made once more.
+        """
+        owner = OwnerUnderTest("i-0")
+        over = StoredProgress(JobState.COMPLETED, final_ms=START_MS)
+        owner.scheduler.recover([(job(A), over)], [], [], owner.now, START_MS)
+        jobs = owner.scheduler.jobs
+        self.assertEqual(jobs.expired(START_MS, 10), ())
+        self.assertEqual(jobs.expired(START_MS + 1, 10), (job(A).job,))
+        jobs.forget([job(A).job])
+        jobs.forget_removed()
+        owner.scheduler.accept(job(A), START_MS)
+        self.assertEqual(owner.place(), [])
+
 
 class RoomTest(unittest.TestCase):
     """No executor gets more than it holds."""
--- a/fireflyfork/programs/_service_journal.py
+++ b/fireflyfork/programs/_service_journal.py
@@ -17,12 +17,22 @@
     encode_progress,
     encode_registrations,
 )
-from ._scheduling_keys import executors_key, journal_key, owner_key, pending_key, progress_key
+from ._scheduling_keys import (
+    cancel_key,
+    executors_key,
+    job_key,
+    journal_key,
+    owner_key,
+    pending_key,
+    progress_key,
+)
 from ._service_lease import Term
 
 MOST_JOBS = 26
 """A transaction takes 32 rows; two conditions, the journal's number, the pending counts and the known
 executors take five of them, and one is spare."""
+MOST_REMOVED = 10
+"""Jobs in one removal, three keys each, within the same 32 rows."""
 GATHER_SECONDS = 0.01
 """Changes within this go into one write: a store call takes 4 ms, and calls are paid for."""
 RETRY_SECONDS = 0.1
@@ -124,6 +134,27 @@
         self._stored = trio.Event()
         return True
 
+    async def remove_expired(self, before_ms: int) -> bool:
+        """Remove some jobs that ended before a time; whether there may be more.
+
+        Raises OwnershipLostError. A job's key is what makes a late repeat of its request the same job,
+        so it stays much longer than any repeat may take.
+        """
+        jobs = self._scheduler.jobs.expired(before_ms, MOST_REMOVED)
+        if not jobs:
+            return False
+        keys = tuple(key(name) for name in jobs for key in (job_key, cancel_key, progress_key))
+        expected = {owner_key(self._term.service): self._term.owner_revision}
+        try:
+            await self._store.commit(expected, removals=keys)
+        except TransactionConflictError as error:
+            raise OwnershipLostError("another owner has taken over") from error
+        except StoreError as error:
+            logger.debug("old jobs not removed", service=self._term.service, error=str(error))
+            return False
+        self._scheduler.jobs.forget(jobs)
+        return len(jobs) == MOST_REMOVED
+
     def _put_back(self, executors: bool) -> None:
         self._scheduler.jobs.changes.put_back()
         if executors:
--- a/fireflyfork/programs/_service_owner.py
+++ b/fireflyfork/programs/_service_owner.py
@@ -61,6 +61,11 @@
 """Of the longest lease that the platform grants, where that is shorter."""
 UNHEARD_MARGIN_SECONDS = 0.5
 """For the clocks of executors, which may be 2% slow."""
+CLEANUP_SECONDS = 10.0
+RETENTION_MARGIN_SECONDS = 180.0
+"""Jobs that are over stay in the store for as long as their state must be readable and this on top, for
+clocks that differ and requests that come again late; then they go, a few every ten seconds, or a new
+owner would read more and more of them."""
 TICK_SECONDS = 0.1
 """Lapses, retries and due times are checked this often: a tenth of what a caller notices."""
 WATCH_SECONDS = 2.0
@@ -92,6 +97,7 @@
         self._advisor = advisor
         self._clock = clock
         self._queues = queues
+        self._retention = bounds.status_retention + RETENTION_MARGIN_SECONDS
         lease = min(LEASE_SECONDS, bounds.longest_lease * LEASE_SHARE)
         unheard = ORPHANED_LEASE_SECONDS + lease + UNHEARD_MARGIN_SECONDS
         self._scheduler = Scheduler(SchedulerTerms(lease, unheard))
@@ -140,6 +146,7 @@
                 nursery.start_soon(self._work_watch().run, work_revision)
                 nursery.start_soon(self._registration_watch().run, servers_revision)
                 nursery.start_soon(self._tick)
+                nursery.start_soon(self._remove_old_jobs)
                 await self._dispatch(nursery)
                 nursery.cancel_scope.cancel()
         except* OwnershipLostError as errors:
@@ -285,6 +292,14 @@
             self._scheduler.check_time(self._clock.now(), self._clock.unix_ms())
             self.kick()
 
+    async def _remove_old_jobs(self) -> None:
+        while True:
+            await trio.sleep(CLEANUP_SECONDS)
+            self._scheduler.jobs.forget_removed()
+            before = self._clock.unix_ms() - int(self._retention * 1000)
+            while await self._journal.remove_expired(before):
+                pass
+
     async def _dispatch(self, nursery: trio.Nursery) -> None:
         while not self._resigning:
             await self._work.wait()
--- a/fireflyfork_standins/scheduling/_world.py
+++ b/fireflyfork_standins/scheduling/_world.py
@@ -27,7 +27,7 @@
     queue_table,
 )
 from fireflyfork.platform import PlatformBounds
-from fireflyfork.programs._scheduling_keys import owner_key
+from fireflyfork.programs._scheduling_keys import JOB_PREFIX, owner_key
 
 from ._executors import StandInExecutor
 from ._history import History, Violation
@@ -73,6 +73,8 @@
     troubles: tuple[str, ...] = ()
     """Which kinds of trouble may come; none: a calm day."""
     trouble_gap_seconds: float = 3.0
+    retention_seconds: float = 120.0
+    """For how long the state of a job must be readable after its end."""
 
 
 @dataclass(slots=True)
@@ -85,6 +87,8 @@
     unsure: int = 0
     starts: int = 0
     store_calls: int = 0
+    keys_left: int = 0
+    """Jobs that the store still holds at the end."""
     states: dict[JobState, int] = field(default_factory=dict)
     ends: dict[EndReason, int] = field(default_factory=dict)
     troubles: list[str] = field(default_factory=list)
@@ -122,7 +126,7 @@
         }
         queue = QueueTerms(QueueName("q"), "h", "/q/", SERVICE, 0, 3, 2.0, 1000, 3000)
         table = queue_table(ConfigurationVersion(1), (queue,), frozenset({SERVICE}))
-        bounds = PlatformBounds(6.0, 0.2, 6.0, 120.0)
+        bounds = PlatformBounds(6.0, 0.2, 6.0, profile.retention_seconds)
         self._nodes = [
             StandInNode(
                 NodeName(f"n-{number}"),
@@ -155,6 +159,7 @@
             await self._settle()
             nursery.cancel_scope.cancel()
         self._report.starts = self._history.starts
+        self._report.keys_left = len(self._store.under(JOB_PREFIX))
         self._report.store_calls = self._store.calls
         self._report.ends = dict(self._history.ends)
         return self._report
@@ -367,6 +372,10 @@
 
     async def _settle(self) -> None:
         await trio.sleep(10.0)
+        if self._profile.retention_seconds < 0:
+            # Everything that ended long enough ago is removed; nothing is left to ask about.
+            await trio.sleep(30.0)
+            return
         end = trio.current_time() + SETTLE_SECONDS
         left = set(self._history.acknowledged)
         while left and trio.current_time() < end:
--- a/fireflyfork_standins/tests/test_scheduling_days.py
+++ b/fireflyfork_standins/tests/test_scheduling_days.py
@@ -50,6 +50,16 @@
             with self.subTest(seed):
                 self.assertEqual(_play(seed, TROUBLES).violations, [])
 
+    def test_jobs_that_are_long_over_leave_the_store(self) -> None:
+        """Nothing removed jobs that had ended, so the store filled up, and each new owner read all
+        jobs there ever were before it placed the first task.
+        """
+        kept = run_world(3, Profile())
+        self.assertEqual(kept.keys_left, kept.accepted)
+        removed = run_world(3, Profile(retention_seconds=-180.0, troubles=("kill",)))
+        self.assertGreater(removed.accepted, 10)
+        self.assertEqual(removed.keys_left, 0)
+
     def test_a_store_that_forgets_its_history_is_not_asked_in_a_loop(self) -> None:
         """The store drops its history. Candidates that go on asking for changes since the owner took
         office, long before that, are told each time that they are gone, and ask again at once: the
