--- /dev/null
+++ b/fireflyfork/programs/tests/test_queue_keeper.py
@@ -0,0 +1,92 @@
+"""Which configuration an instance has in force."""
+
+import unittest
+from collections.abc import Awaitable, Callable
+from random import Random
+
+import msgspec
+import trio
+from trio.testing import MockClock
+
+from fireflyfork_standins.scheduling import StandInStore
+
+from ..._ids import NodeName
+from ...platform import CONFIGURATION_KEY
+from .._queue_keeper import QueueKeeper
+
+NODE = NodeName("n-0")
+
+
+def _configuration(version: int) -> bytes:
+    return msgspec.json.encode({"version": version, "routes": [], "services": [{"name": "desk"}]})
+
+
+def _play(body: Callable[[StandInStore, list[int]], Awaitable[None]]) -> None:
+    async def main() -> None:
+        store = StandInStore(Random(1))
+        versions: list[int] = []
+        keeper = QueueKeeper(store.client(NODE), lambda table: versions.append(table.version))
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(store.run)
+            nursery.start_soon(keeper.run)
+            await body(store, versions)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=MockClock(autojump_threshold=0))
+
+
+class QueueKeeperTest(unittest.TestCase):
+    """Newer versions come into force in time, older ones never again."""
+
+    def test_a_change_is_in_force_within_a_second(self) -> None:
+        async def body(store: StandInStore, versions: list[int]) -> None:
+            for version in (3, 8, 9):
+                store.put(CONFIGURATION_KEY, _configuration(version))
+                await trio.sleep(1.0)
+                self.assertEqual(versions[-1], version)
+
+        _play(body)
+
+    def test_an_older_version_does_not_come_back(self) -> None:
+        """Answers overtake each other, or an operator's tool writes an old file. Callers would be
+        sent to executors that have been taken out of service.
+        """
+
+        async def body(store: StandInStore, versions: list[int]) -> None:
+            for version in (7, 6, 7, 8, 2):
+                store.put(CONFIGURATION_KEY, _configuration(version))
+                await trio.sleep(0.5)
+            self.assertEqual(versions, [7, 8])
+
+        _play(body)
+
+    def test_one_that_can_not_be_read_leaves_the_last_in_force(self) -> None:
+        async def body(store: StandInStore, versions: list[int]) -> None:
+            store.put(CONFIGURATION_KEY, _configuration(7))
+            await trio.sleep(0.5)
+            store.put(CONFIGURATION_KEY, b"{")
+            await trio.sleep(0.5)
+            store.put(CONFIGURATION_KEY, _configuration(8))
+            await trio.sleep(0.5)
+            self.assertEqual(versions, [7, 8])
+
+        _play(body)
+
+    def test_a_version_is_not_missed_while_the_store_is_away_or_forgets(self) -> None:
+        """The store is away when the operator writes, and has dropped its history when it is back. An
+        instance that only waited for the next change would stay behind until there is one.
+        """
+
+        async def body(store: StandInStore, versions: list[int]) -> None:
+            store.put(CONFIGURATION_KEY, _configuration(7))
+            await trio.sleep(0.5)
+            store.trouble.silent.add(NODE)
+            await trio.sleep(3.0)
+            store.put(CONFIGURATION_KEY, _configuration(8))
+            store.put("other", b"")
+            store.drop_history()
+            store.trouble.silent.clear()
+            await trio.sleep(2.5)
+            self.assertEqual(versions, [7, 8])
+
+        _play(body)
