An order that is refused for what it says waits for the tick before the next try

Cause, found in reading: a refusal as malformed, stale or past its deadline put the task back at once, so the same order went out as fast as answers came. A test failed first.

--- a/fireflyfork/decisions/jobs/_report_handling.py
+++ b/fireflyfork/decisions/jobs/_report_handling.py
@@ -17,6 +17,9 @@
 from ._specs import JobSpec, StepSpec, TaskKey
 from ._work import Work, job_over
 
+_OF_THE_EXECUTOR = frozenset({CallOutcome.UNHEALTHY, CallOutcome.NO_ROOM})
+"""Refusals that another executor would not give."""
+
 
 class Reports:
     """Takes in answers to orders and polls."""
@@ -41,11 +44,14 @@
             run.phase = RunPhase.UNSURE
             self._work.stop(run, now)
         else:
-            if outcome in (CallOutcome.UNHEALTHY, CallOutcome.NO_ROOM):
+            if outcome in _OF_THE_EXECUTOR:
                 self._work.strike(executor, now)
             elif outcome is CallOutcome.NO_TICKET:
                 self._work.tickets.rejected(run.task.step_id, executor.executor)
-            self._work.gone(run, now)
+            # Where the next try differs in nothing it is as likely to be refused; sent as soon as the answer came, such orders
+            # would go out hundreds of times a second.
+            differs = outcome in _OF_THE_EXECUTOR or outcome is CallOutcome.NO_TICKET
+            self._work.gone(run, now, at_once=differs)
 
     def stop_answered(self, run: Run, answer: OrderAnswer, now: float) -> None:
         """An executor answered the order to stop, or didn't."""
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -116,7 +116,7 @@
         self._work.known_executors_changed = True
 
     def accept(self, spec: JobSpec, now_ms: int) -> None:
-        """Take in a job that was accepted while this owner was in office."""
+        """Take in a job that was accepted while this owner owned the service."""
         for task in self.jobs.accept(spec, None, now_ms):
             self._work.enqueue(task)
 
--- a/fireflyfork/decisions/jobs/_work.py
+++ b/fireflyfork/decisions/jobs/_work.py
@@ -54,7 +54,7 @@
         """Whether a task, or its gang, should run and doesn't."""
         return not task.job.state.is_final and task.key in task.job.tasks and is_free(task)
 
-    def enqueue(self, task: Task) -> None:
+    def enqueue(self, task: Task, at_once: bool = True) -> None:
         """A task may start; it waits for its place."""
         if task.spec.gang:
             task = members(task)[0] if task.key in task.job.tasks else task
@@ -63,8 +63,10 @@
         task.waiting = True
         if task.job.recovered and self.unreached:
             self.held.append(task)
-            return
-        self.push(task, task.job.spec.accepted_ms)
+        elif at_once:
+            self.push(task, task.job.spec.accepted_ms)
+        else:
+            self.parked.append(task)
 
     def push(self, task: Task, now_ms: int) -> None:
         """Put a waiting task in order."""
@@ -83,8 +85,8 @@
         run.stop_sent_at = now
         self.commands.append(StopRun(run))
 
-    def gone(self, run: Run, now: float) -> None:
-        """A run is certainly over, or never was; its task may start again."""
+    def gone(self, run: Run, now: float, at_once: bool = True) -> None:
+        """A run is certainly over, or never was; its task may start again, at once or with the tick."""
         run.executor.remove(run)
         task = run.task
         if run in task.runs:
@@ -92,7 +94,7 @@
         if task.spec.gang and task.key in task.job.tasks:
             # The others would hold their room and wait for a member that doesn't come back.
             self.break_up(task, now)
-        self.enqueue(task)
+        self.enqueue(task, at_once)
 
     def break_up(self, task: Task, now: float) -> None:
         """Stop the members of a gang that run while others don't."""
--- a/fireflyfork/decisions/jobs/tests/test_scheduler.py
+++ b/fireflyfork/decisions/jobs/tests/test_scheduler.py
@@ -162,6 +162,18 @@
         self.assertIs(run.phase, RunPhase.RUNNING)
         self.assertEqual(owner.place(), [])
 
+    def test_an_order_that_is_refused_as_malformed_is_not_sent_again_at_once(self) -> None:
+        """Executors refuse what a job says about its task. Sent again as soon as the refusal came, the
+        order went out hundreds of times a second and kept the owner from everything else.
+        """
+        owner = OwnerUnderTest("i-0")
+        owner.scheduler.accept(job(A), START_MS)
+        (run,) = owner.send()
+        owner.answer_start(run, CallOutcome.MALFORMED)
+        self.assertEqual(owner.send(), [])
+        owner.tick(0.1)
+        self.assertEqual([again.attempt for again in owner.send()], [2])
+
 
 class LostExecutorsTest(unittest.TestCase):
     """Executors that don't answer, or start anew."""
--- a/fireflyfork/programs/_service_candidate.py
+++ b/fireflyfork/programs/_service_candidate.py
@@ -53,7 +53,7 @@
         return self._owner
 
     async def run(self) -> None:
-        """Stand until ``stop``; a term in office ends with its hand-over."""
+        """Stand until ``stop``; a term ends with its hand-over."""
         while not self._stopping:
             with trio.CancelScope() as self._waiting:
                 term = await self._lease.win()
@@ -79,7 +79,7 @@
                 await self._lease.resign(term)
 
     async def stop(self) -> None:
-        """Leave the office to others at once, with all that is known stored."""
+        """Leave the ownership to others at once, with all that is known stored."""
         self._stopping = True
         self._waiting.cancel()
         if self._owner is not None:
--- a/fireflyfork/programs/_service_journal.py
+++ b/fireflyfork/programs/_service_journal.py
@@ -41,7 +41,7 @@
 
 
 class OwnershipLostError(StoreError):
-    """Another owner is in office, or none."""
+    """Another instance owns the service, or none does."""
 
 
 class ServiceJournal:
@@ -63,12 +63,6 @@
         self._stored = trio.Event()
         self._pending: dict[str, int] = {}
         self._pending_at = 0.0
-        self._last_success = trio.current_time()
-
-    @property
-    def silent_seconds(self) -> float:
-        """Since when no write has succeeded while one was due."""
-        return trio.current_time() - self._last_success
 
     async def open(self) -> None:
         """Find the last write of earlier owners. Raises StoreError."""
@@ -129,7 +123,6 @@
             self._pending = pending
             self._pending_at = trio.current_time()
         self._scheduler.note_stored()
-        self._last_success = trio.current_time()
         self._stored.set()
         self._stored = trio.Event()
         return True
--- a/fireflyfork/programs/_service_lease.py
+++ b/fireflyfork/programs/_service_lease.py
@@ -33,7 +33,7 @@
 FAR_STORE_SECONDS = 0.02
 """A round trip above this crosses regions: 40 ms, against 5 ms inside one."""
 FAR_DELAY_SECONDS = 0.4
-"""Instances far from the store, and so from most executors, leave the office to nearer ones, which
+"""Instances far from the store, and so from most executors, leave the ownership to nearer ones, which
 are done within 0.1 s."""
 SPREAD_SECONDS = 0.03
 """Candidates spread over this, so that one write usually settles it."""
@@ -49,7 +49,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Term:
-    """One owner's time in office."""
+    """One owner's time."""
 
     service: ServiceName
     number: int
@@ -130,7 +130,7 @@
             self._far = self._clock.now() - begun > FAR_STORE_SECONDS
             if all(item.key != key for item in listing.items):
                 return
-            # Not since the owner took office: the store may have forgotten what was then.
+            # Not since the owner took over: the store may have forgotten what was then.
             if await self._wait_removed(key, listing.as_of):
                 return
 
--- a/fireflyfork/programs/_service_owner.py
+++ b/fireflyfork/programs/_service_owner.py
@@ -1,4 +1,4 @@
-"""The owner of one service at work: from recovery to the loss of its office."""
+"""The owner of one service at work: from recovery to the loss of its ownership."""
 
 from __future__ import annotations
 
@@ -77,7 +77,7 @@
 
 
 class ServiceOwner:
-    """One term in office."""
+    """One term of ownership."""
 
     def __init__(
         self,
--- a/fireflyfork_standins/tests/test_scheduling_days.py
+++ b/fireflyfork_standins/tests/test_scheduling_days.py
@@ -62,7 +62,7 @@
 
     def test_a_store_that_forgets_its_history_is_not_asked_in_a_loop(self) -> None:
         """The store drops its history. Candidates that go on asking for changes since the owner took
-        office, long before that, are told each time that they are gone, and ask again at once: the
+        over, long before that, are told each time that they are gone, and ask again at once: the
         store is busy with that, and its operators pay for every call.
         """
         calm, forgetful = _play(3), _play(3, ("store_forgets",))
