--- a/fireflyfork/programs/_service_journal.py
+++ b/fireflyfork/programs/_service_journal.py
@@ -33,7 +33,7 @@
 executors take five of them, and one is spare."""
 MOST_REMOVED = 10
 """Jobs in one removal, three keys each, within the same 32 rows."""
-GATHER_SECONDS = 0.01
+GATHER_SECONDS = 0.025
 """Changes within this go into one write: a store call takes 4 ms, and calls are paid for."""
 RETRY_SECONDS = 0.1
 PENDING_SECONDS = 0.5
