Code that nothing reads is removed

Found in reading the whole change: a look-up of the next due time, a job's begun, the count of held tasks, a count of store calls, the lease among the scheduler's terms, two constants and a method of the stand-in. No path that runs is touched, and no assertion.

--- a/fireflyfork/decisions/jobs/_job_table.py
+++ b/fireflyfork/decisions/jobs/_job_table.py
@@ -113,17 +113,6 @@
             ready.extend(self._open(job, occurrence))
         return ready
 
-    def next_due_ms(self) -> int | None:
-        """When the next occurrence of any job becomes due, or None."""
-        return min(
-            (
-                job.spec.due_ms(job.opened_occurrences)
-                for job in self._jobs.values()
-                if not job.state.is_final and job.opened_occurrences < job.spec.occurrence_count
-            ),
-            default=None,
-        )
-
     def waiting_for_time(self) -> Iterator[Job]:
         """Jobs with occurrences that are not due yet."""
         return (
--- a/fireflyfork/decisions/jobs/_runs.py
+++ b/fireflyfork/decisions/jobs/_runs.py
@@ -123,11 +123,6 @@
     opened_occurrences: int = 0
     """So many occurrences have become due."""
 
-    @property
-    def begun(self) -> bool:
-        """Whether any task of it has been started."""
-        return self.state is not JobState.QUEUED
-
     def allowed_ms(self) -> float:
         """How long it may take, from its acceptance, to be of full use."""
         return self.queue.stretch_factor * self.spec.chain_ms() + self.queue.target_latency_ms
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -31,8 +31,6 @@
 class SchedulerTerms:
     """What the platform demands, in seconds."""
 
-    lease: float
-    """How long an executor goes on without hearing from its owner."""
     unheard_lease: float
     """How long an executor that this owner never reached may go on for an earlier one."""
 
@@ -63,11 +61,6 @@
         """Tasks that may start and have no place."""
         return len(self._work.ready) + len(self._work.parked)
 
-    @property
-    def held_tasks(self) -> int:
-        """Tasks that may run somewhere out of reach."""
-        return len(self._work.held)
-
     def take_commands(self) -> list[Command]:
         """What is to be done, once."""
         commands, self._work.commands = self._work.commands, []
--- a/fireflyfork/platform/_store_client.py
+++ b/fireflyfork/platform/_store_client.py
@@ -108,7 +108,6 @@
     def __init__(self, address: Address) -> None:
         """Connect to ``address`` when first needed."""
         self._calls = JsonCalls(address, CALL_TIMEOUT_SECONDS)
-        self._count = 0
         self._failures = 0
 
     @property
@@ -116,11 +115,6 @@
         """Whether the store has answered lately: one of the last calls did."""
         return self._failures < FAILURES_TO_DOUBT
 
-    @property
-    def call_count(self) -> int:
-        """Calls made so far; each is paid for."""
-        return self._count
-
     async def read(self, key: str) -> StoredItem | None:
         """See CoordinationStore."""
         answer = await self._call("GET", f"{KEY_PATH}?key={quote(key, safe='')}")
@@ -207,7 +201,6 @@
     async def _call(
         self, method: str, target: str, body: bytes = b"", extra_seconds: float = 0.0
     ) -> CallAnswer:
-        self._count += 1
         try:
             answer = await self._calls.call(method, target, body, extra_seconds=extra_seconds)
         except ConnectError as error:
--- a/fireflyfork/programs/_service_owner.py
+++ b/fireflyfork/programs/_service_owner.py
@@ -100,7 +100,7 @@
         self._retention = bounds.status_retention + RETENTION_MARGIN_SECONDS
         lease = min(LEASE_SECONDS, bounds.longest_lease * LEASE_SHARE)
         unheard = ORPHANED_LEASE_SECONDS + lease + UNHEARD_MARGIN_SECONDS
-        self._scheduler = Scheduler(SchedulerTerms(lease, unheard))
+        self._scheduler = Scheduler(SchedulerTerms(unheard))
         self._journal = ServiceJournal(store, term, self._scheduler)
         self._polls = ExecutorPolls(
             self._scheduler,
--- a/fireflyfork_standins/scheduling/_history.py
+++ b/fireflyfork_standins/scheduling/_history.py
@@ -12,8 +12,6 @@
 
 CANCEL_SECONDS = 3.0
 """A task may start until so long after its job's cancelling was acknowledged."""
-NOTED_SECONDS = 1.0
-"""A start that was on its way when the end of another run was noted is no fault."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,12 +104,6 @@
             and any(run.reason is EndReason.DONE for run in runs)
         }
 
-    def counted_failures(self, task: TaskName) -> int:
-        """Runs of a task that ended as failed and were noted."""
-        return sum(
-            run.reason is EndReason.FAILED and run.noted_at is not None for run in self._runs[task]
-        )
-
     def _check_others(self, task: TaskName, step: StepSpec) -> None:
         if step.speculative:
             return
--- a/fireflyfork_standins/scheduling/_world.py
+++ b/fireflyfork_standins/scheduling/_world.py
@@ -58,7 +58,6 @@
 SETTLE_SECONDS = 60.0
 """After the last trouble everything that was accepted has to end within this: the longest wait for
 executors that nobody reached is 9 s, and some tasks have to run one after the other."""
-CALM_SECONDS = 5.0
 
 
 @dataclass(frozen=True, slots=True)
