--- a/fireflyfork/decisions/jobs/__init__.py
+++ b/fireflyfork/decisions/jobs/__init__.py
@@ -3,6 +3,7 @@
 from ._change_log import ChangeLog
 from ._commands import AskAdvice, Command, PaceRun, RunCommand, StartRun, StopRun
 from ._executors import ExecutorRegistration, ExecutorRoom, ExecutorState
+from ._interference import LearnedFit
 from ._job_table import JobTable
 from ._notes import ExecutorGivenUp, JobOver, Note, RunEnded, TaskSent
 from ._progress import JobState, StoredProgress, StoredTask
@@ -21,10 +22,12 @@
 from ._specs import JobSpec, StepSpec, TaskKey, parse_task_name, step_name
 from ._stored_forms import (
     StoredFormatError,
+    decode_learned,
     decode_progress,
     decode_registrations,
     decode_stored_job,
     encode_job,
+    encode_learned,
     encode_progress,
     encode_registrations,
 )
@@ -45,6 +48,7 @@
     "JobSpec",
     "JobState",
     "JobTable",
+    "LearnedFit",
     "Note",
     "OrderAnswer",
     "PaceRun",
@@ -68,10 +72,12 @@
     "Task",
     "TaskKey",
     "TaskSent",
+    "decode_learned",
     "decode_progress",
     "decode_registrations",
     "decode_stored_job",
     "encode_job",
+    "encode_learned",
     "encode_progress",
     "encode_registrations",
     "parse_task_name",
--- a/fireflyfork/decisions/jobs/_interference.py
+++ b/fireflyfork/decisions/jobs/_interference.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 
 PRIOR_EFFECT = 1.6
@@ -65,6 +66,19 @@
             self.weight = 1.0
 
 
+@dataclass(frozen=True, slots=True)
+class LearnedFit:
+    """What has been learned about one serving image, for the next owner."""
+
+    serving: str
+    names: tuple[str, ...]
+    """The images beside it, and the constant term."""
+    products: tuple[float, ...]
+    """The lower triangle of the sums of products, row by row in the order of ``names``."""
+    targets: tuple[float, ...]
+    """The right-hand sides in the same order."""
+
+
 @dataclass(frozen=True, slots=True)
 class Sample:
     """What a poll tells about one serving task."""
@@ -113,6 +127,44 @@
         if fit.samples % SOLVE_EVERY == 0:
             fit.solution = _solution(fit)
 
+    def learned(self) -> tuple[LearnedFit, ...]:
+        """What the next owner should know."""
+        return tuple(_learned(serving, fit) for serving, fit in self._fits.items())
+
+    def adopt(self, learned: Iterable[LearnedFit]) -> None:
+        """Take over what an earlier owner has learned.
+
+        An owner that begins with every pair taken for average puts work beside services that it slows
+        most, until it has found out again; after a change of owner tails rose for some seconds.
+        """
+        for one in learned:
+            fit = _adopted(one)
+            fit.solution = _solution(fit)
+            self._fits[one.serving] = fit
+
+
+def _learned(serving: str, fit: _Fit) -> LearnedFit:
+    names = tuple(fit.targets)
+    products = tuple(
+        fit.products.get((names[row], names[column]), 0.0) / fit.weight
+        for row, column in _triangle(len(names))
+    )
+    targets = tuple(fit.targets[name] / fit.weight for name in names)
+    return LearnedFit(serving, names, products, targets)
+
+
+def _adopted(learned: LearnedFit) -> _Fit:
+    fit = _Fit(targets=dict(zip(learned.names, learned.targets, strict=True)))
+    places = _triangle(len(learned.names))
+    for (row, column), value in zip(places, learned.products, strict=True):
+        left, right = learned.names[row], learned.names[column]
+        fit.products[left, right] = fit.products[right, left] = value
+    return fit
+
+
+def _triangle(size: int) -> list[tuple[int, int]]:
+    return [(row, column) for row in range(size) for column in range(row + 1)]
+
 
 def _solution(fit: _Fit) -> dict[str, float]:
     names = list(fit.targets)
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -13,6 +13,7 @@
 from ..._ids import ExecutorId, JobId
 from ._commands import AskAdvice, Command
 from ._executors import ExecutorRegistration, ExecutorState
+from ._interference import LearnedFit
 from ._job_table import JobTable
 from ._notes import Note
 from ._placement import Placement
@@ -108,6 +109,14 @@
                 self._work.enqueue(task)
         self._work.known_executors_changed = True
 
+    def learned(self) -> tuple[LearnedFit, ...]:
+        """What has been learned about which images disturb which, for a successor."""
+        return self._work.interference.learned()
+
+    def adopt(self, learned: Iterable[LearnedFit]) -> None:
+        """Begin with what an earlier owner has learned."""
+        self._work.interference.adopt(learned)
+
     def accept(self, spec: JobSpec, now_ms: int) -> None:
         """Take in a job that was accepted while this owner owned the service."""
         for task in self.jobs.accept(spec, None, now_ms):
--- a/fireflyfork/decisions/jobs/_stored_forms.py
+++ b/fireflyfork/decisions/jobs/_stored_forms.py
@@ -8,6 +8,7 @@
 
 from ..._errors import FireflyforkError
 from ._executors import ExecutorRegistration
+from ._interference import LearnedFit
 from ._progress import StoredProgress
 from ._specs import JobSpec
 
@@ -48,6 +49,21 @@
     return _decode(data, tuple[ExecutorRegistration, ...])
 
 
+def encode_learned(learned: tuple[LearnedFit, ...]) -> bytes:
+    """The stored form."""
+    return msgspec.msgpack.encode(learned)
+
+
+def decode_learned(data: bytes) -> tuple[LearnedFit, ...]:
+    """Read the stored form. Raises StoredFormatError."""
+    learned = _decode(data, tuple[LearnedFit, ...])
+    for fit in learned:
+        size = len(fit.names)
+        if len(fit.targets) != size or len(fit.products) != size * (size + 1) // 2:
+            raise StoredFormatError(f"what was learned about {fit.serving!r} has holes")
+    return learned
+
+
 def _decode(data: bytes, shape: type[_Stored]) -> _Stored:
     try:
         return msgspec.msgpack.decode(data, type=shape)
--- a/fireflyfork/decisions/jobs/tests/test_interference.py
+++ b/fireflyfork/decisions/jobs/tests/test_interference.py
@@ -3,7 +3,15 @@
 import unittest
 from random import Random
 
-from .. import EndReason, Run, RunPhase
+from .. import (
+    EndReason,
+    LearnedFit,
+    Run,
+    RunPhase,
+    StoredFormatError,
+    decode_learned,
+    encode_learned,
+)
 from .._interference import PRIOR_EFFECT, InterferenceModel, Sample
 from .._pacing import LOWEST_PACE, WANTED_HEADROOM, adjust_pace
 from .._placing import choose
@@ -57,6 +65,34 @@
         # The newer half of the samples weighs two thirds: 0.5 / 3 + 5 * 2 / 3.
         self.assertAlmostEqual(model.effect("web", "other"), 3.5, delta=0.2)
 
+    def test_the_next_owner_goes_on_from_what_was_learned(self) -> None:
+        """An owner dies. Its successor took every pair for average and put work beside services that
+        it slows most, so clerks waited for some seconds after each change of owner.
+        """
+        before, after = _trained(), InterferenceModel()
+        after.adopt(decode_learned(encode_learned(before.learned())))
+        self.assertAlmostEqual(
+            after.effect("web", "noisy"), before.effect("web", "noisy"), delta=0.1
+        )
+        self.assertAlmostEqual(
+            after.effect("web", "quiet"), before.effect("web", "quiet"), delta=0.1
+        )
+        # It weighs as much as before: one odd sample does not turn it over.
+        for _ in range(20):
+            after.observe("web", Sample(0.0, 2.0, {"noisy": 0.2}), None)
+        self.assertGreater(after.effect("web", "noisy"), HEAVY - 1.5)
+
+    def test_what_was_learned_with_holes_is_not_read(self) -> None:
+        """Another version of the program wrote what was learned. Read as it is, it would make the new
+        owner fail at each recovery, and no job would start any more.
+        """
+        for fit in (
+            LearnedFit("web", ("a", "b"), (1.0,), (1.0, 2.0)),
+            LearnedFit("w", ("a",), (1.0,), ()),
+        ):
+            with self.assertRaises(StoredFormatError):
+                decode_learned(encode_learned((fit,)))
+
 
 class PlacingTest(unittest.TestCase):
     """Where work without a reservation goes."""
--- a/fireflyfork/programs/_scheduling_keys.py
+++ b/fireflyfork/programs/_scheduling_keys.py
@@ -34,6 +34,11 @@
     return f"{_ROOT}executors/{service}"
 
 
+def learned_key(service: ServiceName) -> str:
+    """What the owner has learned about which images disturb which, for its successor."""
+    return f"{_ROOT}learned/{service}"
+
+
 def pending_key(service: ServiceName) -> str:
     """How many jobs of each queue wait for their first start."""
     return f"{_ROOT}pending/{service}"
--- a/fireflyfork/programs/_service_journal.py
+++ b/fireflyfork/programs/_service_journal.py
@@ -11,9 +11,12 @@
 from ..adapters import CoordinationStore, Put
 from ..decisions.jobs import (
     ExecutorRegistration,
+    LearnedFit,
     Scheduler,
     StoredFormatError,
+    decode_learned,
     decode_registrations,
+    encode_learned,
     encode_progress,
     encode_registrations,
 )
@@ -22,6 +25,7 @@
     executors_key,
     job_key,
     journal_key,
+    learned_key,
     owner_key,
     pending_key,
     progress_key,
@@ -29,8 +33,8 @@
 from ._service_lease import Term
 
 MOST_JOBS = 26
-"""A transaction takes 32 rows; two conditions, the journal's number, the pending counts and the known
-executors take five of them, and one is spare."""
+"""A transaction takes 32 rows; two conditions, the journal's number, the pending counts, the known
+executors and what was learned take six of them."""
 MOST_REMOVED = 10
 """Jobs in one removal, three keys each, within the same 32 rows."""
 GATHER_SECONDS = 0.025
@@ -38,6 +42,9 @@
 RETRY_SECONDS = 0.1
 PENDING_SECONDS = 0.5
 """How often the counts of waiting jobs are stored at most; they may be 2 s old."""
+LEARNED_SECONDS = 2.0
+"""How often what was learned is stored at most, with a write that goes out anyway: some 3 KB, and what
+two seconds add moves no effect far."""
 
 
 class OwnershipLostError(StoreError):
@@ -63,6 +70,7 @@
         self._stored = trio.Event()
         self._pending: dict[str, int] = {}
         self._pending_at = 0.0
+        self._learned_at = 0.0
 
     async def open(self) -> None:
         """Find the last write of earlier owners. Raises StoreError."""
@@ -80,6 +88,17 @@
             logger.error("known executors not readable", error=str(error))
             return ()
 
+    async def last_learned(self) -> tuple[LearnedFit, ...]:
+        """What an earlier owner had learned. Raises StoreError."""
+        item = await self._store.read(learned_key(self._term.service))
+        if item is None:
+            return ()
+        try:
+            return decode_learned(item.value)
+        except StoredFormatError as error:
+            logger.error("what was learned is not readable", error=str(error))
+            return ()
+
     def notify(self) -> None:
         """There may be something to store."""
         self._changed.set()
@@ -176,6 +195,10 @@
                 puts.append(Put(progress_key(name), encode_progress(job.stored())))
         if pending is not None:
             puts.append(Put(pending_key(service), msgspec.json.encode(pending)))
+        if trio.current_time() - self._learned_at >= LEARNED_SECONDS:
+            # If this write fails the next one follows two seconds later; nothing rests on it.
+            self._learned_at = trio.current_time()
+            puts.append(Put(learned_key(service), encode_learned(self._scheduler.learned())))
         if executors:
             known = tuple(one.registration for one in self._scheduler.executors.values())
             puts.append(Put(executors_key(service), encode_registrations(known)))
--- a/fireflyfork/programs/_service_owner.py
+++ b/fireflyfork/programs/_service_owner.py
@@ -170,6 +170,7 @@
             try:
                 await self._journal.open()
                 last_known = await self._journal.last_known_executors()
+                learned = await self._journal.last_learned()
                 work = await self._store.list(WORK_PREFIX)
                 progress = await self._store.list(PROGRESS_PREFIX)
                 servers = await self._store.list(REGISTRATION_PREFIX)
@@ -181,6 +182,7 @@
         jobs = tuple(self._stored_jobs(work.items, progress.items))
         now, now_ms = self._clock.now(), self._clock.unix_ms()
         self._scheduler.configure(self._queues())
+        self._scheduler.adopt(learned)
         registrations = [one for item in servers.items if (one := self._registration(item))]
         self._scheduler.recover(jobs, registrations, last_known, now, now_ms)
         for item in work.items:
