Paces that may not be in force are ordered again

Cause, found in reading: an owner takes runs that it finds to be at full pace, though its predecessor may have slowed them, and an order without an answer for done. Such a run stays slow for good unless another pace is worked out. A test failed first, for both.

--- a/fireflyfork/decisions/jobs/_pacing.py
+++ b/fireflyfork/decisions/jobs/_pacing.py
@@ -102,8 +102,9 @@
     for run in best_effort:
         wanted = min(paces[run.task.spec.image], run.pace_percent + RAISE_STEP)
         pace = 0 if over else max(LOWEST_PACE, wanted // PACE_STEP * PACE_STEP)
-        if pace != run.pace_percent:
+        if pace != run.pace_percent or not run.pace_confirmed:
             run.pace_percent = pace
+            run.pace_confirmed = True
             yield run, pace
 
 
--- a/fireflyfork/decisions/jobs/_report_handling.py
+++ b/fireflyfork/decisions/jobs/_report_handling.py
@@ -60,6 +60,11 @@
         if answer.outcome is CallOutcome.ACCEPTED and run.barred_at is None:
             run.barred_at = now
 
+    def pace_answered(self, run: Run, answer: OrderAnswer) -> None:
+        """An executor answered the order to change a run's pace, or didn't."""
+        if answer.outcome is not CallOutcome.ACCEPTED:
+            run.pace_confirmed = False
+
     def poll_failed(self, executor: ExecutorState, now: float) -> None:
         """A poll got no answer."""
         if not self._work.is_current(executor):
@@ -187,6 +192,8 @@
             return
         newest = all(row.attempt > other.attempt for other in task.runs)
         run = Run(task, row.attempt, executor, RunPhase.RUNNING, now, confirmed_at=now)
+        # An earlier owner may have slowed it; taken to be at full pace, it would stay slow for good.
+        run.pace_confirmed = False
         self._still_there(run, row, now)
         executor.add(run)
         late = row.attempt < task.attempt
--- a/fireflyfork/decisions/jobs/_runs.py
+++ b/fireflyfork/decisions/jobs/_runs.py
@@ -53,6 +53,8 @@
     progress_at: float = 0.0
     """When the progress last changed."""
     pace_percent: int = 100
+    pace_confirmed: bool = True
+    """False when the executor may have it at another pace: an earlier owner's run, or a lost answer."""
     ticket: str = ""
     """The advisor's leave to run there, where the queue needs one."""
 
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -174,6 +174,10 @@
         """An executor answered the order to stop, or didn't."""
         self._reports.stop_answered(run, answer, now)
 
+    def pace_answered(self, run: Run, answer: OrderAnswer) -> None:
+        """An executor answered the order to change a run's pace, or didn't."""
+        self._reports.pace_answered(run, answer)
+
     def poll_failed(self, executor: ExecutorState, now: float) -> None:
         """A poll got no answer."""
         self._reports.poll_failed(executor, now)
--- a/fireflyfork/decisions/jobs/tests/test_interference.py
+++ b/fireflyfork/decisions/jobs/tests/test_interference.py
@@ -3,10 +3,15 @@
 import unittest
 from random import Random
 
+from ...._ids import AttemptNumber
 from .. import (
+    CallOutcome,
     EndReason,
     LearnedFit,
+    OrderAnswer,
+    PaceRun,
     Run,
+    RunningRow,
     RunPhase,
     StoredFormatError,
     decode_learned,
@@ -227,3 +232,31 @@
 
     def test_a_calm_tail_leaves_the_work_alone(self) -> None:
         self.assertEqual(self._beside(5.0, InterferenceModel()), [])
+
+    def test_a_pace_that_may_not_be_in_force_is_ordered_again(self) -> None:
+        """An owner slows a job and dies, or the answer to its order is lost. Whoever takes the job to
+        be at full pace never says so, and the job stays slow until its caller has given up.
+        """
+        for name in ("found", "lost answer"):
+            with self.subTest(name):
+                owner = OwnerUnderTest("i-0")
+                best_effort = step(uses_leftover_cpu=True, image="quiet", cpu_millis=1000)
+                serving = step(long_running=True, image="web", tail_target_ms=18, cpu_millis=3000)
+                owner.scheduler.accept(job("00000000000000aa", best_effort, serving), START_MS)
+                if name == "found":
+                    tasks = {task.key.step: task for task in owner.scheduler.jobs.live_tasks()}
+                    rows = [
+                        RunningRow(tasks[0].name, AttemptNumber(1), "", 10, 1000.0),
+                        RunningRow(tasks[1].name, AttemptNumber(1), "", 100, 3.0),
+                    ]
+                else:
+                    slow, web = sorted(owner.place(), key=lambda run: run.task.key)
+                    owner.scheduler.pace_answered(slow, OrderAnswer(CallOutcome.UNKNOWN, None))
+                    rows = [row(slow, 10, 1000.0), row(web, 100, 3.0)]
+                owner.now += 1.0
+                owner.poll("i-0", *rows)
+                orders = owner.scheduler.take_commands()
+                self.assertEqual([one.percent for one in orders if isinstance(one, PaceRun)], [100])
+                owner.now += 1.0
+                owner.poll("i-0", *rows)
+                self.assertEqual(owner.scheduler.take_commands(), [])
--- a/fireflyfork/programs/_service_owner.py
+++ b/fireflyfork/programs/_service_owner.py
@@ -365,7 +365,8 @@
                 self._scheduler.start_answered(run, answer, now)
             case StopRun(run):
                 self._scheduler.stop_answered(run, answer, now)
-            case PaceRun():
+            case PaceRun(run):
+                self._scheduler.pace_answered(run, answer)
                 return
         self.kick()
 
