The owner gathers registrations for 400 ms

Change: after an answer the next question waits for 400 ms. A test counts calls and the latest change heard of.

--- a/fireflyfork/programs/_prefix_watch.py
+++ b/fireflyfork/programs/_prefix_watch.py
@@ -26,12 +26,14 @@
         listed: Callable[[StoreListing], None],
         changed: Callable[[StoreChange], None],
         answered: Callable[[], None] = lambda: None,
+        gather_seconds: float = 0.0,
     ) -> None:
         """``listed`` gets everything there is, at first and whenever the store has lost its history;
         ``changed`` each change after that, in order; ``answered`` hears of every answer.
 
         A question waits for ``wait_seconds``; a connection that has gone silent is noticed a call's
-        timeout later.
+        timeout later. After an answer the next question waits for ``gather_seconds``, so that one
+        answer tells of many changes: the store's operators pay for each.
         """
         self._store = store
         self._prefix = prefix
@@ -39,6 +41,7 @@
         self._listed = listed
         self._changed = changed
         self._answered = answered
+        self._gather_seconds = gather_seconds
 
     async def run(self, after: Revision | None = None) -> None:
         """Follow until cancelled, from a listing that is known already or from one made now."""
@@ -76,3 +79,5 @@
             after = max(after, answer.as_of)
             for change in answer.changes:
                 self._changed(change)
+            if self._gather_seconds and answer.changes:
+                await trio.sleep(self._gather_seconds)
--- a/fireflyfork/programs/_service_owner.py
+++ b/fireflyfork/programs/_service_owner.py
@@ -70,6 +70,9 @@
 """Lapses, retries and due times are checked this often: a tenth of what a caller notices."""
 WATCH_SECONDS = 2.0
 """How long one question for changes waits; a silent connection is noticed a second later."""
+REGISTRATIONS_SECONDS = 0.4
+"""Executors write every 1.5 s each, mostly to say that they live. Asked for each of these writes, the
+store had a quarter of all calls from that; executors that leave go on for 2.5 s and more."""
 RETRY_SECONDS = 0.1
 CALLS_AT_ONCE = 6
 """To one executor, besides the poll. It takes 64 connections from all, and starts come in groups of
@@ -257,6 +260,7 @@
             self._registrations_listed,
             self._registration_changed,
             self.note_store_contact,
+            REGISTRATIONS_SECONDS,
         )
 
     def _work_listed(self, listing: StoreListing) -> None:
--- /dev/null
+++ b/fireflyfork/programs/tests/test_prefix_watch.py
@@ -0,0 +1,63 @@
+"""Following the keys under a prefix of the store."""
+
+import unittest
+from random import Random
+
+import trio
+from trio.testing import MockClock
+
+from fireflyfork_standins.scheduling import StandInStore
+
+from ..._ids import NodeName
+from .._prefix_watch import PrefixWatch
+
+
+def _follow(gather_seconds: float) -> tuple[int, float]:
+    """Calls in ten seconds in which a key is written twenty times a second, and the latest that a
+    write was heard of, in seconds."""
+
+    async def main() -> tuple[int, float]:
+        store = StandInStore(Random(1))
+        latest = 0.0
+
+        def changed(change: object) -> None:
+            nonlocal latest
+            item = getattr(change, "item", None)
+            if item is not None:
+                latest = max(latest, trio.current_time() - float(item.value))
+
+        watch = PrefixWatch(
+            store.client(NodeName("n-0")),
+            "servers/",
+            2.0,
+            lambda _: None,
+            changed,
+            gather_seconds=gather_seconds,
+        )
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(store.run)
+            nursery.start_soon(watch.run)
+            await trio.sleep(0.5)
+            before = store.calls
+            for number in range(200):
+                store.put(f"servers/i-{number % 24}", str(trio.current_time()).encode("ascii"))
+                await trio.sleep(0.05)
+            calls = store.calls - before
+            nursery.cancel_scope.cancel()
+        return calls, latest
+
+    return trio.run(main, clock=MockClock(autojump_threshold=0))
+
+
+class PrefixWatchTest(unittest.TestCase):
+    """How often it asks, and how late it hears."""
+
+    def test_many_small_changes_cost_few_calls(self) -> None:
+        """Executors write every second or two to say that they live. Asked anew after each of these,
+        the store was busy with that, and its operators paid for every call.
+        """
+        calls, _ = _follow(0.0)
+        gathered, latest = _follow(0.4)
+        self.assertGreater(calls, 150)
+        self.assertLess(gathered, 30)
+        self.assertLess(latest, 0.5)
