The scheduler over real sockets against the platform's wire; answers that overtake a body end the connection

Until now nothing in this repository drove the scheduler's HTTP side. Cause: the server can't read past a body that it skipped. Ruled out: the client, whose connection looked reusable. Change: what came together with the head is taken at once; an answer that overtakes the rest says that the connection ends. A test of two packets failed first.

--- a/fireflyfork/adapters/_http_client.py
+++ b/fireflyfork/adapters/_http_client.py
@@ -19,6 +19,7 @@
     RequestHead,
     ResponseHead,
     collect,
+    find_header,
     read_event,
 )
 
@@ -158,6 +159,7 @@
     ) -> tuple[ResponseHead, bytes]:
         """One call, within the timeout plus ``extra_seconds``. Raises HttpError.
 
+        A Host header among ``headers`` takes the place of the server's address.
         After an error the call may have taken effect, but for a ConnectError.
         """
         connection: HttpClientConnection | None = None
@@ -194,8 +196,9 @@
         headers: tuple[Header, ...],
         body: bytes,
     ) -> tuple[ResponseHead, bytes]:
+        host = find_header(headers, b"host")
         all_headers = (
-            (b"host", str(self._address).encode("ascii")),
+            *(() if host is not None else ((b"host", str(self._address).encode("ascii")),)),
             (b"content-length", str(len(body)).encode("ascii")),
             *headers,
         )
--- a/fireflyfork/adapters/_http_server.py
+++ b/fireflyfork/adapters/_http_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from collections import deque
 from collections.abc import AsyncIterator, Iterable
 from dataclasses import dataclass
 
@@ -121,6 +122,8 @@
         self._announced = False
         self._finishing = False
         self._idle_scope: trio.CancelScope | None = None
+        self._received: deque[HttpEvent] = deque()
+        """Of the request's body, what came together with its head."""
 
     async def run(self) -> None:
         """Serve requests until either side ends the connection."""
@@ -151,7 +154,10 @@
 
     async def send(self, event: h11.Event) -> None:
         """Send one event of an answer. Raises HttpError."""
-        if self._closing and isinstance(event, h11.Response):
+        # An answer that overtakes the request's body costs the connection. A client that isn't told
+        # sends its next request on it, and never gets an answer to that.
+        overtakes = self._http.their_state is h11.SEND_BODY
+        if (self._closing or overtakes) and isinstance(event, h11.Response):
             self._announced = True
             headers = [*event.headers, (b"connection", b"close")]
             event = h11.Response(status_code=event.status_code, headers=headers)
@@ -173,7 +179,10 @@
         if self._http.they_are_waiting_for_100_continue:
             await self.send(h11.InformationalResponse(status_code=100, headers=[]))
         while True:
-            event = await self._next_event(self._limits.head)
+            if self._received:
+                event = self._received.popleft()
+            else:
+                event = await self._next_event(self._limits.head)
             if isinstance(event, h11.Data):
                 yield bytes(event.data)
             elif isinstance(event, h11.EndOfMessage):
@@ -184,6 +193,8 @@
     async def _serve_one(self) -> bool:
         try:
             event = await self._first_event()
+            if isinstance(event, h11.Request):
+                self._take_received()
         except h11.RemoteProtocolError as error:
             await self._refuse(error.error_status_hint, str(error))
             return False
@@ -196,6 +207,15 @@
         await self._handler.handle(exchange)
         return await self._finish_cycle()
 
+    def _take_received(self) -> None:
+        """Take the part of the body that is here already; most requests are here as a whole."""
+        self._received.clear()
+        while self._http.their_state is h11.SEND_BODY:
+            event = self._http.next_event()
+            if event is h11.NEED_DATA:
+                return
+            self._received.append(event)
+
     async def _finish_cycle(self) -> bool:
         # A request that was answered before its body was read costs the connection: the next one
         # would be read from the middle of the body.
--- /dev/null
+++ b/fireflyfork/adapters/tests/test_http_server.py
@@ -0,0 +1,88 @@
+"""The server side of HTTP on a real socket."""
+
+import unittest
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from .. import Exchange, HttpHandler, HttpServer, collect
+
+STUCK_SECONDS = 30.0
+"""Only so that a test that hangs ends."""
+
+
+class _Handler(HttpHandler):
+    async def handle(self, exchange: Exchange) -> None:
+        if exchange.head.target == "/early":
+            await exchange.answer(404, b"no")
+        else:
+            await exchange.answer(200, await collect(exchange.body(), 1000))
+
+
+def _with_connection(talk: Callable[[trio.SocketStream], Awaitable[None]]) -> None:
+    async def main() -> None:
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        port = listeners[0].socket.getsockname()[1]
+        with trio.fail_after(STUCK_SECONDS):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(HttpServer(_Handler()).run, listeners)
+                await talk(await trio.open_tcp_stream("127.0.0.1", port))
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
+def _request(target: str, length: int) -> bytes:
+    return f"POST {target} HTTP/1.1\r\nhost: h\r\ncontent-length: {length}\r\n\r\n".encode("ascii")
+
+
+async def _answer(stream: trio.SocketStream, end: bytes) -> bytes:
+    answer = b""
+    while not answer.endswith(end):
+        data = await stream.receive_some(4096)
+        if not data:
+            break
+        answer += data
+    return answer
+
+
+class EarlyAnswerTest(unittest.TestCase):
+    """Answers that are sent before the whole request has come."""
+
+    def test_an_answer_that_overtakes_the_body_says_that_the_connection_ends(self) -> None:
+        """A caller's job comes in two packets, and its queue doesn't exist. It was told so before the
+        second packet came, and the connection was closed without a word. The caller's next request on
+        it was read and never answered.
+        """
+
+        async def talk(stream: trio.SocketStream) -> None:
+            await stream.send_all(_request("/early", 4))
+            answer = await _answer(stream, b"no")
+            self.assertTrue(answer.startswith(b"HTTP/1.1 404"))
+            self.assertIn(b"connection: close", answer.lower())
+
+        _with_connection(talk)
+
+    def test_a_request_that_has_come_whole_keeps_the_connection(self) -> None:
+        async def talk(stream: trio.SocketStream) -> None:
+            for target, body, expected in (
+                ("/early", b"data", b"no"),
+                ("/late", b"data", b"data"),
+                ("/early", b"", b"no"),
+                ("/late", b"last", b"last"),
+            ):
+                await stream.send_all(_request(target, len(body)) + body)
+                answer = await _answer(stream, expected)
+                self.assertTrue(answer.endswith(b"\r\n\r\n" + expected), answer)
+                self.assertNotIn(b"connection: close", answer.lower())
+
+        _with_connection(talk)
+
+    def test_a_body_in_parts_comes_whole(self) -> None:
+        async def talk(stream: trio.SocketStream) -> None:
+            await stream.send_all(_request("/late", 6) + b"abc")
+            await trio.sleep(0.01)
+            await stream.send_all(b"def")
+            self.assertTrue((await _answer(stream, b"abcdef")).endswith(b"abcdef"))
+
+        _with_connection(talk)
--- a/fireflyfork_standins/scheduling/__init__.py
+++ b/fireflyfork_standins/scheduling/__init__.py
@@ -3,6 +3,8 @@
 from ._executors import ExecutorTrouble, StandInExecutor, StandInExecutorCalls
 from ._history import History, Violation
 from ._store import StandInStore, StoreTrouble
+from ._wire_callers import WireCallers
+from ._wire_platform import WireLayout, WirePlatform
 from ._world import TROUBLES, UPKEEP_TROUBLES, Profile, Report, run_world
 
 __all__ = [
@@ -17,5 +19,8 @@
     "StandInStore",
     "StoreTrouble",
     "Violation",
+    "WireCallers",
+    "WireLayout",
+    "WirePlatform",
     "run_world",
 ]
--- a/fireflyfork_standins/scheduling/_executors.py
+++ b/fireflyfork_standins/scheduling/_executors.py
@@ -17,6 +17,7 @@
     ServiceName,
     TaskName,
 )
+from fireflyfork._links import Address
 from fireflyfork.adapters import ExecutorCalls, ExecutorPlace
 from fireflyfork.decisions.jobs import (
     CallOutcome,
@@ -38,6 +39,8 @@
 LATENCY_SECONDS = 0.002
 TIMEOUT_SECONDS = 0.6
 LATE_SECONDS = (1.0, 6.0)
+NOWHERE = Address("10.0.0.1", 80)
+"""Where executors are that are called without sockets."""
 _NO_TOKEN = FencingToken(0)
 STEP_SECONDS = 0.01
 STOP_SECONDS = 0.05
@@ -105,8 +108,9 @@
         store: StandInStore,
         history: History,
         random: Random,
+        address: Address = NOWHERE,
     ) -> None:
-        """Registers when ``run`` is called."""
+        """Registers when ``run`` is called, at ``address``."""
         self.executor = executor
         self.trouble = ExecutorTrouble()
         self.up = True
@@ -115,6 +119,7 @@
         self._store = store
         self._history = history
         self._random = random
+        self._address = address
         self._rate = random.uniform(0.98, 1.0)
         self._draining = False
         self._begin_life()
@@ -257,7 +262,7 @@
     def _register(self) -> None:
         entry = {
             "service": self._service,
-            "address": "10.0.0.1:80",
+            "address": str(self._address),
             "zone": "suva",
             "state": "draining" if self._draining else "ready",
             "room": {"cpu": self._room.cpu_millis, "mem_mb": self._room.memory_mb},
--- /dev/null
+++ b/fireflyfork_standins/scheduling/_wire_callers.py
@@ -0,0 +1,121 @@
+"""Callers of the scheduler over HTTP: they hand jobs in, try again, and ask how they are."""
+
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+
+import msgspec
+import trio
+from hdrh.histogram import HdrHistogram
+
+from fireflyfork._ids import JobId, QueueName
+from fireflyfork._links import Address
+from fireflyfork.adapters import Header, HttpClient, HttpError
+from fireflyfork.decisions.jobs import JobSpec, StepSpec
+
+from ._history import History
+from ._wire_platform import QUEUE_HOST, QUEUE_PREFIX, SERVICE
+
+CALL_SECONDS = 3.0
+RETRY_SECONDS = 0.1
+ASK_SECONDS = 0.05
+_HOST: Header = (b"host", QUEUE_HOST.encode("ascii"))
+
+
+class WireCallers:
+    """All callers of one play."""
+
+    def __init__(self, fronts: tuple[Address, ...], history: History, random: Random) -> None:
+        """Call any of ``fronts``; ``history`` hears of each job before it is handed in."""
+        self.tries: Counter[str] = Counter()
+        """Status or error of every try to hand a job in."""
+        self.states: Counter[str] = Counter()
+        """How jobs ended, as callers were told."""
+        self.seconds = HdrHistogram(1, 600_000, 3)
+        """From handing in to the word that it is over, in milliseconds."""
+        self._fronts = fronts
+        self._history = history
+        self._random = random
+
+    async def run(self, jobs: int, per_second: float) -> None:
+        """Hand in so many jobs and follow each to its end."""
+        async with trio.open_nursery() as nursery:
+            for number in range(1, jobs + 1):
+                nursery.start_soon(self._caller, JobId(f"{number:016x}"))
+                await trio.sleep(self._random.expovariate(per_second))
+
+    async def _caller(self, name: JobId) -> None:
+        spec = self._draw_job(name)
+        self._history.jobs[name] = spec
+        begun = trio.current_time()
+        while await self._call("POST", name, _body(spec)) != 200:
+            await trio.sleep(RETRY_SECONDS)
+        self._history.acknowledged[name] = trio.current_time()
+        cancels = self._random.random() < 0.1
+        if cancels:
+            while await self._call("DELETE", name) != 200:
+                await trio.sleep(RETRY_SECONDS)
+            self._history.cancelled[name] = trio.current_time()
+        while (state := await self._state(name)) not in ("completed", "failed", "cancelled"):
+            await trio.sleep(ASK_SECONDS)
+        self.states[state] += 1
+        self.seconds.record_value(int((trio.current_time() - begun) * 1000))
+        done = len(self._history.done_tasks(name))
+        if state == "completed" and done != spec.task_count:
+            self._history.broken("completed", f"{name}: {done} of {spec.task_count} tasks")
+        if state == "cancelled" and not cancels:
+            self._history.broken("cancelled", f"{name} was not cancelled by its caller")
+
+    async def _call(self, method: str, name: JobId, body: bytes = b"") -> int:
+        status, _ = await self._answered(method, name, body)
+        if method == "POST":
+            self.tries[str(status) if status else "no answer"] += 1
+        return status
+
+    async def _state(self, name: JobId) -> str:
+        status, body = await self._answered("GET", name, b"")
+        if status == 410:
+            self._history.broken("kept", f"{name} is not known any more")
+            return "failed"
+        return str(msgspec.json.decode(body)["state"]) if status == 200 else ""
+
+    async def _answered(self, method: str, name: JobId, body: bytes) -> tuple[int, bytes]:
+        """Status and body of one try at any instance; 0 when there was no answer."""
+        client = HttpClient(self._random.choice(self._fronts), CALL_SECONDS)
+        try:
+            head, answer = await client.call(method, f"{QUEUE_PREFIX}{name}", (_HOST,), body)
+        except HttpError:
+            # An instance may be down: like the callers that it stands for, this one tries another.
+            return 0, b""
+        finally:
+            client.close()
+        return head.status, answer
+
+    def _draw_job(self, name: JobId) -> JobSpec:
+        steps = tuple(
+            StepSpec(
+                count=self._random.randint(1, 4),
+                cpu_millis=self._random.choice((500, 1000, 2000)),
+                memory_mb=500,
+                accelerators=0,
+                estimate_ms=self._random.randint(50, 300),
+                after=(number - 1,) if number else (),
+            )
+            for number in range(self._random.randint(1, 2))
+        )
+        return JobSpec(name, QueueName("holds"), SERVICE, "work", steps, 0)
+
+
+def _body(spec: JobSpec) -> bytes:
+    steps = [
+        {
+            "count": step.count,
+            "cpu": step.cpu_millis,
+            "mem_mb": step.memory_mb,
+            "estimate_ms": step.estimate_ms,
+            "after": list(step.after),
+        }
+        for step in spec.steps
+    ]
+    return msgspec.json.encode({"spec": spec.payload, "steps": steps})
--- /dev/null
+++ b/fireflyfork_standins/scheduling/_wire_platform.py
@@ -0,0 +1,134 @@
+"""The whole platform on sockets of this machine, for programs that run as processes."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from random import Random
+
+import msgspec
+import trio
+
+from fireflyfork._ids import ExecutorId, NodeName, ServiceName
+from fireflyfork._links import Address
+from fireflyfork.adapters import ExecutorPlace, HttpHandler, HttpServer, listen
+from fireflyfork.decisions.jobs import ExecutorRoom
+from fireflyfork.platform import CONFIGURATION_KEY
+
+from ._executors import StandInExecutor, StandInExecutorCalls
+from ._history import History
+from ._store import StandInStore
+from ._wire_executor import ExecutorWire
+from ._wire_store import StoreWire
+
+HOST = "127.0.0.1"
+SERVICE = ServiceName("desk")
+QUEUE_HOST, QUEUE_PREFIX = "desk.example", "/holds/"
+EVERYBODY = NodeName("everybody")
+"""Calls over loopback don't tell which instance they are from."""
+
+
+@dataclass(frozen=True, slots=True)
+class WireLayout:
+    """Which ports are used."""
+
+    first_port: int
+    """The store's; executors follow, then five ports for each instance of the scheduler."""
+    executors: int = 4
+    instances: int = 2
+
+    @property
+    def store(self) -> Address:
+        """The store's address."""
+        return Address(HOST, self.first_port)
+
+    def executor(self, number: int) -> Address:
+        """An executor's address."""
+        return Address(HOST, self.first_port + 1 + number)
+
+    def caller(self, number: int) -> Address:
+        """Where an instance of the scheduler takes callers' requests."""
+        return Address(HOST, self._base(number))
+
+    def readiness(self, number: int) -> Address:
+        """Where an instance tells whether it is ready."""
+        return Address(HOST, self._base(number) + 1)
+
+    def settings(self, number: int) -> str:
+        """The settings file of an instance."""
+        base = self._base(number)
+        return "\n".join(
+            (
+                f"node_name=edge-{number}",
+                "zone=suva",
+                "region=viti",
+                "zones.suva=viti",
+                f"listen.front={HOST}:{base}",
+                f"listen.readiness={HOST}:{base + 1}",
+                f"port_range={base + 2},{base + 4}",
+                "bounds.max_hold_ms=6000",
+                "bounds.stop_timeout_ms=200",
+                "bounds.grace_s=6",
+                "bounds.status_s=120",
+                f"platform.address={self.store}",
+                "",
+            )
+        )
+
+    def _base(self, number: int) -> int:
+        return self.first_port + 1 + self.executors + 5 * number
+
+
+class WirePlatform:
+    """Store and executors, served over HTTP."""
+
+    def __init__(self, layout: WireLayout, random: Random) -> None:
+        """Nothing is served yet."""
+        self.history = History()
+        self.store = StandInStore(random)
+        self._layout = layout
+        self._random = random
+        self._executors: dict[ExecutorId, StandInExecutor] = {}
+        for number in range(layout.executors):
+            name = ExecutorId(f"i-{number}")
+            self._executors[name] = StandInExecutor(
+                name,
+                SERVICE,
+                ExecutorRoom(8000, 16000, 0),
+                self.store,
+                self.history,
+                random,
+                layout.executor(number),
+            )
+
+    async def run(self, nursery: trio.Nursery) -> None:
+        """Serve in ``nursery``; returns when all sockets listen."""
+        await self._serve(nursery, StoreWire(self.store, EVERYBODY), self._layout.store)
+        nursery.start_soon(self.store.run)
+        calls = StandInExecutorCalls(EVERYBODY, self._executors, nursery, self._random)
+        for number, (name, executor) in enumerate(self._executors.items()):
+            place = ExecutorPlace(name, self._layout.executor(number))
+            await self._serve(nursery, ExecutorWire(calls, place), place.address)
+            nursery.start_soon(executor.run)
+        self.store.put(CONFIGURATION_KEY, _configuration())
+
+    @staticmethod
+    async def _serve(nursery: trio.Nursery, handler: HttpHandler, address: Address) -> None:
+        listeners = await listen(address.host, address.port)
+        nursery.start_soon(HttpServer(handler).run, listeners)
+
+
+def _configuration() -> bytes:
+    route = {
+        "name": "holds",
+        "host": QUEUE_HOST,
+        "path_prefix": QUEUE_PREFIX,
+        "service": SERVICE,
+        "priority": 0,
+        "attempts": 3,
+        "stretch_factor": 2.0,
+        "target_latency_ms": 1000,
+        "timeout_ms": 3000,
+    }
+    return msgspec.json.encode(
+        {"version": 1, "routes": [route], "services": [{"name": SERVICE}], "limits": {}}
+    )
