--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -1,7 +1,8 @@
 #!/usr/bin/env bash
 # Set up, start every program and stand-in as a process of its own, apply a configuration made from
 # Naidu's answers, run bookings and a batch of confirmation letters, print what happened, clean up. Then
-# the scheduler on the stand-in of the users' platform: a calm day, and one on which everything fails.
+# the scheduler on the stand-in of the users' platform: as processes, and in one process on a virtual
+# clock, a calm day and one on which everything fails.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 bash scripts/setup.sh
@@ -13,5 +14,13 @@
 $bin/fireflyfork-ctl apply "$run/naidu.jsonc" --store 127.0.0.1:9001
 $bin/python -m fireflyfork_standins.demo "$run"
 
+standin scheduling $bin/python -m fireflyfork_standins.scheduling.processes "$run"
+until [ -f "$run/scheduler-1.conf" ]; do sleep 0.1; done
+for number in 0 1; do
+    program "scheduler-$number" env FIREFLYFORK_SETTINGS="$run/scheduler-$number.conf" $bin/fireflyfork-scheduler
+done
+wait "${standins[-1]}"
+cat "$run/traces/scheduling.jsonl"
+
 $bin/python -m fireflyfork_standins.scheduling --seed 1
 $bin/python -m fireflyfork_standins.scheduling --seed 1 --all-troubles
