--- /dev/null
+++ b/fireflyfork/programs/_run_orders.py
@@ -0,0 +1,107 @@
+"""Orders to executors: start, stop and pace runs."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import trio
+from loguru import logger
+
+from .._ids import FencingToken
+from ..adapters import ExecutorCalls, ExecutorPlace
+from ..decisions.jobs import (
+    CallOutcome,
+    ExecutorState,
+    OrderAnswer,
+    PaceRun,
+    Run,
+    RunCommand,
+    Scheduler,
+    StartRequest,
+    StartRun,
+    StopRun,
+)
+from ._clocks import Clock
+from ._executor_polls import ExecutorPolls
+from ._service_journal import OwnershipLostError
+
+CALLS_AT_ONCE = 6
+"""To one executor, besides the poll. It takes 64 connections from all, and starts come in groups of
+no more than a step's tasks."""
+
+
+class RunOrders:
+    """Sends what the scheduler has decided, and tells it the answers."""
+
+    def __init__(
+        self,
+        scheduler: Scheduler,
+        calls: ExecutorCalls,
+        polls: ExecutorPolls,
+        token: FencingToken,
+        clock: Clock,
+        kick: Callable[[], None],
+    ) -> None:
+        """``kick`` has tasks placed after an answer."""
+        self._scheduler = scheduler
+        self._calls = calls
+        self._polls = polls
+        self._token = token
+        self._clock = clock
+        self._kick = kick
+        self._limits: dict[ExecutorState, trio.CapacityLimiter] = {}
+
+    def forget(self, executor: ExecutorState) -> None:
+        """An executor is gone for good."""
+        self._limits.pop(executor, None)
+
+    async def carry_out(self, command: RunCommand) -> None:
+        """Send one order. Raises OwnershipLostError when the executor has seen a higher token."""
+        executor = command.run.executor
+        limit = self._limits.setdefault(executor, trio.CapacityLimiter(CALLS_AT_ONCE))
+        async with limit:
+            answer = await self._order(command, executor)
+        if answer.outcome is CallOutcome.FENCED:
+            raise OwnershipLostError(f"{executor.executor} has seen a higher token")
+        now = self._clock.now()
+        match command:
+            case StartRun(run):
+                if answer.outcome is not CallOutcome.ACCEPTED:
+                    self._log_refused_start(run, answer)
+                self._scheduler.start_answered(run, answer, now)
+            case StopRun(run):
+                self._scheduler.stop_answered(run, answer, now)
+            case PaceRun(run):
+                self._scheduler.pace_answered(run, answer)
+                return
+        self._kick()
+
+    async def _order(self, command: RunCommand, executor: ExecutorState) -> OrderAnswer:
+        run = command.run
+        place = ExecutorPlace(executor.executor, executor.registration.address)
+        self._polls.wake(executor)
+        if isinstance(command, StopRun):
+            return await self._calls.stop(place, self._token, run.task.name, run.attempt)
+        if isinstance(command, PaceRun):
+            return await self._calls.pace(
+                place, self._token, run.task.name, run.attempt, command.percent
+            )
+        order = StartRequest(
+            run.task.name,
+            run.attempt,
+            run.task.job.spec.payload,
+            run.start_deadline_ms,
+            run.checkpoint,
+            run.ticket,
+        )
+        return await self._calls.start(place, self._token, order)
+
+    @staticmethod
+    def _log_refused_start(run: Run, answer: OrderAnswer) -> None:
+        logger.info(
+            "start not accepted",
+            task=run.task.name,
+            attempt=run.attempt,
+            executor=run.executor.executor,
+            outcome=answer.outcome.value,
+        )
--- a/fireflyfork/programs/_service_owner.py
+++ b/fireflyfork/programs/_service_owner.py
@@ -10,27 +10,18 @@
 from .._errors import StoreError
 from .._ids import JobId, NodeName, Revision, ServiceName
 from ..adapters import (
-    ExecutorPlace,
     StoreChange,
     StoredItem,
     StoreListing,
 )
 from ..decisions.jobs import (
     AskAdvice,
-    CallOutcome,
     ExecutorRegistration,
     ExecutorState,
     JobSpec,
-    OrderAnswer,
-    PaceRun,
     QueueTable,
-    Run,
-    RunCommand,
     Scheduler,
     SchedulerTerms,
-    StartRequest,
-    StartRun,
-    StopRun,
     StoredFormatError,
     StoredProgress,
     UpkeepWave,
@@ -49,6 +40,7 @@
 from ._executor_polls import ORPHANED_LEASE_SECONDS, ExecutorPolls
 from ._outside import Outside
 from ._prefix_watch import PrefixWatch
+from ._run_orders import RunOrders
 from ._scheduling_keys import CANCEL_PREFIX, JOB_PREFIX, PROGRESS_PREFIX, WORK_PREFIX, owner_key
 from ._service_journal import OwnershipLostError, ServiceJournal
 from ._service_lease import Term
@@ -74,9 +66,6 @@
 """Executors write every 1.5 s each, mostly to say that they live. Asked for each of these writes, the
 store had a quarter of all calls from that; executors that leave go on for 2.5 s and more."""
 RETRY_SECONDS = 0.1
-CALLS_AT_ONCE = 6
-"""To one executor, besides the poll. It takes 64 connections from all, and starts come in groups of
-no more than a step's tasks."""
 
 
 class ServiceOwner:
@@ -123,7 +112,9 @@
         self._work = trio.Event()
         self._resigning = False
         self._polled: set[ExecutorState] = set()
-        self._limits: dict[ExecutorState, trio.CapacityLimiter] = {}
+        self._orders = RunOrders(
+            self._scheduler, self._calls, self._polls, term.token, clock, self.kick
+        )
 
     @property
     def scheduler(self) -> Scheduler:
@@ -333,7 +324,7 @@
                 if isinstance(command, AskAdvice):
                     nursery.start_soon(self._ask_advice, command)
                 else:
-                    nursery.start_soon(self._carry_out, command)
+                    nursery.start_soon(self._orders.carry_out, command)
             self._log.write(self._scheduler.take_notes())
             self._journal.notify()
 
@@ -342,7 +333,7 @@
             await self._polls.run(executor)
         finally:
             self._polled.discard(executor)
-            self._limits.pop(executor, None)
+            self._orders.forget(executor)
 
     async def _ask_advice(self, question: AskAdvice) -> None:
         advice = await self._advisor.advise(step_name(*question.step), question.executors)
@@ -353,53 +344,3 @@
             seconds = advice.valid_seconds
             self._scheduler.advised(question, advice.tickets, seconds, now, now_ms)
         self.kick()
-
-    async def _carry_out(self, command: RunCommand) -> None:
-        executor = command.run.executor
-        limit = self._limits.setdefault(executor, trio.CapacityLimiter(CALLS_AT_ONCE))
-        async with limit:
-            answer = await self._order(command, executor)
-        if answer.outcome is CallOutcome.FENCED:
-            raise OwnershipLostError(f"{executor.executor} has seen a higher token")
-        now = self._clock.now()
-        match command:
-            case StartRun(run):
-                if answer.outcome is not CallOutcome.ACCEPTED:
-                    self._log_refused_start(run, answer)
-                self._scheduler.start_answered(run, answer, now)
-            case StopRun(run):
-                self._scheduler.stop_answered(run, answer, now)
-            case PaceRun(run):
-                self._scheduler.pace_answered(run, answer)
-                return
-        self.kick()
-
-    async def _order(self, command: RunCommand, executor: ExecutorState) -> OrderAnswer:
-        run = command.run
-        place = ExecutorPlace(executor.executor, executor.registration.address)
-        self._polls.wake(executor)
-        if isinstance(command, StopRun):
-            return await self._calls.stop(place, self._term.token, run.task.name, run.attempt)
-        if isinstance(command, PaceRun):
-            return await self._calls.pace(
-                place, self._term.token, run.task.name, run.attempt, command.percent
-            )
-        order = StartRequest(
-            run.task.name,
-            run.attempt,
-            run.task.job.spec.payload,
-            run.start_deadline_ms,
-            run.checkpoint,
-            run.ticket,
-        )
-        return await self._calls.start(place, self._term.token, order)
-
-    @staticmethod
-    def _log_refused_start(run: Run, answer: OrderAnswer) -> None:
-        logger.info(
-            "start not accepted",
-            task=run.task.name,
-            attempt=run.attempt,
-            executor=run.executor.executor,
-            outcome=answer.outcome.value,
-        )
--- a/fireflyfork_standins/scheduling/__init__.py
+++ b/fireflyfork_standins/scheduling/__init__.py
@@ -1,11 +1,13 @@
 """The users' platform in one process: store, executors, callers, and trouble, on a virtual clock."""
 
-from ._executors import ExecutorTrouble, StandInExecutor, StandInExecutorCalls
+from ._executor_calls import StandInExecutorCalls
+from ._executors import ExecutorTrouble, StandInExecutor
 from ._history import History, Violation
 from ._store import StandInStore, StoreTrouble
+from ._troubles import TROUBLES, UPKEEP_TROUBLES
 from ._wire_callers import WireCallers
 from ._wire_platform import WireLayout, WirePlatform
-from ._world import TROUBLES, UPKEEP_TROUBLES, Profile, Report, run_world
+from ._world import Profile, Report, run_world
 
 __all__ = [
     "TROUBLES",
--- a/fireflyfork_standins/scheduling/__main__.py
+++ b/fireflyfork_standins/scheduling/__main__.py
@@ -8,7 +8,8 @@
 import defopt
 from loguru import logger
 
-from ._world import TROUBLES, UPKEEP_TROUBLES, Profile, Report, run_world
+from ._troubles import TROUBLES, UPKEEP_TROUBLES
+from ._world import Profile, Report, run_world
 
 
 def play(
--- a/fireflyfork_standins/scheduling/_executors.py
+++ b/fireflyfork_standins/scheduling/_executors.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
 
@@ -18,13 +17,11 @@
     TaskName,
 )
 from fireflyfork._links import Address
-from fireflyfork.adapters import ExecutorCalls, ExecutorPlace
 from fireflyfork.decisions.jobs import (
     CallOutcome,
     EndedRow,
     EndReason,
     ExecutorRoom,
-    OrderAnswer,
     PollAnswer,
     RunningRow,
     StartRequest,
@@ -36,9 +33,6 @@
 from ._history import History, RunId
 from ._store import StandInStore
 
-LATENCY_SECONDS = 0.002
-TIMEOUT_SECONDS = 0.6
-LATE_SECONDS = (1.0, 6.0)
 NOWHERE = Address("10.0.0.1", 80)
 """Where executors are that are called without sockets."""
 _NO_TOKEN = FencingToken(0)
@@ -47,9 +41,6 @@
 LONGEST_LEASE_MS = 6_000
 
 
-_Order = Callable[["StandInExecutor"], CallOutcome]
-
-
 @dataclass(slots=True)
 class ExecutorTrouble:
     """What goes wrong at one executor at present."""
@@ -318,109 +309,3 @@
     @staticmethod
     def _saved(run: _Run) -> str:
         return f"{int(run.done_seconds)}" if run.step.checkpointing else ""
-
-
-class StandInExecutorCalls(ExecutorCalls):
-    """All executors as one instance reaches them."""
-
-    def __init__(
-        self,
-        node: NodeName,
-        executors: dict[ExecutorId, StandInExecutor],
-        nursery: trio.Nursery,
-        random: Random,
-    ) -> None:
-        """Late orders are carried out in ``nursery``, also when the instance is gone."""
-        self._node = node
-        self._executors = executors
-        self._nursery = nursery
-        self._random = random
-
-    async def start(
-        self, place: ExecutorPlace, token: FencingToken, order: StartRequest
-    ) -> OrderAnswer:
-        """See ExecutorCalls."""
-        return await self._order(place, lambda one: one.start(token, order))
-
-    async def stop(
-        self, place: ExecutorPlace, token: FencingToken, task: TaskName, attempt: AttemptNumber
-    ) -> OrderAnswer:
-        """See ExecutorCalls."""
-        return await self._order(place, lambda one: one.stop(token, task, attempt))
-
-    async def pace(
-        self,
-        place: ExecutorPlace,
-        token: FencingToken,
-        task: TaskName,
-        attempt: AttemptNumber,
-        percent: int,
-    ) -> OrderAnswer:
-        """See ExecutorCalls."""
-        return await self._order(place, lambda one: one.pace(token, task, attempt, percent))
-
-    async def poll(
-        self,
-        place: ExecutorPlace,
-        token: FencingToken,
-        forget_ends_to: int,
-        lease_until_ms: int | None,
-        wait_seconds: float,
-    ) -> PollAnswer:
-        """See ExecutorCalls."""
-        executor = self._reachable(place)
-        if executor is None:
-            await trio.sleep(TIMEOUT_SECONDS)
-            return PollAnswer(CallOutcome.UNKNOWN)
-        await trio.sleep(LATENCY_SECONDS)
-        late = self._draws(executor.trouble.late_share)
-        if late:
-            renew = (token, forget_ends_to, lease_until_ms)
-            self._nursery.start_soon(self._late, executor, lambda: executor.renew(*renew))
-        if late or not executor.up:
-            await trio.sleep(TIMEOUT_SECONDS)
-            return PollAnswer(CallOutcome.UNKNOWN)
-        refusal = executor.renew(token, forget_ends_to, lease_until_ms)
-        if refusal is not CallOutcome.ACCEPTED:
-            return PollAnswer(refusal)
-        until = trio.current_time() + wait_seconds
-        while trio.current_time() < until and not executor.has_end_after(forget_ends_to):
-            await trio.sleep(STEP_SECONDS)
-        if self._reachable(place) is None or self._draws(executor.trouble.lost_share):
-            await trio.sleep(TIMEOUT_SECONDS)
-            return PollAnswer(CallOutcome.UNKNOWN)
-        return executor.listing()
-
-    def forget(self, executor: ExecutorId) -> None:
-        """See ExecutorCalls."""
-
-    async def _order(self, place: ExecutorPlace, carry_out: _Order) -> OrderAnswer:
-        executor = self._reachable(place)
-        if executor is None:
-            await trio.sleep(TIMEOUT_SECONDS)
-            return OrderAnswer(CallOutcome.UNKNOWN, None)
-        await trio.sleep(LATENCY_SECONDS)
-        if self._draws(executor.trouble.late_share):
-            self._nursery.start_soon(self._late, executor, lambda: carry_out(executor))
-        elif executor.up:
-            outcome = carry_out(executor)
-            await trio.sleep(LATENCY_SECONDS)
-            if not self._draws(executor.trouble.lost_share):
-                return OrderAnswer(outcome, executor.clock_ms)
-        await trio.sleep(TIMEOUT_SECONDS)
-        return OrderAnswer(CallOutcome.UNKNOWN, None)
-
-    async def _late(self, executor: StandInExecutor, carry_out: Callable[[], object]) -> None:
-        life = executor.born
-        await trio.sleep(self._random.uniform(*LATE_SECONDS))
-        # What was on its way to a process dies with its connections.
-        if executor.up and executor.born == life:
-            carry_out()
-
-    def _reachable(self, place: ExecutorPlace) -> StandInExecutor | None:
-        executor = self._executors[place.executor]
-        cut = self._node in executor.trouble.unreachable_from
-        return executor if executor.up and not cut else None
-
-    def _draws(self, share: float) -> bool:
-        return share > 0 and self._random.random() < share
--- a/fireflyfork_standins/scheduling/_nodes.py
+++ b/fireflyfork_standins/scheduling/_nodes.py
@@ -42,7 +42,8 @@
 from fireflyfork.programs._outside import Outside
 from fireflyfork.programs._service_candidate import ServiceCandidate
 
-from ._executors import StandInExecutor, StandInExecutorCalls
+from ._executor_calls import StandInExecutorCalls
+from ._executors import StandInExecutor
 from ._machines import StandInMachines
 from ._store import StandInStore
 
--- /dev/null
+++ b/fireflyfork_standins/scheduling/_troubles.py
@@ -0,0 +1,202 @@
+"""The kinds of trouble that a day of the platform may have."""
+
+from __future__ import annotations
+
+from random import Random
+
+import trio
+
+from fireflyfork._ids import ExecutorId, ServiceName
+from fireflyfork.programs._scheduling_keys import owner_key
+
+from ._executors import StandInExecutor
+from ._machines import StandInMachines
+from ._nodes import StandInNode
+from ._store import StandInStore
+
+TROUBLES = (
+    "kill",
+    "kill_all",
+    "freeze",
+    "stop",
+    "store_down",
+    "store_refuses_owner",
+    "store_lost",
+    "store_forgets",
+    "executor_crash",
+    "executor_cut",
+    "executor_reborn",
+    "late_orders",
+    "lost_orders",
+    "executor_fails",
+    "executor_stalls",
+    "unregistered",
+)
+"""The kinds of trouble; each is a method of ``Troubles`` of the same name."""
+UPKEEP_TROUBLES = (*TROUBLES, "upkeep_lost")
+"""Those of days with waves of upkeep. Kept apart: a seed draws its kinds by their places in the tuple,
+and seeds that once showed a fault have to play the same day for ever."""
+RESTART_SECONDS = 0.7
+
+
+class Troubles:
+    """Draws kinds of trouble and lets them happen, at any moment and together."""
+
+    def __init__(
+        self,
+        service: ServiceName,
+        nodes: list[StandInNode],
+        executors: dict[ExecutorId, StandInExecutor],
+        store: StandInStore,
+        machines: StandInMachines,
+        random: Random,
+        kinds: tuple[str, ...],
+        seconds: float,
+        gap_seconds: float,
+    ) -> None:
+        """For so many seconds, one each ``gap_seconds`` on average."""
+        self.log: list[str] = []
+        """When which came."""
+        self._service = service
+        self._nodes = nodes
+        self._executors = executors
+        self._store = store
+        self._machines = machines
+        self._random = random
+        self._kinds = kinds
+        self._seconds = seconds
+        self._gap_seconds = gap_seconds
+
+    async def run(self, nursery: trio.Nursery) -> None:
+        """Let trouble come until the day's traffic ends; what it starts goes on in ``nursery``."""
+        end = trio.current_time() + self._seconds
+        while trio.current_time() < end:
+            await trio.sleep(self._random.expovariate(1 / self._gap_seconds))
+            kind = self._random.choice(self._kinds)
+            self.log.append(f"{trio.current_time():.2f} {kind}")
+            nursery.start_soon(getattr(self, f"_{kind}"), nursery)
+
+    def _some_node(self) -> StandInNode:
+        """The owner, mostly: most can go wrong there."""
+        owners = [node for node in self._nodes if node.owns]
+        if owners and self._random.random() < 0.7:
+            return owners[0]
+        return self._random.choice(self._nodes)
+
+    def _some_executor(self) -> StandInExecutor:
+        return self._random.choice(list(self._executors.values()))
+
+    def _for_seconds(self) -> float:
+        return self._random.uniform(0.3, 8.0)
+
+    async def _kill(self, nursery: trio.Nursery) -> None:
+        await self._restart(self._some_node(), nursery, RESTART_SECONDS)
+
+    async def _kill_all(self, nursery: trio.Nursery) -> None:
+        for node in self._nodes:
+            nursery.start_soon(self._restart, node, nursery, self._random.uniform(0.5, 2.5))
+
+    async def _restart(self, node: StandInNode, nursery: trio.Nursery, after: float) -> None:
+        if not node.up:
+            return
+        node.kill()
+        await trio.sleep(after)
+        if not node.up:
+            nursery.start_soon(node.live, nursery)
+
+    async def _freeze(self, _: trio.Nursery) -> None:
+        node = self._some_node()
+        node.freeze()
+        await trio.sleep(self._for_seconds())
+        node.thaw()
+
+    async def _stop(self, nursery: trio.Nursery) -> None:
+        node = self._some_node()
+        await node.stop()
+        await self._restart(node, nursery, RESTART_SECONDS)
+        if not node.up:
+            await trio.sleep(RESTART_SECONDS)
+            if not node.up:
+                nursery.start_soon(node.live, nursery)
+
+    async def _store_down(self, _: trio.Nursery) -> None:
+        self._store.trouble.down = True
+        await trio.sleep(self._for_seconds())
+        self._store.trouble.down = False
+
+    async def _store_refuses_owner(self, _: trio.Nursery) -> None:
+        node = self._some_node()
+        group = self._random.choice((self._store.trouble.refused, self._store.trouble.silent))
+        group.add(node.name)
+        if self._random.random() < 0.5:
+            self._store.revoke(owner_key(self._service))
+        await trio.sleep(self._for_seconds())
+        group.discard(node.name)
+
+    async def _store_lost(self, _: trio.Nursery) -> None:
+        self._store.trouble.lost_share = 0.3
+        self._store.trouble.late_share = self._random.choice((0.0, 0.5))
+        await trio.sleep(self._for_seconds())
+        self._store.trouble.lost_share = 0.0
+
+    async def _store_forgets(self, _: trio.Nursery) -> None:
+        self._store.drop_history()
+
+    async def _executor_crash(self, _: trio.Nursery) -> None:
+        executor = self._some_executor()
+        if not executor.up:
+            return
+        executor.crash()
+        await trio.sleep(4.5)
+        executor.unregister()
+        await trio.sleep(self._for_seconds())
+        executor.begin_again()
+
+    async def _executor_reborn(self, _: trio.Nursery) -> None:
+        executor = self._some_executor()
+        if executor.up:
+            executor.crash()
+            await trio.sleep(self._random.uniform(0.05, 1.0))
+            executor.begin_again()
+
+    async def _executor_cut(self, _: trio.Nursery) -> None:
+        executor = self._some_executor()
+        cut = {node.name for node in self._nodes if self._random.random() < 0.7}
+        executor.trouble.unreachable_from |= cut
+        await trio.sleep(self._for_seconds())
+        executor.trouble.unreachable_from -= cut
+
+    async def _late_orders(self, _: trio.Nursery) -> None:
+        await self._share("late_share", 0.2)
+
+    async def _lost_orders(self, _: trio.Nursery) -> None:
+        await self._share("lost_share", 0.2)
+
+    async def _executor_fails(self, _: trio.Nursery) -> None:
+        await self._share("fail_share", 1.0)
+
+    async def _share(self, which: str, share: float) -> None:
+        executor = self._some_executor()
+        setattr(executor.trouble, which, share)
+        await trio.sleep(self._for_seconds())
+        setattr(executor.trouble, which, 0.0)
+
+    async def _executor_stalls(self, _: trio.Nursery) -> None:
+        executor = self._some_executor()
+        executor.trouble.stands_still = True
+        await trio.sleep(self._for_seconds())
+        executor.trouble.stands_still = False
+
+    async def _upkeep_lost(self, _: trio.Nursery) -> None:
+        trouble = self._machines.trouble
+        trouble.lost_share = trouble.late_share = 0.3
+        await trio.sleep(self._for_seconds())
+        trouble.lost_share = trouble.late_share = 0.0
+
+    async def _unregistered(self, _: trio.Nursery) -> None:
+        executor = self._some_executor()
+        if executor.up:
+            executor.unregister()
+            await trio.sleep(self._random.uniform(0.5, 2.0))
+            if executor.up:
+                executor.register()
--- a/fireflyfork_standins/scheduling/_wire_platform.py
+++ b/fireflyfork_standins/scheduling/_wire_platform.py
@@ -14,7 +14,8 @@
 from fireflyfork.decisions.jobs import ExecutorRoom
 from fireflyfork.platform import CONFIGURATION_KEY
 
-from ._executors import StandInExecutor, StandInExecutorCalls
+from ._executor_calls import StandInExecutorCalls
+from ._executors import StandInExecutor
 from ._history import History
 from ._store import StandInStore
 from ._wire_executor import ExecutorWire
