Logs never wait for their reader

Cause: standard output was written blocking, on the thread of the only loop; a log collector that hangs would have stopped the service once its pipe was full.

--- a/fireflyfork/programs/_logs.py
+++ b/fireflyfork/programs/_logs.py
@@ -11,6 +11,8 @@
 import msgspec
 from loguru import logger
 
+from ._log_sink import sink_to
+
 if TYPE_CHECKING:
     from loguru import Message
 
@@ -25,8 +27,9 @@
     """
     logger.remove()
     logger.configure(extra=dict(context))
+    sink = sink_to(stream)
     logger.add(
-        lambda message: _write(message, stream),
+        lambda message: sink.write(_line(message)),
         level=level,
         format="{message}",
         enqueue=False,
@@ -34,7 +37,7 @@
     )
 
 
-def _write(message: Message, stream: TextIO) -> None:
+def _line(message: Message) -> bytes:
     record = message.record
     line: dict[str, Any] = {
         "time": record["time"].isoformat(),
@@ -49,5 +52,4 @@
         line["exception"] = repr(record["exception"].value)
         frames = traceback.extract_tb(record["exception"].traceback)
         line["raised_at"] = [f"{frame.filename}:{frame.lineno}" for frame in frames[-3:]]
-    stream.write(msgspec.json.encode(line, enc_hook=str).decode("utf-8") + "\n")
-    stream.flush()
+    return msgspec.json.encode(line, enc_hook=str) + b"\n"
