--- a/fireflyfork/programs/_decision_log.py
+++ b/fireflyfork/programs/_decision_log.py
@@ -9,6 +9,8 @@
 
 from ..decisions.jobs import ExecutorGivenUp, JobOver, Note, RunEnded, TaskSent
 from ._clocks import Clock
+from ._decision_metrics import count_decision
+from ._metrics import Metrics
 
 LINES_A_SECOND = 400
 """A line takes some 50 us of an instance's fraction of a core. The busiest instance decides about 260
@@ -25,10 +27,11 @@
 class DecisionLog:
     """Writes notes of the scheduler."""
 
-    def __init__(self, clock: Clock, service: str) -> None:
-        """``service`` stands in each line."""
+    def __init__(self, clock: Clock, service: str, metrics: Metrics) -> None:
+        """``service`` stands in each line; ``metrics`` count every decision, logged or not."""
         self._clock = clock
         self._service = service
+        self._metrics = metrics
         self._second = 0
         self._written = 0
         self._left_out = 0
@@ -36,6 +39,7 @@
     def write(self, notes: list[Note]) -> None:
         """Log these, as far as the bound allows."""
         for note in notes:
+            count_decision(self._metrics, note)
             if self._allowed():
                 logger.info(_MESSAGES[type(note)], service=self._service, **_fields(note))
             else:
--- /dev/null
+++ b/fireflyfork/programs/_decision_metrics.py
@@ -0,0 +1,24 @@
+"""Counters and histograms of the owner's decisions."""
+
+from __future__ import annotations
+
+from ..decisions.jobs import ExecutorGivenUp, JobOver, Note, RunEnded, TaskSent
+from ._metrics import Metrics
+
+
+def count_decision(metrics: Metrics, note: Note) -> None:
+    """Take one note in; unlike log lines, none is left out."""
+    match note:
+        case TaskSent():
+            metrics.count("fireflyfork_tasks_sent_total", again=str(note.attempt > 1).lower())
+            if note.attempt == 1:
+                metrics.observe("fireflyfork_task_sent_after_seconds", note.job_age_ms / 1000)
+        case RunEnded():
+            metrics.count("fireflyfork_runs_ended_total", reason=note.reason.value)
+        case JobOver():
+            in_time = str(note.age_ms <= note.allowed_ms).lower()
+            metrics.count("fireflyfork_jobs_over_total", state=note.state.value, in_time=in_time)
+            metrics.observe("fireflyfork_job_seconds", note.age_ms / 1000, state=note.state.value)
+        case ExecutorGivenUp():
+            metrics.count("fireflyfork_executors_given_up_total")
+            metrics.count("fireflyfork_runs_given_up_total", note.runs)
--- a/fireflyfork/programs/_job_service.py
+++ b/fireflyfork/programs/_job_service.py
@@ -91,7 +91,7 @@
             return
         begun = self._clock.now()
         await self._requests.submit(decode_job(body, job, queue, self._clock.unix_ms()))
-        self._metrics.observe("accept_seconds", self._clock.now() - begun)
+        self._metrics.observe("fireflyfork_accept_seconds", self._clock.now() - begun)
         await exchange.answer(200, b"{}", (_JSON,))
 
     async def _state(self, exchange: Exchange, job: JobId) -> None:
@@ -112,6 +112,6 @@
         await exchange.answer(200, body, (_JSON,))
 
     async def _refuse(self, exchange: Exchange, status: int, reason: str) -> None:
-        self._metrics.count("refused_total", status=str(status))
+        self._metrics.count("fireflyfork_refused_total", status=str(status))
         logger.info("refused", target=exchange.head.target[:80], status=status, reason=reason)
         await exchange.answer_json(status, {"error": reason}, RETRY_AFTER)
--- a/fireflyfork/programs/_scheduler_node.py
+++ b/fireflyfork/programs/_scheduler_node.py
@@ -144,6 +144,7 @@
             self._outside,
             self._clock,
             self._random,
+            self._metrics,
             self._settings.bounds,
             self._queues,
             lambda: self._keeper.waves,
--- a/fireflyfork/programs/_service_candidate.py
+++ b/fireflyfork/programs/_service_candidate.py
@@ -11,6 +11,7 @@
 from ..decisions.jobs import QueueTable, UpkeepWave
 from ..platform import PlatformBounds
 from ._clocks import Clock
+from ._metrics import Metrics
 from ._outside import Outside
 from ._service_lease import ServiceLease
 from ._service_owner import ServiceOwner
@@ -29,6 +30,7 @@
         outside: Outside,
         clock: Clock,
         random: Random,
+        metrics: Metrics,
         bounds: PlatformBounds,
         queues: Callable[[], QueueTable],
         waves: Callable[[], tuple[UpkeepWave, ...]],
@@ -38,6 +40,7 @@
         self._node = node
         self._outside = outside
         self._clock = clock
+        self._metrics = metrics
         self._bounds = bounds
         self._queues = queues
         self._waves = waves
@@ -63,6 +66,7 @@
                 self._node,
                 self._outside,
                 self._clock,
+                self._metrics,
                 self._bounds,
                 self._queues,
                 self._waves,
--- a/fireflyfork/programs/_service_owner.py
+++ b/fireflyfork/programs/_service_owner.py
@@ -38,6 +38,7 @@
 from ._clocks import Clock
 from ._decision_log import DecisionLog
 from ._executor_polls import ORPHANED_LEASE_SECONDS, ExecutorPolls
+from ._metrics import Metrics
 from ._outside import Outside
 from ._prefix_watch import PrefixWatch
 from ._run_orders import RunOrders
@@ -77,11 +78,13 @@
         node: NodeName,
         outside: Outside,
         clock: Clock,
+        metrics: Metrics,
         bounds: PlatformBounds,
         queues: Callable[[], QueueTable],
         waves: Callable[[], tuple[UpkeepWave, ...]],
     ) -> None:
         """``queues`` tells the queues in force, ``waves`` the upkeep that the operator asks for."""
+        metrics.count("fireflyfork_ownerships_total", service=term.service)
         self._term = term
         self._service: ServiceName = term.service
         self._store = outside.store
@@ -107,7 +110,7 @@
             lambda: self._contact,
             self.kick,
         )
-        self._log = DecisionLog(clock, self._service)
+        self._log = DecisionLog(clock, self._service, metrics)
         self._contact = clock.now()
         self._work = trio.Event()
         self._resigning = False
--- /dev/null
+++ b/fireflyfork/programs/tests/test_decision_log.py
@@ -0,0 +1,82 @@
+"""What the owner's decisions leave in the log and in the metrics."""
+
+import unittest
+
+from loguru import logger
+
+from ..._ids import ExecutorId, JobId, TaskName
+from ...decisions.jobs import (
+    EndReason,
+    ExecutorGivenUp,
+    JobOver,
+    JobState,
+    Note,
+    RunEnded,
+    TaskSent,
+)
+from .._clocks import Clock
+from .._decision_log import LINES_A_SECOND, DecisionLog
+from .._metrics import Metrics
+
+TASK = TaskName("00000000000000aa.0.0.0")
+EXECUTOR = ExecutorId("i-0")
+
+
+class _StoodClock(Clock):
+    """A second that does not pass until the test says so."""
+
+    def __init__(self) -> None:
+        self.seconds = 100.0
+
+    def now(self) -> float:
+        return self.seconds
+
+    def unix_ms(self) -> int:
+        return 0
+
+
+class DecisionLogTest(unittest.TestCase):
+    """Lines are bounded, counters are not."""
+
+    def setUp(self) -> None:
+        self.lines: list[str] = []
+        logger.remove()
+        logger.add(self.lines.append, format="{message} {extra}")
+        self.clock, self.metrics = _StoodClock(), Metrics()
+        self.log = DecisionLog(self.clock, "desk", self.metrics)
+
+    def test_each_kind_is_counted(self) -> None:
+        for note, line in (
+            (
+                TaskSent(TASK, 1, EXECUTOR, 40, 10, 0),
+                'fireflyfork_tasks_sent_total{again="false"} 1',
+            ),
+            (
+                RunEnded(TASK, 1, EXECUTOR, EndReason.DONE),
+                'fireflyfork_runs_ended_total{reason="done"} 1',
+            ),
+            (
+                JobOver(JobId("00000000000000aa"), JobState.COMPLETED, 900, 1000),
+                'fireflyfork_jobs_over_total{in_time="true",state="completed"} 1',
+            ),
+            (
+                ExecutorGivenUp(EXECUTOR, 3, "its lease lapsed"),
+                "fireflyfork_runs_given_up_total 3",
+            ),
+        ):
+            with self.subTest(line):
+                self.log.write([note])
+                self.assertIn(line, self.metrics.text())
+
+    def test_a_flood_of_decisions_is_counted_whole_and_logged_in_part(self) -> None:
+        """Many jobs are cancelled in one moment. A line for each would use up the processor that their
+        callers need; without a word on what is missing, whoever reads the log would trust it.
+        """
+        notes: list[Note] = [RunEnded(TASK, 1, EXECUTOR, EndReason.STOPPED)] * (LINES_A_SECOND + 50)
+        self.log.write(notes)
+        self.assertEqual(len(self.lines), LINES_A_SECOND)
+        self.clock.seconds += 1.0
+        self.log.write(notes[:1])
+        self.assertIn("'lines': 50", self.lines[LINES_A_SECOND])
+        total = f'fireflyfork_runs_ended_total{{reason="stopped"}} {len(notes) + 1}'
+        self.assertIn(total, self.metrics.text())
--- a/fireflyfork_standins/scheduling/_nodes.py
+++ b/fireflyfork_standins/scheduling/_nodes.py
@@ -39,6 +39,7 @@
 from fireflyfork.platform import PlatformBounds
 from fireflyfork.programs._clocks import Clock
 from fireflyfork.programs._job_requests import JobRequests
+from fireflyfork.programs._metrics import Metrics
 from fireflyfork.programs._outside import Outside
 from fireflyfork.programs._service_candidate import ServiceCandidate
 
@@ -253,6 +254,7 @@
             ),
             VirtualClock(),
             self._random,
+            Metrics(),
             self._bounds,
             lambda: self._queues,
             lambda: tuple(self._machines.waves),
