Work of jobs beyond use goes on in the background

Ruled out: changes of owner, whose seconds are no worse than others. Change: such tasks start at a fifth of their pace and stay there. A test failed first.

--- a/fireflyfork/decisions/jobs/_pacing.py
+++ b/fireflyfork/decisions/jobs/_pacing.py
@@ -26,6 +26,9 @@
 """When a task's tail has been over its target for so long, all work without a reservation beside it
 pauses, whatever is known of the pair. Four samples show that the paces chosen so far don't help, and
 users notice a service that stays slow after some four seconds; the pause shows in its tail after one."""
+BACKGROUND_PACE = 20
+"""Percent. A task of two seconds takes ten and disturbs a fifth as much; at a tenth it would hold its
+memory for longer than most jobs are waited for."""
 PACE_STEP = 10
 """Percent: smaller changes of pace aren't worth a call."""
 RAISE_STEP = 60
@@ -101,6 +104,8 @@
     paces = _allowed_paces(executor, best_effort, model)
     for run in best_effort:
         wanted = min(paces[run.task.spec.image], run.pace_percent + RAISE_STEP)
+        if run.in_background:
+            wanted = min(wanted, BACKGROUND_PACE)
         pace = 0 if over else max(LOWEST_PACE, wanted // PACE_STEP * PACE_STEP)
         if pace != run.pace_percent or not run.pace_confirmed:
             run.pace_percent = pace
--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -112,6 +112,7 @@
                 ticket = self._work.tickets.valid(task.step_id, executor.executor, life, now)
                 run.ticket = ticket or ""
             executor.lease_until_ms = max(executor.lease_until_ms, run.start_deadline_ms)
+            run.in_background = started.spec.uses_leftover_cpu and started.job.beyond_use(now_ms)
             started.attempt = run.attempt
             started.runs.append(run)
             self._work.commands.append(StartRun(run))
--- a/fireflyfork/decisions/jobs/_report_handling.py
+++ b/fireflyfork/decisions/jobs/_report_handling.py
@@ -10,7 +10,7 @@
 from ._gangs import failures, members, save
 from ._job_table import terms_without_queue
 from ._notes import RunEnded
-from ._pacing import adjust_pace
+from ._pacing import BACKGROUND_PACE, adjust_pace
 from ._progress import JobState
 from ._reports import CallOutcome, EndedRow, EndReason, OrderAnswer, PollAnswer, RunningRow
 from ._runs import Job, Run, RunPhase, Task
@@ -40,6 +40,9 @@
             run.phase = RunPhase.RUNNING
             run.confirmed_at = now
             run.progress_at = now
+            if run.in_background:
+                run.pace_percent = BACKGROUND_PACE
+                self._work.commands.append(PaceRun(run, BACKGROUND_PACE))
         elif outcome is CallOutcome.UNKNOWN:
             run.phase = RunPhase.UNSURE
             self._work.stop(run, now)
--- a/fireflyfork/decisions/jobs/_runs.py
+++ b/fireflyfork/decisions/jobs/_runs.py
@@ -16,6 +16,9 @@
     from ._executors import ExecutorState
 
 
+LATE_FACTOR = 3.0
+"""A job that takes three times what its objective allows is of no use any more; up to there it is
+late, and of some."""
 _NONE_YET = AttemptNumber(0)
 
 
@@ -57,6 +60,8 @@
     """False when the executor may have it at another pace: an earlier owner's run, or a lost answer."""
     ticket: str = ""
     """The advisor's leave to run there, where the queue needs one."""
+    in_background: bool = False
+    """Its job is of no use any more but has to end: it works slowly, to slow nobody else."""
 
     @property
     def key(self) -> tuple[TaskName, AttemptNumber]:
@@ -129,6 +134,10 @@
         """How long it may take, from its acceptance, to be of full use."""
         return self.queue.stretch_factor * self.spec.chain_ms() + self.queue.target_latency_ms
 
+    def beyond_use(self, now_ms: int) -> bool:
+        """Whether it has taken so long that its end helps nobody any more."""
+        return now_ms > self.spec.accepted_ms + LATE_FACTOR * self.allowed_ms()
+
     def remaining_ms(self) -> int:
         """The longest chain of estimated work that is left."""
         return self.spec.chain_ms({step for (_, step), left in self.left.items() if left})
--- a/fireflyfork/decisions/jobs/_urgency.py
+++ b/fireflyfork/decisions/jobs/_urgency.py
@@ -2,11 +2,7 @@
 
 from __future__ import annotations
 
-from ._runs import Task
-
-LATE_FACTOR = 3.0
-"""A job that takes three times what its objective allows is of no use any more; up to there it is
-late, and of some."""
+from ._runs import LATE_FACTOR, Task
 
 Urgency = tuple[int, int, int, float]
 """Sorts tasks, the most urgent first: the queue's priority, whether the task lasts, what its job can
--- a/fireflyfork/decisions/jobs/tests/builders_jobs.py
+++ b/fireflyfork/decisions/jobs/tests/builders_jobs.py
@@ -24,6 +24,7 @@
     ExecutorState,
     JobSpec,
     OrderAnswer,
+    PaceRun,
     PollAnswer,
     QueueTable,
     QueueTerms,
@@ -117,6 +118,11 @@
         """The runs that are to be stopped."""
         return [one.run for one in self.scheduler.take_commands() if isinstance(one, StopRun)]
 
+    def paces(self) -> list[tuple[TaskName, int]]:
+        """The tasks that are to work at another pace, in percent."""
+        commands = self.scheduler.take_commands()
+        return [(one.run.task.name, one.percent) for one in commands if isinstance(one, PaceRun)]
+
     def answer_start(self, run: Run, outcome: CallOutcome = CallOutcome.ACCEPTED) -> None:
         """An executor answers a start."""
         clock = None if outcome is CallOutcome.UNKNOWN else self.clock()
--- a/fireflyfork/decisions/jobs/tests/test_interference.py
+++ b/fireflyfork/decisions/jobs/tests/test_interference.py
@@ -1,6 +1,7 @@
 """Learning which images disturb which, and what is done about it."""
 
 import unittest
+from dataclasses import replace
 from random import Random
 
 from ...._ids import AttemptNumber
@@ -18,7 +19,7 @@
     encode_learned,
 )
 from .._interference import PRIOR_EFFECT, InterferenceModel, Sample
-from .._pacing import LOWEST_PACE, WANTED_HEADROOM, adjust_pace
+from .._pacing import BACKGROUND_PACE, LOWEST_PACE, WANTED_HEADROOM, adjust_pace
 from .._placing import choose
 from .builders_jobs import START_MS, OwnerUnderTest, job, row, step
 
@@ -260,3 +261,23 @@
                 owner.now += 1.0
                 owner.poll("i-0", *rows)
                 self.assertEqual(owner.scheduler.take_commands(), [])
+
+    def test_work_that_is_of_no_use_any_more_slows_nobody(self) -> None:
+        """Jobs pile up until some have taken three times what their objective allows. They were
+        accepted and have to end, and started at full pace after the rush, when room was found for them
+        anywhere, they kept services over their targets for ten seconds on end.
+        """
+        owner = OwnerUnderTest("i-0")
+        best_effort = step(uses_leftover_cpu=True, image="quiet", cpu_millis=1000)
+        late, fresh = job("00000000000000aa", best_effort), job("00000000000000bb", best_effort)
+        owner.now += 60.0
+        now_ms = START_MS + owner.clock()
+        owner.scheduler.accept(late, now_ms)
+        owner.scheduler.accept(replace(fresh, accepted_ms=now_ms), now_ms)
+        owner.poll("i-0")
+        slow, full = sorted(owner.place(), key=lambda run: run.task.name)
+        self.assertEqual(owner.paces(), [(slow.task.name, BACKGROUND_PACE)])
+        for _ in range(4):
+            owner.now += 1.0
+            owner.poll("i-0", row(slow, 10, 200.0), row(full, 10, 1000.0))
+        self.assertEqual(owner.paces(), [])
