Slow runs are copied, where their step allows it, or moved off a slow executor

Cause: an executor that works at a sixth of its speed answers every poll and fails nothing, so nothing noticed it; a booking waited for its slowest task. Steps that may be copied were started once like others. Change: a run that would be done much sooner elsewhere gets one copy; where two jobs' runs straggle on one executor, the executor is at fault and its runs are stopped and started elsewhere. Each task is moved once.

--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -10,7 +10,8 @@
 from ._gangs import members, next_attempt, place_together
 from ._notes import TaskSent
 from ._placing import choose, most_cost
-from ._runs import Run, Task
+from ._runs import Run, RunPhase, Task
+from ._stragglers import other_executors
 from ._tickets import StepId
 from ._work import Work
 
@@ -54,6 +55,24 @@
                 self._work.parked.append(task)
                 continue
             task.waiting = False
+        self._place_copies(usable, reserved, now, now_ms)
+
+    def _place_copies(
+        self, usable: list[ExecutorState], reserved: float, now: float, now_ms: int
+    ) -> None:
+        """Start second runs of tasks whose first one is slow; where there is no room, none."""
+        wanted, self._work.copies = self._work.copies, []
+        for task in wanted:
+            alone = len(task.runs) == 1 and task.runs[0].works
+            if not alone or task.key not in task.job.tasks or task.job.state.is_final:
+                continue
+            others = other_executors(task, self._ticketed(task, usable, now))
+            most = most_cost((now_ms - task.job.spec.accepted_ms) / 1000, reserved)
+            executor = choose(task, others, self._work.interference, most)
+            if executor is not None:
+                run = Run(task, next_attempt(task), executor, RunPhase.STARTING, now)
+                executor.add(run)
+                self._send(run, now, now_ms)
 
     def _candidates_for(self, task: Task, usable: list[ExecutorState], most: float) -> Candidates:
         known = self._round.get(task.step_id)
@@ -104,23 +123,26 @@
 
         runs = place_together(task, usable, choice, next_attempt(task), now)
         for run in runs:
-            executor, started = run.executor, run.task
-            run.start_deadline_ms = executor.clock(now) + START_VALID_MS
-            run.checkpoint = started.checkpoint
-            if task.job.queue.needs_tickets:
-                life = executor.registration.incarnation
-                ticket = self._work.tickets.valid(task.step_id, executor.executor, life, now)
-                run.ticket = ticket or ""
-            executor.lease_until_ms = max(executor.lease_until_ms, run.start_deadline_ms)
-            run.in_background = started.spec.uses_leftover_cpu and started.job.beyond_use(now_ms)
-            started.attempt = run.attempt
-            started.runs.append(run)
-            self._work.commands.append(StartRun(run))
-            self._work.notes.append(_sent(run, now, now_ms))
-        if runs:
-            self._work.jobs.note_started(task.job)
+            self._send(run, now, now_ms)
         return bool(runs)
 
+    def _send(self, run: Run, now: float, now_ms: int) -> None:
+        """Order the start of a run that holds its room."""
+        executor, task = run.executor, run.task
+        run.start_deadline_ms = executor.clock(now) + START_VALID_MS
+        run.checkpoint = task.checkpoint
+        if task.job.queue.needs_tickets:
+            life = executor.registration.incarnation
+            ticket = self._work.tickets.valid(task.step_id, executor.executor, life, now)
+            run.ticket = ticket or ""
+        executor.lease_until_ms = max(executor.lease_until_ms, run.start_deadline_ms)
+        run.in_background = task.spec.uses_leftover_cpu and task.job.beyond_use(now_ms)
+        task.attempt = run.attempt
+        task.runs.append(run)
+        self._work.commands.append(StartRun(run))
+        self._work.notes.append(_sent(run, now, now_ms))
+        self._work.jobs.note_started(task.job)
+
 
 def _reserved_share(executors: list[ExecutorState]) -> float:
     room = sum(one.registration.room.cpu_millis for one in executors)
--- a/fireflyfork/decisions/jobs/_report_handling.py
+++ b/fireflyfork/decisions/jobs/_report_handling.py
@@ -170,6 +170,7 @@
             run.phase = RunPhase.RUNNING
         if run.confirmed_at is None:
             run.confirmed_at = now
+        run.listed_at = now
         if row.progress_percent != run.progress_percent or not run.progress_at:
             run.progress_percent = row.progress_percent
             run.progress_at = now
--- a/fireflyfork/decisions/jobs/_runs.py
+++ b/fireflyfork/decisions/jobs/_runs.py
@@ -52,6 +52,8 @@
     barred_at: float | None = None
     """When a stop was acknowledged: from then on the attempt can't begin there any more."""
     checkpoint: str = ""
+    listed_at: float = 0.0
+    """When its executor last listed it."""
     progress_percent: int = 0
     progress_at: float = 0.0
     """When the progress last changed."""
@@ -88,6 +90,9 @@
     failed_on: set[ExecutorId] = field(default_factory=set)
     checkpoint: str = ""
     runs: list[Run] = field(default_factory=list)
+    moved: bool = False
+    """Whether a slow run of it was copied or stopped; done once, so that a task which is slow by itself
+    is not moved from executor to executor."""
     waiting: bool = False
     """Whether it stands in the queue of tasks to place."""
 
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -23,6 +23,7 @@
 from ._reports import OrderAnswer, PollAnswer
 from ._runs import Run
 from ._specs import JobSpec
+from ._stragglers import Stragglers
 from ._tickets import Ticket
 from ._time_checks import TimeChecks
 from ._upkeep import Upkeep, WaveView
@@ -49,6 +50,7 @@
         self._reports = Reports(self._work)
         self._placement = Placement(self._work)
         self._time_checks = TimeChecks(self._work)
+        self._stragglers = Stragglers(self._work)
         self._upkeep = Upkeep(self._work, terms.service)
 
     @property
@@ -219,6 +221,7 @@
         """Lapsed leases, stops without an answer, runs that stand still, jobs that become due."""
         for executor in tuple(self.executors.values()):
             self._time_checks.check(executor, now)
+            self._stragglers.check(executor, now)
         self._work.give_up_unreached(now)
         self._upkeep.evict(now)
         for job in tuple(self.jobs.waiting_for_time()):
--- a/fireflyfork/decisions/jobs/_work.py
+++ b/fireflyfork/decisions/jobs/_work.py
@@ -42,6 +42,8 @@
         """Tasks that wait for a place, the most urgent first."""
         self.parked: list[Task] = []
         """Tasks that found none and are tried again at the next tick."""
+        self.copies: list[Task] = []
+        """Tasks that a second run may be started of beside the first."""
         self.unreached: dict[ExecutorId, float] = {}
         """Executors that an earlier owner used and that haven't answered yet, each with the time when
         all that it may run for that owner is over."""
