--- a/fireflyfork/programs/_service_journal.py
+++ b/fireflyfork/programs/_service_journal.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from typing import TypeVar
+
 import msgspec
 import trio
 from loguru import logger
@@ -47,6 +50,9 @@
 two seconds add moves no effect far."""
 
 
+_Value = TypeVar("_Value")
+
+
 class OwnershipLostError(StoreError):
     """Another instance owns the service, or none does."""
 
@@ -79,25 +85,13 @@
 
     async def last_known_executors(self) -> tuple[ExecutorRegistration, ...]:
         """The executors that an earlier owner had stored as known to it. Raises StoreError."""
-        item = await self._store.read(executors_key(self._term.service))
-        if item is None:
-            return ()
-        try:
-            return decode_registrations(item.value)
-        except StoredFormatError as error:
-            logger.error("known executors not readable", error=str(error))
-            return ()
+        known = await self._left_behind(executors_key(self._term.service), decode_registrations)
+        return known if known is not None else ()
 
     async def last_learned(self) -> tuple[LearnedFit, ...]:
         """What an earlier owner had learned. Raises StoreError."""
-        item = await self._store.read(learned_key(self._term.service))
-        if item is None:
-            return ()
-        try:
-            return decode_learned(item.value)
-        except StoredFormatError as error:
-            logger.error("what was learned is not readable", error=str(error))
-            return ()
+        learned = await self._left_behind(learned_key(self._term.service), decode_learned)
+        return learned if learned is not None else ()
 
     def notify(self) -> None:
         """There may be something to store."""
@@ -167,6 +161,19 @@
         self._scheduler.jobs.forget(jobs)
         return len(jobs) == MOST_REMOVED
 
+    async def _left_behind(self, key: str, decode: Callable[[bytes], _Value]) -> _Value | None:
+        """What an earlier owner left under a key; None when there is none that can be read."""
+        item = await self._store.read(key)
+        if item is None:
+            return None
+        try:
+            return decode(item.value)
+        except StoredFormatError as error:
+            # Nobody would own the service for as long as it stays unreadable; that is worse than to begin
+            # without what an earlier owner knew.
+            logger.error("left by an earlier owner and not readable", key=key, error=str(error))
+            return None
+
     def _put_back(self, executors: bool) -> None:
         self._scheduler.jobs.changes.put_back()
         if executors:
--- a/fireflyfork_standins/scheduling/_executors.py
+++ b/fireflyfork_standins/scheduling/_executors.py
@@ -52,6 +52,8 @@
     """This share is carried out at once and not answered."""
     fail_share: float = 0.0
     stands_still: bool = False
+    speed: float = 1.0
+    """Of its usual one."""
 
 
 @dataclass(slots=True)
@@ -274,7 +276,7 @@
                 self._end(run, EndReason.STOPPED)
                 continue
             if not self.trouble.stands_still:
-                run.done_seconds += STEP_SECONDS * run.pace
+                run.done_seconds += STEP_SECONDS * run.pace * self.trouble.speed
             if run.done_seconds >= run.work_seconds and not run.step.long_running:
                 self._end(run, EndReason.FAILED if run.fails else EndReason.DONE)
 
--- a/fireflyfork_standins/scheduling/_troubles.py
+++ b/fireflyfork_standins/scheduling/_troubles.py
@@ -36,6 +36,8 @@
 UPKEEP_TROUBLES = (*TROUBLES, "upkeep_lost")
 """Those of days with waves of upkeep. Kept apart: a seed draws its kinds by their places in the tuple,
 and seeds that once showed a fault have to play the same day for ever."""
+ALL_TROUBLES = (*UPKEEP_TROUBLES, "executor_slow")
+"""All there are, for new seeds."""
 RESTART_SECONDS = 0.7
 
 
@@ -193,6 +195,12 @@
         await trio.sleep(self._for_seconds())
         trouble.lost_share = trouble.late_share = 0.0
 
+    async def _executor_slow(self, _: trio.Nursery) -> None:
+        executor = self._some_executor()
+        executor.trouble.speed = 0.15
+        await trio.sleep(self._for_seconds())
+        executor.trouble.speed = 1.0
+
     async def _unregistered(self, _: trio.Nursery) -> None:
         executor = self._some_executor()
         if executor.up:
--- a/fireflyfork_standins/scheduling/_world.py
+++ b/fireflyfork_standins/scheduling/_world.py
@@ -56,6 +56,8 @@
     troubles: tuple[str, ...] = ()
     """Which kinds of trouble may come; none: a calm day."""
     trouble_gap_seconds: float = 3.0
+    speculative_share: float = 0.0
+    """Of steps whose tasks may be copied."""
     waves: int = 0
     """So many waves of upkeep, each of all machines, two at once."""
     retention_seconds: float = 120.0
@@ -235,12 +237,16 @@
                     checkpointing=random.random() < 0.3 and not lasts,
                     per_executor_limit=2 if random.random() < 0.2 else 0,
                     long_running=lasts,
+                    speculative=self._draws(self._profile.speculative_share) and not lasts,
                     uses_leftover_cpu=random.random() < 0.3 and not lasts,
                 )
             )
         now_ms = UNIX_MS_AT_START + int(trio.current_time() * 1000)
         return JobSpec(name, QueueName("q"), SERVICE, "work", tuple(steps), now_ms)
 
+    def _draws(self, share: float) -> bool:
+        return share > 0 and self._random.random() < share
+
     # Upkeep.
 
     async def _ask_for_upkeep(self, nursery: trio.Nursery) -> None:
--- a/fireflyfork_standins/tests/test_scheduling_days.py
+++ b/fireflyfork_standins/tests/test_scheduling_days.py
@@ -7,6 +7,7 @@
 from fireflyfork.decisions.jobs import ExecutorState, Scheduler, WaveView
 from fireflyfork.programs._job_requests import JobRequests
 from fireflyfork_standins.scheduling import (
+    ALL_TROUBLES,
     TROUBLES,
     UPKEEP_TROUBLES,
     Profile,
@@ -112,6 +113,19 @@
                 self.assertEqual((report.violations, report.waves_over), ([], 2))
 
 
+class SlowExecutorsTest(unittest.TestCase):
+    """Days on which executors turn slow, and a third of the steps may be copied."""
+
+    def test_copies_break_no_promise(self) -> None:
+        """A task runs on two executors, while owners change and answers are lost. Its job ends once,
+        and steps that may not be copied still run in one place.
+        """
+        profile = Profile(speculative_share=0.3, troubles=ALL_TROUBLES, trouble_gap_seconds=1.5)
+        for seed in (300, 301):
+            with self.subTest(seed):
+                self.assertEqual(run_world(seed, profile).violations, [])
+
+
 class ChecksTest(unittest.TestCase):
     """Each check finds the fault that it is for, when the fault is put in on purpose."""
 
