Machines emptied for a withdrawn wave take work again; small repairs from reading the change

Found in reading: an owner that knows no open wave any more left machines emptied. Also: one place decides the Host header, an over-long comment, a name that nobody imports.

--- a/fireflyfork/adapters/_http_client.py
+++ b/fireflyfork/adapters/_http_client.py
@@ -196,12 +196,9 @@
         headers: tuple[Header, ...],
         body: bytes,
     ) -> tuple[ResponseHead, bytes]:
-        host = find_header(headers, b"host")
-        all_headers = (
-            *(() if host is not None else ((b"host", str(self._address).encode("ascii")),)),
-            (b"content-length", str(len(body)).encode("ascii")),
-            *headers,
-        )
+        if find_header(headers, b"host") is None:
+            headers = ((b"host", str(self._address).encode("ascii")), *headers)
+        all_headers = (*headers, (b"content-length", str(len(body)).encode("ascii")))
         head = RequestHead(method, target, all_headers)
         return await connection.request(head, body, self._longest_answer)
 
--- a/fireflyfork/decisions/jobs/__init__.py
+++ b/fireflyfork/decisions/jobs/__init__.py
@@ -33,7 +33,7 @@
     encode_registrations,
     encode_upkeep_mark,
 )
-from ._upkeep import WaveView, may_be_moved
+from ._upkeep import WaveView
 from ._waves import MachineListing, MachineState, UpkeepMark, UpkeepOutcome, UpkeepPhase, UpkeepWave
 
 __all__ = [
@@ -93,7 +93,6 @@
     "encode_progress",
     "encode_registrations",
     "encode_upkeep_mark",
-    "may_be_moved",
     "parse_task_name",
     "queue_table",
     "step_name",
--- a/fireflyfork/decisions/jobs/_report_handling.py
+++ b/fireflyfork/decisions/jobs/_report_handling.py
@@ -51,8 +51,8 @@
                 self._work.strike(executor, now)
             elif outcome is CallOutcome.NO_TICKET:
                 self._work.tickets.rejected(run.task.step_id, executor.executor)
-            # Where the next try differs in nothing it is as likely to be refused; sent as soon as the answer came, such orders
-            # would go out hundreds of times a second.
+            # Where the next try differs in nothing it is as likely to be refused; sent as soon as the
+            # answer came, such orders would go out hundreds of times a second.
             differs = outcome in _OF_THE_EXECUTOR or outcome is CallOutcome.NO_TICKET
             self._work.gone(run, now, at_once=differs)
 
--- a/fireflyfork/decisions/jobs/tests/test_upkeep.py
+++ b/fireflyfork/decisions/jobs/tests/test_upkeep.py
@@ -157,6 +157,16 @@
                 self.owner.tick(0.1)
                 self.assertEqual(self.owner.stops(), [])
 
+    def test_machines_take_work_again_when_a_wave_is_withdrawn(self) -> None:
+        """An operator withdraws a wave while machines are emptied for it. They stood idle until the
+        next change of owner, and jobs waited for room that was there.
+        """
+        self._orders(_view(ALL_UP))
+        self.assertTrue(self.owner.executor("i-0").emptied)
+        self._orders()
+        usable = [self.owner.executor(f"i-{one}").usable(self.owner.now) for one in range(3)]
+        self.assertEqual(usable, [True] * 3)
+
     def test_what_is_moved_does_not_go_where_it_would_be_moved_again(self) -> None:
         """A service is moved off a machine that is due, onto one that is due next, and away once more:
         its users wait for it twice.
--- a/fireflyfork/programs/_upkeep_duty.py
+++ b/fireflyfork/programs/_upkeep_duty.py
@@ -77,6 +77,8 @@
             await trio.sleep(STEP_SECONDS)
             waves = [wave for wave in self._waves() if wave.number not in self._over]
             if not waves:
+                # A wave may be withdrawn while machines are emptied for it; they take work again.
+                self._scheduler.next_upkeep((), self._clock.now())
                 continue
             try:
                 await self._step(waves)
--- a/fireflyfork_standins/scheduling/__init__.py
+++ b/fireflyfork_standins/scheduling/__init__.py
@@ -3,6 +3,7 @@
 from ._executor_calls import StandInExecutorCalls
 from ._executors import ExecutorTrouble, StandInExecutor
 from ._history import History, Violation
+from ._machines import StandInMachines, machine_of
 from ._store import StandInStore, StoreTrouble
 from ._troubles import ALL_TROUBLES, TROUBLES, UPKEEP_TROUBLES
 from ._wire_callers import WireCallers
@@ -19,11 +20,13 @@
     "Report",
     "StandInExecutor",
     "StandInExecutorCalls",
+    "StandInMachines",
     "StandInStore",
     "StoreTrouble",
     "Violation",
     "WireCallers",
     "WireLayout",
     "WirePlatform",
+    "machine_of",
     "run_world",
 ]
