Able instances own services, and a recovery that takes too long is given up

Cause: on the grown deployment an instance on a thin link took the ownership. Ruled out: a longer timeout, which makes each silent connection dearer; a fixed scale of strength, which fleets of equal small instances would pay for at each change of owner. Change: a call's time runs from the last byte; a page that fails is asked for again alone; a new owner reads all at once; instances announce what they can carry, and weaker ones bid later; a recovery over 4 s is given up for a stronger instance, over 8 s for an equal one; a weak owner hands over to a much stronger one.

--- a/fireflyfork/adapters/_http.py
+++ b/fireflyfork/adapters/_http.py
@@ -4,7 +4,7 @@
 
 import socket
 import struct
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncIterator, Callable, Iterable
 from dataclasses import dataclass
 
 import h11
@@ -98,14 +98,21 @@
     stream.socket.close()
 
 
-async def read_event(http: h11.Connection, stream: trio.SocketStream) -> HttpEvent:
-    """The next event from the other side. Raises HttpError, and h11's error on what isn't HTTP."""
+async def read_event(
+    http: h11.Connection, stream: trio.SocketStream, received: Callable[[], None] = lambda: None
+) -> HttpEvent:
+    """The next event from the other side; ``received`` is called whenever bytes have come.
+
+    Raises HttpError, and h11's error on what isn't HTTP.
+    """
     try:
         while True:
             event = http.next_event()
             if event is not h11.NEED_DATA:
                 return event
-            http.receive_data(await stream.receive_some(RECEIVE_BYTES))
+            data = await stream.receive_some(RECEIVE_BYTES)
+            received()
+            http.receive_data(data)
     except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
         raise HttpError(f"receiving failed: {error!r}") from error
 
--- a/fireflyfork/adapters/_http_client.py
+++ b/fireflyfork/adapters/_http_client.py
@@ -4,7 +4,7 @@
 
 import select
 import socket
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 import h11
 import trio
@@ -34,6 +34,8 @@
         self._stream = stream
         self._http = h11.Connection(h11.CLIENT, max_incomplete_event_size=LONGEST_HEAD_BYTES)
         self._sent_anything = False
+        self.received: Callable[[], None] = lambda: None
+        """Called whenever bytes have come."""
 
     @property
     def sent_anything(self) -> bool:
@@ -124,7 +126,7 @@
 
     async def _next_event(self) -> HttpEvent:
         try:
-            return await read_event(self._http, self._stream)
+            return await read_event(self._http, self._stream, self.received)
         except h11.ProtocolError as error:
             raise HttpError(f"receiving failed: {error!r}") from error
 
@@ -143,7 +145,7 @@
     """Small calls to one server over one kept connection, reopened when it breaks."""
 
     def __init__(self, address: Address, timeout: float, longest_answer: int = 1 << 24) -> None:
-        """``timeout`` is in seconds for a whole call; ``longest_answer`` in bytes."""
+        """``timeout`` is in seconds without a byte; ``longest_answer`` in bytes."""
         self._address = address
         self._timeout = timeout
         self._longest_answer = longest_answer
@@ -157,15 +159,20 @@
         body: bytes = b"",
         extra_seconds: float = 0.0,
     ) -> tuple[ResponseHead, bytes]:
-        """One call, within the timeout plus ``extra_seconds``. Raises HttpError.
+        """One call. Raises HttpError.
+
+        The answer must begin within the timeout plus ``extra_seconds``, and go on within the timeout
+        after each part. Were the whole call limited, an answer that is too long for the link in that time
+        could never arrive, however often the call was repeated.
 
         A Host header among ``headers`` takes the place of the server's address.
         After an error the call may have taken effect, but for a ConnectError.
         """
         connection: HttpClientConnection | None = None
         try:
-            with trio.fail_after(self._timeout + extra_seconds):
+            with trio.fail_after(self._timeout + extra_seconds) as scope:
                 connection = await self._connection()
+                connection.received = lambda: self._extend(scope)
                 return await self._exchange(connection, method, target, headers, body)
         except trio.TooSlowError as error:
             if connection is None:
@@ -180,6 +187,9 @@
         while self._idle:
             self._idle.pop().close()
 
+    def _extend(self, scope: trio.CancelScope) -> None:
+        scope.deadline = max(scope.deadline, trio.current_time() + self._timeout)
+
     async def _connection(self) -> HttpClientConnection:
         while self._idle:
             connection = self._idle.pop()
--- /dev/null
+++ b/fireflyfork/adapters/tests/test_http_client.py
@@ -0,0 +1,85 @@
+"""The client side of HTTP, on a stream in memory and a virtual clock."""
+
+import unittest
+from collections.abc import Awaitable, Callable
+from unittest.mock import patch
+
+import trio
+from trio.testing import MemoryReceiveStream, MemorySendStream, MockClock, memory_stream_pair
+
+from ..._links import Address
+from .. import HttpClient, HttpError
+from .._http_client import HttpClientConnection
+
+TIMEOUT_SECONDS = 0.9
+PARTS = 10
+HEAD = b"HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\n"
+
+Server = Callable[[trio.StapledStream[MemorySendStream, MemoryReceiveStream]], Awaitable[None]]
+
+
+class _NoSocket:
+    """What a connection asks of its socket; this one has none that could be used again."""
+
+    def fileno(self) -> int:
+        return -1
+
+    def close(self) -> None:
+        pass
+
+
+def _call(server: Server) -> bytes:
+    """One call to a server that does this once the request has come."""
+
+    async def main() -> bytes:
+        here, there = memory_stream_pair()
+        here.socket = _NoSocket()  # type: ignore[attr-defined]
+
+        async def opened(*_: object) -> HttpClientConnection:
+            return HttpClientConnection(here)  # type: ignore[arg-type]
+
+        async def serve() -> None:
+            await there.receive_some()
+            await server(there)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(serve)
+            with patch.object(HttpClientConnection, "open", opened):
+                client = HttpClient(Address("10.0.0.1", 80), TIMEOUT_SECONDS)
+                return (await client.call("GET", "/"))[1]
+
+    return trio.run(main, clock=MockClock(autojump_threshold=0))
+
+
+class SlowAnswersTest(unittest.TestCase):
+    """Answers that take longer than the timeout."""
+
+    def test_an_answer_that_keeps_coming_is_waited_for(self) -> None:
+        """A page of a listing is a megabyte, and a thin link brings it in two seconds. Broken off after
+        nine tenths of a second, it never arrived, and a new owner that needed it placed no task.
+        """
+
+        async def server(
+            stream: trio.StapledStream[MemorySendStream, MemoryReceiveStream],
+        ) -> None:
+            await stream.send_all(HEAD)
+            for _ in range(PARTS):
+                await trio.sleep(0.6 * TIMEOUT_SECONDS)
+                await stream.send_all(b"x")
+
+        self.assertEqual(_call(server), b"x" * PARTS)
+
+    def test_an_answer_that_stops_coming_is_not(self) -> None:
+        """A firewall forgets a connection in the middle of an answer. Nothing more comes, and nothing
+        tells so; whoever asked has to hear of it and ask again.
+        """
+
+        async def server(
+            stream: trio.StapledStream[MemorySendStream, MemoryReceiveStream],
+        ) -> None:
+            await stream.send_all(HEAD + b"x")
+            await trio.sleep_forever()
+
+        with self.assertRaises(BaseExceptionGroup) as raised:
+            _call(server)
+        self.assertIsNotNone(raised.exception.subgroup(HttpError))
--- a/fireflyfork/decisions/jobs/__init__.py
+++ b/fireflyfork/decisions/jobs/__init__.py
@@ -20,6 +20,7 @@
 from ._runs import Job, Run, RunPhase, Task
 from ._scheduler import Scheduler, SchedulerTerms
 from ._specs import JobSpec, StepSpec, TaskKey, parse_task_name, step_name
+from ._standing import Standing, bid_delay, can_do_better, should_hand_over, strength
 from ._stored_forms import (
     StoredFormatError,
     decode_learned,
@@ -68,6 +69,7 @@
     "RunningRow",
     "Scheduler",
     "SchedulerTerms",
+    "Standing",
     "StartRequest",
     "StartRun",
     "StepSpec",
@@ -83,6 +85,8 @@
     "UpkeepPhase",
     "UpkeepWave",
     "WaveView",
+    "bid_delay",
+    "can_do_better",
     "decode_learned",
     "decode_progress",
     "decode_registrations",
@@ -95,5 +99,7 @@
     "encode_upkeep_mark",
     "parse_task_name",
     "queue_table",
+    "should_hand_over",
     "step_name",
+    "strength",
 ]
--- /dev/null
+++ b/fireflyfork/decisions/jobs/tests/test_standing.py
@@ -0,0 +1,77 @@
+"""Which instance should own a service."""
+
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ...._ids import NodeName
+from .._standing import Standing, bid_delay, can_do_better, should_hand_over, strength
+
+strengths = st.floats(0.01, 8.0)
+fleets = st.lists(strengths, min_size=1, max_size=12).map(
+    lambda values: [Standing(NodeName(f"n-{i}"), value) for i, value in enumerate(values)]
+)
+
+
+class StrengthTest(unittest.TestCase):
+    """What an instance can carry."""
+
+    def test_the_scarcer_of_processor_and_link_counts(self) -> None:
+        for processors, link_mbps, near, expected in (
+            (2.0, 1000.0, True, 2.0),
+            (2.0, 10.0, True, 0.25),
+            (0.5, 100.0, True, 0.5),
+            (2.0, 1000.0, False, 1.0),
+        ):
+            with self.subTest(processors=processors, link_mbps=link_mbps, near=near):
+                self.assertAlmostEqual(strength(processors, link_mbps, near), expected)
+
+
+class BidTest(unittest.TestCase):
+    """Who asks first for a service that nobody owns."""
+
+    @given(fleets)
+    def test_the_strongest_never_waits(self, fleet: list[Standing]) -> None:
+        strongest = max(fleet, key=lambda one: one.strength)
+        self.assertEqual(bid_delay(strongest, fleet), 0.0)
+
+    @given(fleets)
+    def test_a_stronger_one_never_waits_longer(self, fleet: list[Standing]) -> None:
+        ordered = sorted(fleet, key=lambda one: one.strength)
+        delays = [bid_delay(one, fleet) for one in ordered]
+        self.assertEqual(delays, sorted(delays, reverse=True))
+
+    def test_equals_do_not_wait_for_each_other(self) -> None:
+        """Callers of a fleet of equal instances pay nothing for the ranking."""
+        fleet = [Standing(NodeName(f"n-{i}"), 0.43) for i in range(9)]
+        self.assertEqual({bid_delay(one, fleet) for one in fleet}, {0.0})
+
+
+class HandOverTest(unittest.TestCase):
+    """When an owner leaves its part to another instance."""
+
+    @given(fleets)
+    def test_hand_overs_end(self, fleet: list[Standing]) -> None:
+        """A service that is handed from one instance to the next and back has no owner half of the time.
+        Each hand-over goes to a much stronger instance, so they come to an end.
+        """
+        owner, hand_overs = min(fleet, key=lambda one: one.strength), 0
+        while should_hand_over(owner, fleet):
+            stronger = [one for one in fleet if bid_delay(one, fleet) < bid_delay(owner, fleet)]
+            owner = min(stronger, key=lambda one: one.strength)
+            hand_overs += 1
+        self.assertLessEqual(hand_overs, len(fleet))
+
+    def test_a_recovery_is_given_up_only_for_one_that_can_do_better(self) -> None:
+        own = Standing(NodeName("own"), 0.2)
+        for other, equals, expected in (
+            (1.0, False, True),
+            (0.2, False, False),
+            (0.2, True, True),
+            (0.1, True, False),
+        ):
+            with self.subTest(other=other, equals=equals):
+                others = [Standing(NodeName("other"), other)]
+                self.assertIs(can_do_better(own, others, equals), expected)
+        self.assertFalse(can_do_better(own, [], equals=True))
--- a/fireflyfork/platform/_settings.py
+++ b/fireflyfork/platform/_settings.py
@@ -47,6 +47,10 @@
     """The service that tells which executors may run a step, where there is one."""
     machines_address: Address | None
     """The service that lists machines and takes them down for upkeep, where there is one."""
+    processors: float
+    """What the platform grants of processor time, in processors of usual speed."""
+    link_mbps: float
+    """What it grants of network bandwidth."""
     bounds: PlatformBounds
 
 
@@ -87,6 +91,8 @@
         store_address=Address.parse(_text(fields, "platform.address")),
         advisor_address=_optional_address(fields, "advice"),
         machines_address=_optional_address(fields, "cloud.address"),
+        processors=_number(fields, "limits.cpu_share") * _number(fields, "limits.cores"),
+        link_mbps=_number(fields, "limits.link_mbps"),
         bounds=PlatformBounds(
             longest_lease=_number(fields, "bounds.max_hold_ms") / 1000,
             stop_timeout=_number(fields, "bounds.stop_timeout_ms") / 1000,
--- a/fireflyfork/platform/_store_client.py
+++ b/fireflyfork/platform/_store_client.py
@@ -7,6 +7,7 @@
 from urllib.parse import quote
 
 import msgspec
+from loguru import logger
 
 from .._errors import (
     LeaseEndedError,
@@ -40,8 +41,12 @@
 )
 
 CALL_TIMEOUT_SECONDS = 0.9
-"""An answer takes 4 ms, and some 50 ms from another region. A store that is sixty times slower
-than usual still answers within it; a connection that has gone silent costs no more than this."""
+"""Without a byte. An answer takes 4 ms, and some 50 ms from another region. A store that is sixty times
+slower than usual still answers within it; a connection that has gone silent costs no more than this."""
+
+PAGE_TRIES = 3
+"""A page that didn't come is asked for again before the whole listing is: a thin link takes seconds for a
+few pages, and each new beginning would take as long as the one that failed."""
 
 FAILURES_TO_DOUBT = 3
 """One lost answer says nothing. After three in a row callers are better served elsewhere at once than
@@ -131,13 +136,21 @@
             target = f"{RANGE_PATH}?path_prefix={quote(prefix, safe='')}"
             if after:
                 target += f"&after={quote(after, safe='')}"
-            page = _decoded(await self._call("GET", target), _Range)
+            page = _decoded(await self._page(target), _Range)
             earliest = page.as_of if earliest is None else min(earliest, page.as_of)
             items.extend(map(_stored, page.items))
             if not page.has_more or not page.items:
                 return StoreListing(tuple(items), Revision(earliest))
             after = page.items[-1].key
 
+    async def _page(self, target: str) -> CallAnswer:
+        for _ in range(PAGE_TRIES - 1):
+            try:
+                return await self._call("GET", target)
+            except StoreUnavailableError as error:
+                logger.debug("page asked for again", error=str(error))
+        return await self._call("GET", target)
+
     async def changes(self, prefix: str, after: Revision, wait_seconds: float) -> StoreChanges:
         """See CoordinationStore."""
         target = (
--- /dev/null
+++ b/fireflyfork/programs/_announcements.py
@@ -0,0 +1,116 @@
+"""What instances announce of themselves in the store, so that the able ones own the services."""
+
+from __future__ import annotations
+
+import msgspec
+import trio
+from loguru import logger
+
+from .._errors import LeaseEndedError, StoreError
+from .._ids import LeaseId, NodeName
+from ..adapters import CoordinationStore, Put
+from ..decisions.jobs import Standing, strength
+from ._clocks import Clock
+from ._scheduling_keys import INSTANCE_PREFIX, instance_key
+
+LEASE_SECONDS = 6.0
+"""An instance that went is counted with for so long at most; renewals cost a tenth of a read each."""
+RENEW_SECONDS = 2.0
+FAR_STORE_SECONDS = 0.02
+"""A round trip above this crosses regions: 40 ms, against 5 ms inside one."""
+SHAKEN_SECONDS = 30.0
+"""An instance that had to give a service up leaves it to others for so long."""
+SHAKEN_SHARE = 0.2
+"""What it counts for meanwhile: it serves only when hardly any other can."""
+
+
+class _Record(msgspec.Struct, frozen=True):
+    """The value of an instance's key."""
+
+    strength: float
+
+
+class Announcements:
+    """What this instance announces, and what the others do."""
+
+    def __init__(
+        self,
+        node: NodeName,
+        processors: float,
+        link_mbps: float,
+        store: CoordinationStore,
+        clock: Clock,
+    ) -> None:
+        """``processors`` and ``link_mbps`` are what the platform grants this instance."""
+        self._node = node
+        self._processors = processors
+        self._link_mbps = link_mbps
+        self._store = store
+        self._clock = clock
+        self._near = True
+        self._shaken_until = 0.0
+        self._changed = trio.Event()
+
+    @property
+    def own(self) -> Standing:
+        """What this instance counts for now."""
+        own = strength(self._processors, self._link_mbps, self._near)
+        if self._clock.now() < self._shaken_until:
+            own *= SHAKEN_SHARE
+        return Standing(self._node, own)
+
+    def note_round_trip(self, seconds: float) -> None:
+        """A small question to the store took so long.
+
+        A store that is slow for all makes everybody far, which changes nothing among them.
+        """
+        near = seconds <= FAR_STORE_SECONDS
+        if near != self._near:
+            self._near = near
+            self._changed.set()
+
+    def note_failure(self) -> None:
+        """This instance couldn't do an owner's work."""
+        self._shaken_until = self._clock.now() + SHAKEN_SECONDS
+        self._changed.set()
+
+    async def others(self) -> list[Standing]:
+        """What all instances announce. Raises StoreError."""
+        begun = self._clock.now()
+        listing = await self._store.list(INSTANCE_PREFIX)
+        self.note_round_trip(self._clock.now() - begun)
+        found = []
+        for item in listing.items:
+            try:
+                record = msgspec.json.decode(item.value, type=_Record)
+            except (msgspec.DecodeError, msgspec.ValidationError) as error:
+                logger.error("announcement not readable", key=item.key, error=str(error))
+                continue
+            node = NodeName(item.key.removeprefix(INSTANCE_PREFIX))
+            found.append(Standing(node, record.strength))
+        return found
+
+    async def run(self) -> None:
+        """Announce until cancelled. Without the store nothing is announced, and nobody can bid."""
+        lease: LeaseId | None = None
+        announced = 0.0
+        while True:
+            try:
+                if lease is None:
+                    lease = await self._store.grant_lease(LEASE_SECONDS)
+                    announced = 0.0
+                own = self.own.strength
+                if own != announced:
+                    value = msgspec.json.encode(_Record(own))
+                    await self._store.commit({}, (Put(instance_key(self._node), value, lease),))
+                    announced = own
+                else:
+                    await self._store.keep_lease(lease)
+            except LeaseEndedError:
+                lease = None
+                continue
+            except StoreError as error:
+                logger.debug("not announced", error=str(error))
+            with trio.move_on_after(RENEW_SECONDS):
+                await self._changed.wait()
+            self._changed = trio.Event()
--- a/fireflyfork/programs/_scheduler_node.py
+++ b/fireflyfork/programs/_scheduler_node.py
@@ -16,6 +16,7 @@
 )
 from ..decisions.jobs import QueueTable
 from ..platform import READINESS_PATH, NodeSettings
+from ._announcements import Announcements
 from ._clocks import Clock
 from ._job_requests import JobRequests
 from ._job_service import JobService
@@ -67,6 +68,9 @@
         self._random = random
         self._metrics = Metrics()
         self._keeper = QueueKeeper(self._store, self._configured)
+        self._announcements = Announcements(
+            settings.node, settings.processors, settings.link_mbps, self._store, clock
+        )
         self._candidates: dict[ServiceName, ServiceCandidate] = {}
         self._nursery: trio.Nursery | None = None
         self._stopping = False
@@ -95,6 +99,7 @@
             page = HttpServer(_MetricsPage(self._metrics))
             nursery.start_soon(page.run, await listen(metrics.host, metrics.port))
             nursery.start_soon(self._keeper.run)
+            nursery.start_soon(self._announcements.run)
             logger.info("serving", callers=str(caller))
             await stop.wait()
             await self._stop()
@@ -148,6 +153,7 @@
             self._settings.bounds,
             self._queues,
             lambda: self._keeper.waves,
+            self._announcements,
         )
 
     def _queues(self) -> QueueTable:
--- a/fireflyfork/programs/_scheduling_keys.py
+++ b/fireflyfork/programs/_scheduling_keys.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from .._ids import JobId, MachineId, ServiceName
+from .._ids import JobId, MachineId, NodeName, ServiceName
 
 _ROOT = "fireflyfork/"
 
@@ -12,10 +12,17 @@
 JOB_PREFIX = f"{WORK_PREFIX}job/"
 CANCEL_PREFIX = f"{WORK_PREFIX}cancel/"
 PROGRESS_PREFIX = f"{_ROOT}progress/"
+INSTANCE_PREFIX = f"{_ROOT}instance/"
+"""What instances announce of themselves; goes with their leases."""
 UPKEEP_PREFIX = f"{_ROOT}upkeep/"
 """How far machines are in waves of upkeep."""
 
 
+def instance_key(node: NodeName) -> str:
+    """What one instance announces of itself."""
+    return f"{INSTANCE_PREFIX}{node}"
+
+
 def upkeep_prefix(wave: int) -> str:
     """How far the machines of a wave of upkeep are."""
     return f"{UPKEEP_PREFIX}{wave}/"
--- a/fireflyfork/programs/_service_candidate.py
+++ b/fireflyfork/programs/_service_candidate.py
@@ -10,14 +10,12 @@
 from .._ids import NodeName, ServiceName
 from ..decisions.jobs import QueueTable, UpkeepWave
 from ..platform import PlatformBounds
+from ._announcements import Announcements
 from ._clocks import Clock
 from ._metrics import Metrics
 from ._outside import Outside
 from ._service_lease import ServiceLease
-from ._service_owner import ServiceOwner
-
-HAND_OVER_SECONDS = 0.6
-"""To store what is left before a planned stop; some writes of 5 ms each."""
+from ._service_owner import HAND_OVER_SECONDS, ServiceOwner
 
 
 class ServiceCandidate:
@@ -34,6 +32,7 @@
         bounds: PlatformBounds,
         queues: Callable[[], QueueTable],
         waves: Callable[[], tuple[UpkeepWave, ...]],
+        announcements: Announcements,
     ) -> None:
         """``queues`` tells the queues in force, ``waves`` the upkeep that the operator asks for."""
         self._service = service
@@ -44,7 +43,8 @@
         self._bounds = bounds
         self._queues = queues
         self._waves = waves
-        self._lease = ServiceLease(service, node, outside.store, clock, random)
+        self._announcements = announcements
+        self._lease = ServiceLease(service, node, outside.store, clock, random, announcements)
         self._owner: ServiceOwner | None = None
         self._stopping = False
         self._waiting = trio.CancelScope()
@@ -70,12 +70,15 @@
                 self._bounds,
                 self._queues,
                 self._waves,
+                self._announcements,
             )
             try:
                 async with trio.open_nursery() as nursery:
                     nursery.start_soon(self._lease.keep, term)
                     await self._owner.run()
                     nursery.cancel_scope.cancel()
+                if not self._owner.ready:
+                    self._announcements.note_failure()
             finally:
                 self._owner = None
             with trio.move_on_after(HAND_OVER_SECONDS):
--- a/fireflyfork/programs/_service_lease.py
+++ b/fireflyfork/programs/_service_lease.py
@@ -18,6 +18,8 @@
 )
 from .._ids import FencingToken, LeaseId, NodeName, Revision, ServiceName
 from ..adapters import CoordinationStore, Put
+from ..decisions.jobs import bid_delay
+from ._announcements import Announcements
 from ._clocks import Clock
 from ._scheduling_keys import owner_key, term_key
 
@@ -30,11 +32,6 @@
 """How long one question for changes waits. A connection that went silent is noticed this long after,
 and one call each two seconds costs next to nothing."""
 RETRY_SECONDS = 0.15
-FAR_STORE_SECONDS = 0.02
-"""A round trip above this crosses regions: 40 ms, against 5 ms inside one."""
-FAR_DELAY_SECONDS = 0.4
-"""Instances far from the store, and so from most executors, leave the ownership to nearer ones, which
-are done within 0.1 s."""
 SPREAD_SECONDS = 0.03
 """Candidates spread over this, so that one write usually settles it."""
 
@@ -73,21 +70,22 @@
         store: CoordinationStore,
         clock: Clock,
         random: Random,
+        announcements: Announcements,
     ) -> None:
-        """``random`` spreads candidates and makes nonces."""
+        """``random`` spreads candidates and makes nonces; ``announcements`` rank them."""
         self._service = service
         self._node = node
         self._store = store
         self._clock = clock
         self._random = random
-        self._far = False
+        self._announcements = announcements
 
     async def win(self) -> Term:
         """Wait until the service is vacant and take it."""
         while True:
             try:
                 await self._wait_vacant()
-                await trio.sleep(self._delay())
+                await trio.sleep(await self._delay())
                 term = await self._take()
             except StoreConflictError:
                 continue
@@ -127,7 +125,7 @@
         while True:
             begun = self._clock.now()
             listing = await self._store.list(key)
-            self._far = self._clock.now() - begun > FAR_STORE_SECONDS
+            self._announcements.note_round_trip(self._clock.now() - begun)
             if all(item.key != key for item in listing.items):
                 return
             # Not since the owner took over: the store may have forgotten what was then.
@@ -145,8 +143,10 @@
                 return True
             after = max(after, answer.as_of)
 
-    def _delay(self) -> float:
-        return (FAR_DELAY_SECONDS if self._far else 0.0) + self._random.random() * SPREAD_SECONDS
+    async def _delay(self) -> float:
+        others = await self._announcements.others()
+        spread = self._random.random() * SPREAD_SECONDS
+        return bid_delay(self._announcements.own, others) + spread
 
     async def _take(self) -> Term | None:
         key, terms = owner_key(self._service), term_key(self._service)
--- a/fireflyfork/programs/_service_owner.py
+++ b/fireflyfork/programs/_service_owner.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from itertools import count
 
 import trio
 from loguru import logger
@@ -22,11 +23,14 @@
     QueueTable,
     Scheduler,
     SchedulerTerms,
+    Standing,
     StoredFormatError,
     StoredProgress,
     UpkeepWave,
+    can_do_better,
     decode_progress,
     decode_stored_job,
+    should_hand_over,
     step_name,
 )
 from ..platform import (
@@ -35,12 +39,14 @@
     decode_registration,
     registered_executor,
 )
+from ._announcements import Announcements
 from ._clocks import Clock
 from ._decision_log import DecisionLog
 from ._executor_polls import ORPHANED_LEASE_SECONDS, ExecutorPolls
 from ._metrics import Metrics
 from ._outside import Outside
 from ._prefix_watch import PrefixWatch
+from ._recovery_reads import read_left_behind, until_answered
 from ._run_orders import RunOrders
 from ._scheduling_keys import CANCEL_PREFIX, JOB_PREFIX, PROGRESS_PREFIX, WORK_PREFIX, owner_key
 from ._service_journal import OwnershipLostError, ServiceJournal
@@ -54,6 +60,8 @@
 """Of the longest lease that the platform grants, where that is shorter."""
 UNHEARD_MARGIN_SECONDS = 0.5
 """For the clocks of executors, which may be 2% slow."""
+HAND_OVER_SECONDS = 0.6
+"""To store what is left before a planned hand-over; some writes of 5 ms each."""
 CLEANUP_SECONDS = 10.0
 RETENTION_MARGIN_SECONDS = 180.0
 """Jobs that are over stay in the store for as long as their state must be readable and this on top, for
@@ -66,7 +74,14 @@
 REGISTRATIONS_SECONDS = 0.4
 """Executors write every 1.5 s each, mostly to say that they live. Asked for each of these writes, the
 store had a quarter of all calls from that; executors that leave go on for 2.5 s and more."""
-RETRY_SECONDS = 0.1
+RECOVERY_SECONDS = 4.0
+"""An able instance recovers within 0.3 s, or within 2 s while the store answers a hundred times slower
+than usual."""
+PERIODS_FOR_EQUALS = 2
+"""After so many times that long, the ownership is left to an instance that is no abler as well: what is
+wrong is wrong with this one."""
+HAND_OVER_CHECK_SECONDS = 3.0
+"""How often an owner looks whether a much abler instance could take its part."""
 
 
 class ServiceOwner:
@@ -82,6 +97,7 @@
         bounds: PlatformBounds,
         queues: Callable[[], QueueTable],
         waves: Callable[[], tuple[UpkeepWave, ...]],
+        announcements: Announcements,
     ) -> None:
         """``queues`` tells the queues in force, ``waves`` the upkeep that the operator asks for."""
         metrics.count("fireflyfork_ownerships_total", service=term.service)
@@ -110,6 +126,8 @@
             lambda: self._contact,
             self.kick,
         )
+        self._announcements = announcements
+        self._ready = False
         self._log = DecisionLog(clock, self._service, metrics)
         self._contact = clock.now()
         self._work = trio.Event()
@@ -119,6 +137,11 @@
             self._scheduler, self._calls, self._polls, term.token, clock, self.kick
         )
 
+    @property
+    def ready(self) -> bool:
+        """Whether it has read what it needs and decides."""
+        return self._ready
+
     @property
     def scheduler(self) -> Scheduler:
         """For status and metrics."""
@@ -141,13 +164,19 @@
         """Work until the ownership is lost or ``resign`` was called."""
         try:
             async with trio.open_nursery() as nursery:
-                work_revision, servers_revision = await self._recover()
+                with trio.CancelScope() as recovery:
+                    nursery.start_soon(self._give_up_for_abler, recovery)
+                    work_revision, servers_revision = await self._recover()
+                    self._ready = True
+                if not self._ready:
+                    return
                 nursery.start_soon(self._journal.run)
                 nursery.start_soon(self._work_watch().run, work_revision)
                 nursery.start_soon(self._registration_watch().run, servers_revision)
                 nursery.start_soon(self._tick)
                 nursery.start_soon(self._remove_old_jobs)
                 nursery.start_soon(self._upkeep.run)
+                nursery.start_soon(self._look_for_abler)
                 await self._dispatch(nursery)
                 nursery.cancel_scope.cancel()
         except* OwnershipLostError as errors:
@@ -167,27 +196,17 @@
 
     async def _recover(self) -> tuple[Revision, Revision]:
         begun = self._clock.now()
-        while True:
-            try:
-                await self._journal.open()
-                last_known = await self._journal.last_known_executors()
-                learned = await self._journal.last_learned()
-                work = await self._store.list(WORK_PREFIX)
-                progress = await self._store.list(PROGRESS_PREFIX)
-                servers = await self._store.list(REGISTRATION_PREFIX)
-                break
-            except StoreError as error:
-                logger.info("recovery waits for the store", error=str(error))
-                await trio.sleep(RETRY_SECONDS)
+        left = await read_left_behind(self._store, self._journal)
         self.note_store_contact()
-        jobs = tuple(self._stored_jobs(work.items, progress.items))
+        jobs = tuple(self._stored_jobs(left.work.items, left.progress.items))
         now, now_ms = self._clock.now(), self._clock.unix_ms()
         self._scheduler.configure(self._queues())
-        self._scheduler.adopt(learned)
-        registrations = [one for item in servers.items if (one := self._registration(item))]
-        self._scheduler.recover(jobs, registrations, last_known, now, now_ms)
-        await self._recover_upkeep()
-        for item in work.items:
+        self._scheduler.adopt(left.learned)
+        found = map(self._registration, left.registrations.items)
+        registrations = [one for one in found if one is not None]
+        self._scheduler.recover(jobs, registrations, left.last_known, now, now_ms)
+        await until_answered("upkeep", self._upkeep.recover)
+        for item in left.work.items:
             if item.key.startswith(CANCEL_PREFIX):
                 self._cancel(JobId(item.key.removeprefix(CANCEL_PREFIX)))
         logger.info(
@@ -200,15 +219,7 @@
             seconds=round(self._clock.now() - begun, 3),
         )
         self.kick()
-        return work.as_of, servers.as_of
-
-    async def _recover_upkeep(self) -> None:
-        while True:
-            try:
-                return await self._upkeep.recover()
-            except StoreError as error:
-                logger.info("recovery waits for the store", error=str(error))
-                await trio.sleep(RETRY_SECONDS)
+        return left.work.as_of, left.registrations.as_of
 
     def _stored_jobs(
         self, work: tuple[StoredItem, ...], progress: tuple[StoredItem, ...]
@@ -305,6 +316,45 @@
             self._scheduler.check_time(self._clock.now(), self._clock.unix_ms())
             self.kick()
 
+    async def _give_up_for_abler(self, recovery: trio.CancelScope) -> None:
+        """End a recovery that takes long, once another instance could be done sooner.
+
+        Nobody else may place tasks while this instance holds the ownership. Renewals are small, so they
+        would keep it for as long as a thin link takes to bring what there is to read.
+        """
+        for periods in count(1):
+            await trio.sleep(RECOVERY_SECONDS)
+            if self._ready:
+                return
+            own = self._announcements.own
+            others = [one for one in await self._announced() if one.node != own.node]
+            if can_do_better(own, others, equals=periods >= PERIODS_FOR_EQUALS):
+                logger.warning(
+                    "ownership given up: recovery takes too long",
+                    service=self._service,
+                    seconds=periods * RECOVERY_SECONDS,
+                )
+                recovery.cancel()
+                return
+
+    async def _announced(self) -> list[Standing]:
+        """What all instances announce; nothing while the store doesn't answer."""
+        try:
+            return await self._announcements.others()
+        except StoreError as error:
+            logger.debug("other instances not listed", error=str(error))
+            return []
+
+    async def _look_for_abler(self) -> None:
+        """End this term once another instance could do its work far better."""
+        while True:
+            await trio.sleep(HAND_OVER_CHECK_SECONDS)
+            own = self._announcements.own
+            if should_hand_over(own, await self._announced()):
+                logger.info("handing over", service=self._service, strength=own.strength)
+                await self.resign(HAND_OVER_SECONDS)
+                return
+
     async def _remove_old_jobs(self) -> None:
         while True:
             await trio.sleep(CLEANUP_SECONDS)
--- a/fireflyfork_standins/scheduling/_executors.py
+++ b/fireflyfork_standins/scheduling/_executors.py
@@ -30,7 +30,7 @@
 )
 from fireflyfork.platform import REGISTRATION_PREFIX
 
-from ._history import History, RunId
+from ._history import STARTUP_SECONDS, History, RunId
 from ._store import StandInStore
 
 NOWHERE = Address("10.0.0.1", 80)
@@ -70,7 +70,7 @@
     @property
     def percent(self) -> int:
         if self.step.long_running:
-            return 100 if self.done_seconds > 0.3 else 0
+            return 100 if self.done_seconds > STARTUP_SECONDS else 0
         return min(99, int(100 * self.done_seconds / self.work_seconds))
 
 
--- a/fireflyfork_standins/scheduling/_nodes.py
+++ b/fireflyfork_standins/scheduling/_nodes.py
@@ -37,6 +37,7 @@
     UpkeepOutcome,
 )
 from fireflyfork.platform import PlatformBounds
+from fireflyfork.programs._announcements import Announcements
 from fireflyfork.programs._clocks import Clock
 from fireflyfork.programs._job_requests import JobRequests
 from fireflyfork.programs._metrics import Metrics
@@ -50,6 +51,8 @@
 
 UPTIME_SECONDS = 12_000.0
 """Instances have been up for hours when executors start, whose clocks begin at 0 with each of them."""
+PROCESSORS = 1.0
+"""What each instance is granted."""
 UNIX_MS_AT_START = 1_700_000_000_000
 
 
@@ -210,11 +213,13 @@
         bounds: PlatformBounds,
         queues: QueueTable,
         machines: StandInMachines,
+        link_mbps: float,
     ) -> None:
         """Not started."""
         self.name = name
+        self._link_mbps = link_mbps
         self._service = service
-        self._store = _GatedStore(store.client(name), self)
+        self._store = _GatedStore(store.client(name, link_mbps), self)
         self._executors = executors
         self._random = random
         self._bounds = bounds
@@ -242,6 +247,9 @@
 
     async def live(self, nursery: trio.Nursery) -> None:
         """One life of its process; late orders outlive it in ``nursery``."""
+        announcements = Announcements(
+            self.name, PROCESSORS, self._link_mbps, self._store, VirtualClock()
+        )
         calls = StandInExecutorCalls(self.name, self._executors, nursery, self._random)
         self._candidate = ServiceCandidate(
             self._service,
@@ -258,9 +266,13 @@
             self._bounds,
             lambda: self._queues,
             lambda: tuple(self._machines.waves),
+            announcements,
         )
         with trio.CancelScope() as self._life:
-            await self._candidate.run()
+            async with trio.open_nursery() as own:
+                own.start_soon(announcements.run)
+                await self._candidate.run()
+                own.cancel_scope.cancel()
         self._life = None
         self._candidate = None
 
--- a/fireflyfork_standins/scheduling/_store.py
+++ b/fireflyfork_standins/scheduling/_store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from contextlib import suppress
 from dataclasses import dataclass, field
 from random import Random
@@ -31,6 +32,8 @@
 LATE_SECONDS = (0.5, 4.0)
 """When a change whose answer was lost takes effect, if it does so late."""
 PAGE_ITEMS = 100
+LINK_MBPS = 1000.0
+"""The link of an instance that is not a thin one."""
 
 
 @dataclass(slots=True)
@@ -82,9 +85,9 @@
                 await trio.sleep(0.02)
                 self._end_leases()
 
-    def client(self, node: NodeName) -> StandInStoreClient:
-        """The store as one instance reaches it."""
-        return StandInStoreClient(self, node)
+    def client(self, node: NodeName, link_mbps: float = LINK_MBPS) -> StandInStoreClient:
+        """The store as one instance reaches it, over a link of so many Mbit/s."""
+        return StandInStoreClient(self, node, link_mbps)
 
     def drop_history(self) -> None:
         """Forget all changes so far."""
@@ -218,10 +221,11 @@
 class StandInStoreClient(CoordinationStore):
     """One instance's calls."""
 
-    def __init__(self, store: StandInStore, node: NodeName) -> None:
+    def __init__(self, store: StandInStore, node: NodeName, link_mbps: float) -> None:
         """See StandInStore.client."""
         self._store = store
         self._node = node
+        self._link_mbps = link_mbps
 
     @property
     def answers(self) -> bool:
@@ -244,6 +248,7 @@
             after = items[-1].key if items else ""
             page = [item for item in self._store.under(prefix) if item.key > after][:PAGE_ITEMS]
             items.extend(page)
+            await self._transfer(len(item.value) for item in page)
             if len(page) < PAGE_ITEMS:
                 return StoreListing(tuple(items), as_of)
             await self._reach()
@@ -256,6 +261,7 @@
                 await self._store.changed()
         self._fail_if_unreachable()
         found = self._store.changes_after(prefix, after)
+        await self._transfer(len(change.item.value) for change in found if change.item)
         return StoreChanges(found, self._store.revision)
 
     async def commit(
@@ -293,6 +299,10 @@
         await self._reach()
         self._store.end(lease)
 
+    async def _transfer(self, sizes: Iterable[int]) -> None:
+        """Take as long as these values take on the link; the answer keeps coming all the while."""
+        await trio.sleep(sum(sizes) * 8 / (self._link_mbps * 1e6))
+
     async def _reach(self) -> None:
         self._store.calls += 1
         trouble = self._store.trouble
--- a/fireflyfork_standins/scheduling/_world.py
+++ b/fireflyfork_standins/scheduling/_world.py
@@ -34,11 +34,13 @@
 from ._history import History, Violation
 from ._machines import StandInMachines, machine_of
 from ._nodes import UNIX_MS_AT_START, StandInNode
-from ._store import StandInStore
+from ._store import LINK_MBPS, StandInStore
 from ._troubles import Troubles
 
 SERVICE = ServiceName("desk")
 WAVE_AT_ONCE = 2
+THIN_LINK_MBPS = 0.02
+"""Reading what thirty jobs have left in the store takes some five seconds over it."""
 SETTLE_SECONDS = 60.0
 """After the last trouble everything that was accepted has to end within this: the longest wait for
 executors that nobody reached is 9 s, and some tasks have to run one after the other."""
@@ -60,6 +62,8 @@
     """Of steps whose tasks may be copied."""
     waves: int = 0
     """So many waves of upkeep, each of all machines, two at once."""
+    thin_instances: int = 0
+    """So many instances, the first ones, have a link of ``THIN_LINK_MBPS``."""
     retention_seconds: float = 120.0
     """For how long the state of a job must be readable after its end."""
 
@@ -74,6 +78,8 @@
     unsure: int = 0
     starts: int = 0
     store_calls: int = 0
+    longest_wait: float = 0.0
+    """Of all jobs that ran, the longest time in seconds from acceptance to the first start."""
     waves_over: int = 0
     keys_left: int = 0
     """Jobs that the store still holds at the end."""
@@ -127,6 +133,7 @@
                 bounds,
                 table,
                 self._machines,
+                THIN_LINK_MBPS if number < profile.thin_instances else LINK_MBPS,
             )
             for number in range(profile.instances)
         ]
@@ -163,6 +170,7 @@
             await self._settle()
             nursery.cancel_scope.cancel()
         self._report.starts = self._history.starts
+        self._report.longest_wait = self._history.longest_wait()
         self._report.keys_left = len(self._store.under(JOB_PREFIX))
         self._report.store_calls = self._store.calls
         self._report.ends = dict(self._history.ends)
