--- a/fireflyfork/decisions/jobs/__init__.py
+++ b/fireflyfork/decisions/jobs/__init__.py
@@ -35,6 +35,7 @@
     encode_upkeep_mark,
 )
 from ._upkeep import WaveView
+from ._waits import WaitReason
 from ._waves import MachineListing, MachineState, UpkeepMark, UpkeepOutcome, UpkeepPhase, UpkeepWave
 
 __all__ = [
@@ -84,6 +85,7 @@
     "UpkeepOutcome",
     "UpkeepPhase",
     "UpkeepWave",
+    "WaitReason",
     "WaveView",
     "bid_delay",
     "can_do_better",
--- a/fireflyfork/decisions/jobs/_executors.py
+++ b/fireflyfork/decisions/jobs/_executors.py
@@ -131,12 +131,22 @@
             and self.avoided_until <= now
         )
 
+    @property
+    def free_cpu_millis(self) -> int:
+        """What is not used."""
+        return self.registration.room.cpu_millis - self.used_cpu_millis
+
+    @property
+    def free_memory_mb(self) -> int:
+        """What is not used."""
+        return self.registration.room.memory_mb - self.used_memory_mb
+
     def fits(self, cpu_millis: int, memory_mb: int, accelerators: int) -> bool:
         """Whether so much is free."""
         room = self.registration.room
         return (
-            self.used_cpu_millis + cpu_millis <= room.cpu_millis
-            and self.used_memory_mb + memory_mb <= room.memory_mb
+            cpu_millis <= self.free_cpu_millis
+            and memory_mb <= self.free_memory_mb
             and self.used_accelerators + accelerators <= room.accelerators
         )
 
--- a/fireflyfork/decisions/jobs/_notes.py
+++ b/fireflyfork/decisions/jobs/_notes.py
@@ -7,6 +7,7 @@
 from ..._ids import ExecutorId, JobId, TaskName
 from ._progress import JobState
 from ._reports import EndReason
+from ._waits import WaitReason
 
 
 @dataclass(frozen=True, slots=True)
@@ -22,6 +23,8 @@
     """How old what is known of the executor was."""
     strikes: int
     """Failures in a row that the executor was known for."""
+    waited_for: WaitReason
+    """Why it found no place when it was last looked for; ``NOTHING`` when one was there at once."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,6 +35,8 @@
     attempt: int
     executor: ExecutorId
     reason: EndReason
+    lowest_pace: int
+    """Percent: the slowest pace that it was ordered to work at."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/fireflyfork/decisions/jobs/_pacing.py
+++ b/fireflyfork/decisions/jobs/_pacing.py
@@ -109,6 +109,7 @@
         pace = 0 if over else max(LOWEST_PACE, wanted // PACE_STEP * PACE_STEP)
         if pace != run.pace_percent or not run.pace_confirmed:
             run.pace_percent = pace
+            run.lowest_pace = min(run.lowest_pace, pace)
             run.pace_confirmed = True
             yield run, pace
 
--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -13,6 +13,7 @@
 from ._runs import Run, RunPhase, Task
 from ._stragglers import other_executors
 from ._tickets import StepId
+from ._waits import WaitReason
 from ._work import Work
 
 START_VALID_MS = 1_000
@@ -39,19 +40,20 @@
         usable = [one for one in self._work.executors.values() if one.usable(now)]
         reserved = _reserved_share(usable)
         self._round = {}
-        refused: set[tuple[object, ...]] = set()
+        refused: dict[tuple[object, ...], WaitReason] = {}
         while self._work.ready and usable:
             task = heapq.heappop(self._work.ready)[-1]
             if not self._work.wants_run(task):
                 task.waiting = False
                 continue
             shape = _shape(task)
-            crowded = shape in refused or len(refused) >= REFUSED_SHAPES
-            crowded = crowded or self._would_take_reserve(task, usable)
-            most = most_cost((now_ms - task.job.spec.accepted_ms) / 1000, reserved)
             allowed = self._ticketed(task, usable, now)
-            if crowded or not self._start(task, allowed, most, now, now_ms):
-                refused.add(shape)
+            reason = refused.get(shape) or self._barred(task, usable, len(refused))
+            most = most_cost((now_ms - task.job.spec.accepted_ms) / 1000, reserved)
+            if reason is None and not self._start(task, allowed, most, now, now_ms):
+                reason = _refusal(task, usable)
+            if reason is not None:
+                refused[shape] = task.waits_for = reason
                 self._work.parked.append(task)
                 continue
             task.waiting = False
@@ -102,6 +104,12 @@
                 self._work.commands.append(AskAdvice(step, asked))
         return allowed
 
+    def _barred(self, task: Task, usable: list[ExecutorState], refused: int) -> WaitReason | None:
+        """Why a task isn't even looked at in this round, or None."""
+        if refused >= REFUSED_SHAPES:
+            return WaitReason.BEHIND
+        return WaitReason.RESERVED if self._would_take_reserve(task, usable) else None
+
     @staticmethod
     def _would_take_reserve(task: Task, usable: list[ExecutorState]) -> bool:
         """Whether a lasting task that never ran would take the room that is kept for short ones."""
@@ -141,6 +149,7 @@
         task.runs.append(run)
         self._work.commands.append(StartRun(run))
         self._work.notes.append(_sent(run, now, now_ms))
+        task.waits_for = WaitReason.NOTHING
         self._work.jobs.note_started(task.job)
 
 
@@ -158,6 +167,18 @@
     return (*size, step.required_label, step.long_running, limited, image)
 
 
+def _refusal(task: Task, usable: list[ExecutorState]) -> WaitReason:
+    """Why none of the executors took a task."""
+    step = task.spec
+    processors = any(step.reserved_cpu_millis <= one.free_cpu_millis for one in usable)
+    memory = any(step.memory_mb <= one.free_memory_mb for one in usable)
+    if not processors:
+        return WaitReason.PROCESSORS
+    if not memory:
+        return WaitReason.MEMORY
+    return WaitReason.DISTURBS if step.uses_leftover_cpu else WaitReason.OTHER
+
+
 def _sent(run: Run, now: float, now_ms: int) -> TaskSent:
     executor = run.executor
     polled_at = executor.polled_at if executor.polled_at is not None else now
@@ -168,4 +189,5 @@
         now_ms - run.task.job.spec.accepted_ms,
         int((now - polled_at) * 1000),
         executor.strikes,
+        run.task.waits_for,
     )
--- a/fireflyfork/decisions/jobs/_report_handling.py
+++ b/fireflyfork/decisions/jobs/_report_handling.py
@@ -41,7 +41,7 @@
             run.confirmed_at = now
             run.progress_at = now
             if run.in_background:
-                run.pace_percent = BACKGROUND_PACE
+                run.pace_percent = run.lowest_pace = BACKGROUND_PACE
                 self._work.commands.append(PaceRun(run, BACKGROUND_PACE))
         elif outcome is CallOutcome.UNKNOWN:
             run.phase = RunPhase.UNSURE
@@ -107,7 +107,10 @@
         task = run.task if run is not None else self._work.jobs.task(row.task)
         if task is None:
             return
-        self._work.notes.append(RunEnded(row.task, row.attempt, executor.executor, row.reason))
+        pace = run.lowest_pace if run is not None else 100
+        self._work.notes.append(
+            RunEnded(row.task, row.attempt, executor.executor, row.reason, pace)
+        )
         if row.checkpoint and task.spec.checkpointing:
             save(task, row.checkpoint)
         if row.reason is EndReason.DONE and not task.spec.long_running:
--- a/fireflyfork/decisions/jobs/_runs.py
+++ b/fireflyfork/decisions/jobs/_runs.py
@@ -11,6 +11,7 @@
 from ._queues import QueueTerms
 from ._specs import JobSpec, StepSpec, TaskKey
 from ._tickets import StepId
+from ._waits import WaitReason
 
 if TYPE_CHECKING:
     from ._executors import ExecutorState
@@ -58,6 +59,8 @@
     progress_at: float = 0.0
     """When the progress last changed."""
     pace_percent: int = 100
+    lowest_pace: int = 100
+    """The slowest pace that it was ordered to work at."""
     pace_confirmed: bool = True
     """False when the executor may have it at another pace: an earlier owner's run, or a lost answer."""
     ticket: str = ""
@@ -93,6 +96,8 @@
     moved: bool = False
     """Whether a slow run of it was copied or stopped; done once, so that a task which is slow by itself
     is not moved from executor to executor."""
+    waits_for: WaitReason = WaitReason.NOTHING
+    """Why it found no place when it was last looked for."""
     waiting: bool = False
     """Whether it stands in the queue of tasks to place."""
 
--- a/fireflyfork/decisions/jobs/_work.py
+++ b/fireflyfork/decisions/jobs/_work.py
@@ -16,6 +16,7 @@
 from ._runs import Job, Run, RunPhase, Task
 from ._tickets import TicketBook
 from ._urgency import Urgency, urgency
+from ._waits import WaitReason
 
 STRIKES_TO_AVOID = 2
 """One failure in fifty is a task's own; two in a row on one executor are its own once in 2,500."""
@@ -64,6 +65,7 @@
             return
         task.waiting = True
         if task.job.recovered and self.unreached:
+            task.waits_for = WaitReason.HELD
             self.held.append(task)
         elif at_once:
             self.push(task, task.job.spec.accepted_ms)
--- a/fireflyfork/operations/__init__.py
+++ b/fireflyfork/operations/__init__.py
@@ -35,6 +35,15 @@
 from ._exposition import Sample, read_samples
 from ._generator import UNAPPLIED, Generated, generate, unusable_addresses
 from ._interview import Prompt, interview
+from ._job_account import (
+    Cause,
+    CauseRow,
+    JobAccount,
+    account_jobs,
+    by_phase,
+    spread,
+    summarize,
+)
 from ._quantities import ByteCount, ByteRate, Cores, Duration, Quantity, Share
 from ._reference import configuration_reference
 from ._span_tree import SpanNode, draw, find_trace, read_spans, span_trees
@@ -49,12 +58,15 @@
     "Answers",
     "ByteCount",
     "ByteRate",
+    "Cause",
+    "CauseRow",
     "Cores",
     "Decoded",
     "Difference",
     "Duration",
     "ExecutorAnswer",
     "Generated",
+    "JobAccount",
     "JobAnswer",
     "LinkAnswer",
     "Measure",
@@ -69,6 +81,8 @@
     "TeamAnswer",
     "Violation",
     "WorkerAnswer",
+    "account_jobs",
+    "by_phase",
     "check",
     "check_change",
     "configuration_reference",
@@ -90,6 +104,8 @@
     "render_generated",
     "same_decisions",
     "span_trees",
+    "spread",
+    "summarize",
     "time_of_change",
     "unusable_addresses",
     "unusual",
--- /dev/null
+++ b/fireflyfork/operations/_job_account.py
@@ -0,0 +1,281 @@
+"""Where the time of late jobs went, from the log lines that the scheduler's processes wrote.
+
+A job is as late as the slowest task of each of its steps. So each step's time is laid to the task that
+ended last: what it waited for, runs of it that had to be repeated, and how its last run went.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from datetime import datetime
+from enum import Enum
+
+import msgspec
+
+PHASE_SECONDS = 5.0
+"""Jobs are summed by when they were accepted, in phases of this length."""
+
+
+class Cause(Enum):
+    """What a job's time was spent on."""
+
+    NO_OWNER = "no owner"
+    """Nobody placed tasks: the owner had gone, and its successor was not done reading."""
+    HELD = "held for executors"
+    """An earlier owner may have started it on an executor that has not answered yet."""
+    PROCESSORS = "no processors"
+    MEMORY = "no memory"
+    DISTURBS = "would disturb services"
+    RESERVED = "room kept for short work"
+    BEHIND = "behind more urgent work"
+    OTHER_WAIT = "other limits"
+    WAITED = "waited a moment"
+    """Found a place at once: what passed is the way of the order."""
+    NEVER_PLACED = "never placed"
+    REPEATED = "runs repeated"
+    PACED = "ran at a lower pace"
+    RAN = "ran"
+    STORED = "stored"
+
+
+@dataclass(frozen=True, slots=True)
+class JobAccount:
+    """One job's time, split by cause."""
+
+    job: str
+    queue: str
+    accepted_at: float
+    """Seconds since the first line."""
+    state: str
+    """The last that is known of it."""
+    age_seconds: float
+    allowed_seconds: float | None
+    """None for a job that never ended."""
+    seconds: dict[Cause, float]
+
+    @property
+    def late(self) -> bool:
+        """Whether it took longer than its objective allows, or never ended."""
+        return self.allowed_seconds is None or self.age_seconds > self.allowed_seconds
+
+    @property
+    def main_cause(self) -> Cause:
+        """What took most of its time, apart from running as it should."""
+        others = {cause: time for cause, time in self.seconds.items() if cause is not Cause.RAN}
+        return max(others, key=lambda cause: others[cause]) if others else Cause.RAN
+
+
+@dataclass(frozen=True, slots=True)
+class CauseRow:
+    """Jobs of one queue that were late for one main cause."""
+
+    queue: str
+    cause: Cause
+    jobs: int
+    seconds: float
+    """Their time by that cause."""
+
+
+class _Line(msgspec.Struct):
+    """What is used of a log line; each kind has some of these."""
+
+    time: str
+    message: str
+    service: str = ""
+    job: str = ""
+    queue: str = ""
+    task: str = ""
+    attempt: int = 0
+    state: str = ""
+    age_ms: int = 0
+    allowed_ms: int = 0
+    reason: str = ""
+    waited_for: str = ""
+    lowest_pace: int = 100
+    seconds: float = 0.0
+
+
+@dataclass(slots=True)
+class _Run:
+    sent_at: float
+    waited_for: str
+    ended_at: float | None = None
+    reason: str = ""
+    lowest_pace: int = 100
+
+
+@dataclass(slots=True)
+class _Job:
+    queue: str
+    accepted_at: float
+    over_at: float | None = None
+    state: str = "not over"
+    allowed_seconds: float | None = None
+    runs: dict[str, dict[int, _Run]] = field(default_factory=lambda: defaultdict(dict))
+    """By task and attempt."""
+
+
+def account_jobs(lines: Iterable[str]) -> tuple[JobAccount, ...]:
+    """The account of every job that was accepted, from the lines of all processes in any order.
+
+    Jobs that last are left out: they have no end to be late for. What stands before the first brace of a
+    line is passed over, and so are lines that are no log lines.
+    """
+    known = sorted(_decoded(lines), key=lambda pair: pair[0])
+    if not known:
+        return ()
+    begin = known[0][0]
+    records = [((at - begin).total_seconds(), line) for at, line in known]
+    jobs = _collect(records)
+    gaps = _gaps(records)
+    end = records[-1][0]
+    return tuple(_account(name, job, gaps, end) for name, job in jobs.items() if not _lasts(job))
+
+
+def summarize(accounts: Iterable[JobAccount]) -> tuple[CauseRow, ...]:
+    """Late jobs by queue and main cause, the most first."""
+    rows: dict[tuple[str, Cause], list[float]] = defaultdict(list)
+    for account in accounts:
+        if account.late:
+            cause = account.main_cause
+            rows[account.queue, cause].append(account.seconds.get(cause, 0.0))
+    found = (CauseRow(queue, cause, len(all_), sum(all_)) for (queue, cause), all_ in rows.items())
+    return tuple(sorted(found, key=lambda row: (-row.jobs, row.queue, row.cause.value)))
+
+
+def by_phase(accounts: Iterable[JobAccount]) -> dict[float, dict[Cause, int]]:
+    """For each phase, by its first second, the late jobs that were accepted in it, by main cause."""
+    phases: dict[float, dict[Cause, int]] = defaultdict(lambda: defaultdict(int))
+    for account in accounts:
+        if account.late:
+            phase = account.accepted_at // PHASE_SECONDS * PHASE_SECONDS
+            phases[phase][account.main_cause] += 1
+    return {phase: dict(phases[phase]) for phase in sorted(phases)}
+
+
+def _decoded(lines: Iterable[str]) -> Iterator[tuple[datetime, _Line]]:
+    for text in lines:
+        brace = text.find("{")
+        if brace < 0:
+            continue
+        try:
+            line = msgspec.json.decode(text[brace:], type=_Line)
+            yield datetime.fromisoformat(line.time), line
+        except (msgspec.DecodeError, UnicodeEncodeError, ValueError):
+            # Logs of several programs lie in one file; what is none of ours says nothing of jobs.
+            continue
+
+
+def _collect(records: Iterable[tuple[float, _Line]]) -> dict[str, _Job]:
+    jobs: dict[str, _Job] = {}
+    for at, line in records:
+        if line.message == "job accepted":
+            jobs.setdefault(line.job, _Job(line.queue, at))
+            continue
+        job = jobs.get(line.job or line.task.partition(".")[0])
+        if job is None:
+            continue
+        if line.message == "task sent":
+            job.runs[line.task][line.attempt] = _Run(at, line.waited_for)
+        elif line.message == "run ended":
+            run = job.runs.get(line.task, {}).get(line.attempt)
+            if run is not None and run.ended_at is None:
+                run.ended_at, run.reason, run.lowest_pace = at, line.reason, line.lowest_pace
+        elif line.message == "job over":
+            job.over_at, job.state = at, line.state
+            job.allowed_seconds = line.allowed_ms / 1000
+    return jobs
+
+
+def _gaps(records: Iterable[tuple[float, _Line]]) -> list[tuple[float, float]]:
+    """When nobody owned a service, or its owner was still reading.
+
+    From the last line of a decision before a take-over until the owner said that it is done.
+    """
+    gaps: list[tuple[float, float]] = []
+    decided_at = 0.0
+    for at, line in records:
+        if line.message in ("task sent", "run ended", "job over"):
+            decided_at = at
+        elif line.message == "took ownership":
+            gaps.append((decided_at, at))
+    return gaps
+
+
+def _lasts(job: _Job) -> bool:
+    """Whether its tasks run until it is cancelled: none of them ever ends by being done."""
+    runs = [run for by_attempt in job.runs.values() for run in by_attempt.values()]
+    cancelled = job.state == "cancelled"
+    unended = job.over_at is None and bool(runs)
+    return (cancelled or unended) and not any(run.reason == "done" for run in runs)
+
+
+def _account(name: str, job: _Job, gaps: list[tuple[float, float]], end: float) -> JobAccount:
+    until = job.over_at if job.over_at is not None else end
+    seconds: dict[Cause, float] = defaultdict(float)
+    for begin, finish, cause in _segments(job, until):
+        gap = 0.0
+        if cause not in (Cause.RAN, Cause.PACED, Cause.STORED):
+            gap = sum(max(0.0, min(finish, b) - max(begin, a)) for a, b in gaps)
+        if gap:
+            seconds[Cause.NO_OWNER] += gap
+        seconds[cause] += finish - begin - gap
+    allowed = job.allowed_seconds if job.over_at is not None else None
+    return JobAccount(
+        name, job.queue, job.accepted_at, job.state, until - job.accepted_at, allowed, dict(seconds)
+    )
+
+
+def _segments(job: _Job, until: float) -> Iterator[tuple[float, float, Cause]]:
+    """The job's time from its acceptance, each part with its cause."""
+    cursor = job.accepted_at
+    for runs in _critical_tasks(job):
+        for run in runs:
+            if run.sent_at > cursor:
+                yield cursor, run.sent_at, _wait_cause(run)
+            ended = run.ended_at if run.ended_at is not None else until
+            if ended > max(cursor, run.sent_at):
+                yield max(cursor, run.sent_at), ended, _run_cause(run)
+            cursor = max(cursor, ended)
+    if cursor < until:
+        yield cursor, until, Cause.STORED if job.over_at is not None else Cause.NEVER_PLACED
+
+
+def _critical_tasks(job: _Job) -> Iterator[list[_Run]]:
+    """For each step, in the order in which they ended, the runs of the task that ended last."""
+    steps: dict[str, list[list[_Run]]] = defaultdict(list)
+    for task, by_attempt in job.runs.items():
+        runs = [by_attempt[attempt] for attempt in sorted(by_attempt)]
+        steps[task.rpartition(".")[0]].append(runs)
+    slowest = [max(tasks, key=_ended_at) for tasks in steps.values()]
+    yield from sorted(slowest, key=_ended_at)
+
+
+def _ended_at(runs: list[_Run]) -> float:
+    last = runs[-1].ended_at
+    return last if last is not None else float("inf")
+
+
+def _wait_cause(run: _Run) -> Cause:
+    try:
+        return Cause(run.waited_for)
+    except ValueError:
+        return Cause.WAITED
+
+
+def _run_cause(run: _Run) -> Cause:
+    if run.ended_at is not None and run.reason != "done":
+        return Cause.REPEATED
+    return Cause.RAN if run.lowest_pace >= 100 else Cause.PACED
+
+
+def spread(accounts: Iterable[JobAccount]) -> dict[str, dict[Cause, float]]:
+    """For each queue, the seconds of its late jobs by cause."""
+    sums: dict[str, dict[Cause, float]] = defaultdict(lambda: defaultdict(float))
+    for account in accounts:
+        if account.late:
+            for cause, seconds in account.seconds.items():
+                sums[account.queue][cause] += seconds
+    return {queue: dict(causes) for queue, causes in sums.items()}
--- /dev/null
+++ b/fireflyfork/operations/tests/test_job_account.py
@@ -0,0 +1,113 @@
+"""Where the time of late jobs went."""
+
+import unittest
+
+from .. import Cause, account_jobs, by_phase, summarize
+from .builders_job_logs import accepted, ended, line, over, sent
+
+OWNED = line(0.0, "took ownership")
+
+
+class AccountTest(unittest.TestCase):
+    """The split of one job's time."""
+
+    def test_each_cause(self) -> None:
+        for name, lines, expected in (
+            (
+                "found a place at once",
+                (sent(1.1), ended(3.1), over(3.2, 2.2, 1.0)),
+                {Cause.WAITED: 0.1, Cause.RAN: 2.0, Cause.STORED: 0.1},
+            ),
+            (
+                "waited beside services that it would slow",
+                (sent(5.0, waited_for="would disturb services"), ended(6.0), over(6.0, 5.0, 1.0)),
+                {Cause.DISTURBS: 4.0, Cause.RAN: 1.0},
+            ),
+            (
+                "ran at a lower pace",
+                (sent(1.0), ended(6.0, pace=30), over(6.0, 5.0, 1.0)),
+                {Cause.PACED: 5.0},
+            ),
+            (
+                "its first run failed",
+                (
+                    sent(1.0),
+                    ended(2.0, reason="failed"),
+                    sent(2.5, attempt=2, waited_for="no memory"),
+                    ended(4.0, attempt=2),
+                    over(4.0, 3.0, 1.0),
+                ),
+                {Cause.REPEATED: 1.0, Cause.MEMORY: 0.5, Cause.RAN: 1.5},
+            ),
+            (
+                "the slowest task of each step counts",
+                (
+                    sent(1.0),
+                    sent(1.0, "a1.0.0.1"),
+                    ended(2.0),
+                    ended(3.0, "a1.0.0.1"),
+                    sent(3.0, "a1.0.1.0"),
+                    ended(4.0, "a1.0.1.0"),
+                    over(4.0, 3.0, 1.0),
+                ),
+                {Cause.RAN: 3.0},
+            ),
+        ):
+            with self.subTest(name):
+                (account,) = account_jobs((OWNED, accepted(1.0), *lines))
+                split = {cause: round(time, 3) for cause, time in account.seconds.items()}
+                self.assertEqual(split, expected)
+                self.assertTrue(account.late)
+                self.assertAlmostEqual(sum(split.values()), account.age_seconds)
+
+    def test_time_without_an_owner(self) -> None:
+        """The owner dies, and its successor takes two seconds until it places tasks. A job that came
+        meanwhile is late by that, whatever its tasks waited for at the end.
+        """
+        lines = (
+            OWNED,
+            accepted(0.5, job="b2"),
+            sent(1.0, "b2.0.0.0"),
+            accepted(1.2),
+            line(3.0, "took ownership"),
+            sent(3.1),
+            ended(4.0),
+            over(4.0, 2.8, 1.0),
+        )
+        account = next(one for one in account_jobs(lines) if one.job == "a1")
+        self.assertAlmostEqual(account.seconds[Cause.NO_OWNER], 1.8)
+        self.assertAlmostEqual(account.seconds[Cause.WAITED], 0.1)
+
+    def test_a_job_that_was_never_placed_is_late(self) -> None:
+        (account,) = account_jobs((OWNED, accepted(1.0), line(9.0, "serving")))
+        self.assertTrue(account.late)
+        self.assertEqual(account.main_cause, Cause.NEVER_PLACED)
+        self.assertAlmostEqual(account.seconds[Cause.NEVER_PLACED], 8.0)
+
+    def test_jobs_that_last_are_left_out(self) -> None:
+        lines = (OWNED, accepted(1.0), sent(1.1), ended(5.0, reason="stopped"), line(9.0, "x"))
+        self.assertEqual(account_jobs(lines), ())
+
+    def test_what_is_no_log_line_is_passed_over(self) -> None:
+        lines = ("starting", "{broken", "12.3 n-1 " + accepted(1.0), '{"time": "x", "message": ""}')
+        self.assertEqual([one.job for one in account_jobs(lines)], ["a1"])
+
+
+class SummaryTest(unittest.TestCase):
+    """Sums over jobs."""
+
+    def test_late_jobs_by_queue_and_cause_and_by_phase(self) -> None:
+        lines = [OWNED]
+        for number, begin in enumerate((1.0, 2.0, 7.0)):
+            job = f"a{number}"
+            task = f"{job}.0.0.0"
+            lines += [accepted(begin, job), sent(begin + 3, task, waited_for="no memory")]
+            lines += [
+                ended(begin + 4, task),
+                over(begin + 4, 4.0, 5.0 if number == 1 else 1.0, job),
+            ]
+        accounts = account_jobs(lines)
+        (row,) = summarize(accounts)
+        self.assertEqual((row.queue, row.cause, row.jobs), ("quotes", Cause.MEMORY, 2))
+        self.assertAlmostEqual(row.seconds, 6.0)
+        self.assertEqual(by_phase(accounts), {0.0: {Cause.MEMORY: 1}, 5.0: {Cause.MEMORY: 1}})
--- /dev/null
+++ b/fireflyfork/programs/_ctl_account.py
@@ -0,0 +1,92 @@
+"""The command ``account``: where the time of late jobs went."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Iterator
+from itertools import chain
+from pathlib import Path
+
+from ..operations import Cause, JobAccount, account_jobs, by_phase, spread, summarize
+from ._ctl_output import CommandError, ExitCode, Output, finish, table
+from ._ctl_trace import read_lines
+
+
+def account(*files: Path, json: bool = False, plot: Path | None = None) -> ExitCode:
+    """Say where the time of late jobs went, from the logs of the scheduler's processes.
+
+    Every job that took longer than its objective allows, or never ended, is split by cause: what its
+    slowest tasks waited for, runs that were repeated, runs at a lower pace. Exit status: 7 when the logs
+    hold no job.
+
+    Examples::
+
+        fireflyfork-ctl account logs/
+        cat scheduler-*.log | fireflyfork-ctl account --plot causes.png
+
+    :param files: files of log lines, or directories of them; standard input when none is given
+    :param json: print the account of each late job as JSON
+    :param plot: draw late jobs by phase and cause into this file; needs matplotlib
+    """
+    output = Output(json)
+
+    def command() -> ExitCode:
+        lines = chain.from_iterable(map(read_lines, files)) if files else sys.stdin
+        accounts = account_jobs(lines)
+        if not accounts:
+            raise CommandError(
+                ExitCode.NOT_FOUND,
+                "no accepted job is in these logs",
+                "give the logs of all instances: each logs the jobs that it accepted",
+            )
+        late = [one for one in accounts if one.late]
+        output.result(late, _report(accounts, late))
+        if plot is not None:
+            _draw(accounts, plot)
+        return ExitCode.DONE
+
+    return finish(output, command)
+
+
+def _report(accounts: tuple[JobAccount, ...], late: list[JobAccount]) -> Iterator[str]:
+    yield f"{len(late)} of {len(accounts)} jobs were late or never ended"
+    if not late:
+        return
+    yield ""
+    rows = [(row.queue, row.cause.value, row.jobs, f"{row.seconds:.1f}") for row in summarize(late)]
+    yield from table(("queue", "main cause", "late jobs", "seconds of it"), rows)
+    yield ""
+    sums = [
+        (queue, cause.value, f"{seconds:.1f}")
+        for queue, causes in sorted(spread(late).items())
+        for cause, seconds in sorted(causes.items(), key=lambda one: -one[1])
+    ]
+    yield from table(("queue", "time of late jobs", "seconds"), sums)
+
+
+def _draw(accounts: tuple[JobAccount, ...], path: Path) -> None:
+    try:
+        from matplotlib.figure import Figure
+    except ImportError as error:
+        raise CommandError(
+            ExitCode.USAGE, "plots need matplotlib", "pip install 'fireflyfork[plots]'"
+        ) from error
+    phases = by_phase(accounts)
+    figure = Figure(figsize=(9, 4.5), layout="constrained")
+    axes = figure.subplots()
+    below = [0] * len(phases)
+    for cause in Cause:
+        heights = [counts.get(cause, 0) for counts in phases.values()]
+        if any(heights):
+            axes.bar(
+                list(phases), heights, bottom=below, width=4.5, align="edge", label=cause.value
+            )
+            below = [low + height for low, height in zip(below, heights, strict=True)]
+    axes.set_xlabel("accepted at, seconds since the first line")
+    axes.set_ylabel("late jobs")
+    if phases:
+        axes.legend()
+    try:
+        figure.savefig(path)
+    except (OSError, ValueError) as error:
+        raise CommandError(ExitCode.USAGE, f"{path} can't be written: {error}") from error
--- a/fireflyfork/programs/_ctl_trace.py
+++ b/fireflyfork/programs/_ctl_trace.py
@@ -30,7 +30,7 @@
     output = Output(json)
 
     def command() -> ExitCode:
-        lines = chain.from_iterable(map(_lines, files)) if files else sys.stdin
+        lines = chain.from_iterable(map(read_lines, files)) if files else sys.stdin
         spans = find_trace(read_spans(lines), wanted)
         if not spans:
             raise CommandError(
@@ -52,7 +52,8 @@
         yield from draw(span_trees(span for span in spans if span.trace_id == trace_id))
 
 
-def _lines(file: Path) -> Iterator[str]:
+def read_lines(file: Path) -> Iterator[str]:
+    """The lines of a file, or of all files of a directory. Raises CommandError."""
     try:
         for path in sorted(file.iterdir()) if file.is_dir() else [file]:
             with path.open(encoding="utf-8", errors="replace") as opened:
--- a/fireflyfork/programs/ctl.py
+++ b/fireflyfork/programs/ctl.py
@@ -15,6 +15,7 @@
 def commands() -> dict[str, Callable[..., Any]]:
     """Each command by its name. Imported only here, so that tests may take single ones."""
     from . import (
+        _ctl_account,
         _ctl_configuration,
         _ctl_entries,
         _ctl_jobs,
@@ -37,6 +38,7 @@
         "drain": _ctl_entries.drain,
         "metrics": _ctl_entries.metrics,
         "trace": _ctl_trace.trace,
+        "account": _ctl_account.account,
     }
 
 
--- a/fireflyfork/programs/tests/test_decision_log.py
+++ b/fireflyfork/programs/tests/test_decision_log.py
@@ -13,6 +13,7 @@
     Note,
     RunEnded,
     TaskSent,
+    WaitReason,
 )
 from .._clocks import Clock
 from .._decision_log import LINES_A_SECOND, DecisionLog
@@ -48,11 +49,11 @@
     def test_each_kind_is_counted(self) -> None:
         for note, line in (
             (
-                TaskSent(TASK, 1, EXECUTOR, 40, 10, 0),
+                TaskSent(TASK, 1, EXECUTOR, 40, 10, 0, WaitReason.NOTHING),
                 'fireflyfork_tasks_sent_total{again="false"} 1',
             ),
             (
-                RunEnded(TASK, 1, EXECUTOR, EndReason.DONE),
+                RunEnded(TASK, 1, EXECUTOR, EndReason.DONE, 100),
                 'fireflyfork_runs_ended_total{reason="done"} 1',
             ),
             (
@@ -72,7 +73,9 @@
         """Many jobs are cancelled in one moment. A line for each would use up the processor that their
         callers need; without a word on what is missing, whoever reads the log would trust it.
         """
-        notes: list[Note] = [RunEnded(TASK, 1, EXECUTOR, EndReason.STOPPED)] * (LINES_A_SECOND + 50)
+        notes: list[Note] = [RunEnded(TASK, 1, EXECUTOR, EndReason.STOPPED, 100)] * (
+            LINES_A_SECOND + 50
+        )
         self.log.write(notes)
         self.assertEqual(len(self.lines), LINES_A_SECOND)
         self.clock.seconds += 1.0
