Serving tasks are sorted by moves, so that more work fits beside them

Change: while such work waits, the owner looks each half second for the group of tasks of one image whose leaving makes an executor useful for most of the demand, and moves it to where its like are, directly or by exchanging places; at most four on their way, one of a step, each once in 12 s, with its room kept. Moves have a price, so a few cores of gain move nothing.

--- /dev/null
+++ b/fireflyfork/decisions/jobs/_arrangement.py
@@ -0,0 +1,264 @@
+"""Which serving tasks stand together: strays are moved to where their like are.
+
+Work without a reservation fits beside a serving task only if its image disturbs that task's image
+little. An executor that serves several images keeps away what disturbs any of them, so executors that
+serve a mixture are of use to hardly any such work, however much processor time is left over there. Which
+images go together is known only once their tasks have run side by side for some seconds; by then the
+serving tasks, which last, have long been placed.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+
+from ._executors import ExecutorState
+from ._interference import InterferenceModel
+from ._pacing import WANTED_HEADROOM
+from ._placing import is_allowed, leftover_millis
+from ._runs import Run, Task
+from ._upkeep import is_at_work, may_be_moved
+from ._work import Work
+
+ARRANGE_SECONDS = 0.5
+"""Between two looks for a better arrangement. A move takes about as long."""
+WAITING_SHARE = 0.01
+"""Tasks are moved only while work without a reservation waits that would use this share of all
+processors: otherwise there is nothing to gain that is worth an interruption."""
+DEMAND_MEMORY = 0.85
+"""What of the demand by image is kept from one look to the next: it is averaged over some four
+seconds, since what waits at a moment is a few jobs."""
+MOVE_PRICE_MILLIS = 1_500.0
+"""What has to be gained for each task that is moved, in thousandths of a core that work which waits could
+use. A task of several cores is away for about half a second."""
+LEAST_SPARE_HEADROOM = 0.3
+"""What disturbing work may take where services have no more headroom than they should keep: paces follow
+the load, and for half of the time there is more."""
+MOVES_AT_ONCE = 4
+"""Tasks on their way at any time, of some 150: users of a service notice several at once."""
+REST_SECONDS = 12.0
+"""A task that was moved stays at least so long, whatever is learned meanwhile."""
+PROMISE_SECONDS = 1.5
+"""How long a place is kept: a stop takes up to 0.2 s, and its end is listed within another 0.2 s."""
+EXECUTORS_TRIED = 12
+"""Executors with strays that are examined in one look, those that would gain most first. A look at one
+of them costs some 0.5 ms among 33 executors."""
+
+
+@dataclass(frozen=True, slots=True)
+class Move:
+    """A serving task that should go to another executor."""
+
+    run: Run
+    destination: ExecutorState
+
+
+@dataclass(slots=True)
+class _Sketch:
+    """Room and tasks as they would be after the moves that were chosen so far."""
+
+    cpu_millis: dict[ExecutorState, int] = field(default_factory=dict)
+    memory_mb: dict[ExecutorState, int] = field(default_factory=dict)
+    moves: list[Move] = field(default_factory=list)
+    gone: set[Run] = field(default_factory=set)
+
+    def fits(self, run: Run, there: ExecutorState, instead_of: Run | None = None) -> bool:
+        """Whether a run has room on an executor, once another one has left it."""
+        spec, freed = run.task.spec, instead_of.task.spec if instead_of is not None else None
+        cpu = there.free_cpu_millis + self.cpu_millis.get(there, 0)
+        memory = there.free_memory_mb + self.memory_mb.get(there, 0)
+        if freed is not None:
+            cpu += freed.reserved_cpu_millis
+            memory += freed.memory_mb
+        return spec.reserved_cpu_millis <= cpu and spec.memory_mb <= memory
+
+    def move(self, run: Run, destination: ExecutorState) -> None:
+        """Take one move for done."""
+        spec = run.task.spec
+        for executor, sign in ((run.executor, 1), (destination, -1)):
+            cpu = self.cpu_millis.get(executor, 0)
+            self.cpu_millis[executor] = cpu + sign * spec.reserved_cpu_millis
+            self.memory_mb[executor] = self.memory_mb.get(executor, 0) + sign * spec.memory_mb
+        self.moves.append(Move(run, destination))
+        self.gone.add(run)
+
+    def takes(self, run: Run, there: ExecutorState) -> bool:
+        """Whether the limit per executor of the run's step leaves room for it."""
+        task = run.task
+        if not is_allowed(task, there):
+            return False
+        planned = (one for one in self.moves if one.destination is there)
+        return not task.spec.per_executor_limit or all(
+            one.run.task.step_id != task.step_id for one in planned
+        )
+
+
+class Arrangement:
+    """Looks for serving tasks that would be better elsewhere, and moves them a few at a time."""
+
+    def __init__(self, work: Work) -> None:
+        """Change ``work``."""
+        self._work = work
+        self._looked_at = 0.0
+        self._demand: dict[str, float] = {}
+        """By image: thousandths of cores that work without a reservation would use."""
+
+    def check(self, now: float) -> None:
+        """Stop tasks that should go elsewhere; their places are kept for them."""
+        self._work.promises.expire(now)
+        if now - self._looked_at < ARRANGE_SECONDS:
+            return
+        self._looked_at = now
+        usable = [one for one in self._work.executors.values() if one.usable(now)]
+        waiting = self._note_demand()
+        room = sum(one.registration.room.cpu_millis for one in usable)
+        if waiting <= WAITING_SHARE * room:
+            return
+        free = MOVES_AT_ONCE - len(self._work.promises)
+        if free <= 0:
+            return
+        for move in self._best_moves(usable, now):
+            self._order(move, now)
+
+    def _note_demand(self) -> float:
+        """Take in what runs and waits now. Returns what waits, in thousandths of cores."""
+        demand: dict[str, float] = {}
+        waiting = 0.0
+        for task in self._work.waiting():
+            if task.spec.uses_leftover_cpu:
+                waiting += task.spec.cpu_millis
+                image = task.spec.image
+                demand[image] = demand.get(image, 0.0) + task.spec.cpu_millis
+        for executor in self._work.executors.values():
+            for image, cpu in executor.disturbing_cpu_millis.items():
+                demand[image] = demand.get(image, 0.0) + cpu
+        for image in self._demand.keys() | demand.keys():
+            kept = DEMAND_MEMORY * self._demand.get(image, 0.0)
+            self._demand[image] = kept + (1 - DEMAND_MEMORY) * demand.get(image, 0.0)
+        return waiting
+
+    def _best_moves(self, usable: list[ExecutorState], now: float) -> list[Move]:
+        worth = Usefulness(self._work.interference, self._demand, spare_headroom(usable))
+        strays = sorted(_strays(usable, worth), key=lambda one: -one[0])[:EXECUTORS_TRIED]
+        best: list[Move] = []
+        most = 0.0
+        for gain, executor, image in strays:
+            sketch = _Sketch()
+            gain -= _cost_of_clearing(executor, image, usable, worth, sketch, now)
+            if gain > most:
+                best, most = sketch.moves, gain
+        return best
+
+    def _order(self, move: Move, now: float) -> None:
+        run = move.run
+        if not (run.works and may_be_moved(run)):
+            return
+        run.task.moved_at = now
+        self._work.promises.make(run.task, move.destination, now + PROMISE_SECONDS)
+        self._work.stop(run, now)
+
+
+class Usefulness:
+    """How much work without a reservation an executor is good for, by the images it serves."""
+
+    def __init__(
+        self, model: InterferenceModel, demand: dict[str, float], spare_headroom: float
+    ) -> None:
+        """``demand`` is by image, in any unit; ``spare_headroom`` is what such work may take."""
+        whole = sum(demand.values()) or 1.0
+        self._model = model
+        self._shares = {image: one / whole for image, one in demand.items() if one > 0}
+        self._spare_headroom = spare_headroom
+
+    def of(self, executor: ExecutorState, images: Iterable[str]) -> float:
+        """In thousandths of a core, if it served these images."""
+        leftover = leftover_millis(executor)
+        if leftover <= 0:
+            return 0.0
+        wanted = leftover / max(1, executor.registration.room.cpu_millis)
+        served = tuple(images)
+        useful = 0.0
+        for image, share in self._shares.items():
+            effect = max((self._model.effect(one, image) for one in served), default=0.0)
+            useful += share * min(1.0, self._spare_headroom / max(1e-9, effect * wanted))
+        return leftover * useful
+
+
+def spare_headroom(executors: Iterable[ExecutorState]) -> float:
+    """What disturbing work may take of a service's headroom, on average, by the loads of late."""
+    lows = [min(one.lasting_headroom.values()) for one in executors if one.lasting_headroom]
+    mean = sum(lows) / len(lows) if lows else WANTED_HEADROOM
+    return max(LEAST_SPARE_HEADROOM, mean - WANTED_HEADROOM)
+
+
+def _strays(
+    usable: list[ExecutorState], worth: Usefulness
+) -> Iterator[tuple[float, ExecutorState, str]]:
+    """Executors that would be good for more work without one of the images that they serve."""
+    for executor in usable:
+        images = executor.serving
+        if len(images) < 2:
+            continue
+        now_worth = worth.of(executor, images)
+        for image, count in images.items():
+            gain = worth.of(executor, images.keys() - {image}) - now_worth
+            if gain > MOVE_PRICE_MILLIS * count:
+                yield gain, executor, image
+
+
+def _cost_of_clearing(
+    executor: ExecutorState,
+    image: str,
+    usable: list[ExecutorState],
+    worth: Usefulness,
+    sketch: _Sketch,
+    now: float,
+) -> float:
+    """What it costs to take all tasks of an image off an executor; infinite where that can't be done.
+
+    The moves are left in ``sketch``.
+    """
+    runs = [run for run in executor.runs.values() if run.task.spec.image == image]
+    if not all(_movable(run, now) for run in runs):
+        return float("inf")
+    cost = 0.0
+    for run in sorted(runs, key=lambda one: -one.task.spec.reserved_cpu_millis):
+        cheapest = float("inf")
+        moves: tuple[tuple[Run, ExecutorState], ...] = ()
+        for extra, option in _options(run, usable, worth, sketch, now):
+            if extra < cheapest:
+                cheapest, moves = extra, option
+        if not moves:
+            return float("inf")
+        for one, destination in moves:
+            sketch.move(one, destination)
+        cost += cheapest
+    return cost
+
+
+def _options(
+    run: Run, usable: list[ExecutorState], worth: Usefulness, sketch: _Sketch, now: float
+) -> Iterator[tuple[float, tuple[tuple[Run, ExecutorState], ...]]]:
+    """Ways to take one task elsewhere, with what each costs."""
+    here, image = run.executor, run.task.spec.image
+    staying = here.serving.keys() - {image}
+    for there in usable:
+        if there is here or not there.serving or not sketch.takes(run, there):
+            continue
+        images = there.serving
+        harm = worth.of(there, images) - worth.of(there, images.keys() | {image})
+        if sketch.fits(run, there):
+            yield harm + MOVE_PRICE_MILLIS, ((run, there),)
+            continue
+        for other in there.runs.values():
+            if other.task.spec.image not in staying or other in sketch.gone:
+                continue
+            exchange = sketch.fits(run, there, other) and sketch.fits(other, here, run)
+            if exchange and _movable(other, now) and sketch.takes(other, here):
+                yield harm + 2 * MOVE_PRICE_MILLIS, ((run, there), (other, here))
+
+
+def _movable(run: Run, now: float) -> bool:
+    task: Task = run.task
+    rested = now - task.moved_at >= REST_SECONDS
+    return rested and task.spec.long_running and is_at_work(task) and may_be_moved(run)
--- a/fireflyfork/decisions/jobs/_executors.py
+++ b/fireflyfork/decisions/jobs/_executors.py
@@ -64,6 +64,9 @@
     """What the tasks without a reservation here would use if they could."""
     used_memory_mb: int = 0
     used_accelerators: int = 0
+    promised_cpu_millis: int = 0
+    """Kept for tasks that are being moved here."""
+    promised_memory_mb: int = 0
     polled_at: float | None = None
     """When the last poll that was answered had been sent; None before the first."""
     failed_polls: int = 0
@@ -133,13 +136,14 @@
 
     @property
     def free_cpu_millis(self) -> int:
-        """What is not used."""
-        return self.registration.room.cpu_millis - self.used_cpu_millis
+        """What is neither used nor promised."""
+        used = self.used_cpu_millis + self.promised_cpu_millis
+        return self.registration.room.cpu_millis - used
 
     @property
     def free_memory_mb(self) -> int:
-        """What is not used."""
-        return self.registration.room.memory_mb - self.used_memory_mb
+        """What is neither used nor promised."""
+        return self.registration.room.memory_mb - self.used_memory_mb - self.promised_memory_mb
 
     def fits(self, cpu_millis: int, memory_mb: int, accelerators: int) -> bool:
         """Whether so much is free."""
--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -9,7 +9,7 @@
 from ._executors import ExecutorState
 from ._gangs import members, next_attempt, place_together
 from ._notes import TaskSent
-from ._placing import choose, most_cost
+from ._placing import choose, is_allowed, most_cost
 from ._runs import Run, RunPhase, Task
 from ._stragglers import other_executors
 from ._tickets import StepId
@@ -46,6 +46,8 @@
             if not self._work.wants_run(task):
                 task.waiting = False
                 continue
+            if self._keep_promise(task, now, now_ms):
+                continue
             shape = _shape(task)
             allowed = self._ticketed(task, usable, now)
             reason = refused.get(shape) or self._barred(task, usable, len(refused))
@@ -59,6 +61,22 @@
             task.waiting = False
         self._place_copies(usable, reserved, now, now_ms)
 
+    def _keep_promise(self, task: Task, now: float, now_ms: int) -> bool:
+        """Start a task that is being moved where room is kept for it; False: it has no such place."""
+        destination = self._work.promises.destination(task)
+        if destination is None:
+            return False
+        if not (self._work.promises.has_room(task) and is_allowed(task, destination)):
+            # What it changes places with has not left yet.
+            self._work.parked.append(task)
+            return True
+        self._work.promises.drop(task)
+        run = Run(task, next_attempt(task), destination, RunPhase.STARTING, now)
+        destination.add(run)
+        self._send(run, now, now_ms)
+        task.waiting = False
+        return True
+
     def _place_copies(
         self, usable: list[ExecutorState], reserved: float, now: float, now_ms: int
     ) -> None:
--- a/fireflyfork/decisions/jobs/_placing.py
+++ b/fireflyfork/decisions/jobs/_placing.py
@@ -75,7 +75,7 @@
     step = task.spec
     if not executor.fits(step.reserved_cpu_millis, step.memory_mb, step.accelerators):
         return None
-    if not _allowed(task, executor):
+    if not is_allowed(task, executor):
         return None
     if not step.uses_leftover_cpu:
         return _reserving_cost(task, executor, model) + _history_cost(task, executor)
@@ -93,7 +93,8 @@
     return MOST_BEST_EFFORT_COST + PATIENCE_COST * max(0.0, age_seconds - patience)
 
 
-def _allowed(task: Task, executor: ExecutorState) -> bool:
+def is_allowed(task: Task, executor: ExecutorState) -> bool:
+    """Whether label and limit per executor let a task run there."""
     step = task.spec
     if step.required_label and step.required_label not in executor.registration.labels:
         return False
@@ -142,10 +143,10 @@
 
 def _best_effort_cost(task: Task, executor: ExecutorState, model: InterferenceModel) -> float:
     demand = executor.best_effort_cpu_millis + task.spec.cpu_millis
-    return demand / max(1.0, _leftover_millis(executor)) + _disturbance(task, executor, model)
+    return demand / max(1.0, leftover_millis(executor)) + _disturbance(task, executor, model)
 
 
-def _leftover_millis(executor: ExecutorState) -> float:
+def leftover_millis(executor: ExecutorState) -> float:
     """The processor time that the tasks there with a reservation leave unused."""
     unused = (1 - SERVING_LOAD) * executor.serving_cpu_millis
     return executor.registration.room.cpu_millis - executor.used_cpu_millis + unused
--- a/fireflyfork/decisions/jobs/_runs.py
+++ b/fireflyfork/decisions/jobs/_runs.py
@@ -96,6 +96,8 @@
     moved: bool = False
     """Whether a slow run of it was copied or stopped; done once, so that a task which is slow by itself
     is not moved from executor to executor."""
+    moved_at: float = float("-inf")
+    """When it was last stopped to serve from a better place."""
     waits_for: WaitReason = WaitReason.NOTHING
     """Why it found no place when it was last looked for."""
     waiting: bool = False
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass
 
 from ..._ids import ExecutorId, JobId, MachineId, ServiceName
+from ._arrangement import Arrangement
 from ._commands import AskAdvice, Command
 from ._executors import ExecutorRegistration, ExecutorState
 from ._interference import LearnedFit
@@ -51,6 +52,7 @@
         self._placement = Placement(self._work)
         self._time_checks = TimeChecks(self._work)
         self._stragglers = Stragglers(self._work)
+        self._arrangement = Arrangement(self._work)
         self._upkeep = Upkeep(self._work, terms.service)
 
     @property
@@ -224,6 +226,7 @@
             self._stragglers.check(executor, now)
         self._work.give_up_unreached(now)
         self._upkeep.evict(now)
+        self._arrangement.check(now)
         for job in tuple(self.jobs.waiting_for_time()):
             for task in self.jobs.open_due(job, now_ms):
                 self._work.enqueue(task)
--- a/fireflyfork/decisions/jobs/_work.py
+++ b/fireflyfork/decisions/jobs/_work.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+from collections.abc import Iterator
 from itertools import count
 
 from ..._ids import AttemptNumber, ExecutorId
@@ -13,6 +14,7 @@
 from ._job_table import JobTable
 from ._notes import ExecutorGivenUp, JobOver, Note
 from ._progress import JobState
+from ._promises import PromiseBook
 from ._runs import Job, Run, RunPhase, Task
 from ._tickets import TicketBook
 from ._urgency import Urgency, urgency
@@ -37,6 +39,7 @@
         """Whether the executors to store for a successor have changed."""
         self.interference = InterferenceModel()
         self.tickets = TicketBook()
+        self.promises = PromiseBook()
         self.commands: list[Command] = []
         self.notes: list[Note] = []
         self.ready: list[tuple[Urgency, int, Task]] = []
@@ -76,6 +79,11 @@
         """Put a waiting task in order."""
         heapq.heappush(self.ready, (urgency(task, now_ms), next(self._sequence), task))
 
+    def waiting(self) -> Iterator[Task]:
+        """Tasks that wait for a place."""
+        yield from (entry[-1] for entry in self.ready)
+        yield from self.parked
+
     def unpark(self, now_ms: int) -> None:
         """Try again to place what found no room."""
         parked, self.parked = self.parked, []
--- /dev/null
+++ b/fireflyfork/decisions/jobs/tests/test_arrangement.py
@@ -0,0 +1,180 @@
+"""Services that stand in each other's way: strays are moved to where their like are.
+
+The pattern: lasting tasks of several services came first and fill nine tenths of the processors. Batch
+work uses what they leave over, but each kind of it slows some of the services. In a played day of that
+kind six of nine batch images were heavy beside three of five services, half of the executors served a
+mixture, and two thirds of all batch jobs came too late to be of use although half of the time left over
+was never used.
+"""
+
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from .. import EndReason, LearnedFit, Run
+from .._arrangement import MOVES_AT_ONCE, REST_SECONDS, Usefulness
+from .builders_jobs import START_MS, OwnerUnderTest, job, row, step
+
+HEAVY, LIGHT = 6.0, 0.1
+SERVICES = ("web", "desk")
+PLACES = ("i-0", "i-1", "i-2", "i-3")
+
+
+def _learned(serving: str, effect: float) -> LearnedFit:
+    """What an earlier owner knew: ``noisy`` takes so much headroom beside this service."""
+    weight = 1000.0
+    products = (weight, 0.0, weight)
+    return LearnedFit(serving, ("\x00", "noisy"), products, (2.4 * weight, -effect * weight))
+
+
+def _serving(name: str, image: str, **changes: object) -> object:
+    lasting = step(
+        count=1, cpu_millis=6000, image=image, tail_target_ms=50, long_running=True, **changes
+    )
+    return job(name, lasting)
+
+
+def _owner(*jobs: tuple[str, str, int]) -> OwnerUnderTest:
+    """An owner whose executors serve these: job's number, image, executor's number."""
+    owner = OwnerUnderTest(*PLACES)
+    owner.scheduler.adopt((_learned("web", HEAVY), _learned("desk", LIGHT)))
+    for number, image, place in jobs:
+        spec = _serving(f"{int(number):016x}", image)
+        owner.scheduler.accept(spec, START_MS)  # type: ignore[arg-type]
+        others = [one for one in PLACES if one != PLACES[place]]
+        _keep_away(owner, others, True)
+        owner.place()
+        _keep_away(owner, others, False)
+    return owner
+
+
+def _keep_away(owner: OwnerUnderTest, names: list[str], away: bool) -> None:
+    for name in names:
+        owner.executor(name).emptied = away
+
+
+def _poll_all(owner: OwnerUnderTest) -> None:
+    for name in PLACES:
+        runs = [run for run in owner.executor(name).runs.values() if run.works]
+        owner.poll(name, *(row(run, 100, 20.0) for run in runs))
+
+
+def _let_batch_wait(owner: OwnerUnderTest) -> None:
+    noisy = step(count=40, cpu_millis=3000, memory_mb=5000, uses_leftover_cpu=True, image="noisy")
+    owner.scheduler.accept(job("00000000000000bb", noisy), START_MS)
+    owner.place()
+
+
+def _mix(owner: OwnerUnderTest) -> list[dict[str, int]]:
+    return [dict(owner.executor(name).serving) for name in PLACES]
+
+
+def _settle(owner: OwnerUnderTest, seconds: float) -> list[Run]:
+    """Carry out what the owner orders for so long. Returns the lasting runs that it stopped."""
+    stopped: list[Run] = []
+    for _ in range(int(seconds / 0.1)):
+        owner.tick(0.1)
+        for run in owner.stops():
+            stopped.append(run)
+            owner.answer_stop(run)
+            name = str(run.executor.executor)
+            owner.end(name, run.task.name, run.attempt, EndReason.STOPPED)
+        _poll_all(owner)
+        owner.place()
+    return [run for run in stopped if run.task.spec.long_running]
+
+
+MIXED = (("1", "web", 0), ("2", "desk", 0), ("3", "web", 1), ("4", "desk", 1))
+
+
+class MovesTest(unittest.TestCase):
+    """Which tasks are moved, and how."""
+
+    def test_two_mixed_executors_become_pure_ones(self) -> None:
+        """Two executors serve both services, and no batch job finds a place beside either. With the
+        services sorted, one executor takes batch work at its full pace.
+        """
+        owner = _owner(*MIXED)
+        _let_batch_wait(owner)
+        _poll_all(owner)
+        moved = _settle(owner, 4.0)
+        self.assertLessEqual(len(moved), 2)
+        self.assertTrue(any(set(mix) == {"desk"} for mix in _mix(owner)), _mix(owner))
+        self.assertEqual(sum(mix.get("web", 0) for mix in _mix(owner)), 2)
+
+    def test_nothing_is_moved_while_no_work_waits(self) -> None:
+        """Each move takes a service's task away for half a second, which its users notice."""
+        owner = _owner(*MIXED)
+        _poll_all(owner)
+        self.assertEqual(_settle(owner, 4.0), [])
+
+    def test_one_task_of_a_step_is_moved_at_a_time(self) -> None:
+        owner = _owner()
+        for number, image in enumerate(SERVICES):
+            spec = job(
+                f"{number:016x}",
+                step(
+                    count=2,
+                    cpu_millis=6000,
+                    image=image,
+                    tail_target_ms=50,
+                    long_running=True,
+                    per_executor_limit=1,
+                ),
+            )
+            owner.scheduler.accept(spec, START_MS)
+        _keep_away(owner, ["i-2", "i-3"], True)
+        owner.place()
+        _keep_away(owner, ["i-2", "i-3"], False)
+        _let_batch_wait(owner)
+        _poll_all(owner)
+        for _ in range(40):
+            owner.tick(0.1)
+            stops = owner.stops()
+            self.assertLessEqual(len({run.task.step_id for run in stops}), len(SERVICES))
+            self.assertEqual(len(stops), len({run.task.step_id for run in stops}))
+            self.assertLessEqual(len(stops), MOVES_AT_ONCE)
+
+    def test_a_moved_task_rests(self) -> None:
+        """What is known of pairs wavers. A task that followed each change would be away all day."""
+        owner = _owner(*MIXED)
+        _let_batch_wait(owner)
+        _poll_all(owner)
+        first = _settle(owner, 4.0)
+        owner.scheduler.adopt((_learned("web", LIGHT), _learned("desk", HEAVY)))
+        again = _settle(owner, REST_SECONDS / 2)
+        self.assertFalse({run.task.name for run in first} & {run.task.name for run in again})
+
+    def test_the_room_that_is_kept_goes_to_nobody_else(self) -> None:
+        """A task is on its way from one executor to another. An urgent one that comes in between must
+        not take its room: the executor would hold more than it can when the first one arrives.
+        """
+        owner = _owner(*MIXED)
+        _let_batch_wait(owner)
+        _poll_all(owner)
+        for _ in range(20):
+            owner.tick(0.1)
+            if owner.scheduler.executors and any(
+                owner.executor(name).promised_cpu_millis for name in PLACES
+            ):
+                break
+        place = next(name for name in PLACES if owner.executor(name).promised_cpu_millis)
+        free = owner.executor(place).free_cpu_millis
+        self.assertFalse(owner.executor(place).fits(free + 1000, 1000, 0))
+        self.assertTrue(owner.executor(place).fits(free, 1000, 0))
+
+
+class UsefulnessTest(unittest.TestCase):
+    """What an executor is good for."""
+
+    @given(st.sets(st.sampled_from(("web", "desk", "third")), max_size=3))
+    @settings(max_examples=20)
+    def test_more_images_are_never_of_more_use(self, images: set[str]) -> None:
+        owner = _owner(("1", "web", 0))
+        worth = Usefulness(owner.scheduler._work.interference, {"noisy": 1.0, "x": 2.0}, 0.5)
+        executor = owner.executor("i-0")
+        for image in images:
+            self.assertGreaterEqual(
+                worth.of(executor, images - {image}) + 1e-9, worth.of(executor, images)
+            )
