A planned hand-over ends polls first, and no longer waits for a busy service to fall silent

Ruled out: the store (no call failed), missing candidates (four served). Change: polls end first; what executors list from then on stays there for the next owner.

--- a/fireflyfork/programs/_executor_polls.py
+++ b/fireflyfork/programs/_executor_polls.py
@@ -55,8 +55,13 @@
         self._lease_ms = int(lease_seconds * 1000)
         self._store_contact = store_contact
         self._kick = kick
+        self._ended = False
         self._wake: dict[ExecutorState, trio.Event] = {}
 
+    def end(self) -> None:
+        """Take in nothing more: what executors list from now on is the next owner's to act upon."""
+        self._ended = True
+
     def wake(self, executor: ExecutorState) -> None:
         """Something was sent to an executor that may be idle."""
         event = self._wake.get(executor)
@@ -66,7 +71,7 @@
     async def run(self, executor: ExecutorState) -> None:
         """Poll until the executor is gone for good. Raises OwnershipLostError."""
         try:
-            while self._scheduler.executors.get(executor.executor) is executor:
+            while not self._ended and self._scheduler.executors.get(executor.executor) is executor:
                 await self._pause(executor)
                 await self._poll(executor)
         finally:
@@ -79,6 +84,8 @@
         answer = await self._calls.poll(
             place, self._term.token, forget, self._lease(executor, sent_at), self._wait(executor)
         )
+        if self._ended:
+            return
         now = self._clock.now()
         if answer.outcome is CallOutcome.FENCED:
             raise OwnershipLostError(f"{executor.executor} has seen a higher token")
--- a/fireflyfork/programs/_service_owner.py
+++ b/fireflyfork/programs/_service_owner.py
@@ -183,8 +183,14 @@
             logger.info("ownership lost", service=self._service, reason=str(errors.exceptions[0]))
 
     async def resign(self, seconds: float) -> None:
-        """Start nothing more, store what is known, and end ``run``."""
+        """Start nothing more, store what is known, and end ``run``.
+
+        Polls end first. On a busy service each brings ends that have to be stored, and waiting until
+        none is left took all of the time allowed, while no task was placed. What is not taken in stays
+        on the executors' lists for the next owner.
+        """
         self._resigning = True
+        self._polls.end()
         with trio.move_on_after(seconds):
             try:
                 while len(self._scheduler.jobs.changes):
--- a/fireflyfork_standins/scheduling/_nodes.py
+++ b/fireflyfork_standins/scheduling/_nodes.py
@@ -241,6 +241,12 @@
         """Whether it takes itself for the owner."""
         return self._candidate is not None and self._candidate.owner is not None
 
+    @property
+    def decides(self) -> bool:
+        """Whether it owns the service and has read what it needs."""
+        owner = self._candidate.owner if self._candidate is not None else None
+        return owner is not None and owner.ready
+
     async def awake(self) -> None:
         """Wait until it is not frozen."""
         await self._awake.wait()
--- a/fireflyfork_standins/scheduling/_troubles.py
+++ b/fireflyfork_standins/scheduling/_troubles.py
@@ -36,9 +36,10 @@
 UPKEEP_TROUBLES = (*TROUBLES, "upkeep_lost")
 """Those of days with waves of upkeep. Kept apart: a seed draws its kinds by their places in the tuple,
 and seeds that once showed a fault have to play the same day for ever."""
-ALL_TROUBLES = (*UPKEEP_TROUBLES, "executor_slow")
+ALL_TROUBLES = (*UPKEEP_TROUBLES, "executor_slow", "graceful_stop")
 """All there are, for new seeds."""
 RESTART_SECONDS = 0.7
+GRACE_SECONDS = 2.0
 
 
 class Troubles:
@@ -59,6 +60,8 @@
         """For so many seconds, one each ``gap_seconds`` on average."""
         self.log: list[str] = []
         """When which came."""
+        self.longest_hand_over = 0.0
+        """From the planned stop of an owner, in seconds, until another one decides."""
         self._service = service
         self._nodes = nodes
         self._executors = executors
@@ -121,6 +124,24 @@
             if not node.up:
                 nursery.start_soon(node.live, nursery)
 
+    async def _graceful_stop(self, nursery: trio.Nursery) -> None:
+        """As the platform does it: the process has seconds to end what it has begun."""
+        node = self._some_node()
+        if node.decides:
+            nursery.start_soon(self._time_hand_over, node)
+        await node.stop()
+        await trio.sleep(GRACE_SECONDS)
+        node.kill()
+        await trio.sleep(RESTART_SECONDS)
+        if not node.up:
+            nursery.start_soon(node.live, nursery)
+
+    async def _time_hand_over(self, stopped: StandInNode) -> None:
+        begun = trio.current_time()
+        while not any(node.decides for node in self._nodes if node is not stopped):
+            await trio.sleep(0.01)
+        self.longest_hand_over = max(self.longest_hand_over, trio.current_time() - begun)
+
     async def _store_down(self, _: trio.Nursery) -> None:
         self._store.trouble.down = True
         await trio.sleep(self._for_seconds())
--- a/fireflyfork_standins/scheduling/_world.py
+++ b/fireflyfork_standins/scheduling/_world.py
@@ -80,6 +80,8 @@
     store_calls: int = 0
     longest_wait: float = 0.0
     """Of all jobs that ran, the longest time in seconds from acceptance to the first start."""
+    longest_hand_over: float = 0.0
+    """From the planned stop of an owner, in seconds, until another one decided."""
     waves_over: int = 0
     keys_left: int = 0
     """Jobs that the store still holds at the end."""
@@ -170,6 +172,7 @@
             await self._settle()
             nursery.cancel_scope.cancel()
         self._report.starts = self._history.starts
+        self._report.longest_hand_over = self._troubles.longest_hand_over
         self._report.longest_wait = self._history.longest_wait()
         self._report.keys_left = len(self._store.under(JOB_PREFIX))
         self._report.store_calls = self._store.calls
--- a/fireflyfork_standins/tests/test_scheduling_days.py
+++ b/fireflyfork_standins/tests/test_scheduling_days.py
@@ -29,6 +29,8 @@
 )
 
 THIN_PROFILE = Profile(troubles=("kill",), trouble_gap_seconds=5.0)
+LONGEST_HAND_OVER = 0.5
+"""Seconds. Storing what is left, asking for the ownership and reading take some 0.1 s together."""
 LONGEST_WAIT = 3.0
 """Seconds. A lease of 1.2 s has to lapse, and two changes of owner may follow each other."""
 UPKEEP_PROFILE = Profile(waves=2, jobs_per_second=1.0)
@@ -136,6 +138,29 @@
         self.assertEqual(report.violations, [])
 
 
+class HandOverTest(unittest.TestCase):
+    """Planned stops of owners."""
+
+    def test_a_planned_stop_of_a_busy_owner_leaves_no_gap(self) -> None:
+        """An operator restarts the instances one after the other. The owner waited until everything was
+        stored, but its executors reported further ends all the while, so it held on for as long as it
+        could; for almost two seconds no task was placed.
+        """
+        busy = Profile(
+            executors=10,
+            seconds=12.0,
+            jobs_per_second=10.0,
+            troubles=("graceful_stop",),
+            trouble_gap_seconds=4.0,
+        )
+        for seed in (500, 501):
+            with self.subTest(seed):
+                report = run_world(seed, busy)
+                self.assertEqual(report.violations, [])
+                self.assertGreater(report.longest_hand_over, 0.0)
+                self.assertLess(report.longest_hand_over, LONGEST_HAND_OVER)
+
+
 class SlowExecutorsTest(unittest.TestCase):
     """Days on which executors turn slow, and a third of the steps may be copied."""
 
