--- a/fireflyfork/programs/tests/test_prefix_watch.py
+++ b/fireflyfork/programs/tests/test_prefix_watch.py
@@ -61,3 +61,30 @@
         self.assertGreater(calls, 150)
         self.assertLess(gathered, 30)
         self.assertLess(latest, 0.5)
+
+    def test_what_is_written_while_an_answer_is_on_its_way_is_heard_of(self) -> None:
+        """Answers take their time on a thin link, and jobs go on being accepted meanwhile. The answer told
+        of fewer changes than it claimed to: a job accepted in between was never placed.
+        """
+
+        async def main() -> set[str]:
+            store, heard = StandInStore(Random(1)), set[str]()
+            watch = PrefixWatch(
+                store.client(NodeName("n-0"), link_mbps=0.001),
+                "jobs/",
+                2.0,
+                lambda _: None,
+                lambda change: heard.add(change.key),
+            )
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(store.run)
+                nursery.start_soon(watch.run)
+                for number in range(20):
+                    await trio.sleep(0.05)
+                    store.put(f"jobs/{number}", b"x" * 20)
+                await trio.sleep(20.0)
+                nursery.cancel_scope.cancel()
+            return heard
+
+        heard = trio.run(main, clock=MockClock(autojump_threshold=0))
+        self.assertEqual(heard, {f"jobs/{number}" for number in range(20)})
--- a/fireflyfork_standins/scheduling/_store.py
+++ b/fireflyfork_standins/scheduling/_store.py
@@ -260,9 +260,9 @@
             while not self._store.changes_after(prefix, after):
                 await self._store.changed()
         self._fail_if_unreachable()
-        found = self._store.changes_after(prefix, after)
+        found, as_of = self._store.changes_after(prefix, after), self._store.revision
         await self._transfer(len(change.item.value) for change in found if change.item)
-        return StoreChanges(found, self._store.revision)
+        return StoreChanges(found, as_of)
 
     async def commit(
         self,
