Only tasks that room and limits alone place are moved

Found by reading the change: the place that is kept for a moved task counts processors and memory, not accelerators, tickets, racks or gangs. A task with an accelerator would have been started where none was left. Such tasks stay where they are.

--- a/fireflyfork/decisions/jobs/_arrangement.py
+++ b/fireflyfork/decisions/jobs/_arrangement.py
@@ -263,5 +263,18 @@
 
 def _movable(run: Run, now: float) -> bool:
     task: Task = run.task
+    if not task.spec.long_running or _is_bound(task):
+        return False
     rested = now - task.moved_at >= REST_SECONDS
-    return rested and task.spec.long_running and is_at_work(task) and may_be_moved(run)
+    return rested and is_at_work(task) and may_be_moved(run)
+
+
+def _is_bound(task: Task) -> bool:
+    """Whether more than processors, memory and limits decides where a task may go.
+
+    A place that is kept counts only those. A task that needs an accelerator would be started where there
+    is none left, one with a ticket where it has none, and a member of a gang away from the others.
+    """
+    spec = task.spec
+    bound = spec.accelerators or spec.gang or spec.same_rack or spec.data_rack
+    return bool(bound) or task.job.queue.needs_tickets
--- a/fireflyfork/decisions/jobs/tests/test_arrangement.py
+++ b/fireflyfork/decisions/jobs/tests/test_arrangement.py
@@ -8,6 +8,7 @@
 """
 
 import unittest
+from dataclasses import replace
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -103,6 +104,24 @@
         self.assertTrue(any(set(mix) == {"desk"} for mix in _mix(owner)), _mix(owner))
         self.assertEqual(sum(mix.get("web", 0) for mix in _mix(owner)), 2)
 
+    def test_what_is_bound_by_more_than_room_stays(self) -> None:
+        """A service's task holds an accelerator. Moved like any other, it came to an executor whose
+        accelerators were all taken, which then held more than it has.
+        """
+        for changes in (
+            {"accelerators": 1},
+            {"gang": True},
+            {"same_rack": True},
+            {"data_rack": "r1"},
+        ):
+            with self.subTest(changes):
+                owner = _owner(*MIXED)
+                for task in owner.scheduler.jobs.live_tasks():
+                    task.spec = replace(task.spec, **changes)
+                _let_batch_wait(owner)
+                _poll_all(owner)
+                self.assertEqual(_settle(owner, 3.0), [])
+
     def test_nothing_is_moved_while_no_work_waits(self) -> None:
         """Each move takes a service's task away for half a second, which its users notice."""
         owner = _owner(*MIXED)
