Equally slow instances no longer hand a service on for ever; the stand-in's keys follow their last lease

Cause, in the product: an instance that had given up counted for a fifth and so took the others, equally slow, for stronger, and gave up again after 4 s; and 30 s later all were equals again. Cause, in the stand-in: the end of an owner's lease removed its key although a successor had written it anew. Change: giving up compares what instances can carry, for equals only once in 300 s; a key goes with the lease that it was last written under.

--- a/fireflyfork/programs/_announcements.py
+++ b/fireflyfork/programs/_announcements.py
@@ -18,8 +18,10 @@
 RENEW_SECONDS = 2.0
 FAR_STORE_SECONDS = 0.02
 """A round trip above this crosses regions: 40 ms, against 5 ms inside one."""
-SHAKEN_SECONDS = 30.0
-"""An instance that had to give a service up leaves it to others for so long."""
+SHAKEN_SECONDS = 300.0
+"""An instance that had to give a service up leaves it to others for so long: a thin link stays thin. Were
+it shorter than the slowest recovery, equally slow instances would hand the service on for ever, each
+before it is done."""
 SHAKEN_SHARE = 0.2
 """What it counts for meanwhile: it serves only when hardly any other can."""
 
@@ -54,10 +56,18 @@
     @property
     def own(self) -> Standing:
         """What this instance counts for now."""
-        own = strength(self._processors, self._link_mbps, self._near)
-        if self._clock.now() < self._shaken_until:
-            own *= SHAKEN_SHARE
-        return Standing(self._node, own)
+        share = SHAKEN_SHARE if self.shaken else 1.0
+        return Standing(self._node, share * self.capable.strength)
+
+    @property
+    def capable(self) -> Standing:
+        """What this instance can carry, whatever it failed at."""
+        return Standing(self._node, strength(self._processors, self._link_mbps, self._near))
+
+    @property
+    def shaken(self) -> bool:
+        """Whether it had to give a service up not long ago."""
+        return self._clock.now() < self._shaken_until
 
     def note_round_trip(self, seconds: float) -> None:
         """A small question to the store took so long.
--- a/fireflyfork/programs/_service_owner.py
+++ b/fireflyfork/programs/_service_owner.py
@@ -332,9 +332,11 @@
             await trio.sleep(RECOVERY_SECONDS)
             if self._ready:
                 return
-            own = self._announcements.own
+            own = self._announcements.capable
             others = [one for one in await self._announced() if one.node != own.node]
-            if can_do_better(own, others, equals=periods >= PERIODS_FOR_EQUALS):
+            # Given up for equals a second time, the service would go round among slow instances for ever.
+            equals = periods >= PERIODS_FOR_EQUALS and not self._announcements.shaken
+            if can_do_better(own, others, equals):
                 logger.warning(
                     "ownership given up: recovery takes too long",
                     service=self._service,
--- a/fireflyfork_standins/scheduling/_store.py
+++ b/fireflyfork_standins/scheduling/_store.py
@@ -154,14 +154,23 @@
             item = StoredItem(put.key, put.value, revision, created)
             self._items[put.key] = item
             self._history.append(StoreChange(put.key, revision, item))
-            if put.lease is not None:
-                self._leases[put.lease].keys.add(put.key)
+            self._attach(put.key, put.lease)
         for key in removals:
+            self._attach(key, None)
             if self._items.pop(key, None) is not None:
                 self._history.append(StoreChange(key, revision, None))
         self._notify()
         return revision
 
+    def _attach(self, key: str, lease: LeaseId | None) -> None:
+        """A key goes with the lease that it was last written under, and with no earlier one."""
+        before = self._lease_of.pop(key, None)
+        if before is not None:
+            self._leases[before].keys.discard(key)
+        if lease is not None:
+            self._lease_of[key] = lease
+            self._leases[lease].keys.add(key)
+
     def grant(self, seconds: float) -> LeaseId:
         """A new lease."""
         lease = LeaseId(len(self._leases) + 1000)
