--- a/fireflyfork_standins/tests/test_scheduling_days.py
+++ b/fireflyfork_standins/tests/test_scheduling_days.py
@@ -193,7 +193,7 @@
 
         real = Scheduler.recover
         with patch.object(Scheduler, "recover", recover):
-            self.assertIn("one at a time", self._broken(range(1, 9), ("kill", "executor_cut")))
+            self.assertIn("one at a time", self._broken(range(1, 20), ("kill", "executor_cut")))
 
     def test_giving_room_away_before_an_end_is_listed_overfills_executors(self) -> None:
         def fits(self: ExecutorState, cpu_millis: int, memory_mb: int, accelerators: int) -> bool:
