Orders that an executor's next life may have carried out are stopped there before the task goes on

An executor began anew under its id; the owner, which had not heard of it, sent a start that the new life carried out, then heard of the new life and took all runs for gone with the last. Ruled out: the stand-in (the platform too tells of a life in lists of runs only, and orders name the id). Change: runs ordered after the earlier life's last answer are stopped in the new one, and their tasks wait until that is certain.

--- a/fireflyfork/decisions/jobs/_work.py
+++ b/fireflyfork/decisions/jobs/_work.py
@@ -145,12 +145,23 @@
     def reborn(
         self, executor: ExecutorState, registration: ExecutorRegistration, now: float
     ) -> None:
-        """The executor started anew: what ran in its earlier life is over."""
+        """The executor started anew: what ran in its earlier life is over.
+
+        Orders name the executor, not its life. One that was sent after the earlier life had last answered
+        may have begun in the new one; taken for over, its task would run in two places. So it is stopped
+        there, and its task waits until that is certain.
+        """
         runs = tuple(executor.runs.values())
+        answered_at = executor.polled_at
         self.notes.append(ExecutorGivenUp(executor.executor, len(runs), "it has started anew"))
         executor.begin_incarnation(registration, now)
         for run in runs:
-            self.gone(run, now)
+            if answered_at is not None and run.ordered_at > answered_at:
+                run.phase = RunPhase.UNSURE
+                run.barred_at = None
+                self.stop(run, now)
+            else:
+                self.gone(run, now)
 
     def forget_if_over(self, executor: ExecutorState, now: float) -> None:
         """What ran on an executor that doesn't answer is over once its lease has lapsed."""
--- a/fireflyfork_standins/tests/test_scheduling_days.py
+++ b/fireflyfork_standins/tests/test_scheduling_days.py
@@ -23,6 +23,8 @@
     (2, ("executor_crash",)),
     (6, ("executor_crash",)),
     (105, ("freeze", "executor_crash")),
+    # An order that the next life of an executor had carried out was taken to have gone with the last.
+    (11, ("executor_reborn",)),
     # The stand-in took runs of two lives for one, and carried an order out in a process that was gone.
     (1139, TROUBLES),
     (1182, TROUBLES),
