The log tells on which evidence a task's run before was taken to be over

A task that had ended well was started again, and no line said why its first run was taken to be over, nor in which of its lives the executor was. Each start now carries the evidence and the executor's incarnation, and an executor that a successor gave up waiting for is logged.

--- a/fireflyfork/decisions/jobs/__init__.py
+++ b/fireflyfork/decisions/jobs/__init__.py
@@ -6,6 +6,7 @@
 from ._interference import LearnedFit
 from ._job_table import JobTable
 from ._notes import ExecutorGivenUp, JobOver, Note, RunEnded, TaskSent
+from ._overs import RunOver
 from ._progress import JobState, StoredProgress, StoredTask
 from ._queues import QueueTable, QueueTerms, queue_table
 from ._reports import (
@@ -66,6 +67,7 @@
     "Run",
     "RunCommand",
     "RunEnded",
+    "RunOver",
     "RunPhase",
     "RunningRow",
     "Scheduler",
--- a/fireflyfork/decisions/jobs/_notes.py
+++ b/fireflyfork/decisions/jobs/_notes.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from ..._ids import ExecutorId, JobId, TaskName
+from ._overs import RunOver
 from ._progress import JobState
 from ._reports import EndReason
 from ._waits import WaitReason
@@ -17,6 +18,8 @@
     task: TaskName
     attempt: int
     executor: ExecutorId
+    incarnation: int
+    """The executor's, as far as this owner knows."""
     job_age_ms: int
     """Since its job was accepted, by the clocks of two instances."""
     polled_ms_ago: int
@@ -25,6 +28,8 @@
     """Failures in a row that the executor was known for."""
     waited_for: WaitReason
     """Why it found no place when it was last looked for; ``NOTHING`` when one was there at once."""
+    after: RunOver
+    """On which evidence its last run was taken to be over."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,8 +60,9 @@
     """What ran on an executor is taken to be over."""
 
     executor: ExecutorId
+    incarnation: int
     runs: int
-    why: str
+    why: RunOver
 
 
 Note = TaskSent | RunEnded | JobOver | ExecutorGivenUp
--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -204,8 +204,10 @@
         run.task.name,
         run.attempt,
         executor.executor,
+        executor.registration.incarnation,
         now_ms - run.task.job.spec.accepted_ms,
         int((now - polled_at) * 1000),
         executor.strikes,
         run.task.waits_for,
+        run.task.last_over,
     )
--- a/fireflyfork/decisions/jobs/_report_handling.py
+++ b/fireflyfork/decisions/jobs/_report_handling.py
@@ -10,6 +10,7 @@
 from ._gangs import failures, members, save
 from ._job_table import terms_without_queue
 from ._notes import RunEnded
+from ._overs import RunOver
 from ._pacing import BACKGROUND_PACE, adjust_pace
 from ._progress import JobState
 from ._reports import CallOutcome, EndedRow, EndReason, OrderAnswer, PollAnswer, RunningRow
@@ -54,7 +55,7 @@
             # Where the next try differs in nothing it is as likely to be refused; sent as soon as the
             # answer came, such orders would go out hundreds of times a second.
             differs = outcome in _OF_THE_EXECUTOR or outcome is CallOutcome.NO_TICKET
-            self._work.gone(run, now, at_once=differs)
+            self._work.gone(run, now, RunOver.REFUSED, at_once=differs)
 
     def stop_answered(self, run: Run, answer: OrderAnswer, now: float) -> None:
         """An executor answered the order to stop, or didn't."""
@@ -118,7 +119,7 @@
         elif row.reason is EndReason.FAILED:
             self._task_failed(task, row, executor, now, now_ms)
         if run is not None:
-            self._work.gone(run, now)
+            self._work.gone(run, now, RunOver.ENDED)
         task.attempt = max(task.attempt, row.attempt)
         self._work.jobs.note_changed(task.job)
 
@@ -184,7 +185,7 @@
     def _not_listed(self, run: Run, sent_at: float, now: float) -> None:
         """It has ended and is forgotten, never came, or came after the list was made."""
         if run.barred_at is not None and run.barred_at <= sent_at:
-            self._work.gone(run, now)
+            self._work.gone(run, now, RunOver.NOT_LISTED)
         elif run.phase is RunPhase.RUNNING and (run.confirmed_at or now) < sent_at:
             # Nothing explains this but a list that was overtaken. Stopping it bars the attempt, so
             # that it can't come back beside its successor.
--- a/fireflyfork/decisions/jobs/_runs.py
+++ b/fireflyfork/decisions/jobs/_runs.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from ..._ids import AttemptNumber, ExecutorId, TaskName
+from ._overs import RunOver
 from ._progress import JobState, StoredProgress, StoredTask
 from ._queues import QueueTerms
 from ._specs import JobSpec, StepSpec, TaskKey
@@ -102,6 +103,8 @@
     """Why it found no place when it was last looked for."""
     waiting: bool = False
     """Whether it stands in the queue of tasks to place."""
+    last_over: RunOver = RunOver.NO_RUN
+    """On which evidence its last run was taken to be over."""
 
     @property
     def step_id(self) -> StepId:
--- a/fireflyfork/decisions/jobs/_work.py
+++ b/fireflyfork/decisions/jobs/_work.py
@@ -13,6 +13,7 @@
 from ._interference import InterferenceModel
 from ._job_table import JobTable
 from ._notes import ExecutorGivenUp, JobOver, Note
+from ._overs import RunOver
 from ._progress import JobState
 from ._promises import PromiseBook
 from ._runs import Job, Run, RunPhase, Task
@@ -97,10 +98,11 @@
         run.stop_sent_at = now
         self.commands.append(StopRun(run))
 
-    def gone(self, run: Run, now: float, at_once: bool = True) -> None:
+    def gone(self, run: Run, now: float, why: RunOver, at_once: bool = True) -> None:
         """A run is certainly over, or never was; its task may start again, at once or with the tick."""
         run.executor.remove(run)
         task = run.task
+        task.last_over = why
         if run in task.runs:
             task.runs.remove(run)
         if task.spec.gang and task.key in task.job.tasks:
@@ -153,7 +155,7 @@
         """
         runs = tuple(executor.runs.values())
         answered_at = executor.polled_at
-        self.notes.append(ExecutorGivenUp(executor.executor, len(runs), "it has started anew"))
+        self._note_given_up(executor, RunOver.NEW_INCARNATION)
         executor.begin_incarnation(registration, now)
         for run in runs:
             if answered_at is not None and run.ordered_at > answered_at:
@@ -161,17 +163,16 @@
                 run.barred_at = None
                 self.stop(run, now)
             else:
-                self.gone(run, now)
+                self.gone(run, now, RunOver.NEW_INCARNATION)
 
     def forget_if_over(self, executor: ExecutorState, now: float) -> None:
         """What ran on an executor that doesn't answer is over once its lease has lapsed."""
         reached = executor.polled_at is not None
         if reached and not executor.answers and executor.lease_has_lapsed(now):
             if executor.runs:
-                lost = len(executor.runs)
-                self.notes.append(ExecutorGivenUp(executor.executor, lost, "its lease lapsed"))
+                self._note_given_up(executor, RunOver.LEASE_LAPSED)
             for run in tuple(executor.runs.values()):
-                self.gone(run, now)
+                self.gone(run, now, RunOver.LEASE_LAPSED)
         over = not executor.runs and executor.executor not in self.unreached
         if over and not executor.registered and not executor.answers:
             self.executors.pop(executor.executor, None)
@@ -187,12 +188,17 @@
         given_up = [one for one, until in self.unreached.items() if until <= now]
         for executor in given_up:
             del self.unreached[executor]
+            self._note_given_up(self.executors[executor], RunOver.LEASE_LAPSED)
         if given_up:
             # What ran there used attempt numbers that nobody knows.
             for task in self.held:
                 task.attempt = AttemptNumber(task.attempt + 1)
             self.release_held(now)
 
+    def _note_given_up(self, executor: ExecutorState, why: RunOver) -> None:
+        incarnation = executor.registration.incarnation
+        self.notes.append(ExecutorGivenUp(executor.executor, incarnation, len(executor.runs), why))
+
     def release_held(self, now: float) -> None:
         """Let tasks go that waited for executors, once none is left to wait for."""
         if self.unreached:
--- a/fireflyfork/programs/tests/test_decision_log.py
+++ b/fireflyfork/programs/tests/test_decision_log.py
@@ -12,6 +12,7 @@
     JobState,
     Note,
     RunEnded,
+    RunOver,
     TaskSent,
     WaitReason,
 )
@@ -49,7 +50,7 @@
     def test_each_kind_is_counted(self) -> None:
         for note, line in (
             (
-                TaskSent(TASK, 1, EXECUTOR, 40, 10, 0, WaitReason.NOTHING),
+                TaskSent(TASK, 1, EXECUTOR, 7, 40, 10, 0, WaitReason.NOTHING, RunOver.NO_RUN),
                 'fireflyfork_tasks_sent_total{again="false"} 1',
             ),
             (
@@ -61,7 +62,7 @@
                 'fireflyfork_jobs_over_total{in_time="true",state="completed"} 1',
             ),
             (
-                ExecutorGivenUp(EXECUTOR, 3, "its lease lapsed"),
+                ExecutorGivenUp(EXECUTOR, 7, 3, RunOver.LEASE_LAPSED),
                 "fireflyfork_runs_given_up_total 3",
             ),
         ):
