Failing tests: a list of ends that is cut is taken to be whole

An executor lists 500 ends at once, and the rest only when these may be forgotten, which needs the store. A run whose end doesn't fit on the list is then neither among the runs nor among the ends: the owner stops it, takes it for gone and starts it again, and a new owner does so at once. PollAnswer gets the field by which the platform's side can tell; nothing sets or heeds it yet.

--- a/fireflyfork/decisions/jobs/_reports.py
+++ b/fireflyfork/decisions/jobs/_reports.py
@@ -88,6 +88,8 @@
     incarnation: int | None = None
     running: tuple[RunningRow, ...] = ()
     ended: tuple[EndedRow, ...] = ()
+    ends_may_be_cut: bool = False
+    """Whether more may have ended there than it lists: the list is as long as one can be."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/fireflyfork/decisions/jobs/tests/builders_jobs.py
+++ b/fireflyfork/decisions/jobs/tests/builders_jobs.py
@@ -142,6 +142,7 @@
         *rows: RunningRow,
         incarnation: int = 1,
         sent_at: float | None = None,
+        ends_may_be_cut: bool = False,
     ) -> None:
         """An executor lists these runs, and the ends noted by ``end``."""
         answer = PollAnswer(
@@ -150,6 +151,7 @@
             incarnation,
             rows,
             tuple(self.ends.get(name, ())),
+            ends_may_be_cut,
         )
         sent = self.now if sent_at is None else sent_at
         self.scheduler.poll_answered(
