A list of ends that may be cut says nothing about what it lacks

Callers would have had tasks run twice: after a store outage in which one executor ended more than 500 runs, those behind the 500th were neither among the runs nor among the ends, were stopped, taken for gone and started again; a new owner started them at its first answer.

While it may be, a run that is on neither list stays as it is, and a new owner goes on waiting for the executor, beyond its usual wait as well, for as long as it answers or its lease goes on. The list gets on as soon as the first ends are stored, so nothing waits for longer than the store is away.

--- a/fireflyfork/decisions/jobs/_work.py
+++ b/fireflyfork/decisions/jobs/_work.py
@@ -185,7 +185,11 @@
 
     def give_up_unreached(self, now: float) -> None:
         """Executors that never answered run nothing of an earlier owner's any more."""
-        given_up = [one for one, until in self.unreached.items() if until <= now]
+        given_up = [
+            one
+            for one, until in self.unreached.items()
+            if until <= now and not self._has_ends_to_list(one, now)
+        ]
         for executor in given_up:
             del self.unreached[executor]
             self._note_given_up(self.executors[executor], RunOver.LEASE_LAPSED)
@@ -195,6 +199,16 @@
                 task.attempt = AttemptNumber(task.attempt + 1)
             self.release_held(now)
 
+    def _has_ends_to_list(self, name: ExecutorId, now: float) -> bool:
+        """Whether an executor listed only some of its ends, and its lease goes on by our polls.
+
+        What stands further down its list may be the good end of a task that is held.
+        """
+        executor = self.executors.get(name)
+        if executor is None or executor.polled_at is None:
+            return False
+        return executor.answers or not executor.lease_has_lapsed(now)
+
     def _note_given_up(self, executor: ExecutorState, why: RunOver) -> None:
         incarnation = executor.registration.incarnation
         self.notes.append(ExecutorGivenUp(executor.executor, incarnation, len(executor.runs), why))
--- /dev/null
+++ b/fireflyfork/platform/tests/test_end_lists.py
@@ -0,0 +1,44 @@
+"""Whether a list of ends may be cut, as executors answer over HTTP."""
+
+import unittest
+from unittest.mock import patch
+
+import msgspec
+import trio
+
+from ..._ids import ExecutorId, FencingToken
+from ..._links import Address
+from ...adapters import ExecutorPlace
+from ...decisions.jobs import PollAnswer
+from .. import PlatformExecutors
+from .._http_calls import CallAnswer, JsonCalls
+
+
+def _poll(ends: int) -> PollAnswer:
+    """What a poll tells whose answer lists so many ends."""
+    rows = [[number + 1, f"a.0.0.{number}", 1, "done", ""] for number in range(ends)]
+    body = msgspec.json.encode({"clock_ms": 5, "running": [], "ended": rows})
+
+    async def answered(*_: object, **__: object) -> CallAnswer:
+        return CallAnswer(200, body)
+
+    place = ExecutorPlace(ExecutorId("i-0"), Address("10.0.0.1", 80))
+
+    async def main() -> PollAnswer:
+        return await PlatformExecutors().poll(place, FencingToken(1), 0, None, 0.0)
+
+    with patch.object(JsonCalls, "call", answered):
+        return trio.run(main)
+
+
+class EndListsTest(unittest.TestCase):
+    """Executors list five hundred ends at most."""
+
+    def test_a_list_of_the_greatest_length_may_be_cut(self) -> None:
+        """The five hundred and first end isn't on the list, and its task is over all the same. An owner
+        that took the list for whole would start it again.
+        """
+        for ends, cut in ((0, False), (499, False), (500, True)):
+            with self.subTest(ends):
+                answer = _poll(ends)
+                self.assertEqual((len(answer.ended), answer.ends_may_be_cut), (ends, cut))
--- a/fireflyfork_standins/scheduling/_executors.py
+++ b/fireflyfork_standins/scheduling/_executors.py
@@ -39,6 +39,7 @@
 STEP_SECONDS = 0.01
 STOP_SECONDS = 0.05
 LONGEST_LEASE_MS = 6_000
+LONGEST_LIST_OF_ENDS = 500
 
 
 @dataclass(slots=True)
@@ -238,8 +239,14 @@
             RunningRow(run.task, AttemptNumber(run.attempt), self._saved(run), run.percent, 5.0)
             for run in self._life.runs.values()
         )
+        ended = tuple(self._life.ends[:LONGEST_LIST_OF_ENDS])
         return PollAnswer(
-            CallOutcome.ACCEPTED, self.clock_ms, self.born, running, tuple(self._life.ends[:500])
+            CallOutcome.ACCEPTED,
+            self.clock_ms,
+            self.born,
+            running,
+            ended,
+            ends_may_be_cut=len(ended) == LONGEST_LIST_OF_ENDS,
         )
 
     def has_end_after(self, number: int) -> bool:
