Failing tests: a timed task runs again after an owner whose clock is behind took over

An owner starts an occurrence by its clock and is lost. By its successor's clock, up to seconds behind, the occurrence isn't open: its run is stopped as a stranger's, its end, good or not, is dropped and then acknowledged, and what is stored of its attempts is dropped. When the occurrence opens, its tasks run again.

--- a/fireflyfork/decisions/jobs/tests/test_ends.py
+++ b/fireflyfork/decisions/jobs/tests/test_ends.py
@@ -2,9 +2,9 @@
 
 import unittest
 
-from ...._ids import TaskName
-from .. import EndReason, JobState
-from .builders_jobs import START_MS, OwnerUnderTest, job, registration
+from ...._ids import AttemptNumber, TaskName
+from .. import EndReason, JobState, RunningRow, StoredProgress, StoredTask
+from .builders_jobs import START_MS, OwnerUnderTest, job, registration, step
 
 A = "00000000000000aa"
 
@@ -46,3 +46,81 @@
         owner.poll("i-0")
         owner.tick(0.1)
         self.assertEqual(owner.place(), [])
+
+
+class TimedJobsTest(unittest.TestCase):
+    """Occurrences that an earlier owner has begun, by a clock that was ahead of its successor's."""
+
+    def setUp(self) -> None:
+        """The only occurrence becomes due in a second, by the clock of the owner at work now."""
+        self.spec = job(A, repetitions=1, first_due_ms=START_MS + 1000, interval_ms=1000)
+        self.task = TaskName(f"{A}.0.0.0")
+        self.owner = OwnerUnderTest()
+
+    def _take_over(self, progress: StoredProgress | None = None) -> None:
+        self.owner.scheduler.recover(
+            [(self.spec, progress)], [registration("i-0")], [], self.owner.now, START_MS
+        )
+
+    def test_a_task_that_has_ended_well_is_not_run_again_when_its_time_comes(self) -> None:
+        """An owner starts a nightly booking run and dies; the run ends well. By the clock of its successor
+        the run wasn't due yet, so that took the end for one of nothing it knew, let it be forgotten, and
+        made all bookings a second time when its own clock got there.
+        """
+        self._take_over()
+        self.owner.end("i-0", self.task, 1, EndReason.DONE)
+        self.owner.poll("i-0")
+        self.owner.tick(1.1)
+        self.assertEqual(self.owner.place(), [])
+        known = self.owner.scheduler.jobs.get(self.spec.job)
+        assert known is not None
+        self.assertIs(known.state, JobState.COMPLETED)
+
+    def test_a_task_that_runs_goes_on(self) -> None:
+        """The same while it still runs: it was stopped, and started anew beside the one that was stopping
+        when its time came.
+        """
+        self._take_over()
+        found = RunningRow(self.task, AttemptNumber(1), "", 40, 0.0)
+        self.owner.poll("i-0", found)
+        self.assertEqual(self.owner.stops(), [])
+        self.owner.tick(1.1)
+        self.assertEqual(self.owner.place(), [])
+        self.owner.end("i-0", self.task, 1, EndReason.DONE)
+        self.owner.poll("i-0")
+        known = self.owner.scheduler.jobs.get(self.spec.job)
+        assert known is not None
+        self.assertIs(known.state, JobState.COMPLETED)
+
+    def test_attempts_that_were_stored_are_kept(self) -> None:
+        """An owner stores that two attempts were used up and dies. Its successor dropped what was stored of
+        an occurrence that wasn't due by its clock, and sent out the first attempt again, which executors
+        refuse, or a task that had failed too often got all its attempts anew.
+        """
+        stored = StoredTask(0, 0, 0, AttemptNumber(2), (1,))
+        self._take_over(StoredProgress(JobState.RUNNING, tasks=(stored,)))
+        self.owner.poll("i-0")
+        self.owner.tick(1.1)
+        (run,) = self.owner.place()
+        self.assertEqual((run.attempt, run.task.failed_attempts), (3, [1]))
+
+    def test_the_step_after_an_end_that_was_stored_is_known(self) -> None:
+        """The first step is stored as done; a task of the second one runs and ends well."""
+        self.spec = job(
+            A, step(), step(after=(0,)), repetitions=1, first_due_ms=START_MS + 1000, interval_ms=1
+        )
+        self._take_over(StoredProgress(JobState.RUNNING, done=((0, 0, 0),)))
+        self.owner.end("i-0", TaskName(f"{A}.0.1.0"), 1, EndReason.DONE)
+        self.owner.poll("i-0")
+        self.owner.tick(1.1)
+        self.assertEqual(self.owner.place(), [])
+
+    def test_an_occurrence_of_which_nothing_has_run_waits_for_its_time(self) -> None:
+        self.spec = job(A, repetitions=2, first_due_ms=START_MS + 1000, interval_ms=1000)
+        self._take_over()
+        self.owner.end("i-0", self.task, 1, EndReason.DONE)
+        self.owner.end("i-0", TaskName(f"{A}.7.0.0"), 1, EndReason.DONE)
+        self.owner.poll("i-0")
+        self.assertEqual(self.owner.place(), [])
+        self.owner.tick(2.1)
+        self.assertEqual([run.task.name for run in self.owner.place()], [f"{A}.1.0.0"])
