What an executor lists, or what is stored, of an occurrence shows that it is due

Callers had the tasks of a timed job run twice when its owner was lost within the seconds by which its successor's clock was behind: run and end were taken for those of nothing known, the end was let go, and the occurrence began anew when the successor's clock got there.

Whatever runs, has ended or is stored of an occurrence was started by an owner for whom it was due, and it is later now, so the occurrence and those before it are opened. Nothing of it starts earlier than that owner could have started it. Occurrences of which nothing has begun wait for the clock as before.

--- a/fireflyfork/decisions/jobs/_job_table.py
+++ b/fireflyfork/decisions/jobs/_job_table.py
@@ -90,7 +90,8 @@
             job.done = {TaskKey(*key) for key in progress.done}
             job.done_occurrences = progress.done_occurrences
             job.opened_occurrences = progress.done_occurrences
-        ready = self.open_due(job, now_ms)
+        ready = self._open_to(job, progress.begun_occurrences if progress is not None else 0)
+        ready.extend(self.open_due(job, now_ms))
         for stored in progress.tasks if progress is not None else ():
             task = job.tasks.get(TaskKey(stored.occurrence, stored.step, stored.index))
             if task is not None:
@@ -101,17 +102,22 @@
 
     def open_due(self, job: Job, now_ms: int) -> list[Task]:
         """Open the occurrences that have become due. Returns the tasks that may start."""
-        ready: list[Task] = []
-        spec = job.spec
-        while (
-            not job.state.is_final
-            and job.opened_occurrences < spec.occurrence_count
-            and spec.due_ms(job.opened_occurrences) <= now_ms
-        ):
-            occurrence = job.opened_occurrences
-            job.opened_occurrences += 1
-            ready.extend(self._open(job, occurrence))
-        return ready
+        due = job.opened_occurrences
+        while due < job.spec.occurrence_count and job.spec.due_ms(due) <= now_ms:
+            due += 1
+        return self._open_to(job, due)
+
+    def open_begun(self, name: TaskName) -> list[Task]:
+        """A task runs or has ended somewhere, so its occurrence is due. Returns the tasks that may start.
+
+        An earlier owner's clock may be seconds ahead. Its run would be taken for one of nothing that is
+        known, and would run again when this owner's clock gets there.
+        """
+        parsed = parse_task_name(name)
+        job = self._jobs.get(parsed[0]) if parsed is not None else None
+        if parsed is None or job is None or parsed[1].occurrence >= job.spec.occurrence_count:
+            return []
+        return self._open_to(job, parsed[1].occurrence + 1)
 
     def waiting_for_time(self) -> Iterator[Job]:
         """Jobs with occurrences that are not due yet."""
@@ -201,6 +207,15 @@
                 counts[job.spec.queue] = counts.get(job.spec.queue, 0) + 1
         return counts
 
+    def _open_to(self, job: Job, occurrences: int) -> list[Task]:
+        """Open so many occurrences, but those that are open. Returns the tasks that may start."""
+        ready: list[Task] = []
+        while not job.state.is_final and job.opened_occurrences < occurrences:
+            occurrence = job.opened_occurrences
+            job.opened_occurrences += 1
+            ready.extend(self._open(job, occurrence))
+        return ready
+
     def _open(self, job: Job, occurrence: int) -> list[Task]:
         for number, step in enumerate(job.spec.steps):
             keys = [TaskKey(occurrence, number, index) for index in range(step.count)]
--- a/fireflyfork/decisions/jobs/_progress.py
+++ b/fireflyfork/decisions/jobs/_progress.py
@@ -47,3 +47,10 @@
     done_occurrences: int = 0
     """All occurrences before this one have ended well; their tasks are not in ``done``."""
     tasks: tuple[StoredTask, ...] = field(default=())
+
+    @property
+    def begun_occurrences(self) -> int:
+        """So many occurrences were due by the clock of the owner that stored this."""
+        begun = [occurrence + 1 for occurrence, _, _ in self.done]
+        begun.extend(task.occurrence + 1 for task in self.tasks)
+        return max(begun, default=self.done_occurrences)
--- a/fireflyfork/decisions/jobs/_report_handling.py
+++ b/fireflyfork/decisions/jobs/_report_handling.py
@@ -4,7 +4,7 @@
 
 from dataclasses import replace
 
-from ..._ids import JobId, QueueName
+from ..._ids import JobId, QueueName, TaskName
 from ._commands import PaceRun
 from ._executors import ExecutorRegistration, ExecutorState
 from ._gangs import failures, members, save
@@ -106,7 +106,7 @@
 
     def _ended(self, executor: ExecutorState, row: EndedRow, now: float, now_ms: int) -> None:
         run = executor.runs.get((row.task, row.attempt))
-        task = run.task if run is not None else self._work.jobs.task(row.task)
+        task = run.task if run is not None else self._task(row.task)
         if task is None:
             return
         pace = run.lowest_pace if run is not None else 100
@@ -124,6 +124,12 @@
         task.attempt = max(task.attempt, row.attempt)
         self._work.jobs.note_changed(task.job)
 
+    def _task(self, name: TaskName) -> Task | None:
+        """The task that an executor lists, or None when it is over or unknown."""
+        for ready in self._work.jobs.open_begun(name):
+            self._work.enqueue(ready)
+        return self._work.jobs.task(name)
+
     def _task_done(self, task: Task, executor: ExecutorState, now: float, now_ms: int) -> None:
         executor.strikes = 0
         if task.job.state.is_final:
@@ -196,7 +202,7 @@
 
     def _found(self, executor: ExecutorState, row: RunningRow, now: float) -> None:
         """An earlier owner's run, or an order of ours that was given up and carried out late."""
-        task = self._work.jobs.task(row.task)
+        task = self._task(row.task)
         if task is None:
             self._stop_stranger(executor, row, now)
             return
