Failing tests: the registration of an earlier life replaces what is known of the present one

Polls tell of an executor's new life before the store does, and a listing followed by the changes since its first page brings older entries after newer ones. The owner went back to the earlier life and then took the present one's registration for one more start: its runs were taken for gone and started elsewhere.

--- a/fireflyfork/decisions/jobs/tests/test_ends.py
+++ b/fireflyfork/decisions/jobs/tests/test_ends.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from ...._ids import AttemptNumber, TaskName
+from ...._ids import AttemptNumber, ExecutorId, TaskName
 from .. import EndReason, JobState, RunningRow, StoredProgress, StoredTask
 from .builders_jobs import START_MS, OwnerUnderTest, job, registration, step
 
@@ -124,3 +124,49 @@
         self.assertEqual(self.owner.place(), [])
         self.owner.tick(2.1)
         self.assertEqual([run.task.name for run in self.owner.place()], [f"{A}.1.0.0"])
+
+
+class LateRegistrationsTest(unittest.TestCase):
+    """Executors tell of a new life in answers to polls, and in the store, whose word takes longer."""
+
+    def test_the_registration_of_an_earlier_life_does_not_end_the_runs_of_the_present_one(
+        self,
+    ) -> None:
+        """An executor starts anew, and a poll tells so first. What its earlier life had written in the store
+        comes next, and then its new registration. The owner went back to the earlier life, took the new
+        registration for one more start, and all that ran there for gone: each of its tasks was started a
+        second time, elsewhere.
+        """
+        owner = OwnerUnderTest("i-0")
+        owner.poll("i-0", incarnation=2)
+        owner.scheduler.accept(job(A), START_MS)
+        (run,) = owner.place()
+        owner.scheduler.register(registration("i-1"), owner.now)
+        owner.poll("i-1")
+        owner.now += 0.1
+        owner.poll("i-0", RunningRow(run.task.name, run.attempt, "", 10, 0.0), incarnation=2)
+        owner.now += 0.1
+        owner.scheduler.register(registration("i-0", incarnation=1), owner.now)
+        owner.scheduler.register(registration("i-0", incarnation=2), owner.now)
+        self.assertEqual(owner.place(), [])
+        self.assertEqual(list(owner.executor().runs.values()), [run])
+
+    def test_the_registration_of_an_earlier_life_is_not_used(self) -> None:
+        """The earlier life had room for more, and another address. Runs sent there by its word would be
+        refused, or overfill what is there now.
+        """
+        owner = OwnerUnderTest()
+        now = registration("i-0", incarnation=2)
+        owner.scheduler.recover([], [registration("i-0", draining=True)], [now], owner.now, 0)
+        self.assertEqual(owner.executor().registration, now)
+        self.assertFalse(owner.executor().registered)
+        owner.scheduler.register(now, owner.now)
+        self.assertTrue(owner.executor().registered)
+
+    def test_an_executor_whose_earlier_life_leaves_is_still_there(self) -> None:
+        """The registration of an earlier life is removed late, and the executor answers all the while."""
+        owner = OwnerUnderTest("i-0")
+        owner.scheduler.register(registration("i-0", incarnation=2), owner.now)
+        owner.poll("i-0", incarnation=2)
+        owner.scheduler.unregister(ExecutorId("i-0"), owner.now)
+        self.assertIn(ExecutorId("i-0"), owner.scheduler.executors)
