A registration of an earlier life of an executor changes nothing

Callers could have had tasks run twice after an executor had started anew: an entry of its earlier life that came late, or was garbled and lacked its birth, put the owner's knowledge back, and the next entry of the present life then counted as one more start, so that all that ran there was taken for gone and started elsewhere.

Registrations of a life before the known one are now passed over, as answers to polls of such a life were before. The present life's own entry follows, or has come.

--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -143,6 +143,11 @@
             self.executors[registration.executor] = ExecutorState(registration, now)
             self._work.known_executors_changed = True
             return
+        if registration.incarnation < known.registration.incarnation:
+            # Polls tell of a new life before the store does, and a listing is followed by changes that are
+            # older than it. Taken for its present state, the next word of the present life would look like
+            # one more start, after which nothing of before runs.
+            return
         known.registered = True
         if registration.incarnation > known.registration.incarnation:
             self._work.reborn(known, registration, now)
