Failing test: an executor whose clock was set back before it started anew is never heard

Its present life says that it began before the earlier one, so its answers, and now its registrations too, are dropped for good.

--- a/fireflyfork/decisions/jobs/tests/test_ends.py
+++ b/fireflyfork/decisions/jobs/tests/test_ends.py
@@ -170,3 +170,25 @@
         owner.poll("i-0", incarnation=2)
         owner.scheduler.unregister(ExecutorId("i-0"), owner.now)
         self.assertIn(ExecutorId("i-0"), owner.scheduler.executors)
+
+    def test_an_executor_whose_clock_went_back_before_it_started_anew_is_heard(self) -> None:
+        """An executor's clock is set back while it is down, so its present life seems to have begun before
+        the earlier one. Its answers were dropped as those of an earlier life; nothing that ran there
+        ever ended for the owner, and the jobs hung.
+        """
+        owner = OwnerUnderTest()
+        owner.scheduler.register(registration("i-0", incarnation=9), owner.now)
+        owner.poll("i-0", incarnation=9)
+        owner.scheduler.accept(job(A), START_MS)
+        (run,) = owner.place()
+        owner.now += 1.0
+        owner.poll("i-0", incarnation=5)
+        owner.now += 0.1
+        owner.scheduler.register(registration("i-0", incarnation=5), owner.now)
+        owner.poll("i-0", incarnation=5)
+        (again,) = owner.place()
+        self.assertEqual((again.task.name, again.attempt), (run.task.name, 2))
+        owner.end("i-0", again.task.name, 2, EndReason.DONE)
+        owner.now += 0.1
+        owner.poll("i-0", incarnation=5)
+        self.assertIs(run.task.job.state, JobState.COMPLETED)
