An answer to a poll that was sent to the known life of an executor is of no earlier one

Jobs whose tasks ran on an executor would have hung if its clock had been set back before it started anew: its birth seemed to lie before that of its earlier life, and all that it said was dropped.

Once an owner knows of a life, the ones before it are over, so a poll sent after that is answered by it or a later one, whatever the births say. Answers to polls sent before go on being dropped.

--- a/fireflyfork/decisions/jobs/_report_handling.py
+++ b/fireflyfork/decisions/jobs/_report_handling.py
@@ -83,9 +83,12 @@
         if not self._work.is_current(executor):
             return
         if answer.incarnation is not None and executor.registration.incarnation:
-            if answer.incarnation < executor.registration.incarnation:
+            earlier = answer.incarnation < executor.registration.incarnation
+            if earlier and sent_at <= executor.known_since:
                 return
-            if answer.incarnation > executor.registration.incarnation:
+            # An answer to a poll that was sent while the known life was there is of no life before it: its
+            # clock was set back before it started anew.
+            if answer.incarnation != executor.registration.incarnation:
                 self._work.reborn(executor, _reborn_as(executor, answer.incarnation), now)
         if answer.clock_ms is not None:
             executor.note_clock(answer.clock_ms, now)
