Failing test: an entry without a birth is taken for an executor's

Measured: two of three cases of test_an_entry_that_does_not_say_when_its_executor_began_names_none in fireflyfork.platform.tests.test_formats fail.

--- a/fireflyfork/platform/tests/test_formats.py
+++ b/fireflyfork/platform/tests/test_formats.py
@@ -104,6 +104,18 @@
             with self.subTest(name):
                 self.assertIsNone(decode_registration(_item(value)))
 
+    def test_an_entry_that_does_not_say_when_its_executor_began_names_none(self) -> None:
+        """Another program writes over an executor's entry and leaves its birth out. Taken for a life that began
+        before all others, it made the executor's own next entry look like a new start, and all that ran
+        there was started a second time.
+        """
+        for born in ({}, {"born": 0}, {"born": 1.5}):
+            with self.subTest(born):
+                entry = {key: value for key, value in ENTRY.items() if key != "born"}
+                self.assertIsNone(
+                    decode_registration(_item(msgspec.json.encode({**entry, **born})))
+                )
+
 
 class ConfigurationTest(unittest.TestCase):
     """The operator's configuration."""
