An entry that doesn't say when its executor began names none

One that lacked the birth was taken for the executor's, of a life before all others; the executor's own next entry then ended all runs there for the owner, which started their tasks elsewhere.

--- a/fireflyfork/platform/_registrations.py
+++ b/fireflyfork/platform/_registrations.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Annotated
+
 import msgspec
 from loguru import logger
 
@@ -28,8 +30,9 @@
     zone: str
     state: str
     room: _Room
+    born: Annotated[int, msgspec.Meta(gt=0)]
+    """Without it lives of one executor can't be told apart."""
     labels: list[str] = []
-    born: int = 0
 
 
 def registered_executor(key: str) -> ExecutorId:
