Failing tests: an owner takes in jobs of its successor's time before it notices the successor

What a new owner reads may already be of its successor's time, if it was frozen after it had won. Its watch goes on from there and never tells of the successor, and the jobs read are started at the first answers of executors that the successor hasn't reached yet. A listing after lost history is taken in before the owner's key is compared.

--- /dev/null
+++ b/fireflyfork/programs/tests/builders_owner.py
@@ -0,0 +1,71 @@
+"""An owner at work against the stand-in's store and one executor."""
+
+from __future__ import annotations
+
+from random import Random
+
+import trio
+
+from fireflyfork_standins.scheduling import History, StandInExecutor, StandInMachines, StandInStore
+from fireflyfork_standins.scheduling._executor_calls import StandInExecutorCalls
+from fireflyfork_standins.scheduling._nodes import VirtualClock
+
+from ..._ids import ExecutorId, LeaseId, NodeName
+from ...adapters import NoAdvisor, Put
+from ...decisions.jobs import ExecutorRoom, JobSpec, encode_job
+from ...decisions.jobs.tests.builders_jobs import SERVICE, table
+from ...platform import PlatformBounds
+from .._announcements import Announcements
+from .._metrics import Metrics
+from .._outside import Outside
+from .._scheduling_keys import job_key, owner_key
+from .._service_lease import Term
+from .._service_owner import ServiceOwner
+
+NODE = NodeName("n-0")
+EXECUTOR = ExecutorId("i-0")
+BOUNDS = PlatformBounds(6.0, 0.2, 6.0, 120.0)
+
+
+class OwnerWorld:
+    """A store, an executor, and an owner whose term has begun."""
+
+    def __init__(self, nursery: trio.Nursery) -> None:
+        """Late orders are carried out in ``nursery``; the owner isn't started."""
+        random = Random(1)
+        self.history = History()
+        self.store = StandInStore(random)
+        room = ExecutorRoom(8000, 16000, 0)
+        self.executor = StandInExecutor(
+            EXECUTOR, SERVICE, room, self.store, self.history, Random(1)
+        )
+        executors = {EXECUTOR: self.executor}
+        machines = StandInMachines(SERVICE, executors, self.history, random)
+        client, clock = self.store.client(NODE), VirtualClock()
+        revision = self.store.apply({}, (Put(owner_key(SERVICE), b"n-0"),), ())
+        self.owner = ServiceOwner(
+            Term(SERVICE, 1, LeaseId(0), revision),
+            NODE,
+            Outside(
+                client,
+                StandInExecutorCalls(NODE, executors, nursery, random),
+                NoAdvisor(),
+                machines.client(nursery),
+            ),
+            clock,
+            Metrics(),
+            BOUNDS,
+            table,
+            lambda: (),
+            Announcements(NODE, 1.0, 1000.0, client, clock),
+        )
+
+    def succeed(self) -> None:
+        """The ownership lapses, and another instance takes it."""
+        self.store.remove(owner_key(SERVICE))
+        self.store.put(owner_key(SERVICE), b"n-1")
+
+    def hand_in(self, spec: JobSpec) -> None:
+        """A caller's job is accepted."""
+        self.history.jobs[spec.job] = spec
+        self.store.put(job_key(spec.job), encode_job(spec))
