An owner looks whether it still owns before it takes in what it has read

Callers could have had a task run twice when a new owner was frozen after it had won: awake again it read jobs of its successor's time, and its watch, which goes on after what was read, never told of the successor. With its writes unanswered it started them on executors that the successor had not reached yet.

The owner's key lies behind the jobs in the listing, so where it is unchanged the jobs before it are this owner's. It is compared after recovery, and before anything of a listing after lost history is taken in, where only the order of two tasks kept a start from going out.

--- a/fireflyfork/programs/_service_owner.py
+++ b/fireflyfork/programs/_service_owner.py
@@ -166,12 +166,14 @@
             async with trio.open_nursery() as nursery:
                 with trio.CancelScope() as recovery:
                     nursery.start_soon(self._give_up_for_abler, recovery)
-                    work_revision, servers_revision = await self._recover()
+                    work, servers_revision = await self._recover()
                     self._ready = True
                 if not self._ready:
                     return
+                # The watch goes on after this listing, so it never tells of a successor that is in it.
+                self._require_ownership(work)
                 nursery.start_soon(self._journal.run)
-                nursery.start_soon(self._work_watch().run, work_revision)
+                nursery.start_soon(self._work_watch().run, work.as_of)
                 nursery.start_soon(self._registration_watch().run, servers_revision)
                 nursery.start_soon(self._tick)
                 nursery.start_soon(self._remove_old_jobs)
@@ -200,7 +202,7 @@
                 logger.info("handed over with changes left", error=str(error))
         self.kick()
 
-    async def _recover(self) -> tuple[Revision, Revision]:
+    async def _recover(self) -> tuple[StoreListing, Revision]:
         begun = self._clock.now()
         left = await read_left_behind(self._store, self._journal)
         self.note_store_contact()
@@ -225,7 +227,7 @@
             seconds=round(self._clock.now() - begun, 3),
         )
         self.kick()
-        return left.work.as_of, left.registrations.as_of
+        return left.work, left.registrations.as_of
 
     def _stored_jobs(
         self, work: tuple[StoredItem, ...], progress: tuple[StoredItem, ...]
@@ -276,12 +278,23 @@
 
     def _work_listed(self, listing: StoreListing) -> None:
         """The store has lost its history: take in what was missed."""
-        if not any(item.key == owner_key(self._service) for item in listing.items):
-            raise OwnershipLostError("the owner's key is gone")
+        self._require_ownership(listing)
         jobs_first = sorted(listing.items, key=lambda item: item.key.startswith(CANCEL_PREFIX))
         for item in jobs_first:
             self._work_changed(StoreChange(item.key, item.revision, item))
 
+    def _require_ownership(self, listing: StoreListing) -> None:
+        """Raise OwnershipLostError if a listing is of a successor's time, or nobody's.
+
+        Its jobs may be the successor's, which starts those that came after it without asking anybody. The
+        owner's key is on the last page: if it is still this owner's, so were all jobs on the pages before.
+        """
+        own = [item for item in listing.items if item.key == owner_key(self._service)]
+        if not own:
+            raise OwnershipLostError("the owner's key is gone")
+        if own[0].revision != self._term.owner_revision:
+            raise OwnershipLostError("the owner's key has changed")
+
     def _work_changed(self, change: StoreChange) -> None:
         if change.key == owner_key(self._service):
             if change.item is None or change.revision != self._term.owner_revision:
