--- a/fireflyfork/decisions/jobs/tests/test_ends.py
+++ b/fireflyfork/decisions/jobs/tests/test_ends.py
@@ -48,6 +48,23 @@
         self.assertEqual(owner.place(), [])
 
 
+class OrderOfEndsTest(unittest.TestCase):
+    """Ends are numbered, and may be listed in any order."""
+
+    def test_an_end_that_is_listed_after_a_later_one_counts(self) -> None:
+        """The pages number the ends and don't say in which order they are listed. An end that came after one
+        with a higher number was passed over and then let go, and its task ran again.
+        """
+        owner = OwnerUnderTest("i-0")
+        owner.scheduler.accept(job(A, step(count=2)), START_MS)
+        first, second = owner.place()
+        owner.end("i-0", first.task.name, 1, EndReason.DONE)
+        owner.end("i-0", second.task.name, 1, EndReason.DONE)
+        owner.ends["i-0"].reverse()
+        owner.poll("i-0")
+        self.assertIs(first.task.job.state, JobState.COMPLETED)
+
+
 class TimedJobsTest(unittest.TestCase):
     """Occurrences that an earlier owner has begun, by a clock that was ahead of its successor's."""
 
