Ends are taken in by their numbers, in whatever order they are listed

Out of order, a lower number was passed over and then acknowledged with the higher one: a good end was lost and its task ran again. No executor has been seen to list so.

--- a/fireflyfork/decisions/jobs/_report_handling.py
+++ b/fireflyfork/decisions/jobs/_report_handling.py
@@ -94,7 +94,8 @@
             executor.note_clock(answer.clock_ms, now)
         executor.failed_polls = 0
         executor.polled_at = max(executor.polled_at or sent_at, sent_at)
-        for row in answer.ended:
+        # One that came after a later one would be passed over, and then let go with it.
+        for row in sorted(answer.ended, key=lambda row: row.number):
             if row.number > executor.seen_end:
                 executor.seen_end = row.number
                 self._ended(executor, row, now, now_ms)
