Failing tests: an owner that was replaced without noticing starts its successor's tasks again

Two regions lose each other. The owner, cut off from the store and from some executors, takes the leases that it granted there for the last ones, while its successor renews them: when the owner's would have lapsed, it starts all of their tasks again on executors that only it reaches. And on those it goes on starting tasks, each kept alive for a second by its start, after its successor has waited for them and started the same ones elsewhere.

--- /dev/null
+++ b/fireflyfork_standins/tests/builders_split.py
@@ -0,0 +1,89 @@
+"""Two instances and two executors, and a network that falls apart between them."""
+
+from __future__ import annotations
+
+from random import Random
+
+import trio
+from trio.testing import MockClock
+
+from fireflyfork._ids import ExecutorId, NodeName
+from fireflyfork.decisions.jobs import ExecutorRoom, JobSpec, encode_job
+from fireflyfork.decisions.jobs.tests.builders_jobs import SERVICE, table
+from fireflyfork.platform import PlatformBounds
+from fireflyfork.programs._scheduling_keys import job_key
+from fireflyfork_standins.scheduling import History, StandInExecutor, StandInMachines, StandInStore
+from fireflyfork_standins.scheduling._nodes import StandInNode
+
+NEAR, FAR = NodeName("n-near"), NodeName("n-far")
+NEAR_EXECUTOR, FAR_EXECUTOR = ExecutorId("i-near"), ExecutorId("i-far")
+BOUNDS = PlatformBounds(6.0, 0.2, 6.0, 120.0)
+SETTLE_SECONDS = 2.0
+"""For the first instance to own the service, and for the second to stand for it."""
+STARTED_SECONDS = 0.5
+"""For the job's tasks to run."""
+
+
+def play_split(seed: int, spec: JobSpec, split_seconds: float, after_seconds: float) -> History:
+    """A job is handed in, the network falls apart for so long, and so much time passes afterwards."""
+
+    async def main() -> History:
+        world = _World(seed)
+        async with trio.open_nursery() as nursery:
+            await world.run(nursery)
+            world.hand_in(spec)
+            await trio.sleep(STARTED_SECONDS)
+            world.split()
+            await trio.sleep(split_seconds)
+            world.heal()
+            await trio.sleep(after_seconds)
+            nursery.cancel_scope.cancel()
+        return world.history
+
+    return trio.run(main, clock=MockClock(autojump_threshold=0))
+
+
+class _World:
+    """One side of the split holds the store, an instance and an executor; the other one the rest.
+
+    The owner is the instance that is cut off from the store.
+    """
+
+    def __init__(self, seed: int) -> None:
+        random = Random(seed)
+        self.history = History()
+        self._store = StandInStore(random)
+        room = ExecutorRoom(8000, 16000, 0)
+        self._executors = {
+            name: StandInExecutor(name, SERVICE, room, self._store, self.history, Random(seed))
+            for name in (NEAR_EXECUTOR, FAR_EXECUTOR)
+        }
+        machines = StandInMachines(SERVICE, self._executors, self.history, random)
+        self._nodes = [
+            StandInNode(
+                name, SERVICE, self._store, self._executors, random, BOUNDS, table(), machines, 1e3
+            )
+            for name in (FAR, NEAR)
+        ]
+
+    async def run(self, nursery: trio.Nursery) -> None:
+        nursery.start_soon(self._store.run)
+        for executor in self._executors.values():
+            nursery.start_soon(executor.run)
+        for node in self._nodes:
+            nursery.start_soon(node.live, nursery)
+            await trio.sleep(SETTLE_SECONDS)
+
+    def hand_in(self, spec: JobSpec) -> None:
+        self.history.jobs[spec.job] = spec
+        self._store.put(job_key(spec.job), encode_job(spec))
+
+    def split(self) -> None:
+        self._store.trouble.silent.add(FAR)
+        self._executors[FAR_EXECUTOR].trouble.unreachable_from.add(NEAR)
+        self._executors[NEAR_EXECUTOR].trouble.unreachable_from.add(FAR)
+
+    def heal(self) -> None:
+        self._store.trouble.silent.clear()
+        for executor in self._executors.values():
+            executor.trouble.unreachable_from.clear()
