--- /dev/null
+++ b/fireflyfork/programs/tests/builders_journal.py
@@ -0,0 +1,104 @@
+"""A store whose writes are lost, late or done twice, as the test says."""
+
+from __future__ import annotations
+
+from collections import deque
+from contextlib import suppress
+from enum import Enum
+from random import Random
+
+import trio
+
+from fireflyfork_standins.scheduling import StandInStore
+
+from ..._errors import (
+    LeaseEndedError,
+    StoreRefusedError,
+    StoreUnavailableError,
+    TransactionConflictError,
+)
+from ..._ids import LeaseId, Revision
+from ...adapters import CoordinationStore, Put, StoreChanges, StoredItem, StoreListing
+
+
+class WriteFate(Enum):
+    """What becomes of a write."""
+
+    DONE = "done"
+    REFUSED = "refused"
+    DONE_UNHEARD = "done, without an answer"
+    LATE = "no answer, and carried out later if its condition still holds"
+    NEVER = "no answer, and never carried out"
+    TWICE = "done, and once more later"
+    CANCELLED = "done, and whoever waited is gone"
+
+
+_DELAYED = (WriteFate.LATE, WriteFate.TWICE)
+
+
+class FatefulStore(CoordinationStore):
+    """A client whose next write meets the fate that was set."""
+
+    def __init__(self) -> None:
+        """Empty; writes are done."""
+        self.fate = WriteFate.DONE
+        self.kept = StandInStore(Random(1))
+        self._late: deque[tuple[dict[str, Revision], tuple[Put, ...]]] = deque()
+
+    @property
+    def answers(self) -> bool:
+        """See CoordinationStore."""
+        return True
+
+    def carry_out_late(self) -> None:
+        """The write that has been under way for longest arrives, if there is one."""
+        if self._late:
+            self._try(*self._late.popleft())
+
+    async def read(self, key: str) -> StoredItem | None:
+        """See CoordinationStore."""
+        return self.kept.get(key)
+
+    async def list(self, prefix: str) -> StoreListing:
+        """See CoordinationStore."""
+        return StoreListing(self.kept.under(prefix), self.kept.revision)
+
+    async def changes(self, prefix: str, after: Revision, wait_seconds: float) -> StoreChanges:
+        """See CoordinationStore."""
+        return StoreChanges(self.kept.changes_after(prefix, after), self.kept.revision)
+
+    async def commit(
+        self,
+        expected: dict[str, Revision],
+        puts: tuple[Put, ...] = (),
+        removals: tuple[str, ...] = (),
+    ) -> Revision:
+        """See CoordinationStore."""
+        fate = self.fate
+        if fate is WriteFate.REFUSED:
+            raise StoreRefusedError("turned away")
+        if fate in _DELAYED:
+            self._late.append((expected, puts))
+        if fate in (WriteFate.LATE, WriteFate.NEVER):
+            raise StoreUnavailableError("no answer")
+        if fate is WriteFate.DONE_UNHEARD:
+            self._try(expected, puts)
+            raise StoreUnavailableError("the answer was lost")
+        revision = self.kept.apply(expected, puts, removals)
+        if fate is WriteFate.CANCELLED:
+            await trio.sleep_forever()
+        return revision
+
+    async def grant_lease(self, seconds: float) -> LeaseId:
+        """See CoordinationStore."""
+        return self.kept.grant(seconds)
+
+    async def keep_lease(self, lease: LeaseId) -> None:
+        """See CoordinationStore."""
+
+    async def end_lease(self, lease: LeaseId) -> None:
+        """See CoordinationStore."""
+
+    def _try(self, expected: dict[str, Revision], puts: tuple[Put, ...]) -> None:
+        with suppress(TransactionConflictError, LeaseEndedError):
+            self.kept.apply(expected, puts, ())
