A lease has lapsed only if its owner was certainly still the owner then

Callers had tasks run twice when two regions lost each other. The owner, cut off from the store and from some executors, reckoned with the leases that it had granted there itself. Its successor reached those executors, renewed their leases, heard of their ends and let them be forgotten; 4.7 s after the split the owner started all of these tasks again on executors that only it reached. It also went on starting tasks there for good, each kept alive for a second by its start, while its successor waits 8 s and starts them elsewhere.

That a lease has lapsed, or that an executor which never answered has waited long enough, now counts up to the moment of which it is certain that this owner owned: when the store was asked that then told, of the prefix in which owners lie, of no other owner. Where something rests on it the store is asked at once; a lapse is noticed a tick of 0.1 s later or two. 6.5 s after the last such moment nothing is started any more. What that costs: when the store is away for all for longer than that, nothing starts until it is back, and what a silent executor ran waits.

--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -31,6 +31,12 @@
 from ._waves import UpkeepMark
 from ._work import Work
 
+LAST_START_MARGIN_SECONDS = 1.5
+"""A start lets everything on its executor run for a second of a slow clock, and killing it takes 0.2 s."""
+PROOF_SECONDS = 3.0
+"""The watch proves every two seconds or sooner that the ownership has not changed. When that fails to come, the
+store is asked."""
+
 
 @dataclass(frozen=True, slots=True)
 class SchedulerTerms:
@@ -247,6 +253,21 @@
         """Wave and machine of each upkeep to order now; executors that come next are emptied."""
         return self._upkeep.next_orders(views, now)
 
+    def note_ownership(self, at: float) -> None:
+        """It is certain that this owner owned the service at that time."""
+        known = self._work.owned_at
+        self._work.owned_at = at if known == float("inf") else max(known, at)
+
+    def wants_proof(self, now: float) -> bool:
+        """Whether it should be found out if this owner still owns the service."""
+        return now - self._work.owned_at > PROOF_SECONDS or self._work.wants_proof(now)
+
     def place(self, now: float, now_ms: int) -> None:
-        """Send tasks that may start to executors with room; others wait for the next tick."""
-        self._placement.place(now, now_ms)
+        """Send tasks that may start to executors with room; others wait for the next tick.
+
+        A successor waits for executors that it can't reach for a fixed time. What this owner starts there must
+        be over by then, or the successor would start it beside that.
+        """
+        may_start = self._terms.unheard_lease - LAST_START_MARGIN_SECONDS
+        if now - self._work.owned_at <= may_start:
+            self._placement.place(now, now_ms)
--- a/fireflyfork/decisions/jobs/_work.py
+++ b/fireflyfork/decisions/jobs/_work.py
@@ -54,6 +54,8 @@
         all that it may run for that owner is over."""
         self.held: list[Task] = []
         """Tasks that may run on one of those."""
+        self.owned_at = float("inf")
+        """When it was last certain that this owner owned the service; infinite where nobody succeeds it."""
         self._sequence = count()
 
     @staticmethod
@@ -166,9 +168,13 @@
                 self.gone(run, now, RunOver.NEW_INCARNATION)
 
     def forget_if_over(self, executor: ExecutorState, now: float) -> None:
-        """What ran on an executor that doesn't answer is over once its lease has lapsed."""
+        """What ran on an executor that doesn't answer is over once its lease has lapsed.
+
+        It must have lapsed while this owner certainly owned the service. A successor may reach an executor
+        that this owner doesn't, and renew its lease; a task that runs on there would run twice.
+        """
         reached = executor.polled_at is not None
-        if reached and not executor.answers and executor.lease_has_lapsed(now):
+        if reached and not executor.answers and executor.lease_has_lapsed(self._sure_until(now)):
             if executor.runs:
                 self._note_given_up(executor, RunOver.LEASE_LAPSED)
             for run in tuple(executor.runs.values()):
@@ -183,12 +189,29 @@
         if self.unreached.pop(executor, None) is not None:
             self.release_held(now)
 
+    def wants_proof(self, now: float) -> bool:
+        """Whether something would be over by now, were it certain that this owner still owns."""
+        sure = self._sure_until(now)
+        if any(sure < until <= now for until in self.unreached.values()):
+            return True
+        silent = (one for one in self.executors.values() if one.runs and one.polled_at is not None)
+        return any(
+            not one.answers and one.lease_has_lapsed(now) and not one.lease_has_lapsed(sure)
+            for one in silent
+        )
+
+    def _sure_until(self, now: float) -> float:
+        return min(now, self.owned_at)
+
     def give_up_unreached(self, now: float) -> None:
-        """Executors that never answered run nothing of an earlier owner's any more."""
+        """Executors that never answered run nothing of an earlier owner's any more.
+
+        A successor may have reached them meanwhile; that none had when the time was up must be certain.
+        """
         given_up = [
             one
             for one, until in self.unreached.items()
-            if until <= now and not self._has_ends_to_list(one, now)
+            if until <= self._sure_until(now) and not self._has_ends_to_list(one, now)
         ]
         for executor in given_up:
             del self.unreached[executor]
@@ -207,7 +230,7 @@
         executor = self.executors.get(name)
         if executor is None or executor.polled_at is None:
             return False
-        return executor.answers or not executor.lease_has_lapsed(now)
+        return executor.answers or not executor.lease_has_lapsed(self._sure_until(now))
 
     def _note_given_up(self, executor: ExecutorState, why: RunOver) -> None:
         incarnation = executor.registration.incarnation
--- /dev/null
+++ b/fireflyfork/decisions/jobs/tests/test_ownership_proof.py
@@ -0,0 +1,75 @@
+"""What an owner may conclude and start when it isn't certain to own the service any more."""
+
+import unittest
+
+from .builders_jobs import START_MS, OwnerUnderTest, job, registration
+
+A = "00000000000000aa"
+
+
+class OwnershipProofTest(unittest.TestCase):
+    """A successor may have reached what this owner doesn't reach."""
+
+    def setUp(self) -> None:
+        """One executor that answers."""
+        self.owner = OwnerUnderTest("i-0")
+
+    def _prove(self) -> None:
+        self.owner.scheduler.note_ownership(self.owner.now)
+
+    def test_a_lease_has_lapsed_only_while_the_owner_certainly_owned(self) -> None:
+        """A successor renews the lease of an executor that the owner is cut off from. What runs there goes
+        on; started elsewhere by the owner's reckoning, it would run twice.
+        """
+        owner = self.owner
+        owner.scheduler.accept(job(A), START_MS)
+        (run,) = owner.place()
+        owner.scheduler.register(registration("i-1"), owner.now)
+        owner.poll("i-1")
+        self._prove()
+        owner.scheduler.poll_failed(run.executor, owner.now)
+        owner.tick(5.0)
+        self.assertEqual(owner.place(), [])
+        self.assertTrue(owner.scheduler.wants_proof(owner.now))
+        self._prove()
+        self.assertFalse(owner.scheduler.wants_proof(owner.now))
+        owner.tick(0.1)
+        self.assertEqual([again.attempt for again in owner.place()], [2])
+
+    def test_an_executor_that_never_answered_is_given_up_only_by_a_certain_owner(self) -> None:
+        """The same for executors that a new owner never reached: its successor may have."""
+        owner = OwnerUnderTest()
+        owner.scheduler.recover(
+            [(job(A), None)],
+            [registration("i-0"), registration("i-1")],
+            [],
+            owner.now,
+            START_MS,
+        )
+        owner.now += 5.0
+        owner.scheduler.note_ownership(owner.now)
+        owner.poll("i-0")
+        owner.tick(3.1)
+        self.assertEqual(owner.place(), [])
+        self.assertTrue(owner.scheduler.wants_proof(owner.now))
+        owner.scheduler.note_ownership(owner.now)
+        owner.tick(0.1)
+        self.assertEqual(len(owner.place()), 1)
+
+    def test_nothing_starts_that_a_successor_would_start_beside_it(self) -> None:
+        """A successor waits 8 s for executors that it can't reach. Each start lets its executor go on for a
+        second and a little more, so the last one must be sent well before that.
+        """
+        owner = self.owner
+        self._prove()
+        owner.scheduler.accept(job(A), START_MS)
+        owner.tick(6.6)
+        self.assertEqual(owner.place(), [])
+        self._prove()
+        self.assertEqual(len(owner.place()), 1)
+
+    def test_an_older_proof_takes_nothing_back(self) -> None:
+        self._prove()
+        self.owner.scheduler.note_ownership(self.owner.now - 10.0)
+        self.owner.scheduler.accept(job(A), START_MS)
+        self.assertEqual(len(self.owner.place()), 1)
--- a/fireflyfork/programs/_prefix_watch.py
+++ b/fireflyfork/programs/_prefix_watch.py
@@ -27,6 +27,8 @@
         changed: Callable[[StoreChange], None],
         answered: Callable[[], None] = lambda: None,
         gather_seconds: float = 0.0,
+        asking: Callable[[], None] = lambda: None,
+        taken_in: Callable[[], None] = lambda: None,
     ) -> None:
         """``listed`` gets everything there is, at first and whenever the store has lost its history;
         ``changed`` each change after that, in order; ``answered`` hears of every answer.
@@ -34,6 +36,9 @@
         A question waits for ``wait_seconds``; a connection that has gone silent is noticed a call's
         timeout later. After an answer the next question waits for ``gather_seconds``, so that one
         answer tells of many changes: the store's operators pay for each.
+
+        ``asking`` hears of every question, and ``taken_in`` when what its answer told has been handed over:
+        up to when it was asked, nothing is unknown.
         """
         self._store = store
         self._prefix = prefix
@@ -42,6 +47,8 @@
         self._changed = changed
         self._answered = answered
         self._gather_seconds = gather_seconds
+        self._asking = asking
+        self._taken_in = taken_in
 
     async def run(self, after: Revision | None = None) -> None:
         """Follow until cancelled, from a listing that is known already or from one made now."""
@@ -53,6 +60,7 @@
 
     async def _list(self) -> Revision:
         while True:
+            self._asking()
             try:
                 listing = await self._store.list(self._prefix)
             except StoreError as error:
@@ -61,11 +69,13 @@
                 continue
             self._answered()
             self._listed(listing)
+            self._taken_in()
             return listing.as_of
 
     async def _follow(self, after: Revision) -> None:
         """Take changes until the history is lost."""
         while True:
+            self._asking()
             try:
                 answer = await self._store.changes(self._prefix, after, self._wait_seconds)
             except StoreHistoryLostError as error:
@@ -79,5 +89,6 @@
             after = max(after, answer.as_of)
             for change in answer.changes:
                 self._changed(change)
+            self._taken_in()
             if self._gather_seconds and answer.changes:
                 await trio.sleep(self._gather_seconds)
--- a/fireflyfork/programs/_service_owner.py
+++ b/fireflyfork/programs/_service_owner.py
@@ -74,6 +74,8 @@
 REGISTRATIONS_SECONDS = 0.4
 """Executors write every 1.5 s each, mostly to say that they live. Asked for each of these writes, the
 store had a quarter of all calls from that; executors that leave go on for 2.5 s and more."""
+PROOF_RETRY_SECONDS = 0.5
+"""Between questions who owns the service, while the store doesn't answer; calls are paid for."""
 RECOVERY_SECONDS = 4.0
 """An able instance recovers within 0.3 s, or within 2 s while the store answers a hundred times slower
 than usual."""
@@ -130,6 +132,8 @@
         self._ready = False
         self._log = DecisionLog(clock, self._service, metrics)
         self._contact = clock.now()
+        self._asked_at = clock.now()
+        self._proving = False
         self._work = trio.Event()
         self._resigning = False
         self._polled: set[ExecutorState] = set()
@@ -172,10 +176,11 @@
                     return
                 # The watch goes on after this listing, so it never tells of a successor that is in it.
                 self._require_ownership(work)
+                self._work_taken_in()
                 nursery.start_soon(self._journal.run)
                 nursery.start_soon(self._work_watch().run, work.as_of)
                 nursery.start_soon(self._registration_watch().run, servers_revision)
-                nursery.start_soon(self._tick)
+                nursery.start_soon(self._tick, nursery)
                 nursery.start_soon(self._remove_old_jobs)
                 nursery.start_soon(self._upkeep.run)
                 nursery.start_soon(self._look_for_abler)
@@ -204,6 +209,7 @@
 
     async def _recover(self) -> tuple[StoreListing, Revision]:
         begun = self._clock.now()
+        self._work_asked()
         left = await read_left_behind(self._store, self._journal)
         self.note_store_contact()
         jobs = tuple(self._stored_jobs(left.work.items, left.progress.items))
@@ -263,6 +269,8 @@
             self._work_listed,
             self._work_changed,
             self.note_store_contact,
+            asking=self._work_asked,
+            taken_in=self._work_taken_in,
         )
 
     def _registration_watch(self) -> PrefixWatch:
@@ -276,6 +284,13 @@
             REGISTRATIONS_SECONDS,
         )
 
+    def _work_asked(self) -> None:
+        self._asked_at = self._clock.now()
+
+    def _work_taken_in(self) -> None:
+        """No other owner has come up to the moment at which the store was asked."""
+        self._scheduler.note_ownership(self._asked_at)
+
     def _work_listed(self, listing: StoreListing) -> None:
         """The store has lost its history: take in what was missed."""
         self._require_ownership(listing)
@@ -329,12 +344,29 @@
             self._scheduler.unregister(registered_executor(change.key), now)
         self.kick()
 
-    async def _tick(self) -> None:
+    async def _tick(self, nursery: trio.Nursery) -> None:
         while True:
             await trio.sleep(TICK_SECONDS)
             self._scheduler.check_time(self._clock.now(), self._clock.unix_ms())
+            if self._scheduler.wants_proof(self._clock.now()) and not self._proving:
+                nursery.start_soon(self._prove_ownership)
             self.kick()
 
+    async def _prove_ownership(self) -> None:
+        """Ask the store who owns the service: something rests on that it is still this owner."""
+        self._proving = True
+        asked_at = self._clock.now()
+        try:
+            item = await self._store.read(owner_key(self._service))
+        except StoreError as error:
+            logger.debug("ownership not proved", service=self._service, error=str(error))
+            await trio.sleep(PROOF_RETRY_SECONDS)
+        else:
+            if item is None or item.revision != self._term.owner_revision:
+                raise OwnershipLostError("the owner's key has changed")
+            self._scheduler.note_ownership(asked_at)
+        self._proving = False
+
     async def _give_up_for_abler(self, recovery: trio.CancelScope) -> None:
         """End a recovery that takes long, once another instance could be done sooner.
 
