Comments give reasons, not the story of a figure

MOVES_AT_ONCE claimed a bound "at any time". The code only begins no further plan while that many places are kept; the text says so. No code changed.

--- a/fireflyfork/decisions/_rights.py
+++ b/fireflyfork/decisions/_rights.py
@@ -1,8 +1,9 @@
 """Who holds the right to dispatch, and for how long.
 
-The rule, proved by argument and attacked by ``python -m bench.ownership_search``: a member holds
-the right for ``right_seconds`` by its own clock, dated from when it *sent* a question that showed
-it to be unfenced. A store read shows it, and so does its guard's acknowledgement.
+The rule: a member holds the right for ``right_seconds`` by its own clock, dated from when it *sent* a
+question that showed it to be unfenced. A store read shows it, and so does its guard's acknowledgement.
+Dated from the answer, it would last longer by the answer's time on the way, and a successor could
+dispatch meanwhile.
 """
 
 from __future__ import annotations
--- a/fireflyfork/decisions/jobs/_arrangement.py
+++ b/fireflyfork/decisions/jobs/_arrangement.py
@@ -5,9 +5,6 @@
 serve a mixture are of use to hardly any such work, however much processor time is left over there. Which
 images go together is known only once their tasks have run side by side for some seconds; by then the
 serving tasks, which last, have long been placed.
-
-Over twenty played days with trouble, moving strays raised the mean worth by 0.015 (standard error 0.005), on
-the heaviest of them from 0.28 to 0.33; batch jobs that were served rose from 0.19 to 0.24 of what was owed.
 """
 
 from __future__ import annotations
@@ -38,7 +35,9 @@
 """What disturbing work may take where services have no more headroom than they should keep: paces follow
 the load, and for half of the time there is more."""
 MOVES_AT_ONCE = 4
-"""Tasks on their way at any time, of some 150: users of a service notice several at once."""
+"""While places are kept for so many tasks, no further plan begins: users of a service notice several tasks
+that are away at once. It is no bound on those on their way. A plan is carried out whole, however many moves
+it has, and a place is kept only until its task is sent there, or ``PROMISE_SECONDS``."""
 REST_SECONDS = 12.0
 """A task that was moved stays at least so long, whatever is learned meanwhile."""
 PROMISE_SECONDS = 1.5
--- a/fireflyfork/decisions/jobs/_candidates.py
+++ b/fireflyfork/decisions/jobs/_candidates.py
@@ -16,7 +16,7 @@
 
     Tasks of a step are alike, and placing one makes only its executor dearer. So the costs of all are
     worked out once; the cheapest is asked again before it is taken, and sinks if it has become dearer.
-    With each task asking every executor, a start took 2.6 ms among 400 of them.
+    Asking every executor for each task takes 2.6 ms a start among 400 of them.
     """
 
     def __init__(
--- a/fireflyfork/decisions/jobs/_interference.py
+++ b/fireflyfork/decisions/jobs/_interference.py
@@ -6,8 +6,8 @@
 
     headroom = undisturbed headroom - sum over images beside it of (effect x their use of the room)
 
-by least squares with forgetting. Measured on a day of bookings without any pacing, effects differ by
-pair from 0.2 to 6, so that which tasks stand together matters more than how many.
+by least squares with forgetting. Effects differ by pair from 0.2 to 6, so that which tasks stand together
+matters more than how many.
 """
 
 from __future__ import annotations
@@ -16,7 +16,7 @@
 from dataclasses import dataclass, field
 
 PRIOR_EFFECT = 1.6
-"""Headroom lost to a full room of tasks that nothing is known about: the mean over measured pairs."""
+"""Headroom lost to a full room of tasks that nothing is known about: that of an average pair."""
 PRIOR_HEADROOM = 2.4
 """Undisturbed, of a service at its usual load."""
 PRIOR_WEIGHT = 0.05
@@ -135,7 +135,7 @@
         """Take over what an earlier owner has learned.
 
         An owner that begins with every pair taken for average puts work beside services that it slows
-        most, until it has found out again; after a change of owner tails rose for some seconds.
+        most, until it has found out again. Tails would rise for some seconds after each change of owner.
         """
         for one in learned:
             fit = _adopted(one)
--- a/fireflyfork/decisions/jobs/_pacing.py
+++ b/fireflyfork/decisions/jobs/_pacing.py
@@ -14,9 +14,8 @@
 """Executors report over the last half second. Samples taken closer together tell the same again, and
 a pace set in between would not show in them."""
 WANTED_HEADROOM = 1.0
-"""Target over tail that is kept, by the present load: the target itself. With 1.2 and 1.4 serving tasks
-were over their target a fifth and two fifths less, and best-effort jobs in time fell by a tenth and a
-third, measured over four played days."""
+"""Target over tail that is kept, by the present load: the target itself. With a margin, tails would
+be over their target less often, but more of the work beside them would end late."""
 RECOVERY = 0.06
 """Headroom that a low is forgotten by with each sample. Loads swing over some ten seconds, and a low
 of 1.5 below the usual is remembered that long."""
--- a/fireflyfork/decisions/jobs/_standing.py
+++ b/fireflyfork/decisions/jobs/_standing.py
@@ -3,8 +3,7 @@
 Instances are unequal. The owner of a service talks to all of its executors; one on a thin link or a
 fraction of a processor falls behind, tasks wait for it, and nobody else may place them. So every instance
 announces what it can carry, the able ones bid for a vacant service first, and an owner that is far weaker
-than another instance hands its service over. Two heavy days of a deployment with links of 5 to 100 Mbit/s went
-from a worth of 0.24 and -0.02, with broken promises, to 0.78 and 0.77 without.
+than another instance hands its service over.
 """
 
 from __future__ import annotations
@@ -29,8 +28,8 @@
 HAND_OVER_FACTOR = 2.5
 """A hand-over costs the service some 0.2 s without an owner, so it has to bring much more."""
 ENOUGH_STRENGTH = 0.4
-"""An owner of this strength keeps its service: at the peak of deployments with 24 to 33 executors, owners
-used a quarter of this."""
+"""An owner of this strength keeps its service: at their peak, services with 24 to 33 executors
+need a quarter of this."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/fireflyfork/decisions/jobs/_urgency.py
+++ b/fireflyfork/decisions/jobs/_urgency.py
@@ -17,9 +17,8 @@
     Within a priority, jobs that can't meet their objective any more stand behind those that can; else
     each job would wait for others that are late already and end late itself. Among those that can, the
     one with the least work left goes first. When more comes than can be done, that serves the most
-    callers; by the earliest objective first, all are begun and most end too late. Mean worth over fifteen
-    played days with trouble rose by 0.010 (standard error 0.004), on the heaviest from 0.28 to 0.32.
-    Jobs that are beyond use go by age, so that none waits for ever.
+    callers; by the earliest objective first, all are begun and most end too late. Jobs that are beyond use go
+    by age, so that none waits for ever.
     """
     job = task.job
     priority = job.queue.priority
--- a/fireflyfork/programs/_service_owner.py
+++ b/fireflyfork/programs/_service_owner.py
@@ -72,8 +72,8 @@
 WATCH_SECONDS = 2.0
 """How long one question for changes waits; a silent connection is noticed a second later."""
 REGISTRATIONS_SECONDS = 0.4
-"""Executors write every 1.5 s each, mostly to say that they live. Asked for each of these writes, the
-store had a quarter of all calls from that; executors that leave go on for 2.5 s and more."""
+"""Executors write every 1.5 s each, mostly to say that they live. A question after each of these writes would
+be a quarter of all calls to the store; executors that leave go on for 2.5 s and more."""
 RECOVERY_SECONDS = 4.0
 """An able instance recovers within 0.3 s, or within 2 s while the store answers a hundred times slower
 than usual."""
@@ -185,8 +185,8 @@
     async def resign(self, seconds: float) -> None:
         """Start nothing more, store what is known, and end ``run``.
 
-        Polls end first. On a busy service each brings ends that have to be stored, and waiting until
-        none is left took all of the time allowed, while no task was placed. What is not taken in stays
+        Polls end first. On a busy service each brings ends that have to be stored; waiting until none is
+        left would take all of the time allowed, while no task is placed. What is not taken in stays
         on the executors' lists for the next owner.
         """
         self._resigning = True
