--- a/fireflyfork_standins/scheduling/__init__.py
+++ b/fireflyfork_standins/scheduling/__init__.py
@@ -5,13 +5,14 @@
 from ._history import History, Violation
 from ._machines import StandInMachines, machine_of
 from ._store import StandInStore, StoreTrouble
-from ._troubles import ALL_TROUBLES, TROUBLES, UPKEEP_TROUBLES
+from ._troubles import ALL_TROUBLES, INCARNATION_TROUBLES, TROUBLES, UPKEEP_TROUBLES
 from ._wire_callers import WireCallers
 from ._wire_platform import WireLayout, WirePlatform
 from ._world import Profile, Report, run_world
 
 __all__ = [
     "ALL_TROUBLES",
+    "INCARNATION_TROUBLES",
     "TROUBLES",
     "UPKEEP_TROUBLES",
     "ExecutorTrouble",
--- a/fireflyfork_standins/scheduling/_executor_calls.py
+++ b/fireflyfork_standins/scheduling/_executor_calls.py
@@ -72,7 +72,7 @@
         if executor is None:
             await trio.sleep(TIMEOUT_SECONDS)
             return PollAnswer(CallOutcome.UNKNOWN)
-        await trio.sleep(LATENCY_SECONDS)
+        await self._arrive(executor)
         late = self._draws(executor.trouble.late_share)
         if late:
             renew = (token, forget_ends_to, lease_until_ms)
@@ -99,7 +99,7 @@
         if executor is None:
             await trio.sleep(TIMEOUT_SECONDS)
             return OrderAnswer(CallOutcome.UNKNOWN, None)
-        await trio.sleep(LATENCY_SECONDS)
+        await self._arrive(executor)
         if self._draws(executor.trouble.late_share):
             self._nursery.start_soon(self._late, executor, lambda: carry_out(executor))
         elif executor.up:
@@ -110,6 +110,15 @@
         await trio.sleep(TIMEOUT_SECONDS)
         return OrderAnswer(CallOutcome.UNKNOWN, None)
 
+    @staticmethod
+    async def _arrive(executor: StandInExecutor) -> None:
+        """A call comes to its executor."""
+        await trio.sleep(LATENCY_SECONDS)
+        if executor.trouble.reborn_at_call and executor.up:
+            executor.trouble.reborn_at_call = False
+            executor.crash()
+            executor.begin_again()
+
     async def _late(self, executor: StandInExecutor, carry_out: Callable[[], object]) -> None:
         life = executor.born
         await trio.sleep(self._random.uniform(*LATE_SECONDS))
--- a/fireflyfork_standins/scheduling/_executors.py
+++ b/fireflyfork_standins/scheduling/_executors.py
@@ -38,7 +38,8 @@
 _NO_TOKEN = FencingToken(0)
 STEP_SECONDS = 0.01
 STOP_SECONDS = 0.05
-LONGEST_LEASE_MS = 6_000
+LONGEST_LEASE_SECONDS = 6.0
+"""The longest that is granted at once, unless a day says otherwise."""
 
 
 @dataclass(slots=True)
@@ -54,6 +55,8 @@
     stands_still: bool = False
     speed: float = 1.0
     """Of its usual one."""
+    reborn_at_call: bool = False
+    """The next call finds that it has just started anew; then this is over."""
 
 
 @dataclass(slots=True)
@@ -102,6 +105,7 @@
         history: History,
         random: Random,
         address: Address = NOWHERE,
+        longest_lease_seconds: float = LONGEST_LEASE_SECONDS,
     ) -> None:
         """Registers when ``run`` is called, at ``address``."""
         self.executor = executor
@@ -113,6 +117,7 @@
         self._history = history
         self._random = random
         self._address = address
+        self._longest_lease_ms = int(longest_lease_seconds * 1000)
         self._rate = random.uniform(0.98, 1.0)
         self._draining = False
         self._begin_life()
@@ -306,7 +311,7 @@
         )
 
     def _limited(self, until_ms: int) -> int:
-        return min(until_ms, self.clock_ms + LONGEST_LEASE_MS)
+        return min(until_ms, self.clock_ms + self._longest_lease_ms)
 
     @staticmethod
     def _saved(run: _Run) -> str:
--- a/fireflyfork_standins/scheduling/_troubles.py
+++ b/fireflyfork_standins/scheduling/_troubles.py
@@ -37,8 +37,13 @@
 """Those of days with waves of upkeep. Kept apart: a seed draws its kinds by their places in the tuple,
 and seeds that once showed a fault have to play the same day for ever."""
 ALL_TROUBLES = (*UPKEEP_TROUBLES, "executor_slow", "graceful_stop")
-"""All there are, for new seeds."""
+"""All there were before executors that start anew in series."""
+INCARNATION_TROUBLES = ("executor_flaps", "executor_reborn_cut", "executor_cut", "unregistered")
+"""Executors that start anew under their ids, in series and just before they are cut off."""
 RESTART_SECONDS = 0.7
+FLAPS = 4
+FLAP_SECONDS = (0.3, 1.4)
+CALL_WAIT_SECONDS = 3.0
 GRACE_SECONDS = 2.0
 
 
@@ -182,6 +187,31 @@
             await trio.sleep(self._random.uniform(0.05, 1.0))
             executor.begin_again()
 
+    async def _executor_flaps(self, _: trio.Nursery) -> None:
+        """Down and up by turns."""
+        executor = self._some_executor()
+        for _turn in range(FLAPS):
+            if executor.up:
+                executor.crash()
+            await trio.sleep(self._random.uniform(*FLAP_SECONDS))
+            if not executor.up:
+                executor.begin_again()
+            await trio.sleep(self._random.uniform(*FLAP_SECONDS))
+
+    async def _executor_reborn_cut(self, _: trio.Nursery) -> None:
+        """Begins anew while a call is on its way to it, and is cut off from all instances right after."""
+        executor = self._some_executor()
+        executor.trouble.reborn_at_call = True
+        with trio.move_on_after(CALL_WAIT_SECONDS):
+            while executor.trouble.reborn_at_call:
+                await trio.sleep(0.005)
+        executor.trouble.reborn_at_call = False
+        await trio.sleep(self._random.uniform(0.0, 0.1))
+        cut = {node.name for node in self._nodes}
+        executor.trouble.unreachable_from |= cut
+        await trio.sleep(self._random.uniform(5.0, 9.0))
+        executor.trouble.unreachable_from -= cut
+
     async def _executor_cut(self, _: trio.Nursery) -> None:
         executor = self._some_executor()
         cut = {node.name for node in self._nodes if self._random.random() < 0.7}
--- a/fireflyfork_standins/scheduling/_world.py
+++ b/fireflyfork_standins/scheduling/_world.py
@@ -30,7 +30,7 @@
 from fireflyfork.platform import PlatformBounds, reports_over, wave_status_key
 from fireflyfork.programs._scheduling_keys import JOB_PREFIX
 
-from ._executors import StandInExecutor
+from ._executors import LONGEST_LEASE_SECONDS, StandInExecutor
 from ._history import History, Violation
 from ._machines import StandInMachines, machine_of
 from ._nodes import UNIX_MS_AT_START, StandInNode
@@ -67,6 +67,8 @@
     """Reading what thirty jobs have left in the store takes some five seconds over it."""
     retention_seconds: float = 120.0
     """For how long the state of a job must be readable after its end."""
+    longest_lease_seconds: float = LONGEST_LEASE_SECONDS
+    """What executors grant at once; longer ones are cut to it."""
 
 
 @dataclass(slots=True)
@@ -118,6 +120,7 @@
                 self._store,
                 self._history,
                 self._random,
+                longest_lease_seconds=profile.longest_lease_seconds,
             )
             for number in range(profile.executors)
         }
@@ -125,7 +128,8 @@
         self._history.checks_budgets = not profile.troubles
         queue = QueueTerms(QueueName("q"), "h", "/q/", SERVICE, 0, 3, 2.0, 1000, 3000)
         table = queue_table(ConfigurationVersion(1), (queue,), frozenset({SERVICE}))
-        bounds = PlatformBounds(6.0, 0.2, 6.0, profile.retention_seconds)
+        longest = profile.longest_lease_seconds
+        bounds = PlatformBounds(longest, 0.2, 6.0, profile.retention_seconds)
         self._nodes = [
             StandInNode(
                 NodeName(f"n-{number}"),
