Calls to an executor come to the incarnation that they are meant for, or to none

What callers saw: a task that had ended well was started again on another executor by the same owner.

Cause: calls name an executor's id, not its incarnation. An executor that starts anew under its id takes an order or a renewal that was meant for its last life. The deadline in it is by the last life's clock, far ahead, so the new life runs on for the platform's longest lease, 10 s, while the owner reckons with 5.25 s. Cut off right then, its runs are given away too early; once it is back its end is acknowledged.

Why this holds: a connection ends with the process it leads to. Each new connection is asked which incarnation it leads to, by a poll that renews and forgets nothing, before anything else is sent on it. An order that meets another one is known not to have run, and the owner learns of the new life at once. Clocks of answers count only for the life that they are of.

On sockets: with the question switched off, an order for an earlier life is accepted by the next one and the new test fails.

--- a/fireflyfork/adapters/_executor_calls.py
+++ b/fireflyfork/adapters/_executor_calls.py
@@ -9,6 +9,9 @@
 from .._links import Address
 from ..decisions.jobs import OrderAnswer, PollAnswer, StartRequest
 
+ANY_INCARNATION = 0
+"""In place of an incarnation: whichever is there."""
+
 
 @dataclass(frozen=True, slots=True)
 class ExecutorPlace:
@@ -16,10 +19,19 @@
 
     executor: ExecutorId
     address: Address
+    incarnation: int
+    """When that process started, in Unix milliseconds, or ``ANY_INCARNATION``."""
 
 
 class ExecutorCalls(ABC):
-    """Calls to executors. None raises: what went wrong is the outcome."""
+    """Calls to executors. None raises: what went wrong is the outcome.
+
+    A call is carried out by the incarnation that its place names and by no other one; what finds another
+    one there does nothing, and its outcome is OTHER_INCARNATION, with the incarnation that is there if it
+    is known. Executors count clocks and ends anew in each life: a deadline by the clock of the last life
+    would let runs go on in the next one for as long as the platform allows, long after their owner took
+    them for over and started their tasks elsewhere, and ends of the next life would be forgotten unseen.
+    """
 
     @abstractmethod
     async def start(
--- a/fireflyfork/adapters/_http_client.py
+++ b/fireflyfork/adapters/_http_client.py
@@ -4,7 +4,8 @@
 
 import select
 import socket
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
+from functools import partial
 
 import h11
 import trio
@@ -141,14 +142,31 @@
         return bool(poll.poll(0))
 
 
+ClientExchange = Callable[
+    [str, str, tuple[Header, ...], bytes], Awaitable[tuple[ResponseHead, bytes]]
+]
+"""One exchange on one connection: method, target, headers and body; the answer's head and body."""
+
+
 class HttpClient:
-    """Small calls to one server over one kept connection, reopened when it breaks."""
+    """Small calls to one server over kept connections, reopened when they break."""
 
-    def __init__(self, address: Address, timeout: float, longest_answer: int = 1 << 24) -> None:
-        """``timeout`` is in seconds without a byte; ``longest_answer`` in bytes."""
+    def __init__(
+        self,
+        address: Address,
+        timeout: float,
+        longest_answer: int = 1 << 24,
+        greet: Callable[[ClientExchange], Awaitable[None]] | None = None,
+    ) -> None:
+        """``timeout`` is in seconds without a byte; ``longest_answer`` in bytes.
+
+        ``greet`` finds out on each new connection whether its other end is the one that is meant, and
+        raises HttpError if not; nothing of a call is sent before.
+        """
         self._address = address
         self._timeout = timeout
         self._longest_answer = longest_answer
+        self._greet = greet
         self._idle: list[HttpClientConnection] = []
 
     async def call(
@@ -158,9 +176,12 @@
         headers: tuple[Header, ...] = (),
         body: bytes = b"",
         extra_seconds: float = 0.0,
+        is_greeting: bool = False,
     ) -> tuple[ResponseHead, bytes]:
         """One call. Raises HttpError.
 
+        One that is a greeting by itself may go out on a connection that nobody has greeted on.
+
         The answer must begin within the timeout plus ``extra_seconds``, and go on within the timeout
         after each part. Were the whole call limited, an answer that is too long for the link in that time
         could never arrive, however often the call was repeated.
@@ -171,7 +192,7 @@
         connection: HttpClientConnection | None = None
         try:
             with trio.fail_after(self._timeout + extra_seconds) as scope:
-                connection = await self._connection()
+                connection = await self._connection(is_greeting)
                 connection.received = lambda: self._extend(scope)
                 return await self._exchange(connection, method, target, headers, body)
         except trio.TooSlowError as error:
@@ -190,13 +211,21 @@
     def _extend(self, scope: trio.CancelScope) -> None:
         scope.deadline = max(scope.deadline, trio.current_time() + self._timeout)
 
-    async def _connection(self) -> HttpClientConnection:
+    async def _connection(self, is_greeting: bool) -> HttpClientConnection:
         while self._idle:
             connection = self._idle.pop()
             if connection.reusable:
                 return connection
             connection.close()
-        return await HttpClientConnection.open(self._address, self._timeout)
+        connection = await HttpClientConnection.open(self._address, self._timeout)
+        if self._greet is None or is_greeting:
+            return connection
+        try:
+            await self._greet(partial(self._exchange, connection))
+        except BaseException:
+            connection.close()
+            raise
+        return connection
 
     async def _exchange(
         self,
--- a/fireflyfork/decisions/jobs/_report_handling.py
+++ b/fireflyfork/decisions/jobs/_report_handling.py
@@ -20,6 +20,8 @@
 
 _OF_THE_EXECUTOR = frozenset({CallOutcome.UNHEALTHY, CallOutcome.NO_ROOM})
 """Refusals that another executor would not give."""
+_ELSEWHERE_AT_ONCE = frozenset({CallOutcome.NO_TICKET, CallOutcome.OTHER_INCARNATION})
+"""Refusals that the next try can't get for the same reason."""
 
 
 class Reports:
@@ -32,8 +34,7 @@
     def start_answered(self, run: Run, answer: OrderAnswer, now: float) -> None:
         """An executor answered the order to start, or didn't."""
         executor = run.executor
-        if answer.clock_ms is not None:
-            executor.note_clock(answer.clock_ms, now)
+        _note_clock(executor, answer, now)
         if run.key not in executor.runs or run.phase is not RunPhase.STARTING:
             return
         outcome = answer.outcome
@@ -54,13 +55,16 @@
                 self._work.tickets.rejected(run.task.step_id, executor.executor)
             # Where the next try differs in nothing it is as likely to be refused; sent as soon as the
             # answer came, such orders would go out hundreds of times a second.
-            differs = outcome in _OF_THE_EXECUTOR or outcome is CallOutcome.NO_TICKET
+            differs = outcome in _OF_THE_EXECUTOR or outcome in _ELSEWHERE_AT_ONCE
             self._work.gone(run, now, RunOver.REFUSED, at_once=differs)
+            if outcome is CallOutcome.OTHER_INCARNATION:
+                self.incarnation_met(executor, answer.incarnation, now)
 
     def stop_answered(self, run: Run, answer: OrderAnswer, now: float) -> None:
         """An executor answered the order to stop, or didn't."""
-        if answer.clock_ms is not None:
-            run.executor.note_clock(answer.clock_ms, now)
+        _note_clock(run.executor, answer, now)
+        if answer.outcome is CallOutcome.OTHER_INCARNATION:
+            self.incarnation_met(run.executor, answer.incarnation, now)
         if answer.outcome is CallOutcome.ACCEPTED and run.barred_at is None:
             run.barred_at = now
 
@@ -69,6 +73,14 @@
         if answer.outcome is not CallOutcome.ACCEPTED:
             run.pace_confirmed = False
 
+    def incarnation_met(self, executor: ExecutorState, incarnation: int | None, now: float) -> bool:
+        """A call found another incarnation of an executor; whether it is one that began later."""
+        known = executor.registration.incarnation
+        if incarnation is None or incarnation <= known or not self._work.is_current(executor):
+            return False
+        self._work.reborn(executor, _reborn_as(executor, incarnation), now)
+        return True
+
     def poll_failed(self, executor: ExecutorState, now: float) -> None:
         """A poll got no answer."""
         if not self._work.is_current(executor):
@@ -228,5 +240,15 @@
         self._work.stop(run, now)
 
 
+def _note_clock(executor: ExecutorState, answer: OrderAnswer, now: float) -> None:
+    """Take in the clock of an answer, if it is the clock of the life that is known.
+
+    The clock of a next life begins at 0. Taken to be as far as the last one was, it would void no late
+    order and end no lease.
+    """
+    if answer.clock_ms is not None and answer.incarnation == executor.registration.incarnation:
+        executor.note_clock(answer.clock_ms, now)
+
+
 def _reborn_as(executor: ExecutorState, incarnation: int) -> ExecutorRegistration:
     return replace(executor.registration, incarnation=incarnation)
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -182,6 +182,10 @@
         """An executor answered the order to change a run's pace, or didn't."""
         self._reports.pace_answered(run, answer)
 
+    def incarnation_met(self, executor: ExecutorState, incarnation: int | None, now: float) -> bool:
+        """A call found another incarnation of an executor; whether it is one that began later."""
+        return self._reports.incarnation_met(executor, incarnation, now)
+
     def poll_failed(self, executor: ExecutorState, now: float) -> None:
         """A poll got no answer."""
         self._reports.poll_failed(executor, now)
--- a/fireflyfork/decisions/jobs/_work.py
+++ b/fireflyfork/decisions/jobs/_work.py
@@ -149,9 +149,10 @@
     ) -> None:
         """The executor started anew: what ran in its earlier life is over.
 
-        Orders name the executor, not its life. One that was sent after the earlier life had last answered
-        may have begun in the new one; taken for over, its task would run in two places. So it is stopped
-        there, and its task waits until that is certain.
+        Calls come to the incarnation that they are meant for, or to none. Should an order be held back on
+        its way and be carried out late in the new life all the same, its task would run in two places. So
+        what was ordered after the earlier life had last answered is stopped in the new one, and its task
+        waits until that is certain.
         """
         runs = tuple(executor.runs.values())
         answered_at = executor.polled_at
--- a/fireflyfork/platform/_executor_client.py
+++ b/fireflyfork/platform/_executor_client.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+from functools import partial
 from typing import Any, TypeVar
 
 import msgspec
 from loguru import logger
 
 from .._ids import AttemptNumber, ExecutorId, FencingToken, TaskName
-from .._links import Address
-from ..adapters import ExecutorCalls, ExecutorPlace, HttpError
+from ..adapters import ANY_INCARNATION, ExecutorCalls, ExecutorPlace, Header, HttpError
 from ..decisions.jobs import (
     CallOutcome,
     EndedRow,
@@ -19,7 +20,7 @@
     RunningRow,
     StartRequest,
 )
-from ._http_calls import CallAnswer, JsonCalls
+from ._http_calls import BoundCall, CallAnswer, JsonCalls
 from ._names import EXPECTED_INCARNATION_HEADER, PACE_PATH, POLL_PATH, START_PATH, STOP_PATH
 
 CALL_TIMEOUT_SECONDS = 0.6
@@ -71,7 +72,6 @@
 class _OrderAnswer(msgspec.Struct):
     clock_ms: int | None = None
     reason: str = ""
-    born: int | None = None
 
 
 class _PollAnswer(msgspec.Struct):
@@ -84,12 +84,35 @@
 _Shape = TypeVar("_Shape")
 
 
+class _NotGreetedError(HttpError):
+    """A new connection leads to another incarnation, or can't be told to lead to the one that is meant."""
+
+    def __init__(self, outcome: CallOutcome, incarnation: int | None = None) -> None:
+        super().__init__(f"greeted: {outcome.value}, incarnation {incarnation}")
+        self.outcome = outcome
+        self.incarnation = incarnation
+
+
+@dataclass(frozen=True, slots=True)
+class _Bound:
+    """Calls over connections that lead to one incarnation of an executor."""
+
+    place: ExecutorPlace
+    token: FencingToken
+    calls: JsonCalls
+
+
 class PlatformExecutors(ExecutorCalls):
-    """A client of all executors."""
+    """A client of all executors.
+
+    The platform's calls name an executor but not its incarnation. A connection ends with the process that
+    it leads to, so each new one is first asked, by a poll that changes nothing, which incarnation it leads
+    to; nothing else is sent on one that leads to another.
+    """
 
     def __init__(self) -> None:
         """No connection yet."""
-        self._calls: dict[ExecutorId, tuple[Address, JsonCalls]] = {}
+        self._bound: dict[ExecutorId, _Bound] = {}
 
     async def start(
         self, place: ExecutorPlace, token: FencingToken, order: StartRequest
@@ -104,7 +127,7 @@
             checkpoint=order.checkpoint,
             ticket=order.ticket,
         )
-        return await self._order(place, START_PATH, body)
+        return await self._order(place, token, START_PATH, body)
 
     async def stop(
         self,
@@ -114,7 +137,7 @@
         attempt: AttemptNumber,
     ) -> OrderAnswer:
         """See ExecutorCalls."""
-        return await self._order(place, STOP_PATH, _Order(task, attempt, token))
+        return await self._order(place, token, STOP_PATH, _Order(task, attempt, token))
 
     async def pace(
         self,
@@ -125,7 +148,8 @@
         percent: int,
     ) -> OrderAnswer:
         """See ExecutorCalls."""
-        return await self._order(place, PACE_PATH, _Order(task, attempt, token, percent=percent))
+        order = _Order(task, attempt, token, percent=percent)
+        return await self._order(place, token, PACE_PATH, order)
 
     async def poll(
         self,
@@ -136,61 +160,103 @@
         wait_seconds: float,
     ) -> PollAnswer:
         """See ExecutorCalls."""
-        body = _Poll(token, forget_ends_to, lease_until_ms, int(wait_seconds * 1000))
-        answer = await self._call(place, POLL_PATH, msgspec.json.encode(body), wait_seconds)
-        if answer is None:
-            return PollAnswer(CallOutcome.UNKNOWN)
-        if answer.status != 200:
-            refusal = _decoded(answer, _OrderAnswer)
-            return PollAnswer(_outcome(answer, refusal))
-        poll = _decoded(answer, _PollAnswer)
-        if poll is None:
+        poll = _Poll(token, forget_ends_to, lease_until_ms, int(wait_seconds * 1000))
+        calls = self._calls_to(place, token)
+        # What renews nothing and forgets nothing does no harm in any incarnation, and tells which it is.
+        harmless = not forget_ends_to and lease_until_ms is None
+        try:
+            answer = await calls.call(
+                "POST",
+                POLL_PATH,
+                msgspec.json.encode(poll),
+                _headers(place),
+                wait_seconds,
+                harmless,
+            )
+        except _NotGreetedError as error:
+            return PollAnswer(error.outcome, incarnation=error.incarnation)
+        except HttpError as error:
+            logger.debug("executor call failed", executor=place.executor, error=str(error))
             return PollAnswer(CallOutcome.UNKNOWN)
-        return PollAnswer(
-            CallOutcome.ACCEPTED,
-            poll.clock_ms,
-            poll.born,
-            tuple(map(_running_row, poll.running)),
-            tuple(map(_ended_row, poll.ended)),
-        )
+        listed = _poll_answer(answer)
+        if harmless and (outcome := _greeted(place, listed)) is not CallOutcome.ACCEPTED:
+            calls.close()
+            return PollAnswer(outcome, incarnation=listed.incarnation)
+        return listed
 
     def forget(self, executor: ExecutorId) -> None:
         """See ExecutorCalls."""
-        known = self._calls.pop(executor, None)
+        known = self._bound.pop(executor, None)
         if known is not None:
-            known[1].close()
+            known.calls.close()
 
-    async def _order(self, place: ExecutorPlace, path: str, body: _Order) -> OrderAnswer:
-        answer = await self._call(place, path, msgspec.json.encode(body))
-        if answer is None:
+    async def _order(
+        self, place: ExecutorPlace, token: FencingToken, path: str, order: _Order
+    ) -> OrderAnswer:
+        calls = self._calls_to(place, token)
+        try:
+            answer = await calls.call("POST", path, msgspec.json.encode(order), _headers(place))
+        except _NotGreetedError as error:
+            return OrderAnswer(error.outcome, None, error.incarnation)
+        except HttpError as error:
+            logger.debug("executor call failed", executor=place.executor, error=str(error))
             return OrderAnswer(CallOutcome.UNKNOWN, None)
         decoded = _decoded(answer, _OrderAnswer)
         outcome = _outcome(answer, decoded)
         if decoded is None:
             return OrderAnswer(outcome, None)
-        return OrderAnswer(outcome, decoded.clock_ms, decoded.born)
-
-    async def _call(
-        self, place: ExecutorPlace, path: str, body: bytes, extra_seconds: float = 0.0
-    ) -> CallAnswer | None:
-        headers = ((EXPECTED_INCARNATION_HEADER, place.executor.encode("ascii")),)
-        try:
-            return await self._calls_to(place).call("POST", path, body, headers, extra_seconds)
-        except HttpError as error:
-            logger.debug("executor call failed", executor=place.executor, error=str(error))
-            return None
+        return OrderAnswer(outcome, decoded.clock_ms, place.incarnation)
 
-    def _calls_to(self, place: ExecutorPlace) -> JsonCalls:
-        known = self._calls.get(place.executor)
-        if known is not None and known[0] == place.address:
-            return known[1]
+    def _calls_to(self, place: ExecutorPlace, token: FencingToken) -> JsonCalls:
+        known = self._bound.get(place.executor)
+        if known is not None and known.place == place and known.token == token:
+            return known.calls
         if known is not None:
-            known[1].close()
-        calls = JsonCalls(place.address, CALL_TIMEOUT_SECONDS)
-        self._calls[place.executor] = (place.address, calls)
+            known.calls.close()
+        calls = JsonCalls(place.address, CALL_TIMEOUT_SECONDS, partial(_greet, place, token))
+        self._bound[place.executor] = _Bound(place, token, calls)
         return calls
 
 
+async def _greet(place: ExecutorPlace, token: FencingToken, connection: BoundCall) -> None:
+    """Ask which incarnation a connection leads to. Raises _NotGreetedError if it is another one."""
+    if place.incarnation == ANY_INCARNATION:
+        return
+    body = msgspec.json.encode(_Poll(token, last_seen=0))
+    listed = _poll_answer(await connection.call("POST", POLL_PATH, body, _headers(place)))
+    outcome = _greeted(place, listed)
+    if outcome is not CallOutcome.ACCEPTED:
+        raise _NotGreetedError(outcome, listed.incarnation)
+
+
+def _greeted(place: ExecutorPlace, listed: PollAnswer) -> CallOutcome:
+    """What the answer to a poll says of the connection that it came over."""
+    if listed.outcome is not CallOutcome.ACCEPTED:
+        return listed.outcome
+    if place.incarnation in (ANY_INCARNATION, listed.incarnation):
+        return CallOutcome.ACCEPTED
+    return CallOutcome.OTHER_INCARNATION
+
+
+def _headers(place: ExecutorPlace) -> tuple[Header, ...]:
+    return ((EXPECTED_INCARNATION_HEADER, place.executor.encode("ascii")),)
+
+
+def _poll_answer(answer: CallAnswer) -> PollAnswer:
+    if answer.status != 200:
+        return PollAnswer(_outcome(answer, _decoded(answer, _OrderAnswer)))
+    poll = _decoded(answer, _PollAnswer)
+    if poll is None:
+        return PollAnswer(CallOutcome.UNKNOWN)
+    return PollAnswer(
+        CallOutcome.ACCEPTED,
+        poll.clock_ms,
+        poll.born,
+        tuple(map(_running_row, poll.running)),
+        tuple(map(_ended_row, poll.ended)),
+    )
+
+
 def _outcome(answer: CallAnswer, decoded: _OrderAnswer | None) -> CallOutcome:
     if answer.status == 409 and decoded is not None:
         return _REASONS.get(decoded.reason, CallOutcome.UNKNOWN)
--- a/fireflyfork/platform/_http_calls.py
+++ b/fireflyfork/platform/_http_calls.py
@@ -2,10 +2,11 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
 from .._links import Address
-from ..adapters import Header, HttpClient, HttpError
+from ..adapters import ClientExchange, Header, HttpClient, HttpError
 
 _JSON: Header = (b"content-type", b"application/json")
 
@@ -18,12 +19,41 @@
     body: bytes
 
 
+Greet = Callable[["BoundCall"], Awaitable[None]]
+"""Finds out whether a new connection leads where it should; see HttpClient."""
+
+
+class BoundCall:
+    """Calls over one connection."""
+
+    def __init__(self, exchange: ClientExchange) -> None:
+        """Use the connection of ``exchange``."""
+        self._exchange = exchange
+
+    async def call(
+        self, method: str, target: str, body: bytes, headers: tuple[Header, ...]
+    ) -> CallAnswer:
+        """One call. Raises HttpError."""
+        head, answer = await self._exchange(method, target, (_JSON, *headers), body)
+        return CallAnswer(head.status, answer)
+
+
 class JsonCalls:
     """Calls to one server."""
 
-    def __init__(self, address: Address, timeout: float) -> None:
+    def __init__(
+        self,
+        address: Address,
+        timeout: float,
+        greet: Greet | None = None,
+    ) -> None:
         """``timeout`` is in seconds for each call."""
-        self._client = HttpClient(address, timeout)
+
+        async def greet_on(exchange: ClientExchange) -> None:
+            if greet is not None:
+                await greet(BoundCall(exchange))
+
+        self._client = HttpClient(address, timeout, greet=greet_on)
 
     async def call(
         self,
@@ -32,11 +62,12 @@
         body: bytes = b"",
         headers: tuple[Header, ...] = (),
         extra_seconds: float = 0.0,
+        is_greeting: bool = False,
     ) -> CallAnswer:
         """One call. Raises HttpError; it may then have taken effect."""
         try:
             head, answer = await self._client.call(
-                method, target, (_JSON, *headers), body, extra_seconds
+                method, target, (_JSON, *headers), body, extra_seconds, is_greeting
             )
         except HttpError:
             # A firewall that forgets its connections makes all of them silent at once, and new
--- a/fireflyfork/programs/_executor_polls.py
+++ b/fireflyfork/programs/_executor_polls.py
@@ -8,7 +8,7 @@
 from loguru import logger
 
 from ..adapters import ExecutorCalls, ExecutorPlace
-from ..decisions.jobs import CallOutcome, ExecutorState, Scheduler
+from ..decisions.jobs import CallOutcome, ExecutorState, PollAnswer, Scheduler
 from ._clocks import Clock
 from ._service_journal import OwnershipLostError, ServiceJournal
 from ._service_lease import Term
@@ -32,6 +32,12 @@
 could never tell when a task on an executor that only the old owner reaches is over."""
 
 
+def place_of(executor: ExecutorState) -> ExecutorPlace:
+    """Where calls to an executor go, in the life that its owner knows."""
+    known = executor.registration
+    return ExecutorPlace(known.executor, known.address, known.incarnation)
+
+
 class ExecutorPolls:
     """The polls at all executors of a service."""
 
@@ -80,15 +86,20 @@
     async def _poll(self, executor: ExecutorState) -> None:
         sent_at = self._clock.now()
         forget = executor.forgettable_end
-        place = ExecutorPlace(executor.executor, executor.registration.address)
         answer = await self._calls.poll(
-            place, self._term.token, forget, self._lease(executor, sent_at), self._wait(executor)
+            place_of(executor),
+            self._term.token,
+            forget,
+            self._lease(executor, sent_at),
+            self._wait(executor),
         )
         if self._ended:
             return
         now = self._clock.now()
         if answer.outcome is CallOutcome.FENCED:
             raise OwnershipLostError(f"{executor.executor} has seen a higher token")
+        if self._met_next_life(executor, answer, now):
+            return
         if answer.outcome is not CallOutcome.ACCEPTED:
             if executor.failed_polls == 0:
                 logger.info(
@@ -107,6 +118,11 @@
             self._journal.notify()
         self._kick()
 
+    def _met_next_life(self, executor: ExecutorState, answer: PollAnswer, now: float) -> bool:
+        if answer.outcome is not CallOutcome.OTHER_INCARNATION:
+            return False
+        return self._scheduler.incarnation_met(executor, answer.incarnation, now)
+
     async def _pause(self, executor: ExecutorState) -> None:
         if executor.failed_polls:
             delay = FIRST_RETRY_SECONDS * 2 ** (executor.failed_polls - 1)
--- a/fireflyfork_standins/scheduling/_executor_calls.py
+++ b/fireflyfork_standins/scheduling/_executor_calls.py
@@ -8,7 +8,7 @@
 import trio
 
 from fireflyfork._ids import AttemptNumber, ExecutorId, FencingToken, NodeName, TaskName
-from fireflyfork.adapters import ExecutorCalls, ExecutorPlace
+from fireflyfork.adapters import ANY_INCARNATION, ExecutorCalls, ExecutorPlace
 from fireflyfork.decisions.jobs import CallOutcome, OrderAnswer, PollAnswer, StartRequest
 
 from ._executors import STEP_SECONDS, StandInExecutor
@@ -35,6 +35,8 @@
         self._executors = executors
         self._nursery = nursery
         self._random = random
+        self._connected: dict[ExecutorId, int] = {}
+        """The incarnation that the connections to an executor lead to."""
 
     async def start(
         self, place: ExecutorPlace, token: FencingToken, order: StartRequest
@@ -72,7 +74,9 @@
         if executor is None:
             await trio.sleep(TIMEOUT_SECONDS)
             return PollAnswer(CallOutcome.UNKNOWN)
-        await self._arrive(executor)
+        missed = await self._arrive(executor, place)
+        if missed is not None:
+            return PollAnswer(missed, incarnation=_told(missed, executor))
         late = self._draws(executor.trouble.late_share)
         if late:
             renew = (token, forget_ends_to, lease_until_ms)
@@ -83,10 +87,12 @@
         refusal = executor.renew(token, forget_ends_to, lease_until_ms)
         if refusal is not CallOutcome.ACCEPTED:
             return PollAnswer(refusal)
+        life = executor.born
         until = trio.current_time() + wait_seconds
         while trio.current_time() < until and not executor.has_end_after(forget_ends_to):
             await trio.sleep(STEP_SECONDS)
-        if self._reachable(place) is None or self._draws(executor.trouble.lost_share):
+        gone = self._reachable(place) is None or executor.born != life
+        if gone or self._draws(executor.trouble.lost_share):
             await trio.sleep(TIMEOUT_SECONDS)
             return PollAnswer(CallOutcome.UNKNOWN)
         return executor.listing()
@@ -99,25 +105,35 @@
         if executor is None:
             await trio.sleep(TIMEOUT_SECONDS)
             return OrderAnswer(CallOutcome.UNKNOWN, None)
-        await self._arrive(executor)
+        missed = await self._arrive(executor, place)
+        if missed is not None:
+            return OrderAnswer(missed, None, _told(missed, executor))
         if self._draws(executor.trouble.late_share):
             self._nursery.start_soon(self._late, executor, lambda: carry_out(executor))
         elif executor.up:
             outcome = carry_out(executor)
             await trio.sleep(LATENCY_SECONDS)
             if not self._draws(executor.trouble.lost_share):
-                return OrderAnswer(outcome, executor.clock_ms)
+                return OrderAnswer(outcome, executor.clock_ms, executor.born)
         await trio.sleep(TIMEOUT_SECONDS)
         return OrderAnswer(CallOutcome.UNKNOWN, None)
 
-    @staticmethod
-    async def _arrive(executor: StandInExecutor) -> None:
-        """A call comes to its executor."""
+    async def _arrive(self, executor: StandInExecutor, place: ExecutorPlace) -> CallOutcome | None:
+        """A call comes to its executor. What becomes of one that was meant for another incarnation."""
         await trio.sleep(LATENCY_SECONDS)
         if executor.trouble.reborn_at_call and executor.up:
             executor.trouble.reborn_at_call = False
             executor.crash()
             executor.begin_again()
+        connected = self._connected.get(place.executor)
+        self._connected[place.executor] = executor.born
+        if place.incarnation in (ANY_INCARNATION, executor.born) or not executor.up:
+            return None
+        if connected == place.incarnation:
+            # It was sent over a connection that has ended with the process at its other end.
+            await trio.sleep(TIMEOUT_SECONDS)
+            return CallOutcome.UNKNOWN
+        return CallOutcome.OTHER_INCARNATION
 
     async def _late(self, executor: StandInExecutor, carry_out: Callable[[], object]) -> None:
         life = executor.born
@@ -133,3 +149,8 @@
 
     def _draws(self, share: float) -> bool:
         return share > 0 and self._random.random() < share
+
+
+def _told(missed: CallOutcome, executor: StandInExecutor) -> int | None:
+    """The incarnation that a call learns of: a connection that has ended tells nothing."""
+    return executor.born if missed is CallOutcome.OTHER_INCARNATION else None
--- a/fireflyfork_standins/tests/test_incarnations.py
+++ b/fireflyfork_standins/tests/test_incarnations.py
@@ -22,6 +22,11 @@
         off for some seconds before its owner has noticed. Its task ends well there. The owner takes the
         task for over too early and starts it again elsewhere, and when the executor is back it lists the
         end of the first run. The task's user gets two letters, two bookings, two certificates.
+
+        The order carried a deadline by the clock of the last life, far ahead of the new one's, and the new
+        life took it up to the longest lease there is, twice what the owner reckoned with. The log of such a
+        day shows the second start after "its lease lapsed", 5.25 s after the last renewal, and the executor
+        with a lease of 10 s that no order by its own clock gave it.
         """
         for seed in SEEDS_OF_SECOND_RUNS:
             with self.subTest(seed):
--- /dev/null
+++ b/fireflyfork_standins/tests/test_wire_incarnations.py
@@ -0,0 +1,131 @@
+"""The client of executors over real sockets, while the process at the other end is replaced."""
+
+import socket
+import unittest
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from random import Random
+
+import trio
+
+from fireflyfork._ids import AttemptNumber, ExecutorId, FencingToken, JobId, QueueName, ServiceName
+from fireflyfork._links import Address
+from fireflyfork.adapters import ANY_INCARNATION, ExecutorPlace, HttpServer, listen
+from fireflyfork.decisions.jobs import (
+    CallOutcome,
+    ExecutorRoom,
+    JobSpec,
+    OrderAnswer,
+    StartRequest,
+    StepSpec,
+    TaskKey,
+)
+from fireflyfork.platform import PlatformExecutors
+from fireflyfork_standins.scheduling import (
+    History,
+    StandInExecutor,
+    StandInExecutorCalls,
+    StandInStore,
+)
+from fireflyfork_standins.scheduling._wire_executor import ExecutorWire
+from fireflyfork_standins.scheduling._wire_platform import EVERYBODY
+
+NAME = ExecutorId("i-0")
+SERVICE = ServiceName("desk")
+JOB = JobId("00000000000000aa")
+TASK = TaskKey(0, 0, 0).name(JOB)
+TOKEN = FencingToken(7)
+FAR_DEADLINE_MS = 400_000
+"""What the clock of an executor that has been up for minutes gives."""
+
+
+def _free_address() -> Address:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return Address("127.0.0.1", probe.getsockname()[1])
+
+
+class _Life:
+    """One life of the executor's process: its connections end with it."""
+
+    def __init__(self, address: Address) -> None:
+        history = History()
+        step = StepSpec(1, 1000, 500, 0, 60_000)
+        history.jobs[JOB] = JobSpec(JOB, QueueName("q"), SERVICE, "work", (step,), 0)
+        random = Random(1)
+        self.executor = StandInExecutor(
+            NAME, SERVICE, ExecutorRoom(8000, 16000, 0), StandInStore(random), history, random
+        )
+        self.calls = 0
+        self._address = address
+        self._random = random
+
+    @property
+    def place(self) -> ExecutorPlace:
+        """Where it is, and which life it is."""
+        return ExecutorPlace(NAME, self._address, self.executor.born)
+
+    @asynccontextmanager
+    async def lives(self) -> AsyncIterator[None]:
+        """Serve for as long as the block runs."""
+        async with trio.open_nursery() as nursery:
+            everything = {NAME: self.executor}
+            calls = StandInExecutorCalls(EVERYBODY, everything, nursery, self._random)
+            anyone = ExecutorPlace(NAME, self._address, ANY_INCARNATION)
+            server = HttpServer(ExecutorWire(calls, anyone))
+            listeners = await listen(self._address.host, self._address.port)
+            nursery.start_soon(server.run, listeners)
+            yield
+            nursery.cancel_scope.cancel()
+
+
+async def _start(client: PlatformExecutors, place: ExecutorPlace) -> OrderAnswer:
+    order = StartRequest(TASK, AttemptNumber(1), "work", FAR_DEADLINE_MS, "")
+    return await client.start(place, TOKEN, order)
+
+
+class IncarnationsOnTheWireTest(unittest.TestCase):
+    """An order comes to the life that it was meant for, or to none."""
+
+    def test_an_order_for_an_earlier_life_is_not_carried_out_by_the_next(self) -> None:
+        """An executor starts anew at its address under its id, unnoticed. An order by the clock of its
+        last life, carried out by the next one, would let a task run there for much longer than its owner
+        reckons with, and the task would be started a second time.
+        """
+        trio.run(self._order_for_an_earlier_life)
+
+    async def _order_for_an_earlier_life(self) -> None:
+        address = _free_address()
+        first, second = _Life(address), _Life(address)
+        client = PlatformExecutors()
+        async with first.lives():
+            self.assertEqual(
+                (await client.poll(first.place, TOKEN, 0, None, 0.0)).incarnation,
+                first.executor.born,
+            )
+        await trio.sleep(0.01)
+        second.executor.begin_again()
+        async with second.lives():
+            over_the_old_connection = await _start(client, first.place)
+            over_a_new_one = await _start(client, first.place)
+            renewed = await client.poll(first.place, TOKEN, 57, FAR_DEADLINE_MS, 0.0)
+        self.assertIn(
+            over_the_old_connection.outcome,
+            (CallOutcome.UNKNOWN, CallOutcome.OTHER_INCARNATION),
+        )
+        self.assertIs(over_a_new_one.outcome, CallOutcome.OTHER_INCARNATION)
+        self.assertEqual(over_a_new_one.incarnation, second.executor.born)
+        self.assertIs(renewed.outcome, CallOutcome.OTHER_INCARNATION)
+        self.assertEqual(renewed.incarnation, second.executor.born)
+        self.assertEqual(second.executor.running, ())
+
+    def test_an_order_for_the_present_life_is_carried_out(self) -> None:
+        trio.run(self._order_for_the_present_life)
+
+    async def _order_for_the_present_life(self) -> None:
+        life = _Life(_free_address())
+        async with life.lives():
+            answer = await _start(PlatformExecutors(), life.place)
+        self.assertIs(answer.outcome, CallOutcome.ACCEPTED)
+        self.assertEqual(answer.incarnation, life.executor.born)
+        self.assertEqual(life.executor.running, (TASK,))
