--- a/fireflyfork/decisions/jobs/_report_handling.py
+++ b/fireflyfork/decisions/jobs/_report_handling.py
@@ -4,7 +4,7 @@
 
 from dataclasses import replace
 
-from ..._ids import JobId, QueueName
+from ..._ids import JobId, QueueName, TaskName
 from ._commands import PaceRun
 from ._executors import ExecutorRegistration, ExecutorState
 from ._gangs import failures, members, save
@@ -58,13 +58,13 @@
             differs = outcome in _OF_THE_EXECUTOR or outcome in _ELSEWHERE_AT_ONCE
             self._work.gone(run, now, RunOver.REFUSED, at_once=differs)
             if outcome is CallOutcome.OTHER_INCARNATION:
-                self.incarnation_met(executor, answer.incarnation, now)
+                self.incarnation_met(executor, answer.incarnation, run.ordered_at, now)
 
     def stop_answered(self, run: Run, answer: OrderAnswer, now: float) -> None:
         """An executor answered the order to stop, or didn't."""
         _note_clock(run.executor, answer, now)
         if answer.outcome is CallOutcome.OTHER_INCARNATION:
-            self.incarnation_met(run.executor, answer.incarnation, now)
+            self.incarnation_met(run.executor, answer.incarnation, run.stop_sent_at, now)
         if answer.outcome is CallOutcome.ACCEPTED and run.barred_at is None:
             run.barred_at = now
 
@@ -73,10 +73,18 @@
         if answer.outcome is not CallOutcome.ACCEPTED:
             run.pace_confirmed = False
 
-    def incarnation_met(self, executor: ExecutorState, incarnation: int | None, now: float) -> bool:
-        """A call found another incarnation of an executor; whether it is one that began later."""
+    def incarnation_met(
+        self, executor: ExecutorState, incarnation: int | None, sent_at: float, now: float
+    ) -> bool:
+        """A call found another incarnation of an executor; whether it is one that began later.
+
+        One that was sent while the known life was there meets no life before it, whatever its number says:
+        the clock was set back before it started anew.
+        """
         known = executor.registration.incarnation
-        if incarnation is None or incarnation <= known or not self._work.is_current(executor):
+        if incarnation is None or incarnation == known or not self._work.is_current(executor):
+            return False
+        if incarnation < known and sent_at <= executor.known_since:
             return False
         self._work.reborn(executor, _reborn_as(executor, incarnation), now)
         return True
@@ -94,22 +102,22 @@
         """An executor has listed what it runs and what has ended."""
         if not self._work.is_current(executor):
             return
-        if answer.incarnation is not None and executor.registration.incarnation:
-            if answer.incarnation < executor.registration.incarnation:
-                return
-            if answer.incarnation > executor.registration.incarnation:
-                self._work.reborn(executor, _reborn_as(executor, answer.incarnation), now)
+        same = answer.incarnation in (None, executor.registration.incarnation)
+        if not same and not self.incarnation_met(executor, answer.incarnation, sent_at, now):
+            return
         if answer.clock_ms is not None:
             executor.note_clock(answer.clock_ms, now)
         executor.failed_polls = 0
         executor.polled_at = max(executor.polled_at or sent_at, sent_at)
-        for row in answer.ended:
+        # One that came after a later one would be passed over, and then let go with it.
+        for row in sorted(answer.ended, key=lambda row: row.number):
             if row.number > executor.seen_end:
                 executor.seen_end = row.number
                 self._ended(executor, row, now, now_ms)
                 executor.unstored_ends.append((row.number, self._work.jobs.changes.last))
-        self._compare(executor, sent_at, answer.running, now)
-        self._work.reached(executor.executor, now)
+        self._compare(executor, sent_at, answer, now)
+        if not answer.ends_may_be_cut:
+            self._work.reached(executor.executor, now)
         self._work.commands.extend(
             PaceRun(run, percent)
             for run, percent in adjust_pace(executor, answer.running, self._work.interference, now)
@@ -117,7 +125,7 @@
 
     def _ended(self, executor: ExecutorState, row: EndedRow, now: float, now_ms: int) -> None:
         run = executor.runs.get((row.task, row.attempt))
-        task = run.task if run is not None else self._work.jobs.task(row.task)
+        task = run.task if run is not None else self._task(row.task)
         if task is None:
             return
         pace = run.lowest_pace if run is not None else 100
@@ -135,6 +143,12 @@
         task.attempt = max(task.attempt, row.attempt)
         self._work.jobs.note_changed(task.job)
 
+    def _task(self, name: TaskName) -> Task | None:
+        """The task that an executor lists, or None when it is over or unknown."""
+        for ready in self._work.jobs.open_begun(name):
+            self._work.enqueue(ready)
+        return self._work.jobs.task(name)
+
     def _task_done(self, task: Task, executor: ExecutorState, now: float, now_ms: int) -> None:
         executor.strikes = 0
         if task.job.state.is_final:
@@ -168,15 +182,16 @@
         self,
         executor: ExecutorState,
         sent_at: float,
-        rows: tuple[RunningRow, ...],
+        answer: PollAnswer,
         now: float,
     ) -> None:
-        listed = {(row.task, row.attempt): row for row in rows}
+        listed = {(row.task, row.attempt): row for row in answer.running}
         for key, run in tuple(executor.runs.items()):
             row = listed.pop(key, None)
             if row is not None:
                 self._still_there(run, row, now)
-            else:
+            elif not answer.ends_may_be_cut:
+                # Its end, which may be a good one, may stand behind those that fit on a cut list.
                 self._not_listed(run, sent_at, now)
         for row in listed.values():
             self._found(executor, row, now)
@@ -206,7 +221,7 @@
 
     def _found(self, executor: ExecutorState, row: RunningRow, now: float) -> None:
         """An earlier owner's run, or an order of ours that was given up and carried out late."""
-        task = self._work.jobs.task(row.task)
+        task = self._task(row.task)
         if task is None:
             self._stop_stranger(executor, row, now)
             return
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -143,6 +143,11 @@
             self.executors[registration.executor] = ExecutorState(registration, now)
             self._work.known_executors_changed = True
             return
+        if registration.incarnation < known.registration.incarnation:
+            # Polls tell of a new life before the store does, and a listing is followed by changes that are
+            # older than it. Taken for its present state, the next word of the present life would look like
+            # one more start, after which nothing of before runs.
+            return
         known.registered = True
         if registration.incarnation > known.registration.incarnation:
             self._work.reborn(known, registration, now)
@@ -182,9 +187,11 @@
         """An executor answered the order to change a run's pace, or didn't."""
         self._reports.pace_answered(run, answer)
 
-    def incarnation_met(self, executor: ExecutorState, incarnation: int | None, now: float) -> bool:
+    def incarnation_met(
+        self, executor: ExecutorState, incarnation: int | None, sent_at: float, now: float
+    ) -> bool:
         """A call found another incarnation of an executor; whether it is one that began later."""
-        return self._reports.incarnation_met(executor, incarnation, now)
+        return self._reports.incarnation_met(executor, incarnation, sent_at, now)
 
     def poll_failed(self, executor: ExecutorState, now: float) -> None:
         """A poll got no answer."""
--- /dev/null
+++ b/fireflyfork/decisions/jobs/tests/test_ends.py
@@ -0,0 +1,211 @@
+"""What the ends that executors list prove, and what they don't."""
+
+import unittest
+
+from ...._ids import AttemptNumber, ExecutorId, TaskName
+from .. import EndReason, JobState, RunningRow, StoredProgress, StoredTask
+from .builders_jobs import START_MS, OwnerUnderTest, job, registration, step
+
+A = "00000000000000aa"
+
+
+class CutListsTest(unittest.TestCase):
+    """Executors list so many ends at once; the rest only when the first ones may be forgotten."""
+
+    def test_a_run_whose_end_does_not_fit_on_the_list_is_not_started_again(self) -> None:
+        """The store is away, so no end may be forgotten, and a busy executor lists the same five hundred
+        ends each time. A task that ended after those is neither among them nor among the runs. Taken for
+        gone, it ran a second time, and its job's room was booked twice.
+        """
+        owner = OwnerUnderTest("i-0")
+        owner.scheduler.accept(job(A), START_MS)
+        (run,) = owner.place()
+        for _ in range(2):
+            owner.now += 0.2
+            owner.poll("i-0", ends_may_be_cut=True)
+            for stopped in owner.stops():
+                owner.answer_stop(stopped)
+        owner.now += 0.2
+        owner.poll("i-0", ends_may_be_cut=True)
+        self.assertEqual(owner.place(), [])
+        owner.end("i-0", run.task.name, 1, EndReason.DONE)
+        owner.poll("i-0")
+        self.assertIs(run.task.job.state, JobState.COMPLETED)
+
+    def test_a_new_owner_waits_for_the_rest_of_the_list(self) -> None:
+        """An owner is lost after a long outage of the store. What its successor is told first by a busy
+        executor are the oldest five hundred ends; a task that ended after those was started again.
+        """
+        owner = OwnerUnderTest()
+        owner.scheduler.recover([(job(A), None)], [registration("i-0")], [], owner.now, START_MS)
+        for _ in range(100):
+            owner.poll("i-0", ends_may_be_cut=True)
+            owner.tick(0.1)
+            self.assertEqual(owner.place(), [])
+        owner.end("i-0", TaskName(f"{A}.0.0.0"), 1, EndReason.DONE)
+        owner.poll("i-0")
+        owner.tick(0.1)
+        self.assertEqual(owner.place(), [])
+
+
+class OrderOfEndsTest(unittest.TestCase):
+    """Ends are numbered, and may be listed in any order."""
+
+    def test_an_end_that_is_listed_after_a_later_one_counts(self) -> None:
+        """The pages number the ends and don't say in which order they are listed. An end that came after one
+        with a higher number was passed over and then let go, and its task ran again.
+        """
+        owner = OwnerUnderTest("i-0")
+        owner.scheduler.accept(job(A, step(count=2)), START_MS)
+        first, second = owner.place()
+        owner.end("i-0", first.task.name, 1, EndReason.DONE)
+        owner.end("i-0", second.task.name, 1, EndReason.DONE)
+        owner.ends["i-0"].reverse()
+        owner.poll("i-0")
+        self.assertIs(first.task.job.state, JobState.COMPLETED)
+
+
+class TimedJobsTest(unittest.TestCase):
+    """Occurrences that an earlier owner has begun, by a clock that was ahead of its successor's."""
+
+    def setUp(self) -> None:
+        """The only occurrence becomes due in a second, by the clock of the owner at work now."""
+        self.spec = job(A, repetitions=1, first_due_ms=START_MS + 1000, interval_ms=1000)
+        self.task = TaskName(f"{A}.0.0.0")
+        self.owner = OwnerUnderTest()
+
+    def _take_over(self, progress: StoredProgress | None = None) -> None:
+        self.owner.scheduler.recover(
+            [(self.spec, progress)], [registration("i-0")], [], self.owner.now, START_MS
+        )
+
+    def test_a_task_that_has_ended_well_is_not_run_again_when_its_time_comes(self) -> None:
+        """An owner starts a nightly booking run and dies; the run ends well. By the clock of its successor
+        the run wasn't due yet, so that took the end for one of nothing it knew, let it be forgotten, and
+        made all bookings a second time when its own clock got there.
+        """
+        self._take_over()
+        self.owner.end("i-0", self.task, 1, EndReason.DONE)
+        self.owner.poll("i-0")
+        self.owner.tick(1.1)
+        self.assertEqual(self.owner.place(), [])
+        known = self.owner.scheduler.jobs.get(self.spec.job)
+        assert known is not None
+        self.assertIs(known.state, JobState.COMPLETED)
+
+    def test_a_task_that_runs_goes_on(self) -> None:
+        """The same while it still runs: it was stopped, and started anew beside the one that was stopping
+        when its time came.
+        """
+        self._take_over()
+        found = RunningRow(self.task, AttemptNumber(1), "", 40, 0.0)
+        self.owner.poll("i-0", found)
+        self.assertEqual(self.owner.stops(), [])
+        self.owner.tick(1.1)
+        self.assertEqual(self.owner.place(), [])
+        self.owner.end("i-0", self.task, 1, EndReason.DONE)
+        self.owner.poll("i-0")
+        known = self.owner.scheduler.jobs.get(self.spec.job)
+        assert known is not None
+        self.assertIs(known.state, JobState.COMPLETED)
+
+    def test_attempts_that_were_stored_are_kept(self) -> None:
+        """An owner stores that two attempts were used up and dies. Its successor dropped what was stored of
+        an occurrence that wasn't due by its clock, and sent out the first attempt again, which executors
+        refuse, or a task that had failed too often got all its attempts anew.
+        """
+        stored = StoredTask(0, 0, 0, AttemptNumber(2), (1,))
+        self._take_over(StoredProgress(JobState.RUNNING, tasks=(stored,)))
+        self.owner.poll("i-0")
+        self.owner.tick(1.1)
+        (run,) = self.owner.place()
+        self.assertEqual((run.attempt, run.task.failed_attempts), (3, [1]))
+
+    def test_the_step_after_an_end_that_was_stored_is_known(self) -> None:
+        """The first step is stored as done; a task of the second one runs and ends well."""
+        self.spec = job(
+            A, step(), step(after=(0,)), repetitions=1, first_due_ms=START_MS + 1000, interval_ms=1
+        )
+        self._take_over(StoredProgress(JobState.RUNNING, done=((0, 0, 0),)))
+        self.owner.end("i-0", TaskName(f"{A}.0.1.0"), 1, EndReason.DONE)
+        self.owner.poll("i-0")
+        self.owner.tick(1.1)
+        self.assertEqual(self.owner.place(), [])
+
+    def test_an_occurrence_of_which_nothing_has_run_waits_for_its_time(self) -> None:
+        self.spec = job(A, repetitions=2, first_due_ms=START_MS + 1000, interval_ms=1000)
+        self._take_over()
+        self.owner.end("i-0", self.task, 1, EndReason.DONE)
+        self.owner.end("i-0", TaskName(f"{A}.7.0.0"), 1, EndReason.DONE)
+        self.owner.poll("i-0")
+        self.assertEqual(self.owner.place(), [])
+        self.owner.tick(2.1)
+        self.assertEqual([run.task.name for run in self.owner.place()], [f"{A}.1.0.0"])
+
+
+class LateRegistrationsTest(unittest.TestCase):
+    """Executors tell of a new life in answers to polls, and in the store, whose word takes longer."""
+
+    def test_the_registration_of_an_earlier_life_does_not_end_the_runs_of_the_present_one(
+        self,
+    ) -> None:
+        """An executor starts anew, and a poll tells so first. What its earlier life had written in the store
+        comes next, and then its new registration. The owner went back to the earlier life, took the new
+        registration for one more start, and all that ran there for gone: each of its tasks was started a
+        second time, elsewhere.
+        """
+        owner = OwnerUnderTest("i-0")
+        owner.poll("i-0", incarnation=2)
+        owner.scheduler.accept(job(A), START_MS)
+        (run,) = owner.place()
+        owner.scheduler.register(registration("i-1"), owner.now)
+        owner.poll("i-1")
+        owner.now += 0.1
+        owner.poll("i-0", RunningRow(run.task.name, run.attempt, "", 10, 0.0), incarnation=2)
+        owner.now += 0.1
+        owner.scheduler.register(registration("i-0", incarnation=1), owner.now)
+        owner.scheduler.register(registration("i-0", incarnation=2), owner.now)
+        self.assertEqual(owner.place(), [])
+        self.assertEqual(list(owner.executor().runs.values()), [run])
+
+    def test_the_registration_of_an_earlier_life_is_not_used(self) -> None:
+        """The earlier life had room for more, and another address. Runs sent there by its word would be
+        refused, or overfill what is there now.
+        """
+        owner = OwnerUnderTest()
+        now = registration("i-0", incarnation=2)
+        owner.scheduler.recover([], [registration("i-0", draining=True)], [now], owner.now, 0)
+        self.assertEqual(owner.executor().registration, now)
+        self.assertFalse(owner.executor().registered)
+        owner.scheduler.register(now, owner.now)
+        self.assertTrue(owner.executor().registered)
+
+    def test_an_executor_whose_earlier_life_leaves_is_still_there(self) -> None:
+        """The registration of an earlier life is removed late, and the executor answers all the while."""
+        owner = OwnerUnderTest("i-0")
+        owner.scheduler.register(registration("i-0", incarnation=2), owner.now)
+        owner.poll("i-0", incarnation=2)
+        owner.scheduler.unregister(ExecutorId("i-0"), owner.now)
+        self.assertIn(ExecutorId("i-0"), owner.scheduler.executors)
+
+    def test_an_executor_whose_clock_went_back_before_it_started_anew_is_heard(self) -> None:
+        """An executor's clock is set back while it is down, so its present life seems to have begun before
+        the earlier one. Its answers were dropped as those of an earlier life; nothing that ran there
+        ever ended for the owner, and the jobs hung.
+        """
+        owner = OwnerUnderTest()
+        owner.scheduler.register(registration("i-0", incarnation=9), owner.now)
+        owner.poll("i-0", incarnation=9)
+        owner.scheduler.accept(job(A), START_MS)
+        (run,) = owner.place()
+        owner.now += 1.0
+        owner.poll("i-0", incarnation=5)
+        owner.now += 0.1
+        owner.scheduler.register(registration("i-0", incarnation=5), owner.now)
+        owner.poll("i-0", incarnation=5)
+        (again,) = owner.place()
+        self.assertEqual((again.task.name, again.attempt), (run.task.name, 2))
+        owner.end("i-0", again.task.name, 2, EndReason.DONE)
+        owner.now += 0.1
+        owner.poll("i-0", incarnation=5)
+        self.assertIs(run.task.job.state, JobState.COMPLETED)
--- a/fireflyfork/programs/_executor_polls.py
+++ b/fireflyfork/programs/_executor_polls.py
@@ -98,7 +98,7 @@
         now = self._clock.now()
         if answer.outcome is CallOutcome.FENCED:
             raise OwnershipLostError(f"{executor.executor} has seen a higher token")
-        if self._met_next_life(executor, answer, now):
+        if self._met_next_life(executor, sent_at, answer, now):
             return
         if answer.outcome is not CallOutcome.ACCEPTED:
             if executor.failed_polls == 0:
@@ -118,10 +118,12 @@
             self._journal.notify()
         self._kick()
 
-    def _met_next_life(self, executor: ExecutorState, answer: PollAnswer, now: float) -> bool:
+    def _met_next_life(
+        self, executor: ExecutorState, sent_at: float, answer: PollAnswer, now: float
+    ) -> bool:
         if answer.outcome is not CallOutcome.OTHER_INCARNATION:
             return False
-        return self._scheduler.incarnation_met(executor, answer.incarnation, now)
+        return self._scheduler.incarnation_met(executor, answer.incarnation, sent_at, now)
 
     async def _pause(self, executor: ExecutorState) -> None:
         if executor.failed_polls:
