Failing test: an executor goes on under a lease that its owner doesn't know

Callers would see a task run in two places. A new owner, or one that has dropped an executor and meets it again, takes the lease there for 0: at the first answer it finds a run, and when the next polls fail before it has sent a renewal, it takes the run for over at once, while the renewal of before lets it go on for up to 5 s.

--- a/fireflyfork/decisions/jobs/tests/builders_jobs.py
+++ b/fireflyfork/decisions/jobs/tests/builders_jobs.py
@@ -40,6 +40,8 @@
 
 SERVICE = ServiceName("desk")
 TERMS = SchedulerTerms(SERVICE, unheard_lease=8.0)
+LEASE_MS = 5_000
+"""The longest lease that any owner grants."""
 START = 1000.0
 """Seconds on the owner's clock when tests begin."""
 START_MS = 1_700_000_000_000
--- a/fireflyfork/decisions/jobs/tests/test_scheduler.py
+++ b/fireflyfork/decisions/jobs/tests/test_scheduler.py
@@ -13,7 +13,17 @@
     StoredProgress,
     StoredTask,
 )
-from .builders_jobs import START_MS, OwnerUnderTest, job, queue, registration, row, step, table
+from .builders_jobs import (
+    LEASE_MS,
+    START_MS,
+    OwnerUnderTest,
+    job,
+    queue,
+    registration,
+    row,
+    step,
+    table,
+)
 
 A = "00000000000000aa"
 
@@ -403,6 +413,47 @@
             [(one.attempt, one.phase) for one in self.owner.stops()], [(1, RunPhase.STOPPING)]
         )
 
+    def test_what_the_last_owner_lets_an_executor_run_counts_from_its_first_answer(self) -> None:
+        """An owner renews an executor's lease and goes. Its successor finds the task there, and then
+        nothing gets through to that executor, also none of its own renewals. The executor goes on under
+        the lease of before; started elsewhere at once, the task would run in two places.
+        """
+        found = RunningRow(TaskName(f"{A}.0.0.0"), AttemptNumber(1), "", 40, 0.0)
+        self.owner.poll("i-0", found)
+        self.owner.poll("i-1")
+        silent = self.owner.executor("i-0")
+        for _ in range(49):
+            self.owner.now += 0.1
+            self.owner.scheduler.poll_failed(silent, self.owner.now)
+            self.owner.poll("i-1")
+        self.assertEqual(self.owner.place(), [])
+        self.owner.tick(0.6)
+        again = self.owner.place()
+        self.assertEqual([(run.attempt, run.executor.executor) for run in again], [(2, "i-1")])
+
+    def test_a_lease_outlives_what_the_owner_remembers_of_its_executor(self) -> None:
+        """An idle executor vanishes just after its lease was renewed, is dropped, and comes back. It gets
+        a task and vanishes again. The task goes on under the renewal of before, as if nothing had been
+        forgotten, and must not start elsewhere meanwhile.
+        """
+        owner = OwnerUnderTest("i-0")
+        owner.executor().lease_until_ms = owner.clock() + LEASE_MS
+        owner.scheduler.poll_failed(owner.executor(), owner.now)
+        owner.scheduler.unregister(ExecutorId("i-0"), owner.now)
+        self.assertEqual(owner.scheduler.executors, {})
+        owner.scheduler.register(registration("i-0"), owner.now)
+        owner.poll("i-0")
+        owner.scheduler.accept(job(A), START_MS)
+        (run,) = owner.place()
+        owner.scheduler.register(registration("i-1"), owner.now)
+        for _ in range(48):
+            owner.now += 0.1
+            owner.scheduler.poll_failed(run.executor, owner.now)
+            owner.poll("i-1")
+        self.assertEqual(owner.place(), [])
+        owner.tick(0.7)
+        self.assertEqual([again.attempt for again in owner.place()], [2])
+
 
 class StoredEndsTest(unittest.TestCase):
     """An executor may forget an end only when it is stored."""
