What may have been granted before counts from an executor's first answer

Callers would see a task run in two places: an owner that met an executor for the first time, in its term or since it had dropped it, took the lease there for 0, so that failed polls gave the executor's tasks away at once while a renewal of before let them go on for up to 5 s. The lease is now taken to reach, from the first answer on, as far as any owner grants. It holds because earlier owners' grants reckon from a clock that is behind the one in that answer, and what they send later is refused for its token; after a new incarnation the next first answer counts again. What it costs: tasks on an executor that dies within 5 s of its first answer wait as long as those on any other executor that dies.

--- a/bench/job_scheduler_cost.py
+++ b/bench/job_scheduler_cost.py
@@ -62,7 +62,7 @@
     def __init__(self, executors: int) -> None:
         """Register executors and start the serving tasks."""
         self._random = Random(executors)
-        self._scheduler = Scheduler(SchedulerTerms(SERVICE, 8.0))
+        self._scheduler = Scheduler(SchedulerTerms(SERVICE, 8.0, 5.0))
         queue = QueueTerms(QueueName("q"), "h", "/q/", SERVICE, 0, 3, 2.0, 1000, 3000)
         self._scheduler.configure(
             queue_table(ConfigurationVersion(1), (queue,), frozenset({SERVICE}))
--- a/fireflyfork/decisions/jobs/_executors.py
+++ b/fireflyfork/decisions/jobs/_executors.py
@@ -75,7 +75,8 @@
     clock_at: float = field(init=False)
     """When ``clock_ms`` had been received: the executor's clock was at least there."""
     lease_until_ms: int = 0
-    """On the executor's clock: the latest that any order of ours may have let it run to."""
+    """On the executor's clock: the latest that any order, of ours or of an earlier owner's, may have let
+    it run to; not known before its first answer."""
     seen_end: int = 0
     """The last end that has been taken in."""
     forgettable_end: int = 0
@@ -206,8 +207,12 @@
             self.clock_ms = clock_ms
             self.clock_at = now
 
+    def grant_lease(self, until_ms: int) -> None:
+        """It may go on until then, on its clock; leases never shorten."""
+        self.lease_until_ms = max(self.lease_until_ms, until_ms)
+
     def lease_has_lapsed(self, now: float) -> bool:
-        """Whether everything that ran there under our leases has been killed by now."""
+        """Whether everything that ran there under any lease has been killed by now."""
         return self.clock(now) > self.lease_until_ms + LAPSE_MARGIN_MS
 
     def disturbing_shares(self) -> dict[str, float]:
--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -161,7 +161,7 @@
             life = executor.registration.incarnation
             ticket = self._work.tickets.valid(task.step_id, executor.executor, life, now)
             run.ticket = ticket or ""
-        executor.lease_until_ms = max(executor.lease_until_ms, run.start_deadline_ms)
+        executor.grant_lease(run.start_deadline_ms)
         run.in_background = task.spec.uses_leftover_cpu and task.job.beyond_use(now_ms)
         task.attempt = run.attempt
         task.runs.append(run)
--- a/fireflyfork/decisions/jobs/_report_handling.py
+++ b/fireflyfork/decisions/jobs/_report_handling.py
@@ -24,9 +24,10 @@
 class Reports:
     """Takes in answers to orders and polls."""
 
-    def __init__(self, work: Work) -> None:
-        """Change ``work``."""
+    def __init__(self, work: Work, longest_lease_ms: int) -> None:
+        """Change ``work``; no owner grants an executor more than ``longest_lease_ms``."""
         self._work = work
+        self._longest_lease_ms = longest_lease_ms
 
     def start_answered(self, run: Run, answer: OrderAnswer, now: float) -> None:
         """An executor answered the order to start, or didn't."""
@@ -88,6 +89,11 @@
                 self._work.reborn(executor, _reborn_as(executor, answer.incarnation), now)
         if answer.clock_ms is not None:
             executor.note_clock(answer.clock_ms, now)
+        if executor.polled_at is None:
+            # An earlier owner, or we before we dropped this executor, may have renewed its lease just
+            # before. Taken for lapsed, a run that goes on there would be started elsewhere as soon as polls
+            # fail. No grant of before reaches further; later ones of earlier owners are refused.
+            executor.grant_lease(executor.clock(now) + self._longest_lease_ms)
         executor.failed_polls = 0
         executor.polled_at = max(executor.polled_at or sent_at, sent_at)
         for row in answer.ended:
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -39,6 +39,8 @@
     service: ServiceName
     unheard_lease: float
     """How long an executor that this owner never reached may go on for an earlier one."""
+    longest_lease: float
+    """The longest lease that any owner of the service grants an executor."""
 
 
 class Scheduler:
@@ -48,7 +50,7 @@
         """Empty; ``recover`` takes in what an earlier owner left."""
         self._terms = terms
         self._work = Work()
-        self._reports = Reports(self._work)
+        self._reports = Reports(self._work, int(terms.longest_lease * 1000))
         self._placement = Placement(self._work)
         self._time_checks = TimeChecks(self._work)
         self._stragglers = Stragglers(self._work)
--- a/fireflyfork/decisions/jobs/tests/builders_jobs.py
+++ b/fireflyfork/decisions/jobs/tests/builders_jobs.py
@@ -39,9 +39,9 @@
 )
 
 SERVICE = ServiceName("desk")
-TERMS = SchedulerTerms(SERVICE, unheard_lease=8.0)
 LEASE_MS = 5_000
 """The longest lease that any owner grants."""
+TERMS = SchedulerTerms(SERVICE, unheard_lease=8.0, longest_lease=LEASE_MS / 1000)
 START = 1000.0
 """Seconds on the owner's clock when tests begin."""
 START_MS = 1_700_000_000_000
--- a/fireflyfork/programs/_executor_polls.py
+++ b/fireflyfork/programs/_executor_polls.py
@@ -137,7 +137,7 @@
         if executor.polled_at is None or executor.failed_polls or orphaned:
             return None
         until = executor.clock(now) + self._lease_ms
-        executor.lease_until_ms = max(executor.lease_until_ms, until)
+        executor.grant_lease(until)
         return until
 
     @staticmethod
--- a/fireflyfork/programs/_service_owner.py
+++ b/fireflyfork/programs/_service_owner.py
@@ -111,7 +111,7 @@
         self._retention = bounds.status_retention + RETENTION_MARGIN_SECONDS
         lease = min(LEASE_SECONDS, bounds.longest_lease * LEASE_SHARE)
         unheard = ORPHANED_LEASE_SECONDS + lease + UNHEARD_MARGIN_SECONDS
-        self._scheduler = Scheduler(SchedulerTerms(self._service, unheard))
+        self._scheduler = Scheduler(SchedulerTerms(self._service, unheard, lease))
         self._journal = ServiceJournal(self._store, term, self._scheduler)
         self._upkeep = UpkeepDuty(
             self._store, outside.machines, self._scheduler, term, node, clock, waves
--- a/fireflyfork/programs/tests/test_upkeep_duty.py
+++ b/fireflyfork/programs/tests/test_upkeep_duty.py
@@ -52,7 +52,7 @@
             executor = StandInExecutor(NAME, SERVICE, room, store, history, random)
             machines = StandInMachines(SERVICE, {NAME: executor}, history, random)
             revision = store.apply({}, (Put(owner_key(SERVICE), b""),), ())
-            scheduler = Scheduler(SchedulerTerms(SERVICE, 8.0))
+            scheduler = Scheduler(SchedulerTerms(SERVICE, 8.0, 5.0))
             # Not polled yet, so it may still run something and is not ordered down.
             scheduler.recover((), (registration(NAME),), (), 0.0, 0)
             async with trio.open_nursery() as nursery:
