Failing tests: an executor that is used before its owner has stored that it is

Callers would see a task run in two places, or done a second time: an owner uses an executor that it has just heard of at once and stores 25 ms later that it knows it. When it loses the ownership in between, and the executor's registration is away while its successor reads, the successor doesn't wait for that executor and starts its tasks again.

Scenes with the real candidates on the stand-in's store and executors, each set up by the test: an executor that has just come, the same with an end that comes to light late, one that was dropped and is back, and a write that gets no answer.

--- a/fireflyfork_standins/scheduling/__init__.py
+++ b/fireflyfork_standins/scheduling/__init__.py
@@ -4,6 +4,8 @@
 from ._executors import ExecutorTrouble, StandInExecutor
 from ._history import History, Violation
 from ._machines import StandInMachines, machine_of
+from ._nodes import UNIX_MS_AT_START, StandInNode
+from ._repeatable import run_repeatably
 from ._store import StandInStore, StoreTrouble
 from ._troubles import ALL_TROUBLES, TROUBLES, UPKEEP_TROUBLES
 from ._wire_callers import WireCallers
@@ -13,6 +15,7 @@
 __all__ = [
     "ALL_TROUBLES",
     "TROUBLES",
+    "UNIX_MS_AT_START",
     "UPKEEP_TROUBLES",
     "ExecutorTrouble",
     "History",
@@ -21,6 +24,7 @@
     "StandInExecutor",
     "StandInExecutorCalls",
     "StandInMachines",
+    "StandInNode",
     "StandInStore",
     "StoreTrouble",
     "Violation",
@@ -28,5 +32,6 @@
     "WireLayout",
     "WirePlatform",
     "machine_of",
+    "run_repeatably",
     "run_world",
 ]
--- a/fireflyfork_standins/scheduling/_world.py
+++ b/fireflyfork_standins/scheduling/_world.py
@@ -6,7 +6,6 @@
 from random import Random
 
 import trio
-from trio.testing import MockClock
 
 from fireflyfork._errors import StoreRefusedError, StoreUnavailableError
 from fireflyfork._ids import (
@@ -34,6 +33,7 @@
 from ._history import History, Violation
 from ._machines import StandInMachines, machine_of
 from ._nodes import UNIX_MS_AT_START, StandInNode
+from ._repeatable import run_repeatably
 from ._store import LINK_MBPS, StandInStore
 from ._troubles import Troubles
 
@@ -93,15 +93,7 @@
 
 def run_world(seed: int, profile: Profile) -> Report:
     """Play a day on a virtual clock. The same seed plays the same day."""
-    # Trio shuffles the tasks that may run; without its own switch for that, a seed would not repeat.
-    trio_run = vars(trio._core._run)
-    trio_run["_ALLOW_DETERMINISTIC_SCHEDULING"] = True
-    trio_run["_r"].seed(seed)
-
-    async def play() -> Report:
-        return await _World(seed, profile).run()
-
-    return trio.run(play, clock=MockClock(autojump_threshold=0))
+    return run_repeatably(seed, lambda: _World(seed, profile).run())
 
 
 class _World:
--- /dev/null
+++ b/fireflyfork_standins/tests/test_takeovers.py
@@ -0,0 +1,127 @@
+"""Changes of owner at moments that days of trouble hardly ever hit."""
+
+import unittest
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from fireflyfork._ids import JobId
+
+from ..scheduling import StandInExecutor, run_repeatably
+from .builders_takeovers import LONG_MS, Stage
+
+JOB = JobId("00000000000000aa")
+SEED = 1
+AWAY_SECONDS = 2.5
+"""Longer than a short task takes, shorter than the executor's lease."""
+FORGOTTEN_SECONDS = 7.0
+"""An executor that is away for so long has lost its lease, and its owner has dropped it."""
+SOON_SECONDS = 1.0
+"""A task starts, or an end is stored and forgotten, well within this."""
+TROUBLE_SECONDS = 0.7
+"""Shorter than a call that gets no answer takes."""
+
+
+def play(body: Callable[[Stage], Awaitable[None]]) -> Stage:
+    """Let ``body`` act on a platform with an owner and no executor."""
+    stage = Stage(SEED)
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            await stage.begin(nursery)
+            await body(stage)
+            nursery.cancel_scope.cancel()
+
+    run_repeatably(SEED, main)
+    return stage
+
+
+async def change_owner_while_away(stage: Stage, executor: StandInExecutor) -> None:
+    """The owner goes, and an executor can't be reached for some seconds; another one can."""
+    stage.depose()
+    stage.vanish(executor)
+    stage.add_executor("i-1")
+    await trio.sleep(AWAY_SECONDS)
+    stage.turn_up(executor)
+    await stage.until_completed(JOB)
+
+
+class NewExecutorsTest(unittest.TestCase):
+    """A new owner waits for every executor that may run something for the last one."""
+
+    def test_an_executor_that_has_just_come(self) -> None:
+        """An executor registers and gets its first task within milliseconds. Then its owner is replaced,
+        before it could store that it uses this executor, and the executor's registration lapses on a
+        saturated link. A successor that knows nothing of it starts the task again on another one, and a
+        clerk holds two rooms.
+        """
+
+        async def body(stage: Stage) -> None:
+            await stage.hand_in(JOB)
+            executor = stage.add_executor("i-0")
+            await stage.until(lambda: stage.history.starts == 1)
+            await change_owner_while_away(stage, executor)
+
+        stage = play(body)
+        self.assertEqual(stage.broken, [])
+        self.assertEqual(stage.history.starts, 1)
+
+    def test_an_end_that_nobody_has_heard_of(self) -> None:
+        """The same, but the task ends well on the executor that nobody reaches, and only then another
+        executor has room. What was done is done again, and the end comes to light when it is too late.
+        """
+
+        async def body(stage: Stage) -> None:
+            await stage.hand_in(JOB)
+            executor = stage.add_executor("i-0")
+            await stage.until(lambda: stage.history.starts == 1)
+            stage.depose()
+            stage.vanish(executor)
+            await stage.until(lambda: bool(stage.history.ends))
+            stage.add_executor("i-1")
+            await trio.sleep(SOON_SECONDS)
+            stage.turn_up(executor)
+            await stage.until_completed(JOB)
+            await trio.sleep(SOON_SECONDS)
+
+        stage = play(body)
+        self.assertEqual(stage.broken, [])
+        self.assertEqual(stage.history.starts, 1)
+
+    def test_an_executor_that_had_been_dropped_and_is_back(self) -> None:
+        """The owner has given an executor up and stored that. When it is back it gets a task at once, and
+        the owner goes before it could store that the executor counts again.
+        """
+
+        async def body(stage: Stage) -> None:
+            await stage.hand_in(JOB, LONG_MS)
+            executor = stage.add_executor("i-0")
+            await stage.until(lambda: stage.history.starts == 1)
+            await trio.sleep(0.2)
+            stage.vanish(executor)
+            await trio.sleep(FORGOTTEN_SECONDS)
+            stage.turn_up(executor)
+            await stage.until(lambda: stage.history.starts == 2)
+            await change_owner_while_away(stage, executor)
+
+        stage = play(body)
+        self.assertEqual(stage.broken, [])
+        self.assertEqual(stage.history.starts, 2)
+
+    def test_a_write_without_an_answer_tells_a_successor_nothing(self) -> None:
+        """The owner writes down that it uses an executor, and the answer doesn't come. The write may have
+        been lost, so nothing may start there yet; taken for stored, the executor would run a task that no
+        successor waits for.
+        """
+
+        async def body(stage: Stage) -> None:
+            await stage.hand_in(JOB)
+            stage.store.trouble.lost_share = stage.store.trouble.late_share = 1.0
+            executor = stage.add_executor("i-0")
+            await trio.sleep(TROUBLE_SECONDS)
+            stage.store.trouble.lost_share = 0.0
+            await change_owner_while_away(stage, executor)
+
+        stage = play(body)
+        self.assertEqual(stage.broken, [])
+        self.assertEqual(stage.history.starts, 1)
