An executor gets runs only once its owner has stored that it knows it

Callers would see a task run in two places or done twice: an executor was used as soon as it was heard of, and stored as known 25 ms later, or never where the ownership was lost in between. A successor that didn't see its registration didn't wait for it. An executor is now usable once a write that holds it, at its present address, was confirmed; a write without an answer counts for nothing. Those that an earlier owner had stored are used at once, and one that was dropped or has moved is stored anew. It holds because the owner's writes need its key: what is confirmed was there before any successor read, and every later write of this owner holds the executor too for as long as it may run anything. The write goes out without the 25 ms of gathering, and tasks are placed when it is confirmed.

--- a/bench/job_scheduler_cost.py
+++ b/bench/job_scheduler_cost.py
@@ -73,6 +73,7 @@
         self.cost = Cost()
         for number in range(executors):
             self._scheduler.register(_registration(number), self._now)
+        self._scheduler.executors_stored(self._scheduler.take_changed_executors() or ())
         self._poll_all(ends=False)
         serving = StepSpec(
             SERVING_PER_EXECUTOR * executors,
--- a/fireflyfork/decisions/jobs/_executors.py
+++ b/fireflyfork/decisions/jobs/_executors.py
@@ -54,6 +54,8 @@
     """Seconds on the owner's clock."""
     registered: bool = True
     """False once its registration has gone: it has left, or can't reach the store."""
+    stored_address: Address | None = None
+    """Where a successor would look for it: the address in the list that is known to be stored."""
     runs: dict[tuple[TaskName, AttemptNumber], Run] = field(default_factory=dict)
     used_cpu_millis: int = 0
     lasting_cpu_millis: int = 0
@@ -125,10 +127,20 @@
         """Whether it answered the last poll."""
         return self.polled_at is not None and self.failed_polls == 0
 
+    @property
+    def is_stored(self) -> bool:
+        """Whether a successor would wait for it.
+
+        One that knows nothing of it, or looks for it elsewhere, would start its tasks again while its
+        registration is away, and they would run in two places.
+        """
+        return self.stored_address == self.registration.address
+
     def usable(self, now: float) -> bool:
         """Whether new runs may be sent there."""
         return (
             self.registered
+            and self.is_stored
             and self.answers
             and not self.registration.draining
             and not self.emptied
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -106,6 +106,7 @@
         """
         for registration in last_known:
             executor = ExecutorState(registration, now, registered=False)
+            executor.stored_address = registration.address
             self.executors[registration.executor] = executor
         for registration in registrations:
             self.register(registration, now)
@@ -146,6 +147,8 @@
             self._work.known_executors_changed = True
             return
         known.registered = True
+        if registration.address != known.registration.address:
+            self._work.known_executors_changed = True
         if registration.incarnation > known.registration.incarnation:
             self._work.reborn(known, registration, now)
             return
@@ -158,13 +161,22 @@
             known.registered = False
             self._work.forget_if_over(known, now)
 
-    def take_changed_executors(self) -> bool:
-        """Whether the executors to store for a successor have changed since this was last asked."""
-        changed, self._work.known_executors_changed = self._work.known_executors_changed, False
-        return changed
+    def take_changed_executors(self) -> tuple[ExecutorRegistration, ...] | None:
+        """The executors to store for a successor; None when they haven't changed since last asked."""
+        if not self._work.known_executors_changed:
+            return None
+        self._work.known_executors_changed = False
+        return tuple(one.registration for one in self.executors.values())
+
+    def executors_stored(self, registrations: Iterable[ExecutorRegistration]) -> None:
+        """The store has confirmed the write that holds these; they may get runs."""
+        for registration in registrations:
+            known = self.executors.get(registration.executor)
+            if known is not None:
+                known.stored_address = registration.address
 
     def executors_not_stored(self) -> None:
-        """They could not be stored."""
+        """They could not be stored, or it isn't known whether they were."""
         self._work.known_executors_changed = True
 
     @property
--- a/fireflyfork/decisions/jobs/tests/builders_jobs.py
+++ b/fireflyfork/decisions/jobs/tests/builders_jobs.py
@@ -91,11 +91,15 @@
     def __init__(self, *executors: str, polled: bool = True) -> None:
         """``polled``: all executors have answered a first poll."""
         self.now = START
+        self.store_answers = True
+        """Whether writes are confirmed, at once."""
         self.scheduler = Scheduler(TERMS)
         self.scheduler.configure(table())
         self.ends: dict[str, list[EndedRow]] = {}
         for name in executors:
             self.scheduler.register(registration(name), self.now)
+        self.store()
+        for name in executors:
             if polled:
                 self.poll(name)
 
@@ -105,17 +109,27 @@
 
     def place(self) -> list[Run]:
         """Place what may start, let all starts be accepted, and return them."""
-        self.scheduler.place(self.now, START_MS + self.clock())
-        runs = [one.run for one in self.scheduler.take_commands() if isinstance(one, StartRun)]
+        runs = self.send()
         for run in runs:
             self.answer_start(run)
         return runs
 
     def send(self) -> list[Run]:
         """Place what may start; no start is answered."""
+        self.store()
         self.scheduler.place(self.now, START_MS + self.clock())
         return [one.run for one in self.scheduler.take_commands() if isinstance(one, StartRun)]
 
+    def store(self) -> None:
+        """The executors that are known are stored, if the store answers."""
+        executors = self.scheduler.take_changed_executors()
+        if executors is None:
+            return
+        if self.store_answers:
+            self.scheduler.executors_stored(executors)
+        else:
+            self.scheduler.executors_not_stored()
+
     def stops(self) -> list[Run]:
         """The runs that are to be stopped."""
         return [one.run for one in self.scheduler.take_commands() if isinstance(one, StopRun)]
@@ -146,6 +160,7 @@
         sent_at: float | None = None,
     ) -> None:
         """An executor lists these runs, and the ends noted by ``end``."""
+        self.store()
         answer = PollAnswer(
             CallOutcome.ACCEPTED,
             self.clock(),
--- a/fireflyfork/decisions/jobs/tests/test_scheduler.py
+++ b/fireflyfork/decisions/jobs/tests/test_scheduler.py
@@ -3,6 +3,7 @@
 import unittest
 
 from ...._ids import AttemptNumber, ExecutorId, TaskName
+from ...._links import Address
 from .. import (
     AskAdvice,
     CallOutcome,
@@ -455,6 +456,64 @@
         self.assertEqual([again.attempt for again in owner.place()], [2])
 
 
+class StoredExecutorsTest(unittest.TestCase):
+    """An executor gets runs only while a successor would wait for it."""
+
+    def setUp(self) -> None:
+        """An owner whose writes get no answer, and a job."""
+        self.owner = OwnerUnderTest()
+        self.owner.store_answers = False
+
+    def _is_used(self) -> bool:
+        """Whether a new job is started."""
+        self.owner.scheduler.accept(job(A), START_MS)
+        return bool(self.owner.place())
+
+    def test_an_executor_waits_for_the_write_that_holds_it(self) -> None:
+        """A write without an answer may not have been carried out. The next owner would know nothing of
+        the executor, and start what runs there a second time.
+        """
+        self.owner.scheduler.register(registration("i-0"), self.owner.now)
+        self.owner.poll("i-0")
+        self.assertFalse(self._is_used())
+        self.owner.store_answers = True
+        self.assertEqual(len(self.owner.place()), 1)
+
+    def test_executors_that_an_earlier_owner_had_stored_are_used_at_once(self) -> None:
+        """A takeover while the store is slow would otherwise leave callers waiting for one more write."""
+        known = registration("i-0")
+        self.owner.scheduler.recover([], [known], [known], self.owner.now, START_MS)
+        self.owner.poll("i-0")
+        self.assertTrue(self._is_used())
+
+    def test_an_executor_that_was_dropped_is_stored_again(self) -> None:
+        """The list was written without it meanwhile."""
+        known = registration("i-0")
+        self.owner.scheduler.recover([], [known], [known], self.owner.now, START_MS)
+        self.owner.poll("i-0")
+        self.owner.scheduler.poll_failed(self.owner.executor(), self.owner.now)
+        self.owner.scheduler.unregister(ExecutorId("i-0"), self.owner.now)
+        self.assertEqual(self.owner.scheduler.executors, {})
+        self.owner.scheduler.register(known, self.owner.now)
+        self.owner.poll("i-0")
+        self.assertFalse(self._is_used())
+
+    def test_an_executor_that_has_moved_is_stored_again(self) -> None:
+        """It is at another address. The next owner, which may not see its registration, would look for it
+        where it was, give it up after some seconds, and its callers would have waited for nothing.
+        """
+        known = registration("i-0")
+        self.owner.scheduler.recover([], [known], [known], self.owner.now, START_MS)
+        self.owner.poll("i-0")
+        self.owner.scheduler.take_changed_executors()
+        moved = registration("i-0", address=Address("10.0.0.2", 80))
+        self.owner.scheduler.register(moved, self.owner.now)
+        self.assertFalse(self._is_used())
+        self.assertEqual(self.owner.scheduler.take_changed_executors(), (moved,))
+        self.owner.scheduler.executors_stored([moved])
+        self.assertEqual(len(self.owner.place()), 1)
+
+
 class StoredEndsTest(unittest.TestCase):
     """An executor may forget an end only when it is stored."""
 
--- a/fireflyfork/programs/_service_journal.py
+++ b/fireflyfork/programs/_service_journal.py
@@ -65,11 +65,18 @@
     next owner would run its tasks again. So each write is conditional on the one before.
     """
 
-    def __init__(self, store: CoordinationStore, term: Term, scheduler: Scheduler) -> None:
-        """``open`` comes first."""
+    def __init__(
+        self,
+        store: CoordinationStore,
+        term: Term,
+        scheduler: Scheduler,
+        usable: Callable[[], None],
+    ) -> None:
+        """``open`` comes first; ``usable`` is called when executors were stored and may get runs."""
         self._store = store
         self._term = term
         self._scheduler = scheduler
+        self._usable = usable
         self._written = Revision(0)
         self._number = 0
         self._changed = trio.Event()
@@ -107,7 +114,7 @@
         while True:
             await self._changed.wait()
             self._changed = trio.Event()
-            await trio.sleep(GATHER_SECONDS)
+            await self._gather()
             while self._has_work():
                 if not await self.flush():
                     await trio.sleep(RETRY_SECONDS)
@@ -136,6 +143,9 @@
             self._pending = pending
             self._pending_at = trio.current_time()
         self._scheduler.note_stored()
+        if executors is not None:
+            self._scheduler.executors_stored(executors)
+            self._usable()
         self._stored.set()
         self._stored = trio.Event()
         return True
@@ -174,9 +184,16 @@
             logger.error("left by an earlier owner and not readable", key=key, error=str(error))
             return None
 
-    def _put_back(self, executors: bool) -> None:
+    async def _gather(self) -> None:
+        """Wait for more to store; not while executors get nothing to run before they are stored."""
+        with trio.move_on_after(GATHER_SECONDS):
+            while not self._scheduler.executors_changed:
+                await self._changed.wait()
+                self._changed = trio.Event()
+
+    def _put_back(self, executors: tuple[ExecutorRegistration, ...] | None) -> None:
         self._scheduler.jobs.changes.put_back()
-        if executors:
+        if executors is not None:
             self._scheduler.executors_not_stored()
 
     def _has_work(self) -> bool:
@@ -190,7 +207,10 @@
         return pending if due and pending != self._pending else None
 
     async def _write(
-        self, jobs: tuple[JobId, ...], pending: dict[str, int] | None, executors: bool
+        self,
+        jobs: tuple[JobId, ...],
+        pending: dict[str, int] | None,
+        executors: tuple[ExecutorRegistration, ...] | None,
     ) -> None:
         service = self._term.service
         self._number += 1
@@ -206,9 +226,8 @@
             # If this write fails the next one follows two seconds later; nothing rests on it.
             self._learned_at = trio.current_time()
             puts.append(Put(learned_key(service), encode_learned(self._scheduler.learned())))
-        if executors:
-            known = tuple(one.registration for one in self._scheduler.executors.values())
-            puts.append(Put(executors_key(service), encode_registrations(known)))
+        if executors is not None:
+            puts.append(Put(executors_key(service), encode_registrations(executors)))
         expected = {
             owner_key(service): self._term.owner_revision,
             journal_key(service): self._written,
--- a/fireflyfork/programs/_service_owner.py
+++ b/fireflyfork/programs/_service_owner.py
@@ -112,7 +112,7 @@
         lease = min(LEASE_SECONDS, bounds.longest_lease * LEASE_SHARE)
         unheard = ORPHANED_LEASE_SECONDS + lease + UNHEARD_MARGIN_SECONDS
         self._scheduler = Scheduler(SchedulerTerms(self._service, unheard, lease))
-        self._journal = ServiceJournal(self._store, term, self._scheduler)
+        self._journal = ServiceJournal(self._store, term, self._scheduler, self.kick)
         self._upkeep = UpkeepDuty(
             self._store, outside.machines, self._scheduler, term, node, clock, waves
         )
