--- a/fireflyfork_standins/scheduling/_executors.py
+++ b/fireflyfork_standins/scheduling/_executors.py
@@ -132,6 +132,11 @@
         """Its steady clock."""
         return int((trio.current_time() - self._life.began) * 1000 * self._rate)
 
+    @property
+    def lease_left_ms(self) -> int:
+        """How much longer what runs may go on if nobody renews its lease."""
+        return self._life.deadline_ms - self.clock_ms
+
     async def run(self) -> None:
         """Work, until cancelled."""
         self._register()
--- a/fireflyfork_standins/tests/builders_takeovers.py
+++ b/fireflyfork_standins/tests/builders_takeovers.py
@@ -79,13 +79,18 @@
         """The promises that were broken so far."""
         return [(one.promise, one.what) for one in self.history.violations]
 
+    @property
+    def decided(self) -> bool:
+        """Whether there is an owner that has read what it needs."""
+        return any(node.decides for node in self.nodes)
+
     async def begin(self, nursery: trio.Nursery) -> None:
         """Set store and instances to work in ``nursery``, and wait for an owner."""
         self._nursery = nursery
         nursery.start_soon(self.store.run)
         for node in self.nodes:
             nursery.start_soon(node.live, nursery)
-        await self.until(lambda: any(node.decides for node in self.nodes))
+        await self.until(lambda: self.decided)
 
     async def until(self, condition: Callable[[], bool]) -> None:
         """Wait for something; a test in which it doesn't come fails."""
@@ -126,11 +131,19 @@
     def vanish(self, executor: StandInExecutor) -> None:
         """Nothing gets through to or from an executor any more; its registration has lapsed."""
         executor.unregister()
+        self.cut(executor)
+
+    def cut(self, executor: StandInExecutor) -> None:
+        """No instance reaches an executor any more."""
         executor.trouble.unreachable_from |= {node.name for node in self.nodes}
 
+    def connect(self, executor: StandInExecutor) -> None:
+        """All instances reach an executor again."""
+        executor.trouble.unreachable_from.clear()
+
     def turn_up(self, executor: StandInExecutor) -> None:
         """An executor that had vanished is back."""
-        executor.trouble.unreachable_from.clear()
+        self.connect(executor)
         executor.register()
 
     def depose(self) -> None:
--- a/fireflyfork_standins/tests/test_takeovers.py
+++ b/fireflyfork_standins/tests/test_takeovers.py
@@ -12,12 +12,18 @@
 
 JOB = JobId("00000000000000aa")
 SEED = 1
+START_VALID_MS = 1_000
+"""So long a start lets a task run by itself; a renewal lets it run for longer."""
 AWAY_SECONDS = 2.5
 """Longer than a short task takes, shorter than the executor's lease."""
 BARELY_AWAY_SECONDS = 0.4
 """A run whose lease was not renewed yet goes on for a second; after this there is time to renew it."""
 FORGOTTEN_SECONDS = 7.0
 """An executor that is away for so long has lost its lease, and its owner has dropped it."""
+ORPHANED_SECONDS = 2.6
+"""An owner without the store for so long renews no lease."""
+HEARD_SECONDS = 0.7
+"""The owner tries such an executor each second; the next list after that would come a second later."""
 SOON_SECONDS = 1.0
 """A task starts, or an end is stored and forgotten, well within this."""
 TROUBLE_SECONDS = 0.7
@@ -129,3 +135,37 @@
         stage = play(body)
         self.assertEqual(stage.broken, [])
         self.assertEqual(stage.history.starts, 1)
+
+
+class EarlierLeasesTest(unittest.TestCase):
+    """A new owner reckons with the leases that the last one has granted."""
+
+    def test_an_executor_that_is_heard_once_while_the_store_is_away(self) -> None:
+        """The owner renews an executor's lease and goes. The store fails just after its successor has read,
+        and links to the executor come and go: for some seconds nothing, then one list that shows the task,
+        then nothing again. A successor that renews no lease without the store, and knows of no other, takes
+        the executor's for over and starts the task elsewhere while it still runs.
+        """
+
+        async def body(stage: Stage) -> None:
+            both = [stage.add_executor("i-0"), stage.add_executor("i-1")]
+            await trio.sleep(SOON_SECONDS)
+            await stage.hand_in(JOB, LONG_MS)
+            await stage.until(lambda: stage.history.starts == 1)
+            (executor,) = (one for one in both if one.running)
+            await stage.until(lambda: executor.lease_left_ms > START_VALID_MS)
+            stage.depose()
+            stage.cut(executor)
+            await stage.until(lambda: not stage.decided)
+            await stage.until(lambda: stage.decided)
+            stage.store.trouble.down = True
+            await trio.sleep(ORPHANED_SECONDS)
+            stage.connect(executor)
+            await trio.sleep(HEARD_SECONDS)
+            stage.cut(executor)
+            await trio.sleep(AWAY_SECONDS)
+            stage.store.trouble.down = False
+            stage.connect(executor)
+            await stage.until_completed(JOB)
+
+        self.assertEqual(play(body).broken, [])
