Failing test: a task that is moved goes to an executor that has vanished

Users of a service would wait: the place that is kept for a moved task is used without asking whether its executor may get runs.

--- a/fireflyfork/decisions/jobs/tests/test_arrangement.py
+++ b/fireflyfork/decisions/jobs/tests/test_arrangement.py
@@ -104,6 +104,32 @@
         self.assertTrue(any(set(mix) == {"desk"} for mix in _mix(owner)), _mix(owner))
         self.assertEqual(sum(mix.get("web", 0) for mix in _mix(owner)), 2)
 
+    def test_a_place_on_an_executor_that_has_vanished_is_given_up(self) -> None:
+        """A task is stopped to move, and the executor where its place is kept vanishes before its end is
+        listed. It was sent there all the same, the order got no answer, and its users waited for seconds
+        until that executor's lease had lapsed.
+        """
+        owner = _owner(*MIXED)
+        _let_batch_wait(owner)
+        stopped: list[Run] = []
+        while not stopped:
+            _poll_all(owner)
+            owner.tick(0.1)
+            stopped = owner.stops()
+        there = next(name for name in PLACES if owner.executor(name).promised_cpu_millis)
+        vanished = owner.executor(there)
+        owner.scheduler.unregister(vanished.executor, owner.now)
+        owner.scheduler.poll_failed(vanished, owner.now)
+        for run in stopped:
+            name = str(run.executor.executor)
+            owner.answer_stop(run)
+            owner.end(name, run.task.name, run.attempt, EndReason.STOPPED)
+            owner.poll(name, *(row(one, 100) for one in run.executor.working_runs()))
+        moved = {run.task for run in stopped}
+        again = [run for run in owner.place() if run.task in moved]
+        self.assertEqual({run.task for run in again}, moved)
+        self.assertNotIn(vanished, [run.executor for run in again])
+
     def test_what_is_bound_by_more_than_room_stays(self) -> None:
         """A service's task holds an accelerator. Moved like any other, it came to an executor whose
         accelerators were all taken, which then held more than it has.
