A place that is kept on an executor that may get no runs is given up

A task that is moved was sent to the executor where its place is kept without asking whether that one may get runs; kept places are checked only with each tick. Its users waited for a lease to lapse, and the rule that an executor has to be stored for a successor would have had a way around it. The place is now given up at the moment of use, and the task goes wherever there is room.

--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -66,6 +66,10 @@
         destination = self._work.promises.destination(task)
         if destination is None:
             return False
+        if not destination.usable(now):
+            # Kept places are checked only now and then, and an executor may vanish at any moment.
+            self._work.promises.drop(task)
+            return False
         if not (self._work.promises.has_room(task) and is_allowed(task, destination)):
             # What it changes places with has not left yet.
             self._work.parked.append(task)
