Failing test: a machine that may be ordered down gets work when its executor is met later

Callers would see tasks ended by an upkeep: an executor is kept free of work for an order that may still come only if it is in the owner's table at that moment.

--- a/fireflyfork/decisions/jobs/tests/test_upkeep.py
+++ b/fireflyfork/decisions/jobs/tests/test_upkeep.py
@@ -13,7 +13,7 @@
     UpkeepWave,
     WaveView,
 )
-from .builders_jobs import SERVICE, START_MS, OwnerUnderTest, job, row, step
+from .builders_jobs import SERVICE, START_MS, OwnerUnderTest, job, registration, row, step
 
 UP, DOWN = MachineState.UP, MachineState.UPKEEP
 ORDERED, BEGUN = UpkeepPhase.ORDERED, UpkeepPhase.BEGUN
@@ -118,6 +118,22 @@
         usable = [one for one in range(3) if self.owner.executor(f"i-{one}").usable(self.owner.now)]
         self.assertEqual(usable, [0, 2])
 
+    def test_an_executor_that_its_owner_hears_of_later_is_kept_free_as_well(self) -> None:
+        """The same, but the executor's registration is away while the next owner reads, or it is dropped
+        for a while. Met again, it got tasks, and the late order ended them.
+        """
+        mark = UpkeepMark(ORDERED, ExecutorId("i-9"))
+        self.owner.scheduler.recover_upkeep([(_machine(9), mark)], self.owner.now)
+        self.owner.scheduler.register(registration("i-9"), self.owner.now)
+        self.owner.poll("i-9")
+        self.assertFalse(self.owner.executor("i-9").usable(self.owner.now))
+        self.owner.scheduler.poll_failed(self.owner.executor("i-9"), self.owner.now)
+        self.owner.scheduler.unregister(ExecutorId("i-9"), self.owner.now)
+        self.assertNotIn(ExecutorId("i-9"), self.owner.scheduler.executors)
+        self.owner.scheduler.register(registration("i-9"), self.owner.now)
+        self.owner.poll("i-9")
+        self.assertFalse(self.owner.executor("i-9").usable(self.owner.now))
+
     def test_a_machine_is_not_ordered_down_for_two_waves_at_once(self) -> None:
         """Two waves name the same machine. Ordered for both, the second order was refused while it was
         down, and repeated just when it was back with new work.
