Executors that may be ordered down get no work either when they are met later

Tasks were ended by an upkeep: an executor met after its owner had read the orders of an earlier one, or met again after it was dropped, got work until the next look at the wave. Whether an executor is kept free is now asked when it is taken into the table.

--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -143,7 +143,9 @@
         """An executor has said something about itself."""
         known = self.executors.get(registration.executor)
         if known is None:
-            self.executors[registration.executor] = ExecutorState(registration, now)
+            executor = ExecutorState(registration, now)
+            executor.emptied = self._upkeep.is_kept_free(registration.executor)
+            self.executors[registration.executor] = executor
             self._work.known_executors_changed = True
             return
         known.registered = True
--- a/fireflyfork/decisions/jobs/_upkeep.py
+++ b/fireflyfork/decisions/jobs/_upkeep.py
@@ -94,6 +94,10 @@
             set(),
         )
 
+    def is_kept_free(self, executor: ExecutorId) -> bool:
+        """Whether an executor's machine goes down next, or may have been ordered down."""
+        return any(name == executor for name, _ in self._emptied.values())
+
     def next_orders(self, views: Iterable[WaveView], now: float) -> list[tuple[int, MachineId]]:
         """Wave and machine of each upkeep to order now; empties those that come next."""
         orders: list[tuple[int, MachineId]] = []
