--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -39,6 +39,8 @@
     service: ServiceName
     unheard_lease: float
     """How long an executor that this owner never reached may go on for an earlier one."""
+    longest_lease: float
+    """The longest lease that any owner of the service grants an executor."""
 
 
 class Scheduler:
@@ -48,7 +50,7 @@
         """Empty; ``recover`` takes in what an earlier owner left."""
         self._terms = terms
         self._work = Work()
-        self._reports = Reports(self._work)
+        self._reports = Reports(self._work, int(terms.longest_lease * 1000))
         self._placement = Placement(self._work)
         self._time_checks = TimeChecks(self._work)
         self._stragglers = Stragglers(self._work)
@@ -104,6 +106,7 @@
         """
         for registration in last_known:
             executor = ExecutorState(registration, now, registered=False)
+            executor.stored_address = registration.address
             self.executors[registration.executor] = executor
         for registration in registrations:
             self.register(registration, now)
@@ -140,7 +143,9 @@
         """An executor has said something about itself."""
         known = self.executors.get(registration.executor)
         if known is None:
-            self.executors[registration.executor] = ExecutorState(registration, now)
+            executor = ExecutorState(registration, now)
+            executor.emptied = self._upkeep.is_kept_free(registration.executor)
+            self.executors[registration.executor] = executor
             self._work.known_executors_changed = True
             return
         if registration.incarnation < known.registration.incarnation:
@@ -149,6 +154,8 @@
             # one more start, after which nothing of before runs.
             return
         known.registered = True
+        if registration.address != known.registration.address:
+            self._work.known_executors_changed = True
         if registration.incarnation > known.registration.incarnation:
             self._work.reborn(known, registration, now)
             return
@@ -161,13 +168,22 @@
             known.registered = False
             self._work.forget_if_over(known, now)
 
-    def take_changed_executors(self) -> bool:
-        """Whether the executors to store for a successor have changed since this was last asked."""
-        changed, self._work.known_executors_changed = self._work.known_executors_changed, False
-        return changed
+    def take_changed_executors(self) -> tuple[ExecutorRegistration, ...] | None:
+        """The executors to store for a successor; None when they haven't changed since last asked."""
+        if not self._work.known_executors_changed:
+            return None
+        self._work.known_executors_changed = False
+        return tuple(one.registration for one in self.executors.values())
+
+    def executors_stored(self, registrations: Iterable[ExecutorRegistration]) -> None:
+        """The store has confirmed the write that holds these; they may get runs."""
+        for registration in registrations:
+            known = self.executors.get(registration.executor)
+            if known is not None:
+                known.stored_address = registration.address
 
     def executors_not_stored(self) -> None:
-        """They could not be stored."""
+        """They could not be stored, or it isn't known whether they were."""
         self._work.known_executors_changed = True
 
     @property
