--- a/fireflyfork/decisions/jobs/_executors.py
+++ b/fireflyfork/decisions/jobs/_executors.py
@@ -54,6 +54,8 @@
     """Seconds on the owner's clock."""
     registered: bool = True
     """False once its registration has gone: it has left, or can't reach the store."""
+    stored_address: Address | None = None
+    """Where a successor would look for it: the address in the list that is known to be stored."""
     runs: dict[tuple[TaskName, AttemptNumber], Run] = field(default_factory=dict)
     used_cpu_millis: int = 0
     lasting_cpu_millis: int = 0
@@ -75,7 +77,8 @@
     clock_at: float = field(init=False)
     """When ``clock_ms`` had been received: the executor's clock was at least there."""
     lease_until_ms: int = 0
-    """On the executor's clock: the latest that any order of ours may have let it run to."""
+    """On the executor's clock: the latest that any order, of ours or of an earlier owner's, may have let
+    it run to; not known before its first answer."""
     seen_end: int = 0
     """The last end that has been taken in."""
     forgettable_end: int = 0
@@ -124,10 +127,20 @@
         """Whether it answered the last poll."""
         return self.polled_at is not None and self.failed_polls == 0
 
+    @property
+    def is_stored(self) -> bool:
+        """Whether a successor would wait for it.
+
+        One that knows nothing of it, or looks for it elsewhere, would start its tasks again while its
+        registration is away, and they would run in two places.
+        """
+        return self.stored_address == self.registration.address
+
     def usable(self, now: float) -> bool:
         """Whether new runs may be sent there."""
         return (
             self.registered
+            and self.is_stored
             and self.answers
             and not self.registration.draining
             and not self.emptied
@@ -206,8 +219,12 @@
             self.clock_ms = clock_ms
             self.clock_at = now
 
+    def grant_lease(self, until_ms: int) -> None:
+        """It may go on until then, on its clock; leases never shorten."""
+        self.lease_until_ms = max(self.lease_until_ms, until_ms)
+
     def lease_has_lapsed(self, now: float) -> bool:
-        """Whether everything that ran there under our leases has been killed by now."""
+        """Whether everything that ran there under any lease has been killed by now."""
         return self.clock(now) > self.lease_until_ms + LAPSE_MARGIN_MS
 
     def disturbing_shares(self) -> dict[str, float]:
--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -66,6 +66,10 @@
         destination = self._work.promises.destination(task)
         if destination is None:
             return False
+        if not destination.usable(now):
+            # Kept places are checked only now and then, and an executor may vanish at any moment.
+            self._work.promises.drop(task)
+            return False
         if not (self._work.promises.has_room(task) and is_allowed(task, destination)):
             # What it changes places with has not left yet.
             self._work.parked.append(task)
@@ -161,7 +165,7 @@
             life = executor.registration.incarnation
             ticket = self._work.tickets.valid(task.step_id, executor.executor, life, now)
             run.ticket = ticket or ""
-        executor.lease_until_ms = max(executor.lease_until_ms, run.start_deadline_ms)
+        executor.grant_lease(run.start_deadline_ms)
         run.in_background = task.spec.uses_leftover_cpu and task.job.beyond_use(now_ms)
         task.attempt = run.attempt
         task.runs.append(run)
--- a/fireflyfork/decisions/jobs/_report_handling.py
+++ b/fireflyfork/decisions/jobs/_report_handling.py
@@ -20,20 +20,22 @@
 
 _OF_THE_EXECUTOR = frozenset({CallOutcome.UNHEALTHY, CallOutcome.NO_ROOM})
 """Refusals that another executor would not give."""
+_ELSEWHERE_AT_ONCE = frozenset({CallOutcome.NO_TICKET, CallOutcome.OTHER_INCARNATION})
+"""Refusals that the next try can't get for the same reason."""
 
 
 class Reports:
     """Takes in answers to orders and polls."""
 
-    def __init__(self, work: Work) -> None:
-        """Change ``work``."""
+    def __init__(self, work: Work, longest_lease_ms: int) -> None:
+        """Change ``work``; no owner grants an executor more than ``longest_lease_ms``."""
         self._work = work
+        self._longest_lease_ms = longest_lease_ms
 
     def start_answered(self, run: Run, answer: OrderAnswer, now: float) -> None:
         """An executor answered the order to start, or didn't."""
         executor = run.executor
-        if answer.clock_ms is not None:
-            executor.note_clock(answer.clock_ms, now)
+        _note_clock(executor, answer, now)
         if run.key not in executor.runs or run.phase is not RunPhase.STARTING:
             return
         outcome = answer.outcome
@@ -54,13 +56,16 @@
                 self._work.tickets.rejected(run.task.step_id, executor.executor)
             # Where the next try differs in nothing it is as likely to be refused; sent as soon as the
             # answer came, such orders would go out hundreds of times a second.
-            differs = outcome in _OF_THE_EXECUTOR or outcome is CallOutcome.NO_TICKET
+            differs = outcome in _OF_THE_EXECUTOR or outcome in _ELSEWHERE_AT_ONCE
             self._work.gone(run, now, RunOver.REFUSED, at_once=differs)
+            if outcome is CallOutcome.OTHER_INCARNATION:
+                self.incarnation_met(executor, answer.incarnation, run.ordered_at, now)
 
     def stop_answered(self, run: Run, answer: OrderAnswer, now: float) -> None:
         """An executor answered the order to stop, or didn't."""
-        if answer.clock_ms is not None:
-            run.executor.note_clock(answer.clock_ms, now)
+        _note_clock(run.executor, answer, now)
+        if answer.outcome is CallOutcome.OTHER_INCARNATION:
+            self.incarnation_met(run.executor, answer.incarnation, run.stop_sent_at, now)
         if answer.outcome is CallOutcome.ACCEPTED and run.barred_at is None:
             run.barred_at = now
 
@@ -69,6 +74,22 @@
         if answer.outcome is not CallOutcome.ACCEPTED:
             run.pace_confirmed = False
 
+    def incarnation_met(
+        self, executor: ExecutorState, incarnation: int | None, sent_at: float, now: float
+    ) -> bool:
+        """A call found another incarnation of an executor; whether it is one that began later.
+
+        One that was sent while the known life was there meets no life before it, whatever its number says:
+        the clock was set back before it started anew.
+        """
+        known = executor.registration.incarnation
+        if incarnation is None or incarnation == known or not self._work.is_current(executor):
+            return False
+        if incarnation < known and sent_at <= executor.known_since:
+            return False
+        self._work.reborn(executor, _reborn_as(executor, incarnation), now)
+        return True
+
     def poll_failed(self, executor: ExecutorState, now: float) -> None:
         """A poll got no answer."""
         if not self._work.is_current(executor):
@@ -82,16 +103,16 @@
         """An executor has listed what it runs and what has ended."""
         if not self._work.is_current(executor):
             return
-        if answer.incarnation is not None and executor.registration.incarnation:
-            earlier = answer.incarnation < executor.registration.incarnation
-            if earlier and sent_at <= executor.known_since:
-                return
-            # An answer to a poll that was sent while the known life was there is of no life before it: its
-            # clock was set back before it started anew.
-            if answer.incarnation != executor.registration.incarnation:
-                self._work.reborn(executor, _reborn_as(executor, answer.incarnation), now)
+        same = answer.incarnation in (None, executor.registration.incarnation)
+        if not same and not self.incarnation_met(executor, answer.incarnation, sent_at, now):
+            return
         if answer.clock_ms is not None:
             executor.note_clock(answer.clock_ms, now)
+        if executor.polled_at is None:
+            # An earlier owner, or we before we dropped this executor, may have renewed its lease just
+            # before. Taken for lapsed, a run that goes on there would be started elsewhere as soon as polls
+            # fail. No grant of before reaches further; later ones of earlier owners are refused.
+            executor.grant_lease(executor.clock(now) + self._longest_lease_ms)
         executor.failed_polls = 0
         executor.polled_at = max(executor.polled_at or sent_at, sent_at)
         # One that came after a later one would be passed over, and then let go with it.
@@ -240,5 +261,15 @@
         self._work.stop(run, now)
 
 
+def _note_clock(executor: ExecutorState, answer: OrderAnswer, now: float) -> None:
+    """Take in the clock of an answer, if it is the clock of the life that is known.
+
+    The clock of a next life begins at 0. Taken to be as far as the last one was, it would void no late
+    order and end no lease.
+    """
+    if answer.clock_ms is not None and answer.incarnation == executor.registration.incarnation:
+        executor.note_clock(answer.clock_ms, now)
+
+
 def _reborn_as(executor: ExecutorState, incarnation: int) -> ExecutorRegistration:
     return replace(executor.registration, incarnation=incarnation)
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -45,6 +45,8 @@
     service: ServiceName
     unheard_lease: float
     """How long an executor that this owner never reached may go on for an earlier one."""
+    longest_lease: float
+    """The longest lease that any owner of the service grants an executor."""
 
 
 class Scheduler:
@@ -54,7 +56,7 @@
         """Empty; ``recover`` takes in what an earlier owner left."""
         self._terms = terms
         self._work = Work()
-        self._reports = Reports(self._work)
+        self._reports = Reports(self._work, int(terms.longest_lease * 1000))
         self._placement = Placement(self._work)
         self._time_checks = TimeChecks(self._work)
         self._stragglers = Stragglers(self._work)
@@ -110,6 +112,7 @@
         """
         for registration in last_known:
             executor = ExecutorState(registration, now, registered=False)
+            executor.stored_address = registration.address
             self.executors[registration.executor] = executor
         for registration in registrations:
             self.register(registration, now)
@@ -146,7 +149,9 @@
         """An executor has said something about itself."""
         known = self.executors.get(registration.executor)
         if known is None:
-            self.executors[registration.executor] = ExecutorState(registration, now)
+            executor = ExecutorState(registration, now)
+            executor.emptied = self._upkeep.is_kept_free(registration.executor)
+            self.executors[registration.executor] = executor
             self._work.known_executors_changed = True
             return
         if registration.incarnation < known.registration.incarnation:
@@ -155,6 +160,8 @@
             # one more start, after which nothing of before runs.
             return
         known.registered = True
+        if registration.address != known.registration.address:
+            self._work.known_executors_changed = True
         if registration.incarnation > known.registration.incarnation:
             self._work.reborn(known, registration, now)
             return
@@ -167,13 +174,22 @@
             known.registered = False
             self._work.forget_if_over(known, now)
 
-    def take_changed_executors(self) -> bool:
-        """Whether the executors to store for a successor have changed since this was last asked."""
-        changed, self._work.known_executors_changed = self._work.known_executors_changed, False
-        return changed
+    def take_changed_executors(self) -> tuple[ExecutorRegistration, ...] | None:
+        """The executors to store for a successor; None when they haven't changed since last asked."""
+        if not self._work.known_executors_changed:
+            return None
+        self._work.known_executors_changed = False
+        return tuple(one.registration for one in self.executors.values())
+
+    def executors_stored(self, registrations: Iterable[ExecutorRegistration]) -> None:
+        """The store has confirmed the write that holds these; they may get runs."""
+        for registration in registrations:
+            known = self.executors.get(registration.executor)
+            if known is not None:
+                known.stored_address = registration.address
 
     def executors_not_stored(self) -> None:
-        """They could not be stored."""
+        """They could not be stored, or it isn't known whether they were."""
         self._work.known_executors_changed = True
 
     @property
@@ -193,6 +209,12 @@
         """An executor answered the order to change a run's pace, or didn't."""
         self._reports.pace_answered(run, answer)
 
+    def incarnation_met(
+        self, executor: ExecutorState, incarnation: int | None, sent_at: float, now: float
+    ) -> bool:
+        """A call found another incarnation of an executor; whether it is one that began later."""
+        return self._reports.incarnation_met(executor, incarnation, sent_at, now)
+
     def poll_failed(self, executor: ExecutorState, now: float) -> None:
         """A poll got no answer."""
         self._reports.poll_failed(executor, now)
--- a/fireflyfork/programs/_service_owner.py
+++ b/fireflyfork/programs/_service_owner.py
@@ -72,8 +72,8 @@
 WATCH_SECONDS = 2.0
 """How long one question for changes waits; a silent connection is noticed a second later."""
 REGISTRATIONS_SECONDS = 0.4
-"""Executors write every 1.5 s each, mostly to say that they live. Asked for each of these writes, the
-store had a quarter of all calls from that; executors that leave go on for 2.5 s and more."""
+"""Executors write every 1.5 s each, mostly to say that they live. A question after each of these writes would
+be a quarter of all calls to the store; executors that leave go on for 2.5 s and more."""
 PROOF_RETRY_SECONDS = 0.5
 """Between questions who owns the service, while the store doesn't answer; calls are paid for."""
 RECOVERY_SECONDS = 4.0
@@ -113,8 +113,8 @@
         self._retention = bounds.status_retention + RETENTION_MARGIN_SECONDS
         lease = min(LEASE_SECONDS, bounds.longest_lease * LEASE_SHARE)
         unheard = ORPHANED_LEASE_SECONDS + lease + UNHEARD_MARGIN_SECONDS
-        self._scheduler = Scheduler(SchedulerTerms(self._service, unheard))
-        self._journal = ServiceJournal(self._store, term, self._scheduler)
+        self._scheduler = Scheduler(SchedulerTerms(self._service, unheard, lease))
+        self._journal = ServiceJournal(self._store, term, self._scheduler, self.kick)
         self._upkeep = UpkeepDuty(
             self._store, outside.machines, self._scheduler, term, node, clock, waves
         )
@@ -192,8 +192,8 @@
     async def resign(self, seconds: float) -> None:
         """Start nothing more, store what is known, and end ``run``.
 
-        Polls end first. On a busy service each brings ends that have to be stored, and waiting until
-        none is left took all of the time allowed, while no task was placed. What is not taken in stays
+        Polls end first. On a busy service each brings ends that have to be stored; waiting until none is
+        left would take all of the time allowed, while no task is placed. What is not taken in stays
         on the executors' lists for the next owner.
         """
         self._resigning = True
--- a/fireflyfork_standins/scheduling/__init__.py
+++ b/fireflyfork_standins/scheduling/__init__.py
@@ -4,15 +4,19 @@
 from ._executors import ExecutorTrouble, StandInExecutor
 from ._history import History, Violation
 from ._machines import StandInMachines, machine_of
+from ._nodes import UNIX_MS_AT_START, StandInNode
+from ._repeatable import run_repeatably
 from ._store import StandInStore, StoreTrouble
-from ._troubles import ALL_TROUBLES, TROUBLES, UPKEEP_TROUBLES
+from ._troubles import ALL_TROUBLES, INCARNATION_TROUBLES, TROUBLES, UPKEEP_TROUBLES
 from ._wire_callers import WireCallers
 from ._wire_platform import WireLayout, WirePlatform
 from ._world import Profile, Report, run_world
 
 __all__ = [
     "ALL_TROUBLES",
+    "INCARNATION_TROUBLES",
     "TROUBLES",
+    "UNIX_MS_AT_START",
     "UPKEEP_TROUBLES",
     "ExecutorTrouble",
     "History",
@@ -21,6 +25,7 @@
     "StandInExecutor",
     "StandInExecutorCalls",
     "StandInMachines",
+    "StandInNode",
     "StandInStore",
     "StoreTrouble",
     "Violation",
@@ -28,5 +33,6 @@
     "WireLayout",
     "WirePlatform",
     "machine_of",
+    "run_repeatably",
     "run_world",
 ]
