Failing tests: runs are taken for gone when an executor lists only its first ends

Callers would see a task that ended well run again. An executor lists 500 ends at a time, and the others only when those may be forgotten, for which they must be stored. While the store is away, a run that is neither among what runs nor among these was taken for gone once its stop was acknowledged; and a new owner took such an executor for heard out.

--- a/fireflyfork/decisions/jobs/_reports.py
+++ b/fireflyfork/decisions/jobs/_reports.py
@@ -88,6 +88,8 @@
     incarnation: int | None = None
     running: tuple[RunningRow, ...] = ()
     ended: tuple[EndedRow, ...] = ()
+    lists_all_ends: bool = True
+    """False where more may have ended than one answer holds: what it doesn't list may be over."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/fireflyfork/decisions/jobs/tests/builders_jobs.py
+++ b/fireflyfork/decisions/jobs/tests/builders_jobs.py
@@ -158,6 +158,7 @@
         *rows: RunningRow,
         incarnation: int = 1,
         sent_at: float | None = None,
+        lists_all_ends: bool = True,
     ) -> None:
         """An executor lists these runs, and the ends noted by ``end``."""
         self.store()
@@ -167,6 +168,7 @@
             incarnation,
             rows,
             tuple(self.ends.get(name, ())),
+            lists_all_ends,
         )
         sent = self.now if sent_at is None else sent_at
         self.scheduler.poll_answered(
--- a/fireflyfork/decisions/jobs/tests/test_scheduler.py
+++ b/fireflyfork/decisions/jobs/tests/test_scheduler.py
@@ -150,6 +150,24 @@
         owner.poll(lost.executor.executor)
         self.assertEqual([run.attempt for run in owner.place()], [2])
 
+    def test_a_list_with_more_ends_than_it_holds_proves_nothing(self) -> None:
+        """The store is away for a minute, nothing may be forgotten, and more has ended on an executor than
+        one answer lists. A run that ended well, and is in neither list for that reason, was taken for gone
+        and started again elsewhere.
+        """
+        owner = OwnerUnderTest("i-0", "i-1")
+        owner.scheduler.accept(job(A), START_MS)
+        (run,) = owner.place()
+        name = str(run.executor.executor)
+        owner.now += 0.1
+        owner.poll(name, lists_all_ends=False)
+        self.assertEqual(owner.stops(), [])
+        owner.scheduler.cancel(run.task.job.spec.job, owner.now, START_MS)
+        owner.answer_stop(run)
+        owner.now += 0.1
+        owner.poll(name, lists_all_ends=False)
+        self.assertEqual(len(run.executor.runs), 1)
+
     def test_a_stop_without_an_answer_is_sent_again(self) -> None:
         owner = OwnerUnderTest("i-0")
         owner.scheduler.accept(job(A), START_MS)
@@ -455,6 +473,21 @@
         owner.tick(0.7)
         self.assertEqual([again.attempt for again in owner.place()], [2])
 
+    def test_an_executor_is_waited_for_until_it_has_listed_all_its_ends(self) -> None:
+        """The store was away, and more has ended on an executor than one answer lists. Its owner is
+        replaced when the store is back, and the successor starts what ended well, but isn't listed yet,
+        a second time.
+        """
+        self.owner.poll("i-1")
+        self.owner.poll("i-0", lists_all_ends=False)
+        self.assertEqual(self.owner.place(), [])
+        self.owner.tick(8.1)
+        self.owner.poll("i-0", lists_all_ends=False)
+        self.assertEqual(self.owner.place(), [])
+        self.owner.end("i-0", TaskName(f"{A}.0.0.0"), 1, EndReason.DONE)
+        self.owner.poll("i-0")
+        self.assertEqual([run.task.name for run in self.owner.place()], [f"{A}.0.1.0"])
+
 
 class StoredExecutorsTest(unittest.TestCase):
     """An executor gets runs only while a successor would wait for it."""
--- a/fireflyfork/platform/_executor_client.py
+++ b/fireflyfork/platform/_executor_client.py
@@ -25,6 +25,8 @@
 CALL_TIMEOUT_SECONDS = 0.6
 """An answer takes 1 ms, and some 45 ms from another region; an executor that hangs or is cut off
 should not keep its tasks from others for longer than a caller notices."""
+MOST_ENDS_LISTED = 500
+"""An answer holds so many ends; later ones come once earlier ones may be forgotten."""
 
 _REASONS = {
     "fence": CallOutcome.FENCED,
@@ -152,6 +154,7 @@
             poll.born,
             tuple(map(_running_row, poll.running)),
             tuple(map(_ended_row, poll.ended)),
+            len(poll.ended) < MOST_ENDS_LISTED,
         )
 
     def forget(self, executor: ExecutorId) -> None:
--- a/fireflyfork_standins/scheduling/_executors.py
+++ b/fireflyfork_standins/scheduling/_executors.py
@@ -39,6 +39,8 @@
 STEP_SECONDS = 0.01
 STOP_SECONDS = 0.05
 LONGEST_LEASE_MS = 6_000
+MOST_ENDS_LISTED = 500
+"""In one answer; later ones come once earlier ones may be forgotten."""
 
 
 @dataclass(slots=True)
@@ -244,7 +246,12 @@
             for run in self._life.runs.values()
         )
         return PollAnswer(
-            CallOutcome.ACCEPTED, self.clock_ms, self.born, running, tuple(self._life.ends[:500])
+            CallOutcome.ACCEPTED,
+            self.clock_ms,
+            self.born,
+            running,
+            tuple(self._life.ends[:MOST_ENDS_LISTED]),
+            len(self._life.ends) < MOST_ENDS_LISTED,
         )
 
     def has_end_after(self, number: int) -> bool:
