What an executor doesn't list is over only if the list holds all its ends

A task that ended well ran again: while the store is away more than 500 ends gather on an executor, one answer lists 500, and a run in neither list was taken for gone, or its executor for heard out by a new owner. Now nothing is concluded from such a list about runs that it doesn't hold, and a new owner waits for the executor until a list was complete, or, after the usual time, until the executor's lease has lapsed. It ends by itself: when the store answers, ends are stored and forgotten, and the rest is listed.

--- a/fireflyfork/decisions/jobs/_report_handling.py
+++ b/fireflyfork/decisions/jobs/_report_handling.py
@@ -101,8 +101,9 @@
                 executor.seen_end = row.number
                 self._ended(executor, row, now, now_ms)
                 executor.unstored_ends.append((row.number, self._work.jobs.changes.last))
-        self._compare(executor, sent_at, answer.running, now)
-        self._work.reached(executor.executor, now)
+        self._compare(executor, sent_at, answer, now)
+        if answer.lists_all_ends:
+            self._work.reached(executor.executor, now)
         self._work.commands.extend(
             PaceRun(run, percent)
             for run, percent in adjust_pace(executor, answer.running, self._work.interference, now)
@@ -161,15 +162,15 @@
         self,
         executor: ExecutorState,
         sent_at: float,
-        rows: tuple[RunningRow, ...],
+        answer: PollAnswer,
         now: float,
     ) -> None:
-        listed = {(row.task, row.attempt): row for row in rows}
+        listed = {(row.task, row.attempt): row for row in answer.running}
         for key, run in tuple(executor.runs.items()):
             row = listed.pop(key, None)
             if row is not None:
                 self._still_there(run, row, now)
-            else:
+            elif answer.lists_all_ends:
                 self._not_listed(run, sent_at, now)
         for row in listed.values():
             self._found(executor, row, now)
--- a/fireflyfork/decisions/jobs/_work.py
+++ b/fireflyfork/decisions/jobs/_work.py
@@ -184,7 +184,11 @@
 
     def give_up_unreached(self, now: float) -> None:
         """Executors that never answered run nothing of an earlier owner's any more."""
-        given_up = [one for one, until in self.unreached.items() if until <= now]
+        given_up = [
+            name
+            for name, until in self.unreached.items()
+            if until <= now and not self._may_be_heard(name, now)
+        ]
         for executor in given_up:
             del self.unreached[executor]
         if given_up:
@@ -193,6 +197,13 @@
                 task.attempt = AttemptNumber(task.attempt + 1)
             self.release_held(now)
 
+    def _may_be_heard(self, name: ExecutorId, now: float) -> bool:
+        """Whether an executor that was heard in part goes on, so that the rest has to be waited for."""
+        executor = self.executors.get(name)
+        if executor is None or executor.polled_at is None:
+            return False
+        return executor.answers or not executor.lease_has_lapsed(now)
+
     def release_held(self, now: float) -> None:
         """Let tasks go that waited for executors, once none is left to wait for."""
         if self.unreached:
