Failing test: an owner renews leases for longer than its successor waits

Callers would see a task run in two places: an owner stops renewing leases 2.5 s after its last contact with the store, and its successor counts on that. But any answer to a question for changes counts as contact, also about executors, while the one that would tell it of its successor gets no answer.

--- a/fireflyfork_standins/scheduling/_store.py
+++ b/fireflyfork_standins/scheduling/_store.py
@@ -44,6 +44,8 @@
     """These nodes are turned away, and nothing of theirs is done."""
     silent: set[NodeName] = field(default_factory=set)
     """These get no answer, and nothing of theirs is done."""
+    silent_watches: set[tuple[NodeName, str]] = field(default_factory=set)
+    """Questions of a node for changes under a prefix get no answer; its other calls do."""
     down: bool = False
     """Nobody gets an answer."""
     slow_factor: float = 1.0
@@ -265,6 +267,9 @@
     async def changes(self, prefix: str, after: Revision, wait_seconds: float) -> StoreChanges:
         """See CoordinationStore."""
         await self._reach()
+        if (self._node, prefix) in self._store.trouble.silent_watches:
+            await trio.sleep(wait_seconds + TIMEOUT_SECONDS)
+            raise StoreUnavailableError("no answer")
         with trio.move_on_after(wait_seconds):
             while not self._store.changes_after(prefix, after):
                 await self._store.changed()
--- a/fireflyfork_standins/tests/builders_takeovers.py
+++ b/fireflyfork_standins/tests/builders_takeovers.py
@@ -24,7 +24,7 @@
     queue_table,
 )
 from fireflyfork.platform import PlatformBounds
-from fireflyfork.programs._scheduling_keys import owner_key
+from fireflyfork.programs._scheduling_keys import WORK_PREFIX, owner_key
 
 from ..scheduling import (
     UNIX_MS_AT_START,
@@ -133,9 +133,19 @@
         executor.unregister()
         self.cut(executor)
 
-    def cut(self, executor: StandInExecutor) -> None:
-        """No instance reaches an executor any more."""
-        executor.trouble.unreachable_from |= {node.name for node in self.nodes}
+    def cut(self, executor: StandInExecutor, *nodes: NodeName) -> None:
+        """These instances, or all, don't reach an executor any more."""
+        executor.trouble.unreachable_from |= set(nodes or (node.name for node in self.nodes))
+
+    @property
+    def owner(self) -> StandInNode:
+        """The instance that owns the service."""
+        (owner,) = (node for node in self.nodes if node.decides)
+        return owner
+
+    def silence_work(self, node: NodeName) -> None:
+        """An instance hears of no job any more, nor of a change of owner."""
+        self.store.trouble.silent_watches.add((node, WORK_PREFIX))
 
     def connect(self, executor: StandInExecutor) -> None:
         """All instances reach an executor again."""
--- a/fireflyfork_standins/tests/test_takeovers.py
+++ b/fireflyfork_standins/tests/test_takeovers.py
@@ -24,6 +24,10 @@
 """An owner without the store for so long renews no lease."""
 HEARD_SECONDS = 0.7
 """The owner tries such an executor each second; the next list after that would come a second later."""
+ASKED_SECONDS = 4.0
+"""The last question that is answered is over."""
+UNHEARD_SECONDS = 9.5
+"""Longer than a new owner waits for an executor that it doesn't reach."""
 SOON_SECONDS = 1.0
 """A task starts, or an end is stored and forgotten, well within this."""
 TROUBLE_SECONDS = 0.7
@@ -140,6 +144,29 @@
 class EarlierLeasesTest(unittest.TestCase):
     """A new owner reckons with the leases that the last one has granted."""
 
+    def test_an_owner_that_does_not_hear_of_its_successor(self) -> None:
+        """An owner's question about work gets no answer on its link, while its other calls to the store do.
+        It doesn't hear that it was replaced, and renews the lease of an executor that only it reaches. Its
+        successor can wait for that no longer than an owner without the store goes on; then it starts the
+        task elsewhere, and it runs in two places.
+        """
+
+        async def body(stage: Stage) -> None:
+            both = [stage.add_executor("i-0"), stage.add_executor("i-1")]
+            await trio.sleep(SOON_SECONDS)
+            await stage.hand_in(JOB, LONG_MS)
+            await stage.until(lambda: stage.history.starts == 1)
+            (executor,) = (one for one in both if one.running)
+            await trio.sleep(SOON_SECONDS)
+            last = stage.owner.name
+            stage.silence_work(last)
+            stage.cut(executor, *(node.name for node in stage.nodes if node.name != last))
+            await trio.sleep(ASKED_SECONDS)
+            stage.depose()
+            await trio.sleep(UNHEARD_SECONDS)
+
+        self.assertEqual(play(body).broken, [])
+
     def test_an_executor_that_is_heard_once_while_the_store_is_away(self) -> None:
         """The owner renews an executor's lease and goes. The store fails just after its successor has read,
         and links to the executor come and go: for some seconds nothing, then one list that shows the task,
