Only what shows the ownership lets an owner go on renewing leases

A task ran in two places: the last owner, whose question about work got no answer, kept renewing the lease of an executor that only it reached, because answers to its question about executors counted as contact with the store. Its successor waits for 2.5 s of renewals and the lease. What it costs: where nothing is written and the question about work fails for more than 2.5 s, leases are not renewed until its next answer, as without the store; a lease bears 5 s.

--- a/fireflyfork/programs/_executor_polls.py
+++ b/fireflyfork/programs/_executor_polls.py
@@ -28,8 +28,8 @@
 FIRST_RETRY_SECONDS = 0.05
 LONGEST_RETRY_SECONDS = 0.8
 ORPHANED_LEASE_SECONDS = 2.5
-"""An owner that can't reach the store for so long stops renewing leases. If it went on, its successor
-could never tell when a task on an executor that only the old owner reaches is over."""
+"""An owner that the store hasn't shown to be the owner for so long stops renewing leases. If it went on,
+its successor could never tell when a task on an executor that only the old owner reaches is over."""
 
 
 class ExecutorPolls:
@@ -43,17 +43,20 @@
         term: Term,
         clock: Clock,
         lease_seconds: float,
-        store_contact: Callable[[], float],
+        known_owner_at: Callable[[], float],
         kick: Callable[[], None],
     ) -> None:
-        """``store_contact`` tells when the store was last reached; ``kick`` has tasks placed."""
+        """``known_owner_at`` tells when the store last showed that this is the owner.
+
+        ``kick`` has tasks placed.
+        """
         self._scheduler = scheduler
         self._calls = calls
         self._journal = journal
         self._term = term
         self._clock = clock
         self._lease_ms = int(lease_seconds * 1000)
-        self._store_contact = store_contact
+        self._known_owner_at = known_owner_at
         self._kick = kick
         self._ended = False
         self._wake: dict[ExecutorState, trio.Event] = {}
@@ -133,7 +136,7 @@
         An executor that doesn't answer gets no longer lease: the answer may be what is lost, and
         each renewal would put off the moment from which its tasks may run elsewhere.
         """
-        orphaned = now - self._store_contact() > ORPHANED_LEASE_SECONDS
+        orphaned = now - self._known_owner_at() > ORPHANED_LEASE_SECONDS
         if executor.polled_at is None or executor.failed_polls or orphaned:
             return None
         until = executor.clock(now) + self._lease_ms
--- a/fireflyfork/programs/_service_journal.py
+++ b/fireflyfork/programs/_service_journal.py
@@ -70,13 +70,17 @@
         store: CoordinationStore,
         term: Term,
         scheduler: Scheduler,
-        usable: Callable[[], None],
+        confirmed: Callable[[bool], None],
     ) -> None:
-        """``open`` comes first; ``usable`` is called when executors were stored and may get runs."""
+        """``open`` comes first.
+
+        ``confirmed`` is called after each write, and told whether executors were stored, which may get
+        runs then.
+        """
         self._store = store
         self._term = term
         self._scheduler = scheduler
-        self._usable = usable
+        self._confirmed = confirmed
         self._written = Revision(0)
         self._number = 0
         self._changed = trio.Event()
@@ -145,7 +149,7 @@
         self._scheduler.note_stored()
         if executors is not None:
             self._scheduler.executors_stored(executors)
-            self._usable()
+        self._confirmed(executors is not None)
         self._stored.set()
         self._stored = trio.Event()
         return True
--- a/fireflyfork/programs/_service_owner.py
+++ b/fireflyfork/programs/_service_owner.py
@@ -112,7 +112,7 @@
         lease = min(LEASE_SECONDS, bounds.longest_lease * LEASE_SHARE)
         unheard = ORPHANED_LEASE_SECONDS + lease + UNHEARD_MARGIN_SECONDS
         self._scheduler = Scheduler(SchedulerTerms(self._service, unheard, lease))
-        self._journal = ServiceJournal(self._store, term, self._scheduler, self.kick)
+        self._journal = ServiceJournal(self._store, term, self._scheduler, self._confirmed)
         self._upkeep = UpkeepDuty(
             self._store, outside.machines, self._scheduler, term, node, clock, waves
         )
@@ -123,13 +123,14 @@
             term,
             clock,
             lease,
-            lambda: self._contact,
+            lambda: self._known_owner_at,
             self.kick,
         )
         self._announcements = announcements
         self._ready = False
         self._log = DecisionLog(clock, self._service, metrics)
-        self._contact = clock.now()
+        # Reading what is left shows nothing: over a thin link it takes seconds, and may be old when it ends.
+        self._known_owner_at = clock.now()
         self._work = trio.Event()
         self._resigning = False
         self._polled: set[ExecutorState] = set()
@@ -156,9 +157,19 @@
         self._scheduler.configure(queues)
         self.kick()
 
-    def note_store_contact(self) -> None:
-        """The store has answered this instance."""
-        self._contact = self._clock.now()
+    def _note_ownership(self) -> None:
+        """The store has shown that this is still the owner.
+
+        No other answer will do. While the one that tells of a successor doesn't come, others may, and an
+        owner that went on for these would renew leases for longer than its successor waits.
+        """
+        self._known_owner_at = self._clock.now()
+
+    def _confirmed(self, executors: bool) -> None:
+        """The journal was written, which only the owner can."""
+        self._note_ownership()
+        if executors:
+            self.kick()
 
     async def run(self) -> None:
         """Work until the ownership is lost or ``resign`` was called."""
@@ -203,7 +214,6 @@
     async def _recover(self) -> tuple[Revision, Revision]:
         begun = self._clock.now()
         left = await read_left_behind(self._store, self._journal)
-        self.note_store_contact()
         jobs = tuple(self._stored_jobs(left.work.items, left.progress.items))
         now, now_ms = self._clock.now(), self._clock.unix_ms()
         self._scheduler.configure(self._queues())
@@ -260,7 +270,7 @@
             WATCH_SECONDS,
             self._work_listed,
             self._work_changed,
-            self.note_store_contact,
+            self._note_ownership,
         )
 
     def _registration_watch(self) -> PrefixWatch:
@@ -270,8 +280,7 @@
             WATCH_SECONDS,
             self._registrations_listed,
             self._registration_changed,
-            self.note_store_contact,
-            REGISTRATIONS_SECONDS,
+            gather_seconds=REGISTRATIONS_SECONDS,
         )
 
     def _work_listed(self, listing: StoreListing) -> None:
