--- a/fireflyfork/decisions/jobs/tests/test_scheduler.py
+++ b/fireflyfork/decisions/jobs/tests/test_scheduler.py
@@ -232,6 +232,25 @@
         owner.poll("i-0", incarnation=2)
         self.assertEqual([run.attempt for run in owner.place()], [2])
 
+    def test_an_executor_that_starts_anew_and_vanishes_holds_no_task_back(self) -> None:
+        """An executor starts anew while an order is on its way to it, and is gone before its new life has
+        answered once. Its owner waited for that answer for ever, and the job's caller with it.
+        """
+        owner = OwnerUnderTest("i-0", "i-1")
+        owner.scheduler.accept(job(A), START_MS)
+        owner.now += 0.1
+        (run,) = owner.send()
+        reborn = run.executor
+        owner.now += 0.1
+        owner.scheduler.register(registration(reborn.executor, incarnation=2), owner.now)
+        owner.answer_start(run, CallOutcome.UNKNOWN)
+        owner.scheduler.unregister(reborn.executor, owner.now)
+        for _ in range(60):
+            owner.tick(1.0)
+            owner.scheduler.poll_failed(reborn, owner.now)
+        again = owner.place()
+        self.assertEqual([(one.attempt, one.executor is reborn) for one in again], [(2, False)])
+
     def test_an_answer_of_an_earlier_life_is_not_mixed_in(self) -> None:
         """An executor starts anew while the answer to a poll is under way. Its old list would make
         the owner wait for runs that are long gone.
