--- /dev/null
+++ b/fireflyfork/programs/tests/test_run_orders.py
@@ -0,0 +1,52 @@
+"""Orders to executors, in the time between a decision and its sending."""
+
+import unittest
+from unittest.mock import create_autospec
+
+import trio
+from trio.testing import wait_all_tasks_blocked
+
+from ..._ids import FencingToken
+from ...adapters import ExecutorCalls, ExecutorPlace
+from ...decisions.jobs import CallOutcome, OrderAnswer, StartRequest, StartRun
+from ...decisions.jobs.tests.builders_jobs import START_MS, OwnerUnderTest, job, registration, step
+from .._clocks import Clock
+from .._executor_polls import ExecutorPolls
+from .._run_orders import CALLS_AT_ONCE, RunOrders
+
+
+class RunOrdersTest(unittest.TestCase):
+    """What is sent is what was decided."""
+
+    def test_an_order_that_waits_for_its_turn_goes_to_the_life_it_was_meant_for(self) -> None:
+        """Many starts go to one executor, which answers slowly, so some wait for their turn. Meanwhile it
+        starts anew, and their tasks are placed elsewhere. Sent to the new life all the same, the last ones
+        would run in two places.
+        """
+        trio.run(self._order_that_waits)
+
+    async def _order_that_waits(self) -> None:
+        owner = OwnerUnderTest("i-0")
+        places: list[ExecutorPlace] = []
+        answered = trio.Event()
+
+        async def start(place: ExecutorPlace, _: FencingToken, __: StartRequest) -> OrderAnswer:
+            places.append(place)
+            await answered.wait()
+            return OrderAnswer(CallOutcome.UNKNOWN, None)
+
+        calls = create_autospec(ExecutorCalls, instance=True)
+        calls.start = start
+        clock = create_autospec(Clock, instance=True)
+        clock.now.return_value = owner.now
+        polls = create_autospec(ExecutorPolls, instance=True)
+        orders = RunOrders(owner.scheduler, calls, polls, FencingToken(1), clock, lambda: None)
+        owner.scheduler.accept(job("00000000000000aa", step(count=CALLS_AT_ONCE + 1)), START_MS)
+        async with trio.open_nursery() as nursery:
+            for run in owner.send():
+                nursery.start_soon(orders.carry_out, StartRun(run))
+            await wait_all_tasks_blocked()
+            self.assertEqual(len(places), CALLS_AT_ONCE)
+            owner.scheduler.register(registration("i-0", incarnation=2), owner.now)
+            answered.set()
+        self.assertEqual({place.incarnation for place in places}, {1})
