What waits for its turn goes to the life it was decided for, and a next life holds no task back

What callers saw: a job hung for good when its executor started anew while an order was on its way and vanished before its new life had answered; the owner waited for a word of that life.

Cause: an order that waited for one of six calls at once was addressed when it got its turn, so it went to an incarnation that had begun after the decision. The wait in the new life was there to catch that.

Why this holds: a run keeps the incarnation that it was decided for, or found in, and its orders go there or nowhere. So whatever ran in, or was on its way to, an earlier life is over when the next one shows.

--- a/fireflyfork/decisions/jobs/_runs.py
+++ b/fireflyfork/decisions/jobs/_runs.py
@@ -68,6 +68,13 @@
     """The advisor's leave to run there, where the queue needs one."""
     in_background: bool = False
     """Its job is of no use any more but has to end: it works slowly, to slow nobody else."""
+    incarnation: int = field(init=False)
+    """The executor's when this was decided or found. Orders wait for their turn, and must not go to a life
+    that began meanwhile."""
+
+    def __post_init__(self) -> None:
+        """It belongs to the life that is known now."""
+        self.incarnation = self.executor.registration.incarnation
 
     @property
     def key(self) -> tuple[TaskName, AttemptNumber]:
--- a/fireflyfork/decisions/jobs/_work.py
+++ b/fireflyfork/decisions/jobs/_work.py
@@ -151,22 +151,14 @@
     ) -> None:
         """The executor started anew: what ran in its earlier life is over.
 
-        Calls come to the incarnation that they are meant for, or to none. Should an order be held back on
-        its way and be carried out late in the new life all the same, its task would run in two places. So
-        what was ordered after the earlier life had last answered is stopped in the new one, and its task
-        waits until that is certain.
+        So is what was on its way there: calls come to the incarnation that they are meant for, or to none.
+        Waiting for a word of the new life instead would hold tasks back for ever, should it vanish first.
         """
-        runs = tuple(executor.runs.values())
-        answered_at = executor.polled_at
         self._note_given_up(executor, RunOver.NEW_INCARNATION)
+        runs = tuple(executor.runs.values())
         executor.begin_incarnation(registration, now)
         for run in runs:
-            if answered_at is not None and run.ordered_at > answered_at:
-                run.phase = RunPhase.UNSURE
-                run.barred_at = None
-                self.stop(run, now)
-            else:
-                self.gone(run, now, RunOver.NEW_INCARNATION)
+            self.gone(run, now, RunOver.NEW_INCARNATION)
 
     def forget_if_over(self, executor: ExecutorState, now: float) -> None:
         """What ran on an executor that doesn't answer is over once its lease has lapsed.
--- a/fireflyfork/programs/_executor_polls.py
+++ b/fireflyfork/programs/_executor_polls.py
@@ -32,12 +32,6 @@
 its successor could never tell when a task on an executor that only the old owner reaches is over."""
 
 
-def place_of(executor: ExecutorState) -> ExecutorPlace:
-    """Where calls to an executor go, in the life that its owner knows."""
-    known = executor.registration
-    return ExecutorPlace(known.executor, known.address, known.incarnation)
-
-
 class ExecutorPolls:
     """The polls at all executors of a service."""
 
@@ -89,8 +83,9 @@
     async def _poll(self, executor: ExecutorState) -> None:
         sent_at = self._clock.now()
         forget = executor.forgettable_end
+        known = executor.registration
         answer = await self._calls.poll(
-            place_of(executor),
+            ExecutorPlace(known.executor, known.address, known.incarnation),
             self._term.token,
             forget,
             self._lease(executor, sent_at),
--- a/fireflyfork/programs/_run_orders.py
+++ b/fireflyfork/programs/_run_orders.py
@@ -8,7 +8,7 @@
 from loguru import logger
 
 from .._ids import FencingToken
-from ..adapters import ExecutorCalls
+from ..adapters import ExecutorCalls, ExecutorPlace
 from ..decisions.jobs import (
     CallOutcome,
     ExecutorState,
@@ -22,7 +22,7 @@
     StopRun,
 )
 from ._clocks import Clock
-from ._executor_polls import ExecutorPolls, place_of
+from ._executor_polls import ExecutorPolls
 from ._service_journal import OwnershipLostError
 
 CALLS_AT_ONCE = 6
@@ -78,7 +78,7 @@
 
     async def _order(self, command: RunCommand, executor: ExecutorState) -> OrderAnswer:
         run = command.run
-        place = place_of(executor)
+        place = ExecutorPlace(executor.executor, executor.registration.address, run.incarnation)
         self._polls.wake(executor)
         if isinstance(command, StopRun):
             return await self._calls.stop(place, self._token, run.task.name, run.attempt)
