--- a/fireflyfork/adapters/tests/test_http_client.py
+++ b/fireflyfork/adapters/tests/test_http_client.py
@@ -10,6 +10,7 @@
 from ..._links import Address
 from .. import HttpClient, HttpError
 from .._http_client import HttpClientConnection
+from .builders_http import NoSocket
 
 TIMEOUT_SECONDS = 0.9
 PARTS = 10
@@ -18,22 +19,12 @@
 Server = Callable[[trio.StapledStream[MemorySendStream, MemoryReceiveStream]], Awaitable[None]]
 
 
-class _NoSocket:
-    """What a connection asks of its socket; this one has none that could be used again."""
-
-    def fileno(self) -> int:
-        return -1
-
-    def close(self) -> None:
-        pass
-
-
 def _call(server: Server) -> bytes:
     """One call to a server that does this once the request has come."""
 
     async def main() -> bytes:
         here, there = memory_stream_pair()
-        here.socket = _NoSocket()  # type: ignore[attr-defined]
+        here.socket = NoSocket()  # type: ignore[attr-defined]
 
         async def opened(*_: object) -> HttpClientConnection:
             return HttpClientConnection(here)  # type: ignore[arg-type]
