Answers of the store may pause for 3 s once they have begun to come

What callers saw: on the larger deployment, instances far from the store answered 404 for queues that the operator had added more than 4 s before (CONFIG).

Cause: all instances are told of a change at once, by a watch that carries the whole configuration (447 KB in base64). 22 of them share 30 Mbit/s, which takes 2.6 s, and an answer pauses in its middle for longer than 0.9 s.

Change: a call's first byte is waited for as before; after that an answer may pause for 3 s. Why it holds: whoever has waited gets what has been sent for it already, so the link carries each answer once. Ruled out: a longer wait for the first byte, which makes each silent connection dearer for callers.

--- a/fireflyfork/adapters/_http_client.py
+++ b/fireflyfork/adapters/_http_client.py
@@ -144,10 +144,18 @@
 class HttpClient:
     """Small calls to one server over one kept connection, reopened when it breaks."""
 
-    def __init__(self, address: Address, timeout: float, longest_answer: int = 1 << 24) -> None:
-        """``timeout`` is in seconds without a byte; ``longest_answer`` in bytes."""
+    def __init__(
+        self,
+        address: Address,
+        timeout: float,
+        longest_answer: int = 1 << 24,
+        pause: float | None = None,
+    ) -> None:
+        """``timeout`` is in seconds without a byte, ``pause`` (by default the same) once an answer has
+        begun to come; ``longest_answer`` is in bytes."""
         self._address = address
         self._timeout = timeout
+        self._pause = timeout if pause is None else pause
         self._longest_answer = longest_answer
         self._idle: list[HttpClientConnection] = []
 
@@ -161,9 +169,9 @@
     ) -> tuple[ResponseHead, bytes]:
         """One call. Raises HttpError.
 
-        The answer must begin within the timeout plus ``extra_seconds``, and go on within the timeout
-        after each part. Were the whole call limited, an answer that is too long for the link in that time
-        could never arrive, however often the call was repeated.
+        The answer must begin within the timeout plus ``extra_seconds``, and go on within the longest
+        pause after each part. Were the whole call limited, an answer that is too long for the link in
+        that time could never arrive, however often the call was repeated.
 
         A Host header among ``headers`` takes the place of the server's address.
         After an error the call may have taken effect, but for a ConnectError.
@@ -188,7 +196,7 @@
             self._idle.pop().close()
 
     def _extend(self, scope: trio.CancelScope) -> None:
-        scope.deadline = max(scope.deadline, trio.current_time() + self._timeout)
+        scope.deadline = max(scope.deadline, trio.current_time() + self._pause)
 
     async def _connection(self) -> HttpClientConnection:
         while self._idle:
--- a/fireflyfork/platform/_http_calls.py
+++ b/fireflyfork/platform/_http_calls.py
@@ -21,9 +21,9 @@
 class JsonCalls:
     """Calls to one server."""
 
-    def __init__(self, address: Address, timeout: float) -> None:
-        """``timeout`` is in seconds for each call."""
-        self._client = HttpClient(address, timeout)
+    def __init__(self, address: Address, timeout: float, pause: float | None = None) -> None:
+        """``timeout`` is in seconds without a byte, ``pause`` once an answer has begun to come."""
+        self._client = HttpClient(address, timeout, pause=pause)
 
     async def call(
         self,
--- a/fireflyfork/platform/_store_client.py
+++ b/fireflyfork/platform/_store_client.py
@@ -44,6 +44,12 @@
 """Without a byte. An answer takes 4 ms, and some 50 ms from another region. A store that is sixty times
 slower than usual still answers within it; a connection that has gone silent costs no more than this."""
 
+ANSWER_PAUSE_SECONDS = 3.0
+"""Between two parts of an answer. When something large changes, all instances of a region are told at once
+over one link, and the first parts of all answers may come before the second part of any. Whoever breaks off
+then has the whole sent again, over the link that is full of it, as does everybody else. A connection that
+falls silent in the middle of an answer is rare, and costs no more than this."""
+
 PAGE_TRIES = 3
 """A page that didn't come is asked for again before the whole listing is: a thin link takes seconds for a
 few pages, and each new beginning would take as long as the one that failed."""
@@ -112,7 +118,7 @@
 
     def __init__(self, address: Address) -> None:
         """Connect to ``address`` when first needed."""
-        self._calls = JsonCalls(address, CALL_TIMEOUT_SECONDS)
+        self._calls = JsonCalls(address, CALL_TIMEOUT_SECONDS, ANSWER_PAUSE_SECONDS)
         self._failures = 0
 
     @property
