--- /dev/null
+++ b/fireflyfork/programs/tests/builders_callers.py
@@ -0,0 +1,87 @@
+"""Builds an instance that answers callers from the configuration that it follows."""
+
+from __future__ import annotations
+
+from typing import cast
+
+import h11
+import msgspec
+import trio
+
+from fireflyfork_standins.scheduling import StandInStore
+
+from ..._ids import NodeName
+from ...adapters import Exchange, Header, RequestHead
+from ...adapters._http_server import ServerConnection
+from .._clocks import SystemClock
+from .._job_requests import JobRequests
+from .._job_service import JobService
+from .._metrics import Metrics
+from .._queue_keeper import QueueKeeper
+
+HOST = "desk.example"
+BOUND_SECONDS = 2.5
+"""A configuration has to be in force so long after the store has acknowledged it."""
+
+
+class _Recorder:
+    """In place of a connection: keeps the status that is answered."""
+
+    def __init__(self) -> None:
+        self.status = 0
+
+    async def send(self, event: h11.Event) -> None:
+        if isinstance(event, h11.Response):
+            self.status = event.status_code
+
+
+class CallerInstance:
+    """What callers see of one instance."""
+
+    def __init__(self, store: StandInStore, link_mbps: float) -> None:
+        """Its link to the store carries ``link_mbps``."""
+        client = store.client(NodeName("n-0"), link_mbps)
+        self._keeper = QueueKeeper(client, lambda _: None)
+        self._service = JobService(
+            JobRequests(client, lambda: None),
+            SystemClock(),
+            Metrics(),
+            lambda: self._keeper.table,
+        )
+
+    async def run(self) -> None:
+        """Follow the configuration until cancelled."""
+        await self._keeper.run()
+
+    async def count(self, queue: str) -> int:
+        """The status of a caller's question how many jobs of a queue wait."""
+        host: Header = (b"host", HOST.encode("ascii"))
+        recorder = _Recorder()
+        head = RequestHead("GET", f"/{queue}/", (host,))
+        await self._service.handle(Exchange(cast(ServerConnection, recorder), head))
+        return recorder.status
+
+
+def stored_configuration(version: int, *queues: str, padding: int = 0) -> bytes:
+    """A configuration as the operator writes it, with so many bytes that say nothing."""
+    routes = [
+        {"name": name, "host": HOST, "path_prefix": f"/{name}/", "service": "desk"}
+        for name in queues
+    ]
+    return msgspec.json.encode(
+        {
+            "version": version,
+            "routes": routes,
+            "services": [{"name": "desk"}],
+            "padding": "x" * padding,
+        }
+    )
+
+
+async def seen(instance: CallerInstance, queue: str, seconds: float) -> list[int]:
+    """The statuses of questions on a queue, ten in each second."""
+    statuses = []
+    for _ in range(round(seconds * 10)):
+        statuses.append(await instance.count(queue))
+        await trio.sleep(0.1)
+    return statuses
--- a/fireflyfork/programs/tests/test_queue_keeper.py
+++ b/fireflyfork/programs/tests/test_queue_keeper.py
@@ -72,6 +72,18 @@
 
         _play(body)
 
+    def test_an_instance_that_hears_of_no_change_asks_seldom(self) -> None:
+        """The store's operators pay for each call, and every instance of the fleet makes these."""
+
+        async def body(store: StandInStore, versions: list[int]) -> None:
+            store.put(CONFIGURATION_KEY, _configuration(7))
+            await trio.sleep(5.0)
+            before = store.calls
+            await trio.sleep(30.0)
+            self.assertLessEqual(store.calls - before, 20)
+
+        _play(body)
+
     def test_a_version_is_not_missed_while_the_store_is_away_or_forgets(self) -> None:
         """The store is away when the operator writes, and has dropped its history when it is back. An
         instance that only waited for the next change would stay behind until there is one.
