An instance that may have missed a configuration says so instead of "no such queue"

What callers saw: 404 for a queue that the operator had added more than 4 s before, from instances far from the store (CONFIG). Whoever is told so doesn't ask again.

Cause: an instance took what it had read last for the newest there is, also while a newer version was on its way over a full link, or the store didn't answer it.

Change: the watch on the operator's keys knows up to when it can have missed nothing: when the last question that was answered had been sent or, if it waited in vain, when its wait was over. If that is longer ago than 0.8 of the bound for configurations, which the settings tell, an unknown queue is answered by 503 with when to come back. Why it holds: a version acknowledged before that moment is in the answer, however long the answer took. So that calm instances are never in doubt, the question after a change or a failure waits 0.1 s instead of 1.5 s: one call more for each change and instance, none while nothing changes. Without it the test of calm callers fails. Ruled out: a small key that tells the newest version, which somebody has to write and everybody to watch; the arrival of answers as the measure, since an answer may be three seconds old by then. Not covered: a queue that a newer version has removed or moved is still served as the older one says.

--- a/fireflyfork/platform/_settings.py
+++ b/fireflyfork/platform/_settings.py
@@ -24,6 +24,8 @@
     """From the signal to stop until the process is killed."""
     status_retention: float
     """A job's state must stay readable for so long after its end."""
+    configuration: float
+    """A change of the configuration has to be in force so long after it was acknowledged."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,6 +100,7 @@
             stop_timeout=_number(fields, "bounds.stop_timeout_ms") / 1000,
             termination_grace=_number(fields, "bounds.grace_s"),
             status_retention=_number(fields, "bounds.status_s"),
+            configuration=_number(fields, "bounds.config_apply_ms") / 1000,
         ),
     )
 
--- a/fireflyfork/platform/tests/test_formats.py
+++ b/fireflyfork/platform/tests/test_formats.py
@@ -38,6 +38,7 @@
 limits.link_mbps=1000.0
 bounds.grace_s=6
 bounds.status_s=120
+bounds.config_apply_ms=2500
 platform.address=10.200.1.7:8169
 something.new=1
 """
@@ -68,6 +69,7 @@
         self.assertEqual(settings.metrics_address, Address("10.1.0.13", 7720))
         self.assertEqual(settings.regions[FailureDomainName("labasa")], "vanua")
         self.assertEqual(settings.bounds.longest_lease, 6.0)
+        self.assertEqual(settings.bounds.configuration, 2.5)
 
     def test_bad_settings_are_named(self) -> None:
         for broken, word in (
--- a/fireflyfork/programs/_job_service.py
+++ b/fireflyfork/programs/_job_service.py
@@ -33,12 +33,15 @@
         clock: Clock,
         metrics: Metrics,
         queues: Callable[[], QueueTable | None],
+        is_current: Callable[[], bool],
     ) -> None:
-        """``queues`` tells the configuration in force."""
+        """``queues`` tells the configuration in force, ``is_current`` whether a newer one that has to be
+        can't be unheard of."""
         self._requests = requests
         self._clock = clock
         self._metrics = metrics
         self._queues = queues
+        self._is_current = is_current
 
     async def handle(self, exchange: Exchange) -> None:
         """See HttpHandler."""
@@ -51,7 +54,7 @@
         host = (head.header(b"host") or "").rpartition(":")[0] or (head.header(b"host") or "")
         queue = table.find(host, path)
         if queue is None:
-            await exchange.answer_json(404, {"error": "no such queue"})
+            await self._unknown(exchange)
             return
         rest = path[len(queue.path_prefix) :]
         try:
@@ -65,6 +68,15 @@
             status = 503 if exchange.head.method == "GET" else 504
             await self._refuse(exchange, status, str(error))
 
+    async def _unknown(self, exchange: Exchange) -> None:
+        if self._is_current():
+            await exchange.answer_json(404, {"error": "no such queue"})
+        else:
+            # Whoever is told that a queue doesn't exist doesn't ask again, though it may be there.
+            await self._refuse(
+                exchange, 503, "no such queue in a configuration that may be outdated"
+            )
+
     async def _of_queue(self, exchange: Exchange, queue: QueueTerms, rest: str) -> None:
         method = exchange.head.method
         if not rest and method == "GET":
--- a/fireflyfork/programs/_prefix_watch.py
+++ b/fireflyfork/programs/_prefix_watch.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from math import inf
 
 import trio
 from loguru import logger
@@ -27,13 +28,15 @@
         changed: Callable[[StoreChange], None],
         answered: Callable[[], None] = lambda: None,
         gather_seconds: float = 0.0,
+        confirm_seconds: float | None = None,
     ) -> None:
         """``listed`` gets everything there is, at first and whenever the store has lost its history;
         ``changed`` each change after that, in order; ``answered`` hears of every answer.
 
         A question waits for ``wait_seconds``; a connection that has gone silent is noticed a call's
         timeout later. After an answer the next question waits for ``gather_seconds``, so that one
-        answer tells of many changes: the store's operators pay for each.
+        answer tells of many changes: the store's operators pay for each. After changes and failures the
+        next question waits for ``confirm_seconds`` only, where that is given: see ``known_at``.
         """
         self._store = store
         self._prefix = prefix
@@ -42,6 +45,17 @@
         self._changed = changed
         self._answered = answered
         self._gather_seconds = gather_seconds
+        self._confirm_seconds = wait_seconds if confirm_seconds is None else confirm_seconds
+        self._known_at = -inf
+
+    @property
+    def known_at(self) -> float:
+        """All changes that were made before this time, on trio's clock, have been heard of.
+
+        It is when a question was sent: its answer may have been on its way for long, and tells nothing of
+        what happened meanwhile. A question that waited in vain was answered when its wait was over.
+        """
+        return self._known_at
 
     async def run(self, after: Revision | None = None) -> None:
         """Follow until cancelled, from a listing that is known already or from one made now."""
@@ -53,6 +67,7 @@
 
     async def _list(self) -> Revision:
         while True:
+            asked = trio.current_time()
             try:
                 listing = await self._store.list(self._prefix)
             except StoreError as error:
@@ -61,23 +76,30 @@
                 continue
             self._answered()
             self._listed(listing)
+            self._known_at = asked
             return listing.as_of
 
     async def _follow(self, after: Revision) -> None:
         """Take changes until the history is lost."""
+        wait = self._confirm_seconds
         while True:
+            asked = trio.current_time()
             try:
-                answer = await self._store.changes(self._prefix, after, self._wait_seconds)
+                answer = await self._store.changes(self._prefix, after, wait)
             except StoreHistoryLostError as error:
                 logger.info("listed anew", prefix=self._prefix, reason=str(error))
                 return
             except StoreError as error:
                 logger.debug("not followed", prefix=self._prefix, error=str(error))
+                wait = self._confirm_seconds
                 await trio.sleep(RETRY_SECONDS)
                 continue
             self._answered()
             after = max(after, answer.as_of)
             for change in answer.changes:
                 self._changed(change)
+            in_vain = not answer.changes
+            self._known_at = min(asked + wait, trio.current_time()) if in_vain else asked
+            wait = self._wait_seconds if in_vain else self._confirm_seconds
             if self._gather_seconds and answer.changes:
                 await trio.sleep(self._gather_seconds)
--- a/fireflyfork/programs/_queue_keeper.py
+++ b/fireflyfork/programs/_queue_keeper.py
@@ -23,14 +23,35 @@
 """A change has to be in force within 2.5 s. A connection that has gone silent is noticed this long
 plus a call's timeout after it did."""
 
+CONFIRM_SECONDS = 0.1
+"""After a change, until the store says that there is no newer one."""
+
+CURRENT_SHARE = 0.8
+"""Of the time within which a change has to be in force. Questions come back well within it unless the answer
+is large, the link full, or the store doesn't answer."""
+
 
 class QueueKeeper:
     """Reads what the operator has written once, then follows it."""
 
-    def __init__(self, store: CoordinationStore, changed: Callable[[QueueTable], None]) -> None:
-        """``changed`` is called with each newer version."""
-        self._store = store
+    def __init__(
+        self,
+        store: CoordinationStore,
+        changed: Callable[[QueueTable], None],
+        bound_seconds: float,
+    ) -> None:
+        """``changed`` is called with each newer version, which has to be in force within
+        ``bound_seconds``."""
         self._changed = changed
+        self._bound_seconds = bound_seconds
+        self._watch = PrefixWatch(
+            store,
+            OPERATOR_PREFIX,
+            WATCH_SECONDS,
+            self._listed,
+            self._followed,
+            confirm_seconds=CONFIRM_SECONDS,
+        )
         self._table: QueueTable | None = None
         self._waves: dict[str, UpkeepWave] = {}
         self.known = trio.Event()
@@ -40,6 +61,16 @@
         """The queues in force; None before the first configuration."""
         return self._table
 
+    @property
+    def is_current(self) -> bool:
+        """Whether a version that has to be in force by now can't be unheard of here.
+
+        A large one takes its time over a full link, and an instance that the store doesn't answer hears
+        of none. It can't tell then that something isn't configured.
+        """
+        unheard = trio.current_time() - self._watch.known_at
+        return unheard <= CURRENT_SHARE * self._bound_seconds
+
     @property
     def waves(self) -> tuple[UpkeepWave, ...]:
         """The waves of upkeep that the operator asks for, by the store's key."""
@@ -47,10 +78,7 @@
 
     async def run(self) -> None:
         """Follow the configuration until cancelled."""
-        watch = PrefixWatch(
-            self._store, OPERATOR_PREFIX, WATCH_SECONDS, self._listed, self._followed
-        )
-        await watch.run()
+        await self._watch.run()
 
     def _listed(self, listing: StoreListing) -> None:
         self._waves = {}
--- a/fireflyfork/programs/_scheduler_node.py
+++ b/fireflyfork/programs/_scheduler_node.py
@@ -67,7 +67,7 @@
         self._clock = clock
         self._random = random
         self._metrics = Metrics()
-        self._keeper = QueueKeeper(self._store, self._configured)
+        self._keeper = QueueKeeper(self._store, self._configured, settings.bounds.configuration)
         self._announcements = Announcements(
             settings.node, settings.processors, settings.link_mbps, self._store, clock
         )
@@ -79,6 +79,7 @@
             clock,
             self._metrics,
             lambda: self._keeper.table,
+            lambda: self._keeper.is_current,
         )
         self._callers = HttpServer(self._service)
         self._readiness = HttpServer(_Readiness(self))
--- a/fireflyfork/programs/tests/builders_callers.py
+++ b/fireflyfork/programs/tests/builders_callers.py
@@ -41,12 +41,13 @@
     def __init__(self, store: StandInStore, link_mbps: float) -> None:
         """Its link to the store carries ``link_mbps``."""
         client = store.client(NodeName("n-0"), link_mbps)
-        self._keeper = QueueKeeper(client, lambda _: None)
+        self._keeper = QueueKeeper(client, lambda _: None, BOUND_SECONDS)
         self._service = JobService(
             JobRequests(client, lambda: None),
             SystemClock(),
             Metrics(),
             lambda: self._keeper.table,
+            lambda: self._keeper.is_current,
         )
 
     async def run(self) -> None:
--- a/fireflyfork/programs/tests/test_queue_keeper.py
+++ b/fireflyfork/programs/tests/test_queue_keeper.py
@@ -25,7 +25,7 @@
     async def main() -> None:
         store = StandInStore(Random(1))
         versions: list[int] = []
-        keeper = QueueKeeper(store.client(NODE), lambda table: versions.append(table.version))
+        keeper = QueueKeeper(store.client(NODE), lambda table: versions.append(table.version), 4.0)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(store.run)
             nursery.start_soon(keeper.run)
--- a/fireflyfork_standins/scheduling/_wire_platform.py
+++ b/fireflyfork_standins/scheduling/_wire_platform.py
@@ -73,6 +73,7 @@
                 "limits.link_mbps=1000.0",
                 "bounds.grace_s=6",
                 "bounds.status_s=120",
+                "bounds.config_apply_ms=2500",
                 f"platform.address={self.store}",
                 "",
             )
--- a/fireflyfork_standins/scheduling/_world.py
+++ b/fireflyfork_standins/scheduling/_world.py
@@ -125,7 +125,7 @@
         self._history.checks_budgets = not profile.troubles
         queue = QueueTerms(QueueName("q"), "h", "/q/", SERVICE, 0, 3, 2.0, 1000, 3000)
         table = queue_table(ConfigurationVersion(1), (queue,), frozenset({SERVICE}))
-        bounds = PlatformBounds(6.0, 0.2, 6.0, profile.retention_seconds)
+        bounds = PlatformBounds(6.0, 0.2, 6.0, profile.retention_seconds, 2.5)
         self._nodes = [
             StandInNode(
                 NodeName(f"n-{number}"),
