--- a/fireflyfork/adapters/_http_client.py
+++ b/fireflyfork/adapters/_http_client.py
@@ -156,15 +156,18 @@
         address: Address,
         timeout: float,
         longest_answer: int = 1 << 24,
+        pause: float | None = None,
         greet: Callable[[ClientExchange], Awaitable[None]] | None = None,
     ) -> None:
-        """``timeout`` is in seconds without a byte; ``longest_answer`` in bytes.
+        """``timeout`` is in seconds without a byte, ``pause`` (by default the same) once an answer has
+        begun to come; ``longest_answer`` is in bytes.
 
         ``greet`` finds out on each new connection whether its other end is the one that is meant, and
         raises HttpError if not; nothing of a call is sent before.
         """
         self._address = address
         self._timeout = timeout
+        self._pause = timeout if pause is None else pause
         self._longest_answer = longest_answer
         self._greet = greet
         self._idle: list[HttpClientConnection] = []
@@ -182,9 +185,9 @@
 
         One that is a greeting by itself may go out on a connection that nobody has greeted on.
 
-        The answer must begin within the timeout plus ``extra_seconds``, and go on within the timeout
-        after each part. Were the whole call limited, an answer that is too long for the link in that time
-        could never arrive, however often the call was repeated.
+        The answer must begin within the timeout plus ``extra_seconds``, and go on within the longest
+        pause after each part. Were the whole call limited, an answer that is too long for the link in
+        that time could never arrive, however often the call was repeated.
 
         A Host header among ``headers`` takes the place of the server's address.
         After an error the call may have taken effect, but for a ConnectError.
@@ -209,7 +212,7 @@
             self._idle.pop().close()
 
     def _extend(self, scope: trio.CancelScope) -> None:
-        scope.deadline = max(scope.deadline, trio.current_time() + self._timeout)
+        scope.deadline = max(scope.deadline, trio.current_time() + self._pause)
 
     async def _connection(self, is_greeting: bool) -> HttpClientConnection:
         while self._idle:
--- a/fireflyfork/platform/_executor_client.py
+++ b/fireflyfork/platform/_executor_client.py
@@ -215,7 +215,7 @@
             return known.calls
         if known is not None:
             known.calls.close()
-        calls = JsonCalls(place.address, CALL_TIMEOUT_SECONDS, partial(_greet, place, token))
+        calls = JsonCalls(place.address, CALL_TIMEOUT_SECONDS, greet=partial(_greet, place, token))
         self._bound[place.executor] = _Bound(place, token, calls)
         return calls
 
--- a/fireflyfork/platform/_http_calls.py
+++ b/fireflyfork/platform/_http_calls.py
@@ -45,15 +45,16 @@
         self,
         address: Address,
         timeout: float,
+        pause: float | None = None,
         greet: Greet | None = None,
     ) -> None:
-        """``timeout`` is in seconds for each call."""
+        """``timeout`` is in seconds without a byte, ``pause`` once an answer has begun to come."""
 
         async def greet_on(exchange: ClientExchange) -> None:
             if greet is not None:
                 await greet(BoundCall(exchange))
 
-        self._client = HttpClient(address, timeout, greet=greet_on)
+        self._client = HttpClient(address, timeout, pause=pause, greet=greet_on)
 
     async def call(
         self,
--- a/fireflyfork/programs/_service_owner.py
+++ b/fireflyfork/programs/_service_owner.py
@@ -133,7 +133,6 @@
         self._log = DecisionLog(clock, self._service, metrics)
         # Reading what is left shows nothing: over a thin link it takes seconds, and may be old when it ends.
         self._known_owner_at = clock.now()
-        self._asked_at = clock.now()
         self._proving = False
         self._work = trio.Event()
         self._resigning = False
@@ -181,13 +180,15 @@
             async with trio.open_nursery() as nursery:
                 with trio.CancelScope() as recovery:
                     nursery.start_soon(self._give_up_for_abler, recovery)
+                    asked_at = self._clock.now()
                     work, servers_revision = await self._recover()
                     self._ready = True
                 if not self._ready:
                     return
                 # The watch goes on after this listing, so it never tells of a successor that is in it.
                 self._require_ownership(work)
-                self._work_taken_in()
+                # No other owner had come when the store was asked for it.
+                self._scheduler.note_ownership(asked_at)
                 nursery.start_soon(self._journal.run)
                 nursery.start_soon(self._work_watch().run, work.as_of)
                 nursery.start_soon(self._registration_watch().run, servers_revision)
@@ -220,7 +221,6 @@
 
     async def _recover(self) -> tuple[StoreListing, Revision]:
         begun = self._clock.now()
-        self._work_asked()
         left = await read_left_behind(self._store, self._journal)
         jobs = tuple(self._stored_jobs(left.work.items, left.progress.items))
         now, now_ms = self._clock.now(), self._clock.unix_ms()
@@ -279,8 +279,8 @@
             self._work_listed,
             self._work_changed,
             self._note_ownership,
-            asking=self._work_asked,
-            taken_in=self._work_taken_in,
+            now=self._clock.now,
+            heard=self._scheduler.note_ownership,
         )
 
     def _registration_watch(self) -> PrefixWatch:
@@ -293,13 +293,6 @@
             gather_seconds=REGISTRATIONS_SECONDS,
         )
 
-    def _work_asked(self) -> None:
-        self._asked_at = self._clock.now()
-
-    def _work_taken_in(self) -> None:
-        """No other owner has come up to the moment at which the store was asked."""
-        self._scheduler.note_ownership(self._asked_at)
-
     def _work_listed(self, listing: StoreListing) -> None:
         """The store has lost its history: take in what was missed."""
         self._require_ownership(listing)
--- a/fireflyfork/programs/tests/builders_owner.py
+++ b/fireflyfork/programs/tests/builders_owner.py
@@ -24,7 +24,7 @@
 
 NODE = NodeName("n-0")
 EXECUTOR = ExecutorId("i-0")
-BOUNDS = PlatformBounds(6.0, 0.2, 6.0, 120.0)
+BOUNDS = PlatformBounds(6.0, 0.2, 6.0, 120.0, 2.5)
 
 
 class OwnerWorld:
--- a/fireflyfork_standins/tests/builders_split.py
+++ b/fireflyfork_standins/tests/builders_split.py
@@ -17,7 +17,7 @@
 
 NEAR, FAR = NodeName("n-near"), NodeName("n-far")
 NEAR_EXECUTOR, FAR_EXECUTOR = ExecutorId("i-near"), ExecutorId("i-far")
-BOUNDS = PlatformBounds(6.0, 0.2, 6.0, 120.0)
+BOUNDS = PlatformBounds(6.0, 0.2, 6.0, 120.0, 2.5)
 SETTLE_SECONDS = 2.0
 """For the first instance to own the service, and for the second to stand for it."""
 STARTED_SECONDS = 0.5
--- a/fireflyfork_standins/tests/builders_takeovers.py
+++ b/fireflyfork_standins/tests/builders_takeovers.py
@@ -37,7 +37,7 @@
 
 SERVICE = ServiceName("desk")
 QUEUE = QueueTerms(QueueName("q"), "h", "/q/", SERVICE, 0, 3, 2.0, 1000, 3000)
-BOUNDS = PlatformBounds(6.0, 0.2, 6.0, 120.0)
+BOUNDS = PlatformBounds(6.0, 0.2, 6.0, 120.0, 2.5)
 LINK_MBPS = 1000.0
 LOOK_SECONDS = 0.0005
 """Far below the latency of any call, so that a test can act between two of them."""
