Failing test: a task whose end is on its way over a full link is started again

What callers saw: tasks run to their end a second time while something large fills the link between two regions. By the platform's rules an end that an executor has listed is the owner's to know when nothing is wrong with either of them, also if the owner broke the call off before the answer came.

--- a/fireflyfork_standins/scheduling/_executor_calls.py
+++ b/fireflyfork_standins/scheduling/_executor_calls.py
@@ -95,7 +95,13 @@
         if gone or self._draws(executor.trouble.lost_share):
             await trio.sleep(TIMEOUT_SECONDS)
             return PollAnswer(CallOutcome.UNKNOWN)
-        return executor.listing()
+        return await self._under_way(executor.listing(), executor.trouble.answers_after)
+
+    @staticmethod
+    async def _under_way(answer: PollAnswer, seconds: float) -> PollAnswer:
+        """An answer, if it comes before its caller gives it up."""
+        await trio.sleep(min(seconds, TIMEOUT_SECONDS))
+        return answer if seconds <= TIMEOUT_SECONDS else PollAnswer(CallOutcome.UNKNOWN)
 
     def forget(self, executor: ExecutorId) -> None:
         """See ExecutorCalls."""
--- a/fireflyfork_standins/scheduling/_executors.py
+++ b/fireflyfork_standins/scheduling/_executors.py
@@ -56,6 +56,8 @@
     stands_still: bool = False
     speed: float = 1.0
     """Of its usual one."""
+    answers_after: float = 0.0
+    """Seconds that answers to polls are under way: the link from here is full."""
     reborn_at_call: bool = False
     """The next call finds that it has just started anew; then this is over."""
 
@@ -232,10 +234,7 @@
             return refusal
         for row in self._life.ends:
             if row.number <= forget_to and row.number > self._life.forgotten:
-                lapsed = (
-                    self._life.lapsed_at is not None
-                    and self._life.ended_at[row.number] < self._life.lapsed_at
-                )
+                lapsed = self._has_lapsed_since(row)
                 self._history.noted(self._id(row.task, row.attempt), lapsed)
         self._life.forgotten = max(self._life.forgotten, forget_to)
         self._life.ends = [row for row in self._life.ends if row.number > self._life.forgotten]
@@ -245,6 +244,8 @@
 
     def listing(self) -> PollAnswer:
         """What it says of itself."""
+        for row in self._life.ends[:LONGEST_LIST_OF_ENDS]:
+            self._history.listed(self._id(row.task, row.attempt), self._has_lapsed_since(row))
         running = tuple(
             RunningRow(run.task, AttemptNumber(run.attempt), self._saved(run), run.percent, 5.0)
             for run in self._life.runs.values()
@@ -263,6 +264,11 @@
         """Whether a later run has ended."""
         return any(row.number > number for row in self._life.ends)
 
+    def _has_lapsed_since(self, row: EndedRow) -> bool:
+        """Whether the lease has run out after a run had ended."""
+        lapsed_at = self._life.lapsed_at
+        return lapsed_at is not None and self._life.ended_at[row.number] < lapsed_at
+
     def _id(self, task: TaskName, attempt: int) -> RunId:
         return RunId(task, attempt, self.executor, self.born)
 
--- a/fireflyfork_standins/scheduling/_history.py
+++ b/fireflyfork_standins/scheduling/_history.py
@@ -56,6 +56,9 @@
     violations: list[Violation] = field(default_factory=list)
     checks_budgets: bool = False
     """Whether nothing but the scheduler takes lasting tasks away, so that it answers for each."""
+    listing_counts: bool = False
+    """Whether an end that an executor has listed is the scheduler's to know, also if the answer got lost:
+    nothing is wrong with either of them, nor with the network between them."""
     starts: int = 0
     ends: dict[EndReason, int] = field(default_factory=lambda: defaultdict(int))
     _runs: dict[TaskName, list[_Run]] = field(default_factory=lambda: defaultdict(list))
@@ -103,6 +106,16 @@
                 known.lapsed_before_noted = lapsed
                 self._check_restarts(known)
 
+    def listed(self, run: RunId, lapsed: bool) -> None:
+        """An executor named an end in an answer; ``lapsed``: its lease ran out before."""
+        if not self.listing_counts:
+            return
+        for known in self._runs[run.task]:
+            if known.run == run and known.noted_at is None:
+                known.noted_at = trio.current_time()
+                known.lapsed_before_noted = lapsed
+                self._check_restarts(known)
+
     def over_room(self, executor: ExecutorId, task: TaskName) -> None:
         """A start brought an executor over its room."""
         self.broken("room", f"{task} does not fit on {executor}")
--- a/fireflyfork_standins/scheduling/_troubles.py
+++ b/fireflyfork_standins/scheduling/_troubles.py
@@ -44,6 +44,8 @@
 FLAPS = 4
 FLAP_SECONDS = (0.3, 1.4)
 CALL_WAIT_SECONDS = 3.0
+LATE_ANSWERS_SHARE = 0.5
+LATE_ANSWER_SECONDS = (0.7, 3.0)
 GRACE_SECONDS = 2.0
 
 
@@ -212,6 +214,15 @@
         await trio.sleep(self._random.uniform(5.0, 9.0))
         executor.trouble.unreachable_from -= cut
 
+    async def _answers_late(self, _: trio.Nursery) -> None:
+        """The link from some executors is full: what they answer is seconds under way."""
+        for executor in self._executors.values():
+            if self._random.random() < LATE_ANSWERS_SHARE:
+                executor.trouble.answers_after = self._random.uniform(*LATE_ANSWER_SECONDS)
+        await trio.sleep(self._random.uniform(5.0, 8.0))
+        for executor in self._executors.values():
+            executor.trouble.answers_after = 0.0
+
     async def _executor_cut(self, _: trio.Nursery) -> None:
         executor = self._some_executor()
         cut = {node.name for node in self._nodes if self._random.random() < 0.7}
--- a/fireflyfork_standins/scheduling/_world.py
+++ b/fireflyfork_standins/scheduling/_world.py
@@ -67,6 +67,8 @@
     """Reading what thirty jobs have left in the store takes some five seconds over it."""
     retention_seconds: float = 120.0
     """For how long the state of a job must be readable after its end."""
+    listing_counts: bool = False
+    """Whether ends count as known as soon as an executor has listed them."""
     longest_lease_seconds: float = LONGEST_LEASE_SECONDS
     """What executors grant at once; longer ones are cut to it."""
 
@@ -118,6 +120,7 @@
         }
         self._machines = StandInMachines(SERVICE, self._executors, self._history, self._random)
         self._history.checks_budgets = not profile.troubles
+        self._history.listing_counts = profile.listing_counts
         queue = QueueTerms(QueueName("q"), "h", "/q/", SERVICE, 0, 3, 2.0, 1000, 3000)
         table = queue_table(ConfigurationVersion(1), (queue,), frozenset({SERVICE}))
         longest = profile.longest_lease_seconds
