--- a/fireflyfork_standins/tests/test_scheduling_days.py
+++ b/fireflyfork_standins/tests/test_scheduling_days.py
@@ -211,8 +211,8 @@
                 executor.unstored_ends.clear()
                 executor.forgettable_end = executor.seen_end
 
-        def poll(self, executor, sent_at, answer, now, now_ms):  # type: ignore[no-untyped-def]
-            real(self, executor, sent_at, answer, now, now_ms)
+        def poll(self, *arguments):  # type: ignore[no-untyped-def]
+            real(self, *arguments)
             forget(self)
 
         real = Scheduler.poll_answered
