Failing test: requests that wait for a late store while an instance stops get no answer

A whole instance on a virtual clock, with callers on real sockets, is told to stop. Shortly before its last moments callers send requests over open connections, and the store takes longer than is left.

POST, DELETE and GET that wait for the store, and a job whose last part is missing, see their connections end without an answer; a request sent in the last moments finds its connection closed.

--- /dev/null
+++ b/fireflyfork/programs/tests/builders_scheduler_node.py
@@ -0,0 +1,101 @@
+"""Builds a whole instance of the scheduler with callers on real sockets and a stand-in store."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from random import Random
+from unittest.mock import patch
+
+import msgspec
+import trio
+
+from fireflyfork_standins.scheduling import StandInExecutorCalls, StandInStore, WireLayout
+from fireflyfork_standins.scheduling._nodes import VirtualClock
+
+from ..._links import Address
+from ...adapters import (
+    Header,
+    HttpClientConnection,
+    NoAdvisor,
+    NoMachines,
+    RequestHead,
+    ResponseHead,
+    listen,
+)
+from ...platform import CONFIGURATION_KEY, parse_node_settings
+from .. import _scheduler_node
+from .._outside import Outside
+from .._scheduler_node import SchedulerNode
+from .builders_callers import HOST, stored_configuration
+
+QUEUE = "holds"
+JOB = msgspec.json.encode({"spec": "work", "steps": [{"count": 1, "cpu": 500}]})
+LOOPBACK = "127.0.0.1"
+START_SECONDS = 3.3
+"""Until an instance has read the configuration and owns its service."""
+LONGEST_ANSWER_BYTES = 10_000
+CONNECT_SECONDS = 30.0
+
+
+class RunningNode:
+    """One instance, the store that it uses, and the signal that ends it. Leases in the store never end."""
+
+    def __init__(self, nursery: trio.Nursery) -> None:
+        """Nothing runs yet."""
+        self.store = StandInStore(Random(1))
+        self.stop = trio.Event()
+        self.ended = trio.Event()
+        settings = parse_node_settings(WireLayout(1).settings(0))
+        self.grace_seconds = settings.bounds.termination_grace
+        client = self.store.client(settings.node)
+        executors = StandInExecutorCalls(settings.node, {}, nursery, Random(1))
+        outside = Outside(client, executors, NoAdvisor(), NoMachines())
+        self._node = SchedulerNode(settings, outside, VirtualClock(), Random(1))
+        self._callers_port = settings.caller_address.port
+        self._ports: dict[int, int] = {}
+
+    async def run(self) -> None:
+        """Run the instance to its end."""
+        with patch.object(_scheduler_node, "listen", self._listen):
+            await self._node.run(self.stop)
+        self.ended.set()
+
+    async def connect(self) -> HttpClientConnection:
+        """A caller's connection."""
+        address = Address(LOOPBACK, self._ports[self._callers_port])
+        return await HttpClientConnection.open(address, CONNECT_SECONDS)
+
+    async def _listen(self, host: str, port: int) -> list[trio.SocketListener]:
+        """Listen on a port that the system picks in place of the one in the settings."""
+        listeners = await listen(host, 0)
+        self._ports[port] = listeners[0].socket.getsockname()[1]
+        return listeners
+
+
+@asynccontextmanager
+async def running_node() -> AsyncIterator[RunningNode]:
+    """An instance that has read its configuration."""
+    async with trio.open_nursery() as nursery:
+        node = RunningNode(nursery)
+        node.store.put(CONFIGURATION_KEY, stored_configuration(3, QUEUE))
+        nursery.start_soon(node.run)
+        await trio.sleep(START_SECONDS)
+        yield node
+        nursery.cancel_scope.cancel()
+
+
+def head(method: str, job: str, length: int = 0) -> RequestHead:
+    """The head of a caller's request on a job."""
+    headers: tuple[Header, ...] = (
+        (b"host", HOST.encode("ascii")),
+        (b"content-length", str(length).encode("ascii")),
+    )
+    return RequestHead(method, f"/{QUEUE}/{job}", headers)
+
+
+async def ask(connection: HttpClientConnection, method: str, job: str) -> ResponseHead:
+    """One request and its whole answer. Raises HttpError."""
+    body = JOB if method == "POST" else b""
+    answer, _ = await connection.request(head(method, job, len(body)), body, LONGEST_ANSWER_BYTES)
+    return answer
