A stopping instance answers all that it has read before it ends

Cause: 1.2 s before the process is killed the server stopped and left exchanges under way 0.6 s, then cut them off. One call of the store may take 0.9 s, and a write is tried twice. Until that moment new requests were begun as if there were time, and open connections without a request were closed under callers that were about to send.

Now nothing is begun in the last 1.2 s: requests are refused with 503, which is true, over connections that stay open and close after the answer. Those under way get 0.3 s more; then the wait is given up and the answer is 504 where a write may have been done, 503 where none was sent (questions, and jobs whose last part hasn't come), with when to come back. Further 0.3 s are for sending these answers, so the process ends no later than before. Answers themselves are never cut by the limit, only what is waited for before them.

Why it holds: every wait of a caller's request goes through TimeLeft, whose limit also holds for waits that begin after it was set.

--- a/fireflyfork/_errors.py
+++ b/fireflyfork/_errors.py
@@ -102,5 +102,14 @@
     """The request was refused at once, before running, because there is no room for it in time."""
 
 
+class StoppingError(RequestError):
+    """The instance ends before it could carry the request out."""
+
+    def __init__(self, verdict: Verdict) -> None:
+        """``verdict`` says whether the request may have run."""
+        status = 503 if verdict is Verdict.NOT_RUN else 504
+        super().__init__(status, "this instance is stopping", verdict)
+
+
 class TargetLostError(RequestError):
     """The connection to an executor, or to the peer in front of it, ended without an answer."""
--- a/fireflyfork/programs/_job_service.py
+++ b/fireflyfork/programs/_job_service.py
@@ -6,14 +6,16 @@
 
 from loguru import logger
 
-from .._errors import BadRequestError, StoreError, StoreRefusedError
+from .._errors import BadRequestError, StoppingError, StoreError, StoreRefusedError
 from .._ids import JobId
+from .._verdict import Verdict
 from ..adapters import Exchange, Header, HttpError, HttpHandler, collect
 from ..decisions.jobs import QueueTable, QueueTerms
 from ..platform import decode_job, encode_pending, encode_state, parse_job_id
 from ._clocks import Clock
 from ._job_requests import JobRequests
 from ._metrics import Metrics
+from ._time_left import TimeLeft
 
 LONGEST_BODY_BYTES = 262_144
 """What the platform's configuration allows a caller to send."""
@@ -42,9 +44,22 @@
         self._metrics = metrics
         self._queues = queues
         self._is_current = is_current
+        self._time = TimeLeft()
+
+    def end_in(self, seconds: float) -> None:
+        """Refuse requests from now on, and answer those under way within ``seconds``.
+
+        The store may answer later than the process ends. A request that is still waiting then would
+        lose its connection, and its caller would never hear what has become of it.
+        """
+        self._time.end_in(seconds)
 
     async def handle(self, exchange: Exchange) -> None:
         """See HttpHandler."""
+        if self._time.is_ending:
+            error = StoppingError(Verdict.NOT_RUN)
+            await self._refuse(exchange, error.status, error.reason)
+            return
         head = exchange.head
         table = self._queues()
         if table is None:
@@ -61,6 +76,8 @@
             await self._of_queue(exchange, queue, rest)
         except BadRequestError as error:
             await exchange.answer_json(error.status, {"error": error.reason})
+        except StoppingError as error:
+            await self._refuse(exchange, error.status, error.reason)
         except StoreRefusedError as error:
             await self._refuse(exchange, 503, str(error))
         except StoreError as error:
@@ -96,32 +113,34 @@
 
     async def _submit(self, exchange: Exchange, queue: QueueTerms, job: JobId) -> None:
         try:
-            body = await collect(exchange.body(), LONGEST_BODY_BYTES)
+            whole = collect(exchange.body(), LONGEST_BODY_BYTES)
+            body = await self._time.wait(whole, Verdict.NOT_RUN)
         except HttpError as error:
             logger.info("job not received", job=job, error=str(error))
             exchange.abort()
             return
         begun = self._clock.now()
-        await self._requests.submit(decode_job(body, job, queue, self._clock.unix_ms()))
+        spec = decode_job(body, job, queue, self._clock.unix_ms())
+        await self._time.wait(self._requests.submit(spec), Verdict.MAY_HAVE_RUN)
         self._metrics.observe("fireflyfork_accept_seconds", self._clock.now() - begun)
         await exchange.answer(200, b"{}", (_JSON,))
 
     async def _state(self, exchange: Exchange, job: JobId) -> None:
-        state = await self._requests.state(job)
+        state = await self._time.wait(self._requests.state(job), Verdict.NOT_RUN)
         if state is None:
             await exchange.answer_json(410, {"error": "no such job"})
             return
         await exchange.answer(200, encode_state(state), (_JSON,))
 
     async def _cancel(self, exchange: Exchange, job: JobId) -> None:
-        if await self._requests.cancel(job):
+        if await self._time.wait(self._requests.cancel(job), Verdict.MAY_HAVE_RUN):
             await exchange.answer(200, b"{}", (_JSON,))
         else:
             await exchange.answer_json(410, {"error": "no such job"})
 
     async def _pending(self, exchange: Exchange, queue: QueueTerms) -> None:
-        body = encode_pending(await self._requests.pending(queue))
-        await exchange.answer(200, body, (_JSON,))
+        count = await self._time.wait(self._requests.pending(queue), Verdict.NOT_RUN)
+        await exchange.answer(200, encode_pending(count), (_JSON,))
 
     async def _refuse(self, exchange: Exchange, status: int, reason: str) -> None:
         self._metrics.count("fireflyfork_refused_total", status=str(status))
--- a/fireflyfork/programs/_scheduler_node.py
+++ b/fireflyfork/programs/_scheduler_node.py
@@ -30,7 +30,11 @@
 """After the load balancer has been told, it takes two misses, a second apart, until it sends no new
 connections."""
 CLOSE_MARGIN_SECONDS = 1.2
-"""Before the platform kills the process, the last exchanges end and connections close."""
+"""So long before the platform kills the process, it begins nothing more for callers."""
+LAST_REQUESTS_SECONDS = CLOSE_MARGIN_SECONDS / 4
+"""For what is then under way. A store that is well answers in a sixth of it, also from another region."""
+LAST_ANSWERS_SECONDS = CLOSE_MARGIN_SECONDS / 4
+"""For the answers to what was given up on. The rest of the margin is for a machine that is slow."""
 
 
 class _Readiness(HttpHandler):
@@ -121,8 +125,11 @@
         self._callers.announce_stop()
         left = self._settings.bounds.termination_grace - CLOSE_MARGIN_SECONDS
         await trio.sleep(max(0.0, left - (self._clock.now() - begun)))
+        # Connections stay open meanwhile: a request that comes on one is refused, not cut off.
+        self._service.end_in(LAST_REQUESTS_SECONDS)
+        await trio.sleep(LAST_REQUESTS_SECONDS)
         self._callers.stop()
-        with trio.move_on_after(CLOSE_MARGIN_SECONDS / 2):
+        with trio.move_on_after(LAST_ANSWERS_SECONDS):
             await self._callers.wait_ended()
         logger.info("stopped", connections=self._callers.connection_count)
 
