Renewals rest on when the store's word was true, not on when it came

A task ran in two places: while an answer of the store was under way for two seconds another instance took over, and the owner, which went by when the answer came, renewed the lease of an executor that only it reached for longer than its successor waits. What an answer shows now counts from when its question or write was sent; a question about work that waited in vain counts from the end of its wait at most. One time serves for renewals and for what is taken for over, and a reading of the owner's key counts for both. A change ends a question early and tells of no time after it was asked, so changes of other services' work would have stopped renewals.

--- a/fireflyfork/programs/_service_owner.py
+++ b/fireflyfork/programs/_service_owner.py
@@ -114,7 +114,9 @@
         lease = min(LEASE_SECONDS, bounds.longest_lease * LEASE_SHARE)
         unheard = ORPHANED_LEASE_SECONDS + lease + UNHEARD_MARGIN_SECONDS
         self._scheduler = Scheduler(SchedulerTerms(self._service, unheard, lease))
-        self._journal = ServiceJournal(self._store, term, self._scheduler, self._confirmed)
+        self._journal = ServiceJournal(
+            self._store, term, self._scheduler, self._confirmed, clock.now
+        )
         self._upkeep = UpkeepDuty(
             self._store, outside.machines, self._scheduler, term, node, clock, waves
         )
@@ -160,17 +162,19 @@
         self._scheduler.configure(queues)
         self.kick()
 
-    def _note_ownership(self) -> None:
-        """The store has shown that this is still the owner.
+    def _note_ownership(self, at: float) -> None:
+        """The store has shown that there was no successor at that time.
 
         No other answer will do. While the one that tells of a successor doesn't come, others may, and an
-        owner that went on for these would renew leases for longer than its successor waits.
+        owner that went on for these would renew leases for longer than its successor waits. So it would
+        if it went by when an answer came: that may be seconds after the store gave it.
         """
-        self._known_owner_at = self._clock.now()
+        self._known_owner_at = max(self._known_owner_at, at)
+        self._scheduler.note_ownership(at)
 
-    def _confirmed(self, executors: bool) -> None:
+    def _confirmed(self, executors: bool, sent_at: float) -> None:
         """The journal was written, which only the owner can."""
-        self._note_ownership()
+        self._note_ownership(sent_at)
         if executors:
             self.kick()
 
@@ -278,9 +282,9 @@
             WATCH_SECONDS,
             self._work_listed,
             self._work_changed,
-            self._note_ownership,
             now=self._clock.now,
-            heard=self._scheduler.note_ownership,
+            heard=self._note_ownership,
+            known_within=WATCH_SECONDS,
         )
 
     def _registration_watch(self) -> PrefixWatch:
@@ -372,7 +376,7 @@
         else:
             if item is None or item.revision != self._term.owner_revision:
                 raise OwnershipLostError("the owner's key has changed")
-            self._scheduler.note_ownership(asked_at)
+            self._note_ownership(asked_at)
         self._proving = False
 
     async def _give_up_for_abler(self, recovery: trio.CancelScope) -> None:
--- a/fireflyfork/programs/tests/test_service_owner.py
+++ b/fireflyfork/programs/tests/test_service_owner.py
@@ -5,12 +5,15 @@
 import trio
 from trio.testing import MockClock
 
+from ..._ids import ServiceName
 from ...adapters import StoreListing
 from ...decisions.jobs.tests.builders_jobs import job, step
-from .._scheduling_keys import WORK_PREFIX
+from .._scheduling_keys import WORK_PREFIX, owner_key
 from .._service_journal import OwnershipLostError
 from .builders_owner import NODE, OwnerWorld
 
+RENEWED_SECONDS = 3.7
+"""What is left at least of a lease of 5 s that each poll of a second renews."""
 LATE_SECONDS = 2.0
 """How long an answer is under way."""
 UNHEARD_SECONDS = 8.0
@@ -90,6 +93,16 @@
                 over = trio.run(_over_after_late_write, hundredths / 100, clock=_clock())
                 self.assertLessEqual(over, UNHEARD_SECONDS)
 
+    def test_leases_are_renewed_while_other_services_get_work(self) -> None:
+        """Changes of other services' work end the owner's question before its time, and tell of no time after
+        it was asked. Renewals stopped between them, and a store away for a moment ended tasks.
+        """
+        for tenths in (3, 7, 13, 19, 24, 33):
+            with self.subTest(tenths=tenths):
+                self.assertGreater(
+                    trio.run(_shortest_lease, tenths / 10, clock=_clock()), RENEWED_SECONDS
+                )
+
 
 def _clock() -> MockClock:
     return MockClock(autojump_threshold=0)
@@ -137,3 +150,19 @@
     while world.executor.running and trio.current_time() < begun + 30.0:
         await trio.sleep(0.01)
     return trio.current_time() - begun
+
+
+async def _shortest_lease(gap: float) -> float:
+    """The least that is left of an executor's lease while every so often another service gets an owner."""
+    async with trio.open_nursery() as nursery:
+        world = await _busy_world(nursery)
+        least = float("inf")
+        changed_at = trio.current_time()
+        for _ in range(2000):
+            await trio.sleep(0.01)
+            if trio.current_time() - changed_at >= gap:
+                changed_at = trio.current_time()
+                world.store.put(owner_key(ServiceName("other")), b"n-1")
+            least = min(least, world.executor.lease_left_ms / 1000)
+        nursery.cancel_scope.cancel()
+    return least
