--- a/fireflyfork/programs/_prefix_watch.py
+++ b/fireflyfork/programs/_prefix_watch.py
@@ -14,9 +14,6 @@
 
 RETRY_SECONDS = 0.1
 """After a call that failed: what is missed meanwhile comes with the next answer."""
-LEAST_WAIT_SECONDS = 0.25
-"""Of a question that must soon tell that nothing changed: shorter ones, under a stream of changes, would be
-many, and each is paid for."""
 
 
 class PrefixWatch:
@@ -29,34 +26,33 @@
         wait_seconds: float,
         listed: Callable[[StoreListing], None],
         changed: Callable[[StoreChange], None],
+        answered: Callable[[], None] = lambda: None,
         gather_seconds: float = 0.0,
         confirm_seconds: float | None = None,
         now: Callable[[], float] = trio.current_time,
         heard: Callable[[float], None] = lambda _: None,
-        known_within: float = inf,
     ) -> None:
         """``listed`` gets everything there is, at first and whenever the store has lost its history;
-        ``changed`` each change after that, in order.
+        ``changed`` each change after that, in order; ``answered`` hears of every answer.
 
         A question waits for ``wait_seconds``; a connection that has gone silent is noticed a call's
         timeout later. After an answer the next question waits for ``gather_seconds``, so that one
         answer tells of many changes: the store's operators pay for each. After changes and failures the
         next question waits for ``confirm_seconds`` only, where that is given: see ``known_at``.
 
-        ``heard`` is told ``known_at`` when what an answer said has been handed over. Changes that come one by
-        one end each question before its time, and leave that at when it was asked. Where it should not become
-        older than ``known_within``, the next question waits for less.
+        ``heard`` is told, when what an answer said has been handed over, the time by ``now`` at which its
+        question had been asked: up to then nothing is unknown.
         """
         self._store = store
         self._prefix = prefix
         self._wait_seconds = wait_seconds
         self._listed = listed
         self._changed = changed
+        self._answered = answered
         self._gather_seconds = gather_seconds
         self._confirm_seconds = wait_seconds if confirm_seconds is None else confirm_seconds
         self._now = now
         self._heard = heard
-        self._known_within = known_within
         self._known_at = -inf
 
     @property
@@ -85,9 +81,10 @@
                 logger.debug("not listed", prefix=self._prefix, error=str(error))
                 await trio.sleep(RETRY_SECONDS)
                 continue
+            self._answered()
             self._listed(listing)
             self._known_at = asked
-            self._heard(self._known_at)
+            self._heard(asked)
             return listing.as_of
 
     async def _follow(self, after: Revision) -> None:
@@ -95,7 +92,6 @@
         wait = self._confirm_seconds
         while True:
             asked = self._now()
-            wait = min(wait, self._most_wait(asked))
             try:
                 answer = await self._store.changes(self._prefix, after, wait)
             except StoreHistoryLostError as error:
@@ -106,16 +102,13 @@
                 wait = self._confirm_seconds
                 await trio.sleep(RETRY_SECONDS)
                 continue
+            self._answered()
             after = max(after, answer.as_of)
             for change in answer.changes:
                 self._changed(change)
             in_vain = not answer.changes
             self._known_at = min(asked + wait, self._now()) if in_vain else asked
-            self._heard(self._known_at)
+            self._heard(asked)
             wait = self._wait_seconds if in_vain else self._confirm_seconds
             if self._gather_seconds and answer.changes:
                 await trio.sleep(self._gather_seconds)
-
-    def _most_wait(self, now: float) -> float:
-        left = self._known_at + self._known_within - now if self._known_within < inf else inf
-        return max(LEAST_WAIT_SECONDS, left)
--- a/fireflyfork/programs/_service_journal.py
+++ b/fireflyfork/programs/_service_journal.py
@@ -70,20 +70,17 @@
         store: CoordinationStore,
         term: Term,
         scheduler: Scheduler,
-        confirmed: Callable[[bool, float], None],
-        now: Callable[[], float] = trio.current_time,
+        confirmed: Callable[[bool], None],
     ) -> None:
         """``open`` comes first.
 
-        ``confirmed`` is called after each write. It is told whether executors were stored, which may get
-        runs then, and the time by ``now`` before the write was sent: its answer may have come late, and
-        tells nothing of who has owned the service meanwhile.
+        ``confirmed`` is called after each write, and told whether executors were stored, which may get
+        runs then.
         """
         self._store = store
         self._term = term
         self._scheduler = scheduler
         self._confirmed = confirmed
-        self._now = now
         self._written = Revision(0)
         self._number = 0
         self._changed = trio.Event()
@@ -132,7 +129,6 @@
         jobs = changes.take(MOST_JOBS)
         pending = self._pending_to_store()
         executors = self._scheduler.take_changed_executors()
-        sent_at = self._now()
         try:
             await self._write(jobs, pending, executors)
         except TransactionConflictError as error:
@@ -153,7 +149,7 @@
         self._scheduler.note_stored()
         if executors is not None:
             self._scheduler.executors_stored(executors)
-        self._confirmed(executors is not None, sent_at)
+        self._confirmed(executors is not None)
         self._stored.set()
         self._stored = trio.Event()
         return True
--- a/fireflyfork/programs/_service_owner.py
+++ b/fireflyfork/programs/_service_owner.py
@@ -9,7 +9,7 @@
 from loguru import logger
 
 from .._errors import StoreError
-from .._ids import ExecutorId, JobId, NodeName, Revision, ServiceName
+from .._ids import JobId, NodeName, Revision, ServiceName
 from ..adapters import (
     StoreChange,
     StoredItem,
@@ -114,9 +114,7 @@
         lease = min(LEASE_SECONDS, bounds.longest_lease * LEASE_SHARE)
         unheard = ORPHANED_LEASE_SECONDS + lease + UNHEARD_MARGIN_SECONDS
         self._scheduler = Scheduler(SchedulerTerms(self._service, unheard, lease))
-        self._journal = ServiceJournal(
-            self._store, term, self._scheduler, self._confirmed, clock.now
-        )
+        self._journal = ServiceJournal(self._store, term, self._scheduler, self._confirmed)
         self._upkeep = UpkeepDuty(
             self._store, outside.machines, self._scheduler, term, node, clock, waves
         )
@@ -162,19 +160,17 @@
         self._scheduler.configure(queues)
         self.kick()
 
-    def _note_ownership(self, at: float) -> None:
-        """The store has shown that there was no successor at that time.
+    def _note_ownership(self) -> None:
+        """The store has shown that this is still the owner.
 
         No other answer will do. While the one that tells of a successor doesn't come, others may, and an
-        owner that went on for these would renew leases for longer than its successor waits. So it would
-        if it went by when an answer came: that may be seconds after the store gave it.
+        owner that went on for these would renew leases for longer than its successor waits.
         """
-        self._known_owner_at = max(self._known_owner_at, at)
-        self._scheduler.note_ownership(at)
+        self._known_owner_at = self._clock.now()
 
-    def _confirmed(self, executors: bool, sent_at: float) -> None:
+    def _confirmed(self, executors: bool) -> None:
         """The journal was written, which only the owner can."""
-        self._note_ownership(sent_at)
+        self._note_ownership()
         if executors:
             self.kick()
 
@@ -282,9 +278,9 @@
             WATCH_SECONDS,
             self._work_listed,
             self._work_changed,
+            self._note_ownership,
             now=self._clock.now,
-            heard=self._note_ownership,
-            known_within=WATCH_SECONDS,
+            heard=self._scheduler.note_ownership,
         )
 
     def _registration_watch(self) -> PrefixWatch:
@@ -337,25 +333,19 @@
     def _registrations_listed(self, listing: StoreListing) -> None:
         listed = {registered_executor(item.key) for item in listing.items}
         for executor in set(self._scheduler.executors) - listed:
-            self._unregister(executor)
+            self._scheduler.unregister(executor, self._clock.now())
         for item in listing.items:
             self._registration_changed(StoreChange(item.key, item.revision, item))
 
     def _registration_changed(self, change: StoreChange) -> None:
+        now = self._clock.now()
         registration = self._registration(change.item) if change.item is not None else None
         if registration is not None:
-            self._scheduler.register(registration, self._clock.now())
-            self._polls.attend(self._scheduler.executors[registration.executor])
+            self._scheduler.register(registration, now)
         else:
-            self._unregister(registered_executor(change.key))
+            self._scheduler.unregister(registered_executor(change.key), now)
         self.kick()
 
-    def _unregister(self, name: ExecutorId) -> None:
-        executor = self._scheduler.executors.get(name)
-        self._scheduler.unregister(name, self._clock.now())
-        if executor is not None:
-            self._polls.attend(executor)
-
     async def _tick(self, nursery: trio.Nursery) -> None:
         while True:
             await trio.sleep(TICK_SECONDS)
@@ -376,7 +366,7 @@
         else:
             if item is None or item.revision != self._term.owner_revision:
                 raise OwnershipLostError("the owner's key has changed")
-            self._note_ownership(asked_at)
+            self._scheduler.note_ownership(asked_at)
         self._proving = False
 
     async def _give_up_for_abler(self, recovery: trio.CancelScope) -> None:
