--- a/fireflyfork/adapters/_executor_calls.py
+++ b/fireflyfork/adapters/_executor_calls.py
@@ -68,18 +68,13 @@
         forget_ends_to: int,
         lease_until_ms: int | None,
         wait_seconds: float,
-        patience_seconds: float,
     ) -> PollAnswer:
         """Renew the lease of all that runs there (unless None) and list it.
 
         The executor forgets ends up to ``forget_ends_to`` and answers when there is a later one,
-        or after ``wait_seconds``. Its answer may be under way for ``patience_seconds``.
+        or after ``wait_seconds``.
         """
 
-    @abstractmethod
-    def distrust(self, executor: ExecutorId) -> None:
-        """Use no kept connection to an executor for the next call: they may have gone silent for good."""
-
     @abstractmethod
     def forget(self, executor: ExecutorId) -> None:
         """Close the connections to an executor that has left."""
--- a/fireflyfork/platform/_executor_client.py
+++ b/fireflyfork/platform/_executor_client.py
@@ -160,7 +160,6 @@
         forget_ends_to: int,
         lease_until_ms: int | None,
         wait_seconds: float,
-        patience_seconds: float,
     ) -> PollAnswer:
         """See ExecutorCalls."""
         poll = _Poll(token, forget_ends_to, lease_until_ms, int(wait_seconds * 1000))
@@ -173,7 +172,7 @@
                 POLL_PATH,
                 msgspec.json.encode(poll),
                 _headers(place),
-                wait_seconds + patience_seconds - CALL_TIMEOUT_SECONDS,
+                wait_seconds,
                 harmless,
             )
         except _NotGreetedError as error:
@@ -187,12 +186,6 @@
             return PollAnswer(outcome, incarnation=listed.incarnation)
         return listed
 
-    def distrust(self, executor: ExecutorId) -> None:
-        """See ExecutorCalls."""
-        known = self._bound.get(executor)
-        if known is not None:
-            known.calls.close()
-
     def forget(self, executor: ExecutorId) -> None:
         """See ExecutorCalls."""
         known = self._bound.pop(executor, None)
--- a/fireflyfork/programs/_executor_polls.py
+++ b/fireflyfork/programs/_executor_polls.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
 import trio
 from loguru import logger
@@ -28,27 +27,11 @@
 several ends; a job loses a tenth of the least time that its objective leaves it."""
 FIRST_RETRY_SECONDS = 0.05
 LONGEST_RETRY_SECONDS = 0.8
-SILENT_SECONDS = 0.6
-"""An executor whose answer is under way for longer gets no new work, and is asked again beside. An answer
-takes 1 ms, and some 45 ms from another region."""
-LATE_ANSWER_SECONDS = 5.0
-"""A late answer is waited for as long as a lease lasts. It may list ends, and what is taken for over for want
-of a word that is on its way would run twice."""
 ORPHANED_LEASE_SECONDS = 2.5
 """An owner that the store hasn't shown to be the owner for so long stops renewing leases. If it went on,
 its successor could never tell when a task on an executor that only the old owner reaches is over."""
 
 
-@dataclass(slots=True, eq=False)
-class _Poll:
-    """One poll that is out."""
-
-    over: trio.Event = field(default_factory=trio.Event)
-    """Set when its answer has been taken in, or there is none."""
-    in_time: bool = True
-    """False once its answer is late."""
-
-
 class ExecutorPolls:
     """The polls at all executors of a service."""
 
@@ -91,41 +74,13 @@
     async def run(self, executor: ExecutorState) -> None:
         """Poll until the executor is gone for good. Raises OwnershipLostError."""
         try:
-            async with trio.open_nursery() as nursery:
-                while self._goes_on(executor):
-                    await self._pause(executor)
-                    await self._poll_in_time(executor, nursery)
-                nursery.cancel_scope.cancel()
+            while not self._ended and self._scheduler.executors.get(executor.executor) is executor:
+                await self._pause(executor)
+                await self._poll(executor)
         finally:
             self._calls.forget(executor.executor)
 
-    def _goes_on(self, executor: ExecutorState) -> bool:
-        return not self._ended and self._scheduler.executors.get(executor.executor) is executor
-
-    async def _poll_in_time(self, executor: ExecutorState, nursery: trio.Nursery) -> None:
-        """Poll, and return with the answer or once it is late; then it is waited for in ``nursery``.
-
-        On a full link answers take seconds. Broken off, each would take its ends with it, and the
-        executor would be taken for silent for as long as the link is full.
-        """
-        poll = _Poll()
-        sent_at = self._clock.now()
-        nursery.start_soon(self._poll, executor, poll)
-        with trio.move_on_after(self._wait(executor) + SILENT_SECONDS):
-            await poll.over.wait()
-            return
-        poll.in_time = False
-        if executor.heard_at < sent_at:
-            self._calls.distrust(executor.executor)
-            self._note_silence(executor, CallOutcome.UNKNOWN)
-
-    async def _poll(self, executor: ExecutorState, poll: _Poll) -> None:
-        try:
-            await self._ask(executor, poll)
-        finally:
-            poll.over.set()
-
-    async def _ask(self, executor: ExecutorState, poll: _Poll) -> None:
+    async def _poll(self, executor: ExecutorState) -> None:
         sent_at = self._clock.now()
         forget = executor.forgettable_end
         known = executor.registration
@@ -135,7 +90,6 @@
             forget,
             self._lease(executor, sent_at),
             self._wait(executor),
-            LATE_ANSWER_SECONDS,
         )
         if self._ended:
             return
@@ -145,29 +99,23 @@
         if self._met_next_life(executor, sent_at, answer, now):
             return
         if answer.outcome is not CallOutcome.ACCEPTED:
-            if poll.in_time:
-                self._note_silence(executor, answer.outcome)
+            if executor.failed_polls == 0:
+                logger.info(
+                    "executor doesn't answer",
+                    executor=executor.executor,
+                    outcome=answer.outcome.value,
+                    runs=len(executor.runs),
+                )
+            self._scheduler.poll_failed(executor, now)
             return
         if executor.failed_polls:
-            seconds = round(now - sent_at, 3)
-            logger.info("executor answers again", executor=executor.executor, seconds=seconds)
+            logger.info("executor answers again", executor=executor.executor)
         executor.told_end = max(executor.told_end, forget)
-        now_ms = self._clock.unix_ms()
-        self._scheduler.poll_answered(executor, sent_at, answer, now, now_ms, poll.in_time)
+        self._scheduler.poll_answered(executor, sent_at, answer, now, self._clock.unix_ms())
         if answer.ended:
             self._journal.notify()
         self._kick()
 
-    def _note_silence(self, executor: ExecutorState, outcome: CallOutcome) -> None:
-        if executor.failed_polls == 0:
-            logger.info(
-                "executor doesn't answer",
-                executor=executor.executor,
-                outcome=outcome.value,
-                runs=len(executor.runs),
-            )
-        self._scheduler.poll_failed(executor, self._clock.now())
-
     def _met_next_life(
         self, executor: ExecutorState, sent_at: float, answer: PollAnswer, now: float
     ) -> bool:
--- a/fireflyfork_standins/scheduling/_executor_calls.py
+++ b/fireflyfork_standins/scheduling/_executor_calls.py
@@ -68,7 +68,6 @@
         forget_ends_to: int,
         lease_until_ms: int | None,
         wait_seconds: float,
-        patience_seconds: float,
     ) -> PollAnswer:
         """See ExecutorCalls."""
         executor = self._reachable(place)
@@ -96,17 +95,13 @@
         if gone or self._draws(executor.trouble.lost_share):
             await trio.sleep(TIMEOUT_SECONDS)
             return PollAnswer(CallOutcome.UNKNOWN)
-        delay = executor.trouble.answers_after
-        return await self._under_way(executor.listing(), delay, patience_seconds)
+        return await self._under_way(executor.listing(), executor.trouble.answers_after)
 
     @staticmethod
-    async def _under_way(answer: PollAnswer, seconds: float, patience: float) -> PollAnswer:
+    async def _under_way(answer: PollAnswer, seconds: float) -> PollAnswer:
         """An answer, if it comes before its caller gives it up."""
-        await trio.sleep(min(seconds, patience))
-        return answer if seconds <= patience else PollAnswer(CallOutcome.UNKNOWN)
-
-    def distrust(self, executor: ExecutorId) -> None:
-        """See ExecutorCalls. Connections here don't go silent by themselves."""
+        await trio.sleep(min(seconds, TIMEOUT_SECONDS))
+        return answer if seconds <= TIMEOUT_SECONDS else PollAnswer(CallOutcome.UNKNOWN)
 
     def forget(self, executor: ExecutorId) -> None:
         """See ExecutorCalls."""
--- a/fireflyfork_standins/scheduling/_nodes.py
+++ b/fireflyfork_standins/scheduling/_nodes.py
@@ -168,18 +168,12 @@
         forget_ends_to: int,
         lease_until_ms: int | None,
         wait_seconds: float,
-        patience_seconds: float,
     ) -> PollAnswer:
         await self._node.awake()
-        answer = await self._inner.poll(
-            place, token, forget_ends_to, lease_until_ms, wait_seconds, patience_seconds
-        )
+        answer = await self._inner.poll(place, token, forget_ends_to, lease_until_ms, wait_seconds)
         await self._node.awake()
         return answer
 
-    def distrust(self, executor: ExecutorId) -> None:
-        self._inner.distrust(executor)
-
     def forget(self, executor: ExecutorId) -> None:
         self._inner.forget(executor)
 
--- a/fireflyfork_standins/tests/test_full_links.py
+++ b/fireflyfork_standins/tests/test_full_links.py
@@ -15,10 +15,6 @@
         far side take seconds. Their owner breaks each poll off before its answer comes, takes them for
         silent, lets their leases run out and starts their tasks again elsewhere, also those whose good end
         had been listed in an answer that it didn't wait for. Their users get everything twice.
-
-        The log of such a day shows it: an executor "doesn't answer" 0.6 s after a poll should have been
-        answered, its tasks start again after "its lease lapsed", and right after that it "answers again" with
-        ends that are older than the lapse.
         """
         for seed in range(700, 706):
             with self.subTest(seed):
