A late answer is waited for, and judged late by the loop's own time

What callers saw: tasks ran to their end a second time while something large filled the link between two regions.

Cause: the owner broke each poll off 0.6 s after its wait, though the answer was on its way, and took the executor for silent.

Why this holds: one poll is out for each executor, and stays open for as long as a lease lasts. When it is late, the executor is suspect: it gets no new work, and one probe at a time, on a new connection, finds out whether only the connection is silent; all executors together have 24 probes at once. A failed call closes its own connection; the other kept ones are dropped once a new one has been answered. What counts for over is as strict as it was.

--- a/fireflyfork/adapters/__init__.py
+++ b/fireflyfork/adapters/__init__.py
@@ -30,6 +30,7 @@
     InstanceList,
     InstanceState,
 )
+from ._loop_time import Alarm, LoopTime
 from ._machines import MachineCalls, NoMachines
 from ._peer_connection import Call, IncomingCall, OutgoingCall, PeerConnection, PeerHandler, refused
 from ._peer_messages import AnswerHead, Chunk, Control, Forward, Pong, Refusal, Role, ServiceFigures
@@ -43,6 +44,7 @@
     "ANY_INCARNATION",
     "Advice",
     "Advisor",
+    "Alarm",
     "AnswerHead",
     "Call",
     "Chunk",
@@ -68,6 +70,7 @@
     "InstanceChanges",
     "InstanceList",
     "InstanceState",
+    "LoopTime",
     "MachineCalls",
     "NoAdvisor",
     "NoMachines",
--- a/fireflyfork/adapters/_executor_calls.py
+++ b/fireflyfork/adapters/_executor_calls.py
@@ -68,11 +68,14 @@
         forget_ends_to: int,
         lease_until_ms: int | None,
         wait_seconds: float,
+        patience_seconds: float,
+        fresh: bool = False,
     ) -> PollAnswer:
         """Renew the lease of all that runs there (unless None) and list it.
 
         The executor forgets ends up to ``forget_ends_to`` and answers when there is a later one,
-        or after ``wait_seconds``.
+        or after ``wait_seconds``. Its answer may be under way for ``patience_seconds``. A ``fresh`` poll
+        goes out on a new connection; if it is answered, no other idle one is used any more.
         """
 
     @abstractmethod
--- a/fireflyfork/adapters/_http_client.py
+++ b/fireflyfork/adapters/_http_client.py
@@ -4,7 +4,8 @@
 
 import select
 import socket
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from contextlib import AbstractContextManager, contextmanager
 from functools import partial
 
 import h11
@@ -23,6 +24,7 @@
     find_header,
     read_event,
 )
+from ._loop_time import LoopTime
 
 _UNACKNOWLEDGED_MILLISECONDS = 2_000
 
@@ -65,12 +67,7 @@
 
     async def send_head(self, head: RequestHead) -> None:
         """Send the head of a request. Raises HttpError."""
-        if self._http.our_state is h11.DONE:
-            self._http.start_next_cycle()
-        self._sent_anything = False
-        await self._send(
-            h11.Request(method=head.method, target=head.target, headers=list(head.headers))
-        )
+        await self._send(self._begin(head))
 
     async def send_body(self, data: bytes) -> None:
         """Send a part of the request's body. Raises HttpError."""
@@ -104,11 +101,8 @@
     async def request(
         self, head: RequestHead, body: bytes, longest_answer: int
     ) -> tuple[ResponseHead, bytes]:
-        """Send a small request and read its whole response. Raises HttpError."""
-        await self.send_head(head)
-        if body:
-            await self.send_body(body)
-        await self.send_end()
+        """Send a small request at once and read its whole response. Raises HttpError."""
+        await self._send(self._begin(head), h11.Data(data=body), h11.EndOfMessage())
         response = await self.receive_head()
         return response, await collect(self.receive_body(), longest_answer)
 
@@ -116,9 +110,15 @@
         """Close at once."""
         self._stream.socket.close()
 
-    async def _send(self, event: h11.Event) -> None:
+    def _begin(self, head: RequestHead) -> h11.Request:
+        if self._http.our_state is h11.DONE:
+            self._http.start_next_cycle()
+        self._sent_anything = False
+        return h11.Request(method=head.method, target=head.target, headers=list(head.headers))
+
+    async def _send(self, *events: h11.Event) -> None:
         try:
-            data = self._http.send(event)
+            data = b"".join(self._http.send(event) or b"" for event in events)
             if data:
                 self._sent_anything = True
                 await self._stream.send_all(data)
@@ -158,9 +158,10 @@
         longest_answer: int = 1 << 24,
         pause: float | None = None,
         greet: Callable[[ClientExchange], Awaitable[None]] | None = None,
+        loop_time: LoopTime | None = None,
     ) -> None:
         """``timeout`` is in seconds without a byte, ``pause`` (by default the same) once an answer has
-        begun to come; ``longest_answer`` is in bytes.
+        begun to come; ``longest_answer`` is in bytes. Both are counted in ``loop_time`` if it is given.
 
         ``greet`` finds out on each new connection whether its other end is the one that is meant, and
         raises HttpError if not; nothing of a call is sent before.
@@ -170,7 +171,10 @@
         self._pause = timeout if pause is None else pause
         self._longest_answer = longest_answer
         self._greet = greet
+        self._loop_time = loop_time
         self._idle: list[HttpClientConnection] = []
+        self._doubtful = False
+        """Whether the last call failed on its connection: the kept ones may have gone silent as well."""
 
     async def call(
         self,
@@ -180,10 +184,12 @@
         body: bytes = b"",
         extra_seconds: float = 0.0,
         is_greeting: bool = False,
+        fresh: bool = False,
     ) -> tuple[ResponseHead, bytes]:
         """One call. Raises HttpError.
 
-        One that is a greeting by itself may go out on a connection that nobody has greeted on.
+        One that is a greeting by itself may go out on a connection that nobody has greeted on; one that
+        is ``fresh`` goes out on a new connection.
 
         The answer must begin within the timeout plus ``extra_seconds``, and go on within the longest
         pause after each part. Were the whole call limited, an answer that is too long for the link in
@@ -193,15 +199,27 @@
         After an error the call may have taken effect, but for a ConnectError.
         """
         connection: HttpClientConnection | None = None
+        fresh = fresh or self._doubtful
         try:
-            with trio.fail_after(self._timeout + extra_seconds) as scope:
-                connection = await self._connection(is_greeting)
-                connection.received = lambda: self._extend(scope)
-                return await self._exchange(connection, method, target, headers, body)
+            with self._limit(self._timeout + extra_seconds) as put_off:
+                connection = await self._connection(is_greeting, fresh)
+                connection.received = lambda: put_off(self._pause)
+                answer = await self._exchange(connection, method, target, headers, body)
         except trio.TooSlowError as error:
             if connection is None:
                 raise ConnectError(f"can't connect to {self._address} in time") from error
+            self._doubtful = True
             raise HttpError(f"no answer from {self._address} in time") from error
+        except HttpError:
+            self._doubtful = connection is not None
+            raise
+        else:
+            if fresh:
+                # A firewall that forgets its connections makes all of them silent at once, and new ones
+                # work. Each kept one would cost a caller one more timeout.
+                self.close()
+            self._doubtful = False
+            return answer
         finally:
             if connection is not None:
                 self._keep(connection)
@@ -211,11 +229,13 @@
         while self._idle:
             self._idle.pop().close()
 
-    def _extend(self, scope: trio.CancelScope) -> None:
-        scope.deadline = max(scope.deadline, trio.current_time() + self._pause)
+    def _limit(self, seconds: float) -> AbstractContextManager[Callable[[float], None]]:
+        if self._loop_time is not None:
+            return self._loop_time.fail_after(seconds)
+        return _fail_after(seconds)
 
-    async def _connection(self, is_greeting: bool) -> HttpClientConnection:
-        while self._idle:
+    async def _connection(self, is_greeting: bool, fresh: bool) -> HttpClientConnection:
+        while self._idle and not fresh:
             connection = self._idle.pop()
             if connection.reusable:
                 return connection
@@ -249,3 +269,14 @@
             self._idle.append(connection)
         else:
             connection.close()
+
+
+@contextmanager
+def _fail_after(seconds: float) -> Iterator[Callable[[float], None]]:
+    """trio.fail_after; yields a function that puts the timeout off."""
+    with trio.fail_after(seconds) as scope:
+
+        def put_off(more: float) -> None:
+            scope.deadline = max(scope.deadline, trio.current_time() + more)
+
+        yield put_off
--- a/fireflyfork/decisions/jobs/_executors.py
+++ b/fireflyfork/decisions/jobs/_executors.py
@@ -73,6 +73,11 @@
     """When the last poll that was answered had been sent; None before the first."""
     failed_polls: int = 0
     """Polls without an answer since the last answer."""
+    answers_late: bool = False
+    """Whether its last answer was late: orders to it would get none in time."""
+    heard_at: float = float("-inf")
+    """When its last answer came, late or not. While answers go on coming it is not silent, and its lease
+    is renewed."""
     clock_ms: int = 0
     clock_at: float = field(init=False)
     """When ``clock_ms`` had been received: the executor's clock was at least there."""
@@ -142,6 +147,7 @@
             self.registered
             and self.is_stored
             and self.answers
+            and not self.answers_late
             and not self.registration.draining
             and not self.emptied
             and self.avoided_until <= now
@@ -242,6 +248,7 @@
         self.known_since = now
         self.polled_at = None
         self.failed_polls = 0
+        self.answers_late = False
         self.leaving_since = None
         self.emptied = False
         self.upkeep_due = False
--- a/fireflyfork/decisions/jobs/_report_handling.py
+++ b/fireflyfork/decisions/jobs/_report_handling.py
@@ -98,9 +98,18 @@
         self._work.forget_if_over(executor, now)
 
     def poll_answered(
-        self, executor: ExecutorState, sent_at: float, answer: PollAnswer, now: float, now_ms: int
+        self,
+        executor: ExecutorState,
+        sent_at: float,
+        answer: PollAnswer,
+        now: float,
+        now_ms: int,
+        in_time: bool,
     ) -> None:
-        """An executor has listed what it runs and what has ended."""
+        """An executor has listed what it runs and what has ended.
+
+        An answer that a later one has overtaken still tells of ends, but no longer of what runs.
+        """
         if not self._work.is_current(executor):
             return
         same = answer.incarnation in (None, executor.registration.incarnation)
@@ -113,14 +122,20 @@
             # before. Taken for lapsed, a run that goes on there would be started elsewhere as soon as polls
             # fail. No grant of before reaches further; later ones of earlier owners are refused.
             executor.grant_lease(executor.clock(now) + self._longest_lease_ms)
+        overtaken = executor.polled_at is not None and sent_at < executor.polled_at
         executor.failed_polls = 0
-        executor.polled_at = max(executor.polled_at or sent_at, sent_at)
+        executor.heard_at = now
+        if not overtaken:
+            executor.polled_at = sent_at
+            executor.answers_late = not in_time
         # One that came after a later one would be passed over, and then let go with it.
         for row in sorted(answer.ended, key=lambda row: row.number):
             if row.number > executor.seen_end:
                 executor.seen_end = row.number
                 self._ended(executor, row, now, now_ms)
                 executor.unstored_ends.append((row.number, self._work.jobs.changes.last))
+        if overtaken:
+            return
         self._compare(executor, sent_at, answer, now)
         if not answer.ends_may_be_cut:
             self._work.reached(executor.executor, now)
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -220,10 +220,16 @@
         self._reports.poll_failed(executor, now)
 
     def poll_answered(
-        self, executor: ExecutorState, sent_at: float, answer: PollAnswer, now: float, now_ms: int
+        self,
+        executor: ExecutorState,
+        sent_at: float,
+        answer: PollAnswer,
+        now: float,
+        now_ms: int,
+        in_time: bool = True,
     ) -> None:
         """An executor has listed what it runs and what has ended."""
-        self._reports.poll_answered(executor, sent_at, answer, now, now_ms)
+        self._reports.poll_answered(executor, sent_at, answer, now, now_ms, in_time)
 
     def note_stored(self) -> None:
         """Changes have been stored: what rests on them may be forgotten by the executors."""
--- a/fireflyfork/platform/_executor_client.py
+++ b/fireflyfork/platform/_executor_client.py
@@ -10,7 +10,7 @@
 from loguru import logger
 
 from .._ids import AttemptNumber, ExecutorId, FencingToken, TaskName
-from ..adapters import ANY_INCARNATION, ExecutorCalls, ExecutorPlace, Header, HttpError
+from ..adapters import ANY_INCARNATION, ExecutorCalls, ExecutorPlace, Header, HttpError, LoopTime
 from ..decisions.jobs import (
     CallOutcome,
     EndedRow,
@@ -24,7 +24,7 @@
 from ._names import EXPECTED_INCARNATION_HEADER, PACE_PATH, POLL_PATH, START_PATH, STOP_PATH
 
 CALL_TIMEOUT_SECONDS = 0.6
-"""An answer takes 1 ms, and some 45 ms from another region; an executor that hangs or is cut off
+"""Of loop time. An answer takes 1 ms, and some 45 ms from another region; an executor that hangs or is cut off
 should not keep its tasks from others for longer than a caller notices."""
 LONGEST_LIST_OF_ENDS = 500
 """An executor lists so many ends at most, the oldest; the others once these may be forgotten."""
@@ -112,8 +112,9 @@
     to; nothing else is sent on one that leads to another.
     """
 
-    def __init__(self) -> None:
-        """No connection yet."""
+    def __init__(self, loop_time: LoopTime) -> None:
+        """No connection yet; calls time out by ``loop_time``."""
+        self._loop_time = loop_time
         self._bound: dict[ExecutorId, _Bound] = {}
 
     async def start(
@@ -160,6 +161,8 @@
         forget_ends_to: int,
         lease_until_ms: int | None,
         wait_seconds: float,
+        patience_seconds: float,
+        fresh: bool = False,
     ) -> PollAnswer:
         """See ExecutorCalls."""
         poll = _Poll(token, forget_ends_to, lease_until_ms, int(wait_seconds * 1000))
@@ -172,8 +175,9 @@
                 POLL_PATH,
                 msgspec.json.encode(poll),
                 _headers(place),
-                wait_seconds,
+                wait_seconds + patience_seconds - CALL_TIMEOUT_SECONDS,
                 harmless,
+                fresh,
             )
         except _NotGreetedError as error:
             return PollAnswer(error.outcome, incarnation=error.incarnation)
@@ -215,7 +219,12 @@
             return known.calls
         if known is not None:
             known.calls.close()
-        calls = JsonCalls(place.address, CALL_TIMEOUT_SECONDS, greet=partial(_greet, place, token))
+        calls = JsonCalls(
+            place.address,
+            CALL_TIMEOUT_SECONDS,
+            greet=partial(_greet, place, token),
+            loop_time=self._loop_time,
+        )
         self._bound[place.executor] = _Bound(place, token, calls)
         return calls
 
--- a/fireflyfork/platform/_http_calls.py
+++ b/fireflyfork/platform/_http_calls.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from .._links import Address
-from ..adapters import ClientExchange, Header, HttpClient, HttpError
+from ..adapters import ClientExchange, Header, HttpClient, LoopTime
 
 _JSON: Header = (b"content-type", b"application/json")
 
@@ -47,14 +47,17 @@
         timeout: float,
         pause: float | None = None,
         greet: Greet | None = None,
+        loop_time: LoopTime | None = None,
     ) -> None:
-        """``timeout`` is in seconds without a byte, ``pause`` once an answer has begun to come."""
+        """See HttpClient."""
 
         async def greet_on(exchange: ClientExchange) -> None:
             if greet is not None:
                 await greet(BoundCall(exchange))
 
-        self._client = HttpClient(address, timeout, pause=pause, greet=greet_on)
+        self._client = HttpClient(
+            address, timeout, pause=pause, greet=greet_on, loop_time=loop_time
+        )
 
     async def call(
         self,
@@ -64,17 +67,12 @@
         headers: tuple[Header, ...] = (),
         extra_seconds: float = 0.0,
         is_greeting: bool = False,
+        fresh: bool = False,
     ) -> CallAnswer:
-        """One call. Raises HttpError; it may then have taken effect."""
-        try:
-            head, answer = await self._client.call(
-                method, target, (_JSON, *headers), body, extra_seconds, is_greeting
-            )
-        except HttpError:
-            # A firewall that forgets its connections makes all of them silent at once, and new
-            # ones work. Each kept one would cost a caller one more timeout.
-            self._client.close()
-            raise
+        """One call; see HttpClient. Raises HttpError; it may then have taken effect."""
+        head, answer = await self._client.call(
+            method, target, (_JSON, *headers), body, extra_seconds, is_greeting, fresh
+        )
         return CallAnswer(head.status, answer)
 
     def close(self) -> None:
--- a/fireflyfork/programs/_executor_polls.py
+++ b/fireflyfork/programs/_executor_polls.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
 
 import trio
 from loguru import logger
 
-from ..adapters import ExecutorCalls, ExecutorPlace
+from ..adapters import ExecutorCalls, ExecutorPlace, LoopTime
 from ..decisions.jobs import CallOutcome, ExecutorState, PollAnswer, Scheduler
 from ._clocks import Clock
 from ._service_journal import OwnershipLostError, ServiceJournal
@@ -27,11 +29,38 @@
 several ends; a job loses a tenth of the least time that its objective leaves it."""
 FIRST_RETRY_SECONDS = 0.05
 LONGEST_RETRY_SECONDS = 0.8
+MOST_DOUBLINGS = 10
+"""Of the first retry's delay. Unbounded, the power would outgrow a float after a day of silence."""
+LATE_SECONDS = 0.6
+"""Of loop time, beyond the wait of the poll: an answer that is under way for longer is late. It takes 1 ms,
+and some 45 ms from another region."""
+PATIENCE_SECONDS = 5.0
+"""A late answer is waited for as long as a lease lasts: it may list ends, and what is taken for over for want
+of a word that is on its way would run twice."""
+PROBES_AT_ONCE = 24
+"""For all executors together. Late answers come from a full link or a busy executor, and more calls than that
+would keep it so."""
 ORPHANED_LEASE_SECONDS = 2.5
 """An owner that the store hasn't shown to be the owner for so long stops renewing leases. If it went on,
 its successor could never tell when a task on an executor that only the old owner reaches is over."""
 
 
+@dataclass(slots=True, eq=False)
+class _Poll:
+    """One poll that is out."""
+
+    sent_at: float
+    in_time: bool = True
+    """False once its answer is late."""
+    scope: trio.CancelScope = field(default_factory=trio.CancelScope)
+    over: bool = False
+    """Whether it was answered, given up, or made needless by a probe."""
+
+    def note_late(self) -> None:
+        """Its answer hasn't come when it should have."""
+        self.in_time = False
+
+
 class ExecutorPolls:
     """The polls at all executors of a service."""
 
@@ -45,10 +74,11 @@
         lease_seconds: float,
         known_owner_at: Callable[[], float],
         kick: Callable[[], None],
+        loop_time: LoopTime,
     ) -> None:
         """``known_owner_at`` tells when the store last showed that this is the owner.
 
-        ``kick`` has tasks placed.
+        ``kick`` has tasks placed; ``loop_time`` tells late answers from a late loop.
         """
         self._scheduler = scheduler
         self._calls = calls
@@ -58,6 +88,9 @@
         self._lease_ms = int(lease_seconds * 1000)
         self._known_owner_at = known_owner_at
         self._kick = kick
+        self._loop_time = loop_time
+        self._probes = trio.CapacityLimiter(PROBES_AT_ONCE)
+        self._probed: set[ExecutorState] = set()
         self._ended = False
         self._wake: dict[ExecutorState, trio.Event] = {}
 
@@ -74,47 +107,115 @@
     async def run(self, executor: ExecutorState) -> None:
         """Poll until the executor is gone for good. Raises OwnershipLostError."""
         try:
-            while not self._ended and self._scheduler.executors.get(executor.executor) is executor:
-                await self._pause(executor)
-                await self._poll(executor)
+            async with trio.open_nursery() as nursery:
+                while self._goes_on(executor):
+                    await self._pause(executor)
+                    await self._poll(executor, nursery)
+                nursery.cancel_scope.cancel()
         finally:
             self._calls.forget(executor.executor)
 
-    async def _poll(self, executor: ExecutorState) -> None:
-        sent_at = self._clock.now()
+    def _goes_on(self, executor: ExecutorState) -> bool:
+        return not self._ended and self._scheduler.executors.get(executor.executor) is executor
+
+    async def _poll(self, executor: ExecutorState, nursery: trio.Nursery) -> None:
+        """Poll once; a late answer is waited for, with a probe beside it.
+
+        On a full link answers take seconds. Broken off, each would take its ends with it, and the
+        executor would be taken for silent for as long as the link is full.
+        """
+        poll = _Poll(self._clock.now())
+        wait = self._wait(executor)
+        alarm = self._loop_time.after(
+            wait + LATE_SECONDS, partial(self._note_late, executor, poll, nursery)
+        )
+        try:
+            with poll.scope:
+                await self._ask(executor, poll, wait)
+        finally:
+            poll.over = True
+            alarm.cancel()
+
+    def _note_late(self, executor: ExecutorState, poll: _Poll, nursery: trio.Nursery) -> None:
+        poll.note_late()
+        if executor.heard_at < poll.sent_at:
+            self._note_silence(executor, CallOutcome.UNKNOWN)
+        nursery.start_soon(self._probe, executor, poll)
+
+    async def _probe(self, executor: ExecutorState, late: _Poll) -> None:
+        """Ask over new connections until either the late poll or one of these is answered.
+
+        Where only the connection of the late poll has gone silent, a new one is answered at once.
+        """
+        if executor in self._probed:
+            return
+        self._probed.add(executor)
+        try:
+            delay = FIRST_RETRY_SECONDS
+            while not late.over and self._goes_on(executor):
+                async with self._probes:
+                    answered = late.over or await self._probe_once(executor)
+                if answered:
+                    late.scope.cancel()
+                    return
+                await trio.sleep(delay)
+                delay = min(2 * delay, LONGEST_RETRY_SECONDS)
+        finally:
+            self._probed.discard(executor)
+
+    async def _probe_once(self, executor: ExecutorState) -> bool:
+        probe = _Poll(self._clock.now())
+        alarm = self._loop_time.after(LATE_SECONDS, probe.note_late)
+        try:
+            return await self._ask(executor, probe, 0.0, fresh=True)
+        finally:
+            alarm.cancel()
+
+    async def _ask(
+        self, executor: ExecutorState, poll: _Poll, wait: float, fresh: bool = False
+    ) -> bool:
+        """Whether there was an answer, which has been taken in."""
         forget = executor.forgettable_end
         known = executor.registration
         answer = await self._calls.poll(
             ExecutorPlace(known.executor, known.address, known.incarnation),
             self._term.token,
             forget,
-            self._lease(executor, sent_at),
-            self._wait(executor),
+            self._lease(executor, poll.sent_at),
+            wait,
+            PATIENCE_SECONDS,
+            fresh,
         )
         if self._ended:
-            return
+            return True
         now = self._clock.now()
         if answer.outcome is CallOutcome.FENCED:
             raise OwnershipLostError(f"{executor.executor} has seen a higher token")
-        if self._met_next_life(executor, sent_at, answer, now):
-            return
+        if self._met_next_life(executor, poll.sent_at, answer, now):
+            return True
         if answer.outcome is not CallOutcome.ACCEPTED:
-            if executor.failed_polls == 0:
-                logger.info(
-                    "executor doesn't answer",
-                    executor=executor.executor,
-                    outcome=answer.outcome.value,
-                    runs=len(executor.runs),
-                )
-            self._scheduler.poll_failed(executor, now)
-            return
+            self._note_silence(executor, answer.outcome)
+            return False
         if executor.failed_polls:
-            logger.info("executor answers again", executor=executor.executor)
+            seconds = round(now - poll.sent_at, 3)
+            logger.info("executor answers again", executor=executor.executor, seconds=seconds)
         executor.told_end = max(executor.told_end, forget)
-        self._scheduler.poll_answered(executor, sent_at, answer, now, self._clock.unix_ms())
+        now_ms = self._clock.unix_ms()
+        self._scheduler.poll_answered(executor, poll.sent_at, answer, now, now_ms, poll.in_time)
         if answer.ended:
             self._journal.notify()
         self._kick()
+        return True
+
+    def _note_silence(self, executor: ExecutorState, outcome: CallOutcome) -> None:
+        if executor.failed_polls == 0:
+            logger.info(
+                "executor doesn't answer",
+                executor=executor.executor,
+                outcome=outcome.value,
+                runs=len(executor.runs),
+            )
+        self._scheduler.poll_failed(executor, self._clock.now())
 
     def _met_next_life(
         self, executor: ExecutorState, sent_at: float, answer: PollAnswer, now: float
@@ -125,8 +226,8 @@
 
     async def _pause(self, executor: ExecutorState) -> None:
         if executor.failed_polls:
-            delay = FIRST_RETRY_SECONDS * 2 ** (executor.failed_polls - 1)
-            await trio.sleep(min(delay, LONGEST_RETRY_SECONDS))
+            doublings = min(executor.failed_polls - 1, MOST_DOUBLINGS)
+            await trio.sleep(min(FIRST_RETRY_SECONDS * 2**doublings, LONGEST_RETRY_SECONDS))
         elif executor.unstored_ends:
             await trio.sleep(GATHER_SECONDS)
             if executor.unstored_ends:
--- a/fireflyfork/programs/_outside.py
+++ b/fireflyfork/programs/_outside.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from ..adapters import Advisor, CoordinationStore, ExecutorCalls, MachineCalls
+from ..adapters import Advisor, CoordinationStore, ExecutorCalls, LoopTime, MachineCalls
 
 
 @dataclass(frozen=True, slots=True)
@@ -15,3 +15,5 @@
     executors: ExecutorCalls
     advisor: Advisor
     machines: MachineCalls
+    loop_time: LoopTime
+    """By which others are judged to be late."""
--- a/fireflyfork/programs/_service_owner.py
+++ b/fireflyfork/programs/_service_owner.py
@@ -127,6 +127,7 @@
             lease,
             lambda: self._known_owner_at,
             self.kick,
+            outside.loop_time,
         )
         self._announcements = announcements
         self._ready = False
@@ -199,7 +200,7 @@
                 await self._dispatch(nursery)
                 nursery.cancel_scope.cancel()
         except* OwnershipLostError as errors:
-            logger.info("ownership lost", service=self._service, reason=str(errors.exceptions[0]))
+            logger.info("ownership lost", service=self._service, reason=_first_reason(errors))
 
     async def resign(self, seconds: float) -> None:
         """Start nothing more, store what is known, and end ``run``.
@@ -452,3 +453,9 @@
             seconds = advice.valid_seconds
             self._scheduler.advised(question, advice.tickets, seconds, now, now_ms)
         self.kick()
+
+
+def _first_reason(errors: ExceptionGroup[OwnershipLostError]) -> str:
+    """Why the ownership was lost; each nursery that it passed through has wrapped it in a group."""
+    first = errors.exceptions[0]
+    return _first_reason(first) if isinstance(first, ExceptionGroup) else str(first)
--- a/fireflyfork/programs/scheduler.py
+++ b/fireflyfork/programs/scheduler.py
@@ -14,7 +14,7 @@
 from loguru import logger
 
 from .._errors import SettingsError
-from ..adapters import NoAdvisor, NoMachines
+from ..adapters import LoopTime, NoAdvisor, NoMachines
 from ..platform import (
     NodeSettings,
     PlatformAdvisor,
@@ -39,7 +39,9 @@
     advisor = NoAdvisor() if address is None else PlatformAdvisor(address)
     address = settings.machines_address
     machines = NoMachines() if address is None else PlatformMachines(address)
-    outside = Outside(store, PlatformExecutors(), advisor, machines)
+    loop_time = LoopTime()
+    executors = PlatformExecutors(loop_time)
+    outside = Outside(store, executors, advisor, machines, loop_time)
     node = SchedulerNode(settings, outside, clock, random)
     stop = trio.Event()
     async with trio.open_nursery() as nursery:
--- a/fireflyfork/programs/tests/builders_owner.py
+++ b/fireflyfork/programs/tests/builders_owner.py
@@ -11,7 +11,7 @@
 from fireflyfork_standins.scheduling._nodes import VirtualClock
 
 from ..._ids import ExecutorId, LeaseId, NodeName
-from ...adapters import NoAdvisor, Put
+from ...adapters import LoopTime, NoAdvisor, Put
 from ...decisions.jobs import ExecutorRoom, JobSpec, encode_job
 from ...decisions.jobs.tests.builders_jobs import SERVICE, table
 from ...platform import PlatformBounds
@@ -51,6 +51,7 @@
                 StandInExecutorCalls(NODE, executors, nursery, random),
                 NoAdvisor(),
                 machines.client(nursery),
+                LoopTime(),
             ),
             clock,
             Metrics(),
--- a/fireflyfork_standins/scheduling/_nodes.py
+++ b/fireflyfork_standins/scheduling/_nodes.py
@@ -21,6 +21,7 @@
     CoordinationStore,
     ExecutorCalls,
     ExecutorPlace,
+    LoopTime,
     MachineCalls,
     NoAdvisor,
     Put,
@@ -168,9 +169,13 @@
         forget_ends_to: int,
         lease_until_ms: int | None,
         wait_seconds: float,
+        patience_seconds: float,
+        fresh: bool = False,
     ) -> PollAnswer:
         await self._node.awake()
-        answer = await self._inner.poll(place, token, forget_ends_to, lease_until_ms, wait_seconds)
+        answer = await self._inner.poll(
+            place, token, forget_ends_to, lease_until_ms, wait_seconds, patience_seconds, fresh
+        )
         await self._node.awake()
         return answer
 
@@ -265,6 +270,7 @@
                 _GatedCalls(calls, self),
                 NoAdvisor(),
                 _GatedMachines(self._machines.client(nursery), self),
+                LoopTime(),
             ),
             VirtualClock(),
             self._random,
--- a/fireflyfork_standins/scheduling/_wire_executor.py
+++ b/fireflyfork_standins/scheduling/_wire_executor.py
@@ -15,6 +15,8 @@
 )
 
 LONGEST_BODY_BYTES = 1 << 20
+PATIENCE_SECONDS = 10.0
+"""Whoever asks over a socket decides for itself how long it waits."""
 
 _REFUSALS = {
     CallOutcome.FENCED: (409, "fence"),
@@ -78,7 +80,12 @@
                 await _answer(exchange, answer)
             case "/hold":
                 poll = await self._calls.poll(
-                    self._place, token, call.last_seen, call.deadline_ms, call.wait_ms / 1000
+                    self._place,
+                    token,
+                    call.last_seen,
+                    call.deadline_ms,
+                    call.wait_ms / 1000,
+                    PATIENCE_SECONDS,
                 )
                 await _answer_poll(exchange, poll)
             case _:
