An idle executor that starts anew is polled again

Callers saw jobs wait while machines were up and free, for as long as the owner lived, when an executor without work had been restarted. Its poll loop waited for an order alone, and a next life gets none before it has answered a poll. Now a registration that comes or changes, and each answer to an order, wake the loop if the executor's state asks for a poll; one that says only that the executor lives costs none. test_idle_executors: starts anew 0 of 1 tasks before, 1 now, with and without a lapse.

--- a/fireflyfork/programs/_executor_polls.py
+++ b/fireflyfork/programs/_executor_polls.py
@@ -104,6 +104,15 @@
         if event is not None:
             event.set()
 
+    def attend(self, executor: ExecutorState) -> None:
+        """Its registration changed or went, or it began anew: poll it if that tells something.
+
+        Nothing else would wake its loop, and the next life would never be asked what it runs, and get no task.
+        """
+        if not self._idle(executor):
+            # Registrations are written every 1.5 s, and each poll is paid for.
+            self.wake(executor)
+
     async def run(self, executor: ExecutorState) -> None:
         """Poll until the executor is gone for good. Raises OwnershipLostError."""
         try:
--- a/fireflyfork/programs/_run_orders.py
+++ b/fireflyfork/programs/_run_orders.py
@@ -74,6 +74,7 @@
             case PaceRun(run):
                 self._scheduler.pace_answered(run, answer)
                 return
+        self._polls.attend(executor)
         self._kick()
 
     async def _order(self, command: RunCommand, executor: ExecutorState) -> OrderAnswer:
--- a/fireflyfork/programs/_service_owner.py
+++ b/fireflyfork/programs/_service_owner.py
@@ -9,7 +9,7 @@
 from loguru import logger
 
 from .._errors import StoreError
-from .._ids import JobId, NodeName, Revision, ServiceName
+from .._ids import ExecutorId, JobId, NodeName, Revision, ServiceName
 from ..adapters import (
     StoreChange,
     StoredItem,
@@ -334,19 +334,22 @@
     def _registrations_listed(self, listing: StoreListing) -> None:
         listed = {registered_executor(item.key) for item in listing.items}
         for executor in set(self._scheduler.executors) - listed:
-            self._scheduler.unregister(executor, self._clock.now())
+            self._unregister(executor)
         for item in listing.items:
             self._registration_changed(StoreChange(item.key, item.revision, item))
 
     def _registration_changed(self, change: StoreChange) -> None:
-        now = self._clock.now()
         registration = self._registration(change.item) if change.item is not None else None
         if registration is not None:
-            self._scheduler.register(registration, now)
+            self._scheduler.register(registration, self._clock.now())
+            self._polls.attend(self._scheduler.executors[registration.executor])
         else:
-            self._scheduler.unregister(registered_executor(change.key), now)
+            self._unregister(registered_executor(change.key))
         self.kick()
 
+    def _unregister(self, name: ExecutorId) -> None:
+        self._scheduler.unregister(name, self._clock.now())
+
     async def _tick(self, nursery: trio.Nursery) -> None:
         while True:
             await trio.sleep(TICK_SECONDS)
