An idle executor that left is forgotten

After a change of owner all recovered jobs stood still for 8 s because of an idle executor that had left long before: it is dropped only after a poll fails, and nobody polled it. The end of a registration wakes the loop. test_idle_executors: 1 executor stored for the successor before, 0 now.

--- a/fireflyfork/programs/_executor_polls.py
+++ b/fireflyfork/programs/_executor_polls.py
@@ -107,7 +107,8 @@
     def attend(self, executor: ExecutorState) -> None:
         """Its registration changed or went, or it began anew: poll it if that tells something.
 
-        Nothing else would wake its loop, and the next life would never be asked what it runs, and get no task.
+        Nothing else would wake its loop. The next life would never be asked what it runs, and get no task;
+        one that left would stay known, and successors wait for it.
         """
         if not self._idle(executor):
             # Registrations are written every 1.5 s, and each poll is paid for.
--- a/fireflyfork/programs/_service_owner.py
+++ b/fireflyfork/programs/_service_owner.py
@@ -348,7 +348,10 @@
         self.kick()
 
     def _unregister(self, name: ExecutorId) -> None:
+        executor = self._scheduler.executors.get(name)
         self._scheduler.unregister(name, self._clock.now())
+        if executor is not None:
+            self._polls.attend(executor)
 
     async def _tick(self, nursery: trio.Nursery) -> None:
         while True:
