Rounds of placing take a quarter of the owner's time at most, and no event walks over all executors

Callers of a fleet of hundreds waited because its owner was late: each answer of a poll or an order walked over all executors to find new ones, and placed.

--- /dev/null
+++ b/bench/executor_call_cost.py
@@ -0,0 +1,119 @@
+"""What one order and one poll cost the owner of a service, all of it: HTTP, JSON, timeouts, tasks.
+
+``python -m bench.executor_call_cost`` calls a server in another process over loopback and prints processor
+time of the calling process alone.
+"""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+import time
+from collections.abc import Awaitable, Callable
+
+import msgspec
+import trio
+
+from fireflyfork import Address
+from fireflyfork._ids import AttemptNumber, ExecutorId, FencingToken, TaskName
+from fireflyfork.adapters import ExecutorPlace, LoopTime
+from fireflyfork.decisions.jobs import CallOutcome, StartRequest
+from fireflyfork.platform import PlatformExecutors
+
+CALLS = 4_000
+ROUNDS = 3
+AT_ONCE = 16
+RUNS_LISTED = 6
+BORN = 1_700_000_000_000
+TOKEN = FencingToken(7)
+_HEAD = b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: %d\r\n\r\n"
+
+
+def _answer(body: object) -> bytes:
+    encoded = msgspec.json.encode(body)
+    return _HEAD % len(encoded) + encoded
+
+
+_LISTING = _answer(
+    {
+        "clock_ms": 482_113,
+        "born": BORN,
+        "running": [[f"5c0e7a21d94b36f8.0.1.{n}", 1, "", 40, 5.0] for n in range(RUNS_LISTED)],
+        "ended": [[58, "5c0e7a21d94b36f8.0.1.9", 1, "done", ""]],
+    }
+)
+_ACCEPTED = _answer({"clock_ms": 482_113})
+
+
+async def _serve() -> None:
+    """Answer each request that comes whole in one read; prints the port first."""
+
+    async def answer(stream: trio.SocketStream) -> None:
+        async with stream:
+            while request := await stream.receive_some(65_536):
+                await stream.send_all(_LISTING if b"/hold" in request[:16] else _ACCEPTED)
+
+    (listener,) = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    print(listener.socket.getsockname()[1], flush=True)
+    await trio.serve_listeners(answer, [listener])
+
+
+async def _measure(call: Callable[[PlatformExecutors, int], Awaitable[CallOutcome]]) -> float:
+    """Processor time of a call, in microseconds."""
+    client = PlatformExecutors(LoopTime())
+    limit = trio.CapacityLimiter(AT_ONCE)
+
+    async def one(number: int) -> None:
+        async with limit:
+            outcome = await call(client, number)
+        if outcome is not CallOutcome.ACCEPTED:
+            raise RuntimeError(f"call was {outcome}")
+
+    async def some(count: int) -> None:
+        async with trio.open_nursery() as nursery:
+            for number in range(count):
+                nursery.start_soon(one, number)
+
+    await some(2 * AT_ONCE)
+    begun = time.process_time()
+    await some(CALLS)
+    return (time.process_time() - begun) / CALLS * 1e6
+
+
+async def _main(port: int) -> None:
+    place = ExecutorPlace(ExecutorId("i-0"), Address("127.0.0.1", port), BORN)
+
+    async def start(client: PlatformExecutors, number: int) -> CallOutcome:
+        name = TaskName(f"5c0e7a21d94b36f8.0.1.{number}")
+        order = StartRequest(name, AttemptNumber(1), "x" * 200, 486_000, "", "")
+        return (await client.start(place, TOKEN, order)).outcome
+
+    async def poll(client: PlatformExecutors, number: int) -> CallOutcome:
+        return (await client.poll(place, TOKEN, number, 486_000, 1.0, 5.0)).outcome
+
+    print("call   us of the processor (least of some rounds)")
+    for name, call in (("start", start), ("poll", poll)):
+        times = [await _measure(call) for _ in range(ROUNDS)]
+        print(f"{name:5}  {min(times):6.0f}")
+
+
+def main() -> None:
+    """Measure against a server in a process of its own."""
+    server = subprocess.Popen(
+        [sys.executable, "-m", "bench.executor_call_cost", "serve"],
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    try:
+        assert server.stdout is not None
+        trio.run(_main, int(server.stdout.readline()))
+    finally:
+        server.terminate()
+        server.wait()
+
+
+if __name__ == "__main__":
+    if sys.argv[1:] == ["serve"]:
+        trio.run(_serve)
+    else:
+        main()
--- a/bench/job_scheduler_cost.py
+++ b/bench/job_scheduler_cost.py
@@ -39,8 +39,9 @@
     queue_table,
 )
 
-SIZES = (24, 48, 100, 200, 400)
+SIZES = (24, 48, 100, 200, 400, 800, 1600)
 STARTS_PER_EXECUTOR = 40
+MOST_STARTS = 8_000
 SERVING_PER_EXECUTOR = 4
 SERVICE = ServiceName("desk")
 IMAGES = tuple(f"image-{number}" for number in range(9))
@@ -166,7 +167,7 @@
     """Print a line for each number of executors."""
     print("executors  us a start  us a poll")
     for size in SIZES:
-        cost = Day(size).play(STARTS_PER_EXECUTOR * size)
+        cost = Day(size).play(min(STARTS_PER_EXECUTOR * size, MOST_STARTS))
         placing = cost.placing / cost.starts * 1e6
         polling = cost.polling / cost.polls * 1e6
         print(f"{size:9d}  {placing:10.0f}  {polling:9.0f}")
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -83,6 +83,11 @@
         commands, self._work.commands = self._work.commands, []
         return commands
 
+    def take_new_executors(self) -> list[ExecutorState]:
+        """Executors that have become known, once; each is to be polled."""
+        found, self._work.new_executors = self._work.new_executors, []
+        return found
+
     def take_notes(self) -> list[Note]:
         """What is to be logged, once."""
         notes, self._work.notes = self._work.notes, []
@@ -113,7 +118,7 @@
         for registration in last_known:
             executor = ExecutorState(registration, now, registered=False)
             executor.stored_address = registration.address
-            self.executors[registration.executor] = executor
+            self._work.add_executor(executor)
         for registration in registrations:
             self.register(registration, now)
         self._work.unreached = dict.fromkeys(self.executors, now + self._terms.unheard_lease)
@@ -151,7 +156,7 @@
         if known is None:
             executor = ExecutorState(registration, now)
             executor.emptied = self._upkeep.is_kept_free(registration.executor)
-            self.executors[registration.executor] = executor
+            self._work.add_executor(executor)
             self._work.known_executors_changed = True
             return
         if registration.incarnation < known.registration.incarnation:
--- a/fireflyfork/decisions/jobs/_work.py
+++ b/fireflyfork/decisions/jobs/_work.py
@@ -36,6 +36,8 @@
         """Nothing to do."""
         self.jobs = JobTable()
         self.executors: dict[ExecutorId, ExecutorState] = {}
+        self.new_executors: list[ExecutorState] = []
+        """Those that nobody polls yet."""
         self.known_executors_changed = False
         """Whether the executors to store for a successor have changed."""
         self.interference = InterferenceModel()
@@ -58,6 +60,11 @@
         """When it was last certain that this owner owned the service; infinite where nobody succeeds it."""
         self._sequence = count()
 
+    def add_executor(self, executor: ExecutorState) -> None:
+        """An executor has become known."""
+        self.executors[executor.executor] = executor
+        self.new_executors.append(executor)
+
     @staticmethod
     def wants_run(task: Task) -> bool:
         """Whether a task, or its gang, should run and doesn't."""
--- a/fireflyfork/programs/_service_owner.py
+++ b/fireflyfork/programs/_service_owner.py
@@ -82,6 +82,10 @@
 PERIODS_FOR_EQUALS = 2
 """After so many times that long, the ownership is left to an instance that is no abler as well: what is
 wrong is wrong with this one."""
+ROUND_REST = 3.0
+"""A round of placing is followed by a rest so many times as long, so that rounds take a quarter of the loop's
+time at most. What happens meanwhile is placed together with the next one."""
+LONGEST_ROUND_REST_SECONDS = 0.03
 HAND_OVER_CHECK_SECONDS = 3.0
 """How often an owner looks whether a much abler instance could take its part."""
 
@@ -429,12 +433,13 @@
         while not self._resigning:
             await self._work.wait()
             self._work = trio.Event()
-            for executor in tuple(self._scheduler.executors.values()):
+            begun = self._clock.now()
+            for executor in self._scheduler.take_new_executors():
                 if executor not in self._polled:
                     self._polled.add(executor)
                     nursery.start_soon(self._keep_polling, executor)
             if not self._resigning:
-                self._scheduler.place(self._clock.now(), self._clock.unix_ms())
+                self._scheduler.place(begun, self._clock.unix_ms())
             for command in self._scheduler.take_commands():
                 if isinstance(command, AskAdvice):
                     nursery.start_soon(self._ask_advice, command)
@@ -442,6 +447,8 @@
                     nursery.start_soon(self._orders.carry_out, command)
             self._log.write(self._scheduler.take_notes())
             self._journal.notify()
+            spent = self._clock.now() - begun
+            await trio.sleep(min(ROUND_REST * spent, LONGEST_ROUND_REST_SECONDS))
 
     async def _keep_polling(self, executor: ExecutorState) -> None:
         try:
