A start's cost doesn't grow with the fleet

Now 48 are priced, those on the rack of the step's data first, and as many again only where these have no room or are in trouble; steps begin at different executors.

--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -4,7 +4,7 @@
 
 import heapq
 
-from ._candidates import Candidates
+from ._candidates import LOOKED_AT, Candidates
 from ._commands import AskAdvice, StartRun
 from ._executors import ExecutorState
 from ._gangs import members, next_attempt, place_together
@@ -34,6 +34,8 @@
         """Change ``work``."""
         self._work = work
         self._round: dict[StepId, Candidates] = {}
+        self._first = 0
+        """The number of the executor that the next step begins to look at."""
 
     def place(self, now: float, now_ms: int) -> None:
         """Send tasks that may start to executors with room; others wait for the next tick."""
@@ -101,7 +103,10 @@
     def _candidates_for(self, task: Task, usable: list[ExecutorState], most: float) -> Candidates:
         known = self._round.get(task.step_id)
         if known is None:
-            known = Candidates(task, usable, self._work.interference, most)
+            # What lasts stays where it is put, so all places are compared.
+            looked_at = len(usable) if task.spec.long_running else LOOKED_AT
+            known = Candidates(task, usable, self._work.interference, most, self._first, looked_at)
+            self._first += LOOKED_AT
             self._round[task.step_id] = known
         return known
 
--- a/fireflyfork/decisions/jobs/tests/test_candidates.py
+++ b/fireflyfork/decisions/jobs/tests/test_candidates.py
@@ -1,15 +1,21 @@
-"""Finding executors for the tasks of a step gives what asking all of them each time would."""
+"""Finding executors for the tasks of a step, in a small fleet and in one of hundreds.
+
+The pattern: hundreds of starts a second, each of which could go to any of hundreds of executors.
+"""
 
 import unittest
+from dataclasses import replace
+from unittest.mock import patch
 
 from hypothesis import given
 from hypothesis import strategies as st
 
 from ...._ids import AttemptNumber
-from .. import Run, RunPhase
-from .._candidates import Candidates
+from .. import ExecutorState, Run, RunPhase, Task, _candidates
+from .._candidates import LOOKED_AT, Candidates
 from .._interference import InterferenceModel
-from .._placing import choose
+from .._placing import choose, cost_of
+from .._specs import StepSpec
 from .builders_jobs import START_MS, OwnerUnderTest, job, step
 
 _LOADS = st.lists(st.integers(0, 15), min_size=1, max_size=6)
@@ -23,21 +29,10 @@
     def test_the_same_executors_are_chosen(
         self, loads: list[int], cpu_millis: int, fills: bool, limit: int
     ) -> None:
-        owner = OwnerUnderTest(*(f"i-{number}" for number in range(len(loads))))
-        executors = list(owner.scheduler.executors.values())
-        for number, load in enumerate(loads):
-            busy = job(f"{number + 10:016x}", step(cpu_millis=load * 1000))
-            owner.scheduler.accept(busy, START_MS)
-            other = next(iter(owner.scheduler.jobs.live_tasks()))
-            one = executors[number]
-            one.add(Run(other, AttemptNumber(1), one, RunPhase.RUNNING, 0.0))
         spec = step(
             count=12, cpu_millis=cpu_millis, uses_leftover_cpu=fills, per_executor_limit=limit
         )
-        owner.scheduler.accept(job("00000000000000aa", spec), START_MS)
-        known = owner.scheduler.jobs.get(job("00000000000000aa").job)
-        assert known is not None
-        tasks = list(known.tasks.values())
+        executors, tasks = _fleet(loads, spec)
         model = InterferenceModel()
         candidates = Candidates(tasks[0], executors, model, 2.0)
         for task in tasks:
@@ -47,3 +42,59 @@
             if found is None:
                 return
             found.add(Run(task, AttemptNumber(1), found, RunPhase.RUNNING, 0.0))
+
+    @given(_LOADS, _SIZES, st.integers(0, 9), st.integers(1, 3))
+    def test_a_place_is_found_wherever_there_is_one(
+        self, loads: list[int], cpu_millis: int, first: int, looked_at: int
+    ) -> None:
+        """Guards against tasks that wait since the free executors were never looked at."""
+        executors, tasks = _fleet(loads, step(count=12, cpu_millis=cpu_millis))
+        model = InterferenceModel()
+        candidates = Candidates(tasks[0], executors, model, 2.0, first, looked_at)
+        for task in tasks:
+            found = candidates.best(task)
+            self.assertEqual(found is None, choose(task, executors, model, 2.0) is None)
+            if found is None:
+                return
+            found.add(Run(task, AttemptNumber(1), found, RunPhase.RUNNING, 0.0))
+
+    def test_a_start_in_a_large_fleet_costs_no_more_than_in_a_small_one(self) -> None:
+        """Guards against an owner that falls behind since each start asks all of its executors."""
+        executors, tasks = _fleet([1] * 400, step(count=12))
+        with patch.object(_candidates, "cost_of", wraps=cost_of) as priced:
+            candidates = Candidates(tasks[0], executors, InterferenceModel(), 2.0, first=390)
+            for task in tasks:
+                self.assertIsNotNone(candidates.best(task))
+        self.assertLessEqual(priced.call_count, LOOKED_AT + len(tasks))
+
+    def test_executors_near_the_data_of_a_step_are_always_looked_at(self) -> None:
+        """Guards against tasks that take twice as long since their data's rack was passed over."""
+        executors, tasks = _fleet([1] * 100, step(count=1, data_rack="r9"))
+        near = executors[3]
+        near.registration = replace(near.registration, labels=frozenset({"r9"}))
+        candidates = Candidates(tasks[0], executors, InterferenceModel(), 2.0, 50, 4)
+        self.assertIs(candidates.best(tasks[0]), near)
+
+    def test_where_all_that_were_looked_at_are_in_trouble_others_are(self) -> None:
+        """Guards against work that goes to executors that fail everything while sound ones are free."""
+        executors, tasks = _fleet([1] * 100, step(count=1))
+        for one in executors[:LOOKED_AT]:
+            one.strikes = 1
+        found = Candidates(tasks[0], executors, InterferenceModel(), 2.0).best(tasks[0])
+        assert found is not None
+        self.assertEqual(found.strikes, 0)
+
+
+def _fleet(loads: list[int], spec: StepSpec) -> tuple[list[ExecutorState], list[Task]]:
+    """Executors with so many cores in use each, and the tasks of one step."""
+    owner = OwnerUnderTest(*(f"i-{number}" for number in range(len(loads))))
+    executors = list(owner.scheduler.executors.values())
+    for number, load in enumerate(loads):
+        owner.scheduler.accept(job(f"{number + 10:016x}", step(cpu_millis=load * 1000)), START_MS)
+        other = next(iter(owner.scheduler.jobs.live_tasks()))
+        one = executors[number]
+        one.add(Run(other, AttemptNumber(1), one, RunPhase.RUNNING, 0.0))
+    owner.scheduler.accept(job("00000000000000aa", spec), START_MS)
+    known = owner.scheduler.jobs.get(job("00000000000000aa").job)
+    assert known is not None
+    return executors, list(known.tasks.values())
