A small request goes out in one piece, and an idle connection is looked at once

Each call to an executor was sent in three writes, each a pass of the loop, and its connection was asked twice whether it had been closed.

--- a/fireflyfork/adapters/_http_client.py
+++ b/fireflyfork/adapters/_http_client.py
@@ -27,6 +27,7 @@
 from ._loop_time import LoopTime
 
 _UNACKNOWLEDGED_MILLISECONDS = 2_000
+_END = h11.EndOfMessage()
 
 
 class HttpClientConnection:
@@ -48,9 +49,14 @@
     @property
     def reusable(self) -> bool:
         """Whether the last exchange ended cleanly and the server has not hung up since."""
+        return self.ended_cleanly and not self._readable()
+
+    @property
+    def ended_cleanly(self) -> bool:
+        """Whether no exchange is under way and none broke off."""
         idle = self._http.our_state is h11.DONE and self._http.their_state is h11.DONE
         unused = self._http.our_state is h11.IDLE and self._http.their_state is h11.IDLE
-        return (idle or unused) and not self._readable()
+        return idle or unused
 
     @classmethod
     async def open(cls, address: Address, timeout: float) -> HttpClientConnection:
@@ -102,7 +108,8 @@
         self, head: RequestHead, body: bytes, longest_answer: int
     ) -> tuple[ResponseHead, bytes]:
         """Send a small request at once and read its whole response. Raises HttpError."""
-        await self._send(self._begin(head), h11.Data(data=body), h11.EndOfMessage())
+        content = (h11.Data(data=body),) if body else ()
+        await self._send(self._begin(head), *content, _END)
         response = await self.receive_head()
         return response, await collect(self.receive_body(), longest_answer)
 
@@ -265,7 +272,7 @@
         return await connection.request(head, body, self._longest_answer)
 
     def _keep(self, connection: HttpClientConnection) -> None:
-        if connection.reusable:
+        if connection.ended_cleanly:
             self._idle.append(connection)
         else:
             connection.close()
