A backlog costs the owner by steps and not by tasks

In a rush of large jobs thousands of tasks wait, and each tick sorted, popped and looked at all of them: 5,808 waiting tasks among 270 executors took 101 ms a tick, ten times a second, so that the owner had no time for anything else and everybody waited. Tasks of one step are equally urgent, and where one finds no room none does: they wait together now, and what tasks that last may take is summed once a round.

--- a/fireflyfork/decisions/jobs/_arrangement.py
+++ b/fireflyfork/decisions/jobs/_arrangement.py
@@ -126,7 +126,7 @@
         """Take in what runs and waits now. Returns what waits, in thousandths of cores."""
         demand: dict[str, float] = {}
         waiting = 0.0
-        for task in self._work.waiting():
+        for task in self._work.waiting:
             if task.spec.uses_leftover_cpu:
                 waiting += task.spec.cpu_millis
                 image = task.spec.image
--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import heapq
+from dataclasses import dataclass, field
 
 from ._candidates import LOOKED_AT, Candidates
 from ._commands import AskAdvice, StartRun
@@ -13,6 +13,7 @@
 from ._runs import Run, RunPhase, Task
 from ._stragglers import other_executors
 from ._tickets import StepId
+from ._waiting_tasks import WaitingStep
 from ._waits import WaitReason
 from ._work import Work
 
@@ -27,41 +28,85 @@
 each costs a comparison of every executor."""
 
 
+@dataclass(slots=True)
+class _Round:
+    """What holds for one round of placing."""
+
+    usable: list[ExecutorState]
+    room: int
+    """Of all of them, in thousandths of a core."""
+    reserved: int
+    """Of it, what was reserved when the round began."""
+    lasting: int
+    """Of it, what tasks that last have, those of this round among them."""
+    refused: dict[tuple[object, ...], WaitReason] = field(default_factory=dict)
+    """By shape of task: why it found no room."""
+    candidates: dict[StepId, Candidates] = field(default_factory=dict)
+
+    @classmethod
+    def of(cls, usable: list[ExecutorState]) -> _Round:
+        """A round over these executors."""
+        return cls(
+            usable,
+            sum(one.registration.room.cpu_millis for one in usable),
+            sum(one.used_cpu_millis for one in usable),
+            sum(one.lasting_cpu_millis for one in usable),
+        )
+
+    def most_cost(self, task: Task, now_ms: int) -> float:
+        """What a task without a reservation puts up with."""
+        age = (now_ms - task.job.spec.accepted_ms) / 1000
+        return most_cost(age, self.reserved / max(1, self.room))
+
+
 class Placement:
     """Places tasks."""
 
     def __init__(self, work: Work) -> None:
         """Change ``work``."""
         self._work = work
-        self._round: dict[StepId, Candidates] = {}
         self._first = 0
         """The number of the executor that the next step begins to look at."""
 
     def place(self, now: float, now_ms: int) -> None:
         """Send tasks that may start to executors with room; others wait for the next tick."""
         usable = [one for one in self._work.executors.values() if one.usable(now)]
-        reserved = _reserved_share(usable)
-        self._round = {}
-        refused: dict[tuple[object, ...], WaitReason] = {}
-        while self._work.ready and usable:
-            task = heapq.heappop(self._work.ready)[-1]
+        placing = _Round.of(usable)
+        while usable and (step := self._work.waiting.pop()) is not None:
+            reason = self._place_step(step, placing, now, now_ms)
+            if reason is None:
+                self._work.waiting.drop(step)
+            else:
+                self._work.waiting.park(step, reason)
+        self._place_copies(placing, now, now_ms)
+
+    def _place_step(
+        self, step: WaitingStep, placing: _Round, now: float, now_ms: int
+    ) -> WaitReason | None:
+        """Start the tasks of a step until one finds no room. Returns why, or None if all are gone."""
+        while step.tasks:
+            task = step.tasks[0]
             if not self._work.wants_run(task):
                 task.waiting = False
-                continue
-            if self._keep_promise(task, now, now_ms):
-                continue
-            shape = _shape(task)
-            allowed = self._ticketed(task, usable, now)
-            reason = refused.get(shape) or self._barred(task, usable, len(refused))
-            most = most_cost((now_ms - task.job.spec.accepted_ms) / 1000, reserved)
-            if reason is None and not self._start(task, allowed, most, now, now_ms):
-                reason = _refusal(task, usable)
-            if reason is not None:
-                refused[shape] = task.waits_for = reason
-                self._work.parked.append(task)
-                continue
-            task.waiting = False
-        self._place_copies(usable, reserved, now, now_ms)
+            elif not self._keep_promise(task, now, now_ms):
+                reason = self._place_task(task, placing, now, now_ms)
+                if reason is not None:
+                    return reason
+                task.waiting = False
+            step.tasks.popleft()
+        return None
+
+    def _place_task(
+        self, task: Task, placing: _Round, now: float, now_ms: int
+    ) -> WaitReason | None:
+        shape = _shape(task)
+        allowed = self._ticketed(task, placing.usable, now)
+        reason = placing.refused.get(shape) or self._barred(task, placing)
+        if reason is None and not self._start(task, allowed, placing, now, now_ms):
+            reason = _refusal(task, placing.usable)
+        if reason is not None:
+            placing.refused[shape] = reason
+        return reason
 
     def _keep_promise(self, task: Task, now: float, now_ms: int) -> bool:
         """Start a task that is being moved where room is kept for it; False: it has no such place."""
@@ -74,7 +119,7 @@
             return False
         if not (self._work.promises.has_room(task) and is_allowed(task, destination)):
             # What it changes places with has not left yet.
-            self._work.parked.append(task)
+            self._work.waiting.defer(task)
             return True
         self._work.promises.drop(task)
         run = Run(task, next_attempt(task), destination, RunPhase.STARTING, now)
@@ -83,31 +128,32 @@
         task.waiting = False
         return True
 
-    def _place_copies(
-        self, usable: list[ExecutorState], reserved: float, now: float, now_ms: int
-    ) -> None:
+    def _place_copies(self, placing: _Round, now: float, now_ms: int) -> None:
         """Start second runs of tasks whose first one is slow; where there is no room, none."""
         wanted, self._work.copies = self._work.copies, []
         for task in wanted:
             alone = len(task.runs) == 1 and task.runs[0].works
             if not alone or task.key not in task.job.tasks or task.job.state.is_final:
                 continue
-            others = other_executors(task, self._ticketed(task, usable, now))
-            most = most_cost((now_ms - task.job.spec.accepted_ms) / 1000, reserved)
+            others = other_executors(task, self._ticketed(task, placing.usable, now))
+            most = placing.most_cost(task, now_ms)
             executor = choose(task, others, self._work.interference, most)
             if executor is not None:
                 run = Run(task, next_attempt(task), executor, RunPhase.STARTING, now)
                 executor.add(run)
                 self._send(run, now, now_ms)
 
-    def _candidates_for(self, task: Task, usable: list[ExecutorState], most: float) -> Candidates:
-        known = self._round.get(task.step_id)
+    def _candidates_for(
+        self, task: Task, allowed: list[ExecutorState], placing: _Round, most: float
+    ) -> Candidates:
+        known = placing.candidates.get(task.step_id)
         if known is None:
             # What lasts stays where it is put, so all places are compared.
-            looked_at = len(usable) if task.spec.long_running else LOOKED_AT
-            known = Candidates(task, usable, self._work.interference, most, self._first, looked_at)
+            looked_at = len(allowed) if task.spec.long_running else LOOKED_AT
+            model = self._work.interference
+            known = Candidates(task, allowed, model, most, self._first, looked_at)
             self._first += LOOKED_AT
-            self._round[task.step_id] = known
+            placing.candidates[task.step_id] = known
         return known
 
     def _ticketed(self, task: Task, usable: list[ExecutorState], now: float) -> list[ExecutorState]:
@@ -131,34 +177,29 @@
                 self._work.commands.append(AskAdvice(step, asked))
         return allowed
 
-    def _barred(self, task: Task, usable: list[ExecutorState], refused: int) -> WaitReason | None:
+    @staticmethod
+    def _barred(task: Task, placing: _Round) -> WaitReason | None:
         """Why a task isn't even looked at in this round, or None."""
-        if refused >= REFUSED_SHAPES:
+        if len(placing.refused) >= REFUSED_SHAPES:
             return WaitReason.BEHIND
-        return WaitReason.RESERVED if self._would_take_reserve(task, usable) else None
-
-    @staticmethod
-    def _would_take_reserve(task: Task, usable: list[ExecutorState]) -> bool:
-        """Whether a lasting task that never ran would take the room that is kept for short ones."""
-        if not task.spec.long_running or task.attempt:
-            return False
-        room = sum(one.registration.room.cpu_millis for one in usable)
-        used = sum(one.lasting_cpu_millis for one in usable)
-        return used + task.spec.reserved_cpu_millis > room * (1 - SHORT_TASK_RESERVE)
+        return WaitReason.RESERVED if _would_take_reserve(task, placing) else None
 
     def _start(
-        self, task: Task, usable: list[ExecutorState], most: float, now: float, now_ms: int
+        self, task: Task, allowed: list[ExecutorState], placing: _Round, now: float, now_ms: int
     ) -> bool:
         """Start a task, with its gang if it has one, where there is room for all."""
+        most = placing.most_cost(task, now_ms)
 
         def choice(one: Task, executors: list[ExecutorState]) -> ExecutorState | None:
             if one.failed_on or one.spec.gang or one.job.queue.needs_tickets:
                 return choose(one, executors, self._work.interference, most)
-            return self._candidates_for(one, executors, most).best(one)
+            return self._candidates_for(one, executors, placing, most).best(one)
 
-        runs = place_together(task, usable, choice, next_attempt(task), now)
+        runs = place_together(task, allowed, choice, next_attempt(task), now)
         for run in runs:
             self._send(run, now, now_ms)
+            if task.spec.long_running:
+                placing.lasting += task.spec.reserved_cpu_millis
         return bool(runs)
 
     def _send(self, run: Run, now: float, now_ms: int) -> None:
@@ -180,9 +221,12 @@
         self._work.jobs.note_started(task.job)
 
 
-def _reserved_share(executors: list[ExecutorState]) -> float:
-    room = sum(one.registration.room.cpu_millis for one in executors)
-    return sum(one.used_cpu_millis for one in executors) / max(1, room)
+def _would_take_reserve(task: Task, placing: _Round) -> bool:
+    """Whether a lasting task that never ran would take the room that is kept for short ones."""
+    if not task.spec.long_running or task.attempt:
+        return False
+    wanted = placing.lasting + task.spec.reserved_cpu_millis
+    return wanted > placing.room * (1 - SHORT_TASK_RESERVE)
 
 
 def _shape(task: Task) -> tuple[object, ...]:
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -76,7 +76,7 @@
     @property
     def waiting_tasks(self) -> int:
         """Tasks that may start and have no place."""
-        return len(self._work.ready) + len(self._work.parked)
+        return len(self._work.waiting)
 
     def take_commands(self) -> list[Command]:
         """What is to be done, once."""
@@ -261,7 +261,7 @@
             if name in self.executors
         }
         self._work.tickets.answered(question.step, question.executors, good, now)
-        self._work.unpark(now_ms)
+        self._work.waiting.retry(now_ms)
 
     def check_time(self, now: float, now_ms: int) -> None:
         """Lapsed leases, stops without an answer, runs that stand still, jobs that become due."""
@@ -274,7 +274,7 @@
         for job in tuple(self.jobs.waiting_for_time()):
             for task in self.jobs.open_due(job, now_ms):
                 self._work.enqueue(task)
-        self._work.unpark(now_ms)
+        self._work.waiting.retry(now_ms)
         for over in self.jobs.drop_over():
             self._work.tickets.forget_job(over)
 
--- a/fireflyfork/decisions/jobs/_work.py
+++ b/fireflyfork/decisions/jobs/_work.py
@@ -2,10 +2,6 @@
 
 from __future__ import annotations
 
-import heapq
-from collections.abc import Iterator
-from itertools import count
-
 from ..._ids import AttemptNumber, ExecutorId
 from ._commands import Command, StopRun
 from ._executors import ExecutorRegistration, ExecutorState
@@ -18,7 +14,7 @@
 from ._promises import PromiseBook
 from ._runs import Job, Run, RunPhase, Task
 from ._tickets import TicketBook
-from ._urgency import Urgency, urgency
+from ._waiting_tasks import WaitingTasks
 from ._waits import WaitReason
 
 STRIKES_TO_AVOID = 2
@@ -45,10 +41,8 @@
         self.promises = PromiseBook()
         self.commands: list[Command] = []
         self.notes: list[Note] = []
-        self.ready: list[tuple[Urgency, int, Task]] = []
-        """Tasks that wait for a place, the most urgent first."""
-        self.parked: list[Task] = []
-        """Tasks that found none and are tried again at the next tick."""
+        self.waiting = WaitingTasks(lambda task: self.promises.destination(task) is not None)
+        """Tasks that wait for a place."""
         self.copies: list[Task] = []
         """Tasks that a second run may be started of beside the first."""
         self.unreached: dict[ExecutorId, float] = {}
@@ -58,7 +52,6 @@
         """Tasks that may run on one of those."""
         self.owned_at = float("inf")
         """When it was last certain that this owner owned the service; infinite where nobody succeeds it."""
-        self._sequence = count()
 
     def add_executor(self, executor: ExecutorState) -> None:
         """An executor has become known."""
@@ -81,24 +74,9 @@
             task.waits_for = WaitReason.HELD
             self.held.append(task)
         elif at_once:
-            self.push(task, task.job.spec.accepted_ms)
+            self.waiting.push(task, task.job.spec.accepted_ms)
         else:
-            self.parked.append(task)
-
-    def push(self, task: Task, now_ms: int) -> None:
-        """Put a waiting task in order."""
-        heapq.heappush(self.ready, (urgency(task, now_ms), next(self._sequence), task))
-
-    def waiting(self) -> Iterator[Task]:
-        """Tasks that wait for a place."""
-        yield from (entry[-1] for entry in self.ready)
-        yield from self.parked
-
-    def unpark(self, now_ms: int) -> None:
-        """Try again to place what found no room."""
-        parked, self.parked = self.parked, []
-        for task in parked:
-            self.push(task, now_ms)
+            self.waiting.defer(task)
 
     def stop(self, run: Run, now: float) -> None:
         """Have a run stopped; it holds its room until that has shown."""
@@ -245,7 +223,7 @@
             if task.spec.gang and not is_free(task):
                 # The earlier owner went while it started the gang.
                 self.break_up(task, now)
-            self.push(task, task.job.spec.accepted_ms)
+            self.waiting.push(task, task.job.spec.accepted_ms)
 
 
 def job_over(job: Job, now_ms: int) -> JobOver:
--- /dev/null
+++ b/fireflyfork/decisions/jobs/tests/test_backlog.py
@@ -0,0 +1,66 @@
+"""A rush of large jobs: thousands of tasks wait while all executors are full.
+
+The pattern: large steps come faster than they can be done for some seconds, and the owner looks at what waits
+ten times a second, beside everything else that it has to do.
+"""
+
+import unittest
+from unittest.mock import patch
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from .. import _waiting_tasks
+from .._placement import Placement
+from .._urgency import urgency
+from .._work import Work
+from .builders_jobs import START_MS, OwnerUnderTest, job, step
+
+STEPS, TASKS = 60, 39
+
+
+class BacklogTest(unittest.TestCase):
+    """What a backlog costs, and who is served first."""
+
+    def test_a_tick_costs_by_steps_and_not_by_tasks(self) -> None:
+        """Guards against an owner that spends all of its time on tasks that it can't place."""
+        owner = OwnerUnderTest("i-0", "i-1")
+        for number in range(STEPS):
+            spec = step(count=TASKS, cpu_millis=1000 + number)
+            owner.scheduler.accept(job(f"{number:016x}", spec), START_MS)
+        owner.place()
+        waiting = owner.scheduler.waiting_tasks
+        self.assertGreater(waiting, 0.9 * STEPS * TASKS)
+        with (
+            patch.object(_waiting_tasks, "urgency", wraps=urgency) as sorted_by,
+            patch.object(Work, "wants_run", wraps=Work.wants_run) as looked_at,
+            patch.object(Placement, "_start", autospec=True, return_value=False) as tried,
+        ):
+            owner.scheduler.check_time(owner.now, START_MS)
+            owner.scheduler.place(owner.now, START_MS)
+        self.assertEqual(owner.scheduler.waiting_tasks, waiting)
+        self.assertLessEqual(sorted_by.call_count, STEPS)
+        self.assertLessEqual(looked_at.call_count, STEPS)
+        self.assertLessEqual(tried.call_count, STEPS)
+
+    @given(st.lists(st.tuples(st.integers(1, 5), st.integers(200, 9000)), min_size=1, max_size=8))
+    def test_what_is_started_is_the_most_urgent(self, steps: list[tuple[int, int]]) -> None:
+        """Guards against jobs that are passed by less urgent ones since their tasks wait together."""
+        owner = OwnerUnderTest("i-0")
+        for number, (count, estimate_ms) in enumerate(steps):
+            spec = step(count=count, cpu_millis=4000, estimate_ms=estimate_ms)
+            owner.scheduler.accept(job(f"{number:016x}", spec), START_MS)
+        tasks = sorted(owner.scheduler.jobs.live_tasks(), key=lambda one: urgency(one, START_MS))
+        room = 16_000 // 4000
+        least = max(urgency(one, START_MS) for one in tasks[:room])
+        for run in owner.place():
+            self.assertLessEqual(urgency(run.task, START_MS), least)
+
+    def test_a_task_that_comes_back_is_tried_before_the_next_tick(self) -> None:
+        """Guards against tasks that wait for a tick although room has come free."""
+        owner = OwnerUnderTest("i-0")
+        owner.scheduler.accept(job("00000000000000aa", step(count=5, cpu_millis=4000)), START_MS)
+        runs = owner.place()
+        self.assertEqual(len(runs), 4)
+        owner.scheduler._work.gone(runs[0], owner.now, runs[0].task.last_over)
+        self.assertEqual(len(owner.place()), 1)
