An executor whose last answer was late is polled until it is punctual again

Jobs stood still for good with all executors up: one that is suspect gets no new work, an idle one is polled only when it gets work, and so one that answered late while it became idle was never used again.

--- a/fireflyfork/programs/_executor_polls.py
+++ b/fireflyfork/programs/_executor_polls.py
@@ -250,7 +250,8 @@
 
     @staticmethod
     def _idle(executor: ExecutorState) -> bool:
-        known = executor.polled_at is not None
+        # One whose last answer was late gets no work until another one tells that it is punctual again.
+        known = executor.polled_at is not None and not executor.answers_late
         quiet = not executor.runs and executor.told_end == executor.seen_end
         return known and quiet and executor.registered
 
