--- a/bench/executor_call_cost.py
+++ b/bench/executor_call_cost.py
@@ -31,7 +31,7 @@
     RelayPlace,
     RelayServer,
 )
-from fireflyfork.decisions.jobs import CallOutcome, StartRequest
+from fireflyfork.decisions.jobs import CallOutcome, PollRequest, StartRequest
 from fireflyfork.platform import PlatformExecutors
 
 CALLS = 4_000
@@ -110,7 +110,7 @@
         return (await client.start(place, TOKEN, order)).outcome
 
     async def poll(client: ExecutorCalls, number: int) -> CallOutcome:
-        return (await client.poll(place, TOKEN, number, 486_000, 1.0, 5.0)).outcome
+        return (await client.poll(place, TOKEN, PollRequest(number, 486_000, 1.0, 5.0))).outcome
 
     direct = PlatformExecutors(LoopTime())
     relayed = RelayedExecutors(direct, LoopTime())
--- a/fireflyfork/adapters/_executor_calls.py
+++ b/fireflyfork/adapters/_executor_calls.py
@@ -7,7 +7,7 @@
 
 from .._ids import AttemptNumber, ExecutorId, FailureDomainName, FencingToken, TaskName
 from .._links import Address
-from ..decisions.jobs import OrderAnswer, PollAnswer, StartRequest
+from ..decisions.jobs import OrderAnswer, PollAnswer, PollRequest, StartRequest
 
 ANY_INCARNATION = 0
 """In place of an incarnation: whichever is there."""
@@ -64,20 +64,11 @@
 
     @abstractmethod
     async def poll(
-        self,
-        place: ExecutorPlace,
-        token: FencingToken,
-        forget_ends_to: int,
-        lease_until_ms: int | None,
-        wait_seconds: float,
-        patience_seconds: float,
-        fresh: bool = False,
+        self, place: ExecutorPlace, token: FencingToken, request: PollRequest, fresh: bool = False
     ) -> PollAnswer:
-        """Renew the lease of all that runs there (unless None) and list it.
+        """Renew the lease of all that runs there and list it, with what has ended.
 
-        The executor forgets ends up to ``forget_ends_to`` and answers when there is a later one,
-        or after ``wait_seconds``. Its answer may be under way for ``patience_seconds``. A ``fresh`` poll
-        goes out on a new connection; if it is answered, no other idle one is used any more.
+        A ``fresh`` poll goes out on a new connection; if it is answered, no other idle one is used any more.
         """
 
     @abstractmethod
--- a/fireflyfork/adapters/_relay_client.py
+++ b/fireflyfork/adapters/_relay_client.py
@@ -13,7 +13,7 @@
 from .._errors import PeerError
 from .._ids import AttemptNumber, ExecutorId, FailureDomainName, FencingToken, NodeName, TaskName
 from .._links import Address
-from ..decisions.jobs import CallOutcome, OrderAnswer, PollAnswer, StartRequest
+from ..decisions.jobs import CallOutcome, OrderAnswer, PollAnswer, PollRequest, StartRequest
 from ._executor_calls import ExecutorCalls, ExecutorPlace
 from ._loop_time import LoopTime
 from ._relay_messages import (
@@ -27,11 +27,11 @@
     PaceCall,
     Ping,
     Place,
-    PollCall,
     PollReply,
     Pong,
     Reply,
     StopCall,
+    poll_call,
     start_call,
 )
 from ._relay_stream import RelayStream
@@ -237,34 +237,14 @@
         )
 
     async def poll(
-        self,
-        place: ExecutorPlace,
-        token: FencingToken,
-        forget_ends_to: int,
-        lease_until_ms: int | None,
-        wait_seconds: float,
-        patience_seconds: float,
-        fresh: bool = False,
+        self, place: ExecutorPlace, token: FencingToken, request: PollRequest, fresh: bool = False
     ) -> PollAnswer:
         """See ExecutorCalls. A fresh poll goes directly: it finds out whether the usual way is silent."""
         relay = None if fresh else self._relay_for(place)
         if relay is None:
-            return await self._direct.poll(
-                place, token, forget_ends_to, lease_until_ms, wait_seconds, patience_seconds, fresh
-            )
-
-        def make(number: int) -> PollCall:
-            return PollCall(
-                number,
-                Place.of(place),
-                token,
-                forget_ends_to,
-                lease_until_ms,
-                wait_seconds,
-                patience_seconds,
-            )
-
-        reply = await relay.call(make, wait_seconds + patience_seconds + WAY_SECONDS)
+            return await self._direct.poll(place, token, request, fresh)
+        seconds = request.wait_seconds + request.patience_seconds + WAY_SECONDS
+        reply = await relay.call(lambda number: poll_call(number, place, token, request), seconds)
         if not isinstance(reply, PollReply):
             return PollAnswer(CallOutcome.UNKNOWN)
         try:
--- a/fireflyfork/adapters/_relay_messages.py
+++ b/fireflyfork/adapters/_relay_messages.py
@@ -19,6 +19,7 @@
     EndReason,
     OrderAnswer,
     PollAnswer,
+    PollRequest,
     RunningRow,
     StartRequest,
 )
@@ -213,6 +214,19 @@
     )
 
 
+def poll_call(number: int, place: ExecutorPlace, token: int, request: PollRequest) -> PollCall:
+    """A poll as a message."""
+    return PollCall(
+        number,
+        Place.of(place),
+        token,
+        request.forget_ends_to,
+        request.lease_until_ms,
+        request.wait_seconds,
+        request.patience_seconds,
+    )
+
+
 def encode_frame(messages: Sequence[RelayMessage]) -> bytes:
     """The bytes of one frame."""
     body = _ENCODER.encode(messages)
--- a/fireflyfork/adapters/_relay_server.py
+++ b/fireflyfork/adapters/_relay_server.py
@@ -9,7 +9,7 @@
 
 from .._errors import PeerError
 from .._ids import AttemptNumber, ExecutorId, FencingToken, TaskName
-from ..decisions.jobs import StartRequest
+from ..decisions.jobs import PollRequest, StartRequest
 from ._executor_calls import ExecutorCalls
 from ._relay_messages import (
     RELAY_VERSION,
@@ -115,14 +115,10 @@
 async def _make(calls: ExecutorCalls, call: Call) -> RelayMessage:
     place, token = call.place.place(), FencingToken(call.token)
     if isinstance(call, PollCall):
-        answer = await calls.poll(
-            place,
-            token,
-            call.forget_ends_to,
-            call.lease_until_ms,
-            call.wait_seconds,
-            call.patience_seconds,
+        request = PollRequest(
+            call.forget_ends_to, call.lease_until_ms, call.wait_seconds, call.patience_seconds
         )
+        answer = await calls.poll(place, token, request)
         return PollReply.of(call.number, answer)
     task, attempt = TaskName(call.task), AttemptNumber(call.attempt)
     match call:
--- a/fireflyfork/adapters/tests/test_relays.py
+++ b/fireflyfork/adapters/tests/test_relays.py
@@ -17,6 +17,7 @@
     EndReason,
     OrderAnswer,
     PollAnswer,
+    PollRequest,
     RunningRow,
     StartRequest,
 )
@@ -28,6 +29,7 @@
 EXECUTOR = ExecutorPlace(ExecutorId("i-0"), Address("10.0.0.1", 80), 1, DOMAIN)
 TOKEN = FencingToken(7)
 ORDER = StartRequest(TaskName("t"), AttemptNumber(2), "work", 486_000, "saved", "ticket")
+POLL = PollRequest(57, 486_000, 1.0, 5.0)
 LISTED = PollAnswer(
     CallOutcome.ACCEPTED,
     482_113,
@@ -72,17 +74,10 @@
         return await self._order("pace", place.executor, token, task, attempt, percent)
 
     async def poll(
-        self,
-        place: ExecutorPlace,
-        token: FencingToken,
-        forget_ends_to: int,
-        lease_until_ms: int | None,
-        wait_seconds: float,
-        patience_seconds: float,
-        fresh: bool = False,
+        self, place: ExecutorPlace, token: FencingToken, request: PollRequest, fresh: bool = False
     ) -> PollAnswer:
         """Record."""
-        self.called.append(("poll", place.executor, token, forget_ends_to, lease_until_ms, fresh))
+        self.called.append(("poll", place.executor, token, request, fresh))
         return LISTED
 
     def forget(self, executor: ExecutorId) -> None:
@@ -140,7 +135,7 @@
             self.assertEqual(started, OrderAnswer(CallOutcome.ACCEPTED, 482_113, 1))
             await world.owner.stop(EXECUTOR, TOKEN, ORDER.task, ORDER.attempt)
             await world.owner.pace(EXECUTOR, TOKEN, ORDER.task, ORDER.attempt, 30)
-            polled = await world.owner.poll(EXECUTOR, TOKEN, 57, 486_000, 1.0, 5.0)
+            polled = await world.owner.poll(EXECUTOR, TOKEN, POLL)
             self.assertEqual(polled, LISTED)
             self.assertEqual(
                 world.relayed.called,
@@ -148,7 +143,7 @@
                     ("start", "i-0", TOKEN, ORDER),
                     ("stop", "i-0", TOKEN, ORDER.task, ORDER.attempt),
                     ("pace", "i-0", TOKEN, ORDER.task, ORDER.attempt, 30),
-                    ("poll", "i-0", TOKEN, 57, 486_000, False),
+                    ("poll", "i-0", TOKEN, POLL, False),
                 ],
             )
             self.assertEqual(world.direct.called, [])
@@ -159,8 +154,8 @@
         """Guards against executors that are taken for silent since their relay is."""
 
         async def play(world: RelayWorld) -> None:
-            await world.owner.poll(EXECUTOR, TOKEN, 0, None, 0.0, 5.0, fresh=True)
-            self.assertEqual(world.direct.called, [("poll", "i-0", TOKEN, 0, None, True)])
+            await world.owner.poll(EXECUTOR, TOKEN, POLL, fresh=True)
+            self.assertEqual(world.direct.called, [("poll", "i-0", TOKEN, POLL, True)])
 
         trio.run(RelayWorld().run, play)
 
--- a/fireflyfork/decisions/jobs/__init__.py
+++ b/fireflyfork/decisions/jobs/__init__.py
@@ -15,6 +15,7 @@
     EndReason,
     OrderAnswer,
     PollAnswer,
+    PollRequest,
     RunningRow,
     StartRequest,
 )
@@ -62,6 +63,7 @@
     "OrderAnswer",
     "PaceRun",
     "PollAnswer",
+    "PollRequest",
     "QueueTable",
     "QueueTerms",
     "Run",
--- a/fireflyfork/decisions/jobs/_reports.py
+++ b/fireflyfork/decisions/jobs/_reports.py
@@ -92,6 +92,20 @@
     """Whether more may have ended there than it lists: the list is as long as one can be."""
 
 
+@dataclass(frozen=True, slots=True)
+class PollRequest:
+    """The question what an executor runs, with what it may forget and how long it may go on."""
+
+    forget_ends_to: int
+    """It lists ends up to this one no more."""
+    lease_until_ms: int | None
+    """Until when what runs there may go on, on its clock; None leaves that as it is."""
+    wait_seconds: float
+    """It answers when there is an end to list, or after so long."""
+    patience_seconds: float
+    """How long its answer may be under way."""
+
+
 @dataclass(frozen=True, slots=True)
 class StartRequest:
     """The order to start one run."""
--- a/fireflyfork/platform/_executor_client.py
+++ b/fireflyfork/platform/_executor_client.py
@@ -17,6 +17,7 @@
     EndReason,
     OrderAnswer,
     PollAnswer,
+    PollRequest,
     RunningRow,
     StartRequest,
 )
@@ -155,27 +156,25 @@
         return await self._order(place, token, PACE_PATH, order)
 
     async def poll(
-        self,
-        place: ExecutorPlace,
-        token: FencingToken,
-        forget_ends_to: int,
-        lease_until_ms: int | None,
-        wait_seconds: float,
-        patience_seconds: float,
-        fresh: bool = False,
+        self, place: ExecutorPlace, token: FencingToken, request: PollRequest, fresh: bool = False
     ) -> PollAnswer:
         """See ExecutorCalls."""
-        poll = _Poll(token, forget_ends_to, lease_until_ms, int(wait_seconds * 1000))
+        poll = _Poll(
+            token,
+            request.forget_ends_to,
+            request.lease_until_ms,
+            int(request.wait_seconds * 1000),
+        )
         calls = self._calls_to(place, token)
         # What renews nothing and forgets nothing does no harm in any incarnation, and tells which it is.
-        harmless = not forget_ends_to and lease_until_ms is None
+        harmless = not request.forget_ends_to and request.lease_until_ms is None
         try:
             answer = await calls.call(
                 "POST",
                 POLL_PATH,
                 msgspec.json.encode(poll),
                 _headers(place),
-                wait_seconds + patience_seconds - CALL_TIMEOUT_SECONDS,
+                request.wait_seconds + request.patience_seconds - CALL_TIMEOUT_SECONDS,
                 harmless,
                 fresh,
             )
--- a/fireflyfork/platform/tests/test_end_lists.py
+++ b/fireflyfork/platform/tests/test_end_lists.py
@@ -9,7 +9,7 @@
 from ..._ids import ExecutorId, FencingToken
 from ..._links import Address
 from ...adapters import ANY_INCARNATION, ExecutorPlace, LoopTime
-from ...decisions.jobs import PollAnswer
+from ...decisions.jobs import PollAnswer, PollRequest
 from .. import PlatformExecutors
 from .._http_calls import CallAnswer, JsonCalls
 
@@ -25,7 +25,9 @@
     place = ExecutorPlace(ExecutorId("i-0"), Address("10.0.0.1", 80), ANY_INCARNATION)
 
     async def main() -> PollAnswer:
-        return await PlatformExecutors(LoopTime()).poll(place, FencingToken(1), 0, None, 0.0, 1.0)
+        return await PlatformExecutors(LoopTime()).poll(
+            place, FencingToken(1), PollRequest(0, None, 0.0, 1.0)
+        )
 
     with patch.object(JsonCalls, "call", answered):
         return trio.run(main)
--- a/fireflyfork/programs/_executor_polls.py
+++ b/fireflyfork/programs/_executor_polls.py
@@ -10,7 +10,7 @@
 from loguru import logger
 
 from ..adapters import ExecutorCalls, ExecutorPlace, LoopTime
-from ..decisions.jobs import CallOutcome, ExecutorState, PollAnswer, Scheduler
+from ..decisions.jobs import CallOutcome, ExecutorState, PollAnswer, PollRequest, Scheduler
 from ._clocks import Clock
 from ._service_journal import OwnershipLostError, ServiceJournal
 from ._service_lease import Term
@@ -190,10 +190,7 @@
         answer = await self._calls.poll(
             ExecutorPlace(known.executor, known.address, known.incarnation, known.failure_domain),
             self._term.token,
-            forget,
-            self._lease(executor, poll.sent_at),
-            wait,
-            PATIENCE_SECONDS,
+            PollRequest(forget, self._lease(executor, poll.sent_at), wait, PATIENCE_SECONDS),
             fresh,
         )
         if self._ended:
--- a/fireflyfork/programs/tests/test_late_loop.py
+++ b/fireflyfork/programs/tests/test_late_loop.py
@@ -37,7 +37,7 @@
 
     async def counted(self, *arguments, **options):  # type: ignore[no-untyped-def]
         counts.polls += 1
-        counts.fresh_polls += bool(arguments[-1] is True or options.get("fresh"))
+        counts.fresh_polls += arguments[-1] is True
         return await poll(self, *arguments, **options)
 
     def failed(self, executor, now):  # type: ignore[no-untyped-def]
--- a/fireflyfork_standins/scheduling/_executor_calls.py
+++ b/fireflyfork_standins/scheduling/_executor_calls.py
@@ -3,13 +3,20 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from functools import partial
 from random import Random
 
 import trio
 
 from fireflyfork._ids import AttemptNumber, ExecutorId, FencingToken, NodeName, TaskName
 from fireflyfork.adapters import ANY_INCARNATION, ExecutorCalls, ExecutorPlace
-from fireflyfork.decisions.jobs import CallOutcome, OrderAnswer, PollAnswer, StartRequest
+from fireflyfork.decisions.jobs import (
+    CallOutcome,
+    OrderAnswer,
+    PollAnswer,
+    PollRequest,
+    StartRequest,
+)
 
 from ._executors import STEP_SECONDS, StandInExecutor
 
@@ -62,14 +69,7 @@
         return await self._order(place, lambda one: one.pace(token, task, attempt, percent))
 
     async def poll(
-        self,
-        place: ExecutorPlace,
-        token: FencingToken,
-        forget_ends_to: int,
-        lease_until_ms: int | None,
-        wait_seconds: float,
-        patience_seconds: float,
-        fresh: bool = False,
+        self, place: ExecutorPlace, token: FencingToken, request: PollRequest, fresh: bool = False
     ) -> PollAnswer:
         """See ExecutorCalls. Connections here don't go silent by themselves."""
         executor = self._reachable(place)
@@ -79,26 +79,26 @@
         missed = await self._arrive(executor, place)
         if missed is not None:
             return PollAnswer(missed, incarnation=_told(missed, executor))
+        renew = partial(executor.renew, token, request.forget_ends_to, request.lease_until_ms)
         late = self._draws(executor.trouble.late_share)
         if late:
-            renew = (token, forget_ends_to, lease_until_ms)
-            self._nursery.start_soon(self._late, executor, lambda: executor.renew(*renew))
+            self._nursery.start_soon(self._late, executor, renew)
         if late or not executor.up:
             await trio.sleep(TIMEOUT_SECONDS)
             return PollAnswer(CallOutcome.UNKNOWN)
-        refusal = executor.renew(token, forget_ends_to, lease_until_ms)
+        refusal = renew()
         if refusal is not CallOutcome.ACCEPTED:
             return PollAnswer(refusal)
         life = executor.born
-        until = trio.current_time() + wait_seconds
-        while trio.current_time() < until and not executor.has_end_after(forget_ends_to):
+        until = trio.current_time() + request.wait_seconds
+        while trio.current_time() < until and not executor.has_end_after(request.forget_ends_to):
             await trio.sleep(STEP_SECONDS)
         gone = self._reachable(place) is None or executor.born != life
         if gone or self._draws(executor.trouble.lost_share):
             await trio.sleep(TIMEOUT_SECONDS)
             return PollAnswer(CallOutcome.UNKNOWN)
         delay = executor.trouble.answers_after
-        return await self._under_way(executor.listing(), delay, patience_seconds)
+        return await self._under_way(executor.listing(), delay, request.patience_seconds)
 
     @staticmethod
     async def _under_way(answer: PollAnswer, seconds: float, patience: float) -> PollAnswer:
--- a/fireflyfork_standins/scheduling/_nodes.py
+++ b/fireflyfork_standins/scheduling/_nodes.py
@@ -33,6 +33,7 @@
     MachineListing,
     OrderAnswer,
     PollAnswer,
+    PollRequest,
     QueueTable,
     StartRequest,
     UpkeepOutcome,
@@ -163,19 +164,10 @@
         return answer
 
     async def poll(
-        self,
-        place: ExecutorPlace,
-        token: FencingToken,
-        forget_ends_to: int,
-        lease_until_ms: int | None,
-        wait_seconds: float,
-        patience_seconds: float,
-        fresh: bool = False,
+        self, place: ExecutorPlace, token: FencingToken, request: PollRequest, fresh: bool = False
     ) -> PollAnswer:
         await self._node.awake()
-        answer = await self._inner.poll(
-            place, token, forget_ends_to, lease_until_ms, wait_seconds, patience_seconds, fresh
-        )
+        answer = await self._inner.poll(place, token, request, fresh)
         await self._node.awake()
         return answer
 
--- a/fireflyfork_standins/scheduling/_wire_executor.py
+++ b/fireflyfork_standins/scheduling/_wire_executor.py
@@ -11,6 +11,7 @@
     EndReason,
     OrderAnswer,
     PollAnswer,
+    PollRequest,
     StartRequest,
 )
 
@@ -79,14 +80,10 @@
                 answer = await self._calls.pace(self._place, token, task, attempt, call.percent)
                 await _answer(exchange, answer)
             case "/hold":
-                poll = await self._calls.poll(
-                    self._place,
-                    token,
-                    call.last_seen,
-                    call.deadline_ms,
-                    call.wait_ms / 1000,
-                    PATIENCE_SECONDS,
+                request = PollRequest(
+                    call.last_seen, call.deadline_ms, call.wait_ms / 1000, PATIENCE_SECONDS
                 )
+                poll = await self._calls.poll(self._place, token, request)
                 await _answer_poll(exchange, poll)
             case _:
                 await exchange.answer_json(404, {"error": "no such call"})
--- a/fireflyfork_standins/tests/test_wire_incarnations.py
+++ b/fireflyfork_standins/tests/test_wire_incarnations.py
@@ -16,6 +16,7 @@
     ExecutorRoom,
     JobSpec,
     OrderAnswer,
+    PollRequest,
     StartRequest,
     StepSpec,
     TaskKey,
@@ -100,7 +101,7 @@
         client = PlatformExecutors(LoopTime())
         async with first.lives():
             self.assertEqual(
-                (await client.poll(first.place, TOKEN, 0, None, 0.0, 1.0)).incarnation,
+                (await client.poll(first.place, TOKEN, PollRequest(0, None, 0.0, 1.0))).incarnation,
                 first.executor.born,
             )
         await trio.sleep(0.01)
@@ -108,7 +109,9 @@
         async with second.lives():
             over_the_old_connection = await _start(client, first.place)
             over_a_new_one = await _start(client, first.place)
-            renewed = await client.poll(first.place, TOKEN, 57, FAR_DEADLINE_MS, 0.0, 1.0)
+            renewed = await client.poll(
+                first.place, TOKEN, PollRequest(57, FAR_DEADLINE_MS, 0.0, 1.0)
+            )
         self.assertIn(
             over_the_old_connection.outcome,
             (CallOutcome.UNKNOWN, CallOutcome.OTHER_INCARNATION),
