--- a/fireflyfork/programs/_service_owner.py
+++ b/fireflyfork/programs/_service_owner.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from itertools import count
 
 import trio
 from loguru import logger
@@ -12,7 +11,6 @@
 from .._ids import ExecutorId, JobId, NodeName, Revision, ServiceName
 from ..adapters import (
     RelayedExecutors,
-    RelayPlace,
     StoreChange,
     StoredItem,
     StoreListing,
@@ -25,15 +23,11 @@
     QueueTable,
     Scheduler,
     SchedulerTerms,
-    Standing,
     StoredFormatError,
     StoredProgress,
     UpkeepWave,
-    can_do_better,
-    choose_relays,
     decode_progress,
     decode_stored_job,
-    should_hand_over,
     step_name,
 )
 from ..platform import (
@@ -54,6 +48,7 @@
 from ._scheduling_keys import CANCEL_PREFIX, JOB_PREFIX, PROGRESS_PREFIX, WORK_PREFIX, owner_key
 from ._service_journal import OwnershipLostError, ServiceJournal
 from ._service_lease import Term
+from ._succession import Succession
 from ._upkeep_duty import UpkeepDuty
 
 LEASE_SECONDS = 5.0
@@ -79,18 +74,10 @@
 be a quarter of all calls to the store; executors that leave go on for 2.5 s and more."""
 PROOF_RETRY_SECONDS = 0.5
 """Between questions who owns the service, while the store doesn't answer; calls are paid for."""
-RECOVERY_SECONDS = 4.0
-"""An able instance recovers within 0.3 s, or within 2 s while the store answers a hundred times slower
-than usual."""
-PERIODS_FOR_EQUALS = 2
-"""After so many times that long, the ownership is left to an instance that is no abler as well: what is
-wrong is wrong with this one."""
 ROUND_REST = 3.0
 """A round of placing is followed by a rest so many times as long, so that rounds take a quarter of the loop's
 time at most. What happens meanwhile is placed together with the next one."""
 LONGEST_ROUND_REST_SECONDS = 0.03
-HAND_OVER_CHECK_SECONDS = 3.0
-"""How often an owner looks whether a much abler instance could take its part."""
 
 
 class ServiceOwner:
@@ -113,7 +100,6 @@
         self._term = term
         self._service: ServiceName = term.service
         self._store = outside.store
-        self._node = node
         self._calls = RelayedExecutors(outside.executors, outside.loop_time)
         self._advisor = outside.advisor
         self._clock = clock
@@ -137,7 +123,9 @@
             self.kick,
             outside.loop_time,
         )
-        self._announcements = announcements
+        self._succession = Succession(
+            self._service, node, announcements, self._calls, lambda: len(self._scheduler.executors)
+        )
         self._ready = False
         self._log = DecisionLog(clock, self._service, metrics)
         # Reading what is left shows nothing: over a thin link it takes seconds, and may be old when it ends.
@@ -188,7 +176,9 @@
         try:
             async with trio.open_nursery() as nursery:
                 with trio.CancelScope() as recovery:
-                    nursery.start_soon(self._give_up_for_abler, recovery)
+                    nursery.start_soon(
+                        self._succession.watch_recovery, lambda: self._ready, recovery
+                    )
                     asked_at = self._clock.now()
                     work, servers_revision = await self._recover()
                     self._ready = True
@@ -205,7 +195,9 @@
                 nursery.start_soon(self._remove_old_jobs)
                 nursery.start_soon(self._upkeep.run)
                 nursery.start_soon(self._calls.run)
-                nursery.start_soon(self._follow_others)
+                nursery.start_soon(
+                    self._succession.follow_others, lambda: self.resign(HAND_OVER_SECONDS)
+                )
                 await self._dispatch(nursery)
                 nursery.cancel_scope.cancel()
         except* OwnershipLostError as errors:
@@ -385,59 +377,6 @@
             self._scheduler.note_ownership(asked_at)
         self._proving = False
 
-    async def _give_up_for_abler(self, recovery: trio.CancelScope) -> None:
-        """End a recovery that takes long, once another instance could be done sooner.
-
-        Nobody else may place tasks while this instance holds the ownership. Renewals are small, so they
-        would keep it for as long as a thin link takes to bring what there is to read.
-        """
-        for periods in count(1):
-            await trio.sleep(RECOVERY_SECONDS)
-            if self._ready:
-                return
-            own = self._announcements.capable
-            others = [one for one in await self._announced() if one.node != own.node]
-            # Given up for equals a second time, the service would go round among slow instances for ever.
-            equals = periods >= PERIODS_FOR_EQUALS and not self._announcements.shaken
-            if can_do_better(own, others, equals):
-                logger.warning(
-                    "ownership given up: recovery takes too long",
-                    service=self._service,
-                    seconds=periods * RECOVERY_SECONDS,
-                )
-                recovery.cancel()
-                return
-
-    async def _announced(self) -> list[Standing]:
-        """What all instances announce; nothing while the store doesn't answer."""
-        try:
-            return await self._announcements.others()
-        except StoreError as error:
-            logger.debug("other instances not listed", error=str(error))
-            return []
-
-    async def _follow_others(self) -> None:
-        """Use others as relays, and end this term once another instance could do its work far better."""
-        self._use_relays(await self._announced())
-        while True:
-            await trio.sleep(HAND_OVER_CHECK_SECONDS)
-            own, others = self._announcements.own, await self._announced()
-            if should_hand_over(own, others):
-                logger.info("handing over", service=self._service, strength=own.strength)
-                await self.resign(HAND_OVER_SECONDS)
-                return
-            self._use_relays(others)
-
-    def _use_relays(self, others: list[Standing]) -> None:
-        # Nobody is announced while the store doesn't answer; the relays are still there.
-        if others:
-            chosen = choose_relays(self._node, others, len(self._scheduler.executors))
-            self._calls.use(
-                RelayPlace(one.node, one.failure_domain, one.relay)
-                for one in chosen
-                if one.relay is not None and one.failure_domain is not None
-            )
-
     async def _remove_old_jobs(self) -> None:
         while True:
             await trio.sleep(CLEANUP_SECONDS)
--- a/fireflyfork_standins/tests/test_scheduling_days.py
+++ b/fireflyfork_standins/tests/test_scheduling_days.py
@@ -240,7 +240,7 @@
 
         with (
             patch("fireflyfork.programs._service_lease.bid_delay", delay),
-            patch("fireflyfork.programs._service_owner.can_do_better", lambda *_, **__: False),
+            patch("fireflyfork.programs._succession.can_do_better", lambda *_, **__: False),
         ):
             times = [run_world(seed, THIN_DAY).longest_without_owner for seed in range(400, 406)]
         self.assertGreater(max(times), LONGEST_WITHOUT_OWNER)
