Probes give up sooner than late polls

Executors that hang take a probe and never answer it; with more of them than there are probes at once, a sound executor whose connection had gone silent was probed only after five seconds, and its jobs waited. A probe is given 1.5 s now; the late poll beside it still waits for as long as a lease lasts. test_probes: 48 executors hang, the sound one is reached after 5.8 s before, within 4.6 s now.

--- a/fireflyfork/programs/_executor_polls.py
+++ b/fireflyfork/programs/_executor_polls.py
@@ -30,13 +30,15 @@
 FIRST_RETRY_SECONDS = 0.05
 LONGEST_RETRY_SECONDS = 0.8
 MOST_DOUBLINGS = 10
-"""Of the first retry's delay. Unbounded, the power would outgrow a float after a day of silence."""
+"""Of the first retry's delay. Unbounded, the power would outgrow a float in a long silence."""
 LATE_SECONDS = 0.6
 """Of loop time, beyond the wait of the poll: an answer that is under way for longer is late. It takes 1 ms,
 and some 45 ms from another region."""
 PATIENCE_SECONDS = 5.0
 """A late answer is waited for as long as a lease lasts: it may list ends, and what is taken for over for want
 of a word that is on its way would run twice."""
+PROBE_PATIENCE_SECONDS = 1.5
+"""A probe that is not answered soon makes room for those of other executors; the late poll goes on."""
 PROBES_AT_ONCE = 24
 """For all executors together. Late answers come from a full link or a busy executor, and more calls than that
 would keep it so."""
@@ -141,7 +143,7 @@
         )
         try:
             with poll.scope:
-                await self._ask(executor, poll, wait)
+                await self._ask(executor, poll, wait, PATIENCE_SECONDS)
         finally:
             poll.over = True
             alarm.cancel()
@@ -177,12 +179,17 @@
         probe = _Poll(self._clock.now())
         alarm = self._loop_time.after(LATE_SECONDS, probe.note_late)
         try:
-            return await self._ask(executor, probe, 0.0, fresh=True)
+            return await self._ask(executor, probe, 0.0, PROBE_PATIENCE_SECONDS, fresh=True)
         finally:
             alarm.cancel()
 
     async def _ask(
-        self, executor: ExecutorState, poll: _Poll, wait: float, fresh: bool = False
+        self,
+        executor: ExecutorState,
+        poll: _Poll,
+        wait: float,
+        patience: float,
+        fresh: bool = False,
     ) -> bool:
         """Whether there was an answer, which has been taken in."""
         forget = executor.forgettable_end
@@ -190,7 +197,7 @@
         answer = await self._calls.poll(
             ExecutorPlace(known.executor, known.address, known.incarnation, known.failure_domain),
             self._term.token,
-            PollRequest(forget, self._lease(executor, poll.sent_at), wait, PATIENCE_SECONDS),
+            PollRequest(forget, self._lease(executor, poll.sent_at), wait, patience),
             fresh,
         )
         if self._ended:
