Work that takes leftover time is compared on all executors again

What users of lasting services saw: more of their tasks over target, since work beside them stood in worse places. With 48 executors priced for a step, the one where it slows services least was often not among them: effects differ by pair and place. Only work with a reservation is priced on a part of the fleet now. The test fails with 48 priced for both.

--- a/bench/job_scheduler_cost.py
+++ b/bench/job_scheduler_cost.py
@@ -60,8 +60,9 @@
 class Day:
     """One owner with its executors, whose answers are made up."""
 
-    def __init__(self, executors: int) -> None:
-        """Register executors and start the serving tasks."""
+    def __init__(self, executors: int, fills: bool = True) -> None:
+        """Register executors and start the serving tasks; work that ``fills`` takes what these leave over."""
+        self._fills = fills
         self._random = Random(executors)
         self._scheduler = Scheduler(SchedulerTerms(SERVICE, 8.0, 5.0))
         queue = QueueTerms(QueueName("q"), "h", "/q/", SERVICE, 0, 3, 2.0, 1000, 3000)
@@ -95,7 +96,9 @@
         while self.cost.starts < starts:
             for _ in range(max(1, len(self._scheduler.executors) // 8)):
                 image = self._random.choice(IMAGES)
-                self._hand_in(StepSpec(8, 1500, 1500, 0, 2000, image=image, uses_leftover_cpu=True))
+                self._hand_in(
+                    StepSpec(8, 1500, 1500, 0, 2000, image=image, uses_leftover_cpu=self._fills)
+                )
             self._place()
             self._poll_all(ends=True)
         return self.cost
@@ -165,12 +168,13 @@
 
 def main() -> None:
     """Print a line for each number of executors."""
-    print("executors  us a start  us a poll")
+    print("executors  us a start that fills  us a start that reserves  us a poll")
     for size in SIZES:
-        cost = Day(size).play(min(STARTS_PER_EXECUTOR * size, MOST_STARTS))
-        placing = cost.placing / cost.starts * 1e6
-        polling = cost.polling / cost.polls * 1e6
-        print(f"{size:9d}  {placing:10.0f}  {polling:9.0f}")
+        starts = min(STARTS_PER_EXECUTOR * size, MOST_STARTS)
+        fills, reserves = Day(size).play(starts), Day(size, fills=False).play(starts)
+        placing = [cost.placing / cost.starts * 1e6 for cost in (fills, reserves)]
+        polling = fills.polling / fills.polls * 1e6
+        print(f"{size:9d}  {placing[0]:21.0f}  {placing[1]:24.0f}  {polling:9.0f}")
 
 
 if __name__ == "__main__":
--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -148,8 +148,10 @@
     ) -> Candidates:
         known = placing.candidates.get(task.step_id)
         if known is None:
-            # What lasts stays where it is put, so all places are compared.
-            looked_at = len(allowed) if task.spec.long_running else LOOKED_AT
+            # What lasts stays where it is put, and what takes leftover time slows services by amounts that
+            # differ from place to place: for these all places are compared.
+            compares_all = task.spec.long_running or task.spec.uses_leftover_cpu
+            looked_at = len(allowed) if compares_all else LOOKED_AT
             model = self._work.interference
             known = Candidates(task, allowed, model, most, self._first, looked_at)
             self._first += LOOKED_AT
--- a/fireflyfork/decisions/jobs/tests/builders_jobs.py
+++ b/fireflyfork/decisions/jobs/tests/builders_jobs.py
@@ -23,6 +23,7 @@
     ExecutorRoom,
     ExecutorState,
     JobSpec,
+    LearnedFit,
     OrderAnswer,
     PaceRun,
     PollAnswer,
@@ -85,6 +86,13 @@
     return replace(made, **changes)  # type: ignore[arg-type]
 
 
+def learned(serving: str, effect: float) -> LearnedFit:
+    """What an earlier owner knew: ``noisy`` takes so much headroom beside this service."""
+    weight = 1000.0
+    products = (weight, 0.0, weight)
+    return LearnedFit(serving, ("\x00", "noisy"), products, (2.4 * weight, -effect * weight))
+
+
 class OwnerUnderTest:
     """A scheduler whose orders are answered as the test says, at a time that the test moves."""
 
--- a/fireflyfork/decisions/jobs/tests/test_arrangement.py
+++ b/fireflyfork/decisions/jobs/tests/test_arrangement.py
@@ -13,22 +13,15 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from .. import EndReason, LearnedFit, Run
+from .. import EndReason, Run
 from .._arrangement import MOVES_AT_ONCE, REST_SECONDS, Usefulness
-from .builders_jobs import START_MS, OwnerUnderTest, job, row, step
+from .builders_jobs import START_MS, OwnerUnderTest, job, learned, row, step
 
 HEAVY, LIGHT = 6.0, 0.1
 SERVICES = ("web", "desk")
 PLACES = ("i-0", "i-1", "i-2", "i-3")
 
 
-def _learned(serving: str, effect: float) -> LearnedFit:
-    """What an earlier owner knew: ``noisy`` takes so much headroom beside this service."""
-    weight = 1000.0
-    products = (weight, 0.0, weight)
-    return LearnedFit(serving, ("\x00", "noisy"), products, (2.4 * weight, -effect * weight))
-
-
 def _serving(name: str, image: str, **changes: object) -> object:
     lasting = step(
         count=1, cpu_millis=6000, image=image, tail_target_ms=50, long_running=True, **changes
@@ -39,7 +32,7 @@
 def _owner(*jobs: tuple[str, str, int]) -> OwnerUnderTest:
     """An owner whose executors serve these: job's number, image, executor's number."""
     owner = OwnerUnderTest(*PLACES)
-    owner.scheduler.adopt((_learned("web", HEAVY), _learned("desk", LIGHT)))
+    owner.scheduler.adopt((learned("web", HEAVY), learned("desk", LIGHT)))
     for number, image, place in jobs:
         spec = _serving(f"{int(number):016x}", image)
         owner.scheduler.accept(spec, START_MS)  # type: ignore[arg-type]
@@ -187,7 +180,7 @@
         _let_batch_wait(owner)
         _poll_all(owner)
         first = _settle(owner, 4.0)
-        owner.scheduler.adopt((_learned("web", LIGHT), _learned("desk", HEAVY)))
+        owner.scheduler.adopt((learned("web", LIGHT), learned("desk", HEAVY)))
         again = _settle(owner, REST_SECONDS / 2)
         self.assertFalse({run.task.name for run in first} & {run.task.name for run in again})
 
--- a/fireflyfork/decisions/jobs/tests/test_candidates.py
+++ b/fireflyfork/decisions/jobs/tests/test_candidates.py
@@ -16,7 +16,7 @@
 from .._interference import InterferenceModel
 from .._placing import choose, cost_of
 from .._specs import StepSpec
-from .builders_jobs import START_MS, OwnerUnderTest, job, step
+from .builders_jobs import START_MS, OwnerUnderTest, job, learned, step
 
 _LOADS = st.lists(st.integers(0, 15), min_size=1, max_size=6)
 _SIZES = st.sampled_from([500, 1500, 4000])
@@ -84,6 +84,20 @@
         assert found is not None
         self.assertEqual(found.strikes, 0)
 
+    def test_work_that_slows_services_goes_where_it_slows_them_least(self) -> None:
+        """Guards against services over their target in a large fleet, beside work that has a better place
+        on an executor that wasn't looked at."""
+        owner = OwnerUnderTest(*(f"i-{number}" for number in range(2 * LOOKED_AT)))
+        owner.scheduler.adopt((learned("web", 2.0), learned("desk", 0.1)))
+        executors = list(owner.scheduler.executors.values())
+        for one in executors:
+            one.lasting_headroom = {"web": 1.5}
+        executors[-1].lasting_headroom = {"desk": 1.5}
+        disturbing = step(cpu_millis=4000, image="noisy", uses_leftover_cpu=True)
+        owner.scheduler.accept(job("00000000000000aa", disturbing), START_MS)
+        (run,) = owner.place()
+        self.assertIs(run.executor, executors[-1])
+
 
 def _fleet(loads: list[int], spec: StepSpec) -> tuple[list[ExecutorState], list[Task]]:
     """Executors with so many cores in use each, and the tasks of one step."""
