A lasting task comes back past siblings that wait for room kept free

What users saw: a task of a lasting service had ended and was not started again, with room for it. Room is kept for short work from lasting tasks that never ran. Why one of these found no place was taken for the answer for all tasks of its size in a round, also for those that ran before and may have that room; tasks that had been refused once stood behind them for good. The answer is now kept apart for the two. test_backlog fails before.

--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -237,7 +237,9 @@
     limited = task.step_id if own else None
     size = (step.reserved_cpu_millis, step.memory_mb, step.accelerators)
     image = step.image if step.uses_leftover_cpu else ""
-    return (*size, step.required_label, step.long_running, limited, image)
+    # Room is kept from tasks that last and never ran, but not from those that have to come back.
+    comes_back = step.long_running and task.attempt > 0
+    return (*size, step.required_label, step.long_running, comes_back, limited, image)
 
 
 def _refusal(task: Task, usable: list[ExecutorState]) -> WaitReason:
--- a/fireflyfork/decisions/jobs/tests/test_backlog.py
+++ b/fireflyfork/decisions/jobs/tests/test_backlog.py
@@ -10,11 +10,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from .. import _waiting_tasks
+from .. import EndReason, _waiting_tasks
 from .._placement import Placement
 from .._urgency import urgency
 from .._work import Work
-from .builders_jobs import START_MS, OwnerUnderTest, job, step
+from .builders_jobs import START_MS, OwnerUnderTest, job, row, step
 
 STEPS, TASKS = 60, 39
 
@@ -64,3 +64,20 @@
         self.assertEqual(len(runs), 4)
         owner.scheduler._work.gone(runs[0], owner.now, runs[0].task.last_over)
         self.assertEqual(len(owner.place()), 1)
+
+    def test_a_lasting_task_comes_back_past_others_that_wait_for_room_kept_free(self) -> None:
+        """Guards against a service whose task has ended and is not started again, with room for it, since
+        tasks of its step that never ran may not have that room."""
+        owner = OwnerUnderTest("i-0")
+        lasting = step(count=20, cpu_millis=1000, memory_mb=100, long_running=True)
+        owner.scheduler.accept(job("00000000000000aa", lasting), START_MS)
+        runs = owner.place()
+        self.assertEqual(len(runs), 14)
+        owner.end("i-0", runs[3].task.name, runs[3].attempt, EndReason.FAILED)
+        owner.poll("i-0", *(row(run) for run in runs if run is not runs[3]))
+        owner.executor().promised_cpu_millis = 3000
+        self.assertEqual(owner.place(), [])
+        owner.executor().promised_cpu_millis = 0
+        owner.scheduler.check_time(owner.now, START_MS)
+        again = {run.task.name for run in owner.place()}
+        self.assertIn(runs[3].task.name, again)
