--- a/fireflyfork/adapters/tests/test_relays.py
+++ b/fireflyfork/adapters/tests/test_relays.py
@@ -5,7 +5,8 @@
 """
 
 import unittest
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
 
 import trio
 
@@ -119,6 +120,20 @@
         while (self.owner._relay_for(EXECUTOR) is not None) is not relayed:
             await trio.sleep(0.01)
 
+    @asynccontextmanager
+    async def start_under_way(self) -> AsyncIterator[list[OrderAnswer]]:
+        """An order that the relay has got; its answer is in the list in the end."""
+        answers: list[OrderAnswer] = []
+
+        async def start() -> None:
+            answers.append(await self.owner.start(EXECUTOR, TOKEN, ORDER))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(start)
+            while not self.relayed.called:
+                await trio.sleep(0.01)
+            yield answers
+
     async def _serve(self, listeners: list[trio.SocketListener]) -> None:
         with self.relay_life:
             await self.server.run(listeners)
@@ -175,15 +190,7 @@
         """Guards against a start that is taken for not carried out, and goes out a second time."""
 
         async def play(world: RelayWorld) -> None:
-            answers: list[OrderAnswer] = []
-
-            async def start() -> None:
-                answers.append(await world.owner.start(EXECUTOR, TOKEN, ORDER))
-
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(start)
-                while not world.relayed.called:
-                    await trio.sleep(0.01)
+            async with world.start_under_way() as answers:
                 world.relay_life.cancel()
             self.assertEqual(answers, [OrderAnswer(CallOutcome.UNKNOWN, None)])
             await world.until(False)
@@ -196,15 +203,7 @@
         """Guards against orders that a planned stop cuts off."""
 
         async def play(world: RelayWorld) -> None:
-            answers: list[OrderAnswer] = []
-
-            async def start() -> None:
-                answers.append(await world.owner.start(EXECUTOR, TOKEN, ORDER))
-
-            async with trio.open_nursery() as nursery:
-                nursery.start_soon(start)
-                while not world.relayed.called:
-                    await trio.sleep(0.01)
+            async with world.start_under_way() as answers:
                 world.server.say_goodbye()
                 await world.until(False)
             self.assertEqual([one.outcome for one in answers], [CallOutcome.ACCEPTED])
