--- a/fireflyfork/adapters/__init__.py
+++ b/fireflyfork/adapters/__init__.py
@@ -30,7 +30,7 @@
     InstanceList,
     InstanceState,
 )
-from ._loop_time import Alarm, LoopTime
+from ._loop_time import LoopTime
 from ._machines import MachineCalls, NoMachines
 from ._peer_connection import Call, IncomingCall, OutgoingCall, PeerConnection, PeerHandler, refused
 from ._peer_messages import AnswerHead, Chunk, Control, Forward, Pong, Refusal, Role, ServiceFigures
@@ -46,7 +46,6 @@
     "ANY_INCARNATION",
     "Advice",
     "Advisor",
-    "Alarm",
     "AnswerHead",
     "Call",
     "Chunk",
--- a/fireflyfork/adapters/_relay_client.py
+++ b/fireflyfork/adapters/_relay_client.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 from itertools import count
+from typing import NoReturn
 
 import trio
 import xxhash
@@ -129,9 +130,9 @@
             nursery.start_soon(self._stream.run)
             nursery.start_soon(self._ping, self._stream)
             await self._listen(self._stream)
-            nursery.cancel_scope.cancel()
 
-    async def _listen(self, stream: RelayStream) -> None:
+    async def _listen(self, stream: RelayStream) -> NoReturn:
+        """Take what the relay says until the stream ends. Raises PeerError."""
         try:
             with self._loop_time.fail_after(SILENT_SECONDS) as put_off:
                 async for message in stream.messages():
