Instances tell what their processor time and their calls to the store go to

An owner at its limit showed only that it was late.

A trio instrument charges the loop thread's processor time to the function that each task began with, and sections tell apart what the owner does within one.

Tests: test_loop_profile, test_loop_report, test_loop_account, test_ctl_account, seen green.

--- a/fireflyfork/adapters/__init__.py
+++ b/fireflyfork/adapters/__init__.py
@@ -30,6 +30,7 @@
     InstanceList,
     InstanceState,
 )
+from ._loop_profile import LoopProfile
 from ._loop_time import LoopTime
 from ._machines import MachineCalls, NoMachines
 from ._peer_connection import Call, IncomingCall, OutgoingCall, PeerConnection, PeerHandler, refused
@@ -71,6 +72,7 @@
     "InstanceChanges",
     "InstanceList",
     "InstanceState",
+    "LoopProfile",
     "LoopTime",
     "MachineCalls",
     "NoAdvisor",
--- a/fireflyfork/adapters/_coordination.py
+++ b/fireflyfork/adapters/_coordination.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from .._ids import LeaseId, Revision
@@ -70,6 +71,11 @@
     def answers(self) -> bool:
         """Whether the store has answered this instance lately."""
 
+    @property
+    def calls(self) -> Mapping[str, int]:
+        """Calls made so far, by what they were for; empty where nobody counts them."""
+        return {}
+
     @abstractmethod
     async def read(self, key: str) -> StoredItem | None:
         """The item, or None when the key is absent."""
--- /dev/null
+++ b/fireflyfork/adapters/tests/test_loop_profile.py
@@ -0,0 +1,63 @@
+"""Processor time of the event loop by activity."""
+
+import unittest
+
+import trio
+
+from .. import LoopProfile
+
+
+class _Worker:
+    """Uses up a processor that belongs to the test."""
+
+    def __init__(self) -> None:
+        self.used = 0.0
+        self.profile = LoopProfile(lambda: self.used)
+
+    def work(self, seconds: float) -> None:
+        self.used += seconds
+
+    async def poll(self) -> None:
+        for _ in range(3):
+            self.work(1.0)
+            await trio.lowlevel.checkpoint()
+
+    async def place(self) -> None:
+        self.work(2.0)
+        with self.profile.section("pricing"):
+            self.work(5.0)
+        await trio.lowlevel.checkpoint()
+        self.work(3.0)
+
+
+async def _run_all(worker: _Worker) -> None:
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(worker.poll)
+        nursery.start_soon(worker.poll)
+        nursery.start_soon(worker.place)
+
+
+class LoopProfileTest(unittest.TestCase):
+    """Who is charged for which time."""
+
+    def setUp(self) -> None:
+        self.worker = _Worker()
+        trio.run(_run_all, self.worker, instruments=[self.worker.profile])
+
+    def test_time_is_charged_to_the_function_that_a_task_began_with(self) -> None:
+        self.assertEqual(self.worker.profile.spent["_Worker.poll"], 6.0)
+
+    def test_a_section_is_told_apart_from_its_task(self) -> None:
+        spent = self.worker.profile.spent
+        self.assertEqual((spent["pricing"], spent["_Worker.place"]), (5.0, 5.0))
+
+    def test_all_time_is_charged_once(self) -> None:
+        self.assertEqual(sum(self.worker.profile.spent.values()), self.worker.used)
+
+    def test_a_section_that_fails_is_charged_and_left(self) -> None:
+        """Guards against one error that has all later time charged to the wrong activity."""
+        with self.assertRaises(ValueError), self.worker.profile.section("pricing"):
+            self.worker.work(1.0)
+            raise ValueError
+        self.worker.work(1.0)
+        self.assertEqual(self.worker.profile.spent["pricing"], 6.0)
--- a/fireflyfork/operations/__init__.py
+++ b/fireflyfork/operations/__init__.py
@@ -44,6 +44,7 @@
     spread,
     summarize,
 )
+from ._loop_account import LoopAccount, account_loops
 from ._quantities import ByteCount, ByteRate, Cores, Duration, Quantity, Share
 from ._reference import configuration_reference
 from ._span_tree import SpanNode, draw, find_trace, read_spans, span_trees
@@ -69,6 +70,7 @@
     "JobAccount",
     "JobAnswer",
     "LinkAnswer",
+    "LoopAccount",
     "Measure",
     "Prompt",
     "Quantity",
@@ -82,6 +84,7 @@
     "Violation",
     "WorkerAnswer",
     "account_jobs",
+    "account_loops",
     "by_phase",
     "check",
     "check_change",
--- /dev/null
+++ b/fireflyfork/operations/_loop_account.py
@@ -0,0 +1,63 @@
+"""What the instances' processor time and calls to the store went to, from their log lines."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+
+import msgspec
+
+
+@dataclass(slots=True)
+class LoopAccount:
+    """What one instance did, over all of its lines."""
+
+    spent_seconds: defaultdict[str, float] = field(default_factory=lambda: defaultdict(float))
+    """Processor time by activity."""
+    store_calls: Counter[str] = field(default_factory=Counter)
+    """By purpose."""
+    worst_lag_ms: int = 0
+    """How late its loop was at most."""
+
+    @property
+    def seconds(self) -> float:
+        """Processor time of all activities."""
+        return sum(self.spent_seconds.values())
+
+
+_MESSAGE = "loop time"
+
+
+class _Line(msgspec.Struct):
+    message: str
+    node: str = ""
+    spent_ms: dict[str, int] = {}
+    store_calls: dict[str, int] = {}
+    lag_ms: int = 0
+
+
+def account_loops(lines: Iterable[str]) -> dict[str, LoopAccount]:
+    """By instance, the busiest first; lines that tell nothing of this are passed over."""
+    accounts: dict[str, LoopAccount] = defaultdict(LoopAccount)
+    for line in _loop_lines(lines):
+        account = accounts[line.node]
+        for activity, spent in line.spent_ms.items():
+            account.spent_seconds[activity] += spent / 1000
+        account.store_calls.update(line.store_calls)
+        account.worst_lag_ms = max(account.worst_lag_ms, line.lag_ms)
+    return dict(sorted(accounts.items(), key=lambda item: (-item[1].seconds, item[0])))
+
+
+def _loop_lines(lines: Iterable[str]) -> Iterator[_Line]:
+    for text in lines:
+        brace = text.find("{")
+        if brace < 0 or _MESSAGE not in text:
+            continue
+        try:
+            line = msgspec.json.decode(text[brace:], type=_Line)
+        except (msgspec.DecodeError, UnicodeEncodeError):
+            # Logs of several programs lie in one file.
+            continue
+        if line.message == _MESSAGE:
+            yield line
--- /dev/null
+++ b/fireflyfork/operations/tests/test_loop_account.py
@@ -0,0 +1,40 @@
+"""What processor time and calls to the store went to."""
+
+import unittest
+
+from .. import account_loops
+from .builders_job_logs import line, sent
+
+OWNER, ENTRY = "owner-1", "entry-1"
+
+
+def _report(node: str, spent: dict[str, int], calls: dict[str, int], lag: int = 0) -> str:
+    return line(10.0, "loop time", node=node, spent_ms=spent, store_calls=calls, lag_ms=lag)
+
+
+LINES = (
+    _report(ENTRY, {"event loop": 100}, {"watch work": 5}),
+    _report(OWNER, {"placing": 2_000, "event loop": 500}, {"commit progress": 30}, lag=40),
+    _report(OWNER, {"placing": 1_000}, {"commit progress": 10, "watch work": 5}, lag=15),
+)
+
+
+class LoopAccountTest(unittest.TestCase):
+    """The sums of the lines."""
+
+    def setUp(self) -> None:
+        self.accounts = account_loops(LINES)
+
+    def test_the_busiest_instance_comes_first(self) -> None:
+        self.assertEqual(list(self.accounts), [OWNER, ENTRY])
+
+    def test_lines_of_an_instance_are_added_up(self) -> None:
+        owner = self.accounts[OWNER]
+        self.assertEqual(owner.spent_seconds, {"placing": 3.0, "event loop": 0.5})
+        self.assertEqual(owner.store_calls, {"commit progress": 40, "watch work": 5})
+        self.assertEqual(owner.worst_lag_ms, 40)
+
+    def test_what_no_scheduler_wrote_is_passed_over(self) -> None:
+        """Guards against a file that can't be read for a line cut short or of another program."""
+        others = ("loop time", '{"message": "loop time", "spent_ms": 3}', '{"loop time', sent(1.0))
+        self.assertEqual(account_loops((*others, *LINES)), self.accounts)
--- a/fireflyfork/platform/_store_client.py
+++ b/fireflyfork/platform/_store_client.py
@@ -3,6 +3,9 @@
 from __future__ import annotations
 
 from base64 import b64decode, b64encode
+from collections import Counter
+from collections.abc import Mapping
+from types import MappingProxyType
 from typing import TypeVar
 from urllib.parse import quote
 
@@ -58,6 +61,9 @@
 """One lost answer says nothing. After three in a row callers are better served elsewhere at once than
 after another timeout here; the watches go on asking, and one answer ends the doubt."""
 
+_KIND_SEGMENTS = 2
+"""Of a key or a prefix; they tell its kind, and what follows tells which one of it."""
+
 _Body = TypeVar("_Body")
 
 
@@ -120,6 +126,12 @@
         """Connect to ``address`` when first needed."""
         self._calls = JsonCalls(address, CALL_TIMEOUT_SECONDS, ANSWER_PAUSE_SECONDS)
         self._failures = 0
+        self._counted: Counter[str] = Counter()
+
+    @property
+    def calls(self) -> Mapping[str, int]:
+        """See CoordinationStore."""
+        return MappingProxyType(self._counted)
 
     @property
     def answers(self) -> bool:
@@ -128,6 +140,7 @@
 
     async def read(self, key: str) -> StoredItem | None:
         """See CoordinationStore."""
+        self._count("read", key)
         answer = await self._call("GET", f"{KEY_PATH}?key={quote(key, safe='')}")
         if answer.status == 404:
             return None
@@ -142,19 +155,21 @@
             target = f"{RANGE_PATH}?path_prefix={quote(prefix, safe='')}"
             if after:
                 target += f"&after={quote(after, safe='')}"
-            page = _decoded(await self._page(target), _Range)
+            page = _decoded(await self._page(prefix, target), _Range)
             earliest = page.as_of if earliest is None else min(earliest, page.as_of)
             items.extend(map(_stored, page.items))
             if not page.has_more or not page.items:
                 return StoreListing(tuple(items), Revision(earliest))
             after = page.items[-1].key
 
-    async def _page(self, target: str) -> CallAnswer:
+    async def _page(self, prefix: str, target: str) -> CallAnswer:
         for _ in range(PAGE_TRIES - 1):
+            self._count("list", prefix)
             try:
                 return await self._call("GET", target)
             except StoreUnavailableError as error:
                 logger.debug("page asked for again", error=str(error))
+        self._count("list", prefix)
         return await self._call("GET", target)
 
     async def changes(self, prefix: str, after: Revision, wait_seconds: float) -> StoreChanges:
@@ -163,6 +178,7 @@
             f"{WATCH_PATH}?path_prefix={quote(prefix, safe='')}"
             f"&after={after}&wait_ms={int(wait_seconds * 1000)}"
         )
+        self._count("watch", prefix)
         answer = await self._call("GET", target, extra_seconds=wait_seconds)
         if answer.status == 410:
             raise StoreHistoryLostError(f"the changes of {prefix} after {after} are gone")
@@ -176,6 +192,8 @@
         removals: tuple[str, ...] = (),
     ) -> Revision:
         """See CoordinationStore."""
+        changed = [put.key for put in puts] or removals
+        self._count("commit", changed[0] if changed else "")
         transaction = _Transaction(
             [_Expected(key, revision) for key, revision in expected.items()],
             [
@@ -200,12 +218,14 @@
 
     async def grant_lease(self, seconds: float) -> LeaseId:
         """See CoordinationStore."""
+        self._count("grant", "lease")
         body = msgspec.json.encode(_LeaseRequest(int(seconds * 1000)))
         answer = await self._call("POST", LEASE_PATH, body)
         return LeaseId(_decoded(answer, _Granted).lease)
 
     async def keep_lease(self, lease: LeaseId) -> None:
         """See CoordinationStore."""
+        self._count("keep", "lease")
         answer = await self._call("POST", f"{LEASE_KEEP_PATH}{lease}")
         if answer.status == 404:
             raise LeaseEndedError(f"lease {lease} has ended")
@@ -213,10 +233,15 @@
 
     async def end_lease(self, lease: LeaseId) -> None:
         """See CoordinationStore."""
+        self._count("end", "lease")
         answer = await self._call("DELETE", f"{LEASE_END_PATH}{lease}")
         if answer.status != 404:
             _require(answer, 200)
 
+    def _count(self, verb: str, key: str) -> None:
+        kind = "/".join(key.split("/", _KIND_SEGMENTS)[:_KIND_SEGMENTS])
+        self._counted[f"{verb} {kind}"] += 1
+
     async def _call(
         self, method: str, target: str, body: bytes = b"", extra_seconds: float = 0.0
     ) -> CallAnswer:
--- a/fireflyfork/programs/_ctl_account.py
+++ b/fireflyfork/programs/_ctl_account.py
@@ -3,16 +3,30 @@
 from __future__ import annotations
 
 import sys
-from collections.abc import Iterator
-from itertools import chain
+from collections import Counter
+from collections.abc import Iterator, Mapping
+from itertools import chain, islice
 from pathlib import Path
 
-from ..operations import Cause, JobAccount, account_jobs, by_phase, spread, summarize
+from ..operations import (
+    Cause,
+    JobAccount,
+    LoopAccount,
+    account_jobs,
+    account_loops,
+    by_phase,
+    spread,
+    summarize,
+)
 from ._ctl_output import CommandError, ExitCode, Output, finish, table
 from ._ctl_trace import read_lines
 
+INSTANCES_SHOWN = 10
 
-def account(*files: Path, json: bool = False, plot: Path | None = None) -> ExitCode:
+
+def account(
+    *files: Path, json: bool = False, plot: Path | None = None, loops: bool = False
+) -> ExitCode:
     """Say where the time of late jobs went, from the logs of the scheduler's processes.
 
     Every job that took longer than its objective allows, or never ended, is split by cause: what its
@@ -23,15 +37,27 @@
 
         fireflyfork-ctl account logs/
         cat scheduler-*.log | fireflyfork-ctl account --plot causes.png
+        fireflyfork-ctl account --loops logs/
 
     :param files: files of log lines, or directories of them; standard input when none is given
     :param json: print the account of each late job as JSON
+    :param loops: tell instead what the instances' processor time and calls to the store went to
     :param plot: draw late jobs by phase and cause into this file; needs matplotlib
     """
     output = Output(json)
 
     def command() -> ExitCode:
         lines = chain.from_iterable(map(read_lines, files)) if files else sys.stdin
+        if loops:
+            found = account_loops(lines)
+            if not found:
+                raise CommandError(
+                    ExitCode.NOT_FOUND,
+                    "no instance's loop time is in these logs",
+                    "each instance logs it every ten seconds",
+                )
+            output.result(found, _loop_report(found))
+            return ExitCode.DONE
         accounts = account_jobs(lines)
         if not accounts:
             raise CommandError(
@@ -64,6 +90,32 @@
     yield from table(("queue", "time of late jobs", "seconds"), sums)
 
 
+def _loop_report(accounts: dict[str, LoopAccount]) -> Iterator[str]:
+    nodes = [
+        (node, f"{one.seconds:.1f}", sum(one.store_calls.values()), one.worst_lag_ms)
+        for node, one in islice(accounts.items(), INSTANCES_SHOWN)
+    ]
+    yield from table(("instance", "processor seconds", "store calls", "worst lag ms"), nodes)
+    busiest, *others = accounts.values()
+    yield ""
+    yield from table(("the busiest: activity", "seconds"), _seconds_rows(busiest.spent_seconds))
+    all_others: Counter[str] = Counter()
+    for one in others:
+        all_others.update(one.spent_seconds)
+    yield ""
+    yield from table(("all others: activity", "seconds"), _seconds_rows(all_others))
+    calls: Counter[str] = Counter()
+    for one in accounts.values():
+        calls.update(one.store_calls)
+    yield ""
+    yield from table(("store calls", "number"), calls.most_common())
+
+
+def _seconds_rows(seconds: Mapping[str, float]) -> list[tuple[str, str]]:
+    ordered = sorted(seconds.items(), key=lambda item: -item[1])
+    return [(activity, f"{one:.2f}") for activity, one in ordered]
+
+
 def _draw(accounts: tuple[JobAccount, ...], path: Path) -> None:
     try:
         from matplotlib.figure import Figure
--- a/fireflyfork/programs/_metrics.py
+++ b/fireflyfork/programs/_metrics.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 
 from hdrh.histogram import HdrHistogram
 
@@ -17,6 +17,7 @@
 
 Labels = tuple[tuple[str, str], ...]
 Gauge = Callable[[], float]
+CountersByLabel = Callable[[], Mapping[str, float]]
 
 
 class Metrics:
@@ -28,6 +29,7 @@
         self._histograms: dict[tuple[str, Labels], HdrHistogram] = {}
         self._sums: Counter[tuple[str, Labels]] = Counter()
         self._gauges: dict[str, Gauge] = {}
+        self._kept_elsewhere: dict[str, tuple[str, CountersByLabel]] = {}
 
     def count(self, name: str, amount: int = 1, **labels: str) -> None:
         """Add to a counter."""
@@ -50,6 +52,10 @@
         """Report what ``value`` returns at the time of reading."""
         self._gauges[name] = value
 
+    def counters(self, name: str, label: str, values: CountersByLabel) -> None:
+        """Report counters that somebody else keeps, by the values of ``label``."""
+        self._kept_elsewhere[name] = (label, values)
+
     def text(self) -> str:
         """All metrics in the Prometheus text format."""
         return "\n".join((*self._counter_lines(), *self._gauge_lines(), *self._summary_lines(), ""))
@@ -59,6 +65,10 @@
             yield f"# TYPE {name} counter"
             rows = sorted((labels, n) for (key, labels), n in self._counters.items() if key == name)
             yield from (f"{name}{_text(labels)} {number}" for labels, number in rows)
+        for name, (label, values) in sorted(self._kept_elsewhere.items()):
+            yield f"# TYPE {name} counter"
+            for value, number in sorted(values().items()):
+                yield f"{name}{_text(((label, value),))} {number:g}"
 
     def _gauge_lines(self) -> Iterator[str]:
         for name, value in sorted(self._gauges.items()):
--- a/fireflyfork/programs/_outside.py
+++ b/fireflyfork/programs/_outside.py
@@ -3,9 +3,16 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
-from ..adapters import Advisor, CoordinationStore, ExecutorCalls, LoopTime, MachineCalls
+from ..adapters import (
+    Advisor,
+    CoordinationStore,
+    ExecutorCalls,
+    LoopProfile,
+    LoopTime,
+    MachineCalls,
+)
 
 
 @dataclass(frozen=True, slots=True)
@@ -20,3 +27,5 @@
     """By which others are judged to be late."""
     relay_calls: Callable[[], ExecutorCalls]
     """Makes a client of executors for the calls of one owner on another instance."""
+    loop_profile: LoopProfile = field(default_factory=LoopProfile)
+    """Tells what the processor time goes to."""
--- a/fireflyfork/programs/_scheduler_node.py
+++ b/fireflyfork/programs/_scheduler_node.py
@@ -21,6 +21,7 @@
 from ._clocks import Clock
 from ._job_requests import JobRequests
 from ._job_service import JobService
+from ._loop_report import LoopReport
 from ._metrics import METRICS_TEXT, Metrics
 from ._outside import Outside
 from ._queue_keeper import QueueKeeper
@@ -85,7 +86,12 @@
             settings.relay_address,
         )
         self._relay = RelayServer(outside.relay_calls)
-        self._metrics.gauge("fireflyfork_loop_lag_seconds", lambda: outside.loop_time.lag)
+        self._report = LoopReport(
+            outside.loop_profile,
+            lambda: outside.loop_time.lag,
+            lambda: outside.store.calls,
+            self._metrics,
+        )
         self._candidates: dict[ServiceName, ServiceCandidate] = {}
         self._nursery: trio.Nursery | None = None
         self._stopping = False
@@ -119,6 +125,7 @@
                 nursery.start_soon(self._relay.run, await listen(relay.host, relay.port))
             nursery.start_soon(self._keeper.run)
             nursery.start_soon(self._announcements.run)
+            nursery.start_soon(self._report.run)
             logger.info("serving", callers=str(caller))
             await stop.wait()
             await self._stop()
--- a/fireflyfork/programs/_service_owner.py
+++ b/fireflyfork/programs/_service_owner.py
@@ -102,6 +102,7 @@
         self._store = outside.store
         self._calls = RelayedExecutors(outside.executors, outside.loop_time)
         self._advisor = outside.advisor
+        self._profile = outside.loop_profile
         self._clock = clock
         self._queues = queues
         self._retention = bounds.status_retention + RETENTION_MARGIN_SECONDS
@@ -357,7 +358,8 @@
     async def _tick(self, nursery: trio.Nursery) -> None:
         while True:
             await trio.sleep(TICK_SECONDS)
-            self._scheduler.check_time(self._clock.now(), self._clock.unix_ms())
+            with self._profile.section("checks of time"):
+                self._scheduler.check_time(self._clock.now(), self._clock.unix_ms())
             if self._scheduler.wants_proof(self._clock.now()) and not self._proving:
                 nursery.start_soon(self._prove_ownership)
             self.kick()
@@ -395,13 +397,15 @@
                     self._polled.add(executor)
                     nursery.start_soon(self._keep_polling, executor)
             if not self._resigning:
-                self._scheduler.place(begun, self._clock.unix_ms())
+                with self._profile.section("placing"):
+                    self._scheduler.place(begun, self._clock.unix_ms())
             for command in self._scheduler.take_commands():
                 if isinstance(command, AskAdvice):
                     nursery.start_soon(self._ask_advice, command)
                 else:
                     nursery.start_soon(self._orders.carry_out, command)
-            self._log.write(self._scheduler.take_notes())
+            with self._profile.section("log of decisions"):
+                self._log.write(self._scheduler.take_notes())
             self._journal.notify()
             spent = self._clock.now() - begun
             await trio.sleep(min(ROUND_REST * spent, LONGEST_ROUND_REST_SECONDS))
--- /dev/null
+++ b/fireflyfork/programs/tests/test_ctl_account.py
@@ -0,0 +1,52 @@
+"""The command ``account`` on files of log lines."""
+
+import unittest
+from contextlib import redirect_stderr, redirect_stdout
+from io import StringIO
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from ...operations.tests.builders_job_logs import accepted, ended, line, over, sent
+from .._ctl_account import account
+from .._ctl_output import ExitCode
+
+LATE_JOB = (accepted(0.0), sent(3.0, waited_for="no memory"), ended(4.0), over(4.0, 4.0, 1.0))
+LOOPS = tuple(
+    line(10.0, "loop time", node=node, spent_ms={activity: spent}, store_calls={"watch work": 2})
+    for node, activity, spent in (("edge-1", "serving", 900), ("edge-2", "placing", 8000))
+)
+
+
+class AccountCommandTest(unittest.TestCase):
+    """What is printed."""
+
+    def setUp(self) -> None:
+        folder = TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.file = Path(folder.name) / "scheduler.log"
+
+    def _run(self, lines: tuple[str, ...], loops: bool) -> tuple[ExitCode, str]:
+        self.file.write_text("\n".join(lines), "utf-8")
+        printed = StringIO()
+        with redirect_stdout(printed), redirect_stderr(printed):
+            code = account(self.file, loops=loops)
+        return code, printed.getvalue()
+
+    def test_late_jobs_by_cause(self) -> None:
+        code, text = self._run(LATE_JOB, loops=False)
+        self.assertIs(code, ExitCode.DONE)
+        self.assertRegex(text, r"quotes +no memory +1 +3\.0")
+
+    def test_loops_by_activity_and_instance(self) -> None:
+        code, text = self._run(LOOPS, loops=True)
+        self.assertIs(code, ExitCode.DONE)
+        self.assertLess(text.index("edge-2"), text.index("edge-1"))
+        self.assertRegex(text, r"placing +8\.00")
+        self.assertRegex(text, r"serving +0\.90")
+        self.assertRegex(text, r"watch work +4")
+
+    def test_logs_without_what_is_asked_for(self) -> None:
+        """Guards against an empty table, which looks as if nothing had been late or spent."""
+        for lines, loops in ((LATE_JOB, True), (LOOPS, False)):
+            with self.subTest(loops=loops):
+                self.assertIs(self._run(lines, loops)[0], ExitCode.NOT_FOUND)
--- /dev/null
+++ b/fireflyfork/programs/tests/test_loop_report.py
@@ -0,0 +1,70 @@
+"""What an instance says of its processor time and its calls to the store."""
+
+import unittest
+from collections import Counter
+
+from loguru import logger
+
+from ...adapters import LoopProfile
+from ...operations import account_loops
+from ...operations.tests.builders_job_logs import line
+from .._loop_report import LoopReport
+from .._metrics import Metrics
+
+
+class LoopReportTest(unittest.TestCase):
+    """Reports over time."""
+
+    def setUp(self) -> None:
+        self.used = 0.0
+        self.calls = Counter({"watch work": 3})
+        self.profile = LoopProfile(lambda: self.used)
+        self.metrics = Metrics()
+        self.report = LoopReport(self.profile, lambda: 0.25, lambda: self.calls, self.metrics)
+        self.lines: list[dict[str, object]] = []
+        sink = logger.add(lambda line: self.lines.append(dict(line.record["extra"])))
+        self.addCleanup(logger.remove, sink)
+
+    def _work(self, seconds: float) -> None:
+        with self.profile.section("placing"):
+            self.used += seconds
+
+    def test_each_line_tells_of_its_own_seconds(self) -> None:
+        """Guards against sums that are added up again by whoever reads the lines."""
+        self._work(1.5)
+        self.report.report()
+        self._work(0.5)
+        self.calls["watch work"] += 2
+        self.report.report()
+        first, second = self.lines
+        self.assertEqual(first["spent_ms"], {"placing": 1500, "event loop": 0})
+        self.assertEqual(second["spent_ms"], {"placing": 500, "event loop": 0})
+        self.assertEqual(
+            (first["store_calls"], second["store_calls"]), ({"watch work": 3}, {"watch work": 2})
+        )
+        self.assertEqual(first["lag_ms"], 250)
+
+    def test_little_used_activities_are_added_up(self) -> None:
+        """Guards against lines that grow with the activities there are."""
+        for number in range(30):
+            with self.profile.section(f"activity {number}"):
+                self.used += 1.0 + number
+        self.report.report()
+        spent = self.lines[0]["spent_ms"]
+        assert isinstance(spent, dict)
+        self.assertEqual(len(spent), 13)
+        self.assertEqual(sum(spent.values()), 1000 * self.used)
+
+    def test_the_account_reads_the_line(self) -> None:
+        """Guards against a line whose fields the command looks for in vain."""
+        self._work(1.5)
+        self.report.report()
+        (account,) = account_loops([line(10.0, "loop time", **self.lines[0])]).values()
+        self.assertEqual((account.spent_seconds["placing"], account.worst_lag_ms), (1.5, 250))
+        self.assertEqual(account.store_calls, self.calls)
+
+    def test_metrics_have_the_sums(self) -> None:
+        self._work(1.5)
+        text = self.metrics.text()
+        self.assertIn('fireflyfork_loop_seconds_total{activity="placing"} 1.5', text)
+        self.assertIn('fireflyfork_store_calls_total{purpose="watch work"} 3', text)
