--- a/fireflyfork/operations/_loop_account.py
+++ b/fireflyfork/operations/_loop_account.py
@@ -13,17 +13,24 @@
 class LoopAccount:
     """What one instance did, over all of its lines."""
 
-    spent_seconds: defaultdict[str, float] = field(default_factory=lambda: defaultdict(float))
+    spent_ms: Counter[str] = field(default_factory=Counter)
     """Processor time by activity."""
+    looked_ms: int = 0
+    """In which it was spent."""
     store_calls: Counter[str] = field(default_factory=Counter)
     """By purpose."""
     worst_lag_ms: int = 0
     """How late its loop was at most."""
 
     @property
-    def seconds(self) -> float:
-        """Processor time of all activities."""
-        return sum(self.spent_seconds.values())
+    def shares(self) -> dict[str, float]:
+        """By activity, the share of one processor that it took."""
+        return {name: spent / max(1, self.looked_ms) for name, spent in self.spent_ms.items()}
+
+    @property
+    def share(self) -> float:
+        """Of one processor, for all activities."""
+        return sum(self.shares.values())
 
 
 _MESSAGE = "loop time"
@@ -32,6 +39,7 @@
 class _Line(msgspec.Struct):
     message: str
     node: str = ""
+    looked_ms: int = 0
     spent_ms: dict[str, int] = {}
     store_calls: dict[str, int] = {}
     lag_ms: int = 0
@@ -42,11 +50,11 @@
     accounts: dict[str, LoopAccount] = defaultdict(LoopAccount)
     for line in _loop_lines(lines):
         account = accounts[line.node]
-        for activity, spent in line.spent_ms.items():
-            account.spent_seconds[activity] += spent / 1000
+        account.spent_ms.update(line.spent_ms)
+        account.looked_ms += line.looked_ms
         account.store_calls.update(line.store_calls)
         account.worst_lag_ms = max(account.worst_lag_ms, line.lag_ms)
-    return dict(sorted(accounts.items(), key=lambda item: (-item[1].seconds, item[0])))
+    return dict(sorted(accounts.items(), key=lambda item: (-item[1].share, item[0])))
 
 
 def _loop_lines(lines: Iterable[str]) -> Iterator[_Line]:
--- a/fireflyfork/programs/_ctl_account.py
+++ b/fireflyfork/programs/_ctl_account.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import sys
-from collections import Counter
+from collections import Counter, defaultdict
 from collections.abc import Iterator, Mapping
 from itertools import chain, islice
 from pathlib import Path
@@ -91,29 +91,29 @@
 
 
 def _loop_report(accounts: dict[str, LoopAccount]) -> Iterator[str]:
-    nodes = [
-        (node, f"{one.seconds:.1f}", sum(one.store_calls.values()), one.worst_lag_ms)
-        for node, one in islice(accounts.items(), INSTANCES_SHOWN)
+    instances = [
+        (name, f"{one.share:.2f}", sum(one.store_calls.values()), one.worst_lag_ms)
+        for name, one in islice(accounts.items(), INSTANCES_SHOWN)
     ]
-    yield from table(("instance", "processor seconds", "store calls", "worst lag ms"), nodes)
+    yield from table(("instance", "processors", "store calls", "worst lag ms"), instances)
     busiest, *others = accounts.values()
     yield ""
-    yield from table(("the busiest: activity", "seconds"), _seconds_rows(busiest.spent_seconds))
-    all_others: Counter[str] = Counter()
+    yield from table(("the busiest: activity", "processors"), _share_rows(busiest.shares))
+    shares: dict[str, float] = defaultdict(float)
+    calls: Counter[str] = Counter(busiest.store_calls)
     for one in others:
-        all_others.update(one.spent_seconds)
-    yield ""
-    yield from table(("all others: activity", "seconds"), _seconds_rows(all_others))
-    calls: Counter[str] = Counter()
-    for one in accounts.values():
         calls.update(one.store_calls)
+        for activity, share in one.shares.items():
+            shares[activity] += share
+    yield ""
+    yield from table(("all others: activity", "processors"), _share_rows(shares))
     yield ""
     yield from table(("store calls", "number"), calls.most_common())
 
 
-def _seconds_rows(seconds: Mapping[str, float]) -> list[tuple[str, str]]:
-    ordered = sorted(seconds.items(), key=lambda item: -item[1])
-    return [(activity, f"{one:.2f}") for activity, one in ordered]
+def _share_rows(shares: Mapping[str, float]) -> list[tuple[str, str]]:
+    ordered = sorted(shares.items(), key=lambda item: -item[1])
+    return [(activity, f"{one:.3f}") for activity, one in ordered]
 
 
 def _draw(accounts: tuple[JobAccount, ...], path: Path) -> None:
--- a/fireflyfork/programs/_loop_report.py
+++ b/fireflyfork/programs/_loop_report.py
@@ -12,13 +12,15 @@
 from ._metrics import Metrics
 
 REPORT_SECONDS = 10.0
+LOOK_SECONDS = 1.0
+"""Of each ten, the loop is looked at for so long."""
 ACTIVITIES_REPORTED = 12
 """The busiest ones; what the others took is added up."""
 OTHERS = "others"
 
 
 class LoopReport:
-    """A log line every few seconds, and counters."""
+    """A log line every few seconds, of what was seen in the last of them, and counters."""
 
     def __init__(
         self,
@@ -40,15 +42,19 @@
     async def run(self) -> None:
         """Report until cancelled."""
         while True:
-            await trio.sleep(REPORT_SECONDS)
-            self.report()
+            await trio.sleep(REPORT_SECONDS - LOOK_SECONDS)
+            begun = trio.current_time()
+            with self._profile.looking():
+                await trio.sleep(LOOK_SECONDS)
+            self.report(trio.current_time() - begun)
 
-    def report(self) -> None:
-        """Log what has been spent since the last report."""
+    def report(self, looked_seconds: float) -> None:
+        """Log what has been spent since the last report, while it looked for so long."""
         spent, calls = dict(self._profile.spent), Counter(self._store_calls())
         seconds = {name: spent[name] - self._reported.get(name, 0.0) for name in spent}
         logger.info(
             "loop time",
+            looked_ms=round(1000 * looked_seconds),
             spent_ms={name: round(1000 * one) for name, one in _busiest(seconds).items()},
             store_calls=dict(calls - self._calls_reported),
             lag_ms=round(1000 * self._lag()),
--- a/fireflyfork/programs/scheduler.py
+++ b/fireflyfork/programs/scheduler.py
@@ -15,7 +15,7 @@
 from loguru import logger
 
 from .._errors import SettingsError
-from ..adapters import LoopProfile, LoopTime, NoAdvisor, NoMachines
+from ..adapters import LoopTime, NoAdvisor, NoMachines
 from ..platform import (
     NodeSettings,
     PlatformAdvisor,
@@ -31,7 +31,7 @@
 from ._scheduler_node import SchedulerNode
 
 
-async def run(settings: NodeSettings, profile: LoopProfile) -> None:
+async def run(settings: NodeSettings) -> None:
     """Serve until the platform asks for a stop."""
     clock = SystemClock()
     random = Random(secrets.randbits(64))
@@ -43,7 +43,7 @@
     loop_time = LoopTime()
     relay_calls = partial(PlatformExecutors, loop_time)
     executors = relay_calls()
-    outside = Outside(store, executors, advisor, machines, loop_time, relay_calls, profile)
+    outside = Outside(store, executors, advisor, machines, loop_time, relay_calls)
     node = SchedulerNode(settings, outside, clock, random)
     stop = trio.Event()
     async with trio.open_nursery() as nursery:
@@ -68,8 +68,7 @@
     except SettingsError as error:
         sys.exit(f"fireflyfork-scheduler: {error}")
     configure_logs("INFO", {"node": settings.node}, sys.stdout)
-    profile = LoopProfile()
-    trio.run(run, settings, profile, instruments=[profile])
+    trio.run(run, settings)
 
 
 if __name__ == "__main__":
