A refused connection doesn't end the doubt of the kept ones

After a call without an answer the next one goes out on a new connection, since the kept ones may have fallen silent with the first. If that connection was refused, the doubt was forgotten, and the call after it went into a kept connection: one more timeout for whoever waits for it.

Only a call that was answered ends the doubt now.

--- a/fireflyfork/adapters/_http_client.py
+++ b/fireflyfork/adapters/_http_client.py
@@ -218,7 +218,8 @@
             self._doubtful = True
             raise HttpError(f"no answer from {self._address} in time") from error
         except HttpError:
-            self._doubtful = connection is not None
+            # A refused connection says nothing of those that are kept.
+            self._doubtful = self._doubtful or connection is not None
             raise
         else:
             if fresh:
--- a/fireflyfork/adapters/tests/test_http_client.py
+++ b/fireflyfork/adapters/tests/test_http_client.py
@@ -2,6 +2,8 @@
 
 import unittest
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from functools import partial
 from unittest.mock import patch
 
 import trio
@@ -10,7 +12,7 @@
 from ..._links import Address
 from .. import HttpClient, HttpError
 from .._http_client import HttpClientConnection
-from .builders_http import NoSocket
+from .builders_http import Links, NoSocket
 
 TIMEOUT_SECONDS = 0.9
 PARTS = 10
@@ -74,3 +76,32 @@
         with self.assertRaises(BaseExceptionGroup) as raised:
             _call(server)
         self.assertIsNotNone(raised.exception.subgroup(HttpError))
+
+
+class DoubtTest(unittest.TestCase):
+    """Kept connections after a call that failed."""
+
+    def test_a_refused_connection_does_not_end_the_doubt(self) -> None:
+        """Guards against calls sent into connections that fell silent with the one that failed."""
+        self.assertEqual(trio.run(_opened_after_doubt, clock=MockClock(autojump_threshold=0)), 4)
+
+
+async def _opened_after_doubt() -> int:
+    """How often a client connects: two calls at once, one without answer, one refused, one more."""
+    links = Links()
+    async with trio.open_nursery() as nursery:
+        with patch.object(HttpClientConnection, "open", partial(links.open, nursery)):
+            client = HttpClient(Address("10.0.0.1", 80), TIMEOUT_SECONDS)
+            async with trio.open_nursery() as calls:
+                calls.start_soon(client.call, "GET", "/")
+                calls.start_soon(client.call, "GET", "/")
+            links.silent = True
+            with suppress(HttpError):
+                await client.call("GET", "/")
+            links.refused = True
+            with suppress(HttpError):
+                await client.call("GET", "/")
+            links.silent = links.refused = False
+            await client.call("GET", "/")
+        nursery.cancel_scope.cancel()
+    return links.tried
