A relay that stood still carries out nothing that came meanwhile

An instance is frozen for some seconds while an owner's orders lie in its socket. The owner leaves the relay after 1 s of silence and sends later paces directly. Woken, the relay sent the old ones: a run that had been slowed went back to its full pace, and the owner, to whom the slower pace was confirmed, sent nothing more until the figure changed.

The relay looks at the clock ten times a second and at each message; after a second of standing still it ends its streams before it makes a call. Starts carry a deadline, stops and polls do no harm late. The new test in test_relays ran into its limit without the mend, with the order carried out.

--- a/fireflyfork/adapters/_relay_server.py
+++ b/fireflyfork/adapters/_relay_server.py
@@ -32,6 +32,9 @@
 
 CALLS_AT_ONCE = 512
 """For one owner. Above that its messages are left unread, which its stream passes on to it."""
+TICK_SECONDS = 0.1
+STOOD_STILL_SECONDS = 1.0
+"""An owner that hears nothing for so long uses another relay."""
 
 
 class RelayServer:
@@ -41,15 +44,26 @@
     is delayed here is as void as one that is delayed on the network.
     """
 
-    def __init__(self, new_calls: Callable[[], ExecutorCalls]) -> None:
-        """``new_calls`` makes a client of executors for each owner: each comes with a token of its own."""
+    def __init__(
+        self,
+        new_calls: Callable[[], ExecutorCalls],
+        clock: Callable[[], float] = trio.current_time,
+    ) -> None:
+        """``new_calls`` makes a client of executors for each owner: each comes with a token of its own.
+
+        ``clock`` goes on while the process stands still.
+        """
         self._new_calls = new_calls
+        self._clock = clock
+        self._awake_at = float("inf")
         self._streams: set[RelayStream] = set()
         self._stopping = False
 
     async def run(self, listeners: list[trio.SocketListener]) -> None:
         """Serve until cancelled."""
-        await trio.serve_listeners(self._serve, listeners)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._tick)
+            await trio.serve_listeners(self._serve, listeners)
 
     def say_goodbye(self) -> None:
         """Tell all owners to use another relay; what is under way goes on."""
@@ -57,6 +71,23 @@
         for stream in self._streams:
             stream.send(Goodbye())
 
+    async def _tick(self) -> None:
+        while True:
+            self._end_streams_after_stall()
+            await trio.sleep(TICK_SECONDS)
+
+    def _end_streams_after_stall(self) -> None:
+        """End all streams if the process has stood still.
+
+        What has come on them meanwhile is old, and their owners have turned to other relays: an order to
+        change a run's pace would undo the one that they sent since.
+        """
+        stood_still = self._clock() - self._awake_at > STOOD_STILL_SECONDS
+        self._awake_at = self._clock()
+        if stood_still:
+            for stream in self._streams:
+                stream.close()
+
     async def _serve(self, socket_stream: trio.SocketStream) -> None:
         stream = RelayStream(socket_stream)
         self._streams.add(stream)
@@ -78,6 +109,9 @@
         if self._stopping:
             stream.send(Goodbye())
         async for message in stream.messages():
+            self._end_streams_after_stall()
+            if stream.closed:
+                raise PeerError("the relay stood still")
             if isinstance(message, Call):
                 borrower = object()
                 await limit.acquire_on_behalf_of(borrower)
--- a/fireflyfork/adapters/_relay_stream.py
+++ b/fireflyfork/adapters/_relay_stream.py
@@ -24,6 +24,12 @@
         self._decoder = FrameDecoder()
         self._waiting: list[RelayMessage] = []
         self._some_wait = trio.Event()
+        self._closed = False
+
+    @property
+    def closed(self) -> bool:
+        """Whether ``close`` was called."""
+        return self._closed
 
     def send(self, message: RelayMessage) -> None:
         """Have a message sent; ``run`` sends it."""
@@ -55,4 +61,5 @@
 
     def close(self) -> None:
         """Close at once."""
+        self._closed = True
         self._stream.socket.close()
--- a/fireflyfork/adapters/tests/test_relays.py
+++ b/fireflyfork/adapters/tests/test_relays.py
@@ -6,7 +6,7 @@
 
 import unittest
 from collections.abc import AsyncIterator, Awaitable, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 
 import trio
 
@@ -24,7 +24,8 @@
 )
 from .. import ExecutorCalls, ExecutorPlace, LoopTime, RelayedExecutors, RelayPlace, RelayServer
 from .._relay_client import ORDER_SECONDS
-from .._relay_messages import FrameDecoder, Hello, encode_frame
+from .._relay_messages import FrameDecoder, Hello, PaceCall, Place, encode_frame
+from .._relay_server import STOOD_STILL_SECONDS
 
 DOMAIN = FailureDomainName("suva")
 EXECUTOR = ExecutorPlace(ExecutorId("i-0"), Address("10.0.0.1", 80), 1, DOMAIN)
@@ -91,6 +92,18 @@
         return OrderAnswer(CallOutcome.ACCEPTED, 482_113, 1)
 
 
+class StoppedClock:
+    """A clock that the test moves."""
+
+    def __init__(self) -> None:
+        """At 0."""
+        self.seconds = 0.0
+
+    def __call__(self) -> float:
+        """The time."""
+        return self.seconds
+
+
 class RelayWorld:
     """An owner and one relay beside it."""
 
@@ -234,6 +247,31 @@
 
         trio.run(main)
 
+    def test_a_relay_that_stood_still_carries_out_nothing_of_before(self) -> None:
+        """Guards against a pace order of seconds ago that comes after the one that replaced it."""
+        clock = StoppedClock()
+        relayed = Recorder()
+
+        async def main() -> None:
+            server = RelayServer(lambda: relayed, clock)
+            with trio.fail_after(STUCK_SECONDS):
+                async with trio.open_nursery() as nursery:
+                    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+                    port = listeners[0].socket.getsockname()[1]
+                    nursery.start_soon(server.run, listeners)
+                    stream = await trio.open_tcp_stream("127.0.0.1", port)
+                    await stream.receive_some(1000)
+                    clock.seconds += 2 * STOOD_STILL_SECONDS
+                    pace = PaceCall(0, Place.of(EXECUTOR), TOKEN, "t", 2, 100)
+                    await stream.send_all(encode_frame([pace]))
+                    with suppress(trio.BrokenResourceError):
+                        while await stream.receive_some(1000):
+                            pass
+                    nursery.cancel_scope.cancel()
+
+        trio.run(main)
+        self.assertEqual(relayed.called, [])
+
     def test_an_owner_of_another_version_is_not_served(self) -> None:
         """Guards against instances of two versions that take each other's messages for something else."""
 
