What stands on an executor is summed up once for all that is priced there

Work that fills is compared on all executors, and each comparison summed up what disturbs each service there: half of an owner's time for a start. The sum changes only when something starts or ends there, or with a poll, so it is kept until then.

The cost still grows with the fleet. Not seen red: the count test was run with its mend only; the other tells stale sums apart.

--- a/fireflyfork/decisions/jobs/_executors.py
+++ b/fireflyfork/decisions/jobs/_executors.py
@@ -111,6 +111,8 @@
     lasting_headroom: dict[str, float] = field(default_factory=dict)
     """By serving image: the least undisturbed headroom of some time past. Work that is placed now is
     still there when the load has swung."""
+    missing_headroom: dict[str, float] | None = None
+    """By serving image: what its tasks here lack of the headroom that is kept; None: to be worked out anew."""
     serving: dict[str, int] = field(default_factory=dict)
     """By image: how many tasks here serve users."""
     samples: dict[TaskName, Sample] = field(default_factory=dict)
@@ -176,6 +178,7 @@
     def add(self, run: Run) -> None:
         """Take room for a run."""
         step = run.task.spec
+        self.missing_headroom = None
         self.runs[run.key] = run
         self.used_cpu_millis += step.reserved_cpu_millis
         self.lasting_cpu_millis += step.reserved_cpu_millis if step.long_running else 0
@@ -194,6 +197,7 @@
         if self.runs.pop(run.key, None) is None:
             return
         step = run.task.spec
+        self.missing_headroom = None
         self.used_cpu_millis -= step.reserved_cpu_millis
         self.lasting_cpu_millis -= step.reserved_cpu_millis if step.long_running else 0
         self.used_memory_mb -= step.memory_mb
@@ -261,4 +265,5 @@
         self.unstored_ends.clear()
         self.undisturbed = {}
         self.lasting_headroom = {}
+        self.missing_headroom = None
         self.samples = {}
--- a/fireflyfork/decisions/jobs/_placing.py
+++ b/fireflyfork/decisions/jobs/_placing.py
@@ -153,12 +153,25 @@
     """How far below the headroom that is kept the task would bring the serving tasks there."""
     if not executor.lasting_headroom:
         return 0.0
-    image = task.spec.image
-    shares = executor.disturbing_shares()
     share = task.spec.cpu_millis / max(1, executor.registration.room.cpu_millis)
-    shares[image] = shares.get(image, 0.0) + share
-    added = missing = 0.0
-    for serving, headroom in executor.lasting_headroom.items():
-        added = max(added, share * model.effect(serving, image))
-        missing = max(missing, WANTED_HEADROOM + model.lost_headroom(serving, shares) - headroom)
-    return ADDED_COST * added + DISTURBANCE_COST * missing
+    most_added = most_missing = 0.0
+    for serving, missing in _missing_headroom(executor, model).items():
+        added = share * model.effect(serving, task.spec.image)
+        most_added = max(most_added, added)
+        most_missing = max(most_missing, missing + added)
+    return ADDED_COST * most_added + DISTURBANCE_COST * most_missing
+
+
+def _missing_headroom(executor: ExecutorState, model: InterferenceModel) -> dict[str, float]:
+    """By serving image: how far below the headroom that is kept its tasks there are; negative if above.
+
+    Worked out again only when something there has changed: hundreds of executors are priced for each step.
+    """
+    known = executor.missing_headroom
+    if known is None:
+        shares = executor.disturbing_shares()
+        known = executor.missing_headroom = {
+            serving: WANTED_HEADROOM + model.lost_headroom(serving, shares) - headroom
+            for serving, headroom in executor.lasting_headroom.items()
+        }
+    return known
--- a/fireflyfork/decisions/jobs/tests/test_candidates.py
+++ b/fireflyfork/decisions/jobs/tests/test_candidates.py
@@ -14,6 +14,7 @@
 from .. import ExecutorState, Run, RunPhase, Task, _candidates
 from .._candidates import LOOKED_AT, Candidates
 from .._interference import InterferenceModel
+from .._pacing import adjust_pace
 from .._placing import choose, cost_of
 from .._specs import StepSpec
 from .builders_jobs import START_MS, OwnerUnderTest, job, learned, step
@@ -67,6 +68,39 @@
                 self.assertIsNotNone(candidates.best(task))
         self.assertLessEqual(priced.call_count, LOOKED_AT + len(tasks))
 
+    def test_what_a_step_disturbs_is_not_summed_up_for_each_of_its_tasks(self) -> None:
+        """Guards against an owner that falls behind since each start sums up what stands on all executors."""
+        executors, tasks = _fleet([1] * 100, step(count=12, uses_leftover_cpu=True))
+        for one in executors:
+            one.lasting_headroom = {"web": 5.0}
+        model = InterferenceModel()
+        with patch.object(model, "lost_headroom", wraps=model.lost_headroom) as summed:
+            for _ in range(10):
+                candidates = Candidates(tasks[0], executors, model, 2.0, looked_at=len(executors))
+                for task in tasks:
+                    self.assertIsNotNone(candidates.best(task))
+        self.assertEqual(summed.call_count, len(executors))
+
+    def test_what_has_changed_on_an_executor_is_priced_anew(self) -> None:
+        """Guards against work that is sent beside a service by what stood or was reported there before."""
+        (executor,), (task, other, *_) = _fleet([1], step(count=12, uses_leftover_cpu=True))
+        executor.lasting_headroom = {"web": 1.0}
+        model = InterferenceModel()
+
+        def price() -> float:
+            cost = cost_of(task, executor, model, 100.0)
+            assert cost is not None
+            return cost
+
+        alone = price()
+        beside = Run(other, AttemptNumber(1), executor, RunPhase.RUNNING, 0.0)
+        executor.add(beside)
+        self.assertGreater(price(), alone)
+        executor.remove(beside)
+        self.assertEqual(price(), alone)
+        list(adjust_pace(executor, (), model, executor.sampled_at + 1.0))
+        self.assertLess(price(), alone)
+
     def test_executors_near_the_data_of_a_step_are_always_looked_at(self) -> None:
         """Guards against tasks that take twice as long since their data's rack was passed over."""
         executors, tasks = _fleet([1] * 100, step(count=1, data_rack="r9"))
