What an owner takes in from the store is in two modules of its own

Jobs, cancellations and who owns the service are taken in by _work_intake.py, registrations by _registration_intake.py; nothing else changes.

--- /dev/null
+++ b/fireflyfork/programs/_registration_intake.py
@@ -0,0 +1,82 @@
+"""Takes in which executors of a service are registered in the store."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+from .._ids import ExecutorId, ServiceName
+from ..adapters import CoordinationStore, StoreChange, StoredItem, StoreListing
+from ..decisions.jobs import ExecutorRegistration, ExecutorState, Scheduler
+from ..platform import REGISTRATION_PREFIX, decode_registration, registered_executor
+from ._clocks import Clock
+from ._prefix_watch import PrefixWatch
+
+WATCH_SECONDS = 2.0
+GATHER_SECONDS = 0.4
+"""Executors write every 1.5 s each, mostly to say that they live. A question after each of these writes would
+be a quarter of all calls to the store; executors that leave go on for 2.5 s and more."""
+
+
+class RegistrationIntake:
+    """Tells the scheduler of one owner which executors there are."""
+
+    def __init__(
+        self,
+        store: CoordinationStore,
+        scheduler: Scheduler,
+        service: ServiceName,
+        clock: Clock,
+        attend: Callable[[ExecutorState], None],
+        kick: Callable[[], None],
+    ) -> None:
+        """``attend`` is called with each executor that has changed, and ``kick`` has tasks placed."""
+        self._store = store
+        self._scheduler = scheduler
+        self._service = service
+        self._clock = clock
+        self._attend = attend
+        self._kick = kick
+
+    def watch(self) -> PrefixWatch:
+        """Follows the changes, once it runs."""
+        return PrefixWatch(
+            self._store,
+            REGISTRATION_PREFIX,
+            WATCH_SECONDS,
+            self._take_listing,
+            self._take_change,
+            gather_seconds=GATHER_SECONDS,
+        )
+
+    def stored(self, items: Iterable[StoredItem]) -> tuple[ExecutorRegistration, ...]:
+        """Those of the service among the items."""
+        found = map(self._registration, items)
+        return tuple(one for one in found if one is not None)
+
+    def _registration(self, item: StoredItem) -> ExecutorRegistration | None:
+        registration = decode_registration(item)
+        if registration is None or registration.service != self._service:
+            return None
+        return registration
+
+    def _take_listing(self, listing: StoreListing) -> None:
+        listed = {registered_executor(item.key) for item in listing.items}
+        for executor in set(self._scheduler.executors) - listed:
+            self._unregister(executor)
+        for item in listing.items:
+            self._take_change(StoreChange(item.key, item.revision, item))
+
+    def _take_change(self, change: StoreChange) -> None:
+        registration = self._registration(change.item) if change.item is not None else None
+        if registration is not None:
+            self._scheduler.register(registration, self._clock.now())
+            self._attend(self._scheduler.executors[registration.executor])
+        else:
+            self._unregister(registered_executor(change.key))
+        self._kick()
+
+    def _unregister(self, name: ExecutorId) -> None:
+        executor = self._scheduler.executors.get(name)
+        self._scheduler.unregister(name, self._clock.now())
+        if executor is not None:
+            self._attend(executor)
--- a/fireflyfork/programs/_service_owner.py
+++ b/fireflyfork/programs/_service_owner.py
@@ -8,33 +8,22 @@
 from loguru import logger
 
 from .._errors import StoreError
-from .._ids import ExecutorId, JobId, NodeName, Revision, ServiceName
+from .._ids import NodeName, Revision, ServiceName
 from ..adapters import (
     RelayedExecutors,
-    StoreChange,
-    StoredItem,
     StoreListing,
 )
 from ..decisions.jobs import (
     AskAdvice,
-    ExecutorRegistration,
     ExecutorState,
-    JobSpec,
     QueueTable,
     Scheduler,
     SchedulerTerms,
-    StoredFormatError,
-    StoredProgress,
     UpkeepWave,
-    decode_progress,
-    decode_stored_job,
     step_name,
 )
 from ..platform import (
-    REGISTRATION_PREFIX,
     PlatformBounds,
-    decode_registration,
-    registered_executor,
 )
 from ._announcements import Announcements
 from ._clocks import Clock
@@ -42,14 +31,15 @@
 from ._executor_polls import ORPHANED_LEASE_SECONDS, ExecutorPolls
 from ._metrics import Metrics
 from ._outside import Outside
-from ._prefix_watch import PrefixWatch
 from ._recovery_reads import read_left_behind, until_answered
+from ._registration_intake import RegistrationIntake
 from ._run_orders import RunOrders
-from ._scheduling_keys import CANCEL_PREFIX, JOB_PREFIX, PROGRESS_PREFIX, WORK_PREFIX, owner_key
+from ._scheduling_keys import owner_key
 from ._service_journal import OwnershipLostError, ServiceJournal
 from ._service_lease import Term
 from ._succession import Succession
 from ._upkeep_duty import UpkeepDuty
+from ._work_intake import WorkIntake
 
 LEASE_SECONDS = 5.0
 """How long executors go on by themselves. It has to outlast a change of owner, some 2 s, and a store
@@ -67,11 +57,6 @@
 owner would read more and more of them."""
 TICK_SECONDS = 0.1
 """Lapses, retries and due times are checked this often: a tenth of what a caller notices."""
-WATCH_SECONDS = 2.0
-"""How long one question for changes waits; a silent connection is noticed a second later."""
-REGISTRATIONS_SECONDS = 0.4
-"""Executors write every 1.5 s each, mostly to say that they live. A question after each of these writes would
-be a quarter of all calls to the store; executors that leave go on for 2.5 s and more."""
 PROOF_RETRY_SECONDS = 0.5
 """Between questions who owns the service, while the store doesn't answer; calls are paid for."""
 ROUND_REST = 3.0
@@ -124,6 +109,12 @@
             self.kick,
             outside.loop_time,
         )
+        self._work_intake = WorkIntake(
+            self._store, self._scheduler, term, clock, self._note_ownership, self.kick
+        )
+        self._registrations = RegistrationIntake(
+            self._store, self._scheduler, self._service, clock, self._polls.attend, self.kick
+        )
         self._succession = Succession(
             self._service, node, announcements, self._calls, lambda: len(self._scheduler.executors)
         )
@@ -186,12 +177,12 @@
                 if not self._ready:
                     return
                 # The watch goes on after this listing, so it never tells of a successor that is in it.
-                self._require_ownership(work)
+                self._work_intake.require_ownership(work)
                 # No other owner had come when the store was asked for it.
                 self._scheduler.note_ownership(asked_at)
                 nursery.start_soon(self._journal.run)
-                nursery.start_soon(self._work_watch().run, work.as_of)
-                nursery.start_soon(self._registration_watch().run, servers_revision)
+                nursery.start_soon(self._work_intake.watch().run, work.as_of)
+                nursery.start_soon(self._registrations.watch().run, servers_revision)
                 nursery.start_soon(self._tick, nursery)
                 nursery.start_soon(self._remove_old_jobs)
                 nursery.start_soon(self._upkeep.run)
@@ -225,17 +216,14 @@
     async def _recover(self) -> tuple[StoreListing, Revision]:
         begun = self._clock.now()
         left = await read_left_behind(self._store, self._journal)
-        jobs = tuple(self._stored_jobs(left.work.items, left.progress.items))
+        jobs = self._work_intake.stored_jobs(left.work.items, left.progress.items)
         now, now_ms = self._clock.now(), self._clock.unix_ms()
         self._scheduler.configure(self._queues())
         self._scheduler.adopt(left.learned)
-        found = map(self._registration, left.registrations.items)
-        registrations = [one for one in found if one is not None]
+        registrations = self._registrations.stored(left.registrations.items)
         self._scheduler.recover(jobs, registrations, left.last_known, now, now_ms)
         await until_answered("upkeep", self._upkeep.recover)
-        for item in left.work.items:
-            if item.key.startswith(CANCEL_PREFIX):
-                self._cancel(JobId(item.key.removeprefix(CANCEL_PREFIX)))
+        self._work_intake.take_cancellations(left.work.items)
         logger.info(
             "took ownership",
             service=self._service,
@@ -248,113 +236,6 @@
         self.kick()
         return left.work, left.registrations.as_of
 
-    def _stored_jobs(
-        self, work: tuple[StoredItem, ...], progress: tuple[StoredItem, ...]
-    ) -> list[tuple[JobSpec, StoredProgress | None]]:
-        known: dict[str, StoredProgress] = {}
-        for item in progress:
-            try:
-                known[item.key.removeprefix(PROGRESS_PREFIX)] = decode_progress(item.value)
-            except StoredFormatError as error:
-                logger.error("progress not readable", key=item.key, error=str(error))
-        jobs = (self._job(item) for item in work if item.key.startswith(JOB_PREFIX))
-        return [(spec, known.get(spec.job)) for spec in jobs if spec is not None]
-
-    def _job(self, item: StoredItem) -> JobSpec | None:
-        try:
-            spec = decode_stored_job(item.value)
-        except StoredFormatError as error:
-            logger.error("job not readable", key=item.key, error=str(error))
-            return None
-        return spec if spec.service == self._service else None
-
-    def _registration(self, item: StoredItem) -> ExecutorRegistration | None:
-        registration = decode_registration(item)
-        if registration is None or registration.service != self._service:
-            return None
-        return registration
-
-    def _work_watch(self) -> PrefixWatch:
-        return PrefixWatch(
-            self._store,
-            WORK_PREFIX,
-            WATCH_SECONDS,
-            self._work_listed,
-            self._work_changed,
-            self._note_ownership,
-            now=self._clock.now,
-            heard=self._scheduler.note_ownership,
-        )
-
-    def _registration_watch(self) -> PrefixWatch:
-        return PrefixWatch(
-            self._store,
-            REGISTRATION_PREFIX,
-            WATCH_SECONDS,
-            self._registrations_listed,
-            self._registration_changed,
-            gather_seconds=REGISTRATIONS_SECONDS,
-        )
-
-    def _work_listed(self, listing: StoreListing) -> None:
-        """The store has lost its history: take in what was missed."""
-        self._require_ownership(listing)
-        jobs_first = sorted(listing.items, key=lambda item: item.key.startswith(CANCEL_PREFIX))
-        for item in jobs_first:
-            self._work_changed(StoreChange(item.key, item.revision, item))
-
-    def _require_ownership(self, listing: StoreListing) -> None:
-        """Raise OwnershipLostError if a listing is of a successor's time, or nobody's.
-
-        Its jobs may be the successor's, which starts those that came after it without asking anybody. The
-        owner's key is on the last page: if it is still this owner's, so were all jobs on the pages before.
-        """
-        own = [item for item in listing.items if item.key == owner_key(self._service)]
-        if not own:
-            raise OwnershipLostError("the owner's key is gone")
-        if own[0].revision != self._term.owner_revision:
-            raise OwnershipLostError("the owner's key has changed")
-
-    def _work_changed(self, change: StoreChange) -> None:
-        if change.key == owner_key(self._service):
-            if change.item is None or change.revision != self._term.owner_revision:
-                raise OwnershipLostError("the owner's key has changed")
-        elif change.item is None:
-            return
-        elif change.key.startswith(JOB_PREFIX):
-            spec = self._job(change.item)
-            if spec is not None:
-                self._scheduler.accept(spec, self._clock.unix_ms())
-                self.kick()
-        elif change.key.startswith(CANCEL_PREFIX):
-            self._cancel(JobId(change.key.removeprefix(CANCEL_PREFIX)))
-
-    def _cancel(self, job: JobId) -> None:
-        self._scheduler.cancel(job, self._clock.now(), self._clock.unix_ms())
-        self.kick()
-
-    def _registrations_listed(self, listing: StoreListing) -> None:
-        listed = {registered_executor(item.key) for item in listing.items}
-        for executor in set(self._scheduler.executors) - listed:
-            self._unregister(executor)
-        for item in listing.items:
-            self._registration_changed(StoreChange(item.key, item.revision, item))
-
-    def _registration_changed(self, change: StoreChange) -> None:
-        registration = self._registration(change.item) if change.item is not None else None
-        if registration is not None:
-            self._scheduler.register(registration, self._clock.now())
-            self._polls.attend(self._scheduler.executors[registration.executor])
-        else:
-            self._unregister(registered_executor(change.key))
-        self.kick()
-
-    def _unregister(self, name: ExecutorId) -> None:
-        executor = self._scheduler.executors.get(name)
-        self._scheduler.unregister(name, self._clock.now())
-        if executor is not None:
-            self._polls.attend(executor)
-
     async def _tick(self, nursery: trio.Nursery) -> None:
         while True:
             await trio.sleep(TICK_SECONDS)
--- /dev/null
+++ b/fireflyfork/programs/_work_intake.py
@@ -0,0 +1,128 @@
+"""Takes in what the store holds of a service's work: jobs, cancellations, and who owns the service."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable
+
+from loguru import logger
+
+from .._ids import JobId
+from ..adapters import CoordinationStore, StoreChange, StoredItem, StoreListing
+from ..decisions.jobs import (
+    JobSpec,
+    Scheduler,
+    StoredFormatError,
+    StoredProgress,
+    decode_progress,
+    decode_stored_job,
+)
+from ._clocks import Clock
+from ._prefix_watch import PrefixWatch
+from ._scheduling_keys import CANCEL_PREFIX, JOB_PREFIX, PROGRESS_PREFIX, WORK_PREFIX, owner_key
+from ._service_journal import OwnershipLostError
+from ._service_lease import Term
+
+WATCH_SECONDS = 2.0
+"""How long one question for changes waits; a silent connection is noticed a second later."""
+
+
+class WorkIntake:
+    """Tells the scheduler of one owner what callers have stored."""
+
+    def __init__(
+        self,
+        store: CoordinationStore,
+        scheduler: Scheduler,
+        term: Term,
+        clock: Clock,
+        note_ownership: Callable[[], None],
+        kick: Callable[[], None],
+    ) -> None:
+        """``note_ownership`` is called when the store shows that ``term`` goes on, ``kick`` has tasks placed."""
+        self._store = store
+        self._scheduler = scheduler
+        self._term = term
+        self._clock = clock
+        self._note_ownership = note_ownership
+        self._kick = kick
+
+    def watch(self) -> PrefixWatch:
+        """Follows the changes, once it runs. Raises OwnershipLostError."""
+        return PrefixWatch(
+            self._store,
+            WORK_PREFIX,
+            WATCH_SECONDS,
+            self.take_listing,
+            self._take_change,
+            self._note_ownership,
+            now=self._clock.now,
+            heard=self._scheduler.note_ownership,
+        )
+
+    def stored_jobs(
+        self, work: Iterable[StoredItem], progress: Iterable[StoredItem]
+    ) -> tuple[tuple[JobSpec, StoredProgress | None], ...]:
+        """The service's jobs and how far they are; what can't be read is logged and left out."""
+        known: dict[str, StoredProgress] = {}
+        for item in progress:
+            try:
+                known[item.key.removeprefix(PROGRESS_PREFIX)] = decode_progress(item.value)
+            except StoredFormatError as error:
+                logger.error("progress not readable", key=item.key, error=str(error))
+        jobs = (self._job(item) for item in work if item.key.startswith(JOB_PREFIX))
+        return tuple((spec, known.get(spec.job)) for spec in jobs if spec is not None)
+
+    def take_cancellations(self, work: Iterable[StoredItem]) -> None:
+        """Take in those among the items."""
+        for item in work:
+            if item.key.startswith(CANCEL_PREFIX):
+                self._cancel(item.key)
+
+    def take_listing(self, listing: StoreListing) -> None:
+        """The store has lost its history: take in what was missed. Raises OwnershipLostError."""
+        self.require_ownership(listing)
+        jobs_first = sorted(listing.items, key=lambda item: item.key.startswith(CANCEL_PREFIX))
+        for item in jobs_first:
+            self._take_change(StoreChange(item.key, item.revision, item))
+
+    def require_ownership(self, listing: StoreListing) -> None:
+        """Raise OwnershipLostError if a listing is of a successor's time, or nobody's.
+
+        Its jobs may be the successor's, which starts those that came after it without asking anybody. The
+        owner's key is on the last page: if it is still this owner's, so were all jobs on the pages before.
+        """
+        own = [item for item in listing.items if item.key == owner_key(self._term.service)]
+        if not own:
+            raise OwnershipLostError("the owner's key is gone")
+        if own[0].revision != self._term.owner_revision:
+            raise OwnershipLostError("the owner's key has changed")
+
+    def _take_change(self, change: StoreChange) -> None:
+        if change.key == owner_key(self._term.service):
+            if change.item is None or change.revision != self._term.owner_revision:
+                raise OwnershipLostError("the owner's key has changed")
+        elif change.item is None:
+            return
+        elif change.key.startswith(JOB_PREFIX):
+            self._accept(change.item)
+        elif change.key.startswith(CANCEL_PREFIX):
+            self._cancel(change.key)
+
+    def _accept(self, item: StoredItem) -> None:
+        spec = self._job(item)
+        if spec is not None:
+            self._scheduler.accept(spec, self._clock.unix_ms())
+            self._kick()
+
+    def _job(self, item: StoredItem) -> JobSpec | None:
+        try:
+            spec = decode_stored_job(item.value)
+        except StoredFormatError as error:
+            logger.error("job not readable", key=item.key, error=str(error))
+            return None
+        return spec if spec.service == self._term.service else None
+
+    def _cancel(self, key: str) -> None:
+        job = JobId(key.removeprefix(CANCEL_PREFIX))
+        self._scheduler.cancel(job, self._clock.now(), self._clock.unix_ms())
+        self._kick()
--- a/fireflyfork/programs/tests/test_service_owner.py
+++ b/fireflyfork/programs/tests/test_service_owner.py
@@ -52,7 +52,7 @@
                 listing = StoreListing(world.store.under(WORK_PREFIX), world.store.revision)
                 lost = False
                 try:
-                    world.owner._work_listed(listing)
+                    world.owner._work_intake.take_listing(listing)
                 except OwnershipLostError:
                     lost = True
             return lost, len(world.owner.scheduler.jobs)
