--- a/fireflyfork/adapters/_loop_profile.py
+++ b/fireflyfork/adapters/_loop_profile.py
@@ -14,7 +14,9 @@
 import trio
 
 LOOP_ITSELF = "event loop"
-"""The activity of choosing what runs next and of asking the system what has come."""
+"""The activity of choosing what runs next."""
+_WAITING = "waiting"
+"""Not reported: where the clock is the wall's, this is the time in which nothing is done."""
 
 
 class LoopProfile(trio.abc.Instrument):
@@ -37,7 +39,8 @@
         """Seconds by activity, of all the time that it has looked."""
         spent: defaultdict[str, float] = defaultdict(float)
         for name, seconds in self._spent.items():
-            spent[_short_name(name)] += seconds
+            if name != _WAITING:
+                spent[_short_name(name)] += seconds
         return spent
 
     @contextmanager
@@ -75,6 +78,14 @@
         """Called by trio."""
         self._enter(LOOP_ITSELF)
 
+    def before_io_wait(self, _timeout: float) -> None:
+        """Called by trio."""
+        self._enter(_WAITING)
+
+    def after_io_wait(self, _timeout: float) -> None:
+        """Called by trio."""
+        self._enter(LOOP_ITSELF)
+
     def _enter(self, activity: str) -> None:
         now = self._clock()
         self._spent[self._activity] += now - self._charged_at
--- a/fireflyfork/adapters/tests/test_loop_profile.py
+++ b/fireflyfork/adapters/tests/test_loop_profile.py
@@ -62,6 +62,20 @@
         self.assertEqual(self.worker.profile.spent["_Worker.place"], 5.0)
         self.assertEqual(self.worker.profile.spent["_run_all"], 0.0)
 
+    def test_waiting_is_charged_to_nobody(self) -> None:
+        """Guards against an idle instance that looks busy where its clock goes on while it waits."""
+
+        before = sum(self.worker.profile.spent.values())
+
+        async def main() -> None:
+            with self.worker.profile.looking():
+                self.worker.profile.before_io_wait(1.0)
+                self.worker.work(7.0)
+                self.worker.profile.after_io_wait(1.0)
+
+        trio.run(main)
+        self.assertEqual(sum(self.worker.profile.spent.values()), before)
+
     def test_a_section_that_fails_is_charged_and_left(self) -> None:
         """Guards against one error that has all later time charged to the wrong activity."""
 
