A busy owner logs the decisions on some jobs whole, not a part of those on all

Beyond the bound the share of jobs that are logged is halved, and doubled again when there is room for 20 s; who is in is drawn by a hash of the job's id, alike for writer and reader, and the account leaves the others out and says so. Tests of the sample seen green only.

--- a/fireflyfork/operations/_job_account.py
+++ b/fireflyfork/operations/_job_account.py
@@ -14,6 +14,8 @@
 
 import msgspec
 
+from .._job_samples import in_sample, job_of_task
+
 PHASE_SECONDS = 5.0
 """Jobs are summed by when they were accepted, in phases of this length."""
 
@@ -67,6 +69,15 @@
         return max(others, key=lambda cause: others[cause]) if others else Cause.RAN
 
 
+@dataclass(frozen=True, slots=True)
+class JobAccounts:
+    """The accounts of jobs, and of which share of all jobs these are."""
+
+    jobs: tuple[JobAccount, ...]
+    share: float
+    """1 unless an owner was too busy to log the decisions on all jobs."""
+
+
 @dataclass(frozen=True, slots=True)
 class CauseRow:
     """Jobs of one queue that were late for one main cause."""
@@ -94,7 +105,7 @@
     reason: str = ""
     waited_for: str = ""
     lowest_pace: int = 100
-    seconds: float = 0.0
+    share: float = 1.0
 
 
 @dataclass(slots=True)
@@ -117,21 +128,33 @@
     """By task and attempt."""
 
 
-def account_jobs(lines: Iterable[str]) -> tuple[JobAccount, ...]:
+def account_jobs(lines: Iterable[str]) -> JobAccounts:
     """The account of every job that was accepted, from the lines of all processes in any order.
 
-    Jobs that last are left out: they have no end to be late for. What stands before the first brace of a
+    Jobs that last are left out: they have no end to be late for. So are jobs of which a busy owner did not
+    log everything. What stands before the first brace of a
     line is passed over, and so are lines that are no log lines.
     """
     known = sorted(_decoded(lines), key=lambda pair: pair[0])
     if not known:
-        return ()
+        return JobAccounts((), 1.0)
     begin = known[0][0]
     records = [((at - begin).total_seconds(), line) for at, line in known]
     jobs = _collect(records)
     gaps = _gaps(records)
     end = records[-1][0]
-    return tuple(_account(name, job, gaps, end) for name, job in jobs.items() if not _lasts(job))
+    share = _smallest_share(records)
+    accounts = tuple(
+        _account(name, job, gaps, end)
+        for name, job in jobs.items()
+        if in_sample(name, share) and not _lasts(job)
+    )
+    return JobAccounts(accounts, share)
+
+
+def _smallest_share(records: Iterable[tuple[float, _Line]]) -> float:
+    shares = (line.share for _, line in records if line.message == "decisions not logged")
+    return min(shares, default=1.0)
 
 
 def summarize(accounts: Iterable[JobAccount]) -> tuple[CauseRow, ...]:
@@ -174,7 +197,7 @@
         if line.message == "job accepted":
             jobs.setdefault(line.job, _Job(line.queue, at))
             continue
-        job = jobs.get(line.job or line.task.partition(".")[0])
+        job = jobs.get(line.job or job_of_task(line.task))
         if job is None:
             continue
         if line.message == "task sent":
--- a/fireflyfork/operations/tests/test_job_account.py
+++ b/fireflyfork/operations/tests/test_job_account.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from ..._job_samples import in_sample
 from .. import Cause, account_jobs, by_phase, summarize
 from .builders_job_logs import accepted, ended, line, over, sent
 
@@ -54,7 +55,7 @@
             ),
         ):
             with self.subTest(name):
-                (account,) = account_jobs((OWNED, accepted(1.0), *lines))
+                (account,) = account_jobs((OWNED, accepted(1.0), *lines)).jobs
                 split = {cause: round(time, 3) for cause, time in account.seconds.items()}
                 self.assertEqual(split, expected)
                 self.assertTrue(account.late)
@@ -74,23 +75,36 @@
             ended(4.0),
             over(4.0, 2.8, 1.0),
         )
-        account = next(one for one in account_jobs(lines) if one.job == "a1")
+        account = next(one for one in account_jobs(lines).jobs if one.job == "a1")
         self.assertAlmostEqual(account.seconds[Cause.NO_OWNER], 1.8)
         self.assertAlmostEqual(account.seconds[Cause.WAITED], 0.1)
 
     def test_a_job_that_was_never_placed_is_late(self) -> None:
-        (account,) = account_jobs((OWNED, accepted(1.0), line(9.0, "serving")))
+        (account,) = account_jobs((OWNED, accepted(1.0), line(9.0, "serving"))).jobs
         self.assertTrue(account.late)
         self.assertEqual(account.main_cause, Cause.NEVER_PLACED)
         self.assertAlmostEqual(account.seconds[Cause.NEVER_PLACED], 8.0)
 
     def test_jobs_that_last_are_left_out(self) -> None:
         lines = (OWNED, accepted(1.0), sent(1.1), ended(5.0, reason="stopped"), line(9.0, "x"))
-        self.assertEqual(account_jobs(lines), ())
+        self.assertEqual(account_jobs(lines).jobs, ())
 
     def test_what_is_no_log_line_is_passed_over(self) -> None:
         lines = ("starting", "{broken", "12.3 n-1 " + accepted(1.0), '{"time": "x", "message": ""}')
-        self.assertEqual([one.job for one in account_jobs(lines)], ["a1"])
+        self.assertEqual([one.job for one in account_jobs(lines).jobs], ["a1"])
+
+
+class SampleTest(unittest.TestCase):
+    """Logs of an owner that was too busy to log everything."""
+
+    def test_only_jobs_that_were_logged_whole_are_accounted_for(self) -> None:
+        """Guards against jobs said to be never placed since the lines of their tasks were left out."""
+        jobs = [f"a{number}" for number in range(64)]
+        busy = (line(0.5, "decisions not logged", lines=900, share=share) for share in (0.5, 0.25))
+        accounts = account_jobs((OWNED, *(accepted(1.0, job) for job in jobs), *busy))
+        self.assertEqual(accounts.share, 0.25)
+        expected = [job for job in jobs if in_sample(job, 0.25)]
+        self.assertEqual([one.job for one in accounts.jobs], expected)
 
 
 class SummaryTest(unittest.TestCase):
@@ -106,7 +120,7 @@
                 ended(begin + 4, task),
                 over(begin + 4, 4.0, 5.0 if number == 1 else 1.0, job),
             ]
-        accounts = account_jobs(lines)
+        accounts = account_jobs(lines).jobs
         (row,) = summarize(accounts)
         self.assertEqual((row.queue, row.cause, row.jobs), ("quotes", Cause.MEMORY, 2))
         self.assertAlmostEqual(row.seconds, 6.0)
--- a/fireflyfork/programs/_ctl_account.py
+++ b/fireflyfork/programs/_ctl_account.py
@@ -11,6 +11,7 @@
 from ..operations import (
     Cause,
     JobAccount,
+    JobAccounts,
     LoopAccount,
     account_jobs,
     account_loops,
@@ -59,23 +60,25 @@
             output.result(found, _loop_report(found))
             return ExitCode.DONE
         accounts = account_jobs(lines)
-        if not accounts:
+        if not accounts.jobs:
             raise CommandError(
                 ExitCode.NOT_FOUND,
                 "no accepted job is in these logs",
                 "give the logs of all instances: each logs the jobs that it accepted",
             )
-        late = [one for one in accounts if one.late]
+        late = [one for one in accounts.jobs if one.late]
         output.result(late, _report(accounts, late))
         if plot is not None:
-            _draw(accounts, plot)
+            _draw(accounts.jobs, plot)
         return ExitCode.DONE
 
     return finish(output, command)
 
 
-def _report(accounts: tuple[JobAccount, ...], late: list[JobAccount]) -> Iterator[str]:
-    yield f"{len(late)} of {len(accounts)} jobs were late or never ended"
+def _report(accounts: JobAccounts, late: list[JobAccount]) -> Iterator[str]:
+    yield f"{len(late)} of {len(accounts.jobs)} jobs were late or never ended"
+    if accounts.share < 1:
+        yield f"an owner was busy: this is a sample of {accounts.share:.1%} of all jobs"
     if not late:
         return
     yield ""
--- a/fireflyfork/programs/_decision_log.py
+++ b/fireflyfork/programs/_decision_log.py
@@ -1,4 +1,8 @@
-"""One log line for each decision, and a bound on how many a second."""
+"""One log line for each decision, and a bound on how many a second.
+
+On a busy owner the lines of some jobs are left out rather than some lines of all jobs: what is logged of a job
+explains it only if it is whole.
+"""
 
 from __future__ import annotations
 
@@ -7,14 +11,18 @@
 
 from loguru import logger
 
+from .._job_samples import in_sample, job_of_task
 from ..decisions.jobs import ExecutorGivenUp, JobOver, Note, RunEnded, TaskSent
 from ._clocks import Clock
 from ._decision_metrics import count_decision
 from ._metrics import Metrics
 
 LINES_A_SECOND = 400
-"""A line takes some 50 us of an instance's fraction of a core. The busiest instance decides about 260
-times a second at the day's peak; beyond this, what is left out is counted."""
+"""A line takes some 50 us of an instance's fraction of a core."""
+SMALLEST_SHARE = 1 / 64
+GROWTH_SECONDS = 20.0
+"""After each change the sample stays for so long at least before it grows: jobs that began outside of it
+would be logged without their beginning."""
 
 _MESSAGES = {
     TaskSent: "task sent",
@@ -32,7 +40,11 @@
         self._clock = clock
         self._service = service
         self._metrics = metrics
+        self._share = 1.0
+        self._changed_at = clock.now()
         self._second = 0
+        self._decided = 0
+        """Decisions in this second, logged or not."""
         self._written = 0
         self._left_out = 0
 
@@ -40,19 +52,49 @@
         """Log these, as far as the bound allows."""
         for note in notes:
             count_decision(self._metrics, note)
-            if self._allowed():
+            self._begin_second()
+            self._decided += 1
+            if self._is_sampled(note) and self._written < LINES_A_SECOND:
+                self._written += 1
                 logger.info(_MESSAGES[type(note)], service=self._service, **_fields(note))
             else:
                 self._left_out += 1
 
-    def _allowed(self) -> bool:
+    def _is_sampled(self, note: Note) -> bool:
+        match note:
+            case TaskSent() | RunEnded():
+                return in_sample(job_of_task(note.task), self._share)
+            case JobOver():
+                return in_sample(note.job, self._share)
+            case ExecutorGivenUp():
+                return True
+
+    def _begin_second(self) -> None:
         second = int(self._clock.now())
-        if second != self._second:
-            if self._left_out:
-                logger.warning("decisions not logged", service=self._service, lines=self._left_out)
-            self._second, self._written, self._left_out = second, 0, 0
-        self._written += 1
-        return self._written <= LINES_A_SECOND
+        if second == self._second:
+            return
+        if self._left_out:
+            self._adjust_share()
+            logger.warning(
+                "decisions not logged",
+                service=self._service,
+                lines=self._left_out,
+                share=self._share,
+            )
+        self._second, self._decided, self._written, self._left_out = second, 0, 0, 0
+
+    def _adjust_share(self) -> None:
+        """Choose the share of jobs whose decisions are logged from now on."""
+        now = self._clock.now()
+        if self._decided * self._share > LINES_A_SECOND:
+            self._share = max(SMALLEST_SHARE, self._share / 2)
+            self._changed_at = now
+        elif (
+            2 * self._share * self._decided < LINES_A_SECOND
+            and now - self._changed_at >= GROWTH_SECONDS
+        ):
+            self._share = min(1.0, 2 * self._share)
+            self._changed_at = now
 
 
 def _fields(note: Note) -> dict[str, object]:
--- a/fireflyfork/programs/tests/test_decision_log.py
+++ b/fireflyfork/programs/tests/test_decision_log.py
@@ -84,3 +84,31 @@
         self.assertIn("'lines': 50", self.lines[LINES_A_SECOND])
         total = f'fireflyfork_runs_ended_total{{reason="stopped"}} {len(notes) + 1}'
         self.assertIn(total, self.metrics.text())
+
+    def test_a_busy_owner_logs_some_jobs_whole(self) -> None:
+        """Guards against logs that tell a part of every job and explain none."""
+        jobs = [f"{number:016x}" for number in range(4 * LINES_A_SECOND)]
+        self._play(jobs, seconds=5)
+        self.lines.clear()
+        self._play(jobs, seconds=1)
+        logged = [sum(job in line for line in self.lines) for job in jobs]
+        self.assertGreater(logged.count(2), LINES_A_SECOND / 8)
+        self.assertEqual(logged.count(1), 0)
+
+    def test_once_it_is_calm_again_all_jobs_are_logged(self) -> None:
+        """Guards against one busy moment after which an owner hardly logs anything."""
+        self._play([f"{number:016x}" for number in range(4 * LINES_A_SECOND)], seconds=5)
+        few = [f"{number:016x}" for number in range(10)]
+        self._play(few, seconds=200)
+        self.lines.clear()
+        self._play(few, seconds=1)
+        self.assertEqual(len(self.lines), 2 * len(few))
+
+    def _play(self, jobs: list[str], seconds: int) -> None:
+        """In each second a task of each job ends, and then the job."""
+        for _ in range(seconds):
+            self.clock.seconds += 1.0
+            for job in jobs:
+                task = TaskName(f"{job}.0.0.0")
+                self.log.write([RunEnded(task, 1, EXECUTOR, EndReason.DONE, 100)])
+                self.log.write([JobOver(JobId(job), JobState.COMPLETED, 900, 1000)])
