--- a/fireflyfork/adapters/tests/test_relays.py
+++ b/fireflyfork/adapters/tests/test_relays.py
@@ -7,6 +7,7 @@
 import unittest
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager, suppress
+from functools import partial
 
 import trio
 
@@ -92,6 +93,16 @@
         return OrderAnswer(CallOutcome.ACCEPTED, 482_113, 1)
 
 
+async def listening(
+    nursery: trio.Nursery, serve: Callable[[list[trio.SocketListener]], Awaitable[None]]
+) -> int:
+    """Have something served on a port of the loopback interface, which is returned."""
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    nursery.start_soon(serve, listeners)
+    port: int = listeners[0].socket.getsockname()[1]
+    return port
+
+
 class StoppedClock:
     """A clock that the test moves."""
 
@@ -118,9 +129,7 @@
         """Start both, wait until the owner uses the relay, and play."""
         with trio.fail_after(STUCK_SECONDS):
             async with trio.open_nursery() as nursery:
-                listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
-                port = listeners[0].socket.getsockname()[1]
-                nursery.start_soon(self._serve, listeners)
+                port = await listening(nursery, self._serve)
                 nursery.start_soon(self.owner.run)
                 place = RelayPlace(NodeName("n-1"), DOMAIN, Address("127.0.0.1", port))
                 self.owner.use([place])
@@ -234,9 +243,7 @@
             owner = RelayedExecutors(Recorder(), LoopTime())
             with trio.fail_after(STUCK_SECONDS):
                 async with trio.open_nursery() as nursery:
-                    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
-                    port = listeners[0].socket.getsockname()[1]
-                    nursery.start_soon(trio.serve_listeners, freeze, listeners)
+                    port = await listening(nursery, partial(trio.serve_listeners, freeze))
                     nursery.start_soon(owner.run)
                     owner.use([RelayPlace(NodeName("n-1"), DOMAIN, Address("127.0.0.1", port))])
                     while owner._relay_for(EXECUTOR) is None:
@@ -256,9 +263,7 @@
             server = RelayServer(lambda: relayed, clock)
             with trio.fail_after(STUCK_SECONDS):
                 async with trio.open_nursery() as nursery:
-                    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
-                    port = listeners[0].socket.getsockname()[1]
-                    nursery.start_soon(server.run, listeners)
+                    port = await listening(nursery, server.run)
                     stream = await trio.open_tcp_stream("127.0.0.1", port)
                     await stream.receive_some(1000)
                     clock.seconds += 2 * STOOD_STILL_SECONDS
@@ -279,9 +284,7 @@
             server = RelayServer(Recorder)
             with trio.fail_after(STUCK_SECONDS):
                 async with trio.open_nursery() as nursery:
-                    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
-                    port = listeners[0].socket.getsockname()[1]
-                    nursery.start_soon(server.run, listeners)
+                    port = await listening(nursery, server.run)
                     stream = await trio.open_tcp_stream("127.0.0.1", port)
                     received = await stream.receive_some(1000)
                     await stream.send_all(encode_frame([Hello(99)]))
