A look for a better arrangement costs no more in a large fleet than in a small one

Each look searched all executors for strays, examined twelve of them against all others, and asked for each pair which of the batch images would be slowed: its cost grows with the square of the fleet and with the images.

A look now searches 48 executors, in turn, examines 12 of them against 40 destinations, those that serve the image first, and remembers what it has worked out. In fleets of up to 40 executors the same moves are found as before.

--- a/fireflyfork/decisions/jobs/_arrangement.py
+++ b/fireflyfork/decisions/jobs/_arrangement.py
@@ -11,6 +11,7 @@
 
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
+from itertools import islice
 
 from ._executors import ExecutorState
 from ._interference import InterferenceModel
@@ -42,9 +43,13 @@
 """A task that was moved stays at least so long, whatever is learned meanwhile."""
 PROMISE_SECONDS = 1.5
 """How long a place is kept: a stop takes up to 0.2 s, and its end is listed within another 0.2 s."""
+EXECUTORS_SEEN = 48
+"""Executors that are searched for strays in one look; the next look goes on behind them. What a look costs
+doesn't grow with the fleet."""
 EXECUTORS_TRIED = 12
-"""Executors with strays that are examined in one look, those that would gain most first. A look at one
-of them costs some 0.5 ms among 33 executors."""
+"""Of those, the ones that are examined: those that would gain most first."""
+DESTINATIONS_TRIED = 40
+"""For one task, those that serve its image first: it harms nothing there."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -102,6 +107,8 @@
         """Change ``work``."""
         self._work = work
         self._looked_at = 0.0
+        self._next = 0
+        """The number of the executor at which the next look begins."""
         self._demand: dict[str, float] = {}
         """By image: thousandths of cores that work without a reservation would use."""
 
@@ -141,16 +148,26 @@
 
     def _best_moves(self, usable: list[ExecutorState], now: float) -> list[Move]:
         worth = Usefulness(self._work.interference, self._demand, spare_headroom(usable))
-        strays = sorted(_strays(usable, worth), key=lambda one: -one[0])[:EXECUTORS_TRIED]
+        turned = self._turned(usable)
+        seen = turned[:EXECUTORS_SEEN]
+        strays = sorted(_strays(seen, worth), key=lambda one: -one[0])[:EXECUTORS_TRIED]
         best: list[Move] = []
         most = 0.0
         for gain, executor, image in strays:
             sketch = _Sketch()
-            gain -= _cost_of_clearing(executor, image, usable, worth, sketch, now)
+            gain -= _cost_of_clearing(executor, image, turned, worth, sketch, now)
             if gain > most:
                 best, most = sketch.moves, gain
         return best
 
+    def _turned(self, usable: list[ExecutorState]) -> list[ExecutorState]:
+        """All of them, another one first in each look."""
+        if len(usable) <= EXECUTORS_SEEN:
+            return usable
+        first = self._next % len(usable)
+        self._next = first + EXECUTORS_SEEN
+        return usable[first:] + usable[:first]
+
     def _order(self, move: Move, now: float) -> None:
         run = move.run
         if not (run.works and may_be_moved(run)):
@@ -171,20 +188,45 @@
         self._model = model
         self._shares = {image: one / whole for image, one in demand.items() if one > 0}
         self._spare_headroom = spare_headroom
+        self._effects_by_image: dict[str, list[float]] = {}
+        self._effects: dict[frozenset[str], list[float]] = {}
+        self._known: dict[tuple[ExecutorState, frozenset[str]], float] = {}
 
     def of(self, executor: ExecutorState, images: Iterable[str]) -> float:
-        """In thousandths of a core, if it served these images."""
+        """In thousandths of a core, if it served these images. What stands there must not change meanwhile."""
+        served = frozenset(images)
+        known = self._known.get((executor, served))
+        if known is None:
+            known = self._known[executor, served] = self._worked_out(executor, served)
+        return known
+
+    def _worked_out(self, executor: ExecutorState, served: frozenset[str]) -> float:
         leftover = leftover_millis(executor)
         if leftover <= 0:
             return 0.0
         wanted = leftover / max(1, executor.registration.room.cpu_millis)
-        served = tuple(images)
-        useful = 0.0
-        for image, share in self._shares.items():
-            effect = max((self._model.effect(one, image) for one in served), default=0.0)
-            useful += share * min(1.0, self._spare_headroom / max(1e-9, effect * wanted))
+        effects = self._effects.get(served)
+        if effects is None:
+            effects = self._effects[served] = self._worst_effects(served)
+        useful = sum(
+            share * min(1.0, self._spare_headroom / max(1e-9, effect * wanted))
+            for share, effect in zip(self._shares.values(), effects, strict=True)
+        )
         return leftover * useful
 
+    def _worst_effects(self, served: frozenset[str]) -> list[float]:
+        """For each image that is wanted, what it costs the service that it slows most."""
+        if not served:
+            return [0.0] * len(self._shares)
+        return [max(costs) for costs in zip(*map(self._effects_on, served), strict=True)]
+
+    def _effects_on(self, serving: str) -> list[float]:
+        known = self._effects_by_image.get(serving)
+        if known is None:
+            known = [self._model.effect(serving, image) for image in self._shares]
+            self._effects_by_image[serving] = known
+        return known
+
 
 def spare_headroom(executors: Iterable[ExecutorState]) -> float:
     """What disturbing work may take of a service's headroom, on average, by the loads of late."""
@@ -244,8 +286,8 @@
     """Ways to take one task elsewhere, with what each costs."""
     here, image = run.executor, run.task.spec.image
     staying = here.serving.keys() - {image}
-    for there in usable:
-        if there is here or not there.serving or not sketch.takes(run, there):
+    for there in islice(_destinations(run, usable), DESTINATIONS_TRIED):
+        if not sketch.takes(run, there):
             continue
         images = there.serving
         harm = worth.of(there, images) - worth.of(there, images.keys() | {image})
@@ -260,6 +302,14 @@
                 yield harm + 2 * MOVE_PRICE_MILLIS, ((run, there), (other, here))
 
 
+def _destinations(run: Run, usable: list[ExecutorState]) -> Iterator[ExecutorState]:
+    """Other executors that serve users, those that serve the run's image first."""
+    image = run.task.spec.image
+    others = [one for one in usable if one.serving and one is not run.executor]
+    yield from (one for one in others if image in one.serving)
+    yield from (one for one in others if image not in one.serving)
+
+
 def _movable(run: Run, now: float) -> bool:
     task: Task = run.task
     if not task.spec.long_running or _is_bound(task):
--- /dev/null
+++ b/fireflyfork/decisions/jobs/tests/test_arrangement_at_size.py
@@ -0,0 +1,95 @@
+"""Looking for a better arrangement of services in a fleet of hundreds.
+
+The pattern: hundreds of executors serve mixtures of several services, and batch work that these mixtures keep
+away waits all the time, so a look for moves is due every half second. On a played day with 270 executors
+each look stopped the owner for a quarter of a second.
+"""
+
+import unittest
+from unittest.mock import patch
+
+from ...._ids import AttemptNumber
+from .. import Run, RunPhase
+from .._arrangement import Usefulness
+from .builders_jobs import START_MS, OwnerUnderTest, job, learned, row, step
+
+IMAGES = ("web", "desk", "mail", "maps")
+HEAVY, LIGHT = 6.0, 0.1
+LARGE, SMALL = 400, 40
+
+
+def _fleet(size: int, mixed: range) -> OwnerUnderTest:
+    """Executors with one service each, but for those with a second one beside it."""
+    owner = OwnerUnderTest(*(f"i-{number}" for number in range(size)))
+    owner.scheduler.adopt(
+        tuple(learned(image, LIGHT if image == "desk" else HEAVY) for image in IMAGES)
+    )
+    for number in range(size):
+        images = [IMAGES[number % 4]]
+        if number in mixed:
+            images.append(IMAGES[(number + 1) % 4])
+        for image in images:
+            _serve(owner, f"i-{number}", image)
+    noisy = step(
+        count=4 * size, cpu_millis=9000, memory_mb=20000, uses_leftover_cpu=True, image="noisy"
+    )
+    owner.scheduler.accept(job("00000000000000bb", noisy), START_MS)
+    owner.place()
+    return owner
+
+
+def _serve(owner: OwnerUnderTest, name: str, image: str) -> None:
+    """Have a service's task run on an executor."""
+    number = len(owner.scheduler.jobs) + 0x100
+    lasting = step(cpu_millis=5000, image=image, tail_target_ms=50, long_running=True)
+    spec = job(f"{number:016x}", lasting)
+    owner.scheduler.accept(spec, START_MS)
+    known = owner.scheduler.jobs.get(spec.job)
+    assert known is not None
+    (task,) = known.tasks.values()
+    run = Run(task, AttemptNumber(1), owner.executor(name), RunPhase.RUNNING, owner.now)
+    task.attempt = run.attempt
+    task.runs.append(run)
+    run.progress_percent = 100
+    run.executor.add(run)
+
+
+def _poll_all(owner: OwnerUnderTest) -> None:
+    for name in owner.scheduler.executors:
+        runs = [run for run in owner.scheduler.executors[name].runs.values() if run.works]
+        owner.poll(str(name), *(row(run, 100, 20.0) for run in runs))
+
+
+def _most_comparisons(size: int) -> int:
+    """How often one tick asks what an executor would be good for, at most."""
+    owner = _fleet(size, range(size))
+    _poll_all(owner)
+    plain = Usefulness.of
+    most = 0
+    for _ in range(20):
+        with patch.object(Usefulness, "of", autospec=True, side_effect=plain) as asked:
+            owner.tick(0.1)
+        most = max(most, asked.call_count)
+        owner.stops()
+    return most
+
+
+class ArrangementAtSizeTest(unittest.TestCase):
+    """What a look costs, and what it finds."""
+
+    def test_a_look_costs_no_more_than_in_a_small_fleet(self) -> None:
+        """Guards against an owner that stands still at each look, while polls and starts wait."""
+        self.assertLessEqual(_most_comparisons(LARGE), 1.5 * _most_comparisons(SMALL))
+
+    def test_strays_anywhere_in_a_large_fleet_are_moved(self) -> None:
+        """Guards against looks that never come to some executors."""
+        for first in (0, LARGE // 2, LARGE - 4):
+            with self.subTest(first=first):
+                owner = _fleet(LARGE, range(first, first + 2))
+                _poll_all(owner)
+                moved: list[Run] = []
+                for _ in range(100):
+                    owner.tick(0.1)
+                    moved += owner.stops()
+                places = {str(run.executor.executor) for run in moved}
+                self.assertTrue(places & {f"i-{first}", f"i-{first + 1}"}, places)
