--- a/fireflyfork/adapters/_relay_server.py
+++ b/fireflyfork/adapters/_relay_server.py
@@ -32,7 +32,7 @@
 
 CALLS_AT_ONCE = 512
 """For one owner. Above that its messages are left unread, which its stream passes on to it."""
-TICK_SECONDS = 0.1
+TICK_SECONDS = 0.25
 STOOD_STILL_SECONDS = 1.0
 """An owner that hears nothing for so long uses another relay."""
 
