What is learned of pairs is worked out once a second, from sums that are kept once

Solutions are a second apart now, which is how fast effects move, and each product is kept once.

The new test counted 200 solutions in 10 s before (every 20 of 4,000 samples, by the code; not run).

--- a/fireflyfork/decisions/jobs/_interference.py
+++ b/fireflyfork/decisions/jobs/_interference.py
@@ -12,6 +12,7 @@
 
 from __future__ import annotations
 
+from collections import defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
@@ -32,8 +33,10 @@
 seconds, so levels scatter by 0.8 of headroom around the fit and changes by 0.45."""
 LONGEST_CHANGE_SECONDS = 1.3
 """Two polls that lie farther apart say little about each other: the load has swung."""
-SOLVE_EVERY = 20
-"""Samples between two solutions, each of which costs some 0.3 ms for ten images."""
+FEWEST_SAMPLES = 20
+SOLVE_SECONDS = 1.0
+"""Between two solutions for one serving image. In a large fleet samples come faster than effects change, and
+a solution for thirty images costs as much as many polls."""
 
 _INTERCEPT = "\x00"
 
@@ -42,26 +45,46 @@
 class _Fit:
     """The sums of one serving image's least squares."""
 
-    products: dict[tuple[str, str], float] = field(default_factory=dict)
+    products: defaultdict[str, defaultdict[str, float]] = field(
+        default_factory=lambda: defaultdict(lambda: defaultdict(float))
+    )
+    """By the earlier and the later name of a pair: the sums are symmetric, and each is kept once."""
     targets: dict[str, float] = field(default_factory=dict)
     solution: dict[str, float] = field(default_factory=dict)
     weight: float = 1.0
     samples: int = 0
+    solved_at: float = float("-inf")
+    """When its solution was worked out, by the clock of the samples."""
 
     def add(self, row: dict[str, float], target: float, weight: float) -> None:
         """Take in one equation."""
         weight *= self.weight
-        for left, value in row.items():
-            for right, other in row.items():
-                pair = (left, right)
-                self.products[pair] = self.products.get(pair, 0.0) + weight * value * other
-            self.targets[left] = self.targets.get(left, 0.0) + weight * value * target
+        names = sorted(row)
+        values = [row[name] for name in names]
+        for place, (name, value) in enumerate(zip(names, values, strict=True)):
+            weighed = weight * value
+            sums = self.products[name]
+            for other, other_value in zip(names[place:], values[place:], strict=True):
+                sums[other] += weighed * other_value
+            self.targets[name] = self.targets.get(name, 0.0) + weighed * target
+
+    def matrix(self, names: list[str]) -> list[list[float]]:
+        """The sums of products of all pairs, in the order of ``names``."""
+        places = {name: place for place, name in enumerate(names)}
+        rows = [[0.0] * len(names) for _ in names]
+        for left, sums in self.products.items():
+            for right, product in sums.items():
+                one, other = places[left], places[right]
+                rows[one][other] = rows[other][one] = product
+        return rows
 
     def age(self) -> None:
         """What is in counts a little less from now on."""
         self.weight *= GROWTH
         if self.weight > LARGEST_WEIGHT:
-            self.products = {pair: sum_ / self.weight for pair, sum_ in self.products.items()}
+            for sums in self.products.values():
+                for name in sums:
+                    sums[name] /= self.weight
             self.targets = {name: sum_ / self.weight for name, sum_ in self.targets.items()}
             self.weight = 1.0
 
@@ -124,7 +147,8 @@
             fit.add(change, sample.headroom - before.headroom, CHANGE_WEIGHT)
         fit.age()
         fit.samples += 1
-        if fit.samples % SOLVE_EVERY == 0:
+        if fit.samples >= FEWEST_SAMPLES and sample.at - fit.solved_at >= SOLVE_SECONDS:
+            fit.solved_at = sample.at
             fit.solution = _solution(fit)
 
     def learned(self) -> tuple[LearnedFit, ...]:
@@ -145,10 +169,8 @@
 
 def _learned(serving: str, fit: _Fit) -> LearnedFit:
     names = tuple(fit.targets)
-    products = tuple(
-        fit.products.get((names[row], names[column]), 0.0) / fit.weight
-        for row, column in _triangle(len(names))
-    )
+    matrix = fit.matrix(list(names))
+    products = tuple(matrix[row][column] / fit.weight for row, column in _triangle(len(names)))
     targets = tuple(fit.targets[name] / fit.weight for name in names)
     return LearnedFit(serving, names, products, targets)
 
@@ -157,8 +179,8 @@
     fit = _Fit(targets=dict(zip(learned.names, learned.targets, strict=True)))
     places = _triangle(len(learned.names))
     for (row, column), value in zip(places, learned.products, strict=True):
-        left, right = learned.names[row], learned.names[column]
-        fit.products[left, right] = fit.products[right, left] = value
+        left, right = sorted((learned.names[row], learned.names[column]))
+        fit.products[left][right] = value
     return fit
 
 
@@ -171,14 +193,10 @@
     prior = {name: PRIOR_HEADROOM if name == _INTERCEPT else -PRIOR_EFFECT for name in names}
     # The prior keeps its weight against sums that age, so what hasn't been seen for long is forgotten.
     weight = PRIOR_WEIGHT * fit.weight
-    rows = [
-        [
-            fit.products.get((left, right), 0.0) + (weight if left == right else 0.0)
-            for right in names
-        ]
-        + [fit.targets[left] + weight * prior[left]]
-        for left in names
-    ]
+    rows = [[*sums, 0.0] for sums in fit.matrix(names)]
+    for place, name in enumerate(names):
+        rows[place][place] += weight
+        rows[place][-1] = fit.targets[name] + weight * prior[name]
     slopes = dict(zip(names, _solve(rows), strict=True))
     # Nothing speeds a neighbour up; a negative effect is noise of its load.
     return {name: max(0.0, -slope) for name, slope in slopes.items() if name != _INTERCEPT}
--- a/fireflyfork/decisions/jobs/tests/test_interference.py
+++ b/fireflyfork/decisions/jobs/tests/test_interference.py
@@ -3,6 +3,7 @@
 import unittest
 from dataclasses import replace
 from random import Random
+from unittest.mock import patch
 
 from ...._ids import AttemptNumber
 from .. import (
@@ -15,10 +16,11 @@
     RunningRow,
     RunPhase,
     StoredFormatError,
+    _interference,
     decode_learned,
     encode_learned,
 )
-from .._interference import PRIOR_EFFECT, InterferenceModel, Sample
+from .._interference import PRIOR_EFFECT, SOLVE_SECONDS, InterferenceModel, Sample
 from .._pacing import BACKGROUND_PACE, LOWEST_PACE, WANTED_HEADROOM, adjust_pace
 from .._placing import choose
 from .builders_jobs import START_MS, OwnerUnderTest, job, row, step
@@ -52,6 +54,14 @@
         self.assertEqual(_trained().effect("web", "new"), PRIOR_EFFECT)
         self.assertEqual(InterferenceModel().effect("web", "noisy"), PRIOR_EFFECT)
 
+    def test_solutions_dont_come_faster_with_more_executors(self) -> None:
+        """Guards against an owner of hundreds of executors that spends its time on what it learns from them."""
+        model = InterferenceModel()
+        with patch.object(_interference, "_solution", wraps=_interference._solution) as solved:
+            for number in range(4000):
+                model.observe("web", Sample(number / 400, 2.0, {"noisy": number % 4 * 0.1}), None)
+        self.assertLessEqual(solved.call_count, 10 / SOLVE_SECONDS + 1)
+
     def test_nothing_is_learned_to_speed_a_neighbour_up(self) -> None:
         model = InterferenceModel()
         for number in range(100):
