--- a/fireflyfork/adapters/_relay_client.py
+++ b/fireflyfork/adapters/_relay_client.py
@@ -94,18 +94,17 @@
 
     async def call(self, make: Callable[[int], Call], seconds: float) -> Reply | None:
         """One call within so many seconds of loop time; None if it may or may not have been made."""
+        if self._stream is None:
+            return None
         number = next(self._numbers)
         pending = self._pending[number] = _Pending()
+        alarm = self._loop_time.after(seconds, pending.done.set)
         try:
-            if self._stream is None:
-                return None
             self._stream.send(make(number))
-            with self._loop_time.fail_after(seconds):
-                await pending.done.wait()
-        except trio.TooSlowError:
-            return None
+            await pending.done.wait()
         finally:
-            self._pending.pop(number, None)
+            alarm.cancel()
+            del self._pending[number]
         return pending.reply
 
     def rank(self, executor: ExecutorId) -> int:
