An owner that is late leaves undone what can wait, in a fixed order

From 0.15 s of lag on it now looks for no better arrangement, and from 0.3 s on polls teach nothing; both are taken up again at half of that. Places kept for moves are given back by the clock all the same: that was part of the look.

--- a/fireflyfork/decisions/jobs/__init__.py
+++ b/fireflyfork/decisions/jobs/__init__.py
@@ -5,6 +5,7 @@
 from ._executors import ExecutorRegistration, ExecutorRoom, ExecutorState
 from ._interference import LearnedFit
 from ._job_table import JobTable
+from ._load_shedding import Shed
 from ._notes import ExecutorGivenUp, JobOver, Note, RunEnded, TaskSent
 from ._overs import RunOver
 from ._progress import JobState, StoredProgress, StoredTask
@@ -74,6 +75,7 @@
     "RunningRow",
     "Scheduler",
     "SchedulerTerms",
+    "Shed",
     "Standing",
     "StartRequest",
     "StartRun",
--- a/fireflyfork/decisions/jobs/_arrangement.py
+++ b/fireflyfork/decisions/jobs/_arrangement.py
@@ -114,7 +114,6 @@
 
     def check(self, now: float) -> None:
         """Stop tasks that should go elsewhere; their places are kept for them."""
-        self._work.promises.expire(now)
         if now - self._looked_at < ARRANGE_SECONDS:
             return
         self._looked_at = now
--- a/fireflyfork/decisions/jobs/_pacing.py
+++ b/fireflyfork/decisions/jobs/_pacing.py
@@ -39,9 +39,14 @@
 
 
 def adjust_pace(
-    executor: ExecutorState, rows: tuple[RunningRow, ...], model: InterferenceModel, now: float
+    executor: ExecutorState,
+    rows: tuple[RunningRow, ...],
+    model: InterferenceModel,
+    now: float,
+    learns: bool = True,
 ) -> Iterator[tuple[Run, int]]:
-    """Learn from a poll. Yields runs that have to work at another pace, in percent."""
+    """Take in a poll, and let the model learn from it. Yields runs that have to work at another pace, in
+    percent."""
     if now - executor.sampled_at < SAMPLE_SECONDS:
         return
     executor.sampled_at = now
@@ -57,7 +62,8 @@
         headroom = min(MOST_HEADROOM, headroom)
         before = executor.samples.get(row.task)
         sample = Sample(now, headroom, uses, _over_since(headroom, before, now))
-        model.observe(image, sample, before)
+        if learns:
+            model.observe(image, sample, before)
         samples[row.task] = sample
         undisturbed = headroom + model.lost_headroom(image, uses)
         known = executor.undisturbed.get(image, MOST_HEADROOM)
--- a/fireflyfork/decisions/jobs/_report_handling.py
+++ b/fireflyfork/decisions/jobs/_report_handling.py
@@ -9,6 +9,7 @@
 from ._executors import ExecutorRegistration, ExecutorState
 from ._gangs import failures, members, save
 from ._job_table import terms_without_queue
+from ._load_shedding import Shed
 from ._notes import RunEnded
 from ._overs import RunOver
 from ._pacing import BACKGROUND_PACE, adjust_pace
@@ -141,7 +142,13 @@
             self._work.reached(executor.executor, now)
         self._work.commands.extend(
             PaceRun(run, percent)
-            for run, percent in adjust_pace(executor, answer.running, self._work.interference, now)
+            for run, percent in adjust_pace(
+                executor,
+                answer.running,
+                self._work.interference,
+                now,
+                learns=self._work.shed < Shed.LEARNING,
+            )
         )
 
     def _ended(self, executor: ExecutorState, row: EndedRow, now: float, now_ms: int) -> None:
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -16,6 +16,7 @@
 from ._executors import ExecutorRegistration, ExecutorState
 from ._interference import LearnedFit
 from ._job_table import JobTable
+from ._load_shedding import Shed, shed_at
 from ._notes import Note
 from ._placement import Placement
 from ._progress import JobState, StoredProgress
@@ -263,6 +264,11 @@
         self._work.tickets.answered(question.step, question.executors, good, now)
         self._work.waiting.retry(now_ms)
 
+    def note_lag(self, lag: float) -> Shed:
+        """The event loop is so many seconds late. Returns what is left undone from now on."""
+        self._work.shed = shed_at(lag, self._work.shed)
+        return self._work.shed
+
     def check_time(self, now: float, now_ms: int) -> None:
         """Lapsed leases, stops without an answer, runs that stand still, jobs that become due."""
         for executor in tuple(self.executors.values()):
@@ -270,7 +276,9 @@
             self._stragglers.check(executor, now)
         self._work.give_up_unreached(now)
         self._upkeep.evict(now)
-        self._arrangement.check(now)
+        self._work.promises.expire(now)
+        if self._work.shed < Shed.ARRANGEMENT:
+            self._arrangement.check(now)
         for job in tuple(self.jobs.waiting_for_time()):
             for task in self.jobs.open_due(job, now_ms):
                 self._work.enqueue(task)
--- a/fireflyfork/decisions/jobs/_work.py
+++ b/fireflyfork/decisions/jobs/_work.py
@@ -8,6 +8,7 @@
 from ._gangs import is_free, members
 from ._interference import InterferenceModel
 from ._job_table import JobTable
+from ._load_shedding import Shed
 from ._notes import ExecutorGivenUp, JobOver, Note
 from ._overs import RunOver
 from ._progress import JobState
@@ -50,6 +51,8 @@
         all that it may run for that owner is over."""
         self.held: list[Task] = []
         """Tasks that may run on one of those."""
+        self.shed = Shed.NOTHING
+        """What is left undone now."""
         self.owned_at = float("inf")
         """When it was last certain that this owner owned the service; infinite where nobody succeeds it."""
 
--- /dev/null
+++ b/fireflyfork/decisions/jobs/tests/test_load_shedding.py
@@ -0,0 +1,90 @@
+"""What an owner leaves undone while it is late.
+
+The pattern: more polls, starts and ends come in than the owner's share of a processor can take, for seconds.
+"""
+
+import unittest
+from unittest.mock import patch
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from .._arrangement import Arrangement
+from .._interference import InterferenceModel
+from .._load_shedding import ARRANGEMENT_LAG_SECONDS, LEARNING_LAG_SECONDS, Shed, shed_at
+from .builders_jobs import START_MS, OwnerUnderTest, job, row, step
+
+_LAGS = st.floats(0.0, 2.0)
+
+
+class ShedLevelTest(unittest.TestCase):
+    """How much is left out."""
+
+    def test_the_order_is_fixed(self) -> None:
+        for lag, expected in (
+            (0.0, Shed.NOTHING),
+            (1.1 * ARRANGEMENT_LAG_SECONDS, Shed.ARRANGEMENT),
+            (1.1 * LEARNING_LAG_SECONDS, Shed.LEARNING),
+        ):
+            with self.subTest(lag=lag):
+                self.assertIs(shed_at(lag, Shed.NOTHING), expected)
+
+    def test_it_is_taken_up_again_later_than_it_was_left(self) -> None:
+        """Guards against looks that begin anew at each moment without lag, and cause the next one."""
+        lag = 0.8 * ARRANGEMENT_LAG_SECONDS
+        self.assertIs(shed_at(lag, Shed.NOTHING), Shed.NOTHING)
+        self.assertIs(shed_at(lag, Shed.ARRANGEMENT), Shed.ARRANGEMENT)
+        self.assertIs(shed_at(0.0, Shed.LEARNING), Shed.NOTHING)
+
+    @given(_LAGS, _LAGS, st.sampled_from(Shed))
+    def test_more_lag_never_leaves_less_out(self, one: float, other: float, before: Shed) -> None:
+        less, more = sorted((one, other))
+        self.assertLessEqual(shed_at(less, before), shed_at(more, before))
+
+
+class SheddingTest(unittest.TestCase):
+    """What is left out, and what never is."""
+
+    def setUp(self) -> None:
+        self.owner = OwnerUnderTest("i-0")
+        serving = step(cpu_millis=4000, image="web", tail_target_ms=10, long_running=True)
+        filling = step(cpu_millis=4000, image="noisy", uses_leftover_cpu=True)
+        for number, spec in enumerate((serving, filling)):
+            self.owner.scheduler.accept(job(f"{number:016x}", spec), START_MS)
+        self.serving, self.filling = self.owner.place()
+
+    def _poll(self) -> None:
+        self.owner.now += 0.5
+        self.owner.poll("i-0", row(self.serving, 100, 50.0), row(self.filling, 10, 4000.0))
+
+    def test_no_look_for_another_arrangement_while_late(self) -> None:
+        """Guards against a late owner that spends its time on what can wait."""
+        self.owner.scheduler.note_lag(1.1 * ARRANGEMENT_LAG_SECONDS)
+        with patch.object(Arrangement, "check", autospec=True) as looked:
+            self.owner.tick(0.1)
+            looked.assert_not_called()
+            self.owner.scheduler.note_lag(0.0)
+            self.owner.tick(0.1)
+            looked.assert_called_once()
+
+    def test_places_that_are_kept_are_given_back_while_late(self) -> None:
+        """Guards against room that stays kept for a task which went elsewhere."""
+        executor = self.owner.executor("i-0")
+        work = self.owner.scheduler._work
+        work.promises.make(self.serving.task, executor, self.owner.now + 1.0)
+        self.owner.scheduler.note_lag(1.1 * LEARNING_LAG_SECONDS)
+        self.owner.tick(0.1)
+        self.assertGreater(executor.promised_cpu_millis, 0)
+        self.owner.tick(1.0)
+        self.assertEqual(executor.promised_cpu_millis, 0)
+
+    def test_services_are_protected_by_what_is_known_while_nothing_is_learned(self) -> None:
+        """Guards against services that a late owner leaves over their target."""
+        self.owner.scheduler.note_lag(1.1 * LEARNING_LAG_SECONDS)
+        with patch.object(InterferenceModel, "observe", autospec=True) as learned:
+            self._poll()
+            learned.assert_not_called()
+            self.assertEqual([name for name, _ in self.owner.paces()], [self.filling.task.name])
+            self.owner.scheduler.note_lag(0.0)
+            self._poll()
+            learned.assert_called_once()
--- a/fireflyfork/programs/_service_owner.py
+++ b/fireflyfork/programs/_service_owner.py
@@ -19,6 +19,7 @@
     QueueTable,
     Scheduler,
     SchedulerTerms,
+    Shed,
     UpkeepWave,
     step_name,
 )
@@ -88,6 +89,9 @@
         self._calls = RelayedExecutors(outside.executors, outside.loop_time)
         self._advisor = outside.advisor
         self._profile = outside.loop_profile
+        self._loop_time = outside.loop_time
+        self._metrics = metrics
+        self._shed = Shed.NOTHING
         self._clock = clock
         self._queues = queues
         self._retention = bounds.status_retention + RETENTION_MARGIN_SECONDS
@@ -239,12 +243,30 @@
     async def _tick(self, nursery: trio.Nursery) -> None:
         while True:
             await trio.sleep(TICK_SECONDS)
+            self._shed_load()
             with self._profile.section("checks of time"):
                 self._scheduler.check_time(self._clock.now(), self._clock.unix_ms())
             if self._scheduler.wants_proof(self._clock.now()) and not self._proving:
                 nursery.start_soon(self._prove_ownership)
             self.kick()
 
+    def _shed_load(self) -> None:
+        """Leave undone what can wait while the event loop is late."""
+        lag = self._loop_time.lag
+        shed = self._scheduler.note_lag(lag)
+        if shed is self._shed:
+            return
+        self._shed = shed
+        self._metrics.count(
+            "fireflyfork_load_shed_total", service=self._service, level=shed.name.lower()
+        )
+        logger.info(
+            "load shed",
+            service=self._service,
+            left_out=shed.name.lower(),
+            lag_ms=round(1000 * lag),
+        )
+
     async def _prove_ownership(self) -> None:
         """Ask the store who owns the service: something rests on that it is still this owner."""
         self._proving = True
