Prices of executors are kept from one round of placing to the next

Work that waits is tried again ten times a second, and each time all executors were priced for up to 24 shapes of it, though few of them had changed meanwhile. Prices are kept by shape and executor now, with the state that they were worked out from; a Hypothesis test compares them with fresh ones after every kind of change.

The cost still grows with the fleet.

--- a/fireflyfork/decisions/jobs/_candidates.py
+++ b/fireflyfork/decisions/jobs/_candidates.py
@@ -7,8 +7,8 @@
 from itertools import islice
 
 from ._executors import ExecutorState
-from ._interference import InterferenceModel
-from ._placing import STRIKE_COST, cost_of
+from ._placing import STRIKE_COST
+from ._price_lists import PriceList
 from ._runs import Task
 
 LOOKED_AT = 48
@@ -29,34 +29,33 @@
         self,
         task: Task,
         executors: Sequence[ExecutorState],
-        model: InterferenceModel,
+        prices: PriceList,
         most: float,
         first: int = 0,
         looked_at: int = LOOKED_AT,
     ) -> None:
-        """For ``task`` and others of its step; ``looked_at`` executors from number ``first`` on are priced,
+        """For ``task`` and others of its step, which take no executor that costs more than ``most``; ``looked_at`` executors from number ``first`` on are priced,
         and as many again whenever these don't do. Those near the step's data come first."""
-        self._task = task
-        self._model = model
+        self._prices = prices
         self._most = most
         self._looked_at = looked_at
         self._rest = enumerate(_near_first(task, executors, first))
         self._heap: list[tuple[float, int, ExecutorState]] = []
         self._look_further()
 
-    def best(self, task: Task) -> ExecutorState | None:
+    def best(self) -> ExecutorState | None:
         """The cheapest executor found that has room for a task of the step, or None if there is none."""
         while True:
-            cheapest = self._cheapest(task)
+            cheapest = self._cheapest()
             if cheapest is not None and cheapest[0] < TROUBLED_COST:
                 return cheapest[-1]
             if not self._look_further():
                 return cheapest[-1] if cheapest is not None else None
 
-    def _cheapest(self, task: Task) -> tuple[float, int, ExecutorState] | None:
+    def _cheapest(self) -> tuple[float, int, ExecutorState] | None:
         while self._heap:
             known, number, executor = self._heap[0]
-            cost = cost_of(task, executor, self._model, self._most)
+            cost = self._cost(executor)
             if cost is None:
                 heapq.heappop(self._heap)
             elif cost > known:
@@ -65,12 +64,16 @@
                 return self._heap[0]
         return None
 
+    def _cost(self, executor: ExecutorState) -> float | None:
+        found = self._prices.price(executor)
+        return found.total if found is not None and found.bounded <= self._most else None
+
     def _look_further(self) -> bool:
         """Price some more; False if there are none."""
         looked_at = False
         for number, executor in islice(self._rest, self._looked_at):
             looked_at = True
-            cost = cost_of(self._task, executor, self._model, self._most)
+            cost = self._cost(executor)
             if cost is not None:
                 heapq.heappush(self._heap, (cost, number, executor))
         return looked_at
--- a/fireflyfork/decisions/jobs/_executors.py
+++ b/fireflyfork/decisions/jobs/_executors.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
-from collections.abc import Iterator
+from collections.abc import Hashable, Iterator
 from dataclasses import dataclass, field
 
 from ..._ids import AttemptNumber, ExecutorId, FailureDomainName, ServiceName, TaskName
@@ -113,6 +113,8 @@
     still there when the load has swung."""
     missing_headroom: dict[str, float] | None = None
     """By serving image: what its tasks here lack of the headroom that is kept; None: to be worked out anew."""
+    changes: int = 0
+    """How often what runs here, or its headroom, has changed."""
     serving: dict[str, int] = field(default_factory=dict)
     """By image: how many tasks here serve users."""
     samples: dict[TaskName, Sample] = field(default_factory=dict)
@@ -175,10 +177,27 @@
             and self.used_accelerators + accelerators <= room.accelerators
         )
 
+    @property
+    def priced_state(self) -> Hashable:
+        """Changes with all that decides what a task costs here."""
+        return (
+            self.changes,
+            self.strikes,
+            self.upkeep_due,
+            self.promised_cpu_millis,
+            self.promised_memory_mb,
+            self.registration,
+        )
+
+    def note_changed(self) -> None:
+        """What runs here, or its headroom, has changed."""
+        self.changes += 1
+        self.missing_headroom = None
+
     def add(self, run: Run) -> None:
         """Take room for a run."""
         step = run.task.spec
-        self.missing_headroom = None
+        self.note_changed()
         self.runs[run.key] = run
         self.used_cpu_millis += step.reserved_cpu_millis
         self.lasting_cpu_millis += step.reserved_cpu_millis if step.long_running else 0
@@ -197,7 +216,7 @@
         if self.runs.pop(run.key, None) is None:
             return
         step = run.task.spec
-        self.missing_headroom = None
+        self.note_changed()
         self.used_cpu_millis -= step.reserved_cpu_millis
         self.lasting_cpu_millis -= step.reserved_cpu_millis if step.long_running else 0
         self.used_memory_mb -= step.memory_mb
@@ -265,5 +284,5 @@
         self.unstored_ends.clear()
         self.undisturbed = {}
         self.lasting_headroom = {}
-        self.missing_headroom = None
+        self.note_changed()
         self.samples = {}
--- a/fireflyfork/decisions/jobs/_pacing.py
+++ b/fireflyfork/decisions/jobs/_pacing.py
@@ -73,7 +73,7 @@
         image: min(now_there, executor.lasting_headroom.get(image, now_there) + RECOVERY)
         for image, now_there in executor.undisturbed.items()
     }
-    executor.missing_headroom = None
+    executor.note_changed()
     yield from _new_paces(executor, model, now)
 
 
--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -10,6 +10,7 @@
 from ._gangs import members, next_attempt, place_together
 from ._notes import TaskSent
 from ._placing import choose, is_allowed, most_cost
+from ._price_lists import PriceLists
 from ._runs import Run, RunPhase, Task
 from ._stragglers import other_executors
 from ._tickets import StepId
@@ -65,6 +66,7 @@
     def __init__(self, work: Work) -> None:
         """Change ``work``."""
         self._work = work
+        self._prices = PriceLists(work.interference)
         self._first = 0
         """The number of the executor that the next step begins to look at."""
 
@@ -152,8 +154,8 @@
             # differ from place to place: for these all places are compared.
             compares_all = task.spec.long_running or task.spec.uses_leftover_cpu
             looked_at = len(allowed) if compares_all else LOOKED_AT
-            model = self._work.interference
-            known = Candidates(task, allowed, model, most, self._first, looked_at)
+            prices = self._prices.for_task(task)
+            known = Candidates(task, allowed, prices, most, self._first, looked_at)
             self._first += LOOKED_AT
             placing.candidates[task.step_id] = known
         return known
@@ -195,7 +197,7 @@
         def choice(one: Task, executors: list[ExecutorState]) -> ExecutorState | None:
             if one.failed_on or one.spec.gang or one.job.queue.needs_tickets:
                 return choose(one, executors, self._work.interference, most)
-            return self._candidates_for(one, executors, placing, most).best(one)
+            return self._candidates_for(one, executors, placing, most).best()
 
         runs = place_together(task, allowed, choice, next_attempt(task), now)
         for run in runs:
--- a/fireflyfork/decisions/jobs/_placing.py
+++ b/fireflyfork/decisions/jobs/_placing.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from typing import NamedTuple
 
 from ._executors import ExecutorState
 from ._interference import InterferenceModel
@@ -65,19 +66,36 @@
     return best
 
 
+class Price(NamedTuple):
+    """What it costs to run a task on an executor, in units of a whole executor's load."""
+
+    total: float
+    bounded: float
+    """The part that may be too much for a task without a reservation."""
+
+
 def cost_of(
     task: Task, executor: ExecutorState, model: InterferenceModel, most_cost: float
 ) -> float | None:
     """What it costs to run a task there, in units of a whole executor's load; None: it can't."""
+    found = price(task, executor, model)
+    if found is None or found.bounded > most_cost:
+        return None
+    return found.total + (FAILED_THERE_COST if executor.executor in task.failed_on else 0.0)
+
+
+def price(task: Task, executor: ExecutorState, model: InterferenceModel) -> Price | None:
+    """What it costs any task of the shape of ``task`` to run there; None: it can't."""
     step = task.spec
     if not executor.fits(step.reserved_cpu_millis, step.memory_mb, step.accelerators):
         return None
     if not is_allowed(task, executor):
         return None
+    history = _history_cost(task, executor)
     if not step.uses_leftover_cpu:
-        return _reserving_cost(task, executor, model) + _history_cost(task, executor)
+        return Price(_reserving_cost(task, executor, model) + history, 0.0)
     cost = _best_effort_cost(task, executor, model)
-    return cost + _history_cost(task, executor) if cost <= most_cost else None
+    return Price(cost + history, cost)
 
 
 def most_cost(age_seconds: float, reserved_share: float) -> float:
@@ -108,8 +126,6 @@
 
 def _history_cost(task: Task, executor: ExecutorState) -> float:
     cost = STRIKE_COST * executor.strikes
-    if executor.executor in task.failed_on:
-        cost += FAILED_THERE_COST
     if task.spec.data_rack and task.spec.data_rack not in executor.registration.labels:
         cost += 1.0
     if task.spec.long_running and executor.upkeep_due:
--- a/fireflyfork/decisions/jobs/tests/test_candidates.py
+++ b/fireflyfork/decisions/jobs/tests/test_candidates.py
@@ -11,11 +11,12 @@
 from hypothesis import strategies as st
 
 from ...._ids import AttemptNumber
-from .. import ExecutorState, Run, RunPhase, Task, _candidates
+from .. import ExecutorState, Run, RunPhase, Task, _price_lists
 from .._candidates import LOOKED_AT, Candidates
 from .._interference import InterferenceModel
 from .._pacing import adjust_pace
-from .._placing import choose, cost_of
+from .._placing import choose, cost_of, price
+from .._price_lists import PriceList
 from .._specs import StepSpec
 from .builders_jobs import START_MS, OwnerUnderTest, job, learned, step
 
@@ -35,10 +36,10 @@
         )
         executors, tasks = _fleet(loads, spec)
         model = InterferenceModel()
-        candidates = Candidates(tasks[0], executors, model, 2.0)
+        candidates = Candidates(tasks[0], executors, PriceList(tasks[0], model), 2.0)
         for task in tasks:
             expected = choose(task, executors, model, 2.0)
-            found = candidates.best(task)
+            found = candidates.best()
             self.assertIs(found, expected)
             if found is None:
                 return
@@ -51,9 +52,11 @@
         """Guards against tasks that wait since the free executors were never looked at."""
         executors, tasks = _fleet(loads, step(count=12, cpu_millis=cpu_millis))
         model = InterferenceModel()
-        candidates = Candidates(tasks[0], executors, model, 2.0, first, looked_at)
+        candidates = Candidates(
+            tasks[0], executors, PriceList(tasks[0], model), 2.0, first, looked_at
+        )
         for task in tasks:
-            found = candidates.best(task)
+            found = candidates.best()
             self.assertEqual(found is None, choose(task, executors, model, 2.0) is None)
             if found is None:
                 return
@@ -62,10 +65,12 @@
     def test_a_start_in_a_large_fleet_costs_no_more_than_in_a_small_one(self) -> None:
         """Guards against an owner that falls behind since each start asks all of its executors."""
         executors, tasks = _fleet([1] * 400, step(count=12))
-        with patch.object(_candidates, "cost_of", wraps=cost_of) as priced:
-            candidates = Candidates(tasks[0], executors, InterferenceModel(), 2.0, first=390)
-            for task in tasks:
-                self.assertIsNotNone(candidates.best(task))
+        with patch.object(_price_lists, "price", wraps=price) as priced:
+            candidates = Candidates(
+                tasks[0], executors, PriceList(tasks[0], InterferenceModel()), 2.0, first=390
+            )
+            for _ in tasks:
+                self.assertIsNotNone(candidates.best())
         self.assertLessEqual(priced.call_count, LOOKED_AT + len(tasks))
 
     def test_what_a_step_disturbs_is_not_summed_up_for_each_of_its_tasks(self) -> None:
@@ -76,9 +81,11 @@
         model = InterferenceModel()
         with patch.object(model, "lost_headroom", wraps=model.lost_headroom) as summed:
             for _ in range(10):
-                candidates = Candidates(tasks[0], executors, model, 2.0, looked_at=len(executors))
-                for task in tasks:
-                    self.assertIsNotNone(candidates.best(task))
+                candidates = Candidates(
+                    tasks[0], executors, PriceList(tasks[0], model), 2.0, looked_at=len(executors)
+                )
+                for _ in tasks:
+                    self.assertIsNotNone(candidates.best())
         self.assertEqual(summed.call_count, len(executors))
 
     def test_what_has_changed_on_an_executor_is_priced_anew(self) -> None:
@@ -106,15 +113,19 @@
         executors, tasks = _fleet([1] * 100, step(count=1, data_rack="r9"))
         near = executors[3]
         near.registration = replace(near.registration, labels=frozenset({"r9"}))
-        candidates = Candidates(tasks[0], executors, InterferenceModel(), 2.0, 50, 4)
-        self.assertIs(candidates.best(tasks[0]), near)
+        candidates = Candidates(
+            tasks[0], executors, PriceList(tasks[0], InterferenceModel()), 2.0, 50, 4
+        )
+        self.assertIs(candidates.best(), near)
 
     def test_where_all_that_were_looked_at_are_in_trouble_others_are(self) -> None:
         """Guards against work that goes to executors that fail everything while sound ones are free."""
         executors, tasks = _fleet([1] * 100, step(count=1))
         for one in executors[:LOOKED_AT]:
             one.strikes = 1
-        found = Candidates(tasks[0], executors, InterferenceModel(), 2.0).best(tasks[0])
+        found = Candidates(
+            tasks[0], executors, PriceList(tasks[0], InterferenceModel()), 2.0
+        ).best()
         assert found is not None
         self.assertEqual(found.strikes, 0)
 
--- /dev/null
+++ b/fireflyfork/decisions/jobs/tests/test_price_lists.py
@@ -0,0 +1,142 @@
+"""Prices that are kept while nothing changes.
+
+The pattern: a backlog of many shapes of work that fills, tried again ten times a second on hundreds of
+executors.
+"""
+
+import unittest
+from dataclasses import replace
+from unittest.mock import patch
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ...._ids import AttemptNumber
+from .. import ExecutorState, Run, RunPhase, Task, _price_lists
+from .._pacing import adjust_pace
+from .._placing import price
+from .._price_lists import PriceList
+from .builders_jobs import START_MS, OwnerUnderTest, job, registration, row, step
+
+EXECUTORS, SHAPES = 60, 8
+
+
+class _Place:
+    """An executor that things happen to."""
+
+    def __init__(self) -> None:
+        """It serves users, and has room."""
+        self.owner = OwnerUnderTest("i-0")
+        self.executor: ExecutorState = self.owner.executor("i-0")
+        self._started = 0
+        self.start(step(cpu_millis=3000, image="web", tail_target_ms=10, long_running=True))
+        self.report()
+
+    def start(self, spec: object = None) -> None:
+        """A run begins."""
+        self._started += 1
+        made = spec or step(cpu_millis=700, image="noisy", uses_leftover_cpu=True)
+        run = Run(
+            _task(self.owner, self._started + 100, made),
+            AttemptNumber(1),
+            self.executor,
+            RunPhase.RUNNING,
+            0.0,
+        )
+        self.executor.add(run)
+
+    def end(self) -> None:
+        """The run that began last ends."""
+        self.executor.remove(next(reversed(self.executor.runs.values())))
+
+    def report(self) -> None:
+        """A poll tells how its services are."""
+        self.owner.now += 0.5
+        rows = tuple(row(run, 100, 9.0) for run in self.executor.runs.values())
+        list(
+            adjust_pace(
+                self.executor, rows, self.owner.scheduler._work.interference, self.owner.now
+            )
+        )
+
+    def fail(self) -> None:
+        """It is blamed for a failure."""
+        self.executor.strikes += 1
+
+    def promise(self) -> None:
+        """Room is kept there."""
+        self.executor.promised_cpu_millis += 2000
+
+    def register_anew(self) -> None:
+        """It says that it has other labels and less room."""
+        room = replace(self.executor.registration.room, cpu_millis=12_000)
+        self.executor.registration = registration(labels=frozenset({"b"}), room=room)
+
+    def go_down_for_upkeep(self) -> None:
+        """Its machine comes next."""
+        self.executor.upkeep_due = True
+
+
+_EVENTS = st.sampled_from(
+    [
+        _Place.start,
+        _Place.end,
+        _Place.report,
+        _Place.fail,
+        _Place.promise,
+        _Place.register_anew,
+        _Place.go_down_for_upkeep,
+    ]
+)
+_SHAPES = st.sampled_from(
+    [
+        step(cpu_millis=3000, uses_leftover_cpu=True, image="noisy"),
+        step(cpu_millis=3000, image="noisy"),
+        step(cpu_millis=3000, image="web", tail_target_ms=10, long_running=True),
+        step(cpu_millis=3000, required_label="a"),
+    ]
+)
+
+
+def _task(owner: OwnerUnderTest, number: int, spec: object) -> Task:
+    described = job(f"{number:016x}", spec)  # type: ignore[arg-type]
+    owner.scheduler.accept(described, START_MS)
+    known = owner.scheduler.jobs.get(described.job)
+    assert known is not None
+    return next(iter(known.tasks.values()))
+
+
+class PriceListTest(unittest.TestCase):
+    """Against prices worked out anew."""
+
+    @given(_SHAPES, st.lists(_EVENTS, max_size=12))
+    def test_a_kept_price_is_what_it_costs_now(self, spec: object, events: list[object]) -> None:
+        """Guards against work sent by what an executor was like before: it may have no room any more."""
+        place = _Place()
+        model = place.owner.scheduler._work.interference
+        task = _task(place.owner, 1, spec)
+        prices = PriceList(task, model)
+        for event in events:
+            prices.price(place.executor)
+            if event is _Place.end and not place.executor.runs:
+                continue
+            event(place)  # type: ignore[operator]
+            self.assertEqual(prices.price(place.executor), price(task, place.executor, model))
+
+    def test_a_backlog_that_is_tried_again_prices_only_what_has_changed(self) -> None:
+        """Guards against an owner that falls behind because work waits."""
+        owner = OwnerUnderTest(*(f"i-{number}" for number in range(EXECUTORS)))
+        for number in range(SHAPES):
+            wide = step(
+                count=20 * EXECUTORS, memory_mb=9000, image=f"b{number}", uses_leftover_cpu=True
+            )
+            owner.scheduler.accept(job(f"{number:016x}", wide), START_MS)
+        owner.place()
+        owner.tick(0.1)
+        owner.place()
+        changed = owner.executor("i-7")
+        owner.tick(0.1)
+        changed.strikes += 1
+        with patch.object(_price_lists, "price", wraps=price) as priced:
+            owner.place()
+        self.assertLessEqual(priced.call_count, SHAPES)
