--- a/fireflyfork/programs/_ctl_account.py
+++ b/fireflyfork/programs/_ctl_account.py
@@ -4,7 +4,7 @@
 
 import sys
 from collections import Counter, defaultdict
-from collections.abc import Iterator, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 from itertools import chain, islice
 from pathlib import Path
 
@@ -46,33 +46,37 @@
     :param plot: draw late jobs by phase and cause into this file; needs matplotlib
     """
     output = Output(json)
+    lines = chain.from_iterable(map(read_lines, files)) if files else sys.stdin
+    if loops:
+        return finish(output, lambda: _show_loops(lines, output))
+    return finish(output, lambda: _show_jobs(lines, output, plot))
 
-    def command() -> ExitCode:
-        lines = chain.from_iterable(map(read_lines, files)) if files else sys.stdin
-        if loops:
-            found = account_loops(lines)
-            if not found:
-                raise CommandError(
-                    ExitCode.NOT_FOUND,
-                    "no instance's loop time is in these logs",
-                    "each instance logs it every ten seconds",
-                )
-            output.result(found, _loop_report(found))
-            return ExitCode.DONE
-        accounts = account_jobs(lines)
-        if not accounts.jobs:
-            raise CommandError(
-                ExitCode.NOT_FOUND,
-                "no accepted job is in these logs",
-                "give the logs of all instances: each logs the jobs that it accepted",
-            )
-        late = [one for one in accounts.jobs if one.late]
-        output.result(late, _report(accounts, late))
-        if plot is not None:
-            _draw(accounts.jobs, plot)
-        return ExitCode.DONE
 
-    return finish(output, command)
+def _show_jobs(lines: Iterable[str], output: Output, plot: Path | None) -> ExitCode:
+    accounts = account_jobs(lines)
+    if not accounts.jobs:
+        raise CommandError(
+            ExitCode.NOT_FOUND,
+            "no accepted job is in these logs",
+            "give the logs of all instances: each logs the jobs that it accepted",
+        )
+    late = [one for one in accounts.jobs if one.late]
+    output.result(late, _report(accounts, late))
+    if plot is not None:
+        _draw(accounts.jobs, plot)
+    return ExitCode.DONE
+
+
+def _show_loops(lines: Iterable[str], output: Output) -> ExitCode:
+    accounts = account_loops(lines)
+    if not accounts:
+        raise CommandError(
+            ExitCode.NOT_FOUND,
+            "no instance's loop time is in these logs",
+            "each instance logs it every ten seconds",
+        )
+    output.result(accounts, _loop_report(accounts))
+    return ExitCode.DONE
 
 
 def _report(accounts: JobAccounts, late: list[JobAccount]) -> Iterator[str]:
