--- a/fireflyfork/programs/_planner.py
+++ b/fireflyfork/programs/_planner.py
@@ -12,8 +12,9 @@
 from ..decisions import FirstFitPolicy, PlacementPolicy, partition_id
 from ..decisions.placement import InterferenceAwarePolicy
 from ._metrics import Metrics
+from ._partition_plan import PartitionPlan, PlannerClock
 from ._planner_endpoint import PlannerEndpoint
-from ._planner_partition import PartitionPlan, PartitionRunner, PlannerClock
+from ._planner_partition import PartitionRunner
 from ._planner_rights import PartitionRights
 from ._planner_settings import PlannerSettings, PolicyName
 
--- a/fireflyfork/programs/_planner_endpoint.py
+++ b/fireflyfork/programs/_planner_endpoint.py
@@ -29,8 +29,9 @@
 )
 from ._batch_views import explain_task, job_status
 from ._metrics import METRICS_TEXT
+from ._partition_plan import NotReadyError, OutcomeUnknownError
 from ._planner_metrics import prometheus_text
-from ._planner_partition import NotReadyError, OutcomeUnknownError, PartitionRunner
+from ._planner_partition import PartitionRunner
 from ._planner_rights import PartitionRights
 
 _LONGEST_REQUEST_BYTES = 65_536
--- a/fireflyfork/programs/_planner_settings.py
+++ b/fireflyfork/programs/_planner_settings.py
@@ -10,7 +10,7 @@
 from .._links import Address
 from ..decisions import PlanningRules
 from ._entry_settings import SHORTEST_PEER_KEY
-from ._planner_partition import PlannerPace
+from ._partition_plan import PlannerPace
 
 MOST_PARTITIONS = 64
 
--- a/fireflyfork/programs/tests/builders_faults.py
+++ b/fireflyfork/programs/tests/builders_faults.py
@@ -32,13 +32,13 @@
     WorkerPlatform,
 )
 from ...decisions import FirstFitPolicy, LeaseRules, PlacementPolicy, PlanningRules, Submission
-from .._planner_partition import (
+from .._partition_plan import (
     NotReadyError,
     OutcomeUnknownError,
     PartitionPlan,
-    PartitionRunner,
     PlannerPace,
 )
+from .._planner_partition import PartitionRunner
 from .._planner_rights import PartitionRights
 from .builders_planner import (
     PARTITION,
--- a/fireflyfork/programs/tests/builders_planner.py
+++ b/fireflyfork/programs/tests/builders_planner.py
@@ -46,7 +46,8 @@
     WorkerPlatform,
 )
 from ...decisions import FirstFitPolicy, PlacementPolicy, Submission, TaskShape
-from .._planner_partition import PartitionPlan, PartitionRunner, PlannerClock
+from .._partition_plan import PartitionPlan, PlannerClock
+from .._planner_partition import PartitionRunner
 from .._planner_rights import PartitionRights
 
 Answer = TypeVar("Answer")
