--- a/fireflyfork/decisions/jobs/tests/test_arrangement.py
+++ b/fireflyfork/decisions/jobs/tests/test_arrangement.py
@@ -105,10 +105,12 @@
         owner = _owner(*MIXED)
         _let_batch_wait(owner)
         stopped: list[Run] = []
-        while not stopped:
-            _poll_all(owner)
-            owner.tick(0.1)
-            stopped = owner.stops()
+        for _ in range(100):
+            if not stopped:
+                _poll_all(owner)
+                owner.tick(0.1)
+                stopped = owner.stops()
+        self.assertTrue(stopped)
         there = next(name for name in PLACES if owner.executor(name).promised_cpu_millis)
         vanished = owner.executor(there)
         owner.scheduler.unregister(vanished.executor, owner.now)
