An owner that is far behind asks its executors half as often

Polls come back as fast as the owner takes them in, twice a second for an executor that fills, so an owner that is late never has less to do; at some lag it renews no lease in time. Beyond half a second of lag each poll now waits 2 s. Ends are listed at once all the same, and two such polls fit into a lease.

--- a/fireflyfork/decisions/jobs/_load_shedding.py
+++ b/fireflyfork/decisions/jobs/_load_shedding.py
@@ -10,6 +10,7 @@
 
 ARRANGEMENT_LAG_SECONDS = 0.15
 LEARNING_LAG_SECONDS = 0.3
+POLLS_LAG_SECONDS = 0.5
 RESUMED_SHARE = 0.5
 """What was left out is taken up again below this share of the lag that stopped it."""
 
@@ -22,9 +23,16 @@
     """No look for a better arrangement of services: it would only be of use later."""
     LEARNING = 2
     """Polls teach nothing about which images disturb which; paces go by what is known."""
+    POLLS = 3
+    """Executors are asked less often. They list ends at once all the same, and leases outlast it; paces follow
+    the load of services later."""
 
 
-_LAGS = {Shed.ARRANGEMENT: ARRANGEMENT_LAG_SECONDS, Shed.LEARNING: LEARNING_LAG_SECONDS}
+_LAGS = {
+    Shed.ARRANGEMENT: ARRANGEMENT_LAG_SECONDS,
+    Shed.LEARNING: LEARNING_LAG_SECONDS,
+    Shed.POLLS: POLLS_LAG_SECONDS,
+}
 
 
 def shed_at(lag: float, before: Shed) -> Shed:
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -264,6 +264,11 @@
         self._work.tickets.answered(question.step, question.executors, good, now)
         self._work.waiting.retry(now_ms)
 
+    @property
+    def shed(self) -> Shed:
+        """What is left undone now."""
+        return self._work.shed
+
     def note_lag(self, lag: float) -> Shed:
         """The event loop is so many seconds late. Returns what is left undone from now on."""
         self._work.shed = shed_at(lag, self._work.shed)
--- a/fireflyfork/decisions/jobs/tests/test_load_shedding.py
+++ b/fireflyfork/decisions/jobs/tests/test_load_shedding.py
@@ -11,7 +11,13 @@
 
 from .._arrangement import Arrangement
 from .._interference import InterferenceModel
-from .._load_shedding import ARRANGEMENT_LAG_SECONDS, LEARNING_LAG_SECONDS, Shed, shed_at
+from .._load_shedding import (
+    ARRANGEMENT_LAG_SECONDS,
+    LEARNING_LAG_SECONDS,
+    POLLS_LAG_SECONDS,
+    Shed,
+    shed_at,
+)
 from .builders_jobs import START_MS, OwnerUnderTest, job, row, step
 
 _LAGS = st.floats(0.0, 2.0)
@@ -25,6 +31,7 @@
             (0.0, Shed.NOTHING),
             (1.1 * ARRANGEMENT_LAG_SECONDS, Shed.ARRANGEMENT),
             (1.1 * LEARNING_LAG_SECONDS, Shed.LEARNING),
+            (1.1 * POLLS_LAG_SECONDS, Shed.POLLS),
         ):
             with self.subTest(lag=lag):
                 self.assertIs(shed_at(lag, Shed.NOTHING), expected)
--- a/fireflyfork/programs/_executor_polls.py
+++ b/fireflyfork/programs/_executor_polls.py
@@ -10,7 +10,14 @@
 from loguru import logger
 
 from ..adapters import ExecutorCalls, ExecutorPlace, LoopTime
-from ..decisions.jobs import CallOutcome, ExecutorState, PollAnswer, PollRequest, Scheduler
+from ..decisions.jobs import (
+    CallOutcome,
+    ExecutorState,
+    PollAnswer,
+    PollRequest,
+    Scheduler,
+    Shed,
+)
 from ._clocks import Clock
 from ._service_journal import OwnershipLostError, ServiceJournal
 from ._service_lease import Term
@@ -21,6 +28,10 @@
 DISTURBED_POLL_SECONDS = 0.5
 """Where tasks without a reservation run beside serving ones: tails are measured over half a second,
 and one over its target has to be noticed within the next."""
+SHED_POLL_SECONDS = 2.0
+"""How long each poll waits while the owner is late. Polls come back as fast as an owner can take them in, so
+one that has too many executors for its processor would fall behind further and further, until it renews no
+lease in time and all that runs anywhere lapses at once. Two of these fit into a lease."""
 STORE_WAIT_SECONDS = 0.15
 """Ends are listed again until they are stored, so a poll before that would return at once. When the
 store is away, polls go on at this pace."""
@@ -272,10 +283,11 @@
         executor.grant_lease(until)
         return until
 
-    @staticmethod
-    def _wait(executor: ExecutorState) -> float:
+    def _wait(self, executor: ExecutorState) -> float:
         if executor.polled_at is None or executor.failed_polls or executor.unstored_ends:
             return 0.0
+        if self._scheduler.shed >= Shed.POLLS:
+            return SHED_POLL_SECONDS
         serves = fills = False
         for run in executor.runs.values():
             serves = serves or bool(run.task.spec.tail_target_ms)
--- a/fireflyfork/programs/tests/test_late_loop.py
+++ b/fireflyfork/programs/tests/test_late_loop.py
@@ -16,6 +16,8 @@
 from .builders_owner import OwnerWorld
 
 SECONDS = 60.0
+STARTING_POLLS = 8
+"""Before the loop is held up, and until its lag shows."""
 
 
 class Counts:
@@ -86,3 +88,11 @@
                 counts = _play(busy, idle)
                 self.assertEqual((counts.silent, counts.fresh_polls), (0, 0))
                 self.assertLessEqual(counts.polls, punctual.polls)
+
+    def test_an_owner_that_is_far_behind_asks_its_executors_half_as_often(self) -> None:
+        """Guards against an owner of too many executors that polls itself to a standstill, until it renews no
+        lease in time and everything lapses at once."""
+        punctual = _play(busy=0.0, idle=0.0)
+        counts = _play(busy=0.7, idle=0.2)
+        self.assertEqual(counts.silent, 0)
+        self.assertLessEqual(counts.polls, punctual.polls / 2 + STARTING_POLLS)
