Read-through: one reader of log lines, no second copy of what is shed

Both accounts found the JSON in a log line by loops of their own; they share _log_lines.py now. What an owner sheds was kept by ServiceOwner and by the scheduler; only the scheduler keeps it. A docstring of Candidates ran past 100 columns.

--- a/fireflyfork/decisions/jobs/_candidates.py
+++ b/fireflyfork/decisions/jobs/_candidates.py
@@ -34,8 +34,11 @@
         first: int = 0,
         looked_at: int = LOOKED_AT,
     ) -> None:
-        """For ``task`` and others of its step, which take no executor that costs more than ``most``; ``looked_at`` executors from number ``first`` on are priced,
-        and as many again whenever these don't do. Those near the step's data come first."""
+        """For ``task`` and others of its step, which put up with no more than ``most``.
+
+        ``looked_at`` executors from number ``first`` on are priced, and as many again whenever these don't
+        do. Those near the step's data come first.
+        """
         self._prices = prices
         self._most = most
         self._looked_at = looked_at
--- a/fireflyfork/operations/_job_account.py
+++ b/fireflyfork/operations/_job_account.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from .._job_samples import in_sample, job_of_task
+from ._log_lines import decoded_lines
 
 PHASE_SECONDS = 5.0
 """Jobs are summed by when they were accepted, in phases of this length."""
@@ -179,15 +180,11 @@
 
 
 def _decoded(lines: Iterable[str]) -> Iterator[tuple[datetime, _Line]]:
-    for text in lines:
-        brace = text.find("{")
-        if brace < 0:
-            continue
+    for line in decoded_lines(lines, _Line):
         try:
-            line = msgspec.json.decode(text[brace:], type=_Line)
             yield datetime.fromisoformat(line.time), line
-        except (msgspec.DecodeError, UnicodeEncodeError, ValueError):
-            # Logs of several programs lie in one file; what is none of ours says nothing of jobs.
+        except ValueError:
+            # Another program's line, which says nothing of jobs.
             continue
 
 
--- a/fireflyfork/operations/_loop_account.py
+++ b/fireflyfork/operations/_loop_account.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from ._log_lines import decoded_lines
+
 
 @dataclass(slots=True)
 class LoopAccount:
@@ -58,14 +60,5 @@
 
 
 def _loop_lines(lines: Iterable[str]) -> Iterator[_Line]:
-    for text in lines:
-        brace = text.find("{")
-        if brace < 0 or _MESSAGE not in text:
-            continue
-        try:
-            line = msgspec.json.decode(text[brace:], type=_Line)
-        except (msgspec.DecodeError, UnicodeEncodeError):
-            # Logs of several programs lie in one file.
-            continue
-        if line.message == _MESSAGE:
-            yield line
+    likely = (text for text in lines if _MESSAGE in text)
+    return (line for line in decoded_lines(likely, _Line) if line.message == _MESSAGE)
--- a/fireflyfork/programs/_service_owner.py
+++ b/fireflyfork/programs/_service_owner.py
@@ -19,7 +19,6 @@
     QueueTable,
     Scheduler,
     SchedulerTerms,
-    Shed,
     UpkeepWave,
     step_name,
 )
@@ -91,7 +90,6 @@
         self._profile = outside.loop_profile
         self._loop_time = outside.loop_time
         self._metrics = metrics
-        self._shed = Shed.NOTHING
         self._clock = clock
         self._queues = queues
         self._retention = bounds.status_retention + RETENTION_MARGIN_SECONDS
@@ -252,11 +250,10 @@
 
     def _shed_load(self) -> None:
         """Leave undone what can wait while the event loop is late."""
-        lag = self._loop_time.lag
+        lag, before = self._loop_time.lag, self._scheduler.shed
         shed = self._scheduler.note_lag(lag)
-        if shed is self._shed:
+        if shed is before:
             return
-        self._shed = shed
         self._metrics.count(
             "fireflyfork_load_shed_total", service=self._service, level=shed.name.lower()
         )
