Metrics: counters kept elsewhere are written with all their digits

A reader of the metrics saw a rate of zero between two readings of a counter above a million, as both were rounded to six digits (1.23457e+09 for 1,234,567,890: the format g). Fifteen digits hold every count exactly and still hide the noise of binary fractions.

--- a/fireflyfork/programs/_metrics.py
+++ b/fireflyfork/programs/_metrics.py
@@ -68,7 +68,7 @@
         for name, (label, values) in sorted(self._kept_elsewhere.items()):
             yield f"# TYPE {name} counter"
             for value, number in sorted(values().items()):
-                yield f"{name}{_text(((label, value),))} {number:g}"
+                yield f"{name}{_text(((label, value),))} {number:.15g}"
 
     def _gauge_lines(self) -> Iterator[str]:
         for name, value in sorted(self._gauges.items()):
