Bytes of the store's calls are counted by purpose

Nobody could tell from logs or metrics what fills a link: calls to the store were counted by purpose, their bytes were not. LoopReport takes the store instead of a function for its calls, so the setup of its test changed; all its checks stay, some were added.

Not counted: heads, and the part of an answer that came before it broke off; its call is. Without the line that counts answers three of the four new tests of the client fail.

--- a/fireflyfork/adapters/_coordination.py
+++ b/fireflyfork/adapters/_coordination.py
@@ -76,6 +76,16 @@
         """Calls made so far, by what they were for; empty where nobody counts them."""
         return {}
 
+    @property
+    def bytes_received(self) -> Mapping[str, int]:
+        """The bodies of answers that came whole, by the same purposes as ``calls``."""
+        return {}
+
+    @property
+    def bytes_sent(self) -> Mapping[str, int]:
+        """The bodies of calls, by the same purposes as ``calls``."""
+        return {}
+
     @abstractmethod
     async def read(self, key: str) -> StoredItem | None:
         """The item, or None when the key is absent."""
--- a/fireflyfork/operations/_loop_account.py
+++ b/fireflyfork/operations/_loop_account.py
@@ -1,4 +1,4 @@
-"""What the instances' processor time and calls to the store went to, from their log lines."""
+"""What the instances' processor time, calls to the store and bytes went to, from their log lines."""
 
 from __future__ import annotations
 
@@ -21,6 +21,10 @@
     """In which it was spent."""
     store_calls: Counter[str] = field(default_factory=Counter)
     """By purpose."""
+    store_received: Counter[str] = field(default_factory=Counter)
+    """Bytes of the store's answers, by purpose."""
+    store_sent: Counter[str] = field(default_factory=Counter)
+    """Bytes of calls to the store, by purpose."""
     worst_lag_ms: int = 0
     """How late its loop was at most."""
 
@@ -44,6 +48,8 @@
     looked_ms: int = 0
     spent_ms: dict[str, int] = {}
     store_calls: dict[str, int] = {}
+    store_received: dict[str, int] = {}
+    store_sent: dict[str, int] = {}
     lag_ms: int = 0
 
 
@@ -55,6 +61,8 @@
         account.spent_ms.update(line.spent_ms)
         account.looked_ms += line.looked_ms
         account.store_calls.update(line.store_calls)
+        account.store_received.update(line.store_received)
+        account.store_sent.update(line.store_sent)
         account.worst_lag_ms = max(account.worst_lag_ms, line.lag_ms)
     return dict(sorted(accounts.items(), key=lambda item: (-item[1].share, item[0])))
 
--- a/fireflyfork/operations/tests/test_loop_account.py
+++ b/fireflyfork/operations/tests/test_loop_account.py
@@ -8,9 +8,24 @@
 OWNER, ENTRY = "owner-1", "entry-1"
 
 
-def _report(node: str, spent: dict[str, int], calls: dict[str, int], lag: int = 0) -> str:
+def _report(
+    node: str,
+    spent: dict[str, int],
+    calls: dict[str, int],
+    lag: int = 0,
+    received: dict[str, int] | None = None,
+    sent_bytes: dict[str, int] | None = None,
+) -> str:
     return line(
-        10.0, "loop time", node=node, looked_ms=1_000, spent_ms=spent, store_calls=calls, lag_ms=lag
+        10.0,
+        "loop time",
+        node=node,
+        looked_ms=1_000,
+        spent_ms=spent,
+        store_calls=calls,
+        store_received=received or {},
+        store_sent=sent_bytes or {},
+        lag_ms=lag,
     )
 
 
@@ -36,6 +51,23 @@
         self.assertEqual(owner.store_calls, {"commit progress": 40, "watch work": 5})
         self.assertEqual(owner.worst_lag_ms, 40)
 
+    def test_bytes_of_an_instance_are_added_up(self) -> None:
+        """Guards against a link that is full of reads nobody can name."""
+        large, small = {"watch op": 600_000}, {"watch op": 40, "list work": 7}
+        lines = (
+            _report(ENTRY, {}, {}, received=large, sent_bytes={"commit work": 9}),
+            _report(ENTRY, {}, {}, received=small),
+        )
+        (account,) = account_loops(lines).values()
+        self.assertEqual(account.store_received, {"watch op": 600_040, "list work": 7})
+        self.assertEqual(account.store_sent, {"commit work": 9})
+
+    def test_lines_of_a_version_that_counted_no_bytes(self) -> None:
+        """Guards against logs of an instance not yet updated that can't be read any more."""
+        old = line(10.0, "loop time", node=ENTRY, looked_ms=1_000, store_calls={"watch op": 2})
+        (account,) = account_loops((old,)).values()
+        self.assertEqual((account.store_calls, account.store_received), ({"watch op": 2}, {}))
+
     def test_what_no_scheduler_wrote_is_passed_over(self) -> None:
         """Guards against a file that can't be read for a line cut short or of another program."""
         others = ("loop time", '{"message": "loop time", "spent_ms": 3}', '{"loop time', sent(1.0))
--- a/fireflyfork/platform/_store_client.py
+++ b/fireflyfork/platform/_store_client.py
@@ -127,12 +127,24 @@
         self._calls = JsonCalls(address, CALL_TIMEOUT_SECONDS, ANSWER_PAUSE_SECONDS)
         self._failures = 0
         self._counted: Counter[str] = Counter()
+        self._received: Counter[str] = Counter()
+        self._sent: Counter[str] = Counter()
 
     @property
     def calls(self) -> Mapping[str, int]:
         """See CoordinationStore."""
         return MappingProxyType(self._counted)
 
+    @property
+    def bytes_received(self) -> Mapping[str, int]:
+        """See CoordinationStore."""
+        return MappingProxyType(self._received)
+
+    @property
+    def bytes_sent(self) -> Mapping[str, int]:
+        """See CoordinationStore."""
+        return MappingProxyType(self._sent)
+
     @property
     def answers(self) -> bool:
         """Whether the store has answered lately: one of the last calls did."""
@@ -140,8 +152,8 @@
 
     async def read(self, key: str) -> StoredItem | None:
         """See CoordinationStore."""
-        self._count("read", key)
-        answer = await self._call("GET", f"{KEY_PATH}?key={quote(key, safe='')}")
+        target = f"{KEY_PATH}?key={quote(key, safe='')}"
+        answer = await self._call(_purpose("read", key), "GET", target)
         if answer.status == 404:
             return None
         return _stored(_decoded(answer, _Item))
@@ -163,14 +175,13 @@
             after = page.items[-1].key
 
     async def _page(self, prefix: str, target: str) -> CallAnswer:
+        purpose = _purpose("list", prefix)
         for _ in range(PAGE_TRIES - 1):
-            self._count("list", prefix)
             try:
-                return await self._call("GET", target)
+                return await self._call(purpose, "GET", target)
             except StoreUnavailableError as error:
                 logger.debug("page asked for again", error=str(error))
-        self._count("list", prefix)
-        return await self._call("GET", target)
+        return await self._call(purpose, "GET", target)
 
     async def changes(self, prefix: str, after: Revision, wait_seconds: float) -> StoreChanges:
         """See CoordinationStore."""
@@ -178,8 +189,8 @@
             f"{WATCH_PATH}?path_prefix={quote(prefix, safe='')}"
             f"&after={after}&wait_ms={int(wait_seconds * 1000)}"
         )
-        self._count("watch", prefix)
-        answer = await self._call("GET", target, extra_seconds=wait_seconds)
+        purpose = _purpose("watch", prefix)
+        answer = await self._call(purpose, "GET", target, extra_seconds=wait_seconds)
         if answer.status == 410:
             raise StoreHistoryLostError(f"the changes of {prefix} after {after} are gone")
         watch = _decoded(answer, _Watch)
@@ -193,7 +204,7 @@
     ) -> Revision:
         """See CoordinationStore."""
         changed = [put.key for put in puts] or removals
-        self._count("commit", changed[0] if changed else "")
+        purpose = _purpose("commit", changed[0] if changed else "")
         transaction = _Transaction(
             [_Expected(key, revision) for key, revision in expected.items()],
             [
@@ -202,7 +213,8 @@
             ],
             list(removals),
         )
-        answer = await self._call("POST", TRANSACTION_PATH, msgspec.json.encode(transaction))
+        body = msgspec.json.encode(transaction)
+        answer = await self._call(purpose, "POST", TRANSACTION_PATH, body)
         if answer.status == 412:
             found = _decoded(answer, _Conflict, 412).items
             raise TransactionConflictError(
@@ -218,33 +230,35 @@
 
     async def grant_lease(self, seconds: float) -> LeaseId:
         """See CoordinationStore."""
-        self._count("grant", "lease")
         body = msgspec.json.encode(_LeaseRequest(int(seconds * 1000)))
-        answer = await self._call("POST", LEASE_PATH, body)
+        answer = await self._call(_purpose("grant", "lease"), "POST", LEASE_PATH, body)
         return LeaseId(_decoded(answer, _Granted).lease)
 
     async def keep_lease(self, lease: LeaseId) -> None:
         """See CoordinationStore."""
-        self._count("keep", "lease")
-        answer = await self._call("POST", f"{LEASE_KEEP_PATH}{lease}")
+        purpose = _purpose("keep", "lease")
+        answer = await self._call(purpose, "POST", f"{LEASE_KEEP_PATH}{lease}")
         if answer.status == 404:
             raise LeaseEndedError(f"lease {lease} has ended")
         _require(answer, 200)
 
     async def end_lease(self, lease: LeaseId) -> None:
         """See CoordinationStore."""
-        self._count("end", "lease")
-        answer = await self._call("DELETE", f"{LEASE_END_PATH}{lease}")
+        purpose = _purpose("end", "lease")
+        answer = await self._call(purpose, "DELETE", f"{LEASE_END_PATH}{lease}")
         if answer.status != 404:
             _require(answer, 200)
 
-    def _count(self, verb: str, key: str) -> None:
-        kind = "/".join(key.split("/", _KIND_SEGMENTS)[:_KIND_SEGMENTS])
-        self._counted[f"{verb} {kind}"] += 1
-
     async def _call(
-        self, method: str, target: str, body: bytes = b"", extra_seconds: float = 0.0
+        self,
+        purpose: str,
+        method: str,
+        target: str,
+        body: bytes = b"",
+        extra_seconds: float = 0.0,
     ) -> CallAnswer:
+        self._counted[purpose] += 1
+        self._sent[purpose] += len(body)
         try:
             answer = await self._calls.call(method, target, body, extra_seconds=extra_seconds)
         except ConnectError as error:
@@ -254,6 +268,7 @@
             # Questions that wait are cut now and then, several at once, by a store that is well.
             self._failures += not extra_seconds
             raise StoreUnavailableError(str(error)) from error
+        self._received[purpose] += len(answer.body)
         if answer.status in (429, 503):
             self._failures += 1
             raise StoreRefusedError(f"the store answered {answer.status}")
@@ -261,6 +276,11 @@
         return answer
 
 
+def _purpose(verb: str, key: str) -> str:
+    kind = "/".join(key.split("/", _KIND_SEGMENTS)[:_KIND_SEGMENTS])
+    return f"{verb} {kind}"
+
+
 def _require(answer: CallAnswer, status: int) -> None:
     if answer.status != status:
         raise StoreUnavailableError(f"the store answered {answer.status}: {answer.body[:200]!r}")
--- a/fireflyfork/platform/tests/test_store_client.py
+++ b/fireflyfork/platform/tests/test_store_client.py
@@ -1,16 +1,20 @@
-"""How long the client of the store waits for answers, on streams in memory and a virtual clock."""
+"""How long the client of the store waits for answers, and what it counts, on streams in memory and a virtual
+clock.
+"""
 
 import unittest
 from base64 import b64encode
+from collections.abc import Awaitable, Callable
+from functools import partial
 
 import msgspec
 import trio
 from trio.testing import MockClock
 
-from ..._errors import StoreUnavailableError
+from ..._errors import StoreRefusedError, StoreUnavailableError
 from ..._ids import Revision
 from ..._links import Address
-from ...adapters import StoreChanges
+from ...adapters import Put, StoreChanges
 from ...adapters.tests.builders_http import Server, ServerStream, served_by
 from .. import PlatformStore
 
@@ -77,3 +81,72 @@
 
         seconds = trio.run(main, clock=MockClock(autojump_threshold=0))
         self.assertLess(seconds, 3.5)
+
+
+def _answering(body: bytes, status: bytes = b"200 OK") -> Server:
+    async def server(stream: ServerStream) -> None:
+        head = b"HTTP/1.1 %s\r\ncontent-length: %d\r\n\r\n" % (status, len(body))
+        await stream.send_all(head + body)
+
+    return server
+
+
+async def _changes(prefix: str, store: PlatformStore) -> StoreChanges:
+    return await store.changes(prefix, Revision(7), 1.5)
+
+
+class CountedBytesTest(unittest.TestCase):
+    """What crosses to the store and back, by purpose."""
+
+    def _after(self, server: Server, call: Callable[[PlatformStore], Awaitable[object]]) -> None:
+        async def main() -> None:
+            async with served_by(server):
+                await call(self.store)
+
+        trio.run(main, clock=MockClock(autojump_threshold=0))
+
+    def setUp(self) -> None:
+        self.store = PlatformStore(Address("10.0.0.1", 80))
+
+    def test_each_answer_counts_for_what_was_asked(self) -> None:
+        """Guards against a full link of which nobody can say what fills it."""
+        body = msgspec.json.encode({"events": [], "as_of": 8})
+        for prefix in ("op/", "fireflyfork/work/", "op/"):
+            self._after(_answering(body), partial(_changes, prefix))
+        expected = {"watch op/": 2 * len(body), "watch fireflyfork/work": len(body)}
+        self.assertEqual(self.store.bytes_received, expected)
+        self.assertEqual(self.store.calls, {"watch op/": 2, "watch fireflyfork/work": 1})
+
+    def test_a_write_counts_as_encoded(self) -> None:
+        """Guards against sizes of values that are a third less than what is sent of them."""
+        body = msgspec.json.encode({"revision": 9})
+        put = Put("fireflyfork/work/job/1", VALUE)
+        self._after(_answering(body), lambda store: store.commit({}, (put,)))
+        (sent,) = self.store.bytes_sent.values()
+        self.assertGreater(sent, len(b64encode(VALUE)))
+        self.assertEqual(self.store.bytes_received, {"commit fireflyfork/work": len(body)})
+
+    def test_a_refusal_counts(self) -> None:
+        """Guards against refused calls that look as if they had cost nothing."""
+
+        async def refused(store: PlatformStore) -> None:
+            with self.assertRaises(StoreRefusedError):
+                await store.read("op/config")
+
+        self._after(_answering(b"later", b"503 Service Unavailable"), refused)
+        self.assertEqual(self.store.bytes_received, {"read op/config": 5})
+
+    def test_an_answer_that_broke_off_is_a_call_without_bytes(self) -> None:
+        """Guards against a call that vanishes from the counts with its answer."""
+
+        async def broken(stream: ServerStream) -> None:
+            await stream.send_all(_large_answer()[0])
+            await stream.aclose()
+
+        async def asked(store: PlatformStore) -> None:
+            with self.assertRaises(StoreUnavailableError):
+                await store.changes("op/", Revision(7), 1.5)
+
+        self._after(broken, asked)
+        self.assertEqual(self.store.calls, {"watch op/": 1})
+        self.assertEqual(self.store.bytes_received, {})
--- a/fireflyfork/programs/_ctl_account.py
+++ b/fireflyfork/programs/_ctl_account.py
@@ -42,7 +42,7 @@
 
     :param files: files of log lines, or directories of them; standard input when none is given
     :param json: print the account of each late job as JSON
-    :param loops: tell instead what the instances' processor time and calls to the store went to
+    :param loops: tell instead what the instances' processor time, calls to the store and bytes went to
     :param plot: draw late jobs by phase and cause into this file; needs matplotlib
     """
     output = Output(json)
@@ -99,23 +99,47 @@
 
 def _loop_report(accounts: dict[str, LoopAccount]) -> Iterator[str]:
     instances = [
-        (name, f"{one.share:.2f}", sum(one.store_calls.values()), one.worst_lag_ms)
+        (
+            name,
+            f"{one.share:.2f}",
+            one.store_calls.total(),
+            _kilobytes(one.store_received.total()),
+            _kilobytes(one.store_sent.total()),
+            one.worst_lag_ms,
+        )
         for name, one in islice(accounts.items(), INSTANCES_SHOWN)
     ]
-    yield from table(("instance", "processors", "store calls", "worst lag ms"), instances)
+    yield from table(
+        ("instance", "processors", "store calls", "KB received", "KB sent", "worst lag ms"),
+        instances,
+    )
     busiest, *others = accounts.values()
     yield ""
     yield from table(("the busiest: activity", "processors"), _share_rows(busiest.shares))
     shares: dict[str, float] = defaultdict(float)
-    calls: Counter[str] = Counter(busiest.store_calls)
     for one in others:
-        calls.update(one.store_calls)
         for activity, share in one.shares.items():
             shares[activity] += share
     yield ""
     yield from table(("all others: activity", "processors"), _share_rows(shares))
     yield ""
-    yield from table(("store calls", "number"), calls.most_common())
+    yield from table(("store calls", "number", "KB received", "KB sent"), _store_rows(accounts))
+
+
+def _store_rows(accounts: Mapping[str, LoopAccount]) -> Iterator[tuple[str, int, str, str]]:
+    calls: Counter[str] = Counter()
+    received: Counter[str] = Counter()
+    sent: Counter[str] = Counter()
+    for one in accounts.values():
+        calls.update(one.store_calls)
+        received.update(one.store_received)
+        sent.update(one.store_sent)
+    for purpose, number in calls.most_common():
+        yield purpose, number, _kilobytes(received[purpose]), _kilobytes(sent[purpose])
+
+
+def _kilobytes(size: int) -> str:
+    return f"{size / 1000:.1f}"
 
 
 def _share_rows(shares: Mapping[str, float]) -> list[tuple[str, str]]:
--- a/fireflyfork/programs/_loop_report.py
+++ b/fireflyfork/programs/_loop_report.py
@@ -1,4 +1,4 @@
-"""Tells what an instance's processor time and its calls to the store went to."""
+"""Tells what an instance's processor time, its calls to the store and its bytes went to."""
 
 from __future__ import annotations
 
@@ -8,7 +8,7 @@
 import trio
 from loguru import logger
 
-from ..adapters import LoopProfile
+from ..adapters import CoordinationStore, LoopProfile
 from ._metrics import Metrics
 
 REPORT_SECONDS = 10.0
@@ -26,18 +26,23 @@
         self,
         profile: LoopProfile,
         lag: Callable[[], float],
-        store_calls: Callable[[], Mapping[str, int]],
+        store: CoordinationStore,
         metrics: Metrics,
     ) -> None:
-        """``lag`` is the loop's in seconds; ``store_calls`` counts calls by purpose since the start."""
+        """``lag`` is the loop's in seconds."""
         self._profile = profile
         self._lag = lag
-        self._store_calls = store_calls
+        self._calls = _Growth(lambda: store.calls)
+        self._received = _Growth(lambda: store.bytes_received)
+        self._sent = _Growth(lambda: store.bytes_sent)
         self._reported: Mapping[str, float] = {}
-        self._calls_reported: Counter[str] = Counter()
         metrics.gauge("fireflyfork_loop_lag_seconds", lag)
         metrics.counters("fireflyfork_loop_seconds_total", "activity", lambda: profile.spent)
-        metrics.counters("fireflyfork_store_calls_total", "purpose", store_calls)
+        metrics.counters("fireflyfork_store_calls_total", "purpose", lambda: store.calls)
+        metrics.counters(
+            "fireflyfork_store_received_bytes_total", "purpose", lambda: store.bytes_received
+        )
+        metrics.counters("fireflyfork_store_sent_bytes_total", "purpose", lambda: store.bytes_sent)
 
     async def run(self) -> None:
         """Report until cancelled."""
@@ -50,16 +55,34 @@
 
     def report(self, looked_seconds: float) -> None:
         """Log what has been spent since the last report, while it looked for so long."""
-        spent, calls = dict(self._profile.spent), Counter(self._store_calls())
+        spent = dict(self._profile.spent)
         seconds = {name: spent[name] - self._reported.get(name, 0.0) for name in spent}
         logger.info(
             "loop time",
             looked_ms=round(1000 * looked_seconds),
             spent_ms={name: round(1000 * one) for name, one in _busiest(seconds).items()},
-            store_calls=dict(calls - self._calls_reported),
+            store_calls=self._calls.take(),
+            store_received=self._received.take(),
+            store_sent=self._sent.take(),
             lag_ms=round(1000 * self._lag()),
         )
-        self._reported, self._calls_reported = spent, calls
+        self._reported = spent
+
+
+class _Growth:
+    """What counters have grown by."""
+
+    def __init__(self, counted: Callable[[], Mapping[str, int]]) -> None:
+        """``counted`` tells the sums since the start."""
+        self._counted = counted
+        self._taken: Counter[str] = Counter()
+
+    def take(self) -> dict[str, int]:
+        """Since the last time; those that haven't grown are left out."""
+        counted = Counter(self._counted())
+        grown = counted - self._taken
+        self._taken = counted
+        return dict(grown)
 
 
 def _busiest(seconds: dict[str, float]) -> dict[str, float]:
--- a/fireflyfork/programs/_scheduler_node.py
+++ b/fireflyfork/programs/_scheduler_node.py
@@ -89,7 +89,7 @@
         self._report = LoopReport(
             outside.loop_profile,
             lambda: outside.loop_time.lag,
-            lambda: outside.store.calls,
+            outside.store,
             self._metrics,
         )
         self._candidates: dict[ServiceName, ServiceCandidate] = {}
--- a/fireflyfork/programs/tests/builders_journal.py
+++ b/fireflyfork/programs/tests/builders_journal.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
+from collections.abc import Mapping
 from contextlib import suppress
 from enum import Enum
 from random import Random
@@ -102,3 +103,29 @@
     def _try(self, expected: dict[str, Revision], puts: tuple[Put, ...]) -> None:
         with suppress(TransactionConflictError, LeaseEndedError):
             self.kept.apply(expected, puts, ())
+
+
+class CountedStore(FatefulStore):
+    """A client that has counted what the test sets."""
+
+    def __init__(self) -> None:
+        """Nothing counted."""
+        super().__init__()
+        self.counted_calls: Counter[str] = Counter()
+        self.counted_received: Counter[str] = Counter()
+        self.counted_sent: Counter[str] = Counter()
+
+    @property
+    def calls(self) -> Mapping[str, int]:
+        """See CoordinationStore."""
+        return self.counted_calls
+
+    @property
+    def bytes_received(self) -> Mapping[str, int]:
+        """See CoordinationStore."""
+        return self.counted_received
+
+    @property
+    def bytes_sent(self) -> Mapping[str, int]:
+        """See CoordinationStore."""
+        return self.counted_sent
--- a/fireflyfork/programs/tests/test_ctl_account.py
+++ b/fireflyfork/programs/tests/test_ctl_account.py
@@ -19,6 +19,8 @@
         looked_ms=1000,
         spent_ms={activity: spent},
         store_calls={"watch work": 2},
+        store_received={"watch work": 300_000},
+        store_sent={"watch work": 1_500},
     )
     for node, activity, spent in (("edge-1", "serving", 400), ("edge-2", "placing", 800))
 )
@@ -50,7 +52,8 @@
         self.assertLess(text.index("edge-2"), text.index("edge-1"))
         self.assertRegex(text, r"placing +0\.80")
         self.assertRegex(text, r"serving +0\.40")
-        self.assertRegex(text, r"watch work +4")
+        self.assertRegex(text, r"edge-2 +0\.80 +2 +300\.0 +1\.5 ")
+        self.assertRegex(text, r"watch work +4 +600\.0 +3\.0")
 
     def test_logs_without_what_is_asked_for(self) -> None:
         """Guards against an empty table, which looks as if nothing had been late or spent."""
--- a/fireflyfork/programs/tests/test_loop_report.py
+++ b/fireflyfork/programs/tests/test_loop_report.py
@@ -1,7 +1,6 @@
-"""What an instance says of its processor time and its calls to the store."""
+"""What an instance says of its processor time, its calls to the store and their bytes."""
 
 import unittest
-from collections import Counter
 
 import trio
 from loguru import logger
@@ -11,6 +10,7 @@
 from ...operations.tests.builders_job_logs import line
 from .._loop_report import LoopReport
 from .._metrics import Metrics
+from .builders_journal import CountedStore
 
 
 class LoopReportTest(unittest.TestCase):
@@ -18,10 +18,13 @@
 
     def setUp(self) -> None:
         self.used = 0.0
-        self.calls = Counter({"watch work": 3})
+        self.store = CountedStore()
+        self.store.counted_calls["watch work"] = 3
+        self.store.counted_received["watch work"] = 450_000
+        self.store.counted_sent["commit work"] = 700
         self.profile = LoopProfile(lambda: self.used)
         self.metrics = Metrics()
-        self.report = LoopReport(self.profile, lambda: 0.25, lambda: self.calls, self.metrics)
+        self.report = LoopReport(self.profile, lambda: 0.25, self.store, self.metrics)
         self.lines: list[dict[str, object]] = []
         sink = logger.add(lambda line: self.lines.append(dict(line.record["extra"])))
         self.addCleanup(logger.remove, sink)
@@ -38,7 +41,8 @@
         self._work(1.5)
         self.report.report(1.0)
         self._work(0.5)
-        self.calls["watch work"] += 2
+        self.store.counted_calls["watch work"] += 2
+        self.store.counted_received["watch work"] += 80
         self.report.report(1.0)
         first, second = self.lines
         self.assertEqual(first["spent_ms"], {"placing": 1500, "event loop": 0})
@@ -46,6 +50,11 @@
         self.assertEqual(
             (first["store_calls"], second["store_calls"]), ({"watch work": 3}, {"watch work": 2})
         )
+        self.assertEqual(
+            (first["store_received"], second["store_received"]),
+            ({"watch work": 450_000}, {"watch work": 80}),
+        )
+        self.assertEqual((first["store_sent"], second["store_sent"]), ({"commit work": 700}, {}))
         self.assertEqual(first["lag_ms"], 250)
 
     def test_little_used_activities_are_added_up(self) -> None:
@@ -64,10 +73,14 @@
         self.report.report(1.0)
         (account,) = account_loops([line(10.0, "loop time", **self.lines[0])]).values()
         self.assertEqual((account.shares["placing"], account.worst_lag_ms), (1.5, 250))
-        self.assertEqual(account.store_calls, self.calls)
+        self.assertEqual(account.store_calls, self.store.calls)
+        self.assertEqual(account.store_received, self.store.bytes_received)
+        self.assertEqual(account.store_sent, self.store.bytes_sent)
 
     def test_metrics_have_the_sums(self) -> None:
         self._work(1.5)
         text = self.metrics.text()
         self.assertIn('fireflyfork_loop_seconds_total{activity="placing"} 1.5', text)
         self.assertIn('fireflyfork_store_calls_total{purpose="watch work"} 3', text)
+        self.assertIn('fireflyfork_store_received_bytes_total{purpose="watch work"} 450000', text)
+        self.assertIn('fireflyfork_store_sent_bytes_total{purpose="commit work"} 700', text)
