--- /dev/null
+++ b/bench/_link_objects.py
@@ -0,0 +1,256 @@
+"""Objects as they cross the link between regions, seeded and encoded by the product's own code.
+
+What the platform writes (answers of its store, registrations, lists of runs) is spelled as on its pages, with
+the usual lengths of names.
+"""
+
+from __future__ import annotations
+
+from base64 import b64encode
+from random import Random
+
+import h11
+import msgspec
+
+from fireflyfork import Address
+from fireflyfork._ids import (
+    AttemptNumber,
+    ExecutorId,
+    FailureDomainName,
+    JobId,
+    QueueName,
+    ServiceName,
+    TaskName,
+)
+from fireflyfork.adapters import ExecutorPlace, Header
+from fireflyfork.adapters._relay_messages import (
+    OrderReply,
+    Ping,
+    PollReply,
+    Pong,
+    encode_frame,
+    poll_call,
+    start_call,
+)
+from fireflyfork.decisions.jobs import (
+    CallOutcome,
+    EndedRow,
+    EndReason,
+    ExecutorRegistration,
+    ExecutorRoom,
+    JobSpec,
+    JobState,
+    LearnedFit,
+    OrderAnswer,
+    PollAnswer,
+    PollRequest,
+    RunningRow,
+    StartRequest,
+    StepSpec,
+    StoredProgress,
+    StoredTask,
+    encode_job,
+    encode_learned,
+    encode_progress,
+    encode_registrations,
+)
+from fireflyfork.platform._names import EXPECTED_INCARNATION_HEADER, POLL_PATH
+
+SERVICE = ServiceName("dele69a")
+TASKS_OF_A_JOB = 26
+REVISION = 78_450
+CLOCK_MS = 482_113
+BORN = 1_783_700_586_784
+TOKEN = 7_690
+_HOST = (b"host", b"10.200.1.7:8361")
+_ANSWER_HEAD = b"HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: 1000\r\n\r\n"
+_PLACE = ExecutorPlace(ExecutorId("i-6a8e5c8fbd"), Address("10.104.0.117", 9_204), BORN)
+
+
+def request(method: str, target: str, body: bytes = b"", *more: Header) -> int:
+    """The bytes of a call, with its head."""
+    headers = (
+        _HOST,
+        (b"content-type", b"application/json"),
+        *more,
+        (b"content-length", str(len(body)).encode("ascii")),
+    )
+    connection = h11.Connection(h11.CLIENT)
+    head = connection.send(h11.Request(method=method, target=target, headers=list(headers)))
+    assert head is not None
+    return len(head) + len(body)
+
+
+def answer(body: object) -> int:
+    """The bytes of an answer of the store or of an executor, with its head."""
+    return len(_ANSWER_HEAD) + len(msgspec.json.encode(body))
+
+
+def item(key: str, value: bytes) -> dict[str, object]:
+    """A key as the store tells of it."""
+    text = b64encode(value).decode("ascii")
+    return {"key": key, "value": text, "revision": REVISION, "created": REVISION, "lease": 0}
+
+
+def events(*items: dict[str, object]) -> int:
+    """A watch's answer."""
+    return answer({"events": items, "as_of": REVISION})
+
+
+def listing(*items: dict[str, object]) -> int:
+    """A list's answer, all pages together."""
+    return answer({"items": items, "has_more": False, "as_of": REVISION})
+
+
+def commit(*puts: tuple[str, bytes], conditions: int = 1) -> int:
+    """A transaction."""
+    rows = [
+        {"key": key, "value": b64encode(value).decode("ascii"), "lease": 0} for key, value in puts
+    ]
+    expected = [{"key": "fireflyfork/work/owner/dele69a", "revision": REVISION}] * conditions
+    body = {"expected_revision": expected, "puts": rows, "remove": []}
+    return request("POST", "/kv-txn", msgspec.json.encode(body))
+
+
+def job(name: JobId, payload_bytes: int) -> bytes:
+    """A job of three steps as it is stored."""
+    steps = (
+        StepSpec(4, 500, 256, 0, 900, data_rack="r1-3"),
+        StepSpec(20, 2_000, 1_024, 0, 7_000, after=(0,), checkpointing=True, image="image-12"),
+        StepSpec(2, 1_000, 512, 0, 900, after=(1,)),
+    )
+    return encode_job(
+        JobSpec(name, QueueName("r-gka77pg"), SERVICE, "x" * payload_bytes, steps, BORN)
+    )
+
+
+def progress(running: bool) -> bytes:
+    """The progress of a job: half of its tasks done, or all."""
+    done = tuple((0, 1, index) for index in range(TASKS_OF_A_JOB // 2 if running else 0))
+    left = tuple(
+        StoredTask(0, 1, index, 1, (), "00000bb87a21d94b")
+        for index in range(TASKS_OF_A_JOB // 2 if running else 0)
+    )
+    state = JobState.RUNNING if running else JobState.COMPLETED
+    return encode_progress(StoredProgress(state, 0 if running else BORN, done, 0, left))
+
+
+def registration(number: int) -> dict[str, object]:
+    """What an executor writes about itself, as an item of the store."""
+    value = {
+        "service": SERVICE,
+        "address": f"10.104.0.{number % 250}:9204",
+        "zone": "savusavu",
+        "version": "1.14.2",
+        "capacity": 16,
+        "state": "ready",
+        "warmup_ms": 0,
+        "seq": 1_204,
+        "born": BORN,
+        "room": {"cpu": 16_000, "mem_mb": 32_768, "gpu": 0},
+        "labels": ["std", f"r{number % 24}-3"],
+    }
+    return item(f"servers/i-{number:010x}", msgspec.json.encode(value))
+
+
+def known_executors(count: int) -> bytes:
+    """The executors that an owner stores for its successor."""
+    return encode_registrations(
+        tuple(
+            ExecutorRegistration(
+                ExecutorId(f"i-{number:010x}"),
+                SERVICE,
+                Address(f"10.104.0.{number % 250}", 9_204),
+                FailureDomainName("savusavu"),
+                False,
+                ExecutorRoom(16_000, 32_768, 0),
+                frozenset(("std", f"r{number % 24}-3")),
+                f"r{number % 24}-3",
+                BORN,
+            )
+            for number in range(count)
+        )
+    )
+
+
+def learned(services: int, images: int, random: Random) -> bytes:
+    """What an owner stores of what it has learned."""
+    names = (*(f"image-{number}" for number in range(images)), "")
+    size = len(names)
+    fits = (
+        LearnedFit(
+            f"serving-{number}",
+            names,
+            tuple(random.random() for _ in range(size * (size + 1) // 2)),
+            tuple(random.random() for _ in range(size)),
+        )
+        for number in range(services)
+    )
+    return encode_learned(tuple(fits))
+
+
+def announcement(number: int) -> dict[str, object]:
+    """What an instance announces of itself, as an item of the store."""
+    value = {"strength": 0.86, "failure_domain": "savusavu", "relay": f"10.4.0.{number}:7720"}
+    return item(f"fireflyfork/instance/edge-savusavu-{number}", msgspec.json.encode(value))
+
+
+def owner() -> dict[str, object]:
+    """The owner's key."""
+    value = {"node": "edge-nadi-1", "nonce": "00112233445566ff"}
+    return item("fireflyfork/work/owner/dele69a", msgspec.json.encode(value))
+
+
+def poll_frames(running: int, ended: int) -> tuple[int, int]:
+    """The frames of one poll over a relay: there, and back with so many runs and ends."""
+    there = poll_call(57_120, _PLACE, TOKEN, PollRequest(57, CLOCK_MS, 1.0, 5.0))
+    rows = PollAnswer(
+        CallOutcome.ACCEPTED,
+        CLOCK_MS,
+        BORN,
+        tuple(_running(number) for number in range(running)),
+        tuple(
+            EndedRow(number, _task(number), AttemptNumber(1), EndReason.DONE, "")
+            for number in range(ended)
+        ),
+    )
+    return len(encode_frame([there])), len(encode_frame([PollReply.of(57_120, rows)]))
+
+
+def direct_poll(running: int, ended: int) -> tuple[int, int]:
+    """The bytes of one poll without a relay: there, and back with so many runs and ends."""
+    question = {"fencing_token": TOKEN, "last_seen": 57, "deadline_ms": CLOCK_MS, "wait_ms": 1_000}
+    incarnation = (EXPECTED_INCARNATION_HEADER, str(BORN).encode("ascii"))
+    there = request("POST", POLL_PATH, msgspec.json.encode(question), incarnation)
+    rows = [[_task(number), 1, "00000bb87a21d94b", 40, 812.0] for number in range(running)]
+    ends = [[number, _task(number), 1, "done", ""] for number in range(ended)]
+    back = answer({"clock_ms": CLOCK_MS, "born": BORN, "running": rows, "ended": ends})
+    return there, back
+
+
+def pending_counts(queues: int) -> bytes:
+    """How many jobs of each queue wait, as it is stored."""
+    return msgspec.json.encode({f"r-{number:07d}": 12 for number in range(queues)})
+
+
+def start_frames(payload_bytes: int) -> tuple[int, int]:
+    """The frames of one start over a relay, there and back."""
+    order = StartRequest(_task(9), AttemptNumber(1), "x" * payload_bytes, CLOCK_MS, "", "")
+    back = OrderReply.of(57_120, OrderAnswer(CallOutcome.ACCEPTED, CLOCK_MS, BORN))
+    return (
+        len(encode_frame([start_call(57_120, _PLACE, TOKEN, order)])),
+        len(encode_frame([back])),
+    )
+
+
+def ping_frames() -> tuple[int, int]:
+    """A ping and its answer."""
+    return len(encode_frame([Ping()])), len(encode_frame([Pong()]))
+
+
+def _task(number: int) -> TaskName:
+    return TaskName(f"5c0e7a21d94b36f8.0.1.{number}")
+
+
+def _running(number: int) -> RunningRow:
+    return RunningRow(_task(number), AttemptNumber(1), "00000bb87a21d94b", 40, 812.0)
