Calls to the store: who asks for the owner's key is counted apart from who reads jobs

list fireflyfork/work and watch fireflyfork/work counted two things: what one owner reads of all jobs, and what each other instance asks of the owner's key. The purpose now has all segments of a key but the last and numbers, so it stays bounded.

--- a/fireflyfork/platform/_store_client.py
+++ b/fireflyfork/platform/_store_client.py
@@ -61,9 +61,6 @@
 """One lost answer says nothing. After three in a row callers are better served elsewhere at once than
 after another timeout here; the watches go on asking, and one answer ends the doubt."""
 
-_KIND_SEGMENTS = 2
-"""Of a key or a prefix; they tell its kind, and what follows tells which one of it."""
-
 _Body = TypeVar("_Body")
 
 
@@ -231,12 +228,12 @@
     async def grant_lease(self, seconds: float) -> LeaseId:
         """See CoordinationStore."""
         body = msgspec.json.encode(_LeaseRequest(int(seconds * 1000)))
-        answer = await self._call(_purpose("grant", "lease"), "POST", LEASE_PATH, body)
+        answer = await self._call(_purpose("grant", "lease/"), "POST", LEASE_PATH, body)
         return LeaseId(_decoded(answer, _Granted).lease)
 
     async def keep_lease(self, lease: LeaseId) -> None:
         """See CoordinationStore."""
-        purpose = _purpose("keep", "lease")
+        purpose = _purpose("keep", "lease/")
         answer = await self._call(purpose, "POST", f"{LEASE_KEEP_PATH}{lease}")
         if answer.status == 404:
             raise LeaseEndedError(f"lease {lease} has ended")
@@ -244,7 +241,7 @@
 
     async def end_lease(self, lease: LeaseId) -> None:
         """See CoordinationStore."""
-        purpose = _purpose("end", "lease")
+        purpose = _purpose("end", "lease/")
         answer = await self._call(purpose, "DELETE", f"{LEASE_END_PATH}{lease}")
         if answer.status != 404:
             _require(answer, 200)
@@ -277,8 +274,9 @@
 
 
 def _purpose(verb: str, key: str) -> str:
-    kind = "/".join(key.split("/", _KIND_SEGMENTS)[:_KIND_SEGMENTS])
-    return f"{verb} {kind}"
+    """The verb and the kind of key or prefix: its last segment and numbers tell which one of a kind it is."""
+    kind = (one for one in key.split("/")[:-1] if not one.isdigit())
+    return f"{verb} {'/'.join(kind)}"
 
 
 def _require(answer: CallAnswer, status: int) -> None:
--- a/fireflyfork/platform/tests/test_store_client.py
+++ b/fireflyfork/platform/tests/test_store_client.py
@@ -14,7 +14,7 @@
 from ..._errors import StoreRefusedError, StoreUnavailableError
 from ..._ids import Revision
 from ..._links import Address
-from ...adapters import Put, StoreChanges
+from ...adapters import Put, StoreChanges, StoreListing
 from ...adapters.tests.builders_http import Server, ServerStream, served_by
 from .. import PlatformStore
 
@@ -95,6 +95,10 @@
     return await store.changes(prefix, Revision(7), 1.5)
 
 
+async def _listing(prefix: str, store: PlatformStore) -> StoreListing:
+    return await store.list(prefix)
+
+
 class CountedBytesTest(unittest.TestCase):
     """What crosses to the store and back, by purpose."""
 
@@ -113,9 +117,9 @@
         body = msgspec.json.encode({"events": [], "as_of": 8})
         for prefix in ("op/", "fireflyfork/work/", "op/"):
             self._after(_answering(body), partial(_changes, prefix))
-        expected = {"watch op/": 2 * len(body), "watch fireflyfork/work": len(body)}
+        expected = {"watch op": 2 * len(body), "watch fireflyfork/work": len(body)}
         self.assertEqual(self.store.bytes_received, expected)
-        self.assertEqual(self.store.calls, {"watch op/": 2, "watch fireflyfork/work": 1})
+        self.assertEqual(self.store.calls, {"watch op": 2, "watch fireflyfork/work": 1})
 
     def test_a_write_counts_as_encoded(self) -> None:
         """Guards against sizes of values that are a third less than what is sent of them."""
@@ -124,7 +128,7 @@
         self._after(_answering(body), lambda store: store.commit({}, (put,)))
         (sent,) = self.store.bytes_sent.values()
         self.assertGreater(sent, len(b64encode(VALUE)))
-        self.assertEqual(self.store.bytes_received, {"commit fireflyfork/work": len(body)})
+        self.assertEqual(self.store.bytes_received, {"commit fireflyfork/work/job": len(body)})
 
     def test_a_refusal_counts(self) -> None:
         """Guards against refused calls that look as if they had cost nothing."""
@@ -134,7 +138,7 @@
                 await store.read("op/config")
 
         self._after(_answering(b"later", b"503 Service Unavailable"), refused)
-        self.assertEqual(self.store.bytes_received, {"read op/config": 5})
+        self.assertEqual(self.store.bytes_received, {"read op": 5})
 
     def test_an_answer_that_broke_off_is_a_call_without_bytes(self) -> None:
         """Guards against a call that vanishes from the counts with its answer."""
@@ -148,5 +152,20 @@
                 await store.changes("op/", Revision(7), 1.5)
 
         self._after(broken, asked)
-        self.assertEqual(self.store.calls, {"watch op/": 1})
+        self.assertEqual(self.store.calls, {"watch op": 1})
         self.assertEqual(self.store.bytes_received, {})
+
+    def test_the_owner_key_is_counted_apart_from_the_jobs(self) -> None:
+        """Guards against small questions of all instances that can't be told from one owner's large reads."""
+        body = msgspec.json.encode({"items": [], "has_more": False, "as_of": 8})
+        for prefix in ("fireflyfork/work/", "fireflyfork/work/owner/desk"):
+            self._after(_answering(body), partial(_listing, prefix))
+        expected = {"list fireflyfork/work": 1, "list fireflyfork/work/owner": 1}
+        self.assertEqual(self.store.calls, expected)
+
+    def test_numbers_in_keys_make_no_purposes(self) -> None:
+        """Guards against counters that become more with each wave of upkeep."""
+        body = msgspec.json.encode({"items": [], "has_more": False, "as_of": 8})
+        for prefix in ("fireflyfork/upkeep/3/", "fireflyfork/upkeep/4/"):
+            self._after(_answering(body), partial(_listing, prefix))
+        self.assertEqual(self.store.calls, {"list fireflyfork/upkeep": 2})
