Log: 'configuration in force' tells its bytes and the seconds since the question to the store

A version that came late was in the log with its time only: whether it had been asked for late, or its answer was long on its way, could not be told. PrefixWatch says when the question was sent whose answer it hands over; the keeper logs the difference and the size of the value.

--- a/fireflyfork/programs/_prefix_watch.py
+++ b/fireflyfork/programs/_prefix_watch.py
@@ -54,6 +54,7 @@
         self._now = now
         self._heard = heard
         self._known_at = -inf
+        self._asked_at = -inf
 
     @property
     def known_at(self) -> float:
@@ -64,6 +65,11 @@
         """
         return self._known_at
 
+    @property
+    def asked_at(self) -> float:
+        """When the last question was sent, by ``now``; what is handed over is its answer."""
+        return self._asked_at
+
     async def run(self, after: Revision | None = None) -> None:
         """Follow until cancelled, from a listing that is known already or from one made now."""
         while True:
@@ -74,7 +80,7 @@
 
     async def _list(self) -> Revision:
         while True:
-            asked = self._now()
+            asked = self._asked_at = self._now()
             try:
                 listing = await self._store.list(self._prefix)
             except StoreError as error:
@@ -91,7 +97,7 @@
         """Take changes until the history is lost."""
         wait = self._confirm_seconds
         while True:
-            asked = self._now()
+            asked = self._asked_at = self._now()
             try:
                 answer = await self._store.changes(self._prefix, after, wait)
             except StoreHistoryLostError as error:
--- a/fireflyfork/programs/_queue_keeper.py
+++ b/fireflyfork/programs/_queue_keeper.py
@@ -108,7 +108,13 @@
         if self._table is not None and table.version <= self._table.version:
             return
         self._table = table
-        logger.info("configuration in force", version=table.version, queues=len(table.queues))
+        logger.info(
+            "configuration in force",
+            version=table.version,
+            queues=len(table.queues),
+            bytes=len(item.value),
+            seconds=round(self._now() - self._watch.asked_at, 3),
+        )
         self._changed(table)
         self.known.set()
 
--- a/fireflyfork/programs/tests/test_queue_keeper.py
+++ b/fireflyfork/programs/tests/test_queue_keeper.py
@@ -6,6 +6,7 @@
 
 import msgspec
 import trio
+from loguru import logger
 from trio.testing import MockClock
 
 from fireflyfork_standins.scheduling import StandInStore
@@ -49,6 +50,31 @@
 
         _play(body)
 
+    def test_the_log_tells_how_long_its_answer_took_and_how_large_it_is(self) -> None:
+        """Guards against a configuration that came late, of which nobody can tell whether it was asked for late
+        or long on its way.
+        """
+        lines: list[dict[str, object]] = []
+        sink = logger.add(lambda line: lines.append(dict(line.record["extra"])))
+        self.addCleanup(logger.remove, sink)
+
+        async def body(store: StandInStore, versions: list[int]) -> None:
+            store.put(CONFIGURATION_KEY, _configuration(3))
+            await trio.sleep(0.5)
+            before = store.calls
+            while store.calls == before:
+                await trio.sleep(0.01)
+            await trio.sleep(0.7)
+            store.put(CONFIGURATION_KEY, _configuration(8))
+            await trio.sleep(0.5)
+
+        _play(body)
+        (last,) = (line for line in lines if line.get("version") == 8)
+        seconds = last["seconds"]
+        assert isinstance(seconds, float)
+        self.assertEqual(last["bytes"], len(_configuration(8)))
+        self.assertAlmostEqual(seconds, 0.7, delta=0.05)
+
     def test_an_older_version_does_not_come_back(self) -> None:
         """Answers overtake each other, or an operator's tool writes an old file. Callers would be
         sent to executors that have been taken out of service.
