Bytes between an owner and its relays are counted by failure domain

Frames to and from relays were in no count, so of a link between regions only the store's part could be told. Calls that go to executors directly are not counted. Two additions for a frame.

--- a/fireflyfork/adapters/__init__.py
+++ b/fireflyfork/adapters/__init__.py
@@ -40,6 +40,7 @@
 from ._platform_http import HttpPlatform, RenewCall, StopCall, ThrottleCall
 from ._relay_client import RelayedExecutors, RelayPlace
 from ._relay_server import RelayServer
+from ._relay_traffic import RelayTraffic
 from ._store import Store, StoredValue
 from ._store_http import HttpStore
 
@@ -87,6 +88,7 @@
     "Refusal",
     "RelayPlace",
     "RelayServer",
+    "RelayTraffic",
     "RelayedExecutors",
     "RenewCall",
     "RequestHead",
--- a/fireflyfork/adapters/_relay_client.py
+++ b/fireflyfork/adapters/_relay_client.py
@@ -36,6 +36,7 @@
     start_call,
 )
 from ._relay_stream import RelayStream
+from ._relay_traffic import RelayTraffic, StreamTraffic
 
 CONNECT_SECONDS = 0.6
 ORDER_SECONDS = 1.0
@@ -66,9 +67,10 @@
 class Relay:
     """A stream to one relay."""
 
-    def __init__(self, place: RelayPlace, loop_time: LoopTime) -> None:
-        """``run`` connects."""
+    def __init__(self, place: RelayPlace, loop_time: LoopTime, traffic: StreamTraffic) -> None:
+        """``run`` connects; what its streams carry is added to ``traffic``."""
         self.place = place
+        self._traffic = traffic
         self._loop_time = loop_time
         self._stream: RelayStream | None = None
         self._usable = False
@@ -123,7 +125,7 @@
                 socket_stream = await trio.open_tcp_stream(address.host, address.port)
         except (OSError, trio.TooSlowError) as error:
             raise PeerError(f"can't connect: {error!r}") from error
-        self._stream = RelayStream(socket_stream)
+        self._stream = RelayStream(socket_stream, self._traffic)
         self._stream.send(Hello(RELAY_VERSION))
         async with trio.open_nursery() as nursery:
             nursery.start_soon(self._stream.run)
@@ -177,9 +179,12 @@
 class RelayedExecutors(ExecutorCalls):
     """Calls that go through a relay in the executor's failure domain where there is one, else directly."""
 
-    def __init__(self, direct: ExecutorCalls, loop_time: LoopTime) -> None:
-        """No relay is used before ``run`` and ``use``."""
+    def __init__(
+        self, direct: ExecutorCalls, loop_time: LoopTime, traffic: RelayTraffic | None = None
+    ) -> None:
+        """No relay is used before ``run`` and ``use``; ``traffic`` counts what streams to them carry."""
         self._direct = direct
+        self._traffic = traffic if traffic is not None else RelayTraffic()
         self._loop_time = loop_time
         self._relays: dict[RelayPlace, Relay] = {}
         self._scopes: dict[RelayPlace, trio.CancelScope] = {}
@@ -275,7 +280,8 @@
             del self._relays[place]
         for place in self._wanted:
             if place not in self._relays:
-                self._relays[place] = Relay(place, self._loop_time)
+                traffic = self._traffic.of(place.failure_domain)
+                self._relays[place] = Relay(place, self._loop_time, traffic)
                 self._scopes[place] = trio.CancelScope()
                 nursery.start_soon(self._hold, self._relays[place], self._scopes[place])
         self._by_domain = {}
--- a/fireflyfork/adapters/_relay_stream.py
+++ b/fireflyfork/adapters/_relay_stream.py
@@ -9,6 +9,7 @@
 
 from .._errors import PeerError
 from ._relay_messages import AnyMessage, FrameDecoder, RelayMessage, encode_frame
+from ._relay_traffic import StreamTraffic
 
 _RECEIVE_BYTES = 65_536
 _UNACKNOWLEDGED_MILLISECONDS = 2_000
@@ -17,10 +18,11 @@
 class RelayStream:
     """One end of a stream between an owner and a relay."""
 
-    def __init__(self, stream: trio.SocketStream) -> None:
-        """Take over a connected stream."""
+    def __init__(self, stream: trio.SocketStream, traffic: StreamTraffic | None = None) -> None:
+        """Take over a connected stream; its bytes are added to ``traffic``."""
         stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_MILLISECONDS)
         self._stream = stream
+        self._traffic = traffic if traffic is not None else StreamTraffic()
         self._decoder = FrameDecoder()
         self._waiting: list[RelayMessage] = []
         self._some_wait = trio.Event()
@@ -42,8 +44,10 @@
             await self._some_wait.wait()
             messages, self._waiting = self._waiting, []
             self._some_wait = trio.Event()
+            frame = encode_frame(messages)
+            self._traffic.sent += len(frame)
             try:
-                await self._stream.send_all(encode_frame(messages))
+                await self._stream.send_all(frame)
             except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
                 raise PeerError(f"the relay stream broke: {error!r}") from error
 
@@ -56,6 +60,7 @@
                 raise PeerError(f"the relay stream broke: {error!r}") from error
             if not data:
                 return
+            self._traffic.received += len(data)
             for message in self._decoder.feed(data):
                 yield message
 
--- a/fireflyfork/operations/_loop_account.py
+++ b/fireflyfork/operations/_loop_account.py
@@ -25,6 +25,10 @@
     """Bytes of the store's answers, by purpose."""
     store_sent: Counter[str] = field(default_factory=Counter)
     """Bytes of calls to the store, by purpose."""
+    relay_received: Counter[str] = field(default_factory=Counter)
+    """Bytes that its owners got from relays, by failure domain."""
+    relay_sent: Counter[str] = field(default_factory=Counter)
+    """Bytes that its owners sent to relays, by failure domain."""
     worst_lag_ms: int = 0
     """How late its loop was at most."""
 
@@ -50,6 +54,8 @@
     store_calls: dict[str, int] = {}
     store_received: dict[str, int] = {}
     store_sent: dict[str, int] = {}
+    relay_received: dict[str, int] = {}
+    relay_sent: dict[str, int] = {}
     lag_ms: int = 0
 
 
@@ -63,6 +69,8 @@
         account.store_calls.update(line.store_calls)
         account.store_received.update(line.store_received)
         account.store_sent.update(line.store_sent)
+        account.relay_received.update(line.relay_received)
+        account.relay_sent.update(line.relay_sent)
         account.worst_lag_ms = max(account.worst_lag_ms, line.lag_ms)
     return dict(sorted(accounts.items(), key=lambda item: (-item[1].share, item[0])))
 
--- a/fireflyfork/programs/_ctl_account.py
+++ b/fireflyfork/programs/_ctl_account.py
@@ -124,6 +124,8 @@
     yield from table(("all others: activity", "processors"), _share_rows(shares))
     yield ""
     yield from table(("store calls", "number", "KB received", "KB sent"), _store_rows(accounts))
+    yield ""
+    yield from table(("relays in", "KB received", "KB sent"), _relay_rows(accounts))
 
 
 def _store_rows(accounts: Mapping[str, LoopAccount]) -> Iterator[tuple[str, int, str, str]]:
@@ -138,6 +140,16 @@
         yield purpose, number, _kilobytes(received[purpose]), _kilobytes(sent[purpose])
 
 
+def _relay_rows(accounts: Mapping[str, LoopAccount]) -> Iterator[tuple[str, str, str]]:
+    received: Counter[str] = Counter()
+    sent: Counter[str] = Counter()
+    for one in accounts.values():
+        received.update(one.relay_received)
+        sent.update(one.relay_sent)
+    for domain in sorted(received.keys() | sent.keys()):
+        yield domain, _kilobytes(received[domain]), _kilobytes(sent[domain])
+
+
 def _kilobytes(size: int) -> str:
     return f"{size / 1000:.1f}"
 
--- a/fireflyfork/programs/_loop_report.py
+++ b/fireflyfork/programs/_loop_report.py
@@ -8,7 +8,7 @@
 import trio
 from loguru import logger
 
-from ..adapters import CoordinationStore, LoopProfile
+from ..adapters import CoordinationStore, LoopProfile, RelayTraffic
 from ._metrics import Metrics
 
 REPORT_SECONDS = 10.0
@@ -27,6 +27,7 @@
         profile: LoopProfile,
         lag: Callable[[], float],
         store: CoordinationStore,
+        relays: RelayTraffic,
         metrics: Metrics,
     ) -> None:
         """``lag`` is the loop's in seconds."""
@@ -35,6 +36,8 @@
         self._calls = _Growth(lambda: store.calls)
         self._received = _Growth(lambda: store.bytes_received)
         self._sent = _Growth(lambda: store.bytes_sent)
+        self._relay_received = _Growth(lambda: relays.received)
+        self._relay_sent = _Growth(lambda: relays.sent)
         self._reported: Mapping[str, float] = {}
         metrics.gauge("fireflyfork_loop_lag_seconds", lag)
         metrics.counters("fireflyfork_loop_seconds_total", "activity", lambda: profile.spent)
@@ -43,6 +46,12 @@
             "fireflyfork_store_received_bytes_total", "purpose", lambda: store.bytes_received
         )
         metrics.counters("fireflyfork_store_sent_bytes_total", "purpose", lambda: store.bytes_sent)
+        metrics.counters(
+            "fireflyfork_relay_received_bytes_total", "failure_domain", lambda: relays.received
+        )
+        metrics.counters(
+            "fireflyfork_relay_sent_bytes_total", "failure_domain", lambda: relays.sent
+        )
 
     async def run(self) -> None:
         """Report until cancelled."""
@@ -64,6 +73,8 @@
             store_calls=self._calls.take(),
             store_received=self._received.take(),
             store_sent=self._sent.take(),
+            relay_received=self._relay_received.take(),
+            relay_sent=self._relay_sent.take(),
             lag_ms=round(1000 * self._lag()),
         )
         self._reported = spent
--- a/fireflyfork/programs/_outside.py
+++ b/fireflyfork/programs/_outside.py
@@ -12,6 +12,7 @@
     LoopProfile,
     LoopTime,
     MachineCalls,
+    RelayTraffic,
 )
 
 
@@ -29,3 +30,5 @@
     """Makes a client of executors for the calls of one owner on another instance."""
     loop_profile: LoopProfile = field(default_factory=LoopProfile)
     """Tells what the processor time goes to."""
+    relay_traffic: RelayTraffic = field(default_factory=RelayTraffic)
+    """Tells what owners on this instance exchange with relays."""
--- a/fireflyfork/programs/_scheduler_node.py
+++ b/fireflyfork/programs/_scheduler_node.py
@@ -90,6 +90,7 @@
             outside.loop_profile,
             lambda: outside.loop_time.lag,
             outside.store,
+            outside.relay_traffic,
             self._metrics,
         )
         self._candidates: dict[ServiceName, ServiceCandidate] = {}
--- a/fireflyfork/programs/_service_owner.py
+++ b/fireflyfork/programs/_service_owner.py
@@ -85,7 +85,7 @@
         self._term = term
         self._service: ServiceName = term.service
         self._store = outside.store
-        self._calls = RelayedExecutors(outside.executors, outside.loop_time)
+        self._calls = RelayedExecutors(outside.executors, outside.loop_time, outside.relay_traffic)
         self._advisor = outside.advisor
         self._profile = outside.loop_profile
         self._loop_time = outside.loop_time
--- a/fireflyfork/programs/tests/test_ctl_account.py
+++ b/fireflyfork/programs/tests/test_ctl_account.py
@@ -21,6 +21,8 @@
         store_calls={"watch work": 2},
         store_received={"watch work": 300_000},
         store_sent={"watch work": 1_500},
+        relay_received={"savusavu": 20_000},
+        relay_sent={"savusavu": 700},
     )
     for node, activity, spent in (("edge-1", "serving", 400), ("edge-2", "placing", 800))
 )
@@ -53,6 +55,7 @@
         self.assertRegex(text, r"placing +0\.80")
         self.assertRegex(text, r"serving +0\.40")
         self.assertRegex(text, r"edge-2 +0\.80 +2 +300\.0 +1\.5 ")
+        self.assertRegex(text, r"savusavu +40\.0 +1\.4")
         self.assertRegex(text, r"watch work +4 +600\.0 +3\.0")
 
     def test_logs_without_what_is_asked_for(self) -> None:
--- a/fireflyfork/programs/tests/test_loop_report.py
+++ b/fireflyfork/programs/tests/test_loop_report.py
@@ -5,7 +5,8 @@
 import trio
 from loguru import logger
 
-from ...adapters import LoopProfile
+from ..._ids import FailureDomainName
+from ...adapters import LoopProfile, RelayTraffic
 from ...operations import account_loops
 from ...operations.tests.builders_job_logs import line
 from .._loop_report import LoopReport
@@ -24,7 +25,9 @@
         self.store.counted_sent["commit work"] = 700
         self.profile = LoopProfile(lambda: self.used)
         self.metrics = Metrics()
-        self.report = LoopReport(self.profile, lambda: 0.25, self.store, self.metrics)
+        self.relays = RelayTraffic()
+        self.relays.of(FailureDomainName("savusavu")).received = 20_000
+        self.report = LoopReport(self.profile, lambda: 0.25, self.store, self.relays, self.metrics)
         self.lines: list[dict[str, object]] = []
         sink = logger.add(lambda line: self.lines.append(dict(line.record["extra"])))
         self.addCleanup(logger.remove, sink)
@@ -43,6 +46,7 @@
         self._work(0.5)
         self.store.counted_calls["watch work"] += 2
         self.store.counted_received["watch work"] += 80
+        self.relays.of(FailureDomainName("savusavu")).sent += 30
         self.report.report(1.0)
         first, second = self.lines
         self.assertEqual(first["spent_ms"], {"placing": 1500, "event loop": 0})
@@ -55,6 +59,10 @@
             ({"watch work": 450_000}, {"watch work": 80}),
         )
         self.assertEqual((first["store_sent"], second["store_sent"]), ({"commit work": 700}, {}))
+        self.assertEqual(
+            (first["relay_received"], second["relay_received"]), ({"savusavu": 20_000}, {})
+        )
+        self.assertEqual((first["relay_sent"], second["relay_sent"]), ({}, {"savusavu": 30}))
         self.assertEqual(first["lag_ms"], 250)
 
     def test_little_used_activities_are_added_up(self) -> None:
@@ -76,6 +84,7 @@
         self.assertEqual(account.store_calls, self.store.calls)
         self.assertEqual(account.store_received, self.store.bytes_received)
         self.assertEqual(account.store_sent, self.store.bytes_sent)
+        self.assertEqual(account.relay_received, self.relays.received)
 
     def test_metrics_have_the_sums(self) -> None:
         self._work(1.5)
@@ -83,4 +92,7 @@
         self.assertIn('fireflyfork_loop_seconds_total{activity="placing"} 1.5', text)
         self.assertIn('fireflyfork_store_calls_total{purpose="watch work"} 3', text)
         self.assertIn('fireflyfork_store_received_bytes_total{purpose="watch work"} 450000', text)
+        self.assertIn(
+            'fireflyfork_relay_received_bytes_total{failure_domain="savusavu"} 20000', text
+        )
         self.assertIn('fireflyfork_store_sent_bytes_total{purpose="commit work"} 700', text)
