--- a/bench/link_bytes.py
+++ b/bench/link_bytes.py
@@ -2,8 +2,8 @@
 
 Sizes are measured on encoded objects (``_link_objects``). How often they cross is worked out from the code and from
 the fleets below; half of the executors and of the callers are taken to be far from the store. Heads of HTTP are
-counted, those of TCP and IP are not. ``near owner`` and ``far owner`` say where the owner stands; rows without them
-are the same for both.
+counted, those of TCP and IP are not, and nothing is asked twice. Rows of a far owner come on top where the owner
+stands across the link from the store; relays are then those on the store's side.
 """
 
 from __future__ import annotations
