Red: answers of a relay that are on their way are given up with its stream

A stream that says nothing for 1 s is closed, and all calls pending on it end UNKNOWN, though on a full link their answers are on their way: each poll loses the ends that it lists.

--- /dev/null
+++ b/fireflyfork/adapters/tests/builders_relays.py
@@ -0,0 +1,129 @@
+"""Builds relays that answer only what a test has them answer, on streams in memory."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
+from unittest.mock import patch
+
+import trio
+from trio.testing import MemoryReceiveStream, MemorySendStream, memory_stream_pair
+
+from ..._ids import FailureDomainName, NodeName
+from ..._links import Address
+from ...decisions.jobs import PollAnswer
+from .. import RelayPlace
+from .._relay_messages import (
+    RELAY_VERSION,
+    AnyMessage,
+    FrameDecoder,
+    Hello,
+    Ping,
+    PollCall,
+    PollReply,
+    Pong,
+    RelayMessage,
+    encode_frame,
+)
+
+RELAY_DOMAIN = FailureDomainName("suva")
+RELAY_PLACE = RelayPlace(NodeName("n-1"), RELAY_DOMAIN, Address("10.0.0.9", 80))
+
+MemoryStream = trio.StapledStream[MemorySendStream, MemoryReceiveStream]
+
+
+class _Socket:
+    """Closes a stream in memory as a socket is closed."""
+
+    def __init__(self, stream: MemoryStream) -> None:
+        """Nothing else of a socket is there."""
+        self._stream = stream
+
+    def close(self) -> None:
+        """Close both directions."""
+        self._stream.send_stream.close()
+        self._stream.receive_stream.close()
+
+
+class MutedRelay:
+    """Greets each owner that connects; says nothing else unless told to."""
+
+    def __init__(self, answer: PollAnswer | None = None) -> None:
+        """Nobody has connected. With an ``answer`` it isn't mute until ``mute`` is called: it answers pings at
+        once, and polls after their wait."""
+        self.connected = 0
+        self.heard: list[AnyMessage] = []
+        self.link_full = False
+        """While it is, owners can send nothing after what they are sending."""
+        self._answer = answer
+        self._one_at_a_time = trio.Lock()
+        self._stream: MemoryStream | None = None
+
+    def mute(self) -> None:
+        """Say nothing from now on."""
+        self._answer = None
+
+    @property
+    def polls(self) -> list[PollCall]:
+        """The polls that have come, in order."""
+        return [message for message in self.heard if isinstance(message, PollCall)]
+
+    @asynccontextmanager
+    async def reachable(self) -> AsyncIterator[None]:
+        """All streams that are opened lead here."""
+        async with trio.open_nursery() as nursery:
+
+            async def opened(*_: object) -> MemoryStream:
+                here, there = memory_stream_pair()
+                here.socket = _Socket(here)  # type: ignore[attr-defined]
+                self._narrow(here.send_stream)
+                here.setsockopt = lambda *_: None  # type: ignore[attr-defined]
+                self.connected += 1
+                self._stream = there
+                await self.say(Hello(RELAY_VERSION))
+                nursery.start_soon(self._listen, there, nursery)
+                return here
+
+            with patch.object(trio, "open_tcp_stream", opened):
+                yield
+            nursery.cancel_scope.cancel()
+
+    async def say(self, message: RelayMessage) -> None:
+        """Send a message on the newest stream, if the owner holds it still."""
+        assert self._stream is not None
+        async with self._one_at_a_time:
+            with suppress(trio.BrokenResourceError):
+                await self._stream.send_all(encode_frame([message]))
+
+    async def answer_polls(self, answer: PollAnswer) -> None:
+        """Send this answer to each poll that has come."""
+        for poll in self.polls:
+            await self.say(PollReply.of(poll.number, answer))
+
+    def _narrow(self, stream: MemorySendStream) -> None:
+        deliver = stream.send_all_hook
+        assert deliver is not None
+
+        async def deliver_and_wait_for_room() -> None:
+            await deliver()
+            while self.link_full:
+                await trio.sleep(0.05)
+
+        stream.send_all_hook = deliver_and_wait_for_room
+
+    async def _listen(self, stream: MemoryStream, nursery: trio.Nursery) -> None:
+        decoder = FrameDecoder()
+        while data := await stream.receive_some():
+            for message in decoder.feed(bytes(data)):
+                self.heard.append(message)
+                nursery.start_soon(self._reply, message)
+
+    async def _reply(self, message: AnyMessage) -> None:
+        if isinstance(message, PollCall):
+            await trio.sleep(message.wait_seconds)
+        if self._answer is None:
+            return
+        if isinstance(message, PollCall):
+            await self.say(PollReply.of(message.number, self._answer))
+        elif isinstance(message, Ping):
+            await self.say(Pong())
--- a/fireflyfork/adapters/tests/test_relays.py
+++ b/fireflyfork/adapters/tests/test_relays.py
@@ -10,6 +10,7 @@
 from functools import partial
 
 import trio
+from trio.testing import MockClock
 
 from ..._ids import AttemptNumber, ExecutorId, FailureDomainName, FencingToken, NodeName, TaskName
 from ..._links import Address
@@ -24,9 +25,10 @@
     StartRequest,
 )
 from .. import ExecutorCalls, ExecutorPlace, LoopTime, RelayedExecutors, RelayPlace, RelayServer
-from .._relay_client import ORDER_SECONDS
-from .._relay_messages import FrameDecoder, Hello, PaceCall, Place, encode_frame
+from .._relay_client import ORDER_SECONDS, RECONNECT_SECONDS, SILENT_SECONDS
+from .._relay_messages import FrameDecoder, Hello, PaceCall, Place, Pong, encode_frame
 from .._relay_server import STOOD_STILL_SECONDS
+from .builders_relays import RELAY_PLACE, MutedRelay
 
 DOMAIN = FailureDomainName("suva")
 EXECUTOR = ExecutorPlace(ExecutorId("i-0"), Address("10.0.0.1", 80), 1, DOMAIN)
@@ -294,3 +296,87 @@
             return received
 
         self.assertEqual(list(FrameDecoder().feed(trio.run(main))), [Hello(1)])
+
+
+class SilentRelayTest(unittest.TestCase):
+    """A relay whose words are on their way over a full link, or that has gone for good."""
+
+    def test_an_answer_that_comes_after_a_silence_is_taken(self) -> None:
+        """Guards against ends that are lost with their poll, so that tasks which ended well run again."""
+
+        async def play(owner: RelayedExecutors, relay: MutedRelay, direct: Recorder) -> None:
+            answers: list[PollAnswer] = []
+
+            async def poll() -> None:
+                answers.append(await owner.poll(EXECUTOR, TOKEN, POLL))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(poll)
+                await trio.sleep(SILENT_SECONDS + POLL.patience_seconds)
+                await relay.answer_polls(LISTED)
+            self.assertEqual(answers, [LISTED])
+            self.assertEqual(relay.connected, 1)
+
+        _play_muted(play)
+
+    def test_a_silent_relay_gets_nothing_new_until_it_is_heard_again(self) -> None:
+        """Guards against orders that wait behind a full link, and against a relay that is left for good."""
+
+        async def play(owner: RelayedExecutors, relay: MutedRelay, direct: Recorder) -> None:
+            await trio.sleep(2 * SILENT_SECONDS)
+            await owner.poll(EXECUTOR, TOKEN, POLL)
+            self.assertEqual((len(direct.called), relay.polls), (1, []))
+            await relay.say(Pong())
+            with trio.move_on_after(SILENT_SECONDS / 2):
+                await owner.poll(EXECUTOR, TOKEN, POLL)
+            self.assertEqual((len(direct.called), len(relay.polls)), (1, 1))
+            self.assertEqual(relay.connected, 1)
+
+        _play_muted(play)
+
+    def test_a_relay_that_stays_silent_is_connected_anew(self) -> None:
+        """Guards against a relay that is never used again, since its stream ended without a word."""
+
+        async def play(owner: RelayedExecutors, relay: MutedRelay, direct: Recorder) -> None:
+            longest_call = POLL.wait_seconds + POLL.patience_seconds
+            await trio.sleep(2 * longest_call + RECONNECT_SECONDS)
+            self.assertGreaterEqual(relay.connected, 2)
+
+        _play_muted(play)
+
+    def test_a_call_that_was_given_up_is_not_sent_afterwards(self) -> None:
+        """Guards against a pace order that waits behind a full link and undoes the one that replaced it."""
+
+        async def play(owner: RelayedExecutors, relay: MutedRelay, direct: Recorder) -> None:
+            relay.link_full = True
+            async with trio.open_nursery() as nursery:
+                for percent in (30, 40):
+                    nursery.start_soon(
+                        owner.pace, EXECUTOR, TOKEN, ORDER.task, ORDER.attempt, percent
+                    )
+                    await trio.sleep(0.1)
+            relay.link_full = False
+            await trio.sleep(SILENT_SECONDS)
+            paces = [one.percent for one in relay.heard if isinstance(one, PaceCall)]
+            self.assertEqual(paces, [30])
+
+        _play_muted(play)
+
+
+def _play_muted(
+    play: Callable[[RelayedExecutors, MutedRelay, Recorder], Awaitable[None]],
+) -> None:
+    """Play with an owner that has just come to use a relay, on a virtual clock."""
+
+    async def main() -> None:
+        relay, direct = MutedRelay(), Recorder()
+        owner = RelayedExecutors(direct, LoopTime())
+        async with relay.reachable(), trio.open_nursery() as nursery:
+            nursery.start_soon(owner.run)
+            owner.use([RELAY_PLACE])
+            while owner._relay_for(EXECUTOR) is None:
+                await trio.sleep(0.01)
+            await play(owner, relay, direct)
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=MockClock(autojump_threshold=0))
--- a/fireflyfork/programs/tests/test_probes.py
+++ b/fireflyfork/programs/tests/test_probes.py
@@ -4,7 +4,8 @@
 """
 
 import unittest
-from unittest.mock import MagicMock
+from collections.abc import Sequence
+from unittest.mock import MagicMock, patch
 
 import trio
 from trio.testing import MockClock
@@ -12,10 +13,17 @@
 from fireflyfork_standins.scheduling._nodes import VirtualClock
 
 from ..._ids import ExecutorId, FencingToken
-from ...adapters import ExecutorCalls, ExecutorPlace, LoopTime
+from ...adapters import ExecutorCalls, ExecutorPlace, LoopTime, RelayedExecutors
+from ...adapters.tests.builders_relays import RELAY_PLACE, MutedRelay
 from ...decisions.jobs import CallOutcome, PollAnswer, PollRequest
 from ...decisions.jobs.tests.builders_jobs import OwnerUnderTest
-from .._executor_polls import LATE_SECONDS, PROBE_PATIENCE_SECONDS, PROBES_AT_ONCE, ExecutorPolls
+from .._executor_polls import (
+    LATE_SECONDS,
+    POLL_SECONDS,
+    PROBE_PATIENCE_SECONDS,
+    PROBES_AT_ONCE,
+    ExecutorPolls,
+)
 
 HANGING = 2 * PROBES_AT_ONCE
 SILENT = "i-silent"
@@ -38,6 +46,53 @@
     return calls
 
 
+def _polls(owner: OwnerUnderTest, calls: ExecutorCalls) -> ExecutorPolls:
+    return ExecutorPolls(
+        owner.scheduler,
+        calls,
+        MagicMock(),
+        MagicMock(token=FencingToken(7)),
+        VirtualClock(),
+        5.0,
+        VirtualClock().now,
+        lambda: None,
+        LoopTime(),
+    )
+
+
+async def _unheard_after_freeze(names: Sequence[str]) -> float:
+    """How long the last of these executors isn't heard of once the relay that calls them has frozen."""
+    answer = PollAnswer(CallOutcome.ACCEPTED, 1, 1)
+
+    async def poll(
+        _: ExecutorPlace, __: FencingToken, request: PollRequest, fresh: bool = False
+    ) -> PollAnswer:
+        await trio.sleep(request.wait_seconds)
+        return answer
+
+    relay, direct = MutedRelay(answer), MagicMock(spec=ExecutorCalls)
+    direct.poll = poll
+    owner = OwnerUnderTest(*names, polled=False)
+    calls = RelayedExecutors(direct, LoopTime())
+    polls = _polls(owner, calls)
+    executors = [owner.scheduler.executors[ExecutorId(name)] for name in names]
+    async with relay.reachable(), trio.open_nursery() as nursery:
+        nursery.start_soon(calls.run)
+        calls.use([RELAY_PLACE])
+        await trio.sleep(0.5)
+        for number, executor in enumerate(executors):
+            nursery.start_soon(polls.run, executor)
+            await trio.sleep(POLL_SECONDS * (number % 7) / len(names))
+        await trio.sleep(3 * POLL_SECONDS)
+        relay.mute()
+        frozen_at = VirtualClock().now()
+        while min(executor.heard_at for executor in executors) <= frozen_at:
+            await trio.sleep(0.05)
+        unheard = VirtualClock().now() - frozen_at
+        nursery.cancel_scope.cancel()
+    return unheard
+
+
 class ProbesTest(unittest.TestCase):
     """Who is asked beside a late poll."""
 
@@ -48,17 +103,7 @@
 
         async def main() -> None:
             owner = OwnerUnderTest(*names, polled=False)
-            polls = ExecutorPolls(
-                owner.scheduler,
-                _calls(answered),
-                MagicMock(),
-                MagicMock(token=FencingToken(7)),
-                VirtualClock(),
-                5.0,
-                VirtualClock().now,
-                lambda: None,
-                LoopTime(),
-            )
+            polls = _polls(owner, _calls(answered))
             with trio.move_on_after(30.0):
                 async with trio.open_nursery() as nursery:
                     for name in names:
@@ -68,3 +113,15 @@
         self.assertTrue(answered)
         rounds = HANGING / PROBES_AT_ONCE
         self.assertLess(answered[0], LATE_SECONDS + rounds * (PROBE_PATIENCE_SECONDS + 0.5))
+
+    def test_executors_behind_a_frozen_relay_are_found_directly(self) -> None:
+        """Guards against a failure domain whose executors are taken for silent while their relay is frozen."""
+        names = [f"i-{number}" for number in range(HANGING)]
+
+        async def main() -> float:
+            with trio.fail_after(60.0):
+                return await _unheard_after_freeze(names)
+
+        with patch.object(ExecutorPolls, "_idle", lambda *_: False):
+            unheard = trio.run(main, clock=MockClock(autojump_threshold=0))
+        self.assertLess(unheard, 2 * POLL_SECONDS + LATE_SECONDS + 0.2)
