Correction: the test of a relay that is heard again waits until its word has been read

It polled in the same pass of the loop in which the word was sent, so the owner couldn't know of it yet, and the test would have failed with any code. It now waits for up to the same half second, and is as strict: red on the unchanged relay client.

--- a/fireflyfork/adapters/tests/test_relays.py
+++ b/fireflyfork/adapters/tests/test_relays.py
@@ -328,6 +328,8 @@
             self.assertEqual((len(direct.called), relay.polls), (1, []))
             await relay.say(Pong())
             with trio.move_on_after(SILENT_SECONDS / 2):
+                while owner._relay_for(EXECUTOR) is None:
+                    await trio.sleep(0.01)
                 await owner.poll(EXECUTOR, TOKEN, POLL)
             self.assertEqual((len(direct.called), len(relay.polls)), (1, 1))
             self.assertEqual(relay.connected, 1)
