A silent relay gets no new calls, and the pending ones keep their own timeouts

Cause, of the incident's class: a relay whose stream said nothing for 1 s was left at once, and all calls pending on it ended UNKNOWN, though on a full link their answers were on their way. Each poll that was given up lost the ends that it listed and counted its executor as silent, while ExecutorPolls would have waited for it as long as a lease lasts. That the incident's executor was reached over a relay isn't known.

Why this holds: silence takes a relay out of use for new calls only; they go to another relay or directly. Any word brings it back. Pending calls have timeouts of their own, and the stream is ended only after a silence longer than any of them (8.9 s of loop time). A call that was given up before it left is withdrawn, or it would come after what replaced it; without that a test is red. A relay that stood still ends its streams itself, as before.

--- a/fireflyfork/adapters/_executor_calls.py
+++ b/fireflyfork/adapters/_executor_calls.py
@@ -12,6 +12,9 @@
 ANY_INCARNATION = 0
 """In place of an incarnation: whichever is there."""
 
+LONGEST_CALL_SECONDS = 7.5
+"""No call waits longer for its answer: a poll may wait for 2 s at the executor, and 5 s more for what is late."""
+
 
 @dataclass(frozen=True, slots=True)
 class ExecutorPlace:
--- a/fireflyfork/adapters/_loop_time.py
+++ b/fireflyfork/adapters/_loop_time.py
@@ -10,6 +10,7 @@
 import heapq
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from functools import partial
 from itertools import count
 
 import trio
@@ -87,6 +88,10 @@
             trio.lowlevel.spawn_system_task(self._tick)
         return alarm
 
+    def put_off(self, alarm: Alarm, seconds: float) -> None:
+        """Let an alarm go off so many seconds from now at the earliest."""
+        alarm.put_off(self._now + seconds)
+
     @contextmanager
     def fail_after(self, seconds: float) -> Iterator[Callable[[float], None]]:
         """Raise trio.TooSlowError when the block takes longer.
@@ -96,7 +101,7 @@
         with trio.CancelScope() as scope:
             alarm = self.after(seconds, scope.cancel)
             try:
-                yield lambda more: alarm.put_off(self._now + more)
+                yield partial(self.put_off, alarm)
             finally:
                 alarm.cancel()
         if scope.cancelled_caught:
--- a/fireflyfork/adapters/_relay_client.py
+++ b/fireflyfork/adapters/_relay_client.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
+from enum import Enum
 from itertools import count
 from typing import NoReturn
 
@@ -15,8 +16,8 @@
 from .._ids import AttemptNumber, ExecutorId, FailureDomainName, FencingToken, NodeName, TaskName
 from .._links import Address
 from ..decisions.jobs import CallOutcome, OrderAnswer, PollAnswer, PollRequest, StartRequest
-from ._executor_calls import ExecutorCalls, ExecutorPlace
-from ._loop_time import LoopTime
+from ._executor_calls import LONGEST_CALL_SECONDS, ExecutorCalls, ExecutorPlace
+from ._loop_time import Alarm, LoopTime
 from ._relay_messages import (
     RELAY_VERSION,
     AnyMessage,
@@ -43,8 +44,10 @@
 WAY_SECONDS = 0.4
 PING_SECONDS = 0.4
 SILENT_SECONDS = 1.0
-"""Of loop time without a word. A relay that is silent for so long is left: it may be frozen, and what it was
-asked may still be carried out, as with any call that gets no answer."""
+"""Of loop time without a word. A relay that is silent for so long gets no new calls: it may be frozen, or
+behind a full link. What it was asked may still be carried out, and its answers may be on their way."""
+LONGEST_SILENCE_SECONDS = SILENT_SECONDS + LONGEST_CALL_SECONDS + WAY_SECONDS
+"""Of loop time without a word. No call is pending by then, so ending the stream loses no answer."""
 RECONNECT_SECONDS = 3.0
 
 
@@ -57,6 +60,18 @@
     address: Address
 
 
+class _State(Enum):
+    """What a relay may be used for."""
+
+    CLOSED = "closed"
+    """Not connected, or not greeted yet."""
+    OPEN = "open"
+    SILENT = "silent"
+    """It gets no new calls until it says something; those under way go on."""
+    LEAVING = "leaving"
+    """It gets no new calls any more; those under way go on."""
+
+
 @dataclass(slots=True, eq=False)
 class _Pending:
     done: trio.Event = field(default_factory=trio.Event)
@@ -71,14 +86,15 @@
         self.place = place
         self._loop_time = loop_time
         self._stream: RelayStream | None = None
-        self._usable = False
+        self._state = _State.CLOSED
+        self._silence: Alarm | None = None
         self._numbers = count()
         self._pending: dict[int, _Pending] = {}
 
     @property
     def usable(self) -> bool:
         """Whether new calls may go over it."""
-        return self._usable
+        return self._state is _State.OPEN
 
     async def run(self) -> None:
         """Connect, and connect again when the stream has ended."""
@@ -96,13 +112,16 @@
         """One call within so many seconds of loop time; None if it may or may not have been made."""
         if self._stream is None:
             return None
-        number = next(self._numbers)
+        stream, number = self._stream, next(self._numbers)
+        call = make(number)
         pending = self._pending[number] = _Pending()
         alarm = self._loop_time.after(seconds, pending.done.set)
         try:
-            self._stream.send(make(number))
+            stream.send(call)
             await pending.done.wait()
         finally:
+            # One that waits behind a full link would come after whatever took its place.
+            stream.withdraw(call)
             alarm.cancel()
             del self._pending[number]
         return pending.reply
@@ -133,14 +152,29 @@
     async def _listen(self, stream: RelayStream) -> NoReturn:
         """Take what the relay says until the stream ends. Raises PeerError."""
         try:
-            with self._loop_time.fail_after(SILENT_SECONDS) as put_off:
+            with self._loop_time.fail_after(LONGEST_SILENCE_SECONDS) as put_off:
                 async for message in stream.messages():
-                    put_off(SILENT_SECONDS)
+                    put_off(LONGEST_SILENCE_SECONDS)
+                    self._note_word()
                     self._take(message)
         except trio.TooSlowError as error:
-            raise PeerError(f"silent for {SILENT_SECONDS} s") from error
+            raise PeerError(f"silent for {LONGEST_SILENCE_SECONDS} s") from error
         raise PeerError("the relay closed the stream")
 
+    def _note_word(self) -> None:
+        if self._silence is not None and self._silence.pending:
+            self._loop_time.put_off(self._silence, SILENT_SECONDS)
+        else:
+            self._silence = self._loop_time.after(SILENT_SECONDS, self._note_silence)
+        if self._state is _State.SILENT:
+            self._state = _State.OPEN
+            logger.info("relay heard again", relay=self.place.node, pending=len(self._pending))
+
+    def _note_silence(self) -> None:
+        if self._state is _State.OPEN:
+            self._state = _State.SILENT
+            logger.info("relay silent", relay=self.place.node, pending=len(self._pending))
+
     def _take(self, message: AnyMessage) -> None:
         match message:
             case OrderReply() | PollReply():
@@ -151,9 +185,9 @@
             case Hello(version):
                 if version != RELAY_VERSION:
                     raise PeerError(f"the relay speaks version {version}, not {RELAY_VERSION}")
-                self._usable = True
+                self._state = _State.OPEN
             case Goodbye():
-                self._usable = False
+                self._state = _State.LEAVING
             case Pong():
                 pass
             case _:
@@ -166,7 +200,9 @@
             stream.send(Ping())
 
     def _end(self) -> None:
-        self._usable = False
+        self._state = _State.CLOSED
+        if self._silence is not None:
+            self._silence.cancel()
         if self._stream is not None:
             self._stream.close()
             self._stream = None
--- a/fireflyfork/adapters/_relay_stream.py
+++ b/fireflyfork/adapters/_relay_stream.py
@@ -36,12 +36,18 @@
         self._waiting.append(message)
         self._some_wait.set()
 
+    def withdraw(self, message: RelayMessage) -> None:
+        """Don't send a message that still waits to be sent."""
+        self._waiting = [one for one in self._waiting if one is not message]
+
     async def run(self) -> None:
         """Send what there is to send. Raises PeerError."""
         while True:
             await self._some_wait.wait()
             messages, self._waiting = self._waiting, []
             self._some_wait = trio.Event()
+            if not messages:
+                continue
             try:
                 await self._stream.send_all(encode_frame(messages))
             except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
--- a/fireflyfork/programs/tests/test_probes.py
+++ b/fireflyfork/programs/tests/test_probes.py
@@ -14,14 +14,17 @@
 
 from ..._ids import ExecutorId, FencingToken
 from ...adapters import ExecutorCalls, ExecutorPlace, LoopTime, RelayedExecutors
+from ...adapters._executor_calls import LONGEST_CALL_SECONDS
 from ...adapters.tests.builders_relays import RELAY_PLACE, MutedRelay
 from ...decisions.jobs import CallOutcome, PollAnswer, PollRequest
 from ...decisions.jobs.tests.builders_jobs import OwnerUnderTest
 from .._executor_polls import (
     LATE_SECONDS,
+    PATIENCE_SECONDS,
     POLL_SECONDS,
     PROBE_PATIENCE_SECONDS,
     PROBES_AT_ONCE,
+    SHED_POLL_SECONDS,
     ExecutorPolls,
 )
 
@@ -125,3 +128,7 @@
         with patch.object(ExecutorPolls, "_idle", lambda *_: False):
             unheard = trio.run(main, clock=MockClock(autojump_threshold=0))
         self.assertLess(unheard, 2 * POLL_SECONDS + LATE_SECONDS + 0.2)
+
+    def test_no_poll_outlasts_the_bound_of_its_connection(self) -> None:
+        """Guards against connections that are ended while an answer is still waited for."""
+        self.assertLessEqual(SHED_POLL_SECONDS + PATIENCE_SECONDS, LONGEST_CALL_SECONDS)
