Red: the kernel ends polls whose answers are waited for

TCP_USER_TIMEOUT is 2 s on each connection to an executor and on each stream to a relay, while a poll is waited for for up to 7 s. Where the queue of a link is longer than 2 s, acknowledgements are too, and the kernel ends connections whose bytes are merely on their way. Green beside them: connections that carry requests to executors keep the 2 s, which the hold of a slot counts on.

--- /dev/null
+++ b/fireflyfork/programs/tests/test_connection_bounds.py
@@ -0,0 +1,97 @@
+"""How long the kernel bears bytes that nobody acknowledges, on each kind of connection.
+
+The pattern: a link between regions that is full for seconds, so that acknowledgements queue with everything else.
+"""
+
+import socket
+import unittest
+from unittest.mock import patch
+
+import trio
+
+from ..._ids import ExecutorId, FencingToken
+from ..._links import Address
+from ...adapters import ANY_INCARNATION, ExecutorPlace, HttpClientConnection, LoopTime
+from ...adapters._executor_calls import LONGEST_CALL_SECONDS
+from ...adapters._relay_stream import RelayStream
+from ...decisions._slots import START_WITHIN_SECONDS
+from ...decisions.jobs import PollRequest
+from ...platform import PlatformExecutors
+from .._target_attempts import CONNECT_SECONDS, SEND_SECONDS
+
+POLL = PollRequest(0, None, 0.0, 1.0)
+
+
+def _bound(stream: trio.SocketStream) -> float:
+    milliseconds: int = stream.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+    return milliseconds / 1000
+
+
+async def _close(stream: trio.SocketStream) -> None:
+    await stream.aclose()
+
+
+async def _listening(nursery: trio.Nursery) -> Address:
+    """A server that ends each connection at once."""
+    listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+    nursery.start_soon(trio.serve_listeners, _close, listeners)
+    host, port = listeners[0].socket.getsockname()[:2]
+    return Address(host, port)
+
+
+async def _for_executors() -> list[float]:
+    """The bounds of the connections that a poll opens."""
+    bounds: list[float] = []
+    real_open = HttpClientConnection.open
+
+    async def noted(*arguments: object, **options: object) -> HttpClientConnection:
+        connection = await real_open(*arguments, **options)  # type: ignore[arg-type]
+        bounds.append(_bound(connection._stream))
+        return connection
+
+    async with trio.open_nursery() as nursery:
+        address = await _listening(nursery)
+        place = ExecutorPlace(ExecutorId("i-0"), address, ANY_INCARNATION)
+        with patch.object(HttpClientConnection, "open", noted):
+            await PlatformExecutors(LoopTime()).poll(place, FencingToken(7), POLL)
+        nursery.cancel_scope.cancel()
+    return bounds
+
+
+async def _for_relays() -> float:
+    async with trio.open_nursery() as nursery:
+        address = await _listening(nursery)
+        stream = await trio.open_tcp_stream(address.host, address.port)
+        RelayStream(stream)
+        bound = _bound(stream)
+        nursery.cancel_scope.cancel()
+    return bound
+
+
+async def _for_requests() -> float:
+    async with trio.open_nursery() as nursery:
+        connection = await HttpClientConnection.open(await _listening(nursery), 1.0)
+        bound = _bound(connection._stream)
+        connection.close()
+        nursery.cancel_scope.cancel()
+    return bound
+
+
+class ConnectionBoundsTest(unittest.TestCase):
+    """Who is cut off by the kernel, and when."""
+
+    def test_a_connection_to_an_executor_holds_for_as_long_as_its_polls_wait(self) -> None:
+        """Guards against ends that are lost since the kernel cut off an answer that was on its way."""
+        bounds = trio.run(_for_executors)
+        self.assertEqual(len(bounds), 1)
+        self.assertGreaterEqual(bounds[0], LONGEST_CALL_SECONDS)
+
+    def test_a_stream_to_a_relay_holds_for_as_long_as_its_calls_wait(self) -> None:
+        """Guards against a full link that ends all calls of a failure domain at once."""
+        self.assertGreaterEqual(trio.run(_for_relays), LONGEST_CALL_SECONDS)
+
+    def test_a_request_can_arrive_only_while_its_slot_is_held(self) -> None:
+        """Guards against an executor that gets more than its slots: bytes of a request that come too late."""
+        self.assertLessEqual(
+            CONNECT_SECONDS + SEND_SECONDS + trio.run(_for_requests), START_WITHIN_SECONDS
+        )
