Connections to executors and relays hold for as long as their calls wait

Cause, of the incident's class: TCP_USER_TIMEOUT was 2 s on every connection. Where a link's queue is longer than that, acknowledgements are too, and the kernel ends a connection whose bytes are merely on their way; a poll that is waited for up to 7 s was cut off with the ends that it would have listed. That it happened in the incident isn't known.

Why this holds: each user gets the bound that its own timeouts imply. Calls to executors and streams to relays: 7.5 s, above the longest wait of a poll (2 s) and its patience (5 s), which a test compares. Orders keep their 0.6 s and relays their silence of 1 s. Requests of fireflyfork-entry keep 2 s: with 0.5 s to connect and 2.5 s to send it makes the 5 s on which the hold of a slot counts. The store's client keeps 2 s, which is below a watch's wait of 1.5 to 2 s and 0.9 s more, and the only quick sign that its way has gone.

Passed: test_connection_bounds 3, test_relays 12, test_http_client 3, test_probes 3, test_late_loop 3, test_store_client 2, test_end_lists 1, test_wire_incarnations 2. Cost, by reading: a poll to an executor whose way has gone is held for up to 6 s, not 2 s, with probes beside it, of which 24 are out at once for all executors together.

--- a/fireflyfork/adapters/__init__.py
+++ b/fireflyfork/adapters/__init__.py
@@ -10,7 +10,7 @@
     StoredItem,
     StoreListing,
 )
-from ._executor_calls import ANY_INCARNATION, ExecutorCalls, ExecutorPlace
+from ._executor_calls import ANY_INCARNATION, LONGEST_CALL_SECONDS, ExecutorCalls, ExecutorPlace
 from ._http import (
     ConnectError,
     Header,
@@ -21,7 +21,7 @@
     end_to_end,
     find_header,
 )
-from ._http_client import ClientExchange, HttpClient, HttpClientConnection
+from ._http_client import UNACKNOWLEDGED_SECONDS, ClientExchange, HttpClient, HttpClientConnection
 from ._http_server import Exchange, HttpHandler, HttpServer, ServerLimits, listen
 from ._instances import (
     HttpInstanceList,
@@ -45,6 +45,8 @@
 
 __all__ = [
     "ANY_INCARNATION",
+    "LONGEST_CALL_SECONDS",
+    "UNACKNOWLEDGED_SECONDS",
     "Advice",
     "Advisor",
     "AnswerHead",
--- a/fireflyfork/adapters/_http_client.py
+++ b/fireflyfork/adapters/_http_client.py
@@ -26,7 +26,9 @@
 )
 from ._loop_time import LoopTime
 
-_UNACKNOWLEDGED_MILLISECONDS = 2_000
+UNACKNOWLEDGED_SECONDS = 2.0
+"""Unless told otherwise. Slots of executors are held on the strength of it, and a watch whose way to the store
+has gone finds that out by nothing else before its wait is over."""
 _END = h11.EndOfMessage()
 
 
@@ -59,8 +61,13 @@
         return idle or unused
 
     @classmethod
-    async def open(cls, address: Address, timeout: float) -> HttpClientConnection:
-        """Connect within ``timeout`` seconds. Raises HttpError."""
+    async def open(
+        cls, address: Address, timeout: float, unacknowledged: float = UNACKNOWLEDGED_SECONDS
+    ) -> HttpClientConnection:
+        """Connect within ``timeout`` seconds. Raises HttpError.
+
+        The connection ends when bytes stay unacknowledged for so many seconds.
+        """
         try:
             with trio.fail_after(timeout):
                 stream = await trio.open_tcp_stream(address.host, address.port)
@@ -68,7 +75,8 @@
             raise ConnectError(f"can't connect to {address}: {error!r}") from error
         # A peer that vanished without a word is noticed only through data that stays
         # unacknowledged. Without this limit the kernel goes on resending for a quarter of an hour.
-        stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_MILLISECONDS)
+        milliseconds = int(unacknowledged * 1000)
+        stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
         return cls(stream)
 
     async def send_head(self, head: RequestHead) -> None:
@@ -166,12 +174,16 @@
         pause: float | None = None,
         greet: Callable[[ClientExchange], Awaitable[None]] | None = None,
         loop_time: LoopTime | None = None,
+        unacknowledged: float = UNACKNOWLEDGED_SECONDS,
     ) -> None:
         """``timeout`` is in seconds without a byte, ``pause`` (by default the same) once an answer has
         begun to come; ``longest_answer`` is in bytes. Both are counted in ``loop_time`` if it is given.
 
         ``greet`` finds out on each new connection whether its other end is the one that is meant, and
         raises HttpError if not; nothing of a call is sent before.
+
+        ``unacknowledged`` is for each connection. Where calls wait longer than it for answers over a full
+        link, it ends them though nothing is lost.
         """
         self._address = address
         self._timeout = timeout
@@ -179,6 +191,7 @@
         self._longest_answer = longest_answer
         self._greet = greet
         self._loop_time = loop_time
+        self._unacknowledged = unacknowledged
         self._idle: list[HttpClientConnection] = []
         self._doubtful = False
         """Whether the last call failed on its connection: the kept ones may have gone silent as well."""
@@ -248,7 +261,9 @@
             if connection.reusable:
                 return connection
             connection.close()
-        connection = await HttpClientConnection.open(self._address, self._timeout)
+        connection = await HttpClientConnection.open(
+            self._address, self._timeout, self._unacknowledged
+        )
         if self._greet is None or is_greeting:
             return connection
         try:
--- a/fireflyfork/adapters/_relay_stream.py
+++ b/fireflyfork/adapters/_relay_stream.py
@@ -8,10 +8,12 @@
 import trio
 
 from .._errors import PeerError
+from ._executor_calls import LONGEST_CALL_SECONDS
 from ._relay_messages import AnyMessage, FrameDecoder, RelayMessage, encode_frame
 
 _RECEIVE_BYTES = 65_536
-_UNACKNOWLEDGED_MILLISECONDS = 2_000
+_UNACKNOWLEDGED_MILLISECONDS = int(1000 * LONGEST_CALL_SECONDS)
+"""On a full link bytes and their acknowledgements are under way for seconds, as the answers are."""
 
 
 class RelayStream:
--- a/fireflyfork/platform/_executor_client.py
+++ b/fireflyfork/platform/_executor_client.py
@@ -10,7 +10,15 @@
 from loguru import logger
 
 from .._ids import AttemptNumber, ExecutorId, FencingToken, TaskName
-from ..adapters import ANY_INCARNATION, ExecutorCalls, ExecutorPlace, Header, HttpError, LoopTime
+from ..adapters import (
+    ANY_INCARNATION,
+    LONGEST_CALL_SECONDS,
+    ExecutorCalls,
+    ExecutorPlace,
+    Header,
+    HttpError,
+    LoopTime,
+)
 from ..decisions.jobs import (
     CallOutcome,
     EndedRow,
@@ -223,6 +231,7 @@
             CALL_TIMEOUT_SECONDS,
             greet=partial(_greet, place, token),
             loop_time=self._loop_time,
+            unacknowledged=LONGEST_CALL_SECONDS,
         )
         self._bound[place.executor] = _Bound(place, token, calls)
         return calls
--- a/fireflyfork/platform/_http_calls.py
+++ b/fireflyfork/platform/_http_calls.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from .._links import Address
-from ..adapters import ClientExchange, Header, HttpClient, LoopTime
+from ..adapters import UNACKNOWLEDGED_SECONDS, ClientExchange, Header, HttpClient, LoopTime
 
 _JSON: Header = (b"content-type", b"application/json")
 
@@ -48,6 +48,7 @@
         pause: float | None = None,
         greet: Greet | None = None,
         loop_time: LoopTime | None = None,
+        unacknowledged: float = UNACKNOWLEDGED_SECONDS,
     ) -> None:
         """See HttpClient."""
 
@@ -56,7 +57,12 @@
                 await greet(BoundCall(exchange))
 
         self._client = HttpClient(
-            address, timeout, pause=pause, greet=greet_on, loop_time=loop_time
+            address,
+            timeout,
+            pause=pause,
+            greet=greet_on,
+            loop_time=loop_time,
+            unacknowledged=unacknowledged,
         )
 
     async def call(
--- a/fireflyfork/programs/tests/test_connection_bounds.py
+++ b/fireflyfork/programs/tests/test_connection_bounds.py
@@ -11,8 +11,13 @@
 
 from ..._ids import ExecutorId, FencingToken
 from ..._links import Address
-from ...adapters import ANY_INCARNATION, ExecutorPlace, HttpClientConnection, LoopTime
-from ...adapters._executor_calls import LONGEST_CALL_SECONDS
+from ...adapters import (
+    ANY_INCARNATION,
+    LONGEST_CALL_SECONDS,
+    ExecutorPlace,
+    HttpClientConnection,
+    LoopTime,
+)
 from ...adapters._relay_stream import RelayStream
 from ...decisions._slots import START_WITHIN_SECONDS
 from ...decisions.jobs import PollRequest
--- a/fireflyfork/programs/tests/test_probes.py
+++ b/fireflyfork/programs/tests/test_probes.py
@@ -13,8 +13,13 @@
 from fireflyfork_standins.scheduling._nodes import VirtualClock
 
 from ..._ids import ExecutorId, FencingToken
-from ...adapters import ExecutorCalls, ExecutorPlace, LoopTime, RelayedExecutors
-from ...adapters._executor_calls import LONGEST_CALL_SECONDS
+from ...adapters import (
+    LONGEST_CALL_SECONDS,
+    ExecutorCalls,
+    ExecutorPlace,
+    LoopTime,
+    RelayedExecutors,
+)
 from ...adapters.tests.builders_relays import RELAY_PLACE, MutedRelay
 from ...decisions.jobs import CallOutcome, PollAnswer, PollRequest
 from ...decisions.jobs.tests.builders_jobs import OwnerUnderTest
