A poll is as patient with its connection as with its answer

Cause, of the incident's class: a new connection to an executor had to be made within 0.6 s, whatever the patience of the poll that needed it. On a link whose way there and back takes longer none can be made, so an owner that has just taken over hears no far executor, and one whose kept connection broke hears it no more, while the link is full. By reading: 8 s after a takeover what has not been heard of counts as over.

Why this holds: connecting counts against the limit of the call that needs it. Orders keep 0.6 s, probes their 1.5 s; the store's client is unchanged, where what a call may take longer is the wait of a watch.

Cost, by reading: a poll to an executor whose way has gone is held for up to 6 s, not 0.6 s, and a probe for 1.5 s, of which 24 are out at once for all executors together.

--- a/fireflyfork/adapters/_http_client.py
+++ b/fireflyfork/adapters/_http_client.py
@@ -175,6 +175,7 @@
         greet: Callable[[ClientExchange], Awaitable[None]] | None = None,
         loop_time: LoopTime | None = None,
         unacknowledged: float = UNACKNOWLEDGED_SECONDS,
+        connects_patiently: bool = False,
     ) -> None:
         """``timeout`` is in seconds without a byte, ``pause`` (by default the same) once an answer has
         begun to come; ``longest_answer`` is in bytes. Both are counted in ``loop_time`` if it is given.
@@ -183,7 +184,8 @@
         raises HttpError if not; nothing of a call is sent before.
 
         ``unacknowledged`` is for each connection. Where calls wait longer than it for answers over a full
-        link, it ends them though nothing is lost.
+        link, it ends them though nothing is lost. For the same reason ``connects_patiently`` lets a new
+        connection take as long as the call that needs it may take; otherwise it has to be made within ``timeout``.
         """
         self._address = address
         self._timeout = timeout
@@ -192,6 +194,7 @@
         self._greet = greet
         self._loop_time = loop_time
         self._unacknowledged = unacknowledged
+        self._connects_patiently = connects_patiently
         self._idle: list[HttpClientConnection] = []
         self._doubtful = False
         """Whether the last call failed on its connection: the kept ones may have gone silent as well."""
@@ -222,7 +225,8 @@
         fresh = fresh or self._doubtful
         try:
             with self._limit(self._timeout + extra_seconds) as put_off:
-                connection = await self._connection(is_greeting, fresh)
+                patience = extra_seconds if self._connects_patiently else 0.0
+                connection = await self._connection(is_greeting, fresh, self._timeout + patience)
                 connection.received = lambda: put_off(self._pause)
                 answer = await self._exchange(connection, method, target, headers, body)
         except trio.TooSlowError as error:
@@ -255,14 +259,16 @@
             return self._loop_time.fail_after(seconds)
         return _fail_after(seconds)
 
-    async def _connection(self, is_greeting: bool, fresh: bool) -> HttpClientConnection:
+    async def _connection(
+        self, is_greeting: bool, fresh: bool, connect_seconds: float
+    ) -> HttpClientConnection:
         while self._idle and not fresh:
             connection = self._idle.pop()
             if connection.reusable:
                 return connection
             connection.close()
         connection = await HttpClientConnection.open(
-            self._address, self._timeout, self._unacknowledged
+            self._address, connect_seconds, self._unacknowledged
         )
         if self._greet is None or is_greeting:
             return connection
--- a/fireflyfork/platform/_executor_client.py
+++ b/fireflyfork/platform/_executor_client.py
@@ -232,6 +232,7 @@
             greet=partial(_greet, place, token),
             loop_time=self._loop_time,
             unacknowledged=LONGEST_CALL_SECONDS,
+            connects_patiently=True,
         )
         self._bound[place.executor] = _Bound(place, token, calls)
         return calls
--- a/fireflyfork/platform/_http_calls.py
+++ b/fireflyfork/platform/_http_calls.py
@@ -49,6 +49,7 @@
         greet: Greet | None = None,
         loop_time: LoopTime | None = None,
         unacknowledged: float = UNACKNOWLEDGED_SECONDS,
+        connects_patiently: bool = False,
     ) -> None:
         """See HttpClient."""
 
@@ -63,6 +64,7 @@
             greet=greet_on,
             loop_time=loop_time,
             unacknowledged=unacknowledged,
+            connects_patiently=connects_patiently,
         )
 
     async def call(
