--- a/fireflyfork/adapters/_relay_stream.py
+++ b/fireflyfork/adapters/_relay_stream.py
@@ -8,11 +8,13 @@
 import trio
 
 from .._errors import PeerError
+from ._executor_calls import LONGEST_CALL_SECONDS
 from ._relay_messages import AnyMessage, FrameDecoder, RelayMessage, encode_frame
 from ._relay_traffic import StreamTraffic
 
 _RECEIVE_BYTES = 65_536
-_UNACKNOWLEDGED_MILLISECONDS = 2_000
+_UNACKNOWLEDGED_MILLISECONDS = int(1000 * LONGEST_CALL_SECONDS)
+"""On a full link bytes and their acknowledgements are under way for seconds, as the answers are."""
 
 
 class RelayStream:
@@ -38,12 +40,18 @@
         self._waiting.append(message)
         self._some_wait.set()
 
+    def withdraw(self, message: RelayMessage) -> None:
+        """Don't send a message that still waits to be sent."""
+        self._waiting = [one for one in self._waiting if one is not message]
+
     async def run(self) -> None:
         """Send what there is to send. Raises PeerError."""
         while True:
             await self._some_wait.wait()
             messages, self._waiting = self._waiting, []
             self._some_wait = trio.Event()
+            if not messages:
+                continue
             frame = encode_frame(messages)
             self._traffic.sent += len(frame)
             try:
