--- a/fireflyfork_standins/scheduling/__init__.py
+++ b/fireflyfork_standins/scheduling/__init__.py
@@ -5,6 +5,8 @@
 from ._history import History, Violation
 from ._machines import StandInMachines, machine_of
 from ._nodes import UNIX_MS_AT_START, StandInNode
+from ._region_link import Purpose, Region, RegionLink
+from ._regions import RegionProfile, RouteChange
 from ._repeatable import run_repeatably
 from ._store import StandInStore, StoreTrouble
 from ._troubles import ALL_TROUBLES, INCARNATION_TROUBLES, TROUBLES, UPKEEP_TROUBLES
@@ -21,7 +23,12 @@
     "ExecutorTrouble",
     "History",
     "Profile",
+    "Purpose",
+    "Region",
+    "RegionLink",
+    "RegionProfile",
     "Report",
+    "RouteChange",
     "StandInExecutor",
     "StandInExecutorCalls",
     "StandInMachines",
--- a/fireflyfork_standins/scheduling/_executors.py
+++ b/fireflyfork_standins/scheduling/_executors.py
@@ -11,6 +11,7 @@
 from fireflyfork._ids import (
     AttemptNumber,
     ExecutorId,
+    FailureDomainName,
     FencingToken,
     NodeName,
     ServiceName,
@@ -41,6 +42,8 @@
 LONGEST_LEASE_SECONDS = 6.0
 """The longest that is granted at once, unless a day says otherwise."""
 LONGEST_LIST_OF_ENDS = 500
+FAILURE_DOMAIN = FailureDomainName("suva")
+"""Where executors are, unless a day says otherwise."""
 
 
 @dataclass(slots=True)
@@ -109,6 +112,7 @@
         random: Random,
         address: Address = NOWHERE,
         longest_lease_seconds: float = LONGEST_LEASE_SECONDS,
+        failure_domain: FailureDomainName = FAILURE_DOMAIN,
     ) -> None:
         """Registers when ``run`` is called, at ``address``."""
         self.executor = executor
@@ -120,6 +124,7 @@
         self._history = history
         self._random = random
         self._address = address
+        self._failure_domain = failure_domain
         self._longest_lease_ms = int(longest_lease_seconds * 1000)
         self._rate = random.uniform(0.98, 1.0)
         self._draining = False
@@ -279,7 +284,7 @@
         entry = {
             "service": self._service,
             "address": str(self._address),
-            "zone": "suva",
+            "zone": self._failure_domain,
             "state": "draining" if self._draining else "ready",
             "room": {"cpu": self._room.cpu_millis, "mem_mb": self._room.memory_mb},
             "labels": ["a"],
--- /dev/null
+++ b/fireflyfork_standins/scheduling/_link_calls.py
@@ -0,0 +1,151 @@
+"""Calls across the link between two regions: kept connections, and when their callers give up."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Generic, TypeVar
+
+import trio
+
+from fireflyfork.adapters import ConnectError, HttpError
+
+from ._region_link import DELAY_SECONDS, Purpose, Region, RegionLink
+
+PACKET_BYTES = 60
+"""One that opens, acknowledges or resets a connection."""
+UNACKNOWLEDGED_SECONDS = 2.0
+"""After so long without an acknowledgement a connection breaks, as TCP_USER_TIMEOUT has it."""
+
+_Answer = TypeVar("_Answer")
+
+
+@dataclass(frozen=True, slots=True)
+class Question(Generic[_Answer]):
+    """What is asked on the other side."""
+
+    size: int
+    purpose: Purpose
+    serve: Callable[[], Awaitable[_Answer | None]]
+    """Carried out there when the question arrives, also for a caller that has gone; None: no answer."""
+    answer_size: Callable[[_Answer], int]
+    answer_purpose: Callable[[_Answer], Purpose]
+
+
+@dataclass(slots=True, eq=False)
+class _Exchange(Generic[_Answer]):
+    """One question on one connection."""
+
+    question: Question[_Answer]
+    arrives_at: float
+    received: Callable[[], None]
+    answer: _Answer | None = None
+    done: trio.Event = field(default_factory=trio.Event)
+    served: trio.CancelScope = field(default_factory=trio.CancelScope)
+
+
+class LinkCalls:
+    """Calls of one client to one server across the link. Timeouts and connections as in HttpClient."""
+
+    def __init__(
+        self,
+        link: RegionLink,
+        home: Region,
+        timeout: float,
+        pause: float | None = None,
+        greet: Callable[[LinkCalls], Awaitable[None]] | None = None,
+    ) -> None:
+        """``home`` is the caller's region; ``greet`` is called on each new connection."""
+        self._link = link
+        self._home = home
+        self._timeout = timeout
+        self._pause = timeout if pause is None else pause
+        self._greet = greet
+        self._idle = 0
+        self._doubtful = False
+
+    def close(self) -> None:
+        """Close the kept connections."""
+        self._idle = 0
+
+    async def call(
+        self,
+        question: Question[_Answer],
+        extra_seconds: float = 0.0,
+        is_greeting: bool = False,
+        fresh: bool = False,
+    ) -> _Answer:
+        """One call; see HttpClient. Raises HttpError, ConnectError."""
+        fresh = fresh or self._doubtful
+        connected = False
+        limit = trio.current_time() + self._timeout + extra_seconds
+        try:
+            with trio.CancelScope(deadline=limit) as scope:
+                await self._connect(is_greeting, fresh)
+                connected = True
+                answer = await self.exchange(question, lambda: self._put_off(scope))
+            if scope.cancelled_caught:
+                if not connected:
+                    raise ConnectError("can't connect in time")
+                raise HttpError("no answer in time")
+        except HttpError:
+            self._doubtful = self._doubtful or connected
+            raise
+        if fresh:
+            self.close()
+        self._doubtful = False
+        self._idle += 1
+        return answer
+
+    async def exchange(
+        self, question: Question[_Answer], received: Callable[[], None] = lambda: None
+    ) -> _Answer:
+        """One question and its answer on a connection. Raises HttpError."""
+        sent_at = trio.current_time()
+        arrives_at = self._link.send(self._home.other, question.size, question.purpose)
+        exchange = _Exchange(question, arrives_at, received)
+        self._link.go_on(lambda: self._serve(exchange))
+        try:
+            if arrives_at + DELAY_SECONDS - sent_at > UNACKNOWLEDGED_SECONDS:
+                await trio.sleep_until(sent_at + UNACKNOWLEDGED_SECONDS)
+                raise HttpError("not acknowledged in time")
+            await exchange.done.wait()
+        finally:
+            if not exchange.done.is_set():
+                self._link.go_on(lambda: self._reset(exchange))
+        assert exchange.answer is not None
+        return exchange.answer
+
+    async def _connect(self, is_greeting: bool, fresh: bool) -> None:
+        if self._idle and not fresh:
+            self._idle -= 1
+            return
+        with trio.move_on_after(self._timeout) as scope:
+            await self._link.carry(self._home.other, PACKET_BYTES, Purpose.OTHER)
+            await self._link.carry(self._home, PACKET_BYTES, Purpose.OTHER)
+        if scope.cancelled_caught:
+            raise ConnectError("can't connect in time")
+        if self._greet is not None and not is_greeting:
+            await self._greet(self)
+
+    async def _serve(self, exchange: _Exchange[_Answer]) -> None:
+        """What the other side does."""
+        question = exchange.question
+        with exchange.served:
+            await trio.sleep_until(exchange.arrives_at)
+            answer = await question.serve()
+            if answer is None:
+                return
+            size, purpose = question.answer_size(answer), question.answer_purpose(answer)
+            await self._link.stream(self._home, size, purpose, exchange.received)
+            exchange.answer = answer
+            exchange.done.set()
+
+    async def _reset(self, exchange: _Exchange[_Answer]) -> None:
+        """The caller has closed the connection; the other side goes on until it hears of that."""
+        exchange.received = lambda: None
+        await self._link.carry(self._home.other, PACKET_BYTES, Purpose.OTHER)
+        exchange.served.cancel()
+
+    def _put_off(self, scope: trio.CancelScope) -> None:
+        scope.deadline = max(scope.deadline, trio.current_time() + self._pause)
--- /dev/null
+++ b/fireflyfork_standins/scheduling/_linked_executors.py
@@ -0,0 +1,160 @@
+"""Executors on both sides of the link as one instance reaches them."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable, Mapping
+from functools import partial
+
+from fireflyfork._ids import AttemptNumber, ExecutorId, FencingToken, TaskName
+from fireflyfork.adapters import ANY_INCARNATION, ExecutorCalls, ExecutorPlace, HttpError
+from fireflyfork.decisions.jobs import (
+    CallOutcome,
+    OrderAnswer,
+    PollAnswer,
+    PollRequest,
+    StartRequest,
+)
+
+from ._link_calls import LinkCalls, Question
+from ._region_link import Purpose, Region, RegionLink
+
+CALL_TIMEOUT_SECONDS = 0.6
+POLL_BYTES = 300
+"""Of a question or an answer, without its rows."""
+ROW_BYTES = 60
+ORDER_BYTES = 500
+ORDER_ANSWER_BYTES = 150
+
+_Ask = Callable[[], Awaitable[OrderAnswer]]
+
+
+class LinkedExecutorCalls(ExecutorCalls):
+    """Calls to executors; those across the link give up as the client of the platform's executors does."""
+
+    def __init__(
+        self,
+        inner: ExecutorCalls,
+        link: RegionLink,
+        home: Region,
+        regions: Mapping[ExecutorId, Region],
+    ) -> None:
+        """``inner`` reaches an executor from next to it; ``home`` is the instance's region."""
+        self._inner = inner
+        self._link = link
+        self._home = home
+        self._regions = regions
+        self._kept: dict[ExecutorId, tuple[ExecutorPlace, FencingToken, LinkCalls]] = {}
+
+    async def start(
+        self, place: ExecutorPlace, token: FencingToken, order: StartRequest
+    ) -> OrderAnswer:
+        """See ExecutorCalls."""
+        return await self._order(place, token, lambda: self._inner.start(place, token, order))
+
+    async def stop(
+        self, place: ExecutorPlace, token: FencingToken, task: TaskName, attempt: AttemptNumber
+    ) -> OrderAnswer:
+        """See ExecutorCalls."""
+        return await self._order(
+            place, token, lambda: self._inner.stop(place, token, task, attempt)
+        )
+
+    async def pace(
+        self,
+        place: ExecutorPlace,
+        token: FencingToken,
+        task: TaskName,
+        attempt: AttemptNumber,
+        percent: int,
+    ) -> OrderAnswer:
+        """See ExecutorCalls."""
+        return await self._order(
+            place, token, lambda: self._inner.pace(place, token, task, attempt, percent)
+        )
+
+    async def poll(
+        self, place: ExecutorPlace, token: FencingToken, request: PollRequest, fresh: bool = False
+    ) -> PollAnswer:
+        """See ExecutorCalls."""
+        if not self._crosses(place):
+            return await self._inner.poll(place, token, request, fresh)
+        harmless = not request.forget_ends_to and request.lease_until_ms is None
+        extra = request.wait_seconds + request.patience_seconds - CALL_TIMEOUT_SECONDS
+        calls = self._calls_to(place, token)
+        try:
+            return await calls.call(self._poll(place, token, request), extra, harmless, fresh)
+        except _NotGreetedError as error:
+            return error.answer
+        except HttpError:
+            return PollAnswer(CallOutcome.UNKNOWN)
+
+    def forget(self, executor: ExecutorId) -> None:
+        """See ExecutorCalls."""
+        self._kept.pop(executor, None)
+        self._inner.forget(executor)
+
+    async def _order(self, place: ExecutorPlace, token: FencingToken, ask: _Ask) -> OrderAnswer:
+        if not self._crosses(place):
+            return await ask()
+
+        async def served() -> OrderAnswer | None:
+            answer = await ask()
+            return None if answer.outcome is CallOutcome.UNKNOWN else answer
+
+        question = Question(
+            ORDER_BYTES,
+            Purpose.ORDERS,
+            served,
+            lambda _: ORDER_ANSWER_BYTES,
+            lambda _: Purpose.ORDERS,
+        )
+        try:
+            return await self._calls_to(place, token).call(question)
+        except _NotGreetedError as error:
+            return OrderAnswer(error.answer.outcome, None, error.answer.incarnation)
+        except HttpError:
+            return OrderAnswer(CallOutcome.UNKNOWN, None)
+
+    def _poll(
+        self, place: ExecutorPlace, token: FencingToken, request: PollRequest
+    ) -> Question[PollAnswer]:
+        async def served() -> PollAnswer | None:
+            answer = await self._inner.poll(place, token, request)
+            return None if answer.outcome is CallOutcome.UNKNOWN else answer
+
+        return Question(
+            POLL_BYTES,
+            Purpose.POLLS,
+            served,
+            lambda answer: POLL_BYTES + ROW_BYTES * (len(answer.running) + len(answer.ended)),
+            lambda _: Purpose.POLLS,
+        )
+
+    async def _greet(self, place: ExecutorPlace, token: FencingToken, calls: LinkCalls) -> None:
+        """Ask on a new connection which incarnation it leads to."""
+        if place.incarnation == ANY_INCARNATION:
+            return
+        request = PollRequest(0, None, 0.0, CALL_TIMEOUT_SECONDS)
+        answer = await calls.exchange(self._poll(place, token, request))
+        if answer.outcome is not CallOutcome.ACCEPTED:
+            raise _NotGreetedError(answer)
+
+    def _calls_to(self, place: ExecutorPlace, token: FencingToken) -> LinkCalls:
+        known = self._kept.get(place.executor)
+        if known is not None and known[:2] == (place, token):
+            return known[2]
+        greet = partial(self._greet, place, token)
+        calls = LinkCalls(self._link, self._home, CALL_TIMEOUT_SECONDS, greet=greet)
+        self._kept[place.executor] = (place, token, calls)
+        return calls
+
+    def _crosses(self, place: ExecutorPlace) -> bool:
+        return self._regions[place.executor] is not self._home
+
+
+class _NotGreetedError(HttpError):
+    """A new connection leads to another incarnation, or its executor refuses this caller."""
+
+    def __init__(self, answer: PollAnswer) -> None:
+        super().__init__(f"greeted: {answer.outcome.value}")
+        self.answer = answer
--- a/fireflyfork_standins/scheduling/_nodes.py
+++ b/fireflyfork_standins/scheduling/_nodes.py
@@ -46,9 +46,12 @@
 from fireflyfork.programs._outside import Outside
 from fireflyfork.programs._service_candidate import ServiceCandidate
 
+from ._configuration_sources import ConfigurationSource, FixedConfiguration
 from ._executor_calls import StandInExecutorCalls
 from ._executors import StandInExecutor
+from ._linked_store import LinkedStoreClient
 from ._machines import StandInMachines
+from ._regions import Site
 from ._store import StandInStore
 
 UPTIME_SECONDS = 12_000.0
@@ -211,16 +214,21 @@
         queues: QueueTable,
         machines: StandInMachines,
         link_mbps: float,
+        site: Site | None = None,
     ) -> None:
-        """Not started."""
+        """Not started; without a site there is one region, and ``queues`` never change."""
         self.name = name
         self._link_mbps = link_mbps
         self._service = service
-        self._store = _GatedStore(store.client(name, link_mbps), self)
+        self._site = site
+        near = store.client(name, link_mbps)
+        self._reached_store = near if site is None else site.store(near)
+        self._store = _GatedStore(self._reached_store, self)
         self._executors = executors
         self._random = random
         self._bounds = bounds
-        self._queues = queues
+        self._fixed = FixedConfiguration(queues)
+        self._source: ConfigurationSource = self._fixed
         self._machines = machines
         self._life: trio.CancelScope | None = None
         self._candidate: ServiceCandidate | None = None
@@ -233,6 +241,11 @@
         """Whether its process runs."""
         return self._life is not None
 
+    @property
+    def serves(self) -> bool:
+        """Whether its process runs and knows a configuration."""
+        return self.up and self._source.table is not None
+
     @property
     def owns(self) -> bool:
         """Whether it takes itself for the owner."""
@@ -250,12 +263,19 @@
 
     async def live(self, nursery: trio.Nursery) -> None:
         """One life of its process; late orders outlive it in ``nursery``."""
+        if isinstance(self._reached_store, LinkedStoreClient):
+            self._reached_store.begin_life()
+        self._source = source = self._make_source()
         announcements = Announcements(
-            self.name, PROCESSORS, self._link_mbps, self._store, VirtualClock()
-        )
-        calls = _GatedCalls(
-            StandInExecutorCalls(self.name, self._executors, nursery, self._random), self
+            self.name,
+            PROCESSORS,
+            self._link_mbps,
+            self._store,
+            VirtualClock(),
+            self._site.failure_domain if self._site is not None else None,
         )
+        beside = StandInExecutorCalls(self.name, self._executors, nursery, self._random)
+        calls = _GatedCalls(beside if self._site is None else self._site.calls(beside), self)
         self._candidate = ServiceCandidate(
             self._service,
             self.name,
@@ -271,13 +291,16 @@
             self._random,
             Metrics(),
             self._bounds,
-            lambda: self._queues,
+            lambda: self._table(source),
             lambda: tuple(self._machines.waves),
             announcements,
         )
         with trio.CancelScope() as self._life:
             async with trio.open_nursery() as own:
                 own.start_soon(announcements.run)
+                if self._site is not None:
+                    own.start_soon(source.run)
+                    await source.wait_known()
                 await self._candidate.run()
                 own.cancel_scope.cancel()
         self._life = None
@@ -303,6 +326,22 @@
         """Let it go on."""
         self._awake.set()
 
+    def _make_source(self) -> ConfigurationSource:
+        if self._site is None:
+            return self._fixed
+        return self._site.make_source(self._store, VirtualClock(), self._configured)
+
+    @staticmethod
+    def _table(source: ConfigurationSource) -> QueueTable:
+        table = source.table
+        assert table is not None, "a service is owned only once the configuration is known"
+        return table
+
+    def _configured(self, table: QueueTable) -> None:
+        candidate = self._candidate
+        if candidate is not None and candidate.owner is not None:
+            candidate.owner.configure(table)
+
     def _changed(self) -> None:
         candidate = self._candidate
         if candidate is not None and candidate.owner is not None:
--- a/fireflyfork_standins/scheduling/_troubles.py
+++ b/fireflyfork_standins/scheduling/_troubles.py
@@ -88,6 +88,14 @@
             self.log.append(f"{trio.current_time():.2f} {kind}")
             nursery.start_soon(getattr(self, f"_{kind}"), nursery)
 
+    async def happen(self, planned: tuple[tuple[float, str], ...], nursery: trio.Nursery) -> None:
+        """Let each kind come at its time, in seconds from now."""
+        begun = trio.current_time()
+        for at, kind in planned:
+            await trio.sleep_until(begun + at)
+            self.log.append(f"{trio.current_time():.2f} {kind}")
+            nursery.start_soon(getattr(self, f"_{kind}"), nursery)
+
     def _some_node(self) -> StandInNode:
         """The owner, mostly: most can go wrong there."""
         owners = [node for node in self._nodes if node.owns]
