--- a/fireflyfork_standins/scheduling/_regions.py
+++ b/fireflyfork_standins/scheduling/_regions.py
@@ -53,6 +53,8 @@
     """Failure domains of the far region, which its instances and executors fill by turns."""
     far_executors: int = 3
     """The last ones."""
+    first_added: int = 0
+    """Added routes of the version that precedes the traffic."""
     changes: tuple[RouteChange, ...] = ()
 
 
@@ -95,7 +97,7 @@
 
     def operator(self, store: StandInStore, service: ServiceName) -> Operator | None:
         """Who changes the configuration, if it changes."""
-        return Operator(store, service, self._profile.changes) if self._profile else None
+        return Operator(store, service, self._profile) if self._profile else None
 
     def site(self, number: int, bound_seconds: float) -> Site | None:
         """Where an instance is; a change has to be in force within ``bound_seconds``."""
@@ -143,15 +145,13 @@
 class Operator:
     """Writes each version of the configuration whole."""
 
-    def __init__(
-        self, store: StandInStore, service: ServiceName, changes: tuple[RouteChange, ...]
-    ) -> None:
+    def __init__(self, store: StandInStore, service: ServiceName, profile: RegionProfile) -> None:
         """The first version is written by ``begin``."""
         self._store = store
         self._service = service
-        self._changes = changes
+        self._changes = profile.changes
         self._version = 0
-        self._added = 0
+        self._added = profile.first_added
         self.carried_bytes = 0
         """What all versions take when each crosses a link once."""
 
