The stand-in's calls over a link are as patient as the adapters' now

Connections to executors hold for as long as their calls wait, and a new one may take as long as the poll that needs it.

--- a/fireflyfork_standins/scheduling/_link_calls.py
+++ b/fireflyfork_standins/scheduling/_link_calls.py
@@ -8,15 +8,12 @@
 
 import trio
 
-from fireflyfork.adapters import ConnectError, HttpError
+from fireflyfork.adapters import UNACKNOWLEDGED_SECONDS, ConnectError, HttpError
 
 from ._region_link import DELAY_SECONDS, Purpose, Region, RegionLink
 
 PACKET_BYTES = 60
 """One that opens, acknowledges or resets a connection."""
-UNACKNOWLEDGED_SECONDS = 2.0
-"""After so long without an acknowledgement a connection breaks, as TCP_USER_TIMEOUT has it."""
-
 _Answer = TypeVar("_Answer")
 
 
@@ -54,6 +51,8 @@
         timeout: float,
         pause: float | None = None,
         greet: Callable[[LinkCalls], Awaitable[None]] | None = None,
+        unacknowledged: float = UNACKNOWLEDGED_SECONDS,
+        connects_patiently: bool = False,
     ) -> None:
         """``home`` is the caller's region; ``greet`` is called on each new connection."""
         self._link = link
@@ -61,6 +60,8 @@
         self._timeout = timeout
         self._pause = timeout if pause is None else pause
         self._greet = greet
+        self._unacknowledged = unacknowledged
+        self._connects_patiently = connects_patiently
         self._idle = 0
         self._doubtful = False
 
@@ -81,7 +82,8 @@
         limit = trio.current_time() + self._timeout + extra_seconds
         try:
             with trio.CancelScope(deadline=limit) as scope:
-                await self._connect(is_greeting, fresh)
+                patience = extra_seconds if self._connects_patiently else 0.0
+                await self._connect(is_greeting, fresh, self._timeout + patience)
                 connected = True
                 answer = await self.exchange(question, lambda: self._put_off(scope))
             if scope.cancelled_caught:
@@ -106,8 +108,8 @@
         exchange = _Exchange(question, arrives_at, received)
         self._link.go_on(lambda: self._serve(exchange))
         try:
-            if arrives_at + DELAY_SECONDS - sent_at > UNACKNOWLEDGED_SECONDS:
-                await trio.sleep_until(sent_at + UNACKNOWLEDGED_SECONDS)
+            if arrives_at + DELAY_SECONDS - sent_at > self._unacknowledged:
+                await trio.sleep_until(sent_at + self._unacknowledged)
                 raise HttpError("not acknowledged in time")
             await exchange.done.wait()
         finally:
@@ -116,11 +118,11 @@
         assert exchange.answer is not None
         return exchange.answer
 
-    async def _connect(self, is_greeting: bool, fresh: bool) -> None:
+    async def _connect(self, is_greeting: bool, fresh: bool, seconds: float) -> None:
         if self._idle and not fresh:
             self._idle -= 1
             return
-        with trio.move_on_after(self._timeout) as scope:
+        with trio.move_on_after(seconds) as scope:
             await self._link.carry(self._home.other, PACKET_BYTES, Purpose.OTHER)
             await self._link.carry(self._home, PACKET_BYTES, Purpose.OTHER)
         if scope.cancelled_caught:
--- a/fireflyfork_standins/scheduling/_linked_executors.py
+++ b/fireflyfork_standins/scheduling/_linked_executors.py
@@ -6,7 +6,13 @@
 from functools import partial
 
 from fireflyfork._ids import AttemptNumber, ExecutorId, FencingToken, TaskName
-from fireflyfork.adapters import ANY_INCARNATION, ExecutorCalls, ExecutorPlace, HttpError
+from fireflyfork.adapters import (
+    ANY_INCARNATION,
+    LONGEST_CALL_SECONDS,
+    ExecutorCalls,
+    ExecutorPlace,
+    HttpError,
+)
 from fireflyfork.decisions.jobs import (
     CallOutcome,
     OrderAnswer,
@@ -144,7 +150,14 @@
         if known is not None and known[:2] == (place, token):
             return known[2]
         greet = partial(self._greet, place, token)
-        calls = LinkCalls(self._link, self._home, CALL_TIMEOUT_SECONDS, greet=greet)
+        calls = LinkCalls(
+            self._link,
+            self._home,
+            CALL_TIMEOUT_SECONDS,
+            greet=greet,
+            unacknowledged=LONGEST_CALL_SECONDS,
+            connects_patiently=True,
+        )
         self._kept[place.executor] = (place, token, calls)
         return calls
 
