Streams between instances: frames apart from what they carry

Frames, the decoder and the stream knew the messages of relays. They are generic now, so that another pair of instances can speak other messages over the same kind of stream. Behaviour stays as it is.

--- a/bench/_link_objects.py
+++ b/bench/_link_objects.py
@@ -23,12 +23,12 @@
     TaskName,
 )
 from fireflyfork.adapters import ExecutorPlace, Header
+from fireflyfork.adapters._message_stream import encode_frame
 from fireflyfork.adapters._relay_messages import (
     OrderReply,
     Ping,
     PollReply,
     Pong,
-    encode_frame,
     poll_call,
     start_call,
 )
--- /dev/null
+++ b/fireflyfork/adapters/_message_stream.py
@@ -0,0 +1,141 @@
+"""A stream of msgpack messages between two instances; what waits while a frame is on its way goes in the next."""
+
+from __future__ import annotations
+
+import socket
+import struct
+from collections.abc import AsyncIterator, Iterator, Sequence
+from dataclasses import dataclass
+from typing import Generic, TypeVar
+
+import msgspec
+import trio
+
+from .._errors import PeerError
+
+LONGEST_FRAME_BYTES = 8 << 20
+_LENGTH = struct.Struct(">I")
+_RECEIVE_BYTES = 65_536
+_ENCODER = msgspec.msgpack.Encoder()
+
+_Message = TypeVar("_Message")
+
+
+def encode_frame(messages: Sequence[object]) -> bytes:
+    """The bytes of one frame."""
+    body = _ENCODER.encode(messages)
+    return _LENGTH.pack(len(body)) + body
+
+
+class FrameDecoder(Generic[_Message]):
+    """Turns received bytes into messages."""
+
+    def __init__(self, decoder: msgspec.msgpack.Decoder[list[_Message]]) -> None:
+        """Nothing received; ``decoder`` knows the messages that may come."""
+        self._decoder = decoder
+        self._buffer = bytearray()
+
+    def feed(self, data: bytes) -> Iterator[_Message]:
+        """The messages that ``data`` completes. Raises PeerError on anything else."""
+        self._buffer += data
+        while len(self._buffer) >= _LENGTH.size:
+            (length,) = _LENGTH.unpack_from(self._buffer)
+            if length > LONGEST_FRAME_BYTES:
+                raise PeerError(f"a frame of {length} bytes is too long")
+            end = _LENGTH.size + length
+            if len(self._buffer) < end:
+                return
+            body = bytes(self._buffer[_LENGTH.size : end])
+            del self._buffer[:end]
+            try:
+                yield from self._decoder.decode(body)
+            except (msgspec.DecodeError, msgspec.ValidationError) as error:
+                raise PeerError(f"not a frame of messages: {error}") from error
+
+
+@dataclass(slots=True)
+class StreamTraffic:
+    """Bytes of frames, as one side counts them."""
+
+    received: int = 0
+    sent: int = 0
+
+
+class MessageStream(Generic[_Message]):
+    """One end of a stream between two instances."""
+
+    def __init__(
+        self,
+        stream: trio.SocketStream,
+        decoder: msgspec.msgpack.Decoder[list[_Message]],
+        unacknowledged_seconds: float,
+        traffic: StreamTraffic | None = None,
+    ) -> None:
+        """Take over a connected stream; its bytes are added to ``traffic``.
+
+        The kernel ends it when bytes stay unacknowledged for ``unacknowledged_seconds``.
+        """
+        milliseconds = int(unacknowledged_seconds * 1000)
+        stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, milliseconds)
+        self._stream = stream
+        self._traffic = traffic if traffic is not None else StreamTraffic()
+        self._decoder = FrameDecoder(decoder)
+        self._waiting: list[_Message] = []
+        self._some_wait = trio.Event()
+        self._closed = False
+
+    @property
+    def closed(self) -> bool:
+        """Whether ``close`` was called."""
+        return self._closed
+
+    def send(self, message: _Message) -> None:
+        """Have a message sent; ``run`` sends it."""
+        self._waiting.append(message)
+        self._some_wait.set()
+
+    def withdraw(self, message: _Message) -> None:
+        """Don't send a message that still waits to be sent."""
+        self._waiting = [one for one in self._waiting if one is not message]
+
+    async def run(self) -> None:
+        """Send what there is to send. Raises PeerError."""
+        while True:
+            await self._some_wait.wait()
+            await self.flush()
+
+    async def flush(self) -> None:
+        """Send what waits; for a side that only speaks in turn, in place of ``run``. Raises PeerError."""
+        messages, self._waiting = self._waiting, []
+        self._some_wait = trio.Event()
+        if not messages:
+            return
+        frame = encode_frame(messages)
+        self._traffic.sent += len(frame)
+        try:
+            await self._stream.send_all(frame)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise PeerError(f"the stream broke: {error!r}") from error
+
+    async def receive(self) -> list[_Message] | None:
+        """The messages that the next data completes, often none; None once the other side has closed the stream.
+
+        Raises PeerError.
+        """
+        try:
+            data = await self._stream.receive_some(_RECEIVE_BYTES)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise PeerError(f"the stream broke: {error!r}") from error
+        self._traffic.received += len(data)
+        return list(self._decoder.feed(data)) if data else None
+
+    async def messages(self) -> AsyncIterator[_Message]:
+        """What the other side says, until it closes the stream. Raises PeerError."""
+        while (received := await self.receive()) is not None:
+            for message in received:
+                yield message
+
+    def close(self) -> None:
+        """Close at once."""
+        self._closed = True
+        self._stream.socket.close()
--- a/fireflyfork/adapters/_relay_client.py
+++ b/fireflyfork/adapters/_relay_client.py
@@ -18,6 +18,7 @@
 from ..decisions.jobs import CallOutcome, OrderAnswer, PollAnswer, PollRequest, StartRequest
 from ._executor_calls import LONGEST_CALL_SECONDS, ExecutorCalls, ExecutorPlace
 from ._loop_time import Alarm, LoopTime
+from ._message_stream import StreamTraffic
 from ._relay_messages import (
     RELAY_VERSION,
     AnyMessage,
@@ -37,7 +38,7 @@
     start_call,
 )
 from ._relay_stream import RelayStream
-from ._relay_traffic import RelayTraffic, StreamTraffic
+from ._relay_traffic import RelayTraffic
 
 CONNECT_SECONDS = 0.6
 ORDER_SECONDS = 1.0
--- a/fireflyfork/adapters/_relay_messages.py
+++ b/fireflyfork/adapters/_relay_messages.py
@@ -5,12 +5,10 @@
 
 from __future__ import annotations
 
-import struct
-from collections.abc import Iterator, Sequence
+from collections.abc import Sequence
 
 import msgspec
 
-from .._errors import PeerError
 from .._ids import ExecutorId
 from .._links import Address
 from ..decisions.jobs import (
@@ -27,8 +25,6 @@
 
 RELAY_VERSION = 1
 """Instances of two versions that differ in it don't use each other as relays."""
-LONGEST_FRAME_BYTES = 8 << 20
-_LENGTH = struct.Struct(">I")
 
 
 class RelayMessage(msgspec.Struct, frozen=True, array_like=True, tag_field="kind"):
@@ -195,8 +191,7 @@
 Reply = OrderReply | PollReply
 AnyMessage = Hello | Call | Forget | Reply | Ping | Pong | Goodbye
 
-_ENCODER = msgspec.msgpack.Encoder()
-_DECODER = msgspec.msgpack.Decoder(list[AnyMessage])
+DECODER = msgspec.msgpack.Decoder(list[AnyMessage])
 
 
 def start_call(number: int, place: ExecutorPlace, token: int, order: StartRequest) -> StartCall:
@@ -225,34 +220,3 @@
         request.wait_seconds,
         request.patience_seconds,
     )
-
-
-def encode_frame(messages: Sequence[RelayMessage]) -> bytes:
-    """The bytes of one frame."""
-    body = _ENCODER.encode(messages)
-    return _LENGTH.pack(len(body)) + body
-
-
-class FrameDecoder:
-    """Turns received bytes into messages."""
-
-    def __init__(self) -> None:
-        """Nothing received."""
-        self._buffer = bytearray()
-
-    def feed(self, data: bytes) -> Iterator[AnyMessage]:
-        """The messages that ``data`` completes. Raises PeerError on anything else."""
-        self._buffer += data
-        while len(self._buffer) >= _LENGTH.size:
-            (length,) = _LENGTH.unpack_from(self._buffer)
-            if length > LONGEST_FRAME_BYTES:
-                raise PeerError(f"a frame of {length} bytes is too long")
-            end = _LENGTH.size + length
-            if len(self._buffer) < end:
-                return
-            body = bytes(self._buffer[_LENGTH.size : end])
-            del self._buffer[:end]
-            try:
-                yield from _DECODER.decode(body)
-            except (msgspec.DecodeError, msgspec.ValidationError) as error:
-                raise PeerError(f"not a frame of messages: {error}") from error
--- a/fireflyfork/adapters/_relay_server.py
+++ b/fireflyfork/adapters/_relay_server.py
@@ -24,7 +24,7 @@
     PollCall,
     PollReply,
     Pong,
-    RelayMessage,
+    Reply,
     StartCall,
     StopCall,
 )
@@ -146,7 +146,7 @@
             limit.release_on_behalf_of(borrower)
 
 
-async def _make(calls: ExecutorCalls, call: Call) -> RelayMessage:
+async def _make(calls: ExecutorCalls, call: Call) -> Reply:
     place, token = call.place.place(), FencingToken(call.token)
     if isinstance(call, PollCall):
         request = PollRequest(
--- a/fireflyfork/adapters/_relay_traffic.py
+++ b/fireflyfork/adapters/_relay_traffic.py
@@ -3,17 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass
 
 from .._ids import FailureDomainName
-
-
-@dataclass(slots=True)
-class StreamTraffic:
-    """Bytes of frames, as one side counts them."""
-
-    received: int = 0
-    sent: int = 0
+from ._message_stream import StreamTraffic
 
 
 class RelayTraffic:
--- a/fireflyfork/adapters/tests/builders_relays.py
+++ b/fireflyfork/adapters/tests/builders_relays.py
@@ -13,17 +13,17 @@
 from ..._links import Address
 from ...decisions.jobs import PollAnswer
 from .. import RelayPlace
+from .._message_stream import FrameDecoder, encode_frame
 from .._relay_messages import (
+    DECODER,
     RELAY_VERSION,
     AnyMessage,
-    FrameDecoder,
     Hello,
     Ping,
     PollCall,
     PollReply,
     Pong,
     RelayMessage,
-    encode_frame,
 )
 
 RELAY_DOMAIN = FailureDomainName("suva")
@@ -112,7 +112,7 @@
         stream.send_all_hook = deliver_and_wait_for_room
 
     async def _listen(self, stream: MemoryStream, nursery: trio.Nursery) -> None:
-        decoder = FrameDecoder()
+        decoder = FrameDecoder(DECODER)
         while data := await stream.receive_some():
             for message in decoder.feed(bytes(data)):
                 self.heard.append(message)
--- a/fireflyfork/adapters/tests/test_relay_traffic.py
+++ b/fireflyfork/adapters/tests/test_relay_traffic.py
@@ -8,9 +8,9 @@
 from ..._links import Address
 from ...decisions.jobs import StartRequest
 from .. import ExecutorPlace, LoopTime, RelayedExecutors, RelayPlace, RelayServer, RelayTraffic
+from .._message_stream import StreamTraffic
 from .._relay_messages import start_call
 from .._relay_stream import RelayStream
-from .._relay_traffic import StreamTraffic
 from .builders_executor_calls import AcceptingExecutors
 
 NEAR, FAR = FailureDomainName("nadi"), FailureDomainName("savusavu")
--- a/fireflyfork/adapters/tests/test_relays.py
+++ b/fireflyfork/adapters/tests/test_relays.py
@@ -25,8 +25,9 @@
     StartRequest,
 )
 from .. import ExecutorCalls, ExecutorPlace, LoopTime, RelayedExecutors, RelayPlace, RelayServer
+from .._message_stream import FrameDecoder, encode_frame
 from .._relay_client import ORDER_SECONDS, RECONNECT_SECONDS, SILENT_SECONDS
-from .._relay_messages import FrameDecoder, Hello, PaceCall, Place, Pong, encode_frame
+from .._relay_messages import DECODER, Hello, PaceCall, Place, Pong
 from .._relay_server import STOOD_STILL_SECONDS
 from .builders_relays import RELAY_PLACE, MutedRelay
 
@@ -295,7 +296,7 @@
                     nursery.cancel_scope.cancel()
             return received
 
-        self.assertEqual(list(FrameDecoder().feed(trio.run(main))), [Hello(1)])
+        self.assertEqual(list(FrameDecoder(DECODER).feed(trio.run(main))), [Hello(1)])
 
 
 class SilentRelayTest(unittest.TestCase):
