Log: why a poll got no answer, and over which way it was asked

The log said that an executor doesn't answer, not whether a relay was silent, a connection was refused or the answer was merely late, so hypotheses on a full link couldn't be told apart. A relay passes its own reason on.

--- a/fireflyfork/adapters/_relay_client.py
+++ b/fireflyfork/adapters/_relay_client.py
@@ -288,12 +288,13 @@
         seconds = request.wait_seconds + request.patience_seconds + WAY_SECONDS
         reply = await relay.call(lambda number: poll_call(number, place, token, request), seconds)
         if not isinstance(reply, PollReply):
-            return PollAnswer(CallOutcome.UNKNOWN)
+            why = f"nothing from relay {relay.place.node}"
+            return PollAnswer(CallOutcome.UNKNOWN, why=why)
         try:
             return reply.answer()
         except ValueError as error:
             logger.warning("relay's answer not readable", relay=relay.place.node, error=str(error))
-            return PollAnswer(CallOutcome.UNKNOWN)
+            return PollAnswer(CallOutcome.UNKNOWN, why="relay's answer not readable")
 
     def forget(self, executor: ExecutorId) -> None:
         """See ExecutorCalls."""
--- a/fireflyfork/adapters/_relay_messages.py
+++ b/fireflyfork/adapters/_relay_messages.py
@@ -138,6 +138,7 @@
     running: Sequence[tuple[str, int, str, int, float]]
     ended: Sequence[tuple[int, str, int, str, str]]
     ends_may_be_cut: bool
+    why: str = ""
 
     @classmethod
     def of(cls, number: int, answer: PollAnswer) -> PollReply:
@@ -158,6 +159,7 @@
             running,
             ended,
             answer.ends_may_be_cut,
+            answer.why,
         )
 
     def answer(self) -> PollAnswer:
@@ -172,6 +174,7 @@
                 for number, task, attempt, reason, checkpoint in self.ended
             ),
             self.ends_may_be_cut,
+            self.why,
         )
 
 
--- a/fireflyfork/adapters/tests/test_relays.py
+++ b/fireflyfork/adapters/tests/test_relays.py
@@ -27,7 +27,7 @@
 from .. import ExecutorCalls, ExecutorPlace, LoopTime, RelayedExecutors, RelayPlace, RelayServer
 from .._message_stream import FrameDecoder, encode_frame
 from .._relay_client import ORDER_SECONDS, RECONNECT_SECONDS, SILENT_SECONDS
-from .._relay_messages import DECODER, Hello, PaceCall, Place, Pong
+from .._relay_messages import DECODER, Hello, PaceCall, Place, PollReply, Pong
 from .._relay_server import STOOD_STILL_SECONDS
 from .builders_relays import RELAY_PLACE, MutedRelay
 
@@ -383,3 +383,22 @@
             nursery.cancel_scope.cancel()
 
     trio.run(main, clock=MockClock(autojump_threshold=0))
+
+
+class ReasonsTest(unittest.TestCase):
+    """Why a poll got no answer, for logs."""
+
+    def test_a_relay_that_says_nothing_is_named(self) -> None:
+        """Guards against silent executors of which nobody can say over which way they were asked."""
+
+        async def play(owner: RelayedExecutors, relay: MutedRelay, direct: Recorder) -> None:
+            answer = await owner.poll(EXECUTOR, TOKEN, POLL)
+            self.assertIs(answer.outcome, CallOutcome.UNKNOWN)
+            self.assertIn(RELAY_PLACE.node, answer.why)
+
+        _play_muted(play)
+
+    def test_an_error_at_a_relay_is_passed_on(self) -> None:
+        """Guards against errors that only the relay's log knows."""
+        failed = PollAnswer(CallOutcome.UNKNOWN, why="can't connect")
+        self.assertEqual(PollReply.of(1, failed).answer(), failed)
--- a/fireflyfork/decisions/jobs/_reports.py
+++ b/fireflyfork/decisions/jobs/_reports.py
@@ -90,6 +90,8 @@
     ended: tuple[EndedRow, ...] = ()
     ends_may_be_cut: bool = False
     """Whether more may have ended there than it lists: the list is as long as one can be."""
+    why: str = ""
+    """For logs: why there is no answer, and over which way it was asked for."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/fireflyfork/platform/_executor_client.py
+++ b/fireflyfork/platform/_executor_client.py
@@ -189,8 +189,7 @@
         except _NotGreetedError as error:
             return PollAnswer(error.outcome, incarnation=error.incarnation)
         except HttpError as error:
-            logger.debug("executor call failed", executor=place.executor, error=str(error))
-            return PollAnswer(CallOutcome.UNKNOWN)
+            return PollAnswer(CallOutcome.UNKNOWN, why=str(error))
         listed = _poll_answer(answer)
         if harmless and (outcome := _greeted(place, listed)) is not CallOutcome.ACCEPTED:
             calls.close()
--- a/fireflyfork/programs/_executor_polls.py
+++ b/fireflyfork/programs/_executor_polls.py
@@ -162,7 +162,7 @@
     def _note_late(self, executor: ExecutorState, poll: _Poll, nursery: trio.Nursery) -> None:
         poll.note_late()
         if executor.heard_at < poll.sent_at:
-            self._note_silence(executor, CallOutcome.UNKNOWN)
+            self._note_silence(executor, CallOutcome.UNKNOWN, "no answer in its usual time")
         nursery.start_soon(self._probe, executor, poll)
 
     async def _probe(self, executor: ExecutorState, late: _Poll) -> None:
@@ -219,7 +219,7 @@
         if self._met_next_life(executor, poll.sent_at, answer, now):
             return True
         if answer.outcome is not CallOutcome.ACCEPTED:
-            self._note_silence(executor, answer.outcome)
+            self._note_silence(executor, answer.outcome, answer.why)
             return False
         if executor.failed_polls:
             seconds = round(now - poll.sent_at, 3)
@@ -232,12 +232,13 @@
         self._kick()
         return True
 
-    def _note_silence(self, executor: ExecutorState, outcome: CallOutcome) -> None:
+    def _note_silence(self, executor: ExecutorState, outcome: CallOutcome, why: str) -> None:
         if executor.failed_polls == 0:
             logger.info(
                 "executor doesn't answer",
                 executor=executor.executor,
                 outcome=outcome.value,
+                why=why,
                 runs=len(executor.runs),
             )
         self._scheduler.poll_failed(executor, self._clock.now())
