--- a/fireflyfork/adapters/__init__.py
+++ b/fireflyfork/adapters/__init__.py
@@ -41,6 +41,16 @@
 from ._relay_client import RelayedExecutors, RelayPlace
 from ._relay_server import RelayServer
 from ._relay_traffic import RelayTraffic
+from ._replica_client import SocketReplicaPeers
+from ._replica_server import ReplicaServer
+from ._replicas import (
+    ReplicaAnswer,
+    ReplicaPeer,
+    ReplicaPeers,
+    ReplicaPlace,
+    ReplicaQuestion,
+    ReplicaSource,
+)
 from ._store import Store, StoredValue
 from ._store_http import HttpStore
 
@@ -93,6 +103,13 @@
     "RelayTraffic",
     "RelayedExecutors",
     "RenewCall",
+    "ReplicaAnswer",
+    "ReplicaPeer",
+    "ReplicaPeers",
+    "ReplicaPlace",
+    "ReplicaQuestion",
+    "ReplicaServer",
+    "ReplicaSource",
     "RequestHead",
     "ResponseHead",
     "Role",
@@ -100,6 +117,7 @@
     "RunState",
     "ServerLimits",
     "ServiceFigures",
+    "SocketReplicaPeers",
     "StartOrder",
     "StopCall",
     "Store",
--- /dev/null
+++ b/fireflyfork/adapters/_replica_client.py
@@ -0,0 +1,82 @@
+"""Follows the replicas of other instances over sockets."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import trio
+
+from .._errors import PeerError
+from ._loop_time import LoopTime
+from ._message_stream import MessageStream
+from ._replica_messages import (
+    DECODER,
+    REPLICA_VERSION,
+    AnyReplicaMessage,
+    Ask,
+    Hello,
+    Update,
+)
+from ._replicas import ReplicaAnswer, ReplicaPeer, ReplicaPeers, ReplicaPlace, ReplicaQuestion
+
+CONNECT_SECONDS = 0.6
+SILENT_SECONDS = 1.4
+"""Of loop time without a byte: what a question may wait, and the way there and back. A large answer may take
+longer, as long as it goes on coming."""
+UNACKNOWLEDGED_SECONDS = 2.0
+
+
+class SocketReplicaPeers(ReplicaPeers):
+    """The replicas of other instances, each over a stream of its own."""
+
+    def __init__(self, loop_time: LoopTime) -> None:
+        """Silence is judged by ``loop_time``."""
+        self._loop_time = loop_time
+
+    @asynccontextmanager
+    async def connect(self, place: ReplicaPlace) -> AsyncIterator[ReplicaPeer]:
+        """See ReplicaPeers."""
+        try:
+            with trio.fail_after(CONNECT_SECONDS):
+                socket_stream = await trio.open_tcp_stream(place.address.host, place.address.port)
+        except (OSError, trio.TooSlowError) as error:
+            raise PeerError(f"can't connect to {place.node}: {error!r}") from error
+        stream = MessageStream(socket_stream, DECODER, UNACKNOWLEDGED_SECONDS)
+        try:
+            stream.send(Hello(REPLICA_VERSION))
+            yield _StreamPeer(stream, self._loop_time)
+        finally:
+            stream.close()
+
+
+class _StreamPeer(ReplicaPeer):
+    """One question at a time, each on its way before its answer is waited for."""
+
+    def __init__(self, stream: MessageStream[AnyReplicaMessage], loop_time: LoopTime) -> None:
+        self._stream = stream
+        self._loop_time = loop_time
+
+    async def ask(self, question: ReplicaQuestion) -> ReplicaAnswer:
+        self._stream.send(Ask.of(question))
+        try:
+            with self._loop_time.fail_after(SILENT_SECONDS) as put_off:
+                await self._stream.flush()
+                while (received := await self._stream.receive()) is not None:
+                    put_off(SILENT_SECONDS)
+                    for message in received:
+                        if isinstance(message, Update):
+                            return message.answer()
+                        _check(message)
+        except trio.TooSlowError as error:
+            raise PeerError(f"silent for {SILENT_SECONDS} s") from error
+        raise PeerError("the stream was closed")
+
+
+def _check(message: AnyReplicaMessage) -> None:
+    match message:
+        case Hello(version):
+            if version != REPLICA_VERSION:
+                raise PeerError(f"it speaks version {version}")
+        case _:
+            raise PeerError(f"{type(message).__name__} from an upstream")
--- /dev/null
+++ b/fireflyfork/adapters/tests/test_replicas.py
@@ -0,0 +1,198 @@
+"""What the operator has written, passed on between instances over real streams on the loopback interface."""
+
+import unittest
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from functools import partial
+from unittest.mock import patch
+
+import msgspec
+import trio
+
+from ..._errors import PeerError
+from ..._ids import NodeName, Revision
+from ..._links import Address
+from .. import (
+    LoopTime,
+    ReplicaAnswer,
+    ReplicaPeer,
+    ReplicaPlace,
+    ReplicaQuestion,
+    ReplicaServer,
+    ReplicaSource,
+    SocketReplicaPeers,
+    StoredItem,
+)
+from .. import _replica_client as client
+from .._message_stream import encode_frame
+from .._replica_messages import Hello, Item, Update
+
+LARGE = msgspec.json.encode(
+    [{"prefix": f"/q{number * 7919 % 100_003}/", "timeout_ms": 3000} for number in range(8_000)]
+)
+STUCK_SECONDS = 30.0
+"""Only so that a test that hangs ends."""
+
+
+def _item(value: bytes) -> StoredItem:
+    return StoredItem("op/config", value, Revision(7), Revision(3))
+
+
+class Made(ReplicaSource):
+    """Answers with one item, after ``delay`` seconds."""
+
+    def __init__(self, value: bytes = b"", delay: float = 0.0) -> None:
+        """Nothing was asked."""
+        self.asked: list[ReplicaQuestion] = []
+        self._value = value
+        self._delay = delay
+
+    async def answer(self, question: ReplicaQuestion) -> ReplicaAnswer:
+        """Record and answer."""
+        self.asked.append(question)
+        await trio.sleep(self._delay)
+        item = _item(self._value)
+        changed = (item,) if question.after < item.revision else ()
+        return ReplicaAnswer(Revision(9), 0.5, self._delay, 4.0, {item.key: Revision(7)}, changed)
+
+
+@asynccontextmanager
+async def _listening(
+    serve: Callable[[trio.SocketStream], Awaitable[None]],
+) -> AsyncIterator[ReplicaPlace]:
+    async with trio.open_nursery() as nursery:
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        nursery.start_soon(partial(trio.serve_listeners, serve, listeners))
+        port = listeners[0].socket.getsockname()[1]
+        yield ReplicaPlace(NodeName("n-1"), Address("127.0.0.1", port))
+        nursery.cancel_scope.cancel()
+
+
+@asynccontextmanager
+async def _followed(source: ReplicaSource) -> AsyncIterator[ReplicaPeer]:
+    async with (
+        _listening(ReplicaServer(source)._serve) as place,
+        SocketReplicaPeers(LoopTime()).connect(place) as peer,
+    ):
+        yield peer
+
+
+def _play(body: Callable[[], Awaitable[None]]) -> None:
+    async def main() -> None:
+        with trio.fail_after(STUCK_SECONDS):
+            await body()
+
+    trio.run(main)
+
+
+class ReplicasTest(unittest.TestCase):
+    """Questions and answers."""
+
+    def test_a_large_value_arrives_as_it_is_in_the_store(self) -> None:
+        async def body() -> None:
+            async with _followed(Made(LARGE)) as peer:
+                answer = await peer.ask(ReplicaQuestion(Revision(0)))
+            self.assertEqual(answer.changed, (_item(LARGE),))
+            self.assertEqual((answer.as_of, answer.age_seconds, answer.mark), (9, 0.5, 4.0))
+
+        _play(body)
+
+    def test_a_large_value_is_sent_compressed(self) -> None:
+        """Sent as it is, it would fill the link between two regions for several times as long."""
+        sent = len(msgspec.msgpack.encode(Item.of(_item(LARGE))))
+        self.assertLess(sent, len(LARGE) / 4)
+
+    def test_what_is_known_is_not_sent_again(self) -> None:
+        async def body() -> None:
+            source = Made(LARGE)
+            async with _followed(source) as peer:
+                first = await peer.ask(ReplicaQuestion(Revision(0)))
+                second = await peer.ask(ReplicaQuestion(first.as_of, first.mark))
+            self.assertEqual(second.changed, ())
+            self.assertEqual(
+                source.asked, [ReplicaQuestion(Revision(0)), ReplicaQuestion(Revision(9), 4.0)]
+            )
+
+        _play(body)
+
+
+class BadUpstreamsTest(unittest.TestCase):
+    """An upstream that can't be relied upon is noticed; nothing of what it says is taken in."""
+
+    def _fails(self, serve: Callable[[trio.SocketStream], Awaitable[None]], why: str) -> None:
+        async def body() -> None:
+            async with _listening(serve) as place:
+                with self.assertRaisesRegex(PeerError, why):
+                    async with SocketReplicaPeers(LoopTime()).connect(place) as peer:
+                        await peer.ask(ReplicaQuestion(Revision(0)))
+
+        _play(body)
+
+    def _says(self, *messages: object) -> Callable[[trio.SocketStream], Awaitable[None]]:
+        async def serve(stream: trio.SocketStream) -> None:
+            await stream.send_all(encode_frame(messages))
+            await trio.sleep_forever()
+
+        return serve
+
+    def test_one_that_accepts_connections_and_stands_still(self) -> None:
+        """A frozen instance keeps its connections open, and whoever follows it would wait for ever."""
+        with patch.object(client, "SILENT_SECONDS", 0.1):
+            self._fails(self._says(Hello(1)), "silent")
+
+    def test_one_that_closes_the_stream(self) -> None:
+        async def serve(stream: trio.SocketStream) -> None:
+            await stream.aclose()
+
+        self._fails(serve, "closed|broke")
+
+    def test_one_of_another_version(self) -> None:
+        self._fails(self._says(Hello(2)), "version 2")
+
+    def test_one_that_says_something_else(self) -> None:
+        async def serve(stream: trio.SocketStream) -> None:
+            await stream.send_all(b"HTTP/1.1 400 Bad Request\r\n\r\n")
+            await trio.sleep_forever()
+
+        self._fails(serve, "too long|not a frame")
+
+    def test_a_value_that_was_changed_on_its_way(self) -> None:
+        """A configuration that isn't whole would be in force here and nowhere else."""
+        for compressed, content in ((False, b"other"), (True, b"other"), (True, b"")):
+            with self.subTest(compressed=compressed, content=content):
+                item = Item("op/config", 7, 3, 1, compressed, content)
+                update = Update(9, 0.0, 0.0, 1.0, {"op/config": 7}, [item])
+                self._fails(self._says(Hello(1), update), "op/config")
+
+    def test_nobody_there(self) -> None:
+        async def body() -> None:
+            async with _listening(self._says()) as place:
+                pass
+            with self.assertRaisesRegex(PeerError, "can't connect"):
+                async with SocketReplicaPeers(LoopTime()).connect(place):
+                    pass
+
+        _play(body)
+
+    def test_a_slow_answer_that_goes_on_coming_is_waited_for(self) -> None:
+        """A large value takes longer over a full link than silence is borne."""
+
+        async def serve(stream: trio.SocketStream) -> None:
+            update = Update(9, 0.0, 0.0, 1.0, {"op/config": 7}, [Item.of(_item(LARGE))])
+            frame = encode_frame((Hello(1), update))
+            step = len(frame) // 8 + 1
+            for begin in range(0, len(frame), step):
+                await trio.sleep(0.15)
+                await stream.send_all(frame[begin : begin + step])
+            await trio.sleep_forever()
+
+        async def body() -> None:
+            async with (
+                _listening(serve) as place,
+                SocketReplicaPeers(LoopTime()).connect(place) as peer,
+            ):
+                answer = await peer.ask(ReplicaQuestion(Revision(0)))
+            self.assertEqual(answer.changed, (_item(LARGE),))
+
+        with patch.object(client, "SILENT_SECONDS", 0.6):
+            _play(body)
--- a/fireflyfork/decisions/jobs/__init__.py
+++ b/fireflyfork/decisions/jobs/__init__.py
@@ -38,6 +38,7 @@
     encode_upkeep_mark,
 )
 from ._upkeep import WaveView
+from ._upstreams import choose_upstreams
 from ._waits import WaitReason
 from ._waves import MachineListing, MachineState, UpkeepMark, UpkeepOutcome, UpkeepPhase, UpkeepWave
 
@@ -96,6 +97,7 @@
     "bid_delay",
     "can_do_better",
     "choose_relays",
+    "choose_upstreams",
     "decode_learned",
     "decode_progress",
     "decode_registrations",
--- a/fireflyfork/decisions/jobs/_standing.py
+++ b/fireflyfork/decisions/jobs/_standing.py
@@ -47,6 +47,10 @@
     failure_domain: FailureDomainName | None = None
     relay: Address | None = None
     """Where it makes calls to executors for owners elsewhere; None if it doesn't."""
+    replica: Address | None = None
+    """Where it tells what the operator has written; None if it doesn't."""
+    near_store: bool = False
+    """Whether the store is in its region."""
 
 
 def strength(processors: float, link_mbps: float, near_store: bool) -> float:
--- /dev/null
+++ b/fireflyfork/decisions/jobs/tests/test_upstreams.py
@@ -0,0 +1,87 @@
+"""From whom instances hear of the configuration.
+
+The pattern: dozens of instances in several failure domains of two regions, and configurations that are large for
+the link between these.
+"""
+
+import unittest
+from collections import Counter
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ...._ids import FailureDomainName, NodeName
+from ...._links import Address
+from .._standing import Standing
+from .._upstreams import UPSTREAMS, choose_upstreams
+
+DOMAINS = {"suva": True, "nadi": True, "labasa": False, "taveuni": False}
+"""Whether the store is in their region."""
+
+
+def _instance(number: int, domain: str, strength: float, near: bool | None = None) -> Standing:
+    return Standing(
+        NodeName(f"n-{number}"),
+        strength,
+        FailureDomainName(domain),
+        replica=Address("10.0.0.1", 1 + number),
+        near_store=DOMAINS[domain] if near is None else near,
+    )
+
+
+instances = st.tuples(st.sampled_from(sorted(DOMAINS)), st.sampled_from((0.3, 0.3, 1.0, 2.0)))
+fleets = st.lists(instances, min_size=1, max_size=24).map(
+    lambda drawn: [_instance(number, *one) for number, one in enumerate(drawn)]
+)
+
+
+def _upstream(own: Standing, fleet: list[Standing]) -> Standing | None:
+    return next(iter(choose_upstreams(own, fleet)), None)
+
+
+class UpstreamsTest(unittest.TestCase):
+    """Who follows whom."""
+
+    @given(fleets)
+    def test_following_leads_to_the_store(self, fleet: list[Standing]) -> None:
+        """Instances that followed each other in a circle would never hear of a change."""
+        for own in fleet:
+            seen = [own]
+            while (found := _upstream(seen[-1], fleet)) is not None:
+                self.assertNotIn(found, seen)
+                seen.append(found)
+            self.assertTrue(seen[-1].near_store or not any(one.near_store for one in fleet))
+
+    @given(fleets)
+    def test_each_failure_domain_is_told_once_from_outside(self, fleet: list[Standing]) -> None:
+        """A large configuration that each instance has sent over the link between regions fills it."""
+        from_outside = Counter(
+            own.failure_domain
+            for own in fleet
+            if (found := _upstream(own, fleet)) is None
+            or found.failure_domain != own.failure_domain
+        )
+        self.assertEqual(from_outside, Counter({one.failure_domain for one in fleet}))
+
+    @given(fleets)
+    def test_few_are_named(self, fleet: list[Standing]) -> None:
+        for own in fleet:
+            chosen = choose_upstreams(own, fleet)
+            self.assertLessEqual(len(chosen), UPSTREAMS)
+            self.assertNotIn(own, chosen)
+
+    def test_a_domain_far_from_the_store_follows_one_near_it(self) -> None:
+        far = _instance(0, "labasa", 2.0)
+        near = [_instance(1, "suva", 0.3), _instance(2, "suva", 1.0), _instance(3, "nadi", 0.5)]
+        self.assertEqual(set(choose_upstreams(far, [far, *near])), {near[1], near[2]})
+
+    def test_without_an_instance_near_the_store_heads_follow_the_store(self) -> None:
+        """A slow store makes all instances measure that they are far from it."""
+        fleet = [_instance(number, "suva", 1.0, near=False) for number in range(3)]
+        self.assertEqual(choose_upstreams(fleet[0], fleet), ())
+
+    def test_instances_that_tell_nothing_are_not_followed(self) -> None:
+        """Some have no port to spare for it."""
+        mute = Standing(NodeName("n-1"), 2.0, FailureDomainName("suva"), near_store=True)
+        own = _instance(2, "suva", 1.0)
+        self.assertEqual(choose_upstreams(own, [mute, own]), ())
--- a/fireflyfork/platform/_settings.py
+++ b/fireflyfork/platform/_settings.py
@@ -45,6 +45,8 @@
     """Where metrics are served: the first port that is free for the system's own use."""
     relay_address: Address | None
     """Where calls to executors are made for other instances: the port after it, if that is free too."""
+    replica_address: Address | None
+    """Where other instances hear what the operator has written: the one after that."""
     store_address: Address
     """The platform's store."""
     advisor_address: Address | None
@@ -93,7 +95,8 @@
         caller_address=caller,
         readiness_address=Address.parse(_text(fields, "listen.readiness")),
         metrics_address=Address(caller.host, first),
-        relay_address=Address(caller.host, first + 1) if first < last else None,
+        relay_address=Address(caller.host, first + 1) if first + 1 <= last else None,
+        replica_address=Address(caller.host, first + 2) if first + 2 <= last else None,
         store_address=Address.parse(_text(fields, "platform.address")),
         advisor_address=_optional_address(fields, "advice"),
         machines_address=_optional_address(fields, "cloud.address"),
--- /dev/null
+++ b/fireflyfork/programs/_announced_upstreams.py
@@ -0,0 +1,31 @@
+"""The instances that this one may follow, by what all announce."""
+
+from __future__ import annotations
+
+from loguru import logger
+
+from .._errors import StoreError
+from ..adapters import ReplicaPlace
+from ..decisions.jobs import Standing, choose_upstreams
+from ._announcements import Announcements
+from ._replica_follower import Upstreams
+
+
+class AnnouncedUpstreams(Upstreams):
+    """Chooses among the instances that are announced."""
+
+    def __init__(self, announcements: Announcements) -> None:
+        """Nobody is known yet."""
+        self._announcements = announcements
+        self._known: list[Standing] = []
+
+    async def choose(self) -> tuple[ReplicaPlace, ...]:
+        """See Upstreams. While the store doesn't answer, those that were announced before."""
+        try:
+            self._known = await self._announcements.others()
+        except StoreError as error:
+            logger.debug("other instances not listed", error=str(error))
+        chosen = choose_upstreams(self._announcements.own, self._known)
+        return tuple(
+            ReplicaPlace(one.node, one.replica) for one in chosen if one.replica is not None
+        )
--- a/fireflyfork/programs/_announcements.py
+++ b/fireflyfork/programs/_announcements.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 import msgspec
 import trio
 from loguru import logger
@@ -34,6 +36,9 @@
     failure_domain: str = ""
     relay: str = ""
     """The address of its relay; instances without one leave it empty."""
+    replica: str = ""
+    """Where it tells what the operator has written; empty if it doesn't."""
+    near_store: bool = False
 
 
 class Announcements:
@@ -48,9 +53,11 @@
         clock: Clock,
         failure_domain: FailureDomainName | None = None,
         relay: Address | None = None,
+        replica: Address | None = None,
     ) -> None:
         """``processors`` and ``link_mbps`` are what the platform grants this instance; ``relay`` is where it
-        makes calls to executors for others."""
+        makes calls to executors for others, ``replica`` where it tells what the operator has written.
+        """
         self._node = node
         self._processors = processors
         self._link_mbps = link_mbps
@@ -58,7 +65,9 @@
         self._clock = clock
         self._failure_domain = failure_domain
         self._relay = relay
+        self._replica = replica
         self._near = True
+        self._near_measured = False
         self._shaken_until = 0.0
         self._changed = trio.Event()
 
@@ -66,12 +75,19 @@
     def own(self) -> Standing:
         """What this instance counts for now."""
         share = SHAKEN_SHARE if self.shaken else 1.0
-        return Standing(self._node, share * self.capable.strength)
+        return replace(self.capable, strength=share * self.capable.strength)
 
     @property
     def capable(self) -> Standing:
         """What this instance can carry, whatever it failed at."""
-        return Standing(self._node, strength(self._processors, self._link_mbps, self._near))
+        return Standing(
+            self._node,
+            strength(self._processors, self._link_mbps, self._near),
+            self._failure_domain,
+            self._relay,
+            self._replica,
+            self._near and self._near_measured,
+        )
 
     @property
     def shaken(self) -> bool:
@@ -84,8 +100,9 @@
         A store that is slow for all makes everybody far, which changes nothing among them.
         """
         near = seconds <= FAR_STORE_SECONDS
-        if near != self._near:
+        if near != self._near or not self._near_measured:
             self._near = near
+            self._near_measured = True
             self._changed.set()
 
     def note_failure(self) -> None:
@@ -109,24 +126,30 @@
             found.append(_standing(node, record))
         return found
 
-    def _record(self, own: float) -> _Record:
-        relay = str(self._relay) if self._relay is not None else ""
-        return _Record(own, self._failure_domain or "", relay)
+    def _record(self) -> _Record:
+        own = self.own
+        return _Record(
+            own.strength,
+            own.failure_domain or "",
+            str(own.relay or ""),
+            str(own.replica or ""),
+            own.near_store,
+        )
 
     async def run(self) -> None:
         """Announce until cancelled. Without the store nothing is announced, and nobody can bid."""
         lease: LeaseId | None = None
-        announced = 0.0
+        announced: _Record | None = None
         while True:
             try:
                 if lease is None:
                     lease = await self._store.grant_lease(LEASE_SECONDS)
-                    announced = 0.0
-                own = self.own.strength
-                if own != announced:
-                    value = msgspec.json.encode(self._record(own))
+                    announced = None
+                record = self._record()
+                if record != announced:
+                    value = msgspec.json.encode(record)
                     await self._store.commit({}, (Put(instance_key(self._node), value, lease),))
-                    announced = own
+                    announced = record
                 else:
                     await self._store.keep_lease(lease)
             except LeaseEndedError:
@@ -140,11 +163,21 @@
 
 
 def _standing(node: NodeName, record: _Record) -> Standing:
-    relay = None
-    if record.relay:
-        try:
-            relay = Address.parse(record.relay)
-        except SettingsError as error:
-            logger.error("announced relay not readable", node=node, error=str(error))
-    domain = FailureDomainName(record.failure_domain) if record.failure_domain else None
-    return Standing(node, record.strength, domain, relay)
+    return Standing(
+        node,
+        record.strength,
+        FailureDomainName(record.failure_domain) if record.failure_domain else None,
+        _address(node, record.relay),
+        _address(node, record.replica),
+        record.near_store,
+    )
+
+
+def _address(node: NodeName, text: str) -> Address | None:
+    if not text:
+        return None
+    try:
+        return Address.parse(text)
+    except SettingsError as error:
+        logger.error("announced address not readable", node=node, error=str(error))
+        return None
--- /dev/null
+++ b/fireflyfork/programs/_key_replica.py
@@ -0,0 +1,132 @@
+"""What one instance knows of the keys under a prefix of the store."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Mapping
+from math import inf
+
+import trio
+
+from .._ids import Revision
+from ..adapters import (
+    ReplicaAnswer,
+    ReplicaQuestion,
+    ReplicaSource,
+    StoreChange,
+    StoredItem,
+    StoreListing,
+)
+
+LONGEST_WAIT_SECONDS = 0.8
+"""How long a question waits while there is nothing to tell. Each answer shows that an instance is there."""
+SHORTEST_WAIT_SECONDS = 0.1
+_NOTHING = Revision(0)
+
+
+class KeyReplica:
+    """The keys as they were at some revision, and since when nothing newer is known to exist."""
+
+    def __init__(self, changed: Callable[[StoreChange], None]) -> None:
+        """Nothing known. ``changed`` is called with each key that is written or removed."""
+        self._changed = changed
+        self._items: dict[str, StoredItem] = {}
+        self._as_of = _NOTHING
+        self._known_at = -inf
+        self._advanced = trio.Event()
+
+    @property
+    def as_of(self) -> Revision:
+        """All changes up to this one are known; 0: none."""
+        return self._as_of
+
+    @property
+    def known_at(self) -> float:
+        """All changes that were made before this time are known."""
+        return self._known_at
+
+    def take_listing(self, listing: StoreListing) -> None:
+        """Take in all keys there are."""
+        revisions = {item.key: item.revision for item in listing.items}
+        self._drop_missing(revisions, listing.as_of)
+        for item in listing.items:
+            self._put(item)
+
+    def take_change(self, change: StoreChange) -> None:
+        """Take in one change."""
+        if change.item is not None:
+            self._put(change.item)
+        else:
+            self._remove(change.key, change.revision)
+
+    def take_answer(self, answer: ReplicaAnswer) -> None:
+        """Take in what another instance knows."""
+        self._drop_missing(answer.revisions, answer.as_of)
+        for item in answer.changed:
+            self._put(item)
+
+    def note_known(self, as_of: Revision, known_at: float) -> None:
+        """What was taken in is all up to ``as_of``, and all that was written before ``known_at``."""
+        self._as_of = max(self._as_of, as_of)
+        if known_at > self._known_at:
+            self._known_at = known_at
+            self._advanced.set()
+            self._advanced = trio.Event()
+
+    def changed_after(self, revision: Revision) -> tuple[StoredItem, ...]:
+        """The keys that have changed since."""
+        return tuple(item for item in self._items.values() if item.revision > revision)
+
+    def revisions(self) -> dict[str, Revision]:
+        """The last change of every key that there is."""
+        return {key: item.revision for key, item in self._items.items()}
+
+    async def wait_advanced(self) -> None:
+        """Wait until more is known."""
+        await self._advanced.wait()
+
+    def _put(self, item: StoredItem) -> None:
+        held = self._items.get(item.key)
+        if held is None or held.revision < item.revision:
+            self._items[item.key] = item
+            self._changed(StoreChange(item.key, item.revision, item))
+
+    def _drop_missing(self, revisions: Mapping[str, Revision], as_of: Revision) -> None:
+        for key in self._items.keys() - revisions.keys():
+            self._remove(key, as_of)
+
+    def _remove(self, key: str, revision: Revision) -> None:
+        held = self._items.get(key)
+        if held is not None and held.revision <= revision:
+            del self._items[key]
+            self._changed(StoreChange(key, revision, None))
+
+
+class ReplicaAnswers(ReplicaSource):
+    """Answers other instances from a replica."""
+
+    def __init__(self, replica: KeyReplica, now: Callable[[], float], stale_seconds: float) -> None:
+        """Whoever asks goes elsewhere once the replica has been out of date for ``stale_seconds``."""
+        self._replica = replica
+        self._now = now
+        self._stale_seconds = stale_seconds
+
+    async def answer(self, question: ReplicaQuestion) -> ReplicaAnswer:
+        """See ReplicaSource."""
+        asked = self._now()
+        replica = self._replica
+        if question.mark is not None and replica.known_at <= question.mark:
+            with trio.move_on_after(self._patience()):
+                await replica.wait_advanced()
+        return ReplicaAnswer(
+            replica.as_of,
+            self._now() - replica.known_at,
+            self._now() - asked,
+            replica.known_at,
+            replica.revisions(),
+            replica.changed_after(question.after),
+        )
+
+    def _patience(self) -> float:
+        """How long a question may wait: whoever asks should hear in time that it has to go elsewhere."""
+        until_stale = self._replica.known_at + self._stale_seconds - self._now()
+        return min(max(until_stale, SHORTEST_WAIT_SECONDS), LONGEST_WAIT_SECONDS)
--- a/fireflyfork/programs/_outside.py
+++ b/fireflyfork/programs/_outside.py
@@ -13,6 +13,7 @@
     LoopTime,
     MachineCalls,
     RelayTraffic,
+    ReplicaPeers,
 )
 
 
@@ -32,3 +33,5 @@
     """Tells what the processor time goes to."""
     relay_traffic: RelayTraffic = field(default_factory=RelayTraffic)
     """Tells what owners on this instance exchange with relays."""
+    replica_peers: ReplicaPeers | None = None
+    """The replicas of other instances; None: the store is followed by every instance itself."""
--- a/fireflyfork/programs/_prefix_watch.py
+++ b/fireflyfork/programs/_prefix_watch.py
@@ -55,6 +55,12 @@
         self._heard = heard
         self._known_at = -inf
         self._asked_at = -inf
+        self._as_of = Revision(0)
+
+    @property
+    def as_of(self) -> Revision:
+        """All changes up to this one have been heard of; 0: none."""
+        return self._as_of
 
     @property
     def known_at(self) -> float:
@@ -70,16 +76,23 @@
         """When the last question was sent, by ``now``; what is handed over is its answer."""
         return self._asked_at
 
-    async def run(self, after: Revision | None = None) -> None:
-        """Follow until cancelled, from a listing that is known already or from one made now."""
-        while True:
+    async def run(
+        self, after: Revision | None = None, until: Callable[[], bool] = lambda: False
+    ) -> None:
+        """Follow until cancelled, from a listing that is known already or from one made now.
+
+        It also ends once ``until`` says so when an answer has been taken in, or none has come.
+        """
+        while not until():
             if after is None:
-                after = await self._list()
-            await self._follow(after)
+                await self._list(until)
+            else:
+                self._as_of = after
+            await self._follow(until)
             after = None
 
-    async def _list(self) -> Revision:
-        while True:
+    async def _list(self, until: Callable[[], bool]) -> None:
+        while not until():
             asked = self._asked_at = self._now()
             try:
                 listing = await self._store.list(self._prefix)
@@ -89,17 +102,18 @@
                 continue
             self._answered()
             self._listed(listing)
+            self._as_of = listing.as_of
             self._known_at = asked
             self._heard(asked)
-            return listing.as_of
+            return
 
-    async def _follow(self, after: Revision) -> None:
+    async def _follow(self, until: Callable[[], bool]) -> None:
         """Take changes until the history is lost."""
         wait = self._confirm_seconds
-        while True:
+        while not until():
             asked = self._asked_at = self._now()
             try:
-                answer = await self._store.changes(self._prefix, after, wait)
+                answer = await self._store.changes(self._prefix, self._as_of, wait)
             except StoreHistoryLostError as error:
                 logger.info("listed anew", prefix=self._prefix, reason=str(error))
                 return
@@ -109,9 +123,9 @@
                 await trio.sleep(RETRY_SECONDS)
                 continue
             self._answered()
-            after = max(after, answer.as_of)
             for change in answer.changes:
                 self._changed(change)
+            self._as_of = max(self._as_of, answer.as_of)
             in_vain = not answer.changes
             self._known_at = min(asked + wait, self._now()) if in_vain else asked
             self._heard(asked)
--- a/fireflyfork/programs/_queue_keeper.py
+++ b/fireflyfork/programs/_queue_keeper.py
@@ -8,7 +8,13 @@
 from loguru import logger
 
 from .._errors import SettingsError
-from ..adapters import CoordinationStore, StoreChange, StoredItem, StoreListing
+from ..adapters import (
+    CoordinationStore,
+    ReplicaPeers,
+    ReplicaSource,
+    StoreChange,
+    StoredItem,
+)
 from ..decisions.jobs import QueueTable, UpkeepWave
 from ..platform import (
     CONFIGURATION_KEY,
@@ -17,19 +23,16 @@
     decode_wave,
     is_wave,
 )
-from ._prefix_watch import PrefixWatch
-
-WATCH_SECONDS = 1.5
-"""A change has to be in force within 2.5 s. A connection that has gone silent is noticed this long
-plus a call's timeout after it did."""
-
-CONFIRM_SECONDS = 0.1
-"""After a change, until the store says that there is no newer one."""
+from ._key_replica import KeyReplica, ReplicaAnswers
+from ._replica_follower import NoUpstreams, ReplicaFollower, Upstreams
 
 CURRENT_SHARE = 0.8
 """Of the time within which a change has to be in force. Questions come back well within it unless the answer
 is large, the link full, or the store doesn't answer."""
 
+STALE_SHARE = 0.7
+"""Of the same time: another instance that has heard nothing for so long is no longer followed."""
+
 
 class QueueKeeper:
     """Reads what the operator has written once, then follows it."""
@@ -40,25 +43,36 @@
         changed: Callable[[QueueTable], None],
         bound_seconds: float,
         now: Callable[[], float],
+        upstreams: Upstreams | None = None,
+        peers: ReplicaPeers | None = None,
     ) -> None:
         """``changed`` is called with each newer version, which has to be in force within
-        ``bound_seconds``; ``now`` goes on while the instance is suspended."""
+        ``bound_seconds``; ``now`` goes on while the instance is suspended.
+
+        The ``upstreams`` are followed through ``peers`` where both are given, and otherwise the store.
+        """
         self._changed = changed
         self._bound_seconds = bound_seconds
         self._now = now
-        self._watch = PrefixWatch(
+        self._replica = KeyReplica(self._followed)
+        self._follower = ReplicaFollower(
+            self._replica,
             store,
             OPERATOR_PREFIX,
-            WATCH_SECONDS,
-            self._listed,
-            self._followed,
-            confirm_seconds=CONFIRM_SECONDS,
-            now=now,
+            upstreams or NoUpstreams(),
+            peers,
+            now,
+            STALE_SHARE * bound_seconds,
         )
         self._table: QueueTable | None = None
         self._waves: dict[str, UpkeepWave] = {}
         self.known = trio.Event()
 
+    @property
+    def answers(self) -> ReplicaSource:
+        """Tells other instances what the operator has written."""
+        return ReplicaAnswers(self._replica, self._now, STALE_SHARE * self._bound_seconds)
+
     @property
     def table(self) -> QueueTable | None:
         """The queues in force; None before the first configuration."""
@@ -71,7 +85,7 @@
         A large one takes its time over a full link, and an instance that the store doesn't answer hears
         of none. It can't tell then that something isn't configured.
         """
-        unheard = self._now() - self._watch.known_at
+        unheard = self._now() - self._replica.known_at
         return unheard <= CURRENT_SHARE * self._bound_seconds
 
     @property
@@ -81,12 +95,7 @@
 
     async def run(self) -> None:
         """Follow the configuration until cancelled."""
-        await self._watch.run()
-
-    def _listed(self, listing: StoreListing) -> None:
-        self._waves = {}
-        for item in listing.items:
-            self._take(item)
+        await self._follower.run()
 
     def _followed(self, change: StoreChange) -> None:
         if change.item is not None:
@@ -113,7 +122,8 @@
             version=table.version,
             queues=len(table.queues),
             bytes=len(item.value),
-            seconds=round(self._now() - self._watch.asked_at, 3),
+            told_by=self._follower.upstream or "store",
+            seconds=round(self._now() - self._follower.asked_at, 3),
         )
         self._changed(table)
         self.known.set()
--- a/fireflyfork/programs/_scheduler_node.py
+++ b/fireflyfork/programs/_scheduler_node.py
@@ -13,10 +13,12 @@
     HttpHandler,
     HttpServer,
     RelayServer,
+    ReplicaServer,
     listen,
 )
 from ..decisions.jobs import QueueTable
 from ..platform import READINESS_PATH, NodeSettings
+from ._announced_upstreams import AnnouncedUpstreams
 from ._announcements import Announcements
 from ._clocks import Clock
 from ._job_requests import JobRequests
@@ -73,9 +75,6 @@
         self._clock = clock
         self._random = random
         self._metrics = Metrics()
-        self._keeper = QueueKeeper(
-            self._store, self._configured, settings.bounds.configuration, clock.now
-        )
         self._announcements = Announcements(
             settings.node,
             settings.processors,
@@ -84,6 +83,15 @@
             clock,
             settings.failure_domain,
             settings.relay_address,
+            settings.replica_address,
+        )
+        self._keeper = QueueKeeper(
+            self._store,
+            self._configured,
+            settings.bounds.configuration,
+            clock.now,
+            AnnouncedUpstreams(self._announcements),
+            outside.replica_peers,
         )
         self._relay = RelayServer(outside.relay_calls)
         self._report = LoopReport(
@@ -124,6 +132,10 @@
             relay = self._settings.relay_address
             if relay is not None:
                 nursery.start_soon(self._relay.run, await listen(relay.host, relay.port))
+            replica = self._settings.replica_address
+            if replica is not None:
+                server = ReplicaServer(self._keeper.answers)
+                nursery.start_soon(server.run, await listen(replica.host, replica.port))
             nursery.start_soon(self._keeper.run)
             nursery.start_soon(self._announcements.run)
             nursery.start_soon(self._report.run)
--- a/fireflyfork/programs/scheduler.py
+++ b/fireflyfork/programs/scheduler.py
@@ -15,7 +15,7 @@
 from loguru import logger
 
 from .._errors import SettingsError
-from ..adapters import LoopTime, NoAdvisor, NoMachines
+from ..adapters import LoopTime, NoAdvisor, NoMachines, SocketReplicaPeers
 from ..platform import (
     NodeSettings,
     PlatformAdvisor,
@@ -43,7 +43,15 @@
     loop_time = LoopTime()
     relay_calls = partial(PlatformExecutors, loop_time)
     executors = relay_calls()
-    outside = Outside(store, executors, advisor, machines, loop_time, relay_calls)
+    outside = Outside(
+        store,
+        executors,
+        advisor,
+        machines,
+        loop_time,
+        relay_calls,
+        replica_peers=SocketReplicaPeers(loop_time),
+    )
     node = SchedulerNode(settings, outside, clock, random)
     stop = trio.Event()
     async with trio.open_nursery() as nursery:
--- /dev/null
+++ b/fireflyfork/programs/tests/builders_replicas.py
@@ -0,0 +1,131 @@
+"""Instances that follow each other's replicas of what the operator has written, on a virtual clock."""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+from random import Random
+
+import msgspec
+import trio
+from trio.testing import MockClock
+
+from fireflyfork_standins.scheduling import ReplicaNetwork, StandInReplicaPeers, StandInStore
+
+from ..._ids import NodeName
+from ..._links import Address
+from ...adapters import ReplicaPlace
+from ...platform import CONFIGURATION_KEY
+from .._queue_keeper import QueueKeeper
+from .._replica_follower import Upstreams
+
+BOUND_SECONDS = 2.5
+"""Within which a change has to be in force."""
+NOWHERE = Address("10.0.0.1", 1)
+
+
+def node(number: int) -> NodeName:
+    """The name of an instance."""
+    return NodeName(f"n-{number}")
+
+
+def configuration(version: int, routes: int = 0) -> bytes:
+    """What the operator writes, with so many routes."""
+    route = {
+        "service": "desk",
+        "host": "h.example",
+        "priority": 0,
+        "attempts": 3,
+        "stretch_factor": 2.0,
+        "target_latency_ms": 1000,
+        "timeout_ms": 3000,
+    }
+    return msgspec.json.encode(
+        {
+            "version": version,
+            "routes": [
+                {"name": f"r{number}", "path_prefix": f"/r{number}/", **route}
+                for number in range(routes)
+            ],
+            "services": [{"name": "desk"}],
+        }
+    )
+
+
+class Given(Upstreams):
+    """The instances that a test names."""
+
+    def __init__(self, *numbers: int) -> None:
+        """Those with these numbers."""
+        self.numbers = numbers
+
+    async def choose(self) -> tuple[ReplicaPlace, ...]:
+        """See Upstreams."""
+        return tuple(ReplicaPlace(node(number), NOWHERE) for number in self.numbers)
+
+
+class Follower:
+    """One instance that keeps a configuration."""
+
+    def __init__(self, number: int, fleet: Fleet, upstreams: Upstreams) -> None:
+        """Not running yet."""
+        self.node = node(number)
+        self.versions: list[int] = []
+        """Those that have come into force, in order."""
+        self.keeper = QueueKeeper(
+            fleet.store.client(self.node),
+            lambda table: self.versions.append(table.version),
+            BOUND_SECONDS,
+            trio.current_time,
+            upstreams,
+            StandInReplicaPeers(self.node, fleet.network),
+        )
+        self._scope = trio.CancelScope()
+
+    def kill(self) -> None:
+        """End it."""
+        self._scope.cancel()
+
+    async def run(self) -> None:
+        """Keep the configuration until killed."""
+        with self._scope:
+            await self.keeper.run()
+
+
+class Fleet:
+    """Some instances and the store."""
+
+    def __init__(self, nursery: trio.Nursery) -> None:
+        """Only the store."""
+        self.store = StandInStore(Random(1))
+        self.network = ReplicaNetwork()
+        self._nursery = nursery
+        self._followers: dict[NodeName, Follower] = {}
+        nursery.start_soon(self.store.run)
+
+    def start(self, number: int, upstreams: Upstreams) -> Follower:
+        """Start an instance, which answers for its replica at once."""
+        one = Follower(number, self, upstreams)
+        self._followers[one.node] = one
+        self.network.sources[one.node] = one.keeper.answers
+        self._nursery.start_soon(one.run)
+        return one
+
+    def kill(self, one: Follower) -> None:
+        """End an instance."""
+        one.kill()
+        del self.network.sources[one.node]
+
+    def configure(self, version: int) -> None:
+        """Have the operator write a version."""
+        self.store.put(CONFIGURATION_KEY, configuration(version))
+
+
+def play(body: Callable[[Fleet], Awaitable[None]]) -> None:
+    """Run ``body`` with a fleet on a virtual clock."""
+
+    async def main() -> None:
+        async with trio.open_nursery() as nursery:
+            await body(Fleet(nursery))
+            nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=MockClock(autojump_threshold=0))
--- /dev/null
+++ b/fireflyfork/programs/tests/test_replica_follower.py
@@ -0,0 +1,220 @@
+"""A configuration that goes on from instance to instance.
+
+The pattern: a head that follows the store, and instances of its failure domain that follow it, while the head,
+the store or the way between them fails.
+"""
+
+import unittest
+
+import trio
+
+from ..._ids import NodeName
+from ...platform import OPERATOR_PREFIX
+from .._replica_follower import UPSTREAM_REVIEW_SECONDS
+from .builders_replicas import BOUND_SECONDS, Fleet, Follower, Given, node, play
+
+SETTLED_SECONDS = 6.0
+SOON_SECONDS = 0.3
+MEMBERS = 8
+
+
+async def _domain(fleet: Fleet) -> tuple[Follower, list[Follower]]:
+    """A head and the instances that follow it, with version 3 in force."""
+    fleet.configure(3)
+    head = fleet.start(0, Given())
+    members = [fleet.start(number, Given(0)) for number in range(1, 1 + MEMBERS)]
+    await trio.sleep(SETTLED_SECONDS)
+    return head, members
+
+
+class ReplicaFollowerTest(unittest.TestCase):
+    """Changes are in force everywhere in time, from whomever they are heard."""
+
+    def _all_hold(self, members: list[Follower], version: int) -> None:
+        self.assertEqual([one.versions[-1] for one in members], [version] * len(members))
+
+    def test_a_change_reaches_those_who_follow_at_once(self) -> None:
+        async def body(fleet: Fleet) -> None:
+            _, members = await _domain(fleet)
+            fleet.configure(8)
+            await trio.sleep(SOON_SECONDS)
+            self._all_hold(members, 8)
+
+        play(body)
+
+    def test_those_who_follow_an_instance_ask_the_store_nothing(self) -> None:
+        """Each instance read the whole configuration over the link between regions, and filled it."""
+
+        async def body(fleet: Fleet) -> None:
+            head, members = await _domain(fleet)
+            fleet.store.trouble.refused |= {one.node for one in members}
+            fleet.configure(8)
+            await trio.sleep(30.0)
+            self._all_hold([head, *members], 8)
+            self.assertTrue(all(one.keeper.is_current for one in members))
+
+        play(body)
+
+    def test_a_change_is_in_force_in_time_while_the_head_goes(self) -> None:
+        """The head is killed, frozen or turned away by the store, just before or after a change."""
+        for how in ("killed", "frozen", "turned away"):
+            for lead in (-0.01, 0.01, 0.4):
+                with self.subTest(how, lead=lead):
+                    self._lose_head(how, lead)
+
+    def _lose_head(self, how: str, lead: float) -> None:
+        async def body(fleet: Fleet) -> None:
+            head, members = await _domain(fleet)
+            if lead < 0:
+                fleet.configure(8)
+                await trio.sleep(-lead)
+            if how == "killed":
+                fleet.kill(head)
+            elif how == "frozen":
+                fleet.network.frozen.add(head.node)
+            else:
+                fleet.store.trouble.silent.add(head.node)
+            if lead >= 0:
+                await trio.sleep(lead)
+                fleet.configure(8)
+            await trio.sleep(BOUND_SECONDS + lead if lead < 0 else BOUND_SECONDS)
+            self._all_hold(members, 8)
+
+        play(body)
+
+    def test_an_upstream_that_is_behind_takes_nothing_back(self) -> None:
+        """A head that the store turns away still holds an old version, and routes that were removed."""
+
+        async def body(fleet: Fleet) -> None:
+            head, members = await _domain(fleet)
+            fleet.store.trouble.silent.add(head.node)
+            fleet.configure(8)
+            await trio.sleep(30.0)
+            self._all_hold(members, 8)
+            self.assertTrue(all(one.versions == [3, 8] for one in members))
+
+        play(body)
+
+    def test_who_can_not_know_of_a_change_says_so(self) -> None:
+        """Neither the head nor the store is reached: what isn't known here may have been added since."""
+
+        async def body(fleet: Fleet) -> None:
+            head, members = await _domain(fleet)
+            self.assertTrue(all(one.keeper.is_current for one in members))
+            fleet.store.trouble.down = True
+            await trio.sleep(BOUND_SECONDS)
+            self.assertFalse(any(one.keeper.is_current for one in [head, *members]))
+
+        play(body)
+
+    def test_an_answer_that_was_long_under_way_proves_nothing_of_now(self) -> None:
+        """An answer over a full link says that nothing newer is in force; since then something may be."""
+
+        async def late(sender: NodeName, _receiver: NodeName, _size: int) -> None:
+            if sender == "n-0":
+                await trio.sleep(2 * BOUND_SECONDS)
+
+        async def body(fleet: Fleet) -> None:
+            fleet.configure(3)
+            fleet.start(0, Given())
+            await trio.sleep(1.0)
+            fleet.network.carry = late
+            member = fleet.start(1, Given(0))
+            fleet.store.trouble.silent.add(member.node)
+            await trio.sleep(2 * BOUND_SECONDS + 1.0)
+            self.assertEqual(member.versions, [3])
+            self.assertFalse(member.keeper.is_current)
+
+        play(body)
+
+    def test_instances_that_start_together_wait_for_their_head(self) -> None:
+        """All are restarted at once. Were they all to read from the store, they would fill the link."""
+
+        async def body(fleet: Fleet) -> None:
+            fleet.configure(3)
+            members = [fleet.start(number, Given(0)) for number in range(1, 1 + MEMBERS)]
+            fleet.store.trouble.refused |= {one.node for one in members}
+            await trio.sleep(0.6)
+            fleet.start(0, Given())
+            await trio.sleep(SOON_SECONDS)
+            self._all_hold(members, 3)
+
+        play(body)
+
+    def test_instances_start_without_a_head_that_is_gone(self) -> None:
+        """It is still announced when they start."""
+
+        async def body(fleet: Fleet) -> None:
+            fleet.configure(3)
+            members = [fleet.start(number, Given(0)) for number in range(1, 1 + MEMBERS)]
+            await trio.sleep(BOUND_SECONDS)
+            self._all_hold(members, 3)
+
+        play(body)
+
+    def test_a_chain_of_heads_is_as_quick(self) -> None:
+        """The head of a far failure domain follows one near the store."""
+
+        async def body(fleet: Fleet) -> None:
+            fleet.configure(3)
+            fleet.start(0, Given())
+            fleet.start(1, Given(0))
+            last = fleet.start(2, Given(1))
+            await trio.sleep(SETTLED_SECONDS)
+            fleet.configure(8)
+            await trio.sleep(SOON_SECONDS)
+            self.assertEqual(last.versions, [3, 8])
+            for _ in range(30):
+                await trio.sleep(0.17)
+                self.assertTrue(last.keeper.is_current)
+
+        play(body)
+
+    def test_instances_that_follow_each_other_turn_to_the_store(self) -> None:
+        """They saw different announcements. Each took the other's word for what is newest."""
+
+        async def body(fleet: Fleet) -> None:
+            fleet.configure(3)
+            pair = [fleet.start(0, Given(1)), fleet.start(1, Given(0))]
+            await trio.sleep(SETTLED_SECONDS)
+            for version in range(8, 20):
+                fleet.configure(version)
+                await trio.sleep(BOUND_SECONDS)
+                self._all_hold(pair, version)
+
+        play(body)
+
+    def test_what_the_operator_removes_goes_everywhere(self) -> None:
+        """A wave of upkeep that is withdrawn would go on at an owner that doesn't hear of it."""
+
+        async def body(fleet: Fleet) -> None:
+            _, members = await _domain(fleet)
+            key = f"{OPERATOR_PREFIX}wave/1"
+            wave = b'{"wave": 1, "machines": ["m-1"], "finish_by_s": 60, "maximum": 1}'
+            fleet.store.put(key, wave)
+            await trio.sleep(SOON_SECONDS)
+            self.assertTrue(all(len(one.keeper.waves) == 1 for one in members))
+            fleet.store.remove(key)
+            await trio.sleep(SOON_SECONDS)
+            self.assertFalse(any(one.keeper.waves for one in members))
+
+        play(body)
+
+    def test_a_better_instance_is_followed_once_it_is_there(self) -> None:
+        """When all start together the first one sees nobody of its failure domain, and chose one far away."""
+
+        async def body(fleet: Fleet) -> None:
+            fleet.configure(3)
+            fleet.start(0, Given())
+            fleet.start(1, Given())
+            upstreams = Given(0)
+            member = fleet.start(2, upstreams)
+            await trio.sleep(SETTLED_SECONDS)
+            upstreams.numbers = (1,)
+            await trio.sleep(2 * UPSTREAM_REVIEW_SECONDS)
+            fleet.network.frozen.add(node(0))
+            fleet.configure(8)
+            await trio.sleep(SOON_SECONDS)
+            self.assertEqual(member.versions, [3, 8])
+
+        play(body)
--- a/fireflyfork_standins/scheduling/__init__.py
+++ b/fireflyfork_standins/scheduling/__init__.py
@@ -8,6 +8,7 @@
 from ._region_link import Purpose, Region, RegionLink
 from ._regions import RegionProfile, RouteChange
 from ._repeatable import run_repeatably
+from ._replicas import ReplicaNetwork, StandInReplicaPeers
 from ._store import StandInStore, StoreTrouble
 from ._troubles import ALL_TROUBLES, INCARNATION_TROUBLES, TROUBLES, UPKEEP_TROUBLES
 from ._wire_callers import WireCallers
@@ -27,12 +28,14 @@
     "Region",
     "RegionLink",
     "RegionProfile",
+    "ReplicaNetwork",
     "Report",
     "RouteChange",
     "StandInExecutor",
     "StandInExecutorCalls",
     "StandInMachines",
     "StandInNode",
+    "StandInReplicaPeers",
     "StandInStore",
     "StoreTrouble",
     "Violation",
--- a/fireflyfork_standins/scheduling/_configuration_sources.py
+++ b/fireflyfork_standins/scheduling/_configuration_sources.py
@@ -3,14 +3,25 @@
 from __future__ import annotations
 
 from abc import ABC, abstractmethod
-from collections.abc import Callable
-
-from fireflyfork.adapters import CoordinationStore
+from collections.abc import Awaitable, Callable
+
+from fireflyfork._ids import NodeName
+from fireflyfork.adapters import (
+    CoordinationStore,
+    ReplicaAnswer,
+    ReplicaQuestion,
+    ReplicaSource,
+)
 from fireflyfork.decisions.jobs import QueueTable
+from fireflyfork.programs._announced_upstreams import AnnouncedUpstreams
+from fireflyfork.programs._announcements import Announcements
 from fireflyfork.programs._clocks import Clock
 from fireflyfork.programs._queue_keeper import QueueKeeper
 
+from ._replicas import ReplicaNetwork, StandInReplicaPeers
+
 Changed = Callable[[QueueTable], None]
+Awake = Callable[[], Awaitable[None]]
 
 
 class ConfigurationSource(ABC):
@@ -30,8 +41,11 @@
         """Wait for the first one."""
 
 
-MakeSource = Callable[[CoordinationStore, Clock, Changed], ConfigurationSource]
-"""For each life anew: the instance's store client, its clock, and what hears of newer versions."""
+MakeSource = Callable[
+    [CoordinationStore, Clock, Changed, Announcements, Awake], ConfigurationSource
+]
+"""For each life anew: the instance's store client, its clock, what hears of newer versions, what instances
+announce, and what waits until the instance isn't frozen."""
 
 
 class FixedConfiguration(ConfigurationSource):
@@ -53,14 +67,46 @@
         """See ConfigurationSource."""
 
 
-class StoredConfiguration(ConfigurationSource):
-    """Each instance follows the operator's keys itself."""
+class _GatedAnswers(ReplicaSource):
+    """Answers of an instance that may be frozen."""
+
+    def __init__(self, inner: ReplicaSource, awake: Awake) -> None:
+        self._inner = inner
+        self._awake = awake
+
+    async def answer(self, question: ReplicaQuestion) -> ReplicaAnswer:
+        await self._awake()
+        answer = await self._inner.answer(question)
+        await self._awake()
+        return answer
+
+
+class ReplicatedConfiguration(ConfigurationSource):
+    """Each instance follows the operator's keys, and tells others of them."""
 
     def __init__(
-        self, store: CoordinationStore, clock: Clock, changed: Changed, bound_seconds: float
+        self,
+        node: NodeName,
+        store: CoordinationStore,
+        clock: Clock,
+        changed: Changed,
+        bound_seconds: float,
+        announcements: Announcements,
+        network: ReplicaNetwork,
+        awake: Awake,
     ) -> None:
         """A change has to be in force within ``bound_seconds``."""
-        self._keeper = QueueKeeper(store, changed, bound_seconds, clock.now)
+        self._node = node
+        self._network = network
+        self._awake = awake
+        self._keeper = QueueKeeper(
+            store,
+            changed,
+            bound_seconds,
+            clock.now,
+            AnnouncedUpstreams(announcements),
+            StandInReplicaPeers(node, network, awake),
+        )
 
     @property
     def table(self) -> QueueTable | None:
@@ -69,7 +115,13 @@
 
     async def run(self) -> None:
         """See ConfigurationSource."""
-        await self._keeper.run()
+        answers = _GatedAnswers(self._keeper.answers, self._awake)
+        self._network.sources[self._node] = answers
+        try:
+            await self._keeper.run()
+        finally:
+            if self._network.sources.get(self._node) is answers:
+                del self._network.sources[self._node]
 
     async def wait_known(self) -> None:
         """See ConfigurationSource."""
--- a/fireflyfork_standins/scheduling/_nodes.py
+++ b/fireflyfork_standins/scheduling/_nodes.py
@@ -265,7 +265,6 @@
         """One life of its process; late orders outlive it in ``nursery``."""
         if isinstance(self._reached_store, LinkedStoreClient):
             self._reached_store.begin_life()
-        self._source = source = self._make_source()
         announcements = Announcements(
             self.name,
             PROCESSORS,
@@ -273,7 +272,9 @@
             self._store,
             VirtualClock(),
             self._site.failure_domain if self._site is not None else None,
+            replica=self._site.replica if self._site is not None else None,
         )
+        self._source = source = self._make_source(announcements)
         beside = StandInExecutorCalls(self.name, self._executors, nursery, self._random)
         calls = _GatedCalls(beside if self._site is None else self._site.calls(beside), self)
         self._candidate = ServiceCandidate(
@@ -326,10 +327,12 @@
         """Let it go on."""
         self._awake.set()
 
-    def _make_source(self) -> ConfigurationSource:
+    def _make_source(self, announcements: Announcements) -> ConfigurationSource:
         if self._site is None:
             return self._fixed
-        return self._site.make_source(self._store, VirtualClock(), self._configured)
+        return self._site.make_source(
+            self._store, VirtualClock(), self._configured, announcements, self.awake
+        )
 
     @staticmethod
     def _table(source: ConfigurationSource) -> QueueTable:
--- a/fireflyfork_standins/scheduling/_regions.py
+++ b/fireflyfork_standins/scheduling/_regions.py
@@ -8,23 +8,31 @@
 import msgspec
 import trio
 
-from fireflyfork._ids import ExecutorId, FailureDomainName, ServiceName
+from fireflyfork._ids import ExecutorId, FailureDomainName, NodeName, ServiceName
+from fireflyfork._links import Address
 from fireflyfork.adapters import CoordinationStore, ExecutorCalls
 from fireflyfork.platform import CONFIGURATION_KEY
+from fireflyfork.programs._announcements import Announcements
 from fireflyfork.programs._clocks import Clock
 
 from ._configuration_sources import (
+    Awake,
     Changed,
     ConfigurationSource,
     MakeSource,
-    StoredConfiguration,
+    ReplicatedConfiguration,
 )
 from ._linked_executors import LinkedExecutorCalls
 from ._linked_store import LinkedStoreClient, carried_bytes
-from ._region_link import Region, RegionLink
+from ._region_link import Purpose, Region, RegionLink
+from ._replicas import ReplicaNetwork
 from ._store import StandInStore
 
 NEAR_DOMAIN = FailureDomainName("suva")
+INSTANCE_PREFIX = "n-"
+REPLICA = Address("10.0.0.1", 81)
+CALL_BYTES = 100
+"""Of what frames a question or an answer between instances."""
 HOSTS = 4
 """Of added routes."""
 PATH_BYTES = 130
@@ -67,6 +75,8 @@
     link: RegionLink
     executor_regions: Mapping[ExecutorId, Region]
     make_source: MakeSource
+    replica: Address
+    """Where an instance here announces that it answers for its replica."""
 
     def store(self, near: CoordinationStore) -> CoordinationStore:
         """The store as it is reached from here; ``near``: from next to it."""
@@ -88,6 +98,7 @@
         self._instances = instances
         self._executors = executors
         self.link = RegionLink(profile.link_mbps) if profile is not None else None
+        self._replicas = ReplicaNetwork(carry=self._carry)
 
     def executor_domain(self, number: int) -> FailureDomainName:
         """Where an executor is."""
@@ -106,15 +117,41 @@
         domain = self._domain(number, self._instances - self._profile.far_instances)
 
         def make_source(
-            store: CoordinationStore, clock: Clock, changed: Changed
+            store: CoordinationStore,
+            clock: Clock,
+            changed: Changed,
+            announcements: Announcements,
+            awake: Awake,
         ) -> ConfigurationSource:
-            return StoredConfiguration(store, clock, changed, bound_seconds)
+            return ReplicatedConfiguration(
+                instance_name(number),
+                store,
+                clock,
+                changed,
+                bound_seconds,
+                announcements,
+                self._replicas,
+                awake,
+            )
 
         regions = {
             ExecutorId(f"i-{executor}"): _region(self.executor_domain(executor))
             for executor in range(self._executors)
         }
-        return Site(_region(domain), domain, self.link, regions, make_source)
+        return Site(_region(domain), domain, self.link, regions, make_source, REPLICA)
+
+    async def _carry(self, sender: NodeName, receiver: NodeName, size: int) -> None:
+        """Between instances of one region bytes take no time."""
+        towards = self._region_of(receiver)
+        if self.link is None or self._region_of(sender) is towards:
+            await trio.lowlevel.checkpoint()
+        else:
+            await self.link.carry(towards, size + CALL_BYTES, Purpose.CONFIGURATION)
+
+    def _region_of(self, node: NodeName) -> Region:
+        far = self._profile.far_instances if self._profile is not None else 0
+        number = int(node.removeprefix(INSTANCE_PREFIX))
+        return _region(self._domain(number, self._instances - far))
 
     def _domain(self, number: int, first_far: int) -> FailureDomainName:
         if self._profile is None or number < first_far:
@@ -122,6 +159,11 @@
         return FailureDomainName(f"far-{(number - first_far) % self._profile.far_domains}")
 
 
+def instance_name(number: int) -> NodeName:
+    """The name of an instance."""
+    return NodeName(f"{INSTANCE_PREFIX}{number}")
+
+
 def _region(domain: FailureDomainName) -> Region:
     return Region.NEAR if domain == NEAR_DOMAIN else Region.FAR
 
--- /dev/null
+++ b/fireflyfork_standins/scheduling/_replicas.py
@@ -0,0 +1,101 @@
+"""Replicas of other instances without sockets: their answers can be late, and instances gone or frozen."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import msgspec
+import trio
+
+from fireflyfork._errors import PeerError
+from fireflyfork._ids import NodeName
+from fireflyfork.adapters import (
+    ReplicaAnswer,
+    ReplicaPeer,
+    ReplicaPeers,
+    ReplicaPlace,
+    ReplicaQuestion,
+    ReplicaSource,
+)
+from fireflyfork.adapters._replica_messages import Ask, ItemEncoder
+
+SILENT_SECONDS = 1.4
+
+Carry = Callable[[NodeName, NodeName, int], Awaitable[None]]
+"""Takes so many bytes from one instance to another."""
+
+
+async def _at_once(_sender: NodeName, _receiver: NodeName, _size: int) -> None:
+    await trio.lowlevel.checkpoint()
+
+
+@dataclass(slots=True)
+class ReplicaNetwork:
+    """All instances that answer for a replica."""
+
+    sources: dict[NodeName, ReplicaSource] = field(default_factory=dict)
+    frozen: set[NodeName] = field(default_factory=set)
+    """These accept connections and answer nothing."""
+    carry: Carry = _at_once
+
+
+class StandInReplicaPeers(ReplicaPeers):
+    """The replicas of other instances as one instance reaches them."""
+
+    def __init__(
+        self,
+        node: NodeName,
+        network: ReplicaNetwork,
+        awake: Callable[[], Awaitable[None]] = trio.lowlevel.checkpoint,
+    ) -> None:
+        """``node`` asks; ``awake`` waits until it isn't frozen."""
+        self._node = node
+        self._network = network
+        self._awake = awake
+
+    @asynccontextmanager
+    async def connect(self, place: ReplicaPlace) -> AsyncIterator[ReplicaPeer]:
+        """See ReplicaPeers."""
+        if place.node not in self._network.sources:
+            raise PeerError(f"can't connect to {place.node}")
+        yield _Peer(self._node, place.node, self._network, self._awake)
+
+
+class _Peer(ReplicaPeer):
+    def __init__(
+        self,
+        node: NodeName,
+        other: NodeName,
+        network: ReplicaNetwork,
+        awake: Callable[[], Awaitable[None]],
+    ) -> None:
+        self._awake = awake
+        self._node = node
+        self._other = other
+        self._network = network
+        self._source = network.sources[other]
+        self._encoder = ItemEncoder()
+
+    async def ask(self, question: ReplicaQuestion) -> ReplicaAnswer:
+        """See ReplicaPeer. An answer that goes on coming may take longer than silence is borne."""
+        carry = self._network.carry
+        await carry(self._node, self._other, _size(Ask.of(question)))
+        if self._other in self._network.frozen:
+            await trio.sleep(SILENT_SECONDS)
+            raise PeerError(f"{self._other} is silent")
+        if self._network.sources.get(self._other) is not self._source:
+            raise PeerError(f"{self._other} has closed the stream")
+        with trio.move_on_after(SILENT_SECONDS) as scope:
+            answer = await self._source.answer(question)
+        if scope.cancelled_caught:
+            raise PeerError(f"{self._other} is silent")
+        update = self._encoder.update(answer)
+        await carry(self._other, self._node, _size(update))
+        await self._awake()
+        return update.answer()
+
+
+def _size(message: object) -> int:
+    return len(msgspec.msgpack.encode(message))
--- a/fireflyfork_standins/scheduling/_world.py
+++ b/fireflyfork_standins/scheduling/_world.py
@@ -12,7 +12,6 @@
     ConfigurationVersion,
     ExecutorId,
     JobId,
-    NodeName,
     QueueName,
     ServiceName,
 )
@@ -34,7 +33,7 @@
 from ._machines import StandInMachines, machine_of
 from ._nodes import UNIX_MS_AT_START, StandInNode
 from ._region_link import Purpose
-from ._regions import RegionMap, RegionProfile
+from ._regions import RegionMap, RegionProfile, instance_name
 from ._repeatable import run_repeatably
 from ._store import LINK_MBPS, StandInStore
 from ._troubles import Troubles
@@ -142,7 +141,7 @@
         self._operator = self._map.operator(self._store, SERVICE)
         self._nodes = [
             StandInNode(
-                NodeName(f"n-{number}"),
+                instance_name(number),
                 SERVICE,
                 self._store,
                 self._executors,
