--- a/fireflyfork_standins/scheduling/_world.py
+++ b/fireflyfork_standins/scheduling/_world.py
@@ -182,7 +182,8 @@
             await trio.sleep(0.1)
             for node in self._nodes:
                 nursery.start_soon(node.live, nursery)
-            while not all(node.serves for node in self._nodes):
+            # Without regions all know it from the beginning, and a wait would change days that seeds play.
+            while self._operator is not None and not all(node.serves for node in self._nodes):
                 await trio.sleep(OWNER_CHECK_SECONDS)
             nursery.start_soon(self._watch_owner)
             await trio.sleep(1.0)
