Red: two upstreams that go together are waited for one after the other

What callers see: a member whose own way to the store is fine goes on running work as the old configuration says after the time within which a change has to be in force. A follower waits 1.4 s for a silent upstream, then as long for the second one; where the two answer but the store doesn't answer them, it bears answers that are out of date for 1.75 s from each. Only then does it ask the store. An instance that is frozen counts as not in touch, its followers don't.

The stand-in let a frozen instance answer the question that was under way, which hid it; it doesn't any more.

--- a/fireflyfork/programs/tests/test_replica_follower.py
+++ b/fireflyfork/programs/tests/test_replica_follower.py
@@ -10,12 +10,15 @@
 
 from ..._ids import NodeName
 from ...platform import OPERATOR_PREFIX
+from .._key_replica import LONGEST_WAIT_SECONDS
 from .._replica_follower import UPSTREAM_REVIEW_SECONDS
 from .builders_replicas import BOUND_SECONDS, Fleet, Follower, Given, node, play
 
 SETTLED_SECONDS = 6.0
 SOON_SECONDS = 0.3
 MEMBERS = 8
+PHASES = 8
+"""Of the questions that are under way when something happens."""
 
 
 async def _domain(fleet: Fleet) -> tuple[Follower, list[Follower]]:
@@ -27,6 +30,15 @@
     return head, members
 
 
+async def _domain_of_two_heads(fleet: Fleet) -> tuple[list[Follower], list[Follower]]:
+    """A head, the one that follows it first, and instances that follow either, with version 3 in force."""
+    fleet.configure(3)
+    heads = [fleet.start(0, Given()), fleet.start(1, Given(0))]
+    members = [fleet.start(number, Given(0, 1)) for number in range(2, 2 + MEMBERS)]
+    await trio.sleep(SETTLED_SECONDS)
+    return heads, members
+
+
 class ReplicaFollowerTest(unittest.TestCase):
     """Changes are in force everywhere in time, from whomever they are heard."""
 
@@ -218,3 +230,40 @@
             self.assertEqual(member.versions, [3, 8])
 
         play(body)
+
+    def test_a_change_is_in_force_in_time_while_both_upstreams_go(self) -> None:
+        """Guards against two upstreams that are waited for one after the other, beyond the bound."""
+        for how in ("killed", "frozen", "turned away"):
+            for number in range(PHASES):
+                with self.subTest(how, number=number):
+                    self._lose_both_upstreams(how, number * LONGEST_WAIT_SECONDS / PHASES)
+
+    def _lose_both_upstreams(self, how: str, phase: float) -> None:
+        async def body(fleet: Fleet) -> None:
+            gone, members = await _domain_of_two_heads(fleet)
+            await trio.sleep(phase)
+            for one in gone:
+                if how == "killed":
+                    fleet.kill(one)
+                elif how == "frozen":
+                    fleet.network.frozen.add(one.node)
+                else:
+                    fleet.store.trouble.silent.add(one.node)
+            fleet.configure(8)
+            await trio.sleep(BOUND_SECONDS)
+            self._all_hold(members, 8)
+
+        play(body)
+
+    def test_changes_are_in_force_in_time_for_as_long_as_both_upstreams_are_cut_off(self) -> None:
+        """Guards against a return to upstreams that the store doesn't answer, time and again."""
+
+        async def body(fleet: Fleet) -> None:
+            gone, members = await _domain_of_two_heads(fleet)
+            fleet.store.trouble.silent |= {one.node for one in gone}
+            for version in range(8, 28):
+                fleet.configure(version)
+                await trio.sleep(BOUND_SECONDS)
+                self._all_hold(members, version)
+
+        play(body)
--- a/fireflyfork_standins/scheduling/_replicas.py
+++ b/fireflyfork_standins/scheduling/_replicas.py
@@ -82,20 +82,26 @@
         """See ReplicaPeer. An answer that goes on coming may take longer than silence is borne."""
         carry = self._network.carry
         await carry(self._node, self._other, _size(Ask.of(question)))
-        if self._other in self._network.frozen:
-            await trio.sleep(SILENT_SECONDS)
-            raise PeerError(f"{self._other} is silent")
-        if self._network.sources.get(self._other) is not self._source:
-            raise PeerError(f"{self._other} has closed the stream")
+        asked = trio.current_time()
+        await self._fail_if_gone(asked)
         with trio.move_on_after(SILENT_SECONDS) as scope:
             answer = await self._source.answer(question)
         if scope.cancelled_caught:
             raise PeerError(f"{self._other} is silent")
+        # What was asked before the other one went isn't answered either.
+        await self._fail_if_gone(asked)
         update = self._encoder.update(answer)
         await carry(self._other, self._node, _size(update))
         await self._awake()
         return update.answer()
 
+    async def _fail_if_gone(self, asked: float) -> None:
+        if self._other in self._network.frozen:
+            await trio.sleep_until(asked + SILENT_SECONDS)
+            raise PeerError(f"{self._other} is silent")
+        if self._network.sources.get(self._other) is not self._source:
+            raise PeerError(f"{self._other} has closed the stream")
+
 
 def _size(message: object) -> int:
     return len(msgspec.msgpack.encode(message))
