A second upstream is borne for 0.4 s, not as long as the first one was

What callers saw: work run as an older configuration says, after a newer one had to be in force, by instances that reach the store. Cause: an instance waited for its upstreams one after the other, 1.4 s for each that is silent and 1.75 s for each that answers and is itself cut off from the store; the bound is 2.5 s.

The wait for the first stays as it is. Once it has failed, the next one has 0.4 s to begin an answer and to tell something up to date; it may need these to turn to the store itself. Then the store is asked. Knowing nothing yet, an instance waits as before, for then nothing is in force here that could be out of date.

A new test on sockets shows that a greeting doesn't count as the beginning of an answer.

--- a/fireflyfork/adapters/_replica_client.py
+++ b/fireflyfork/adapters/_replica_client.py
@@ -4,6 +4,7 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from math import inf
 
 import trio
 
@@ -57,19 +58,21 @@
         self._stream = stream
         self._loop_time = loop_time
 
-    async def ask(self, question: ReplicaQuestion) -> ReplicaAnswer:
+    async def ask(self, question: ReplicaQuestion, patience: float = inf) -> ReplicaAnswer:
         self._stream.send(Ask.of(question))
+        silence = min(SILENT_SECONDS, patience)
         try:
-            with self._loop_time.fail_after(SILENT_SECONDS) as put_off:
+            with self._loop_time.fail_after(silence) as put_off:
                 await self._stream.flush()
                 while (received := await self._stream.receive()) is not None:
-                    put_off(SILENT_SECONDS)
+                    # A greeting alone is no beginning of an answer.
+                    put_off(silence if received else SILENT_SECONDS)
                     for message in received:
                         if isinstance(message, Update):
                             return message.answer()
                         _check(message)
         except trio.TooSlowError as error:
-            raise PeerError(f"silent for {SILENT_SECONDS} s") from error
+            raise PeerError("silent for too long") from error
         raise PeerError("the stream was closed")
 
 
--- a/fireflyfork/adapters/_replicas.py
+++ b/fireflyfork/adapters/_replicas.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 from contextlib import AbstractAsyncContextManager
 from dataclasses import dataclass
+from math import inf
 
 from .._ids import NodeName, Revision
 from .._links import Address
@@ -60,8 +61,8 @@
     """Another instance's replica, over one connection."""
 
     @abstractmethod
-    async def ask(self, question: ReplicaQuestion) -> ReplicaAnswer:
-        """One question. Raises PeerError when no answer comes."""
+    async def ask(self, question: ReplicaQuestion, patience: float = inf) -> ReplicaAnswer:
+        """One question. Raises PeerError when no answer comes, or none begins to within ``patience`` seconds."""
 
 
 class ReplicaPeers(ABC):
--- a/fireflyfork/adapters/tests/test_replicas.py
+++ b/fireflyfork/adapters/tests/test_replicas.py
@@ -140,6 +140,18 @@
         with patch.object(client, "SILENT_SECONDS", 0.1):
             self._fails(self._says(Hello(1)), "silent")
 
+    def test_one_that_is_asked_in_a_hurry_and_stands_still(self) -> None:
+        """Guards against a second upstream that is borne for as long as the first one was."""
+
+        async def body() -> None:
+            async with _listening(self._says(Hello(1))) as place:
+                with self.assertRaisesRegex(PeerError, "silent"):
+                    async with SocketReplicaPeers(LoopTime()).connect(place) as peer:
+                        await peer.ask(ReplicaQuestion(Revision(0)), 0.1)
+
+        with patch.object(client, "SILENT_SECONDS", 2 * STUCK_SECONDS):
+            _play(body)
+
     def test_one_that_closes_the_stream(self) -> None:
         async def serve(stream: trio.SocketStream) -> None:
             await stream.aclose()
--- a/fireflyfork/programs/_replica_follower.py
+++ b/fireflyfork/programs/_replica_follower.py
@@ -31,6 +31,9 @@
 UPSTREAM_REVIEW_SECONDS = 20.0
 """How long an instance is followed before a better one is looked for. When many start together the first ones
 see only some of the others."""
+TURN_SECONDS = 0.4
+"""After one upstream has failed, the next one has so long to tell something newer; it may just be turning to the
+store itself. Silence is borne for most of the time within which a change has to be in force, but only once."""
 START_SECONDS = 1.5
 """For so long an instance that knows nothing waits for its upstreams, which may be starting as well. If all that
 start at once read everything from the store, the link between two regions would be full for seconds."""
@@ -114,9 +117,13 @@
 
     async def _follow_any(self, places: tuple[ReplicaPlace, ...], peers: ReplicaPeers) -> None:
         """Follow one of some instances, the first that is of use, or a better one that appears meanwhile."""
+        patience = inf
         while places:
             first, *others = places
-            places = await self._follow(first, peers) or tuple(others)
+            better = await self._follow(first, peers, patience)
+            places = better or tuple(others)
+            # An instance that knows nothing yet takes nothing for configured that no longer is.
+            patience = inf if better or not self._replica.as_of else TURN_SECONDS
 
     async def _follow_store(self) -> None:
         """Follow the store until it is time to look for another instance."""
@@ -127,9 +134,12 @@
     def _heard_from_store(self, _: float) -> None:
         self._replica.note_known(self._watch.as_of, self._watch.known_at)
 
-    async def _follow(self, place: ReplicaPlace, peers: ReplicaPeers) -> tuple[ReplicaPlace, ...]:
+    async def _follow(
+        self, place: ReplicaPlace, peers: ReplicaPeers, patience: float
+    ) -> tuple[ReplicaPlace, ...]:
         """Follow another instance for as long as it answers and is itself up to date.
 
+        Its first answer, and one that is up to date, have to come within ``patience`` seconds.
         Returns the instances to follow instead, if it is left for a better one.
         """
         logger.info("following an instance", upstream=place.node)
@@ -137,7 +147,7 @@
         better: tuple[ReplicaPlace, ...] = ()
         try:
             async with peers.connect(place) as peer:
-                better = await self._ask_while_fresh(peer, place)
+                better = await self._ask_while_fresh(peer, place, patience)
             reason = "another one is better" if better else "out of date"
         except PeerError as error:
             reason = str(error)
@@ -146,19 +156,21 @@
         return better
 
     async def _ask_while_fresh(
-        self, peer: ReplicaPeer, place: ReplicaPlace
+        self, peer: ReplicaPeer, place: ReplicaPlace, patience: float
     ) -> tuple[ReplicaPlace, ...]:
         begun = self._now()
+        borne_until = begun + min(patience, self._stale_seconds)
         review_at = begun + UPSTREAM_REVIEW_SECONDS
         mark: float | None = None
-        while self._is_fresh() or self._now() <= begun + self._stale_seconds:
+        while self._is_fresh() or self._now() <= borne_until:
             if self._now() >= review_at:
                 places = await self._upstreams.choose()
                 if places and places[0] != place:
                     return places
                 review_at = self._now() + UPSTREAM_REVIEW_SECONDS
             self._asked_at = self._now()
-            answer = await peer.ask(ReplicaQuestion(self._replica.as_of, mark))
+            question = ReplicaQuestion(self._replica.as_of, mark)
+            answer = await peer.ask(question, patience if mark is None else inf)
             self._take(answer)
             mark = answer.mark
         return ()
--- a/fireflyfork_standins/scheduling/_replicas.py
+++ b/fireflyfork_standins/scheduling/_replicas.py
@@ -5,6 +5,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
+from math import inf
 
 import msgspec
 import trio
@@ -78,26 +79,26 @@
         self._source = network.sources[other]
         self._encoder = ItemEncoder()
 
-    async def ask(self, question: ReplicaQuestion) -> ReplicaAnswer:
+    async def ask(self, question: ReplicaQuestion, patience: float = inf) -> ReplicaAnswer:
         """See ReplicaPeer. An answer that goes on coming may take longer than silence is borne."""
         carry = self._network.carry
         await carry(self._node, self._other, _size(Ask.of(question)))
-        asked = trio.current_time()
-        await self._fail_if_gone(asked)
-        with trio.move_on_after(SILENT_SECONDS) as scope:
+        silent_at = trio.current_time() + min(SILENT_SECONDS, patience)
+        await self._fail_if_gone(silent_at)
+        with trio.CancelScope(deadline=silent_at) as scope:
             answer = await self._source.answer(question)
         if scope.cancelled_caught:
             raise PeerError(f"{self._other} is silent")
         # What was asked before the other one went isn't answered either.
-        await self._fail_if_gone(asked)
+        await self._fail_if_gone(silent_at)
         update = self._encoder.update(answer)
         await carry(self._other, self._node, _size(update))
         await self._awake()
         return update.answer()
 
-    async def _fail_if_gone(self, asked: float) -> None:
+    async def _fail_if_gone(self, silent_at: float) -> None:
         if self._other in self._network.frozen:
-            await trio.sleep_until(asked + SILENT_SECONDS)
+            await trio.sleep_until(silent_at)
             raise PeerError(f"{self._other} is silent")
         if self._network.sources.get(self._other) is not self._source:
             raise PeerError(f"{self._other} has closed the stream")
