Red: an instance is deaf while it looks for a better upstream

Each 20 s, and after 5 s of following the store, an instance lists all others in the store, and asks nobody what is new meanwhile. Over a full link, or from a store that has gone silent, that takes up to 0.9 s for each of three tries and longer once an answer has begun to come. A change that falls into it is late by as much, though the upstream is well.

--- a/fireflyfork/programs/tests/builders_replicas.py
+++ b/fireflyfork/programs/tests/builders_replicas.py
@@ -57,9 +57,12 @@
     def __init__(self, *numbers: int) -> None:
         """Those with these numbers."""
         self.numbers = numbers
+        self.seconds = 0.0
+        """How long it takes to find out, over a full link for example."""
 
     async def choose(self) -> tuple[ReplicaPlace, ...]:
         """See Upstreams."""
+        await trio.sleep(self.seconds)
         return tuple(ReplicaPlace(node(number), NOWHERE) for number in self.numbers)
 
 
--- a/fireflyfork/programs/tests/test_replica_follower.py
+++ b/fireflyfork/programs/tests/test_replica_follower.py
@@ -267,3 +267,20 @@
                 self._all_hold(members, version)
 
         play(body)
+
+    def test_changes_are_heard_of_while_a_better_upstream_is_looked_for(self) -> None:
+        """Guards against an instance that is deaf while the store takes its time to list the others."""
+
+        async def body(fleet: Fleet) -> None:
+            fleet.configure(3)
+            fleet.start(0, Given())
+            upstreams = Given(0)
+            members = [fleet.start(1, upstreams)]
+            await trio.sleep(SETTLED_SECONDS)
+            upstreams.seconds = 2 * BOUND_SECONDS
+            for version in range(8, 38):
+                fleet.configure(version)
+                await trio.sleep(1.0)
+                self._all_hold(members, version)
+
+        play(body)
