Looking for upstreams takes 0.5 s at most

What callers saw: changes that came into force late on an instance that was listing the others at the moment. Cause: it asks nobody what is new meanwhile, and the list may take seconds. After 0.5 s the look is now given up: who follows an instance goes on with it until the next look, and who follows the store turns to the upstreams that it chose last.

--- a/fireflyfork/programs/_replica_follower.py
+++ b/fireflyfork/programs/_replica_follower.py
@@ -34,6 +34,9 @@
 TURN_SECONDS = 0.4
 """After one upstream has failed, the next one has so long to tell something newer; it may just be turning to the
 store itself. Silence is borne for most of the time within which a change has to be in force, but only once."""
+CHOOSE_SECONDS = 0.5
+"""Nobody is asked for changes while others are looked for. What takes longer than a few ways to the store and back
+is left for the next time."""
 START_SECONDS = 1.5
 """For so long an instance that knows nothing waits for its upstreams, which may be starting as well. If all that
 start at once read everything from the store, the link between two regions would be full for seconds."""
@@ -75,6 +78,7 @@
         self._peers = peers
         self._now = now
         self._stale_seconds = stale_seconds
+        self._chosen: tuple[ReplicaPlace, ...] = ()
         self._upstream: NodeName | None = None
         self._asked_at = now()
         self._watch = PrefixWatch(
@@ -105,16 +109,23 @@
         while True:
             await self._follow_store()
             if self._peers is not None:
-                await self._follow_any(await self._upstreams.choose(), self._peers)
+                await self._follow_any(await self._choose(self._chosen), self._peers)
 
     async def _start(self, peers: ReplicaPeers) -> None:
         """Hear from another instance first, where there is one."""
         until = self._now() + START_SECONDS
-        places = await self._upstreams.choose()
+        places = self._chosen = await self._upstreams.choose()
         while places and not self._replica.as_of and self._now() < until:
             await self._follow_any(places, peers)
             await trio.sleep(START_RETRY_SECONDS)
 
+    async def _choose(self, otherwise: tuple[ReplicaPlace, ...]) -> tuple[ReplicaPlace, ...]:
+        """The instances to follow, or ``otherwise`` if they can't be found out soon."""
+        with trio.move_on_after(CHOOSE_SECONDS):
+            self._chosen = await self._upstreams.choose()
+            return self._chosen
+        return otherwise
+
     async def _follow_any(self, places: tuple[ReplicaPlace, ...], peers: ReplicaPeers) -> None:
         """Follow one of some instances, the first that is of use, or a better one that appears meanwhile."""
         patience = inf
@@ -164,7 +175,7 @@
         mark: float | None = None
         while self._is_fresh() or self._now() <= borne_until:
             if self._now() >= review_at:
-                places = await self._upstreams.choose()
+                places = await self._choose(())
                 if places and places[0] != place:
                     return places
                 review_at = self._now() + UPSTREAM_REVIEW_SECONDS
--- a/fireflyfork/programs/tests/test_replica_follower.py
+++ b/fireflyfork/programs/tests/test_replica_follower.py
@@ -284,3 +284,24 @@
                 self._all_hold(members, version)
 
         play(body)
+
+    def test_upstreams_are_returned_to_though_the_store_lists_nobody(self) -> None:
+        """Guards against an instance that only the store has left, and that doesn't turn to those it knows."""
+
+        async def body(fleet: Fleet) -> None:
+            fleet.configure(3)
+            head = fleet.start(0, Given())
+            upstreams = Given(0)
+            member = fleet.start(1, upstreams)
+            await trio.sleep(SETTLED_SECONDS)
+            fleet.network.frozen.add(head.node)
+            await trio.sleep(BOUND_SECONDS)
+            fleet.network.frozen.clear()
+            fleet.store.trouble.silent.add(member.node)
+            upstreams.seconds = 2 * BOUND_SECONDS
+            await trio.sleep(2 * SETTLED_SECONDS)
+            fleet.configure(8)
+            await trio.sleep(BOUND_SECONDS)
+            self._all_hold([member], 8)
+
+        play(body)
