An instance near the store is far only once two questions in a row took long

Now one long way changes nothing, two in a row do, and a short one makes it near again at once.

Measured: test_announcements passes, with a test that a way which has become long is still noticed.

--- a/fireflyfork/programs/_announcements.py
+++ b/fireflyfork/programs/_announcements.py
@@ -68,6 +68,7 @@
         self._replica = replica
         self._near = True
         self._near_measured = False
+        self._seemed_far = False
         self._shaken_until = 0.0
         self._changed = trio.Event()
 
@@ -97,9 +98,14 @@
     def note_round_trip(self, seconds: float) -> None:
         """A small question to the store took so long.
 
-        A store that is slow for all makes everybody far, which changes nothing among them.
+        A store that is slow for all makes everybody far, which changes nothing among them. Once near, it takes
+        two long ones in a row: the first may include a while for which this instance stood still itself.
         """
         near = seconds <= FAR_STORE_SECONDS
+        doubtful = self._near_measured and self._near and not near and not self._seemed_far
+        self._seemed_far = not near
+        if doubtful:
+            return
         if near != self._near or not self._near_measured:
             self._near = near
             self._near_measured = True
