Red: connections of followers that went silent stay open for ever

A connection may go silent for good without a reset. A follower notices by its upstream's silence and takes a new one; the upstream has nothing to send on the old one, so nothing stays unacknowledged and its end is never noticed. Each such connection costs the upstream a descriptor and a task until it ends.

--- a/fireflyfork/adapters/tests/test_replicas.py
+++ b/fireflyfork/adapters/tests/test_replicas.py
@@ -24,8 +24,9 @@
     StoredItem,
 )
 from .. import _replica_client as client
+from .. import _replica_server as server
 from .._message_stream import encode_frame
-from .._replica_messages import Hello, Item, Update
+from .._replica_messages import Ask, Hello, Item, Update
 
 LARGE = msgspec.json.encode(
     [{"prefix": f"/q{number * 7919 % 100_003}/", "timeout_ms": 3000} for number in range(8_000)]
@@ -208,3 +209,21 @@
 
         with patch.object(client, "SILENT_SECONDS", 0.6):
             _play(body)
+
+
+class SilentFollowersTest(unittest.TestCase):
+    """Followers that have gone without a word."""
+
+    def test_a_connection_without_questions_is_closed(self) -> None:
+        """Guards against descriptors that are used up one after the other by connections that went silent."""
+
+        async def body() -> None:
+            async with _listening(ReplicaServer(Made())._serve) as place:
+                address = place.address
+                stream = await trio.open_tcp_stream(address.host, address.port)
+                await stream.send_all(encode_frame((Hello(1), Ask(0, None))))
+                while await stream.receive_some():
+                    pass
+
+        with patch.object(server, "IDLE_SECONDS", 0.1, create=True):
+            _play(body)
