A follower that asks nothing for 30 s is taken for gone

A follower asks again as soon as it is answered, at the latest after 0.8 s and a look for other instances, so 30 s without a question mean that nobody is there. One that stood still for as long finds its stream closed and connects anew.

--- a/fireflyfork/adapters/_replica_server.py
+++ b/fireflyfork/adapters/_replica_server.py
@@ -18,7 +18,10 @@
 from ._replicas import ReplicaSource
 
 UNACKNOWLEDGED_SECONDS = 5.0
-"""A follower over a full link takes its time; one that has gone costs no more than an idle connection."""
+"""A follower over a full link takes its time."""
+IDLE_SECONDS = 30.0
+"""A follower asks again as soon as it is answered, so one that doesn't for so long has gone, or its connection
+has gone silent, which nothing else would tell."""
 
 
 class ReplicaServer:
@@ -39,14 +42,25 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(stream.run)
                 stream.send(Hello(REPLICA_VERSION))
-                async for message in stream.messages():
-                    await self._take(message, stream)
+                while (received := await self._receive(stream)) is not None:
+                    for message in received:
+                        await self._take(message, stream)
                 nursery.cancel_scope.cancel()
         except* PeerError as errors:
             logger.debug("follower's stream ended", reason=str(errors.exceptions[0]))
         finally:
             stream.close()
 
+    @staticmethod
+    async def _receive(
+        stream: MessageStream[AnyReplicaMessage],
+    ) -> list[AnyReplicaMessage] | None:
+        try:
+            with trio.fail_after(IDLE_SECONDS):
+                return await stream.receive()
+        except trio.TooSlowError as error:
+            raise PeerError(f"no question for {IDLE_SECONDS} s") from error
+
     async def _take(
         self, message: AnyReplicaMessage, stream: MessageStream[AnyReplicaMessage]
     ) -> None:
