Red: a change that took longer on its way than the word before it isn't passed on at once

What is known at a follower holds as of when it asked, plus what its question waited at the other side. A change whose question took longer on its way than the one before has the earlier time of the two. It is taken in, and in force here, but those who wait for word from this instance aren't told before their wait is over, or before the next word comes.

--- a/fireflyfork/programs/tests/test_replica_follower.py
+++ b/fireflyfork/programs/tests/test_replica_follower.py
@@ -8,9 +8,15 @@
 
 import trio
 
-from ..._ids import NodeName
+from ..._ids import NodeName, Revision
+from ...adapters import ReplicaQuestion, StoreChange, StoredItem
 from ...platform import OPERATOR_PREFIX
-from .._key_replica import LONGEST_WAIT_SECONDS
+from .._key_replica import (
+    LONGEST_WAIT_SECONDS,
+    SHORTEST_WAIT_SECONDS,
+    KeyReplica,
+    ReplicaAnswers,
+)
 from .._replica_follower import UPSTREAM_REVIEW_SECONDS
 from .builders_replicas import BOUND_SECONDS, Fleet, Follower, Given, node, play
 
@@ -305,3 +311,28 @@
             self._all_hold([member], 8)
 
         play(body)
+
+
+class ReplicaAnswersTest(unittest.TestCase):
+    """What one replica tells, and when."""
+
+    def test_a_change_that_took_longer_on_its_way_is_told_at_once(self) -> None:
+        """Guards against followers that hear of a change late, since it came later than the word before it."""
+        replica = KeyReplica(lambda _: None)
+        replica.note_known(Revision(7), 10.0)
+        answers = ReplicaAnswers(replica, trio.current_time, 100.0)
+
+        async def body(_: Fleet) -> None:
+            async def changed() -> None:
+                await trio.sleep(SHORTEST_WAIT_SECONDS)
+                item = StoredItem("op/config", b"", Revision(8), Revision(3))
+                replica.take_change(StoreChange(item.key, item.revision, item))
+                replica.note_known(Revision(8), 9.99)
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(changed)
+                answer = await answers.answer(ReplicaQuestion(Revision(7), 10.0))
+            self.assertEqual(len(answer.changed), 1)
+            self.assertLess(answer.waited_seconds, LONGEST_WAIT_SECONDS / 2)
+
+        play(body)
