What is newer is told at once, also where it proves less of now

Only a later time for what is known woke those who wait; now a higher revision does as well, and a question from before it is answered at once. The time that is told still never goes back.

--- a/fireflyfork/programs/_key_replica.py
+++ b/fireflyfork/programs/_key_replica.py
@@ -66,9 +66,11 @@
 
     def note_known(self, as_of: Revision, known_at: float) -> None:
         """What was taken in is all up to ``as_of``, and all that was written before ``known_at``."""
+        # A change may have been longer on its way than the word before it: it is newer, and proves less of now.
+        advanced = as_of > self._as_of or known_at > self._known_at
         self._as_of = max(self._as_of, as_of)
-        if known_at > self._known_at:
-            self._known_at = known_at
+        self._known_at = max(self._known_at, known_at)
+        if advanced:
             self._advanced.set()
             self._advanced = trio.Event()
 
@@ -114,7 +116,7 @@
         """See ReplicaSource."""
         asked = self._now()
         replica = self._replica
-        if question.mark is not None and replica.known_at <= question.mark:
+        if self._has_nothing_to_tell(question):
             with trio.move_on_after(self._patience()):
                 await replica.wait_advanced()
         return ReplicaAnswer(
@@ -126,6 +128,11 @@
             replica.changed_after(question.after),
         )
 
+    def _has_nothing_to_tell(self, question: ReplicaQuestion) -> bool:
+        if question.mark is None:
+            return False
+        return self._replica.known_at <= question.mark and self._replica.as_of <= question.after
+
     def _patience(self) -> float:
         """How long a question may wait: whoever asks should hear in time that it has to go elsewhere."""
         until_stale = self._replica.known_at + self._stale_seconds - self._now()
