--- a/fireflyfork/programs/_announced_upstreams.py
+++ b/fireflyfork/programs/_announced_upstreams.py
@@ -19,6 +19,11 @@
         self._announcements = announcements
         self._known: list[Standing] = []
 
+    @property
+    def awaited(self) -> bool:
+        """See Upstreams. Near the store there is nothing better than the store."""
+        return not self._announcements.own.near_store
+
     async def choose(self) -> tuple[ReplicaPlace, ...]:
         """See Upstreams. While the store doesn't answer, those that were announced before."""
         try:
--- a/fireflyfork/programs/_replica_follower.py
+++ b/fireflyfork/programs/_replica_follower.py
@@ -50,10 +50,20 @@
     async def choose(self) -> tuple[ReplicaPlace, ...]:
         """Them, the first choice first; none: the store."""
 
+    @property
+    @abstractmethod
+    def awaited(self) -> bool:
+        """Whether one that is only starting may be told of soon, and is better than the store."""
+
 
 class NoUpstreams(Upstreams):
     """Nobody but the store."""
 
+    @property
+    def awaited(self) -> bool:
+        """See Upstreams."""
+        return False
+
     async def choose(self) -> tuple[ReplicaPlace, ...]:
         """See Upstreams."""
         return ()
--- a/fireflyfork/programs/tests/builders_replicas.py
+++ b/fireflyfork/programs/tests/builders_replicas.py
@@ -59,6 +59,12 @@
         self.numbers = numbers
         self.seconds = 0.0
         """How long it takes to find out, over a full link for example."""
+        self.far_from_store = False
+
+    @property
+    def awaited(self) -> bool:
+        """See Upstreams."""
+        return self.far_from_store
 
     async def choose(self) -> tuple[ReplicaPlace, ...]:
         """See Upstreams."""
--- a/fireflyfork/programs/tests/test_replica_follower.py
+++ b/fireflyfork/programs/tests/test_replica_follower.py
@@ -159,6 +159,38 @@
 
         play(body)
 
+    def test_instances_far_from_the_store_wait_until_others_are_announced(self) -> None:
+        """Guards against a full link after all have lost power: nobody is announced any more when they start."""
+
+        async def body(fleet: Fleet) -> None:
+            fleet.configure(3)
+            upstreams = [Given() for _ in range(MEMBERS)]
+            for one in upstreams:
+                one.far_from_store = True
+            members = [fleet.start(1 + number, one) for number, one in enumerate(upstreams)]
+            fleet.store.trouble.refused |= {one.node for one in members}
+            await trio.sleep(0.6)
+            fleet.start(0, Given())
+            for one in upstreams:
+                one.numbers = (0,)
+            await trio.sleep(2 * SOON_SECONDS)
+            self._all_hold(members, 3)
+
+        play(body)
+
+    def test_an_instance_far_from_the_store_starts_where_nobody_else_does(self) -> None:
+        """Guards against an instance that waits for others for ever."""
+
+        async def body(fleet: Fleet) -> None:
+            fleet.configure(3)
+            alone = Given()
+            alone.far_from_store = True
+            one = fleet.start(1, alone)
+            await trio.sleep(BOUND_SECONDS)
+            self.assertEqual(one.versions, [3])
+
+        play(body)
+
     def test_instances_start_without_a_head_that_is_gone(self) -> None:
         """It is still announced when they start."""
 
