Instances far from the store wait until somebody is announced whom they can follow

After a loss of power of all that outlasts the announcements' leases, each far instance turned to the store for the whole configuration, and all of them filled the link between the regions while the service recovered. One near the store still reads it at once; the others look for its announcement for 1.5 s, then turn to the store as before.

--- a/fireflyfork/programs/_replica_follower.py
+++ b/fireflyfork/programs/_replica_follower.py
@@ -41,6 +41,8 @@
 """For so long an instance that knows nothing waits for its upstreams, which may be starting as well. If all that
 start at once read everything from the store, the link between two regions would be full for seconds."""
 START_RETRY_SECONDS = 0.1
+START_CHOOSE_SECONDS = 0.3
+"""Between looks at who is announced, each of which crosses the link."""
 
 
 class Upstreams(ABC):
@@ -122,12 +124,18 @@
                 await self._follow_any(await self._choose(self._chosen), self._peers)
 
     async def _start(self, peers: ReplicaPeers) -> None:
-        """Hear from another instance first, where there is one."""
+        """Hear from another instance first, where there is one or may soon be one."""
         until = self._now() + START_SECONDS
-        places = self._chosen = await self._upstreams.choose()
-        while places and not self._replica.as_of and self._now() < until:
-            await self._follow_any(places, peers)
-            await trio.sleep(START_RETRY_SECONDS)
+        self._chosen = await self._upstreams.choose()
+        while not self._replica.as_of and self._now() < until:
+            if self._chosen:
+                await self._follow_any(self._chosen, peers)
+                await trio.sleep(START_RETRY_SECONDS)
+            elif self._upstreams.awaited:
+                await trio.sleep(START_CHOOSE_SECONDS)
+                self._chosen = await self._choose(())
+            else:
+                return
 
     async def _choose(self, otherwise: tuple[ReplicaPlace, ...]) -> tuple[ReplicaPlace, ...]:
         """The instances to follow, or ``otherwise`` if they can't be found out soon."""
