A kept place and a copy begin a run by one method

`_keep_promise` and `_place_copies` made a run, took its room and ordered its start with the same three lines. `_begin_run` does it for both; what is decided stays the same. The modules of fireflyfork/decisions/jobs/tests pass: 153 tests.

--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -124,9 +124,7 @@
             self._work.waiting.defer(task)
             return True
         self._work.promises.drop(task)
-        run = Run(task, next_attempt(task), destination, RunPhase.STARTING, now)
-        destination.add(run)
-        self._send(run, now, now_ms)
+        self._begin_run(task, destination, now, now_ms)
         task.waiting = False
         return True
 
@@ -141,9 +139,7 @@
             most = placing.most_cost(task, now_ms)
             executor = choose(task, others, self._work.interference, most)
             if executor is not None:
-                run = Run(task, next_attempt(task), executor, RunPhase.STARTING, now)
-                executor.add(run)
-                self._send(run, now, now_ms)
+                self._begin_run(task, executor, now, now_ms)
 
     def _candidates_for(
         self, task: Task, allowed: list[ExecutorState], placing: _Round, most: float
@@ -206,6 +202,12 @@
                 placing.lasting += task.spec.reserved_cpu_millis
         return bool(runs)
 
+    def _begin_run(self, task: Task, executor: ExecutorState, now: float, now_ms: int) -> None:
+        """Take the room of a task's next run on an executor, and order its start."""
+        run = Run(task, next_attempt(task), executor, RunPhase.STARTING, now)
+        executor.add(run)
+        self._send(run, now, now_ms)
+
     def _send(self, run: Run, now: float, now_ms: int) -> None:
         """Order the start of a run that holds its room."""
         executor, task = run.executor, run.task
