The account of jobs names waits after their reasons

`Cause` of fireflyfork/operations spelt out again the words that `WaitReason` of the decisions puts into the log, and matches lines by them: a reason that was reworded in one place would have counted as a short wait in the account. `WaitReason` moves to the objects of the package, which both may import, and `Cause` takes its words from there; the decisions export it as before. test_job_account, test_decision_log, test_ctl, test_documents and the modules of fireflyfork/decisions/jobs/tests pass: 192 tests.

--- a/fireflyfork/decisions/jobs/__init__.py
+++ b/fireflyfork/decisions/jobs/__init__.py
@@ -1,5 +1,6 @@
 """Jobs of steps of tasks: what the owner of a service decides about them."""
 
+from ..._waits import WaitReason
 from ._change_log import ChangeLog
 from ._commands import AskAdvice, Command, PaceRun, RunCommand, StartRun, StopRun
 from ._executors import ExecutorRegistration, ExecutorRoom, ExecutorState
@@ -39,7 +40,6 @@
 )
 from ._upkeep import WaveView
 from ._upstreams import choose_upstreams
-from ._waits import WaitReason
 from ._waves import MachineListing, MachineState, UpkeepMark, UpkeepOutcome, UpkeepPhase, UpkeepWave
 
 __all__ = [
--- a/fireflyfork/decisions/jobs/_notes.py
+++ b/fireflyfork/decisions/jobs/_notes.py
@@ -5,10 +5,10 @@
 from dataclasses import dataclass
 
 from ..._ids import ExecutorId, JobId, TaskName
+from ..._waits import WaitReason
 from ._overs import RunOver
 from ._progress import JobState
 from ._reports import EndReason
-from ._waits import WaitReason
 
 
 @dataclass(frozen=True, slots=True)
--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 
+from ..._waits import WaitReason
 from ._candidates import LOOKED_AT, Candidates
 from ._commands import AskAdvice, StartRun
 from ._executors import ExecutorState
@@ -15,7 +16,6 @@
 from ._stragglers import other_executors
 from ._tickets import StepId
 from ._waiting_tasks import WaitingStep
-from ._waits import WaitReason
 from ._work import Work
 
 START_VALID_MS = 1_000
--- a/fireflyfork/decisions/jobs/_runs.py
+++ b/fireflyfork/decisions/jobs/_runs.py
@@ -7,12 +7,12 @@
 from typing import TYPE_CHECKING
 
 from ..._ids import AttemptNumber, ExecutorId, TaskName
+from ..._waits import WaitReason
 from ._overs import RunOver
 from ._progress import JobState, StoredProgress, StoredTask
 from ._queues import QueueTerms
 from ._specs import JobSpec, StepSpec, TaskKey
 from ._tickets import StepId
-from ._waits import WaitReason
 
 if TYPE_CHECKING:
     from ._executors import ExecutorState
--- a/fireflyfork/decisions/jobs/_waiting_tasks.py
+++ b/fireflyfork/decisions/jobs/_waiting_tasks.py
@@ -12,9 +12,9 @@
 from dataclasses import dataclass, field
 from itertools import chain, count
 
+from ..._waits import WaitReason
 from ._runs import Task
 from ._urgency import Urgency, urgency
-from ._waits import WaitReason
 
 
 @dataclass(slots=True, eq=False)
--- a/fireflyfork/decisions/jobs/_work.py
+++ b/fireflyfork/decisions/jobs/_work.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ..._ids import AttemptNumber, ExecutorId
+from ..._waits import WaitReason
 from ._commands import Command, StopRun
 from ._executors import ExecutorRegistration, ExecutorState
 from ._gangs import is_free, members
@@ -16,7 +17,6 @@
 from ._runs import Job, Run, RunPhase, Task
 from ._tickets import TicketBook
 from ._waiting_tasks import WaitingTasks
-from ._waits import WaitReason
 
 STRIKES_TO_AVOID = 2
 """One failure in fifty is a task's own; two in a row on one executor are its own once in 2,500."""
--- a/fireflyfork/operations/_job_account.py
+++ b/fireflyfork/operations/_job_account.py
@@ -15,6 +15,7 @@
 import msgspec
 
 from .._job_samples import in_sample, job_of_task
+from .._waits import WaitReason
 from ._log_lines import decoded_lines
 
 PHASE_SECONDS = 5.0
@@ -26,14 +27,13 @@
 
     NO_OWNER = "no owner"
     """Nobody placed tasks: the owner had gone, and its successor was not done reading."""
-    HELD = "held for executors"
-    """An earlier owner may have started it on an executor that has not answered yet."""
-    PROCESSORS = "no processors"
-    MEMORY = "no memory"
-    DISTURBS = "would disturb services"
-    RESERVED = "room kept for short work"
-    BEHIND = "behind more urgent work"
-    OTHER_WAIT = "other limits"
+    HELD = WaitReason.HELD.value
+    PROCESSORS = WaitReason.PROCESSORS.value
+    MEMORY = WaitReason.MEMORY.value
+    DISTURBS = WaitReason.DISTURBS.value
+    RESERVED = WaitReason.RESERVED.value
+    BEHIND = WaitReason.BEHIND.value
+    OTHER_WAIT = WaitReason.OTHER.value
     WAITED = "waited a moment"
     """Found a place at once: what passed is the way of the order."""
     NEVER_PLACED = "never placed"
