The recording of an answer is a relay of it

`RecordingSink` passed an answer on until nobody took it any more with the same lines as `RelaySink`.

--- a/fireflyfork/programs/_recording_sink.py
+++ b/fireflyfork/programs/_recording_sink.py
@@ -2,22 +2,18 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable
-
 import msgpack
 
-from .._errors import PeerError
-from ..adapters import HttpError, ResponseHead
-from ._sinks import AnswerSink
+from ..adapters import ResponseHead
+from ._sinks import AnswerSink, RelaySink
 
 
-class RecordingSink(AnswerSink):
+class RecordingSink(RelaySink):
     """Passes an answer on and keeps a copy of it, also when nobody takes it any more."""
 
     def __init__(self, waiting: AnswerSink, longest: int) -> None:
         """``longest`` is in bytes; of a longer answer nothing is kept."""
-        super().__init__()
-        self._waiting: AnswerSink | None = waiting
+        super().__init__(waiting)
         self._longest = longest
         self._head: ResponseHead | None = None
         self._body = b""
@@ -32,8 +28,7 @@
 
     async def _start(self, head: ResponseHead) -> None:
         self._head = head
-        if self._waiting is not None:
-            await self._pass(self._waiting.start(head))
+        await super()._start(head)
 
     async def _send(self, data: bytes) -> None:
         if len(self._body) + len(data) > self._longest:
@@ -41,15 +36,4 @@
             self._body = b""
         elif not self._too_long:
             self._body += data
-        if self._waiting is not None:
-            await self._pass(self._waiting.send(data))
-
-    async def _end(self) -> None:
-        if self._waiting is not None:
-            await self._pass(self._waiting.end())
-
-    async def _pass(self, taking: Awaitable[None]) -> None:
-        try:
-            await taking
-        except (HttpError, PeerError):
-            self._waiting = None
+        await super()._send(data)
