Policy: a task that is to blame for its failures is refused in one place

Starts of replicas, urgent tasks and batch tasks each made the refusal themselves. `_refusal` does it for all three. test_policy, test_policy_machine and test_pressure pass.

--- a/fireflyfork/decisions/placement/_policy.py
+++ b/fireflyfork/decisions/placement/_policy.py
@@ -234,6 +234,12 @@
             self._headroom.replenish(may_come, view.now)
         yield from self._batch_starts(FairQueue(waiting.batch, quotas), view, quotas)
 
+    def _refusal(self, task: Task) -> Refuse | None:
+        """For a task that failed in so many places that it has to be at fault itself."""
+        if not is_to_blame(task.failed_on, self._health):
+            return None
+        return Refuse(task.task_id, FailedOnManyWorkers(task.failed_on).sentence())
+
     def _replica_starts(
         self, jobs: list[WaitingJob], view: PlacementView
     ) -> Iterator[PlacementCommand]:
@@ -241,8 +247,9 @@
         for task in tasks_of(jobs):
             if misfits >= _MOST_URGENT_MISFITS:
                 return
-            if is_to_blame(task.failed_on, self._health):
-                yield Refuse(task.task_id, FailedOnManyWorkers(task.failed_on).sentence())
+            refusal = self._refusal(task)
+            if refusal is not None:
+                yield refusal
                 continue
             need = self._need(task.shape)
             start = self._replica_start(task, need, view)
@@ -284,8 +291,9 @@
         for task in tasks_of(jobs):
             if misfits >= _MOST_URGENT_MISFITS:
                 return
-            if is_to_blame(task.failed_on, self._health):
-                yield Refuse(task.task_id, FailedOnManyWorkers(task.failed_on).sentence())
+            refusal = self._refusal(task)
+            if refusal is not None:
+                yield refusal
                 continue
             need = self._need_within_quota(task.shape, quotas)
             if not quotas.allows(task.shape.team, need):
@@ -319,9 +327,10 @@
         misfits = self._misfits
         misfits.begin_round(view.now)
         for task in queue.tasks():
-            if is_to_blame(task.failed_on, self._health):
+            refusal = self._refusal(task)
+            if refusal is not None:
                 queue.skip_task()
-                yield Refuse(task.task_id, FailedOnManyWorkers(task.failed_on).sentence())
+                yield refusal
                 continue
             shape = task.shape
             need = self._need_within_quota(shape, quotas)
