The handshake of peers has a module of its own

_peer_connection.py held the calls on a stream and the proof of names at its start, which share no state. The proof moves to _peer_handshake.py, unchanged; what the package exports stays. test_peers and test_request_path pass: 19 tests.

--- a/fireflyfork/adapters/_peer_connection.py
+++ b/fireflyfork/adapters/_peer_connection.py
@@ -2,10 +2,7 @@
 
 from __future__ import annotations
 
-import hmac
 import math
-import secrets
-import socket
 from abc import ABC, abstractmethod
 from collections.abc import AsyncIterator
 
@@ -17,12 +14,10 @@
 from ._peer_messages import (
     AnswerHead,
     Cancel,
-    Challenge,
     Chunk,
     Control,
     Credit,
     Forward,
-    Hello,
     Message,
     MessageDecoder,
     PeerMessage,
@@ -30,17 +25,14 @@
     Pong,
     Refusal,
     ServiceFigures,
-    Welcome,
     encode_message,
 )
 
 WINDOW_BYTES = 256 * 1024
 CHUNK_BYTES = 32 * 1024
-HANDSHAKE_SECONDS = 2.0
 HEARTBEAT_SECONDS = 1.0
 SILENCE_SECONDS = 2.5
-_RECEIVE_BYTES = 65536
-_NONCE_BYTES = 16
+RECEIVE_BYTES = 65536
 
 CallEvent = Chunk | AnswerHead | Refusal
 
@@ -269,7 +261,7 @@
     async def _read(self, nursery: trio.Nursery) -> None:
         decoder = MessageDecoder()
         try:
-            while data := await self._stream.receive_some(_RECEIVE_BYTES):
+            while data := await self._stream.receive_some(RECEIVE_BYTES):
                 self._heard = trio.current_time()
                 for message in decoder.feed(data):
                     self._take(message, nursery)
@@ -338,73 +330,6 @@
         scope.cancel()
 
 
-async def connect_peer(
-    stream: trio.SocketStream, own: MemberId, peer: MemberId, key: bytes, handler: PeerHandler
-) -> PeerConnection:
-    """Prove both names over a connected stream to ``peer``. Raises PeerError."""
-    messages = _HandshakeMessages(stream)
-    challenge = await messages.receive()
-    if not isinstance(challenge, Challenge) or challenge.member != peer:
-        raise PeerError(f"the process there is not {peer}")
-    nonce = secrets.token_bytes(_NONCE_BYTES)
-    digest = _digest(key, b"hello", challenge.nonce, own, peer)
-    await messages.send(Hello(own, digest, nonce))
-    welcome = await messages.receive()
-    expected = _digest(key, b"welcome", nonce, peer, own)
-    if not isinstance(welcome, Welcome) or not hmac.compare_digest(welcome.digest, expected):
-        raise PeerError(f"{peer} does not know the peer key")
-    return PeerConnection(stream, peer, handler, initiator=True)
-
-
-async def accept_peer(
-    stream: trio.SocketStream, own: MemberId, key: bytes, handler: PeerHandler
-) -> PeerConnection:
-    """Prove both names over an accepted stream. Raises PeerError."""
-    messages = _HandshakeMessages(stream)
-    nonce = secrets.token_bytes(_NONCE_BYTES)
-    await messages.send(Challenge(own, nonce))
-    hello = await messages.receive()
-    if not isinstance(hello, Hello):
-        raise PeerError("no hello")
-    expected = _digest(key, b"hello", nonce, hello.member, own)
-    if not hmac.compare_digest(hello.digest, expected):
-        raise PeerError(f"{hello.member!r} does not know the peer key")
-    await messages.send(Welcome(_digest(key, b"welcome", hello.nonce, own, hello.member)))
-    return PeerConnection(stream, MemberId(hello.member), handler, initiator=False)
-
-
-class _HandshakeMessages:
-    """Single messages on a stream, each within the time of the whole handshake."""
-
-    def __init__(self, stream: trio.SocketStream) -> None:
-        self._stream = stream
-        self._decoder = MessageDecoder()
-        self._deadline = trio.current_time() + HANDSHAKE_SECONDS
-        stream.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-
-    async def send(self, message: Message) -> None:
-        try:
-            with trio.fail_at(self._deadline):
-                await self._stream.send_all(encode_message(message))
-        except (trio.BrokenResourceError, trio.ClosedResourceError, trio.TooSlowError) as error:
-            raise PeerError(f"handshake: {error!r}") from error
-
-    async def receive(self) -> PeerMessage:
-        try:
-            with trio.fail_at(self._deadline):
-                while data := await self._stream.receive_some(_RECEIVE_BYTES):
-                    for message in self._decoder.feed(data):
-                        return message
-        except (trio.BrokenResourceError, trio.ClosedResourceError, trio.TooSlowError) as error:
-            raise PeerError(f"handshake: {error!r}") from error
-        raise PeerError("handshake: the stream ended")
-
-
 def refused(refusal: Refusal) -> RequestError:
     """The error that a refusal stands for."""
     return RequestError(refusal.status, refusal.reason, refusal.verdict, refusal.retry_after)
-
-
-def _digest(key: bytes, purpose: bytes, nonce: bytes, sender: str, receiver: str) -> bytes:
-    content = b"\0".join((purpose, nonce, sender.encode(), receiver.encode()))
-    return hmac.digest(key, content, "sha256")
--- a/fireflyfork/adapters/_peers.py
+++ b/fireflyfork/adapters/_peers.py
@@ -10,13 +10,8 @@
 from .._ids import MemberId
 from .._links import Address
 from ..decisions import ConnectionChoice, ConnectionPool, ConnectionTerms
-from ._peer_connection import (
-    HANDSHAKE_SECONDS,
-    PeerConnection,
-    PeerHandler,
-    accept_peer,
-    connect_peer,
-)
+from ._peer_connection import PeerConnection, PeerHandler
+from ._peer_handshake import HANDSHAKE_SECONDS, accept_peer, connect_peer
 
 CONNECT_SECONDS = 2.0
 
