A partition's state and its check of commands have modules of their own

_partition.py held what a partition knows, the steps that change it, and the check of a policy's commands against capacity and quota.

--- a/fireflyfork/decisions/__init__.py
+++ b/fireflyfork/decisions/__init__.py
@@ -108,12 +108,6 @@
     zone_mates,
 )
 from ._partition import (
-    Partition,
-    PlanningRules,
-    Refusal,
-    Step,
-    Submission,
-    WholeReport,
     cancel,
     evict,
     keep_replicas,
@@ -127,6 +121,14 @@
     take_time,
     to_stop,
 )
+from ._partition_state import (
+    Partition,
+    PlanningRules,
+    Refusal,
+    Step,
+    Submission,
+    WholeReport,
+)
 from ._placement_policy import (
     AttemptEnded,
     AttemptStarted,
--- a/fireflyfork/decisions/_partition.py
+++ b/fireflyfork/decisions/_partition.py
@@ -7,16 +7,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator, Mapping
-from dataclasses import dataclass, field, replace
+from collections.abc import Iterable, Iterator
+from dataclasses import replace
 
-from .._contracts import ServiceContract, TeamContract, Weights
-from .._ids import JobId, RegionName, ServiceName, TaskId, TeamName, WorkerId
-from .._machines import Resources, Worker
+from .._ids import JobId, TaskId
 from ._attempts import (
     AttemptKey,
-    LeaseRules,
-    LeaseState,
     StaleRun,
     fence,
     forget_ended,
@@ -27,19 +23,16 @@
     lapsed,
     latest_reports,
 )
+from ._command_checks import CommandChecker
+from ._partition_state import Partition, Refusal, Step, Submission, WholeReport
 from ._placement_policy import (
     AttemptEnded,
     AttemptStarted,
     CheckpointAndEvict,
-    FirstFitPolicy,
-    PlacementCommand,
     PlacementPolicy,
     PlacementView,
-    Refuse,
     RunSample,
     SamplesTaken,
-    Start,
-    Throttle,
 )
 from ._replicas import replica_changes
 from ._runs import RunReport, RunState, StartOrder
@@ -55,10 +48,9 @@
     TableChange,
     TaskGivenUp,
     ThrottleOrdered,
-    to_triple,
 )
-from ._task_table import TaskTable, attempt_after
-from ._tasks import NO_RESOURCES, Job, Task, TaskShape, TaskState
+from ._task_table import TaskTable
+from ._tasks import Job, Task, TaskState
 
 MOST_TASKS_OF_A_JOB = 50_000
 DISTINCT_WORKERS_TO_GIVE_UP = 3
@@ -67,93 +59,6 @@
 """A task that failed so often, wherever it was, is given up."""
 
 
-@dataclass(frozen=True, slots=True)
-class PlanningRules:
-    """The limits of one partition."""
-
-    leases: LeaseRules = field(default_factory=LeaseRules)
-    most_open_tasks: int = 100_000
-    """A job that would exceed it is refused for now."""
-    most_starts: int = 500
-    """Starts in one round of placement."""
-    start_retry_seconds: float = 5.0
-    """A start that nothing was heard of is sent again after so long."""
-    keep_ended_seconds: float = 86_400.0
-    """A job that ended is forgotten after so long."""
-
-
-@dataclass(frozen=True, slots=True)
-class Submission:
-    """A job as it is submitted."""
-
-    job_id: JobId
-    shape: TaskShape
-    tasks: int
-
-
-@dataclass(frozen=True, slots=True)
-class Refusal:
-    """Why a job was not accepted."""
-
-    reason: str
-    permanent: bool
-    """Whether the same job would be refused later, too."""
-
-
-@dataclass(frozen=True, slots=True)
-class Partition:
-    """The state of one partition at its owner."""
-
-    table: TaskTable
-    leases: LeaseState
-    policy: PlacementPolicy = field(default_factory=FirstFitPolicy)
-    workers: Mapping[WorkerId, Worker] = field(default_factory=dict)
-    teams: Mapping[TeamName, TeamContract] = field(default_factory=dict)
-    services: Mapping[ServiceName, ServiceContract] = field(default_factory=dict)
-    weights: Weights = field(default_factory=Weights)
-    rules: PlanningRules = field(default_factory=PlanningRules)
-    ready: Mapping[AttemptKey, float] = field(default_factory=dict)
-    """Starts with a stored intent that the platform has not confirmed, and when to send each."""
-    dropped_commands: int = 0
-    """Commands of the policy that no longer held when the table checked them."""
-
-    @classmethod
-    def at_takeover(
-        cls, table: TaskTable, policy: PlacementPolicy, now: float, rules: PlanningRules
-    ) -> Partition:
-        """The state right after recovery: every stored attempt may be running."""
-        for task in table.holding():
-            policy = policy.observe(AttemptStarted(now, task))
-        ready = {
-            (task.task_id, task.attempt): now
-            for task in table.holding()
-            if task.state is TaskState.STARTING
-        }
-        return cls(table, LeaseState.at_takeover(now), policy, rules=rules, ready=ready)
-
-
-@dataclass(frozen=True, slots=True)
-class WholeReport:
-    """That a report covers everything that changed in a region."""
-
-    region: RegionName
-    asked: float
-    """When it was asked for, in seconds since 1970."""
-
-
-@dataclass(frozen=True, slots=True)
-class Step:
-    """The next state, and what led to it."""
-
-    partition: Partition
-    changes: tuple[DurableChange, ...] = ()
-    """To be stored, in order, after those of earlier steps."""
-    stale: tuple[StaleRun, ...] = ()
-    """Attempts to stop at once."""
-    throttles: tuple[ThrottleOrdered, ...] = ()
-    """Limits to set at once."""
-
-
 def submit(partition: Partition, submission: Submission, now: float) -> Step | Refusal:
     """Accept a job, or say why not. Repeating an accepted job changes nothing."""
     known = partition.table.jobs.get(submission.job_id)
@@ -182,7 +87,7 @@
 def evict(partition: Partition, task_ids: Iterable[TaskId], reason: str, now: float) -> Step:
     """Checkpoint and evict running tasks on an operator's word; others are left alone."""
     commands = tuple(CheckpointAndEvict(task_id, reason) for task_id in task_ids)
-    return _applied(partition, _CommandChecker(partition, now).changes(commands))
+    return _applied(partition, CommandChecker(partition, now).changes(commands))
 
 
 def take_report(
@@ -223,7 +128,7 @@
 def place(partition: Partition, now: float) -> Step:
     """Ask the policy what to do, and do of it what still holds."""
     view = placement_view(partition, now)
-    checker = _CommandChecker(partition, now)
+    checker = CommandChecker(partition, now)
     changes = list(checker.changes(partition.policy.decide(view)))
     step = _applied(partition, changes)
     dropped = partition.dropped_commands + checker.dropped
@@ -400,90 +305,3 @@
                 ended = AttemptEnded(change.time, task, change.outcome, change.reason)
                 policy = policy.observe(ended)
     return policy
-
-
-class _CommandChecker:
-    """Turns commands into changes and drops those that would break a promise.
-
-    The policy is the part that changes most often. If capacity and quota were its word alone, one
-    mistake in it would overload a worker; here the sums are checked against every command.
-    """
-
-    def __init__(self, partition: Partition, now: float) -> None:
-        self._partition = partition
-        self._now = now
-        self._reserved: dict[WorkerId, Resources] = {}
-        self._team_reserved: dict[TeamName, Resources] = {}
-        self._touched: set[TaskId] = set()
-        self._starts = 0
-        self.dropped = 0
-
-    def changes(self, commands: Iterable[PlacementCommand]) -> Iterator[TableChange]:
-        """The changes that the commands amount to."""
-        for command in commands:
-            change = self._change(command)
-            if change is None:
-                self.dropped += 1
-            else:
-                self._touched.add(command.task_id)
-                yield change
-
-    def _change(self, command: PlacementCommand) -> TableChange | None:
-        task = self._partition.table.tasks.get(command.task_id)
-        if task is None or command.task_id in self._touched:
-            return None
-        if isinstance(command, Start):
-            return self._start(command, task)
-        if isinstance(command, Refuse):
-            return self._refuse(command, task)
-        if task.state is not TaskState.RUNNING:
-            return None
-        if isinstance(command, Throttle):
-            return ThrottleOrdered(task.task_id, task.attempt, command.millicores, command.reason)
-        return self._evict(command, task)
-
-    def _start(self, command: Start, task: Task) -> StartIntended | None:
-        worker = self._partition.workers.get(command.worker_id)
-        if (
-            worker is None
-            or task.holds_reservation
-            or self._starts >= self._partition.rules.most_starts
-        ):
-            return None
-        size = command.reservation
-        if not NO_RESOURCES.fits_in(size):
-            return None
-        table = self._partition.table
-        before = table.reserved.get(worker.worker_id, NO_RESOURCES)
-        on_worker = self._reserved.get(worker.worker_id, before) + size
-        team = task.shape.team
-        team_before = table.team_reserved.get(team, NO_RESOURCES)
-        of_team = self._team_reserved.get(team, team_before)
-        if task.shape.service is None:
-            of_team = of_team + size
-        contract = self._partition.teams.get(team)
-        if contract is None or not on_worker.fits_in(worker.capacity):
-            return None
-        if task.shape.service is None and not of_team.fits_in(contract.quota):
-            return None
-        self._reserved[worker.worker_id] = on_worker
-        self._team_reserved[team] = of_team
-        self._starts += 1
-        return StartIntended(
-            task.number,
-            task.index,
-            attempt_after(task),
-            worker.worker_id,
-            self._now,
-            None if size == task.shape.resources else to_triple(size),
-        )
-
-    def _refuse(self, command: Refuse, task: Task) -> TaskGivenUp | None:
-        if task.holds_reservation:
-            return None
-        return TaskGivenUp(task.number, task.index, self._now, command.reason)
-
-    def _evict(self, command: CheckpointAndEvict, task: Task) -> StateObserved:
-        return StateObserved(
-            task.task_id, task.attempt, TaskState.EVICTING, self._now, reason=command.reason
-        )
