The planner's share of workers and quotas is worked out by its plan

`PartitionRunner` carried the arithmetic of shares beside its loops. It needs only the number and count of the plan, which now answers: `has` and `configured`.

--- a/fireflyfork/programs/_partition_plan.py
+++ b/fireflyfork/programs/_partition_plan.py
@@ -4,13 +4,16 @@
 
 import time
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import trio
+import xxhash
 
+from .._contracts import Configuration, TeamContract
 from .._errors import FireflyforkError
 from .._ids import PartitionId, RegionName
-from ..decisions import PlacementPolicy, PlanningRules
+from .._machines import Resources, Worker
+from ..decisions import Partition, PlacementPolicy, PlanningRules
 
 
 class NotReadyError(FireflyforkError):
@@ -54,6 +57,31 @@
     rules: PlanningRules = field(default_factory=PlanningRules)
     pace: PlannerPace = field(default_factory=PlannerPace)
 
+    def has(self, worker: Worker) -> bool:
+        """Whether a worker belongs to this share."""
+        place = xxhash.xxh64_intdigest(worker.worker_id.encode()) % self.count
+        return place == self.number
+
+    def configured(self, state: Partition, configuration: Configuration) -> Partition:
+        """A partition's state with a configuration in force."""
+        return replace(
+            state,
+            teams={team.name: self._share_of(team) for team in configuration.teams},
+            services={service.name: service for service in configuration.services},
+            weights=configuration.weights,
+        )
+
+    def _share_of(self, team: TeamContract) -> TeamContract:
+        # Each partition counts only what it reserves itself. If each allowed a team its whole
+        # quota, the team would get it as often as there are partitions.
+        quota = team.quota
+        share = Resources(
+            quota.millicores // self.count,
+            quota.memory // self.count,
+            quota.accelerators // self.count,
+        )
+        return replace(team, quota=share)
+
 
 class PlannerClock:
     """Seconds since 1970 that never jump: the wall clock at the start plus the loop's own clock."""
--- a/fireflyfork/programs/_planner_partition.py
+++ b/fireflyfork/programs/_planner_partition.py
@@ -7,13 +7,11 @@
 from functools import partial
 
 import trio
-import xxhash
 from loguru import logger
 
-from .._contracts import Configuration, TeamContract
+from .._contracts import Configuration
 from .._errors import PlatformError, StoreUnavailableError
 from .._ids import AttemptNumber, JobId, RegionName, TaskId
-from .._machines import Resources, Worker
 from ..adapters import RunReport, StartOrder, Store, WorkerPlatform
 from ..decisions import (
     DurableChange,
@@ -132,7 +130,7 @@
         """Put a configuration in force: teams with their quotas, services and weights."""
         self._configuration = configuration
         if self._state is not None:
-            self._state = self._configured(self._state)
+            self._state = self._plan.configured(self._state, configuration)
 
     def stop(self) -> None:
         """Begin nothing new; ``run`` returns when everything so far is stored."""
@@ -169,31 +167,6 @@
             raise NotReadyError(f"{self._plan.partition} is being taken over; ask again")
         return self._state
 
-    def _configured(self, state: Partition) -> Partition:
-        configuration = self._configuration
-        if configuration is None:
-            return state
-        return replace(
-            state,
-            teams={team.name: self._share_of(team) for team in configuration.teams},
-            services={service.name: service for service in configuration.services},
-            weights=configuration.weights,
-        )
-
-    def _share_of(self, team: TeamContract) -> TeamContract:
-        # Each partition counts only what it reserves itself. If each allowed a team its whole
-        # quota, the team would get it as often as there are partitions.
-        count = self._plan.count
-        quota = team.quota
-        share = Resources(
-            quota.millicores // count, quota.memory // count, quota.accelerators // count
-        )
-        return replace(team, quota=share)
-
-    def _has(self, worker: Worker) -> bool:
-        place = xxhash.xxh64_intdigest(worker.worker_id.encode()) % self._plan.count
-        return place == self._plan.number
-
     def _loops(self) -> Iterable[Callable[[], Awaitable[None]]]:
         yield self._tick_loop
         yield self._start_loop
@@ -222,7 +195,9 @@
                 await trio.sleep(_RETRY_SECONDS)
         policy = self._plan.new_policy()
         state = Partition.at_takeover(table, policy, self._clock.now(), self._plan.rules)
-        self._state = self._configured(state)
+        if self._configuration is not None:
+            state = self._plan.configured(state, self._configuration)
+        self._state = state
         logger.info(
             "partition {} taken over with {} open tasks", self._plan.partition, len(table.tasks)
         )
@@ -400,7 +375,7 @@
                     worker
                     for region in self._plan.regions
                     for worker in await self._platform.workers(region)
-                    if self._has(worker)
+                    if self._plan.has(worker)
                 ]
             except PlatformError as error:
                 logger.warning("list of workers: {}", error)
