Changes that wait for the store have a class of their own

`PartitionRunner` counted appended and stored changes and terms beside its loops, to tell submitters when their job is durable. `UnstoredChanges` numbers the changes of one term; a new term has a new one, which takes the place of the count of terms.

--- a/fireflyfork/programs/_planner_partition.py
+++ b/fireflyfork/programs/_planner_partition.py
@@ -14,7 +14,6 @@
 from .._ids import AttemptNumber, JobId, RegionName, TaskId
 from ..adapters import RunReport, StartOrder, Store, WorkerPlatform
 from ..decisions import (
-    DurableChange,
     Partition,
     Refusal,
     StaleRun,
@@ -46,6 +45,7 @@
 )
 from ._planner_journal import PartitionJournal, PartitionLostError
 from ._planner_rights import PartitionRights
+from ._unstored_changes import UnstoredChanges
 
 _MOST_CHANGES_IN_A_COMMIT = 4000
 _MOST_UNSTORED_CHANGES = 8000
@@ -76,17 +76,13 @@
         self._configuration: Configuration | None = None
         self._journal = PartitionJournal(store, plan.partition)
         self._state: Partition | None = None
-        self._unstored: list[DurableChange] = []
-        self._appended = 0
-        self._stored = 0
-        self._progressed = trio.Event()
+        self._unstored = UnstoredChanges()
         self._has_changes = trio.Event()
         self._has_starts = trio.Event()
         self._throttles: dict[TaskId, ThrottleOrdered] = {}
         self._stopping = False
         self._overfull = False
         """Whether a snapshot no longer fits into one value of the store."""
-        self._term = 0
 
     @property
     def metrics(self) -> Metrics:
@@ -110,9 +106,7 @@
 
     async def run(self) -> None:
         """Own the partition until another planner takes it or ``stop`` was called."""
-        self._term += 1
-        self._unstored.clear()
-        self._appended = self._stored
+        self._unstored = UnstoredChanges()
         try:
             await self._recover()
             async with trio.open_nursery() as nursery:
@@ -124,7 +118,7 @@
             logger.warning("partition lost: {}", lost.exceptions[0])
         finally:
             self._state = None
-            self._wake_waiters()
+            self._unstored.wake_waiters()
 
     def configure(self, configuration: Configuration) -> None:
         """Put a configuration in force: teams with their quotas, services and weights."""
@@ -203,27 +197,22 @@
         )
 
     def _take(self, step: Step) -> int:
-        """Adopt a step; returns the count that ``_stored`` reaches when its changes are durable."""
+        """Adopt a step; returns the number of the last change that it rests on."""
         self._state = step.partition
         if step.changes:
-            self._unstored.extend(step.changes)
-            self._appended += len(step.changes)
+            self._unstored.append(step.changes)
             self._has_changes.set()
-        return self._appended
+        return self._unstored.last
 
-    async def _durable(self, count: int) -> None:
-        """Wait until so many changes are stored. Raises OutcomeUnknownError."""
-        term = self._term
-        while self._stored < count:
-            # After a loss and another takeover the count goes on with other changes. Waiting for
+    async def _durable(self, number: int) -> None:
+        """Wait until changes up to this one are stored. Raises OutcomeUnknownError."""
+        unstored = self._unstored
+        while unstored.stored < number:
+            # After a loss and another takeover the numbers are those of other changes. Waiting for
             # those would tell a submitter that a job is stored which nobody ever stored.
-            if self._state is None or self._term != term:
+            if self._state is None or self._unstored is not unstored:
                 raise OutcomeUnknownError(f"{self._plan.partition} was lost meanwhile")
-            await self._progressed.wait()
-
-    def _wake_waiters(self) -> None:
-        self._progressed.set()
-        self._progressed = trio.Event()
+            await unstored.progressed()
 
     async def _commit_loop(self) -> None:
         while not (self._stopping and not self._unstored):
@@ -237,8 +226,7 @@
                 await trio.sleep(self._plan.pace.commit)
 
     async def _commit(self) -> None:
-        changes = tuple(self._unstored[:_MOST_CHANGES_IN_A_COMMIT])
-        del self._unstored[: len(changes)]
+        changes = self._unstored.take(_MOST_CHANGES_IN_A_COMMIT)
         sequence = self._journal.position.sequence + 1
         snapshot = None
         if not self._unstored and self._state and self._journal.position.snapshot_due:
@@ -246,10 +234,9 @@
             snapshot = self._journal.encode_snapshot(self._state.table, sequence)
             self._overfull = snapshot is None
         await self._journal.commit(changes)
-        self._stored += len(changes)
         if self._state is not None:
             self._state = stored(self._state, changes, self._clock.now())
-        self._wake_waiters()
+        self._unstored.note_stored(len(changes))
         self._has_starts.set()
         if snapshot is not None:
             await self._journal.snapshot(*snapshot, sequence)
