Guards and offers of the fleet's record have modules of their own

_membership.py held a member's calls to the store, what it takes from the record, its questions and answers to guards, and whom it passes the record on to. The last two go to _membership_guards.py and _membership_offers.py; `step` stays. bench/ownership_search.py weakens one rule by patching `_writes`, which it now finds in _membership_guards.py.

--- a/bench/ownership_search.py
+++ b/bench/ownership_search.py
@@ -29,7 +29,7 @@
     RightRules,
 )
 from fireflyfork.decisions import _fleet_changes as changes
-from fireflyfork.decisions import _membership as machine
+from fireflyfork.decisions import _membership_guards as guards
 from fireflyfork.decisions.tests.builders_ownership import (
     NAIDU_PLACES,
     FleetSimulation,
@@ -102,12 +102,12 @@
 @contextmanager
 def _old_guard_counts() -> Iterator[None]:
     """A member still counts its old guard's word while it replaces it."""
-    writes = machine._writes
+    writes = guards._writes
 
     def forgetful(state: MembershipState, kind: ChangeKind) -> bool:
         return kind is not ChangeKind.CHANGE_GUARD and writes(state, kind)
 
-    with mock.patch.object(machine, "_writes", forgetful):
+    with mock.patch.object(guards, "_writes", forgetful):
         yield
 
 
--- a/fireflyfork/decisions/_membership.py
+++ b/fireflyfork/decisions/_membership.py
@@ -10,12 +10,11 @@
 
 import xxhash
 
-from .._ids import MemberId, Revision
+from .._ids import Revision
 from . import _fleet_changes as changes
 from ._fleet import FleetRecord
 from ._membership_events import (
     AnswerAsker,
-    AskGuard,
     ChangeKind,
     CollectOccupied,
     Commands,
@@ -25,7 +24,6 @@
     LeaveRequested,
     MemberGone,
     OccupiedCollected,
-    OfferRecord,
     ReadFailed,
     ReadRecord,
     RecordHeard,
@@ -35,22 +33,20 @@
     WriteOutcome,
     WriteRecord,
 )
+from ._membership_guards import ask_if_due, compare_if_due, guard_answered, guard_asked
+from ._membership_offers import offer_if_behind, offer_to_region
 from ._membership_state import (
     NEVER,
     OUTSIDE,
     MemberPhase,
     MembershipState,
-    OpenQuestion,
     PendingWrite,
     Wanted,
-    holds_right,
+    prove,
 )
 from ._membership_wants import changed_record, wanted_change
 from ._rights import GuardAnswer
 
-_MOST_QUESTIONS = 12
-"""Questions that are kept open; with the usual timing those of the last 4 s."""
-
 
 def step(state: MembershipState, event: Event, now: float) -> tuple[MembershipState, Commands]:
     """One event."""
@@ -66,9 +62,9 @@
         case RecordHeard():
             return _adopt(state, event.record, event.revision, now), ()
         case GuardAsked():
-            return _guard_asked(state, event, now)
+            return guard_asked(state, event, now)
         case GuardAnswered():
-            return _guard_answered(state, event, now)
+            return guard_answered(state, event, now)
         case WriteEnded():
             return _write_ended(state, event, now)
         case OccupiedCollected():
@@ -83,7 +79,7 @@
     """No member any more: it only tells askers so, with the record that says it."""
     if isinstance(event, GuardAsked):
         answer = AnswerAsker(event.asker, event.nonce, GuardAnswer(False), state.revision)
-        return state, (answer, *_offer_if_behind(state, event.asker, event.revision))
+        return state, (answer, *offer_if_behind(state, event.asker, event.revision))
     if isinstance(event, RecordHeard) and event.revision > state.revision:
         return replace(state, record=event.record, revision=event.revision), ()
     return state, ()
@@ -99,8 +95,8 @@
 
 def _tick(state: MembershipState, now: float) -> tuple[MembershipState, Commands]:
     state = _forgive_after_pause(state, now)
-    state, asked = _ask_if_due(state, now)
-    state, compared = _compare_if_due(state, now)
+    state, asked = ask_if_due(state, now)
+    state, compared = compare_if_due(state, now)
     state, planned = _plan(state, now)
     return state, asked + compared + planned
 
@@ -117,40 +113,6 @@
     return replace(state, heard=dict.fromkeys(state.heard, now), guard_good_at=now)
 
 
-def _ask_if_due(state: MembershipState, now: float) -> tuple[MembershipState, Commands]:
-    guard = state.record.guard_of(state.me.member_id)
-    if guard is None or now < state.next_ask_at:
-        return state, ()
-    return _ask(replace(state, next_ask_at=now + state.timing.ask_seconds), guard, now)
-
-
-def _compare_if_due(state: MembershipState, now: float) -> tuple[MembershipState, Commands]:
-    """Compare revisions with one other member after the other, by the same question.
-
-    Watches go silent for good without an error, and those who knew the news die. Then members that
-    guard each other would keep their right and never hear of partitions that were moved to them.
-    """
-    if now < state.next_compare_at:
-        return state, ()
-    state = replace(state, next_compare_at=now + state.timing.compare_seconds)
-    own = state.me.member_id
-    others = [name for name in sorted(state.record.members) if name != own]
-    if own not in state.record.members or not others:
-        return state, ()
-    pick = xxhash.xxh32_intdigest(f"{own}/{state.next_nonce}".encode())
-    return _ask(state, others[pick % len(others)], now)
-
-
-def _ask(state: MembershipState, peer: MemberId, now: float) -> tuple[MembershipState, Commands]:
-    question = OpenQuestion(state.next_nonce, peer, now)
-    asked = replace(
-        state,
-        questions=(*state.questions, question)[-_MOST_QUESTIONS:],
-        next_nonce=state.next_nonce + 1,
-    )
-    return asked, (AskGuard(peer, question.nonce, state.revision),)
-
-
 def _plan(state: MembershipState, now: float) -> tuple[MembershipState, Commands]:
     """At most one call to the store at a time; none while all is well and the guard answers."""
     waiting = state.reading_since is not None or now < state.store_retry_at
@@ -216,8 +178,8 @@
     if event.outcome is WriteOutcome.WON:
         state = replace(state, write=None, store_failures=0, store_retry_at=NEVER)
         state = _adopt(state, write.record, event.revision, now)
-        state = _prove(state, state.rules.dated(write.sent_at, now))
-        return state, _offer_to_region(state)
+        state = prove(state, state.rules.dated(write.sent_at, now))
+        return state, offer_to_region(state)
     # A lost repetition may have lost to its own first try, so the record decides in every case.
     unknown = write.was_unknown or event.outcome is WriteOutcome.UNKNOWN
     state = replace(state, write=replace(write, in_flight=False, was_unknown=unknown))
@@ -251,7 +213,7 @@
     if event.record is not None:
         state = _adopt(state, event.record, event.revision, now)
     if event.revision >= state.revision and state.me.member_id in state.record.members:
-        state = _prove(state, state.rules.dated(sent_at, now))
+        state = prove(state, state.rules.dated(sent_at, now))
     write = state.write
     if write is None or write.in_flight:
         return _plan(state, now)
@@ -277,10 +239,6 @@
     )
 
 
-def _prove(state: MembershipState, dated: float) -> MembershipState:
-    return replace(state, right_dated=max(state.right_dated, dated))
-
-
 # The record
 
 
@@ -339,87 +297,3 @@
         write=None,
         collecting=None,
     )
-
-
-# Guards
-
-
-def _guard_asked(
-    state: MembershipState, event: GuardAsked, now: float
-) -> tuple[MembershipState, Commands]:
-    asker = event.asker
-    if asker in state.heard:
-        state = replace(state, heard={**state.heard, asker: now})
-    answer = AnswerAsker(asker, event.nonce, _answer(state, asker, now), state.revision)
-    return state, (answer, *_offer_if_behind(state, asker, event.revision))
-
-
-def _answer(state: MembershipState, asker: MemberId, now: float) -> GuardAnswer:
-    name = state.me.member_id
-    if state.phase is MemberPhase.JOINING or state.record.guard_of(asker) != name:
-        return GuardAnswer(False)
-    if _may_be_fencing(state, asker) or _writes(state, ChangeKind.LEAVE):
-        return GuardAnswer(False)
-    own_guard = None if _writes(state, ChangeKind.CHANGE_GUARD) else state.me.guard
-    return state.rules.answer(holds_right(state, now), own_guard, asker)
-
-
-def _may_be_fencing(state: MembershipState, member_id: MemberId) -> bool:
-    write = state.write
-    return write is not None and write.kind is ChangeKind.FENCE and write.subject == member_id
-
-
-def _writes(state: MembershipState, kind: ChangeKind) -> bool:
-    return state.write is not None and state.write.kind is kind
-
-
-def _guard_answered(
-    state: MembershipState, event: GuardAnswered, now: float
-) -> tuple[MembershipState, Commands]:
-    question = next((open_ for open_ in state.questions if open_.nonce == event.nonce), None)
-    if question is None:
-        return state, ()
-    others = tuple(open_ for open_ in state.questions if open_.nonce != event.nonce)
-    state = replace(state, questions=others)
-    offers = _offer_if_behind(state, question.peer, event.revision)
-    if not _counts(state, question.peer, event.answer):
-        return state, offers
-    state = _prove(state, state.rules.dated(question.sent_at, now))
-    return replace(state, guard_good_at=now, guard_changes=0), offers
-
-
-def _counts(state: MembershipState, guard: MemberId, answer: GuardAnswer) -> bool:
-    """Whether an answer proves the right.
-
-    Not while this member replaces its guard: the new one may already be there and fencing it, and
-    the old one does not know.
-    """
-    name = state.me.member_id
-    if state.record.guard_of(name) != guard or _writes(state, ChangeKind.CHANGE_GUARD):
-        return False
-    if answer.acknowledged:
-        return True
-    unfenced_by_me = state.record.guard_of(guard) == name and not _may_be_fencing(state, guard)
-    return answer.if_you_guard_me and unfenced_by_me
-
-
-# Spreading the record
-
-
-def _offer_if_behind(state: MembershipState, peer: MemberId, revision: Revision) -> Commands:
-    if revision >= state.revision:
-        return ()
-    return (OfferRecord((peer,), state.record, state.revision),)
-
-
-def _offer_to_region(state: MembershipState) -> Commands:
-    """Whoever changed the record tells its region at once; other regions' watches tell theirs."""
-    region = state.me.zone.region
-    peers = tuple(
-        name
-        for name, member in state.record.members.items()
-        if member.zone.region == region and name != state.me.member_id
-    )
-    if not peers:
-        return ()
-    return (OfferRecord(peers, state.record, state.revision),)
--- /dev/null
+++ b/fireflyfork/decisions/_membership_guards.py
@@ -0,0 +1,119 @@
+"""What a member and its guard ask each other, and what their answers prove."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+import xxhash
+
+from .._ids import MemberId
+from ._membership_events import (
+    AnswerAsker,
+    AskGuard,
+    ChangeKind,
+    Commands,
+    GuardAnswered,
+    GuardAsked,
+)
+from ._membership_offers import offer_if_behind
+from ._membership_state import MemberPhase, MembershipState, OpenQuestion, holds_right, prove
+from ._rights import GuardAnswer
+
+_MOST_QUESTIONS = 12
+"""Questions that are kept open; with the usual timing those of the last 4 s."""
+
+
+def ask_if_due(state: MembershipState, now: float) -> tuple[MembershipState, Commands]:
+    """Ask the guard now and then; its answers prove the right."""
+    guard = state.record.guard_of(state.me.member_id)
+    if guard is None or now < state.next_ask_at:
+        return state, ()
+    return _ask(replace(state, next_ask_at=now + state.timing.ask_seconds), guard, now)
+
+
+def compare_if_due(state: MembershipState, now: float) -> tuple[MembershipState, Commands]:
+    """Compare revisions with one other member after the other, by the same question.
+
+    Watches go silent for good without an error, and those who knew the news die. Then members that
+    guard each other would keep their right and never hear of partitions that were moved to them.
+    """
+    if now < state.next_compare_at:
+        return state, ()
+    state = replace(state, next_compare_at=now + state.timing.compare_seconds)
+    own = state.me.member_id
+    others = [name for name in sorted(state.record.members) if name != own]
+    if own not in state.record.members or not others:
+        return state, ()
+    pick = xxhash.xxh32_intdigest(f"{own}/{state.next_nonce}".encode())
+    return _ask(state, others[pick % len(others)], now)
+
+
+def _ask(state: MembershipState, peer: MemberId, now: float) -> tuple[MembershipState, Commands]:
+    question = OpenQuestion(state.next_nonce, peer, now)
+    asked = replace(
+        state,
+        questions=(*state.questions, question)[-_MOST_QUESTIONS:],
+        next_nonce=state.next_nonce + 1,
+    )
+    return asked, (AskGuard(peer, question.nonce, state.revision),)
+
+
+def guard_asked(
+    state: MembershipState, event: GuardAsked, now: float
+) -> tuple[MembershipState, Commands]:
+    """Answer a peer."""
+    asker = event.asker
+    if asker in state.heard:
+        state = replace(state, heard={**state.heard, asker: now})
+    answer = AnswerAsker(asker, event.nonce, _answer(state, asker, now), state.revision)
+    return state, (answer, *offer_if_behind(state, asker, event.revision))
+
+
+def _answer(state: MembershipState, asker: MemberId, now: float) -> GuardAnswer:
+    name = state.me.member_id
+    if state.phase is MemberPhase.JOINING or state.record.guard_of(asker) != name:
+        return GuardAnswer(False)
+    if _may_be_fencing(state, asker) or _writes(state, ChangeKind.LEAVE):
+        return GuardAnswer(False)
+    own_guard = None if _writes(state, ChangeKind.CHANGE_GUARD) else state.me.guard
+    return state.rules.answer(holds_right(state, now), own_guard, asker)
+
+
+def _may_be_fencing(state: MembershipState, member_id: MemberId) -> bool:
+    write = state.write
+    return write is not None and write.kind is ChangeKind.FENCE and write.subject == member_id
+
+
+def _writes(state: MembershipState, kind: ChangeKind) -> bool:
+    return state.write is not None and state.write.kind is kind
+
+
+def guard_answered(
+    state: MembershipState, event: GuardAnswered, now: float
+) -> tuple[MembershipState, Commands]:
+    """Take in a peer's answer."""
+    question = next((open_ for open_ in state.questions if open_.nonce == event.nonce), None)
+    if question is None:
+        return state, ()
+    others = tuple(open_ for open_ in state.questions if open_.nonce != event.nonce)
+    state = replace(state, questions=others)
+    offers = offer_if_behind(state, question.peer, event.revision)
+    if not _counts(state, question.peer, event.answer):
+        return state, offers
+    state = prove(state, state.rules.dated(question.sent_at, now))
+    return replace(state, guard_good_at=now, guard_changes=0), offers
+
+
+def _counts(state: MembershipState, guard: MemberId, answer: GuardAnswer) -> bool:
+    """Whether an answer proves the right.
+
+    Not while this member replaces its guard: the new one may already be there and fencing it, and
+    the old one does not know.
+    """
+    name = state.me.member_id
+    if state.record.guard_of(name) != guard or _writes(state, ChangeKind.CHANGE_GUARD):
+        return False
+    if answer.acknowledged:
+        return True
+    unfenced_by_me = state.record.guard_of(guard) == name and not _may_be_fencing(state, guard)
+    return answer.if_you_guard_me and unfenced_by_me
--- a/fireflyfork/decisions/_membership_state.py
+++ b/fireflyfork/decisions/_membership_state.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 
 from .._ids import MemberId, PartitionId, Revision
@@ -121,6 +121,11 @@
     return MembershipState(me, timing, rules or RightRules(), record=empty)
 
 
+def prove(state: MembershipState, dated: float) -> MembershipState:
+    """The state once an answer has proved the right; ``dated`` is when its question counts from."""
+    return replace(state, right_dated=max(state.right_dated, dated))
+
+
 def holds_right(state: MembershipState, now: float) -> bool:
     """Whether the member may dispatch at all, for what it owns."""
     if state.phase not in (MemberPhase.ACTIVE, MemberPhase.LEAVING):
