What becomes of a call about the fleet's record is told by a class of its own

`Membership` turned answers, conflicts, errors and silence of the store into events beside its own tasks.

--- a/fireflyfork/programs/_membership.py
+++ b/fireflyfork/programs/_membership.py
@@ -11,9 +11,9 @@
 import trio
 from loguru import logger
 
-from .._errors import PeerError, SettingsError, StoreConflictError, StoreError
+from .._errors import PeerError, SettingsError, StoreError
 from .._ids import ConfigurationVersion, MemberId, PartitionId, Revision
-from ..adapters import Store, StoredValue
+from ..adapters import Store
 from ..decisions import (
     FLEET_KEY,
     AnswerAsker,
@@ -33,13 +33,9 @@
     OccupiedCollected,
     OccupiedSlots,
     OfferRecord,
-    ReadFailed,
     ReadRecord,
     RecordHeard,
-    RecordRead,
     Tick,
-    WriteEnded,
-    WriteOutcome,
     WriteRecord,
     begin_membership,
     decode_fleet,
@@ -51,13 +47,10 @@
     zone_mates,
 )
 from ._guard_channel import FleetOffer, GuardChannel, GuardQuestion, GuardReply
+from ._stored_record import StoredRecord
 
 Occupied = Mapping[PartitionId, tuple[OccupiedSlots, ...]]
 
-_SLACK_SECONDS = 5.0
-"""How much longer than it was told to a watch call may take before it counts as silent."""
-
-
 _STABLE_SECONDS = 120.0
 """A fence later than this after joining is not taken for a repetition of the last."""
 _LONGEST_REJOIN_SECONDS = 63.0
@@ -117,7 +110,7 @@
     ) -> None:
         """``me`` carries the first member id; ``new_member_id`` gives the later ones."""
         self._settings = settings or MembershipSettings()
-        self._store = store
+        self._stored = StoredRecord(store, self._settings.key, self._settings.store_timeout_seconds)
         self._channel = channel
         self._new_member_id = new_member_id
         self._occupied = occupied
@@ -306,11 +299,7 @@
         return self._settings.timing.longest_store_retry_seconds * self._random.uniform(0.5, 1.0)
 
     async def _watch_once(self) -> None:
-        settings = self._settings
-        seconds = settings.timing.watch_seconds
-        stored: StoredValue | None = None
-        with trio.move_on_after(seconds + _SLACK_SECONDS):
-            stored = await self._store.wait(settings.key, self.revision, seconds)
+        stored = await self._stored.wait(self.revision, self._settings.timing.watch_seconds)
         if stored is None or stored.revision <= self.revision:
             return
         offer = FleetOffer(stored.value, stored.revision)
@@ -395,32 +384,12 @@
 
     async def _read(self) -> None:
         asker = self.member_id
-        event: Event = ReadFailed()
-        with trio.move_on_after(self._settings.store_timeout_seconds):
-            try:
-                event = _as_read(await self._store.read(self._settings.key))
-            except (StoreError, SettingsError) as error:
-                logger.debug("fleet record not read", error=str(error))
+        event = await self._stored.read()
         if asker == self.member_id:
             self._feed(event)
 
     async def _write(self, command: WriteRecord) -> None:
         asker = self.member_id
-        value = encode_fleet(command.record)
-        event = WriteEnded(WriteOutcome.UNKNOWN)
-        with trio.move_on_after(self._settings.store_timeout_seconds):
-            try:
-                revision = await self._store.write(self._settings.key, value, command.expected)
-                event = WriteEnded(WriteOutcome.WON, revision)
-            except StoreConflictError:
-                event = WriteEnded(WriteOutcome.LOST)
-            except StoreError as error:
-                logger.debug("fleet record not written", error=str(error))
+        event = await self._stored.write(command)
         if asker == self.member_id:
             self._feed(event)
-
-
-def _as_read(stored: StoredValue | None) -> RecordRead:
-    if stored is None:
-        return RecordRead(None, Revision(0))
-    return RecordRead(decode_fleet(stored.value), stored.revision)
--- /dev/null
+++ b/fireflyfork/programs/_stored_record.py
@@ -0,0 +1,69 @@
+"""The fleet's record in the store; what becomes of a call is an event for the decisions."""
+
+from __future__ import annotations
+
+import trio
+from loguru import logger
+
+from .._errors import SettingsError, StoreConflictError, StoreError
+from .._ids import Revision
+from ..adapters import Store, StoredValue
+from ..decisions import (
+    ReadFailed,
+    RecordRead,
+    WriteEnded,
+    WriteOutcome,
+    WriteRecord,
+    decode_fleet,
+    encode_fleet,
+)
+
+_SLACK_SECONDS = 5.0
+"""How much longer than it was told to a watch call may take before it counts as silent."""
+
+
+class StoredRecord:
+    """The record under one key of the store."""
+
+    def __init__(self, store: Store, key: str, timeout_seconds: float) -> None:
+        """After ``timeout_seconds`` a read or write counts as unanswered."""
+        self._store = store
+        self._key = key
+        self._timeout_seconds = timeout_seconds
+
+    async def read(self) -> RecordRead | ReadFailed:
+        """Read it."""
+        with trio.move_on_after(self._timeout_seconds):
+            try:
+                return _as_read(await self._store.read(self._key))
+            except (StoreError, SettingsError) as error:
+                logger.debug("fleet record not read", error=str(error))
+        return ReadFailed()
+
+    async def write(self, command: WriteRecord) -> WriteEnded:
+        """Replace it, if it is still the one that was expected."""
+        value = encode_fleet(command.record)
+        with trio.move_on_after(self._timeout_seconds):
+            try:
+                revision = await self._store.write(self._key, value, command.expected)
+                return WriteEnded(WriteOutcome.WON, revision)
+            except StoreConflictError:
+                return WriteEnded(WriteOutcome.LOST)
+            except StoreError as error:
+                logger.debug("fleet record not written", error=str(error))
+        return WriteEnded(WriteOutcome.UNKNOWN)
+
+    async def wait(self, after: Revision, seconds: float) -> StoredValue | None:
+        """The first value after a revision; None if there was none in time, or no answer.
+
+        Raises StoreError.
+        """
+        with trio.move_on_after(seconds + _SLACK_SECONDS):
+            return await self._store.wait(self._key, after, seconds)
+        return None
+
+
+def _as_read(stored: StoredValue | None) -> RecordRead:
+    if stored is None:
+        return RecordRead(None, Revision(0))
+    return RecordRead(decode_fleet(stored.value), stored.revision)
