Tests of the modules split say in one line what they guard against

Docstrings of several lines told how a failure had come about; that is in the history of each test. Nothing but docstrings differs (compared as syntax trees).

--- a/fireflyfork/adapters/tests/test_peers.py
+++ b/fireflyfork/adapters/tests/test_peers.py
@@ -126,10 +126,7 @@
         run_pair(body, serve)
 
     def test_a_silent_peer_is_given_up(self) -> None:
-        """The peer's machine stands still: its kernel accepts, and nothing ever comes back.
-
-        Requests on the stream would otherwise wait for their deadlines, and so would those after.
-        """
+        """Guards against requests that wait for their deadlines on a stream whose peer stands still."""
 
         async def body(pair: PeerPair) -> None:
             stream, call = await pair.call()
--- a/fireflyfork/decisions/jobs/tests/test_arrangement.py
+++ b/fireflyfork/decisions/jobs/tests/test_arrangement.py
@@ -86,9 +86,7 @@
     """Which tasks are moved, and how."""
 
     def test_two_mixed_executors_become_pure_ones(self) -> None:
-        """Two executors serve both services, and no batch job finds a place beside either. With the
-        services sorted, one executor takes batch work at its full pace.
-        """
+        """Guards against batch work that finds no place since every executor serves a mixture."""
         owner = _owner(*MIXED)
         _let_batch_wait(owner)
         _poll_all(owner)
@@ -98,10 +96,7 @@
         self.assertEqual(sum(mix.get("web", 0) for mix in _mix(owner)), 2)
 
     def test_a_place_on_an_executor_that_has_vanished_is_given_up(self) -> None:
-        """A task is stopped to move, and the executor where its place is kept vanishes before its end is
-        listed. It was sent there all the same, the order got no answer, and its users waited for seconds
-        until that executor's lease had lapsed.
-        """
+        """Guards against a task that is sent to an executor which has vanished since its place was kept."""
         owner = _owner(*MIXED)
         _let_batch_wait(owner)
         stopped: list[Run] = []
@@ -126,9 +121,7 @@
         self.assertNotIn(vanished, [run.executor for run in again])
 
     def test_what_is_bound_by_more_than_room_stays(self) -> None:
-        """A service's task holds an accelerator. Moved like any other, it came to an executor whose
-        accelerators were all taken, which then held more than it has.
-        """
+        """Guards against a moved task that takes an accelerator which isn't free."""
         for changes in (
             {"accelerators": 1},
             {"gang": True},
@@ -187,9 +180,7 @@
         self.assertFalse({run.task.name for run in first} & {run.task.name for run in again})
 
     def test_the_room_that_is_kept_goes_to_nobody_else(self) -> None:
-        """A task is on its way from one executor to another. An urgent one that comes in between must
-        not take its room: the executor would hold more than it can when the first one arrives.
-        """
+        """Guards against an executor that holds more than it can once a moved task arrives."""
         owner = _owner(*MIXED)
         _let_batch_wait(owner)
         _poll_all(owner)
--- a/fireflyfork/decisions/placement/tests/test_policy.py
+++ b/fireflyfork/decisions/placement/tests/test_policy.py
@@ -68,10 +68,7 @@
     """Teams share what there is in proportion to their quotas."""
 
     def test_a_flood_of_one_team_does_not_starve_another(self) -> None:
-        """A team submits hundreds of tasks just before another submits one.
-
-        In plain order of arrival the one would wait for the whole flood.
-        """
+        """Guards against one task that waits for the whole flood of another team."""
         small = table(InterferenceAwarePolicy(), workers=1)
         small.submit(shape(size(1, 1), team=QUOTES), 300)
         late = small.submit(shape(size(1, 1)))[0]
@@ -130,11 +127,7 @@
     """A slowed service is relieved: throttle first, then evict, and relax when it is calm."""
 
     def test_throttle_then_evict_then_relax(self) -> None:
-        """A noisy neighbour holds the booking desk over its objective.
-
-        Clerks wait on the phone. The neighbour is throttled, and only when that does not help,
-        evicted; when the desk is calm, what is left runs at full speed again.
-        """
+        """Guards against a noisy neighbour that is left alone, or evicted where a throttle would do."""
         small = table(InterferenceAwarePolicy(), workers=1)
         desk = small.submit(replica_shape())[0]
         noisy = small.submit(shape(size(4, 4), task_class="noisy"))[0]
@@ -151,10 +144,7 @@
         small.tasks.pop(noisy)
 
     def test_evictions_stop_at_the_budget(self) -> None:
-        """Every worker's service is slowed at once, and throttling does not help enough.
-
-        Evicting everywhere would hold back all quote batches for one shift of load.
-        """
+        """Guards against all batch work being evicted for one shift of load."""
         small = table(InterferenceAwarePolicy(), workers=8)
         small.weights = Weights(tail_latency=10.0)
         desks = small.submit(replica_shape(), 8)
@@ -175,10 +165,7 @@
         self.assertEqual(small.evictions, 2)
 
     def test_lagging_reports_of_one_cause_throttle_once(self) -> None:
-        """Reports lag by ten seconds, so those after a throttle still show the time before it.
-
-        Acting on them again would bring batch work to a standstill for one short peak.
-        """
+        """Guards against batch work that is throttled again for reports from before the throttle."""
         small = table(InterferenceAwarePolicy(), workers=1)
         desk = small.submit(replica_shape())[0]
         noisy = small.submit(shape(size(4, 4), task_class="noisy"))[0]
@@ -277,10 +264,7 @@
         self.assertEqual(small.tasks[task_id].reservation.memory, 8 * GIGABYTE)
 
     def test_memory_grows_after_a_task_ran_out_of_it(self) -> None:
-        """A task declared too small fails for want of memory on each worker it is tried on.
-
-        The next try gets more, and no worker is accused.
-        """
+        """Guards against workers that are blamed for a task that was declared too small."""
         small = table(InterferenceAwarePolicy(), workers=2)
         task_id = small.submit(shape(size(1, 8), team=LETTERS))[0]
         small.round()
--- a/fireflyfork/decisions/tests/test_membership.py
+++ b/fireflyfork/decisions/tests/test_membership.py
@@ -83,11 +83,7 @@
     """When a member may dispatch."""
 
     def test_right_dates_from_the_question(self) -> None:
-        """The guard's answer is late: it was true when given, and the fence may have followed.
-
-        Dated from its arrival the right would outlive the takeover, and two entries would fill the
-        same slots.
-        """
+        """Guards against a right that outlives the takeover, since it counts from a late answer."""
         driver = _active()
         driver.feed(Tick(), after=0.6)
         driver.feed(GuardAnswered(1, GuardAnswer(True), Revision(5)), after=1.9)
@@ -118,10 +114,7 @@
         self.assertFalse(holds_right(driver.state, driver.now))
 
     def test_read_that_shows_the_own_fence(self) -> None:
-        """A member learns of its fence by its own read, and wants nothing of the record any more.
-
-        It once went on to look for a better guard, and the process ended with a KeyError.
-        """
+        """Guards against a member that ends with an error on reading its own fence."""
         driver = _active()
         fenced = fence(driver.state.record, A, B, CHANGE)
         driver.pass_time(1.5, (B, C), guard=False)
@@ -130,10 +123,7 @@
         self.assertEqual(driver.commands, ())
 
     def test_old_guard_counts_no_more(self) -> None:
-        """A member replaces its guard, and the answer that does it is lost.
-
-        The new guard may already be there and fence it, while the old one goes on acknowledging.
-        """
+        """Guards against a right from the old guard while the new one, unknown yet, may be fencing."""
         driver = _active()
         driver.pass_time(1.5, (B, C), guard=False)
         driver.feed(RecordRead(driver.state.record, Revision(5)))
@@ -148,10 +138,7 @@
     """How long a taker waits after the fence."""
 
     def test_wait_outlasts_the_right_on_unequal_clocks(self) -> None:
-        """The fenced member's clock is slow and the taker's fast, each as far as is allowed.
-
-        A wait of just the right's length would end first, and both would dispatch for a moment.
-        """
+        """Guards against two owners for a moment when clocks run as differently as allowed."""
         for drift in (0.0, 0.001, 0.01, 0.05):
             with self.subTest(drift=drift):
                 timing = MembershipTiming(drift=drift)
@@ -160,10 +147,7 @@
                 self.assertGreater(taken_over, right_ends)
 
     def test_guard_is_not_quicker_than_the_old_guards_word(self) -> None:
-        """A new guard could fence at once while its ward still counts its old guard's word.
-
-        That it must first hear nothing for as long as a right lasts makes a further wait needless.
-        """
+        """Guards against a new guard that fences while the old guard's word still counts."""
         self.assertGreaterEqual(TIMING.suspect_seconds, TIMING.right_seconds)
 
 
@@ -186,11 +170,7 @@
         self.assertEqual(self._answer(driver, 2), GuardAnswer(False, False))
 
     def test_pair_renews_each_other(self) -> None:
-        """Two guards of each other were paused during a store outage, and neither has the right.
-
-        Only each other could have fenced them, so both can know that nobody did. Otherwise the
-        region would stand still until the store returns.
-        """
+        """Guards against a region that stands still after a pause of guards of each other."""
         first, second = _active(0), _active(1)
         for driver in (first, second):
             driver.feed(Tick(), after=5.0)
@@ -206,10 +186,7 @@
         self.assertFalse(self._answer(_active(), 3).acknowledged)
 
     def test_silent_ward_is_fenced_after_a_read(self) -> None:
-        """The store is down as well: a fence sent into it could take effect when it returns.
-
-        Until then the guard could not acknowledge the ward, which may only have been paused.
-        """
+        """Guards against a fence that is sent into a store that is down, and takes effect later."""
         driver = _active()
         driver.pass_time(2.3, (C,))
         self.assertIsNotNone(driver.state.reading_since)
@@ -247,11 +224,7 @@
         return driver
 
     def test_old_value_settles_nothing(self) -> None:
-        """A hand-over's answer is lost and the read shows the old record.
-
-        The write may still be on its way. An owner that went on would share the partition with the
-        new owner once the write arrives.
-        """
+        """Guards against an owner that goes on while its hand-over may be on its way."""
         driver = self._handing_over()
         given = next(iter(driver.state.write.partitions)) if driver.state.write else None
         assert given is not None
--- a/fireflyfork/operations/tests/test_job_account.py
+++ b/fireflyfork/operations/tests/test_job_account.py
@@ -62,9 +62,7 @@
                 self.assertAlmostEqual(sum(split.values()), account.age_seconds)
 
     def test_time_without_an_owner(self) -> None:
-        """The owner dies, and its successor takes two seconds until it places tasks. A job that came
-        meanwhile is late by that, whatever its tasks waited for at the end.
-        """
+        """Guards against time without an owner that is laid to what tasks waited for at the end."""
         lines = (
             OWNED,
             accepted(0.5, job="b2"),
--- a/fireflyfork/programs/tests/test_membership.py
+++ b/fireflyfork/programs/tests/test_membership.py
@@ -86,10 +86,7 @@
         _with_fleet(scenario)
 
     def test_cut_member_stops_and_joins_anew(self) -> None:
-        """A member loses its peers and the store, is taken over, and finds both again.
-
-        Had it gone on, its targets would have had two owners. It comes back under another id.
-        """
+        """Guards against targets with two owners, one of them cut off from peers and store."""
 
         async def scenario(fleet: Fleet, members: list[Membership]) -> None:
             cut = members[1]
@@ -122,10 +119,7 @@
         _with_fleet(scenario)
 
     def test_unreachable_member_does_not_come_back_every_few_seconds(self) -> None:
-        """A member reaches the store but none of its peers, and is fenced soon after each joining.
-
-        Each time its targets change owners twice. It once joined anew every five seconds.
-        """
+        """Guards against targets that change owners every few seconds for a member without peers."""
 
         async def scenario(fleet: Fleet, members: list[Membership]) -> None:
             fleet.network.cut.add(Address("127.0.0.1", 2))
--- a/fireflyfork/programs/tests/test_planner_attempts.py
+++ b/fireflyfork/programs/tests/test_planner_attempts.py
@@ -38,11 +38,7 @@
     """No start without a stored intent, and none twice."""
 
     def test_nothing_starts_while_the_store_is_away(self) -> None:
-        """The store goes down between the acceptance of a job and the start of its tasks.
-
-        A task started without a stored intent would be started again by the next planner, which
-        knows nothing of it.
-        """
+        """Guards against a start without a stored intent, which the next planner repeats."""
 
         async def body() -> None:
             async with trio.open_nursery() as nursery:
@@ -76,10 +72,7 @@
         run_simulated(body)
 
     def test_a_start_that_arrives_late(self) -> None:
-        """An order to start is stuck on the way; meanwhile the attempt is evicted and a next one runs.
-
-        If the stuck order still started the old attempt, the task would run in two places.
-        """
+        """Guards against a task that runs in two places by an order that was stuck on its way."""
 
         async def body() -> None:
             async with trio.open_nursery() as nursery:
@@ -98,11 +91,7 @@
         run_simulated(body)
 
     def test_a_renewal_that_arrives_late(self) -> None:
-        """A paused planner's renewal arrives after its successor has given the attempt up.
-
-        The worker comes back for a moment, takes the renewal, and would run on under it while the
-        task already runs elsewhere.
-        """
+        """Guards against a given-up run that goes on by a renewal that was stuck on its way."""
 
         async def body() -> None:
             async with trio.open_nursery() as nursery:
@@ -162,10 +151,7 @@
     """Workers that had nothing to do for long."""
 
     def test_the_first_task_on_a_worker_that_was_idle(self) -> None:
-        """A worker had nothing to report for longer than silence is borne, and then gets a task.
-
-        If that counted as silence, each first task would be evicted right after its start.
-        """
+        """Guards against the eviction of the first task on a worker that had nothing to report."""
 
         async def body() -> None:
             async with trio.open_nursery() as nursery:
--- a/fireflyfork/programs/tests/test_planner_faults.py
+++ b/fireflyfork/programs/tests/test_planner_faults.py
@@ -73,16 +73,9 @@
     @settings(max_examples=40)
     @given(FAULTS)
     def test_history_stays_right(self, faults: list[Fault]) -> None:
-        """Planners die or are paused, the store and the platform fail, and workers vanish.
-
-        A letter that ran in two places would go out twice; one that was lost would never go out.
-        """
+        """Guards against tasks that run in two places, or are lost, when anything fails."""
         self.assertEqual(problems_after(faults), [])
 
     def test_planner_paused_while_it_recovers(self) -> None:
-        """A planner stops for a second while it reads the journal; another takes the partition.
-
-        The first wakes and stores its own takeover over the second's, which then gives up: nobody
-        runs the partition any more, and letters stay unsent for good.
-        """
+        """Guards against a takeover that a paused planner overwrites, so that nobody runs the partition."""
         self.assertEqual(problems_after([Fault(FaultKind.PLANNER_PAUSED, 0.0, 1.0, 0)]), [])
