What is kept of one worker has a module of its own

placement/_fleet.py held the index of all workers and the plain numbers of each. The latter move to _worker_entries.py, unchanged. The modules of fireflyfork/decisions/placement/tests, test_documents and test_proof_page pass.

--- a/fireflyfork/decisions/placement/_choice.py
+++ b/fireflyfork/decisions/placement/_choice.py
@@ -9,8 +9,9 @@
 
 from ..._machines import Resources
 from ._classes import TaskClass
-from ._fleet import Fleet, ServiceForecast, WorkerEntry
+from ._fleet import Fleet
 from ._interference import BandEstimate, InterferenceModel, load_band
+from ._worker_entries import ServiceForecast, WorkerEntry
 
 _CANDIDATES = 6
 _CANDIDATES_WHEN_SLOWED = 16
--- a/fireflyfork/decisions/placement/_headroom.py
+++ b/fireflyfork/decisions/placement/_headroom.py
@@ -5,7 +5,8 @@
 from collections.abc import Callable
 
 from ..._machines import Resources
-from ._fleet import Fleet, WorkerEntry
+from ._fleet import Fleet
+from ._worker_entries import WorkerEntry
 
 _WINDOW_SECONDS = 5.0
 _HALF_LIFE_SECONDS = 1800.0
--- a/fireflyfork/decisions/placement/_policy.py
+++ b/fireflyfork/decisions/placement/_policy.py
@@ -26,7 +26,7 @@
 from ._classes import TaskClass
 from ._fair_queue import FairQueue, QuotaLedger, WaitingJob
 from ._feasibility import cut_to_quota, cut_to_worker, why_infeasible
-from ._fleet import AttemptEntry, Fleet, WorkerEntry
+from ._fleet import Fleet
 from ._headroom import UrgentHeadroom
 from ._health import WorkerHealth, is_to_blame
 from ._interference import InterferenceModel
@@ -48,6 +48,7 @@
 from ._sizes import LearnedSizes
 from ._spread import ReplicaCounts, replica_places
 from ._waiting import split, tasks_of
+from ._worker_entries import AttemptEntry, WorkerEntry
 
 _MOST_MISFITS = 8
 """Jobs without a place that one round may look at, so that a full fleet costs little."""
--- a/fireflyfork/decisions/placement/_relief.py
+++ b/fireflyfork/decisions/placement/_relief.py
@@ -12,11 +12,12 @@
 from .._tasks import Task, TaskState
 from ._classes import TaskClass
 from ._eviction_budget import EvictionBudget, latency_share_per_hour
-from ._fleet import AttemptEntry, Fleet, WorkerEntry
+from ._fleet import Fleet
 from ._interference import InterferenceModel
 from ._policy_settings import Relief
 from ._pressure import PressureAction
 from ._reasons import EvictedForLatency, ThrottledForLatency, ThrottleLifted
+from ._worker_entries import AttemptEntry, WorkerEntry
 
 _WANTED_RATIO = 0.75
 """Relief aims below the objective, or the next report would ask for more."""
--- a/fireflyfork/decisions/placement/_room.py
+++ b/fireflyfork/decisions/placement/_room.py
@@ -12,9 +12,10 @@
 from .._placement_policy import CheckpointAndEvict
 from .._tasks import Task, TaskState
 from ._eviction_budget import EvictionBudget
-from ._fleet import Fleet, WorkerEntry
+from ._fleet import Fleet
 from ._reasons import EvictedForUrgent
 from ._relief import lost_core_seconds, lost_seconds
+from ._worker_entries import WorkerEntry
 
 _SHARE_PER_HOUR = 1.0
 _LEAST_BURST = 16.0
--- a/fireflyfork/decisions/placement/_spread.py
+++ b/fireflyfork/decisions/placement/_spread.py
@@ -8,7 +8,8 @@
 
 from ..._ids import FailureDomainName, RackName, ServiceName
 from ..._machines import Resources
-from ._fleet import Fleet, WorkerEntry
+from ._fleet import Fleet
+from ._worker_entries import WorkerEntry
 
 _SERVICE_SHARE = 0.6
 """Beyond this share of a worker's processors, replicas slow each other when load rises."""
