--- a/fireflyfork/programs/tests/builders_processes.py
+++ b/fireflyfork/programs/tests/builders_processes.py
@@ -129,6 +129,14 @@
         assert entry.process is not None
         entry.process.send_signal(number)
 
+    async def freeze(self, entry: EntryProcess, seconds: float) -> None:
+        """Let an entry stand still for so long, and take note of it."""
+        self.signal_entry(entry, signal.SIGSTOP)
+        stopped_at = time.time()
+        await trio.sleep(seconds)
+        self.signal_entry(entry, signal.SIGCONT)
+        self.freezes.append(Freeze(entry.name, stopped_at, time.time()))
+
     async def ended(self, entry: EntryProcess) -> int:
         """Wait for an entry to end, and return its status."""
         assert entry.process is not None
--- a/fireflyfork/programs/tests/test_process_history.py
+++ b/fireflyfork/programs/tests/test_process_history.py
@@ -10,7 +10,7 @@
 
 from ... import TargetId
 from .builders_processes import Callers, EntryProcess, ProcessFleet, process_fleet
-from .history_checks import CallEnd, Freeze, cut_off, runs_after, unanswered, violations
+from .history_checks import CallEnd, cut_off, runs_after, unanswered, violations
 
 Scenario = Callable[[ProcessFleet], Awaitable[None]]
 LONGEST_SECONDS = 90.0
@@ -94,11 +94,7 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(Callers(fleet, seed=3).run, 3 * CALLERS, 10.0)
                 await trio.sleep(1.5)
-                fleet.signal_entry(victim, signal.SIGSTOP)
-                stopped_at = time.time()
-                await trio.sleep(5.0)
-                fleet.signal_entry(victim, signal.SIGCONT)
-                fleet.freezes.append(Freeze(victim.name, stopped_at, time.time()))
+                await fleet.freeze(victim, 5.0)
             await self._judge(fleet, least_answered=50)
 
         run_scenario(scenario, relayed=True)
@@ -152,11 +148,7 @@
                 await trio.sleep(3.5)
                 await fleet.switch(fleet.store, lose_answers=2)
                 fleet.start_entry(dies)
-                fleet.signal_entry(pauses, signal.SIGSTOP)
-                stopped_at = time.time()
-                await trio.sleep(3.0)
-                fleet.signal_entry(pauses, signal.SIGCONT)
-                fleet.freezes.append(Freeze(pauses.name, stopped_at, time.time()))
+                await fleet.freeze(pauses, 3.0)
             await self._judge(fleet, least_answered=50)
 
         run_scenario(scenario, relayed=True)
