--- a/fireflyfork/programs/tests/test_process_history.py
+++ b/fireflyfork/programs/tests/test_process_history.py
@@ -65,11 +65,7 @@
         run_scenario(scenario)
 
     def test_an_owner_dies_under_load(self) -> None:
-        """The instance that owns most executors is killed with bookings under way.
-
-        Their callers repeat them at other entries. A second run would book two rooms; a false
-        "not run" would make a clerk book once more.
-        """
+        """Guards against second runs and a false "not run" when an owner dies with bookings under way."""
 
         async def scenario(fleet: ProcessFleet) -> None:
             victim = await owner_of_most(fleet)
@@ -84,10 +80,7 @@
         run_scenario(scenario, relayed=True)
 
     def test_an_owner_is_paused_and_resumed(self) -> None:
-        """The instance stands still for five seconds, is replaced meanwhile, and goes on.
-
-        It still believes to own its executors; what it sent then would exceed their slots.
-        """
+        """Guards against executors with more than their slots after a paused owner wakes replaced."""
 
         async def scenario(fleet: ProcessFleet) -> None:
             victim = await owner_of_most(fleet)
@@ -132,10 +125,7 @@
         run_scenario(scenario)
 
     def test_failures_come_together_and_twice(self) -> None:
-        """The store goes down, an owner dies during it, and another one stands still after it.
-
-        Nobody can be fenced while the store is down; what is told to callers must stay true.
-        """
+        """Guards against false words to callers when entries fail while nobody can be fenced."""
 
         async def scenario(fleet: ProcessFleet) -> None:
             dies, pauses = fleet.entries[1], fleet.entries[2]
@@ -193,10 +183,7 @@
         run_scenario(scenario)
 
     def test_connections_go_silent_for_good(self) -> None:
-        """Something between entries and executors loses track of all open connections.
-
-        Bookings under way are lost and said to be; those that follow must use new connections.
-        """
+        """Guards against calls that go on over connections which have gone silent."""
 
         async def scenario(fleet: ProcessFleet) -> None:
             async with trio.open_nursery() as nursery:
