--- a/fireflyfork/programs/tests/builders_owner.py
+++ b/fireflyfork/programs/tests/builders_owner.py
@@ -1,4 +1,4 @@
-"""An owner at work against the stand-in's store and one executor."""
+"""An owner at work against the stand-in's store and its executors, of which most tests need one."""
 
 from __future__ import annotations
 
@@ -30,18 +30,20 @@
 class OwnerWorld:
     """A store, an executor, and an owner whose term has begun."""
 
-    def __init__(self, nursery: trio.Nursery) -> None:
+    def __init__(self, nursery: trio.Nursery, executors: int = 1) -> None:
         """Late orders are carried out in ``nursery``; the owner isn't started."""
         random = Random(1)
         self.history = History()
         self.store = StandInStore(random)
         room = ExecutorRoom(8000, 16000, 0)
-        self.executor = StandInExecutor(
-            EXECUTOR, SERVICE, room, self.store, self.history, Random(1)
-        )
-        executors = {EXECUTOR: self.executor}
-        machines = StandInMachines(SERVICE, executors, self.history, random)
-        calls = StandInExecutorCalls(NODE, executors, nursery, random)
+        names = [EXECUTOR, *(ExecutorId(f"i-{number}") for number in range(1, executors))]
+        self.executors = {
+            name: StandInExecutor(name, SERVICE, room, self.store, self.history, Random(1))
+            for name in names
+        }
+        self.executor = self.executors[EXECUTOR]
+        machines = StandInMachines(SERVICE, self.executors, self.history, random)
+        calls = StandInExecutorCalls(NODE, self.executors, nursery, random)
         client, clock = self.store.client(NODE), VirtualClock()
         revision = self.store.apply({}, (Put(owner_key(SERVICE), b"n-0"),), ())
         self.owner = ServiceOwner(
