A listing counts as present for a second; later, nothing is known but that nobody has asked

Why this holds: time is counted up to a second after the last listing. With polls each second a run is stopped as soon as before (test_a_run_that_stands_still_is_stopped, unchanged); with polls each 3 s after the second listing without progress.

--- a/fireflyfork/decisions/jobs/_time_checks.py
+++ b/fireflyfork/decisions/jobs/_time_checks.py
@@ -11,6 +11,9 @@
 STALL_SECONDS = 2.5
 """A run whose progress has not moved for so long stands still. Progress is reported in hundredths of
 runs of one or two seconds, so a run at a tenth of its speed still moves within 0.2 s."""
+LISTING_HOLDS_SECONDS = 1.0
+"""For so long after a listing its figures count as present: executors are usually asked again by then. Later on,
+nothing is known of a run but that nobody has asked."""
 FORGIVE_SECONDS = 12.0
 """Strikes are forgotten after this: nothing is sent to a suspect while others have room, so it would
 never get the chance to end something well."""
@@ -59,4 +62,5 @@
             return False
         if not run.pace_percent:
             return False
-        return now - run.progress_at > STALL_SECONDS * 100 / run.pace_percent
+        seen_to = min(now, run.listed_at + LISTING_HOLDS_SECONDS)
+        return seen_to - run.progress_at > STALL_SECONDS * 100 / run.pace_percent
