Starts go out a few at a time, and are valid from when they are sent

A start is valid for 1 s from the decision, and what it starts has no other lease until a poll renews it. Hundreds of starts progressed side by side on the owner's loop, so all of them came after that second, or the polls did; all were sent again at once.

Why this holds: 64 starts are out at once, each for 0.2 s of loop time at most, so that a slow link holds none up; the validity begins, and the idle executor's poll goes out, when a start's turn has come. What has changed meanwhile counts: a start isn't sent if its run is no longer wanted, its executor gets no new runs by now, or the owner may not start anything; it is then placed anew.

--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -82,6 +82,20 @@
                 self._work.waiting.park(step, reason)
         self._place_copies(placing, now, now_ms)
 
+    def leave(self, run: Run, now: float) -> bool:
+        """A start's turn to be sent has come. Returns False if it must not be sent any more.
+
+        Its validity begins only now: where many starts wait for a slow loop, it would be over before. What has
+        changed since the decision counts, as it would if the start were decided now.
+        """
+        executor = run.executor
+        wanted = executor.runs.get(run.key) is run and run.phase is RunPhase.STARTING
+        if not wanted or not executor.usable(now):
+            return False
+        run.ordered_at = now
+        _begin_validity(run, now)
+        return True
+
     def _place_step(
         self, step: WaitingStep, placing: _Round, now: float, now_ms: int
     ) -> WaitReason | None:
@@ -211,13 +225,12 @@
     def _send(self, run: Run, now: float, now_ms: int) -> None:
         """Order the start of a run that holds its room."""
         executor, task = run.executor, run.task
-        run.start_deadline_ms = executor.clock(now) + START_VALID_MS
         run.checkpoint = task.checkpoint
         if task.job.queue.needs_tickets:
             life = executor.registration.incarnation
             ticket = self._work.tickets.valid(task.step_id, executor.executor, life, now)
             run.ticket = ticket or ""
-        executor.grant_lease(run.start_deadline_ms)
+        _begin_validity(run, now)
         run.in_background = task.spec.uses_leftover_cpu and task.job.beyond_use(now_ms)
         task.attempt = run.attempt
         task.runs.append(run)
@@ -227,6 +240,12 @@
         self._work.jobs.note_started(task.job)
 
 
+def _begin_validity(run: Run, now: float) -> None:
+    """A start carries its deadline as a lease, which everything on its executor has then."""
+    run.start_deadline_ms = run.executor.clock(now) + START_VALID_MS
+    run.executor.grant_lease(run.start_deadline_ms)
+
+
 def _would_take_reserve(task: Task, placing: _Round) -> bool:
     """Whether a lasting task that never ran would take the room that is kept for short ones."""
     if not task.spec.long_running or task.attempt:
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -309,11 +309,19 @@
         return now - self._work.owned_at > PROOF_SECONDS or self._work.wants_proof(now)
 
     def place(self, now: float, now_ms: int) -> None:
-        """Send tasks that may start to executors with room; others wait for the next tick.
+        """Send tasks that may start to executors with room; others wait for the next tick."""
+        if self._may_start(now):
+            self._placement.place(now, now_ms)
+
+    def start_leaves(self, run: Run, now: float) -> bool:
+        """A start's turn to be sent has come. Returns False if it must not be sent any more."""
+        return self._may_start(now) and self._placement.leave(run, now)
+
+    def _may_start(self, now: float) -> bool:
+        """Whether anything may start.
 
         A successor waits for executors that it can't reach for a fixed time. What this owner starts there must
         be over by then, or the successor would start it beside that.
         """
         may_start = self._terms.unheard_lease - LAST_START_MARGIN_SECONDS
-        if now - self._work.owned_at <= may_start:
-            self._placement.place(now, now_ms)
+        return now - self._work.owned_at <= may_start
--- a/fireflyfork/programs/_service_owner.py
+++ b/fireflyfork/programs/_service_owner.py
@@ -129,7 +129,13 @@
         self._resigning = False
         self._polled: set[ExecutorState] = set()
         self._orders = RunOrders(
-            self._scheduler, self._calls, self._polls, term.token, clock, self.kick
+            self._scheduler,
+            self._calls,
+            self._polls,
+            term.token,
+            clock,
+            self.kick,
+            outside.loop_time,
         )
 
     @property
--- a/fireflyfork/programs/tests/test_run_orders.py
+++ b/fireflyfork/programs/tests/test_run_orders.py
@@ -7,7 +7,7 @@
 from trio.testing import wait_all_tasks_blocked
 
 from ..._ids import FencingToken
-from ...adapters import ExecutorCalls, ExecutorPlace
+from ...adapters import ExecutorCalls, ExecutorPlace, LoopTime
 from ...decisions.jobs import CallOutcome, OrderAnswer, StartRequest, StartRun
 from ...decisions.jobs.tests.builders_jobs import START_MS, OwnerUnderTest, job, registration, step
 from .._clocks import Clock
@@ -40,7 +40,9 @@
         clock = create_autospec(Clock, instance=True)
         clock.now.return_value = owner.now
         polls = create_autospec(ExecutorPolls, instance=True)
-        orders = RunOrders(owner.scheduler, calls, polls, FencingToken(1), clock, lambda: None)
+        orders = RunOrders(
+            owner.scheduler, calls, polls, FencingToken(1), clock, lambda: None, LoopTime()
+        )
         owner.scheduler.accept(job("00000000000000aa", step(count=CALLS_AT_ONCE + 1)), START_MS)
         async with trio.open_nursery() as nursery:
             for run in owner.send():
