--- /dev/null
+++ b/fireflyfork/programs/tests/test_many_first_polls.py
@@ -0,0 +1,62 @@
+"""An owner that has just taken over hundreds of executors, to none of which it has a connection.
+
+The pattern: a change of owner in a large fleet, on an instance with a fraction of a processor.
+"""
+
+import unittest
+from unittest.mock import patch
+
+import trio
+from trio.testing import MockClock
+
+from fireflyfork_standins.scheduling import StandInExecutorCalls
+
+from .._service_lease import RENEW_SECONDS
+from .builders_owner import OwnerWorld
+
+EXECUTORS = 400
+PASSES = 3
+"""How often the loop comes to one call: to connect, send, and take the answer in."""
+SECONDS_A_PASS = 0.0015
+TICK_SECONDS = 0.01
+PLAY_SECONDS = 4.0
+
+
+async def _longest_pass(clock: MockClock) -> tuple[float, int]:
+    """The longest that another task waited for the loop, and how many executors were reached."""
+    async with trio.open_nursery() as nursery:
+        world = OwnerWorld(nursery, EXECUTORS)
+        nursery.start_soon(world.store.run)
+        for executor in world.executors.values():
+            nursery.start_soon(executor.run)
+        await trio.sleep(TICK_SECONDS)
+        nursery.start_soon(world.owner.run)
+        longest, end = 0.0, trio.current_time() + PLAY_SECONDS
+        while trio.current_time() < end:
+            begun = trio.current_time()
+            await trio.sleep(TICK_SECONDS)
+            longest = max(longest, trio.current_time() - begun - TICK_SECONDS)
+        known = world.owner.scheduler.executors.values()
+        reached = sum(one.polled_at is not None for one in known)
+        nursery.cancel_scope.cancel()
+    return longest, reached
+
+
+class ManyFirstPollsTest(unittest.TestCase):
+    """Guards against an owner that greets its whole fleet in one breath."""
+
+    def test_a_takeover_of_a_large_fleet_leaves_the_loop_time_for_other_tasks(self) -> None:
+        """Guards against an owner whose own lease runs out while its loop is busy with first polls."""
+        clock = MockClock(autojump_threshold=0)
+        poll = StandInExecutorCalls.poll
+
+        async def costly_poll(self, *arguments):  # type: ignore[no-untyped-def]
+            for _ in range(PASSES):
+                clock.jump(SECONDS_A_PASS)
+                await trio.lowlevel.checkpoint()
+            return await poll(self, *arguments)
+
+        with patch.object(StandInExecutorCalls, "poll", costly_poll):
+            longest, reached = trio.run(_longest_pass, clock, clock=clock)
+        self.assertEqual(reached, EXECUTORS)
+        self.assertLess(longest, RENEW_SECONDS)
