A new owner greets its fleet a few executors at a time

Cause: a new owner sent first polls to all its executors in one breath, each over a new connection. Single passes of its loop lasted longer than its lease in the store is (1.2 s), so another instance took the service and did the same.

Why this holds: 64 first polls are out at once, each for 0.2 s of loop time at most, so that executors that are silent or behind a full link hold up none; other tasks of the loop have their turn in between. Turns of starts and of first polls are one class now.

--- a/fireflyfork/programs/_executor_polls.py
+++ b/fireflyfork/programs/_executor_polls.py
@@ -21,6 +21,7 @@
 from ._clocks import Clock
 from ._service_journal import OwnershipLostError, ServiceJournal
 from ._service_lease import Term
+from ._turns import Turns
 
 POLL_SECONDS = 1.0
 """How long a poll waits for an end. Each is paid for; the lease, five times longer, bears the loss of
@@ -53,6 +54,8 @@
 PROBES_AT_ONCE = 24
 """For all executors together. Late answers come from a full link or a busy executor, and more calls than that
 would keep it so."""
+FIRST_POLLS_AT_ONCE = 64
+"""A new owner has no connection to any executor. It has to renew its own lease in the store meanwhile."""
 ORPHANED_LEASE_SECONDS = 2.5
 """An owner that the store hasn't shown to be the owner for so long stops renewing leases. If it went on,
 its successor could never tell when a task on an executor that only the old owner reaches is over."""
@@ -103,6 +106,7 @@
         self._kick = kick
         self._loop_time = loop_time
         self._probes = trio.CapacityLimiter(PROBES_AT_ONCE)
+        self._first_polls = Turns(FIRST_POLLS_AT_ONCE, loop_time)
         self._probed: set[ExecutorState] = set()
         self._ended = False
         self._wake: dict[ExecutorState, trio.Event] = {}
@@ -131,6 +135,9 @@
         """Poll until the executor is gone for good. Raises OwnershipLostError."""
         try:
             async with trio.open_nursery() as nursery:
+                async with self._first_polls.turn():
+                    if self._goes_on(executor):
+                        await self._poll(executor, nursery)
                 while self._goes_on(executor):
                     await self._pause(executor)
                     await self._poll(executor, nursery)
--- a/fireflyfork/programs/_run_orders.py
+++ b/fireflyfork/programs/_run_orders.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator, Callable
-from contextlib import asynccontextmanager
-from functools import partial
+from collections.abc import Callable
 
 import trio
 from loguru import logger
@@ -26,6 +24,7 @@
 from ._clocks import Clock
 from ._executor_polls import ExecutorPolls
 from ._service_journal import OwnershipLostError
+from ._turns import Turns
 
 CALLS_AT_ONCE = 6
 """To one executor, besides the poll. It takes 64 connections from all, and starts come in groups of
@@ -33,9 +32,6 @@
 STARTS_AT_ONCE = 64
 """Calls that progress side by side all end when the last one does. More starts than that would make each other
 void on an owner that is short of processor time; a start costs it some milliseconds there, and is valid for 1 s."""
-TURN_SECONDS = 0.2
-"""Of loop time. A start that is under way for longer waits for its executor or its link, not for this owner,
-and makes room for the next one."""
 
 
 class RunOrders:
@@ -58,9 +54,8 @@
         self._token = token
         self._clock = clock
         self._kick = kick
-        self._loop_time = loop_time
         self._limits: dict[ExecutorState, trio.CapacityLimiter] = {}
-        self._starts = trio.CapacityLimiter(STARTS_AT_ONCE)
+        self._starts = Turns(STARTS_AT_ONCE, loop_time)
 
     def forget(self, executor: ExecutorState) -> None:
         """An executor is gone for good."""
@@ -91,23 +86,11 @@
     async def _order(self, command: RunCommand, executor: ExecutorState) -> OrderAnswer:
         if not isinstance(command, StartRun):
             return await self._send(command, executor)
-        async with self._turn():
+        async with self._starts.turn():
             if not self._scheduler.start_leaves(command.run, self._clock.now()):
                 return OrderAnswer(CallOutcome.PAST_DEADLINE, None)
             return await self._send(command, executor)
 
-    @asynccontextmanager
-    async def _turn(self) -> AsyncIterator[None]:
-        """Wait until a start may be sent; its turn ends with the block, or earlier if that takes long."""
-        borrower = object()
-        await self._starts.acquire_on_behalf_of(borrower)
-        give_back = partial(self._starts.release_on_behalf_of, borrower)
-        end = self._loop_time.after(TURN_SECONDS, give_back)
-        try:
-            yield
-        finally:
-            end.go_off()
-
     async def _send(self, command: RunCommand, executor: ExecutorState) -> OrderAnswer:
         run = command.run
         known = executor.registration
