--- a/fireflyfork/adapters/tests/test_relays.py
+++ b/fireflyfork/adapters/tests/test_relays.py
@@ -337,6 +337,27 @@
 
         _play_muted(play)
 
+    def test_a_relay_that_is_exchanged_still_brings_the_answers_it_owes(self) -> None:
+        """Guards against ends that are lost with their polls, since another relay has become the better one."""
+
+        async def play(owner: RelayedExecutors, relay: MutedRelay, direct: Recorder) -> None:
+            answers: list[PollAnswer] = []
+
+            async def poll() -> None:
+                answers.append(await owner.poll(EXECUTOR, TOKEN, POLL))
+
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(poll)
+                await trio.sleep(POLL.wait_seconds / 2)
+                owner.use([])
+                await trio.sleep(POLL.wait_seconds / 2)
+                await owner.poll(EXECUTOR, TOKEN, POLL)
+                await relay.answer_polls(LISTED)
+            self.assertEqual(answers, [LISTED])
+            self.assertEqual((len(direct.called), len(relay.polls)), (1, 1))
+
+        _play_muted(play)
+
     def test_a_relay_that_stays_silent_is_connected_anew(self) -> None:
         """Guards against a relay that is never used again, since its stream ended without a word."""
 
