A relay that is exchanged still brings the answers that it owes

An owner looks for abler relays every three seconds. One that was no longer chosen was closed at once, and the polls pending on it ended without an answer, with the ends that they would have listed; 60 executors counted as silent for 0.2 s in a trial. It gets no new calls now, and is closed once nothing is pending on it. The new test failed before.

--- a/fireflyfork/adapters/_relay_client.py
+++ b/fireflyfork/adapters/_relay_client.py
@@ -93,11 +93,22 @@
         self._silence: Alarm | None = None
         self._numbers = count()
         self._pending: dict[int, _Pending] = {}
+        self._call_ended = trio.Event()
+        self._exchanged = False
 
     @property
     def usable(self) -> bool:
         """Whether new calls may go over it."""
-        return self._state is _State.OPEN
+        return self._state is _State.OPEN and not self._exchanged
+
+    def note_exchanged(self) -> None:
+        """Others are used in its place: it gets no new calls, and those under way go on."""
+        self._exchanged = True
+
+    async def wait_idle(self) -> None:
+        """Wait until no call is under way."""
+        while self._pending:
+            await self._call_ended.wait()
 
     async def run(self) -> None:
         """Connect, and connect again when the stream has ended."""
@@ -127,6 +138,8 @@
             stream.withdraw(call)
             alarm.cancel()
             del self._pending[number]
+            self._call_ended.set()
+            self._call_ended = trio.Event()
         return pending.reply
 
     def rank(self, executor: ExecutorId) -> int:
@@ -314,8 +327,7 @@
 
     def _follow(self, nursery: trio.Nursery) -> None:
         for place in self._relays.keys() - set(self._wanted):
-            self._scopes.pop(place).cancel()
-            del self._relays[place]
+            nursery.start_soon(self._retire, self._relays.pop(place), self._scopes.pop(place))
         for place in self._wanted:
             if place not in self._relays:
                 traffic = self._traffic.of(place.failure_domain)
@@ -326,6 +338,14 @@
         for place, relay in self._relays.items():
             self._by_domain.setdefault(place.failure_domain, []).append(relay)
 
+    @staticmethod
+    async def _retire(relay: Relay, scope: trio.CancelScope) -> None:
+        """Let a relay go once it owes no answer."""
+        relay.note_exchanged()
+        with trio.move_on_after(LONGEST_SILENCE_SECONDS):
+            await relay.wait_idle()
+        scope.cancel()
+
     @staticmethod
     async def _hold(relay: Relay, scope: trio.CancelScope) -> None:
         with scope:
