--- a/fireflyfork/adapters/_executor_calls.py
+++ b/fireflyfork/adapters/_executor_calls.py
@@ -13,7 +13,8 @@
 """In place of an incarnation: whichever is there."""
 
 LONGEST_CALL_SECONDS = 7.5
-"""No call waits longer for its answer: a poll may wait for 2 s at the executor, and 5 s more for what is late."""
+"""No call waits longer for its answer. The longest ones are polls: they wait at the executor, and then for as long
+as a lease lasts for an answer that is late."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/fireflyfork/programs/_run_orders.py
+++ b/fireflyfork/programs/_run_orders.py
@@ -31,7 +31,7 @@
 no more than a step's tasks."""
 STARTS_AT_ONCE = 64
 """Calls that progress side by side all end when the last one does. More starts than that would make each other
-void on an owner that is short of processor time; a start costs it some milliseconds there, and is valid for 1 s."""
+void on an owner that is short of processor time."""
 
 
 class RunOrders:
