--- a/fireflyfork/adapters/_relay_client.py
+++ b/fireflyfork/adapters/_relay_client.py
@@ -94,16 +94,16 @@
         self._numbers = count()
         self._pending: dict[int, _Pending] = {}
         self._call_ended = trio.Event()
-        self._exchanged = False
+        self._replaced = False
 
     @property
     def usable(self) -> bool:
         """Whether new calls may go over it."""
-        return self._state is _State.OPEN and not self._exchanged
+        return self._state is _State.OPEN and not self._replaced
 
-    def note_exchanged(self) -> None:
+    def note_replaced(self) -> None:
         """Others are used in its place: it gets no new calls, and those under way go on."""
-        self._exchanged = True
+        self._replaced = True
 
     async def wait_idle(self) -> None:
         """Wait until no call is under way."""
@@ -341,7 +341,7 @@
     @staticmethod
     async def _retire(relay: Relay, scope: trio.CancelScope) -> None:
         """Let a relay go once it owes no answer."""
-        relay.note_exchanged()
+        relay.note_replaced()
         with trio.move_on_after(LONGEST_SILENCE_SECONDS):
             await relay.wait_idle()
         scope.cancel()
--- a/fireflyfork/adapters/tests/test_relays.py
+++ b/fireflyfork/adapters/tests/test_relays.py
@@ -337,7 +337,7 @@
 
         _play_muted(play)
 
-    def test_a_relay_that_is_exchanged_still_brings_the_answers_it_owes(self) -> None:
+    def test_a_relay_that_is_replaced_still_brings_the_answers_it_owes(self) -> None:
         """Guards against ends that are lost with their polls, since another relay has become the better one."""
 
         async def play(owner: RelayedExecutors, relay: MutedRelay, direct: Recorder) -> None:
