The stand-in's link takes the clients' own timeouts

Timeouts, tries and the bound of silence stood a second time in the stand-in, with the same values. It imports those of the clients that it imitates, so that a change there is played here. Behaviour stays as it is.

--- a/fireflyfork_standins/scheduling/_linked_executors.py
+++ b/fireflyfork_standins/scheduling/_linked_executors.py
@@ -20,11 +20,11 @@
     PollRequest,
     StartRequest,
 )
+from fireflyfork.platform._executor_client import CALL_TIMEOUT_SECONDS
 
 from ._link_calls import LinkCalls, Question
 from ._region_link import Purpose, Region, RegionLink
 
-CALL_TIMEOUT_SECONDS = 0.6
 POLL_BYTES = 300
 """Of a question or an answer, without its rows."""
 ROW_BYTES = 60
--- a/fireflyfork_standins/scheduling/_linked_store.py
+++ b/fireflyfork_standins/scheduling/_linked_store.py
@@ -18,14 +18,16 @@
     StoreListing,
 )
 from fireflyfork.platform import CONFIGURATION_KEY
+from fireflyfork.platform._store_client import (
+    ANSWER_PAUSE_SECONDS,
+    CALL_TIMEOUT_SECONDS,
+    FAILURES_TO_DOUBT,
+    PAGE_TRIES,
+)
 
 from ._link_calls import LinkCalls, Question
 from ._region_link import Purpose, Region, RegionLink
 
-CALL_TIMEOUT_SECONDS = 0.9
-ANSWER_PAUSE_SECONDS = 3.0
-PAGE_TRIES = 3
-FAILURES_TO_DOUBT = 3
 CALL_BYTES = 250
 """Of a question or an answer, without what it holds."""
 ITEM_BYTES = 150
--- a/fireflyfork_standins/scheduling/_replicas.py
+++ b/fireflyfork_standins/scheduling/_replicas.py
@@ -20,10 +20,9 @@
     ReplicaQuestion,
     ReplicaSource,
 )
+from fireflyfork.adapters._replica_client import SILENT_SECONDS
 from fireflyfork.adapters._replica_messages import Ask, ItemEncoder
 
-SILENT_SECONDS = 1.4
-
 Carry = Callable[[NodeName, NodeName, int], Awaitable[None]]
 """Takes so many bytes from one instance to another."""
 
