Evacuations: no new runs in a failure domain that operators evacuate

Change: every instance follows the requests with the configuration; the owner sends no new run to executors of an evacuated domain, drops starts that wait for their turn, and moves long-running tasks out within their unavailability budget where another executor has room. Other tasks end by themselves.

--- a/bench/operator_replicas.py
+++ b/bench/operator_replicas.py
@@ -17,6 +17,7 @@
 from fireflyfork.decisions.jobs import QueueTable
 from fireflyfork.programs._announcements import Announcements
 from fireflyfork_standins.scheduling import (
+    History,
     RegionProfile,
     RouteChange,
     StandInStore,
@@ -62,7 +63,7 @@
         self._costs = Costs(instances)
         self._map = RegionMap(profile, instances, 0)
         self._store = StandInStore(Random(SEED))
-        operator = self._map.operator(self._store, ServiceName("desk"))
+        operator = self._map.operator(self._store, ServiceName("desk"), History())
         assert operator is not None
         self._operator = operator
         self._latest = 0.0
--- a/fireflyfork/decisions/jobs/_arrangement.py
+++ b/fireflyfork/decisions/jobs/_arrangement.py
@@ -15,6 +15,7 @@
 
 from ._executors import ExecutorState
 from ._interference import InterferenceModel
+from ._move_reservations import RESERVATION_SECONDS
 from ._pacing import HEADROOM_TO_KEEP
 from ._placement_costs import is_allowed, leftover_millis
 from ._runs import Run, Task
@@ -42,9 +43,6 @@
 only until its task is sent, or for ``RESERVATION_SECONDS``."""
 MIN_SECONDS_BETWEEN_MOVES = 12.0
 """Minimum time between two moves of the same task, whatever is learned in between."""
-RESERVATION_SECONDS = 1.5
-"""How long resources stay reserved for a moved task: a stop takes up to 0.2 s, and its end is
-listed within another 0.2 s."""
 EXECUTORS_PER_SEARCH = 48
 """Executors examined for misplaced images in one search; the next search continues with the
 following ones. The cost of a search does not grow with the fleet."""
@@ -373,13 +371,13 @@
 
 def _can_be_moved(run: Run, now: float) -> bool:
     task: Task = run.task
-    if not task.spec.long_running or _has_other_constraints(task):
+    if not task.spec.long_running or has_other_constraints(task):
         return False
     has_rested = now - task.moved_at >= MIN_SECONDS_BETWEEN_MOVES
     return has_rested and is_serving(task) and may_become_unavailable(run)
 
 
-def _has_other_constraints(task: Task) -> bool:
+def has_other_constraints(task: Task) -> bool:
     """Whether more than CPU, memory and per-executor limits decides where a task may run.
 
     A reservation covers only those. A task that needs an accelerator would be started where none is
--- a/fireflyfork/decisions/jobs/_executors.py
+++ b/fireflyfork/decisions/jobs/_executors.py
@@ -105,6 +105,8 @@
     """Whether the machine is next to go down for upkeep, so that the executor gets no new work."""
     upkeep_due: bool = False
     """Whether the executor's machine still has to go down in a wave of upkeep."""
+    evacuated: bool = False
+    """Whether operators have asked to evacuate the executor's failure domain."""
     consecutive_failures: int = 0
     """Number of failures in a row; a task that ends successfully resets it."""
     last_failure_at: float = 0.0
@@ -161,6 +163,7 @@
             and not self.answers_late
             and not self.registration.draining
             and not self.cordoned
+            and not self.evacuated
             and self.avoided_until <= now
         )
 
--- a/fireflyfork/decisions/jobs/_move_reservations.py
+++ b/fireflyfork/decisions/jobs/_move_reservations.py
@@ -7,6 +7,10 @@
 from ._executors import ExecutorState
 from ._runs import Task
 
+RESERVATION_SECONDS = 1.5
+"""How long resources stay reserved for a moved task: a stop takes up to 0.2 s, and its end is
+listed within another 0.2 s."""
+
 
 @dataclass(frozen=True, slots=True)
 class MoveReservation:
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -10,9 +10,10 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 
-from ..._ids import ExecutorId, JobId, MachineId, ServiceName
+from ..._ids import ExecutorId, FailureDomainName, JobId, MachineId, ServiceName
 from ._arrangement import Arrangement
 from ._commands import AskAdvice, Command
+from ._evacuations import Evacuations
 from ._executors import ExecutorRegistration, ExecutorState
 from ._interference import LearnedFit
 from ._job_table import JobTable
@@ -65,6 +66,7 @@
         self._stragglers = Stragglers(self._state)
         self._arrangement = Arrangement(self._state)
         self._upkeep = Upkeep(self._state, settings.service)
+        self._evacuations = Evacuations(self._state)
 
     @property
     def jobs(self) -> JobTable:
@@ -100,6 +102,10 @@
         """Use the queues of another configuration version."""
         self.jobs.configure(queues)
 
+    def evacuate(self, domains: frozenset[FailureDomainName]) -> None:
+        """Send no new runs to executors in exactly these failure domains."""
+        self._evacuations.replace(domains)
+
     def recover(
         self,
         jobs: Iterable[tuple[JobSpec, StoredProgress | None]],
@@ -122,6 +128,7 @@
         for registration in last_known:
             executor = ExecutorState(registration, now, registered=False)
             executor.stored_address = registration.address
+            self._evacuations.mark(executor)
             self._state.add_executor(executor)
         for registration in registrations:
             self.register(registration, now)
@@ -160,6 +167,7 @@
         if state is None:
             executor = ExecutorState(registration, now)
             executor.cordoned = self._upkeep.is_cordoned(registration.executor)
+            self._evacuations.mark(executor)
             self._state.add_executor(executor)
             self._state.known_executors_changed = True
             return
@@ -174,8 +182,9 @@
             self._state.known_executors_changed = True
         if registration.incarnation > state.registration.incarnation:
             self._state.handle_restart(state, registration, now)
-            return
-        state.registration = registration
+        else:
+            state.registration = registration
+        self._evacuations.mark(state)
 
     def unregister(self, executor: ExecutorId, now: float) -> None:
         """Handle the removal of a registration: the executor left or can't reach the store."""
@@ -285,6 +294,7 @@
             self._stragglers.check(executor, now)
         self._state.give_up_unreached(now)
         self._upkeep.evict(now)
+        self._evacuations.move_tasks(now)
         self._state.move_reservations.expire(now)
         if self._state.shed_level < Shed.ARRANGEMENT:
             self._arrangement.check(now)
--- a/fireflyfork/platform/__init__.py
+++ b/fireflyfork/platform/__init__.py
@@ -5,10 +5,17 @@
 
 from ._advisor_client import PlatformAdvisor
 from ._configuration import decode_configuration
+from ._evacuations import evacuated_domain
 from ._executor_client import PlatformExecutors
 from ._jobs import decode_job, encode_pending, encode_state, parse_job_id
 from ._machines_client import PlatformMachines
-from ._names import CONFIGURATION_KEY, OPERATOR_PREFIX, READINESS_PATH, REGISTRATION_PREFIX
+from ._names import (
+    CONFIGURATION_KEY,
+    EVACUATION_PREFIX,
+    OPERATOR_PREFIX,
+    READINESS_PATH,
+    REGISTRATION_PREFIX,
+)
 from ._registrations import decode_registration, registered_executor
 from ._settings import (
     NodeSettings,
@@ -22,6 +29,7 @@
 
 __all__ = [
     "CONFIGURATION_KEY",
+    "EVACUATION_PREFIX",
     "OPERATOR_PREFIX",
     "READINESS_PATH",
     "REGISTRATION_PREFIX",
@@ -38,6 +46,7 @@
     "encode_pending",
     "encode_state",
     "encode_wave_status",
+    "evacuated_domain",
     "is_completed_status",
     "is_wave",
     "load_node_settings",
--- a/fireflyfork/platform/_names.py
+++ b/fireflyfork/platform/_names.py
@@ -5,6 +5,7 @@
 CONFIGURATION_KEY = "op/config"
 OPERATOR_PREFIX = "op/"
 WAVE_PREFIX = "op/wave/"
+EVACUATION_PREFIX = "op/evacuate/"
 WAVE_STATUS_PREFIX = "status/wave/"
 REGISTRATION_PREFIX = "servers/"
 
--- a/fireflyfork/programs/_queue_keeper.py
+++ b/fireflyfork/programs/_queue_keeper.py
@@ -1,4 +1,4 @@
-"""Follows the operator's keys on this instance: the configuration and waves of upkeep."""
+"""Follows the operator's keys: the configuration, waves of upkeep and evacuations."""
 
 from __future__ import annotations
 
@@ -8,6 +8,7 @@
 from loguru import logger
 
 from .._errors import SettingsError
+from .._ids import FailureDomainName
 from ..adapters import (
     CoordinationStore,
     ReplicaPeers,
@@ -21,6 +22,7 @@
     OPERATOR_PREFIX,
     decode_configuration,
     decode_wave,
+    evacuated_domain,
     is_wave,
 )
 from ._key_replica import KeyReplica, KeyReplicaSource
@@ -70,6 +72,7 @@
         )
         self._table: QueueTable | None = None
         self._waves: dict[str, UpkeepWave] = {}
+        self._evacuated_domains: frozenset[FailureDomainName] = frozenset()
         self.configured = trio.Event()
 
     @property
@@ -97,12 +100,20 @@
         """The waves of upkeep that the operator requested."""
         return tuple(self._waves.values())
 
+    @property
+    def evacuated_domains(self) -> frozenset[FailureDomainName]:
+        """The failure domains whose executors get no new runs at the operator's request."""
+        return self._evacuated_domains
+
     async def run(self) -> None:
         """Follow the operator's keys until cancelled."""
         await self._follower.run()
 
     def _apply_change(self, change: StoreChange) -> None:
-        if change.item is not None:
+        domain = evacuated_domain(change.key)
+        if domain is not None:
+            self._apply_evacuation(domain, requested=change.item is not None)
+        elif change.item is not None:
             self._apply_item(change.item)
         else:
             self._waves.pop(change.key, None)
@@ -132,6 +143,18 @@
         self._changed(table)
         self.configured.set()
 
+    def _apply_evacuation(self, domain: FailureDomainName, requested: bool) -> None:
+        if requested:
+            self._evacuated_domains |= {domain}
+        else:
+            self._evacuated_domains -= {domain}
+        logger.info(
+            "evacuation in force" if requested else "evacuation withdrawn",
+            failure_domain=domain,
+            told_by=self._follower.upstream or "store",
+            seconds=round(self._now() - self._follower.asked_at, 3),
+        )
+
     def _apply_wave(self, item: StoredItem) -> None:
         wave = decode_wave(item)
         if wave is not None:
--- a/fireflyfork/programs/_scheduler_node.py
+++ b/fireflyfork/programs/_scheduler_node.py
@@ -26,6 +26,7 @@
 from ._job_service import JobService
 from ._loop_report import LoopReport
 from ._metrics import METRICS_TEXT, Metrics
+from ._operator_requests import OperatorRequests
 from ._queue_keeper import QueueKeeper
 from ._service_candidate import ServiceCandidate
 from ._service_owner import ServiceOwner
@@ -105,6 +106,10 @@
             clients.relay_traffic,
             self._metrics,
         )
+        self._metrics.gauge(
+            "fireflyfork_evacuated_failure_domains",
+            lambda: len(self._keeper.evacuated_domains),
+        )
         self._candidates: dict[ServiceName, ServiceCandidate] = {}
         self._nursery: trio.Nursery | None = None
         self._stopping = False
@@ -212,8 +217,11 @@
             self._random,
             self._metrics,
             self._settings.bounds,
-            self._queues,
-            lambda: self._keeper.waves,
+            OperatorRequests(
+                self._queues,
+                lambda: self._keeper.waves,
+                lambda: self._keeper.evacuated_domains,
+            ),
             self._announcements,
         )
 
--- a/fireflyfork/programs/_service_candidate.py
+++ b/fireflyfork/programs/_service_candidate.py
@@ -2,18 +2,17 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
 from random import Random
 
 import trio
 
 from .._ids import NodeName, ServiceName
-from ..decisions.jobs import QueueTable, UpkeepWave
 from ..platform import PlatformBounds
 from ._announcements import Announcements
 from ._clocks import Clock
 from ._external_clients import ExternalClients
 from ._metrics import Metrics
+from ._operator_requests import OperatorRequests
 from ._service_lease import ServiceLease
 from ._service_owner import HAND_OVER_SECONDS, ServiceOwner
 
@@ -30,23 +29,17 @@
         random: Random,
         metrics: Metrics,
         bounds: PlatformBounds,
-        queues: Callable[[], QueueTable],
-        waves: Callable[[], tuple[UpkeepWave, ...]],
+        requests: OperatorRequests,
         announcements: Announcements,
     ) -> None:
-        """Set up the candidacy; ``run`` starts it.
-
-        ``queues`` returns the queues in force, ``waves`` the waves of upkeep that the operator
-        requested.
-        """
+        """Set up the candidacy; ``run`` starts it."""
         self._service = service
         self._node = node
         self._external_clients = clients
         self._clock = clock
         self._metrics = metrics
         self._bounds = bounds
-        self._queues = queues
-        self._waves = waves
+        self._requests = requests
         self._announcements = announcements
         self._lease = ServiceLease(service, node, clients.store, clock, random, announcements)
         self._owner: ServiceOwner | None = None
@@ -72,8 +65,7 @@
                 self._clock,
                 self._metrics,
                 self._bounds,
-                self._queues,
-                self._waves,
+                self._requests,
                 self._announcements,
             )
             try:
--- a/fireflyfork/programs/_service_owner.py
+++ b/fireflyfork/programs/_service_owner.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
 import trio
 from loguru import logger
 
@@ -19,7 +17,6 @@
     QueueTable,
     Scheduler,
     SchedulerSettings,
-    UpkeepWave,
     step_name,
 )
 from ..platform import (
@@ -31,6 +28,7 @@
 from ._executor_polls import MAX_UNCONFIRMED_SECONDS, ExecutorPolls
 from ._external_clients import ExternalClients
 from ._metrics import Metrics
+from ._operator_requests import OperatorRequests
 from ._recovery_reads import read_recovery_state, retry_until_answered
 from ._registration_intake import RegistrationIntake
 from ._run_orders import RunOrders
@@ -82,15 +80,10 @@
         clock: Clock,
         metrics: Metrics,
         bounds: PlatformBounds,
-        queues: Callable[[], QueueTable],
-        waves: Callable[[], tuple[UpkeepWave, ...]],
+        requests: OperatorRequests,
         announcements: Announcements,
     ) -> None:
-        """Create and connect the parts of the owner; ``run`` starts them.
-
-        ``queues`` returns the queues in force, ``waves`` the waves of upkeep that the operator
-        requested.
-        """
+        """Create and connect the parts of the owner; ``run`` starts them."""
         metrics.count("fireflyfork_ownerships_total", service=term.service)
         self._term = term
         self._service: ServiceName = term.service
@@ -101,7 +94,7 @@
         self._loop_time = clients.loop_time
         self._metrics = metrics
         self._clock = clock
-        self._queues = queues
+        self._requests = requests
         self._retention = bounds.status_retention + RETENTION_MARGIN_SECONDS
         lease = min(LEASE_SECONDS, bounds.max_lease * MAX_LEASE_SHARE)
         unreached_lease = MAX_UNCONFIRMED_SECONDS + lease + CLOCK_MARGIN_SECONDS
@@ -110,7 +103,7 @@
             self._store, term, self._scheduler, self._note_journal_written
         )
         self._upkeep = UpkeepDuty(
-            self._store, clients.machines, self._scheduler, term, node, clock, waves
+            self._store, clients.machines, self._scheduler, term, node, clock, requests.waves
         )
         self._polls = ExecutorPolls(
             self._scheduler,
@@ -246,7 +239,8 @@
         state = await read_recovery_state(self._store, self._journal)
         jobs = self._work_intake.stored_jobs(state.work.items, state.progress.items)
         now, now_ms = self._clock.now(), self._clock.unix_ms()
-        self._scheduler.configure(self._queues())
+        self._scheduler.configure(self._requests.queues())
+        self._scheduler.evacuate(self._requests.evacuated_domains())
         self._scheduler.adopt(state.learned)
         registrations = self._registrations.service_registrations(state.registrations.items)
         self._scheduler.recover(jobs, registrations, state.last_known, now, now_ms)
@@ -268,6 +262,7 @@
         while True:
             await trio.sleep(TICK_SECONDS)
             self._shed_load()
+            self._scheduler.evacuate(self._requests.evacuated_domains())
             with self._profile.section("checks of time"):
                 self._scheduler.check_time(self._clock.now(), self._clock.unix_ms())
             if self._scheduler.needs_ownership_proof(self._clock.now()) and not self._proving:
--- a/fireflyfork/programs/tests/builders_owner.py
+++ b/fireflyfork/programs/tests/builders_owner.py
@@ -10,7 +10,7 @@
 from fireflyfork_standins.scheduling._executor_calls import StandInExecutorCalls
 from fireflyfork_standins.scheduling._nodes import VirtualClock
 
-from ..._ids import ExecutorId, LeaseId, NodeName
+from ..._ids import ExecutorId, FailureDomainName, LeaseId, NodeName
 from ...adapters import LoopTime, NoAdvisor, Put
 from ...decisions.jobs import ExecutorRoom, JobSpec, encode_job
 from ...decisions.jobs.tests.builders_jobs import SERVICE, table
@@ -18,6 +18,7 @@
 from .._announcements import Announcements
 from .._external_clients import ExternalClients
 from .._metrics import Metrics
+from .._operator_requests import OperatorRequests
 from .._scheduling_keys import job_key, owner_key
 from .._service_lease import Term
 from .._service_owner import ServiceOwner
@@ -33,6 +34,7 @@
     def __init__(self, nursery: trio.Nursery, executor_count: int = 1) -> None:
         """Create the parts without starting them; delayed orders are executed in ``nursery``."""
         random = Random(1)
+        self.evacuated_domains: frozenset[FailureDomainName] = frozenset()
         self.history = History()
         self.store = StandInStore(random)
         room = ExecutorRoom(8000, 16000, 0)
@@ -60,8 +62,7 @@
             clock,
             Metrics(),
             BOUNDS,
-            table,
-            lambda: (),
+            OperatorRequests(table, evacuated_domains=lambda: self.evacuated_domains),
             Announcements(NODE, 1.0, 1000.0, client, clock),
         )
 
--- a/fireflyfork_standins/scheduling/__init__.py
+++ b/fireflyfork_standins/scheduling/__init__.py
@@ -8,7 +8,7 @@
 from ._machines import StandInMachines, machine_of
 from ._nodes import UNIX_MS_AT_START, StandInNode
 from ._region_link import Purpose, Region, RegionLink
-from ._regions import RegionProfile, RouteChange
+from ._regions import Evacuation, RegionProfile, RouteChange
 from ._replicas import ReplicaNetwork, StandInReplicaPeers
 from ._store import StandInStore, StoreTrouble
 from ._troubles import ALL_TROUBLES, INCARNATION_TROUBLES, TROUBLES, UPKEEP_TROUBLES
@@ -21,6 +21,7 @@
     "TROUBLES",
     "UNIX_MS_AT_START",
     "UPKEEP_TROUBLES",
+    "Evacuation",
     "ExecutorTrouble",
     "History",
     "Profile",
--- a/fireflyfork_standins/scheduling/_configuration_sources.py
+++ b/fireflyfork_standins/scheduling/_configuration_sources.py
@@ -5,7 +5,7 @@
 from abc import ABC, abstractmethod
 from collections.abc import Awaitable, Callable
 
-from fireflyfork._ids import NodeName
+from fireflyfork._ids import FailureDomainName, NodeName
 from fireflyfork.adapters import (
     CoordinationStore,
     ReplicaAnswer,
@@ -32,6 +32,11 @@
     def table(self) -> QueueTable | None:
         """The queues in force, or None before the first configuration was received."""
 
+    @property
+    @abstractmethod
+    def evacuated_domains(self) -> frozenset[FailureDomainName]:
+        """The failure domains that the operator has asked to evacuate."""
+
     @abstractmethod
     async def run(self) -> None:
         """Follow the configuration until cancelled."""
@@ -61,6 +66,11 @@
         """See ConfigurationSource."""
         return self._table
 
+    @property
+    def evacuated_domains(self) -> frozenset[FailureDomainName]:
+        """See ConfigurationSource."""
+        return frozenset()
+
     async def run(self) -> None:
         """See ConfigurationSource."""
 
@@ -118,6 +128,11 @@
         """See ConfigurationSource."""
         return self._keeper.table
 
+    @property
+    def evacuated_domains(self) -> frozenset[FailureDomainName]:
+        """See ConfigurationSource."""
+        return self._keeper.evacuated_domains
+
     async def run(self) -> None:
         """See ConfigurationSource."""
         answers = _FreezableReplicaSource(self._keeper.replica_source, self._awake)
--- a/fireflyfork_standins/scheduling/_executors.py
+++ b/fireflyfork_standins/scheduling/_executors.py
@@ -203,6 +203,7 @@
             return CallOutcome.MALFORMED
         step = spec.steps[parsed[1].step]
         self._history.record_start(self._id(order.task, order.attempt))
+        self._history.check_evacuation(self._failure_domain, order.task)
         if not self._fits(step):
             self._history.record_over_room(self.executor, order.task)
         work = step.estimate_ms / 1000 * self._random.uniform(0.5, 1.6)
--- a/fireflyfork_standins/scheduling/_history.py
+++ b/fireflyfork_standins/scheduling/_history.py
@@ -7,11 +7,13 @@
 
 import trio
 
-from fireflyfork._ids import ExecutorId, JobId, TaskName
+from fireflyfork._ids import ExecutorId, FailureDomainName, JobId, TaskName
 from fireflyfork.decisions.jobs import EndReason, JobSpec, StepSpec, TaskKey, parse_task_name
 
 STARTUP_SECONDS = 0.35
 """Time from the start of a long-running task until it is available."""
+EVACUATION_GRACE_SECONDS = 5.0
+"""Time after a request to evacuate a failure domain during which tasks may still start there."""
 CANCEL_GRACE_SECONDS = 3.0
 """Time after the acknowledgement of a job's cancellation during which its tasks may still start."""
 
@@ -63,6 +65,8 @@
     listing_counts: bool = False
     """Whether an end counts as known to the scheduler once an executor has listed it, even if the
     answer got lost. Valid on days on which executors, scheduler and network work correctly."""
+    evacuated_since: dict[FailureDomainName, float] = field(default_factory=dict)
+    """The failure domains that the operator has asked to evacuate, with the time of the request."""
     starts: int = 0
     ends: dict[EndReason, int] = field(default_factory=lambda: defaultdict(int))
     _runs: dict[TaskName, list[_Run]] = field(default_factory=lambda: defaultdict(list))
@@ -86,6 +90,12 @@
             self.record_violation("cancelled", f"{task} begins {now - cancelled:.1f} s after that")
         self._runs[task].append(_Run(run, now))
 
+    def check_evacuation(self, domain: FailureDomainName, task: TaskName) -> None:
+        """Check that the failure domain in which a task starts has not been evacuated."""
+        since = self.evacuated_since.get(domain)
+        if since is not None and trio.current_time() > since + EVACUATION_GRACE_SECONDS:
+            self.record_violation("evacuated", f"{task} begins in {domain}")
+
     def record_end(self, run: RunId, reason: EndReason) -> None:
         """Record that a run ended or was lost in a crash of its executor."""
         self.ends[reason] += 1
--- a/fireflyfork_standins/scheduling/_nodes.py
+++ b/fireflyfork_standins/scheduling/_nodes.py
@@ -44,6 +44,7 @@
 from fireflyfork.programs._external_clients import ExternalClients
 from fireflyfork.programs._job_requests import JobRequests
 from fireflyfork.programs._metrics import Metrics
+from fireflyfork.programs._operator_requests import OperatorRequests
 from fireflyfork.programs._service_candidate import ServiceCandidate
 
 from ._configuration_sources import ConfigurationSource, FixedConfiguration
@@ -306,8 +307,11 @@
             self._random,
             Metrics(),
             self._bounds,
-            lambda: self._table(source),
-            lambda: tuple(self._machines.waves),
+            OperatorRequests(
+                lambda: self._table(source),
+                lambda: tuple(self._machines.waves),
+                lambda: source.evacuated_domains,
+            ),
             announcements,
         )
         with trio.CancelScope() as self._process_scope:
--- a/fireflyfork_standins/scheduling/_regions.py
+++ b/fireflyfork_standins/scheduling/_regions.py
@@ -11,7 +11,7 @@
 from fireflyfork._ids import ExecutorId, FailureDomainName, NodeName, ServiceName
 from fireflyfork._links import Address
 from fireflyfork.adapters import CoordinationStore, ExecutorCalls
-from fireflyfork.platform import CONFIGURATION_KEY
+from fireflyfork.platform import CONFIGURATION_KEY, EVACUATION_PREFIX
 from fireflyfork.programs._announcements import Announcements
 from fireflyfork.programs._clocks import Clock
 
@@ -22,6 +22,7 @@
     TableListener,
     WaitAwake,
 )
+from ._history import History
 from ._linked_executors import LinkedExecutorCalls
 from ._linked_store import LinkedStoreClient, item_bytes
 from ._region_link import Purpose, Region, RegionLink
@@ -49,6 +50,16 @@
     """Number of added routes; if negative, number of removed routes."""
 
 
+@dataclass(frozen=True, slots=True)
+class Evacuation:
+    """A request of the operator to evacuate a failure domain for some time."""
+
+    at: float
+    """Time from the start of the traffic, in seconds."""
+    seconds: float
+    failure_domain: FailureDomainName
+
+
 @dataclass(frozen=True, slots=True)
 class RegionProfile:
     """The settings of a day with two regions."""
@@ -66,6 +77,7 @@
     first_added: int = 0
     """Number of added routes in the version that is written before the traffic starts."""
     changes: tuple[RouteChange, ...] = ()
+    evacuations: tuple[Evacuation, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -108,9 +120,11 @@
             return NEAR_DOMAIN
         return self._domain(number, self._executors - self._profile.far_executors)
 
-    def operator(self, store: StandInStore, service: ServiceName) -> Operator | None:
+    def operator(
+        self, store: StandInStore, service: ServiceName, history: History
+    ) -> Operator | None:
         """Return the operator that writes the configuration, or None if it never changes."""
-        return Operator(store, service, self._profile) if self._profile else None
+        return Operator(store, service, self._profile, history) if self._profile else None
 
     def site(self, number: int, bound_seconds: float) -> Site | None:
         """Return the site of an instance, or None if there is one region.
@@ -190,11 +204,15 @@
 
 
 class Operator:
-    """Writes each version of the configuration as a whole."""
+    """Writes each version of the configuration as a whole, and requests evacuations."""
 
-    def __init__(self, store: StandInStore, service: ServiceName, profile: RegionProfile) -> None:
+    def __init__(
+        self, store: StandInStore, service: ServiceName, profile: RegionProfile, history: History
+    ) -> None:
         """Prepare the changes of ``profile``; ``begin`` writes the first version."""
         self._store = store
+        self._history = history
+        self._evacuations = profile.evacuations
         self._service = service
         self._changes = profile.changes
         self._version = 0
@@ -207,12 +225,24 @@
         self._write()
 
     async def run(self) -> None:
-        """Write all changes at their times."""
+        """Make all changes at their times."""
         begun = trio.current_time()
-        for change in self._changes:
-            await trio.sleep_until(begun + change.at)
-            self._added += change.added
-            self._write()
+        async with trio.open_nursery() as nursery:
+            for evacuation in self._evacuations:
+                nursery.start_soon(self._evacuate, evacuation)
+            for change in self._changes:
+                await trio.sleep_until(begun + change.at)
+                self._added += change.added
+                self._write()
+
+    async def _evacuate(self, evacuation: Evacuation) -> None:
+        domain = evacuation.failure_domain
+        await trio.sleep(evacuation.at)
+        self._store.put(f"{EVACUATION_PREFIX}{domain}", b"{}")
+        self._history.evacuated_since[domain] = trio.current_time()
+        await trio.sleep(evacuation.seconds)
+        del self._history.evacuated_since[domain]
+        self._store.remove(f"{EVACUATION_PREFIX}{domain}")
 
     def _write(self) -> None:
         self._version += 1
