--- a/fireflyfork/programs/_scheduler_node.py
+++ b/fireflyfork/programs/_scheduler_node.py
@@ -18,7 +18,6 @@
 )
 from ..decisions.jobs import QueueTable
 from ..platform import READINESS_PATH, NodeSettings
-from ._announced_upstreams import AnnouncedUpstreams
 from ._announcements import Announcements
 from ._clocks import Clock
 from ._external_clients import ExternalClients
@@ -26,10 +25,11 @@
 from ._job_service import JobService
 from ._loop_report import LoopReport
 from ._metrics import METRICS_TEXT, Metrics
-from ._operator_requests import OperatorRequests
-from ._queue_keeper import QueueKeeper
-from ._service_candidate import ServiceCandidate
-from ._service_owner import ServiceOwner
+from .owner._operator_requests import OperatorRequests
+from .owner._service_candidate import ServiceCandidate
+from .owner._service_owner import ServiceOwner
+from .replicas._announced_upstreams import AnnouncedUpstreams
+from .replicas._queue_keeper import QueueKeeper
 
 NOTICE_SECONDS = 2.5
 """Minimum time between failing the readiness check and closing callers' connections.
--- a/fireflyfork/programs/_decision_log.py
+++ b/fireflyfork/programs/owner/_decision_log.py
@@ -11,11 +11,11 @@
 
 from loguru import logger
 
-from .._job_samples import in_sample, job_of_task
-from ..decisions.jobs import ExecutorGivenUp, JobOver, Note, RunEnded, TaskSent
-from ._clocks import Clock
+from ..._job_samples import in_sample, job_of_task
+from ...decisions.jobs import ExecutorGivenUp, JobOver, Note, RunEnded, TaskSent
+from .._clocks import Clock
+from .._metrics import Metrics
 from ._decision_metrics import count_decision
-from ._metrics import Metrics
 
 MAX_LINES_PER_SECOND = 400
 """A line takes about 50 us of an instance's fraction of a core."""
--- a/fireflyfork/programs/_decision_metrics.py
+++ b/fireflyfork/programs/owner/_decision_metrics.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from ..decisions.jobs import ExecutorGivenUp, JobOver, Note, RunEnded, TaskSent
-from ._metrics import Metrics
+from ...decisions.jobs import ExecutorGivenUp, JobOver, Note, RunEnded, TaskSent
+from .._metrics import Metrics
 
 
 def count_decision(metrics: Metrics, note: Note) -> None:
--- a/fireflyfork/programs/_executor_polls.py
+++ b/fireflyfork/programs/owner/_executor_polls.py
@@ -9,8 +9,8 @@
 import trio
 from loguru import logger
 
-from ..adapters import ExecutorCalls, ExecutorEndpoint, LoopTime
-from ..decisions.jobs import (
+from ...adapters import ExecutorCalls, ExecutorEndpoint, LoopTime
+from ...decisions.jobs import (
     CallOutcome,
     ExecutorState,
     PollAnswer,
@@ -18,8 +18,8 @@
     Scheduler,
     Shed,
 )
-from ._call_limiter import CallLimiter
-from ._clocks import Clock
+from .._call_limiter import CallLimiter
+from .._clocks import Clock
 from ._service_journal import OwnershipLostError, ServiceJournal
 from ._service_lease import Term
 
--- a/fireflyfork/programs/_operator_requests.py
+++ b/fireflyfork/programs/owner/_operator_requests.py
@@ -5,8 +5,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from .._ids import FailureDomainName
-from ..decisions.jobs import QueueTable, UpkeepWave
+from ..._ids import FailureDomainName
+from ...decisions.jobs import QueueTable, UpkeepWave
 
 
 def _no_waves() -> tuple[UpkeepWave, ...]:
--- a/fireflyfork/programs/_recovery_reads.py
+++ b/fireflyfork/programs/owner/_recovery_reads.py
@@ -9,11 +9,11 @@
 import trio
 from loguru import logger
 
-from .._errors import StoreError
-from ..adapters import CoordinationStore, StoreListing
-from ..decisions.jobs import ExecutorRegistration, LearnedFit
-from ..platform import REGISTRATION_PREFIX
-from ._scheduling_keys import PROGRESS_PREFIX, WORK_PREFIX
+from ..._errors import StoreError
+from ...adapters import CoordinationStore, StoreListing
+from ...decisions.jobs import ExecutorRegistration, LearnedFit
+from ...platform import REGISTRATION_PREFIX
+from .._scheduling_keys import PROGRESS_PREFIX, WORK_PREFIX
 from ._service_journal import ServiceJournal
 
 RETRY_SECONDS = 0.1
--- a/fireflyfork/programs/_registration_intake.py
+++ b/fireflyfork/programs/owner/_registration_intake.py
@@ -4,12 +4,12 @@
 
 from collections.abc import Callable, Iterable
 
-from .._ids import ExecutorId, ServiceName
-from ..adapters import CoordinationStore, StoreChange, StoredItem, StoreListing
-from ..decisions.jobs import ExecutorRegistration, ExecutorState, Scheduler
-from ..platform import REGISTRATION_PREFIX, decode_registration, registered_executor
-from ._clocks import Clock
-from ._prefix_watch import PrefixWatch
+from ..._ids import ExecutorId, ServiceName
+from ...adapters import CoordinationStore, StoreChange, StoredItem, StoreListing
+from ...decisions.jobs import ExecutorRegistration, ExecutorState, Scheduler
+from ...platform import REGISTRATION_PREFIX, decode_registration, registered_executor
+from .._clocks import Clock
+from .._prefix_watch import PrefixWatch
 
 WATCH_SECONDS = 2.0
 GATHER_SECONDS = 0.4
--- a/fireflyfork/programs/_run_orders.py
+++ b/fireflyfork/programs/owner/_run_orders.py
@@ -7,9 +7,9 @@
 import trio
 from loguru import logger
 
-from .._ids import FencingToken
-from ..adapters import ExecutorCalls, ExecutorEndpoint, LoopTime
-from ..decisions.jobs import (
+from ..._ids import FencingToken
+from ...adapters import ExecutorCalls, ExecutorEndpoint, LoopTime
+from ...decisions.jobs import (
     CallOutcome,
     ExecutorState,
     OrderAnswer,
@@ -21,8 +21,8 @@
     StartRun,
     StopRun,
 )
-from ._call_limiter import CallLimiter
-from ._clocks import Clock
+from .._call_limiter import CallLimiter
+from .._clocks import Clock
 from ._executor_polls import ExecutorPolls
 from ._service_journal import OwnershipLostError
 
--- a/fireflyfork/programs/_service_candidate.py
+++ b/fireflyfork/programs/owner/_service_candidate.py
@@ -6,12 +6,12 @@
 
 import trio
 
-from .._ids import NodeName, ServiceName
-from ..platform import PlatformBounds
-from ._announcements import Announcements
-from ._clocks import Clock
-from ._external_clients import ExternalClients
-from ._metrics import Metrics
+from ..._ids import NodeName, ServiceName
+from ...platform import PlatformBounds
+from .._announcements import Announcements
+from .._clocks import Clock
+from .._external_clients import ExternalClients
+from .._metrics import Metrics
 from ._operator_requests import OperatorRequests
 from ._service_lease import ServiceLease
 from ._service_owner import HAND_OVER_SECONDS, ServiceOwner
--- a/fireflyfork/programs/_service_journal.py
+++ b/fireflyfork/programs/owner/_service_journal.py
@@ -9,10 +9,10 @@
 import trio
 from loguru import logger
 
-from .._errors import StoreError, TransactionConflictError
-from .._ids import JobId, Revision
-from ..adapters import CoordinationStore, Put
-from ..decisions.jobs import (
+from ..._errors import StoreError, TransactionConflictError
+from ..._ids import JobId, Revision
+from ...adapters import CoordinationStore, Put
+from ...decisions.jobs import (
     ExecutorRegistration,
     LearnedFit,
     Scheduler,
@@ -23,7 +23,7 @@
     encode_progress,
     encode_registrations,
 )
-from ._scheduling_keys import (
+from .._scheduling_keys import (
     cancel_key,
     executors_key,
     job_key,
--- a/fireflyfork/programs/_service_lease.py
+++ b/fireflyfork/programs/owner/_service_lease.py
@@ -9,19 +9,19 @@
 import trio
 from loguru import logger
 
-from .._errors import (
+from ..._errors import (
     LeaseEndedError,
     StoreConflictError,
     StoreError,
     StoreHistoryLostError,
     StoreUnavailableError,
 )
-from .._ids import FencingToken, LeaseId, NodeName, Revision, ServiceName
-from ..adapters import CoordinationStore, Put
-from ..decisions.jobs import bid_delay
-from ._announcements import Announcements
-from ._clocks import Clock
-from ._scheduling_keys import owner_key, term_key
+from ..._ids import FencingToken, LeaseId, NodeName, Revision, ServiceName
+from ...adapters import CoordinationStore, Put
+from ...decisions.jobs import bid_delay
+from .._announcements import Announcements
+from .._clocks import Clock
+from .._scheduling_keys import owner_key, term_key
 
 LEASE_SECONDS = 1.2
 """Close to the minimum of 1 s that the store grants, since it is most of the time between the
--- a/fireflyfork/programs/_service_owner.py
+++ b/fireflyfork/programs/owner/_service_owner.py
@@ -5,13 +5,13 @@
 import trio
 from loguru import logger
 
-from .._errors import StoreError
-from .._ids import NodeName, Revision, ServiceName
-from ..adapters import (
+from ..._errors import StoreError
+from ..._ids import NodeName, Revision, ServiceName
+from ...adapters import (
     RelayedExecutors,
     StoreListing,
 )
-from ..decisions.jobs import (
+from ...decisions.jobs import (
     AskAdvice,
     ExecutorState,
     QueueTable,
@@ -19,20 +19,20 @@
     SchedulerSettings,
     step_name,
 )
-from ..platform import (
+from ...platform import (
     PlatformBounds,
 )
-from ._announcements import Announcements
-from ._clocks import Clock
+from .._announcements import Announcements
+from .._clocks import Clock
+from .._external_clients import ExternalClients
+from .._metrics import Metrics
+from .._scheduling_keys import owner_key
 from ._decision_log import DecisionLog
 from ._executor_polls import MAX_UNCONFIRMED_SECONDS, ExecutorPolls
-from ._external_clients import ExternalClients
-from ._metrics import Metrics
 from ._operator_requests import OperatorRequests
 from ._recovery_reads import read_recovery_state, retry_until_answered
 from ._registration_intake import RegistrationIntake
 from ._run_orders import RunOrders
-from ._scheduling_keys import owner_key
 from ._service_journal import OwnershipLostError, ServiceJournal
 from ._service_lease import Term
 from ._succession import Succession
--- a/fireflyfork/programs/_succession.py
+++ b/fireflyfork/programs/owner/_succession.py
@@ -8,11 +8,11 @@
 import trio
 from loguru import logger
 
-from .._errors import StoreError
-from .._ids import NodeName, ServiceName
-from ..adapters import RelayedExecutors, RelayEndpoint
-from ..decisions.jobs import InstanceStanding, choose_relays, has_stronger, should_hand_over
-from ._announcements import Announcements
+from ..._errors import StoreError
+from ..._ids import NodeName, ServiceName
+from ...adapters import RelayedExecutors, RelayEndpoint
+from ...decisions.jobs import InstanceStanding, choose_relays, has_stronger, should_hand_over
+from .._announcements import Announcements
 
 RECOVERY_CHECK_SECONDS = 4.0
 """Period after which a recovery is checked for an instance that could complete it sooner.
--- a/fireflyfork/programs/_upkeep_duty.py
+++ b/fireflyfork/programs/owner/_upkeep_duty.py
@@ -7,10 +7,10 @@
 import trio
 from loguru import logger
 
-from .._errors import StoreError, TransactionConflictError
-from .._ids import MachineId, NodeName, Revision
-from ..adapters import CoordinationStore, MachineCalls, Put, StoredItem
-from ..decisions.jobs import (
+from ..._errors import StoreError, TransactionConflictError
+from ..._ids import MachineId, NodeName, Revision
+from ...adapters import CoordinationStore, MachineCalls, Put, StoredItem
+from ...decisions.jobs import (
     MachineListing,
     Scheduler,
     StoredFormatError,
@@ -22,9 +22,9 @@
     decode_upkeep_mark,
     encode_upkeep_mark,
 )
-from ..platform import encode_wave_status, is_completed_status, wave_status_key
-from ._clocks import Clock
-from ._scheduling_keys import UPKEEP_PREFIX, owner_key, upkeep_key, upkeep_prefix
+from ...platform import encode_wave_status, is_completed_status, wave_status_key
+from .._clocks import Clock
+from .._scheduling_keys import UPKEEP_PREFIX, owner_key, upkeep_key, upkeep_prefix
 from ._service_journal import OwnershipLostError
 from ._service_lease import Term
 
--- a/fireflyfork/programs/_work_intake.py
+++ b/fireflyfork/programs/owner/_work_intake.py
@@ -6,9 +6,9 @@
 
 from loguru import logger
 
-from .._ids import JobId
-from ..adapters import CoordinationStore, StoreChange, StoredItem, StoreListing
-from ..decisions.jobs import (
+from ..._ids import JobId
+from ...adapters import CoordinationStore, StoreChange, StoredItem, StoreListing
+from ...decisions.jobs import (
     JobSpec,
     Scheduler,
     StoredFormatError,
@@ -16,9 +16,9 @@
     decode_progress,
     decode_stored_job,
 )
-from ._clocks import Clock
-from ._prefix_watch import PrefixWatch
-from ._scheduling_keys import CANCEL_PREFIX, JOB_PREFIX, PROGRESS_PREFIX, WORK_PREFIX, owner_key
+from .._clocks import Clock
+from .._prefix_watch import PrefixWatch
+from .._scheduling_keys import CANCEL_PREFIX, JOB_PREFIX, PROGRESS_PREFIX, WORK_PREFIX, owner_key
 from ._service_journal import OwnershipLostError
 from ._service_lease import Term
 
--- a/fireflyfork/programs/tests/builders_journal.py
+++ b/fireflyfork/programs/owner/tests/builders_journal.py
@@ -12,14 +12,14 @@
 
 from fireflyfork_standins.scheduling import StandInStore
 
-from ..._errors import (
+from ...._errors import (
     LeaseEndedError,
     StoreRefusedError,
     StoreUnavailableError,
     TransactionConflictError,
 )
-from ..._ids import LeaseId, Revision
-from ...adapters import CoordinationStore, Put, StoreChanges, StoredItem, StoreListing
+from ...._ids import LeaseId, Revision
+from ....adapters import CoordinationStore, Put, StoreChanges, StoredItem, StoreListing
 
 
 class WriteBehavior(Enum):
--- a/fireflyfork/programs/tests/builders_owner.py
+++ b/fireflyfork/programs/owner/tests/builders_owner.py
@@ -10,16 +10,16 @@
 from fireflyfork_standins.scheduling._executor_calls import StandInExecutorCalls
 from fireflyfork_standins.scheduling._nodes import VirtualClock
 
-from ..._ids import ExecutorId, FailureDomainName, LeaseId, NodeName
-from ...adapters import LoopTime, NoAdvisor, Put
-from ...decisions.jobs import ExecutorRoom, JobSpec, encode_job
-from ...decisions.jobs.tests.builders_jobs import SERVICE, table
-from ...platform import PlatformBounds
-from .._announcements import Announcements
-from .._external_clients import ExternalClients
-from .._metrics import Metrics
+from ...._ids import ExecutorId, FailureDomainName, LeaseId, NodeName
+from ....adapters import LoopTime, NoAdvisor, Put
+from ....decisions.jobs import ExecutorRoom, JobSpec, encode_job
+from ....decisions.jobs.tests.builders_jobs import SERVICE, table
+from ....platform import PlatformBounds
+from ..._announcements import Announcements
+from ..._external_clients import ExternalClients
+from ..._metrics import Metrics
+from ..._scheduling_keys import job_key, owner_key
 from .._operator_requests import OperatorRequests
-from .._scheduling_keys import job_key, owner_key
 from .._service_lease import Term
 from .._service_owner import ServiceOwner
 
--- a/fireflyfork/programs/tests/test_decision_log.py
+++ b/fireflyfork/programs/owner/tests/test_decision_log.py
@@ -4,8 +4,8 @@
 
 from loguru import logger
 
-from ..._ids import ExecutorId, JobId, TaskName
-from ...decisions.jobs import (
+from ...._ids import ExecutorId, JobId, TaskName
+from ....decisions.jobs import (
     EndReason,
     ExecutorGivenUp,
     JobOver,
@@ -16,9 +16,9 @@
     TaskSent,
     WaitReason,
 )
-from .._clocks import Clock
+from ..._clocks import Clock
+from ..._metrics import Metrics
 from .._decision_log import MAX_LINES_PER_SECOND, DecisionLog
-from .._metrics import Metrics
 
 TASK = TaskName("00000000000000aa.0.0.0")
 EXECUTOR = ExecutorId("i-0")
--- a/fireflyfork/programs/tests/test_idle_executors.py
+++ b/fireflyfork/programs/owner/tests/test_idle_executors.py
@@ -5,9 +5,9 @@
 import trio
 from trio.testing import MockClock
 
-from ...decisions.jobs import decode_registrations
-from ...decisions.jobs.tests.builders_jobs import SERVICE, job
-from .._scheduling_keys import executors_key
+from ....decisions.jobs import decode_registrations
+from ....decisions.jobs.tests.builders_jobs import SERVICE, job
+from ..._scheduling_keys import executors_key
 from .builders_owner import OwnerFixture
 
 
--- a/fireflyfork/programs/tests/test_late_loop.py
+++ b/fireflyfork/programs/owner/tests/test_late_loop.py
@@ -11,8 +11,8 @@
 
 from fireflyfork_standins.scheduling import StandInExecutorCalls
 
-from ...decisions.jobs import Scheduler
-from ...decisions.jobs.tests.builders_jobs import job, step
+from ....decisions.jobs import Scheduler
+from ....decisions.jobs.tests.builders_jobs import job, step
 from .builders_owner import OwnerFixture
 
 SECONDS = 60.0
--- a/fireflyfork/programs/tests/test_many_starts.py
+++ b/fireflyfork/programs/owner/tests/test_many_starts.py
@@ -12,8 +12,8 @@
 
 from fireflyfork_standins.scheduling import StandInExecutorCalls
 
-from ...decisions.jobs import EndReason
-from ...decisions.jobs.tests.builders_jobs import job, step
+from ....decisions.jobs import EndReason
+from ....decisions.jobs.tests.builders_jobs import job, step
 from .builders_owner import OwnerFixture
 
 EXECUTORS = 60
--- a/fireflyfork/programs/tests/test_placing_rounds.py
+++ b/fireflyfork/programs/owner/tests/test_placing_rounds.py
@@ -9,7 +9,7 @@
 import trio
 from trio.testing import MockClock
 
-from ...decisions.jobs import Scheduler
+from ....decisions.jobs import Scheduler
 from .builders_owner import OwnerFixture
 
 EVENTS = 2_000
--- a/fireflyfork/programs/tests/test_probes.py
+++ b/fireflyfork/programs/owner/tests/test_probes.py
@@ -13,17 +13,17 @@
 
 from fireflyfork_standins.scheduling._nodes import VirtualClock
 
-from ..._ids import ExecutorId, FencingToken
-from ...adapters import (
+from ...._ids import ExecutorId, FencingToken
+from ....adapters import (
     MAX_CALL_SECONDS,
     ExecutorCalls,
     ExecutorEndpoint,
     LoopTime,
     RelayedExecutors,
 )
-from ...adapters.tests.builders_relays import RELAY_ENDPOINT, MutedRelay
-from ...decisions.jobs import CallOutcome, PollAnswer, PollRequest
-from ...decisions.jobs.tests.builders_jobs import OwnerUnderTest
+from ....adapters.tests.builders_relays import RELAY_ENDPOINT, MutedRelay
+from ....decisions.jobs import CallOutcome, PollAnswer, PollRequest
+from ....decisions.jobs.tests.builders_jobs import OwnerUnderTest
 from .._executor_polls import (
     LATE_ANSWER_SECONDS,
     MAX_CONCURRENT_PROBES,
--- a/fireflyfork/programs/tests/test_run_orders.py
+++ b/fireflyfork/programs/owner/tests/test_run_orders.py
@@ -6,11 +6,11 @@
 import trio
 from trio.testing import wait_all_tasks_blocked
 
-from ..._ids import FencingToken
-from ...adapters import ExecutorCalls, ExecutorEndpoint, LoopTime
-from ...decisions.jobs import CallOutcome, OrderAnswer, StartRequest, StartRun
-from ...decisions.jobs.tests.builders_jobs import START_MS, OwnerUnderTest, job, registration, step
-from .._clocks import Clock
+from ...._ids import FencingToken
+from ....adapters import ExecutorCalls, ExecutorEndpoint, LoopTime
+from ....decisions.jobs import CallOutcome, OrderAnswer, StartRequest, StartRun
+from ....decisions.jobs.tests.builders_jobs import START_MS, OwnerUnderTest, job, registration, step
+from ..._clocks import Clock
 from .._executor_polls import ExecutorPolls
 from .._run_orders import MAX_ORDERS_PER_EXECUTOR, RunOrders
 
--- a/fireflyfork/programs/tests/test_service_journal.py
+++ b/fireflyfork/programs/owner/tests/test_service_journal.py
@@ -15,9 +15,9 @@
 )
 from trio.testing import MockClock
 
-from ..._ids import AttemptNumber, JobId, LeaseId, Revision
-from ...adapters import Put
-from ...decisions.jobs import (
+from ...._ids import AttemptNumber, JobId, LeaseId, Revision
+from ....adapters import Put
+from ....decisions.jobs import (
     EndedRow,
     EndReason,
     Run,
@@ -25,8 +25,8 @@
     decode_progress,
     parse_task_name,
 )
-from ...decisions.jobs.tests.builders_jobs import SERVICE, START_MS, OwnerUnderTest, job, row, step
-from .._scheduling_keys import owner_key, progress_key
+from ....decisions.jobs.tests.builders_jobs import SERVICE, START_MS, OwnerUnderTest, job, row, step
+from ..._scheduling_keys import owner_key, progress_key
 from .._service_journal import OwnershipLostError, ServiceJournal
 from .._service_lease import Term
 from .builders_journal import FaultyStore, WriteBehavior
--- a/fireflyfork/programs/tests/test_service_lease.py
+++ b/fireflyfork/programs/owner/tests/test_service_lease.py
@@ -9,9 +9,9 @@
 from fireflyfork_standins.scheduling import StandInStore
 from fireflyfork_standins.scheduling._nodes import VirtualClock
 
-from ...decisions.jobs.tests.builders_jobs import SERVICE
-from .._announcements import Announcements
-from .._scheduling_keys import owner_key
+from ....decisions.jobs.tests.builders_jobs import SERVICE
+from ..._announcements import Announcements
+from ..._scheduling_keys import owner_key
 from .._service_lease import LEASE_SECONDS, ServiceLease
 from .builders_owner import NODE
 
--- a/fireflyfork/programs/tests/test_service_owner.py
+++ b/fireflyfork/programs/owner/tests/test_service_owner.py
@@ -5,9 +5,9 @@
 import trio
 from trio.testing import MockClock
 
-from ...adapters import StoreListing
-from ...decisions.jobs.tests.builders_jobs import job
-from .._scheduling_keys import WORK_PREFIX
+from ....adapters import StoreListing
+from ....decisions.jobs.tests.builders_jobs import job
+from ..._scheduling_keys import WORK_PREFIX
 from .._service_journal import OwnershipLostError
 from .builders_owner import OwnerFixture
 
--- a/fireflyfork/programs/tests/test_upkeep_duty.py
+++ b/fireflyfork/programs/owner/tests/test_upkeep_duty.py
@@ -14,12 +14,12 @@
     machine_of,
 )
 
-from ..._ids import ExecutorId, LeaseId, NodeName, Revision, ServiceName
-from ...adapters import Put
-from ...decisions.jobs import ExecutorRoom, Scheduler, SchedulerSettings, UpkeepWave
-from ...decisions.jobs.tests.builders_jobs import registration
-from .._clocks import Clock
-from .._scheduling_keys import owner_key
+from ...._ids import ExecutorId, LeaseId, NodeName, Revision, ServiceName
+from ....adapters import Put
+from ....decisions.jobs import ExecutorRoom, Scheduler, SchedulerSettings, UpkeepWave
+from ....decisions.jobs.tests.builders_jobs import registration
+from ..._clocks import Clock
+from ..._scheduling_keys import owner_key
 from .._service_lease import Term
 from .._upkeep_duty import UpkeepDuty
 
--- a/fireflyfork/programs/_announced_upstreams.py
+++ b/fireflyfork/programs/replicas/_announced_upstreams.py
@@ -4,10 +4,10 @@
 
 from loguru import logger
 
-from .._errors import StoreError
-from ..adapters import ReplicaEndpoint
-from ..decisions.jobs import InstanceStanding, choose_upstreams
-from ._announcements import Announcements
+from ..._errors import StoreError
+from ...adapters import ReplicaEndpoint
+from ...decisions.jobs import InstanceStanding, choose_upstreams
+from .._announcements import Announcements
 from ._replica_follower import Upstreams
 
 
--- a/fireflyfork/programs/_key_replica.py
+++ b/fireflyfork/programs/replicas/_key_replica.py
@@ -7,8 +7,8 @@
 
 import trio
 
-from .._ids import Revision
-from ..adapters import (
+from ..._ids import Revision
+from ...adapters import (
     ReplicaAnswer,
     ReplicaQuery,
     ReplicaSource,
--- a/fireflyfork/programs/_queue_keeper.py
+++ b/fireflyfork/programs/replicas/_queue_keeper.py
@@ -7,17 +7,17 @@
 import trio
 from loguru import logger
 
-from .._errors import SettingsError
-from .._ids import FailureDomainName
-from ..adapters import (
+from ..._errors import SettingsError
+from ..._ids import FailureDomainName
+from ...adapters import (
     CoordinationStore,
     ReplicaPeers,
     ReplicaSource,
     StoreChange,
     StoredItem,
 )
-from ..decisions.jobs import QueueTable, UpkeepWave
-from ..platform import (
+from ...decisions.jobs import QueueTable, UpkeepWave
+from ...platform import (
     CONFIGURATION_KEY,
     OPERATOR_PREFIX,
     decode_configuration,
--- a/fireflyfork/programs/_replica_follower.py
+++ b/fireflyfork/programs/replicas/_replica_follower.py
@@ -12,9 +12,9 @@
 import trio
 from loguru import logger
 
-from .._errors import PeerError
-from .._ids import NodeName
-from ..adapters import (
+from ..._errors import PeerError
+from ..._ids import NodeName
+from ...adapters import (
     CoordinationStore,
     ReplicaAnswer,
     ReplicaEndpoint,
@@ -22,8 +22,8 @@
     ReplicaPeers,
     ReplicaQuery,
 )
+from .._prefix_watch import PrefixWatch
 from ._key_replica import KeyReplica
-from ._prefix_watch import PrefixWatch
 
 WATCH_SECONDS = 1.5
 """How long one request to the store waits. A failed connection is noticed after this time plus a
--- a/fireflyfork/programs/tests/builders_replicas.py
+++ b/fireflyfork/programs/replicas/tests/builders_replicas.py
@@ -13,10 +13,10 @@
 
 from fireflyfork_standins.scheduling import ReplicaNetwork, StandInReplicaPeers, StandInStore
 
-from ..._ids import NodeName
-from ..._links import Address
-from ...adapters import ReplicaEndpoint
-from ...platform import CONFIGURATION_KEY
+from ...._ids import NodeName
+from ...._links import Address
+from ....adapters import ReplicaEndpoint
+from ....platform import CONFIGURATION_KEY
 from .._queue_keeper import QueueKeeper
 from .._replica_follower import Upstreams
 
--- a/fireflyfork/programs/tests/test_queue_keeper.py
+++ b/fireflyfork/programs/replicas/tests/test_queue_keeper.py
@@ -11,8 +11,8 @@
 
 from fireflyfork_standins.scheduling import StandInStore
 
-from ..._ids import NodeName
-from ...platform import CONFIGURATION_KEY
+from ...._ids import NodeName
+from ....platform import CONFIGURATION_KEY
 from .._queue_keeper import QueueKeeper
 
 NODE = NodeName("n-0")
--- a/fireflyfork/programs/tests/test_replica_follower.py
+++ b/fireflyfork/programs/replicas/tests/test_replica_follower.py
@@ -8,9 +8,9 @@
 
 import trio
 
-from ..._ids import NodeName, Revision
-from ...adapters import ReplicaQuery, StoreChange, StoredItem
-from ...platform import OPERATOR_PREFIX
+from ...._ids import NodeName, Revision
+from ....adapters import ReplicaQuery, StoreChange, StoredItem
+from ....platform import OPERATOR_PREFIX
 from .._key_replica import (
     MAX_WAIT_SECONDS,
     MIN_WAIT_SECONDS,
--- a/fireflyfork/programs/tests/builders_callers.py
+++ b/fireflyfork/programs/tests/builders_callers.py
@@ -17,7 +17,7 @@
 from .._job_requests import JobRequests
 from .._job_service import JobService
 from .._metrics import Metrics
-from .._queue_keeper import QueueKeeper
+from ..replicas._queue_keeper import QueueKeeper
 
 HOST = "desk.example"
 BOUND_SECONDS = 2.5
--- a/fireflyfork/programs/tests/test_loop_report.py
+++ b/fireflyfork/programs/tests/test_loop_report.py
@@ -11,7 +11,7 @@
 from ...operations.tests.builders_job_logs import line
 from .._loop_report import LoopReport
 from .._metrics import Metrics
-from .builders_journal import FixedCountersStore
+from ..owner.tests.builders_journal import FixedCountersStore
 
 
 class LoopReportTest(unittest.TestCase):
--- a/fireflyfork_standins/scheduling/_configuration_sources.py
+++ b/fireflyfork_standins/scheduling/_configuration_sources.py
@@ -13,10 +13,10 @@
     ReplicaSource,
 )
 from fireflyfork.decisions.jobs import QueueTable
-from fireflyfork.programs._announced_upstreams import AnnouncedUpstreams
 from fireflyfork.programs._announcements import Announcements
 from fireflyfork.programs._clocks import Clock
-from fireflyfork.programs._queue_keeper import QueueKeeper
+from fireflyfork.programs.replicas._announced_upstreams import AnnouncedUpstreams
+from fireflyfork.programs.replicas._queue_keeper import QueueKeeper
 
 from ._replicas import ReplicaNetwork, StandInReplicaPeers
 
--- a/fireflyfork_standins/scheduling/_nodes.py
+++ b/fireflyfork_standins/scheduling/_nodes.py
@@ -44,8 +44,8 @@
 from fireflyfork.programs._external_clients import ExternalClients
 from fireflyfork.programs._job_requests import JobRequests
 from fireflyfork.programs._metrics import Metrics
-from fireflyfork.programs._operator_requests import OperatorRequests
-from fireflyfork.programs._service_candidate import ServiceCandidate
+from fireflyfork.programs.owner._operator_requests import OperatorRequests
+from fireflyfork.programs.owner._service_candidate import ServiceCandidate
 
 from ._configuration_sources import ConfigurationSource, FixedConfiguration
 from ._executor_calls import StandInExecutorCalls
--- a/fireflyfork_standins/tests/test_scheduling_days.py
+++ b/fireflyfork_standins/tests/test_scheduling_days.py
@@ -240,8 +240,8 @@
             return 0.0 if own.strength < 0.1 else 1.0
 
         with (
-            patch("fireflyfork.programs._service_lease.bid_delay", delay),
-            patch("fireflyfork.programs._succession.has_stronger", lambda *_, **__: False),
+            patch("fireflyfork.programs.owner._service_lease.bid_delay", delay),
+            patch("fireflyfork.programs.owner._succession.has_stronger", lambda *_, **__: False),
         ):
             times = [run_day(seed, THIN_DAY).longest_without_owner for seed in range(400, 406)]
         self.assertGreater(max(times), LONGEST_WITHOUT_OWNER)
