A new owner waits for its relays, uses more of them and finds those that restart

It tried each once, came back to them after 3 s, and in between made connections to 3,000 executors itself, at some 3 ms each: longer than the leases last. Now it waits up to 0.8 s for relays before the first calls, has one for 100 executors, and reconnects after 0.2 s with backoff.

--- a/fireflyfork/adapters/_relay_client.py
+++ b/fireflyfork/adapters/_relay_client.py
@@ -52,7 +52,12 @@
 MAX_SILENCE_SECONDS = SILENT_SECONDS + MAX_CALL_SECONDS + ROUND_TRIP_SECONDS
 """The loop time without a message after which the stream is closed. By then no call is pending, so closing the
 stream loses no reply."""
-RECONNECT_SECONDS = 3.0
+MIN_RECONNECT_SECONDS = 0.2
+"""Delay before a stream is opened again. The relay may have been restarted together with the owner that this one
+succeeds, and calls that no relay takes cost this owner a connection each."""
+MAX_RECONNECT_SECONDS = 1.0
+"""Limit of the delay, which doubles with each attempt that fails."""
+CONNECTED_CHECK_SECONDS = 0.02
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,7 +120,8 @@
             await self._call_ended.wait()
 
     async def run(self) -> None:
-        """Connect, and reconnect ``RECONNECT_SECONDS`` after the stream has ended. Runs until cancelled."""
+        """Connect, and reconnect with backoff after the stream has ended. Runs until cancelled."""
+        delay = MIN_RECONNECT_SECONDS
         while True:
             try:
                 await self._connect_and_receive()
@@ -123,8 +129,11 @@
                 reason = str(errors.exceptions[0])
                 logger.info("relay lost", relay=self.endpoint.node, reason=reason)
             finally:
+                was_open = self._state is not _State.CLOSED
                 self._disconnect()
-            await trio.sleep(RECONNECT_SECONDS)
+            delay = MIN_RECONNECT_SECONDS if was_open else delay
+            await trio.sleep(delay)
+            delay = min(2 * delay, MAX_RECONNECT_SECONDS)
 
     async def call(self, make_call: Callable[[int], Call], seconds: float) -> Reply | None:
         """Make a call and return the reply, or None if no reply arrives within ``seconds`` of loop time.
@@ -266,6 +275,18 @@
                 await self._changed.wait()
                 self._changed = trio.Event()
 
+    async def wait_connected(self) -> None:
+        """Wait until a relay is usable in each failure domain that has relays."""
+        while not self._is_connected:
+            await trio.sleep(CONNECTED_CHECK_SECONDS)
+
+    @property
+    def _is_connected(self) -> bool:
+        domains = {endpoint.failure_domain for endpoint in self._configured}
+        return all(
+            any(relay.usable for relay in self._by_domain.get(domain, ())) for domain in domains
+        )
+
     async def start(
         self, endpoint: ExecutorEndpoint, token: FencingToken, order: StartRequest
     ) -> OrderAnswer:
--- a/fireflyfork/adapters/tests/builders_relays.py
+++ b/fireflyfork/adapters/tests/builders_relays.py
@@ -53,6 +53,8 @@
         their wait."""
         self.connected = 0
         self.received: list[AnyRelayMessage] = []
+        self.refuses_until = float("-inf")
+        """Time before which connections are refused, as by a process that is being restarted."""
         self.link_full = False
         """While True, owners can't send anything after the message that they are currently sending."""
         self._answer = answer
@@ -74,6 +76,8 @@
         async with trio.open_nursery() as nursery:
 
             async def opened(*_: object) -> MemoryStream:
+                if trio.current_time() < self.refuses_until:
+                    raise ConnectionRefusedError
                 here, there = memory_stream_pair()
                 here.socket = _Socket(here)  # type: ignore[attr-defined]
                 self._narrow(here.send_stream)
--- a/fireflyfork/adapters/tests/test_relays.py
+++ b/fireflyfork/adapters/tests/test_relays.py
@@ -33,7 +33,7 @@
     RelayServer,
 )
 from .._message_stream import FrameDecoder, encode_frame
-from .._relay_client import ORDER_SECONDS, RECONNECT_SECONDS, SILENT_SECONDS
+from .._relay_client import MAX_RECONNECT_SECONDS, ORDER_SECONDS, SILENT_SECONDS
 from .._relay_messages import DECODER, EndpointFields, Hello, PaceCall, PollReply, Pong
 from .._relay_server import MAX_STALL_SECONDS
 from .builders_relays import RELAY_ENDPOINT, MutedRelay
@@ -392,7 +392,7 @@
             owner: RelayedExecutors, relay: MutedRelay, direct: RecordingExecutors
         ) -> None:
             longest_call = POLL.wait_seconds + POLL.patience_seconds
-            await trio.sleep(2 * longest_call + RECONNECT_SECONDS)
+            await trio.sleep(2 * longest_call + MAX_RECONNECT_SECONDS)
             self.assertGreaterEqual(relay.connected, 2)
 
         _play_muted(play)
--- a/fireflyfork/decisions/jobs/__init__.py
+++ b/fireflyfork/decisions/jobs/__init__.py
@@ -9,6 +9,7 @@
     bid_delay,
     choose_relays,
     has_stronger,
+    needs_relays,
     should_hand_over,
     strength,
 )
@@ -115,6 +116,7 @@
     "encode_registrations",
     "encode_upkeep_mark",
     "has_stronger",
+    "needs_relays",
     "parse_task_name",
     "queue_table",
     "should_hand_over",
--- a/fireflyfork/decisions/jobs/_instance_standing.py
+++ b/fireflyfork/decisions/jobs/_instance_standing.py
@@ -10,6 +10,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from math import ceil
 
 from ..._ids import FailureDomainName, NodeName
 from ..._links import Address
@@ -36,9 +37,12 @@
 MIN_EXECUTORS_FOR_RELAYS = 64
 """Number of executors from which an owner uses relays. With fewer, it makes all calls itself, since
 a relay adds a hop to each call."""
-RELAYS_PER_DOMAIN = 4
-"""Number of relays in each failure domain, the strongest instances. The loss of one affects a
-quarter of the calls there."""
+MIN_RELAYS_PER_DOMAIN = 4
+"""Minimum number of relays in each failure domain, the strongest instances. The loss of one affects
+a quarter of the calls there."""
+EXECUTORS_PER_RELAY = 100
+"""Maximum number of executors of a relay, if there are enough instances. After a change of owner a
+relay opens its connections within a fraction of the executors' lease."""
 SUFFICIENT_STRENGTH = 0.4
 """An owner with at least this strength always keeps its service. Services with 24 to 33 executors
 need a quarter of this strength at their peak."""
@@ -95,6 +99,11 @@
     return max(other_strengths, default=0.0) >= own.strength * HAND_OVER_RATIO
 
 
+def needs_relays(executors: int) -> bool:
+    """Whether an owner of this many executors calls them through relays."""
+    return executors >= MIN_EXECUTORS_FOR_RELAYS
+
+
 def choose_relays(
     own: NodeName, announced: Iterable[InstanceStanding], executors: int
 ) -> tuple[InstanceStanding, ...]:
@@ -102,7 +111,7 @@
 
     Their number in each failure domain is limited.
     """
-    if executors < MIN_EXECUTORS_FOR_RELAYS:
+    if not needs_relays(executors):
         return ()
     domains: dict[FailureDomainName, list[InstanceStanding]] = {}
     for standing in announced:
@@ -112,10 +121,13 @@
             and standing.failure_domain is not None
         ):
             domains.setdefault(standing.failure_domain, []).append(standing)
+    per_domain = max(
+        MIN_RELAYS_PER_DOMAIN, ceil(executors / max(1, len(domains)) / EXECUTORS_PER_RELAY)
+    )
     return tuple(
         standing
         for candidates in domains.values()
         for standing in sorted(
             candidates, key=lambda standing: (-standing.strength, standing.node)
-        )[:RELAYS_PER_DOMAIN]
+        )[:per_domain]
     )
--- a/fireflyfork/decisions/jobs/tests/test_relay_choice.py
+++ b/fireflyfork/decisions/jobs/tests/test_relay_choice.py
@@ -8,8 +8,9 @@
 from ...._ids import FailureDomainName, NodeName
 from ...._links import Address
 from .._instance_standing import (
+    EXECUTORS_PER_RELAY,
     MIN_EXECUTORS_FOR_RELAYS,
-    RELAYS_PER_DOMAIN,
+    MIN_RELAYS_PER_DOMAIN,
     InstanceStanding,
     choose_relays,
 )
@@ -34,9 +35,17 @@
 
     def test_the_strongest_instances_of_each_failure_domain_are_chosen(self) -> None:
         chosen = choose_relays(OWN, _fleet(6, 16), LARGE)
-        self.assertEqual(len(chosen), 6 * RELAYS_PER_DOMAIN)
+        self.assertEqual(len(chosen), 6 * MIN_RELAYS_PER_DOMAIN)
         self.assertGreaterEqual(min(standing.strength for standing in chosen), 0.1 * 12 - 1e-9)
 
+    def test_relays_grow_with_the_executors(self) -> None:
+        """Guards against relays that open connections for longer than a lease after a takeover.
+
+        Pattern of the load: an owner of 3,000 executors is killed together with most relays.
+        """
+        chosen = choose_relays(OWN, _fleet(3, 60), 3_000)
+        self.assertEqual(len(chosen), 3_000 // EXECUTORS_PER_RELAY)
+
     def test_a_small_fleet_is_called_directly(self) -> None:
         """Guards against an additional hop for each call of an owner that has enough CPU time."""
         self.assertEqual(choose_relays(OWN, _fleet(3, 3), LARGE - 1), ())
--- a/fireflyfork/programs/owner/_service_owner.py
+++ b/fireflyfork/programs/owner/_service_owner.py
@@ -208,6 +208,7 @@
                 nursery.start_soon(self._remove_old_jobs)
                 nursery.start_soon(self._upkeep.run)
                 nursery.start_soon(self._calls.run)
+                await self._succession.connect_relays()
                 nursery.start_soon(
                     self._succession.follow_others, lambda: self.resign(HAND_OVER_SECONDS)
                 )
--- a/fireflyfork/programs/owner/_succession.py
+++ b/fireflyfork/programs/owner/_succession.py
@@ -11,7 +11,13 @@
 from ..._errors import StoreError
 from ..._ids import NodeName, ServiceName
 from ...adapters import RelayedExecutors, RelayEndpoint
-from ...decisions.jobs import InstanceStanding, choose_relays, has_stronger, should_hand_over
+from ...decisions.jobs import (
+    InstanceStanding,
+    choose_relays,
+    has_stronger,
+    needs_relays,
+    should_hand_over,
+)
 from .._announcements import Announcements
 
 RECOVERY_CHECK_SECONDS = 4.0
@@ -22,6 +28,10 @@
 PERIODS_FOR_EQUALS = 2
 """Number of periods after which the ownership is also given up to an instance that is no stronger,
 because the cause of the delay must be this instance."""
+RELAY_WAIT_SECONDS = 0.8
+"""Longest wait for relays before the first calls of a term. Leases have some three seconds left
+then."""
+RELAYS_NEEDED_CHECK_SECONDS = 0.2
 HAND_OVER_CHECK_SECONDS = 3.0
 """Interval at which an owner checks whether a much stronger instance could replace it."""
 
@@ -74,11 +84,22 @@
                 recovery.cancel()
                 return
 
+    async def connect_relays(self) -> None:
+        """Use other instances as relays, and wait a moment for the streams to them.
+
+        Calls made before that would open a connection to each executor, which takes an owner of
+        thousands longer than the leases of their runs last.
+        """
+        if not needs_relays(self._executor_count()):
+            return
+        with trio.move_on_after(RELAY_WAIT_SECONDS):
+            self._use_relays(await self._list_instances())
+            await self._calls.wait_connected()
+
     async def follow_others(self, resign: Callable[[], Awaitable[None]]) -> None:
         """Use other instances as relays. Resign once one of them could do the work far better."""
-        self._use_relays(await self._list_instances())
         while True:
-            await trio.sleep(HAND_OVER_CHECK_SECONDS)
+            await self._wait_for_check()
             own, others = self._announcements.own, await self._list_instances()
             if should_hand_over(own, others):
                 logger.info("handing over", service=self._service, strength=own.strength)
@@ -86,6 +107,13 @@
                 return
             self._use_relays(others)
 
+    async def _wait_for_check(self) -> None:
+        """Wait for the next check; executors that register in numbers need relays sooner."""
+        needed = needs_relays(self._executor_count())
+        with trio.move_on_after(HAND_OVER_CHECK_SECONDS):
+            while needed or not needs_relays(self._executor_count()):
+                await trio.sleep(RELAYS_NEEDED_CHECK_SECONDS)
+
     async def _list_instances(self) -> list[InstanceStanding]:
         """Return all instances' announcements, or an empty list if the store doesn't answer."""
         try:
