--- a/fireflyfork/programs/_scheduler_node.py
+++ b/fireflyfork/programs/_scheduler_node.py
@@ -21,10 +21,10 @@
 from ._announcements import Announcements
 from ._clocks import Clock
 from ._external_clients import ExternalClients
-from ._job_requests import JobRequests
-from ._job_service import JobService
 from ._loop_report import LoopReport
 from ._metrics import METRICS_TEXT, Metrics
+from .callers._job_requests import JobRequests
+from .callers._job_service import JobService
 from .owner._operator_requests import OperatorRequests
 from .owner._service_candidate import ServiceCandidate
 from .owner._service_owner import ServiceOwner
--- /dev/null
+++ b/fireflyfork/programs/callers/__init__.py
@@ -0,0 +1,1 @@
+"""What callers ask of an instance about their jobs, over HTTP and without."""
--- a/fireflyfork/programs/_job_requests.py
+++ b/fireflyfork/programs/callers/_job_requests.py
@@ -9,14 +9,14 @@
 import msgspec
 from loguru import logger
 
-from .._errors import (
+from ..._errors import (
     StoreConflictError,
     StoreRefusedError,
     StoreUnavailableError,
 )
-from .._ids import JobId, Revision
-from ..adapters import CoordinationStore, Put
-from ..decisions.jobs import (
+from ..._ids import JobId, Revision
+from ...adapters import CoordinationStore, Put
+from ...decisions.jobs import (
     JobSpec,
     JobState,
     QueueConfiguration,
@@ -25,7 +25,7 @@
     decode_stored_job,
     encode_job,
 )
-from ._scheduling_keys import cancel_key, job_key, pending_key, progress_key
+from .._scheduling_keys import cancel_key, job_key, pending_key, progress_key
 
 MAX_WRITE_ATTEMPTS = 2
 """A write whose answer was lost is sent once more, which settles whether it succeeded. After that
--- a/fireflyfork/programs/_job_service.py
+++ b/fireflyfork/programs/callers/_job_service.py
@@ -6,17 +6,17 @@
 
 from loguru import logger
 
-from .._errors import BadRequestError, StoppingError, StoreError, StoreRefusedError
-from .._ids import JobId
-from .._verdict import Verdict
-from ..adapters import Exchange, Header, HttpError, HttpHandler, collect
-from ..decisions.jobs import QueueConfiguration, QueueTable
-from ..platform import decode_job, encode_pending, encode_state, parse_job_id
-from ._clocks import Clock
+from ..._errors import BadRequestError, StoppingError, StoreError, StoreRefusedError
+from ..._ids import JobId
+from ..._verdict import Verdict
+from ...adapters import Exchange, Header, HttpError, HttpHandler, collect
+from ...decisions.jobs import QueueConfiguration, QueueTable
+from ...platform import decode_job, encode_pending, encode_state, parse_job_id
+from .._clocks import Clock
+from .._metrics import Metrics
+from .._stop_deadline import StopDeadline
 from ._job_requests import JobRequests
-from ._metrics import Metrics
 from ._retry_advice import SHORT_SECONDS, RetryAdvice
-from ._stop_deadline import StopDeadline
 
 MAX_BODY_BYTES = 262_144
 """Maximum body size that the platform's configuration allows callers to send."""
--- /dev/null
+++ b/fireflyfork/programs/callers/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of fireflyfork.programs.callers, and the builders that they share."""
--- a/fireflyfork/programs/tests/builders_callers.py
+++ b/fireflyfork/programs/callers/tests/builders_callers.py
@@ -10,14 +10,14 @@
 
 from fireflyfork_standins.scheduling import StandInStore
 
-from ..._ids import NodeName
-from ...adapters import Exchange, Header, RequestHead
-from ...adapters._http_server import ServerConnection
-from .._clocks import SystemClock
+from ...._ids import NodeName
+from ....adapters import Exchange, Header, RequestHead
+from ....adapters._http_server import ServerConnection
+from ..._clocks import SystemClock
+from ..._metrics import Metrics
+from ...replicas._queue_keeper import QueueKeeper
 from .._job_requests import JobRequests
 from .._job_service import JobService
-from .._metrics import Metrics
-from ..replicas._queue_keeper import QueueKeeper
 
 HOST = "desk.example"
 BOUND_SECONDS = 2.5
--- a/fireflyfork/programs/tests/test_job_requests.py
+++ b/fireflyfork/programs/callers/tests/test_job_requests.py
@@ -9,12 +9,12 @@
 
 from fireflyfork_standins.scheduling import StandInStore
 
-from ..._errors import StoreRefusedError, StoreUnavailableError
-from ..._ids import NodeName
-from ...decisions.jobs import JobState
-from ...decisions.jobs.tests.builders_jobs import job
+from ...._errors import StoreRefusedError, StoreUnavailableError
+from ...._ids import NodeName
+from ....decisions.jobs import JobState
+from ....decisions.jobs.tests.builders_jobs import job
+from ..._scheduling_keys import cancel_key, job_key
 from .._job_requests import JobRequests
-from .._scheduling_keys import cancel_key, job_key
 
 NODE = NodeName("n-0")
 
--- a/fireflyfork/programs/tests/test_job_service.py
+++ b/fireflyfork/programs/callers/tests/test_job_service.py
@@ -9,8 +9,8 @@
 
 from fireflyfork_standins.scheduling import StandInStore
 
-from ..._ids import NodeName
-from ...platform import CONFIGURATION_KEY
+from ...._ids import NodeName
+from ....platform import CONFIGURATION_KEY
 from .builders_callers import BOUND_SECONDS, CallerInstance, request_statuses, stored_configuration
 
 THIN_MBPS = 0.05
--- a/fireflyfork_standins/scheduling/_nodes.py
+++ b/fireflyfork_standins/scheduling/_nodes.py
@@ -42,8 +42,8 @@
 from fireflyfork.programs._announcements import Announcements
 from fireflyfork.programs._clocks import Clock
 from fireflyfork.programs._external_clients import ExternalClients
-from fireflyfork.programs._job_requests import JobRequests
 from fireflyfork.programs._metrics import Metrics
+from fireflyfork.programs.callers._job_requests import JobRequests
 from fireflyfork.programs.owner._operator_requests import OperatorRequests
 from fireflyfork.programs.owner._service_candidate import ServiceCandidate
 
--- a/fireflyfork_standins/tests/test_scheduling_days.py
+++ b/fireflyfork_standins/tests/test_scheduling_days.py
@@ -5,7 +5,7 @@
 from unittest.mock import patch
 
 from fireflyfork.decisions.jobs import ExecutorState, InstanceStanding, Scheduler, WaveView
-from fireflyfork.programs._job_requests import JobRequests
+from fireflyfork.programs.callers._job_requests import JobRequests
 from fireflyfork_standins.scheduling import (
     ALL_TROUBLES,
     TROUBLES,
