Paces ordered at the start of a task: tried, not kept

Hypothesis: a task that fills runs for 1.7 s, and its effect shows half a second after its start, so a pace that is worked out at the start from what is known about the pairs spares services the first half second. Nothing gained: placement has already refused what is known to be too much. Reverted, with its test.

--- a/fireflyfork/decisions/jobs/_pacing.py
+++ b/fireflyfork/decisions/jobs/_pacing.py
@@ -86,35 +86,6 @@
     yield from _new_paces(executor, model, now)
 
 
-def pace_after_start(
-    executor: ExecutorState, model: InterferenceModel
-) -> Iterator[tuple[Run, int]]:
-    """Yield the runs to slow down because a task has just started next to serving tasks.
-
-    The effect of the task shows in the tail latencies only after half of its run time. The paces
-    follow from the last sample and from what is known about the pairs of images.
-    """
-    if not executor.undisturbed_headroom:
-        return
-    running = _running_best_effort(executor)
-    paces = _allowed_paces(executor, running, model)
-    for run in running:
-        pace = max(MIN_PACE, paces[run.task.spec.image] // PACE_STEP * PACE_STEP)
-        if pace < run.pace_percent:
-            run.pace_percent = pace
-            run.lowest_pace = min(run.lowest_pace, pace)
-            run.pace_confirmed = True
-            yield run, pace
-
-
-def _running_best_effort(executor: ExecutorState) -> list[Run]:
-    return [
-        run
-        for run in executor.runs.values()
-        if run.task.spec.uses_leftover_cpu and run.phase is RunPhase.RUNNING
-    ]
-
-
 def _room_shares(executor: ExecutorState, rows: tuple[RunningRow, ...]) -> dict[str, float]:
     """Return the shares of the room that non-serving tasks used, by image."""
     room_shares: dict[str, float] = {}
@@ -136,7 +107,11 @@
 def _new_paces(
     executor: ExecutorState, model: InterferenceModel, now: float
 ) -> Iterator[tuple[Run, int]]:
-    best_effort = _running_best_effort(executor)
+    best_effort = [
+        run
+        for run in executor.runs.values()
+        if run.task.spec.uses_leftover_cpu and run.phase is RunPhase.RUNNING
+    ]
     is_over_target = any(
         sample.over_since is not None and now - sample.over_since >= MAX_OVER_TARGET_SECONDS
         for sample in executor.samples.values()
--- a/fireflyfork/decisions/jobs/_report_handling.py
+++ b/fireflyfork/decisions/jobs/_report_handling.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
 from dataclasses import replace
 
 from ..._ids import JobId, QueueName, TaskName
@@ -12,7 +11,7 @@
 from ._job_table import configuration_without_queue
 from ._load_shedding import Shed
 from ._notes import RunEnded
-from ._pacing import BACKGROUND_PACE, adjust_pace, pace_after_start
+from ._pacing import BACKGROUND_PACE, adjust_pace
 from ._progress import JobState
 from ._reports import CallOutcome, EndedRow, EndReason, OrderAnswer, PollAnswer, RunningRow
 from ._run_end_evidence import RunEndEvidence
@@ -51,8 +50,6 @@
             if run.in_background:
                 run.pace_percent = run.lowest_pace = BACKGROUND_PACE
                 self._state.commands.append(PaceRun(run, BACKGROUND_PACE))
-            if run.task.spec.uses_leftover_cpu:
-                self._order_paces(pace_after_start(executor, self._state.interference))
         elif outcome is CallOutcome.UNKNOWN:
             run.phase = RunPhase.UNSURE
             self._state.stop(run, now)
@@ -153,17 +150,16 @@
         self._reconcile(executor, sent_at, answer, now)
         if not answer.ends_may_be_cut:
             self._state.mark_reached(executor.executor, now)
-        paces = adjust_pace(
-            executor,
-            answer.running,
-            self._state.interference,
-            now,
-            learns=self._state.shed_level < Shed.LEARNING,
+        self._state.commands.extend(
+            PaceRun(run, percent)
+            for run, percent in adjust_pace(
+                executor,
+                answer.running,
+                self._state.interference,
+                now,
+                learns=self._state.shed_level < Shed.LEARNING,
+            )
         )
-        self._order_paces(paces)
-
-    def _order_paces(self, paces: Iterable[tuple[Run, int]]) -> None:
-        self._state.commands.extend(PaceRun(run, percent) for run, percent in paces)
 
     def _handle_end(self, executor: ExecutorState, row: EndedRow, now: float, now_ms: int) -> None:
         run = executor.runs.get((row.task, row.attempt))
--- a/fireflyfork/decisions/jobs/tests/test_interference.py
+++ b/fireflyfork/decisions/jobs/tests/test_interference.py
@@ -23,7 +23,7 @@
 from .._interference import PRIOR_EFFECT, SOLVE_SECONDS, InterferenceModel, Sample
 from .._pacing import BACKGROUND_PACE, HEADROOM_TO_KEEP, MIN_PACE, adjust_pace
 from .._placement_costs import choose
-from .builders_jobs import START_MS, OwnerUnderTest, job, learned, row, step
+from .builders_jobs import START_MS, OwnerUnderTest, job, row, step
 
 HEAVY, LIGHT = 5.0, 0.5
 
@@ -288,29 +288,6 @@
                 owner.poll("i-0", *rows)
                 self.assertEqual(owner.scheduler.take_commands(), [])
 
-    def test_a_task_is_slowed_as_soon_as_it_starts(self) -> None:
-        """Guards against services over their targets for half of the run time of each task.
-
-        Pattern of the load: tasks of two seconds that fill what services leave. Tail latencies
-        show the effect of a task only half a second after its start.
-        """
-        for headroom, expected in ((1.1, 30), (1.2, 60), (3.0, 100)):
-            with self.subTest(headroom):
-                owner = OwnerUnderTest("i-0")
-                owner.scheduler.adopt((learned("web", HEAVY),))
-                serving = step(long_running=True, image="web", tail_target_ms=300)
-                owner.scheduler.accept(job("00000000000000aa", serving), START_MS)
-                (web,) = owner.place()
-                owner.now += 1.0
-                owner.poll("i-0", row(web, 100, 300 / headroom))
-                filling = step(uses_leftover_cpu=True, image="noisy", cpu_millis=1000)
-                owner.scheduler.accept(job("00000000000000bb", filling), START_MS)
-                (noisy,) = owner.send()
-                owner.answer_start(noisy)
-                self.assertEqual(noisy.pace_percent, expected)
-                paces = [] if expected == 100 else [(noisy.task.name, expected)]
-                self.assertEqual(owner.paces(), paces)
-
     def test_useless_work_runs_in_the_background(self) -> None:
         """Guards against useless jobs that slow down services.
 
