--- /dev/null
+++ b/fireflyfork/decisions/jobs/_paced_runs.py
@@ -0,0 +1,77 @@
+"""Moves runs that were slowed down next to serving tasks to executors where they disturb less."""
+
+from __future__ import annotations
+
+from collections.abc import Iterator
+from itertools import islice
+
+from ._executors import ExecutorState
+from ._placement_costs import choose
+from ._runs import Run, RunPhase
+from ._service_state import ServiceState
+
+SLOW_SECONDS = 0.4
+"""How long a run stays slowed down before it is moved. Paces often rise again with the next
+sample."""
+MAX_LOST_PROGRESS = 40
+"""Progress, in percent, beyond which a run without checkpoints stays where it is."""
+MAX_DESTINATION_COST = 1.0
+"""Highest cost of an executor that a run is moved to: half of what a waiting task accepts."""
+MAX_MOVES_PER_CHECK = 3
+EXECUTORS_PER_SEARCH = 48
+"""Executors compared for one run, so that the cost of a check does not grow with the fleet."""
+MIN_SECONDS_BETWEEN_MOVES = 2.0
+
+
+class PacedRuns:
+    """Moves slow runs of tasks without a reservation at each tick.
+
+    The load of a serving task rises for some seconds, and a run next to it that is slowed down to a
+    tenth ends as many seconds later. The callers of its job wait for the slowest of its tasks.
+    """
+
+    def __init__(self, state: ServiceState) -> None:
+        """Initialize with the service state to read and change."""
+        self._state = state
+        self._first_index = 0
+
+    def check(self, now: float) -> None:
+        """Stop some slow runs for which a better executor is known; their tasks start again."""
+        usable = [
+            executor for executor in self._state.executors.values() if executor.is_usable(now)
+        ]
+        for run in islice(self._movable_runs(now), MAX_MOVES_PER_CHECK):
+            if self._has_better_executor(run, usable):
+                run.task.moved_at = now
+                self._state.stop(run, now)
+
+    def _movable_runs(self, now: float) -> Iterator[Run]:
+        for executor in tuple(self._state.executors.values()):
+            if not executor.serving_counts or not executor.best_effort_cpu_millis:
+                continue
+            yield from (run for run in tuple(executor.runs.values()) if _is_movable(run, now))
+
+    def _has_better_executor(self, run: Run, usable: list[ExecutorState]) -> bool:
+        candidates = self._next_candidates(usable)
+        others = (executor for executor in candidates if executor is not run.executor)
+        model = self._state.interference
+        return choose(run.task, others, model, MAX_DESTINATION_COST) is not None
+
+    def _next_candidates(self, usable: list[ExecutorState]) -> list[ExecutorState]:
+        if len(usable) <= EXECUTORS_PER_SEARCH:
+            return usable
+        first = self._first_index % len(usable)
+        self._first_index = first + EXECUTORS_PER_SEARCH
+        return [*usable[first:], *usable[:first]][:EXECUTORS_PER_SEARCH]
+
+
+def _is_movable(run: Run, now: float) -> bool:
+    task, step = run.task, run.task.spec
+    if not step.uses_leftover_cpu or run.in_background or run.phase is not RunPhase.RUNNING:
+        return False
+    if step.gang or step.same_rack or task.job.queue.needs_tickets:
+        return False
+    if run.slow_since is None or now - run.slow_since < SLOW_SECONDS:
+        return False
+    keeps_work = step.checkpointing or run.progress_percent <= MAX_LOST_PROGRESS
+    return keeps_work and now - task.moved_at >= MIN_SECONDS_BETWEEN_MOVES
--- a/fireflyfork/decisions/jobs/_pacing.py
+++ b/fireflyfork/decisions/jobs/_pacing.py
@@ -20,6 +20,10 @@
 HEADROOM_RECOVERY = 0.06
 """Amount by which the remembered minimum of the headroom rises with each sample. Loads change over
 about ten seconds, and a low of 1.5 below the usual headroom is remembered for that long."""
+UNEXPLAINED_DEFICIT = 0.1
+"""How far a serving task's headroom may lie below the headroom to keep after all known effects are
+added. Beyond that, an effect has risen or is not known yet, and all work next to the task is slowed
+down at once. Effects change within seconds, faster than they can be learned."""
 MIN_PACE = 10
 """Lowest pace in percent, except for a pause. A run at a tenth of its pace still shows its effect
 on others; a stopped one would not."""
@@ -34,6 +38,8 @@
 waited for."""
 PACE_STEP = 10
 """Paces are multiples of this many percent: smaller changes aren't worth a call."""
+SLOW_PACE = 20
+"""Pace in percent up to which a run counts as slow: it would end sooner on another executor."""
 MAX_PACE_RAISE = 60
 """How far a pace may rise at once, in percent; it may fall by any amount."""
 MIN_TAIL_MS = 1.0
@@ -122,6 +128,10 @@
         if run.in_background:
             wanted = min(wanted, BACKGROUND_PACE)
         pace = 0 if is_over_target else max(MIN_PACE, wanted // PACE_STEP * PACE_STEP)
+        if pace > SLOW_PACE:
+            run.slow_since = None
+        elif run.slow_since is None:
+            run.slow_since = now
         if pace != run.pace_percent or not run.pace_confirmed:
             run.pace_percent = pace
             run.lowest_pace = min(run.lowest_pace, pace)
@@ -140,6 +150,8 @@
     demand = executor.disturbing_shares()
     paces = {run.task.spec.image: 100 for run in best_effort}
     for serving, undisturbed in executor.undisturbed_headroom.items():
+        if undisturbed < HEADROOM_TO_KEEP - UNEXPLAINED_DEFICIT:
+            return dict.fromkeys(paces, MIN_PACE)
         lost = {image: model.effect(serving, image) * use for image, use in demand.items()}
         excess = sum(loss * paces.get(image, 100) / 100 for image, loss in lost.items()) - (
             undisturbed - HEADROOM_TO_KEEP
--- a/fireflyfork/decisions/jobs/_runs.py
+++ b/fireflyfork/decisions/jobs/_runs.py
@@ -66,6 +66,8 @@
     """The pace that was last ordered for the run, in percent of full pace."""
     lowest_pace: int = 100
     """The slowest pace that was ordered for the run, in percent."""
+    slow_since: float | None = None
+    """Since when the run has been slowed down to a fraction of its pace; None while it is not."""
     pace_confirmed: bool = True
     """False if the pace on the executor may differ from ``pace_percent``, because an earlier owner
     started the run or because a pace order was not answered."""
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -19,6 +19,7 @@
 from ._job_table import JobTable
 from ._load_shedding import Shed, shed_level
 from ._notes import Note
+from ._paced_runs import PacedRuns
 from ._placement import Placement
 from ._progress import JobState, StoredProgress
 from ._queues import QueueTable
@@ -64,6 +65,7 @@
         self._placement = Placement(self._state)
         self._time_checks = TimeChecks(self._state)
         self._stragglers = Stragglers(self._state)
+        self._paced_runs = PacedRuns(self._state)
         self._arrangement = Arrangement(self._state)
         self._upkeep = Upkeep(self._state, settings.service)
         self._evacuations = Evacuations(self._state)
@@ -298,6 +300,7 @@
         self._state.move_reservations.expire(now)
         if self._state.shed_level < Shed.ARRANGEMENT:
             self._arrangement.check(now)
+            self._paced_runs.check(now)
         for job in tuple(self.jobs.with_future_occurrences()):
             for task in self.jobs.open_due(job, now_ms):
                 self._state.enqueue(task)
--- a/fireflyfork/decisions/jobs/tests/test_interference.py
+++ b/fireflyfork/decisions/jobs/tests/test_interference.py
@@ -23,7 +23,7 @@
 from .._interference import PRIOR_EFFECT, SOLVE_SECONDS, InterferenceModel, Sample
 from .._pacing import BACKGROUND_PACE, HEADROOM_TO_KEEP, MIN_PACE, adjust_pace
 from .._placement_costs import choose
-from .builders_jobs import START_MS, OwnerUnderTest, job, row, step
+from .builders_jobs import START_MS, OwnerUnderTest, job, learned, row, step
 
 HEAVY, LIGHT = 5.0, 0.5
 
@@ -288,6 +288,27 @@
                 owner.poll("i-0", *rows)
                 self.assertEqual(owner.scheduler.take_commands(), [])
 
+    def test_an_effect_that_is_not_known_yet_slows_all_work_at_once(self) -> None:
+        """Guards against services over their targets until an effect has been learned.
+
+        Pattern of the load: pairs of images that don't disturb each other for ten seconds, and then
+        do for two.
+        """
+        owner = OwnerUnderTest("i-0")
+        owner.scheduler.adopt((learned("web", 0.0),))
+        serving = step(long_running=True, image="web", tail_target_ms=300)
+        owner.scheduler.accept(job("00000000000000aa", serving), START_MS)
+        (web,) = owner.place()
+        filling = step(uses_leftover_cpu=True, image="noisy", cpu_millis=1000)
+        owner.scheduler.accept(job("00000000000000bb", filling), START_MS)
+        (noisy,) = owner.place()
+        owner.now += 1.0
+        owner.poll("i-0", row(web, 100, 150.0), row(noisy, 20, 1000.0))
+        self.assertEqual(owner.paces(), [])
+        owner.now += 0.5
+        owner.poll("i-0", row(web, 100, 600.0), row(noisy, 30, 1000.0))
+        self.assertEqual(owner.paces(), [(noisy.task.name, MIN_PACE)])
+
     def test_useless_work_runs_in_the_background(self) -> None:
         """Guards against useless jobs that slow down services.
 
