--- a/fireflyfork/decisions/jobs/_paced_runs.py
+++ b/fireflyfork/decisions/jobs/_paced_runs.py
@@ -37,10 +37,13 @@
 
     def check(self, now: float) -> None:
         """Stop some slow runs for which a better executor is known; their tasks start again."""
+        runs = tuple(islice(self._movable_runs(now), MAX_MOVES_PER_CHECK))
+        if not runs:
+            return
         usable = [
             executor for executor in self._state.executors.values() if executor.is_usable(now)
         ]
-        for run in islice(self._movable_runs(now), MAX_MOVES_PER_CHECK):
+        for run in runs:
             if self._has_better_executor(run, usable):
                 run.task.moved_at = now
                 self._state.stop(run, now)
