A round of placing stops after 4,096 new costs, and compares 512 executors at first

Change: a round computes 4,096 costs at most and the next follows at once; for work that lasts or fills 512 executors are compared at first instead of all. Below 512 executors the choice stays as it was.

--- a/fireflyfork/decisions/jobs/_cost_caches.py
+++ b/fireflyfork/decisions/jobs/_cost_caches.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from collections.abc import Hashable
+from collections.abc import Callable, Hashable
 
 from ._executors import ExecutorState
 from ._interference import InterferenceModel
@@ -25,10 +25,19 @@
 class CostCache:
     """Caches the cost of each executor for all tasks of the same shape."""
 
-    def __init__(self, task: Task, model: InterferenceModel) -> None:
-        """Initialize for all tasks that have the shape of ``task``."""
+    def __init__(
+        self,
+        task: Task,
+        model: InterferenceModel,
+        note_computed: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Initialize for all tasks that have the shape of ``task``.
+
+        ``note_computed`` is called for each cost that isn't cached.
+        """
         self._task = task
         self._model = model
+        self._note_computed = note_computed
         self._cache: dict[ExecutorState, tuple[Hashable, PlacementCost | None]] = {}
 
     def cost(self, executor: ExecutorState) -> PlacementCost | None:
@@ -37,6 +46,7 @@
         cached = self._cache.get(executor)
         if cached is not None and cached[0] == state:
             return cached[1]
+        self._note_computed()
         cost = placement_cost(self._task, executor, self._model)
         if len(self._cache) >= MAX_CACHE_ENTRIES:
             # Most entries belong to executors that no longer exist.
@@ -51,14 +61,19 @@
     def __init__(self, model: InterferenceModel) -> None:
         """Initialize without caches."""
         self._model = model
+        self.computed = 0
+        """Number of costs that were computed because they weren't cached."""
         self._caches: OrderedDict[Hashable, CostCache] = OrderedDict()
 
+    def _note_computed(self) -> None:
+        self.computed += 1
+
     def for_task(self, task: Task) -> CostCache:
         """Return the cache for a task's shape. The task must not have failed on any executor."""
         shape = _shape(task)
         cache = self._caches.get(shape)
         if cache is None:
-            cache = self._caches[shape] = CostCache(task, self._model)
+            cache = self._caches[shape] = CostCache(task, self._model, self._note_computed)
             if len(self._caches) > MAX_CACHES:
                 self._caches.popitem(last=False)
         self._caches.move_to_end(shape)
--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -25,6 +25,12 @@
 """Share of all processors that long-running tasks leave free. Short tasks arrive in waves of a
 twentieth of the processors on average, and a core for them is worth four times a core for a
 long-running task."""
+MAX_COMPARED = 512
+"""Executors compared at first for a task that stays where it is placed, or that uses leftover CPU.
+In a fleet of thousands the best of these is about as good as the best of all."""
+MAX_COSTS_PER_ROUND = 4_096
+"""Costs computed in one round. Work that has waited for a new owner is placed in several rounds, in
+between which the owner renews its own lease."""
 MAX_REFUSED_SHAPES = 24
 """A placement round ends when no executor could be found for this many different shapes of tasks.
 Further shapes would find none either, and each costs a comparison of every executor."""
@@ -71,19 +77,27 @@
         self._first_index = 0
         """Index of the executor at which the candidates of the next step begin."""
 
-    def place(self, now: float, now_ms: int) -> None:
-        """Send waiting tasks to executors that can run them; the others wait for the next tick."""
+    def place(self, now: float, now_ms: int) -> bool:
+        """Send waiting tasks to executors that can run them; the others wait for the next tick.
+
+        Returns whether tasks are left that another round should place at once.
+        """
+        max_computed = self._cost_caches.computed + MAX_COSTS_PER_ROUND
         usable = [
             executor for executor in self._state.executors.values() if executor.is_usable(now)
         ]
         placement_round = _PlacementRound.for_executors(usable)
-        while usable and (step := self._state.waiting.pop()) is not None:
+        while usable and self._cost_caches.computed < max_computed:
+            step = self._state.waiting.pop()
+            if step is None:
+                break
             reason = self._place_step(step, placement_round, now, now_ms)
             if reason is None:
                 self._state.waiting.drop(step)
             else:
                 self._state.waiting.park(step, reason)
         self._place_copies(placement_round, now, now_ms)
+        return self._cost_caches.computed >= max_computed
 
     def prepare_start(self, run: Run, now: float) -> bool:
         """Prepare a start for sending when its turn has come.
@@ -176,14 +190,14 @@
     ) -> Candidates:
         candidates = placement_round.candidates.get(task.step_id)
         if candidates is None:
-            # All executors are compared for long-running tasks, since they stay where they are
+            # Many executors are compared for long-running tasks, since they stay where they are
             # placed, and for tasks that use leftover CPU, since the amount by which they slow down
             # services differs between executors.
             compares_all = task.spec.long_running or task.spec.uses_leftover_cpu
-            batch_size = len(allowed) if compares_all else EXECUTORS_PER_BATCH
+            batch_size = MAX_COMPARED if compares_all else EXECUTORS_PER_BATCH
             costs = self._cost_caches.for_task(task)
             candidates = Candidates(task, allowed, costs, max_cost, self._first_index, batch_size)
-            self._first_index += EXECUTORS_PER_BATCH
+            self._first_index += batch_size
             placement_round.candidates[task.step_id] = candidates
         return candidates
 
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -328,10 +328,12 @@
             or self._state.needs_ownership_proof(now)
         )
 
-    def place(self, now: float, now_ms: int) -> None:
-        """Send waiting tasks to executors that can run them; the others wait for the next tick."""
-        if self._may_start(now):
-            self._placement.place(now, now_ms)
+    def place(self, now: float, now_ms: int) -> bool:
+        """Send waiting tasks to executors that can run them; the others wait for the next tick.
+
+        Returns whether tasks are left that another round should place at once.
+        """
+        return self._may_start(now) and self._placement.place(now, now_ms)
 
     def prepare_start(self, run: Run, now: float) -> bool:
         """Prepare a start for sending when its turn has come.
--- a/fireflyfork/programs/owner/_service_owner.py
+++ b/fireflyfork/programs/owner/_service_owner.py
@@ -320,7 +320,8 @@
                     nursery.start_soon(self._keep_polling, executor)
             if not self._resigning:
                 with self._profile.section("placing"):
-                    self._scheduler.place(started_at, self._clock.unix_ms())
+                    if self._scheduler.place(started_at, self._clock.unix_ms()):
+                        self.request_dispatch()
             for command in self._scheduler.take_commands():
                 if isinstance(command, AskAdvice):
                     nursery.start_soon(self._ask_advice, command)
