Evacuations and moves of slow runs consider a few runs in each check, in turn

Cause, found on reading: with no room elsewhere each run of an evacuated domain was compared with all executors ten times a second, and slow runs that nobody could take kept the others from their turn.

--- a/fireflyfork/decisions/jobs/_evacuations.py
+++ b/fireflyfork/decisions/jobs/_evacuations.py
@@ -9,12 +9,13 @@
 from ._executors import ExecutorState
 from ._move_reservations import RESERVATION_SECONDS
 from ._placement_costs import choose
+from ._rotation import Rotation
 from ._runs import Run
 from ._service_state import ServiceState
 from ._upkeep import may_become_unavailable
 
-MAX_MOVES_PER_CHECK = 4
-"""Tasks moved in one check. Each compares all executors, and checks run ten times a second."""
+MAX_RUNS_PER_CHECK = 4
+"""Runs considered in one check. Each compares all executors, and checks run ten times a second."""
 
 
 class Evacuations:
@@ -23,6 +24,7 @@
     def __init__(self, state: ServiceState) -> None:
         """Initialize without evacuated domains."""
         self._state = state
+        self._runs = Rotation(MAX_RUNS_PER_CHECK)
         self._domains: frozenset[FailureDomainName] = frozenset()
 
     def replace(self, domains: frozenset[FailureDomainName]) -> None:
@@ -48,18 +50,14 @@
         usable = [
             executor for executor in self._state.executors.values() if executor.is_usable(now)
         ]
-        moved = 0
-        for run in self._movable_runs():
+        for run in self._runs.next_items(tuple(self._movable_runs())):
             destination = choose(run.task, usable, self._state.interference, float("inf"))
-            if destination is None:
+            if destination is None or not may_become_unavailable(run):
                 continue
             until = now + RESERVATION_SECONDS
             self._state.move_reservations.add(run.task, destination, until)
             run.task.moved_at = now
             self._state.stop(run, now)
-            moved += 1
-            if moved == MAX_MOVES_PER_CHECK:
-                return
 
     def _movable_runs(self) -> Iterator[Run]:
         for executor in tuple(self._state.executors.values()):
--- a/fireflyfork/decisions/jobs/_paced_runs.py
+++ b/fireflyfork/decisions/jobs/_paced_runs.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from itertools import islice
 
 from ._executors import ExecutorState
 from ._placement_costs import choose
+from ._rotation import Rotation
 from ._runs import Run, RunPhase
 from ._service_state import ServiceState
 
@@ -17,7 +17,7 @@
 """Progress, in percent, beyond which a run without checkpoints stays where it is."""
 MAX_DESTINATION_COST = 1.0
 """Highest cost of an executor that a run is moved to: half of what a waiting task accepts."""
-MAX_MOVES_PER_CHECK = 3
+MAX_RUNS_PER_CHECK = 3
 EXECUTORS_PER_SEARCH = 48
 """Executors compared for one run, so that the cost of a check does not grow with the fleet."""
 MIN_SECONDS_BETWEEN_MOVES = 2.0
@@ -33,11 +33,12 @@
     def __init__(self, state: ServiceState) -> None:
         """Initialize with the service state to read and change."""
         self._state = state
-        self._first_index = 0
+        self._runs = Rotation(MAX_RUNS_PER_CHECK)
+        self._candidates = Rotation(EXECUTORS_PER_SEARCH)
 
     def check(self, now: float) -> None:
         """Stop some slow runs for which a better executor is known; their tasks start again."""
-        runs = tuple(islice(self._movable_runs(now), MAX_MOVES_PER_CHECK))
+        runs = self._runs.next_items(tuple(self._movable_runs(now)))
         if not runs:
             return
         usable = [
@@ -55,18 +56,11 @@
             yield from (run for run in tuple(executor.runs.values()) if _is_movable(run, now))
 
     def _has_better_executor(self, run: Run, usable: list[ExecutorState]) -> bool:
-        candidates = self._next_candidates(usable)
+        candidates = self._candidates.next_items(usable)
         others = (executor for executor in candidates if executor is not run.executor)
         model = self._state.interference
         return choose(run.task, others, model, MAX_DESTINATION_COST) is not None
 
-    def _next_candidates(self, usable: list[ExecutorState]) -> list[ExecutorState]:
-        if len(usable) <= EXECUTORS_PER_SEARCH:
-            return usable
-        first = self._first_index % len(usable)
-        self._first_index = first + EXECUTORS_PER_SEARCH
-        return [*usable[first:], *usable[:first]][:EXECUTORS_PER_SEARCH]
-
 
 def _is_movable(run: Run, now: float) -> bool:
     task, step = run.task, run.task.spec
--- a/fireflyfork/decisions/jobs/tests/test_evacuations.py
+++ b/fireflyfork/decisions/jobs/tests/test_evacuations.py
@@ -1,9 +1,10 @@
 """Evacuated failure domains: no new runs, and long-running tasks that move elsewhere."""
 
 import unittest
+from unittest.mock import patch
 
 from ...._ids import FailureDomainName
-from .. import Run
+from .. import Run, _evacuations
 from .builders_jobs import START_MS, OwnerUnderTest, job, registration, row, step
 
 EMPTIED = FailureDomainName("suva")
@@ -96,3 +97,19 @@
         self._evacuate(EMPTIED)
         self.owner.tick(0.1)
         self.assertEqual(self.owner.stops(), [])
+
+    def test_a_check_compares_executors_for_a_few_runs(self) -> None:
+        """Guards against an owner that compares its fleet for each run of a large domain at once."""
+        for number in range(2, 9):
+            self.owner.scheduler.register(registration(f"i-{number}"), self.owner.now)
+            self.owner.poll(f"i-{number}")
+        runs = self._serving(9, budget=9)
+        self._evacuate(EMPTIED)
+        self._add_executor_elsewhere()
+        with patch.object(_evacuations, "choose", return_value=None) as chosen:
+            self.owner.tick(0.1)
+            self.assertEqual(chosen.call_count, _evacuations.MAX_RUNS_PER_CHECK)
+            for _ in range(2):
+                self.owner.tick(0.1)
+            compared = {call.args[0].name for call in chosen.call_args_list}
+        self.assertEqual(compared, {run.task.name for run in runs})
