--- a/fireflyfork/decisions/jobs/__init__.py
+++ b/fireflyfork/decisions/jobs/__init__.py
@@ -16,7 +16,7 @@
 from ._interference import LearnedFit
 from ._job_table import JobTable
 from ._load_shedding import Shed
-from ._notes import ExecutorGivenUp, JobOver, Note, RunEnded, TaskSent
+from ._notes import ExecutorGivenUp, JobOver, MoveReason, Note, RunEnded, RunMoved, TaskSent
 from ._progress import JobState, StoredProgress, StoredTask
 from ._queues import QueueConfiguration, QueueTable, queue_table
 from ._reports import (
@@ -70,6 +70,7 @@
     "LearnedFit",
     "MachineListing",
     "MachineState",
+    "MoveReason",
     "Note",
     "OrderAnswer",
     "PaceRun",
@@ -81,6 +82,7 @@
     "RunCommand",
     "RunEndEvidence",
     "RunEnded",
+    "RunMoved",
     "RunPhase",
     "RunningRow",
     "Scheduler",
--- a/fireflyfork/decisions/jobs/_arrangement.py
+++ b/fireflyfork/decisions/jobs/_arrangement.py
@@ -16,6 +16,7 @@
 from ._executors import ExecutorState
 from ._interference import InterferenceModel
 from ._move_reservations import RESERVATION_SECONDS
+from ._notes import MoveReason
 from ._pacing import HEADROOM_TO_KEEP
 from ._placement_costs import is_allowed, leftover_millis
 from ._runs import Run, Task
@@ -187,9 +188,8 @@
         run = move.run
         if not (run.is_active and may_become_unavailable(run)):
             return
-        run.task.moved_at = now
         self._state.move_reservations.add(run.task, move.destination, now + RESERVATION_SECONDS)
-        self._state.stop(run, now)
+        self._state.move(run, now, MoveReason.ARRANGEMENT)
 
 
 class UsefulLeftover:
--- a/fireflyfork/decisions/jobs/_evacuations.py
+++ b/fireflyfork/decisions/jobs/_evacuations.py
@@ -8,6 +8,7 @@
 from ._arrangement import has_other_constraints
 from ._executors import ExecutorState
 from ._move_reservations import RESERVATION_SECONDS
+from ._notes import MoveReason
 from ._placement_costs import choose
 from ._rotation import Rotation
 from ._runs import Run
@@ -56,8 +57,7 @@
                 continue
             until = now + RESERVATION_SECONDS
             self._state.move_reservations.add(run.task, destination, until)
-            run.task.moved_at = now
-            self._state.stop(run, now)
+            self._state.move(run, now, MoveReason.EVACUATION)
 
     def _movable_runs(self) -> Iterator[Run]:
         for executor in tuple(self._state.executors.values()):
--- a/fireflyfork/decisions/jobs/_notes.py
+++ b/fireflyfork/decisions/jobs/_notes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from enum import Enum
 
 from ..._ids import ExecutorId, JobId, TaskName
 from ..._waits import WaitReason
@@ -66,4 +67,24 @@
     why: RunEndEvidence
 
 
-Note = TaskSent | RunEnded | JobOver | ExecutorGivenUp
+class MoveReason(Enum):
+    """Why a run was stopped so that its task continues on another executor."""
+
+    EVACUATION = "evacuation"
+    SLOW = "slowed down beside a service"
+    ARRANGEMENT = "arrangement"
+
+
+@dataclass(frozen=True, slots=True)
+class RunMoved:
+    """A run was stopped so that its task continues on another executor."""
+
+    task: TaskName
+    attempt: int
+    executor: ExecutorId
+    reason: MoveReason
+    progress_percent: int
+    pace_percent: int
+
+
+Note = TaskSent | RunEnded | RunMoved | JobOver | ExecutorGivenUp
--- a/fireflyfork/decisions/jobs/_paced_runs.py
+++ b/fireflyfork/decisions/jobs/_paced_runs.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterator
 
 from ._executors import ExecutorState
+from ._notes import MoveReason
 from ._placement_costs import choose
 from ._rotation import Rotation
 from ._runs import Run, RunPhase
@@ -46,8 +47,7 @@
         ]
         for run in runs:
             if self._has_better_executor(run, usable):
-                run.task.moved_at = now
-                self._state.stop(run, now)
+                self._state.move(run, now, MoveReason.SLOW)
 
     def _movable_runs(self, now: float) -> Iterator[Run]:
         for executor in tuple(self._state.executors.values()):
--- a/fireflyfork/decisions/jobs/_service_state.py
+++ b/fireflyfork/decisions/jobs/_service_state.py
@@ -11,7 +11,7 @@
 from ._job_table import JobTable
 from ._load_shedding import Shed
 from ._move_reservations import MoveReservations
-from ._notes import ExecutorGivenUp, JobOver, Note
+from ._notes import ExecutorGivenUp, JobOver, MoveReason, Note, RunMoved
 from ._progress import JobState
 from ._run_end_evidence import RunEndEvidence
 from ._runs import Job, Run, RunPhase, Task
@@ -96,6 +96,21 @@
         run.stop_sent_at = now
         self.commands.append(StopRun(run))
 
+    def move(self, run: Run, now: float, reason: MoveReason) -> None:
+        """Stop a run so that its task continues on another executor."""
+        run.task.moved_at = now
+        self.notes.append(
+            RunMoved(
+                run.task.name,
+                run.attempt,
+                run.executor.executor,
+                reason,
+                run.progress_percent,
+                run.pace_percent,
+            )
+        )
+        self.stop(run, now)
+
     def remove_run(self, run: Run, now: float, why: RunEndEvidence, at_once: bool = True) -> None:
         """Remove a run that has certainly ended or never began, and queue its task again.
 
--- a/fireflyfork/decisions/jobs/tests/test_paced_runs.py
+++ b/fireflyfork/decisions/jobs/tests/test_paced_runs.py
@@ -7,7 +7,7 @@
 
 import unittest
 
-from .. import Run, StepSpec
+from .. import MoveReason, Run, RunMoved, StepSpec
 from .._paced_runs import MAX_LOST_PROGRESS, MIN_SECONDS_BETWEEN_MOVES
 from .builders_jobs import (
     START_MS,
@@ -54,6 +54,10 @@
         web, noisy = self._begin("i-1")
         self._slow_down(web, noisy)
         self.assertEqual(self.owner.stops(), [noisy])
+        (moved,) = (
+            note for note in self.owner.scheduler.take_notes() if isinstance(note, RunMoved)
+        )
+        self.assertEqual((moved.task, moved.reason), (noisy.task.name, MoveReason.SLOW))
 
     def test_a_run_at_full_pace_stays(self) -> None:
         """Guards against moves that gain nothing."""
--- a/fireflyfork/programs/owner/_decision_log.py
+++ b/fireflyfork/programs/owner/_decision_log.py
@@ -12,7 +12,7 @@
 from loguru import logger
 
 from ..._job_samples import in_sample, job_of_task
-from ...decisions.jobs import ExecutorGivenUp, JobOver, Note, RunEnded, TaskSent
+from ...decisions.jobs import ExecutorGivenUp, JobOver, Note, RunEnded, RunMoved, TaskSent
 from .._clocks import Clock
 from .._metrics import Metrics
 from ._decision_metrics import count_decision
@@ -28,6 +28,7 @@
 _MESSAGES = {
     TaskSent: "task sent",
     RunEnded: "run ended",
+    RunMoved: "run moved",
     JobOver: "job over",
     ExecutorGivenUp: "executor given up",
 }
@@ -66,7 +67,7 @@
 
     def _is_sampled(self, note: Note) -> bool:
         match note:
-            case TaskSent() | RunEnded():
+            case TaskSent() | RunEnded() | RunMoved():
                 return in_sample(job_of_task(note.task), self._sampled_share)
             case JobOver():
                 return in_sample(note.job, self._sampled_share)
--- a/fireflyfork/programs/owner/_decision_metrics.py
+++ b/fireflyfork/programs/owner/_decision_metrics.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from ...decisions.jobs import ExecutorGivenUp, JobOver, Note, RunEnded, TaskSent
+from ...decisions.jobs import ExecutorGivenUp, JobOver, Note, RunEnded, RunMoved, TaskSent
 from .._metrics import Metrics
 
 
@@ -15,6 +15,8 @@
                 metrics.observe("fireflyfork_task_sent_after_seconds", note.job_age_ms / 1000)
         case RunEnded():
             metrics.count("fireflyfork_runs_ended_total", reason=note.reason.value)
+        case RunMoved():
+            metrics.count("fireflyfork_runs_moved_total", reason=note.reason.name.lower())
         case JobOver():
             in_time = str(note.age_ms <= note.allowed_ms).lower()
             metrics.count("fireflyfork_jobs_over_total", state=note.state.value, in_time=in_time)
