Longer pauses for callers in an outage: tried, not kept

Hypothesis of: with 2 s instead of 1 s from the second second of an outage on, callers have a try left after its end. Reverted with its module and test; the answer asks for 1 s as before.

--- a/fireflyfork/programs/callers/_job_service.py
+++ b/fireflyfork/programs/callers/_job_service.py
@@ -16,10 +16,13 @@
 from .._metrics import Metrics
 from .._stop_deadline import StopDeadline
 from ._job_requests import JobRequests
-from ._retry_advice import SHORT_SECONDS, RetryAdvice
 
 MAX_BODY_BYTES = 262_144
 """Maximum body size that the platform's configuration allows callers to send."""
+RETRY_AFTER: tuple[Header, ...] = ((b"retry-after", b"1"),)
+"""Asks for a retry after 1 s, the smallest value of the header: a change of owner or a short outage
+of the store is over within seconds."""
+
 _JSON: Header = (b"content-type", b"application/json")
 
 
@@ -45,7 +48,6 @@
         self._queues = queues
         self._is_current = is_current
         self._stop_deadline = StopDeadline()
-        self._retry_advice = RetryAdvice()
 
     def end_in(self, seconds: float) -> None:
         """Refuse new requests from now on, and answer the requests in progress within ``seconds``.
@@ -75,17 +77,16 @@
         subpath = path[len(queue.path_prefix) :]
         try:
             await self._handle_queue_request(exchange, queue, subpath)
-            self._retry_advice.note_answer()
         except BadRequestError as error:
             await exchange.answer_json(error.status, {"error": error.reason})
         except StoppingError as error:
             await self._refuse(exchange, error.status, error.reason)
         except StoreRefusedError as error:
-            await self._refuse_for_store(exchange, 503, error)
+            await self._refuse(exchange, 503, str(error))
         except StoreError as error:
             # A read changes nothing, so 503 (not carried out) is correct.
             status = 503 if exchange.head.method == "GET" else 504
-            await self._refuse_for_store(exchange, status, error)
+            await self._refuse(exchange, status, str(error))
 
     async def _answer_unknown_queue(self, exchange: Exchange) -> None:
         if self._is_current():
@@ -146,20 +147,7 @@
         count = await self._stop_deadline.wait(self._requests.pending(queue), Verdict.NOT_RUN)
         await exchange.answer(200, encode_pending(count), (_JSON,))
 
-    async def _refuse_for_store(self, exchange: Exchange, status: int, error: StoreError) -> None:
-        pause = self._retry_advice.note_refusal(self._clock.now())
-        await self._refuse(exchange, status, str(error), pause)
-
-    async def _refuse(
-        self, exchange: Exchange, status: int, reason: str, pause: int = SHORT_SECONDS
-    ) -> None:
+    async def _refuse(self, exchange: Exchange, status: int, reason: str) -> None:
         self._metrics.count("fireflyfork_refused_total", status=str(status))
-        logger.info(
-            "refused",
-            target=exchange.head.target[:80],
-            status=status,
-            reason=reason,
-            retry_after=pause,
-        )
-        header = (b"retry-after", str(pause).encode("ascii"))
-        await exchange.answer_json(status, {"error": reason}, (header,))
+        logger.info("refused", target=exchange.head.target[:80], status=status, reason=reason)
+        await exchange.answer_json(status, {"error": reason}, RETRY_AFTER)
