--- a/fireflyfork/decisions/jobs/_paced_runs.py
+++ b/fireflyfork/decisions/jobs/_paced_runs.py
@@ -18,8 +18,6 @@
 """Progress, in percent, beyond which a run without checkpoints stays where it is."""
 MAX_DESTINATION_COST = 1.0
 """Highest cost of an executor that a run is moved to: half of what a waiting task accepts."""
-SLOW_SPELL_MS = 2_000
-"""How much later, in milliseconds, a run ends that stays slowed down beside a busy service."""
 MAX_RUNS_PER_CHECK = 3
 EXECUTORS_PER_SEARCH = 48
 """Executors compared for one run, so that the cost of a check does not grow with the fleet."""
@@ -39,9 +37,9 @@
         self._runs = Rotation(MAX_RUNS_PER_CHECK)
         self._candidates = Rotation(EXECUTORS_PER_SEARCH)
 
-    def check(self, now: float, now_ms: int) -> None:
+    def check(self, now: float) -> None:
         """Stop some slow runs for which a better executor is known; their tasks start again."""
-        runs = self._runs.next_items(tuple(self._movable_runs(now, now_ms)))
+        runs = self._runs.next_items(tuple(self._movable_runs(now)))
         if not runs:
             return
         usable = [
@@ -51,13 +49,11 @@
             if self._has_better_executor(run, usable):
                 self._state.move(run, now, MoveReason.SLOW)
 
-    def _movable_runs(self, now: float, now_ms: int) -> Iterator[Run]:
+    def _movable_runs(self, now: float) -> Iterator[Run]:
         for executor in tuple(self._state.executors.values()):
             if not executor.serving_counts or not executor.best_effort_cpu_millis:
                 continue
-            for run in tuple(executor.runs.values()):
-                if _is_movable(run, now) and _is_job_at_risk(run, now_ms):
-                    yield run
+            yield from (run for run in tuple(executor.runs.values()) if _is_movable(run, now))
 
     def _has_better_executor(self, run: Run, usable: list[ExecutorState]) -> bool:
         candidates = self._candidates.next_items(usable)
@@ -76,13 +72,3 @@
         return False
     keeps_work = step.checkpointing or run.progress_percent <= MAX_LOST_PROGRESS
     return keeps_work and now - task.moved_at >= MIN_SECONDS_BETWEEN_MOVES
-
-
-def _is_job_at_risk(run: Run, now_ms: int) -> bool:
-    """Whether the run's job would miss its objective if the run stayed slow.
-
-    Moves cost work and disturb other executors, so jobs that end in time all the same keep theirs.
-    """
-    job = run.task.job
-    age_ms = now_ms - job.spec.accepted_ms
-    return age_ms + job.remaining_ms() + SLOW_SPELL_MS > job.allowed_ms()
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -300,7 +300,7 @@
         self._state.move_reservations.expire(now)
         if self._state.shed_level < Shed.ARRANGEMENT:
             self._arrangement.check(now)
-            self._paced_runs.check(now, now_ms)
+            self._paced_runs.check(now)
         for job in tuple(self.jobs.with_future_occurrences()):
             for task in self.jobs.open_due(job, now_ms):
                 self._state.enqueue(task)
