--- a/fireflyfork/adapters/_relay_client.py
+++ b/fireflyfork/adapters/_relay_client.py
@@ -131,7 +131,8 @@
             finally:
                 was_open = self._state is not _State.CLOSED
                 self._disconnect()
-            delay = MIN_RECONNECT_SECONDS if was_open else delay
+            if was_open:
+                delay = MIN_RECONNECT_SECONDS
             await trio.sleep(delay)
             delay = min(2 * delay, MAX_RECONNECT_SECONDS)
 
--- a/fireflyfork/decisions/jobs/tests/test_evacuations.py
+++ b/fireflyfork/decisions/jobs/tests/test_evacuations.py
@@ -7,8 +7,8 @@
 from .. import Run, _evacuations
 from .builders_jobs import START_MS, OwnerUnderTest, job, registration, row, step
 
-EMPTIED = FailureDomainName("suva")
-OTHER = FailureDomainName("nadi")
+EMPTIED = registration().failure_domain
+OTHER = FailureDomainName("other")
 
 
 class EvacuationTest(unittest.TestCase):
--- a/fireflyfork/programs/owner/_succession.py
+++ b/fireflyfork/programs/owner/_succession.py
@@ -108,10 +108,12 @@
             self._use_relays(others)
 
     async def _wait_for_check(self) -> None:
-        """Wait for the next check; executors that register in numbers need relays sooner."""
-        needed = needs_relays(self._executor_count())
+        """Wait for the next check, which comes sooner once so many executors have registered that
+        relays are needed."""
         with trio.move_on_after(HAND_OVER_CHECK_SECONDS):
-            while needed or not needs_relays(self._executor_count()):
+            if needs_relays(self._executor_count()):
+                await trio.sleep_forever()
+            while not needs_relays(self._executor_count()):
                 await trio.sleep(RELAYS_NEEDED_CHECK_SECONDS)
 
     async def _list_instances(self) -> list[InstanceStanding]:
--- a/fireflyfork_standins/tests/test_evacuations.py
+++ b/fireflyfork_standins/tests/test_evacuations.py
@@ -5,10 +5,10 @@
 
 from fireflyfork._ids import FailureDomainName
 from fireflyfork_standins.scheduling import Evacuation, Profile, RegionProfile, run_day
+from fireflyfork_standins.scheduling._regions import NEAR_DOMAIN
 
-NEAR = FailureDomainName("suva")
 FAR = FailureDomainName("far-0")
-EVACUATED_TWICE = (Evacuation(2.0, 8.0, FAR), Evacuation(12.0, 7.0, NEAR))
+EVACUATED_TWICE = (Evacuation(2.0, 8.0, FAR), Evacuation(12.0, 7.0, NEAR_DOMAIN))
 DAY = Profile(
     instances=8,
     executors=6,
