--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -193,11 +193,11 @@
             # Many executors are compared for long-running tasks, since they stay where they are
             # placed, and for tasks that use leftover CPU, since the amount by which they slow down
             # services differs between executors.
-            compares_all = task.spec.long_running or task.spec.uses_leftover_cpu
-            batch_size = MAX_COMPARED if compares_all else EXECUTORS_PER_BATCH
+            compares_many = task.spec.long_running or task.spec.uses_leftover_cpu
+            batch_size = MAX_COMPARED if compares_many else EXECUTORS_PER_BATCH
             costs = self._cost_caches.for_task(task)
             candidates = Candidates(task, allowed, costs, max_cost, self._first_index, batch_size)
-            self._first_index += batch_size
+            self._first_index += EXECUTORS_PER_BATCH
             placement_round.candidates[task.step_id] = candidates
         return candidates
 
