--- a/fireflyfork/decisions/jobs/_arrangement.py
+++ b/fireflyfork/decisions/jobs/_arrangement.py
@@ -122,9 +122,7 @@
         if now - self._searched_at < SEARCH_INTERVAL_SECONDS:
             return
         self._searched_at = now
-        usable = [
-            executor for executor in self._state.executors.values() if executor.is_usable(now)
-        ]
+        usable = self._state.usable_executors(now)
         waiting_millis = self._update_demand()
         total_millis = sum(executor.registration.room.cpu_millis for executor in usable)
         if waiting_millis <= MIN_WAITING_SHARE * total_millis:
--- a/fireflyfork/decisions/jobs/_evacuations.py
+++ b/fireflyfork/decisions/jobs/_evacuations.py
@@ -48,9 +48,7 @@
         """
         if not self._domains:
             return
-        usable = [
-            executor for executor in self._state.executors.values() if executor.is_usable(now)
-        ]
+        usable = self._state.usable_executors(now)
         for run in self._runs.next_items(tuple(self._movable_runs())):
             destination = choose(run.task, usable, self._state.interference, float("inf"))
             if destination is None or not may_become_unavailable(run):
--- a/fireflyfork/decisions/jobs/_paced_runs.py
+++ b/fireflyfork/decisions/jobs/_paced_runs.py
@@ -42,9 +42,7 @@
         runs = self._runs.next_items(tuple(self._movable_runs(now)))
         if not runs:
             return
-        usable = [
-            executor for executor in self._state.executors.values() if executor.is_usable(now)
-        ]
+        usable = self._state.usable_executors(now)
         for run in runs:
             if self._has_better_executor(run, usable):
                 self._state.move(run, now, MoveReason.SLOW)
--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -83,9 +83,7 @@
         Returns whether tasks are left that another round should place at once.
         """
         max_computed = self._cost_caches.computed + MAX_COSTS_PER_ROUND
-        usable = [
-            executor for executor in self._state.executors.values() if executor.is_usable(now)
-        ]
+        usable = self._state.usable_executors(now)
         placement_round = _PlacementRound.for_executors(usable)
         while usable and self._cost_caches.computed < max_computed:
             step = self._state.waiting.pop()
--- a/fireflyfork/decisions/jobs/_service_state.py
+++ b/fireflyfork/decisions/jobs/_service_state.py
@@ -66,6 +66,10 @@
         self.executors[executor.executor] = executor
         self.new_executors.append(executor)
 
+    def usable_executors(self, now: float) -> list[ExecutorState]:
+        """Return the executors that new runs may be sent to."""
+        return [executor for executor in self.executors.values() if executor.is_usable(now)]
+
     @staticmethod
     def needs_run(task: Task) -> bool:
         """Whether a task or its gang still has to run and has no run at present."""
