An instance leaves an upstream that follows it, so no cycle keeps instances without a configuration

Cause: choose_upstreams relies on equal views of the ranks, and views differ right after a restart. Two instances of one domain followed each other, neither read the store, and whoever followed them had no configuration for up to 3 s after the last fault. Change: each answer of a replica carries its route (path vector); an instance that finds itself in it takes other upstreams, or the store. Version 2 of the replica protocol; other versions are not followed, as before.

--- a/fireflyfork/adapters/__init__.py
+++ b/fireflyfork/adapters/__init__.py
@@ -57,6 +57,7 @@
     ReplicaPeers,
     ReplicaQuery,
     ReplicaSource,
+    Route,
 )
 from ._store import Store, StoredValue
 from ._store_http import HttpStore
@@ -120,6 +121,7 @@
     "RequestHead",
     "ResponseHead",
     "Role",
+    "Route",
     "RunReport",
     "RunState",
     "ServerLimits",
--- a/fireflyfork/adapters/_replica_messages.py
+++ b/fireflyfork/adapters/_replica_messages.py
@@ -8,11 +8,11 @@
 import xxhash
 
 from .._errors import PeerError
-from .._ids import Revision
+from .._ids import NodeName, Revision
 from ._coordination import StoredItem
-from ._replicas import ReplicaAnswer, ReplicaQuery
+from ._replicas import ReplicaAnswer, ReplicaQuery, Route
 
-REPLICA_VERSION = 1
+REPLICA_VERSION = 2
 """The version of the protocol. Instances with different versions don't follow each other."""
 MIN_COMPRESSED_BYTES = 1_024
 COMPRESSION_LEVEL = 1
@@ -92,6 +92,8 @@
     mark: float
     revisions: dict[str, int]
     changed: list[Item]
+    hops: list[str]
+    reaches_store: bool
 
     def answer(self) -> ReplicaAnswer:
         """Decode the answer. Raises PeerError if a value is truncated or corrupt."""
@@ -102,6 +104,7 @@
             self.mark,
             {key: Revision(revision) for key, revision in self.revisions.items()},
             tuple(item.item() for item in self.changed),
+            Route(tuple(NodeName(hop) for hop in self.hops), self.reaches_store),
         )
 
 
@@ -123,6 +126,8 @@
             answer.mark,
             dict(answer.revisions),
             [self._item(item) for item in answer.changed],
+            list(answer.route.hops),
+            answer.route.reaches_store,
         )
 
     def _item(self, item: StoredItem) -> Item:
--- a/fireflyfork/adapters/_replicas.py
+++ b/fireflyfork/adapters/_replicas.py
@@ -21,6 +21,24 @@
     address: Address
 
 
+@dataclass(frozen=True, slots=True)
+class Route:
+    """The instances through which changes of the store reach a replica, as in a path vector.
+
+    Each instance prepends itself to the route of its upstream, so an instance that finds itself in
+    the route of an upstream would follow itself.
+    """
+
+    hops: tuple[NodeName, ...] = ()
+    """The instance with the replica first, then its upstream, and so on."""
+    reaches_store: bool = False
+    """Whether the last hop follows the store. False while it waits for an upstream."""
+
+    def via(self, node: NodeName) -> Route:
+        """Return the route of an instance that follows the first hop."""
+        return Route((node, *self.hops), self.reaches_store)
+
+
 @dataclass(frozen=True, slots=True)
 class ReplicaQuery:
     """A query for all changes after a revision."""
@@ -47,6 +65,7 @@
     """The revision of the last change of every existing key."""
     changed: tuple[StoredItem, ...]
     """The items that have changed after the revision of the query."""
+    route: Route = Route()
 
 
 class ReplicaSource(ABC):
--- a/fireflyfork/adapters/tests/test_replicas.py
+++ b/fireflyfork/adapters/tests/test_replicas.py
@@ -26,7 +26,7 @@
 from .. import _replica_client as client
 from .. import _replica_server as server
 from .._message_stream import encode_frame
-from .._replica_messages import Ask, Hello, Item, Update
+from .._replica_messages import REPLICA_VERSION, Ask, Hello, Item, Update
 
 LARGE = msgspec.json.encode(
     [{"prefix": f"/q{number * 7919 % 100_003}/", "timeout_ms": 3000} for number in range(8_000)]
@@ -144,13 +144,13 @@
     def test_an_upstream_that_accepts_connections_and_is_silent(self) -> None:
         """Guards against a frozen upstream: its connections stay open, and followers would wait forever."""
         with patch.object(client, "SILENT_SECONDS", 0.1):
-            self._assert_connection_fails(self._serve_messages(Hello(1)), "silent")
+            self._assert_connection_fails(self._serve_messages(Hello(REPLICA_VERSION)), "silent")
 
     def test_a_silent_upstream_with_a_short_timeout(self) -> None:
         """Guards against a second silent upstream that is awaited for as long as the first one."""
 
         async def body() -> None:
-            async with _listening(self._serve_messages(Hello(1))) as endpoint:
+            async with _listening(self._serve_messages(Hello(REPLICA_VERSION))) as endpoint:
                 with self.assertRaisesRegex(PeerError, "silent"):
                     async with SocketReplicaPeers(LoopTime()).connect(endpoint) as peer:
                         await peer.ask(ReplicaQuery(Revision(0)), 0.1)
@@ -165,7 +165,9 @@
         self._assert_connection_fails(serve, "closed|broke")
 
     def test_an_upstream_of_another_version(self) -> None:
-        self._assert_connection_fails(self._serve_messages(Hello(2)), "version 2")
+        self._assert_connection_fails(
+            self._serve_messages(Hello(REPLICA_VERSION + 1)), f"version {REPLICA_VERSION + 1}"
+        )
 
     def test_an_upstream_that_sends_an_unexpected_message(self) -> None:
         async def serve(stream: trio.SocketStream) -> None:
@@ -179,8 +181,10 @@
         for compressed, content in ((False, b"other"), (True, b"other"), (True, b"")):
             with self.subTest(compressed=compressed, content=content):
                 item = Item("op/config", 7, 3, 1, compressed, content)
-                update = Update(9, 0.0, 0.0, 1.0, {"op/config": 7}, [item])
-                self._assert_connection_fails(self._serve_messages(Hello(1), update), "op/config")
+                update = Update(9, 0.0, 0.0, 1.0, {"op/config": 7}, [item], [], False)
+                self._assert_connection_fails(
+                    self._serve_messages(Hello(REPLICA_VERSION), update), "op/config"
+                )
 
     def test_no_upstream_at_the_address(self) -> None:
         async def body() -> None:
@@ -198,8 +202,8 @@
         """
 
         async def serve(stream: trio.SocketStream) -> None:
-            update = Update(9, 0.0, 0.0, 1.0, {"op/config": 7}, [Item.of(_item(LARGE))])
-            frame = encode_frame((Hello(1), update))
+            update = Update(9, 0.0, 0.0, 1.0, {"op/config": 7}, [Item.of(_item(LARGE))], [], False)
+            frame = encode_frame((Hello(REPLICA_VERSION), update))
             step = len(frame) // 8 + 1
             for begin in range(0, len(frame), step):
                 await trio.sleep(0.15)
@@ -228,7 +232,7 @@
             async with _listening(ReplicaServer(RecordingReplica())._serve) as endpoint:
                 address = endpoint.address
                 stream = await trio.open_tcp_stream(address.host, address.port)
-                await stream.send_all(encode_frame((Hello(1), Ask(0, None))))
+                await stream.send_all(encode_frame((Hello(REPLICA_VERSION), Ask(0, None))))
                 while await stream.receive_some():
                     pass
 
--- a/fireflyfork/programs/_scheduler_node.py
+++ b/fireflyfork/programs/_scheduler_node.py
@@ -91,6 +91,7 @@
             settings.replica_address,
         )
         self._keeper = QueueKeeper(
+            settings.node,
             self._store,
             self._apply_configuration,
             settings.bounds.configuration_delay,
--- a/fireflyfork/programs/callers/tests/builders_callers.py
+++ b/fireflyfork/programs/callers/tests/builders_callers.py
@@ -41,7 +41,9 @@
     def __init__(self, store: StandInStore, link_mbps: float) -> None:
         """Connect the instance to ``store`` over a link of ``link_mbps``."""
         client = store.client(NodeName("n-0"), link_mbps)
-        self._keeper = QueueKeeper(client, lambda _: None, BOUND_SECONDS, trio.current_time)
+        self._keeper = QueueKeeper(
+            NodeName("n-0"), client, lambda _: None, BOUND_SECONDS, trio.current_time
+        )
         self._service = JobService(
             JobRequests(client, lambda: None),
             SystemClock(),
--- a/fireflyfork/programs/replicas/_announced_upstreams.py
+++ b/fireflyfork/programs/replicas/_announced_upstreams.py
@@ -5,6 +5,7 @@
 from loguru import logger
 
 from ..._errors import StoreError
+from ..._ids import NodeName
 from ...adapters import ReplicaEndpoint
 from ...decisions.jobs import InstanceStanding, choose_upstreams
 from .._announcements import Announcements
@@ -30,7 +31,12 @@
             self._last_listed = await self._announcements.list_instances()
         except StoreError as error:
             logger.debug("other instances not listed", error=str(error))
-        chosen = choose_upstreams(self._announcements.own, self._last_listed)
+        return self.alternatives(frozenset())
+
+    def alternatives(self, excluded: frozenset[NodeName]) -> tuple[ReplicaEndpoint, ...]:
+        """See Upstreams."""
+        usable = (standing for standing in self._last_listed if standing.node not in excluded)
+        chosen = choose_upstreams(self._announcements.own, usable)
         return tuple(
             ReplicaEndpoint(instance.node, instance.replica)
             for instance in chosen
--- a/fireflyfork/programs/replicas/_key_replica.py
+++ b/fireflyfork/programs/replicas/_key_replica.py
@@ -12,6 +12,7 @@
     ReplicaAnswer,
     ReplicaQuery,
     ReplicaSource,
+    Route,
     StoreChange,
     StoredItem,
     StoreListing,
@@ -33,6 +34,7 @@
         self._items: dict[str, StoredItem] = {}
         self._as_of = _NO_REVISION
         self._known_at = -inf
+        self._route = Route()
         self._advanced = trio.Event()
 
     @property
@@ -45,6 +47,17 @@
         """Time before which all changes are known."""
         return self._known_at
 
+    @property
+    def route(self) -> Route:
+        """The way on which changes reach this replica."""
+        return self._route
+
+    def set_route(self, route: Route) -> None:
+        """Change the route; queries that wait are answered with it."""
+        if route != self._route:
+            self._route = route
+            self._wake_queries()
+
     def take_listing(self, listing: StoreListing) -> None:
         """Replace the content by a complete listing."""
         revisions = {item.key: item.revision for item in listing.items}
@@ -73,8 +86,7 @@
         self._as_of = max(self._as_of, as_of)
         self._known_at = max(self._known_at, known_at)
         if advanced:
-            self._advanced.set()
-            self._advanced = trio.Event()
+            self._wake_queries()
 
     def changed_after(self, revision: Revision) -> tuple[StoredItem, ...]:
         """Return the keys that have changed after a revision."""
@@ -85,9 +97,13 @@
         return {key: item.revision for key, item in self._items.items()}
 
     async def wait_advanced(self) -> None:
-        """Wait until ``as_of`` or ``known_at`` advances."""
+        """Wait until ``as_of`` or ``known_at`` advances, or the route changes."""
         await self._advanced.wait()
 
+    def _wake_queries(self) -> None:
+        self._advanced.set()
+        self._advanced = trio.Event()
+
     def _put(self, item: StoredItem) -> None:
         current = self._items.get(item.key)
         if current is None or current.revision < item.revision:
@@ -128,6 +144,7 @@
             replica.known_at,
             replica.revisions(),
             replica.changed_after(query.after),
+            replica.route,
         )
 
     def _is_unchanged(self, query: ReplicaQuery) -> bool:
--- a/fireflyfork/programs/replicas/_queue_keeper.py
+++ b/fireflyfork/programs/replicas/_queue_keeper.py
@@ -8,7 +8,7 @@
 from loguru import logger
 
 from ..._errors import SettingsError
-from ..._ids import FailureDomainName
+from ..._ids import FailureDomainName, NodeName
 from ...adapters import (
     CoordinationStore,
     ReplicaPeers,
@@ -43,6 +43,7 @@
 
     def __init__(
         self,
+        node: NodeName,
         store: CoordinationStore,
         changed: Callable[[QueueTable], None],
         bound_seconds: float,
@@ -50,7 +51,7 @@
         upstreams: Upstreams | None = None,
         peers: ReplicaPeers | None = None,
     ) -> None:
-        """Set up the keeper; ``run`` starts it.
+        """Set up the keeper of the instance ``node``; ``run`` starts it.
 
         ``changed`` is called with each newer version of the configuration, which has to be in force
         within ``bound_seconds``. The clock ``now`` must also advance while the instance is
@@ -62,6 +63,7 @@
         self._now = now
         self._replica = KeyReplica(self._apply_change)
         self._follower = ReplicaFollower(
+            node,
             self._replica,
             store,
             OPERATOR_PREFIX,
@@ -80,6 +82,11 @@
         """Source from which other instances read this instance's replica of the operator's keys."""
         return KeyReplicaSource(self._replica, self._now, STALE_SHARE * self._bound_seconds)
 
+    @property
+    def upstream(self) -> NodeName | None:
+        """The instance that is followed now; None if the store is followed."""
+        return self._follower.upstream
+
     @property
     def table(self) -> QueueTable | None:
         """The queues in force; None before the first configuration."""
--- a/fireflyfork/programs/replicas/_replica_follower.py
+++ b/fireflyfork/programs/replicas/_replica_follower.py
@@ -21,6 +21,7 @@
     ReplicaPeer,
     ReplicaPeers,
     ReplicaQuery,
+    Route,
 )
 from .._prefix_watch import PrefixWatch
 from ._key_replica import KeyReplica
@@ -62,6 +63,10 @@
     async def choose(self) -> tuple[ReplicaEndpoint, ...]:
         """Return the upstreams in order of preference, or none to follow the store."""
 
+    @abstractmethod
+    def alternatives(self, excluded: frozenset[NodeName]) -> tuple[ReplicaEndpoint, ...]:
+        """Return the upstreams without the excluded instances, from what ``choose`` last read."""
+
     @property
     @abstractmethod
     def worth_waiting_for(self) -> bool:
@@ -80,12 +85,17 @@
         """See Upstreams."""
         return ()
 
+    def alternatives(self, excluded: frozenset[NodeName]) -> tuple[ReplicaEndpoint, ...]:
+        """See Upstreams."""
+        return ()
+
 
 class ReplicaFollower:
     """Keeps one replica up to date while it runs."""
 
     def __init__(
         self,
+        node: NodeName,
         replica: KeyReplica,
         store: CoordinationStore,
         prefix: str,
@@ -94,11 +104,12 @@
         now: Callable[[], float],
         stale_seconds: float,
     ) -> None:
-        """Set up the follower; ``run`` starts it.
+        """Set up the follower of the instance ``node``; ``run`` starts it.
 
         The follower leaves an upstream whose answers have been out of date for
         ``stale_seconds``. Without ``peers``, only the store is followed.
         """
+        self._node = node
         self._replica = replica
         self._upstreams = upstreams
         self._peers = peers
@@ -106,6 +117,9 @@
         self._stale_seconds = stale_seconds
         self._chosen: tuple[ReplicaEndpoint, ...] = ()
         self._upstream: NodeName | None = None
+        self._followers: frozenset[NodeName] = frozenset()
+        """Instances that were seen to follow this one, directly or through others, since the store
+        was last followed."""
         self._asked_at = now()
         self._watch = PrefixWatch(
             store,
@@ -144,8 +158,11 @@
         while not self._replica.as_of and self._now() < deadline:
             if self._chosen:
                 await self._follow_first_usable(self._chosen, peers)
-                await trio.sleep(START_RETRY_SECONDS)
-            elif self._upstreams.worth_waiting_for:
+                self._chosen = tuple(
+                    upstream for upstream in self._chosen if upstream.node not in self._followers
+                )
+                await trio.sleep(START_RETRY_SECONDS if self._chosen else 0)
+            elif self._upstreams.worth_waiting_for and not self._followers:
                 await trio.sleep(START_CHOOSE_SECONDS)
                 self._chosen = await self._choose(())
             else:
@@ -174,6 +191,8 @@
 
     async def _follow_store(self) -> None:
         """Follow the store until it is time to look for an upstream."""
+        self._followers = frozenset()
+        self._replica.set_route(Route((self._node,), reaches_store=True))
         review_at = self._now() + STORE_REVIEW_SECONDS if self._peers is not None else inf
         after = self._replica.as_of or None
         await self._watch.run(after, lambda: self._now() >= review_at)
@@ -187,15 +206,18 @@
         """Follow an upstream for as long as it answers and is itself up to date.
 
         The first answer, and the first that is up to date, must arrive within
-        ``first_answer_seconds``. Returns the upstreams to follow instead if there is a better one.
+        ``first_answer_seconds``. An upstream that follows this instance is left at once. Returns the upstreams to follow instead if there is a better one.
         """
         logger.info("following an instance", upstream=upstream.node)
         self._upstream = upstream.node
+        self._replica.set_route(Route((self._node, upstream.node)))
         better: tuple[ReplicaEndpoint, ...] = ()
         try:
             async with peers.connect(upstream) as peer:
                 better = await self._follow_while_fresh(peer, upstream, first_answer_seconds)
             reason = "a better instance is available" if better else "out of date"
+            if upstream.node in self._followers:
+                reason = "it follows this instance"
         except PeerError as error:
             reason = str(error)
         self._upstream = None
@@ -206,7 +228,10 @@
         self, peer: ReplicaPeer, upstream: ReplicaEndpoint, first_answer_seconds: float
     ) -> tuple[ReplicaEndpoint, ...]:
         started_at = self._now()
-        tolerated_until = started_at + min(first_answer_seconds, self._stale_seconds)
+        tolerated_seconds = min(first_answer_seconds, self._stale_seconds)
+        if not self._replica.as_of:
+            tolerated_seconds = min(tolerated_seconds, START_SECONDS)
+        tolerated_until = started_at + tolerated_seconds
         review_at = started_at + UPSTREAM_REVIEW_SECONDS
         mark: float | None = None
         while self._is_fresh() or self._now() <= tolerated_until:
@@ -218,6 +243,9 @@
             self._asked_at = self._now()
             query = ReplicaQuery(self._replica.as_of, mark)
             answer = await peer.ask(query, first_answer_seconds if mark is None else inf)
+            if self._node in answer.route.hops:
+                self._followers |= {upstream.node}
+                return self._upstreams.alternatives(self._followers)
             self._apply_answer(answer)
             mark = answer.mark
         return ()
@@ -232,5 +260,6 @@
         until the send time of the request plus the time that the request waited at the upstream.
         """
         self._replica.take_answer(answer)
+        self._replica.set_route(answer.route.via(self._node))
         valid_at = min(self._asked_at + answer.waited_seconds, self._now())
         self._replica.note_known(answer.as_of, valid_at - answer.age_seconds)
--- a/fireflyfork/programs/replicas/tests/builders_replicas.py
+++ b/fireflyfork/programs/replicas/tests/builders_replicas.py
@@ -71,7 +71,15 @@
     async def choose(self) -> tuple[ReplicaEndpoint, ...]:
         """See Upstreams."""
         await trio.sleep(self.seconds)
-        return tuple(ReplicaEndpoint(node(number), UNUSED_ADDRESS) for number in self.numbers)
+        return self.alternatives(frozenset())
+
+    def alternatives(self, excluded: frozenset[NodeName]) -> tuple[ReplicaEndpoint, ...]:
+        """See Upstreams."""
+        return tuple(
+            ReplicaEndpoint(node(number), UNUSED_ADDRESS)
+            for number in self.numbers
+            if node(number) not in excluded
+        )
 
 
 class Follower:
@@ -83,6 +91,7 @@
         self.versions: list[int] = []
         """The versions that have come into force, in order."""
         self.keeper = QueueKeeper(
+            self.node,
             fleet.store.client(self.node),
             lambda table: self.versions.append(table.version),
             BOUND_SECONDS,
@@ -92,6 +101,11 @@
         )
         self._scope = trio.CancelScope()
 
+    @property
+    def upstream(self) -> NodeName | None:
+        """The instance that is followed now; None if the store is followed."""
+        return self.keeper.upstream
+
     def kill(self) -> None:
         """Stop the instance."""
         self._scope.cancel()
--- a/fireflyfork/programs/replicas/tests/test_queue_keeper.py
+++ b/fireflyfork/programs/replicas/tests/test_queue_keeper.py
@@ -27,7 +27,11 @@
         store = StandInStore(Random(1))
         versions: list[int] = []
         keeper = QueueKeeper(
-            store.client(NODE), lambda table: versions.append(table.version), 4.0, trio.current_time
+            NODE,
+            store.client(NODE),
+            lambda table: versions.append(table.version),
+            4.0,
+            trio.current_time,
         )
         async with trio.open_nursery() as nursery:
             nursery.start_soon(store.run)
--- a/fireflyfork_standins/scheduling/_configuration_sources.py
+++ b/fireflyfork_standins/scheduling/_configuration_sources.py
@@ -115,6 +115,7 @@
         self._network = network
         self._awake = wait_awake
         self._keeper = QueueKeeper(
+            node,
             store,
             on_change,
             bound_seconds,
