--- a/fireflyfork/decisions/jobs/__init__.py
+++ b/fireflyfork/decisions/jobs/__init__.py
@@ -17,6 +17,15 @@
 from ._job_table import JobTable
 from ._load_shedding import Shed
 from ._notes import ExecutorGivenUp, JobOver, MoveReason, Note, RunEnded, RunMoved, TaskSent
+from ._policy_settings import (
+    NO_POLICIES,
+    AdmissionSettings,
+    EstimateSettings,
+    FairnessSettings,
+    OwnershipSettings,
+    PolicySettings,
+    PreemptionSettings,
+)
 from ._progress import JobState, StoredProgress, StoredTask
 from ._queues import QueueConfiguration, QueueTable, queue_table
 from ._reports import (
@@ -51,16 +60,20 @@
 from ._waves import MachineListing, MachineState, UpkeepMark, UpkeepOutcome, UpkeepPhase, UpkeepWave
 
 __all__ = [
+    "NO_POLICIES",
+    "AdmissionSettings",
     "AskAdvice",
     "CallOutcome",
     "ChangeLog",
     "Command",
     "EndReason",
     "EndedRow",
+    "EstimateSettings",
     "ExecutorGivenUp",
     "ExecutorRegistration",
     "ExecutorRoom",
     "ExecutorState",
+    "FairnessSettings",
     "InstanceStanding",
     "Job",
     "JobOver",
@@ -73,9 +86,12 @@
     "MoveReason",
     "Note",
     "OrderAnswer",
+    "OwnershipSettings",
     "PaceRun",
+    "PolicySettings",
     "PollAnswer",
     "PollRequest",
+    "PreemptionSettings",
     "QueueConfiguration",
     "QueueTable",
     "Run",
--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -21,10 +21,6 @@
 START_VALID_MS = 1_000
 """Milliseconds for which a start is valid; carried out later, it is void. Answers take 1 to 45 ms.
 A start that arrives seconds late could run at the same time as its replacement."""
-RESERVED_SHARE_FOR_SHORT_TASKS = 0.10
-"""Share of all processors that long-running tasks leave free. Short tasks arrive in waves of a
-twentieth of the processors on average, and a core for them is worth four times a core for a
-long-running task."""
 MAX_COMPARED = 512
 """Executors compared at first for a task that stays where it is placed, or that uses leftover CPU.
 In a fleet of thousands the best of these is about as good as the best of all."""
@@ -138,6 +134,9 @@
         allowed = self._executors_with_tickets(task, placement_round.usable, now)
         reason = placement_round.wait_reasons.get(shape) or self._skip_reason(task, placement_round)
         if reason is None and not self._start(task, allowed, placement_round, now, now_ms):
+            if self._state.policies.room.make_room(task, allowed, now, now_ms):
+                self._state.waiting.defer(task)
+                return None
             reason = _why_not_placed(task, placement_round.usable)
         if reason is not None:
             placement_round.wait_reasons[shape] = reason
@@ -228,14 +227,14 @@
                 self._state.commands.append(AskAdvice(step, asked))
         return allowed
 
-    @staticmethod
-    def _skip_reason(task: Task, placement_round: _PlacementRound) -> WaitReason | None:
+    def _skip_reason(self, task: Task, placement_round: _PlacementRound) -> WaitReason | None:
         """Return why a task is not considered in this round, or None."""
         if len(placement_round.wait_reasons) >= MAX_REFUSED_SHAPES:
             return WaitReason.BEHIND
-        return (
-            WaitReason.RESERVED if _would_take_short_task_reserve(task, placement_round) else None
-        )
+        share = self._state.policies.room.short_task_share()
+        if _would_take_short_task_reserve(task, placement_round, share):
+            return WaitReason.RESERVED
+        return None
 
     def _start(
         self,
@@ -282,6 +281,7 @@
         self._state.notes.append(_task_sent_note(run, now, now_ms))
         task.wait_reason = WaitReason.NOTHING
         self._state.jobs.record_start(task.job)
+        self._state.tell(lambda policy: policy.run_started(run, now))
 
 
 def _set_deadline(run: Run, now: float) -> None:
@@ -290,12 +290,14 @@
     run.executor.grant_lease(run.start_deadline_ms)
 
 
-def _would_take_short_task_reserve(task: Task, placement_round: _PlacementRound) -> bool:
-    """Whether a new long-running task would take resources that are kept for short tasks."""
+def _would_take_short_task_reserve(
+    task: Task, placement_round: _PlacementRound, share: float
+) -> bool:
+    """Whether a new long-running task would take the share that is kept for short tasks."""
     if not task.spec.long_running or task.attempt:
         return False
     long_running_millis = placement_round.long_running_millis + task.spec.reserved_cpu_millis
-    return long_running_millis > placement_round.total_millis * (1 - RESERVED_SHARE_FOR_SHORT_TASKS)
+    return long_running_millis > placement_round.total_millis * (1 - share)
 
 
 def _shape(task: Task) -> tuple[object, ...]:
--- /dev/null
+++ b/fireflyfork/decisions/jobs/_policies.py
@@ -0,0 +1,111 @@
+"""The policies that a scheduler consults under load, and what it tells them.
+
+A policy is pure and holds its own state. Placement asks; no policy reaches into the state of
+another one. The defaults in this module decide as a scheduler without these policies.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from ._executors import ExecutorState
+from ._reports import EndReason
+from ._run_end_evidence import RunEndEvidence
+from ._runs import Job, Run, Task
+from ._urgency import Urgency, urgency
+
+SHORT_TASK_SHARE = 0.10
+"""Share of all processors that long-running tasks leave free. Short tasks arrive in waves of a
+twentieth of the processors on average, and a core for them is worth four times a core for a
+long-running task."""
+
+
+class Policy:
+    """Receives the events of a scheduler; each method may be left as it is.
+
+    Times are seconds on the owner's clock. Events arrive in order, once each.
+    """
+
+    def job_accepted(self, job: Job, now_ms: int) -> None:
+        """Handle a job that was accepted or recovered; ``now_ms`` is in Unix milliseconds."""
+
+    def job_over(self, job: Job, now: float) -> None:
+        """Handle a job whose state has become final."""
+
+    def run_started(self, run: Run, now: float) -> None:
+        """Handle a run whose start is about to be ordered."""
+
+    def run_ended(self, run: Run, reason: EndReason, now: float) -> None:
+        """Handle the end of a run that its executor listed, before the run is removed."""
+
+    def run_removed(self, run: Run, why: RunEndEvidence, now: float) -> None:
+        """Handle a run that is over for certain, whether its end was listed or not."""
+
+    def run_listed(self, run: Run, now: float) -> None:
+        """Handle the progress of a run that its executor has just listed."""
+
+    def tick(self, now: float, now_ms: int) -> None:
+        """Handle the passage of time, ten times a second."""
+
+
+class RoomPolicy(Policy):
+    """Decides how much room is kept for short tasks, and makes room for urgent ones."""
+
+    def short_task_share(self) -> float:
+        """Return the share of all processors that long-running tasks leave free."""
+        return SHORT_TASK_SHARE
+
+    def make_room(
+        self, task: Task, usable: Sequence[ExecutorState], now: float, now_ms: int
+    ) -> bool:
+        """Make room for a task that found none on the usable executors.
+
+        Returns whether room is reserved for it, where it starts once the room is free.
+        """
+        return False
+
+
+class OrderPolicy(Policy):
+    """Decides in which order waiting tasks are placed."""
+
+    def urgency(self, task: Task, now_ms: int) -> Urgency:
+        """Return the sort key of a waiting task, the smallest first."""
+        return urgency(task, now_ms)
+
+    def may_take(self, task: Task, executor: ExecutorState, now: float) -> bool:
+        """Whether a task may use free room on an executor that is reserved for other tasks."""
+        return True
+
+
+class EstimatePolicy(Policy):
+    """Estimates how executors and steps behave."""
+
+    def speed(self, executor: ExecutorState) -> float:
+        """Return the speed of an executor relative to the usual one, which is 1."""
+        return 1.0
+
+    def extra_cost(self, task: Task, executor: ExecutorState) -> float:
+        """Return a cost to add to that of an executor, in loads of a whole executor."""
+        return 0.0
+
+    def revision(self, executor: ExecutorState) -> int:
+        """Return a number that changes whenever an estimate of the executor has changed."""
+        return 0
+
+    def max_runs(self, task: Task) -> int | None:
+        """Return how many tasks of the task's step may run at once; None for no limit."""
+        return None
+
+
+@dataclass(frozen=True, slots=True)
+class Policies:
+    """The policies of one scheduler."""
+
+    room: RoomPolicy = field(default_factory=RoomPolicy)
+    order: OrderPolicy = field(default_factory=OrderPolicy)
+    estimates: EstimatePolicy = field(default_factory=EstimatePolicy)
+
+    def each(self) -> tuple[Policy, ...]:
+        """Return all policies, to tell each of an event."""
+        return self.room, self.order, self.estimates
--- a/fireflyfork/decisions/jobs/_report_handling.py
+++ b/fireflyfork/decisions/jobs/_report_handling.py
@@ -177,6 +177,8 @@
         elif row.reason is EndReason.FAILED:
             self._task_failed(task, row, executor, now, now_ms)
         if run is not None:
+            ended = run
+            self._state.tell(lambda policy: policy.run_ended(ended, row.reason, now))
             self._state.remove_run(run, now, RunEndEvidence.ENDED)
         task.attempt = max(task.attempt, row.attempt)
         self._state.jobs.record_change(task.job)
@@ -195,6 +197,7 @@
             for ready in self._state.jobs.task_done(member, now_ms):
                 self._state.enqueue(ready)
         if task.job.state.is_final:
+            self._state.tell(lambda policy: policy.job_over(task.job, now))
             self._state.notes.append(job_over_note(task.job, now_ms))
         for run in tuple(task.runs):
             if run.is_active and run.executor is not executor:
@@ -248,6 +251,7 @@
         if row.checkpoint and run.task.spec.checkpointing:
             run.checkpoint = row.checkpoint
             save_checkpoint(run.task, row.checkpoint)
+        self._state.tell(lambda policy: policy.run_listed(run, now))
 
     def _handle_missing(self, run: Run, sent_at: float, now: float) -> None:
         """Handle a run that is missing from the list.
@@ -289,6 +293,7 @@
         for previous_run in previous_runs:
             self._state.stop(previous_run, now)
         self._state.jobs.record_start(task.job)
+        self._state.tell(lambda policy: policy.run_started(run, now))
 
     def _stop_unknown_run(self, executor: ExecutorState, row: RunningRow, now: float) -> None:
         """Stop a run of a task that is over or unknown.
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -21,11 +21,13 @@
 from ._notes import Note
 from ._paced_runs import PacedRuns
 from ._placement import Placement
+from ._policy_factory import create_policies
+from ._policy_settings import NO_POLICIES, PolicySettings
 from ._progress import JobState, StoredProgress
 from ._queues import QueueTable
 from ._report_handling import ReportHandler
 from ._reports import OrderAnswer, PollAnswer
-from ._runs import Run
+from ._runs import Job, Run
 from ._service_state import ServiceState
 from ._specs import JobSpec
 from ._stragglers import Stragglers
@@ -52,6 +54,7 @@
     one."""
     max_lease: float
     """The longest lease that any owner of the service grants an executor."""
+    policies: PolicySettings = NO_POLICIES
 
 
 class Scheduler:
@@ -61,6 +64,7 @@
         """Initialize without jobs or executors; ``recover`` restores what an earlier owner left."""
         self._settings = settings
         self._state = ServiceState()
+        self._state.policies = create_policies(settings.policies, self._state)
         self._report_handler = ReportHandler(self._state, int(settings.max_lease * 1000))
         self._placement = Placement(self._state)
         self._time_checks = TimeChecks(self._state)
@@ -140,6 +144,7 @@
             job = self.jobs.get(spec.job)
             if job is not None:
                 job.recovered = True
+                self._report_accepted(job, now_ms)
             for task in ready:
                 self._state.enqueue(task)
         self._state.known_executors_changed = True
@@ -154,9 +159,16 @@
 
     def accept(self, spec: JobSpec, now_ms: int) -> None:
         """Add a job that was accepted while this owner owned the service."""
-        for task in self.jobs.accept(spec, None, now_ms):
+        ready = self.jobs.accept(spec, None, now_ms)
+        job = self.jobs.get(spec.job)
+        if ready and job is not None:
+            self._report_accepted(job, now_ms)
+        for task in ready:
             self._state.enqueue(task)
 
+    def _report_accepted(self, job: Job, now_ms: int) -> None:
+        self._state.tell(lambda policy: policy.job_accepted(job, now_ms))
+
     def cancel(self, name: JobId, now: float, now_ms: int) -> None:
         """Cancel a job at a caller's request."""
         job = self.jobs.get(name)
@@ -295,6 +307,7 @@
             self._time_checks.check(executor, now)
             self._stragglers.check(executor, now)
         self._state.give_up_unreached(now)
+        self._state.tell(lambda policy: policy.tick(now, now_ms))
         self._upkeep.evict(now)
         self._evacuations.move_tasks(now)
         self._state.move_reservations.expire(now)
--- a/fireflyfork/decisions/jobs/_service_state.py
+++ b/fireflyfork/decisions/jobs/_service_state.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from ..._ids import AttemptNumber, ExecutorId
 from ..._waits import WaitReason
 from ._commands import Command, StopRun
@@ -12,6 +14,7 @@
 from ._load_shedding import Shed
 from ._move_reservations import MoveReservations
 from ._notes import ExecutorGivenUp, JobOver, MoveReason, Note, RunMoved
+from ._policies import Policies, Policy
 from ._progress import JobState
 from ._run_end_evidence import RunEndEvidence
 from ._runs import Job, Run, RunPhase, Task
@@ -42,10 +45,12 @@
         self.interference = InterferenceModel()
         self.tickets = TicketBook()
         self.move_reservations = MoveReservations()
+        self.policies = Policies()
         self.commands: list[Command] = []
         self.notes: list[Note] = []
         self.waiting = WaitingTasks(
-            lambda task: self.move_reservations.destination(task) is not None
+            lambda task: self.move_reservations.destination(task) is not None,
+            lambda task, now_ms: self.policies.order.urgency(task, now_ms),
         )
         """Tasks that wait for an executor."""
         self.tasks_to_copy: list[Task] = []
@@ -61,6 +66,11 @@
         """The latest time at which this owner is known to have owned the service; infinite if no
         successor is possible."""
 
+    def tell(self, event: Callable[[Policy], None]) -> None:
+        """Report an event to all policies."""
+        for policy in self.policies.each():
+            event(policy)
+
     def add_executor(self, executor: ExecutorState) -> None:
         """Add an executor, to be polled from now on."""
         self.executors[executor.executor] = executor
@@ -121,6 +131,7 @@
         With ``at_once`` the task can be placed immediately, otherwise at the next tick.
         """
         run.executor.remove(run)
+        self.tell(lambda policy: policy.run_removed(run, why, now))
         task = run.task
         task.last_run_over = why
         if run in task.runs:
@@ -144,6 +155,7 @@
     def finish(self, job: Job, state: JobState, now: float, now_ms: int) -> None:
         """Make a job's state final and stop its runs."""
         self.jobs.finish(job, state, now_ms)
+        self.tell(lambda policy: policy.job_over(job, now))
         self.notes.append(job_over_note(job, now_ms))
         for task in job.tasks.values():
             for run in tuple(task.runs):
--- a/fireflyfork/decisions/jobs/_waiting_tasks.py
+++ b/fireflyfork/decisions/jobs/_waiting_tasks.py
@@ -32,11 +32,17 @@
 class WaitingTasks:
     """All waiting tasks, the most urgent step first."""
 
-    def __init__(self, is_separate: Callable[[Task], bool]) -> None:
+    def __init__(
+        self,
+        is_separate: Callable[[Task], bool],
+        urgency: Callable[[Task, int], Urgency] = urgency,
+    ) -> None:
         """Initialize without tasks.
 
         Tasks for which ``is_separate`` returns True are queued separately from their step.
+        ``urgency`` returns the sort key of a task at a time in Unix milliseconds.
         """
+        self._urgency = urgency
         self._is_separate = is_separate
         self._steps: dict[Hashable, WaitingStep] = {}
         self._order: list[tuple[Urgency, int, WaitingStep]] = []
@@ -96,7 +102,7 @@
 
     def _schedule(self, step: WaitingStep, now_ms: int) -> None:
         step.parked = False
-        entry = (urgency(step.tasks[0], now_ms), next(self._numbers), step)
+        entry = (self._urgency(step.tasks[0], now_ms), next(self._numbers), step)
         heapq.heappush(self._order, entry)
 
     def _key(self, task: Task) -> Hashable:
--- a/fireflyfork/platform/_settings.py
+++ b/fireflyfork/platform/_settings.py
@@ -9,6 +9,7 @@
 from .._errors import SettingsError
 from .._ids import FailureDomainName, NodeName, RegionName
 from .._links import Address
+from ..decisions.jobs import NO_POLICIES, PolicySettings
 from ._names import SETTINGS_VARIABLE
 
 
@@ -58,6 +59,8 @@
     link_mbps: float
     """The network bandwidth that the platform grants, in Mbit/s."""
     bounds: PlatformBounds
+    policies: PolicySettings = NO_POLICIES
+    """The product's own settings, which the platform doesn't provide."""
 
 
 def settings_path() -> Path:
--- a/fireflyfork/programs/_scheduler_node.py
+++ b/fireflyfork/programs/_scheduler_node.py
@@ -224,6 +224,7 @@
                 lambda: self._keeper.evacuated_domains,
             ),
             self._announcements,
+            self._settings.policies,
         )
 
     def _queues(self) -> QueueTable:
--- a/fireflyfork/programs/owner/_service_candidate.py
+++ b/fireflyfork/programs/owner/_service_candidate.py
@@ -7,6 +7,7 @@
 import trio
 
 from ..._ids import NodeName, ServiceName
+from ...decisions.jobs import NO_POLICIES, PolicySettings
 from ...platform import PlatformBounds
 from .._announcements import Announcements
 from .._clocks import Clock
@@ -31,6 +32,7 @@
         bounds: PlatformBounds,
         requests: OperatorRequests,
         announcements: Announcements,
+        policies: PolicySettings = NO_POLICIES,
     ) -> None:
         """Set up the candidacy; ``run`` starts it."""
         self._service = service
@@ -41,6 +43,7 @@
         self._bounds = bounds
         self._requests = requests
         self._announcements = announcements
+        self._policies = policies
         self._lease = ServiceLease(service, node, clients.store, clock, random, announcements)
         self._owner: ServiceOwner | None = None
         self._stopping = False
@@ -67,6 +70,7 @@
                 self._bounds,
                 self._requests,
                 self._announcements,
+                self._policies,
             )
             try:
                 async with trio.open_nursery() as nursery:
--- a/fireflyfork/programs/owner/_service_owner.py
+++ b/fireflyfork/programs/owner/_service_owner.py
@@ -12,8 +12,10 @@
     StoreListing,
 )
 from ...decisions.jobs import (
+    NO_POLICIES,
     AskAdvice,
     ExecutorState,
+    PolicySettings,
     QueueTable,
     Scheduler,
     SchedulerSettings,
@@ -82,6 +84,7 @@
         bounds: PlatformBounds,
         requests: OperatorRequests,
         announcements: Announcements,
+        policies: PolicySettings = NO_POLICIES,
     ) -> None:
         """Create and connect the parts of the owner; ``run`` starts them."""
         metrics.count("fireflyfork_ownerships_total", service=term.service)
@@ -98,7 +101,9 @@
         self._retention = bounds.status_retention + RETENTION_MARGIN_SECONDS
         lease = min(LEASE_SECONDS, bounds.max_lease * MAX_LEASE_SHARE)
         unreached_lease = MAX_UNCONFIRMED_SECONDS + lease + CLOCK_MARGIN_SECONDS
-        self._scheduler = Scheduler(SchedulerSettings(self._service, unreached_lease, lease))
+        self._scheduler = Scheduler(
+            SchedulerSettings(self._service, unreached_lease, lease, policies)
+        )
         self._journal = ServiceJournal(
             self._store, term, self._scheduler, self._note_journal_written
         )
--- a/fireflyfork/programs/scheduler.py
+++ b/fireflyfork/programs/scheduler.py
@@ -1,14 +1,18 @@
 """``fireflyfork-scheduler``: schedules jobs on the executors of the platform.
 
-Settings are read from the file that the platform names in the environment.
+Settings are read from the file that the platform names in the environment. ``FIREFLYFORK_POLICIES``
+may name a file of JSON with comments that enables policies for heavy load.
 """
 
 from __future__ import annotations
 
+import os
 import secrets
 import signal
 import sys
+from dataclasses import replace
 from functools import partial
+from pathlib import Path
 from random import Random
 
 import trio
@@ -16,6 +20,7 @@
 
 from .._errors import SettingsError
 from ..adapters import LoopTime, NoAdvisor, NoMachines, SocketReplicaPeers
+from ..decisions.jobs import NO_POLICIES, PolicySettings
 from ..platform import (
     NodeSettings,
     PlatformAdvisor,
@@ -28,8 +33,11 @@
 from ._clocks import SystemClock
 from ._external_clients import ExternalClients
 from ._logs import configure_logs
+from ._policy_file import load_policies
 from ._scheduler_node import SchedulerNode
 
+POLICIES_VARIABLE = "FIREFLYFORK_POLICIES"
+
 
 async def run(settings: NodeSettings) -> None:
     """Serve until the platform requests a stop."""
@@ -69,10 +77,15 @@
             stop.set()
 
 
+def _policies() -> PolicySettings:
+    path = os.environ.get(POLICIES_VARIABLE)
+    return load_policies(Path(path)) if path else NO_POLICIES
+
+
 def main() -> None:
     """Start the program."""
     try:
-        settings = load_node_settings(settings_path())
+        settings = replace(load_node_settings(settings_path()), policies=_policies())
     except SettingsError as error:
         sys.exit(f"fireflyfork-scheduler: {error}")
     configure_logs("INFO", {"node": settings.node}, sys.stdout)
