--- a/fireflyfork/_waits.py
+++ b/fireflyfork/_waits.py
@@ -18,5 +18,7 @@
     RESERVED = "room kept for short work"
     BEHIND = "behind more urgent work"
     """Placement was not attempted, since too many more urgent tasks could not be placed."""
+    TRIAL = "few tasks of its step are tried"
+    """Tasks of the step fail on executors that do well otherwise."""
     OTHER = "other limits"
     """Labels or limits per executor exclude the task, or no executor has enough resources."""
--- a/fireflyfork/decisions/jobs/__init__.py
+++ b/fireflyfork/decisions/jobs/__init__.py
@@ -16,7 +16,17 @@
 from ._interference import LearnedFit
 from ._job_table import JobTable
 from ._load_shedding import Shed
-from ._notes import ExecutorGivenUp, JobOver, MoveReason, Note, RunEnded, RunMoved, TaskSent
+from ._notes import (
+    ExecutorGivenUp,
+    FailureSuspicion,
+    JobOver,
+    MoveReason,
+    Note,
+    RunEnded,
+    RunMoved,
+    StepOnTrial,
+    TaskSent,
+)
 from ._policy_settings import (
     NO_POLICIES,
     AdmissionSettings,
@@ -42,8 +52,10 @@
 from ._runs import Job, Run, RunPhase, Task
 from ._scheduler import Scheduler, SchedulerSettings
 from ._specs import JobSpec, StepSpec, TaskKey, parse_task_name, step_name
+from ._stored_estimates import StoredEstimates, StoredEvidence
 from ._stored_forms import (
     StoredFormatError,
+    decode_estimates,
     decode_learned,
     decode_progress,
     decode_registrations,
@@ -73,6 +85,7 @@
     "ExecutorRegistration",
     "ExecutorRoom",
     "ExecutorState",
+    "FailureSuspicion",
     "FairnessSettings",
     "InstanceStanding",
     "Job",
@@ -106,8 +119,11 @@
     "Shed",
     "StartRequest",
     "StartRun",
+    "StepOnTrial",
     "StepSpec",
     "StopRun",
+    "StoredEstimates",
+    "StoredEvidence",
     "StoredFormatError",
     "StoredProgress",
     "StoredTask",
@@ -123,6 +139,7 @@
     "bid_delay",
     "choose_relays",
     "choose_upstreams",
+    "decode_estimates",
     "decode_learned",
     "decode_progress",
     "decode_registrations",
--- a/fireflyfork/decisions/jobs/_cost_caches.py
+++ b/fireflyfork/decisions/jobs/_cost_caches.py
@@ -12,6 +12,7 @@
 from ._executors import ExecutorState
 from ._interference import InterferenceModel
 from ._placement_costs import PlacementCost, placement_cost
+from ._policies import EstimatePolicy
 from ._runs import Task
 
 MAX_CACHES = 32
@@ -30,6 +31,7 @@
         task: Task,
         model: InterferenceModel,
         note_computed: Callable[[], None] = lambda: None,
+        estimates: EstimatePolicy | None = None,
     ) -> None:
         """Initialize for all tasks that have the shape of ``task``.
 
@@ -38,16 +40,17 @@
         self._task = task
         self._model = model
         self._note_computed = note_computed
+        self._estimates = estimates or EstimatePolicy()
         self._cache: dict[ExecutorState, tuple[Hashable, PlacementCost | None]] = {}
 
     def cost(self, executor: ExecutorState) -> PlacementCost | None:
         """Return the cost on an executor at present, or None if the tasks can't run there."""
-        state = executor.cost_state
+        state = (executor.cost_state, self._estimates.revision(executor))
         cached = self._cache.get(executor)
         if cached is not None and cached[0] == state:
             return cached[1]
         self._note_computed()
-        cost = placement_cost(self._task, executor, self._model)
+        cost = placement_cost(self._task, executor, self._model, self._estimates)
         if len(self._cache) >= MAX_CACHE_ENTRIES:
             # Most entries belong to executors that no longer exist.
             self._cache.clear()
@@ -58,9 +61,10 @@
 class CostCaches:
     """The caches of the most recently placed shapes."""
 
-    def __init__(self, model: InterferenceModel) -> None:
+    def __init__(self, model: InterferenceModel, estimates: EstimatePolicy) -> None:
         """Initialize without caches."""
         self._model = model
+        self._estimates = estimates
         self.computed = 0
         """Number of costs that were computed because they weren't cached."""
         self._caches: OrderedDict[Hashable, CostCache] = OrderedDict()
@@ -73,7 +77,9 @@
         shape = _shape(task)
         cache = self._caches.get(shape)
         if cache is None:
-            cache = self._caches[shape] = CostCache(task, self._model, self._note_computed)
+            cache = self._caches[shape] = CostCache(
+                task, self._model, self._note_computed, self._estimates
+            )
             if len(self._caches) > MAX_CACHES:
                 self._caches.popitem(last=False)
         self._caches.move_to_end(shape)
--- a/fireflyfork/decisions/jobs/_executors.py
+++ b/fireflyfork/decisions/jobs/_executors.py
@@ -45,6 +45,8 @@
     """The rack of the executor; executors in the same rack are near each other."""
     incarnation: int
     """Start time of the executor's process, in Unix milliseconds."""
+    version: str = ""
+    """The version of the executor's software; empty if it is unknown."""
 
 
 @dataclass(slots=True, eq=False)
--- a/fireflyfork/decisions/jobs/_notes.py
+++ b/fireflyfork/decisions/jobs/_notes.py
@@ -87,4 +87,28 @@
     pace_percent: int
 
 
-Note = TaskSent | RunEnded | RunMoved | JobOver | ExecutorGivenUp
+@dataclass(frozen=True, slots=True)
+class FailureSuspicion:
+    """An executor, or a group of executors, is avoided from now on, or no longer."""
+
+    kind: str
+    """``executor``, ``domain``, ``rack`` or ``version``."""
+    name: str
+    avoided: bool
+    share: float
+    """The estimated share of runs that fail there."""
+    fleet_share: float
+    """The estimated share of runs that fail in the whole fleet."""
+
+
+@dataclass(frozen=True, slots=True)
+class StepOnTrial:
+    """A step whose tasks fail on good executors is tried by few tasks at a time."""
+
+    job: JobId
+    step: int
+    failed_share: float
+    """The estimated share of runs that fail by the step's fault."""
+
+
+Note = TaskSent | RunEnded | RunMoved | JobOver | ExecutorGivenUp | FailureSuspicion | StepOnTrial
--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -12,7 +12,7 @@
 from ._gangs import gang_members, next_attempt, place_together
 from ._notes import TaskSent
 from ._placement_costs import choose, is_allowed, max_accepted_cost
-from ._runs import Run, RunPhase, Task
+from ._runs import Run, RunPhase, Task, running_tasks
 from ._service_state import ServiceState
 from ._stragglers import other_executors
 from ._tickets import StepId
@@ -69,7 +69,7 @@
     def __init__(self, state: ServiceState) -> None:
         """Initialize with the service state to read and change."""
         self._state = state
-        self._cost_caches = CostCaches(state.interference)
+        self._cost_caches = CostCaches(state.interference, state.policies.estimates)
         self._first_index = 0
         """Index of the executor at which the candidates of the next step begin."""
 
@@ -117,6 +117,11 @@
         """
         while step.tasks:
             task = step.tasks[0]
+            max_runs = self._state.policies.estimates.max_runs(task)
+            if max_runs is not None:
+                if running_tasks(task) >= max_runs:
+                    return WaitReason.TRIAL
+                task = step.bring_most_failed_forward()
             if not self._state.needs_run(task):
                 task.waiting = False
             elif not self._place_reserved(task, now, now_ms):
@@ -174,10 +179,16 @@
                 task, self._executors_with_tickets(task, placement_round.usable, now)
             )
             max_cost = placement_round.max_cost(task, now_ms)
-            executor = choose(task, other_usable, self._state.interference, max_cost)
+            executor = self._choose(task, other_usable, max_cost)
             if executor is not None:
                 self._begin_run(task, executor, now, now_ms)
 
+    def _choose(
+        self, task: Task, executors: list[ExecutorState], max_cost: float
+    ) -> ExecutorState | None:
+        estimates = self._state.policies.estimates
+        return choose(task, executors, self._state.interference, max_cost, estimates)
+
     def _candidates_for(
         self,
         task: Task,
@@ -249,7 +260,7 @@
 
         def choice(member: Task, executors: list[ExecutorState]) -> ExecutorState | None:
             if member.failed_on or member.spec.gang or member.job.queue.needs_tickets:
-                return choose(member, executors, self._state.interference, max_cost)
+                return self._choose(member, executors, max_cost)
             return self._candidates_for(member, executors, placement_round, max_cost).best()
 
         runs = place_together(task, allowed, choice, next_attempt(task), now)
--- a/fireflyfork/decisions/jobs/_placement_costs.py
+++ b/fireflyfork/decisions/jobs/_placement_costs.py
@@ -8,6 +8,7 @@
 from ._executors import ExecutorState
 from ._interference import InterferenceModel
 from ._pacing import HEADROOM_TO_KEEP
+from ._policies import EstimatePolicy
 from ._runs import Task
 
 ASSUMED_SERVING_LOAD = 0.55
@@ -58,8 +59,15 @@
 """How much the accepted cost rises for each second beyond that."""
 
 
+NO_ESTIMATES = EstimatePolicy()
+
+
 def choose(
-    task: Task, executors: Iterable[ExecutorState], model: InterferenceModel, max_cost: float
+    task: Task,
+    executors: Iterable[ExecutorState],
+    model: InterferenceModel,
+    max_cost: float,
+    estimates: EstimatePolicy = NO_ESTIMATES,
 ) -> ExecutorState | None:
     """Return the cheapest executor that can run the task, or None if there is none.
 
@@ -68,7 +76,7 @@
     cheapest: ExecutorState | None = None
     min_cost = float("inf")
     for executor in executors:
-        cost = task_cost(task, executor, model, max_cost)
+        cost = task_cost(task, executor, model, max_cost, estimates)
         if cost is not None and cost < min_cost:
             cheapest, min_cost = executor, cost
     return cheapest
@@ -83,20 +91,27 @@
 
 
 def task_cost(
-    task: Task, executor: ExecutorState, model: InterferenceModel, max_cost: float
+    task: Task,
+    executor: ExecutorState,
+    model: InterferenceModel,
+    max_cost: float,
+    estimates: EstimatePolicy = NO_ESTIMATES,
 ) -> float | None:
     """Return the cost of running a task on an executor, or None if it can't run there.
 
     The unit is the load of a whole executor.
     """
-    cost = placement_cost(task, executor, model)
+    cost = placement_cost(task, executor, model, estimates)
     if cost is None or cost.best_effort > max_cost:
         return None
     return cost.total + (EARLIER_FAILURE_COST if executor.executor in task.failed_on else 0.0)
 
 
 def placement_cost(
-    task: Task, executor: ExecutorState, model: InterferenceModel
+    task: Task,
+    executor: ExecutorState,
+    model: InterferenceModel,
+    estimates: EstimatePolicy = NO_ESTIMATES,
 ) -> PlacementCost | None:
     """Return the cost of any task of the same shape, or None if it can't run on the executor."""
     step = task.spec
@@ -104,7 +119,9 @@
         return None
     if not is_allowed(task, executor):
         return None
-    history = _history_cost(task, executor)
+    history = _history_cost(task, executor) + estimates.extra_cost(task, executor)
+    if history == float("inf"):
+        return None
     if not step.uses_leftover_cpu:
         return PlacementCost(_reserving_cost(task, executor, model) + history, 0.0)
     cost = _best_effort_cost(task, executor, model)
--- a/fireflyfork/decisions/jobs/_policies.py
+++ b/fireflyfork/decisions/jobs/_policies.py
@@ -13,6 +13,7 @@
 from ._reports import EndReason
 from ._run_end_evidence import RunEndEvidence
 from ._runs import Job, Run, Task
+from ._stored_estimates import StoredEstimates
 from ._urgency import Urgency, urgency
 
 SHORT_TASK_SHARE = 0.10
@@ -39,6 +40,9 @@
     def run_ended(self, run: Run, reason: EndReason, now: float) -> None:
         """Handle the end of a run that its executor listed, before the run is removed."""
 
+    def run_refused(self, run: Run, now: float) -> None:
+        """Handle a start that an executor has refused because of its own state."""
+
     def run_removed(self, run: Run, why: RunEndEvidence, now: float) -> None:
         """Handle a run that is over for certain, whether its end was listed or not."""
 
@@ -81,12 +85,20 @@
 class EstimatePolicy(Policy):
     """Estimates how executors and steps behave."""
 
+    @property
+    def judges_failures(self) -> bool:
+        """Whether the costs of this policy take the place of the rule on failures in a row."""
+        return False
+
     def speed(self, executor: ExecutorState) -> float:
         """Return the speed of an executor relative to the usual one, which is 1."""
         return 1.0
 
     def extra_cost(self, task: Task, executor: ExecutorState) -> float:
-        """Return a cost to add to that of an executor, in loads of a whole executor."""
+        """Return a cost to add to that of an executor, in loads of a whole executor.
+
+        The task can't be placed there now if the cost is infinite.
+        """
         return 0.0
 
     def revision(self, executor: ExecutorState) -> int:
@@ -97,6 +109,13 @@
         """Return how many tasks of the task's step may run at once; None for no limit."""
         return None
 
+    def to_stored(self) -> StoredEstimates | None:
+        """Return what a successor needs, or None if there is nothing."""
+        return None
+
+    def adopt(self, stored: StoredEstimates, now: float, now_ms: int) -> None:
+        """Use what an earlier owner has learned, aged by the time since then."""
+
 
 @dataclass(frozen=True, slots=True)
 class Policies:
--- a/fireflyfork/decisions/jobs/_policy_factory.py
+++ b/fireflyfork/decisions/jobs/_policy_factory.py
@@ -2,11 +2,16 @@
 
 from __future__ import annotations
 
-from ._policies import Policies
+from ._policies import EstimatePolicy, Policies
 from ._policy_settings import PolicySettings
 from ._service_state import ServiceState
+from .estimates import LearnedEstimates
 
 
 def create_policies(settings: PolicySettings, state: ServiceState) -> Policies:
     """Return the policies of a scheduler with this state; those that are off are the defaults."""
-    return Policies()
+    estimates = settings.estimates
+    learns = estimates.group_failures or estimates.hopeless_steps
+    return Policies(
+        estimates=LearnedEstimates(estimates, state) if learns else EstimatePolicy(),
+    )
--- a/fireflyfork/decisions/jobs/_report_handling.py
+++ b/fireflyfork/decisions/jobs/_report_handling.py
@@ -55,7 +55,8 @@
             self._state.stop(run, now)
         else:
             if outcome in _EXECUTOR_REFUSALS:
-                self._state.record_failure(executor, now)
+                self._state.record_run_failure(executor, now)
+                self._state.tell(lambda policy: policy.run_refused(run, now))
             elif outcome is CallOutcome.NO_TICKET:
                 self._state.tickets.rejected(run.task.step_id, executor.executor)
             # An attempt that differs in nothing is just as likely to be refused. Sent as soon as
@@ -213,7 +214,7 @@
             # fails on a second executor too is itself at fault. If its failures were counted for
             # each executor, all executors would be avoided while many jobs arrive that can't
             # succeed.
-            self._state.record_failure(executor, now)
+            self._state.record_run_failure(executor, now)
         task.failed_attempts.append(row.attempt)
         task.failed_on.add(executor.executor)
         job = task.job
--- a/fireflyfork/decisions/jobs/_runs.py
+++ b/fireflyfork/decisions/jobs/_runs.py
@@ -201,3 +201,10 @@
             self.done_occurrences,
             tuple(stored for task in tasks if (stored := task.to_stored()) is not None),
         )
+
+
+def running_tasks(task: Task) -> int:
+    """Return how many tasks of the task's step have a run."""
+    return sum(
+        bool(other.runs) for other in task.job.tasks.values() if other.step_id == task.step_id
+    )
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -30,6 +30,7 @@
 from ._runs import Job, Run
 from ._service_state import ServiceState
 from ._specs import JobSpec
+from ._stored_estimates import StoredEstimates
 from ._stragglers import Stragglers
 from ._tickets import Ticket
 from ._time_checks import TimeChecks
@@ -157,6 +158,14 @@
         """Use the effects between images that an earlier owner has learned."""
         self._state.interference.adopt(learned)
 
+    def learned_estimates(self) -> StoredEstimates | None:
+        """Return what was learned of the failures of executors, to be stored for a successor."""
+        return self._state.policies.estimates.to_stored()
+
+    def adopt_estimates(self, stored: StoredEstimates, now: float, now_ms: int) -> None:
+        """Use what an earlier owner has learned of the failures of executors."""
+        self._state.policies.estimates.adopt(stored, now, now_ms)
+
     def accept(self, spec: JobSpec, now_ms: int) -> None:
         """Add a job that was accepted while this owner owned the service."""
         ready = self.jobs.accept(spec, None, now_ms)
--- a/fireflyfork/decisions/jobs/_service_state.py
+++ b/fireflyfork/decisions/jobs/_service_state.py
@@ -170,6 +170,11 @@
             pause = AVOID_SECONDS * 2 ** (executor.consecutive_failures - FAILURES_TO_AVOID)
             executor.avoided_until = now + min(pause, MAX_AVOID_SECONDS)
 
+    def record_run_failure(self, executor: ExecutorState, now: float) -> None:
+        """Record a failed or refused run, unless a policy estimates failures."""
+        if not self.policies.estimates.judges_failures:
+            self.record_failure(executor, now)
+
     def is_current(self, executor: ExecutorState) -> bool:
         """Whether the state object is the current one of its executor.
 
--- a/fireflyfork/decisions/jobs/_stored_forms.py
+++ b/fireflyfork/decisions/jobs/_stored_forms.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import TypeVar
 
 import msgspec
@@ -11,9 +12,12 @@
 from ._interference import LearnedFit
 from ._progress import StoredProgress
 from ._specs import JobSpec
+from ._stored_estimates import StoredEstimates
 from ._waves import UpkeepMark
 
 _Stored = TypeVar("_Stored")
+_ESTIMATES = "\x00estimates"
+"""Name, in place of an image, of the row that holds the estimates."""
 
 
 class StoredFormatError(FireflyforkError):
@@ -50,14 +54,31 @@
     return _decode(data, tuple[ExecutorRegistration, ...])
 
 
-def encode_learned(learned: tuple[LearnedFit, ...]) -> bytes:
+@dataclass(frozen=True, slots=True)
+class _EstimatesRow(LearnedFit):
+    """A row beside the learned fits that programs without estimates read as an empty fit."""
+
+    estimates: StoredEstimates | None = None
+
+
+def encode_learned(
+    learned: tuple[LearnedFit, ...], estimates: StoredEstimates | None = None
+) -> bytes:
     """Return the stored form as bytes."""
-    return msgspec.msgpack.encode(learned)
+    row = () if estimates is None else (_EstimatesRow(_ESTIMATES, (), (), (), estimates),)
+    return msgspec.msgpack.encode((*learned, *row))
+
+
+def decode_estimates(data: bytes) -> StoredEstimates | None:
+    """Decode the estimates stored with the learned fits, if any. Raises StoredFormatError."""
+    rows = _decode(data, tuple[_EstimatesRow, ...])
+    return next((row.estimates for row in rows if row.estimates is not None), None)
 
 
 def decode_learned(data: bytes) -> tuple[LearnedFit, ...]:
     """Decode the stored form. Raises StoredFormatError."""
-    learned = _decode(data, tuple[LearnedFit, ...])
+    rows = _decode(data, tuple[LearnedFit, ...])
+    learned = tuple(fit for fit in rows if fit.serving != _ESTIMATES)
     for fit in learned:
         size = len(fit.names)
         if len(fit.targets) != size or len(fit.products) != size * (size + 1) // 2:
--- a/fireflyfork/decisions/jobs/_waiting_tasks.py
+++ b/fireflyfork/decisions/jobs/_waiting_tasks.py
@@ -28,6 +28,17 @@
     reason: WaitReason = WaitReason.NOTHING
     """Why no executor could run the step's tasks at the last attempt to place them."""
 
+    def bring_most_failed_forward(self) -> Task:
+        """Make the task with the most failed attempts the first one, and return it.
+
+        If its job can't be done, its last attempt is the one that shows so.
+        """
+        task = max(self.tasks, key=lambda waiting: len(waiting.failed_attempts))
+        if task is not self.tasks[0]:
+            self.tasks.remove(task)
+            self.tasks.appendleft(task)
+        return task
+
 
 class WaitingTasks:
     """All waiting tasks, the most urgent step first."""
--- /dev/null
+++ b/fireflyfork/decisions/jobs/estimates/_executor_failures.py
@@ -0,0 +1,237 @@
+"""Estimates the share of runs that fail on each executor, by itself and by its groups.
+
+The fleet's share is the prior of failure domains and versions, the domain's share that of its
+racks, and the larger of the rack's and the version's share that of each executor.
+"""
+
+from __future__ import annotations
+
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from ...._ids import ExecutorId
+from .._executors import ExecutorRegistration, ExecutorState
+from .._stored_estimates import StoredEvidence
+from ._evidence import USUAL_FAILURE_SHARE, Evidence, shrunk_share
+
+EXECUTOR_PRIOR_STRENGTH = 0.5
+"""Number of results that the share of an executor's groups weighs as much as: two results of its own
+outweigh it."""
+GROUP_PRIOR_STRENGTH = 4.0
+"""Number of results that the share of the larger group weighs as much as. One bad executor alone
+doesn't make its rack a bad one, but three that have each failed twice do."""
+FLEET_PRIOR_STRENGTH = 20.0
+AVOIDED_SHARE = 0.4
+"""Estimated share of failures from which an executor is avoided. A task with three attempts, all of
+them on such executors, fails its job once in sixteen times."""
+AVOIDED_FLEET_FACTOR = 2.0
+"""An executor is avoided only if it also fails this multiple of the fleet's share: where half of all
+runs fail, avoiding executors would leave none."""
+PROBE_SECONDS = 1.5
+"""Minimum time between two starts on an avoided executor."""
+GROUP_PROBE_SECONDS = 0.5
+"""Minimum time between two starts on the avoided executors of an avoided group."""
+NEGLIGIBLE_WEIGHT = 0.02
+"""Decayed weight below which the results of an executor are dropped."""
+MAX_STORED = 32
+"""Executors whose results are stored for a successor, those with the most failures: about 1 KB."""
+
+
+@dataclass(frozen=True, slots=True)
+class Group:
+    """A set of executors that may fail together."""
+
+    kind: str
+    """``domain``, ``rack`` or ``version``."""
+    name: str
+
+
+@dataclass(frozen=True, slots=True)
+class Standing:
+    """How an executor is judged at present."""
+
+    excess: float = 0.0
+    """By how much its estimated share of failures is above that of the fleet."""
+    avoided: bool = False
+    blocked: bool = False
+    """Whether it is avoided and not to be probed now."""
+
+
+SOUND = Standing()
+
+
+@dataclass(slots=True)
+class _Sums:
+    bad: float = 0.0
+    weight: float = 0.0
+
+    def share(self, prior: float, strength: float) -> float:
+        return shrunk_share(self.bad, self.weight, prior, strength)
+
+
+@dataclass(slots=True)
+class _Shares:
+    """The estimated shares of failures at the last refresh."""
+
+    fleet: float = USUAL_FAILURE_SHARE
+    groups: dict[Group, float] = field(default_factory=dict)
+
+    @property
+    def limit(self) -> float:
+        """The share from which an executor or a group is avoided."""
+        return max(AVOIDED_SHARE, AVOIDED_FLEET_FACTOR * self.fleet)
+
+    def prior(self, registration: ExecutorRegistration) -> float:
+        """Return the share of the executor's groups."""
+        domain, rack, version = _groups(registration)
+        in_domain = self.groups.get(domain, self.fleet)
+        return max(self.groups.get(rack, in_domain), self.groups.get(version, self.fleet))
+
+    def avoided_groups(self) -> set[Group]:
+        limit = self.limit
+        return {group for group, share in self.groups.items() if share >= limit}
+
+
+class ExecutorFailures:
+    """The results of the executors of one service, and how each executor is judged."""
+
+    def __init__(self, executors: dict[ExecutorId, ExecutorState]) -> None:
+        """Initialize without results, for this live table of executors."""
+        self._executors = executors
+        self._evidence: dict[ExecutorId, Evidence] = {}
+        self._shares = _Shares()
+        self._standings: dict[ExecutorId, Standing] = {}
+        """Executors that aren't judged as sound."""
+        self._probed_at: dict[ExecutorId | Group, float] = {}
+        """When an avoided executor or group last got a run, or an executor last failed."""
+
+    @property
+    def fleet_share(self) -> float:
+        """The estimated share of runs that fail in the whole fleet."""
+        return self._shares.fleet
+
+    def avoided_groups(self) -> dict[Group, float]:
+        """Return the groups that are avoided as a whole, with their shares of failures."""
+        return {group: self._shares.groups[group] for group in self._shares.avoided_groups()}
+
+    def avoided_executors(self) -> set[ExecutorId]:
+        """Return the executors that get no runs except for probes."""
+        return {name for name, standing in self._standings.items() if standing.avoided}
+
+    def standing(self, executor: ExecutorId) -> Standing:
+        """Return how an executor is judged."""
+        return self._standings.get(executor, SOUND)
+
+    def share(self, executor: ExecutorState) -> float:
+        """Return the estimated share of runs that fail by the executor's fault."""
+        evidence = self._evidence.get(executor.executor) or Evidence()
+        return evidence.share(self._shares.prior(executor.registration), EXECUTOR_PRIOR_STRENGTH)
+
+    def add(self, executor: ExecutorState, good: float, bad: float, now: float) -> None:
+        """Add a result on an executor; its groups are judged anew at the next refresh."""
+        name = executor.executor
+        evidence = self._evidence.setdefault(name, Evidence(updated_at=now))
+        evidence.add(good, bad, now)
+        if bad:
+            self._probed_at[name] = now
+        self._judge(executor, now)
+
+    def started(self, executor: ExecutorState, now: float) -> None:
+        """Record a start, which is a probe if the executor is avoided."""
+        if not self.standing(executor.executor).avoided:
+            return
+        avoided = self._shares.avoided_groups()
+        groups = [group for group in _groups(executor.registration) if group in avoided]
+        self._probed_at[executor.executor] = now
+        self._probed_at.update(dict.fromkeys(groups, now))
+        self._judge(executor, now)
+        for name in self.avoided_executors() if groups else ():
+            member = self._executors.get(name)
+            if member is not None and not avoided.isdisjoint(_groups(member.registration)):
+                self._judge(member, now)
+
+    def refresh(self, now: float) -> None:
+        """Forget with age, and judge all groups and executors anew."""
+        for name, evidence in tuple(self._evidence.items()):
+            evidence.decay(now)
+            if evidence.weight < NEGLIGIBLE_WEIGHT or name not in self._executors:
+                del self._evidence[name]
+        if not any(evidence.bad for evidence in self._evidence.values()):
+            self._shares = _Shares()
+            self._standings.clear()
+            self._probed_at.clear()
+            return
+        self._shares = self._estimate_shares()
+        self._probed_at = {
+            name: at for name, at in self._probed_at.items() if now - at < PROBE_SECONDS
+        }
+        for name in self._standings.keys() - self._executors.keys():
+            del self._standings[name]
+        for executor in self._executors.values():
+            self._judge(executor, now)
+
+    def to_stored(self) -> tuple[StoredEvidence, ...]:
+        """Return the results of the executors with the most failures."""
+        failing = sorted(
+            ((evidence, name) for name, evidence in self._evidence.items() if evidence.bad),
+            key=lambda item: (-item[0].bad, item[1]),
+        )
+        return tuple(
+            StoredEvidence(name, round(evidence.good, 3), round(evidence.bad, 3))
+            for evidence, name in failing[:MAX_STORED]
+        )
+
+    def adopt(self, stored: Iterable[StoredEvidence], taken_at: float) -> None:
+        """Use the results that an earlier owner had counted at ``taken_at`` on this clock."""
+        for row in stored:
+            self._evidence[row.executor] = Evidence(row.good, row.bad, taken_at)
+
+    def _estimate_shares(self) -> _Shares:
+        fleet = _Sums()
+        groups: defaultdict[Group, _Sums] = defaultdict(_Sums)
+        for name, evidence in self._evidence.items():
+            registration = self._executors[name].registration
+            for sums in (fleet, *(groups[group] for group in _groups(registration))):
+                sums.bad += evidence.bad
+                sums.weight += evidence.weight
+        shares = _Shares(fleet.share(USUAL_FAILURE_SHARE, FLEET_PRIOR_STRENGTH))
+        for name in self._evidence:
+            domain, rack, version = _groups(self._executors[name].registration)
+            for group in (domain, version):
+                shares.groups[group] = groups[group].share(shares.fleet, GROUP_PRIOR_STRENGTH)
+            prior = shares.groups[domain]
+            shares.groups[rack] = groups[rack].share(prior, GROUP_PRIOR_STRENGTH)
+        return shares
+
+    def _judge(self, executor: ExecutorState, now: float) -> None:
+        share = self.share(executor)
+        avoided = share >= self._shares.limit
+        standing = Standing(
+            max(0.0, share - self._shares.fleet),
+            avoided,
+            avoided and not self._may_probe(executor, now),
+        )
+        if standing == SOUND:
+            self._standings.pop(executor.executor, None)
+        else:
+            self._standings[executor.executor] = standing
+
+    def _may_probe(self, executor: ExecutorState, now: float) -> bool:
+        never = float("-inf")
+        if now - self._probed_at.get(executor.executor, never) < PROBE_SECONDS:
+            return False
+        return all(
+            now - self._probed_at.get(group, never) >= GROUP_PROBE_SECONDS
+            for group in _groups(executor.registration)
+        )
+
+
+def _groups(registration: ExecutorRegistration) -> tuple[Group, Group, Group]:
+    """Return the failure domain, the rack and the version of an executor."""
+    domain = str(registration.failure_domain)
+    return (
+        Group("domain", domain),
+        Group("rack", f"{domain}/{registration.rack}"),
+        Group("version", registration.version),
+    )
--- /dev/null
+++ b/fireflyfork/decisions/jobs/estimates/_learned_estimates.py
@@ -0,0 +1,160 @@
+"""Learns which executors, groups of executors and steps fail, and keeps work off them."""
+
+from __future__ import annotations
+
+from .._executors import ExecutorState
+from .._notes import FailureSuspicion, StepOnTrial
+from .._policies import EstimatePolicy
+from .._policy_settings import EstimateSettings
+from .._reports import EndReason
+from .._run_end_evidence import RunEndEvidence
+from .._runs import Job, Run, RunPhase, Task
+from .._service_state import ServiceState
+from .._stored_estimates import StoredEstimates
+from ._executor_failures import ExecutorFailures
+from ._step_failures import TRIAL_RUNS, StepFailures
+
+FAILURE_COST = 10.0
+"""Cost of a run that is certain to fail, in units of a whole executor's load: more than that of any
+executor that can run the task well."""
+PROBE_COST = 4.0
+"""Lowest cost of an avoided executor, so that sound executors with room come first."""
+COST_STEP = 0.5
+"""Costs are rounded to this, so that cached ones aren't computed again for each result."""
+MAX_AGE_MS = 60_000
+"""Age beyond which the counts of an earlier owner are ignored."""
+
+
+class LearnedEstimates(EstimatePolicy):
+    """Puts each failure down to the executor or to the step, and judges both by their results."""
+
+    def __init__(self, settings: EstimateSettings, state: ServiceState) -> None:
+        """Initialize without results; notes are added to ``state``."""
+        self._settings = settings
+        self._state = state
+        self._executors = ExecutorFailures(state.executors)
+        self._steps = StepFailures()
+        self._now_ms = 0
+        self._finished: list[Job] = []
+        self._serving: set[Run] = set()
+        """Long-running runs that have served, whose failure isn't one to start."""
+        self._noted: dict[tuple[str, str], float] = {}
+        """The avoided executors and groups that the last notes told of, with their shares."""
+
+    @property
+    def judges_failures(self) -> bool:
+        """Whether the costs of this policy take the place of the rule on failures in a row."""
+        return self._settings.group_failures
+
+    def extra_cost(self, task: Task, executor: ExecutorState) -> float:
+        """Return the cost of the failures to expect, infinite if the executor is avoided."""
+        return self._cost(executor)
+
+    def revision(self, executor: ExecutorState) -> int:
+        """Return a number that differs for different costs."""
+        cost = self._cost(executor)
+        return -1 if cost == float("inf") else round(cost / COST_STEP)
+
+    def max_runs(self, task: Task) -> int | None:
+        """Return how many tasks of a step that fails everywhere may run at once."""
+        if not self._settings.hopeless_steps or task.spec.gang or task.spec.long_running:
+            return None
+        return TRIAL_RUNS if self._steps.is_on_trial(task) else None
+
+    def run_started(self, run: Run, now: float) -> None:
+        """Record a start, which is a probe if the executor is avoided."""
+        self._executors.started(run.executor, now)
+
+    def run_listed(self, run: Run, now: float) -> None:
+        """Count a long-running task that serves as a good result."""
+        if run.task.spec.long_running and run.progress_percent >= 100 and run not in self._serving:
+            self._serving.add(run)
+            self._add_good(run, now)
+
+    def run_ended(self, run: Run, reason: EndReason, now: float) -> None:
+        """Count a good end or a failure."""
+        if run in self._serving:
+            return
+        if reason is EndReason.DONE:
+            self._add_good(run, now)
+        elif reason is EndReason.FAILED:
+            self._add_failure(run, now)
+
+    def run_refused(self, run: Run, now: float) -> None:
+        """Count a refused start against the executor."""
+        self._executors.add(run.executor, 0.0, 1.0, now)
+
+    def run_removed(self, run: Run, why: RunEndEvidence, now: float) -> None:
+        """Count a start that was never answered against the executor."""
+        self._serving.discard(run)
+        if run.phase is RunPhase.UNSURE and why is RunEndEvidence.NOT_LISTED:
+            self._executors.add(run.executor, 0.0, 1.0, now)
+
+    def job_over(self, job: Job, now: float) -> None:
+        """Forget a job's steps at the next tick; the end that decided the job is yet to come."""
+        self._finished.append(job)
+
+    def tick(self, now: float, now_ms: int) -> None:
+        """Judge all executors anew."""
+        self._now_ms = now_ms
+        finished, self._finished = self._finished, []
+        for job in finished:
+            self._steps.forget(job.spec.job)
+        self._executors.refresh(now)
+        if self._settings.group_failures:
+            self._add_notes()
+
+    def to_stored(self) -> StoredEstimates | None:
+        """Return the decayed counts of the executors with failures, or None if there are none."""
+        rows = self._executors.to_stored()
+        return StoredEstimates(self._now_ms, rows) if rows else None
+
+    def adopt(self, stored: StoredEstimates, now: float, now_ms: int) -> None:
+        """Use the counts of an earlier owner, decayed by their age on the clocks of two owners."""
+        age_ms = max(0, now_ms - stored.at_ms)
+        if age_ms <= MAX_AGE_MS:
+            self._executors.adopt(stored.executors, now - age_ms / 1000)
+
+    def _cost(self, executor: ExecutorState) -> float:
+        if not self._settings.group_failures:
+            return 0.0
+        standing = self._executors.standing(executor.executor)
+        if standing.blocked:
+            return float("inf")
+        cost = round(FAILURE_COST * standing.excess / COST_STEP) * COST_STEP
+        return max(PROBE_COST, cost) if standing.avoided else cost
+
+    def _add_good(self, run: Run, now: float) -> None:
+        self._executors.add(run.executor, 1.0, 0.0, now)
+        self._steps.add(run.task, 1.0, 0.0)
+
+    def _add_failure(self, run: Run, now: float) -> None:
+        """Divide a failure between the executor and the step by how often each one fails."""
+        of_executor = self._executors.share(run.executor)
+        of_step = self._steps.share(run.task)
+        blame = of_executor / (of_executor + of_step)
+        self._executors.add(run.executor, 0.0, blame, now)
+        on_trial = self._steps.add(run.task, 0.0, 1.0 - blame)
+        if on_trial and self.max_runs(run.task) is not None:
+            share = round(self._steps.share(run.task), 3)
+            job = run.task.job.spec.job
+            self._state.notes.append(StepOnTrial(job, run.task.key.step, share))
+
+    def _add_notes(self) -> None:
+        """Add a note for each executor or group that is avoided from now on, or no longer."""
+        avoided = self._avoided()
+        for key in avoided.keys() ^ self._noted.keys():
+            kind, name = key
+            is_avoided = key in avoided
+            share = avoided[key] if is_avoided else self._noted[key]
+            fleet = round(self._executors.fleet_share, 3)
+            note = FailureSuspicion(kind, name, is_avoided, round(share, 3), fleet)
+            self._state.notes.append(note)
+        self._noted = avoided
+
+    def _avoided(self) -> dict[tuple[str, str], float]:
+        groups = self._executors.avoided_groups()
+        avoided = {(group.kind, group.name): share for group, share in groups.items()}
+        for name in self._executors.avoided_executors():
+            avoided["executor", name] = self._executors.share(self._state.executors[name])
+        return avoided
--- a/fireflyfork/platform/_registrations.py
+++ b/fireflyfork/platform/_registrations.py
@@ -33,6 +33,7 @@
     born: Annotated[int, msgspec.Meta(gt=0)]
     """The start time in Unix milliseconds. Without it, incarnations of an executor can't be told apart."""
     labels: list[str] = []
+    version: str | int = ""
 
 
 def registered_executor(key: str) -> ExecutorId:
@@ -67,4 +68,5 @@
         # The first label is the kind of the executor, the second label its rack.
         rack=entry.labels[1] if len(entry.labels) > 1 else "",
         incarnation=entry.born,
+        version=str(entry.version),
     )
--- a/fireflyfork/programs/owner/_decision_log.py
+++ b/fireflyfork/programs/owner/_decision_log.py
@@ -12,7 +12,16 @@
 from loguru import logger
 
 from ..._job_samples import in_sample, job_of_task
-from ...decisions.jobs import ExecutorGivenUp, JobOver, Note, RunEnded, RunMoved, TaskSent
+from ...decisions.jobs import (
+    ExecutorGivenUp,
+    FailureSuspicion,
+    JobOver,
+    Note,
+    RunEnded,
+    RunMoved,
+    StepOnTrial,
+    TaskSent,
+)
 from .._clocks import Clock
 from .._metrics import Metrics
 from ._decision_metrics import count_decision
@@ -31,6 +40,8 @@
     RunMoved: "run moved",
     JobOver: "job over",
     ExecutorGivenUp: "executor given up",
+    FailureSuspicion: "avoided for failures",
+    StepOnTrial: "step on trial",
 }
 
 
@@ -69,9 +80,9 @@
         match note:
             case TaskSent() | RunEnded() | RunMoved():
                 return in_sample(job_of_task(note.task), self._sampled_share)
-            case JobOver():
+            case JobOver() | StepOnTrial():
                 return in_sample(note.job, self._sampled_share)
-            case ExecutorGivenUp():
+            case ExecutorGivenUp() | FailureSuspicion():
                 return True
 
     def _begin_second(self) -> None:
--- a/fireflyfork/programs/owner/_decision_metrics.py
+++ b/fireflyfork/programs/owner/_decision_metrics.py
@@ -2,7 +2,16 @@
 
 from __future__ import annotations
 
-from ...decisions.jobs import ExecutorGivenUp, JobOver, Note, RunEnded, RunMoved, TaskSent
+from ...decisions.jobs import (
+    ExecutorGivenUp,
+    FailureSuspicion,
+    JobOver,
+    Note,
+    RunEnded,
+    RunMoved,
+    StepOnTrial,
+    TaskSent,
+)
 from .._metrics import Metrics
 
 
@@ -24,3 +33,7 @@
         case ExecutorGivenUp():
             metrics.count("fireflyfork_executors_given_up_total")
             metrics.count("fireflyfork_runs_given_up_total", note.runs)
+        case FailureSuspicion(avoided=True):
+            metrics.count("fireflyfork_avoided_for_failures_total", kind=note.kind)
+        case StepOnTrial():
+            metrics.count("fireflyfork_steps_on_trial_total")
--- a/fireflyfork/programs/owner/_service_journal.py
+++ b/fireflyfork/programs/owner/_service_journal.py
@@ -16,7 +16,9 @@
     ExecutorRegistration,
     LearnedFit,
     Scheduler,
+    StoredEstimates,
     StoredFormatError,
+    decode_estimates,
     decode_learned,
     decode_registrations,
     encode_learned,
@@ -106,10 +108,16 @@
         )
         return executors if executors is not None else ()
 
-    async def last_learned(self) -> tuple[LearnedFit, ...]:
-        """Return the learned interference that an earlier owner stored. Raises StoreError."""
-        learned = await self._read_stored_value(learned_key(self._term.service), decode_learned)
-        return learned if learned is not None else ()
+    async def last_learned(self) -> tuple[tuple[LearnedFit, ...], StoredEstimates | None]:
+        """Return the interference and the estimates that an earlier owner stored.
+
+        Raises StoreError.
+        """
+        learned = await self._read_stored_value(
+            learned_key(self._term.service),
+            lambda value: (decode_learned(value), decode_estimates(value)),
+        )
+        return learned if learned is not None else ((), None)
 
     def notify(self) -> None:
         """Wake the journal, because there may be changes to store."""
@@ -239,7 +247,8 @@
             # If this write fails, the next one follows two seconds later; no other state depends on
             # it.
             self._learned_at = trio.current_time()
-            puts.append(Put(learned_key(service), encode_learned(self._scheduler.learned())))
+            learned = encode_learned(self._scheduler.learned(), self._scheduler.learned_estimates())
+            puts.append(Put(learned_key(service), learned))
         if executors is not None:
             puts.append(Put(executors_key(service), encode_registrations(executors)))
         expected = {
