--- a/fireflyfork/decisions/jobs/_evacuations.py
+++ b/fireflyfork/decisions/jobs/_evacuations.py
@@ -50,7 +50,10 @@
             return
         usable = self._state.usable_executors(now)
         for run in self._runs.next_items(tuple(self._movable_runs())):
-            destination = choose(run.task, usable, self._state.interference, float("inf"))
+            estimates = self._state.policies.estimates
+            destination = choose(
+                run.task, usable, self._state.interference, float("inf"), estimates
+            )
             if destination is None or not may_become_unavailable(run):
                 continue
             until = now + RESERVATION_SECONDS
--- a/fireflyfork/decisions/jobs/_paced_runs.py
+++ b/fireflyfork/decisions/jobs/_paced_runs.py
@@ -57,7 +57,8 @@
         candidates = self._candidates.next_items(usable)
         others = (executor for executor in candidates if executor is not run.executor)
         model = self._state.interference
-        return choose(run.task, others, model, MAX_DESTINATION_COST) is not None
+        estimates = self._state.policies.estimates
+        return choose(run.task, others, model, MAX_DESTINATION_COST, estimates) is not None
 
 
 def _is_movable(run: Run, now: float) -> bool:
--- a/fireflyfork/decisions/jobs/estimates/_evidence.py
+++ b/fireflyfork/decisions/jobs/estimates/_evidence.py
@@ -8,7 +8,7 @@
 """Share of runs that fail by themselves, on sound executors and in steps that can be done."""
 HALF_LIFE_SECONDS = 4.0
 """Time after which a result counts half. Executors in trouble usually recover within seconds."""
-KEPT_PER_RESULT = 0.5
+KEPT_PER_RESULT = 0.4
 """Factor by which a new result reduces the weight of the earlier ones. A busy executor that begins
 to fail is noticed after two results, however many good ones it had."""
 
--- a/fireflyfork/decisions/jobs/estimates/_executor_failures.py
+++ b/fireflyfork/decisions/jobs/estimates/_executor_failures.py
@@ -15,19 +15,25 @@
 from .._stored_estimates import StoredEvidence
 from ._evidence import USUAL_FAILURE_SHARE, Evidence, shrunk_share
 
-EXECUTOR_PRIOR_STRENGTH = 0.5
-"""Number of results that the share of an executor's groups weighs as much as: two results of its own
-outweigh it."""
+EXECUTOR_PRIOR_STRENGTH = 1.0
+"""Number of results that the share of an executor's groups weighs as much as. One failure of a new
+executor isn't enough to avoid it; two in a row are."""
 GROUP_PRIOR_STRENGTH = 4.0
 """Number of results that the share of the larger group weighs as much as. One bad executor alone
-doesn't make its rack a bad one, but three that have each failed twice do."""
+doesn't make its rack a bad one, but half of a rack of eight that have each failed twice do."""
 FLEET_PRIOR_STRENGTH = 20.0
 AVOIDED_SHARE = 0.4
 """Estimated share of failures from which an executor is avoided. A task with three attempts, all of
 them on such executors, fails its job once in sixteen times."""
+MIN_FAILURES = 1.0
+"""Failures put down to an executor before it is avoided by itself: more than one. A single failure
+only makes it the last choice."""
+RELEASED_SHARE = 0.2
+"""Estimated share of failures below which an avoided executor is used again. One good probe is
+enough for that after two failures; without a probe it takes about eight seconds."""
 AVOIDED_FLEET_FACTOR = 2.0
-"""An executor is avoided only if it also fails this multiple of the fleet's share: where half of all
-runs fail, avoiding executors would leave none."""
+"""An executor is avoided only as long as it also fails this multiple of the fleet's share: where
+half of all runs fail, avoiding executors would leave none."""
 PROBE_SECONDS = 1.5
 """Minimum time between two starts on an avoided executor."""
 GROUP_PROBE_SECONDS = 0.5
@@ -82,15 +88,24 @@
         """The share from which an executor or a group is avoided."""
         return max(AVOIDED_SHARE, AVOIDED_FLEET_FACTOR * self.fleet)
 
+    @property
+    def release_limit(self) -> float:
+        """The share below which an avoided executor is used again."""
+        return max(RELEASED_SHARE, AVOIDED_FLEET_FACTOR * self.fleet)
+
     def prior(self, registration: ExecutorRegistration) -> float:
         """Return the share of the executor's groups."""
         domain, rack, version = _groups(registration)
         in_domain = self.groups.get(domain, self.fleet)
         return max(self.groups.get(rack, in_domain), self.groups.get(version, self.fleet))
 
+    def is_avoided(self, group: Group) -> bool:
+        """Whether a group is avoided as a whole."""
+        return self.groups.get(group, 0.0) >= self.limit
+
     def avoided_groups(self) -> set[Group]:
-        limit = self.limit
-        return {group for group, share in self.groups.items() if share >= limit}
+        """Return the groups that are avoided as a whole."""
+        return {group for group in self.groups if self.is_avoided(group)}
 
 
 class ExecutorFailures:
@@ -206,7 +221,7 @@
 
     def _judge(self, executor: ExecutorState, now: float) -> None:
         share = self.share(executor)
-        avoided = share >= self._shares.limit
+        avoided = self._is_to_be_avoided(executor, share)
         standing = Standing(
             max(0.0, share - self._shares.fleet),
             avoided,
@@ -217,6 +232,16 @@
         else:
             self._standings[executor.executor] = standing
 
+    def _is_to_be_avoided(self, executor: ExecutorState, share: float) -> bool:
+        limit = self._shares.limit
+        if self.standing(executor.executor).avoided:
+            return share >= self._shares.release_limit
+        evidence = self._evidence.get(executor.executor)
+        if evidence is not None and evidence.bad > MIN_FAILURES:
+            return share >= limit
+        groups = _groups(executor.registration)
+        return share >= limit and any(self._shares.is_avoided(group) for group in groups)
+
     def _may_probe(self, executor: ExecutorState, now: float) -> bool:
         never = float("-inf")
         if now - self._probed_at.get(executor.executor, never) < PROBE_SECONDS:
--- a/fireflyfork/decisions/jobs/estimates/tests/__init__.py
+++ b/fireflyfork/decisions/jobs/estimates/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the estimates of executors and steps."""
--- a/fireflyfork/decisions/jobs/tests/builders_jobs.py
+++ b/fireflyfork/decisions/jobs/tests/builders_jobs.py
@@ -97,12 +97,14 @@
 class OwnerUnderTest:
     """A scheduler whose orders are answered by the test, on a clock that the test advances."""
 
-    def __init__(self, *executors: str, polled: bool = True) -> None:
+    def __init__(
+        self, *executors: str, polled: bool = True, terms: SchedulerSettings = TERMS
+    ) -> None:
         """Register the executors; with ``polled`` each answers a first poll."""
         self.now = START
         self.store_answers = True
         """Whether writes are confirmed, which happens immediately."""
-        self.scheduler = Scheduler(TERMS)
+        self.scheduler = Scheduler(terms)
         self.scheduler.configure(table())
         self.ends: dict[str, list[EndedRow]] = {}
         for name in executors:
