Speeds learned from the tasks of a step, stragglers judged by their peers, and waits for the rack of the data

Cause: a straggler was judged by 2.5 times an estimate that is off by as much, and a task went far from its data as soon as its rack was full. Change: an executor's speed relative to where other tasks of the step ran, shrunk to rack and kind and forgotten with age; a run is slow if it takes half as long again as its peers; a task waits for its rack while the wait is shorter than the time lost elsewhere, two seconds at most.

--- a/fireflyfork/_waits.py
+++ b/fireflyfork/_waits.py
@@ -20,5 +20,7 @@
     """Placement was not attempted, since too many more urgent tasks could not be placed."""
     TRIAL = "few tasks of its step are tried"
     """Tasks of the step fail on executors that do well otherwise."""
+    NEAR_DATA = "executors near its data"
+    """The task waits for an executor on the rack of its data, since it would lose more elsewhere."""
     OTHER = "other limits"
     """Labels or limits per executor exclude the task, or no executor has enough resources."""
--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -11,7 +11,7 @@
 from ._executors import ExecutorState
 from ._gangs import gang_members, next_attempt, place_together
 from ._notes import TaskSent
-from ._placement_costs import choose, is_allowed, max_accepted_cost
+from ._placement_costs import choose, is_allowed, is_far_from_data, max_accepted_cost
 from ._runs import Run, RunPhase, Task, running_tasks
 from ._service_state import ServiceState
 from ._stragglers import other_executors
@@ -46,6 +46,8 @@
     wait_reasons: dict[tuple[object, ...], WaitReason] = field(default_factory=dict)
     """By shape of task: the reason why no executor could run it."""
     candidates: dict[StepId, Candidates] = field(default_factory=dict)
+    waiting_for_rack: set[StepId] = field(default_factory=set)
+    """Steps that found an executor, but wait for one near their data."""
 
     @classmethod
     def for_executors(cls, usable: list[ExecutorState]) -> _PlacementRound:
@@ -139,6 +141,8 @@
         allowed = self._executors_with_tickets(task, placement_round.usable, now)
         reason = placement_round.wait_reasons.get(shape) or self._skip_reason(task, placement_round)
         if reason is None and not self._start(task, allowed, placement_round, now, now_ms):
+            if task.step_id in placement_round.waiting_for_rack:
+                return WaitReason.NEAR_DATA
             if self._state.policies.room.make_room(task, allowed, now, now_ms):
                 self._state.waiting.defer(task)
                 return None
@@ -259,6 +263,15 @@
         max_cost = placement_round.max_cost(task, now_ms)
 
         def choice(member: Task, executors: list[ExecutorState]) -> ExecutorState | None:
+            executor = cheapest(member, executors)
+            if executor is None or not is_far_from_data(member, executor):
+                return executor
+            if not self._state.policies.estimates.waits_for_rack(member, executors, now):
+                return executor
+            placement_round.waiting_for_rack.add(member.step_id)
+            return None
+
+        def cheapest(member: Task, executors: list[ExecutorState]) -> ExecutorState | None:
             if member.failed_on or member.spec.gang or member.job.queue.needs_tickets:
                 return self._choose(member, executors, max_cost)
             return self._candidates_for(member, executors, placement_round, max_cost).best()
--- a/fireflyfork/decisions/jobs/_placement_costs.py
+++ b/fireflyfork/decisions/jobs/_placement_costs.py
@@ -158,9 +158,15 @@
     return runs_of_step < step.per_executor_limit
 
 
+def is_far_from_data(task: Task, executor: ExecutorState) -> bool:
+    """Whether a task's data is on another rack than the executor."""
+    rack = task.spec.data_rack
+    return bool(rack) and rack not in executor.registration.labels
+
+
 def _history_cost(task: Task, executor: ExecutorState) -> float:
     cost = RECENT_FAILURE_COST * executor.consecutive_failures
-    if task.spec.data_rack and task.spec.data_rack not in executor.registration.labels:
+    if is_far_from_data(task, executor):
         cost += 1.0
     if task.spec.long_running and executor.upkeep_due:
         cost += UPKEEP_COST
--- a/fireflyfork/decisions/jobs/_policies.py
+++ b/fireflyfork/decisions/jobs/_policies.py
@@ -94,6 +94,14 @@
         """Return the speed of an executor relative to the usual one, which is 1."""
         return 1.0
 
+    def expected_seconds(self, run: Run) -> float | None:
+        """Return how long a run's task takes elsewhere, or None if that isn't known."""
+        return None
+
+    def waits_for_rack(self, task: Task, usable: Sequence[ExecutorState], now: float) -> bool:
+        """Whether a task waits for an executor near its data rather than run far from it."""
+        return False
+
     def extra_cost(self, task: Task, executor: ExecutorState) -> float:
         """Return a cost to add to that of an executor, in loads of a whole executor.
 
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -56,6 +56,8 @@
     max_lease: float
     """The longest lease that any owner of the service grants an executor."""
     policies: PolicySettings = NO_POLICIES
+    far_factor: float = 2.0
+    """How many times as long a task takes on another rack than that of its data."""
 
 
 class Scheduler:
@@ -65,7 +67,7 @@
         """Initialize without jobs or executors; ``recover`` restores what an earlier owner left."""
         self._settings = settings
         self._state = ServiceState()
-        self._state.policies = create_policies(settings.policies, self._state)
+        self._state.policies = create_policies(settings.policies, self._state, settings.far_factor)
         self._report_handler = ReportHandler(self._state, int(settings.max_lease * 1000))
         self._placement = Placement(self._state)
         self._time_checks = TimeChecks(self._state)
--- a/fireflyfork/decisions/jobs/_stragglers.py
+++ b/fireflyfork/decisions/jobs/_stragglers.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 
 from ._executors import ExecutorState
+from ._policies import EstimatePolicy
 from ._runs import Run, RunPhase, Task
 from ._service_state import ServiceState
 
@@ -16,6 +17,12 @@
 are about 20% off and tasks of a step differ by half; slow executors take six times as long."""
 SLOW_MARGIN_SECONDS = 0.4
 """Additional seconds for stopping, placing and starting a task again."""
+PEER_FACTOR = 1.5
+"""A run is slow if its remaining time is more than this multiple of what tasks of its step take
+elsewhere: tasks of a step differ by half."""
+SLOW_SPEED = 0.5
+"""Speed below which an executor counts as slow, relative to the usual one: a task that is started
+again elsewhere ends sooner even if it had done half of its work."""
 MIN_SLOW_JOBS = 2
 """Number of jobs with slow runs from which an executor counts as slow. Slow runs of one job may be
 that job's own fault; those of two jobs on one executor are not."""
@@ -35,10 +42,12 @@
         Tasks that stay there take several times as long, and the callers of their jobs wait for the
         slowest task.
         """
-        slow = [run for run in executor.runs.values() if is_straggling(run, now)]
+        estimates = self._state.policies.estimates
+        slow = [run for run in executor.runs.values() if is_straggling(run, now, estimates)]
         if not slow:
             return
         executor_is_slow = len({run.task.job.spec.job for run in slow}) >= MIN_SLOW_JOBS
+        executor_is_slow = executor_is_slow or estimates.speed(executor) < SLOW_SPEED
         for run in slow:
             task = run.task
             if task.straggler_handled or len(task.runs) > 1:
@@ -53,7 +62,7 @@
                 self._state.stop(run, now)
 
 
-def is_straggling(run: Run, now: float) -> bool:
+def is_straggling(run: Run, now: float, estimates: EstimatePolicy) -> bool:
     """Whether a run would end much sooner if it were restarted elsewhere.
 
     Only tasks with a reservation are judged: the others share the leftover CPU, and are paced.
@@ -72,6 +81,9 @@
     # Progress is reported in whole hundredths, so 0 may be almost one.
     rate = max(1, run.progress_percent) / 100 / reported_after
     remaining_seconds = (100 - run.progress_percent) / 100 / rate - (now - run.listed_at)
+    expected_seconds = estimates.expected_seconds(run)
+    if expected_seconds is not None:
+        return remaining_seconds > PEER_FACTOR * expected_seconds + SLOW_MARGIN_SECONDS
     return remaining_seconds > SLOW_FACTOR * step.estimate_ms / 1000 + SLOW_MARGIN_SECONDS
 
 
--- a/fireflyfork/decisions/jobs/estimates/_learned_estimates.py
+++ b/fireflyfork/decisions/jobs/estimates/_learned_estimates.py
@@ -1,7 +1,9 @@
-"""Learns which executors, groups of executors and steps fail, and keeps work off them."""
+"""Learns how executors and steps behave: failures by group, speeds, and waits for racks."""
 
 from __future__ import annotations
 
+from collections.abc import Sequence
+
 from .._executors import ExecutorState
 from .._notes import FailureSuspicion, StepOnTrial
 from .._policies import EstimatePolicy
@@ -12,6 +14,8 @@
 from .._service_state import ServiceState
 from .._stored_estimates import StoredEstimates
 from ._executor_failures import ExecutorFailures
+from ._near_data import NearData
+from ._speeds import Speeds
 from ._step_failures import TRIAL_RUNS, StepFailures
 
 FAILURE_COST = 10.0
@@ -19,6 +23,8 @@
 executor that can run the task well."""
 PROBE_COST = 4.0
 """Lowest cost of an avoided executor, so that sound executors with room come first."""
+SLOWNESS_COST = 1.0
+"""Cost of a run that takes twice as long as usual, in units of a whole executor's load."""
 COST_STEP = 0.5
 """Costs are rounded to this, so that cached ones aren't computed again for each result."""
 MAX_AGE_MS = 60_000
@@ -26,14 +32,19 @@
 
 
 class LearnedEstimates(EstimatePolicy):
-    """Puts each failure down to the executor or to the step, and judges both by their results."""
+    """Puts each failure down to the executor or to the step, and compares runs with their peers."""
+
+    def __init__(self, settings: EstimateSettings, state: ServiceState, far_factor: float) -> None:
+        """Initialize without results; notes are added to ``state``.
 
-    def __init__(self, settings: EstimateSettings, state: ServiceState) -> None:
-        """Initialize without results; notes are added to ``state``."""
+        ``far_factor`` is how many times as long tasks take far from their data.
+        """
         self._settings = settings
         self._state = state
         self._executors = ExecutorFailures(state.executors)
         self._steps = StepFailures()
+        self._speeds = Speeds(state.executors)
+        self._near_data = NearData(far_factor)
         self._now_ms = 0
         self._finished: list[Job] = []
         self._serving: set[Run] = set()
@@ -46,8 +57,28 @@
         """Whether the costs of this policy take the place of the rule on failures in a row."""
         return self._settings.group_failures
 
+    def speed(self, executor: ExecutorState) -> float:
+        """Return the speed of an executor relative to the usual one, which is 1."""
+        return self._speeds.speed(executor) if self._settings.speeds else 1.0
+
+    def expected_seconds(self, run: Run) -> float | None:
+        """Return how long a run's task takes elsewhere, or None if too few tasks show it."""
+        return self._speeds.expected_seconds(run) if self._settings.speeds else None
+
+    def waits_for_rack(self, task: Task, usable: Sequence[ExecutorState], now: float) -> bool:
+        """Whether a task waits for an executor near its data rather than run far from it."""
+        if not self._settings.delay_scheduling or task.spec.gang or task.spec.long_running:
+            return False
+        near = [
+            executor
+            for executor in usable
+            if task.spec.data_rack in executor.registration.labels
+            and not self._executors.standing(executor.executor).avoided
+        ]
+        return self._near_data.waits(task, near, now)
+
     def extra_cost(self, task: Task, executor: ExecutorState) -> float:
-        """Return the cost of the failures to expect, infinite if the executor is avoided."""
+        """Return the cost of failures and slowness, infinite if the executor is avoided."""
         return self._cost(executor)
 
     def revision(self, executor: ExecutorState) -> int:
@@ -70,6 +101,8 @@
         if run.task.spec.long_running and run.progress_percent >= 100 and run not in self._serving:
             self._serving.add(run)
             self._add_good(run, now)
+        if self._settings.speeds:
+            self._speeds.listed(run, now)
 
     def run_ended(self, run: Run, reason: EndReason, now: float) -> None:
         """Count a good end or a failure."""
@@ -77,6 +110,8 @@
             return
         if reason is EndReason.DONE:
             self._add_good(run, now)
+            if self._settings.speeds:
+                self._speeds.done(run, now)
         elif reason is EndReason.FAILED:
             self._add_failure(run, now)
 
@@ -87,6 +122,7 @@
     def run_removed(self, run: Run, why: RunEndEvidence, now: float) -> None:
         """Count a start that was never answered against the executor."""
         self._serving.discard(run)
+        self._speeds.removed(run)
         if run.phase is RunPhase.UNSURE and why is RunEndEvidence.NOT_LISTED:
             self._executors.add(run.executor, 0.0, 1.0, now)
 
@@ -100,7 +136,11 @@
         finished, self._finished = self._finished, []
         for job in finished:
             self._steps.forget(job.spec.job)
+            self._speeds.forget(job.spec.job)
+            self._near_data.forget(job.spec.job)
         self._executors.refresh(now)
+        self._speeds.refresh(now)
+        self._near_data.tick()
         if self._settings.group_failures:
             self._add_notes()
 
@@ -116,13 +156,14 @@
             self._executors.adopt(stored.executors, now - age_ms / 1000)
 
     def _cost(self, executor: ExecutorState) -> float:
-        if not self._settings.group_failures:
-            return 0.0
-        standing = self._executors.standing(executor.executor)
-        if standing.blocked:
-            return float("inf")
-        cost = round(FAILURE_COST * standing.excess / COST_STEP) * COST_STEP
-        return max(PROBE_COST, cost) if standing.avoided else cost
+        cost = SLOWNESS_COST * max(0.0, 1.0 / self.speed(executor) - 1.0)
+        if self._settings.group_failures:
+            standing = self._executors.standing(executor.executor)
+            if standing.blocked:
+                return float("inf")
+            cost += FAILURE_COST * standing.excess
+            cost = max(PROBE_COST, cost) if standing.avoided else cost
+        return round(cost / COST_STEP) * COST_STEP
 
     def _add_good(self, run: Run, now: float) -> None:
         self._executors.add(run.executor, 1.0, 0.0, now)
--- a/fireflyfork/platform/_settings.py
+++ b/fireflyfork/platform/_settings.py
@@ -27,6 +27,8 @@
     """The time for which a job's state must remain readable after its end."""
     configuration_delay: float
     """The time within which a configuration change must be in force after it was acknowledged."""
+    far_factor: float = 2.0
+    """How many times as long a task takes on another rack than that of its data; not a time."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,6 +115,7 @@
             termination_grace=_number(fields, "bounds.grace_s"),
             status_retention=_number(fields, "bounds.status_s"),
             configuration_delay=_number(fields, "bounds.config_apply_ms") / 1000,
+            far_factor=_optional_number(fields, "bounds.far_x", 2.0),
         ),
     )
 
@@ -135,6 +138,10 @@
     return Address.parse(value) if value else None
 
 
+def _optional_number(fields: dict[str, str], name: str, default: float) -> float:
+    return _number(fields, name) if fields.get(name) else default
+
+
 def _number(fields: dict[str, str], name: str) -> float:
     value = _text(fields, name)
     try:
