--- a/fireflyfork/decisions/jobs/__init__.py
+++ b/fireflyfork/decisions/jobs/__init__.py
@@ -24,6 +24,7 @@
     Note,
     RunEnded,
     RunMoved,
+    RunStraggling,
     StepOnTrial,
     TaskSent,
 )
@@ -52,7 +53,7 @@
 from ._runs import Job, Run, RunPhase, Task
 from ._scheduler import Scheduler, SchedulerSettings
 from ._specs import JobSpec, StepSpec, TaskKey, parse_task_name, step_name
-from ._stored_estimates import StoredEstimates, StoredEvidence
+from ._stored_estimates import StoredEstimates, StoredEvidence, StoredSpeed
 from ._stored_forms import (
     StoredFormatError,
     decode_estimates,
@@ -113,6 +114,7 @@
     "RunEnded",
     "RunMoved",
     "RunPhase",
+    "RunStraggling",
     "RunningRow",
     "Scheduler",
     "SchedulerSettings",
@@ -126,6 +128,7 @@
     "StoredEvidence",
     "StoredFormatError",
     "StoredProgress",
+    "StoredSpeed",
     "StoredTask",
     "Task",
     "TaskKey",
--- a/fireflyfork/decisions/jobs/_notes.py
+++ b/fireflyfork/decisions/jobs/_notes.py
@@ -111,4 +111,31 @@
     """The estimated share of runs that fail by the step's fault."""
 
 
-Note = TaskSent | RunEnded | RunMoved | JobOver | ExecutorGivenUp | FailureSuspicion | StepOnTrial
+@dataclass(frozen=True, slots=True)
+class RunStraggling:
+    """A run takes much longer than others: it is copied to another executor, or stopped."""
+
+    task: TaskName
+    attempt: int
+    executor: ExecutorId
+    progress_percent: int
+    expected_ms: int
+    """How long tasks of its step take elsewhere; if too few show it, the caller's estimate."""
+    by_peers: bool
+    """Whether it was judged by other tasks of its step rather than by the estimate."""
+    copied: bool
+    """Whether it continues next to a copy; otherwise it is stopped."""
+    executor_speed: float
+    """The estimated speed of its executor; 1 is usual."""
+
+
+Note = (
+    TaskSent
+    | RunEnded
+    | RunMoved
+    | JobOver
+    | ExecutorGivenUp
+    | FailureSuspicion
+    | StepOnTrial
+    | RunStraggling
+)
--- a/fireflyfork/decisions/jobs/_stragglers.py
+++ b/fireflyfork/decisions/jobs/_stragglers.py
@@ -5,6 +5,7 @@
 from collections.abc import Iterable
 
 from ._executors import ExecutorState
+from ._notes import RunStraggling
 from ._policies import EstimatePolicy
 from ._runs import Run, RunPhase, Task
 from ._service_state import ServiceState
@@ -55,12 +56,29 @@
             if task.spec.speculative:
                 task.straggler_handled = True
                 self._state.record_failure(executor, now)
+                self._add_note(run, estimates, copied=True)
                 self._state.tasks_to_copy.append(task)
             elif executor_is_slow:
                 task.straggler_handled = True
                 self._state.record_failure(executor, now)
+                self._add_note(run, estimates, copied=False)
                 self._state.stop(run, now)
 
+    def _add_note(self, run: Run, estimates: EstimatePolicy, copied: bool) -> None:
+        expected_seconds = estimates.expected_seconds(run)
+        estimate_ms = run.task.spec.estimate_ms
+        note = RunStraggling(
+            run.task.name,
+            run.attempt,
+            run.executor.executor,
+            run.progress_percent,
+            estimate_ms if expected_seconds is None else int(1000 * expected_seconds),
+            expected_seconds is not None,
+            copied,
+            round(estimates.speed(run.executor), 2),
+        )
+        self._state.notes.append(note)
+
 
 def is_straggling(run: Run, now: float, estimates: EstimatePolicy) -> bool:
     """Whether a run would end much sooner if it were restarted elsewhere.
--- a/fireflyfork/decisions/jobs/estimates/_learned_estimates.py
+++ b/fireflyfork/decisions/jobs/estimates/_learned_estimates.py
@@ -145,15 +145,18 @@
             self._add_notes()
 
     def to_stored(self) -> StoredEstimates | None:
-        """Return the decayed counts of the executors with failures, or None if there are none."""
-        rows = self._executors.to_stored()
-        return StoredEstimates(self._now_ms, rows) if rows else None
+        """Return what is known of failing and slow executors, or None if there are none."""
+        failures, speeds = self._executors.to_stored(), self._speeds.to_stored()
+        if not failures and not speeds:
+            return None
+        return StoredEstimates(self._now_ms, failures, speeds)
 
     def adopt(self, stored: StoredEstimates, now: float, now_ms: int) -> None:
-        """Use the counts of an earlier owner, decayed by their age on the clocks of two owners."""
+        """Use what an earlier owner has learned, decayed by its age on the clocks of two owners."""
         age_ms = max(0, now_ms - stored.at_ms)
         if age_ms <= MAX_AGE_MS:
             self._executors.adopt(stored.executors, now - age_ms / 1000)
+            self._speeds.adopt(stored.speeds, now - age_ms / 1000)
 
     def _cost(self, executor: ExecutorState) -> float:
         cost = SLOWNESS_COST * max(0.0, 1.0 / self.speed(executor) - 1.0)
--- a/fireflyfork/decisions/jobs/estimates/_speeds.py
+++ b/fireflyfork/decisions/jobs/estimates/_speeds.py
@@ -8,13 +8,14 @@
 
 import math
 from collections import defaultdict
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass, field
 from statistics import median
 
 from ...._ids import ExecutorId, JobId, TaskName
 from .._executors import ExecutorRegistration, ExecutorState
 from .._runs import Run, RunPhase
+from .._stored_estimates import StoredSpeed
 from .._tickets import StepId
 
 MIN_PEERS = 3
@@ -34,6 +35,8 @@
 """Number of observations that the speed of the larger group weighs as much as."""
 MIN_SPEED, MAX_SPEED = 0.1, 4.0
 """Bounds of one observed speed, so that a single odd task doesn't decide."""
+MAX_STORED = 16
+"""Executors whose speeds are stored for a successor, the slowest ones."""
 NEGLIGIBLE_WEIGHT = 0.02
 """Decayed weight below which the observations of an executor are dropped."""
 
@@ -157,6 +160,23 @@
             self._groups[kind] = sums[kind].mean(0.0, GROUP_PRIOR_STRENGTH)
             self._groups[rack] = sums[rack].mean(self._groups[kind], GROUP_PRIOR_STRENGTH)
 
+    def to_stored(self) -> tuple[StoredSpeed, ...]:
+        """Return the observations of the slowest executors."""
+        slow = sorted(
+            (observed.total, name)
+            for name, observed in self._observed.items()
+            if observed.total < 0
+        )
+        return tuple(
+            StoredSpeed(name, round(total, 3), round(self._observed[name].weight, 3))
+            for total, name in slow[:MAX_STORED]
+        )
+
+    def adopt(self, stored: Iterable[StoredSpeed], taken_at: float) -> None:
+        """Use the speeds that an earlier owner had observed at ``taken_at`` on this clock."""
+        for row in stored:
+            self._observed[row.executor] = _LogSpeed(row.total, row.weight, taken_at)
+
     def _observed_by_group(self) -> Iterator[tuple[tuple[str, str], _LogSpeed]]:
         for name, observed in self._observed.items():
             for group in _groups(self._executors[name].registration):
--- a/fireflyfork/decisions/jobs/estimates/tests/test_change_of_owner.py
+++ b/fireflyfork/decisions/jobs/estimates/tests/test_change_of_owner.py
@@ -1,9 +1,22 @@
 """Load: a new owner begins while a rack fails; what the earlier one learned is not learned again."""
 
 import unittest
+from dataclasses import replace
 
-from ... import StoredEstimates, decode_estimates, decode_learned, encode_learned
-from ...tests.builders_jobs import START_MS, learned
+import msgspec
+
+from ....._ids import ExecutorId
+from ... import (
+    EstimateSettings,
+    StoredEstimates,
+    StoredSpeed,
+    decode_estimates,
+    decode_learned,
+    decode_registrations,
+    encode_learned,
+    encode_registrations,
+)
+from ...tests.builders_jobs import START_MS, learned, registration
 from .builders_estimates import RackedFleet, in_rack
 
 
@@ -55,6 +68,26 @@
                 self.assertEqual(decode_learned(data), fits)
                 self.assertEqual(decode_estimates(data), stored)
 
+    def test_a_new_owner_knows_the_slow_executors(self) -> None:
+        """Guards against tasks on a slow executor after each change of owner."""
+        stored = StoredEstimates(START_MS, (), (StoredSpeed(ExecutorId("i-0-0"), -9.0, 5.0),))
+        fleet = RackedFleet(racks=1, settings=EstimateSettings(speeds=True))
+        received = decode_estimates(encode_learned((), stored))
+        assert received is not None
+        fleet.owner.scheduler.adopt_estimates(received, fleet.owner.now, START_MS + 500)
+        fleet.owner.tick(0.1)
+        runs = fleet.round(lambda run: False, jobs=7)
+        self.assertNotIn("i-0-0", {run.executor.executor for run in runs})
+
+    def test_registrations_stored_without_a_version_are_readable(self) -> None:
+        """Guards against an owner that waits for no executor because it can't read their list."""
+        known = replace(registration(), version="7")
+        fields = msgspec.to_builtins(known)
+        del fields["version"]
+        (read,) = decode_registrations(msgspec.msgpack.encode([fields]))
+        self.assertEqual(read, replace(known, version=""))
+        self.assertEqual(decode_registrations(encode_registrations((known,))), (known,))
+
     def test_the_stored_form_stays_small(self) -> None:
         """Guards against a value that grows with the fleet, written every two seconds."""
         fleet = RackedFleet(racks=20)
--- a/fireflyfork/programs/owner/_decision_log.py
+++ b/fireflyfork/programs/owner/_decision_log.py
@@ -19,6 +19,7 @@
     Note,
     RunEnded,
     RunMoved,
+    RunStraggling,
     StepOnTrial,
     TaskSent,
 )
@@ -42,6 +43,7 @@
     ExecutorGivenUp: "executor given up",
     FailureSuspicion: "avoided for failures",
     StepOnTrial: "step on trial",
+    RunStraggling: "run straggling",
 }
 
 
@@ -78,7 +80,7 @@
 
     def _is_sampled(self, note: Note) -> bool:
         match note:
-            case TaskSent() | RunEnded() | RunMoved():
+            case TaskSent() | RunEnded() | RunMoved() | RunStraggling():
                 return in_sample(job_of_task(note.task), self._sampled_share)
             case JobOver() | StepOnTrial():
                 return in_sample(note.job, self._sampled_share)
--- a/fireflyfork/programs/owner/_decision_metrics.py
+++ b/fireflyfork/programs/owner/_decision_metrics.py
@@ -9,6 +9,7 @@
     Note,
     RunEnded,
     RunMoved,
+    RunStraggling,
     StepOnTrial,
     TaskSent,
 )
@@ -37,3 +38,6 @@
             metrics.count("fireflyfork_avoided_for_failures_total", kind=note.kind)
         case StepOnTrial():
             metrics.count("fireflyfork_steps_on_trial_total")
+        case RunStraggling():
+            by = "peers" if note.by_peers else "estimate"
+            metrics.count("fireflyfork_stragglers_total", judged_by=by)
--- a/fireflyfork/programs/owner/tests/test_decision_log.py
+++ b/fireflyfork/programs/owner/tests/test_decision_log.py
@@ -8,11 +8,14 @@
 from ....decisions.jobs import (
     EndReason,
     ExecutorGivenUp,
+    FailureSuspicion,
     JobOver,
     JobState,
     Note,
     RunEnded,
     RunEndEvidence,
+    RunStraggling,
+    StepOnTrial,
     TaskSent,
     WaitReason,
 )
@@ -67,6 +70,18 @@
                 ExecutorGivenUp(EXECUTOR, 7, 3, RunEndEvidence.LEASE_LAPSED),
                 "fireflyfork_runs_given_up_total 3",
             ),
+            (
+                FailureSuspicion("rack", "suva/r0", True, 0.6, 0.05),
+                'fireflyfork_avoided_for_failures_total{kind="rack"} 1',
+            ),
+            (
+                StepOnTrial(JobId("00000000000000aa"), 0, 0.7),
+                "fireflyfork_steps_on_trial_total 1",
+            ),
+            (
+                RunStraggling(TASK, 1, EXECUTOR, 20, 1000, True, True, 0.2),
+                'fireflyfork_stragglers_total{judged_by="peers"} 1',
+            ),
         ):
             with self.subTest(line):
                 self.log.write([note])
