--- a/fireflyfork/platform/tests/test_formats.py
+++ b/fireflyfork/platform/tests/test_formats.py
@@ -71,6 +71,12 @@
         self.assertEqual(settings.bounds.max_lease, 6.0)
         self.assertEqual(settings.bounds.configuration_delay, 2.5)
 
+    def test_the_factor_for_tasks_far_from_their_data_is_optional(self) -> None:
+        """Guards against an instance that doesn't start on a platform that doesn't name it."""
+        self.assertEqual(parse_node_settings(SETTINGS).bounds.far_factor, 2.0)
+        named = parse_node_settings(SETTINGS + "\nbounds.far_x=3\n")
+        self.assertEqual(named.bounds.far_factor, 3.0)
+
     def test_bad_settings_are_named(self) -> None:
         for broken, word in (
             (SETTINGS.replace("zone=suva", ""), "zone"),
@@ -108,6 +114,15 @@
             with self.subTest(name):
                 self.assertIsNone(decode_registration(_item(value)))
 
+    def test_the_version_of_an_executor_is_optional(self) -> None:
+        """Guards against executors that can't be used because they don't tell their version."""
+        for fields, version in (({}, ""), ({"version": "4.2"}, "4.2"), ({"version": 7}, "7")):
+            with self.subTest(version):
+                entry = {key: value for key, value in ENTRY.items() if key != "version"}
+                executor = decode_registration(_item(msgspec.json.encode({**entry, **fields})))
+                assert executor is not None
+                self.assertEqual(executor.version, version)
+
     def test_an_entry_without_an_incarnation_names_no_executor(self) -> None:
         """Guards against an entry without ``born`` that is treated as a very old incarnation.
 
