Estimates are refreshed each half second and costs are kept, so that a round of placing looks them up

Cause: refreshing at each tick took 7 ms for 176 executors, and each look at a cached cost computed the speed again. Change: a refresh each 0.5 s, costs by executor kept in between, groups kept by registration; an executor is avoided from one and a half times the fleet's share, since a failing half of the fleet was its usual state at twice.

--- a/fireflyfork/decisions/jobs/estimates/_executor_failures.py
+++ b/fireflyfork/decisions/jobs/estimates/_executor_failures.py
@@ -9,6 +9,7 @@
 from collections import defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from ...._ids import ExecutorId
 from .._executors import ExecutorRegistration, ExecutorState
@@ -21,7 +22,7 @@
 GROUP_PRIOR_STRENGTH = 4.0
 """Number of results that the share of the larger group weighs as much as. One bad executor alone
 doesn't make its rack a bad one, but half of a rack of eight that have each failed twice do."""
-FLEET_PRIOR_STRENGTH = 20.0
+FLEET_PRIOR_STRENGTH = 5.0
 AVOIDED_SHARE = 0.4
 """Estimated share of failures from which an executor is avoided. A task with three attempts, all of
 them on such executors, fails its job once in sixteen times."""
@@ -31,9 +32,10 @@
 RELEASED_SHARE = 0.2
 """Estimated share of failures below which an avoided executor is used again. One good probe is
 enough for that after two failures; without a probe it takes about eight seconds."""
-AVOIDED_FLEET_FACTOR = 2.0
-"""An executor is avoided only as long as it also fails this multiple of the fleet's share: where
-half of all runs fail, avoiding executors would leave none."""
+AVOIDED_FLEET_FACTOR = 1.5
+"""An executor is avoided only as long as it also fails this multiple of the fleet's share. Half of
+the fleet may be avoided if it fails everything; where all executors fail alike, none is avoided for
+good."""
 PROBE_SECONDS = 1.5
 """Minimum time between two starts on an avoided executor."""
 GROUP_PROBE_SECONDS = 0.5
@@ -44,8 +46,7 @@
 """Executors whose results are stored for a successor, those with the most failures: about 1 KB."""
 
 
-@dataclass(frozen=True, slots=True)
-class Group:
+class Group(NamedTuple):
     """A set of executors that may fail together."""
 
     kind: str
@@ -53,8 +54,11 @@
     name: str
 
 
-@dataclass(frozen=True, slots=True)
-class Standing:
+_Groups = tuple[Group, Group, Group]
+"""The failure domain, the rack and the version of an executor."""
+
+
+class Standing(NamedTuple):
     """How an executor is judged at present."""
 
     excess: float = 0.0
@@ -93,9 +97,9 @@
         """The share below which an avoided executor is used again."""
         return max(RELEASED_SHARE, AVOIDED_FLEET_FACTOR * self.fleet)
 
-    def prior(self, registration: ExecutorRegistration) -> float:
-        """Return the share of the executor's groups."""
-        domain, rack, version = _groups(registration)
+    def prior(self, groups: _Groups) -> float:
+        """Return the share of an executor's groups."""
+        domain, rack, version = groups
         in_domain = self.groups.get(domain, self.fleet)
         return max(self.groups.get(rack, in_domain), self.groups.get(version, self.fleet))
 
@@ -118,6 +122,8 @@
         self._shares = _Shares()
         self._standings: dict[ExecutorId, Standing] = {}
         """Executors that aren't judged as sound."""
+        self._groups: dict[ExecutorId, tuple[ExecutorRegistration, _Groups]] = {}
+        """The groups of each executor, and the registration that they were taken from."""
         self._probed_at: dict[ExecutorId | Group, float] = {}
         """When an avoided executor or group last got a run, or an executor last failed."""
 
@@ -141,7 +147,9 @@
     def share(self, executor: ExecutorState) -> float:
         """Return the estimated share of runs that fail by the executor's fault."""
         evidence = self._evidence.get(executor.executor) or Evidence()
-        return evidence.share(self._shares.prior(executor.registration), EXECUTOR_PRIOR_STRENGTH)
+        return evidence.share(
+            self._shares.prior(self._groups_of(executor)), EXECUTOR_PRIOR_STRENGTH
+        )
 
     def add(self, executor: ExecutorState, good: float, bad: float, now: float) -> None:
         """Add a result on an executor; its groups are judged anew at the next refresh."""
@@ -152,19 +160,20 @@
             self._probed_at[name] = now
         self._judge(executor, now)
 
-    def started(self, executor: ExecutorState, now: float) -> None:
-        """Record a start, which is a probe if the executor is avoided."""
+    def started(self, executor: ExecutorState, now: float) -> bool:
+        """Record a start. Returns whether it is a probe, since the executor is avoided."""
         if not self.standing(executor.executor).avoided:
-            return
+            return False
         avoided = self._shares.avoided_groups()
-        groups = [group for group in _groups(executor.registration) if group in avoided]
+        groups = [group for group in self._groups_of(executor) if group in avoided]
         self._probed_at[executor.executor] = now
         self._probed_at.update(dict.fromkeys(groups, now))
         self._judge(executor, now)
         for name in self.avoided_executors() if groups else ():
             member = self._executors.get(name)
-            if member is not None and not avoided.isdisjoint(_groups(member.registration)):
+            if member is not None and not avoided.isdisjoint(self._groups_of(member)):
                 self._judge(member, now)
+        return True
 
     def refresh(self, now: float) -> None:
         """Forget with age, and judge all groups and executors anew."""
@@ -181,8 +190,9 @@
         self._probed_at = {
             name: at for name, at in self._probed_at.items() if now - at < PROBE_SECONDS
         }
-        for name in self._standings.keys() - self._executors.keys():
-            del self._standings[name]
+        for known in (self._standings, self._groups):
+            for name in known.keys() - self._executors.keys():
+                del known[name]
         for executor in self._executors.values():
             self._judge(executor, now)
 
@@ -206,19 +216,26 @@
         fleet = _Sums()
         groups: defaultdict[Group, _Sums] = defaultdict(_Sums)
         for name, evidence in self._evidence.items():
-            registration = self._executors[name].registration
-            for sums in (fleet, *(groups[group] for group in _groups(registration))):
+            members = self._groups_of(self._executors[name])
+            for sums in (fleet, *(groups[group] for group in members)):
                 sums.bad += evidence.bad
                 sums.weight += evidence.weight
         shares = _Shares(fleet.share(USUAL_FAILURE_SHARE, FLEET_PRIOR_STRENGTH))
         for name in self._evidence:
-            domain, rack, version = _groups(self._executors[name].registration)
+            domain, rack, version = self._groups_of(self._executors[name])
             for group in (domain, version):
                 shares.groups[group] = groups[group].share(shares.fleet, GROUP_PRIOR_STRENGTH)
             prior = shares.groups[domain]
             shares.groups[rack] = groups[rack].share(prior, GROUP_PRIOR_STRENGTH)
         return shares
 
+    def _groups_of(self, executor: ExecutorState) -> _Groups:
+        known = self._groups.get(executor.executor)
+        if known is None or known[0] is not executor.registration:
+            known = executor.registration, _groups(executor.registration)
+            self._groups[executor.executor] = known
+        return known[1]
+
     def _judge(self, executor: ExecutorState, now: float) -> None:
         share = self.share(executor)
         avoided = self._is_to_be_avoided(executor, share)
@@ -239,7 +256,7 @@
         evidence = self._evidence.get(executor.executor)
         if evidence is not None and evidence.bad > MIN_FAILURES:
             return share >= limit
-        groups = _groups(executor.registration)
+        groups = self._groups_of(executor)
         return share >= limit and any(self._shares.is_avoided(group) for group in groups)
 
     def _may_probe(self, executor: ExecutorState, now: float) -> bool:
@@ -248,11 +265,11 @@
             return False
         return all(
             now - self._probed_at.get(group, never) >= GROUP_PROBE_SECONDS
-            for group in _groups(executor.registration)
+            for group in self._groups_of(executor)
         )
 
 
-def _groups(registration: ExecutorRegistration) -> tuple[Group, Group, Group]:
+def _groups(registration: ExecutorRegistration) -> _Groups:
     """Return the failure domain, the rack and the version of an executor."""
     domain = str(registration.failure_domain)
     return (
--- a/fireflyfork/decisions/jobs/estimates/_learned_estimates.py
+++ b/fireflyfork/decisions/jobs/estimates/_learned_estimates.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Sequence
 
+from ...._ids import ExecutorId
 from .._executors import ExecutorState
 from .._notes import FailureSuspicion, StepOnTrial
 from .._policies import EstimatePolicy
@@ -27,6 +28,8 @@
 """Cost of a run that takes twice as long as usual, in units of a whole executor's load."""
 COST_STEP = 0.5
 """Costs are rounded to this, so that cached ones aren't computed again for each result."""
+REFRESH_SECONDS = 0.5
+"""Interval at which all executors are judged anew: the shortest time between two probes."""
 MAX_AGE_MS = 60_000
 """Age beyond which the counts of an earlier owner are ignored."""
 
@@ -46,6 +49,9 @@
         self._speeds = Speeds(state.executors)
         self._near_data = NearData(far_factor)
         self._now_ms = 0
+        self._refreshed_at = float("-inf")
+        self._costs: dict[ExecutorId, float] = {}
+        """The costs of executors, where they aren't 0."""
         self._finished: list[Job] = []
         self._serving: set[Run] = set()
         """Long-running runs that have served, whose failure isn't one to start."""
@@ -79,11 +85,11 @@
 
     def extra_cost(self, task: Task, executor: ExecutorState) -> float:
         """Return the cost of failures and slowness, infinite if the executor is avoided."""
-        return self._cost(executor)
+        return self._costs.get(executor.executor, 0.0)
 
     def revision(self, executor: ExecutorState) -> int:
         """Return a number that differs for different costs."""
-        cost = self._cost(executor)
+        cost = self._costs.get(executor.executor, 0.0)
         return -1 if cost == float("inf") else round(cost / COST_STEP)
 
     def max_runs(self, task: Task) -> int | None:
@@ -94,7 +100,8 @@
 
     def run_started(self, run: Run, now: float) -> None:
         """Record a start, which is a probe if the executor is avoided."""
-        self._executors.started(run.executor, now)
+        if self._executors.started(run.executor, now):
+            self._update_costs()
 
     def run_listed(self, run: Run, now: float) -> None:
         """Count a long-running task that serves as a good result."""
@@ -117,14 +124,14 @@
 
     def run_refused(self, run: Run, now: float) -> None:
         """Count a refused start against the executor."""
-        self._executors.add(run.executor, 0.0, 1.0, now)
+        self._add_result(run.executor, 0.0, 1.0, now)
 
     def run_removed(self, run: Run, why: RunEndEvidence, now: float) -> None:
         """Count a start that was never answered against the executor."""
         self._serving.discard(run)
         self._speeds.removed(run)
         if run.phase is RunPhase.UNSURE and why is RunEndEvidence.NOT_LISTED:
-            self._executors.add(run.executor, 0.0, 1.0, now)
+            self._add_result(run.executor, 0.0, 1.0, now)
 
     def job_over(self, job: Job, now: float) -> None:
         """Forget a job's steps at the next tick; the end that decided the job is yet to come."""
@@ -138,9 +145,13 @@
             self._steps.forget(job.spec.job)
             self._speeds.forget(job.spec.job)
             self._near_data.forget(job.spec.job)
+        self._near_data.tick()
+        if now - self._refreshed_at < REFRESH_SECONDS:
+            return
+        self._refreshed_at = now
         self._executors.refresh(now)
         self._speeds.refresh(now)
-        self._near_data.tick()
+        self._update_costs()
         if self._settings.group_failures:
             self._add_notes()
 
@@ -158,6 +169,15 @@
             self._executors.adopt(stored.executors, now - age_ms / 1000)
             self._speeds.adopt(stored.speeds, now - age_ms / 1000)
 
+    def _update_costs(self) -> None:
+        executors = self._state.executors.values()
+        costs = ((executor.executor, self._cost(executor)) for executor in executors)
+        self._costs = {name: cost for name, cost in costs if cost}
+
+    def _add_result(self, executor: ExecutorState, good: float, bad: float, now: float) -> None:
+        self._executors.add(executor, good, bad, now)
+        self._costs[executor.executor] = self._cost(executor)
+
     def _cost(self, executor: ExecutorState) -> float:
         cost = SLOWNESS_COST * max(0.0, 1.0 / self.speed(executor) - 1.0)
         if self._settings.group_failures:
@@ -169,7 +189,7 @@
         return round(cost / COST_STEP) * COST_STEP
 
     def _add_good(self, run: Run, now: float) -> None:
-        self._executors.add(run.executor, 1.0, 0.0, now)
+        self._add_result(run.executor, 1.0, 0.0, now)
         self._steps.add(run.task, 1.0, 0.0)
 
     def _add_failure(self, run: Run, now: float) -> None:
@@ -177,7 +197,7 @@
         of_executor = self._executors.share(run.executor)
         of_step = self._steps.share(run.task)
         blame = of_executor / (of_executor + of_step)
-        self._executors.add(run.executor, 0.0, blame, now)
+        self._add_result(run.executor, 0.0, blame, now)
         on_trial = self._steps.add(run.task, 0.0, 1.0 - blame)
         if on_trial and self.max_runs(run.task) is not None:
             share = round(self._steps.share(run.task), 3)
--- a/fireflyfork/decisions/jobs/estimates/_speeds.py
+++ b/fireflyfork/decisions/jobs/estimates/_speeds.py
@@ -89,6 +89,8 @@
 
     def speed(self, executor: ExecutorState) -> float:
         """Return the estimated speed of an executor."""
+        if not self._observed:
+            return 1.0
         kind, rack = _groups(executor.registration)
         prior = self._groups.get(rack, self._groups.get(kind, 0.0))
         observed = self._observed.get(executor.executor) or _LogSpeed()
