Runs of an earlier owner and runs far from their data are no measure of speed; no wait beside free room

Cause: a run that was found half done looked as if it had taken no time, so its peers looked slow; a task far from its data looked like a straggler; a task waited for a rack with room that other costs had ruled out.

--- a/fireflyfork/decisions/jobs/estimates/_near_data.py
+++ b/fireflyfork/decisions/jobs/estimates/_near_data.py
@@ -45,6 +45,9 @@
             return False
         capacity = sum(executor.registration.room.cpu_millis for executor in executors)
         first = min(seconds_until_room(task, executor, now) for executor in executors)
+        if first <= 0:
+            # There is room, but the other costs of the rack are higher than that of the distance.
+            return False
         queued = self._queued_work[step.data_rack] / max(1, capacity)
         if now - since + first + queued >= lost:
             return False
--- a/fireflyfork/decisions/jobs/estimates/_speeds.py
+++ b/fireflyfork/decisions/jobs/estimates/_speeds.py
@@ -98,7 +98,7 @@
 
     def expected_seconds(self, run: Run) -> float | None:
         """Return how long a task of the run's step takes elsewhere, or None if too few show it."""
-        durations = self._durations(run)
+        durations = self._durations(run) if is_comparable(run) else None
         elsewhere = durations.elsewhere(run) if durations is not None else []
         return median(elsewhere) if len(elsewhere) >= MIN_PEERS else None
 
@@ -195,6 +195,9 @@
         return False
     if run.checkpoint and run.task.attempt > 1:
         return False
+    if not run.start_deadline_ms:
+        # An earlier owner started the run, and this one doesn't know when.
+        return False
     if step.data_rack and step.data_rack not in run.executor.registration.labels:
         return False
     return run.phase is RunPhase.RUNNING
--- a/fireflyfork/decisions/jobs/estimates/tests/test_slow_executors.py
+++ b/fireflyfork/decisions/jobs/estimates/tests/test_slow_executors.py
@@ -4,7 +4,7 @@
 
 from ... import EndReason, EstimateSettings, Run, RunningRow
 from ...tests.builders_jobs import row, step
-from .builders_estimates import RackedFleet
+from .builders_estimates import RackedFleet, in_rack
 
 SPEEDS = EstimateSettings(speeds=True)
 SLOW = "i-0-0"
@@ -60,6 +60,37 @@
         self._play(fleet, runs, 0.4)
         self.assertEqual(fleet.owner.place(), [])
 
+    def test_a_run_that_an_earlier_owner_started_is_no_measure(self) -> None:
+        """Guards against copies of whole steps after a change of owner, because the runs that the
+        new owner finds half done look as if they had taken no time."""
+        fleet = RackedFleet(racks=1, settings=SPEEDS)
+        fleet.accept(step(count=8, per_executor_limit=1, estimate_ms=1000, speculative=True))
+        runs = fleet.owner.place()
+        for run in runs[1:]:
+            run.start_deadline_ms = 0
+            run.ordered_at = fleet.owner.now + 0.9
+        self._play(fleet, runs, 0.95)
+        fleet.owner.now += 0.4
+        for run in runs:
+            fleet.owner.poll(run.executor.executor, row(run, 90 if run is not runs[0] else 80))
+        fleet.owner.tick(0.1)
+        self.assertEqual(fleet.owner.place(), [])
+
+    def test_a_run_far_from_its_data_is_not_compared(self) -> None:
+        """Guards against copies of tasks that take longer since their data is on another rack."""
+        fleet = RackedFleet(racks=2, size=4, settings=SPEEDS)
+        changes = {"per_executor_limit": 1, "estimate_ms": 2000, "speculative": True}
+        fleet.accept(step(count=5, data_rack="r0", **changes))
+        runs = fleet.owner.place()
+        (far,) = (run for run in runs if not in_rack(run, "r0"))
+        near = [run for run in runs if run is not far]
+        fleet.owner.now += 0.4
+        for run in runs:
+            fleet.owner.poll(run.executor.executor, row(run, 13 if run is far else 40))
+        fleet.owner.tick(0.1)
+        self.assertEqual(len(near), 4)
+        self.assertEqual(fleet.owner.place(), [])
+
     def test_a_known_slow_executor_comes_last(self) -> None:
         """Guards against the task that its whole job waits for, on the slowest executor."""
         fleet = RackedFleet(racks=1, settings=SPEEDS)
--- a/fireflyfork/decisions/jobs/estimates/tests/test_waiting_for_racks.py
+++ b/fireflyfork/decisions/jobs/estimates/tests/test_waiting_for_racks.py
@@ -41,6 +41,14 @@
         (run,) = self.fleet.owner.place()
         self.assertFalse(in_rack(run, WANTED))
 
+    def test_it_does_not_wait_for_a_rack_that_has_room(self) -> None:
+        """Guards against a wait beside executors with room that are worse for other reasons."""
+        for name, executor in self.fleet.owner.scheduler.executors.items():
+            executor.consecutive_failures = 1 if name.startswith("i-0") else 0
+        self.fleet.accept(step(data_rack=WANTED, estimate_ms=1500))
+        (run,) = self.fleet.owner.place()
+        self.assertFalse(in_rack(run, WANTED))
+
     def test_it_stops_waiting_when_the_room_does_not_come(self) -> None:
         """Guards against a wait without an end because tasks take longer than estimated."""
         self._fill_rack(0.3)
