--- a/fireflyfork/decisions/jobs/estimates/tests/test_slow_executors.py
+++ b/fireflyfork/decisions/jobs/estimates/tests/test_slow_executors.py
@@ -69,10 +69,9 @@
         for run in runs[1:]:
             run.start_deadline_ms = 0
             run.ordered_at = fleet.owner.now + 0.9
-        self._play(fleet, runs, 0.95)
-        fleet.owner.now += 0.4
+        fleet.owner.now += 1.3
         for run in runs:
-            fleet.owner.poll(run.executor.executor, row(run, 90 if run is not runs[0] else 80))
+            fleet.owner.poll(run.executor.executor, row(run, 50 if run is runs[0] else 90))
         fleet.owner.tick(0.1)
         self.assertEqual(fleet.owner.place(), [])
 
