--- a/fireflyfork/decisions/jobs/estimates/tests/test_slow_executors.py
+++ b/fireflyfork/decisions/jobs/estimates/tests/test_slow_executors.py
@@ -63,7 +63,7 @@
     def test_a_run_that_an_earlier_owner_started_is_no_measure(self) -> None:
         """Guards against copies of whole steps after a change of owner, because the runs that the
         new owner finds half done look as if they had taken no time."""
-        fleet = RackedFleet(racks=1, settings=SPEEDS)
+        fleet = RackedFleet(racks=2, settings=SPEEDS)
         fleet.accept(step(count=8, per_executor_limit=1, estimate_ms=1000, speculative=True))
         runs = fleet.owner.place()
         for run in runs[1:]:
