--- a/fireflyfork/decisions/jobs/estimates/tests/test_failures_by_group.py
+++ b/fireflyfork/decisions/jobs/estimates/tests/test_failures_by_group.py
@@ -73,6 +73,16 @@
         runs = fleet.round(lambda run: False, jobs=JOBS)
         self.assertEqual(len([run for run in runs if in_rack(run, "r0")]), JOBS)
 
+    def test_a_good_probe_releases_an_executor_before_its_rack_is_trusted(self) -> None:
+        """Guards against a recovered rack that waits for its old failures to be forgotten."""
+        fleet = RackedFleet(racks=8)
+        self._runs_in_rack(fleet, 4)
+        self._fill_others(fleet)
+        for _ in range(12):
+            fleet.round(lambda run: False, jobs=JOBS)
+        # Three seconds later each of its cores is used.
+        self.assertEqual(len(fleet.round(lambda run: False, jobs=8 * 16)), 8 * 16)
+
     def test_work_that_only_a_failing_rack_can_run_is_not_held_back_for_good(self) -> None:
         """Guards against a job with nothing running for three seconds beside free executors."""
         fleet = RackedFleet()
