--- a/fireflyfork/decisions/jobs/estimates/tests/test_failures_by_group.py
+++ b/fireflyfork/decisions/jobs/estimates/tests/test_failures_by_group.py
@@ -76,7 +76,8 @@
     def test_a_good_probe_releases_an_executor_before_its_rack_is_trusted(self) -> None:
         """Guards against a recovered rack that waits for its old failures to be forgotten."""
         fleet = RackedFleet(racks=8)
-        self._runs_in_rack(fleet, 4)
+        for _ in range(4):
+            fleet.round(lambda run: in_rack(run, "r0"), jobs=4 * JOBS)
         self._fill_others(fleet)
         for _ in range(12):
             fleet.round(lambda run: False, jobs=JOBS)
