--- a/fireflyfork/operations/_job_account.py
+++ b/fireflyfork/operations/_job_account.py
@@ -33,6 +33,8 @@
     DISTURBS = WaitReason.DISTURBS.value
     RESERVED = WaitReason.RESERVED.value
     BEHIND = WaitReason.BEHIND.value
+    TRIAL = WaitReason.TRIAL.value
+    NEAR_DATA = WaitReason.NEAR_DATA.value
     OTHER_WAIT = WaitReason.OTHER.value
     WAITED = "waited a moment"
     """The task had a place at once; the time is the latency of its order."""
--- a/fireflyfork/operations/tests/test_job_account.py
+++ b/fireflyfork/operations/tests/test_job_account.py
@@ -24,6 +24,20 @@
                 (sent(5.0, waited_for="would disturb services"), ended(6.0), over(6.0, 5.0, 1.0)),
                 {Cause.DISTURBS: 4.0, Cause.RAN: 1.0},
             ),
+            (
+                "waited for the rack of its data",
+                (sent(2.0, waited_for="executors near its data"), ended(3.0), over(3.0, 2.0, 1.0)),
+                {Cause.NEAR_DATA: 1.0, Cause.RAN: 1.0},
+            ),
+            (
+                "waited while few tasks of its step were tried",
+                (
+                    sent(2.0, waited_for="few tasks of its step are tried"),
+                    ended(3.0),
+                    over(3.0, 2.0, 1.0),
+                ),
+                {Cause.TRIAL: 1.0, Cause.RAN: 1.0},
+            ),
             (
                 "ran at a lower pace",
                 (sent(1.0), ended(6.0, pace=30), over(6.0, 5.0, 1.0)),
