Fair shares of queues under contention, and reservations for jobs that wait long

Cause: a queue that floods a service delays all others of its priority, since the order within a priority knows only jobs; and the largest jobs wait as long as small ones fill every gap.

The use of the shares is stored with the learned interference, in a field that builds without it ignore. The account and the metrics tell outcomes by size, the account also by failure domain of the callers.

--- a/fireflyfork/decisions/jobs/__init__.py
+++ b/fireflyfork/decisions/jobs/__init__.py
@@ -16,7 +16,19 @@
 from ._interference import LearnedFit
 from ._job_table import JobTable
 from ._load_shedding import Shed
-from ._notes import ExecutorGivenUp, JobOver, MoveReason, Note, RunEnded, RunMoved, TaskSent
+from ._notes import (
+    ExecutorGivenUp,
+    JobOver,
+    MoveReason,
+    Note,
+    ReservationDropped,
+    ReservationMade,
+    ReservationOutcome,
+    RunEnded,
+    RunMoved,
+    ShareWaits,
+    TaskSent,
+)
 from ._policy_settings import (
     NO_POLICIES,
     AdmissionSettings,
@@ -47,6 +59,7 @@
     decode_learned,
     decode_progress,
     decode_registrations,
+    decode_shares,
     decode_stored_job,
     decode_upkeep_mark,
     encode_job,
@@ -55,6 +68,7 @@
     encode_registrations,
     encode_upkeep_mark,
 )
+from ._stored_shares import ShareId, StoredShare
 from ._upkeep import WaveView
 from ._upstreams import choose_upstreams
 from ._waves import MachineListing, MachineState, UpkeepMark, UpkeepOutcome, UpkeepPhase, UpkeepWave
@@ -94,6 +108,9 @@
     "PreemptionSettings",
     "QueueConfiguration",
     "QueueTable",
+    "ReservationDropped",
+    "ReservationMade",
+    "ReservationOutcome",
     "Run",
     "RunCommand",
     "RunEndEvidence",
@@ -103,6 +120,8 @@
     "RunningRow",
     "Scheduler",
     "SchedulerSettings",
+    "ShareId",
+    "ShareWaits",
     "Shed",
     "StartRequest",
     "StartRun",
@@ -110,6 +129,7 @@
     "StopRun",
     "StoredFormatError",
     "StoredProgress",
+    "StoredShare",
     "StoredTask",
     "Task",
     "TaskKey",
@@ -126,6 +146,7 @@
     "decode_learned",
     "decode_progress",
     "decode_registrations",
+    "decode_shares",
     "decode_stored_job",
     "decode_upkeep_mark",
     "encode_job",
--- a/fireflyfork/decisions/jobs/_notes.py
+++ b/fireflyfork/decisions/jobs/_notes.py
@@ -10,6 +10,7 @@
 from ._progress import JobState
 from ._reports import EndReason
 from ._run_end_evidence import RunEndEvidence
+from ._stored_shares import ShareId
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +56,9 @@
     age_ms: int
     allowed_ms: int
     """How long the job may take to be of full use."""
+    queue: str = ""
+    work: int = 0
+    """Estimated work of all tasks, in thousandths of a core times milliseconds."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,4 +91,58 @@
     pace_percent: int
 
 
-Note = TaskSent | RunEnded | RunMoved | JobOver | ExecutorGivenUp
+class ReservationOutcome(Enum):
+    """Why a reservation was dropped."""
+
+    USED = "used"
+    """The tasks that it was made for have started there."""
+    NOT_NEEDED = "not needed"
+    """The job's tasks have found another place."""
+    JOB_OVER = "job over"
+    EXECUTOR_LEFT = "executor left"
+    OVERDUE = "overdue"
+    """The room wasn't free in time."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReservationMade:
+    """Room on an executor is reserved for a job that has waited long."""
+
+    job: JobId
+    executor: ExecutorId
+    tasks: int
+    waited_ms: int
+    expected_in_ms: int
+    """Time until the room is expected to be free."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReservationDropped:
+    """The reservation of a job was dropped."""
+
+    job: JobId
+    executor: ExecutorId
+    reason: ReservationOutcome
+
+
+@dataclass(frozen=True, slots=True)
+class ShareWaits:
+    """Tasks of a share wait; noted every ten seconds."""
+
+    share: ShareId
+    use: float
+    """The share's use by its weight: 0 for none, 1 for all room at a weight of 1."""
+    tasks: int
+    longest_wait_ms: int
+
+
+Note = (
+    TaskSent
+    | RunEnded
+    | RunMoved
+    | JobOver
+    | ExecutorGivenUp
+    | ReservationMade
+    | ReservationDropped
+    | ShareWaits
+)
--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -82,7 +82,7 @@
         usable = self._state.usable_executors(now)
         placement_round = _PlacementRound.for_executors(usable)
         while usable and self._cost_caches.computed < max_computed:
-            step = self._state.waiting.pop()
+            step = self._state.waiting.pop(now_ms)
             if step is None:
                 break
             reason = self._place_step(step, placement_round, now, now_ms)
@@ -130,6 +130,8 @@
     def _place_task(
         self, task: Task, placement_round: _PlacementRound, now: float, now_ms: int
     ) -> WaitReason | None:
+        if self._place_on_reserved(task, placement_round, now, now_ms):
+            return None
         shape = _shape(task)
         allowed = self._executors_with_tickets(task, placement_round.usable, now)
         reason = placement_round.wait_reasons.get(shape) or self._skip_reason(task, placement_round)
@@ -142,6 +144,19 @@
             placement_round.wait_reasons[shape] = reason
         return reason
 
+    def _place_on_reserved(
+        self, task: Task, placement_round: _PlacementRound, now: float, now_ms: int
+    ) -> bool:
+        """Start a task on the executor that is reserved for its job, if it can run there now."""
+        executor = self._state.policies.order.reserved_for(task)
+        if executor is None or not executor.is_usable(now):
+            return False
+        max_cost = placement_round.max_cost(task, now_ms)
+        if choose(task, (executor,), self._state.interference, max_cost) is None:
+            return False
+        self._begin_run(task, executor, now, now_ms)
+        return True
+
     def _place_reserved(self, task: Task, now: float, now_ms: int) -> bool:
         """Start a task that is being moved on the executor that has resources reserved for it.
 
@@ -202,6 +217,14 @@
         self, task: Task, usable: list[ExecutorState], now: float
     ) -> list[ExecutorState]:
         """Return the executors that may run a task; ask the advisor if too few are known."""
+        order = self._state.policies.order
+        barred = [
+            executor
+            for executor in order.reserved_executors()
+            if not order.may_take(task, executor, now)
+        ]
+        if barred:
+            usable = [executor for executor in usable if executor not in barred]
         if not task.job.queue.needs_tickets:
             return usable
         step = task.step_id
--- a/fireflyfork/decisions/jobs/_policies.py
+++ b/fireflyfork/decisions/jobs/_policies.py
@@ -6,13 +6,14 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
 from ._executors import ExecutorState
 from ._reports import EndReason
 from ._run_end_evidence import RunEndEvidence
 from ._runs import Job, Run, Task
+from ._stored_shares import StoredShare
 from ._urgency import Urgency, urgency
 
 SHORT_TASK_SHARE = 0.10
@@ -73,10 +74,29 @@
         """Return the sort key of a waiting task, the smallest first."""
         return urgency(task, now_ms)
 
+    def revision(self, task: Task) -> int:
+        """Return a number that changes when tasks like this one have to be sorted again."""
+        return 0
+
+    def reserved_executors(self) -> Sequence[ExecutorState]:
+        """Return the executors on which ``may_take`` may answer no."""
+        return ()
+
+    def reserved_for(self, task: Task) -> ExecutorState | None:
+        """Return the executor on which room is reserved for a task, or None."""
+        return None
+
     def may_take(self, task: Task, executor: ExecutorState, now: float) -> bool:
         """Whether a task may use free room on an executor that is reserved for other tasks."""
         return True
 
+    def to_stored(self) -> tuple[StoredShare, ...]:
+        """Return what a successor needs to know of the shares."""
+        return ()
+
+    def adopt(self, shares: Iterable[StoredShare], now: float) -> None:
+        """Continue with what an earlier owner stored of the shares."""
+
 
 class EstimatePolicy(Policy):
     """Estimates how executors and steps behave."""
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -30,6 +30,7 @@
 from ._runs import Job, Run
 from ._service_state import ServiceState
 from ._specs import JobSpec
+from ._stored_shares import StoredShare
 from ._stragglers import Stragglers
 from ._tickets import Ticket
 from ._time_checks import TimeChecks
@@ -157,6 +158,14 @@
         """Use the effects between images that an earlier owner has learned."""
         self._state.interference.adopt(learned)
 
+    def shares(self) -> tuple[StoredShare, ...]:
+        """Return the use of the shares, to be stored for a successor."""
+        return self._state.policies.order.to_stored()
+
+    def adopt_shares(self, shares: Iterable[StoredShare], now: float) -> None:
+        """Continue with the use of the shares that an earlier owner stored."""
+        self._state.policies.order.adopt(shares, now)
+
     def accept(self, spec: JobSpec, now_ms: int) -> None:
         """Add a job that was accepted while this owner owned the service."""
         ready = self.jobs.accept(spec, None, now_ms)
--- a/fireflyfork/decisions/jobs/_service_state.py
+++ b/fireflyfork/decisions/jobs/_service_state.py
@@ -51,6 +51,7 @@
         self.waiting = WaitingTasks(
             lambda task: self.move_reservations.destination(task) is not None,
             lambda task, now_ms: self.policies.order.urgency(task, now_ms),
+            lambda task: self.policies.order.revision(task),
         )
         """Tasks that wait for an executor."""
         self.tasks_to_copy: list[Task] = []
@@ -294,4 +295,5 @@
 def job_over_note(job: Job, now_ms: int) -> JobOver:
     """Return the note that a job's state has become final."""
     age = now_ms - job.spec.accepted_ms
-    return JobOver(job.spec.job, job.state, age, int(job.allowed_ms()))
+    spec = job.spec
+    return JobOver(spec.job, job.state, age, int(job.allowed_ms()), spec.queue, spec.work)
--- a/fireflyfork/decisions/jobs/_specs.py
+++ b/fireflyfork/decisions/jobs/_specs.py
@@ -82,6 +82,11 @@
         """The number of tasks in one occurrence."""
         return sum(step.count for step in self.steps)
 
+    @property
+    def work(self) -> int:
+        """The estimated work of one occurrence, in thousandths of a core times milliseconds."""
+        return sum(step.count * step.cpu_millis * step.estimate_ms for step in self.steps)
+
     @property
     def is_long_running(self) -> bool:
         """Whether the job runs until it is cancelled."""
--- a/fireflyfork/decisions/jobs/_stored_forms.py
+++ b/fireflyfork/decisions/jobs/_stored_forms.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import asdict, dataclass
 from typing import TypeVar
 
 import msgspec
@@ -11,6 +12,7 @@
 from ._interference import LearnedFit
 from ._progress import StoredProgress
 from ._specs import JobSpec
+from ._stored_shares import StoredShare
 from ._waves import UpkeepMark
 
 _Stored = TypeVar("_Stored")
@@ -20,6 +22,13 @@
     """A stored value has a format that this version does not write."""
 
 
+@dataclass(frozen=True, slots=True)
+class _SharesCarrier:
+    """The part of a stored fit that holds shares; the other fields are ignored."""
+
+    shares: tuple[StoredShare, ...] = ()
+
+
 def encode_progress(progress: StoredProgress) -> bytes:
     """Return the stored form as bytes."""
     return msgspec.msgpack.encode(progress)
@@ -50,14 +59,22 @@
     return _decode(data, tuple[ExecutorRegistration, ...])
 
 
-def encode_learned(learned: tuple[LearnedFit, ...]) -> bytes:
-    """Return the stored form as bytes."""
-    return msgspec.msgpack.encode(learned)
+def encode_learned(learned: tuple[LearnedFit, ...], shares: tuple[StoredShare, ...] = ()) -> bytes:
+    """Return the stored form as bytes.
+
+    Shares are added to the first fit, as a field that builds which don't know it ignore. Without
+    a fit they are added to an empty one.
+    """
+    if not shares:
+        return msgspec.msgpack.encode(learned)
+    first, *others = learned or (LearnedFit("", (), (), ()),)
+    with_shares = {**asdict(first), "shares": shares}
+    return msgspec.msgpack.encode((with_shares, *others))
 
 
 def decode_learned(data: bytes) -> tuple[LearnedFit, ...]:
     """Decode the stored form. Raises StoredFormatError."""
-    learned = _decode(data, tuple[LearnedFit, ...])
+    learned = tuple(fit for fit in _decode(data, tuple[LearnedFit, ...]) if fit.serving)
     for fit in learned:
         size = len(fit.names)
         if len(fit.targets) != size or len(fit.products) != size * (size + 1) // 2:
@@ -65,6 +82,12 @@
     return learned
 
 
+def decode_shares(data: bytes) -> tuple[StoredShare, ...]:
+    """Decode the shares stored with the learned fits. Raises StoredFormatError."""
+    carriers = _decode(data, tuple[_SharesCarrier, ...])
+    return tuple(share for carrier in carriers for share in carrier.shares)
+
+
 def encode_upkeep_mark(mark: UpkeepMark) -> bytes:
     """Return the stored form as bytes."""
     return msgspec.msgpack.encode(mark)
--- a/fireflyfork/decisions/jobs/_urgency.py
+++ b/fireflyfork/decisions/jobs/_urgency.py
@@ -4,10 +4,10 @@
 
 from ._runs import LATE_FACTOR, Task
 
-Urgency = tuple[int, int, int, float, float]
+Urgency = tuple[float, ...]
 """Sort key of tasks, the most urgent first: the queue's priority, whether the task is long-running
 (those come first), whether its job can still meet its objective, the remaining work of the job, and
-the end that its objective allows."""
+the end that its objective allows. All keys of a scheduler have the same length."""
 
 _ACHIEVABLE, _LATE, _USELESS = range(3)
 
--- a/fireflyfork/decisions/jobs/_waiting_tasks.py
+++ b/fireflyfork/decisions/jobs/_waiting_tasks.py
@@ -25,6 +25,8 @@
     tasks: deque[Task] = field(default_factory=deque)
     parked: bool = True
     """Whether the step waits for the next tick or for another task before it is retried."""
+    revision: int = 0
+    """Revision of the urgency by which the step was sorted."""
     reason: WaitReason = WaitReason.NOTHING
     """Why no executor could run the step's tasks at the last attempt to place them."""
 
@@ -36,12 +38,15 @@
         self,
         is_separate: Callable[[Task], bool],
         urgency: Callable[[Task, int], Urgency] = urgency,
+        revision: Callable[[Task], int] = lambda task: 0,
     ) -> None:
         """Initialize without tasks.
 
         Tasks for which ``is_separate`` returns True are queued separately from their step.
-        ``urgency`` returns the sort key of a task at a time in Unix milliseconds.
+        ``urgency`` returns the sort key of a task at a time in Unix milliseconds; ``revision``
+        returns a number that changes when the task has to be sorted again before the next tick.
         """
+        self._revision = revision
         self._urgency = urgency
         self._is_separate = is_separate
         self._steps: dict[Hashable, WaitingStep] = {}
@@ -72,12 +77,21 @@
         """Add a task that waits for the next tick."""
         self._deferred.append(task)
 
-    def pop(self) -> WaitingStep | None:
+    def by_step(self) -> Iterator[tuple[Task, int]]:
+        """Yield a task of each step, and how many tasks of the step wait."""
+        return ((step.tasks[0], len(step.tasks)) for step in self._steps.values() if step.tasks)
+
+    def pop(self, now_ms: int) -> WaitingStep | None:
         """Return the most urgent step that isn't parked, or None.
 
         The caller must pass the step to ``park`` or ``drop``.
         """
-        return heapq.heappop(self._order)[-1] if self._order else None
+        while self._order:
+            step = heapq.heappop(self._order)[-1]
+            if step.revision == self._revision(step.tasks[0]):
+                return step
+            self._schedule(step, now_ms)
+        return None
 
     def drop(self, step: WaitingStep) -> None:
         """Remove a step that has no waiting tasks any more."""
@@ -102,6 +116,7 @@
 
     def _schedule(self, step: WaitingStep, now_ms: int) -> None:
         step.parked = False
+        step.revision = self._revision(step.tasks[0])
         entry = (self._urgency(step.tasks[0], now_ms), next(self._numbers), step)
         heapq.heappush(self._order, entry)
 
--- /dev/null
+++ b/fireflyfork/decisions/jobs/fairness/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of fair shares and reservations."""
--- a/fireflyfork/operations/__init__.py
+++ b/fireflyfork/operations/__init__.py
@@ -52,6 +52,7 @@
 from ._loop_account import LoopAccount, account_loops
 from ._quantities import ByteCount, ByteRate, Cores, Duration, Quantity, Share
 from ._reference import configuration_reference
+from ._size_account import OutcomeRow, SizeClass, outcomes_by_failure_domain, outcomes_by_size
 from ._span_tree import SpanNode, draw_trees, find_trace, read_spans, span_trees
 from ._unusual import unusual_values
 from ._violations import Violation
@@ -78,6 +79,7 @@
     "LinkAnswer",
     "LoopAccount",
     "Measure",
+    "OutcomeRow",
     "Prompt",
     "Quantity",
     "Question",
@@ -85,6 +87,7 @@
     "Sample",
     "ServiceAnswer",
     "Share",
+    "SizeClass",
     "SpanNode",
     "TeamAnswer",
     "Violation",
@@ -107,6 +110,8 @@
     "late_jobs_by_phase",
     "late_seconds_by_cause",
     "mint_change_id",
+    "outcomes_by_failure_domain",
+    "outcomes_by_size",
     "parse_document",
     "read_samples",
     "read_spans",
--- a/fireflyfork/operations/_job_account.py
+++ b/fireflyfork/operations/_job_account.py
@@ -57,6 +57,10 @@
     allowed_seconds: float | None
     """Time that the objective allows, or None for a job that never ended."""
     seconds: dict[Cause, float]
+    work: int = 0
+    """Estimated work of all tasks; 0 if the log doesn't tell."""
+    failure_domain: str = ""
+    """Failure domain of the instance that accepted the job; empty if the log doesn't tell."""
 
     @property
     def late(self) -> bool:
@@ -107,6 +111,9 @@
     waited_for: str = ""
     lowest_pace: int = 100
     share: float = 1.0
+    node: str = ""
+    failure_domain: str = ""
+    work: int = 0
 
 
 @dataclass(slots=True)
@@ -125,6 +132,8 @@
     finished_at: float | None = None
     state: str = "not over"
     allowed_seconds: float | None = None
+    work: int = 0
+    node: str = ""
     runs: dict[str, dict[int, _Run]] = field(default_factory=lambda: defaultdict(dict))
     """Runs by task and attempt."""
 
@@ -143,10 +152,11 @@
     records = [((at - first_time).total_seconds(), line) for at, line in dated_lines]
     jobs = _collect(records)
     gaps = _intervals_without_owner(records)
+    domains = {line.node: line.failure_domain for _, line in records if line.message == "serving"}
     last_time = records[-1][0]
     share = _smallest_share(records)
     accounts = tuple(
-        _account(name, job, gaps, last_time)
+        _account(name, job, gaps, last_time, domains.get(job.node, ""))
         for name, job in jobs.items()
         if in_sample(name, share) and not _is_long_running(job)
     )
@@ -198,7 +208,7 @@
     jobs: dict[str, _Job] = {}
     for at, line in records:
         if line.message == "job accepted":
-            jobs.setdefault(line.job, _Job(line.queue, at))
+            jobs.setdefault(line.job, _Job(line.queue, at, work=line.work, node=line.node))
             continue
         job = jobs.get(line.job or job_of_task(line.task))
         if job is None:
@@ -239,7 +249,9 @@
     return (cancelled or unended) and not any(run.reason == "done" for run in runs)
 
 
-def _account(name: str, job: _Job, gaps: list[tuple[float, float]], log_end: float) -> JobAccount:
+def _account(
+    name: str, job: _Job, gaps: list[tuple[float, float]], log_end: float, failure_domain: str
+) -> JobAccount:
     until = job.finished_at if job.finished_at is not None else log_end
     seconds: dict[Cause, float] = defaultdict(float)
     for start, stop, cause in _segments(job, until):
@@ -254,7 +266,15 @@
         seconds[cause] += stop - start - without_owner
     allowed = job.allowed_seconds if job.finished_at is not None else None
     return JobAccount(
-        name, job.queue, job.accepted_at, job.state, until - job.accepted_at, allowed, dict(seconds)
+        name,
+        job.queue,
+        job.accepted_at,
+        job.state,
+        until - job.accepted_at,
+        allowed,
+        dict(seconds),
+        job.work,
+        failure_domain,
     )
 
 
--- a/fireflyfork/programs/_ctl_account.py
+++ b/fireflyfork/programs/_ctl_account.py
@@ -13,10 +13,13 @@
     JobAccount,
     JobAccounts,
     LoopAccount,
+    OutcomeRow,
     account_jobs,
     account_loops,
     late_jobs_by_phase,
     late_seconds_by_cause,
+    outcomes_by_failure_domain,
+    outcomes_by_size,
     summarize,
 )
 from ._ctl_output import CommandError, ExitCode, Output, format_table, run_and_report
@@ -83,6 +86,10 @@
     yield f"{len(late)} of {len(accounts.jobs)} jobs were late or never ended"
     if accounts.share < 1:
         yield f"an owner was busy: this is a sample of {accounts.share:.1%} of all jobs"
+    yield ""
+    yield from _outcome_table("size", outcomes_by_size(accounts.jobs))
+    yield ""
+    yield from _outcome_table("accepted in", outcomes_by_failure_domain(accounts.jobs))
     if not late:
         return
     yield ""
@@ -97,6 +104,15 @@
     yield from format_table(("queue", "time of late jobs", "seconds"), sums)
 
 
+def _outcome_table(group: str, outcomes: Iterable[OutcomeRow]) -> Iterator[str]:
+    rows = [
+        (row.queue, row.group, row.jobs, row.in_time, row.late, row.not_completed)
+        for row in outcomes
+    ]
+    headings = ("queue", group, "jobs", "in time", "late", "not completed")
+    yield from format_table(headings, rows)
+
+
 def _loop_report(accounts: dict[str, LoopAccount]) -> Iterator[str]:
     instances = [
         (
--- a/fireflyfork/programs/_scheduler_node.py
+++ b/fireflyfork/programs/_scheduler_node.py
@@ -162,7 +162,9 @@
             nursery.start_soon(self._keeper.run)
             nursery.start_soon(self._announcements.run)
             nursery.start_soon(self._report.run)
-            logger.info("serving", callers=str(caller_address))
+            logger.info(
+                "serving", callers=str(caller_address), failure_domain=self._settings.failure_domain
+            )
             await stop.wait()
             await self._stop()
             nursery.cancel_scope.cancel()
--- a/fireflyfork/programs/callers/_job_requests.py
+++ b/fireflyfork/programs/callers/_job_requests.py
@@ -48,7 +48,13 @@
         """Accept a job. A job that any instance has accepted before is left unchanged."""
         self._refuse_without_store()
         await self._store_new(job_key(spec.job), encode_job(spec))
-        logger.info("job accepted", job=spec.job, queue=spec.queue, tasks=spec.task_count)
+        logger.info(
+            "job accepted",
+            job=spec.job,
+            queue=spec.queue,
+            tasks=spec.task_count,
+            work=spec.work,
+        )
         self._changed()
 
     async def state(self, job: JobId) -> JobState | None:
--- a/fireflyfork/programs/owner/_decision_log.py
+++ b/fireflyfork/programs/owner/_decision_log.py
@@ -12,10 +12,21 @@
 from loguru import logger
 
 from ..._job_samples import in_sample, job_of_task
-from ...decisions.jobs import ExecutorGivenUp, JobOver, Note, RunEnded, RunMoved, TaskSent
+from ...decisions.jobs import (
+    ExecutorGivenUp,
+    JobOver,
+    Note,
+    ReservationDropped,
+    ReservationMade,
+    RunEnded,
+    RunMoved,
+    ShareWaits,
+    TaskSent,
+)
 from .._clocks import Clock
 from .._metrics import Metrics
 from ._decision_metrics import count_decision
+from ._size_classes import SizeClasses
 
 MAX_LINES_PER_SECOND = 400
 """A line takes about 50 us of an instance's fraction of a core."""
@@ -31,6 +42,9 @@
     RunMoved: "run moved",
     JobOver: "job over",
     ExecutorGivenUp: "executor given up",
+    ReservationMade: "room reserved",
+    ReservationDropped: "reservation dropped",
+    ShareWaits: "share waits",
 }
 
 
@@ -45,6 +59,7 @@
         self._clock = clock
         self._service = service
         self._metrics = metrics
+        self._sizes = SizeClasses()
         self._sampled_share = 1.0
         self._share_changed_at = clock.now()
         self._second = 0
@@ -56,7 +71,7 @@
     def write(self, notes: list[Note]) -> None:
         """Count all notes, and log the sampled notes up to the limit."""
         for note in notes:
-            count_decision(self._metrics, note)
+            count_decision(self._metrics, note, self._sizes)
             self._begin_second()
             self._decided += 1
             if self._is_sampled(note) and self._written < MAX_LINES_PER_SECOND:
@@ -69,9 +84,9 @@
         match note:
             case TaskSent() | RunEnded() | RunMoved():
                 return in_sample(job_of_task(note.task), self._sampled_share)
-            case JobOver():
+            case JobOver() | ReservationMade() | ReservationDropped():
                 return in_sample(note.job, self._sampled_share)
-            case ExecutorGivenUp():
+            case ExecutorGivenUp() | ShareWaits():
                 return True
 
     def _begin_second(self) -> None:
--- a/fireflyfork/programs/owner/_decision_metrics.py
+++ b/fireflyfork/programs/owner/_decision_metrics.py
@@ -2,11 +2,23 @@
 
 from __future__ import annotations
 
-from ...decisions.jobs import ExecutorGivenUp, JobOver, Note, RunEnded, RunMoved, TaskSent
+from ...decisions.jobs import (
+    ExecutorGivenUp,
+    JobOver,
+    JobState,
+    Note,
+    ReservationDropped,
+    ReservationMade,
+    RunEnded,
+    RunMoved,
+    ShareWaits,
+    TaskSent,
+)
 from .._metrics import Metrics
+from ._size_classes import SizeClasses
 
 
-def count_decision(metrics: Metrics, note: Note) -> None:
+def count_decision(metrics: Metrics, note: Note, sizes: SizeClasses) -> None:
     """Record one note in the metrics; unlike log lines, none is left out."""
     match note:
         case TaskSent():
@@ -21,6 +33,29 @@
             in_time = str(note.age_ms <= note.allowed_ms).lower()
             metrics.count("fireflyfork_jobs_over_total", state=note.state.value, in_time=in_time)
             metrics.observe("fireflyfork_job_seconds", note.age_ms / 1000, state=note.state.value)
+            _count_size(metrics, note, sizes)
+        case ReservationMade():
+            metrics.count("fireflyfork_reservations_made_total")
+            metrics.observe("fireflyfork_reservation_waited_seconds", note.waited_ms / 1000)
+        case ReservationDropped():
+            reason = note.reason.name.lower()
+            metrics.count("fireflyfork_reservations_dropped_total", reason=reason)
+        case ShareWaits():
+            metrics.observe(
+                "fireflyfork_share_longest_wait_seconds",
+                note.longest_wait_ms / 1000,
+                share=note.share,
+            )
         case ExecutorGivenUp():
             metrics.count("fireflyfork_executors_given_up_total")
             metrics.count("fireflyfork_runs_given_up_total", note.runs)
+
+
+def _count_size(metrics: Metrics, note: JobOver, sizes: SizeClasses) -> None:
+    if not note.queue:
+        return
+    outcome = "not_completed"
+    if note.state is JobState.COMPLETED:
+        outcome = "in_time" if note.age_ms <= note.allowed_ms else "late"
+    size = sizes.classify(note.queue, note.work)
+    metrics.count("fireflyfork_jobs_by_size_total", queue=note.queue, size=size, outcome=outcome)
--- a/fireflyfork/programs/owner/_recovery_reads.py
+++ b/fireflyfork/programs/owner/_recovery_reads.py
@@ -11,7 +11,7 @@
 
 from ..._errors import StoreError
 from ...adapters import CoordinationStore, StoreListing
-from ...decisions.jobs import ExecutorRegistration, LearnedFit
+from ...decisions.jobs import ExecutorRegistration, LearnedFit, StoredShare
 from ...platform import REGISTRATION_PREFIX
 from .._scheduling_keys import PROGRESS_PREFIX, WORK_PREFIX
 from ._service_journal import ServiceJournal
@@ -28,6 +28,8 @@
     last_known: tuple[ExecutorRegistration, ...]
     """The executors that an earlier owner stored."""
     learned: tuple[LearnedFit, ...]
+    shares: tuple[StoredShare, ...]
+    """Use of the shares, stored with what was learned."""
     work: StoreListing
     """The keys of owners, jobs and cancellations."""
     progress: StoreListing
@@ -52,7 +54,7 @@
         for reading in (opened, last_known, learned, work, progress, registrations):
             nursery.start_soon(reading.run)
     return RecoveryState(
-        last_known.answer, learned.answer, work.answer, progress.answer, registrations.answer
+        last_known.answer, *learned.answer, work.answer, progress.answer, registrations.answer
     )
 
 
--- a/fireflyfork/programs/owner/_service_journal.py
+++ b/fireflyfork/programs/owner/_service_journal.py
@@ -11,14 +11,16 @@
 
 from ..._errors import StoreError, TransactionConflictError
 from ..._ids import JobId, Revision
-from ...adapters import CoordinationStore, Put
+from ...adapters import CoordinationStore, Put, StoredItem
 from ...decisions.jobs import (
     ExecutorRegistration,
     LearnedFit,
     Scheduler,
     StoredFormatError,
+    StoredShare,
     decode_learned,
     decode_registrations,
+    decode_shares,
     encode_learned,
     encode_progress,
     encode_registrations,
@@ -106,10 +108,14 @@
         )
         return executors if executors is not None else ()
 
-    async def last_learned(self) -> tuple[LearnedFit, ...]:
-        """Return the learned interference that an earlier owner stored. Raises StoreError."""
-        learned = await self._read_stored_value(learned_key(self._term.service), decode_learned)
-        return learned if learned is not None else ()
+    async def last_learned(self) -> tuple[tuple[LearnedFit, ...], tuple[StoredShare, ...]]:
+        """Return the learned interference and the shares that an earlier owner stored.
+
+        Raises StoreError.
+        """
+        key = learned_key(self._term.service)
+        item = await self._store.read(key)
+        return _decoded(item, key, decode_learned) or (), _decoded(item, key, decode_shares) or ()
 
     def notify(self) -> None:
         """Wake the journal, because there may be changes to store."""
@@ -186,16 +192,7 @@
         self, key: str, decode: Callable[[bytes], _Value]
     ) -> _Value | None:
         """Return the value stored by an earlier owner, or None if it is missing or unreadable."""
-        item = await self._store.read(key)
-        if item is None:
-            return None
-        try:
-            return decode(item.value)
-        except StoredFormatError as error:
-            # Without this the service would have no owner for as long as the value is unreadable,
-            # which is worse than starting without it.
-            logger.error("state of an earlier owner not readable", key=key, error=str(error))
-            return None
+        return _decoded(await self._store.read(key), key, decode)
 
     async def _wait_for_batch(self) -> None:
         """Wait for more changes, unless executors have to be stored before they can get runs."""
@@ -239,7 +236,8 @@
             # If this write fails, the next one follows two seconds later; no other state depends on
             # it.
             self._learned_at = trio.current_time()
-            puts.append(Put(learned_key(service), encode_learned(self._scheduler.learned())))
+            learned = encode_learned(self._scheduler.learned(), self._scheduler.shares())
+            puts.append(Put(learned_key(service), learned))
         if executors is not None:
             puts.append(Put(executors_key(service), encode_registrations(executors)))
         expected = {
@@ -255,3 +253,16 @@
             raise OwnershipLostError("another owner has taken over, or the lease has ended")
         journal_item = error.current_versions.get(journal_key(self._term.service))
         self._last_write = journal_item.revision if journal_item is not None else Revision(0)
+
+
+def _decoded(item: StoredItem | None, key: str, decode: Callable[[bytes], _Value]) -> _Value | None:
+    """Return a stored value, or None if it is missing or unreadable."""
+    if item is None:
+        return None
+    try:
+        return decode(item.value)
+    except StoredFormatError as error:
+        # Without this the service would have no owner for as long as the value is unreadable,
+        # which is worse than starting without it.
+        logger.error("state of an earlier owner not readable", key=key, error=str(error))
+        return None
--- a/fireflyfork/programs/owner/_service_owner.py
+++ b/fireflyfork/programs/owner/_service_owner.py
@@ -248,6 +248,7 @@
         self._scheduler.configure(self._requests.queues())
         self._scheduler.evacuate(self._requests.evacuated_domains())
         self._scheduler.adopt(state.learned)
+        self._scheduler.adopt_shares(state.shares, now)
         registrations = self._registrations.service_registrations(state.registrations.items)
         self._scheduler.recover(jobs, registrations, state.last_known, now, now_ms)
         await retry_until_answered("upkeep", self._upkeep.recover)
--- a/fireflyfork/programs/owner/tests/test_decision_log.py
+++ b/fireflyfork/programs/owner/tests/test_decision_log.py
@@ -11,8 +11,13 @@
     JobOver,
     JobState,
     Note,
+    ReservationDropped,
+    ReservationMade,
+    ReservationOutcome,
     RunEnded,
     RunEndEvidence,
+    ShareId,
+    ShareWaits,
     TaskSent,
     WaitReason,
 )
@@ -67,6 +72,22 @@
                 ExecutorGivenUp(EXECUTOR, 7, 3, RunEndEvidence.LEASE_LAPSED),
                 "fireflyfork_runs_given_up_total 3",
             ),
+            (
+                JobOver(JobId("00000000000000aa"), JobState.COMPLETED, 1900, 1000, "q", 10),
+                'fireflyfork_jobs_by_size_total{outcome="late",queue="q",size="largest_tenth"} 1',
+            ),
+            (
+                ReservationMade(JobId("00000000000000aa"), EXECUTOR, 1, 900, 100),
+                "fireflyfork_reservations_made_total 1",
+            ),
+            (
+                ReservationDropped(JobId("00000000000000aa"), EXECUTOR, ReservationOutcome.USED),
+                'fireflyfork_reservations_dropped_total{reason="used"} 1',
+            ),
+            (
+                ShareWaits(ShareId("q"), 0.5, 3, 900),
+                'fireflyfork_share_longest_wait_seconds_count{share="q"} 1',
+            ),
         ):
             with self.subTest(line):
                 self.log.write([note])
