--- a/fireflyfork/decisions/jobs/fairness/tests/test_shares.py
+++ b/fireflyfork/decisions/jobs/fairness/tests/test_shares.py
@@ -35,11 +35,12 @@
 
     def test_a_flooding_queue_does_not_delay_another_one(self) -> None:
         """Guards against callers who wait behind the whole backlog of another queue."""
-        owner, runs = FairOwner("i-0", "i-1"), list[Run]()
-        _seconds(owner, 10.0, 3, runs)
-        waiting = Counter(str(task.job.spec.queue) for task in owner.scheduler._state.waiting)
-        self.assertGreater(waiting["a"], 100)
-        self.assertLessEqual(waiting["b"], 1)
+        for enabled in (True, False):
+            owner = FairOwner("i-0", "i-1", settings=replace(FAIR, enabled=enabled))
+            _seconds(owner, 10.0, 3, [])
+            waiting = Counter(str(task.job.spec.queue) for task in owner.scheduler._state.waiting)
+            self.assertGreater(waiting["a"], 100)
+            self.assertEqual(waiting["b"] <= 1, enabled)
 
     def test_two_flooding_queues_get_equal_room(self) -> None:
         """Guards against a queue that gets more room because its jobs are smaller."""
--- a/fireflyfork/programs/tests/test_ctl_account.py
+++ b/fireflyfork/programs/tests/test_ctl_account.py
@@ -47,6 +47,8 @@
         code, text = self._run(LATE_JOB, loops=False)
         self.assertIs(code, ExitCode.DONE)
         self.assertRegex(text, r"quotes +no memory +1 +3\.0")
+        self.assertRegex(text, r"quotes +largest tenth +1 +0 +1 +0")
+        self.assertRegex(text, r"quotes +unknown +1 +0 +1 +0")
 
     def test_loops_by_activity_and_instance(self) -> None:
         code, text = self._run(LOOPS, loops=True)
