A reservation for a task without its own processors counts the memory that ends free

Its test: a large job on leftover processors under a stream of small ones starts within 6 s of its arrival with a reservation, and not without one.

--- a/fireflyfork/decisions/jobs/fairness/_reservations.py
+++ b/fireflyfork/decisions/jobs/fairness/_reservations.py
@@ -151,9 +151,10 @@
             if self._cost_alone(task, executor) > MAX_BEST_EFFORT_COST:
                 return
             runs = executor.runs.values()
-            disturbing = (run for run in runs if not run.task.spec.tail_target_ms)
+            disturbing = [run for run in runs if not run.task.spec.tail_target_ms]
             at = max((self._durations.end(run, now) for run in disturbing), default=now)
-            if at < float("inf") and executor.free_memory_mb >= task.spec.memory_mb:
+            memory = executor.free_memory_mb + sum(run.task.spec.memory_mb for run in disturbing)
+            if at < float("inf") and memory >= task.spec.memory_mb:
                 yield at, 1
             return
         yield from self._plan_reserved(task, executor, now)
--- a/fireflyfork/decisions/jobs/fairness/tests/test_reservations.py
+++ b/fireflyfork/decisions/jobs/fairness/tests/test_reservations.py
@@ -38,6 +38,23 @@
             owner.submit("a", large())
             self.assertEqual(_stream(owner, 4.0 + 0.5 + 1.0 + 0.5, runs, 1000), enabled)
 
+    def test_a_large_job_on_leftover_cpu_starts_soon_after_its_reservation(self) -> None:
+        """Guards against large jobs that wait while small ones share what services leave."""
+        leftover = {"uses_leftover_cpu": True, "image": "batch"}
+        for enabled in (True, False):
+            chains = 2.0 if enabled else 1e9
+            owner = FairOwner("i-0", settings=replace(FAIR, reservation_after_chains=chains))
+            runs: list[Run] = []
+            started = False
+            for number in range(70):
+                if number == 10:
+                    owner.submit("a", large(**leftover))
+                owner.submit("a", small(**leftover))
+                owner.tick(0.1)
+                runs = owner.finish_due(runs) + owner.place()
+                started = started or any(run.task.spec.cpu_millis == 16000 for run in runs)
+            self.assertEqual(started, enabled)
+
     def test_small_tasks_fill_the_room_until_the_reserved_time(self) -> None:
         """Guards against room that stands empty while a reserved job can't use it yet."""
         owner = FairOwner("i-0")
