Tasks of one step leave the reserved room free together, not only each by itself

Cause: the candidates of a step were computed for its first task and kept for the others, so four tasks took room that was enough for three beside the reservation; the members of a gang are placed together too. Change: candidates are kept by the executors that a task is barred from, and a gang takes reserved room only if it ends in time.

--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -50,7 +50,12 @@
         default_factory=dict
     )
     """The same for tasks that may not use the reserved room of these executors."""
-    candidates: dict[StepId, Candidates] = field(default_factory=dict)
+    barred: frozenset[ExecutorState] = frozenset()
+    """The executors whose reserved room the task that is being placed may not use."""
+    candidates: dict[tuple[StepId, frozenset[ExecutorState]], Candidates] = field(
+        default_factory=dict
+    )
+    """By step and the executors that its tasks are barred from, which change as room is taken."""
 
     @classmethod
     def for_executors(cls, usable: list[ExecutorState]) -> _PlacementRound:
@@ -141,6 +146,7 @@
         allowed = self._executors_with_tickets(task, placement_round.usable, now)
         reason = placement_round.wait_reasons.get(shape) or self._skip_reason(task, placement_round)
         barred = self._barred(task, now) if reason is None else frozenset[ExecutorState]()
+        placement_round.barred = barred
         if barred:
             reason = placement_round.barred_reasons.get((shape, barred))
             allowed = [executor for executor in allowed if executor not in barred]
@@ -219,7 +225,8 @@
         placement_round: _PlacementRound,
         max_cost: float,
     ) -> Candidates:
-        candidates = placement_round.candidates.get(task.step_id)
+        key = task.step_id, placement_round.barred
+        candidates = placement_round.candidates.get(key)
         if candidates is None:
             # Many executors are compared for long-running tasks, since they stay where they are
             # placed, and for tasks that use leftover CPU, since the amount by which they slow down
@@ -229,7 +236,7 @@
             costs = self._cost_caches.for_task(task)
             candidates = Candidates(task, allowed, costs, max_cost, self._first_index, batch_size)
             self._first_index += EXECUTORS_PER_BATCH
-            placement_round.candidates[task.step_id] = candidates
+            placement_round.candidates[key] = candidates
         return candidates
 
     def _executors_with_tickets(
--- a/fireflyfork/decisions/jobs/fairness/_reservations.py
+++ b/fireflyfork/decisions/jobs/fairness/_reservations.py
@@ -134,7 +134,10 @@
         ends_at = float("inf")
         if not task.spec.long_running:
             ends_at = now + self._durations.seconds(task)
-        return ends_at <= kept.at or self._leaves_enough(kept, task, now)
+        if ends_at <= kept.at:
+            return True
+        # The members of a gang would take the room together.
+        return not task.spec.gang and self._leaves_enough(kept, task, now)
 
     def _leaves_enough(self, kept: Reservation, task: Task, now: float) -> bool:
         """Whether the room that is free at the reserved time is enough for the task as well."""
--- a/fireflyfork/decisions/jobs/fairness/tests/test_reservations.py
+++ b/fireflyfork/decisions/jobs/fairness/tests/test_reservations.py
@@ -7,7 +7,7 @@
 from hypothesis import strategies as st
 
 from ... import EndReason, ReservationDropped, ReservationMade, ReservationOutcome, Run
-from ...tests.builders_jobs import registration, row
+from ...tests.builders_jobs import registration, row, step
 from .builders_shares import FAIR, FairOwner, large, small
 
 
@@ -93,6 +93,20 @@
         (refused,) = owner.scheduler.jobs._jobs[wide.job].tasks.values()
         self.assertFalse(owner.policy.may_take(refused, kept.executor, owner.now))
 
+    def test_tasks_of_one_step_leave_enough_room_together(self) -> None:
+        """Guards against a step whose tasks each leave enough room, and all of them don't."""
+        for gang, expected in ((False, 3), (True, 0)):
+            owner = FairOwner("i-0")
+            owner.submit("a", small(estimate_ms=20_000))
+            owner.place()
+            owner.submit("a", replace(large(), cpu_millis=12_500))
+            for _ in range(46):
+                owner.tick(0.1)
+                owner.place()
+            owner.submit("a", step(count=4, memory_mb=100, estimate_ms=60_000, gang=gang))
+            owner.tick(0.1)
+            self.assertEqual(len(owner.place()), expected)
+
     def test_a_more_urgent_priority_may_take_reserved_room(self) -> None:
         """Guards against a reservation that holds urgent callers back."""
         owner = FairOwner("i-0", priorities=(0, 1))
