Admission: figures of the work ahead, and refusal of jobs that can't be of use behind it

Cause: every job was accepted, also those that couldn't end while of use behind the accepted work, and each refusal for a store that doesn't answer asked for a return after 1 s, however long the outage. Change: the owner measures the unfinished work by queue, priority and size while tasks wait for room, and adds it to its writes under a key of its own; instances read it stale, at most once a second and only while jobs arrive. Both halves are off unless enabled.

--- a/fireflyfork/adapters/_coordination.py
+++ b/fireflyfork/adapters/_coordination.py
@@ -90,6 +90,10 @@
     async def read(self, key: str) -> StoredItem | None:
         """Return the item, or None if the key is absent."""
 
+    async def read_stale(self, key: str) -> StoredItem | None:
+        """Return the item as it was up to seconds ago, at a lower price than ``read``."""
+        return await self.read(key)
+
     @abstractmethod
     async def list(self, prefix: str) -> StoreListing:
         """Return all items whose keys start with ``prefix``."""
--- a/fireflyfork/decisions/jobs/__init__.py
+++ b/fireflyfork/decisions/jobs/__init__.py
@@ -39,7 +39,7 @@
     StartRequest,
 )
 from ._run_end_evidence import RunEndEvidence
-from ._runs import Job, Run, RunPhase, Task
+from ._runs import Job, Run, RunPhase, Task, allowed_ms
 from ._scheduler import Scheduler, SchedulerSettings
 from ._specs import JobSpec, StepSpec, TaskKey, parse_task_name, step_name
 from ._stored_forms import (
@@ -120,6 +120,7 @@
     "UpkeepWave",
     "WaitReason",
     "WaveView",
+    "allowed_ms",
     "bid_delay",
     "choose_relays",
     "choose_upstreams",
--- a/fireflyfork/decisions/jobs/_job_table.py
+++ b/fireflyfork/decisions/jobs/_job_table.py
@@ -136,6 +136,10 @@
             if not job.state.is_final and job.opened_occurrences < job.spec.occurrence_count
         )
 
+    def live_jobs(self) -> Iterator[Job]:
+        """Yield the jobs whose state is not final."""
+        return (job for job in self._jobs.values() if not job.state.is_final)
+
     def live_tasks(self) -> Iterator[Task]:
         """Yield the tasks of all jobs whose state is not final."""
         live = (job for job in self._jobs.values() if not job.state.is_final)
--- a/fireflyfork/decisions/jobs/_policies.py
+++ b/fireflyfork/decisions/jobs/_policies.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 from ._executors import ExecutorState
 from ._reports import EndReason
@@ -15,6 +16,9 @@
 from ._runs import Job, Run, Task
 from ._urgency import Urgency, urgency
 
+if TYPE_CHECKING:
+    from .admission import WorkFigures
+
 SHORT_TASK_SHARE = 0.10
 """Share of all processors that long-running tasks leave free. Short tasks arrive in waves of a
 twentieth of the processors on average, and a core for them is worth four times a core for a
@@ -98,6 +102,15 @@
         return None
 
 
+class LoadPolicy(Policy):
+    """Measures the work ahead of new jobs, for the instances that accept them."""
+
+    @property
+    def figures(self) -> WorkFigures | None:
+        """The latest figures; None if nothing is measured."""
+        return None
+
+
 @dataclass(frozen=True, slots=True)
 class Policies:
     """The policies of one scheduler."""
@@ -105,7 +118,8 @@
     room: RoomPolicy = field(default_factory=RoomPolicy)
     order: OrderPolicy = field(default_factory=OrderPolicy)
     estimates: EstimatePolicy = field(default_factory=EstimatePolicy)
+    load: LoadPolicy = field(default_factory=LoadPolicy)
 
     def each(self) -> tuple[Policy, ...]:
         """Return all policies, to tell each of an event."""
-        return self.room, self.order, self.estimates
+        return self.room, self.order, self.estimates, self.load
--- a/fireflyfork/decisions/jobs/_policy_factory.py
+++ b/fireflyfork/decisions/jobs/_policy_factory.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
-from ._policies import Policies
+from ._policies import LoadPolicy, Policies
 from ._policy_settings import PolicySettings
 from ._service_state import ServiceState
+from .admission import WorkAhead
 
 
 def create_policies(settings: PolicySettings, state: ServiceState) -> Policies:
     """Return the policies of a scheduler with this state; those that are off are the defaults."""
-    return Policies()
+    load = WorkAhead(state) if settings.admission.enabled else LoadPolicy()
+    return Policies(load=load)
--- a/fireflyfork/decisions/jobs/_policy_settings.py
+++ b/fireflyfork/decisions/jobs/_policy_settings.py
@@ -23,6 +23,10 @@
     enabled: bool = False
     max_figures_age_seconds: float = 2.0
     """Age from which the owner's figures are too old to refuse a job by."""
+    margin: float = 0.25
+    """Share of the time a job has left by which its expected end must exceed it to be refused."""
+    retry_after_outages: bool = False
+    """Whether Retry-After follows the outages of the store that an instance has seen."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/fireflyfork/decisions/jobs/_runs.py
+++ b/fireflyfork/decisions/jobs/_runs.py
@@ -24,6 +24,11 @@
 _NONE_YET = AttemptNumber(0)
 
 
+def allowed_ms(spec: JobSpec, queue: QueueConfiguration) -> float:
+    """Return the milliseconds that the objective of a queue allows for a job."""
+    return queue.stretch_factor * spec.chain_ms() + queue.target_latency_ms
+
+
 class RunPhase(Enum):
     """The phase of a run."""
 
@@ -165,7 +170,7 @@
 
     def allowed_ms(self) -> float:
         """Return the milliseconds that the objective allows from acceptance to completion."""
-        return self.queue.stretch_factor * self.spec.chain_ms() + self.queue.target_latency_ms
+        return allowed_ms(self.spec, self.queue)
 
     def is_beyond_use(self, now_ms: int) -> bool:
         """Whether the job has taken so long that its end is of no use any more."""
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -35,6 +35,7 @@
 from ._time_checks import TimeChecks
 from ._upkeep import Upkeep, WaveView
 from ._waves import UpkeepMark
+from .admission import WorkFigures
 
 LAST_START_MARGIN_SECONDS = 1.5
 """Starts end this long before a successor may start tasks: a start extends the lease of everything
@@ -89,6 +90,11 @@
         """The number of tasks that may start and have no executor."""
         return len(self._state.waiting)
 
+    @property
+    def work_figures(self) -> WorkFigures | None:
+        """The latest figures of the work ahead of new jobs; None if nothing is measured."""
+        return self._state.policies.load.figures
+
     def take_commands(self) -> list[Command]:
         """Return the pending commands and clear them."""
         commands, self._state.commands = self._state.commands, []
--- /dev/null
+++ b/fireflyfork/decisions/jobs/admission/_admission.py
@@ -0,0 +1,137 @@
+"""Decides which jobs are refused because they can't be of use behind the accepted work."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import dataclass
+
+from .._queues import QueueConfiguration
+from .._runs import LATE_FACTOR, allowed_ms
+from .._specs import JobSpec
+from ._figures import WorkFigures, size_of, work_of
+from ._refused_jobs import RefusedJob, RefusedJobs
+
+MIN_RETRY_SECONDS = 1
+"""The smallest value of Retry-After that makes a caller wait."""
+
+
+@dataclass(frozen=True, slots=True)
+class AdmissionDecision:
+    """Whether a job is let in, and what the decision is based on."""
+
+    admitted: bool
+    wait_ms: float = 0.0
+    """Expected time until the job would end."""
+    left_ms: float = 0.0
+    """Time from now until the job's end is of no use any more."""
+    retry_seconds: int = 0
+    """Value of Retry-After for a refused job."""
+
+
+ADMITTED = AdmissionDecision(True)
+
+
+class Admission:
+    """Decides for one service on one instance.
+
+    A refusal is recorded by ``record_refusal`` only once it is sent, because the job may turn out to
+    have been accepted by another instance.
+    """
+
+    def __init__(self, margin: float, max_age_ms: float) -> None:
+        """Set the ``margin`` and the age from which figures are too old to refuse a job.
+
+        A queue's jobs of one size are refused once they would end later than their remaining time by
+        this share of it, and let in again once they would end within it.
+        """
+        self._margin = margin
+        self._max_age_ms = max_age_ms
+        self._refused = RefusedJobs()
+        self._refusing: set[tuple[str, int]] = set()
+        self._admitted: list[tuple[int, int, float]] = []
+        """Priority, size and work of the jobs let in since the figures were computed."""
+        self._version = (0, 0)
+
+    def decide(
+        self,
+        spec: JobSpec,
+        queue: QueueConfiguration,
+        figures: WorkFigures | None,
+        age_ms: float,
+        now_ms: int,
+    ) -> AdmissionDecision:
+        """Decide about a job that arrives; ``age_ms`` is the age of the figures."""
+        if figures is None or not figures.is_pressed or age_ms > self._max_age_ms:
+            self._refusing.clear()
+            self._admitted.clear()
+            return ADMITTED
+        if spec.is_long_running or spec.repetitions or figures.has_room(spec):
+            return ADMITTED
+        self._start_version(figures)
+        decision = self._compare(spec, queue, figures, age_ms, now_ms)
+        key = (str(queue.name), size_of(work_of(spec)))
+        if decision.admitted:
+            self._refusing.discard(key)
+        else:
+            self._refusing.add(key)
+        return decision
+
+    def record_admission(self, spec: JobSpec, queue: QueueConfiguration) -> None:
+        """Count a job that is let in, until the owner's figures contain it."""
+        self._refused.forget(spec.job)
+        if not (spec.is_long_running or spec.repetitions):
+            work = work_of(spec)
+            self._admitted.append((queue.priority, size_of(work), work))
+
+    def record_refusal(
+        self, spec: JobSpec, queue: QueueConfiguration, decision: AdmissionDecision, now_ms: int
+    ) -> None:
+        """Remember a job whose refusal is about to be sent."""
+        work = work_of(spec)
+        refused = RefusedJob(
+            self._refused.first_arrival_ms(spec.job, spec.accepted_ms),
+            queue.priority,
+            size_of(work),
+            work,
+            now_ms + decision.retry_seconds * 1000,
+            now_ms + decision.left_ms,
+        )
+        self._refused.record(spec.job, refused, now_ms)
+
+    def _start_version(self, figures: WorkFigures) -> None:
+        if figures.version != self._version:
+            self._version = figures.version
+            self._admitted.clear()
+
+    def _compare(
+        self,
+        spec: JobSpec,
+        queue: QueueConfiguration,
+        figures: WorkFigures,
+        age_ms: float,
+        now_ms: int,
+    ) -> AdmissionDecision:
+        work, priority = work_of(spec), queue.priority
+        size = size_of(work)
+        first_ms = self._refused.first_arrival_ms(spec.job, spec.accepted_ms)
+        rate = max(figures.rate, 1.0)
+        returning = self._refused.work_before(spec.job, first_ms, priority, size, now_ms)
+        known, estimated = (figures.work_before(priority, size, age) for age in (0.0, age_ms))
+        before = returning + max(known + self._admitted_before(priority, size), estimated)
+        chain_ms = spec.chain_ms()
+        wait_ms = before / rate + max(chain_ms, work / rate)
+        left_ms = first_ms + LATE_FACTOR * allowed_ms(spec, queue) - now_ms
+        refusing = (str(queue.name), size) in self._refusing
+        limit_ms = left_ms if refusing else left_ms * (1 + self._margin)
+        if wait_ms <= limit_ms:
+            return AdmissionDecision(True, wait_ms, left_ms)
+        latest_return_ms = left_ms - chain_ms
+        seconds = math.ceil(min(wait_ms - left_ms, latest_return_ms) / 1000)
+        return AdmissionDecision(False, wait_ms, left_ms, max(MIN_RETRY_SECONDS, seconds))
+
+    def _admitted_before(self, priority: int, size: int) -> float:
+        return sum(
+            work
+            for other_priority, other_size, work in self._admitted
+            if (other_priority, other_size) <= (priority, size)
+        )
--- /dev/null
+++ b/fireflyfork/decisions/jobs/admission/_work_ahead.py
@@ -0,0 +1,168 @@
+"""Measures the work ahead of new jobs and learns the rate at which it is done."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+
+from ...._ids import JobId
+from ...._waits import WaitReason
+from .._executors import ExecutorState
+from .._policies import LoadPolicy
+from .._reports import EndReason
+from .._runs import LATE_FACTOR, Job, Run
+from .._service_state import ServiceState
+from ._figures import RoomRow, WorkFigures, WorkRow, largest_rooms, size_of, work_of
+
+INTERVAL_SECONDS = 0.5
+"""Interval of the figures, that of the owner's counts of waiting jobs."""
+ARRIVAL_SECONDS = 2.0
+"""Time over which the rate of arriving work is averaged: the age at which figures are too old."""
+LEARNING_SECONDS = 30.0
+"""Time over which the work done by a busy core is averaged: several runs of a large task."""
+MIN_EFFICIENCY, MAX_EFFICIENCY = 0.25, 4.0
+"""Limits of the work done per busy core, in estimated core time. Estimates of callers and the pace
+of runs are rarely further off, and a few odd runs must not stop the acceptance of jobs."""
+_ROOM_REASONS = frozenset({WaitReason.PROCESSORS, WaitReason.MEMORY, WaitReason.BEHIND})
+
+_WORK_ENDS = frozenset({EndReason.DONE, EndReason.FAILED})
+"""Ends after which nothing of the run is continued elsewhere."""
+
+_Class = tuple[str, int, int]
+"""Queue, priority and size."""
+
+
+class WorkAhead(LoadPolicy):
+    """Computes the figures of one service."""
+
+    def __init__(self, state: ServiceState) -> None:
+        """Set up; ``state`` is the state of the service, which is only read."""
+        self._state = state
+        self._figures: WorkFigures | None = None
+        self._number = 0
+        self._measured_at: float | None = None
+        self._arrived: Counter[_Class] = Counter()
+        self._arriving: dict[_Class, float] = {}
+        self._done = 0.0
+        """Estimated work of runs that ended lately; with ``_busy``, decaying."""
+        self._busy = 0.0
+        """Time of the cores that runs which ended lately have reserved, in the same unit."""
+
+    @property
+    def figures(self) -> WorkFigures | None:
+        """See LoadPolicy."""
+        return self._figures
+
+    def job_accepted(self, job: Job, now_ms: int) -> None:
+        """See Policy."""
+        if not (job.recovered or job.spec.is_long_running or job.spec.repetitions):
+            work = work_of(job.spec)
+            self._arrived[_class(job, work)] += int(work)
+
+    def run_ended(self, run: Run, reason: EndReason, now: float) -> None:
+        """See Policy."""
+        step = run.task.spec
+        if reason not in _WORK_ENDS or step.long_running:
+            return
+        began_at = run.confirmed_at if run.confirmed_at is not None else run.ordered_at
+        self._busy += (now - began_at) * 1000 * step.reserved_cpu_millis
+        if reason is EndReason.DONE:
+            self._done += step.estimate_ms * step.reserved_cpu_millis
+
+    def tick(self, now: float, now_ms: int) -> None:
+        """See Policy."""
+        if self._measured_at is None:
+            self._measured_at = now
+        elapsed = now - self._measured_at
+        if elapsed < INTERVAL_SECONDS:
+            return
+        self._measured_at = now
+        usable = self._state.usable_executors(now)
+        self._learn(elapsed)
+        rows = self._rows(now_ms) if self._is_pressed() else ()
+        self._number += 1
+        room = largest_rooms(map(_free_room, usable)) if rows else ()
+        self._figures = WorkFigures(0, self._number, now_ms, self._rate(usable), rows, room)
+
+    def _is_pressed(self) -> bool:
+        return any(
+            task.wait_reason in _ROOM_REASONS and not task.spec.long_running
+            for task in self._state.waiting
+        )
+
+    def _learn(self, elapsed: float) -> None:
+        kept = max(0.0, 1 - elapsed / LEARNING_SECONDS)
+        self._done *= kept
+        self._busy *= kept
+        share = min(1.0, elapsed / ARRIVAL_SECONDS)
+        classes = self._arriving.keys() | self._arrived.keys()
+        self._arriving = {
+            key: rate
+            for key in classes
+            if (
+                rate := (1 - share) * self._arriving.get(key, 0.0)
+                + share * self._arrived[key] / (elapsed * 1000)
+            )
+            >= 1.0
+        }
+        self._arrived.clear()
+
+    def _rate(self, usable: list[ExecutorState]) -> float:
+        """Return the work done per millisecond if all room is used that no service takes."""
+        capacity = sum(
+            executor.registration.room.cpu_millis - executor.long_running_cpu_millis
+            for executor in usable
+        )
+        # The prior is one full use of the room for a tenth of the time over which is averaged.
+        prior = capacity * LEARNING_SECONDS * 100
+        known = self._busy + prior
+        efficiency = (self._done + prior) / known if known else 1.0
+        return capacity * min(max(efficiency, MIN_EFFICIENCY), MAX_EFFICIENCY)
+
+    def _rows(self, now_ms: int) -> tuple[WorkRow, ...]:
+        running, progress = self._running_work()
+        work: defaultdict[_Class, float] = defaultdict(float)
+        busy: defaultdict[_Class, float] = defaultdict(float)
+        for job in self._state.jobs.live_jobs():
+            if job.spec.is_long_running:
+                continue
+            name, total = job.spec.job, job.remaining_work()
+            key = _class(job, total)
+            busy[key] += running[name]
+            # Jobs that are beyond use are placed after all others.
+            work[key] += total - progress[name] if _can_be_of_use(job, now_ms) else running[name]
+        return tuple(
+            WorkRow(*key, max(total, 0.0), busy[key], self._arriving.get(key, 0.0))
+            for key, total in sorted(work.items())
+            if total > 0
+        )
+
+    def _running_work(self) -> tuple[Counter[JobId], Counter[JobId]]:
+        """Return, by job, the work that its running tasks still have to do, and what they did."""
+        left: Counter[JobId] = Counter()
+        progress: Counter[JobId] = Counter()
+        for executor in self._state.executors.values():
+            for run in executor.runs.values():
+                step = run.task.spec
+                if not step.long_running:
+                    work = step.estimate_ms * step.cpu_millis
+                    done = work * run.progress_percent // 100
+                    left[run.task.job.spec.job] += work - done
+                    progress[run.task.job.spec.job] += done
+        return left, progress
+
+
+def _class(job: Job, work: float) -> _Class:
+    return str(job.spec.queue), job.queue.priority, size_of(work)
+
+
+def _can_be_of_use(job: Job, now_ms: int) -> bool:
+    latest_end = job.spec.accepted_ms + LATE_FACTOR * job.allowed_ms()
+    return bool(job.spec.repetitions) or now_ms + job.remaining_ms() <= latest_end
+
+
+def _free_room(executor: ExecutorState) -> RoomRow:
+    return RoomRow(
+        max(0, executor.free_cpu_millis),
+        max(0, executor.free_memory_mb),
+        executor.registration.room.accelerators - executor.used_accelerators,
+    )
--- a/fireflyfork/platform/_store_client.py
+++ b/fireflyfork/platform/_store_client.py
@@ -150,8 +150,15 @@
 
     async def read(self, key: str) -> StoredItem | None:
         """See CoordinationStore."""
-        target = f"{KEY_PATH}?key={quote(key, safe='')}"
-        answer = await self._call(_purpose("read", key), "GET", target)
+        return await self._read("read", key)
+
+    async def read_stale(self, key: str) -> StoredItem | None:
+        """See CoordinationStore."""
+        return await self._read("stale read", key, "&allow_stale=1")
+
+    async def _read(self, verb: str, key: str, options: str = "") -> StoredItem | None:
+        target = f"{KEY_PATH}?key={quote(key, safe='')}{options}"
+        answer = await self._call(_purpose(verb, key), "GET", target)
         if answer.status == 404:
             return None
         return _stored(_decoded(answer, _Item))
--- a/fireflyfork/programs/_policy_file.py
+++ b/fireflyfork/programs/_policy_file.py
@@ -27,6 +27,7 @@
     _check_range("preemption.max_stopped_share", policies.preemption.max_stopped_share, 0.0, 1.0)
     age = policies.admission.max_figures_age_seconds
     _check_range("admission.max_figures_age_seconds", age, 0.1, 60.0)
+    _check_range("admission.margin", policies.admission.margin, 0.0, 10.0)
     after = policies.fairness.reservation_after_chains
     _check_range("fairness.reservation_after_chains", after, 0.1, 100.0)
     for queue, weight in policies.fairness.weights.items():
--- a/fireflyfork/programs/_scheduler_node.py
+++ b/fireflyfork/programs/_scheduler_node.py
@@ -23,6 +23,7 @@
 from ._external_clients import ExternalClients
 from ._loop_report import LoopReport
 from ._metrics import METRICS_TEXT, Metrics
+from .admission import create_gate
 from .callers._job_requests import JobRequests
 from .callers._job_service import JobService
 from .owner._operator_requests import OperatorRequests
@@ -114,12 +115,17 @@
         self._candidates: dict[ServiceName, ServiceCandidate] = {}
         self._nursery: trio.Nursery | None = None
         self._stopping = False
+        requests = JobRequests(self._store, self._job_changed)
+        self._gate = create_gate(
+            settings.policies.admission, requests.submit, self._store, clock, self._metrics
+        )
         self._job_service = JobService(
-            JobRequests(self._store, self._job_changed),
+            requests,
             clock,
             self._metrics,
             lambda: self._keeper.table,
             lambda: self._keeper.is_current,
+            self._gate,
         )
         self._callers = HttpServer(self._job_service)
         self._readiness = HttpServer(_Readiness(self))
@@ -162,6 +168,8 @@
             nursery.start_soon(self._keeper.run)
             nursery.start_soon(self._announcements.run)
             nursery.start_soon(self._report.run)
+            if self._gate is not None:
+                nursery.start_soon(self._gate.run)
             logger.info("serving", callers=str(caller_address))
             await stop.wait()
             await self._stop()
--- a/fireflyfork/programs/_scheduling_keys.py
+++ b/fireflyfork/programs/_scheduling_keys.py
@@ -65,6 +65,11 @@
     return f"{_ROOT}pending/{service}"
 
 
+def work_ahead_key(service: ServiceName) -> str:
+    """Return the key of the owner's figures of the work ahead of new jobs."""
+    return f"{_ROOT}ahead/{service}"
+
+
 def job_key(job: JobId) -> str:
     """Return the key of a job's specification, which is stored when the job is accepted."""
     return f"{JOB_PREFIX}{job}"
--- a/fireflyfork/programs/callers/_job_service.py
+++ b/fireflyfork/programs/callers/_job_service.py
@@ -6,7 +6,13 @@
 
 from loguru import logger
 
-from ..._errors import BadRequestError, StoppingError, StoreError, StoreRefusedError
+from ..._errors import (
+    BadRequestError,
+    RequestError,
+    StoppingError,
+    StoreError,
+    StoreRefusedError,
+)
 from ..._ids import JobId
 from ..._verdict import Verdict
 from ...adapters import Exchange, Header, HttpError, HttpHandler, collect
@@ -15,6 +21,7 @@
 from .._clocks import Clock
 from .._metrics import Metrics
 from .._stop_deadline import StopDeadline
+from ..admission import SubmissionGate
 from ._job_requests import JobRequests
 
 MAX_BODY_BYTES = 262_144
@@ -36,12 +43,15 @@
         metrics: Metrics,
         queues: Callable[[], QueueTable | None],
         is_current: Callable[[], bool],
+        gate: SubmissionGate | None = None,
     ) -> None:
         """Set up the handler.
 
         ``queues`` returns the configuration in force. ``is_current`` returns whether this instance
-        has every version of it that must be in force by now.
+        has every version of it that must be in force by now. ``gate`` refuses jobs that can't be of
+        use; without it all are submitted.
         """
+        self._gate = gate
         self._requests = requests
         self._clock = clock
         self._metrics = metrics
@@ -81,6 +91,8 @@
             await exchange.answer_json(error.status, {"error": error.reason})
         except StoppingError as error:
             await self._refuse(exchange, error.status, error.reason)
+        except RequestError as error:
+            await self._refuse(exchange, error.status, error.reason, error.retry_after)
         except StoreRefusedError as error:
             await self._refuse(exchange, 503, str(error))
         except StoreError as error:
@@ -126,7 +138,9 @@
             return
         started_at = self._clock.now()
         spec = decode_job(body, job, queue, self._clock.unix_ms())
-        await self._stop_deadline.wait(self._requests.submit(spec), Verdict.MAY_HAVE_RUN)
+        gate = self._gate
+        submitted = self._requests.submit(spec) if gate is None else gate.submit(spec, queue)
+        await self._stop_deadline.wait(submitted, Verdict.MAY_HAVE_RUN)
         self._metrics.observe("fireflyfork_accept_seconds", self._clock.now() - started_at)
         await exchange.answer(200, b"{}", (_JSON,))
 
@@ -147,7 +161,12 @@
         count = await self._stop_deadline.wait(self._requests.pending(queue), Verdict.NOT_RUN)
         await exchange.answer(200, encode_pending(count), (_JSON,))
 
-    async def _refuse(self, exchange: Exchange, status: int, reason: str) -> None:
+    async def _refuse(
+        self, exchange: Exchange, status: int, reason: str, retry_after: float | None = None
+    ) -> None:
         self._metrics.count("fireflyfork_refused_total", status=str(status))
         logger.info("refused", target=exchange.head.target[:80], status=status, reason=reason)
-        await exchange.answer_json(status, {"error": reason}, RETRY_AFTER)
+        headers = RETRY_AFTER
+        if retry_after is not None:
+            headers = ((b"retry-after", b"%d" % retry_after),)
+        await exchange.answer_json(status, {"error": reason}, headers)
--- a/fireflyfork/programs/owner/_service_journal.py
+++ b/fireflyfork/programs/owner/_service_journal.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from dataclasses import replace
 from typing import TypeVar
 
 import msgspec
@@ -23,6 +24,7 @@
     encode_progress,
     encode_registrations,
 )
+from ...decisions.jobs.admission import encode_figures
 from .._scheduling_keys import (
     cancel_key,
     executors_key,
@@ -32,6 +34,7 @@
     owner_key,
     pending_key,
     progress_key,
+    work_ahead_key,
 )
 from ._service_lease import Term
 
@@ -39,7 +42,8 @@
 """Maximum number of jobs in one write.
 
 A transaction takes 32 rows. The two conditions, the journal's number, the pending counts, the known
-executors and the learned interference use six of them."""
+executors and the learned interference use six of them. Figures of the work ahead, where they are
+measured, take the place of one job."""
 MAX_JOBS_PER_REMOVAL = 10
 """Maximum number of jobs in one removal, with three keys each, within the same 32 rows."""
 WRITE_BATCH_SECONDS = 0.025
@@ -93,6 +97,8 @@
         self._stored_pending: dict[str, int] = {}
         self._pending_at = 0.0
         self._learned_at = 0.0
+        self._figures_number = 0
+        self._figures_pressed = False
 
     async def open(self) -> None:
         """Read the revision of the last write of earlier owners. Raises StoreError."""
@@ -133,7 +139,8 @@
     async def flush(self) -> bool:
         """Store one batch. Return False if the store was unavailable. Raises OwnershipLostError."""
         changes = self._scheduler.jobs.changes
-        jobs = changes.take(MAX_JOBS_PER_WRITE)
+        max_jobs = MAX_JOBS_PER_WRITE - (self._scheduler.work_figures is not None)
+        jobs = changes.take(max_jobs)
         pending = self._pending_to_store()
         executors = self._scheduler.take_changed_executors()
         try:
@@ -240,6 +247,7 @@
             # it.
             self._learned_at = trio.current_time()
             puts.append(Put(learned_key(service), encode_learned(self._scheduler.learned())))
+        puts.extend(self._figures_to_store())
         if executors is not None:
             puts.append(Put(executors_key(service), encode_registrations(executors)))
         expected = {
@@ -248,6 +256,21 @@
         }
         self._last_write = await self._store.commit(expected, tuple(puts))
 
+    def _figures_to_store(self) -> Iterator[Put]:
+        """Yield the figures of the work ahead while tasks wait for room, and once after that.
+
+        They are added to other writes. If a write fails, the next one has newer figures; without
+        any, they become too old to refuse a job by.
+        """
+        figures = self._scheduler.work_figures
+        if figures is None or figures.number == self._figures_number:
+            return
+        self._figures_number = figures.number
+        if figures.is_pressed or self._figures_pressed:
+            self._figures_pressed = figures.is_pressed
+            value = encode_figures(replace(figures, term=self._term.number))
+            yield Put(work_ahead_key(self._term.service), value)
+
     def _resolve_conflict(self, error: TransactionConflictError) -> None:
         """Resolve a conflict, caused either by an own write that got no answer or by a new owner."""
         owner = error.current_versions.get(owner_key(self._term.service))
