--- a/fireflyfork/decisions/jobs/_policy_settings.py
+++ b/fireflyfork/decisions/jobs/_policy_settings.py
@@ -23,8 +23,9 @@
     enabled: bool = False
     max_figures_age_seconds: float = 2.0
     """Age from which the owner's figures are too old to refuse a job by."""
-    margin: float = 0.25
-    """Share of the time a job has left by which its expected end must exceed it to be refused."""
+    margin: float = 0.5
+    """Share of its objective by which a job's expected end must exceed it for the job to count as
+    late, and to be compared with all that arrives and is placed before late jobs."""
     retry_after_outages: bool = False
     """Whether Retry-After follows the outages of the store that an instance has seen."""
 
--- a/fireflyfork/decisions/jobs/admission/_admission.py
+++ b/fireflyfork/decisions/jobs/admission/_admission.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from .._queues import QueueConfiguration
 from .._runs import LATE_FACTOR, allowed_ms
@@ -11,6 +11,11 @@
 from ._figures import WorkFigures, size_of, work_of
 from ._refused_jobs import RefusedJob, RefusedJobs
 
+CLEARED_MS = 500
+"""Time within which waiting work has to be done for jobs to be let in regardless: executors may then
+be free before newer figures arrive."""
+MIN_RATE_SHARE = 0.05
+"""Smallest share of the rate that late jobs are expected to get. Waves of arrivals end."""
 MIN_RETRY_SECONDS = 1
 """The smallest value of Retry-After that makes a caller wait."""
 
@@ -41,13 +46,11 @@
     def __init__(self, margin: float, max_age_ms: float) -> None:
         """Set the ``margin`` and the age from which figures are too old to refuse a job.
 
-        A queue's jobs of one size are refused once they would end later than their remaining time by
-        this share of it, and let in again once they would end within it.
+        A job counts as late if it would exceed its objective by this share of it.
         """
         self._margin = margin
         self._max_age_ms = max_age_ms
         self._refused = RefusedJobs()
-        self._refusing: set[tuple[str, int]] = set()
         self._admitted: list[tuple[int, int, float]] = []
         """Priority, size and work of the jobs let in since the figures were computed."""
         self._version = (0, 0)
@@ -62,26 +65,27 @@
     ) -> AdmissionDecision:
         """Decide about a job that arrives; ``age_ms`` is the age of the figures."""
         if figures is None or not figures.is_pressed or age_ms > self._max_age_ms:
-            self._refusing.clear()
             self._admitted.clear()
             return ADMITTED
         if spec.is_long_running or spec.repetitions or figures.has_room(spec):
             return ADMITTED
+        if figures.waiting_work <= figures.rate * CLEARED_MS:
+            return ADMITTED
         self._start_version(figures)
-        decision = self._compare(spec, queue, figures, age_ms, now_ms)
-        key = (str(queue.name), size_of(work_of(spec)))
-        if decision.admitted:
-            self._refusing.discard(key)
-        else:
-            self._refusing.add(key)
-        return decision
-
-    def record_admission(self, spec: JobSpec, queue: QueueConfiguration) -> None:
-        """Count a job that is let in, until the owner's figures contain it."""
+        return self._compare(spec, queue, figures, age_ms, now_ms)
+
+    def admit(self, spec: JobSpec, queue: QueueConfiguration) -> JobSpec:
+        """Count a job that is let in, until the owner's figures contain it.
+
+        Returns the job to store, which was accepted when it arrived for the first time. It would
+        otherwise be placed before jobs that can still be in time for their callers.
+        """
+        first_ms = self._refused.first_arrival_ms(spec.job, spec.accepted_ms)
         self._refused.forget(spec.job)
         if not (spec.is_long_running or spec.repetitions):
             work = work_of(spec)
             self._admitted.append((queue.priority, size_of(work), work))
+        return spec if first_ms == spec.accepted_ms else replace(spec, accepted_ms=first_ms)
 
     def record_refusal(
         self, spec: JobSpec, queue: QueueConfiguration, decision: AdmissionDecision, now_ms: int
@@ -94,7 +98,7 @@
             size_of(work),
             work,
             now_ms + decision.retry_seconds * 1000,
-            now_ms + decision.left_ms,
+            now_ms + decision.left_ms - spec.chain_ms(),
         )
         self._refused.record(spec.job, refused, now_ms)
 
@@ -114,19 +118,22 @@
         work, priority = work_of(spec), queue.priority
         size = size_of(work)
         first_ms = self._refused.first_arrival_ms(spec.job, spec.accepted_ms)
-        rate = max(figures.rate, 1.0)
         returning = self._refused.work_before(spec.job, first_ms, priority, size, now_ms)
         known, estimated = (figures.work_before(priority, size, age) for age in (0.0, age_ms))
         before = returning + max(known + self._admitted_before(priority, size), estimated)
-        chain_ms = spec.chain_ms()
-        wait_ms = before / rate + max(chain_ms, work / rate)
-        left_ms = first_ms + LATE_FACTOR * allowed_ms(spec, queue) - now_ms
-        refusing = (str(queue.name), size) in self._refusing
-        limit_ms = left_ms if refusing else left_ms * (1 + self._margin)
-        if wait_ms <= limit_ms:
+        objective = allowed_ms(spec, queue)
+        late_ms = first_ms + objective * (1 + self._margin)
+        rate = max(figures.rate, 1.0)
+        own_ms = max(spec.chain_ms(), work / rate)
+        wait_ms = before / rate + own_ms
+        if now_ms + wait_ms > late_ms:
+            # A late job is placed behind all that arrive after it and can still be in time.
+            arriving = figures.arriving_before(priority, size)
+            wait_ms = before / max(rate - arriving, rate * MIN_RATE_SHARE) + own_ms
+        left_ms = first_ms + LATE_FACTOR * objective - now_ms
+        if wait_ms <= left_ms:
             return AdmissionDecision(True, wait_ms, left_ms)
-        latest_return_ms = left_ms - chain_ms
-        seconds = math.ceil(min(wait_ms - left_ms, latest_return_ms) / 1000)
+        seconds = math.ceil(min(wait_ms - left_ms, left_ms - own_ms) / 1000)
         return AdmissionDecision(False, wait_ms, left_ms, max(MIN_RETRY_SECONDS, seconds))
 
     def _admitted_before(self, priority: int, size: int) -> float:
--- a/fireflyfork/decisions/jobs/admission/_figures.py
+++ b/fireflyfork/decisions/jobs/admission/_figures.py
@@ -87,6 +87,15 @@
             for row in self.rows
         )
 
+    def arriving_before(self, priority: int, size: int) -> float:
+        """Return the work per millisecond that arrives and is placed before such a job."""
+        return sum(row.arriving for row in self.rows if row.is_before(priority, size))
+
+    @property
+    def waiting_work(self) -> float:
+        """The work of jobs that can be of use, without that of running tasks."""
+        return sum(row.work - row.running for row in self.rows)
+
     def has_room(self, spec: JobSpec) -> bool:
         """Whether an executor has room for a task with which the job can begin."""
         first_steps = [step for step in spec.steps if not step.after]
--- a/fireflyfork/decisions/jobs/admission/_refused_jobs.py
+++ b/fireflyfork/decisions/jobs/admission/_refused_jobs.py
@@ -8,9 +8,11 @@
 
 MAX_JOBS = 2_000
 """Maximum number of remembered jobs, about 200 bytes each; the oldest are forgotten first."""
+MEMORY_MS = 60_000
+"""How long a job is remembered after its caller should have returned."""
 RETURN_GRACE_MS = 1_000
-"""How long room is kept for a caller after the time at which it was asked to return: the resolution
-of Retry-After."""
+"""How long before and after the time of its return room is kept for a caller: the resolution of
+Retry-After."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,8 +26,8 @@
     work: float
     returns_ms: float
     """When the caller was asked to return, in Unix milliseconds."""
-    useless_ms: float
-    """From when on the job can't be of use any more, in Unix milliseconds."""
+    latest_start_ms: float
+    """The latest time at which the job can start and still be of use, in Unix milliseconds."""
 
 
 class RefusedJobs:
@@ -45,10 +47,12 @@
         return min(refused.first_ms, otherwise) if refused is not None else otherwise
 
     def record(self, job: JobId, refused: RefusedJob, now_ms: int) -> None:
-        """Remember a refused job until it can't be of use any more."""
+        """Remember a refused job, so that it is known when it arrives again."""
         self._jobs.pop(job, None)
         self._jobs = {
-            name: known for name, known in self._jobs.items() if known.useless_ms > now_ms
+            name: known
+            for name, known in self._jobs.items()
+            if known.returns_ms + MEMORY_MS > now_ms
         }
         while len(self._jobs) >= MAX_JOBS:
             del self._jobs[next(iter(self._jobs))]
@@ -68,5 +72,6 @@
             if name != job
             and refused.first_ms < first_ms
             and (refused.priority, refused.size) <= (priority, size)
-            and now_ms <= refused.returns_ms + RETURN_GRACE_MS
+            and abs(now_ms - refused.returns_ms) <= RETURN_GRACE_MS
+            and now_ms <= refused.latest_start_ms
         )
--- a/fireflyfork/programs/admission/_submission_gate.py
+++ b/fireflyfork/programs/admission/_submission_gate.py
@@ -70,7 +70,7 @@
         """
         try:
             if self._settings.enabled and self._store.is_responsive:
-                await self._refuse_useless(spec, queue)
+                spec = await self._admit(spec, queue)
             await self._store_job(spec)
         except StoreRefusedError as error:
             if spec.job in self._uncertain:
@@ -88,17 +88,20 @@
             raise
         self._uncertain.pop(spec.job, None)
 
-    async def _refuse_useless(self, spec: JobSpec, queue: QueueConfiguration) -> None:
-        """Raise OverloadedError if the job can't be of use and the store doesn't hold it."""
+    async def _admit(self, spec: JobSpec, queue: QueueConfiguration) -> JobSpec:
+        """Return the job to store.
+
+        Raises OverloadedError if the job can't be of use and the store doesn't hold it.
+        """
         admission = self._admission(queue.service)
         figures, age_ms = self._figures.latest(queue.service)
         now_ms = self._clock.unix_ms()
         decision = admission.decide(spec, queue, figures, age_ms, now_ms)
         if decision.admitted or spec.job in self._uncertain:
-            admission.record_admission(spec, queue)
-            return
+            return admission.admit(spec, queue)
         if await self._store.read(job_key(spec.job)) is not None:
-            return
+            # Another instance has accepted it, and submitting it again changes nothing.
+            return spec
         admission.record_refusal(spec, queue, decision, now_ms)
         self._metrics.count("fireflyfork_jobs_not_admitted_total", queue=str(queue.name))
         logger.info(
