Admission: executors that don't answer count for the rate, and none known lets jobs in

Cause: with no usable executor the rate was 0 and every job would have been refused, right after a change of owner for example; found by a test whose runs were taken to be stalled. Change: the rate counts registered executors that aren't draining; figures without any let in.

--- a/fireflyfork/decisions/jobs/admission/_admission.py
+++ b/fireflyfork/decisions/jobs/admission/_admission.py
@@ -64,7 +64,7 @@
         now_ms: int,
     ) -> AdmissionDecision:
         """Decide about a job that arrives; ``age_ms`` is the age of the figures."""
-        if figures is None or not figures.is_pressed or age_ms > self._max_age_ms:
+        if figures is None or age_ms > self._max_age_ms or not _is_telling(figures):
             self._admitted.clear()
             return ADMITTED
         if spec.is_long_running or spec.repetitions or figures.has_room(spec):
@@ -123,7 +123,7 @@
         before = returning + max(known + self._admitted_before(priority, size), estimated)
         objective = allowed_ms(spec, queue)
         late_ms = first_ms + objective * (1 + self._margin)
-        rate = max(figures.rate, 1.0)
+        rate = figures.rate
         own_ms = max(spec.chain_ms(), work / rate)
         wait_ms = before / rate + own_ms
         if now_ms + wait_ms > late_ms:
@@ -142,3 +142,8 @@
             for other_priority, other_size, work in self._admitted
             if (other_priority, other_size) <= (priority, size)
         )
+
+
+def _is_telling(figures: WorkFigures) -> bool:
+    """Whether tasks wait for room and executors are known that can do their work."""
+    return figures.is_pressed and figures.rate > 0
--- a/fireflyfork/decisions/jobs/admission/_work_ahead.py
+++ b/fireflyfork/decisions/jobs/admission/_work_ahead.py
@@ -81,7 +81,7 @@
         rows = self._rows(now_ms) if self._is_pressed() else ()
         self._number += 1
         room = largest_rooms(map(_free_room, usable)) if rows else ()
-        self._figures = WorkFigures(0, self._number, now_ms, self._rate(usable), rows, room)
+        self._figures = WorkFigures(0, self._number, now_ms, self._rate(), rows, room)
 
     def _is_pressed(self) -> bool:
         return any(
@@ -106,11 +106,16 @@
         }
         self._arrived.clear()
 
-    def _rate(self, usable: list[ExecutorState]) -> float:
-        """Return the work done per millisecond if all room is used that no service takes."""
+    def _rate(self) -> float:
+        """Return the work done per millisecond if all room is used that no service takes.
+
+        Executors that don't answer at the moment count: most answer again soon, and right after a
+        change of owner none has answered yet.
+        """
         capacity = sum(
             executor.registration.room.cpu_millis - executor.long_running_cpu_millis
-            for executor in usable
+            for executor in self._state.executors.values()
+            if executor.registered and not executor.registration.draining
         )
         # The prior is one full use of the room for a tenth of the time over which is averaged.
         prior = capacity * LEARNING_SECONDS * 100
--- a/fireflyfork/decisions/jobs/admission/tests/builders_admission.py
+++ b/fireflyfork/decisions/jobs/admission/tests/builders_admission.py
@@ -99,10 +99,13 @@
 
 
 class PressedService(OwnerUnderTest):
-    """Four executors of sixteen cores, whose tasks take as long as estimated."""
+    """Four executors of sixteen cores."""
 
-    def __init__(self, admits_all: bool) -> None:
-        """Start idle; with ``admits_all`` no job is refused."""
+    def __init__(self, admits_all: bool, slowness: float = 1.0) -> None:
+        """Start idle; with ``admits_all`` no job is refused.
+
+        Tasks take ``slowness`` times as long as estimated.
+        """
         super().__init__()
         self.scheduler = Scheduler(replace(TERMS, policies=POLICIES))
         self.scheduler.configure(table(URGENT, LARGE))
@@ -115,6 +118,7 @@
         self.callers: list[Caller] = []
         self.refusals_with_room = 0
         self._admits_all = admits_all
+        self._slowness = slowness
         self._admission = Admission(MARGIN, MAX_AGE_MS)
         self._accepted: dict[JobId, Caller] = {}
         self._returns: list[tuple[int, int]] = []
@@ -183,10 +187,8 @@
             del self._running[run]
             self.end(run.executor.executor, run.task.name, run.attempt, EndReason.DONE)
         for name in self.names:
-            self.poll(
-                name,
-                *(row(run, 50) for run in self._running if run.executor is self.executor(name)),
-            )
+            runs = [run for run in self._running if run.executor is self.executor(name)]
+            self.poll(name, *(row(run, self._percent(run)) for run in runs))
         self._start()
         for job_id, caller in tuple(self._accepted.items()):
             known = self.scheduler.jobs.get(job_id)
@@ -196,4 +198,12 @@
 
     def _start(self) -> None:
         for run in self.place():
-            self._running[run] = self.now + run.task.spec.estimate_ms / 1000
+            self._running[run] = self.now + self._seconds(run)
+
+    def _seconds(self, run: Run) -> float:
+        """Return how long a run takes."""
+        return self._slowness * run.task.spec.estimate_ms / 1000
+
+    def _percent(self, run: Run) -> int:
+        """Return the progress of a run."""
+        return int(100 - 100 * (self._running[run] - self.now) / self._seconds(run))
--- a/fireflyfork/decisions/jobs/admission/tests/test_admission.py
+++ b/fireflyfork/decisions/jobs/admission/tests/test_admission.py
@@ -43,6 +43,10 @@
         self.assertTrue(_decide(None))
         self.assertTrue(_decide(BACKLOG, age_ms=MAX_AGE_MS + 1))
 
+    def test_a_service_without_executors_lets_in(self) -> None:
+        """Guards against refusing everything after a change of owner or while none answers."""
+        self.assertTrue(_decide(replace(BACKLOG, rate=0.0)))
+
     def test_room_for_a_first_task_lets_in(self) -> None:
         self.assertTrue(_decide(replace(BACKLOG, room=(RoomRow(2000, 1000, 0),))))
         self.assertFalse(_decide(replace(BACKLOG, room=(RoomRow(1999, 1000, 0),))))
