--- a/fireflyfork/programs/admission/_figures_reader.py
+++ b/fireflyfork/programs/admission/_figures_reader.py
@@ -53,6 +53,13 @@
         known_ms = (self._clock.now() - known.seen_at) * 1000
         return known.figures, max(known_ms, self._clock.unix_ms() - known.figures.as_of_ms)
 
+    def work_ahead_seconds(self) -> float:
+        """Return how long the waiting work of the busiest service would take, as last read."""
+        latest = (known.figures for known in self._known.values())
+        return max(
+            (each.waiting_work / each.rate / 1000 for each in latest if each.rate), default=0
+        )
+
     async def run(self) -> None:
         """Read until cancelled."""
         while True:
--- a/fireflyfork/programs/admission/_submission_gate.py
+++ b/fireflyfork/programs/admission/_submission_gate.py
@@ -53,6 +53,8 @@
         self._admissions: dict[ServiceName, Admission] = {}
         self._uncertain: dict[JobId, None] = {}
         """Jobs whose write got no answer here, in the order in which that happened."""
+        metrics.gauge("fireflyfork_work_ahead_seconds", self._figures.work_ahead_seconds)
+        metrics.gauge("fireflyfork_store_outage_seconds", lambda: self._outages.length(clock.now()))
 
     async def run(self) -> None:
         """Read figures and observe outages until cancelled."""
