Admission: stale reads don't show that the store answers; latest ends kept by job

Cause: a stale read that the store can still answer reset the count of failures, and jobs would have waited for a store that can't take them.

--- a/fireflyfork/decisions/jobs/admission/_work_ahead.py
+++ b/fireflyfork/decisions/jobs/admission/_work_ahead.py
@@ -42,6 +42,9 @@
         self._measured_at: float | None = None
         self._arrived: Counter[_Class] = Counter()
         self._arriving: dict[_Class, float] = {}
+        self._latest_ends: dict[JobId, tuple[float, float]] = {}
+        """By job, in Unix milliseconds: its latest end that is of use, and its latest start if nothing
+        is done yet. Computing them for a long backlog each time would take tens of milliseconds."""
         self._done = 0.0
         """Estimated work of runs that ended lately; with ``_busy``, decaying."""
         self._busy = 0.0
@@ -54,10 +57,16 @@
 
     def job_accepted(self, job: Job, now_ms: int) -> None:
         """See Policy."""
+        latest_end = job.spec.accepted_ms + LATE_FACTOR * job.allowed_ms()
+        self._latest_ends[job.spec.job] = latest_end, latest_end - job.spec.chain_ms()
         if not (job.recovered or job.spec.is_long_running or job.spec.repetitions):
             work = work_of(job.spec)
             self._arrived[_class(job, work)] += int(work)
 
+    def job_over(self, job: Job, now: float) -> None:
+        """See Policy."""
+        self._latest_ends.pop(job.spec.job, None)
+
     def run_ended(self, run: Run, reason: EndReason, now: float) -> None:
         """See Policy."""
         step = run.task.spec
@@ -134,13 +143,21 @@
             key = _class(job, total)
             busy[key] += running[name]
             # Jobs that are beyond use are placed after all others.
-            work[key] += total - progress[name] if _can_be_of_use(job, now_ms) else running[name]
+            work[key] += (
+                total - progress[name] if self._can_be_of_use(job, now_ms) else running[name]
+            )
         return tuple(
             WorkRow(*key, max(total, 0.0), busy[key], self._arriving.get(key, 0.0))
             for key, total in sorted(work.items())
             if total > 0
         )
 
+    def _can_be_of_use(self, job: Job, now_ms: int) -> bool:
+        ends = self._latest_ends.get(job.spec.job)
+        if ends is None or job.spec.repetitions or now_ms <= ends[1]:
+            return True
+        return now_ms <= ends[0] and now_ms + job.remaining_ms() <= ends[0]
+
     def _running_work(self) -> tuple[Counter[JobId], Counter[JobId]]:
         """Return, by job, the work that its running tasks still have to do, and what they did."""
         left: Counter[JobId] = Counter()
@@ -160,11 +177,6 @@
     return str(job.spec.queue), job.queue.priority, size_of(work)
 
 
-def _can_be_of_use(job: Job, now_ms: int) -> bool:
-    latest_end = job.spec.accepted_ms + LATE_FACTOR * job.allowed_ms()
-    return bool(job.spec.repetitions) or now_ms + job.remaining_ms() <= latest_end
-
-
 def _free_room(executor: ExecutorState) -> RoomRow:
     return RoomRow(
         max(0, executor.free_cpu_millis),
--- a/fireflyfork/platform/_store_client.py
+++ b/fireflyfork/platform/_store_client.py
@@ -150,18 +150,15 @@
 
     async def read(self, key: str) -> StoredItem | None:
         """See CoordinationStore."""
-        return await self._read("read", key)
+        target = f"{KEY_PATH}?key={quote(key, safe='')}"
+        return _found(await self._call(_purpose("read", key), "GET", target))
 
     async def read_stale(self, key: str) -> StoredItem | None:
         """See CoordinationStore."""
-        return await self._read("stale read", key, "&allow_stale=1")
-
-    async def _read(self, verb: str, key: str, options: str = "") -> StoredItem | None:
-        target = f"{KEY_PATH}?key={quote(key, safe='')}{options}"
-        answer = await self._call(_purpose(verb, key), "GET", target)
-        if answer.status == 404:
-            return None
-        return _stored(_decoded(answer, _Item))
+        target = f"{KEY_PATH}?key={quote(key, safe='')}&allow_stale=1"
+        # A store that can still answer with old values may be unable to answer anything else.
+        purpose = _purpose("stale read", key)
+        return _found(await self._call(purpose, "GET", target, shows_responsive=False))
 
     async def list(self, prefix: str) -> StoreListing:
         """See CoordinationStore."""
@@ -263,6 +260,7 @@
         target: str,
         body: bytes = b"",
         extra_seconds: float = 0.0,
+        shows_responsive: bool = True,
     ) -> CallAnswer:
         self._call_counts[purpose] += 1
         self._sent[purpose] += len(body)
@@ -280,7 +278,8 @@
         if answer.status in (429, 503):
             self._failures += 1
             raise StoreRefusedError(f"the store answered {answer.status}")
-        self._failures = 0
+        if shows_responsive:
+            self._failures = 0
         return answer
 
 
@@ -306,6 +305,10 @@
         raise StoreUnavailableError(f"the store's answer can't be read: {error}") from error
 
 
+def _found(answer: CallAnswer) -> StoredItem | None:
+    return None if answer.status == 404 else _stored(_decoded(answer, _Item))
+
+
 def _value(item: _Item) -> bytes:
     try:
         return b64decode(item.value, validate=True)
--- a/fireflyfork/platform/tests/test_store_client.py
+++ b/fireflyfork/platform/tests/test_store_client.py
@@ -15,6 +15,7 @@
 from ...adapters import Put, StoreChanges, StoreListing
 from ...adapters.tests.builders_http import Server, ServerStream, served_by
 from .. import PlatformStore
+from .._store_client import MAX_CONSECUTIVE_FAILURES
 
 VALUE = b"routes" * 50_000
 
@@ -171,3 +172,23 @@
         for prefix in ("fireflyfork/upkeep/3/", "fireflyfork/upkeep/4/"):
             self._after(_answering(body), partial(_listing, prefix))
         self.assertEqual(self.store.calls, {"list fireflyfork/upkeep": 2})
+
+
+class StaleReadsTest(unittest.TestCase):
+    """Reads that may return old values, at a lower price."""
+
+    def test_a_stale_read_does_not_show_that_the_store_answers(self) -> None:
+        """Guards against jobs that wait for a store which can only answer with old values."""
+
+        async def main() -> None:
+            store = PlatformStore(Address("10.0.0.1", 80))
+            async with served_by(_answering(b"later", b"503 Service Unavailable")):
+                for _ in range(MAX_CONSECUTIVE_FAILURES):
+                    with self.assertRaises(StoreRefusedError):
+                        await store.read("op/config")
+            async with served_by(_answering(b"", b"404 Not Found")):
+                self.assertIsNone(await store.read_stale("fireflyfork/ahead/desk"))
+            self.assertFalse(store.is_responsive)
+            self.assertEqual(store.calls, {"read op": 3, "stale read fireflyfork/ahead": 1})
+
+        trio.run(main, clock=MockClock(autojump_threshold=0))
