--- a/fireflyfork/decisions/jobs/_policy_settings.py
+++ b/fireflyfork/decisions/jobs/_policy_settings.py
@@ -27,7 +27,8 @@
     """Share of its objective by which a job's expected end must exceed it for the job to count as
     late, and to be compared with all that arrives and is placed before late jobs."""
     retry_after_outages: bool = False
-    """Whether Retry-After follows the outages of the store that an instance has seen."""
+    """Whether Retry-After follows the outages of the store that an instance has seen, and a write
+    without an answer is given up at once when the store has stopped answering."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/fireflyfork/programs/_scheduler_node.py
+++ b/fireflyfork/programs/_scheduler_node.py
@@ -115,10 +115,9 @@
         self._candidates: dict[ServiceName, ServiceCandidate] = {}
         self._nursery: trio.Nursery | None = None
         self._stopping = False
-        requests = JobRequests(self._store, self._job_changed)
-        self._gate = create_gate(
-            settings.policies.admission, requests.submit, self._store, clock, self._metrics
-        )
+        admission = settings.policies.admission
+        requests = JobRequests(self._store, self._job_changed, not admission.retry_after_outages)
+        self._gate = create_gate(admission, requests.submit, self._store, clock, self._metrics)
         self._job_service = JobService(
             requests,
             clock,
--- a/fireflyfork/programs/callers/_job_requests.py
+++ b/fireflyfork/programs/callers/_job_requests.py
@@ -39,9 +39,19 @@
     StoreRefusedError if nothing was done, and StoreUnavailableError if the outcome is unknown.
     """
 
-    def __init__(self, store: CoordinationStore, changed: Callable[[], None]) -> None:
-        """Set up; ``changed`` is called after each stored job or cancellation."""
+    def __init__(
+        self,
+        store: CoordinationStore,
+        changed: Callable[[], None],
+        repeats_in_outages: bool = True,
+    ) -> None:
+        """Set up; ``changed`` is called after each stored job or cancellation.
+
+        With ``repeats_in_outages`` a write without an answer is sent once more even if the store
+        has meanwhile stopped answering this instance.
+        """
         self._store = store
+        self._repeats_in_outages = repeats_in_outages
         self._changed = changed
 
     async def submit(self, spec: JobSpec) -> None:
@@ -111,5 +121,8 @@
                 raise unknown_outcome from error
             except StoreUnavailableError as error:
                 unknown_outcome = error
+                if not (self._repeats_in_outages or self._store.is_responsive):
+                    # Waiting for a second timeout would use up the time that the caller has left.
+                    break
         if unknown_outcome is not None:
             raise unknown_outcome
