--- a/fireflyfork/programs/_scheduler_node.py
+++ b/fireflyfork/programs/_scheduler_node.py
@@ -117,7 +117,14 @@
         self._stopping = False
         admission = settings.policies.admission
         requests = JobRequests(self._store, self._job_changed, not admission.retry_after_outages)
-        self._gate = create_gate(admission, requests.submit, self._store, clock, self._metrics)
+        self._gate = create_gate(
+            admission,
+            requests.submit,
+            self._store,
+            clock,
+            self._metrics,
+            lambda: self._keeper.is_current,
+        )
         self._job_service = JobService(
             requests,
             clock,
--- a/fireflyfork/programs/admission/_submission_gate.py
+++ b/fireflyfork/programs/admission/_submission_gate.py
@@ -41,8 +41,14 @@
         store: CoordinationStore,
         clock: Clock,
         metrics: Metrics,
+        others_reach_store: Callable[[], bool],
     ) -> None:
-        """Set up; ``submit`` stores a job, see ``JobRequests.submit``. ``run`` has to be started."""
+        """Set up; ``submit`` stores a job, see ``JobRequests.submit``. ``run`` has to be started.
+
+        ``others_reach_store`` returns whether this instance hears from others that reach the store;
+        it may still return True for two seconds after the store went away.
+        """
+        self._others_reach_store = others_reach_store
         self._settings = settings
         self._submit = submit
         self._store = store
@@ -62,7 +68,7 @@
             if self._settings.enabled:
                 nursery.start_soon(self._figures.run)
             while True:
-                self._outages.observe(self._store.is_responsive, self._clock.now())
+                self._observe_store()
                 await trio.sleep(OBSERVE_SECONDS)
 
     async def submit(self, spec: JobSpec, queue: QueueConfiguration) -> None:
@@ -128,12 +134,17 @@
     def _retry_seconds(self, spec: JobSpec, queue: QueueConfiguration) -> int | None:
         if not self._settings.retry_after_outages:
             return None
-        now = self._clock.now()
-        self._outages.observe(self._store.is_responsive, now)
+        now = self._observe_store()
         seconds = self._outages.retry_seconds(spec.job, allowed_ms(spec, queue) / 1000, now)
         self._metrics.observe("fireflyfork_outage_retry_after_seconds", seconds)
         return seconds
 
+    def _observe_store(self) -> float:
+        """Record whether the store is away, and return the time."""
+        now = self._clock.now()
+        self._outages.observe(self._store.is_responsive, self._others_reach_store(), now)
+        return now
+
     def _remember_uncertain(self, job: JobId) -> None:
         self._uncertain.pop(job, None)
         while len(self._uncertain) >= MAX_UNCERTAIN_JOBS:
@@ -147,8 +158,9 @@
     store: CoordinationStore,
     clock: Clock,
     metrics: Metrics,
+    others_reach_store: Callable[[], bool],
 ) -> SubmissionGate | None:
     """Return a gate, or None if the settings enable nothing of it."""
     if not (settings.enabled or settings.retry_after_outages):
         return None
-    return SubmissionGate(settings, submit, store, clock, metrics)
+    return SubmissionGate(settings, submit, store, clock, metrics, others_reach_store)
