Admission: work on cores that others leave idle is neither counted nor refused

Cause: found by reading; such work takes no room from anything, and counting it would have refused urgent jobs. Change: work is that of reserved cores. Waves as before: the builder's jobs reserve all they use.

--- a/fireflyfork/decisions/jobs/admission/_admission.py
+++ b/fireflyfork/decisions/jobs/admission/_admission.py
@@ -8,7 +8,7 @@
 from .._queues import QueueConfiguration
 from .._runs import LATE_FACTOR, allowed_ms
 from .._specs import JobSpec
-from ._figures import WorkFigures, size_of, work_of
+from ._figures import WorkFigures, is_measured, size_of, work_of
 from ._refused_jobs import RefusedJob, RefusedJobs
 
 CLEARED_MS = 500
@@ -67,7 +67,7 @@
         if figures is None or age_ms > self._max_age_ms or not _is_telling(figures):
             self._admitted.clear()
             return ADMITTED
-        if spec.is_long_running or spec.repetitions or figures.has_room(spec):
+        if not is_measured(spec) or figures.has_room(spec):
             return ADMITTED
         if figures.waiting_work <= figures.rate * CLEARED_MS:
             return ADMITTED
@@ -82,7 +82,7 @@
         """
         first_ms = self._refused.first_arrival_ms(spec.job, spec.accepted_ms)
         self._refused.forget(spec.job)
-        if not (spec.is_long_running or spec.repetitions):
+        if is_measured(spec):
             work = work_of(spec)
             self._admitted.append((queue.priority, size_of(work), work))
         return spec if first_ms == spec.accepted_ms else replace(spec, accepted_ms=first_ms)
--- a/fireflyfork/decisions/jobs/admission/_figures.py
+++ b/fireflyfork/decisions/jobs/admission/_figures.py
@@ -108,8 +108,27 @@
 
 
 def work_of(spec: JobSpec) -> float:
-    """Return the estimated work of a job, in thousandths of a core times milliseconds."""
-    return sum(float(step.count * step.estimate_ms * step.cpu_millis) for step in spec.steps)
+    """Return the estimated work of a job, in thousandths of a core times milliseconds.
+
+    Only work on reserved cores counts: what tasks do with the time that others leave idle takes no
+    room from anything.
+    """
+    return sum(
+        float(step.count * step.estimate_ms * step.reserved_cpu_millis) for step in spec.steps
+    )
+
+
+def is_measured(spec: JobSpec) -> bool:
+    """Whether figures tell when a job would end.
+
+    They don't for jobs that run until they are cancelled, start at set times, or use cores that
+    others leave idle.
+    """
+    return not (
+        spec.is_long_running
+        or spec.repetitions
+        or any(step.uses_leftover_cpu for step in spec.steps)
+    )
 
 
 def largest_rooms(rooms: Iterable[RoomRow]) -> tuple[RoomRow, ...]:
--- a/fireflyfork/decisions/jobs/admission/_work_ahead.py
+++ b/fireflyfork/decisions/jobs/admission/_work_ahead.py
@@ -11,7 +11,7 @@
 from .._reports import EndReason
 from .._runs import LATE_FACTOR, Job, Run
 from .._service_state import ServiceState
-from ._figures import RoomRow, WorkFigures, WorkRow, largest_rooms, size_of, work_of
+from ._figures import RoomRow, WorkFigures, WorkRow, is_measured, largest_rooms, size_of, work_of
 
 INTERVAL_SECONDS = 0.5
 """Interval of the figures, that of the owner's counts of waiting jobs."""
@@ -59,7 +59,7 @@
         """See Policy."""
         latest_end = job.spec.accepted_ms + LATE_FACTOR * job.allowed_ms()
         self._latest_ends[job.spec.job] = latest_end, latest_end - job.spec.chain_ms()
-        if not (job.recovered or job.spec.is_long_running or job.spec.repetitions):
+        if is_measured(job.spec) and not job.recovered:
             work = work_of(job.spec)
             self._arrived[_class(job, work)] += int(work)
 
@@ -94,7 +94,8 @@
 
     def _is_pressed(self) -> bool:
         return any(
-            task.wait_reason in _ROOM_REASONS and not task.spec.long_running
+            task.wait_reason in _ROOM_REASONS
+            and not (task.spec.long_running or task.spec.uses_leftover_cpu)
             for task in self._state.waiting
         )
 
@@ -139,7 +140,7 @@
         for job in self._state.jobs.live_jobs():
             if job.spec.is_long_running:
                 continue
-            name, total = job.spec.job, job.remaining_work()
+            name, total = job.spec.job, _remaining_work(job)
             key = _class(job, total)
             busy[key] += running[name]
             # Jobs that are beyond use are placed after all others.
@@ -166,7 +167,7 @@
             for run in executor.runs.values():
                 step = run.task.spec
                 if not step.long_running:
-                    work = step.estimate_ms * step.cpu_millis
+                    work = step.estimate_ms * step.reserved_cpu_millis
                     done = work * run.progress_percent // 100
                     left[run.task.job.spec.job] += work - done
                     progress[run.task.job.spec.job] += done
@@ -177,6 +178,15 @@
     return str(job.spec.queue), job.queue.priority, size_of(work)
 
 
+def _remaining_work(job: Job) -> float:
+    """Return the work of all unfinished tasks, see ``work_of``."""
+    steps = job.spec.steps
+    return sum(
+        count * steps[step].estimate_ms * steps[step].reserved_cpu_millis
+        for (_, step), count in job.remaining_tasks.items()
+    )
+
+
 def _free_room(executor: ExecutorState) -> RoomRow:
     return RoomRow(
         max(0, executor.free_cpu_millis),
--- a/fireflyfork/decisions/jobs/admission/tests/test_admission.py
+++ b/fireflyfork/decisions/jobs/admission/tests/test_admission.py
@@ -56,6 +56,10 @@
         self.assertTrue(_decide(BACKLOG, steps=(step(long_running=True),)))
         self.assertTrue(_decide(BACKLOG, repetitions=3))
 
+    def test_jobs_on_cores_that_others_leave_idle_are_let_in(self) -> None:
+        """Guards against refusing work that takes no room from anything."""
+        self.assertTrue(_decide(BACKLOG, steps=(step(uses_leftover_cpu=True),)))
+
     def test_less_urgent_work_does_not_count(self) -> None:
         admission = Admission(MARGIN, MAX_AGE_MS)
         self.assertTrue(admission.decide(urgent_job(1), URGENT, BACKLOG, 0, START_MS).admitted)
--- a/fireflyfork/programs/admission/tests/test_stored_figures.py
+++ b/fireflyfork/programs/admission/tests/test_stored_figures.py
@@ -8,8 +8,8 @@
 from ...._ids import LeaseId, Revision
 from ....adapters import Put
 from ....decisions.jobs.admission import WorkFigures, decode_figures
-from ....decisions.jobs.admission.tests.builders_admission import PressedService, large_job
-from ....decisions.jobs.tests.builders_jobs import SERVICE, START_MS
+from ....decisions.jobs.admission.tests.builders_admission import LARGE, PressedService, large_job
+from ....decisions.jobs.tests.builders_jobs import SERVICE, START_MS, job, step
 from ..._scheduling_keys import owner_key, work_ahead_key
 from ...owner._service_journal import ServiceJournal
 from ...owner._service_lease import Term
@@ -48,6 +48,19 @@
         self.assertTrue(figures.is_pressed)
         self.assertGreater(figures.waiting_work, 25 * 40e6)
 
+    def test_work_on_cores_that_others_leave_idle_does_not_count(self) -> None:
+        """Guards against refusals for work that takes no room from anything."""
+        service = PressedService(admits_all=True)
+        idle = step(count=500, estimate_ms=9000, uses_leftover_cpu=True)
+        service.scheduler.accept(job("f" * 16, idle, queue=LARGE.name), START_MS)
+        for number in range(20):
+            service.scheduler.accept(large_job(number), START_MS)
+        service.wait(1.0)
+        figures = service.scheduler.work_figures
+        assert figures is not None
+        self.assertTrue(figures.is_pressed)
+        self.assertLessEqual(sum(row.work for row in figures.rows), 20 * 40e6)
+
     def test_the_rate_follows_what_runs_achieve(self) -> None:
         """Guards against promises from callers' estimates: tasks take half as long again."""
         service = PressedService(admits_all=True, slowness=1.5)
