--- a/fireflyfork/decisions/jobs/admission/_outages.py
+++ b/fireflyfork/decisions/jobs/admission/_outages.py
@@ -18,6 +18,8 @@
 MAX_WAIT_SHARE = 0.25
 """Longest wait as a share of the time within which a job should be done, so that a caller who returns
 just before the end of an outage is served in time all the same."""
+MAX_TIMEOUT_SHARE = 1 / 3
+"""Longest wait as a share of the time for which callers go on trying, so that each has three tries."""
 SPREAD = 0.5
 """Callers return within this share of the expected rest of the outage after its end."""
 _ID_DIGITS = 8
@@ -61,17 +63,24 @@
         longer = [earlier for earlier in self._lengths if earlier > length]
         return median(longer) - length if longer else length
 
-    def retry_seconds(self, job: JobId, allowed_seconds: float, now: float) -> int:
+    def retry_seconds(
+        self, job: JobId, allowed_seconds: float, now: float, timeout_seconds: float = math.inf
+    ) -> int:
         """Return the value of Retry-After for a job that is refused during an outage.
 
         Callers return spread by the ids of their jobs. None waits longer than a quarter of
         ``allowed_seconds``, the time within which its job should be done, or than
-        ``SHORT_WAIT_SECONDS`` of it if that is more. While other instances reach the store, callers
-        return soon: they will reach another instance.
+        ``SHORT_WAIT_SECONDS`` of it if that is more, nor than a third of ``timeout_seconds``, after
+        which callers give up. While other instances reach the store, callers return soon: they will
+        reach another instance.
         """
         if not self._is_general:
             return MIN_RETRY_SECONDS
-        longest = min(allowed_seconds, max(SHORT_WAIT_SECONDS, MAX_WAIT_SHARE * allowed_seconds))
+        longest = min(
+            allowed_seconds,
+            max(SHORT_WAIT_SECONDS, MAX_WAIT_SHARE * allowed_seconds),
+            MAX_TIMEOUT_SHARE * timeout_seconds,
+        )
         seconds = self.expected_rest(now) * (1 + SPREAD * _fraction(job))
         return max(MIN_RETRY_SECONDS, math.floor(min(seconds, longest)))
 
--- a/fireflyfork/decisions/jobs/admission/tests/test_outages.py
+++ b/fireflyfork/decisions/jobs/admission/tests/test_outages.py
@@ -44,6 +44,12 @@
         self.assertEqual(history.retry_seconds(LATE, 6.0, 1.0), 2)
         self.assertEqual(history.retry_seconds(LATE, 20.0, 1.0), 5)
 
+    def test_callers_who_give_up_soon_return_soon(self) -> None:
+        """Guards against waits that leave a caller a single try before it gives up."""
+        history = _history(30.0)
+        self.assertEqual(history.retry_seconds(LATE, 60.0, 1.0, timeout_seconds=3.0), 1)
+        self.assertEqual(history.retry_seconds(LATE, 60.0, 1.0, timeout_seconds=12.0), 4)
+
     def test_callers_return_soon_while_others_reach_the_store(self) -> None:
         """Guards against callers who wait although their next try reaches another instance."""
         history = _history()
--- a/fireflyfork/platform/__init__.py
+++ b/fireflyfork/platform/__init__.py
@@ -7,7 +7,7 @@
 from ._configuration import decode_configuration
 from ._evacuations import evacuated_domain
 from ._executor_client import PlatformExecutors
-from ._jobs import decode_job, encode_pending, encode_state, parse_job_id
+from ._jobs import caller_timeout, decode_job, encode_pending, encode_state, parse_job_id
 from ._machines_client import PlatformMachines
 from ._names import (
     CONFIGURATION_KEY,
@@ -39,6 +39,7 @@
     "PlatformExecutors",
     "PlatformMachines",
     "PlatformStore",
+    "caller_timeout",
     "decode_configuration",
     "decode_job",
     "decode_registration",
--- a/fireflyfork/platform/_jobs.py
+++ b/fireflyfork/platform/_jobs.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import math
 import re
 
 import msgspec
 
 from .._errors import BadRequestError
 from .._ids import JobId
+from ..adapters import RequestHead
 from ..decisions.jobs import JobSpec, JobState, QueueConfiguration, StepSpec
+from ._names import CALLER_DEADLINE_HEADER
 
 _JOB_ID = re.compile(r"[0-9a-f]{16}")
 
@@ -50,6 +53,12 @@
     interval_ms: int = 0
 
 
+def caller_timeout(head: RequestHead) -> float:
+    """Return how many seconds the caller waits for an answer; infinite if it doesn't tell."""
+    text = head.header(CALLER_DEADLINE_HEADER) or ""
+    return int(text) / 1000 if text.isascii() and text.isdigit() else math.inf
+
+
 def parse_job_id(text: str) -> JobId | None:
     """Return the job id in ``text``, the last part of a path, or None if it isn't a valid one."""
     return JobId(text) if _JOB_ID.fullmatch(text) else None
--- a/fireflyfork/platform/_names.py
+++ b/fireflyfork/platform/_names.py
@@ -1,5 +1,6 @@
 """The platform's names of paths, headers, keys and environment variables."""
 
+CALLER_DEADLINE_HEADER = b"x-fireflyfork-deadline-ms"
 EXPECTED_INCARNATION_HEADER = b"x-fireflyfork-expected-instance"
 
 CONFIGURATION_KEY = "op/config"
--- a/fireflyfork/programs/admission/_submission_gate.py
+++ b/fireflyfork/programs/admission/_submission_gate.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Awaitable, Callable
 
 import trio
@@ -71,9 +72,12 @@
                 self._observe_store()
                 await trio.sleep(OBSERVE_SECONDS)
 
-    async def submit(self, spec: JobSpec, queue: QueueConfiguration) -> None:
+    async def submit(
+        self, spec: JobSpec, queue: QueueConfiguration, timeout_seconds: float = math.inf
+    ) -> None:
         """Store a job. Raises RequestError if it is refused, and StoreError as ``submit`` does.
 
+        ``timeout_seconds`` is how long the caller goes on trying.
         A job whose write got no answer here is never said to be refused: it may be stored.
         """
         try:
@@ -83,7 +87,7 @@
         except StoreRefusedError as error:
             if spec.job in self._uncertain:
                 raise StoreUnavailableError("an earlier attempt may have been stored") from error
-            retry_after = self._retry_seconds(spec, queue)
+            retry_after = self._retry_seconds(spec, queue, timeout_seconds)
             raise RequestError(503, str(error), Verdict.NOT_RUN, retry_after) from error
 
     async def _store_job(self, spec: JobSpec) -> None:
@@ -131,11 +135,14 @@
             admission = self._admissions[service] = Admission(self._settings.margin, max_age_ms)
         return admission
 
-    def _retry_seconds(self, spec: JobSpec, queue: QueueConfiguration) -> int | None:
+    def _retry_seconds(
+        self, spec: JobSpec, queue: QueueConfiguration, timeout_seconds: float
+    ) -> int | None:
         if not self._settings.retry_after_outages:
             return None
         now = self._observe_store()
-        seconds = self._outages.retry_seconds(spec.job, allowed_ms(spec, queue) / 1000, now)
+        allowed = allowed_ms(spec, queue) / 1000
+        seconds = self._outages.retry_seconds(spec.job, allowed, now, timeout_seconds)
         self._metrics.observe("fireflyfork_outage_retry_after_seconds", seconds)
         return seconds
 
--- a/fireflyfork/programs/admission/tests/test_answers.py
+++ b/fireflyfork/programs/admission/tests/test_answers.py
@@ -16,6 +16,7 @@
 from ....adapters._http_server import ServerConnection
 from ....decisions.jobs.admission.tests.builders_admission import LARGE, large_job
 from ....decisions.jobs.tests.builders_jobs import START_MS, table
+from ....platform._names import CALLER_DEADLINE_HEADER
 from ..._metrics import Metrics
 from ...callers._job_requests import JobRequests
 from ...callers._job_service import JobService
@@ -56,10 +57,11 @@
             requests, clock, metrics, lambda: table(LARGE), lambda: True, self.gate
         )
 
-    async def post(self, number: int) -> tuple[int, int | None, float]:
+    async def post(self, number: int, deadline_ms: int = 30_000) -> tuple[int, int | None, float]:
         """Post a large job. Return status, Retry-After and the seconds until the answer."""
         connection, begun = _Connection(), trio.current_time()
-        head = RequestHead("POST", f"/l/{large_job(number).job}", ((b"host", b"h"),))
+        headers = (b"host", b"h"), (CALLER_DEADLINE_HEADER, str(deadline_ms).encode("ascii"))
+        head = RequestHead("POST", f"/l/{large_job(number).job}", headers)
         await self._service.handle(Exchange(cast(ServerConnection, connection), head))
         return connection.status, connection.retry_after, trio.current_time() - begun
 
@@ -99,6 +101,8 @@
             await trio.sleep(3.5)
             status, retry_after, seconds = await instance.post(1)
             self.assertEqual((status, retry_after, seconds), (503, 2, 0.0))
+            impatient = await instance.post(1, deadline_ms=3_000)
+            self.assertEqual(impatient, (503, 1, 0.0))
 
         _play(body)
 
--- a/fireflyfork/programs/callers/_job_service.py
+++ b/fireflyfork/programs/callers/_job_service.py
@@ -17,7 +17,7 @@
 from ..._verdict import Verdict
 from ...adapters import Exchange, Header, HttpError, HttpHandler, collect
 from ...decisions.jobs import QueueConfiguration, QueueTable
-from ...platform import decode_job, encode_pending, encode_state, parse_job_id
+from ...platform import caller_timeout, decode_job, encode_pending, encode_state, parse_job_id
 from .._clocks import Clock
 from .._metrics import Metrics
 from .._stop_deadline import StopDeadline
@@ -139,7 +139,11 @@
         started_at = self._clock.now()
         spec = decode_job(body, job, queue, self._clock.unix_ms())
         gate = self._gate
-        submitted = self._requests.submit(spec) if gate is None else gate.submit(spec, queue)
+        submitted = (
+            self._requests.submit(spec)
+            if gate is None
+            else gate.submit(spec, queue, caller_timeout(exchange.head))
+        )
         await self._stop_deadline.wait(submitted, Verdict.MAY_HAVE_RUN)
         self._metrics.observe("fireflyfork_accept_seconds", self._clock.now() - started_at)
         await exchange.answer(200, b"{}", (_JSON,))
