--- a/fireflyfork/decisions/jobs/__init__.py
+++ b/fireflyfork/decisions/jobs/__init__.py
@@ -16,7 +16,16 @@
 from ._interference import LearnedFit
 from ._job_table import JobTable
 from ._load_shedding import Shed
-from ._notes import ExecutorGivenUp, JobOver, MoveReason, Note, RunEnded, RunMoved, TaskSent
+from ._notes import (
+    ExecutorGivenUp,
+    JobOver,
+    MoveReason,
+    Note,
+    RoomMade,
+    RunEnded,
+    RunMoved,
+    TaskSent,
+)
 from ._policy_settings import (
     NO_POLICIES,
     AdmissionSettings,
@@ -94,6 +103,7 @@
     "PreemptionSettings",
     "QueueConfiguration",
     "QueueTable",
+    "RoomMade",
     "Run",
     "RunCommand",
     "RunEndEvidence",
--- a/fireflyfork/decisions/jobs/_notes.py
+++ b/fireflyfork/decisions/jobs/_notes.py
@@ -73,6 +73,7 @@
     EVACUATION = "evacuation"
     SLOW = "slowed down beside a service"
     ARRANGEMENT = "arrangement"
+    PREEMPTION = "room for an urgent task"
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,4 +88,18 @@
     pace_percent: int
 
 
-Note = TaskSent | RunEnded | RunMoved | JobOver | ExecutorGivenUp
+@dataclass(frozen=True, slots=True)
+class RoomMade:
+    """Room was reserved for an urgent task that found none."""
+
+    task: TaskName
+    executor: ExecutorId
+    stopped: int
+    """Number of less urgent runs that are stopped; 0 if room comes free as soon by itself."""
+    paused: int
+    """Number of less urgent runs that are paced to nothing while the task runs."""
+    lost_core_seconds: float
+    """Work that the stopped runs have done since their last checkpoint."""
+
+
+Note = TaskSent | RunEnded | RunMoved | RoomMade | JobOver | ExecutorGivenUp
--- a/fireflyfork/decisions/jobs/_pacing.py
+++ b/fireflyfork/decisions/jobs/_pacing.py
@@ -127,7 +127,8 @@
         wanted = min(paces[run.task.spec.image], run.pace_percent + MAX_PACE_RAISE)
         if run.in_background:
             wanted = min(wanted, BACKGROUND_PACE)
-        pace = 0 if is_over_target else max(MIN_PACE, wanted // PACE_STEP * PACE_STEP)
+        is_paused = is_over_target or run.paused_until > now
+        pace = 0 if is_paused else max(MIN_PACE, wanted // PACE_STEP * PACE_STEP)
         if pace > SLOW_PACE:
             run.slow_since = None
         elif run.slow_since is None:
--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -43,6 +43,8 @@
     """CPU time that was reserved on the usable executors when the round began."""
     long_running_millis: int
     """CPU time reserved by long-running tasks, including those started in this round."""
+    started_millis: int = 0
+    """CPU time reserved by the tasks started in this round."""
     wait_reasons: dict[tuple[object, ...], WaitReason] = field(default_factory=dict)
     """By shape of task: the reason why no executor could run it."""
     candidates: dict[StepId, Candidates] = field(default_factory=dict)
@@ -231,8 +233,10 @@
         """Return why a task is not considered in this round, or None."""
         if len(placement_round.wait_reasons) >= MAX_REFUSED_SHAPES:
             return WaitReason.BEHIND
-        share = self._state.policies.room.short_task_share()
-        if _would_take_short_task_reserve(task, placement_round, share):
+        room = self._state.policies.room
+        if _would_take_short_task_reserve(task, placement_round, room.short_task_share()):
+            return WaitReason.RESERVED
+        if _would_take_urgent_reserve(task, placement_round, room.urgent_share()):
             return WaitReason.RESERVED
         return None
 
@@ -255,6 +259,7 @@
         runs = place_together(task, allowed, choice, next_attempt(task), now)
         for run in runs:
             self._send(run, now, now_ms)
+            placement_round.started_millis += task.spec.reserved_cpu_millis
             if task.spec.long_running:
                 placement_round.long_running_millis += task.spec.reserved_cpu_millis
         return bool(runs)
@@ -300,6 +305,15 @@
     return long_running_millis > placement_round.total_millis * (1 - share)
 
 
+def _would_take_urgent_reserve(task: Task, placement_round: _PlacementRound, share: float) -> bool:
+    """Whether a less urgent short task would take the share that is kept for urgent ones."""
+    millis = task.spec.reserved_cpu_millis
+    if not share or not millis or not task.job.queue.priority or task.spec.long_running:
+        return False
+    reserved_millis = placement_round.reserved_millis + placement_round.started_millis + millis
+    return reserved_millis > placement_round.total_millis * (1 - share)
+
+
 def _shape(task: Task) -> tuple[object, ...]:
     step = task.spec
     has_own_limits = step.per_executor_limit or task.job.queue.needs_tickets or step.gang
--- a/fireflyfork/decisions/jobs/_policies.py
+++ b/fireflyfork/decisions/jobs/_policies.py
@@ -56,6 +56,10 @@
         """Return the share of all processors that long-running tasks leave free."""
         return SHORT_TASK_SHARE
 
+    def urgent_share(self) -> float:
+        """Return the share of all processors that less urgent tasks leave free."""
+        return 0.0
+
     def make_room(
         self, task: Task, usable: Sequence[ExecutorState], now: float, now_ms: int
     ) -> bool:
--- a/fireflyfork/decisions/jobs/_policy_settings.py
+++ b/fireflyfork/decisions/jobs/_policy_settings.py
@@ -11,7 +11,8 @@
 
     enabled: bool = False
     max_stopped_share: float = 0.05
-    """Largest share of the running tasks that may be stopped for urgent ones within 10 s."""
+    """Largest share of the running tasks that may be stopped for urgent ones within 10 s. Two more
+    may be stopped, however few tasks run."""
     adaptive_reserve: bool = False
     """Whether the room kept for short tasks follows their demand instead of a fixed share."""
 
--- a/fireflyfork/decisions/jobs/_runs.py
+++ b/fireflyfork/decisions/jobs/_runs.py
@@ -71,6 +71,8 @@
     pace_confirmed: bool = True
     """False if the pace on the executor may differ from ``pace_percent``, because an earlier owner
     started the run or because a pace order was not answered."""
+    paused_until: float = 0.0
+    """Until when the run is paced to nothing for an urgent task, in seconds."""
     ticket: str = ""
     """The advisor's permission to run the task on the executor; empty if the queue needs none."""
     in_background: bool = False
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -28,7 +28,7 @@
 from ._report_handling import ReportHandler
 from ._reports import OrderAnswer, PollAnswer
 from ._runs import Job, Run
-from ._service_state import ServiceState
+from ._service_state import DEFAULT_STOP_SECONDS, ServiceState
 from ._specs import JobSpec
 from ._stragglers import Stragglers
 from ._tickets import Ticket
@@ -55,6 +55,8 @@
     max_lease: float
     """The longest lease that any owner of the service grants an executor."""
     policies: PolicySettings = NO_POLICIES
+    stop_timeout: float = DEFAULT_STOP_SECONDS
+    """How long a stop may take."""
 
 
 class Scheduler:
@@ -64,6 +66,7 @@
         """Initialize without jobs or executors; ``recover`` restores what an earlier owner left."""
         self._settings = settings
         self._state = ServiceState()
+        self._state.stop_seconds = settings.stop_timeout
         self._state.policies = create_policies(settings.policies, self._state)
         self._report_handler = ReportHandler(self._state, int(settings.max_lease * 1000))
         self._placement = Placement(self._state)
--- a/fireflyfork/decisions/jobs/_service_state.py
+++ b/fireflyfork/decisions/jobs/_service_state.py
@@ -30,6 +30,8 @@
 """An avoided executor is retried after 1 s, then 2 s, and so on up to this limit. Executors in
 trouble usually recover within seconds, and each retry costs at most one attempt of one task."""
 
+DEFAULT_STOP_SECONDS = 0.4
+
 
 class ServiceState:
     """The state of one service and its transitions, each of which keeps the state consistent."""
@@ -60,6 +62,8 @@
         at which every lease that the earlier owner may have granted it has expired."""
         self.held_tasks: list[Task] = []
         """Tasks that may already be running on one of the unreached executors."""
+        self.stop_seconds = DEFAULT_STOP_SECONDS
+        """How long a stop may take."""
         self.shed_level = Shed.NOTHING
         """The work that is skipped at the current load."""
         self.ownership_proved_at = float("inf")
--- a/fireflyfork/decisions/placement/_preemption.py
+++ b/fireflyfork/decisions/placement/_preemption.py
@@ -9,9 +9,10 @@
 from ..._contracts import Tolerance
 from ..._ids import TaskId, WorkerId
 from ..._machines import Resources
+from .._eviction_budget import EvictionBudget
 from .._placement_policy import CheckpointAndEvict
 from .._tasks import Task, TaskState
-from ._eviction_budget import EvictionBudget
+from .._victims import Victim, cheapest_victims
 from ._fleet import Fleet
 from ._reasons import EvictedForUrgent
 from ._relief import lost_core_seconds, lost_seconds
@@ -163,18 +164,12 @@
         """Return the fewest and cheapest tasks that make enough room, or none if impossible."""
         free = Resources(entry.free_millicores, entry.free_memory, entry.free_accelerators)
         tasks = on_worker.get(entry.worker.worker_id, {})
-        evictable = [task for task in tasks.values() if self._may_be_evicted(task)]
-        evictable.sort(key=lambda task: (self._lost_core_seconds(task, now), task.task_id))
-        victims: Victims = []
-        for task in evictable:
-            if need.fits_in(free):
-                break
-            free = free + task.reservation
-            victims.append(task)
-        if not need.fits_in(free):
-            return []
-        victims = _drop_unneeded(victims, free, need)
-        return victims if len(victims) <= _MAX_VICTIMS else []
+        evictable = (
+            Victim(task, task.reservation, (self._lost_core_seconds(task, now), task.task_id))
+            for task in tasks.values()
+            if self._may_be_evicted(task)
+        )
+        return [victim.item for victim in cheapest_victims(evictable, free, need, _MAX_VICTIMS)]
 
     def _may_be_evicted(self, task: Task) -> bool:
         return (
@@ -188,15 +183,3 @@
     def _lost_core_seconds(self, task: Task, now: float) -> float:
         attempt = self._fleet.attempt(task.task_id)
         return 0.0 if attempt is None else lost_core_seconds(attempt, now)
-
-
-def _drop_unneeded(victims: Victims, free: Resources, need: Resources) -> Victims:
-    """Drop victims that aren't needed to make enough room, the most expensive ones first."""
-    kept = []
-    for task in reversed(victims):
-        remaining = free - task.reservation
-        if need.fits_in(remaining):
-            free = remaining
-        else:
-            kept.append(task)
-    return kept
--- a/fireflyfork/decisions/placement/_relief.py
+++ b/fireflyfork/decisions/placement/_relief.py
@@ -12,10 +12,12 @@
 
 from ..._contracts import Tolerance, Weights
 from ..._ids import ServiceName, TaskId, WorkerId
+from .. import _victims
+from .._eviction_budget import EvictionBudget
 from .._placement_policy import CheckpointAndEvict, PlacementCommand, Throttle
 from .._tasks import Task, TaskState
 from ._classes import TaskClass
-from ._eviction_budget import EvictionBudget, latency_share_per_hour
+from ._eviction_budget import latency_share_per_hour
 from ._fleet import Fleet
 from ._interference import InterferenceModel
 from ._policy_settings import Relief
@@ -304,7 +306,8 @@
 
 def lost_core_seconds(attempt: AttemptEntry, now: float) -> float:
     """Return the lost seconds times the number of cores reserved."""
-    return lost_seconds(attempt, now) * attempt.task.reservation.millicores / 1000.0
+    millicores = attempt.task.reservation.millicores
+    return _victims.lost_core_seconds(lost_seconds(attempt, now), millicores)
 
 
 def remaining_minutes(attempt: AttemptEntry, now: float) -> float:
--- a/fireflyfork/programs/owner/_decision_log.py
+++ b/fireflyfork/programs/owner/_decision_log.py
@@ -12,7 +12,15 @@
 from loguru import logger
 
 from ..._job_samples import in_sample, job_of_task
-from ...decisions.jobs import ExecutorGivenUp, JobOver, Note, RunEnded, RunMoved, TaskSent
+from ...decisions.jobs import (
+    ExecutorGivenUp,
+    JobOver,
+    Note,
+    RoomMade,
+    RunEnded,
+    RunMoved,
+    TaskSent,
+)
 from .._clocks import Clock
 from .._metrics import Metrics
 from ._decision_metrics import count_decision
@@ -29,6 +37,7 @@
     TaskSent: "task sent",
     RunEnded: "run ended",
     RunMoved: "run moved",
+    RoomMade: "room made",
     JobOver: "job over",
     ExecutorGivenUp: "executor given up",
 }
@@ -67,7 +76,7 @@
 
     def _is_sampled(self, note: Note) -> bool:
         match note:
-            case TaskSent() | RunEnded() | RunMoved():
+            case TaskSent() | RunEnded() | RunMoved() | RoomMade():
                 return in_sample(job_of_task(note.task), self._sampled_share)
             case JobOver():
                 return in_sample(note.job, self._sampled_share)
--- a/fireflyfork/programs/owner/_decision_metrics.py
+++ b/fireflyfork/programs/owner/_decision_metrics.py
@@ -2,7 +2,15 @@
 
 from __future__ import annotations
 
-from ...decisions.jobs import ExecutorGivenUp, JobOver, Note, RunEnded, RunMoved, TaskSent
+from ...decisions.jobs import (
+    ExecutorGivenUp,
+    JobOver,
+    Note,
+    RoomMade,
+    RunEnded,
+    RunMoved,
+    TaskSent,
+)
 from .._metrics import Metrics
 
 
@@ -17,6 +25,10 @@
             metrics.count("fireflyfork_runs_ended_total", reason=note.reason.value)
         case RunMoved():
             metrics.count("fireflyfork_runs_moved_total", reason=note.reason.name.lower())
+        case RoomMade():
+            by = "stop" if note.stopped else "pause" if note.paused else "wait"
+            metrics.count("fireflyfork_rooms_made_total", by=by)
+            metrics.count("fireflyfork_preempted_core_milliseconds_total", _core_ms(note))
         case JobOver():
             in_time = str(note.age_ms <= note.allowed_ms).lower()
             metrics.count("fireflyfork_jobs_over_total", state=note.state.value, in_time=in_time)
@@ -24,3 +36,7 @@
         case ExecutorGivenUp():
             metrics.count("fireflyfork_executors_given_up_total")
             metrics.count("fireflyfork_runs_given_up_total", note.runs)
+
+
+def _core_ms(note: RoomMade) -> int:
+    return round(note.lost_core_seconds * 1000)
--- a/fireflyfork/programs/owner/_service_owner.py
+++ b/fireflyfork/programs/owner/_service_owner.py
@@ -102,7 +102,7 @@
         lease = min(LEASE_SECONDS, bounds.max_lease * MAX_LEASE_SHARE)
         unreached_lease = MAX_UNCONFIRMED_SECONDS + lease + CLOCK_MARGIN_SECONDS
         self._scheduler = Scheduler(
-            SchedulerSettings(self._service, unreached_lease, lease, policies)
+            SchedulerSettings(self._service, unreached_lease, lease, policies, bounds.stop_timeout)
         )
         self._journal = ServiceJournal(
             self._store, term, self._scheduler, self._note_journal_written
