--- a/fireflyfork/decisions/jobs/_notes.py
+++ b/fireflyfork/decisions/jobs/_notes.py
@@ -95,7 +95,7 @@
     task: TaskName
     executor: ExecutorId
     stopped: int
-    """Number of less urgent runs that are stopped; 0 if room comes free as soon by itself."""
+    """Number of less urgent runs that are stopped."""
     paused: int
     """Number of less urgent runs that are paced to nothing while the task runs."""
     lost_core_seconds: float
--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -125,14 +125,15 @@
                 reason = self._place_task(task, placement_round, now, now_ms)
                 if reason is not None:
                     return reason
-                task.waiting = False
             step.tasks.popleft()
         return None
 
     def _place_task(
         self, task: Task, placement_round: _PlacementRound, now: float, now_ms: int
     ) -> WaitReason | None:
-        shape = _shape(task)
+        urgent_share = self._state.policies.room.urgent_share()
+        is_kept_out = urgent_share > 0 and task.job.queue.priority > 0
+        shape = (*_shape(task), is_kept_out)
         allowed = self._executors_with_tickets(task, placement_round.usable, now)
         reason = placement_round.wait_reasons.get(shape) or self._skip_reason(task, placement_round)
         if reason is None and not self._start(task, allowed, placement_round, now, now_ms):
@@ -142,6 +143,8 @@
             reason = _why_not_placed(task, placement_round.usable)
         if reason is not None:
             placement_round.wait_reasons[shape] = reason
+        else:
+            task.waiting = False
         return reason
 
     def _place_reserved(self, task: Task, now: float, now_ms: int) -> bool:
--- a/fireflyfork/decisions/jobs/_policies.py
+++ b/fireflyfork/decisions/jobs/_policies.py
@@ -65,7 +65,8 @@
     ) -> bool:
         """Make room for a task that found none on the usable executors.
 
-        Returns whether room is reserved for it, where it starts once the room is free.
+        Returns whether the task is tried again at the next tick by itself, because room is reserved
+        for it, where it starts once the room is free, or is about to come free.
         """
         return False
 
--- a/fireflyfork/decisions/jobs/preemption/_preemption.py
+++ b/fireflyfork/decisions/jobs/preemption/_preemption.py
@@ -29,6 +29,8 @@
 """Period for which the share of stopped runs is given."""
 MIN_BURST = 2.0
 """Runs that a small fleet may stop in any case."""
+LISTING_SECONDS = 0.3
+"""How long it takes until the end of a run is listed and handled."""
 HOLD_MARGIN_SECONDS = 0.7
 """How long room is held beyond two stops: a lost stop order is repeated once, and its end is listed
 with the next poll."""
@@ -40,6 +42,14 @@
 """A pause lasts this multiple of the urgent task's estimate at most."""
 
 
+@dataclass(slots=True)
+class _Awaited:
+    """An executor on which a run is expected to end at least as soon as a stop would end one."""
+
+    since: float
+    last: float
+
+
 @dataclass(frozen=True, slots=True)
 class _Hold:
     """Room that is held for an urgent task."""
@@ -69,6 +79,9 @@
         self._holds: dict[Task, _Hold] = {}
         self._pauses: dict[Run, tuple[Run, ...]] = {}
         """By urgent run: the runs that are paused while it runs."""
+        self._awaited: dict[ExecutorState, _Awaited] = {}
+        self._claimed: set[ExecutorState] = set()
+        """The awaited executors that a task waits for in this tick."""
         self._left_alone: dict[ExecutorState, float] = {}
         """Executors on which room did not become free in time, and until when they are skipped."""
         self._short_tasks = ShortTaskDemand()
@@ -92,7 +105,11 @@
         plan = self._next_plan(task, usable, now)
         if plan is None:
             return False
-        self._carry_out(task, plan, now)
+        if plan.changes_nothing:
+            self._claimed.add(plan.executor)
+            self._awaited.setdefault(plan.executor, _Awaited(now, now)).last = now
+        else:
+            self._carry_out(task, plan, now)
         return True
 
     def job_accepted(self, job: Job, now_ms: int) -> None:
@@ -125,8 +142,10 @@
     def tick(self, now: float, now_ms: int) -> None:
         """Refill the budget, end expired holds and update the shares that are kept free."""
         self._searches.clear()
+        self._claimed.clear()
         if self._settings.enabled:
             self._end_holds(now)
+            self._end_waits(now)
         if now - self._updated_at < UPDATE_SECONDS:
             return
         self._updated_at = now
@@ -161,6 +180,15 @@
         still_paused.update(run for hold in holds for run in hold.paused)
         _pause_until(tuple(run for run in paused if run not in still_paused), 0.0)
 
+    def _end_waits(self, now: float) -> None:
+        """Stop to wait for room that did not come free when it was expected to."""
+        for executor, awaited in tuple(self._awaited.items()):
+            if now - awaited.since > self._state.stop_seconds + LISTING_SECONDS:
+                del self._awaited[executor]
+                self._left_alone[executor] = now + RETRY_EXECUTOR_SECONDS
+            elif now - awaited.last > LISTING_SECONDS:
+                del self._awaited[executor]
+
     def _next_plan(
         self, task: Task, usable: Sequence[ExecutorState], now: float
     ) -> RoomPlan | None:
@@ -172,7 +200,10 @@
             found = self._searches[task.step_id] = self._search(task, usable, now)
         while found:
             # Other tasks may have taken room on the executor since the search.
-            plan = self._planner.plan(task, found.popleft(), now)
+            executor = found.popleft()
+            if executor in self._left_alone or executor in self._claimed:
+                continue
+            plan = self._planner.plan(task, executor, now)
             if plan is not None and len(plan.victims) <= self._budget.tokens:
                 return plan
         return None
--- a/fireflyfork/decisions/jobs/preemption/_room_plans.py
+++ b/fireflyfork/decisions/jobs/preemption/_room_plans.py
@@ -33,6 +33,11 @@
     lost_core_seconds: float = 0.0
     """Work that the stops may lose."""
 
+    @property
+    def changes_nothing(self) -> bool:
+        """Whether room comes free as soon by itself."""
+        return not self.victims and not self.paused
+
     @property
     def order(self) -> tuple[bool, float, int, int]:
         """Sort key; the plan that loses least comes first."""
--- a/fireflyfork/programs/owner/_decision_metrics.py
+++ b/fireflyfork/programs/owner/_decision_metrics.py
@@ -26,7 +26,7 @@
         case RunMoved():
             metrics.count("fireflyfork_runs_moved_total", reason=note.reason.name.lower())
         case RoomMade():
-            by = "stop" if note.stopped else "pause" if note.paused else "wait"
+            by = "stop" if note.stopped else "pause"
             metrics.count("fireflyfork_rooms_made_total", by=by)
             metrics.count("fireflyfork_preempted_core_milliseconds_total", _core_ms(note))
         case JobOver():
