--- a/fireflyfork/decisions/jobs/preemption/tests/test_failed_preemption.py
+++ b/fireflyfork/decisions/jobs/preemption/tests/test_failed_preemption.py
@@ -8,7 +8,7 @@
 from ... import EndReason, JobSpec, Run
 from ..._runs import RunPhase
 from ...tests.builders_jobs import START_MS, step
-from .._preemption import RETRY_EXECUTOR_SECONDS
+from .._preemption import HOLD_MARGIN_SECONDS
 from .builders_preemption import OTHER, STOP_SECONDS, URGENT, PreemptingOwner
 
 SAVING = step(cpu_millis=16_000, estimate_ms=8_000, checkpointing=True)
@@ -76,11 +76,16 @@
         self.assertEqual(started.executor, self.owner.executor("i-1"))
 
     def test_an_executor_whose_room_stayed_taken_is_left_alone(self) -> None:
-        """Guards against stops in vain on the same executor, again and again."""
+        """Guards against an urgent task that waits for the same executor again and again."""
+        self.owner.join("i-1")
         self.owner.submit(OTHER, SAVING)
-        self._preempt()
-        self.owner.run_until_listed(RETRY_EXECUTOR_SECONDS / 2, stops_answered=False)
-        self.assertEqual(len(set(self.owner.stopped)), 1)
+        self.owner.run_until_listed(0.3)
+        _, first = self._preempt()
+        self.owner.run_until_listed(2 * STOP_SECONDS + HOLD_MARGIN_SECONDS + 0.3, False)
+        executors = [run.executor for run in dict.fromkeys(self.owner.stopped)]
+        self.assertEqual(len(executors), 2)
+        self.assertIs(executors[0], first.executor)
+        self.assertIsNot(executors[1], first.executor)
 
     def test_the_urgent_job_is_cancelled_meanwhile(self) -> None:
         """Guards against room that stays held for a task that will never start."""
--- a/fireflyfork/decisions/jobs/preemption/tests/test_preemption.py
+++ b/fireflyfork/decisions/jobs/preemption/tests/test_preemption.py
@@ -51,12 +51,21 @@
         owner.run_until_listed(STOP_SECONDS)
         self.assertEqual(owner.stopped, [saved])
 
-    def test_only_what_is_needed_is_stopped(self) -> None:
+    def test_of_two_runs_on_an_executor_the_younger_one_is_stopped(self) -> None:
         owner = PreemptingOwner("i-0")
-        self._fill(owner, HALF, HALF)
+        self._fill(owner, HALF, HALF, seconds=1.0)
         owner.submit(URGENT, HALF)
         owner.run_until_listed(STOP_SECONDS)
-        self.assertEqual(len(owner.stopped), 1)
+        self.assertEqual(owner.stopped, [owner.started[1]])
+
+    def test_what_is_too_small_to_help_goes_on(self) -> None:
+        """Guards against cheap runs that are stopped beside the one whose room is needed."""
+        owner = PreemptingOwner("i-0")
+        large = step(cpu_millis=12_000, estimate_ms=4_000)
+        self._fill(owner, large, step(cpu_millis=4_000, estimate_ms=4_000), seconds=0.5)
+        owner.submit(URGENT, large)
+        owner.run_until_listed(STOP_SECONDS)
+        self.assertEqual(owner.stopped, [owner.started[0]])
 
     def test_memory_is_freed_where_it_is_missing(self) -> None:
         """Guards against stops of work that reserves no processors for the sake of processors."""
@@ -147,6 +156,17 @@
         self.assertEqual(owner.stopped, [])
         self.assertEqual(len(owner.runs_of(urgent)), 1)
 
+    def test_a_run_that_is_about_to_end_is_not_stopped_beside_others(self) -> None:
+        """Guards against a victim whose room comes free anyway, and is counted twice."""
+        owner = PreemptingOwner("i-0")
+        owner.submit(OTHER, step(cpu_millis=8_000, estimate_ms=4_000, checkpointing=True))
+        owner.run_until_listed(2.4)
+        owner.submit(OTHER, HALF)
+        owner.run_until_listed(1.4)
+        owner.submit(URGENT, URGENT_WHOLE)
+        owner.run_until_listed(0.1)
+        self.assertEqual(owner.stopped, [owner.started[1]])
+
     def test_room_that_is_not_free_in_time_is_not_awaited_for_long(self) -> None:
         """Guards against an urgent task that waits beside a run which is always about to end."""
         owner = PreemptingOwner("i-0", "i-1")
@@ -177,7 +197,8 @@
     def test_a_task_is_not_stopped_again_soon(self) -> None:
         """Guards against a less urgent task that never ends while urgent ones arrive in waves."""
         owner = PreemptingOwner("i-0")
-        victim = owner.submit(OTHER, step(cpu_millis=16_000, estimate_ms=20_000))
+        saving = step(cpu_millis=16_000, estimate_ms=20_000, checkpointing=True)
+        victim = owner.submit(OTHER, saving)
         owner.run_until_listed(0.3)
         for _ in range(4):
             owner.submit(URGENT, step(cpu_millis=16_000, estimate_ms=1_000))
