--- a/fireflyfork/decisions/jobs/_pacing.py
+++ b/fireflyfork/decisions/jobs/_pacing.py
@@ -128,6 +128,9 @@
         if run.in_background:
             wanted = min(wanted, BACKGROUND_PACE)
         is_paused = is_over_target or run.paused_until > now
+        if 0.0 < run.paused_until <= now:
+            # Without progress during the pause, the run would be taken for stalled.
+            run.paused_until, run.progress_at = 0.0, now
         pace = 0 if is_paused else max(MIN_PACE, wanted // PACE_STEP * PACE_STEP)
         if pace > SLOW_PACE:
             run.slow_since = None
--- a/fireflyfork/decisions/jobs/preemption/_preemption.py
+++ b/fireflyfork/decisions/jobs/preemption/_preemption.py
@@ -132,12 +132,12 @@
             until = now + PAUSE_FACTOR * run.task.spec.estimate_ms / 1000
             _pause_until(hold.paused, until)
         else:
-            self._end_pause(hold.paused)
+            self._end_pause(hold.paused, now)
 
     def run_removed(self, run: Run, why: RunEndEvidence, now: float) -> None:
         """Let the runs that were paused for a run go on."""
         self._checkpoints.removed(run)
-        self._end_pause(self._pauses.pop(run, ()))
+        self._end_pause(self._pauses.pop(run, ()), now)
 
     def tick(self, now: float, now_ms: int) -> None:
         """Refill the budget, end expired holds and update the shares that are kept free."""
@@ -170,19 +170,19 @@
             if self._state.needs_run(task) and hold.until > now:
                 continue
             del self._holds[task]
-            self._end_pause(hold.paused)
+            self._end_pause(hold.paused, now)
             if hold.until <= now:
                 self._left_alone[hold.executor] = now + RETRY_EXECUTOR_SECONDS
         for executor, until in tuple(self._left_alone.items()):
             if until <= now:
                 del self._left_alone[executor]
 
-    def _end_pause(self, paused: tuple[Run, ...]) -> None:
+    def _end_pause(self, paused: tuple[Run, ...], now: float) -> None:
         """Let runs go on at the next sample, except those that are paused for another task too."""
         holds, pauses = self._holds.values(), self._pauses.values()
         still_paused = {run for runs in pauses for run in runs}
         still_paused.update(run for hold in holds for run in hold.paused)
-        _pause_until(tuple(run for run in paused if run not in still_paused), 0.0)
+        _pause_until(tuple(run for run in paused if run not in still_paused), now)
 
     def _end_waits(self, now: float) -> None:
         """Stop to wait for room that did not come free when it was expected to."""
--- a/fireflyfork/decisions/jobs/preemption/tests/builders_preemption.py
+++ b/fireflyfork/decisions/jobs/preemption/tests/builders_preemption.py
@@ -121,6 +121,8 @@
         """Return how far a run is, in percent of its estimate."""
         if run in self.stuck:
             return 97
+        if not run.pace_percent:
+            return run.progress_percent
         started = run.confirmed_at if run.confirmed_at is not None else self.now
         return min(100, round((self.now - started) * 100_000 / run.task.spec.estimate_ms))
 
