A search for room ends with eight plans and rejects an executor by its sums first

Cause: a search of 48 executors with 16 runs each took 10.6 ms on the loaded machine, four of them a tick.

--- a/fireflyfork/decisions/jobs/preemption/_losses.py
+++ b/fireflyfork/decisions/jobs/preemption/_losses.py
@@ -43,8 +43,8 @@
         return max(0.0, now - (started if seen is None else seen[1]))
 
 
-def may_be_stopped(run: Run, urgent: Task, now: float, stop_seconds: float) -> bool:
-    """Whether a run may be stopped for an urgent task; a stop takes up to ``stop_seconds``.
+def may_be_stopped(run: Run, urgent: Task, now: float) -> bool:
+    """Whether a run may be stopped for an urgent task.
 
     Members of a gang are not stopped: the others would hold resources without working. Tasks that
     last are stopped only if their step has a budget for it.
@@ -58,7 +58,7 @@
         return False
     if step.long_running:
         return step.unavailable_budget > 0 and may_become_unavailable(run)
-    return remaining_seconds(run, now) > stop_seconds
+    return True
 
 
 def remaining_seconds(run: Run, now: float) -> float:
--- a/fireflyfork/decisions/jobs/preemption/_preemption.py
+++ b/fireflyfork/decisions/jobs/preemption/_preemption.py
@@ -5,6 +5,7 @@
 from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass
+from itertools import islice
 
 from ..._eviction_budget import EvictionBudget
 from .._commands import PaceRun
@@ -23,7 +24,10 @@
 
 EXECUTORS_PER_SEARCH = 48
 """Executors examined in one search, so that its cost does not grow with the fleet."""
-MAX_SEARCHES_PER_TICK = 4
+MAX_PLANS_COMPARED = 8
+"""A search ends with this many plans. Each is for one task of the step, so a step whose tasks all
+wait has as many of them placed in one tick."""
+MAX_SEARCHES_PER_TICK = 2
 """Steps for which room is searched in one tick; the others have their turn in the next one."""
 BUDGET_SECONDS = 10.0
 """Period for which the share of stopped runs is given."""
@@ -215,13 +219,14 @@
     def _search(
         self, task: Task, usable: Sequence[ExecutorState], now: float
     ) -> deque[ExecutorState]:
-        plans = [
+        plans = (
             plan
             for executor in self._rotation.next_items(usable)
             if executor not in self._left_alone
             and (plan := self._planner.plan(task, executor, now)) is not None
-        ]
-        return deque(plan.executor for plan in sorted(plans, key=lambda plan: plan.order))
+        )
+        compared = sorted(islice(plans, MAX_PLANS_COMPARED), key=lambda plan: plan.order)
+        return deque(plan.executor for plan in compared)
 
     def _carry_out(self, task: Task, plan: RoomPlan, now: float) -> None:
         until = now + 2 * self._state.stop_seconds + HOLD_MARGIN_SECONDS
--- a/fireflyfork/decisions/jobs/preemption/_room_plans.py
+++ b/fireflyfork/decisions/jobs/preemption/_room_plans.py
@@ -59,17 +59,18 @@
         """Return how to make room for a task on an executor, or None if that is not possible."""
         if executor.consecutive_failures or executor.executor in task.failed_on:
             return None
-        need = reservation(task)
         room = executor.registration.room
+        need = reservation(task)
         fits_empty = need.fits_in(Resources(room.cpu_millis, room.memory_mb))
         if not fits_empty or not is_allowed(task, executor):
             return None
-        free = self._free_soon(executor, now)
+        free, less_urgent = self._free_soon(task, executor, now)
         victims: list[Victim[Run]] = []
         if not need.fits_in(free):
-            victims = cheapest_victims(
-                self._candidates(task, executor, now), free, need, MAX_VICTIMS
-            )
+            if not need.fits_in(_total(free, less_urgent)):
+                return None
+            candidates = self._candidates(task, less_urgent, now)
+            victims = cheapest_victims(candidates, free, need, MAX_VICTIMS)
             if not victims or not self._is_worth(task, victims, now):
                 return None
         stopped = tuple(victim.item for victim in victims)
@@ -79,21 +80,31 @@
         lost = sum(lost_work(run, self._checkpoints, now) for run in stopped)
         return RoomPlan(executor, stopped, paused, lost)
 
-    def _free_soon(self, executor: ExecutorState, now: float) -> Resources:
-        """Return what is free, or comes free without a stop before a stop would free it."""
-        free = Resources(executor.free_cpu_millis, executor.free_memory_mb)
+    def _free_soon(
+        self, task: Task, executor: ExecutorState, now: float
+    ) -> tuple[Resources, list[Run]]:
+        """Return what is free, or comes free before a stop would free it, and what may be stopped.
+
+        The latter are the less urgent runs that don't end as soon by themselves.
+        """
+        cpu, memory = executor.free_cpu_millis, executor.free_memory_mb
+        priority = task.job.queue.priority
+        less_urgent: list[Run] = []
         for run in executor.runs.values():
             is_ending = run.phase is RunPhase.STOPPING or (
                 run.phase is RunPhase.RUNNING and remaining_seconds(run, now) <= self._stop_seconds
             )
             if is_ending:
-                free = free + reservation(run.task)
-        return free
+                cpu += run.task.spec.reserved_cpu_millis
+                memory += run.task.spec.memory_mb
+            elif run.task.job.queue.priority > priority:
+                less_urgent.append(run)
+        return Resources(cpu, memory), less_urgent
 
-    def _candidates(self, task: Task, executor: ExecutorState, now: float) -> Iterator[Victim[Run]]:
+    def _candidates(self, task: Task, less_urgent: list[Run], now: float) -> Iterator[Victim[Run]]:
         budgeted_steps = set()
-        for run in executor.runs.values():
-            if not may_be_stopped(run, task, now, self._stop_seconds):
+        for run in less_urgent:
+            if not may_be_stopped(run, task, now):
                 continue
             if run.task.spec.long_running:
                 # The budget of a step is known only for one stop at a time.
@@ -155,6 +166,14 @@
     return Resources(task.spec.reserved_cpu_millis, task.spec.memory_mb)
 
 
+def _total(free: Resources, runs: list[Run]) -> Resources:
+    """Return what would be free without the given runs."""
+    return Resources(
+        free.millicores + sum(run.task.spec.reserved_cpu_millis for run in runs),
+        free.memory + sum(run.task.spec.memory_mb for run in runs),
+    )
+
+
 def _may_be_paused(run: Run, urgent: Task, stopped: tuple[Run, ...]) -> bool:
     return (
         run.task.spec.uses_leftover_cpu
--- a/fireflyfork/decisions/jobs/preemption/tests/test_waves_at_size.py
+++ b/fireflyfork/decisions/jobs/preemption/tests/test_waves_at_size.py
@@ -1,9 +1,12 @@
 """Urgent waves into a fleet of 176 executors that is full of less urgent work."""
 
 import unittest
+from unittest.mock import patch
 
 from ... import PreemptionSettings, RoomMade, Run, StepSpec
 from ...tests.builders_jobs import step
+from .._preemption import EXECUTORS_PER_SEARCH, MAX_SEARCHES_PER_TICK
+from .._room_plans import RoomPlanner
 from .builders_preemption import OTHER, STOP_SECONDS, URGENT, PreemptingOwner
 
 EXECUTORS = 176
@@ -46,6 +49,19 @@
         self.assertLessEqual(len(set(owner.stopped)), 32)
         self.assertTrue(all(_saves(run) for run in owner.stopped))
 
+    def test_a_search_costs_no_more_in_a_larger_fleet(self) -> None:
+        """Guards against an owner whose rounds take long while a whole wave finds no room."""
+        owner = PreemptingOwner(*(f"i-{number}" for number in range(6 * EXECUTORS)))
+        for _ in range(6 * EXECUTORS):
+            owner.submit(URGENT, step(cpu_millis=16_000, estimate_ms=30_000))
+        owner.run_until_listed(0.2)
+        for _ in range(20):
+            owner.submit(URGENT, step(count=4, cpu_millis=4_000))
+        with patch.object(RoomPlanner, "plan", return_value=None) as plan:
+            owner.run_until_listed(0.1)
+        self.assertGreater(plan.call_count, 0)
+        self.assertLessEqual(plan.call_count, EXECUTORS_PER_SEARCH * MAX_SEARCHES_PER_TICK)
+
     def test_without_the_policy_they_wait(self) -> None:
         _, waits, _ = self._play(PreemptionSettings())
         self.assertEqual(waits, [])
