--- a/fireflyfork/decisions/jobs/preemption/_preemption.py
+++ b/fireflyfork/decisions/jobs/preemption/_preemption.py
@@ -183,6 +183,8 @@
 
     def _end_pause(self, paused: tuple[Run, ...], now: float) -> None:
         """Let runs go on at the next sample, except those that are paused for another task too."""
+        if not paused:
+            return
         holds, pauses = self._holds.values(), self._pauses.values()
         still_paused = {run for runs in pauses for run in runs}
         still_paused.update(run for hold in holds for run in hold.paused)
