--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -138,6 +138,7 @@
         reason = placement_round.wait_reasons.get(shape) or self._skip_reason(task, placement_round)
         if reason is None and not self._start(task, allowed, placement_round, now, now_ms):
             if self._state.policies.room.make_room(task, allowed, now, now_ms):
+                task.wait_reason = _why_not_placed(task, placement_round.usable)
                 self._state.waiting.defer(task)
                 return None
             reason = _why_not_placed(task, placement_round.usable)
--- a/fireflyfork/decisions/jobs/preemption/tests/test_preemption.py
+++ b/fireflyfork/decisions/jobs/preemption/tests/test_preemption.py
@@ -2,7 +2,8 @@
 
 import unittest
 
-from ... import MoveReason, PreemptionSettings, RoomMade, RunMoved
+from ....._waits import WaitReason
+from ... import MoveReason, PreemptionSettings, RoomMade, RunMoved, TaskSent
 from ...tests.builders_jobs import START_MS, step
 from .._losses import MIN_SECONDS_BETWEEN_STOPS
 from .builders_preemption import OTHER, STOP_SECONDS, URGENT, PreemptingOwner
@@ -31,6 +32,8 @@
         notes = owner.scheduler.take_notes()
         moved = [note.reason for note in notes if isinstance(note, RunMoved)]
         self.assertEqual(moved, [MoveReason.PREEMPTION])
+        sent = [note.waited_for for note in notes if isinstance(note, TaskSent)]
+        self.assertEqual(sent, [WaitReason.NOTHING, WaitReason.PROCESSORS])
         self.assertEqual([note.stopped for note in notes if isinstance(note, RoomMade)], [1])
 
     def test_the_run_is_stopped_that_loses_least(self) -> None:
