--- a/fireflyfork/programs/tests/test_prefix_watch.py
+++ b/fireflyfork/programs/tests/test_prefix_watch.py
@@ -1,4 +1,7 @@
-"""Following the keys under a prefix of the store."""
+"""Following the keys under a prefix of the store.
+
+Loads: the heartbeats of 24 to 3,000 executors, and a store that returns 500 changes at a time.
+"""
 
 import unittest
 from random import Random
@@ -9,6 +12,7 @@
 from fireflyfork_standins.scheduling import StandInStore
 
 from ..._ids import NodeName
+from ...adapters import StoreChange
 from .._prefix_watch import PrefixWatch
 
 
@@ -51,6 +55,41 @@
     return trio.run(main, clock=MockClock(autojump_threshold=0))
 
 
+FLEET_SECONDS = 12
+
+
+async def _follow_fleet() -> tuple[float, int]:
+    """Return the longest delay of a report in seconds and the number of store calls.
+
+    3,000 executors write a heartbeat every 1.5 s.
+    """
+    store, latest = StandInStore(Random(1)), 0.0
+
+    def changed(change: StoreChange) -> None:
+        nonlocal latest
+        if change.item is not None:
+            latest = max(latest, trio.current_time() - float(change.item.value))
+
+    watch = PrefixWatch(
+        store.client(NodeName("n-0")),
+        "servers/",
+        2.0,
+        lambda _: None,
+        changed,
+        gather_seconds=0.4,
+    )
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(store.run)
+        nursery.start_soon(watch.run)
+        for number in range(FLEET_SECONDS * 20):
+            for executor in range(100):
+                name = (number % 30) * 100 + executor
+                store.put(f"servers/i-{name}", str(trio.current_time()).encode("ascii"))
+            await trio.sleep(0.05)
+        nursery.cancel_scope.cancel()
+    return latest, store.calls
+
+
 class PrefixWatchTest(unittest.TestCase):
     """Number of requests, and the delay and completeness of the changes reported."""
 
@@ -94,3 +133,52 @@
 
         reported = trio.run(main, clock=MockClock(autojump_threshold=0))
         self.assertEqual(reported, {f"jobs/{number}" for number in range(20)})
+
+    def test_more_changes_than_one_answer_holds_are_reported_in_time(self) -> None:
+        """Guards against a watch that falls behind the heartbeats of thousands of executors.
+
+        The store returns 500 changes at a time. With a pause after each answer, an owner of 3,000
+        executors learned more than four seconds late that one of them was leaving.
+        """
+        latest, calls = trio.run(_follow_fleet, clock=MockClock(autojump_threshold=0))
+        self.assertLess(latest, 0.7)
+        self.assertLess(calls, 10 * FLEET_SECONDS)
+
+    def test_changes_are_confirmed_only_once_they_are_reported(self) -> None:
+        """Guards against an answer with a part of the changes that counts as a complete one.
+
+        An owner whose successor's key is among the missing changes would consider its ownership
+        confirmed.
+        """
+
+        async def main() -> list[str]:
+            store, reported = StandInStore(Random(1)), set[str]()
+            written_at = 0.5
+            missing: list[str] = []
+
+            def confirmed(known_at: float) -> None:
+                if known_at > written_at:
+                    missing.extend(keys - reported)
+
+            watch = PrefixWatch(
+                store.client(NodeName("n-0")),
+                "jobs/",
+                2.0,
+                lambda _: None,
+                lambda change: reported.add(change.key),
+                on_confirmed=confirmed,
+            )
+            keys = {f"jobs/{number}" for number in range(2_300)}
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(store.run)
+                nursery.start_soon(watch.run)
+                await trio.sleep(written_at)
+                for key in sorted(keys):
+                    store.put(key, b"")
+                await trio.sleep(5.0)
+                nursery.cancel_scope.cancel()
+            self.assertEqual(reported, keys)
+            self.assertGreater(watch.known_at, written_at)
+            return missing
+
+        self.assertEqual(trio.run(main, clock=MockClock(autojump_threshold=0)), [])
--- a/fireflyfork_standins/scheduling/_store.py
+++ b/fireflyfork_standins/scheduling/_store.py
@@ -32,6 +32,8 @@
 LATE_DELAY_SECONDS = (0.5, 4.0)
 """Range of the delay with which a change takes effect that was lost and applied late."""
 PAGE_ITEMS = 100
+MAX_CHANGES = 500
+"""Number of changes in one answer to a watch; the rest follows in the next answers."""
 LINK_MBPS = 1000.0
 """Default bandwidth between an instance and the store, in Mbit/s."""
 
@@ -284,6 +286,9 @@
                 await self._store.wait_changed()
         self._fail_if_unreachable()
         changes, as_of = self._store.changes_after(prefix, after), self._store.revision
+        if len(changes) > MAX_CHANGES:
+            as_of = changes[MAX_CHANGES - 1].revision
+            changes = tuple(change for change in changes if change.revision <= as_of)
         await self._transfer(len(change.item.value) for change in changes if change.item)
         return StoreChanges(changes, as_of)
 
