An owner keeps up with thousands of registrations, and starts nothing while it doesn't

The owner learned of an executor's draining seconds late and started tasks there.

An answer that may lack changes says so; the next request follows at once. It no longer confirms anything either: not the time up to which changes are known, nor the ownership, which a successor's key among the missing changes would have disproved.

Beyond that, an owner whose registrations are older than the notice of a shutdown less the validity of a start shortens the validity, then starts nothing, and logs and counts it. It doesn't while the store fails to answer: an outage of the store stops no service.

--- a/fireflyfork/adapters/_coordination.py
+++ b/fireflyfork/adapters/_coordination.py
@@ -38,6 +38,8 @@
     changes: tuple[StoreChange, ...]
     as_of: Revision
     """The revision after which the next call continues."""
+    may_be_partial: bool = False
+    """Whether the store may have had more changes when it answered, which it left for the next call."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/fireflyfork/decisions/jobs/__init__.py
+++ b/fireflyfork/decisions/jobs/__init__.py
@@ -28,6 +28,7 @@
 )
 from ._progress import JobState, StoredProgress, StoredTask
 from ._queues import QueueConfiguration, QueueTable, queue_table
+from ._registration_age import RegistrationAge
 from ._reports import (
     CallOutcome,
     EndedRow,
@@ -94,6 +95,7 @@
     "PreemptionSettings",
     "QueueConfiguration",
     "QueueTable",
+    "RegistrationAge",
     "Run",
     "RunCommand",
     "RunEndEvidence",
--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -12,15 +12,13 @@
 from ._gangs import gang_members, next_attempt, place_together
 from ._notes import TaskSent
 from ._placement_costs import choose, is_allowed, max_accepted_cost
+from ._registration_age import START_VALID_MS
 from ._runs import Run, RunPhase, Task
 from ._service_state import ServiceState
 from ._stragglers import other_executors
 from ._tickets import StepId
 from ._waiting_tasks import WaitingStep
 
-START_VALID_MS = 1_000
-"""Milliseconds for which a start is valid; carried out later, it is void. Answers take 1 to 45 ms.
-A start that arrives seconds late could run at the same time as its replacement."""
 MAX_COMPARED = 512
 """Executors compared at first for a task that stays where it is placed, or that uses leftover CPU.
 In a fleet of thousands the best of these is about as good as the best of all."""
@@ -93,8 +91,8 @@
         self._place_copies(placement_round, now, now_ms)
         return self._cost_caches.computed >= max_computed
 
-    def prepare_start(self, run: Run, now: float) -> bool:
-        """Prepare a start for sending when its turn has come.
+    def prepare_start(self, run: Run, now: float, valid_ms: int = START_VALID_MS) -> bool:
+        """Prepare a start for sending when its turn has come, to be valid for ``valid_ms``.
 
         Returns False if it must not be sent any more. The validity of the order begins only now: if
         many starts wait for a slow event loop, it would otherwise expire before they are sent.
@@ -105,7 +103,7 @@
         if not wanted or not executor.is_usable(now):
             return False
         run.ordered_at = now
-        _set_deadline(run, now)
+        _set_deadline(run, now, valid_ms)
         return True
 
     def _place_step(
@@ -284,9 +282,9 @@
         self._state.tell(lambda policy: policy.run_started(run, now))
 
 
-def _set_deadline(run: Run, now: float) -> None:
+def _set_deadline(run: Run, now: float, valid_ms: int = START_VALID_MS) -> None:
     """Set the deadline of a start; it also acts as a lease for everything on the executor."""
-    run.start_deadline_ms = run.executor.min_clock_ms(now) + START_VALID_MS
+    run.start_deadline_ms = run.executor.min_clock_ms(now) + valid_ms
     run.executor.grant_lease(run.start_deadline_ms)
 
 
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -9,6 +9,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass
+from math import inf
 
 from ..._ids import ExecutorId, FailureDomainName, JobId, MachineId, ServiceName
 from ._arrangement import Arrangement
@@ -25,6 +26,7 @@
 from ._policy_settings import NO_POLICIES, PolicySettings
 from ._progress import JobState, StoredProgress
 from ._queues import QueueTable
+from ._registration_age import RegistrationAge, start_validity_ms
 from ._report_handling import ReportHandler
 from ._reports import OrderAnswer, PollAnswer
 from ._runs import Job, Run
@@ -55,6 +57,8 @@
     max_lease: float
     """The longest lease that any owner of the service grants an executor."""
     policies: PolicySettings = NO_POLICIES
+    drain_notice: float = inf
+    """How long a leaving executor still takes starts after the change of its registration."""
 
 
 class Scheduler:
@@ -73,6 +77,7 @@
         self._arrangement = Arrangement(self._state)
         self._upkeep = Upkeep(self._state, settings.service)
         self._evacuations = Evacuations(self._state)
+        self._registration_age = RegistrationAge()
 
     @property
     def jobs(self) -> JobTable:
@@ -341,6 +346,10 @@
             or self._state.needs_ownership_proof(now)
         )
 
+    def update_registration_age(self, age: RegistrationAge) -> None:
+        """Set how old the registrations are that this scheduler knows."""
+        self._registration_age = age
+
     def place(self, now: float, now_ms: int) -> bool:
         """Send waiting tasks to executors that can run them; the others wait for the next tick.
 
@@ -353,14 +362,22 @@
 
         Returns False if it must not be sent any more.
         """
-        return self._may_start(now) and self._placement.prepare_start(run, now)
+        if not self._may_start(now):
+            return False
+        return self._placement.prepare_start(run, now, self.start_validity_ms(now))
+
+    def start_validity_ms(self, now: float) -> int:
+        """Return for how many milliseconds a start is valid now; 0 if none must be sent."""
+        return start_validity_ms(self._registration_age, self._settings.drain_notice, now)
 
     def _may_start(self, now: float) -> bool:
         """Whether this owner may start tasks.
 
         A successor waits a fixed time for executors that it can't reach. Everything that this owner
         has started there must be over by then, or the successor would start the same tasks a second
-        time.
+        time. Nor may it while it doesn't know which executors are leaving.
         """
+        if not self.start_validity_ms(now):
+            return False
         longest_wait = self._settings.unreached_lease - LAST_START_MARGIN_SECONDS
         return now - self._state.ownership_proved_at <= longest_wait
--- a/fireflyfork/decisions/jobs/tests/builders_jobs.py
+++ b/fireflyfork/decisions/jobs/tests/builders_jobs.py
@@ -43,7 +43,7 @@
 SERVICE = ServiceName("desk")
 LEASE_MS = 5_000
 """The longest lease that any owner grants, in milliseconds."""
-TERMS = SchedulerSettings(SERVICE, unreached_lease=8.0, max_lease=LEASE_MS / 1000)
+TERMS = SchedulerSettings(SERVICE, unreached_lease=8.0, max_lease=LEASE_MS / 1000, drain_notice=2.5)
 START = 1000.0
 """Time on the owner's clock at the start of a test, in seconds."""
 START_MS = 1_700_000_000_000
--- a/fireflyfork/platform/_settings.py
+++ b/fireflyfork/platform/_settings.py
@@ -4,6 +4,7 @@
 
 import os
 from dataclasses import dataclass
+from math import inf
 from pathlib import Path
 
 from .._errors import SettingsError
@@ -27,6 +28,8 @@
     """The time for which a job's state must remain readable after its end."""
     configuration_delay: float
     """The time within which a configuration change must be in force after it was acknowledged."""
+    drain_notice: float = inf
+    """The time for which an executor that announces its shutdown still takes starts."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,6 +116,7 @@
             termination_grace=_number(fields, "bounds.grace_s"),
             status_retention=_number(fields, "bounds.status_s"),
             configuration_delay=_number(fields, "bounds.config_apply_ms") / 1000,
+            drain_notice=_number(fields, "bounds.drain_ms") / 1000,
         ),
     )
 
--- a/fireflyfork/platform/_store_client.py
+++ b/fireflyfork/platform/_store_client.py
@@ -57,6 +57,10 @@
 """The number of attempts for each page of a listing before the whole listing fails. A slow link takes seconds for a
 few pages, and a listing that starts over would take as long as the one that failed."""
 
+FULL_ANSWER_CHANGES = 450
+FULL_ANSWER_BYTES = 900_000
+"""The size from which an answer to a watch may lack changes. The store returns about 500 items or 1 MB at a time."""
+
 MAX_CONSECUTIVE_FAILURES = 3
 """The number of consecutive failures after which the store is considered unresponsive. A single lost answer isn't
 significant. After three in a row, callers are better served by another instance immediately than by this one after
@@ -194,7 +198,8 @@
                 f"the store no longer has the changes of {prefix} after {after}"
             )
         watch = _decoded(answer, _Watch)
-        return StoreChanges(tuple(map(_change, watch.events)), Revision(watch.as_of))
+        is_full = len(watch.events) >= FULL_ANSWER_CHANGES or len(answer.body) >= FULL_ANSWER_BYTES
+        return StoreChanges(tuple(map(_change, watch.events)), Revision(watch.as_of), is_full)
 
     async def commit(
         self,
--- a/fireflyfork/platform/tests/test_formats.py
+++ b/fireflyfork/platform/tests/test_formats.py
@@ -39,6 +39,7 @@
 bounds.grace_s=6
 bounds.status_s=120
 bounds.config_apply_ms=2500
+bounds.drain_ms=2500
 platform.address=10.200.1.7:8169
 something.new=1
 """
--- a/fireflyfork/programs/_prefix_watch.py
+++ b/fireflyfork/programs/_prefix_watch.py
@@ -15,6 +15,9 @@
 RETRY_SECONDS = 0.1
 """Delay after a failed call. The next answer includes the changes that were missed."""
 
+CATCH_UP_SECONDS = 0.05
+"""Wait of a request that finds out whether more changes are left."""
+
 
 class PrefixWatch:
     """Follows the keys under one prefix."""
@@ -35,16 +38,19 @@
         """Set up a watch that reports to callbacks; ``run`` starts it.
 
         ``on_listing`` gets all keys at the start and whenever the store has lost its history.
-        ``on_change`` gets each later change, in order. ``on_answer`` is called for every answer.
+        ``on_change`` gets each later change, in order. ``on_answer`` is called for every
+        answer that lacks no changes.
 
         A request waits for changes for up to ``wait_seconds``. A failed connection is noticed after
         this wait and a call's timeout. After an answer with changes, the next request is delayed by
         ``gather_seconds`` so that one answer carries many changes: the store's operators pay for
         each call. After changes and failures the next request waits for ``confirm_seconds`` only,
-        if given (see ``known_at``).
+        if given (see ``known_at``). An answer that may lack changes is followed by the next request at
+        once, since more changes may arrive in the meantime than one answer holds.
 
-        Once an answer has been processed, ``on_confirmed`` is called with the time, by ``now``, at
-        which its request was sent. All changes before that time have been reported.
+        Once an answer without missing changes has been processed, ``on_confirmed`` is called with the
+        time, by ``now``, at which its request was sent. All changes before that time have been
+        reported.
         """
         self._store = store
         self._prefix = prefix
@@ -59,6 +65,16 @@
         self._known_at = -inf
         self._asked_at = -inf
         self._as_of = Revision(0)
+        self._is_behind = False
+
+    @property
+    def is_behind(self) -> bool:
+        """Whether the store answers and may have changes from before ``known_at`` or later that were
+        not received yet.
+
+        False while the store doesn't answer.
+        """
+        return self._is_behind
 
     @property
     def as_of(self) -> Revision:
@@ -81,13 +97,20 @@
         return self._asked_at
 
     async def run(
-        self, after: Revision | None = None, until: Callable[[], bool] = lambda: False
+        self,
+        after: Revision | None = None,
+        until: Callable[[], bool] = lambda: False,
+        listed_at: float | None = None,
     ) -> None:
         """Follow the prefix until cancelled, starting at revision ``after`` or with a new listing.
 
         Also returns once ``until`` returns True; it is checked after each answer and each failed
-        call.
+        call. ``listed_at`` is the time, by ``now``, at which the listing was requested that revision
+        ``after`` is from. The watch is then considered to be behind until the first answer.
         """
+        if listed_at is not None:
+            self._known_at = listed_at
+            self._is_behind = True
         while not until():
             if after is None:
                 await self._list(until)
@@ -105,6 +128,7 @@
                 logger.debug("prefix not listed", prefix=self._prefix, error=str(error))
                 await trio.sleep(RETRY_SECONDS)
                 continue
+            self._is_behind = False
             self._on_answer()
             self._on_listing(listing)
             self._as_of = listing.as_of
@@ -114,7 +138,7 @@
 
     async def _follow(self, until: Callable[[], bool]) -> None:
         """Process changes until the store has lost its history or ``until`` returns True."""
-        wait = self._confirm_seconds
+        wait = CATCH_UP_SECONDS if self._is_behind else self._confirm_seconds
         while not until():
             sent_at = self._asked_at = self._now()
             try:
@@ -124,13 +148,19 @@
                 return
             except StoreError as error:
                 logger.debug("prefix not followed", prefix=self._prefix, error=str(error))
+                self._is_behind = False
                 wait = self._confirm_seconds
                 await trio.sleep(RETRY_SECONDS)
                 continue
-            self._on_answer()
+            if not answer.may_be_partial:
+                self._on_answer()
             for change in answer.changes:
                 self._on_change(change)
             self._as_of = max(self._as_of, answer.as_of)
+            self._is_behind = answer.may_be_partial
+            if answer.may_be_partial:
+                wait = CATCH_UP_SECONDS
+                continue
             unchanged = not answer.changes
             self._known_at = min(sent_at + wait, self._now()) if unchanged else sent_at
             self._on_confirmed(sent_at)
--- a/fireflyfork/programs/owner/_registration_intake.py
+++ b/fireflyfork/programs/owner/_registration_intake.py
@@ -4,11 +4,14 @@
 
 from collections.abc import Callable, Iterable
 
-from ..._ids import ExecutorId, ServiceName
+from loguru import logger
+
+from ..._ids import ExecutorId, Revision, ServiceName
 from ...adapters import CoordinationStore, StoreChange, StoredItem, StoreListing
-from ...decisions.jobs import ExecutorRegistration, ExecutorState, Scheduler
+from ...decisions.jobs import ExecutorRegistration, ExecutorState, RegistrationAge, Scheduler
 from ...platform import REGISTRATION_PREFIX, decode_registration, registered_executor
 from .._clocks import Clock
+from .._metrics import Metrics
 from .._prefix_watch import PrefixWatch
 
 WATCH_SECONDS = 2.0
@@ -30,6 +33,7 @@
         clock: Clock,
         wake_executor: Callable[[ExecutorState], None],
         request_dispatch: Callable[[], None],
+        metrics: Metrics,
     ) -> None:
         """Set up the intake; no call is made.
 
@@ -42,16 +46,39 @@
         self._clock = clock
         self._wake_executor = wake_executor
         self._request_dispatch = request_dispatch
-
-    def watch(self) -> PrefixWatch:
-        """Return a watch that passes changes of registrations to the scheduler while it runs."""
-        return PrefixWatch(
-            self._store,
+        self._metrics = metrics
+        self._starts_held = False
+        self._watch = PrefixWatch(
+            store,
             REGISTRATION_PREFIX,
             WATCH_SECONDS,
             self._take_listing,
             self._take_change,
             gather_seconds=GATHER_SECONDS,
+            now=clock.now,
+        )
+
+    async def follow(self, listed_at: float, after: Revision) -> None:
+        """Pass changes after a listing, which was requested at ``listed_at``, to the scheduler."""
+        await self._watch.run(after, listed_at=listed_at)
+
+    def update_age(self) -> None:
+        """Tell the scheduler how old the registrations are that it knows."""
+        now = self._clock.now()
+        self._scheduler.update_registration_age(
+            RegistrationAge(self._watch.known_at, self._watch.is_behind)
+        )
+        held = not self._scheduler.start_validity_ms(now)
+        if held is self._starts_held:
+            return
+        self._starts_held = held
+        if held:
+            self._metrics.count("fireflyfork_starts_held_total", service=self._service)
+        logger.info(
+            "starts held: registrations out of date" if held else "registrations up to date again",
+            service=self._service,
+            age_ms=round(1000 * (now - self._watch.known_at)),
+            behind=self._watch.is_behind,
         )
 
     def service_registrations(
--- a/fireflyfork/programs/owner/_service_owner.py
+++ b/fireflyfork/programs/owner/_service_owner.py
@@ -102,7 +102,7 @@
         lease = min(LEASE_SECONDS, bounds.max_lease * MAX_LEASE_SHARE)
         unreached_lease = MAX_UNCONFIRMED_SECONDS + lease + CLOCK_MARGIN_SECONDS
         self._scheduler = Scheduler(
-            SchedulerSettings(self._service, unreached_lease, lease, policies)
+            SchedulerSettings(self._service, unreached_lease, lease, policies, bounds.drain_notice)
         )
         self._journal = ServiceJournal(
             self._store, term, self._scheduler, self._note_journal_written
@@ -131,6 +131,7 @@
             clock,
             self._polls.wake_unless_idle,
             self.request_dispatch,
+            metrics,
         )
         self._succession = Succession(
             self._service, node, announcements, self._calls, lambda: len(self._scheduler.executors)
@@ -208,7 +209,7 @@
                 self._scheduler.record_ownership(sent_at)
                 nursery.start_soon(self._journal.run)
                 nursery.start_soon(self._work_intake.watch().run, work_listing.as_of)
-                nursery.start_soon(self._registrations.watch().run, registrations_revision)
+                nursery.start_soon(self._registrations.follow, sent_at, registrations_revision)
                 nursery.start_soon(self._tick, nursery)
                 nursery.start_soon(self._remove_old_jobs)
                 nursery.start_soon(self._upkeep.run)
@@ -268,6 +269,7 @@
         while True:
             await trio.sleep(TICK_SECONDS)
             self._shed_load()
+            self._registrations.update_age()
             self._scheduler.evacuate(self._requests.evacuated_domains())
             with self._profile.section("checks of time"):
                 self._scheduler.check_time(self._clock.now(), self._clock.unix_ms())
@@ -324,6 +326,7 @@
                     self._polled_executors.add(executor)
                     nursery.start_soon(self._keep_polling, executor)
             if not self._resigning:
+                self._registrations.update_age()
                 with self._profile.section("placing"):
                     if self._scheduler.place(started_at, self._clock.unix_ms()):
                         self.request_dispatch()
--- a/fireflyfork_standins/scheduling/_day.py
+++ b/fireflyfork_standins/scheduling/_day.py
@@ -138,7 +138,7 @@
         queue = QueueConfiguration(QueueName("q"), "h", "/q/", SERVICE, 0, 3, 2.0, 1000, 3000)
         table = queue_table(ConfigurationVersion(1), (queue,), frozenset({SERVICE}))
         longest = profile.max_lease_seconds
-        bounds = PlatformBounds(longest, 0.2, 6.0, profile.retention_seconds, 2.5)
+        bounds = PlatformBounds(longest, 0.2, 6.0, profile.retention_seconds, 2.5, 2.5)
         self._operator = self._map.operator(self._store, SERVICE, self._history)
         self._nodes = [
             StandInNode(
--- a/fireflyfork_standins/scheduling/_store.py
+++ b/fireflyfork_standins/scheduling/_store.py
@@ -286,11 +286,12 @@
                 await self._store.wait_changed()
         self._fail_if_unreachable()
         changes, as_of = self._store.changes_after(prefix, after), self._store.revision
-        if len(changes) > MAX_CHANGES:
+        is_full = len(changes) >= MAX_CHANGES
+        if is_full:
             as_of = changes[MAX_CHANGES - 1].revision
             changes = tuple(change for change in changes if change.revision <= as_of)
         await self._transfer(len(change.item.value) for change in changes if change.item)
-        return StoreChanges(changes, as_of)
+        return StoreChanges(changes, as_of, is_full)
 
     async def commit(
         self,
--- a/fireflyfork_standins/scheduling/_wire_platform.py
+++ b/fireflyfork_standins/scheduling/_wire_platform.py
@@ -75,6 +75,7 @@
                 "bounds.grace_s=6",
                 "bounds.status_s=120",
                 "bounds.config_apply_ms=2500",
+                "bounds.drain_ms=2500",
                 f"platform.address={self.store}",
                 "",
             )
