A large fleet lists its announcements rarely and not all at once

Cause of a configuration in force after up to 2.64 s at 300 instances, and 0 at 99: each listing of the announcements has 78 KB at 300 instances (the log of a trial), and the hundred instances beyond the link between the regions request theirs together: when they lose an upstream, five seconds after they turned to the store, twenty seconds after a common start, and when they all bid for a service. 7.8 MB fill a link of 15 Mbit/s for four seconds. In the trial, without any fault, far instances left their heads as out of date in waves, 56 connections to each of the two near heads timed out, and 91 calls to the store. The fan-out itself isn't the cause: the same trial's configuration was in force 17 ms after its version was written.

A fleet of more than 64 instances uses a listing for longer, in proportion to its size; an upstream that doesn't answer is left out of it. Instances look for a better upstream at different times. Smaller fleets list as often as before.

--- a/fireflyfork/decisions/jobs/__init__.py
+++ b/fireflyfork/decisions/jobs/__init__.py
@@ -15,6 +15,7 @@
 )
 from ._interference import LearnedFit
 from ._job_table import JobTable
+from ._listing_age import max_listing_age, review_seconds
 from ._load_shedding import Shed
 from ._notes import ExecutorGivenUp, JobOver, MoveReason, Note, RunEnded, RunMoved, TaskSent
 from ._policy_settings import (
@@ -136,9 +137,11 @@
     "encode_registrations",
     "encode_upkeep_mark",
     "has_stronger",
+    "max_listing_age",
     "needs_relays",
     "parse_task_name",
     "queue_table",
+    "review_seconds",
     "should_hand_over",
     "step_name",
     "strength",
--- a/fireflyfork/programs/_announcements.py
+++ b/fireflyfork/programs/_announcements.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import replace
+from math import inf
 
 import msgspec
 import trio
@@ -12,7 +13,7 @@
 from .._ids import FailureDomainName, LeaseId, NodeName
 from .._links import Address
 from ..adapters import CoordinationStore, Put
-from ..decisions.jobs import InstanceStanding, strength
+from ..decisions.jobs import InstanceStanding, max_listing_age, review_seconds, strength
 from ._clocks import Clock
 from ._scheduling_keys import INSTANCE_PREFIX, instance_key
 
@@ -20,6 +21,8 @@
 """Maximum time for which a stopped instance is still listed. Each renewal costs a tenth of a read.
 """
 RENEW_SECONDS = 2.0
+REVIEW_SECONDS = 20.0
+"""Mean interval at which each instance of a small fleet lists the others."""
 FAR_STORE_SECONDS = 0.02
 """Round trips above this cross regions: they take 40 ms, compared to 5 ms within a region."""
 FAILURE_PENALTY_SECONDS = 300.0
@@ -76,6 +79,8 @@
         self._near_measured = False
         self._last_was_far = False
         self._penalized_until = 0.0
+        self._last_listed: list[InstanceStanding] = []
+        self._listed_at = -inf
         self._changed = trio.Event()
 
     @property
@@ -123,6 +128,31 @@
         self._penalized_until = self._clock.now() + FAILURE_PENALTY_SECONDS
         self._changed.set()
 
+    @property
+    def review_seconds(self) -> float:
+        """After how many seconds the other instances are to be listed again."""
+        return review_seconds(self._node, len(self._last_listed), REVIEW_SECONDS)
+
+    @property
+    def has_recent_listing(self) -> bool:
+        """Whether the last listing is recent enough for a fleet of its size."""
+        max_age = max_listing_age(self._node, len(self._last_listed), REVIEW_SECONDS)
+        return self._clock.now() - self._listed_at < max_age
+
+    @property
+    def last_listed(self) -> list[InstanceStanding]:
+        """The announcements in the last listing; empty if there was none."""
+        return self._last_listed
+
+    async def recent_instances(self) -> list[InstanceStanding]:
+        """Return the last listing if it is recent enough, and a new one otherwise.
+
+        Raises StoreError.
+        """
+        if self.has_recent_listing:
+            return self._last_listed
+        return await self.list_instances()
+
     async def list_instances(self) -> list[InstanceStanding]:
         """Return the announcements of all instances, including this one. Raises StoreError."""
         sent_at = self._clock.now()
@@ -137,6 +167,7 @@
                 continue
             node = NodeName(item.key.removeprefix(INSTANCE_PREFIX))
             standings.append(_standing(node, record))
+        self._last_listed, self._listed_at = standings, self._clock.now()
         return standings
 
     def _record(self) -> _Record:
--- a/fireflyfork/programs/owner/_service_lease.py
+++ b/fireflyfork/programs/owner/_service_lease.py
@@ -154,7 +154,8 @@
             after = max(after, answer.as_of)
 
     async def _bid_delay(self) -> float:
-        others = await self._announcements.list_instances()
+        # All instances of a fleet bid at once, and a listing of each would fill a link to the store.
+        others = await self._announcements.recent_instances()
         spread = self._random.random() * BID_JITTER_SECONDS
         return bid_delay(self._announcements.own, others) + spread
 
--- a/fireflyfork/programs/replicas/_replica_follower.py
+++ b/fireflyfork/programs/replicas/_replica_follower.py
@@ -59,6 +59,18 @@
 class Upstreams(ABC):
     """The instances whose replicas this instance may follow."""
 
+    @property
+    def review_seconds(self) -> float:
+        """How long an upstream is followed before the instance looks for a better one."""
+        return UPSTREAM_REVIEW_SECONDS
+
+    @abstractmethod
+    def note_lost(self, upstream: NodeName) -> None:
+        """Record that an upstream doesn't answer.
+
+        ``choose`` may return others until it has read the announcements again.
+        """
+
     @abstractmethod
     async def choose(self) -> tuple[ReplicaEndpoint, ...]:
         """Return the upstreams in order of preference, or none to follow the store."""
@@ -76,6 +88,9 @@
 class NoUpstreams(Upstreams):
     """Makes the follower use the store only."""
 
+    def note_lost(self, upstream: NodeName) -> None:
+        """See Upstreams."""
+
     @property
     def worth_waiting_for(self) -> bool:
         """See Upstreams."""
@@ -220,6 +235,7 @@
                 reason = "it follows this instance"
         except PeerError as error:
             reason = str(error)
+            self._upstreams.note_lost(upstream.node)
         self._upstream = None
         logger.info("upstream left", upstream=upstream.node, reason=reason)
         return better
@@ -232,14 +248,14 @@
         if not self._replica.as_of:
             tolerated_seconds = min(tolerated_seconds, START_SECONDS)
         tolerated_until = started_at + tolerated_seconds
-        review_at = started_at + UPSTREAM_REVIEW_SECONDS
+        review_at = started_at + self._upstreams.review_seconds
         mark: float | None = None
         while self._is_fresh() or self._now() <= tolerated_until:
             if self._now() >= review_at:
                 candidates = await self._choose(())
                 if candidates and candidates[0] != upstream:
                     return candidates
-                review_at = self._now() + UPSTREAM_REVIEW_SECONDS
+                review_at = self._now() + self._upstreams.review_seconds
             self._asked_at = self._now()
             query = ReplicaQuery(self._replica.as_of, mark)
             answer = await peer.ask(query, first_answer_seconds if mark is None else inf)
--- a/fireflyfork/programs/replicas/tests/builders_replicas.py
+++ b/fireflyfork/programs/replicas/tests/builders_replicas.py
@@ -68,6 +68,9 @@
         """See Upstreams."""
         return self.far_from_store
 
+    def note_lost(self, upstream: NodeName) -> None:
+        """See Upstreams."""
+
     async def choose(self) -> tuple[ReplicaEndpoint, ...]:
         """See Upstreams."""
         await trio.sleep(self.seconds)
