An owner that loses the store gives its service up through an instance that reaches it

Off by default (ownership.hand_over_without_store). An owner whose last two renewals of its lease have failed, or that has had no answer for 0.7 of the lease, asks up to three relays, one of each failure domain first, to remove its owner key. The removal is conditional on the key's revision. Once it is done the owner resigns; if nobody can, it continues: an outage of the store for all ends no ownership. Runs continue under their executors' leases. New messages between an owner and a relay: ReleaseCall and ReleaseReply; an instance of an earlier version closes the stream on them, and it is opened again.

--- a/fireflyfork/adapters/_relay_client.py
+++ b/fireflyfork/adapters/_relay_client.py
@@ -13,7 +13,16 @@
 from loguru import logger
 
 from .._errors import PeerError
-from .._ids import AttemptNumber, ExecutorId, FailureDomainName, FencingToken, NodeName, TaskName
+from .._ids import (
+    AttemptNumber,
+    ExecutorId,
+    FailureDomainName,
+    FencingToken,
+    NodeName,
+    Revision,
+    ServiceName,
+    TaskName,
+)
 from .._links import Address
 from ..decisions.jobs import CallOutcome, OrderAnswer, PollAnswer, PollRequest, StartRequest
 from ._executor_calls import MAX_CALL_SECONDS, ExecutorCalls, ExecutorEndpoint
@@ -32,6 +41,8 @@
     Ping,
     PollReply,
     Pong,
+    ReleaseCall,
+    ReleaseReply,
     Reply,
     StopCall,
     poll_call,
@@ -136,7 +147,9 @@
             await trio.sleep(delay)
             delay = min(2 * delay, MAX_RECONNECT_SECONDS)
 
-    async def call(self, make_call: Callable[[int], Call], seconds: float) -> Reply | None:
+    async def call(
+        self, make_call: Callable[[int], Call | ReleaseCall], seconds: float
+    ) -> Reply | None:
         """Make a call and return the reply, or None if no reply arrives within ``seconds`` of loop time.
 
         Without a reply, the call may or may not have been executed.
@@ -211,7 +224,7 @@
 
     def _handle_message(self, message: AnyRelayMessage) -> None:
         match message:
-            case OrderReply() | PollReply():
+            case OrderReply() | PollReply() | ReleaseReply():
                 pending = self._pending.get(message.number)
                 if pending is not None:
                     pending.reply = message
@@ -356,6 +369,31 @@
             logger.warning("cannot decode relay reply", relay=relay.endpoint.node, error=str(error))
             return PollAnswer(CallOutcome.UNKNOWN, why="relay's answer not readable")
 
+    @property
+    def usable_relays(self) -> tuple[RelayEndpoint, ...]:
+        """The relays that take calls now."""
+        return tuple(endpoint for endpoint, relay in self._relays.items() if relay.usable)
+
+    async def release(
+        self,
+        endpoint: RelayEndpoint,
+        service: ServiceName,
+        owner_revision: Revision,
+        seconds: float,
+    ) -> bool:
+        """Ask a relay to release a service, for an owner that can't reach the store.
+
+        Returns whether the relay has removed the owner key. Without an answer within ``seconds`` it may
+        have done so, or may still do so.
+        """
+        relay = self._relays.get(endpoint)
+        if relay is None:
+            return False
+        reply = await relay.call(
+            lambda number: ReleaseCall(number, service, owner_revision), seconds
+        )
+        return isinstance(reply, ReleaseReply) and reply.released
+
     def forget(self, executor: ExecutorId) -> None:
         """See ExecutorCalls."""
         self._direct.forget(executor)
--- a/fireflyfork/adapters/_relay_messages.py
+++ b/fireflyfork/adapters/_relay_messages.py
@@ -192,9 +192,28 @@
     """Sent by a relay that is stopping. It still answers pending calls, and must get no new ones."""
 
 
+class ReleaseCall(RelayMessage, frozen=True, tag=11):
+    """A request to release a service whose owner can't reach the store.
+
+    A relay of an earlier version closes the stream on it, and the owner opens another one.
+    """
+
+    number: int
+    service: str
+    owner_revision: int
+    """The revision of the owner key, which is removed only at this revision."""
+
+
+class ReleaseReply(RelayMessage, frozen=True, tag=12):
+    """The reply to a ReleaseCall."""
+
+    number: int
+    released: bool
+
+
 Call = StartCall | StopCall | PaceCall | PollCall
-Reply = OrderReply | PollReply
-AnyRelayMessage = Hello | Call | Forget | Reply | Ping | Pong | Goodbye
+Reply = OrderReply | PollReply | ReleaseReply
+AnyRelayMessage = Hello | Call | Forget | Reply | Ping | Pong | Goodbye | ReleaseCall
 
 DECODER = msgspec.msgpack.Decoder(list[AnyRelayMessage])
 
--- a/fireflyfork/adapters/_relay_server.py
+++ b/fireflyfork/adapters/_relay_server.py
@@ -2,13 +2,13 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import trio
 from loguru import logger
 
 from .._errors import PeerError
-from .._ids import AttemptNumber, ExecutorId, FencingToken, TaskName
+from .._ids import AttemptNumber, ExecutorId, FencingToken, Revision, ServiceName, TaskName
 from ..decisions.jobs import PollRequest, StartRequest
 from ._executor_calls import ExecutorCalls
 from ._relay_messages import (
@@ -24,6 +24,8 @@
     PollCall,
     PollReply,
     Pong,
+    ReleaseCall,
+    ReleaseReply,
     Reply,
     StartCall,
     StopCall,
@@ -50,13 +52,16 @@
         self,
         new_calls: Callable[[], ExecutorCalls],
         clock: Callable[[], float] = trio.current_time,
+        release: Callable[[ServiceName, Revision], Awaitable[bool]] | None = None,
     ) -> None:
         """``new_calls`` creates a client of executors for each owner, because each owner has its own token.
 
+        ``release`` releases the service of an owner that can't reach the store, and returns whether it did.
         ``clock`` must continue to run while the process is suspended.
         """
         self._new_calls = new_calls
         self._clock = clock
+        self._release = release
         self._last_tick_at = float("inf")
         self._streams: set[RelayStream] = set()
         self._stopping = False
@@ -118,9 +123,18 @@
                 borrower = object()
                 await limiter.acquire_on_behalf_of(borrower)
                 nursery.start_soon(self._answer, calls, message, stream, limiter, borrower)
+            elif isinstance(message, ReleaseCall):
+                nursery.start_soon(self._answer_release, message, stream)
             else:
                 self._handle_message(message, calls, stream)
 
+    async def _answer_release(self, call: ReleaseCall, stream: RelayStream) -> None:
+        released = False
+        if self._release is not None:
+            service = ServiceName(call.service)
+            released = await self._release(service, Revision(call.owner_revision))
+        stream.send(ReleaseReply(call.number, released))
+
     @staticmethod
     def _handle_message(
         message: AnyRelayMessage, calls: ExecutorCalls, stream: RelayStream
--- /dev/null
+++ b/fireflyfork/decisions/jobs/sharding/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of decisions on ownership."""
--- a/fireflyfork/programs/_scheduler_node.py
+++ b/fireflyfork/programs/_scheduler_node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from random import Random
 
 import trio
@@ -26,6 +27,7 @@
 from .callers._job_requests import JobRequests
 from .callers._job_service import JobService
 from .owner._operator_requests import OperatorRequests
+from .owner._release_through_peer import release_service
 from .owner._service_candidate import ServiceCandidate
 from .owner._service_owner import ServiceOwner
 from .replicas._announced_upstreams import AnnouncedUpstreams
@@ -99,7 +101,9 @@
             AnnouncedUpstreams(self._announcements),
             clients.replica_peers,
         )
-        self._relay = RelayServer(clients.relay_calls)
+        self._relay = RelayServer(
+            clients.relay_calls, release=partial(release_service, clients.store)
+        )
         self._report = LoopReport(
             clients.loop_profile,
             lambda: clients.loop_time.lag,
--- a/fireflyfork/programs/owner/_service_candidate.py
+++ b/fireflyfork/programs/owner/_service_candidate.py
@@ -74,7 +74,7 @@
             )
             try:
                 async with trio.open_nursery() as nursery:
-                    nursery.start_soon(self._lease.keep, term)
+                    nursery.start_soon(self._lease.keep, term, self._owner.note_renewal)
                     await self._owner.run()
                     nursery.cancel_scope.cancel()
                 if not self._owner.ready:
--- a/fireflyfork/programs/owner/_service_lease.py
+++ b/fireflyfork/programs/owner/_service_lease.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
 
@@ -105,20 +106,28 @@
             if term is not None:
                 return term
 
-    async def keep(self, term: Term) -> None:
+    async def keep(
+        self, term: Term, on_renewal: Callable[[float, bool], None] = lambda *_: None
+    ) -> None:
         """Renew the lease until it has ended; other errors of the store are ignored.
 
+        ``on_renewal`` is called after each renewal with the time at which it was sent, and whether
+        it succeeded.
+
         The end of this lease doesn't prove that the ownership is lost, and a renewal doesn't prove
         that it is kept: the store may have removed the key. Proof of the loss is a conditional
         write that fails, or an executor that has seen a higher token.
         """
         while True:
+            sent_at = self._clock.now()
             try:
                 await self._store.keep_lease(term.lease)
+                on_renewal(sent_at, True)
             except LeaseEndedError:
                 return
             except StoreError as error:
                 logger.debug("lease not renewed", service=self._service, error=str(error))
+                on_renewal(sent_at, False)
             await trio.sleep(RENEW_SECONDS)
 
     async def release(self, term: Term) -> None:
--- a/fireflyfork/programs/owner/_service_owner.py
+++ b/fireflyfork/programs/owner/_service_owner.py
@@ -34,6 +34,7 @@
 from ._operator_requests import OperatorRequests
 from ._recovery_reads import read_recovery_state, retry_until_answered
 from ._registration_intake import RegistrationIntake
+from ._release_through_peer import ReleaseThroughPeer
 from ._run_orders import RunOrders
 from ._service_journal import OwnershipLostError, ServiceJournal
 from ._service_lease import Term
@@ -136,6 +137,15 @@
         self._succession = Succession(
             self._service, node, announcements, self._calls, lambda: len(self._scheduler.executors)
         )
+        self._release = ReleaseThroughPeer(
+            term,
+            announcements.own.failure_domain,
+            self._calls,
+            clock,
+            metrics,
+            lambda: self._confirmed_owner_at,
+        )
+        self._may_release = policies.ownership.hand_over_without_store
         self._ready = False
         self._decision_log = DecisionLog(clock, self._service, metrics)
         # Recovery reads don't confirm the ownership: over a thin link they take seconds, and their
@@ -165,6 +175,10 @@
         """The scheduler of this owner, for status and metrics."""
         return self._scheduler
 
+    def note_renewal(self, sent_at: float, renewed: bool) -> None:
+        """Record a renewal of the lease of the owner key; see ``ServiceLease.keep``."""
+        self._release.note_renewal(sent_at, renewed)
+
     def request_dispatch(self) -> None:
         """Wake the dispatch loop after a change, to place tasks and send orders."""
         self._dispatch_requested.set()
@@ -218,6 +232,8 @@
                 nursery.start_soon(
                     self._succession.follow_others, lambda: self.resign(HAND_OVER_SECONDS)
                 )
+                if self._may_release:
+                    nursery.start_soon(self._release.run, lambda: self.resign(0.0))
                 await self._dispatch(nursery)
                 nursery.cancel_scope.cancel()
         except* OwnershipLostError as errors:
