--- a/fireflyfork/platform/tests/test_store_client.py
+++ b/fireflyfork/platform/tests/test_store_client.py
@@ -101,6 +101,21 @@
     return await store.list(prefix)
 
 
+class FullAnswersTest(unittest.TestCase):
+    """Answers to a watch that may lack changes."""
+
+    def test_an_answer_of_the_store_s_limit_may_lack_changes(self) -> None:
+        """Guards against an owner that takes a part of the changes for all of them."""
+        for count, partial_answer in ((1, False), (400, False), (500, True)):
+            with self.subTest(count=count):
+                events = [
+                    {"key": f"servers/{number}", "revision": 8 + number, "value": ""}
+                    for number in range(count)
+                ]
+                body = msgspec.json.encode({"events": events, "as_of": 8 + count})
+                self.assertIs(_watch(_answering(body)).may_be_partial, partial_answer)
+
+
 class CountedBytesTest(unittest.TestCase):
     """The counts of calls and bytes by purpose."""
 
