--- a/fireflyfork/decisions/jobs/_policy_settings.py
+++ b/fireflyfork/decisions/jobs/_policy_settings.py
@@ -55,7 +55,8 @@
     """How the work of owners is spread and handed over."""
 
     shards: bool = False
-    """Whether a service may have an owner for each set of failure domains."""
+    """Whether a service may have an owner for each set of failure domains. Not implemented yet: the
+    setting changes nothing."""
     hand_over_without_store: bool = False
     """Whether an owner that can't reach the store hands over before its lease ends."""
     leave_out_emptied: bool = False
