An owner whose key is already gone is told so by the instance that it asks

Where keys are taken back at once, the release finds another owner or none; the owner that asked resigns instead of going on until an executor reports a higher token.

--- a/fireflyfork/programs/owner/_registration_intake.py
+++ b/fireflyfork/programs/owner/_registration_intake.py
@@ -40,7 +40,6 @@
         ``wake_executor`` is called with each executor whose registration has changed, and
         ``request_dispatch`` after each change.
         """
-        self._store = store
         self._scheduler = scheduler
         self._service = service
         self._clock = clock
--- a/fireflyfork/programs/owner/_release_through_peer.py
+++ b/fireflyfork/programs/owner/_release_through_peer.py
@@ -7,7 +7,7 @@
 import trio
 from loguru import logger
 
-from ..._errors import StoreError
+from ..._errors import StoreError, TransactionConflictError
 from ..._ids import FailureDomainName, Revision, ServiceName
 from ...adapters import CoordinationStore, RelayedExecutors
 from ...decisions.jobs.sharding import ReleasePeer, StoreContact, release_order
@@ -92,15 +92,19 @@
 async def release_service(
     store: CoordinationStore, service: ServiceName, owner_revision: Revision
 ) -> bool:
-    """Remove the owner key of a service at the request of its owner. Return whether it is removed.
+    """Remove the owner key of a service at the request of its owner.
 
-    The removal is conditional on the revision of the key, so a late request ends no later term.
+    Returns whether the owner's term is over: its key is removed now, or was already. The removal is
+    conditional on the revision of the key, so a late request ends no later term.
     """
     key = owner_key(service)
     try:
         await store.commit({key: owner_revision}, removals=(key,))
+    except TransactionConflictError:
+        logger.info("owner's service already vacant or taken", service=service)
     except StoreError as error:
         logger.info("owner's service not released", service=service, error=str(error))
         return False
-    logger.info("owner's service released", service=service, revision=owner_revision)
+    else:
+        logger.info("owner's service released", service=service, revision=owner_revision)
     return True
