--- a/fireflyfork/decisions/jobs/_executors.py
+++ b/fireflyfork/decisions/jobs/_executors.py
@@ -59,9 +59,6 @@
     stored_address: Address | None = None
     """The executor's address in the last list of executors that is known to be stored, at which a
     successor would poll it; None if no stored list has contained the executor."""
-    left_out: bool = False
-    """Whether the list that is stored for a successor leaves the executor out, because it is leaving
-    and runs nothing. It must get no run until it is stored again."""
     runs: dict[tuple[TaskName, AttemptNumber], Run] = field(default_factory=dict)
     used_cpu_millis: int = 0
     long_running_cpu_millis: int = 0
--- a/fireflyfork/decisions/jobs/_policy_settings.py
+++ b/fireflyfork/decisions/jobs/_policy_settings.py
@@ -59,8 +59,6 @@
     setting changes nothing."""
     hand_over_without_store: bool = False
     """Whether an owner that can't reach the store hands over before its lease ends."""
-    leave_out_emptied: bool = False
-    """Whether successors don't wait for executors that are leaving and ran nothing any more."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Iterable, Iterator
+from collections.abc import Iterable
 from dataclasses import dataclass
 from math import inf
 
@@ -121,14 +121,13 @@
         self,
         jobs: Iterable[tuple[JobSpec, StoredProgress | None]],
         registrations: Iterable[ExecutorRegistration],
-        last_known: Collection[ExecutorRegistration],
+        last_known: Iterable[ExecutorRegistration],
         now: float,
         now_ms: int,
     ) -> None:
         """Restore the state that an earlier owner stored.
 
-        ``last_known`` are the executors that the earlier owner had stored as known to it; of these
-        it had left out those that were leaving and ran nothing.
+        ``last_known`` are the executors that the earlier owner had stored as known to it.
         Registrations expire while the store is unavailable, and without this list the runs of such
         an executor would be started again elsewhere.
 
@@ -145,8 +144,6 @@
         for registration in registrations:
             self.register(registration, now)
         self._state.unreached = dict.fromkeys(self.executors, now + self._settings.unreached_lease)
-        for left_out in self._left_out_before(last_known):
-            self._state.unreached.pop(left_out, None)
         for spec, progress in jobs:
             ready = self.jobs.accept(spec, progress, now_ms)
             job = self.jobs.get(spec.job)
@@ -157,18 +154,6 @@
                 self._state.enqueue(task)
         self._state.known_executors_changed = True
 
-    def _left_out_before(self, last_known: Iterable[ExecutorRegistration]) -> Iterator[ExecutorId]:
-        """Yield the executors that are leaving and that an earlier owner had left out of its list.
-
-        Without a list, nothing is known of them.
-        """
-        stored = {registration.executor for registration in last_known}
-        if not stored or not self._settings.policies.ownership.leave_out_emptied:
-            return
-        for name, executor in self.executors.items():
-            if executor.registration.draining and name not in stored:
-                yield name
-
     def learned(self) -> tuple[LearnedFit, ...]:
         """Return the learned effects between images, to be stored for a successor."""
         return self._state.interference.learned()
@@ -212,9 +197,7 @@
             # restart, and its runs would be taken for over.
             return
         state.registered = True
-        returns = state.left_out and not registration.draining
-        state.left_out = state.left_out and not returns
-        if returns or registration.address != state.registration.address:
+        if registration.address != state.registration.address:
             self._state.known_executors_changed = True
         if registration.incarnation > state.registration.incarnation:
             self._state.handle_restart(state, registration, now)
@@ -234,9 +217,7 @@
         if not self._state.known_executors_changed:
             return None
         self._state.known_executors_changed = False
-        return tuple(
-            executor.registration for executor in self.executors.values() if not executor.left_out
-        )
+        return tuple(executor.registration for executor in self.executors.values())
 
     def executors_stored(self, registrations: Iterable[ExecutorRegistration]) -> None:
         """Mark these executors as stored; they may get runs."""
@@ -330,8 +311,6 @@
         for executor in tuple(self.executors.values()):
             self._time_checks.check(executor, now)
             self._stragglers.check(executor, now)
-            if self._settings.policies.ownership.leave_out_emptied:
-                self._state.leave_out_if_emptied(executor)
         self._state.give_up_unreached(now)
         self._state.tell(lambda policy: policy.tick(now, now_ms))
         self._upkeep.evict(now)
--- a/fireflyfork/decisions/jobs/_service_state.py
+++ b/fireflyfork/decisions/jobs/_service_state.py
@@ -215,26 +215,6 @@
         is_idle = not executor.runs and executor.executor not in self.unreached
         if is_idle and not executor.registered and not executor.answers:
             self.executors.pop(executor.executor, None)
-            if not executor.left_out:
-                self.known_executors_changed = True
-
-    def leave_out_if_emptied(self, executor: ExecutorState) -> None:
-        """Leave an executor that is leaving out of the stored list once nothing can run on it.
-
-        It may be gone when a successor begins, which would hold all tasks until the leases that it
-        can't ask about have ended. It has answered under the token of this owner, so an order of an
-        earlier one has no effect any more.
-        """
-        is_emptied = (
-            executor.registration.draining
-            and executor.answers
-            and not executor.runs
-            and not executor.unstored_ends
-            and executor.executor not in self.unreached
-        )
-        if is_emptied and not executor.left_out:
-            executor.left_out = True
-            executor.stored_address = None
             self.known_executors_changed = True
 
     def mark_reached(self, executor: ExecutorId, now: float) -> None:
