Executors that can't hold runs any more are taken off the list that a successor waits for

Cause: the stored list named every executor that the owner knew, also those that had drained, were empty and had left. A new owner held all tasks until the last of four such executors of 176 was given up, 8 s. Change: the list leaves out executors without runs that may get none (draining, silent, evacuated, not registered); they get no run before they are stored again. A new owner waits for listed executors only, and for all registered ones if the list can't be read.

--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -39,6 +39,9 @@
 LAST_START_MARGIN_SECONDS = 1.5
 """Starts end this long before a successor may start tasks: a start extends the lease of everything
 on its executor by one second of a slow clock, and killing those runs takes 0.2 s."""
+LIST_REVIEW_SECONDS = 1.0
+"""Interval at which executors that can't hold runs any more are taken off the stored list. The list
+of thousands of executors is large."""
 MAX_PROOF_AGE_SECONDS = 3.0
 """Age of the last proof of ownership at which a new proof is requested from the store. The watch
 proves every two seconds or sooner that the ownership has not changed."""
@@ -73,6 +76,7 @@
         self._arrangement = Arrangement(self._state)
         self._upkeep = Upkeep(self._state, settings.service)
         self._evacuations = Evacuations(self._state)
+        self._list_reviewed_at = float("-inf")
 
     @property
     def jobs(self) -> JobTable:
@@ -116,14 +120,14 @@
         self,
         jobs: Iterable[tuple[JobSpec, StoredProgress | None]],
         registrations: Iterable[ExecutorRegistration],
-        last_known: Iterable[ExecutorRegistration],
+        last_known: Iterable[ExecutorRegistration] | None,
         now: float,
         now_ms: int,
     ) -> None:
         """Restore the state that an earlier owner stored.
 
-        ``last_known`` are the executors that the earlier owner had stored as known to it.
-        Registrations expire while the store is unavailable, and without this list the runs of such
+        ``last_known`` are the executors that the earlier owner had stored, or None if the stored
+        list can't be read. It has sent runs to no other ones. Registrations expire while the store is unavailable, and without this list the runs of such
         an executor would be started again elsewhere.
 
         The earlier owner may have started any of these tasks on any executor just before it was
@@ -131,14 +135,17 @@
         run it twice. So none of the tasks starts until each executor has answered under the new
         token, or until every lease that the earlier owner may have granted has expired.
         """
-        for registration in last_known:
+        for registration in last_known or ():
             executor = ExecutorState(registration, now, registered=False)
             executor.stored_address = registration.address
             self._evacuations.mark(executor)
             self._state.add_executor(executor)
+        stored = tuple(self.executors)
         for registration in registrations:
             self.register(registration, now)
-        self._state.unreached = dict.fromkeys(self.executors, now + self._settings.unreached_lease)
+        may_hold_runs = tuple(self.executors) if last_known is None else stored
+        given_up_at = now + self._settings.unreached_lease
+        self._state.unreached = dict.fromkeys(may_hold_runs, given_up_at)
         for spec, progress in jobs:
             ready = self.jobs.accept(spec, progress, now_ms)
             job = self.jobs.get(spec.job)
@@ -208,11 +215,22 @@
             self._state.drop_if_lease_expired(state, now)
 
     def take_changed_executors(self) -> tuple[ExecutorRegistration, ...] | None:
-        """Return the executors to store for a successor, or None if they haven't changed."""
+        """Return the executors to store for a successor, or None if they haven't changed.
+
+        Executors that have no runs and may get none are left out. A successor would wait for their
+        leases to lapse, since they have left or are silent. They get no run before they are stored
+        again.
+        """
         if not self._state.known_executors_changed:
             return None
         self._state.known_executors_changed = False
-        return tuple(executor.registration for executor in self.executors.values())
+        listed = []
+        for executor in self.executors.values():
+            if self._state.may_hold_runs(executor):
+                listed.append(executor.registration)
+            else:
+                executor.stored_address = None
+        return tuple(listed)
 
     def executors_stored(self, registrations: Iterable[ExecutorRegistration]) -> None:
         """Mark these executors as stored; they may get runs."""
@@ -307,6 +325,7 @@
             self._time_checks.check(executor, now)
             self._stragglers.check(executor, now)
         self._state.give_up_unreached(now)
+        self._review_stored_list(now)
         self._state.tell(lambda policy: policy.tick(now, now_ms))
         self._upkeep.evict(now)
         self._evacuations.move_tasks(now)
@@ -321,6 +340,19 @@
         for finished_job in self.jobs.drop_finished():
             self._state.tickets.forget_job(finished_job)
 
+    def _review_stored_list(self, now: float) -> None:
+        """Have the list of executors stored again if others may hold runs than those on it."""
+        removes = now - self._list_reviewed_at >= LIST_REVIEW_SECONDS
+        if removes:
+            self._list_reviewed_at = now
+        for executor in self.executors.values():
+            is_listed = executor.stored_address is not None
+            if is_listed and not removes:
+                continue
+            if is_listed != self._state.may_hold_runs(executor):
+                self._state.known_executors_changed = True
+                return
+
     def recover_upkeep(self, marks: Iterable[tuple[MachineId, UpkeepMark]], now: float) -> None:
         """Restore which machines an earlier owner has ordered down; called after ``recover``."""
         self._upkeep.recover(marks, now)
--- a/fireflyfork/decisions/jobs/_service_state.py
+++ b/fireflyfork/decisions/jobs/_service_state.py
@@ -80,6 +80,11 @@
         """Return the executors that new runs may be sent to."""
         return [executor for executor in self.executors.values() if executor.is_usable(now)]
 
+    def may_hold_runs(self, executor: ExecutorState) -> bool:
+        """Whether a successor has to hear from the executor before it starts tasks again."""
+        has_runs = bool(executor.runs) or executor.executor in self.unreached
+        return has_runs or executor.may_get_runs
+
     @staticmethod
     def needs_run(task: Task) -> bool:
         """Whether a task or its gang still has to run and has no run at present."""
--- a/fireflyfork/programs/owner/_recovery_reads.py
+++ b/fireflyfork/programs/owner/_recovery_reads.py
@@ -25,8 +25,8 @@
 class RecoveryState:
     """State that earlier owners, callers and executors have stored."""
 
-    last_known: tuple[ExecutorRegistration, ...]
-    """The executors that an earlier owner stored."""
+    last_known: tuple[ExecutorRegistration, ...] | None
+    """The executors that an earlier owner stored; None if they can't be read."""
     learned: tuple[LearnedFit, ...]
     work: StoreListing
     """The keys of owners, jobs and cancellations."""
--- a/fireflyfork/programs/owner/_service_journal.py
+++ b/fireflyfork/programs/owner/_service_journal.py
@@ -99,17 +99,21 @@
         item = await self._store.read(journal_key(self._term.service))
         self._last_write = item.revision if item is not None else Revision(0)
 
-    async def last_known_executors(self) -> tuple[ExecutorRegistration, ...]:
-        """Return the executors that an earlier owner had stored. Raises StoreError."""
-        executors = await self._read_stored_value(
-            executors_key(self._term.service), decode_registrations
-        )
-        return executors if executors is not None else ()
+    async def last_known_executors(self) -> tuple[ExecutorRegistration, ...] | None:
+        """Return the executors that an earlier owner had stored, or None if they aren't readable.
+
+        Raises StoreError.
+        """
+        nothing: tuple[ExecutorRegistration, ...] = ()
+        key = executors_key(self._term.service)
+        return await self._read_stored_value(key, decode_registrations, missing=nothing)
 
     async def last_learned(self) -> tuple[LearnedFit, ...]:
         """Return the learned interference that an earlier owner stored. Raises StoreError."""
-        learned = await self._read_stored_value(learned_key(self._term.service), decode_learned)
-        return learned if learned is not None else ()
+        nothing: tuple[LearnedFit, ...] = ()
+        key = learned_key(self._term.service)
+        learned = await self._read_stored_value(key, decode_learned, missing=nothing)
+        return learned if learned is not None else nothing
 
     def notify(self) -> None:
         """Wake the journal, because there may be changes to store."""
@@ -183,12 +187,15 @@
         return len(jobs) == MAX_JOBS_PER_REMOVAL
 
     async def _read_stored_value(
-        self, key: str, decode: Callable[[bytes], _Value]
+        self, key: str, decode: Callable[[bytes], _Value], missing: _Value
     ) -> _Value | None:
-        """Return the value stored by an earlier owner, or None if it is missing or unreadable."""
+        """Return the value stored by an earlier owner, ``missing`` if there is none.
+
+        Returns None if it can't be read.
+        """
         item = await self._store.read(key)
         if item is None:
-            return None
+            return missing
         try:
             return decode(item.value)
         except StoredFormatError as error:
