--- a/fireflyfork/decisions/jobs/_service_state.py
+++ b/fireflyfork/decisions/jobs/_service_state.py
@@ -82,8 +82,10 @@
 
     def may_hold_runs(self, executor: ExecutorState) -> bool:
         """Whether a successor has to hear from the executor before it starts tasks again."""
-        has_runs = bool(executor.runs) or executor.executor in self.unreached
-        return has_runs or executor.may_get_runs
+        if executor.runs or executor.executor in self.unreached:
+            return True
+        # A successor that doesn't hear of an end which is not stored would run the task again.
+        return bool(executor.unstored_ends) or executor.may_get_runs
 
     @staticmethod
     def needs_run(task: Task) -> bool:
--- a/fireflyfork/decisions/jobs/tests/test_takeover_of_many.py
+++ b/fireflyfork/decisions/jobs/tests/test_takeover_of_many.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 
 from ...._ids import ExecutorId, JobId
-from .. import CallOutcome, ExecutorRegistration, Run, RunningRow
+from .. import CallOutcome, EndReason, ExecutorRegistration, Run, RunningRow
 from .builders_jobs import START_MS, OwnerUnderTest, job, registration, row, step
 
 EXECUTORS = 176
@@ -99,6 +99,23 @@
         self._review()
         self.assertIn(ExecutorId(name), {each.executor for each in self.stored})
 
+    def test_an_executor_with_an_end_that_is_not_stored_stays_listed(self) -> None:
+        """Guards against running a task again whose end only its executor knows."""
+        owner = self.owner
+        owner.scheduler.accept(job("00000000000000bb"), START_MS)
+        (run,) = owner.place()
+        name = str(run.executor.executor)
+        owner.end(name, run.task.name, run.attempt, EndReason.DONE)
+        owner.poll(name)
+        self._drain([name])
+        self._review()
+        self.assertIn(ExecutorId(name), {each.executor for each in self.stored})
+        owner.scheduler.jobs.changes.take(1)
+        owner.scheduler.jobs.changes.mark_stored()
+        owner.scheduler.release_stored_ends()
+        self._review()
+        self.assertNotIn(ExecutorId(name), {each.executor for each in self.stored})
+
     def test_an_executor_that_is_not_listed_gets_no_run(self) -> None:
         """Guards against a run that no successor waits for."""
         owner = OwnerUnderTest("i-0")
