--- a/fireflyfork/decisions/jobs/__init__.py
+++ b/fireflyfork/decisions/jobs/__init__.py
@@ -5,6 +5,8 @@
 from ._commands import AskAdvice, Command, PaceRun, RunCommand, StartRun, StopRun
 from ._executors import ExecutorRegistration, ExecutorRoom, ExecutorState
 from ._instance_standing import (
+    MAX_BID_DELAY,
+    SUFFICIENT_STRENGTH,
     InstanceStanding,
     bid_delay,
     choose_relays,
@@ -15,7 +17,7 @@
 )
 from ._interference import LearnedFit
 from ._job_table import JobTable
-from ._listing_age import max_listing_age, review_seconds
+from ._listing_age import bid_spread_seconds, max_listing_age, review_seconds
 from ._load_shedding import Shed
 from ._notes import ExecutorGivenUp, JobOver, MoveReason, Note, RunEnded, RunMoved, TaskSent
 from ._policy_settings import (
@@ -62,7 +64,9 @@
 from ._waves import MachineListing, MachineState, UpkeepMark, UpkeepOutcome, UpkeepPhase, UpkeepWave
 
 __all__ = [
+    "MAX_BID_DELAY",
     "NO_POLICIES",
+    "SUFFICIENT_STRENGTH",
     "AdmissionSettings",
     "AskAdvice",
     "CallOutcome",
@@ -124,6 +128,7 @@
     "WaitReason",
     "WaveView",
     "bid_delay",
+    "bid_spread_seconds",
     "choose_relays",
     "choose_upstreams",
     "decode_learned",
--- a/fireflyfork/decisions/jobs/_listing_age.py
+++ b/fireflyfork/decisions/jobs/_listing_age.py
@@ -12,8 +12,13 @@
 
 from ..._ids import NodeName
 
-MAX_SMALL_FLEET = 64
+MAX_SMALL_FLEET = 100
 """Number of instances up to which each question is answered by a new listing."""
+INSTANCES_PER_INTERVAL = 64
+"""Number of instances that list the others within one interval of a small fleet."""
+MAX_REVIEW_SECONDS = 120.0
+"""Longest mean interval between two listings of an instance. Until the next one it may wait for
+instances that are gone, and passes over new ones."""
 MIN_SPREAD = 0.5
 MAX_SPREAD = 1.5
 
@@ -24,7 +29,10 @@
     ``interval_seconds`` is the mean interval in a small fleet. Beyond that size the traffic of all
     listings grows as the fleet instead of as its square.
     """
-    return interval_seconds * max(1.0, instances / MAX_SMALL_FLEET) * _spread(node)
+    if instances <= MAX_SMALL_FLEET:
+        return interval_seconds
+    mean_seconds = min(MAX_REVIEW_SECONDS, interval_seconds * instances / INSTANCES_PER_INTERVAL)
+    return mean_seconds * _spread(node)
 
 
 def max_listing_age(node: NodeName, instances: int, interval_seconds: float) -> float:
@@ -34,6 +42,11 @@
     return review_seconds(node, instances, interval_seconds)
 
 
+def bid_spread_seconds(instances: int, jitter_seconds: float) -> float:
+    """Return the range of the random delays of bids, of which one should come first."""
+    return jitter_seconds * max(1.0, instances / MAX_SMALL_FLEET)
+
+
 def _spread(node: NodeName) -> float:
     """Return a factor that differs among instances, which may all have started at once."""
     share = xxhash.xxh32_intdigest(node.encode()) / 2**32
--- a/fireflyfork/programs/_prefix_watch.py
+++ b/fireflyfork/programs/_prefix_watch.py
@@ -15,6 +15,9 @@
 RETRY_SECONDS = 0.1
 """Delay after a failed call. The next answer includes the changes that were missed."""
 
+STORE_AWAY_SECONDS = 1.0
+"""How long calls must have failed until the store counts as away. A single call that is cut off
+says nothing of the changes that the store has."""
 CATCH_UP_SECONDS = 0.05
 """Wait of a request that finds out whether more changes are left."""
 
@@ -66,15 +69,17 @@
         self._asked_at = -inf
         self._as_of = Revision(0)
         self._is_behind = False
+        self._failing_since: float | None = None
 
     @property
     def is_behind(self) -> bool:
-        """Whether the store answers and may have changes from before ``known_at`` or later that were
-        not received yet.
+        """Whether the store has, or may have, changes that were not received yet.
 
-        False while the store doesn't answer.
+        False once the store has not answered for ``STORE_AWAY_SECONDS``.
         """
-        return self._is_behind
+        if self._failing_since is None:
+            return self._is_behind
+        return self._is_behind and self._now() - self._failing_since < STORE_AWAY_SECONDS
 
     @property
     def as_of(self) -> Revision:
@@ -126,9 +131,12 @@
                 listing = await self._store.list(self._prefix)
             except StoreError as error:
                 logger.debug("prefix not listed", prefix=self._prefix, error=str(error))
+                self._note_failure(sent_at)
                 await trio.sleep(RETRY_SECONDS)
                 continue
-            self._is_behind = False
+            self._failing_since = None
+            # The transfer of a long listing takes time, in which there may have been changes.
+            self._is_behind = True
             self._on_answer()
             self._on_listing(listing)
             self._as_of = listing.as_of
@@ -145,13 +153,16 @@
                 answer = await self._store.changes(self._prefix, self._as_of, wait)
             except StoreHistoryLostError as error:
                 logger.info("prefix listed again", prefix=self._prefix, reason=str(error))
+                self._failing_since = None
+                self._is_behind = True
                 return
             except StoreError as error:
                 logger.debug("prefix not followed", prefix=self._prefix, error=str(error))
-                self._is_behind = False
-                wait = self._confirm_seconds
+                self._note_failure(sent_at)
+                wait = CATCH_UP_SECONDS if self._is_behind else self._confirm_seconds
                 await trio.sleep(RETRY_SECONDS)
                 continue
+            self._failing_since = None
             if not answer.may_be_partial:
                 self._on_answer()
             for change in answer.changes:
@@ -167,3 +178,7 @@
             wait = self._wait_seconds if unchanged else self._confirm_seconds
             if self._gather_seconds and answer.changes:
                 await trio.sleep(self._gather_seconds)
+
+    def _note_failure(self, sent_at: float) -> None:
+        if self._failing_since is None:
+            self._failing_since = sent_at
--- a/fireflyfork/programs/owner/_registration_intake.py
+++ b/fireflyfork/programs/owner/_registration_intake.py
@@ -47,6 +47,7 @@
         self._request_dispatch = request_dispatch
         self._metrics = metrics
         self._starts_held = False
+        self._held_since = 0.0
         self._watch = PrefixWatch(
             store,
             REGISTRATION_PREFIX,
@@ -61,6 +62,11 @@
         """Pass changes after a listing, which was requested at ``listed_at``, to the scheduler."""
         await self._watch.run(after, listed_at=listed_at)
 
+    @property
+    def held_seconds(self) -> float:
+        """For how long no starts have been sent because the registrations are too old."""
+        return self._clock.now() - self._held_since if self._starts_held else 0.0
+
     def update_age(self) -> None:
         """Tell the scheduler how old the registrations are that it knows."""
         now = self._clock.now()
@@ -71,6 +77,7 @@
         if held is self._starts_held:
             return
         self._starts_held = held
+        self._held_since = now
         if held:
             self._metrics.count("fireflyfork_starts_held_total", service=self._service)
         logger.info(
--- a/fireflyfork/programs/owner/_service_lease.py
+++ b/fireflyfork/programs/owner/_service_lease.py
@@ -19,7 +19,12 @@
 )
 from ..._ids import FencingToken, LeaseId, NodeName, Revision, ServiceName
 from ...adapters import CoordinationStore, Put
-from ...decisions.jobs import bid_delay
+from ...decisions.jobs import (
+    MAX_BID_DELAY,
+    SUFFICIENT_STRENGTH,
+    bid_delay,
+    bid_spread_seconds,
+)
 from .._announcements import Announcements
 from .._clocks import Clock
 from .._scheduling_keys import owner_key, term_key
@@ -164,9 +169,14 @@
 
     async def _bid_delay(self) -> float:
         # All instances of a fleet bid at once, and a listing of each would fill a link to the store.
+        is_new = not self._announcements.has_recent_listing
         others = await self._announcements.recent_instances()
-        spread = self._random.random() * BID_JITTER_SECONDS
-        return bid_delay(self._announcements.own, others) + spread
+        spread = bid_spread_seconds(len(others), BID_JITTER_SECONDS)
+        delay = bid_delay(self._announcements.own, others) + self._random.random() * spread
+        if is_new or self._announcements.own.strength >= SUFFICIENT_STRENGTH:
+            return delay
+        # Stronger instances may be missing in an earlier listing.
+        return delay + MAX_BID_DELAY
 
     async def _write_owner_key(self) -> Term | None:
         key, counter_key = owner_key(self._service), term_key(self._service)
--- a/fireflyfork/programs/owner/_service_owner.py
+++ b/fireflyfork/programs/owner/_service_owner.py
@@ -232,6 +232,11 @@
                 nursery.start_soon(
                     self._succession.follow_others, lambda: self.resign(HAND_OVER_SECONDS)
                 )
+                nursery.start_soon(
+                    self._succession.watch_starts,
+                    lambda: self._registrations.held_seconds,
+                    lambda: self.resign(HAND_OVER_SECONDS),
+                )
                 if self._may_release:
                     nursery.start_soon(self._release.run, lambda: self.resign(0.0))
                 await self._dispatch(nursery)
--- a/fireflyfork/programs/owner/_succession.py
+++ b/fireflyfork/programs/owner/_succession.py
@@ -32,6 +32,7 @@
 """Longest wait for relays before the first calls of a term. Leases have some three seconds left
 then."""
 RELAYS_NEEDED_CHECK_SECONDS = 0.2
+HELD_CHECK_SECONDS = 0.5
 HAND_OVER_CHECK_SECONDS = 3.0
 """Interval at which an owner checks whether a much stronger instance could replace it."""
 
@@ -84,6 +85,28 @@
                 recovery.cancel()
                 return
 
+    async def watch_starts(
+        self, held_seconds: Callable[[], float], resign: Callable[[], Awaitable[None]]
+    ) -> None:
+        """Resign once starts have been held for long and another instance may keep up better.
+
+        An owner that receives changes more slowly than executors write them stays behind, and its
+        renewals, which are small, succeed all the while.
+        """
+        while True:
+            await trio.sleep(HELD_CHECK_SECONDS)
+            if held_seconds() < RECOVERY_CHECK_SECONDS:
+                continue
+            own = self._announcements.unpenalized
+            others = [
+                instance for instance in await self._list_instances() if instance.node != own.node
+            ]
+            if has_stronger(own, others, equals=not self._announcements.penalized):
+                logger.warning("ownership given up: starts are held", service=self._service)
+                self._announcements.note_failure()
+                await resign()
+                return
+
     async def connect_relays(self) -> None:
         """Use other instances as relays, and wait a moment for the streams to them.
 
--- a/fireflyfork/programs/replicas/_announced_upstreams.py
+++ b/fireflyfork/programs/replicas/_announced_upstreams.py
@@ -43,9 +43,9 @@
         """
         if self._announcements.has_recent_listing and (known := self.alternatives(frozenset())):
             return known
-        self._lost = frozenset()
         try:
             await self._announcements.list_instances()
+            self._lost = frozenset()
         except StoreError as error:
             logger.debug("other instances not listed", error=str(error))
         return self.alternatives(frozenset())
--- a/fireflyfork/programs/replicas/_replica_follower.py
+++ b/fireflyfork/programs/replicas/_replica_follower.py
@@ -233,6 +233,8 @@
             reason = "a better instance is available" if better else "out of date"
             if upstream.node in self._followers:
                 reason = "it follows this instance"
+            elif not better:
+                self._upstreams.note_lost(upstream.node)
         except PeerError as error:
             reason = str(error)
             self._upstreams.note_lost(upstream.node)
--- a/fireflyfork/programs/tests/test_prefix_watch.py
+++ b/fireflyfork/programs/tests/test_prefix_watch.py
@@ -11,7 +11,7 @@
 
 from fireflyfork_standins.scheduling import StandInStore
 
-from ..._ids import NodeName
+from ..._ids import NodeName, Revision
 from ...adapters import StoreChange
 from .._prefix_watch import PrefixWatch
 
@@ -182,3 +182,65 @@
             return missing
 
         self.assertEqual(trio.run(main, clock=MockClock(autojump_threshold=0)), [])
+
+
+class StoreAwayTest(unittest.TestCase):
+    """What a watch that is behind says while the store fails."""
+
+    def _behind_after(self, seconds: float, listing: bool = False) -> bool:
+        """Return whether a watch is behind so long after the store has failed.
+
+        With ``listing`` the store fails while the watch lists the keys anew.
+        """
+
+        async def main() -> bool:
+            store = StandInStore(Random(1))
+            client = store.client(NodeName("n-0"))
+            watch = PrefixWatch(client, "servers/", 2.0, lambda _: None, lambda _: None)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(store.run)
+                listed_at = trio.current_time()
+                for number in range(3_000):
+                    store.put(f"servers/{number}", b"")
+                store.trouble.down = True
+                after = None if listing else Revision(1)
+                nursery.start_soon(watch.run, after, lambda: False, listed_at)
+                await trio.sleep(seconds)
+                behind = watch.is_behind
+                nursery.cancel_scope.cancel()
+            return behind
+
+        return trio.run(main, clock=MockClock(autojump_threshold=0))
+
+    def test_an_outage_ends_the_state_of_being_behind(self) -> None:
+        """Guards against an owner that starts nothing for as long as the store is away."""
+        for listing in (False, True):
+            with self.subTest(listing=listing):
+                self.assertFalse(self._behind_after(6.0, listing))
+
+    def test_a_single_failed_call_does_not(self) -> None:
+        """Guards against starts on old registrations because one request was cut off."""
+        self.assertTrue(self._behind_after(0.5))
+
+    def test_a_listing_is_followed_by_a_request_before_the_watch_is_up_to_date(self) -> None:
+        """Guards against registrations as old as the transfer of their listing."""
+
+        async def main() -> list[bool]:
+            store, behind = StandInStore(Random(1)), list[bool]()
+            watch = PrefixWatch(
+                store.client(NodeName("n-0")),
+                "servers/",
+                2.0,
+                lambda _: behind.append(watch.is_behind),
+                lambda _: None,
+            )
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(store.run)
+                nursery.start_soon(watch.run)
+                await trio.sleep(1.0)
+                behind.append(watch.is_behind)
+                nursery.cancel_scope.cancel()
+            return behind
+
+        behind = trio.run(main, clock=MockClock(autojump_threshold=0))
+        self.assertEqual(behind, [True, False])
