Preemption after its review: searches take turns, budgets are counted once, reservations of others are respected

- A step for which no room was found is searched for again after a second, so that two such steps no longer use up every search; a late owner searches for none.
- No plan on an executor with room reserved for others; a second stop for a task ends its first hold.
- Pauses rest between two of them, and a longer one isn't cut short.
Not mended: long-running victims are not checked for room elsewhere.

--- a/fireflyfork/decisions/jobs/__init__.py
+++ b/fireflyfork/decisions/jobs/__init__.py
@@ -5,6 +5,8 @@
 from ._commands import AskAdvice, Command, PaceRun, RunCommand, StartRun, StopRun
 from ._executors import ExecutorRegistration, ExecutorRoom, ExecutorState
 from ._instance_standing import (
+    MAX_BID_DELAY,
+    SUFFICIENT_STRENGTH,
     InstanceStanding,
     bid_delay,
     choose_relays,
@@ -15,6 +17,7 @@
 )
 from ._interference import LearnedFit
 from ._job_table import JobTable
+from ._listing_age import bid_spread_seconds, max_listing_age, review_seconds
 from ._load_shedding import Shed
 from ._notes import (
     ExecutorGivenUp,
@@ -38,6 +41,7 @@
 )
 from ._progress import JobState, StoredProgress, StoredTask
 from ._queues import QueueConfiguration, QueueTable, queue_table
+from ._registration_age import RegistrationAge
 from ._reports import (
     CallOutcome,
     EndedRow,
@@ -70,7 +74,9 @@
 from ._waves import MachineListing, MachineState, UpkeepMark, UpkeepOutcome, UpkeepPhase, UpkeepWave
 
 __all__ = [
+    "MAX_BID_DELAY",
     "NO_POLICIES",
+    "SUFFICIENT_STRENGTH",
     "AdmissionSettings",
     "AskAdvice",
     "CallOutcome",
@@ -104,6 +110,7 @@
     "PreemptionSettings",
     "QueueConfiguration",
     "QueueTable",
+    "RegistrationAge",
     "ReserveChanged",
     "RoomMade",
     "Run",
@@ -133,6 +140,7 @@
     "WaitReason",
     "WaveView",
     "bid_delay",
+    "bid_spread_seconds",
     "choose_relays",
     "choose_upstreams",
     "decode_learned",
@@ -146,9 +154,11 @@
     "encode_registrations",
     "encode_upkeep_mark",
     "has_stronger",
+    "max_listing_age",
     "needs_relays",
     "parse_task_name",
     "queue_table",
+    "review_seconds",
     "should_hand_over",
     "step_name",
     "strength",
--- a/fireflyfork/decisions/jobs/preemption/_losses.py
+++ b/fireflyfork/decisions/jobs/preemption/_losses.py
@@ -4,7 +4,7 @@
 
 from ..._victims import lost_core_seconds
 from .._runs import Run, RunPhase, Task
-from .._upkeep import may_become_unavailable
+from .._tickets import StepId
 
 MIN_SECONDS_BETWEEN_STOPS = 12.0
 """Minimum time between two stops of the same task, so that no task is stopped again and again while
@@ -56,9 +56,43 @@
         return False
     if now - task.moved_at < MIN_SECONDS_BETWEEN_STOPS:
         return False
-    if step.long_running:
-        return step.unavailable_budget > 0 and may_become_unavailable(run)
-    return True
+    return not step.long_running or step.unavailable_budget > 0
+
+
+class UnavailableCounts:
+    """Counts, once in each tick, how many tasks of a long-running step don't serve."""
+
+    def __init__(self) -> None:
+        """Initialize without counts."""
+        self._counts: dict[StepId, int] = {}
+
+    def clear(self) -> None:
+        """Forget all counts, since tasks have started or ended."""
+        self._counts.clear()
+
+    def note_stop(self, task: Task) -> None:
+        """Count a task that is being stopped."""
+        if task.step_id in self._counts:
+            self._counts[task.step_id] += 1
+
+    def may_stop(self, task: Task) -> bool:
+        """Whether the unavailability budget of its step allows a serving task to be stopped."""
+        count = self._counts.get(task.step_id)
+        if count is None:
+            count = self._counts[task.step_id] = sum(
+                not _serves(sibling)
+                for key, sibling in task.job.tasks.items()
+                if key.step == task.key.step and key.occurrence == task.key.occurrence
+            )
+        return _serves(task) and count < task.spec.unavailable_budget
+
+
+def _serves(task: Task) -> bool:
+    """Whether a long-running task is known to serve, on an executor that answers."""
+    return any(
+        run.phase is RunPhase.RUNNING and run.progress_percent >= 100 and run.executor.answers
+        for run in task.runs
+    )
 
 
 def remaining_seconds(run: Run, now: float) -> float:
@@ -71,6 +105,9 @@
         return float("inf")
     started = run.confirmed_at if run.confirmed_at is not None else run.ordered_at
     worked = run.listed_at - started
+    if run.task.checkpoint and run.attempt > 1:
+        # The progress of a resumed run may include work of earlier runs.
+        return (100 - run.progress_percent) / 100 * step.estimate_ms / 1000
     if run.progress_percent >= MIN_RATED_PERCENT and worked > 0:
         remaining = (100 - run.progress_percent) / run.progress_percent * worked
         return max(0.0, remaining - (now - run.listed_at))
--- a/fireflyfork/decisions/jobs/preemption/_preemption.py
+++ b/fireflyfork/decisions/jobs/preemption/_preemption.py
@@ -10,6 +10,7 @@
 from ..._eviction_budget import EvictionBudget
 from .._commands import PaceRun
 from .._executors import ExecutorState
+from .._load_shedding import Shed
 from .._notes import MoveReason, ReserveChanged, RoomMade
 from .._policies import SHORT_TASK_SHARE, RoomPolicy
 from .._policy_settings import PreemptionSettings
@@ -28,7 +29,9 @@
 """A search ends with this many plans. Each is for one task of the step, so a step whose tasks all
 wait has as many of them placed in one tick."""
 MAX_SEARCHES_PER_TICK = 2
-"""Steps for which room is searched in one tick; the others have their turn in the next one."""
+"""Steps for which room is searched in one tick. A step for which none was found has its next turn
+after ``RETRY_STEP_SECONDS``, so that the others have theirs."""
+RETRY_STEP_SECONDS = 1.0
 BUDGET_SECONDS = 10.0
 """Period for which the share of stopped runs is given."""
 MIN_BURST = 2.0
@@ -80,6 +83,8 @@
         self._rotation = Rotation(EXECUTORS_PER_SEARCH)
         self._searches: dict[StepId, deque[ExecutorState]] = {}
         """By step: the executors found in this tick that are not used yet, the best first."""
+        self._without_room: dict[StepId, float] = {}
+        """Steps for which no room was found, and until when they are not searched for again."""
         self._holds: dict[Task, _Hold] = {}
         self._pauses: dict[Run, tuple[Run, ...]] = {}
         """By urgent run: the runs that are paused while it runs."""
@@ -106,6 +111,9 @@
         """Make room for an urgent task, and reserve it. Returns whether that was possible."""
         if not self._settings.enabled or not _may_preempt(task, now_ms):
             return False
+        if self._state.shed_level >= Shed.ARRANGEMENT:
+            # A late owner sees ends only after its holds have expired, and would stop more runs.
+            return False
         plan = self._next_plan(task, usable, now)
         if plan is None:
             return False
@@ -128,6 +136,7 @@
 
     def run_started(self, run: Run, now: float) -> None:
         """End the hold of a task that starts; the pauses made for it go on while it runs."""
+        self._awaited.pop(run.executor, None)
         hold = self._holds.pop(run.task, None)
         if hold is None:
             return
@@ -147,6 +156,7 @@
         """Refill the budget, end expired holds and update the shares that are kept free."""
         self._searches.clear()
         self._claimed.clear()
+        self._planner.unavailable.clear()
         if self._settings.enabled:
             self._end_holds(now)
             self._end_waits(now)
@@ -180,6 +190,16 @@
         for executor, until in tuple(self._left_alone.items()):
             if until <= now:
                 del self._left_alone[executor]
+        for step, until in tuple(self._without_room.items()):
+            if until <= now:
+                del self._without_room[step]
+
+    def _drop_hold(self, task: Task, now: float) -> None:
+        """End an earlier hold of a task, whose executor has become unusable."""
+        hold = self._holds.pop(task, None)
+        if hold is not None:
+            self._left_alone[hold.executor] = now + RETRY_EXECUTOR_SECONDS
+            self._end_pause(hold.paused, now)
 
     def _end_pause(self, paused: tuple[Run, ...], now: float) -> None:
         """Let runs go on at the next sample, except those that are paused for another task too."""
@@ -205,9 +225,12 @@
         """Return the best plan of the step's search in this tick that the budget allows."""
         found = self._searches.get(task.step_id)
         if found is None:
-            if len(self._searches) >= MAX_SEARCHES_PER_TICK:
+            is_due = self._without_room.get(task.step_id, now) <= now
+            if not is_due or len(self._searches) >= MAX_SEARCHES_PER_TICK:
                 return None
             found = self._searches[task.step_id] = self._search(task, usable, now)
+            if not found:
+                self._without_room[task.step_id] = now + RETRY_STEP_SECONDS
         while found:
             # Other tasks may have taken room on the executor since the search.
             executor = found.popleft()
@@ -232,11 +255,14 @@
 
     def _carry_out(self, task: Task, plan: RoomPlan, now: float) -> None:
         until = now + 2 * self._state.stop_seconds + HOLD_MARGIN_SECONDS
+        self._drop_hold(task, now)
         for run in plan.victims:
             self._budget.take()
+            self._planner.unavailable.note_stop(run.task)
             self._state.move(run, now, MoveReason.PREEMPTION)
         for run in plan.paused:
-            run.paused_until = until
+            run.paused_until = max(run.paused_until, until)
+            run.paused_at = now
             run.pace_percent = run.lowest_pace = 0
             self._state.commands.append(PaceRun(run, 0))
         self._state.move_reservations.add(task, plan.executor, until)
--- a/fireflyfork/decisions/jobs/preemption/_room_plans.py
+++ b/fireflyfork/decisions/jobs/preemption/_room_plans.py
@@ -12,7 +12,15 @@
 from .._pacing import HEADROOM_TO_KEEP
 from .._placement_costs import MAX_BEST_EFFORT_COST, is_allowed, leftover_millis
 from .._runs import Run, RunPhase, Task
-from ._losses import CheckpointAges, lost_work, may_be_stopped, remaining_seconds, remaining_work
+from ._losses import (
+    MIN_SECONDS_BETWEEN_STOPS,
+    CheckpointAges,
+    UnavailableCounts,
+    lost_work,
+    may_be_stopped,
+    remaining_seconds,
+    remaining_work,
+)
 
 MAX_VICTIMS = 4
 """Most runs that are stopped for one task."""
@@ -53,12 +61,16 @@
         """Use the effects that ``model`` learns; a stop takes up to ``stop_seconds``."""
         self._model = model
         self._checkpoints = checkpoints
+        self.unavailable = UnavailableCounts()
         self._stop_seconds = stop_seconds
 
     def plan(self, task: Task, executor: ExecutorState, now: float) -> RoomPlan | None:
         """Return how to make room for a task on an executor, or None if that is not possible."""
         if executor.consecutive_failures or executor.executor in task.failed_on:
             return None
+        if executor.incoming_cpu_millis or executor.incoming_memory_mb:
+            # Room that is reserved for a task on its way there would be counted twice.
+            return None
         room = executor.registration.room
         need = reservation(task)
         fits_empty = need.fits_in(Resources(room.cpu_millis, room.memory_mb))
@@ -74,9 +86,13 @@
             if not victims or not self._is_worth(task, victims, now):
                 return None
         stopped = tuple(victim.item for victim in victims)
-        paused = self._paused(task, executor, stopped)
+        paused = self._paused(task, executor, stopped, now)
         if paused is None:
             return None
+        fits_now = executor.fits(need.millicores, need.memory, 0)
+        if fits_now and not paused:
+            # The task was refused for another reason than room, which a stop doesn't change.
+            return None
         lost = sum(lost_work(run, self._checkpoints, now) for run in stopped)
         return RoomPlan(executor, stopped, paused, lost)
 
@@ -110,6 +126,8 @@
                 # The budget of a step is known only for one stop at a time.
                 if run.task.step_id in budgeted_steps:
                     continue
+                if not self.unavailable.may_stop(run.task):
+                    continue
                 budgeted_steps.add(run.task.step_id)
             lost = lost_work(run, self._checkpoints, now)
             order = (lost, -remaining_work(run), run.task.name, run.attempt)
@@ -130,7 +148,7 @@
         return thrown_away <= MAX_LOST_SHARE * own_work
 
     def _paused(
-        self, task: Task, executor: ExecutorState, stopped: tuple[Run, ...]
+        self, task: Task, executor: ExecutorState, stopped: tuple[Run, ...], now: float
     ) -> tuple[Run, ...] | None:
         """Return the runs that are to be paused for a task that uses leftover CPU.
 
@@ -139,7 +157,9 @@
         step = task.spec
         if not step.uses_leftover_cpu:
             return ()
-        paused = tuple(run for run in executor.runs.values() if _may_be_paused(run, task, stopped))
+        paused = tuple(
+            run for run in executor.runs.values() if _may_be_paused(run, task, stopped, now)
+        )
         gone = (*paused, *stopped)
         demand = executor.best_effort_cpu_millis + step.cpu_millis
         demand -= sum(run.task.spec.cpu_millis for run in gone if run.task.spec.uses_leftover_cpu)
@@ -174,9 +194,11 @@
     )
 
 
-def _may_be_paused(run: Run, urgent: Task, stopped: tuple[Run, ...]) -> bool:
+def _may_be_paused(run: Run, urgent: Task, stopped: tuple[Run, ...], now: float) -> bool:
+    has_rested = now - run.paused_at >= MIN_SECONDS_BETWEEN_STOPS
     return (
-        run.task.spec.uses_leftover_cpu
+        (has_rested or run.paused_until > now)
+        and run.task.spec.uses_leftover_cpu
         and run.phase is RunPhase.RUNNING
         and run not in stopped
         and run.task.job.queue.priority > urgent.job.queue.priority
--- a/fireflyfork/decisions/jobs/preemption/tests/test_failed_preemption.py
+++ b/fireflyfork/decisions/jobs/preemption/tests/test_failed_preemption.py
@@ -162,3 +162,42 @@
         for task in owner.scheduler.jobs.live_tasks():
             self.assertLessEqual(len(task.runs), 1)
             self.assertEqual(task.failed_attempts, [])
+
+
+class SearchTest(unittest.TestCase):
+    """Whose turn it is when room is searched."""
+
+    def test_steps_that_nothing_helps_leave_the_others_their_turn(self) -> None:
+        """Guards against an urgent task that waits behind others which no executor can run."""
+        owner = PreemptingOwner("i-0")
+        owner.submit(OTHER, SAVING)
+        owner.run_until_listed(0.2)
+        for _ in range(2):
+            owner.submit(URGENT, step(cpu_millis=1_000, estimate_ms=100, required_label="none"))
+        urgent = owner.submit(URGENT, URGENT_WHOLE)
+        owner.run_until_listed(1.5)
+        self.assertEqual(len(owner.runs_of(urgent)), 1)
+
+    def test_an_unusable_executor_costs_one_more_stop_and_is_left_alone(self) -> None:
+        """Guards against stops on one executor after the other for the same urgent task."""
+        owner = PreemptingOwner("i-0", "i-1")
+        owner.submit(OTHER, SAVING)
+        owner.submit(OTHER, SAVING)
+        owner.run_until_listed(0.2)
+        urgent = owner.submit(URGENT, URGENT_WHOLE)
+        owner.run_until_listed(0.1, stops_answered=False)
+        (first,) = owner.stopped
+        first.executor.evacuated = True
+        owner.run_until_listed(2.0)
+        self.assertEqual(len(set(owner.stopped)), 2)
+        self.assertEqual(len(owner.runs_of(urgent)), 1)
+
+    def test_nothing_is_stopped_while_the_owner_is_late(self) -> None:
+        """Guards against an owner that sees ends only after the room for a task has been given up."""
+        owner = PreemptingOwner("i-0")
+        owner.submit(OTHER, SAVING)
+        owner.run_until_listed(0.2)
+        owner.scheduler.update_shed_level(10.0)
+        owner.submit(URGENT, URGENT_WHOLE)
+        owner.run_until_listed(STOP_SECONDS)
+        self.assertEqual(owner.stopped, [])
--- a/fireflyfork/decisions/jobs/preemption/tests/test_preemption.py
+++ b/fireflyfork/decisions/jobs/preemption/tests/test_preemption.py
@@ -123,12 +123,13 @@
         self.assertEqual(owner.stopped, [])
 
     def test_nothing_is_stopped_on_an_executor_that_is_leaving(self) -> None:
-        owner = PreemptingOwner("i-0")
+        owner = PreemptingOwner("i-0", "i-1")
         self._fill(owner, WHOLE)
-        owner.executor().cordoned = True
-        owner.submit(URGENT, URGENT_WHOLE)
+        self._fill(owner, WHOLE)
+        owner.executor("i-0").cordoned = True
+        owner.submit(URGENT, step(count=2, cpu_millis=16_000, estimate_ms=4_000))
         owner.run_until_listed(STOP_SECONDS)
-        self.assertEqual(owner.stopped, [])
+        self.assertEqual([run.executor.executor for run in owner.stopped], ["i-1"])
 
     def test_nothing_is_stopped_while_the_policy_is_off(self) -> None:
         owner = PreemptingOwner("i-0", preemption=PreemptionSettings())
