--- a/fireflyfork/decisions/jobs/__init__.py
+++ b/fireflyfork/decisions/jobs/__init__.py
@@ -19,7 +19,17 @@
 from ._job_table import JobTable
 from ._listing_age import bid_spread_seconds, max_listing_age, review_seconds
 from ._load_shedding import Shed
-from ._notes import ExecutorGivenUp, JobOver, MoveReason, Note, RunEnded, RunMoved, TaskSent
+from ._notes import (
+    ExecutorGivenUp,
+    JobOver,
+    MoveReason,
+    Note,
+    ReserveChanged,
+    RoomMade,
+    RunEnded,
+    RunMoved,
+    TaskSent,
+)
 from ._policy_settings import (
     NO_POLICIES,
     AdmissionSettings,
@@ -101,6 +111,8 @@
     "QueueConfiguration",
     "QueueTable",
     "RegistrationAge",
+    "ReserveChanged",
+    "RoomMade",
     "Run",
     "RunCommand",
     "RunEndEvidence",
--- a/fireflyfork/decisions/jobs/_executors.py
+++ b/fireflyfork/decisions/jobs/_executors.py
@@ -63,6 +63,8 @@
     used_cpu_millis: int = 0
     long_running_cpu_millis: int = 0
     """The part of ``used_cpu_millis`` that belongs to long-running tasks."""
+    urgent_cpu_millis: int = 0
+    """The part of ``used_cpu_millis`` that belongs to short tasks of priority 0."""
     serving_cpu_millis: int = 0
     """The part of ``used_cpu_millis`` that belongs to serving tasks."""
     best_effort_cpu_millis: int = 0
@@ -220,6 +222,7 @@
         self.mark_changed()
         self.runs[run.key] = run
         self.used_cpu_millis += step.reserved_cpu_millis
+        self.urgent_cpu_millis += _urgent_millis(run)
         self.long_running_cpu_millis += step.reserved_cpu_millis if step.long_running else 0
         self.used_memory_mb += step.memory_mb
         self.used_accelerators += step.accelerators
@@ -238,6 +241,7 @@
         step = run.task.spec
         self.mark_changed()
         self.used_cpu_millis -= step.reserved_cpu_millis
+        self.urgent_cpu_millis -= _urgent_millis(run)
         self.long_running_cpu_millis -= step.reserved_cpu_millis if step.long_running else 0
         self.used_memory_mb -= step.memory_mb
         self.used_accelerators -= step.accelerators
@@ -310,3 +314,9 @@
         self.recent_min_headroom = {}
         self.mark_changed()
         self.samples = {}
+
+
+def _urgent_millis(run: Run) -> int:
+    step = run.task.spec
+    is_urgent = not run.task.job.queue.priority and not step.long_running
+    return step.reserved_cpu_millis if is_urgent else 0
--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -41,6 +41,10 @@
     """CPU time that was reserved on the usable executors when the round began."""
     long_running_millis: int
     """CPU time reserved by long-running tasks, including those started in this round."""
+    urgent_millis: int = 0
+    """The part of ``reserved_millis`` that belongs to short tasks of priority 0."""
+    started_millis: int = 0
+    """CPU time reserved by the tasks started in this round."""
     wait_reasons: dict[tuple[object, ...], WaitReason] = field(default_factory=dict)
     """By shape of task: the reason why no executor could run it."""
     candidates: dict[StepId, Candidates] = field(default_factory=dict)
@@ -53,6 +57,7 @@
             sum(executor.registration.room.cpu_millis for executor in usable),
             sum(executor.used_cpu_millis for executor in usable),
             sum(executor.long_running_cpu_millis for executor in usable),
+            sum(executor.urgent_cpu_millis for executor in usable),
         )
 
     def max_cost(self, task: Task, now_ms: int) -> float:
@@ -121,23 +126,27 @@
                 reason = self._place_task(task, placement_round, now, now_ms)
                 if reason is not None:
                     return reason
-                task.waiting = False
             step.tasks.popleft()
         return None
 
     def _place_task(
         self, task: Task, placement_round: _PlacementRound, now: float, now_ms: int
     ) -> WaitReason | None:
-        shape = _shape(task)
+        urgent_share = self._state.policies.room.urgent_share()
+        is_kept_out = urgent_share > 0 and task.job.queue.priority > 0
+        shape = (*_shape(task), is_kept_out)
         allowed = self._executors_with_tickets(task, placement_round.usable, now)
         reason = placement_round.wait_reasons.get(shape) or self._skip_reason(task, placement_round)
         if reason is None and not self._start(task, allowed, placement_round, now, now_ms):
             if self._state.policies.room.make_room(task, allowed, now, now_ms):
+                task.wait_reason = _why_not_placed(task, placement_round.usable)
                 self._state.waiting.defer(task)
                 return None
             reason = _why_not_placed(task, placement_round.usable)
         if reason is not None:
             placement_round.wait_reasons[shape] = reason
+        else:
+            task.waiting = False
         return reason
 
     def _place_reserved(self, task: Task, now: float, now_ms: int) -> bool:
@@ -229,8 +238,10 @@
         """Return why a task is not considered in this round, or None."""
         if len(placement_round.wait_reasons) >= MAX_REFUSED_SHAPES:
             return WaitReason.BEHIND
-        share = self._state.policies.room.short_task_share()
-        if _would_take_short_task_reserve(task, placement_round, share):
+        room = self._state.policies.room
+        if _would_take_short_task_reserve(task, placement_round, room.short_task_share()):
+            return WaitReason.RESERVED
+        if _would_take_urgent_reserve(task, placement_round, room.urgent_share()):
             return WaitReason.RESERVED
         return None
 
@@ -253,6 +264,7 @@
         runs = place_together(task, allowed, choice, next_attempt(task), now)
         for run in runs:
             self._send(run, now, now_ms)
+            placement_round.started_millis += task.spec.reserved_cpu_millis
             if task.spec.long_running:
                 placement_round.long_running_millis += task.spec.reserved_cpu_millis
         return bool(runs)
@@ -298,6 +310,18 @@
     return long_running_millis > placement_round.total_millis * (1 - share)
 
 
+def _would_take_urgent_reserve(task: Task, placement_round: _PlacementRound, share: float) -> bool:
+    """Whether a less urgent short task would take the share that is kept for urgent ones."""
+    millis = task.spec.reserved_cpu_millis
+    if not share or not millis or not task.job.queue.priority or task.spec.long_running:
+        return False
+    in_use = placement_round.reserved_millis + placement_round.started_millis
+    if 2 * in_use < placement_round.total_millis:
+        return False
+    less_urgent_millis = in_use - placement_round.urgent_millis + millis
+    return less_urgent_millis > placement_round.total_millis * (1 - share)
+
+
 def _shape(task: Task) -> tuple[object, ...]:
     step = task.spec
     has_own_limits = step.per_executor_limit or task.job.queue.needs_tickets or step.gang
--- a/fireflyfork/decisions/jobs/_policies.py
+++ b/fireflyfork/decisions/jobs/_policies.py
@@ -56,12 +56,17 @@
         """Return the share of all processors that long-running tasks leave free."""
         return SHORT_TASK_SHARE
 
+    def urgent_share(self) -> float:
+        """Return the share of all processors that less urgent tasks leave free."""
+        return 0.0
+
     def make_room(
         self, task: Task, usable: Sequence[ExecutorState], now: float, now_ms: int
     ) -> bool:
         """Make room for a task that found none on the usable executors.
 
-        Returns whether room is reserved for it, where it starts once the room is free.
+        Returns whether the task is tried again at the next tick by itself, because room is reserved
+        for it, where it starts once the room is free, or is about to come free.
         """
         return False
 
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -30,7 +30,7 @@
 from ._report_handling import ReportHandler
 from ._reports import OrderAnswer, PollAnswer
 from ._runs import Job, Run
-from ._service_state import ServiceState
+from ._service_state import DEFAULT_STOP_SECONDS, ServiceState
 from ._specs import JobSpec
 from ._stragglers import Stragglers
 from ._tickets import Ticket
@@ -60,6 +60,8 @@
     max_lease: float
     """The longest lease that any owner of the service grants an executor."""
     policies: PolicySettings = NO_POLICIES
+    stop_timeout: float = DEFAULT_STOP_SECONDS
+    """How long a stop may take."""
     drain_notice: float = inf
     """How long a leaving executor still takes starts after the change of its registration."""
 
@@ -71,6 +73,7 @@
         """Initialize without jobs or executors; ``recover`` restores what an earlier owner left."""
         self._settings = settings
         self._state = ServiceState()
+        self._state.stop_seconds = settings.stop_timeout
         self._state.policies = create_policies(settings.policies, self._state)
         self._report_handler = ReportHandler(self._state, int(settings.max_lease * 1000))
         self._placement = Placement(self._state)
@@ -171,9 +174,10 @@
 
     def accept(self, spec: JobSpec, now_ms: int) -> None:
         """Add a job that was accepted while this owner owned the service."""
+        is_known = self.jobs.get(spec.job) is not None
         ready = self.jobs.accept(spec, None, now_ms)
         job = self.jobs.get(spec.job)
-        if ready and job is not None:
+        if job is not None and not is_known:
             self._report_accepted(job, now_ms)
         for task in ready:
             self._state.enqueue(task)
--- a/fireflyfork/programs/owner/_service_owner.py
+++ b/fireflyfork/programs/owner/_service_owner.py
@@ -103,7 +103,14 @@
         lease = min(LEASE_SECONDS, bounds.max_lease * MAX_LEASE_SHARE)
         unreached_lease = MAX_UNCONFIRMED_SECONDS + lease + CLOCK_MARGIN_SECONDS
         self._scheduler = Scheduler(
-            SchedulerSettings(self._service, unreached_lease, lease, policies, bounds.drain_notice)
+            SchedulerSettings(
+                self._service,
+                unreached_lease,
+                lease,
+                policies,
+                stop_timeout=bounds.stop_timeout,
+                drain_notice=bounds.drain_notice,
+            )
         )
         self._journal = ServiceJournal(
             self._store, term, self._scheduler, self._note_journal_written
