--- a/fireflyfork/decisions/jobs/_paced_runs.py
+++ b/fireflyfork/decisions/jobs/_paced_runs.py
@@ -66,7 +66,7 @@
         return False
     if step.gang or step.same_rack or task.job.queue.needs_tickets:
         return False
-    if run.slow_since is None or now - run.slow_since < SLOW_SECONDS:
+    if run.paused_until > now or run.slow_since is None or now - run.slow_since < SLOW_SECONDS:
         return False
     keeps_work = step.checkpointing or run.progress_percent <= MAX_LOST_PROGRESS
     return keeps_work and now - task.moved_at >= MIN_SECONDS_BETWEEN_MOVES
--- a/fireflyfork/decisions/jobs/_policy_factory.py
+++ b/fireflyfork/decisions/jobs/_policy_factory.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
-from ._policies import LoadPolicy, Policies
+from ._policies import LoadPolicy, Policies, RoomPolicy
 from ._policy_settings import PolicySettings
 from ._service_state import ServiceState
 from .admission import WorkAhead
+from .preemption import Preemption
 
 
 def create_policies(settings: PolicySettings, state: ServiceState) -> Policies:
     """Return the policies of a scheduler with this state; those that are off are the defaults."""
-    load = WorkAhead(state) if settings.admission.enabled else LoadPolicy()
-    return Policies(load=load)
+    preemption = settings.preemption
+    makes_room = preemption.enabled or preemption.adaptive_reserve
+    return Policies(
+        room=Preemption(preemption, state) if makes_room else RoomPolicy(),
+        load=WorkAhead(state) if settings.admission.enabled else LoadPolicy(),
+    )
