Admission after its review: long deadline headers, steps wider than the fleet, work done since the figures

- A deadline header of hundreds of digits ended the server; it is read up to 15 digits.
- The objective allows for the turns of a step that is wider than the fleet; such jobs were refused while they could be in time.
- Work that was done since the figures were computed no longer counts as waiting, and the time within which executors may be free again includes the age of the figures.
- Jobs that were let in are forgotten with each version of the figures, also while there is room.
- Closing figures whose write fails are written again; figures that aren't renewed end the gauge.
Not mended, named in the review: room is let in once by each instance; a read for each refusal counts against the store's rate; figures ride only on other writes; tests of the gate that are too lax.

--- a/fireflyfork/decisions/jobs/admission/_admission.py
+++ b/fireflyfork/decisions/jobs/admission/_admission.py
@@ -67,11 +67,11 @@
         if figures is None or age_ms > self._max_age_ms or not _is_telling(figures):
             self._admitted.clear()
             return ADMITTED
+        self._start_version(figures)
         if not is_measured(spec) or figures.has_room(spec):
             return ADMITTED
-        if figures.waiting_work <= figures.rate * CLEARED_MS:
+        if figures.waiting_work <= figures.rate * (CLEARED_MS + age_ms):
             return ADMITTED
-        self._start_version(figures)
         return self._compare(spec, queue, figures, age_ms, now_ms)
 
     def admit(self, spec: JobSpec, queue: QueueConfiguration) -> JobSpec:
@@ -121,10 +121,15 @@
         returning = self._refused.work_before(spec.job, first_ms, priority, size, now_ms)
         known, estimated = (figures.work_before(priority, size, age) for age in (0.0, age_ms))
         before = returning + max(known + self._admitted_before(priority, size), estimated)
-        objective = allowed_ms(spec, queue)
-        late_ms = first_ms + objective * (1 + self._margin)
         rate = figures.rate
         own_ms = max(spec.chain_ms(), work / rate)
+        # A step that is wider than the fleet runs in several turns, which its objective allows for.
+        objective = max(
+            allowed_ms(spec, queue), queue.stretch_factor * own_ms + queue.target_latency_ms
+        )
+        late_ms = first_ms + objective * (1 + self._margin)
+        # What was done since the figures were computed doesn't wait any more.
+        before = max(0.0, before - rate * age_ms)
         wait_ms = before / rate + own_ms
         if now_ms + wait_ms > late_ms:
             # A late job is placed behind all that arrive after it and can still be in time.
--- a/fireflyfork/decisions/jobs/admission/tests/test_admission.py
+++ b/fireflyfork/decisions/jobs/admission/tests/test_admission.py
@@ -60,6 +60,19 @@
         """Guards against refusing work that takes no room from anything."""
         self.assertTrue(_decide(BACKLOG, steps=(step(uses_leftover_cpu=True),)))
 
+    def test_a_step_wider_than_the_fleet_is_not_refused_for_its_own_turns(self) -> None:
+        """Guards against refusing a job by a time that its objective allows for."""
+        wide = step(count=500, cpu_millis=1000, estimate_ms=2000)
+        self.assertTrue(_decide(figures_of((1, large_job(900))), steps=(wide,)))
+
+    def test_work_done_since_the_figures_does_not_count(self) -> None:
+        """Guards against refusals while executors are free, by work that is done by now."""
+        five_seconds = figures_of((8, large_job(900)))
+        short = replace(LARGE, stretch_factor=1.0, target_latency_ms=100)
+        decide = Admission(MARGIN, MAX_AGE_MS).decide
+        self.assertFalse(decide(large_job(1), short, five_seconds, 0.0, START_MS).admitted)
+        self.assertTrue(decide(large_job(1), short, five_seconds, 1_900.0, START_MS).admitted)
+
     def test_less_urgent_work_does_not_count(self) -> None:
         admission = Admission(MARGIN, MAX_AGE_MS)
         self.assertTrue(admission.decide(urgent_job(1), URGENT, BACKLOG, 0, START_MS).admitted)
--- a/fireflyfork/platform/_jobs.py
+++ b/fireflyfork/platform/_jobs.py
@@ -14,6 +14,8 @@
 from ._names import CALLER_DEADLINE_HEADER
 
 _JOB_ID = re.compile(r"[0-9a-f]{16}")
+MAX_DEADLINE_DIGITS = 15
+"""Digits of the longest deadline that is read; no caller waits for longer."""
 
 _STATE_NAMES = {
     JobState.QUEUED: "queued",
@@ -56,7 +58,8 @@
 def caller_timeout(head: RequestHead) -> float:
     """Return how many seconds the caller waits for an answer; infinite if it doesn't tell."""
     text = head.header(CALLER_DEADLINE_HEADER) or ""
-    return int(text) / 1000 if text.isascii() and text.isdigit() else math.inf
+    is_number = text.isascii() and text.isdigit() and len(text) <= MAX_DEADLINE_DIGITS
+    return int(text) / 1000 if is_number else math.inf
 
 
 def parse_job_id(text: str) -> JobId | None:
--- a/fireflyfork/platform/tests/test_formats.py
+++ b/fireflyfork/platform/tests/test_formats.py
@@ -1,15 +1,17 @@
 """Tests of decoding values that other programs have written, including invalid values."""
 
 import unittest
+from math import inf
 
 import msgspec
 
 from ..._errors import BadRequestError, SettingsError
 from ..._ids import ConfigurationVersion, FailureDomainName, JobId, Revision
 from ..._links import Address
-from ...adapters import StoredItem
+from ...adapters import RequestHead, StoredItem
 from ...decisions.jobs.tests.builders_jobs import queue
 from .. import (
+    caller_timeout,
     decode_configuration,
     decode_job,
     decode_registration,
@@ -21,6 +23,7 @@
     parse_node_settings,
     wave_status_key,
 )
+from .._names import CALLER_DEADLINE_HEADER
 
 SETTINGS = """
 node_name=edge-suva-1
@@ -165,6 +168,18 @@
                 decode_job(msgspec.json.encode(body), JobId("5c0e7a21d94b36f8"), queue(), 0)
 
 
+class CallerTimeoutTest(unittest.TestCase):
+    """How long a caller waits."""
+
+    def test_a_deadline_that_is_no_number_of_milliseconds_is_ignored(self) -> None:
+        """Guards against a header that ends the server."""
+        for text, seconds in ((b"1500", 1.5), (b"", inf), (b"-1", inf), (b"9" * 400, inf)):
+            with self.subTest(text):
+                headers = ((CALLER_DEADLINE_HEADER, text),)
+                head = RequestHead("POST", "/", headers)
+                self.assertEqual(caller_timeout(head), seconds)
+
+
 class WaveTest(unittest.TestCase):
     """Waves of upkeep and their status, in the format of the operators."""
 
--- a/fireflyfork/programs/admission/_figures_reader.py
+++ b/fireflyfork/programs/admission/_figures_reader.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 import trio
@@ -19,6 +20,8 @@
 """Interval of reads while tasks wait for room. Each read costs a tenth of a call."""
 IDLE_SECONDS = 3.0
 """Interval of reads otherwise. Jobs are refused a little later after a quiet time, which is safe."""
+FORGOTTEN_SECONDS = 5.0
+"""Time after which figures that were not renewed say nothing."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,9 +58,9 @@
 
     def work_ahead_seconds(self) -> float:
         """Return how long the waiting work of the busiest service would take, as last read."""
-        latest = (known.figures for known in self._known.values())
+        recent = self._recent_figures()
         return max(
-            (each.waiting_work / each.rate / 1000 for each in latest if each.rate), default=0
+            (each.waiting_work / each.rate / 1000 for each in recent if each.rate), default=0
         )
 
     async def run(self) -> None:
@@ -68,9 +71,14 @@
             services, self._wanted = self._wanted, set()
             for service in sorted(services):
                 await self._read(service)
-            pressed = any(known.figures.is_pressed for known in self._known.values())
+            pressed = any(figures.is_pressed for figures in self._recent_figures())
             await trio.sleep(PRESSED_SECONDS if pressed else IDLE_SECONDS)
 
+    def _recent_figures(self) -> Iterator[WorkFigures]:
+        """Yield the figures that may still hold; an owner that is gone publishes no others."""
+        oldest = self._clock.now() - FORGOTTEN_SECONDS
+        return (known.figures for known in self._known.values() if known.seen_at >= oldest)
+
     async def _read(self, service: ServiceName) -> None:
         try:
             item = await self._store.read_stale(work_ahead_key(service))
--- a/fireflyfork/programs/owner/_service_journal.py
+++ b/fireflyfork/programs/owner/_service_journal.py
@@ -261,7 +261,9 @@
             owner_key(service): self._term.owner_revision,
             journal_key(service): self._last_write,
         }
+        figures = self._scheduler.work_figures
         self._last_write = await self._store.commit(expected, tuple(puts))
+        self._figures_pressed = figures is not None and figures.is_pressed
 
     def _figures_to_store(self) -> Iterator[Put]:
         """Yield the figures of the work ahead while tasks wait for room, and once after that.
@@ -274,7 +276,6 @@
             return
         self._figures_number = figures.number
         if figures.is_pressed or self._figures_pressed:
-            self._figures_pressed = figures.is_pressed
             value = encode_figures(replace(figures, term=self._term.number))
             yield Put(work_ahead_key(self._term.service), value)
 
