--- a/fireflyfork/decisions/jobs/_policy_factory.py
+++ b/fireflyfork/decisions/jobs/_policy_factory.py
@@ -2,17 +2,18 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
-from ._policies import Policies
+from ._policies import LoadPolicy, Policies, RoomPolicy
 from ._policy_settings import PolicySettings
 from ._service_state import ServiceState
+from .admission import WorkAhead
 from .preemption import Preemption
 
 
 def create_policies(settings: PolicySettings, state: ServiceState) -> Policies:
     """Return the policies of a scheduler with this state; those that are off are the defaults."""
-    policies = Policies()
-    if settings.preemption.enabled or settings.preemption.adaptive_reserve:
-        policies = replace(policies, room=Preemption(settings.preemption, state))
-    return policies
+    preemption = settings.preemption
+    makes_room = preemption.enabled or preemption.adaptive_reserve
+    return Policies(
+        room=Preemption(preemption, state) if makes_room else RoomPolicy(),
+        load=WorkAhead(state) if settings.admission.enabled else LoadPolicy(),
+    )
