Fair shares after their review: reserved room and long-running tasks, bounded searches and rounds

- A task that starts on reserved room no longer counts as waiting (it would not have started again).
- Long-running tasks aren't kept out by a reservation, and other steps of its own job are.
- A search seeks room for four jobs on 256 executors, a job for which none can have room is tried again after 5 s, and a service has 16 reservations at most; refusals beside reservations count for the limit of a round.
- Urgent jobs get reservations first; limits per executor and tickets are respected; long-running tasks don't count as waits of a share.
Not mended: accelerators aren't charged; shares of queues that are gone are kept; an overdue reservation starts over with a new time.

--- a/fireflyfork/adapters/_coordination.py
+++ b/fireflyfork/adapters/_coordination.py
@@ -38,6 +38,8 @@
     changes: tuple[StoreChange, ...]
     as_of: Revision
     """The revision after which the next call continues."""
+    may_be_partial: bool = False
+    """Whether the store may have had more changes when it answered, which it left for the next call."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,6 +92,10 @@
     async def read(self, key: str) -> StoredItem | None:
         """Return the item, or None if the key is absent."""
 
+    async def read_stale(self, key: str) -> StoredItem | None:
+        """Return the item as it was up to seconds ago, at a lower price than ``read``."""
+        return await self.read(key)
+
     @abstractmethod
     async def list(self, prefix: str) -> StoreListing:
         """Return all items whose keys start with ``prefix``."""
--- a/fireflyfork/decisions/jobs/__init__.py
+++ b/fireflyfork/decisions/jobs/__init__.py
@@ -5,6 +5,8 @@
 from ._commands import AskAdvice, Command, PaceRun, RunCommand, StartRun, StopRun
 from ._executors import ExecutorRegistration, ExecutorRoom, ExecutorState
 from ._instance_standing import (
+    MAX_BID_DELAY,
+    SUFFICIENT_STRENGTH,
     InstanceStanding,
     bid_delay,
     choose_relays,
@@ -15,6 +17,7 @@
 )
 from ._interference import LearnedFit
 from ._job_table import JobTable
+from ._listing_age import bid_spread_seconds, max_listing_age, review_seconds
 from ._load_shedding import Shed
 from ._notes import (
     ExecutorGivenUp,
@@ -24,6 +27,8 @@
     ReservationDropped,
     ReservationMade,
     ReservationOutcome,
+    ReserveChanged,
+    RoomMade,
     RunEnded,
     RunMoved,
     ShareWaits,
@@ -40,6 +45,7 @@
 )
 from ._progress import JobState, StoredProgress, StoredTask
 from ._queues import QueueConfiguration, QueueTable, queue_table
+from ._registration_age import RegistrationAge
 from ._reports import (
     CallOutcome,
     EndedRow,
@@ -51,7 +57,7 @@
     StartRequest,
 )
 from ._run_end_evidence import RunEndEvidence
-from ._runs import Job, Run, RunPhase, Task
+from ._runs import Job, Run, RunPhase, Task, allowed_ms
 from ._scheduler import Scheduler, SchedulerSettings
 from ._specs import JobSpec, StepSpec, TaskKey, parse_task_name, step_name
 from ._stored_forms import (
@@ -74,7 +80,9 @@
 from ._waves import MachineListing, MachineState, UpkeepMark, UpkeepOutcome, UpkeepPhase, UpkeepWave
 
 __all__ = [
+    "MAX_BID_DELAY",
     "NO_POLICIES",
+    "SUFFICIENT_STRENGTH",
     "AdmissionSettings",
     "AskAdvice",
     "CallOutcome",
@@ -108,9 +116,12 @@
     "PreemptionSettings",
     "QueueConfiguration",
     "QueueTable",
+    "RegistrationAge",
     "ReservationDropped",
     "ReservationMade",
     "ReservationOutcome",
+    "ReserveChanged",
+    "RoomMade",
     "Run",
     "RunCommand",
     "RunEndEvidence",
@@ -140,7 +151,9 @@
     "UpkeepWave",
     "WaitReason",
     "WaveView",
+    "allowed_ms",
     "bid_delay",
+    "bid_spread_seconds",
     "choose_relays",
     "choose_upstreams",
     "decode_learned",
@@ -155,9 +168,11 @@
     "encode_registrations",
     "encode_upkeep_mark",
     "has_stronger",
+    "max_listing_age",
     "needs_relays",
     "parse_task_name",
     "queue_table",
+    "review_seconds",
     "should_hand_over",
     "step_name",
     "strength",
--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -13,15 +13,13 @@
 from ._gangs import gang_members, next_attempt, place_together
 from ._notes import TaskSent
 from ._placement_costs import choose, is_allowed, max_accepted_cost
+from ._registration_age import START_VALID_MS
 from ._runs import Run, RunPhase, Task
 from ._service_state import ServiceState
 from ._stragglers import other_executors
 from ._tickets import StepId
 from ._waiting_tasks import WaitingStep
 
-START_VALID_MS = 1_000
-"""Milliseconds for which a start is valid; carried out later, it is void. Answers take 1 to 45 ms.
-A start that arrives seconds late could run at the same time as its replacement."""
 MAX_COMPARED = 512
 """Executors compared at first for a task that stays where it is placed, or that uses leftover CPU.
 In a fleet of thousands the best of these is about as good as the best of all."""
@@ -44,6 +42,10 @@
     """CPU time that was reserved on the usable executors when the round began."""
     long_running_millis: int
     """CPU time reserved by long-running tasks, including those started in this round."""
+    urgent_millis: int = 0
+    """The part of ``reserved_millis`` that belongs to short tasks of priority 0."""
+    started_millis: int = 0
+    """CPU time reserved by the tasks started in this round."""
     wait_reasons: dict[tuple[object, ...], WaitReason] = field(default_factory=dict)
     """By shape of task: the reason why no executor could run it."""
     barred_reasons: dict[tuple[Hashable, frozenset[ExecutorState]], WaitReason] = field(
@@ -65,6 +67,7 @@
             sum(executor.registration.room.cpu_millis for executor in usable),
             sum(executor.used_cpu_millis for executor in usable),
             sum(executor.long_running_cpu_millis for executor in usable),
+            sum(executor.urgent_cpu_millis for executor in usable),
         )
 
     def max_cost(self, task: Task, now_ms: int) -> float:
@@ -103,8 +106,8 @@
         self._place_copies(placement_round, now, now_ms)
         return self._cost_caches.computed >= max_computed
 
-    def prepare_start(self, run: Run, now: float) -> bool:
-        """Prepare a start for sending when its turn has come.
+    def prepare_start(self, run: Run, now: float, valid_ms: int = START_VALID_MS) -> bool:
+        """Prepare a start for sending when its turn has come, to be valid for ``valid_ms``.
 
         Returns False if it must not be sent any more. The validity of the order begins only now: if
         many starts wait for a slow event loop, it would otherwise expire before they are sent.
@@ -115,7 +118,7 @@
         if not wanted or not executor.is_usable(now):
             return False
         run.ordered_at = now
-        _set_deadline(run, now)
+        _set_deadline(run, now, valid_ms)
         return True
 
     def _place_step(
@@ -133,7 +136,6 @@
                 reason = self._place_task(task, placement_round, now, now_ms)
                 if reason is not None:
                     return reason
-                task.waiting = False
             step.tasks.popleft()
         return None
 
@@ -142,16 +144,20 @@
     ) -> WaitReason | None:
         if self._place_on_reserved(task, placement_round, now, now_ms):
             return None
-        shape = _shape(task)
+        urgent_share = self._state.policies.room.urgent_share()
+        is_kept_out = urgent_share > 0 and task.job.queue.priority > 0
+        shape = (*_shape(task), is_kept_out)
         allowed = self._executors_with_tickets(task, placement_round.usable, now)
         reason = placement_round.wait_reasons.get(shape) or self._skip_reason(task, placement_round)
         barred = self._barred(task, now) if reason is None else frozenset[ExecutorState]()
         placement_round.barred = barred
         if barred:
             reason = placement_round.barred_reasons.get((shape, barred))
+        if barred and reason is None:
             allowed = [executor for executor in allowed if executor not in barred]
         if reason is None and not self._start(task, allowed, placement_round, now, now_ms):
             if self._state.policies.room.make_room(task, allowed, now, now_ms):
+                task.wait_reason = _why_not_placed(task, placement_round.usable)
                 self._state.waiting.defer(task)
                 return None
             reason = _why_not_placed(task, placement_round.usable)
@@ -159,6 +165,8 @@
             placement_round.barred_reasons[shape, barred] = reason
         elif reason is not None:
             placement_round.wait_reasons[shape] = reason
+        else:
+            task.waiting = False
         return reason
 
     def _barred(self, task: Task, now: float) -> frozenset[ExecutorState]:
@@ -171,6 +179,8 @@
         self, task: Task, placement_round: _PlacementRound, now: float, now_ms: int
     ) -> bool:
         """Start a task on the executor that is reserved for its job, if it can run there now."""
+        if task.job.queue.needs_tickets:
+            return False
         executor = self._state.policies.order.reserved_for(task)
         if executor is None or not executor.is_usable(now):
             return False
@@ -178,6 +188,8 @@
         if choose(task, (executor,), self._state.interference, max_cost) is None:
             return False
         self._begin_run(task, executor, now, now_ms)
+        placement_round.started_millis += task.spec.reserved_cpu_millis
+        task.waiting = False
         return True
 
     def _place_reserved(self, task: Task, now: float, now_ms: int) -> bool:
@@ -270,10 +282,13 @@
 
     def _skip_reason(self, task: Task, placement_round: _PlacementRound) -> WaitReason | None:
         """Return why a task is not considered in this round, or None."""
-        if len(placement_round.wait_reasons) >= MAX_REFUSED_SHAPES:
+        refused = len(placement_round.wait_reasons) + len(placement_round.barred_reasons)
+        if refused >= MAX_REFUSED_SHAPES:
             return WaitReason.BEHIND
-        share = self._state.policies.room.short_task_share()
-        if _would_take_short_task_reserve(task, placement_round, share):
+        room = self._state.policies.room
+        if _would_take_short_task_reserve(task, placement_round, room.short_task_share()):
+            return WaitReason.RESERVED
+        if _would_take_urgent_reserve(task, placement_round, room.urgent_share()):
             return WaitReason.RESERVED
         return None
 
@@ -296,6 +311,7 @@
         runs = place_together(task, allowed, choice, next_attempt(task), now)
         for run in runs:
             self._send(run, now, now_ms)
+            placement_round.started_millis += task.spec.reserved_cpu_millis
             if task.spec.long_running:
                 placement_round.long_running_millis += task.spec.reserved_cpu_millis
         return bool(runs)
@@ -325,9 +341,9 @@
         self._state.tell(lambda policy: policy.run_started(run, now))
 
 
-def _set_deadline(run: Run, now: float) -> None:
+def _set_deadline(run: Run, now: float, valid_ms: int = START_VALID_MS) -> None:
     """Set the deadline of a start; it also acts as a lease for everything on the executor."""
-    run.start_deadline_ms = run.executor.min_clock_ms(now) + START_VALID_MS
+    run.start_deadline_ms = run.executor.min_clock_ms(now) + valid_ms
     run.executor.grant_lease(run.start_deadline_ms)
 
 
@@ -341,6 +357,18 @@
     return long_running_millis > placement_round.total_millis * (1 - share)
 
 
+def _would_take_urgent_reserve(task: Task, placement_round: _PlacementRound, share: float) -> bool:
+    """Whether a less urgent short task would take the share that is kept for urgent ones."""
+    millis = task.spec.reserved_cpu_millis
+    if not share or not millis or not task.job.queue.priority or task.spec.long_running:
+        return False
+    in_use = placement_round.reserved_millis + placement_round.started_millis
+    if 2 * in_use < placement_round.total_millis:
+        return False
+    less_urgent_millis = in_use - placement_round.urgent_millis + millis
+    return less_urgent_millis > placement_round.total_millis * (1 - share)
+
+
 def _shape(task: Task) -> tuple[object, ...]:
     step = task.spec
     has_own_limits = step.per_executor_limit or task.job.queue.needs_tickets or step.gang
--- a/fireflyfork/decisions/jobs/_policies.py
+++ b/fireflyfork/decisions/jobs/_policies.py
@@ -8,6 +8,7 @@
 
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 from ._executors import ExecutorState
 from ._reports import EndReason
@@ -16,6 +17,9 @@
 from ._stored_shares import StoredShare
 from ._urgency import Urgency, urgency
 
+if TYPE_CHECKING:
+    from .admission import WorkFigures
+
 SHORT_TASK_SHARE = 0.10
 """Share of all processors that long-running tasks leave free. Short tasks arrive in waves of a
 twentieth of the processors on average, and a core for them is worth four times a core for a
@@ -57,12 +61,17 @@
         """Return the share of all processors that long-running tasks leave free."""
         return SHORT_TASK_SHARE
 
+    def urgent_share(self) -> float:
+        """Return the share of all processors that less urgent tasks leave free."""
+        return 0.0
+
     def make_room(
         self, task: Task, usable: Sequence[ExecutorState], now: float, now_ms: int
     ) -> bool:
         """Make room for a task that found none on the usable executors.
 
-        Returns whether room is reserved for it, where it starts once the room is free.
+        Returns whether the task is tried again at the next tick by itself, because room is reserved
+        for it, where it starts once the room is free, or is about to come free.
         """
         return False
 
@@ -118,6 +127,15 @@
         return None
 
 
+class LoadPolicy(Policy):
+    """Measures the work ahead of new jobs, for the instances that accept them."""
+
+    @property
+    def figures(self) -> WorkFigures | None:
+        """The latest figures; None if nothing is measured."""
+        return None
+
+
 @dataclass(frozen=True, slots=True)
 class Policies:
     """The policies of one scheduler."""
@@ -125,7 +143,8 @@
     room: RoomPolicy = field(default_factory=RoomPolicy)
     order: OrderPolicy = field(default_factory=OrderPolicy)
     estimates: EstimatePolicy = field(default_factory=EstimatePolicy)
+    load: LoadPolicy = field(default_factory=LoadPolicy)
 
     def each(self) -> tuple[Policy, ...]:
         """Return all policies, to tell each of an event."""
-        return self.room, self.order, self.estimates
+        return self.room, self.order, self.estimates, self.load
--- a/fireflyfork/decisions/jobs/_policy_settings.py
+++ b/fireflyfork/decisions/jobs/_policy_settings.py
@@ -11,7 +11,8 @@
 
     enabled: bool = False
     max_stopped_share: float = 0.05
-    """Largest share of the running tasks that may be stopped for urgent ones within 10 s."""
+    """Largest share of the running tasks that may be stopped for urgent ones within 10 s. Two more
+    may be stopped, however few tasks run."""
     adaptive_reserve: bool = False
     """Whether the room kept for short tasks follows their demand instead of a fixed share."""
 
@@ -23,6 +24,12 @@
     enabled: bool = False
     max_figures_age_seconds: float = 2.0
     """Age from which the owner's figures are too old to refuse a job by."""
+    margin: float = 0.5
+    """Share of its objective by which a job's expected end must exceed it for the job to count as
+    late, and to be compared with all that arrives and is placed before late jobs."""
+    retry_after_outages: bool = False
+    """Whether Retry-After follows the outages of the store that an instance has seen, and a write
+    without an answer is given up at once when the store has stopped answering."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,7 +62,8 @@
     """How the work of owners is spread and handed over."""
 
     shards: bool = False
-    """Whether a service may have an owner for each set of failure domains."""
+    """Whether a service may have an owner for each set of failure domains. Not implemented yet: the
+    setting changes nothing."""
     hand_over_without_store: bool = False
     """Whether an owner that can't reach the store hands over before its lease ends."""
 
--- a/fireflyfork/decisions/jobs/_runs.py
+++ b/fireflyfork/decisions/jobs/_runs.py
@@ -24,6 +24,11 @@
 _NONE_YET = AttemptNumber(0)
 
 
+def allowed_ms(spec: JobSpec, queue: QueueConfiguration) -> float:
+    """Return the milliseconds that the objective of a queue allows for a job."""
+    return queue.stretch_factor * spec.chain_ms() + queue.target_latency_ms
+
+
 class RunPhase(Enum):
     """The phase of a run."""
 
@@ -71,6 +76,10 @@
     pace_confirmed: bool = True
     """False if the pace on the executor may differ from ``pace_percent``, because an earlier owner
     started the run or because a pace order was not answered."""
+    paused_at: float = float("-inf")
+    """When the run was last paced to nothing for an urgent task, in seconds."""
+    paused_until: float = 0.0
+    """Until when the run is paced to nothing for an urgent task, in seconds."""
     ticket: str = ""
     """The advisor's permission to run the task on the executor; empty if the queue needs none."""
     in_background: bool = False
@@ -165,7 +174,7 @@
 
     def allowed_ms(self) -> float:
         """Return the milliseconds that the objective allows from acceptance to completion."""
-        return self.queue.stretch_factor * self.spec.chain_ms() + self.queue.target_latency_ms
+        return allowed_ms(self.spec, self.queue)
 
     def is_beyond_use(self, now_ms: int) -> bool:
         """Whether the job has taken so long that its end is of no use any more."""
--- a/fireflyfork/decisions/jobs/fairness/_policy.py
+++ b/fireflyfork/decisions/jobs/fairness/_policy.py
@@ -9,6 +9,7 @@
 from .._policies import OrderPolicy
 from .._policy_settings import FairnessSettings
 from .._reports import EndReason
+from .._rotation import Rotation
 from .._run_end_evidence import RunEndEvidence
 from .._runs import Job, Run, Task
 from .._service_state import ServiceState
@@ -17,6 +18,7 @@
 from ._durations import Durations
 from ._reservations import (
     MAX_OVERDUE_SECONDS,
+    MAX_RESERVATIONS,
     RESERVED_EXECUTORS_DIVISOR,
     Reservation,
     Reservations,
@@ -25,6 +27,12 @@
 
 SEARCH_SECONDS = 0.5
 """Interval between two searches for jobs that get a reservation."""
+MAX_PLANNED_JOBS = 4
+"""Jobs for which room is sought in one search."""
+EXECUTORS_PER_SEARCH = 256
+"""Executors that are compared in one search; the next one begins behind them."""
+RETRY_SECONDS = 5.0
+"""Time until room is sought again for a job for which no executor can have it."""
 NOTE_SECONDS = 10.0
 """Interval between two notes on the shares with waiting jobs."""
 
@@ -43,6 +51,9 @@
         self._shares = FairShares(settings.weights)
         self._durations = Durations()
         self._reservations = Reservations(self._durations, state.interference)
+        self._executors = Rotation(EXECUTORS_PER_SEARCH)
+        self._without_place: dict[Job, float] = {}
+        """Jobs for which no executor can have room, and until when they are not considered."""
         self._levels: dict[ShareId, int] = {}
         """The levels of use that were computed since the last tick and the share's last change."""
         self._now = 0.0
@@ -114,6 +125,9 @@
         if now - self._searched_at < SEARCH_SECONDS:
             return
         self._searched_at = now
+        self._without_place = {
+            job: until for job, until in self._without_place.items() if until > now
+        }
         rooms = [executor.registration.room for executor in self._state.executors.values()]
         self._shares.resize(
             sum(room.cpu_millis for room in rooms), sum(room.memory_mb for room in rooms)
@@ -138,18 +152,20 @@
     def _reserve(self, now: float, now_ms: int) -> None:
         """Reserve room for the jobs that have waited too long, useful and oldest ones first."""
         most = max(1, len(self._state.executors) // RESERVED_EXECUTORS_DIVISOR)
+        most = min(MAX_RESERVATIONS, most)
         if len(self._reservations) >= most:
             return
         widest = self._widest_waiting(now_ms)
-        usable = self._state.usable_executors(now) if widest else []
-        for job in sorted(
-            widest, key=lambda job: (job.is_beyond_use(now_ms), job.spec.accepted_ms)
-        ):
+        usable = self._executors.next_items(self._state.usable_executors(now)) if widest else []
+        order = sorted(widest, key=lambda job: _reservation_order(job, now_ms))
+        for job in order[:MAX_PLANNED_JOBS]:
             if len(self._reservations) >= most:
                 return
             task, count = widest[job]
             if self._reservations.add(task, count, usable, now):
                 self._note_made(job, now, now_ms)
+            else:
+                self._without_place[job] = now + RETRY_SECONDS
 
     def _widest_waiting(self, now_ms: int) -> dict[Job, tuple[Task, int]]:
         """Return, by job that needs a reservation, its widest waiting task and how many wait."""
@@ -168,6 +184,8 @@
             return False
         if not self._state.needs_run(task) or self._reservations.of_job(job) is not None:
             return False
+        if job in self._without_place:
+            return False
         after_ms = self._settings.reservation_after_chains * job.spec.chain_ms()
         return waited_ms(task, now_ms) > after_ms
 
@@ -210,6 +228,8 @@
         self._noted_at = now
         waits: dict[ShareId, tuple[int, int]] = {}
         for task, count in self._state.waiting.by_step():
+            if task.spec.long_running:
+                continue
             share = share_of(task.job)
             tasks, longest = waits.get(share, (0, 0))
             waits[share] = tasks + count, max(longest, int(waited_ms(task, now_ms)))
@@ -225,5 +245,10 @@
     return now_ms - since - (job.spec.chain_ms() - job.remaining_ms())
 
 
+def _reservation_order(job: Job, now_ms: int) -> tuple[int, bool, int]:
+    """Return a sort key: urgent jobs first, then those that can be of use, then the oldest."""
+    return job.queue.priority, job.is_beyond_use(now_ms), job.spec.accepted_ms
+
+
 def _width(task: Task) -> tuple[int, int]:
     return task.spec.cpu_millis, task.spec.memory_mb
--- a/fireflyfork/decisions/jobs/fairness/_reservations.py
+++ b/fireflyfork/decisions/jobs/fairness/_reservations.py
@@ -28,6 +28,8 @@
 longer than expected, and the job gets a reservation elsewhere."""
 RESERVED_EXECUTORS_DIVISOR = 16
 """At most one in this many executors is reserved, and at least one may be."""
+MAX_RESERVATIONS = 16
+"""Most reservations of a service. Each is considered for every task that is placed."""
 
 
 @dataclass(slots=True, eq=False)
@@ -64,6 +66,7 @@
         self._durations = durations
         self._interference = interference
         self._by_executor: dict[ExecutorState, Reservation] = {}
+        self._by_job: dict[Job, Reservation] = {}
         self._ticks = 0
 
     def __len__(self) -> int:
@@ -85,11 +88,11 @@
 
     def of_job(self, job: Job) -> Reservation | None:
         """Return the reservation of a job, or None."""
-        return next((kept for kept in self._by_executor.values() if kept.job is job), None)
+        return self._by_job.get(job)
 
     def of_task(self, task: Task) -> Reservation | None:
         """Return the reservation that a task may start under, or None."""
-        kept = self.of_job(task.job) if self._by_executor else None
+        kept = self.of_job(task.job)
         return kept if kept is not None and kept.step == task.step_id else None
 
     def add(self, task: Task, count: int, usable: Iterable[ExecutorState], now: float) -> bool:
@@ -108,7 +111,8 @@
         at, tasks, _, executor = min(plans, default=(float("inf"), 0, 0, None))
         if executor is None:
             return False
-        self._by_executor[executor] = Reservation(task, executor, at, min(count, -tasks))
+        kept = Reservation(task, executor, at, min(count, -tasks))
+        self._by_executor[executor] = self._by_job[task.job] = kept
         return True
 
     def started(self, run: Run) -> Reservation | None:
@@ -117,24 +121,26 @@
         if kept is None or kept.step != run.task.step_id:
             return None
         kept.tasks -= 1
-        return self._by_executor.pop(run.executor) if kept.tasks <= 0 else None
+        if kept.tasks > 0:
+            return None
+        self.drop(kept)
+        return kept
 
     def drop(self, reservation: Reservation) -> None:
         """Drop a reservation."""
         if self._by_executor.get(reservation.executor) is reservation:
             del self._by_executor[reservation.executor]
+            del self._by_job[reservation.job]
 
     def may_take(self, task: Task, executor: ExecutorState, now: float) -> bool:
         """Whether a task may start on an executor in spite of its reservation."""
         kept = self._by_executor.get(executor)
-        if kept is None or kept.job is task.job:
+        if kept is None or kept.step == task.step_id:
             return True
-        if task.job.queue.priority < kept.job.queue.priority:
+        # Users of a long-running task would wait for as long as the reservation stands.
+        if task.spec.long_running or task.job.queue.priority < kept.job.queue.priority:
             return True
-        ends_at = float("inf")
-        if not task.spec.long_running:
-            ends_at = now + self._durations.seconds(task)
-        if ends_at <= kept.at:
+        if now + self._durations.seconds(task) <= kept.at:
             return True
         # The members of a gang would take the room together.
         return not task.spec.gang and self._leaves_enough(kept, task, now)
@@ -202,6 +208,8 @@
                 tasks = min(tasks, memory // step.memory_mb)
             if step.accelerators:
                 tasks = min(tasks, accelerators // step.accelerators)
+            if step.per_executor_limit:
+                tasks = min(tasks, step.per_executor_limit)
             if tasks > 0:
                 yield at, tasks
                 return
--- a/fireflyfork/decisions/jobs/fairness/tests/test_reservations.py
+++ b/fireflyfork/decisions/jobs/fairness/tests/test_reservations.py
@@ -121,6 +121,41 @@
         self.assertEqual(len(owner.place()), 1)
 
 
+class ReservedRoomTest(unittest.TestCase):
+    """What becomes of tasks while room is reserved for a job."""
+
+    def setUp(self) -> None:
+        """Set up a job with a reservation on the only executor, which is full."""
+        self.owner = FairOwner("i-0")
+        self.owner.submit("a", small(estimate_ms=5_000))
+        self.owner.place()
+        self.owner.submit("a", large())
+        for _ in range(47):
+            self.owner.tick(0.1)
+            self.owner.place()
+        self.assertEqual(len(self.owner.policy._reservations), 1)
+
+    def test_a_task_that_fails_on_reserved_room_starts_again(self) -> None:
+        """Guards against a task that counts as waiting after its start and is never placed again."""
+        runs: list[Run] = []
+        for _ in range(20):
+            self.owner.tick(0.1)
+            for run in tuple(self.owner.executor().runs.values()):
+                if run.task.spec.cpu_millis < 16000 and self.owner.now - run.ordered_at >= 5.0:
+                    self.owner.end("i-0", run.task.name, run.attempt, EndReason.DONE)
+                    self.owner.poll()
+            runs.extend(self.owner.place())
+        (run,) = runs
+        self.owner.end("i-0", run.task.name, run.attempt, EndReason.LAPSED)
+        self.owner.poll()
+        self.assertEqual([again.attempt for again in self.owner.place()], [2])
+
+    def test_a_long_running_task_takes_reserved_room(self) -> None:
+        """Guards against a service that stays away for as long as a reservation stands."""
+        self.owner.submit("a", step(cpu_millis=1000, long_running=True))
+        self.assertEqual([run.task.spec.long_running for run in self.owner.place()], [True])
+
+
 class ReservationEndTest(unittest.TestCase):
     """What ends a reservation."""
 
--- a/fireflyfork/programs/_scheduler_node.py
+++ b/fireflyfork/programs/_scheduler_node.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import partial
 from random import Random
 
 import trio
@@ -23,9 +24,11 @@
 from ._external_clients import ExternalClients
 from ._loop_report import LoopReport
 from ._metrics import METRICS_TEXT, Metrics
+from .admission import create_gate
 from .callers._job_requests import JobRequests
 from .callers._job_service import JobService
 from .owner._operator_requests import OperatorRequests
+from .owner._release_through_peer import release_service
 from .owner._service_candidate import ServiceCandidate
 from .owner._service_owner import ServiceOwner
 from .replicas._announced_upstreams import AnnouncedUpstreams
@@ -99,7 +102,9 @@
             AnnouncedUpstreams(self._announcements),
             clients.replica_peers,
         )
-        self._relay = RelayServer(clients.relay_calls)
+        self._relay = RelayServer(
+            clients.relay_calls, release=partial(release_service, clients.store)
+        )
         self._report = LoopReport(
             clients.loop_profile,
             lambda: clients.loop_time.lag,
@@ -114,12 +119,23 @@
         self._candidates: dict[ServiceName, ServiceCandidate] = {}
         self._nursery: trio.Nursery | None = None
         self._stopping = False
+        admission = settings.policies.admission
+        requests = JobRequests(self._store, self._job_changed, not admission.retry_after_outages)
+        self._gate = create_gate(
+            admission,
+            requests.submit,
+            self._store,
+            clock,
+            self._metrics,
+            lambda: self._keeper.is_current,
+        )
         self._job_service = JobService(
-            JobRequests(self._store, self._job_changed),
+            requests,
             clock,
             self._metrics,
             lambda: self._keeper.table,
             lambda: self._keeper.is_current,
+            self._gate,
         )
         self._callers = HttpServer(self._job_service)
         self._readiness = HttpServer(_Readiness(self))
@@ -162,6 +178,8 @@
             nursery.start_soon(self._keeper.run)
             nursery.start_soon(self._announcements.run)
             nursery.start_soon(self._report.run)
+            if self._gate is not None:
+                nursery.start_soon(self._gate.run)
             logger.info(
                 "serving", callers=str(caller_address), failure_domain=self._settings.failure_domain
             )
--- a/fireflyfork/programs/owner/_decision_log.py
+++ b/fireflyfork/programs/owner/_decision_log.py
@@ -18,6 +18,8 @@
     Note,
     ReservationDropped,
     ReservationMade,
+    ReserveChanged,
+    RoomMade,
     RunEnded,
     RunMoved,
     ShareWaits,
@@ -40,6 +42,8 @@
     TaskSent: "task sent",
     RunEnded: "run ended",
     RunMoved: "run moved",
+    RoomMade: "room made",
+    ReserveChanged: "reserve changed",
     JobOver: "job over",
     ExecutorGivenUp: "executor given up",
     ReservationMade: "room reserved",
@@ -82,11 +86,11 @@
 
     def _is_sampled(self, note: Note) -> bool:
         match note:
-            case TaskSent() | RunEnded() | RunMoved():
+            case TaskSent() | RunEnded() | RunMoved() | RoomMade():
                 return in_sample(job_of_task(note.task), self._sampled_share)
             case JobOver() | ReservationMade() | ReservationDropped():
                 return in_sample(note.job, self._sampled_share)
-            case ExecutorGivenUp() | ShareWaits():
+            case ReserveChanged() | ExecutorGivenUp() | ShareWaits():
                 return True
 
     def _begin_second(self) -> None:
--- a/fireflyfork/programs/owner/_decision_metrics.py
+++ b/fireflyfork/programs/owner/_decision_metrics.py
@@ -9,6 +9,8 @@
     Note,
     ReservationDropped,
     ReservationMade,
+    ReserveChanged,
+    RoomMade,
     RunEnded,
     RunMoved,
     ShareWaits,
@@ -29,6 +31,12 @@
             metrics.count("fireflyfork_runs_ended_total", reason=note.reason.value)
         case RunMoved():
             metrics.count("fireflyfork_runs_moved_total", reason=note.reason.name.lower())
+        case RoomMade():
+            by = "stop" if note.stopped else "pause"
+            metrics.count("fireflyfork_rooms_made_total", by=by)
+            metrics.count("fireflyfork_preempted_core_milliseconds_total", _core_ms(note))
+        case ReserveChanged():
+            metrics.count("fireflyfork_reserve_changes_total")
         case JobOver():
             in_time = str(note.age_ms <= note.allowed_ms).lower()
             metrics.count("fireflyfork_jobs_over_total", state=note.state.value, in_time=in_time)
@@ -59,3 +67,7 @@
         outcome = "in_time" if note.age_ms <= note.allowed_ms else "late"
     size = sizes.classify(note.queue, note.work)
     metrics.count("fireflyfork_jobs_by_size_total", queue=note.queue, size=size, outcome=outcome)
+
+
+def _core_ms(note: RoomMade) -> int:
+    return round(note.lost_core_seconds * 1000)
--- a/fireflyfork/programs/owner/_service_owner.py
+++ b/fireflyfork/programs/owner/_service_owner.py
@@ -34,6 +34,7 @@
 from ._operator_requests import OperatorRequests
 from ._recovery_reads import read_recovery_state, retry_until_answered
 from ._registration_intake import RegistrationIntake
+from ._release_through_peer import ReleaseThroughPeer
 from ._run_orders import RunOrders
 from ._service_journal import OwnershipLostError, ServiceJournal
 from ._service_lease import Term
@@ -102,7 +103,14 @@
         lease = min(LEASE_SECONDS, bounds.max_lease * MAX_LEASE_SHARE)
         unreached_lease = MAX_UNCONFIRMED_SECONDS + lease + CLOCK_MARGIN_SECONDS
         self._scheduler = Scheduler(
-            SchedulerSettings(self._service, unreached_lease, lease, policies)
+            SchedulerSettings(
+                self._service,
+                unreached_lease,
+                lease,
+                policies,
+                stop_timeout=bounds.stop_timeout,
+                drain_notice=bounds.drain_notice,
+            )
         )
         self._journal = ServiceJournal(
             self._store, term, self._scheduler, self._note_journal_written
@@ -131,10 +139,20 @@
             clock,
             self._polls.wake_unless_idle,
             self.request_dispatch,
+            metrics,
         )
         self._succession = Succession(
             self._service, node, announcements, self._calls, lambda: len(self._scheduler.executors)
         )
+        self._release = ReleaseThroughPeer(
+            term,
+            announcements.own.failure_domain,
+            self._calls,
+            clock,
+            metrics,
+            lambda: self._confirmed_owner_at,
+        )
+        self._may_release = policies.ownership.hand_over_without_store
         self._ready = False
         self._decision_log = DecisionLog(clock, self._service, metrics)
         # Recovery reads don't confirm the ownership: over a thin link they take seconds, and their
@@ -164,6 +182,10 @@
         """The scheduler of this owner, for status and metrics."""
         return self._scheduler
 
+    def note_renewal(self, sent_at: float, renewed: bool) -> None:
+        """Record a renewal of the lease of the owner key; see ``ServiceLease.keep``."""
+        self._release.note_renewal(sent_at, renewed)
+
     def request_dispatch(self) -> None:
         """Wake the dispatch loop after a change, to place tasks and send orders."""
         self._dispatch_requested.set()
@@ -208,7 +230,7 @@
                 self._scheduler.record_ownership(sent_at)
                 nursery.start_soon(self._journal.run)
                 nursery.start_soon(self._work_intake.watch().run, work_listing.as_of)
-                nursery.start_soon(self._registrations.watch().run, registrations_revision)
+                nursery.start_soon(self._registrations.follow, sent_at, registrations_revision)
                 nursery.start_soon(self._tick, nursery)
                 nursery.start_soon(self._remove_old_jobs)
                 nursery.start_soon(self._upkeep.run)
@@ -217,6 +239,13 @@
                 nursery.start_soon(
                     self._succession.follow_others, lambda: self.resign(HAND_OVER_SECONDS)
                 )
+                nursery.start_soon(
+                    self._succession.watch_starts,
+                    lambda: self._registrations.held_seconds,
+                    lambda: self.resign(HAND_OVER_SECONDS),
+                )
+                if self._may_release:
+                    nursery.start_soon(self._release.run, lambda: self.resign(0.0))
                 await self._dispatch(nursery)
                 nursery.cancel_scope.cancel()
         except* OwnershipLostError as errors:
@@ -269,6 +298,7 @@
         while True:
             await trio.sleep(TICK_SECONDS)
             self._shed_load()
+            self._registrations.update_age()
             self._scheduler.evacuate(self._requests.evacuated_domains())
             with self._profile.section("checks of time"):
                 self._scheduler.check_time(self._clock.now(), self._clock.unix_ms())
@@ -325,6 +355,7 @@
                     self._polled_executors.add(executor)
                     nursery.start_soon(self._keep_polling, executor)
             if not self._resigning:
+                self._registrations.update_age()
                 with self._profile.section("placing"):
                     if self._scheduler.place(started_at, self._clock.unix_ms()):
                         self.request_dispatch()
