--- a/fireflyfork/decisions/jobs/__init__.py
+++ b/fireflyfork/decisions/jobs/__init__.py
@@ -24,10 +24,14 @@
     JobOver,
     MoveReason,
     Note,
+    ReservationDropped,
+    ReservationMade,
+    ReservationOutcome,
     ReserveChanged,
     RoomMade,
     RunEnded,
     RunMoved,
+    ShareWaits,
     TaskSent,
 )
 from ._policy_settings import (
@@ -61,6 +65,7 @@
     decode_learned,
     decode_progress,
     decode_registrations,
+    decode_shares,
     decode_stored_job,
     decode_upkeep_mark,
     encode_job,
@@ -69,6 +74,7 @@
     encode_registrations,
     encode_upkeep_mark,
 )
+from ._stored_shares import ShareId, StoredShare
 from ._upkeep import WaveView
 from ._upstreams import choose_upstreams
 from ._waves import MachineListing, MachineState, UpkeepMark, UpkeepOutcome, UpkeepPhase, UpkeepWave
@@ -111,6 +117,9 @@
     "QueueConfiguration",
     "QueueTable",
     "RegistrationAge",
+    "ReservationDropped",
+    "ReservationMade",
+    "ReservationOutcome",
     "ReserveChanged",
     "RoomMade",
     "Run",
@@ -122,6 +131,8 @@
     "RunningRow",
     "Scheduler",
     "SchedulerSettings",
+    "ShareId",
+    "ShareWaits",
     "Shed",
     "StartRequest",
     "StartRun",
@@ -129,6 +140,7 @@
     "StopRun",
     "StoredFormatError",
     "StoredProgress",
+    "StoredShare",
     "StoredTask",
     "Task",
     "TaskKey",
@@ -147,6 +159,7 @@
     "decode_learned",
     "decode_progress",
     "decode_registrations",
+    "decode_shares",
     "decode_stored_job",
     "decode_upkeep_mark",
     "encode_job",
--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Hashable
 from dataclasses import dataclass, field
 
 from ..._waits import WaitReason
@@ -47,7 +48,16 @@
     """CPU time reserved by the tasks started in this round."""
     wait_reasons: dict[tuple[object, ...], WaitReason] = field(default_factory=dict)
     """By shape of task: the reason why no executor could run it."""
-    candidates: dict[StepId, Candidates] = field(default_factory=dict)
+    barred_reasons: dict[tuple[Hashable, frozenset[ExecutorState]], WaitReason] = field(
+        default_factory=dict
+    )
+    """The same for tasks that may not use the reserved room of these executors."""
+    barred: frozenset[ExecutorState] = frozenset()
+    """The executors whose reserved room the task that is being placed may not use."""
+    candidates: dict[tuple[StepId, frozenset[ExecutorState]], Candidates] = field(
+        default_factory=dict
+    )
+    """By step and the executors that its tasks are barred from, which change as room is taken."""
 
     @classmethod
     def for_executors(cls, usable: list[ExecutorState]) -> _PlacementRound:
@@ -85,7 +95,7 @@
         usable = self._state.usable_executors(now)
         placement_round = _PlacementRound.for_executors(usable)
         while usable and self._cost_caches.computed < max_computed:
-            step = self._state.waiting.pop()
+            step = self._state.waiting.pop(now_ms)
             if step is None:
                 break
             reason = self._place_step(step, placement_round, now, now_ms)
@@ -132,23 +142,56 @@
     def _place_task(
         self, task: Task, placement_round: _PlacementRound, now: float, now_ms: int
     ) -> WaitReason | None:
+        if self._place_on_reserved(task, placement_round, now, now_ms):
+            return None
         urgent_share = self._state.policies.room.urgent_share()
         is_kept_out = urgent_share > 0 and task.job.queue.priority > 0
         shape = (*_shape(task), is_kept_out)
         allowed = self._executors_with_tickets(task, placement_round.usable, now)
         reason = placement_round.wait_reasons.get(shape) or self._skip_reason(task, placement_round)
+        barred = self._barred(task, now) if reason is None else frozenset[ExecutorState]()
+        placement_round.barred = barred
+        if barred:
+            reason = placement_round.barred_reasons.get((shape, barred))
+        if barred and reason is None:
+            allowed = [executor for executor in allowed if executor not in barred]
         if reason is None and not self._start(task, allowed, placement_round, now, now_ms):
             if self._state.policies.room.make_room(task, allowed, now, now_ms):
                 task.wait_reason = _why_not_placed(task, placement_round.usable)
                 self._state.waiting.defer(task)
                 return None
             reason = _why_not_placed(task, placement_round.usable)
-        if reason is not None:
+        if reason is not None and barred:
+            placement_round.barred_reasons[shape, barred] = reason
+        elif reason is not None:
             placement_round.wait_reasons[shape] = reason
         else:
             task.waiting = False
         return reason
 
+    def _barred(self, task: Task, now: float) -> frozenset[ExecutorState]:
+        """Return the executors whose room is reserved for other tasks than this one."""
+        order = self._state.policies.order
+        reserved = order.reserved_executors()
+        return frozenset(each for each in reserved if not order.may_take(task, each, now))
+
+    def _place_on_reserved(
+        self, task: Task, placement_round: _PlacementRound, now: float, now_ms: int
+    ) -> bool:
+        """Start a task on the executor that is reserved for its job, if it can run there now."""
+        if task.job.queue.needs_tickets:
+            return False
+        executor = self._state.policies.order.reserved_for(task)
+        if executor is None or not executor.is_usable(now):
+            return False
+        max_cost = placement_round.max_cost(task, now_ms)
+        if choose(task, (executor,), self._state.interference, max_cost) is None:
+            return False
+        self._begin_run(task, executor, now, now_ms)
+        placement_round.started_millis += task.spec.reserved_cpu_millis
+        task.waiting = False
+        return True
+
     def _place_reserved(self, task: Task, now: float, now_ms: int) -> bool:
         """Start a task that is being moved on the executor that has resources reserved for it.
 
@@ -180,6 +223,8 @@
             other_usable = other_executors(
                 task, self._executors_with_tickets(task, placement_round.usable, now)
             )
+            barred = self._barred(task, now)
+            other_usable = [each for each in other_usable if each not in barred]
             max_cost = placement_round.max_cost(task, now_ms)
             executor = choose(task, other_usable, self._state.interference, max_cost)
             if executor is not None:
@@ -192,7 +237,8 @@
         placement_round: _PlacementRound,
         max_cost: float,
     ) -> Candidates:
-        candidates = placement_round.candidates.get(task.step_id)
+        key = task.step_id, placement_round.barred
+        candidates = placement_round.candidates.get(key)
         if candidates is None:
             # Many executors are compared for long-running tasks, since they stay where they are
             # placed, and for tasks that use leftover CPU, since the amount by which they slow down
@@ -202,7 +248,7 @@
             costs = self._cost_caches.for_task(task)
             candidates = Candidates(task, allowed, costs, max_cost, self._first_index, batch_size)
             self._first_index += EXECUTORS_PER_BATCH
-            placement_round.candidates[task.step_id] = candidates
+            placement_round.candidates[key] = candidates
         return candidates
 
     def _executors_with_tickets(
@@ -236,7 +282,8 @@
 
     def _skip_reason(self, task: Task, placement_round: _PlacementRound) -> WaitReason | None:
         """Return why a task is not considered in this round, or None."""
-        if len(placement_round.wait_reasons) >= MAX_REFUSED_SHAPES:
+        refused = len(placement_round.wait_reasons) + len(placement_round.barred_reasons)
+        if refused >= MAX_REFUSED_SHAPES:
             return WaitReason.BEHIND
         room = self._state.policies.room
         if _would_take_short_task_reserve(task, placement_round, room.short_task_share()):
--- a/fireflyfork/programs/_scheduler_node.py
+++ b/fireflyfork/programs/_scheduler_node.py
@@ -180,7 +180,9 @@
             nursery.start_soon(self._report.run)
             if self._gate is not None:
                 nursery.start_soon(self._gate.run)
-            logger.info("serving", callers=str(caller_address))
+            logger.info(
+                "serving", callers=str(caller_address), failure_domain=self._settings.failure_domain
+            )
             await stop.wait()
             await self._stop()
             nursery.cancel_scope.cancel()
--- a/fireflyfork/programs/owner/_decision_log.py
+++ b/fireflyfork/programs/owner/_decision_log.py
@@ -16,15 +16,19 @@
     ExecutorGivenUp,
     JobOver,
     Note,
+    ReservationDropped,
+    ReservationMade,
     ReserveChanged,
     RoomMade,
     RunEnded,
     RunMoved,
+    ShareWaits,
     TaskSent,
 )
 from .._clocks import Clock
 from .._metrics import Metrics
 from ._decision_metrics import count_decision
+from ._size_classes import SizeClasses
 
 MAX_LINES_PER_SECOND = 400
 """A line takes about 50 us of an instance's fraction of a core."""
@@ -42,6 +46,9 @@
     ReserveChanged: "reserve changed",
     JobOver: "job over",
     ExecutorGivenUp: "executor given up",
+    ReservationMade: "room reserved",
+    ReservationDropped: "reservation dropped",
+    ShareWaits: "share waits",
 }
 
 
@@ -56,6 +63,7 @@
         self._clock = clock
         self._service = service
         self._metrics = metrics
+        self._sizes = SizeClasses()
         self._sampled_share = 1.0
         self._share_changed_at = clock.now()
         self._second = 0
@@ -67,7 +75,7 @@
     def write(self, notes: list[Note]) -> None:
         """Count all notes, and log the sampled notes up to the limit."""
         for note in notes:
-            count_decision(self._metrics, note)
+            count_decision(self._metrics, note, self._sizes)
             self._begin_second()
             self._decided += 1
             if self._is_sampled(note) and self._written < MAX_LINES_PER_SECOND:
@@ -80,9 +88,9 @@
         match note:
             case TaskSent() | RunEnded() | RunMoved() | RoomMade():
                 return in_sample(job_of_task(note.task), self._sampled_share)
-            case JobOver():
+            case JobOver() | ReservationMade() | ReservationDropped():
                 return in_sample(note.job, self._sampled_share)
-            case ReserveChanged() | ExecutorGivenUp():
+            case ReserveChanged() | ExecutorGivenUp() | ShareWaits():
                 return True
 
     def _begin_second(self) -> None:
--- a/fireflyfork/programs/owner/_service_journal.py
+++ b/fireflyfork/programs/owner/_service_journal.py
@@ -12,14 +12,16 @@
 
 from ..._errors import StoreError, TransactionConflictError
 from ..._ids import JobId, Revision
-from ...adapters import CoordinationStore, Put
+from ...adapters import CoordinationStore, Put, StoredItem
 from ...decisions.jobs import (
     ExecutorRegistration,
     LearnedFit,
     Scheduler,
     StoredFormatError,
+    StoredShare,
     decode_learned,
     decode_registrations,
+    decode_shares,
     encode_learned,
     encode_progress,
     encode_registrations,
@@ -114,12 +116,14 @@
         key = executors_key(self._term.service)
         return await self._read_stored_value(key, decode_registrations, missing=nothing)
 
-    async def last_learned(self) -> tuple[LearnedFit, ...]:
-        """Return the learned interference that an earlier owner stored. Raises StoreError."""
-        nothing: tuple[LearnedFit, ...] = ()
+    async def last_learned(self) -> tuple[tuple[LearnedFit, ...], tuple[StoredShare, ...]]:
+        """Return the learned interference and the shares that an earlier owner stored.
+
+        Raises StoreError.
+        """
         key = learned_key(self._term.service)
-        learned = await self._read_stored_value(key, decode_learned, missing=nothing)
-        return learned if learned is not None else nothing
+        item = await self._store.read(key)
+        return _decoded(item, key, decode_learned) or (), _decoded(item, key, decode_shares) or ()
 
     def notify(self) -> None:
         """Wake the journal, because there may be changes to store."""
@@ -201,15 +205,7 @@
         Returns None if it can't be read.
         """
         item = await self._store.read(key)
-        if item is None:
-            return missing
-        try:
-            return decode(item.value)
-        except StoredFormatError as error:
-            # Without this the service would have no owner for as long as the value is unreadable,
-            # which is worse than starting without it.
-            logger.error("state of an earlier owner not readable", key=key, error=str(error))
-            return None
+        return missing if item is None else _decoded(item, key, decode)
 
     async def _wait_for_batch(self) -> None:
         """Wait for more changes, unless executors have to be stored before they can get runs."""
@@ -253,7 +249,8 @@
             # If this write fails, the next one follows two seconds later; no other state depends on
             # it.
             self._learned_at = trio.current_time()
-            puts.append(Put(learned_key(service), encode_learned(self._scheduler.learned())))
+            learned = encode_learned(self._scheduler.learned(), self._scheduler.shares())
+            puts.append(Put(learned_key(service), learned))
         puts.extend(self._figures_to_store())
         if executors is not None:
             puts.append(Put(executors_key(service), encode_registrations(executors)))
@@ -286,3 +283,16 @@
             raise OwnershipLostError("another owner has taken over, or the lease has ended")
         journal_item = error.current_versions.get(journal_key(self._term.service))
         self._last_write = journal_item.revision if journal_item is not None else Revision(0)
+
+
+def _decoded(item: StoredItem | None, key: str, decode: Callable[[bytes], _Value]) -> _Value | None:
+    """Return a stored value, or None if it is missing or unreadable."""
+    if item is None:
+        return None
+    try:
+        return decode(item.value)
+    except StoredFormatError as error:
+        # Without this the service would have no owner for as long as the value is unreadable,
+        # which is worse than starting without it.
+        logger.error("state of an earlier owner not readable", key=key, error=str(error))
+        return None
