--- a/fireflyfork/decisions/jobs/preemption/_losses.py
+++ b/fireflyfork/decisions/jobs/preemption/_losses.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from ..._victims import lost_core_seconds
-from .._runs import Run, RunPhase, Task
+from .._runs import Run, RunPhase
 from .._upkeep import may_become_unavailable
 
 MIN_SECONDS_BETWEEN_STOPS = 12.0
@@ -43,8 +43,8 @@
         return max(0.0, now - (started if seen is None else seen[1]))
 
 
-def may_be_stopped(run: Run, urgent: Task, now: float) -> bool:
-    """Whether a run may be stopped for an urgent task.
+def may_be_stopped(run: Run, now: float) -> bool:
+    """Whether a run of a less urgent task may be stopped.
 
     Members of a gang are not stopped: the others would hold resources without working. Tasks that
     last are stopped only if their step has a budget for it.
@@ -52,9 +52,7 @@
     task, step = run.task, run.task.spec
     if run.phase is not RunPhase.RUNNING or task.job.state.is_final or len(task.runs) != 1:
         return False
-    if task.job.queue.priority <= urgent.job.queue.priority or step.gang:
-        return False
-    if now - task.moved_at < MIN_SECONDS_BETWEEN_STOPS:
+    if step.gang or now - task.moved_at < MIN_SECONDS_BETWEEN_STOPS:
         return False
     if step.long_running:
         return step.unavailable_budget > 0 and may_become_unavailable(run)
--- a/fireflyfork/decisions/jobs/preemption/_room_plans.py
+++ b/fireflyfork/decisions/jobs/preemption/_room_plans.py
@@ -69,7 +69,7 @@
         if not need.fits_in(free):
             if not need.fits_in(_total(free, less_urgent)):
                 return None
-            candidates = self._candidates(task, less_urgent, now)
+            candidates = self._candidates(less_urgent, now)
             victims = cheapest_victims(candidates, free, need, MAX_VICTIMS)
             if not victims or not self._is_worth(task, victims, now):
                 return None
@@ -101,10 +101,10 @@
                 less_urgent.append(run)
         return Resources(cpu, memory), less_urgent
 
-    def _candidates(self, task: Task, less_urgent: list[Run], now: float) -> Iterator[Victim[Run]]:
+    def _candidates(self, less_urgent: list[Run], now: float) -> Iterator[Victim[Run]]:
         budgeted_steps = set()
         for run in less_urgent:
-            if not may_be_stopped(run, task, now):
+            if not may_be_stopped(run, now):
                 continue
             if run.task.spec.long_running:
                 # The budget of a step is known only for one stop at a time.
