--- a/fireflyfork/decisions/jobs/__init__.py
+++ b/fireflyfork/decisions/jobs/__init__.py
@@ -5,6 +5,8 @@
 from ._commands import AskAdvice, Command, PaceRun, RunCommand, StartRun, StopRun
 from ._executors import ExecutorRegistration, ExecutorRoom, ExecutorState
 from ._instance_standing import (
+    MAX_BID_DELAY,
+    SUFFICIENT_STRENGTH,
     InstanceStanding,
     bid_delay,
     choose_relays,
@@ -15,6 +17,7 @@
 )
 from ._interference import LearnedFit
 from ._job_table import JobTable
+from ._listing_age import bid_spread_seconds, max_listing_age, review_seconds
 from ._load_shedding import Shed
 from ._notes import (
     ExecutorGivenUp,
@@ -22,9 +25,15 @@
     JobOver,
     MoveReason,
     Note,
+    ReservationDropped,
+    ReservationMade,
+    ReservationOutcome,
+    ReserveChanged,
+    RoomMade,
     RunEnded,
     RunMoved,
     RunStraggling,
+    ShareWaits,
     StepOnTrial,
     TaskSent,
 )
@@ -39,6 +48,7 @@
 )
 from ._progress import JobState, StoredProgress, StoredTask
 from ._queues import QueueConfiguration, QueueTable, queue_table
+from ._registration_age import RegistrationAge
 from ._reports import (
     CallOutcome,
     EndedRow,
@@ -50,7 +60,7 @@
     StartRequest,
 )
 from ._run_end_evidence import RunEndEvidence
-from ._runs import Job, Run, RunPhase, Task
+from ._runs import Job, Run, RunPhase, Task, allowed_ms
 from ._scheduler import Scheduler, SchedulerSettings
 from ._specs import JobSpec, StepSpec, TaskKey, parse_task_name, step_name
 from ._stored_estimates import StoredEstimates, StoredEvidence, StoredSpeed
@@ -60,6 +70,7 @@
     decode_learned,
     decode_progress,
     decode_registrations,
+    decode_shares,
     decode_stored_job,
     decode_upkeep_mark,
     encode_job,
@@ -68,12 +79,15 @@
     encode_registrations,
     encode_upkeep_mark,
 )
+from ._stored_shares import ShareId, StoredShare
 from ._upkeep import WaveView
 from ._upstreams import choose_upstreams
 from ._waves import MachineListing, MachineState, UpkeepMark, UpkeepOutcome, UpkeepPhase, UpkeepWave
 
 __all__ = [
+    "MAX_BID_DELAY",
     "NO_POLICIES",
+    "SUFFICIENT_STRENGTH",
     "AdmissionSettings",
     "AskAdvice",
     "CallOutcome",
@@ -108,6 +122,12 @@
     "PreemptionSettings",
     "QueueConfiguration",
     "QueueTable",
+    "RegistrationAge",
+    "ReservationDropped",
+    "ReservationMade",
+    "ReservationOutcome",
+    "ReserveChanged",
+    "RoomMade",
     "Run",
     "RunCommand",
     "RunEndEvidence",
@@ -118,6 +138,8 @@
     "RunningRow",
     "Scheduler",
     "SchedulerSettings",
+    "ShareId",
+    "ShareWaits",
     "Shed",
     "StartRequest",
     "StartRun",
@@ -128,6 +150,7 @@
     "StoredEvidence",
     "StoredFormatError",
     "StoredProgress",
+    "StoredShare",
     "StoredSpeed",
     "StoredTask",
     "Task",
@@ -139,13 +162,16 @@
     "UpkeepWave",
     "WaitReason",
     "WaveView",
+    "allowed_ms",
     "bid_delay",
+    "bid_spread_seconds",
     "choose_relays",
     "choose_upstreams",
     "decode_estimates",
     "decode_learned",
     "decode_progress",
     "decode_registrations",
+    "decode_shares",
     "decode_stored_job",
     "decode_upkeep_mark",
     "encode_job",
@@ -154,9 +180,11 @@
     "encode_registrations",
     "encode_upkeep_mark",
     "has_stronger",
+    "max_listing_age",
     "needs_relays",
     "parse_task_name",
     "queue_table",
+    "review_seconds",
     "should_hand_over",
     "step_name",
     "strength",
--- a/fireflyfork/decisions/jobs/_notes.py
+++ b/fireflyfork/decisions/jobs/_notes.py
@@ -10,6 +10,7 @@
 from ._progress import JobState
 from ._reports import EndReason
 from ._run_end_evidence import RunEndEvidence
+from ._stored_shares import ShareId
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,6 +56,9 @@
     age_ms: int
     allowed_ms: int
     """How long the job may take to be of full use."""
+    queue: str = ""
+    work: int = 0
+    """Estimated work of all tasks, in thousandths of a core times milliseconds."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -73,6 +77,7 @@
     EVACUATION = "evacuation"
     SLOW = "slowed down beside a service"
     ARRANGEMENT = "arrangement"
+    PREEMPTION = "room for an urgent task"
 
 
 @dataclass(frozen=True, slots=True)
@@ -129,12 +134,86 @@
     """The estimated speed of its executor; 1 is usual."""
 
 
+class ReservationOutcome(Enum):
+    """Why a reservation was dropped."""
+
+    USED = "used"
+    """The tasks that it was made for have started there."""
+    NOT_NEEDED = "not needed"
+    """The job's tasks have found another place."""
+    JOB_OVER = "job over"
+    EXECUTOR_LEFT = "executor left"
+    OVERDUE = "overdue"
+    """The room wasn't free in time."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReservationMade:
+    """Room on an executor is reserved for a job that has waited long."""
+
+    job: JobId
+    executor: ExecutorId
+    tasks: int
+    waited_ms: int
+    expected_in_ms: int
+    """Time until the room is expected to be free."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReservationDropped:
+    """The reservation of a job was dropped."""
+
+    job: JobId
+    executor: ExecutorId
+    reason: ReservationOutcome
+
+
+@dataclass(frozen=True, slots=True)
+class ShareWaits:
+    """Tasks of a share wait; noted every ten seconds."""
+
+    share: ShareId
+    use: float
+    """The share's use by its weight: 0 for none, 1 for all room at a weight of 1."""
+    tasks: int
+    longest_wait_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class RoomMade:
+    """Room was reserved for an urgent task that found none."""
+
+    task: TaskName
+    executor: ExecutorId
+    stopped: int
+    """Number of less urgent runs that are stopped."""
+    paused: int
+    """Number of less urgent runs that are paced to nothing while the task runs."""
+    lost_core_seconds: float
+    """Work that the stopped runs have done since their last checkpoint."""
+
+
+@dataclass(frozen=True, slots=True)
+class ReserveChanged:
+    """The shares of all processors that are kept free have changed."""
+
+    short_task_share: float
+    """The share that long-running tasks leave free."""
+    urgent_share: float
+    """The share that less urgent short tasks leave free."""
+
+
 Note = (
     TaskSent
     | RunEnded
     | RunMoved
+    | RoomMade
+    | ReserveChanged
     | JobOver
     | ExecutorGivenUp
+    | ReservationMade
+    | ReservationDropped
+    | ShareWaits
     | FailureSuspicion
     | StepOnTrial
     | RunStraggling
--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Hashable
 from dataclasses import dataclass, field
+from math import inf
 
 from ..._waits import WaitReason
 from ._candidates import EXECUTORS_PER_BATCH, Candidates
@@ -12,15 +14,13 @@
 from ._gangs import gang_members, next_attempt, place_together
 from ._notes import TaskSent
 from ._placement_costs import choose, is_allowed, is_far_from_data, max_accepted_cost
+from ._registration_age import START_VALID_MS
 from ._runs import Run, RunPhase, Task, running_tasks
 from ._service_state import ServiceState
 from ._stragglers import other_executors
 from ._tickets import StepId
 from ._waiting_tasks import WaitingStep
 
-START_VALID_MS = 1_000
-"""Milliseconds for which a start is valid; carried out later, it is void. Answers take 1 to 45 ms.
-A start that arrives seconds late could run at the same time as its replacement."""
 MAX_COMPARED = 512
 """Executors compared at first for a task that stays where it is placed, or that uses leftover CPU.
 In a fleet of thousands the best of these is about as good as the best of all."""
@@ -43,9 +43,22 @@
     """CPU time that was reserved on the usable executors when the round began."""
     long_running_millis: int
     """CPU time reserved by long-running tasks, including those started in this round."""
+    urgent_millis: int = 0
+    """The part of ``reserved_millis`` that belongs to short tasks of priority 0."""
+    started_millis: int = 0
+    """CPU time reserved by the tasks started in this round."""
     wait_reasons: dict[tuple[object, ...], WaitReason] = field(default_factory=dict)
     """By shape of task: the reason why no executor could run it."""
-    candidates: dict[StepId, Candidates] = field(default_factory=dict)
+    barred_reasons: dict[tuple[Hashable, frozenset[ExecutorState]], WaitReason] = field(
+        default_factory=dict
+    )
+    """The same for tasks that may not use the reserved room of these executors."""
+    barred: frozenset[ExecutorState] = frozenset()
+    """The executors whose reserved room the task that is being placed may not use."""
+    candidates: dict[tuple[StepId, frozenset[ExecutorState]], Candidates] = field(
+        default_factory=dict
+    )
+    """By step and the executors that its tasks are barred from, which change as room is taken."""
     waiting_for_rack: set[StepId] = field(default_factory=set)
     """Steps that found an executor, but wait for one near their data."""
 
@@ -57,6 +70,7 @@
             sum(executor.registration.room.cpu_millis for executor in usable),
             sum(executor.used_cpu_millis for executor in usable),
             sum(executor.long_running_cpu_millis for executor in usable),
+            sum(executor.urgent_cpu_millis for executor in usable),
         )
 
     def max_cost(self, task: Task, now_ms: int) -> float:
@@ -84,7 +98,7 @@
         usable = self._state.usable_executors(now)
         placement_round = _PlacementRound.for_executors(usable)
         while usable and self._cost_caches.computed < max_computed:
-            step = self._state.waiting.pop()
+            step = self._state.waiting.pop(now_ms)
             if step is None:
                 break
             reason = self._place_step(step, placement_round, now, now_ms)
@@ -95,8 +109,8 @@
         self._place_copies(placement_round, now, now_ms)
         return self._cost_caches.computed >= max_computed
 
-    def prepare_start(self, run: Run, now: float) -> bool:
-        """Prepare a start for sending when its turn has come.
+    def prepare_start(self, run: Run, now: float, valid_ms: int = START_VALID_MS) -> bool:
+        """Prepare a start for sending when its turn has come, to be valid for ``valid_ms``.
 
         Returns False if it must not be sent any more. The validity of the order begins only now: if
         many starts wait for a slow event loop, it would otherwise expire before they are sent.
@@ -107,7 +121,7 @@
         if not wanted or not executor.is_usable(now):
             return False
         run.ordered_at = now
-        _set_deadline(run, now)
+        _set_deadline(run, now, valid_ms)
         return True
 
     def _place_step(
@@ -130,27 +144,64 @@
                 reason = self._place_task(task, placement_round, now, now_ms)
                 if reason is not None:
                     return reason
-                task.waiting = False
             step.tasks.popleft()
         return None
 
     def _place_task(
         self, task: Task, placement_round: _PlacementRound, now: float, now_ms: int
     ) -> WaitReason | None:
-        shape = _shape(task)
+        if self._place_on_reserved(task, placement_round, now, now_ms):
+            return None
+        urgent_share = self._state.policies.room.urgent_share()
+        is_kept_out = urgent_share > 0 and task.job.queue.priority > 0
+        shape = (*_shape(task), is_kept_out)
         allowed = self._executors_with_tickets(task, placement_round.usable, now)
         reason = placement_round.wait_reasons.get(shape) or self._skip_reason(task, placement_round)
+        barred = self._barred(task, now) if reason is None else frozenset[ExecutorState]()
+        placement_round.barred = barred
+        if barred:
+            reason = placement_round.barred_reasons.get((shape, barred))
+        if barred and reason is None:
+            allowed = [executor for executor in allowed if executor not in barred]
         if reason is None and not self._start(task, allowed, placement_round, now, now_ms):
             if task.step_id in placement_round.waiting_for_rack:
                 return WaitReason.NEAR_DATA
             if self._state.policies.room.make_room(task, allowed, now, now_ms):
+                task.wait_reason = _why_not_placed(task, placement_round.usable)
                 self._state.waiting.defer(task)
                 return None
             reason = _why_not_placed(task, placement_round.usable)
-        if reason is not None:
+        if reason is not None and barred:
+            placement_round.barred_reasons[shape, barred] = reason
+        elif reason is not None:
             placement_round.wait_reasons[shape] = reason
+        else:
+            task.waiting = False
         return reason
 
+    def _barred(self, task: Task, now: float) -> frozenset[ExecutorState]:
+        """Return the executors whose room is reserved for other tasks than this one."""
+        order = self._state.policies.order
+        reserved = order.reserved_executors()
+        return frozenset(each for each in reserved if not order.may_take(task, each, now))
+
+    def _place_on_reserved(
+        self, task: Task, placement_round: _PlacementRound, now: float, now_ms: int
+    ) -> bool:
+        """Start a task on the executor that is reserved for its job, if it can run there now."""
+        if task.job.queue.needs_tickets:
+            return False
+        executor = self._state.policies.order.reserved_for(task)
+        if executor is None or not executor.is_usable(now):
+            return False
+        max_cost = placement_round.max_cost(task, now_ms)
+        if choose(task, (executor,), self._state.interference, max_cost) is None:
+            return False
+        self._begin_run(task, executor, now, now_ms)
+        placement_round.started_millis += task.spec.reserved_cpu_millis
+        task.waiting = False
+        return True
+
     def _place_reserved(self, task: Task, now: float, now_ms: int) -> bool:
         """Start a task that is being moved on the executor that has resources reserved for it.
 
@@ -182,6 +233,8 @@
             other_usable = other_executors(
                 task, self._executors_with_tickets(task, placement_round.usable, now)
             )
+            barred = self._barred(task, now)
+            other_usable = [each for each in other_usable if each not in barred]
             max_cost = placement_round.max_cost(task, now_ms)
             executor = self._choose(task, other_usable, max_cost)
             if executor is not None:
@@ -200,7 +253,8 @@
         placement_round: _PlacementRound,
         max_cost: float,
     ) -> Candidates:
-        candidates = placement_round.candidates.get(task.step_id)
+        key = task.step_id, placement_round.barred
+        candidates = placement_round.candidates.get(key)
         if candidates is None:
             # Many executors are compared for long-running tasks, since they stay where they are
             # placed, and for tasks that use leftover CPU, since the amount by which they slow down
@@ -210,7 +264,7 @@
             costs = self._cost_caches.for_task(task)
             candidates = Candidates(task, allowed, costs, max_cost, self._first_index, batch_size)
             self._first_index += EXECUTORS_PER_BATCH
-            placement_round.candidates[task.step_id] = candidates
+            placement_round.candidates[key] = candidates
         return candidates
 
     def _executors_with_tickets(
@@ -220,6 +274,9 @@
         if not task.job.queue.needs_tickets:
             return usable
         step = task.step_id
+        cost = self._state.policies.estimates.extra_cost
+        # An avoided executor is empty, and would be the first one to be asked for.
+        usable = [each for each in usable if cost(task, each) < inf] or usable
         allowed = [
             executor
             for executor in usable
@@ -244,10 +301,13 @@
 
     def _skip_reason(self, task: Task, placement_round: _PlacementRound) -> WaitReason | None:
         """Return why a task is not considered in this round, or None."""
-        if len(placement_round.wait_reasons) >= MAX_REFUSED_SHAPES:
+        refused = len(placement_round.wait_reasons) + len(placement_round.barred_reasons)
+        if refused >= MAX_REFUSED_SHAPES:
             return WaitReason.BEHIND
-        share = self._state.policies.room.short_task_share()
-        if _would_take_short_task_reserve(task, placement_round, share):
+        room = self._state.policies.room
+        if _would_take_short_task_reserve(task, placement_round, room.short_task_share()):
+            return WaitReason.RESERVED
+        if _would_take_urgent_reserve(task, placement_round, room.urgent_share()):
             return WaitReason.RESERVED
         return None
 
@@ -279,6 +339,7 @@
         runs = place_together(task, allowed, choice, next_attempt(task), now)
         for run in runs:
             self._send(run, now, now_ms)
+            placement_round.started_millis += task.spec.reserved_cpu_millis
             if task.spec.long_running:
                 placement_round.long_running_millis += task.spec.reserved_cpu_millis
         return bool(runs)
@@ -308,9 +369,9 @@
         self._state.tell(lambda policy: policy.run_started(run, now))
 
 
-def _set_deadline(run: Run, now: float) -> None:
+def _set_deadline(run: Run, now: float, valid_ms: int = START_VALID_MS) -> None:
     """Set the deadline of a start; it also acts as a lease for everything on the executor."""
-    run.start_deadline_ms = run.executor.min_clock_ms(now) + START_VALID_MS
+    run.start_deadline_ms = run.executor.min_clock_ms(now) + valid_ms
     run.executor.grant_lease(run.start_deadline_ms)
 
 
@@ -324,6 +385,18 @@
     return long_running_millis > placement_round.total_millis * (1 - share)
 
 
+def _would_take_urgent_reserve(task: Task, placement_round: _PlacementRound, share: float) -> bool:
+    """Whether a less urgent short task would take the share that is kept for urgent ones."""
+    millis = task.spec.reserved_cpu_millis
+    if not share or not millis or not task.job.queue.priority or task.spec.long_running:
+        return False
+    in_use = placement_round.reserved_millis + placement_round.started_millis
+    if 2 * in_use < placement_round.total_millis:
+        return False
+    less_urgent_millis = in_use - placement_round.urgent_millis + millis
+    return less_urgent_millis > placement_round.total_millis * (1 - share)
+
+
 def _shape(task: Task) -> tuple[object, ...]:
     step = task.spec
     has_own_limits = step.per_executor_limit or task.job.queue.needs_tickets or step.gang
--- a/fireflyfork/decisions/jobs/_policies.py
+++ b/fireflyfork/decisions/jobs/_policies.py
@@ -6,16 +6,21 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 from ._executors import ExecutorState
 from ._reports import EndReason
 from ._run_end_evidence import RunEndEvidence
 from ._runs import Job, Run, Task
 from ._stored_estimates import StoredEstimates
+from ._stored_shares import StoredShare
 from ._urgency import Urgency, urgency
 
+if TYPE_CHECKING:
+    from .admission import WorkFigures
+
 SHORT_TASK_SHARE = 0.10
 """Share of all processors that long-running tasks leave free. Short tasks arrive in waves of a
 twentieth of the processors on average, and a core for them is worth four times a core for a
@@ -60,12 +65,17 @@
         """Return the share of all processors that long-running tasks leave free."""
         return SHORT_TASK_SHARE
 
+    def urgent_share(self) -> float:
+        """Return the share of all processors that less urgent tasks leave free."""
+        return 0.0
+
     def make_room(
         self, task: Task, usable: Sequence[ExecutorState], now: float, now_ms: int
     ) -> bool:
         """Make room for a task that found none on the usable executors.
 
-        Returns whether room is reserved for it, where it starts once the room is free.
+        Returns whether the task is tried again at the next tick by itself, because room is reserved
+        for it, where it starts once the room is free, or is about to come free.
         """
         return False
 
@@ -77,10 +87,29 @@
         """Return the sort key of a waiting task, the smallest first."""
         return urgency(task, now_ms)
 
+    def revision(self, task: Task) -> int:
+        """Return a number that changes when tasks like this one have to be sorted again."""
+        return 0
+
+    def reserved_executors(self) -> Sequence[ExecutorState]:
+        """Return the executors on which ``may_take`` may answer no."""
+        return ()
+
+    def reserved_for(self, task: Task) -> ExecutorState | None:
+        """Return the executor on which room is reserved for a task, or None."""
+        return None
+
     def may_take(self, task: Task, executor: ExecutorState, now: float) -> bool:
         """Whether a task may use free room on an executor that is reserved for other tasks."""
         return True
 
+    def to_stored(self) -> tuple[StoredShare, ...]:
+        """Return what a successor needs to know of the shares."""
+        return ()
+
+    def adopt(self, shares: Iterable[StoredShare], now: float) -> None:
+        """Continue with what an earlier owner stored of the shares."""
+
 
 class EstimatePolicy(Policy):
     """Estimates how executors and steps behave."""
@@ -125,6 +154,15 @@
         """Use what an earlier owner has learned, aged by the time since then."""
 
 
+class LoadPolicy(Policy):
+    """Measures the work ahead of new jobs, for the instances that accept them."""
+
+    @property
+    def figures(self) -> WorkFigures | None:
+        """The latest figures; None if nothing is measured."""
+        return None
+
+
 @dataclass(frozen=True, slots=True)
 class Policies:
     """The policies of one scheduler."""
@@ -132,7 +170,8 @@
     room: RoomPolicy = field(default_factory=RoomPolicy)
     order: OrderPolicy = field(default_factory=OrderPolicy)
     estimates: EstimatePolicy = field(default_factory=EstimatePolicy)
+    load: LoadPolicy = field(default_factory=LoadPolicy)
 
     def each(self) -> tuple[Policy, ...]:
         """Return all policies, to tell each of an event."""
-        return self.room, self.order, self.estimates
+        return self.room, self.order, self.estimates, self.load
--- a/fireflyfork/decisions/jobs/_policy_factory.py
+++ b/fireflyfork/decisions/jobs/_policy_factory.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
-from ._policies import EstimatePolicy, Policies
+from ._policies import EstimatePolicy, LoadPolicy, OrderPolicy, Policies, RoomPolicy
 from ._policy_settings import EstimateSettings, PolicySettings
 from ._service_state import ServiceState
+from .admission import WorkAhead
 from .estimates import LearnedEstimates
+from .fairness import FairnessPolicy
+from .preemption import Preemption
 
 
 def create_policies(settings: PolicySettings, state: ServiceState, far_factor: float) -> Policies:
@@ -13,11 +16,12 @@
 
     ``far_factor`` is how many times as long tasks take far from their data.
     """
-    return Policies(estimates=_estimates(settings.estimates, state, far_factor))
-
-
-def _estimates(
-    settings: EstimateSettings, state: ServiceState, far_factor: float
-) -> EstimatePolicy:
-    is_off = settings == EstimateSettings()
-    return EstimatePolicy() if is_off else LearnedEstimates(settings, state, far_factor)
+    preemption, fairness, estimates = settings.preemption, settings.fairness, settings.estimates
+    makes_room = preemption.enabled or preemption.adaptive_reserve
+    learns = estimates != EstimateSettings()
+    return Policies(
+        room=Preemption(preemption, state) if makes_room else RoomPolicy(),
+        order=FairnessPolicy(fairness, state) if fairness.enabled else OrderPolicy(),
+        estimates=LearnedEstimates(estimates, state, far_factor) if learns else EstimatePolicy(),
+        load=WorkAhead(state) if settings.admission.enabled else LoadPolicy(),
+    )
--- a/fireflyfork/decisions/jobs/_stored_forms.py
+++ b/fireflyfork/decisions/jobs/_stored_forms.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
+from math import isfinite
 from typing import TypeVar
 
 import msgspec
@@ -13,9 +14,12 @@
 from ._progress import StoredProgress
 from ._specs import JobSpec
 from ._stored_estimates import StoredEstimates
+from ._stored_shares import StoredShare
 from ._waves import UpkeepMark
 
 _Stored = TypeVar("_Stored")
+MAX_LOG_SPEED = 3.0
+"""Largest natural logarithm of an observed speed: twenty times the usual one, or a twentieth."""
 _ESTIMATES = "\x00estimates"
 """Name, in place of an image, of the row that holds the estimates."""
 
@@ -24,6 +28,13 @@
     """A stored value has a format that this version does not write."""
 
 
+@dataclass(frozen=True, slots=True)
+class _SharesCarrier:
+    """The part of a stored fit that holds shares; the other fields are ignored."""
+
+    shares: tuple[StoredShare, ...] = ()
+
+
 def encode_progress(progress: StoredProgress) -> bytes:
     """Return the stored form as bytes."""
     return msgspec.msgpack.encode(progress)
@@ -62,23 +73,47 @@
 
 
 def encode_learned(
-    learned: tuple[LearnedFit, ...], estimates: StoredEstimates | None = None
+    learned: tuple[LearnedFit, ...],
+    shares: tuple[StoredShare, ...] = (),
+    estimates: StoredEstimates | None = None,
 ) -> bytes:
-    """Return the stored form as bytes."""
-    row = () if estimates is None else (_EstimatesRow(_ESTIMATES, (), (), (), estimates),)
-    return msgspec.msgpack.encode((*learned, *row))
+    """Return the stored form as bytes.
+
+    Shares are added to the first fit, as a field that builds which don't know it ignore. Without
+    a fit they are added to an empty one.
+    """
+    rows: list[object] = list(learned)
+    if shares:
+        first = learned[0] if learned else LearnedFit("", (), (), ())
+        rows[:1] = [{**asdict(first), "shares": shares}]
+    if estimates is not None:
+        rows.append(_EstimatesRow(_ESTIMATES, (), (), (), estimates))
+    return msgspec.msgpack.encode(rows)
 
 
 def decode_estimates(data: bytes) -> StoredEstimates | None:
     """Decode the estimates stored with the learned fits, if any. Raises StoredFormatError."""
     rows = _decode(data, tuple[_EstimatesRow, ...])
-    return next((row.estimates for row in rows if row.estimates is not None), None)
+    stored = next((row.estimates for row in rows if row.estimates is not None), None)
+    if stored is not None:
+        _check_estimates(stored)
+    return stored
+
+
+def _check_estimates(stored: StoredEstimates) -> None:
+    """Raise StoredFormatError for counts that no owner can have stored."""
+    counts = [count for each in stored.executors for count in (each.good, each.bad)]
+    counts += [each.weight for each in stored.speeds]
+    if not all(isfinite(count) and count >= 0 for count in counts):
+        raise StoredFormatError("the stored estimates have counts that are no counts")
+    if not all(abs(each.total) <= MAX_LOG_SPEED * each.weight for each in stored.speeds):
+        raise StoredFormatError("the stored estimates have speeds that are out of range")
 
 
 def decode_learned(data: bytes) -> tuple[LearnedFit, ...]:
     """Decode the stored form. Raises StoredFormatError."""
     rows = _decode(data, tuple[LearnedFit, ...])
-    learned = tuple(fit for fit in rows if fit.serving != _ESTIMATES)
+    learned = tuple(fit for fit in rows if fit.serving and fit.serving != _ESTIMATES)
     for fit in learned:
         size = len(fit.names)
         if len(fit.targets) != size or len(fit.products) != size * (size + 1) // 2:
@@ -86,6 +121,12 @@
     return learned
 
 
+def decode_shares(data: bytes) -> tuple[StoredShare, ...]:
+    """Decode the shares stored with the learned fits. Raises StoredFormatError."""
+    carriers = _decode(data, tuple[_SharesCarrier, ...])
+    return tuple(share for carrier in carriers for share in carrier.shares)
+
+
 def encode_upkeep_mark(mark: UpkeepMark) -> bytes:
     """Return the stored form as bytes."""
     return msgspec.msgpack.encode(mark)
--- a/fireflyfork/decisions/jobs/_stragglers.py
+++ b/fireflyfork/decisions/jobs/_stragglers.py
@@ -99,6 +99,8 @@
     # Progress is reported in whole hundredths, so 0 may be almost one.
     rate = max(1, run.progress_percent) / 100 / reported_after
     remaining_seconds = (100 - run.progress_percent) / 100 / rate - (now - run.listed_at)
+    if remaining_seconds <= SLOW_MARGIN_SECONDS:
+        return False
     expected_seconds = estimates.expected_seconds(run)
     if expected_seconds is not None:
         return remaining_seconds > PEER_FACTOR * expected_seconds + SLOW_MARGIN_SECONDS
--- a/fireflyfork/decisions/jobs/estimates/_executor_failures.py
+++ b/fireflyfork/decisions/jobs/estimates/_executor_failures.py
@@ -166,21 +166,28 @@
             self._probed_at[name] = now
         self._judge(executor, now)
 
-    def started(self, executor: ExecutorState, now: float) -> bool:
-        """Record a start. Returns whether it is a probe, since the executor is avoided."""
+    def started(self, executor: ExecutorState, now: float) -> tuple[ExecutorState, ...]:
+        """Record a start, which is a probe if the executor is avoided.
+
+        Returns the executors that are judged anew for it.
+        """
         if not self.standing(executor.executor).avoided:
-            return False
+            return ()
         avoided = self._shares.avoided_groups()
         groups = [group for group in self._groups_of(executor) if group in avoided]
         self._probed_at[executor.executor] = now
         self._probes.update(groups)
         self._judge(executor, now)
         exhausted = {group for group in groups if not self._has_probes_left(group)}
-        for name in self.avoided_executors() if exhausted else ():
-            member = self._executors.get(name)
-            if member is not None and not exhausted.isdisjoint(self._groups_of(member)):
-                self._judge(member, now)
-        return True
+        members = [
+            member
+            for name in (self.avoided_executors() if exhausted else ())
+            if (member := self._executors.get(name)) is not None
+            and not exhausted.isdisjoint(self._groups_of(member))
+        ]
+        for member in members:
+            self._judge(member, now)
+        return executor, *members
 
     def refresh(self, now: float) -> None:
         """Forget with age, and judge all groups and executors anew."""
--- a/fireflyfork/decisions/jobs/estimates/_learned_estimates.py
+++ b/fireflyfork/decisions/jobs/estimates/_learned_estimates.py
@@ -102,8 +102,8 @@
 
     def run_started(self, run: Run, now: float) -> None:
         """Record a start, which is a probe if the executor is avoided."""
-        if self._executors.started(run.executor, now):
-            self._update_costs()
+        for executor in self._executors.started(run.executor, now):
+            self._costs[executor.executor] = self._cost(executor)
 
     def run_listed(self, run: Run, now: float) -> None:
         """Count a long-running task that serves as a good result."""
--- a/fireflyfork/decisions/jobs/estimates/_speeds.py
+++ b/fireflyfork/decisions/jobs/estimates/_speeds.py
@@ -67,6 +67,8 @@
 
     ended: dict[TaskName, tuple[ExecutorId, float]] = field(default_factory=dict)
     running: dict[Run, float] = field(default_factory=dict)
+    medians: dict[ExecutorId, float | None] = field(default_factory=dict)
+    """By executor: the median elsewhere at the last refresh, or None if too few show it."""
 
     def elsewhere(self, run: Run) -> list[float]:
         """Return the durations on other executors."""
@@ -99,8 +101,13 @@
     def expected_seconds(self, run: Run) -> float | None:
         """Return how long a task of the run's step takes elsewhere, or None if too few show it."""
         durations = self._durations(run) if is_comparable(run) else None
-        elsewhere = durations.elsewhere(run) if durations is not None else []
-        return median(elsewhere) if len(elsewhere) >= MIN_PEERS else None
+        if durations is None:
+            return None
+        name = run.executor.executor
+        if name not in durations.medians:
+            elsewhere = durations.elsewhere(run)
+            durations.medians[name] = median(elsewhere) if len(elsewhere) >= MIN_PEERS else None
+        return durations.medians[name]
 
     def listed(self, run: Run, now: float) -> None:
         """Project the duration of a run from its progress."""
@@ -148,6 +155,9 @@
 
     def refresh(self, now: float) -> None:
         """Forget with age, and estimate the speed of all groups anew."""
+        for steps in self._steps.values():
+            for durations in steps.values():
+                durations.medians.clear()
         for name, observed in tuple(self._observed.items()):
             observed.decay(now)
             if observed.weight < NEGLIGIBLE_WEIGHT or name not in self._executors:
--- a/fireflyfork/decisions/jobs/estimates/tests/test_change_of_owner.py
+++ b/fireflyfork/decisions/jobs/estimates/tests/test_change_of_owner.py
@@ -43,7 +43,7 @@
 
     def test_a_new_owner_avoids_what_its_predecessor_avoided(self) -> None:
         """Guards against a failing rack that takes its attempts again from each new owner."""
-        stored = decode_estimates(encode_learned((), learned_by_earlier_owner()))
+        stored = decode_estimates(encode_learned((), estimates=learned_by_earlier_owner()))
         assert stored is not None
         self.assertLessEqual(self._runs_in_rack(stored, age_ms=500), 1)
 
@@ -64,7 +64,7 @@
         fits, estimates = (learned("web", 0.5),), StoredEstimates(START_MS, ())
         for stored in (None, estimates):
             with self.subTest(stored):
-                data = encode_learned(fits, stored)
+                data = encode_learned(fits, estimates=stored)
                 self.assertEqual(decode_learned(data), fits)
                 self.assertEqual(decode_estimates(data), stored)
 
@@ -72,7 +72,7 @@
         """Guards against tasks on a slow executor after each change of owner."""
         stored = StoredEstimates(START_MS, (), (StoredSpeed(ExecutorId("i-0-0"), -9.0, 5.0),))
         fleet = RackedFleet(racks=1, settings=EstimateSettings(speeds=True))
-        received = decode_estimates(encode_learned((), stored))
+        received = decode_estimates(encode_learned((), estimates=stored))
         assert received is not None
         fleet.owner.scheduler.adopt_estimates(received, fleet.owner.now, START_MS + 500)
         fleet.owner.tick(0.1)
@@ -94,4 +94,4 @@
         for _ in range(3):
             fleet.round(lambda run: in_rack(run, run.executor.registration.rack), jobs=160)
         stored = fleet.owner.scheduler.learned_estimates()
-        self.assertLess(len(encode_learned((), stored)), 2_000)
+        self.assertLess(len(encode_learned((), estimates=stored)), 2_000)
--- a/fireflyfork/platform/_settings.py
+++ b/fireflyfork/platform/_settings.py
@@ -4,6 +4,7 @@
 
 import os
 from dataclasses import dataclass
+from math import inf
 from pathlib import Path
 
 from .._errors import SettingsError
@@ -28,7 +29,9 @@
     configuration_delay: float
     """The time within which a configuration change must be in force after it was acknowledged."""
     far_factor: float = 2.0
-    """How many times as long a task takes on another rack than that of its data; not a time."""
+    """How many times as long a task takes on another rack than that of its data."""
+    drain_notice: float = inf
+    """The time for which an executor that announces its shutdown still takes starts."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,6 +119,7 @@
             status_retention=_number(fields, "bounds.status_s"),
             configuration_delay=_number(fields, "bounds.config_apply_ms") / 1000,
             far_factor=_optional_number(fields, "bounds.far_x", 2.0),
+            drain_notice=_number(fields, "bounds.drain_ms") / 1000,
         ),
     )
 
--- a/fireflyfork/platform/_store_client.py
+++ b/fireflyfork/platform/_store_client.py
@@ -57,6 +57,10 @@
 """The number of attempts for each page of a listing before the whole listing fails. A slow link takes seconds for a
 few pages, and a listing that starts over would take as long as the one that failed."""
 
+FULL_ANSWER_CHANGES = 450
+FULL_ANSWER_BYTES = 900_000
+"""The size from which an answer to a watch may lack changes. The store returns about 500 items or 1 MB at a time."""
+
 MAX_CONSECUTIVE_FAILURES = 3
 """The number of consecutive failures after which the store is considered unresponsive. A single lost answer isn't
 significant. After three in a row, callers are better served by another instance immediately than by this one after
@@ -151,10 +155,14 @@
     async def read(self, key: str) -> StoredItem | None:
         """See CoordinationStore."""
         target = f"{KEY_PATH}?key={quote(key, safe='')}"
-        answer = await self._call(_purpose("read", key), "GET", target)
-        if answer.status == 404:
-            return None
-        return _stored(_decoded(answer, _Item))
+        return _found(await self._call(_purpose("read", key), "GET", target))
+
+    async def read_stale(self, key: str) -> StoredItem | None:
+        """See CoordinationStore."""
+        target = f"{KEY_PATH}?key={quote(key, safe='')}&allow_stale=1"
+        # A store that can still answer with old values may be unable to answer anything else.
+        purpose = _purpose("stale read", key)
+        return _found(await self._call(purpose, "GET", target, shows_responsive=False))
 
     async def list(self, prefix: str) -> StoreListing:
         """See CoordinationStore."""
@@ -194,7 +202,8 @@
                 f"the store no longer has the changes of {prefix} after {after}"
             )
         watch = _decoded(answer, _Watch)
-        return StoreChanges(tuple(map(_change, watch.events)), Revision(watch.as_of))
+        is_full = len(watch.events) >= FULL_ANSWER_CHANGES or len(answer.body) >= FULL_ANSWER_BYTES
+        return StoreChanges(tuple(map(_change, watch.events)), Revision(watch.as_of), is_full)
 
     async def commit(
         self,
@@ -256,6 +265,7 @@
         target: str,
         body: bytes = b"",
         extra_seconds: float = 0.0,
+        shows_responsive: bool = True,
     ) -> CallAnswer:
         self._call_counts[purpose] += 1
         self._sent[purpose] += len(body)
@@ -273,7 +283,8 @@
         if answer.status in (429, 503):
             self._failures += 1
             raise StoreRefusedError(f"the store answered {answer.status}")
-        self._failures = 0
+        if shows_responsive:
+            self._failures = 0
         return answer
 
 
@@ -299,6 +310,10 @@
         raise StoreUnavailableError(f"the store's answer can't be read: {error}") from error
 
 
+def _found(answer: CallAnswer) -> StoredItem | None:
+    return None if answer.status == 404 else _stored(_decoded(answer, _Item))
+
+
 def _value(item: _Item) -> bytes:
     try:
         return b64decode(item.value, validate=True)
--- a/fireflyfork/platform/tests/test_formats.py
+++ b/fireflyfork/platform/tests/test_formats.py
@@ -1,15 +1,17 @@
 """Tests of decoding values that other programs have written, including invalid values."""
 
 import unittest
+from math import inf
 
 import msgspec
 
 from ..._errors import BadRequestError, SettingsError
 from ..._ids import ConfigurationVersion, FailureDomainName, JobId, Revision
 from ..._links import Address
-from ...adapters import StoredItem
+from ...adapters import RequestHead, StoredItem
 from ...decisions.jobs.tests.builders_jobs import queue
 from .. import (
+    caller_timeout,
     decode_configuration,
     decode_job,
     decode_registration,
@@ -21,6 +23,7 @@
     parse_node_settings,
     wave_status_key,
 )
+from .._names import CALLER_DEADLINE_HEADER
 
 SETTINGS = """
 node_name=edge-suva-1
@@ -39,6 +42,7 @@
 bounds.grace_s=6
 bounds.status_s=120
 bounds.config_apply_ms=2500
+bounds.drain_ms=2500
 platform.address=10.200.1.7:8169
 something.new=1
 """
@@ -116,7 +120,12 @@
 
     def test_the_version_of_an_executor_is_optional(self) -> None:
         """Guards against executors that can't be used because they don't tell their version."""
-        for fields, version in (({}, ""), ({"version": "4.2"}, "4.2"), ({"version": 7}, "7")):
+        for fields, version in (
+            ({}, ""),
+            ({"version": "4.2"}, "4.2"),
+            ({"version": 7}, "7"),
+            ({"version": [1]}, ""),
+        ):
             with self.subTest(version):
                 entry = {key: value for key, value in ENTRY.items() if key != "version"}
                 executor = decode_registration(_item(msgspec.json.encode({**entry, **fields})))
@@ -179,6 +188,18 @@
                 decode_job(msgspec.json.encode(body), JobId("5c0e7a21d94b36f8"), queue(), 0)
 
 
+class CallerTimeoutTest(unittest.TestCase):
+    """How long a caller waits."""
+
+    def test_a_deadline_that_is_no_number_of_milliseconds_is_ignored(self) -> None:
+        """Guards against a header that ends the server."""
+        for text, seconds in ((b"1500", 1.5), (b"", inf), (b"-1", inf), (b"9" * 400, inf)):
+            with self.subTest(text):
+                headers = ((CALLER_DEADLINE_HEADER, text),)
+                head = RequestHead("POST", "/", headers)
+                self.assertEqual(caller_timeout(head), seconds)
+
+
 class WaveTest(unittest.TestCase):
     """Waves of upkeep and their status, in the format of the operators."""
 
--- a/fireflyfork/platform/tests/test_store_client.py
+++ b/fireflyfork/platform/tests/test_store_client.py
@@ -15,6 +15,7 @@
 from ...adapters import Put, StoreChanges, StoreListing
 from ...adapters.tests.builders_http import Server, ServerStream, served_by
 from .. import PlatformStore
+from .._store_client import MAX_CONSECUTIVE_FAILURES
 
 VALUE = b"routes" * 50_000
 
@@ -101,6 +102,21 @@
     return await store.list(prefix)
 
 
+class FullAnswersTest(unittest.TestCase):
+    """Answers to a watch that may lack changes."""
+
+    def test_an_answer_of_the_store_s_limit_may_lack_changes(self) -> None:
+        """Guards against an owner that takes a part of the changes for all of them."""
+        for count, partial_answer in ((1, False), (400, False), (500, True)):
+            with self.subTest(count=count):
+                events = [
+                    {"key": f"servers/{number}", "revision": 8 + number, "value": ""}
+                    for number in range(count)
+                ]
+                body = msgspec.json.encode({"events": events, "as_of": 8 + count})
+                self.assertIs(_watch(_answering(body)).may_be_partial, partial_answer)
+
+
 class CountedBytesTest(unittest.TestCase):
     """The counts of calls and bytes by purpose."""
 
@@ -171,3 +187,23 @@
         for prefix in ("fireflyfork/upkeep/3/", "fireflyfork/upkeep/4/"):
             self._after(_answering(body), partial(_listing, prefix))
         self.assertEqual(self.store.calls, {"list fireflyfork/upkeep": 2})
+
+
+class StaleReadsTest(unittest.TestCase):
+    """Reads that may return old values, at a lower price."""
+
+    def test_a_stale_read_does_not_show_that_the_store_answers(self) -> None:
+        """Guards against jobs that wait for a store which can only answer with old values."""
+
+        async def main() -> None:
+            store = PlatformStore(Address("10.0.0.1", 80))
+            async with served_by(_answering(b"later", b"503 Service Unavailable")):
+                for _ in range(MAX_CONSECUTIVE_FAILURES):
+                    with self.assertRaises(StoreRefusedError):
+                        await store.read("op/config")
+            async with served_by(_answering(b"", b"404 Not Found")):
+                self.assertIsNone(await store.read_stale("fireflyfork/ahead/desk"))
+            self.assertFalse(store.is_responsive)
+            self.assertEqual(store.calls, {"read op": 3, "stale read fireflyfork/ahead": 1})
+
+        trio.run(main, clock=MockClock(autojump_threshold=0))
--- a/fireflyfork/programs/owner/_decision_log.py
+++ b/fireflyfork/programs/owner/_decision_log.py
@@ -17,15 +17,21 @@
     FailureSuspicion,
     JobOver,
     Note,
+    ReservationDropped,
+    ReservationMade,
+    ReserveChanged,
+    RoomMade,
     RunEnded,
     RunMoved,
     RunStraggling,
+    ShareWaits,
     StepOnTrial,
     TaskSent,
 )
 from .._clocks import Clock
 from .._metrics import Metrics
 from ._decision_metrics import count_decision
+from ._size_classes import SizeClasses
 
 MAX_LINES_PER_SECOND = 400
 """A line takes about 50 us of an instance's fraction of a core."""
@@ -39,11 +45,16 @@
     TaskSent: "task sent",
     RunEnded: "run ended",
     RunMoved: "run moved",
+    RoomMade: "room made",
+    ReserveChanged: "reserve changed",
     JobOver: "job over",
     ExecutorGivenUp: "executor given up",
     FailureSuspicion: "avoided for failures",
     StepOnTrial: "step on trial",
     RunStraggling: "run straggling",
+    ReservationMade: "room reserved",
+    ReservationDropped: "reservation dropped",
+    ShareWaits: "share waits",
 }
 
 
@@ -58,6 +69,7 @@
         self._clock = clock
         self._service = service
         self._metrics = metrics
+        self._sizes = SizeClasses()
         self._sampled_share = 1.0
         self._share_changed_at = clock.now()
         self._second = 0
@@ -69,7 +81,7 @@
     def write(self, notes: list[Note]) -> None:
         """Count all notes, and log the sampled notes up to the limit."""
         for note in notes:
-            count_decision(self._metrics, note)
+            count_decision(self._metrics, note, self._sizes)
             self._begin_second()
             self._decided += 1
             if self._is_sampled(note) and self._written < MAX_LINES_PER_SECOND:
@@ -80,11 +92,11 @@
 
     def _is_sampled(self, note: Note) -> bool:
         match note:
-            case TaskSent() | RunEnded() | RunMoved() | RunStraggling():
+            case TaskSent() | RunEnded() | RunMoved() | RoomMade() | RunStraggling():
                 return in_sample(job_of_task(note.task), self._sampled_share)
-            case JobOver() | StepOnTrial():
+            case JobOver() | ReservationMade() | ReservationDropped() | StepOnTrial():
                 return in_sample(note.job, self._sampled_share)
-            case ExecutorGivenUp() | FailureSuspicion():
+            case ReserveChanged() | ExecutorGivenUp() | ShareWaits() | FailureSuspicion():
                 return True
 
     def _begin_second(self) -> None:
--- a/fireflyfork/programs/owner/_recovery_reads.py
+++ b/fireflyfork/programs/owner/_recovery_reads.py
@@ -11,7 +11,12 @@
 
 from ..._errors import StoreError
 from ...adapters import CoordinationStore, StoreListing
-from ...decisions.jobs import ExecutorRegistration, LearnedFit, StoredEstimates
+from ...decisions.jobs import (
+    ExecutorRegistration,
+    LearnedFit,
+    StoredEstimates,
+    StoredShare,
+)
 from ...platform import REGISTRATION_PREFIX
 from .._scheduling_keys import PROGRESS_PREFIX, WORK_PREFIX
 from ._service_journal import ServiceJournal
@@ -25,10 +30,13 @@
 class RecoveryState:
     """State that earlier owners, callers and executors have stored."""
 
-    last_known: tuple[ExecutorRegistration, ...]
-    """The executors that an earlier owner stored."""
+    last_known: tuple[ExecutorRegistration, ...] | None
+    """The executors that an earlier owner stored; None if they can't be read."""
     learned: tuple[LearnedFit, ...]
+    shares: tuple[StoredShare, ...]
+    """Use of the shares, stored with what was learned."""
     estimates: StoredEstimates | None
+    """What was learned of executors; None if nothing was, or it can't be read."""
     work: StoreListing
     """The keys of owners, jobs and cancellations."""
     progress: StoreListing
--- a/fireflyfork/programs/owner/_service_journal.py
+++ b/fireflyfork/programs/owner/_service_journal.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from dataclasses import replace
 from typing import TypeVar
 
 import msgspec
@@ -11,20 +12,23 @@
 
 from ..._errors import StoreError, TransactionConflictError
 from ..._ids import JobId, Revision
-from ...adapters import CoordinationStore, Put
+from ...adapters import CoordinationStore, Put, StoredItem
 from ...decisions.jobs import (
     ExecutorRegistration,
     LearnedFit,
     Scheduler,
     StoredEstimates,
     StoredFormatError,
+    StoredShare,
     decode_estimates,
     decode_learned,
     decode_registrations,
+    decode_shares,
     encode_learned,
     encode_progress,
     encode_registrations,
 )
+from ...decisions.jobs.admission import encode_figures
 from .._scheduling_keys import (
     cancel_key,
     executors_key,
@@ -34,6 +38,7 @@
     owner_key,
     pending_key,
     progress_key,
+    work_ahead_key,
 )
 from ._service_lease import Term
 
@@ -41,7 +46,8 @@
 """Maximum number of jobs in one write.
 
 A transaction takes 32 rows. The two conditions, the journal's number, the pending counts, the known
-executors and the learned interference use six of them."""
+executors and the learned interference use six of them. Figures of the work ahead, where they are
+measured, take the place of one job."""
 MAX_JOBS_PER_REMOVAL = 10
 """Maximum number of jobs in one removal, with three keys each, within the same 32 rows."""
 WRITE_BATCH_SECONDS = 0.025
@@ -95,29 +101,35 @@
         self._stored_pending: dict[str, int] = {}
         self._pending_at = 0.0
         self._learned_at = 0.0
+        self._figures_number = 0
+        self._figures_pressed = False
 
     async def open(self) -> None:
         """Read the revision of the last write of earlier owners. Raises StoreError."""
         item = await self._store.read(journal_key(self._term.service))
         self._last_write = item.revision if item is not None else Revision(0)
 
-    async def last_known_executors(self) -> tuple[ExecutorRegistration, ...]:
-        """Return the executors that an earlier owner had stored. Raises StoreError."""
-        executors = await self._read_stored_value(
-            executors_key(self._term.service), decode_registrations
-        )
-        return executors if executors is not None else ()
+    async def last_known_executors(self) -> tuple[ExecutorRegistration, ...] | None:
+        """Return the executors that an earlier owner had stored, or None if they aren't readable.
 
-    async def last_learned(self) -> tuple[tuple[LearnedFit, ...], StoredEstimates | None]:
-        """Return the interference and the estimates that an earlier owner stored.
+        Raises StoreError.
+        """
+        nothing: tuple[ExecutorRegistration, ...] = ()
+        key = executors_key(self._term.service)
+        return await self._read_stored_value(key, decode_registrations, missing=nothing)
+
+    async def last_learned(
+        self,
+    ) -> tuple[tuple[LearnedFit, ...], tuple[StoredShare, ...], StoredEstimates | None]:
+        """Return the learned interference, the shares and the estimates that an earlier owner stored.
 
         Raises StoreError.
         """
-        learned = await self._read_stored_value(
-            learned_key(self._term.service),
-            lambda value: (decode_learned(value), decode_estimates(value)),
-        )
-        return learned if learned is not None else ((), None)
+        key = learned_key(self._term.service)
+        item = await self._store.read(key)
+        learned = _decoded(item, key, decode_learned) or ()
+        shares = _decoded(item, key, decode_shares) or ()
+        return learned, shares, _decoded(item, key, decode_estimates)
 
     def notify(self) -> None:
         """Wake the journal, because there may be changes to store."""
@@ -141,7 +153,8 @@
     async def flush(self) -> bool:
         """Store one batch. Return False if the store was unavailable. Raises OwnershipLostError."""
         changes = self._scheduler.jobs.changes
-        jobs = changes.take(MAX_JOBS_PER_WRITE)
+        max_jobs = MAX_JOBS_PER_WRITE - (self._scheduler.work_figures is not None)
+        jobs = changes.take(max_jobs)
         pending = self._pending_to_store()
         executors = self._scheduler.take_changed_executors()
         try:
@@ -191,19 +204,14 @@
         return len(jobs) == MAX_JOBS_PER_REMOVAL
 
     async def _read_stored_value(
-        self, key: str, decode: Callable[[bytes], _Value]
+        self, key: str, decode: Callable[[bytes], _Value], missing: _Value
     ) -> _Value | None:
-        """Return the value stored by an earlier owner, or None if it is missing or unreadable."""
+        """Return the value stored by an earlier owner, ``missing`` if there is none.
+
+        Returns None if it can't be read.
+        """
         item = await self._store.read(key)
-        if item is None:
-            return None
-        try:
-            return decode(item.value)
-        except StoredFormatError as error:
-            # Without this the service would have no owner for as long as the value is unreadable,
-            # which is worse than starting without it.
-            logger.error("state of an earlier owner not readable", key=key, error=str(error))
-            return None
+        return missing if item is None else _decoded(item, key, decode)
 
     async def _wait_for_batch(self) -> None:
         """Wait for more changes, unless executors have to be stored before they can get runs."""
@@ -247,15 +255,36 @@
             # If this write fails, the next one follows two seconds later; no other state depends on
             # it.
             self._learned_at = trio.current_time()
-            learned = encode_learned(self._scheduler.learned(), self._scheduler.learned_estimates())
+            learned = encode_learned(
+                self._scheduler.learned(),
+                self._scheduler.shares(),
+                self._scheduler.learned_estimates(),
+            )
             puts.append(Put(learned_key(service), learned))
+        puts.extend(self._figures_to_store())
         if executors is not None:
             puts.append(Put(executors_key(service), encode_registrations(executors)))
         expected = {
             owner_key(service): self._term.owner_revision,
             journal_key(service): self._last_write,
         }
+        figures = self._scheduler.work_figures
         self._last_write = await self._store.commit(expected, tuple(puts))
+        self._figures_pressed = figures is not None and figures.is_pressed
+
+    def _figures_to_store(self) -> Iterator[Put]:
+        """Yield the figures of the work ahead while tasks wait for room, and once after that.
+
+        They are added to other writes. If a write fails, the next one has newer figures; without
+        any, they become too old to refuse a job by.
+        """
+        figures = self._scheduler.work_figures
+        if figures is None or figures.number == self._figures_number:
+            return
+        self._figures_number = figures.number
+        if figures.is_pressed or self._figures_pressed:
+            value = encode_figures(replace(figures, term=self._term.number))
+            yield Put(work_ahead_key(self._term.service), value)
 
     def _resolve_conflict(self, error: TransactionConflictError) -> None:
         """Resolve a conflict, caused either by an own write that got no answer or by a new owner."""
@@ -264,3 +293,16 @@
             raise OwnershipLostError("another owner has taken over, or the lease has ended")
         journal_item = error.current_versions.get(journal_key(self._term.service))
         self._last_write = journal_item.revision if journal_item is not None else Revision(0)
+
+
+def _decoded(item: StoredItem | None, key: str, decode: Callable[[bytes], _Value]) -> _Value | None:
+    """Return a stored value, or None if it is missing or unreadable."""
+    if item is None:
+        return None
+    try:
+        return decode(item.value)
+    except StoredFormatError as error:
+        # Without this the service would have no owner for as long as the value is unreadable,
+        # which is worse than starting without it.
+        logger.error("state of an earlier owner not readable", key=key, error=str(error))
+        return None
--- a/fireflyfork/programs/owner/_service_lease.py
+++ b/fireflyfork/programs/owner/_service_lease.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
 
@@ -18,7 +19,12 @@
 )
 from ..._ids import FencingToken, LeaseId, NodeName, Revision, ServiceName
 from ...adapters import CoordinationStore, Put
-from ...decisions.jobs import bid_delay
+from ...decisions.jobs import (
+    MAX_BID_DELAY,
+    SUFFICIENT_STRENGTH,
+    bid_delay,
+    bid_spread_seconds,
+)
 from .._announcements import Announcements
 from .._clocks import Clock
 from .._scheduling_keys import owner_key, term_key
@@ -105,20 +111,28 @@
             if term is not None:
                 return term
 
-    async def keep(self, term: Term) -> None:
+    async def keep(
+        self, term: Term, on_renewal: Callable[[float, bool], None] = lambda *_: None
+    ) -> None:
         """Renew the lease until it has ended; other errors of the store are ignored.
 
+        ``on_renewal`` is called after each renewal with the time at which it was sent, and whether
+        it succeeded.
+
         The end of this lease doesn't prove that the ownership is lost, and a renewal doesn't prove
         that it is kept: the store may have removed the key. Proof of the loss is a conditional
         write that fails, or an executor that has seen a higher token.
         """
         while True:
+            sent_at = self._clock.now()
             try:
                 await self._store.keep_lease(term.lease)
+                on_renewal(sent_at, True)
             except LeaseEndedError:
                 return
             except StoreError as error:
                 logger.debug("lease not renewed", service=self._service, error=str(error))
+                on_renewal(sent_at, False)
             await trio.sleep(RENEW_SECONDS)
 
     async def release(self, term: Term) -> None:
@@ -154,9 +168,15 @@
             after = max(after, answer.as_of)
 
     async def _bid_delay(self) -> float:
-        others = await self._announcements.list_instances()
-        spread = self._random.random() * BID_JITTER_SECONDS
-        return bid_delay(self._announcements.own, others) + spread
+        # All instances of a fleet bid at once, and a listing of each would fill a link to the store.
+        is_new = not self._announcements.has_recent_listing
+        others = await self._announcements.recent_instances()
+        spread = bid_spread_seconds(len(others), BID_JITTER_SECONDS)
+        delay = bid_delay(self._announcements.own, others) + self._random.random() * spread
+        if is_new or self._announcements.own.strength >= SUFFICIENT_STRENGTH:
+            return delay
+        # Stronger instances may be missing in an earlier listing.
+        return delay + MAX_BID_DELAY
 
     async def _write_owner_key(self) -> Term | None:
         key, counter_key = owner_key(self._service), term_key(self._service)
