--- a/fireflyfork/decisions/jobs/__init__.py
+++ b/fireflyfork/decisions/jobs/__init__.py
@@ -21,6 +21,7 @@
 from ._load_shedding import Shed
 from ._notes import (
     ExecutorGivenUp,
+    FailureSuspicion,
     JobOver,
     MoveReason,
     Note,
@@ -31,7 +32,9 @@
     RoomMade,
     RunEnded,
     RunMoved,
+    RunStraggling,
     ShareWaits,
+    StepOnTrial,
     TaskSent,
 )
 from ._policy_settings import (
@@ -60,8 +63,10 @@
 from ._runs import Job, Run, RunPhase, Task, allowed_ms
 from ._scheduler import Scheduler, SchedulerSettings
 from ._specs import JobSpec, StepSpec, TaskKey, parse_task_name, step_name
+from ._stored_estimates import StoredEstimates, StoredEvidence, StoredSpeed
 from ._stored_forms import (
     StoredFormatError,
+    decode_estimates,
     decode_learned,
     decode_progress,
     decode_registrations,
@@ -95,6 +100,7 @@
     "ExecutorRegistration",
     "ExecutorRoom",
     "ExecutorState",
+    "FailureSuspicion",
     "FairnessSettings",
     "InstanceStanding",
     "Job",
@@ -128,6 +134,7 @@
     "RunEnded",
     "RunMoved",
     "RunPhase",
+    "RunStraggling",
     "RunningRow",
     "Scheduler",
     "SchedulerSettings",
@@ -136,11 +143,15 @@
     "Shed",
     "StartRequest",
     "StartRun",
+    "StepOnTrial",
     "StepSpec",
     "StopRun",
+    "StoredEstimates",
+    "StoredEvidence",
     "StoredFormatError",
     "StoredProgress",
     "StoredShare",
+    "StoredSpeed",
     "StoredTask",
     "Task",
     "TaskKey",
@@ -156,6 +167,7 @@
     "bid_spread_seconds",
     "choose_relays",
     "choose_upstreams",
+    "decode_estimates",
     "decode_learned",
     "decode_progress",
     "decode_registrations",
--- a/fireflyfork/decisions/jobs/_notes.py
+++ b/fireflyfork/decisions/jobs/_notes.py
@@ -92,6 +92,48 @@
     pace_percent: int
 
 
+@dataclass(frozen=True, slots=True)
+class FailureSuspicion:
+    """An executor, or a group of executors, is avoided from now on, or no longer."""
+
+    kind: str
+    """``executor``, ``domain``, ``rack`` or ``version``."""
+    name: str
+    avoided: bool
+    share: float
+    """The estimated share of runs that fail there."""
+    fleet_share: float
+    """The estimated share of runs that fail in the whole fleet."""
+
+
+@dataclass(frozen=True, slots=True)
+class StepOnTrial:
+    """A step whose tasks fail on good executors is tried by few tasks at a time."""
+
+    job: JobId
+    step: int
+    failed_share: float
+    """The estimated share of runs that fail by the step's fault."""
+
+
+@dataclass(frozen=True, slots=True)
+class RunStraggling:
+    """A run takes much longer than others: it is copied to another executor, or stopped."""
+
+    task: TaskName
+    attempt: int
+    executor: ExecutorId
+    progress_percent: int
+    expected_ms: int
+    """How long tasks of its step take elsewhere; if too few show it, the caller's estimate."""
+    by_peers: bool
+    """Whether it was judged by other tasks of its step rather than by the estimate."""
+    copied: bool
+    """Whether it continues next to a copy; otherwise it is stopped."""
+    executor_speed: float
+    """The estimated speed of its executor; 1 is usual."""
+
+
 class ReservationOutcome(Enum):
     """Why a reservation was dropped."""
 
@@ -172,4 +214,7 @@
     | ReservationMade
     | ReservationDropped
     | ShareWaits
+    | FailureSuspicion
+    | StepOnTrial
+    | RunStraggling
 )
--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Hashable
 from dataclasses import dataclass, field
+from math import inf
 
 from ..._waits import WaitReason
 from ._candidates import EXECUTORS_PER_BATCH, Candidates
@@ -12,9 +13,9 @@
 from ._executors import ExecutorState
 from ._gangs import gang_members, next_attempt, place_together
 from ._notes import TaskSent
-from ._placement_costs import choose, is_allowed, max_accepted_cost
+from ._placement_costs import choose, is_allowed, is_far_from_data, max_accepted_cost
 from ._registration_age import START_VALID_MS
-from ._runs import Run, RunPhase, Task
+from ._runs import Run, RunPhase, Task, running_tasks
 from ._service_state import ServiceState
 from ._stragglers import other_executors
 from ._tickets import StepId
@@ -58,6 +59,8 @@
         default_factory=dict
     )
     """By step and the executors that its tasks are barred from, which change as room is taken."""
+    waiting_for_rack: set[StepId] = field(default_factory=set)
+    """Steps that found an executor, but wait for one near their data."""
 
     @classmethod
     def for_executors(cls, usable: list[ExecutorState]) -> _PlacementRound:
@@ -82,7 +85,7 @@
     def __init__(self, state: ServiceState) -> None:
         """Initialize with the service state to read and change."""
         self._state = state
-        self._cost_caches = CostCaches(state.interference)
+        self._cost_caches = CostCaches(state.interference, state.policies.estimates)
         self._first_index = 0
         """Index of the executor at which the candidates of the next step begin."""
 
@@ -130,6 +133,11 @@
         """
         while step.tasks:
             task = step.tasks[0]
+            max_runs = self._state.policies.estimates.max_runs(task)
+            if max_runs is not None:
+                if running_tasks(task) >= max_runs:
+                    return WaitReason.TRIAL
+                task = step.bring_most_failed_forward()
             if not self._state.needs_run(task):
                 task.waiting = False
             elif not self._place_reserved(task, now, now_ms):
@@ -156,6 +164,8 @@
         if barred and reason is None:
             allowed = [executor for executor in allowed if executor not in barred]
         if reason is None and not self._start(task, allowed, placement_round, now, now_ms):
+            if task.step_id in placement_round.waiting_for_rack:
+                return WaitReason.NEAR_DATA
             if self._state.policies.room.make_room(task, allowed, now, now_ms):
                 task.wait_reason = _why_not_placed(task, placement_round.usable)
                 self._state.waiting.defer(task)
@@ -226,10 +236,16 @@
             barred = self._barred(task, now)
             other_usable = [each for each in other_usable if each not in barred]
             max_cost = placement_round.max_cost(task, now_ms)
-            executor = choose(task, other_usable, self._state.interference, max_cost)
+            executor = self._choose(task, other_usable, max_cost)
             if executor is not None:
                 self._begin_run(task, executor, now, now_ms)
 
+    def _choose(
+        self, task: Task, executors: list[ExecutorState], max_cost: float
+    ) -> ExecutorState | None:
+        estimates = self._state.policies.estimates
+        return choose(task, executors, self._state.interference, max_cost, estimates)
+
     def _candidates_for(
         self,
         task: Task,
@@ -258,6 +274,9 @@
         if not task.job.queue.needs_tickets:
             return usable
         step = task.step_id
+        cost = self._state.policies.estimates.extra_cost
+        # An avoided executor is empty, and would be the first one to be asked for.
+        usable = [each for each in usable if cost(task, each) < inf] or usable
         allowed = [
             executor
             for executor in usable
@@ -304,8 +323,17 @@
         max_cost = placement_round.max_cost(task, now_ms)
 
         def choice(member: Task, executors: list[ExecutorState]) -> ExecutorState | None:
+            executor = cheapest(member, executors)
+            if executor is None or not is_far_from_data(member, executor):
+                return executor
+            if not self._state.policies.estimates.waits_for_rack(member, executors, now):
+                return executor
+            placement_round.waiting_for_rack.add(member.step_id)
+            return None
+
+        def cheapest(member: Task, executors: list[ExecutorState]) -> ExecutorState | None:
             if member.failed_on or member.spec.gang or member.job.queue.needs_tickets:
-                return choose(member, executors, self._state.interference, max_cost)
+                return self._choose(member, executors, max_cost)
             return self._candidates_for(member, executors, placement_round, max_cost).best()
 
         runs = place_together(task, allowed, choice, next_attempt(task), now)
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -32,6 +32,7 @@
 from ._runs import Job, Run
 from ._service_state import DEFAULT_STOP_SECONDS, ServiceState
 from ._specs import JobSpec
+from ._stored_estimates import StoredEstimates
 from ._stored_shares import StoredShare
 from ._stragglers import Stragglers
 from ._tickets import Ticket
@@ -62,6 +63,8 @@
     max_lease: float
     """The longest lease that any owner of the service grants an executor."""
     policies: PolicySettings = NO_POLICIES
+    far_factor: float = 2.0
+    """How many times as long a task takes on another rack than that of its data."""
     stop_timeout: float = DEFAULT_STOP_SECONDS
     """How long a stop may take."""
     drain_notice: float = inf
@@ -76,7 +79,7 @@
         self._settings = settings
         self._state = ServiceState()
         self._state.stop_seconds = settings.stop_timeout
-        self._state.policies = create_policies(settings.policies, self._state)
+        self._state.policies = create_policies(settings.policies, self._state, settings.far_factor)
         self._report_handler = ReportHandler(self._state, int(settings.max_lease * 1000))
         self._placement = Placement(self._state)
         self._time_checks = TimeChecks(self._state)
@@ -179,6 +182,14 @@
         """Use the effects between images that an earlier owner has learned."""
         self._state.interference.adopt(learned)
 
+    def learned_estimates(self) -> StoredEstimates | None:
+        """Return what was learned of the failures of executors, to be stored for a successor."""
+        return self._state.policies.estimates.to_stored()
+
+    def adopt_estimates(self, stored: StoredEstimates, now: float, now_ms: int) -> None:
+        """Use what an earlier owner has learned of the failures of executors."""
+        self._state.policies.estimates.adopt(stored, now, now_ms)
+
     def shares(self) -> tuple[StoredShare, ...]:
         """Return the use of the shares, to be stored for a successor."""
         return self._state.policies.order.to_stored()
--- a/fireflyfork/decisions/jobs/_stored_forms.py
+++ b/fireflyfork/decisions/jobs/_stored_forms.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import asdict, dataclass
+from math import isfinite
 from typing import TypeVar
 
 import msgspec
@@ -12,10 +13,15 @@
 from ._interference import LearnedFit
 from ._progress import StoredProgress
 from ._specs import JobSpec
+from ._stored_estimates import StoredEstimates
 from ._stored_shares import StoredShare
 from ._waves import UpkeepMark
 
 _Stored = TypeVar("_Stored")
+MAX_LOG_SPEED = 3.0
+"""Largest natural logarithm of an observed speed: twenty times the usual one, or a twentieth."""
+_ESTIMATES = "\x00estimates"
+"""Name, in place of an image, of the row that holds the estimates."""
 
 
 class StoredFormatError(FireflyforkError):
@@ -59,22 +65,55 @@
     return _decode(data, tuple[ExecutorRegistration, ...])
 
 
-def encode_learned(learned: tuple[LearnedFit, ...], shares: tuple[StoredShare, ...] = ()) -> bytes:
+@dataclass(frozen=True, slots=True)
+class _EstimatesRow(LearnedFit):
+    """A row beside the learned fits that programs without estimates read as an empty fit."""
+
+    estimates: StoredEstimates | None = None
+
+
+def encode_learned(
+    learned: tuple[LearnedFit, ...],
+    shares: tuple[StoredShare, ...] = (),
+    estimates: StoredEstimates | None = None,
+) -> bytes:
     """Return the stored form as bytes.
 
     Shares are added to the first fit, as a field that builds which don't know it ignore. Without
     a fit they are added to an empty one.
     """
-    if not shares:
-        return msgspec.msgpack.encode(learned)
-    first, *others = learned or (LearnedFit("", (), (), ()),)
-    with_shares = {**asdict(first), "shares": shares}
-    return msgspec.msgpack.encode((with_shares, *others))
+    rows: list[object] = list(learned)
+    if shares:
+        first = learned[0] if learned else LearnedFit("", (), (), ())
+        rows[:1] = [{**asdict(first), "shares": shares}]
+    if estimates is not None:
+        rows.append(_EstimatesRow(_ESTIMATES, (), (), (), estimates))
+    return msgspec.msgpack.encode(rows)
+
+
+def decode_estimates(data: bytes) -> StoredEstimates | None:
+    """Decode the estimates stored with the learned fits, if any. Raises StoredFormatError."""
+    rows = _decode(data, tuple[_EstimatesRow, ...])
+    stored = next((row.estimates for row in rows if row.estimates is not None), None)
+    if stored is not None:
+        _check_estimates(stored)
+    return stored
+
+
+def _check_estimates(stored: StoredEstimates) -> None:
+    """Raise StoredFormatError for counts that no owner can have stored."""
+    counts = [count for each in stored.executors for count in (each.good, each.bad)]
+    counts += [each.weight for each in stored.speeds]
+    if not all(isfinite(count) and count >= 0 for count in counts):
+        raise StoredFormatError("the stored estimates have counts that are no counts")
+    if not all(abs(each.total) <= MAX_LOG_SPEED * each.weight for each in stored.speeds):
+        raise StoredFormatError("the stored estimates have speeds that are out of range")
 
 
 def decode_learned(data: bytes) -> tuple[LearnedFit, ...]:
     """Decode the stored form. Raises StoredFormatError."""
-    learned = tuple(fit for fit in _decode(data, tuple[LearnedFit, ...]) if fit.serving)
+    rows = _decode(data, tuple[LearnedFit, ...])
+    learned = tuple(fit for fit in rows if fit.serving and fit.serving != _ESTIMATES)
     for fit in learned:
         size = len(fit.names)
         if len(fit.targets) != size or len(fit.products) != size * (size + 1) // 2:
--- a/fireflyfork/programs/owner/_decision_log.py
+++ b/fireflyfork/programs/owner/_decision_log.py
@@ -14,6 +14,7 @@
 from ..._job_samples import in_sample, job_of_task
 from ...decisions.jobs import (
     ExecutorGivenUp,
+    FailureSuspicion,
     JobOver,
     Note,
     ReservationDropped,
@@ -22,7 +23,9 @@
     RoomMade,
     RunEnded,
     RunMoved,
+    RunStraggling,
     ShareWaits,
+    StepOnTrial,
     TaskSent,
 )
 from .._clocks import Clock
@@ -46,6 +49,9 @@
     ReserveChanged: "reserve changed",
     JobOver: "job over",
     ExecutorGivenUp: "executor given up",
+    FailureSuspicion: "avoided for failures",
+    StepOnTrial: "step on trial",
+    RunStraggling: "run straggling",
     ReservationMade: "room reserved",
     ReservationDropped: "reservation dropped",
     ShareWaits: "share waits",
@@ -86,11 +92,11 @@
 
     def _is_sampled(self, note: Note) -> bool:
         match note:
-            case TaskSent() | RunEnded() | RunMoved() | RoomMade():
+            case TaskSent() | RunEnded() | RunMoved() | RoomMade() | RunStraggling():
                 return in_sample(job_of_task(note.task), self._sampled_share)
-            case JobOver() | ReservationMade() | ReservationDropped():
+            case JobOver() | ReservationMade() | ReservationDropped() | StepOnTrial():
                 return in_sample(note.job, self._sampled_share)
-            case ReserveChanged() | ExecutorGivenUp() | ShareWaits():
+            case ReserveChanged() | ExecutorGivenUp() | ShareWaits() | FailureSuspicion():
                 return True
 
     def _begin_second(self) -> None:
--- a/fireflyfork/programs/owner/_recovery_reads.py
+++ b/fireflyfork/programs/owner/_recovery_reads.py
@@ -11,7 +11,12 @@
 
 from ..._errors import StoreError
 from ...adapters import CoordinationStore, StoreListing
-from ...decisions.jobs import ExecutorRegistration, LearnedFit, StoredShare
+from ...decisions.jobs import (
+    ExecutorRegistration,
+    LearnedFit,
+    StoredEstimates,
+    StoredShare,
+)
 from ...platform import REGISTRATION_PREFIX
 from .._scheduling_keys import PROGRESS_PREFIX, WORK_PREFIX
 from ._service_journal import ServiceJournal
@@ -30,6 +35,8 @@
     learned: tuple[LearnedFit, ...]
     shares: tuple[StoredShare, ...]
     """Use of the shares, stored with what was learned."""
+    estimates: StoredEstimates | None
+    """What was learned of executors; None if nothing was, or it can't be read."""
     work: StoreListing
     """The keys of owners, jobs and cancellations."""
     progress: StoreListing
--- a/fireflyfork/programs/owner/_service_journal.py
+++ b/fireflyfork/programs/owner/_service_journal.py
@@ -17,8 +17,10 @@
     ExecutorRegistration,
     LearnedFit,
     Scheduler,
+    StoredEstimates,
     StoredFormatError,
     StoredShare,
+    decode_estimates,
     decode_learned,
     decode_registrations,
     decode_shares,
@@ -116,14 +118,18 @@
         key = executors_key(self._term.service)
         return await self._read_stored_value(key, decode_registrations, missing=nothing)
 
-    async def last_learned(self) -> tuple[tuple[LearnedFit, ...], tuple[StoredShare, ...]]:
-        """Return the learned interference and the shares that an earlier owner stored.
+    async def last_learned(
+        self,
+    ) -> tuple[tuple[LearnedFit, ...], tuple[StoredShare, ...], StoredEstimates | None]:
+        """Return the learned interference, the shares and the estimates that an earlier owner stored.
 
         Raises StoreError.
         """
         key = learned_key(self._term.service)
         item = await self._store.read(key)
-        return _decoded(item, key, decode_learned) or (), _decoded(item, key, decode_shares) or ()
+        learned = _decoded(item, key, decode_learned) or ()
+        shares = _decoded(item, key, decode_shares) or ()
+        return learned, shares, _decoded(item, key, decode_estimates)
 
     def notify(self) -> None:
         """Wake the journal, because there may be changes to store."""
@@ -249,7 +255,11 @@
             # If this write fails, the next one follows two seconds later; no other state depends on
             # it.
             self._learned_at = trio.current_time()
-            learned = encode_learned(self._scheduler.learned(), self._scheduler.shares())
+            learned = encode_learned(
+                self._scheduler.learned(),
+                self._scheduler.shares(),
+                self._scheduler.learned_estimates(),
+            )
             puts.append(Put(learned_key(service), learned))
         puts.extend(self._figures_to_store())
         if executors is not None:
--- a/fireflyfork/programs/owner/_service_owner.py
+++ b/fireflyfork/programs/owner/_service_owner.py
@@ -110,6 +110,7 @@
                 policies,
                 stop_timeout=bounds.stop_timeout,
                 drain_notice=bounds.drain_notice,
+                far_factor=bounds.far_factor,
             )
         )
         self._journal = ServiceJournal(
@@ -277,6 +278,8 @@
         self._scheduler.configure(self._requests.queues())
         self._scheduler.evacuate(self._requests.evacuated_domains())
         self._scheduler.adopt(state.learned)
+        if state.estimates is not None:
+            self._scheduler.adopt_estimates(state.estimates, now, now_ms)
         self._scheduler.adopt_shares(state.shares, now)
         registrations = self._registrations.service_registrations(state.registrations.items)
         self._scheduler.recover(jobs, registrations, state.last_known, now, now_ms)
--- a/fireflyfork/programs/owner/tests/test_stored_shares.py
+++ b/fireflyfork/programs/owner/tests/test_stored_shares.py
@@ -38,7 +38,7 @@
             await trio.sleep(3.0)
             await self.journal.open()
             self.assertTrue(await self.journal.flush())
-            fits, (share,) = await self.journal.last_learned()
+            fits, (share,), _ = await self.journal.last_learned()
             self.assertEqual([fit.serving for fit in fits], ["web"])
             self.assertEqual(share.share, "a")
             self.assertGreater(share.recent_use, 0.0)
@@ -52,7 +52,7 @@
         self.store.backing.apply({}, (put,), ())
 
         async def main() -> None:
-            fits, shares = await self.journal.last_learned()
+            fits, shares, _ = await self.journal.last_learned()
             self.assertEqual([each.serving for each in fits], ["web"])
             self.assertEqual(shares, ())
 
