A reservation on leftover processors goes where disturbing runs end, and counts all of the cost alone

Change: an executor without disturbing runs is no choice for such a task, and the headroom that the task takes itself counts as it does in placing.

--- a/fireflyfork/decisions/jobs/fairness/_reservations.py
+++ b/fireflyfork/decisions/jobs/fairness/_reservations.py
@@ -16,6 +16,7 @@
 from .._placement_costs import (
     MAX_BEST_EFFORT_COST,
     MISSING_HEADROOM_COST,
+    TAKEN_HEADROOM_COST,
     is_allowed,
     leftover_millis,
 )
@@ -173,7 +174,8 @@
                 return
             runs = executor.runs.values()
             disturbing = [run for run in runs if not run.task.spec.tail_target_ms]
-            at = max((self._durations.end(run, now) for run in disturbing), default=now)
+            # Where nothing disturbs, the task would have been placed, if it could run there.
+            at = max((self._durations.end(run, now) for run in disturbing), default=float("inf"))
             memory = executor.free_memory_mb + sum(run.task.spec.memory_mb for run in disturbing)
             if at < float("inf") and memory >= task.spec.memory_mb:
                 yield at, 1
@@ -210,15 +212,15 @@
         """Return the cost of a task without a reservation once the other disturbing runs ended."""
         room = max(1, executor.registration.room.cpu_millis)
         shares = {task.spec.image: task.spec.cpu_millis / room}
-        deficits = (
-            HEADROOM_TO_KEEP + self._interference.lost_headroom(serving, shares) - headroom
-            for serving, headroom in executor.recent_min_headroom.items()
-        )
+        max_taken = max_deficit = 0.0
+        for serving, headroom in executor.recent_min_headroom.items():
+            taken = self._interference.lost_headroom(serving, shares)
+            max_taken = max(max_taken, taken)
+            max_deficit = max(max_deficit, HEADROOM_TO_KEEP + taken - headroom)
         free = leftover_millis(executor) + sum(
             run.task.spec.reserved_cpu_millis
             for run in executor.runs.values()
             if not run.task.spec.tail_target_ms
         )
-        return task.spec.cpu_millis / max(1.0, free) + MISSING_HEADROOM_COST * max(
-            0.0, max(deficits, default=0.0)
-        )
+        disturbance = TAKEN_HEADROOM_COST * max_taken + MISSING_HEADROOM_COST * max_deficit
+        return task.spec.cpu_millis / max(1.0, free) + disturbance
