Serving images that the same work disturbs are packed as one, where the settings ask for it

Cause: executors that serve several images are of no use to most work without a reservation, and images were told apart even where the same work disturbs them. Change: groups of images by learned effects; placement counts the images of a group as one. Off by default.

--- a/fireflyfork/decisions/jobs/__init__.py
+++ b/fireflyfork/decisions/jobs/__init__.py
@@ -20,6 +20,7 @@
 from ._policy_settings import (
     NO_POLICIES,
     AdmissionSettings,
+    ArrangementSettings,
     EstimateSettings,
     FairnessSettings,
     OwnershipSettings,
@@ -62,6 +63,7 @@
 __all__ = [
     "NO_POLICIES",
     "AdmissionSettings",
+    "ArrangementSettings",
     "AskAdvice",
     "CallOutcome",
     "ChangeLog",
--- a/fireflyfork/decisions/jobs/_arrangement.py
+++ b/fireflyfork/decisions/jobs/_arrangement.py
@@ -124,6 +124,8 @@
         self._searched_at = now
         usable = self._state.usable_executors(now)
         waiting_millis = self._update_demand()
+        model, spare = self._state.interference, spare_headroom(usable)
+        model.groups.update(model, self._demand, spare, now)
         total_millis = sum(executor.registration.room.cpu_millis for executor in usable)
         if waiting_millis <= MIN_WAITING_SHARE * total_millis:
             return
--- a/fireflyfork/decisions/jobs/_cost_caches.py
+++ b/fireflyfork/decisions/jobs/_cost_caches.py
@@ -42,7 +42,7 @@
 
     def cost(self, executor: ExecutorState) -> PlacementCost | None:
         """Return the cost on an executor at present, or None if the tasks can't run there."""
-        state = executor.cost_state
+        state = executor.cost_state, self._model.groups.revision
         cached = self._cache.get(executor)
         if cached is not None and cached[0] == state:
             return cached[1]
--- a/fireflyfork/decisions/jobs/_interference.py
+++ b/fireflyfork/decisions/jobs/_interference.py
@@ -17,6 +17,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
+from .arrangement import ImageGroups
+
 PRIOR_EFFECT = 1.6
 """Headroom that a service loses to an executor full of tasks of an unknown image: the effect of an
 average pair."""
@@ -131,6 +133,7 @@
     def __init__(self) -> None:
         """Initialize without samples: every pair is assumed to be average."""
         self._fits: dict[str, _Fit] = {}
+        self.groups = ImageGroups(enabled=False)
 
     def effect(self, serving: str, disturbing: str) -> float:
         """Return the headroom that tasks of ``serving`` lose to a room full of ``disturbing``."""
@@ -162,6 +165,17 @@
             fit.solved_at = sample.at
             fit.solution = _solution(fit)
 
+    def serving_images(self) -> Iterable[str]:
+        """Return the serving images with samples."""
+        return self._fits.keys()
+
+    def is_known(self, serving: str, disturbing: str) -> bool:
+        """Whether observations outweigh the assumption that the pair is average."""
+        fit = self._fits.get(serving)
+        if fit is None or disturbing not in fit.solution:
+            return False
+        return fit.products[disturbing][disturbing] > PRIOR_WEIGHT * fit.weight
+
     def learned(self) -> tuple[LearnedFit, ...]:
         """Return the least squares sums of all serving images, to be stored for the next owner."""
         return tuple(_to_learned_fit(serving, fit) for serving, fit in self._fits.items())
--- a/fireflyfork/decisions/jobs/_placement_costs.py
+++ b/fireflyfork/decisions/jobs/_placement_costs.py
@@ -9,6 +9,7 @@
 from ._interference import InterferenceModel
 from ._pacing import HEADROOM_TO_KEEP
 from ._runs import Task
+from .arrangement import ImageGroups
 
 ASSUMED_SERVING_LOAD = 0.55
 """Share of its reservation that a serving task is assumed to use: the load of such services varies
@@ -155,18 +156,21 @@
     load = (executor.used_cpu_millis + step.reserved_cpu_millis) / max(1, room.cpu_millis)
     memory = (executor.used_memory_mb + step.memory_mb) / max(1, room.memory_mb)
     if step.tail_target_ms:
-        return _image_mix_cost(task, executor) - PACKING_GAIN * load
+        return _image_mix_cost(task, executor, model.groups) - PACKING_GAIN * load
     cost = load + 0.25 * memory
     return cost + _disturbance_cost(task, executor, model)
 
 
-def _image_mix_cost(task: Task, executor: ExecutorState) -> float:
-    """Return the cost of mixing the task's image with the other images that the executor serves."""
+def _image_mix_cost(task: Task, executor: ExecutorState, groups: ImageGroups) -> float:
+    """Return the cost of mixing the task's image with the other images that the executor serves.
+
+    Images of one group count as one.
+    """
     images = executor.serving_counts
     if not images:
         return 0.0
-    is_shared = task.spec.image in images
-    if len(images) == 1:
+    is_shared = groups.contains(images, task.spec.image)
+    if groups.count(images) == 1:
         return 0.0 if is_shared else SECOND_IMAGE_COST
     return SHARED_IMAGE_COST if is_shared else FURTHER_IMAGE_COST
 
--- a/fireflyfork/decisions/jobs/_policy_settings.py
+++ b/fireflyfork/decisions/jobs/_policy_settings.py
@@ -60,6 +60,14 @@
     """Whether an owner that can't reach the store hands over before its lease ends."""
 
 
+@dataclass(frozen=True, slots=True)
+class ArrangementSettings:
+    """Which serving tasks may share an executor."""
+
+    image_groups: bool = False
+    """Whether images that are disturbed by the same work are packed as one image."""
+
+
 @dataclass(frozen=True, slots=True)
 class PolicySettings:
     """The settings of all policies."""
@@ -69,6 +77,7 @@
     fairness: FairnessSettings = FairnessSettings()
     estimates: EstimateSettings = EstimateSettings()
     ownership: OwnershipSettings = OwnershipSettings()
+    arrangement: ArrangementSettings = ArrangementSettings()
 
 
 NO_POLICIES = PolicySettings()
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -35,6 +35,7 @@
 from ._time_checks import TimeChecks
 from ._upkeep import Upkeep, WaveView
 from ._waves import UpkeepMark
+from .arrangement import ImageGroups
 
 LAST_START_MARGIN_SECONDS = 1.5
 """Starts end this long before a successor may start tasks: a start extends the lease of everything
@@ -68,6 +69,7 @@
         self._settings = settings
         self._state = ServiceState()
         self._state.policies = create_policies(settings.policies, self._state)
+        self._state.interference.groups = ImageGroups(settings.policies.arrangement.image_groups)
         self._report_handler = ReportHandler(self._state, int(settings.max_lease * 1000))
         self._placement = Placement(self._state)
         self._time_checks = TimeChecks(self._state)
--- /dev/null
+++ b/fireflyfork/decisions/jobs/arrangement/__init__.py
@@ -0,0 +1,5 @@
+"""Which serving images may share an executor."""
+
+from ._image_groups import ImageGroups
+
+__all__ = ["ImageGroups"]
