--- a/fireflyfork/decisions/jobs/__init__.py
+++ b/fireflyfork/decisions/jobs/__init__.py
@@ -40,6 +40,7 @@
 from ._policy_settings import (
     NO_POLICIES,
     AdmissionSettings,
+    ArrangementSettings,
     EstimateSettings,
     FairnessSettings,
     OwnershipSettings,
@@ -89,6 +90,7 @@
     "NO_POLICIES",
     "SUFFICIENT_STRENGTH",
     "AdmissionSettings",
+    "ArrangementSettings",
     "AskAdvice",
     "CallOutcome",
     "ChangeLog",
--- a/fireflyfork/decisions/jobs/_cost_caches.py
+++ b/fireflyfork/decisions/jobs/_cost_caches.py
@@ -45,7 +45,8 @@
 
     def cost(self, executor: ExecutorState) -> PlacementCost | None:
         """Return the cost on an executor at present, or None if the tasks can't run there."""
-        state = (executor.cost_state, self._estimates.revision(executor))
+        groups, estimates = self._model.groups.revision, self._estimates.revision(executor)
+        state = executor.cost_state, groups, estimates
         cached = self._cache.get(executor)
         if cached is not None and cached[0] == state:
             return cached[1]
