The age of registrations follows from the owner's own writes, and silent executors stay on the stored list

An owner whose answers of 450 changes and more never say that they are complete can't tell how old they are; it held its starts, or gave the service up, although it kept up. An executor is no longer taken off the stored list for a failed poll, since the list of 3,000 is large and would be written again at each.

--- a/fireflyfork/decisions/jobs/_executors.py
+++ b/fireflyfork/decisions/jobs/_executors.py
@@ -160,13 +160,8 @@
 
     @property
     def may_get_runs(self) -> bool:
-        """Whether new runs may be sent to the executor once it is stored and has answered."""
-        return (
-            self.registered
-            and not self.failed_polls
-            and not self.registration.draining
-            and not self.evacuated
-        )
+        """Whether new runs may be sent to the executor once it is stored and answers."""
+        return self.registered and not self.registration.draining and not self.evacuated
 
     def is_usable(self, now: float) -> bool:
         """Whether new runs may be sent to the executor."""
--- a/fireflyfork/programs/_prefix_watch.py
+++ b/fireflyfork/programs/_prefix_watch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from collections.abc import Callable
 from math import inf
 
@@ -18,6 +19,8 @@
 STORE_AWAY_SECONDS = 1.0
 """How long calls must have failed until the store counts as away. A single call that is cut off
 says nothing of the changes that the store has."""
+MAX_REVISIONS = 256
+"""Writes that are remembered to tell the age of an incomplete answer: some seconds of them."""
 CATCH_UP_SECONDS = 0.05
 """Wait of a request that finds out whether more changes are left."""
 
@@ -70,6 +73,7 @@
         self._as_of = Revision(0)
         self._is_behind = False
         self._failing_since: float | None = None
+        self._revisions: deque[tuple[float, Revision]] = deque(maxlen=MAX_REVISIONS)
 
     @property
     def is_behind(self) -> bool:
@@ -81,6 +85,14 @@
             return self._is_behind
         return self._is_behind and self._now() - self._failing_since < STORE_AWAY_SECONDS
 
+    def note_revision(self, sent_at: float, revision: Revision) -> None:
+        """Record that a write sent at ``sent_at``, by ``now``, was carried out at ``revision``.
+
+        Changes before that time have earlier revisions. They are all known once the watch has
+        received the changes up to this one, even if more changes are left.
+        """
+        self._revisions.append((sent_at, revision))
+
     @property
     def as_of(self) -> Revision:
         """Revision up to which all changes have been received; 0 if none."""
@@ -169,11 +181,14 @@
                 self._on_change(change)
             self._as_of = max(self._as_of, answer.as_of)
             self._is_behind = answer.may_be_partial
+            while self._revisions and self._revisions[0][1] <= self._as_of:
+                self._known_at = max(self._known_at, self._revisions.popleft()[0])
             if answer.may_be_partial:
                 wait = CATCH_UP_SECONDS
                 continue
             unchanged = not answer.changes
-            self._known_at = min(sent_at + wait, self._now()) if unchanged else sent_at
+            known_at = min(sent_at + wait, self._now()) if unchanged else sent_at
+            self._known_at = max(self._known_at, known_at)
             self._on_confirmed(sent_at)
             wait = self._wait_seconds if unchanged else self._confirm_seconds
             if self._gather_seconds and answer.changes:
--- a/fireflyfork/programs/owner/_service_journal.py
+++ b/fireflyfork/programs/owner/_service_journal.py
@@ -84,12 +84,17 @@
         term: Term,
         scheduler: Scheduler,
         on_written: Callable[[bool], None],
+        now: Callable[[], float] = trio.current_time,
+        on_revision: Callable[[float, Revision], None] = lambda _sent_at, _revision: None,
     ) -> None:
         """Set up the journal; ``open`` must be called before the first write.
 
         ``on_written`` is called after each write, with True if the write stored executors, which may
-        then get runs.
+        then get runs. ``on_revision`` is called with the time by ``now`` at which the write was
+        sent, and its revision.
         """
+        self._now = now
+        self._on_revision = on_revision
         self._store = store
         self._term = term
         self._scheduler = scheduler
@@ -269,7 +274,9 @@
             journal_key(service): self._last_write,
         }
         figures = self._scheduler.work_figures
+        sent_at = self._now()
         self._last_write = await self._store.commit(expected, tuple(puts))
+        self._on_revision(sent_at, self._last_write)
         self._figures_pressed = figures is not None and figures.is_pressed
 
     def _figures_to_store(self) -> Iterator[Put]:
--- a/fireflyfork/programs/owner/_service_owner.py
+++ b/fireflyfork/programs/owner/_service_owner.py
@@ -114,7 +114,12 @@
             )
         )
         self._journal = ServiceJournal(
-            self._store, term, self._scheduler, self._note_journal_written
+            self._store,
+            term,
+            self._scheduler,
+            self._note_journal_written,
+            clock.now,
+            lambda sent_at, revision: self._registrations.note_write(sent_at, revision),
         )
         self._upkeep = UpkeepDuty(
             self._store, clients.machines, self._scheduler, term, node, clock, requests.waves
--- a/fireflyfork/programs/tests/test_prefix_watch.py
+++ b/fireflyfork/programs/tests/test_prefix_watch.py
@@ -4,7 +4,9 @@
 """
 
 import unittest
+from dataclasses import replace
 from random import Random
+from unittest.mock import patch
 
 import trio
 from trio.testing import MockClock
@@ -12,7 +14,7 @@
 from fireflyfork_standins.scheduling import StandInStore
 
 from ..._ids import NodeName, Revision
-from ...adapters import StoreChange
+from ...adapters import Put, StoreChange, StoreChanges
 from .._prefix_watch import PrefixWatch
 
 
@@ -184,6 +186,39 @@
         self.assertEqual(trio.run(main, clock=MockClock(autojump_threshold=0)), [])
 
 
+class WriteRevisionsTest(unittest.TestCase):
+    """The age of a watch whose answers never say that they are complete."""
+
+    def test_own_writes_tell_how_old_incomplete_answers_are(self) -> None:
+        """Guards against an owner that starts nothing because more changes may always be left."""
+
+        async def main() -> float:
+            store, oldest = StandInStore(Random(1)), 0.0
+            client = store.client(NodeName("n-0"))
+            real_changes = client.changes
+
+            async def changes(prefix: str, after: Revision, wait_seconds: float) -> StoreChanges:
+                return replace(await real_changes(prefix, after, wait_seconds), may_be_partial=True)
+
+            watch = PrefixWatch(client, "servers/", 2.0, lambda _: None, lambda _: None)
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(store.run)
+                with patch.object(client, "changes", changes):
+                    nursery.start_soon(watch.run)
+                    for number in range(100):
+                        store.put("servers/i-0", b"%d" % number)
+                        sent_at = trio.current_time()
+                        revision = await client.commit({}, (Put("journal", b"%d" % number),))
+                        watch.note_revision(sent_at, revision)
+                        await trio.sleep(0.1)
+                        if number >= 10:
+                            oldest = max(oldest, trio.current_time() - watch.known_at)
+                nursery.cancel_scope.cancel()
+            return oldest
+
+        self.assertLess(trio.run(main, clock=MockClock(autojump_threshold=0)), 0.5)
+
+
 class StoreAwayTest(unittest.TestCase):
     """What a watch that is behind says while the store fails."""
 
