--- a/fireflyfork/decisions/jobs/_policies.py
+++ b/fireflyfork/decisions/jobs/_policies.py
@@ -171,7 +171,14 @@
     order: OrderPolicy = field(default_factory=OrderPolicy)
     estimates: EstimatePolicy = field(default_factory=EstimatePolicy)
     load: LoadPolicy = field(default_factory=LoadPolicy)
+    enabled: tuple[Policy, ...] = field(init=False)
+    """The policies that are told of events; the defaults, which keep no state, are not."""
 
-    def each(self) -> tuple[Policy, ...]:
-        """Return all policies, to tell each of an event."""
-        return self.room, self.order, self.estimates, self.load
+    def __post_init__(self) -> None:
+        """Find the policies that aren't defaults."""
+        each = (self.room, self.order, self.estimates, self.load)
+        enabled = tuple(policy for policy in each if type(policy) not in _DEFAULTS)
+        object.__setattr__(self, "enabled", enabled)
+
+
+_DEFAULTS = frozenset((RoomPolicy, OrderPolicy, EstimatePolicy, LoadPolicy))
--- a/fireflyfork/decisions/jobs/_service_state.py
+++ b/fireflyfork/decisions/jobs/_service_state.py
@@ -72,8 +72,8 @@
         successor is possible."""
 
     def tell(self, event: Callable[[Policy], None]) -> None:
-        """Report an event to all policies."""
-        for policy in self.policies.each():
+        """Report an event to the policies that are enabled."""
+        for policy in self.policies.enabled:
             event(policy)
 
     def add_executor(self, executor: ExecutorState) -> None:
--- a/fireflyfork/decisions/jobs/preemption/_preemption.py
+++ b/fireflyfork/decisions/jobs/preemption/_preemption.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 from itertools import islice
+from math import inf
 
 from ..._eviction_budget import EvictionBudget
 from .._commands import PaceRun
@@ -248,6 +249,7 @@
             plan
             for executor in self._rotation.next_items(usable)
             if executor not in self._left_alone
+            and self._state.policies.estimates.extra_cost(task, executor) < inf
             and (plan := self._planner.plan(task, executor, now)) is not None
         )
         compared = sorted(islice(plans, MAX_PLANS_COMPARED), key=lambda plan: plan.order)
