--- a/fireflyfork/decisions/jobs/_placement_costs.py
+++ b/fireflyfork/decisions/jobs/_placement_costs.py
@@ -61,6 +61,7 @@
 
 
 NO_ESTIMATES = EstimatePolicy()
+"""Estimates of an owner that learns nothing of executors."""
 
 
 def choose(
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -147,8 +147,9 @@
         """Restore the state that an earlier owner stored.
 
         ``last_known`` are the executors that the earlier owner had stored, or None if the stored
-        list can't be read. It has sent runs to no other ones. Registrations expire while the store is unavailable, and without this list the runs of such
-        an executor would be started again elsewhere.
+        list can't be read. It has sent runs to no other ones. Registrations expire while the store
+        is unavailable, and without this list the runs of such an executor would be started again
+        elsewhere.
 
         The earlier owner may have started any of these tasks on any executor just before it was
         lost, without having stored that. Starting the task here while the other run continues would
@@ -254,9 +255,8 @@
     def take_changed_executors(self) -> tuple[ExecutorRegistration, ...] | None:
         """Return the executors to store for a successor, or None if they haven't changed.
 
-        Executors that have no runs and may get none are left out. A successor would wait for their
-        leases to lapse, since they have left or are silent. They get no run before they are stored
-        again.
+        Executors that have no runs and may get none are left out, since a successor would wait in
+        vain for those that have left. They get no run before they are stored again.
         """
         if not self._state.known_executors_changed:
             return None
--- a/fireflyfork/decisions/jobs/_service_state.py
+++ b/fireflyfork/decisions/jobs/_service_state.py
@@ -31,6 +31,7 @@
 trouble usually recover within seconds, and each retry costs at most one attempt of one task."""
 
 DEFAULT_STOP_SECONDS = 0.4
+"""How long a stop takes at most if the platform doesn't say so."""
 
 
 class ServiceState:
--- a/fireflyfork/programs/replicas/_replica_follower.py
+++ b/fireflyfork/programs/replicas/_replica_follower.py
@@ -221,7 +221,8 @@
         """Follow an upstream for as long as it answers and is itself up to date.
 
         The first answer, and the first that is up to date, must arrive within
-        ``first_answer_seconds``. An upstream that follows this instance is left at once. Returns the upstreams to follow instead if there is a better one.
+        ``first_answer_seconds``. An upstream that follows this instance is left at once. Returns
+        the upstreams to follow instead if there is a better one.
         """
         logger.info("following an instance", upstream=upstream.node)
         self._upstream = upstream.node
