--- a/fireflyfork/decisions/jobs/admission/_admission.py
+++ b/fireflyfork/decisions/jobs/admission/_admission.py
@@ -9,6 +9,7 @@
 from .._runs import LATE_FACTOR, allowed_ms
 from .._specs import JobSpec
 from ._figures import WorkFigures, is_measured, size_of, work_of
+from ._outages import MIN_RETRY_SECONDS
 from ._refused_jobs import RefusedJob, RefusedJobs
 
 CLEARED_MS = 500
@@ -16,8 +17,6 @@
 be free before newer figures arrive."""
 MIN_RATE_SHARE = 0.05
 """Smallest share of the rate that late jobs are expected to get. Waves of arrivals end."""
-MIN_RETRY_SECONDS = 1
-"""The smallest value of Retry-After that makes a caller wait."""
 
 
 @dataclass(frozen=True, slots=True)
