--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -306,7 +306,9 @@
 
     def owner(self) -> Instance | None:
         """Return the instance that holds the scheduler's key of the service, if any."""
-        for key in self.store.keys("fireflyfork/work/owner/"):
+        for key in self.store.keys("fireflyfork/"):
+            if "/owner/" not in key:
+                continue
             value = self.store.get(key) or b""
             for instance in self.instances:
                 if instance.name.encode() in value:
