Decoders: one place decodes bytes from outside and raises one error

Cause: every decoder caught the errors that its library documents. msgspec raises RecursionError for values that nest more deeply than the interpreter allows, also in fields that the shape ignores. Integers beyond 64 bits passed the JSON decoder and failed with OverflowError when the list of executors was stored. Columns of other types in a list of runs raised IndexError, TypeError or ValueError; a key that isn't ASCII raised UnicodeEncodeError, and an address that isn't an IP number an error of the resolver, only when they were used.

Mend: fireflyfork/_decoding.py decodes JSON and msgpack for all of the package and turns any error into InvalidDataError. Shapes bound their integers, names, lists and times, so that what is accepted can also be stored, relayed and sent in a header. An Address checks itself. Entries that are skipped are counted (fireflyfork_entries_skipped_total).

--- a/fireflyfork/_contract_codec.py
+++ b/fireflyfork/_contract_codec.py
@@ -7,7 +7,8 @@
 import msgspec
 
 from ._contracts import Configuration
-from ._errors import SettingsError
+from ._decoding import decode_json
+from ._errors import InvalidDataError, SettingsError
 
 COMPRESSED_ABOVE_BYTES = 65_536
 """Values up to this size are stored as plain JSON, which an operator can read in the store."""
@@ -37,8 +38,8 @@
     Raises SettingsError if the value is truncated, too large or not a valid configuration.
     """
     try:
-        return msgspec.json.decode(_plain(value), type=Configuration)
-    except (msgspec.DecodeError, zlib.error) as error:
+        return decode_json(_plain(value), Configuration)
+    except (InvalidDataError, zlib.error) as error:
         raise SettingsError(f"the configuration is unreadable: {error}") from error
 
 
--- a/fireflyfork/_errors.py
+++ b/fireflyfork/_errors.py
@@ -24,6 +24,10 @@
     """Base class of all errors of this package."""
 
 
+class InvalidDataError(FireflyforkError):
+    """Bytes from outside the process don't contain a valid value of the expected type."""
+
+
 class SettingsError(FireflyforkError):
     """A settings or configuration file is invalid. The message gives path, value and rule."""
 
--- a/fireflyfork/_links.py
+++ b/fireflyfork/_links.py
@@ -4,18 +4,35 @@
 
 import ipaddress
 from dataclasses import dataclass
+from functools import lru_cache
 
 from ._errors import SettingsError
 from ._ids import RegionName
 
 
+@lru_cache(maxsize=8_192)
+def _is_ip_address(host: str) -> bool:
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return True
+
+
 @dataclass(frozen=True, slots=True)
 class Address:
-    """An IP address and a port."""
+    """An IP address and a port. Raises SettingsError for other values."""
 
     host: str
     port: int
 
+    def __post_init__(self) -> None:
+        """Check the values, which may come from another process."""
+        if not _is_ip_address(self.host):
+            raise SettingsError(f"{self.host!r} is not an IP address")
+        if not 0 <= self.port < 65536:
+            raise SettingsError(f"port {self.port} is not between 0 and 65535")
+
     @classmethod
     def parse(cls, text: str) -> Address:
         """Parse ``host:port``, with IPv6 hosts in brackets.
@@ -26,10 +43,11 @@
         host, _, port = text.rpartition(":")
         host = host.removeprefix("[").removesuffix("]")
         try:
-            ipaddress.ip_address(host)
             number = int(port)
         except ValueError as error:
             raise SettingsError(f"{text!r} is not IP-number:port") from error
+        if not _is_ip_address(host):
+            raise SettingsError(f"{text!r} is not IP-number:port")
         if not 0 < number < 65536:
             raise SettingsError(f"{text!r}: the port must be between 1 and 65535")
         return cls(host, number)
--- a/fireflyfork/adapters/_control_content.py
+++ b/fireflyfork/adapters/_control_content.py
@@ -7,7 +7,8 @@
 import msgpack
 import msgspec
 
-from .._errors import PeerError
+from .._decoding import convert, unpack_msgpack
+from .._errors import InvalidDataError, PeerError
 
 Content = TypeVar("Content")
 
@@ -20,7 +21,6 @@
 def decode_content(data: bytes, content_type: type[Content]) -> Content:
     """Decode ``data`` as ``content_type``. Raises PeerError if it doesn't match that type."""
     try:
-        plain = msgpack.unpackb(data)
-        return msgspec.convert(plain, content_type, builtin_types=(bytes,))
-    except (ValueError, msgspec.ValidationError, msgpack.UnpackException) as error:
+        return convert(unpack_msgpack(data), content_type)
+    except InvalidDataError as error:
         raise PeerError(f"bad {content_type.__name__}: {error}") from error
--- a/fireflyfork/adapters/_http_client.py
+++ b/fireflyfork/adapters/_http_client.py
@@ -133,7 +133,10 @@
         if self._http.our_state is h11.DONE:
             self._http.start_next_cycle()
         self._sent_anything = False
-        return h11.Request(method=head.method, target=head.target, headers=list(head.headers))
+        try:
+            return h11.Request(method=head.method, target=head.target, headers=list(head.headers))
+        except h11.ProtocolError as error:
+            raise HttpError(f"not a valid request head: {error}") from error
 
     async def _send(self, *events: h11.Event) -> None:
         try:
--- a/fireflyfork/adapters/_instances.py
+++ b/fireflyfork/adapters/_instances.py
@@ -6,9 +6,8 @@
 from dataclasses import dataclass
 from enum import Enum
 
-import msgspec
-
-from .._errors import PlatformError
+from .._decoding import decode_json
+from .._errors import InvalidDataError, PlatformError
 from .._ids import TargetId
 from .._links import Address
 from ._http import HttpError
@@ -64,6 +63,6 @@
             head, body = await self._client.call("GET", target, extra_seconds=wait_seconds)
             if head.status != 200:
                 raise PlatformError(f"the instance list answered {head.status}")
-            return msgspec.json.decode(body, type=InstanceChanges)
-        except (HttpError, msgspec.DecodeError) as error:
+            return decode_json(body, InstanceChanges)
+        except (HttpError, InvalidDataError) as error:
             raise PlatformError(f"instance list: {error}") from error
--- a/fireflyfork/adapters/_message_stream.py
+++ b/fireflyfork/adapters/_message_stream.py
@@ -9,12 +9,14 @@
 import struct
 from collections.abc import AsyncIterator, Iterator, Sequence
 from dataclasses import dataclass
+from functools import partial
 from typing import Generic, TypeVar
 
 import msgspec
 import trio
 
-from .._errors import PeerError
+from .._decoding import guarded
+from .._errors import InvalidDataError, PeerError
 
 MAX_FRAME_BYTES = 8 << 20
 _LENGTH = struct.Struct(">I")
@@ -51,9 +53,10 @@
             body = bytes(self._buffer[_LENGTH.size : end])
             del self._buffer[:end]
             try:
-                yield from self._decoder.decode(body)
-            except (msgspec.DecodeError, msgspec.ValidationError) as error:
+                messages = guarded(partial(self._decoder.decode, body))
+            except InvalidDataError as error:
                 raise PeerError(f"not a frame of messages: {error}") from error
+            yield from messages
 
 
 @dataclass(slots=True)
--- a/fireflyfork/adapters/_peer_messages.py
+++ b/fireflyfork/adapters/_peer_messages.py
@@ -9,10 +9,12 @@
 import msgpack
 import msgspec
 
-from .._errors import PeerError
+from .._decoding import convert, guarded
+from .._errors import InvalidDataError, PeerError
 from .._verdict import Verdict
 
 MAX_MESSAGE_BYTES = 1 << 20
+_NOTHING = object()
 
 
 class Role(Enum):
@@ -174,12 +176,11 @@
     def feed(self, data: bytes) -> Iterator[PeerMessage]:
         """Yield the messages that ``data`` completes. Raises PeerError if the data is invalid."""
         try:
-            self._unpacker.feed(data)
-            for plain in self._unpacker:
-                yield _convert(plain)
-        except (msgspec.ValidationError, msgpack.UnpackException, ValueError) as error:
+            guarded(lambda: self._unpacker.feed(data))
+            while (plain := guarded(self._next_plain)) is not _NOTHING:
+                yield convert(plain, PeerMessage)  # type: ignore[arg-type]
+        except InvalidDataError as error:
             raise PeerError(f"not a message: {error}") from error
 
-
-def _convert(plain: Any) -> PeerMessage:
-    return msgspec.convert(plain, PeerMessage, builtin_types=(bytes,))  # type: ignore[no-any-return]
+    def _next_plain(self) -> Any:
+        return next(self._unpacker, _NOTHING)
--- a/fireflyfork/adapters/_platform_http.py
+++ b/fireflyfork/adapters/_platform_http.py
@@ -7,7 +7,8 @@
 
 import msgspec
 
-from .._errors import PlatformError
+from .._decoding import decode_json
+from .._errors import InvalidDataError, PlatformError
 from .._ids import AttemptNumber, RegionName, TaskId
 from .._links import Address
 from .._machines import Worker
@@ -105,6 +106,6 @@
         if head.status != 200:
             raise PlatformError(f"the platform answered {head.status} to {method} {target}")
         try:
-            return msgspec.json.decode(answer, type=answer_type)
-        except msgspec.DecodeError as error:
+            return decode_json(answer, answer_type)
+        except InvalidDataError as error:
             raise PlatformError(f"the platform's answer can't be read: {error}") from error
--- a/fireflyfork/adapters/_relay_messages.py
+++ b/fireflyfork/adapters/_relay_messages.py
@@ -6,9 +6,11 @@
 from __future__ import annotations
 
 from collections.abc import Sequence
+from typing import Annotated
 
 import msgspec
 
+from .._decoding import Count, HeaderText, LongCount
 from .._ids import ExecutorId
 from .._links import Address
 from ..decisions.jobs import (
@@ -25,6 +27,8 @@
 
 RELAY_VERSION = 1
 """The version of the protocol. Instances with different versions don't use each other as relays."""
+LONGEST_CALL_SECONDS = 3600.0
+CallSeconds = Annotated[float, msgspec.Meta(ge=0.0, le=LONGEST_CALL_SECONDS)]
 
 
 class RelayMessage(msgspec.Struct, frozen=True, array_like=True, tag_field="kind"):
@@ -34,10 +38,14 @@
 class EndpointFields(msgspec.Struct, frozen=True, array_like=True):
     """The executor process that a call is addressed to; see ExecutorEndpoint."""
 
-    executor: str
+    executor: HeaderText
     host: str
     port: int
-    incarnation: int
+    incarnation: LongCount
+
+    def __post_init__(self) -> None:
+        """Check the address. Raises SettingsError."""
+        self.endpoint()
 
     @classmethod
     def of(cls, endpoint: ExecutorEndpoint) -> EndpointFields:
@@ -61,14 +69,14 @@
 class StartCall(RelayMessage, frozen=True, tag=1):
     """See ExecutorCalls.start."""
 
-    number: int
+    number: LongCount
     """The number that identifies the call in its reply."""
     place: EndpointFields
-    token: int
+    token: LongCount
     task: str
-    attempt: int
+    attempt: LongCount
     payload: str
-    deadline_ms: int
+    deadline_ms: LongCount
     checkpoint: str
     ticket: str
 
@@ -76,49 +84,49 @@
 class StopCall(RelayMessage, frozen=True, tag=2):
     """See ExecutorCalls.stop."""
 
-    number: int
+    number: LongCount
     place: EndpointFields
-    token: int
+    token: LongCount
     task: str
-    attempt: int
+    attempt: LongCount
 
 
 class PaceCall(RelayMessage, frozen=True, tag=3):
     """See ExecutorCalls.pace."""
 
-    number: int
+    number: LongCount
     place: EndpointFields
-    token: int
+    token: LongCount
     task: str
-    attempt: int
-    percent: int
+    attempt: LongCount
+    percent: LongCount
 
 
 class PollCall(RelayMessage, frozen=True, tag=4):
     """See ExecutorCalls.poll."""
 
-    number: int
+    number: LongCount
     place: EndpointFields
-    token: int
-    forget_ends_to: int
-    lease_until_ms: int | None
-    wait_seconds: float
-    patience_seconds: float
+    token: LongCount
+    forget_ends_to: LongCount
+    lease_until_ms: LongCount | None
+    wait_seconds: CallSeconds
+    patience_seconds: CallSeconds
 
 
 class Forget(RelayMessage, frozen=True, tag=5):
     """See ExecutorCalls.forget."""
 
-    executor: str
+    executor: HeaderText
 
 
 class OrderReply(RelayMessage, frozen=True, tag=6):
     """The reply to a start, stop or pace call."""
 
-    number: int
+    number: LongCount
     outcome: str
-    clock_ms: int | None
-    incarnation: int | None
+    clock_ms: Count | None
+    incarnation: Count | None
 
     @classmethod
     def of(cls, number: int, answer: OrderAnswer) -> OrderReply:
@@ -133,12 +141,12 @@
 class PollReply(RelayMessage, frozen=True, tag=7):
     """The reply to a poll."""
 
-    number: int
+    number: LongCount
     outcome: str
-    clock_ms: int | None
-    incarnation: int | None
-    running: Sequence[tuple[str, int, str, int, float]]
-    ended: Sequence[tuple[int, str, int, str, str]]
+    clock_ms: Count | None
+    incarnation: Count | None
+    running: Sequence[tuple[str, Count, str, Count, float]]
+    ended: Sequence[tuple[Count, str, Count, str, str]]
     ends_may_be_cut: bool
     why: str = ""
 
@@ -198,16 +206,16 @@
     A relay of an earlier version closes the stream on it, and the owner opens another one.
     """
 
-    number: int
+    number: LongCount
     service: str
-    owner_revision: int
+    owner_revision: LongCount
     """The revision of the owner key, which is removed only at this revision."""
 
 
 class ReleaseReply(RelayMessage, frozen=True, tag=12):
     """The reply to a ReleaseCall."""
 
-    number: int
+    number: LongCount
     released: bool
 
 
--- a/fireflyfork/adapters/_replica_messages.py
+++ b/fireflyfork/adapters/_replica_messages.py
@@ -7,6 +7,7 @@
 import msgspec
 import xxhash
 
+from .._decoding import LongCount, Seconds
 from .._errors import PeerError
 from .._ids import NodeName, Revision
 from ._coordination import StoredItem
@@ -33,7 +34,7 @@
 class Ask(ReplicaMessage, frozen=True, tag=1):
     """A query; see ReplicaQuery."""
 
-    after: int
+    after: LongCount
     mark: float | None
 
     @classmethod
@@ -50,8 +51,8 @@
     """A key with its value, compressed if it is large."""
 
     key: str
-    revision: int
-    created: int
+    revision: LongCount
+    created: LongCount
     checksum: int
     """The checksum (xxh3, 64 bits) of the uncompressed value, as stored."""
     compressed: bool
@@ -86,11 +87,11 @@
 class Update(ReplicaMessage, frozen=True, tag=2):
     """The answer to a query; see ReplicaAnswer."""
 
-    as_of: int
-    age_seconds: float
-    waited_seconds: float
+    as_of: LongCount
+    age_seconds: Seconds
+    waited_seconds: Seconds
     mark: float
-    revisions: dict[str, int]
+    revisions: dict[str, LongCount]
     changed: list[Item]
     hops: list[str]
     reaches_store: bool
--- a/fireflyfork/adapters/_store_http.py
+++ b/fireflyfork/adapters/_store_http.py
@@ -4,9 +4,8 @@
 
 from urllib.parse import quote
 
-import msgspec
-
-from .._errors import StoreConflictError, StoreUnavailableError
+from .._decoding import decode_json
+from .._errors import InvalidDataError, StoreConflictError, StoreUnavailableError
 from .._ids import Revision
 from .._links import Address
 from ._http import HttpError, ResponseHead
@@ -48,7 +47,12 @@
     async def keys(self, prefix: str) -> tuple[str, ...]:
         """See Store."""
         _, body = await self._call("GET", f"/v1/keys?prefix={quote(prefix, safe='')}")
-        return msgspec.json.decode(body, type=tuple[str, ...])
+        try:
+            return decode_json(body, tuple[str, ...])
+        except InvalidDataError as error:
+            raise StoreUnavailableError(
+                f"the store's list of keys can't be read: {error}"
+            ) from error
 
     async def wait(self, key: str, after: Revision, seconds: float) -> StoredValue | None:
         """See Store."""
--- a/fireflyfork/decisions/_configuration_register.py
+++ b/fireflyfork/decisions/_configuration_register.py
@@ -13,7 +13,8 @@
 import msgpack
 import msgspec
 
-from .._errors import SettingsError
+from .._decoding import convert, unpack_msgpack
+from .._errors import InvalidDataError, SettingsError
 from .._ids import ChangeId, ConfigurationVersion, MemberId, Revision
 from ._membership_events import WriteOutcome
 
@@ -212,8 +213,8 @@
 def decode_configuration(value: bytes) -> ConfigurationOffer:
     """Decode the stored form. Raises SettingsError if the value is malformed."""
     try:
-        stored = msgspec.convert(msgpack.unpackb(value), _StoredConfiguration)
-    except (ValueError, msgspec.ValidationError, msgpack.UnpackException) as error:
+        stored = convert(unpack_msgpack(value), _StoredConfiguration)
+    except InvalidDataError as error:
         raise SettingsError(f"the stored configuration is unreadable: {error}") from error
     return ConfigurationOffer(
         ConfigurationVersion(stored.version),
--- a/fireflyfork/decisions/_fleet.py
+++ b/fireflyfork/decisions/_fleet.py
@@ -14,7 +14,8 @@
 import msgspec
 import xxhash
 
-from .._errors import SettingsError
+from .._decoding import convert, guarded, unpack_msgpack
+from .._errors import InvalidDataError, SettingsError
 from .._ids import (
     ChangeId,
     Epoch,
@@ -216,9 +217,13 @@
 def decode_fleet(value: bytes) -> FleetRecord:
     """Decode the stored form. Raises SettingsError if the value is malformed."""
     try:
-        stored = msgspec.convert(msgpack.unpackb(value), _StoredRecord)
-    except (ValueError, msgspec.ValidationError, msgpack.UnpackException) as error:
+        stored = convert(unpack_msgpack(value), _StoredRecord)
+        return guarded(lambda: _load_record(stored))
+    except InvalidDataError as error:
         raise SettingsError(f"the fleet record is unreadable: {error}") from error
+
+
+def _load_record(stored: _StoredRecord) -> FleetRecord:
     members = [_load_member(member) for member in stored.members]
     fenced = [
         FencedMember(_load_member(member), MemberId(taker) if taker is not None else None)
--- a/fireflyfork/decisions/_journal.py
+++ b/fireflyfork/decisions/_journal.py
@@ -14,7 +14,8 @@
 
 import msgspec
 
-from .._errors import FireflyforkError
+from .._decoding import decode_msgpack
+from .._errors import FireflyforkError, InvalidDataError
 from .._ids import ChangeId, MemberId, PartitionId, Revision
 from ._stored_bytes import StoredBytesError, pack, unpack
 from ._task_changes import DurableChange
@@ -162,6 +163,6 @@
 def decode_segment(value: bytes) -> Segment:
     """Decode the stored form. Raises JournalError if the value is malformed."""
     try:
-        return msgspec.msgpack.decode(unpack(value), type=Segment)
-    except (msgspec.DecodeError, StoredBytesError) as error:
+        return decode_msgpack(unpack(value), Segment)
+    except (InvalidDataError, StoredBytesError) as error:
         raise JournalError(f"a segment can't be read: {error}") from error
--- a/fireflyfork/decisions/_snapshot.py
+++ b/fireflyfork/decisions/_snapshot.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from .._decoding import decode_msgpack
+from .._errors import InvalidDataError
 from .._ids import AttemptNumber, ChangeId, JobId, MemberId, TaskId, WorkerId
 from .._machines import Resources
 from ._journal import JournalError
@@ -89,8 +91,8 @@
 def decode_snapshot(value: bytes) -> Snapshot:
     """Decode the stored form. Raises JournalError if the value is malformed."""
     try:
-        return msgspec.msgpack.decode(unpack(value), type=Snapshot)
-    except (msgspec.DecodeError, StoredBytesError) as error:
+        return decode_msgpack(unpack(value), Snapshot)
+    except (InvalidDataError, StoredBytesError) as error:
         raise JournalError(f"a snapshot can't be read: {error}") from error
 
 
--- a/fireflyfork/decisions/jobs/_stored_forms.py
+++ b/fireflyfork/decisions/jobs/_stored_forms.py
@@ -8,7 +8,8 @@
 
 import msgspec
 
-from ..._errors import FireflyforkError
+from ..._decoding import decode_msgpack, is_header_text
+from ..._errors import FireflyforkError, InvalidDataError
 from ._executors import ExecutorRegistration
 from ._interference import LearnedFit
 from ._progress import StoredProgress
@@ -62,7 +63,11 @@
 
 def decode_registrations(data: bytes) -> tuple[ExecutorRegistration, ...]:
     """Decode the stored form. Raises StoredFormatError."""
-    return _decode(data, tuple[ExecutorRegistration, ...])
+    registrations = _decode(data, tuple[ExecutorRegistration, ...])
+    for registration in registrations:
+        if not is_header_text(registration.executor):
+            raise StoredFormatError(f"{registration.executor!r:.80} can't name an executor")
+    return registrations
 
 
 @dataclass(frozen=True, slots=True)
@@ -139,6 +144,6 @@
 
 def _decode(data: bytes, shape: type[_Stored]) -> _Stored:
     try:
-        return msgspec.msgpack.decode(data, type=shape)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        return decode_msgpack(data, shape)
+    except InvalidDataError as error:
         raise StoredFormatError(f"stored value can't be decoded as {shape}: {error}") from error
--- a/fireflyfork/decisions/jobs/admission/_figures.py
+++ b/fireflyfork/decisions/jobs/admission/_figures.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from ...._decoding import decode_msgpack
+from ...._errors import InvalidDataError
 from .._specs import JobSpec, StepSpec
 from .._stored_forms import StoredFormatError
 
@@ -164,6 +166,6 @@
 def decode_figures(data: bytes) -> WorkFigures:
     """Decode the stored form. Raises StoredFormatError."""
     try:
-        return msgspec.msgpack.decode(data, type=WorkFigures)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        return decode_msgpack(data, WorkFigures)
+    except InvalidDataError as error:
         raise StoredFormatError(f"figures of the work ahead can't be decoded: {error}") from error
--- a/fireflyfork/operations/_decoding.py
+++ b/fireflyfork/operations/_decoding.py
@@ -16,6 +16,8 @@
 
 import msgspec
 
+from .._decoding import guarded
+from .._errors import InvalidDataError
 from ._quantities import Quantity
 from ._violations import Violation, short_repr
 
@@ -83,8 +85,8 @@
     try:
         if is_quantity(expected):
             return expected.parse(raw)
-        return msgspec.convert(raw, expected)
-    except (ValueError, msgspec.ValidationError) as error:
+        return guarded(lambda: msgspec.convert(raw, expected))
+    except (InvalidDataError, ValueError) as error:
         rule = str(error)
         rule = rule[0].lower() + rule[1:]
         violations.append(Violation(path, short_repr(raw), rule, f"write {_example(expected)}"))
--- a/fireflyfork/operations/_documents.py
+++ b/fireflyfork/operations/_documents.py
@@ -12,7 +12,8 @@
 import msgspec
 
 from .._contracts import Configuration
-from .._errors import SettingsError
+from .._decoding import guarded
+from .._errors import InvalidDataError, SettingsError
 from .._ids import ConfigurationVersion
 from ._answers import Answers
 from ._decoding import Decoded, decode
@@ -36,12 +37,18 @@
     Raises SettingsError with the line and column of a syntax error or the name of a repeated field.
     """
     try:
-        return jsonc.loads(text, object_pairs_hook=_object_of_unique_names)
-    except json.JSONDecodeError as error:
-        position = f"line {error.lineno}, column {error.colno}"
-        raise SettingsError(f"not JSON with comments: {error.msg} at {position}") from error
-    except _DuplicateNameError as error:
-        raise SettingsError(str(error)) from error
+        return guarded(lambda: jsonc.loads(text, object_pairs_hook=_object_of_unique_names))
+    except InvalidDataError as error:
+        raise SettingsError(_explain(error.__cause__)) from error
+
+
+def _explain(cause: BaseException | None) -> str:
+    if isinstance(cause, json.JSONDecodeError):
+        position = f"line {cause.lineno}, column {cause.colno}"
+        return f"not JSON with comments: {cause.msg} at {position}"
+    if isinstance(cause, _DuplicateNameError):
+        return str(cause)
+    return f"not JSON with comments: {cause}"
 
 
 def decode_document(expected: type[T], text: str) -> Decoded[T]:
--- a/fireflyfork/operations/_log_lines.py
+++ b/fireflyfork/operations/_log_lines.py
@@ -5,7 +5,8 @@
 from collections.abc import Iterable, Iterator
 from typing import TypeVar
 
-import msgspec
+from .._decoding import decode_json
+from .._errors import InvalidDataError
 
 _Line = TypeVar("_Line")
 
@@ -17,7 +18,7 @@
         if brace < 0:
             continue
         try:
-            yield msgspec.json.decode(text[brace:], type=line_type)
-        except (msgspec.DecodeError, UnicodeEncodeError):
+            yield decode_json(text[brace:], line_type)
+        except InvalidDataError:
             # A file may combine the logs of several programs; lines of other programs are skipped.
             continue
--- a/fireflyfork/operations/_span_tree.py
+++ b/fireflyfork/operations/_span_tree.py
@@ -5,8 +5,8 @@
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
-import msgspec
-
+from .._decoding import decode_json
+from .._errors import InvalidDataError
 from .._traces import Span
 
 _MILLISECONDS = 1000.0
@@ -24,8 +24,8 @@
     """Yield the spans among log lines; other lines are skipped."""
     for line in lines:
         try:
-            yield msgspec.json.decode(line, type=Span)
-        except (msgspec.DecodeError, UnicodeEncodeError):
+            yield decode_json(line, Span)
+        except InvalidDataError:
             continue
 
 
--- a/fireflyfork/platform/_advisor_client.py
+++ b/fireflyfork/platform/_advisor_client.py
@@ -5,6 +5,8 @@
 import msgspec
 from loguru import logger
 
+from .._decoding import Count, decode_json
+from .._errors import InvalidDataError
 from .._ids import ExecutorId
 from .._links import Address
 from ..adapters import Advice, Advisor, HttpError
@@ -22,7 +24,7 @@
 
 class _Answer(msgspec.Struct):
     good: list[tuple[str, str]]
-    valid_ms: int
+    valid_ms: Count
 
 
 class PlatformAdvisor(Advisor):
@@ -40,8 +42,8 @@
             if answer.status != 200:
                 logger.info("advisor call failed", step=step, status=answer.status)
                 return None
-            advice = msgspec.json.decode(answer.body, type=_Answer)
-        except (HttpError, msgspec.DecodeError, msgspec.ValidationError) as error:
+            advice = decode_json(answer.body, _Answer)
+        except (HttpError, InvalidDataError) as error:
             logger.info("advisor call failed", step=step, error=str(error))
             return None
         tickets = {ExecutorId(name): ticket for name, ticket in advice.good}
--- a/fireflyfork/platform/_configuration.py
+++ b/fireflyfork/platform/_configuration.py
@@ -4,7 +4,8 @@
 
 import msgspec
 
-from .._errors import SettingsError
+from .._decoding import Count, Integer, decode_json
+from .._errors import InvalidDataError, SettingsError
 from .._ids import ConfigurationVersion, QueueName, ServiceName
 from ..decisions.jobs import QueueConfiguration, QueueTable, queue_table
 
@@ -18,11 +19,11 @@
     host: str
     path_prefix: str
     service: str
-    priority: int = 0
-    attempts: int = 1
+    priority: Integer = 0
+    attempts: Integer = 1
     stretch_factor: float = 1.0
-    target_latency_ms: int = 0
-    timeout_ms: int = 0
+    target_latency_ms: Count = 0
+    timeout_ms: Count = 0
     advice: _Advice | None = None
 
 
@@ -31,7 +32,7 @@
 
 
 class _Configuration(msgspec.Struct):
-    version: int
+    version: Count
     routes: list[_Route] = []
     services: list[_Service] = []
 
@@ -39,8 +40,8 @@
 def decode_configuration(value: bytes) -> QueueTable:
     """Decode the queues of a stored configuration. Raises SettingsError if it can't be read."""
     try:
-        stored = msgspec.json.decode(value, type=_Configuration)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        stored = decode_json(value, _Configuration)
+    except InvalidDataError as error:
         raise SettingsError(f"the stored configuration can't be read: {error}") from error
     return queue_table(
         ConfigurationVersion(stored.version),
--- a/fireflyfork/platform/_executor_client.py
+++ b/fireflyfork/platform/_executor_client.py
@@ -4,11 +4,13 @@
 
 from dataclasses import dataclass
 from functools import partial
-from typing import Any, TypeVar
+from typing import Annotated, TypeVar
 
 import msgspec
 from loguru import logger
 
+from .._decoding import Count, Name, decode_json
+from .._errors import InvalidDataError
 from .._ids import AttemptNumber, ExecutorId, FencingToken, TaskName
 from ..adapters import (
     ANY_INCARNATION,
@@ -63,6 +65,11 @@
 }
 
 
+MAX_CHECKPOINT_LENGTH = 4_096
+"""Maximum number of characters of a checkpoint, which is stored with the progress of its job."""
+Checkpoint = Annotated[str, msgspec.Meta(max_length=MAX_CHECKPOINT_LENGTH)]
+
+
 class _Order(msgspec.Struct, omit_defaults=True):
     task: str
     attempt: int
@@ -82,15 +89,32 @@
 
 
 class _OrderAnswer(msgspec.Struct):
-    clock_ms: int | None = None
+    clock_ms: Count | None = None
     reason: str = ""
 
 
+class _Running(msgspec.Struct, array_like=True):
+    task: Name
+    attempt: Count
+    checkpoint: Checkpoint | None
+    percent: Count
+    figure: float | None = None
+    """The column was added to the format later; older executors don't send it."""
+
+
+class _Ended(msgspec.Struct, array_like=True):
+    number: Count
+    task: Name
+    attempt: Count
+    reason: str
+    checkpoint: Checkpoint
+
+
 class _PollAnswer(msgspec.Struct):
-    clock_ms: int
-    running: list[tuple[Any, ...]] = []
-    ended: list[tuple[int, str, int, str, str]] = []
-    born: int | None = None
+    clock_ms: Count
+    running: list[_Running] = []
+    ended: list[_Ended] = []
+    born: Count | None = None
 
 
 _Shape = TypeVar("_Shape")
@@ -298,22 +322,25 @@
     if not answer.body:
         return None
     try:
-        return msgspec.json.decode(answer.body, type=shape)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        return decode_json(answer.body, shape)
+    except InvalidDataError as error:
         logger.warning("cannot decode executor answer", status=answer.status, error=str(error))
         return None
 
 
-def _running_row(row: tuple[Any, ...]) -> RunningRow:
-    # The column for the usage figure was added to the format later; older executors don't send it.
-    figure = float(row[4]) if len(row) > 4 and row[4] is not None else 0.0
+def _running_row(row: _Running) -> RunningRow:
     return RunningRow(
-        TaskName(str(row[0])), AttemptNumber(int(row[1])), str(row[2] or ""), int(row[3]), figure
+        TaskName(row.task),
+        AttemptNumber(row.attempt),
+        row.checkpoint or "",
+        row.percent,
+        row.figure or 0.0,
     )
 
 
-def _ended_row(row: tuple[int, str, int, str, str]) -> EndedRow:
-    number, task, attempt, reason, checkpoint = row
+def _ended_row(row: _Ended) -> EndedRow:
     # An unknown reason is treated as a lapsed lease: the run has ended, and it isn't a failure of the task.
-    end_reason = _END_REASONS.get(reason, EndReason.LAPSED)
-    return EndedRow(number, TaskName(task), AttemptNumber(attempt), end_reason, checkpoint)
+    reason = _END_REASONS.get(row.reason, EndReason.LAPSED)
+    return EndedRow(
+        row.number, TaskName(row.task), AttemptNumber(row.attempt), reason, row.checkpoint
+    )
--- a/fireflyfork/platform/_jobs.py
+++ b/fireflyfork/platform/_jobs.py
@@ -7,7 +7,8 @@
 
 import msgspec
 
-from .._errors import BadRequestError
+from .._decoding import Integer, decode_json
+from .._errors import BadRequestError, InvalidDataError
 from .._ids import JobId
 from ..adapters import RequestHead
 from ..decisions.jobs import JobSpec, JobState, QueueConfiguration, StepSpec
@@ -27,32 +28,32 @@
 
 
 class _Step(msgspec.Struct):
-    count: int
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
-    estimate_ms: int = 0
-    after: list[int] = []
+    count: Integer
+    cpu: Integer = 0
+    mem_mb: Integer = 0
+    gpu: Integer = 0
+    estimate_ms: Integer = 0
+    after: list[Integer] = []
     checkpointing: bool = False
     gang: bool = False
     same_rack: bool = False
     requirements: str = ""
     affinity: str = ""
-    anti_affinity: int = 0
+    anti_affinity: Integer = 0
     speculative: bool = False
     long_running: bool = False
     image: str = ""
-    target_ms: int = 0
+    target_ms: Integer = 0
     fills: bool = False
-    may_miss: int = 0
+    may_miss: Integer = 0
 
 
 class _Job(msgspec.Struct):
     steps: list[_Step]
     spec: str = ""
-    repetitions: int = 0
-    initial_delay_ms: int = 0
-    interval_ms: int = 0
+    repetitions: Integer = 0
+    initial_delay_ms: Integer = 0
+    interval_ms: Integer = 0
 
 
 def caller_timeout(head: RequestHead) -> float:
@@ -70,22 +71,22 @@
 def decode_job(body: bytes, job: JobId, queue: QueueConfiguration, now_ms: int) -> JobSpec:
     """Decode a submitted job and give it the id ``job``. Raises BadRequestError if it is invalid."""
     try:
-        request = msgspec.json.decode(body, type=_Job)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        request = decode_json(body, _Job)
+    except InvalidDataError as error:
         raise BadRequestError(f"the job can't be read: {error}") from error
-    steps = tuple(map(_step, request.steps))
-    _check(steps)
-    return JobSpec(
+    spec = JobSpec(
         job=job,
         queue=queue.name,
         service=queue.service,
         payload=request.spec,
-        steps=steps,
+        steps=tuple(map(_step, request.steps)),
         accepted_ms=now_ms,
         repetitions=request.repetitions,
         first_due_ms=request.initial_delay_ms,
         interval_ms=request.interval_ms,
     )
+    _check(spec.steps)
+    return spec
 
 
 def encode_state(state: JobState) -> bytes:
@@ -105,7 +106,7 @@
         memory_mb=step.mem_mb,
         accelerators=step.gpu,
         estimate_ms=step.estimate_ms,
-        after=tuple(step.after),
+        after=tuple(dict.fromkeys(step.after)),
         checkpointing=step.checkpointing,
         gang=step.gang,
         same_rack=step.same_rack,
--- a/fireflyfork/platform/_machines_client.py
+++ b/fireflyfork/platform/_machines_client.py
@@ -8,6 +8,8 @@
 import msgspec
 from loguru import logger
 
+from .._decoding import decode_json
+from .._errors import InvalidDataError
 from .._ids import ExecutorId, FencingToken, MachineId, NodeName, ServiceName
 from .._links import Address
 from ..adapters import HttpError, MachineCalls
@@ -124,8 +126,8 @@
         logger.info("refused about machines", status=answer.status, body=repr(answer.body[:100]))
         return None
     try:
-        return msgspec.json.decode(answer.body, type=shape)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        return decode_json(answer.body, shape)
+    except InvalidDataError as error:
         logger.warning("cannot decode machine service answer", error=str(error))
         return None
 
--- a/fireflyfork/platform/_registrations.py
+++ b/fireflyfork/platform/_registrations.py
@@ -7,7 +7,8 @@
 import msgspec
 from loguru import logger
 
-from .._errors import SettingsError
+from .._decoding import MAX_INTEGER, MAX_NAME_LENGTH, Count, Name, decode_json, is_header_text
+from .._errors import InvalidDataError, SettingsError
 from .._ids import ExecutorId, FailureDomainName, ServiceName
 from .._links import Address
 from ..adapters import StoredItem
@@ -16,23 +17,24 @@
 
 _READY = "ready"
 _DRAINING = "draining"
+MAX_LABELS = 64
 
 
 class _Room(msgspec.Struct):
-    cpu: int
-    mem_mb: int
-    gpu: int = 0
+    cpu: Count
+    mem_mb: Count
+    gpu: Count = 0
 
 
 class _Registration(msgspec.Struct):
-    service: str
-    address: str
-    zone: str
+    service: Name
+    address: Name
+    zone: Name
     state: str
     room: _Room
-    born: Annotated[int, msgspec.Meta(gt=0)]
+    born: Annotated[int, msgspec.Meta(gt=0, le=MAX_INTEGER)]
     """The start time in Unix milliseconds. Without it, incarnations of an executor can't be told apart."""
-    labels: list[str] = []
+    labels: Annotated[list[Name], msgspec.Meta(max_length=MAX_LABELS)] = []
     version: object = ""
 
 
@@ -49,11 +51,15 @@
     """
     executor = registered_executor(item.key)
     try:
-        entry = msgspec.json.decode(item.value, type=_Registration)
+        entry = decode_json(item.value, _Registration)
         address = Address.parse(entry.address)
-    except (msgspec.DecodeError, msgspec.ValidationError, SettingsError) as error:
+    except (InvalidDataError, SettingsError) as error:
         logger.warning("cannot decode registration", executor=executor, error=str(error)[:200])
         return None
+    # Each call to an executor names it in a header.
+    if not is_header_text(executor):
+        logger.warning("registration has unusable key", executor=repr(executor))
+        return None
     if entry.state not in (_READY, _DRAINING):
         logger.warning("registration has unknown state", executor=executor, state=entry.state[:40])
         return None
@@ -74,4 +80,6 @@
 
 def _version(value: object) -> str:
     """Return the version of an executor's software; empty if the entry has none that is usable."""
-    return str(value) if isinstance(value, str | int) else ""
+    if isinstance(value, str):
+        return value[:MAX_NAME_LENGTH]
+    return str(value) if isinstance(value, int) and abs(value) <= MAX_INTEGER else ""
--- a/fireflyfork/platform/_store_client.py
+++ b/fireflyfork/platform/_store_client.py
@@ -12,7 +12,9 @@
 import msgspec
 from loguru import logger
 
+from .._decoding import LongCount, decode_json, guarded
 from .._errors import (
+    InvalidDataError,
     LeaseEndedError,
     StoredVersion,
     StoreHistoryLostError,
@@ -71,21 +73,21 @@
 
 class _Item(msgspec.Struct):
     key: str
-    revision: int
+    revision: LongCount
     value: str = ""
-    created: int = 0
+    created: LongCount = 0
     deleted: bool = False
 
 
 class _Range(msgspec.Struct):
     items: list[_Item]
     has_more: bool
-    as_of: int
+    as_of: LongCount
 
 
 class _Watch(msgspec.Struct):
     events: list[_Item]
-    as_of: int
+    as_of: LongCount
 
 
 class _Conflict(msgspec.Struct):
@@ -93,11 +95,11 @@
 
 
 class _Committed(msgspec.Struct):
-    revision: int
+    revision: LongCount
 
 
 class _Granted(msgspec.Struct):
-    lease: int
+    lease: LongCount
 
 
 class _Expected(msgspec.Struct):
@@ -305,8 +307,8 @@
 def _decoded(answer: CallAnswer, shape: type[_Body], status: int = 200) -> _Body:
     _require(answer, status)
     try:
-        return msgspec.json.decode(answer.body, type=shape)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        return decode_json(answer.body, shape)
+    except InvalidDataError as error:
         raise StoreUnavailableError(f"the store's answer can't be read: {error}") from error
 
 
@@ -316,8 +318,8 @@
 
 def _value(item: _Item) -> bytes:
     try:
-        return b64decode(item.value, validate=True)
-    except ValueError as error:
+        return guarded(lambda: b64decode(item.value, validate=True))
+    except InvalidDataError as error:
         raise StoreUnavailableError(f"the value of {item.key} is not base64") from error
 
 
--- a/fireflyfork/platform/_waves.py
+++ b/fireflyfork/platform/_waves.py
@@ -5,6 +5,8 @@
 import msgspec
 from loguru import logger
 
+from .._decoding import Count, Integer, Name, decode_json
+from .._errors import InvalidDataError
 from .._ids import MachineId
 from ..adapters import StoredItem
 from ..decisions.jobs import UpkeepWave
@@ -15,9 +17,9 @@
 
 
 class _Wave(msgspec.Struct):
-    wave: int
-    machines: list[str]
-    maximum: int = 1
+    wave: Count
+    machines: list[Name]
+    maximum: Integer = 1
 
 
 class _Status(msgspec.Struct):
@@ -27,8 +29,8 @@
 def decode_wave(item: StoredItem) -> UpkeepWave | None:
     """Decode a wave, or log it and return None if it can't be read."""
     try:
-        stored = msgspec.json.decode(item.value, type=_Wave)
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        stored = decode_json(item.value, _Wave)
+    except InvalidDataError as error:
         logger.error("cannot decode upkeep wave", key=item.key, error=str(error)[:200])
         return None
     machines = tuple(map(MachineId, stored.machines))
@@ -53,7 +55,7 @@
 def is_completed_status(value: bytes) -> bool:
     """Return whether a stored status says that its wave is completed; False if it can't be read."""
     try:
-        return msgspec.json.decode(value, type=_Status).state == _COMPLETED
-    except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        return decode_json(value, _Status).state == _COMPLETED
+    except InvalidDataError as error:
         logger.error("cannot decode upkeep wave status", error=str(error)[:200])
         return False
--- a/fireflyfork/programs/_announcements.py
+++ b/fireflyfork/programs/_announcements.py
@@ -9,7 +9,8 @@
 import trio
 from loguru import logger
 
-from .._errors import LeaseEndedError, SettingsError, StoreError
+from .._decoding import decode_json
+from .._errors import InvalidDataError, LeaseEndedError, SettingsError, StoreError
 from .._ids import FailureDomainName, LeaseId, NodeName
 from .._links import Address
 from ..adapters import CoordinationStore, Put
@@ -161,8 +162,8 @@
         standings = []
         for item in listing.items:
             try:
-                record = msgspec.json.decode(item.value, type=_Record)
-            except (msgspec.DecodeError, msgspec.ValidationError) as error:
+                record = decode_json(item.value, _Record)
+            except InvalidDataError as error:
                 logger.error("announcement not readable", key=item.key, error=str(error))
                 continue
             node = NodeName(item.key.removeprefix(INSTANCE_PREFIX))
--- a/fireflyfork/programs/_batch_client.py
+++ b/fireflyfork/programs/_batch_client.py
@@ -8,7 +8,8 @@
 import msgspec
 import trio
 
-from .._errors import FireflyforkError
+from .._decoding import decode_json
+from .._errors import FireflyforkError, InvalidDataError
 from .._ids import JobId
 from .._links import Address
 from ..adapters import HttpClientConnection, HttpError, RequestHead, ResponseHead
@@ -141,7 +142,7 @@
 
 def _decode(answer: bytes, answer_type: type[Answer]) -> Answer:
     try:
-        return msgspec.json.decode(answer, type=answer_type)
-    except msgspec.DecodeError as error:
+        return decode_json(answer, answer_type)
+    except InvalidDataError as error:
         problem = BatchProblem(f"the planner's answer can't be read: {error}", "unknown")
         raise BatchCallError(problem, None) from error
--- a/fireflyfork/programs/_ctl_entries.py
+++ b/fireflyfork/programs/_ctl_entries.py
@@ -9,6 +9,8 @@
 import msgspec
 import trio
 
+from .._decoding import decode_json
+from .._errors import InvalidDataError
 from .._links import Address
 from ..adapters import HttpClient, HttpError
 from ..operations import Sample, read_samples
@@ -215,8 +217,8 @@
 
 def _decode(body: bytes, kind: type[Answer]) -> Answer:
     try:
-        return msgspec.json.decode(body, type=kind)
-    except msgspec.DecodeError as error:
+        return decode_json(body, kind)
+    except InvalidDataError as error:
         raise CommandError(ExitCode.FAILED, f"the entry's answer can't be read: {error}") from error
 
 
--- a/fireflyfork/programs/_key_home.py
+++ b/fireflyfork/programs/_key_home.py
@@ -10,11 +10,12 @@
 from collections.abc import Awaitable, Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
-import msgpack
+import msgspec
 import trio
 import xxhash
 
-from .._errors import FireflyforkError, MisdirectedError, RequestError
+from .._decoding import decode_msgpack
+from .._errors import FireflyforkError, InvalidDataError, MisdirectedError, RequestError
 from .._ids import Epoch, IdempotencyKey, PartitionId
 from .._requests import ServiceRequest
 from .._verdict import Verdict
@@ -325,12 +326,23 @@
     raise RequestError(refusal.status, refusal.reason, refusal.verdict)
 
 
+class _RecordedAnswer(msgspec.Struct, array_like=True):
+    """An answer as RecordingSink encodes it."""
+
+    status: int
+    headers: tuple[Header, ...]
+    body: bytes
+
+
 async def _replay(answer: bytes, sink: AnswerSink) -> None:
-    status, headers, body = msgpack.unpackb(answer)
-    answer_headers: list[Header] = [(name, value) for name, value in headers]
-    await sink.start(ResponseHead(status, tuple(answer_headers)))
-    if body:
-        await sink.send(body)
+    try:
+        recorded = decode_msgpack(answer, _RecordedAnswer)
+    except InvalidDataError as error:
+        reason = f"the recorded answer can't be read: {error}"
+        raise RequestError(502, reason, Verdict.MAY_HAVE_RUN) from error
+    await sink.start(ResponseHead(recorded.status, recorded.headers))
+    if recorded.body:
+        await sink.send(recorded.body)
     await sink.end()
 
 
--- a/fireflyfork/programs/_planner_endpoint.py
+++ b/fireflyfork/programs/_planner_endpoint.py
@@ -13,11 +13,11 @@
 from collections.abc import Awaitable, Mapping
 from typing import TypeVar
 
-import msgspec
 import trio
 import xxhash
 
-from .._errors import FireflyforkError
+from .._decoding import MAX_INTEGER, MAX_NAME_LENGTH, decode_json
+from .._errors import FireflyforkError, InvalidDataError
 from .._ids import JobId, PartitionId
 from ..adapters import Exchange, HttpError, HttpHandler, collect
 from ..decisions import Job, Partition, Refusal, Submission, TaskShape
@@ -214,8 +214,8 @@
     except HttpError as error:
         raise _ProblemError(413, str(error)) from error
     try:
-        request = msgspec.json.decode(body, type=JobRequest)
-    except msgspec.DecodeError as error:
+        request = decode_json(body, JobRequest)
+    except InvalidDataError as error:
         raise _ProblemError(400, str(error)) from error
     problem = _validation_problem(request)
     if problem:
@@ -232,6 +232,10 @@
     size = request.resources
     if min(size.millicores, size.memory, size.accelerators) < 0 or size.millicores == 0:
         return "resources must not be negative, and a task needs processor time"
+    if max(size.millicores, size.memory, size.accelerators) > MAX_INTEGER:
+        return f"resources must be at most {MAX_INTEGER}"
+    if len(request.team) > MAX_NAME_LENGTH:
+        return f"the team's name must have at most {MAX_NAME_LENGTH} characters"
     return ""
 
 
--- a/fireflyfork/programs/_policy_file.py
+++ b/fireflyfork/programs/_policy_file.py
@@ -7,7 +7,8 @@
 import jsonc
 import msgspec
 
-from .._errors import SettingsError
+from .._decoding import guarded
+from .._errors import InvalidDataError, SettingsError
 from ..decisions.jobs import PolicySettings
 
 
@@ -36,8 +37,8 @@
 
 def _decode(text: str, source: str) -> PolicySettings:
     try:
-        raw = jsonc.loads(text)
-    except ValueError as error:
+        raw = guarded(lambda: jsonc.loads(text))
+    except InvalidDataError as error:
         raise SettingsError(f"{source}: not JSON with comments: {error}") from error
     _check_names(raw, PolicySettings(), "$", source)
     try:
--- a/fireflyfork/programs/_settings.py
+++ b/fireflyfork/programs/_settings.py
@@ -10,7 +10,8 @@
 import jsonc
 import msgspec
 
-from .._errors import SettingsError
+from .._decoding import guarded
+from .._errors import InvalidDataError, SettingsError
 
 EXIT_BAD_SETTINGS = 2
 
@@ -20,8 +21,8 @@
 def decode_settings(text: str, settings_type: type[SettingsType], source: str) -> SettingsType:
     """Decode ``text``. Raises SettingsError with the path, the value and what was expected."""
     try:
-        raw = jsonc.loads(text)
-    except ValueError as error:
+        raw = guarded(lambda: jsonc.loads(text))
+    except InvalidDataError as error:
         raise SettingsError(f"{source}: not JSON with comments: {error}") from error
     try:
         return msgspec.convert(raw, settings_type)
--- a/fireflyfork/programs/callers/_job_requests.py
+++ b/fireflyfork/programs/callers/_job_requests.py
@@ -6,10 +6,11 @@
 
 from collections.abc import Callable
 
-import msgspec
 from loguru import logger
 
+from ..._decoding import Count, decode_json
 from ..._errors import (
+    InvalidDataError,
     StoreConflictError,
     StoreRefusedError,
     StoreUnavailableError,
@@ -96,8 +97,12 @@
         """Return how many jobs of a queue wait for their first start; the count may be 2 s old."""
         self._refuse_without_store()
         item = await self._store.read(pending_key(queue.service))
-        counts = msgspec.json.decode(item.value, type=dict[str, int]) if item is not None else {}
-        return counts.get(queue.name, 0)
+        if item is None:
+            return 0
+        try:
+            return decode_json(item.value, dict[str, Count]).get(queue.name, 0)
+        except InvalidDataError as error:
+            raise StoreUnavailableError(f"the stored counts can't be read: {error}") from error
 
     def _refuse_without_store(self) -> None:
         """Raise StoreRefusedError at once while the store doesn't answer this instance.
--- a/fireflyfork/programs/owner/_registration_intake.py
+++ b/fireflyfork/programs/owner/_registration_intake.py
@@ -100,9 +100,10 @@
 
     def _registration(self, item: StoredItem) -> ExecutorRegistration | None:
         registration = decode_registration(item)
-        if registration is None or registration.service != self._service:
+        if registration is None:
+            self._metrics.count("fireflyfork_entries_skipped_total", kind="registration")
             return None
-        return registration
+        return registration if registration.service == self._service else None
 
     def _take_listing(self, listing: StoreListing) -> None:
         listed = {registered_executor(item.key) for item in listing.items}
