Callers: an error for bodies that are too large, and for faults in a handler

What callers saw: a job of more than 262,144 bytes closed the connection without an answer, so they sent it again, elsewhere, in vain. Any error in the handling of a request that isn't one of ours ended the instance and with it all other requests in progress.

Cause: a body that is too long and a body that breaks off raised the same error, and the connection's task passed other errors on to the process.

Mend: a body that is too long is answered with 413. A fault in a request is logged, counted (fireflyfork_internal_errors_total) and answered with 504, or 503 for a read: the handler keeps no state between requests, so the others are not affected, and the job may have been stored.

Evidence: test_invalid_requests sends them to a real server; it failed before (in the untouched code each test of a fault ended the server).

--- a/fireflyfork/adapters/__init__.py
+++ b/fireflyfork/adapters/__init__.py
@@ -12,6 +12,7 @@
 )
 from ._executor_calls import ANY_INCARNATION, MAX_CALL_SECONDS, ExecutorCalls, ExecutorEndpoint
 from ._http import (
+    BodyTooLargeError,
     ConnectError,
     Header,
     HttpError,
@@ -69,6 +70,7 @@
     "Advice",
     "Advisor",
     "AnswerHead",
+    "BodyTooLargeError",
     "Call",
     "Chunk",
     "ClientExchange",
--- a/fireflyfork/adapters/_http.py
+++ b/fireflyfork/adapters/_http.py
@@ -38,6 +38,10 @@
     """The peer closed the connection early, timed out, or sent data that isn't valid HTTP."""
 
 
+class BodyTooLargeError(HttpError):
+    """A body is longer than the receiver accepts."""
+
+
 class ConnectError(HttpError):
     """No connection could be made, so no part of the request has reached the server."""
 
@@ -118,12 +122,12 @@
 
 
 async def collect(chunks: AsyncIterator[bytes], max_bytes: int) -> bytes:
-    """Return the whole body. Raises HttpError if it is longer than ``max_bytes``."""
+    """Return the whole body. Raises BodyTooLargeError if it is longer than ``max_bytes``."""
     parts: list[bytes] = []
     length = 0
     async for chunk in chunks:
         length += len(chunk)
         if length > max_bytes:
-            raise HttpError(f"body longer than {max_bytes} bytes")
+            raise BodyTooLargeError(f"body longer than {max_bytes} bytes")
         parts.append(chunk)
     return b"".join(parts)
--- a/fireflyfork/programs/callers/_job_service.py
+++ b/fireflyfork/programs/callers/_job_service.py
@@ -15,7 +15,14 @@
 )
 from ..._ids import JobId
 from ..._verdict import Verdict
-from ...adapters import Exchange, Header, HttpError, HttpHandler, collect
+from ...adapters import (
+    BodyTooLargeError,
+    Exchange,
+    Header,
+    HttpError,
+    HttpHandler,
+    collect,
+)
 from ...decisions.jobs import QueueConfiguration, QueueTable
 from ...platform import caller_timeout, decode_job, encode_pending, encode_state, parse_job_id
 from .._clocks import Clock
@@ -88,6 +95,7 @@
         try:
             await self._handle_queue_request(exchange, queue, subpath)
         except BadRequestError as error:
+            self._count_refusal(exchange, error.status, error.reason)
             await exchange.answer_json(error.status, {"error": error.reason})
         except StoppingError as error:
             await self._refuse(exchange, error.status, error.reason)
@@ -96,9 +104,18 @@
         except StoreRefusedError as error:
             await self._refuse(exchange, 503, str(error))
         except StoreError as error:
-            # A read changes nothing, so 503 (not carried out) is correct.
-            status = 503 if exchange.head.method == "GET" else 504
-            await self._refuse(exchange, status, str(error))
+            await self._refuse(exchange, _status_without_outcome(exchange), str(error))
+        except HttpError:
+            raise
+        except Exception as error:
+            # Requests share no state, so a fault in the handling of one must not end the others.
+            self._metrics.count("fireflyfork_internal_errors_total")
+            logger.opt(exception=error).error("request failed", target=exchange.head.target[:80])
+            if exchange.answer_started:
+                exchange.abort()
+            else:
+                status = _status_without_outcome(exchange)
+                await self._refuse(exchange, status, "internal error")
 
     async def _answer_unknown_queue(self, exchange: Exchange) -> None:
         if self._is_current():
@@ -132,6 +149,8 @@
         try:
             received_body = collect(exchange.body(), MAX_BODY_BYTES)
             body = await self._stop_deadline.wait(received_body, Verdict.NOT_RUN)
+        except BodyTooLargeError as error:
+            raise BadRequestError(str(error), 413) from error
         except HttpError as error:
             logger.info("job not received", job=job, error=str(error))
             exchange.abort()
@@ -168,9 +187,18 @@
     async def _refuse(
         self, exchange: Exchange, status: int, reason: str, retry_after: float | None = None
     ) -> None:
-        self._metrics.count("fireflyfork_refused_total", status=str(status))
-        logger.info("refused", target=exchange.head.target[:80], status=status, reason=reason)
+        self._count_refusal(exchange, status, reason)
         headers = RETRY_AFTER
         if retry_after is not None:
             headers = ((b"retry-after", b"%d" % retry_after),)
         await exchange.answer_json(status, {"error": reason}, headers)
+
+    def _count_refusal(self, exchange: Exchange, status: int, reason: str) -> None:
+        self._metrics.count("fireflyfork_refused_total", status=str(status))
+        logger.info("refused", target=exchange.head.target[:80], status=status, reason=reason)
+
+
+def _status_without_outcome(exchange: Exchange) -> int:
+    """Return the status for a request that may have been carried out."""
+    # A read changes nothing, so 503 (not carried out) is correct.
+    return 503 if exchange.head.method == "GET" else 504
