Jobs: limits on what one job may contain, and on open tasks

What callers saw: a body of a hundred bytes ("count":) took 554 to 853 MB of the instance that read it within seconds, and the largest count 11 GB. Once stored, such a job would have ended each owner that recovered it. The same holds for numbers of repetitions that are due at once, and for lists of runs or stored progress that name a far occurrence.

Cause: a job's sizes were checked for their sign only. The owner keeps a record of about 1 KB for each task of every due occurrence, and sorts each waiting step by values that were summed over all open occurrences each time.

Mend: _job_limits states what a job may contain. A job beyond it is refused with the reason before it is accepted, and skipped when another writer has stored it. Occurrences are opened while there is room for their records: 10,000 tasks for a job, and 100,000 for all jobs of a service. Above that, large jobs wait as a whole; jobs with up to 256 open tasks don't wait, so that large ones that can't be placed keep nobody out. The sums of a job are kept until they change, a gang waits as one task, and its members are looked up by their keys.

--- a/fireflyfork/decisions/jobs/__init__.py
+++ b/fireflyfork/decisions/jobs/__init__.py
@@ -16,6 +16,7 @@
     strength,
 )
 from ._interference import LearnedFit
+from ._job_limits import job_problem
 from ._job_table import JobTable
 from ._listing_age import bid_spread_seconds, max_listing_age, review_seconds
 from ._load_shedding import Shed
@@ -182,6 +183,7 @@
     "encode_registrations",
     "encode_upkeep_mark",
     "has_stronger",
+    "job_problem",
     "max_listing_age",
     "needs_relays",
     "parse_task_name",
--- a/fireflyfork/decisions/jobs/_gangs.py
+++ b/fireflyfork/decisions/jobs/_gangs.py
@@ -7,6 +7,7 @@
 from ..._ids import AttemptNumber
 from ._executors import ExecutorState
 from ._runs import Run, RunPhase, Task
+from ._specs import TaskKey
 
 ChooseExecutor = Callable[[Task, list[ExecutorState]], ExecutorState | None]
 
@@ -15,12 +16,9 @@
     """Return all tasks of the gang that a task belongs to, or the task alone."""
     if not task.spec.gang:
         return [task]
-    job, key = task.job, task.key
-    return [
-        member
-        for other_key, member in job.tasks.items()
-        if other_key.step == key.step and other_key.occurrence == key.occurrence
-    ]
+    tasks, key = task.job.tasks, task.key
+    keys = (TaskKey(key.occurrence, key.step, index) for index in range(task.spec.count))
+    return [tasks[member] for member in keys if member in tasks]
 
 
 def has_no_runs(task: Task) -> bool:
--- a/fireflyfork/decisions/jobs/_job_table.py
+++ b/fireflyfork/decisions/jobs/_job_table.py
@@ -8,6 +8,7 @@
 
 from ..._ids import JobId, QueueName, TaskName
 from ._change_log import ChangeLog
+from ._job_limits import MAX_EARLY_WINDOWS, MAX_OPEN_TASKS, SMALL_JOB_TASKS, open_occurrences
 from ._progress import JobState, StoredProgress
 from ._queues import QueueConfiguration, QueueTable
 from ._runs import Job, Task
@@ -38,6 +39,8 @@
         self._removed: set[JobId] = set()
         self._removed_before: set[JobId] = set()
         self._queues: QueueTable | None = None
+        self._open_tasks = 0
+        """Number of tasks of all jobs that have a record."""
 
     def __len__(self) -> int:
         """Return the number of jobs in the table."""
@@ -108,11 +111,26 @@
         return ready
 
     def open_due(self, job: Job, now_ms: int) -> list[Task]:
-        """Open the occurrences that have become due. Returns the tasks that may start."""
-        due = job.opened_occurrences
-        while due < job.spec.occurrence_count and job.spec.due_ms(due) <= now_ms:
-            due += 1
-        return self._open_until(job, due)
+        """Open the occurrences that have become due, as far as there is room for their records.
+
+        Returns the tasks that may start.
+        """
+        ready: list[Task] = []
+        last = min(job.spec.occurrence_count, job.done_occurrences + open_occurrences(job.spec))
+        while (
+            job.opened_occurrences < last
+            and not job.state.is_final
+            and job.spec.due_ms(job.opened_occurrences) <= now_ms
+            and self._has_room_for_occurrence(job)
+        ):
+            ready.extend(self._open_until(job, job.opened_occurrences + 1))
+        return ready
+
+    def _has_room_for_occurrence(self, job: Job) -> bool:
+        added = job.spec.task_count
+        if len(job.tasks) + added <= SMALL_JOB_TASKS:
+            return True
+        return self._open_tasks + added <= MAX_OPEN_TASKS
 
     def open_started(self, name: TaskName) -> list[Task]:
         """Open the occurrence of a task that runs or has ended on an executor.
@@ -129,7 +147,7 @@
         return self._open_until(job, parsed[1].occurrence + 1)
 
     def with_future_occurrences(self) -> Iterator[Job]:
-        """Yield the jobs with occurrences that are not due yet."""
+        """Yield the jobs with occurrences that are not open yet."""
         return (
             job
             for job in self._jobs.values()
@@ -160,6 +178,7 @@
         job, key = task.job, task.key
         if job.tasks.pop(key, None) is None:
             return []
+        self._open_tasks -= 1
         job.done.add(key)
         job.remaining_tasks[key.occurrence, key.step] -= 1
         self.changes.record(job.spec.job)
@@ -192,6 +211,7 @@
         ]
         for name in finished:
             job = self._jobs.pop(name)
+            self._open_tasks -= len(job.tasks)
             self._finished[name] = _FinishedJob(job.spec, job.final_ms)
         return finished
 
@@ -225,7 +245,9 @@
     def _open_until(self, job: Job, occurrences: int) -> list[Task]:
         """Open the occurrences before number ``occurrences``. Returns the tasks that may start."""
         ready: list[Task] = []
-        while not job.state.is_final and job.opened_occurrences < occurrences:
+        window = MAX_EARLY_WINDOWS * open_occurrences(job.spec)
+        last = min(occurrences, job.spec.occurrence_count, job.done_occurrences + window)
+        while not job.state.is_final and job.opened_occurrences < last:
             occurrence = job.opened_occurrences
             job.opened_occurrences += 1
             ready.extend(self._open(job, occurrence))
@@ -238,6 +260,7 @@
             job.remaining_tasks[occurrence, number] = len(open_keys)
             for key in open_keys:
                 job.tasks[key] = Task(job, key, key.name(job.spec.job), step)
+            self._open_tasks += len(open_keys)
         return [
             task
             for number in range(len(job.spec.steps))
@@ -248,13 +271,14 @@
     @staticmethod
     def _tasks_of_step(job: Job, occurrence: int, step: int) -> list[Task]:
         keys = (TaskKey(occurrence, step, index) for index in range(job.spec.steps[step].count))
-        return [job.tasks[key] for key in keys if key in job.tasks]
+        tasks = (job.tasks[key] for key in keys if key in job.tasks)
+        # A gang waits as a whole, represented by its first task.
+        return list(islice(tasks, 1)) if job.spec.steps[step].gang else list(tasks)
 
     def _occurrence_done(self, job: Job, now_ms: int) -> None:
         while self._all_done(job, job.done_occurrences):
-            occurrence = job.done_occurrences
-            job.done = {key for key in job.done if key.occurrence != occurrence}
             job.done_occurrences += 1
+        job.done = {key for key in job.done if key.occurrence >= job.done_occurrences}
         if job.done_occurrences == job.spec.occurrence_count:
             self.finish(job, JobState.COMPLETED, now_ms)
 
--- a/fireflyfork/decisions/jobs/_runs.py
+++ b/fireflyfork/decisions/jobs/_runs.py
@@ -151,6 +151,18 @@
         )
 
 
+class RemainingTasks(dict[tuple[int, int], int]):
+    """By occurrence and step: the number of tasks that have not ended successfully."""
+
+    revision = 0
+    """Number of changes."""
+
+    def __setitem__(self, key: tuple[int, int], count: int) -> None:
+        """Set a number and note the change."""
+        self.revision += 1
+        super().__setitem__(key, count)
+
+
 @dataclass(slots=True, eq=False)
 class Job:
     """One accepted job whose state is not final yet, or was made final by this owner."""
@@ -163,18 +175,23 @@
     """When the state became final, in Unix milliseconds; 0 before."""
     tasks: dict[TaskKey, Task] = field(default_factory=dict)
     """The tasks of the due occurrences that have not ended successfully."""
-    remaining_tasks: dict[tuple[int, int], int] = field(default_factory=dict)
+    remaining_tasks: RemainingTasks = field(default_factory=RemainingTasks)
     """By due occurrence and step: the number of tasks that have not ended successfully."""
     done: set[TaskKey] = field(default_factory=set)
     done_occurrences: int = 0
     recovered: bool = False
     """Whether an earlier owner may have started tasks of the job."""
     opened_occurrences: int = 0
-    """The number of occurrences that have become due."""
+    """The number of occurrences whose tasks are in ``tasks`` or have ended."""
+    _chain_ms: int | None = None
+    _remaining: tuple[int, int, float] | None = None
+    """Revision of ``remaining_tasks``, and the remaining time and work at that revision."""
 
     def allowed_ms(self) -> float:
         """Return the milliseconds that the objective allows from acceptance to completion."""
-        return allowed_ms(self.spec, self.queue)
+        if self._chain_ms is None:
+            self._chain_ms = self.spec.chain_ms()
+        return self.queue.stretch_factor * self._chain_ms + self.queue.target_latency_ms
 
     def is_beyond_use(self, now_ms: int) -> bool:
         """Whether the job has taken so long that its end is of no use any more."""
@@ -182,16 +199,23 @@
 
     def remaining_ms(self) -> int:
         """Return the estimated time of the longest chain of unfinished steps, in milliseconds."""
-        return self.spec.chain_ms(
-            {step for (_, step), count in self.remaining_tasks.items() if count}
-        )
+        return self._remaining_time_and_work()[1]
 
     def remaining_work(self) -> float:
         """Return the estimated work of all unfinished tasks, in milliseconds times millicores."""
-        return sum(
-            count * self.spec.steps[step].estimate_ms * self.spec.steps[step].cpu_millis
-            for (_, step), count in self.remaining_tasks.items()
-        )
+        return self._remaining_time_and_work()[2]
+
+    def _remaining_time_and_work(self) -> tuple[int, int, float]:
+        # Every waiting step of the job is sorted by these values, and a job may have thousands.
+        revision = self.remaining_tasks.revision
+        if self._remaining is None or self._remaining[0] != revision:
+            unfinished = {step for (_, step), count in self.remaining_tasks.items() if count}
+            work = sum(
+                count * self.spec.steps[step].estimate_ms * self.spec.steps[step].cpu_millis
+                for (_, step), count in self.remaining_tasks.items()
+            )
+            self._remaining = revision, self.spec.chain_ms(unfinished), work
+        return self._remaining
 
     def step_ready(self, occurrence: int, step: int) -> bool:
         """Whether all steps that the step depends on have ended successfully."""
--- a/fireflyfork/decisions/jobs/_stored_forms.py
+++ b/fireflyfork/decisions/jobs/_stored_forms.py
@@ -12,6 +12,7 @@
 from ..._errors import FireflyforkError, InvalidDataError
 from ._executors import ExecutorRegistration
 from ._interference import LearnedFit
+from ._job_limits import job_problem
 from ._progress import StoredProgress
 from ._specs import JobSpec
 from ._stored_estimates import StoredEstimates
@@ -52,8 +53,12 @@
 
 
 def decode_stored_job(data: bytes) -> JobSpec:
-    """Decode the stored form. Raises StoredFormatError."""
-    return _decode(data, JobSpec)
+    """Decode the stored form. Raises StoredFormatError, also for a job that exceeds a limit."""
+    spec = _decode(data, JobSpec)
+    problem = job_problem(spec)
+    if problem:
+        raise StoredFormatError(f"stored job: {problem}")
+    return spec
 
 
 def encode_registrations(registrations: tuple[ExecutorRegistration, ...]) -> bytes:
--- a/fireflyfork/platform/_jobs.py
+++ b/fireflyfork/platform/_jobs.py
@@ -11,7 +11,7 @@
 from .._errors import BadRequestError, InvalidDataError
 from .._ids import JobId
 from ..adapters import RequestHead
-from ..decisions.jobs import JobSpec, JobState, QueueConfiguration, StepSpec
+from ..decisions.jobs import JobSpec, JobState, QueueConfiguration, StepSpec, job_problem
 from ._names import CALLER_DEADLINE_HEADER
 
 _JOB_ID = re.compile(r"[0-9a-f]{16}")
@@ -85,7 +85,9 @@
         first_due_ms=request.initial_delay_ms,
         interval_ms=request.interval_ms,
     )
-    _check(spec.steps)
+    problem = job_problem(spec)
+    if problem:
+        raise BadRequestError(problem)
     return spec
 
 
@@ -120,15 +122,3 @@
         uses_leftover_cpu=step.fills,
         unavailable_budget=step.may_miss,
     )
-
-
-def _check(steps: tuple[StepSpec, ...]) -> None:
-    if not steps:
-        raise BadRequestError("the job has no steps")
-    for number, step in enumerate(steps):
-        if step.count < 1:
-            raise BadRequestError(f"step {number} has no tasks")
-        if min(step.cpu_millis, step.memory_mb, step.accelerators, step.estimate_ms) < 0:
-            raise BadRequestError(f"step {number} has a negative size")
-        if any(not 0 <= earlier < number for earlier in step.after):
-            raise BadRequestError(f"step {number} comes after a step that is not an earlier one")
