--- a/fireflyfork/programs/callers/tests/test_invalid_requests.py
+++ b/fireflyfork/programs/callers/tests/test_invalid_requests.py
@@ -20,7 +20,7 @@
 from .._job_requests import JobRequests
 from .._job_service import MAX_BODY_BYTES, JobService
 
-STEP = {"count": 1, "cpu": 10, "mem_mb": 10, "estimate_ms": 10}
+STEP: dict[str, object] = {"count": 1, "cpu": 10, "mem_mb": 10, "estimate_ms": 10}
 VALID: dict[str, object] = {"steps": [STEP], "spec": "text"}
 
 Post = Callable[[bytes], Awaitable[tuple[int, bytes]]]
