Placement: steps that no executor can run keep nobody from idle executors

Cause: a round gave up all further steps after 24 shapes of tasks had found no executor. Steps are tried in order of urgency, long-running ones first, so the same 24 were tried and refused at each tick, and nothing behind them was looked at. The cap bounded the cost of comparing every executor for each shape.

Mend: the cap is gone for refusals that only room, labels or limits can lift. They are remembered. RoomGains numbers the occasions on which an executor has freed something, changed or become usable; a refused step is looked at again when an executor that gained since then has room for it, also between two ticks. FreeRoom answers for a step whether any executor, or a gang whether all of them together, may have room, from the few rooms that no other exceeds, without a comparison of each executor. Steps of the reserve are checked by its sum, and those that need tickets from the tickets they have. A round ends after a number of comparisons and the next one goes on behind it. Steps that were refused because they would disturb services still count, tick after tick, up to 24 shapes; further ones take turns. A task without a reservation no longer shares the refusal of a larger one of its image.

What is not remembered is bounded and takes turns, so it keeps nobody out.

bench.job_scheduler_cost has a table of ticks with such a backlog.

--- a/bench/job_scheduler_cost.py
+++ b/bench/job_scheduler_cost.py
@@ -1,14 +1,15 @@
 """Measures the processor time per task start in a service's owner, by the number of executors.
 
 ``python -m bench.job_scheduler_cost`` runs only the decisions of the scheduler. Jobs of eight tasks
-are accepted, placed next to serving tasks and ended at the next poll. Times depend on this
-machine's processor.
+are accepted, placed next to serving tasks and ended at the next poll. A second table has the time
+of a tick while steps wait that no executor can run, no two of the same shape, and how many rounds
+it takes to start a task that fits behind them. Times depend on this machine's processor.
 """
 
 from __future__ import annotations
 
 import time
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 
 from fireflyfork import Address
@@ -44,6 +45,10 @@
 STARTS_PER_EXECUTOR = 40
 MAX_STARTS = 8_000
 SERVING_PER_EXECUTOR = 4
+BACKLOG_SIZES = (24, 400, 1600)
+BACKLOGS = (24, 400, 4_000)
+TICKS = 20
+MAX_ROUNDS = 50
 SERVICE = ServiceName("desk")
 IMAGES = tuple(f"image-{number}" for number in range(9))
 
@@ -61,8 +66,10 @@
 class Owner:
     """The scheduler of one owner with simulated executors."""
 
-    def __init__(self, executors: int, uses_leftover_cpu: bool = True) -> None:
-        """Register the executors and start the serving tasks.
+    def __init__(
+        self, executors: int, uses_leftover_cpu: bool = True, serving: bool = True
+    ) -> None:
+        """Register the executors and, with ``serving``, start the serving tasks.
 
         If ``uses_leftover_cpu`` is true, batch tasks use the processor time that serving tasks
         leave over; otherwise they reserve their own.
@@ -82,7 +89,12 @@
             self._scheduler.register(_registration(number), self._now)
         self._scheduler.executors_stored(self._scheduler.take_changed_executors() or ())
         self._poll_all(ends=False)
-        serving = StepSpec(
+        if serving:
+            self._start_serving(executors)
+        self.cost = Cost()
+
+    def _start_serving(self, executors: int) -> None:
+        step = StepSpec(
             SERVING_PER_EXECUTOR * executors,
             3000,
             6000,
@@ -92,9 +104,8 @@
             image="web",
             tail_target_ms=18,
         )
-        self._submit(serving)
+        self._submit(step)
         self._place()
-        self.cost = Cost()
 
     def run(self, starts: int) -> Cost:
         """Submit jobs until this many tasks have been started, and return the cost."""
@@ -116,6 +127,46 @@
             self._poll_all(ends=True)
         return self.cost
 
+    def add_backlog(self, steps: int) -> None:
+        """Submit long-running steps of different shapes that no executor can run.
+
+        Their kind of executor is missing, they are larger than any executor, or they are gangs
+        that fit nowhere as a whole.
+        """
+        executors = len(self._scheduler.executors)
+        for number in range(steps):
+            step = StepSpec(1, 100 + number, 100, 0, 1000, long_running=True)
+            kind = number % 4
+            if kind == 0:
+                step = replace(step, required_label="missing")
+            elif kind == 1:
+                step = replace(step, cpu_millis=16_001 + number)
+            elif kind == 2:
+                count = executors + 1
+                step = replace(step, count=min(count, 1_000), cpu_millis=16_000, gang=True)
+            else:
+                step = replace(step, cpu_millis=100 + number, memory_mb=64_001 + number)
+            self._submit(step)
+
+    def tick(self) -> float:
+        """Advance by a tick without reports; return its processor time in seconds."""
+        self._now += 0.1
+        self._poll_all(ends=False)
+        begun = time.process_time()
+        self._scheduler.check_time(self._now, 0)
+        self._scheduler.place(self._now, 0)
+        return time.process_time() - begun
+
+    def rounds_to_start(self) -> int:
+        """Submit a small task just before a tick; return in which round it starts, 0 if in none."""
+        self._submit(StepSpec(1, 500, 500, 0, 1000))
+        for number in range(1, MAX_ROUNDS + 1):
+            self._scheduler.check_time(self._now, 0)
+            self._scheduler.place(self._now, 0)
+            if any(isinstance(each, StartRun) for each in self._scheduler.take_commands()):
+                return number
+        return 0
+
     def _submit(self, step: StepSpec) -> None:
         self._jobs += 1
         name = JobId(f"{self._jobs:016x}")
@@ -188,6 +239,15 @@
         placing = [cost.placing / cost.starts * 1e6 for cost in (fills, reserves)]
         polling = fills.polling / fills.polls * 1e6
         print(f"{size:9d}  {placing[0]:21.0f}  {placing[1]:24.0f}  {polling:9.0f}")
+    print("executors  steps that can't be placed  ms a tick  longest  round of a task that fits")
+    for size in BACKLOG_SIZES:
+        for steps in BACKLOGS:
+            owner = Owner(size, serving=False)
+            owner.add_backlog(steps)
+            ticks = [owner.tick() * 1000 for _ in range(TICKS)]
+            mean, longest = sum(ticks) / TICKS, max(ticks)
+            started = owner.rounds_to_start() or f"not in {MAX_ROUNDS}"
+            print(f"{size:9d}  {steps:26d}  {mean:9.1f}  {longest:7.1f}  {started}")
 
 
 if __name__ == "__main__":
--- a/fireflyfork/_waits.py
+++ b/fireflyfork/_waits.py
@@ -18,6 +18,8 @@
     RESERVED = "room kept for short work"
     BEHIND = "behind more urgent work"
     """Placement was not attempted, since too many more urgent tasks could not be placed."""
+    NEXT_ROUND = "next round of placing"
+    """Placement was not attempted yet, since the round has made as many comparisons as it may."""
     TRIAL = "few tasks of its step are tried"
     """Tasks of the step fail on executors that do well otherwise."""
     NEAR_DATA = "executors near its data"
--- a/fireflyfork/decisions/jobs/_executors.py
+++ b/fireflyfork/decisions/jobs/_executors.py
@@ -126,6 +126,8 @@
     headroom_deficit: dict[str, float] | None = None
     """By serving image: the headroom to keep minus the headroom that the tasks of the image have on
     this executor; None if it must be recomputed."""
+    release_count: int = 0
+    """Number of runs that have given back their resources."""
     change_count: int = 0
     """Number of changes of the runs on this executor or of their headroom."""
     serving_counts: dict[str, int] = field(default_factory=dict)
@@ -191,9 +193,9 @@
         """Whether the given resources are free."""
         room = self.registration.room
         return (
-            cpu_millis <= self.free_cpu_millis
-            and memory_mb <= self.free_memory_mb
-            and self.used_accelerators + accelerators <= room.accelerators
+            cpu_millis + self.used_cpu_millis + self.incoming_cpu_millis <= room.cpu_millis
+            and memory_mb + self.used_memory_mb + self.incoming_memory_mb <= room.memory_mb
+            and accelerators + self.used_accelerators <= room.accelerators
         )
 
     @property
@@ -231,10 +233,17 @@
             demand = self.disturbing_cpu_millis.get(step.image, 0)
             self.disturbing_cpu_millis[step.image] = demand + step.cpu_millis
 
+    def withdraw(self, run: Run) -> None:
+        """Free the resources of a run that was added in the same decision and is not ordered."""
+        releases = self.release_count
+        self.remove(run)
+        self.release_count = releases
+
     def remove(self, run: Run) -> None:
         """Free the resources of a run that has certainly ended or never began."""
         if self.runs.pop(run.key, None) is None:
             return
+        self.release_count += 1
         step = run.task.spec
         self.mark_changed()
         self.used_cpu_millis -= step.reserved_cpu_millis
--- a/fireflyfork/decisions/jobs/_gangs.py
+++ b/fireflyfork/decisions/jobs/_gangs.py
@@ -92,7 +92,7 @@
         executor = choice(task, executors)
         if executor is None:
             for run in runs:
-                run.executor.remove(run)
+                run.executor.withdraw(run)
             return []
         run = Run(task, attempt, executor, RunPhase.STARTING, now)
         executor.add(run)
--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Hashable
+from collections.abc import Callable, Hashable
 from dataclasses import dataclass, field
 from math import inf
 
@@ -11,25 +11,39 @@
 from ._commands import AskAdvice, StartRun
 from ._cost_caches import CostCaches
 from ._executors import ExecutorState
+from ._free_room import FreeRoom, RoomGains
 from ._gangs import gang_members, next_attempt, place_together
 from ._notes import TaskSent
-from ._placement_costs import choose, is_allowed, is_far_from_data, max_accepted_cost
+from ._placement_costs import (
+    choose,
+    is_allowed,
+    is_far_from_data,
+    leftover_millis,
+    max_accepted_cost,
+)
 from ._registration_age import START_VALID_MS
 from ._runs import Run, RunPhase, Task, running_tasks
 from ._service_state import ServiceState
 from ._stragglers import other_executors
-from ._tickets import StepId
-from ._waiting_tasks import WaitingStep
+from ._tickets import ASK_AGAIN_SECONDS, StepId
+from ._waiting_tasks import Refusal, WaitingStep
 
 MAX_COMPARED = 512
 """Executors compared at first for a task that stays where it is placed, or that uses leftover CPU.
 In a fleet of thousands the best of these is about as good as the best of all."""
 MAX_COSTS_PER_ROUND = 4_096
-"""Costs computed in one round. Work that has waited for a new owner is placed in several rounds, in
-between which the owner renews its own lease."""
+"""Executors compared in one round. Work that has waited for a new owner is placed in several rounds,
+in between which the owner renews its own lease."""
+MAX_COSTS_TO_FINISH_STEP = 4_096
+"""Further comparisons for the last step of a round. A step that is interrupted has to be compared
+with all executors again."""
+COST_OF_START = 4
+"""Processor time of a start, in comparisons."""
 MAX_REFUSED_SHAPES = 24
-"""A placement round ends when no executor could be found for this many different shapes of tasks.
-Further shapes would find none either, and each costs a comparison of every executor."""
+"""Number of shapes of tasks per round that are compared with all executors in vain, tick after tick,
+because other changes than those of room may let them run. Further ones take turns."""
+_REASONS_OF_ONE_STEP = frozenset({WaitReason.NEXT_ROUND, WaitReason.BEHIND, WaitReason.NEAR_DATA})
+"""Reasons that don't hold for other steps of the same shape."""
 
 
 @dataclass(slots=True)
@@ -47,12 +61,19 @@
     """The part of ``reserved_millis`` that belongs to short tasks of priority 0."""
     started_millis: int = 0
     """CPU time reserved by the tasks started in this round."""
-    wait_reasons: dict[tuple[object, ...], WaitReason] = field(default_factory=dict)
-    """By shape of task: the reason why no executor could run it."""
-    barred_reasons: dict[tuple[Hashable, frozenset[ExecutorState]], WaitReason] = field(
-        default_factory=dict
-    )
-    """The same for tasks that may not use the reserved room of these executors."""
+    free_room: FreeRoom = field(init=False)
+    seen_gain: int = 0
+    """Number of the last gain of room before the round."""
+    compared: int = 0
+    """Number of executors that were compared without a cache of their costs."""
+    refused_in_vain: int = 0
+    """Number of shapes that were compared with executors in vain and are tried again every tick."""
+    took_room: bool = False
+    """Whether a task was started since ``free_room`` was last refreshed."""
+    has_turn: bool = False
+    """Whether the step that is being placed is tried whatever that number is."""
+    refusals: dict[tuple[Hashable, frozenset[ExecutorState]], Refusal] = field(default_factory=dict)
+    """By shape of task and the executors that it is barred from: why no executor could run it."""
     barred: frozenset[ExecutorState] = frozenset()
     """The executors whose reserved room the task that is being placed may not use."""
     candidates: dict[tuple[StepId, frozenset[ExecutorState]], Candidates] = field(
@@ -61,6 +82,7 @@
     """By step and the executors that its tasks are barred from, which change as room is taken."""
     waiting_for_rack: set[StepId] = field(default_factory=set)
     """Steps that found an executor, but wait for one near their data."""
+    _most_leftover_millis: float | None = None
 
     @classmethod
     def for_executors(cls, usable: list[ExecutorState]) -> _PlacementRound:
@@ -73,6 +95,17 @@
             sum(executor.urgent_cpu_millis for executor in usable),
         )
 
+    def __post_init__(self) -> None:
+        """Initialize the free room."""
+        self.free_room = FreeRoom(self.usable)
+
+    @property
+    def most_leftover_millis(self) -> float:
+        """The most CPU time that tasks with a reservation leave unused on an executor."""
+        if self._most_leftover_millis is None:
+            self._most_leftover_millis = max((1.0, *map(leftover_millis, self.usable)))
+        return self._most_leftover_millis
+
     def max_cost(self, task: Task, now_ms: int) -> float:
         """Return the highest cost that a task without a reservation accepts."""
         age = (now_ms - task.job.spec.accepted_ms) / 1000
@@ -86,6 +119,9 @@
         """Initialize with the service state to read and change."""
         self._state = state
         self._cost_caches = CostCaches(state.interference, state.policies.estimates)
+        self._room_gains = RoomGains()
+        self._retried_gain = 0
+        """Number of the last gain of room after which the waiting tasks were looked through."""
         self._first_index = 0
         """Index of the executor at which the candidates of the next step begin."""
 
@@ -94,20 +130,67 @@
 
         Returns whether tasks are left that another round should place at once.
         """
-        max_computed = self._cost_caches.computed + MAX_COSTS_PER_ROUND
         usable = self._state.usable_executors(now)
-        placement_round = _PlacementRound.for_executors(usable)
-        while usable and self._cost_caches.computed < max_computed:
+        placement_round = self._begin_round(usable)
+        if placement_round.seen_gain != self._retried_gain:
+            may_be_placed = self._gain_check(placement_round, now)
+            self._state.waiting.retry_remembered(now_ms, may_be_placed)
+        while usable and not self._is_exhausted(placement_round):
             step = self._state.waiting.pop(now_ms)
             if step is None:
                 break
-            reason = self._place_step(step, placement_round, now, now_ms)
-            if reason is None:
+            placement_round.compared += 1
+            refusal = self._place_step(step, placement_round, now, now_ms)
+            if refusal is None:
                 self._state.waiting.drop(step)
+            elif refusal.reason is WaitReason.NEXT_ROUND:
+                self._state.waiting.postpone(step, now_ms)
             else:
-                self._state.waiting.park(step, reason)
+                self._state.waiting.park(step, refusal)
         self._place_copies(placement_round, now, now_ms)
-        return self._cost_caches.computed >= max_computed
+        self._state.waiting.is_cut_short = self._is_exhausted(placement_round)
+        return self._state.waiting.is_cut_short
+
+    def retry(self, now: float, now_ms: int) -> None:
+        """Let the next round try the waiting tasks again that may find an executor by now."""
+        placement_round = self._begin_round(self._state.usable_executors(now))
+        self._state.waiting.retry(now_ms, self._gain_check(placement_round, now))
+
+    def _gain_check(
+        self, placement_round: _PlacementRound, now: float
+    ) -> Callable[[WaitingStep], bool]:
+        """Return a function that tells whether a gain of room may let a parked step run."""
+        rooms: dict[int, FreeRoom] = {}
+        self._retried_gain = placement_round.seen_gain
+
+        def may_be_placed(step: WaitingStep) -> bool:
+            if step.seen_gain is None or now >= step.retry_at:
+                return True
+            task = step.tasks[0]
+            if step.reason is WaitReason.RESERVED:
+                return self._reserve_reason(task, placement_round) is None
+            gained = rooms.get(step.seen_gain)
+            if gained is None:
+                executors = self._room_gains.executors_after(step.seen_gain)
+                gained = rooms[step.seen_gain] = FreeRoom(executors)
+            if gained.may_fit(task.spec):
+                return True
+            step.seen_gain = self._room_gains.last
+            return False
+
+        return may_be_placed
+
+    def _begin_round(self, usable: list[ExecutorState]) -> _PlacementRound:
+        self._room_gains.update(usable)
+        placement_round = _PlacementRound.for_executors(usable)
+        placement_round.seen_gain = self._room_gains.last
+        placement_round.compared = -self._cost_caches.computed
+        return placement_round
+
+    def _is_exhausted(self, placement_round: _PlacementRound, more: int = 0) -> bool:
+        """Whether a round has made ``more`` comparisons than it may make before its last step."""
+        compared = placement_round.compared + self._cost_caches.computed
+        return compared >= MAX_COSTS_PER_ROUND + more
 
     def prepare_start(self, run: Run, now: float, valid_ms: int = START_VALID_MS) -> bool:
         """Prepare a start for sending when its turn has come, to be valid for ``valid_ms``.
@@ -126,58 +209,118 @@
 
     def _place_step(
         self, step: WaitingStep, placement_round: _PlacementRound, now: float, now_ms: int
-    ) -> WaitReason | None:
+    ) -> Refusal | None:
         """Start the tasks of a step until one finds no executor.
 
-        Returns the reason why it found none, or None if all tasks have been handled.
+        Returns why it found none, or None if all tasks have been handled.
         """
+        placement_round.has_turn = step.has_turn
         while step.tasks:
             task = step.tasks[0]
             max_runs = self._state.policies.estimates.max_runs(task)
             if max_runs is not None:
                 if running_tasks(task) >= max_runs:
-                    return WaitReason.TRIAL
+                    return Refusal(WaitReason.TRIAL)
                 task = step.bring_most_failed_forward()
+            if self._is_exhausted(placement_round, MAX_COSTS_TO_FINISH_STEP):
+                return Refusal(WaitReason.NEXT_ROUND)
             if not self._state.needs_run(task):
                 task.waiting = False
             elif not self._place_reserved(task, now, now_ms):
-                reason = self._place_task(task, placement_round, now, now_ms)
-                if reason is not None:
-                    return reason
+                refusal = self._place_task(task, placement_round, now, now_ms)
+                if refusal is not None:
+                    return refusal
             step.tasks.popleft()
         return None
 
     def _place_task(
         self, task: Task, placement_round: _PlacementRound, now: float, now_ms: int
-    ) -> WaitReason | None:
+    ) -> Refusal | None:
+        """Start a task, or return why no executor can run it."""
         if self._place_on_reserved(task, placement_round, now, now_ms):
             return None
-        urgent_share = self._state.policies.room.urgent_share()
-        is_kept_out = urgent_share > 0 and task.job.queue.priority > 0
-        shape = (*_shape(task), is_kept_out)
         allowed = self._executors_with_tickets(task, placement_round.usable, now)
-        reason = placement_round.wait_reasons.get(shape) or self._skip_reason(task, placement_round)
-        barred = self._barred(task, now) if reason is None else frozenset[ExecutorState]()
+        barred = self._barred(task, now)
         placement_round.barred = barred
+        urgent_share = self._state.policies.room.urgent_share()
+        is_kept_out = urgent_share > 0 and task.job.queue.priority > 0
+        shape = (*_shape(task), is_kept_out), barred
+        refusal = placement_round.refusals.get(shape)
+        if refusal is not None:
+            return refusal
+        reserve_reason = self._reserve_reason(task, placement_round)
+        if reserve_reason is not None:
+            return self._remembered_refusal(task, reserve_reason, placement_round, now)
         if barred:
-            reason = placement_round.barred_reasons.get((shape, barred))
-        if barred and reason is None:
             allowed = [executor for executor in allowed if executor not in barred]
-        if reason is None and not self._start(task, allowed, placement_round, now, now_ms):
-            if task.step_id in placement_round.waiting_for_rack:
-                return WaitReason.NEAR_DATA
-            if self._state.policies.room.make_room(task, allowed, now, now_ms):
-                task.wait_reason = _why_not_placed(task, placement_round.usable)
-                self._state.waiting.defer(task)
-                return None
-            reason = _why_not_placed(task, placement_round.usable)
-        if reason is not None and barred:
-            placement_round.barred_reasons[shape, barred] = reason
-        elif reason is not None:
-            placement_round.wait_reasons[shape] = reason
-        else:
+        refusal = self._try_executors(task, allowed, placement_round, now, now_ms)
+        if refusal is None:
+            return None
+        if refusal.reason not in _REASONS_OF_ONE_STEP:
+            placement_round.refusals[shape] = refusal
+        return refusal
+
+    def _try_executors(
+        self,
+        task: Task,
+        allowed: list[ExecutorState],
+        placement_round: _PlacementRound,
+        now: float,
+        now_ms: int,
+    ) -> Refusal | None:
+        """Start a task on one of the allowed executors, or return why none can run it."""
+        free_room = placement_round.free_room
+        has_room = bool(allowed) and free_room.may_fit(task.spec)
+        if has_room and task.spec.gang:
+            placement_round.compared += free_room.distinct_rooms(task.spec)
+            has_room = free_room.may_fit_together(task.spec)
+        policies_decide = self._state.policies.may_refuse
+        if not has_room and not policies_decide:
+            return self._remembered_refusal(task, free_room.lack(task.spec), placement_round, now)
+        is_remembered = not policies_decide and not task.spec.uses_leftover_cpu
+        if not is_remembered:
+            if (
+                placement_round.refused_in_vain >= MAX_REFUSED_SHAPES
+                and not placement_round.has_turn
+            ):
+                return Refusal(WaitReason.BEHIND)
+            if not policies_decide and self._needs_too_much_leftover(task, placement_round, now_ms):
+                return Refusal(WaitReason.DISTURBS)
+        if has_room and self._start(task, allowed, placement_round, now, now_ms):
             task.waiting = False
-        return reason
+            return None
+        if task.step_id in placement_round.waiting_for_rack:
+            return Refusal(WaitReason.NEAR_DATA)
+        if placement_round.took_room:
+            free_room.refresh()
+            placement_round.took_room = False
+        reason = free_room.lack(task.spec)
+        if self._state.policies.room.make_room(task, allowed, now, now_ms):
+            task.wait_reason = reason
+            self._state.waiting.defer(task)
+            return None
+        if is_remembered:
+            return self._remembered_refusal(task, reason, placement_round, now)
+        placement_round.refused_in_vain += 1
+        return Refusal(reason)
+
+    def _remembered_refusal(
+        self, task: Task, reason: WaitReason, placement_round: _PlacementRound, now: float
+    ) -> Refusal:
+        """Return a refusal that holds until an executor gains room, or tickets may have changed."""
+        if self._state.policies.may_refuse:
+            return Refusal(reason)
+        needs_tickets = task.job.queue.needs_tickets
+        retry_at = now + ASK_AGAIN_SECONDS if needs_tickets else inf
+        return Refusal(reason, placement_round.seen_gain, retry_at)
+
+    @staticmethod
+    def _needs_too_much_leftover(task: Task, placement_round: _PlacementRound, now_ms: int) -> bool:
+        """Whether a task would cost too much even on the executor with the most leftover CPU."""
+        return (
+            task.spec.cpu_millis
+            > placement_round.max_cost(task, now_ms) * placement_round.most_leftover_millis
+        )
 
     def _barred(self, task: Task, now: float) -> frozenset[ExecutorState]:
         """Return the executors whose room is reserved for other tasks than this one."""
@@ -274,17 +417,13 @@
         if not task.job.queue.needs_tickets:
             return usable
         step = task.step_id
-        cost = self._state.policies.estimates.extra_cost
-        # An avoided executor is empty, and would be the first one to be asked for.
-        usable = [each for each in usable if cost(task, each) < inf] or usable
-        allowed = [
-            executor
-            for executor in usable
-            if self._state.tickets.valid(
-                step, executor.executor, executor.registration.incarnation, now
-            )
-        ]
-        if len(allowed) < min(len(gang_members(task)), len(usable)):
+        allowed = self._ticket_holders(task, now)
+        if len(allowed) >= min(len(gang_members(task)), len(usable)):
+            return allowed
+        if self._state.tickets.may_ask(step, now):
+            cost = self._state.policies.estimates.extra_cost
+            # An avoided executor is empty, and would be the first one to be asked for.
+            usable = [each for each in usable if cost(task, each) < inf] or usable
             free = sorted(
                 usable,
                 key=lambda executor: executor.used_cpu_millis
@@ -299,11 +438,20 @@
                 self._state.commands.append(AskAdvice(step, asked))
         return allowed
 
-    def _skip_reason(self, task: Task, placement_round: _PlacementRound) -> WaitReason | None:
-        """Return why a task is not considered in this round, or None."""
-        refused = len(placement_round.wait_reasons) + len(placement_round.barred_reasons)
-        if refused >= MAX_REFUSED_SHAPES:
-            return WaitReason.BEHIND
+    def _ticket_holders(self, task: Task, now: float) -> list[ExecutorState]:
+        """Return the usable executors for which a step has valid tickets."""
+        tickets, step = self._state.tickets, task.step_id
+        known = (self._state.executors.get(name) for name in tickets.holders(step))
+        return [
+            executor
+            for executor in known
+            if executor is not None
+            and executor.is_usable(now)
+            and tickets.valid(step, executor.executor, executor.registration.incarnation, now)
+        ]
+
+    def _reserve_reason(self, task: Task, placement_round: _PlacementRound) -> WaitReason | None:
+        """Return RESERVED if a task would take room that is kept for others, or None."""
         room = self._state.policies.room
         if _would_take_short_task_reserve(task, placement_round, room.short_task_share()):
             return WaitReason.RESERVED
@@ -333,12 +481,15 @@
 
         def cheapest(member: Task, executors: list[ExecutorState]) -> ExecutorState | None:
             if member.failed_on or member.spec.gang or member.job.queue.needs_tickets:
+                placement_round.compared += len(executors)
                 return self._choose(member, executors, max_cost)
             return self._candidates_for(member, executors, placement_round, max_cost).best()
 
         runs = place_together(task, allowed, choice, next_attempt(task), now)
         for run in runs:
             self._send(run, now, now_ms)
+            placement_round.took_room = True
+            placement_round.compared += COST_OF_START
             placement_round.started_millis += task.spec.reserved_cpu_millis
             if task.spec.long_running:
                 placement_round.long_running_millis += task.spec.reserved_cpu_millis
@@ -401,25 +552,13 @@
     step = task.spec
     has_own_limits = step.per_executor_limit or task.job.queue.needs_tickets or step.gang
     limited = task.step_id if has_own_limits else None
-    size = (step.reserved_cpu_millis, step.memory_mb, step.accelerators)
-    image = step.image if step.uses_leftover_cpu else ""
+    size = (step.cpu_millis, step.memory_mb, step.accelerators)
+    image = step.image if step.uses_leftover_cpu else None
     # Resources are kept free from long-running tasks that never ran, but not from restarted ones.
     is_restarted = step.long_running and task.attempt > 0
     return (*size, step.required_label, step.long_running, is_restarted, limited, image)
 
 
-def _why_not_placed(task: Task, usable: list[ExecutorState]) -> WaitReason:
-    """Return why none of the executors could run a task."""
-    step = task.spec
-    has_cpu = any(step.reserved_cpu_millis <= executor.free_cpu_millis for executor in usable)
-    has_memory = any(step.memory_mb <= executor.free_memory_mb for executor in usable)
-    if not has_cpu:
-        return WaitReason.PROCESSORS
-    if not has_memory:
-        return WaitReason.MEMORY
-    return WaitReason.DISTURBS if step.uses_leftover_cpu else WaitReason.OTHER
-
-
 def _task_sent_note(run: Run, now: float, now_ms: int) -> TaskSent:
     executor = run.executor
     polled_at = executor.polled_at if executor.polled_at is not None else now
--- a/fireflyfork/decisions/jobs/_policies.py
+++ b/fireflyfork/decisions/jobs/_policies.py
@@ -171,6 +171,8 @@
     order: OrderPolicy = field(default_factory=OrderPolicy)
     estimates: EstimatePolicy = field(default_factory=EstimatePolicy)
     load: LoadPolicy = field(default_factory=LoadPolicy)
+    may_refuse: bool = field(init=False)
+    """Whether a policy may refuse an executor that has room for a task, or make room for it."""
     enabled: tuple[Policy, ...] = field(init=False)
     """The policies that are told of events; the defaults, which keep no state, are not."""
 
@@ -179,6 +181,8 @@
         each = (self.room, self.order, self.estimates, self.load)
         enabled = tuple(policy for policy in each if type(policy) not in _DEFAULTS)
         object.__setattr__(self, "enabled", enabled)
+        may_refuse = any(policy is not self.load for policy in enabled)
+        object.__setattr__(self, "may_refuse", may_refuse)
 
 
 _DEFAULTS = frozenset((RoomPolicy, OrderPolicy, EstimatePolicy, LoadPolicy))
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -344,7 +344,7 @@
             if name in self.executors
         }
         self._state.tickets.answered(question.step, question.executors, granted, now)
-        self._state.waiting.retry(now_ms)
+        self._state.waiting.retry_step(question.step, now_ms)
 
     @property
     def shed_level(self) -> Shed:
@@ -373,7 +373,7 @@
         for job in tuple(self.jobs.with_future_occurrences()):
             for task in self.jobs.open_due(job, now_ms):
                 self._state.enqueue(task)
-        self._state.waiting.retry(now_ms)
+        self._placement.retry(now, now_ms)
         for finished_job in self.jobs.drop_finished():
             self._state.tickets.forget_job(finished_job)
 
--- a/fireflyfork/decisions/jobs/_tickets.py
+++ b/fireflyfork/decisions/jobs/_tickets.py
@@ -60,6 +60,16 @@
             return None
         return ticket.text if ticket.until - RENEW_MARGIN_SECONDS > now else None
 
+    def holders(self, step: StepId) -> list[ExecutorId]:
+        """Return the executors for which tickets were granted, also those that have expired."""
+        tickets = self._steps.get(step)
+        return list(tickets.tickets) if tickets is not None else []
+
+    def may_ask(self, step: StepId, now: float) -> bool:
+        """Whether a question about a step may be sent now."""
+        tickets = self._steps.get(step)
+        return tickets is None or not (tickets.asked or now < tickets.ask_after)
+
     def begin_question(
         self, step: StepId, candidates: list[ExecutorId], now: float
     ) -> tuple[ExecutorId, ...]:
@@ -71,6 +81,8 @@
             :MAX_EXECUTORS_PER_QUESTION
         ]
         tickets.asked = bool(names)
+        if not names:
+            tickets.ask_after = now + ASK_AGAIN_SECONDS
         return names
 
     def answered(
--- a/fireflyfork/decisions/jobs/_waiting_tasks.py
+++ b/fireflyfork/decisions/jobs/_waiting_tasks.py
@@ -14,8 +14,24 @@
 
 from ..._waits import WaitReason
 from ._runs import Task
+from ._tickets import StepId
 from ._urgency import Urgency, urgency
 
+TURNS_PER_TICK = 8
+"""Steps that were passed over in a round and are tried in the next one all the same."""
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """Why a step found no executor, and when it is tried again."""
+
+    reason: WaitReason
+    seen_gain: int | None = None
+    """Number of the last gain of room that was taken into account. The step is tried again after a
+    later gain that may let it run; None if other changes may let it run."""
+    retry_at: float = 0.0
+    """When the step is tried again in any case, in seconds; 0 for the next tick."""
+
 
 @dataclass(slots=True, eq=False)
 class WaitingStep:
@@ -29,6 +45,14 @@
     """Revision of the urgency by which the step was sorted."""
     reason: WaitReason = WaitReason.NOTHING
     """Why no executor could run the step's tasks at the last attempt to place them."""
+    seen_gain: int | None = None
+    """See ``Refusal``."""
+    retry_at: float = 0.0
+    """See ``Refusal``."""
+    has_turn: bool = False
+    """Whether the step is tried even if too many others found no executor."""
+    turn: int = 0
+    """Number of the last turn; higher ones are later."""
 
     def bring_most_failed_forward(self) -> Task:
         """Make the task with the most failed attempts the first one, and return it.
@@ -65,6 +89,8 @@
         self._deferred: list[Task] = []
         """Tasks that are added to their steps at the next tick."""
         self._numbers = count()
+        self.is_cut_short = False
+        """Whether the last round has left steps for the next one."""
 
     def __len__(self) -> int:
         """Return the number of waiting tasks."""
@@ -95,7 +121,7 @@
     def pop(self, now_ms: int) -> WaitingStep | None:
         """Return the most urgent step that isn't parked, or None.
 
-        The caller must pass the step to ``park`` or ``drop``.
+        The caller must pass the step to ``park``, ``postpone`` or ``drop``.
         """
         while self._order:
             step = heapq.heappop(self._order)[-1]
@@ -108,23 +134,60 @@
         """Remove a step that has no waiting tasks any more."""
         del self._steps[step.key]
 
-    def park(self, step: WaitingStep, reason: WaitReason) -> None:
-        """Park a step without an executor until the next tick or the arrival of another task."""
+    def park(self, step: WaitingStep, refusal: Refusal) -> None:
+        """Park a step without an executor until it is retried or another task of it arrives."""
         step.parked = True
-        if step.reason is not reason:
-            step.reason = reason
-            for task in step.tasks:
-                task.wait_reason = reason
+        step.has_turn = False
+        step.seen_gain, step.retry_at = refusal.seen_gain, refusal.retry_at
+        self._set_reason(step, refusal.reason)
+
+    def postpone(self, step: WaitingStep, now_ms: int) -> None:
+        """Leave a step for the next round."""
+        self._set_reason(step, WaitReason.NEXT_ROUND)
+        self._schedule(step, now_ms)
+
+    def retry(
+        self, now_ms: int, may_be_placed: Callable[[WaitingStep], bool] = lambda step: True
+    ) -> None:
+        """Allow the waiting tasks to be placed again for which ``may_be_placed`` returns True.
 
-    def retry(self, now_ms: int) -> None:
-        """Allow all waiting tasks to be placed again."""
+        While steps are left for the next round, those that were tried in the rounds before don't
+        come before them again.
+        """
         deferred, self._deferred = self._deferred, []
         for task in deferred:
             self.push(task, now_ms)
+        parked = [step for step in self._steps.values() if step.parked]
+        passed_over = [step for step in parked if step.reason is WaitReason.BEHIND]
+        for step in heapq.nsmallest(TURNS_PER_TICK, passed_over, key=lambda each: each.turn):
+            step.has_turn = True
+            step.turn = next(self._numbers)
+        for step in parked:
+            is_remembered = step.seen_gain is not None
+            if (is_remembered or not self.is_cut_short) and may_be_placed(step):
+                self._schedule(step, now_ms)
+
+    def retry_remembered(self, now_ms: int, may_be_placed: Callable[[WaitingStep], bool]) -> None:
+        """Allow the tasks to be placed again that wait for room and for which the function returns
+        True."""
         for step in self._steps.values():
-            if step.parked:
+            if step.parked and step.seen_gain is not None and may_be_placed(step):
+                self._schedule(step, now_ms)
+
+    def retry_step(self, step_id: StepId, now_ms: int) -> None:
+        """Allow the waiting tasks of one step to be placed again."""
+        for ran_before in (False, True):
+            step = self._steps.get((step_id, ran_before))
+            if step is not None and step.parked:
                 self._schedule(step, now_ms)
 
+    @staticmethod
+    def _set_reason(step: WaitingStep, reason: WaitReason) -> None:
+        if step.reason is not reason:
+            step.reason = reason
+            for task in step.tasks:
+                task.wait_reason = reason
+
     def _schedule(self, step: WaitingStep, now_ms: int) -> None:
         step.parked = False
         step.revision = self._revision(step.tasks[0])
--- a/fireflyfork/operations/_job_account.py
+++ b/fireflyfork/operations/_job_account.py
@@ -33,6 +33,7 @@
     DISTURBS = WaitReason.DISTURBS.value
     RESERVED = WaitReason.RESERVED.value
     BEHIND = WaitReason.BEHIND.value
+    NEXT_ROUND = WaitReason.NEXT_ROUND.value
     TRIAL = WaitReason.TRIAL.value
     NEAR_DATA = WaitReason.NEAR_DATA.value
     OTHER_WAIT = WaitReason.OTHER.value
--- a/fireflyfork/platform/tests/test_foreign_bytes.py
+++ b/fireflyfork/platform/tests/test_foreign_bytes.py
@@ -53,7 +53,9 @@
     "born": 1_700_000_000_000,
 }
 RANGE = {"items": [{"key": "k", "revision": 3, "value": "AA=="}], "has_more": False, "as_of": 4}
-MACHINES: dict[str, object] = {"machines": [{"machine": "m", "pool": "p", "state": "up", "id": "i"}]}
+MACHINES: dict[str, object] = {
+    "machines": [{"machine": "m", "pool": "p", "state": "up", "id": "i"}]
+}
 
 
 def _item(value: bytes, key: str = "servers/i-1") -> StoredItem:
