Interference: a bounded number of images that are told apart

What callers could do: a caller who names a new image for each job made the owner's least-squares fit grow with it. Its solution takes a time that grows with the cube of the number of images, once a second, in the owner's loop, and the sums are stored with each write.

Mend: 48 disturbing images are told apart for a serving image, further ones count as one; 64 serving images are learned.

--- a/fireflyfork/decisions/jobs/_interference.py
+++ b/fireflyfork/decisions/jobs/_interference.py
@@ -43,7 +43,15 @@
 """Interval between two solutions for one serving image. In a large fleet samples arrive faster than
 effects change, and one solution for thirty images costs as much as many polls."""
 
+MAX_IMAGES = 48
+"""Number of disturbing images that are told apart for one serving image; further ones count as one
+image. Callers name the images, and the time of a solution grows with the cube of their number."""
+MAX_SERVING_IMAGES = 64
+"""Number of serving images whose disturbances are learned; for further ones every pair is assumed to
+be average."""
+
 _INTERCEPT = "\x00"
+_OTHER_IMAGES = "\x01"
 
 
 @dataclass(slots=True)
@@ -150,12 +158,16 @@
 
     def observe(self, serving: str, sample: Sample, previous: Sample | None) -> None:
         """Add a sample of a serving task, with the previous sample of the same task if any."""
+        if serving not in self._fits and len(self._fits) >= MAX_SERVING_IMAGES:
+            return
         fit = self._fits.setdefault(serving, _Fit())
-        fit.add({_INTERCEPT: 1.0, **sample.uses}, sample.headroom, 1.0)
+        uses = _with_known_images(fit, sample.uses)
+        fit.add({_INTERCEPT: 1.0, **uses}, sample.headroom, 1.0)
         if previous is not None and sample.at - previous.at <= MAX_CHANGE_SECONDS:
-            images = sample.uses.keys() | previous.uses.keys()
+            previous_uses = _with_known_images(fit, previous.uses)
+            images = uses.keys() | previous_uses.keys()
             change = {
-                image: sample.uses.get(image, 0.0) - previous.uses.get(image, 0.0)
+                image: uses.get(image, 0.0) - previous_uses.get(image, 0.0)
                 for image in sorted(images)
             }
             fit.add(change, sample.headroom - previous.headroom, CHANGE_WEIGHT)
@@ -193,6 +205,17 @@
             self._fits[learned_fit.serving] = fit
 
 
+def _with_known_images(fit: _Fit, uses: dict[str, float]) -> dict[str, float]:
+    """Return the uses with all images beyond ``MAX_IMAGES`` as one."""
+    if len(fit.targets.keys() | uses.keys()) <= MAX_IMAGES:
+        return uses
+    known: dict[str, float] = {}
+    for image, use in uses.items():
+        name = image if image in fit.targets else _OTHER_IMAGES
+        known[name] = known.get(name, 0.0) + use
+    return known
+
+
 def _to_learned_fit(serving: str, fit: _Fit) -> LearnedFit:
     names = tuple(fit.targets)
     matrix = fit.matrix(list(names))
--- a/fireflyfork/decisions/jobs/tests/test_interference.py
+++ b/fireflyfork/decisions/jobs/tests/test_interference.py
@@ -20,7 +20,14 @@
     decode_learned,
     encode_learned,
 )
-from .._interference import PRIOR_EFFECT, SOLVE_SECONDS, InterferenceModel, Sample
+from .._interference import (
+    MAX_IMAGES,
+    MAX_SERVING_IMAGES,
+    PRIOR_EFFECT,
+    SOLVE_SECONDS,
+    InterferenceModel,
+    Sample,
+)
 from .._pacing import BACKGROUND_PACE, HEADROOM_TO_KEEP, MIN_PACE, adjust_pace
 from .._placement_costs import choose
 from .builders_jobs import START_MS, OwnerUnderTest, job, learned, row, step
@@ -50,6 +57,18 @@
         self.assertAlmostEqual(model.effect("web", "noisy"), HEAVY, delta=0.8)
         self.assertAlmostEqual(model.effect("web", "quiet"), LIGHT, delta=0.5)
 
+    def test_the_number_of_images_that_are_told_apart_is_bounded(self) -> None:
+        """Guards against callers who name a new image for each job, until a solution takes seconds."""
+        model = InterferenceModel()
+        for number in range(4 * MAX_IMAGES):
+            sample = Sample(number * 0.5, 2.0, {f"image-{number}": 0.1})
+            model.observe("web", sample, None)
+            model.observe(f"web-{number}", sample, None)
+        learned_fits = model.learned()
+        self.assertLessEqual(len(learned_fits), MAX_SERVING_IMAGES)
+        self.assertLessEqual(max(len(fit.names) for fit in learned_fits), MAX_IMAGES + 1)
+        self.assertEqual(decode_learned(encode_learned(learned_fits)), learned_fits)
+
     def test_an_unobserved_pair_has_the_average_effect(self) -> None:
         self.assertEqual(_trained().effect("web", "new"), PRIOR_EFFECT)
         self.assertEqual(InterferenceModel().effect("web", "noisy"), PRIOR_EFFECT)
