Stored values: a number of owners or learned sums that can't be used are skipped

What callers would have seen: bytes of another writer under the key of the number of owners ended each instance that bid for the service (ValueError in int()), and learned sums without a solution each owner that adopted them (ZeroDivisionError).

Mend: the number goes through the decoder of the package and counts from 0 if it can't be read (it names terms only, fencing tokens are revisions). Learned sums are refused where no finite solution exists, and the owner starts without them. test_stored_sums_without_a_solution_are_refused guards the second.

--- a/fireflyfork/decisions/jobs/_interference.py
+++ b/fireflyfork/decisions/jobs/_interference.py
@@ -16,7 +16,10 @@
 from collections import defaultdict
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from math import isfinite
 
+from ..._decoding import guarded
+from ..._errors import InvalidDataError
 from .arrangement import ImageGroups
 
 PRIOR_EFFECT = 1.6
@@ -216,6 +219,15 @@
     return known
 
 
+def is_solvable(learned_fit: LearnedFit) -> bool:
+    """Whether stored sums have a finite solution, as all sums of observations have."""
+    try:
+        solution = guarded(lambda: _solution(_from_learned_fit(learned_fit)))
+    except InvalidDataError:
+        return False
+    return all(map(isfinite, (*learned_fit.products, *learned_fit.targets, *solution.values())))
+
+
 def _to_learned_fit(serving: str, fit: _Fit) -> LearnedFit:
     names = tuple(fit.targets)
     matrix = fit.matrix(list(names))
--- a/fireflyfork/decisions/jobs/_stored_forms.py
+++ b/fireflyfork/decisions/jobs/_stored_forms.py
@@ -11,7 +11,7 @@
 from ..._decoding import decode_msgpack, is_header_text
 from ..._errors import FireflyforkError, InvalidDataError
 from ._executors import ExecutorRegistration
-from ._interference import LearnedFit
+from ._interference import MAX_IMAGES, LearnedFit, is_solvable
 from ._job_limits import job_problem
 from ._progress import StoredProgress
 from ._specs import JobSpec
@@ -128,6 +128,8 @@
         size = len(fit.names)
         if len(fit.targets) != size or len(fit.products) != size * (size + 1) // 2:
             raise StoredFormatError(f"the learned fit of {fit.serving!r} has missing values")
+        if size > MAX_IMAGES + 2 or not is_solvable(fit):
+            raise StoredFormatError(f"the learned fit of {fit.serving!r} is no sum of observations")
     return learned
 
 
--- a/fireflyfork/decisions/jobs/tests/test_interference.py
+++ b/fireflyfork/decisions/jobs/tests/test_interference.py
@@ -2,6 +2,7 @@
 
 import unittest
 from dataclasses import replace
+from math import inf, nan
 from random import Random
 from unittest.mock import patch
 
@@ -24,6 +25,7 @@
     MAX_IMAGES,
     MAX_SERVING_IMAGES,
     PRIOR_EFFECT,
+    PRIOR_WEIGHT,
     SOLVE_SECONDS,
     InterferenceModel,
     Sample,
@@ -69,6 +71,14 @@
         self.assertLessEqual(max(len(fit.names) for fit in learned_fits), MAX_IMAGES + 1)
         self.assertEqual(decode_learned(encode_learned(learned_fits)), learned_fits)
 
+    def test_stored_sums_without_a_solution_are_refused(self) -> None:
+        """Guards against sums of another writer that end each owner that adopts them."""
+        good = learned("web", 2.0)
+        self.assertEqual(decode_learned(encode_learned((good,))), (good,))
+        for products in ((nan, 0.0, 1.0), (inf, 0.0, 1.0), (-PRIOR_WEIGHT, 0.0, 0.0)):
+            with self.subTest(products=products), self.assertRaises(StoredFormatError):
+                decode_learned(encode_learned((replace(good, products=products),)))
+
     def test_an_unobserved_pair_has_the_average_effect(self) -> None:
         self.assertEqual(_trained().effect("web", "new"), PRIOR_EFFECT)
         self.assertEqual(InterferenceModel().effect("web", "noisy"), PRIOR_EFFECT)
--- a/fireflyfork/programs/owner/_service_lease.py
+++ b/fireflyfork/programs/owner/_service_lease.py
@@ -10,7 +10,9 @@
 import trio
 from loguru import logger
 
+from ..._decoding import Count, decode_json
 from ..._errors import (
+    InvalidDataError,
     LeaseEndedError,
     StoreConflictError,
     StoreError,
@@ -18,7 +20,7 @@
     StoreUnavailableError,
 )
 from ..._ids import FencingToken, LeaseId, NodeName, Revision, ServiceName
-from ...adapters import CoordinationStore, Put
+from ...adapters import CoordinationStore, Put, StoredItem
 from ...decisions.jobs import (
     MAX_BID_DELAY,
     SUFFICIENT_STRENGTH,
@@ -181,7 +183,7 @@
     async def _write_owner_key(self) -> Term | None:
         key, counter_key = owner_key(self._service), term_key(self._service)
         stored_number = await self._store.read(counter_key)
-        number = int(stored_number.value) + 1 if stored_number is not None else 1
+        number = _decoded_number(stored_number) + 1
         lease = await self._store.grant_lease(LEASE_SECONDS)
         record = OwnerRecord(self._node, f"{self._random.getrandbits(64):016x}")
         value = msgspec.json.encode(record)
@@ -198,3 +200,17 @@
                 return None
             revision = item.revision
         return Term(self._service, number, lease, revision)
+
+
+def _decoded_number(item: StoredItem | None) -> int:
+    """Return the number of owners that a service has had; 0 if it isn't known.
+
+    The number only identifies a term in logs and marks. Fencing tokens are revisions of the store.
+    """
+    if item is None:
+        return 0
+    try:
+        return decode_json(item.value, Count)
+    except InvalidDataError as error:
+        logger.error("number of owners not readable", key=item.key, error=str(error))
+        return 0
