Jobs: at most 250 occurrences open at a time, and none kept that are over

A job of a hundred bytes with two billion occurrences that are due at once was opened in part, 10,000 occurrences at a time. Entries of occurrences that were over stayed for ever.

--- a/fireflyfork/decisions/jobs/_job_limits.py
+++ b/fireflyfork/decisions/jobs/_job_limits.py
@@ -11,11 +11,14 @@
 from ._specs import JobSpec, StepSpec
 
 MAX_STEPS = 100
-MAX_TASKS = 10_000
+MAX_TASKS = 5_000
 """Maximum number of tasks in one occurrence of a job."""
-MAX_OPEN_TASKS = 100_000
+MAX_OPEN_TASKS = 50_000
 """Number of tasks of all jobs of a service above which further large jobs wait as a whole, without
 a record for each of their tasks. The records take about 1 KB each."""
+MAX_OPEN_OCCURRENCES = 250
+"""Number of occurrences of a job that may be open at the same time. Each is opened and sorted by
+itself."""
 SMALL_JOB_TASKS = 256
 """Number of open tasks up to which a job doesn't wait for others to be over. Otherwise a few large
 jobs that can't be placed would keep all others from running."""
@@ -38,7 +41,7 @@
 
 def open_occurrences(spec: JobSpec) -> int:
     """Return how many occurrences of a job may be open at the same time."""
-    return max(1, MAX_TASKS // max(1, spec.task_count))
+    return max(1, min(MAX_OPEN_OCCURRENCES, MAX_TASKS // max(1, spec.task_count)))
 
 
 def job_problem(spec: JobSpec) -> str:
--- a/fireflyfork/decisions/jobs/_job_table.py
+++ b/fireflyfork/decisions/jobs/_job_table.py
@@ -277,6 +277,8 @@
 
     def _occurrence_done(self, job: Job, now_ms: int) -> None:
         while self._all_done(job, job.done_occurrences):
+            for step in range(len(job.spec.steps)):
+                del job.remaining_tasks[job.done_occurrences, step]
             job.done_occurrences += 1
         job.done = {key for key in job.done if key.occurrence >= job.done_occurrences}
         if job.done_occurrences == job.spec.occurrence_count:
--- a/fireflyfork/decisions/jobs/tests/test_open_tasks.py
+++ b/fireflyfork/decisions/jobs/tests/test_open_tasks.py
@@ -4,7 +4,13 @@
 
 from ...._ids import AttemptNumber, TaskName
 from .. import EndReason, RunningRow, StoredProgress
-from .._job_limits import MAX_EARLY_WINDOWS, MAX_OPEN_TASKS, MAX_TASKS, SMALL_JOB_TASKS
+from .._job_limits import (
+    MAX_EARLY_WINDOWS,
+    MAX_OPEN_OCCURRENCES,
+    MAX_OPEN_TASKS,
+    MAX_TASKS,
+    SMALL_JOB_TASKS,
+)
 from .._job_table import JobTable
 from .builders_jobs import START_MS, OwnerUnderTest, job, step, table
 
@@ -26,7 +32,7 @@
     def test_occurrences_that_are_due_at_once_are_opened_in_part(self) -> None:
         """Guards against a schedule of a hundred bytes that uses up the owner's memory."""
         self.jobs.accept(job(repetitions=MANY, first_due_ms=0, interval_ms=0), None, START_MS)
-        self.assertEqual(_tasks(self.jobs), MAX_TASKS)
+        self.assertEqual(_tasks(self.jobs), MAX_OPEN_OCCURRENCES)
 
     def test_further_occurrences_follow_as_earlier_ones_end(self) -> None:
         """Guards against a schedule that stops after its first occurrences."""
@@ -38,6 +44,16 @@
         (accepted,) = self.jobs.live_jobs()
         self.assertEqual(len(self.jobs.open_due(accepted, START_MS)), MAX_TASKS // 2)
 
+    def test_occurrences_that_are_over_leave_nothing_behind(self) -> None:
+        """Guards against a schedule that takes more memory with each of its occurrences."""
+        ready = self.jobs.accept(job(repetitions=MANY), None, START_MS)
+        (accepted,) = self.jobs.live_jobs()
+        for _ in range(4 * MAX_OPEN_OCCURRENCES):
+            self.jobs.task_done(ready.pop(0), START_MS)
+            ready.extend(self.jobs.open_due(accepted, START_MS))
+        self.assertLessEqual(len(accepted.remaining_tasks), MAX_OPEN_OCCURRENCES)
+        self.assertLessEqual(len(accepted.done), MAX_OPEN_OCCURRENCES)
+
     def test_large_jobs_wait_as_a_whole_and_small_ones_do_not(self) -> None:
         """Guards against a hundred small requests that use up the owner's memory together."""
         for number in range(MAX_OPEN_TASKS // MAX_TASKS + 5):
--- a/fireflyfork/platform/tests/test_job_limits.py
+++ b/fireflyfork/platform/tests/test_job_limits.py
@@ -23,7 +23,7 @@
             ({"steps": [{**STEP, "count": 20_000_000}]}, "20000000 tasks"),
             ({"steps": [{**STEP, "count": 2**53 - 1}]}, "tasks"),
             ({"steps": [{**STEP, "count": 2**63}]}, "read"),
-            ({"steps": [{**STEP, "count": 6_000}] * 2}, "12000 tasks"),
+            ({"steps": [{**STEP, "count": 4_000}] * 2}, "8000 tasks"),
             ({"steps": [{**STEP, "count": 5_000, "gang": True}]}, "gang"),
             ({"steps": [STEP] * 101}, "101 steps"),
             ({"steps": [STEP], "repetitions": -1}, "repetitions"),
