--- a/fireflyfork/decisions/jobs/_free_room.py
+++ b/fireflyfork/decisions/jobs/_free_room.py
@@ -1,7 +1,8 @@
-"""The room on executors: whether a step may fit on any of them, and on which there is more of it.
+"""Summaries of the room on executors, by which steps are refused without comparing executors.
 
-Both answer for a waiting step without looking at each executor, so that thousands of steps which
-find no executor cost little.
+Thousands of steps that fit nowhere may wait. For each of them, ``FreeRoom`` tells in a few
+comparisons whether any executor may have room, and ``RoomGains`` whether any has gained some since
+the step was refused.
 """
 
 from __future__ import annotations
@@ -22,13 +23,13 @@
     """The free room on some executors at one time, by label."""
 
     def __init__(self, executors: Sequence[ExecutorState]) -> None:
-        """Initialize for these executors; they are looked at when the first step asks."""
+        """Initialize for these executors, whose room is read when it is first needed."""
         self._executors = executors
         self._rooms: dict[str, Counter[_Room]] = {}
         self._largest: dict[str, tuple[_Room, ...]] = {}
 
     def refresh(self) -> None:
-        """Look at the executors again, because some of their room was taken."""
+        """Read the room again, because some of it was taken."""
         self._rooms.clear()
         self._largest.clear()
 
@@ -103,10 +104,10 @@
 
 
 class RoomGains:
-    """Numbers the occasions on which an executor may have gained room or become usable.
+    """Numbers the gains of executors: room that was freed, other labels or limits, a return.
 
-    A step that found no executor finds none until a later occasion, unless its refusal had another
-    reason than room, labels and limits.
+    A step that lacks room, a label or a place within its limit on every executor lacks it until a
+    later gain.
     """
 
     def __init__(self) -> None:
--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -38,7 +38,7 @@
 """Further comparisons for the last step of a round. A step that is interrupted has to be compared
 with all executors again."""
 COST_OF_START = 4
-"""Processor time of a start, in comparisons."""
+"""Comparisons that take about as long as the start of a task."""
 MAX_REFUSED_SHAPES = 24
 """Number of shapes of tasks per round that are compared with all executors in vain, tick after tick,
 because other changes than those of room may let them run. Further ones take turns."""
@@ -67,11 +67,11 @@
     compared: int = 0
     """Number of executors that were compared without a cache of their costs."""
     refused_in_vain: int = 0
-    """Number of shapes that were compared with executors in vain and are tried again every tick."""
+    """Number of shapes that were compared with executors in vain and are tried at every tick."""
     took_room: bool = False
     """Whether a task was started since ``free_room`` was last refreshed."""
     has_turn: bool = False
-    """Whether the step that is being placed is tried whatever that number is."""
+    """Whether the step that is being placed is tried even if that number is at its limit."""
     refusals: dict[tuple[Hashable, frozenset[ExecutorState]], Refusal] = field(default_factory=dict)
     """By shape of task and the executors that it is barred from: why no executor could run it."""
     barred: frozenset[ExecutorState] = frozenset()
@@ -188,7 +188,7 @@
         return placement_round
 
     def _is_exhausted(self, placement_round: _PlacementRound, more: int = 0) -> bool:
-        """Whether a round has made ``more`` comparisons than it may make before its last step."""
+        """Whether a round has made as many comparisons as it may, and ``more`` beyond these."""
         compared = placement_round.compared + self._cost_caches.computed
         return compared >= MAX_COSTS_PER_ROUND + more
 
--- a/fireflyfork/decisions/jobs/_waiting_tasks.py
+++ b/fireflyfork/decisions/jobs/_waiting_tasks.py
@@ -168,8 +168,7 @@
                 self._schedule(step, now_ms)
 
     def retry_remembered(self, now_ms: int, may_be_placed: Callable[[WaitingStep], bool]) -> None:
-        """Allow the tasks to be placed again that wait for room and for which the function returns
-        True."""
+        """Like ``retry``, but only for steps that a gain of room lets run."""
         for step in self._steps.values():
             if step.parked and step.seen_gain is not None and may_be_placed(step):
                 self._schedule(step, now_ms)
