Placement: members of a gang share the costs of executors, and a round counts all its work

And a first look at 4,000 steps that can't be placed took 199 ms in one round.

Mend: the members of a gang take the cheapest executor from one heap, as the tasks of a step do; steps looked at and starts count towards the work of a round.

--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -32,13 +32,13 @@
 """Executors compared at first for a task that stays where it is placed, or that uses leftover CPU.
 In a fleet of thousands the best of these is about as good as the best of all."""
 MAX_COSTS_PER_ROUND = 4_096
-"""Executors compared in one round. Work that has waited for a new owner is placed in several rounds,
-in between which the owner renews its own lease."""
+"""Executors compared in one round, and limit of its other work. Work that has waited for a new owner
+is placed in several rounds, in between which the owner renews its own lease."""
 MAX_COSTS_TO_FINISH_STEP = 4_096
 """Further comparisons for the last step of a round. A step that is interrupted has to be compared
 with all executors again."""
-COST_OF_START = 4
-"""Comparisons that take about as long as the start of a task."""
+COST_OF_STEP, COST_OF_START = 8, 4
+"""Comparisons that take about as long as a look at a waiting step, and as the start of a task."""
 MAX_REFUSED_SHAPES = 24
 """Number of shapes of tasks per round that are compared with all executors in vain, tick after tick,
 because other changes than those of room may let them run. Further ones take turns."""
@@ -66,6 +66,8 @@
     """Number of the last gain of room before the round."""
     compared: int = 0
     """Number of executors that were compared without a cache of their costs."""
+    other_work: int = 0
+    """The work of the round beside comparisons, by the number of these that take as long."""
     refused_in_vain: int = 0
     """Number of shapes that were compared with executors in vain and are tried at every tick."""
     took_room: bool = False
@@ -139,7 +141,7 @@
             step = self._state.waiting.pop(now_ms)
             if step is None:
                 break
-            placement_round.compared += 1
+            placement_round.other_work += COST_OF_STEP
             refusal = self._place_step(step, placement_round, now, now_ms)
             if refusal is None:
                 self._state.waiting.drop(step)
@@ -188,9 +190,9 @@
         return placement_round
 
     def _is_exhausted(self, placement_round: _PlacementRound, more: int = 0) -> bool:
-        """Whether a round has made as many comparisons as it may, and ``more`` beyond these."""
+        """Whether a round has done as much work as it may, in comparisons, and ``more``."""
         compared = placement_round.compared + self._cost_caches.computed
-        return compared >= MAX_COSTS_PER_ROUND + more
+        return max(compared, placement_round.other_work) >= MAX_COSTS_PER_ROUND + more
 
     def prepare_start(self, run: Run, now: float, valid_ms: int = START_VALID_MS) -> bool:
         """Prepare a start for sending when its turn has come, to be valid for ``valid_ms``.
@@ -479,17 +481,29 @@
             placement_round.waiting_for_rack.add(member.step_id)
             return None
 
+        candidates_of_groups: dict[int, Candidates] = {}
+
+        def gang_candidates(member: Task, group: list[ExecutorState]) -> Candidates:
+            known = candidates_of_groups.get(id(group))
+            if known is None:
+                costs = self._cost_caches.for_task(member)
+                known = Candidates(member, group, costs, max_cost, batch_size=len(group))
+                candidates_of_groups[id(group)] = known
+            return known
+
         def cheapest(member: Task, executors: list[ExecutorState]) -> ExecutorState | None:
-            if member.failed_on or member.spec.gang or member.job.queue.needs_tickets:
+            if member.failed_on or member.job.queue.needs_tickets:
                 placement_round.compared += len(executors)
                 return self._choose(member, executors, max_cost)
+            if member.spec.gang:
+                return gang_candidates(member, executors).best()
             return self._candidates_for(member, executors, placement_round, max_cost).best()
 
         runs = place_together(task, allowed, choice, next_attempt(task), now)
         for run in runs:
             self._send(run, now, now_ms)
             placement_round.took_room = True
-            placement_round.compared += COST_OF_START
+            placement_round.other_work += COST_OF_START
             placement_round.started_millis += task.spec.reserved_cpu_millis
             if task.spec.long_running:
                 placement_round.long_running_millis += task.spec.reserved_cpu_millis
--- a/fireflyfork/decisions/jobs/tests/test_refused_steps.py
+++ b/fireflyfork/decisions/jobs/tests/test_refused_steps.py
@@ -160,9 +160,7 @@
         for kind in ("label", "too large", "gang"):
             _accept_refused(owner, kind, 300)
         owner.scheduler.accept(job(f"{2**40:016x}", step(count=4)), START_MS)
-        runs = owner.place()
-        while owner.scheduler.place(owner.now, START_MS):
-            continue
+        runs = [run for _ in range(ROUNDS) for run in owner.place()]
         with (
             patch.object(_cost_caches, "placement_cost", wraps=placement_cost) as costs,
             patch.object(_placement, "choose", wraps=choose) as choices,
