--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -2,8 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Hashable
-from dataclasses import dataclass, field
+from collections.abc import Callable
 from math import inf
 
 from ..._waits import WaitReason
@@ -14,18 +13,13 @@
 from ._free_room import FreeRoom, RoomGains
 from ._gangs import gang_members, next_attempt, place_together
 from ._notes import TaskSent
-from ._placement_costs import (
-    choose,
-    is_allowed,
-    is_far_from_data,
-    leftover_millis,
-    max_accepted_cost,
-)
+from ._placement_costs import choose, is_allowed, is_far_from_data
+from ._placement_round import PlacementRound
 from ._registration_age import START_VALID_MS
 from ._runs import Run, RunPhase, Task, running_tasks
 from ._service_state import ServiceState
 from ._stragglers import other_executors
-from ._tickets import ASK_AGAIN_SECONDS, StepId
+from ._tickets import ASK_AGAIN_SECONDS
 from ._waiting_tasks import Refusal, WaitingStep
 
 MAX_COMPARED = 512
@@ -37,8 +31,8 @@
 MAX_COSTS_TO_FINISH_STEP = 4_096
 """Further comparisons for the last step of a round. A step that is interrupted has to be compared
 with all executors again."""
-COST_OF_STEP, COST_OF_START = 8, 4
-"""Comparisons that take about as long as a look at a waiting step, and as the start of a task."""
+COST_OF_REFUSAL, COST_OF_START = 8, 4
+"""Comparisons that take about as long as the refusal of a step, and as the start of a task."""
 MAX_REFUSED_SHAPES = 24
 """Number of shapes of tasks per round that are compared with all executors in vain, tick after tick,
 because other changes than those of room may let them run. Further ones take turns."""
@@ -46,74 +40,6 @@
 """Reasons that don't hold for other steps of the same shape."""
 
 
-@dataclass(slots=True)
-class _PlacementRound:
-    """The state of one placement round."""
-
-    usable: list[ExecutorState]
-    total_millis: int
-    """CPU capacity of all usable executors, in thousandths of a core."""
-    reserved_millis: int
-    """CPU time that was reserved on the usable executors when the round began."""
-    long_running_millis: int
-    """CPU time reserved by long-running tasks, including those started in this round."""
-    urgent_millis: int = 0
-    """The part of ``reserved_millis`` that belongs to short tasks of priority 0."""
-    started_millis: int = 0
-    """CPU time reserved by the tasks started in this round."""
-    free_room: FreeRoom = field(init=False)
-    seen_gain: int = 0
-    """Number of the last gain of room before the round."""
-    compared: int = 0
-    """Number of executors that were compared without a cache of their costs."""
-    other_work: int = 0
-    """The work of the round beside comparisons, by the number of these that take as long."""
-    refused_in_vain: int = 0
-    """Number of shapes that were compared with executors in vain and are tried at every tick."""
-    took_room: bool = False
-    """Whether a task was started since ``free_room`` was last refreshed."""
-    has_turn: bool = False
-    """Whether the step that is being placed is tried even if that number is at its limit."""
-    refusals: dict[tuple[Hashable, frozenset[ExecutorState]], Refusal] = field(default_factory=dict)
-    """By shape of task and the executors that it is barred from: why no executor could run it."""
-    barred: frozenset[ExecutorState] = frozenset()
-    """The executors whose reserved room the task that is being placed may not use."""
-    candidates: dict[tuple[StepId, frozenset[ExecutorState]], Candidates] = field(
-        default_factory=dict
-    )
-    """By step and the executors that its tasks are barred from, which change as room is taken."""
-    waiting_for_rack: set[StepId] = field(default_factory=set)
-    """Steps that found an executor, but wait for one near their data."""
-    _most_leftover_millis: float | None = None
-
-    @classmethod
-    def for_executors(cls, usable: list[ExecutorState]) -> _PlacementRound:
-        """Return the initial state of a round that places tasks on the usable executors."""
-        return cls(
-            usable,
-            sum(executor.registration.room.cpu_millis for executor in usable),
-            sum(executor.used_cpu_millis for executor in usable),
-            sum(executor.long_running_cpu_millis for executor in usable),
-            sum(executor.urgent_cpu_millis for executor in usable),
-        )
-
-    def __post_init__(self) -> None:
-        """Initialize the free room."""
-        self.free_room = FreeRoom(self.usable)
-
-    @property
-    def most_leftover_millis(self) -> float:
-        """The most CPU time that tasks with a reservation leave unused on an executor."""
-        if self._most_leftover_millis is None:
-            self._most_leftover_millis = max((1.0, *map(leftover_millis, self.usable)))
-        return self._most_leftover_millis
-
-    def max_cost(self, task: Task, now_ms: int) -> float:
-        """Return the highest cost that a task without a reservation accepts."""
-        age = (now_ms - task.job.spec.accepted_ms) / 1000
-        return max_accepted_cost(age, self.reserved_millis / max(1, self.total_millis))
-
-
 class Placement:
     """Assigns tasks to executors."""
 
@@ -141,11 +67,12 @@
             step = self._state.waiting.pop(now_ms)
             if step is None:
                 break
-            placement_round.other_work += COST_OF_STEP
             refusal = self._place_step(step, placement_round, now, now_ms)
             if refusal is None:
                 self._state.waiting.drop(step)
-            elif refusal.reason is WaitReason.NEXT_ROUND:
+                continue
+            placement_round.other_work += COST_OF_REFUSAL
+            if refusal.reason is WaitReason.NEXT_ROUND:
                 self._state.waiting.postpone(step, now_ms)
             else:
                 self._state.waiting.park(step, refusal)
@@ -159,7 +86,7 @@
         self._state.waiting.retry(now_ms, self._gain_check(placement_round, now))
 
     def _gain_check(
-        self, placement_round: _PlacementRound, now: float
+        self, placement_round: PlacementRound, now: float
     ) -> Callable[[WaitingStep], bool]:
         """Return a function that tells whether a gain of room may let a parked step run."""
         rooms: dict[int, FreeRoom] = {}
@@ -182,14 +109,14 @@
 
         return may_be_placed
 
-    def _begin_round(self, usable: list[ExecutorState]) -> _PlacementRound:
+    def _begin_round(self, usable: list[ExecutorState]) -> PlacementRound:
         self._room_gains.update(usable)
-        placement_round = _PlacementRound.for_executors(usable)
+        placement_round = PlacementRound.for_executors(usable)
         placement_round.seen_gain = self._room_gains.last
         placement_round.compared = -self._cost_caches.computed
         return placement_round
 
-    def _is_exhausted(self, placement_round: _PlacementRound, more: int = 0) -> bool:
+    def _is_exhausted(self, placement_round: PlacementRound, more: int = 0) -> bool:
         """Whether a round has done as much work as it may, in comparisons, and ``more``."""
         compared = placement_round.compared + self._cost_caches.computed
         return max(compared, placement_round.other_work) >= MAX_COSTS_PER_ROUND + more
@@ -210,7 +137,7 @@
         return True
 
     def _place_step(
-        self, step: WaitingStep, placement_round: _PlacementRound, now: float, now_ms: int
+        self, step: WaitingStep, placement_round: PlacementRound, now: float, now_ms: int
     ) -> Refusal | None:
         """Start the tasks of a step until one finds no executor.
 
@@ -236,7 +163,7 @@
         return None
 
     def _place_task(
-        self, task: Task, placement_round: _PlacementRound, now: float, now_ms: int
+        self, task: Task, placement_round: PlacementRound, now: float, now_ms: int
     ) -> Refusal | None:
         """Start a task, or return why no executor can run it."""
         if self._place_on_reserved(task, placement_round, now, now_ms):
@@ -266,7 +193,7 @@
         self,
         task: Task,
         allowed: list[ExecutorState],
-        placement_round: _PlacementRound,
+        placement_round: PlacementRound,
         now: float,
         now_ms: int,
     ) -> Refusal | None:
@@ -281,13 +208,9 @@
             return self._remembered_refusal(task, free_room.lack(task.spec), placement_round, now)
         is_remembered = not policies_decide and not task.spec.uses_leftover_cpu
         if not is_remembered:
-            if (
-                placement_round.refused_in_vain >= MAX_REFUSED_SHAPES
-                and not placement_round.has_turn
-            ):
-                return Refusal(WaitReason.BEHIND)
-            if not policies_decide and self._needs_too_much_leftover(task, placement_round, now_ms):
-                return Refusal(WaitReason.DISTURBS)
+            refusal = self._refusal_without_comparison(task, placement_round, now_ms)
+            if refusal is not None:
+                return refusal
         if has_room and self._start(task, allowed, placement_round, now, now_ms):
             task.waiting = False
             return None
@@ -303,11 +226,11 @@
             return None
         if is_remembered:
             return self._remembered_refusal(task, reason, placement_round, now)
-        placement_round.refused_in_vain += 1
+        placement_round.shapes_compared_in_vain += 1
         return Refusal(reason)
 
     def _remembered_refusal(
-        self, task: Task, reason: WaitReason, placement_round: _PlacementRound, now: float
+        self, task: Task, reason: WaitReason, placement_round: PlacementRound, now: float
     ) -> Refusal:
         """Return a refusal that holds until an executor gains room, or tickets may have changed."""
         if self._state.policies.may_refuse:
@@ -316,13 +239,17 @@
         retry_at = now + ASK_AGAIN_SECONDS if needs_tickets else inf
         return Refusal(reason, placement_round.seen_gain, retry_at)
 
-    @staticmethod
-    def _needs_too_much_leftover(task: Task, placement_round: _PlacementRound, now_ms: int) -> bool:
-        """Whether a task would cost too much even on the executor with the most leftover CPU."""
-        return (
-            task.spec.cpu_millis
-            > placement_round.max_cost(task, now_ms) * placement_round.most_leftover_millis
-        )
+    def _refusal_without_comparison(
+        self, task: Task, placement_round: PlacementRound, now_ms: int
+    ) -> Refusal | None:
+        """Return why a task is not compared with executors whose refusals aren't remembered."""
+        too_many_refused = placement_round.shapes_compared_in_vain >= MAX_REFUSED_SHAPES
+        if too_many_refused and not placement_round.has_turn:
+            return Refusal(WaitReason.BEHIND)
+        if self._state.policies.may_refuse:
+            return None
+        max_millis = placement_round.max_cost(task, now_ms) * placement_round.most_leftover_millis
+        return Refusal(WaitReason.DISTURBS) if task.spec.cpu_millis > max_millis else None
 
     def _barred(self, task: Task, now: float) -> frozenset[ExecutorState]:
         """Return the executors whose room is reserved for other tasks than this one."""
@@ -331,7 +258,7 @@
         return frozenset(each for each in reserved if not order.may_take(task, each, now))
 
     def _place_on_reserved(
-        self, task: Task, placement_round: _PlacementRound, now: float, now_ms: int
+        self, task: Task, placement_round: PlacementRound, now: float, now_ms: int
     ) -> bool:
         """Start a task on the executor that is reserved for its job, if it can run there now."""
         if task.job.queue.needs_tickets:
@@ -368,7 +295,7 @@
         task.waiting = False
         return True
 
-    def _place_copies(self, placement_round: _PlacementRound, now: float, now_ms: int) -> None:
+    def _place_copies(self, placement_round: PlacementRound, now: float, now_ms: int) -> None:
         """Start second runs of tasks whose first run is slow, if an executor can take them."""
         tasks, self._state.tasks_to_copy = self._state.tasks_to_copy, []
         for task in tasks:
@@ -395,7 +322,7 @@
         self,
         task: Task,
         allowed: list[ExecutorState],
-        placement_round: _PlacementRound,
+        placement_round: PlacementRound,
         max_cost: float,
     ) -> Candidates:
         key = task.step_id, placement_round.barred
@@ -452,20 +379,19 @@
             and tickets.valid(step, executor.executor, executor.registration.incarnation, now)
         ]
 
-    def _reserve_reason(self, task: Task, placement_round: _PlacementRound) -> WaitReason | None:
+    def _reserve_reason(self, task: Task, placement_round: PlacementRound) -> WaitReason | None:
         """Return RESERVED if a task would take room that is kept for others, or None."""
         room = self._state.policies.room
-        if _would_take_short_task_reserve(task, placement_round, room.short_task_share()):
-            return WaitReason.RESERVED
-        if _would_take_urgent_reserve(task, placement_round, room.urgent_share()):
-            return WaitReason.RESERVED
-        return None
+        takes_reserve = placement_round.would_take_short_task_reserve(
+            task, room.short_task_share()
+        ) or placement_round.would_take_urgent_reserve(task, room.urgent_share())
+        return WaitReason.RESERVED if takes_reserve else None
 
     def _start(
         self,
         task: Task,
         allowed: list[ExecutorState],
-        placement_round: _PlacementRound,
+        placement_round: PlacementRound,
         now: float,
         now_ms: int,
     ) -> bool:
@@ -540,28 +466,6 @@
     run.executor.grant_lease(run.start_deadline_ms)
 
 
-def _would_take_short_task_reserve(
-    task: Task, placement_round: _PlacementRound, share: float
-) -> bool:
-    """Whether a new long-running task would take the share that is kept for short tasks."""
-    if not task.spec.long_running or task.attempt:
-        return False
-    long_running_millis = placement_round.long_running_millis + task.spec.reserved_cpu_millis
-    return long_running_millis > placement_round.total_millis * (1 - share)
-
-
-def _would_take_urgent_reserve(task: Task, placement_round: _PlacementRound, share: float) -> bool:
-    """Whether a less urgent short task would take the share that is kept for urgent ones."""
-    millis = task.spec.reserved_cpu_millis
-    if not share or not millis or not task.job.queue.priority or task.spec.long_running:
-        return False
-    in_use = placement_round.reserved_millis + placement_round.started_millis
-    if 2 * in_use < placement_round.total_millis:
-        return False
-    less_urgent_millis = in_use - placement_round.urgent_millis + millis
-    return less_urgent_millis > placement_round.total_millis * (1 - share)
-
-
 def _shape(task: Task) -> tuple[object, ...]:
     step = task.spec
     has_own_limits = step.per_executor_limit or task.job.queue.needs_tickets or step.gang
--- a/fireflyfork/decisions/jobs/tests/test_refused_steps.py
+++ b/fireflyfork/decisions/jobs/tests/test_refused_steps.py
@@ -13,7 +13,7 @@
 
 from ...._ids import ExecutorId, QueueName
 from ...._waits import WaitReason
-from .. import EndReason, StepSpec, _cost_caches, _placement
+from .. import EndReason, StepSpec, _cost_caches, _placement, _placement_round
 from .._free_room import FreeRoom
 from .._placement import MAX_COSTS_PER_ROUND, MAX_REFUSED_SHAPES
 from .._placement_costs import choose, placement_cost
@@ -211,7 +211,7 @@
             return placement_cost(task, *rest)  # type: ignore[arg-type]
 
         with (
-            patch.object(_placement, "leftover_millis", return_value=1e9),
+            patch.object(_placement_round, "leftover_millis", return_value=1e9),
             patch.object(_cost_caches, "placement_cost", side_effect=record),
         ):
             for _ in range(count):
