Advice: calls to the advisor are logged and counted, and a wait for advice has a name

A service whose queue asks an advisor went down after a burst, and nothing told why: a call without an answer was logged without its time, the number of open calls or of waiting steps, and a step without a ticket counted as one without processors.

Each call now has a line and two metrics: outcome (answered, rejected, timed out, failed), seconds, executors named and granted, other calls open, steps that wait. `WaitReason.ADVICE` tells a wait for advice from one for room, also in `fireflyfork-ctl account`. The client raises one error for each outcome. What is asked, when, and for how long is as before.

--- a/fireflyfork/_errors.py
+++ b/fireflyfork/_errors.py
@@ -71,6 +71,18 @@
     """A call to the worker platform failed. A start or stop may nevertheless have taken effect."""
 
 
+class AdvisorError(FireflyforkError):
+    """A call to the advisor failed; it may nevertheless have cost the advisor time."""
+
+
+class AdvisorBusyError(AdvisorError):
+    """The advisor rejected a call because too many calls are waiting."""
+
+
+class AdvisorTimeoutError(AdvisorError):
+    """The advisor did not answer a call in time."""
+
+
 class PeerError(FireflyforkError):
     """The stream to a peer failed, or the peer is not a member that is allowed to connect."""
 
--- a/fireflyfork/_waits.py
+++ b/fireflyfork/_waits.py
@@ -24,5 +24,7 @@
     """Tasks of the step fail on executors that do well otherwise."""
     NEAR_DATA = "executors near its data"
     """The task waits for an executor on the rack of its data, since it would lose more elsewhere."""
+    ADVICE = "advice"
+    """No executor is known to be allowed to run the step: the advisor hasn't answered yet."""
     OTHER = "other limits"
     """Labels or limits per executor exclude the task, or no executor has enough resources."""
--- a/fireflyfork/adapters/_advisor.py
+++ b/fireflyfork/adapters/_advisor.py
@@ -5,6 +5,7 @@
 from abc import ABC, abstractmethod
 from dataclasses import dataclass
 
+from .._errors import AdvisorError
 from .._ids import ExecutorId
 
 
@@ -21,13 +22,17 @@
     """A client of the advisor, which enforces the policies of queues."""
 
     @abstractmethod
-    async def advise(self, step: str, executors: tuple[ExecutorId, ...]) -> Advice | None:
-        """Return which of the given executors may run the step, or None if the advisor doesn't answer."""
+    async def advise(self, step: str, executors: tuple[ExecutorId, ...]) -> Advice:
+        """Return which of the given executors may run the step.
+
+        Raises AdvisorBusyError if the advisor rejects the call, AdvisorTimeoutError if it doesn't
+        answer in time, and AdvisorError if the call fails in another way.
+        """
 
 
 class NoAdvisor(Advisor):
     """Used on platforms without an advisor; it never gives advice."""
 
-    async def advise(self, step: str, executors: tuple[ExecutorId, ...]) -> Advice | None:
-        """Return None: no advisor exists."""
-        return None
+    async def advise(self, step: str, executors: tuple[ExecutorId, ...]) -> Advice:
+        """Raise AdvisorError: no advisor exists."""
+        raise AdvisorError("the platform has no advisor")
--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -169,6 +169,8 @@
         if self._place_on_reserved(task, placement_round, now, now_ms):
             return None
         allowed = self._executors_with_tickets(task, placement_round.usable, now)
+        if task.job.queue.needs_tickets and not allowed:
+            return self._remembered_refusal(task, WaitReason.ADVICE, placement_round, now)
         barred = self._barred(task, now)
         placement_round.barred = barred
         urgent_share = self._state.policies.room.urgent_share()
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -12,6 +12,7 @@
 from math import inf
 
 from ..._ids import ExecutorId, FailureDomainName, JobId, MachineId, ServiceName
+from ..._waits import WaitReason
 from ._arrangement import Arrangement
 from ._commands import AskAdvice, Command
 from ._evacuations import Evacuations
@@ -108,6 +109,11 @@
         """The number of tasks that may start and have no executor."""
         return len(self._state.waiting)
 
+    @property
+    def steps_without_advice(self) -> int:
+        """The number of steps that can't start because the advisor hasn't answered."""
+        return self._state.waiting.count_steps(WaitReason.ADVICE)
+
     @property
     def work_figures(self) -> WorkFigures | None:
         """The latest figures of the work ahead of new jobs; None if nothing is measured."""
--- a/fireflyfork/decisions/jobs/_waiting_tasks.py
+++ b/fireflyfork/decisions/jobs/_waiting_tasks.py
@@ -118,6 +118,10 @@
         """Yield a task of each step, and how many tasks of the step wait."""
         return ((step.tasks[0], len(step.tasks)) for step in self._steps.values() if step.tasks)
 
+    def count_steps(self, reason: WaitReason) -> int:
+        """Return the number of steps that wait for a reason."""
+        return sum(step.reason is reason for step in self._steps.values())
+
     def pop(self, now_ms: int) -> WaitingStep | None:
         """Return the most urgent step that isn't parked, or None.
 
--- a/fireflyfork/operations/_job_account.py
+++ b/fireflyfork/operations/_job_account.py
@@ -36,6 +36,7 @@
     NEXT_ROUND = WaitReason.NEXT_ROUND.value
     TRIAL = WaitReason.TRIAL.value
     NEAR_DATA = WaitReason.NEAR_DATA.value
+    ADVICE = WaitReason.ADVICE.value
     OTHER_WAIT = WaitReason.OTHER.value
     WAITED = "waited a moment"
     """The task had a place at once; the time is the latency of its order."""
--- a/fireflyfork/platform/_advisor_client.py
+++ b/fireflyfork/platform/_advisor_client.py
@@ -3,16 +3,16 @@
 from __future__ import annotations
 
 import msgspec
-from loguru import logger
 
 from .._decoding import Count, decode_json
-from .._errors import InvalidDataError
+from .._errors import AdvisorBusyError, AdvisorError, AdvisorTimeoutError, InvalidDataError
 from .._ids import ExecutorId
 from .._links import Address
-from ..adapters import Advice, Advisor, HttpError
+from ..adapters import Advice, Advisor, HttpError, ResponseTimeoutError
 from ._http_calls import JsonCalls
 from ._names import ADVICE_PATH
 
+BUSY_STATUS = 429
 CALL_TIMEOUT_SECONDS = 2.0
 """The advisor needs time for each executor in a call, and handles the calls of an instance one at a time."""
 
@@ -34,17 +34,19 @@
         """Configure a client, which connects to ``address`` on the first call."""
         self._calls = JsonCalls(address, CALL_TIMEOUT_SECONDS)
 
-    async def advise(self, step: str, executors: tuple[ExecutorId, ...]) -> Advice | None:
+    async def advise(self, step: str, executors: tuple[ExecutorId, ...]) -> Advice:
         """See Advisor."""
         body = msgspec.json.encode(_Question(step, list(executors)))
         try:
             answer = await self._calls.call("POST", ADVICE_PATH, body)
+            if answer.status == BUSY_STATUS:
+                raise AdvisorBusyError("the advisor has too many waiting calls")
             if answer.status != 200:
-                logger.info("advisor call failed", step=step, status=answer.status)
-                return None
+                raise AdvisorError(f"the advisor answered with status {answer.status}")
             advice = decode_json(answer.body, _Answer)
+        except ResponseTimeoutError as error:
+            raise AdvisorTimeoutError(str(error)) from error
         except (HttpError, InvalidDataError) as error:
-            logger.info("advisor call failed", step=step, error=str(error))
-            return None
+            raise AdvisorError(str(error)) from error
         tickets = {ExecutorId(name): ticket for name, ticket in advice.good}
         return Advice(tickets, advice.valid_ms / 1000)
--- a/fireflyfork/programs/owner/_service_owner.py
+++ b/fireflyfork/programs/owner/_service_owner.py
@@ -19,7 +19,6 @@
     QueueTable,
     Scheduler,
     SchedulerSettings,
-    step_name,
 )
 from ...platform import (
     PlatformBounds,
@@ -29,6 +28,7 @@
 from .._external_clients import ExternalClients
 from .._metrics import Metrics
 from .._scheduling_keys import owner_key
+from ._advice_calls import AdviceCalls
 from ._decision_log import DecisionLog
 from ._executor_polls import MAX_UNCONFIRMED_SECONDS, ExecutorPolls
 from ._operator_requests import OperatorRequests
@@ -93,7 +93,6 @@
         self._service: ServiceName = term.service
         self._store = clients.store
         self._calls = RelayedExecutors(clients.executors, clients.loop_time, clients.relay_traffic)
-        self._advisor = clients.advisor
         self._profile = clients.loop_profile
         self._loop_time = clients.loop_time
         self._metrics = metrics
@@ -168,6 +167,14 @@
         self._dispatch_requested = trio.Event()
         self._resigning = False
         self._polled_executors: set[ExecutorState] = set()
+        self._advice = AdviceCalls(
+            self._scheduler,
+            clients.advisor,
+            self._service,
+            clock,
+            metrics,
+            self.request_dispatch,
+        )
         self._orders = RunOrders(
             self._scheduler,
             self._calls,
@@ -369,7 +376,7 @@
                         self.request_dispatch()
             for command in self._scheduler.take_commands():
                 if isinstance(command, AskAdvice):
-                    nursery.start_soon(self._ask_advice, command)
+                    nursery.start_soon(self._advice.ask, command)
                 else:
                     nursery.start_soon(self._orders.carry_out, command)
             with self._profile.section("log of decisions"):
@@ -385,16 +392,6 @@
             self._polled_executors.discard(executor)
             self._orders.forget(executor)
 
-    async def _ask_advice(self, command: AskAdvice) -> None:
-        advice = await self._advisor.advise(step_name(*command.step), command.executors)
-        now, now_ms = self._clock.now(), self._clock.unix_ms()
-        if advice is None:
-            self._scheduler.handle_advice(command, None, 0.0, now, now_ms)
-        else:
-            valid_seconds = advice.valid_seconds
-            self._scheduler.handle_advice(command, advice.tickets, valid_seconds, now, now_ms)
-        self.request_dispatch()
-
 
 def _first_reason(errors: ExceptionGroup[OwnershipLostError]) -> str:
     """Return why the ownership was lost. Each nursery on the way has wrapped the error in a group."""
