Advice: calls to the advisor follow its pace and are not given up and repeated

Cause: each waiting step had a call of its own open, without a limit, and gave it up after 2 s. The advisor handles an instance's calls one at a time, so with more than 2 s of calls in line each came to its turn when its caller had left, or was about to. The repetition went to the end of the line. Load that has passed thus kept the line as long as it was (metastable failure). The cost that the configuration states was dropped by its decoder.

Now: - Steps wait in the owner. A call is sent when the one before is about to be answered (`CallWindow`); owners on one instance share the turn (`AdvisorTurns`). What it is about is decided then: the most urgent step, each fourth time the oldest job (`AdviceRequests`). - A call without an answer at the expected time (decision_ms + each_ms x executors) stays open, and its answer is used. Others follow at intervals that grow to 2 s; at most 8 are open. Calls that fail at once are repeated after 0, 0.25, 0.5, then every 1 s. - A question names as many executors as the step is likely to need, by the share that the queue's policy has permitted so far; with room first, near the data, and after tickets expire those known to be permitted. - Steps whose tickets are for full executors are asked about again, not only when the tickets expire. The margin before expiry is at most a quarter of the validity. A ticket that is rejected takes those of the same answer with it.

Why it works: work at the advisor is bounded by what it can do, whatever waits; none of it is thrown away, so each answer serves a step, and a backlog shrinks by the advisor's full rate. A lost answer can't be told from a slow one, so neither is assumed.

TicketsTest asks through next_question, since a question is now chosen when it may be sent; its assertions stay.

--- a/fireflyfork/_errors.py
+++ b/fireflyfork/_errors.py
@@ -79,10 +79,6 @@
     """The advisor rejected a call because too many calls are waiting."""
 
 
-class AdvisorTimeoutError(AdvisorError):
-    """The advisor did not answer a call in time."""
-
-
 class PeerError(FireflyforkError):
     """The stream to a peer failed, or the peer is not a member that is allowed to connect."""
 
--- a/fireflyfork/_ids.py
+++ b/fireflyfork/_ids.py
@@ -39,4 +39,6 @@
 FencingToken = NewType("FencingToken", int)
 """Increases with each change of owner. An executor refuses tokens lower than the highest that it
 has received."""
+CallNumber = NewType("CallNumber", int)
+"""Numbers the calls of one process to one server, in the order in which they are sent."""
 NodeName = NewType("NodeName", str)
--- a/fireflyfork/adapters/_http.py
+++ b/fireflyfork/adapters/_http.py
@@ -42,10 +42,6 @@
     """A body is longer than the receiver accepts."""
 
 
-class ResponseTimeoutError(HttpError):
-    """No response, or no further part of it, arrived in time."""
-
-
 class ConnectError(HttpError):
     """No connection could be made, so no part of the request has reached the server."""
 
--- a/fireflyfork/adapters/_http_client.py
+++ b/fireflyfork/adapters/_http_client.py
@@ -20,7 +20,6 @@
     HttpEvent,
     RequestHead,
     ResponseHead,
-    ResponseTimeoutError,
     collect,
     find_header,
     read_event,
@@ -247,7 +246,7 @@
             if connection is None:
                 raise ConnectError(f"can't connect to {self._address} in time") from error
             self._last_call_failed = True
-            raise ResponseTimeoutError(f"no answer from {self._address} in time") from error
+            raise HttpError(f"no answer from {self._address} in time") from error
         except HttpError:
             # A refused connection says nothing about the state of the idle connections.
             self._last_call_failed = self._last_call_failed or connection is not None
--- a/fireflyfork/decisions/jobs/__init__.py
+++ b/fireflyfork/decisions/jobs/__init__.py
@@ -1,8 +1,9 @@
 """The scheduling decisions of the owner of a service, for jobs made of steps of tasks."""
 
 from ..._waits import WaitReason
+from ._call_window import CallWindow, OpenCall
 from ._change_log import ChangeLog
-from ._commands import AskAdvice, Command, PaceRun, RunCommand, StartRun, StopRun
+from ._commands import AskAdvice, PaceRun, RunCommand, StartRun, StopRun
 from ._executors import ExecutorRegistration, ExecutorRoom, ExecutorState
 from ._instance_standing import (
     MAX_BID_DELAY,
@@ -49,7 +50,7 @@
     PreemptionSettings,
 )
 from ._progress import JobState, StoredProgress, StoredTask
-from ._queues import QueueConfiguration, QueueTable, queue_table
+from ._queues import AdviceTerms, QueueConfiguration, QueueTable, queue_table
 from ._registration_age import RegistrationAge
 from ._reports import (
     CallOutcome,
@@ -91,11 +92,12 @@
     "NO_POLICIES",
     "SUFFICIENT_STRENGTH",
     "AdmissionSettings",
+    "AdviceTerms",
     "ArrangementSettings",
     "AskAdvice",
     "CallOutcome",
+    "CallWindow",
     "ChangeLog",
-    "Command",
     "EndReason",
     "EndedRow",
     "EstimateSettings",
@@ -116,6 +118,7 @@
     "MachineState",
     "MoveReason",
     "Note",
+    "OpenCall",
     "OrderAnswer",
     "OwnershipSettings",
     "PaceRun",
--- a/fireflyfork/decisions/jobs/_commands.py
+++ b/fireflyfork/decisions/jobs/_commands.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from ..._ids import ExecutorId
+from ..._ids import ExecutorId, QueueName
 from ._runs import Run
 from ._tickets import StepId
 
@@ -31,13 +31,17 @@
     percent: int
 
 
+RunCommand = StartRun | StopRun | PaceRun
+
+
 @dataclass(frozen=True, slots=True)
 class AskAdvice:
     """Ask the advisor which of these executors may run a step."""
 
     step: StepId
     executors: tuple[ExecutorId, ...]
-
-
-RunCommand = StartRun | StopRun | PaceRun
-Command = RunCommand | AskAdvice
+    queue: QueueName
+    cost_seconds: float
+    """The time that the advisor is said to take for the answer."""
+    valid_seconds: float
+    """How long tickets are valid if the answer doesn't say so."""
--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -7,11 +7,11 @@
 
 from ..._waits import WaitReason
 from ._candidates import EXECUTORS_PER_BATCH, Candidates
-from ._commands import AskAdvice, StartRun
+from ._commands import StartRun
 from ._cost_caches import CostCaches
 from ._executors import ExecutorState
 from ._free_room import FreeRoom, RoomGains
-from ._gangs import gang_members, next_attempt, place_together
+from ._gangs import next_attempt, place_together
 from ._notes import TaskSent
 from ._placement_costs import choose, is_allowed, is_far_from_data
 from ._placement_round import PlacementRound
@@ -164,11 +164,20 @@
 
     def _place_task(
         self, task: Task, placement_round: PlacementRound, now: float, now_ms: int
+    ) -> Refusal | None:
+        """Start a task, or return why no executor can run it; then it may want further tickets."""
+        refusal = self._try_task(task, placement_round, now, now_ms)
+        if refusal is not None and task.job.queue.needs_tickets:
+            self._state.tickets.want(task.step_id)
+        return refusal
+
+    def _try_task(
+        self, task: Task, placement_round: PlacementRound, now: float, now_ms: int
     ) -> Refusal | None:
         """Start a task, or return why no executor can run it."""
         if self._place_on_reserved(task, placement_round, now, now_ms):
             return None
-        allowed = self._executors_with_tickets(task, placement_round.usable, now)
+        allowed = self._permitted_executors(task, placement_round.usable, now)
         if task.job.queue.needs_tickets and not allowed:
             return self._remembered_refusal(task, WaitReason.ADVICE, placement_round, now)
         barred = self._barred(task, now)
@@ -305,7 +314,7 @@
             if not has_single_run or task.key not in task.job.tasks or task.job.state.is_final:
                 continue
             other_usable = other_executors(
-                task, self._executors_with_tickets(task, placement_round.usable, now)
+                task, self._permitted_executors(task, placement_round.usable, now)
             )
             barred = self._barred(task, now)
             other_usable = [each for each in other_usable if each not in barred]
@@ -341,36 +350,13 @@
             placement_round.candidates[key] = candidates
         return candidates
 
-    def _executors_with_tickets(
+    def _permitted_executors(
         self, task: Task, usable: list[ExecutorState], now: float
     ) -> list[ExecutorState]:
-        """Return the executors that may run a task; ask the advisor if too few are known."""
+        """Return the usable executors that a task may be sent to: those with a valid ticket, if its
+        queue needs tickets."""
         if not task.job.queue.needs_tickets:
             return usable
-        step = task.step_id
-        allowed = self._ticket_holders(task, now)
-        if len(allowed) >= min(len(gang_members(task)), len(usable)):
-            return allowed
-        if self._state.tickets.may_ask(step, now):
-            cost = self._state.policies.estimates.extra_cost
-            # An avoided executor is empty, and would be the first one to be asked for.
-            usable = [each for each in usable if cost(task, each) < inf] or usable
-            free = sorted(
-                usable,
-                key=lambda executor: executor.used_cpu_millis
-                - executor.registration.room.cpu_millis,
-            )
-            allowed_names = {executor.executor for executor in allowed}
-            names = [
-                executor.executor for executor in free if executor.executor not in allowed_names
-            ]
-            asked = self._state.tickets.begin_question(step, names, now)
-            if asked:
-                self._state.commands.append(AskAdvice(step, asked))
-        return allowed
-
-    def _ticket_holders(self, task: Task, now: float) -> list[ExecutorState]:
-        """Return the usable executors for which a step has valid tickets."""
         tickets, step = self._state.tickets, task.step_id
         known = (self._state.executors.get(name) for name in tickets.holders(step))
         return [
--- a/fireflyfork/decisions/jobs/_queues.py
+++ b/fireflyfork/decisions/jobs/_queues.py
@@ -8,6 +8,18 @@
 from ..._ids import ConfigurationVersion, QueueName, ServiceName
 
 
+@dataclass(frozen=True, slots=True)
+class AdviceTerms:
+    """What the configuration says about the advisor's answers, in seconds."""
+
+    decision_seconds: float = 0.0
+    """The time that an answer takes, besides that for each executor."""
+    executor_seconds: float = 0.0
+    """The additional time for each executor that is asked about."""
+    valid_seconds: float = 0.0
+    """How long a ticket is valid."""
+
+
 @dataclass(frozen=True, slots=True)
 class QueueConfiguration:
     """The configuration of one queue."""
@@ -29,6 +41,8 @@
     needs_tickets: bool = False
     """Whether an advisor decides which executors may run a step; starts then carry the advisor's
     tickets."""
+    advice: AdviceTerms = AdviceTerms()
+    """Used if ``needs_tickets``."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -13,8 +13,9 @@
 
 from ..._ids import ExecutorId, FailureDomainName, JobId, MachineId, ServiceName
 from ..._waits import WaitReason
+from ._advice_requests import AdviceRequests
 from ._arrangement import Arrangement
-from ._commands import AskAdvice, Command
+from ._commands import AskAdvice, RunCommand
 from ._evacuations import Evacuations
 from ._executors import ExecutorRegistration, ExecutorState
 from ._interference import LearnedFit
@@ -85,6 +86,7 @@
         self._state.interference.groups = ImageGroups(settings.policies.arrangement.image_groups)
         self._report_handler = ReportHandler(self._state, int(settings.max_lease * 1000))
         self._placement = Placement(self._state)
+        self._advice_requests = AdviceRequests(self._state)
         self._time_checks = TimeChecks(self._state)
         self._stragglers = Stragglers(self._state)
         self._paced_runs = PacedRuns(self._state)
@@ -114,12 +116,17 @@
         """The number of steps that can't start because the advisor hasn't answered."""
         return self._state.waiting.count_steps(WaitReason.ADVICE)
 
+    @property
+    def advice_backlog_seconds(self) -> float:
+        """The time that the advisor takes to answer about all steps that want its advice."""
+        return self._advice_requests.backlog_seconds
+
     @property
     def work_figures(self) -> WorkFigures | None:
         """The latest figures of the work ahead of new jobs; None if nothing is measured."""
         return self._state.policies.load.figures
 
-    def take_commands(self) -> list[Command]:
+    def take_commands(self) -> list[RunCommand]:
         """Return the pending commands and clear them."""
         commands, self._state.commands = self._state.commands, []
         return commands
@@ -332,6 +339,19 @@
             while executor.unstored_ends and executor.unstored_ends[0][1] <= stored:
                 executor.forgettable_end = executor.unstored_ends.popleft()[0]
 
+    @property
+    def wants_advice(self) -> bool:
+        """Whether a step wants advice, so that ``next_question`` may return a question."""
+        return self._advice_requests.waiting_steps > 0
+
+    def next_question(self, now: float, now_ms: int) -> AskAdvice | None:
+        """Return the question that the advisor should answer next, or None if there is none."""
+        return self._advice_requests.next(now, now_ms)
+
+    def question_sent(self, question: AskAdvice, due_at: float) -> None:
+        """Record that a question was sent. It may be repeated after ``due_at``."""
+        self._advice_requests.sent(question, due_at)
+
     def handle_advice(
         self,
         question: AskAdvice,
@@ -340,16 +360,23 @@
         now: float,
         now_ms: int,
     ) -> None:
-        """Handle the advisor's answer: tickets valid for ``seconds``, or None without an answer."""
+        """Handle the advisor's answer: tickets valid for ``seconds``, or None without an answer.
+
+        An answer may come after the question was repeated.
+        """
+        job = self.jobs.get(question.step[0])
+        if job is None or job.state.is_final:
+            return
         if tickets is None:
             self._state.tickets.not_answered(question.step, now)
             return
         granted = {
-            name: Ticket(text, now + seconds, self.executors[name].registration.incarnation)
+            name: Ticket.received(text, seconds, executor.registration.incarnation, now)
             for name, text in tickets.items()
-            if name in self.executors
+            if (executor := self.executors.get(name)) is not None
         }
-        self._state.tickets.answered(question.step, question.executors, granted, now)
+        self._advice_requests.learn(question, set(tickets))
+        self._state.tickets.answered(question.step, question.executors, granted, granted, now)
         self._state.waiting.retry_step(question.step, now_ms)
 
     @property
--- a/fireflyfork/decisions/jobs/_service_state.py
+++ b/fireflyfork/decisions/jobs/_service_state.py
@@ -6,7 +6,7 @@
 
 from ..._ids import AttemptNumber, ExecutorId
 from ..._waits import WaitReason
-from ._commands import Command, StopRun
+from ._commands import RunCommand, StopRun
 from ._executors import ExecutorRegistration, ExecutorState
 from ._gangs import gang_members, has_no_runs
 from ._interference import InterferenceModel
@@ -49,7 +49,7 @@
         self.tickets = TicketBook()
         self.move_reservations = MoveReservations()
         self.policies = Policies()
-        self.commands: list[Command] = []
+        self.commands: list[RunCommand] = []
         self.notes: list[Note] = []
         self.waiting = WaitingTasks(
             lambda task: self.move_reservations.destination(task) is not None,
--- a/fireflyfork/decisions/jobs/_waiting_tasks.py
+++ b/fireflyfork/decisions/jobs/_waiting_tasks.py
@@ -122,6 +122,11 @@
         """Return the number of steps that wait for a reason."""
         return sum(step.reason is reason for step in self._steps.values())
 
+    def tasks_of_step(self, step_id: StepId) -> list[Task]:
+        """Return the waiting tasks of one step, apart from those that are queued separately."""
+        steps = (self._steps.get((step_id, ran_before)) for ran_before in (False, True))
+        return [task for step in steps if step is not None for task in step.tasks]
+
     def pop(self, now_ms: int) -> WaitingStep | None:
         """Return the most urgent step that isn't parked, or None.
 
--- a/fireflyfork/decisions/jobs/tests/test_scheduler.py
+++ b/fireflyfork/decisions/jobs/tests/test_scheduler.py
@@ -787,9 +787,11 @@
 
     def _ask(self) -> AskAdvice:
         self.owner.scheduler.place(self.owner.now, START_MS)
-        commands = self.owner.scheduler.take_commands()
-        (question,) = (command for command in commands if isinstance(command, AskAdvice))
-        self.assertEqual(len(commands), 1)
+        self.assertEqual(self.owner.scheduler.take_commands(), [])
+        question = self.owner.scheduler.next_question(self.owner.now, START_MS)
+        assert question is not None
+        self.owner.scheduler.question_sent(question, self.owner.now + 1.0)
+        self.assertIsNone(self.owner.scheduler.next_question(self.owner.now, START_MS))
         return question
 
     def _answer(self, question: AskAdvice, tickets: dict[ExecutorId, str] | None) -> None:
@@ -811,6 +813,7 @@
         self._answer(self._ask(), None)
         self.owner.scheduler.place(self.owner.now, START_MS)
         self.assertEqual(self.owner.scheduler.take_commands(), [])
+        self.assertIsNone(self.owner.scheduler.next_question(self.owner.now, START_MS))
         self.owner.tick(0.3)
         self._ask()
 
--- a/fireflyfork/platform/_configuration.py
+++ b/fireflyfork/platform/_configuration.py
@@ -7,11 +7,15 @@
 from .._decoding import Count, Integer, decode_json
 from .._errors import InvalidDataError, SettingsError
 from .._ids import ConfigurationVersion, QueueName, ServiceName
-from ..decisions.jobs import QueueConfiguration, QueueTable, queue_table
+from ..decisions.jobs import AdviceTerms, QueueConfiguration, QueueTable, queue_table
 
 
 class _Advice(msgspec.Struct):
-    """Settings of the advisor. Their values aren't used; a route that has them requires tickets."""
+    """The cost and validity of the advisor's answers; a route that has them requires tickets."""
+
+    decision_ms: Count = 0
+    each_ms: Count = 0
+    valid_ms: Count = 0
 
 
 class _Route(msgspec.Struct):
@@ -62,4 +66,11 @@
         target_latency_ms=route.target_latency_ms,
         timeout_ms=route.timeout_ms,
         needs_tickets=route.advice is not None,
+        advice=_advice_terms(route.advice),
     )
+
+
+def _advice_terms(advice: _Advice | None) -> AdviceTerms:
+    if advice is None:
+        return AdviceTerms()
+    return AdviceTerms(advice.decision_ms / 1000, advice.each_ms / 1000, advice.valid_ms / 1000)
--- a/fireflyfork/programs/_external_clients.py
+++ b/fireflyfork/programs/_external_clients.py
@@ -15,6 +15,7 @@
     RelayTraffic,
     ReplicaPeers,
 )
+from ._advisor_turns import AdvisorTurns
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,6 +32,8 @@
     """Creates a client of executors for the calls of one owner on another instance."""
     loop_profile: LoopProfile = field(default_factory=LoopProfile)
     """Measures which activities use the processor time."""
+    advisor_turns: AdvisorTurns = field(default_factory=AdvisorTurns)
+    """Limits the calls to the advisor of all owners on the instance."""
     relay_traffic: RelayTraffic = field(default_factory=RelayTraffic)
     """Counts the bytes that owners on this instance exchange with relays."""
     replica_peers: ReplicaPeers | None = None
--- a/fireflyfork/programs/owner/_service_owner.py
+++ b/fireflyfork/programs/owner/_service_owner.py
@@ -13,7 +13,6 @@
 )
 from ...decisions.jobs import (
     NO_POLICIES,
-    AskAdvice,
     ExecutorState,
     PolicySettings,
     QueueTable,
@@ -170,6 +169,7 @@
         self._advice = AdviceCalls(
             self._scheduler,
             clients.advisor,
+            clients.advisor_turns,
             self._service,
             clock,
             metrics,
@@ -248,6 +248,7 @@
                 nursery.start_soon(self._remove_old_jobs)
                 nursery.start_soon(self._upkeep.run)
                 nursery.start_soon(self._calls.run)
+                nursery.start_soon(self._advice.run)
                 await self._succession.connect_relays()
                 nursery.start_soon(
                     self._succession.follow_others, lambda: self.resign(HAND_OVER_SECONDS)
@@ -375,10 +376,8 @@
                     if self._scheduler.place(started_at, self._clock.unix_ms()):
                         self.request_dispatch()
             for command in self._scheduler.take_commands():
-                if isinstance(command, AskAdvice):
-                    nursery.start_soon(self._advice.ask, command)
-                else:
-                    nursery.start_soon(self._orders.carry_out, command)
+                nursery.start_soon(self._orders.carry_out, command)
+            self._advice.wake()
             with self._profile.section("log of decisions"):
                 self._decision_log.write(self._scheduler.take_notes())
             self._journal.notify()
--- a/fireflyfork/programs/owner/tests/builders_advice.py
+++ b/fireflyfork/programs/owner/tests/builders_advice.py
@@ -18,7 +18,7 @@
         self.calls: list[tuple[str, tuple[str, ...]]] = []
         """Step and executors of each call."""
 
-    async def advise(self, step: str, executors: tuple[str, ...]) -> Advice:
+    async def advise(self, step: str, executors: tuple[str, ...], fresh: bool = False) -> Advice:
         """See Advisor."""
         self.calls.append((step, executors))
         return await self._answer(step, executors)
--- a/fireflyfork_standins/scheduling/_day.py
+++ b/fireflyfork_standins/scheduling/_day.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 
 import trio
@@ -14,8 +14,10 @@
     JobId,
     QueueName,
     ServiceName,
+    TaskName,
 )
 from fireflyfork.decisions.jobs import (
+    AdviceTerms,
     EndReason,
     ExecutorRoom,
     JobSpec,
@@ -28,6 +30,7 @@
 from fireflyfork.platform import PlatformBounds, is_completed_status, wave_status_key
 from fireflyfork.programs._scheduling_keys import JOB_PREFIX
 
+from ._advisor import AdvisorProfile, StandInAdvisor
 from ._deterministic_run import run_deterministically
 from ._executors import MAX_LEASE_SECONDS, StandInExecutor
 from ._history import History, Violation
@@ -46,6 +49,15 @@
 executors is 9 s, and some tasks have to run one after the other."""
 
 
+@dataclass(frozen=True, slots=True)
+class Burst:
+    """A time of more traffic, in seconds from the start of the traffic."""
+
+    at: float
+    seconds: float
+    factor: float
+
+
 @dataclass(frozen=True, slots=True)
 class Profile:
     """The settings of a day."""
@@ -78,6 +90,9 @@
     that never changes."""
     planned_troubles: tuple[tuple[float, str], ...] = ()
     """Times from the start of the traffic, in seconds, and the kinds of trouble to inject then."""
+    advisor: AdvisorProfile | None = None
+    """The advisor whose tickets all starts need, if any."""
+    burst: Burst | None = None
 
 
 @dataclass(slots=True)
@@ -105,6 +120,13 @@
     """Number of bytes on the link between the regions by kind of traffic, both directions together."""
     configuration_bytes: int = 0
     """Number of bytes that all versions of the configuration take if each crosses the link once."""
+    first_starts: list[tuple[float, float]] = field(default_factory=list)
+    """For each accepted job that started: when it was accepted, in seconds from the start of the
+    traffic, and how long its first task waited."""
+    advisor_calls: dict[str, int] = field(default_factory=dict)
+    """See ``StandInAdvisor.counts``."""
+    most_waiting_calls: int = 0
+    """The most calls of one instance that waited at the advisor at a time."""
 
 
 def run_day(seed: int, profile: Profile) -> Report:
@@ -112,6 +134,10 @@
     return run_deterministically(seed, lambda: _Day(seed, profile).run())
 
 
+def _terms(advisor: AdvisorProfile) -> AdviceTerms:
+    return AdviceTerms(advisor.decision_seconds, advisor.executor_seconds, advisor.valid_seconds)
+
+
 class _Day:
     def __init__(self, seed: int, profile: Profile) -> None:
         self._profile = profile
@@ -119,7 +145,9 @@
         self._history = History()
         self._store = StandInStore(self._random)
         self._map = RegionMap(profile.regions, profile.instances, profile.executors)
-        self._executors = {
+        self._executors: dict[ExecutorId, StandInExecutor] = {}
+        self._advisor = self._make_advisor()
+        self._executors |= {
             (name := ExecutorId(f"i-{number}")): StandInExecutor(
                 name,
                 SERVICE,
@@ -129,6 +157,7 @@
                 self._random,
                 max_lease_seconds=profile.max_lease_seconds,
                 failure_domain=self._map.executor_domain(number),
+                ticket_check=self._has_ticket,
             )
             for number in range(profile.executors)
         }
@@ -136,6 +165,8 @@
         self._history.checks_budgets = not (profile.troubles or profile.planned_troubles)
         self._history.listing_counts = profile.listing_counts
         queue = QueueConfiguration(QueueName("q"), "h", "/q/", SERVICE, 0, 3, 2.0, 1000, 3000)
+        if profile.advisor is not None:
+            queue = replace(queue, needs_tickets=True, advice=_terms(profile.advisor))
         table = queue_table(ConfigurationVersion(1), (queue,), frozenset({SERVICE}))
         longest = profile.max_lease_seconds
         bounds = PlatformBounds(longest, 0.2, 6.0, profile.retention_seconds, 2.5, 2.5)
@@ -152,6 +183,7 @@
                 self._machines,
                 profile.thin_link_mbps if number < profile.thin_instances else LINK_MBPS,
                 self._map.site(number, bounds.configuration_delay),
+                self._advisor,
             )
             for number in range(profile.instances)
         ]
@@ -165,7 +197,9 @@
             profile.troubles,
             profile.seconds,
             profile.trouble_gap_seconds,
+            self._advisor,
         )
+        self._began = 0.0
         self._report = Report(self._history.violations, troubles=self._troubles.log)
         self._refused_only: set[JobId] = set()
 
@@ -209,6 +243,14 @@
         self._report.remaining_jobs = len(self._store.items_under(JOB_PREFIX))
         self._report.store_calls = self._store.calls
         self._report.ends = dict(self._history.ends)
+        self._report.first_starts = [
+            (accepted - self._began, self._history.first_starts[job] - accepted)
+            for job, accepted in self._history.acknowledged.items()
+            if job in self._history.first_starts
+        ]
+        if self._advisor is not None:
+            self._report.advisor_calls = dict(self._advisor.counts)
+            self._report.most_waiting_calls = self._advisor.most_waiting
         if self._map.link is not None and self._operator is not None:
             self._report.link_bytes = self._map.link.crossed
             self._report.configuration_bytes = self._operator.carried_bytes
@@ -225,13 +267,29 @@
             self._report.longest_without_owner = max(self._report.longest_without_owner, without)
 
     async def _callers(self, nursery: trio.Nursery) -> None:
-        end = trio.current_time() + self._profile.seconds
+        self._began = trio.current_time()
+        end = self._began + self._profile.seconds
         number = 0
         while trio.current_time() < end:
-            await trio.sleep(self._random.expovariate(self._profile.jobs_per_second))
+            await trio.sleep(self._random.expovariate(self._jobs_per_second()))
             number += 1
             nursery.start_soon(self._caller, JobId(f"{number:016x}"))
 
+    def _jobs_per_second(self) -> float:
+        burst, usual = self._profile.burst, self._profile.jobs_per_second
+        now = trio.current_time() - self._began
+        if burst is None or not burst.at <= now < burst.at + burst.seconds:
+            return usual
+        return usual * burst.factor
+
+    def _make_advisor(self) -> StandInAdvisor | None:
+        if self._profile.advisor is None:
+            return None
+        return StandInAdvisor(self._profile.advisor, self._random, self._executors)
+
+    def _has_ticket(self, executor: ExecutorId, task: TaskName, ticket: str) -> bool:
+        return self._advisor is None or self._advisor.is_valid(executor, task, ticket)
+
     async def _caller(self, name: JobId) -> None:
         spec = self._draw_job(name)
         self._history.jobs[name] = spec
--- a/fireflyfork_standins/scheduling/_executors.py
+++ b/fireflyfork_standins/scheduling/_executors.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
 
@@ -46,6 +47,9 @@
 """Default failure domain of executors."""
 
 
+TicketCheck = Callable[[ExecutorId, TaskName, str], bool]
+
+
 @dataclass(slots=True)
 class ExecutorTrouble:
     """Failures that currently affect one executor."""
@@ -113,9 +117,14 @@
         address: Address = PLACEHOLDER_ADDRESS,
         max_lease_seconds: float = MAX_LEASE_SECONDS,
         failure_domain: FailureDomainName = FAILURE_DOMAIN,
+        ticket_check: TicketCheck = lambda executor, task, ticket: True,
     ) -> None:
-        """Create an executor that registers with ``address`` when ``run`` is called."""
+        """Create an executor that registers with ``address`` when ``run`` is called.
+
+        ``ticket_check`` returns whether a start of a task on an executor carries a valid ticket.
+        """
         self.executor = executor
+        self._ticket_check = ticket_check
         self.trouble = ExecutorTrouble()
         self.up = True
         self._service = service
@@ -202,6 +211,8 @@
             self._history.record_start(self._id(order.task, order.attempt))
             return CallOutcome.MALFORMED
         step = spec.steps[parsed[1].step]
+        if not self._ticket_check(self.executor, order.task, order.ticket):
+            return CallOutcome.NO_TICKET
         self._history.record_start(self._id(order.task, order.attempt))
         self._history.check_evacuation(self._failure_domain, order.task)
         if not self._fits(step):
--- a/fireflyfork_standins/scheduling/_history.py
+++ b/fireflyfork_standins/scheduling/_history.py
@@ -68,6 +68,8 @@
     evacuated_since: dict[FailureDomainName, float] = field(default_factory=dict)
     """The failure domains that the operator has asked to evacuate, with the time of the request."""
     starts: int = 0
+    first_starts: dict[JobId, float] = field(default_factory=dict)
+    """When the first task of each job started."""
     ends: dict[EndReason, int] = field(default_factory=lambda: defaultdict(int))
     _runs: dict[TaskName, list[_Run]] = field(default_factory=lambda: defaultdict(list))
 
@@ -81,6 +83,7 @@
         if parsed is None or spec is None:
             self.record_violation("asked for", f"{task} belongs to no job")
             return
+        self.first_starts.setdefault(spec.job, now)
         key = parsed[1]
         step = spec.steps[key.step]
         self._check_concurrent_runs(task, step)
--- a/fireflyfork_standins/scheduling/_nodes.py
+++ b/fireflyfork_standins/scheduling/_nodes.py
@@ -18,6 +18,8 @@
     TaskName,
 )
 from fireflyfork.adapters import (
+    Advice,
+    Advisor,
     CoordinationStore,
     ExecutorCalls,
     ExecutorEndpoint,
@@ -47,6 +49,7 @@
 from fireflyfork.programs.owner._operator_requests import OperatorRequests
 from fireflyfork.programs.owner._service_candidate import ServiceCandidate
 
+from ._advisor import StandInAdvisor, StandInAdvisorCalls
 from ._configuration_sources import ConfigurationSource, FixedConfiguration
 from ._executor_calls import StandInExecutorCalls
 from ._executors import StandInExecutor
@@ -206,6 +209,22 @@
         return outcome
 
 
+class _FreezableAdvisor(Advisor):
+    """The calls of an instance to the advisor, held back while the instance is frozen."""
+
+    def __init__(self, inner: Advisor, node: StandInNode) -> None:
+        self._inner = inner
+        self._node = node
+
+    async def advise(
+        self, step: str, executors: tuple[ExecutorId, ...], fresh: bool = False
+    ) -> Advice:
+        await self._node.wait_awake()
+        advice = await self._inner.advise(step, executors, fresh)
+        await self._node.wait_awake()
+        return advice
+
+
 class StandInNode:
     """One instance of the scheduler, across restarts of its process."""
 
@@ -221,6 +240,7 @@
         machines: StandInMachines,
         link_mbps: float,
         site: Site | None = None,
+        advisor: StandInAdvisor | None = None,
     ) -> None:
         """Create an instance whose process isn't started.
 
@@ -231,6 +251,7 @@
         self._link_mbps = link_mbps
         self._service = service
         self._site = site
+        self._advisor = advisor
         local_store = store.client(name, link_mbps)
         self._reached_store = local_store if site is None else site.store(local_store)
         self._store = _FreezableStore(self._reached_store, self)
@@ -298,7 +319,7 @@
             ExternalClients(
                 self._store,
                 calls,
-                NoAdvisor(),
+                self._advisor_calls(nursery),
                 _FreezableMachineCalls(self._machines.client(nursery), self),
                 LoopTime(),
                 lambda: calls,
@@ -325,6 +346,11 @@
         self._process_scope = None
         self._candidate = None
 
+    def _advisor_calls(self, nursery: trio.Nursery) -> Advisor:
+        if self._advisor is None:
+            return NoAdvisor()
+        return _FreezableAdvisor(StandInAdvisorCalls(self.name, self._advisor, nursery), self)
+
     def kill(self) -> None:
         """End the process at once."""
         self.thaw()
--- a/fireflyfork_standins/scheduling/_troubles.py
+++ b/fireflyfork_standins/scheduling/_troubles.py
@@ -9,6 +9,7 @@
 from fireflyfork._ids import ExecutorId, ServiceName
 from fireflyfork.programs._scheduling_keys import owner_key
 
+from ._advisor import AdvisorTrouble, StandInAdvisor
 from ._executors import StandInExecutor
 from ._machines import StandInMachines
 from ._nodes import StandInNode
@@ -42,6 +43,15 @@
 INCARNATION_TROUBLES = ("executor_flaps", "executor_reborn_cut", "executor_cut", "unregistered")
 """Kinds of trouble in which executors restart under their ids, repeatedly or just before a network
 partition."""
+ADVISOR_TROUBLES = (
+    "advisor_slow",
+    "advisor_slow_call",
+    "advisor_loses_answers",
+    "advisor_resets",
+    "advisor_late",
+    "advisor_refuses",
+)
+"""Kinds of trouble of days with an advisor."""
 RESTART_SECONDS = 0.7
 FLAPS = 4
 FLAP_SECONDS = (0.3, 1.4)
@@ -65,6 +75,7 @@
         kinds: tuple[str, ...],
         seconds: float,
         gap_seconds: float,
+        advisor: StandInAdvisor | None = None,
     ) -> None:
         """Prepare to draw from ``kinds`` for ``seconds``, every ``gap_seconds`` on average."""
         self.log: list[str] = []
@@ -80,6 +91,7 @@
         self._kinds = kinds
         self._seconds = seconds
         self._gap_seconds = gap_seconds
+        self._advisor_trouble = AdvisorTrouble() if advisor is None else advisor.trouble
 
     async def run(self, nursery: trio.Nursery) -> None:
         """Inject random trouble until the day's traffic ends.
@@ -282,6 +294,39 @@
         await trio.sleep(self._for_seconds())
         executor.trouble.speed = 1.0
 
+    async def _advisor_slow(self, _: trio.Nursery) -> None:
+        trouble = self._advisor_trouble
+        trouble.slowness = self._random.uniform(3.0, 20.0)
+        await trio.sleep(self._for_seconds())
+        trouble.slowness = 1.0
+
+    async def _advisor_slow_call(self, _: trio.Nursery) -> None:
+        self._advisor_trouble.next_call_seconds = self._for_seconds()
+
+    async def _advisor_loses_answers(self, _: trio.Nursery) -> None:
+        trouble = self._advisor_trouble
+        trouble.loses_answers = True
+        await trio.sleep(self._for_seconds())
+        trouble.loses_answers = False
+
+    async def _advisor_resets(self, _: trio.Nursery) -> None:
+        trouble = self._advisor_trouble
+        trouble.reset_share = self._random.choice((0.3, 1.0))
+        await trio.sleep(self._for_seconds())
+        trouble.reset_share = 0.0
+
+    async def _advisor_late(self, _: trio.Nursery) -> None:
+        trouble = self._advisor_trouble
+        trouble.late_seconds = self._random.uniform(0.3, 4.0)
+        await trio.sleep(self._for_seconds())
+        trouble.late_seconds = 0.0
+
+    async def _advisor_refuses(self, _: trio.Nursery) -> None:
+        trouble = self._advisor_trouble
+        trouble.refuses = True
+        await trio.sleep(self._for_seconds())
+        trouble.refuses = False
+
     async def _unregistered(self, _: trio.Nursery) -> None:
         executor = self._some_executor()
         if executor.up:
--- a/fireflyfork_standins/scheduling/_wire_executor.py
+++ b/fireflyfork_standins/scheduling/_wire_executor.py
@@ -25,6 +25,7 @@
     CallOutcome.STALE_ATTEMPT: (409, "old"),
     CallOutcome.PAST_DEADLINE: (409, "late"),
     CallOutcome.NO_ROOM: (409, "room"),
+    CallOutcome.NO_TICKET: (409, "ticket"),
     CallOutcome.MALFORMED: (400, ""),
 }
 _END_REASONS = {
@@ -46,6 +47,7 @@
     spec: str = ""
     deadline_ms: int | None = None
     checkpoint: str = ""
+    ticket: str = ""
     percent: int = 100
     last_seen: int = 0
     wait_ms: int = 0
@@ -72,7 +74,12 @@
         match exchange.head.target:
             case "/run-start":
                 order = StartRequest(
-                    task, attempt, call.spec, call.deadline_ms or 0, call.checkpoint
+                    task,
+                    attempt,
+                    call.spec,
+                    call.deadline_ms or 0,
+                    call.checkpoint,
+                    call.ticket,
                 )
                 await _answer(exchange, await self._calls.start(self._place, token, order))
             case "/run-stop":
--- a/fireflyfork_standins/scheduling/_wire_platform.py
+++ b/fireflyfork_standins/scheduling/_wire_platform.py
@@ -8,16 +8,18 @@
 import msgspec
 import trio
 
-from fireflyfork._ids import ExecutorId, NodeName, ServiceName
+from fireflyfork._ids import ExecutorId, NodeName, ServiceName, TaskName
 from fireflyfork._links import Address
 from fireflyfork.adapters import ANY_INCARNATION, ExecutorEndpoint, HttpHandler, HttpServer, listen
 from fireflyfork.decisions.jobs import ExecutorRoom
 from fireflyfork.platform import CONFIGURATION_KEY
 
+from ._advisor import AdvisorProfile, StandInAdvisor
 from ._executor_calls import StandInExecutorCalls
 from ._executors import StandInExecutor
 from ._history import History
 from ._store import StandInStore
+from ._wire_advisor import AdvisorHttpHandler
 from ._wire_executor import ExecutorHttpHandler
 from ._wire_store import StoreHttpHandler
 
@@ -37,6 +39,9 @@
     scheduler."""
     executors: int = 4
     instances: int = 2
+    has_advisor: bool = False
+    """Whether there is an advisor, with a port for each instance after all other ports. The advisor
+    distinguishes the instances by their ports, since all of them have the same address."""
 
     @property
     def store(self) -> Address:
@@ -55,6 +60,10 @@
         """Return the address at which an instance reports its readiness."""
         return Address(HOST, self._base(number) + 1)
 
+    def advisor(self, number: int) -> Address:
+        """Return the address at which an instance reaches the advisor."""
+        return Address(HOST, self._base(self.instances) + number)
+
     def settings(self, number: int) -> str:
         """Return the text of the settings file of an instance."""
         base = self._base(number)
@@ -77,6 +86,7 @@
                 "bounds.config_apply_ms=2500",
                 "bounds.drain_ms=2500",
                 f"platform.address={self.store}",
+                *((f"advice={self.advisor(number)}",) if self.has_advisor else ()),
                 "",
             )
         )
@@ -88,13 +98,16 @@
 class WirePlatform:
     """The store and the executors, served over HTTP."""
 
-    def __init__(self, layout: WireLayout, random: Random) -> None:
-        """Create the store and the executors; ``run`` serves them."""
+    def __init__(
+        self, layout: WireLayout, random: Random, advisor: AdvisorProfile | None = None
+    ) -> None:
+        """Create the store, the executors and the advisor, if any; ``run`` serves them."""
         self.history = History()
+        self._executors: dict[ExecutorId, StandInExecutor] = {}
+        self.advisor = None if advisor is None else self._make_advisor(advisor, random)
         self.store = StandInStore(random)
         self._layout = layout
         self._random = random
-        self._executors: dict[ExecutorId, StandInExecutor] = {}
         for number in range(layout.executors):
             name = ExecutorId(f"i-{number}")
             self._executors[name] = StandInExecutor(
@@ -105,6 +118,7 @@
                 self.history,
                 random,
                 layout.executor(number),
+                ticket_check=self._has_ticket,
             )
 
     async def run(self, nursery: trio.Nursery) -> None:
@@ -116,7 +130,18 @@
             place = ExecutorEndpoint(name, self._layout.executor(number), ANY_INCARNATION)
             await self._serve(nursery, ExecutorHttpHandler(calls, place), place.address)
             nursery.start_soon(executor.run)
-        self.store.put(CONFIGURATION_KEY, _configuration())
+        if self.advisor is not None:
+            for number in range(self._layout.instances):
+                node = NodeName(f"edge-{number}")
+                handler = AdvisorHttpHandler(node, self.advisor, nursery)
+                await self._serve(nursery, handler, self._layout.advisor(number))
+        self.store.put(CONFIGURATION_KEY, _configuration(self.advisor))
+
+    def _make_advisor(self, profile: AdvisorProfile, random: Random) -> StandInAdvisor:
+        return StandInAdvisor(profile, random, self._executors)
+
+    def _has_ticket(self, executor: ExecutorId, task: TaskName, ticket: str) -> bool:
+        return self.advisor is None or self.advisor.is_valid(executor, task, ticket)
 
     @staticmethod
     async def _serve(nursery: trio.Nursery, handler: HttpHandler, address: Address) -> None:
@@ -124,8 +149,8 @@
         nursery.start_soon(HttpServer(handler).run, listeners)
 
 
-def _configuration() -> bytes:
-    route = {
+def _configuration(advisor: StandInAdvisor | None) -> bytes:
+    route: dict[str, object] = {
         "name": "holds",
         "host": QUEUE_HOST,
         "path_prefix": QUEUE_PREFIX,
@@ -136,6 +161,16 @@
         "target_latency_ms": 1000,
         "timeout_ms": 3000,
     }
+    if advisor is not None:
+        route["advice"] = _advice(advisor.profile)
     return msgspec.json.encode(
         {"version": 1, "routes": [route], "services": [{"name": SERVICE}], "limits": {}}
     )
+
+
+def _advice(profile: AdvisorProfile) -> dict[str, int]:
+    return {
+        "decision_ms": round(1000 * profile.decision_seconds),
+        "each_ms": round(1000 * profile.executor_seconds),
+        "valid_ms": round(1000 * profile.valid_seconds),
+    }
