Advice: an executor that was away when its answer came isn't refused for good

What callers would see: a step that only few executors may run never starts, if one of them was dropped and came back around the answer. Cause: every executor asked about that had no ticket afterwards counted as refused, also one whose ticket was passed over because the owner didn't know it at that moment; refusals are kept for the life of the step. The answer itself now says who is permitted. The new test failed before: no question was left to ask.

--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -376,7 +376,7 @@
             if (executor := self.executors.get(name)) is not None
         }
         self._advice_requests.learn(question, set(tickets))
-        self._state.tickets.answered(question.step, question.executors, granted, granted, now)
+        self._state.tickets.answered(question.step, question.executors, tickets, granted, now)
         self._state.waiting.retry_step(question.step, now_ms)
 
     @property
--- a/fireflyfork/decisions/jobs/tests/test_advice_requests.py
+++ b/fireflyfork/decisions/jobs/tests/test_advice_requests.py
@@ -131,6 +131,22 @@
         self._answer(question, "i-3")
         self.assertEqual(self.owner.scheduler._state.tickets.holders(question.step), [])
 
+    def test_an_executor_that_was_away_when_the_answer_came_is_asked_about_again(self) -> None:
+        """Guards against a permitted executor that counts as refused for good."""
+        owner = OwnerUnderTest("i-0")
+        owner.scheduler.configure(table(_queue()))
+        owner.scheduler.accept(job(), START_MS)
+        owner.send()
+        question = owner.scheduler.next_question(owner.now, START_MS)
+        assert question is not None
+        gone = owner.scheduler.executors.pop(ExecutorId("i-0"))
+        owner.scheduler.handle_advice(question, {ExecutorId("i-0"): "t"}, 3.0, owner.now, START_MS)
+        owner.scheduler.executors[ExecutorId("i-0")] = gone
+        owner.tick(2.0)
+        owner.send()
+        again = owner.scheduler.next_question(owner.now, START_MS)
+        self.assertEqual(again and again.executors, ("i-0",))
+
     def test_all_tickets_of_an_answer_that_came_too_late_are_dropped(self) -> None:
         """Guards against starts that are rejected one after the other for expired tickets."""
         self._accept(1)
