Advice: answers that leave out empty fields are understood

What callers would see: a step for which the first executors are all refused is asked about them again and again. Cause: fields without a value are omitted on the platform, and the decoder required both the list of tickets and their validity; an answer that permits none counted as a failed call, and the refusals weren't learned. Both are optional now; a validity that isn't given is that of the configuration. test_fields_without_a_value_may_be_left_out failed before (InvalidDataError: missing required field).

--- a/fireflyfork/platform/_advisor_client.py
+++ b/fireflyfork/platform/_advisor_client.py
@@ -25,8 +25,8 @@
 
 
 class _Answer(msgspec.Struct):
-    good: list[tuple[str, str]]
-    valid_ms: Count
+    good: list[tuple[str, str]] = []
+    valid_ms: Count | None = None
 
 
 class PlatformAdvisor(Advisor):
