Soak: scheduler processes under overlapping signals, changes and failures

Real processes on the stand-in platform with an advisor, callers that keep their connections, and a seeded series of SIGKILL, SIGTERM, SIGSTOP, SIGHUP, changes of the configuration and troubles of store, executors and advisor.

--- a/fireflyfork_standins/scheduling/_wire_callers.py
+++ b/fireflyfork_standins/scheduling/_wire_callers.py
@@ -26,8 +26,19 @@
 class WireCallers:
     """All callers of one simulation."""
 
-    def __init__(self, instances: tuple[Address, ...], history: History, random: Random) -> None:
-        """Call the scheduler at ``instances``. Each job is added to ``history`` before submission."""
+    def __init__(
+        self,
+        instances: tuple[Address, ...],
+        history: History,
+        random: Random,
+        keep_connections: bool = False,
+    ) -> None:
+        """Call the scheduler at ``instances``. Each job is added to ``history`` before submission.
+
+        With ``keep_connections`` callers use open connections until the instance closes them.
+        """
+        self._kept = {each: HttpClient(each, CALL_TIMEOUT_SECONDS) for each in instances}
+        self._keep_connections = keep_connections
         self.tries: Counter[str] = Counter()
         """Number of submission attempts by HTTP status or error."""
         self.states: Counter[str] = Counter()
@@ -85,14 +96,18 @@
 
     async def _answered(self, method: str, name: JobId, body: bytes) -> tuple[int, bytes]:
         """Send a request to a random instance. Return status and body, status 0 without an answer."""
-        client = HttpClient(self._random.choice(self._fronts), CALL_TIMEOUT_SECONDS)
+        front = self._random.choice(self._fronts)
+        client = (
+            self._kept[front] if self._keep_connections else HttpClient(front, CALL_TIMEOUT_SECONDS)
+        )
         try:
             head, answer = await client.call(method, f"{QUEUE_PREFIX}{name}", (_HOST,), body)
         except HttpError:
             # An instance may be down. Like a real caller, this one retries with another instance.
             return 0, b""
         finally:
-            client.close()
+            if not self._keep_connections:
+                client.close()
         return head.status, answer
 
     def _draw_job(self, name: JobId) -> JobSpec:
--- a/fireflyfork_standins/scheduling/_wire_platform.py
+++ b/fireflyfork_standins/scheduling/_wire_platform.py
@@ -108,6 +108,7 @@
         self.store = StandInStore(random)
         self._layout = layout
         self._random = random
+        self._version = 0
         for number in range(layout.executors):
             name = ExecutorId(f"i-{number}")
             self._executors[name] = StandInExecutor(
@@ -135,7 +136,12 @@
                 node = NodeName(f"edge-{number}")
                 handler = AdvisorHttpHandler(node, self.advisor, nursery)
                 await self._serve(nursery, handler, self._layout.advisor(number))
-        self.store.put(CONFIGURATION_KEY, _configuration(self.advisor))
+        self.configure()
+
+    def configure(self) -> None:
+        """Store a new version of the configuration, which has one more route than the last."""
+        self._version += 1
+        self.store.put(CONFIGURATION_KEY, _configuration(self._version, self.advisor))
 
     def _make_advisor(self, profile: AdvisorProfile, random: Random) -> StandInAdvisor:
         return StandInAdvisor(profile, random, self._executors)
@@ -143,13 +149,18 @@
     def _has_ticket(self, executor: ExecutorId, task: TaskName, ticket: str) -> bool:
         return self.advisor is None or self.advisor.is_valid(executor, task, ticket)
 
+    @property
+    def executors(self) -> dict[ExecutorId, StandInExecutor]:
+        """The executors by id."""
+        return self._executors
+
     @staticmethod
     async def _serve(nursery: trio.Nursery, handler: HttpHandler, address: Address) -> None:
         listeners = await listen(address.host, address.port)
         nursery.start_soon(HttpServer(handler).run, listeners)
 
 
-def _configuration(advisor: StandInAdvisor | None) -> bytes:
+def _configuration(version: int, advisor: StandInAdvisor | None) -> bytes:
     route: dict[str, object] = {
         "name": "holds",
         "host": QUEUE_HOST,
@@ -164,10 +175,25 @@
     if advisor is not None:
         route["advice"] = _advice(advisor.profile)
     return msgspec.json.encode(
-        {"version": 1, "routes": [route], "services": [{"name": SERVICE}], "limits": {}}
+        {
+            "version": version,
+            "routes": [route, *map(_further_route, range(2, version + 1))],
+            "services": [{"name": SERVICE}],
+            "limits": {},
+        }
     )
 
 
+def _further_route(number: int) -> dict[str, object]:
+    return {
+        "name": f"holds-{number}",
+        "host": QUEUE_HOST,
+        "path_prefix": f"/holds-{number}/",
+        "service": SERVICE,
+        "attempts": 3,
+    }
+
+
 def _advice(profile: AdvisorProfile) -> dict[str, int]:
     return {
         "decision_ms": round(1000 * profile.decision_seconds),
