--- a/fireflyfork/operations/__init__.py
+++ b/fireflyfork/operations/__init__.py
@@ -4,6 +4,7 @@
 and analyses logs, metrics and traces.
 """
 
+from ._advice_account import AdviceAccount, account_advice
 from ._answers import (
     Answers,
     ExecutorAnswer,
@@ -62,6 +63,7 @@
     "RETAINED_VERSIONS",
     "RULES",
     "UNAPPLIED",
+    "AdviceAccount",
     "Answers",
     "ByteCount",
     "ByteRate",
@@ -92,6 +94,7 @@
     "TeamAnswer",
     "Violation",
     "WorkerAnswer",
+    "account_advice",
     "account_jobs",
     "account_loops",
     "check",
--- a/fireflyfork/programs/_ctl_account.py
+++ b/fireflyfork/programs/_ctl_account.py
@@ -9,11 +9,13 @@
 from pathlib import Path
 
 from ..operations import (
+    AdviceAccount,
     Cause,
     JobAccount,
     JobAccounts,
     LoopAccount,
     OutcomeRow,
+    account_advice,
     account_jobs,
     account_loops,
     late_jobs_by_phase,
@@ -29,7 +31,11 @@
 
 
 def account(
-    *files: Path, json: bool = False, plot: Path | None = None, loops: bool = False
+    *files: Path,
+    json: bool = False,
+    plot: Path | None = None,
+    loops: bool = False,
+    advice: bool = False,
 ) -> ExitCode:
     """Show why jobs were late, from the logs of the scheduler's processes.
 
@@ -42,16 +48,20 @@
         fireflyfork-ctl account logs/
         cat scheduler-*.log | fireflyfork-ctl account --plot causes.png
         fireflyfork-ctl account --loops logs/
+        fireflyfork-ctl account --advice logs/
 
     :param files: files of log lines, or directories of them; standard input when none is given
     :param json: print the account of each late job as JSON
     :param loops: show instead how the instances spent processor time, calls to the store and network traffic
+    :param advice: show instead the calls to the advisor, and how long steps had to wait for it
     :param plot: write a chart of late jobs by phase and cause to this file; needs matplotlib
     """
     output = Output(json)
     lines = chain.from_iterable(map(read_lines, files)) if files else sys.stdin
     if loops:
         return run_and_report(output, lambda: _show_loops(lines, output))
+    if advice:
+        return run_and_report(output, lambda: _show_advice(lines, output))
     return run_and_report(output, lambda: _show_jobs(lines, output, plot))
 
 
@@ -82,6 +92,41 @@
     return ExitCode.DONE
 
 
+def _show_advice(lines: Iterable[str], output: Output) -> ExitCode:
+    accounts = account_advice(lines)
+    if not accounts:
+        raise CommandError(
+            ExitCode.NOT_FOUND,
+            "no call to the advisor is in these logs",
+            "the owner of a service logs each call if a queue needs advice",
+        )
+    output.result(accounts, _advice_report(accounts))
+    return ExitCode.DONE
+
+
+def _advice_report(accounts: Mapping[str, AdviceAccount]) -> Iterator[str]:
+    calls = [
+        (service, outcome, number)
+        for service, advice_account in accounts.items()
+        for outcome, number in advice_account.outcomes.most_common()
+    ]
+    yield from format_table(("service", "calls that were", "number"), calls)
+    yield ""
+    waits = [
+        (
+            service,
+            f"{advice_account.median_seconds:.3f}",
+            f"{advice_account.median_cost_seconds:.3f}",
+            advice_account.most_open_calls,
+            advice_account.most_waiting_steps,
+            f"{advice_account.longest_backlog_seconds:.1f}",
+        )
+        for service, advice_account in accounts.items()
+    ]
+    headings = ("service", "median s", "configured s", "most open", "most waiting", "backlog s")
+    yield from format_table(headings, waits)
+
+
 def _job_report(accounts: JobAccounts, late: list[JobAccount]) -> Iterator[str]:
     yield f"{len(late)} of {len(accounts.jobs)} jobs were late or never ended"
     if accounts.share < 1:
--- a/fireflyfork/programs/tests/test_ctl_account.py
+++ b/fireflyfork/programs/tests/test_ctl_account.py
@@ -60,6 +60,20 @@
         self.assertRegex(text, r"savusavu +40\.0 +1\.4")
         self.assertRegex(text, r"watch work +4 +600\.0 +3\.0")
 
+    def test_calls_to_the_advisor(self) -> None:
+        fields: dict[str, object] = {"service": "desk", "cost_seconds": 0.1, "open_calls": 2}
+        lines = (
+            line(0.0, "advice call", outcome="answered", seconds=0.1, **fields),
+            line(1.0, "advice call", outcome="late", seconds=5.0, backlog_seconds=7.5, **fields),
+        )
+        self.file.write_text("\n".join(lines), "utf-8")
+        printed = StringIO()
+        with redirect_stdout(printed):
+            code = account(self.file, advice=True)
+        self.assertIs(code, ExitCode.DONE)
+        self.assertRegex(printed.getvalue(), r"desk +late +1")
+        self.assertRegex(printed.getvalue(), r"desk +2\.550 +0\.100 +2 +0 +7\.5")
+
     def test_logs_without_what_is_asked_for(self) -> None:
         """Logs without the data fail; an empty table would look as if no job was late."""
         for lines, loops in ((LATE_JOB, True), (LOOPS, False)):
