--- a/fireflyfork_standins/scheduling/soak.py
+++ b/fireflyfork_standins/scheduling/soak.py
@@ -72,7 +72,8 @@
         self._random = random
         self._process: trio.Process | None = None
         self._is_signalled = False
-        self._is_ending = False
+        self._suspensions = 0
+        self._open_suspensions = 0
 
     async def run(self) -> None:
         """Keep the process running until cancelled, then kill it."""
@@ -94,6 +95,10 @@
                 self.problems.append(f"edge-{self.number} ended by itself with status {code}")
             await trio.sleep(RESTART_SECONDS)
 
+    @property
+    def _is_suspended(self) -> bool:
+        return self._open_suspensions > 0
+
     def _send(self, number: int) -> None:
         if self._process is not None and self._process.returncode is None:
             self._process.send_signal(number)
@@ -104,24 +109,32 @@
         self._send(signal.SIGKILL)
 
     async def terminate(self) -> None:
-        """Ask the process to end, which it has to do in the time that the platform allows."""
+        """Ask the process to end, which it has to do in the time that the platform allows.
+
+        A process that is suspended meanwhile has less time, and may be killed.
+        """
         process = self._process
         if process is None or self._is_signalled:
             return
         self._is_signalled = True
+        suspensions = self._suspensions
         self._send(signal.SIGTERM)
         with trio.move_on_after(GRACE_SECONDS) as limit:
             await process.wait()
         if limit.cancelled_caught:
-            self.problems.append(f"edge-{self.number} did not end after SIGTERM")
+            if self._suspensions == suspensions and not self._is_suspended:
+                self.problems.append(f"edge-{self.number} did not end after SIGTERM")
             process.kill()
 
     async def suspend(self) -> None:
         """Suspend the process for up to three seconds."""
+        self._suspensions += 1
+        self._open_suspensions += 1
         self._send(signal.SIGSTOP)
         try:
             await trio.sleep(self._random.uniform(0.2, 3.0))
         finally:
+            self._open_suspensions -= 1
             self._send(signal.SIGCONT)
 
     async def hang_up(self) -> None:
@@ -236,6 +249,8 @@
                 folder.mkdir()
         broken += bool(report.violations)
         print(f"seed {number}: {len(report.troubles)} troubles, jobs {report.states}", flush=True)
+        for trouble in report.troubles if report.violations else ():
+            print(f"  trouble at {trouble}")
         for violation in report.violations:
             print(f"  BROKEN at {violation.at:.2f}: {violation.promise}: {violation.description}")
     print(f"{runs - broken} of {runs} runs without a violation")
