--- a/fireflyfork_standins/tests/test_scheduling_wire.py
+++ b/fireflyfork_standins/tests/test_scheduling_wire.py
@@ -1,5 +1,6 @@
 """Tests of the scheduler and the simulated platform over real sockets, without virtual time."""
 
+import os
 import socket
 import unittest
 from functools import partial
@@ -23,7 +24,10 @@
 
 def _free_layout() -> WireLayout:
     """Return a layout whose ports don't accept connections, so they are most likely unused."""
-    free = (WireLayout(first) for first in PORTS if all(map(_is_free, range(first, first + 15))))
+    # Test runs at the same time begin to search at different ports.
+    begin = os.getpid() % len(PORTS)
+    firsts = (*PORTS[begin:], *PORTS[:begin])
+    free = (WireLayout(first) for first in firsts if all(map(_is_free, range(first, first + 15))))
     return next(islice(free, 1))
 
 
--- a/fireflyfork_standins/tests/test_soak.py
+++ b/fireflyfork_standins/tests/test_soak.py
@@ -1,5 +1,6 @@
 """A short soak of scheduler processes; the long one is started by hand."""
 
+import os
 import unittest
 from pathlib import Path
 from tempfile import TemporaryDirectory
@@ -8,7 +9,8 @@
 
 from fireflyfork_standins.scheduling.soak import run_soak
 
-FIRST_PORT = 23_000
+FIRST_PORT = 23_000 + 40 * (os.getpid() % 40)
+"""Differs between test runs at the same time."""
 SECONDS = 10.0
 SEEDS = (1, 2)
 
--- a/fireflyfork_standins/tests/test_wire_advice.py
+++ b/fireflyfork_standins/tests/test_wire_advice.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import os
 import socket
 import unittest
 from functools import partial
@@ -23,7 +24,7 @@
 from fireflyfork_standins.scheduling import AdvisorProfile, WireCallers, WireLayout, WirePlatform
 from fireflyfork_standins.scheduling.processes import wait_ready
 
-PORTS = range(32_000, 32_600, 20)
+FIRST_PORTS = range(25_000, 27_000, 20)
 STUCK_SECONDS = 60.0
 """Limit that only ends a test that hangs."""
 SCARCE_ADVISOR = AdvisorProfile(decision_seconds=0.15, executor_seconds=0.01)
@@ -33,7 +34,10 @@
 
 def _free_layout() -> WireLayout:
     """Return a layout whose ports don't accept connections, so they are most likely unused."""
-    layouts = (WireLayout(first, instances=1, has_advisor=True) for first in PORTS)
+    # Test runs at the same time begin to search at different ports.
+    begin = os.getpid() % len(FIRST_PORTS)
+    firsts = (*FIRST_PORTS[begin:], *FIRST_PORTS[:begin])
+    layouts = (WireLayout(first, instances=1, has_advisor=True) for first in firsts)
     free = (
         each for each in layouts if all(map(_is_free, range(each.first_port, each.first_port + 12)))
     )
