--- a/review/harness/deployment.py
+++ b/review/harness/deployment.py
@@ -22,6 +22,8 @@
 ROOT = Path(__file__).resolve().parents[2]
 SERVICE = "booking-desk"
 QUEUE_HOST = "desk.example"
+OWNER_KEY = "/".join(("fireflyfork", "work", "owner", SERVICE))
+"""The key of the store under which the owner of the service is named."""
 MAX_SECONDS = 110.0
 GRACE_SECONDS = 6.0
 READY_SECONDS = 30.0
@@ -200,7 +202,7 @@
         """Return the process that owns the service, by what it has logged and the store holds."""
         end = time.monotonic() + READY_SECONDS
         while time.monotonic() < end:
-            value = self.store.get(f"fireflyfork/work/owner/{SERVICE}")
+            value = self.store.get(OWNER_KEY)
             for instance in self.instances:
                 if value is not None and f'"{instance.name}"'.encode() in value:
                     return instance
