Addresses: an IP number without a zone, and one function that connects

What callers saw: with one entry of another writer under servers/ whose address is "[::1%réseau]:8080" no accepted job was run; requests were cut each time a process ended.

Cause: Address.parse takes what the ipaddress module takes, and so any zone, which is free text. The resolver refuses a zone that is not ASCII or too long with UnicodeError when the owner first polls the entry. Each of the four places that call trio.open_tcp_stream had its own list of errors, and none has ValueError. int() took ports with signs, spaces, underscores and digits of other scripts.

Change: an address is an IP number without a zone and a port in plain digits, in one form each, checked where it is built, which covers settings, peers, stored lists, the command line and entries. An entry of an executor has to have the IPv4 number of one host, since the platform's network offers no others. All clients connect through adapters/_connect.py, which raises one error; each client translates it into its own.

What the next error that nobody foresaw may end is a change of its own.

--- a/fireflyfork/_errors.py
+++ b/fireflyfork/_errors.py
@@ -79,6 +79,10 @@
     """The advisor rejected a call because too many calls are waiting."""
 
 
+class UnreachableError(FireflyforkError):
+    """No connection to another process could be opened."""
+
+
 class PeerError(FireflyforkError):
     """The stream to a peer failed, or the peer is not a member that is allowed to connect."""
 
--- a/fireflyfork/_links.py
+++ b/fireflyfork/_links.py
@@ -3,25 +3,32 @@
 from __future__ import annotations
 
 import ipaddress
+import re
 from dataclasses import dataclass
 from functools import lru_cache
 
 from ._errors import SettingsError
 from ._ids import RegionName
 
+_IP_AND_PORT = re.compile(
+    r"(?:(?P<v4>[0-9.]+)|\[(?P<v6>[0-9A-Fa-f.]*:[0-9A-Fa-f:.]*)\]):(?P<port>[1-9][0-9]{0,4})"
+)
+
 
 @lru_cache(maxsize=8_192)
 def _is_ip_address(host: str) -> bool:
     try:
-        ipaddress.ip_address(host)
+        number = ipaddress.ip_address(host)
     except ValueError:
         return False
-    return True
+    # The zone of an IPv6 address names a network interface of one host, so it means nothing to
+    # another one. It is free text, which a resolver may refuse.
+    return isinstance(number, ipaddress.IPv4Address) or number.scope_id is None
 
 
 @dataclass(frozen=True, slots=True)
 class Address:
-    """An IP address and a port. Raises SettingsError for other values."""
+    """An IP address without a zone, and a port. Raises SettingsError for other values."""
 
     host: str
     port: int
@@ -35,21 +42,18 @@
 
     @classmethod
     def parse(cls, text: str) -> Address:
-        """Parse ``host:port``, with IPv6 hosts in brackets.
+        """Parse ``host:port``, with IPv6 hosts in brackets and the port in plain decimal digits.
 
         Raises SettingsError if the host is not an IP address, since names are never resolved, or if
         the port is invalid.
         """
-        host, _, port = text.rpartition(":")
-        host = host.removeprefix("[").removesuffix("]")
-        try:
-            number = int(port)
-        except ValueError as error:
-            raise SettingsError(f"{text!r} is not IP-number:port") from error
-        if not _is_ip_address(host):
-            raise SettingsError(f"{text!r} is not IP-number:port")
-        if not 0 < number < 65536:
-            raise SettingsError(f"{text!r}: the port must be between 1 and 65535")
+        match = _IP_AND_PORT.fullmatch(text)
+        host = (match["v4"] or match["v6"]) if match is not None else ""
+        if match is None or not _is_ip_address(host):
+            raise SettingsError(f"{text!r:.80} is not IP-number:port")
+        number = int(match["port"])
+        if number >= 65536:
+            raise SettingsError(f"{text!r:.80}: the port must be between 1 and 65535")
         return cls(host, number)
 
     def __str__(self) -> str:
--- a/fireflyfork/adapters/_http_client.py
+++ b/fireflyfork/adapters/_http_client.py
@@ -11,7 +11,9 @@
 import h11
 import trio
 
+from .._errors import UnreachableError
 from .._links import Address
+from ._connect import connect
 from ._http import (
     MAX_HEAD_BYTES,
     ConnectError,
@@ -73,10 +75,9 @@
         The kernel closes the connection if sent bytes stay unacknowledged for ``unacknowledged_seconds``.
         """
         try:
-            with trio.fail_after(timeout):
-                stream = await trio.open_tcp_stream(address.host, address.port)
-        except (OSError, trio.TooSlowError) as error:
-            raise ConnectError(f"can't connect to {address}: {error!r}") from error
+            stream = await connect(address, timeout)
+        except UnreachableError as error:
+            raise ConnectError(str(error)) from error
         # A peer that disappears without closing the connection is noticed only because sent data stays
         # unacknowledged. Without this limit the kernel retransmits for a quarter of an hour.
         milliseconds = int(unacknowledged_seconds * 1000)
--- a/fireflyfork/adapters/_peers.py
+++ b/fireflyfork/adapters/_peers.py
@@ -6,10 +6,11 @@
 
 import trio
 
-from .._errors import PeerError
+from .._errors import PeerError, UnreachableError
 from .._ids import MemberId
 from .._links import Address
 from ..decisions import ConnectionChoice, ConnectionLimits, ConnectionPool
+from ._connect import connect
 from ._peer_connection import PeerConnection, PeerHandler
 from ._peer_handshake import HANDSHAKE_SECONDS, accept_peer, connect_peer
 
@@ -130,10 +131,9 @@
         if address is None:
             raise PeerError(f"{member} is not a member")
         try:
-            with trio.fail_after(CONNECT_SECONDS):
-                socket_stream = await trio.open_tcp_stream(address.host, address.port)
-        except (OSError, trio.TooSlowError) as error:
-            raise PeerError(f"{member} can't be reached at {address}: {error!r}") from error
+            socket_stream = await connect(address, CONNECT_SECONDS)
+        except UnreachableError as error:
+            raise PeerError(f"{member} can't be reached: {error}") from error
         try:
             return await connect_peer(
                 socket_stream, self._own_id(), member, self._key, self._handler
--- a/fireflyfork/adapters/_relay_client.py
+++ b/fireflyfork/adapters/_relay_client.py
@@ -12,7 +12,7 @@
 import xxhash
 from loguru import logger
 
-from .._errors import PeerError
+from .._errors import PeerError, UnreachableError
 from .._ids import (
     AttemptNumber,
     ExecutorId,
@@ -25,6 +25,7 @@
 )
 from .._links import Address
 from ..decisions.jobs import CallOutcome, OrderAnswer, PollAnswer, PollRequest, StartRequest
+from ._connect import connect
 from ._executor_calls import MAX_CALL_SECONDS, ExecutorCalls, ExecutorEndpoint
 from ._loop_time import LoopTime, Timer
 from ._message_stream import StreamTraffic
@@ -183,12 +184,10 @@
             self._stream.send(Forget(executor))
 
     async def _connect_and_receive(self) -> None:
-        address = self.endpoint.address
         try:
-            with trio.fail_after(CONNECT_SECONDS):
-                socket_stream = await trio.open_tcp_stream(address.host, address.port)
-        except (OSError, trio.TooSlowError) as error:
-            raise PeerError(f"can't connect: {error!r}") from error
+            socket_stream = await connect(self.endpoint.address, CONNECT_SECONDS)
+        except UnreachableError as error:
+            raise PeerError(str(error)) from error
         self._stream = RelayStream(socket_stream, self._traffic)
         self._stream.send(Hello(RELAY_VERSION))
         async with trio.open_nursery() as nursery:
--- a/fireflyfork/adapters/_replica_client.py
+++ b/fireflyfork/adapters/_replica_client.py
@@ -8,7 +8,8 @@
 
 import trio
 
-from .._errors import PeerError
+from .._errors import PeerError, UnreachableError
+from ._connect import connect
 from ._loop_time import LoopTime
 from ._message_stream import MessageStream
 from ._replica_messages import (
@@ -39,12 +40,9 @@
     async def connect(self, endpoint: ReplicaEndpoint) -> AsyncIterator[ReplicaPeer]:
         """See ReplicaPeers."""
         try:
-            with trio.fail_after(CONNECT_SECONDS):
-                socket_stream = await trio.open_tcp_stream(
-                    endpoint.address.host, endpoint.address.port
-                )
-        except (OSError, trio.TooSlowError) as error:
-            raise PeerError(f"can't connect to {endpoint.node}: {error!r}") from error
+            socket_stream = await connect(endpoint.address, CONNECT_SECONDS)
+        except UnreachableError as error:
+            raise PeerError(f"{endpoint.node} can't be reached: {error}") from error
         stream = MessageStream(socket_stream, DECODER, UNACKNOWLEDGED_SECONDS)
         try:
             stream.send(Hello(REPLICA_VERSION))
--- a/fireflyfork/platform/_registrations.py
+++ b/fireflyfork/platform/_registrations.py
@@ -2,12 +2,21 @@
 
 from __future__ import annotations
 
+import ipaddress
 from typing import Annotated
 
 import msgspec
 from loguru import logger
 
-from .._decoding import MAX_INTEGER, MAX_NAME_LENGTH, Count, Name, decode_json, is_header_text
+from .._decoding import (
+    MAX_INTEGER,
+    MAX_NAME_LENGTH,
+    Count,
+    Name,
+    decode_json,
+    guarded,
+    is_header_text,
+)
 from .._errors import InvalidDataError, SettingsError
 from .._ids import ExecutorId, FailureDomainName, ServiceName
 from .._links import Address
@@ -52,8 +61,8 @@
     executor = registered_executor(item.key)
     try:
         entry = decode_json(item.value, _Registration)
-        address = Address.parse(entry.address)
-    except (InvalidDataError, SettingsError) as error:
+        address = guarded(lambda: _address(entry.address))
+    except InvalidDataError as error:
         logger.warning("cannot decode registration", executor=executor, error=str(error)[:200])
         return None
     # Each call to an executor names it in a header.
@@ -78,6 +87,18 @@
     )
 
 
+def _address(text: str) -> Address:
+    """Decode the address of an executor. Raises SettingsError.
+
+    The platform's network has IPv4 only, and a connection leads to one executor.
+    """
+    address = Address.parse(text)
+    number = ipaddress.ip_address(address.host)
+    if number.version != 4 or number.is_unspecified or number.is_multicast:
+        raise SettingsError(f"{text!r:.80} is not the IPv4 address of one executor")
+    return address
+
+
 def _version(value: object) -> str:
     """Return the version of an executor's software; empty if the entry has none that is usable."""
     if isinstance(value, str):
--- a/fireflyfork/platform/tests/test_foreign_bytes.py
+++ b/fireflyfork/platform/tests/test_foreign_bytes.py
@@ -179,6 +179,28 @@
             with self.subTest(key=key):
                 self.assertFalse(_use_registration(entry, f"servers/{key}"))
 
+    def test_addresses_that_lead_to_no_executor_name_none(self) -> None:
+        """Guards against an entry whose address ends the owner at its first call to the executor."""
+        for address in (
+            "[::1%r\u00e9seau]:8080",
+            "[::1%" + "x" * 70 + "]:8080",
+            "[fe80::1%eth\x000]:8080",
+            "[::]:8080",
+            "[::1]:8080",
+            "[::ffff:127.0.0.1]:8080",
+            "0.0.0.0:8080",
+            "224.0.0.1:8080",
+            "127.0.0.1:0",
+            "127.0.0.1:+80",
+            "127.0.0.1:8_0",
+            "127.0.0.1:\u0668\u0660",
+            "localhost:80",
+            " 127.0.0.1:80",
+        ):
+            with self.subTest(address=address):
+                entry = msgspec.json.encode({**ENTRY, "address": address})
+                self.assertFalse(_use_registration(entry))
+
     def test_configurations_with_impossible_versions_are_refused(self) -> None:
         """Guards against a version that can't be compared with, or stored beside, any other."""
         for version in (-1, 2**53, 2**64, 2**70):
