Errors that nobody foresaw reach one executor or one service, not the process

What callers saw: whatever raised an error in an owner's task ended its whole process, with its callers' connections, its relay and its replica.

Cause: ServiceOwner.run contained OwnershipLostError only, and SchedulerNode ran all its parts in one nursery.

Change, by what the error may have left behind: - A call to an executor changes no state. An error in it counts as a call without an answer: that executor is set aside, the others go on. - A decision changes state in several steps. After an error in a method of the scheduler, each of its methods raises DecisionError, so nothing more is placed, stored or acknowledged from a state that may be half changed. The term ends, the service is released, and this instance bids again after 1 to 10 s, beginning with what is stored. Its callers, relay and replica go on. - Any other part runs again after a growing delay. A connection ends alone. A new configuration is applied in the owner's own task, so that an error in it is none of the task that follows the operator's keys. Each error is logged with its trace, once a second for a part, and counted as fireflyfork_internal_errors_total.

The node's tests inject errors into each tick, each configuration and a request.

--- a/fireflyfork/_errors.py
+++ b/fireflyfork/_errors.py
@@ -79,6 +79,13 @@
     """The advisor rejected a call because too many calls are waiting."""
 
 
+class DecisionError(FireflyforkError):
+    """A decision failed with an error that wasn't foreseen, its ``__cause__``.
+
+    The state that it changes may be half changed, and must not be used any more.
+    """
+
+
 class UnreachableError(FireflyforkError):
     """No connection to another process could be opened."""
 
--- a/fireflyfork/adapters/_http_server.py
+++ b/fireflyfork/adapters/_http_server.py
@@ -4,7 +4,7 @@
 
 from abc import ABC, abstractmethod
 from collections import deque
-from collections.abc import AsyncIterator, Iterable
+from collections.abc import AsyncIterator, Callable, Iterable
 from dataclasses import dataclass
 
 import h11
@@ -133,6 +133,9 @@
                 self._http.start_next_cycle()
         except (HttpError, h11.ProtocolError):
             abort(self._stream)
+        except Exception:
+            abort(self._stream)
+            raise
         finally:
             self._stream.socket.close()
 
@@ -283,9 +286,19 @@
 class HttpServer:
     """Accepts connections, and closes them gracefully when it stops."""
 
-    def __init__(self, handler: HttpHandler, limits: ServerLimits | None = None) -> None:
-        """Configure a server. ``limits`` defaults to the values of ``ServerLimits``."""
+    def __init__(
+        self,
+        handler: HttpHandler,
+        limits: ServerLimits | None = None,
+        on_error: Callable[[Exception], None] | None = None,
+    ) -> None:
+        """Configure a server. ``limits`` defaults to the values of ``ServerLimits``.
+
+        ``on_error`` is called with an error that the handler raises, which ends its connection only.
+        Without it, such an error ends the server.
+        """
         self._handler = handler
+        self._on_error = on_error
         self._limits = limits or ServerLimits()
         self._connections: set[ServerConnection] = set()
         self._accepting = trio.CancelScope()
@@ -331,6 +344,10 @@
             connection.announce_end()
         try:
             await connection.run()
+        except Exception as error:
+            if self._on_error is None:
+                raise
+            self._on_error(error)
         finally:
             self._connections.discard(connection)
 
--- a/fireflyfork/adapters/_relay_client.py
+++ b/fireflyfork/adapters/_relay_client.py
@@ -281,7 +281,9 @@
         self._changed.set()
 
     async def run(self) -> None:
-        """Maintain the streams to the relays until cancelled."""
+        """Maintain the streams to the relays until cancelled. May be called again after an error."""
+        self._relays.clear()
+        self._scopes.clear()
         async with trio.open_nursery() as nursery:
             while True:
                 self._update_relays(nursery)
--- a/fireflyfork/adapters/_relay_server.py
+++ b/fireflyfork/adapters/_relay_server.py
@@ -53,12 +53,16 @@
         new_calls: Callable[[], ExecutorCalls],
         clock: Callable[[], float] = trio.current_time,
         release: Callable[[ServiceName, Revision], Awaitable[bool]] | None = None,
+        on_error: Callable[[Exception], None] | None = None,
     ) -> None:
         """``new_calls`` creates a client of executors for each owner, because each owner has its own token.
 
         ``release`` releases the service of an owner that can't reach the store, and returns whether it did.
         ``clock`` must continue to run while the process is suspended.
+        ``on_error`` is called with an unexpected error, which ends the stream of one owner only. Without
+        it, such an error ends the server.
         """
+        self._on_error = on_error
         self._new_calls = new_calls
         self._clock = clock
         self._release = release
@@ -105,6 +109,10 @@
                 nursery.cancel_scope.cancel()
         except* PeerError as errors:
             logger.info("owner's stream ended", reason=str(errors.exceptions[0]))
+        except* Exception as errors:
+            if self._on_error is None:
+                raise
+            self._on_error(errors)
         finally:
             self._streams.discard(stream)
             stream.close()
--- a/fireflyfork/adapters/_replica_server.py
+++ b/fireflyfork/adapters/_replica_server.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 import trio
 from loguru import logger
 
@@ -28,9 +30,16 @@
 class ReplicaServer:
     """Serves a replica to its followers."""
 
-    def __init__(self, source: ReplicaSource) -> None:
-        """``source`` answers the queries."""
+    def __init__(
+        self, source: ReplicaSource, on_error: Callable[[Exception], None] | None = None
+    ) -> None:
+        """``source`` answers the queries.
+
+        ``on_error`` is called with an unexpected error, which ends the stream of one follower only.
+        Without it, such an error ends the server.
+        """
         self._source = source
+        self._on_error = on_error
         self._encoder = ItemEncoder()
 
     async def run(self, listeners: list[trio.SocketListener]) -> None:
@@ -49,6 +58,10 @@
                 nursery.cancel_scope.cancel()
         except* PeerError as errors:
             logger.debug("follower's stream ended", reason=str(errors.exceptions[0]))
+        except* Exception as errors:
+            if self._on_error is None:
+                raise
+            self._on_error(errors)
         finally:
             stream.close()
 
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -16,6 +16,7 @@
 from ._advice_requests import AdviceRequests
 from ._arrangement import Arrangement
 from ._commands import AskAdvice, RunCommand
+from ._decision_guard import GuardedState, guarded_change
 from ._evacuations import Evacuations
 from ._executors import ExecutorRegistration, ExecutorState
 from ._interference import LearnedFit
@@ -74,8 +75,11 @@
     """How long a leaving executor still takes starts after the change of its registration."""
 
 
-class Scheduler:
-    """Decides where the tasks of one service run, on behalf of the service's owner."""
+class Scheduler(GuardedState):
+    """Decides where the tasks of one service run, on behalf of the service's owner.
+
+    Each method raises DecisionError after an error that wasn't foreseen.
+    """
 
     def __init__(self, settings: SchedulerSettings) -> None:
         """Initialize without jobs or executors; ``recover`` restores what an earlier owner left."""
@@ -126,11 +130,13 @@
         """The latest figures of the work ahead of new jobs; None if nothing is measured."""
         return self._state.policies.load.figures
 
+    @guarded_change
     def take_commands(self) -> list[RunCommand]:
         """Return the pending commands and clear them."""
         commands, self._state.commands = self._state.commands, []
         return commands
 
+    @guarded_change
     def take_new_executors(self) -> list[ExecutorState]:
         """Return the executors that were added since the last call. Each is to be polled."""
         executors, self._state.new_executors = self._state.new_executors, []
@@ -141,14 +147,17 @@
         notes, self._state.notes = self._state.notes, []
         return notes
 
+    @guarded_change
     def configure(self, queues: QueueTable) -> None:
         """Use the queues of another configuration version."""
         self.jobs.configure(queues)
 
+    @guarded_change
     def evacuate(self, domains: frozenset[FailureDomainName]) -> None:
         """Send no new runs to executors in exactly these failure domains."""
         self._evacuations.replace(domains)
 
+    @guarded_change
     def recover(
         self,
         jobs: Iterable[tuple[JobSpec, StoredProgress | None]],
@@ -190,30 +199,37 @@
                 self._state.enqueue(task)
         self._state.known_executors_changed = True
 
+    @guarded_change
     def learned(self) -> tuple[LearnedFit, ...]:
         """Return the learned effects between images, to be stored for a successor."""
         return self._state.interference.learned()
 
+    @guarded_change
     def adopt(self, learned: Iterable[LearnedFit]) -> None:
         """Use the effects between images that an earlier owner has learned."""
         self._state.interference.adopt(learned)
 
+    @guarded_change
     def learned_estimates(self) -> StoredEstimates | None:
         """Return what was learned of the failures of executors, to be stored for a successor."""
         return self._state.policies.estimates.to_stored()
 
+    @guarded_change
     def adopt_estimates(self, stored: StoredEstimates, now: float, now_ms: int) -> None:
         """Use what an earlier owner has learned of the failures of executors."""
         self._state.policies.estimates.adopt(stored, now, now_ms)
 
+    @guarded_change
     def shares(self) -> tuple[StoredShare, ...]:
         """Return the use of the shares, to be stored for a successor."""
         return self._state.policies.order.to_stored()
 
+    @guarded_change
     def adopt_shares(self, shares: Iterable[StoredShare], now: float) -> None:
         """Continue with the use of the shares that an earlier owner stored."""
         self._state.policies.order.adopt(shares, now)
 
+    @guarded_change
     def accept(self, spec: JobSpec, now_ms: int) -> None:
         """Add a job that was accepted while this owner owned the service."""
         is_known = self.jobs.get(spec.job) is not None
@@ -227,12 +243,14 @@
     def _report_accepted(self, job: Job, now_ms: int) -> None:
         self._state.tell(lambda policy: policy.job_accepted(job, now_ms))
 
+    @guarded_change
     def cancel(self, name: JobId, now: float, now_ms: int) -> None:
         """Cancel a job at a caller's request."""
         job = self.jobs.get(name)
         if job is not None and not job.state.is_final:
             self._state.finish(job, JobState.CANCELLED, now, now_ms)
 
+    @guarded_change
     def register(self, registration: ExecutorRegistration, now: float) -> None:
         """Add or update an executor's registration."""
         state = self.executors.get(registration.executor)
@@ -258,6 +276,7 @@
             state.registration = registration
         self._evacuations.mark(state)
 
+    @guarded_change
     def unregister(self, executor: ExecutorId, now: float) -> None:
         """Handle the removal of a registration: the executor left or can't reach the store."""
         state = self.executors.get(executor)
@@ -265,6 +284,7 @@
             state.registered = False
             self._state.drop_if_lease_expired(state, now)
 
+    @guarded_change
     def take_changed_executors(self) -> tuple[ExecutorRegistration, ...] | None:
         """Return the executors to store for a successor, or None if they haven't changed.
 
@@ -282,6 +302,7 @@
                 executor.stored_address = None
         return tuple(listed)
 
+    @guarded_change
     def executors_stored(self, registrations: Iterable[ExecutorRegistration]) -> None:
         """Mark these executors as stored; they may get runs."""
         for registration in registrations:
@@ -289,6 +310,7 @@
             if executor is not None:
                 executor.stored_address = registration.address
 
+    @guarded_change
     def executors_not_stored(self) -> None:
         """Handle a failed write of the executors, or one whose outcome is unknown."""
         self._state.known_executors_changed = True
@@ -298,28 +320,34 @@
         """Whether the executors to store for a successor have changed."""
         return self._state.known_executors_changed
 
+    @guarded_change
     def start_answered(self, run: Run, answer: OrderAnswer, now: float) -> None:
         """Handle the answer to a start order, or its absence."""
         self._report_handler.start_answered(run, answer, now)
 
+    @guarded_change
     def stop_answered(self, run: Run, answer: OrderAnswer, now: float) -> None:
         """Handle the answer to a stop order, or its absence."""
         self._report_handler.stop_answered(run, answer, now)
 
+    @guarded_change
     def pace_answered(self, run: Run, answer: OrderAnswer) -> None:
         """Handle the answer to a pace order, or its absence."""
         self._report_handler.pace_answered(run, answer)
 
+    @guarded_change
     def handle_incarnation(
         self, executor: ExecutorState, incarnation: int | None, sent_at: float, now: float
     ) -> bool:
         """Handle an incarnation reported by a call. Returns whether the executor has restarted."""
         return self._report_handler.handle_incarnation(executor, incarnation, sent_at, now)
 
+    @guarded_change
     def poll_failed(self, executor: ExecutorState, now: float) -> None:
         """Handle a poll without an answer."""
         self._report_handler.poll_failed(executor, now)
 
+    @guarded_change
     def poll_answered(
         self,
         executor: ExecutorState,
@@ -332,6 +360,7 @@
         """Handle the list of an executor's runs and ends."""
         self._report_handler.poll_answered(executor, sent_at, answer, now, now_ms, in_time)
 
+    @guarded_change
     def release_stored_ends(self) -> None:
         """Let executors forget the ends whose changes have been stored."""
         stored = self.jobs.changes.stored_to
@@ -344,14 +373,17 @@
         """Whether a step wants advice, so that ``next_question`` may return a question."""
         return self._advice_requests.waiting_steps > 0
 
+    @guarded_change
     def next_question(self, now: float, now_ms: int) -> AskAdvice | None:
         """Return the question that the advisor should answer next, or None if there is none."""
         return self._advice_requests.next(now, now_ms)
 
+    @guarded_change
     def question_sent(self, question: AskAdvice, due_at: float) -> None:
         """Record that a question was sent. It may be repeated after ``due_at``."""
         self._advice_requests.sent(question, due_at)
 
+    @guarded_change
     def handle_advice(
         self,
         question: AskAdvice,
@@ -384,11 +416,13 @@
         """The work that is skipped at the current load."""
         return self._state.shed_level
 
+    @guarded_change
     def update_shed_level(self, lag: float) -> Shed:
         """Set the level of load shedding for a lag of the event loop in seconds, and return it."""
         self._state.shed_level = shed_level(lag, self._state.shed_level)
         return self._state.shed_level
 
+    @guarded_change
     def check_time(self, now: float, now_ms: int) -> None:
         """Handle expired leases, stops without an answer, stalled runs and jobs that become due."""
         for executor in tuple(self.executors.values()):
@@ -423,14 +457,17 @@
                 self._state.known_executors_changed = True
                 return
 
+    @guarded_change
     def recover_upkeep(self, marks: Iterable[tuple[MachineId, UpkeepMark]], now: float) -> None:
         """Restore which machines an earlier owner has ordered down; called after ``recover``."""
         self._upkeep.recover(marks, now)
 
+    @guarded_change
     def next_upkeep(self, views: Iterable[WaveView], now: float) -> list[tuple[int, MachineId]]:
         """Return the wave and machine of each upkeep to order now; cordon those that come next."""
         return self._upkeep.next_orders(views, now)
 
+    @guarded_change
     def record_ownership(self, at: float) -> None:
         """Record that this owner certainly owned the service at the given time."""
         proved_at = self._state.ownership_proved_at
@@ -443,10 +480,12 @@
             or self._state.needs_ownership_proof(now)
         )
 
+    @guarded_change
     def update_registration_age(self, age: RegistrationAge) -> None:
         """Set how old the registrations are that this scheduler knows."""
         self._registration_age = age
 
+    @guarded_change
     def place(self, now: float, now_ms: int) -> bool:
         """Send waiting tasks to executors that can run them; the others wait for the next tick.
 
@@ -454,6 +493,7 @@
         """
         return self._may_start(now) and self._placement.place(now, now_ms)
 
+    @guarded_change
     def prepare_start(self, run: Run, now: float) -> bool:
         """Prepare a start for sending when its turn has come.
 
--- a/fireflyfork/programs/_metrics.py
+++ b/fireflyfork/programs/_metrics.py
@@ -35,6 +35,10 @@
         """Add ``amount`` to a counter."""
         self._counters[name, _labels(labels)] += amount
 
+    def total(self, name: str) -> int:
+        """Return the sum of a counter over all its labels."""
+        return sum(number for (key, _), number in self._counters.items() if key == name)
+
     def observe(self, name: str, seconds: float, **labels: str) -> None:
         """Record a duration in a histogram."""
         key = (name, _labels(labels))
--- a/fireflyfork/programs/_scheduler_node.py
+++ b/fireflyfork/programs/_scheduler_node.py
@@ -11,6 +11,7 @@
 from .._ids import ServiceName
 from ..adapters import (
     Exchange,
+    ExecutorCalls,
     HttpHandler,
     HttpServer,
     RelayServer,
@@ -21,9 +22,11 @@
 from ..platform import READINESS_PATH, NodeSettings
 from ._announcements import Announcements
 from ._clocks import Clock
+from ._contained_calls import ContainedExecutorCalls
 from ._external_clients import ExternalClients
 from ._loop_report import LoopReport
 from ._metrics import METRICS_TEXT, Metrics
+from ._unexpected_errors import UnexpectedErrors
 from .admission import create_gate
 from .callers._job_requests import JobRequests
 from .callers._job_service import JobService
@@ -83,6 +86,7 @@
         self._clock = clock
         self._random = random
         self._metrics = Metrics()
+        self._errors = UnexpectedErrors(self._metrics)
         self._announcements = Announcements(
             settings.node,
             settings.processors,
@@ -103,7 +107,9 @@
             clients.replica_peers,
         )
         self._relay = RelayServer(
-            clients.relay_calls, release=partial(release_service, clients.store)
+            self._relay_calls,
+            release=partial(release_service, clients.store),
+            on_error=partial(self._errors.report, "relay"),
         )
         self._report = LoopReport(
             clients.loop_profile,
@@ -137,8 +143,8 @@
             lambda: self._keeper.is_current,
             self._gate,
         )
-        self._callers = HttpServer(self._job_service)
-        self._readiness = HttpServer(_Readiness(self))
+        self._callers = self._make_server("callers", self._job_service)
+        self._readiness = self._make_server("readiness", _Readiness(self))
 
     @property
     def ready(self) -> bool:
@@ -160,7 +166,7 @@
             nursery.start_soon(
                 self._readiness.run, await listen(readiness_address.host, readiness_address.port)
             )
-            metrics_server = HttpServer(_MetricsPage(self._metrics))
+            metrics_server = self._make_server("metrics", _MetricsPage(self._metrics))
             nursery.start_soon(
                 metrics_server.run, await listen(metrics_address.host, metrics_address.port)
             )
@@ -171,15 +177,17 @@
                 )
             replica_address = self._settings.replica_address
             if replica_address is not None:
-                replica_server = ReplicaServer(self._keeper.replica_source)
+                replica_server = ReplicaServer(
+                    self._keeper.replica_source, on_error=partial(self._errors.report, "replica")
+                )
                 nursery.start_soon(
                     replica_server.run, await listen(replica_address.host, replica_address.port)
                 )
-            nursery.start_soon(self._keeper.run)
-            nursery.start_soon(self._announcements.run)
-            nursery.start_soon(self._report.run)
+            nursery.start_soon(self._errors.keep_running, "operator keys", self._keeper.run)
+            nursery.start_soon(self._errors.keep_running, "announcements", self._announcements.run)
+            nursery.start_soon(self._errors.keep_running, "loop report", self._report.run)
             if self._gate is not None:
-                nursery.start_soon(self._gate.run)
+                nursery.start_soon(self._errors.keep_running, "admission", self._gate.run)
             logger.info(
                 "serving", callers=str(caller_address), failure_domain=self._settings.failure_domain
             )
@@ -187,6 +195,12 @@
             await self._stop()
             nursery.cancel_scope.cancel()
 
+    def _make_server(self, part: str, handler: HttpHandler) -> HttpServer:
+        return HttpServer(handler, on_error=partial(self._errors.report, part))
+
+    def _relay_calls(self) -> ExecutorCalls:
+        return ContainedExecutorCalls(self._external_clients.relay_calls(), self._errors)
+
     async def _stop(self) -> None:
         started_at = self._clock.now()
         logger.info(
--- a/fireflyfork/programs/owner/_registration_intake.py
+++ b/fireflyfork/programs/owner/_registration_intake.py
@@ -62,6 +62,10 @@
         """Pass changes after a listing, which was requested at ``listed_at``, to the scheduler."""
         await self._watch.run(after, listed_at=listed_at)
 
+    async def follow_anew(self) -> None:
+        """Pass a new listing and the changes after it to the scheduler."""
+        await self._watch.run()
+
     def note_write(self, sent_at: float, revision: Revision) -> None:
         """Record a write of this owner, by which the age of the registrations is known."""
         self._watch.note_revision(sent_at, revision)
--- a/fireflyfork/programs/owner/_service_journal.py
+++ b/fireflyfork/programs/owner/_service_journal.py
@@ -168,13 +168,15 @@
             self._restore_unstored(executors)
             self._resolve_conflict(error)
             return False
-        except OwnershipLostError:
-            self._restore_unstored(executors)
-            raise
         except StoreError as error:
             self._restore_unstored(executors)
+            if isinstance(error, OwnershipLostError):
+                raise
             logger.debug("journal not written", service=self._term.service, error=str(error))
             return False
+        except Exception:
+            self._restore_unstored(executors)
+            raise
         changes.mark_stored()
         if pending is not None:
             self._stored_pending = pending
--- a/fireflyfork/programs/owner/_service_owner.py
+++ b/fireflyfork/programs/owner/_service_owner.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 import trio
 from loguru import logger
 
-from ..._errors import StoreError
+from ..._errors import DecisionError, StoreError
 from ..._ids import NodeName, Revision, ServiceName
 from ...adapters import (
     RelayedExecutors,
@@ -24,13 +26,16 @@
 )
 from .._announcements import Announcements
 from .._clocks import Clock
+from .._contained_calls import ContainedExecutorCalls
 from .._external_clients import ExternalClients
 from .._metrics import Metrics
 from .._scheduling_keys import owner_key
+from .._unexpected_errors import UnexpectedErrors, single_errors
 from ._advice_calls import AdviceCalls
 from ._decision_log import DecisionLog
 from ._executor_polls import MAX_UNCONFIRMED_SECONDS, ExecutorPolls
 from ._operator_requests import OperatorRequests
+from ._owner_parts import Part, first_then
 from ._recovery_reads import read_recovery_state, retry_until_answered
 from ._registration_intake import RegistrationIntake
 from ._release_through_peer import ReleaseThroughPeer
@@ -69,6 +74,8 @@
 Rounds thus take at most a quarter of the loop's time. Changes during the pause are handled
 together in the next round."""
 MAX_ROUND_PAUSE_SECONDS = 0.03
+_ENDS_TERM = (OwnershipLostError, DecisionError)
+"""Errors after which no part of the owner may go on."""
 
 
 class ServiceOwner:
@@ -91,7 +98,9 @@
         self._term = term
         self._service: ServiceName = term.service
         self._store = clients.store
-        self._calls = RelayedExecutors(clients.executors, clients.loop_time, clients.relay_traffic)
+        self._errors = UnexpectedErrors(metrics)
+        self._relays = RelayedExecutors(clients.executors, clients.loop_time, clients.relay_traffic)
+        self._calls = ContainedExecutorCalls(self._relays, self._errors)
         self._profile = clients.loop_profile
         self._loop_time = clients.loop_time
         self._metrics = metrics
@@ -146,12 +155,12 @@
             metrics,
         )
         self._succession = Succession(
-            self._service, node, announcements, self._calls, lambda: len(self._scheduler.executors)
+            self._service, node, announcements, self._relays, lambda: len(self._scheduler.executors)
         )
         self._release = ReleaseThroughPeer(
             term,
             announcements.own.failure_domain,
-            self._calls,
+            self._relays,
             clock,
             metrics,
             lambda: self._confirmed_owner_at,
@@ -165,6 +174,7 @@
         self._proving = False
         self._dispatch_requested = trio.Event()
         self._resigning = False
+        self._new_queues: QueueTable | None = None
         self._polled_executors: set[ExecutorState] = set()
         self._advice = AdviceCalls(
             self._scheduler,
@@ -204,8 +214,11 @@
         self._dispatch_requested.set()
 
     def configure(self, queues: QueueTable) -> None:
-        """Apply a newer version of the configuration."""
-        self._scheduler.configure(queues)
+        """Apply a newer version of the configuration, in the next round of placing.
+
+        An error is then one of this owner, and not of the caller, which serves the whole instance.
+        """
+        self._new_queues = queues
         self.request_dispatch()
 
     def _note_ownership(self) -> None:
@@ -241,30 +254,54 @@
                 self._work_intake.require_ownership(work_listing)
                 # The listing shows that there was no other owner when it was requested.
                 self._scheduler.record_ownership(sent_at)
-                nursery.start_soon(self._journal.run)
-                nursery.start_soon(self._work_intake.watch().run, work_listing.as_of)
-                nursery.start_soon(self._registrations.follow, sent_at, registrations_revision)
                 nursery.start_soon(self._tick, nursery)
-                nursery.start_soon(self._remove_old_jobs)
-                nursery.start_soon(self._upkeep.run)
-                nursery.start_soon(self._calls.run)
-                nursery.start_soon(self._advice.run)
-                await self._succession.connect_relays()
-                nursery.start_soon(
-                    self._succession.follow_others, lambda: self.resign(HAND_OVER_SECONDS)
+                self._start(
+                    nursery, self._parts(work_listing.as_of, sent_at, registrations_revision)
                 )
-                nursery.start_soon(
-                    self._succession.watch_starts,
-                    lambda: self._registrations.held_seconds,
-                    lambda: self.resign(HAND_OVER_SECONDS),
-                )
-                if self._may_release:
-                    nursery.start_soon(self._release.run, lambda: self.resign(0.0))
+                await self._succession.connect_relays()
+                self._start(nursery, self._succession_parts())
                 await self._dispatch(nursery)
                 nursery.cancel_scope.cancel()
         except* OwnershipLostError as errors:
             logger.info("ownership lost", service=self._service, reason=_first_reason(errors))
 
+    def _start(self, nursery: trio.Nursery, parts: tuple[Part, ...]) -> None:
+        for part in parts:
+            nursery.start_soon(self._errors.keep_running, part.name, part.run, _ENDS_TERM)
+
+    def _parts(
+        self, work_revision: Revision, listed_at: float, registrations_revision: Revision
+    ) -> tuple[Part, ...]:
+        """Return the parts that run during the whole term.
+
+        The first watch of each prefix continues from a listing that recovery has read.
+        """
+        first_jobs = partial(self._work_intake.watch().run, work_revision)
+        follow = partial(self._registrations.follow, listed_at, registrations_revision)
+        return (
+            Part("journal", self._journal.run),
+            Part("jobs", first_then(first_jobs, lambda: self._work_intake.watch().run())),
+            Part("registrations", first_then(follow, self._registrations.follow_anew)),
+            Part("old jobs", self._remove_old_jobs),
+            Part("upkeep", self._upkeep.run),
+            Part("relays", self._relays.run),
+            Part("advice", self._advice.run),
+        )
+
+    def _succession_parts(self) -> tuple[Part, ...]:
+        """Return the parts that may give the service up."""
+        resign = partial(self.resign, HAND_OVER_SECONDS)
+        watch_starts = partial(
+            self._succession.watch_starts, lambda: self._registrations.held_seconds, resign
+        )
+        parts = (
+            Part("other instances", partial(self._succession.follow_others, resign)),
+            Part("held starts", watch_starts),
+        )
+        if not self._may_release:
+            return parts
+        return (*parts, Part("release", partial(self._release.run, lambda: self.resign(0.0))))
+
     async def resign(self, seconds: float) -> None:
         """Stop starting tasks, store pending changes for at most ``seconds``, and end ``run``.
 
@@ -366,6 +403,9 @@
             await self._dispatch_requested.wait()
             self._dispatch_requested = trio.Event()
             started_at = self._clock.now()
+            if self._new_queues is not None:
+                queues, self._new_queues = self._new_queues, None
+                self._scheduler.configure(queues)
             for executor in self._scheduler.take_new_executors():
                 if executor not in self._polled_executors:
                     self._polled_executors.add(executor)
@@ -379,11 +419,17 @@
                 nursery.start_soon(self._orders.carry_out, command)
             self._advice.wake()
             with self._profile.section("log of decisions"):
-                self._decision_log.write(self._scheduler.take_notes())
+                self._log_decisions()
             self._journal.notify()
             round_seconds = self._clock.now() - started_at
             await trio.sleep(min(ROUND_PAUSE_FACTOR * round_seconds, MAX_ROUND_PAUSE_SECONDS))
 
+    def _log_decisions(self) -> None:
+        try:
+            self._decision_log.write(self._scheduler.take_notes())
+        except Exception as error:
+            self._errors.report("log of decisions", error)
+
     async def _keep_polling(self, executor: ExecutorState) -> None:
         try:
             await self._polls.run(executor)
@@ -394,5 +440,4 @@
 
 def _first_reason(errors: ExceptionGroup[OwnershipLostError]) -> str:
     """Return why the ownership was lost. Each nursery on the way has wrapped the error in a group."""
-    first = errors.exceptions[0]
-    return _first_reason(first) if isinstance(first, ExceptionGroup) else str(first)
+    return str(next(single_errors(errors)))
--- a/fireflyfork/programs/replicas/_replica_follower.py
+++ b/fireflyfork/programs/replicas/_replica_follower.py
@@ -239,7 +239,8 @@
         except PeerError as error:
             reason = str(error)
             self._upstreams.note_lost(upstream.node)
-        self._upstream = None
+        finally:
+            self._upstream = None
         logger.info("upstream left", upstream=upstream.node, reason=reason)
         return better
 
--- a/fireflyfork/programs/tests/builders_scheduler_node.py
+++ b/fireflyfork/programs/tests/builders_scheduler_node.py
@@ -28,6 +28,7 @@
 from .. import _scheduler_node
 from .._external_clients import ExternalClients
 from .._scheduler_node import SchedulerNode
+from .._unexpected_errors import INTERNAL_ERRORS
 from ..callers.tests.builders_callers import HOST, stored_configuration
 
 QUEUE = "holds"
@@ -64,6 +65,20 @@
             await self._node.run(self.stop)
         self.ended.set()
 
+    @property
+    def internal_errors(self) -> int:
+        """The number of unexpected errors that the instance has reported."""
+        return self._node._metrics.total(INTERNAL_ERRORS)
+
+    @property
+    def is_active_owner(self) -> bool:
+        """Whether the instance owns its service and has finished its recovery from the store."""
+        return any(owner.ready for owner in self._node._owners())
+
+    def configure(self, version: int, queue: str) -> None:
+        """Store a version of the configuration, as the operator does."""
+        self.store.put(CONFIGURATION_KEY, stored_configuration(version, queue))
+
     async def connect(self) -> HttpClientConnection:
         """Open a connection as a caller."""
         address = Address(LOOPBACK, self._ports[self._callers_port])
@@ -81,24 +96,27 @@
     """Run an instance and yield it once it has read its configuration."""
     async with trio.open_nursery() as nursery:
         node = RunningNode(nursery)
-        node.store.put(CONFIGURATION_KEY, stored_configuration(3, QUEUE))
+        node.configure(3, QUEUE)
         nursery.start_soon(node.run)
         await trio.sleep(START_SECONDS)
         yield node
         nursery.cancel_scope.cancel()
 
 
-def head(method: str, job: str, length: int = 0) -> RequestHead:
+def head(method: str, job: str, length: int = 0, queue: str = QUEUE) -> RequestHead:
     """Return the head of a caller's request about a job."""
     headers: tuple[Header, ...] = (
         (b"host", HOST.encode("ascii")),
         (b"content-length", str(length).encode("ascii")),
     )
-    return RequestHead(method, f"/{QUEUE}/{job}", headers)
+    return RequestHead(method, f"/{queue}/{job}", headers)
 
 
-async def ask(connection: HttpClientConnection, method: str, job: str) -> ResponseHead:
+async def ask(
+    connection: HttpClientConnection, method: str, job: str, queue: str = QUEUE
+) -> ResponseHead:
     """Send one request and return the head of its complete answer. Raises HttpError."""
     body = JOB if method == "POST" else b""
-    answer, _ = await connection.request(head(method, job, len(body)), body, LONGEST_ANSWER_BYTES)
+    request = head(method, job, len(body), queue)
+    answer, _ = await connection.request(request, body, LONGEST_ANSWER_BYTES)
     return answer
--- a/fireflyfork_standins/scheduling/_day.py
+++ b/fireflyfork_standins/scheduling/_day.py
@@ -43,6 +43,8 @@
 
 SERVICE = ServiceName("desk")
 WAVE_AT_ONCE = 2
+INTERNAL_ERROR = "no internal error"
+"""The promise that is broken by an error which the scheduler reports and survives."""
 OWNER_CHECK_SECONDS = 0.05
 SETTLE_SECONDS = 60.0
 """Limit for all accepted jobs to end after the last trouble. The longest wait for unreachable
@@ -237,6 +239,7 @@
                         self._troubles.run_planned, self._profile.planned_troubles, nursery
                     )
             await self._settle()
+            self._check_internal_errors()
             nursery.cancel_scope.cancel()
         self._report.starts = self._history.starts
         self._report.longest_hand_over = self._troubles.longest_hand_over
@@ -401,6 +404,11 @@
             if any(run for run in self._history.done_tasks(job)):
                 self._broken("not run", f"{job} was refused and ran")
 
+    def _check_internal_errors(self) -> None:
+        for node in self._nodes:
+            if node.internal_errors:
+                self._broken(INTERNAL_ERROR, f"{node.name}: {node.internal_errors} of them")
+
     async def _state(self, job: JobId) -> JobState | None:
         while True:
             node = self._random.choice(self._nodes)
--- a/fireflyfork_standins/scheduling/_nodes.py
+++ b/fireflyfork_standins/scheduling/_nodes.py
@@ -45,6 +45,7 @@
 from fireflyfork.programs._clocks import Clock
 from fireflyfork.programs._external_clients import ExternalClients
 from fireflyfork.programs._metrics import Metrics
+from fireflyfork.programs._unexpected_errors import INTERNAL_ERRORS
 from fireflyfork.programs.callers._job_requests import JobRequests
 from fireflyfork.programs.owner._operator_requests import OperatorRequests
 from fireflyfork.programs.owner._service_candidate import ServiceCandidate
@@ -265,6 +266,8 @@
         self._candidate: ServiceCandidate | None = None
         self._awake = trio.Event()
         self._awake.set()
+        self._metrics: list[Metrics] = []
+        """The metrics of each process so far."""
         self.requests = JobRequests(self._store, self._changed)
 
     @property
@@ -272,6 +275,11 @@
         """Whether the process of the instance is running."""
         return self._process_scope is not None
 
+    @property
+    def internal_errors(self) -> int:
+        """The number of unexpected errors that the processes of the instance have reported."""
+        return sum(metrics.total(INTERNAL_ERRORS) for metrics in self._metrics)
+
     @property
     def is_configured(self) -> bool:
         """Whether the process is running and has received a configuration."""
@@ -299,6 +307,7 @@
         """
         if isinstance(self._reached_store, LinkedStoreClient):
             self._reached_store.reset()
+        self._metrics.append(Metrics())
         announcements = Announcements(
             self.name,
             PROCESSORS,
@@ -326,7 +335,7 @@
             ),
             VirtualClock(),
             self._random,
-            Metrics(),
+            self._metrics[-1],
             self._bounds,
             OperatorRequests(
                 lambda: self._table(source),
--- a/fireflyfork_standins/scheduling/soak.py
+++ b/fireflyfork_standins/scheduling/soak.py
@@ -12,7 +12,7 @@
 import signal
 import subprocess
 import sys
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterator
 from dataclasses import dataclass
 from pathlib import Path
 from random import Random
@@ -39,6 +39,9 @@
 """Limit for all accepted jobs to end after the last trouble. It only ends a soak that hangs: an
 executor that can't be reached holds a job for several seconds."""
 ADVISOR = AdvisorProfile(decision_seconds=0.03, executor_seconds=0.005)
+ERROR_MESSAGES = (b'"message":"internal error"', b'"message":"request failed"')
+"""Parts of log lines about errors that nobody foresaw."""
+MAX_LOGGED_LENGTH = 600
 PLATFORM_TROUBLES = (
     *ADVISOR_TROUBLES,
     "store_down",
@@ -139,6 +142,12 @@
             self._open_suspensions -= 1
             self._send(signal.SIGCONT)
 
+    def logged_errors(self) -> Iterator[str]:
+        """Yield the errors that the processes have survived and logged."""
+        for line in self._log.read_bytes().splitlines():
+            if any(message in line for message in ERROR_MESSAGES):
+                yield f"edge-{self.number}: {line.decode('utf-8', 'replace')[:MAX_LOGGED_LENGTH]}"
+
     async def hang_up(self) -> None:
         """Tell the process that its settings have changed, once it serves.
 
@@ -197,7 +206,7 @@
                 self._platform.history.record_violation("finished", "jobs have not ended")
             nursery.cancel_scope.cancel()
         for instance in self._instances:
-            for problem in instance.problems:
+            for problem in (*instance.problems, *instance.logged_errors()):
                 self._platform.history.record_violation("process", problem)
         return SoakReport(
             self._platform.history.violations, dict(self._callers.states), self._troubles.log
