Jobs carry the terms of their queue, and owners store the terms that change

With 2 attempts a task was started a third time. A job of an urgent queue went last, and one of a queue with an advisor got no ticket.

Cause: a job of a removed route kept the last configuration of its queue in the memory of the present owner only. A successor used made-up terms: 3 attempts, priority 9, no tickets. An owner that heard of a job after the removal, from an instance with the version before, did the same without any change of owner.

If the operator changes them while the job lives, the owner stores the queue's terms under one key of the service, in its next write. Terms carry the version of the configuration, and the latest apply, to all jobs of the queue. One write holds 25 jobs in place of 26, as the terms may take a row. A stretch factor from the configuration is bounded to 0 to 1e6.

--- a/fireflyfork/decisions/jobs/__init__.py
+++ b/fireflyfork/decisions/jobs/__init__.py
@@ -50,7 +50,8 @@
     PreemptionSettings,
 )
 from ._progress import JobState, StoredProgress, StoredTask
-from ._queues import AdviceTerms, QueueConfiguration, QueueTable, queue_table
+from ._queue_terms import MAX_STRETCH_FACTOR, AdviceTerms, QueueTerms
+from ._queues import QueueConfiguration, QueueTable, queue_table
 from ._registration_age import RegistrationAge
 from ._reports import (
     CallOutcome,
@@ -75,11 +76,13 @@
     decode_registrations,
     decode_shares,
     decode_stored_job,
+    decode_terms,
     decode_upkeep_mark,
     encode_job,
     encode_learned,
     encode_progress,
     encode_registrations,
+    encode_terms,
     encode_upkeep_mark,
 )
 from ._stored_shares import ShareId, StoredShare
@@ -89,6 +92,7 @@
 
 __all__ = [
     "MAX_BID_DELAY",
+    "MAX_STRETCH_FACTOR",
     "NO_POLICIES",
     "SUFFICIENT_STRENGTH",
     "AdmissionSettings",
@@ -128,6 +132,7 @@
     "PreemptionSettings",
     "QueueConfiguration",
     "QueueTable",
+    "QueueTerms",
     "RegistrationAge",
     "ReservationDropped",
     "ReservationMade",
@@ -179,11 +184,13 @@
     "decode_registrations",
     "decode_shares",
     "decode_stored_job",
+    "decode_terms",
     "decode_upkeep_mark",
     "encode_job",
     "encode_learned",
     "encode_progress",
     "encode_registrations",
+    "encode_terms",
     "encode_upkeep_mark",
     "has_stronger",
     "job_problem",
--- a/fireflyfork/decisions/jobs/_job_table.py
+++ b/fireflyfork/decisions/jobs/_job_table.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass
 from itertools import islice
 
@@ -10,9 +10,11 @@
 from ._change_log import ChangeLog
 from ._job_limits import MAX_EARLY_WINDOWS, MAX_OPEN_TASKS, SMALL_JOB_TASKS, open_occurrences
 from ._progress import JobState, StoredProgress
-from ._queues import QueueConfiguration, QueueTable
+from ._queue_terms import QueueTerms, latest
+from ._queues import QueueConfiguration, QueueTable, removed_queue, unknown_queue
 from ._runs import Job, Task
 from ._specs import JobSpec, StepSpec, TaskKey, parse_task_name
+from ._stored_terms import StoredTerms
 
 
 @dataclass(frozen=True, slots=True)
@@ -23,11 +25,6 @@
     final_ms: int
 
 
-def configuration_without_queue(spec: JobSpec) -> QueueConfiguration:
-    """Return a configuration for the removed queue of a job, so that the job can finish."""
-    return QueueConfiguration(spec.queue, "", "", spec.service, 9, 3, 2.0, 1000, 0)
-
-
 class JobTable:
     """All jobs whose state is not final, and final ones until their final state is stored."""
 
@@ -38,7 +35,12 @@
         self._finished: dict[JobId, _FinishedJob] = {}
         self._removed: set[JobId] = set()
         self._removed_before: set[JobId] = set()
-        self._queues: QueueTable | None = None
+        self._queues: dict[QueueName, QueueConfiguration] = {}
+        """The queues in force."""
+        self._terms: dict[QueueName, QueueTerms] = {}
+        """The last known terms of the queues that have jobs, also of removed queues."""
+        self._reprioritized: set[Job] = set()
+        self.stored_terms = StoredTerms()
         self._open_tasks = 0
         """Number of tasks of all jobs that have a record."""
 
@@ -46,18 +48,33 @@
         """Return the number of jobs in the table."""
         return len(self._jobs)
 
-    def configure(self, queues: QueueTable) -> set[Job]:
-        """Use the queues of another configuration version. Returns the jobs with another priority.
+    def configure(self, queues: QueueTable) -> None:
+        """Use the queues of another configuration version.
 
-        Jobs of removed queues keep the last configuration of the queue.
+        Jobs of removed queues keep the last known terms of the queue.
         """
-        self._queues = queues
-        reprioritized = set()
+        self._queues = {queue.name: queue for queue in reversed(queues.queues)}
+        earlier, self._terms = self._terms, {}
         for job in self._jobs.values():
-            earlier, job.queue = job.queue, queues.by_name(job.spec.queue) or job.queue
-            if job.queue.priority != earlier.priority:
-                reprioritized.add(job)
-        return reprioritized
+            name = job.spec.queue
+            if name not in self._terms:
+                terms = self._latest_terms(name, earlier.get(name))
+                if terms is not None:
+                    self._terms[name] = terms
+        for job in self._jobs.values():
+            self._use_terms(job)
+        self._review_stored_terms()
+
+    def adopt_terms(self, stored: Mapping[QueueName, QueueTerms]) -> None:
+        """Use the terms that an earlier owner has stored; called before its jobs are accepted."""
+        for name, terms in stored.items():
+            self._terms[name] = latest(self._terms.get(name), terms) or terms
+        self.stored_terms.adopt(stored)
+
+    def take_reprioritized(self) -> set[Job]:
+        """Return the jobs whose priority has changed since the last call."""
+        jobs, self._reprioritized = self._reprioritized, set()
+        return jobs
 
     def get(self, job: JobId) -> Job | None:
         """Return the job, or None if it is over or unknown."""
@@ -94,10 +111,7 @@
         is_known = spec.job in self._jobs or spec.job in self._finished
         if is_known or spec.job in self._removed or spec.job in self._removed_before:
             return []
-        queue = (self._queues and self._queues.by_name(spec.queue)) or configuration_without_queue(
-            spec
-        )
-        job = Job(spec, queue)
+        job = Job(spec, self._queue_of(spec))
         self._jobs[spec.job] = job
         if progress is not None:
             job.state = progress.state
@@ -246,6 +260,52 @@
                 counts[job.spec.queue] = counts.get(job.spec.queue, 0) + 1
         return counts
 
+    def _queue_of(self, spec: JobSpec) -> QueueConfiguration:
+        """Return the queue of a new job, by the terms of its acceptance or later ones."""
+        name = spec.queue
+        known = self._terms.get(name)
+        terms = self._latest_terms(name, latest(spec.queue_terms, known))
+        if terms is None:
+            return unknown_queue(spec)
+        self._terms[name] = terms
+        if known is not None and not terms.is_like(known):
+            for job in self._jobs.values():
+                if job.spec.queue == name:
+                    self._use_terms(job)
+            self._review_stored_terms()
+        if not terms.is_like(spec.queue_terms):
+            self.stored_terms.set(name, terms)
+        return self._queue_with(spec, terms)
+
+    def _latest_terms(self, name: QueueName, known: QueueTerms | None) -> QueueTerms | None:
+        queue = self._queues.get(name)
+        return known if queue is None else latest(known, queue.terms)
+
+    def _use_terms(self, job: Job) -> None:
+        terms = self._terms.get(job.spec.queue)
+        if terms is None:
+            return
+        earlier, job.queue = job.queue, self._queue_with(job.spec, terms)
+        if job.queue.priority != earlier.priority:
+            self._reprioritized.add(job)
+
+    def _queue_with(self, spec: JobSpec, terms: QueueTerms) -> QueueConfiguration:
+        queue = self._queues.get(spec.queue)
+        if queue is not None and queue.version == terms.version:
+            return queue
+        return removed_queue(spec, terms)
+
+    def _review_stored_terms(self) -> None:
+        """Have those terms stored that a successor can't read from every job of the queue."""
+        self.stored_terms.replace(
+            {
+                job.spec.queue: terms
+                for job in self._jobs.values()
+                if (terms := self._terms.get(job.spec.queue)) is not None
+                and not terms.is_like(job.spec.queue_terms)
+            }
+        )
+
     def _open_until(self, job: Job, occurrences: int) -> list[Task]:
         """Open the occurrences before number ``occurrences``. Returns the tasks that may start."""
         ready: list[Task] = []
--- a/fireflyfork/decisions/jobs/_queues.py
+++ b/fireflyfork/decisions/jobs/_queues.py
@@ -6,18 +6,11 @@
 from dataclasses import dataclass, field
 
 from ..._ids import ConfigurationVersion, QueueName, ServiceName
+from ._queue_terms import AdviceTerms, QueueTerms
+from ._specs import JobSpec
 
-
-@dataclass(frozen=True, slots=True)
-class AdviceTerms:
-    """What the configuration says about the advisor's answers, in seconds."""
-
-    decision_seconds: float = 0.0
-    """The time that an answer takes, besides that for each executor."""
-    executor_seconds: float = 0.0
-    """The additional time for each executor that is asked about."""
-    valid_seconds: float = 0.0
-    """How long a ticket is valid."""
+_NO_ADVICE = AdviceTerms()
+_NO_VERSION = ConfigurationVersion(0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -41,8 +34,22 @@
     needs_tickets: bool = False
     """Whether an advisor decides which executors may run a step; starts then carry the advisor's
     tickets."""
-    advice: AdviceTerms = AdviceTerms()
+    advice: AdviceTerms = _NO_ADVICE
     """Used if ``needs_tickets``."""
+    version: ConfigurationVersion = _NO_VERSION
+    """The version of the configuration that the queue is from."""
+
+    @property
+    def terms(self) -> QueueTerms:
+        """What the queue's jobs need to know of it."""
+        return QueueTerms(
+            self.version,
+            self.priority,
+            self.attempts,
+            self.stretch_factor,
+            self.target_latency_ms,
+            self.advice if self.needs_tickets else None,
+        )
 
 
 @dataclass(frozen=True, slots=True)
@@ -60,10 +67,6 @@
         candidates = self.by_host.get(host.lower(), ())
         return next((queue for queue in candidates if path.startswith(queue.path_prefix)), None)
 
-    def by_name(self, name: QueueName) -> QueueConfiguration | None:
-        """Return the queue of that name, or None if it is no longer configured."""
-        return next((queue for queue in self.queues if queue.name == name), None)
-
 
 def queue_table(
     version: ConfigurationVersion,
@@ -82,3 +85,27 @@
         for host in hosts
     }
     return QueueTable(version, queues, services, by_host)
+
+
+def removed_queue(spec: JobSpec, terms: QueueTerms) -> QueueConfiguration:
+    """Return the configuration by which a job of a removed queue goes on."""
+    return QueueConfiguration(
+        spec.queue,
+        "",
+        "",
+        spec.service,
+        terms.priority,
+        terms.attempts,
+        terms.stretch_factor,
+        terms.target_latency_ms,
+        0,
+        terms.advice is not None,
+        terms.advice or _NO_ADVICE,
+        ConfigurationVersion(terms.version),
+    )
+
+
+def unknown_queue(spec: JobSpec) -> QueueConfiguration:
+    """Return the configuration by which a job goes on whose queue was removed, and of whose terms
+    nothing is stored."""
+    return QueueConfiguration(spec.queue, "", "", spec.service, 9, 3, 2.0, 1000, 0)
--- a/fireflyfork/decisions/jobs/_report_handling.py
+++ b/fireflyfork/decisions/jobs/_report_handling.py
@@ -8,11 +8,11 @@
 from ._commands import PaceRun
 from ._executors import ExecutorRegistration, ExecutorState
 from ._gangs import failed_attempt_count, gang_members, save_checkpoint
-from ._job_table import configuration_without_queue
 from ._load_shedding import Shed
 from ._notes import RunEnded
 from ._pacing import BACKGROUND_PACE, adjust_pace
 from ._progress import JobState
+from ._queues import unknown_queue
 from ._reports import CallOutcome, EndedRow, EndReason, OrderAnswer, PollAnswer, RunningRow
 from ._run_end_evidence import RunEndEvidence
 from ._runs import Job, Run, RunPhase, Task
@@ -309,7 +309,7 @@
             else JobSpec(JobId(row.task), QueueName(""), service, "", (), 0)
         )
         step = known_step[1] if known_step else StepSpec(1, 0, 0, 0, 0)
-        job = Job(spec, configuration_without_queue(spec), JobState.CANCELLED)
+        job = Job(spec, unknown_queue(spec), JobState.CANCELLED)
         task = Task(job, TaskKey(0, 0, 0), row.task, step)
         run = Run(task, row.attempt, executor, RunPhase.STOPPING, now, confirmed_at=now)
         executor.add(run)
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -7,11 +7,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from math import inf
 
-from ..._ids import ExecutorId, FailureDomainName, JobId, MachineId, ServiceName
+from ..._ids import ExecutorId, FailureDomainName, JobId, MachineId, QueueName, ServiceName
 from ..._waits import WaitReason
 from ._advice_requests import AdviceRequests
 from ._arrangement import Arrangement
@@ -28,6 +28,7 @@
 from ._policy_factory import create_policies
 from ._policy_settings import NO_POLICIES, PolicySettings
 from ._progress import JobState, StoredProgress
+from ._queue_terms import QueueTerms
 from ._queues import QueueTable
 from ._registration_age import RegistrationAge, start_validity_ms
 from ._report_handling import ReportHandler
@@ -150,11 +151,8 @@
     @guarded_change
     def configure(self, queues: QueueTable) -> None:
         """Use the queues of another configuration version."""
-        reprioritized = self.jobs.configure(queues)
-        for executor in self.executors.values() if reprioritized else ():
-            for run in executor.runs.values():
-                if run.task.job in reprioritized:
-                    executor.recount(run)
+        self.jobs.configure(queues)
+        self._recount_reprioritized()
 
     @guarded_change
     def evacuate(self, domains: frozenset[FailureDomainName]) -> None:
@@ -223,6 +221,21 @@
         """Use what an earlier owner has learned of the failures of executors."""
         self._state.policies.estimates.adopt(stored, now, now_ms)
 
+    @guarded_change
+    def adopt_terms(self, terms: Mapping[QueueName, QueueTerms]) -> None:
+        """Use the terms of queues that an earlier owner has stored; called before ``recover``."""
+        self.jobs.adopt_terms(terms)
+
+    @guarded_change
+    def take_changed_terms(self) -> dict[QueueName, QueueTerms] | None:
+        """Return the terms of queues to store for a successor, or None if they haven't changed."""
+        return self.jobs.stored_terms.take()
+
+    @guarded_change
+    def terms_not_stored(self) -> None:
+        """Handle a failed write of the terms, or one whose outcome is unknown."""
+        self.jobs.stored_terms.put_back()
+
     @guarded_change
     def shares(self) -> tuple[StoredShare, ...]:
         """Return the use of the shares, to be stored for a successor."""
@@ -238,12 +251,21 @@
         """Add a job that was accepted while this owner owned the service."""
         is_known = self.jobs.get(spec.job) is not None
         ready = self.jobs.accept(spec, None, now_ms)
+        self._recount_reprioritized()
         job = self.jobs.get(spec.job)
         if job is not None and not is_known:
             self._report_accepted(job, now_ms)
         for task in ready:
             self._state.enqueue(task)
 
+    def _recount_reprioritized(self) -> None:
+        """Count the runs of jobs whose priority has changed by their present priority."""
+        jobs = self.jobs.take_reprioritized()
+        for executor in self.executors.values() if jobs else ():
+            for run in executor.runs.values():
+                if run.task.job in jobs:
+                    executor.recount(run)
+
     def _report_accepted(self, job: Job, now_ms: int) -> None:
         self._state.tell(lambda policy: policy.job_accepted(job, now_ms))
 
--- a/fireflyfork/decisions/jobs/_specs.py
+++ b/fireflyfork/decisions/jobs/_specs.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from ..._ids import JobId, QueueName, ServiceName, TaskName
+from ._queue_terms import QueueTerms
 
 
 @dataclass(frozen=True, slots=True)
@@ -71,6 +72,8 @@
     """Due time of the first occurrence, in Unix milliseconds."""
     interval_ms: int = 0
     """Time between the due times of two occurrences, in milliseconds."""
+    queue_terms: QueueTerms | None = None
+    """The terms of the queue when the job was accepted; None for jobs of earlier builds."""
 
     @property
     def occurrence_count(self) -> int:
--- a/fireflyfork/decisions/jobs/_stored_forms.py
+++ b/fireflyfork/decisions/jobs/_stored_forms.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Mapping
 from dataclasses import asdict, dataclass
 from math import isfinite
 from typing import TypeVar
@@ -10,10 +11,12 @@
 
 from ..._decoding import decode_msgpack, is_header_text
 from ..._errors import FireflyforkError, InvalidDataError
+from ..._ids import QueueName
 from ._executors import ExecutorRegistration
 from ._interference import MAX_IMAGES, LearnedFit, is_solvable
 from ._job_limits import job_problem
 from ._progress import StoredProgress
+from ._queue_terms import QueueTerms
 from ._specs import JobSpec
 from ._stored_estimates import StoredEstimates
 from ._stored_shares import StoredShare
@@ -139,6 +142,16 @@
     return tuple(share for carrier in carriers for share in carrier.shares)
 
 
+def encode_terms(terms: Mapping[QueueName, QueueTerms]) -> bytes:
+    """Return the stored form as bytes."""
+    return msgspec.msgpack.encode(terms)
+
+
+def decode_terms(data: bytes) -> dict[QueueName, QueueTerms]:
+    """Decode the stored form. Raises StoredFormatError."""
+    return {QueueName(name): terms for name, terms in _decode(data, dict[str, QueueTerms]).items()}
+
+
 def encode_upkeep_mark(mark: UpkeepMark) -> bytes:
     """Return the stored form as bytes."""
     return msgspec.msgpack.encode(mark)
--- a/fireflyfork/platform/_configuration.py
+++ b/fireflyfork/platform/_configuration.py
@@ -7,7 +7,13 @@
 from .._decoding import Count, Integer, decode_json
 from .._errors import InvalidDataError, SettingsError
 from .._ids import ConfigurationVersion, QueueName, ServiceName
-from ..decisions.jobs import AdviceTerms, QueueConfiguration, QueueTable, queue_table
+from ..decisions.jobs import (
+    MAX_STRETCH_FACTOR,
+    AdviceTerms,
+    QueueConfiguration,
+    QueueTable,
+    queue_table,
+)
 
 
 class _Advice(msgspec.Struct):
@@ -49,12 +55,12 @@
         raise SettingsError(f"the stored configuration can't be read: {error}") from error
     return queue_table(
         ConfigurationVersion(stored.version),
-        tuple(map(_queue, stored.routes)),
+        tuple(_queue(route, ConfigurationVersion(stored.version)) for route in stored.routes),
         frozenset(ServiceName(service.name) for service in stored.services),
     )
 
 
-def _queue(route: _Route) -> QueueConfiguration:
+def _queue(route: _Route, version: ConfigurationVersion) -> QueueConfiguration:
     return QueueConfiguration(
         name=QueueName(route.name),
         host=route.host,
@@ -62,11 +68,12 @@
         service=ServiceName(route.service),
         priority=route.priority,
         attempts=max(1, route.attempts),
-        stretch_factor=route.stretch_factor,
+        stretch_factor=min(max(0.0, route.stretch_factor), MAX_STRETCH_FACTOR),
         target_latency_ms=route.target_latency_ms,
         timeout_ms=route.timeout_ms,
         needs_tickets=route.advice is not None,
         advice=_advice_terms(route.advice),
+        version=version,
     )
 
 
--- a/fireflyfork/platform/_jobs.py
+++ b/fireflyfork/platform/_jobs.py
@@ -84,6 +84,7 @@
         repetitions=request.repetitions,
         first_due_ms=request.initial_delay_ms,
         interval_ms=request.interval_ms,
+        queue_terms=queue.terms,
     )
     problem = job_problem(spec)
     if problem:
--- a/fireflyfork/programs/_scheduling_keys.py
+++ b/fireflyfork/programs/_scheduling_keys.py
@@ -55,6 +55,11 @@
     return f"{_ROOT}executors/{service}"
 
 
+def queue_terms_key(service: ServiceName) -> str:
+    """Return the key of the terms of queues that have changed since their jobs were accepted."""
+    return f"{_ROOT}queues/{service}"
+
+
 def learned_key(service: ServiceName) -> str:
     """Return the key of the learned interference between images, stored for the next owner."""
     return f"{_ROOT}learned/{service}"
--- a/fireflyfork/programs/owner/_recovery_reads.py
+++ b/fireflyfork/programs/owner/_recovery_reads.py
@@ -10,10 +10,12 @@
 from loguru import logger
 
 from ..._errors import StoreError
+from ..._ids import QueueName
 from ...adapters import CoordinationStore, StoreListing
 from ...decisions.jobs import (
     ExecutorRegistration,
     LearnedFit,
+    QueueTerms,
     StoredEstimates,
     StoredShare,
 )
@@ -32,6 +34,8 @@
 
     last_known: tuple[ExecutorRegistration, ...] | None
     """The executors that an earlier owner stored; None if they can't be read."""
+    terms: dict[QueueName, QueueTerms]
+    """The terms of queues that an earlier owner stored."""
     learned: tuple[LearnedFit, ...]
     shares: tuple[StoredShare, ...]
     """Use of the shares, stored with what was learned."""
@@ -53,15 +57,21 @@
     """
     opened = _Reading("journal", journal.open)
     last_known = _Reading("executors", journal.last_known_executors)
+    terms = _Reading("terms of queues", journal.last_terms)
     learned = _Reading("learned", journal.last_learned)
     work = _Reading(WORK_PREFIX, lambda: store.list(WORK_PREFIX))
     progress = _Reading(PROGRESS_PREFIX, lambda: store.list(PROGRESS_PREFIX))
     registrations = _Reading(REGISTRATION_PREFIX, lambda: store.list(REGISTRATION_PREFIX))
     async with trio.open_nursery() as nursery:
-        for reading in (opened, last_known, learned, work, progress, registrations):
+        for reading in (opened, last_known, terms, learned, work, progress, registrations):
             nursery.start_soon(reading.run)
     return RecoveryState(
-        last_known.answer, *learned.answer, work.answer, progress.answer, registrations.answer
+        last_known.answer,
+        terms.answer,
+        *learned.answer,
+        work.answer,
+        progress.answer,
+        registrations.answer,
     )
 
 
--- a/fireflyfork/programs/owner/_service_journal.py
+++ b/fireflyfork/programs/owner/_service_journal.py
@@ -11,11 +11,12 @@
 from loguru import logger
 
 from ..._errors import StoreError, TransactionConflictError
-from ..._ids import JobId, Revision
+from ..._ids import JobId, QueueName, Revision
 from ...adapters import CoordinationStore, Put, StoredItem
 from ...decisions.jobs import (
     ExecutorRegistration,
     LearnedFit,
+    QueueTerms,
     Scheduler,
     StoredEstimates,
     StoredFormatError,
@@ -24,9 +25,11 @@
     decode_learned,
     decode_registrations,
     decode_shares,
+    decode_terms,
     encode_learned,
     encode_progress,
     encode_registrations,
+    encode_terms,
 )
 from ...decisions.jobs.admission import encode_figures
 from .._scheduling_keys import (
@@ -38,16 +41,17 @@
     owner_key,
     pending_key,
     progress_key,
+    queue_terms_key,
     work_ahead_key,
 )
 from ._service_lease import Term
 
-MAX_JOBS_PER_WRITE = 26
+MAX_JOBS_PER_WRITE = 25
 """Maximum number of jobs in one write.
 
 A transaction takes 32 rows. The two conditions, the journal's number, the pending counts, the known
-executors and the learned interference use six of them. Figures of the work ahead, where they are
-measured, take the place of one job."""
+executors, the terms of queues and the learned interference use seven of them. Figures of the work
+ahead, where they are measured, take the place of one job."""
 MAX_JOBS_PER_REMOVAL = 10
 """Maximum number of jobs in one removal, with three keys each, within the same 32 rows."""
 WRITE_BATCH_SECONDS = 0.025
@@ -123,6 +127,11 @@
         key = executors_key(self._term.service)
         return await self._read_stored_value(key, decode_registrations, missing=nothing)
 
+    async def last_terms(self) -> dict[QueueName, QueueTerms]:
+        """Return the terms of queues that an earlier owner had stored. Raises StoreError."""
+        key = queue_terms_key(self._term.service)
+        return await self._read_stored_value(key, decode_terms, missing={}) or {}
+
     async def last_learned(
         self,
     ) -> tuple[tuple[LearnedFit, ...], tuple[StoredShare, ...], StoredEstimates | None]:
@@ -162,20 +171,21 @@
         jobs = changes.take(max_jobs)
         pending = self._pending_to_store()
         executors = self._scheduler.take_changed_executors()
+        terms = self._scheduler.take_changed_terms()
         try:
-            await self._write(jobs, pending, executors)
+            await self._write(jobs, pending, executors, terms)
         except TransactionConflictError as error:
-            self._restore_unstored(executors)
+            self._restore_unstored(executors, terms)
             self._resolve_conflict(error)
             return False
         except StoreError as error:
-            self._restore_unstored(executors)
+            self._restore_unstored(executors, terms)
             if isinstance(error, OwnershipLostError):
                 raise
             logger.debug("journal not written", service=self._term.service, error=str(error))
             return False
         except Exception:
-            self._restore_unstored(executors)
+            self._restore_unstored(executors, terms)
             raise
         changes.mark_stored()
         if pending is not None:
@@ -227,13 +237,20 @@
                 await self._changed.wait()
                 self._changed = trio.Event()
 
-    def _restore_unstored(self, executors: tuple[ExecutorRegistration, ...] | None) -> None:
+    def _restore_unstored(
+        self,
+        executors: tuple[ExecutorRegistration, ...] | None,
+        terms: dict[QueueName, QueueTerms] | None,
+    ) -> None:
         self._scheduler.jobs.changes.put_back()
         if executors is not None:
             self._scheduler.executors_not_stored()
+        if terms is not None:
+            self._scheduler.terms_not_stored()
 
     def _has_work(self) -> bool:
-        if len(self._scheduler.jobs.changes) or self._scheduler.executors_changed:
+        jobs = self._scheduler.jobs
+        if len(jobs.changes) or jobs.stored_terms.changed or self._scheduler.executors_changed:
             return True
         return self._pending_to_store() is not None
 
@@ -247,6 +264,7 @@
         jobs: tuple[JobId, ...],
         pending: dict[str, int] | None,
         executors: tuple[ExecutorRegistration, ...] | None,
+        terms: dict[QueueName, QueueTerms] | None,
     ) -> None:
         service = self._term.service
         self._write_count += 1
@@ -271,6 +289,8 @@
         puts.extend(self._figures_to_store())
         if executors is not None:
             puts.append(Put(executors_key(service), encode_registrations(executors)))
+        if terms is not None:
+            puts.append(Put(queue_terms_key(service), encode_terms(terms)))
         expected = {
             owner_key(service): self._term.owner_revision,
             journal_key(service): self._last_write,
--- a/fireflyfork/programs/owner/_service_owner.py
+++ b/fireflyfork/programs/owner/_service_owner.py
@@ -327,6 +327,7 @@
         now, now_ms = self._clock.now(), self._clock.unix_ms()
         self._scheduler.configure(self._requests.queues())
         self._scheduler.evacuate(self._requests.evacuated_domains())
+        self._scheduler.adopt_terms(state.terms)
         self._scheduler.adopt(state.learned)
         if state.estimates is not None:
             self._scheduler.adopt_estimates(state.estimates, now, now_ms)
