--- a/fireflyfork_standins/scheduling/_configuration_sources.py
+++ b/fireflyfork_standins/scheduling/_configuration_sources.py
@@ -55,12 +55,16 @@
 
 
 class FixedConfiguration(ConfigurationSource):
-    """A configuration that never changes."""
+    """A configuration that is known from the start, and changes at once."""
 
     def __init__(self, table: QueueTable) -> None:
         """Use ``table`` from the start."""
         self._table = table
 
+    def replace(self, table: QueueTable) -> None:
+        """Use ``table`` from now on."""
+        self._table = table
+
     @property
     def table(self) -> QueueTable:
         """See ConfigurationSource."""
--- a/fireflyfork_standins/scheduling/_day.py
+++ b/fireflyfork_standins/scheduling/_day.py
@@ -9,7 +9,6 @@
 
 from fireflyfork._errors import StoreRefusedError, StoreUnavailableError
 from fireflyfork._ids import (
-    ConfigurationVersion,
     ExecutorId,
     JobId,
     QueueName,
@@ -25,14 +24,14 @@
     QueueConfiguration,
     StepSpec,
     UpkeepWave,
-    queue_table,
 )
 from fireflyfork.platform import PlatformBounds, is_completed_status, wave_status_key
 from fireflyfork.programs._scheduling_keys import JOB_PREFIX
 
 from ._advisor import AdvisorProfile, StandInAdvisor
 from ._deterministic_run import run_deterministically
-from ._executors import MAX_LEASE_SECONDS, StandInExecutor
+from ._executors import FAIL_SHARE, MAX_LEASE_SECONDS, StandInExecutor
+from ._further_writers import FurtherWriters
 from ._history import History, Violation
 from ._machines import StandInMachines, machine_of
 from ._nodes import UNIX_MS_AT_START, StandInNode
@@ -95,6 +94,16 @@
     advisor: AdvisorProfile | None = None
     """The advisor whose tickets all starts need, if any."""
     burst: Burst | None = None
+    attempts: int = 3
+    """How often a task may fail before its job is failed."""
+    fail_share: float = FAIL_SHARE
+    """Share of runs that fail without any trouble."""
+    changes_routes: bool = False
+    """Whether the operator removes the route, adds it again, and changes its priority."""
+    foreign_entries: bool = False
+    """Whether another writer stores entries among the executors, most of which can't be read."""
+    unusual_jobs: bool = False
+    """Whether steps leave out what they don't need, and tasks request nothing of some kinds."""
 
 
 @dataclass(slots=True)
@@ -160,16 +169,22 @@
                 max_lease_seconds=profile.max_lease_seconds,
                 failure_domain=self._map.executor_domain(number),
                 ticket_check=self._has_ticket,
+                fail_share=profile.fail_share,
             )
             for number in range(profile.executors)
         }
         self._machines = StandInMachines(SERVICE, self._executors, self._history, self._random)
         self._history.checks_budgets = not (profile.troubles or profile.planned_troubles)
         self._history.listing_counts = profile.listing_counts
-        queue = QueueConfiguration(QueueName("q"), "h", "/q/", SERVICE, 0, 3, 2.0, 1000, 3000)
+        queue = QueueConfiguration(
+            QueueName("q"), "h", "/q/", SERVICE, 0, profile.attempts, 2.0, 1000, 3000
+        )
         if profile.advisor is not None:
             queue = replace(queue, needs_tickets=True, advice=_terms(profile.advisor))
-        table = queue_table(ConfigurationVersion(1), (queue,), frozenset({SERVICE}))
+        self._further = FurtherWriters(Random(f"further {seed}"), self._store, SERVICE, queue)
+        table = self._further.table
+        if profile.changes_routes:
+            self._history.attempts = profile.attempts
         longest = profile.max_lease_seconds
         bounds = PlatformBounds(longest, 0.2, 6.0, profile.retention_seconds, 2.5, 2.5)
         self._operator = self._map.operator(self._store, SERVICE, self._history)
@@ -234,6 +249,7 @@
                     day.start_soon(self._troubles.run, nursery)
                 if self._operator is not None:
                     day.start_soon(self._operator.run)
+                self._start_further_writers(day)
                 if self._profile.planned_troubles:
                     day.start_soon(
                         self._troubles.run_planned, self._profile.planned_troubles, nursery
@@ -259,6 +275,13 @@
             self._report.configuration_bytes = self._operator.carried_bytes
         return self._report
 
+    def _start_further_writers(self, nursery: trio.Nursery) -> None:
+        profile = self._profile
+        if profile.changes_routes:
+            nursery.start_soon(self._further.change_routes, self._nodes, profile.seconds)
+        if profile.foreign_entries:
+            nursery.start_soon(self._further.write_entries, profile.seconds)
+
     async def _watch_owner(self) -> None:
         while not any(node.is_active_owner for node in self._nodes):
             await trio.sleep(OWNER_CHECK_SECONDS)
@@ -359,7 +382,12 @@
                 )
             )
         now_ms = UNIX_MS_AT_START + int(trio.current_time() * 1000)
-        return JobSpec(name, QueueName("q"), SERVICE, "work", tuple(steps), now_ms)
+        if self._profile.unusual_jobs:
+            steps = [self._further.reduced(step) for step in steps]
+        terms = self._further.queue.terms
+        return JobSpec(
+            name, QueueName("q"), SERVICE, "work", tuple(steps), now_ms, queue_terms=terms
+        )
 
     def _draws(self, share: float) -> bool:
         return share > 0 and self._random.random() < share
@@ -434,6 +462,8 @@
             done = len(self._history.done_tasks(job))
             if done != spec.task_count:
                 self._broken("completed", f"{job}: {done} of {spec.task_count} tasks are done")
+        elif state is JobState.FAILED and self._history.failures(job) < self._profile.attempts:
+            self._broken("failed", f"{job} has failed {self._history.failures(job)} times only")
         elif state is JobState.CANCELLED and job not in self._history.cancelled:
             self._broken("cancelled", f"{job} was not cancelled by its caller")
 
--- a/fireflyfork_standins/scheduling/_executor_calls.py
+++ b/fireflyfork_standins/scheduling/_executor_calls.py
@@ -170,7 +170,10 @@
             carry_out()
 
     def _reachable(self, place: ExecutorEndpoint) -> StandInExecutor | None:
-        executor = self._executors[place.executor]
+        executor = self._executors.get(place.executor)
+        if executor is None:
+            # An entry of another writer named it.
+            return None
         cut = self._node in executor.trouble.unreachable_from
         return executor if executor.up and not cut else None
 
--- a/fireflyfork_standins/scheduling/_executors.py
+++ b/fireflyfork_standins/scheduling/_executors.py
@@ -43,6 +43,7 @@
 MAX_LEASE_SECONDS = 6.0
 """Default of the maximum lease that an executor accepts at once."""
 MAX_LISTED_ENDS = 500
+FAIL_SHARE = 0.02
 FAILURE_DOMAIN = FailureDomainName("suva")
 """Default failure domain of executors."""
 
@@ -118,11 +119,14 @@
         max_lease_seconds: float = MAX_LEASE_SECONDS,
         failure_domain: FailureDomainName = FAILURE_DOMAIN,
         ticket_check: TicketCheck = lambda executor, task, ticket: True,
+        fail_share: float = FAIL_SHARE,
     ) -> None:
         """Create an executor that registers with ``address`` when ``run`` is called.
 
         ``ticket_check`` returns whether a start of a task on an executor carries a valid ticket.
+        ``fail_share`` is the share of runs that fail without any trouble.
         """
+        self._fail_share = fail_share
         self.executor = executor
         self._ticket_check = ticket_check
         self.trouble = ExecutorTrouble()
@@ -219,7 +223,7 @@
             self._history.record_over_room(self.executor, order.task)
         work = step.estimate_ms / 1000 * self._random.uniform(0.5, 1.6)
         saved = float(order.checkpoint) if order.checkpoint else 0.0
-        fails = self._random.random() < max(self.trouble.fail_share, 0.02)
+        fails = self._random.random() < max(self.trouble.fail_share, self._fail_share)
         self._state.runs[key] = _Run(order.task, order.attempt, step, work, fails, saved)
         self._state.deadline_ms = max(self._state.deadline_ms, self._limited(order.deadline_ms))
         return CallOutcome.ACCEPTED
--- a/fireflyfork_standins/scheduling/_history.py
+++ b/fireflyfork_standins/scheduling/_history.py
@@ -67,6 +67,8 @@
     answer got lost. Valid on days on which executors, scheduler and network work correctly."""
     evacuated_since: dict[FailureDomainName, float] = field(default_factory=dict)
     """The failure domains that the operator has asked to evacuate, with the time of the request."""
+    attempts: int | None = None
+    """How often a task may fail before its job is failed; None if that isn't checked."""
     starts: int = 0
     first_starts: dict[JobId, float] = field(default_factory=dict)
     """When the first task of each job started."""
@@ -88,6 +90,7 @@
         step = spec.steps[key.step]
         self._check_concurrent_runs(task, step)
         self._check_order(spec, key)
+        self._check_attempts(task, step)
         cancelled = self.cancelled.get(spec.job)
         if cancelled is not None and now > cancelled + CANCEL_GRACE_SECONDS:
             self.record_violation("cancelled", f"{task} begins {now - cancelled:.1f} s after that")
@@ -198,6 +201,28 @@
                     "once", f"{run.run.task} was started again on {other.run.executor}"
                 )
 
+    def failures(self, job: JobId) -> int:
+        """Return how many runs of the task of a job have failed that has failed most often."""
+        counts = (
+            sum(run.reason is EndReason.FAILED for run in runs)
+            for task, runs in self._runs.items()
+            if (parsed := parse_task_name(task)) is not None and parsed[0] == job
+        )
+        return max(counts, default=0)
+
+    def _check_attempts(self, task: TaskName, step: StepSpec) -> None:
+        if self.attempts is None or step.long_running:
+            return
+        noted = [
+            run
+            for run in self._runs[task]
+            if run.reason is EndReason.FAILED
+            and run.end_known_at is not None
+            and not run.lapsed_before_end_known
+        ]
+        if len(noted) >= self.attempts:
+            self.record_violation("attempts", f"{task} begins after {len(noted)} failures")
+
     def _check_order(self, spec: JobSpec, key: TaskKey) -> None:
         for earlier in spec.steps[key.step].after:
             for index in range(spec.steps[earlier].count):
--- a/fireflyfork_standins/scheduling/_nodes.py
+++ b/fireflyfork_standins/scheduling/_nodes.py
@@ -360,6 +360,11 @@
             return NoAdvisor()
         return _FreezableAdvisor(StandInAdvisorCalls(self.name, self._advisor, nursery), self)
 
+    def configure(self, queues: QueueTable) -> None:
+        """Put a version of the configuration in force at an instance without a site."""
+        self._fixed.replace(queues)
+        self._configured(queues)
+
     def kill(self) -> None:
         """End the process at once."""
         self.thaw()
