Soak: jobs that request nothing of some kinds, entries of another writer, removed routes

Their draws come from a generator of their own, so the troubles of a seed stay as they are. The number of processes is an option.

--- a/fireflyfork_standins/scheduling/_day.py
+++ b/fireflyfork_standins/scheduling/_day.py
@@ -31,7 +31,7 @@
 from ._advisor import AdvisorProfile, StandInAdvisor
 from ._deterministic_run import run_deterministically
 from ._executors import FAIL_SHARE, MAX_LEASE_SECONDS, StandInExecutor
-from ._further_writers import FurtherWriters
+from ._further_writers import FurtherWriters, RouteChanges
 from ._history import History, Violation
 from ._machines import StandInMachines, machine_of
 from ._nodes import UNIX_MS_AT_START, StandInNode
@@ -181,8 +181,10 @@
         )
         if profile.advisor is not None:
             queue = replace(queue, needs_tickets=True, advice=_terms(profile.advisor))
-        self._further = FurtherWriters(Random(f"further {seed}"), self._store, SERVICE, queue)
-        table = self._further.table
+        further_random = Random(f"further {seed}")
+        self._further = FurtherWriters(further_random, self._store, SERVICE)
+        self._routes = RouteChanges(further_random, SERVICE, queue)
+        table = self._routes.table
         if profile.changes_routes:
             self._history.attempts = profile.attempts
         longest = profile.max_lease_seconds
@@ -278,7 +280,7 @@
     def _start_further_writers(self, nursery: trio.Nursery) -> None:
         profile = self._profile
         if profile.changes_routes:
-            nursery.start_soon(self._further.change_routes, self._nodes, profile.seconds)
+            nursery.start_soon(self._routes.run, self._nodes, profile.seconds)
         if profile.foreign_entries:
             nursery.start_soon(self._further.write_entries, profile.seconds)
 
@@ -384,7 +386,7 @@
         now_ms = UNIX_MS_AT_START + int(trio.current_time() * 1000)
         if self._profile.unusual_jobs:
             steps = [self._further.reduced(step) for step in steps]
-        terms = self._further.queue.terms
+        terms = self._routes.queue.terms
         return JobSpec(
             name, QueueName("q"), SERVICE, "work", tuple(steps), now_ms, queue_terms=terms
         )
--- a/fireflyfork_standins/scheduling/_further_writers.py
+++ b/fireflyfork_standins/scheduling/_further_writers.py
@@ -54,43 +54,13 @@
 
 
 class FurtherWriters:
-    """Changes routes, writes entries among the executors, and reduces steps to what they need."""
+    """Writes entries among the executors, and reduces steps to what they need."""
 
-    def __init__(
-        self, random: Random, store: StandInStore, service: ServiceName, queue: QueueConfiguration
-    ) -> None:
-        """Begin with a configuration that has ``queue``."""
+    def __init__(self, random: Random, store: StandInStore, service: ServiceName) -> None:
+        """Draw from ``random``; nothing is written yet."""
         self._random = random
         self._store = store
         self._service = service
-        self.queue = queue
-        """The queue as it was last configured."""
-        self.table = self._table(1, (queue,))
-        """The configuration in force."""
-
-    async def change_routes(self, nodes: Iterable[StandInNode], seconds: float) -> None:
-        """Change the configuration for a time, and add the route again at the end."""
-        nodes = tuple(nodes)
-        end = trio.current_time() + seconds
-        version = 1
-        while trio.current_time() < end:
-            await trio.sleep(self._random.expovariate(1 / CHANGE_SECONDS))
-            version += 1
-            is_removed = self._random.random() < REMOVED_SHARE
-            self._configure(nodes, version, has_queue=not is_removed)
-        self._configure(nodes, version + 1, has_queue=True)
-
-    def _configure(self, nodes: Iterable[StandInNode], version: int, has_queue: bool) -> None:
-        if has_queue:
-            priority = self._random.choice((0, 2))
-            number = ConfigurationVersion(version)
-            self.queue = replace(self.queue, priority=priority, version=number)
-        self.table = self._table(version, (self.queue,) if has_queue else ())
-        for node in nodes:
-            node.configure(self.table)
-
-    def _table(self, version: int, queues: tuple[QueueConfiguration, ...]) -> QueueTable:
-        return queue_table(ConfigurationVersion(version), queues, frozenset({self._service}))
 
     async def write_entries(self, seconds: float) -> None:
         """Write and remove entries under the prefix of the executors, none of which is one."""
@@ -129,3 +99,40 @@
             speculative=False,
             uses_leftover_cpu=step.uses_leftover_cpu or (not step.long_running and draw() < 0.2),
         )
+
+
+class RouteChanges:
+    """The operator of a day, who removes the route, adds it again, and changes its priority."""
+
+    def __init__(self, random: Random, service: ServiceName, queue: QueueConfiguration) -> None:
+        """Begin with a configuration that has ``queue``."""
+        self._random = random
+        self._service = service
+        self.queue = queue
+        """The queue as it was last configured."""
+        self.table = self._table(1, (queue,))
+        """The configuration in force."""
+
+    async def run(self, nodes: Iterable[StandInNode], seconds: float) -> None:
+        """Change the configuration for a time, and add the route again at the end."""
+        nodes = tuple(nodes)
+        end = trio.current_time() + seconds
+        version = 1
+        while trio.current_time() < end:
+            await trio.sleep(self._random.expovariate(1 / CHANGE_SECONDS))
+            version += 1
+            is_removed = self._random.random() < REMOVED_SHARE
+            self._configure(nodes, version, has_queue=not is_removed)
+        self._configure(nodes, version + 1, has_queue=True)
+
+    def _configure(self, nodes: Iterable[StandInNode], version: int, has_queue: bool) -> None:
+        if has_queue:
+            priority = self._random.choice((0, 2))
+            number = ConfigurationVersion(version)
+            self.queue = replace(self.queue, priority=priority, version=number)
+        self.table = self._table(version, (self.queue,) if has_queue else ())
+        for node in nodes:
+            node.configure(self.table)
+
+    def _table(self, version: int, queues: tuple[QueueConfiguration, ...]) -> QueueTable:
+        return queue_table(ConfigurationVersion(version), queues, frozenset({self._service}))
--- a/fireflyfork_standins/scheduling/_wire_callers.py
+++ b/fireflyfork_standins/scheduling/_wire_callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from collections.abc import Callable
 from random import Random
 
 import msgspec
@@ -32,11 +33,14 @@
         history: History,
         random: Random,
         keep_connections: bool = False,
+        reduced: Callable[[StepSpec], StepSpec] = lambda step: step,
     ) -> None:
         """Call the scheduler at ``instances``. Each job is added to ``history`` before submission.
 
         With ``keep_connections`` callers use open connections until the instance closes them.
+        ``reduced`` returns what is left of each step that was drawn.
         """
+        self._reduced = reduced
         self._kept = {each: HttpClient(each, CALL_TIMEOUT_SECONDS) for each in instances}
         self._keep_connections = keep_connections
         self.tries: Counter[str] = Counter()
@@ -122,18 +126,24 @@
             )
             for number in range(self._random.randint(1, 2))
         )
-        return JobSpec(name, QueueName("holds"), SERVICE, "work", steps, 0)
+        return JobSpec(
+            name, QueueName("holds"), SERVICE, "work", tuple(map(self._reduced, steps)), 0
+        )
 
 
 def _body(spec: JobSpec) -> bytes:
-    steps = [
+    fields = [
         {
             "count": step.count,
             "cpu": step.cpu_millis,
             "mem_mb": step.memory_mb,
             "estimate_ms": step.estimate_ms,
             "after": list(step.after),
+            "image": step.image,
+            "fills": step.uses_leftover_cpu,
         }
         for step in spec.steps
     ]
+    # The platform omits fields whose value is 0, false or empty.
+    steps = [{name: value for name, value in each.items() if value} for each in fields]
     return msgspec.json.encode({"spec": spec.payload, "steps": steps})
--- a/fireflyfork_standins/scheduling/_wire_platform.py
+++ b/fireflyfork_standins/scheduling/_wire_platform.py
@@ -138,10 +138,17 @@
                 await self._serve(nursery, handler, self._layout.advisor(number))
         self.configure()
 
-    def configure(self) -> None:
-        """Store a new version of the configuration, which has one more route than the last."""
+    def configure(self, has_queue: bool = True, priority: int = 0) -> None:
+        """Store a new version of the configuration, which has one more route than the last.
+
+        Without ``has_queue`` it lacks the route of the callers; otherwise this has ``priority``.
+        """
         self._version += 1
-        self.store.put(CONFIGURATION_KEY, _configuration(self._version, self.advisor))
+        routes = [
+            *([_route(priority, self.advisor)] if has_queue else ()),
+            *map(_further_route, range(2, self._version + 1)),
+        ]
+        self.store.put(CONFIGURATION_KEY, _configuration(self._version, routes))
 
     def _make_advisor(self, profile: AdvisorProfile, random: Random) -> StandInAdvisor:
         return StandInAdvisor(profile, random, self._executors)
@@ -160,13 +167,19 @@
         nursery.start_soon(HttpServer(handler).run, listeners)
 
 
-def _configuration(version: int, advisor: StandInAdvisor | None) -> bytes:
+def _configuration(version: int, routes: list[dict[str, object]]) -> bytes:
+    return msgspec.json.encode(
+        {"version": version, "routes": routes, "services": [{"name": SERVICE}], "limits": {}}
+    )
+
+
+def _route(priority: int, advisor: StandInAdvisor | None) -> dict[str, object]:
     route: dict[str, object] = {
         "name": "holds",
         "host": QUEUE_HOST,
         "path_prefix": QUEUE_PREFIX,
         "service": SERVICE,
-        "priority": 0,
+        "priority": priority,
         "attempts": 3,
         "stretch_factor": 2.0,
         "target_latency_ms": 1000,
@@ -174,14 +187,7 @@
     }
     if advisor is not None:
         route["advice"] = _advice(advisor.profile)
-    return msgspec.json.encode(
-        {
-            "version": version,
-            "routes": [route, *map(_further_route, range(2, version + 1))],
-            "services": [{"name": SERVICE}],
-            "limits": {},
-        }
-    )
+    return route
 
 
 def _further_route(number: int) -> dict[str, object]:
--- a/fireflyfork_standins/scheduling/soak.py
+++ b/fireflyfork_standins/scheduling/soak.py
@@ -22,6 +22,7 @@
 import trio
 
 from ._advisor import AdvisorProfile
+from ._further_writers import FurtherWriters
 from ._history import Violation
 from ._machines import StandInMachines
 from ._troubles import ADVISOR_TROUBLES, Troubles
@@ -31,6 +32,10 @@
 
 FIRST_PORT = 21_000
 EXECUTORS, INSTANCES = 6, 3
+ROUTE_GAP_SECONDS = 3.0
+"""Mean interval at which the route of the callers is removed or its priority changes."""
+REMOVED_SECONDS = (0.2, 3.0)
+"""How long the route stays away."""
 GRACE_SECONDS = 6.0
 RESTART_SECONDS = 0.5
 READY_SECONDS = 30.0
@@ -161,17 +166,25 @@
 
 
 class _Soak:
-    def __init__(self, seed: int, first_port: int, seconds: float, folder: Path) -> None:
+    def __init__(
+        self, seed: int, first_port: int, seconds: float, folder: Path, instances: int
+    ) -> None:
         self._random = Random(seed)
         self._seconds = seconds
-        layout = WireLayout(first_port, EXECUTORS, INSTANCES, has_advisor=True)
+        self._instance_count = instances
+        layout = WireLayout(first_port, EXECUTORS, instances, has_advisor=True)
         self._layout = layout
         self._platform = WirePlatform(layout, self._random, ADVISOR)
-        fronts = tuple(map(layout.caller, range(INSTANCES)))
+        fronts = tuple(map(layout.caller, range(instances)))
         history = self._platform.history
-        self._callers = WireCallers(fronts, history, self._random, keep_connections=True)
+        # Its draws don't change those of the troubles.
+        self._further_random = Random(f"further {seed}")
+        self._further = FurtherWriters(self._further_random, self._platform.store, SERVICE)
+        self._callers = WireCallers(
+            fronts, history, self._random, keep_connections=True, reduced=self._further.reduced
+        )
         self._instances = [
-            _Instance(number, layout, folder, self._random) for number in range(INSTANCES)
+            _Instance(number, layout, folder, self._random) for number in range(instances)
         ]
         executors = self._platform.executors
         self._troubles = Troubles(
@@ -194,7 +207,7 @@
             for instance in self._instances:
                 nursery.start_soon(instance.run)
             with trio.fail_after(READY_SECONDS):
-                for number in range(INSTANCES):
+                for number in range(self._instance_count):
                     await wait_ready(self._layout, number)
             with trio.move_on_after(self._seconds + SETTLE_SECONDS) as limit:
                 async with trio.open_nursery() as work:
@@ -202,6 +215,8 @@
                     work.start_soon(self._callers.run, jobs, JOBS_PER_SECOND)
                     work.start_soon(self._troubles.run, work)
                     work.start_soon(self._trouble_processes, work)
+                    work.start_soon(self._further.write_entries, self._seconds)
+                    work.start_soon(self._change_routes)
             if limit.cancelled_caught:
                 self._platform.history.record_violation("finished", "jobs have not ended")
             nursery.cancel_scope.cancel()
@@ -232,10 +247,24 @@
     async def _configure(self) -> None:
         self._platform.configure()
 
+    async def _change_routes(self) -> None:
+        """Remove the route of the callers and add it again, and change its priority."""
+        random = self._further_random
+        end = trio.current_time() + self._seconds
+        while trio.current_time() < end:
+            await trio.sleep(random.expovariate(1 / ROUTE_GAP_SECONDS))
+            if random.random() < 0.5:
+                self._troubles.log.append(f"{trio.current_time():.2f} route removed")
+                self._platform.configure(has_queue=False)
+                await trio.sleep(random.uniform(*REMOVED_SECONDS))
+            self._platform.configure(priority=random.choice((0, 2)))
+
 
-async def run_soak(seed: int, first_port: int, seconds: float, folder: Path) -> SoakReport:
+async def run_soak(
+    seed: int, first_port: int, seconds: float, folder: Path, instances: int = INSTANCES
+) -> SoakReport:
     """Run processes under trouble for ``seconds``, with their settings and logs in ``folder``."""
-    return await _Soak(seed, first_port, seconds, folder).run()
+    return await _Soak(seed, first_port, seconds, folder, instances).run()
 
 
 def soak(
@@ -244,6 +273,7 @@
     runs: int = 1,
     seconds: float = 10.0,
     first_port: int = FIRST_PORT,
+    instances: int = INSTANCES,
     logs: Path | None = None,
 ) -> None:
     """Run scheduler processes under trouble, once for each seed.
@@ -252,13 +282,14 @@
     :param runs: number of runs
     :param seconds: duration of the traffic and of the troubles, in seconds
     :param first_port: first of the ports on the loopback address that are used
+    :param instances: number of scheduler processes
     :param logs: folder in which the settings and logs of runs with violations are kept
     """
     broken = 0
     for number in range(seed, seed + runs):
         with TemporaryDirectory(prefix="fireflyfork-soak-") as name:
             folder = Path(name)
-            report = trio.run(run_soak, number, first_port, seconds, folder)
+            report = trio.run(run_soak, number, first_port, seconds, folder, instances)
             if report.violations and logs is not None:
                 folder.rename(logs / f"seed-{number}")
                 folder.mkdir()
