--- a/fireflyfork/programs/tests/test_scheduler_signals.py
+++ b/fireflyfork/programs/tests/test_scheduler_signals.py
@@ -31,6 +31,8 @@
                 env={**os.environ, "FIREFLYFORK_SETTINGS": str(settings)},
                 stdout=subprocess.DEVNULL,
                 stderr=subprocess.DEVNULL,
+                # A test run under nohup would pass its ignored SIGHUP on.
+                preexec_fn=lambda: signal.signal(signal.SIGHUP, signal.SIG_DFL),
             )
             try:
                 with self.assertRaises(subprocess.TimeoutExpired):
