--- a/fireflyfork/programs/_ctl_addresses.py
+++ b/fireflyfork/programs/_ctl_addresses.py
@@ -1,4 +1,4 @@
-"""Finds the addresses of the store, the entries and the planners."""
+"""Finds the addresses of the store, the entries, the planners and the schedulers."""
 
 from __future__ import annotations
 
@@ -11,6 +11,7 @@
 STORE_VARIABLE = "FIREFLYFORK_STORE"
 ENTRIES_VARIABLE = "FIREFLYFORK_ENTRIES"
 PLANNERS_VARIABLE = "FIREFLYFORK_PLANNERS"
+SCHEDULERS_VARIABLE = "FIREFLYFORK_SCHEDULERS"
 """The environment variables that hold the addresses when the command line does not."""
 
 
@@ -38,6 +39,11 @@
     return addresses
 
 
+def scheduler_addresses(given: list[Address] | None) -> tuple[Address, ...]:
+    """Return the metrics addresses of schedulers, which may be none. Raises CommandError."""
+    return _addresses(given, SCHEDULERS_VARIABLE)
+
+
 def _addresses(given: list[Address] | None, variable: str) -> tuple[Address, ...]:
     """Return the given addresses, or else those in the variable, separated by blanks or commas."""
     if given:
--- a/fireflyfork/programs/_ctl_status.py
+++ b/fireflyfork/programs/_ctl_status.py
@@ -1,4 +1,4 @@
-"""The command ``status``: shows a job, or all entries and jobs."""
+"""The command ``status``: shows a job, or all entries, schedulers and jobs."""
 
 from __future__ import annotations
 
@@ -10,10 +10,11 @@
 from .._links import Address
 from ._batch_client import BatchCallError, BatchClient
 from ._batch_messages import JobStatus
-from ._ctl_addresses import entry_addresses, planner_addresses
+from ._ctl_addresses import entry_addresses, planner_addresses, scheduler_addresses
 from ._ctl_entries import entry_lines, has_version, reports_once_in_force
 from ._ctl_jobs import call_planner, job_exit_code, job_lines, wait_for_job
 from ._ctl_output import CommandError, ExitCode, Output, run_and_report
+from ._ctl_schedulers import SchedulerReport, scheduler_lines, scheduler_report
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,25 +32,29 @@
     *,
     entries: list[Address] | None = None,
     planners: list[Address] | None = None,
+    schedulers: list[Address] | None = None,
     version: int = 0,
     wait: float = 0.0,
     json: bool = False,
 ) -> ExitCode:
-    """Show the status of a job, or of all entries and jobs.
+    """Show the status of a job, or of all entries, schedulers and jobs.
 
     ``--wait`` waits until the job has ended, or until every entry has the configuration
-    ``--version`` in force. Exit status: 0 success, 1 the job failed or the wait timed out, 5 no
-    entry or planner answered, 7 no such job.
+    ``--version`` in force. Of schedulers, the internal errors since their start are shown: each
+    has a line in the log with its trace. Exit status: 0 success, 1 the job failed or the wait
+    timed out, 5 nobody answered, 7 no such job.
 
     Examples::
 
         fireflyfork-ctl status --entries 10.0.0.7:8003 10.0.0.8:8003 --planners 10.0.0.7:8010
         fireflyfork-ctl status --entries 10.0.0.7:8003 10.0.0.8:8003 --version 4 --wait 10
+        fireflyfork-ctl status --schedulers 10.0.0.7:7720
         fireflyfork-ctl status letters-2026-12-02 --wait 600
 
     :param job: the job's id
     :param entries: operator addresses of entries; default: the variable FIREFLYFORK_ENTRIES
     :param planners: addresses of planners; default: the variable FIREFLYFORK_PLANNERS
+    :param schedulers: metrics addresses of schedulers; default: the variable FIREFLYFORK_SCHEDULERS
     :param version: a version of the configuration that every entry should have in force
     :param wait: seconds to wait; progress goes to standard error
     :param json: print the states as JSON
@@ -59,7 +64,7 @@
     def command() -> ExitCode:
         if job is not None:
             return _show_job(JobId(job), planners, wait, output)
-        return _show_all(entries, planners, version, wait, output)
+        return _show_all(entries, planners, schedulers, version, wait, output)
 
     return run_and_report(output, command)
 
@@ -74,20 +79,34 @@
 def _show_all(
     entries: list[Address] | None,
     planners: list[Address] | None,
+    schedulers: list[Address] | None,
     version: int,
     wait: float,
     output: Output,
 ) -> ExitCode:
     named_entries = entry_addresses(entries, required=False)
     named_planners = planner_addresses(planners, required=False)
-    if not named_entries and not named_planners:
+    named_schedulers = scheduler_addresses(schedulers)
+    if not named_entries and not named_planners and not named_schedulers:
         entry_addresses(None)
     reports = trio.run(reports_once_in_force, named_entries, version, wait, output)
     views = trio.run(_planner_views, named_planners)
-    lines = [*(entry_lines(reports) if reports else []), *_planner_lines(views)]
-    output.result({"entries": reports, "planners": views, "jobs": _unique_jobs(views)}, lines)
+    scheduler_reports = trio.run(_scheduler_reports, named_schedulers)
+    lines = [
+        *(entry_lines(reports) if reports else []),
+        *(scheduler_lines(scheduler_reports) if scheduler_reports else []),
+        *_planner_lines(views),
+    ]
+    result = {
+        "entries": reports,
+        "planners": views,
+        "schedulers": scheduler_reports,
+        "jobs": _unique_jobs(views),
+    }
+    output.result(result, lines)
     answered = [report.status is not None for report in reports]
     answered += [not view.problem for view in views]
+    answered += [not report.problem for report in scheduler_reports]
     if not any(answered):
         raise CommandError(ExitCode.UNAVAILABLE, "nobody answered")
     return ExitCode.DONE if has_version(reports, version) else ExitCode.FAILED
@@ -97,6 +116,10 @@
     return tuple([await _planner_view(planner) for planner in planners])
 
 
+async def _scheduler_reports(schedulers: tuple[Address, ...]) -> tuple[SchedulerReport, ...]:
+    return tuple([await scheduler_report(scheduler) for scheduler in schedulers])
+
+
 async def _planner_view(planner: Address) -> PlannerView:
     try:
         return PlannerView(str(planner), await BatchClient((planner,)).jobs())
--- a/fireflyfork/programs/tests/builders_scheduler_node.py
+++ b/fireflyfork/programs/tests/builders_scheduler_node.py
@@ -57,6 +57,7 @@
         )
         self._node = SchedulerNode(settings, clients, VirtualClock(), Random(1))
         self._callers_port = settings.caller_address.port
+        self._metrics_port = settings.metrics_address.port
         self._ports: dict[int, int] = {}
 
     async def run(self) -> None:
@@ -70,6 +71,11 @@
         """The number of unexpected errors that the instance has reported."""
         return self._node._metrics.total(INTERNAL_ERRORS)
 
+    @property
+    def metrics_address(self) -> Address:
+        """The address at which the instance shows its metrics."""
+        return Address(LOOPBACK, self._ports[self._metrics_port])
+
     @property
     def is_active_owner(self) -> bool:
         """Whether the instance owns its service and has finished its recovery from the store."""
--- a/fireflyfork/programs/tests/test_contained_errors.py
+++ b/fireflyfork/programs/tests/test_contained_errors.py
@@ -9,6 +9,7 @@
 
 from ...adapters import HttpError
 from ...decisions.jobs import Scheduler
+from .._ctl_schedulers import scheduler_lines, scheduler_report
 from ..callers._job_service import JobService
 from ..owner._service_candidate import MAX_PAUSE_SECONDS
 from .builders_scheduler_node import RunningNode, ask, running_node
@@ -64,6 +65,20 @@
 
         _play(body)
 
+    def test_operators_see_the_errors_of_a_scheduler(self) -> None:
+        """Guards against errors that are contained and then overlooked."""
+
+        async def body(node: RunningNode) -> None:
+            address = node.metrics_address
+            none = scheduler_lines((await scheduler_report(address),))
+            self.assertEqual(none[1].split(), [str(address), "none"])
+            with patch.object(Scheduler, "check_time", side_effect=KeyError("")):
+                await trio.sleep(1.0)
+            _, line = scheduler_lines((await scheduler_report(address),))
+            self.assertEqual(line.split(), [str(address), "owner", "1"])
+
+        _play(body)
+
     def test_an_error_in_one_request_resets_its_connection_only(self) -> None:
         """Guards against a handler's error that ends all connections and the process."""
 
