--- a/fireflyfork/decisions/jobs/_executors.py
+++ b/fireflyfork/decisions/jobs/_executors.py
@@ -63,7 +63,7 @@
     """The executor's address in the last list of executors that is known to be stored, at which a
     successor would poll it; None if no stored list has contained the executor."""
     runs: dict[tuple[TaskName, AttemptNumber], Run] = field(default_factory=dict)
-    counted: dict[tuple[TaskName, AttemptNumber], RunDemand] = field(default_factory=dict)
+    run_demands: dict[tuple[TaskName, AttemptNumber], RunDemand] = field(default_factory=dict)
     """What each of the runs counts for in the sums below."""
     used_cpu_millis: int = 0
     long_running_cpu_millis: int = 0
@@ -236,12 +236,12 @@
             return
         self.release_count += 1
         self.mark_changed()
-        self._count(self.counted.pop(run.key), -1)
+        self._count(self.run_demands.pop(run.key), -1)
 
     def recount(self, run: Run) -> None:
         """Count a run on the executor by its present demand."""
-        earlier = self.counted.get(run.key)
-        demand = self.counted[run.key] = RunDemand.of(run)
+        earlier = self.run_demands.get(run.key)
+        demand = self.run_demands[run.key] = RunDemand.of(run)
         self._count(demand, 1)
         if earlier is not None:
             self._count(earlier, -1)
--- a/fireflyfork/decisions/jobs/_job_table.py
+++ b/fireflyfork/decisions/jobs/_job_table.py
@@ -268,12 +268,12 @@
         if terms is None:
             return unknown_queue(spec)
         self._terms[name] = terms
-        if known is not None and not terms.is_like(known):
+        if known is not None and not terms.agrees_with(known):
             for job in self._jobs.values():
                 if job.spec.queue == name:
                     self._use_terms(job)
             self._review_stored_terms()
-        if not terms.is_like(spec.queue_terms):
+        if not terms.agrees_with(spec.queue_terms):
             self.stored_terms.set(name, terms)
         return self._queue_with(spec, terms)
 
@@ -302,7 +302,7 @@
                 job.spec.queue: terms
                 for job in self._jobs.values()
                 if (terms := self._terms.get(job.spec.queue)) is not None
-                and not terms.is_like(job.spec.queue_terms)
+                and not terms.agrees_with(job.spec.queue_terms)
             }
         )
 
--- a/fireflyfork/decisions/jobs/_queue_terms.py
+++ b/fireflyfork/decisions/jobs/_queue_terms.py
@@ -10,6 +10,7 @@
 from ..._decoding import Count, Integer
 
 MAX_STRETCH_FACTOR = 1e6
+"""Keeps objectives finite, which are logged as integers."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,7 +44,7 @@
     advice: AdviceTerms | None = None
     """Used if an advisor decides which executors may run a step; None if it doesn't."""
 
-    def is_like(self, other: QueueTerms | None) -> bool:
+    def agrees_with(self, other: QueueTerms | None) -> bool:
         """Whether other terms say the same, whichever versions they are from."""
         return other is not None and msgspec.structs.replace(other, version=self.version) == self
 
--- a/fireflyfork/decisions/jobs/tests/test_sums_of_runs.py
+++ b/fireflyfork/decisions/jobs/tests/test_sums_of_runs.py
@@ -52,7 +52,7 @@
         """Each sum is the one that is computed anew."""
         for executor in self.service.states():
             assert kept_sums(executor) == expected_sums(executor), executor.executor
-            assert executor.counted.keys() == executor.runs.keys()
+            assert executor.run_demands.keys() == executor.runs.keys()
 
     @invariant()
     def reserved_room_is_that_of_the_reservations(self) -> None:
--- a/fireflyfork/programs/_scheduler_node.py
+++ b/fireflyfork/programs/_scheduler_node.py
@@ -233,7 +233,7 @@
             if service not in self._candidates:
                 candidate = self._create_candidate(service)
                 self._candidates[service] = candidate
-                self._nursery.start_soon(candidate.run)
+                self._nursery.start_soon(self._errors.keep_running, "candidate", candidate.run)
 
     def _job_changed(self) -> None:
         for owner in self._owners():
--- a/fireflyfork/programs/owner/_service_candidate.py
+++ b/fireflyfork/programs/owner/_service_candidate.py
@@ -123,13 +123,14 @@
 
     def _report(self, errors: ExceptionGroup[Exception]) -> None:
         # The first error of a decision has a cause; the ones after it only say that there was one.
+        singles = list(single_errors(errors))
         causes = [
-            error.__cause__ if isinstance(error, DecisionError) else error
-            for error in single_errors(errors)
+            cause
+            for error in singles
+            if (cause := error.__cause__ if isinstance(error, DecisionError) else error) is not None
         ]
-        for cause in causes:
-            if cause is not None:
-                self._errors.report("owner", cause, service=self._service)
+        for cause in causes or singles:
+            self._errors.report("owner", cause, service=self._service)
 
     async def _pause_bids(self, term_seconds: float) -> None:
         seconds = self._pause.after_failure(term_seconds)
