--- a/fireflyfork/decisions/jobs/tests/builders_histories.py
+++ b/fireflyfork/decisions/jobs/tests/builders_histories.py
@@ -93,12 +93,16 @@
 
 QUEUES = st.lists(
     st.builds(
-        lambda priority, attempts, stretch: queue(
-            priority=priority, attempts=attempts, stretch_factor=stretch
+        lambda priority, attempts, stretch, needs_tickets: queue(
+            priority=priority,
+            attempts=attempts,
+            stretch_factor=stretch,
+            needs_tickets=needs_tickets,
         ),
         st.sampled_from((0, 2, 9)),
         st.integers(1, 5),
         st.sampled_from((0.0, 1.5, 4.0)),
+        st.sampled_from((False, False, True)),
     ),
     max_size=1,
 )
@@ -426,6 +430,19 @@
         self.service.executors[name].running.add(key)
         self.service.poll(name)
 
+    @rule(named=st.sets(st.sampled_from((*EXECUTORS, "x"))), answered=st.booleans())
+    def advise(self, named: set[str], answered: bool) -> None:
+        """Answer a question to the advisor, also with executors that weren't named in it."""
+        service = self.service
+        question = service.scheduler.next_question(service.now, service.now_ms)
+        if question is None:
+            return
+        service.scheduler.question_sent(question, service.now + 1.0)
+        tickets = {ExecutorId(name): "ticket" for name in sorted(named)} if answered else None
+        service.scheduler.handle_advice(question, tickets, 10.0, service.now, service.now_ms)
+        service.place()
+        self.accept_starts()
+
     @rule(name=NAMES)
     def restart(self, name: str) -> None:
         """Start an executor's process again."""
