--- a/fireflyfork/decisions/jobs/tests/builders_histories.py
+++ b/fireflyfork/decisions/jobs/tests/builders_histories.py
@@ -329,14 +329,8 @@
             answer = OrderAnswer(CallOutcome.ACCEPTED, self.clock_ms, run.incarnation)
             self.scheduler.stop_answered(run, answer, self.now)
 
-    def poll(
-        self,
-        name: str,
-        percent: int = 10,
-        figure: float = 0.0,
-        further: tuple[RunningRow, ...] = (),
-    ) -> None:
-        """Answer a poll with all runs and ends of an executor, and ``further`` rows."""
+    def poll(self, name: str, percent: int = 10, figure: float = 0.0) -> None:
+        """Answer a poll with all runs and ends of an executor."""
         state = self.scheduler.executors.get(ExecutorId(name))
         if state is None:
             return
@@ -346,7 +340,7 @@
             CallOutcome.ACCEPTED,
             self.clock_ms,
             simulated.registration.incarnation,
-            (*rows, *further),
+            rows,
             tuple(simulated.ends),
         )
         self.scheduler.poll_answered(state, self.now, answer, self.now, self.now_ms)
--- a/fireflyfork/programs/_logs.py
+++ b/fireflyfork/programs/_logs.py
@@ -16,6 +16,8 @@
 if TYPE_CHECKING:
     from loguru import Message
 
+MAX_FRAMES = 12
+"""Maximum number of places in the trace of a logged error, the last ones."""
 trace_of_task: ContextVar[str] = ContextVar("trace_of_task", default="")
 """The trace id of the request that the running trio task handles."""
 
@@ -52,5 +54,5 @@
     if record["exception"] is not None:
         line["exception"] = repr(record["exception"].value)
         frames = traceback.extract_tb(record["exception"].traceback)
-        line["raised_at"] = [f"{frame.filename}:{frame.lineno}" for frame in frames[-3:]]
+        line["raised_at"] = [f"{frame.filename}:{frame.lineno}" for frame in frames[-MAX_FRAMES:]]
     return msgspec.json.encode(line, enc_hook=str) + b"\n"
--- a/fireflyfork_standins/scheduling/_executors.py
+++ b/fireflyfork_standins/scheduling/_executors.py
@@ -44,6 +44,7 @@
 """Default of the maximum lease that an executor accepts at once."""
 MAX_LISTED_ENDS = 500
 FAIL_SHARE = 0.02
+"""Default of the share of runs that fail without any trouble."""
 FAILURE_DOMAIN = FailureDomainName("suva")
 """Default failure domain of executors."""
 
--- a/fireflyfork_standins/scheduling/_further_writers.py
+++ b/fireflyfork_standins/scheduling/_further_writers.py
@@ -27,6 +27,7 @@
 ENTRY_SECONDS = 0.8
 """Mean interval of entries of another writer."""
 REMOVED_SHARE = 0.4
+"""Share of the versions of the configuration that lack the route."""
 FOREIGN_ADDRESSES = (
     "[::1%r\u00e9seau]:8080",
     "[::1%" + "x" * 70 + "]:8080",
