--- a/fireflyfork/adapters/tests/test_connect.py
+++ b/fireflyfork/adapters/tests/test_connect.py
@@ -47,7 +47,7 @@
 
 
 async def _open_relay() -> None:
-    endpoint = RelayEndpoint(NodeName("n-1"), FailureDomainName("suva"), ADDRESS)
+    endpoint = RelayEndpoint(NodeName("n-1"), FailureDomainName("d-1"), ADDRESS)
     traffic = RelayTraffic().of(endpoint.failure_domain)
     await Relay(endpoint, LoopTime(), traffic)._connect_and_receive()
 
--- a/fireflyfork/decisions/jobs/_queues.py
+++ b/fireflyfork/decisions/jobs/_queues.py
@@ -10,6 +10,9 @@
 from ._specs import JobSpec
 
 _NO_ADVICE = AdviceTerms()
+_UNKNOWN_TERMS = QueueTerms(
+    version=0, priority=9, attempts=3, stretch_factor=2.0, target_latency_ms=1000
+)
 _NO_VERSION = ConfigurationVersion(0)
 
 
@@ -108,4 +111,4 @@
 def unknown_queue(spec: JobSpec) -> QueueConfiguration:
     """Return the configuration by which a job goes on whose queue was removed, and of whose terms
     nothing is stored."""
-    return QueueConfiguration(spec.queue, "", "", spec.service, 9, 3, 2.0, 1000, 0)
+    return removed_queue(spec, _UNKNOWN_TERMS)
--- a/fireflyfork/programs/_ctl_entries.py
+++ b/fireflyfork/programs/_ctl_entries.py
@@ -112,7 +112,7 @@
         named_planners = planner_addresses(planners, required=False)
         if not named_entries and not named_planners:
             entry_addresses(None)
-        pages = [(address, trio.run(_metrics_page, address)) for address in named_entries]
+        pages = [(address, trio.run(metrics_page, address)) for address in named_entries]
         if raw:
             output.result({str(address): page for address, page in pages}, [p for _, p in pages])
             return ExitCode.DONE
@@ -197,7 +197,9 @@
     return head.status, body
 
 
-async def _metrics_page(address: Address) -> str:
+async def metrics_page(address: Address) -> str:
+    """Read the metrics of a process, in the Prometheus text format. Raises CommandError."""
+    """Read the metrics of a process, in the Prometheus text format. Raises CommandError."""
     _, body = await _call(address, "GET", "/metrics")
     return body.decode("utf-8", "replace")
 
--- a/fireflyfork/programs/_ctl_status.py
+++ b/fireflyfork/programs/_ctl_status.py
@@ -2,19 +2,24 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
 import trio
 
 from .._ids import JobId
 from .._links import Address
+from ..operations import read_samples
 from ._batch_client import BatchCallError, BatchClient
 from ._batch_messages import JobStatus
 from ._ctl_addresses import entry_addresses, planner_addresses, scheduler_addresses
-from ._ctl_entries import entry_lines, has_version, reports_once_in_force
+from ._ctl_entries import entry_lines, has_version, metrics_page, reports_once_in_force
 from ._ctl_jobs import call_planner, job_exit_code, job_lines, wait_for_job
-from ._ctl_output import CommandError, ExitCode, Output, run_and_report
-from ._ctl_schedulers import SchedulerReport, scheduler_lines, scheduler_report
+from ._ctl_output import CommandError, ExitCode, Output, format_table, run_and_report
+from .containment._unexpected_errors import INTERNAL_ERRORS
+
+_REQUESTS = "requests"
+"""The part of errors in the handling of callers' requests, which are counted without one."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -27,6 +32,16 @@
     """The error of the call, or an empty string if the planner answered."""
 
 
+@dataclass(frozen=True, slots=True)
+class SchedulerReport:
+    """The internal errors of a scheduler, or why it did not answer."""
+
+    address: str
+    errors: Mapping[str, int] = field(default_factory=dict)
+    """By part of the program: the errors since its process started."""
+    problem: str = ""
+
+
 def status(
     job: str | None = None,
     *,
@@ -120,6 +135,32 @@
     return tuple([await scheduler_report(scheduler) for scheduler in schedulers])
 
 
+async def scheduler_report(address: Address) -> SchedulerReport:
+    """Read the metrics of a scheduler, or report why it did not answer."""
+    try:
+        page = await metrics_page(address)
+    except CommandError as error:
+        return SchedulerReport(str(address), problem=f"no answer: {error.__cause__}")
+    errors = {
+        sample.labels.get("part", _REQUESTS): int(sample.value)
+        for sample in read_samples(page)
+        if sample.name == INTERNAL_ERRORS
+    }
+    return SchedulerReport(str(address), errors)
+
+
+def scheduler_lines(reports: tuple[SchedulerReport, ...]) -> list[str]:
+    """Format the schedulers as a table."""
+    return format_table(
+        ("scheduler", "internal errors"),
+        ((report.address, report.problem or _error_counts(report.errors)) for report in reports),
+    )
+
+
+def _error_counts(errors: Mapping[str, int]) -> str:
+    return ", ".join(f"{part} {n}" for part, n in sorted(errors.items())) or "none"
+
+
 async def _planner_view(planner: Address) -> PlannerView:
     try:
         return PlannerView(str(planner), await BatchClient((planner,)).jobs())
--- a/fireflyfork/programs/_scheduler_node.py
+++ b/fireflyfork/programs/_scheduler_node.py
@@ -22,14 +22,14 @@
 from ..platform import READINESS_PATH, NodeSettings
 from ._announcements import Announcements
 from ._clocks import Clock
-from ._contained_calls import ContainedExecutorCalls
 from ._external_clients import ExternalClients
 from ._loop_report import LoopReport
 from ._metrics import METRICS_TEXT, Metrics
-from ._unexpected_errors import UnexpectedErrors
 from .admission import create_gate
 from .callers._job_requests import JobRequests
 from .callers._job_service import JobService
+from .containment._contained_calls import ContainedExecutorCalls
+from .containment._unexpected_errors import UnexpectedErrors
 from .owner._operator_requests import OperatorRequests
 from .owner._release_through_peer import release_service
 from .owner._service_candidate import ServiceCandidate
--- a/fireflyfork/programs/callers/_job_service.py
+++ b/fireflyfork/programs/callers/_job_service.py
@@ -29,6 +29,7 @@
 from .._metrics import Metrics
 from .._stop_deadline import StopDeadline
 from ..admission import SubmissionGate
+from ..containment._unexpected_errors import INTERNAL_ERRORS
 from ._job_requests import JobRequests
 
 MAX_BODY_BYTES = 262_144
@@ -109,7 +110,7 @@
             raise
         except Exception as error:
             # Requests share no state, so a fault in the handling of one must not end the others.
-            self._metrics.count("fireflyfork_internal_errors_total")
+            self._metrics.count(INTERNAL_ERRORS)
             logger.opt(exception=error).error("request failed", target=exchange.head.target[:80])
             if exchange.answer_started:
                 exchange.abort()
--- /dev/null
+++ b/fireflyfork/programs/containment/__init__.py
@@ -0,0 +1,1 @@
+"""How far an error reaches that no part of the program foresees."""
--- a/fireflyfork/programs/_contained_calls.py
+++ b/fireflyfork/programs/containment/_contained_calls.py
@@ -5,12 +5,13 @@
 from collections.abc import Awaitable
 from typing import TypeVar
 
-from .._ids import AttemptNumber, ExecutorId, FencingToken, TaskName
-from ..adapters import ExecutorCalls, ExecutorEndpoint
-from ..decisions.jobs import CallOutcome, OrderAnswer, PollAnswer, PollRequest, StartRequest
+from ..._ids import AttemptNumber, ExecutorId, FencingToken, TaskName
+from ...adapters import ExecutorCalls, ExecutorEndpoint
+from ...decisions.jobs import CallOutcome, OrderAnswer, PollAnswer, PollRequest, StartRequest
 from ._unexpected_errors import UnexpectedErrors
 
 PART = "call to executor"
+_UNANSWERED = OrderAnswer(CallOutcome.UNKNOWN, None)
 
 _Answer = TypeVar("_Answer", OrderAnswer, PollAnswer)
 
@@ -31,8 +32,7 @@
         self, endpoint: ExecutorEndpoint, token: FencingToken, order: StartRequest
     ) -> OrderAnswer:
         """See ExecutorCalls."""
-        unanswered = OrderAnswer(CallOutcome.UNKNOWN, None)
-        return await self._contain(self._inner.start(endpoint, token, order), endpoint, unanswered)
+        return await self._contain(self._inner.start(endpoint, token, order), endpoint, _UNANSWERED)
 
     async def stop(
         self,
@@ -42,9 +42,8 @@
         attempt: AttemptNumber,
     ) -> OrderAnswer:
         """See ExecutorCalls."""
-        unanswered = OrderAnswer(CallOutcome.UNKNOWN, None)
         call = self._inner.stop(endpoint, token, task, attempt)
-        return await self._contain(call, endpoint, unanswered)
+        return await self._contain(call, endpoint, _UNANSWERED)
 
     async def pace(
         self,
@@ -55,9 +54,8 @@
         percent: int,
     ) -> OrderAnswer:
         """See ExecutorCalls."""
-        unanswered = OrderAnswer(CallOutcome.UNKNOWN, None)
         call = self._inner.pace(endpoint, token, task, attempt, percent)
-        return await self._contain(call, endpoint, unanswered)
+        return await self._contain(call, endpoint, _UNANSWERED)
 
     async def poll(
         self,
--- a/fireflyfork/programs/_unexpected_errors.py
+++ b/fireflyfork/programs/containment/_unexpected_errors.py
@@ -4,11 +4,12 @@
 
 from collections import Counter
 from collections.abc import Awaitable, Callable, Iterator
+from typing import TypeVar
 
 import trio
 from loguru import logger
 
-from ._metrics import Metrics
+from .._metrics import Metrics
 from ._retry_delay import RetryDelay
 
 INTERNAL_ERRORS = "fireflyfork_internal_errors_total"
@@ -19,6 +20,8 @@
 STABLE_SECONDS = 60.0
 """Time without an error after which the next one is retried as soon as the first."""
 
+_Result = TypeVar("_Result")
+
 
 class UnexpectedErrors:
     """Reports the unexpected errors of one instance by the part of the program that raised them."""
@@ -45,19 +48,18 @@
     async def keep_running(
         self,
         part: str,
-        run: Callable[[], Awaitable[None]],
+        run: Callable[[], Awaitable[_Result]],
         passed_on: tuple[type[Exception], ...] = (),
-    ) -> None:
+    ) -> _Result:
         """Run a part until it returns, and run it again, after a growing delay, if it raises an error.
 
-        Errors of the types ``passed_on`` are raised, also if they are in a group with others.
+        Returns what the part returns. Errors of the types ``passed_on`` are raised, also if they are in a group with others.
         """
         delay = RetryDelay(MIN_RETRY_SECONDS, MAX_RETRY_SECONDS, STABLE_SECONDS)
         while True:
             started_at = trio.current_time()
             try:
-                await run()
-                return
+                return await run()
             except* Exception as errors:
                 if any(isinstance(each, passed_on) for each in single_errors(errors)):
                     raise
--- /dev/null
+++ b/fireflyfork/programs/containment/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of fireflyfork.programs.containment."""
--- a/fireflyfork/programs/tests/test_unexpected_errors.py
+++ b/fireflyfork/programs/containment/tests/test_unexpected_errors.py
@@ -6,14 +6,14 @@
 from loguru import logger
 from trio.testing import MockClock
 
-from ..._errors import DecisionError
-from ..._ids import ExecutorId, FencingToken
-from ..._links import Address
-from ...adapters import ExecutorEndpoint
-from ...adapters.tests.builders_executor_calls import AcceptingExecutors
-from ...decisions.jobs import CallOutcome, PollAnswer, PollRequest
+from ...._errors import DecisionError
+from ...._ids import ExecutorId, FencingToken
+from ...._links import Address
+from ....adapters import ExecutorEndpoint
+from ....adapters.tests.builders_executor_calls import AcceptingExecutors
+from ....decisions.jobs import CallOutcome, PollAnswer, PollRequest
+from ..._metrics import Metrics
 from .._contained_calls import PART, ContainedExecutorCalls
-from .._metrics import Metrics
 from .._retry_delay import RetryDelay
 from .._unexpected_errors import INTERNAL_ERRORS, MAX_RETRY_SECONDS, UnexpectedErrors
 
--- a/fireflyfork/programs/owner/_service_candidate.py
+++ b/fireflyfork/programs/owner/_service_candidate.py
@@ -15,8 +15,8 @@
 from .._clocks import Clock
 from .._external_clients import ExternalClients
 from .._metrics import Metrics
-from .._retry_delay import RetryDelay
-from .._unexpected_errors import UnexpectedErrors, single_errors
+from ..containment._retry_delay import RetryDelay
+from ..containment._unexpected_errors import UnexpectedErrors, single_errors
 from ._operator_requests import OperatorRequests
 from ._service_lease import ServiceLease, Term
 from ._service_owner import HAND_OVER_SECONDS, ServiceOwner
@@ -76,20 +76,11 @@
         """
         while not self._stopping:
             with trio.CancelScope() as self._bid_scope:
-                term = await self._acquire()
+                term = await self._errors.keep_running("bid", self._lease.acquire)
             if self._bid_scope.cancelled_caught:
                 return
             await self._run_term(term)
 
-    async def _acquire(self) -> Term:
-        terms: list[Term] = []
-
-        async def acquire() -> None:
-            terms.append(await self._lease.acquire())
-
-        await self._errors.keep_running("bid", acquire)
-        return terms[0]
-
     async def _run_term(self, term: Term) -> None:
         started_at = self._clock.now()
         failed = False
--- a/fireflyfork/programs/owner/_service_journal.py
+++ b/fireflyfork/programs/owner/_service_journal.py
@@ -178,15 +178,12 @@
             self._restore_unstored(executors, terms)
             self._resolve_conflict(error)
             return False
-        except StoreError as error:
+        except Exception as error:
             self._restore_unstored(executors, terms)
-            if isinstance(error, OwnershipLostError):
+            if isinstance(error, OwnershipLostError) or not isinstance(error, StoreError):
                 raise
             logger.debug("journal not written", service=self._term.service, error=str(error))
             return False
-        except Exception:
-            self._restore_unstored(executors, terms)
-            raise
         changes.mark_stored()
         if pending is not None:
             self._stored_pending = pending
--- a/fireflyfork/programs/owner/_service_owner.py
+++ b/fireflyfork/programs/owner/_service_owner.py
@@ -26,11 +26,11 @@
 )
 from .._announcements import Announcements
 from .._clocks import Clock
-from .._contained_calls import ContainedExecutorCalls
 from .._external_clients import ExternalClients
 from .._metrics import Metrics
 from .._scheduling_keys import owner_key
-from .._unexpected_errors import UnexpectedErrors, single_errors
+from ..containment._contained_calls import ContainedExecutorCalls
+from ..containment._unexpected_errors import UnexpectedErrors, single_errors
 from ._advice_calls import AdviceCalls
 from ._decision_log import DecisionLog
 from ._executor_polls import MAX_UNCONFIRMED_SECONDS, ExecutorPolls
--- a/fireflyfork/programs/tests/builders_scheduler_node.py
+++ b/fireflyfork/programs/tests/builders_scheduler_node.py
@@ -28,8 +28,8 @@
 from .. import _scheduler_node
 from .._external_clients import ExternalClients
 from .._scheduler_node import SchedulerNode
-from .._unexpected_errors import INTERNAL_ERRORS
 from ..callers.tests.builders_callers import HOST, stored_configuration
+from ..containment._unexpected_errors import INTERNAL_ERRORS
 
 QUEUE = "holds"
 JOB = msgspec.json.encode({"spec": "work", "steps": [{"count": 1, "cpu": 500}]})
--- a/fireflyfork/programs/tests/test_contained_errors.py
+++ b/fireflyfork/programs/tests/test_contained_errors.py
@@ -9,7 +9,7 @@
 
 from ...adapters import HttpError
 from ...decisions.jobs import Scheduler
-from .._ctl_schedulers import scheduler_lines, scheduler_report
+from .._ctl_status import scheduler_lines, scheduler_report
 from ..callers._job_service import JobService
 from ..owner._service_candidate import MAX_PAUSE_SECONDS
 from .builders_scheduler_node import RunningNode, ask, running_node
--- a/fireflyfork/programs/tests/test_ctl.py
+++ b/fireflyfork/programs/tests/test_ctl.py
@@ -306,6 +306,16 @@
         self.assertEqual(ctl("trace", "0" * 32, "absent").code, ExitCode.USAGE)
 
 
+class SchedulersTest(unittest.TestCase):
+    """The command ``status`` on schedulers."""
+
+    def test_a_scheduler_that_does_not_answer(self) -> None:
+        """A scheduler that can't be reached is shown as such, and the exit status says so."""
+        ended = ctl("status", "--schedulers", "127.0.0.1:1")
+        self.assertEqual(ended.code, ExitCode.UNAVAILABLE)
+        self.assertIn("no answer", ended.out)
+
+
 class FakeEntries:
     """A fake of ``_call`` that takes the entries' answers from a dictionary."""
 
@@ -348,12 +358,6 @@
         self.assertIn("no: no answer", second)
         self.assertEqual(ctl("status", "--entries", "127.0.0.1:2").code, ExitCode.UNAVAILABLE)
 
-    def test_a_scheduler_that_does_not_answer(self) -> None:
-        """A scheduler that can't be reached is shown as such, and the exit status says so."""
-        ended = ctl("status", "--schedulers", "127.0.0.1:1")
-        self.assertEqual(ended.code, ExitCode.UNAVAILABLE)
-        self.assertIn("no answer", ended.out)
-
     def test_version_in_force(self) -> None:
         """``--version`` succeeds only if every entry has that version in force."""
         cases = [
--- a/fireflyfork_standins/scheduling/_further_writers.py
+++ b/fireflyfork_standins/scheduling/_further_writers.py
@@ -17,6 +17,7 @@
 from fireflyfork.decisions.jobs import QueueConfiguration, QueueTable, StepSpec, queue_table
 from fireflyfork.platform import REGISTRATION_PREFIX
 
+from ._executors import FAILURE_DOMAIN
 from ._store import StandInStore
 
 if TYPE_CHECKING:
@@ -80,7 +81,7 @@
         entry: dict[str, object] = {
             "service": self._service,
             "address": self._random.choice(FOREIGN_ADDRESSES),
-            "zone": "suva",
+            "zone": FAILURE_DOMAIN,
             "state": "ready",
             "room": {"cpu": 8000, "mem_mb": 16000},
             "labels": ["a"],
--- a/fireflyfork_standins/scheduling/_nodes.py
+++ b/fireflyfork_standins/scheduling/_nodes.py
@@ -45,8 +45,8 @@
 from fireflyfork.programs._clocks import Clock
 from fireflyfork.programs._external_clients import ExternalClients
 from fireflyfork.programs._metrics import Metrics
-from fireflyfork.programs._unexpected_errors import INTERNAL_ERRORS
 from fireflyfork.programs.callers._job_requests import JobRequests
+from fireflyfork.programs.containment._unexpected_errors import INTERNAL_ERRORS
 from fireflyfork.programs.owner._operator_requests import OperatorRequests
 from fireflyfork.programs.owner._service_candidate import ServiceCandidate
 
