--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,70 +1,72 @@
-"""An executor crashes and starts again as another kind, while tasks wait for the first kind."""
+"""An idle executor is lost for good, then a job of one lasting task is accepted."""
 
 from __future__ import annotations
 
 import asyncio
 import sys
 from pathlib import Path
-from typing import Any
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins-3"))
 
-from platform3 import Caller, Executor, Platform, main, route
+from platform3 import Caller, Platform, main, route
 
 EXECUTORS = 8
-ROUNDS = 8
-DOWN_S = 0.5
+CORES = 16000
+LASTING = 6
+NEW_CPU = 5000
+STABLE_S = 4.0
+WATCHED_S = 40.0
+START_S = 6.0 + 3.0
+"""The 6 s after which the rule holds for a lasting task, and the 3 s for which it must not wait."""
 
 
 async def play(platform: Platform, trouble: bool) -> bool:
-    """Return whether a task was started on an executor without the label that its step requires."""
-    broken: list[str] = []
-
-    def check(executor: Executor, task: str, step: dict[str, Any]) -> None:
-        needed = step.get("requirements")
-        if needed and needed not in executor.labels:
-            broken.append(task)
-            platform.record.write(
-                f"ROUTE: {task} requires {needed!r}, {executor.name} has {executor.labels}"
-            )
-
-    platform.on_start = check
-    platform.configure(3, [route("holds", "desk", "/holds/")], ["desk"])
-    room = {"cpu": 16000, "mem_mb": 64000, "gpu": 0}
+    """Return whether the accepted job had nothing running, with capacity for it twice over."""
+    routes = [route("letters", "desk", "/letters/", target_latency_ms=3000, stretch_factor=2.2)]
+    platform.configure(3, routes, ["desk"])
+    room = {"cpu": CORES, "mem_mb": 64000, "gpu": 0}
     for number in range(EXECUTORS):
-        labels = ["a" if number == 0 else "b", f"r1-{number % 2}"]
-        await platform.add_executor(f"i-{number}", "desk", room, labels)
-        await asyncio.sleep(1.5 / EXECUTORS)
+        await platform.add_executor(f"i-{number}", "desk", room, ["a", f"r1-{number % 2}"])
     await platform.start_schedulers(2)
     await asyncio.sleep(4.0)
-    caller = Caller(platform, "desk.example", "/holds/")
-    step = {"count": 2, "cpu": 500, "mem_mb": 100, "estimate_ms": 600, "requirements": "a"}
-
-    async def submit_jobs() -> None:
-        number = 0
-        while True:
-            number += 1
-            job = asyncio.create_task(
-                caller.submit(f"{number:016x}", {"spec": "hold", "steps": [step]})
-            )
-            await asyncio.sleep(0.25)
-            del job
-
-    submitting = asyncio.create_task(submit_jobs())
+    caller = Caller(platform, "desk.example", "/letters/")
+    lasting = {"mem_mb": 100, "estimate_ms": 500, "long_running": True}
+    full = {**lasting, "count": LASTING, "cpu": CORES}
+    await caller.submit(f"{1:016x}", {"spec": "letters", "steps": [full]})
     await asyncio.sleep(3.0)
-    for number in range(ROUNDS):
-        for kind, name in (("b", number), ("a", number + 1)):
-            if trouble:
-                executor = platform.executors[f"i-{name % EXECUTORS}"]
-                executor.crash()
-                await asyncio.sleep(DOWN_S)
-                executor.labels = [kind, executor.labels[1]]
-                await executor.begin()
-            await asyncio.sleep(4.5)
-    submitting.cancel()
-    tasks = len({task for _, task, _, _ in platform.record.starts})
-    platform.record.write(f"{tasks} tasks started, {len(broken)} starts without the label")
-    return bool(broken)
+    busy = {name for _, _, _, name in platform.record.starts}
+    idle = [executor for name, executor in platform.executors.items() if name not in busy]
+    platform.record.write(f"idle: {[executor.name for executor in idle]}")
+    if trouble:
+        idle[0].lose_power()
+    await asyncio.sleep(3 * 1.5 + STABLE_S)
+    job, step = f"{2:016x}", {**lasting, "count": 1, "cpu": NEW_CPU}
+    await caller.submit(job, {"spec": "letters", "steps": [step]})
+    waited = 0.0
+    for _ in range(int(WATCHED_S)):
+        await asyncio.sleep(1.0)
+        free = max(
+            (
+                executor.room["cpu"] - sum(run.step["cpu"] for run in executor.life.runs.values())
+                for executor in platform.executors.values()
+                if executor.up
+            ),
+        )
+        runs = [run for each in platform.executors.values() for run in each.life.runs.values()]
+        has_run = any(run.task.startswith(job) for run in runs)
+        waits = not has_run and free >= 2 * NEW_CPU
+        waited = waited + 1.0 if waits else 0.0
+        platform.record.write(
+            f"job {job} {'runs' if has_run else 'has nothing running'}; "
+            f"most free cpu on one executor that is up: {free}"
+        )
+        if has_run:
+            break
+    await caller.call(0, "GET", job)
+    broken = waited > START_S
+    if broken:
+        platform.record.write(f"LOST: the job had nothing running for {waited} s on end")
+    return broken
 
 
 main(play, Path(__file__).resolve().parent)
