--- a/review/9/case.py
+++ b/review/9/case.py
@@ -12,6 +12,7 @@
 
 from platform3 import HOST, Caller, Platform, Scheduler, main, route
 
+SCHEDULERS = 6
 ROUNDS = 4
 FREEZE_S = 3.5
 LEAVES_S = 0.25
@@ -25,12 +26,12 @@
     room = {"cpu": 16000, "mem_mb": 64000, "gpu": 0}
     for number in range(4):
         await platform.add_executor(f"i-{number}", "desk", room, ["a", f"r1-{number % 2}"])
-    # The first one owns the service by the time the second one starts, and is never disturbed.
+    # The first one owns the service by the time the others start, and is never disturbed.
     await platform.start_schedulers(1)
     await asyncio.sleep(4.0)
-    await platform.start_schedulers(1)
+    await platform.start_schedulers(SCHEDULERS - 1)
     await asyncio.sleep(6.0)
-    calm, frozen = platform.schedulers
+    calm, frozen, *_ = platform.schedulers
     caller = Caller(platform, "desk.example", "/holds/")
     cancelled: dict[str, float] = {}
     step = {"count": 2, "cpu": 1000, "mem_mb": 100, "estimate_ms": 800}
