Executors: no starts by the registration of an earlier incarnation

Callers saw tasks start on an executor without the label that their step requires, a quarter of a second after the executor had crashed and come back as another kind.

Cause: a poll or a new connection reports a restart before the watch of the registrations does. The owner copied the registration that it had and changed its incarnation alone, so labels, room, service and state of a process that was gone counted as those of the present one.

Now the present incarnation stands beside the registration, calls are addressed to it, and an executor is usable only while both agree. Whatever reports the restart and however late the registration is, nothing is decided by the labels, the room or the state of the past. A registration with a lower number is kept until a poll confirms it, so a clock that was set back costs no wait. An executor whose registration stays missing or unusable is named in the log and in ctl status.

--- a/fireflyfork/decisions/jobs/_advice_requests.py
+++ b/fireflyfork/decisions/jobs/_advice_requests.py
@@ -149,8 +149,8 @@
         )
 
     def _has_ticket(self, step: StepId, executor: ExecutorState, now: float) -> bool:
-        incarnation = executor.registration.incarnation
-        return self._state.tickets.valid(step, executor.executor, incarnation, now) is not None
+        tickets = self._state.tickets
+        return tickets.valid(step, executor.executor, executor.incarnation, now) is not None
 
     def _question(
         self, task: Task, usable: list[ExecutorState], has_room: bool, now: float
--- a/fireflyfork/decisions/jobs/_executors.py
+++ b/fireflyfork/decisions/jobs/_executors.py
@@ -20,6 +20,13 @@
 runs. Its stops take up to 200 ms; a part of that is already covered by the estimate of its clock,
 which is always behind by half a round trip or more."""
 
+MAX_UNREGISTERED_SECONDS = 5.0
+"""How long the registration of an executor that answers may be missing before that is reported.
+Executors write it when they start, and leave within seconds after they have removed it."""
+MAX_PAST_INCARNATIONS = 8
+"""Incarnations of an executor that are remembered after their end. Reports and registrations are
+late by seconds, and an executor takes about a second to restart."""
+
 
 @dataclass(frozen=True, slots=True)
 class ExecutorRoom:
@@ -55,8 +62,24 @@
     """State of one executor and the runs on it."""
 
     registration: ExecutorRegistration
+    """The latest registration that was read. After a restart it may still be that of an earlier
+    incarnation, whose room, labels and state say nothing of the present one."""
     known_since: float
     """When this incarnation became known, in seconds on the owner's clock."""
+    incarnation: int = field(init=False)
+    """The present incarnation, to which calls are addressed."""
+    past_incarnations: deque[int] = field(
+        default_factory=lambda: deque(maxlen=MAX_PAST_INCARNATIONS)
+    )
+    """Incarnations that were found to be over, so that late reports of them are ignored."""
+    unconfirmed_registration: ExecutorRegistration | None = None
+    """The last registration of another incarnation that started, by its clock, before the present
+    one. It is an old one, unless the clock was set back: then a report will confirm it."""
+    unregistered_since: float | None = None
+    """Since when the store has no registration of the present incarnation, as far as is known, in
+    seconds on the owner's clock; None while it has one."""
+    missing_registration_noted: bool = False
+    """Whether a note has told that this registration is missing."""
     registered: bool = True
     """False after the registration was removed: the executor has left or cannot reach the store."""
     stored_address: Address | None = None
@@ -141,7 +164,10 @@
     """By image: CPU time that the non-serving tasks on this executor would use at full pace."""
 
     def __post_init__(self) -> None:
-        """Initialize the clock estimate: the executor's clock is at 0 or later."""
+        """Initialize the incarnation, and the clock estimate: the clock is at 0 or later."""
+        self.incarnation = self.registration.incarnation
+        if not self.registered:
+            self.unregistered_since = self.known_since
         self.clock_at = self.known_since
 
     @property
@@ -163,6 +189,11 @@
         """
         return self.stored_address == self.registration.address
 
+    @property
+    def is_described(self) -> bool:
+        """Whether the registration is that of the present incarnation."""
+        return self.registration.incarnation == self.incarnation
+
     @property
     def may_get_runs(self) -> bool:
         """Whether new runs may be sent to the executor once it is stored and answers."""
@@ -172,6 +203,7 @@
         """Whether new runs may be sent to the executor."""
         return (
             self.registered
+            and self.is_described
             and self.is_stored
             and self.answers
             and not self.answers_late
@@ -282,6 +314,23 @@
             self.undisturbed_headroom.pop(image, None)
             self.recent_min_headroom.pop(image, None)
 
+    def describe(self, registration: ExecutorRegistration) -> None:
+        """Use a registration of the present incarnation, which the store has now."""
+        self.registration = registration
+        self.registered = True
+        self.unregistered_since = None
+        self.missing_registration_noted = False
+
+    def note_unregistered(self, now: float) -> None:
+        """Record that the store has no registration of the present incarnation."""
+        if self.unregistered_since is None:
+            self.unregistered_since = now
+
+    def lacks_registration(self, now: float) -> bool:
+        """Whether the executor answers but can't be used, as its registration is long missing."""
+        since = self.unregistered_since
+        return since is not None and self.answers and now - since > MAX_UNREGISTERED_SECONDS
+
     def min_clock_ms(self, now: float) -> int:
         """Return a lower bound of the executor's steady clock, in milliseconds."""
         return self.clock_ms + int((now - self.clock_at) * 1000 * MIN_CLOCK_RATE)
@@ -309,12 +358,22 @@
         """Yield the runs that are not being stopped."""
         return (run for run in self.runs.values() if run.is_active)
 
-    def reset_for_incarnation(self, registration: ExecutorRegistration, now: float) -> None:
+    def reset_for_incarnation(self, incarnation: int, now: float) -> None:
         """Reset the state for a new process of the executor.
 
-        The new process has no runs and numbers its ends from 1.
+        The new process has no runs and numbers its ends from 1. It may differ from the earlier one
+        in everything that a registration tells, so it gets no runs before its own is read.
         """
-        self.registration = registration
+        self.past_incarnations.append(self.incarnation)
+        if incarnation in self.past_incarnations:
+            # Another program may have written the registration of an incarnation that never was.
+            self.past_incarnations.remove(incarnation)
+        self.incarnation = incarnation
+        self.unregistered_since = now
+        self.missing_registration_noted = False
+        unconfirmed, self.unconfirmed_registration = self.unconfirmed_registration, None
+        if unconfirmed is not None and unconfirmed.incarnation == incarnation:
+            self.describe(unconfirmed)
         self.known_since = now
         self.polled_at = None
         self.failed_polls = 0
--- a/fireflyfork/decisions/jobs/_notes.py
+++ b/fireflyfork/decisions/jobs/_notes.py
@@ -35,6 +35,17 @@
     """The evidence that the task's previous run was over."""
 
 
+@dataclass(frozen=True, slots=True)
+class RegistrationMissing:
+    """An executor answers but gets no runs, as the registration of its incarnation is missing."""
+
+    executor: ExecutorId
+    incarnation: int
+    registered_incarnation: int
+    """The incarnation of the last registration that was read."""
+    missing_ms: int
+
+
 @dataclass(frozen=True, slots=True)
 class RunEnded:
     """An executor listed the end of a run."""
@@ -211,6 +222,7 @@
     | ReserveChanged
     | JobOver
     | ExecutorGivenUp
+    | RegistrationMissing
     | ReservationMade
     | ReservationDropped
     | ShareWaits
--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -364,7 +364,7 @@
             for executor in known
             if executor is not None
             and executor.is_usable(now)
-            and tickets.valid(step, executor.executor, executor.registration.incarnation, now)
+            and tickets.valid(step, executor.executor, executor.incarnation, now)
         ]
 
     def _reserve_reason(self, task: Task, placement_round: PlacementRound) -> WaitReason | None:
@@ -434,7 +434,7 @@
         executor, task = run.executor, run.task
         run.checkpoint = task.checkpoint
         if task.job.queue.needs_tickets:
-            incarnation = executor.registration.incarnation
+            incarnation = executor.incarnation
             ticket = self._state.tickets.valid(task.step_id, executor.executor, incarnation, now)
             run.ticket = ticket or ""
         _set_deadline(run, now)
@@ -472,7 +472,7 @@
         run.task.name,
         run.attempt,
         executor.executor,
-        executor.registration.incarnation,
+        executor.incarnation,
         now_ms - run.task.job.spec.accepted_ms,
         int((now - polled_at) * 1000),
         executor.consecutive_failures,
--- a/fireflyfork/decisions/jobs/_report_handling.py
+++ b/fireflyfork/decisions/jobs/_report_handling.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-from dataclasses import replace
-
 from ..._ids import JobId, QueueName, TaskName
 from ._commands import PaceRun
-from ._executors import ExecutorRegistration, ExecutorState
+from ._executors import ExecutorState
 from ._gangs import failed_attempt_count, gang_members, save_checkpoint
 from ._load_shedding import Shed
 from ._notes import RunEnded
@@ -86,18 +84,20 @@
 
         A call sent when the known incarnation already existed cannot reach an earlier one, even if
         the incarnation reported is lower. In that case the clock was set back before the executor
-        restarted.
+        restarted. An older call may have reached an incarnation that is over by now.
         """
-        known_incarnation = executor.registration.incarnation
         if (
             incarnation is None
-            or incarnation == known_incarnation
+            or incarnation == executor.incarnation
             or not self._state.is_current(executor)
         ):
             return False
-        if incarnation < known_incarnation and sent_at <= executor.known_since:
+        may_be_over = (
+            incarnation < executor.incarnation or incarnation in executor.past_incarnations
+        )
+        if may_be_over and sent_at <= executor.known_since:
             return False
-        self._state.handle_restart(executor, _with_incarnation(executor, incarnation), now)
+        self._state.handle_restart(executor, incarnation, now)
         return True
 
     def poll_failed(self, executor: ExecutorState, now: float) -> None:
@@ -123,7 +123,7 @@
         """
         if not self._state.is_current(executor):
             return
-        same = answer.incarnation in (None, executor.registration.incarnation)
+        same = answer.incarnation in (None, executor.incarnation)
         if not same and not self.handle_incarnation(executor, answer.incarnation, sent_at, now):
             return
         if answer.clock_ms is not None:
@@ -322,9 +322,5 @@
     The clock of the next incarnation begins at 0. If it were assumed to have advanced as far as the
     previous one, no late order would become void and no lease would end.
     """
-    if answer.clock_ms is not None and answer.incarnation == executor.registration.incarnation:
+    if answer.clock_ms is not None and answer.incarnation == executor.incarnation:
         executor.update_clock(answer.clock_ms, now)
-
-
-def _with_incarnation(executor: ExecutorState, incarnation: int) -> ExecutorRegistration:
-    return replace(executor.registration, incarnation=incarnation)
--- a/fireflyfork/decisions/jobs/_runs.py
+++ b/fireflyfork/decisions/jobs/_runs.py
@@ -91,7 +91,7 @@
 
     def __post_init__(self) -> None:
         """Set ``incarnation`` to the present incarnation of the executor."""
-        self.incarnation = self.executor.registration.incarnation
+        self.incarnation = self.executor.incarnation
 
     @property
     def key(self) -> tuple[TaskName, AttemptNumber]:
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -116,6 +116,10 @@
         """The number of tasks that may start and have no executor."""
         return len(self._state.waiting)
 
+    def executors_without_registration(self, now: float) -> int:
+        """Return how many executors answer but get no runs, as their registration is missing."""
+        return sum(executor.lacks_registration(now) for executor in self.executors.values())
+
     @property
     def steps_without_advice(self) -> int:
         """The number of steps that can't start because the advisor hasn't answered."""
@@ -287,19 +291,19 @@
             self._state.add_executor(executor)
             self._state.known_executors_changed = True
             return
-        if registration.incarnation < state.registration.incarnation:
+        incarnation = registration.incarnation
+        if incarnation < state.incarnation or incarnation in state.past_incarnations:
             # Polls report a new incarnation before the store does, and a listing may be followed by
             # changes that are older than the listing. If such an old registration were taken for
             # the present state, the next report of the present incarnation would look like another
             # restart, and its runs would be taken for over.
+            state.unconfirmed_registration = registration
             return
-        state.registered = True
+        if incarnation > state.incarnation:
+            self._state.handle_restart(state, incarnation, now)
         if registration.address != state.registration.address:
             self._state.known_executors_changed = True
-        if registration.incarnation > state.registration.incarnation:
-            self._state.handle_restart(state, registration, now)
-        else:
-            state.registration = registration
+        state.describe(registration)
         self._evacuations.mark(state)
 
     @guarded_change
@@ -308,6 +312,8 @@
         state = self.executors.get(executor)
         if state is not None:
             state.registered = False
+            state.note_unregistered(now)
+            state.unconfirmed_registration = None
             self._state.drop_if_lease_expired(state, now)
 
     @guarded_change
@@ -429,7 +435,7 @@
             self._state.tickets.not_answered(question.step, now)
             return
         granted = {
-            name: Ticket.received(text, seconds, executor.registration.incarnation, now)
+            name: Ticket.received(text, seconds, executor.incarnation, now)
             for name, text in tickets.items()
             if (executor := self.executors.get(name)) is not None
         }
--- a/fireflyfork/decisions/jobs/_service_state.py
+++ b/fireflyfork/decisions/jobs/_service_state.py
@@ -7,7 +7,7 @@
 from ..._ids import AttemptNumber, ExecutorId
 from ..._waits import WaitReason
 from ._commands import RunCommand, StopRun
-from ._executors import ExecutorRegistration, ExecutorState
+from ._executors import ExecutorState
 from ._gangs import gang_members, has_no_runs
 from ._interference import InterferenceModel
 from ._job_table import JobTable
@@ -198,9 +198,7 @@
         """
         return self.executors.get(executor.executor) is executor
 
-    def handle_restart(
-        self, executor: ExecutorState, registration: ExecutorRegistration, now: float
-    ) -> None:
+    def handle_restart(self, executor: ExecutorState, incarnation: int, now: float) -> None:
         """Handle the restart of an executor: the runs of its previous incarnation are over.
 
         Orders still on their way to it are over too, since an order is carried out only by the
@@ -209,7 +207,10 @@
         """
         self._add_given_up_note(executor, RunEndEvidence.NEW_INCARNATION)
         runs = tuple(executor.runs.values())
-        executor.reset_for_incarnation(registration, now)
+        address = executor.registration.address
+        executor.reset_for_incarnation(incarnation, now)
+        if executor.registration.address != address:
+            self.known_executors_changed = True
         for run in runs:
             self.remove_run(run, now, RunEndEvidence.NEW_INCARNATION)
 
@@ -294,7 +295,7 @@
         return executor.answers or not executor.lease_has_lapsed(self._certainly_owned_until(now))
 
     def _add_given_up_note(self, executor: ExecutorState, why: RunEndEvidence) -> None:
-        incarnation = executor.registration.incarnation
+        incarnation = executor.incarnation
         self.notes.append(ExecutorGivenUp(executor.executor, incarnation, len(executor.runs), why))
 
     def release_held(self, now: float) -> None:
--- a/fireflyfork/decisions/jobs/_time_checks.py
+++ b/fireflyfork/decisions/jobs/_time_checks.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ._executors import ExecutorState
+from ._notes import RegistrationMissing
 from ._runs import Run, RunPhase
 from ._service_state import ServiceState
 
@@ -37,6 +38,7 @@
             return
         if executor.registration.draining:
             self._evacuate(executor, now)
+        self._note_missing_registration(executor, now)
         if (
             executor.consecutive_failures
             and now - executor.last_failure_at > FAILURE_MEMORY_SECONDS
@@ -50,6 +52,21 @@
                 self._state.record_failure(executor, now)
                 self._state.stop(run, now)
 
+    def _note_missing_registration(self, executor: ExecutorState, now: float) -> None:
+        since = executor.unregistered_since
+        if since is None or executor.missing_registration_noted:
+            return
+        if executor.lacks_registration(now):
+            executor.missing_registration_noted = True
+            self._state.notes.append(
+                RegistrationMissing(
+                    executor.executor,
+                    executor.incarnation,
+                    executor.registration.incarnation,
+                    int((now - since) * 1000),
+                )
+            )
+
     def _evacuate(self, executor: ExecutorState, now: float) -> None:
         """Stop the runs that would be cut off when the executor exits.
 
--- a/fireflyfork/programs/_ctl_status.py
+++ b/fireflyfork/programs/_ctl_status.py
@@ -16,6 +16,7 @@
 from ._ctl_entries import entry_lines, has_version, metrics_page, reports_once_in_force
 from ._ctl_jobs import call_planner, job_exit_code, job_lines, wait_for_job
 from ._ctl_output import CommandError, ExitCode, Output, format_table, run_and_report
+from ._scheduler_metrics import EXECUTORS_WITHOUT_REGISTRATION
 from .containment._unexpected_errors import INTERNAL_ERRORS
 
 _REQUESTS = "requests"
@@ -34,11 +35,13 @@
 
 @dataclass(frozen=True, slots=True)
 class SchedulerReport:
-    """The internal errors of a scheduler, or why it did not answer."""
+    """What keeps a scheduler from its work, or why it did not answer."""
 
     address: str
     errors: Mapping[str, int] = field(default_factory=dict)
     """By part of the program: the errors since its process started."""
+    executors_without_registration: int = 0
+    """The executors of its services that answer but get no runs."""
     problem: str = ""
 
 
@@ -55,8 +58,9 @@
     """Show the status of a job, or of all entries, schedulers and jobs.
 
     ``--wait`` waits until the job has ended, or until every entry has the configuration
-    ``--version`` in force. Of schedulers, the internal errors since their start are shown: each
-    has a line in the log with its trace. Exit status: 0 success, 1 the job failed or the wait
+    ``--version`` in force. Of schedulers, the internal errors since their start are shown, each of which
+    has a line in the log with its trace, and the executors that answer but get no runs because their
+    registration is missing. Exit status: 0 success, 1 the job failed or the wait
     timed out, 5 nobody answered, 7 no such job.
 
     Examples::
@@ -141,20 +145,31 @@
         page = await metrics_page(address)
     except CommandError as error:
         return SchedulerReport(str(address), problem=f"no answer: {error.__cause__}")
+    samples = tuple(read_samples(page))
     errors = {
         sample.labels.get("part", _REQUESTS): int(sample.value)
-        for sample in read_samples(page)
+        for sample in samples
         if sample.name == INTERNAL_ERRORS
     }
-    return SchedulerReport(str(address), errors)
+    unregistered = sum(
+        int(sample.value) for sample in samples if sample.name == EXECUTORS_WITHOUT_REGISTRATION
+    )
+    return SchedulerReport(str(address), errors, unregistered)
 
 
 def scheduler_lines(reports: tuple[SchedulerReport, ...]) -> list[str]:
-    """Format the schedulers as a table."""
-    return format_table(
+    """Format the schedulers as a table, and a line for each one that can't use executors."""
+    table = format_table(
         ("scheduler", "internal errors"),
         ((report.address, report.problem or _error_counts(report.errors)) for report in reports),
     )
+    unused = (
+        f"scheduler {report.address}: {report.executors_without_registration} executors answer but"
+        " get no runs, as the store has no usable registration of them"
+        for report in reports
+        if report.executors_without_registration
+    )
+    return [*table, *unused]
 
 
 def _error_counts(errors: Mapping[str, int]) -> str:
--- a/fireflyfork/programs/_scheduler_node.py
+++ b/fireflyfork/programs/_scheduler_node.py
@@ -25,6 +25,7 @@
 from ._external_clients import ExternalClients
 from ._loop_report import LoopReport
 from ._metrics import METRICS_TEXT, Metrics
+from ._scheduler_metrics import EXECUTORS_WITHOUT_REGISTRATION
 from .admission import create_gate
 from .callers._job_requests import JobRequests
 from .callers._job_service import JobService
@@ -122,6 +123,13 @@
             "fireflyfork_evacuated_failure_domains",
             lambda: len(self._keeper.evacuated_domains),
         )
+        self._metrics.gauge(
+            EXECUTORS_WITHOUT_REGISTRATION,
+            lambda: sum(
+                owner.scheduler.executors_without_registration(clock.now())
+                for owner in self._owners()
+            ),
+        )
         self._candidates: dict[ServiceName, ServiceCandidate] = {}
         self._nursery: trio.Nursery | None = None
         self._stopping = False
--- a/fireflyfork/programs/owner/_decision_log.py
+++ b/fireflyfork/programs/owner/_decision_log.py
@@ -17,6 +17,7 @@
     FailureSuspicion,
     JobOver,
     Note,
+    RegistrationMissing,
     ReservationDropped,
     ReservationMade,
     ReserveChanged,
@@ -49,6 +50,7 @@
     ReserveChanged: "reserve changed",
     JobOver: "job over",
     ExecutorGivenUp: "executor given up",
+    RegistrationMissing: "registration missing",
     FailureSuspicion: "avoided for failures",
     StepOnTrial: "step on trial",
     RunStraggling: "run straggling",
@@ -98,6 +100,8 @@
                 return in_sample(note.job, self._sampled_share)
             case ReserveChanged() | ExecutorGivenUp() | ShareWaits() | FailureSuspicion():
                 return True
+            case RegistrationMissing():
+                return True
 
     def _begin_second(self) -> None:
         second = int(self._clock.now())
--- a/fireflyfork/programs/owner/_decision_metrics.py
+++ b/fireflyfork/programs/owner/_decision_metrics.py
@@ -8,6 +8,7 @@
     JobOver,
     JobState,
     Note,
+    RegistrationMissing,
     ReservationDropped,
     ReservationMade,
     ReserveChanged,
@@ -42,6 +43,8 @@
         case ExecutorGivenUp():
             metrics.count("fireflyfork_executors_given_up_total")
             metrics.count("fireflyfork_runs_given_up_total", note.runs)
+        case RegistrationMissing():
+            metrics.count("fireflyfork_registrations_missing_total")
         case _:
             _count_policy_decision(metrics, note)
 
--- a/fireflyfork/programs/owner/_executor_polls.py
+++ b/fireflyfork/programs/owner/_executor_polls.py
@@ -241,7 +241,7 @@
             ExecutorEndpoint(
                 registration.executor,
                 registration.address,
-                registration.incarnation,
+                executor.incarnation,
                 registration.failure_domain,
             ),
             self._term.token,
