Executors: what was learned or promised for one incarnation ends with it

Callers whose step the advisor had refused on an executor waited for good after that executor had come back as one that it permits; failures, speeds and reservations of a process that was gone decided about the next one; and tasks were started on a machine that was about to go down for upkeep, since a restart of its executor lifted the cordon. A machine that came back under another id wasn't cordoned at all: the cordon kept the id it had before.

Cause: tables by an executor's id outlive its incarnation, and the cordon, which belongs to the machine, didn't.

--- a/fireflyfork/decisions/jobs/_executors.py
+++ b/fireflyfork/decisions/jobs/_executors.py
@@ -362,7 +362,8 @@
         """Reset the state for a new process of the executor.
 
         The new process has no runs and numbers its ends from 1. It may differ from the earlier one
-        in everything that a registration tells, so it gets no runs before its own is read.
+        in everything that a registration tells, so it gets no runs before its own is read. What
+        belongs to its machine stays: the cordon and the evacuation of the failure domain.
         """
         self.past_incarnations.append(self.incarnation)
         if incarnation in self.past_incarnations:
@@ -379,8 +380,8 @@
         self.failed_polls = 0
         self.answers_late = False
         self.leaving_since = None
-        self.cordoned = False
-        self.upkeep_due = False
+        self.consecutive_failures = 0
+        self.avoided_until = 0.0
         self.clock_ms = 0
         self.clock_at = now
         self.lease_until_ms = 0
--- a/fireflyfork/decisions/jobs/_move_reservations.py
+++ b/fireflyfork/decisions/jobs/_move_reservations.py
@@ -65,6 +65,12 @@
             promise.executor.incoming_cpu_millis -= task.spec.reserved_cpu_millis
             promise.executor.incoming_memory_mb -= task.spec.memory_mb
 
+    def drop_destination(self, executor: ExecutorState) -> None:
+        """Drop the reservations on an executor that has restarted, maybe with other room."""
+        for task, promise in tuple(self._reservations.items()):
+            if promise.executor is executor:
+                self.drop(task)
+
     def expire(self, now: float) -> None:
         """Drop reservations that have expired or whose task is over or executor unusable."""
         for task, promise in tuple(self._reservations.items()):
--- a/fireflyfork/decisions/jobs/_policies.py
+++ b/fireflyfork/decisions/jobs/_policies.py
@@ -54,6 +54,12 @@
     def run_listed(self, run: Run, now: float) -> None:
         """Handle the progress of a run that its executor has just listed."""
 
+    def executor_restarted(self, executor: ExecutorState, now: float) -> None:
+        """Handle the restart of an executor, before the runs of its past incarnation are removed.
+
+        The new incarnation may have other room and other labels.
+        """
+
     def tick(self, now: float, now_ms: int) -> None:
         """Handle the passage of time, ten times a second."""
 
--- a/fireflyfork/decisions/jobs/_service_state.py
+++ b/fireflyfork/decisions/jobs/_service_state.py
@@ -211,6 +211,9 @@
         executor.reset_for_incarnation(incarnation, now)
         if executor.registration.address != address:
             self.known_executors_changed = True
+        self.tickets.forget_executor(executor.executor)
+        self.move_reservations.drop_destination(executor)
+        self.tell(lambda policy: policy.executor_restarted(executor, now))
         for run in runs:
             self.remove_run(run, now, RunEndEvidence.NEW_INCARNATION)
 
--- a/fireflyfork/decisions/jobs/_tickets.py
+++ b/fireflyfork/decisions/jobs/_tickets.py
@@ -144,6 +144,13 @@
                 if other.until != ticket.until
             }
 
+    def forget_executor(self, executor: ExecutorId) -> None:
+        """Forget what is known of an executor that has restarted, maybe as one of another kind."""
+        for tickets in self._steps.values():
+            tickets.tickets.pop(executor, None)
+            tickets.permitted.discard(executor)
+            tickets.refused.discard(executor)
+
     def forget_job(self, job: JobId) -> None:
         """Forget the tickets of a job that is over."""
         for step in [step_id for step_id in self._steps if step_id[0] == job]:
--- a/fireflyfork/decisions/jobs/_upkeep.py
+++ b/fireflyfork/decisions/jobs/_upkeep.py
@@ -117,7 +117,7 @@
                 if executor is None or self._is_empty(executor):
                     orders.append((view.wave.number, machine))
                 if executor is not None:
-                    to_cordon[machine] = self._cordoned.get(machine, (executor, now))
+                    to_cordon[machine] = self._cordon(machine, executor, now)
             remaining = max(0, view.wave.max_at_once - len(down))
             candidates = [
                 candidate
@@ -129,7 +129,7 @@
                 continue
             chosen = self._in_order(candidates)[: remaining + CORDONED_AHEAD]
             for machine, executor in chosen:
-                to_cordon[machine] = self._cordoned.get(machine, (executor, now))
+                to_cordon[machine] = self._cordon(machine, executor, now)
                 if remaining and self._is_empty(executor):
                     orders.append((view.wave.number, machine))
                     already_down.add(machine)
@@ -137,6 +137,13 @@
         self._set_cordoned(to_cordon, due_executors)
         return orders
 
+    def _cordon(
+        self, machine: MachineId, executor: ExecutorId, now: float
+    ) -> tuple[ExecutorId, float]:
+        """Return a machine's present executor and since when the machine is cordoned."""
+        _, since = self._cordoned.get(machine, (executor, now))
+        return executor, since
+
     def evict(self, now: float) -> None:
         """Stop the runs on cordoned executors that would not end by themselves."""
         for executor_id, since in self._cordoned.values():
--- a/fireflyfork/decisions/jobs/estimates/_executor_failures.py
+++ b/fireflyfork/decisions/jobs/estimates/_executor_failures.py
@@ -189,6 +189,11 @@
             self._judge(member, now)
         return executor, *members
 
+    def forget(self, executor: ExecutorId) -> None:
+        """Forget the results of an executor; its groups are judged anew at the next refresh."""
+        for known in (self._evidence, self._standings, self._probed_at):
+            known.pop(executor, None)
+
     def refresh(self, now: float) -> None:
         """Forget with age, and judge all groups and executors anew."""
         for name, evidence in tuple(self._evidence.items()):
--- a/fireflyfork/decisions/jobs/estimates/_learned_estimates.py
+++ b/fireflyfork/decisions/jobs/estimates/_learned_estimates.py
@@ -139,6 +139,12 @@
         """Forget a job's steps at the next tick; the end that decided the job is yet to come."""
         self._finished.append(job)
 
+    def executor_restarted(self, executor: ExecutorState, now: float) -> None:
+        """Forget how the past incarnation did."""
+        self._executors.forget(executor.executor)
+        self._speeds.forget_executor(executor.executor)
+        self._costs.pop(executor.executor, None)
+
     def tick(self, now: float, now_ms: int) -> None:
         """Judge all executors anew."""
         self._now_ms = now_ms
--- a/fireflyfork/decisions/jobs/estimates/_speeds.py
+++ b/fireflyfork/decisions/jobs/estimates/_speeds.py
@@ -153,6 +153,10 @@
         """Forget the steps of a job that is over."""
         self._steps.pop(job, None)
 
+    def forget_executor(self, executor: ExecutorId) -> None:
+        """Forget the observed speed of an executor that may be of another kind now."""
+        self._observed.pop(executor, None)
+
     def refresh(self, now: float) -> None:
         """Forget with age, and estimate the speed of all groups anew."""
         for steps in self._steps.values():
--- a/fireflyfork/decisions/jobs/fairness/_policy.py
+++ b/fireflyfork/decisions/jobs/fairness/_policy.py
@@ -113,6 +113,12 @@
         self._shares.run_removed(run, now)
         self._levels.pop(share_of(run.task.job), None)
 
+    def executor_restarted(self, executor: ExecutorState, now: float) -> None:
+        """Drop the reservation on an executor, which was made for the room that it had."""
+        for kept in self._reservations:
+            if kept.executor is executor:
+                self._drop(kept, ReservationOutcome.EXECUTOR_LEFT)
+
     def tick(self, now: float, now_ms: int) -> None:
         """Drop reservations that hold no longer, and look for jobs that need one."""
         self._now = max(self._now, now)
--- a/fireflyfork/decisions/jobs/preemption/_preemption.py
+++ b/fireflyfork/decisions/jobs/preemption/_preemption.py
@@ -153,6 +153,14 @@
         self._checkpoints.removed(run)
         self._end_pause(self._pauses.pop(run, ()), now)
 
+    def executor_restarted(self, executor: ExecutorState, now: float) -> None:
+        """End the holds on an executor, whose past incarnation had other room and other runs."""
+        for task, hold in tuple(self._holds.items()):
+            if hold.executor is executor:
+                del self._holds[task]
+        self._awaited.pop(executor, None)
+        self._left_alone.pop(executor, None)
+
     def tick(self, now: float, now_ms: int) -> None:
         """Refill the budget, end expired holds and update the shares that are kept free."""
         self._searches.clear()
