Placement: room kept for short tasks is refused to long-running ones for a time only

Callers saw an accepted job of one long-running task that never started, with room for three such tasks on an idle executor: since another idle executor had been lost, or, without any loss, since seven of eight executors were full.

Cause: a long-running task that never ran was refused while all long-running tasks together would have reserved over nine tenths of the usable processors, however much was free, however long it had waited and whether short tasks were there or not. The others last too, so nothing ended that wait.

The refusal ends 3 s after the owner first tried the step if two like the task fit, so that what is left is as much as it takes, or if the task is larger than all that the limit allows. Where it fits once it starts when no short task has run or waited for 15 s.

--- a/fireflyfork/decisions/jobs/_free_room.py
+++ b/fireflyfork/decisions/jobs/_free_room.py
@@ -43,18 +43,29 @@
 
     def may_fit_together(self, step: StepSpec) -> bool:
         """Whether the executors with the required label have room for all tasks of a step."""
-        missing = step.count
-        for room, executors in self._rooms_with(step.required_label).items():
-            fitting = _count_fitting(step, room, missing)
-            missing -= executors * min(fitting, step.per_executor_limit or fitting)
-            if missing <= 0:
-                return True
-        return False
+        return self._fitting(step, step.count) >= step.count
+
+    def may_fit_copies(self, step: StepSpec, copies: int) -> bool:
+        """Whether there is room for this many tasks like those of a step, or gangs like it."""
+        if not self.may_fit(step):
+            return False
+        missing = copies * (step.count if step.gang else 1)
+        return self._fitting(step, missing) >= missing
 
     def distinct_rooms(self, step: StepSpec) -> int:
         """Return the number of different rooms on the executors with the required label."""
         return len(self._rooms_with(step.required_label))
 
+    def _fitting(self, step: StepSpec, most: int) -> int:
+        """Return how many tasks of a step fit together, or some number from ``most`` on."""
+        total = 0
+        for room, executors in self._rooms_with(step.required_label).items():
+            fitting = _count_fitting(step, room, most)
+            total += executors * min(fitting, step.per_executor_limit or fitting)
+            if total >= most:
+                break
+        return total
+
     def lack(self, step: StepSpec) -> WaitReason:
         """Return what a step lacks that found no executor."""
         rooms = self._largest_rooms("")
--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -16,6 +16,7 @@
 from ._placement_costs import choose, is_allowed, is_far_from_data
 from ._placement_round import PlacementRound
 from ._registration_age import START_VALID_MS
+from ._reserved_room import ReservedRoom
 from ._runs import Run, RunPhase, Task, running_tasks
 from ._service_state import ServiceState
 from ._stragglers import other_executors
@@ -52,6 +53,7 @@
         """Number of the last gain of room after which the waiting tasks were looked through."""
         self._first_index = 0
         """Index of the executor at which the candidates of the next step begin."""
+        self._reserved_room = ReservedRoom(state)
 
     def place(self, now: float, now_ms: int) -> bool:
         """Send waiting tasks to executors that can run them; the others wait for the next tick.
@@ -59,7 +61,7 @@
         Returns whether tasks are left that another round should place at once.
         """
         usable = self._state.usable_executors(now)
-        placement_round = self._begin_round(usable)
+        placement_round = self._begin_round(usable, now)
         if placement_round.seen_gain != self._retried_gain:
             may_be_placed = self._gain_check(placement_round, now)
             self._state.waiting.retry_remembered(now_ms, may_be_placed)
@@ -82,7 +84,7 @@
 
     def retry(self, now: float, now_ms: int) -> None:
         """Let the next round try the waiting tasks again that may find an executor by now."""
-        placement_round = self._begin_round(self._state.usable_executors(now))
+        placement_round = self._begin_round(self._state.usable_executors(now), now)
         self._state.waiting.retry(now_ms, self._gain_check(placement_round, now))
 
     def _gain_check(
@@ -97,7 +99,8 @@
                 return True
             task = step.tasks[0]
             if step.reason is WaitReason.RESERVED:
-                return self._reserve_reason(task, placement_round) is None
+                waited = step.waited_seconds(now)
+                return self._reserved_room.refusal(task, placement_round, waited, now) is None
             gained = rooms.get(step.seen_gain)
             if gained is None:
                 executors = self._room_gains.executors_after(step.seen_gain)
@@ -109,9 +112,10 @@
 
         return may_be_placed
 
-    def _begin_round(self, usable: list[ExecutorState]) -> PlacementRound:
+    def _begin_round(self, usable: list[ExecutorState], now: float) -> PlacementRound:
         self._room_gains.update(usable)
         placement_round = PlacementRound.for_executors(usable)
+        self._reserved_room.observe(placement_round, now)
         placement_round.seen_gain = self._room_gains.last
         placement_round.compared = -self._cost_caches.computed
         return placement_round
@@ -144,6 +148,9 @@
         Returns why it found none, or None if all tasks have been handled.
         """
         placement_round.has_turn = step.has_turn
+        if step.tried_since is None:
+            step.tried_since = now
+        placement_round.waited_seconds = step.waited_seconds(now)
         while step.tasks:
             task = step.tasks[0]
             max_runs = self._state.policies.estimates.max_runs(task)
@@ -188,7 +195,9 @@
         refusal = placement_round.refusals.get(shape)
         if refusal is not None:
             return refusal
-        reserve_reason = self._reserve_reason(task, placement_round)
+        reserve_reason = self._reserved_room.refusal(
+            task, placement_round, placement_round.waited_seconds, now
+        )
         if reserve_reason is not None:
             return self._remembered_refusal(task, reserve_reason, placement_round, now)
         if barred:
@@ -227,10 +236,7 @@
             return None
         if task.step_id in placement_round.waiting_for_rack:
             return Refusal(WaitReason.NEAR_DATA)
-        if placement_round.took_room:
-            free_room.refresh()
-            placement_round.took_room = False
-        reason = free_room.lack(task.spec)
+        reason = placement_round.current_free_room().lack(task.spec)
         if self._state.policies.room.make_room(task, allowed, now, now_ms):
             task.wait_reason = reason
             self._state.waiting.defer(task)
@@ -309,6 +315,7 @@
     def _place_copies(self, placement_round: PlacementRound, now: float, now_ms: int) -> None:
         """Start second runs of tasks whose first run is slow, if an executor can take them."""
         tasks, self._state.tasks_to_copy = self._state.tasks_to_copy, []
+        placement_round.waited_seconds = 0.0
         for task in tasks:
             has_single_run = len(task.runs) == 1 and task.runs[0].is_active
             if not has_single_run or task.key not in task.job.tasks or task.job.state.is_final:
@@ -367,14 +374,6 @@
             and tickets.valid(step, executor.executor, executor.incarnation, now)
         ]
 
-    def _reserve_reason(self, task: Task, placement_round: PlacementRound) -> WaitReason | None:
-        """Return RESERVED if a task would take room that is kept for others, or None."""
-        room = self._state.policies.room
-        takes_reserve = placement_round.would_take_short_task_reserve(
-            task, room.short_task_share()
-        ) or placement_round.would_take_urgent_reserve(task, room.urgent_share())
-        return WaitReason.RESERVED if takes_reserve else None
-
     def _start(
         self,
         task: Task,
--- a/fireflyfork/decisions/jobs/_placement_round.py
+++ b/fireflyfork/decisions/jobs/_placement_round.py
@@ -42,6 +42,8 @@
     """Whether a task was started since ``free_room`` was last refreshed."""
     has_turn: bool = False
     """Whether the step that is being placed is tried even if that number is at its limit."""
+    waited_seconds: float = 0.0
+    """How long ago the step that is being placed was first tried."""
     refusals: dict[tuple[Hashable, frozenset[ExecutorState]], Refusal] = field(default_factory=dict)
     """By shape of task and the executors that it is barred from: why no executor could run it."""
     barred: frozenset[ExecutorState] = frozenset()
@@ -76,6 +78,18 @@
             self._most_leftover_millis = max((1.0, *map(leftover_millis, self.usable)))
         return self._most_leftover_millis
 
+    @property
+    def short_task_millis(self) -> int:
+        """CPU time that short tasks had reserved when the round began."""
+        return self.reserved_millis - self.long_running_millis
+
+    def current_free_room(self) -> FreeRoom:
+        """Return the free room, read again if tasks were started since it was read."""
+        if self.took_room:
+            self.free_room.refresh()
+            self.took_room = False
+        return self.free_room
+
     def max_cost(self, task: Task, now_ms: int) -> float:
         """Return the highest cost that a task without a reservation accepts."""
         age = (now_ms - task.job.spec.accepted_ms) / 1000
--- a/fireflyfork/decisions/jobs/_waiting_tasks.py
+++ b/fireflyfork/decisions/jobs/_waiting_tasks.py
@@ -49,11 +49,17 @@
     """See ``Refusal``."""
     retry_at: float = 0.0
     """See ``Refusal``."""
+    tried_since: float | None = None
+    """When this owner first tried to place a task of the step, in seconds on its clock."""
     has_turn: bool = False
     """Whether the step is tried even if too many others found no executor."""
     turn: int = 0
     """Number of the last turn; higher ones are later."""
 
+    def waited_seconds(self, now: float) -> float:
+        """Return how long ago the step was first tried."""
+        return now - self.tried_since if self.tried_since is not None else 0.0
+
     def bring_most_failed_forward(self) -> Task:
         """Make the task with the most failed attempts the first one, and return it.
 
