Placement: room for urgent tasks isn't kept from others by work that lasts

With preemption.adaptive_reserve, callers of less urgent queues saw jobs that never started beside enough long-running work, with idle processors; found by the search for other waits without an end.

Cause: less urgent tasks were refused while less urgent work in use and the task would take the room for urgent ones, and the reservations of long-running tasks counted as such work. It doesn't end.

A task is refused only while other less urgent short tasks hold room. They end, so the wait does.

--- a/fireflyfork/decisions/jobs/_placement_round.py
+++ b/fireflyfork/decisions/jobs/_placement_round.py
@@ -110,5 +110,8 @@
         in_use = self.reserved_millis + self.started_millis
         if 2 * in_use < self.total_millis:
             return False
-        less_urgent_millis = in_use - self.urgent_millis + millis
-        return less_urgent_millis > self.total_millis * (1 - share)
+        less_urgent_millis = in_use - self.urgent_millis
+        if less_urgent_millis <= self.long_running_millis:
+            # Long-running tasks may never give the room back that this task would wait for.
+            return False
+        return less_urgent_millis + millis > self.total_millis * (1 - share)
--- a/fireflyfork/decisions/jobs/tests/test_waits_end.py
+++ b/fireflyfork/decisions/jobs/tests/test_waits_end.py
@@ -10,7 +10,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import rule
 
-from ...._ids import TaskName
+from ...._ids import QueueName, TaskName
 from .. import EndReason, PolicySettings, StepSpec
 from .._policy_settings import PreemptionSettings
 from .._reserved_room import MAX_REFUSED_SECONDS, SHORT_TASKS_GONE_SECONDS
@@ -23,6 +23,7 @@
     queue,
     row,
     step,
+    table,
 )
 
 LOST_AFTER_SECONDS = 9.0
@@ -132,6 +133,35 @@
 _ADAPTIVE = PolicySettings(PreemptionSettings(True, adaptive_reserve=True))
 
 
+class OtherWaitsTest(unittest.TestCase):
+    """Other refusals that long-running tasks could make last for ever."""
+
+    def test_less_urgent_tasks_start_beside_long_running_ones(self) -> None:
+        """Guards against room for urgent tasks that is kept from the others for good."""
+        owner = _fleet(1, _ADAPTIVE)
+        owner.scheduler.configure(table(queue(priority=0), queue(name="less", priority=2)))
+        owner.scheduler.accept(job("a" * 16, step(count=14, cpu_millis=1000, **LASTING)), START_MS)
+        self.assertEqual(len(owner.place()), 14)
+        for number in range(40):
+            urgent = job(f"{number:016x}", step(cpu_millis=1000, estimate_ms=2000))
+            owner.scheduler.accept(urgent, START_MS + owner.clock())
+            for run in owner.place():
+                owner.end("i-0", run.task.name, run.attempt, EndReason.DONE)
+            owner.tick(0.5)
+            rows = [
+                row(run, 100)
+                for run in owner.executor().runs.values()
+                if run.task.spec.long_running
+            ]
+            owner.poll("i-0", *rows)
+        self.assertGreater(owner.scheduler._state.policies.room.urgent_share(), 0.1)
+        late = job("b" * 16, step(cpu_millis=1000), queue=QueueName("less"))
+        owner.scheduler.accept(late, START_MS + owner.clock())
+        seconds = _seconds_until_start(owner, "b" * 16)
+        assert seconds is not None
+        self.assertLess(seconds, 3.0)
+
+
 class CalmMachine(ServiceHistory):
     """Any history, after which the fleet is calm and a job is accepted that it can hold."""
 
