Placement: tasks without a reservation start beside executors that are reserved in full

Callers saw jobs that use leftover CPU and never started where long-running tasks had reserved all processors, though the memory for them was free; found by the search for other waits without an end.

Cause: their cost is their demand by the CPU time left over, in the hundreds on such executors, and what a waiting task accepts rose by 0.5 a second.

Long-running ones accept any cost after 3 s, others from an age of 60 s. The cheapest executor is taken as before, and the pace of disturbing work keeps it from services.

--- a/fireflyfork/decisions/jobs/_placement_costs.py
+++ b/fireflyfork/decisions/jobs/_placement_costs.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from math import inf
 from typing import NamedTuple
 
 from ._executors import ExecutorState
@@ -58,6 +59,9 @@
 every executor serves an image that it disturbs."""
 ACCEPTED_COST_PER_SECOND = 0.5
 """How much the accepted cost rises for each second beyond that."""
+MAX_PATIENCE_SECONDS = 60.0
+"""Age of a job from which its tasks accept any cost. Where long-running tasks have reserved all CPU
+time, no cost that rises by the second would be accepted for hours."""
 
 
 NO_ESTIMATES = EstimatePolicy()
@@ -136,6 +140,8 @@
     ``age_seconds`` is the time since its job was accepted, by the clocks of two instances.
     ``reserved_share`` is the share of all processors that is reserved.
     """
+    if age_seconds >= MAX_PATIENCE_SECONDS:
+        return inf
     patience = (
         LOW_RESERVED_PATIENCE_SECONDS
         if reserved_share < LOW_RESERVED_SHARE
--- a/fireflyfork/decisions/jobs/_placement_round.py
+++ b/fireflyfork/decisions/jobs/_placement_round.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Hashable
 from dataclasses import dataclass, field
+from math import inf
 
 from ._candidates import Candidates
 from ._executors import ExecutorState
@@ -13,6 +14,9 @@
 from ._tickets import StepId
 from ._waiting_tasks import Refusal
 
+LONG_RUNNING_PATIENCE_SECONDS = 3.0
+"""How long a long-running task without a reservation waits for an executor that is cheap."""
+
 
 @dataclass(slots=True)
 class PlacementRound:
@@ -91,7 +95,13 @@
         return self.free_room
 
     def max_cost(self, task: Task, now_ms: int) -> float:
-        """Return the highest cost that a task without a reservation accepts."""
+        """Return the highest cost that a task without a reservation accepts.
+
+        A long-running task that has waited accepts any: it is paced where it disturbs services, and
+        no end of another long-running task may ever make an executor cheaper.
+        """
+        if task.spec.long_running and self.waited_seconds >= LONG_RUNNING_PATIENCE_SECONDS:
+            return inf
         age = (now_ms - task.job.spec.accepted_ms) / 1000
         return max_accepted_cost(age, self.reserved_millis / max(1, self.total_millis))
 
--- a/fireflyfork/decisions/jobs/tests/test_waits_end.py
+++ b/fireflyfork/decisions/jobs/tests/test_waits_end.py
@@ -12,6 +12,7 @@
 
 from ...._ids import QueueName, TaskName
 from .. import EndReason, PolicySettings, StepSpec
+from .._placement_costs import MAX_PATIENCE_SECONDS
 from .._policy_settings import PreemptionSettings
 from .._reserved_room import MAX_REFUSED_SECONDS, SHORT_TASKS_GONE_SECONDS
 from .builders_histories import EXECUTORS, ServiceHistory
@@ -161,6 +162,20 @@
         assert seconds is not None
         self.assertLess(seconds, 3.0)
 
+    def test_tasks_without_a_reservation_start_beside_full_reservations(self) -> None:
+        """Guards against a cost that no task accepts while nothing ends."""
+        for lasting, limit in ((True, LOST_AFTER_SECONDS), (False, MAX_PATIENCE_SECONDS + 1.0)):
+            with self.subTest(lasting=lasting):
+                owner = _fleet(1)
+                full = step(cpu_millis=16_000, **LASTING)
+                owner.scheduler.accept(job("a" * 16, full), START_MS)
+                self.assertIsNotNone(_seconds_until_start(owner, "a" * 16))
+                filling = step(image="noisy", uses_leftover_cpu=True, long_running=lasting)
+                owner.scheduler.accept(job("b" * 16, filling), START_MS + owner.clock())
+                seconds = _seconds_until_start(owner, "b" * 16)
+                assert seconds is not None
+                self.assertLess(seconds, limit)
+
 
 class CalmMachine(ServiceHistory):
     """Any history, after which the fleet is calm and a job is accepted that it can hold."""
