Callers: pending counts a queue's jobs at every service where they wait

Callers were told that no job of a queue was pending while ten accepted ones waited: a configuration had sent the queue to another service.

Cause: each owner counts its jobs by queue under the key of its own service, jobs keep the service of their acceptance, and a request read the key of the service that the queue has now.

A request lists the counts of all services and adds those of the queue, so it needs to know nothing of where the queue was before, or whether a service still is in the configuration. The counts that a killed owner left stayed for good if its successor had none of its own; a successor writes once in any case.

--- a/fireflyfork/programs/_scheduling_keys.py
+++ b/fireflyfork/programs/_scheduling_keys.py
@@ -16,6 +16,8 @@
 PROGRESS_PREFIX = f"{_ROOT}progress/"
 INSTANCE_PREFIX = f"{_ROOT}instance/"
 """Prefix of the instances' announcements, which are removed with the instances' leases."""
+PENDING_PREFIX = f"{_ROOT}pending/"
+"""Prefix of the counts of waiting jobs, by service."""
 UPKEEP_PREFIX = f"{_ROOT}upkeep/"
 """Prefix of the progress of machines in waves of upkeep."""
 
@@ -67,7 +69,7 @@
 
 def pending_key(service: ServiceName) -> str:
     """Return the key of the number of jobs in each queue that wait for their first start."""
-    return f"{_ROOT}pending/{service}"
+    return f"{PENDING_PREFIX}{service}"
 
 
 def work_ahead_key(service: ServiceName) -> str:
--- a/fireflyfork/programs/callers/_job_requests.py
+++ b/fireflyfork/programs/callers/_job_requests.py
@@ -26,7 +26,7 @@
     decode_stored_job,
     encode_job,
 )
-from .._scheduling_keys import cancel_key, job_key, pending_key, progress_key
+from .._scheduling_keys import PENDING_PREFIX, cancel_key, job_key, progress_key
 
 MAX_WRITE_ATTEMPTS = 2
 """A write whose answer was lost is sent once more, which settles whether it succeeded. After that
@@ -94,15 +94,17 @@
         return True
 
     async def pending(self, queue: QueueConfiguration) -> int:
-        """Return how many jobs of a queue wait for their first start; the count may be 2 s old."""
+        """Return how many jobs of a queue wait for their first start; the count may be 2 s old.
+
+        Jobs of a queue that had other services before may wait there: each owner counts its own.
+        """
         self._refuse_without_store()
-        item = await self._store.read(pending_key(queue.service))
-        if item is None:
-            return 0
+        listing = await self._store.list(PENDING_PREFIX)
         try:
-            return decode_json(item.value, dict[str, Count]).get(queue.name, 0)
+            counts = [decode_json(item.value, dict[str, Count]) for item in listing.items]
         except InvalidDataError as error:
             raise StoreUnavailableError(f"the stored counts can't be read: {error}") from error
+        return sum(count.get(queue.name, 0) for count in counts)
 
     def _refuse_without_store(self) -> None:
         """Raise StoreRefusedError at once while the store doesn't answer this instance.
--- a/fireflyfork/programs/owner/_service_journal.py
+++ b/fireflyfork/programs/owner/_service_journal.py
@@ -107,7 +107,8 @@
         self._write_count = 0
         self._changed = trio.Event()
         self._stored = trio.Event()
-        self._stored_pending: dict[str, int] = {}
+        self._stored_pending: dict[str, int] | None = None
+        """None before the first write, as an earlier owner may have stored other counts."""
         self._pending_at = 0.0
         self._learned_at = 0.0
         self._figures_number = 0
