Jobs: a job has begun when an executor has begun a task, not when a start was ordered

Callers were told that jobs weren't pending of which nothing had begun: their starts were refused, or had no answer.

Cause: the state of a job, by which it is counted, changed when its first start was sent.

A job has begun by an accepted start, a listed run or a listed end. Its attempts are stored with the order as before.

--- a/fireflyfork/decisions/jobs/_job_table.py
+++ b/fireflyfork/decisions/jobs/_job_table.py
@@ -181,11 +181,15 @@
         live = (job for job in self._jobs.values() if not job.state.is_final)
         return (task for job in live for task in job.tasks.values())
 
-    def record_start(self, job: Job) -> None:
-        """Note that a task of the job has been sent to an executor."""
+    def record_order(self, job: Job) -> None:
+        """Note that a task of the job has been sent to an executor, which may refuse it."""
+        self.changes.record(job.spec.job)
+
+    def record_begin(self, job: Job) -> None:
+        """Note that an executor has begun a task of the job."""
         if job.state is JobState.QUEUED:
             job.state = JobState.RUNNING
-        self.changes.record(job.spec.job)
+            self.changes.record(job.spec.job)
 
     def record_change(self, job: Job) -> int:
         """Note that the job has to be stored. Returns the number of the change."""
@@ -253,7 +257,7 @@
         self._removed_before, self._removed = self._removed, set()
 
     def pending(self) -> dict[QueueName, int]:
-        """Return, by queue, the number of accepted jobs that have not started any task."""
+        """Return, by queue, the number of accepted jobs of which no task has begun."""
         counts: dict[QueueName, int] = {}
         for job in self._jobs.values():
             if job.state is JobState.QUEUED:
--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -443,7 +443,7 @@
         self._state.commands.append(StartRun(run))
         self._state.notes.append(_task_sent_note(run, now, now_ms))
         task.wait_reason = WaitReason.NOTHING
-        self._state.jobs.record_start(task.job)
+        self._state.jobs.record_order(task.job)
         self._state.tell(lambda policy: policy.run_started(run, now))
 
 
--- a/fireflyfork/decisions/jobs/_report_handling.py
+++ b/fireflyfork/decisions/jobs/_report_handling.py
@@ -45,6 +45,7 @@
             run.phase = RunPhase.RUNNING
             run.confirmed_at = now
             run.progress_at = now
+            self._state.jobs.record_begin(run.task.job)
             if run.in_background:
                 run.pace_percent = run.lowest_pace = BACKGROUND_PACE
                 self._state.commands.append(PaceRun(run, BACKGROUND_PACE))
@@ -167,6 +168,7 @@
         task = run.task if run is not None else self._open_task(row.task)
         if task is None:
             return
+        self._state.jobs.record_begin(task.job)
         pace = run.lowest_pace if run is not None else 100
         self._state.notes.append(
             RunEnded(row.task, row.attempt, executor.executor, row.reason, pace)
@@ -241,6 +243,7 @@
             self._adopt_run(executor, row, now)
 
     def _update_run(self, run: Run, row: RunningRow, now: float) -> None:
+        self._state.jobs.record_begin(run.task.job)
         if run.phase is RunPhase.STARTING:
             run.phase = RunPhase.RUNNING
         if run.confirmed_at is None:
@@ -293,7 +296,8 @@
             return
         for previous_run in previous_runs:
             self._state.stop(previous_run, now)
-        self._state.jobs.record_start(task.job)
+        self._state.jobs.record_begin(task.job)
+        self._state.jobs.record_change(task.job)
         self._state.tell(lambda policy: policy.run_started(run, now))
 
     def _stop_unknown_run(self, executor: ExecutorState, row: RunningRow, now: float) -> None:
--- a/fireflyfork/programs/owner/tests/test_job_transfers.py
+++ b/fireflyfork/programs/owner/tests/test_job_transfers.py
@@ -73,3 +73,27 @@
             self.assertEqual(services.counted(DESK), b"{}")
 
         _play(body)
+
+
+class OrderedStartTest(unittest.TestCase):
+    """A job has begun once an executor has begun one of its tasks."""
+
+    def test_a_start_without_an_answer_leaves_a_job_pending(self) -> None:
+        """Guards against a job that is counted as begun once a start was ordered."""
+
+        async def body(services: Services) -> None:
+            (executor,) = services.desk.executors.values()
+            executor.trouble.unreachable_from.add(services.desk.node)
+            services.submit(SHORT)
+            for _ in range(20):
+                await trio.sleep(0.1)
+                if services.counted(DESK) == b'{"q":1}':
+                    break
+            else:
+                self.fail("the job is not counted")
+            executor.trouble.unreachable_from.clear()
+            await trio.sleep(8.0)
+            self.assertEqual(len(services.history.first_starts), 1)
+            self.assertEqual(await services.pending(), 0)
+
+        _play(body)
