Owners: jobs that haven't begun follow their queue to another service

Callers saw jobs wait for a full service while the service that their queue had by then was idle, for good if the executors of the first one left. If all instances started after a service had gone from the configuration, nobody ran, counted or cancelled the jobs that were left there.

Cause: a job's service is that of its acceptance, and candidates for a service come from the configuration alone.

The owner rewrites the key of a job in one transaction that requires its term, the key's revision, and that the job was neither cancelled nor started; until the outcome is known the job starts nowhere. It waits until every instance has the configuration, and follows newer versions only.

--- a/fireflyfork/decisions/jobs/_job_table.py
+++ b/fireflyfork/decisions/jobs/_job_table.py
@@ -2,17 +2,19 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Iterator, Mapping
-from dataclasses import dataclass
-from itertools import islice
+from collections import Counter
+from collections.abc import Collection, Iterable, Iterator, Mapping
+from dataclasses import dataclass, replace
+from itertools import chain, islice
 
-from ..._ids import JobId, QueueName, TaskName
+from ..._ids import JobId, QueueName, ServiceName, TaskName
 from ._change_log import ChangeLog
+from ._departed_jobs import DepartedJobs, terms_version
 from ._job_limits import MAX_EARLY_WINDOWS, MAX_OPEN_TASKS, SMALL_JOB_TASKS, open_occurrences
 from ._progress import JobState, StoredProgress
 from ._queue_terms import QueueTerms, latest
 from ._queues import QueueConfiguration, QueueTable, removed_queue, unknown_queue
-from ._runs import Job, Task
+from ._runs import Departure, Job, Task
 from ._specs import JobSpec, StepSpec, TaskKey, parse_task_name
 from ._stored_terms import StoredTerms
 
@@ -33,6 +35,9 @@
         self.changes = ChangeLog()
         self._jobs: dict[JobId, Job] = {}
         self._finished: dict[JobId, _FinishedJob] = {}
+        self._departed = DepartedJobs()
+        self._under_way: dict[JobId, JobSpec] = {}
+        """Jobs that are being handed to another service, as they are to be stored for it."""
         self._removed: set[JobId] = set()
         self._removed_before: set[JobId] = set()
         self._queues: dict[QueueName, QueueConfiguration] = {}
@@ -111,6 +116,8 @@
         is_known = spec.job in self._jobs or spec.job in self._finished
         if is_known or spec.job in self._removed or spec.job in self._removed_before:
             return []
+        if self._departed.is_outdated(spec):
+            return []
         job = Job(spec, self._queue_of(spec))
         self._jobs[spec.job] = job
         if progress is not None:
@@ -181,6 +188,15 @@
         live = (job for job in self._jobs.values() if not job.state.is_final)
         return (task for job in live for task in job.tasks.values())
 
+    def startable(self, job: Job) -> list[Task]:
+        """Return the tasks of a job's open occurrences whose steps may start."""
+        return [
+            task
+            for occurrence, number in tuple(job.remaining_tasks)
+            if not job.state.is_final and job.step_ready(occurrence, number)
+            for task in self._tasks_of_step(job, occurrence, number)
+        ]
+
     def record_order(self, job: Job) -> None:
         """Note that a task of the job has been sent to an executor, which may refuse it."""
         self.changes.record(job.spec.job)
@@ -255,14 +271,64 @@
     def forget_removed(self) -> None:
         """Forget the ids removed before the previous call: no listing contains them any more."""
         self._removed_before, self._removed = self._removed, set()
+        self._departed.forget_older()
+
+    def pending(self, now: float) -> dict[QueueName, int]:
+        """Return, by queue, the number of accepted jobs of which no task has begun.
+
+        Jobs that have just departed are counted here until their new owner counts them.
+        """
+        waiting = (job.spec.queue for job in self._jobs.values() if job.state is JobState.QUEUED)
+        return dict(Counter(chain(waiting, self._departed.still_counted(now))))
+
+    def rerouted(self, service: ServiceName) -> dict[QueueName, ServiceName]:
+        """Return the queues with jobs of ``service`` that have another service now, and which."""
+        in_force = (self._queues[name] for name in self._terms if name in self._queues)
+        return {queue.name: queue.service for queue in in_force if queue.service != service}
+
+    def departing(self, queues: Collection[QueueName], most: int) -> list[JobSpec]:
+        """Return up to ``most`` jobs to be stored for the service that their queue has now.
+
+        They are jobs of these queues that haven't begun, the ones first that are under way. From now
+        on none of their tasks starts here, until ``stay`` is called.
+        """
+        free = most - len(self._under_way)
+        for job in islice(self._may_depart(queues) if queues else (), max(0, free)):
+            job.departure = Departure.UNDER_WAY
+            queue = self._queues[job.spec.queue]
+            # Another version may come before it is known whether this one was stored.
+            self._under_way[job.spec.job] = replace(
+                job.spec, service=queue.service, queue_terms=queue.terms
+            )
+        return list(islice(self._under_way.values(), most))
+
+    def depart(self, name: JobId, until: float) -> Job | None:
+        """Drop a job that another service owns now; it is counted as pending until ``until``."""
+        spec = self._under_way.pop(name, None)
+        job = self._jobs.pop(name, None) if spec is not None else None
+        if job is not None and spec is not None:
+            self._open_tasks -= len(job.tasks)
+            self._departed.add(spec, until)
+        return job
+
+    def stay(self, name: JobId) -> Job | None:
+        """Keep a job that was under way to another service."""
+        if self._under_way.pop(name, None) is None:
+            return None
+        job = self._jobs[name]
+        job.departure = Departure.REFUSED
+        return job
 
-    def pending(self) -> dict[QueueName, int]:
-        """Return, by queue, the number of accepted jobs of which no task has begun."""
-        counts: dict[QueueName, int] = {}
+    def _may_depart(self, queues: Collection[QueueName]) -> Iterator[Job]:
         for job in self._jobs.values():
-            if job.state is JobState.QUEUED:
-                counts[job.spec.queue] = counts.get(job.spec.queue, 0) + 1
-        return counts
+            spec = job.spec
+            if spec.queue not in queues or not job.may_depart:
+                continue
+            queue = self._queues.get(spec.queue)
+            # An owner that has an older configuration than the instance that accepted the job, or
+            # the owner that the job comes from, would send it back.
+            if queue is not None and queue.version > terms_version(spec):
+                yield job
 
     def _queue_of(self, spec: JobSpec) -> QueueConfiguration:
         """Return the queue of a new job, by the terms of its acceptance or later ones."""
--- a/fireflyfork/decisions/jobs/_runs.py
+++ b/fireflyfork/decisions/jobs/_runs.py
@@ -151,6 +151,16 @@
         )
 
 
+class Departure(Enum):
+    """Whether a job that hasn't begun follows its queue to another service."""
+
+    NONE = "none"
+    UNDER_WAY = "under-way"
+    """The store has been asked, or is about to be: either owner may have the job."""
+    REFUSED = "refused"
+    """The job stays for good: it was cancelled, or it has begun."""
+
+
 class RemainingTasks(dict[tuple[int, int], int]):
     """By occurrence and step: the number of tasks that have not ended successfully."""
 
@@ -183,10 +193,23 @@
     """Whether an earlier owner may have started tasks of the job."""
     opened_occurrences: int = 0
     """The number of occurrences whose tasks are in ``tasks`` or have ended."""
+    departure: Departure = Departure.NONE
+    """Whether the job is being handed to the service that its queue has now."""
+    cancelled_in_departure: bool = False
+    """Whether the job was cancelled while it wasn't known who owns it."""
     _chain_ms: int | None = None
     _remaining: tuple[int, int, float] | None = None
     """Revision of ``remaining_tasks``, and the remaining time and work at that revision."""
 
+    @property
+    def may_depart(self) -> bool:
+        """Whether no task of the job was ever ordered to start, as far as is known."""
+        return (
+            self.state is JobState.QUEUED
+            and self.departure is Departure.NONE
+            and not any(task.attempt or task.runs for task in self.tasks.values())
+        )
+
     def allowed_ms(self) -> float:
         """Return the milliseconds that the objective allows from acceptance to completion."""
         if self._chain_ms is None:
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -7,7 +7,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 from dataclasses import dataclass
 from math import inf
 
@@ -33,7 +33,7 @@
 from ._registration_age import RegistrationAge, start_validity_ms
 from ._report_handling import ReportHandler
 from ._reports import OrderAnswer, PollAnswer
-from ._runs import Job, Run
+from ._runs import Departure, Job, Run
 from ._service_state import DEFAULT_STOP_SECONDS, ServiceState
 from ._specs import JobSpec
 from ._stored_estimates import StoredEstimates
@@ -277,8 +277,45 @@
     def cancel(self, name: JobId, now: float, now_ms: int) -> None:
         """Cancel a job at a caller's request."""
         job = self.jobs.get(name)
-        if job is not None and not job.state.is_final:
+        if job is None or job.state.is_final:
+            return
+        if job.departure is Departure.UNDER_WAY:
+            # If another service owns it by now, what this owner stores would replace its progress.
+            job.cancelled_in_departure = True
+        else:
+            self._state.finish(job, JobState.CANCELLED, now, now_ms)
+
+    def rerouted_queues(self) -> dict[QueueName, ServiceName]:
+        """Return the queues with jobs here that have another service now, and which."""
+        return self.jobs.rerouted(self._settings.service)
+
+    @guarded_change
+    def take_departing(self, queues: Collection[QueueName], most: int) -> list[JobSpec]:
+        """Return up to ``most`` jobs of these queues to be stored for their queue's service.
+
+        They are the ones that haven't begun; no task of them starts here until ``stay`` is called.
+        None is returned while an earlier owner may have started some.
+        """
+        return [] if self._state.unreached else self.jobs.departing(queues, most)
+
+    @guarded_change
+    def depart(self, name: JobId, until: float, now: float) -> None:
+        """Drop a job that is stored for another service, and count it as pending until ``until``."""
+        job = self.jobs.depart(name, until)
+        if job is not None:
+            self._state.tell(lambda policy: policy.job_over(job, now))
+            self._state.tickets.forget_job(name)
+
+    @guarded_change
+    def stay(self, name: JobId, now: float, now_ms: int) -> None:
+        """Keep a job that the store didn't accept for another service."""
+        job = self.jobs.stay(name)
+        if job is None:
+            return
+        if job.cancelled_in_departure:
             self._state.finish(job, JobState.CANCELLED, now, now_ms)
+        for task in self.jobs.startable(job):
+            self._state.enqueue(task)
 
     @guarded_change
     def register(self, registration: ExecutorRegistration, now: float) -> None:
--- a/fireflyfork/decisions/jobs/_service_state.py
+++ b/fireflyfork/decisions/jobs/_service_state.py
@@ -17,7 +17,7 @@
 from ._policies import Policies, Policy
 from ._progress import JobState
 from ._run_end_evidence import RunEndEvidence
-from ._runs import Job, Run, RunPhase, Task
+from ._runs import Departure, Job, Run, RunPhase, Task
 from ._tickets import TicketBook
 from ._waiting_tasks import WaitingTasks
 
@@ -96,7 +96,10 @@
     @staticmethod
     def needs_run(task: Task) -> bool:
         """Whether a task or its gang still has to run and has no run at present."""
-        return not task.job.state.is_final and task.key in task.job.tasks and has_no_runs(task)
+        job = task.job
+        if job.state.is_final or job.departure is Departure.UNDER_WAY:
+            return False
+        return task.key in job.tasks and has_no_runs(task)
 
     def enqueue(self, task: Task, at_once: bool = True) -> None:
         """Queue a task that may start.
--- a/fireflyfork/programs/_scheduler_node.py
+++ b/fireflyfork/programs/_scheduler_node.py
@@ -235,13 +235,18 @@
     def _apply_configuration(self, table: QueueTable) -> None:
         for owner in self._owners():
             owner.configure(table)
-        if self._nursery is None or self._stopping:
-            return
         for service in sorted(table.services):
-            if service not in self._candidates:
-                candidate = self._create_candidate(service)
-                self._candidates[service] = candidate
-                self._nursery.start_soon(self._errors.keep_running, "candidate", candidate.run)
+            self._require_owner(service)
+
+    def _require_owner(self, service: ServiceName) -> None:
+        """Be a candidate for the ownership of a service from now on.
+
+        Jobs of a service that the configuration doesn't name any more need an owner as well.
+        """
+        if service in self._candidates or self._nursery is None or self._stopping:
+            return
+        candidate = self._candidates[service] = self._create_candidate(service)
+        self._nursery.start_soon(self._errors.keep_running, "candidate", candidate.run)
 
     def _job_changed(self) -> None:
         for owner in self._owners():
@@ -264,6 +269,7 @@
                 self._queues,
                 lambda: self._keeper.waves,
                 lambda: self._keeper.evacuated_domains,
+                self._require_owner,
             ),
             self._announcements,
             self._settings.policies,
--- a/fireflyfork/programs/owner/_operator_requests.py
+++ b/fireflyfork/programs/owner/_operator_requests.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from ..._ids import FailureDomainName
+from ..._ids import FailureDomainName, ServiceName
 from ...decisions.jobs import QueueTable, UpkeepWave
 
 
@@ -17,6 +17,10 @@
     return frozenset()
 
 
+def _ignore_service(_service: ServiceName) -> None:
+    pass
+
+
 @dataclass(frozen=True, slots=True)
 class OperatorRequests:
     """Functions that return the requests in force at the time of the call."""
@@ -24,3 +28,5 @@
     queues: Callable[[], QueueTable]
     waves: Callable[[], tuple[UpkeepWave, ...]] = _no_waves
     evacuated_domains: Callable[[], frozenset[FailureDomainName]] = _no_domains
+    require_owner: Callable[[ServiceName], None] = _ignore_service
+    """Has an owner of a service elected, also of one that no configuration in force names."""
--- a/fireflyfork/programs/owner/_service_journal.py
+++ b/fireflyfork/programs/owner/_service_journal.py
@@ -253,7 +253,8 @@
         return self._pending_to_store() is not None
 
     def _pending_to_store(self) -> dict[str, int] | None:
-        pending = {str(queue): n for queue, n in self._scheduler.jobs.pending().items()}
+        counts = self._scheduler.jobs.pending(self._now())
+        pending = {str(queue): n for queue, n in counts.items()}
         due = trio.current_time() - self._pending_at >= PENDING_INTERVAL_SECONDS
         return pending if due and pending != self._stored_pending else None
 
--- a/fireflyfork/programs/owner/_service_owner.py
+++ b/fireflyfork/programs/owner/_service_owner.py
@@ -34,6 +34,7 @@
 from ._advice_calls import AdviceCalls
 from ._decision_log import DecisionLog
 from ._executor_polls import MAX_UNCONFIRMED_SECONDS, ExecutorPolls
+from ._job_transfers import JobTransfers
 from ._operator_requests import OperatorRequests
 from ._owner_parts import Part, first_then
 from ._recovery_reads import read_recovery_state, retry_until_answered
@@ -143,7 +144,21 @@
             clients.loop_time,
         )
         self._work_intake = WorkIntake(
-            self._store, self._scheduler, term, clock, self._note_ownership, self.request_dispatch
+            self._store,
+            self._scheduler,
+            term,
+            clock,
+            self._note_ownership,
+            self.request_dispatch,
+            requests.require_owner,
+        )
+        self._transfers = JobTransfers(
+            self._store,
+            self._scheduler,
+            term,
+            clock,
+            bounds.configuration_delay,
+            self.request_dispatch,
         )
         self._registrations = RegistrationIntake(
             self._store,
@@ -284,6 +299,7 @@
             Part("registrations", first_then(follow, self._registrations.follow_anew)),
             Part("old jobs", self._remove_old_jobs),
             Part("upkeep", self._upkeep.run),
+            Part("job transfers", self._transfers.run),
             Part("relays", self._relays.run),
             Part("advice", self._advice.run),
         )
--- a/fireflyfork/programs/owner/_work_intake.py
+++ b/fireflyfork/programs/owner/_work_intake.py
@@ -6,7 +6,7 @@
 
 from loguru import logger
 
-from ..._ids import JobId
+from ..._ids import JobId, ServiceName
 from ...adapters import CoordinationStore, StoreChange, StoredItem, StoreListing
 from ...decisions.jobs import (
     JobSpec,
@@ -37,12 +37,15 @@
         clock: Clock,
         note_ownership: Callable[[], None],
         request_dispatch: Callable[[], None],
+        require_owner: Callable[[ServiceName], None] = lambda _: None,
     ) -> None:
         """Set up the intake; no call is made.
 
         ``note_ownership`` is called when the store shows that ``term`` continues,
-        ``request_dispatch`` after each new job or cancellation.
+        ``request_dispatch`` after each new job or cancellation, ``require_owner`` with the service
+        of each job of another one.
         """
+        self._require_owner = require_owner
         self._store = store
         self._scheduler = scheduler
         self._term = term
@@ -130,7 +133,10 @@
         except StoredFormatError as error:
             logger.error("job not readable", key=item.key, error=str(error))
             return None
-        return spec if spec.service == self._term.service else None
+        if spec.service != self._term.service:
+            self._require_owner(spec.service)
+            return None
+        return spec
 
     def _cancel(self, key: str) -> None:
         job = JobId(key.removeprefix(CANCEL_PREFIX))
--- a/fireflyfork/programs/owner/tests/test_job_transfers.py
+++ b/fireflyfork/programs/owner/tests/test_job_transfers.py
@@ -2,13 +2,18 @@
 
 import unittest
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
+from functools import partial
+from random import Random
 
 import trio
 from trio.testing import MockClock
 
 from ...._ids import JobId
+from ....decisions.jobs import JobState, StepSpec, decode_stored_job
 from ....decisions.jobs.tests.builders_jobs import step
-from .builders_services import ANNEX, DESK, Services
+from ..._scheduling_keys import job_key
+from .builders_services import ANNEX, CONFIGURATION_SECONDS, DESK, Services
 
 FULL = step(count=1, cpu_millis=8000, estimate_ms=90_000)
 SHORT = step(cpu_millis=1000, estimate_ms=800)
@@ -60,6 +65,87 @@
 
         _play(body)
 
+    def test_waiting_jobs_run_on_the_service_that_their_queue_has_now(self) -> None:
+        """Guards against jobs that wait for a full service while that of their queue is idle."""
+
+        async def body(services: Services) -> None:
+            waiting = await _fill_and_wait(services)
+            services.move_queue(ANNEX)
+            services.configure()
+            await trio.sleep(CONFIGURATION_SECONDS + 6.0)
+            for name in waiting:
+                self.assertIs(await services.requests.state(name), JobState.COMPLETED)
+            self.assertEqual(await services.pending(), 0)
+            self.assertEqual(services.history.violations, [])
+
+        _play(body)
+
+    def test_a_job_that_has_begun_stays(self) -> None:
+        """Guards against the transfer of a job that an executor runs."""
+
+        async def body(services: Services) -> None:
+            await _fill_and_wait(services, 0)
+            services.move_queue(ANNEX)
+            services.configure()
+            await trio.sleep(CONFIGURATION_SECONDS + 3.0)
+            (name,) = services.jobs
+            item = services.store.get(job_key(name))
+            assert item is not None
+            self.assertEqual(decode_stored_job(item.value).service, DESK)
+            self.assertEqual(len(services.history.first_starts), 1)
+            self.assertEqual(services.history.violations, [])
+
+        _play(body)
+
+    def test_two_moves_in_a_row(self) -> None:
+        """Guards against jobs that are lost, or run twice, on the way to and fro."""
+
+        async def body(services: Services) -> None:
+            waiting = await _fill_and_wait(services)
+            for service in (ANNEX, DESK, ANNEX):
+                services.move_queue(service)
+                services.configure()
+                await trio.sleep(CONFIGURATION_SECONDS + 0.2)
+            await trio.sleep(8.0)
+            for name in waiting:
+                self.assertIs(await services.requests.state(name), JobState.COMPLETED)
+            self.assertEqual(services.history.violations, [])
+
+        _play(body)
+
+    def test_a_cancelled_job_starts_nowhere(self) -> None:
+        """Guards against a cancellation that the new owner has seen before the job."""
+
+        async def body(services: Services) -> None:
+            waiting = await _fill_and_wait(services)
+            services.move_queue(ANNEX)
+            services.configure()
+            for name in waiting[:5]:
+                await trio.sleep(CONFIGURATION_SECONDS / 5)
+                services.cancel(name)
+            await trio.sleep(8.0)
+            states = [await services.requests.state(name) for name in waiting]
+            self.assertEqual(states[:4], [JobState.CANCELLED] * 4)
+            self.assertEqual(states[5:], [JobState.COMPLETED] * 5)
+            self.assertEqual(services.history.violations, [])
+
+        _play(body)
+
+    def test_the_successor_of_a_killed_owner_transfers_the_jobs(self) -> None:
+        """Guards against waiting jobs of a service whose owner was lost after the move."""
+
+        async def body(services: Services) -> None:
+            waiting = await _fill_and_wait(services)
+            services.move_queue(ANNEX)
+            services.configure()
+            services.desk.replace_owner()
+            await trio.sleep(CONFIGURATION_SECONDS + 12.0)
+            for name in waiting:
+                self.assertIs(await services.requests.state(name), JobState.COMPLETED)
+            self.assertEqual(services.history.violations, [])
+
+        _play(body)
+
     def test_a_successor_stores_its_counts_although_nothing_waits(self) -> None:
         """Guards against the counts of an earlier owner that stay for good."""
 
@@ -97,3 +183,52 @@
             self.assertEqual(await services.pending(), 0)
 
         _play(body)
+
+
+class AnyMovesTest(unittest.TestCase):
+    """Queues that move at any time, with lost and late writes, cancellations and lost owners."""
+
+    def test_each_job_runs_once_on_one_service(self) -> None:
+        """Guards against a job that two owners have, or none."""
+        for seed in range(12):
+            with self.subTest(seed=seed):
+                _play(partial(self._any_moves, random=Random(seed)), seed, executors=2)
+
+    async def _any_moves(self, services: Services, random: Random) -> None:
+        trouble = services.store.trouble
+        events: list[Callable[[], object]] = [
+            lambda: services.move_queue(random.choice((DESK, ANNEX))),
+            lambda: services.desk.configure(services.queues),
+            lambda: services.annex.configure(services.queues),
+            lambda: random.choice((services.desk, services.annex)).replace_owner(),
+            lambda: setattr(trouble, "lost_share", random.choice((0.0, 0.0, 0.3))),
+            lambda: setattr(trouble, "late_share", random.choice((0.0, 0.6))),
+            lambda: services.store.drop_history(),
+            *([partial(self._move, services, random)] * 3),
+            lambda: services.cancel(random.choice(list(services.jobs))),
+            *([lambda: services.submit(self._steps(random))] * 8),
+        ]
+        services.submit(replace(FULL, count=2, estimate_ms=50_000))
+        for _ in range(60):
+            random.choice(events)()
+            await trio.sleep(random.choice((0.0, 0.1, 0.7, 2.0)))
+        trouble.lost_share = trouble.late_share = 0.0
+        services.configure()
+        await trio.sleep(CONFIGURATION_SECONDS + 120.0)
+        self.assertEqual(services.history.violations, [])
+        for name in services.jobs:
+            if name in services.history.cancelling:
+                continue
+            state = await services.requests.state(name)
+            self.assertIs(state, JobState.COMPLETED, name)
+
+    @staticmethod
+    def _move(services: Services, random: Random) -> None:
+        """Move the queue, and put that in force at once."""
+        services.move_queue(random.choice((DESK, ANNEX, ANNEX)))
+        services.configure()
+
+    @staticmethod
+    def _steps(random: Random) -> StepSpec:
+        cpu_millis = random.choice((500, 2000, 8000))
+        return step(cpu_millis=cpu_millis, estimate_ms=random.choice((200, 1500)))
