Callers: a cancellation that was answered with 410 bars its job

A caller that left and cancelled was told that there was no such job, and its work ran 3.25 s later: the request lay unread at a frozen instance, which stored it when it woke.

Cause: the answer rested on the absence of the job's key, and nothing stored backed it. Whatever delays a write did the same: a late write of the store, the second try of a write, a replaced owner.

A cancellation of an unknown job writes a tombstone on the condition that the job is absent; each acceptance requires that the tombstone is. Both are conditions in the store, so no delay between a look and a write matters. The request that loses is answered with 410. Tombstones end with their lease, so unknown ids don't fill the store. The removal of an old job leaves one too.

test_only_known_jobs_are_cancelled handed in the very job whose cancellation it had just been answered for.

--- a/fireflyfork/_errors.py
+++ b/fireflyfork/_errors.py
@@ -116,6 +116,14 @@
         super().__init__(status, reason, Verdict.NOT_RUN)
 
 
+class JobGoneError(BadRequestError):
+    """The job was cancelled before its submission was carried out, or is long over; it never runs."""
+
+    def __init__(self) -> None:
+        """Set the status of a job that doesn't exist."""
+        super().__init__("the job was cancelled before it was accepted, or is long over", 410)
+
+
 class MisdirectedError(RequestError):
     """The member does not own the partition of the request, or can't prove that it does.
 
--- a/fireflyfork/programs/_scheduling_keys.py
+++ b/fireflyfork/programs/_scheduling_keys.py
@@ -87,6 +87,11 @@
     return f"{CANCEL_PREFIX}{job}"
 
 
+def tombstone_key(job: JobId) -> str:
+    """Return the key that bars a job from being accepted: it was cancelled before, or is over."""
+    return f"{_ROOT}tombstone/{job}"
+
+
 def progress_key(job: JobId) -> str:
     """Return the key of a job's progress, which the owner of its service writes."""
     return f"{PROGRESS_PREFIX}{job}"
--- a/fireflyfork/programs/callers/_job_requests.py
+++ b/fireflyfork/programs/callers/_job_requests.py
@@ -11,9 +11,11 @@
 from ..._decoding import Count, decode_json
 from ..._errors import (
     InvalidDataError,
-    StoreConflictError,
+    JobGoneError,
+    LeaseEndedError,
     StoreRefusedError,
     StoreUnavailableError,
+    TransactionConflictError,
 )
 from ..._ids import JobId, Revision
 from ...adapters import CoordinationStore, Put
@@ -26,7 +28,14 @@
     decode_stored_job,
     encode_job,
 )
-from .._scheduling_keys import PENDING_PREFIX, cancel_key, job_key, progress_key
+from .._scheduling_keys import (
+    PENDING_PREFIX,
+    cancel_key,
+    job_key,
+    progress_key,
+    tombstone_key,
+)
+from .._tombstones import Tombstones
 
 MAX_WRITE_ATTEMPTS = 2
 """A write whose answer was lost is sent once more, which settles whether it succeeded. After that
@@ -36,7 +45,7 @@
 class JobRequests:
     """Carries out requests about jobs.
 
-    The class holds no state: a job is stored before its caller gets the answer. Every method raises
+    The class holds no state of jobs: a job is stored before its caller gets the answer. Every method raises
     StoreRefusedError if nothing was done, and StoreUnavailableError if the outcome is unknown.
     """
 
@@ -52,13 +61,22 @@
         has meanwhile stopped answering this instance.
         """
         self._store = store
+        self._tombstones = Tombstones(store)
         self._repeats_in_outages = repeats_in_outages
         self._changed = changed
 
     async def submit(self, spec: JobSpec) -> None:
-        """Accept a job. A job that any instance has accepted before is left unchanged."""
+        """Accept a job. A job that any instance has accepted before is left unchanged.
+
+        Raises JobGoneError if it was cancelled before it could be accepted: a caller that leaves
+        and cancels may be answered before its request is read.
+        """
         self._refuse_without_store()
-        await self._store_new(job_key(spec.job), encode_job(spec))
+        key, tombstone = job_key(spec.job), tombstone_key(spec.job)
+        present = await self._write_if_absent((key, tombstone), Put(key, encode_job(spec)))
+        if tombstone in present and key not in present:
+            logger.info("job not accepted: barred", job=spec.job)
+            raise JobGoneError()
         logger.info(
             "job accepted",
             job=spec.job,
@@ -84,15 +102,32 @@
         return JobState.QUEUED
 
     async def cancel(self, job: JobId) -> bool:
-        """Cancel a job. Return False if there is no such job."""
+        """Cancel a job. Return False if there is no such job.
+
+        That answer has to hold: a request that is on its way may be carried out at any later time.
+        So it is given only with a tombstone, which bars the job from being accepted.
+        """
         self._refuse_without_store()
-        if await self._store.read(job_key(job)) is None:
+        if await self._store.read(job_key(job)) is None and await self._bar(job):
+            logger.info("job barred", job=job)
             return False
-        await self._store_new(cancel_key(job), b"")
+        await self._write_if_absent((cancel_key(job),), Put(cancel_key(job), b""))
         logger.info("job cancelled", job=job)
         self._changed()
         return True
 
+    async def _bar(self, job: JobId) -> bool:
+        """Write the tombstone of a job. Return False if the job has been accepted meanwhile."""
+        keys = job_key(job), tombstone_key(job)
+        try:
+            (tombstone,) = await self._tombstones.puts(job)
+            present = await self._write_if_absent(keys, tombstone)
+        except LeaseEndedError:
+            self._tombstones.renew()
+            (tombstone,) = await self._tombstones.puts(job)
+            present = await self._write_if_absent(keys, tombstone)
+        return job_key(job) not in present
+
     async def pending(self, queue: QueueConfiguration) -> int:
         """Return how many jobs of a queue wait for their first start; the count may be 2 s old.
 
@@ -115,27 +150,27 @@
         if not self._store.is_responsive:
             raise StoreRefusedError("the store does not answer this instance")
 
-    async def _store_new(self, key: str, value: bytes) -> None:
-        """Write a key unless it exists; an existing key counts as success.
+    async def _write_if_absent(self, keys: tuple[str, ...], put: Put) -> frozenset[str]:
+        """Write a key if none of ``keys`` exists. Return those that do, none if it was written.
 
         Raises StoreRefusedError only if this call can't have written anything: a caller that gets
         the answer "not accepted" must be able to rely on it.
         """
-        unknown_outcome: StoreUnavailableError | None = None
+        unknown_outcome = StoreUnavailableError("not written")
+        is_unknown = False
         for _ in range(MAX_WRITE_ATTEMPTS):
             try:
-                await self._store.commit({key: Revision(0)}, (Put(key, value),))
-                return
-            except StoreConflictError:
-                return
+                await self._store.commit(dict.fromkeys(keys, Revision(0)), (put,))
+                return frozenset()
+            except TransactionConflictError as error:
+                return frozenset(error.current_versions)
             except StoreRefusedError as error:
-                if unknown_outcome is None:
+                if not is_unknown:
                     raise
                 raise unknown_outcome from error
             except StoreUnavailableError as error:
-                unknown_outcome = error
+                unknown_outcome, is_unknown = error, True
                 if not (self._repeats_in_outages or self._store.is_responsive):
                     # Waiting for a second timeout would use up the time that the caller has left.
                     break
-        if unknown_outcome is not None:
-            raise unknown_outcome
+        raise unknown_outcome
--- a/fireflyfork/programs/callers/tests/test_job_requests.py
+++ b/fireflyfork/programs/callers/tests/test_job_requests.py
@@ -100,8 +100,10 @@
             self.assertFalse(await requests.cancel(job().job))
             self.assertIsNone(store.get(cancel_key(job().job)))
             self.assertIsNone(await requests.state(job().job))
-            await requests.submit(job())
-            self.assertTrue(await requests.cancel(job().job))
-            self.assertTrue(await requests.cancel(job().job))
+            known = job("b" * 16)
+            await requests.submit(known)
+            self.assertTrue(await requests.cancel(known.job))
+            self.assertTrue(await requests.cancel(known.job))
+            self.assertIsNotNone(store.get(cancel_key(known.job)))
 
         _play(body)
--- a/fireflyfork/programs/owner/_service_journal.py
+++ b/fireflyfork/programs/owner/_service_journal.py
@@ -44,6 +44,7 @@
     queue_terms_key,
     work_ahead_key,
 )
+from .._tombstones import Tombstones
 from ._service_lease import Term
 
 MAX_JOBS_PER_WRITE = 25
@@ -52,8 +53,8 @@
 A transaction takes 32 rows. The two conditions, the journal's number, the pending counts, the known
 executors, the terms of queues and the learned interference use seven of them. Figures of the work
 ahead, where they are measured, take the place of one job."""
-MAX_JOBS_PER_REMOVAL = 10
-"""Maximum number of jobs in one removal, with three keys each, within the same 32 rows."""
+MAX_JOBS_PER_REMOVAL = 7
+"""Maximum number of jobs in one removal, with four keys each, within the same 32 rows."""
 WRITE_BATCH_SECONDS = 0.025
 """How long changes are collected before they are written together.
 
@@ -103,6 +104,7 @@
         self._term = term
         self._scheduler = scheduler
         self._on_written = on_written
+        self._tombstones = Tombstones(store, now)
         self._last_write = Revision(0)
         self._write_count = 0
         self._changed = trio.Event()
@@ -201,7 +203,7 @@
         """Remove some jobs that ended before ``before_ms``. Return whether there may be more.
 
         Raises OwnershipLostError. A job's key identifies late repeats of its request, so it is kept
-        much longer than any repeat may take.
+        much longer than most repeats take. After that a tombstone bars them, which isn't listed.
         """
         jobs = self._scheduler.jobs.expired(before_ms, MAX_JOBS_PER_REMOVAL)
         if not jobs:
@@ -209,10 +211,11 @@
         keys = tuple(key(name) for name in jobs for key in (job_key, cancel_key, progress_key))
         expected = {owner_key(self._term.service): self._term.owner_revision}
         try:
-            await self._store.commit(expected, removals=keys)
+            await self._store.commit(expected, await self._tombstones.puts(*jobs), keys)
         except TransactionConflictError as error:
             raise OwnershipLostError("another owner has taken over") from error
         except StoreError as error:
+            self._tombstones.renew()
             logger.debug("old jobs not removed", service=self._term.service, error=str(error))
             return False
         self._scheduler.jobs.forget(jobs)
