--- a/fireflyfork_standins/scheduling/_day.py
+++ b/fireflyfork_standins/scheduling/_day.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from dataclasses import dataclass, field, replace
 from random import Random
 
 import trio
 
-from fireflyfork._errors import StoreRefusedError, StoreUnavailableError
+from fireflyfork._errors import JobGoneError, StoreRefusedError, StoreUnavailableError
 from fireflyfork._ids import (
     ExecutorId,
     JobId,
@@ -31,7 +32,7 @@
 from ._advisor import AdvisorProfile, StandInAdvisor
 from ._deterministic_run import run_deterministically
 from ._executors import FAIL_SHARE, MAX_LEASE_SECONDS, StandInExecutor
-from ._further_writers import FurtherWriters, RouteChanges
+from ._further_writers import FurtherWriters, KindChanges, RouteChanges
 from ._history import History, Violation
 from ._machines import StandInMachines, machine_of
 from ._nodes import UNIX_MS_AT_START, StandInNode
@@ -102,6 +103,10 @@
     """Whether the operator removes the route, adds it again, and changes its priority."""
     foreign_entries: bool = False
     """Whether another writer stores entries among the executors, most of which can't be read."""
+    changes_kinds: bool = False
+    """Whether executors come back as another kind, and steps require one."""
+    early_cancel_share: float = 0.0
+    """Share of jobs whose callers cancel them before they have an answer."""
     unusual_jobs: bool = False
     """Whether steps leave out what they don't need, and tasks request nothing of some kinds."""
 
@@ -184,6 +189,8 @@
         further_random = Random(f"further {seed}")
         self._further = FurtherWriters(further_random, self._store, SERVICE)
         self._routes = RouteChanges(further_random, SERVICE, queue)
+        self._further_random = further_random
+        self._kinds = KindChanges(further_random, self._executors if profile.changes_kinds else {})
         table = self._routes.table
         if profile.changes_routes:
             self._history.attempts = profile.attempts
@@ -281,6 +288,8 @@
         profile = self._profile
         if profile.changes_routes:
             nursery.start_soon(self._routes.run, self._nodes, profile.seconds)
+        if profile.changes_kinds:
+            nursery.start_soon(self._kinds.run, profile.seconds)
         if profile.foreign_entries:
             nursery.start_soon(self._further.write_entries, profile.seconds)
 
@@ -301,7 +310,7 @@
         while trio.current_time() < end:
             await trio.sleep(self._random.expovariate(self._jobs_per_second()))
             number += 1
-            nursery.start_soon(self._caller, JobId(f"{number:016x}"))
+            nursery.start_soon(self._caller, JobId(f"{number:016x}"), nursery)
 
     def _jobs_per_second(self) -> float:
         burst, usual = self._profile.burst, self._profile.jobs_per_second
@@ -318,9 +327,12 @@
     def _has_ticket(self, executor: ExecutorId, task: TaskName, ticket: str) -> bool:
         return self._advisor is None or self._advisor.is_valid(executor, task, ticket)
 
-    async def _caller(self, name: JobId) -> None:
+    async def _caller(self, name: JobId, nursery: trio.Nursery) -> None:
         spec = self._draw_job(name)
         self._history.jobs[name] = spec
+        share = self._profile.early_cancel_share
+        if share and self._further_random.random() < share:
+            nursery.start_soon(self._cancel_early, name)
         only_refused = True
         for _ in range(5):
             node = self._random.choice(self._nodes)
@@ -338,6 +350,10 @@
                 only_refused = False
                 await trio.sleep(0.2)
                 continue
+            except JobGoneError:
+                return
+            if name in self._history.barred:
+                self._broken("cancelled", f"{name} is accepted, and was said not to exist")
             self._history.acknowledged[name] = trio.current_time()
             self._report.accepted += 1
             break
@@ -349,6 +365,17 @@
             await trio.sleep(self._random.uniform(0.0, 6.0))
             await self._cancel(name)
 
+    async def _cancel_early(self, name: JobId) -> None:
+        """Cancel a job that may not have been accepted; the answer holds also if there is none."""
+        await trio.sleep(self._further_random.uniform(0.0, 0.5))
+        self._history.cancelling.add(name)
+        node = self._further_random.choice(self._nodes)
+        if node.is_configured:
+            with suppress(StoreUnavailableError):
+                if not await node.requests.cancel(name):
+                    self._history.barred.add(name)
+                self._history.cancelled.setdefault(name, trio.current_time())
+
     async def _cancel(self, name: JobId) -> None:
         self._history.cancelling.add(name)
         for _ in range(60):
@@ -386,6 +413,8 @@
         now_ms = UNIX_MS_AT_START + int(trio.current_time() * 1000)
         if self._profile.unusual_jobs:
             steps = [self._further.reduced(step) for step in steps]
+        if self._profile.changes_kinds:
+            steps = [self._kinds.labelled(step) for step in steps]
         terms = self._routes.queue.terms
         return JobSpec(
             name, QueueName("q"), SERVICE, "work", tuple(steps), now_ms, queue_terms=terms
@@ -466,7 +495,7 @@
                 self._broken("completed", f"{job}: {done} of {spec.task_count} tasks are done")
         elif state is JobState.FAILED and self._history.failures(job) < self._profile.attempts:
             self._broken("failed", f"{job} has failed {self._history.failures(job)} times only")
-        elif state is JobState.CANCELLED and job not in self._history.cancelled:
+        elif state is JobState.CANCELLED and job not in self._history.cancelling:
             self._broken("cancelled", f"{job} was not cancelled by its caller")
 
     def _broken(self, promise: str, what: str) -> None:
--- a/fireflyfork_standins/scheduling/_executors.py
+++ b/fireflyfork_standins/scheduling/_executors.py
@@ -132,6 +132,8 @@
         self._ticket_check = ticket_check
         self.trouble = ExecutorTrouble()
         self.up = True
+        self.kind = "a"
+        """The label that steps can require; it takes effect in the store with a registration."""
         self._service = service
         self._room = room
         self._store = store
@@ -179,11 +181,15 @@
             self._history.record_end(self._id(run.task, run.attempt), EndReason.LAPSED)
         self._state.runs.clear()
 
-    def restart(self) -> None:
-        """Start a new incarnation under the same id, without any state of the last one."""
+    def restart(self, registers: bool = True) -> None:
+        """Start a new incarnation under the same id, without any state of the last one.
+
+        With ``registers`` it writes its registration at once.
+        """
         self.up = True
         self._reset_state()
-        self._register()
+        if registers:
+            self._register()
 
     def unregister(self) -> None:
         """Remove the registration, as when its lease expires while the store is unreachable."""
@@ -220,6 +226,8 @@
             return CallOutcome.NO_TICKET
         self._history.record_start(self._id(order.task, order.attempt))
         self._history.check_evacuation(self._failure_domain, order.task)
+        if step.required_label not in ("", self.kind):
+            self._history.record_violation("kind", f"{order.task} begins on {self.executor}")
         if not self._fits(step):
             self._history.record_over_room(self.executor, order.task)
         work = step.estimate_ms / 1000 * self._random.uniform(0.5, 1.6)
@@ -309,7 +317,7 @@
             "zone": self._failure_domain,
             "state": "draining" if self._draining else "ready",
             "room": {"cpu": self._room.cpu_millis, "mem_mb": self._room.memory_mb},
-            "labels": ["a"],
+            "labels": [self.kind],
             "born": self.incarnation,
         }
         self._store.put(f"{REGISTRATION_PREFIX}{self.executor}", msgspec.json.encode(entry))
--- a/fireflyfork_standins/scheduling/_further_writers.py
+++ b/fireflyfork_standins/scheduling/_further_writers.py
@@ -5,7 +5,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import replace
 from random import Random
 from typing import TYPE_CHECKING
@@ -13,11 +13,11 @@
 import msgspec
 import trio
 
-from fireflyfork._ids import ConfigurationVersion, ServiceName
+from fireflyfork._ids import ConfigurationVersion, ExecutorId, ServiceName
 from fireflyfork.decisions.jobs import QueueConfiguration, QueueTable, StepSpec, queue_table
 from fireflyfork.platform import REGISTRATION_PREFIX
 
-from ._executors import FAILURE_DOMAIN
+from ._executors import FAILURE_DOMAIN, StandInExecutor
 from ._store import StandInStore
 
 if TYPE_CHECKING:
@@ -27,6 +27,11 @@
 """Mean interval of changes of the configuration."""
 ENTRY_SECONDS = 0.8
 """Mean interval of entries of another writer."""
+KIND_SECONDS = 2.0
+"""Mean interval of restarts as another kind."""
+KINDS = ("a", "b")
+LABELLED_SHARE = 0.4
+HEARTBEAT_SECONDS = 1.5
 REMOVED_SHARE = 0.4
 """Share of the versions of the configuration that lack the route."""
 FOREIGN_ADDRESSES = (
@@ -103,6 +108,56 @@
         )
 
 
+class KindChanges:
+    """Executors that crash and come back as another kind, and steps that require a kind.
+
+    A new incarnation answers calls at once, and its registration comes up to a heartbeat later.
+    """
+
+    def __init__(self, random: Random, executors: Mapping[ExecutorId, StandInExecutor]) -> None:
+        """Give every second executor the other kind."""
+        self._random = random
+        self._executors = executors
+        self._set_kinds()
+
+    def labelled(self, step: StepSpec) -> StepSpec:
+        """Return a step that may require a kind."""
+        if self._random.random() >= LABELLED_SHARE:
+            return step
+        return replace(step, required_label=self._random.choice(KINDS))
+
+    async def run(self, seconds: float) -> None:
+        """Restart executors for a time. At the end both kinds are there."""
+        end = trio.current_time() + seconds
+        while trio.current_time() < end:
+            await trio.sleep(self._random.expovariate(1 / KIND_SECONDS))
+            executor = self._random.choice(tuple(self._executors.values()))
+            await self._restart_as(executor, self._random.choice(KINDS))
+        for number, executor in enumerate(self._executors.values()):
+            kind = KINDS[number % len(KINDS)]
+            while executor.kind != kind:
+                await self._restart_as(executor, kind)
+                await trio.sleep(0.1)
+
+    async def _restart_as(self, executor: StandInExecutor, kind: str) -> None:
+        """Restart an executor as a kind, unless another trouble has it down."""
+        if not executor.up:
+            return
+        executor.crash()
+        await trio.sleep(self._random.uniform(0.05, 1.0))
+        if executor.up:
+            return
+        executor.kind = kind
+        executor.restart(registers=False)
+        await trio.sleep(self._random.uniform(0.0, HEARTBEAT_SECONDS))
+        if executor.up:
+            executor.register()
+
+    def _set_kinds(self) -> None:
+        for number, executor in enumerate(self._executors.values()):
+            executor.kind = KINDS[number % len(KINDS)]
+
+
 class RouteChanges:
     """The operator of a day, who removes the route, adds it again, and changes its priority."""
 
--- a/fireflyfork_standins/scheduling/_history.py
+++ b/fireflyfork_standins/scheduling/_history.py
@@ -58,6 +58,8 @@
     cancelling: set[JobId] = field(default_factory=set)
     """Jobs for which a caller has requested cancellation, acknowledged or not."""
     cancelled: dict[JobId, float] = field(default_factory=dict)
+    barred: set[JobId] = field(default_factory=set)
+    """Jobs whose cancellation was answered with "no such job"; none may be accepted after that."""
     violations: list[Violation] = field(default_factory=list)
     checks_budgets: bool = False
     """Whether to check the unavailability budgets of long-running tasks. Only valid if nothing but the
--- a/fireflyfork_standins/scheduling/_wire_callers.py
+++ b/fireflyfork_standins/scheduling/_wire_callers.py
@@ -21,6 +21,7 @@
 CALL_TIMEOUT_SECONDS = 3.0
 RETRY_SECONDS = 0.1
 STATE_POLL_SECONDS = 0.05
+EARLY_CANCEL_SHARE = 0.08
 _HOST: Header = (b"host", QUEUE_HOST.encode("ascii"))
 
 
@@ -34,12 +35,15 @@
         random: Random,
         keep_connections: bool = False,
         reduced: Callable[[StepSpec], StepSpec] = lambda step: step,
+        early_cancels: Random | None = None,
     ) -> None:
         """Call the scheduler at ``instances``. Each job is added to ``history`` before submission.
 
         With ``keep_connections`` callers use open connections until the instance closes them.
-        ``reduced`` returns what is left of each step that was drawn.
+        ``reduced`` returns what is left of each step that was drawn. With ``early_cancels`` some
+        callers, drawn from it, cancel their jobs before they have an answer.
         """
+        self._early_cancels = early_cancels
         self._reduced = reduced
         self._kept = {each: HttpClient(each, CALL_TIMEOUT_SECONDS) for each in instances}
         self._keep_connections = keep_connections
@@ -65,10 +69,17 @@
         spec = self._draw_job(name)
         self._history.jobs[name] = spec
         begun = trio.current_time()
-        while await self._call("POST", name, _body(spec)) != 200:
-            await trio.sleep(RETRY_SECONDS)
+        early = self._early_cancels
+        cancels_early = early is not None and early.random() < EARLY_CANCEL_SHARE
+        async with trio.open_nursery() as nursery:
+            if cancels_early:
+                nursery.start_soon(self._cancel_early, name)
+            is_accepted = await self._submit(name, _body(spec))
+        if not is_accepted:
+            self.states["barred"] += 1
+            return
         self._history.acknowledged[name] = trio.current_time()
-        cancels = self._random.random() < 0.1
+        cancels = cancels_early or self._random.random() < 0.1
         if cancels:
             while await self._call("DELETE", name) != 200:
                 await trio.sleep(RETRY_SECONDS)
@@ -85,6 +96,29 @@
         if state == "cancelled" and not cancels:
             self._history.record_violation("cancelled", f"{name} was not cancelled by its caller")
 
+    async def _submit(self, name: JobId, body: bytes) -> bool:
+        """Submit a job until it is accepted, or gone because it was cancelled."""
+        while (status := await self._call("POST", name, body)) != 200:
+            if status == 410:
+                if name not in self._history.cancelling:
+                    self._history.record_violation("cancelled", f"{name} was not cancelled")
+                return False
+            await trio.sleep(RETRY_SECONDS)
+        if name in self._history.barred:
+            self._history.record_violation("cancelled", f"{name} is accepted, and didn't exist")
+        return True
+
+    async def _cancel_early(self, name: JobId) -> None:
+        """Cancel a job that may not have been accepted; 410 bars it as 200 does."""
+        assert self._early_cancels is not None
+        await trio.sleep(self._early_cancels.uniform(0.0, 0.3))
+        self._history.cancelling.add(name)
+        status = await self._call("DELETE", name)
+        if status in (200, 410):
+            self._history.cancelled[name] = trio.current_time()
+        if status == 410:
+            self._history.barred.add(name)
+
     async def _call(self, method: str, name: JobId, body: bytes = b"") -> int:
         status, _ = await self._answered(method, name, body)
         if method == "POST":
@@ -140,6 +174,7 @@
             "estimate_ms": step.estimate_ms,
             "after": list(step.after),
             "image": step.image,
+            "requirements": step.required_label,
             "fills": step.uses_leftover_cpu,
         }
         for step in spec.steps
--- a/fireflyfork_standins/scheduling/soak.py
+++ b/fireflyfork_standins/scheduling/soak.py
@@ -22,7 +22,7 @@
 import trio
 
 from ._advisor import AdvisorProfile
-from ._further_writers import FurtherWriters
+from ._further_writers import FurtherWriters, KindChanges
 from ._history import Violation
 from ._machines import StandInMachines
 from ._troubles import ADVISOR_TROUBLES, Troubles
@@ -180,8 +180,14 @@
         # Its draws don't change those of the troubles.
         self._further_random = Random(f"further {seed}")
         self._further = FurtherWriters(self._further_random, self._platform.store, SERVICE)
+        self._kinds = KindChanges(self._further_random, self._platform.executors)
         self._callers = WireCallers(
-            fronts, history, self._random, keep_connections=True, reduced=self._further.reduced
+            fronts,
+            history,
+            self._random,
+            keep_connections=True,
+            reduced=lambda step: self._kinds.labelled(self._further.reduced(step)),
+            early_cancels=self._further_random,
         )
         self._instances = [
             _Instance(number, layout, folder, self._random) for number in range(instances)
@@ -217,6 +223,7 @@
                     work.start_soon(self._trouble_processes, work)
                     work.start_soon(self._further.write_entries, self._seconds)
                     work.start_soon(self._change_routes)
+                    work.start_soon(self._kinds.run, self._seconds)
             if limit.cancelled_caught:
                 self._platform.history.record_violation("finished", "jobs have not ended")
             nursery.cancel_scope.cancel()
