Placement: an old task isn't refused for the patience of younger ones

Callers saw a job that uses leftover CPU wait behind younger jobs with tasks of the same shape: the refusal of the first one in a round counted for all of the shape, and what a task accepts depends on its job's age. Found by reading the list of reasons to wait; test_an_old_task_starts_behind_younger_ones_of_its_shape failed before.

Tasks that accept any cost have a refusal of their own. Transfers name the jobs that they have moved; the age of a tombstone's lease counts the time in which an instance is suspended.

--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -191,7 +191,9 @@
         placement_round.barred = barred
         urgent_share = self._state.policies.room.urgent_share()
         is_kept_out = urgent_share > 0 and task.job.queue.priority > 0
-        shape = (*_shape(task), is_kept_out), barred
+        # A task that accepts any cost isn't refused for the cost that a younger one was refused for.
+        accepts_any_cost = placement_round.max_cost(task, now_ms) == inf
+        shape = (*_shape(task), is_kept_out, accepts_any_cost), barred
         refusal = placement_round.refusals.get(shape)
         if refusal is not None:
             return refusal
--- a/fireflyfork/decisions/jobs/tests/test_waits_end.py
+++ b/fireflyfork/decisions/jobs/tests/test_waits_end.py
@@ -177,6 +177,32 @@
                 self.assertLess(seconds, limit)
 
 
+class YoungerTasksTest(unittest.TestCase):
+    """Tasks without a reservation, of which the younger ones still wait for a cheap executor."""
+
+    def test_an_old_task_starts_behind_younger_ones_of_its_shape(self) -> None:
+        """Guards against an old job that is refused for the patience of the jobs before it."""
+        owner = _fleet(1)
+        owner.scheduler.configure(table(queue(priority=0), queue(name="less", priority=2)))
+        full = step(cpu_millis=16_000, **LASTING)
+        owner.scheduler.accept(job("a" * 16, full), START_MS)
+        self.assertIsNotNone(_seconds_until_start(owner, "a" * 16))
+        filling = step(image="noisy", uses_leftover_cpu=True)
+        old = job("b" * 16, filling, queue=QueueName("less"), accepted_ms=START_MS + owner.clock())
+        owner.scheduler.accept(old, START_MS + owner.clock())
+        for number in range(int(MAX_PATIENCE_SECONDS) + 2):
+            now_ms = START_MS + owner.clock()
+            younger = job(f"{number:016x}", filling, accepted_ms=now_ms)
+            owner.scheduler.accept(younger, now_ms)
+            owner.tick(1.0)
+            rows = [row(run, 100) for run in owner.executor().runs.values()]
+            owner.poll("i-0", *rows)
+            started = {run.task.job.spec.job for run in owner.place()}
+            if old.job in started:
+                return
+        self.fail("the old job has not started")
+
+
 class CalmMachine(ServiceHistory):
     """Any history, after which the fleet is calm and a job is accepted that it can hold."""
 
--- a/fireflyfork/programs/_scheduler_node.py
+++ b/fireflyfork/programs/_scheduler_node.py
@@ -134,7 +134,9 @@
         self._nursery: trio.Nursery | None = None
         self._stopping = False
         admission = settings.policies.admission
-        requests = JobRequests(self._store, self._job_changed, not admission.retry_after_outages)
+        requests = JobRequests(
+            self._store, self._job_changed, not admission.retry_after_outages, clock.now
+        )
         self._gate = create_gate(
             admission,
             requests.submit,
--- a/fireflyfork/programs/_tombstones.py
+++ b/fireflyfork/programs/_tombstones.py
@@ -26,7 +26,10 @@
     def __init__(
         self, store: CoordinationStore, now: Callable[[], float] = trio.current_time
     ) -> None:
-        """Initialize without a lease; ``now`` returns seconds on a monotonic clock."""
+        """Initialize without a lease.
+
+        ``now`` returns seconds on a monotonic clock that keeps running during a suspension.
+        """
         self._store = store
         self._now = now
         self._lease: LeaseId | None = None
--- a/fireflyfork/programs/callers/_job_requests.py
+++ b/fireflyfork/programs/callers/_job_requests.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 
+import trio
 from loguru import logger
 
 from ..._decoding import Count, decode_json
@@ -45,8 +46,9 @@
 class JobRequests:
     """Carries out requests about jobs.
 
-    The class holds no state of jobs: a job is stored before its caller gets the answer. Every method raises
-    StoreRefusedError if nothing was done, and StoreUnavailableError if the outcome is unknown.
+    The class holds no state of jobs: a job is stored before its caller gets the answer. Every
+    method raises StoreRefusedError if nothing was done, and StoreUnavailableError if the outcome is
+    unknown.
     """
 
     def __init__(
@@ -54,14 +56,16 @@
         store: CoordinationStore,
         changed: Callable[[], None],
         repeats_in_outages: bool = True,
+        now: Callable[[], float] = trio.current_time,
     ) -> None:
         """Set up; ``changed`` is called after each stored job or cancellation.
 
         With ``repeats_in_outages`` a write without an answer is sent once more even if the store
-        has meanwhile stopped answering this instance.
+        has meanwhile stopped answering this instance. ``now`` returns seconds on a monotonic clock
+        that keeps running while the instance is suspended.
         """
         self._store = store
-        self._tombstones = Tombstones(store)
+        self._tombstones = Tombstones(store, now)
         self._repeats_in_outages = repeats_in_outages
         self._changed = changed
 
--- a/fireflyfork/programs/owner/_job_transfers.py
+++ b/fireflyfork/programs/owner/_job_transfers.py
@@ -95,24 +95,23 @@
         """Store some jobs for the service of their queue. Raises StoreError."""
         stored = await self._read_all(tuple(specs))
         expected = {owner_key(self._term.service): self._term.owner_revision}
-        puts: list[Put] = []
+        moved: list[JobSpec] = []
         for name, item in stored.items():
             if item is None or self._service_of(item) != self._term.service:
                 self._depart(name)
                 continue
-            key = job_key(name)
-            expected[key] = item.revision
+            expected[job_key(name)] = item.revision
             expected[cancel_key(name)] = expected[progress_key(name)] = Revision(0)
-            puts.append(Put(key, encode_job(specs[name])))
-        if not puts:
+            moved.append(specs[name])
+        if not moved:
             return
+        puts = tuple(Put(job_key(spec.job), encode_job(spec)) for spec in moved)
         try:
-            await self._store.commit(expected, tuple(puts))
+            await self._store.commit(expected, puts)
         except TransactionConflictError as error:
             self._resolve_conflict(error, specs)
             return
-        for put in puts:
-            spec = specs[JobId(put.key.removeprefix(job_key(JobId(""))))]
+        for spec in moved:
             self._depart(spec.job)
             logger.info("job transferred", job=spec.job, queue=spec.queue, service=spec.service)
 
