Soak: a connection ends with the incarnation that it leads to

With executors that come back as another kind, the soak showed tasks that ran in two places and starts without their label. A connection ends with its process, and an order on it reaches nobody; the client checks the incarnation on each new one.

--- a/fireflyfork_standins/scheduling/_advisor.py
+++ b/fireflyfork_standins/scheduling/_advisor.py
@@ -90,11 +90,15 @@
 
     def permits(self, executor: ExecutorId, step: str) -> bool:
         """Return whether an executor may run a step, which doesn't change. One always may."""
-        names = list(self._executors)
-        if executor == names[_digest(step) % len(names)]:
+        if executor == self.first_permitted(step):
             return True
         return _digest(f"{step} {executor}") < 256 * self.profile.permitted_share
 
+    def first_permitted(self, step: str) -> ExecutorId:
+        """Return an executor that may run a step."""
+        names = list(self._executors)
+        return names[_digest(step) % len(names)]
+
     def is_valid(self, executor: ExecutorId, task: TaskName, ticket: str) -> bool:
         """Return whether a start of a task on an executor carries a valid ticket of its step."""
         until, incarnation = self._tickets.get((executor, ticket), (0.0, 0))
--- a/fireflyfork_standins/scheduling/_further_writers.py
+++ b/fireflyfork_standins/scheduling/_further_writers.py
@@ -126,6 +126,13 @@
             return step
         return replace(step, required_label=self._random.choice(KINDS))
 
+    def labelled_for(self, step: StepSpec, executor: ExecutorId) -> StepSpec:
+        """Return a step that may require the kind which an executor has in the end."""
+        if self._random.random() >= LABELLED_SHARE:
+            return step
+        number = list(self._executors).index(executor)
+        return replace(step, required_label=KINDS[number % len(KINDS)])
+
     async def run(self, seconds: float) -> None:
         """Restart executors for a time. At the end both kinds are there."""
         end = trio.current_time() + seconds
--- a/fireflyfork_standins/scheduling/_wire_callers.py
+++ b/fireflyfork_standins/scheduling/_wire_callers.py
@@ -35,16 +35,19 @@
         random: Random,
         keep_connections: bool = False,
         reduced: Callable[[StepSpec], StepSpec] = lambda step: step,
+        labelled: Callable[[StepSpec, str], StepSpec] = lambda step, _: step,
         early_cancels: Random | None = None,
     ) -> None:
         """Call the scheduler at ``instances``. Each job is added to ``history`` before submission.
 
         With ``keep_connections`` callers use open connections until the instance closes them.
-        ``reduced`` returns what is left of each step that was drawn. With ``early_cancels`` some
+        ``reduced`` returns what is left of each step that was drawn, ``labelled`` a step that may
+        require a label, by the name of the step. With ``early_cancels`` some
         callers, drawn from it, cancel their jobs before they have an answer.
         """
         self._early_cancels = early_cancels
         self._reduced = reduced
+        self._labelled = labelled
         self._kept = {each: HttpClient(each, CALL_TIMEOUT_SECONDS) for each in instances}
         self._keep_connections = keep_connections
         self.tries: Counter[str] = Counter()
@@ -160,9 +163,11 @@
             )
             for number in range(self._random.randint(1, 2))
         )
-        return JobSpec(
-            name, QueueName("holds"), SERVICE, "work", tuple(map(self._reduced, steps)), 0
+        steps = tuple(
+            self._labelled(self._reduced(step), f"{name}.0.{number}")
+            for number, step in enumerate(steps)
         )
+        return JobSpec(name, QueueName("holds"), SERVICE, "work", steps, 0)
 
 
 def _body(spec: JobSpec) -> bytes:
--- a/fireflyfork_standins/scheduling/_wire_executor.py
+++ b/fireflyfork_standins/scheduling/_wire_executor.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from weakref import WeakKeyDictionary
+
 import msgspec
 
 from fireflyfork._ids import AttemptNumber, FencingToken, TaskName
@@ -56,14 +59,29 @@
 class ExecutorHttpHandler(HttpHandler):
     """Serves the calls to one executor over HTTP."""
 
-    def __init__(self, calls: ExecutorCalls, place: ExecutorEndpoint) -> None:
-        """Carry out calls through ``calls``, which apply the executor's current failures."""
+    def __init__(
+        self,
+        calls: ExecutorCalls,
+        place: ExecutorEndpoint,
+        incarnation: Callable[[], int] = lambda: 0,
+    ) -> None:
+        """Carry out calls through ``calls``, which apply the executor's current failures.
+
+        ``incarnation`` returns the present one, with which each connection ends.
+        """
         self._calls = calls
         self._place = place
+        self._incarnation = incarnation
+        self._incarnations: WeakKeyDictionary[object, int] = WeakKeyDictionary()
+        """By connection: the incarnation that it leads to."""
 
     async def handle(self, exchange: Exchange) -> None:
         """See HttpHandler."""
         expected = exchange.head.header(b"x-fireflyfork-expected-instance")
+        present = self._incarnation()
+        if self._incarnations.setdefault(exchange._connection, present) != present:
+            exchange.abort()
+            return
         body = await collect(exchange.body(), LONGEST_BODY_BYTES)
         if expected != self._place.executor:
             await exchange.answer_json(421, {})
--- a/fireflyfork_standins/scheduling/_wire_platform.py
+++ b/fireflyfork_standins/scheduling/_wire_platform.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from functools import partial
 from random import Random
 
 import msgspec
@@ -129,7 +130,8 @@
         calls = StandInExecutorCalls(ANY_INSTANCE, self._executors, nursery, self._random)
         for number, (name, executor) in enumerate(self._executors.items()):
             place = ExecutorEndpoint(name, self._layout.executor(number), ANY_INCARNATION)
-            await self._serve(nursery, ExecutorHttpHandler(calls, place), place.address)
+            calls_of_one = ExecutorHttpHandler(calls, place, partial(_incarnation_of, executor))
+            await self._serve(nursery, calls_of_one, place.address)
             nursery.start_soon(executor.run)
         if self.advisor is not None:
             for number in range(self._layout.instances):
@@ -167,6 +169,10 @@
         nursery.start_soon(HttpServer(handler).run, listeners)
 
 
+def _incarnation_of(executor: StandInExecutor) -> int:
+    return executor.incarnation
+
+
 def _configuration(version: int, routes: list[dict[str, object]]) -> bytes:
     return msgspec.json.encode(
         {"version": version, "routes": routes, "services": [{"name": SERVICE}], "limits": {}}
--- a/fireflyfork_standins/scheduling/soak.py
+++ b/fireflyfork_standins/scheduling/soak.py
@@ -21,6 +21,8 @@
 import defopt
 import trio
 
+from fireflyfork.decisions.jobs import StepSpec
+
 from ._advisor import AdvisorProfile
 from ._further_writers import FurtherWriters, KindChanges
 from ._history import Violation
@@ -186,7 +188,8 @@
             history,
             self._random,
             keep_connections=True,
-            reduced=lambda step: self._kinds.labelled(self._further.reduced(step)),
+            reduced=self._further.reduced,
+            labelled=self._labelled,
             early_cancels=self._further_random,
         )
         self._instances = [
@@ -234,6 +237,12 @@
             self._platform.history.violations, dict(self._callers.states), self._troubles.log
         )
 
+    def _labelled(self, step: StepSpec, name: str) -> StepSpec:
+        """Return a step that may require a kind of which an executor may run it."""
+        advisor = self._platform.advisor
+        assert advisor is not None
+        return self._kinds.labelled_for(step, advisor.first_permitted(name))
+
     async def _trouble_processes(self, nursery: trio.Nursery) -> None:
         """Start series of signals and changes, which overlap."""
         end = trio.current_time() + self._seconds
