Owners: no wake-ups and no further writes while no queue has moved

Jobs that have begun are known in memory: stored at the first accepted start, that was one more write for each job, for as long as the links are thin. Transfers are woken by the owner's tick, and only if a queue with jobs has moved.

--- a/fireflyfork/decisions/jobs/_job_table.py
+++ b/fireflyfork/decisions/jobs/_job_table.py
@@ -122,6 +122,7 @@
         self._jobs[spec.job] = job
         if progress is not None:
             job.state = progress.state
+            job.has_begun = progress.state is not JobState.QUEUED
             job.done = {TaskKey(*key) for key in progress.done}
             job.done_occurrences = progress.done_occurrences
             job.opened_occurrences = progress.done_occurrences
@@ -199,13 +200,17 @@
 
     def record_order(self, job: Job) -> None:
         """Note that a task of the job has been sent to an executor, which may refuse it."""
-        self.changes.record(job.spec.job)
-
-    def record_begin(self, job: Job) -> None:
-        """Note that an executor has begun a task of the job."""
         if job.state is JobState.QUEUED:
             job.state = JobState.RUNNING
-            self.changes.record(job.spec.job)
+        self.changes.record(job.spec.job)
+
+    @staticmethod
+    def record_begin(job: Job) -> None:
+        """Note that an executor has begun a task of the job.
+
+        That isn't stored: it would take one more write for each job.
+        """
+        job.has_begun = True
 
     def record_change(self, job: Job) -> int:
         """Note that the job has to be stored. Returns the number of the change."""
@@ -278,7 +283,11 @@
 
         Jobs that have just departed are counted here until their new owner counts them.
         """
-        waiting = (job.spec.queue for job in self._jobs.values() if job.state is JobState.QUEUED)
+        waiting = (
+            job.spec.queue
+            for job in self._jobs.values()
+            if not job.has_begun and not job.state.is_final
+        )
         return dict(Counter(chain(waiting, self._departed.still_counted(now))))
 
     def rerouted(self, service: ServiceName) -> dict[QueueName, ServiceName]:
--- a/fireflyfork/decisions/jobs/_report_handling.py
+++ b/fireflyfork/decisions/jobs/_report_handling.py
@@ -296,8 +296,8 @@
             return
         for previous_run in previous_runs:
             self._state.stop(previous_run, now)
+        self._state.jobs.record_order(task.job)
         self._state.jobs.record_begin(task.job)
-        self._state.jobs.record_change(task.job)
         self._state.tell(lambda policy: policy.run_started(run, now))
 
     def _stop_unknown_run(self, executor: ExecutorState, row: RunningRow, now: float) -> None:
--- a/fireflyfork/programs/owner/_job_transfers.py
+++ b/fireflyfork/programs/owner/_job_transfers.py
@@ -22,7 +22,7 @@
 from ._service_journal import OwnershipLostError
 from ._service_lease import Term
 
-CHECK_SECONDS = 0.25
+RETRY_SECONDS = 0.25
 MAX_JOBS_PER_TRANSFER = 7
 """Maximum number of jobs in one transaction, which takes 32 rows: the owner key, and for each job
 its key twice, that of its progress and that of its cancellation."""
@@ -61,21 +61,29 @@
         self._delay_seconds = delay_seconds
         self._request_dispatch = request_dispatch
         self._rerouted_since: dict[QueueName, tuple[ServiceName, float]] = {}
+        self._settled: frozenset[QueueName] = frozenset()
+        """The queues whose jobs are transferred."""
+        self._due = trio.Event()
 
     async def run(self) -> None:
         """Transfer jobs until cancelled. Raises OwnershipLostError."""
         while True:
-            await trio.sleep(CHECK_SECONDS)
-            while specs := self._scheduler.take_departing(
-                self._settled_queues(), MAX_JOBS_PER_TRANSFER
-            ):
+            await self._due.wait()
+            self._due = trio.Event()
+            while specs := self._scheduler.take_departing(self._settled, MAX_JOBS_PER_TRANSFER):
                 try:
                     await self._transfer({spec.job: spec for spec in specs})
                 except StoreError as error:
                     if isinstance(error, OwnershipLostError):
                         raise
                     logger.info("job transfer waits for the store", error=str(error))
-                    break
+                    await trio.sleep(RETRY_SECONDS)
+
+    def check(self) -> None:
+        """Wake ``run`` if queues have moved; called at each tick."""
+        self._settled = self._settled_queues()
+        if self._settled:
+            self._due.set()
 
     def _settled_queues(self) -> frozenset[QueueName]:
         """Return the queues that have had another service for long enough."""
--- a/fireflyfork/programs/owner/_service_owner.py
+++ b/fireflyfork/programs/owner/_service_owner.py
@@ -370,6 +370,7 @@
             self._shed_load()
             self._registrations.update_age()
             self._scheduler.evacuate(self._requests.evacuated_domains())
+            self._transfers.check()
             with self._profile.section("checks of time"):
                 self._scheduler.check_time(self._clock.now(), self._clock.unix_ms())
             if self._scheduler.needs_ownership_proof(self._clock.now()) and not self._proving:
