--- a/fireflyfork/decisions/jobs/_executors.py
+++ b/fireflyfork/decisions/jobs/_executors.py
@@ -326,10 +326,13 @@
         if self.unregistered_since is None:
             self.unregistered_since = now
 
+    def unregistered_seconds(self, now: float) -> float:
+        """Return for how long the registration of the present incarnation has been missing."""
+        return now - self.unregistered_since if self.unregistered_since is not None else 0.0
+
     def lacks_registration(self, now: float) -> bool:
         """Whether the executor answers but can't be used, as its registration is long missing."""
-        since = self.unregistered_since
-        return since is not None and self.answers and now - since > MAX_UNREGISTERED_SECONDS
+        return self.answers and self.unregistered_seconds(now) > MAX_UNREGISTERED_SECONDS
 
     def min_clock_ms(self, now: float) -> int:
         """Return a lower bound of the executor's steady clock, in milliseconds."""
@@ -372,9 +375,7 @@
         self.incarnation = incarnation
         self.unregistered_since = now
         self.missing_registration_noted = False
-        unconfirmed, self.unconfirmed_registration = self.unconfirmed_registration, None
-        if unconfirmed is not None and unconfirmed.incarnation == incarnation:
-            self.describe(unconfirmed)
+        self.unconfirmed_registration = None
         self.known_since = now
         self.polled_at = None
         self.failed_polls = 0
--- a/fireflyfork/decisions/jobs/_job_table.py
+++ b/fireflyfork/decisions/jobs/_job_table.py
@@ -9,7 +9,7 @@
 
 from ..._ids import JobId, QueueName, ServiceName, TaskName
 from ._change_log import ChangeLog
-from ._departed_jobs import DepartedJobs, terms_version
+from ._gone_jobs import GoneJobs, terms_version
 from ._job_limits import MAX_EARLY_WINDOWS, MAX_OPEN_TASKS, SMALL_JOB_TASKS, open_occurrences
 from ._progress import JobState, StoredProgress
 from ._queue_terms import QueueTerms, latest
@@ -35,11 +35,9 @@
         self.changes = ChangeLog()
         self._jobs: dict[JobId, Job] = {}
         self._finished: dict[JobId, _FinishedJob] = {}
-        self._departed = DepartedJobs()
+        self._gone = GoneJobs()
         self._under_way: dict[JobId, JobSpec] = {}
         """Jobs that are being handed to another service, as they are to be stored for it."""
-        self._removed: set[JobId] = set()
-        self._removed_before: set[JobId] = set()
         self._queues: dict[QueueName, QueueConfiguration] = {}
         """The queues in force."""
         self._terms: dict[QueueName, QueueTerms] = {}
@@ -114,9 +112,7 @@
         # All changes are listed again after the store has lost its history, so a job may be
         # reported again after it has ended. Its tasks must not run a second time.
         is_known = spec.job in self._jobs or spec.job in self._finished
-        if is_known or spec.job in self._removed or spec.job in self._removed_before:
-            return []
-        if self._departed.is_outdated(spec):
+        if is_known or self._gone.is_old_news(spec):
             return []
         job = Job(spec, self._queue_of(spec))
         self._jobs[spec.job] = job
@@ -204,14 +200,6 @@
             job.state = JobState.RUNNING
         self.changes.record(job.spec.job)
 
-    @staticmethod
-    def record_begin(job: Job) -> None:
-        """Note that an executor has begun a task of the job.
-
-        That isn't stored: it would take one more write for each job.
-        """
-        job.has_begun = True
-
     def record_change(self, job: Job) -> int:
         """Note that the job has to be stored. Returns the number of the change."""
         return self.changes.record(job.spec.job)
@@ -271,12 +259,11 @@
         """
         for name in jobs:
             self._finished.pop(name, None)
-            self._removed.add(name)
+            self._gone.add_removed(name)
 
     def forget_removed(self) -> None:
         """Forget the ids removed before the previous call: no listing contains them any more."""
-        self._removed_before, self._removed = self._removed, set()
-        self._departed.forget_older()
+        self._gone.forget_older()
 
     def pending(self, now: float) -> dict[QueueName, int]:
         """Return, by queue, the number of accepted jobs of which no task has begun.
@@ -288,7 +275,7 @@
             for job in self._jobs.values()
             if not job.has_begun and not job.state.is_final
         )
-        return dict(Counter(chain(waiting, self._departed.still_counted(now))))
+        return dict(Counter(chain(waiting, self._gone.still_counted(now))))
 
     def rerouted(self, service: ServiceName) -> dict[QueueName, ServiceName]:
         """Return the queues with jobs of ``service`` that have another service now, and which."""
@@ -298,8 +285,8 @@
     def departing(self, queues: Collection[QueueName], most: int) -> list[JobSpec]:
         """Return up to ``most`` jobs to be stored for the service that their queue has now.
 
-        They are jobs of these queues that haven't begun, the ones first that are under way. From now
-        on none of their tasks starts here, until ``stay`` is called.
+        They are jobs of these queues that haven't begun, the ones first that are under way. None of
+        their tasks starts here from now on, until ``stay`` is called.
         """
         free = most - len(self._under_way)
         for job in islice(self._may_depart(queues) if queues else (), max(0, free)):
@@ -317,7 +304,7 @@
         job = self._jobs.pop(name, None) if spec is not None else None
         if job is not None and spec is not None:
             self._open_tasks -= len(job.tasks)
-            self._departed.add(spec, until)
+            self._gone.add_departed(spec, until)
         return job
 
     def stay(self, name: JobId) -> Job | None:
--- a/fireflyfork/decisions/jobs/_placement.py
+++ b/fireflyfork/decisions/jobs/_placement.py
@@ -100,7 +100,7 @@
             task = step.tasks[0]
             if step.reason is WaitReason.RESERVED:
                 waited = step.waited_seconds(now)
-                return self._reserved_room.refusal(task, placement_round, waited, now) is None
+                return not self._reserved_room.is_refused(task, placement_round, waited, now)
             gained = rooms.get(step.seen_gain)
             if gained is None:
                 executors = self._room_gains.executors_after(step.seen_gain)
@@ -191,17 +191,17 @@
         placement_round.barred = barred
         urgent_share = self._state.policies.room.urgent_share()
         is_kept_out = urgent_share > 0 and task.job.queue.priority > 0
-        # A task that accepts any cost isn't refused for the cost that a younger one was refused for.
-        accepts_any_cost = placement_round.max_cost(task, now_ms) == inf
+        # A task that accepts any cost isn't refused for a cost that a younger one doesn't accept.
+        accepts_any_cost = (
+            task.spec.uses_leftover_cpu and placement_round.max_cost(task, now_ms) == inf
+        )
         shape = (*_shape(task), is_kept_out, accepts_any_cost), barred
         refusal = placement_round.refusals.get(shape)
         if refusal is not None:
             return refusal
-        reserve_reason = self._reserved_room.refusal(
-            task, placement_round, placement_round.waited_seconds, now
-        )
-        if reserve_reason is not None:
-            return self._remembered_refusal(task, reserve_reason, placement_round, now)
+        waited = placement_round.waited_seconds
+        if self._reserved_room.is_refused(task, placement_round, waited, now):
+            return self._remembered_refusal(task, WaitReason.RESERVED, placement_round, now)
         if barred:
             allowed = [executor for executor in allowed if executor not in barred]
         refusal = self._try_executors(task, allowed, placement_round, now, now_ms)
--- a/fireflyfork/decisions/jobs/_report_handling.py
+++ b/fireflyfork/decisions/jobs/_report_handling.py
@@ -45,7 +45,7 @@
             run.phase = RunPhase.RUNNING
             run.confirmed_at = now
             run.progress_at = now
-            self._state.jobs.record_begin(run.task.job)
+            run.task.job.has_begun = True
             if run.in_background:
                 run.pace_percent = run.lowest_pace = BACKGROUND_PACE
                 self._state.commands.append(PaceRun(run, BACKGROUND_PACE))
@@ -168,7 +168,7 @@
         task = run.task if run is not None else self._open_task(row.task)
         if task is None:
             return
-        self._state.jobs.record_begin(task.job)
+        task.job.has_begun = True
         pace = run.lowest_pace if run is not None else 100
         self._state.notes.append(
             RunEnded(row.task, row.attempt, executor.executor, row.reason, pace)
@@ -243,7 +243,7 @@
             self._adopt_run(executor, row, now)
 
     def _update_run(self, run: Run, row: RunningRow, now: float) -> None:
-        self._state.jobs.record_begin(run.task.job)
+        run.task.job.has_begun = True
         if run.phase is RunPhase.STARTING:
             run.phase = RunPhase.RUNNING
         if run.confirmed_at is None:
@@ -297,7 +297,6 @@
         for previous_run in previous_runs:
             self._state.stop(previous_run, now)
         self._state.jobs.record_order(task.job)
-        self._state.jobs.record_begin(task.job)
         self._state.tell(lambda policy: policy.run_started(run, now))
 
     def _stop_unknown_run(self, executor: ExecutorState, row: RunningRow, now: float) -> None:
--- a/fireflyfork/decisions/jobs/_reserved_room.py
+++ b/fireflyfork/decisions/jobs/_reserved_room.py
@@ -6,7 +6,6 @@
 
 from __future__ import annotations
 
-from ..._waits import WaitReason
 from ._placement_round import PlacementRound
 from ._runs import Task
 from ._service_state import ServiceState
@@ -34,22 +33,22 @@
         if self._short_tasks_seen_at is None or placement_round.short_task_millis > 0:
             self._short_tasks_seen_at = now
 
-    def refusal(
+    def is_refused(
         self, task: Task, placement_round: PlacementRound, waited_seconds: float, now: float
-    ) -> WaitReason | None:
-        """Return RESERVED if a task can't have room now because it is kept for others, or None.
+    ) -> bool:
+        """Whether a task can't have room now because it is kept for others.
 
         ``waited_seconds`` is the time since this owner first tried to place the task's step.
         """
         room = self._state.policies.room
         if placement_round.would_take_urgent_reserve(task, room.urgent_share()):
-            return WaitReason.RESERVED
+            return True
         share = room.short_task_share()
         if not placement_round.would_take_short_task_reserve(task, share):
-            return None
+            return False
         if waited_seconds >= MAX_REFUSED_SECONDS and self._yields(task, placement_round, share):
-            return None
-        return None if self._short_tasks_are_gone(now) else WaitReason.RESERVED
+            return False
+        return not self._short_tasks_are_gone(now)
 
     @staticmethod
     def _yields(task: Task, placement_round: PlacementRound, share: float) -> bool:
--- a/fireflyfork/decisions/jobs/_runs.py
+++ b/fireflyfork/decisions/jobs/_runs.py
@@ -182,8 +182,8 @@
     """The configuration of the job's queue; if the queue was removed, the last known one."""
     state: JobState = JobState.QUEUED
     has_begun: bool = False
-    """Whether an executor has begun a task of the job. Of a recovered job it is known only that a
-    start was ordered."""
+    """Whether an executor has begun a task of the job. It isn't stored, which would be one more write
+    for each job: of a recovered job it is known only that a start was ordered."""
     final_ms: int = 0
     """When the state became final, in Unix milliseconds; 0 before."""
     tasks: dict[TaskKey, Task] = field(default_factory=dict)
--- a/fireflyfork/decisions/jobs/_scheduler.py
+++ b/fireflyfork/decisions/jobs/_scheduler.py
@@ -116,10 +116,6 @@
         """The number of tasks that may start and have no executor."""
         return len(self._state.waiting)
 
-    def executors_without_registration(self, now: float) -> int:
-        """Return how many executors answer but get no runs, as their registration is missing."""
-        return sum(executor.lacks_registration(now) for executor in self.executors.values())
-
     @property
     def steps_without_advice(self) -> int:
         """The number of steps that can't start because the advisor hasn't answered."""
@@ -135,6 +131,10 @@
         """The latest figures of the work ahead of new jobs; None if nothing is measured."""
         return self._state.policies.load.figures
 
+    def executors_without_registration(self, now: float) -> int:
+        """Return how many executors answer but get no runs, as their registration is missing."""
+        return sum(executor.lacks_registration(now) for executor in self.executors.values())
+
     @guarded_change
     def take_commands(self) -> list[RunCommand]:
         """Return the pending commands and clear them."""
@@ -300,7 +300,7 @@
 
     @guarded_change
     def depart(self, name: JobId, until: float, now: float) -> None:
-        """Drop a job that is stored for another service, and count it as pending until ``until``."""
+        """Drop a job that is stored for another service; it counts as pending until ``until``."""
         job = self.jobs.depart(name, until)
         if job is not None:
             self._state.tell(lambda policy: policy.job_over(job, now))
@@ -338,9 +338,7 @@
             return
         if incarnation > state.incarnation:
             self._state.handle_restart(state, incarnation, now)
-        if registration.address != state.registration.address:
-            self._state.known_executors_changed = True
-        state.describe(registration)
+        self._state.describe(state, registration)
         self._evacuations.mark(state)
 
     @guarded_change
--- a/fireflyfork/decisions/jobs/_service_state.py
+++ b/fireflyfork/decisions/jobs/_service_state.py
@@ -7,7 +7,7 @@
 from ..._ids import AttemptNumber, ExecutorId
 from ..._waits import WaitReason
 from ._commands import RunCommand, StopRun
-from ._executors import ExecutorState
+from ._executors import ExecutorRegistration, ExecutorState
 from ._gangs import gang_members, has_no_runs
 from ._interference import InterferenceModel
 from ._job_table import JobTable
@@ -201,6 +201,12 @@
         """
         return self.executors.get(executor.executor) is executor
 
+    def describe(self, executor: ExecutorState, registration: ExecutorRegistration) -> None:
+        """Use a registration of an executor's present incarnation."""
+        if registration.address != executor.registration.address:
+            self.known_executors_changed = True
+        executor.describe(registration)
+
     def handle_restart(self, executor: ExecutorState, incarnation: int, now: float) -> None:
         """Handle the restart of an executor: the runs of its previous incarnation are over.
 
@@ -210,10 +216,10 @@
         """
         self._add_given_up_note(executor, RunEndEvidence.NEW_INCARNATION)
         runs = tuple(executor.runs.values())
-        address = executor.registration.address
+        unconfirmed = executor.unconfirmed_registration
         executor.reset_for_incarnation(incarnation, now)
-        if executor.registration.address != address:
-            self.known_executors_changed = True
+        if unconfirmed is not None and unconfirmed.incarnation == incarnation:
+            self.describe(executor, unconfirmed)
         self.tickets.forget_executor(executor.executor)
         self.move_reservations.drop_destination(executor)
         self.tell(lambda policy: policy.executor_restarted(executor, now))
--- a/fireflyfork/decisions/jobs/_time_checks.py
+++ b/fireflyfork/decisions/jobs/_time_checks.py
@@ -53,19 +53,17 @@
                 self._state.stop(run, now)
 
     def _note_missing_registration(self, executor: ExecutorState, now: float) -> None:
-        since = executor.unregistered_since
-        if since is None or executor.missing_registration_noted:
+        if executor.missing_registration_noted or not executor.lacks_registration(now):
             return
-        if executor.lacks_registration(now):
-            executor.missing_registration_noted = True
-            self._state.notes.append(
-                RegistrationMissing(
-                    executor.executor,
-                    executor.incarnation,
-                    executor.registration.incarnation,
-                    int((now - since) * 1000),
-                )
+        executor.missing_registration_noted = True
+        self._state.notes.append(
+            RegistrationMissing(
+                executor.executor,
+                executor.incarnation,
+                executor.registration.incarnation,
+                int(executor.unregistered_seconds(now) * 1000),
             )
+        )
 
     def _evacuate(self, executor: ExecutorState, now: float) -> None:
         """Stop the runs that would be cut off when the executor exits.
--- a/fireflyfork/decisions/jobs/tests/test_ends.py
+++ b/fireflyfork/decisions/jobs/tests/test_ends.py
@@ -171,9 +171,9 @@
         """Guards against a late registration of an earlier incarnation.
 
         After a restart, a poll reports the new incarnation first, and its registration follows.
-        Then a listing of the store repeats the earlier registration and the new one. The owner went back to
-        the earlier incarnation, took the new registration for another restart, and all runs there
-        for over: each of their tasks was started a second time elsewhere.
+        Then a listing of the store repeats the earlier registration and the new one. The owner went
+        back to the earlier incarnation, took the new registration for another restart, and all runs
+        there for over: each of their tasks was started a second time elsewhere.
         """
         owner = OwnerUnderTest("i-0")
         owner.poll("i-0", incarnation=2)
--- a/fireflyfork/decisions/jobs/tests/test_waits_end.py
+++ b/fireflyfork/decisions/jobs/tests/test_waits_end.py
@@ -51,7 +51,23 @@
     return None
 
 
-class RoomForShortTasksTest(unittest.TestCase):
+def _list_long_running(owner: OwnerUnderTest) -> None:
+    """Let the executor list its long-running tasks, and the ends of the others."""
+    runs = owner.executor().runs.values()
+    owner.poll("i-0", *(row(run, 100) for run in runs if run.task.spec.long_running))
+
+
+class WaitsTest(unittest.TestCase):
+    """Asserts that waits end."""
+
+    def assert_starts_within(self, limit: float, owner: OwnerUnderTest, name: str) -> None:
+        """Assert that a task of the job starts sooner than after ``limit`` seconds."""
+        seconds = _seconds_until_start(owner, name)
+        assert seconds is not None
+        self.assertLess(seconds, limit)
+
+
+class RoomForShortTasksTest(WaitsTest):
     """Long-running tasks are refused the room that is kept for short ones, for a time."""
 
     def test_a_long_running_task_starts_where_it_fits_twice_after_a_loss(self) -> None:
@@ -64,9 +80,7 @@
         owner.scheduler.unregister(idle[0].executor, owner.now)
         owner.tick(8.0)
         owner.scheduler.accept(job("b" * 16, step(cpu_millis=5000, **LASTING)), START_MS)
-        seconds = _seconds_until_start(owner, "b" * 16)
-        assert seconds is not None
-        self.assertLess(seconds, LOST_AFTER_SECONDS)
+        self.assert_starts_within(LOST_AFTER_SECONDS, owner, "b" * 16)
 
     def test_all_tasks_of_a_step_start_while_one_more_fits(self) -> None:
         """Guards against a bound that holds for the first task of a step and not for the others."""
@@ -84,19 +98,12 @@
         owner.place()
         for number in range(60):
             owner.scheduler.accept(job(f"{number:016x}", step(cpu_millis=1000)), START_MS)
-            seconds = _seconds_until_start(owner, f"{number:016x}")
-            assert seconds is not None
-            self.assertLess(seconds, 1.0)
+            self.assert_starts_within(1.0, owner, f"{number:016x}")
             for run in list(owner.executor().runs.values()):
                 if not run.task.spec.long_running:
                     owner.end("i-0", run.task.name, run.attempt, EndReason.DONE)
             owner.tick(1.0)
-            rows = [
-                row(run, 100)
-                for run in owner.executor().runs.values()
-                if run.task.spec.long_running
-            ]
-            owner.poll("i-0", *rows)
+            _list_long_running(owner)
 
     def test_the_last_room_is_used_when_no_short_tasks_come(self) -> None:
         """Guards against room that is kept for ever for tasks that aren't there."""
@@ -107,17 +114,13 @@
                 owner.scheduler.accept(job("a" * 16, steps), START_MS)
                 self.assertEqual(len(owner.place()), 14)
                 owner.scheduler.accept(job("b" * 16, step(cpu_millis=2000, **LASTING)), START_MS)
-                seconds = _seconds_until_start(owner, "b" * 16)
-                assert seconds is not None
-                self.assertLess(seconds, SHORT_TASKS_GONE_SECONDS + 1.0)
+                self.assert_starts_within(SHORT_TASKS_GONE_SECONDS + 1.0, owner, "b" * 16)
 
     def test_a_task_that_is_larger_than_long_running_tasks_may_take(self) -> None:
         """Guards against a task that fits an idle service and never starts."""
         owner = _fleet(1)
         owner.scheduler.accept(job("a" * 16, step(cpu_millis=16_000, **LASTING)), START_MS)
-        seconds = _seconds_until_start(owner, "a" * 16)
-        assert seconds is not None
-        self.assertLess(seconds, LOST_AFTER_SECONDS)
+        self.assert_starts_within(LOST_AFTER_SECONDS, owner, "a" * 16)
 
     def test_a_gang_starts_where_it_fits_twice(self) -> None:
         """Guards against a bound that compares the room with one member of a gang."""
@@ -126,15 +129,13 @@
         self.assertEqual(len(owner.place()), 57)
         gang = step(count=3, cpu_millis=1000, gang=True, **LASTING)
         owner.scheduler.accept(job("b" * 16, gang), START_MS)
-        seconds = _seconds_until_start(owner, "b" * 16)
-        assert seconds is not None
-        self.assertLess(seconds, LOST_AFTER_SECONDS)
+        self.assert_starts_within(LOST_AFTER_SECONDS, owner, "b" * 16)
 
 
 _ADAPTIVE = PolicySettings(PreemptionSettings(True, adaptive_reserve=True))
 
 
-class OtherWaitsTest(unittest.TestCase):
+class OtherWaitsTest(WaitsTest):
     """Other refusals that long-running tasks could make last for ever."""
 
     def test_less_urgent_tasks_start_beside_long_running_ones(self) -> None:
@@ -149,18 +150,11 @@
             for run in owner.place():
                 owner.end("i-0", run.task.name, run.attempt, EndReason.DONE)
             owner.tick(0.5)
-            rows = [
-                row(run, 100)
-                for run in owner.executor().runs.values()
-                if run.task.spec.long_running
-            ]
-            owner.poll("i-0", *rows)
+            _list_long_running(owner)
         self.assertGreater(owner.scheduler._state.policies.room.urgent_share(), 0.1)
         late = job("b" * 16, step(cpu_millis=1000), queue=QueueName("less"))
         owner.scheduler.accept(late, START_MS + owner.clock())
-        seconds = _seconds_until_start(owner, "b" * 16)
-        assert seconds is not None
-        self.assertLess(seconds, 3.0)
+        self.assert_starts_within(3.0, owner, "b" * 16)
 
     def test_tasks_without_a_reservation_start_beside_full_reservations(self) -> None:
         """Guards against a cost that no task accepts while nothing ends."""
@@ -172,9 +166,7 @@
                 self.assertIsNotNone(_seconds_until_start(owner, "a" * 16))
                 filling = step(image="noisy", uses_leftover_cpu=True, long_running=lasting)
                 owner.scheduler.accept(job("b" * 16, filling), START_MS + owner.clock())
-                seconds = _seconds_until_start(owner, "b" * 16)
-                assert seconds is not None
-                self.assertLess(seconds, limit)
+                self.assert_starts_within(limit, owner, "b" * 16)
 
 
 class YoungerTasksTest(unittest.TestCase):
--- a/fireflyfork/programs/callers/_job_requests.py
+++ b/fireflyfork/programs/callers/_job_requests.py
@@ -122,16 +122,17 @@
 
     async def _bar(self, job: JobId) -> bool:
         """Write the tombstone of a job. Return False if the job has been accepted meanwhile."""
-        keys = job_key(job), tombstone_key(job)
         try:
-            (tombstone,) = await self._tombstones.puts(job)
-            present = await self._write_if_absent(keys, tombstone)
+            present = await self._write_tombstone(job)
         except LeaseEndedError:
             self._tombstones.renew()
-            (tombstone,) = await self._tombstones.puts(job)
-            present = await self._write_if_absent(keys, tombstone)
+            present = await self._write_tombstone(job)
         return job_key(job) not in present
 
+    async def _write_tombstone(self, job: JobId) -> frozenset[str]:
+        (tombstone,) = await self._tombstones.puts(job)
+        return await self._write_if_absent((job_key(job), tombstone.key), tombstone)
+
     async def pending(self, queue: QueueConfiguration) -> int:
         """Return how many jobs of a queue wait for their first start; the count may be 2 s old.
 
@@ -160,8 +161,7 @@
         Raises StoreRefusedError only if this call can't have written anything: a caller that gets
         the answer "not accepted" must be able to rely on it.
         """
-        unknown_outcome = StoreUnavailableError("not written")
-        is_unknown = False
+        unknown_outcome: StoreUnavailableError | None = None
         for _ in range(MAX_WRITE_ATTEMPTS):
             try:
                 await self._store.commit(dict.fromkeys(keys, Revision(0)), (put,))
@@ -169,12 +169,13 @@
             except TransactionConflictError as error:
                 return frozenset(error.current_versions)
             except StoreRefusedError as error:
-                if not is_unknown:
+                if unknown_outcome is None:
                     raise
                 raise unknown_outcome from error
             except StoreUnavailableError as error:
-                unknown_outcome, is_unknown = error, True
+                unknown_outcome = error
                 if not (self._repeats_in_outages or self._store.is_responsive):
                     # Waiting for a second timeout would use up the time that the caller has left.
                     break
+        assert unknown_outcome is not None
         raise unknown_outcome
--- a/fireflyfork/programs/owner/_decision_log.py
+++ b/fireflyfork/programs/owner/_decision_log.py
@@ -98,9 +98,9 @@
                 return in_sample(job_of_task(note.task), self._sampled_share)
             case JobOver() | ReservationMade() | ReservationDropped() | StepOnTrial():
                 return in_sample(note.job, self._sampled_share)
-            case ReserveChanged() | ExecutorGivenUp() | ShareWaits() | FailureSuspicion():
+            case ReserveChanged() | ExecutorGivenUp() | RegistrationMissing():
                 return True
-            case RegistrationMissing():
+            case ShareWaits() | FailureSuspicion():
                 return True
 
     def _begin_second(self) -> None:
--- a/fireflyfork/programs/owner/_job_transfers.py
+++ b/fireflyfork/programs/owner/_job_transfers.py
@@ -27,8 +27,8 @@
 """Maximum number of jobs in one transaction, which takes 32 rows: the owner key, and for each job
 its key twice, that of its progress and that of its cancellation."""
 COUNTED_SECONDS = 2.0
-"""How long a transferred job is counted as pending by its earlier owner as well. The new owner hears
-of it by a watch, and stores its counts each half second."""
+"""How long a transferred job is counted as pending by its earlier owner as well. The new owner
+hears of it by a watch, and stores its counts each half second."""
 
 
 class JobTransfers:
@@ -60,7 +60,7 @@
         self._clock = clock
         self._delay_seconds = delay_seconds
         self._request_dispatch = request_dispatch
-        self._rerouted_since: dict[QueueName, tuple[ServiceName, float]] = {}
+        self._rerouted_since: dict[tuple[QueueName, ServiceName], float] = {}
         self._settled: frozenset[QueueName] = frozenset()
         """The queues whose jobs are transferred."""
         self._due = trio.Event()
@@ -73,9 +73,9 @@
             while specs := self._scheduler.take_departing(self._settled, MAX_JOBS_PER_TRANSFER):
                 try:
                     await self._transfer({spec.job: spec for spec in specs})
+                except OwnershipLostError:
+                    raise
                 except StoreError as error:
-                    if isinstance(error, OwnershipLostError):
-                        raise
                     logger.info("job transfer waits for the store", error=str(error))
                     await trio.sleep(RETRY_SECONDS)
 
@@ -88,14 +88,13 @@
     def _settled_queues(self) -> frozenset[QueueName]:
         """Return the queues that have had another service for long enough."""
         now = self._clock.now()
-        earlier, self._rerouted_since = self._rerouted_since, {}
-        for queue, service in self._scheduler.rerouted_queues().items():
-            known = earlier.get(queue)
-            is_same = known is not None and known[0] == service
-            self._rerouted_since[queue] = known if known is not None and is_same else (service, now)
+        self._rerouted_since = {
+            route: self._rerouted_since.get(route, now)
+            for route in self._scheduler.rerouted_queues().items()
+        }
         return frozenset(
             queue
-            for queue, (_, since) in self._rerouted_since.items()
+            for (queue, _), since in self._rerouted_since.items()
             if now - since >= self._delay_seconds
         )
 
--- a/fireflyfork/programs/owner/tests/builders_owner.py
+++ b/fireflyfork/programs/owner/tests/builders_owner.py
@@ -11,7 +11,7 @@
 from fireflyfork_standins.scheduling._nodes import VirtualClock
 
 from ...._ids import ExecutorId, FailureDomainName, LeaseId, NodeName
-from ....adapters import LoopTime, NoAdvisor, Put
+from ....adapters import ExecutorCalls, LoopTime, MachineCalls, NoAdvisor, Put
 from ....decisions.jobs import ExecutorRoom, JobSpec, encode_job
 from ....decisions.jobs.tests.builders_jobs import SERVICE, table
 from ....platform import PlatformBounds
@@ -28,6 +28,28 @@
 BOUNDS = PlatformBounds(6.0, 0.2, 6.0, 120.0, 2.5)
 
 
+def create_owner(
+    term: Term,
+    node: NodeName,
+    store: StandInStore,
+    calls: ExecutorCalls,
+    machines: MachineCalls,
+    requests: OperatorRequests,
+) -> ServiceOwner:
+    """Return an owner that makes its calls to stand-ins."""
+    client, clock = store.client(node), VirtualClock()
+    return ServiceOwner(
+        term,
+        node,
+        ExternalClients(client, calls, NoAdvisor(), machines, LoopTime(), lambda: calls),
+        clock,
+        Metrics(),
+        BOUNDS,
+        requests,
+        Announcements(node, 1.0, 1000.0, client, clock),
+    )
+
+
 class OwnerFixture:
     """A store, executors, and an owner at the start of its term."""
 
@@ -46,24 +68,14 @@
         self.executor = self.executors[EXECUTOR]
         machines = StandInMachines(SERVICE, self.executors, self.history, random)
         calls = StandInExecutorCalls(NODE, self.executors, nursery, random)
-        client, clock = self.store.client(NODE), VirtualClock()
         revision = self.store.apply({}, (Put(owner_key(SERVICE), b"n-0"),), ())
-        self.owner = ServiceOwner(
+        self.owner = create_owner(
             Term(SERVICE, 1, LeaseId(0), revision),
             NODE,
-            ExternalClients(
-                client,
-                calls,
-                NoAdvisor(),
-                machines.client(nursery),
-                LoopTime(),
-                lambda: calls,
-            ),
-            clock,
-            Metrics(),
-            BOUNDS,
+            self.store,
+            calls,
+            machines.client(nursery),
             OperatorRequests(table, evacuated_domains=lambda: self.evacuated_domains),
-            Announcements(NODE, 1.0, 1000.0, client, clock),
         )
 
     def replace_owner(self) -> None:
--- a/fireflyfork/programs/owner/tests/builders_services.py
+++ b/fireflyfork/programs/owner/tests/builders_services.py
@@ -11,22 +11,18 @@
 from fireflyfork_standins.scheduling._nodes import VirtualClock
 
 from ...._ids import ConfigurationVersion, ExecutorId, JobId, LeaseId, NodeName, ServiceName
-from ....adapters import LoopTime, NoAdvisor, Put
+from ....adapters import Put
 from ....decisions.jobs import ExecutorRoom, JobSpec, QueueTable, StepSpec, encode_job, queue_table
 from ....decisions.jobs.tests.builders_jobs import job, queue
-from ....platform import PlatformBounds
-from ..._announcements import Announcements
-from ..._external_clients import ExternalClients
-from ..._metrics import Metrics
 from ..._scheduling_keys import cancel_key, job_key, owner_key, pending_key
 from ...callers._job_requests import JobRequests
 from .._operator_requests import OperatorRequests
 from .._service_lease import Term
 from .._service_owner import ServiceOwner
+from .builders_owner import BOUNDS, create_owner
 
 DESK, ANNEX = ServiceName("desk"), ServiceName("annex")
-CONFIGURATION_SECONDS = 2.5
-BOUNDS = PlatformBounds(6.0, 0.2, 6.0, 120.0, CONFIGURATION_SECONDS)
+CONFIGURATION_SECONDS = BOUNDS.configuration_delay
 CALLER = NodeName("n-caller")
 
 
@@ -77,22 +73,16 @@
         store.remove(owner_key(self.name))
         self._terms += 1
         revision = store.apply({}, (Put(owner_key(self.name), self.node.encode("ascii")),), ())
-        client, clock = store.client(self.node), VirtualClock()
         async with trio.open_nursery() as nursery:
             calls = StandInExecutorCalls(self.node, self.executors, nursery, random)
             machines = StandInMachines(self.name, self.executors, self._services.history, random)
-            clients = ExternalClients(
-                client, calls, NoAdvisor(), machines.client(nursery), LoopTime(), lambda: calls
-            )
-            self.owner = ServiceOwner(
+            self.owner = create_owner(
                 Term(self.name, self._terms, LeaseId(0), revision),
                 self.node,
-                clients,
-                clock,
-                Metrics(),
-                BOUNDS,
+                store,
+                calls,
+                machines.client(nursery),
                 OperatorRequests(lambda: self.queues),
-                Announcements(self.node, 1.0, 1000.0, client, clock),
             )
             await self.owner.run()
 
--- a/fireflyfork/programs/owner/tests/test_job_transfers.py
+++ b/fireflyfork/programs/owner/tests/test_job_transfers.py
@@ -9,7 +9,7 @@
 import trio
 from trio.testing import MockClock
 
-from ...._ids import JobId
+from ...._ids import JobId, ServiceName
 from ....decisions.jobs import JobState, StepSpec, decode_stored_job
 from ....decisions.jobs.tests.builders_jobs import step
 from ..._scheduling_keys import job_key
@@ -43,9 +43,19 @@
     return waiting
 
 
+def _reroute(services: Services, service: ServiceName) -> None:
+    """Move the queue, and put that in force at once."""
+    services.move_queue(service)
+    services.configure()
+
+
 class MovedQueueTest(unittest.TestCase):
     """Jobs that haven't begun follow their queue, and are counted wherever they wait."""
 
+    async def _assert_completed(self, services: Services, jobs: list[JobId]) -> None:
+        for name in jobs:
+            self.assertIs(await services.requests.state(name), JobState.COMPLETED)
+
     def test_waiting_jobs_are_counted_after_their_queue_has_moved(self) -> None:
         """Guards against a count of the queue's present service alone."""
 
@@ -55,8 +65,7 @@
                 executor.unregister()
             await trio.sleep(1.0)
             self.assertEqual(await services.pending(), WAITING)
-            services.move_queue(ANNEX)
-            services.configure()
+            _reroute(services, ANNEX)
             for _ in range(100):
                 await trio.sleep(0.1)
                 self.assertGreaterEqual(await services.pending(), WAITING)
@@ -70,11 +79,9 @@
 
         async def body(services: Services) -> None:
             waiting = await _fill_and_wait(services)
-            services.move_queue(ANNEX)
-            services.configure()
+            _reroute(services, ANNEX)
             await trio.sleep(CONFIGURATION_SECONDS + 6.0)
-            for name in waiting:
-                self.assertIs(await services.requests.state(name), JobState.COMPLETED)
+            await self._assert_completed(services, waiting)
             self.assertEqual(await services.pending(), 0)
             self.assertEqual(services.history.violations, [])
 
@@ -85,8 +92,7 @@
 
         async def body(services: Services) -> None:
             await _fill_and_wait(services, 0)
-            services.move_queue(ANNEX)
-            services.configure()
+            _reroute(services, ANNEX)
             await trio.sleep(CONFIGURATION_SECONDS + 3.0)
             (name,) = services.jobs
             item = services.store.get(job_key(name))
@@ -103,12 +109,10 @@
         async def body(services: Services) -> None:
             waiting = await _fill_and_wait(services)
             for service in (ANNEX, DESK, ANNEX):
-                services.move_queue(service)
-                services.configure()
+                _reroute(services, service)
                 await trio.sleep(CONFIGURATION_SECONDS + 0.2)
             await trio.sleep(8.0)
-            for name in waiting:
-                self.assertIs(await services.requests.state(name), JobState.COMPLETED)
+            await self._assert_completed(services, waiting)
             self.assertEqual(services.history.violations, [])
 
         _play(body)
@@ -118,8 +122,7 @@
 
         async def body(services: Services) -> None:
             waiting = await _fill_and_wait(services)
-            services.move_queue(ANNEX)
-            services.configure()
+            _reroute(services, ANNEX)
             for name in waiting[:5]:
                 await trio.sleep(CONFIGURATION_SECONDS / 5)
                 services.cancel(name)
@@ -136,12 +139,10 @@
 
         async def body(services: Services) -> None:
             waiting = await _fill_and_wait(services)
-            services.move_queue(ANNEX)
-            services.configure()
+            _reroute(services, ANNEX)
             services.desk.replace_owner()
             await trio.sleep(CONFIGURATION_SECONDS + 12.0)
-            for name in waiting:
-                self.assertIs(await services.requests.state(name), JobState.COMPLETED)
+            await self._assert_completed(services, waiting)
             self.assertEqual(services.history.violations, [])
 
         _play(body)
@@ -204,7 +205,7 @@
             lambda: setattr(trouble, "lost_share", random.choice((0.0, 0.0, 0.3))),
             lambda: setattr(trouble, "late_share", random.choice((0.0, 0.6))),
             lambda: services.store.drop_history(),
-            *([partial(self._move, services, random)] * 3),
+            *([lambda: _reroute(services, random.choice((DESK, ANNEX, ANNEX)))] * 3),
             lambda: services.cancel(random.choice(list(services.jobs))),
             *([lambda: services.submit(self._steps(random))] * 8),
         ]
@@ -222,12 +223,6 @@
             state = await services.requests.state(name)
             self.assertIs(state, JobState.COMPLETED, name)
 
-    @staticmethod
-    def _move(services: Services, random: Random) -> None:
-        """Move the queue, and put that in force at once."""
-        services.move_queue(random.choice((DESK, ANNEX, ANNEX)))
-        services.configure()
-
     @staticmethod
     def _steps(random: Random) -> StepSpec:
         cpu_millis = random.choice((500, 2000, 8000))
--- a/fireflyfork/programs/owner/tests/test_old_jobs.py
+++ b/fireflyfork/programs/owner/tests/test_old_jobs.py
@@ -9,7 +9,8 @@
 from ....decisions.jobs import JobState
 from ..._scheduling_keys import job_key, progress_key, tombstone_key
 from .._service_owner import CLEANUP_SECONDS, RETENTION_MARGIN_SECONDS
-from .builders_services import BOUNDS, Services
+from .builders_owner import BOUNDS
+from .builders_services import Services
 from .test_job_transfers import SHORT
 
 RETENTION_SECONDS = BOUNDS.status_retention + RETENTION_MARGIN_SECONDS
--- a/fireflyfork_standins/scheduling/_further_writers.py
+++ b/fireflyfork_standins/scheduling/_further_writers.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import replace
+from itertools import cycle
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -118,20 +119,17 @@
         """Give every second executor the other kind."""
         self._random = random
         self._executors = executors
-        self._set_kinds()
+        self._last_kinds = dict(zip(executors, cycle(KINDS), strict=False))
+        """The kind that each executor has at the beginning and in the end."""
+        for name, kind in self._last_kinds.items():
+            executors[name].kind = kind
 
-    def labelled(self, step: StepSpec) -> StepSpec:
-        """Return a step that may require a kind."""
+    def labelled(self, step: StepSpec, executor: ExecutorId | None = None) -> StepSpec:
+        """Return a step that may require a kind: the last one of ``executor``, or any."""
         if self._random.random() >= LABELLED_SHARE:
             return step
-        return replace(step, required_label=self._random.choice(KINDS))
-
-    def labelled_for(self, step: StepSpec, executor: ExecutorId) -> StepSpec:
-        """Return a step that may require the kind which an executor has in the end."""
-        if self._random.random() >= LABELLED_SHARE:
-            return step
-        number = list(self._executors).index(executor)
-        return replace(step, required_label=KINDS[number % len(KINDS)])
+        kind = self._random.choice(KINDS) if executor is None else self._last_kinds[executor]
+        return replace(step, required_label=kind)
 
     async def run(self, seconds: float) -> None:
         """Restart executors for a time. At the end both kinds are there."""
@@ -140,10 +138,9 @@
             await trio.sleep(self._random.expovariate(1 / KIND_SECONDS))
             executor = self._random.choice(tuple(self._executors.values()))
             await self._restart_as(executor, self._random.choice(KINDS))
-        for number, executor in enumerate(self._executors.values()):
-            kind = KINDS[number % len(KINDS)]
-            while executor.kind != kind:
-                await self._restart_as(executor, kind)
+        for name, kind in self._last_kinds.items():
+            while self._executors[name].kind != kind:
+                await self._restart_as(self._executors[name], kind)
                 await trio.sleep(0.1)
 
     async def _restart_as(self, executor: StandInExecutor, kind: str) -> None:
@@ -160,10 +157,6 @@
         if executor.up:
             executor.register()
 
-    def _set_kinds(self) -> None:
-        for number, executor in enumerate(self._executors.values()):
-            executor.kind = KINDS[number % len(KINDS)]
-
 
 class RouteChanges:
     """The operator of a day, who removes the route, adds it again, and changes its priority."""
--- a/fireflyfork_standins/scheduling/_wire_platform.py
+++ b/fireflyfork_standins/scheduling/_wire_platform.py
@@ -130,8 +130,8 @@
         calls = StandInExecutorCalls(ANY_INSTANCE, self._executors, nursery, self._random)
         for number, (name, executor) in enumerate(self._executors.items()):
             place = ExecutorEndpoint(name, self._layout.executor(number), ANY_INCARNATION)
-            calls_of_one = ExecutorHttpHandler(calls, place, partial(_incarnation_of, executor))
-            await self._serve(nursery, calls_of_one, place.address)
+            executor_handler = ExecutorHttpHandler(calls, place, partial(_incarnation_of, executor))
+            await self._serve(nursery, executor_handler, place.address)
             nursery.start_soon(executor.run)
         if self.advisor is not None:
             for number in range(self._layout.instances):
--- a/fireflyfork_standins/scheduling/soak.py
+++ b/fireflyfork_standins/scheduling/soak.py
@@ -241,7 +241,7 @@
         """Return a step that may require a kind of which an executor may run it."""
         advisor = self._platform.advisor
         assert advisor is not None
-        return self._kinds.labelled_for(step, advisor.first_permitted(name))
+        return self._kinds.labelled(step, advisor.first_permitted(name))
 
     async def _trouble_processes(self, nursery: trio.Nursery) -> None:
         """Start series of signals and changes, which overlap."""
